--- /dev/null
+++ b/src/camphoryard/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and the straight-line tasks that wait, decide and act in order."""
--- /dev/null
+++ b/src/camphoryard/coordination/membership.py
@@ -0,0 +1,59 @@
+"""Heartbeats between nodes, and what is done with those heard."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from camphoryard.coordination.messages import (
+    Declined,
+    DigestWanted,
+    Done,
+    Heartbeat,
+    LoadWanted,
+    Message,
+    Reply,
+)
+from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.state.errors import CamphoryardError
+from camphoryard.state.ids import EndpointId, Generation, ItemId
+from camphoryard.state.nodes import NodeDigest, NodeTable
+from camphoryard.state.timeline import HybridClock
+
+HEARTBEAT_PERIOD_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipParts:
+    """What the membership tasks work with."""
+
+    nodes: NodeTable
+    peers: Peers
+    clock: HybridClock
+    digest: Callable[[], NodeDigest]
+    load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
+    heard_generation: Callable[[Generation], None]
+
+
+def run_heartbeats(parts: MembershipParts, timer: Timer) -> None:
+    """Tell every live peer about this node until the timer service closes."""
+    for _ in timer.every(HEARTBEAT_PERIOD_S):
+        message = Heartbeat(parts.digest(), parts.clock.now())
+        for lease in parts.nodes.alive():
+            parts.peers.tell(lease.node, message)
+
+
+def handle(parts: MembershipParts, message: Message) -> Reply:
+    """Act on a peer's message and return the reply."""
+    match message:
+        case Heartbeat(digest, stamp):
+            parts.clock.heard(stamp)
+            parts.nodes.heard(digest)
+            parts.heard_generation(digest.generation)
+            return Done()
+        case LoadWanted(endpoint, items):
+            try:
+                parts.load_here(endpoint, items)
+            except CamphoryardError as error:
+                return Declined(str(error))
+            return Done()
+        case DigestWanted():
+            return parts.digest()
--- /dev/null
+++ b/src/camphoryard/coordination/messages.py
@@ -0,0 +1,45 @@
+"""Messages between nodes."""
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from camphoryard.state.ids import EndpointId, ItemId
+from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.timeline import Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A node is alive; its digest heals what was lost."""
+
+    digest: NodeDigest
+    stamp: Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class LoadWanted:
+    """Ask an endpoint's owner to load items there, in order."""
+
+    endpoint: EndpointId
+    items: tuple[ItemId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DigestWanted:
+    """Ask a node for its digest."""
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The request was met, or is under way."""
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The peer will not or cannot do it."""
+
+    detail: str
+
+
+Message: TypeAlias = Heartbeat | LoadWanted | DigestWanted
+Reply: TypeAlias = Done | Declined | NodeDigest
--- /dev/null
+++ b/src/camphoryard/coordination/ownership.py
@@ -0,0 +1,84 @@
+"""Node leases, and which node owns which endpoint."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+from uuid import uuid4
+
+from xxhash import xxh3_64_intdigest
+
+from camphoryard.coordination.ports import Records, Timer
+from camphoryard.coordination.writing import write_resolved
+from camphoryard.state.enums import NodeState
+from camphoryard.state.errors import ConflictError, StoreUnavailableError
+from camphoryard.state.ids import ABSENT, EndpointId, NodeId, Version, WriteId
+from camphoryard.state.nodes import NodeLease, NodeTable
+
+RENEWALS_PER_LEASE = 4
+
+
+def rendezvous_owner(item: str, nodes: Sequence[NodeId]) -> NodeId:
+    """Return the node with the highest hash for ``item``.
+
+    When a node comes or goes, only its own share of the items moves.
+    """
+    return max(
+        nodes, key=lambda node: (xxh3_64_intdigest(f"{node}/{item}".encode()), node)
+    )
+
+
+def owner_of(endpoint: EndpointId, nodes: NodeTable) -> NodeId | None:
+    """Return the live, serving node that should own ``endpoint``."""
+    serving = [
+        lease.node for lease in nodes.alive() if lease.state is NodeState.SERVING
+    ]
+    return rendezvous_owner(endpoint, serving) if serving else None
+
+
+class LeaseKeeper:
+    """Keeps this node's lease in the object API renewed."""
+
+    def __init__(
+        self, records: Records[NodeLease], nodes: NodeTable, lease: NodeLease
+    ) -> None:
+        self._records = records
+        self._nodes = nodes
+        self._lease = lease
+        self._version: Version = ABSENT
+
+    def run(self, timer: Timer) -> None:
+        """Renew until the timer service closes."""
+        for _ in timer.every(self._lease.lease_s / RENEWALS_PER_LEASE):
+            self.renew()
+
+    def renew(self) -> None:
+        """Renew once; an outage is met by trying again at the next tick."""
+        lease = replace(self._lease, write_id=WriteId(uuid4().hex))
+        try:
+            self._version = write_resolved(
+                self._records, lease.node, lease, self._version
+            )
+        except ConflictError:
+            self._reread()
+        except StoreUnavailableError:
+            return
+        else:
+            self._nodes.saw(lease, self._version)
+
+    def enter(self, state: NodeState) -> None:
+        """Say in the lease what this node is doing now."""
+        self._lease = replace(self._lease, state=state)
+        self.renew()
+
+    def release(self) -> None:
+        """Delete the lease, so that others take over at once."""
+        try:
+            self._records.delete(self._lease.node, self._version)
+        except (ConflictError, StoreUnavailableError):
+            return
+
+    def _reread(self) -> None:
+        try:
+            stored = self._records.get(self._lease.node)
+        except StoreUnavailableError:
+            return
+        self._version = stored.version if stored else ABSENT
--- /dev/null
+++ b/src/camphoryard/coordination/ports.py
@@ -0,0 +1,188 @@
+"""Outward calls that the tasks of this layer are given at construction."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
+
+from camphoryard.coordination.messages import Message, Reply
+from camphoryard.state.configuration import Configuration, Endpoint
+from camphoryard.state.enums import OrderKind, OrderOutcome
+from camphoryard.state.ids import (
+    FencingNumber,
+    ItemId,
+    NodeId,
+    ObjectKey,
+    OrderId,
+    Revision,
+    Version,
+)
+from camphoryard.state.requests import (
+    ActionAnswer,
+    ActionRequest,
+    InferenceRequest,
+    TokenFrame,
+)
+
+RecordT = TypeVar("RecordT")
+
+
+@dataclass(frozen=True, slots=True)
+class Stored(Generic[RecordT]):
+    """A record at one version; ``record`` is None once deleted."""
+
+    key: ObjectKey
+    version: Version
+    record: RecordT | None
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot(Generic[RecordT]):
+    """Records as of ``revision``, from which a watch goes on."""
+
+    revision: Revision
+    items: tuple[Stored[RecordT], ...]
+
+
+class Records(Protocol[RecordT]):
+    """Typed records below one prefix of the object API."""
+
+    def get(self, key: str) -> Stored[RecordT] | None:
+        """Return the record, or None; raises StoreUnavailableError."""
+
+    def put(self, key: str, record: RecordT, version: Version) -> Version:
+        """Write if the version is still ``version``.
+
+        Raises
+        ------
+        ConflictError
+            If another version is there: this write took no effect.
+        StoreUnavailableError
+            If no answer came: the write may have taken effect.
+        """
+
+    def delete(self, key: str, version: Version) -> None:
+        """Delete if the version is still ``version``; raises as ``put``."""
+
+    def list(self) -> Snapshot[RecordT]:
+        """Return all records; raises StoreUnavailableError."""
+
+    def watch(self, since: Revision, wait_s: float) -> Snapshot[RecordT]:
+        """Block up to ``wait_s`` for changes after ``since``.
+
+        Raises
+        ------
+        ConflictError
+            If ``since`` is too old: list again.
+        StoreUnavailableError
+            If the object API did not answer.
+        """
+
+
+class ContentStore(Protocol):
+    """Immutable parts of configurations, keyed by their content."""
+
+    def put(self, part: Configuration) -> str:
+        """Write a part unless it is there; return its content id."""
+
+    def get(self, content_id: str) -> Configuration:
+        """Return a part; raises StoreUnavailableError."""
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An order to a model engine."""
+
+    id: OrderId
+    kind: OrderKind
+    model: ItemId
+    memory_mb: int
+    fence: FencingNumber
+
+
+@dataclass(frozen=True, slots=True)
+class Inventory:
+    """What an engine says it holds; ``running`` counts requests with a lag."""
+
+    resident: frozenset[ItemId]
+    loading: frozenset[ItemId]
+    fence: FencingNumber
+    running: int
+    waiting: int
+    leaving: bool = False
+
+
+class TokenStream(Protocol):
+    """An open stream of an engine; closing it early cancels the request."""
+
+    def __iter__(self) -> Iterator[TokenFrame]:
+        """Yield frames as they arrive; raises BrokenCallError."""
+
+    def close(self) -> None:
+        """Let go of the stream."""
+
+
+class Engines(Protocol):
+    """Model engines."""
+
+    def generate(
+        self, endpoint: Endpoint, request: InferenceRequest, offset: int
+    ) -> TokenStream:
+        """Open a stream from token ``offset`` on.
+
+        Raises
+        ------
+        NotSentError
+            If no byte reached the engine.
+        EndpointRefusedError
+            If the engine will not run it.
+        BrokenCallError
+            If the call broke on the way.
+        """
+
+    def order(self, endpoint: Endpoint, order: Order) -> OrderOutcome:
+        """Send an order; raises NotSentError or BrokenCallError."""
+
+    def inventory(self, endpoint: Endpoint) -> Inventory:
+        """Return what the engine holds; raises NotSentError or BrokenCallError."""
+
+
+class Services(Protocol):
+    """Plain services."""
+
+    def call(self, endpoint: Endpoint, request: ActionRequest) -> ActionAnswer:
+        """Call an operation once.
+
+        Raises
+        ------
+        NotSentError
+            If no byte reached the service.
+        BrokenCallError
+            If the call broke on the way: it may have run.
+        """
+
+
+class Peers(Protocol):
+    """The other nodes."""
+
+    def ask(self, node: NodeId, message: Message, timeout_s: float) -> Reply:
+        """Send and wait for the reply; raises PeerUnreachableError."""
+
+    def tell(self, node: NodeId, message: Message) -> None:
+        """Send without waiting; a lost message is lost."""
+
+
+class Ticks(Protocol):
+    """A subscription to the timer service."""
+
+    def __iter__(self) -> Iterator[None]:
+        """Block until each tick; end when the timer service closes."""
+
+    def wake(self) -> None:
+        """Make the next tick come now."""
+
+
+class Timer(Protocol):
+    """The timer service."""
+
+    def every(self, period_s: float) -> Ticks:
+        """Subscribe to a tick each ``period_s``, the first one at once."""
--- /dev/null
+++ b/src/camphoryard/coordination/serving.py
@@ -0,0 +1,134 @@
+"""The front door: every request passes here, whatever front end it came by."""
+
+import threading
+import time
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+
+from camphoryard.coordination.actions import ActionParts, act
+from camphoryard.coordination.inference import InferenceParts, infer
+from camphoryard.coordination.refusals import RefusalCounter
+from camphoryard.coordination.timeline import Timeline
+from camphoryard.state.enums import NodeState, Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import CallerId, RequestId
+from camphoryard.state.requests import (
+    ActionAnswer,
+    ActionRequest,
+    InferenceRequest,
+    TokenFrame,
+)
+from camphoryard.state.tables import ConfigurationHolder
+
+
+@dataclass(frozen=True, slots=True)
+class ServingParts:
+    """What the front door works with."""
+
+    inference: InferenceParts
+    actions: ActionParts
+    configuration: ConfigurationHolder
+    refusals: RefusalCounter
+    timeline: Timeline
+    observe: Callable[[str, float], None]
+
+
+class FrontDoor:
+    """Admits requests, counts refusals and knows when the last one is done."""
+
+    def __init__(self, parts: ServingParts) -> None:
+        self._parts = parts
+        self._state = NodeState.STARTING
+        self._changed = threading.Condition()
+        self._in_flight = 0
+
+    @property
+    def state(self) -> NodeState:
+        """What this node is doing."""
+        return self._state
+
+    @property
+    def in_flight(self) -> int:
+        """Requests under way."""
+        return self._in_flight
+
+    def enter(self, state: NodeState) -> None:
+        """Change what this node is doing."""
+        with self._changed:
+            self._state = state
+            self._changed.notify_all()
+        self._parts.timeline.record("node_state", state=state.value)
+
+    def wait_idle(self, deadline_s: float) -> bool:
+        """Block until no request is under way; return whether that came."""
+        with self._changed:
+            while self._in_flight:
+                left_s = deadline_s - time.monotonic()
+                if left_s <= 0:
+                    return False
+                self._changed.wait(left_s)
+        return True
+
+    def infer(self, request: InferenceRequest) -> Generator[TokenFrame, None, None]:
+        """Yield the answer's tokens; raises RefusalError, which is counted."""
+        started_s = time.monotonic()
+        self._begin()
+        try:
+            self._admit()
+            for frame in infer(self._parts.inference, request):
+                if frame.offset == 0:
+                    self._parts.observe("first_token", time.monotonic() - started_s)
+                yield frame
+        except RefusalError as refusal:
+            self.refused(refusal, request.caller, request.id)
+            raise
+        finally:
+            self._end()
+            self._parts.observe("inference", time.monotonic() - started_s)
+
+    def act(self, request: ActionRequest) -> ActionAnswer:
+        """Return the action's answer; raises RefusalError, which is counted."""
+        started_s = time.monotonic()
+        self._begin()
+        try:
+            self._admit()
+            return act(self._parts.actions, request)
+        except RefusalError as refusal:
+            self.refused(refusal, request.caller, request.id)
+            raise
+        finally:
+            self._end()
+            self._parts.observe("action", time.monotonic() - started_s)
+
+    def refused(
+        self, refusal: RefusalError, caller: CallerId | None, request: RequestId | None
+    ) -> None:
+        """Count a refusal, once, and put it into the time line."""
+        if refusal.counted:
+            return
+        refusal.counted = True
+        self._parts.refusals.count(refusal.reason, caller or "")
+        self._parts.timeline.record(
+            "refused",
+            request=request or "",
+            caller=caller or "",
+            reason=refusal.reason.value,
+            verdict=refusal.verdict.value,
+        )
+
+    def _admit(self) -> None:
+        if self._state is NodeState.DRAINING:
+            raise RefusalError(Reason.DRAINING, "this node is stopping; ask another")
+        if not self._parts.configuration.current.generation:
+            raise RefusalError(
+                Reason.STALE_CONFIGURATION, "this node has no configuration yet"
+            )
+
+    def _begin(self) -> None:
+        with self._changed:
+            self._in_flight += 1
+
+    def _end(self) -> None:
+        with self._changed:
+            self._in_flight -= 1
+            self._changed.notify_all()
--- /dev/null
+++ b/src/camphoryard/coordination/status.py
@@ -0,0 +1,23 @@
+"""What a node tells operators about itself and the others."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from camphoryard.coordination.refusals import RefusalKey
+from camphoryard.state.endpoint_record import EndpointRecord
+from camphoryard.state.enums import NodeState
+from camphoryard.state.ids import EndpointId, Generation, NodeId
+from camphoryard.state.nodes import NodeDigest
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """The system as seen from one node."""
+
+    node: NodeId
+    state: NodeState
+    generation: Generation
+    in_flight: int
+    nodes: tuple[NodeDigest, ...]
+    records_by_endpoint: Mapping[EndpointId, EndpointRecord]
+    refusals_by_key: Mapping[RefusalKey, int]
--- /dev/null
+++ b/src/camphoryard/coordination/timeline.py
@@ -0,0 +1,36 @@
+"""The time line: recent events of this node, kept and logged."""
+
+import threading
+from collections import deque
+from collections.abc import Callable
+
+from camphoryard.state.ids import NodeId
+from camphoryard.state.timeline import Event, HybridClock
+
+KEPT_EVENTS = 20_000
+
+
+class Timeline:
+    """Stamps events, keeps the latest and hands each to ``log``."""
+
+    def __init__(
+        self, node: NodeId, clock: HybridClock, log: Callable[[Event], None]
+    ) -> None:
+        self._node = node
+        self._clock = clock
+        self._log = log
+        self._lock = threading.Lock()
+        self._events: deque[Event] = deque(maxlen=KEPT_EVENTS)
+
+    def record(self, name: str, **fields: object) -> None:
+        """Record one event with its key=value pairs."""
+        texts = {key: str(value) for key, value in fields.items()}
+        event = Event(self._clock.now(), self._node, name, texts)
+        with self._lock:
+            self._events.append(event)
+        self._log(event)
+
+    def events(self) -> tuple[Event, ...]:
+        """Return the kept events, oldest first."""
+        with self._lock:
+            return tuple(self._events)
--- /dev/null
+++ b/src/camphoryard/daemon.py
@@ -0,0 +1,136 @@
+"""The daemon: runs one node until it is told to stop."""
+
+import functools
+import logging
+import signal
+import sys
+import threading
+import time
+from concurrent.futures import Future
+from pathlib import Path
+from typing import Annotated
+
+import structlog
+import typer
+
+from camphoryard.coordination.membership import handle, run_heartbeats
+from camphoryard.node import Node, make_node
+from camphoryard.settings import SettingsError, read_settings
+from camphoryard.state.enums import NodeState
+from camphoryard.state.ids import EndpointId
+from camphoryard.transport.http_server import serve
+
+SUPERVISE_PERIOD_S = 0.5
+DRAIN_LIMIT_S = 60.0
+EXIT_SETTINGS = 2
+
+log = structlog.get_logger()
+
+
+def supervise_endpoints(node: Node) -> None:
+    """Keep one task running for each endpoint that this node should own."""
+    task_by_endpoint: dict[EndpointId, Future[None]] = {}
+    for _ in node.shared.timer.every(SUPERVISE_PERIOD_S):
+        for endpoint in node.residency.owner.owned():
+            task = task_by_endpoint.get(endpoint)
+            if task is None or task.done():
+                task_by_endpoint[endpoint] = node.shared.executors.endpoints.submit(
+                    node.residency.owner.run_endpoint, endpoint, node.shared.timer
+                )
+
+
+def run_node(node: Node) -> None:
+    """Run until told to stop, then drain."""
+    own = node.shared.settings.node
+    node.shared.peers.listen(
+        own.host, own.peer_port, functools.partial(handle, node.membership)
+    )
+    server = serve(node.app, own.host, own.http_port, node.shared.executors.connections)
+    threading.Thread(target=server.run, name="http", daemon=True).start()
+    node.door.enter(NodeState.SERVING)
+    node.leases.enter(NodeState.SERVING)
+    run = node.shared.executors.node.submit
+    tasks = [
+        run(node.leases.run, node.shared.timer),
+        run(run_heartbeats, node.membership, node.shared.timer),
+        run(supervise_endpoints, node),
+        *(run(follower.run, node.shared.timer) for follower in node.followers),
+    ]
+    for task in tasks:
+        task.add_done_callback(_report)
+    node.shared.stop.wait()
+    drain(node)
+    server.close()
+
+
+def _report(task: Future[None]) -> None:
+    error = task.exception()
+    if error is not None:
+        log.error("task_failed", error=repr(error))
+
+
+def drain(node: Node) -> None:
+    """Finish what is in flight, hand over and close."""
+    node.door.enter(NodeState.DRAINING)
+    node.leases.enter(NodeState.DRAINING)
+    node.door.wait_idle(time.monotonic() + DRAIN_LIMIT_S)
+    node.shared.timer.close()
+    node.leases.release()
+    node.shared.client.close()
+    node.shared.peers.close()
+    executors = node.shared.executors
+    for executor in (
+        executors.node,
+        executors.loads,
+        executors.endpoints,
+        executors.handlers,
+        executors.connections,
+        executors.peers,
+    ):
+        executor.shutdown(wait=False, cancel_futures=True)
+
+
+def configure_logging() -> None:
+    """Log one line of key=value pairs for each event to standard error."""
+    logging.basicConfig(stream=sys.stderr, format="%(message)s", level=logging.INFO)
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event", "node"]
+            ),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+def command(
+    settings: Annotated[Path, typer.Option(help="TOML settings file.")],
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the settings and exit.")
+    ] = False,
+) -> None:
+    """Run one node. Exit codes: 0 stopped or settings fine, 2 settings bad."""
+    try:
+        checked = read_settings(settings)
+    except SettingsError as error:
+        typer.echo(f"camphoryardd: {error}", err=True)
+        raise typer.Exit(EXIT_SETTINGS) from error
+    if check:
+        typer.echo(f"{settings}: settings are fine")
+        return
+    configure_logging()
+    node = make_node(checked)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: node.shared.stop.set())
+    run_node(node)
+
+
+def main() -> None:
+    """Entry point of ``camphoryardd``."""
+    typer.run(command)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/camphoryard/node.py
@@ -0,0 +1,417 @@
+"""The parts of one node and the factory functions that put them together."""
+
+import functools
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+from uuid import uuid4
+
+import structlog
+
+from camphoryard.coordination.actions import ActionParts
+from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.inference import InferenceParts
+from camphoryard.coordination.membership import MembershipParts
+from camphoryard.coordination.ownership import LeaseKeeper
+from camphoryard.coordination.ports import Engines, Records, Stored
+from camphoryard.coordination.refusals import RefusalCounter
+from camphoryard.coordination.residency import EndpointOwner, Identity
+from camphoryard.coordination.residency_client import ResidencyClient
+from camphoryard.coordination.routing import (
+    LeastInFlight,
+    RoundRobin,
+    Router,
+    RoutingPolicy,
+    TwoChoices,
+)
+from camphoryard.coordination.serving import FrontDoor, ServingParts
+from camphoryard.coordination.status import Status
+from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.watching import Follower
+from camphoryard.protocol.platform import (
+    CLAIMS,
+    ENDPOINT_RECORDS,
+    HEADS,
+    LEASES,
+    PARTS,
+)
+from camphoryard.settings import (
+    DecisionSettings,
+    PeerSettings,
+    PlatformSettings,
+    Settings,
+)
+from camphoryard.state.claims import Claim
+from camphoryard.state.configuration_head import ConfigurationHead
+from camphoryard.state.endpoint_record import EndpointRecord
+from camphoryard.state.enums import NodeState
+from camphoryard.state.ids import (
+    EndpointId,
+    Generation,
+    Incarnation,
+    ItemId,
+    NodeId,
+    WriteId,
+)
+from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
+from camphoryard.state.tables import ConfigurationHolder, EndpointTable, InFlightTable
+from camphoryard.state.timeline import Event, HybridClock
+from camphoryard.transport.access import Access
+from camphoryard.transport.app import App
+from camphoryard.transport.endpoints import HttpEngines, HttpServices
+from camphoryard.transport.http_client import Address, HttpClient
+from camphoryard.transport.metrics import Metrics
+from camphoryard.transport.object_api import ObjectApi, ObjectContents, ObjectRecords
+from camphoryard.transport.operator_api import OperatorParts
+from camphoryard.transport.peers import CurveKeys, PeerNetwork
+from camphoryard.transport.timer import TimerService
+
+CONNECTION_TASKS = 512
+PEER_TASKS = 400
+ENDPOINT_TASKS = 256
+HANDLER_TASKS = 32
+LOAD_TASKS = 64
+NODE_TASKS = 16
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class Executors:
+    """Named executors, one for each kind of task."""
+
+    connections: ThreadPoolExecutor
+    peers: ThreadPoolExecutor
+    handlers: ThreadPoolExecutor
+    endpoints: ThreadPoolExecutor
+    loads: ThreadPoolExecutor
+    node: ThreadPoolExecutor
+
+
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """What most parts of a node work with."""
+
+    settings: Settings
+    identity: Identity
+    executors: Executors
+    timer: TimerService
+    client: HttpClient
+    peers: PeerNetwork
+    engines: Engines
+    clock: HybridClock
+    timeline: Timeline
+    metrics: Metrics
+    nodes: NodeTable
+    table: EndpointTable
+    configuration: ConfigurationHolder
+    in_flight: InFlightTable
+    refusals: RefusalCounter
+    stop: threading.Event
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """The kinds of records kept in the object API."""
+
+    endpoints: Records[EndpointRecord]
+    heads: Records[ConfigurationHead]
+    contents: ObjectContents
+    leases: Records[NodeLease]
+    claims: Records[Claim]
+
+
+@dataclass(frozen=True, slots=True)
+class Residency:
+    """Loading at owned endpoints, and asking for loads at any."""
+
+    owner: EndpointOwner
+    client: ResidencyClient
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """All parts of one running node."""
+
+    shared: Shared
+    leases: LeaseKeeper
+    followers: tuple[Follower[Any], ...]
+    residency: Residency
+    membership: MembershipParts
+    door: FrontDoor
+    app: App
+
+
+def make_executors() -> Executors:
+    """Return the executors of one node."""
+    return Executors(
+        ThreadPoolExecutor(CONNECTION_TASKS, "connection"),
+        ThreadPoolExecutor(PEER_TASKS, "peer"),
+        ThreadPoolExecutor(HANDLER_TASKS, "handler"),
+        ThreadPoolExecutor(ENDPOINT_TASKS, "endpoint"),
+        ThreadPoolExecutor(LOAD_TASKS, "load"),
+        ThreadPoolExecutor(NODE_TASKS, "node"),
+    )
+
+
+def make_routing_policy(settings: DecisionSettings) -> RoutingPolicy:
+    """Return the routing policy that the settings name."""
+    match settings.routing:
+        case "round_robin":
+            return RoundRobin()
+        case "least_in_flight":
+            return LeastInFlight()
+        case "two_choices":
+            return TwoChoices()
+
+
+def make_curve_keys(settings: PeerSettings) -> CurveKeys:
+    """Return the CURVE keys that the settings give."""
+    accepted = frozenset(
+        key.encode() for key in (settings.public_key, *settings.accepted_public_keys)
+    )
+    return CurveKeys(
+        settings.public_key.encode(), settings.secret_key.encode(), accepted
+    )
+
+
+def make_lease(settings: Settings, identity: Identity) -> NodeLease:
+    """Return the lease that this node starts with."""
+    node = settings.node
+    return NodeLease(
+        node.id,
+        identity.incarnation,
+        node.zone,
+        node.host,
+        node.peer_port,
+        settings.peers.public_key,
+        NodeState.STARTING,
+        settings.peers.lease_s,
+        WriteId(""),
+    )
+
+
+def log_event(event: Event) -> None:
+    """Write one event as a log line of key=value pairs."""
+    log.info(
+        event.name,
+        node=event.node,
+        wall_ms=event.stamp.wall_ms,
+        count=event.stamp.count,
+        **{f"{key}": value for key, value in event.fields.items()},
+    )
+
+
+def make_shared(settings: Settings) -> Shared:
+    """Return the shared parts; only the timer runs yet."""
+    identity = Identity(settings.node.id, Incarnation(uuid4().hex))
+    executors = make_executors()
+    client = HttpClient()
+    clock = HybridClock()
+    keys = make_curve_keys(settings.peers)
+    return Shared(
+        settings,
+        identity,
+        executors,
+        TimerService(),
+        client,
+        PeerNetwork(identity.node, keys, executors.peers, executors.handlers),
+        HttpEngines(client),
+        clock,
+        Timeline(identity.node, clock, log_event),
+        Metrics(),
+        NodeTable(),
+        EndpointTable(),
+        ConfigurationHolder(),
+        InFlightTable(),
+        RefusalCounter(),
+        threading.Event(),
+    )
+
+
+def make_platform(settings: PlatformSettings, client: HttpClient) -> Platform:
+    """Return the records kept in the object API that the settings name."""
+    address = Address(settings.object_api_host, settings.object_api_port)
+    api = ObjectApi(client, address, settings.object_api_token)
+    return Platform(
+        ObjectRecords(api, "endpoints/", ENDPOINT_RECORDS),
+        ObjectRecords(api, "configuration/heads/", HEADS),
+        ObjectContents(api, "configuration/parts/", PARTS),
+        ObjectRecords(api, "nodes/", LEASES),
+        ObjectRecords(api, "claims/", CLAIMS),
+    )
+
+
+def make_residency(shared: Shared, platform: Platform) -> Residency:
+    """Return the parts that load items."""
+
+    def load_here(endpoint: EndpointId, items: tuple[ItemId, ...]) -> None:
+        for item in items:
+            owner.load(endpoint, item, shared.timer)
+
+    client = ResidencyClient(
+        shared.identity.node,
+        shared.nodes,
+        shared.table,
+        shared.peers,
+        shared.executors.loads,
+        load_here,
+        shared.timeline,
+    )
+    owner = EndpointOwner(
+        shared.identity,
+        platform.endpoints,
+        shared.table,
+        shared.nodes,
+        shared.configuration,
+        shared.engines,
+        shared.timeline,
+        client.last_used_s,
+    )
+    return Residency(owner, client)
+
+
+def make_door(shared: Shared, platform: Platform, residency: Residency) -> FrontDoor:
+    """Return the front door with the tasks behind it."""
+    router = Router(
+        make_routing_policy(shared.settings.decisions), shared.in_flight.count
+    )
+    inference = InferenceParts(
+        shared.configuration,
+        shared.table,
+        shared.in_flight,
+        router,
+        residency.client,
+        shared.engines,
+        shared.timeline,
+    )
+    actions = ActionParts(
+        shared.identity,
+        shared.configuration,
+        platform.claims,
+        shared.in_flight,
+        router,
+        HttpServices(shared.client),
+        shared.timeline,
+    )
+    return FrontDoor(
+        ServingParts(
+            inference,
+            actions,
+            shared.configuration,
+            shared.refusals,
+            shared.timeline,
+            shared.metrics.observe,
+        )
+    )
+
+
+def make_digest(shared: Shared, door: FrontDoor) -> NodeDigest:
+    """Return what this node tells its peers now."""
+    return NodeDigest(
+        shared.identity.node,
+        shared.identity.incarnation,
+        door.state,
+        shared.configuration.current.generation,
+        shared.in_flight.by_id(),
+    )
+
+
+def make_status(shared: Shared, door: FrontDoor) -> Status:
+    """Return the system as this node sees it now."""
+    known = [shared.nodes.digest(lease.node) for lease in shared.nodes.alive()]
+    own = make_digest(shared, door)
+    others = [item for item in known if item and item.node != own.node]
+    return Status(
+        own.node,
+        own.state,
+        own.generation,
+        door.in_flight,
+        tuple(sorted([own, *others], key=lambda item: item.node)),
+        shared.table.by_id(),
+        shared.refusals.by_key(),
+    )
+
+
+def make_membership(
+    shared: Shared,
+    residency: Residency,
+    door: FrontDoor,
+    heads: Follower[ConfigurationHead],
+) -> MembershipParts:
+    """Return the parts that talk with other nodes."""
+
+    def heard_generation(generation: Generation) -> None:
+        if generation > shared.configuration.current.generation:
+            shared.executors.loads.submit(heads.list_once)
+
+    return MembershipParts(
+        shared.nodes,
+        shared.peers,
+        shared.clock,
+        functools.partial(make_digest, shared, door),
+        residency.client.load_here,
+        heard_generation,
+    )
+
+
+def make_app(shared: Shared, door: FrontDoor, configurator: Configurator) -> App:
+    """Return the WSGI application."""
+    access = shared.settings.access
+    operator = OperatorParts(
+        configurator,
+        shared.configuration,
+        shared.timeline,
+        functools.partial(make_status, shared, door),
+        shared.stop.set,
+    )
+    return App(
+        Access(access.operator_tokens, access.caller_token_by_id),
+        door,
+        operator,
+        shared.metrics,
+    )
+
+
+def make_node(settings: Settings) -> Node:
+    """Return a node with all parts joined, nothing running yet but the timer."""
+    shared = make_shared(settings)
+    platform = make_platform(settings.platform, shared.client)
+    residency = make_residency(shared, platform)
+    door = make_door(shared, platform, residency)
+    configurator = Configurator(
+        platform.heads, platform.contents, shared.configuration, shared.timeline
+    )
+    heads = Follower(platform.heads, configurator.take_head)
+    followers = (
+        heads,
+        Follower(platform.endpoints, functools.partial(_take_record, shared.table)),
+        Follower(platform.leases, functools.partial(_take_lease, shared)),
+    )
+    return Node(
+        shared,
+        LeaseKeeper(
+            platform.leases, shared.nodes, make_lease(settings, shared.identity)
+        ),
+        followers,
+        residency,
+        make_membership(shared, residency, door, heads),
+        door,
+        make_app(shared, door, configurator),
+    )
+
+
+def _take_record(table: EndpointTable, stored: Stored[EndpointRecord]) -> None:
+    if stored.record is not None:
+        table.saw(stored.record, stored.version)
+
+
+def _take_lease(shared: Shared, stored: Stored[NodeLease]) -> None:
+    if stored.record is None:
+        node = NodeId(stored.key)
+        shared.nodes.forget(node)
+        shared.peers.forget(node)
+        return
+    shared.nodes.saw(stored.record, stored.version)
+    shared.peers.know(stored.record)
--- /dev/null
+++ b/src/camphoryard/protocol/caller.py
@@ -0,0 +1,287 @@
+"""Requests of callers and the answers they get, as JSON over HTTP."""
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from uuid import uuid4
+
+import msgspec
+
+from camphoryard.state.enums import Priority, Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import (
+    AdapterId,
+    CallerId,
+    IdempotencyKey,
+    ModelId,
+    RequestId,
+    ServiceId,
+)
+from camphoryard.state.requests import ActionRequest, InferenceRequest, TokenFrame
+from camphoryard.state.verdict import Verdict
+
+DEADLINE_HEADER = "Camphoryard-Deadline-Ms"
+PRIORITY_HEADER = "Camphoryard-Priority"
+VERDICT_HEADER = "Camphoryard-Verdict"
+KEY_HEADER = "Idempotency-Key"
+DEFAULT_DEADLINE_MS = 30_000
+MAX_DEADLINE_MS = 600_000
+MILLISECONDS_PER_SECOND = 1000
+MAX_KEY_CHARACTERS = 200
+MAX_TOKENS = 8192
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+STATUS_BY_REASON: Mapping[Reason, int] = {
+    Reason.BAD_JSON: 400,
+    Reason.BAD_HEADER: 400,
+    Reason.BAD_FIELD: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.NOT_FOUND: 404,
+    Reason.UNAUTHENTICATED: 401,
+    Reason.FORBIDDEN: 403,
+    Reason.UNKNOWN_MODEL: 404,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.NO_GROUP: 403,
+    Reason.NO_ENDPOINT: 503,
+    Reason.KEY_REQUIRED: 400,
+    Reason.KEY_REUSED: 422,
+    Reason.IN_PROGRESS: 409,
+    Reason.OVERLOADED: 503,
+    Reason.DEADLINE: 504,
+    Reason.DRAINING: 503,
+    Reason.STALE_CONFIGURATION: 503,
+    Reason.STORE_UNAVAILABLE: 503,
+    Reason.ENDPOINT_FAILED: 502,
+    Reason.QUARANTINED: 422,
+    Reason.CONFLICT: 409,
+    Reason.INTERNAL: 500,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ChatMessage:
+    """One message of a conversation."""
+
+    role: str
+    content: str
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionForm:
+    """Body of ``/v1/completions`` and ``/v1/chat/completions``.
+
+    ``model`` is a model's id, or ``model:adapter``.
+    """
+
+    model: str
+    prompt: str | None = None
+    messages: list[ChatMessage] = field(default_factory=list)
+    max_tokens: int = 256
+    stream: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Completion:
+    """A decoded completion request."""
+
+    request: InferenceRequest
+    stream: bool
+    chat: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorForm:
+    """Body of every error."""
+
+    code: str
+    message: str
+    verdict: str
+    field: str
+
+
+_COMPLETION = msgspec.json.Decoder(CompletionForm)
+
+
+def decode_completion(
+    body: bytes, headers: Mapping[str, str], caller: CallerId, chat: bool
+) -> Completion:
+    """Return the request that a caller sent.
+
+    Raises
+    ------
+    RefusalError
+        If body or headers are bad; names the field, verdict NOT_RUN.
+    """
+    try:
+        form = _COMPLETION.decode(body)
+    except msgspec.ValidationError as error:
+        _, _, path = str(error).partition(" - at `$.")
+        raise RefusalError(
+            Reason.BAD_FIELD, str(error), field=path.rstrip("`")
+        ) from error
+    except msgspec.DecodeError as error:
+        raise RefusalError(Reason.BAD_JSON, str(error)) from error
+    if not 1 <= form.max_tokens <= MAX_TOKENS:
+        raise RefusalError(
+            Reason.BAD_FIELD, f"must be 1 to {MAX_TOKENS}", field="max_tokens"
+        )
+    model, _, adapter = form.model.partition(":")
+    request = InferenceRequest(
+        RequestId(uuid4().hex),
+        caller,
+        ModelId(model),
+        AdapterId(adapter) if adapter else None,
+        _prompt(form),
+        form.max_tokens,
+        _deadline_s(headers),
+        _priority(headers),
+    )
+    return Completion(request, form.stream, chat)
+
+
+def _prompt(form: CompletionForm) -> str:
+    if form.prompt is not None:
+        return form.prompt
+    if not form.messages:
+        raise RefusalError(
+            Reason.BAD_FIELD, "give either prompt or messages", field="prompt"
+        )
+    return "\n".join(f"{item.role}: {item.content}" for item in form.messages)
+
+
+def action_request(
+    service: str,
+    operation: str,
+    body: bytes,
+    headers: Mapping[str, str],
+    caller: CallerId,
+) -> ActionRequest:
+    """Return the call of a service's operation; raises RefusalError."""
+    key = headers.get(KEY_HEADER)
+    if key is not None and not 1 <= len(key) <= MAX_KEY_CHARACTERS:
+        raise RefusalError(
+            Reason.BAD_HEADER,
+            f"must be 1 to {MAX_KEY_CHARACTERS} characters",
+            field=KEY_HEADER,
+        )
+    return ActionRequest(
+        RequestId(uuid4().hex),
+        caller,
+        ServiceId(service),
+        operation,
+        body,
+        _deadline_s(headers),
+        _priority(headers),
+        IdempotencyKey(key) if key is not None else None,
+    )
+
+
+def _deadline_s(headers: Mapping[str, str]) -> float:
+    text = headers.get(DEADLINE_HEADER, str(DEFAULT_DEADLINE_MS))
+    if not text.isascii() or not text.isdigit() or not _allowed_ms(int(text)):
+        raise RefusalError(
+            Reason.BAD_HEADER,
+            f"must be 1 to {MAX_DEADLINE_MS} milliseconds",
+            field=DEADLINE_HEADER,
+        )
+    return time.monotonic() + int(text) / MILLISECONDS_PER_SECOND
+
+
+def _allowed_ms(deadline_ms: int) -> bool:
+    return 1 <= deadline_ms <= MAX_DEADLINE_MS
+
+
+def _priority(headers: Mapping[str, str]) -> Priority | None:
+    text = headers.get(PRIORITY_HEADER)
+    if text is None:
+        return None
+    try:
+        return Priority(text)
+    except ValueError as error:
+        known = ", ".join(item.value for item in Priority)
+        raise RefusalError(
+            Reason.BAD_HEADER, f"must be one of {known}", field=PRIORITY_HEADER
+        ) from error
+
+
+@dataclass(frozen=True, slots=True)
+class DeltaForm:
+    """The text that one event adds."""
+
+    content: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceForm:
+    """One choice of a completion event or answer."""
+
+    text: str | None = None
+    delta: DeltaForm | None = None
+    message: ChatMessage | None = None
+    finish_reason: str | None = None
+    index: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionAnswerForm:
+    """A completion event or whole answer."""
+
+    id: str
+    object: str
+    model: str
+    choices: list[ChoiceForm]
+
+
+def encode_event(completion: Completion, frame: TokenFrame) -> bytes:
+    """Return the server-sent event of one token."""
+    reason = "stop" if frame.finished else None
+    if completion.chat:
+        choice = ChoiceForm(delta=DeltaForm(frame.text), finish_reason=reason)
+        name = "chat.completion.chunk"
+    else:
+        choice = ChoiceForm(text=frame.text, finish_reason=reason)
+        name = "text_completion"
+    form = CompletionAnswerForm(
+        completion.request.id, name, completion.request.model, [choice]
+    )
+    return b"data: " + msgspec.json.encode(form) + b"\n\n"
+
+
+def encode_answer(completion: Completion, text: str) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    if completion.chat:
+        message = ChatMessage("assistant", text)
+        choice = ChoiceForm(message=message, finish_reason="stop")
+        name = "chat.completion"
+    else:
+        choice = ChoiceForm(text=text, finish_reason="stop")
+        name = "text_completion"
+    return msgspec.json.encode(
+        CompletionAnswerForm(
+            completion.request.id, name, completion.request.model, [choice]
+        )
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """An error as HTTP: status, header value and body."""
+
+    status: int
+    verdict: Verdict
+    body: bytes
+
+
+def encode_error(refusal: RefusalError) -> ErrorAnswer:
+    """Return the HTTP form of a refusal."""
+    form = ErrorForm(
+        refusal.reason.value, refusal.detail, refusal.verdict.value, refusal.field
+    )
+    body = msgspec.json.encode({"error": form})
+    return ErrorAnswer(STATUS_BY_REASON[refusal.reason], refusal.verdict, body)
+
+
+def encode_error_event(refusal: RefusalError) -> bytes:
+    """Return the event that ends a broken stream."""
+    return b"event: error\ndata: " + encode_error(refusal).body + b"\n\n"
--- /dev/null
+++ b/src/camphoryard/protocol/configuration.py
@@ -0,0 +1,158 @@
+"""JSON form of configurations and of operators' changes to them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from camphoryard.coordination.configuring import Change
+from camphoryard.protocol.selectors import (
+    SelectorSyntaxError,
+    format_selector,
+    parse_selector,
+)
+from camphoryard.protocol.strict import FieldError, convert_strict
+from camphoryard.state.configuration import (
+    Adapter,
+    Caller,
+    Configuration,
+    Endpoint,
+    Model,
+    Service,
+    ServingGroup,
+)
+from camphoryard.state.enums import Priority, Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import Generation, GroupId, WriteId
+
+
+@dataclass(frozen=True, slots=True)
+class GroupForm:
+    """A serving group with its selectors as text."""
+
+    id: GroupId
+    priority: Priority
+    callers: str = ""
+    targets: str = ""
+    endpoints: str = ""
+    order: int = 100
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationForm:
+    """A configuration, or a change to one, as operators write it."""
+
+    generation: int = 0
+    models: list[Model] = field(default_factory=list)
+    adapters: list[Adapter] = field(default_factory=list)
+    endpoints: list[Endpoint] = field(default_factory=list)
+    callers: list[Caller] = field(default_factory=list)
+    services: list[Service] = field(default_factory=list)
+    groups: list[GroupForm] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeForm(ConfigurationForm):
+    """What ``apply`` sends; ``removed`` names items as ``kind/id``."""
+
+    removed: list[str] = field(default_factory=list)
+    base: int | None = None
+    write_id: str = ""
+
+
+_CONFIGURATION = msgspec.json.Decoder(ConfigurationForm)
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Return the JSON form; equal configurations have equal bytes."""
+    form = form_of(configuration)
+    return msgspec.json.encode(form, order="deterministic")
+
+
+def form_of(configuration: Configuration) -> ConfigurationForm:
+    """Return the form in which operators see a configuration."""
+    return ConfigurationForm(
+        configuration.generation,
+        _sorted(configuration.models_by_id),
+        _sorted(configuration.adapters_by_id),
+        _sorted(configuration.endpoints_by_id),
+        _sorted(configuration.callers_by_id),
+        _sorted(configuration.services_by_id),
+        [_group_form(item) for item in _sorted(configuration.groups_by_id)],
+    )
+
+
+def decode_configuration(body: bytes) -> Configuration:
+    """Return the configuration that ``body`` holds; raises ``ValueError``."""
+    return _configuration(_CONFIGURATION.decode(body))
+
+
+def decode_change(body: bytes) -> Change:
+    """Return the change that an operator sent.
+
+    Raises
+    ------
+    RefusalError
+        If it cannot be read; names the field.
+    """
+    try:
+        raw = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise RefusalError(Reason.BAD_JSON, str(error)) from error
+    return change_from(raw)
+
+
+def change_from(raw: Any) -> Change:
+    """Return the change in plain decoded JSON or TOML; raises as decode_change."""
+    try:
+        form = convert_strict(raw, ChangeForm)
+    except FieldError as error:
+        raise RefusalError(Reason.BAD_FIELD, str(error), field=error.field) from error
+    try:
+        items = _configuration(form)
+    except SelectorSyntaxError as error:
+        raise RefusalError(Reason.BAD_FIELD, str(error), field="groups") from error
+    base = Generation(form.base) if form.base is not None else None
+    removed = frozenset(form.removed)
+    if form.write_id:
+        return Change(items, removed, base, WriteId(form.write_id))
+    return Change(items, removed, base)
+
+
+def _configuration(form: ConfigurationForm) -> Configuration:
+    return Configuration(
+        Generation(form.generation),
+        {item.id: item for item in form.models},
+        {item.id: item for item in form.adapters},
+        {item.id: item for item in form.endpoints},
+        {item.id: item for item in form.callers},
+        {item.id: item for item in form.services},
+        {item.id: _group(item) for item in form.groups},
+    )
+
+
+def _group(form: GroupForm) -> ServingGroup:
+    return ServingGroup(
+        form.id,
+        form.priority,
+        parse_selector(form.callers),
+        parse_selector(form.targets),
+        parse_selector(form.endpoints),
+        form.order,
+    )
+
+
+def _group_form(group: ServingGroup) -> GroupForm:
+    return GroupForm(
+        group.id,
+        group.priority,
+        format_selector(group.callers),
+        format_selector(group.targets),
+        format_selector(group.endpoints),
+        group.order,
+    )
+
+
+def _sorted(items_by_id: Mapping[Any, Any]) -> list[Any]:
+    return [items_by_id[key] for key in sorted(items_by_id)]
--- /dev/null
+++ b/src/camphoryard/protocol/operator.py
@@ -0,0 +1,139 @@
+"""Answers to operators as JSON."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from camphoryard.coordination.status import Status
+from camphoryard.state.endpoint_record import committed_mb
+from camphoryard.state.ids import NodeId
+from camphoryard.state.timeline import Event, Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class NodeForm:
+    """One node in a status."""
+
+    node: str
+    state: str
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointForm:
+    """One endpoint in a status; memory in MB."""
+
+    endpoint: str
+    owner: str
+    fence: int
+    memory_mb: int
+    committed_mb: int
+    resident: list[str]
+    intents: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalForm:
+    """One count of refusals; ``minute`` counts from the epoch."""
+
+    reason: str
+    label: str
+    minute: int
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class StatusForm:
+    """Body of ``GET /admin/v1/status``."""
+
+    node: str
+    state: str
+    generation: int
+    in_flight: int
+    nodes: list[NodeForm]
+    endpoints: list[EndpointForm]
+    refusals: list[RefusalForm]
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedForm:
+    """Body of the answer to an accepted change."""
+
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class EventForm:
+    """One event of the time line."""
+
+    wall_ms: int
+    count: int
+    node: str
+    name: str
+    fields: Mapping[str, str]
+
+
+_STATUS = msgspec.json.Decoder(StatusForm)
+_EVENTS = msgspec.json.Decoder(list[EventForm])
+
+
+def encode_status(status: Status) -> bytes:
+    """Return the JSON form of a status."""
+    nodes = [
+        NodeForm(item.node, item.state.value, item.generation) for item in status.nodes
+    ]
+    endpoints = [
+        EndpointForm(
+            record.id,
+            record.owner,
+            record.fence,
+            record.memory_mb,
+            committed_mb(record),
+            sorted(record.resident_mb_by_item),
+            sorted(record.intents_by_item),
+        )
+        for record in status.records_by_endpoint.values()
+    ]
+    refusals = [
+        RefusalForm(key.reason.value, key.label, key.minute, count)
+        for key, count in status.refusals_by_key.items()
+    ]
+    return msgspec.json.encode(
+        StatusForm(
+            status.node,
+            status.state.value,
+            status.generation,
+            status.in_flight,
+            nodes,
+            sorted(endpoints, key=lambda item: item.endpoint),
+            refusals,
+        )
+    )
+
+
+def decode_status(body: bytes) -> StatusForm:
+    """Return the status that a daemon sent; raises ``msgspec.MsgspecError``."""
+    return _STATUS.decode(body)
+
+
+def encode_events(events: tuple[Event, ...]) -> bytes:
+    """Return the JSON form of events."""
+    return msgspec.json.encode(
+        [
+            EventForm(
+                item.stamp.wall_ms, item.stamp.count, item.node, item.name, item.fields
+            )
+            for item in events
+        ]
+    )
+
+
+def decode_events(body: bytes) -> list[Event]:
+    """Return the events that a daemon sent; raises ``msgspec.MsgspecError``."""
+    return [
+        Event(
+            Stamp(item.wall_ms, item.count), NodeId(item.node), item.name, item.fields
+        )
+        for item in _EVENTS.decode(body)
+    ]
--- /dev/null
+++ b/src/camphoryard/protocol/peer.py
@@ -0,0 +1,88 @@
+"""Messages between nodes as MessagePack frames."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from camphoryard.coordination.messages import (
+    Declined,
+    DigestWanted,
+    Done,
+    Heartbeat,
+    LoadWanted,
+    Message,
+    Reply,
+)
+from camphoryard.state.errors import CamphoryardError
+from camphoryard.state.ids import RequestId
+from camphoryard.state.nodes import NodeDigest
+
+
+class PeerMessageError(CamphoryardError):
+    """A frame from a peer could not be read."""
+
+
+class FrameKind(Enum):
+    """What a frame's body holds."""
+
+    HEARTBEAT = "heartbeat"
+    LOAD_WANTED = "load_wanted"
+    DIGEST_WANTED = "digest_wanted"
+    DONE = "done"
+    DECLINED = "declined"
+    NODE_DIGEST = "node_digest"
+
+
+_TYPE_BY_KIND: dict[FrameKind, type[Message] | type[Reply]] = {
+    FrameKind.HEARTBEAT: Heartbeat,
+    FrameKind.LOAD_WANTED: LoadWanted,
+    FrameKind.DIGEST_WANTED: DigestWanted,
+    FrameKind.DONE: Done,
+    FrameKind.DECLINED: Declined,
+    FrameKind.NODE_DIGEST: NodeDigest,
+}
+_KIND_BY_TYPE = {item: kind for kind, item in _TYPE_BY_KIND.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One message on the wire; ``id`` is empty when no reply is awaited."""
+
+    id: RequestId
+    kind: FrameKind
+    body: msgspec.Raw
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message or reply with the id that ties the two together."""
+
+    id: RequestId
+    content: Message | Reply
+
+
+_FRAME = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return the frame's bytes."""
+    kind = _KIND_BY_TYPE[type(envelope.content)]
+    body = msgspec.Raw(msgspec.msgpack.encode(envelope.content))
+    return msgspec.msgpack.encode(Frame(envelope.id, kind, body))
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Return the message in a frame.
+
+    Raises
+    ------
+    PeerMessageError
+        If the bytes are no frame of a known kind.
+    """
+    try:
+        frame = _FRAME.decode(data)
+        content = msgspec.msgpack.decode(frame.body, type=_TYPE_BY_KIND[frame.kind])
+    except msgspec.MsgspecError as error:
+        raise PeerMessageError(str(error)) from error
+    return Envelope(frame.id, content)
--- /dev/null
+++ b/src/camphoryard/protocol/platform.py
@@ -0,0 +1,66 @@
+"""The object API's messages and the encoding of our records in it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+import msgspec
+
+from camphoryard.protocol.configuration import (
+    decode_configuration,
+    encode_configuration,
+)
+from camphoryard.state.claims import Claim
+from camphoryard.state.configuration import Configuration
+from camphoryard.state.configuration_head import ConfigurationHead
+from camphoryard.state.endpoint_record import EndpointRecord
+from camphoryard.state.nodes import NodeLease
+
+RecordT = TypeVar("RecordT")
+
+VERSION_HEADER = "X-Object-Version"
+EXPECTED_HEADER = "X-Expected-Version"
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectItem:
+    """One object in a listing; ``value`` is None once deleted."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectListing:
+    """Objects, or changes of objects, up to ``revision``."""
+
+    revision: int
+    items: list[ObjectItem]
+
+
+_LISTING = msgspec.json.Decoder(ObjectListing)
+
+
+def decode_listing(body: bytes) -> ObjectListing:
+    """Return the listing or changes that the object API answered."""
+    return _LISTING.decode(body)
+
+
+@dataclass(frozen=True, slots=True)
+class Codec(Generic[RecordT]):
+    """How records of one kind are written as object values."""
+
+    encode: Callable[[RecordT], bytes]
+    decode: Callable[[bytes], RecordT]
+
+
+def _json_codec(kind: type[RecordT]) -> Codec[RecordT]:
+    return Codec(msgspec.json.encode, msgspec.json.Decoder(kind).decode)
+
+
+CLAIMS: Codec[Claim] = _json_codec(Claim)
+ENDPOINT_RECORDS: Codec[EndpointRecord] = _json_codec(EndpointRecord)
+HEADS: Codec[ConfigurationHead] = _json_codec(ConfigurationHead)
+LEASES: Codec[NodeLease] = _json_codec(NodeLease)
+PARTS: Codec[Configuration] = Codec(encode_configuration, decode_configuration)
--- /dev/null
+++ b/src/camphoryard/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers and clients, peer sockets and the timer service."""
--- /dev/null
+++ b/src/camphoryard/transport/metrics.py
@@ -0,0 +1,61 @@
+"""Latency histograms and counters in the text form that scrapers read."""
+
+import threading
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 95.0, 99.0)
+MICROSECONDS_PER_SECOND = 1_000_000
+PERCENT = 100
+
+
+class Metrics:
+    """Histograms of durations and counters, by name."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._histogram_by_name: dict[str, HdrHistogram] = {}
+        self._count_by_name: Counter[str] = Counter()
+
+    def observe(self, name: str, duration_s: float) -> None:
+        """Record one duration."""
+        value_us = max(LOWEST_US, int(duration_s * MICROSECONDS_PER_SECOND))
+        with self._lock:
+            histogram = self._histogram_by_name.get(name)
+            if histogram is None:
+                histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+                self._histogram_by_name[name] = histogram
+            histogram.record_value(min(value_us, HIGHEST_US))
+
+    def count(self, name: str) -> None:
+        """Count one event."""
+        with self._lock:
+            self._count_by_name[name] += 1
+
+    def text(self) -> str:
+        """Return all metrics as text, durations in seconds."""
+        lines = []
+        with self._lock:
+            for name, histogram in sorted(self._histogram_by_name.items()):
+                lines.extend(_summary(f"camphoryard_{name}_seconds", histogram))
+            for name, count in sorted(self._count_by_name.items()):
+                lines.append(f"# TYPE camphoryard_{name}_total counter")
+                lines.append(f"camphoryard_{name}_total {count}")
+        return "\n".join(lines) + "\n"
+
+
+def _summary(name: str, histogram: HdrHistogram) -> list[str]:
+    lines = [f"# TYPE {name} summary"]
+    for quantile in QUANTILES:
+        value_us = histogram.get_value_at_percentile(quantile)
+        label = f'quantile="{quantile / PERCENT}"'
+        lines.append(f"{name}{{{label}}} {value_us / MICROSECONDS_PER_SECOND}")
+    count = histogram.get_total_count()
+    total_s = histogram.get_mean_value() * count / MICROSECONDS_PER_SECOND
+    lines.append(f"{name}_sum {total_s}")
+    lines.append(f"{name}_count {count}")
+    return lines
--- /dev/null
+++ b/src/camphoryard/transport/object_api.py
@@ -0,0 +1,181 @@
+"""Typed records kept in the platform's object API."""
+
+from collections.abc import Sequence
+from hashlib import blake2b
+from typing import Generic, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from camphoryard.coordination.ports import Snapshot, Stored
+from camphoryard.protocol.platform import (
+    EXPECTED_HEADER,
+    VERSION_HEADER,
+    Codec,
+    decode_listing,
+)
+from camphoryard.state.configuration import Configuration
+from camphoryard.state.errors import (
+    BrokenCallError,
+    ConflictError,
+    NotSentError,
+    StoreUnavailableError,
+)
+from camphoryard.state.ids import ObjectKey, Revision, Version
+from camphoryard.transport.http_client import (
+    Address,
+    HttpAnswer,
+    HttpCall,
+    HttpClient,
+)
+
+RecordT = TypeVar("RecordT")
+
+CALL_TIMEOUT_S = 1.0
+WATCH_GRACE_S = 2.0
+CONTENT_DIGEST_BYTES = 16
+OK, CREATED, NOT_FOUND, GONE, CONFLICT = 200, 201, 404, 410, 412
+
+
+class ObjectApi:
+    """The object API at one address."""
+
+    def __init__(self, client: HttpClient, address: Address, token: str) -> None:
+        self._client = client
+        self._address = address
+        self._headers = {"Authorization": f"Bearer {token}"}
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        accepted: Sequence[int],
+        body: bytes = b"",
+        expected: Version | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> HttpAnswer:
+        """Make one call.
+
+        Raises
+        ------
+        ConflictError
+            If the expected version is not the current one.
+        StoreUnavailableError
+            If no answer came or its status is not among ``accepted``.
+        """
+        headers = dict(self._headers)
+        if expected is not None:
+            headers[EXPECTED_HEADER] = str(expected)
+        # A repeated conditional update could meet its own first try, so a
+        # write never goes over a connection that may turn out to be stale.
+        request = HttpCall(
+            method, path, body, headers, timeout_s, fresh=method != "GET"
+        )
+        try:
+            answer = self._client.call(self._address, request)
+        except (NotSentError, BrokenCallError) as error:
+            raise StoreUnavailableError(str(error)) from error
+        if answer.status in (CONFLICT, GONE):
+            raise ConflictError(f"{path}: version conflict")
+        if answer.status not in accepted:
+            raise StoreUnavailableError(f"{path}: status {answer.status}")
+        return answer
+
+
+class ObjectRecords(Generic[RecordT]):
+    """Records of one kind below one prefix."""
+
+    def __init__(self, api: ObjectApi, prefix: str, codec: Codec[RecordT]) -> None:
+        self._api = api
+        self._prefix = prefix
+        self._codec = codec
+
+    def get(self, key: str) -> Stored[RecordT] | None:
+        """Return the record, or None; raises StoreUnavailableError."""
+        answer = self._api.call("GET", self._path(key), (OK, NOT_FOUND))
+        if answer.status == NOT_FOUND:
+            return None
+        version = Version(int(answer.headers[VERSION_HEADER]))
+        return Stored(ObjectKey(key), version, self._decode(answer.body))
+
+    def put(self, key: str, record: RecordT, version: Version) -> Version:
+        """Write if the version is still ``version``; see the Records port."""
+        body = self._codec.encode(record)
+        answer = self._api.call(
+            "PUT", self._path(key), (OK, CREATED), body, expected=version
+        )
+        return Version(int(answer.headers[VERSION_HEADER]))
+
+    def delete(self, key: str, version: Version) -> None:
+        """Delete if the version is still ``version``."""
+        self._api.call("DELETE", self._path(key), (OK, NOT_FOUND), expected=version)
+
+    def list(self) -> Snapshot[RecordT]:
+        """Return all records below the prefix."""
+        query = urlencode({"prefix": self._prefix})
+        return self._snapshot(self._api.call("GET", f"/objects?{query}", (OK,)))
+
+    def watch(self, since: Revision, wait_s: float) -> Snapshot[RecordT]:
+        """Block up to ``wait_s`` for changes after ``since``."""
+        query = urlencode({"prefix": self._prefix, "since": since, "wait_s": wait_s})
+        return self._snapshot(
+            self._api.call(
+                "GET", f"/watch?{query}", (OK,), timeout_s=wait_s + WATCH_GRACE_S
+            )
+        )
+
+    def _path(self, key: str) -> str:
+        return f"/objects/{quote(self._prefix + key)}"
+
+    def _decode(self, value: bytes) -> RecordT:
+        try:
+            return self._codec.decode(value)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise StoreUnavailableError(f"{self._prefix}: {error}") from error
+
+    def _snapshot(self, answer: HttpAnswer) -> Snapshot[RecordT]:
+        listing = decode_listing(answer.body)
+        items = tuple(
+            Stored(
+                ObjectKey(item.key.removeprefix(self._prefix)),
+                Version(item.version),
+                None if item.value is None else self._decode(item.value),
+            )
+            for item in listing.items
+        )
+        return Snapshot(Revision(listing.revision), items)
+
+
+class ObjectContents:
+    """Immutable parts of configurations, keyed by a digest of their bytes."""
+
+    def __init__(
+        self, api: ObjectApi, prefix: str, codec: Codec[Configuration]
+    ) -> None:
+        self._api = api
+        self._prefix = prefix
+        self._codec = codec
+        self._part_by_id: dict[str, Configuration] = {}
+
+    def put(self, part: Configuration) -> str:
+        """Write a part unless it is there; return its content id."""
+        body = self._codec.encode(part)
+        content_id = blake2b(body, digest_size=CONTENT_DIGEST_BYTES).hexdigest()
+        if content_id in self._part_by_id:
+            return content_id
+        path = f"/objects/{self._prefix}{content_id}"
+        try:
+            self._api.call("PUT", path, (OK, CREATED), body, expected=Version(0))
+        except ConflictError:
+            pass  # The same bytes are there already.
+        self._part_by_id[content_id] = part
+        return content_id
+
+    def get(self, content_id: str) -> Configuration:
+        """Return a part; raises StoreUnavailableError."""
+        part = self._part_by_id.get(content_id)
+        if part is None:
+            path = f"/objects/{self._prefix}{content_id}"
+            part = self._codec.decode(self._api.call("GET", path, (OK,)).body)
+            self._part_by_id[content_id] = part
+        return part
--- /dev/null
+++ b/src/camphoryard/transport/operator_api.py
@@ -0,0 +1,52 @@
+"""HTTP front end for operators."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.status import Status
+from camphoryard.coordination.timeline import Timeline
+from camphoryard.protocol.configuration import decode_change, encode_configuration
+from camphoryard.protocol.operator import AcceptedForm, encode_events, encode_status
+from camphoryard.state.enums import Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.tables import ConfigurationHolder
+from camphoryard.transport.http_server import HttpRequest, HttpResponse
+
+ADMIN_PREFIX = "/admin/v1/"
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorParts:
+    """What the operators' front end works with."""
+
+    configurator: Configurator
+    configuration: ConfigurationHolder
+    timeline: Timeline
+    status: Callable[[], Status]
+    drain: Callable[[], None]
+
+
+def administer(parts: OperatorParts, request: HttpRequest) -> HttpResponse:
+    """Answer an operator's request; raises RefusalError."""
+    match (request.method, request.path.removeprefix(ADMIN_PREFIX)):
+        case ("GET", "configuration"):
+            return _json(encode_configuration(parts.configuration.current))
+        case ("POST", "configuration"):
+            accepted = parts.configurator.accept(decode_change(request.body))
+            return _json(msgspec.json.encode(AcceptedForm(accepted.generation)))
+        case ("GET", "status"):
+            return _json(encode_status(parts.status()))
+        case ("GET", "timeline"):
+            return _json(encode_events(parts.timeline.events()))
+        case ("POST", "drain"):
+            parts.drain()
+            return _json(b"{}")
+        case (method, path):
+            raise RefusalError(Reason.NOT_FOUND, f"no operation {method} {path}")
+
+
+def _json(body: bytes) -> HttpResponse:
+    return HttpResponse(200, [body])
