--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each a command that prints its figures."""
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,216 @@
+"""The demo: one path from end to end over real processes, told as it goes."""
+
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from standins.engine import whole_answer
+from standins.fleet import (
+    CALLER_TOKEN,
+    OPERATOR_TOKEN,
+    Fleet,
+    HttpError,
+    request,
+)
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "lakeshore.toml"
+NODES = ("node-1", "node-2", "node-3")
+EXIT_FAILED = 1
+
+
+class StepFailedError(Exception):
+    """A step of the demo did not hold."""
+
+
+def check(holds: bool, what: str) -> None:
+    """Raise StepFailedError unless ``holds``."""
+    if not holds:
+        raise StepFailedError(what)
+
+
+def step(text: str, act: Callable[[], str]) -> None:
+    """Run one step and print what came of it."""
+    started_s = time.monotonic()
+    print(f"- {text} ...", flush=True)
+    outcome = act()
+    print(f"    ok, {time.monotonic() - started_s:.2f} s: {outcome}", flush=True)
+
+
+def start_all(fleet: Fleet) -> str:
+    """Start the stand-ins and three daemons."""
+    fleet.start_standin("object-api", "object_api")
+    weights = fleet.start_standin("weight-store", "weight_store")
+    fleet.start_standin("vm-list", "vm_list")
+    store = ["--weight-store-port", str(weights), "--memory-mb", "16000"]
+    fleet.start_standin("engine-1", "engine", "--checks-fencing", *store)
+    fleet.start_standin("engine-2", "engine", *store)
+    fleet.start_standin("bookings-1", "service")
+    fleet.wait_ready(tuple(fleet.process_by_name))
+    for index, name in enumerate(NODES):
+        fleet.start_node(name, f"zone-{'abc'[index]}")
+    fleet.wait_ready(NODES, "/readyz")
+    return "all up"
+
+
+def configuration(fleet: Fleet) -> str:
+    """Return the example configuration with the ports of this run."""
+    text = EXAMPLE.read_text()
+    ports = {7100: "engine-1", 7101: "engine-2", 7200: "bookings-1"}
+    for port, name in ports.items():
+        text = text.replace(f"port = {port}", f"port = {fleet.port(name)}")
+    return text
+
+
+def run_cli(fleet: Fleet, *arguments: str, node: str = "node-1") -> str:
+    """Run the command-line tool against a node and return what it printed."""
+    command, *rest = arguments
+    options = [
+        "--server",
+        f"http://127.0.0.1:{fleet.port(node)}",
+        "--token",
+        OPERATOR_TOKEN,
+    ]
+    done = subprocess.run(
+        [sys.executable, "-m", "camphoryard.cli", command, *options, *rest],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    check(done.returncode == 0, f"{command}: {done.stderr}")
+    return done.stdout.strip()
+
+
+def apply(fleet: Fleet, text: str) -> str:
+    """Apply a change and wait until it is in force on every live node."""
+    file = fleet.folder / "change.toml"
+    file.write_text(text)
+    return run_cli(fleet, "apply", str(file), "--wait")
+
+
+def complete(
+    fleet: Fleet, node: str, model: str, prompt: str, caller: str = "meter-app"
+) -> str:
+    """Ask a model through a node and check that the whole answer came."""
+    body = {"model": model, "prompt": prompt, "max_tokens": 16}
+    token = f"{CALLER_TOKEN}-{caller}"
+    got = request(fleet.port(node), "POST", "/v1/completions", body, token)
+    text = got["choices"][0]["text"]
+    check(text == whole_answer(prompt, 16), f"answer of {model} is not whole")
+    return f"{len(text.split())} tokens, whole, through {node}"
+
+
+def book(fleet: Fleet, node: str, key: str) -> Any:
+    """Book a space through a node and return the answer."""
+    return request(
+        fleet.port(node),
+        "POST",
+        "/v1/services/bookings/book",
+        {"lot": "waterfront", "space": 12},
+        f"{CALLER_TOKEN}-front-desk",
+        {"Idempotency-Key": key},
+    )
+
+
+def book_twice(fleet: Fleet) -> str:
+    """Book, send it again through another node, expect one execution."""
+    first = book(fleet, "node-1", "march-12")
+    again = book(fleet, "node-2", "march-12")
+    check(first == again, "the resend got another answer")
+    runs = request(fleet.port("bookings-1"), "GET", "/control")["executions"]
+    check(len(runs) == 1, f"the booking ran {len(runs)} times")
+    return f"reference {first['reference']}, ran once, resend got the same answer"
+
+
+def relabel(fleet: Fleet) -> str:
+    """Take engine-1 out of the pool; every node must stop sending there."""
+    change = configuration(fleet).split("[[endpoints]]")[1]
+    change = "[[endpoints]]" + change.replace('pool = "main"', 'pool = "spare"')
+    applied = apply(fleet, change)
+    before = engine_log(fleet, "engine-1")
+    for node in NODES:
+        complete(fleet, node, "meter-3b", f"after the change via {node}")
+    check(engine_log(fleet, "engine-1") == before, "engine-1 still got work")
+    return f"{applied}; three requests, none at engine-1"
+
+
+def engine_log(fleet: Fleet, name: str) -> int:
+    """Return how many requests an engine ran."""
+    return len(request(fleet.port(name), "GET", "/control")["log"])
+
+
+def refuse_unknown(fleet: Fleet) -> str:
+    """Ask for a model that does not exist."""
+    try:
+        complete(fleet, "node-3", "no-such-model", "hello")
+    except HttpError as error:
+        refusal = error.body["error"]
+        check(refusal["verdict"] == "not run", "verdict")
+        return f"{error.status} {refusal['code']}, verdict {refusal['verdict']!r}"
+    raise StepFailedError("an unknown model was not refused")
+
+
+def check_memory(fleet: Fleet) -> str:
+    """Read the engines' own memory ledgers."""
+    lines = []
+    for name in ("engine-1", "engine-2"):
+        ledger = request(fleet.port(name), "GET", "/control")
+        check(ledger["overcommits"] == 0, f"{name} was overcommitted")
+        lines.append(f"{name} peak {ledger['peak_mb']}/{ledger['memory_mb']} MB")
+    return ", ".join(lines)
+
+
+def stop_node(fleet: Fleet) -> str:
+    """Drain one node; it must exit with 0 and the others go on."""
+    run_cli(fleet, "drain", node="node-3")
+    code = fleet.process_by_name["node-3"].popen.wait(30)
+    check(code == 0, f"node-3 exited with {code}")
+    return "node-3 exited with 0; " + complete(fleet, "node-2", "meter-3b", "go on")
+
+
+def run_steps(fleet: Fleet) -> None:
+    """Run every step; raises StepFailedError at the first that fails."""
+    step("starting stand-ins and three daemons", lambda: start_all(fleet))
+    step("applying the example", lambda: apply(fleet, configuration(fleet)))
+    step(
+        "a model that is not resident gets loaded and answers",
+        lambda: complete(fleet, "node-1", "permit-8b", "When does my permit end?"),
+    )
+    for node in NODES:
+        step(
+            f"asking through {node}",
+            partial(complete, fleet, node, "meter-3b", f"free near {node}?"),
+        )
+    step(
+        "an adapter answers",
+        lambda: complete(fleet, "node-2", "permit-8b:downtown", "Renew downtown."),
+    )
+    step(
+        "a batch caller's model answers, after another made room",
+        lambda: complete(fleet, "node-3", "lease-13b", "Summarize.", "overnight"),
+    )
+    step("booking once, sent twice", lambda: book_twice(fleet))
+    step("an unknown model is refused", lambda: refuse_unknown(fleet))
+    step("a label change takes effect on all nodes", lambda: relabel(fleet))
+    step("engines' memory ledgers", lambda: check_memory(fleet))
+    step("a node stops gracefully", lambda: stop_node(fleet))
+    print("\n" + run_cli(fleet, "status"))
+
+
+def main() -> int:
+    """Run the demo; return 0 only if every step held."""
+    with Fleet() as fleet:
+        try:
+            run_steps(fleet)
+        except (StepFailedError, HttpError, TimeoutError, OSError) as error:
+            print(f"    FAILED: {error!r}\n    logs: {fleet.folder}")
+            return EXIT_FAILED
+    print("\nevery step held")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,322 @@
+"""Stand-in for a model engine.
+
+Its memory ledger is the judge of overcommitment: every load that would not fit
+is counted in ``overcommits`` and still carried out, as a real device would
+fail. Tokens are a function of prompt and offset, so that any whole answer can
+be checked and any engine can resume it.
+"""
+
+import os
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from http.client import HTTPConnection
+from queue import SimpleQueue
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+import typer
+
+from standins.web import Answered, Asked, answer, run
+
+END = b"data: [DONE]\n\n"
+
+
+def token(prompt: str, offset: int) -> str:
+    """Return the token that any engine generates at ``offset``."""
+    digest = blake2b(f"{prompt}\0{offset}".encode(), digest_size=3).hexdigest()
+    return f"{digest} "
+
+
+def whole_answer(prompt: str, max_tokens: int) -> str:
+    """Return the answer that a caller must get."""
+    return "".join(token(prompt, offset) for offset in range(max_tokens))
+
+
+@dataclass(slots=True)
+class Running:
+    """One request in the batch."""
+
+    request_id: str
+    model: str
+    prompt: str
+    offset: int
+    max_tokens: int
+    priority: int
+    arrived: int
+    events: SimpleQueue[bytes | None] = field(default_factory=SimpleQueue)
+    cancelled: bool = False
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults that ``POST /control`` sets."""
+
+    lose_orders: int = 0
+    lose_answers: int = 0
+    order_delay_s: float = 0.0
+    duplicate_orders: bool = False
+    crash_on: str = ""
+    leaving: bool = False
+    break_streams: bool = False
+
+
+@dataclass(slots=True)
+class Engine:
+    """Memory ledger, batch and orders of one engine."""
+
+    memory_mb: int
+    checks_fencing: bool
+    step_s: float
+    slots: int
+    load_s: float
+    weight_store_port: int
+    report_lag_s: float
+    resident_mb_by_item: dict[str, int] = field(default_factory=dict)
+    loading_mb_by_item: dict[str, int] = field(default_factory=dict)
+    unloading: set[str] = field(default_factory=set)
+    fence: int = 0
+    overcommits: int = 0
+    loads: int = 0
+    unloads: int = 0
+    peak_mb: int = 0
+    log: list[dict[str, Any]] = field(default_factory=list)
+    waiting: list[Running] = field(default_factory=list)
+    batch: list[Running] = field(default_factory=list)
+    arrivals: int = 0
+    report_s: float = 0.0
+    report: tuple[int, int] = (0, 0)
+    faults: Faults = field(default_factory=Faults)
+    lock: threading.Condition = field(default_factory=threading.Condition)
+
+    def handle(self, asked: Asked) -> Answered:
+        """Answer one call."""
+        match (asked.method, asked.path):
+            case ("POST", "/v1/completions"):
+                return self._generate(asked.json())
+            case ("POST", "/admin/orders"):
+                return self._order(asked.json())
+            case ("GET", "/admin/inventory"):
+                return self._inventory()
+            case (_, "/control"):
+                return self._control(asked)
+        return answer({"error": "not found"}, 404)
+
+    def _control(self, asked: Asked) -> Answered:
+        with self.lock:
+            if asked.method == "POST":
+                for name, value in asked.json().items():
+                    setattr(self.faults, name, value)
+            return answer(
+                {
+                    "memory_mb": self.memory_mb,
+                    "peak_mb": self.peak_mb,
+                    "overcommits": self.overcommits,
+                    "resident": sorted(self.resident_mb_by_item),
+                    "loads": self.loads,
+                    "unloads": self.unloads,
+                    "log": self.log,
+                }
+            )
+
+    def _inventory(self) -> Answered:
+        with self.lock:
+            now_s = time.monotonic()
+            if now_s - self.report_s >= self.report_lag_s:
+                self.report_s = now_s
+                self.report = (len(self.batch), len(self.waiting))
+            running, waiting = self.report
+            return answer(
+                {
+                    "resident": sorted(self.resident_mb_by_item),
+                    "loading": sorted(self.loading_mb_by_item),
+                    "fence": self.fence,
+                    "running": running,
+                    "waiting": waiting,
+                    "leaving": self.faults.leaving,
+                }
+            )
+
+    def _order(self, order: dict[str, Any]) -> Answered:
+        with self.lock:
+            if self.faults.lose_orders:
+                self.faults.lose_orders -= 1
+                return answer({"error": "lost"}, 503)
+            delay_s = self.faults.order_delay_s
+            copies = 2 if self.faults.duplicate_orders else 1
+        if delay_s:
+            time.sleep(delay_s)
+        with self.lock:
+            if self.checks_fencing and order["fence"] < self.fence:
+                return answer({"error": "stale fence", "fence": self.fence}, 409)
+            self.fence = max(self.fence, order["fence"])
+            for _ in range(copies):
+                self._execute(order)
+        return answer({"accepted": order["order_id"]}, 202)
+
+    def _execute(self, order: dict[str, Any]) -> None:
+        item = order["model"]
+        if order["kind"] == "load":
+            if item in self.resident_mb_by_item or item in self.loading_mb_by_item:
+                return
+            self.loading_mb_by_item[item] = order["memory_mb"]
+            self._judge()
+            threading.Thread(target=self._load, args=(item,), daemon=True).start()
+        elif order["kind"] == "unload" and item in self.resident_mb_by_item:
+            self.unloading.add(item)
+            self._finish_unloads()
+
+    def _judge(self) -> None:
+        taken_mb = sum(self.resident_mb_by_item.values())
+        taken_mb += sum(self.loading_mb_by_item.values())
+        self.peak_mb = max(self.peak_mb, taken_mb)
+        if taken_mb > self.memory_mb:
+            self.overcommits += 1
+
+    def _load(self, item: str) -> None:
+        if self.weight_store_port:
+            connection = HTTPConnection("127.0.0.1", self.weight_store_port)
+            connection.request("GET", f"/weights?item={quote(item)}")
+            connection.getresponse().read()
+            connection.close()
+        else:
+            time.sleep(self.load_s)
+        with self.lock:
+            self.loads += 1
+            self.resident_mb_by_item[item] = self.loading_mb_by_item.pop(item)
+
+    def _finish_unloads(self) -> None:
+        busy = {running.model for running in (*self.batch, *self.waiting)}
+        for item in tuple(self.unloading):
+            if item not in busy:
+                self.unloading.discard(item)
+                self.resident_mb_by_item.pop(item, None)
+                self.unloads += 1
+
+    def _generate(self, body: dict[str, Any]) -> Answered:
+        needed = [body["model"]]
+        if body.get("adapter"):
+            needed.append(f"{body['model']}:{body['adapter']}")
+        with self.lock:
+            for item in needed:
+                if item not in self.resident_mb_by_item or item in self.unloading:
+                    return answer({"error": f"{item} is not resident"}, 404)
+            self.log.append(
+                {"request_id": body["request_id"], "offset": body["resume_from"]}
+            )
+            if self.faults.crash_on and self.faults.crash_on in body["prompt"]:
+                os._exit(1)
+            self.arrivals += 1
+            running = Running(
+                body["request_id"],
+                body["model"],
+                body["prompt"],
+                body["resume_from"],
+                body["max_tokens"],
+                body["priority"],
+                self.arrivals,
+            )
+            self.waiting.append(running)
+            self.lock.notify()
+        return Answered(
+            200, _Stream(self, running), {"Content-Type": "text/event-stream"}
+        )
+
+    def cancel(self, running: Running) -> None:
+        """Take a request out of the batch."""
+        with self.lock:
+            running.cancelled = True
+
+    def step_forever(self) -> None:
+        """Generate a token for each request of the batch, step by step."""
+        while True:
+            with self.lock:
+                self._admit()
+                while not self.batch:
+                    self.lock.wait()
+                    self._admit()
+            started_s = time.monotonic()
+            with self.lock:
+                for running in self.batch:
+                    self._step(running)
+                self.batch = [
+                    item
+                    for item in self.batch
+                    if not item.cancelled and item.offset <= item.max_tokens
+                ]
+                self._finish_unloads()
+            time.sleep(max(0.0, self.step_s - (time.monotonic() - started_s)))
+
+    def _admit(self) -> None:
+        self.waiting = [item for item in self.waiting if not item.cancelled]
+        self.waiting.sort(key=lambda item: (item.priority, item.arrived))
+        room = self.slots - len(self.batch)
+        self.batch.extend(self.waiting[:room])
+        del self.waiting[:room]
+
+    def _step(self, running: Running) -> None:
+        if self.faults.break_streams:
+            running.cancelled = True
+            running.events.put(None)
+            return
+        event: dict[str, Any] = {
+            "request_id": running.request_id,
+            "offset": running.offset,
+        }
+        if running.offset < running.max_tokens:
+            event["text"] = token(running.prompt, running.offset)
+        else:
+            event["finished"] = True
+        running.events.put(b"data: " + msgspec.json.encode(event) + b"\n\n")
+        if running.offset == running.max_tokens:
+            running.events.put(END)
+            running.events.put(None)
+        running.offset += 1
+
+
+class _Stream:
+    """The body of a streamed answer; closing it early cancels the request."""
+
+    def __init__(self, engine: Engine, running: Running) -> None:
+        self._engine = engine
+        self._running = running
+
+    def __iter__(self) -> Iterator[bytes]:
+        while (event := self._running.events.get()) is not None:
+            yield event
+
+    def close(self) -> None:
+        """Cancel what is left."""
+        self._engine.cancel(self._running)
+
+
+def main(
+    host: str = "127.0.0.1",
+    port: int = 7100,
+    memory_mb: int = 24_000,
+    checks_fencing: bool = False,
+    step_ms: float = 30.0,
+    slots: int = 64,
+    load_s: float = 0.5,
+    weight_store_port: int = 0,
+    report_lag_s: float = 0.5,
+) -> None:
+    """Run one engine."""
+    engine = Engine(
+        memory_mb,
+        checks_fencing,
+        step_ms / 1000,
+        slots,
+        load_s,
+        weight_store_port,
+        report_lag_s,
+    )
+    threading.Thread(target=engine.step_forever, daemon=True).start()
+    run(engine.handle, host, port)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,210 @@
+"""Starts stand-ins and daemons as processes and ends just those."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from typing import Any
+
+import zmq
+
+HOST = "127.0.0.1"
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 20.0
+POLL_S = 0.02
+OPERATOR_TOKEN = "operator-token"
+CALLER_TOKEN = "caller-token"
+CALLERS = ("meter-app", "front-desk", "overnight")
+
+
+def free_port() -> int:
+    """Return a TCP port that nobody listens on now.
+
+    It lies below the range of outgoing connections, which therefore cannot
+    take it before the process started on it binds.
+    """
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+
+
+@dataclass(slots=True)
+class Process:
+    """One process that the fleet started."""
+
+    name: str
+    port: int
+    popen: subprocess.Popen[bytes]
+    log: Path
+    arguments: Sequence[str]
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill it at once and wait until it is gone."""
+        self.popen.kill()
+        self.popen.wait()
+
+
+class HttpError(Exception):
+    """A call got an error status."""
+
+    def __init__(self, status: int, body: Any) -> None:
+        super().__init__(f"status {status}: {body}")
+        self.status = status
+        self.body = body
+
+
+def request(
+    port: int,
+    method: str,
+    path: str,
+    body: Any = None,
+    token: str = OPERATOR_TOKEN,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 60.0,
+) -> Any:
+    """Call a process and return the decoded answer; raises HttpError."""
+    connection = HTTPConnection(HOST, port, timeout=timeout_s)
+    sent = {"Authorization": f"Bearer {token}", **(headers or {})}
+    try:
+        connection.request(
+            method, path, None if body is None else json.dumps(body), sent
+        )
+        response = connection.getresponse()
+        content = response.read()
+    finally:
+        connection.close()
+    decoded = json.loads(content) if content[:1] in (b"{", b"[") else content.decode()
+    if response.status >= 400:
+        raise HttpError(response.status, decoded)
+    return decoded
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Stand-ins and daemons of one run; a context manager."""
+
+    folder: Path = field(
+        default_factory=lambda: Path(tempfile.mkdtemp(prefix="camphoryard-"))
+    )
+    process_by_name: dict[str, Process] = field(default_factory=dict)
+    keys: tuple[bytes, bytes] = field(default_factory=zmq.curve_keypair)
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        for process in self.process_by_name.values():
+            if process.popen.poll() is None:
+                process.signal(signal.SIGCONT)
+                process.signal(signal.SIGTERM)
+        deadline_s = time.monotonic() + STOP_LIMIT_S
+        for process in self.process_by_name.values():
+            left_s = max(0.1, deadline_s - time.monotonic())
+            try:
+                process.popen.wait(left_s)
+            except subprocess.TimeoutExpired:
+                process.kill()
+
+    def port(self, name: str) -> int:
+        """Return the HTTP port of a process."""
+        return self.process_by_name[name].port
+
+    def start_standin(self, name: str, module: str, *options: str) -> int:
+        """Start a stand-in and return its port."""
+        port = free_port()
+        arguments = ["-m", f"standins.{module}", "--port", str(port), *options]
+        self._start(name, port, arguments)
+        return port
+
+    def start_node(self, name: str, zone: str = "zone-a", extra: str = "") -> int:
+        """Write settings for a node, start it and return its HTTP port."""
+        port, peer_port = free_port(), free_port()
+        settings = self.folder / f"{name}.toml"
+        settings.write_text(self.settings(name, zone, port, peer_port) + extra)
+        self._start(
+            name, port, ["-m", "camphoryard.daemon", "--settings", str(settings)]
+        )
+        return port
+
+    def restart(self, name: str) -> None:
+        """Start a process again with the arguments it had."""
+        old = self.process_by_name[name]
+        self._start(name, old.port, old.arguments)
+
+    def settings(self, name: str, zone: str, port: int, peer_port: int) -> str:
+        """Return the settings of one node as TOML."""
+        public, secret = (item.decode() for item in self.keys)
+        tokens = "\n".join(f'{item} = "{CALLER_TOKEN}-{item}"' for item in CALLERS)
+        return f"""\
+[node]
+id = "{name}"
+zone = "{zone}"
+host = "{HOST}"
+http_port = {port}
+peer_port = {peer_port}
+
+[platform]
+object_api_host = "{HOST}"
+object_api_port = {self.port("object-api")}
+
+[peers]
+public_key = "{public}"
+secret_key = "{secret}"
+lease_s = 3.0
+
+[access]
+operator_tokens = ["{OPERATOR_TOKEN}"]
+
+[access.caller_token_by_id]
+{tokens}
+"""
+
+    def wait_ready(self, names: Sequence[str], path: str = "/livez") -> None:
+        """Block until each process answers; raises TimeoutError."""
+        for name in names:
+            self.wait_until(lambda name=name: self._answers(name, path), name)
+
+    def wait_until(self, holds: Any, what: str, limit_s: float = START_LIMIT_S) -> None:
+        """Block until ``holds()``; raises TimeoutError naming ``what``."""
+        deadline_s = time.monotonic() + limit_s
+        while not holds():
+            if time.monotonic() >= deadline_s:
+                raise TimeoutError(f"{what} did not come within {limit_s} s")
+            time.sleep(POLL_S)
+
+    def _answers(self, name: str, path: str) -> bool:
+        try:
+            request(self.port(name), "GET", path, timeout_s=1.0)
+        except (OSError, HTTPException, HttpError):
+            return False
+        return True
+
+    def _start(self, name: str, port: int, arguments: Sequence[str]) -> None:
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as stream:
+            popen = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=stream,
+                stderr=stream,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        self.process_by_name[name] = Process(name, port, popen, log, arguments)
--- /dev/null
+++ b/standins/object_api.py
@@ -0,0 +1,161 @@
+"""Stand-in for the platform's object API.
+
+Versions, conditional updates, watches by long poll, counts of calls, and
+faults: ``outage`` (every call answers 503), ``lose_answers`` (that many writes
+take effect and answer 503), ``delay_ms``.
+"""
+
+import threading
+import time
+from dataclasses import dataclass, field
+
+import typer
+
+from standins.web import Answered, Asked, answer, run
+
+MAX_VALUE_BYTES = 1 << 20
+KEPT_CHANGES = 10_000
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults that ``POST /control`` sets."""
+
+    outage: bool = False
+    lose_answers: int = 0
+    lose_prefix: str = ""
+    delay_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Item:
+    """One object, or its deletion when ``value`` is None."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@dataclass(slots=True)
+class Counts:
+    """Calls since the start; a waiting watch counts as one."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    conflicts: int = 0
+
+
+@dataclass(slots=True)
+class Store:
+    """Objects by key, and the changes that watches read."""
+
+    item_by_key: dict[str, Item] = field(default_factory=dict)
+    changes: list[Item] = field(default_factory=list)
+    first_kept: int = 1
+    revision: int = 0
+    faults: Faults = field(default_factory=Faults)
+    counts: Counts = field(default_factory=Counts)
+    changed: threading.Condition = field(default_factory=threading.Condition)
+
+    def handle(self, asked: Asked) -> Answered:
+        """Answer one call."""
+        if asked.path == "/control":
+            return self._control(asked)
+        if self.faults.delay_ms:
+            time.sleep(self.faults.delay_ms / 1000)
+        if self.faults.outage:
+            return answer({"error": "outage"}, 503)
+        match (asked.method, asked.path):
+            case ("GET", "/watch"):
+                return self._watch(asked)
+            case ("GET", "/objects"):
+                return self._list(asked.query.get("prefix", ""))
+            case ("GET", path):
+                return self._get(path.removeprefix("/objects/"))
+            case ("PUT" | "DELETE", path):
+                return self._write(path.removeprefix("/objects/"), asked)
+        return answer({"error": "not found"}, 404)
+
+    def _control(self, asked: Asked) -> Answered:
+        with self.changed:
+            if asked.method == "POST":
+                for name, value in asked.json().items():
+                    setattr(self.faults, name, value)
+                self.changed.notify_all()
+            return answer({"faults": self.faults, "counts": self.counts})
+
+    def _get(self, key: str) -> Answered:
+        with self.changed:
+            self.counts.reads += 1
+            item = self.item_by_key.get(key)
+        if item is None or item.value is None:
+            return answer({"error": "not found"}, 404)
+        return Answered(200, [item.value], {"X-Object-Version": str(item.version)})
+
+    def _list(self, prefix: str) -> Answered:
+        with self.changed:
+            self.counts.reads += 1
+            items = [
+                item
+                for key, item in sorted(self.item_by_key.items())
+                if key.startswith(prefix) and item.value is not None
+            ]
+            return answer({"revision": self.revision, "items": items})
+
+    def _write(self, key: str, asked: Asked) -> Answered:
+        if len(asked.body) > MAX_VALUE_BYTES:
+            return answer({"error": "too large"}, 413)
+        with self.changed:
+            self.counts.writes += 1
+            now = self.item_by_key.get(key)
+            current = now.version if now and now.value is not None else 0
+            expected = asked.headers.get("X-Expected-Version")
+            if expected is not None and int(expected) != current:
+                self.counts.conflicts += 1
+                return answer({"error": "conflict", "version": current}, 412)
+            self.revision += 1
+            value = asked.body if asked.method == "PUT" else None
+            item = Item(key, self.revision, value)
+            self.item_by_key[key] = item
+            self._note(item)
+            if self.faults.lose_answers and key.startswith(self.faults.lose_prefix):
+                self.faults.lose_answers -= 1
+                return answer({"error": "answer lost"}, 503)
+        return Answered(200, [b"{}"], {"X-Object-Version": str(item.version)})
+
+    def _note(self, item: Item) -> None:
+        self.changes.append(item)
+        if len(self.changes) > KEPT_CHANGES:
+            del self.changes[: KEPT_CHANGES // 2]
+            self.first_kept = self.changes[0].version
+        self.changed.notify_all()
+
+    def _watch(self, asked: Asked) -> Answered:
+        since = int(asked.query["since"])
+        prefix = asked.query.get("prefix", "")
+        deadline_s = time.monotonic() + float(asked.query["wait_s"])
+        with self.changed:
+            self.counts.watches += 1
+            while True:
+                if self.faults.outage:
+                    return answer({"error": "outage"}, 503)
+                if since > self.revision or since + 1 < self.first_kept:
+                    return answer({"error": "revision is gone"}, 410)
+                start = since + 1 - self.first_kept
+                found = [
+                    item for item in self.changes[start:] if item.key.startswith(prefix)
+                ]
+                left_s = deadline_s - time.monotonic()
+                if found or left_s <= 0:
+                    return answer({"revision": self.revision, "items": found})
+                self.changed.wait(left_s)
+
+
+def main(host: str = "127.0.0.1", port: int = 7000) -> None:
+    """Run the object API."""
+    run(Store().handle, host, port)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,67 @@
+"""Stand-in for a plain service; it records every execution."""
+
+import threading
+import time
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import Any
+
+import typer
+
+from standins.web import Answered, Asked, answer, drop_connection, run
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults that ``POST /control`` sets."""
+
+    lose_answers: int = 0
+    delay_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Service:
+    """Runs operations and remembers each run."""
+
+    executions: list[dict[str, Any]] = field(default_factory=list)
+    faults: Faults = field(default_factory=Faults)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def handle(self, asked: Asked) -> Answered:
+        """Run one operation."""
+        if asked.path == "/control":
+            return self._control(asked)
+        body = asked.body.decode(errors="replace")
+        execution = {
+            "path": asked.path,
+            "body": body,
+            "request_id": asked.headers.get("X-Request-Id", ""),
+            "at_s": time.time(),
+        }
+        with self.lock:
+            self.executions.append(execution)
+            number = len(self.executions)
+            lost = self.faults.lose_answers > 0
+            self.faults.lose_answers -= lost
+        if self.faults.delay_s:
+            time.sleep(self.faults.delay_s)
+        if lost:
+            return drop_connection()
+        reference = blake2b(f"{number}/{body}".encode(), digest_size=4).hexdigest()
+        return answer({"reference": reference})
+
+    def _control(self, asked: Asked) -> Answered:
+        with self.lock:
+            if asked.method == "POST":
+                for name, value in asked.json().items():
+                    setattr(self.faults, name, value)
+            return answer({"executions": self.executions})
+
+
+def main(host: str = "127.0.0.1", port: int = 7200) -> None:
+    """Run the service."""
+    run(Service().handle, host, port)
+
+
+if __name__ == "__main__":
+    typer.run(main)
