--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -94,6 +94,7 @@
         self._peer_by_id: dict[NodeId, _Peer] = {}
         self._reply_by_id: dict[RequestId, Future[Reply]] = {}
         self._authenticator = ThreadAuthenticator(self._context)
+        self._closed = False
 
     def listen(self, host: str, port: int, handle: Handler) -> None:
         """Bind and receive in a task of its own until closed."""
@@ -115,6 +116,8 @@
             return
         with self._lock:
             known = self._peer_by_id.get(lease.node)
+            if self._closed:
+                return
             if known is not None and _same_place(known.lease, lease):
                 return
             peer = _Peer(lease, queue.Queue(OUTBOX_FRAMES))
@@ -165,10 +168,14 @@
 
     def close(self) -> None:
         """End the tasks of all peers and the receiving one."""
+        with self._lock:
+            self._closed = True
         for node in self.peers():
             self.forget(node)
         self._authenticator.stop()
-        self._context.destroy(linger=LINGER_MS)
+        # Each socket is closed by the task that owns it, which the end of the
+        # context wakes.
+        self._context.term()
 
     def _send(self, node: NodeId, envelope: Envelope) -> None:
         with self._lock:
