Check, preview and resolve configuration changes; collect old parts

Cause: a change was accepted unchecked, a lost answer under later changes looked like a lost race, a conflict did not say what had changed, and parts were never deleted. Ruled out: content-addressed parts with collection (a part may be deleted between its writer's look and its head); history objects for conflicts. Change: parts lie under keys that name the head version they may replace, so a key that the head has moved past is dead; the head keeps the last 64 changes with the items each touched; 64 parts. Conclusion: lost answers resolve also under later changes; parts do not pile up.

--- a/src/camphoryard/coordination/configuring.py
+++ b/src/camphoryard/coordination/configuring.py
@@ -1,43 +1,78 @@
 """Accepting configuration changes and putting them in force."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field, fields, replace
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 from uuid import uuid4
 
 from xxhash import xxh3_64_intdigest
 
+from camphoryard.coordination.changing import (
+    Change,
+    ItemChange,
+    apply_change,
+    differences,
+    item_tables,
+)
+from camphoryard.coordination.checking import (
+    check_change,
+    check_configuration,
+    warnings,
+)
 from camphoryard.coordination.ports import ContentStore, Records, Stored
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.writing import write_resolved
 from camphoryard.state.configuration import Configuration
-from camphoryard.state.configuration_head import KEPT_WRITES, ConfigurationHead
+from camphoryard.state.configuration_head import (
+    KEPT_CHANGES,
+    KEPT_NAMES,
+    AcceptedChange,
+    ConfigurationHead,
+    changed_since,
+    find_write,
+)
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     ConflictError,
+    ObjectTooLargeError,
     RefusalError,
     StoreUnavailableError,
 )
-from camphoryard.state.ids import ABSENT, Generation, WriteId
+from camphoryard.state.ids import ABSENT, Generation, ObjectKey, Version
 from camphoryard.state.tables import ConfigurationHolder
 from camphoryard.state.verdict import Verdict
 
 HEAD_KEY = "head"
-PARTS = 16
+PARTS = 64
+SWEEP_PERIOD_GENERATIONS = 256
+EMPTY = Configuration()
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The generation of an accepted change, what it changed and warnings."""
+
+    generation: Generation
+    changes: tuple[ItemChange, ...]
+    warnings: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Change:
-    """Items to add or replace, and names (``kind/id``) to remove."""
+class _Base:
+    """The head a change is written over, and the configuration it names."""
 
-    items: Configuration
-    removed: frozenset[str] = frozenset()
-    base: Generation | None = None
-    write_id: WriteId = field(default_factory=lambda: WriteId(uuid4().hex))
+    head: ConfigurationHead | None
+    version: Version
+    whole: Configuration
 
 
 class Configurator:
-    """Reads, accepts and adopts configurations of this node."""
+    """Reads, accepts and adopts configurations of this node.
+
+    ``may_accept`` raises RefusalError while a change could not be put in
+    force everywhere.
+    """
 
     def __init__(
         self,
@@ -45,11 +80,15 @@
         contents: ContentStore,
         holder: ConfigurationHolder,
         timeline: Timeline,
+        may_accept: Callable[[], None] = lambda: None,
     ) -> None:
         self._heads = heads
         self._contents = contents
         self._holder = holder
         self._timeline = timeline
+        self._may_accept = may_accept
+        self._lock = threading.Lock()
+        self._part_by_key: Mapping[ObjectKey, Configuration] = {}
 
     def take_head(self, stored: Stored[ConfigurationHead]) -> None:
         """Put an accepted head in force, fetching its parts.
@@ -62,90 +101,193 @@
         head = stored.record
         if head is None or head.generation <= self._holder.current.generation:
             return
-        if self._holder.adopt(self._assemble(head)):
-            self._timeline.record("configuration", generation=head.generation)
+        self.adopt(self._assemble(head))
+
+    def adopt(self, configuration: Configuration) -> None:
+        """Put a configuration in force that some node knows to be accepted."""
+        if self._holder.adopt(configuration):
+            self._timeline.record("configuration", generation=configuration.generation)
 
-    def accept(self, change: Change) -> Configuration:
+    def preview(self, change: Change) -> Accepted:
+        """Return what ``accept`` would do now, changing nothing; raises as it."""
+        base = self._read_base()
+        return self._plan(base, change)[1]
+
+    def accept(self, change: Change) -> Accepted:
         """Write ``change`` on top of the accepted configuration.
 
         Raises
         ------
         RefusalError
-            If another operator's change came first, or the store is away.
+            If the change is wrong, another operator's came first, or the store
+            is away.
         """
+        base = self._read_base()
+        done = find_write(base.head, change.write_id)
+        if done is not None:
+            return Accepted(done, (), ())
+        whole, planned = self._plan(base, change)
+        self._may_accept()
+        head = self._make_head(base, change, whole, planned.changes)
         try:
-            stored = self._heads.get(HEAD_KEY)
-            current = (
-                self._assemble(stored.record)
-                if stored and stored.record
-                else (Configuration())
-            )
+            write_resolved(self._heads, HEAD_KEY, head, base.version)
+        except ConflictError as error:
+            return self._resolve_conflict(base, change, planned, error)
         except StoreUnavailableError as error:
             raise RefusalError(
-                Reason.STORE_UNAVAILABLE, "the configuration could not be read"
+                Reason.STORE_UNAVAILABLE,
+                "no answer to the write: send the same change again, with its"
+                " write_id, to learn whether it was accepted",
+                Verdict.MAY_HAVE_RUN,
             ) from error
-        if stored and stored.record and change.write_id in stored.record.recent_writes:
-            return current
-        if change.base is not None and change.base != current.generation:
-            raise _conflict(change.base, current.generation)
-        changed = apply_change(current, change)
-        recent = stored.record.recent_writes if stored and stored.record else ()
-        head = ConfigurationHead(
-            changed.generation,
-            change.write_id,
-            self._store_parts(changed),
-            (*recent, change.write_id)[-KEPT_WRITES:],
+        self.adopt(whole)
+        self._timeline.record(
+            "accepted", generation=whole.generation, items=_named(planned.changes)
         )
-        version = stored.version if stored else ABSENT
+        self._collect(base.head, head)
+        return planned
+
+    def _read_base(self) -> _Base:
         try:
-            write_resolved(self._heads, HEAD_KEY, head, version)
-        except ConflictError as error:
-            raise _conflict(current.generation, None) from error
+            stored = self._heads.get(HEAD_KEY)
+            if stored is None or stored.record is None:
+                return _Base(None, ABSENT, EMPTY)
+            whole = self._assemble(stored.record)
         except StoreUnavailableError as error:
             raise RefusalError(
                 Reason.STORE_UNAVAILABLE,
-                "no answer to the write: send the same change again to learn more",
-                Verdict.MAY_HAVE_RUN,
+                "the accepted configuration could not be read; nothing was changed:"
+                " try again when the object API answers",
             ) from error
-        self._holder.adopt(changed)
-        self._timeline.record("accepted", generation=changed.generation)
-        return changed
+        return _Base(stored.record, stored.version, whole)
 
-    def _assemble(self, head: ConfigurationHead) -> Configuration:
-        whole = Configuration(head.generation)
-        for content_id in head.content_by_part.values():
-            whole = _merged(whole, self._contents.get(content_id))
-        return whole
+    def _plan(self, base: _Base, change: Change) -> tuple[Configuration, Accepted]:
+        if change.base is not None and change.base != base.whole.generation:
+            raise _conflict(change.base, base.head)
+        check_change(base.whole, change)
+        whole = apply_change(base.whole, change)
+        check_configuration(whole)
+        changes = differences(base.whole, whole)
+        return whole, Accepted(whole.generation, changes, warnings(whole))
 
-    def _store_parts(self, whole: Configuration) -> Mapping[str, str]:
+    def _make_head(
+        self,
+        base: _Base,
+        change: Change,
+        whole: Configuration,
+        changes: tuple[ItemChange, ...],
+    ) -> ConfigurationHead:
+        recent = base.head.recent if base.head else ()
+        accepted = AcceptedChange(
+            whole.generation, change.write_id, _names(changes)[:KEPT_NAMES]
+        )
+        keys = self._store_parts(base, whole)
+        old = set(base.head.key_by_part.values()) if base.head else set()
+        return ConfigurationHead(
+            whole.generation,
+            change.write_id,
+            keys,
+            (*recent, accepted)[-KEPT_CHANGES:],
+            tuple(sorted(old - set(keys.values()))),
+        )
+
+    def _store_parts(self, base: _Base, whole: Configuration) -> dict[str, ObjectKey]:
+        """Write the parts that differ from the base's, under keys of their own.
+
+        A key names the version of the head that its writer replaces: once the
+        head has moved on, a part that it does not name never will be named.
+        """
+        known = base.head.key_by_part if base.head else {}
+        old_by_part = split(base.whole)
+        attempt = uuid4().hex
+        key_by_part: dict[str, ObjectKey] = {}
         try:
-            return {
-                name: self._contents.put(part) for name, part in split(whole).items()
-            }
+            for name, part in split(whole).items():
+                if name in known and old_by_part.get(name) == part:
+                    key_by_part[name] = known[name]
+                    continue
+                key = ObjectKey(f"{base.version}-{attempt}-{name}")
+                self._contents.put(key, part)
+                key_by_part[name] = key
         except StoreUnavailableError as error:
             raise RefusalError(
-                Reason.STORE_UNAVAILABLE, "a part could not be written"
+                Reason.STORE_UNAVAILABLE,
+                "a part could not be written; nothing was changed: try again when"
+                " the object API answers",
+            ) from error
+        except ObjectTooLargeError as error:
+            raise RefusalError(
+                Reason.BODY_TOO_LARGE,
+                f"{error}; nothing was changed: shorten labels or remove items",
             ) from error
+        return key_by_part
 
+    def _resolve_conflict(
+        self, base: _Base, change: Change, planned: Accepted, cause: ConflictError
+    ) -> Accepted:
+        """Tell our own write under later ones from a race that was lost."""
+        try:
+            stored = self._heads.get(HEAD_KEY)
+        except StoreUnavailableError as error:
+            raise RefusalError(
+                Reason.STORE_UNAVAILABLE,
+                "another change may have come first: send the same change again,"
+                " with its write_id, to learn more",
+                Verdict.MAY_HAVE_RUN,
+            ) from error
+        head = stored.record if stored else None
+        if find_write(head, change.write_id) is not None:
+            return planned
+        raise _conflict(base.whole.generation, head) from cause
 
-def apply_change(current: Configuration, change: Change) -> Configuration:
-    """Return ``current`` with the change, one generation on."""
-    merged = _merged(current, change.items)
-    kept = {
-        name: {
-            key: item
-            for key, item in getattr(merged, name).items()
-            if f"{name.removesuffix('s_by_id')}/{key}" not in change.removed
+    def _assemble(self, head: ConfigurationHead) -> Configuration:
+        with self._lock:
+            known = self._part_by_key
+        parts = {
+            key: known.get(key) or self._contents.get(key)
+            for key in head.key_by_part.values()
         }
-        for name in _tables()
-    }
-    return replace(merged, generation=Generation(current.generation + 1), **kept)
+        with self._lock:
+            self._part_by_key = parts
+        tables: dict[str, Any] = {
+            name: {
+                key: item
+                for part in parts.values()
+                for key, item in getattr(part, name).items()
+            }
+            for name in item_tables()
+        }
+        return Configuration(head.generation, **tables)
+
+    def _collect(self, old: ConfigurationHead | None, new: ConfigurationHead) -> None:
+        """Delete parts that no head will ever name again; a later try may come."""
+        dead = old.retired if old else ()
+        try:
+            if new.generation % SWEEP_PERIOD_GENERATIONS == 0:
+                dead = (*dead, *self._orphans())
+            for key in dead:
+                self._contents.delete(key)
+        except StoreUnavailableError:
+            return
+
+    def _orphans(self) -> tuple[ObjectKey, ...]:
+        """Return parts whose writers lost or died before the head was written."""
+        keys = self._contents.keys()
+        stored = self._heads.get(HEAD_KEY)
+        if stored is None or stored.record is None:
+            return ()
+        named = {*stored.record.key_by_part.values(), *stored.record.retired}
+        return tuple(
+            key
+            for key in keys
+            if key not in named and int(key.partition("-")[0]) < stored.version
+        )
 
 
 def split(whole: Configuration) -> Mapping[str, Configuration]:
     """Split into parts by hash of the item's id, so a change touches few parts."""
     part_by_name: dict[str, Any] = {}
-    for table in _tables():
+    for table in item_tables():
         for key, item in getattr(whole, table).items():
             name = str(xxh3_64_intdigest(key.encode()) % PARTS)
             tables = part_by_name.setdefault(name, {})
@@ -153,23 +295,22 @@
     return {name: Configuration(**tables) for name, tables in part_by_name.items()}
 
 
-def _tables() -> tuple[str, ...]:
-    return tuple(
-        item.name for item in fields(Configuration) if item.name != "generation"
-    )
+def _names(changes: tuple[ItemChange, ...]) -> tuple[str, ...]:
+    return tuple(item.name for item in changes)
 
 
-def _merged(whole: Configuration, part: Configuration) -> Configuration:
-    merged: dict[str, Any] = {
-        name: {**getattr(whole, name), **getattr(part, name)} for name in _tables()
-    }
-    return replace(whole, **merged)
+def _named(changes: tuple[ItemChange, ...]) -> str:
+    names = _names(changes)
+    more = f" and {len(names) - KEPT_NAMES} more" if len(names) > KEPT_NAMES else ""
+    return ",".join(names[:KEPT_NAMES]) + more
 
 
-def _conflict(base: Generation, current: Generation | None) -> RefusalError:
-    now = f"generation {current}" if current is not None else "a newer generation"
+def _conflict(base: Generation, head: ConfigurationHead | None) -> RefusalError:
+    generation = head.generation if head else Generation(0)
+    changed = ", ".join(changed_since(head, base)) if head else ""
     return RefusalError(
         Reason.CONFLICT,
-        f"the change was written over generation {base}, but {now} is accepted;"
-        " read it again, check what changed and apply again",
+        f"the change was written over generation {base}, but generation"
+        f" {generation} is accepted, which changed: {changed or 'unknown items'};"
+        " nothing of yours is in force: get the configuration, check and apply again",
     )
--- a/src/camphoryard/coordination/ports.py
+++ b/src/camphoryard/coordination/ports.py
@@ -79,13 +79,22 @@
 
 
 class ContentStore(Protocol):
-    """Immutable parts of configurations, keyed by their content."""
+    """Parts of configurations; a key is written once, by one writer.
 
-    def put(self, part: Configuration) -> str:
-        """Write a part unless it is there; return its content id."""
+    All methods raise StoreUnavailableError if the object API does not answer.
+    """
 
-    def get(self, content_id: str) -> Configuration:
-        """Return a part; raises StoreUnavailableError."""
+    def put(self, key: ObjectKey, part: Configuration) -> None:
+        """Write a part; raises ObjectTooLargeError if it is too large."""
+
+    def get(self, key: ObjectKey) -> Configuration:
+        """Return a part; one that is gone counts as not answered."""
+
+    def delete(self, key: ObjectKey) -> None:
+        """Delete a part, whether it is there or not."""
+
+    def keys(self) -> tuple[ObjectKey, ...]:
+        """Return the keys of all parts."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/protocol/configuration.py
+++ b/src/camphoryard/protocol/configuration.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from camphoryard.coordination.configuring import Change
+from camphoryard.coordination.changing import Change
 from camphoryard.protocol.selectors import (
     SelectorSyntaxError,
     format_selector,
@@ -25,6 +25,7 @@
 from camphoryard.state.enums import Priority, Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import Generation, GroupId, WriteId
+from camphoryard.state.labels import Selector
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +86,10 @@
 
 def decode_configuration(body: bytes) -> Configuration:
     """Return the configuration that ``body`` holds; raises ``ValueError``."""
-    return _configuration(_CONFIGURATION.decode(body))
+    try:
+        return _configuration(_CONFIGURATION.decode(body))
+    except FieldError as error:
+        raise ValueError(str(error)) from error
 
 
 def decode_change(body: bytes) -> Change:
@@ -107,12 +111,10 @@
     """Return the change in plain decoded JSON or TOML; raises as decode_change."""
     try:
         form = convert_strict(raw, ChangeForm)
+        _refuse_duplicates(form)
+        items = _configuration(form)
     except FieldError as error:
         raise RefusalError(Reason.BAD_FIELD, str(error), field=error.field) from error
-    try:
-        items = _configuration(form)
-    except SelectorSyntaxError as error:
-        raise RefusalError(Reason.BAD_FIELD, str(error), field="groups") from error
     base = Generation(form.base) if form.base is not None else None
     removed = frozenset(form.removed)
     if form.write_id:
@@ -120,6 +122,15 @@
     return Change(items, removed, base)
 
 
+def _refuse_duplicates(form: ChangeForm) -> None:
+    for name in ("models", "adapters", "endpoints", "callers", "services", "groups"):
+        seen: set[str] = set()
+        for index, item in enumerate(getattr(form, name)):
+            if item.id in seen:
+                raise FieldError(f"{name}[{index}].id", f"{item.id!r} stands twice")
+            seen.add(item.id)
+
+
 def _configuration(form: ConfigurationForm) -> Configuration:
     return Configuration(
         Generation(form.generation),
@@ -128,21 +139,31 @@
         {item.id: item for item in form.endpoints},
         {item.id: item for item in form.callers},
         {item.id: item for item in form.services},
-        {item.id: _group(item) for item in form.groups},
+        {
+            item.id: _group(item, f"groups[{index}]")
+            for index, item in enumerate(form.groups)
+        },
     )
 
 
-def _group(form: GroupForm) -> ServingGroup:
+def _group(form: GroupForm, path: str) -> ServingGroup:
     return ServingGroup(
         form.id,
         form.priority,
-        parse_selector(form.callers),
-        parse_selector(form.targets),
-        parse_selector(form.endpoints),
+        _selector(form.callers, f"{path}.callers"),
+        _selector(form.targets, f"{path}.targets"),
+        _selector(form.endpoints, f"{path}.endpoints"),
         form.order,
     )
 
 
+def _selector(text: str, path: str) -> Selector:
+    try:
+        return parse_selector(text)
+    except SelectorSyntaxError as error:
+        raise FieldError(path, str(error)) from error
+
+
 def _group_form(group: ServingGroup) -> GroupForm:
     return GroupForm(
         group.id,
--- a/src/camphoryard/protocol/operator.py
+++ b/src/camphoryard/protocol/operator.py
@@ -1,13 +1,18 @@
 """Answers to operators as JSON."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, fields
+from enum import Enum
+from typing import Any
 
 import msgspec
 
+from camphoryard.coordination.configuring import Accepted
 from camphoryard.coordination.status import Status
+from camphoryard.protocol.selectors import format_selector
 from camphoryard.state.endpoint_record import committed_mb
 from camphoryard.state.ids import NodeId
+from camphoryard.state.labels import Selector
 from camphoryard.state.timeline import Event, Stamp
 
 
@@ -56,11 +61,22 @@
     refusals: list[RefusalForm]
 
 
+@dataclass(frozen=True, slots=True)
+class ItemChangeForm:
+    """What a change does to one item; ``fields`` as ``name: old -> new``."""
+
+    name: str
+    kind: str
+    fields: list[str]
+
+
 @dataclass(frozen=True, slots=True)
 class AcceptedForm:
-    """Body of the answer to an accepted change."""
+    """Body of the answer to an accepted change, or to one only tried."""
 
     generation: int
+    changes: list[ItemChangeForm] = field(default_factory=list)
+    warnings: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,9 +91,51 @@
 
 
 _STATUS = msgspec.json.Decoder(StatusForm)
+_ACCEPTED = msgspec.json.Decoder(AcceptedForm)
 _EVENTS = msgspec.json.Decoder(list[EventForm])
 
 
+def encode_accepted(accepted: Accepted) -> bytes:
+    """Return the JSON form of an accepted or tried change."""
+    changes = [
+        ItemChangeForm(
+            item.name, item.kind.value, _field_texts(item.before, item.after)
+        )
+        for item in accepted.changes
+    ]
+    return msgspec.json.encode(
+        AcceptedForm(accepted.generation, changes, list(accepted.warnings))
+    )
+
+
+def decode_accepted(body: bytes) -> AcceptedForm:
+    """Return what a daemon accepted; raises ``msgspec.MsgspecError``."""
+    return _ACCEPTED.decode(body)
+
+
+def _field_texts(before: Any, after: Any) -> list[str]:
+    shown = before if after is None else after
+    texts = []
+    for item in fields(shown):
+        old = getattr(before, item.name, None)
+        new = getattr(after, item.name, None)
+        if old != new and item.name != "id":
+            texts.append(f"{item.name}: {_text(old)} -> {_text(new)}")
+    return texts
+
+
+def _text(value: Any) -> str:
+    match value:
+        case None:
+            return "-"
+        case Selector():
+            return repr(format_selector(value))
+        case Enum():
+            return str(value.value)
+        case _:
+            return msgspec.json.encode(value, order="deterministic").decode()
+
+
 def encode_status(status: Status) -> bytes:
     """Return the JSON form of a status."""
     nodes = [
--- a/src/camphoryard/state/configuration_head.py
+++ b/src/camphoryard/state/configuration_head.py
@@ -3,20 +3,54 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from camphoryard.state.ids import Generation, WriteId
+from camphoryard.state.ids import Generation, ObjectKey, WriteId
 
-KEPT_WRITES = 32
+KEPT_CHANGES = 64
+KEPT_NAMES = 50
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """One accepted change; ``items`` holds at most KEPT_NAMES item names."""
+
+    generation: Generation
+    write_id: WriteId
+    items: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationHead:
-    """The accepted generation and the content id of each of its parts.
+    """The accepted generation and the key of each of its parts.
 
-    ``recent_writes`` lets an operator whose answer was lost learn that the
-    change was accepted although later changes came on top.
+    ``recent`` tells an operator whose answer was lost that the change was
+    accepted although later changes came on top, and one who lost a race what
+    the others changed. ``retired`` holds the keys of parts that this
+    generation replaced; the next change deletes them.
     """
 
     generation: Generation
     write_id: WriteId
-    content_by_part: Mapping[str, str] = field(default_factory=dict)
-    recent_writes: tuple[WriteId, ...] = ()
+    key_by_part: Mapping[str, ObjectKey] = field(default_factory=dict)
+    recent: tuple[AcceptedChange, ...] = ()
+    retired: tuple[ObjectKey, ...] = ()
+
+
+def find_write(head: ConfigurationHead | None, write_id: WriteId) -> Generation | None:
+    """Return the generation that ``write_id`` made, if it was accepted lately."""
+    if head is None:
+        return None
+    for change in head.recent:
+        if change.write_id == write_id:
+            return change.generation
+    return None
+
+
+def changed_since(head: ConfigurationHead, base: Generation) -> tuple[str, ...]:
+    """Return the names of items that changes after ``base`` touched."""
+    names = {
+        name
+        for change in head.recent
+        if change.generation > base
+        for name in change.items
+    }
+    return tuple(sorted(names))
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -53,6 +53,14 @@
     RELEASED = "released"
 
 
+class ChangeKind(Enum):
+    """What a change does to an item."""
+
+    ADDED = "added"
+    CHANGED = "changed"
+    REMOVED = "removed"
+
+
 class NodeState(Enum):
     """What a node says about itself."""
 
--- a/src/camphoryard/state/errors.py
+++ b/src/camphoryard/state/errors.py
@@ -51,6 +51,10 @@
     """A conditional update lost: the object's version was another one."""
 
 
+class ObjectTooLargeError(CamphoryardError):
+    """A value is larger than the object API takes; nothing was written."""
+
+
 class NotSentError(CamphoryardError):
     """No byte of the call reached the other side."""
 
--- a/src/camphoryard/transport/object_api.py
+++ b/src/camphoryard/transport/object_api.py
@@ -1,7 +1,6 @@
 """Typed records kept in the platform's object API."""
 
 from collections.abc import Sequence
-from hashlib import blake2b
 from typing import Generic, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -19,6 +18,7 @@
     BrokenCallError,
     ConflictError,
     NotSentError,
+    ObjectTooLargeError,
     StoreUnavailableError,
 )
 from camphoryard.state.ids import ObjectKey, Revision, Version
@@ -33,7 +33,7 @@
 
 CALL_TIMEOUT_S = 1.0
 WATCH_GRACE_S = 2.0
-CONTENT_DIGEST_BYTES = 16
+MAX_VALUE_BYTES = 1 << 20
 OK, CREATED, NOT_FOUND, GONE, CONFLICT = 200, 201, 404, 410, 412
 
 
@@ -147,7 +147,7 @@
 
 
 class ObjectContents:
-    """Immutable parts of configurations, keyed by a digest of their bytes."""
+    """Parts of configurations, each under a key that is written once."""
 
     def __init__(
         self, api: ObjectApi, prefix: str, codec: Codec[Configuration]
@@ -155,27 +155,35 @@
         self._api = api
         self._prefix = prefix
         self._codec = codec
-        self._part_by_id: dict[str, Configuration] = {}
 
-    def put(self, part: Configuration) -> str:
-        """Write a part unless it is there; return its content id."""
+    def put(self, key: ObjectKey, part: Configuration) -> None:
+        """Write a part; see the ContentStore port."""
         body = self._codec.encode(part)
-        content_id = blake2b(body, digest_size=CONTENT_DIGEST_BYTES).hexdigest()
-        if content_id in self._part_by_id:
-            return content_id
-        path = f"/objects/{self._prefix}{content_id}"
+        if len(body) > MAX_VALUE_BYTES:
+            raise ObjectTooLargeError(
+                f"a part has {len(body)} bytes, over {MAX_VALUE_BYTES}"
+            )
+        self._api.call("PUT", self._path(key), (OK, CREATED), body)
+
+    def get(self, key: ObjectKey) -> Configuration:
+        """Return a part."""
+        body = self._api.call("GET", self._path(key), (OK,)).body
         try:
-            self._api.call("PUT", path, (OK, CREATED), body, expected=Version(0))
-        except ConflictError:
-            pass  # The same bytes are there already.
-        self._part_by_id[content_id] = part
-        return content_id
-
-    def get(self, content_id: str) -> Configuration:
-        """Return a part; raises StoreUnavailableError."""
-        part = self._part_by_id.get(content_id)
-        if part is None:
-            path = f"/objects/{self._prefix}{content_id}"
-            part = self._codec.decode(self._api.call("GET", path, (OK,)).body)
-            self._part_by_id[content_id] = part
-        return part
+            return self._codec.decode(body)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise StoreUnavailableError(f"{key}: {error}") from error
+
+    def delete(self, key: ObjectKey) -> None:
+        """Delete a part."""
+        self._api.call("DELETE", self._path(key), (OK, NOT_FOUND))
+
+    def keys(self) -> tuple[ObjectKey, ...]:
+        """Return the keys of all parts."""
+        query = urlencode({"prefix": self._prefix})
+        listing = decode_listing(self._api.call("GET", f"/objects?{query}", (OK,)).body)
+        return tuple(
+            ObjectKey(item.key.removeprefix(self._prefix)) for item in listing.items
+        )
+
+    def _path(self, key: ObjectKey) -> str:
+        return f"/objects/{quote(self._prefix + key)}"
--- a/src/camphoryard/transport/operator_api.py
+++ b/src/camphoryard/transport/operator_api.py
@@ -3,19 +3,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
-from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.configuring import Accepted, Configurator
 from camphoryard.coordination.status import Status
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.protocol.configuration import decode_change, encode_configuration
-from camphoryard.protocol.operator import AcceptedForm, encode_events, encode_status
+from camphoryard.protocol.operator import encode_accepted, encode_events, encode_status
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.tables import ConfigurationHolder
 from camphoryard.transport.http_server import HttpRequest, HttpResponse
 
 ADMIN_PREFIX = "/admin/v1/"
+DRY_RUN = "dry_run"
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,8 +34,7 @@
         case ("GET", "configuration"):
             return _json(encode_configuration(parts.configuration.current))
         case ("POST", "configuration"):
-            accepted = parts.configurator.accept(decode_change(request.body))
-            return _json(msgspec.json.encode(AcceptedForm(accepted.generation)))
+            return _json(encode_accepted(_apply(parts.configurator, request)))
         case ("GET", "status"):
             return _json(encode_status(parts.status()))
         case ("GET", "timeline"):
@@ -48,5 +46,12 @@
             raise RefusalError(Reason.NOT_FOUND, f"no operation {method} {path}")
 
 
+def _apply(configurator: Configurator, request: HttpRequest) -> Accepted:
+    change = decode_change(request.body)
+    if request.query.get(DRY_RUN) == "true":
+        return configurator.preview(change)
+    return configurator.accept(change)
+
+
 def _json(body: bytes) -> HttpResponse:
     return HttpResponse(200, [body])
--- /dev/null
+++ b/tests/fakes/object_api.py
@@ -0,0 +1,77 @@
+"""In-memory object API behind the ports, with its faults."""
+
+import itertools
+from collections.abc import Callable
+
+from camphoryard.coordination.ports import Snapshot, Stored
+from camphoryard.state.errors import ConflictError, StoreUnavailableError
+from camphoryard.state.ids import ABSENT, ObjectKey, Revision, Version
+
+
+class MemoryRecords:
+    """Records of one kind; ``before_put`` runs ahead of each write."""
+
+    def __init__(self) -> None:
+        self.stored_by_key: dict[str, Stored] = {}
+        self.outage = False
+        self.lose_answers = 0
+        self.before_put: Callable[[], None] = lambda: None
+        self.after_put: Callable[[], None] = lambda: None
+        self._revisions = itertools.count(1)
+
+    def get(self, key):
+        """Return the record, or None."""
+        self._require_up()
+        return self.stored_by_key.get(key)
+
+    def put(self, key, record, version):
+        """Write if the version is still ``version``."""
+        self._require_up()
+        hook, self.before_put = self.before_put, lambda: None
+        hook()
+        found = self.stored_by_key.get(key)
+        if (found.version if found else ABSENT) != version:
+            raise ConflictError(key)
+        made = Version(next(self._revisions))
+        self.stored_by_key[key] = Stored(ObjectKey(key), made, record)
+        lost, self.lose_answers = self.lose_answers > 0, max(0, self.lose_answers - 1)
+        hook, self.after_put = self.after_put, lambda: None
+        hook()
+        if lost:
+            raise StoreUnavailableError("answer lost")
+        return made
+
+    def list(self):
+        """Return all records."""
+        self._require_up()
+        return Snapshot(Revision(0), tuple(self.stored_by_key.values()))
+
+    def _require_up(self) -> None:
+        if self.outage:
+            raise StoreUnavailableError("outage")
+
+
+class MemoryContents:
+    """Parts of configurations by key."""
+
+    def __init__(self) -> None:
+        self.part_by_key: dict[str, object] = {}
+
+    def put(self, key, part):
+        """Write a part, once."""
+        assert key not in self.part_by_key
+        self.part_by_key[key] = part
+
+    def get(self, key):
+        """Return a part."""
+        if key not in self.part_by_key:
+            raise StoreUnavailableError(key)
+        return self.part_by_key[key]
+
+    def delete(self, key):
+        """Delete a part."""
+        self.part_by_key.pop(key, None)
+
+    def keys(self):
+        """Return the keys of all parts."""
+        return tuple(self.part_by_key)
