Add a checker of histories of sends and runs

Cause: a verdict is only worth something when it is compared with what the services and engines logged. Ruled out: judging by request id, since a caller that sees no answer has none; actions are named by their body, completions by their prompt.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -205,7 +205,12 @@
                 if item not in self.resident_mb_by_item or item in self.unloading:
                     return answer({"error": f"{item} is not resident"}, 404)
             self.log.append(
-                {"request_id": body["request_id"], "offset": body["resume_from"]}
+                {
+                    "request_id": body["request_id"],
+                    "offset": body["resume_from"],
+                    "prompt": body["prompt"],
+                    "at_s": time.time(),
+                }
             )
             if self.faults.crash_on and self.faults.crash_on in body["prompt"]:
                 os._exit(1)
--- /dev/null
+++ b/standins/history.py
@@ -0,0 +1,149 @@
+"""Checks what callers were told against what services and engines logged.
+
+A history names each action by its body and each completion by its prompt, so
+both must be unique within one history.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, TypeVar
+
+from camphoryard.state.verdict import Verdict
+from standins.engine import whole_answer
+
+ItemT = TypeVar("ItemT")
+
+
+class ViolationKind(Enum):
+    """What a caller was told that the logs contradict."""
+
+    NOT_RUN_BUT_RAN = "not run, but ran"
+    RAN_TWICE = "ran twice"
+    RAN_UNASKED = "ran before anybody asked"
+    RAN_BUT_NO_RUN = "ran, but no run is logged"
+    ANSWERS_DIFFER = "answers of one action differ"
+    NOT_WHOLE = "answer is not whole"
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken promise; ``subject`` is the action's body or the prompt."""
+
+    kind: ViolationKind
+    subject: str
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ActionSend:
+    """One send of a non-idempotent action and what its caller saw.
+
+    ``verdict`` is None if the caller saw no answer; ``sent_s`` is seconds of
+    the wall clock that the services' logs use.
+    """
+
+    body: str
+    key: str
+    sent_s: float
+    verdict: Verdict | None
+    status: int = 0
+    answer: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionSend:
+    """One completion request and what its caller saw."""
+
+    prompt: str
+    max_tokens: int
+    sent_s: float
+    verdict: Verdict | None
+    text: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One run that a service or engine logged."""
+
+    subject: str
+    at_s: float
+
+
+def service_runs(control: Mapping[str, Any]) -> tuple[Run, ...]:
+    """Return the runs in the state of a plain service stand-in."""
+    return tuple(Run(item["body"], item["at_s"]) for item in control["executions"])
+
+
+def engine_runs(control: Mapping[str, Any]) -> tuple[Run, ...]:
+    """Return the runs in the state of a model engine stand-in."""
+    return tuple(Run(item["prompt"], item["at_s"]) for item in control["log"])
+
+
+def check_actions(
+    sends: Iterable[ActionSend], runs: Iterable[Run]
+) -> tuple[Violation, ...]:
+    """Return every violation among actions that may run at most once."""
+    sends_by_body = _by(sends, lambda item: item.body)
+    runs_by_body = _by(runs, lambda item: item.subject)
+    found: list[Violation] = []
+    for body in sorted({*sends_by_body, *runs_by_body}):
+        found.extend(_check_action(body, sends_by_body[body], runs_by_body[body]))
+    return tuple(found)
+
+
+def check_completions(
+    sends: Iterable[CompletionSend], runs: Iterable[Run]
+) -> tuple[Violation, ...]:
+    """Return every violation among completions, which may run again."""
+    runs_by_prompt = _by(runs, lambda item: item.subject)
+    found: list[Violation] = []
+    for send in sends:
+        ran = runs_by_prompt[send.prompt]
+        if send.verdict is Verdict.NOT_RUN and ran:
+            found.append(Violation(ViolationKind.NOT_RUN_BUT_RAN, send.prompt))
+        if send.verdict is Verdict.RAN:
+            found.extend(_check_text(send))
+    return tuple(found)
+
+
+def _check_action(
+    body: str, sends: Sequence[ActionSend], runs: Sequence[Run]
+) -> Iterator[Violation]:
+    if len(runs) > 1:
+        yield Violation(ViolationKind.RAN_TWICE, body, f"{len(runs)} runs")
+    for run in runs:
+        yield from _check_run(sends, run)
+    answers = {
+        (item.status, item.answer) for item in sends if item.verdict is Verdict.RAN
+    }
+    if answers and not runs:
+        yield Violation(ViolationKind.RAN_BUT_NO_RUN, body)
+    if len(answers) > 1:
+        yield Violation(ViolationKind.ANSWERS_DIFFER, body, str(sorted(answers)))
+
+
+def _check_run(sends: Sequence[ActionSend], run: Run) -> Iterator[Violation]:
+    """Check that a run was asked for by a send that was not told "not run"."""
+    earlier = [item for item in sends if item.sent_s <= run.at_s]
+    if not earlier:
+        yield Violation(ViolationKind.RAN_UNASKED, run.subject)
+    elif all(item.verdict is Verdict.NOT_RUN for item in earlier):
+        yield Violation(ViolationKind.NOT_RUN_BUT_RAN, run.subject)
+
+
+def _check_text(send: CompletionSend) -> Iterator[Violation]:
+    whole = whole_answer(send.prompt, send.max_tokens)
+    if send.text != whole:
+        detail = f"{len(send.text)} of {len(whole)} characters, or other ones"
+        yield Violation(ViolationKind.NOT_WHOLE, send.prompt, detail)
+
+
+def _by(
+    items: Iterable[ItemT], key: Callable[[ItemT], str]
+) -> defaultdict[str, list[ItemT]]:
+    items_by_key: defaultdict[str, list[ItemT]] = defaultdict(list)
+    for item in items:
+        items_by_key[key(item)].append(item)
+    return items_by_key
