--- a/src/camphoryard/coordination/configuring.py
+++ b/src/camphoryard/coordination/configuring.py
@@ -1,7 +1,7 @@
 """Accepting configuration changes and putting them in force."""
 
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from typing import Any
 from uuid import uuid4
@@ -20,6 +20,7 @@
     check_configuration,
     warnings,
 )
+from camphoryard.coordination.messages import ConfigurationOffer
 from camphoryard.coordination.ports import ContentStore, Records, Stored
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.writing import write_resolved
@@ -81,13 +82,16 @@
         holder: ConfigurationHolder,
         timeline: Timeline,
         may_accept: Callable[[], None] = lambda: None,
+        adopted: Callable[[], None] = lambda: None,
     ) -> None:
         self._heads = heads
         self._contents = contents
         self._holder = holder
         self._timeline = timeline
         self._may_accept = may_accept
+        self._adopted = adopted
         self._lock = threading.Lock()
+        self._head: ConfigurationHead | None = None
         self._part_by_key: Mapping[ObjectKey, Configuration] = {}
 
     def take_head(self, stored: Stored[ConfigurationHead]) -> None:
@@ -101,21 +105,62 @@
         head = stored.record
         if head is None or head.generation <= self._holder.current.generation:
             return
-        self.adopt(self._assemble(head))
+        self._adopt(head, self._assemble(head))
 
-    def adopt(self, configuration: Configuration) -> None:
-        """Put a configuration in force that some node knows to be accepted."""
-        if self._holder.adopt(configuration):
-            self._timeline.record("configuration", generation=configuration.generation)
+    def known_keys(self) -> tuple[ObjectKey, ...]:
+        """Return the keys of the parts that this node has."""
+        with self._lock:
+            return tuple(self._part_by_key)
+
+    def offer(self, known: Collection[ObjectKey]) -> ConfigurationOffer | None:
+        """Return the head in force and its parts that are not ``known``."""
+        with self._lock:
+            head = self._head
+            part_by_key = self._part_by_key
+        if head is None:
+            return None
+        wanted = set(head.key_by_part.values()) - set(known)
+        return ConfigurationOffer(head, {key: part_by_key[key] for key in wanted})
+
+    def take_offer(self, offer: ConfigurationOffer) -> None:
+        """Put in force what a peer has; raises as ``take_head``."""
+        with self._lock:
+            self._part_by_key = {**self._part_by_key, **offer.part_by_key}
+        head = offer.head
+        if head.generation > self._holder.current.generation:
+            self._adopt(head, self._assemble(head))
+
+    def _adopt(self, head: ConfigurationHead, whole: Configuration) -> None:
+        with self._lock:
+            if self._head is not None and self._head.generation >= head.generation:
+                return
+            self._head = head
+            self._part_by_key = self._parts_of(head, whole)
+        if self._holder.adopt(whole):
+            self._timeline.record("configuration", generation=whole.generation)
+            self._adopted()
+
+    def _parts_of(
+        self, head: ConfigurationHead, whole: Configuration
+    ) -> dict[ObjectKey, Configuration]:
+        """Return the parts of the head in force, and drop those of older ones."""
+        known = self._part_by_key
+        if known.keys() >= set(head.key_by_part.values()):
+            return {key: known[key] for key in head.key_by_part.values()}
+        part_by_name = split(whole)
+        return {key: part_by_name[name] for name, key in head.key_by_part.items()}
 
     def preview(self, change: Change) -> Accepted:
         """Return what ``accept`` would do now, changing nothing; raises as it."""
         base = self._read_base()
         return self._plan(base, change)[1]
 
-    def accept(self, change: Change) -> Accepted:
+    def accept(self, change: Change, despite_unheard: bool = False) -> Accepted:
         """Write ``change`` on top of the accepted configuration.
 
+        ``despite_unheard`` is the operator's word that the nodes which cannot
+        be heard are gone.
+
         Raises
         ------
         RefusalError
@@ -127,7 +172,8 @@
         if done is not None:
             return Accepted(done, (), ())
         whole, planned = self._plan(base, change)
-        self._may_accept()
+        if not despite_unheard:
+            self._require_heard()
         head = self._make_head(base, change, whole, planned.changes)
         try:
             write_resolved(self._heads, HEAD_KEY, head, base.version)
@@ -140,13 +186,23 @@
                 " write_id, to learn whether it was accepted",
                 Verdict.MAY_HAVE_RUN,
             ) from error
-        self.adopt(whole)
+        self._adopt(head, whole)
         self._timeline.record(
             "accepted", generation=whole.generation, items=_named(planned.changes)
         )
         self._collect(base.head, head)
         return planned
 
+    def _require_heard(self) -> None:
+        try:
+            self._may_accept()
+        except StoreUnavailableError as error:
+            raise RefusalError(
+                Reason.STORE_UNAVAILABLE,
+                "the nodes' leases could not be read; nothing was changed: try again"
+                " when the object API answers",
+            ) from error
+
     def _read_base(self) -> _Base:
         try:
             stored = self._heads.get(HEAD_KEY)
@@ -248,7 +304,7 @@
             for key in head.key_by_part.values()
         }
         with self._lock:
-            self._part_by_key = parts
+            self._part_by_key = {**self._part_by_key, **parts}
         tables: dict[str, Any] = {
             name: {
                 key: item
--- /dev/null
+++ b/src/camphoryard/coordination/joining.py
@@ -0,0 +1,114 @@
+"""Learning of other nodes and of the configuration from peers."""
+
+import threading
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
+from dataclasses import dataclass
+
+from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.messages import (
+    ConfigurationOffer,
+    ConfigurationWanted,
+    Joined,
+    JoinWanted,
+)
+from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.state.errors import PeerUnreachableError, StoreUnavailableError
+from camphoryard.state.ids import NodeId
+from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.tables import ConfigurationHolder
+
+ASK_TIMEOUT_S = 2.0
+JOIN_PERIOD_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class JoiningParts:
+    """What the joining tasks work with."""
+
+    lease: NodeLease
+    seeds: Sequence[NodeLease]
+    nodes: NodeTable
+    peers: Peers
+    know: Callable[[NodeLease], None]
+    configurator: Configurator
+    configuration: ConfigurationHolder
+    list_heads: Callable[[], object]
+    executor: Executor
+
+
+class Joiner:
+    """Asks peers for leases and configurations, one question of a kind at a time."""
+
+    def __init__(self, parts: JoiningParts) -> None:
+        self._parts = parts
+        self._catching_up = threading.Lock()
+        self._learning = threading.Lock()
+
+    def run(self, timer: Timer) -> None:
+        """Ask the seeds until this node has a configuration."""
+        for _ in timer.every(JOIN_PERIOD_S):
+            if self._parts.configuration.current.generation:
+                return
+            for seed in self._parts.seeds:
+                if seed.node == self._parts.lease.node:
+                    continue
+                if self._parts.nodes.find(seed.node) is None:
+                    self._parts.know(seed)
+                self._learn(seed.node)
+                self._catch_up(seed.node)
+
+    def catch_up(self, node: NodeId) -> None:
+        """Take a newer configuration from ``node`` in a task of its own."""
+        self._parts.executor.submit(self._catch_up, node)
+
+    def learn_leases(self, node: NodeId) -> None:
+        """Learn of the nodes that ``node`` knows in a task of its own."""
+        self._parts.executor.submit(self._learn, node)
+
+    def joined(self, wanted: JoinWanted) -> Joined:
+        """Take in a node that asks, and return the nodes known here."""
+        self._introduce(wanted.lease)
+        return Joined((self._parts.lease, *self._parts.nodes.all()))
+
+    def _catch_up(self, node: NodeId) -> None:
+        if not self._catching_up.acquire(blocking=False):
+            return
+        try:
+            self._take_from(node)
+        finally:
+            self._catching_up.release()
+
+    def _take_from(self, node: NodeId) -> None:
+        configurator = self._parts.configurator
+        wanted = ConfigurationWanted(configurator.known_keys())
+        try:
+            reply = self._parts.peers.ask(node, wanted, ASK_TIMEOUT_S)
+            if isinstance(reply, ConfigurationOffer):
+                configurator.take_offer(reply)
+                return
+        except (PeerUnreachableError, StoreUnavailableError):
+            pass
+        try:
+            self._parts.list_heads()
+        except StoreUnavailableError:
+            return
+
+    def _learn(self, node: NodeId) -> None:
+        if not self._learning.acquire(blocking=False):
+            return
+        try:
+            reply = self._parts.peers.ask(
+                node, JoinWanted(self._parts.lease), ASK_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return
+        finally:
+            self._learning.release()
+        if isinstance(reply, Joined):
+            for lease in reply.leases:
+                self._introduce(lease)
+
+    def _introduce(self, lease: NodeLease) -> None:
+        if self._parts.nodes.introduce(lease):
+            self._parts.know(lease)
--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -1,54 +1,52 @@
-"""Heartbeats between nodes, and what is done with those heard."""
+"""What a node does with the messages of its peers."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.gossip import Gossiper
+from camphoryard.coordination.joining import Joiner
 from camphoryard.coordination.messages import (
+    ConfigurationWanted,
     Declined,
     DigestWanted,
     Done,
-    Heartbeat,
+    Gossip,
+    GossipAnswer,
+    JoinWanted,
     LoadWanted,
     Message,
     Reply,
 )
-from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.state.errors import CamphoryardError
-from camphoryard.state.ids import EndpointId, Generation, ItemId
-from camphoryard.state.nodes import NodeDigest, NodeTable
-from camphoryard.state.timeline import HybridClock
-
-HEARTBEAT_PERIOD_S = 1.0
+from camphoryard.state.ids import EndpointId, ItemId
+from camphoryard.state.nodes import NodeDigest
 
 
 @dataclass(frozen=True, slots=True)
 class MembershipParts:
-    """What the membership tasks work with."""
+    """What the handling of peers' messages works with."""
 
-    nodes: NodeTable
-    peers: Peers
-    clock: HybridClock
+    gossiper: Gossiper
+    joiner: Joiner
+    configurator: Configurator
     digest: Callable[[], NodeDigest]
     load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
-    heard_generation: Callable[[Generation], None]
-
-
-def run_heartbeats(parts: MembershipParts, timer: Timer) -> None:
-    """Tell every live peer about this node until the timer service closes."""
-    for _ in timer.every(HEARTBEAT_PERIOD_S):
-        message = Heartbeat(parts.digest(), parts.clock.now())
-        for lease in parts.nodes.alive():
-            parts.peers.tell(lease.node, message)
 
 
 def handle(parts: MembershipParts, message: Message) -> Reply:
     """Act on a peer's message and return the reply."""
     match message:
-        case Heartbeat(digest, stamp):
-            parts.clock.heard(stamp)
-            parts.nodes.heard(digest)
-            parts.heard_generation(digest.generation)
+        case Gossip() as gossip:
+            parts.gossiper.take(gossip)
+            return Done()
+        case GossipAnswer() as answer:
+            parts.gossiper.take_answer(answer)
             return Done()
+        case JoinWanted() as wanted:
+            return parts.joiner.joined(wanted)
+        case ConfigurationWanted(known):
+            return parts.configurator.offer(known) or Declined("no configuration yet")
         case LoadWanted(endpoint, items):
             try:
                 parts.load_here(endpoint, items)
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -1,19 +1,70 @@
 """Messages between nodes."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from camphoryard.state.ids import EndpointId, ItemId
-from camphoryard.state.nodes import NodeDigest
-from camphoryard.state.timeline import Stamp
+from camphoryard.state.configuration import Configuration
+from camphoryard.state.configuration_head import ConfigurationHead
+from camphoryard.state.ids import EndpointId, ItemId, ObjectKey
+from camphoryard.state.nodes import NodeDigest, NodeLease
 
 
 @dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """A node is alive; its digest heals what was lost."""
+class HeardDigest:
+    """A digest and how long ago its node surely was there, or None if unsure."""
 
     digest: NodeDigest
-    stamp: Stamp
+    age_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """News of nodes; the first digest is the sender's own."""
+
+    round: int
+    digests: tuple[HeardDigest, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GossipAnswer:
+    """News in return for those of ``round``; the first digest is the sender's own.
+
+    ``store_age_s`` is how long ago the object API confirmed its configuration.
+    """
+
+    round: int
+    store_age_s: float | None
+    digests: tuple[HeardDigest, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class JoinWanted:
+    """A node makes itself known and asks for the nodes known to the peer."""
+
+    lease: NodeLease
+
+
+@dataclass(frozen=True, slots=True)
+class Joined:
+    """The nodes known to the peer, itself first."""
+
+    leases: tuple[NodeLease, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationWanted:
+    """Ask for the configuration in force, without the parts already known."""
+
+    known: tuple[ObjectKey, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationOffer:
+    """An accepted head and those of its parts that the asker lacks."""
+
+    head: ConfigurationHead
+    part_by_key: Mapping[ObjectKey, Configuration]
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,5 +92,7 @@
     detail: str
 
 
-Message: TypeAlias = Heartbeat | LoadWanted | DigestWanted
-Reply: TypeAlias = Done | Declined | NodeDigest
+Message: TypeAlias = (
+    Gossip | GossipAnswer | JoinWanted | ConfigurationWanted | LoadWanted | DigestWanted
+)
+Reply: TypeAlias = Done | Declined | NodeDigest | Joined | ConfigurationOffer
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -119,6 +119,12 @@
     def _admit(self) -> None:
         if self._state is NodeState.DRAINING:
             raise RefusalError(Reason.DRAINING, "this node is stopping; ask another")
+        if not self._parts.configuration.is_current():
+            raise RefusalError(
+                Reason.STALE_CONFIGURATION,
+                "this node cannot tell whether its configuration is still the"
+                " accepted one; ask another",
+            )
         if not self._parts.configuration.current.generation:
             raise RefusalError(
                 Reason.STALE_CONFIGURATION, "this node has no configuration yet"
--- a/src/camphoryard/coordination/watching.py
+++ b/src/camphoryard/coordination/watching.py
@@ -1,11 +1,16 @@
 """One task that follows a prefix of the object API."""
 
 import random
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Sequence
 from typing import Generic, TypeVar
 
+from xxhash import xxh3_64_intdigest
+
 from camphoryard.coordination.ports import Records, Snapshot, Stored, Timer
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
+from camphoryard.state.ids import NodeId, Zone
+from camphoryard.state.nodes import NodeLease
 
 RecordT = TypeVar("RecordT")
 
@@ -15,20 +20,32 @@
 
 
 class Follower(Generic[RecordT]):
-    """Hands every change below a prefix to ``take``, listing first."""
+    """Hands every change below a prefix to ``take``, listing first.
+
+    ``answered`` is given the monotonic time before each call that brought all
+    changes; while ``elected`` does not hold, another node follows for this one.
+    """
 
     def __init__(
         self,
         records: Records[RecordT],
         take: Callable[[Stored[RecordT]], None],
+        answered: Callable[[float], None] = lambda asked_s: None,
+        elected: Callable[[], bool] = lambda: True,
+        wait_s: float = WATCH_WAIT_S,
     ) -> None:
         self._records = records
         self._take = take
+        self._answered = answered
+        self._elected = elected
+        self._wait_s = wait_s
 
     def run(self, timer: Timer) -> None:
         """Follow until the timer service closes; each tick is a new attempt."""
         period_s = RETRY_PERIOD_S + random.random() * RETRY_SPREAD_S
         for _ in timer.every(period_s):
+            if not self._elected():
+                continue
             try:
                 self._follow()
             except (StoreUnavailableError, ConflictError):
@@ -36,15 +53,30 @@
 
     def list_once(self) -> Snapshot[RecordT]:
         """Take in all records; raises StoreUnavailableError."""
+        asked_s = time.monotonic()
         snapshot = self._records.list()
         for item in snapshot.items:
             self._take(item)
+        self._answered(asked_s)
         return snapshot
 
     def _follow(self) -> None:
         revision = self.list_once().revision
-        while True:
-            changes = self._records.watch(revision, WATCH_WAIT_S)
+        while self._elected():
+            asked_s = time.monotonic()
+            changes = self._records.watch(revision, self._wait_s)
             for item in changes.items:
                 self._take(item)
+            self._answered(asked_s)
             revision = changes.revision
+
+
+def elected_watchers(
+    zone: Zone, alive: Sequence[NodeLease], count: int
+) -> tuple[NodeId, ...]:
+    """Return the ``count`` nodes of a zone that follow the object API for it."""
+    ranked = sorted(
+        (lease.node for lease in alive if lease.zone == zone),
+        key=lambda node: xxh3_64_intdigest(f"watcher/{node}".encode()),
+    )
+    return tuple(ranked[:count])
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -13,7 +13,7 @@
 import structlog
 import typer
 
-from camphoryard.coordination.membership import handle, run_heartbeats
+from camphoryard.coordination.membership import handle
 from camphoryard.coordination.vm_watching import follow_vms
 from camphoryard.node import Node, make_node
 from camphoryard.settings import SettingsError, read_settings
@@ -53,7 +53,8 @@
     run = node.shared.executors.node.submit
     tasks = [
         run(node.leases.run, node.shared.timer),
-        run(run_heartbeats, node.membership, node.shared.timer),
+        run(node.control.gossiper.run, node.shared.timer),
+        run(node.control.joiner.run, node.shared.timer),
         run(supervise_endpoints, node),
         run(follow_vms, node.vm_list, node.shared.vms, node.shared.timer),
         *(run(follower.run, node.shared.timer) for follower in node.followers),
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -2,6 +2,7 @@
 
 import functools
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -11,7 +12,16 @@
 
 from camphoryard.coordination.actions import ActionParts
 from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.currency import Currency
+from camphoryard.coordination.gossip import (
+    AllToAll,
+    BoundedFanOut,
+    Gossiper,
+    GossipParts,
+    GossipPolicy,
+)
 from camphoryard.coordination.inference import InferenceParts
+from camphoryard.coordination.joining import Joiner, JoiningParts
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.ownership import LeaseKeeper
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
@@ -28,7 +38,11 @@
 from camphoryard.coordination.serving import FrontDoor, ServingParts
 from camphoryard.coordination.status import Status
 from camphoryard.coordination.timeline import Timeline
-from camphoryard.coordination.watching import Follower
+from camphoryard.coordination.watching import (
+    WATCH_WAIT_S,
+    Follower,
+    elected_watchers,
+)
 from camphoryard.protocol.platform import (
     CLAIMS,
     ENDPOINT_RECORDS,
@@ -40,6 +54,7 @@
     DecisionSettings,
     PeerSettings,
     PlatformSettings,
+    SeedSettings,
     Settings,
 )
 from camphoryard.state.claims import Claim
@@ -48,15 +63,15 @@
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     EndpointId,
-    Generation,
     Incarnation,
     ItemId,
     NodeId,
     WriteId,
+    Zone,
 )
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable, InFlightTable
-from camphoryard.state.timeline import Event, HybridClock
+from camphoryard.state.timeline import NANOSECONDS_PER_MILLISECOND, Event, HybridClock
 from camphoryard.state.vms import VmTable
 from camphoryard.transport.access import Access
 from camphoryard.transport.app import App
@@ -75,6 +90,7 @@
 HANDLER_TASKS = 32
 LOAD_TASKS = 64
 NODE_TASKS = 16
+CONFIRMATIONS_PER_LIMIT = 4
 
 log = structlog.get_logger()
 
@@ -133,6 +149,17 @@
     client: ResidencyClient
 
 
+@dataclass(frozen=True, slots=True)
+class Control:
+    """Configuration and what nodes tell each other about it and themselves."""
+
+    configurator: Configurator
+    currency: Currency
+    heads: Follower[ConfigurationHead]
+    gossiper: Gossiper
+    joiner: Joiner
+
+
 @dataclass(frozen=True, slots=True)
 class Node:
     """All parts of one running node."""
@@ -142,6 +169,7 @@
     followers: tuple[Follower[Any], ...]
     vm_list: VmList
     residency: Residency
+    control: Control
     membership: MembershipParts
     door: FrontDoor
     app: App
@@ -180,6 +208,32 @@
     )
 
 
+def make_gossip_policy(settings: PeerSettings) -> GossipPolicy:
+    """Return the way of spreading news that the settings name."""
+    match settings.gossip:
+        case "all_to_all":
+            return AllToAll()
+        case "bounded_fan_out":
+            return BoundedFanOut(
+                settings.fan_out, settings.neighbours, settings.digests
+            )
+
+
+def make_seed_lease(seed: SeedSettings, lease_s: float) -> NodeLease:
+    """Return what stands for a seed's lease until the seed tells its own."""
+    return NodeLease(
+        seed.id,
+        Incarnation(""),
+        Zone(""),
+        seed.host,
+        seed.port,
+        seed.public_key,
+        NodeState.STARTING,
+        lease_s,
+        WriteId(""),
+    )
+
+
 def make_lease(settings: Settings, identity: Identity) -> NodeLease:
     """Return the lease that this node starts with."""
     node = settings.node
@@ -220,14 +274,14 @@
         executors,
         TimerService(),
         client,
-        PeerNetwork(identity.node, keys, executors.peers, executors.handlers),
+        PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock),
         HttpEngines(client),
         clock,
         Timeline(identity.node, clock, log_event),
         Metrics(),
         NodeTable(),
         EndpointTable(),
-        ConfigurationHolder(),
+        ConfigurationHolder(settings.configuration.stale_after_s),
         InFlightTable(),
         VmTable(),
         RefusalCounter(),
@@ -327,6 +381,7 @@
         door.state,
         shared.configuration.current.generation,
         shared.in_flight.by_id(),
+        time.monotonic_ns() // NANOSECONDS_PER_MILLISECOND,
     )
 
 
@@ -346,25 +401,105 @@
     )
 
 
-def make_membership(
-    shared: Shared,
-    residency: Residency,
-    door: FrontDoor,
-    heads: Follower[ConfigurationHead],
-) -> MembershipParts:
-    """Return the parts that talk with other nodes."""
+def make_currency(shared: Shared) -> Currency:
+    """Return what dates the last confirmation of the configuration."""
 
-    def heard_generation(generation: Generation) -> None:
-        if generation > shared.configuration.current.generation:
-            shared.executors.loads.submit(heads.list_once)
+    def members() -> set[NodeId]:
+        known = {lease.node for lease in shared.nodes.all()}
+        return {node for node in known if not shared.vms.is_gone(node)}
 
+    return Currency(
+        shared.identity.node,
+        shared.configuration,
+        members,
+        shared.settings.configuration.stale_after_s,
+    )
+
+
+def make_heads(
+    shared: Shared, platform: Platform, configurator: Configurator, currency: Currency
+) -> Follower[ConfigurationHead]:
+    """Return the task that follows the accepted configuration."""
+    settings = shared.settings.configuration
+    own = shared.settings.node
+    confirm_s = settings.stale_after_s / CONFIRMATIONS_PER_LIMIT
+
+    def elected() -> bool:
+        if not settings.watchers_per_zone:
+            return True
+        if shared.configuration.confirmed_age_s() > settings.stale_after_s / 2:
+            return True
+        alive = shared.nodes.alive()
+        return own.id in elected_watchers(own.zone, alive, settings.watchers_per_zone)
+
+    return Follower(
+        platform.heads,
+        configurator.take_head,
+        currency.store_confirmed,
+        elected,
+        min(WATCH_WAIT_S, confirm_s),
+    )
+
+
+def make_control(shared: Shared, platform: Platform, door: FrontDoor) -> Control:
+    """Return the parts that agree on the configuration with other nodes."""
+    settings = shared.settings.peers
+    lease = make_lease(shared.settings, shared.identity)
+    currency = make_currency(shared)
+
+    def may_accept() -> None:
+        members = {NodeId(item.key) for item in platform.leases.list().items}
+        gone = {node for node in members if shared.vms.is_gone(node)}
+        currency.require_majority(members - gone)
+
+    configurator = Configurator(
+        platform.heads,
+        platform.contents,
+        shared.configuration,
+        shared.timeline,
+        may_accept,
+        lambda: gossiper.wake(),
+    )
+    heads = make_heads(shared, platform, configurator, currency)
+    joiner = Joiner(
+        JoiningParts(
+            lease,
+            [make_seed_lease(seed, settings.lease_s) for seed in settings.seeds],
+            shared.nodes,
+            shared.peers,
+            shared.peers.know,
+            configurator,
+            shared.configuration,
+            heads.list_once,
+            shared.executors.loads,
+        )
+    )
+    gossiper = Gossiper(
+        GossipParts(
+            lease,
+            shared.nodes,
+            shared.peers,
+            currency,
+            functools.partial(make_digest, shared, door),
+            joiner.catch_up,
+            joiner.learn_leases,
+        ),
+        make_gossip_policy(settings),
+        settings.gossip_period_s,
+    )
+    return Control(configurator, currency, heads, gossiper, joiner)
+
+
+def make_membership(
+    shared: Shared, residency: Residency, door: FrontDoor, control: Control
+) -> MembershipParts:
+    """Return the parts that handle messages of other nodes."""
     return MembershipParts(
-        shared.nodes,
-        shared.peers,
-        shared.clock,
+        control.gossiper,
+        control.joiner,
+        control.configurator,
         functools.partial(make_digest, shared, door),
         residency.client.load_here,
-        heard_generation,
     )
 
 
@@ -392,12 +527,9 @@
     platform = make_platform(settings.platform, shared.client)
     residency = make_residency(shared, platform)
     door = make_door(shared, platform, residency)
-    configurator = Configurator(
-        platform.heads, platform.contents, shared.configuration, shared.timeline
-    )
-    heads = Follower(platform.heads, configurator.take_head)
+    control = make_control(shared, platform, door)
     followers = (
-        heads,
+        control.heads,
         Follower(platform.endpoints, functools.partial(_take_record, shared.table)),
         Follower(platform.leases, functools.partial(_take_lease, shared)),
     )
@@ -409,9 +541,10 @@
         followers,
         make_vm_list(settings.platform, shared.client),
         residency,
-        make_membership(shared, residency, door, heads),
+        control,
+        make_membership(shared, residency, door, control),
         door,
-        make_app(shared, door, configurator),
+        make_app(shared, door, control.configurator),
     )
 
 
--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -55,6 +55,7 @@
     Reason.ENDPOINT_FAILED: 502,
     Reason.QUARANTINED: 422,
     Reason.CONFLICT: 409,
+    Reason.UNHEARD_NODES: 503,
     Reason.INTERNAL: 500,
 }
 
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -1,23 +1,46 @@
 """Messages between nodes as MessagePack frames."""
 
+import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
 
 from camphoryard.coordination.messages import (
+    ConfigurationOffer,
+    ConfigurationWanted,
     Declined,
     DigestWanted,
     Done,
-    Heartbeat,
+    Gossip,
+    GossipAnswer,
+    HeardDigest,
+    Joined,
+    JoinWanted,
     LoadWanted,
     Message,
     Reply,
 )
+from camphoryard.protocol.configuration import (
+    decode_configuration,
+    encode_configuration,
+)
+from camphoryard.state.configuration_head import ConfigurationHead
+from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import CamphoryardError
-from camphoryard.state.ids import RequestId
+from camphoryard.state.ids import (
+    EndpointId,
+    Generation,
+    Incarnation,
+    NodeId,
+    ObjectKey,
+    RequestId,
+)
 from camphoryard.state.nodes import NodeDigest
 
+MILLISECONDS_PER_SECOND = 1000
+
 
 class PeerMessageError(CamphoryardError):
     """A frame from a peer could not be read."""
@@ -26,7 +49,12 @@
 class FrameKind(Enum):
     """What a frame's body holds."""
 
-    HEARTBEAT = "heartbeat"
+    GOSSIP = "gossip"
+    GOSSIP_ANSWER = "gossip_answer"
+    JOIN_WANTED = "join_wanted"
+    JOINED = "joined"
+    CONFIGURATION_WANTED = "configuration_wanted"
+    CONFIGURATION_OFFER = "configuration_offer"
     LOAD_WANTED = "load_wanted"
     DIGEST_WANTED = "digest_wanted"
     DONE = "done"
@@ -34,8 +62,39 @@
     NODE_DIGEST = "node_digest"
 
 
+@dataclass(frozen=True, slots=True)
+class _OfferForm:
+    """A configuration offer; parts as the JSON that the object API keeps."""
+
+    head: ConfigurationHead
+    part_by_key: Mapping[ObjectKey, bytes]
+
+
+class _DigestForm(msgspec.Struct, array_like=True, frozen=True):
+    """A heard digest without field names, which would be most of its bytes."""
+
+    node: NodeId
+    incarnation: Incarnation
+    state: NodeState
+    generation: Generation
+    in_flight_by_endpoint: Mapping[EndpointId, int]
+    beat: int
+    age_ms: int | None
+
+
+class _GossipForm(msgspec.Struct, array_like=True, frozen=True):
+    round: int
+    digests: tuple[_DigestForm, ...]
+    store_age_ms: int | None = None
+
+
 _TYPE_BY_KIND: dict[FrameKind, type[Message] | type[Reply]] = {
-    FrameKind.HEARTBEAT: Heartbeat,
+    FrameKind.GOSSIP: Gossip,
+    FrameKind.GOSSIP_ANSWER: GossipAnswer,
+    FrameKind.JOIN_WANTED: JoinWanted,
+    FrameKind.JOINED: Joined,
+    FrameKind.CONFIGURATION_WANTED: ConfigurationWanted,
+    FrameKind.CONFIGURATION_OFFER: ConfigurationOffer,
     FrameKind.LOAD_WANTED: LoadWanted,
     FrameKind.DIGEST_WANTED: DigestWanted,
     FrameKind.DONE: Done,
@@ -68,7 +127,7 @@
 def encode_envelope(envelope: Envelope) -> bytes:
     """Return the frame's bytes."""
     kind = _KIND_BY_TYPE[type(envelope.content)]
-    body = msgspec.Raw(msgspec.msgpack.encode(envelope.content))
+    body = msgspec.Raw(_encode_content(envelope.content))
     return msgspec.msgpack.encode(Frame(envelope.id, kind, body))
 
 
@@ -82,7 +141,88 @@
     """
     try:
         frame = _FRAME.decode(data)
-        content = msgspec.msgpack.decode(frame.body, type=_TYPE_BY_KIND[frame.kind])
-    except msgspec.MsgspecError as error:
+        content = _decode_content(frame.kind, frame.body)
+    except (msgspec.MsgspecError, ValueError) as error:
         raise PeerMessageError(str(error)) from error
     return Envelope(frame.id, content)
+
+
+def _encode_content(content: Message | Reply) -> bytes:
+    match content:
+        case ConfigurationOffer(head, part_by_key):
+            bodies = {
+                key: encode_configuration(part) for key, part in part_by_key.items()
+            }
+            return msgspec.msgpack.encode(_OfferForm(head, bodies))
+        case Gossip(number, digests):
+            return msgspec.msgpack.encode(_GossipForm(number, _forms(digests)))
+        case GossipAnswer(number, store_age_s, digests):
+            form = _GossipForm(number, _forms(digests), _ms(store_age_s))
+            return msgspec.msgpack.encode(form)
+        case _:
+            return msgspec.msgpack.encode(content)
+
+
+def _decode_content(kind: FrameKind, body: msgspec.Raw) -> Message | Reply:
+    match kind:
+        case FrameKind.CONFIGURATION_OFFER:
+            offer = msgspec.msgpack.decode(body, type=_OfferForm)
+            parts = {
+                key: decode_configuration(part)
+                for key, part in offer.part_by_key.items()
+            }
+            return ConfigurationOffer(offer.head, parts)
+        case FrameKind.GOSSIP:
+            gossip = msgspec.msgpack.decode(body, type=_GossipForm)
+            return Gossip(gossip.round, _digests(gossip))
+        case FrameKind.GOSSIP_ANSWER:
+            answer = msgspec.msgpack.decode(body, type=_GossipForm)
+            return GossipAnswer(answer.round, _s(answer.store_age_ms), _digests(answer))
+        case _:
+            return msgspec.msgpack.decode(body, type=_TYPE_BY_KIND[kind])
+
+
+def _forms(digests: tuple[HeardDigest, ...]) -> tuple[_DigestForm, ...]:
+    return tuple(
+        _DigestForm(
+            heard.digest.node,
+            heard.digest.incarnation,
+            heard.digest.state,
+            heard.digest.generation,
+            heard.digest.in_flight_by_endpoint,
+            heard.digest.beat,
+            _ms(heard.age_s),
+        )
+        for heard in digests
+    )
+
+
+def _digests(form: _GossipForm) -> tuple[HeardDigest, ...]:
+    """Return the digests of a message, which must have its sender's own."""
+    if not form.digests:
+        raise PeerMessageError("gossip without a digest of its sender")
+    return tuple(
+        HeardDigest(
+            NodeDigest(
+                item.node,
+                item.incarnation,
+                item.state,
+                item.generation,
+                item.in_flight_by_endpoint,
+                item.beat,
+            ),
+            _s(item.age_ms),
+        )
+        for item in form.digests
+    )
+
+
+def _ms(duration_s: float | None) -> int | None:
+    """Return milliseconds, rounded up: an age never shrinks on its way."""
+    if duration_s is None:
+        return None
+    return math.ceil(duration_s * MILLISECONDS_PER_SECOND)
+
+
+def _s(duration_ms: int | None) -> float | None:
+    return None if duration_ms is None else duration_ms / MILLISECONDS_PER_SECOND
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -35,27 +35,57 @@
 
     object_api_host: str
     object_api_port: int
-    object_api_token: str = ""
+    object_api_token: str = field(default="", repr=False)
     vm_list_host: str = ""
     vm_list_port: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SeedSettings:
+    """A node to ask at the start, while the object API may be out."""
+
+    id: NodeId
+    host: str
+    port: int
+    public_key: str
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSettings:
-    """CURVE keys (Z85 text) and the length of node leases."""
+    """CURVE keys (Z85 text), node leases, seeds and how news spreads.
+
+    ``fan_out``, ``neighbours`` and ``digests`` matter to ``bounded_fan_out``.
+    """
 
     public_key: str
-    secret_key: str
+    secret_key: str = field(repr=False)
     accepted_public_keys: list[str] = field(default_factory=list)
     lease_s: float = 6.0
+    seeds: list[SeedSettings] = field(default_factory=list)
+    gossip: Literal["all_to_all", "bounded_fan_out"] = "all_to_all"
+    gossip_period_s: float = 1.0
+    fan_out: int = 2
+    neighbours: int = 8
+    digests: int = 20
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSettings:
+    """How long a node admits without a confirmation, and who watches.
+
+    ``watchers_per_zone`` of 0 lets every node follow the object API.
+    """
+
+    stale_after_s: float = 10.0
+    watchers_per_zone: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class AccessSettings:
     """Tokens of operators, and of callers by caller id."""
 
-    operator_tokens: list[str]
-    caller_token_by_id: Mapping[CallerId, str]
+    operator_tokens: list[str] = field(repr=False)
+    caller_token_by_id: Mapping[CallerId, str] = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +103,7 @@
     platform: PlatformSettings
     peers: PeerSettings
     access: AccessSettings
+    configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
     decisions: DecisionSettings = field(default_factory=DecisionSettings)
 
 
@@ -111,6 +142,13 @@
     _check_key("peers.secret_key", settings.peers.secret_key)
     if settings.peers.lease_s <= 0:
         raise FieldError("peers.lease_s", "expected a number of seconds above 0")
+    for index, seed in enumerate(settings.peers.seeds):
+        _check_port(f"peers.seeds[{index}].port", seed.port)
+        _check_key(f"peers.seeds[{index}].public_key", seed.public_key)
+    if settings.peers.gossip_period_s <= 0:
+        raise FieldError("peers.gossip_period_s", "expected seconds above 0")
+    if settings.configuration.stale_after_s <= 0:
+        raise FieldError("configuration.stale_after_s", "expected seconds above 0")
     if not all(settings.access.operator_tokens):
         raise FieldError("access.operator_tokens", "a token must not be empty")
     if not all(settings.access.caller_token_by_id.values()):
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -102,4 +102,5 @@
     ENDPOINT_FAILED = "endpoint_failed"
     QUARANTINED = "quarantined"
     CONFLICT = "conflict"
+    UNHEARD_NODES = "unheard_nodes"
     INTERNAL = "internal"
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -7,6 +7,7 @@
 
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
+    ABSENT,
     EndpointId,
     Generation,
     Incarnation,
@@ -34,13 +35,17 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeDigest:
-    """What a node tells its peers about itself every second or so."""
+    """What a node tells its peers about itself every second or so.
+
+    ``beat`` grows with each digest of one start of the node.
+    """
 
     node: NodeId
     incarnation: Incarnation
     state: NodeState
     generation: Generation
     in_flight_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
+    beat: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,17 +73,58 @@
             known = self._by_id.get(lease.node)
             if known is not None and known.version >= version:
                 return
-            self._by_id[lease.node] = _Seen(lease, version, time.monotonic())
+            self._take(lease, version)
 
-    def heard(self, digest: NodeDigest) -> None:
-        """Take in a digest, which counts like a renewal of the same start."""
+    def introduce(self, lease: NodeLease) -> bool:
+        """Take in a lease that a peer passed on; return whether it was news.
+
+        It stands back behind a lease seen in the object API that is alive.
+        """
+        now_s = time.monotonic()
+        with self._lock:
+            known = self._by_id.get(lease.node)
+            version = ABSENT
+            if known is not None:
+                alive = now_s - known.at_s < known.lease.lease_s
+                if alive or known.lease.incarnation == lease.incarnation:
+                    return False
+                version = known.version
+            self._take(lease, version)
+            return True
+
+    def heard(self, digest: NodeDigest) -> bool:
+        """Take in a digest, which counts like a renewal of the same start.
+
+        Returns whether it was news: an older or equal beat changes nothing.
+        """
         with self._lock:
             known = self._by_id.get(digest.node)
             if known is None or known.lease.incarnation != digest.incarnation:
-                return
+                return False
+            before = self._digest_by_id.get(digest.node)
+            if before is not None and before.beat >= digest.beat:
+                return False
             self._digest_by_id[digest.node] = digest
-            seen = _Seen(known.lease, known.version, time.monotonic())
-            self._by_id[digest.node] = seen
+            self._take(known.lease, known.version)
+            return True
+
+    def _take(self, lease: NodeLease, version: Version) -> None:
+        known = self._by_id.get(lease.node)
+        if known is not None and known.lease.incarnation != lease.incarnation:
+            self._digest_by_id.pop(lease.node, None)
+        self._by_id[lease.node] = _Seen(lease, version, time.monotonic())
+
+    def knows(self, node: NodeId, incarnation: Incarnation) -> bool:
+        """Return whether a lease of this start of ``node`` was seen."""
+        with self._lock:
+            known = self._by_id.get(node)
+        return known is not None and known.lease.incarnation == incarnation
+
+    def all(self) -> tuple[NodeLease, ...]:
+        """Return all leases seen, lapsed or not, sorted by node."""
+        with self._lock:
+            seen = list(self._by_id.values())
+        return tuple(sorted((item.lease for item in seen), key=lambda x: x.node))
 
     def digest(self, node: NodeId) -> NodeDigest | None:
         """Return the last digest heard of ``node``."""
--- a/src/camphoryard/state/tables.py
+++ b/src/camphoryard/state/tables.py
@@ -92,9 +92,18 @@
 
 
 class ConfigurationHolder:
-    """The configuration in force at this node; it only ever moves upward."""
-
-    def __init__(self) -> None:
+    """The configuration in force at this node; it only ever moves upward.
+
+    Parameters
+    ----------
+    stale_after_s : float
+        How long a confirmation that nothing newer was accepted lasts, in
+        seconds; without one the configuration never counts as stale.
+    """
+
+    def __init__(self, stale_after_s: float | None = None) -> None:
+        self._stale_after_s = stale_after_s
+        self._confirmed_s = float("-inf")
         self._changed = threading.Condition()
         self._current = Configuration()
 
@@ -111,3 +120,18 @@
             self._current = configuration
             self._changed.notify_all()
             return True
+
+    def confirm(self, as_of_s: float) -> None:
+        """Note that nothing newer was accepted at ``as_of_s``, monotonic time."""
+        with self._changed:
+            self._confirmed_s = max(self._confirmed_s, as_of_s)
+
+    def confirmed_age_s(self) -> float:
+        """Return how long ago that was, in seconds; infinite if never."""
+        return time.monotonic() - self._confirmed_s
+
+    def is_current(self) -> bool:
+        """Return whether the last confirmation still lasts."""
+        if self._stale_after_s is None:
+            return True
+        return self.confirmed_age_s() < self._stale_after_s
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -90,8 +90,10 @@
             case "/livez":
                 return HttpResponse(200, [b"ok\n"], content_type=TEXT)
             case "/readyz":
-                ready = self.door.state is NodeState.SERVING
-                text = self.door.state.value.encode() + b"\n"
+                current = self.operator.configuration.is_current()
+                ready = self.door.state is NodeState.SERVING and current
+                state = self.door.state.value + ("" if current else ", stale")
+                text = f"{state}\n".encode()
                 return HttpResponse(200 if ready else 503, [text], content_type=TEXT)
             case "/metrics":
                 text = self.metrics.text().encode()
--- a/src/camphoryard/transport/operator_api.py
+++ b/src/camphoryard/transport/operator_api.py
@@ -15,6 +15,7 @@
 
 ADMIN_PREFIX = "/admin/v1/"
 DRY_RUN = "dry_run"
+DESPITE_UNHEARD = "despite_unheard"
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +51,8 @@
     change = decode_change(request.body)
     if request.query.get(DRY_RUN) == "true":
         return configurator.preview(change)
-    return configurator.accept(change)
+    despite_unheard = request.query.get(DESPITE_UNHEARD) == "true"
+    return configurator.accept(change, despite_unheard)
 
 
 def _json(body: bytes) -> HttpResponse:
--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -1,7 +1,9 @@
 """Messages between nodes over ZeroMQ with CURVE keys.
 
 Each node binds one ROUTER socket on which everything arrives, and has one task
-for each peer that owns a DEALER socket and sends what is put in its outbox.
+for each peer that it talks to, which owns a DEALER socket, sends what is put in
+its outbox and ends after a while without any. Each frame carries the sender's
+hybrid clock, so that events are ordered by every message and reply.
 """
 
 import queue
@@ -16,12 +18,7 @@
 import zmq
 from zmq.auth.thread import ThreadAuthenticator
 
-from camphoryard.coordination.messages import (
-    Declined,
-    Done,
-    Message,
-    Reply,
-)
+from camphoryard.coordination.messages import Message, Reply
 from camphoryard.protocol.peer import (
     Envelope,
     PeerMessageError,
@@ -30,12 +27,14 @@
 )
 from camphoryard.state.errors import PeerUnreachableError
 from camphoryard.state.ids import NodeId, RequestId
-from camphoryard.state.nodes import NodeDigest, NodeLease
+from camphoryard.state.nodes import NodeLease
+from camphoryard.state.timeline import HybridClock, Stamp
 
 OUTBOX_FRAMES = 1000
 LINGER_MS = 200
 SEND_TIMEOUT_MS = 1000
 HEARTBEAT_MS = 1000
+IDLE_S = 60.0
 HEARTBEAT_TIMEOUT_MS = 3000
 STOP = b""
 
@@ -53,9 +52,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AddressedFrame:
-    """An envelope and the node that a reply goes to."""
+    """An envelope, the node that a reply goes to, and when it was sent."""
 
     sender: NodeId
+    stamp: Stamp
     envelope: bytes
 
 
@@ -83,14 +83,21 @@
     """Sends to peers, receives from them and ties replies to questions."""
 
     def __init__(
-        self, node: NodeId, keys: CurveKeys, tasks: Executor, handlers: Executor
+        self,
+        node: NodeId,
+        keys: CurveKeys,
+        tasks: Executor,
+        handlers: Executor,
+        clock: HybridClock,
     ) -> None:
         self._node = node
         self._keys = keys
         self._tasks = tasks
         self._handlers = handlers
+        self._clock = clock
         self._context = zmq.Context()
         self._lock = threading.Lock()
+        self._lease_by_id: dict[NodeId, NodeLease] = {}
         self._peer_by_id: dict[NodeId, _Peer] = {}
         self._reply_by_id: dict[RequestId, Future[Reply]] = {}
         self._authenticator = ThreadAuthenticator(self._context)
@@ -111,27 +118,22 @@
         self._tasks.submit(self._receive, socket, handle)
 
     def know(self, lease: NodeLease) -> None:
-        """Have a task for the peer behind ``lease``, in place of an older start's."""
+        """Send to the peer at the place in ``lease``, in place of an older start's."""
         if lease.node == self._node:
             return
         with self._lock:
-            known = self._peer_by_id.get(lease.node)
-            if self._closed:
-                return
-            if known is not None and _same_place(known.lease, lease):
+            known = self._lease_by_id.get(lease.node)
+            if known is not None and _same_place(known, lease):
                 return
-            peer = _Peer(lease, queue.Queue(OUTBOX_FRAMES))
-            self._peer_by_id[lease.node] = peer
+            self._lease_by_id[lease.node] = lease
         if known is not None:
-            _put(known.outbox, STOP)
-        self._tasks.submit(self._send_all, peer)
+            self._disconnect(lease.node)
 
     def forget(self, node: NodeId) -> None:
         """End the task of a peer that is gone."""
         with self._lock:
-            peer = self._peer_by_id.pop(node, None)
-        if peer is not None:
-            _put(peer.outbox, STOP)
+            self._lease_by_id.pop(node, None)
+        self._disconnect(node)
 
     def ask(self, node: NodeId, message: Message, timeout_s: float) -> Reply:
         """Send and wait for the reply.
@@ -171,19 +173,49 @@
         with self._lock:
             self._closed = True
         for node in self.peers():
-            self.forget(node)
+            self._disconnect(node)
         self._authenticator.stop()
         # Each socket is closed by the task that owns it, which the end of the
         # context wakes.
         self._context.term()
 
     def _send(self, node: NodeId, envelope: Envelope) -> None:
+        frame = AddressedFrame(self._node, self._clock.now(), encode_envelope(envelope))
+        data = msgspec.msgpack.encode(frame)
         with self._lock:
-            peer = self._peer_by_id.get(node)
-        if peer is None:
+            _put(self._connected(node).outbox, data)
+
+    def _connected(self, node: NodeId) -> _Peer:
+        """Return the peer's task, started now if it has none."""
+        peer = self._peer_by_id.get(node)
+        if peer is not None:
+            return peer
+        lease = self._lease_by_id.get(node)
+        if lease is None or self._closed:
             raise PeerUnreachableError(f"{node} is not known")
-        frame = AddressedFrame(self._node, encode_envelope(envelope))
-        _put(peer.outbox, msgspec.msgpack.encode(frame))
+        peer = _Peer(lease, queue.Queue(OUTBOX_FRAMES))
+        self._peer_by_id[node] = peer
+        self._tasks.submit(self._send_all, peer)
+        return peer
+
+    def _disconnect(self, node: NodeId) -> None:
+        with self._lock:
+            peer = self._peer_by_id.pop(node, None)
+        if peer is not None:
+            _put(peer.outbox, STOP)
+
+    def _next(self, peer: _Peer) -> bytes:
+        """Return the next frame, or STOP once there was none for long."""
+        try:
+            return peer.outbox.get(timeout=IDLE_S)
+        except queue.Empty:
+            pass
+        with self._lock:
+            if not peer.outbox.empty():
+                return peer.outbox.get()
+            if self._peer_by_id.get(peer.lease.node) is peer:
+                del self._peer_by_id[peer.lease.node]
+            return STOP
 
     def _send_all(self, peer: _Peer) -> None:
         socket = self._context.socket(zmq.DEALER)
@@ -196,7 +228,7 @@
         socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
         try:
             socket.connect(f"tcp://{peer.lease.host}:{peer.lease.port}")
-            while (data := peer.outbox.get()) != STOP:
+            while (data := self._next(peer)) != STOP:
                 try:
                     socket.send(data)
                 except zmq.Again:
@@ -222,13 +254,14 @@
             envelope = decode_envelope(frame.envelope)
         except (msgspec.MsgspecError, PeerMessageError):
             return
-        match envelope.content:
-            case Done() | Declined() | NodeDigest() as reply:
-                self._settle(envelope.id, reply)
-            case message:
-                self._handlers.submit(
-                    self._answer, frame.sender, envelope.id, message, handle
-                )
+        self._clock.heard(frame.stamp)
+        content = envelope.content
+        if isinstance(content, Reply):
+            self._settle(envelope.id, content)
+        else:
+            self._handlers.submit(
+                self._answer, frame.sender, envelope.id, content, handle
+            )
 
     def _settle(self, request: RequestId, reply: Reply) -> None:
         with self._lock:
