--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference.py
@@ -3,26 +3,40 @@
 import time
 from collections.abc import Generator
 from contextlib import closing
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from camphoryard.coordination.admission import Admission, Lane, Ticket
+from camphoryard.coordination.breakers import Breakers
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.frames import in_order
+from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.ports import Engines
 from camphoryard.coordination.residency_client import ResidencyClient
-from camphoryard.coordination.routing import Router, route
+from camphoryard.coordination.retry_budget import RetryBudget
+from camphoryard.coordination.routing import route
+from camphoryard.coordination.suspects import Suspects, Trial, fingerprint
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.configuration import Configuration, items_of
 from camphoryard.state.enums import EndpointKind, Reason
 from camphoryard.state.errors import (
     BrokenCallError,
+    CamphoryardError,
     EndpointRefusedError,
     NotSentError,
     RefusalError,
+    StalledCallError,
 )
 from camphoryard.state.ids import EndpointId
 from camphoryard.state.requests import InferenceRequest, Route, TokenFrame
-from camphoryard.state.tables import ConfigurationHolder, EndpointTable, InFlightTable
+from camphoryard.state.tables import ConfigurationHolder, EndpointTable
 from camphoryard.state.verdict import Verdict
 
-MAX_ATTEMPTS = 4
+MAX_FRUITLESS_ATTEMPTS = 4
+WANT_PERIOD_S = 1.0
+RESUME_LIMIT_S = 30.0
+AFFINITY_CHARACTERS = 256
+NOT_RESIDENT_STATUS = 404
+NOT_RUN_STATUSES = frozenset({NOT_RESIDENT_STATUS, 409, 429, 503})
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,49 +45,61 @@
 
     configuration: ConfigurationHolder
     table: EndpointTable
-    in_flight: InFlightTable
-    router: Router
+    admission: Admission
+    breakers: Breakers
+    leaving: LeavingEndpoints
+    retries: RetryBudget
+    suspects: Suspects
     residency: ResidencyClient
     engines: Engines
     timeline: Timeline
 
 
+@dataclass(slots=True)
+class _Progress:
+    """What one request has got and met so far; ``offset`` is the next token's."""
+
+    offset: int = 0
+    fruitless: int = 0
+    may_have_run: bool = False
+    failed: set[EndpointId] = field(default_factory=set)
+
+    @property
+    def verdict(self) -> Verdict:
+        return Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
+
+
 def infer(
-    parts: InferenceParts, request: InferenceRequest
+    parts: InferenceParts, request: InferenceRequest, cancellation: Cancellation
 ) -> Generator[TokenFrame, None, None]:
     """Yield the whole answer in order, resuming elsewhere if an endpoint breaks.
 
+    The deadline rules the first token; a stream that makes progress is not cut.
+
     Raises
     ------
     RefusalError
-        If the answer cannot be had or finished.
+        If the answer cannot be had or finished; its verdict is NOT_RUN only if
+        no endpoint accepted any byte of the request.
     """
     where = _route(parts.configuration.current, request)
-    offset = 0
-    tried: set[EndpointId] = set()
-    for _ in range(MAX_ATTEMPTS):
-        endpoint_id = _choose(parts, request, where, tried, offset)
+    progress = _Progress()
+    parts.retries.earn(where.group)
+    while True:
+        parts.suspects.check(fingerprint(request), progress.verdict)
+        ticket = _ticket(parts, request, where, progress)
+        _await_slot(parts, ticket, cancellation, progress)
         try:
-            with closing(_frames(parts, request, endpoint_id, offset)) as frames:
-                for frame in frames:
-                    yield frame
-                    if frame.finished:
-                        return
-                    offset += 1
+            with closing(
+                _attempt(parts, request, ticket, cancellation, progress)
+            ) as frames:
+                yield from frames
+            return
         except (NotSentError, BrokenCallError, EndpointRefusedError) as error:
-            tried.add(endpoint_id)
-            parts.timeline.record(
-                "attempt_failed",
-                request=request.id,
-                endpoint=endpoint_id,
-                offset=offset,
-                error=type(error).__name__,
-            )
-    raise RefusalError(
-        Reason.ENDPOINT_FAILED,
-        f"no endpoint finished the answer in {MAX_ATTEMPTS} attempts",
-        Verdict.MAY_HAVE_RUN,
-    )
+            _check_cancelled(cancellation, progress)
+            _check_retry(parts, where, progress, error)
+        finally:
+            parts.admission.leave(ticket)
 
 
 def _route(configuration: Configuration, request: InferenceRequest) -> Route:
@@ -99,68 +125,247 @@
     )
 
 
-def _choose(
+def _ticket(
     parts: InferenceParts,
     request: InferenceRequest,
     where: Route,
-    tried: set[EndpointId],
-    offset: int,
-) -> EndpointId:
-    """Return an endpoint where the model is resident, having it loaded if need be."""
-    candidates = [item for item in where.candidates if item not in tried]
-    verdict = Verdict.MAY_HAVE_RUN if tried else Verdict.NOT_RUN
-    if not candidates:
+    progress: _Progress,
+) -> Ticket:
+    """Return a ticket for every candidate that has not failed since the last token."""
+    items = items_of(request.model, request.adapter)
+    if progress.failed.issuperset(where.candidates):
+        progress.failed.clear()
+    excluded = frozenset(progress.failed)
+    left = tuple(item for item in where.candidates if item not in excluded)
+
+    def usable() -> list[EndpointId]:
+        return [
+            item
+            for item in left
+            if parts.table.are_resident(item, items)
+            and parts.breakers.allows(item)
+            and not parts.leaving.is_leaving(item)
+        ]
+
+    due_s = request.deadline_s
+    if progress.offset:
+        due_s = time.monotonic() + RESUME_LIMIT_S
+    lane = Lane(where.group, items, where.priority, excluded)
+    affinity = f"{request.model}:{request.adapter}:{request.prompt}"
+    return Ticket(lane, left, due_s, affinity[:AFFINITY_CHARACTERS], usable)
+
+
+def _await_slot(
+    parts: InferenceParts,
+    ticket: Ticket,
+    cancellation: Cancellation,
+    progress: _Progress,
+) -> None:
+    """Block until the ticket has an endpoint, having the model loaded if need be.
+
+    Raises
+    ------
+    RefusalError
+        If the slot did not come by the deadline, the queue refused the request
+        or the caller went away.
+    """
+    handle = cancellation.subscribe(ticket.changed.set)
+    try:
+        parts.admission.enter(ticket)
+        while not _may_go(ticket, cancellation, progress):
+            _want(parts, ticket)
+            left_s = max(0.0, ticket.due_s - time.monotonic())
+            ticket.changed.wait(min(left_s, WANT_PERIOD_S))
+    except RefusalError as refusal:
+        parts.admission.withdraw(ticket)
+        raise _with_verdict(refusal, progress) from refusal
+    finally:
+        cancellation.drop(handle)
+
+
+def _may_go(ticket: Ticket, cancellation: Cancellation, progress: _Progress) -> bool:
+    _check_cancelled(cancellation, progress)
+    if ticket.refusal is not None:
+        raise ticket.refusal
+    if ticket.endpoint is not None:
+        return True
+    if time.monotonic() >= ticket.due_s:
+        raise RefusalError(Reason.DEADLINE, "no slot fell free in time")
+    return False
+
+
+def _want(parts: InferenceParts, ticket: Ticket) -> None:
+    """Ask for a load if the items are resident nowhere that takes new work."""
+    items = ticket.lane.items
+    open_to_work = [
+        item for item in ticket.candidates if not parts.leaving.is_leaving(item)
+    ]
+    if any(parts.table.are_resident(item, items) for item in open_to_work):
+        return
+    parts.residency.want(items, open_to_work)
+
+
+def _check_cancelled(cancellation: Cancellation, progress: _Progress) -> None:
+    if cancellation.cancelled:
         raise RefusalError(
-            Reason.ENDPOINT_FAILED, "every endpoint of the group failed", verdict
+            Reason.CANCELLED, "the caller went away", progress.verdict
         )
 
-    items = items_of(request.model, request.adapter)
 
-    def resident() -> list[EndpointId]:
-        return [item for item in candidates if parts.table.are_resident(item, items)]
+def _with_verdict(refusal: RefusalError, progress: _Progress) -> RefusalError:
+    """Return the refusal with what earlier attempts make of its verdict."""
+    return RefusalError(
+        refusal.reason,
+        refusal.detail,
+        progress.verdict,
+        refusal.field,
+        refusal.retry_after_s,
+    )
+
 
-    if not resident():
-        parts.residency.want(items, candidates)
-        in_time = parts.table.wait_until(lambda: bool(resident()), request.deadline_s)
-        if not in_time:
+def _check_retry(
+    parts: InferenceParts, where: Route, progress: _Progress, error: CamphoryardError
+) -> None:
+    """Raise RefusalError unless the request may be sent again."""
+    match error:
+        case EndpointRefusedError(status=status) if status not in NOT_RUN_STATUSES:
             raise RefusalError(
-                Reason.DEADLINE, f"{request.model} was not loaded in time", verdict
-            )
-    if time.monotonic() >= request.deadline_s and offset == 0:
-        raise RefusalError(Reason.DEADLINE, "the deadline passed", verdict)
-    return parts.router.choose(resident())
+                Reason.ENDPOINT_FAILED, str(error), progress.verdict
+            ) from error
+        case _:
+            pass
+    if progress.fruitless >= MAX_FRUITLESS_ATTEMPTS:
+        raise RefusalError(
+            Reason.ENDPOINT_FAILED,
+            f"no token in {MAX_FRUITLESS_ATTEMPTS} attempts",
+            progress.verdict,
+        ) from error
+    if _costs_a_retry(progress, error) and not parts.retries.take(where.group):
+        raise RefusalError(
+            Reason.ENDPOINT_FAILED, "the retry budget is spent", progress.verdict
+        ) from error
+
+
+def _costs_a_retry(progress: _Progress, error: CamphoryardError) -> bool:
+    """Return whether a retry adds work beyond what was asked for.
+
+    A call that was never sent adds none, and a stream that is resumed asks
+    only for the tokens that are left.
+    """
+    match error:
+        case NotSentError() | EndpointRefusedError(status=404):
+            return False
+        case _:
+            return progress.offset == 0
+
+
+def _attempt(
+    parts: InferenceParts,
+    request: InferenceRequest,
+    ticket: Ticket,
+    cancellation: Cancellation,
+    progress: _Progress,
+) -> Generator[TokenFrame, None, None]:
+    """Yield the answer from one endpoint; raises as ``Engines.generate``."""
+    endpoint_id = ticket.endpoint
+    assert endpoint_id is not None
+    progress.fruitless += 1
+    try:
+        trial = parts.suspects.begin(fingerprint(request), endpoint_id, ticket.due_s)
+    except RefusalError as refusal:
+        raise _with_verdict(refusal, progress) from refusal
+    try:
+        with closing(
+            _frames(parts, request, endpoint_id, cancellation, progress)
+        ) as frames:
+            for frame in frames:
+                if progress.fruitless:
+                    _succeeded(parts, endpoint_id, trial, progress)
+                if not frame.finished:
+                    progress.offset += 1
+                yield frame
+    except CamphoryardError as error:
+        if not cancellation.cancelled:
+            _failed(parts, request, endpoint_id, trial, progress, error)
+        raise
+    finally:
+        trial.end()
 
 
 def _frames(
     parts: InferenceParts,
     request: InferenceRequest,
     endpoint_id: EndpointId,
-    offset: int,
+    cancellation: Cancellation,
+    progress: _Progress,
 ) -> Generator[TokenFrame, None, None]:
-    """Yield frames of this request only, each offset once and in order.
-
-    Raises
-    ------
-    BrokenCallError
-        If a frame is missing or the stream ends early.
-    """
-    endpoint = parts.configuration.current.endpoints_by_id[endpoint_id]
+    endpoint = parts.configuration.current.endpoints_by_id.get(endpoint_id)
+    if endpoint is None:
+        raise NotSentError(f"{endpoint_id} was removed")
     parts.residency.used(items_of(request.model, request.adapter))
-    parts.in_flight.begin(endpoint_id)
-    stream = None
+    parts.breakers.started(endpoint_id)
+    stream = parts.engines.generate(endpoint, request, progress.offset, cancellation)
+    progress.may_have_run = True
     try:
-        stream = parts.engines.generate(endpoint, request, offset)
-        for frame in stream:
-            if frame.request_id != request.id or frame.offset < offset:
-                continue
-            if frame.offset > offset:
-                raise BrokenCallError(f"token {offset} is missing")
-            yield frame
-            offset += 1
-            if frame.finished:
-                return
-        raise BrokenCallError("the stream ended early")
+        yield from in_order(stream, request.id, progress.offset)
     finally:
-        parts.in_flight.end(endpoint_id)
-        if stream is not None:
-            stream.close()
+        stream.close()
+
+
+def _succeeded(
+    parts: InferenceParts, endpoint: EndpointId, trial: Trial, progress: _Progress
+) -> None:
+    progress.fruitless = 0
+    progress.failed.clear()
+    parts.breakers.succeeded(endpoint)
+    trial.passed()
+
+
+def _failed(
+    parts: InferenceParts,
+    request: InferenceRequest,
+    endpoint_id: EndpointId,
+    trial: Trial,
+    progress: _Progress,
+    error: CamphoryardError,
+) -> None:
+    """Note what a failed attempt says about the endpoint and the request."""
+    progress.failed.add(endpoint_id)
+    match error:
+        case EndpointRefusedError(status=status):
+            if status not in NOT_RUN_STATUSES:
+                progress.may_have_run = True
+            if status != NOT_RESIDENT_STATUS:
+                parts.breakers.failed(endpoint_id)
+        case NotSentError():
+            parts.breakers.failed(endpoint_id)
+        case StalledCallError():
+            progress.may_have_run = True
+            parts.breakers.failed(endpoint_id)
+        case BrokenCallError():
+            progress.may_have_run = True
+            parts.breakers.failed(endpoint_id)
+            if _has_crashed(parts, request, endpoint_id):
+                trial.crashed()
+    parts.timeline.record(
+        "attempt_failed",
+        request=request.id,
+        endpoint=endpoint_id,
+        offset=progress.offset,
+        error=type(error).__name__,
+    )
+
+
+def _has_crashed(
+    parts: InferenceParts, request: InferenceRequest, endpoint_id: EndpointId
+) -> bool:
+    """Return whether the endpoint is down, or back without what it held."""
+    endpoint = parts.configuration.current.endpoints_by_id.get(endpoint_id)
+    if endpoint is None:
+        return False
+    try:
+        inventory = parts.engines.inventory(endpoint)
+    except (NotSentError, BrokenCallError):
+        return True
+    items = items_of(request.model, request.adapter)
+    return not all(item in inventory.resident for item in items)
--- /dev/null
+++ b/src/camphoryard/coordination/leaving.py
@@ -0,0 +1,35 @@
+"""Which endpoints are leaving, by any of three signs."""
+
+from collections.abc import Callable
+
+from camphoryard.coordination.load_estimates import LoadEstimates
+from camphoryard.coordination.routing import LEAVING_LABEL
+from camphoryard.state.ids import EndpointId
+from camphoryard.state.tables import ConfigurationHolder
+
+
+class LeavingEndpoints:
+    """An endpoint leaves by its label, the platform's VM list or its own report.
+
+    Asked for each request that is dispatched, also one that has waited.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationHolder,
+        estimates: LoadEstimates,
+        vm_is_leaving: Callable[[EndpointId], bool],
+    ) -> None:
+        self._configuration = configuration
+        self._estimates = estimates
+        self._vm_is_leaving = vm_is_leaving
+
+    def is_leaving(self, endpoint: EndpointId) -> bool:
+        """Return whether ``endpoint`` must get no new work."""
+        known = self._configuration.current.endpoints_by_id.get(endpoint)
+        if known is None or known.labels.get(LEAVING_LABEL) == "true":
+            return True
+        report = self._estimates.report(endpoint)
+        if report is not None and report.leaving:
+            return True
+        return self._vm_is_leaving(endpoint)
--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.messages import (
+    CrashSeen,
     Declined,
     DigestWanted,
     Done,
@@ -11,8 +12,11 @@
     LoadWanted,
     Message,
     Reply,
+    TrialEnded,
+    TrialWanted,
 )
 from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import EndpointId, Generation, ItemId
 from camphoryard.state.nodes import NodeDigest, NodeTable
@@ -31,6 +35,7 @@
     digest: Callable[[], NodeDigest]
     load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
     heard_generation: Callable[[Generation], None]
+    suspects: Suspects
 
 
 def run_heartbeats(parts: MembershipParts, timer: Timer) -> None:
@@ -57,3 +62,12 @@
             return Done()
         case DigestWanted():
             return parts.digest()
+        case CrashSeen() as seen:
+            parts.suspects.saw(seen)
+            return Done()
+        case TrialWanted() as wanted:
+            may_start = parts.suspects.wanted(wanted)
+            return Done() if may_start else Declined("not its turn")
+        case TrialEnded() as ended:
+            parts.suspects.ended(ended)
+            return Done()
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from camphoryard.state.ids import EndpointId, ItemId
+from camphoryard.state.ids import EndpointId, Fingerprint, ItemId, NodeId
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.timeline import Stamp
 
@@ -29,6 +29,38 @@
     """Ask a node for its digest."""
 
 
+@dataclass(frozen=True, slots=True)
+class CrashSeen:
+    """A request was running when its endpoint crashed.
+
+    ``early`` says that no token had come, ``on_trial`` that it was the one
+    suspect which had no token there.
+    """
+
+    fingerprint: Fingerprint
+    endpoint: EndpointId
+    early: bool
+    on_trial: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TrialWanted:
+    """Ask the coordinator of trials to let a suspect run at an endpoint."""
+
+    fingerprint: Fingerprint
+    endpoint: EndpointId
+    holder: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class TrialEnded:
+    """A suspect's run ended, or only ``passed`` its trial and goes on."""
+
+    fingerprint: Fingerprint
+    holder: NodeId
+    passed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The request was met, or is under way."""
@@ -41,5 +73,7 @@
     detail: str
 
 
-Message: TypeAlias = Heartbeat | LoadWanted | DigestWanted
+Message: TypeAlias = (
+    Heartbeat | LoadWanted | DigestWanted | CrashSeen | TrialWanted | TrialEnded
+)
 Reply: TypeAlias = Done | Declined | NodeDigest
--- a/src/camphoryard/coordination/ports.py
+++ b/src/camphoryard/coordination/ports.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
+from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.messages import Message, Reply
 from camphoryard.state.configuration import Configuration, Endpoint
 from camphoryard.state.enums import OrderKind, OrderOutcome
@@ -16,6 +17,7 @@
     Revision,
     Version,
 )
+from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.requests import (
     ActionAnswer,
     ActionRequest,
@@ -109,13 +111,21 @@
     running: int
     waiting: int
     leaving: bool = False
+    slots: int = 0
+
+
+def load_report(inventory: Inventory) -> LoadReport:
+    """Return what the inventory says about load."""
+    return LoadReport(
+        inventory.running, inventory.waiting, inventory.slots, inventory.leaving
+    )
 
 
 class TokenStream(Protocol):
     """An open stream of an engine; closing it early cancels the request."""
 
     def __iter__(self) -> Iterator[TokenFrame]:
-        """Yield frames as they arrive; raises BrokenCallError."""
+        """Yield frames as they arrive; raises as ``generate``."""
 
     def close(self) -> None:
         """Let go of the stream."""
@@ -125,9 +135,13 @@
     """Model engines."""
 
     def generate(
-        self, endpoint: Endpoint, request: InferenceRequest, offset: int
+        self,
+        endpoint: Endpoint,
+        request: InferenceRequest,
+        offset: int,
+        cancellation: Cancellation,
     ) -> TokenStream:
-        """Open a stream from token ``offset`` on.
+        """Open a stream from token ``offset`` on; cancelling breaks it off.
 
         Raises
         ------
@@ -135,6 +149,8 @@
             If no byte reached the engine.
         EndpointRefusedError
             If the engine will not run it.
+        StalledCallError
+            If the engine said nothing for too long.
         BrokenCallError
             If the call broke on the way.
         """
--- a/src/camphoryard/coordination/routing.py
+++ b/src/camphoryard/coordination/routing.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
+from xxhash import xxh3_64_intdigest
+
 from camphoryard.state.configuration import Configuration, Endpoint, ServingGroup
 from camphoryard.state.enums import EndpointKind, Priority, Reason
 from camphoryard.state.errors import RefusalError
@@ -13,6 +15,8 @@
 from camphoryard.state.labels import Labels, selects
 from camphoryard.state.requests import Route
 
+LEAVING_LABEL = "leaving"
+
 EndpointLoad: TypeAlias = Callable[[EndpointId], float]
 
 
@@ -31,7 +35,18 @@
     """Take the less loaded of two drawn at random."""
 
 
-RoutingPolicy: TypeAlias = RoundRobin | LeastInFlight | TwoChoices
+@dataclass(frozen=True, slots=True)
+class PrefixAffinity:
+    """Keep prompts with one prefix at one endpoint, bounded by load.
+
+    The endpoint highest in the rendezvous hash of the prefix is taken unless
+    its load is above ``bound`` times the mean plus one; the next one follows.
+    """
+
+    bound: float = 1.25
+
+
+RoutingPolicy: TypeAlias = RoundRobin | LeastInFlight | TwoChoices | PrefixAffinity
 
 
 def route(
@@ -86,7 +101,7 @@
 
 def takes_new_work(endpoint: Endpoint, group: ServingGroup) -> bool:
     """Return whether the group selects the endpoint and it is not leaving."""
-    if endpoint.labels.get("leaving") == "true":
+    if endpoint.labels.get(LEAVING_LABEL) == "true":
         return False
     return selects(group.endpoints, endpoint.labels)
 
@@ -108,8 +123,13 @@
     _turn: int = 0
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
-    def choose(self, candidates: Sequence[EndpointId]) -> EndpointId:
-        """Return one of ``candidates``, which must not be empty."""
+    def choose(
+        self, candidates: Sequence[EndpointId], affinity: str = ""
+    ) -> EndpointId:
+        """Return one of ``candidates``, which must not be empty.
+
+        Requests with the same ``affinity`` profit from the same endpoint.
+        """
         match self.policy:
             case RoundRobin():
                 with self._lock:
@@ -120,3 +140,17 @@
             case TwoChoices():
                 drawn = self.draw.sample(candidates, min(2, len(candidates)))
                 return min(drawn, key=lambda item: (self.load(item), item))
+            case PrefixAffinity(bound):
+                return self._nearest(candidates, affinity, bound)
+
+    def _nearest(
+        self, candidates: Sequence[EndpointId], affinity: str, bound: float
+    ) -> EndpointId:
+        load_by_id = {item: self.load(item) for item in candidates}
+        limit = bound * sum(load_by_id.values()) / len(candidates) + 1
+        light = [item for item in candidates if load_by_id[item] <= limit]
+        return max(light, key=lambda item: (_affinity(item, affinity), item))
+
+
+def _affinity(endpoint: EndpointId, affinity: str) -> int:
+    return xxh3_64_intdigest(f"{endpoint}/{affinity}".encode())
--- a/src/camphoryard/protocol/endpoint.py
+++ b/src/camphoryard/protocol/endpoint.py
@@ -55,6 +55,7 @@
     running: int = 0
     waiting: int = 0
     leaving: bool = False
+    slots: int = 0
 
 
 _FRAME = msgspec.json.Decoder(FrameForm)
@@ -101,4 +102,5 @@
         form.running,
         form.waiting,
         form.leaving,
+        form.slots,
     )
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from camphoryard.coordination.messages import (
+    CrashSeen,
     Declined,
     DigestWanted,
     Done,
@@ -13,6 +14,8 @@
     LoadWanted,
     Message,
     Reply,
+    TrialEnded,
+    TrialWanted,
 )
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import RequestId
@@ -29,6 +32,9 @@
     HEARTBEAT = "heartbeat"
     LOAD_WANTED = "load_wanted"
     DIGEST_WANTED = "digest_wanted"
+    CRASH_SEEN = "crash_seen"
+    TRIAL_WANTED = "trial_wanted"
+    TRIAL_ENDED = "trial_ended"
     DONE = "done"
     DECLINED = "declined"
     NODE_DIGEST = "node_digest"
@@ -38,6 +44,9 @@
     FrameKind.HEARTBEAT: Heartbeat,
     FrameKind.LOAD_WANTED: LoadWanted,
     FrameKind.DIGEST_WANTED: DigestWanted,
+    FrameKind.CRASH_SEEN: CrashSeen,
+    FrameKind.TRIAL_WANTED: TrialWanted,
+    FrameKind.TRIAL_ENDED: TrialEnded,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
     FrameKind.NODE_DIGEST: NodeDigest,
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -62,7 +62,22 @@
 class DecisionSettings:
     """Which variant of each decision is used."""
 
-    routing: Literal["round_robin", "least_in_flight", "two_choices"] = "two_choices"
+    routing: Literal[
+        "round_robin", "least_in_flight", "two_choices", "prefix_affinity"
+    ] = "two_choices"
+    admission: Literal["unlimited", "first_come", "deadline_first"] = "deadline_first"
+    queue_limit: int = 256
+    engine_slots: int = 64
+    retry_share: float = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class ServingSettings:
+    """Bounds of serving; ``grace_s`` is how long a stopping node still admits."""
+
+    first_token_limit_s: float = 10.0
+    stall_s: float = 2.0
+    grace_s: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +89,7 @@
     peers: PeerSettings
     access: AccessSettings
     decisions: DecisionSettings = field(default_factory=DecisionSettings)
+    serving: ServingSettings = field(default_factory=ServingSettings)
 
 
 def read_settings(path: Path) -> Settings:
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -86,4 +86,5 @@
     ENDPOINT_FAILED = "endpoint_failed"
     QUARANTINED = "quarantined"
     CONFLICT = "conflict"
+    CANCELLED = "cancelled"
     INTERNAL = "internal"
--- a/src/camphoryard/state/errors.py
+++ b/src/camphoryard/state/errors.py
@@ -21,6 +21,8 @@
         Whether the request may have run.
     field : str
         Name of the offending header or body field, if one is to blame.
+    retry_after_s : float
+        After how many seconds the caller may try again, or 0 if unknown.
 
     Examples
     --------
@@ -34,12 +36,14 @@
         detail: str,
         verdict: Verdict = Verdict.NOT_RUN,
         field: str = "",
+        retry_after_s: float = 0.0,
     ) -> None:
         super().__init__(detail)
         self.reason = reason
         self.detail = detail
         self.verdict = verdict
         self.field = field
+        self.retry_after_s = retry_after_s
         self.counted = False
 
 
@@ -59,6 +63,10 @@
     """The call broke after some of it may have been acted on."""
 
 
+class StalledCallError(BrokenCallError):
+    """The other side said nothing for too long."""
+
+
 class EndpointRefusedError(CamphoryardError):
     """The endpoint answered that it will not run the request.
 
--- a/src/camphoryard/state/ids.py
+++ b/src/camphoryard/state/ids.py
@@ -14,6 +14,8 @@
 CallerId = NewType("CallerId", str)
 GroupId = NewType("GroupId", str)
 RequestId = NewType("RequestId", str)
+Fingerprint = NewType("Fingerprint", str)
+"""Digest of what a request would run, whoever its caller is."""
 OrderId = NewType("OrderId", str)
 WriteId = NewType("WriteId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -15,6 +15,7 @@
     WriteId,
     Zone,
 )
+from camphoryard.state.load_reports import LoadReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +42,7 @@
     state: NodeState
     generation: Generation
     in_flight_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
+    report_by_endpoint: Mapping[EndpointId, LoadReport] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/state/tables.py
+++ b/src/camphoryard/state/tables.py
@@ -17,6 +17,11 @@
         self._changed = threading.Condition()
         self._by_id: dict[EndpointId, EndpointRecord] = {}
         self._version_by_id: dict[EndpointId, Version] = {}
+        self._subscribers: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Have ``callback`` run after each change, outside the table's lock."""
+        self._subscribers.append(callback)
 
     def saw(self, record: EndpointRecord, version: Version) -> None:
         """Take in a record; an older or equal version changes nothing."""
@@ -26,6 +31,8 @@
             self._by_id[record.id] = record
             self._version_by_id[record.id] = version
             self._changed.notify_all()
+        for callback in self._subscribers:
+            callback()
 
     def find(self, endpoint: EndpointId) -> EndpointRecord | None:
         """Return the last record seen."""
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -1,13 +1,15 @@
 """Calls of model engines and plain services."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from http.client import HTTPException
 from urllib.parse import quote
 
 import msgspec
 
-from camphoryard.coordination.ports import Inventory, Order
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.ports import Inventory, Order, load_report
 from camphoryard.protocol.endpoint import (
     EVENT_PREFIX,
     decode_frame,
@@ -18,6 +20,8 @@
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.enums import OrderOutcome
 from camphoryard.state.errors import BrokenCallError, EndpointRefusedError
+from camphoryard.state.ids import EndpointId
+from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.requests import (
     ActionAnswer,
     ActionRequest,
@@ -29,35 +33,50 @@
     HttpCall,
     HttpClient,
     OpenAnswer,
+    broken,
 )
 
-TOKEN_TIMEOUT_S = 10.0
 ORDER_TIMEOUT_S = 2.0
 INVENTORY_TIMEOUT_S = 1.0
-MIN_ACTION_TIMEOUT_S = 0.05
+MIN_TIMEOUT_S = 0.05
 READ_BYTES = 65_536
 ERRORS_FROM = 400
 
 
+@dataclass(frozen=True, slots=True)
+class StreamLimits:
+    """How long a stream may be silent before and after its first token."""
+
+    first_token_s: float
+    stall_s: float
+
+
 class EventStream:
-    """Token frames read from an engine's event stream."""
+    """Token frames read from an engine's event stream.
+
+    Once the first token has come, a silence of ``stall_s`` seconds breaks it.
+    """
 
-    def __init__(self, answer: OpenAnswer) -> None:
+    def __init__(self, answer: OpenAnswer, stall_s: float) -> None:
         self._answer = answer
+        self._stall_s = stall_s
 
     def __iter__(self) -> Iterator[TokenFrame]:
         rest = b""
-        while True:
-            try:
-                data = self._answer.response.read1(READ_BYTES)
-            except (OSError, HTTPException, ValueError) as error:
-                raise BrokenCallError(repr(error)) from error
-            if not data:
-                return
+        data = self._read()
+        self._answer.limit_reads(self._stall_s)
+        while data:
             *events, rest = (rest + data).split(b"\n\n")
             for event in events:
                 if event.startswith(EVENT_PREFIX + b"{"):
                     yield _frame(event)
+            data = self._read()
+
+    def _read(self) -> bytes:
+        try:
+            return self._answer.response.read1(READ_BYTES)
+        except (OSError, HTTPException, ValueError) as error:
+            raise broken(error) from error
 
     def close(self) -> None:
         """Let go of the stream; an unread rest breaks the connection."""
@@ -72,13 +91,24 @@
 
 
 class HttpEngines:
-    """Model engines over HTTP."""
-
-    def __init__(self, client: HttpClient) -> None:
+    """Model engines over HTTP; ``polled`` is given each load report."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        limits: StreamLimits,
+        polled: Callable[[EndpointId, LoadReport], None],
+    ) -> None:
         self._client = client
+        self._limits = limits
+        self._polled = polled
 
     def generate(
-        self, endpoint: Endpoint, request: InferenceRequest, offset: int
+        self,
+        endpoint: Endpoint,
+        request: InferenceRequest,
+        offset: int,
+        cancellation: Cancellation,
     ) -> EventStream:
         """Open a stream; see the Engines port."""
         call = HttpCall(
@@ -86,14 +116,19 @@
             "/v1/completions",
             encode_generate(request, offset),
             {"Content-Type": "application/json"},
-            TOKEN_TIMEOUT_S,
+            self._first_token_limit_s(request, offset),
+            cancellation=cancellation,
         )
         answer = self._client.open(_address(endpoint), call)
         if answer.response.status >= ERRORS_FROM:
-            detail = answer.response.read().decode(errors="replace")
-            answer.close()
-            raise EndpointRefusedError(answer.response.status, detail)
-        return EventStream(answer)
+            raise EndpointRefusedError(answer.response.status, _detail(answer))
+        return EventStream(answer, self._limits.stall_s)
+
+    def _first_token_limit_s(self, request: InferenceRequest, offset: int) -> float:
+        if offset:
+            return self._limits.first_token_s
+        left_s = request.deadline_s - time.monotonic()
+        return max(MIN_TIMEOUT_S, min(self._limits.first_token_s, left_s))
 
     def order(self, endpoint: Endpoint, order: Order) -> OrderOutcome:
         """Send an order; see the Engines port."""
@@ -117,9 +152,11 @@
         call = HttpCall("GET", "/admin/inventory", timeout_s=INVENTORY_TIMEOUT_S)
         answer = self._client.call(_address(endpoint), call)
         try:
-            return decode_inventory(answer.body)
+            inventory = decode_inventory(answer.body)
         except msgspec.MsgspecError as error:
             raise BrokenCallError(f"unreadable inventory: {error}") from error
+        self._polled(endpoint.id, load_report(inventory))
+        return inventory
 
 
 class HttpServices:
@@ -136,12 +173,21 @@
             f"/{quote(request.service)}/{quote(request.operation)}",
             request.body,
             {"Content-Type": "application/json", "X-Request-Id": request.id},
-            max(left_s, MIN_ACTION_TIMEOUT_S),
+            max(left_s, MIN_TIMEOUT_S),
             fresh=True,
         )
         answer = self._client.call(_address(endpoint), call)
         return ActionAnswer(answer.status, answer.body)
 
 
+def _detail(answer: OpenAnswer) -> str:
+    try:
+        return answer.response.read().decode(errors="replace")
+    except (OSError, HTTPException) as error:
+        return repr(error)
+    finally:
+        answer.close()
+
+
 def _address(endpoint: Endpoint) -> Address:
     return Address(endpoint.host, endpoint.port)
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -1,5 +1,7 @@
 """HTTP calls that say whether any byte left, over pooled connections."""
 
+import functools
+import select
 import socket
 import threading
 from collections import defaultdict
@@ -7,9 +9,11 @@
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 
-from camphoryard.state.errors import BrokenCallError, NotSentError
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.state.errors import BrokenCallError, NotSentError, StalledCallError
 
 MAX_IDLE_PER_ADDRESS = 64
+CONNECT_LIMIT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,9 +28,10 @@
 class HttpCall:
     """One call; ``fresh`` forbids a pooled connection.
 
-    A pooled connection may have been closed by the other side, which shows
-    only after the call was written. A call that may not be repeated needs a
-    fresh one, since its failure to connect then proves that nothing was sent.
+    A pooled connection may be closed by the other side while the call is
+    written. A call that may not be repeated needs a fresh one, since its
+    failure to connect then proves that nothing was sent. ``cancellation``
+    breaks the call off wherever it is.
     """
 
     method: str
@@ -35,6 +40,7 @@
     headers: Mapping[str, str] = field(default_factory=dict)
     timeout_s: float = 5.0
     fresh: bool = False
+    cancellation: Cancellation | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,24 +55,39 @@
 class OpenAnswer:
     """An answer whose body is still to be read."""
 
-    def __init__(
-        self,
-        client: "HttpClient",
-        address: Address,
-        connection: HTTPConnection,
-        response: HTTPResponse,
-    ) -> None:
-        self.response = response
+    def __init__(self, client: "HttpClient", exchange: "_Exchange") -> None:
         self._client = client
-        self._address = address
-        self._connection = connection
+        self._exchange = exchange
+        self.response = exchange.response
+
+    def limit_reads(self, timeout_s: float) -> None:
+        """Have a read that waits longer than ``timeout_s`` fail from now on."""
+        self._exchange.sock.settimeout(timeout_s)
 
     def close(self) -> None:
         """Return the connection to the pool if its body was read to the end."""
+        exchange = self._exchange
+        exchange.drop_cancellation()
         if self.response.isclosed() and not self.response.will_close:
-            self._client.give_back(self._address, self._connection)
+            self._client.give_back(exchange.address, exchange.connection)
         else:
-            self._client.discard(self._connection)
+            self._client.discard(exchange.connection)
+
+
+@dataclass(frozen=True, slots=True)
+class _Exchange:
+    """A call whose answer has begun; ``handle`` is that of its cancellation."""
+
+    address: Address
+    connection: HTTPConnection
+    sock: socket.socket
+    response: HTTPResponse
+    cancellation: Cancellation | None
+    handle: int
+
+    def drop_cancellation(self) -> None:
+        if self.cancellation is not None:
+            self.cancellation.drop(self.handle)
 
 
 class HttpClient:
@@ -85,6 +106,8 @@
         ------
         NotSentError
             If no byte was sent.
+        StalledCallError
+            If the other side was silent for too long.
         BrokenCallError
             If the call broke after some of it may have been sent.
         """
@@ -92,23 +115,17 @@
         try:
             body = answer.response.read()
         except (OSError, HTTPException) as error:
-            raise BrokenCallError(f"{address}: {error!r}") from error
+            raise broken(error) from error
         finally:
             answer.close()
         return HttpAnswer(answer.response.status, dict(answer.response.headers), body)
 
     def open(self, address: Address, call: HttpCall) -> OpenAnswer:
         """Make the call, leaving the body to be read; raises as ``call``."""
-        if not call.fresh:
-            connection = self._take_idle(address)
-            if connection is not None:
-                try:
-                    return self._exchange(address, connection, call)
-                except BrokenCallError as error:
-                    if isinstance(error.__cause__, TimeoutError):
-                        raise
-                    # Else the idle connection was stale: use a fresh one.
-        return self._exchange(address, self._connect(address, call), call)
+        connection = None if call.fresh else self._take_idle(address)
+        if connection is None:
+            connection = self._connect(address, call)
+        return self._exchange(address, connection, call)
 
     def close(self) -> None:
         """Break off every call under way; later ones are not sent."""
@@ -119,7 +136,8 @@
                 connections.extend(idle)
             self._idle_by_address.clear()
         for connection in connections:
-            _shut(connection)
+            if connection.sock is not None:
+                _shut(connection.sock)
 
     def give_back(self, address: Address, connection: HTTPConnection) -> None:
         """Keep a connection for the next call."""
@@ -138,16 +156,21 @@
         connection.close()
 
     def _take_idle(self, address: Address) -> HTTPConnection | None:
-        with self._lock:
-            idle = self._idle_by_address[address]
-            if not idle:
-                return None
-            connection = idle.pop()
-            self._busy.add(connection)
-            return connection
+        """Return a pooled connection that the other side has not closed."""
+        while True:
+            with self._lock:
+                idle = self._idle_by_address[address]
+                if not idle:
+                    return None
+                connection = idle.pop()
+                self._busy.add(connection)
+            if not _is_closed(connection):
+                return connection
+            self.discard(connection)
 
     def _connect(self, address: Address, call: HttpCall) -> HTTPConnection:
-        connection = HTTPConnection(address.host, address.port, timeout=call.timeout_s)
+        timeout_s = min(call.timeout_s, CONNECT_LIMIT_S)
+        connection = HTTPConnection(address.host, address.port, timeout=timeout_s)
         try:
             connection.connect()
         except OSError as error:
@@ -162,21 +185,41 @@
     def _exchange(
         self, address: Address, connection: HTTPConnection, call: HttpCall
     ) -> OpenAnswer:
-        if connection.sock is not None:
-            connection.sock.settimeout(call.timeout_s)
+        sock = connection.sock
+        sock.settimeout(call.timeout_s)
+        cancellation = call.cancellation
+        handle = 0
+        if cancellation is not None:
+            handle = cancellation.subscribe(functools.partial(_shut, sock))
         try:
             connection.request(call.method, call.path, call.body, dict(call.headers))
             response = connection.getresponse()
         except (OSError, HTTPException) as error:
+            if cancellation is not None:
+                cancellation.drop(handle)
             self.discard(connection)
-            raise BrokenCallError(f"{address}: {error!r}") from error
-        return OpenAnswer(self, address, connection, response)
+            raise broken(error) from error
+        return OpenAnswer(
+            self,
+            _Exchange(address, connection, sock, response, cancellation, handle),
+        )
+
+
+def broken(error: Exception) -> BrokenCallError:
+    """Return the error of a call that broke once it may have been sent."""
+    if isinstance(error, TimeoutError):
+        return StalledCallError(repr(error))
+    return BrokenCallError(repr(error))
+
+
+def _is_closed(connection: HTTPConnection) -> bool:
+    """Return whether an idle connection has something to read: its end."""
+    poll = select.poll()
+    poll.register(connection.sock, select.POLLIN)
+    return bool(poll.poll(0))
 
 
-def _shut(connection: HTTPConnection) -> None:
-    sock = connection.sock
-    if sock is None:
-        return
+def _shut(sock: socket.socket) -> None:
     try:
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
