--- a/src/camphoryard/state/ids.py
+++ b/src/camphoryard/state/ids.py
@@ -17,6 +17,8 @@
 Fingerprint = NewType("Fingerprint", str)
 """Digest of what a request would run, whoever its caller is."""
 OrderId = NewType("OrderId", str)
+VmId = NewType("VmId", str)
+"""A VM in the platform's list: a node's id, or ``host:port`` of an endpoint."""
 WriteId = NewType("WriteId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
 ObjectKey = NewType("ObjectKey", str)
