Decide routing, admission, retries and suspects in their own modules

Cause: requests were sent to the engines at once, retried without a bound and resumed only after a broken connection. Change: lanes of waiting requests before the engines' slots, load estimates from engines' reports and peers' digests, circuit breakers, retry budgets, trials of suspects, cancellation from the caller's connection to the engine, a stall limit, frames put in order. Conclusion: variants are chosen by [decisions] routing and admission.

--- a/src/camphoryard/coordination/admission.py
+++ b/src/camphoryard/coordination/admission.py
@@ -269,9 +269,7 @@
     def _shed(self, group: GroupId) -> None:
         """Refuse the least urgent ticket of a group whose queue is too long."""
         limit = self._queue_limit()
-        lanes = [
-            lane for key, lane in self._lane_by_key.items() if key.group == group
-        ]
+        lanes = [lane for key, lane in self._lane_by_key.items() if key.group == group]
         if limit is None or sum(len(lane) for lane in lanes) <= limit:
             return
         now_s = time.monotonic()
--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference.py
@@ -207,9 +207,7 @@
 
 def _check_cancelled(cancellation: Cancellation, progress: _Progress) -> None:
     if cancellation.cancelled:
-        raise RefusalError(
-            Reason.CANCELLED, "the caller went away", progress.verdict
-        )
+        raise RefusalError(Reason.CANCELLED, "the caller went away", progress.verdict)
 
 
 def _with_verdict(refusal: RefusalError, progress: _Progress) -> RefusalError:
--- a/src/camphoryard/coordination/leaving.py
+++ b/src/camphoryard/coordination/leaving.py
@@ -1,11 +1,10 @@
 """Which endpoints are leaving, by any of three signs."""
 
-from collections.abc import Callable
-
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.routing import LEAVING_LABEL
 from camphoryard.state.ids import EndpointId
 from camphoryard.state.tables import ConfigurationHolder
+from camphoryard.state.vms import VmTable
 
 
 class LeavingEndpoints:
@@ -18,11 +17,11 @@
         self,
         configuration: ConfigurationHolder,
         estimates: LoadEstimates,
-        vm_is_leaving: Callable[[EndpointId], bool],
+        vms: VmTable,
     ) -> None:
         self._configuration = configuration
         self._estimates = estimates
-        self._vm_is_leaving = vm_is_leaving
+        self._vms = vms
 
     def is_leaving(self, endpoint: EndpointId) -> bool:
         """Return whether ``endpoint`` must get no new work."""
@@ -32,4 +31,4 @@
         report = self._estimates.report(endpoint)
         if report is not None and report.leaving:
             return True
-        return self._vm_is_leaving(endpoint)
+        return self._vms.is_leaving(known)
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.actions import ActionParts, act
+from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.inference import InferenceParts, infer
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.timeline import Timeline
@@ -20,6 +21,8 @@
 )
 from camphoryard.state.tables import ConfigurationHolder
 
+STOPPING_RETRY_AFTER_S = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class ServingParts:
@@ -69,13 +72,16 @@
                 self._changed.wait(left_s)
         return True
 
-    def infer(self, request: InferenceRequest) -> Generator[TokenFrame, None, None]:
+    def infer(
+        self, request: InferenceRequest, cancellation: Cancellation | None = None
+    ) -> Generator[TokenFrame, None, None]:
         """Yield the answer's tokens; raises RefusalError, which is counted."""
+        cancellation = cancellation or Cancellation()
         started_s = time.monotonic()
         self._begin()
         try:
             self._admit()
-            for frame in infer(self._parts.inference, request):
+            for frame in infer(self._parts.inference, request, cancellation):
                 if frame.offset == 0:
                     self._parts.observe("first_token", time.monotonic() - started_s)
                 yield frame
@@ -117,8 +123,12 @@
         )
 
     def _admit(self) -> None:
-        if self._state is NodeState.DRAINING:
-            raise RefusalError(Reason.DRAINING, "this node is stopping; ask another")
+        if self._state is NodeState.STOPPING:
+            raise RefusalError(
+                Reason.DRAINING,
+                "this node is stopping; ask another",
+                retry_after_s=STOPPING_RETRY_AFTER_S,
+            )
         if not self._parts.configuration.current.generation:
             raise RefusalError(
                 Reason.STALE_CONFIGURATION, "this node has no configuration yet"
--- a/src/camphoryard/coordination/suspects.py
+++ b/src/camphoryard/coordination/suspects.py
@@ -295,9 +295,7 @@
     def crashed(self) -> None:
         """Note that the endpoint crashed during the run."""
         early = not self._has_passed
-        seen = CrashSeen(
-            self.request, self.endpoint, early, early and self.is_suspect
-        )
+        seen = CrashSeen(self.request, self.endpoint, early, early and self.is_suspect)
         self.suspects.crashed(seen)
 
     def end(self) -> None:
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -19,7 +19,7 @@
 from camphoryard.settings import SettingsError, read_settings
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId
-from camphoryard.transport.http_server import serve
+from camphoryard.transport.http_server import HttpServer, serve
 
 SUPERVISE_PERIOD_S = 0.5
 DRAIN_LIMIT_S = 60.0
@@ -55,13 +55,14 @@
         run(node.leases.run, node.shared.timer),
         run(run_heartbeats, node.membership, node.shared.timer),
         run(supervise_endpoints, node),
+        run(node.admission.run, node.shared.timer),
         run(follow_vms, node.vm_list, node.shared.vms, node.shared.timer),
         *(run(follower.run, node.shared.timer) for follower in node.followers),
     ]
     for task in tasks:
         task.add_done_callback(_report)
     node.shared.stop.wait()
-    drain(node)
+    drain(node, server)
     server.close()
 
 
@@ -71,11 +72,26 @@
         log.error("task_failed", error=repr(error))
 
 
-def drain(node: Node) -> None:
-    """Finish what is in flight, hand over and close."""
+def wait_grace(node: Node) -> None:
+    """Block for the grace time of a stopping node."""
+    ticks = iter(node.shared.timer.every(node.shared.settings.serving.grace_s))
+    next(ticks)
+    next(ticks)
+
+
+def drain(node: Node, server: HttpServer) -> None:
+    """Finish what is in flight, hand over and close.
+
+    The balancer sees first that the node is not ready; only after a grace time
+    is new work refused.
+    """
     node.door.enter(NodeState.DRAINING)
     node.leases.enter(NodeState.DRAINING)
-    node.door.wait_idle(time.monotonic() + DRAIN_LIMIT_S)
+    wait_grace(node)
+    node.door.enter(NodeState.STOPPING)
+    limit_s = time.monotonic() + DRAIN_LIMIT_S
+    node.door.wait_idle(limit_s)
+    server.wait_flushed(limit_s)
     node.shared.timer.close()
     node.leases.release()
     node.shared.client.close()
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -10,16 +10,28 @@
 import structlog
 
 from camphoryard.coordination.actions import ActionParts
+from camphoryard.coordination.admission import (
+    Admission,
+    AdmissionPolicy,
+    DeadlineFirst,
+    FirstCome,
+    Unlimited,
+)
+from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.inference import InferenceParts
+from camphoryard.coordination.leaving import LeavingEndpoints
+from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.ownership import LeaseKeeper
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.residency import EndpointOwner, Identity
 from camphoryard.coordination.residency_client import ResidencyClient
+from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
 from camphoryard.coordination.routing import (
     LeastInFlight,
+    PrefixAffinity,
     RoundRobin,
     Router,
     RoutingPolicy,
@@ -27,6 +39,7 @@
 )
 from camphoryard.coordination.serving import FrontDoor, ServingParts
 from camphoryard.coordination.status import Status
+from camphoryard.coordination.suspects import Suspects
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.watching import Follower
 from camphoryard.protocol.platform import (
@@ -60,7 +73,7 @@
 from camphoryard.state.vms import VmTable
 from camphoryard.transport.access import Access
 from camphoryard.transport.app import App
-from camphoryard.transport.endpoints import HttpEngines, HttpServices
+from camphoryard.transport.endpoints import HttpEngines, HttpServices, StreamLimits
 from camphoryard.transport.http_client import Address, HttpClient
 from camphoryard.transport.metrics import Metrics
 from camphoryard.transport.object_api import ObjectApi, ObjectContents, ObjectRecords
@@ -69,7 +82,7 @@
 from camphoryard.transport.timer import TimerService
 from camphoryard.transport.vm_list import HttpVmList, NoVmList
 
-CONNECTION_TASKS = 512
+CONNECTION_TASKS = 1024
 PEER_TASKS = 400
 ENDPOINT_TASKS = 256
 HANDLER_TASKS = 32
@@ -109,6 +122,7 @@
     table: EndpointTable
     configuration: ConfigurationHolder
     in_flight: InFlightTable
+    estimates: LoadEstimates
     vms: VmTable
     refusals: RefusalCounter
     stop: threading.Event
@@ -133,6 +147,15 @@
     client: ResidencyClient
 
 
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """The decisions about each request, and the front door before them."""
+
+    admission: Admission
+    suspects: Suspects
+    door: FrontDoor
+
+
 @dataclass(frozen=True, slots=True)
 class Node:
     """All parts of one running node."""
@@ -143,6 +166,7 @@
     vm_list: VmList
     residency: Residency
     membership: MembershipParts
+    admission: Admission
     door: FrontDoor
     app: App
 
@@ -168,6 +192,19 @@
             return LeastInFlight()
         case "two_choices":
             return TwoChoices()
+        case "prefix_affinity":
+            return PrefixAffinity()
+
+
+def make_admission_policy(settings: DecisionSettings) -> AdmissionPolicy:
+    """Return the admission policy that the settings name."""
+    match settings.admission:
+        case "unlimited":
+            return Unlimited()
+        case "first_come":
+            return FirstCome(settings.queue_limit)
+        case "deadline_first":
+            return DeadlineFirst(settings.queue_limit)
 
 
 def make_curve_keys(settings: PeerSettings) -> CurveKeys:
@@ -214,6 +251,11 @@
     client = HttpClient()
     clock = HybridClock()
     keys = make_curve_keys(settings.peers)
+    nodes = NodeTable()
+    in_flight = InFlightTable()
+    estimates = LoadEstimates(identity.node, nodes, in_flight)
+    serving = settings.serving
+    limits = StreamLimits(serving.first_token_limit_s, serving.stall_s)
     return Shared(
         settings,
         identity,
@@ -221,14 +263,15 @@
         TimerService(),
         client,
         PeerNetwork(identity.node, keys, executors.peers, executors.handlers),
-        HttpEngines(client),
+        HttpEngines(client, limits, estimates.polled),
         clock,
         Timeline(identity.node, clock, log_event),
         Metrics(),
-        NodeTable(),
+        nodes,
         EndpointTable(),
         ConfigurationHolder(),
-        InFlightTable(),
+        in_flight,
+        estimates,
         VmTable(),
         RefusalCounter(),
         threading.Event(),
@@ -284,16 +327,29 @@
     return Residency(owner, client)
 
 
-def make_door(shared: Shared, platform: Platform, residency: Residency) -> FrontDoor:
-    """Return the front door with the tasks behind it."""
-    router = Router(
-        make_routing_policy(shared.settings.decisions), shared.in_flight.count
+def make_serving(shared: Shared, platform: Platform, residency: Residency) -> Serving:
+    """Return the front door with the tasks and decisions behind it."""
+    decisions = shared.settings.decisions
+    router = Router(make_routing_policy(decisions), shared.estimates.load)
+    admission = Admission(
+        make_admission_policy(decisions),
+        decisions.engine_slots,
+        router,
+        shared.estimates,
+        shared.in_flight,
+    )
+    shared.table.subscribe(admission.wake)
+    suspects = Suspects(
+        shared.identity.node, shared.nodes, shared.peers, shared.timeline
     )
     inference = InferenceParts(
         shared.configuration,
         shared.table,
-        shared.in_flight,
-        router,
+        admission,
+        Breakers(),
+        LeavingEndpoints(shared.configuration, shared.estimates, shared.vms),
+        RetryBudget(RetryLimits(decisions.retry_share)),
+        suspects,
         residency.client,
         shared.engines,
         shared.timeline,
@@ -307,7 +363,7 @@
         HttpServices(shared.client),
         shared.timeline,
     )
-    return FrontDoor(
+    door = FrontDoor(
         ServingParts(
             inference,
             actions,
@@ -317,6 +373,7 @@
             shared.metrics.observe,
         )
     )
+    return Serving(admission, suspects, door)
 
 
 def make_digest(shared: Shared, door: FrontDoor) -> NodeDigest:
@@ -327,6 +384,7 @@
         door.state,
         shared.configuration.current.generation,
         shared.in_flight.by_id(),
+        shared.estimates.polled_by_id(),
     )
 
 
@@ -349,7 +407,7 @@
 def make_membership(
     shared: Shared,
     residency: Residency,
-    door: FrontDoor,
+    serving: Serving,
     heads: Follower[ConfigurationHead],
 ) -> MembershipParts:
     """Return the parts that talk with other nodes."""
@@ -362,9 +420,10 @@
         shared.nodes,
         shared.peers,
         shared.clock,
-        functools.partial(make_digest, shared, door),
+        functools.partial(make_digest, shared, serving.door),
         residency.client.load_here,
         heard_generation,
+        serving.suspects,
     )
 
 
@@ -391,7 +450,7 @@
     shared = make_shared(settings)
     platform = make_platform(settings.platform, shared.client)
     residency = make_residency(shared, platform)
-    door = make_door(shared, platform, residency)
+    serving = make_serving(shared, platform, residency)
     configurator = Configurator(
         platform.heads, platform.contents, shared.configuration, shared.timeline
     )
@@ -409,9 +468,10 @@
         followers,
         make_vm_list(settings.platform, shared.client),
         residency,
-        make_membership(shared, residency, door, heads),
-        door,
-        make_app(shared, door, configurator),
+        make_membership(shared, residency, serving, heads),
+        serving.admission,
+        serving.door,
+        make_app(shared, serving.door, configurator),
     )
 
 
--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -1,5 +1,6 @@
 """Requests of callers and the answers they get, as JSON over HTTP."""
 
+import math
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -23,6 +24,7 @@
 DEADLINE_HEADER = "Camphoryard-Deadline-Ms"
 PRIORITY_HEADER = "Camphoryard-Priority"
 VERDICT_HEADER = "Camphoryard-Verdict"
+RETRY_AFTER_HEADER = "Retry-After"
 KEY_HEADER = "Idempotency-Key"
 DEFAULT_DEADLINE_MS = 30_000
 MAX_DEADLINE_MS = 600_000
@@ -55,6 +57,7 @@
     Reason.ENDPOINT_FAILED: 502,
     Reason.QUARANTINED: 422,
     Reason.CONFLICT: 409,
+    Reason.CANCELLED: 408,
     Reason.INTERNAL: 500,
 }
 
@@ -271,6 +274,7 @@
     status: int
     verdict: Verdict
     body: bytes
+    retry_after_s: int = 0
 
 
 def encode_error(refusal: RefusalError) -> ErrorAnswer:
@@ -279,7 +283,12 @@
         refusal.reason.value, refusal.detail, refusal.verdict.value, refusal.field
     )
     body = msgspec.json.encode({"error": form})
-    return ErrorAnswer(STATUS_BY_REASON[refusal.reason], refusal.verdict, body)
+    return ErrorAnswer(
+        STATUS_BY_REASON[refusal.reason],
+        refusal.verdict,
+        body,
+        math.ceil(refusal.retry_after_s),
+    )
 
 
 def encode_error_event(refusal: RefusalError) -> bytes:
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -54,11 +54,16 @@
 
 
 class NodeState(Enum):
-    """What a node says about itself."""
+    """What a node says about itself.
+
+    A draining node still admits what the balancer sends it, but is not ready; a
+    stopping one admits nothing and finishes what is in flight.
+    """
 
     STARTING = "starting"
     SERVING = "serving"
     DRAINING = "draining"
+    STOPPING = "stopping"
 
 
 class VmState(Enum):
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -14,6 +14,7 @@
 from camphoryard.transport.access import Access
 from camphoryard.transport.caller_api import call_service, complete, error_response
 from camphoryard.transport.http_server import (
+    CANCELLATION,
     MAX_BODY_BYTES,
     Environ,
     HttpRequest,
@@ -120,4 +121,5 @@
         dict(parse_qsl(environ.get("QUERY_STRING", ""))),
         headers,
         environ["wsgi.input"].read(length) if length else b"",
+        environ[CANCELLATION],
     )
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -6,6 +6,7 @@
 from camphoryard.coordination.serving import FrontDoor
 from camphoryard.protocol.caller import (
     DONE_EVENT,
+    RETRY_AFTER_HEADER,
     VERDICT_HEADER,
     Completion,
     action_request,
@@ -29,6 +30,8 @@
     """Return the HTTP answer to a refused request."""
     answer = encode_error(refusal)
     headers = {VERDICT_HEADER: answer.verdict.value}
+    if answer.retry_after_s:
+        headers[RETRY_AFTER_HEADER] = str(answer.retry_after_s)
     return HttpResponse(answer.status, [answer.body], headers)
 
 
@@ -37,7 +40,7 @@
 ) -> HttpResponse:
     """Answer a completion request; raises RefusalError before the first token."""
     completion = decode_completion(request.body, request.headers, caller, chat)
-    frames = door.infer(completion.request)
+    frames = door.infer(completion.request, request.cancellation)
     first = next(frames)
     headers = {VERDICT_HEADER: Verdict.RAN.value}
     if completion.stream:
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -1,17 +1,26 @@
 """The HTTP server: waitress, one task for each connection's request."""
 
 import logging
+import threading
+import time
 from collections.abc import Callable, Iterable, Mapping
-from concurrent.futures import Executor, ThreadPoolExecutor
+from concurrent.futures import Executor
 from dataclasses import dataclass, field
 from typing import Any, TypeAlias
 
-from waitress.server import create_server
+from waitress.adjustments import Adjustments
+from waitress.channel import HTTPChannel
+from waitress.server import TcpWSGIServer
+from waitress.task import WSGITask
+
+from camphoryard.coordination.cancellation import Cancellation
 
 MAX_BODY_BYTES = 1 << 20
 MAX_READ_BYTES = 64 << 20
 CONNECTION_LIMIT = 2000
 BACKLOG = 1024
+FLUSH_CHECK_S = 0.1
+CANCELLATION = "camphoryard.cancellation"
 
 StartResponse: TypeAlias = Callable[[str, list[tuple[str, str]]], Any]
 Environ: TypeAlias = dict[str, Any]
@@ -26,6 +35,7 @@
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
+    cancellation: Cancellation = field(default_factory=Cancellation)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,12 +66,75 @@
         return True
 
 
-def serve(app: Any, host: str, port: int, executor: ThreadPoolExecutor) -> Any:
+class ConnectionTask(WSGITask):
+    """Gives the application the cancellation of its connection."""
+
+    def get_environment(self) -> Environ:
+        """Return the WSGI environment."""
+        environ: Environ = super().get_environment()
+        environ[CANCELLATION] = self.channel.cancellation
+        return environ
+
+
+class Connection(HTTPChannel):
+    """A caller's connection; cancels its request when the caller goes away."""
+
+    task_class = ConnectionTask
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        self.cancellation = Cancellation()
+        super().__init__(*args, **kwargs)
+
+    @property
+    def is_flushed(self) -> bool:
+        """Whether every request got its answer, to the last byte."""
+        return not self.requests and not self.total_outbufs_len
+
+    def handle_close(self) -> None:
+        """Close the connection and cancel what runs for it."""
+        super().handle_close()
+        self.cancellation.cancel()
+        self.server.note_progress()
+
+    def handle_write(self) -> None:
+        """Send what is waiting."""
+        super().handle_write()
+        if self.is_flushed:
+            self.server.note_progress()
+
+
+class HttpServer(TcpWSGIServer):
+    """The waitress server; knows when all answers have left."""
+
+    channel_class = Connection
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        self._progress = threading.Condition()
+        super().__init__(*args, **kwargs)
+
+    def note_progress(self) -> None:
+        """Wake who waits for the last byte."""
+        with self._progress:
+            self._progress.notify_all()
+
+    def wait_flushed(self, deadline_s: float) -> bool:
+        """Block until every answer has left; return whether that came."""
+        with self._progress:
+            while not self._is_flushed():
+                left_s = deadline_s - time.monotonic()
+                if left_s <= 0:
+                    return False
+                self._progress.wait(min(left_s, FLUSH_CHECK_S))
+        return True
+
+    def _is_flushed(self) -> bool:
+        return all(item.is_flushed for item in tuple(self.active_channels.values()))
+
+
+def serve(app: Any, host: str, port: int, executor: Executor) -> HttpServer:
     """Return a waitress server that is bound; its ``run`` blocks."""
     logging.getLogger("waitress").setLevel(logging.ERROR)
-    return create_server(
-        app,
-        _dispatcher=ExecutorDispatcher(executor),
+    adjustments = Adjustments(
         host=host,
         port=port,
         asyncore_use_poll=True,
@@ -70,5 +143,16 @@
         max_request_body_size=MAX_READ_BYTES,
         clear_untrusted_proxy_headers=True,
         channel_timeout=600,
+        channel_request_lookahead=1,
         ident=None,
     )
+    server = HttpServer(
+        app,
+        {},
+        True,
+        None,
+        dispatcher=ExecutorDispatcher(executor),
+        adj=adjustments,
+        sockinfo=adjustments.listen[0],
+    )
+    return server
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -49,6 +49,7 @@
     arrived: int
     events: SimpleQueue[bytes | None] = field(default_factory=SimpleQueue)
     cancelled: bool = False
+    held: dict[str, Any] | None = None
 
 
 @dataclass(slots=True)
@@ -62,6 +63,11 @@
     crash_on: str = ""
     leaving: bool = False
     break_streams: bool = False
+    stall_streams: bool = False
+    duplicate_frames: bool = False
+    swap_frames: bool = False
+    foreign_frames: bool = False
+    refuse_with: int = 0
 
 
 @dataclass(slots=True)
@@ -82,6 +88,7 @@
     overcommits: int = 0
     loads: int = 0
     unloads: int = 0
+    cancelled: int = 0
     peak_mb: int = 0
     log: list[dict[str, Any]] = field(default_factory=list)
     waiting: list[Running] = field(default_factory=list)
@@ -96,7 +103,7 @@
         """Answer one call."""
         match (asked.method, asked.path):
             case ("POST", "/v1/completions"):
-                return self._generate(asked.json())
+                return self._generate(asked)
             case ("POST", "/admin/orders"):
                 return self._order(asked.json())
             case ("GET", "/admin/inventory"):
@@ -118,6 +125,9 @@
                     "resident": sorted(self.resident_mb_by_item),
                     "loads": self.loads,
                     "unloads": self.unloads,
+                    "cancelled": self.cancelled,
+                    "running": len(self.batch),
+                    "waiting": len(self.waiting),
                     "log": self.log,
                 }
             )
@@ -137,6 +147,7 @@
                     "running": running,
                     "waiting": waiting,
                     "leaving": self.faults.leaving,
+                    "slots": self.slots,
                 }
             )
 
@@ -196,7 +207,10 @@
                 self.resident_mb_by_item.pop(item, None)
                 self.unloads += 1
 
-    def _generate(self, body: dict[str, Any]) -> Answered:
+    def _generate(self, asked: Asked) -> Answered:
+        body = asked.json()
+        if self.faults.refuse_with:
+            return answer({"error": "refused"}, self.faults.refuse_with)
         needed = [body["model"]]
         if body.get("adapter"):
             needed.append(f"{body['model']}:{body['adapter']}")
@@ -226,14 +240,18 @@
             )
             self.waiting.append(running)
             self.lock.notify()
+        asked.cancellation.subscribe(lambda: self.cancel(running))
         return Answered(
             200, _Stream(self, running), {"Content-Type": "text/event-stream"}
         )
 
     def cancel(self, running: Running) -> None:
-        """Take a request out of the batch."""
+        """Take a request out of the batch and end its stream."""
         with self.lock:
+            if running.offset <= running.max_tokens and not running.cancelled:
+                self.cancelled += 1
             running.cancelled = True
+            running.events.put(None)
 
     def step_forever(self) -> None:
         """Generate a token for each request of the batch, step by step."""
@@ -263,6 +281,8 @@
         del self.waiting[:room]
 
     def _step(self, running: Running) -> None:
+        if self.faults.stall_streams:
+            return
         if self.faults.break_streams:
             running.cancelled = True
             running.events.put(None)
@@ -275,12 +295,31 @@
             event["text"] = token(running.prompt, running.offset)
         else:
             event["finished"] = True
-        running.events.put(b"data: " + msgspec.json.encode(event) + b"\n\n")
+        for sent in self._disturbed(running, event):
+            running.events.put(b"data: " + msgspec.json.encode(sent) + b"\n\n")
         if running.offset == running.max_tokens:
             running.events.put(END)
             running.events.put(None)
         running.offset += 1
 
+    def _disturbed(
+        self, running: Running, event: dict[str, Any]
+    ) -> list[dict[str, Any]]:
+        """Return what is sent for an event under the faults that are set."""
+        sent = [event]
+        if self.faults.foreign_frames:
+            sent.insert(0, {**event, "request_id": "another", "text": "foreign "})
+        if self.faults.duplicate_frames:
+            sent.append(event)
+        if not self.faults.swap_frames:
+            return sent
+        if event.get("finished") or running.held is not None:
+            sent += [] if running.held is None else [running.held]
+            running.held = None
+            return sent
+        running.held = event
+        return []
+
 
 class _Stream:
     """The body of a streamed answer; closing it early cancels the request."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -172,6 +172,10 @@
 secret_key = "{secret}"
 lease_s = 3.0
 
+[serving]
+grace_s = 0.2
+stall_s = 1.0
+
 [access]
 operator_tokens = ["{OPERATOR_TOKEN}"]
 
--- a/standins/web.py
+++ b/standins/web.py
@@ -9,9 +9,9 @@
 from urllib.parse import parse_qsl
 
 import msgspec
-from waitress.server import create_server
 
-from camphoryard.transport.http_server import ExecutorDispatcher
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.transport.http_server import CANCELLATION, serve
 
 THREADS = 600
 
@@ -25,6 +25,7 @@
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
+    cancellation: Cancellation
 
     def json(self) -> Any:
         """Return the decoded body."""
@@ -67,16 +68,7 @@
         start_response(f"{status.value} {status.phrase}", headers)
         return answered.body
 
-    create_server(
-        app,
-        _dispatcher=ExecutorDispatcher(executor),
-        host=host,
-        port=port,
-        asyncore_use_poll=True,
-        connection_limit=2000,
-        backlog=1024,
-        ident=None,
-    ).run()
+    serve(app, host, port, executor).run()
 
 
 def drop_connection() -> Answered:
@@ -112,4 +104,5 @@
         dict(parse_qsl(environ.get("QUERY_STRING", ""))),
         headers,
         environ["wsgi.input"].read(length) if length else b"",
+        environ[CANCELLATION],
     )
--- a/tests/system/test_answers.py
+++ b/tests/system/test_answers.py
@@ -1,13 +1,62 @@
 """Tests of answers over real processes."""
 
+import pytest
+
 from standins.engine import whole_answer
+from standins.site import SiteSpec
+
+PROMPT = "where can I park?"
+
+
+def run_engines(site):
+    """Return the engines that have a request in their batch now."""
+    return [item for item in site.engines if site.control(item)["running"]]
 
 
 class TestAnswers:
-    """Whole answers."""
+    """Whole answers to the right caller."""
 
     def test_stream_is_whole(self, start):
         """A streamed answer has every token once and in order."""
         site = start()
-        texts = list(site.stream("node-2", "meter-3b", "where can I park?", 40))
-        assert "".join(texts) == whole_answer("where can I park?", 40)
+        texts = list(site.stream("node-2", "meter-3b", PROMPT, 40))
+        assert "".join(texts) == whole_answer(PROMPT, 40)
+
+    @pytest.mark.parametrize(
+        "fault", ["duplicate_frames", "swap_frames", "foreign_frames"]
+    )
+    def test_disturbed_frames_are_put_right(self, start, fault):
+        """Doubled, late and foreign frames never reach the caller."""
+        site = start(SiteSpec(nodes=1, checking_engines=1, ignoring_engines=0))
+        site.control("engine-1", **{fault: True})
+        texts = list(site.stream("node-1", "meter-3b", PROMPT, 25))
+        assert "".join(texts) == whole_answer(PROMPT, 25)
+
+    def test_stream_survives_kill_of_its_engine(self, start):
+        """A stream goes on at another endpoint from the next token."""
+        site = start(SiteSpec(step_ms=20.0))
+        stream = site.stream("node-1", "meter-3b", PROMPT, 60)
+        texts = [next(stream)]
+        for name in run_engines(site):
+            site.fleet.process_by_name[name].kill()
+        texts.extend(stream)
+        assert "".join(texts) == whole_answer(PROMPT, 60)
+
+    def test_stalled_stream_goes_on_elsewhere(self, start):
+        """A stream without tokens for the stall limit is resumed elsewhere."""
+        site = start(SiteSpec(step_ms=20.0))
+        stream = site.stream("node-1", "meter-3b", PROMPT, 60)
+        texts = [next(stream)]
+        for name in run_engines(site):
+            site.control(name, stall_streams=True)
+        texts.extend(stream)
+        assert "".join(texts) == whole_answer(PROMPT, 60)
+
+    def test_caller_gone_mid_stream_is_cancelled(self, start):
+        """The engine drops the request of a caller that went away."""
+        site = start(SiteSpec(nodes=1, ignoring_engines=0, step_ms=20.0))
+        stream = site.stream("node-1", "meter-3b", PROMPT, 5000)
+        next(stream)
+        stream.close()
+        site.fleet.wait_until(lambda: not run_engines(site), "the cancelled request")
+        assert site.control("engine-1")["cancelled"] == 1
