--- a/src/camphoryard/coordination/gossip.py
+++ b/src/camphoryard/coordination/gossip.py
@@ -175,9 +175,8 @@
             digest = self._parts.nodes.digest(node)
             if digest is not None:
                 age_s = self._parts.currency.node_age_s(node)
-                chosen.append(
-                    HeardDigest(replace(digest, in_flight_by_endpoint={}), age_s)
-                )
+                short = replace(digest, in_flight_by_endpoint={}, report_by_endpoint={})
+                chosen.append(HeardDigest(short, age_s))
         return chosen
 
     def _targets(self) -> Sequence[NodeId]:
--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -8,6 +8,7 @@
 from camphoryard.coordination.joining import Joiner
 from camphoryard.coordination.messages import (
     ConfigurationWanted,
+    CrashSeen,
     Declined,
     DigestWanted,
     Done,
@@ -17,7 +18,10 @@
     LoadWanted,
     Message,
     Reply,
+    TrialEnded,
+    TrialWanted,
 )
+from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import EndpointId, ItemId
 from camphoryard.state.nodes import NodeDigest
@@ -32,6 +36,7 @@
     configurator: Configurator
     digest: Callable[[], NodeDigest]
     load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
+    suspects: Suspects
 
 
 def handle(parts: MembershipParts, message: Message) -> Reply:
@@ -55,3 +60,12 @@
             return Done()
         case DigestWanted():
             return parts.digest()
+        case CrashSeen() as seen:
+            parts.suspects.saw(seen)
+            return Done()
+        case TrialWanted() as wanted:
+            may_start = parts.suspects.wanted(wanted)
+            return Done() if may_start else Declined("not its turn")
+        case TrialEnded() as ended:
+            parts.suspects.ended(ended)
+            return Done()
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -11,6 +11,14 @@
 import structlog
 
 from camphoryard.coordination.actions import ActionParts
+from camphoryard.coordination.admission import (
+    Admission,
+    AdmissionPolicy,
+    DeadlineFirst,
+    FirstCome,
+    Unlimited,
+)
+from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.currency import Currency
 from camphoryard.coordination.gossip import (
@@ -22,14 +30,18 @@
 )
 from camphoryard.coordination.inference import InferenceParts
 from camphoryard.coordination.joining import Joiner, JoiningParts
+from camphoryard.coordination.leaving import LeavingEndpoints
+from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.ownership import LeaseKeeper
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.residency import EndpointOwner, Identity
 from camphoryard.coordination.residency_client import ResidencyClient
+from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
 from camphoryard.coordination.routing import (
     LeastInFlight,
+    PrefixAffinity,
     RoundRobin,
     Router,
     RoutingPolicy,
@@ -37,6 +49,7 @@
 )
 from camphoryard.coordination.serving import FrontDoor, ServingParts
 from camphoryard.coordination.status import Status
+from camphoryard.coordination.suspects import Suspects
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.watching import (
     WATCH_WAIT_S,
@@ -75,7 +88,7 @@
 from camphoryard.state.vms import VmTable
 from camphoryard.transport.access import Access
 from camphoryard.transport.app import App
-from camphoryard.transport.endpoints import HttpEngines, HttpServices
+from camphoryard.transport.endpoints import HttpEngines, HttpServices, StreamLimits
 from camphoryard.transport.http_client import Address, HttpClient
 from camphoryard.transport.metrics import Metrics
 from camphoryard.transport.object_api import ObjectApi, ObjectContents, ObjectRecords
@@ -84,7 +97,7 @@
 from camphoryard.transport.timer import TimerService
 from camphoryard.transport.vm_list import HttpVmList, NoVmList
 
-CONNECTION_TASKS = 512
+CONNECTION_TASKS = 1024
 PEER_TASKS = 400
 ENDPOINT_TASKS = 256
 HANDLER_TASKS = 32
@@ -125,6 +138,7 @@
     table: EndpointTable
     configuration: ConfigurationHolder
     in_flight: InFlightTable
+    estimates: LoadEstimates
     vms: VmTable
     refusals: RefusalCounter
     stop: threading.Event
@@ -160,6 +174,15 @@
     joiner: Joiner
 
 
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """The decisions about each request, and the front door before them."""
+
+    admission: Admission
+    suspects: Suspects
+    door: FrontDoor
+
+
 @dataclass(frozen=True, slots=True)
 class Node:
     """All parts of one running node."""
@@ -171,6 +194,7 @@
     residency: Residency
     control: Control
     membership: MembershipParts
+    admission: Admission
     door: FrontDoor
     app: App
 
@@ -196,6 +220,19 @@
             return LeastInFlight()
         case "two_choices":
             return TwoChoices()
+        case "prefix_affinity":
+            return PrefixAffinity()
+
+
+def make_admission_policy(settings: DecisionSettings) -> AdmissionPolicy:
+    """Return the admission policy that the settings name."""
+    match settings.admission:
+        case "unlimited":
+            return Unlimited()
+        case "first_come":
+            return FirstCome(settings.queue_limit)
+        case "deadline_first":
+            return DeadlineFirst(settings.queue_limit)
 
 
 def make_curve_keys(settings: PeerSettings) -> CurveKeys:
@@ -268,6 +305,11 @@
     client = HttpClient()
     clock = HybridClock()
     keys = make_curve_keys(settings.peers)
+    nodes = NodeTable()
+    in_flight = InFlightTable()
+    estimates = LoadEstimates(identity.node, nodes, in_flight)
+    serving = settings.serving
+    limits = StreamLimits(serving.first_token_limit_s, serving.stall_s)
     return Shared(
         settings,
         identity,
@@ -275,14 +317,15 @@
         TimerService(),
         client,
         PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock),
-        HttpEngines(client),
+        HttpEngines(client, limits, estimates.polled),
         clock,
         Timeline(identity.node, clock, log_event),
         Metrics(),
-        NodeTable(),
+        nodes,
         EndpointTable(),
         ConfigurationHolder(settings.configuration.stale_after_s),
-        InFlightTable(),
+        in_flight,
+        estimates,
         VmTable(),
         RefusalCounter(),
         threading.Event(),
@@ -338,16 +381,29 @@
     return Residency(owner, client)
 
 
-def make_door(shared: Shared, platform: Platform, residency: Residency) -> FrontDoor:
-    """Return the front door with the tasks behind it."""
-    router = Router(
-        make_routing_policy(shared.settings.decisions), shared.in_flight.count
+def make_serving(shared: Shared, platform: Platform, residency: Residency) -> Serving:
+    """Return the front door with the tasks and decisions behind it."""
+    decisions = shared.settings.decisions
+    router = Router(make_routing_policy(decisions), shared.estimates.load)
+    admission = Admission(
+        make_admission_policy(decisions),
+        decisions.engine_slots,
+        router,
+        shared.estimates,
+        shared.in_flight,
+    )
+    shared.table.subscribe(admission.wake)
+    suspects = Suspects(
+        shared.identity.node, shared.nodes, shared.peers, shared.timeline
     )
     inference = InferenceParts(
         shared.configuration,
         shared.table,
-        shared.in_flight,
-        router,
+        admission,
+        Breakers(),
+        LeavingEndpoints(shared.configuration, shared.estimates, shared.vms),
+        RetryBudget(RetryLimits(decisions.retry_share)),
+        suspects,
         residency.client,
         shared.engines,
         shared.timeline,
@@ -361,7 +417,7 @@
         HttpServices(shared.client),
         shared.timeline,
     )
-    return FrontDoor(
+    door = FrontDoor(
         ServingParts(
             inference,
             actions,
@@ -371,6 +427,7 @@
             shared.metrics.observe,
         )
     )
+    return Serving(admission, suspects, door)
 
 
 def make_digest(shared: Shared, door: FrontDoor) -> NodeDigest:
@@ -381,6 +438,7 @@
         door.state,
         shared.configuration.current.generation,
         shared.in_flight.by_id(),
+        shared.estimates.polled_by_id(),
         time.monotonic_ns() // NANOSECONDS_PER_MILLISECOND,
     )
 
@@ -491,15 +549,16 @@
 
 
 def make_membership(
-    shared: Shared, residency: Residency, door: FrontDoor, control: Control
+    shared: Shared, residency: Residency, serving: Serving, control: Control
 ) -> MembershipParts:
     """Return the parts that handle messages of other nodes."""
     return MembershipParts(
         control.gossiper,
         control.joiner,
         control.configurator,
-        functools.partial(make_digest, shared, door),
+        functools.partial(make_digest, shared, serving.door),
         residency.client.load_here,
+        serving.suspects,
     )
 
 
@@ -526,8 +585,8 @@
     shared = make_shared(settings)
     platform = make_platform(settings.platform, shared.client)
     residency = make_residency(shared, platform)
-    door = make_door(shared, platform, residency)
-    control = make_control(shared, platform, door)
+    serving = make_serving(shared, platform, residency)
+    control = make_control(shared, platform, serving.door)
     followers = (
         control.heads,
         Follower(platform.endpoints, functools.partial(_take_record, shared.table)),
@@ -542,9 +601,10 @@
         make_vm_list(settings.platform, shared.client),
         residency,
         control,
-        make_membership(shared, residency, door, control),
-        door,
-        make_app(shared, door, control.configurator),
+        make_membership(shared, residency, serving, control),
+        serving.admission,
+        serving.door,
+        make_app(shared, serving.door, control.configurator),
     )
 
 
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -10,6 +10,7 @@
 from camphoryard.coordination.messages import (
     ConfigurationOffer,
     ConfigurationWanted,
+    CrashSeen,
     Declined,
     DigestWanted,
     Done,
@@ -21,6 +22,8 @@
     LoadWanted,
     Message,
     Reply,
+    TrialEnded,
+    TrialWanted,
 )
 from camphoryard.protocol.configuration import (
     decode_configuration,
@@ -37,6 +40,7 @@
     ObjectKey,
     RequestId,
 )
+from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.nodes import NodeDigest
 
 MILLISECONDS_PER_SECOND = 1000
@@ -57,6 +61,9 @@
     CONFIGURATION_OFFER = "configuration_offer"
     LOAD_WANTED = "load_wanted"
     DIGEST_WANTED = "digest_wanted"
+    CRASH_SEEN = "crash_seen"
+    TRIAL_WANTED = "trial_wanted"
+    TRIAL_ENDED = "trial_ended"
     DONE = "done"
     DECLINED = "declined"
     NODE_DIGEST = "node_digest"
@@ -78,6 +85,7 @@
     state: NodeState
     generation: Generation
     in_flight_by_endpoint: Mapping[EndpointId, int]
+    report_by_endpoint: Mapping[EndpointId, LoadReport]
     beat: int
     age_ms: int | None
 
@@ -97,6 +105,9 @@
     FrameKind.CONFIGURATION_OFFER: ConfigurationOffer,
     FrameKind.LOAD_WANTED: LoadWanted,
     FrameKind.DIGEST_WANTED: DigestWanted,
+    FrameKind.CRASH_SEEN: CrashSeen,
+    FrameKind.TRIAL_WANTED: TrialWanted,
+    FrameKind.TRIAL_ENDED: TrialEnded,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
     FrameKind.NODE_DIGEST: NodeDigest,
@@ -190,6 +201,7 @@
             heard.digest.state,
             heard.digest.generation,
             heard.digest.in_flight_by_endpoint,
+            heard.digest.report_by_endpoint,
             heard.digest.beat,
             _ms(heard.age_s),
         )
@@ -209,6 +221,7 @@
                 item.state,
                 item.generation,
                 item.in_flight_by_endpoint,
+                item.report_by_endpoint,
                 item.beat,
             ),
             _s(item.age_ms),
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -62,11 +62,16 @@
 
 
 class NodeState(Enum):
-    """What a node says about itself."""
+    """What a node says about itself.
+
+    A draining node still admits what the balancer sends it, but is not ready; a
+    stopping one admits nothing and finishes what is in flight.
+    """
 
     STARTING = "starting"
     SERVING = "serving"
     DRAINING = "draining"
+    STOPPING = "stopping"
 
 
 class VmState(Enum):
@@ -103,4 +108,16 @@
     QUARANTINED = "quarantined"
     CONFLICT = "conflict"
     UNHEARD_NODES = "unheard_nodes"
+    CANCELLED = "cancelled"
     INTERNAL = "internal"
+
+
+class RiskKind(Enum):
+    """What puts a promise at risk."""
+
+    STALE_CONFIGURATION = "stale_configuration"
+    STORE_SILENT = "store_silent"
+    NODE_SILENT = "node_silent"
+    NODE_BEHIND = "node_behind"
+    NO_OWNER = "no_owner"
+    REFUSALS = "refusals"
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -16,6 +16,7 @@
     WriteId,
     Zone,
 )
+from camphoryard.state.load_reports import LoadReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +46,7 @@
     state: NodeState
     generation: Generation
     in_flight_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
+    report_by_endpoint: Mapping[EndpointId, LoadReport] = field(default_factory=dict)
     beat: int = 0
 
 
