--- a/src/camphoryard/coordination/joining.py
+++ b/src/camphoryard/coordination/joining.py
@@ -11,12 +11,15 @@
     ConfigurationWanted,
     Joined,
     JoinWanted,
+    RecordsFound,
+    RecordsWanted,
+    VersionedRecord,
 )
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.state.errors import PeerUnreachableError, StoreUnavailableError
 from camphoryard.state.ids import NodeId
 from camphoryard.state.nodes import NodeLease, NodeTable
-from camphoryard.state.tables import ConfigurationHolder
+from camphoryard.state.tables import ConfigurationHolder, EndpointTable
 
 ASK_TIMEOUT_S = 2.0
 JOIN_PERIOD_S = 1.0
@@ -33,6 +36,7 @@
     know: Callable[[NodeLease], None]
     configurator: Configurator
     configuration: ConfigurationHolder
+    table: EndpointTable
     list_heads: Callable[[], object]
     executor: Executor
 
@@ -56,6 +60,7 @@
                 if self._parts.nodes.find(seed.node) is None:
                     self._parts.know(seed)
                 self._learn(seed.node)
+                self._take_records(seed.node)
                 self._catch_up(seed.node)
 
     def catch_up(self, node: NodeId) -> None:
@@ -71,6 +76,26 @@
         self._introduce(wanted.lease)
         return Joined((self._parts.lease, *self._parts.nodes.all()))
 
+    def records(self) -> RecordsFound:
+        """Return the endpoint records seen here."""
+        table = self._parts.table
+        return RecordsFound(
+            tuple(
+                VersionedRecord(record, table.version(endpoint))
+                for endpoint, record in table.by_id().items()
+            )
+        )
+
+    def _take_records(self, node: NodeId) -> None:
+        """Learn where models are resident, which the object API may not tell now."""
+        try:
+            reply = self._parts.peers.ask(node, RecordsWanted(), ASK_TIMEOUT_S)
+        except PeerUnreachableError:
+            return
+        if isinstance(reply, RecordsFound):
+            for found in reply.records:
+                self._parts.table.saw(found.record, found.version)
+
     def _catch_up(self, node: NodeId) -> None:
         if not self._catching_up.acquire(blocking=False):
             return
--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -6,22 +6,27 @@
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.gossip import Gossiper
 from camphoryard.coordination.joining import Joiner
+from camphoryard.coordination.merging import select_events
 from camphoryard.coordination.messages import (
     ConfigurationWanted,
     CrashSeen,
     Declined,
     DigestWanted,
     Done,
+    EventsFound,
+    EventsWanted,
     Gossip,
     GossipAnswer,
     JoinWanted,
     LoadWanted,
     Message,
+    RecordsWanted,
     Reply,
     TrialEnded,
     TrialWanted,
 )
 from camphoryard.coordination.suspects import Suspects
+from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import EndpointId, ItemId
 from camphoryard.state.nodes import NodeDigest
@@ -34,6 +39,7 @@
     gossiper: Gossiper
     joiner: Joiner
     configurator: Configurator
+    timeline: Timeline
     digest: Callable[[], NodeDigest]
     load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
     suspects: Suspects
@@ -50,6 +56,10 @@
             return Done()
         case JoinWanted() as wanted:
             return parts.joiner.joined(wanted)
+        case RecordsWanted():
+            return parts.joiner.records()
+        case EventsWanted(fields):
+            return EventsFound(select_events(parts.timeline.events(), fields))
         case ConfigurationWanted(known):
             return parts.configurator.offer(known) or Declined("no configuration yet")
         case LoadWanted(endpoint, items):
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -6,8 +6,17 @@
 
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.configuration_head import ConfigurationHead
-from camphoryard.state.ids import EndpointId, Fingerprint, ItemId, NodeId, ObjectKey
+from camphoryard.state.endpoint_record import EndpointRecord
+from camphoryard.state.ids import (
+    EndpointId,
+    Fingerprint,
+    ItemId,
+    NodeId,
+    ObjectKey,
+    Version,
+)
 from camphoryard.state.nodes import NodeDigest, NodeLease
+from camphoryard.state.timeline import Event
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +76,40 @@
     part_by_key: Mapping[ObjectKey, Configuration]
 
 
+@dataclass(frozen=True, slots=True)
+class RecordsWanted:
+    """Ask for the endpoint records that the peer has seen."""
+
+
+@dataclass(frozen=True, slots=True)
+class VersionedRecord:
+    """An endpoint record at one version."""
+
+    record: EndpointRecord
+    version: Version
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsFound:
+    """The endpoint records that a node has seen."""
+
+    records: tuple[VersionedRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EventsWanted:
+    """Ask for the events of the peer's time line that have these fields."""
+
+    fields: Mapping[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class EventsFound:
+    """Events of one node, oldest first."""
+
+    events: tuple[Event, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LoadWanted:
     """Ask an endpoint's owner to load items there, in order."""
@@ -129,10 +172,20 @@
     | GossipAnswer
     | JoinWanted
     | ConfigurationWanted
+    | EventsWanted
+    | RecordsWanted
     | LoadWanted
     | DigestWanted
     | CrashSeen
     | TrialWanted
     | TrialEnded
 )
-Reply: TypeAlias = Done | Declined | NodeDigest | Joined | ConfigurationOffer
+Reply: TypeAlias = (
+    Done
+    | Declined
+    | NodeDigest
+    | Joined
+    | ConfigurationOffer
+    | EventsFound
+    | RecordsFound
+)
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -120,6 +120,7 @@
             caller=caller or "",
             reason=refusal.reason.value,
             verdict=refusal.verdict.value,
+            detail=refusal.detail,
         )
 
     def _admit(self) -> None:
--- a/src/camphoryard/coordination/status.py
+++ b/src/camphoryard/coordination/status.py
@@ -4,20 +4,23 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.refusals import RefusalKey
+from camphoryard.coordination.risks import NodeView, Risk
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId, Generation, NodeId
-from camphoryard.state.nodes import NodeDigest
 
 
 @dataclass(frozen=True, slots=True)
 class Status:
-    """The system as seen from one node."""
+    """The system as seen from one node; ages in seconds, None for never."""
 
     node: NodeId
     state: NodeState
     generation: Generation
     in_flight: int
-    nodes: tuple[NodeDigest, ...]
+    confirmed_age_s: float | None
+    store_age_s: float | None
+    nodes: tuple[NodeView, ...]
     records_by_endpoint: Mapping[EndpointId, EndpointRecord]
     refusals_by_key: Mapping[RefusalKey, int]
+    risks: tuple[Risk, ...]
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -1,8 +1,10 @@
 """The parts of one node and the factory functions that put them together."""
 
 import functools
+import math
 import threading
 import time
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -21,6 +23,7 @@
 from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.currency import Currency
+from camphoryard.coordination.explaining import explain
 from camphoryard.coordination.gossip import (
     AllToAll,
     BoundedFanOut,
@@ -33,12 +36,14 @@
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
+from camphoryard.coordination.merging import MergedTimeline, merge_timelines
 from camphoryard.coordination.ownership import LeaseKeeper
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
-from camphoryard.coordination.refusals import RefusalCounter
+from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
 from camphoryard.coordination.residency import EndpointOwner, Identity
 from camphoryard.coordination.residency_client import ResidencyClient
 from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
+from camphoryard.coordination.risks import NodeView, SystemView, find_risks
 from camphoryard.coordination.routing import (
     LeastInFlight,
     PrefixAffinity,
@@ -76,6 +81,7 @@
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     EndpointId,
+    Generation,
     Incarnation,
     ItemId,
     NodeId,
@@ -443,19 +449,59 @@
     )
 
 
-def make_status(shared: Shared, door: FrontDoor) -> Status:
+def view_nodes(
+    shared: Shared, door: FrontDoor, currency: Currency
+) -> tuple[NodeView, ...]:
+    """Return all nodes known, sorted by id."""
+    own = shared.identity.node
+    alive = {lease.node for lease in shared.nodes.alive()}
+    views = [
+        NodeView(
+            own, door.state, shared.configuration.current.generation, True, False, 0.0
+        )
+    ]
+    for lease in shared.nodes.all():
+        if lease.node == own:
+            continue
+        digest = shared.nodes.digest(lease.node)
+        views.append(
+            NodeView(
+                lease.node,
+                digest.state if digest else lease.state,
+                digest.generation if digest else Generation(0),
+                lease.node in alive,
+                shared.vms.is_gone(lease.node),
+                currency.node_age_s(lease.node),
+            )
+        )
+    return tuple(sorted(views, key=lambda item: item.node))
+
+
+def make_status(shared: Shared, door: FrontDoor, currency: Currency) -> Status:
     """Return the system as this node sees it now."""
-    known = [shared.nodes.digest(lease.node) for lease in shared.nodes.alive()]
-    own = make_digest(shared, door)
-    others = [item for item in known if item and item.node != own.node]
-    return Status(
-        own.node,
-        own.state,
-        own.generation,
-        door.in_flight,
-        tuple(sorted([own, *others], key=lambda item: item.node)),
+    nodes = view_nodes(shared, door, currency)
+    age_s = shared.configuration.confirmed_age_s()
+    view = SystemView(
+        shared.identity.node,
+        shared.configuration.current,
+        shared.configuration.is_current(),
+        currency.store_age_s(),
+        nodes,
         shared.table.by_id(),
         shared.refusals.by_key(),
+        int(time.time() // SECONDS_PER_MINUTE),
+    )
+    return Status(
+        view.own,
+        door.state,
+        view.configuration.generation,
+        door.in_flight,
+        None if math.isinf(age_s) else age_s,
+        view.store_age_s,
+        nodes,
+        view.records_by_endpoint,
+        view.refusals_by_key,
+        find_risks(view),
     )
 
 
@@ -528,6 +574,7 @@
             shared.peers.know,
             configurator,
             shared.configuration,
+            shared.table,
             heads.list_once,
             shared.executors.loads,
         )
@@ -556,20 +603,35 @@
         control.gossiper,
         control.joiner,
         control.configurator,
+        shared.timeline,
         functools.partial(make_digest, shared, serving.door),
         residency.client.load_here,
         serving.suspects,
     )
 
 
-def make_app(shared: Shared, door: FrontDoor, configurator: Configurator) -> App:
+def make_app(shared: Shared, door: FrontDoor, control: Control) -> App:
     """Return the WSGI application."""
     access = shared.settings.access
+
+    def timeline(wanted: Mapping[str, str]) -> MergedTimeline:
+        others = [
+            lease.node
+            for lease in shared.nodes.all()
+            if lease.node != shared.identity.node
+        ]
+        return merge_timelines(
+            shared.timeline, others, shared.peers, shared.executors.loads, wanted
+        )
+
     operator = OperatorParts(
-        configurator,
+        control.configurator,
         shared.configuration,
-        shared.timeline,
-        functools.partial(make_status, shared, door),
+        timeline,
+        lambda caller, target: explain(
+            shared.configuration.current, shared.table, caller, target
+        ),
+        functools.partial(make_status, shared, door, control.currency),
         shared.stop.set,
     )
     return App(
@@ -604,7 +666,7 @@
         make_membership(shared, residency, serving, control),
         serving.admission,
         serving.door,
-        make_app(shared, serving.door, control.configurator),
+        make_app(shared, serving.door, control),
     )
 
 
--- a/src/camphoryard/protocol/operator.py
+++ b/src/camphoryard/protocol/operator.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from camphoryard.coordination.configuring import Accepted
+from camphoryard.coordination.explaining import Explanation, Mismatch
+from camphoryard.coordination.merging import MergedTimeline
 from camphoryard.coordination.status import Status
 from camphoryard.protocol.selectors import format_selector
 from camphoryard.state.endpoint_record import committed_mb
@@ -18,11 +20,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeForm:
-    """One node in a status."""
+    """One node in a status; ``heard_age_s`` is None if it was not heard yet."""
 
     node: str
     state: str
     generation: int
+    alive: bool = True
+    gone: bool = False
+    heard_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +53,16 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class RiskForm:
+    """One promise at risk."""
+
+    kind: str
+    subject: str
+    detail: str
+    advice: str
+
+
 @dataclass(frozen=True, slots=True)
 class StatusForm:
     """Body of ``GET /admin/v1/status``."""
@@ -59,6 +74,9 @@
     nodes: list[NodeForm]
     endpoints: list[EndpointForm]
     refusals: list[RefusalForm]
+    confirmed_age_s: float | None = None
+    store_age_s: float | None = None
+    risks: list[RiskForm] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,9 +108,50 @@
     fields: Mapping[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class TimelineForm:
+    """Body of ``GET /admin/v1/timeline``; ``silent`` names nodes without answer."""
+
+    events: list[EventForm]
+    silent: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class GroupTrialForm:
+    """A group that was tried; ``mismatch`` is empty for the one that matched."""
+
+    group: str
+    order: int
+    priority: str
+    mismatch: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointTrialForm:
+    """An endpoint; ``mismatch`` is empty for one that takes the request."""
+
+    endpoint: str
+    mismatch: str
+    owner: str
+    resident: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ExplanationForm:
+    """Body of ``GET /admin/v1/explain``; ``matched`` is empty if no group did."""
+
+    caller: str
+    caller_known: bool
+    target: str
+    matched: str
+    groups: list[GroupTrialForm]
+    endpoints: list[EndpointTrialForm]
+
+
 _STATUS = msgspec.json.Decoder(StatusForm)
+_TIMELINE = msgspec.json.Decoder(TimelineForm)
+_EXPLANATION = msgspec.json.Decoder(ExplanationForm)
 _ACCEPTED = msgspec.json.Decoder(AcceptedForm)
-_EVENTS = msgspec.json.Decoder(list[EventForm])
 
 
 def encode_accepted(accepted: Accepted) -> bytes:
@@ -139,7 +198,19 @@
 def encode_status(status: Status) -> bytes:
     """Return the JSON form of a status."""
     nodes = [
-        NodeForm(item.node, item.state.value, item.generation) for item in status.nodes
+        NodeForm(
+            item.node,
+            item.state.value,
+            item.generation,
+            item.is_alive,
+            item.is_gone,
+            item.heard_age_s,
+        )
+        for item in status.nodes
+    ]
+    risks = [
+        RiskForm(item.kind.value, item.subject, item.detail, item.advice)
+        for item in status.risks
     ]
     endpoints = [
         EndpointForm(
@@ -166,6 +237,9 @@
             nodes,
             sorted(endpoints, key=lambda item: item.endpoint),
             refusals,
+            status.confirmed_age_s,
+            status.store_age_s,
+            risks,
         )
     )
 
@@ -175,23 +249,70 @@
     return _STATUS.decode(body)
 
 
-def encode_events(events: tuple[Event, ...]) -> bytes:
-    """Return the JSON form of events."""
-    return msgspec.json.encode(
-        [
-            EventForm(
-                item.stamp.wall_ms, item.stamp.count, item.node, item.name, item.fields
-            )
-            for item in events
-        ]
-    )
+def encode_timeline(merged: MergedTimeline) -> bytes:
+    """Return the JSON form of a merged time line."""
+    events = [
+        EventForm(
+            item.stamp.wall_ms, item.stamp.count, item.node, item.name, item.fields
+        )
+        for item in merged.events
+    ]
+    return msgspec.json.encode(TimelineForm(events, list(merged.silent)))
 
 
-def decode_events(body: bytes) -> list[Event]:
-    """Return the events that a daemon sent; raises ``msgspec.MsgspecError``."""
-    return [
+def decode_timeline(body: bytes) -> MergedTimeline:
+    """Return what a daemon sent; raises ``msgspec.MsgspecError``."""
+    form = _TIMELINE.decode(body)
+    events = tuple(
         Event(
             Stamp(item.wall_ms, item.count), NodeId(item.node), item.name, item.fields
         )
-        for item in _EVENTS.decode(body)
+        for item in form.events
+    )
+    return MergedTimeline(events, tuple(NodeId(node) for node in form.silent))
+
+
+def encode_explanation(explanation: Explanation) -> bytes:
+    """Return the JSON form of an explanation."""
+    groups = [
+        GroupTrialForm(
+            trial.group.id,
+            trial.group.order,
+            trial.group.priority.value,
+            _mismatch_text(trial.mismatch),
+        )
+        for trial in explanation.trials
     ]
+    endpoints = [
+        EndpointTrialForm(
+            item.id,
+            "leaving" if item.leaving else _mismatch_text(item.mismatch),
+            item.owner or "",
+            item.resident,
+        )
+        for item in explanation.endpoints
+    ]
+    return msgspec.json.encode(
+        ExplanationForm(
+            explanation.caller,
+            explanation.caller_known,
+            explanation.target,
+            explanation.matched or "",
+            groups,
+            endpoints,
+        )
+    )
+
+
+def decode_explanation(body: bytes) -> ExplanationForm:
+    """Return what a daemon explained; raises ``msgspec.MsgspecError``."""
+    return _EXPLANATION.decode(body)
+
+
+def _mismatch_text(mismatch: Mismatch | None) -> str:
+    """Return why a selector does not hold, or nothing if it does."""
+    if mismatch is None:
+        return ""
+    requirement = format_selector(Selector((mismatch.requirement,)))
+    labels = ", ".join(f"{key}={value}" for key, value in mismatch.labels.items())
+    return f"{mismatch.selector.value}: {requirement!r} fails on labels [{labels}]"
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -14,6 +14,8 @@
     Declined,
     DigestWanted,
     Done,
+    EventsFound,
+    EventsWanted,
     Gossip,
     GossipAnswer,
     HeardDigest,
@@ -21,6 +23,8 @@
     JoinWanted,
     LoadWanted,
     Message,
+    RecordsFound,
+    RecordsWanted,
     Reply,
     TrialEnded,
     TrialWanted,
@@ -59,6 +63,10 @@
     JOINED = "joined"
     CONFIGURATION_WANTED = "configuration_wanted"
     CONFIGURATION_OFFER = "configuration_offer"
+    RECORDS_WANTED = "records_wanted"
+    RECORDS_FOUND = "records_found"
+    EVENTS_WANTED = "events_wanted"
+    EVENTS_FOUND = "events_found"
     LOAD_WANTED = "load_wanted"
     DIGEST_WANTED = "digest_wanted"
     CRASH_SEEN = "crash_seen"
@@ -103,6 +111,10 @@
     FrameKind.JOINED: Joined,
     FrameKind.CONFIGURATION_WANTED: ConfigurationWanted,
     FrameKind.CONFIGURATION_OFFER: ConfigurationOffer,
+    FrameKind.RECORDS_WANTED: RecordsWanted,
+    FrameKind.RECORDS_FOUND: RecordsFound,
+    FrameKind.EVENTS_WANTED: EventsWanted,
+    FrameKind.EVENTS_FOUND: EventsFound,
     FrameKind.LOAD_WANTED: LoadWanted,
     FrameKind.DIGEST_WANTED: DigestWanted,
     FrameKind.CRASH_SEEN: CrashSeen,
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -121,3 +121,11 @@
     NODE_BEHIND = "node_behind"
     NO_OWNER = "no_owner"
     REFUSALS = "refusals"
+
+
+class SelectorKind(Enum):
+    """Which of a serving group's selectors."""
+
+    CALLERS = "callers"
+    TARGETS = "targets"
+    ENDPOINTS = "endpoints"
--- a/src/camphoryard/transport/access.py
+++ b/src/camphoryard/transport/access.py
@@ -48,7 +48,8 @@
     text = headers.get("Authorization", "")
     if not text.startswith(BEARER):
         raise _unknown()
-    return text.removeprefix(BEARER).encode()
+    # A WSGI server hands over the bytes of a header as Latin-1.
+    return text.removeprefix(BEARER).encode("latin-1", "backslashreplace")
 
 
 def _unknown() -> RefusalError:
--- a/src/camphoryard/transport/operator_api.py
+++ b/src/camphoryard/transport/operator_api.py
@@ -1,15 +1,22 @@
 """HTTP front end for operators."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from camphoryard.coordination.configuring import Accepted, Configurator
+from camphoryard.coordination.explaining import Explanation
+from camphoryard.coordination.merging import MergedTimeline
 from camphoryard.coordination.status import Status
-from camphoryard.coordination.timeline import Timeline
 from camphoryard.protocol.configuration import decode_change, encode_configuration
-from camphoryard.protocol.operator import encode_accepted, encode_events, encode_status
+from camphoryard.protocol.operator import (
+    encode_accepted,
+    encode_explanation,
+    encode_status,
+    encode_timeline,
+)
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import CallerId
 from camphoryard.state.tables import ConfigurationHolder
 from camphoryard.transport.http_server import HttpRequest, HttpResponse
 
@@ -24,7 +31,8 @@
 
     configurator: Configurator
     configuration: ConfigurationHolder
-    timeline: Timeline
+    timeline: Callable[[Mapping[str, str]], MergedTimeline]
+    explain: Callable[[CallerId, str], Explanation]
     status: Callable[[], Status]
     drain: Callable[[], None]
 
@@ -39,7 +47,11 @@
         case ("GET", "status"):
             return _json(encode_status(parts.status()))
         case ("GET", "timeline"):
-            return _json(encode_events(parts.timeline.events()))
+            return _json(encode_timeline(parts.timeline(request.query)))
+        case ("GET", "explain"):
+            caller = CallerId(_required(request, "caller"))
+            explanation = parts.explain(caller, _required(request, "target"))
+            return _json(encode_explanation(explanation))
         case ("POST", "drain"):
             parts.drain()
             return _json(b"{}")
@@ -55,5 +67,12 @@
     return configurator.accept(change, despite_unheard)
 
 
+def _required(request: HttpRequest, name: str) -> str:
+    value = request.query.get(name, "")
+    if not value:
+        raise RefusalError(Reason.BAD_FIELD, f"give {name} in the query", field=name)
+    return value
+
+
 def _json(body: bytes) -> HttpResponse:
     return HttpResponse(200, [body])
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -106,6 +106,7 @@
         default_factory=lambda: Path(tempfile.mkdtemp(prefix="camphoryard-"))
     )
     process_by_name: dict[str, Process] = field(default_factory=dict)
+    peer_port_by_node: dict[str, int] = field(default_factory=dict)
     keys: tuple[bytes, bytes] = field(default_factory=zmq.curve_keypair)
 
     def __enter__(self) -> "Fleet":
@@ -139,6 +140,7 @@
         """Write settings for a node, start it and return its HTTP port."""
         port, peer_port = free_port(), free_port()
         settings = self.folder / f"{name}.toml"
+        self.peer_port_by_node[name] = peer_port
         settings.write_text(self.settings(name, zone, port, peer_port) + extra)
         self._start(
             name, port, ["-m", "camphoryard.daemon", "--settings", str(settings)]
@@ -171,6 +173,7 @@
 public_key = "{public}"
 secret_key = "{secret}"
 lease_s = 3.0
+seeds = [{self._seeds(name, public)}]
 
 [serving]
 grace_s = 0.2
@@ -183,6 +186,15 @@
 {tokens}
 """
 
+    def _seeds(self, name: str, public: str) -> str:
+        """Return the nodes started before this one as inline tables."""
+        return ", ".join(
+            f'{{id = "{node}", host = "{HOST}", port = {port},'
+            f' public_key = "{public}"}}'
+            for node, port in self.peer_port_by_node.items()
+            if node != name
+        )
+
     def _vm_list_settings(self) -> str:
         if "vm-list" not in self.process_by_name:
             return ""
--- /dev/null
+++ b/tests/coordination/test_currency.py
@@ -0,0 +1,83 @@
+"""Tests of dating the last confirmation of a configuration."""
+
+import time
+
+import pytest
+
+from camphoryard.coordination.currency import Currency
+from camphoryard.state.configuration import Configuration
+from camphoryard.state.enums import Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.tables import ConfigurationHolder
+
+LIMIT_S = 0.05
+LONG_AGO_S = 1000.0
+NODES = {"a", "b", "c", "d", "e"}
+
+
+@pytest.fixture
+def holder():
+    """Return a holder with generation 3 in force, not yet confirmed."""
+    holder = ConfigurationHolder(stale_after_s=60.0)
+    holder.adopt(Configuration(3))
+    return holder
+
+
+@pytest.fixture
+def currency(holder):
+    """Return the currency of node a among five."""
+    return Currency("a", holder, lambda: NODES, LIMIT_S)
+
+
+class TestConfirm:
+    """Confirmations by nodes."""
+
+    def test_more_than_half_confirm(self, currency, holder):
+        """Two others of five make a majority with this node."""
+        for node in ("b", "c"):
+            currency.heard(node, time.monotonic(), 3)
+        currency.confirm_among_nodes()
+        assert holder.is_current()
+
+    def test_half_does_not_confirm(self, currency, holder):
+        """One other of five is too few."""
+        currency.heard("b", time.monotonic(), 3)
+        currency.confirm_among_nodes()
+        assert not holder.is_current()
+
+    def test_node_with_newer_generation_does_not_confirm(self, currency, holder):
+        """A node that has a newer configuration speaks against ours."""
+        for node in ("b", "c"):
+            currency.heard(node, time.monotonic(), 4)
+        currency.confirm_among_nodes()
+        assert not holder.is_current()
+
+    def test_old_word_does_not_confirm(self, currency, holder):
+        """What was true long ago confirms nothing now."""
+        for node in ("b", "c"):
+            currency.heard(node, time.monotonic() - LONG_AGO_S, 3)
+        currency.confirm_among_nodes()
+        assert not holder.is_current()
+
+    def test_no_configuration_is_not_confirmed_by_nodes(self):
+        """A node that never had one cannot take it as accepted to have none."""
+        holder = ConfigurationHolder(stale_after_s=60.0)
+        Currency("a", holder, lambda: {"a"}, LIMIT_S).confirm_among_nodes()
+        assert not holder.is_current()
+
+
+class TestRequireMajority:
+    """Whether a change may be accepted."""
+
+    def test_refused_without_a_majority(self, currency):
+        """The refusal names the nodes that were not heard."""
+        currency.heard("b", time.monotonic() + LONG_AGO_S, 3)
+        with pytest.raises(RefusalError, match="c, d, e") as caught:
+            currency.require_majority(NODES)
+        assert caught.value.reason is Reason.UNHEARD_NODES
+
+    def test_allowed_with_a_majority(self, currency):
+        """More than half is enough."""
+        for node in ("b", "c"):
+            currency.heard(node, time.monotonic() + LONG_AGO_S, 3)
+        currency.require_majority(NODES)
