Add random fault runs and scripted scenarios

Cause: what must always hold is to be proved by history checking and scripted scenarios over the real processes. Before: no fault run. The killed engine's answer is not resumed: a wish to load is dropped while the earlier one is being answered.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: test demo setup format bench
+.PHONY: test demo setup format bench faults
 
 setup: $(VENV)/.ready
 
@@ -22,6 +22,12 @@
 demo: setup
 	$(BIN)/python -m standins.demo
 
+SEED ?= 0
+MINUTES ?= 1
+
+faults: setup
+	$(BIN)/python -m faults --seed $(SEED) --minutes $(MINUTES)
+
 format: setup
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from http.client import HTTPConnection
+from pathlib import Path
 from queue import SimpleQueue
 from typing import Any
 from urllib.parse import quote
@@ -75,6 +76,7 @@
     load_s: float
     weight_store_port: int
     report_lag_s: float
+    journal: Path | None = None
     resident_mb_by_item: dict[str, int] = field(default_factory=dict)
     loading_mb_by_item: dict[str, int] = field(default_factory=dict)
     unloading: set[str] = field(default_factory=set)
@@ -175,6 +177,7 @@
         self.peak_mb = max(self.peak_mb, taken_mb)
         if taken_mb > self.memory_mb:
             self.overcommits += 1
+            self._note({"overcommit_mb": taken_mb, "at_s": time.time()})
 
     def _load(self, item: str) -> None:
         if self.weight_store_port:
@@ -204,7 +207,7 @@
             for item in needed:
                 if item not in self.resident_mb_by_item or item in self.unloading:
                     return answer({"error": f"{item} is not resident"}, 404)
-            self.log.append(
+            self._note(
                 {
                     "request_id": body["request_id"],
                     "offset": body["resume_from"],
@@ -230,6 +233,13 @@
             200, _Stream(self, running), {"Content-Type": "text/event-stream"}
         )
 
+    def _note(self, entry: dict[str, Any]) -> None:
+        """Log an entry, in the journal too, which outlives a kill."""
+        self.log.append(entry)
+        if self.journal is not None:
+            with self.journal.open("ab") as stream:
+                stream.write(msgspec.json.encode(entry) + b"\n")
+
     def cancel(self, running: Running) -> None:
         """Take a request out of the batch."""
         with self.lock:
@@ -308,6 +318,7 @@
     load_s: float = 0.5,
     weight_store_port: int = 0,
     report_lag_s: float = 0.5,
+    journal: Path | None = None,
 ) -> None:
     """Run one engine."""
     engine = Engine(
@@ -318,6 +329,7 @@
         load_s,
         weight_store_port,
         report_lag_s,
+        journal,
     )
     threading.Thread(target=engine.step_forever, daemon=True).start()
     run(engine.handle, host, port)
