Measure what a daemon adds to a stream

Ruled out: timing inside the daemon (misses the HTTP server and the sockets); one thread a stream in the generator.

The engine stand-in serves by push_server: its step thread writes each token itself, on a schedule that does not drift.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: test demo setup format bench
+.PHONY: test demo setup format bench bench-relay
 
 setup: $(VENV)/.ready
 
@@ -25,3 +25,6 @@
 format: setup
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+bench-relay: setup
+	$(BIN)/python -m bench.relay
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,194 @@
+"""Open-loop load on HTTP servers, played by processes of its own.
+
+Each worker process plays its share of the arrivals at their times, however
+slow the answers are, and notes when each token came.
+"""
+
+import asyncio
+import time
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from multiprocessing import get_context
+
+START_DELAY_S = 1.0
+TOKEN_MARK = b"data: {"
+END_MARK = b"data: [DONE]"
+ERROR_MARK = b"event: error"
+HEAD_END = b"\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request: when it is sent, after the start, where and what."""
+
+    at_s: float
+    port: int
+    body: bytes
+    token: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+    limit_s: float = 60.0
+    path: str = "/v1/completions"
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What came back; times are seconds after the request was due."""
+
+    status: int = 0
+    token_times_s: list[float] = field(default_factory=list)
+    whole: bool = False
+    error: bytes = b""
+    last_bytes: bytes = b""
+
+
+class _Call(asyncio.Protocol):
+    """One request over a connection that is kept for later ones."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.closed = False
+        self._started_s = 0.0
+        self._outcome = Outcome()
+        self._done: asyncio.Future[None] | None = None
+        self._seen = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    async def exchange(self, arrival: Arrival, started_s: float) -> Outcome:
+        """Send the request and return what came until its limit."""
+        assert self.transport is not None
+        self._started_s = started_s
+        self._outcome = outcome = Outcome()
+        self._done = asyncio.get_running_loop().create_future()
+        self._seen = b""
+        self.transport.write(_encode(arrival))
+        left_s = started_s + arrival.limit_s - time.monotonic()
+        try:
+            await asyncio.wait_for(self._done, max(left_s, 0.001))
+        except TimeoutError:
+            self.transport.abort()
+            self.closed = True
+        return outcome
+
+    def data_received(self, data: bytes) -> None:
+        outcome = self._outcome
+        if not outcome.status:
+            self._seen += data
+            if HEAD_END not in self._seen:
+                return
+            outcome.status = int(self._seen.split(b" ", 2)[1])
+            data = self._seen.partition(HEAD_END)[2]
+            self._seen = b""
+        now_s = time.monotonic() - self._started_s
+        if outcome.status != 200:
+            outcome.error += data
+            if data:
+                self._finish()
+            return
+        count = data.count(TOKEN_MARK)
+        if ERROR_MARK in data:
+            outcome.error = data
+            count -= 1
+        outcome.token_times_s.extend([now_s] * count)
+        # The end may be split over two reads.
+        tail = self._seen + data
+        self._seen = tail[-len(END_MARK) - 8 :]
+        if END_MARK in tail:
+            outcome.whole = not outcome.error
+        if tail.endswith(b"0\r\n\r\n"):
+            self._finish()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        self._finish()
+
+    def _finish(self) -> None:
+        if self._done is not None and not self._done.done():
+            self._done.set_result(None)
+
+
+def _encode(arrival: Arrival) -> bytes:
+    head = [
+        f"POST {arrival.path} HTTP/1.1",
+        "Host: 127.0.0.1",
+        "Content-Type: application/json",
+        f"Content-Length: {len(arrival.body)}",
+    ]
+    if arrival.token:
+        head.append(f"Authorization: Bearer {arrival.token}")
+    head.extend(f"{name}: {value}" for name, value in arrival.headers)
+    return "\r\n".join(head).encode() + HEAD_END + arrival.body
+
+
+class _Player:
+    """Plays arrivals in one event loop, keeping idle connections."""
+
+    def __init__(self) -> None:
+        self._idle_by_port: dict[int, list[_Call]] = {}
+
+    async def play(self, arrivals: Sequence[Arrival], start_s: float) -> list[Outcome]:
+        """Return the outcomes in the order of ``arrivals``."""
+        tasks = [
+            asyncio.create_task(self._run(arrival, start_s + arrival.at_s))
+            for arrival in arrivals
+        ]
+        return list(await asyncio.gather(*tasks))
+
+    async def _run(self, arrival: Arrival, due_s: float) -> Outcome:
+        await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+        try:
+            call = await self._connection(arrival.port)
+        except OSError:
+            return Outcome()
+        outcome = await call.exchange(arrival, due_s)
+        if not call.closed:
+            self._idle_by_port.setdefault(arrival.port, []).append(call)
+        return outcome
+
+    async def _connection(self, port: int) -> _Call:
+        idle = self._idle_by_port.get(port, [])
+        while idle:
+            call = idle.pop()
+            if not call.closed:
+                return call
+        loop = asyncio.get_running_loop()
+        _, call = await loop.create_connection(_Call, "127.0.0.1", port)
+        return call
+
+
+def _work(arrivals: Sequence[Arrival], start_s: float) -> list[Outcome]:
+    return asyncio.run(_Player().play(arrivals, start_s))
+
+
+def play(
+    arrivals: Sequence[Arrival],
+    processes: int = 2,
+    start_s: float | None = None,
+) -> list[Outcome]:
+    """Play the arrivals, dealt over ``processes``, and return their outcomes.
+
+    Parameters
+    ----------
+    arrivals : sequence of Arrival
+    processes : int
+    start_s : float, optional
+        Monotonic time that the arrivals count from; soon, by default.
+
+    Returns
+    -------
+    list of Outcome
+        In the order of ``arrivals``.
+    """
+    if start_s is None:
+        start_s = time.monotonic() + START_DELAY_S
+    outcomes: list[Outcome] = [Outcome()] * len(arrivals)
+    context = get_context("spawn")
+    with ProcessPoolExecutor(processes, mp_context=context) as executor:
+        shares = [arrivals[index::processes] for index in range(processes)]
+        tasks = [executor.submit(_work, share, start_s) for share in shares]
+        for index, task in enumerate(tasks):
+            outcomes[index::processes] = task.result()
+    return outcomes
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -9,20 +9,20 @@
 import os
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from http.client import HTTPConnection
-from queue import SimpleQueue
 from typing import Any
 from urllib.parse import quote
 
 import msgspec
 import typer
 
-from standins.web import Answered, Asked, answer, run
+from standins.push_server import LAST_CHUNK, as_chunk, serve_pushed
+from standins.web import Answered, Asked, answer
 
-END = b"data: [DONE]\n\n"
+END = as_chunk(b"data: [DONE]\n\n") + LAST_CHUNK
 
 
 def token(prompt: str, offset: int) -> str:
@@ -47,9 +47,18 @@
     max_tokens: int
     priority: int
     arrived: int
-    events: SimpleQueue[bytes | None] = field(default_factory=SimpleQueue)
+    write: Callable[[bytes], None] | None = None
     cancelled: bool = False
 
+    def push(self, data: bytes) -> None:
+        """Send bytes; a caller that left cancels the request."""
+        if self.write is None:
+            return
+        try:
+            self.write(data)
+        except OSError:
+            self.cancelled = True
+
 
 @dataclass(slots=True)
 class Faults:
@@ -219,36 +228,53 @@
                 body["priority"],
                 self.arrivals,
             )
-            self.waiting.append(running)
-            self.lock.notify()
         return Answered(
-            200, _Stream(self, running), {"Content-Type": "text/event-stream"}
+            200,
+            headers={"Content-Type": "text/event-stream"},
+            pushed=_Stream(self, running),
         )
 
+    def enter(self, running: Running) -> None:
+        """Let a request wait for its place in the batch."""
+        with self.lock:
+            self.waiting.append(running)
+            self.lock.notify()
+
     def cancel(self, running: Running) -> None:
         """Take a request out of the batch."""
         with self.lock:
             running.cancelled = True
 
     def step_forever(self) -> None:
-        """Generate a token for each request of the batch, step by step."""
+        """Generate a token for each request of the batch, step by step.
+
+        Steps keep to a schedule, so that a late one makes no later one late.
+        """
+        due_s = time.monotonic()
         while True:
             with self.lock:
                 self._admit()
                 while not self.batch:
                     self.lock.wait()
                     self._admit()
-            started_s = time.monotonic()
+            time.sleep(max(0.0, due_s - time.monotonic()))
+            now_s = time.monotonic()
+            if now_s - due_s > self.step_s:
+                due_s = now_s
+            due_s += self.step_s
             with self.lock:
-                for running in self.batch:
-                    self._step(running)
-                self.batch = [
-                    item
-                    for item in self.batch
-                    if not item.cancelled and item.offset <= item.max_tokens
-                ]
-                self._finish_unloads()
-            time.sleep(max(0.0, self.step_s - (time.monotonic() - started_s)))
+                self._admit()
+                self._step_all()
+
+    def _step_all(self) -> None:
+        for running in self.batch:
+            self._step(running)
+        self.batch = [
+            item
+            for item in self.batch
+            if not item.cancelled and item.offset <= item.max_tokens
+        ]
+        self._finish_unloads()
 
     def _admit(self) -> None:
         self.waiting = [item for item in self.waiting if not item.cancelled]
@@ -260,7 +286,7 @@
     def _step(self, running: Running) -> None:
         if self.faults.break_streams:
             running.cancelled = True
-            running.events.put(None)
+            running.push(LAST_CHUNK)
             return
         event: dict[str, Any] = {
             "request_id": running.request_id,
@@ -270,10 +296,10 @@
             event["text"] = token(running.prompt, running.offset)
         else:
             event["finished"] = True
-        running.events.put(b"data: " + msgspec.json.encode(event) + b"\n\n")
+        chunk = as_chunk(b"data: " + msgspec.json.encode(event) + b"\n\n")
         if running.offset == running.max_tokens:
-            running.events.put(END)
-            running.events.put(None)
+            chunk += END
+        running.push(chunk)
         running.offset += 1
 
 
@@ -284,9 +310,10 @@
         self._engine = engine
         self._running = running
 
-    def __iter__(self) -> Iterator[bytes]:
-        while (event := self._running.events.get()) is not None:
-            yield event
+    def attach(self, write: Callable[[bytes], None]) -> None:
+        """Begin to generate."""
+        self._running.write = write
+        self._engine.enter(self._running)
 
     def close(self) -> None:
         """Cancel what is left."""
@@ -315,7 +342,7 @@
         report_lag_s,
     )
     threading.Thread(target=engine.step_forever, daemon=True).start()
-    run(engine.handle, host, port)
+    serve_pushed(engine.handle, host, port)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/standins/push_server.py
@@ -0,0 +1,86 @@
+"""An HTTP server whose streams are pushed by whoever produces them.
+
+One thread for each connection reads requests. The producer of a stream writes
+each event itself, in one call of the socket, so that hundreds of streams need
+no thread switch for each token.
+"""
+
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+from standins.web import Answered, Asked
+
+LISTEN_BACKLOG = 1024
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def as_chunk(data: bytes) -> bytes:
+    """Return ``data`` as one chunk of a chunked body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class _Server(ThreadingHTTPServer):
+    request_queue_size = LISTEN_BACKLOG
+    daemon_threads = True
+
+
+def serve_pushed(handler: Callable[[Asked], Answered], host: str, port: int) -> None:
+    """Serve ``handler`` until the process ends."""
+
+    class Connection(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+        disable_nagle_algorithm = True
+        wbufsize = -1
+
+        def do_GET(self) -> None:
+            """Answer a GET."""
+            self._respond()
+
+        def do_POST(self) -> None:
+            """Answer a POST."""
+            self._respond()
+
+        def log_message(self, format: str, *arguments: Any) -> None:
+            """Log nothing."""
+
+        def _respond(self) -> None:
+            asked = self._asked()
+            answered = Answered() if asked.path == "/livez" else handler(asked)
+            self.send_response_only(answered.status)
+            for name, value in answered.headers.items():
+                self.send_header(name, value)
+            if answered.pushed is None:
+                self._send_whole(b"".join(answered.body))
+            else:
+                self._send_pushed(answered.pushed)
+
+        def _asked(self) -> Asked:
+            parts = urlsplit(self.path)
+            length = int(self.headers.get("Content-Length") or 0)
+            return Asked(
+                self.command,
+                parts.path,
+                dict(parse_qsl(parts.query)),
+                dict(self.headers.items()),
+                self.rfile.read(length) if length else b"",
+            )
+
+        def _send_whole(self, body: bytes) -> None:
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def _send_pushed(self, pushed: Any) -> None:
+            self.send_header("Transfer-Encoding", "chunked")
+            self.end_headers()
+            self.wfile.flush()
+            pushed.attach(self.connection.sendall)
+            # The caller sends nothing more until the stream has ended, unless
+            # it goes away.
+            if not self.rfile.peek(1):  # type: ignore[attr-defined]
+                self.close_connection = True
+            pushed.close()
+
+    _Server((host, port), Connection).serve_forever()
--- a/standins/web.py
+++ b/standins/web.py
@@ -5,7 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import parse_qsl
 
 import msgspec
@@ -38,6 +38,17 @@
     status: int = 200
     body: Iterable[bytes] = (b"{}",)
     headers: Mapping[str, str] = field(default_factory=dict)
+    pushed: "Pushed | None" = None
+
+
+class Pushed(Protocol):
+    """A stream whose producer writes each chunk itself."""
+
+    def attach(self, write: Callable[[bytes], None]) -> None:
+        """Begin; ``write`` sends bytes and raises OSError if the caller left."""
+
+    def close(self) -> None:
+        """Let go of the stream, at its end or because the caller left."""
 
 
 def answer(value: Any, status: int = 200) -> Answered:
