--- a/standins/web.py
+++ b/standins/web.py
@@ -5,13 +5,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import parse_qsl
 
 import msgspec
 
-from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.transport.http_server import CANCELLATION, serve
+from camphoryard.transport.http_server import serve
 
 THREADS = 600
 
@@ -25,7 +24,6 @@
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
-    cancellation: Cancellation
 
     def json(self) -> Any:
         """Return the decoded body."""
@@ -39,6 +37,17 @@
     status: int = 200
     body: Iterable[bytes] = (b"{}",)
     headers: Mapping[str, str] = field(default_factory=dict)
+    pushed: "Pushed | None" = None
+
+
+class Pushed(Protocol):
+    """A stream whose producer writes each chunk itself."""
+
+    def attach(self, write: Callable[[bytes], None]) -> None:
+        """Begin; ``write`` sends bytes and raises OSError if the caller left."""
+
+    def close(self) -> None:
+        """Let go of the stream, at its end or because the caller left."""
 
 
 def answer(value: Any, status: int = 200) -> Answered:
@@ -104,5 +113,4 @@
         dict(parse_qsl(environ.get("QUERY_STRING", ""))),
         headers,
         environ["wsgi.input"].read(length) if length else b"",
-        environ[CANCELLATION],
     )
