--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: test demo setup format bench faults
+.PHONY: test demo setup format bench bench-relay faults
 
 setup: $(VENV)/.ready
 
@@ -31,3 +31,6 @@
 format: setup
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+bench-relay: setup
+	$(BIN)/python -m bench.relay
--- a/src/camphoryard/coordination/ports.py
+++ b/src/camphoryard/coordination/ports.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
+from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.messages import Message, Reply
 from camphoryard.state.configuration import Configuration, Endpoint
 from camphoryard.state.enums import OrderKind, OrderOutcome, VmState
@@ -17,6 +18,7 @@
     Version,
     VmId,
 )
+from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.requests import (
     ActionAnswer,
     ActionRequest,
@@ -80,13 +82,22 @@
 
 
 class ContentStore(Protocol):
-    """Immutable parts of configurations, keyed by their content."""
+    """Parts of configurations; a key is written once, by one writer.
 
-    def put(self, part: Configuration) -> str:
-        """Write a part unless it is there; return its content id."""
+    All methods raise StoreUnavailableError if the object API does not answer.
+    """
 
-    def get(self, content_id: str) -> Configuration:
-        """Return a part; raises StoreUnavailableError."""
+    def put(self, key: ObjectKey, part: Configuration) -> None:
+        """Write a part; raises ObjectTooLargeError if it is too large."""
+
+    def get(self, key: ObjectKey) -> Configuration:
+        """Return a part; one that is gone counts as not answered."""
+
+    def delete(self, key: ObjectKey) -> None:
+        """Delete a part, whether it is there or not."""
+
+    def keys(self) -> tuple[ObjectKey, ...]:
+        """Return the keys of all parts."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,13 +121,21 @@
     running: int
     waiting: int
     leaving: bool = False
+    slots: int = 0
+
+
+def load_report(inventory: Inventory) -> LoadReport:
+    """Return what the inventory says about load."""
+    return LoadReport(
+        inventory.running, inventory.waiting, inventory.slots, inventory.leaving
+    )
 
 
 class TokenStream(Protocol):
     """An open stream of an engine; closing it early cancels the request."""
 
     def __iter__(self) -> Iterator[TokenFrame]:
-        """Yield frames as they arrive; raises BrokenCallError."""
+        """Yield frames as they arrive; raises as ``generate``."""
 
     def close(self) -> None:
         """Let go of the stream."""
@@ -126,9 +145,13 @@
     """Model engines."""
 
     def generate(
-        self, endpoint: Endpoint, request: InferenceRequest, offset: int
+        self,
+        endpoint: Endpoint,
+        request: InferenceRequest,
+        offset: int,
+        cancellation: Cancellation,
     ) -> TokenStream:
-        """Open a stream from token ``offset`` on.
+        """Open a stream from token ``offset`` on; cancelling breaks it off.
 
         Raises
         ------
@@ -136,6 +159,8 @@
             If no byte reached the engine.
         EndpointRefusedError
             If the engine will not run it.
+        StalledCallError
+            If the engine said nothing for too long.
         BrokenCallError
             If the call broke on the way.
         """
