Be ready only once a configuration is in force

Cause: a scenario that replaces all nodes got 503 stale_configuration from a node whose /readyz said 200: the node entered SERVING before its first listing. Ruled out: waiting in the test (the balancer would see the same lie). Change: /readyz is 200 only with a configuration in force; fleets apply first.

--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -50,6 +50,12 @@
         """What this node is doing."""
         return self._state
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers are served: not before a configuration is in force."""
+        known = self._parts.configuration.current.generation > 0
+        return known and self._state is NodeState.SERVING
+
     @property
     def in_flight(self) -> int:
         """Requests under way."""
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qsl
 
 from camphoryard.coordination.serving import FrontDoor
-from camphoryard.state.enums import NodeState, Reason
+from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import CallerId
 from camphoryard.state.verdict import Verdict
@@ -91,9 +91,10 @@
             case "/livez":
                 return HttpResponse(200, [b"ok\n"], content_type=TEXT)
             case "/readyz":
-                ready = self.door.state is NodeState.SERVING
                 text = self.door.state.value.encode() + b"\n"
-                return HttpResponse(200 if ready else 503, [text], content_type=TEXT)
+                return HttpResponse(
+                    200 if self.door.is_ready else 503, [text], content_type=TEXT
+                )
             case "/metrics":
                 text = self.metrics.text().encode()
                 return HttpResponse(200, [text], content_type=TEXT)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -52,7 +52,7 @@
     fleet.wait_ready(tuple(fleet.process_by_name))
     for index, name in enumerate(NODES):
         fleet.start_node(name, f"zone-{'abc'[index]}")
-    fleet.wait_ready(NODES, "/readyz")
+    fleet.wait_ready(NODES)
     return "all up"
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -159,8 +159,9 @@
         name = f"node-{index + 1}"
         fleet.start_node(name, f"zone-{'abcd'[index % 4]}", spec.node_settings)
         site.nodes.append(name)
-    fleet.wait_ready(site.nodes, "/readyz")
+    fleet.wait_ready(site.nodes)
     site.wait_in_force(site.apply(site.nodes[0], configuration(site)))
+    fleet.wait_ready(site.nodes, "/readyz")
     return site
 
 
