--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qsl
 
 from camphoryard.coordination.serving import FrontDoor
-from camphoryard.state.enums import NodeState, Reason
+from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import CallerId
 from camphoryard.state.verdict import Verdict
@@ -92,7 +92,7 @@
                 return HttpResponse(200, [b"ok\n"], content_type=TEXT)
             case "/readyz":
                 current = self.operator.configuration.is_current()
-                ready = self.door.state is NodeState.SERVING and current
+                ready = self.door.is_ready and current
                 state = self.door.state.value + ("" if current else ", stale")
                 text = f"{state}\n".encode()
                 return HttpResponse(200 if ready else 503, [text], content_type=TEXT)
