Tell why a start fails; secrets in files; tests of strangers, the tool and risks

Cause: a port in use ended in a traceback, secrets stood in the printed form of settings, nothing tried the doors with wrong keys and tokens.

--- a/src/camphoryard/coordination/gossip.py
+++ b/src/camphoryard/coordination/gossip.py
@@ -41,7 +41,7 @@
 
     fan_out: int = 2
     neighbours: int = 8
-    digests: int = 20
+    digests: int = 12
 
 
 GossipPolicy: TypeAlias = AllToAll | BoundedFanOut
--- a/src/camphoryard/coordination/watching.py
+++ b/src/camphoryard/coordination/watching.py
@@ -23,7 +23,8 @@
     """Hands every change below a prefix to ``take``, listing first.
 
     ``answered`` is given the monotonic time before each call that brought all
-    changes; while ``elected`` does not hold, another node follows for this one.
+    changes, ``answering`` is told when the object API begins or ceases to
+    answer; while ``elected`` does not hold, another node follows for this one.
     """
 
     def __init__(
@@ -33,12 +34,15 @@
         answered: Callable[[float], None] = lambda asked_s: None,
         elected: Callable[[], bool] = lambda: True,
         wait_s: float = WATCH_WAIT_S,
+        answering: Callable[[bool], None] = lambda answers: None,
     ) -> None:
         self._records = records
         self._take = take
         self._answered = answered
         self._elected = elected
         self._wait_s = wait_s
+        self._answering = answering
+        self._answers: bool | None = None
 
     def run(self, timer: Timer) -> None:
         """Follow until the timer service closes; each tick is a new attempt."""
@@ -48,8 +52,10 @@
                 continue
             try:
                 self._follow()
-            except (StoreUnavailableError, ConflictError):
+            except ConflictError:
                 continue
+            except StoreUnavailableError:
+                self._note(False)
 
     def list_once(self) -> Snapshot[RecordT]:
         """Take in all records; raises StoreUnavailableError."""
@@ -57,9 +63,15 @@
         snapshot = self._records.list()
         for item in snapshot.items:
             self._take(item)
+        self._note(True)
         self._answered(asked_s)
         return snapshot
 
+    def _note(self, answers: bool) -> None:
+        if answers is not self._answers:
+            self._answers = answers
+            self._answering(answers)
+
     def _follow(self) -> None:
         revision = self.list_once().revision
         while self._elected():
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -18,12 +18,14 @@
 from camphoryard.node import Node, make_node
 from camphoryard.settings import SettingsError, read_settings
 from camphoryard.state.enums import NodeState
+from camphoryard.state.errors import ListenError
 from camphoryard.state.ids import EndpointId
 from camphoryard.transport.http_server import HttpServer, serve
 
 SUPERVISE_PERIOD_S = 0.5
 DRAIN_LIMIT_S = 60.0
 EXIT_SETTINGS = 2
+EXIT_NOT_BOUND = 3
 
 log = structlog.get_logger()
 
@@ -95,6 +97,12 @@
     server.wait_flushed(limit_s)
     node.shared.timer.close()
     node.leases.release()
+    close(node)
+
+
+def close(node: Node) -> None:
+    """End every task of the node."""
+    node.shared.timer.close()
     node.shared.client.close()
     node.shared.peers.close()
     executors = node.shared.executors
@@ -124,13 +132,21 @@
     )
 
 
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
 def command(
     settings: Annotated[Path, typer.Option(help="TOML settings file.")],
     check: Annotated[
         bool, typer.Option("--check", help="Check the settings and exit.")
     ] = False,
 ) -> None:
-    """Run one node. Exit codes: 0 stopped or settings fine, 2 settings bad."""
+    """Run one node.
+
+    Exit codes: 0 stopped or settings fine, 2 settings bad, 3 a port cannot be
+    bound.
+    """
     try:
         checked = read_settings(settings)
     except SettingsError as error:
@@ -143,12 +159,17 @@
     node = make_node(checked)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: node.shared.stop.set())
-    run_node(node)
+    try:
+        run_node(node)
+    except ListenError as error:
+        typer.echo(f"camphoryardd: {error}", err=True)
+        close(node)
+        raise typer.Exit(EXIT_NOT_BOUND) from error
 
 
 def main() -> None:
     """Entry point of ``camphoryardd``."""
-    typer.run(command)
+    app()
 
 
 if __name__ == "__main__":
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -110,6 +110,7 @@
 LOAD_TASKS = 64
 NODE_TASKS = 16
 CONFIRMATIONS_PER_LIMIT = 4
+INCARNATION_CHARACTERS = 16
 
 log = structlog.get_logger()
 
@@ -306,7 +307,9 @@
 
 def make_shared(settings: Settings) -> Shared:
     """Return the shared parts; only the timer runs yet."""
-    identity = Identity(settings.node.id, Incarnation(uuid4().hex))
+    identity = Identity(
+        settings.node.id, Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
+    )
     executors = make_executors()
     client = HttpClient()
     clock = HybridClock()
@@ -528,6 +531,10 @@
     own = shared.settings.node
     confirm_s = settings.stale_after_s / CONFIRMATIONS_PER_LIMIT
 
+    def answering(answers: bool) -> None:
+        name = "object_api_answers" if answers else "object_api_silent"
+        shared.timeline.record(name)
+
     def elected() -> bool:
         if not settings.watchers_per_zone:
             return True
@@ -542,6 +549,7 @@
         currency.store_confirmed,
         elected,
         min(WATCH_WAIT_S, confirm_s),
+        answering,
     )
 
 
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -1,5 +1,6 @@
 """The daemon's settings, read from a TOML file and checked."""
 
+import re
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -7,10 +8,12 @@
 from typing import Literal
 
 from camphoryard.protocol.strict import FieldError, convert_strict
+from camphoryard.secret_files import read_secret_files
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import CallerId, NodeId, Zone
 
 CURVE_KEY_CHARACTERS = 40
+Z85 = re.compile(r"[0-9a-zA-Z.:+=^!/*?&<>()\[\]{}@%$#-]*")
 MAX_PORT = 65_535
 
 
@@ -66,7 +69,7 @@
     gossip_period_s: float = 1.0
     fan_out: int = 2
     neighbours: int = 8
-    digests: int = 20
+    digests: int = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +144,7 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: not TOML: {error}") from error
     try:
+        read_secret_files(raw, path.parent)
         settings = convert_strict(raw, Settings)
         _check(settings)
     except FieldError as error:
@@ -158,9 +162,16 @@
     _check_key("peers.secret_key", settings.peers.secret_key)
     if settings.peers.lease_s <= 0:
         raise FieldError("peers.lease_s", "expected a number of seconds above 0")
+    for index, key in enumerate(settings.peers.accepted_public_keys):
+        _check_key(f"peers.accepted_public_keys[{index}]", key)
     for index, seed in enumerate(settings.peers.seeds):
         _check_port(f"peers.seeds[{index}].port", seed.port)
         _check_key(f"peers.seeds[{index}].public_key", seed.public_key)
+    for name in ("fan_out", "neighbours", "digests"):
+        if getattr(settings.peers, name) < 1:
+            raise FieldError(f"peers.{name}", "expected a number above 0")
+    if settings.configuration.watchers_per_zone < 0:
+        raise FieldError("configuration.watchers_per_zone", "expected 0 or more")
     if settings.peers.gossip_period_s <= 0:
         raise FieldError("peers.gossip_period_s", "expected seconds above 0")
     if settings.configuration.stale_after_s <= 0:
@@ -177,7 +188,7 @@
 
 
 def _check_key(name: str, key: str) -> None:
-    if len(key) != CURVE_KEY_CHARACTERS:
+    if len(key) != CURVE_KEY_CHARACTERS or not Z85.fullmatch(key):
         raise FieldError(
             name,
             f"expected a CURVE key of {CURVE_KEY_CHARACTERS} Z85 characters;"
--- a/src/camphoryard/state/errors.py
+++ b/src/camphoryard/state/errors.py
@@ -94,3 +94,7 @@
 
 class PeerUnreachableError(CamphoryardError):
     """A peer gave no reply in time."""
+
+
+class ListenError(CamphoryardError):
+    """A port cannot be bound; the message says what to do."""
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -14,6 +14,7 @@
 from waitress.task import WSGITask
 
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.state.errors import ListenError
 
 MAX_BODY_BYTES = 1 << 20
 MAX_READ_BYTES = 64 << 20
@@ -132,7 +133,13 @@
 
 
 def serve(app: Any, host: str, port: int, executor: Executor) -> HttpServer:
-    """Return a waitress server that is bound; its ``run`` blocks."""
+    """Return a waitress server that is bound; its ``run`` blocks.
+
+    Raises
+    ------
+    ListenError
+        If the port cannot be bound.
+    """
     logging.getLogger("waitress").setLevel(logging.ERROR)
     adjustments = Adjustments(
         host=host,
@@ -146,13 +153,19 @@
         channel_request_lookahead=1,
         ident=None,
     )
-    server = HttpServer(
-        app,
-        {},
-        True,
-        None,
-        dispatcher=ExecutorDispatcher(executor),
-        adj=adjustments,
-        sockinfo=adjustments.listen[0],
-    )
+    try:
+        server = HttpServer(
+            app,
+            {},
+            True,
+            None,
+            dispatcher=ExecutorDispatcher(executor),
+            adj=adjustments,
+            sockinfo=adjustments.listen[0],
+        )
+    except OSError as error:
+        raise ListenError(
+            f"node.http_port: {host}:{port} cannot be bound ({error.strerror});"
+            " end what uses it, or set another port and host of this VM"
+        ) from error
     return server
--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -25,7 +25,7 @@
     decode_envelope,
     encode_envelope,
 )
-from camphoryard.state.errors import PeerUnreachableError
+from camphoryard.state.errors import ListenError, PeerUnreachableError
 from camphoryard.state.ids import NodeId, RequestId
 from camphoryard.state.nodes import NodeLease
 from camphoryard.state.timeline import HybridClock, Stamp
@@ -62,6 +62,14 @@
 _ADDRESSED = msgspec.msgpack.Decoder(AddressedFrame)
 
 
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """Frames sent since the start."""
+
+    sent_messages: int
+    sent_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class _Peer:
     lease: NodeLease
@@ -102,9 +110,17 @@
         self._reply_by_id: dict[RequestId, Future[Reply]] = {}
         self._authenticator = ThreadAuthenticator(self._context)
         self._closed = False
+        self._sent_messages = 0
+        self._sent_bytes = 0
 
     def listen(self, host: str, port: int, handle: Handler) -> None:
-        """Bind and receive in a task of its own until closed."""
+        """Bind and receive in a task of its own until closed.
+
+        Raises
+        ------
+        ListenError
+            If the port cannot be bound.
+        """
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
             credentials_provider=_AcceptedKeys(self._keys.accepted)
@@ -114,7 +130,14 @@
         socket.curve_secretkey = self._keys.secret
         socket.curve_publickey = self._keys.public
         socket.linger = 0
-        socket.bind(f"tcp://{host}:{port}")
+        try:
+            socket.bind(f"tcp://{host}:{port}")
+        except zmq.ZMQError as error:
+            socket.close()
+            raise ListenError(
+                f"node.peer_port: {host}:{port} cannot be bound ({error});"
+                " end what uses it, or set another port and host of this VM"
+            ) from error
         self._tasks.submit(self._receive, socket, handle)
 
     def know(self, lease: NodeLease) -> None:
@@ -168,6 +191,12 @@
         with self._lock:
             return tuple(self._peer_by_id)
 
+    @property
+    def traffic(self) -> Traffic:
+        """What this node has sent to its peers."""
+        with self._lock:
+            return Traffic(self._sent_messages, self._sent_bytes)
+
     def close(self) -> None:
         """End the tasks of all peers and the receiving one."""
         with self._lock:
@@ -184,6 +213,8 @@
         data = msgspec.msgpack.encode(frame)
         with self._lock:
             _put(self._connected(node).outbox, data)
+            self._sent_messages += 1
+            self._sent_bytes += len(data)
 
     def _connected(self, node: NodeId) -> _Peer:
         """Return the peer's task, started now if it has none."""
--- /dev/null
+++ b/tests/cli/conftest.py
@@ -0,0 +1,63 @@
+"""A daemon that answers the command-line tool from memory."""
+
+import json
+
+import pytest
+from typer.testing import CliRunner
+
+from camphoryard.cli import app, changing, connection
+from camphoryard.cli.connection import Answer, UnreachableError
+
+SERVER = "http://10.0.0.1:8000"
+
+
+class MemoryDaemon:
+    """Answers by path; an answer may be a list, taken in turn."""
+
+    def __init__(self):
+        self.answers_by_path = {}
+        self.calls = []
+
+    def send(self, server, token, call):
+        """Answer a call as ``connection.send`` would."""
+        self.calls.append(call)
+        found = self.answers_by_path[call.path]
+        if isinstance(found, list):
+            found = found.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+    def answer(self, path, body, status=200, verdict="ran"):
+        """Have a path answered with a JSON body."""
+        found = Answer(status, verdict, json.dumps(body).encode())
+        self.answers_by_path[path] = found
+        return found
+
+    def refuse(self, path, code, verdict="not run", status=409):
+        """Have a path refused."""
+        error = {"code": code, "message": "why", "verdict": verdict, "field": None}
+        return self.answer(path, {"error": error}, status, verdict)
+
+    def run(self, *arguments):
+        """Run the tool; return its result."""
+        options = ["--server", SERVER, "--token", "t"]
+        command, *rest = arguments
+        return CliRunner().invoke(app, [command, *options, *rest])
+
+
+@pytest.fixture
+def daemon(monkeypatch):
+    """Return a daemon in place of the network."""
+    found = MemoryDaemon()
+    monkeypatch.setattr(connection, "send", found.send)
+    monkeypatch.setattr(changing, "send", found.send)
+    monkeypatch.setattr(changing, "RETRY_PERIOD_S", 0.0)
+    monkeypatch.setattr(changing, "POLL_PERIOD_S", 0.0)
+    return found
+
+
+@pytest.fixture
+def unreachable():
+    """Return the error of a daemon that does not answer."""
+    return UnreachableError(f"{SERVER}: no answer (refused)")
--- a/tests/coordination/test_currency.py
+++ b/tests/coordination/test_currency.py
@@ -45,6 +45,13 @@
         currency.confirm_among_nodes()
         assert not holder.is_current()
 
+    def test_half_of_an_even_number_does_not_confirm(self, holder):
+        """Two of four are no majority: the other two may be one as well."""
+        currency = Currency("a", holder, lambda: NODES - {"e"}, LIMIT_S)
+        currency.heard("b", time.monotonic(), 3)
+        currency.confirm_among_nodes()
+        assert not holder.is_current()
+
     def test_node_with_newer_generation_does_not_confirm(self, currency, holder):
         """A node that has a newer configuration speaks against ours."""
         for node in ("b", "c"):
--- /dev/null
+++ b/tests/coordination/test_merging.py
@@ -0,0 +1,61 @@
+"""Tests of merging the time lines of all nodes."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from camphoryard.coordination.merging import merge_timelines, select_events
+from camphoryard.coordination.messages import EventsFound
+from camphoryard.coordination.timeline import Timeline
+from camphoryard.state.errors import PeerUnreachableError
+from camphoryard.state.timeline import Event, HybridClock, Stamp
+
+
+class MemoryPeers:
+    """Peers whose events are at hand; the others do not answer."""
+
+    def __init__(self, events_by_node):
+        self.events_by_node = events_by_node
+
+    def ask(self, node, message, timeout_s):
+        """Return a node's events."""
+        if node not in self.events_by_node:
+            raise PeerUnreachableError(node)
+        return EventsFound(select_events(self.events_by_node[node], message.fields))
+
+
+class TestMergeTimelines:
+    """Asking all nodes."""
+
+    def test_cause_stands_before_effect(self):
+        """What a node did after hearing another stands after it."""
+        clocks = {name: HybridClock() for name in "ab"}
+        lines = {
+            name: Timeline(name, clock, lambda event: None)
+            for name, clock in clocks.items()
+        }
+        clocks["a"].heard(Stamp(4_000_000_000_000, 0))
+        lines["a"].record("asked")
+        clocks["b"].heard(clocks["a"].now())
+        lines["b"].record("loaded")
+        clocks["a"].heard(clocks["b"].now())
+        lines["a"].record("answered")
+        peers = MemoryPeers({"b": lines["b"].events()})
+        with ThreadPoolExecutor() as executor:
+            merged = merge_timelines(lines["a"], ["b", "c"], peers, executor, {})
+        names = [event.name for event in merged.events]
+        assert names == ["asked", "loaded", "answered"]
+        assert merged.silent == ("c",)
+
+
+class TestSelectEvents:
+    """Choosing events."""
+
+    def test_all_fields_must_match(self):
+        """Fields, node and event name choose together; the last ones stay."""
+        events = [
+            Event(Stamp(index, 0), "a", "loaded", {"model": "m", "n": str(index % 2)})
+            for index in range(10)
+        ]
+        wanted = {"event": "loaded", "node": "a", "model": "m", "n": "1"}
+        found = select_events(events, wanted, limit=2)
+        assert [event.stamp.wall_ms for event in found] == [7, 9]
+        assert select_events(events, {**wanted, "model": "x"}) == ()
--- /dev/null
+++ b/tests/coordination/test_risks.py
@@ -0,0 +1,66 @@
+"""Tests of finding promises at risk."""
+
+from dataclasses import replace
+
+import pytest
+
+from camphoryard.coordination.refusals import RefusalKey
+from camphoryard.coordination.risks import NodeView, SystemView, find_risks
+from camphoryard.state.configuration import Configuration, Endpoint
+from camphoryard.state.enums import EndpointKind, NodeState, Reason, RiskKind
+
+ENGINE = Endpoint("e", EndpointKind.ENGINE, "10.0.0.1", 1, 10)
+OWN = NodeView("a", NodeState.SERVING, 4, True, False, 0.0)
+FINE = SystemView("a", Configuration(4), True, 0.5, (OWN,), {}, {}, 100)
+
+
+def kinds(view):
+    """Return kinds and subjects of the risks found."""
+    return [(risk.kind, risk.subject) for risk in find_risks(view)]
+
+
+class TestFindRisks:
+    """Each risk is found, and nothing else."""
+
+    def test_none(self):
+        """A system that is well has no risk."""
+        assert kinds(FINE) == []
+
+    @pytest.mark.parametrize("age_s", [None, 60.0])
+    def test_store_silent(self, age_s):
+        """An object API that was not heard of late is told."""
+        view = replace(FINE, store_age_s=age_s)
+        assert kinds(view) == [(RiskKind.STORE_SILENT, "object API")]
+
+    def test_stale(self):
+        """A node that refuses because of its configuration says so."""
+        view = replace(FINE, is_current=False)
+        assert kinds(view) == [(RiskKind.STALE_CONFIGURATION, "a")]
+
+    def test_nodes(self):
+        """Nodes behind and silent are told, those known to be gone are not."""
+        behind = replace(OWN, node="b", generation=3)
+        silent = replace(OWN, node="c", is_alive=False)
+        gone = replace(OWN, node="d", is_alive=False, is_gone=True)
+        view = replace(FINE, nodes=(OWN, behind, silent, gone))
+        assert kinds(view) == [
+            (RiskKind.NODE_BEHIND, "b"),
+            (RiskKind.NODE_SILENT, "c"),
+        ]
+
+    def test_engine_without_owner(self):
+        """An engine that nobody has taken over is told."""
+        view = replace(
+            FINE, configuration=Configuration(4, endpoints_by_id={"e": ENGINE})
+        )
+        assert kinds(view) == [(RiskKind.NO_OWNER, "e")]
+
+    def test_recent_refusals(self):
+        """Refusals of the last minutes are summed by reason; older ones rest."""
+        counts = {
+            RefusalKey(Reason.DEADLINE, "x", 99): 2,
+            RefusalKey(Reason.DEADLINE, "y", 100): 1,
+            RefusalKey(Reason.OVERLOADED, "x", 90): 5,
+        }
+        found = find_risks(replace(FINE, refusals_by_key=counts))
+        assert [(risk.subject, risk.detail[0]) for risk in found] == [("deadline", "3")]
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,57 @@
+"""Tests of the daemon's starts that fail."""
+
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from camphoryard.daemon import EXIT_NOT_BOUND, EXIT_SETTINGS
+from standins.fleet import HOST, Fleet, Process, free_port
+
+
+def run_daemon(*arguments):
+    """Run the daemon until it ends."""
+    return subprocess.run(
+        [sys.executable, "-m", "camphoryard.daemon", *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@pytest.fixture
+def settings(tmp_path):
+    """Return a function that writes settings with these ports."""
+    fleet = Fleet(tmp_path)
+    nobody = Process("object-api", free_port(), None, tmp_path / "none", ())
+    fleet.process_by_name["object-api"] = nobody
+
+    def write(http_port, peer_port):
+        path = tmp_path / "node.toml"
+        path.write_text(fleet.settings("node-1", "zone-a", http_port, peer_port))
+        return str(path)
+
+    return write
+
+
+class TestStart:
+    """Starts that cannot go on."""
+
+    @pytest.mark.parametrize("name", ["http_port", "peer_port"])
+    def test_port_in_use(self, settings, name):
+        """A port that another process has ends the start, naming the setting."""
+        with socket.create_server((HOST, 0)) as other:
+            ports = {"http_port": free_port(), "peer_port": free_port()}
+            ports[name] = other.getsockname()[1]
+            done = run_daemon("--settings", settings(**ports))
+        assert done.returncode == EXIT_NOT_BOUND
+        assert f"node.{name}" in done.stderr
+        assert "set another port" in done.stderr
+
+    def test_check(self, settings):
+        """Settings can be checked without a start."""
+        path = settings(free_port(), free_port())
+        assert run_daemon("--settings", path, "--check").returncode == 0
+        missing = run_daemon("--settings", f"{path}.none", "--check")
+        assert missing.returncode == EXIT_SETTINGS
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,8 +1,12 @@
 """Tests of the daemon's settings."""
 
+from dataclasses import fields
+from pathlib import Path
+from typing import get_type_hints
+
 import pytest
 
-from camphoryard.settings import SettingsError, read_settings
+from camphoryard.settings import Settings, SettingsError, read_settings
 
 GOOD = """
 [node]
@@ -68,3 +72,40 @@
         """A file that is not there is said so."""
         with pytest.raises(SettingsError, match="cannot be read"):
             read_settings(tmp_path / "none.toml")
+
+    def test_secrets_are_not_in_the_printed_form(self, write):
+        """Settings can be logged whole without telling a secret."""
+        text = GOOD.replace(f'secret_key = "{"k" * 40}"', f'secret_key = "{"s" * 40}"')
+        text = text.replace("[peers]", 'object_api_token = "secret-3"\n[peers]')
+        printed = repr(read_settings(write(text)))
+        assert "secret-2" not in printed
+        assert "secret-3" not in printed
+        assert "'secret'" not in printed
+        assert "s" * 40 not in printed
+
+    def test_secrets_in_files(self, write, tmp_path):
+        """Secrets may stand in files of their own, relative to the settings."""
+        (tmp_path / "key").write_text("s" * 40 + "\n")
+        (tmp_path / "access.toml").write_text('operator_tokens = ["from-file"]\n')
+        text = GOOD.replace(f'secret_key = "{"k" * 40}"', 'secret_key_file = "key"')
+        text = text.replace('operator_tokens = ["secret"]', 'file = "access.toml"')
+        settings = read_settings(write(text))
+        assert settings.peers.secret_key == "s" * 40
+        assert settings.access.operator_tokens == ["from-file"]
+
+    def test_secret_file_that_is_missing(self, write):
+        """A secret's file that is not there is named with its field."""
+        text = GOOD.replace(f'secret_key = "{"k" * 40}"', 'secret_key_file = "none"')
+        with pytest.raises(SettingsError, match=r"peers\.secret_key_file: none"):
+            read_settings(write(text))
+
+    def test_every_field_is_in_the_operators_reference(self):
+        """The page for operators names each field of the settings."""
+        page = (Path(__file__).parent.parent / "docs/OPERATING.md").read_text()
+        tables = get_type_hints(Settings)
+        names = [
+            f"`{table}.{item.name}`"
+            for table, kind in tables.items()
+            for item in fields(kind)
+        ]
+        assert [name for name in names if name not in page] == []
