Own each endpoint in one task; keep late loads in doubt

Cause: the owner held a lock through a whole load, so that one slow load blocked its endpoint, and handler tasks of peers too. At an engine that ignores fencing numbers, a load without an answer, or one of a paused earlier owner, could arrive after its intent was closed and overcommit the memory. A record never learned that an engine restarted, that memory was lowered, or what an engine held before its record was made.

Ruled out: time limits on a paused holder; sending a load again under the same order; freeing at the engine's answer instead of its inventory.

Change: one task for each owned endpoint reads the inventory, settles the record, plans the open wishes and sends, in this order, with one write a round. A load that is sent again or taken over stays in the record, in doubt, until it is proved that it cannot arrive. Each unload raises the fencing number. Earlier owners are asked to give up. Owners are asked to start a load, not to finish it.

Conclusion: the wait for a load no longer holds a lock or a handler.

--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -4,17 +4,18 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.messages import (
-    Declined,
     DigestWanted,
     Done,
+    GiveUp,
     Heartbeat,
+    ItemsUsed,
     LoadWanted,
     Message,
     Reply,
+    ResidencyMessage,
 )
 from camphoryard.coordination.ports import Peers, Timer
-from camphoryard.state.errors import CamphoryardError
-from camphoryard.state.ids import EndpointId, Generation, ItemId
+from camphoryard.state.ids import Generation
 from camphoryard.state.nodes import NodeDigest, NodeTable
 from camphoryard.state.timeline import HybridClock
 
@@ -29,7 +30,7 @@
     peers: Peers
     clock: HybridClock
     digest: Callable[[], NodeDigest]
-    load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
+    residency: Callable[[ResidencyMessage], Reply]
     heard_generation: Callable[[Generation], None]
 
 
@@ -49,11 +50,7 @@
             parts.nodes.heard(digest)
             parts.heard_generation(digest.generation)
             return Done()
-        case LoadWanted(endpoint, items):
-            try:
-                parts.load_here(endpoint, items)
-            except CamphoryardError as error:
-                return Declined(str(error))
-            return Done()
+        case LoadWanted() | ItemsUsed() | GiveUp():
+            return parts.residency(message)
         case DigestWanted():
             return parts.digest()
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -3,7 +3,13 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from camphoryard.state.ids import EndpointId, ItemId
+from camphoryard.state.ids import (
+    EndpointId,
+    FencingNumber,
+    Incarnation,
+    ItemId,
+    OrderId,
+)
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.timeline import Stamp
 
@@ -24,6 +30,29 @@
     items: tuple[ItemId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ItemsUsed:
+    """Tell an owner of endpoints which items the sender used of late."""
+
+    items: tuple[ItemId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Ask an earlier owner to send no more orders numbered below ``fence``."""
+
+    endpoint: EndpointId
+    incarnation: Incarnation
+    fence: FencingNumber
+
+
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """The orders are given up; those named were sent and got no answer."""
+
+    unanswered: tuple[OrderId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class DigestWanted:
     """Ask a node for its digest."""
@@ -41,5 +70,6 @@
     detail: str
 
 
-Message: TypeAlias = Heartbeat | LoadWanted | DigestWanted
-Reply: TypeAlias = Done | Declined | NodeDigest
+ResidencyMessage: TypeAlias = LoadWanted | ItemsUsed | GiveUp
+Message: TypeAlias = Heartbeat | DigestWanted | ResidencyMessage
+Reply: TypeAlias = Done | Declined | NodeDigest | GivenUp
--- a/src/camphoryard/coordination/ownership.py
+++ b/src/camphoryard/coordination/ownership.py
@@ -14,6 +14,7 @@
 from camphoryard.state.nodes import NodeLease, NodeTable
 
 RENEWALS_PER_LEASE = 4
+KEPT_ENDED = 16
 
 
 def rendezvous_owner(item: str, nodes: Sequence[NodeId]) -> NodeId:
@@ -52,17 +53,14 @@
 
     def renew(self) -> None:
         """Renew once; an outage is met by trying again at the next tick."""
-        lease = replace(self._lease, write_id=WriteId(uuid4().hex))
         try:
-            self._version = write_resolved(
-                self._records, lease.node, lease, self._version
-            )
-        except ConflictError:
-            self._reread()
-        except StoreUnavailableError:
-            return
-        else:
-            self._nodes.saw(lease, self._version)
+            try:
+                self._write()
+            except ConflictError:
+                self._reread()
+                self._write()
+        except (ConflictError, StoreUnavailableError):
+            self._nodes.still_here(self._lease.node)
 
     def enter(self, state: NodeState) -> None:
         """Say in the lease what this node is doing now."""
@@ -76,9 +74,23 @@
         except (ConflictError, StoreUnavailableError):
             return
 
+    def _write(self) -> None:
+        lease = replace(self._lease, write_id=WriteId(uuid4().hex))
+        self._version = write_resolved(self._records, lease.node, lease, self._version)
+        self._nodes.saw(lease, self._version)
+
     def _reread(self) -> None:
-        try:
-            stored = self._records.get(self._lease.node)
-        except StoreUnavailableError:
-            return
+        stored = self._records.get(self._lease.node)
         self._version = stored.version if stored else ABSENT
+        if stored is not None and stored.record is not None:
+            self._follow(stored.record)
+
+    def _follow(self, earlier: NodeLease) -> None:
+        """Name an earlier start as ended if this one has bound its address."""
+        lease = self._lease
+        if earlier.incarnation == lease.incarnation:
+            return
+        if (earlier.host, earlier.port) != (lease.host, lease.port):
+            return
+        ended = (*earlier.ended, earlier.incarnation)[-KEPT_ENDED:]
+        self._lease = replace(lease, ended=ended)
--- /dev/null
+++ b/src/camphoryard/coordination/wishes.py
@@ -0,0 +1,104 @@
+"""Loads and unloads that are wished for at one endpoint."""
+
+import threading
+import time
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+from camphoryard.state.errors import CamphoryardError
+from camphoryard.state.ids import ItemId
+
+
+class NoRoomError(CamphoryardError):
+    """The item fits nowhere at this endpoint, not even after unloading."""
+
+
+class LoadFailedError(CamphoryardError):
+    """The engine refused the load, or took it and did not finish it."""
+
+
+class EngineSilentError(CamphoryardError):
+    """The engine gives no answer."""
+
+
+class WishExpiredError(CamphoryardError):
+    """The wish was not met by its deadline."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadWish:
+    """Have ``item`` resident; ``deadline_s`` is on the monotonic clock."""
+
+    item: ItemId
+    deadline_s: float
+    met: "Future[None]" = field(default_factory=Future, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class UnloadWish:
+    """Have ``item`` gone; ``deadline_s`` is on the monotonic clock."""
+
+    item: ItemId
+    deadline_s: float
+    met: "Future[None]" = field(default_factory=Future, compare=False)
+
+
+Wish: TypeAlias = LoadWish | UnloadWish
+
+
+class Wishes:
+    """Open wishes by item, oldest first; a wish joins an equal one that is open."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._by_item: dict[ItemId, Wish] = {}
+
+    def add(self, wish: Wish) -> "Future[None]":
+        """Add a wish; an opposite one for the item is dropped."""
+        with self._lock:
+            known = self._by_item.get(wish.item)
+            if known is not None and type(known) is type(wish):
+                if known.deadline_s >= wish.deadline_s:
+                    return known.met
+                renewed = type(known)(known.item, wish.deadline_s, known.met)
+                self._by_item[wish.item] = renewed
+                return known.met
+            self._by_item[wish.item] = wish
+        if known is not None:
+            known.met.set_exception(WishExpiredError("another wish came"))
+        return wish.met
+
+    def open(self) -> tuple[Wish, ...]:
+        """Return the open wishes; those past their deadline fail first."""
+        now_s = time.monotonic()
+        with self._lock:
+            wishes = tuple(self._by_item.values())
+        for wish in wishes:
+            if wish.deadline_s <= now_s:
+                self.fail(wish, WishExpiredError(f"{wish.item}: not in time"))
+        return tuple(wish for wish in wishes if wish.deadline_s > now_s)
+
+    def meet(self, wish: Wish) -> None:
+        """Close a wish that came true."""
+        if self._remove(wish):
+            wish.met.set_result(None)
+
+    def fail(self, wish: Wish, error: CamphoryardError) -> None:
+        """Close a wish that will not come true."""
+        if self._remove(wish):
+            wish.met.set_exception(error)
+
+    def fail_all(self, error: CamphoryardError) -> None:
+        """Close every wish."""
+        for wish in self.open():
+            self.fail(wish, error)
+
+    def _remove(self, wish: Wish) -> bool:
+        """Take a wish out; one that was renewed meanwhile is the same wish."""
+        with self._lock:
+            known = self._by_item.get(wish.item)
+            if known is None or known.met is not wish.met:
+                return False
+            del self._by_item[wish.item]
+            return True
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -55,6 +55,7 @@
         run(node.leases.run, node.shared.timer),
         run(run_heartbeats, node.membership, node.shared.timer),
         run(supervise_endpoints, node),
+        run(node.residency.client.run_reports, node.shared.timer),
         run(follow_vms, node.vm_list, node.shared.vms, node.shared.timer),
         *(run(follower.run, node.shared.timer) for follower in node.followers),
     ]
@@ -77,6 +78,8 @@
     node.leases.enter(NodeState.DRAINING)
     node.door.wait_idle(time.monotonic() + DRAIN_LIMIT_S)
     node.shared.timer.close()
+    node.residency.client.close()
+    node.residency.owner.close()
     node.leases.release()
     node.shared.client.close()
     node.shared.peers.close()
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -16,7 +16,13 @@
 from camphoryard.coordination.ownership import LeaseKeeper
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
 from camphoryard.coordination.refusals import RefusalCounter
-from camphoryard.coordination.residency import EndpointOwner, Identity
+from camphoryard.coordination.residency import (
+    EndpointOwner,
+    Identity,
+    ResidencyDesk,
+    ResidencyLimits,
+    ResidencyParts,
+)
 from camphoryard.coordination.residency_client import ResidencyClient
 from camphoryard.coordination.routing import (
     LeastInFlight,
@@ -47,10 +53,8 @@
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
-    EndpointId,
     Generation,
     Incarnation,
-    ItemId,
     NodeId,
     WriteId,
 )
@@ -257,29 +261,30 @@
 
 def make_residency(shared: Shared, platform: Platform) -> Residency:
     """Return the parts that load items."""
-
-    def load_here(endpoint: EndpointId, items: tuple[ItemId, ...]) -> None:
-        for item in items:
-            owner.load(endpoint, item, shared.timer)
-
+    limits = shared.settings.residency
     client = ResidencyClient(
         shared.identity.node,
         shared.nodes,
         shared.table,
         shared.peers,
         shared.executors.loads,
-        load_here,
+        lambda endpoint, items: owner.start_loading(endpoint, items),
         shared.timeline,
     )
     owner = EndpointOwner(
-        shared.identity,
-        platform.endpoints,
-        shared.table,
-        shared.nodes,
-        shared.configuration,
-        shared.engines,
-        shared.timeline,
-        client.last_used_s,
+        ResidencyParts(
+            shared.identity,
+            platform.endpoints,
+            shared.table,
+            shared.nodes,
+            shared.vms,
+            shared.configuration,
+            shared.engines,
+            shared.peers,
+            shared.timeline,
+            client.last_used_s,
+            ResidencyLimits(limits.order_lifetime_s, limits.min_residency_s),
+        )
     )
     return Residency(owner, client)
 
@@ -363,7 +368,7 @@
         shared.peers,
         shared.clock,
         functools.partial(make_digest, shared, door),
-        residency.client.load_here,
+        ResidencyDesk(residency.owner, residency.client.used_elsewhere).handle,
         heard_generation,
     )
 
--- a/src/camphoryard/protocol/operator.py
+++ b/src/camphoryard/protocol/operator.py
@@ -1,12 +1,12 @@
 """Answers to operators as JSON."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
 from camphoryard.coordination.status import Status
-from camphoryard.state.endpoint_record import committed_mb
+from camphoryard.state.endpoint_record import committed_mb, items_in_doubt
 from camphoryard.state.ids import NodeId
 from camphoryard.state.timeline import Event, Stamp
 
@@ -31,6 +31,7 @@
     committed_mb: int
     resident: list[str]
     intents: list[str]
+    in_doubt: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +93,7 @@
             committed_mb(record),
             sorted(record.resident_mb_by_item),
             sorted(record.intents_by_item),
+            sorted(items_in_doubt(record)),
         )
         for record in status.records_by_endpoint.values()
     ]
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -9,7 +9,10 @@
     Declined,
     DigestWanted,
     Done,
+    GivenUp,
+    GiveUp,
     Heartbeat,
+    ItemsUsed,
     LoadWanted,
     Message,
     Reply,
@@ -28,6 +31,9 @@
 
     HEARTBEAT = "heartbeat"
     LOAD_WANTED = "load_wanted"
+    ITEMS_USED = "items_used"
+    GIVE_UP = "give_up"
+    GIVEN_UP = "given_up"
     DIGEST_WANTED = "digest_wanted"
     DONE = "done"
     DECLINED = "declined"
@@ -37,6 +43,9 @@
 _TYPE_BY_KIND: dict[FrameKind, type[Message] | type[Reply]] = {
     FrameKind.HEARTBEAT: Heartbeat,
     FrameKind.LOAD_WANTED: LoadWanted,
+    FrameKind.ITEMS_USED: ItemsUsed,
+    FrameKind.GIVE_UP: GiveUp,
+    FrameKind.GIVEN_UP: GivenUp,
     FrameKind.DIGEST_WANTED: DigestWanted,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -65,6 +65,19 @@
     routing: Literal["round_robin", "least_in_flight", "two_choices"] = "two_choices"
 
 
+@dataclass(frozen=True, slots=True)
+class ResidencySettings:
+    """Times, in seconds, that bound loads and unloads.
+
+    ``order_lifetime_s`` is how long an order may be on its way after its sender
+    stopped sending; ``min_residency_s`` is how long an item stays before it may
+    make room for another.
+    """
+
+    order_lifetime_s: float = 60.0
+    min_residency_s: float = 5.0
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one daemon."""
@@ -74,6 +87,7 @@
     peers: PeerSettings
     access: AccessSettings
     decisions: DecisionSettings = field(default_factory=DecisionSettings)
+    residency: ResidencySettings = field(default_factory=ResidencySettings)
 
 
 def read_settings(path: Path) -> Settings:
@@ -111,6 +125,10 @@
     _check_key("peers.secret_key", settings.peers.secret_key)
     if settings.peers.lease_s <= 0:
         raise FieldError("peers.lease_s", "expected a number of seconds above 0")
+    if settings.residency.order_lifetime_s <= 0:
+        raise FieldError("residency.order_lifetime_s", "expected seconds above 0")
+    if settings.residency.min_residency_s < 0:
+        raise FieldError("residency.min_residency_s", "expected no negative seconds")
     if not all(settings.access.operator_tokens):
         raise FieldError("access.operator_tokens", "a token must not be empty")
     if not all(settings.access.caller_token_by_id.values()):
--- a/src/camphoryard/state/endpoint_record.py
+++ b/src/camphoryard/state/endpoint_record.py
@@ -1,8 +1,10 @@
 """The durable record of one endpoint: what is in its memory or may get there.
 
-Every order that can ever reach the engine stands in this record before it is
-sent. An endpoint's committed memory is the sum over resident models and open
-intents, and no version of the record may commit more than the endpoint has.
+Every load that can ever reach the engine stands in this record before it is
+sent, and stays until it is proved that it cannot arrive any more. Memory is
+committed for each item that is resident, has an open intent or has a load in
+doubt; no version of the record commits more than the one before it unless that
+fits.
 """
 
 from collections.abc import Mapping
@@ -27,18 +29,30 @@
 
 @dataclass(frozen=True, slots=True)
 class Intent:
-    """An order written down before it is sent; ``memory_mb`` stays reserved."""
+    """One order written down before it is sent; ``memory_mb`` stays reserved."""
 
     order_id: OrderId
     kind: OrderKind
     memory_mb: int
     fence: FencingNumber
+    node: NodeId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class InDoubt:
+    """A load order that may still arrive at the engine, sent or yet to be sent."""
+
+    item: ItemId
+    memory_mb: int
+    fence: FencingNumber
+    node: NodeId
     incarnation: Incarnation
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointRecord:
-    """Memory, residents, open intents and the owner of one endpoint."""
+    """Memory, residents, open intents, loads in doubt and the owner."""
 
     id: EndpointId
     memory_mb: int
@@ -48,60 +62,116 @@
     write_id: WriteId
     resident_mb_by_item: Mapping[ItemId, int] = field(default_factory=dict)
     intents_by_item: Mapping[ItemId, Intent] = field(default_factory=dict)
+    in_doubt_by_id: Mapping[OrderId, InDoubt] = field(default_factory=dict)
+
+
+def committed_mb_by_item(record: EndpointRecord) -> Mapping[ItemId, int]:
+    """Return the memory, in MB, that each item takes or may yet take.
+
+    An engine holds one copy of an item, so an item counts once, at its largest.
+    """
+    taken_mb = dict(record.resident_mb_by_item)
+    for item, intent in record.intents_by_item.items():
+        taken_mb[item] = max(taken_mb.get(item, 0), intent.memory_mb)
+    for doubt in record.in_doubt_by_id.values():
+        taken_mb[doubt.item] = max(taken_mb.get(doubt.item, 0), doubt.memory_mb)
+    return taken_mb
 
 
 def committed_mb(record: EndpointRecord) -> int:
     """Return the memory, in MB, that is taken or may yet be taken."""
-    resident = sum(record.resident_mb_by_item.values())
-    loading = sum(
-        intent.memory_mb
-        for model, intent in record.intents_by_item.items()
-        if model not in record.resident_mb_by_item
-    )
-    return resident + loading
+    return sum(committed_mb_by_item(record).values())
 
 
 def free_mb(record: EndpointRecord) -> int:
-    """Return the memory, in MB, that a new intent may reserve."""
+    """Return the memory, in MB, that a new intent may reserve; may be negative."""
     return record.memory_mb - committed_mb(record)
 
 
-def with_intent(
-    record: EndpointRecord, model: ItemId, intent: Intent
-) -> EndpointRecord:
-    """Return the record with ``intent`` open.
+def items_in_doubt(record: EndpointRecord) -> frozenset[ItemId]:
+    """Return the items of which a load may still arrive."""
+    return frozenset(doubt.item for doubt in record.in_doubt_by_id.values())
+
+
+def with_intent(record: EndpointRecord, item: ItemId, intent: Intent) -> EndpointRecord:
+    """Return the record with ``intent`` open; a load it replaces is in doubt.
 
     Raises
     ------
     OvercommitError
         If the reservation does not fit.
     """
-    intents = {**record.intents_by_item, model: intent}
-    changed = replace(record, intents_by_item=intents)
-    if committed_mb(changed) > changed.memory_mb:
-        raise OvercommitError(f"{model} does not fit into {record.id}")
+    before_mb = committed_mb(record)
+    record = doubted(record, item)
+    intents = {**record.intents_by_item, item: intent}
+    fence = max(record.fence, intent.fence)
+    changed = replace(record, intents_by_item=intents, fence=FencingNumber(fence))
+    if committed_mb(changed) > max(changed.memory_mb, before_mb):
+        raise OvercommitError(f"{item} does not fit into {record.id}")
     return changed
 
 
-def confirmed(record: EndpointRecord, model: ItemId) -> EndpointRecord:
-    """Return the record after the engine confirmed the intent for ``model``."""
-    intents = dict(record.intents_by_item)
-    intent = intents.pop(model)
-    resident = dict(record.resident_mb_by_item)
+def doubted(record: EndpointRecord, item: ItemId) -> EndpointRecord:
+    """Return the record with an open load of ``item`` moved among those in doubt."""
+    intent = record.intents_by_item.get(item)
+    if intent is None or intent.kind is not OrderKind.LOAD:
+        return record
+    doubt = InDoubt(
+        item, intent.memory_mb, intent.fence, intent.node, intent.incarnation
+    )
+    in_doubt = {**record.in_doubt_by_id, intent.order_id: doubt}
+    return replace(withdrawn(record, item), in_doubt_by_id=in_doubt)
+
+
+def taken_over(
+    record: EndpointRecord,
+    node: NodeId,
+    incarnation: Incarnation,
+    fence: FencingNumber,
+) -> EndpointRecord:
+    """Return the record with another owner; the open loads are in doubt."""
+    for item in record.intents_by_item:
+        record = doubted(record, item)
+    return replace(record, owner=node, owner_incarnation=incarnation, fence=fence)
+
+
+def confirmed(record: EndpointRecord, item: ItemId) -> EndpointRecord:
+    """Return the record after the engine confirmed the intent for ``item``."""
+    intent = record.intents_by_item[item]
+    record = withdrawn(record, item)
     match intent.kind:
         case OrderKind.LOAD:
-            resident[model] = intent.memory_mb
+            return found(record, item, intent.memory_mb)
         case OrderKind.UNLOAD:
-            resident.pop(model, None)
-    return replace(record, intents_by_item=intents, resident_mb_by_item=resident)
+            return lost(record, item)
 
 
-def withdrawn(record: EndpointRecord, model: ItemId) -> EndpointRecord:
-    """Return the record without the intent for ``model``.
+def found(record: EndpointRecord, item: ItemId, memory_mb: int) -> EndpointRecord:
+    """Return the record with ``item`` resident, as the engine said it is."""
+    resident = {**record.resident_mb_by_item, item: memory_mb}
+    return replace(record, resident_mb_by_item=resident)
+
+
+def lost(record: EndpointRecord, item: ItemId) -> EndpointRecord:
+    """Return the record without ``item``, which the engine no longer holds."""
+    resident = dict(record.resident_mb_by_item)
+    resident.pop(item, None)
+    return replace(record, resident_mb_by_item=resident)
+
+
+def withdrawn(record: EndpointRecord, item: ItemId) -> EndpointRecord:
+    """Return the record without the intent for ``item``.
 
     Only for an order that was never sent, or that the engine can no longer
     accept; else the memory might be given away twice.
     """
     intents = dict(record.intents_by_item)
-    intents.pop(model)
+    intents.pop(item)
     return replace(record, intents_by_item=intents)
+
+
+def without_doubt(record: EndpointRecord, order_id: OrderId) -> EndpointRecord:
+    """Return the record without a load that can no longer arrive."""
+    in_doubt = dict(record.in_doubt_by_id)
+    in_doubt.pop(order_id)
+    return replace(record, in_doubt_by_id=in_doubt)
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -19,7 +19,11 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeLease:
-    """A node's durable lease; it counts as alive while the lease is renewed."""
+    """A node's durable lease; it counts as alive while the lease is renewed.
+
+    ``ended`` names earlier starts of the node that are proved to be over, since
+    this start has bound the address that they had bound.
+    """
 
     node: NodeId
     incarnation: Incarnation
@@ -30,6 +34,7 @@
     state: NodeState
     lease_s: float
     write_id: WriteId
+    ended: tuple[Incarnation, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +66,7 @@
         self._lock = threading.Lock()
         self._by_id: dict[NodeId, _Seen] = {}
         self._digest_by_id: dict[NodeId, NodeDigest] = {}
+        self._released: set[Incarnation] = set()
 
     def saw(self, lease: NodeLease, version: Version) -> None:
         """Take in a lease; an older or equal version changes nothing."""
@@ -80,17 +86,34 @@
             seen = _Seen(known.lease, known.version, time.monotonic())
             self._by_id[digest.node] = seen
 
+    def still_here(self, node: NodeId) -> None:
+        """Count this node itself as alive while its lease cannot be renewed."""
+        with self._lock:
+            known = self._by_id.get(node)
+            if known is not None:
+                seen = _Seen(known.lease, known.version, time.monotonic())
+                self._by_id[node] = seen
+
     def digest(self, node: NodeId) -> NodeDigest | None:
         """Return the last digest heard of ``node``."""
         with self._lock:
             return self._digest_by_id.get(node)
 
     def forget(self, node: NodeId) -> None:
-        """Drop a node whose lease was deleted."""
+        """Drop a node whose lease was deleted, which only its own start does."""
         with self._lock:
-            self._by_id.pop(node, None)
+            known = self._by_id.pop(node, None)
+            if known is not None:
+                self._released.add(known.lease.incarnation)
             self._digest_by_id.pop(node, None)
 
+    def has_ended(self, node: NodeId, incarnation: Incarnation) -> bool:
+        """Return whether this start of ``node`` is proved to be over."""
+        with self._lock:
+            known = self._by_id.get(node)
+            is_followed = known is not None and incarnation in known.lease.ended
+            return is_followed or incarnation in self._released
+
     def alive(self) -> tuple[NodeLease, ...]:
         """Return the leases not yet lapsed, sorted by node."""
         now_s = time.monotonic()
--- a/src/camphoryard/state/tables.py
+++ b/src/camphoryard/state/tables.py
@@ -27,6 +27,11 @@
             self._version_by_id[record.id] = version
             self._changed.notify_all()
 
+    def wake(self) -> None:
+        """Have waiting tasks look again."""
+        with self._changed:
+            self._changed.notify_all()
+
     def find(self, endpoint: EndpointId) -> EndpointRecord | None:
         """Return the last record seen."""
         with self._changed:
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -37,6 +37,7 @@
 MIN_ACTION_TIMEOUT_S = 0.05
 READ_BYTES = 65_536
 ERRORS_FROM = 400
+SERVER_ERRORS_FROM = 500
 
 
 class EventStream:
@@ -109,6 +110,8 @@
                 return OrderOutcome.ACCEPTED
             case 409:
                 return OrderOutcome.FENCED
+            case status if status >= SERVER_ERRORS_FROM:
+                raise BrokenCallError(f"the order got status {status}")
             case _:
                 return OrderOutcome.REFUSED
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,8 +2,10 @@
 
 Its memory ledger is the judge of overcommitment: every load that would not fit
 is counted in ``overcommits`` and still carried out, as a real device would
-fail. Tokens are a function of prompt and offset, so that any whole answer can
-be checked and any engine can resume it.
+fail. ``hold_orders`` keeps orders without an answer until ``release_orders``
+carries them out, however late; ``copy_orders`` keeps a copy of each besides.
+Tokens are a function of prompt and offset, so
+that any whole answer can be checked and any engine can resume it.
 """
 
 import os
@@ -20,7 +22,7 @@
 import msgspec
 import typer
 
-from standins.web import Answered, Asked, answer, run
+from standins.web import Answered, Asked, answer, drop_connection, run
 
 END = b"data: [DONE]\n\n"
 
@@ -59,6 +61,9 @@
     lose_answers: int = 0
     order_delay_s: float = 0.0
     duplicate_orders: bool = False
+    hold_orders: bool = False
+    copy_orders: bool = False
+    fail_loads: bool = False
     crash_on: str = ""
     leaving: bool = False
     break_streams: bool = False
@@ -90,6 +95,8 @@
     report_s: float = 0.0
     report: tuple[int, int] = (0, 0)
     faults: Faults = field(default_factory=Faults)
+    held: list[dict[str, Any]] = field(default_factory=list)
+    refused: int = 0
     lock: threading.Condition = field(default_factory=threading.Condition)
 
     def handle(self, asked: Asked) -> Answered:
@@ -108,7 +115,10 @@
     def _control(self, asked: Asked) -> Answered:
         with self.lock:
             if asked.method == "POST":
-                for name, value in asked.json().items():
+                change = asked.json()
+                if change.pop("release_orders", False):
+                    self._release()
+                for name, value in change.items():
                     setattr(self.faults, name, value)
             return answer(
                 {
@@ -119,6 +129,11 @@
                     "loads": self.loads,
                     "unloads": self.unloads,
                     "log": self.log,
+                    "fence": self.fence,
+                    "refused": self.refused,
+                    "held": [
+                        f"{order['kind']} {order['model']}" for order in self.held
+                    ],
                 }
             )
 
@@ -145,18 +160,35 @@
             if self.faults.lose_orders:
                 self.faults.lose_orders -= 1
                 return answer({"error": "lost"}, 503)
+            if self.faults.hold_orders:
+                self.held.append(order)
+                return drop_connection()
+            if self.faults.copy_orders:
+                self.held.append(order)
             delay_s = self.faults.order_delay_s
             copies = 2 if self.faults.duplicate_orders else 1
         if delay_s:
             time.sleep(delay_s)
         with self.lock:
-            if self.checks_fencing and order["fence"] < self.fence:
+            if not self._take(order, copies):
                 return answer({"error": "stale fence", "fence": self.fence}, 409)
-            self.fence = max(self.fence, order["fence"])
-            for _ in range(copies):
-                self._execute(order)
         return answer({"accepted": order["order_id"]}, 202)
 
+    def _take(self, order: dict[str, Any], copies: int = 1) -> bool:
+        if self.checks_fencing and order["fence"] < self.fence:
+            self.refused += 1
+            return False
+        self.fence = max(self.fence, order["fence"])
+        for _ in range(copies):
+            self._execute(order)
+        return True
+
+    def _release(self) -> None:
+        """Carry out the held orders now, as a network that was slow."""
+        held, self.held = self.held, []
+        for order in held:
+            self._take(order)
+
     def _execute(self, order: dict[str, Any]) -> None:
         item = order["model"]
         if order["kind"] == "load":
@@ -185,6 +217,9 @@
         else:
             time.sleep(self.load_s)
         with self.lock:
+            if self.faults.fail_loads:
+                self.loading_mb_by_item.pop(item)
+                return
             self.loads += 1
             self.resident_mb_by_item[item] = self.loading_mb_by_item.pop(item)
 
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -2,7 +2,8 @@
 
 Versions, conditional updates, watches by long poll, counts of calls, and
 faults: ``outage`` (every call answers 503), ``lose_answers`` (that many writes
-take effect and answer 503), ``delay_ms``.
+take effect and answer 503), ``delay_ms``, ``stall_prefix`` (writes below it
+take effect and are not answered until it is taken back).
 """
 
 import threading
@@ -25,6 +26,7 @@
     lose_answers: int = 0
     lose_prefix: str = ""
     delay_ms: float = 0.0
+    stall_prefix: str = ""
 
 
 @dataclass(slots=True)
@@ -122,8 +124,13 @@
             if self.faults.lose_answers and key.startswith(self.faults.lose_prefix):
                 self.faults.lose_answers -= 1
                 return answer({"error": "answer lost"}, 503)
+            self.changed.wait_for(lambda: not self._stalls(key))
         return Answered(200, [b"{}"], {"X-Object-Version": str(item.version)})
 
+    def _stalls(self, key: str) -> bool:
+        stalled = self.faults.stall_prefix
+        return bool(stalled) and key.startswith(stalled)
+
     def _note(self, item: Item) -> None:
         self.changes.append(item)
         if len(self.changes) > KEPT_CHANGES:
--- a/tests/state/test_endpoint_record.py
+++ b/tests/state/test_endpoint_record.py
@@ -40,7 +40,14 @@
 
 def make_intent(kind: OrderKind, memory_mb: int) -> Intent:
     """Return an intent."""
-    return Intent(OrderId("o"), kind, memory_mb, FencingNumber(1), Incarnation("i"))
+    return Intent(
+        OrderId("o"),
+        kind,
+        memory_mb,
+        FencingNumber(1),
+        NodeId("n"),
+        Incarnation("i"),
+    )
 
 
 class TestWithIntent:
