--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.messages import (
+    CrashSeen,
+    Declined,
     DigestWanted,
     Done,
     GiveUp,
@@ -13,8 +15,11 @@
     Message,
     Reply,
     ResidencyMessage,
+    TrialEnded,
+    TrialWanted,
 )
 from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.ids import Generation
 from camphoryard.state.nodes import NodeDigest, NodeTable
 from camphoryard.state.timeline import HybridClock
@@ -32,6 +37,7 @@
     digest: Callable[[], NodeDigest]
     residency: Callable[[ResidencyMessage], Reply]
     heard_generation: Callable[[Generation], None]
+    suspects: Suspects
 
 
 def run_heartbeats(parts: MembershipParts, timer: Timer) -> None:
@@ -54,3 +60,12 @@
             return parts.residency(message)
         case DigestWanted():
             return parts.digest()
+        case CrashSeen() as seen:
+            parts.suspects.saw(seen)
+            return Done()
+        case TrialWanted() as wanted:
+            may_start = parts.suspects.wanted(wanted)
+            return Done() if may_start else Declined("not its turn")
+        case TrialEnded() as ended:
+            parts.suspects.ended(ended)
+            return Done()
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -6,8 +6,10 @@
 from camphoryard.state.ids import (
     EndpointId,
     FencingNumber,
+    Fingerprint,
     Incarnation,
     ItemId,
+    NodeId,
     OrderId,
 )
 from camphoryard.state.nodes import NodeDigest
@@ -58,6 +60,38 @@
     """Ask a node for its digest."""
 
 
+@dataclass(frozen=True, slots=True)
+class CrashSeen:
+    """A request was running when its endpoint crashed.
+
+    ``early`` says that no token had come, ``on_trial`` that it was the one
+    suspect which had no token there.
+    """
+
+    fingerprint: Fingerprint
+    endpoint: EndpointId
+    early: bool
+    on_trial: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TrialWanted:
+    """Ask the coordinator of trials to let a suspect run at an endpoint."""
+
+    fingerprint: Fingerprint
+    endpoint: EndpointId
+    holder: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class TrialEnded:
+    """A suspect's run ended, or only ``passed`` its trial and goes on."""
+
+    fingerprint: Fingerprint
+    holder: NodeId
+    passed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The request was met, or is under way."""
@@ -71,5 +105,7 @@
 
 
 ResidencyMessage: TypeAlias = LoadWanted | ItemsUsed | GiveUp
-Message: TypeAlias = Heartbeat | DigestWanted | ResidencyMessage
+Message: TypeAlias = (
+    Heartbeat | DigestWanted | ResidencyMessage | CrashSeen | TrialWanted | TrialEnded
+)
 Reply: TypeAlias = Done | Declined | NodeDigest | GivenUp
--- a/src/camphoryard/coordination/owned_endpoint.py
+++ b/src/camphoryard/coordination/owned_endpoint.py
@@ -72,6 +72,7 @@
 GIVE_UP_PERIOD_S = 2.0
 GIVE_UP_TIMEOUT_S = 0.5
 MAX_LOADS_IN_DOUBT = 3
+SILENT_ROUNDS = 3
 NO_ITEM = ItemId("-")
 
 
@@ -136,6 +137,7 @@
         self._resident_since_s: dict[ItemId, float] = {}
         self._sent_s_by_id: dict[OrderId, float] = {}
         self._asked_s = 0.0
+        self._silent_rounds = 0
 
     def wish(self, wish: Wish) -> "Future[None]":
         """Take in a wish; return the future that tells what becomes of it."""
@@ -240,14 +242,23 @@
 
     def _ask(self, endpoint: Endpoint, record: EndpointRecord) -> Inventory:
         try:
-            return self._parts.engines.inventory(endpoint)
+            inventory = self._parts.engines.inventory(endpoint)
         except (NotSentError, BrokenCallError) as error:
             self._let_go(record)
             raise EngineSilentError(f"{self._id} is silent") from error
+        self._silent_rounds = 0
+        return inventory
 
     def _let_go(self, record: EndpointRecord) -> None:
-        """Close the loads that a silent engine has not answered."""
+        """Close the loads that a silent engine has not answered.
+
+        After a few rounds the record says that the engine is silent, so that its
+        items are loaded elsewhere.
+        """
         before = record
+        self._silent_rounds += 1
+        is_silent = self._silent_rounds >= SILENT_ROUNDS
+        record = replace(record, is_silent=record.is_silent or is_silent)
         for item, intent in before.intents_by_item.items():
             if intent.kind is OrderKind.UNLOAD:
                 continue
@@ -275,7 +286,7 @@
             ended,
             self._found_size_mb,
         )
-        record = settle(before, evidence)
+        record = replace(settle(before, evidence), is_silent=False)
         if record != before:
             record = self._write(record)
             self._report(before, record)
--- a/src/camphoryard/coordination/residency_client.py
+++ b/src/camphoryard/coordination/residency_client.py
@@ -138,7 +138,7 @@
 
     def _free_mb(self, endpoint: EndpointId) -> int:
         record = self._table.find(endpoint)
-        return free_mb(record) if record else 0
+        return free_mb(record) if record and not record.is_silent else 0
 
     def _start(self, endpoint: EndpointId, items: tuple[ItemId, ...]) -> None:
         owner = owner_of(endpoint, self._nodes)
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from camphoryard.coordination.messages import (
+    CrashSeen,
     Declined,
     DigestWanted,
     Done,
@@ -16,6 +17,8 @@
     LoadWanted,
     Message,
     Reply,
+    TrialEnded,
+    TrialWanted,
 )
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import RequestId
@@ -35,6 +38,9 @@
     GIVE_UP = "give_up"
     GIVEN_UP = "given_up"
     DIGEST_WANTED = "digest_wanted"
+    CRASH_SEEN = "crash_seen"
+    TRIAL_WANTED = "trial_wanted"
+    TRIAL_ENDED = "trial_ended"
     DONE = "done"
     DECLINED = "declined"
     NODE_DIGEST = "node_digest"
@@ -47,6 +53,9 @@
     FrameKind.GIVE_UP: GiveUp,
     FrameKind.GIVEN_UP: GivenUp,
     FrameKind.DIGEST_WANTED: DigestWanted,
+    FrameKind.CRASH_SEEN: CrashSeen,
+    FrameKind.TRIAL_WANTED: TrialWanted,
+    FrameKind.TRIAL_ENDED: TrialEnded,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
     FrameKind.NODE_DIGEST: NodeDigest,
--- a/src/camphoryard/state/endpoint_record.py
+++ b/src/camphoryard/state/endpoint_record.py
@@ -52,7 +52,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointRecord:
-    """Memory, residents, open intents, loads in doubt and the owner."""
+    """Memory, residents, open intents, loads in doubt and the owner.
+
+    ``is_silent`` says that the engine gives its owner no answer.
+    """
 
     id: EndpointId
     memory_mb: int
@@ -63,6 +66,7 @@
     resident_mb_by_item: Mapping[ItemId, int] = field(default_factory=dict)
     intents_by_item: Mapping[ItemId, Intent] = field(default_factory=dict)
     in_doubt_by_id: Mapping[OrderId, InDoubt] = field(default_factory=dict)
+    is_silent: bool = False
 
 
 def committed_mb_by_item(record: EndpointRecord) -> Mapping[ItemId, int]:
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -53,12 +53,25 @@
     RELEASED = "released"
 
 
+class ChangeKind(Enum):
+    """What a change does to an item."""
+
+    ADDED = "added"
+    CHANGED = "changed"
+    REMOVED = "removed"
+
+
 class NodeState(Enum):
-    """What a node says about itself."""
+    """What a node says about itself.
+
+    A draining node still admits what the balancer sends it, but is not ready; a
+    stopping one admits nothing and finishes what is in flight.
+    """
 
     STARTING = "starting"
     SERVING = "serving"
     DRAINING = "draining"
+    STOPPING = "stopping"
 
 
 class VmState(Enum):
@@ -94,4 +107,5 @@
     ENDPOINT_FAILED = "endpoint_failed"
     QUARANTINED = "quarantined"
     CONFLICT = "conflict"
+    CANCELLED = "cancelled"
     INTERNAL = "internal"
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,20 +11,20 @@
 import os
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from http.client import HTTPConnection
-from queue import SimpleQueue
 from typing import Any
 from urllib.parse import quote
 
 import msgspec
 import typer
 
-from standins.web import Answered, Asked, answer, drop_connection, run
+from standins.push_server import LAST_CHUNK, as_chunk, serve_pushed
+from standins.web import Answered, Asked, answer, drop_connection
 
-END = b"data: [DONE]\n\n"
+END = as_chunk(b"data: [DONE]\n\n") + LAST_CHUNK
 
 
 def token(prompt: str, offset: int) -> str:
@@ -49,8 +49,18 @@
     max_tokens: int
     priority: int
     arrived: int
-    events: SimpleQueue[bytes | None] = field(default_factory=SimpleQueue)
+    write: Callable[[bytes], None] | None = None
     cancelled: bool = False
+    held: dict[str, Any] | None = None
+
+    def push(self, data: bytes) -> None:
+        """Send bytes; a caller that left cancels the request."""
+        if self.write is None:
+            return
+        try:
+            self.write(data)
+        except OSError:
+            self.cancelled = True
 
 
 @dataclass(slots=True)
@@ -67,6 +77,11 @@
     crash_on: str = ""
     leaving: bool = False
     break_streams: bool = False
+    stall_streams: bool = False
+    duplicate_frames: bool = False
+    swap_frames: bool = False
+    foreign_frames: bool = False
+    refuse_with: int = 0
 
 
 @dataclass(slots=True)
@@ -87,6 +102,7 @@
     overcommits: int = 0
     loads: int = 0
     unloads: int = 0
+    cancelled: int = 0
     peak_mb: int = 0
     log: list[dict[str, Any]] = field(default_factory=list)
     waiting: list[Running] = field(default_factory=list)
@@ -103,7 +119,7 @@
         """Answer one call."""
         match (asked.method, asked.path):
             case ("POST", "/v1/completions"):
-                return self._generate(asked.json())
+                return self._generate(asked)
             case ("POST", "/admin/orders"):
                 return self._order(asked.json())
             case ("GET", "/admin/inventory"):
@@ -128,6 +144,9 @@
                     "resident": sorted(self.resident_mb_by_item),
                     "loads": self.loads,
                     "unloads": self.unloads,
+                    "cancelled": self.cancelled,
+                    "running": len(self.batch),
+                    "waiting": len(self.waiting),
                     "log": self.log,
                     "fence": self.fence,
                     "refused": self.refused,
@@ -152,6 +171,7 @@
                     "running": running,
                     "waiting": waiting,
                     "leaving": self.faults.leaving,
+                    "slots": self.slots,
                 }
             )
 
@@ -231,7 +251,10 @@
                 self.resident_mb_by_item.pop(item, None)
                 self.unloads += 1
 
-    def _generate(self, body: dict[str, Any]) -> Answered:
+    def _generate(self, asked: Asked) -> Answered:
+        body = asked.json()
+        if self.faults.refuse_with:
+            return answer({"error": "refused"}, self.faults.refuse_with)
         needed = [body["model"]]
         if body.get("adapter"):
             needed.append(f"{body['model']}:{body['adapter']}")
@@ -259,36 +282,55 @@
                 body["priority"],
                 self.arrivals,
             )
-            self.waiting.append(running)
-            self.lock.notify()
         return Answered(
-            200, _Stream(self, running), {"Content-Type": "text/event-stream"}
+            200,
+            headers={"Content-Type": "text/event-stream"},
+            pushed=_Stream(self, running),
         )
 
+    def enter(self, running: Running) -> None:
+        """Let a request wait for its place in the batch."""
+        with self.lock:
+            self.waiting.append(running)
+            self.lock.notify()
+
     def cancel(self, running: Running) -> None:
-        """Take a request out of the batch."""
+        """Take a request out of the batch and end its stream."""
         with self.lock:
+            if running.offset <= running.max_tokens and not running.cancelled:
+                self.cancelled += 1
             running.cancelled = True
 
     def step_forever(self) -> None:
-        """Generate a token for each request of the batch, step by step."""
+        """Generate a token for each request of the batch, step by step.
+
+        Steps keep to a schedule, so that a late one makes no later one late.
+        """
+        due_s = time.monotonic()
         while True:
             with self.lock:
                 self._admit()
                 while not self.batch:
                     self.lock.wait()
                     self._admit()
-            started_s = time.monotonic()
+            time.sleep(max(0.0, due_s - time.monotonic()))
+            now_s = time.monotonic()
+            if now_s - due_s > self.step_s:
+                due_s = now_s
+            due_s += self.step_s
             with self.lock:
-                for running in self.batch:
-                    self._step(running)
-                self.batch = [
-                    item
-                    for item in self.batch
-                    if not item.cancelled and item.offset <= item.max_tokens
-                ]
-                self._finish_unloads()
-            time.sleep(max(0.0, self.step_s - (time.monotonic() - started_s)))
+                self._admit()
+                self._step_all()
+
+    def _step_all(self) -> None:
+        for running in self.batch:
+            self._step(running)
+        self.batch = [
+            item
+            for item in self.batch
+            if not item.cancelled and item.offset <= item.max_tokens
+        ]
+        self._finish_unloads()
 
     def _admit(self) -> None:
         self.waiting = [item for item in self.waiting if not item.cancelled]
@@ -298,9 +340,11 @@
         del self.waiting[:room]
 
     def _step(self, running: Running) -> None:
+        if self.faults.stall_streams:
+            return
         if self.faults.break_streams:
             running.cancelled = True
-            running.events.put(None)
+            running.push(LAST_CHUNK)
             return
         event: dict[str, Any] = {
             "request_id": running.request_id,
@@ -310,12 +354,33 @@
             event["text"] = token(running.prompt, running.offset)
         else:
             event["finished"] = True
-        running.events.put(b"data: " + msgspec.json.encode(event) + b"\n\n")
+        chunk = b"".join(
+            as_chunk(b"data: " + msgspec.json.encode(sent) + b"\n\n")
+            for sent in self._disturbed(running, event)
+        )
         if running.offset == running.max_tokens:
-            running.events.put(END)
-            running.events.put(None)
+            chunk += END
+        running.push(chunk)
         running.offset += 1
 
+    def _disturbed(
+        self, running: Running, event: dict[str, Any]
+    ) -> list[dict[str, Any]]:
+        """Return what is sent for an event under the faults that are set."""
+        sent = [event]
+        if self.faults.foreign_frames:
+            sent.insert(0, {**event, "request_id": "another", "text": "foreign "})
+        if self.faults.duplicate_frames:
+            sent.append(event)
+        if not self.faults.swap_frames:
+            return sent
+        if event.get("finished") or running.held is not None:
+            sent += [] if running.held is None else [running.held]
+            running.held = None
+            return sent
+        running.held = event
+        return []
+
 
 class _Stream:
     """The body of a streamed answer; closing it early cancels the request."""
@@ -324,9 +389,10 @@
         self._engine = engine
         self._running = running
 
-    def __iter__(self) -> Iterator[bytes]:
-        while (event := self._running.events.get()) is not None:
-            yield event
+    def attach(self, write: Callable[[bytes], None]) -> None:
+        """Begin to generate."""
+        self._running.write = write
+        self._engine.enter(self._running)
 
     def close(self) -> None:
         """Cancel what is left."""
@@ -355,7 +421,7 @@
         report_lag_s,
     )
     threading.Thread(target=engine.step_forever, daemon=True).start()
-    run(engine.handle, host, port)
+    serve_pushed(engine.handle, host, port)
 
 
 if __name__ == "__main__":
--- a/tests/system/test_memory.py
+++ b/tests/system/test_memory.py
@@ -218,6 +218,15 @@
         assert ask(site, "node-2", "permit-8b")
         assert_never_overcommitted(site)
 
+    def test_silent_engine(self, start):
+        """What was resident at an engine that is gone is loaded elsewhere."""
+        site = start(SiteSpec(node_settings=LIFETIME.format(60.0)))
+        assert ask(site, "node-1", "permit-8b")
+        held = [name for name in site.engines if site.control(name)["resident"]]
+        site.fleet.process_by_name[held[0]].kill()
+        for node in site.nodes:
+            assert ask(site, node, "permit-8b")
+
     def test_less_memory(self, start):
         """Residents leave until they fit when an endpoint's memory is lowered."""
         site = start(IGNORING)
