--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -8,17 +8,19 @@
     Declined,
     DigestWanted,
     Done,
+    GiveUp,
     Heartbeat,
+    ItemsUsed,
     LoadWanted,
     Message,
     Reply,
+    ResidencyMessage,
     TrialEnded,
     TrialWanted,
 )
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.suspects import Suspects
-from camphoryard.state.errors import CamphoryardError
-from camphoryard.state.ids import EndpointId, Generation, ItemId
+from camphoryard.state.ids import Generation
 from camphoryard.state.nodes import NodeDigest, NodeTable
 from camphoryard.state.timeline import HybridClock
 
@@ -33,7 +35,7 @@
     peers: Peers
     clock: HybridClock
     digest: Callable[[], NodeDigest]
-    load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
+    residency: Callable[[ResidencyMessage], Reply]
     heard_generation: Callable[[Generation], None]
     suspects: Suspects
 
@@ -54,12 +56,8 @@
             parts.nodes.heard(digest)
             parts.heard_generation(digest.generation)
             return Done()
-        case LoadWanted(endpoint, items):
-            try:
-                parts.load_here(endpoint, items)
-            except CamphoryardError as error:
-                return Declined(str(error))
-            return Done()
+        case LoadWanted() | ItemsUsed() | GiveUp():
+            return parts.residency(message)
         case DigestWanted():
             return parts.digest()
         case CrashSeen() as seen:
--- a/src/camphoryard/state/tables.py
+++ b/src/camphoryard/state/tables.py
@@ -34,6 +34,11 @@
         for callback in self._subscribers:
             callback()
 
+    def wake(self) -> None:
+        """Have waiting tasks look again."""
+        with self._changed:
+            self._changed.notify_all()
+
     def find(self, endpoint: EndpointId) -> EndpointRecord | None:
         """Return the last record seen."""
         with self._changed:
@@ -53,7 +58,7 @@
         """Return whether ``items`` may all be used at ``endpoint`` now."""
         with self._changed:
             record = self._by_id.get(endpoint)
-        if record is None:
+        if record is None or record.is_silent:
             return False
         return all(
             item in record.resident_mb_by_item and item not in record.intents_by_item
