--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -15,20 +15,21 @@
     Done,
     EventsFound,
     EventsWanted,
+    GiveUp,
     Gossip,
     GossipAnswer,
+    ItemsUsed,
     JoinWanted,
     LoadWanted,
     Message,
     RecordsWanted,
     Reply,
+    ResidencyMessage,
     TrialEnded,
     TrialWanted,
 )
 from camphoryard.coordination.suspects import Suspects
 from camphoryard.coordination.timeline import Timeline
-from camphoryard.state.errors import CamphoryardError
-from camphoryard.state.ids import EndpointId, ItemId
 from camphoryard.state.nodes import NodeDigest
 
 
@@ -41,7 +42,7 @@
     configurator: Configurator
     timeline: Timeline
     digest: Callable[[], NodeDigest]
-    load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
+    residency: Callable[[ResidencyMessage], Reply]
     suspects: Suspects
 
 
@@ -62,12 +63,8 @@
             return EventsFound(select_events(parts.timeline.events(), fields))
         case ConfigurationWanted(known):
             return parts.configurator.offer(known) or Declined("no configuration yet")
-        case LoadWanted(endpoint, items):
-            try:
-                parts.load_here(endpoint, items)
-            except CamphoryardError as error:
-                return Declined(str(error))
-            return Done()
+        case LoadWanted() | ItemsUsed() | GiveUp():
+            return parts.residency(message)
         case DigestWanted():
             return parts.digest()
         case CrashSeen() as seen:
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -9,10 +9,13 @@
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.ids import (
     EndpointId,
+    FencingNumber,
     Fingerprint,
+    Incarnation,
     ItemId,
     NodeId,
     ObjectKey,
+    OrderId,
     Version,
 )
 from camphoryard.state.nodes import NodeDigest, NodeLease
@@ -118,6 +121,29 @@
     items: tuple[ItemId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ItemsUsed:
+    """Tell an owner of endpoints which items the sender used of late."""
+
+    items: tuple[ItemId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Ask an earlier owner to send no more orders numbered below ``fence``."""
+
+    endpoint: EndpointId
+    incarnation: Incarnation
+    fence: FencingNumber
+
+
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """The orders are given up; those named were sent and got no answer."""
+
+    unanswered: tuple[OrderId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class DigestWanted:
     """Ask a node for its digest."""
@@ -167,6 +193,7 @@
     detail: str
 
 
+ResidencyMessage: TypeAlias = LoadWanted | ItemsUsed | GiveUp
 Message: TypeAlias = (
     Gossip
     | GossipAnswer
@@ -174,8 +201,8 @@
     | ConfigurationWanted
     | EventsWanted
     | RecordsWanted
-    | LoadWanted
     | DigestWanted
+    | ResidencyMessage
     | CrashSeen
     | TrialWanted
     | TrialEnded
@@ -184,6 +211,7 @@
     Done
     | Declined
     | NodeDigest
+    | GivenUp
     | Joined
     | ConfigurationOffer
     | EventsFound
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -16,9 +16,12 @@
     Done,
     EventsFound,
     EventsWanted,
+    GivenUp,
+    GiveUp,
     Gossip,
     GossipAnswer,
     HeardDigest,
+    ItemsUsed,
     Joined,
     JoinWanted,
     LoadWanted,
@@ -68,6 +71,9 @@
     EVENTS_WANTED = "events_wanted"
     EVENTS_FOUND = "events_found"
     LOAD_WANTED = "load_wanted"
+    ITEMS_USED = "items_used"
+    GIVE_UP = "give_up"
+    GIVEN_UP = "given_up"
     DIGEST_WANTED = "digest_wanted"
     CRASH_SEEN = "crash_seen"
     TRIAL_WANTED = "trial_wanted"
@@ -116,6 +122,9 @@
     FrameKind.EVENTS_WANTED: EventsWanted,
     FrameKind.EVENTS_FOUND: EventsFound,
     FrameKind.LOAD_WANTED: LoadWanted,
+    FrameKind.ITEMS_USED: ItemsUsed,
+    FrameKind.GIVE_UP: GiveUp,
+    FrameKind.GIVEN_UP: GivenUp,
     FrameKind.DIGEST_WANTED: DigestWanted,
     FrameKind.CRASH_SEEN: CrashSeen,
     FrameKind.TRIAL_WANTED: TrialWanted,
