Stop nodes by plan and prove leaving, poison and admission

Cause: a stop signal set a flag from a handler, which waits for the main thread to run; in one run of the new test the main thread never woke and the node went on serving for 30 s until a second signal came. The estimate of the wait ignored that the slots may all be held when no one queues. Ruled out: the HTTP server and the lease (the log shows no state change).

--- a/src/camphoryard/coordination/admission.py
+++ b/src/camphoryard/coordination/admission.py
@@ -209,6 +209,10 @@
                 free = [item for item in usable if self._has_room(item, rank)]
         return self._router.choose(free, ticket.affinity) if free else None
 
+    def _finds_room(self, ticket: Ticket) -> bool:
+        rank = self._rank(ticket, time.monotonic())
+        return any(self._has_room(item, rank) for item in ticket.usable())
+
     def _has_room(self, endpoint: EndpointId, rank: int) -> bool:
         slots: float = self._slots(endpoint)
         if rank >= Priority.DEFERRABLE.rank:
@@ -261,10 +265,10 @@
             for key, tickets in self._lane_by_key.items()
             if key.group == lane.group and key.priority.rank <= lane.priority.rank
         )
-        if not ahead:
+        if not ahead and self._finds_room(ticket):
             return 0.0
         hold_s = self._hold_s_by_group.get(lane.group, 0.0)
-        return ahead * hold_s / max(1, self._held_by_group[lane.group])
+        return (ahead + 1) * hold_s / max(1, self._held_by_group[lane.group])
 
     def _shed(self, group: GroupId) -> None:
         """Refuse the least urgent ticket of a group whose queue is too long."""
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -24,6 +24,7 @@
 SUPERVISE_PERIOD_S = 0.5
 DRAIN_LIMIT_S = 60.0
 EXIT_SETTINGS = 2
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 
 log = structlog.get_logger()
 
@@ -72,6 +73,13 @@
         log.error("task_failed", error=repr(error))
 
 
+def watch_signals(stop: threading.Event) -> None:
+    """Have each stop signal set ``stop``; a second one changes nothing."""
+    while True:
+        signal.sigwait(STOP_SIGNALS)
+        stop.set()
+
+
 def wait_grace(node: Node) -> None:
     """Block for the grace time of a stopping node."""
     ticks = iter(node.shared.timer.every(node.shared.settings.serving.grace_s))
@@ -139,9 +147,12 @@
         typer.echo(f"{settings}: settings are fine")
         return
     configure_logging()
+    # Blocked before any thread starts, so that only the watching one gets them:
+    # a handler would wait for the main thread, which may not wake for it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     node = make_node(checked)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: node.shared.stop.set())
+    stop = node.shared.stop
+    threading.Thread(target=watch_signals, args=(stop,), daemon=True).start()
     run_node(node)
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -347,6 +347,7 @@
     load_s: float = 0.5,
     weight_store_port: int = 0,
     report_lag_s: float = 0.5,
+    crash_on: str = "",
 ) -> None:
     """Run one engine."""
     engine = Engine(
@@ -358,6 +359,7 @@
         weight_store_port,
         report_lag_s,
     )
+    engine.faults.crash_on = crash_on
     threading.Thread(target=engine.step_forever, daemon=True).start()
     run(engine.handle, host, port)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,7 @@
 POLL_S = 0.02
 OPERATOR_TOKEN = "operator-token"
 CALLER_TOKEN = "caller-token"
+SERVING = "\n[serving]\ngrace_s = 0.2\nstall_s = 1.0\n"
 CALLERS = ("meter-app", "front-desk", "overnight")
 
 
@@ -139,6 +140,8 @@
         """Write settings for a node, start it and return its HTTP port."""
         port, peer_port = free_port(), free_port()
         settings = self.folder / f"{name}.toml"
+        if "[serving]" not in extra:
+            extra += SERVING
         settings.write_text(self.settings(name, zone, port, peer_port) + extra)
         self._start(
             name, port, ["-m", "camphoryard.daemon", "--settings", str(settings)]
@@ -172,10 +175,6 @@
 secret_key = "{secret}"
 lease_s = 3.0
 
-[serving]
-grace_s = 0.2
-stall_s = 1.0
-
 [access]
 operator_tokens = ["{OPERATOR_TOKEN}"]
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -32,6 +32,7 @@
     step_ms: float = 5.0
     load_s: float = 0.1
     slots: int = 64
+    crash_on: str = ""
     models: tuple[ModelSpec, ...] = (
         ModelSpec("permit-8b", 9000),
         ModelSpec("meter-3b", 4000),
@@ -175,6 +176,8 @@
         str(spec.load_s),
         "--slots",
         str(spec.slots),
+        "--crash-on",
+        spec.crash_on,
     ]
     if checks:
         options.append("--checks-fencing")
