--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -20,7 +20,7 @@
 from camphoryard.state.nodes import NodeTable
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.verdict import Verdict
-from tests.coordination.fakes import GROUP, NODE
+from tests.fakes.serving import GROUP, NODE
 
 ENGINE = EndpointId("engine-1")
 SOON_S, LATER_S = 50.0, 100.0
--- a/tests/coordination/test_inference.py
+++ b/tests/coordination/test_inference.py
@@ -16,7 +16,7 @@
     StalledCallError,
 )
 from camphoryard.state.verdict import Verdict
-from tests.coordination.fakes import (
+from tests.fakes.serving import (
     ENGINES,
     FakeEngines,
     fails,
--- a/tests/coordination/test_suspects.py
+++ b/tests/coordination/test_suspects.py
@@ -10,7 +10,7 @@
 from camphoryard.state.ids import EndpointId, Fingerprint, NodeId
 from camphoryard.state.nodes import NodeTable
 from camphoryard.state.verdict import Verdict
-from tests.coordination.fakes import FAR_S, NODE, NoPeers, timeline
+from tests.fakes.serving import FAR_S, NODE, NoPeers, timeline
 
 FIRST, SECOND, THIRD = (EndpointId(f"engine-{index}") for index in range(3))
 POISON, OTHER = Fingerprint("poison"), Fingerprint("other")
--- a/tests/system/test_answers.py
+++ b/tests/system/test_answers.py
@@ -1,8 +1,12 @@
 """Tests of answers over real processes."""
 
+import json
+from http.client import HTTPConnection
+
 import pytest
 
 from standins.engine import whole_answer
+from standins.fleet import CALLER_TOKEN, HOST
 from standins.site import SiteSpec
 
 PROMPT = "where can I park?"
@@ -13,6 +17,15 @@
     return [item for item in site.engines if site.control(item)["running"]]
 
 
+def open_stream(site, node, prompt):
+    """Send a streamed request and return its connection, nothing read."""
+    connection = HTTPConnection(HOST, site.fleet.port(node))
+    body = {"model": "meter-3b", "prompt": prompt, "stream": True}
+    headers = {"Authorization": f"Bearer {CALLER_TOKEN}-meter-app"}
+    connection.request("POST", "/v1/completions", json.dumps(body), headers)
+    return connection
+
+
 class TestAnswers:
     """Whole answers to the right caller."""
 
@@ -60,3 +73,16 @@
         stream.close()
         site.fleet.wait_until(lambda: not run_engines(site), "the cancelled request")
         assert site.control("engine-1")["cancelled"] == 1
+
+    def test_caller_gone_before_first_token_is_cancelled(self, start):
+        """The engine drops the request at once and no other attempt is made."""
+        site = start(SiteSpec(nodes=1, ignoring_engines=0, step_ms=20.0))
+        site.complete("node-1", "meter-3b", "warm", 1)
+        site.control("engine-1", stall_streams=True)
+        caller = open_stream(site, "node-1", "gone")
+        site.fleet.wait_until(lambda: run_engines(site), "the request at the engine")
+        caller.close()
+        site.fleet.wait_until(lambda: not run_engines(site), "the cancelled request")
+        state = site.control("engine-1")
+        assert state["cancelled"] == 1
+        assert [item["prompt"] for item in state["log"]] == ["warm", "gone"]
--- /dev/null
+++ b/tests/transport/test_http_client.py
@@ -0,0 +1,119 @@
+"""Tests of the HTTP client against a socket that misbehaves."""
+
+import socket
+import threading
+
+import pytest
+
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.state.errors import BrokenCallError, NotSentError, StalledCallError
+from camphoryard.transport.http_client import Address, HttpCall, HttpClient
+
+HOST = "127.0.0.1"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+HEAD_END = b"\r\n\r\n"
+SILENT = b""
+
+
+class Server:
+    """Answers each request with the next of ``answers`` and then closes or not.
+
+    An empty answer is none at all; ``closes`` says after which requests the
+    connection is closed.
+    """
+
+    def __init__(self, answers, closes=()):
+        self.requests = 0
+        self.closed = threading.Event()
+        self.got_request = threading.Event()
+        self._answers = answers
+        self._closes = closes
+        self._socket = socket.create_server((HOST, 0))
+        self.address = Address(HOST, self._socket.getsockname()[1])
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def stop(self):
+        """Stop listening."""
+        self._socket.close()
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            self._talk(connection)
+
+    def _talk(self, connection):
+        while data := connection.recv(65_536):
+            if HEAD_END not in data:
+                continue
+            self.got_request.set()
+            index = self.requests
+            self.requests += 1
+            connection.sendall(self._answers[index])
+            if index in self._closes:
+                break
+        connection.close()
+        self.closed.set()
+
+
+@pytest.fixture
+def client():
+    """Return a client, closed after the test."""
+    made = HttpClient()
+    yield made
+    made.close()
+
+
+def get(client, server, **options):
+    """Return the body of an answer."""
+    return client.call(server.address, HttpCall("GET", "/", **options)).body
+
+
+class TestCall:
+    """What an error says about whether anything was sent."""
+
+    def test_nobody_listens(self, client):
+        """A connection that is refused proves that nothing was sent."""
+        server = Server([])
+        server.stop()
+        with pytest.raises(NotSentError):
+            get(client, server)
+
+    def test_closed_without_answer(self, client):
+        """A connection closed after the request may have run it."""
+        with pytest.raises(BrokenCallError):
+            get(client, Server([SILENT], closes={0}))
+
+    def test_silence(self, client):
+        """No answer in time is a stall."""
+        with pytest.raises(StalledCallError):
+            get(client, Server([SILENT]), timeout_s=0.05)
+
+    def test_pooled_connection_that_was_closed(self, client):
+        """It is not used again: the call goes over a fresh one."""
+        server = Server([ANSWER, ANSWER], closes={0})
+        get(client, server)
+        server.closed.wait()
+        assert get(client, server) == b"ok"
+        assert server.requests == 2
+
+    def test_pooled_connection_that_breaks(self, client):
+        """Its request may have run, so it is not silently sent again."""
+        server = Server([ANSWER, SILENT, ANSWER], closes={1})
+        get(client, server)
+        with pytest.raises(BrokenCallError):
+            get(client, server)
+        assert server.requests == 2
+
+    def test_cancellation_breaks_a_waiting_call(self, client):
+        """A call without answer ends when it is cancelled."""
+        server = Server([SILENT])
+        cancellation = Cancellation()
+        threading.Thread(
+            target=lambda: (server.got_request.wait(), cancellation.cancel())
+        ).start()
+        with pytest.raises(BrokenCallError):
+            get(client, server, cancellation=cancellation)
