Answer every bad input in one form and speak the usual event form

Cause: what waitress refuses by itself had its own error body, a deadline of 5000 digits or an unexpected path encoding ended as an internal error, and chat events had neither role nor a reason of their end. Change: our error task, one request id from the edge to the engine that the caller gets back, events encoded from a prefix made once per stream, bodies above 8 MiB refused unread and none spooled to disk.

--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -47,7 +47,8 @@
     node.shared.peers.listen(
         own.host, own.peer_port, functools.partial(handle, node.membership)
     )
-    server = serve(node.app, own.host, own.http_port, node.shared.executors.connections)
+    connections = node.shared.executors.connections
+    server = serve(node.app, own.host, own.http_port, connections, node.app.refuse)
     threading.Thread(target=server.run, name="http", daemon=True).start()
     node.door.enter(NodeState.SERVING)
     node.leases.enter(NodeState.SERVING)
--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from uuid import uuid4
 
 import msgspec
 
@@ -23,11 +22,13 @@
 
 DEADLINE_HEADER = "Camphoryard-Deadline-Ms"
 PRIORITY_HEADER = "Camphoryard-Priority"
+REQUEST_HEADER = "Camphoryard-Request-Id"
 VERDICT_HEADER = "Camphoryard-Verdict"
 RETRY_AFTER_HEADER = "Retry-After"
 KEY_HEADER = "Idempotency-Key"
 DEFAULT_DEADLINE_MS = 30_000
 MAX_DEADLINE_MS = 600_000
+MAX_DEADLINE_DIGITS = 9
 MILLISECONDS_PER_SECOND = 1000
 MAX_KEY_CHARACTERS = 200
 MAX_TOKENS = 8192
@@ -40,6 +41,7 @@
     Reason.BAD_FIELD: 400,
     Reason.BODY_TOO_LARGE: 413,
     Reason.NOT_FOUND: 404,
+    Reason.METHOD_NOT_ALLOWED: 405,
     Reason.UNAUTHENTICATED: 401,
     Reason.FORBIDDEN: 403,
     Reason.UNKNOWN_MODEL: 404,
@@ -89,6 +91,7 @@
     """A decoded completion request."""
 
     request: InferenceRequest
+    model: str
     stream: bool
     chat: bool
 
@@ -103,13 +106,18 @@
     field: str
 
 
+_JSON = msgspec.json.Encoder()
 _COMPLETION = msgspec.json.Decoder(CompletionForm)
 
 
 def decode_completion(
-    body: bytes, headers: Mapping[str, str], caller: CallerId, chat: bool
+    body: bytes,
+    headers: Mapping[str, str],
+    caller: CallerId,
+    chat: bool,
+    id: RequestId,
 ) -> Completion:
-    """Return the request that a caller sent.
+    """Return the request that a caller sent, under ``id``.
 
     Raises
     ------
@@ -131,7 +139,7 @@
         )
     model, _, adapter = form.model.partition(":")
     request = InferenceRequest(
-        RequestId(uuid4().hex),
+        id,
         caller,
         ModelId(model),
         AdapterId(adapter) if adapter else None,
@@ -140,7 +148,7 @@
         _deadline_s(headers),
         _priority(headers),
     )
-    return Completion(request, form.stream, chat)
+    return Completion(request, form.model, form.stream, chat)
 
 
 def _prompt(form: CompletionForm) -> str:
@@ -159,6 +167,7 @@
     body: bytes,
     headers: Mapping[str, str],
     caller: CallerId,
+    id: RequestId,
 ) -> ActionRequest:
     """Return the call of a service's operation; raises RefusalError."""
     key = headers.get(KEY_HEADER)
@@ -169,7 +178,7 @@
             field=KEY_HEADER,
         )
     return ActionRequest(
-        RequestId(uuid4().hex),
+        id,
         caller,
         ServiceId(service),
         operation,
@@ -182,7 +191,7 @@
 
 def _deadline_s(headers: Mapping[str, str]) -> float:
     text = headers.get(DEADLINE_HEADER, str(DEFAULT_DEADLINE_MS))
-    if not text.isascii() or not text.isdigit() or not _allowed_ms(int(text)):
+    if not _is_deadline_ms(text):
         raise RefusalError(
             Reason.BAD_HEADER,
             f"must be 1 to {MAX_DEADLINE_MS} milliseconds",
@@ -191,8 +200,10 @@
     return time.monotonic() + int(text) / MILLISECONDS_PER_SECOND
 
 
-def _allowed_ms(deadline_ms: int) -> bool:
-    return 1 <= deadline_ms <= MAX_DEADLINE_MS
+def _is_deadline_ms(text: str) -> bool:
+    if not text.isascii() or not text.isdigit():
+        return False
+    return len(text) <= MAX_DEADLINE_DIGITS and 1 <= int(text) <= MAX_DEADLINE_MS
 
 
 def _priority(headers: Mapping[str, str]) -> Priority | None:
@@ -209,60 +220,87 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DeltaForm:
-    """The text that one event adds."""
+class MessageChoiceForm:
+    """The choice of a whole chat answer."""
 
-    content: str
+    message: ChatMessage
+    finish_reason: str
+    index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class ChoiceForm:
-    """One choice of a completion event or answer."""
+class TextChoiceForm:
+    """The choice of a whole text answer."""
 
-    text: str | None = None
-    delta: DeltaForm | None = None
-    message: ChatMessage | None = None
-    finish_reason: str | None = None
+    text: str
+    finish_reason: str
     index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class CompletionAnswerForm:
-    """A completion event or whole answer."""
+    """A whole answer; ``created`` is in seconds since the epoch."""
 
     id: str
     object: str
+    created: int
     model: str
-    choices: list[ChoiceForm]
-
-
-def encode_event(completion: Completion, frame: TokenFrame) -> bytes:
-    """Return the server-sent event of one token."""
-    reason = "stop" if frame.finished else None
-    if completion.chat:
-        choice = ChoiceForm(delta=DeltaForm(frame.text), finish_reason=reason)
-        name = "chat.completion.chunk"
-    else:
-        choice = ChoiceForm(text=frame.text, finish_reason=reason)
-        name = "text_completion"
-    form = CompletionAnswerForm(
-        completion.request.id, name, completion.request.model, [choice]
-    )
-    return b"data: " + msgspec.json.encode(form) + b"\n\n"
-
-
-def encode_answer(completion: Completion, text: str) -> bytes:
-    """Return the body of an answer that is not streamed."""
+    choices: list[MessageChoiceForm] | list[TextChoiceForm]
+
+
+class EventEncoder:
+    """Encodes the events of one stream; what they share is encoded once."""
+
+    def __init__(self, completion: Completion) -> None:
+        self._max_tokens = completion.request.max_tokens
+        name = "chat.completion.chunk" if completion.chat else "text_completion"
+        self._head = (
+            b'data: {"id":%b,"object":%b,"created":%d,"model":%b,'
+            b'"choices":[{"index":0,'
+            % (
+                _JSON.encode(completion.request.id),
+                _JSON.encode(name),
+                int(time.time()),
+                _JSON.encode(completion.model),
+            )
+        )
+        if completion.chat:
+            self._start = self._head + b'"delta":{"role":"assistant","content":'
+            self._middle = self._head + b'"delta":{"content":'
+            self._end = b'},"finish_reason":null}]}\n\n'
+            self._last = self._head + b'"delta":{}'
+        else:
+            self._start = self._middle = self._head + b'"text":'
+            self._end = b',"finish_reason":null}]}\n\n'
+            self._last = self._head + b'"text":""'
+
+    def encode(self, frame: TokenFrame) -> bytes:
+        """Return the server-sent event of one frame."""
+        if frame.finished:
+            reason = _JSON.encode(finish_reason(frame.offset, self._max_tokens))
+            return b'%b,"finish_reason":%b}]}\n\n' % (self._last, reason)
+        head = self._middle if frame.offset else self._start
+        return head + _JSON.encode(frame.text) + self._end
+
+
+def finish_reason(tokens: int, max_tokens: int) -> str:
+    """Return why an answer of ``tokens`` tokens ended."""
+    return "length" if tokens >= max_tokens else "stop"
+
+
+def encode_answer(completion: Completion, text: str, tokens: int) -> bytes:
+    """Return the body of an answer of ``tokens`` tokens that is not streamed."""
+    reason = finish_reason(tokens, completion.request.max_tokens)
+    choices: list[MessageChoiceForm] | list[TextChoiceForm]
     if completion.chat:
-        message = ChatMessage("assistant", text)
-        choice = ChoiceForm(message=message, finish_reason="stop")
+        choices = [MessageChoiceForm(ChatMessage("assistant", text), reason)]
         name = "chat.completion"
     else:
-        choice = ChoiceForm(text=text, finish_reason="stop")
+        choices = [TextChoiceForm(text, reason)]
         name = "text_completion"
-    return msgspec.json.encode(
+    return _JSON.encode(
         CompletionAnswerForm(
-            completion.request.id, name, completion.request.model, [choice]
+            completion.request.id, name, int(time.time()), completion.model, choices
         )
     )
 
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -90,6 +90,7 @@
     BAD_FIELD = "bad_field"
     BODY_TOO_LARGE = "body_too_large"
     NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     UNKNOWN_MODEL = "unknown_model"
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 from urllib.parse import parse_qsl
+from uuid import uuid4
 
 from camphoryard.coordination.serving import FrontDoor
+from camphoryard.protocol.caller import REQUEST_HEADER
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.errors import RefusalError
-from camphoryard.state.ids import CallerId
+from camphoryard.state.ids import CallerId, RequestId
 from camphoryard.state.verdict import Verdict
 from camphoryard.transport.access import Access
 from camphoryard.transport.caller_api import call_service, complete, error_response
@@ -28,6 +30,9 @@
     administer,
 )
 
+CALLERS_PREFIX = "/v1/"
+COMPLETION_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
+REASON_BY_STATUS = {413: Reason.BODY_TOO_LARGE, 500: Reason.INTERNAL}
 SERVICES_PREFIX = "/v1/services/"
 TEXT = "text/plain; version=0.0.4"
 
@@ -47,44 +52,59 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one request, as PEP 3333 has it."""
-        response = self._respond(environ)
+        id = RequestId(uuid4().hex)
+        response = self._respond(environ, id)
         status = HTTPStatus(response.status)
-        headers = [("Content-Type", response.content_type), *response.headers.items()]
+        headers = [
+            ("Content-Type", response.content_type),
+            (REQUEST_HEADER, id),
+            *response.headers.items(),
+        ]
         if isinstance(response.body, list):
             length = sum(len(item) for item in response.body)
             headers.append(("Content-Length", str(length)))
         start_response(f"{status.value} {status.phrase}", headers)
         return response.body
 
-    def _respond(self, environ: Environ) -> HttpResponse:
+    def refuse(self, status: int, detail: str) -> HttpResponse:
+        """Answer what could not be read as a request, or failed unexpectedly."""
+        reason = REASON_BY_STATUS.get(status, Reason.BAD_HEADER)
+        unknown = reason is Reason.INTERNAL
+        verdict = Verdict.MAY_HAVE_RUN if unknown else Verdict.NOT_RUN
+        refusal = RefusalError(reason, detail, verdict)
+        self.door.refused(refusal, None, None)
+        return error_response(refusal)
+
+    def _respond(self, environ: Environ, id: RequestId) -> HttpResponse:
         caller: CallerId | None = None
         try:
-            request = _request(environ)
-            if request.path.startswith("/v1/"):
+            request = _request(environ, id)
+            if request.path.startswith(CALLERS_PREFIX):
                 caller = self.access.caller(request.headers)
                 return self._serve(request, caller)
             return self._tend(request)
         except RefusalError as refusal:
-            self.door.refused(refusal, caller, None)
+            self.door.refused(refusal, caller, id)
             return error_response(refusal)
         except Exception:
             _log.exception("unexpected error")
-            return error_response(
-                RefusalError(Reason.INTERNAL, "unexpected error", Verdict.MAY_HAVE_RUN)
-            )
+            return self.refuse(HTTPStatus.INTERNAL_SERVER_ERROR, "unexpected error")
 
     def _serve(self, request: HttpRequest, caller: CallerId) -> HttpResponse:
-        match (request.method, request.path):
-            case ("POST", "/v1/chat/completions"):
+        is_call = request.path.startswith(SERVICES_PREFIX)
+        if (is_call or request.path in COMPLETION_PATHS) and request.method != "POST":
+            raise RefusalError(Reason.METHOD_NOT_ALLOWED, "use POST")
+        match request.path:
+            case "/v1/chat/completions":
                 return complete(self.door, request, caller, chat=True)
-            case ("POST", "/v1/completions"):
+            case "/v1/completions":
                 return complete(self.door, request, caller, chat=False)
-            case ("POST", path) if path.startswith(SERVICES_PREFIX):
+            case path if is_call:
                 return call_service(
                     self.door, request, caller, path.removeprefix(SERVICES_PREFIX)
                 )
-            case (method, path):
-                raise RefusalError(Reason.NOT_FOUND, f"nothing at {method} {path}")
+            case path:
+                raise RefusalError(Reason.NOT_FOUND, f"nothing at {path}")
 
     def _tend(self, request: HttpRequest) -> HttpResponse:
         match request.path:
@@ -104,7 +124,7 @@
                 raise RefusalError(Reason.NOT_FOUND, f"nothing at {path}")
 
 
-def _request(environ: Environ) -> HttpRequest:
+def _request(environ: Environ, id: RequestId) -> HttpRequest:
     length = int(environ.get("CONTENT_LENGTH") or 0)
     if length > MAX_BODY_BYTES:
         raise RefusalError(
@@ -117,9 +137,21 @@
     }
     return HttpRequest(
         environ["REQUEST_METHOD"],
-        environ.get("PATH_INFO", "/"),
+        _path(environ),
         dict(parse_qsl(environ.get("QUERY_STRING", ""))),
         headers,
         environ["wsgi.input"].read(length) if length else b"",
+        id,
         environ[CANCELLATION],
     )
+
+
+def _path(environ: Environ) -> str:
+    """Return the path, which PEP 3333 hands over as bytes read as Latin-1."""
+    raw: str = environ.get("PATH_INFO", "/")
+    try:
+        return raw.encode("latin-1").decode()
+    except UnicodeError as error:
+        raise RefusalError(
+            Reason.BAD_FIELD, "the path is not UTF-8", field="path"
+        ) from error
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -9,12 +9,12 @@
     RETRY_AFTER_HEADER,
     VERDICT_HEADER,
     Completion,
+    EventEncoder,
     action_request,
     decode_completion,
     encode_answer,
     encode_error,
     encode_error_event,
-    encode_event,
 )
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import CallerId
@@ -39,7 +39,9 @@
     door: FrontDoor, request: HttpRequest, caller: CallerId, chat: bool
 ) -> HttpResponse:
     """Answer a completion request; raises RefusalError before the first token."""
-    completion = decode_completion(request.body, request.headers, caller, chat)
+    completion = decode_completion(
+        request.body, request.headers, caller, chat, request.id
+    )
     frames = door.infer(completion.request, request.cancellation)
     first = next(frames)
     headers = {VERDICT_HEADER: Verdict.RAN.value}
@@ -47,8 +49,10 @@
         events = _Events(completion, first, frames)
         return HttpResponse(200, events, headers, EVENT_STREAM)
     with closing(frames):
-        text = first.text + "".join(frame.text for frame in frames)
-    return HttpResponse(200, [encode_answer(completion, text)], headers)
+        texts = [first.text, *(frame.text for frame in frames)]
+    # The last frame ends the answer and is no token.
+    body = encode_answer(completion, "".join(texts), len(texts) - 1)
+    return HttpResponse(200, [body], headers)
 
 
 def call_service(
@@ -56,7 +60,9 @@
 ) -> HttpResponse:
     """Answer a call of ``SERVICE/OPERATION``; raises RefusalError."""
     service, _, operation = path.partition("/")
-    action = action_request(service, operation, request.body, request.headers, caller)
+    action = action_request(
+        service, operation, request.body, request.headers, caller, request.id
+    )
     answer = door.act(action)
     headers = {
         VERDICT_HEADER: Verdict.RAN.value,
@@ -74,15 +80,14 @@
         first: TokenFrame,
         frames: Generator[TokenFrame, None, None],
     ) -> None:
-        self._completion = completion
+        self._encode = EventEncoder(completion).encode
         self._first = first
         self._frames = frames
 
     def __iter__(self) -> Iterator[bytes]:
         try:
-            yield encode_event(self._completion, self._first)
-            for frame in self._frames:
-                yield encode_event(self._completion, frame)
+            yield self._encode(self._first)
+            yield from map(self._encode, self._frames)
         except RefusalError as refusal:
             yield encode_error_event(refusal)
             return
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -6,17 +6,19 @@
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import Executor
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any, TypeAlias
 
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
-from waitress.task import WSGITask
+from waitress.task import ErrorTask, WSGITask
 
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.state.ids import RequestId
 
 MAX_BODY_BYTES = 1 << 20
-MAX_READ_BYTES = 64 << 20
+MAX_READ_BYTES = 8 << 20
 CONNECTION_LIMIT = 2000
 BACKLOG = 1024
 FLUSH_CHECK_S = 0.1
@@ -35,7 +37,8 @@
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
-    cancellation: Cancellation = field(default_factory=Cancellation)
+    id: RequestId
+    cancellation: Cancellation
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +51,9 @@
     content_type: str = "application/json"
 
 
+Refuse: TypeAlias = Callable[[int, str], HttpResponse]
+
+
 class ExecutorDispatcher:
     """Runs waitress's tasks in an executor instead of its own threads."""
 
@@ -66,6 +72,23 @@
         return True
 
 
+class BadRequestTask(ErrorTask):
+    """Answers in our form what waitress could not read as a request."""
+
+    def execute(self) -> None:
+        """Write the answer and have the connection closed."""
+        error = self.request.error
+        response = self.channel.server.refuse(error.code, error.body)
+        body = b"".join(response.body)
+        status = HTTPStatus(response.status)
+        self.status = f"{status.value} {status.phrase}"
+        self.response_headers.append(("Content-Type", response.content_type))
+        self.response_headers.extend(response.headers.items())
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        self.write(body)
+
+
 class ConnectionTask(WSGITask):
     """Gives the application the cancellation of its connection."""
 
@@ -80,6 +103,7 @@
     """A caller's connection; cancels its request when the caller goes away."""
 
     task_class = ConnectionTask
+    error_task_class = BadRequestTask
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         self.cancellation = Cancellation()
@@ -104,11 +128,16 @@
 
 
 class HttpServer(TcpWSGIServer):
-    """The waitress server; knows when all answers have left."""
+    """The waitress server; knows when all answers have left.
+
+    ``refuse`` makes the answer to what could not be read, from a status code
+    and a text.
+    """
 
     channel_class = Connection
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(self, *args: Any, refuse: Refuse, **kwargs: Any) -> None:
+        self.refuse = refuse
         self._progress = threading.Condition()
         super().__init__(*args, **kwargs)
 
@@ -131,7 +160,9 @@
         return all(item.is_flushed for item in tuple(self.active_channels.values()))
 
 
-def serve(app: Any, host: str, port: int, executor: Executor) -> HttpServer:
+def serve(
+    app: Any, host: str, port: int, executor: Executor, refuse: Refuse
+) -> HttpServer:
     """Return a waitress server that is bound; its ``run`` blocks."""
     logging.getLogger("waitress").setLevel(logging.ERROR)
     adjustments = Adjustments(
@@ -141,6 +172,7 @@
         connection_limit=CONNECTION_LIMIT,
         backlog=BACKLOG,
         max_request_body_size=MAX_READ_BYTES,
+        inbuf_overflow=MAX_READ_BYTES,
         clear_untrusted_proxy_headers=True,
         channel_timeout=600,
         channel_request_lookahead=1,
@@ -154,5 +186,6 @@
         dispatcher=ExecutorDispatcher(executor),
         adj=adjustments,
         sockinfo=adjustments.listen[0],
+        refuse=refuse,
     )
     return server
