--- a/standins/engine.py
+++ b/standins/engine.py
@@ -420,6 +420,7 @@
     weight_store_port: int = 0,
     report_lag_s: float = 0.5,
     journal: Path | None = None,
+    crash_on: str = "",
 ) -> None:
     """Run one engine."""
     engine = Engine(
@@ -432,6 +433,7 @@
         report_lag_s,
         journal,
     )
+    engine.faults.crash_on = crash_on
     threading.Thread(target=engine.step_forever, daemon=True).start()
     serve_pushed(engine.handle, host, port)
 
