--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,7 @@
 POLL_S = 0.02
 OPERATOR_TOKEN = "operator-token"
 CALLER_TOKEN = "caller-token"
+SERVING = "\n[serving]\ngrace_s = 0.2\nstall_s = 1.0\n"
 CALLERS = ("meter-app", "front-desk", "overnight")
 
 
@@ -146,6 +147,8 @@
         port, peer_port = free_port(), free_port()
         settings = self.folder / f"{name}.toml"
         self.peer_port_by_node[name] = peer_port
+        if "[serving]" not in extra:
+            extra += SERVING
         settings.write_text(self.settings(name, zone, port, peer_port) + extra)
         self._start(
             name, port, ["-m", "camphoryard.daemon", "--settings", str(settings)]
@@ -180,10 +183,6 @@
 lease_s = 3.0
 seeds = [{self._seeds(name, public)}]
 
-[serving]
-grace_s = 0.2
-stall_s = 1.0
-
 [access]
 operator_tokens = ["{OPERATOR_TOKEN}"]
 
