--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,58 @@
+"""Time until an accepted change is in force on every node, on real daemons.
+
+Run ``python -m bench.configuration --nodes 9 --changes 20``. The time counts
+from the answer to ``apply`` to the last node's status that shows the generation.
+"""
+
+import time
+from typing import Annotated
+
+import typer
+
+from standins.fleet import Fleet
+from standins.site import Site, SiteSpec, start_site
+
+BOUNDED = """
+[configuration]
+watchers_per_zone = 1
+"""
+IN_FORCE_LIMIT_S = 14.0
+
+
+def measure(site: Site, changes: int) -> list[float]:
+    """Return the seconds each change took, sorted."""
+    took_s = []
+    for index in range(changes):
+        change = {"models": [{"id": "added", "memory_mb": 1000 + index}]}
+        accepted = site.apply(site.nodes[index % len(site.nodes)], change)
+        started_s = time.monotonic()
+        site.wait_in_force(accepted, IN_FORCE_LIMIT_S)
+        took_s.append(time.monotonic() - started_s)
+    return sorted(took_s)
+
+
+def main(
+    nodes: Annotated[int, typer.Option(help="Number of daemons.")] = 9,
+    changes: Annotated[int, typer.Option(help="Number of changes.")] = 20,
+    watchers: Annotated[
+        bool, typer.Option("--watchers", help="One node a zone watches.")
+    ] = False,
+) -> None:
+    """Print the median and the longest time, and the calls of the object API."""
+    settings = BOUNDED if watchers else ""
+    with Fleet() as fleet:
+        site = start_site(fleet, SiteSpec(nodes=nodes, node_settings=settings))
+        before = site.control("object-api")["counts"]
+        started_s = time.monotonic()
+        took_s = measure(site, changes)
+        window_s = time.monotonic() - started_s
+        after = site.control("object-api")["counts"]
+    typer.echo(f"nodes {nodes}, changes {changes}, one watcher a zone: {watchers}")
+    typer.echo(f"in force everywhere: median {took_s[len(took_s) // 2]:.3f} s")
+    typer.echo(f"in force everywhere: longest {took_s[-1]:.3f} s")
+    calls = ", ".join(f"{name} {after[name] - before[name]}" for name in before)
+    typer.echo(f"calls of the object API in {window_s:.1f} s: {calls}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/src/camphoryard/coordination/gossip.py
+++ b/src/camphoryard/coordination/gossip.py
@@ -166,7 +166,9 @@
         """Return the digests passed on least since they were news."""
         with self._lock:
             nodes = heapq.nsmallest(
-                count, self._sends_by_node, key=self._sends_by_node.__getitem__
+                count,
+                self._sends_by_node,
+                key=lambda node: (self._sends_by_node[node], random.random()),
             )
             for node in nodes:
                 self._sends_by_node[node] += 1
