--- /dev/null
+++ b/src/camphoryard/coordination/concurrency_limits.py
@@ -0,0 +1,63 @@
+"""Limits on how many requests of a caller or a group are under way."""
+
+import math
+import threading
+from collections import Counter
+from collections.abc import Generator
+from contextlib import contextmanager
+
+from camphoryard.coordination.admission import overloaded
+from camphoryard.state.enums import NodeState
+from camphoryard.state.ids import CallerId, GroupId
+from camphoryard.state.labels import Labels
+from camphoryard.state.nodes import NodeTable
+
+LIMIT_LABEL = "max-concurrent"
+
+
+class ConcurrencyLimits:
+    """Counts what is under way; a limit is shared evenly by the serving nodes."""
+
+    def __init__(self, nodes: NodeTable) -> None:
+        self._nodes = nodes
+        self._lock = threading.Lock()
+        self._count_by_key: Counter[CallerId | GroupId] = Counter()
+
+    @contextmanager
+    def held(self, key: CallerId | GroupId, limit: int) -> Generator[None, None, None]:
+        """Hold one of ``limit`` places of ``key``; 0 or less is no limit.
+
+        Raises
+        ------
+        RefusalError
+            If this node's share of the places is taken.
+        """
+        if limit <= 0:
+            yield
+            return
+        share = self._share(limit)
+        with self._lock:
+            if self._count_by_key[key] >= share:
+                raise overloaded(f"{key} has {share} requests under way here", 0.0)
+            self._count_by_key[key] += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._count_by_key[key] -= 1
+
+    def _share(self, limit: int) -> int:
+        serving = sum(lease.state is NodeState.SERVING for lease in self._nodes.alive())
+        return math.ceil(limit / max(1, serving))
+
+
+def caller_limit(labels: Labels) -> int:
+    """Return the limit in a caller's labels, or 0 if there is none.
+
+    Examples
+    --------
+    >>> caller_limit({"max-concurrent": "8"})
+    8
+    """
+    text = labels.get(LIMIT_LABEL, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference.py
@@ -8,6 +8,10 @@
 from camphoryard.coordination.admission import Admission, Lane, Ticket
 from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.concurrency_limits import (
+    ConcurrencyLimits,
+    caller_limit,
+)
 from camphoryard.coordination.frames import in_order
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.ports import Engines
@@ -45,6 +49,7 @@
 
     configuration: ConfigurationHolder
     table: EndpointTable
+    limits: ConcurrencyLimits
     admission: Admission
     breakers: Breakers
     leaving: LeavingEndpoints
@@ -82,9 +87,28 @@
         If the answer cannot be had or finished; its verdict is NOT_RUN only if
         no endpoint accepted any byte of the request.
     """
-    where = _route(parts.configuration.current, request)
-    progress = _Progress()
+    current = parts.configuration.current
+    where = _route(current, request)
     parts.retries.earn(where.group)
+    caller = current.callers_by_id.get(request.caller)
+    group_limit = current.groups_by_id[where.group].max_concurrent
+    with (
+        parts.limits.held(where.group, group_limit),
+        parts.limits.held(
+            request.caller, caller_limit(caller.labels if caller else {})
+        ),
+    ):
+        yield from _answer(parts, request, where, cancellation)
+
+
+def _answer(
+    parts: InferenceParts,
+    request: InferenceRequest,
+    where: Route,
+    cancellation: Cancellation,
+) -> Generator[TokenFrame, None, None]:
+    """Yield the whole answer over as many attempts as it takes."""
+    progress = _Progress()
     while True:
         parts.suspects.check(fingerprint(request), progress.verdict)
         ticket = _ticket(parts, request, where, progress)
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -18,6 +18,7 @@
     Unlimited,
 )
 from camphoryard.coordination.breakers import Breakers
+from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.inference import InferenceParts
 from camphoryard.coordination.leaving import LeavingEndpoints
@@ -345,6 +346,7 @@
     inference = InferenceParts(
         shared.configuration,
         shared.table,
+        ConcurrencyLimits(shared.nodes),
         admission,
         Breakers(),
         LeavingEndpoints(shared.configuration, shared.estimates, shared.vms),
--- a/src/camphoryard/protocol/configuration.py
+++ b/src/camphoryard/protocol/configuration.py
@@ -38,6 +38,7 @@
     targets: str = ""
     endpoints: str = ""
     order: int = 100
+    max_concurrent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +155,7 @@
         _selector(form.targets, f"{path}.targets"),
         _selector(form.endpoints, f"{path}.endpoints"),
         form.order,
+        form.max_concurrent,
     )
 
 
@@ -172,6 +174,7 @@
         format_selector(group.targets),
         format_selector(group.endpoints),
         group.order,
+        group.max_concurrent,
     )
 
 
--- a/src/camphoryard/state/configuration.py
+++ b/src/camphoryard/state/configuration.py
@@ -75,7 +75,8 @@
     """Which callers reach which models at which endpoints, and how urgently.
 
     Groups are tried in ascending ``order``; the first whose selectors match
-    the caller and the model or service takes the request.
+    the caller and the model or service takes the request. ``max_concurrent``
+    bounds the inference requests under way over all nodes; 0 is no limit.
     """
 
     id: GroupId
@@ -84,6 +85,7 @@
     targets: Selector = Selector()
     endpoints: Selector = Selector()
     order: int = 100
+    max_concurrent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/coordination/test_concurrency_limits.py
@@ -0,0 +1,39 @@
+"""Tests of concurrency limits."""
+
+from contextlib import ExitStack
+
+import pytest
+
+from camphoryard.coordination.concurrency_limits import (
+    ConcurrencyLimits,
+    caller_limit,
+)
+from camphoryard.state.enums import Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import CallerId
+from camphoryard.state.nodes import NodeTable
+from camphoryard.state.verdict import Verdict
+
+CALLER = CallerId("overnight")
+
+
+class TestConcurrencyLimits:
+    """Places of a caller."""
+
+    def test_refuses_above_the_limit(self):
+        """The refusal says that nothing ran; a place given back is free."""
+        limits = ConcurrencyLimits(NodeTable())
+        with ExitStack() as places:
+            for _ in range(2):
+                places.enter_context(limits.held(CALLER, 2))
+            with pytest.raises(RefusalError) as refused, limits.held(CALLER, 2):
+                pass
+        assert refused.value.reason is Reason.OVERLOADED
+        assert refused.value.verdict is Verdict.NOT_RUN
+        with limits.held(CALLER, 2):
+            pass
+
+    @pytest.mark.parametrize(("text", "limit"), [("3", 3), ("", 0), ("x", 0)])
+    def test_limit_is_a_label(self, text, limit):
+        """A label that is no number sets no limit."""
+        assert caller_limit({"max-concurrent": text}) == limit
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -6,6 +6,7 @@
 from camphoryard.coordination.admission import Admission, DeadlineFirst
 from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.inference import InferenceParts
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.load_estimates import LoadEstimates
@@ -207,6 +208,7 @@
     return InferenceParts(
         holder,
         table,
+        ConcurrencyLimits(nodes),
         admission,
         Breakers(),
         LeavingEndpoints(holder, estimates, VmTable()),
--- /dev/null
+++ b/tests/transport/test_http_server.py
@@ -0,0 +1,98 @@
+"""Tests of the HTTP server over real sockets."""
+
+import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from camphoryard.transport.http_server import CANCELLATION, HttpResponse, serve
+
+HOST = "127.0.0.1"
+FAR_S = 1e9
+LARGE_BYTES = 32 << 20
+REQUEST = b"GET / HTTP/1.0\r\n\r\n"
+
+
+class Application:
+    """Answers with a body; its events tell how far a request has come."""
+
+    def __init__(self, body=b"ok", waits=False):
+        self.began, self.gone = threading.Event(), threading.Event()
+        self.may_answer = threading.Event()
+        self._body = body
+        if not waits:
+            self.may_answer.set()
+
+    def __call__(self, environ, start_response):
+        """Answer one request."""
+        environ[CANCELLATION].subscribe(self.gone.set)
+        environ[CANCELLATION].subscribe(self.may_answer.set)
+        self.began.set()
+        self.may_answer.wait()
+        start_response("200 OK", [("Content-Length", str(len(self._body)))])
+        return [self._body]
+
+
+@pytest.fixture
+def run():
+    """Return a function that runs a server for an application."""
+    servers = []
+    executor = ThreadPoolExecutor()
+
+    def start(app):
+        server = serve(app, HOST, 0, executor, lambda *_: HttpResponse(400, []))
+        threading.Thread(target=server.run, daemon=True).start()
+        servers.append(server)
+        return server
+
+    yield start
+    for server in servers:
+        server.close()
+    executor.shutdown()
+
+
+def connect(server):
+    """Return a connection that has sent a request."""
+    connection = socket.create_connection((HOST, server.effective_port))
+    connection.sendall(REQUEST)
+    return connection
+
+
+class TestWaitFlushed:
+    """Waiting for the last byte."""
+
+    def test_waits_for_what_is_buffered(self, run):
+        """An answer that its reader has not taken is not done."""
+        app = Application(b"x" * LARGE_BYTES)
+        server = run(app)
+        with connect(server) as reader:
+            app.began.wait()
+            assert not server.wait_flushed(time.monotonic())
+            received = sum(map(len, iter(lambda: reader.recv(1 << 20), b"")))
+        assert received > LARGE_BYTES
+        assert server.wait_flushed(FAR_S)
+
+    def test_waits_for_what_runs(self, run):
+        """A request that has no answer yet is not done."""
+        app = Application(waits=True)
+        server = run(app)
+        with connect(server):
+            app.began.wait()
+            assert not server.wait_flushed(time.monotonic())
+            app.may_answer.set()
+            assert server.wait_flushed(FAR_S)
+
+
+class TestCancellation:
+    """A caller that goes away."""
+
+    def test_cancels_what_runs_for_it(self, run):
+        """The request hears of it although nothing is sent or read."""
+        app = Application(waits=True)
+        caller = connect(run(app))
+        app.began.wait()
+        assert not app.gone.is_set()
+        caller.close()
+        app.gone.wait()
