--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -3,7 +3,15 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from camphoryard.state.ids import EndpointId, Fingerprint, ItemId, NodeId
+from camphoryard.state.ids import (
+    EndpointId,
+    FencingNumber,
+    Fingerprint,
+    Incarnation,
+    ItemId,
+    NodeId,
+    OrderId,
+)
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.timeline import Stamp
 
@@ -24,6 +32,29 @@
     items: tuple[ItemId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ItemsUsed:
+    """Tell an owner of endpoints which items the sender used of late."""
+
+    items: tuple[ItemId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Ask an earlier owner to send no more orders numbered below ``fence``."""
+
+    endpoint: EndpointId
+    incarnation: Incarnation
+    fence: FencingNumber
+
+
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """The orders are given up; those named were sent and got no answer."""
+
+    unanswered: tuple[OrderId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class DigestWanted:
     """Ask a node for its digest."""
@@ -73,7 +104,8 @@
     detail: str
 
 
+ResidencyMessage: TypeAlias = LoadWanted | ItemsUsed | GiveUp
 Message: TypeAlias = (
-    Heartbeat | LoadWanted | DigestWanted | CrashSeen | TrialWanted | TrialEnded
+    Heartbeat | DigestWanted | ResidencyMessage | CrashSeen | TrialWanted | TrialEnded
 )
-Reply: TypeAlias = Done | Declined | NodeDigest
+Reply: TypeAlias = Done | Declined | NodeDigest | GivenUp
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -10,7 +10,10 @@
     Declined,
     DigestWanted,
     Done,
+    GivenUp,
+    GiveUp,
     Heartbeat,
+    ItemsUsed,
     LoadWanted,
     Message,
     Reply,
@@ -31,6 +34,9 @@
 
     HEARTBEAT = "heartbeat"
     LOAD_WANTED = "load_wanted"
+    ITEMS_USED = "items_used"
+    GIVE_UP = "give_up"
+    GIVEN_UP = "given_up"
     DIGEST_WANTED = "digest_wanted"
     CRASH_SEEN = "crash_seen"
     TRIAL_WANTED = "trial_wanted"
@@ -43,6 +49,9 @@
 _TYPE_BY_KIND: dict[FrameKind, type[Message] | type[Reply]] = {
     FrameKind.HEARTBEAT: Heartbeat,
     FrameKind.LOAD_WANTED: LoadWanted,
+    FrameKind.ITEMS_USED: ItemsUsed,
+    FrameKind.GIVE_UP: GiveUp,
+    FrameKind.GIVEN_UP: GivenUp,
     FrameKind.DIGEST_WANTED: DigestWanted,
     FrameKind.CRASH_SEEN: CrashSeen,
     FrameKind.TRIAL_WANTED: TrialWanted,
