Relay tokens with less work in our own layers

Cause: 190 to 220 us of processor time a token at 400 streams, against a target of 20. Change: frames are decoded straight into the state's type, an event is sent by the connection's task in one call of the socket, past the buffers. Ruled out: our codecs and layers as the main cost. Four switches of threads a token remain: one thread for each stream, woken for each token. Conclusion: the target is missed by far; only a task that serves many streams at one wake can reach it.

--- a/src/camphoryard/protocol/endpoint.py
+++ b/src/camphoryard/protocol/endpoint.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from camphoryard.coordination.ports import Inventory, Order
-from camphoryard.state.ids import FencingNumber, ItemId, RequestId
+from camphoryard.state.ids import FencingNumber, ItemId
 from camphoryard.state.requests import InferenceRequest, TokenFrame
 
 EVENT_PREFIX = b"data: "
@@ -24,16 +24,6 @@
     adapter: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class FrameForm:
-    """One event of an engine's stream."""
-
-    request_id: str
-    offset: int
-    text: str = ""
-    finished: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class OrderForm:
     """Body of ``POST /admin/orders`` at an engine."""
@@ -58,7 +48,7 @@
     slots: int = 0
 
 
-_FRAME = msgspec.json.Decoder(FrameForm)
+_FRAME = msgspec.json.Decoder(TokenFrame)
 _INVENTORY = msgspec.json.Decoder(InventoryForm)
 STANDARD_RANK = 1
 
@@ -81,8 +71,7 @@
 
 def decode_frame(line: bytes) -> TokenFrame:
     """Return the token in one event line; raises ``msgspec.MsgspecError``."""
-    form = _FRAME.decode(line[len(EVENT_PREFIX) :])
-    return TokenFrame(RequestId(form.request_id), form.offset, form.text, form.finished)
+    return _FRAME.decode(memoryview(line)[len(EVENT_PREFIX) :])
 
 
 def encode_order(order: Order) -> bytes:
--- a/src/camphoryard/state/requests.py
+++ b/src/camphoryard/state/requests.py
@@ -49,8 +49,8 @@
 
     request_id: RequestId
     offset: int
-    text: str
-    finished: bool
+    text: str = ""
+    finished: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -114,6 +114,31 @@
         """Whether every request got its answer, to the last byte."""
         return not self.requests and not self.total_outbufs_len
 
+    def write_soon(self, data: Any) -> int:
+        """Send at once what the socket takes, and buffer only the rest.
+
+        A token's event then costs one call of the socket and passes no buffer.
+        """
+        if self.total_outbufs_len or not isinstance(data, bytes):
+            count: int = super().write_soon(data)
+            return count
+        sent = self._send_now(data)
+        if sent < len(data):
+            super().write_soon(data[sent:])
+        return len(data)
+
+    def _send_now(self, data: bytes) -> int:
+        with self.outbuf_lock:
+            if not self.connected or self.total_outbufs_len:
+                return 0
+            try:
+                sent: int = self.socket.send(data)
+            except OSError:
+                # The buffered way meets the same error and deals with it.
+                return 0
+        self.last_activity = time.time()
+        return sent
+
     def handle_close(self) -> None:
         """Close the connection and cancel what runs for it."""
         super().handle_close()
--- a/standins/site.py
+++ b/standins/site.py
@@ -9,6 +9,7 @@
 from standins.fleet import CALLER_TOKEN, HOST, Fleet, request
 
 STREAM_TIMEOUT_S = 60.0
+ADAPTED_MODEL = "permit-8b"
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,7 +194,7 @@
             {"id": item.id, "memory_mb": item.memory_mb, "labels": _family(item)}
             for item in site.spec.models
         ],
-        "adapters": [{"id": "downtown", "base": "permit-8b", "memory_mb": 200}],
+        "adapters": _adapters(site.spec),
         "services": [
             {
                 "id": "bookings",
@@ -238,6 +239,13 @@
     }
 
 
+def _adapters(spec: SiteSpec) -> list[dict[str, Any]]:
+    """Return an adapter if the site has the model that it is for."""
+    if not any(item.id == ADAPTED_MODEL for item in spec.models):
+        return []
+    return [{"id": "downtown", "base": ADAPTED_MODEL, "memory_mb": 200}]
+
+
 def _family(model: ModelSpec) -> dict[str, str]:
     return {"family": model.family}
 
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -69,12 +69,16 @@
         assert order(given, tickets) == [0, 3, 2, 1]
 
     def test_earliest_deadline_goes_first_inside_a_class(self):
-        """Also over lanes of different models."""
+        """Within a lane, and over lanes of different models."""
         given = admission(DeadlineFirst())
         tickets = entered(
-            given, ticket(), ticket(), ticket(due_s=SOON_S, model="b"), ticket()
+            given,
+            ticket(),
+            ticket(due_s=LATER_S),
+            ticket(due_s=SOON_S, model="b"),
+            ticket(due_s=SOON_S / 2),
         )
-        assert order(given, tickets) == [0, 2, 1, 3]
+        assert order(given, tickets) == [0, 3, 2, 1]
 
     def test_deferrable_work_rises_with_age(self):
         """It does not wait behind newer work for ever."""
