Restore the system test of the last byte to a slow reader

Cause: it was replaced by a unit test of wait_flushed, which does not hold that a stopping daemon waits for it. Conclusion: both stay.

--- a/tests/system/test_leaving.py
+++ b/tests/system/test_leaving.py
@@ -1,15 +1,17 @@
 """Tests of endpoints and nodes that leave, over real processes."""
 
 import signal
+import socket
 
 import pytest
 
 from standins.engine import whole_answer
-from standins.fleet import HOST, HttpError, request
+from standins.fleet import CALLER_TOKEN, HOST, HttpError, request
 from standins.site import SiteSpec, engine_item
 
 LONG = 150
 PROBES = 10
+SMALL_BUFFER_BYTES = 4096
 EXIT_LIMIT_S = 30.0
 
 
@@ -103,3 +105,34 @@
             assert site.complete("node-1", "meter-3b", "x", 3) == whole_answer("x", 3)
         for node in site.nodes:
             site.fleet.process_by_name[node].kill()
+
+    def test_slow_reader_gets_the_last_byte(self, start):
+        """What is still in the node's output buffers is sent before it ends."""
+        site = start(SiteSpec(nodes=1, ignoring_engines=0, step_ms=0.2))
+        site.complete("node-1", "meter-3b", "warm", 1)
+        body = b'{"model":"meter-3b","prompt":"slow","max_tokens":6000,"stream":true}'
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            f"Authorization: Bearer {CALLER_TOKEN}-meter-app\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        with socket.socket() as reader:
+            reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+            reader.connect((HOST, site.fleet.port("node-1")))
+            reader.sendall(head.encode() + body)
+            site.fleet.wait_until(
+                lambda: (
+                    site.control("engine-1")["log"][-1]["prompt"] == "slow"
+                    and not site.control("engine-1")["running"]
+                ),
+                "the end at the engine",
+            )
+            process = site.fleet.process_by_name["node-1"]
+            process.signal(signal.SIGTERM)
+            site.fleet.wait_until(
+                lambda: "state=stopping" in process.log.read_text(), "stopping"
+            )
+            received = b"".join(iter(lambda: reader.recv(1 << 16), b""))
+        assert received.count(b"data: {") == 6001
+        assert b"data: [DONE]" in received
+        assert process.popen.wait(EXIT_LIMIT_S) == 0
