--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -1,8 +1,12 @@
 """Messages between nodes."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TypeAlias
 
+from camphoryard.state.configuration import Configuration
+from camphoryard.state.configuration_head import ConfigurationHead
+from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.ids import (
     EndpointId,
     FencingNumber,
@@ -10,18 +14,103 @@
     Incarnation,
     ItemId,
     NodeId,
+    ObjectKey,
     OrderId,
+    Version,
 )
-from camphoryard.state.nodes import NodeDigest
-from camphoryard.state.timeline import Stamp
+from camphoryard.state.nodes import NodeDigest, NodeLease
+from camphoryard.state.timeline import Event
 
 
 @dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """A node is alive; its digest heals what was lost."""
+class HeardDigest:
+    """A digest and how long ago its node surely was there, or None if unsure."""
 
     digest: NodeDigest
-    stamp: Stamp
+    age_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """News of nodes; the first digest is the sender's own."""
+
+    round: int
+    digests: tuple[HeardDigest, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GossipAnswer:
+    """News in return for those of ``round``; the first digest is the sender's own.
+
+    ``store_age_s`` is how long ago the object API confirmed its configuration.
+    """
+
+    round: int
+    store_age_s: float | None
+    digests: tuple[HeardDigest, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class JoinWanted:
+    """A node makes itself known and asks for the nodes known to the peer."""
+
+    lease: NodeLease
+
+
+@dataclass(frozen=True, slots=True)
+class Joined:
+    """The nodes known to the peer, itself first."""
+
+    leases: tuple[NodeLease, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationWanted:
+    """Ask for the configuration in force, without the parts already known."""
+
+    known: tuple[ObjectKey, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationOffer:
+    """An accepted head and those of its parts that the asker lacks."""
+
+    head: ConfigurationHead
+    part_by_key: Mapping[ObjectKey, Configuration]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsWanted:
+    """Ask for the endpoint records that the peer has seen."""
+
+
+@dataclass(frozen=True, slots=True)
+class VersionedRecord:
+    """An endpoint record at one version."""
+
+    record: EndpointRecord
+    version: Version
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsFound:
+    """The endpoint records that a node has seen."""
+
+    records: tuple[VersionedRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EventsWanted:
+    """Ask for the events of the peer's time line that have these fields."""
+
+    fields: Mapping[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class EventsFound:
+    """Events of one node, oldest first."""
+
+    events: tuple[Event, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +195,25 @@
 
 ResidencyMessage: TypeAlias = LoadWanted | ItemsUsed | GiveUp
 Message: TypeAlias = (
-    Heartbeat | DigestWanted | ResidencyMessage | CrashSeen | TrialWanted | TrialEnded
+    Gossip
+    | GossipAnswer
+    | JoinWanted
+    | ConfigurationWanted
+    | EventsWanted
+    | RecordsWanted
+    | DigestWanted
+    | ResidencyMessage
+    | CrashSeen
+    | TrialWanted
+    | TrialEnded
+)
+Reply: TypeAlias = (
+    Done
+    | Declined
+    | NodeDigest
+    | GivenUp
+    | Joined
+    | ConfigurationOffer
+    | EventsFound
+    | RecordsFound
 )
-Reply: TypeAlias = Done | Declined | NodeDigest | GivenUp
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -1,5 +1,6 @@
 """The daemon's settings, read from a TOML file and checked."""
 
+import re
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -7,10 +8,12 @@
 from typing import Literal
 
 from camphoryard.protocol.strict import FieldError, convert_strict
+from camphoryard.secret_files import read_secret_files
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import CallerId, NodeId, Zone
 
 CURVE_KEY_CHARACTERS = 40
+Z85 = re.compile(r"[0-9a-zA-Z.:+=^!/*?&<>()\[\]{}@%$#-]*")
 MAX_PORT = 65_535
 
 
@@ -35,27 +38,57 @@
 
     object_api_host: str
     object_api_port: int
-    object_api_token: str = ""
+    object_api_token: str = field(default="", repr=False)
     vm_list_host: str = ""
     vm_list_port: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SeedSettings:
+    """A node to ask at the start, while the object API may be out."""
+
+    id: NodeId
+    host: str
+    port: int
+    public_key: str
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSettings:
-    """CURVE keys (Z85 text) and the length of node leases."""
+    """CURVE keys (Z85 text), node leases, seeds and how news spreads.
+
+    ``fan_out``, ``neighbours`` and ``digests`` matter to ``bounded_fan_out``.
+    """
 
     public_key: str
-    secret_key: str
+    secret_key: str = field(repr=False)
     accepted_public_keys: list[str] = field(default_factory=list)
     lease_s: float = 6.0
+    seeds: list[SeedSettings] = field(default_factory=list)
+    gossip: Literal["all_to_all", "bounded_fan_out"] = "all_to_all"
+    gossip_period_s: float = 1.0
+    fan_out: int = 2
+    neighbours: int = 8
+    digests: int = 12
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSettings:
+    """How long a node admits without a confirmation, and who watches.
+
+    ``watchers_per_zone`` of 0 lets every node follow the object API.
+    """
+
+    stale_after_s: float = 10.0
+    watchers_per_zone: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class AccessSettings:
     """Tokens of operators, and of callers by caller id."""
 
-    operator_tokens: list[str]
-    caller_token_by_id: Mapping[CallerId, str]
+    operator_tokens: list[str] = field(repr=False)
+    caller_token_by_id: Mapping[CallerId, str] = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +134,7 @@
     platform: PlatformSettings
     peers: PeerSettings
     access: AccessSettings
+    configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
     decisions: DecisionSettings = field(default_factory=DecisionSettings)
     residency: ResidencySettings = field(default_factory=ResidencySettings)
     serving: ServingSettings = field(default_factory=ServingSettings)
@@ -124,6 +158,7 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: not TOML: {error}") from error
     try:
+        read_secret_files(raw, path.parent)
         settings = convert_strict(raw, Settings)
         _check(settings)
     except FieldError as error:
@@ -141,6 +176,20 @@
     _check_key("peers.secret_key", settings.peers.secret_key)
     if settings.peers.lease_s <= 0:
         raise FieldError("peers.lease_s", "expected a number of seconds above 0")
+    for index, key in enumerate(settings.peers.accepted_public_keys):
+        _check_key(f"peers.accepted_public_keys[{index}]", key)
+    for index, seed in enumerate(settings.peers.seeds):
+        _check_port(f"peers.seeds[{index}].port", seed.port)
+        _check_key(f"peers.seeds[{index}].public_key", seed.public_key)
+    for name in ("fan_out", "neighbours", "digests"):
+        if getattr(settings.peers, name) < 1:
+            raise FieldError(f"peers.{name}", "expected a number above 0")
+    if settings.configuration.watchers_per_zone < 0:
+        raise FieldError("configuration.watchers_per_zone", "expected 0 or more")
+    if settings.peers.gossip_period_s <= 0:
+        raise FieldError("peers.gossip_period_s", "expected seconds above 0")
+    if settings.configuration.stale_after_s <= 0:
+        raise FieldError("configuration.stale_after_s", "expected seconds above 0")
     if settings.residency.order_lifetime_s <= 0:
         raise FieldError("residency.order_lifetime_s", "expected seconds above 0")
     if settings.residency.min_residency_s < 0:
@@ -157,7 +206,7 @@
 
 
 def _check_key(name: str, key: str) -> None:
-    if len(key) != CURVE_KEY_CHARACTERS:
+    if len(key) != CURVE_KEY_CHARACTERS or not Z85.fullmatch(key):
         raise FieldError(
             name,
             f"expected a CURVE key of {CURVE_KEY_CHARACTERS} Z85 characters;"
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -15,6 +15,7 @@
 from waitress.task import ErrorTask, WSGITask
 
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.state.errors import ListenError
 from camphoryard.state.ids import RequestId
 
 MAX_BODY_BYTES = 1 << 20
@@ -188,7 +189,13 @@
 def serve(
     app: Any, host: str, port: int, executor: Executor, refuse: Refuse
 ) -> HttpServer:
-    """Return a waitress server that is bound; its ``run`` blocks."""
+    """Return a waitress server that is bound; its ``run`` blocks.
+
+    Raises
+    ------
+    ListenError
+        If the port cannot be bound.
+    """
     logging.getLogger("waitress").setLevel(logging.ERROR)
     adjustments = Adjustments(
         host=host,
@@ -203,14 +210,20 @@
         channel_request_lookahead=1,
         ident=None,
     )
-    server = HttpServer(
-        app,
-        {},
-        True,
-        None,
-        dispatcher=ExecutorDispatcher(executor),
-        adj=adjustments,
-        sockinfo=adjustments.listen[0],
-        refuse=refuse,
-    )
+    try:
+        server = HttpServer(
+            app,
+            {},
+            True,
+            None,
+            dispatcher=ExecutorDispatcher(executor),
+            adj=adjustments,
+            sockinfo=adjustments.listen[0],
+            refuse=refuse,
+        )
+    except OSError as error:
+        raise ListenError(
+            f"node.http_port: {host}:{port} cannot be bound ({error.strerror});"
+            " end what uses it, or set another port and host of this VM"
+        ) from error
     return server
