Be ready only under a configuration known to be current

Cause: /readyz did not ask whether the configuration may be stale, although admission refuses then. Change: one property answers both.

--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -52,8 +52,9 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers are served: not before a configuration is in force."""
-        known = self._parts.configuration.current.generation > 0
+        """Whether callers are served: only under a current configuration."""
+        configuration = self._parts.configuration
+        known = configuration.current.generation > 0 and configuration.is_current()
         return known and self._state is NodeState.SERVING
 
     @property
