End every claim: done, unknown or released, also after an outage

Cause: a claim whose write had an unknown fate barred its key for ever, a broken call left a claim that looked as if it were under way, an outcome that could not be written was dropped, and a call over a stale pooled connection that then could not connect was reported as not sent. Ruled out: releasing by deleting the claim, since its own write that is still under way would then create it anew; a tombstone makes that write lose. Change: claiming.py holds the gate and lets a resend wait for the outcome while the claimant is alive; settling.py ends claims, again and again until written. Answers over 256 KiB are not kept (410, verdict ran); a 5xx is recorded and its verdict is may have run; keys and operations with odd characters are refused. Conclusion: every way out of an action writes what came of it.

--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -54,6 +54,7 @@
         run(node.leases.run, node.shared.timer),
         run(run_heartbeats, node.membership, node.shared.timer),
         run(supervise_endpoints, node),
+        run(node.settler.run, node.shared.timer),
         *(run(follower.run, node.shared.timer) for follower in node.followers),
     ]
     for task in tasks:
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -10,6 +10,7 @@
 import structlog
 
 from camphoryard.coordination.actions import ActionParts
+from camphoryard.coordination.claiming import ClaimParts
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.inference import InferenceParts
 from camphoryard.coordination.membership import MembershipParts
@@ -26,6 +27,7 @@
     TwoChoices,
 )
 from camphoryard.coordination.serving import FrontDoor, ServingParts
+from camphoryard.coordination.settling import Settler
 from camphoryard.coordination.status import Status
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.watching import Follower
@@ -140,6 +142,7 @@
     residency: Residency
     membership: MembershipParts
     door: FrontDoor
+    settler: Settler
     app: App
 
 
@@ -272,7 +275,9 @@
     return Residency(owner, client)
 
 
-def make_door(shared: Shared, platform: Platform, residency: Residency) -> FrontDoor:
+def make_door(
+    shared: Shared, platform: Platform, residency: Residency, settler: Settler
+) -> FrontDoor:
     """Return the front door with the tasks behind it."""
     router = Router(
         make_routing_policy(shared.settings.decisions), shared.in_flight.count
@@ -286,14 +291,20 @@
         shared.engines,
         shared.timeline,
     )
+    claiming = ClaimParts(
+        shared.identity.incarnation,
+        platform.claims,
+        settler,
+        shared.nodes,
+        shared.timer,
+        shared.timeline,
+    )
     actions = ActionParts(
-        shared.identity,
         shared.configuration,
-        platform.claims,
+        claiming,
         shared.in_flight,
         router,
         HttpServices(shared.client),
-        shared.timeline,
     )
     return FrontDoor(
         ServingParts(
@@ -379,7 +390,8 @@
     shared = make_shared(settings)
     platform = make_platform(settings.platform, shared.client)
     residency = make_residency(shared, platform)
-    door = make_door(shared, platform, residency)
+    settler = Settler(platform.claims, shared.timeline)
+    door = make_door(shared, platform, residency, settler)
     configurator = Configurator(
         platform.heads, platform.contents, shared.configuration, shared.timeline
     )
@@ -398,6 +410,7 @@
         residency,
         make_membership(shared, residency, door, heads),
         door,
+        settler,
         make_app(shared, door, configurator),
     )
 
--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -1,5 +1,6 @@
 """Requests of callers and the answers they get, as JSON over HTTP."""
 
+import re
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -47,6 +48,8 @@
     Reason.KEY_REQUIRED: 400,
     Reason.KEY_REUSED: 422,
     Reason.IN_PROGRESS: 409,
+    Reason.OUTCOME_UNKNOWN: 409,
+    Reason.ANSWER_NOT_KEPT: 410,
     Reason.OVERLOADED: 503,
     Reason.DEADLINE: 504,
     Reason.DRAINING: 503,
@@ -100,6 +103,8 @@
     field: str
 
 
+_KEY = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARACTERS}}}")
+_OPERATION = re.compile(r"[A-Za-z][A-Za-z0-9_.-]*")
 _COMPLETION = msgspec.json.Decoder(CompletionForm)
 
 
@@ -159,12 +164,18 @@
 ) -> ActionRequest:
     """Return the call of a service's operation; raises RefusalError."""
     key = headers.get(KEY_HEADER)
-    if key is not None and not 1 <= len(key) <= MAX_KEY_CHARACTERS:
+    if key is not None and not _KEY.fullmatch(key):
         raise RefusalError(
             Reason.BAD_HEADER,
-            f"must be 1 to {MAX_KEY_CHARACTERS} characters",
+            f"must be 1 to {MAX_KEY_CHARACTERS} visible ASCII characters, no spaces",
             field=KEY_HEADER,
         )
+    if not _OPERATION.fullmatch(operation):
+        raise RefusalError(
+            Reason.BAD_FIELD,
+            "must be letters, digits, '_', '-' or '.', beginning with a letter",
+            field="operation",
+        )
     return ActionRequest(
         RequestId(uuid4().hex),
         caller,
--- a/src/camphoryard/state/claims.py
+++ b/src/camphoryard/state/claims.py
@@ -11,7 +11,9 @@
     """Who may run the action behind a key, and what came of it.
 
     ``fingerprint`` tells a resend of the same action from another action that
-    reuses the key. ``body`` is the recorded answer once the state is DONE.
+    reuses the key. ``at_s`` is the wall clock of the claim, in seconds since
+    the epoch. ``body`` is the recorded answer once the state is DONE, unless
+    it was too large to be ``kept``.
     """
 
     state: ClaimState
@@ -19,5 +21,7 @@
     request: RequestId
     fingerprint: str
     write_id: WriteId
+    at_s: float = 0.0
     status: int = 0
     body: bytes = b""
+    kept: bool = True
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -50,6 +50,7 @@
 
     CLAIMED = "claimed"
     DONE = "done"
+    UNKNOWN = "unknown"
     RELEASED = "released"
 
 
@@ -78,6 +79,8 @@
     KEY_REQUIRED = "idempotency_key_required"
     KEY_REUSED = "idempotency_key_reused"
     IN_PROGRESS = "in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     DRAINING = "draining"
--- a/src/camphoryard/state/requests.py
+++ b/src/camphoryard/state/requests.py
@@ -13,6 +13,9 @@
     RequestId,
     ServiceId,
 )
+from camphoryard.state.verdict import Verdict
+
+SERVER_ERRORS_FROM = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +64,13 @@
     body: bytes
     replayed: bool = False
 
+    @property
+    def verdict(self) -> Verdict:
+        """Whether it ran; a server error does not say how far it came."""
+        if self.status >= SERVER_ERRORS_FROM:
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.RAN
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -56,7 +56,7 @@
     action = action_request(service, operation, request.body, request.headers, caller)
     answer = door.act(action)
     headers = {
-        VERDICT_HEADER: Verdict.RAN.value,
+        VERDICT_HEADER: answer.verdict.value,
         REPLAYED_HEADER: str(answer.replayed).lower(),
     }
     return HttpResponse(answer.status, [answer.body], headers)
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -108,6 +108,7 @@
                     if isinstance(error.__cause__, TimeoutError):
                         raise
                     # Else the idle connection was stale: use a fresh one.
+                    return self._exchange_again(address, call, error)
         return self._exchange(address, self._connect(address, call), call)
 
     def close(self) -> None:
@@ -146,6 +147,16 @@
             self._busy.add(connection)
             return connection
 
+    def _exchange_again(
+        self, address: Address, call: HttpCall, first: BrokenCallError
+    ) -> OpenAnswer:
+        """Repeat a call on a fresh connection; the first try may have arrived."""
+        try:
+            connection = self._connect(address, call)
+        except NotSentError as error:
+            raise first from error
+        return self._exchange(address, connection, call)
+
     def _connect(self, address: Address, call: HttpCall) -> HTTPConnection:
         connection = HTTPConnection(address.host, address.port, timeout=call.timeout_s)
         try:
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -2,7 +2,8 @@
 
 Versions, conditional updates, watches by long poll, counts of calls, and
 faults: ``outage`` (every call answers 503), ``lose_answers`` (that many writes
-take effect and answer 503), ``delay_ms``.
+take effect and answer 503), ``delay_ms``, ``hold_prefix`` (calls of keys below
+it, except listings and watches, get their answer only once it is cleared).
 """
 
 import threading
@@ -25,6 +26,7 @@
     lose_answers: int = 0
     lose_prefix: str = ""
     delay_ms: float = 0.0
+    hold_prefix: str = ""
 
 
 @dataclass(slots=True)
@@ -44,6 +46,7 @@
     writes: int = 0
     watches: int = 0
     conflicts: int = 0
+    held: int = 0
 
 
 @dataclass(slots=True)
@@ -72,9 +75,11 @@
             case ("GET", "/objects"):
                 return self._list(asked.query.get("prefix", ""))
             case ("GET", path):
-                return self._get(path.removeprefix("/objects/"))
+                key = path.removeprefix("/objects/")
+                return self._held(key, self._get(key))
             case ("PUT" | "DELETE", path):
-                return self._write(path.removeprefix("/objects/"), asked)
+                key = path.removeprefix("/objects/")
+                return self._held(key, self._write(key, asked))
         return answer({"error": "not found"}, 404)
 
     def _control(self, asked: Asked) -> Answered:
@@ -85,6 +90,17 @@
                 self.changed.notify_all()
             return answer({"faults": self.faults, "counts": self.counts})
 
+    def _held(self, key: str, answered: Answered) -> Answered:
+        with self.changed:
+            if self._holds(key):
+                self.counts.held += 1
+                self.changed.wait_for(lambda: not self._holds(key))
+        return answered
+
+    def _holds(self, key: str) -> bool:
+        prefix = self.faults.hold_prefix
+        return bool(prefix) and key.startswith(prefix)
+
     def _get(self, key: str) -> Answered:
         with self.changed:
             self.counts.reads += 1
