--- a/standins/web.py
+++ b/standins/web.py
@@ -1,7 +1,7 @@
 """What the stand-ins share: a waitress server with JSON routes."""
 
 import logging
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -13,7 +13,6 @@
 from camphoryard.transport.http_server import serve
 
 THREADS = 600
-DECLARED_BYTES = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,17 +81,14 @@
 
 
 def drop_connection() -> Answered:
-    """Return an answer whose connection breaks after its first byte."""
-    return Answered(200, _Broken(), {"Content-Length": str(DECLARED_BYTES)})
+    """Return an answer that breaks the connection in the middle of its body."""
 
-
-class _Broken:
-    """A body that is declared longer than it is and fails on the way."""
-
-    def __iter__(self) -> Iterator[bytes]:
+    def body() -> Iterable[bytes]:
         yield b"{"
         raise DropConnectionError
 
+    return Answered(200, body(), {"Content-Length": "1000"})
+
 
 def _asked(environ: dict[str, Any]) -> Asked:
     headers = {
