Keep counts of refusals beyond the node that refused

Cause: counts lived in one node's memory and went with it; unexpected errors were not counted. Ruled out: a write to the object API for each refusal (refusals come in thousands under overload); adding up what peers report (a copy would count twice). Counts of one incarnation only grow, so copies merge by the larger.

--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -11,6 +11,7 @@
     Heartbeat,
     LoadWanted,
     Message,
+    RefusalsCounted,
     Reply,
     TrialEnded,
     TrialWanted,
@@ -20,6 +21,7 @@
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import EndpointId, Generation, ItemId
 from camphoryard.state.nodes import NodeDigest, NodeTable
+from camphoryard.state.refusals import RefusalSheet
 from camphoryard.state.timeline import HybridClock
 
 HEARTBEAT_PERIOD_S = 1.0
@@ -36,6 +38,7 @@
     load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
     heard_generation: Callable[[Generation], None]
     suspects: Suspects
+    hold_refusals: Callable[[RefusalSheet], None]
 
 
 def run_heartbeats(parts: MembershipParts, timer: Timer) -> None:
@@ -68,6 +71,9 @@
         case TrialWanted() as wanted:
             may_start = parts.suspects.wanted(wanted)
             return Done() if may_start else Declined("not its turn")
+        case RefusalsCounted(sheet):
+            parts.hold_refusals(sheet)
+            return Done()
         case TrialEnded() as ended:
             parts.suspects.ended(ended)
             return Done()
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -5,6 +5,7 @@
 
 from camphoryard.state.ids import EndpointId, Fingerprint, ItemId, NodeId
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.refusals import RefusalSheet
 from camphoryard.state.timeline import Stamp
 
 
@@ -61,6 +62,13 @@
     passed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RefusalsCounted:
+    """Counts of refusals for a peer to hold, should their node be killed."""
+
+    sheet: RefusalSheet
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The request was met, or is under way."""
@@ -74,6 +82,12 @@
 
 
 Message: TypeAlias = (
-    Heartbeat | LoadWanted | DigestWanted | CrashSeen | TrialWanted | TrialEnded
+    Heartbeat
+    | LoadWanted
+    | DigestWanted
+    | CrashSeen
+    | TrialWanted
+    | TrialEnded
+    | RefusalsCounted
 )
 Reply: TypeAlias = Done | Declined | NodeDigest
--- a/src/camphoryard/coordination/ports.py
+++ b/src/camphoryard/coordination/ports.py
@@ -66,8 +66,14 @@
     def delete(self, key: str, version: Version) -> None:
         """Delete if the version is still ``version``; raises as ``put``."""
 
-    def list(self) -> Snapshot[RecordT]:
-        """Return all records; raises StoreUnavailableError."""
+    def list(self, within: str = "") -> Snapshot[RecordT]:
+        """Return all records whose key begins with ``within``.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the object API did not answer.
+        """
 
     def watch(self, since: Revision, wait_s: float) -> Snapshot[RecordT]:
         """Block up to ``wait_s`` for changes after ``since``.
--- /dev/null
+++ b/src/camphoryard/coordination/refusal_folding.py
@@ -0,0 +1,124 @@
+"""Folds counts of refusals into the object API, also those of killed nodes.
+
+Each incarnation has one record for each hour. A record is merged, never
+overwritten, so that its node and whoever holds a copy may both write it.
+"""
+
+import threading
+import time
+from collections.abc import Iterable, Mapping
+
+from camphoryard.coordination.ports import Records, Timer
+from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
+from camphoryard.state.errors import ConflictError, StoreUnavailableError
+from camphoryard.state.ids import ABSENT, Incarnation
+from camphoryard.state.nodes import NodeTable
+from camphoryard.state.refusals import (
+    RefusalCount,
+    RefusalKey,
+    RefusalSheet,
+    merged,
+    total_by_key,
+)
+
+FOLD_PERIOD_S = 5.0
+MINUTES_PER_HOUR = 60
+HELD_MINUTES = 24 * MINUTES_PER_HOUR
+
+
+class RefusalFolder:
+    """Holds copies of peers' counts and writes counts to the object API."""
+
+    def __init__(
+        self,
+        records: Records[RefusalSheet],
+        counter: RefusalCounter,
+        nodes: NodeTable,
+    ) -> None:
+        self._records = records
+        self._counter = counter
+        self._nodes = nodes
+        self._lock = threading.Lock()
+        self._held_by_incarnation: dict[Incarnation, RefusalSheet] = {}
+
+    def run(self, timer: Timer) -> None:
+        """Fold now and then until the timer service closes."""
+        for _ in timer.every(FOLD_PERIOD_S):
+            self.fold()
+
+    def hold(self, sheet: RefusalSheet) -> None:
+        """Keep a peer's counts, to fold them should it be gone."""
+        oldest = _minute_now() - HELD_MINUTES
+        with self._lock:
+            known = self._held_by_incarnation.get(sheet.incarnation)
+            counts = merged(known.counts if known else (), sheet.counts)
+            kept = tuple(item for item in counts if item.key.minute >= oldest)
+            self._held_by_incarnation[sheet.incarnation] = RefusalSheet(
+                sheet.incarnation, kept
+            )
+
+    def fold(self) -> None:
+        """Write this node's new counts, and those held of nodes that are gone."""
+        own = self._counter.unfolded()
+        if self._write(own):
+            self._counter.folded(own.counts)
+        alive = {lease.incarnation for lease in self._nodes.alive()}
+        for sheet in self._held():
+            if sheet.incarnation not in alive and self._write(sheet):
+                self._drop(sheet)
+
+    def total(self, hours: int) -> Mapping[RefusalKey, int]:
+        """Return the counts of all nodes in the last ``hours``.
+
+        They are what the object API has, this node's and those it holds.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the object API does not answer.
+        """
+        last = _minute_now() // MINUTES_PER_HOUR
+        sheets = [self._counter.sheet(), *self._held()]
+        for hour in range(last - hours + 1, last + 1):
+            for item in self._records.list(f"{hour}/").items:
+                if item.record is not None:
+                    sheets.append(item.record)
+        first_minute = (last - hours + 1) * MINUTES_PER_HOUR
+        totals = total_by_key(sheets)
+        return {key: n for key, n in totals.items() if key.minute >= first_minute}
+
+    def _write(self, sheet: RefusalSheet) -> bool:
+        """Merge a sheet into its records; return whether all of it is there."""
+        counts_by_hour: dict[int, list[RefusalCount]] = {}
+        for item in sheet.counts:
+            hour = item.key.minute // MINUTES_PER_HOUR
+            counts_by_hour.setdefault(hour, []).append(item)
+        try:
+            for hour, counts in counts_by_hour.items():
+                self._merge(f"{hour}/{sheet.incarnation}", sheet.incarnation, counts)
+        except (StoreUnavailableError, ConflictError):
+            return False
+        return True
+
+    def _merge(
+        self, key: str, incarnation: Incarnation, counts: Iterable[RefusalCount]
+    ) -> None:
+        stored = self._records.get(key)
+        known = stored.record.counts if stored and stored.record else ()
+        record = RefusalSheet(incarnation, merged(known, counts))
+        if set(record.counts) != set(known):
+            self._records.put(key, record, stored.version if stored else ABSENT)
+
+    def _held(self) -> tuple[RefusalSheet, ...]:
+        with self._lock:
+            return tuple(self._held_by_incarnation.values())
+
+    def _drop(self, sheet: RefusalSheet) -> None:
+        """Forget a sheet unless more was handed over since."""
+        with self._lock:
+            if self._held_by_incarnation.get(sheet.incarnation) == sheet:
+                del self._held_by_incarnation[sheet.incarnation]
+
+
+def _minute_now() -> int:
+    return int(time.time() // SECONDS_PER_MINUTE)
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -13,6 +13,7 @@
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import CallerId, RequestId
+from camphoryard.state.refusals import label_text
 from camphoryard.state.requests import (
     ActionAnswer,
     ActionRequest,
@@ -113,7 +114,11 @@
         if refusal.counted:
             return
         refusal.counted = True
-        self._parts.refusals.count(refusal.reason, caller or "")
+        known = self._parts.configuration.current.callers_by_id.get(
+            CallerId(caller or "")
+        )
+        label = label_text(known.labels) if known else ""
+        self._parts.refusals.count(refusal.reason, label, caller or "")
         self._parts.timeline.record(
             "refused",
             request=request or "",
--- a/src/camphoryard/coordination/status.py
+++ b/src/camphoryard/coordination/status.py
@@ -3,11 +3,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from camphoryard.coordination.refusals import RefusalKey
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId, Generation, NodeId
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.refusals import RefusalKey
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -55,7 +55,7 @@
         run(node.leases.run, node.shared.timer),
         run(run_heartbeats, node.membership, node.shared.timer),
         run(supervise_endpoints, node),
-        run(node.settler.run, node.shared.timer),
+        *(run(task, node.shared.timer) for task in node.background),
         run(node.admission.run, node.shared.timer),
         run(follow_vms, node.vm_list, node.shared.vms, node.shared.timer),
         *(run(follower.run, node.shared.timer) for follower in node.followers),
@@ -94,6 +94,7 @@
     node.door.wait_idle(limit_s)
     server.wait_flushed(limit_s)
     node.settler.settle_pending()
+    node.refusal_folder.fold()
     node.shared.timer.close()
     node.leases.release()
     node.shared.client.close()
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -2,6 +2,7 @@
 
 import functools
 import threading
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -26,6 +27,8 @@
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.ownership import LeaseKeeper
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
+from camphoryard.coordination.refusal_folding import RefusalFolder
+from camphoryard.coordination.refusal_handover import RefusalHandover
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.residency import EndpointOwner, Identity
 from camphoryard.coordination.residency_client import ResidencyClient
@@ -50,6 +53,7 @@
     HEADS,
     LEASES,
     PARTS,
+    REFUSALS,
 )
 from camphoryard.settings import (
     DecisionSettings,
@@ -70,6 +74,7 @@
     WriteId,
 )
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
+from camphoryard.state.refusals import RefusalSheet
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable, InFlightTable
 from camphoryard.state.timeline import Event, HybridClock
 from camphoryard.state.vms import VmTable
@@ -89,7 +94,7 @@
 ENDPOINT_TASKS = 256
 HANDLER_TASKS = 32
 LOAD_TASKS = 64
-NODE_TASKS = 16
+NODE_TASKS = 32
 
 log = structlog.get_logger()
 
@@ -139,6 +144,7 @@
     contents: ObjectContents
     leases: Records[NodeLease]
     claims: Records[Claim]
+    refusals: Records[RefusalSheet]
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +177,8 @@
     admission: Admission
     door: FrontDoor
     settler: Settler
+    refusal_folder: RefusalFolder
+    background: tuple[Callable[[TimerService], None], ...]
     app: App
 
 
@@ -276,7 +284,7 @@
         in_flight,
         estimates,
         VmTable(),
-        RefusalCounter(),
+        RefusalCounter(identity.incarnation),
         threading.Event(),
     )
 
@@ -291,6 +299,7 @@
         ObjectContents(api, "configuration/parts/", PARTS),
         ObjectRecords(api, "nodes/", LEASES),
         ObjectRecords(api, "claims/", CLAIMS),
+        ObjectRecords(api, "refusals/", REFUSALS),
     )
 
 
@@ -420,6 +429,7 @@
     residency: Residency,
     serving: Serving,
     heads: Follower[ConfigurationHead],
+    folder: RefusalFolder,
 ) -> MembershipParts:
     """Return the parts that talk with other nodes."""
 
@@ -435,10 +445,16 @@
         residency.client.load_here,
         heard_generation,
         serving.suspects,
+        folder.hold,
     )
 
 
-def make_app(shared: Shared, door: FrontDoor, configurator: Configurator) -> App:
+def make_app(
+    shared: Shared,
+    door: FrontDoor,
+    configurator: Configurator,
+    folder: RefusalFolder,
+) -> App:
     """Return the WSGI application."""
     access = shared.settings.access
     operator = OperatorParts(
@@ -447,6 +463,7 @@
         shared.timeline,
         functools.partial(make_status, shared, door),
         shared.stop.set,
+        folder.total,
     )
     return App(
         Access(access.operator_tokens, access.caller_token_by_id),
@@ -463,6 +480,10 @@
     residency = make_residency(shared, platform)
     settler = Settler(platform.claims, shared.timeline)
     serving = make_serving(shared, platform, residency, settler)
+    folder = RefusalFolder(platform.refusals, shared.refusals, shared.nodes)
+    handover = RefusalHandover(
+        shared.identity.node, shared.refusals, shared.nodes, shared.peers
+    )
     configurator = Configurator(
         platform.heads, platform.contents, shared.configuration, shared.timeline
     )
@@ -480,11 +501,13 @@
         followers,
         make_vm_list(settings.platform, shared.client),
         residency,
-        make_membership(shared, residency, serving, heads),
+        make_membership(shared, residency, serving, heads, folder),
         serving.admission,
         serving.door,
         settler,
-        make_app(shared, serving.door, configurator),
+        folder,
+        (settler.run, handover.run, folder.run),
+        make_app(shared, serving.door, configurator, folder),
     )
 
 
--- a/src/camphoryard/protocol/operator.py
+++ b/src/camphoryard/protocol/operator.py
@@ -13,6 +13,7 @@
 from camphoryard.state.endpoint_record import committed_mb
 from camphoryard.state.ids import NodeId
 from camphoryard.state.labels import Selector
+from camphoryard.state.refusals import RefusalKey
 from camphoryard.state.timeline import Event, Stamp
 
 
@@ -46,6 +47,7 @@
     label: str
     minute: int
     count: int
+    caller: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +94,7 @@
 
 _STATUS = msgspec.json.Decoder(StatusForm)
 _ACCEPTED = msgspec.json.Decoder(AcceptedForm)
+_REFUSALS = msgspec.json.Decoder(list[RefusalForm])
 _EVENTS = msgspec.json.Decoder(list[EventForm])
 
 
@@ -153,10 +156,7 @@
         )
         for record in status.records_by_endpoint.values()
     ]
-    refusals = [
-        RefusalForm(key.reason.value, key.label, key.minute, count)
-        for key, count in status.refusals_by_key.items()
-    ]
+    refusals = _refusal_forms(status.refusals_by_key)
     return msgspec.json.encode(
         StatusForm(
             status.node,
@@ -170,6 +170,24 @@
     )
 
 
+def encode_refusals(count_by_key: Mapping[RefusalKey, int]) -> bytes:
+    """Return the JSON form of counts of refusals, in order of minutes."""
+    forms = _refusal_forms(count_by_key)
+    return msgspec.json.encode(sorted(forms, key=lambda item: item.minute))
+
+
+def decode_refusals(body: bytes) -> list[RefusalForm]:
+    """Return the counts that a daemon sent; raises ``msgspec.MsgspecError``."""
+    return _REFUSALS.decode(body)
+
+
+def _refusal_forms(count_by_key: Mapping[RefusalKey, int]) -> list[RefusalForm]:
+    return [
+        RefusalForm(key.reason.value, key.label, key.minute, count, key.caller)
+        for key, count in count_by_key.items()
+    ]
+
+
 def decode_status(body: bytes) -> StatusForm:
     """Return the status that a daemon sent; raises ``msgspec.MsgspecError``."""
     return _STATUS.decode(body)
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -13,6 +13,7 @@
     Heartbeat,
     LoadWanted,
     Message,
+    RefusalsCounted,
     Reply,
     TrialEnded,
     TrialWanted,
@@ -35,6 +36,7 @@
     CRASH_SEEN = "crash_seen"
     TRIAL_WANTED = "trial_wanted"
     TRIAL_ENDED = "trial_ended"
+    REFUSALS_COUNTED = "refusals_counted"
     DONE = "done"
     DECLINED = "declined"
     NODE_DIGEST = "node_digest"
@@ -47,6 +49,7 @@
     FrameKind.CRASH_SEEN: CrashSeen,
     FrameKind.TRIAL_WANTED: TrialWanted,
     FrameKind.TRIAL_ENDED: TrialEnded,
+    FrameKind.REFUSALS_COUNTED: RefusalsCounted,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
     FrameKind.NODE_DIGEST: NodeDigest,
--- a/src/camphoryard/protocol/platform.py
+++ b/src/camphoryard/protocol/platform.py
@@ -15,6 +15,7 @@
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.nodes import NodeLease
+from camphoryard.state.refusals import RefusalSheet
 
 RecordT = TypeVar("RecordT")
 
@@ -62,5 +63,6 @@
 CLAIMS: Codec[Claim] = _json_codec(Claim)
 ENDPOINT_RECORDS: Codec[EndpointRecord] = _json_codec(EndpointRecord)
 HEADS: Codec[ConfigurationHead] = _json_codec(ConfigurationHead)
+REFUSALS: Codec[RefusalSheet] = _json_codec(RefusalSheet)
 LEASES: Codec[NodeLease] = _json_codec(NodeLease)
 PARTS: Codec[Configuration] = Codec(encode_configuration, decode_configuration)
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -69,9 +69,11 @@
             return error_response(refusal)
         except Exception:
             _log.exception("unexpected error")
-            return error_response(
-                RefusalError(Reason.INTERNAL, "unexpected error", Verdict.MAY_HAVE_RUN)
+            failure = RefusalError(
+                Reason.INTERNAL, "unexpected error", Verdict.MAY_HAVE_RUN
             )
+            self.door.refused(failure, caller, None)
+            return error_response(failure)
 
     def _serve(self, request: HttpRequest, caller: CallerId) -> HttpResponse:
         match (request.method, request.path):
--- a/src/camphoryard/transport/object_api.py
+++ b/src/camphoryard/transport/object_api.py
@@ -110,9 +110,9 @@
         """Delete if the version is still ``version``."""
         self._api.call("DELETE", self._path(key), (OK, NOT_FOUND), expected=version)
 
-    def list(self) -> Snapshot[RecordT]:
-        """Return all records below the prefix."""
-        query = urlencode({"prefix": self._prefix})
+    def list(self, within: str = "") -> Snapshot[RecordT]:
+        """Return the records below the prefix whose key begins with ``within``."""
+        query = urlencode({"prefix": self._prefix + within})
         return self._snapshot(self._api.call("GET", f"/objects?{query}", (OK,)))
 
     def watch(self, since: Revision, wait_s: float) -> Snapshot[RecordT]:
--- a/src/camphoryard/transport/operator_api.py
+++ b/src/camphoryard/transport/operator_api.py
@@ -1,18 +1,26 @@
 """HTTP front end for operators."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from camphoryard.coordination.configuring import Accepted, Configurator
 from camphoryard.coordination.status import Status
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.protocol.configuration import decode_change, encode_configuration
-from camphoryard.protocol.operator import encode_accepted, encode_events, encode_status
+from camphoryard.protocol.operator import (
+    encode_accepted,
+    encode_events,
+    encode_refusals,
+    encode_status,
+)
 from camphoryard.state.enums import Reason
-from camphoryard.state.errors import RefusalError
+from camphoryard.state.errors import RefusalError, StoreUnavailableError
+from camphoryard.state.refusals import RefusalKey
 from camphoryard.state.tables import ConfigurationHolder
 from camphoryard.transport.http_server import HttpRequest, HttpResponse
 
+HOURS = "hours"
+MAX_HOURS = 48
 ADMIN_PREFIX = "/admin/v1/"
 DRY_RUN = "dry_run"
 
@@ -26,6 +34,7 @@
     timeline: Timeline
     status: Callable[[], Status]
     drain: Callable[[], None]
+    refusals: Callable[[int], Mapping[RefusalKey, int]]
 
 
 def administer(parts: OperatorParts, request: HttpRequest) -> HttpResponse:
@@ -37,6 +46,8 @@
             return _json(encode_accepted(_apply(parts.configurator, request)))
         case ("GET", "status"):
             return _json(encode_status(parts.status()))
+        case ("GET", "refusals"):
+            return _json(encode_refusals(_refusals(parts, request)))
         case ("GET", "timeline"):
             return _json(encode_events(parts.timeline.events()))
         case ("POST", "drain"):
@@ -53,5 +64,18 @@
     return configurator.accept(change)
 
 
+def _refusals(parts: OperatorParts, request: HttpRequest) -> Mapping[RefusalKey, int]:
+    text = request.query.get(HOURS, "1")
+    if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= MAX_HOURS:
+        raise RefusalError(Reason.BAD_FIELD, f"must be 1 to {MAX_HOURS}", field=HOURS)
+    try:
+        return parts.refusals(int(text))
+    except StoreUnavailableError as error:
+        raise RefusalError(
+            Reason.STORE_UNAVAILABLE,
+            "the counts could not be read; `status` has this node's",
+        ) from error
+
+
 def _json(body: bytes) -> HttpResponse:
     return HttpResponse(200, [body])
--- /dev/null
+++ b/tests/coordination/test_refusal_folding.py
@@ -0,0 +1,72 @@
+"""Tests of folding counts of refusals into the object API."""
+
+import time
+
+from camphoryard.coordination.refusal_folding import RefusalFolder
+from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
+from camphoryard.state.enums import NodeState, Reason
+from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.refusals import RefusalCount, RefusalKey, RefusalSheet
+from tests.fakes.object_api import MemoryRecords
+
+
+def sheet_of(incarnation, count):
+    """Return a sheet with one key of this minute."""
+    minute = int(time.time() // SECONDS_PER_MINUTE)
+    key = RefusalKey(Reason.OVERLOADED, "", minute)
+    return RefusalSheet(incarnation, (RefusalCount(key, count),))
+
+
+def make_folder(records, nodes=None):
+    """Return the folder of incarnation i1."""
+    return RefusalFolder(records, RefusalCounter("i1"), nodes or NodeTable())
+
+
+def sum_of(folder):
+    """Return the sum of all counts of the last two hours."""
+    return sum(folder.total(2).values())
+
+
+class TestRefusalFolder:
+    """Own counts and copies of peers' counts."""
+
+    def test_counts_of_a_gone_node_are_folded_once(self):
+        """Two holders and the node itself may all write them."""
+        records = MemoryRecords()
+        first, second = make_folder(records), make_folder(records)
+        for folder, count in ((first, 3), (second, 5), (second, 4)):
+            folder.hold(sheet_of("i9", count))
+            folder.fold()
+        assert sum_of(make_folder(records)) == 5
+
+    def test_counts_of_a_live_node_are_only_held(self):
+        """Their own node folds them; both views show them once."""
+        records, nodes = MemoryRecords(), NodeTable()
+        lease = NodeLease("n9", "i9", "a", "h", 1, "", NodeState.SERVING, 60.0, "w")
+        nodes.saw(lease, 1)
+        folder = make_folder(records, nodes)
+        folder.hold(sheet_of("i9", 3))
+        folder.fold()
+        assert not records.stored_by_key
+        assert sum_of(folder) == 3
+
+    def test_outage_loses_nothing(self):
+        """What could not be written is written at a later fold."""
+        records = MemoryRecords()
+        folder = make_folder(records)
+        folder.hold(sheet_of("i9", 3))
+        records.outage = True
+        folder.fold()
+        records.outage = False
+        folder.fold()
+        assert sum_of(make_folder(records)) == 3
+
+    def test_folding_again_writes_nothing(self):
+        """A record that has the counts already is left alone."""
+        records = MemoryRecords()
+        for _ in range(2):
+            folder = make_folder(records)
+            folder.hold(sheet_of("i9", 3))
+            folder.fold()
+        (stored,) = records.stored_by_key.values()
+        assert stored.version == 1
--- a/tests/fakes/object_api.py
+++ b/tests/fakes/object_api.py
@@ -41,10 +41,13 @@
             raise StoreUnavailableError("answer lost")
         return made
 
-    def list(self):
-        """Return all records."""
+    def list(self, within=""):
+        """Return all records whose key begins with ``within``."""
         self._require_up()
-        return Snapshot(Revision(0), tuple(self.stored_by_key.values()))
+        items = [
+            item for key, item in self.stored_by_key.items() if key.startswith(within)
+        ]
+        return Snapshot(Revision(0), tuple(items))
 
     def _require_up(self) -> None:
         if self.outage:
