Expect the exact reason when an outcome is unknown

The two scenarios expected in_progress where the claimant is killed or the call broke; that reason now says that an action is under way, and outcome_unknown that its outcome is not known. Code and verdict are still checked exactly.

--- a/tests/scenarios/at_most_once.feature
+++ b/tests/scenarios/at_most_once.feature
@@ -14,7 +14,7 @@
     And the booking of space 2 has begun at the service
     And node-1 is killed
     And space 2 is booked with key "b" through node-2
-    Then it is refused as in_progress with verdict "may have run"
+    Then it is refused as outcome_unknown with verdict "may have run"
     And space 2 was booked 1 times
 
   Scenario: The claim's answer is lost after it took effect
@@ -41,7 +41,7 @@
     When space 5 is booked with key "e" through node-1
     Then it is refused as endpoint_failed with verdict "may have run"
     When space 5 is booked with key "e" through node-2
-    Then it is refused as in_progress with verdict "may have run"
+    Then it is refused as outcome_unknown with verdict "may have run"
     And space 5 was booked 1 times
 
   Scenario: All nodes are replaced between the booking and its resend
