--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -56,6 +56,7 @@
         run(run_heartbeats, node.membership, node.shared.timer),
         run(supervise_endpoints, node),
         *(run(task, node.shared.timer) for task in node.background),
+        run(node.residency.client.run_reports, node.shared.timer),
         run(node.admission.run, node.shared.timer),
         run(follow_vms, node.vm_list, node.shared.vms, node.shared.timer),
         *(run(follower.run, node.shared.timer) for follower in node.followers),
@@ -96,6 +97,8 @@
     node.settler.settle_pending()
     node.refusal_folder.fold()
     node.shared.timer.close()
+    node.residency.client.close()
+    node.residency.owner.close()
     node.leases.release()
     node.shared.client.close()
     node.shared.peers.close()
--- a/src/camphoryard/protocol/operator.py
+++ b/src/camphoryard/protocol/operator.py
@@ -10,7 +10,7 @@
 from camphoryard.coordination.configuring import Accepted
 from camphoryard.coordination.status import Status
 from camphoryard.protocol.selectors import format_selector
-from camphoryard.state.endpoint_record import committed_mb
+from camphoryard.state.endpoint_record import committed_mb, items_in_doubt
 from camphoryard.state.ids import NodeId
 from camphoryard.state.labels import Selector
 from camphoryard.state.refusals import RefusalKey
@@ -37,6 +37,7 @@
     committed_mb: int
     resident: list[str]
     intents: list[str]
+    in_doubt: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +154,7 @@
             committed_mb(record),
             sorted(record.resident_mb_by_item),
             sorted(record.intents_by_item),
+            sorted(items_in_doubt(record)),
         )
         for record in status.records_by_endpoint.values()
     ]
--- a/tests/coordination/test_actions.py
+++ b/tests/coordination/test_actions.py
@@ -6,9 +6,9 @@
 import pytest
 
 from camphoryard.coordination.actions import ActionParts, act
+from camphoryard.coordination.claim_settling import Settler
 from camphoryard.coordination.claiming import ClaimParts, claim_key
 from camphoryard.coordination.routing import RoundRobin, Router
-from camphoryard.coordination.settling import Settler
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.configuration import (
     Configuration,
--- a/tests/coordination/test_settling.py
+++ b/tests/coordination/test_claim_settling.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from camphoryard.coordination.settling import Settlement, Settler
+from camphoryard.coordination.claim_settling import Settlement, Settler
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.claims import Claim
 from camphoryard.state.enums import ClaimState
--- a/tests/coordination/test_claiming.py
+++ b/tests/coordination/test_claiming.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from camphoryard.coordination.claim_settling import Settler
 from camphoryard.coordination.claiming import (
     MAX_KEPT_BODY_BYTES,
     ClaimParts,
@@ -16,7 +17,6 @@
     leave_unknown,
     release,
 )
-from camphoryard.coordination.settling import Settler
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.claims import Claim
 from camphoryard.state.enums import ClaimState, Reason
