Accept deferrable work as jobs; delete what was kept long enough

Cause: deferrable work had to be sent again by its caller whenever a node went; claims, results and counts would have been kept for ever. Ruled out: one prefix for open and finished jobs (looking for work would read all results); each node watching all jobs (events times nodes); a second write to make an accepted job runnable (a read ahead of the write shows an outage). Change: a job is accepted by one conditional create, taken under the node's lease by the owner of its shard, four at once a node, put back with a growing delay, finished by one create.

--- /dev/null
+++ b/src/camphoryard/coordination/job_running.py
@@ -0,0 +1,270 @@
+"""Runs open jobs: each is taken under this node's lease and then finished.
+
+A job whose holder's lease has lapsed is taken over. Both may then run it, but
+only one record of its result is created.
+"""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Executor
+from dataclasses import dataclass, replace
+from uuid import uuid4
+
+from camphoryard.coordination.jobs import SHARDS, JobParts, record_key
+from camphoryard.coordination.ownership import rendezvous_owner
+from camphoryard.coordination.ports import Records, Stored, Timer
+from camphoryard.coordination.residency import Identity
+from camphoryard.coordination.writing import write_resolved
+from camphoryard.state.enums import JobState, NodeState, Priority, Reason
+from camphoryard.state.errors import (
+    ConflictError,
+    RefusalError,
+    StoreUnavailableError,
+)
+from camphoryard.state.ids import ABSENT, JobId, RequestId, Version, WriteId
+from camphoryard.state.jobs import CallWork, CompletionWork, Job, JobResult
+from camphoryard.state.nodes import NodeTable
+from camphoryard.state.requests import ActionAnswer, ActionRequest, InferenceRequest
+from camphoryard.state.verdict import Verdict
+
+JOBS_AT_ONCE = 4
+LOOK_PERIOD_S = 1.0
+WRITE_PERIOD_S = 1.0
+RUN_LIMIT_S = 60.0
+RESULT_LIFE_S = 7 * 24 * 3600.0
+FIRST_RETRY_S = 1.0
+MAX_RETRY_S = 60.0
+MAX_DOUBLINGS = 6
+FINAL_REASONS = frozenset(
+    {
+        Reason.BAD_FIELD,
+        Reason.FORBIDDEN,
+        Reason.UNKNOWN_MODEL,
+        Reason.UNKNOWN_SERVICE,
+        Reason.NO_GROUP,
+        Reason.QUARANTINED,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerParts:
+    """What jobs are run with; ``infer`` and ``act`` are the front door's."""
+
+    identity: Identity
+    nodes: NodeTable
+    jobs: JobParts
+    timer: Timer
+    executor: Executor
+    is_serving: Callable[[], bool]
+    infer: Callable[[InferenceRequest], str]
+    act: Callable[[ActionRequest], ActionAnswer]
+
+
+class JobRunner:
+    """Looks after the shards of jobs that are this node's, a few jobs at once."""
+
+    def __init__(self, parts: RunnerParts) -> None:
+        self._parts = parts
+        self._lock = threading.Lock()
+        self._running: set[JobId] = set()
+
+    def run(self, timer: Timer) -> None:
+        """Take jobs until the timer service closes."""
+        for _ in timer.every(LOOK_PERIOD_S):
+            try:
+                self.take_due()
+            except StoreUnavailableError:
+                continue
+
+    def take_due(self) -> None:
+        """Take as many due jobs as there is room for.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the object API does not answer.
+        """
+        for stored in self._due():
+            if self._room() == 0:
+                return
+            self._take(stored)
+
+    def _due(self) -> Iterator[Stored[Job]]:
+        alive = {lease.incarnation for lease in self._parts.nodes.alive()}
+        now_s = time.time()
+        for shard in self._own_shards():
+            if self._room() == 0:
+                return
+            for stored in self._parts.jobs.open_jobs.list(f"{shard}/").items:
+                job = stored.record
+                if job is None or job.id in self._running or job.due_s > now_s:
+                    continue
+                own = job.holder == self._parts.identity.incarnation
+                if job.state is JobState.QUEUED or own or job.holder not in alive:
+                    yield stored
+
+    def _own_shards(self) -> Iterator[str]:
+        if not self._parts.is_serving():
+            return
+        serving = [
+            lease.node
+            for lease in self._parts.nodes.alive()
+            if lease.state is NodeState.SERVING
+        ]
+        for shard in SHARDS:
+            if serving and (
+                rendezvous_owner(f"jobs/{shard}", serving) == self._parts.identity.node
+            ):
+                yield shard
+
+    def _room(self) -> int:
+        with self._lock:
+            return JOBS_AT_ONCE - len(self._running)
+
+    def _take(self, stored: Stored[Job]) -> None:
+        """Take a job by conditional update and run it in a task of its own."""
+        assert stored.record is not None
+        job = replace(
+            stored.record,
+            state=JobState.RUNNING,
+            holder=self._parts.identity.incarnation,
+            attempts=stored.record.attempts + 1,
+            write_id=WriteId(uuid4().hex),
+        )
+        try:
+            version = self._parts.jobs.open_jobs.put(
+                record_key(job.id), job, stored.version
+            )
+        except ConflictError:
+            return
+        with self._lock:
+            self._running.add(job.id)
+        self._parts.jobs.timeline.record("job_taken", job=job.id, attempt=job.attempts)
+        self._parts.executor.submit(self._run_taken, job, version)
+
+    def _run_taken(self, job: Job, version: Version) -> None:
+        try:
+            self._run_once(job, version)
+        except (ConflictError, StoreUnavailableError) as error:
+            self._parts.jobs.timeline.record("job_left", job=job.id, error=error)
+        finally:
+            with self._lock:
+                self._running.discard(job.id)
+
+    def _run_once(self, job: Job, version: Version) -> None:
+        """Run the job and record the outcome.
+
+        Raises
+        ------
+        ConflictError
+            If it was taken over before it could be put back.
+        StoreUnavailableError
+            If the object API does not answer before it is run.
+        """
+        if self._parts.jobs.finished_jobs.get(record_key(job.id)) is not None:
+            self._close(job, version)
+            return
+        if time.time() >= job.expires_s:
+            result = JobResult(
+                reason=Reason.DEADLINE,
+                detail="the job expired before it could be run",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+            self._finish(job, version, JobState.FAILED, result)
+            return
+        try:
+            result = self._result(job)
+        except RefusalError as refusal:
+            if refusal.reason not in FINAL_REASONS:
+                self._put_back(job, version, refusal)
+                return
+            result = JobResult(
+                reason=refusal.reason, detail=refusal.detail, verdict=refusal.verdict
+            )
+            self._finish(job, version, JobState.FAILED, result)
+        else:
+            self._finish(job, version, JobState.DONE, result)
+
+    def _result(self, job: Job) -> JobResult:
+        request = RequestId(uuid4().hex)
+        deadline_s = time.monotonic() + RUN_LIMIT_S
+        match job.work:
+            case CompletionWork(model, adapter, prompt, max_tokens):
+                text = self._parts.infer(
+                    InferenceRequest(
+                        request,
+                        job.caller,
+                        model,
+                        adapter,
+                        prompt,
+                        max_tokens,
+                        deadline_s,
+                        Priority.DEFERRABLE,
+                    )
+                )
+                return JobResult(text.encode(), 200)
+            case CallWork(service, operation, body):
+                answer = self._parts.act(
+                    ActionRequest(
+                        request,
+                        job.caller,
+                        service,
+                        operation,
+                        body,
+                        deadline_s,
+                        Priority.DEFERRABLE,
+                        None,
+                    )
+                )
+                return JobResult(answer.body, answer.status, verdict=answer.verdict)
+
+    def _put_back(self, job: Job, version: Version, refusal: RefusalError) -> None:
+        """Queue the job again, to be tried after a growing delay."""
+        delay_s = FIRST_RETRY_S * 2 ** min(job.attempts - 1, MAX_DOUBLINGS)
+        queued = replace(
+            job,
+            state=JobState.QUEUED,
+            due_s=time.time() + min(delay_s, MAX_RETRY_S),
+            write_id=WriteId(uuid4().hex),
+        )
+        self._write(self._parts.jobs.open_jobs, queued, version)
+        self._parts.jobs.timeline.record(
+            "job_put_back", job=job.id, reason=refusal.reason.value
+        )
+
+    def _finish(
+        self, job: Job, version: Version, state: JobState, result: JobResult
+    ) -> None:
+        """Create the finished record, then close the open one."""
+        now_s = time.time()
+        finished = replace(
+            job,
+            state=state,
+            result=result,
+            expires_s=now_s + RESULT_LIFE_S,
+            write_id=WriteId(uuid4().hex),
+        )
+        try:
+            self._write(self._parts.jobs.finished_jobs, finished, ABSENT)
+        except ConflictError:
+            pass  # The result is there already: ours, or another holder's.
+        self._parts.jobs.timeline.record("job_finished", job=job.id, state=state.value)
+        self._close(job, version)
+
+    def _close(self, job: Job, version: Version) -> None:
+        """Delete the open record; if it stays, the next holder deletes it."""
+        try:
+            self._parts.jobs.open_jobs.delete(record_key(job.id), version)
+        except (ConflictError, StoreUnavailableError):
+            return
+
+    def _write(self, records: Records[Job], job: Job, version: Version) -> None:
+        """Write once the object API answers; raises ConflictError if it lost."""
+        for _ in self._parts.timer.every(WRITE_PERIOD_S):
+            try:
+                write_resolved(records, record_key(job.id), job, version)
+            except StoreUnavailableError:
+                continue
+            return
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -2,7 +2,8 @@
 
 import threading
 import time
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from camphoryard.coordination.actions import ActionParts, act
@@ -79,6 +80,16 @@
                 self._changed.wait(left_s)
         return True
 
+    @contextmanager
+    def admitted(self) -> Iterator[None]:
+        """Have one request in flight; raises RefusalError, which is not counted."""
+        self._begin()
+        try:
+            self._admit()
+            yield
+        finally:
+            self._end()
+
     def infer(
         self, request: InferenceRequest, cancellation: Cancellation | None = None
     ) -> Generator[TokenFrame, None, None]:
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -105,6 +105,7 @@
     executors = node.shared.executors
     for executor in (
         executors.node,
+        executors.jobs,
         executors.loads,
         executors.endpoints,
         executors.handlers,
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from camphoryard.coordination.actions import ActionParts
+from camphoryard.coordination.actions import ActionParts, act
 from camphoryard.coordination.admission import (
     Admission,
     AdmissionPolicy,
@@ -19,10 +19,14 @@
     Unlimited,
 )
 from camphoryard.coordination.breakers import Breakers
+from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.claim_settling import Settler
 from camphoryard.coordination.claiming import ClaimParts
 from camphoryard.coordination.configuring import Configurator
-from camphoryard.coordination.inference import InferenceParts
+from camphoryard.coordination.expiry import ExpiryParts, run_expiry
+from camphoryard.coordination.inference import InferenceParts, infer
+from camphoryard.coordination.job_running import JOBS_AT_ONCE, JobRunner, RunnerParts
+from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
@@ -57,6 +61,7 @@
     CLAIMS,
     ENDPOINT_RECORDS,
     HEADS,
+    JOBS,
     LEASES,
     PARTS,
     REFUSALS,
@@ -77,8 +82,10 @@
     NodeId,
     WriteId,
 )
+from camphoryard.state.jobs import Job
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
 from camphoryard.state.refusals import RefusalSheet
+from camphoryard.state.requests import ActionAnswer, ActionRequest, InferenceRequest
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable, InFlightTable
 from camphoryard.state.timeline import Event, HybridClock
 from camphoryard.state.vms import VmTable
@@ -113,6 +120,7 @@
     endpoints: ThreadPoolExecutor
     loads: ThreadPoolExecutor
     node: ThreadPoolExecutor
+    jobs: ThreadPoolExecutor
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +157,8 @@
     leases: Records[NodeLease]
     claims: Records[Claim]
     refusals: Records[RefusalSheet]
+    open_jobs: Records[Job]
+    finished_jobs: Records[Job]
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +175,8 @@
 
     admission: Admission
     suspects: Suspects
+    inference: InferenceParts
+    actions: ActionParts
     door: FrontDoor
 
 
@@ -195,6 +207,7 @@
         ThreadPoolExecutor(ENDPOINT_TASKS, "endpoint"),
         ThreadPoolExecutor(LOAD_TASKS, "load"),
         ThreadPoolExecutor(NODE_TASKS, "node"),
+        ThreadPoolExecutor(JOBS_AT_ONCE, "job"),
     )
 
 
@@ -304,6 +317,8 @@
         ObjectRecords(api, "nodes/", LEASES),
         ObjectRecords(api, "claims/", CLAIMS),
         ObjectRecords(api, "refusals/", REFUSALS),
+        ObjectRecords(api, "jobs/open/", JOBS),
+        ObjectRecords(api, "jobs/finished/", JOBS),
     )
 
 
@@ -398,7 +413,54 @@
             shared.metrics.observe,
         )
     )
-    return Serving(admission, suspects, door)
+    return Serving(admission, suspects, inference, actions, door)
+
+
+def make_job_parts(shared: Shared, platform: Platform) -> JobParts:
+    """Return what jobs are accepted and found with."""
+    return JobParts(
+        shared.configuration,
+        platform.open_jobs,
+        platform.finished_jobs,
+        shared.timeline,
+    )
+
+
+def make_job_runner(shared: Shared, jobs: JobParts, serving: Serving) -> JobRunner:
+    """Return the part that runs jobs, as requests that are not a caller's own."""
+
+    def run_inference(request: InferenceRequest) -> str:
+        with serving.door.admitted():
+            frames = infer(serving.inference, request, Cancellation())
+            return "".join(frame.text for frame in frames)
+
+    def run_action(request: ActionRequest) -> ActionAnswer:
+        with serving.door.admitted():
+            return act(serving.actions, request)
+
+    return JobRunner(
+        RunnerParts(
+            shared.identity,
+            shared.nodes,
+            jobs,
+            shared.timer,
+            shared.executors.jobs,
+            lambda: serving.door.state is NodeState.SERVING,
+            run_inference,
+            run_action,
+        )
+    )
+
+
+def make_expiry(shared: Shared, platform: Platform) -> ExpiryParts:
+    """Return what expires and who sees to it."""
+    return ExpiryParts(
+        shared.identity.node,
+        shared.nodes,
+        platform.claims,
+        platform.finished_jobs,
+        platform.refusals,
+    )
 
 
 def make_digest(shared: Shared, door: FrontDoor) -> NodeDigest:
@@ -459,6 +521,7 @@
     door: FrontDoor,
     configurator: Configurator,
     folder: RefusalFolder,
+    jobs: JobParts,
 ) -> App:
     """Return the WSGI application."""
     access = shared.settings.access
@@ -475,6 +538,7 @@
         door,
         operator,
         shared.metrics,
+        jobs,
     )
 
 
@@ -489,6 +553,9 @@
     handover = RefusalHandover(
         shared.identity.node, shared.refusals, shared.nodes, shared.peers
     )
+    jobs = make_job_parts(shared, platform)
+    runner = make_job_runner(shared, jobs, serving)
+    expiry = make_expiry(shared, platform)
     configurator = Configurator(
         platform.heads, platform.contents, shared.configuration, shared.timeline
     )
@@ -511,8 +578,14 @@
         serving.door,
         settler,
         folder,
-        (settler.run, handover.run, folder.run),
-        make_app(shared, serving.door, configurator, folder),
+        (
+            settler.run,
+            handover.run,
+            folder.run,
+            runner.run,
+            functools.partial(run_expiry, expiry),
+        ),
+        make_app(shared, serving.door, configurator, folder, jobs),
     )
 
 
--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -166,13 +166,7 @@
     caller: CallerId,
 ) -> ActionRequest:
     """Return the call of a service's operation; raises RefusalError."""
-    key = headers.get(KEY_HEADER)
-    if key is not None and not _KEY.fullmatch(key):
-        raise RefusalError(
-            Reason.BAD_HEADER,
-            f"must be 1 to {MAX_KEY_CHARACTERS} visible ASCII characters, no spaces",
-            field=KEY_HEADER,
-        )
+    key = idempotency_key(headers)
     if not _OPERATION.fullmatch(operation):
         raise RefusalError(
             Reason.BAD_FIELD,
@@ -187,10 +181,24 @@
         body,
         _deadline_s(headers),
         _priority(headers),
-        IdempotencyKey(key) if key is not None else None,
+        key,
     )
 
 
+def idempotency_key(headers: Mapping[str, str]) -> IdempotencyKey | None:
+    """Return the key in the headers, if any; raises RefusalError if it is bad."""
+    key = headers.get(KEY_HEADER)
+    if key is None:
+        return None
+    if not _KEY.fullmatch(key):
+        raise RefusalError(
+            Reason.BAD_HEADER,
+            f"must be 1 to {MAX_KEY_CHARACTERS} visible ASCII characters, no spaces",
+            field=KEY_HEADER,
+        )
+    return IdempotencyKey(key)
+
+
 def _deadline_s(headers: Mapping[str, str]) -> float:
     text = headers.get(DEADLINE_HEADER, str(DEFAULT_DEADLINE_MS))
     if not text.isascii() or not text.isdigit() or not _allowed_ms(int(text)):
--- a/src/camphoryard/protocol/platform.py
+++ b/src/camphoryard/protocol/platform.py
@@ -14,6 +14,7 @@
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.endpoint_record import EndpointRecord
+from camphoryard.state.jobs import Job
 from camphoryard.state.nodes import NodeLease
 from camphoryard.state.refusals import RefusalSheet
 
@@ -64,5 +65,6 @@
 ENDPOINT_RECORDS: Codec[EndpointRecord] = _json_codec(EndpointRecord)
 HEADS: Codec[ConfigurationHead] = _json_codec(ConfigurationHead)
 REFUSALS: Codec[RefusalSheet] = _json_codec(RefusalSheet)
+JOBS: Codec[Job] = _json_codec(Job)
 LEASES: Codec[NodeLease] = _json_codec(NodeLease)
 PARTS: Codec[Configuration] = Codec(encode_configuration, decode_configuration)
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -62,6 +62,15 @@
     REMOVED = "removed"
 
 
+class JobState(Enum):
+    """State of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+
+
 class NodeState(Enum):
     """What a node says about itself.
 
--- a/src/camphoryard/state/ids.py
+++ b/src/camphoryard/state/ids.py
@@ -16,6 +16,7 @@
 RequestId = NewType("RequestId", str)
 Fingerprint = NewType("Fingerprint", str)
 """Digest of what a request would run, whoever its caller is."""
+JobId = NewType("JobId", str)
 OrderId = NewType("OrderId", str)
 VmId = NewType("VmId", str)
 """A VM in the platform's list: a node's id, or ``host:port`` of an endpoint."""
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from urllib.parse import parse_qsl
 
+from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.serving import FrontDoor
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
@@ -21,6 +22,12 @@
     HttpResponse,
     StartResponse,
 )
+from camphoryard.transport.job_api import (
+    JOBS_PATH,
+    JOBS_PREFIX,
+    accept_job,
+    show_job,
+)
 from camphoryard.transport.metrics import Metrics
 from camphoryard.transport.operator_api import (
     ADMIN_PREFIX,
@@ -42,6 +49,7 @@
     door: FrontDoor
     operator: OperatorParts
     metrics: Metrics
+    jobs: JobParts
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -85,6 +93,10 @@
                 return call_service(
                     self.door, request, caller, path.removeprefix(SERVICES_PREFIX)
                 )
+            case ("POST", path) if path == JOBS_PATH:
+                return accept_job(self.door, self.jobs, request, caller)
+            case ("GET", path) if path.startswith(JOBS_PREFIX):
+                return show_job(self.jobs, caller, path.removeprefix(JOBS_PREFIX))
             case (method, path):
                 raise RefusalError(Reason.NOT_FOUND, f"nothing at {method} {path}")
 
--- /dev/null
+++ b/tests/coordination/test_expiry.py
@@ -0,0 +1,76 @@
+"""Tests of deleting what has been kept long enough."""
+
+import time
+
+import pytest
+
+from camphoryard.coordination.expiry import (
+    CLAIMS_KEPT_S,
+    CLOCK_SKEW_MARGIN_S,
+    MAX_DELETIONS_A_SWEEP,
+    REFUSALS_KEPT_HOURS,
+    RELEASED_KEPT_S,
+    SECONDS_PER_HOUR,
+    ClaimsUnder,
+    ExpiryParts,
+    RefusalsBefore,
+    sweep,
+)
+from camphoryard.state.claims import Claim
+from camphoryard.state.enums import ClaimState
+from camphoryard.state.ids import ABSENT
+from camphoryard.state.nodes import NodeTable
+from camphoryard.state.refusals import RefusalSheet
+from tests.fakes.object_api import MemoryRecords
+
+NOW_S = time.time()
+
+
+@pytest.fixture
+def parts():
+    """Return empty records."""
+    return ExpiryParts(
+        "n1", NodeTable(), MemoryRecords(), MemoryRecords(), MemoryRecords()
+    )
+
+
+def add_claim(parts, key, state, age_s):
+    """Record a claim of some age."""
+    claim = Claim(state, "i1", "r1", "print", "w", NOW_S - age_s)
+    parts.claims.put(key, claim, ABSENT)
+
+
+class TestSweep:
+    """Parts and their ages."""
+
+    @pytest.mark.parametrize(
+        ("state", "age_s", "kept"),
+        [
+            (ClaimState.DONE, CLAIMS_KEPT_S, True),
+            (ClaimState.CLAIMED, CLAIMS_KEPT_S + CLOCK_SKEW_MARGIN_S - 1, True),
+            (ClaimState.UNKNOWN, CLAIMS_KEPT_S + CLOCK_SKEW_MARGIN_S + 1, False),
+            (ClaimState.RELEASED, RELEASED_KEPT_S + 1, False),
+            (ClaimState.RELEASED, RELEASED_KEPT_S - 1, True),
+        ],
+    )
+    def test_claims_are_kept_for_their_time(self, parts, state, age_s, kept):
+        """A key within the retention is never forgotten."""
+        add_claim(parts, "ab1", state, age_s)
+        sweep(parts, ClaimsUnder("ab"), NOW_S)
+        assert (parts.claims.get("ab1") is not None) is kept
+
+    def test_deletions_are_bounded(self, parts):
+        """One sweep deletes a few; the next goes on."""
+        count = MAX_DELETIONS_A_SWEEP + 3
+        for number in range(count):
+            add_claim(parts, f"ab{number}", ClaimState.DONE, 2 * CLAIMS_KEPT_S)
+        sweep(parts, ClaimsUnder("ab"), NOW_S)
+        assert len(parts.claims.stored_by_key) == 3
+
+    def test_only_expired_hours_of_refusals_go(self, parts):
+        """The oldest hour kept stays."""
+        oldest = int(NOW_S // SECONDS_PER_HOUR) - REFUSALS_KEPT_HOURS
+        for hour in (oldest - 1, oldest):
+            parts.refusals.put(f"{hour}/i1", RefusalSheet("i1", ()), ABSENT)
+        sweep(parts, RefusalsBefore(), NOW_S)
+        assert list(parts.refusals.stored_by_key) == [f"{oldest}/i1"]
--- /dev/null
+++ b/tests/coordination/test_job_running.py
@@ -0,0 +1,195 @@
+"""Tests of running jobs."""
+
+import time
+from concurrent.futures import Executor, Future
+from dataclasses import replace
+
+import pytest
+
+from camphoryard.coordination.job_running import JOBS_AT_ONCE, JobRunner, RunnerParts
+from camphoryard.coordination.jobs import JobParts, record_key
+from camphoryard.coordination.residency import Identity
+from camphoryard.coordination.timeline import Timeline
+from camphoryard.state.enums import JobState, NodeState, Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import ABSENT
+from camphoryard.state.jobs import CompletionWork, Job, JobResult
+from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.tables import ConfigurationHolder
+from camphoryard.state.timeline import HybridClock
+from camphoryard.transport.timer import TimerService
+from tests.fakes.object_api import MemoryRecords
+
+LIFE_S = 3600.0
+
+
+class DeferringExecutor(Executor):
+    """Keeps tasks until they are run by hand."""
+
+    def __init__(self):
+        self.tasks = []
+
+    def submit(self, fn, /, *args, **kwargs):
+        """Keep a task."""
+        self.tasks.append(lambda: fn(*args, **kwargs))
+        return Future()
+
+    def run_all(self):
+        """Run the tasks kept so far."""
+        tasks, self.tasks = self.tasks, []
+        for task in tasks:
+            task()
+
+
+class Bench:
+    """One node's runner over an in-memory object API."""
+
+    def __init__(self):
+        self.timer = TimerService()
+        self.executor = DeferringExecutor()
+        self.prompts = []
+        self.refusals = []
+        self.nodes = NodeTable()
+        self.join("n1", "i1")
+        timeline = Timeline("n1", HybridClock(), lambda event: None)
+        self.jobs = JobParts(
+            ConfigurationHolder(), MemoryRecords(), MemoryRecords(), timeline
+        )
+        self.runner = JobRunner(
+            RunnerParts(
+                Identity("n1", "i1"),
+                self.nodes,
+                self.jobs,
+                self.timer,
+                self.executor,
+                lambda: True,
+                self.infer,
+                lambda request: None,
+            )
+        )
+
+    def join(self, node, incarnation):
+        """Have a live node that owns no shard."""
+        state = NodeState.SERVING if node == "n1" else NodeState.DRAINING
+        lease = NodeLease(node, incarnation, "a", "h", 1, "", state, 60.0, "w")
+        self.nodes.saw(lease, 1)
+
+    def infer(self, request):
+        """Answer, or refuse if a refusal is scripted."""
+        self.prompts.append(request.prompt)
+        if self.refusals:
+            raise self.refusals.pop(0)
+        return "answer"
+
+    def add(self, number=0, **fields):
+        """Record an open job and return it."""
+        now_s = time.time()
+        job = Job(
+            f"{number:032x}",
+            "overnight",
+            JobState.QUEUED,
+            now_s,
+            now_s + LIFE_S,
+            f"w{number}",
+            CompletionWork("m", None, f"prompt {number}", 8),
+        )
+        job = replace(job, **fields)
+        self.jobs.open_jobs.put(record_key(job.id), job, ABSENT)
+        return job
+
+    def work(self):
+        """Take what is due and run it."""
+        self.runner.take_due()
+        self.executor.run_all()
+
+    def open_job(self, job):
+        """Return the open record of a job."""
+        stored = self.jobs.open_jobs.get(record_key(job.id))
+        return stored.record if stored else None
+
+    def finished_job(self, job):
+        """Return the finished record of a job."""
+        stored = self.jobs.finished_jobs.get(record_key(job.id))
+        return stored.record if stored else None
+
+
+@pytest.fixture
+def bench():
+    """Return a runner's bench."""
+    bench = Bench()
+    yield bench
+    bench.timer.close()
+
+
+class TestJobRunner:
+    """Taking, running, finishing and putting back."""
+
+    def test_queued_job_is_run_and_closed(self, bench):
+        """Its result is recorded and it is open no longer."""
+        job = bench.add()
+        bench.work()
+        finished = bench.finished_job(job)
+        assert (finished.state, finished.result.body) == (JobState.DONE, b"answer")
+        assert bench.open_job(job) is None
+
+    def test_only_a_few_run_at_once(self, bench):
+        """The rest is taken when there is room again."""
+        for number in range(JOBS_AT_ONCE + 1):
+            bench.add(number)
+        bench.runner.take_due()
+        assert len(bench.executor.tasks) == JOBS_AT_ONCE
+        bench.executor.run_all()
+        bench.work()
+        assert len(set(bench.prompts)) == JOBS_AT_ONCE + 1
+
+    def test_job_of_a_live_holder_is_left(self, bench):
+        """Another node's lease is alive: the job is its."""
+        bench.join("n2", "i2")
+        bench.add(state=JobState.RUNNING, holder="i2")
+        bench.work()
+        assert bench.prompts == []
+
+    def test_job_of_a_gone_holder_is_taken_over(self, bench):
+        """Its lease has lapsed."""
+        job = bench.add(state=JobState.RUNNING, holder="i9")
+        bench.work()
+        assert bench.finished_job(job).state is JobState.DONE
+
+    def test_result_is_recorded_once(self, bench):
+        """A job that another holder finished is closed and not run again."""
+        job = bench.add()
+        bench.runner.take_due()
+        result = JobResult(b"the other's", 200)
+        finished = replace(job, state=JobState.DONE, result=result)
+        bench.jobs.finished_jobs.put(record_key(job.id), finished, ABSENT)
+        bench.executor.run_all()
+        assert bench.prompts == []
+        assert bench.finished_job(job).result == result
+        assert bench.open_job(job) is None
+
+    def test_passing_refusal_puts_it_back(self, bench):
+        """It is tried again, not at once and not less often than for ever."""
+        job = bench.add()
+        bench.refusals = [RefusalError(Reason.OVERLOADED, "busy")]
+        bench.work()
+        queued = bench.open_job(job)
+        assert (queued.state, queued.attempts) == (JobState.QUEUED, 1)
+        assert queued.due_s > queued.accepted_s
+        bench.work()
+        assert len(bench.prompts) == 1
+
+    def test_final_refusal_fails_it(self, bench):
+        """What can never run is not tried for ever."""
+        job = bench.add()
+        bench.refusals = [RefusalError(Reason.UNKNOWN_MODEL, "gone")]
+        bench.work()
+        finished = bench.finished_job(job)
+        assert finished.state is JobState.FAILED
+        assert finished.result.reason is Reason.UNKNOWN_MODEL
+
+    def test_expired_job_fails_unrun(self, bench):
+        """Nobody waits for it any longer."""
+        job = bench.add(expires_s=0.0)
+        bench.work()
+        assert bench.finished_job(job).result.reason is Reason.DEADLINE
+        assert bench.prompts == []
--- a/tests/fakes/object_api.py
+++ b/tests/fakes/object_api.py
@@ -41,6 +41,14 @@
             raise StoreUnavailableError("answer lost")
         return made
 
+    def delete(self, key, version):
+        """Delete if the version is still ``version``."""
+        self._require_up()
+        found = self.stored_by_key.get(key)
+        if (found.version if found else ABSENT) != version:
+            raise ConflictError(key)
+        self.stored_by_key.pop(key, None)
+
     def list(self, within=""):
         """Return all records whose key begins with ``within``."""
         self._require_up()
