--- /dev/null
+++ b/bench/ledger.py
@@ -0,0 +1,145 @@
+"""Cost of claims: object API writes for each action, and what it adds in time.
+
+Run as ``python -m bench.ledger``. It starts three daemons and stand-ins, sends
+actions at several rates, and prints a table. The idle writes (leases) are
+measured first and taken off.
+"""
+
+import sys
+import time
+from collections.abc import Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass
+from itertools import count
+
+from hdrh.histogram import HdrHistogram
+
+from camphoryard.state.verdict import Verdict
+from standins.fleet import Fleet
+from standins.history import check_actions, service_runs
+from standins.recording import Action, Recorded, send_action
+from standins.site import Site, SiteSpec, start_site
+
+NODES = 3
+SENDERS = 128
+RUN_S = 5.0
+RATES_A_S = (10, 40, 80, 120)
+MAX_LATENCY_US = 60_000_000
+SIGNIFICANT_FIGURES = 3
+NUMBERS = count(1)
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """What one rate gave."""
+
+    rate_a_s: int
+    ran: int
+    sent: int
+    writes_an_action: float
+    reads_an_action: float
+    p50_ms: float
+    p99_ms: float
+    violations: int
+
+
+@dataclass(frozen=True, slots=True)
+class Timed:
+    """One send and how long after it was due its answer came."""
+
+    recorded: Recorded
+    latency_s: float
+
+
+def send_at(site: Site, action: Action, due_s: float, node: str) -> Timed:
+    """Send an action; time counts from when it was due."""
+    recorded = send_action(site.fleet.port(node), action)
+    return Timed(recorded, time.monotonic() - due_s)
+
+
+def play(site: Site, rate_a_s: int) -> list[Timed]:
+    """Send actions at a rate, however slow the answers are."""
+    pending: list[Future[Timed]] = []
+    with ThreadPoolExecutor(SENDERS) as executor:
+        started_s = time.monotonic()
+        for index in range(int(rate_a_s * RUN_S)):
+            due_s = started_s + index / rate_a_s
+            time.sleep(max(0.0, due_s - time.monotonic()))
+            number = next(NUMBERS)
+            action = Action(f"bench-{number}", f'{{"space": {number}}}')
+            node = site.nodes[number % len(site.nodes)]
+            pending.append(executor.submit(send_at, site, action, due_s, node))
+    return [item.result() for item in pending]
+
+
+def counts(site: Site) -> tuple[int, int]:
+    """Return the object API's writes and reads so far."""
+    state = site.control("object-api")["counts"]
+    return state["writes"], state["reads"]
+
+
+def idle_rates(site: Site) -> tuple[float, float]:
+    """Return the writes and reads a second without any action."""
+    writes, reads = counts(site)
+    time.sleep(RUN_S)
+    later_writes, later_reads = counts(site)
+    return (later_writes - writes) / RUN_S, (later_reads - reads) / RUN_S
+
+
+def measure(site: Site, rate_a_s: int, idle: tuple[float, float]) -> Row:
+    """Return what one rate gives."""
+    before = counts(site)
+    started_s = time.monotonic()
+    timed = play(site, rate_a_s)
+    elapsed_s = time.monotonic() - started_s
+    after = counts(site)
+    histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_FIGURES)
+    for item in timed:
+        histogram.record_value(int(item.latency_s * 1e6))
+    sends = [item.recorded.send for item in timed]
+    runs = service_runs(site.control("bookings-1"))
+    bodies = {item.body for item in sends}
+    violations = check_actions(sends, [run for run in runs if run.subject in bodies])
+    writes, reads = (
+        (last - first - rate * elapsed_s) / len(timed)
+        for first, last, rate in zip(before, after, idle, strict=True)
+    )
+    return Row(
+        rate_a_s,
+        sum(item.verdict is Verdict.RAN for item in sends),
+        len(sends),
+        writes,
+        reads,
+        histogram.get_value_at_percentile(50) / 1000,
+        histogram.get_value_at_percentile(99) / 1000,
+        len(violations),
+    )
+
+
+def print_table(rows: Sequence[Row]) -> None:
+    """Print the rows as a Markdown table."""
+    print("| actions/s | ran | writes an action | reads an action | p50 ms | p99 ms |")
+    print("|---|---|---|---|---|---|")
+    for row in rows:
+        print(
+            f"| {row.rate_a_s} | {row.ran} of {row.sent}"
+            f" | {row.writes_an_action:.2f} | {row.reads_an_action:.2f}"
+            f" | {row.p50_ms:.1f} | {row.p99_ms:.1f} |"
+        )
+
+
+def main() -> None:
+    """Measure all rates; exit 1 if a promise was broken."""
+    with Fleet() as fleet:
+        site = start_site(fleet, SiteSpec(nodes=NODES, ignoring_engines=0))
+        idle = idle_rates(site)
+        print(f"idle: {idle[0]:.1f} writes/s, {idle[1]:.1f} reads/s, {NODES} nodes")
+        rows = [measure(site, rate, idle) for rate in RATES_A_S]
+    print_table(rows)
+    violations = sum(row.violations for row in rows)
+    print(f"violations: {violations}")
+    sys.exit(1 if violations else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/camphoryard/coordination/job_running.py
+++ b/src/camphoryard/coordination/job_running.py
@@ -29,7 +29,7 @@
 from camphoryard.state.verdict import Verdict
 
 JOBS_AT_ONCE = 4
-LOOK_PERIOD_S = 1.0
+LOOK_PERIOD_S = 2.0
 WRITE_PERIOD_S = 1.0
 RUN_LIMIT_S = 60.0
 RESULT_LIFE_S = 7 * 24 * 3600.0
