Make a late claim lose over an earlier release too

Cause: found in review: a claim's write of unknown fate may expect a released record; the settler left such a record alone, so the late write would have barred the key until its retention. An outcome was also tried three times before the caller got its answer, three seconds when the object API hangs. Change: a free key gets the ending written anew; the outcome is tried once inline. Mutation seen to fail: only our own claim overwritten. Conclusion: whatever a late write expects has gone by then.

--- a/src/camphoryard/coordination/claim_settling.py
+++ b/src/camphoryard/coordination/claim_settling.py
@@ -9,8 +9,8 @@
 
 from camphoryard.coordination.ports import Records, Timer
 from camphoryard.coordination.timeline import Timeline
-from camphoryard.coordination.writing import write_resolved
 from camphoryard.state.claims import Claim
+from camphoryard.state.enums import ClaimState
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT, Version, WriteId
 
@@ -53,9 +53,9 @@
             return len(self._pending_by_write)
 
     def settle(self, settlement: Settlement, version: Version) -> None:
-        """End a claim that stands at ``version``, later if not now."""
+        """End a claim that stands at ``version``, later if not at the first try."""
         try:
-            write_resolved(self._claims, settlement.key, settlement.ending, version)
+            self._claims.put(settlement.key, settlement.ending, version)
         except (StoreUnavailableError, ConflictError):
             self.settle_later(settlement)
 
@@ -90,11 +90,17 @@
     def _end(self, settlement: Settlement) -> None:
         """Put the ending in the claim's place.
 
-        Where there is no claim the ending is created all the same: a claim's
-        write that is still under way expects no record, so it then loses.
+        Where the key is free the ending is written all the same: a write of
+        the claim that is still under way expects what is there now, so it then
+        loses. Where another claim stands it has lost already.
         """
+        ending = settlement.ending
         stored = self._claims.get(settlement.key)
         if stored is None or stored.record is None:
-            self._claims.put(settlement.key, settlement.ending, ABSENT)
-        elif stored.record.write_id == settlement.claim_write:
-            self._claims.put(settlement.key, settlement.ending, stored.version)
+            self._claims.put(settlement.key, ending, ABSENT)
+            return
+        if stored.record.write_id == ending.write_id:
+            return
+        is_ours = stored.record.write_id == settlement.claim_write
+        if is_ours or stored.record.state is ClaimState.RELEASED:
+            self._claims.put(settlement.key, ending, stored.version)
--- a/tests/coordination/test_claim_settling.py
+++ b/tests/coordination/test_claim_settling.py
@@ -61,6 +61,20 @@
             pass
         assert state_of(records) is ClaimState.RELEASED
 
+    def test_late_write_over_an_earlier_release_loses(self):
+        """A claim's write may expect a released record instead of none."""
+        records = MemoryRecords()
+        earlier = replace(RELEASED, write_id="earlier")
+        version = records.put("k", earlier, ABSENT)
+        settler = make_settler(records)
+        settler.settle_later(ENDING)
+        settler.settle_pending()
+        try:
+            records.put("k", CLAIM, version)
+        except ConflictError:
+            pass
+        assert state_of(records) is ClaimState.RELEASED
+
     def test_claim_of_another_request_is_left_alone(self):
         """Only the claim that this settlement is about is ended."""
         records = MemoryRecords()
