--- /dev/null
+++ b/bench/action_faults.py
@@ -0,0 +1,247 @@
+"""Actions sent again and again under random faults; the history is checked.
+
+Run as ``python -m bench.action_faults --seed 1 --seconds 60``. It prints the
+faults injected, the sends by verdict and the violations, and exits 1 if there
+was one.
+"""
+
+import random
+import signal
+import sys
+import threading
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Annotated, TypeAlias
+
+import typer
+
+from camphoryard.state.verdict import Verdict
+from standins.fleet import Fleet
+from standins.history import Violation, check_actions, service_runs
+from standins.recording import Action, Recorded, send_action
+from standins.site import Site, SiteSpec, start_site
+
+NODES = 4
+CALLERS = 6
+FAULT_TASKS = 2
+MAX_SENDS = 4
+DEADLINE_MS = 6000
+MAX_LULL_S = 1.5
+TWICE_SHARE = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class KillNode:
+    """Kill a node and start it again with empty memory."""
+
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class FreezeNode:
+    """Stop a node for a time that may outlast its lease, then let it go on."""
+
+    node: str
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """The object API answers nothing for a time."""
+
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HoldClaims:
+    """Calls on claims take effect and are answered only after a time."""
+
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoseClaimAnswers:
+    """Some writes of claims take effect and their answer is lost."""
+
+    writes: int
+
+
+@dataclass(frozen=True, slots=True)
+class BreakCalls:
+    """The service runs some actions and breaks the connection."""
+
+    calls: int
+
+
+@dataclass(frozen=True, slots=True)
+class HoldCalls:
+    """The service runs actions and withholds the answers for a time."""
+
+    for_s: float
+
+
+Fault: TypeAlias = (
+    KillNode
+    | FreezeNode
+    | Outage
+    | HoldClaims
+    | LoseClaimAnswers
+    | BreakCalls
+    | HoldCalls
+)
+
+
+@dataclass(slots=True)
+class History:
+    """What was injected and recorded."""
+
+    recorded: list[Recorded] = field(default_factory=list)
+    faults: list[Fault] = field(default_factory=list)
+    numbers: Iterator[int] = field(default_factory=lambda: count(1))
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    stop: threading.Event = field(default_factory=threading.Event)
+
+
+def draw_fault(draw: random.Random, nodes: list[str]) -> Fault:
+    """Return a random fault."""
+    node = draw.choice(nodes)
+    for_s = draw.uniform(0.5, 5.0)
+    faults: list[Fault] = [
+        KillNode(node),
+        FreezeNode(node, for_s),
+        Outage(for_s),
+        HoldClaims(for_s),
+        LoseClaimAnswers(draw.randint(1, 5)),
+        BreakCalls(draw.randint(1, 3)),
+        HoldCalls(for_s),
+    ]
+    return draw.choice(faults)
+
+
+def inject(site: Site, fault: Fault, pause: threading.Event) -> None:
+    """Bring a fault about and, where it lasts, end it."""
+    match fault:
+        case KillNode(node):
+            site.fleet.process_by_name[node].kill()
+            site.fleet.restart(node)
+            pause.wait(MAX_LULL_S)
+        case FreezeNode(node, for_s):
+            process = site.fleet.process_by_name[node]
+            process.signal(signal.SIGSTOP)
+            pause.wait(for_s)
+            process.signal(signal.SIGCONT)
+        case Outage(for_s):
+            site.control("object-api", outage=True)
+            pause.wait(for_s)
+            site.control("object-api", outage=False)
+        case HoldClaims(for_s):
+            site.control("object-api", hold_prefix="claims/")
+            pause.wait(for_s)
+            site.control("object-api", hold_prefix="")
+        case LoseClaimAnswers(writes):
+            site.control("object-api", lose_answers=writes, lose_prefix="claims/")
+        case BreakCalls(calls):
+            site.control("bookings-1", lose_answers=calls)
+        case HoldCalls(for_s):
+            site.control("bookings-1", hold=True)
+            pause.wait(for_s)
+            site.control("bookings-1", hold=False)
+
+
+def inject_faults(
+    site: Site, history: History, draw: random.Random, nodes: list[str]
+) -> None:
+    """Inject one fault after another until told to stop."""
+    while not history.stop.wait(draw.uniform(0.0, MAX_LULL_S)):
+        fault = draw_fault(draw, nodes)
+        with history.lock:
+            history.faults.append(fault)
+        inject(site, fault, history.stop)
+
+
+def call_until_stopped(site: Site, history: History, draw: random.Random) -> None:
+    """Send one action after another, each again until it ran."""
+    with ThreadPoolExecutor(2) as executor:
+        while not history.stop.is_set():
+            number = next(history.numbers)
+            action = Action(
+                f"key-{number}", f'{{"space": {number}}}', deadline_ms=DEADLINE_MS
+            )
+            for _ in range(MAX_SENDS):
+                copies = 2 if draw.random() < TWICE_SHARE else 1
+                nodes = [draw.choice(site.nodes) for _ in range(copies)]
+                sends = [
+                    executor.submit(send_action, site.fleet.port(node), action)
+                    for node in nodes
+                ]
+                got = [item.result() for item in sends]
+                with history.lock:
+                    history.recorded.extend(got)
+                if any(item.replayed for item in got):
+                    break
+
+
+def run(site: Site, seed: int, seconds: float) -> History:
+    """Run callers and faults for a time and return the history."""
+    history = History()
+    draw = random.Random(seed)
+    half = len(site.nodes) // FAULT_TASKS
+    with ThreadPoolExecutor(CALLERS + FAULT_TASKS) as executor:
+        tasks = [
+            executor.submit(
+                call_until_stopped, site, history, random.Random(draw.random())
+            )
+            for _ in range(CALLERS)
+        ]
+        for index in range(FAULT_TASKS):
+            nodes = site.nodes[index * half : (index + 1) * half]
+            own = random.Random(draw.random())
+            tasks.append(executor.submit(inject_faults, site, history, own, nodes))
+        history.stop.wait(seconds)
+        history.stop.set()
+    for task in tasks:
+        task.result()
+    return history
+
+
+def violations(site: Site, history: History) -> tuple[Violation, ...]:
+    """Return what the service's log contradicts."""
+    runs = service_runs(site.control("bookings-1"))
+    return check_actions([item.send for item in history.recorded], runs)
+
+
+def verdict_counts(history: History) -> Counter[str]:
+    """Return the sends by what their callers were told."""
+    return Counter(_told(item.send.verdict) for item in history.recorded)
+
+
+def _told(verdict: Verdict | None) -> str:
+    return verdict.value if verdict else "no answer"
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Seed of faults and callers.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Length of the run.")] = 60.0,
+) -> None:
+    """Run, check and print."""
+    with Fleet() as fleet:
+        site = start_site(fleet, SiteSpec(nodes=NODES, ignoring_engines=0))
+        history = run(site, seed, seconds)
+        found = violations(site, history)
+    faults = Counter(type(item).__name__ for item in history.faults)
+    actions = len({item.send.body for item in history.recorded})
+    print(f"seed {seed}, {seconds:.0f} s, {NODES} nodes")
+    print(f"faults: {dict(faults)}")
+    print(f"actions: {actions}, sends: {dict(verdict_counts(history))}")
+    print(f"replayed: {sum(item.replayed for item in history.recorded)}")
+    print(f"violations: {len(found)}")
+    for item in found:
+        print(f"  {item.kind.value}: {item.subject} {item.detail}")
+    sys.exit(1 if found else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/src/camphoryard/coordination/refusal_folding.py
+++ b/src/camphoryard/coordination/refusal_folding.py
@@ -22,6 +22,7 @@
 )
 
 FOLD_PERIOD_S = 5.0
+MAX_FOLDS_A_SECOND = 20.0
 MINUTES_PER_HOUR = 60
 HELD_MINUTES = 24 * MINUTES_PER_HOUR
 
@@ -42,9 +43,17 @@
         self._held_by_incarnation: dict[Incarnation, RefusalSheet] = {}
 
     def run(self, timer: Timer) -> None:
-        """Fold now and then until the timer service closes."""
+        """Fold now and then until the timer service closes.
+
+        The more nodes there are, the less often each folds, so that their
+        writes stay bounded in all.
+        """
+        due_s = 0.0
         for _ in timer.every(FOLD_PERIOD_S):
-            self.fold()
+            if time.monotonic() >= due_s:
+                self.fold()
+                spread_s = len(self._nodes.alive()) / MAX_FOLDS_A_SECOND
+                due_s = time.monotonic() + spread_s
 
     def hold(self, sheet: RefusalSheet) -> None:
         """Keep a peer's counts, to fold them should it be gone."""
