--- /dev/null
+++ b/tests/bench/test_action_faults.py
@@ -0,0 +1,34 @@
+"""Tests of actions under random faults, over real processes."""
+
+import random
+
+from bench.action_faults import NODES, draw_fault, run, violations
+from camphoryard.state.verdict import Verdict
+from standins.fleet import Fleet
+from standins.site import SiteSpec, start_site
+
+SEED = 7
+RUN_S = 8.0
+
+
+class TestDrawFault:
+    """Drawing faults."""
+
+    def test_same_seed_gives_the_same_faults(self):
+        """A run can be repeated from its seed."""
+        first, again = random.Random(SEED), random.Random(SEED)
+        for _ in range(20):
+            assert draw_fault(first, ["n1", "n2"]) == draw_fault(again, ["n1", "n2"])
+
+
+class TestRun:
+    """A whole run."""
+
+    def test_history_is_free_of_violations(self):
+        """Whatever the faults, no action ran twice and no "not run" ran."""
+        with Fleet() as fleet:
+            site = start_site(fleet, SiteSpec(nodes=NODES, ignoring_engines=0))
+            history = run(site, SEED, RUN_S)
+            assert history.faults
+            assert any(item.send.verdict is Verdict.RAN for item in history.recorded)
+            assert violations(site, history) == ()
