--- a/tests/protocol/test_caller.py
+++ b/tests/protocol/test_caller.py
@@ -14,7 +14,8 @@
 
 def decode(operation="book", key="k1"):
     """Return the action that a caller asks for."""
-    return action_request("bookings", operation, b"{}", {KEY_HEADER: key}, "front-desk")
+    headers = {KEY_HEADER: key}
+    return action_request("bookings", operation, b"{}", headers, "front-desk", "r1")
 
 
 class TestActionRequest:
