--- a/bench/action_faults.py
+++ b/bench/action_faults.py
@@ -1,8 +1,8 @@
 """Actions sent again and again under random faults; the history is checked.
 
 Run as ``python -m bench.action_faults --seed 1 --seconds 60``. It prints the
-faults injected, the sends by verdict and the violations, and exits 1 if there
-was one.
+faults injected, the sends by verdict, the refusals that callers saw and those
+that are counted, and the violations; it exits 1 if there was one.
 """
 
 import random
@@ -19,7 +19,7 @@
 import typer
 
 from camphoryard.state.verdict import Verdict
-from standins.fleet import Fleet
+from standins.fleet import Fleet, request
 from standins.history import Violation, check_actions, service_runs
 from standins.recording import Action, Recorded, send_action
 from standins.site import Site, SiteSpec, start_site
@@ -31,6 +31,7 @@
 DEADLINE_MS = 6000
 MAX_LULL_S = 1.5
 TWICE_SHARE = 0.2
+COUNT_LIMIT_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +219,31 @@
     return Counter(_told(item.send.verdict) for item in history.recorded)
 
 
+def refusals_seen(history: History) -> int:
+    """Return how many refusals callers were answered."""
+    return sum('"error"' in item.text for item in history.recorded)
+
+
+def refusals_counted(site: Site) -> int:
+    """Return the count of all nodes' refusals, as the first node has it."""
+    path = "/admin/v1/refusals?hours=2"
+    items = request(site.fleet.port(site.nodes[0]), "GET", path)
+    return sum(item["count"] for item in items)
+
+
+def wait_for_counts(site: Site, history: History) -> int:
+    """Block until every refusal seen is counted or time is up; return the count."""
+    site.fleet.wait_ready(site.nodes, "/readyz")
+    seen = refusals_seen(history)
+    try:
+        site.fleet.wait_until(
+            lambda: refusals_counted(site) >= seen, "counts", COUNT_LIMIT_S
+        )
+    except TimeoutError:
+        pass
+    return refusals_counted(site)
+
+
 def _told(verdict: Verdict | None) -> str:
     return verdict.value if verdict else "no answer"
 
@@ -231,12 +257,14 @@
         site = start_site(fleet, SiteSpec(nodes=NODES, ignoring_engines=0))
         history = run(site, seed, seconds)
         found = violations(site, history)
+        counted = wait_for_counts(site, history)
     faults = Counter(type(item).__name__ for item in history.faults)
     actions = len({item.send.body for item in history.recorded})
     print(f"seed {seed}, {seconds:.0f} s, {NODES} nodes")
     print(f"faults: {dict(faults)}")
     print(f"actions: {actions}, sends: {dict(verdict_counts(history))}")
     print(f"replayed: {sum(item.replayed for item in history.recorded)}")
+    print(f"refusals seen: {refusals_seen(history)}, counted: {counted}")
     print(f"violations: {len(found)}")
     for item in found:
         print(f"  {item.kind.value}: {item.subject} {item.detail}")
--- a/src/camphoryard/coordination/claiming.py
+++ b/src/camphoryard/coordination/claiming.py
@@ -96,7 +96,7 @@
         try:
             version = write_resolved(parts.claims, key, ours, version)
         except ConflictError:
-            found = _wait_for_outcome(parts, key, request.deadline_s, ours)
+            found = _wait_for_outcome(parts, key, request.deadline_s, ours.fingerprint)
         except StoreUnavailableError as error:
             release_later(parts, key, ours)
             raise RefusalError(
@@ -105,7 +105,7 @@
         else:
             parts.timeline.record("claimed", request=request.id, key=key)
             return Held(key, ours, version)
-        answer = judge(found.record, ours)
+        answer = judge(found.record, ours.fingerprint)
         if answer is not None:
             return answer
         version = found.version
@@ -142,17 +142,17 @@
 
 def recorded(parts: ClaimParts, request: ActionRequest) -> ActionAnswer | None:
     """Return the answer of the finished action, if there is one; claims nothing."""
-    stored = _read(parts, claim_key(request))
-    if stored.record is None or stored.record.state is not ClaimState.DONE:
+    found = _read(parts, claim_key(request)).record
+    if found is None or found.state is not ClaimState.DONE:
         return None
-    return judge(
-        stored.record, replace(stored.record, fingerprint=fingerprint(request))
-    )
+    return judge(found, fingerprint(request))
 
 
-def judge(found: Claim | None, ours: Claim) -> ActionAnswer | None:
+def judge(found: Claim | None, wanted: str) -> ActionAnswer | None:
     """Return the recorded answer, or None if the key is free to claim.
 
+    ``wanted`` is the fingerprint of the action that asks.
+
     Raises
     ------
     RefusalError
@@ -160,7 +160,7 @@
     """
     if found is None or found.state is ClaimState.RELEASED:
         return None
-    if found.fingerprint != ours.fingerprint:
+    if found.fingerprint != wanted:
         raise RefusalError(
             Reason.KEY_REUSED,
             "this key was used for another action; take a new key",
@@ -201,10 +201,12 @@
 
 
 def _wait_for_outcome(
-    parts: ClaimParts, key: str, deadline_s: float, ours: Claim
+    parts: ClaimParts, key: str, deadline_s: float, wanted: str
 ) -> Stored[Claim]:
     """Return the claim once it has an outcome or can be waited for no longer.
 
+    A claim of another action than ``wanted`` is not waited for.
+
     Raises
     ------
     RefusalError
@@ -215,7 +217,7 @@
         record = found.record
         if record is None or record.state is not ClaimState.CLAIMED:
             return found
-        if record.fingerprint != ours.fingerprint:
+        if record.fingerprint != wanted:
             return found
         if not _is_alive(parts, record.incarnation):
             raise _outcome_unknown()
