--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -1,64 +1,71 @@
-"""Heartbeats between nodes, and what is done with those heard."""
+"""What a node does with the messages of its peers."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.gossip import Gossiper
+from camphoryard.coordination.joining import Joiner
+from camphoryard.coordination.merging import select_events
 from camphoryard.coordination.messages import (
+    ConfigurationWanted,
     CrashSeen,
     Declined,
     DigestWanted,
     Done,
+    EventsFound,
+    EventsWanted,
     GiveUp,
-    Heartbeat,
+    Gossip,
+    GossipAnswer,
     ItemsUsed,
+    JoinWanted,
     LoadWanted,
     Message,
+    RecordsWanted,
     RefusalsCounted,
     Reply,
     ResidencyMessage,
     TrialEnded,
     TrialWanted,
 )
-from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.suspects import Suspects
-from camphoryard.state.ids import Generation
-from camphoryard.state.nodes import NodeDigest, NodeTable
+from camphoryard.coordination.timeline import Timeline
+from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.refusals import RefusalSheet
-from camphoryard.state.timeline import HybridClock
-
-HEARTBEAT_PERIOD_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class MembershipParts:
-    """What the membership tasks work with."""
+    """What the handling of peers' messages works with."""
 
-    nodes: NodeTable
-    peers: Peers
-    clock: HybridClock
+    gossiper: Gossiper
+    joiner: Joiner
+    configurator: Configurator
+    timeline: Timeline
     digest: Callable[[], NodeDigest]
     residency: Callable[[ResidencyMessage], Reply]
-    heard_generation: Callable[[Generation], None]
     suspects: Suspects
     hold_refusals: Callable[[RefusalSheet], None]
 
 
-def run_heartbeats(parts: MembershipParts, timer: Timer) -> None:
-    """Tell every live peer about this node until the timer service closes."""
-    for _ in timer.every(HEARTBEAT_PERIOD_S):
-        message = Heartbeat(parts.digest(), parts.clock.now())
-        for lease in parts.nodes.alive():
-            parts.peers.tell(lease.node, message)
-
-
 def handle(parts: MembershipParts, message: Message) -> Reply:
     """Act on a peer's message and return the reply."""
     match message:
-        case Heartbeat(digest, stamp):
-            parts.clock.heard(stamp)
-            parts.nodes.heard(digest)
-            parts.heard_generation(digest.generation)
+        case Gossip() as gossip:
+            parts.gossiper.take(gossip)
+            return Done()
+        case GossipAnswer() as answer:
+            parts.gossiper.take_answer(answer)
             return Done()
+        case JoinWanted() as wanted:
+            return parts.joiner.joined(wanted)
+        case RecordsWanted():
+            return parts.joiner.records()
+        case EventsWanted(fields):
+            return EventsFound(select_events(parts.timeline.events(), fields))
+        case ConfigurationWanted(known):
+            return parts.configurator.offer(known) or Declined("no configuration yet")
         case LoadWanted() | ItemsUsed() | GiveUp():
             return parts.residency(message)
         case DigestWanted():
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -120,5 +120,25 @@
     ENDPOINT_FAILED = "endpoint_failed"
     QUARANTINED = "quarantined"
     CONFLICT = "conflict"
+    UNHEARD_NODES = "unheard_nodes"
     CANCELLED = "cancelled"
     INTERNAL = "internal"
+
+
+class RiskKind(Enum):
+    """What puts a promise at risk."""
+
+    STALE_CONFIGURATION = "stale_configuration"
+    STORE_SILENT = "store_silent"
+    NODE_SILENT = "node_silent"
+    NODE_BEHIND = "node_behind"
+    NO_OWNER = "no_owner"
+    REFUSALS = "refusals"
+
+
+class SelectorKind(Enum):
+    """Which of a serving group's selectors."""
+
+    CALLERS = "callers"
+    TARGETS = "targets"
+    ENDPOINTS = "endpoints"
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -15,6 +15,7 @@
 from waitress.task import ErrorTask, WSGITask
 
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.state.errors import ListenError
 from camphoryard.state.ids import RequestId
 
 MAX_BODY_BYTES = 1 << 20
@@ -114,6 +115,31 @@
         """Whether every request got its answer, to the last byte."""
         return not self.requests and not self.total_outbufs_len
 
+    def write_soon(self, data: Any) -> int:
+        """Send at once what the socket takes, and buffer only the rest.
+
+        A token's event then costs one call of the socket and passes no buffer.
+        """
+        if self.total_outbufs_len or not isinstance(data, bytes):
+            count: int = super().write_soon(data)
+            return count
+        sent = self._send_now(data)
+        if sent < len(data):
+            super().write_soon(data[sent:])
+        return len(data)
+
+    def _send_now(self, data: bytes) -> int:
+        with self.outbuf_lock:
+            if not self.connected or self.total_outbufs_len:
+                return 0
+            try:
+                sent: int = self.socket.send(data)
+            except OSError:
+                # The buffered way meets the same error and deals with it.
+                return 0
+        self.last_activity = time.time()
+        return sent
+
     def handle_close(self) -> None:
         """Close the connection and cancel what runs for it."""
         super().handle_close()
@@ -163,7 +189,13 @@
 def serve(
     app: Any, host: str, port: int, executor: Executor, refuse: Refuse
 ) -> HttpServer:
-    """Return a waitress server that is bound; its ``run`` blocks."""
+    """Return a waitress server that is bound; its ``run`` blocks.
+
+    Raises
+    ------
+    ListenError
+        If the port cannot be bound.
+    """
     logging.getLogger("waitress").setLevel(logging.ERROR)
     adjustments = Adjustments(
         host=host,
@@ -178,14 +210,20 @@
         channel_request_lookahead=1,
         ident=None,
     )
-    server = HttpServer(
-        app,
-        {},
-        True,
-        None,
-        dispatcher=ExecutorDispatcher(executor),
-        adj=adjustments,
-        sockinfo=adjustments.listen[0],
-        refuse=refuse,
-    )
+    try:
+        server = HttpServer(
+            app,
+            {},
+            True,
+            None,
+            dispatcher=ExecutorDispatcher(executor),
+            adj=adjustments,
+            sockinfo=adjustments.listen[0],
+            refuse=refuse,
+        )
+    except OSError as error:
+        raise ListenError(
+            f"node.http_port: {host}:{port} cannot be bound ({error.strerror});"
+            " end what uses it, or set another port and host of this VM"
+        ) from error
     return server
--- a/tests/system/test_jobs.py
+++ b/tests/system/test_jobs.py
@@ -48,17 +48,13 @@
 
 def holders(site, job):
     """Return the nodes whose time line says that they took a job."""
-    found = []
-    for node in site.nodes:
-        if site.fleet.process_by_name[node].popen.poll() is not None:
-            continue
-        events = request(site.fleet.port(node), "GET", "/admin/v1/timeline")
-        if any(
-            item["name"] == "job_taken" and item["fields"]["job"] == job
-            for item in events
-        ):
-            found.append(node)
-    return found
+    path = "/admin/v1/timeline"
+    events = request(site.fleet.port("node-1"), "GET", path)["events"]
+    return {
+        item["node"]
+        for item in events
+        if item["name"] == "job_taken" and item["fields"]["job"] == job
+    }
 
 
 def restart(site, node):
