Hand counts again when their holder is gone or started anew

Cause: found in review: after a holder went, counts that were in no object yet were handed to another peer only with the next refusal; in an outage a kill of the refusing node before that lost them. Change: each tick compares the holder's incarnation and hands over anew. Mutation seen to fail: only the first holder gets everything. Conclusion: one reachable peer holds what is not folded, within a second.

--- a/src/camphoryard/coordination/refusal_handover.py
+++ b/src/camphoryard/coordination/refusal_handover.py
@@ -12,8 +12,8 @@
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.state.errors import PeerUnreachableError
-from camphoryard.state.ids import NodeId
-from camphoryard.state.nodes import NodeTable
+from camphoryard.state.ids import Incarnation, NodeId
+from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.refusals import RefusalSheet
 
 HANDOVER_PERIOD_S = 1.0
@@ -32,7 +32,7 @@
         self._counter = counter
         self._nodes = nodes
         self._peers = peers
-        self._holder: NodeId | None = None
+        self._holder: Incarnation | None = None
         self._passed_over_until_s: dict[NodeId, float] = {}
         self._pause = threading.Event()
 
@@ -45,33 +45,37 @@
                 self._pause.wait(HANDOVER_PAUSE_S)
 
     def hand_over(self) -> bool:
-        """Hand over what is not yet; return whether there was anything."""
-        if self._counter.unhanded() is None:
-            return False
+        """Hand over what is not yet; return whether there was anything.
+
+        A new holder, or the same one started anew, gets all that the object
+        API does not have.
+        """
         while (holder := self._choose()) is not None:
-            if holder != self._holder:
+            if holder.incarnation != self._holder:
                 self._counter.hand_all_again()
-                self._holder = holder
+                self._holder = holder.incarnation
             unhanded = self._counter.unhanded()
             if unhanded is None:
-                return True
-            if self._ask(holder, unhanded.sheet):
+                return False
+            if self._ask(holder.node, unhanded.sheet):
                 self._counter.handed(unhanded.number)
                 return True
-            self._passed_over_until_s[holder] = time.monotonic() + PASSED_OVER_S
+            self._passed_over_until_s[holder.node] = time.monotonic() + PASSED_OVER_S
         self._counter.give_up_handing()
-        return True
+        return False
 
-    def _choose(self) -> NodeId | None:
+    def _choose(self) -> NodeLease | None:
         """Return the peer to hold this node's counts."""
         now_s = time.monotonic()
-        peers = [
-            lease.node
+        peer_by_id = {
+            lease.node: lease
             for lease in self._nodes.alive()
             if lease.node != self._node
             and self._passed_over_until_s.get(lease.node, 0.0) <= now_s
-        ]
-        return rendezvous_owner(f"refusals/{self._node}", peers) if peers else None
+        }
+        if not peer_by_id:
+            return None
+        return peer_by_id[rendezvous_owner(f"refusals/{self._node}", list(peer_by_id))]
 
     def _ask(self, holder: NodeId, sheet: RefusalSheet) -> bool:
         try:
--- a/tests/coordination/test_refusal_handover.py
+++ b/tests/coordination/test_refusal_handover.py
@@ -73,6 +73,21 @@
         }
         assert counter.unhanded() is None
 
+    def test_holder_started_anew_gets_all_again(self, counter, peers):
+        """Its copy went with its memory, though no refusal came since."""
+        nodes = NodeTable()
+        handover = RefusalHandover("n1", counter, nodes, peers)
+        for number, incarnation in enumerate(("old", "new"), 1):
+            lease = NodeLease(
+                "n2", incarnation, "a", "h", 1, "", NodeState.SERVING, 60.0, "w"
+            )
+            nodes.saw(lease, number)
+            if number == 1:
+                counter.count(Reason.OVERLOADED, "")
+            assert handover.hand_over()
+        assert len(peers.asked) == 2
+        assert peers.asked[0] == peers.asked[1]
+
     def test_lone_node_keeps_its_counts(self, counter, peers):
         """Without a peer the counts stay to be handed over later."""
         handover = make_handover(counter, peers, ("n1",))
