--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -4,7 +4,7 @@
 import math
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -12,7 +12,7 @@
 
 import structlog
 
-from camphoryard.coordination.actions import ActionParts
+from camphoryard.coordination.actions import ActionParts, act
 from camphoryard.coordination.admission import (
     Admission,
     AdmissionPolicy,
@@ -21,9 +21,13 @@
     Unlimited,
 )
 from camphoryard.coordination.breakers import Breakers
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.claim_settling import Settler
+from camphoryard.coordination.claiming import ClaimParts
 from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.currency import Currency
+from camphoryard.coordination.expiry import ExpiryParts, run_expiry
 from camphoryard.coordination.explaining import explain
 from camphoryard.coordination.gossip import (
     AllToAll,
@@ -32,7 +36,9 @@
     GossipParts,
     GossipPolicy,
 )
-from camphoryard.coordination.inference import InferenceParts
+from camphoryard.coordination.inference import InferenceParts, infer
+from camphoryard.coordination.job_running import JOBS_AT_ONCE, JobRunner, RunnerParts
+from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.joining import Joiner, JoiningParts
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.load_estimates import LoadEstimates
@@ -40,6 +46,8 @@
 from camphoryard.coordination.merging import MergedTimeline, merge_timelines
 from camphoryard.coordination.ownership import LeaseKeeper
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
+from camphoryard.coordination.refusal_folding import RefusalFolder
+from camphoryard.coordination.refusal_handover import RefusalHandover
 from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
 from camphoryard.coordination.residency import (
     EndpointOwner,
@@ -72,8 +80,10 @@
     CLAIMS,
     ENDPOINT_RECORDS,
     HEADS,
+    JOBS,
     LEASES,
     PARTS,
+    REFUSALS,
 )
 from camphoryard.settings import (
     DecisionSettings,
@@ -93,7 +103,10 @@
     WriteId,
     Zone,
 )
+from camphoryard.state.jobs import Job
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
+from camphoryard.state.refusals import RefusalSheet
+from camphoryard.state.requests import ActionAnswer, ActionRequest, InferenceRequest
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable, InFlightTable
 from camphoryard.state.timeline import NANOSECONDS_PER_MILLISECOND, Event, HybridClock
 from camphoryard.state.vms import VmTable
@@ -113,7 +126,7 @@
 ENDPOINT_TASKS = 256
 HANDLER_TASKS = 32
 LOAD_TASKS = 64
-NODE_TASKS = 16
+NODE_TASKS = 32
 CONFIRMATIONS_PER_LIMIT = 4
 INCARNATION_CHARACTERS = 16
 
@@ -130,6 +143,7 @@
     endpoints: ThreadPoolExecutor
     loads: ThreadPoolExecutor
     node: ThreadPoolExecutor
+    jobs: ThreadPoolExecutor
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +179,9 @@
     contents: ObjectContents
     leases: Records[NodeLease]
     claims: Records[Claim]
+    refusals: Records[RefusalSheet]
+    open_jobs: Records[Job]
+    finished_jobs: Records[Job]
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +209,8 @@
 
     admission: Admission
     suspects: Suspects
+    inference: InferenceParts
+    actions: ActionParts
     door: FrontDoor
 
 
@@ -208,6 +227,9 @@
     membership: MembershipParts
     admission: Admission
     door: FrontDoor
+    settler: Settler
+    refusal_folder: RefusalFolder
+    background: tuple[Callable[[TimerService], None], ...]
     app: App
 
 
@@ -220,6 +242,7 @@
         ThreadPoolExecutor(ENDPOINT_TASKS, "endpoint"),
         ThreadPoolExecutor(LOAD_TASKS, "load"),
         ThreadPoolExecutor(NODE_TASKS, "node"),
+        ThreadPoolExecutor(JOBS_AT_ONCE, "job"),
     )
 
 
@@ -341,7 +364,7 @@
         in_flight,
         estimates,
         VmTable(),
-        RefusalCounter(),
+        RefusalCounter(identity.incarnation),
         threading.Event(),
     )
 
@@ -356,6 +379,9 @@
         ObjectContents(api, "configuration/parts/", PARTS),
         ObjectRecords(api, "nodes/", LEASES),
         ObjectRecords(api, "claims/", CLAIMS),
+        ObjectRecords(api, "refusals/", REFUSALS),
+        ObjectRecords(api, "jobs/open/", JOBS),
+        ObjectRecords(api, "jobs/finished/", JOBS),
     )
 
 
@@ -396,7 +422,9 @@
     return Residency(owner, client)
 
 
-def make_serving(shared: Shared, platform: Platform, residency: Residency) -> Serving:
+def make_serving(
+    shared: Shared, platform: Platform, residency: Residency, settler: Settler
+) -> Serving:
     """Return the front door with the tasks and decisions behind it."""
     decisions = shared.settings.decisions
     router = Router(make_routing_policy(decisions), shared.estimates.load)
@@ -424,14 +452,20 @@
         shared.engines,
         shared.timeline,
     )
+    claiming = ClaimParts(
+        shared.identity.incarnation,
+        platform.claims,
+        settler,
+        shared.nodes,
+        shared.timer,
+        shared.timeline,
+    )
     actions = ActionParts(
-        shared.identity,
         shared.configuration,
-        platform.claims,
+        claiming,
         shared.in_flight,
         router,
         HttpServices(shared.client),
-        shared.timeline,
     )
     door = FrontDoor(
         ServingParts(
@@ -443,7 +477,54 @@
             shared.metrics.observe,
         )
     )
-    return Serving(admission, suspects, door)
+    return Serving(admission, suspects, inference, actions, door)
+
+
+def make_job_parts(shared: Shared, platform: Platform) -> JobParts:
+    """Return what jobs are accepted and found with."""
+    return JobParts(
+        shared.configuration,
+        platform.open_jobs,
+        platform.finished_jobs,
+        shared.timeline,
+    )
+
+
+def make_job_runner(shared: Shared, jobs: JobParts, serving: Serving) -> JobRunner:
+    """Return the part that runs jobs, as requests that are not a caller's own."""
+
+    def run_inference(request: InferenceRequest) -> str:
+        with serving.door.admitted():
+            frames = infer(serving.inference, request, Cancellation())
+            return "".join(frame.text for frame in frames)
+
+    def run_action(request: ActionRequest) -> ActionAnswer:
+        with serving.door.admitted():
+            return act(serving.actions, request)
+
+    return JobRunner(
+        RunnerParts(
+            shared.identity,
+            shared.nodes,
+            jobs,
+            shared.timer,
+            shared.executors.jobs,
+            lambda: serving.door.state is NodeState.SERVING,
+            run_inference,
+            run_action,
+        )
+    )
+
+
+def make_expiry(shared: Shared, platform: Platform) -> ExpiryParts:
+    """Return what expires and who sees to it."""
+    return ExpiryParts(
+        shared.identity.node,
+        shared.nodes,
+        platform.claims,
+        platform.finished_jobs,
+        platform.refusals,
+    )
 
 
 def make_digest(shared: Shared, door: FrontDoor) -> NodeDigest:
@@ -611,7 +692,11 @@
 
 
 def make_membership(
-    shared: Shared, residency: Residency, serving: Serving, control: Control
+    shared: Shared,
+    residency: Residency,
+    serving: Serving,
+    control: Control,
+    folder: RefusalFolder,
 ) -> MembershipParts:
     """Return the parts that handle messages of other nodes."""
     return MembershipParts(
@@ -622,10 +707,17 @@
         functools.partial(make_digest, shared, serving.door),
         ResidencyDesk(residency.owner, residency.client.used_elsewhere).handle,
         serving.suspects,
+        folder.hold,
     )
 
 
-def make_app(shared: Shared, door: FrontDoor, control: Control) -> App:
+def make_app(
+    shared: Shared,
+    door: FrontDoor,
+    control: Control,
+    folder: RefusalFolder,
+    jobs: JobParts,
+) -> App:
     """Return the WSGI application."""
     access = shared.settings.access
 
@@ -648,12 +740,14 @@
         ),
         functools.partial(make_status, shared, door, control.currency),
         shared.stop.set,
+        folder.total,
     )
     return App(
         Access(access.operator_tokens, access.caller_token_by_id),
         door,
         operator,
         shared.metrics,
+        jobs,
     )
 
 
@@ -662,7 +756,15 @@
     shared = make_shared(settings)
     platform = make_platform(settings.platform, shared.client)
     residency = make_residency(shared, platform)
-    serving = make_serving(shared, platform, residency)
+    settler = Settler(platform.claims, shared.timeline)
+    serving = make_serving(shared, platform, residency, settler)
+    folder = RefusalFolder(platform.refusals, shared.refusals, shared.nodes)
+    handover = RefusalHandover(
+        shared.identity.node, shared.refusals, shared.nodes, shared.peers
+    )
+    jobs = make_job_parts(shared, platform)
+    runner = make_job_runner(shared, jobs, serving)
+    expiry = make_expiry(shared, platform)
     control = make_control(shared, platform, serving.door)
     followers = (
         control.heads,
@@ -678,10 +780,19 @@
         make_vm_list(settings.platform, shared.client),
         residency,
         control,
-        make_membership(shared, residency, serving, control),
+        make_membership(shared, residency, serving, control, folder),
         serving.admission,
         serving.door,
-        make_app(shared, serving.door, control),
+        settler,
+        folder,
+        (
+            settler.run,
+            handover.run,
+            folder.run,
+            runner.run,
+            functools.partial(run_expiry, expiry),
+        ),
+        make_app(shared, serving.door, control, folder, jobs),
     )
 
 
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -7,6 +7,7 @@
 from urllib.parse import parse_qsl
 from uuid import uuid4
 
+from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.serving import FrontDoor
 from camphoryard.protocol.caller import REQUEST_HEADER
 from camphoryard.state.enums import Reason
@@ -23,6 +24,12 @@
     HttpResponse,
     StartResponse,
 )
+from camphoryard.transport.job_api import (
+    JOBS_PATH,
+    JOBS_PREFIX,
+    accept_job,
+    show_job,
+)
 from camphoryard.transport.metrics import Metrics
 from camphoryard.transport.operator_api import (
     ADMIN_PREFIX,
@@ -47,6 +54,7 @@
     door: FrontDoor
     operator: OperatorParts
     metrics: Metrics
+    jobs: JobParts
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -103,6 +111,14 @@
                 return call_service(
                     self.door, request, caller, path.removeprefix(SERVICES_PREFIX)
                 )
+            case path if path == JOBS_PATH and request.method == "POST":
+                return accept_job(self.door, self.jobs, request, caller)
+            case path if path.startswith(JOBS_PREFIX) and request.method == "GET":
+                return show_job(self.jobs, caller, path.removeprefix(JOBS_PREFIX))
+            case path if path == JOBS_PATH or path.startswith(JOBS_PREFIX):
+                raise RefusalError(
+                    Reason.METHOD_NOT_ALLOWED, "POST a job, or GET one by its id"
+                )
             case path:
                 raise RefusalError(Reason.NOT_FOUND, f"nothing at {path}")
 
