--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -23,6 +23,7 @@
     LoadWanted,
     Message,
     RecordsWanted,
+    RefusalsCounted,
     Reply,
     ResidencyMessage,
     TrialEnded,
@@ -31,6 +32,7 @@
 from camphoryard.coordination.suspects import Suspects
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.refusals import RefusalSheet
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +46,7 @@
     digest: Callable[[], NodeDigest]
     residency: Callable[[ResidencyMessage], Reply]
     suspects: Suspects
+    hold_refusals: Callable[[RefusalSheet], None]
 
 
 def handle(parts: MembershipParts, message: Message) -> Reply:
@@ -73,6 +76,9 @@
         case TrialWanted() as wanted:
             may_start = parts.suspects.wanted(wanted)
             return Done() if may_start else Declined("not its turn")
+        case RefusalsCounted(sheet):
+            parts.hold_refusals(sheet)
+            return Done()
         case TrialEnded() as ended:
             parts.suspects.ended(ended)
             return Done()
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -19,6 +19,7 @@
     Version,
 )
 from camphoryard.state.nodes import NodeDigest, NodeLease
+from camphoryard.state.refusals import RefusalSheet
 from camphoryard.state.timeline import Event
 
 
@@ -181,6 +182,13 @@
     passed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RefusalsCounted:
+    """Counts of refusals for a peer to hold, should their node be killed."""
+
+    sheet: RefusalSheet
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The request was met, or is under way."""
@@ -206,6 +214,7 @@
     | CrashSeen
     | TrialWanted
     | TrialEnded
+    | RefusalsCounted
 )
 Reply: TypeAlias = (
     Done
