--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -4,7 +4,9 @@
 from the answer to ``apply`` to the last node's status that shows the generation.
 """
 
+import os
 import time
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -17,6 +19,9 @@
 watchers_per_zone = 1
 """
 IN_FORCE_LIMIT_S = 14.0
+IDLE_S = 10.0
+PERCENT = 100
+BYTES_PER_MB = 1 << 20
 
 
 def measure(site: Site, changes: int) -> list[float]:
@@ -31,6 +36,29 @@
     return sorted(took_s)
 
 
+def control_cost(site: Site) -> tuple[float, float]:
+    """Return the largest memory (MB) and core use (%) of any idle node."""
+    before_s = {name: _cpu_s(site, name) for name in site.nodes}
+    time.sleep(IDLE_S)
+    core = max(
+        (_cpu_s(site, name) - before_s[name]) / IDLE_S * PERCENT for name in site.nodes
+    )
+    return max(_resident_mb(site, name) for name in site.nodes), core
+
+
+def _cpu_s(site: Site, name: str) -> float:
+    pid = site.fleet.process_by_name[name].popen.pid
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _resident_mb(site: Site, name: str) -> float:
+    pid = site.fleet.process_by_name[name].popen.pid
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
+
+
 def main(
     nodes: Annotated[int, typer.Option(help="Number of daemons.")] = 9,
     changes: Annotated[int, typer.Option(help="Number of changes.")] = 20,
@@ -47,9 +75,11 @@
         took_s = measure(site, changes)
         window_s = time.monotonic() - started_s
         after = site.control("object-api")["counts"]
+        memory_mb, core = control_cost(site)
     typer.echo(f"nodes {nodes}, changes {changes}, one watcher a zone: {watchers}")
     typer.echo(f"in force everywhere: median {took_s[len(took_s) // 2]:.3f} s")
     typer.echo(f"in force everywhere: longest {took_s[-1]:.3f} s")
+    typer.echo(f"idle node: at most {memory_mb:.0f} MB, {core:.2f}% of a core")
     calls = ", ".join(f"{name} {after[name] - before[name]}" for name in before)
     typer.echo(f"calls of the object API in {window_s:.1f} s: {calls}")
 
