Plan placement from demand, pace loads, and bench both

Cause: loads came only once a model was resident nowhere, so a rush on one model stayed at the engines that happened to hold it, and every node started loads without regard for the weight store's rate.

Ruled out: each owner planning for its own endpoints (two owners add the same copy); a lease for the planner (one more thing to keep, while two planners at once waste moves but break nothing, since every move goes through its record).

Change: each node tells fast and slow averages of arrivals in slots with its digest; the node that rendezvous hashing names plans moves whose saved misses exceed their cost (coordination/placement.py, placing.py); model loads take grants from one holder of the weight budget, urgent before background (weight_budget.py). An adapter is loaded where its base is. python -m bench plays scenarios written as data under a chosen and two baseline policies with the same demand.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: test demo setup format bench bench-relay
+.PHONY: test demo setup format bench bench-relay faults
 
 setup: $(VENV)/.ready
 
@@ -22,9 +22,21 @@
 demo: setup
 	$(BIN)/python -m standins.demo
 
+SEED ?= 0
+MINUTES ?= 1
+
+faults: setup
+	$(BIN)/python -m faults --seed $(SEED) --minutes $(MINUTES)
+
 format: setup
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+# make bench SCENARIO=lakeshore-game-night SEEDS=1,2,3
+SCENARIO ?= all
+SEEDS ?= 1,2,3
+bench: setup
+	$(BIN)/python -m bench --scenario $(SCENARIO) --seeds $(SEEDS)
+
 bench-relay: setup
 	$(BIN)/python -m bench.relay
--- a/bench/load.py
+++ b/bench/load.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import re
 import time
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
@@ -16,6 +17,8 @@
 END_MARK = b"data: [DONE]"
 ERROR_MARK = b"event: error"
 HEAD_END = b"\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+TEXT = re.compile(rb'"text":"([^"]*)"')
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,8 +41,8 @@
     status: int = 0
     token_times_s: list[float] = field(default_factory=list)
     whole: bool = False
+    text: str = ""
     error: bytes = b""
-    last_bytes: bytes = b""
 
 
 class _Call(asyncio.Protocol):
@@ -88,18 +91,18 @@
             if data:
                 self._finish()
             return
-        count = data.count(TOKEN_MARK)
-        if ERROR_MARK in data:
-            outcome.error = data
-            count -= 1
-        outcome.token_times_s.extend([now_s] * count)
-        # The end may be split over two reads.
-        tail = self._seen + data
-        self._seen = tail[-len(END_MARK) - 8 :]
-        if END_MARK in tail:
-            outcome.whole = not outcome.error
-        if tail.endswith(b"0\r\n\r\n"):
-            self._finish()
+        outcome.token_times_s.extend([now_s] * data.count(TOKEN_MARK))
+        self._seen += data
+        if not self._seen.endswith(LAST_CHUNK):
+            return
+        body = self._seen
+        before, mark, error = body.partition(ERROR_MARK)
+        outcome.error = mark + error
+        outcome.whole = END_MARK in before and not error
+        outcome.text = "".join(
+            item.decode() for item in TEXT.findall(before) if outcome.whole
+        )
+        self._finish()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,42 @@
+"""The policies that a bench run compares, as settings of the daemons."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bench.scenario import Scenario
+
+
+@dataclass(frozen=True, slots=True)
+class BenchPolicy:
+    """Variants of the decisions; see ``[decisions]`` in a daemon's settings."""
+
+    routing: str
+    admission: str
+    placement: str
+    weight_budget: str
+
+
+POLICY_BY_NAME: Mapping[str, BenchPolicy] = {
+    "chosen": BenchPolicy("two_choices", "deadline_first", "demand", "paced"),
+    "round-robin-static": BenchPolicy("round_robin", "unlimited", "static", "unpaced"),
+    "least-on-demand": BenchPolicy(
+        "least_in_flight", "unlimited", "load_on_demand", "unpaced"
+    ),
+}
+CHOSEN = "chosen"
+
+
+def node_settings(policy: BenchPolicy, scenario: Scenario) -> str:
+    """Return the ``[decisions]`` table of a node."""
+    values = {
+        "routing": policy.routing,
+        "admission": policy.admission,
+        "placement": policy.placement,
+        "weight_budget": policy.weight_budget,
+        "engine_slots": scenario.engine_slots,
+        "weight_loads_per_s": scenario.weight_store.loads_per_s,
+        "weight_loads_at_once": scenario.weight_store.at_once,
+    }
+    lines = [f"{name} = {json.dumps(value)}" for name, value in values.items()]
+    return "\n".join(["", "[decisions]", *lines, ""])
--- /dev/null
+++ b/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Long random runs of the real processes under injected faults."""
--- /dev/null
+++ b/faults/injections.py
@@ -0,0 +1,246 @@
+"""Faults that a run injects, each a data class, and how each is brought about."""
+
+import random
+import signal
+import threading
+from collections.abc import Sequence
+from dataclasses import dataclass
+from http.client import HTTPException
+from typing import TypeAlias
+
+from standins.fleet import HttpError
+from standins.site import Site
+
+MIN_HOLD_S, MAX_HOLD_S = 0.5, 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class KillNode:
+    """Kill a node at once; it starts again, empty, after ``hold_s``."""
+
+    node: str
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class KillAllNodes:
+    """Kill every node at once; they start again after ``hold_s``."""
+
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopNode:
+    """Stop a node gracefully; it starts again after ``hold_s``."""
+
+    node: str
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FreezeNode:
+    """Freeze a node for ``hold_s``, often longer than its lease."""
+
+    node: str
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class KillEngine:
+    """Kill an engine; it starts again with empty memory after ``hold_s``."""
+
+    engine: str
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FreezeEngine:
+    """Freeze an engine for ``hold_s``."""
+
+    engine: str
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StoreOutage:
+    """Every call of the object API fails for ``hold_s``."""
+
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class SlowStore:
+    """Every call of the object API takes ``delay_ms`` longer for ``hold_s``."""
+
+    delay_ms: float
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoseStoreAnswers:
+    """The answers of the next ``count`` writes are lost after they took effect."""
+
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoseOrders:
+    """The next ``count`` orders to an engine are lost."""
+
+    engine: str
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class DelayOrders:
+    """Orders to an engine arrive ``delay_s`` late for ``hold_s``."""
+
+    engine: str
+    delay_s: float
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class DoubleOrders:
+    """Orders to an engine are carried out twice for ``hold_s``."""
+
+    engine: str
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoseServiceAnswers:
+    """A service runs the next ``count`` calls and breaks the connection."""
+
+    service: str
+    count: int
+
+
+Injection: TypeAlias = (
+    KillNode
+    | KillAllNodes
+    | StopNode
+    | FreezeNode
+    | KillEngine
+    | FreezeEngine
+    | StoreOutage
+    | SlowStore
+    | LoseStoreAnswers
+    | LoseOrders
+    | DelayOrders
+    | DoubleOrders
+    | LoseServiceAnswers
+)
+
+
+def draw(site: Site, chance: random.Random) -> Injection:
+    """Return a random injection for a site."""
+    hold_s = chance.uniform(MIN_HOLD_S, MAX_HOLD_S)
+    node = chance.choice(site.nodes)
+    engine = chance.choice(site.engines)
+    choices: Sequence[Injection] = (
+        KillNode(node, hold_s),
+        KillAllNodes(hold_s / 2),
+        StopNode(node, hold_s),
+        FreezeNode(node, 2 * hold_s),
+        KillEngine(engine, hold_s),
+        FreezeEngine(engine, hold_s),
+        StoreOutage(2 * hold_s),
+        SlowStore(chance.uniform(20, 400), hold_s),
+        LoseStoreAnswers(chance.randint(1, 4)),
+        LoseOrders(engine, chance.randint(1, 3)),
+        DelayOrders(engine, chance.uniform(0.1, 4.0), hold_s),
+        DoubleOrders(engine, hold_s),
+        LoseServiceAnswers(chance.choice(site.services), chance.randint(1, 3)),
+    )
+    return chance.choice(choices)
+
+
+def inject(site: Site, injection: Injection, stop: threading.Event) -> None:
+    """Bring a fault about and end it; a run's ``stop`` ends it early."""
+    match injection:
+        case KillNode(node, hold_s) | KillEngine(node, hold_s):
+            _kill_and_restart(site, (node,), hold_s, stop)
+        case KillAllNodes(hold_s):
+            _kill_and_restart(site, tuple(site.nodes), hold_s, stop)
+        case StopNode(node, hold_s):
+            _stop_and_restart(site, node, hold_s, stop)
+        case FreezeNode(name, hold_s) | FreezeEngine(name, hold_s):
+            _freeze(site, name, hold_s, stop)
+        case StoreOutage(hold_s):
+            site.control("object-api", outage=True)
+            stop.wait(hold_s)
+            site.control("object-api", outage=False)
+        case SlowStore(delay_ms, hold_s):
+            site.control("object-api", delay_ms=delay_ms)
+            stop.wait(hold_s)
+            site.control("object-api", delay_ms=0)
+        case LoseStoreAnswers(count):
+            site.control("object-api", lose_answers=count)
+        case LoseOrders(engine, count):
+            _control(site, engine, lose_orders=count)
+        case DelayOrders(engine, delay_s, hold_s):
+            _control(site, engine, order_delay_s=delay_s)
+            stop.wait(hold_s)
+            _control(site, engine, order_delay_s=0)
+        case DoubleOrders(engine, hold_s):
+            _control(site, engine, duplicate_orders=True)
+            stop.wait(hold_s)
+            _control(site, engine, duplicate_orders=False)
+        case LoseServiceAnswers(service, count):
+            _control(site, service, lose_answers=count)
+
+
+def _control(site: Site, name: str, **faults: object) -> None:
+    """Set faults at a stand-in that another injection may have killed."""
+    try:
+        site.control(name, **faults)
+    except (OSError, HTTPException, HttpError):
+        return
+
+
+def _kill_and_restart(
+    site: Site, names: Sequence[str], hold_s: float, stop: threading.Event
+) -> None:
+    for name in names:
+        site.fleet.process_by_name[name].kill()
+    stop.wait(hold_s)
+    for name in names:
+        site.fleet.restart(name)
+    site.fleet.wait_ready(names)
+
+
+def _stop_and_restart(
+    site: Site, node: str, hold_s: float, stop: threading.Event
+) -> None:
+    process = site.fleet.process_by_name[node]
+    process.signal(signal.SIGTERM)
+    code = process.popen.wait()
+    site.fleet.exit_codes.append(code)
+    stop.wait(hold_s)
+    site.fleet.restart(node)
+    site.fleet.wait_ready((node,))
+
+
+def _freeze(site: Site, name: str, hold_s: float, stop: threading.Event) -> None:
+    process = site.fleet.process_by_name[name]
+    process.signal(signal.SIGSTOP)
+    stop.wait(hold_s)
+    process.signal(signal.SIGCONT)
+
+
+def targets(injection: Injection, site: Site) -> frozenset[str]:
+    """Return the processes that an injection stops or ends."""
+    match injection:
+        case KillNode(name, _) | StopNode(name, _) | FreezeNode(name, _):
+            return frozenset((name,))
+        case KillEngine(name, _) | FreezeEngine(name, _):
+            return frozenset((name,))
+        case KillAllNodes():
+            return frozenset(site.nodes)
+        case LoseOrders(name, _) | DelayOrders(name, _, _) | DoubleOrders(name, _):
+            return frozenset((name,))
+        case StoreOutage() | SlowStore() | LoseStoreAnswers():
+            return frozenset(("object-api",))
+        case LoseServiceAnswers(name, _):
+            return frozenset((name,))
--- /dev/null
+++ b/faults/workload.py
@@ -0,0 +1,242 @@
+"""Callers and operators of a fault run; each send becomes a record."""
+
+import json
+import random
+import threading
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+from camphoryard.state.verdict import Verdict
+from standins.fleet import CALLER_TOKEN, HOST, OPERATOR_TOKEN, HttpError
+from standins.history import ActionSend, CompletionSend
+from standins.site import Site
+
+ASK_TIMEOUT_S = 40.0
+DEADLINE_MS = 15_000
+RESENDS = 3
+PAUSE_S = 0.05
+MAX_TOKENS = (1, 120)
+LONG_PAUSE_S = 0.7
+
+
+@dataclass(slots=True)
+class History:
+    """Everything that callers and operators did and saw."""
+
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    actions: list[ActionSend] = field(default_factory=list)
+    completions: list[CompletionSend] = field(default_factory=list)
+    unreachable: int = 0
+    refusals: int = 0
+    accepted_by_item: dict[str, str] = field(default_factory=dict)
+    accepted: int = 0
+    conflicts: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """What a caller saw; ``verdict`` is None if no whole answer came."""
+
+    status: int
+    verdict: Verdict | None
+    body: bytes
+
+
+def send(site: Site, node: str, path: str, body: bytes, **headers: str) -> _Seen:
+    """Send one request as a caller and return what came of it."""
+    connection = HTTPConnection(HOST, site.fleet.port(node), timeout=ASK_TIMEOUT_S)
+    sent = {name.replace("_", "-"): value for name, value in headers.items()}
+    sent["Authorization"] = f"Bearer {CALLER_TOKEN}-meter-app"
+    sent["Camphoryard-Deadline-Ms"] = str(DEADLINE_MS)
+    try:
+        connection.request("POST", path, body, sent)
+        response = connection.getresponse()
+        content = response.read()
+    except (OSError, HTTPException):
+        return _Seen(0, None, b"")
+    finally:
+        connection.close()
+    text = response.headers.get("Camphoryard-Verdict")
+    return _Seen(response.status, Verdict(text) if text else None, content)
+
+
+def run_caller(
+    site: Site, seed: int, number: int, history: History, stop: threading.Event
+) -> None:
+    """Ask and book, with resends through other nodes, until told to stop."""
+    chance = random.Random(f"{seed}/caller/{number}")
+    count = 0
+    while not stop.wait(PAUSE_S * chance.random()):
+        count += 1
+        name = f"{number}-{count}"
+        match chance.random():
+            case draw if draw < 0.5:
+                _complete(site, name, chance, history)
+            case draw if draw < 0.75:
+                _stream(site, name, chance, history)
+            case _:
+                _book(site, name, chance, history)
+
+
+def _model(site: Site, chance: random.Random) -> str:
+    return chance.choice(site.spec.models).id
+
+
+def _complete(site: Site, name: str, chance: random.Random, history: History) -> None:
+    prompt, tokens = f"complete {name}", chance.randint(*MAX_TOKENS)
+    body = {"model": _model(site, chance), "prompt": prompt, "max_tokens": tokens}
+    sent_s = time.time()
+    seen = send(
+        site, chance.choice(site.nodes), "/v1/completions", json.dumps(body).encode()
+    )
+    text = ""
+    if seen.status == 200:
+        text = json.loads(seen.body)["choices"][0]["text"]
+    _keep_completion(
+        history, CompletionSend(prompt, tokens, sent_s, seen.verdict, text)
+    )
+
+
+def _stream(site: Site, name: str, chance: random.Random, history: History) -> None:
+    prompt, tokens = f"stream {name}", chance.randint(*MAX_TOKENS)
+    body = {
+        "model": _model(site, chance),
+        "prompt": prompt,
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    sent_s = time.time()
+    seen = send(
+        site, chance.choice(site.nodes), "/v1/completions", json.dumps(body).encode()
+    )
+    verdict, text = seen.verdict, ""
+    if seen.status == 200:
+        verdict, text = _streamed(seen.body)
+    _keep_completion(history, CompletionSend(prompt, tokens, sent_s, verdict, text))
+
+
+def _streamed(body: bytes) -> tuple[Verdict | None, str]:
+    """Return verdict and text of a stream; a broken one counts as no answer."""
+    texts = []
+    for event in body.split(b"\n\n"):
+        if event.startswith(b"event: error"):
+            error = json.loads(event.partition(b"data: ")[2])["error"]
+            return Verdict(error["verdict"]), ""
+        if event.startswith(b"data: {"):
+            choice = json.loads(event.removeprefix(b"data: "))["choices"][0]
+            texts.append(choice["text"] or "")
+        if event == b"data: [DONE]":
+            return Verdict.RAN, "".join(texts)
+    return None, ""
+
+
+def _keep_completion(history: History, record: CompletionSend) -> None:
+    with history.lock:
+        history.completions.append(record)
+        history.unreachable += record.verdict is None
+        history.refusals += record.verdict not in (None, Verdict.RAN)
+
+
+def _book(site: Site, name: str, chance: random.Random, history: History) -> None:
+    """Book once, then send it again through any node as a caller would."""
+    body = json.dumps({"booking": name}).encode()
+    for attempt in range(1 + RESENDS):
+        sent_s = time.time()
+        seen = send(
+            site,
+            chance.choice(site.nodes),
+            "/v1/services/bookings/book",
+            body,
+            Idempotency_Key=name,
+        )
+        record = ActionSend(
+            body.decode(),
+            name,
+            sent_s,
+            seen.verdict,
+            seen.status,
+            seen.body.decode(errors="replace") if seen.status == 200 else "",
+        )
+        with history.lock:
+            history.actions.append(record)
+            history.unreachable += seen.verdict is None
+            history.refusals += seen.verdict not in (None, Verdict.RAN)
+        again = attempt == 0 and chance.random() < 0.3
+        if seen.verdict is Verdict.RAN and not again:
+            return
+        time.sleep(PAUSE_S)
+
+
+def run_operator(
+    site: Site, seed: int, number: int, history: History, stop: threading.Event
+) -> None:
+    """Change one caller's label again and again; remember what was accepted."""
+    chance = random.Random(f"{seed}/operator/{number}")
+    caller = f"operator-{number}"
+    count = 0
+    while not stop.wait(LONG_PAUSE_S * chance.random()):
+        count += 1
+        item = {"id": caller, "labels": {"count": str(count)}}
+        status, _ = apply(site, chance.choice(site.nodes), {"callers": [item]})
+        with history.lock:
+            if status == 200:
+                history.accepted_by_item[caller] = str(count)
+                history.accepted += 1
+            elif status == 409:
+                history.conflicts += 1
+
+
+def apply(site: Site, node: str, change: dict[str, Any]) -> tuple[int, Any]:
+    """Send a change; return status and body, or 0 if no answer came."""
+    connection = HTTPConnection(HOST, site.fleet.port(node), timeout=ASK_TIMEOUT_S)
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    path = "/admin/v1/configuration"
+    try:
+        connection.request("POST", path, json.dumps(change), headers)
+        response = connection.getresponse()
+        return response.status, json.loads(response.read() or b"{}")
+    except (OSError, HTTPException, ValueError):
+        return 0, None
+    finally:
+        connection.close()
+
+
+@dataclass(slots=True)
+class Reverts:
+    """Generations seen in force at each node, and any that went back."""
+
+    highest: int = 0
+    found: list[str] = field(default_factory=list)
+
+
+def watch_generations(site: Site, reverts: Reverts, stop: threading.Event) -> None:
+    """Note every node whose generation goes back while it runs."""
+    generation_by_start: dict[tuple[str, int], int] = {}
+    while not stop.wait(LONG_PAUSE_S / 2):
+        for node in site.nodes:
+            pid = site.fleet.process_by_name[node].popen.pid
+            try:
+                generation = site.status(node)["generation"]
+            except (OSError, HTTPException, HttpError):
+                continue
+            before = generation_by_start.get((node, pid), 0)
+            if generation < before:
+                reverts.found.append(f"{node}: {before} -> {generation}")
+            generation_by_start[(node, pid)] = generation
+            reverts.highest = max(reverts.highest, generation)
+
+
+def callers(site: Site) -> Sequence[dict[str, Any]]:
+    """Return the callers of the configuration in force at the first node."""
+    port = site.fleet.port(site.nodes[0])
+    connection = HTTPConnection(HOST, port, timeout=ASK_TIMEOUT_S)
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    connection.request("GET", "/admin/v1/configuration", headers=headers)
+    found: Sequence[dict[str, Any]] = json.loads(connection.getresponse().read())[
+        "callers"
+    ]
+    connection.close()
+    return found
--- /dev/null
+++ b/src/camphoryard/coordination/demand.py
@@ -0,0 +1,109 @@
+"""How much each model and adapter is asked for, at this node and at all."""
+
+import math
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+from camphoryard.coordination.ports import Timer
+from camphoryard.state.demand import NO_DEMAND, ItemDemand
+from camphoryard.state.enums import Priority
+from camphoryard.state.ids import ItemId
+
+SAMPLE_PERIOD_S = 0.5
+FAST_S = 1.5
+SLOW_S = 20.0
+TREND_S = 1.5
+DEFAULT_HOLD_S = 1.0
+HOLD_WEIGHT = 0.1
+DEFERRABLE_WEIGHT = 0.3
+LEAST_SLOTS = 0.005
+
+
+@dataclass(slots=True)
+class _Average:
+    fast: float = 0.0
+    slow: float = 0.0
+
+
+class DemandMeter:
+    """Averages of this node's arrivals by item, in slots.
+
+    Slots are arrivals a second times the seconds for which one of them holds a
+    slot (Little's law), so that they count what was refused or still waits too.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._sampled_s = clock()
+        self._arrived_by_item: defaultdict[ItemId, float] = defaultdict(float)
+        self._hold_s_by_item: dict[ItemId, float] = {}
+        self._average_by_item: dict[ItemId, _Average] = {}
+
+    def arrived(self, item: ItemId, priority: Priority) -> None:
+        """Count one request for ``item``; deferrable ones weigh less."""
+        weight = DEFERRABLE_WEIGHT if priority is Priority.DEFERRABLE else 1.0
+        with self._lock:
+            self._arrived_by_item[item] += weight
+
+    def held(self, item: ItemId, hold_s: float) -> None:
+        """Note for how long one request held a slot."""
+        with self._lock:
+            known_s = self._hold_s_by_item.get(item, hold_s)
+            self._hold_s_by_item[item] = known_s + HOLD_WEIGHT * (hold_s - known_s)
+
+    def run(self, timer: Timer) -> None:
+        """Take a sample each period until the timer service closes."""
+        for _ in timer.every(SAMPLE_PERIOD_S):
+            self.sample()
+
+    def sample(self) -> None:
+        """Fold what arrived since the last sample into the averages."""
+        now_s = self._clock()
+        with self._lock:
+            elapsed_s = now_s - self._sampled_s
+            if elapsed_s <= 0:
+                return
+            self._sampled_s = now_s
+            arrived, self._arrived_by_item = (
+                self._arrived_by_item,
+                defaultdict(float),
+            )
+            for item in {*arrived, *self._average_by_item}:
+                self._fold(item, arrived[item] / elapsed_s, elapsed_s)
+
+    def by_item(self) -> Mapping[ItemId, ItemDemand]:
+        """Return the averages that are worth telling."""
+        with self._lock:
+            return {
+                item: ItemDemand(average.fast, average.slow)
+                for item, average in self._average_by_item.items()
+                if max(average.fast, average.slow) >= LEAST_SLOTS
+            }
+
+    def _fold(self, item: ItemId, rate_per_s: float, elapsed_s: float) -> None:
+        slots = rate_per_s * self._hold_s_by_item.get(item, DEFAULT_HOLD_S)
+        average = self._average_by_item.setdefault(item, _Average())
+        average.fast += _weight(elapsed_s, FAST_S) * (slots - average.fast)
+        average.slow += _weight(elapsed_s, SLOW_S) * (slots - average.slow)
+
+
+def _weight(elapsed_s: float, time_constant_s: float) -> float:
+    return 1.0 - math.exp(-elapsed_s / time_constant_s)
+
+
+def total_demand(
+    parts: Iterable[Mapping[ItemId, ItemDemand]],
+) -> Mapping[ItemId, ItemDemand]:
+    """Return the sum of what several nodes see."""
+    total: dict[ItemId, ItemDemand] = {}
+    for part in parts:
+        for item, demand in part.items():
+            so_far = total.get(item, NO_DEMAND)
+            total[item] = ItemDemand(
+                so_far.fast + demand.fast, so_far.slow + demand.slow
+            )
+    return total
--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference.py
@@ -8,6 +8,7 @@
 from camphoryard.coordination.admission import Admission, Lane, Ticket
 from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.demand import DemandMeter
 from camphoryard.coordination.frames import in_order
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.ports import Engines
@@ -51,6 +52,7 @@
     retries: RetryBudget
     suspects: Suspects
     residency: ResidencyClient
+    demand: DemandMeter
     engines: Engines
     timeline: Timeline
 
@@ -83,6 +85,8 @@
         no endpoint accepted any byte of the request.
     """
     where = _route(parts.configuration.current, request)
+    item = items_of(request.model, request.adapter)[-1]
+    parts.demand.arrived(item, where.priority)
     progress = _Progress()
     parts.retries.earn(where.group)
     while True:
@@ -94,6 +98,7 @@
                 _attempt(parts, request, ticket, cancellation, progress)
             ) as frames:
                 yield from frames
+            parts.demand.held(item, time.monotonic() - ticket.granted_s)
             return
         except (NotSentError, BrokenCallError, EndpointRefusedError) as error:
             _check_cancelled(cancellation, progress)
--- a/src/camphoryard/coordination/load_estimates.py
+++ b/src/camphoryard/coordination/load_estimates.py
@@ -75,6 +75,12 @@
             dated = self._dated_by_id.get(endpoint)
         return dated.report if dated else None
 
+    def is_silent(self, endpoint: EndpointId) -> bool:
+        """Return whether an engine that reported before does so no more."""
+        with self._lock:
+            dated = self._dated_by_id.get(endpoint)
+        return dated is not None and time.monotonic() - dated.at_s > REPORT_LIFE_S
+
     def load(self, endpoint: EndpointId) -> float:
         """Return the estimated number of requests at ``endpoint``."""
         own = self._in_flight.count(endpoint)
--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -8,13 +8,16 @@
     Declined,
     DigestWanted,
     Done,
+    GrantWanted,
     Heartbeat,
     LoadWanted,
     Message,
+    MoveWanted,
     Reply,
     TrialEnded,
     TrialWanted,
 )
+from camphoryard.coordination.placement import Move
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.errors import CamphoryardError
@@ -36,6 +39,8 @@
     load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
     heard_generation: Callable[[Generation], None]
     suspects: Suspects
+    carry_out: Callable[[Move], None]
+    grant: Callable[[bool], Reply]
 
 
 def run_heartbeats(parts: MembershipParts, timer: Timer) -> None:
@@ -60,6 +65,14 @@
             except CamphoryardError as error:
                 return Declined(str(error))
             return Done()
+        case MoveWanted(endpoint, items, evicted):
+            try:
+                parts.carry_out(Move(endpoint, items, evicted))
+            except CamphoryardError as error:
+                return Declined(str(error))
+            return Done()
+        case GrantWanted(urgent):
+            return parts.grant(urgent)
         case DigestWanted():
             return parts.digest()
         case CrashSeen() as seen:
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -24,6 +24,29 @@
     items: tuple[ItemId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class MoveWanted:
+    """Ask an endpoint's owner to unload ``evicted`` and then load ``items``."""
+
+    endpoint: EndpointId
+    items: tuple[ItemId, ...]
+    evicted: tuple[ItemId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GrantWanted:
+    """Ask the holder of the weight budget when a model load may start."""
+
+    urgent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A model load may start in so many seconds."""
+
+    start_in_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class DigestWanted:
     """Ask a node for its digest."""
@@ -74,6 +97,13 @@
 
 
 Message: TypeAlias = (
-    Heartbeat | LoadWanted | DigestWanted | CrashSeen | TrialWanted | TrialEnded
+    Heartbeat
+    | LoadWanted
+    | MoveWanted
+    | GrantWanted
+    | DigestWanted
+    | CrashSeen
+    | TrialWanted
+    | TrialEnded
 )
-Reply: TypeAlias = Done | Declined | NodeDigest
+Reply: TypeAlias = Done | Declined | Granted | NodeDigest
--- a/src/camphoryard/coordination/residency.py
+++ b/src/camphoryard/coordination/residency.py
@@ -124,6 +124,21 @@
             self._send(endpoint, record, item)
             self._await_confirmation(endpoint, item, timer)
 
+    def unload(self, endpoint_id: EndpointId, item: ItemId, timer: Timer) -> None:
+        """Unload ``item`` at an endpoint this node owns; raises as ``load``."""
+        endpoint = self._engine(endpoint_id)
+        if endpoint is None:
+            raise NoRoomError(f"{endpoint_id}: not configured")
+        with self._lock(endpoint_id):
+            record = self._owned(endpoint)
+            freed_mb = record.resident_mb_by_item.get(item)
+            if freed_mb is None:
+                return
+            if item not in record.intents_by_item:
+                record = self._intend(record, item, OrderKind.UNLOAD, freed_mb)
+            self._send(endpoint, record, item)
+            self._await_confirmation(endpoint, item, timer)
+
     def owned(self) -> tuple[EndpointId, ...]:
         """Return the engines that this node should own now."""
         endpoints = self._configuration.current.endpoints_by_id
--- a/src/camphoryard/coordination/residency_client.py
+++ b/src/camphoryard/coordination/residency_client.py
@@ -1,5 +1,6 @@
 """Asking an endpoint's owner, here or at a peer, to load a model."""
 
+import functools
 import threading
 import time
 from collections.abc import Callable, Sequence
@@ -9,6 +10,7 @@
 from camphoryard.coordination.ownership import owner_of
 from camphoryard.coordination.ports import Peers
 from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.weight_budget import BudgetClient
 from camphoryard.state.endpoint_record import free_mb
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import EndpointId, ItemId, NodeId
@@ -30,6 +32,7 @@
         executor: Executor,
         load_here: Callable[[EndpointId, tuple[ItemId, ...]], None],
         timeline: Timeline,
+        budget: BudgetClient,
     ) -> None:
         self._node = node
         self._nodes = nodes
@@ -38,6 +41,7 @@
         self._executor = executor
         self.load_here = load_here
         self._timeline = timeline
+        self._budget = budget
         self._lock = threading.Lock()
         self._wanted: set[tuple[ItemId, ...]] = set()
         self._used_s_by_item: dict[ItemId, float] = {}
@@ -64,17 +68,26 @@
         self, items: tuple[ItemId, ...], candidates: Sequence[EndpointId]
     ) -> None:
         """Try candidates, the one with the most free memory first."""
+        order = functools.partial(self._order, items[0])
         try:
-            for endpoint in sorted(candidates, key=self._free_mb, reverse=True):
+            if not self._is_anywhere(items[0], candidates):
+                self._budget.wait_urgent()
+            for endpoint in sorted(candidates, key=order, reverse=True):
                 if self._load(endpoint, items):
                     return
         finally:
             with self._lock:
                 self._wanted.discard(items)
 
-    def _free_mb(self, endpoint: EndpointId) -> int:
+    def _is_anywhere(self, model: ItemId, candidates: Sequence[EndpointId]) -> bool:
+        return any(self._table.are_resident(item, (model,)) for item in candidates)
+
+    def _order(self, model: ItemId, endpoint: EndpointId) -> tuple[bool, int]:
+        """Return the sort key of candidates: an adapter goes where its base is."""
         record = self._table.find(endpoint)
-        return free_mb(record) if record else 0
+        if record is None:
+            return False, 0
+        return model in record.resident_mb_by_item, free_mb(record)
 
     def _load(self, endpoint: EndpointId, items: tuple[ItemId, ...]) -> bool:
         owner = owner_of(endpoint, self._nodes)
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -56,6 +56,8 @@
         run(run_heartbeats, node.membership, node.shared.timer),
         run(supervise_endpoints, node),
         run(node.admission.run, node.shared.timer),
+        run(node.shared.demand.run, node.shared.timer),
+        run(node.placer.run, node.shared.timer),
         run(follow_vms, node.vm_list, node.shared.vms, node.shared.timer),
         *(run(follower.run, node.shared.timer) for follower in node.followers),
     ]
@@ -93,6 +95,7 @@
     node.door.wait_idle(limit_s)
     server.wait_flushed(limit_s)
     node.shared.timer.close()
+    node.shared.budget.close()
     node.leases.release()
     node.shared.client.close()
     node.shared.peers.close()
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -19,11 +19,20 @@
 )
 from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.demand import DemandMeter
 from camphoryard.coordination.inference import InferenceParts
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.ownership import LeaseKeeper
+from camphoryard.coordination.placement import (
+    DemandPlacement,
+    LoadOnDemand,
+    Move,
+    PlacementPolicy,
+    StaticPlacement,
+)
+from camphoryard.coordination.placing import Placer, PlacingParts
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.residency import EndpointOwner, Identity
@@ -42,6 +51,12 @@
 from camphoryard.coordination.suspects import Suspects
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.watching import Follower
+from camphoryard.coordination.weight_budget import (
+    BudgetClient,
+    BudgetPolicy,
+    Paced,
+    Unpaced,
+)
 from camphoryard.protocol.platform import (
     CLAIMS,
     ENDPOINT_RECORDS,
@@ -124,6 +139,8 @@
     in_flight: InFlightTable
     estimates: LoadEstimates
     vms: VmTable
+    demand: DemandMeter
+    budget: BudgetClient
     refusals: RefusalCounter
     stop: threading.Event
 
@@ -153,6 +170,7 @@
 
     admission: Admission
     suspects: Suspects
+    leaving: LeavingEndpoints
     door: FrontDoor
 
 
@@ -165,6 +183,7 @@
     followers: tuple[Follower[Any], ...]
     vm_list: VmList
     residency: Residency
+    placer: Placer
     membership: MembershipParts
     admission: Admission
     door: FrontDoor
@@ -256,13 +275,15 @@
     estimates = LoadEstimates(identity.node, nodes, in_flight)
     serving = settings.serving
     limits = StreamLimits(serving.first_token_limit_s, serving.stall_s)
+    peers = PeerNetwork(identity.node, keys, executors.peers, executors.handlers)
+    budget = make_budget_policy(settings.decisions)
     return Shared(
         settings,
         identity,
         executors,
         TimerService(),
         client,
-        PeerNetwork(identity.node, keys, executors.peers, executors.handlers),
+        peers,
         HttpEngines(client, limits, estimates.polled),
         clock,
         Timeline(identity.node, clock, log_event),
@@ -273,6 +294,8 @@
         in_flight,
         estimates,
         VmTable(),
+        DemandMeter(),
+        BudgetClient(budget, identity.node, nodes, peers),
         RefusalCounter(),
         threading.Event(),
     )
@@ -313,6 +336,7 @@
         shared.executors.loads,
         load_here,
         shared.timeline,
+        shared.budget,
     )
     owner = EndpointOwner(
         shared.identity,
@@ -327,6 +351,65 @@
     return Residency(owner, client)
 
 
+def carry_out(shared: Shared, residency: Residency, move: Move) -> None:
+    """Carry out a move at an endpoint that this node owns; raises as ``load``."""
+    for item in move.evicted:
+        residency.owner.unload(move.endpoint, item, shared.timer)
+    for item in move.items:
+        residency.owner.load(move.endpoint, item, shared.timer)
+
+
+def make_placement_policy(settings: DecisionSettings) -> PlacementPolicy:
+    """Return the placement policy that the settings name."""
+    match settings.placement:
+        case "static":
+            return StaticPlacement()
+        case "load_on_demand":
+            return LoadOnDemand()
+        case "demand":
+            return DemandPlacement(move_cost_slots=settings.move_cost_slots)
+
+
+def make_budget_policy(settings: DecisionSettings) -> BudgetPolicy:
+    """Return how loads from the weight store are paced."""
+    match settings.weight_budget:
+        case "unpaced":
+            return Unpaced()
+        case "paced":
+            return Paced(settings.weight_loads_per_s, settings.weight_loads_at_once)
+
+
+def make_placer(shared: Shared, residency: Residency, serving: Serving) -> Placer:
+    """Return the part that plans placement."""
+    decisions = shared.settings.decisions
+
+    def slots(endpoint: EndpointId) -> int:
+        report = shared.estimates.report(endpoint)
+        return (report.slots if report else 0) or decisions.engine_slots
+
+    def takes_work(endpoint: EndpointId) -> bool:
+        leaving = serving.leaving.is_leaving(endpoint)
+        return not leaving and not shared.estimates.is_silent(endpoint)
+
+    return Placer(
+        PlacingParts(
+            make_placement_policy(decisions),
+            shared.identity.node,
+            shared.nodes,
+            shared.peers,
+            shared.configuration,
+            shared.table,
+            shared.demand,
+            shared.budget,
+            slots,
+            takes_work,
+            functools.partial(carry_out, shared, residency),
+            shared.executors.loads,
+            shared.timeline,
+        )
+    )
+
+
 def make_serving(shared: Shared, platform: Platform, residency: Residency) -> Serving:
     """Return the front door with the tasks and decisions behind it."""
     decisions = shared.settings.decisions
@@ -339,6 +422,7 @@
         shared.in_flight,
     )
     shared.table.subscribe(admission.wake)
+    leaving = LeavingEndpoints(shared.configuration, shared.estimates, shared.vms)
     suspects = Suspects(
         shared.identity.node, shared.nodes, shared.peers, shared.timeline
     )
@@ -347,10 +431,11 @@
         shared.table,
         admission,
         Breakers(),
-        LeavingEndpoints(shared.configuration, shared.estimates, shared.vms),
+        leaving,
         RetryBudget(RetryLimits(decisions.retry_share)),
         suspects,
         residency.client,
+        shared.demand,
         shared.engines,
         shared.timeline,
     )
@@ -373,7 +458,7 @@
             shared.metrics.observe,
         )
     )
-    return Serving(admission, suspects, door)
+    return Serving(admission, suspects, leaving, door)
 
 
 def make_digest(shared: Shared, door: FrontDoor) -> NodeDigest:
@@ -385,6 +470,7 @@
         shared.configuration.current.generation,
         shared.in_flight.by_id(),
         shared.estimates.polled_by_id(),
+        shared.demand.by_item(),
     )
 
 
@@ -424,6 +510,8 @@
         residency.client.load_here,
         heard_generation,
         serving.suspects,
+        functools.partial(carry_out, shared, residency),
+        shared.budget.grant,
     )
 
 
@@ -468,6 +556,7 @@
         followers,
         make_vm_list(settings.platform, shared.client),
         residency,
+        make_placer(shared, residency, serving),
         make_membership(shared, residency, serving, heads),
         serving.admission,
         serving.door,
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -10,9 +10,12 @@
     Declined,
     DigestWanted,
     Done,
+    Granted,
+    GrantWanted,
     Heartbeat,
     LoadWanted,
     Message,
+    MoveWanted,
     Reply,
     TrialEnded,
     TrialWanted,
@@ -31,6 +34,9 @@
 
     HEARTBEAT = "heartbeat"
     LOAD_WANTED = "load_wanted"
+    MOVE_WANTED = "move_wanted"
+    GRANT_WANTED = "grant_wanted"
+    GRANTED = "granted"
     DIGEST_WANTED = "digest_wanted"
     CRASH_SEEN = "crash_seen"
     TRIAL_WANTED = "trial_wanted"
@@ -43,6 +49,9 @@
 _TYPE_BY_KIND: dict[FrameKind, type[Message] | type[Reply]] = {
     FrameKind.HEARTBEAT: Heartbeat,
     FrameKind.LOAD_WANTED: LoadWanted,
+    FrameKind.MOVE_WANTED: MoveWanted,
+    FrameKind.GRANT_WANTED: GrantWanted,
+    FrameKind.GRANTED: Granted,
     FrameKind.DIGEST_WANTED: DigestWanted,
     FrameKind.CRASH_SEEN: CrashSeen,
     FrameKind.TRIAL_WANTED: TrialWanted,
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -69,6 +69,11 @@
     queue_limit: int = 256
     engine_slots: int = 64
     retry_share: float = 0.2
+    placement: Literal["static", "load_on_demand", "demand"] = "demand"
+    move_cost_slots: float = 0.15
+    weight_budget: Literal["unpaced", "paced"] = "paced"
+    weight_loads_per_s: float = 1.0
+    weight_loads_at_once: int = 8
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -5,11 +5,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from camphoryard.state.demand import ItemDemand
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     EndpointId,
     Generation,
     Incarnation,
+    ItemId,
     NodeId,
     Version,
     WriteId,
@@ -43,6 +45,7 @@
     generation: Generation
     in_flight_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
     report_by_endpoint: Mapping[EndpointId, LoadReport] = field(default_factory=dict)
+    demand_by_item: Mapping[ItemId, ItemDemand] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -19,6 +19,7 @@
 from camphoryard.coordination.messages import (
     Declined,
     Done,
+    Granted,
     Message,
     Reply,
 )
@@ -223,7 +224,7 @@
         except (msgspec.MsgspecError, PeerMessageError):
             return
         match envelope.content:
-            case Done() | Declined() | NodeDigest() as reply:
+            case Done() | Declined() | Granted() | NodeDigest() as reply:
                 self._settle(envelope.id, reply)
             case message:
                 self._handlers.submit(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from http.client import HTTPConnection
+from pathlib import Path
 from typing import Any
 from urllib.parse import quote
 
@@ -90,6 +91,7 @@
     load_s: float
     weight_store_port: int
     report_lag_s: float
+    journal: Path | None = None
     resident_mb_by_item: dict[str, int] = field(default_factory=dict)
     loading_mb_by_item: dict[str, int] = field(default_factory=dict)
     unloading: set[str] = field(default_factory=set)
@@ -195,6 +197,7 @@
         self.peak_mb = max(self.peak_mb, taken_mb)
         if taken_mb > self.memory_mb:
             self.overcommits += 1
+            self._note({"overcommit_mb": taken_mb, "at_s": time.time()})
 
     def _load(self, item: str) -> None:
         if self.weight_store_port:
@@ -227,7 +230,7 @@
             for item in needed:
                 if item not in self.resident_mb_by_item or item in self.unloading:
                     return answer({"error": f"{item} is not resident"}, 404)
-            self.log.append(
+            self._note(
                 {
                     "request_id": body["request_id"],
                     "offset": body["resume_from"],
@@ -253,6 +256,13 @@
             pushed=_Stream(self, running),
         )
 
+    def _note(self, entry: dict[str, Any]) -> None:
+        """Log an entry, in the journal too, which outlives a kill."""
+        self.log.append(entry)
+        if self.journal is not None:
+            with self.journal.open("ab") as stream:
+                stream.write(msgspec.json.encode(entry) + b"\n")
+
     def enter(self, running: Running) -> None:
         """Let a request wait for its place in the batch."""
         with self.lock:
@@ -374,8 +384,10 @@
     load_s: float = 0.5,
     weight_store_port: int = 0,
     report_lag_s: float = 0.5,
+    resident: str = "",
+    journal: Path | None = None,
 ) -> None:
-    """Run one engine."""
+    """Run one engine; ``resident`` lists what it holds, as ``item=MB,item=MB``."""
     engine = Engine(
         memory_mb,
         checks_fencing,
@@ -384,7 +396,11 @@
         load_s,
         weight_store_port,
         report_lag_s,
+        journal,
     )
+    for held in filter(None, resident.split(",")):
+        item, _, held_mb = held.partition("=")
+        engine.resident_mb_by_item[item] = int(held_mb)
     threading.Thread(target=engine.step_forever, daemon=True).start()
     serve_pushed(engine.handle, host, port)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -106,6 +106,7 @@
         default_factory=lambda: Path(tempfile.mkdtemp(prefix="camphoryard-"))
     )
     process_by_name: dict[str, Process] = field(default_factory=dict)
+    exit_codes: list[int] = field(default_factory=list)
     keys: tuple[bytes, bytes] = field(default_factory=zmq.curve_keypair)
 
     def __enter__(self) -> "Fleet":
@@ -128,6 +129,10 @@
         """Return the HTTP port of a process."""
         return self.process_by_name[name].port
 
+    def journal(self, name: str) -> Path:
+        """Return the file in which an engine's log outlives its process."""
+        return self.folder / f"{name}.jsonl"
+
     def start_standin(self, name: str, module: str, *options: str) -> int:
         """Start a stand-in and return its port."""
         port = free_port()
--- a/standins/site.py
+++ b/standins/site.py
@@ -178,6 +178,7 @@
     ]
     if checks:
         options.append("--checks-fencing")
+    options.extend(("--journal", str(fleet.journal(name))))
     fleet.start_standin(name, "engine", *options)
 
 
--- a/standins/web.py
+++ b/standins/web.py
@@ -81,23 +81,13 @@
 
 
 def drop_connection() -> Answered:
-    """Return an answer that breaks the connection before any byte of it."""
+    """Return an answer that breaks the connection in the middle of its body."""
 
     def body() -> Iterable[bytes]:
+        yield b"{"
         raise DropConnectionError
-        yield b""
 
-    return Answered(200, _Broken(body()))
-
-
-class _Broken:
-    """A body that fails at once, declared longer than it is."""
-
-    def __init__(self, parts: Iterable[bytes]) -> None:
-        self._parts = parts
-
-    def __iter__(self) -> Any:
-        return iter(self._parts)
+    return Answered(200, body(), {"Content-Length": "1000"})
 
 
 def _asked(environ: dict[str, Any]) -> Asked:
--- /dev/null
+++ b/tests/scenarios/at_most_once.feature
@@ -0,0 +1,53 @@
+Feature: A booking, charge, claim or part order runs at most once
+
+  Scenario: A finished booking is sent again through another node
+    Given a site of 2 nodes
+    When space 1 is booked with key "a" through node-1
+    And space 1 is booked with key "a" through node-2
+    Then it is answered
+    And space 1 was booked 1 times
+
+  Scenario: The node is killed after the booking began, and it is sent again
+    Given a site of 2 nodes
+    And bookings-1 answers after 2 seconds
+    When space 2 is booked with key "b" through node-1 in the background
+    And the booking of space 2 has begun at the service
+    And node-1 is killed
+    And space 2 is booked with key "b" through node-2
+    Then it is refused as in_progress with verdict "may have run"
+    And space 2 was booked 1 times
+
+  Scenario: The claim's answer is lost after it took effect
+    Given a site of 2 nodes
+    And the object API loses 1 answers below "claims/"
+    When space 3 is booked with key "c" through node-1
+    Then it is answered
+    And space 3 was booked 1 times
+
+  Scenario: The object API is out
+    Given a site of 2 nodes
+    When the object API is out
+    And space 4 is booked with key "d" through node-1
+    Then it is refused as store_unavailable with verdict "not run"
+    And space 4 was booked 0 times
+    When the object API is back
+    And space 4 is booked with key "d" through node-2
+    Then it is answered
+    And space 4 was booked 1 times
+
+  Scenario: The service runs the booking and breaks the connection
+    Given a site of 2 nodes
+    And bookings-1 runs the next 1 calls but breaks the connection
+    When space 5 is booked with key "e" through node-1
+    Then it is refused as endpoint_failed with verdict "may have run"
+    When space 5 is booked with key "e" through node-2
+    Then it is refused as in_progress with verdict "may have run"
+    And space 5 was booked 1 times
+
+  Scenario: All nodes are replaced between the booking and its resend
+    Given a site of 2 nodes
+    When space 6 is booked with key "f" through node-1
+    And all nodes are replaced by new processes
+    And space 6 is booked with key "f" through node-2
+    Then it is answered
+    And space 6 was booked 1 times
