--- a/bench/placing.py
+++ b/bench/placing.py
@@ -2,29 +2,40 @@
 
 from collections.abc import Mapping
 
-from bench.scenario import Scenario, memory_mb, model_name
+from bench.scenario import Scenario, adapters_of, memory_mb, model_name
 
 
 def initial_residents(scenario: Scenario) -> list[Mapping[str, int]]:
     """Return the memory, in MB, of each item by engine.
 
     Models are dealt in the order of the catalogue to the engine with the most
-    free memory, then second copies as far as they fit, as an operator would
-    who knows the catalogue but not the day's demand.
+    free memory, each with its adapters, then second copies of models as far as
+    they fit, as an operator would who knows the catalogue but not the day's
+    demand.
     """
     residents: list[dict[str, int]] = [{} for _ in range(scenario.engines)]
-    for _ in range(2):
+    for with_adapters in (True, False):
         for number in range(scenario.catalogue.models):
-            _place(scenario, residents, number)
+            _place(scenario, residents, number, with_adapters)
     return list(residents)
 
 
-def _place(scenario: Scenario, residents: list[dict[str, int]], number: int) -> None:
-    name, needed_mb = model_name(number), memory_mb(scenario.catalogue, number)
+def _place(
+    scenario: Scenario,
+    residents: list[dict[str, int]],
+    number: int,
+    with_adapters: bool,
+) -> None:
+    catalogue = scenario.catalogue
+    name = model_name(number)
+    items = {name: memory_mb(catalogue, number)}
+    if with_adapters:
+        for adapter in adapters_of(catalogue, number):
+            items[f"{name}:{adapter}"] = catalogue.adapter_memory_mb
     free_mb = [
         -1 if name in held else scenario.engine_memory_mb - sum(held.values())
         for held in residents
     ]
     most_mb = max(free_mb)
-    if most_mb >= needed_mb:
-        residents[free_mb.index(most_mb)][name] = needed_mb
+    if most_mb >= sum(items.values()):
+        residents[free_mb.index(most_mb)].update(items)
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -1,7 +1,7 @@
 """Scenarios: a site, its demand and its faults, read from TOML files."""
 
 import tomllib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from pathlib import Path
 
@@ -38,6 +38,14 @@
     load_s: float = 0.8
     adapter_load_s: float = 0.015
 
+    def sped_up(self, factor: float) -> "WeightStoreSpec":
+        """Return the store with model loads that many times as fast."""
+        return replace(
+            self,
+            loads_per_s=self.loads_per_s * factor,
+            load_s=self.load_s / factor,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Traffic:
@@ -81,7 +89,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """One scripted run."""
+    """One scripted run.
+
+    Demand that takes minutes or hours to move is played within seconds.
+    ``store_speed`` says how many times as fast as the real one the weight store
+    is, so that it does not stand still by comparison. Engines and deadlines keep
+    their own speed.
+    """
 
     name: str
     about: str
@@ -94,6 +108,7 @@
     catalogue: Catalogue
     weight_store: WeightStoreSpec
     traffic: list[Traffic]
+    store_speed: float = 1.0
     nodes: int = 3
     bookings_per_s: float = 1.0
     events: list[Event] = field(default_factory=list)
@@ -131,7 +146,9 @@
     if not path.exists():
         known = ", ".join(scenario_names())
         raise ValueError(f"no scenario {name!r}; there are {known}")
-    return msgspec.convert(tomllib.loads(path.read_text()), Scenario)
+    scenario = msgspec.convert(tomllib.loads(path.read_text()), Scenario)
+    store = scenario.weight_store.sped_up(scenario.store_speed)
+    return replace(scenario, weight_store=store)
 
 
 def scenario_names() -> list[str]:
