--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -8,12 +8,15 @@
     Declined,
     DigestWanted,
     Done,
+    GiveUp,
     GrantWanted,
     Heartbeat,
+    ItemsUsed,
     LoadWanted,
     Message,
     MoveWanted,
     Reply,
+    ResidencyMessage,
     TrialEnded,
     TrialWanted,
 )
@@ -21,7 +24,7 @@
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.errors import CamphoryardError
-from camphoryard.state.ids import EndpointId, Generation, ItemId
+from camphoryard.state.ids import Generation
 from camphoryard.state.nodes import NodeDigest, NodeTable
 from camphoryard.state.timeline import HybridClock
 
@@ -36,7 +39,7 @@
     peers: Peers
     clock: HybridClock
     digest: Callable[[], NodeDigest]
-    load_here: Callable[[EndpointId, tuple[ItemId, ...]], None]
+    residency: Callable[[ResidencyMessage], Reply]
     heard_generation: Callable[[Generation], None]
     suspects: Suspects
     carry_out: Callable[[Move], None]
@@ -59,12 +62,8 @@
             parts.nodes.heard(digest)
             parts.heard_generation(digest.generation)
             return Done()
-        case LoadWanted(endpoint, items):
-            try:
-                parts.load_here(endpoint, items)
-            except CamphoryardError as error:
-                return Declined(str(error))
-            return Done()
+        case LoadWanted() | ItemsUsed() | GiveUp():
+            return parts.residency(message)
         case MoveWanted(endpoint, items, evicted):
             try:
                 parts.carry_out(Move(endpoint, items, evicted))
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -3,7 +3,15 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from camphoryard.state.ids import EndpointId, Fingerprint, ItemId, NodeId
+from camphoryard.state.ids import (
+    EndpointId,
+    FencingNumber,
+    Fingerprint,
+    Incarnation,
+    ItemId,
+    NodeId,
+    OrderId,
+)
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.timeline import Stamp
 
@@ -47,6 +55,29 @@
     start_in_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ItemsUsed:
+    """Tell an owner of endpoints which items the sender used of late."""
+
+    items: tuple[ItemId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Ask an earlier owner to send no more orders numbered below ``fence``."""
+
+    endpoint: EndpointId
+    incarnation: Incarnation
+    fence: FencingNumber
+
+
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """The orders are given up; those named were sent and got no answer."""
+
+    unanswered: tuple[OrderId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class DigestWanted:
     """Ask a node for its digest."""
@@ -96,14 +127,15 @@
     detail: str
 
 
+ResidencyMessage: TypeAlias = LoadWanted | ItemsUsed | GiveUp
 Message: TypeAlias = (
     Heartbeat
-    | LoadWanted
+    | DigestWanted
+    | ResidencyMessage
     | MoveWanted
     | GrantWanted
-    | DigestWanted
     | CrashSeen
     | TrialWanted
     | TrialEnded
 )
-Reply: TypeAlias = Done | Declined | Granted | NodeDigest
+Reply: TypeAlias = Done | Declined | Granted | NodeDigest | GivenUp
--- a/src/camphoryard/coordination/placement.py
+++ b/src/camphoryard/coordination/placement.py
@@ -276,9 +276,9 @@
 ) -> tuple[ItemId, ...] | None:
     """Return what to unload for ``needed_mb``, or None if that cannot be.
 
-    Second copies go first, the least wanted before others, then last copies
-    of idle models, which stay loadable on demand. An adapter goes along with its
-    base.
+    Second copies go first, then last copies of idle models, which stay loadable
+    on demand; among them those that take the fewest unloads, and the least
+    wanted. An adapter goes along with its base.
     """
     seen = view.endpoints_by_id[endpoint]
     copies = {model: len(held) for model, held in _holders(view).items()}
@@ -287,19 +287,23 @@
     def is_spare(model: ItemId) -> bool:
         return copies[model] > 1 or demand.get(model, 0.0) < policy.idle_slots
 
-    def value(model: ItemId) -> tuple[bool, float, ItemId]:
-        return copies[model] == 1, demand.get(model, 0.0) / copies[model], model
+    def family(model: ItemId) -> list[ItemId]:
+        return [item for item in seen.committed_mb_by_item if model_of(item) == model]
+
+    def value(model: ItemId) -> tuple[bool, int, float, ItemId]:
+        wanted = demand.get(model, 0.0) / copies[model]
+        return copies[model] == 1, len(family(model)), wanted, model
 
     evicted: list[ItemId] = []
     spare = [item for item in copies if item in seen.committed_mb_by_item]
     for model in sorted(filter(is_spare, spare), key=value):
         if needed_mb <= 0:
             break
-        family = [x for x in seen.committed_mb_by_item if model_of(x) == model]
-        if seen.fixed.intersection(family):
+        going = family(model)
+        if seen.fixed.intersection(going):
             continue
-        evicted.extend(sorted(family, reverse=True))
-        needed_mb -= sum(seen.committed_mb_by_item[item] for item in family)
+        evicted.extend(sorted(going, reverse=True))
+        needed_mb -= sum(seen.committed_mb_by_item[item] for item in going)
     return tuple(evicted) if needed_mb <= 0 else None
 
 
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -55,6 +55,7 @@
         run(node.leases.run, node.shared.timer),
         run(run_heartbeats, node.membership, node.shared.timer),
         run(supervise_endpoints, node),
+        run(node.residency.client.run_reports, node.shared.timer),
         run(node.admission.run, node.shared.timer),
         run(node.shared.demand.run, node.shared.timer),
         run(node.placer.run, node.shared.timer),
@@ -96,6 +97,8 @@
     server.wait_flushed(limit_s)
     node.shared.timer.close()
     node.shared.budget.close()
+    node.residency.client.close()
+    node.residency.owner.close()
     node.leases.release()
     node.shared.client.close()
     node.shared.peers.close()
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -28,14 +28,19 @@
 from camphoryard.coordination.placement import (
     DemandPlacement,
     LoadOnDemand,
-    Move,
     PlacementPolicy,
     StaticPlacement,
 )
 from camphoryard.coordination.placing import Placer, PlacingParts
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
 from camphoryard.coordination.refusals import RefusalCounter
-from camphoryard.coordination.residency import EndpointOwner, Identity
+from camphoryard.coordination.residency import (
+    EndpointOwner,
+    Identity,
+    ResidencyDesk,
+    ResidencyLimits,
+    ResidencyParts,
+)
 from camphoryard.coordination.residency_client import ResidencyClient
 from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
 from camphoryard.coordination.routing import (
@@ -78,7 +83,6 @@
     EndpointId,
     Generation,
     Incarnation,
-    ItemId,
     NodeId,
     WriteId,
 )
@@ -323,42 +327,35 @@
 
 def make_residency(shared: Shared, platform: Platform) -> Residency:
     """Return the parts that load items."""
-
-    def load_here(endpoint: EndpointId, items: tuple[ItemId, ...]) -> None:
-        for item in items:
-            owner.load(endpoint, item, shared.timer)
-
+    limits = shared.settings.residency
     client = ResidencyClient(
         shared.identity.node,
         shared.nodes,
         shared.table,
         shared.peers,
         shared.executors.loads,
-        load_here,
+        lambda endpoint, items: owner.start_loading(endpoint, items),
         shared.timeline,
         shared.budget,
     )
     owner = EndpointOwner(
-        shared.identity,
-        platform.endpoints,
-        shared.table,
-        shared.nodes,
-        shared.configuration,
-        shared.engines,
-        shared.timeline,
-        client.last_used_s,
+        ResidencyParts(
+            shared.identity,
+            platform.endpoints,
+            shared.table,
+            shared.nodes,
+            shared.vms,
+            shared.configuration,
+            shared.engines,
+            shared.peers,
+            shared.timeline,
+            client.last_used_s,
+            ResidencyLimits(limits.order_lifetime_s, limits.min_residency_s),
+        )
     )
     return Residency(owner, client)
 
 
-def carry_out(shared: Shared, residency: Residency, move: Move) -> None:
-    """Carry out a move at an endpoint that this node owns; raises as ``load``."""
-    for item in move.evicted:
-        residency.owner.unload(move.endpoint, item, shared.timer)
-    for item in move.items:
-        residency.owner.load(move.endpoint, item, shared.timer)
-
-
 def make_placement_policy(settings: DecisionSettings) -> PlacementPolicy:
     """Return the placement policy that the settings name."""
     match settings.placement:
@@ -403,7 +400,7 @@
             shared.budget,
             slots,
             takes_work,
-            functools.partial(carry_out, shared, residency),
+            residency.owner.start_moving,
             shared.executors.loads,
             shared.timeline,
         )
@@ -507,10 +504,10 @@
         shared.peers,
         shared.clock,
         functools.partial(make_digest, shared, serving.door),
-        residency.client.load_here,
+        ResidencyDesk(residency.owner, residency.client.used_elsewhere).handle,
         heard_generation,
         serving.suspects,
-        functools.partial(carry_out, shared, residency),
+        residency.owner.start_moving,
         shared.budget.grant,
     )
 
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -10,9 +10,12 @@
     Declined,
     DigestWanted,
     Done,
+    GivenUp,
+    GiveUp,
     Granted,
     GrantWanted,
     Heartbeat,
+    ItemsUsed,
     LoadWanted,
     Message,
     MoveWanted,
@@ -37,6 +40,9 @@
     MOVE_WANTED = "move_wanted"
     GRANT_WANTED = "grant_wanted"
     GRANTED = "granted"
+    ITEMS_USED = "items_used"
+    GIVE_UP = "give_up"
+    GIVEN_UP = "given_up"
     DIGEST_WANTED = "digest_wanted"
     CRASH_SEEN = "crash_seen"
     TRIAL_WANTED = "trial_wanted"
@@ -52,6 +58,9 @@
     FrameKind.MOVE_WANTED: MoveWanted,
     FrameKind.GRANT_WANTED: GrantWanted,
     FrameKind.GRANTED: Granted,
+    FrameKind.ITEMS_USED: ItemsUsed,
+    FrameKind.GIVE_UP: GiveUp,
+    FrameKind.GIVEN_UP: GivenUp,
     FrameKind.DIGEST_WANTED: DigestWanted,
     FrameKind.CRASH_SEEN: CrashSeen,
     FrameKind.TRIAL_WANTED: TrialWanted,
--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -19,6 +19,7 @@
 from camphoryard.coordination.messages import (
     Declined,
     Done,
+    GivenUp,
     Granted,
     Message,
     Reply,
@@ -224,7 +225,7 @@
         except (msgspec.MsgspecError, PeerMessageError):
             return
         match envelope.content:
-            case Done() | Declined() | Granted() | NodeDigest() as reply:
+            case Done() | Declined() | Granted() | NodeDigest() | GivenUp() as reply:
                 self._settle(envelope.id, reply)
             case message:
                 self._handlers.submit(
