--- a/bench/run.py
+++ b/bench/run.py
@@ -162,7 +162,7 @@
             name, f"zone-{'abcd'[index % 4]}", node_settings(policy, scenario)
         )
         site.nodes.append(name)
-    fleet.wait_ready(site.nodes, "/readyz")
+    fleet.wait_ready(site.nodes)
     change = _configuration(site)
     path = "/admin/v1/configuration"
     generation = request(fleet.port(site.nodes[0]), "POST", path, change)["generation"]
