Choose what makes room by what it costs; count a young node's slow average right

Cause: on lakeshore-game-night the planner and loads on demand unloaded 86 items for 47 loads: a model went along with its adapters although another freed the memory with one unload, small adapters went for a large model without need, and items asked for now and then looked idle in the first seconds.

Ruled out: a dearer move alone (the order of victims did not look at it).

Change: victims are ordered by cost for each MB; eviction drops victims that are not needed; the slow average is corrected for its start; a planned load may wait half a second for its grant.

--- a/src/camphoryard/coordination/demand.py
+++ b/src/camphoryard/coordination/demand.py
@@ -13,9 +13,8 @@
 from camphoryard.state.ids import ItemId
 
 SAMPLE_PERIOD_S = 0.5
-FAST_S = 1.5
+FAST_S = 1.0
 SLOW_S = 20.0
-TREND_S = 1.5
 DEFAULT_HOLD_S = 1.0
 HOLD_WEIGHT = 0.1
 DEFERRABLE_WEIGHT = 0.3
@@ -31,6 +30,9 @@
 class DemandMeter:
     """Averages of this node's arrivals by item, in slots.
 
+    The slow average of a node that started a moment ago is that over its life,
+    so that items asked for now and then do not look idle to it.
+
     Slots are arrivals a second times the seconds for which one of them holds a
     slot (Little's law), so that they count what was refused or still waits too.
     """
@@ -38,7 +40,8 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._lock = threading.Lock()
-        self._sampled_s = clock()
+        self._started_s = clock()
+        self._sampled_s = self._started_s
         self._arrived_by_item: defaultdict[ItemId, float] = defaultdict(float)
         self._hold_s_by_item: dict[ItemId, float] = {}
         self._average_by_item: dict[ItemId, _Average] = {}
@@ -78,8 +81,9 @@
     def by_item(self) -> Mapping[ItemId, ItemDemand]:
         """Return the averages that are worth telling."""
         with self._lock:
+            seen = _weight(self._sampled_s - self._started_s, SLOW_S)
             return {
-                item: ItemDemand(average.fast, average.slow)
+                item: ItemDemand(average.fast, average.slow / seen)
                 for item, average in self._average_by_item.items()
                 if max(average.fast, average.slow) >= LEAST_SLOTS
             }
--- a/src/camphoryard/coordination/eviction.py
+++ b/src/camphoryard/coordination/eviction.py
@@ -32,16 +32,30 @@
 ) -> tuple[Occupant, ...]:
     """Return the occupants to unload for ``needed_mb``, or none if all are too few.
 
+    None goes without whom the others free enough.
+
     Items that are no longer configured go first, then idle ones, those
     with a copy elsewhere, then the least recently used.
     """
     victims: list[Occupant] = []
+    missing_mb = needed_mb
     for occupant in sorted(occupants, key=_value):
-        if needed_mb <= 0:
+        if missing_mb <= 0:
             break
         victims.append(occupant)
-        needed_mb -= occupant.memory_mb
-    return tuple(victims) if needed_mb <= 0 else ()
+        missing_mb -= occupant.memory_mb
+    return _needed(victims, -missing_mb) if missing_mb <= 0 else ()
+
+
+def _needed(victims: Sequence[Occupant], excess_mb: int) -> tuple[Occupant, ...]:
+    """Return the victims without those that fit into ``excess_mb``."""
+    needed: list[Occupant] = []
+    for victim in reversed(victims):
+        if victim.memory_mb <= excess_mb:
+            excess_mb -= victim.memory_mb
+        else:
+            needed.append(victim)
+    return tuple(reversed(needed))
 
 
 def _value(occupant: Occupant) -> tuple[bool, bool, bool, float, ItemId]:
--- a/src/camphoryard/coordination/placement.py
+++ b/src/camphoryard/coordination/placement.py
@@ -48,9 +48,9 @@
     target_load: float = 0.7
     move_cost_slots: float = 0.15
     cold_cost_slots: float = 0.3
-    idle_slots: float = 0.1
+    idle_slots: float = 0.05
     min_residency_s: float = 6.0
-    moves_at_once: int = 2
+    moves_at_once: int = 4
 
 
 PlacementPolicy: TypeAlias = StaticPlacement | LoadOnDemand | DemandPlacement
@@ -276,9 +276,8 @@
 ) -> tuple[ItemId, ...] | None:
     """Return what to unload for ``needed_mb``, or None if that cannot be.
 
-    Second copies go first, then last copies of idle models, which stay loadable
-    on demand; among them those that take the fewest unloads, and the least
-    wanted. An adapter goes along with its base.
+    Second copies and last copies of idle models may go, those first that free
+    the most memory for what they cost. An adapter goes along with its base.
     """
     seen = view.endpoints_by_id[endpoint]
     copies = {model: len(held) for model, held in _holders(view).items()}
@@ -290,13 +289,16 @@
     def family(model: ItemId) -> list[ItemId]:
         return [item for item in seen.committed_mb_by_item if model_of(item) == model]
 
-    def value(model: ItemId) -> tuple[bool, int, float, ItemId]:
-        wanted = demand.get(model, 0.0) / copies[model]
-        return copies[model] == 1, len(family(model)), wanted, model
+    def cost_a_mb(model: ItemId) -> tuple[float, ItemId]:
+        cost_slots = len(family(model)) * policy.move_cost_slots
+        cost_slots += demand.get(model, 0.0) / copies[model]
+        if copies[model] == 1:
+            cost_slots += policy.cold_cost_slots
+        return cost_slots / seen.committed_mb_by_item[model], model
 
     evicted: list[ItemId] = []
     spare = [item for item in copies if item in seen.committed_mb_by_item]
-    for model in sorted(filter(is_spare, spare), key=value):
+    for model in sorted(filter(is_spare, spare), key=cost_a_mb):
         if needed_mb <= 0:
             break
         going = family(model)
--- a/src/camphoryard/coordination/placing.py
+++ b/src/camphoryard/coordination/placing.py
@@ -81,14 +81,15 @@
     def plan_once(self, policy: DemandPlacement) -> None:
         """Make one plan and start its moves as far as the budget allows."""
         for move in plan(policy, self.view(policy)):
-            if self._parts.budget.ask(urgent=False) is None:
+            start_in_s = self._parts.budget.ask(urgent=False)
+            if start_in_s is None:
                 return
             for item in move.items:
                 self._started_s_by_copy[move.endpoint, item] = time.monotonic()
             self._parts.timeline.record(
                 "move", endpoint=move.endpoint, load=move.items, unload=move.evicted
             )
-            self._parts.executor.submit(self._carry_out, move)
+            self._parts.executor.submit(self._carry_out, move, start_in_s)
 
     def view(self, policy: DemandPlacement) -> PlacementView:
         """Return what there is to plan from now."""
@@ -179,8 +180,9 @@
             return False
         return rendezvous_owner(PLANNER_KEY, serving) == self._parts.node
 
-    def _carry_out(self, move: Move) -> None:
-        """Have the endpoint's owner carry out a move."""
+    def _carry_out(self, move: Move, start_in_s: float) -> None:
+        """Have the endpoint's owner carry out a move when its load may start."""
+        self._parts.budget.pause(start_in_s)
         owner = owner_of(move.endpoint, self._parts.nodes)
         try:
             if owner is None:
--- a/src/camphoryard/coordination/weight_budget.py
+++ b/src/camphoryard/coordination/weight_budget.py
@@ -21,6 +21,7 @@
 BUDGET_KEY = "weight-store"
 ASK_TIMEOUT_S = 0.5
 LONGEST_WAIT_S = 10.0
+LONGEST_BACKGROUND_WAIT_S = 0.5
 LOAD_HOLD_S = 1.0
 KEPT_FOR_URGENT = 1
 
@@ -45,7 +46,7 @@
     """Start times for loads, at the node that holds the budget.
 
     An urgent load reserves the next start; a background load is granted only
-    if it may start now and leaves room for an urgent one.
+    if it may start soon and leaves room for an urgent one.
     """
 
     def __init__(
@@ -63,7 +64,7 @@
             now_s = self._clock()
             self._ends_s = [end_s for end_s in self._ends_s if end_s > now_s]
             start_s = max(now_s, self._next_start_s, self._free_s(urgent, now_s))
-            longest_s = LONGEST_WAIT_S if urgent else 0.0
+            longest_s = LONGEST_WAIT_S if urgent else LONGEST_BACKGROUND_WAIT_S
             if start_s - now_s > longest_s:
                 return None
             self._next_start_s = start_s + 1 / self._policy.loads_per_s
@@ -105,6 +106,10 @@
         start_in_s = self.ask(urgent=True)
         if start_in_s is None:
             start_in_s = LONGEST_WAIT_S
+        self.pause(start_in_s)
+
+    def pause(self, start_in_s: float) -> None:
+        """Block until a granted load may start."""
         self._closed.wait(start_in_s)
 
     def close(self) -> None:
