--- a/src/camphoryard/coordination/demand.py
+++ b/src/camphoryard/coordination/demand.py
@@ -1,5 +1,6 @@
 """How much each model and adapter is asked for, at this node and at all."""
 
+import heapq
 import math
 import threading
 import time
@@ -19,6 +20,7 @@
 HOLD_WEIGHT = 0.1
 DEFERRABLE_WEIGHT = 0.3
 LEAST_SLOTS = 0.005
+TOLD_ITEMS = 48
 
 
 @dataclass(slots=True)
@@ -79,14 +81,21 @@
                 self._fold(item, arrived[item] / elapsed_s, elapsed_s)
 
     def by_item(self) -> Mapping[ItemId, ItemDemand]:
-        """Return the averages that are worth telling."""
+        """Return the averages that are worth telling, of the items most in demand.
+
+        Their number is bounded, since a digest goes round the whole fleet.
+        """
         with self._lock:
             seen = _weight(self._sampled_s - self._started_s, SLOW_S)
-            return {
+            demand_by_item = {
                 item: ItemDemand(average.fast, average.slow / seen)
                 for item, average in self._average_by_item.items()
                 if max(average.fast, average.slow) >= LEAST_SLOTS
             }
+        most = heapq.nlargest(
+            TOLD_ITEMS, demand_by_item, key=lambda item: demand_by_item[item].expected
+        )
+        return {item: demand_by_item[item] for item in most}
 
     def _fold(self, item: ItemId, rate_per_s: float, elapsed_s: float) -> None:
         slots = rate_per_s * self._hold_s_by_item.get(item, DEFAULT_HOLD_S)
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -111,10 +111,11 @@
             case "/livez":
                 return HttpResponse(200, [b"ok\n"], content_type=TEXT)
             case "/readyz":
-                text = self.door.state.value.encode() + b"\n"
-                return HttpResponse(
-                    200 if self.door.is_ready else 503, [text], content_type=TEXT
-                )
+                current = self.operator.configuration.is_current()
+                ready = self.door.is_ready and current
+                state = self.door.state.value + ("" if current else ", stale")
+                text = f"{state}\n".encode()
+                return HttpResponse(200 if ready else 503, [text], content_type=TEXT)
             case "/metrics":
                 text = self.metrics.text().encode()
                 return HttpResponse(200, [text], content_type=TEXT)
