--- a/tests/coordination/test_demand.py
+++ b/tests/coordination/test_demand.py
@@ -46,13 +46,22 @@
         """A few seconds of a rush count at once, and fade slowly."""
         clock = Clock()
         meter = DemandMeter(clock)
-        play(meter, clock, 10, 4)
+        play(meter, clock, 1, 60)
+        play(meter, clock, 40, 4)
         rush = meter.by_item()[ITEM]
         play(meter, clock, 0, 8)
         after = meter.by_item()[ITEM]
         assert rush.fast > 4 * rush.slow
         assert after.expected == after.slow > after.fast
 
+    def test_a_young_meter_averages_over_its_life(self):
+        """What came before a pause does not look idle just after a start."""
+        clock = Clock()
+        meter = DemandMeter(clock)
+        play(meter, clock, 4, 3)
+        play(meter, clock, 0, 3)
+        assert meter.by_item()[ITEM].expected > 1.5
+
     def test_deferrable_requests_weigh_less(self):
         """Work that can wait calls for fewer copies."""
         clock = Clock()
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -7,6 +7,7 @@
 from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
+from camphoryard.coordination.demand import DemandMeter
 from camphoryard.coordination.inference import InferenceParts
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.load_estimates import LoadEstimates
@@ -215,6 +216,7 @@
         RetryBudget(RetryLimits(0.0, reserve)),
         Suspects(NODE, nodes, NoPeers(), timeline()),
         NoLoads(),
+        DemandMeter(),
         engines,
         timeline(),
     )
