--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -18,10 +18,12 @@
     GiveUp,
     Gossip,
     GossipAnswer,
+    GrantWanted,
     ItemsUsed,
     JoinWanted,
     LoadWanted,
     Message,
+    MoveWanted,
     RecordsWanted,
     RefusalsCounted,
     Reply,
@@ -29,8 +31,10 @@
     TrialEnded,
     TrialWanted,
 )
+from camphoryard.coordination.placement import Move
 from camphoryard.coordination.suspects import Suspects
 from camphoryard.coordination.timeline import Timeline
+from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.refusals import RefusalSheet
 
@@ -47,6 +51,8 @@
     residency: Callable[[ResidencyMessage], Reply]
     suspects: Suspects
     hold_refusals: Callable[[RefusalSheet], None]
+    carry_out: Callable[[Move], None]
+    grant: Callable[[bool], Reply]
 
 
 def handle(parts: MembershipParts, message: Message) -> Reply:
@@ -68,6 +74,14 @@
             return parts.configurator.offer(known) or Declined("no configuration yet")
         case LoadWanted() | ItemsUsed() | GiveUp():
             return parts.residency(message)
+        case MoveWanted(endpoint, items, evicted):
+            try:
+                parts.carry_out(Move(endpoint, items, evicted))
+            except CamphoryardError as error:
+                return Declined(str(error))
+            return Done()
+        case GrantWanted(urgent):
+            return parts.grant(urgent)
         case DigestWanted():
             return parts.digest()
         case CrashSeen() as seen:
--- a/src/camphoryard/coordination/planning.py
+++ b/src/camphoryard/coordination/planning.py
@@ -128,7 +128,9 @@
         if item not in self.record.resident_mb_by_item:
             self._wishes.meet(wish)
             return
-        self._intend(item, OrderKind.UNLOAD, self.record.resident_mb_by_item[item])
+        freed_mb = self.record.resident_mb_by_item[item]
+        self._intend(item, OrderKind.UNLOAD, freed_mb)
+        self._coming_mb += freed_mb
 
     def _can_ever_fit(self, item: ItemId, size_mb: int) -> bool:
         taken_mb = committed_mb_by_item(self.record)
--- a/src/camphoryard/coordination/residency_client.py
+++ b/src/camphoryard/coordination/residency_client.py
@@ -1,5 +1,6 @@
 """Asking the owners of endpoints, here or at peers, to load items."""
 
+import functools
 import threading
 import time
 from collections.abc import Callable, Sequence
@@ -9,6 +10,7 @@
 from camphoryard.coordination.ownership import owner_of
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.weight_budget import BudgetClient
 from camphoryard.state.endpoint_record import free_mb
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import CamphoryardError
@@ -36,6 +38,7 @@
         executor: Executor,
         start_here: StartLoading,
         timeline: Timeline,
+        budget: BudgetClient,
     ) -> None:
         self._node = node
         self._nodes = nodes
@@ -44,6 +47,7 @@
         self._executor = executor
         self._start_here = start_here
         self._timeline = timeline
+        self._budget = budget
         self._lock = threading.Lock()
         self._wanted: set[tuple[ItemId, ...]] = set()
         self._used_s_by_item: dict[ItemId, float] = {}
@@ -93,9 +97,12 @@
     ) -> None:
         """Try candidates in turn until the items are at one of them."""
         deadline_s = time.monotonic() + LOAD_TIMEOUT_S
+        order = functools.partial(self._order, items[0])
         try:
+            if not self._is_anywhere(items[0], candidates):
+                self._budget.wait_urgent()
             while time.monotonic() < deadline_s and not self._closed:
-                for endpoint in sorted(candidates, key=self._free_mb, reverse=True):
+                for endpoint in sorted(candidates, key=order, reverse=True):
                     if self._bring_to(endpoint, items, candidates, deadline_s):
                         return
         finally:
@@ -136,9 +143,15 @@
         intents = [record.intents_by_item.get(item) for item in items]
         return any(intent and intent.kind is OrderKind.LOAD for intent in intents)
 
-    def _free_mb(self, endpoint: EndpointId) -> int:
+    def _is_anywhere(self, model: ItemId, candidates: Sequence[EndpointId]) -> bool:
+        return any(self._table.are_resident(item, (model,)) for item in candidates)
+
+    def _order(self, model: ItemId, endpoint: EndpointId) -> tuple[bool, int]:
+        """Return the sort key of candidates: an adapter goes where its base is."""
         record = self._table.find(endpoint)
-        return free_mb(record) if record and not record.is_silent else 0
+        if record is None or record.is_silent:
+            return False, 0
+        return model in record.resident_mb_by_item, free_mb(record)
 
     def _start(self, endpoint: EndpointId, items: tuple[ItemId, ...]) -> None:
         owner = owner_of(endpoint, self._nodes)
