--- a/src/camphoryard/coordination/leaving.py
+++ b/src/camphoryard/coordination/leaving.py
@@ -1,8 +1,12 @@
 """Which endpoints are leaving, by any of three signs."""
 
 from camphoryard.coordination.load_estimates import LoadEstimates
+from camphoryard.coordination.ports import Services
 from camphoryard.coordination.routing import LEAVING_LABEL
+from camphoryard.state.configuration import Endpoint
+from camphoryard.state.errors import NotSentError
 from camphoryard.state.ids import EndpointId
+from camphoryard.state.requests import ActionAnswer, ActionRequest
 from camphoryard.state.tables import ConfigurationHolder
 from camphoryard.state.vms import VmTable
 
@@ -32,3 +36,21 @@
         if report is not None and report.leaving:
             return True
         return self._vms.is_leaving(known)
+
+
+class StayingServices:
+    """Plain services, but for those at endpoints that are leaving.
+
+    Refusing at the last step before the call holds for an action too whose
+    claim took a while.
+    """
+
+    def __init__(self, services: Services, leaving: LeavingEndpoints) -> None:
+        self._services = services
+        self._leaving = leaving
+
+    def call(self, endpoint: Endpoint, request: ActionRequest) -> ActionAnswer:
+        """Call an operation once; see the Services port."""
+        if self._leaving.is_leaving(endpoint.id):
+            raise NotSentError(f"{endpoint.id} is leaving")
+        return self._services.call(endpoint, request)
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -21,7 +21,7 @@
 from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.inference import InferenceParts
-from camphoryard.coordination.leaving import LeavingEndpoints
+from camphoryard.coordination.leaving import LeavingEndpoints, StayingServices
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.ownership import LeaseKeeper
@@ -345,6 +345,7 @@
         shared.in_flight,
     )
     shared.table.subscribe(admission.wake)
+    leaving = LeavingEndpoints(shared.configuration, shared.estimates, shared.vms)
     suspects = Suspects(
         shared.identity.node, shared.nodes, shared.peers, shared.timeline
     )
@@ -354,7 +355,7 @@
         ConcurrencyLimits(shared.nodes),
         admission,
         Breakers(),
-        LeavingEndpoints(shared.configuration, shared.estimates, shared.vms),
+        leaving,
         RetryBudget(RetryLimits(decisions.retry_share)),
         suspects,
         residency.client,
@@ -367,7 +368,7 @@
         platform.claims,
         shared.in_flight,
         router,
-        HttpServices(shared.client),
+        StayingServices(HttpServices(shared.client), leaving),
         shared.timeline,
     )
     door = FrontDoor(
--- /dev/null
+++ b/tests/coordination/test_leaving.py
@@ -0,0 +1,88 @@
+"""Tests of the signs that an endpoint is leaving."""
+
+import pytest
+
+from camphoryard.coordination.leaving import LeavingEndpoints, StayingServices
+from camphoryard.coordination.load_estimates import LoadEstimates
+from camphoryard.state.configuration import Configuration, Endpoint
+from camphoryard.state.enums import EndpointKind, VmState
+from camphoryard.state.errors import NotSentError
+from camphoryard.state.ids import EndpointId, Generation
+from camphoryard.state.load_reports import LoadReport
+from camphoryard.state.nodes import NodeTable
+from camphoryard.state.requests import ActionAnswer
+from camphoryard.state.tables import ConfigurationHolder, InFlightTable
+from camphoryard.state.vms import VmTable, endpoint_vm
+from tests.fakes.serving import NODE
+
+ENDPOINT = EndpointId("bookings-1")
+
+
+def endpoint(**labels):
+    """Return the endpoint with labels."""
+    return Endpoint(ENDPOINT, EndpointKind.SERVICE, "127.0.0.1", 1, labels=labels)
+
+
+class Site:
+    """One endpoint and the tables in which signs are seen."""
+
+    def __init__(self, **labels):
+        self.configuration = ConfigurationHolder()
+        self.configuration.adopt(
+            Configuration(Generation(1), endpoints_by_id={ENDPOINT: endpoint(**labels)})
+        )
+        self.estimates = LoadEstimates(NODE, NodeTable(), InFlightTable())
+        self.vms = VmTable()
+        self.leaving = LeavingEndpoints(self.configuration, self.estimates, self.vms)
+
+
+class TestLeavingEndpoints:
+    """Each sign alone."""
+
+    def test_stays_without_a_sign(self):
+        """An endpoint that nothing speaks against takes work."""
+        assert not Site().leaving.is_leaving(ENDPOINT)
+
+    def test_label(self):
+        """Operators may say so."""
+        assert Site(leaving="true").leaving.is_leaving(ENDPOINT)
+
+    def test_removed(self):
+        """An endpoint that is no longer configured takes nothing."""
+        assert Site().leaving.is_leaving(EndpointId("bookings-2"))
+
+    def test_own_report(self):
+        """The engine may say so."""
+        site = Site()
+        site.estimates.polled(ENDPOINT, LoadReport(0, 0, leaving=True))
+        assert site.leaving.is_leaving(ENDPOINT)
+
+    @pytest.mark.parametrize("state", [VmState.LEAVING, VmState.GONE])
+    def test_vm_list(self, state):
+        """The platform may say so."""
+        site = Site()
+        site.vms.saw({endpoint_vm(endpoint()): state})
+        assert site.leaving.is_leaving(ENDPOINT)
+
+
+class Services:
+    """A service that answers at once."""
+
+    def call(self, endpoint, request):
+        """Return an answer."""
+        return ActionAnswer(200, b"{}")
+
+
+class TestStayingServices:
+    """Calls of plain services."""
+
+    def test_leaving_one_is_not_called(self):
+        """The error says that nothing was sent."""
+        services = StayingServices(Services(), Site(leaving="true").leaving)
+        with pytest.raises(NotSentError):
+            services.call(endpoint(), None)
+
+    def test_staying_one_is_called(self):
+        """Its answer comes back."""
+        services = StayingServices(Services(), Site().leaving)
+        assert services.call(endpoint(), None).status == 200
