--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -1,7 +1,10 @@
 """The parts of one node and the factory functions that put them together."""
 
 import functools
+import math
 import threading
+import time
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -20,13 +23,24 @@
 from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.currency import Currency
+from camphoryard.coordination.explaining import explain
+from camphoryard.coordination.gossip import (
+    AllToAll,
+    BoundedFanOut,
+    Gossiper,
+    GossipParts,
+    GossipPolicy,
+)
 from camphoryard.coordination.inference import InferenceParts
+from camphoryard.coordination.joining import Joiner, JoiningParts
 from camphoryard.coordination.leaving import LeavingEndpoints, StayingServices
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
+from camphoryard.coordination.merging import MergedTimeline, merge_timelines
 from camphoryard.coordination.ownership import LeaseKeeper
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
-from camphoryard.coordination.refusals import RefusalCounter
+from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
 from camphoryard.coordination.residency import (
     EndpointOwner,
     Identity,
@@ -36,6 +50,7 @@
 )
 from camphoryard.coordination.residency_client import ResidencyClient
 from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
+from camphoryard.coordination.risks import NodeView, SystemView, find_risks
 from camphoryard.coordination.routing import (
     LeastInFlight,
     PrefixAffinity,
@@ -48,7 +63,11 @@
 from camphoryard.coordination.status import Status
 from camphoryard.coordination.suspects import Suspects
 from camphoryard.coordination.timeline import Timeline
-from camphoryard.coordination.watching import Follower
+from camphoryard.coordination.watching import (
+    WATCH_WAIT_S,
+    Follower,
+    elected_watchers,
+)
 from camphoryard.protocol.platform import (
     CLAIMS,
     ENDPOINT_RECORDS,
@@ -60,6 +79,7 @@
     DecisionSettings,
     PeerSettings,
     PlatformSettings,
+    SeedSettings,
     Settings,
 )
 from camphoryard.state.claims import Claim
@@ -71,10 +91,11 @@
     Incarnation,
     NodeId,
     WriteId,
+    Zone,
 )
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable, InFlightTable
-from camphoryard.state.timeline import Event, HybridClock
+from camphoryard.state.timeline import NANOSECONDS_PER_MILLISECOND, Event, HybridClock
 from camphoryard.state.vms import VmTable
 from camphoryard.transport.access import Access
 from camphoryard.transport.app import App
@@ -93,6 +114,8 @@
 HANDLER_TASKS = 32
 LOAD_TASKS = 64
 NODE_TASKS = 16
+CONFIRMATIONS_PER_LIMIT = 4
+INCARNATION_CHARACTERS = 16
 
 log = structlog.get_logger()
 
@@ -152,6 +175,17 @@
     client: ResidencyClient
 
 
+@dataclass(frozen=True, slots=True)
+class Control:
+    """Configuration and what nodes tell each other about it and themselves."""
+
+    configurator: Configurator
+    currency: Currency
+    heads: Follower[ConfigurationHead]
+    gossiper: Gossiper
+    joiner: Joiner
+
+
 @dataclass(frozen=True, slots=True)
 class Serving:
     """The decisions about each request, and the front door before them."""
@@ -170,6 +204,7 @@
     followers: tuple[Follower[Any], ...]
     vm_list: VmList
     residency: Residency
+    control: Control
     membership: MembershipParts
     admission: Admission
     door: FrontDoor
@@ -222,6 +257,32 @@
     )
 
 
+def make_gossip_policy(settings: PeerSettings) -> GossipPolicy:
+    """Return the way of spreading news that the settings name."""
+    match settings.gossip:
+        case "all_to_all":
+            return AllToAll()
+        case "bounded_fan_out":
+            return BoundedFanOut(
+                settings.fan_out, settings.neighbours, settings.digests
+            )
+
+
+def make_seed_lease(seed: SeedSettings, lease_s: float) -> NodeLease:
+    """Return what stands for a seed's lease until the seed tells its own."""
+    return NodeLease(
+        seed.id,
+        Incarnation(""),
+        Zone(""),
+        seed.host,
+        seed.port,
+        seed.public_key,
+        NodeState.STARTING,
+        lease_s,
+        WriteId(""),
+    )
+
+
 def make_lease(settings: Settings, identity: Identity) -> NodeLease:
     """Return the lease that this node starts with."""
     node = settings.node
@@ -251,7 +312,9 @@
 
 def make_shared(settings: Settings) -> Shared:
     """Return the shared parts; only the timer runs yet."""
-    identity = Identity(settings.node.id, Incarnation(uuid4().hex))
+    identity = Identity(
+        settings.node.id, Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
+    )
     executors = make_executors()
     client = HttpClient()
     clock = HybridClock()
@@ -267,14 +330,14 @@
         executors,
         TimerService(),
         client,
-        PeerNetwork(identity.node, keys, executors.peers, executors.handlers),
+        PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock),
         HttpEngines(client, limits, estimates.polled),
         clock,
         Timeline(identity.node, clock, log_event),
         Metrics(),
         nodes,
         EndpointTable(),
-        ConfigurationHolder(),
+        ConfigurationHolder(settings.configuration.stale_after_s),
         in_flight,
         estimates,
         VmTable(),
@@ -393,56 +456,198 @@
         shared.configuration.current.generation,
         shared.in_flight.by_id(),
         shared.estimates.polled_by_id(),
+        time.monotonic_ns() // NANOSECONDS_PER_MILLISECOND,
     )
 
 
-def make_status(shared: Shared, door: FrontDoor) -> Status:
+def view_nodes(
+    shared: Shared, door: FrontDoor, currency: Currency
+) -> tuple[NodeView, ...]:
+    """Return all nodes known, sorted by id."""
+    own = shared.identity.node
+    alive = {lease.node for lease in shared.nodes.alive()}
+    views = [
+        NodeView(
+            own, door.state, shared.configuration.current.generation, True, False, 0.0
+        )
+    ]
+    for lease in shared.nodes.all():
+        if lease.node == own:
+            continue
+        digest = shared.nodes.digest(lease.node)
+        views.append(
+            NodeView(
+                lease.node,
+                digest.state if digest else lease.state,
+                digest.generation if digest else Generation(0),
+                lease.node in alive,
+                shared.vms.is_gone(lease.node),
+                currency.node_age_s(lease.node),
+            )
+        )
+    return tuple(sorted(views, key=lambda item: item.node))
+
+
+def make_status(shared: Shared, door: FrontDoor, currency: Currency) -> Status:
     """Return the system as this node sees it now."""
-    known = [shared.nodes.digest(lease.node) for lease in shared.nodes.alive()]
-    own = make_digest(shared, door)
-    others = [item for item in known if item and item.node != own.node]
-    return Status(
-        own.node,
-        own.state,
-        own.generation,
-        door.in_flight,
-        tuple(sorted([own, *others], key=lambda item: item.node)),
+    nodes = view_nodes(shared, door, currency)
+    age_s = shared.configuration.confirmed_age_s()
+    view = SystemView(
+        shared.identity.node,
+        shared.configuration.current,
+        shared.configuration.is_current(),
+        currency.store_age_s(),
+        nodes,
         shared.table.by_id(),
         shared.refusals.by_key(),
+        int(time.time() // SECONDS_PER_MINUTE),
+    )
+    return Status(
+        view.own,
+        door.state,
+        view.configuration.generation,
+        door.in_flight,
+        None if math.isinf(age_s) else age_s,
+        view.store_age_s,
+        nodes,
+        view.records_by_endpoint,
+        view.refusals_by_key,
+        find_risks(view),
     )
 
 
-def make_membership(
-    shared: Shared,
-    residency: Residency,
-    serving: Serving,
-    heads: Follower[ConfigurationHead],
-) -> MembershipParts:
-    """Return the parts that talk with other nodes."""
+def make_currency(shared: Shared) -> Currency:
+    """Return what dates the last confirmation of the configuration."""
+
+    def members() -> set[NodeId]:
+        known = {lease.node for lease in shared.nodes.all()}
+        return {node for node in known if not shared.vms.is_gone(node)}
+
+    return Currency(
+        shared.identity.node,
+        shared.configuration,
+        members,
+        shared.settings.configuration.stale_after_s,
+    )
+
+
+def make_heads(
+    shared: Shared, platform: Platform, configurator: Configurator, currency: Currency
+) -> Follower[ConfigurationHead]:
+    """Return the task that follows the accepted configuration."""
+    settings = shared.settings.configuration
+    own = shared.settings.node
+    confirm_s = settings.stale_after_s / CONFIRMATIONS_PER_LIMIT
+
+    def answering(answers: bool) -> None:
+        name = "object_api_answers" if answers else "object_api_silent"
+        shared.timeline.record(name)
+
+    def elected() -> bool:
+        if not settings.watchers_per_zone:
+            return True
+        if shared.configuration.confirmed_age_s() > settings.stale_after_s / 2:
+            return True
+        alive = shared.nodes.alive()
+        return own.id in elected_watchers(own.zone, alive, settings.watchers_per_zone)
+
+    return Follower(
+        platform.heads,
+        configurator.take_head,
+        currency.store_confirmed,
+        elected,
+        min(WATCH_WAIT_S, confirm_s),
+        answering,
+    )
+
+
+def make_control(shared: Shared, platform: Platform, door: FrontDoor) -> Control:
+    """Return the parts that agree on the configuration with other nodes."""
+    settings = shared.settings.peers
+    lease = make_lease(shared.settings, shared.identity)
+    currency = make_currency(shared)
+
+    def may_accept() -> None:
+        members = {NodeId(item.key) for item in platform.leases.list().items}
+        gone = {node for node in members if shared.vms.is_gone(node)}
+        currency.require_majority(members - gone)
+
+    configurator = Configurator(
+        platform.heads,
+        platform.contents,
+        shared.configuration,
+        shared.timeline,
+        may_accept,
+        lambda: gossiper.wake(),
+    )
+    heads = make_heads(shared, platform, configurator, currency)
+    joiner = Joiner(
+        JoiningParts(
+            lease,
+            [make_seed_lease(seed, settings.lease_s) for seed in settings.seeds],
+            shared.nodes,
+            shared.peers,
+            shared.peers.know,
+            configurator,
+            shared.configuration,
+            shared.table,
+            heads.list_once,
+            shared.executors.loads,
+        )
+    )
+    gossiper = Gossiper(
+        GossipParts(
+            lease,
+            shared.nodes,
+            shared.peers,
+            currency,
+            functools.partial(make_digest, shared, door),
+            joiner.catch_up,
+            joiner.learn_leases,
+        ),
+        make_gossip_policy(settings),
+        settings.gossip_period_s,
+    )
+    return Control(configurator, currency, heads, gossiper, joiner)
 
-    def heard_generation(generation: Generation) -> None:
-        if generation > shared.configuration.current.generation:
-            shared.executors.loads.submit(heads.list_once)
 
+def make_membership(
+    shared: Shared, residency: Residency, serving: Serving, control: Control
+) -> MembershipParts:
+    """Return the parts that handle messages of other nodes."""
     return MembershipParts(
-        shared.nodes,
-        shared.peers,
-        shared.clock,
+        control.gossiper,
+        control.joiner,
+        control.configurator,
+        shared.timeline,
         functools.partial(make_digest, shared, serving.door),
         ResidencyDesk(residency.owner, residency.client.used_elsewhere).handle,
-        heard_generation,
         serving.suspects,
     )
 
 
-def make_app(shared: Shared, door: FrontDoor, configurator: Configurator) -> App:
+def make_app(shared: Shared, door: FrontDoor, control: Control) -> App:
     """Return the WSGI application."""
     access = shared.settings.access
+
+    def timeline(wanted: Mapping[str, str]) -> MergedTimeline:
+        others = [
+            lease.node
+            for lease in shared.nodes.all()
+            if lease.node != shared.identity.node
+        ]
+        return merge_timelines(
+            shared.timeline, others, shared.peers, shared.executors.loads, wanted
+        )
+
     operator = OperatorParts(
-        configurator,
+        control.configurator,
         shared.configuration,
-        shared.timeline,
-        functools.partial(make_status, shared, door),
+        timeline,
+        lambda caller, target: explain(
+            shared.configuration.current, shared.table, caller, target
+        ),
+        functools.partial(make_status, shared, door, control.currency),
         shared.stop.set,
     )
     return App(
@@ -459,12 +664,9 @@
     platform = make_platform(settings.platform, shared.client)
     residency = make_residency(shared, platform)
     serving = make_serving(shared, platform, residency)
-    configurator = Configurator(
-        platform.heads, platform.contents, shared.configuration, shared.timeline
-    )
-    heads = Follower(platform.heads, configurator.take_head)
+    control = make_control(shared, platform, serving.door)
     followers = (
-        heads,
+        control.heads,
         Follower(platform.endpoints, functools.partial(_take_record, shared.table)),
         Follower(platform.leases, functools.partial(_take_lease, shared)),
     )
@@ -476,10 +678,11 @@
         followers,
         make_vm_list(settings.platform, shared.client),
         residency,
-        make_membership(shared, residency, serving, heads),
+        control,
+        make_membership(shared, residency, serving, control),
         serving.admission,
         serving.door,
-        make_app(shared, serving.door, configurator),
+        make_app(shared, serving.door, control),
     )
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -107,6 +107,7 @@
         default_factory=lambda: Path(tempfile.mkdtemp(prefix="camphoryard-"))
     )
     process_by_name: dict[str, Process] = field(default_factory=dict)
+    peer_port_by_node: dict[str, int] = field(default_factory=dict)
     exit_codes: list[int] = field(default_factory=list)
     keys: tuple[bytes, bytes] = field(default_factory=zmq.curve_keypair)
 
@@ -145,6 +146,7 @@
         """Write settings for a node, start it and return its HTTP port."""
         port, peer_port = free_port(), free_port()
         settings = self.folder / f"{name}.toml"
+        self.peer_port_by_node[name] = peer_port
         if "[serving]" not in extra:
             extra += SERVING
         settings.write_text(self.settings(name, zone, port, peer_port) + extra)
@@ -179,6 +181,7 @@
 public_key = "{public}"
 secret_key = "{secret}"
 lease_s = 3.0
+seeds = [{self._seeds(name, public)}]
 
 [access]
 operator_tokens = ["{OPERATOR_TOKEN}"]
@@ -187,6 +190,15 @@
 {tokens}
 """
 
+    def _seeds(self, name: str, public: str) -> str:
+        """Return the nodes started before this one as inline tables."""
+        return ", ".join(
+            f'{{id = "{node}", host = "{HOST}", port = {port},'
+            f' public_key = "{public}"}}'
+            for node, port in self.peer_port_by_node.items()
+            if node != name
+        )
+
     def _vm_list_settings(self) -> str:
         if "vm-list" not in self.process_by_name:
             return ""
