Let resumed streams go first; let a repeated report age

Change: resumed streams have a lane of their own that goes before all; a report that repeats is taken as lagging for 1 s only; peers' digests are summed each 0.5 s, not each 0.25 s.

--- a/src/camphoryard/coordination/admission.py
+++ b/src/camphoryard/coordination/admission.py
@@ -29,7 +29,9 @@
 HOLD_WEIGHT = 0.1
 MIN_RETRY_AFTER_S = 1.0
 CHECK_PERIOD_S = 0.25
+CHECKS_PER_REFRESH = 2
 TOP_RANK = Priority.URGENT.rank
+RESUMED_RANK = TOP_RANK - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,12 +63,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Lane:
-    """What requests must have in common to be served by the same endpoints."""
+    """What requests must have in common to be served by the same endpoints.
+
+    Streams that are resumed go before all others and are never shed: half of
+    their answer is already out.
+    """
 
     group: GroupId
     items: tuple[ItemId, ...]
     priority: Priority
     excluded: frozenset[EndpointId] = frozenset()
+    is_resumed: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -159,8 +166,9 @@
 
     def run(self, timer: Timer) -> None:
         """Take in peers' loads until the timer service closes."""
-        for _ in timer.every(CHECK_PERIOD_S):
-            self._estimates.refresh()
+        for turn, _ in enumerate(timer.every(CHECK_PERIOD_S)):
+            if turn % CHECKS_PER_REFRESH == 0:
+                self._estimates.refresh()
             self.wake()
 
     def waiting(self) -> int:
@@ -231,9 +239,11 @@
             case DeadlineFirst():
                 return (self._rank(ticket, now_s), _due_s(ticket), ticket.turn)
             case Unlimited() | FirstCome():
-                return (0, 0, ticket.turn)
+                return (not ticket.lane.is_resumed, 0, ticket.turn)
 
     def _rank(self, ticket: Ticket, now_s: float) -> int:
+        if ticket.lane.is_resumed:
+            return RESUMED_RANK
         rank = ticket.lane.priority.rank
         match self._policy:
             case DeadlineFirst(aging_s=aging_s):
@@ -244,7 +254,7 @@
 
     def _refuse_if_late(self, ticket: Ticket) -> None:
         match self._policy:
-            case DeadlineFirst() if ticket.usable():
+            case DeadlineFirst() if ticket.usable() and not ticket.lane.is_resumed:
                 wait_s = self._expected_wait_s(ticket)
                 if time.monotonic() + wait_s > ticket.due_s:
                     raise overloaded("the deadline cannot be met", wait_s)
@@ -273,7 +283,11 @@
     def _shed(self, group: GroupId) -> None:
         """Refuse the least urgent ticket of a group whose queue is too long."""
         limit = self._queue_limit()
-        lanes = [lane for key, lane in self._lane_by_key.items() if key.group == group]
+        lanes = [
+            lane
+            for key, lane in self._lane_by_key.items()
+            if key.group == group and not key.is_resumed
+        ]
         if limit is None or sum(len(lane) for lane in lanes) <= limit:
             return
         now_s = time.monotonic()
--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference.py
@@ -171,10 +171,11 @@
             and not parts.leaving.is_leaving(item)
         ]
 
+    is_resumed = progress.offset > 0
     due_s = request.deadline_s
-    if progress.offset:
+    if is_resumed:
         due_s = time.monotonic() + RESUME_LIMIT_S
-    lane = Lane(where.group, items, where.priority, excluded)
+    lane = Lane(where.group, items, where.priority, excluded, is_resumed)
     affinity = f"{request.model}:{request.adapter}:{request.prompt}"
     return Ticket(lane, left, due_s, affinity[:AFFINITY_CHARACTERS], usable)
 
--- a/src/camphoryard/coordination/load_estimates.py
+++ b/src/camphoryard/coordination/load_estimates.py
@@ -12,14 +12,16 @@
 from camphoryard.state.tables import InFlightTable
 
 REPORT_LIFE_S = 3.0
+REPORT_LAG_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class _Dated:
-    """A report, when it came and how many requests of ours it may contain."""
+    """A report, when it came last and first, and how many requests it has of ours."""
 
     report: LoadReport
     at_s: float
+    since_s: float
     own: int
 
 
@@ -87,9 +89,12 @@
         return max(told, reported)
 
     def _take(self, endpoint: EndpointId, report: LoadReport) -> None:
+        """Date a report; one that repeats the last may still lag behind it."""
         own = self._in_flight.count(endpoint)
+        now_s = since_s = time.monotonic()
         with self._lock:
             known = self._dated_by_id.get(endpoint)
-            if known is not None and known.report == report and known.own != own:
-                own = known.own
-            self._dated_by_id[endpoint] = _Dated(report, time.monotonic(), own)
+            repeats = known is not None and known.report == report
+            if known and repeats and now_s - known.since_s < REPORT_LAG_S:
+                own, since_s = known.own, known.since_s
+            self._dated_by_id[endpoint] = _Dated(report, now_s, since_s, own)
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -34,9 +34,15 @@
     return Admission(policy, slots, router, estimates, in_flight)
 
 
-def ticket(priority=Priority.STANDARD, due_s=LATER_S, model="a", usable=(ENGINE,)):
+def ticket(
+    priority=Priority.STANDARD,
+    due_s=LATER_S,
+    model="a",
+    usable=(ENGINE,),
+    is_resumed=False,
+):
     """Return a ticket due in ``due_s`` seconds."""
-    lane = Lane(GROUP, (ItemId(model),), priority)
+    lane = Lane(GROUP, (ItemId(model),), priority, is_resumed=is_resumed)
     deadline_s = time.monotonic() + due_s
     return Ticket(lane, (ENGINE,), deadline_s, "", lambda: usable)
 
@@ -125,6 +131,14 @@
         assert low.refusal.reason is Reason.OVERLOADED
         assert urgent.refusal is None
 
+    def test_resumed_stream_goes_first_and_is_never_shed(self):
+        """Whatever its class: half of its answer is out."""
+        given = admission(DeadlineFirst(queue_limit=0))
+        resumed = ticket(Priority.DEFERRABLE, is_resumed=True)
+        tickets = entered(given, ticket(), resumed)
+        assert order(given, tickets) == [0, 1]
+        assert resumed.refusal is None
+
     def test_withdrawn_ticket_gets_no_slot(self):
         """A request that left the queue is passed over."""
         given = admission(DeadlineFirst())
