--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -41,7 +41,7 @@
 from camphoryard.coordination.job_running import JOBS_AT_ONCE, JobRunner, RunnerParts
 from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.joining import Joiner, JoiningParts
-from camphoryard.coordination.leaving import LeavingEndpoints
+from camphoryard.coordination.leaving import LeavingEndpoints, StayingServices
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.merging import MergedTimeline, merge_timelines
@@ -542,7 +542,7 @@
         claiming,
         shared.in_flight,
         router,
-        HttpServices(shared.client),
+        StayingServices(HttpServices(shared.client), leaving),
     )
     door = FrontDoor(
         ServingParts(
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -11,6 +11,7 @@
 
 HOST = "127.0.0.1"
 FAR_S = 1e9
+LIMIT_S = 30.0
 LARGE_BYTES = 32 << 20
 REQUEST = b"GET / HTTP/1.0\r\n\r\n"
 
@@ -30,7 +31,7 @@
         environ[CANCELLATION].subscribe(self.gone.set)
         environ[CANCELLATION].subscribe(self.may_answer.set)
         self.began.set()
-        self.may_answer.wait()
+        self.may_answer.wait(LIMIT_S)
         start_response("200 OK", [("Content-Length", str(len(self._body)))])
         return [self._body]
 
@@ -95,4 +96,4 @@
         app.began.wait()
         assert not app.gone.is_set()
         caller.close()
-        app.gone.wait()
+        assert app.gone.wait(LIMIT_S)
