--- /dev/null
+++ b/bench/recovery.py
@@ -0,0 +1,102 @@
+"""Measure how long a site takes to be whole again after nodes are lost.
+
+Each round loads every model, kills some nodes with SIGKILL, starts them again
+with empty memory and takes the time from the kill until every model answers
+through every node. ``python -m bench.recovery --rounds 5``
+"""
+
+import statistics
+import sys
+import time
+from dataclasses import dataclass, field
+
+import typer
+
+from standins.fleet import Fleet, HttpError
+from standins.site import Site, SiteSpec, start_site
+
+DEADLINE_MS = "2000"
+LIMIT_S = 120.0
+SETTINGS = "\n[residency]\nmin_residency_s = 1.0\n"
+
+
+@dataclass(slots=True)
+class Times:
+    """Seconds of each round; ``whole_s`` until every model answered everywhere."""
+
+    ready_s: list[float] = field(default_factory=list)
+    whole_s: list[float] = field(default_factory=list)
+
+
+def answers(site: Site, node: str, model: str) -> bool:
+    """Return whether a model answers through a node in a short time."""
+    headers = {"Camphoryard-Deadline-Ms": DEADLINE_MS}
+    try:
+        return bool(site.complete(node, model, "whole?", 4, headers=headers))
+    except (HttpError, OSError):
+        return False
+
+
+def await_whole(site: Site) -> None:
+    """Block until every model answers through every node."""
+    for node in site.nodes:
+        for model in site.spec.models:
+            site.fleet.wait_until(
+                lambda node=node, model=model: answers(site, node, model.id),
+                f"{model.id} through {node}",
+                LIMIT_S,
+            )
+
+
+def lose(site: Site, names: list[str], times: Times) -> None:
+    """Kill nodes, start them again and take the times."""
+    for name in names:
+        site.fleet.process_by_name[name].kill()
+    started_s = time.monotonic()
+    for name in names:
+        site.fleet.restart(name)
+    site.fleet.wait_ready(names, "/readyz")
+    times.ready_s.append(time.monotonic() - started_s)
+    await_whole(site)
+    times.whole_s.append(time.monotonic() - started_s)
+
+
+def overcommits(site: Site) -> int:
+    """Return what the engines' own ledgers count."""
+    return sum(site.control(name)["overcommits"] for name in site.engines)
+
+
+def report(title: str, times: Times) -> None:
+    """Print the times of one kind of loss."""
+    for name, values in (("ready", times.ready_s), ("whole", times.whole_s)):
+        print(
+            f"{title:<12} {name}  median {statistics.median(values):6.2f} s"
+            f"  min {min(values):6.2f}  max {max(values):6.2f}  rounds {len(values)}"
+        )
+
+
+def main(rounds: int = 5, nodes: int = 3, engines: int = 3) -> None:
+    """Measure the loss of one node and of all nodes."""
+    spec = SiteSpec(
+        nodes=nodes,
+        checking_engines=engines - engines // 2,
+        ignoring_engines=engines // 2,
+        node_settings=SETTINGS,
+    )
+    one, every = Times(), Times()
+    with Fleet() as fleet:
+        site = start_site(fleet, spec)
+        await_whole(site)
+        for number in range(rounds):
+            lose(site, [site.nodes[number % nodes]], one)
+            lose(site, site.nodes, every)
+        counted = overcommits(site)
+    report("one node", one)
+    report("all nodes", every)
+    print(f"overcommits {counted}")
+    if counted:
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/src/camphoryard/coordination/owned_endpoint.py
+++ b/src/camphoryard/coordination/owned_endpoint.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass, replace
+from itertools import islice
 from uuid import uuid4
 
 from camphoryard.coordination.doubts import Doubts
@@ -45,7 +46,7 @@
     with_intent,
     withdrawn,
 )
-from camphoryard.state.enums import EndpointKind, OrderKind
+from camphoryard.state.enums import EndpointKind, NodeState, OrderKind
 from camphoryard.state.errors import (
     BrokenCallError,
     ConflictError,
@@ -68,6 +69,10 @@
 
 CHECK_PERIOD_S = 0.5
 CONFIRM_PERIOD_S = 0.02
+QUICK_STEPS = 50
+SLOW_CONFIRM_PERIOD_S = 0.1
+PAUSE_S = 2.0
+TAKEOVER_DELAY_S = 1.5
 RESEND_PERIOD_S = 1.0
 GIVE_UP_PERIOD_S = 2.0
 GIVE_UP_TIMEOUT_S = 0.5
@@ -138,6 +143,7 @@
         self._sent_s_by_id: dict[OrderId, float] = {}
         self._asked_s = 0.0
         self._silent_rounds = 0
+        self._ours_since_s = time.monotonic()
 
     def wish(self, wish: Wish) -> "Future[None]":
         """Take in a wish; return the future that tells what becomes of it."""
@@ -149,18 +155,26 @@
     def run(self, timer: Timer) -> None:
         """Own the endpoint until another node should."""
         self._ticks = timer.every(CHECK_PERIOD_S)
+        ticked_s = time.monotonic()
         try:
             for _ in self._ticks:
                 if not self._is_ours():
                     return
+                now_s = time.monotonic()
+                if now_s - ticked_s >= PAUSE_S:
+                    self._ours_since_s = now_s
                 self._round(timer)
+                ticked_s = time.monotonic()
         finally:
             self._wishes.fail_all(ConflictError(f"{self._id} has another owner"))
 
     def _round(self, timer: Timer) -> None:
-        """Go on, step by step, while orders are open."""
+        """Go on, step by step, while orders are open; more slowly after a while."""
         try:
-            for _ in timer.every(CONFIRM_PERIOD_S):
+            for _ in islice(timer.every(CONFIRM_PERIOD_S), QUICK_STEPS):
+                if not self._is_ours() or not self._step():
+                    return
+            for _ in timer.every(SLOW_CONFIRM_PERIOD_S):
                 if not self._is_ours() or not self._step():
                     return
         except EngineSilentError as error:
@@ -175,15 +189,36 @@
         if endpoint is None:
             return False
         record = self._own(endpoint)
+        if record is None:
+            return False
         ended = self._doubts.ended(record)
         inventory = self._ask(endpoint, record)
-        record = self._settle(endpoint, record, inventory, ended)
-        record = self._plan(record, inventory)
+        record = self._advance(endpoint, record, inventory, ended)
         self._send_all(endpoint, record)
         self._send_number(endpoint, record, inventory)
         self._ask_to_give_up(record)
         return bool(record.intents_by_item)
 
+    def _advance(
+        self,
+        endpoint: Endpoint,
+        before: EndpointRecord,
+        inventory: Inventory,
+        ended: frozenset[OrderId],
+    ) -> EndpointRecord:
+        """Write down what the inventory settled and what is to be done next."""
+        settled = self._settle(endpoint, before, inventory, ended)
+        plan = self._plan(settled, inventory)
+        record = plan.make()
+        if record != before:
+            record = self._write(record)
+            self._report(before, settled, record)
+        self._close_failed(before, settled)
+        for closed in plan.closed:
+            self._wishes.close(closed)
+        self._forget_old(record)
+        return record
+
     def _endpoint(self) -> Endpoint | None:
         endpoint = self._parts.configuration.current.endpoints_by_id.get(self._id)
         if endpoint is None or endpoint.kind is not EndpointKind.ENGINE:
@@ -213,33 +248,56 @@
         self._parts.table.saw(record, version)
         return record
 
-    def _own(self, endpoint: Endpoint) -> EndpointRecord:
-        """Return the record with this start as owner and the configured memory."""
-        me = self._parts.identity
+    def _own(self, endpoint: Endpoint) -> EndpointRecord | None:
+        """Return the record with this start as owner and the configured memory.
+
+        None while it is too early to take it from another owner.
+        """
         record = self._parts.table.find(self._id)
         if record is None:
             self._refresh()
             record = self._parts.table.find(self._id)
         if record is None:
-            wanted = EndpointRecord(
-                self._id,
-                endpoint.memory_mb,
-                me.node,
-                me.incarnation,
-                FencingNumber(1),
-                WriteId(""),
-            )
-        else:
+            wanted = self._first_record(endpoint)
+        elif record.owner_incarnation == self._parts.identity.incarnation:
             wanted = replace(record, memory_mb=endpoint.memory_mb)
-            if record.owner_incarnation != me.incarnation:
-                fence = FencingNumber(record.fence + 1)
-                wanted = taken_over(wanted, me.node, me.incarnation, fence)
+        elif self._may_take_over(record):
+            me = self._parts.identity
+            fence = FencingNumber(record.fence + 1)
+            wanted = taken_over(record, me.node, me.incarnation, fence)
+            wanted = replace(wanted, memory_mb=endpoint.memory_mb)
+        else:
+            return None
         if wanted == record:
             return record
         wanted = self._write(wanted)
         self._record("endpoint_owned", fence=wanted.fence, memory_mb=wanted.memory_mb)
         return wanted
 
+    def _first_record(self, endpoint: Endpoint) -> EndpointRecord:
+        me = self._parts.identity
+        return EndpointRecord(
+            self._id,
+            endpoint.memory_mb,
+            me.node,
+            me.incarnation,
+            FencingNumber(1),
+            WriteId(""),
+        )
+
+    def _may_take_over(self, record: EndpointRecord) -> bool:
+        """Return whether the recorded owner has left, or is missed for long enough.
+
+        A node that just started, or was paused, knows its own lease first; it
+        must not take every endpoint before it has heard of the others.
+        """
+        if self._has_ended(record.owner, record.owner_incarnation):
+            return True
+        lease = self._parts.nodes.find(record.owner)
+        if lease is not None and lease.state is NodeState.DRAINING:
+            return True
+        return time.monotonic() - self._ours_since_s >= TAKEOVER_DELAY_S
+
     def _ask(self, endpoint: Endpoint, record: EndpointRecord) -> Inventory:
         try:
             inventory = self._parts.engines.inventory(endpoint)
@@ -286,13 +344,13 @@
             ended,
             self._found_size_mb,
         )
-        record = replace(settle(before, evidence), is_silent=False)
-        if record != before:
-            record = self._write(record)
-            self._report(before, record)
-        self._close_failed(before, record)
-        self._note_residents(record)
-        return record
+        settled = replace(settle(before, evidence), is_silent=False)
+        now_s = time.monotonic()
+        self._resident_since_s = {
+            item: self._resident_since_s.get(item, now_s)
+            for item in settled.resident_mb_by_item
+        }
+        return settled
 
     def _found_size_mb(self, item: ItemId) -> int:
         """Return an item's size; one nobody knows counts as the whole memory."""
@@ -301,13 +359,18 @@
         whole_mb = endpoint.memory_mb if endpoint is not None else 0
         return known_mb if known_mb is not None else whole_mb
 
-    def _report(self, before: EndpointRecord, after: EndpointRecord) -> None:
-        came = after.resident_mb_by_item.keys() - before.resident_mb_by_item.keys()
-        went = before.resident_mb_by_item.keys() - after.resident_mb_by_item.keys()
+    def _report(
+        self, before: EndpointRecord, settled: EndpointRecord, after: EndpointRecord
+    ) -> None:
+        came = settled.resident_mb_by_item.keys() - before.resident_mb_by_item.keys()
+        went = before.resident_mb_by_item.keys() - settled.resident_mb_by_item.keys()
         for item in sorted(came):
             self._record("resident", item=item)
         for item in sorted(went):
             self._record("unloaded", item=item)
+        for item, intent in after.intents_by_item.items():
+            if intent != before.intents_by_item.get(item):
+                self._record("intent", item=item, kind=intent.kind.value)
 
     def _close_failed(self, before: EndpointRecord, after: EndpointRecord) -> None:
         for wish in self._wishes.open():
@@ -323,12 +386,8 @@
                 error = LoadFailedError(f"{wish.item} at {self._id}: {fate.value}")
                 self._wishes.fail(wish, error)
 
-    def _note_residents(self, record: EndpointRecord) -> None:
-        now_s = time.monotonic()
-        self._resident_since_s = {
-            item: self._resident_since_s.get(item, now_s)
-            for item in record.resident_mb_by_item
-        }
+    def _forget_old(self, record: EndpointRecord) -> None:
+        """Forget the fate of orders that the written record no longer names."""
         current = record.in_doubt_by_id.keys() | {
             intent.order_id for intent in record.intents_by_item.values()
         }
@@ -339,8 +398,8 @@
             if order_id in current
         }
 
-    def _plan(self, before: EndpointRecord, inventory: Inventory) -> EndpointRecord:
-        record = self._raise_fence(before, inventory)
+    def _plan(self, settled: EndpointRecord, inventory: Inventory) -> Plan:
+        record = self._raise_fence(settled, inventory)
         record = self._resend_loads(record)
         around = Surroundings(
             lambda item: item_memory_mb(self._parts.configuration.current, item),
@@ -350,14 +409,7 @@
             self._parts.table,
             self._intent,
         )
-        record = Plan(record, self._wishes, around).make()
-        if record == before:
-            return record
-        record = self._write(record)
-        for item, intent in record.intents_by_item.items():
-            if intent != before.intents_by_item.get(item):
-                self._record("intent", item=item, kind=intent.kind.value)
-        return record
+        return Plan(record, self._wishes.open(), around)
 
     def _raise_fence(
         self, record: EndpointRecord, inventory: Inventory
--- a/src/camphoryard/coordination/wishes.py
+++ b/src/camphoryard/coordination/wishes.py
@@ -47,6 +47,14 @@
 Wish: TypeAlias = LoadWish | UnloadWish
 
 
+@dataclass(frozen=True, slots=True)
+class ClosedWish:
+    """A wish that came true, or will not because of ``error``."""
+
+    wish: Wish
+    error: CamphoryardError | None = None
+
+
 class Wishes:
     """Open wishes by item, oldest first; a wish joins an equal one that is open."""
 
@@ -79,10 +87,12 @@
                 self.fail(wish, WishExpiredError(f"{wish.item}: not in time"))
         return tuple(wish for wish in wishes if wish.deadline_s > now_s)
 
-    def meet(self, wish: Wish) -> None:
-        """Close a wish that came true."""
-        if self._remove(wish):
-            wish.met.set_result(None)
+    def close(self, closed: ClosedWish) -> None:
+        """Tell those who wait what became of a wish."""
+        if closed.error is not None:
+            self.fail(closed.wish, closed.error)
+        elif self._remove(closed.wish):
+            closed.wish.met.set_result(None)
 
     def fail(self, wish: Wish, error: CamphoryardError) -> None:
         """Close a wish that will not come true."""
--- /dev/null
+++ b/tests/coordination/test_ownership.py
@@ -0,0 +1,98 @@
+"""Tests of leases and who owns what."""
+
+from dataclasses import replace
+
+import pytest
+
+from camphoryard.coordination.ownership import (
+    LeaseKeeper,
+    owner_of,
+    rendezvous_owner,
+)
+from camphoryard.coordination.ports import Stored
+from camphoryard.state.enums import NodeState
+from camphoryard.state.errors import ConflictError, StoreUnavailableError
+from camphoryard.state.nodes import NodeLease, NodeTable
+
+
+def make_lease(node="n", incarnation="new", port=9, **changes):
+    """Return a serving node's lease."""
+    lease = NodeLease(
+        node, incarnation, "z", "10.0.0.1", port, "k", NodeState.SERVING, 60.0, "w"
+    )
+    return replace(lease, **changes)
+
+
+class FakeLeases:
+    """Records of leases in memory."""
+
+    def __init__(self, lease=None):
+        self.lease = lease
+        self.version = 1 if lease else 0
+        self.is_out = False
+
+    def get(self, key):
+        """Return the lease."""
+        return Stored(key, self.version, self.lease) if self.lease else None
+
+    def put(self, key, lease, version):
+        """Write conditionally."""
+        if self.is_out:
+            raise StoreUnavailableError("out")
+        if version != self.version:
+            raise ConflictError("conflict")
+        self.lease, self.version = lease, version + 1
+        return self.version
+
+
+class TestLeaseKeeper:
+    """Keeping a lease."""
+
+    @pytest.mark.parametrize(("port", "ended"), [(9, ("old",)), (8, ())])
+    def test_names_an_earlier_start_at_its_address(self, port, ended):
+        """Only an earlier start whose address is bound again is proved over."""
+        leases, nodes = (
+            FakeLeases(make_lease(incarnation="old", port=port)),
+            NodeTable(),
+        )
+        LeaseKeeper(leases, nodes, make_lease()).renew()
+        assert leases.lease.incarnation == "new"
+        assert leases.lease.ended == ended
+        assert nodes.has_ended("n", "old") == bool(ended)
+
+    def test_outage(self):
+        """A node whose lease cannot be renewed still counts itself as alive."""
+        leases, nodes = FakeLeases(), NodeTable()
+        keeper = LeaseKeeper(leases, nodes, make_lease())
+        keeper.renew()
+        leases.is_out = True
+        keeper.renew()
+        assert [lease.node for lease in nodes.alive()] == ["n"]
+
+
+class TestOwnerOf:
+    """Which node should own an endpoint."""
+
+    def test_only_the_share_of_a_lost_node_moves(self):
+        """Endpoints of nodes that stay are not moved when one is lost."""
+        nodes = [f"node-{number}" for number in range(5)]
+        for endpoint in map(str, range(200)):
+            owner = rendezvous_owner(endpoint, nodes)
+            left = [node for node in nodes if node != "node-0"]
+            if owner != "node-0":
+                assert rendezvous_owner(endpoint, left) == owner
+
+    def test_draining_node_owns_nothing(self):
+        """A node that drains hands its endpoints over."""
+        nodes = NodeTable()
+        nodes.saw(make_lease("a", state=NodeState.DRAINING), 1)
+        assert owner_of("e", nodes) is None
+        nodes.saw(make_lease("b"), 2)
+        assert owner_of("e", nodes) == "b"
+
+    def test_deleted_lease_proves_its_start_over(self):
+        """A node deletes its lease itself, after its last order."""
+        nodes = NodeTable()
+        nodes.saw(make_lease(), 1)
+        nodes.forget("n")
+        assert nodes.has_ended("n", "new")
