--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,7 @@
 POLL_S = 0.02
 OPERATOR_TOKEN = "operator-token"
 CALLER_TOKEN = "caller-token"
+SERVING = "\n[serving]\ngrace_s = 0.2\nstall_s = 1.0\n"
 CALLERS = ("meter-app", "front-desk", "overnight")
 
 
@@ -106,6 +107,7 @@
         default_factory=lambda: Path(tempfile.mkdtemp(prefix="camphoryard-"))
     )
     process_by_name: dict[str, Process] = field(default_factory=dict)
+    peer_port_by_node: dict[str, int] = field(default_factory=dict)
     exit_codes: list[int] = field(default_factory=list)
     keys: tuple[bytes, bytes] = field(default_factory=zmq.curve_keypair)
 
@@ -144,6 +146,9 @@
         """Write settings for a node, start it and return its HTTP port."""
         port, peer_port = free_port(), free_port()
         settings = self.folder / f"{name}.toml"
+        self.peer_port_by_node[name] = peer_port
+        if "[serving]" not in extra:
+            extra += SERVING
         settings.write_text(self.settings(name, zone, port, peer_port) + extra)
         self._start(
             name, port, ["-m", "camphoryard.daemon", "--settings", str(settings)]
@@ -176,10 +181,7 @@
 public_key = "{public}"
 secret_key = "{secret}"
 lease_s = 3.0
-
-[serving]
-grace_s = 0.2
-stall_s = 1.0
+seeds = [{self._seeds(name, public)}]
 
 [access]
 operator_tokens = ["{OPERATOR_TOKEN}"]
@@ -188,6 +190,15 @@
 {tokens}
 """
 
+    def _seeds(self, name: str, public: str) -> str:
+        """Return the nodes started before this one as inline tables."""
+        return ", ".join(
+            f'{{id = "{node}", host = "{HOST}", port = {port},'
+            f' public_key = "{public}"}}'
+            for node, port in self.peer_port_by_node.items()
+            if node != name
+        )
+
     def _vm_list_settings(self) -> str:
         if "vm-list" not in self.process_by_name:
             return ""
