--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -18,19 +18,25 @@
     GiveUp,
     Gossip,
     GossipAnswer,
+    GrantWanted,
     ItemsUsed,
     JoinWanted,
     LoadWanted,
     Message,
+    MoveWanted,
     RecordsWanted,
+    RefusalsCounted,
     Reply,
     ResidencyMessage,
     TrialEnded,
     TrialWanted,
 )
+from camphoryard.coordination.placement import Move
 from camphoryard.coordination.suspects import Suspects
 from camphoryard.coordination.timeline import Timeline
+from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.refusals import RefusalSheet
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +50,9 @@
     digest: Callable[[], NodeDigest]
     residency: Callable[[ResidencyMessage], Reply]
     suspects: Suspects
+    hold_refusals: Callable[[RefusalSheet], None]
+    carry_out: Callable[[Move], None]
+    grant: Callable[[bool], Reply]
 
 
 def handle(parts: MembershipParts, message: Message) -> Reply:
@@ -65,6 +74,14 @@
             return parts.configurator.offer(known) or Declined("no configuration yet")
         case LoadWanted() | ItemsUsed() | GiveUp():
             return parts.residency(message)
+        case MoveWanted(endpoint, items, evicted):
+            try:
+                parts.carry_out(Move(endpoint, items, evicted))
+            except CamphoryardError as error:
+                return Declined(str(error))
+            return Done()
+        case GrantWanted(urgent):
+            return parts.grant(urgent)
         case DigestWanted():
             return parts.digest()
         case CrashSeen() as seen:
@@ -73,6 +90,9 @@
         case TrialWanted() as wanted:
             may_start = parts.suspects.wanted(wanted)
             return Done() if may_start else Declined("not its turn")
+        case RefusalsCounted(sheet):
+            parts.hold_refusals(sheet)
+            return Done()
         case TrialEnded() as ended:
             parts.suspects.ended(ended)
             return Done()
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -19,6 +19,7 @@
     Version,
 )
 from camphoryard.state.nodes import NodeDigest, NodeLease
+from camphoryard.state.refusals import RefusalSheet
 from camphoryard.state.timeline import Event
 
 
@@ -121,6 +122,29 @@
     items: tuple[ItemId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class MoveWanted:
+    """Ask an endpoint's owner to unload ``evicted`` and then load ``items``."""
+
+    endpoint: EndpointId
+    items: tuple[ItemId, ...]
+    evicted: tuple[ItemId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GrantWanted:
+    """Ask the holder of the weight budget when a model load may start."""
+
+    urgent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A model load may start in so many seconds."""
+
+    start_in_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ItemsUsed:
     """Tell an owner of endpoints which items the sender used of late."""
@@ -181,6 +205,13 @@
     passed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RefusalsCounted:
+    """Counts of refusals for a peer to hold, should their node be killed."""
+
+    sheet: RefusalSheet
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The request was met, or is under way."""
@@ -203,15 +234,19 @@
     | RecordsWanted
     | DigestWanted
     | ResidencyMessage
+    | MoveWanted
+    | GrantWanted
     | CrashSeen
     | TrialWanted
     | TrialEnded
+    | RefusalsCounted
 )
 Reply: TypeAlias = (
     Done
     | Declined
     | NodeDigest
     | GivenUp
+    | Granted
     | Joined
     | ConfigurationOffer
     | EventsFound
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -2,7 +2,8 @@
 
 import threading
 import time
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from camphoryard.coordination.actions import ActionParts, act
@@ -13,6 +14,7 @@
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import CallerId, RequestId
+from camphoryard.state.refusals import label_text
 from camphoryard.state.requests import (
     ActionAnswer,
     ActionRequest,
@@ -52,8 +54,9 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers are served: not before a configuration is in force."""
-        known = self._parts.configuration.current.generation > 0
+        """Whether callers are served: only under a current configuration."""
+        configuration = self._parts.configuration
+        known = configuration.current.generation > 0 and configuration.is_current()
         return known and self._state is NodeState.SERVING
 
     @property
@@ -78,6 +81,16 @@
                 self._changed.wait(left_s)
         return True
 
+    @contextmanager
+    def admitted(self) -> Iterator[None]:
+        """Have one request in flight; raises RefusalError, which is not counted."""
+        self._begin()
+        try:
+            self._admit()
+            yield
+        finally:
+            self._end()
+
     def infer(
         self, request: InferenceRequest, cancellation: Cancellation | None = None
     ) -> Generator[TokenFrame, None, None]:
@@ -119,7 +132,11 @@
         if refusal.counted:
             return
         refusal.counted = True
-        self._parts.refusals.count(refusal.reason, caller or "")
+        known = self._parts.configuration.current.callers_by_id.get(
+            CallerId(caller or "")
+        )
+        label = label_text(known.labels) if known else ""
+        self._parts.refusals.count(refusal.reason, label, caller or "")
         self._parts.timeline.record(
             "refused",
             request=request or "",
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -4,7 +4,7 @@
 import math
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -12,7 +12,7 @@
 
 import structlog
 
-from camphoryard.coordination.actions import ActionParts
+from camphoryard.coordination.actions import ActionParts, act
 from camphoryard.coordination.admission import (
     Admission,
     AdmissionPolicy,
@@ -21,9 +21,14 @@
     Unlimited,
 )
 from camphoryard.coordination.breakers import Breakers
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.claim_settling import Settler
+from camphoryard.coordination.claiming import ClaimParts
 from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.currency import Currency
+from camphoryard.coordination.demand import DemandMeter
+from camphoryard.coordination.expiry import ExpiryParts, run_expiry
 from camphoryard.coordination.explaining import explain
 from camphoryard.coordination.gossip import (
     AllToAll,
@@ -32,14 +37,25 @@
     GossipParts,
     GossipPolicy,
 )
-from camphoryard.coordination.inference import InferenceParts
+from camphoryard.coordination.inference import InferenceParts, infer
+from camphoryard.coordination.job_running import JOBS_AT_ONCE, JobRunner, RunnerParts
+from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.joining import Joiner, JoiningParts
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.merging import MergedTimeline, merge_timelines
 from camphoryard.coordination.ownership import LeaseKeeper
+from camphoryard.coordination.placement import (
+    DemandPlacement,
+    LoadOnDemand,
+    PlacementPolicy,
+    StaticPlacement,
+)
+from camphoryard.coordination.placing import Placer, PlacingParts
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
+from camphoryard.coordination.refusal_folding import RefusalFolder
+from camphoryard.coordination.refusal_handover import RefusalHandover
 from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
 from camphoryard.coordination.residency import (
     EndpointOwner,
@@ -68,12 +84,20 @@
     Follower,
     elected_watchers,
 )
+from camphoryard.coordination.weight_budget import (
+    BudgetClient,
+    BudgetPolicy,
+    Paced,
+    Unpaced,
+)
 from camphoryard.protocol.platform import (
     CLAIMS,
     ENDPOINT_RECORDS,
     HEADS,
+    JOBS,
     LEASES,
     PARTS,
+    REFUSALS,
 )
 from camphoryard.settings import (
     DecisionSettings,
@@ -87,13 +111,17 @@
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
+    EndpointId,
     Generation,
     Incarnation,
     NodeId,
     WriteId,
     Zone,
 )
+from camphoryard.state.jobs import Job
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
+from camphoryard.state.refusals import RefusalSheet
+from camphoryard.state.requests import ActionAnswer, ActionRequest, InferenceRequest
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable, InFlightTable
 from camphoryard.state.timeline import NANOSECONDS_PER_MILLISECOND, Event, HybridClock
 from camphoryard.state.vms import VmTable
@@ -113,7 +141,7 @@
 ENDPOINT_TASKS = 256
 HANDLER_TASKS = 32
 LOAD_TASKS = 64
-NODE_TASKS = 16
+NODE_TASKS = 32
 CONFIRMATIONS_PER_LIMIT = 4
 INCARNATION_CHARACTERS = 16
 
@@ -130,6 +158,7 @@
     endpoints: ThreadPoolExecutor
     loads: ThreadPoolExecutor
     node: ThreadPoolExecutor
+    jobs: ThreadPoolExecutor
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +181,8 @@
     in_flight: InFlightTable
     estimates: LoadEstimates
     vms: VmTable
+    demand: DemandMeter
+    budget: BudgetClient
     refusals: RefusalCounter
     stop: threading.Event
 
@@ -165,6 +196,9 @@
     contents: ObjectContents
     leases: Records[NodeLease]
     claims: Records[Claim]
+    refusals: Records[RefusalSheet]
+    open_jobs: Records[Job]
+    finished_jobs: Records[Job]
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +226,9 @@
 
     admission: Admission
     suspects: Suspects
+    inference: InferenceParts
+    actions: ActionParts
+    leaving: LeavingEndpoints
     door: FrontDoor
 
 
@@ -204,10 +241,14 @@
     followers: tuple[Follower[Any], ...]
     vm_list: VmList
     residency: Residency
+    placer: Placer
     control: Control
     membership: MembershipParts
     admission: Admission
     door: FrontDoor
+    settler: Settler
+    refusal_folder: RefusalFolder
+    background: tuple[Callable[[TimerService], None], ...]
     app: App
 
 
@@ -220,6 +261,7 @@
         ThreadPoolExecutor(ENDPOINT_TASKS, "endpoint"),
         ThreadPoolExecutor(LOAD_TASKS, "load"),
         ThreadPoolExecutor(NODE_TASKS, "node"),
+        ThreadPoolExecutor(JOBS_AT_ONCE, "job"),
     )
 
 
@@ -324,13 +366,15 @@
     estimates = LoadEstimates(identity.node, nodes, in_flight)
     serving = settings.serving
     limits = StreamLimits(serving.first_token_limit_s, serving.stall_s)
+    peers = PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock)
+    budget = make_budget_policy(settings.decisions)
     return Shared(
         settings,
         identity,
         executors,
         TimerService(),
         client,
-        PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock),
+        peers,
         HttpEngines(client, limits, estimates.polled),
         clock,
         Timeline(identity.node, clock, log_event),
@@ -341,7 +385,9 @@
         in_flight,
         estimates,
         VmTable(),
-        RefusalCounter(),
+        DemandMeter(),
+        BudgetClient(budget, identity.node, nodes, peers),
+        RefusalCounter(identity.incarnation),
         threading.Event(),
     )
 
@@ -356,6 +402,9 @@
         ObjectContents(api, "configuration/parts/", PARTS),
         ObjectRecords(api, "nodes/", LEASES),
         ObjectRecords(api, "claims/", CLAIMS),
+        ObjectRecords(api, "refusals/", REFUSALS),
+        ObjectRecords(api, "jobs/open/", JOBS),
+        ObjectRecords(api, "jobs/finished/", JOBS),
     )
 
 
@@ -377,6 +426,7 @@
         shared.executors.loads,
         lambda endpoint, items: owner.start_loading(endpoint, items),
         shared.timeline,
+        shared.budget,
     )
     owner = EndpointOwner(
         ResidencyParts(
@@ -396,7 +446,60 @@
     return Residency(owner, client)
 
 
-def make_serving(shared: Shared, platform: Platform, residency: Residency) -> Serving:
+def make_placement_policy(settings: DecisionSettings) -> PlacementPolicy:
+    """Return the placement policy that the settings name."""
+    match settings.placement:
+        case "static":
+            return StaticPlacement()
+        case "load_on_demand":
+            return LoadOnDemand()
+        case "demand":
+            return DemandPlacement(move_cost_slots=settings.move_cost_slots)
+
+
+def make_budget_policy(settings: DecisionSettings) -> BudgetPolicy:
+    """Return how loads from the weight store are paced."""
+    match settings.weight_budget:
+        case "unpaced":
+            return Unpaced()
+        case "paced":
+            return Paced(settings.weight_loads_per_s, settings.weight_loads_at_once)
+
+
+def make_placer(shared: Shared, residency: Residency, serving: Serving) -> Placer:
+    """Return the part that plans placement."""
+    decisions = shared.settings.decisions
+
+    def slots(endpoint: EndpointId) -> int:
+        report = shared.estimates.report(endpoint)
+        return (report.slots if report else 0) or decisions.engine_slots
+
+    def takes_work(endpoint: EndpointId) -> bool:
+        leaving = serving.leaving.is_leaving(endpoint)
+        return not leaving and not shared.estimates.is_silent(endpoint)
+
+    return Placer(
+        PlacingParts(
+            make_placement_policy(decisions),
+            shared.identity.node,
+            shared.nodes,
+            shared.peers,
+            shared.configuration,
+            shared.table,
+            shared.demand,
+            shared.budget,
+            slots,
+            takes_work,
+            residency.owner.start_moving,
+            shared.executors.loads,
+            shared.timeline,
+        )
+    )
+
+
+def make_serving(
+    shared: Shared, platform: Platform, residency: Residency, settler: Settler
+) -> Serving:
     """Return the front door with the tasks and decisions behind it."""
     decisions = shared.settings.decisions
     router = Router(make_routing_policy(decisions), shared.estimates.load)
@@ -408,6 +511,7 @@
         shared.in_flight,
     )
     shared.table.subscribe(admission.wake)
+    leaving = LeavingEndpoints(shared.configuration, shared.estimates, shared.vms)
     suspects = Suspects(
         shared.identity.node, shared.nodes, shared.peers, shared.timeline
     )
@@ -417,21 +521,28 @@
         ConcurrencyLimits(shared.nodes),
         admission,
         Breakers(),
-        LeavingEndpoints(shared.configuration, shared.estimates, shared.vms),
+        leaving,
         RetryBudget(RetryLimits(decisions.retry_share)),
         suspects,
         residency.client,
+        shared.demand,
         shared.engines,
         shared.timeline,
     )
+    claiming = ClaimParts(
+        shared.identity.incarnation,
+        platform.claims,
+        settler,
+        shared.nodes,
+        shared.timer,
+        shared.timeline,
+    )
     actions = ActionParts(
-        shared.identity,
         shared.configuration,
-        platform.claims,
+        claiming,
         shared.in_flight,
         router,
         HttpServices(shared.client),
-        shared.timeline,
     )
     door = FrontDoor(
         ServingParts(
@@ -443,7 +554,54 @@
             shared.metrics.observe,
         )
     )
-    return Serving(admission, suspects, door)
+    return Serving(admission, suspects, inference, actions, leaving, door)
+
+
+def make_job_parts(shared: Shared, platform: Platform) -> JobParts:
+    """Return what jobs are accepted and found with."""
+    return JobParts(
+        shared.configuration,
+        platform.open_jobs,
+        platform.finished_jobs,
+        shared.timeline,
+    )
+
+
+def make_job_runner(shared: Shared, jobs: JobParts, serving: Serving) -> JobRunner:
+    """Return the part that runs jobs, as requests that are not a caller's own."""
+
+    def run_inference(request: InferenceRequest) -> str:
+        with serving.door.admitted():
+            frames = infer(serving.inference, request, Cancellation())
+            return "".join(frame.text for frame in frames)
+
+    def run_action(request: ActionRequest) -> ActionAnswer:
+        with serving.door.admitted():
+            return act(serving.actions, request)
+
+    return JobRunner(
+        RunnerParts(
+            shared.identity,
+            shared.nodes,
+            jobs,
+            shared.timer,
+            shared.executors.jobs,
+            lambda: serving.door.state is NodeState.SERVING,
+            run_inference,
+            run_action,
+        )
+    )
+
+
+def make_expiry(shared: Shared, platform: Platform) -> ExpiryParts:
+    """Return what expires and who sees to it."""
+    return ExpiryParts(
+        shared.identity.node,
+        shared.nodes,
+        platform.claims,
+        platform.finished_jobs,
+        platform.refusals,
+    )
 
 
 def make_digest(shared: Shared, door: FrontDoor) -> NodeDigest:
@@ -456,6 +614,7 @@
         shared.in_flight.by_id(),
         shared.estimates.polled_by_id(),
         time.monotonic_ns() // NANOSECONDS_PER_MILLISECOND,
+        shared.demand.by_item(),
     )
 
 
@@ -611,7 +770,11 @@
 
 
 def make_membership(
-    shared: Shared, residency: Residency, serving: Serving, control: Control
+    shared: Shared,
+    residency: Residency,
+    serving: Serving,
+    control: Control,
+    folder: RefusalFolder,
 ) -> MembershipParts:
     """Return the parts that handle messages of other nodes."""
     return MembershipParts(
@@ -622,10 +785,19 @@
         functools.partial(make_digest, shared, serving.door),
         ResidencyDesk(residency.owner, residency.client.used_elsewhere).handle,
         serving.suspects,
+        folder.hold,
+        residency.owner.start_moving,
+        shared.budget.grant,
     )
 
 
-def make_app(shared: Shared, door: FrontDoor, control: Control) -> App:
+def make_app(
+    shared: Shared,
+    door: FrontDoor,
+    control: Control,
+    folder: RefusalFolder,
+    jobs: JobParts,
+) -> App:
     """Return the WSGI application."""
     access = shared.settings.access
 
@@ -648,12 +820,14 @@
         ),
         functools.partial(make_status, shared, door, control.currency),
         shared.stop.set,
+        folder.total,
     )
     return App(
         Access(access.operator_tokens, access.caller_token_by_id),
         door,
         operator,
         shared.metrics,
+        jobs,
     )
 
 
@@ -662,7 +836,15 @@
     shared = make_shared(settings)
     platform = make_platform(settings.platform, shared.client)
     residency = make_residency(shared, platform)
-    serving = make_serving(shared, platform, residency)
+    settler = Settler(platform.claims, shared.timeline)
+    serving = make_serving(shared, platform, residency, settler)
+    folder = RefusalFolder(platform.refusals, shared.refusals, shared.nodes)
+    handover = RefusalHandover(
+        shared.identity.node, shared.refusals, shared.nodes, shared.peers
+    )
+    jobs = make_job_parts(shared, platform)
+    runner = make_job_runner(shared, jobs, serving)
+    expiry = make_expiry(shared, platform)
     control = make_control(shared, platform, serving.door)
     followers = (
         control.heads,
@@ -677,11 +859,21 @@
         followers,
         make_vm_list(settings.platform, shared.client),
         residency,
+        make_placer(shared, residency, serving),
         control,
-        make_membership(shared, residency, serving, control),
+        make_membership(shared, residency, serving, control, folder),
         serving.admission,
         serving.door,
-        make_app(shared, serving.door, control),
+        settler,
+        folder,
+        (
+            settler.run,
+            handover.run,
+            folder.run,
+            runner.run,
+            functools.partial(run_expiry, expiry),
+        ),
+        make_app(shared, serving.door, control, folder, jobs),
     )
 
 
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -50,6 +50,7 @@
 
     CLAIMED = "claimed"
     DONE = "done"
+    UNKNOWN = "unknown"
     RELEASED = "released"
 
 
@@ -61,6 +62,15 @@
     REMOVED = "removed"
 
 
+class JobState(Enum):
+    """State of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+
+
 class NodeState(Enum):
     """What a node says about itself.
 
@@ -100,6 +110,8 @@
     KEY_REQUIRED = "idempotency_key_required"
     KEY_REUSED = "idempotency_key_reused"
     IN_PROGRESS = "in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     DRAINING = "draining"
--- a/src/camphoryard/transport/operator_api.py
+++ b/src/camphoryard/transport/operator_api.py
@@ -11,15 +11,19 @@
 from camphoryard.protocol.operator import (
     encode_accepted,
     encode_explanation,
+    encode_refusals,
     encode_status,
     encode_timeline,
 )
 from camphoryard.state.enums import Reason
-from camphoryard.state.errors import RefusalError
+from camphoryard.state.errors import RefusalError, StoreUnavailableError
 from camphoryard.state.ids import CallerId
+from camphoryard.state.refusals import RefusalKey
 from camphoryard.state.tables import ConfigurationHolder
 from camphoryard.transport.http_server import HttpRequest, HttpResponse
 
+HOURS = "hours"
+MAX_HOURS = 48
 ADMIN_PREFIX = "/admin/v1/"
 DRY_RUN = "dry_run"
 DESPITE_UNHEARD = "despite_unheard"
@@ -35,6 +39,7 @@
     explain: Callable[[CallerId, str], Explanation]
     status: Callable[[], Status]
     drain: Callable[[], None]
+    refusals: Callable[[int], Mapping[RefusalKey, int]]
 
 
 def administer(parts: OperatorParts, request: HttpRequest) -> HttpResponse:
@@ -46,6 +51,8 @@
             return _json(encode_accepted(_apply(parts.configurator, request)))
         case ("GET", "status"):
             return _json(encode_status(parts.status()))
+        case ("GET", "refusals"):
+            return _json(encode_refusals(_refusals(parts, request)))
         case ("GET", "timeline"):
             return _json(encode_timeline(parts.timeline(request.query)))
         case ("GET", "explain"):
@@ -74,5 +81,18 @@
     return value
 
 
+def _refusals(parts: OperatorParts, request: HttpRequest) -> Mapping[RefusalKey, int]:
+    text = request.query.get(HOURS, "1")
+    if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= MAX_HOURS:
+        raise RefusalError(Reason.BAD_FIELD, f"must be 1 to {MAX_HOURS}", field=HOURS)
+    try:
+        return parts.refusals(int(text))
+    except StoreUnavailableError as error:
+        raise RefusalError(
+            Reason.STORE_UNAVAILABLE,
+            "the counts could not be read; `status` has this node's",
+        ) from error
+
+
 def _json(body: bytes) -> HttpResponse:
     return HttpResponse(200, [body])
