--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,11 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+# make bench SCENARIO=lakeshore-game-night SEEDS=1,2,3
+SCENARIO ?= all
+SEEDS ?= 1,2,3
+bench: setup
+	$(BIN)/python -m bench --scenario $(SCENARIO) --seeds $(SEEDS)
+
 bench-relay: setup
 	$(BIN)/python -m bench.relay
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -63,6 +63,8 @@
         *(run(task, node.shared.timer) for task in node.background),
         run(node.residency.client.run_reports, node.shared.timer),
         run(node.admission.run, node.shared.timer),
+        run(node.shared.demand.run, node.shared.timer),
+        run(node.placer.run, node.shared.timer),
         run(follow_vms, node.vm_list, node.shared.vms, node.shared.timer),
         *(run(follower.run, node.shared.timer) for follower in node.followers),
     ]
@@ -109,6 +111,7 @@
     node.settler.settle_pending()
     node.refusal_folder.fold()
     node.shared.timer.close()
+    node.shared.budget.close()
     node.residency.client.close()
     node.residency.owner.close()
     node.leases.release()
--- a/src/camphoryard/node.py
+++ b/src/camphoryard/node.py
@@ -27,6 +27,7 @@
 from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.currency import Currency
+from camphoryard.coordination.demand import DemandMeter
 from camphoryard.coordination.expiry import ExpiryParts, run_expiry
 from camphoryard.coordination.explaining import explain
 from camphoryard.coordination.gossip import (
@@ -40,11 +41,18 @@
 from camphoryard.coordination.job_running import JOBS_AT_ONCE, JobRunner, RunnerParts
 from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.joining import Joiner, JoiningParts
-from camphoryard.coordination.leaving import LeavingEndpoints
+from camphoryard.coordination.leaving import LeavingEndpoints, StayingServices
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.merging import MergedTimeline, merge_timelines
 from camphoryard.coordination.ownership import LeaseKeeper
+from camphoryard.coordination.placement import (
+    DemandPlacement,
+    LoadOnDemand,
+    PlacementPolicy,
+    StaticPlacement,
+)
+from camphoryard.coordination.placing import Placer, PlacingParts
 from camphoryard.coordination.ports import Engines, Records, Stored, VmList
 from camphoryard.coordination.refusal_folding import RefusalFolder
 from camphoryard.coordination.refusal_handover import RefusalHandover
@@ -76,6 +84,12 @@
     Follower,
     elected_watchers,
 )
+from camphoryard.coordination.weight_budget import (
+    BudgetClient,
+    BudgetPolicy,
+    Paced,
+    Unpaced,
+)
 from camphoryard.protocol.platform import (
     CLAIMS,
     ENDPOINT_RECORDS,
@@ -97,6 +111,7 @@
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
+    EndpointId,
     Generation,
     Incarnation,
     NodeId,
@@ -166,6 +181,8 @@
     in_flight: InFlightTable
     estimates: LoadEstimates
     vms: VmTable
+    demand: DemandMeter
+    budget: BudgetClient
     refusals: RefusalCounter
     stop: threading.Event
 
@@ -211,6 +228,7 @@
     suspects: Suspects
     inference: InferenceParts
     actions: ActionParts
+    leaving: LeavingEndpoints
     door: FrontDoor
 
 
@@ -223,6 +241,7 @@
     followers: tuple[Follower[Any], ...]
     vm_list: VmList
     residency: Residency
+    placer: Placer
     control: Control
     membership: MembershipParts
     admission: Admission
@@ -347,13 +366,15 @@
     estimates = LoadEstimates(identity.node, nodes, in_flight)
     serving = settings.serving
     limits = StreamLimits(serving.first_token_limit_s, serving.stall_s)
+    peers = PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock)
+    budget = make_budget_policy(settings.decisions)
     return Shared(
         settings,
         identity,
         executors,
         TimerService(),
         client,
-        PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock),
+        peers,
         HttpEngines(client, limits, estimates.polled),
         clock,
         Timeline(identity.node, clock, log_event),
@@ -364,6 +385,8 @@
         in_flight,
         estimates,
         VmTable(),
+        DemandMeter(),
+        BudgetClient(budget, identity.node, nodes, peers),
         RefusalCounter(identity.incarnation),
         threading.Event(),
     )
@@ -403,6 +426,7 @@
         shared.executors.loads,
         lambda endpoint, items: owner.start_loading(endpoint, items),
         shared.timeline,
+        shared.budget,
     )
     owner = EndpointOwner(
         ResidencyParts(
@@ -422,6 +446,57 @@
     return Residency(owner, client)
 
 
+def make_placement_policy(settings: DecisionSettings) -> PlacementPolicy:
+    """Return the placement policy that the settings name."""
+    match settings.placement:
+        case "static":
+            return StaticPlacement()
+        case "load_on_demand":
+            return LoadOnDemand()
+        case "demand":
+            return DemandPlacement(move_cost_slots=settings.move_cost_slots)
+
+
+def make_budget_policy(settings: DecisionSettings) -> BudgetPolicy:
+    """Return how loads from the weight store are paced."""
+    match settings.weight_budget:
+        case "unpaced":
+            return Unpaced()
+        case "paced":
+            return Paced(settings.weight_loads_per_s, settings.weight_loads_at_once)
+
+
+def make_placer(shared: Shared, residency: Residency, serving: Serving) -> Placer:
+    """Return the part that plans placement."""
+    decisions = shared.settings.decisions
+
+    def slots(endpoint: EndpointId) -> int:
+        report = shared.estimates.report(endpoint)
+        return (report.slots if report else 0) or decisions.engine_slots
+
+    def takes_work(endpoint: EndpointId) -> bool:
+        leaving = serving.leaving.is_leaving(endpoint)
+        return not leaving and not shared.estimates.is_silent(endpoint)
+
+    return Placer(
+        PlacingParts(
+            make_placement_policy(decisions),
+            shared.identity.node,
+            shared.nodes,
+            shared.peers,
+            shared.configuration,
+            shared.table,
+            shared.demand,
+            shared.budget,
+            slots,
+            takes_work,
+            residency.owner.start_moving,
+            shared.executors.loads,
+            shared.timeline,
+        )
+    )
+
+
 def make_serving(
     shared: Shared, platform: Platform, residency: Residency, settler: Settler
 ) -> Serving:
@@ -436,6 +511,7 @@
         shared.in_flight,
     )
     shared.table.subscribe(admission.wake)
+    leaving = LeavingEndpoints(shared.configuration, shared.estimates, shared.vms)
     suspects = Suspects(
         shared.identity.node, shared.nodes, shared.peers, shared.timeline
     )
@@ -445,10 +521,11 @@
         ConcurrencyLimits(shared.nodes),
         admission,
         Breakers(),
-        LeavingEndpoints(shared.configuration, shared.estimates, shared.vms),
+        leaving,
         RetryBudget(RetryLimits(decisions.retry_share)),
         suspects,
         residency.client,
+        shared.demand,
         shared.engines,
         shared.timeline,
     )
@@ -465,7 +542,7 @@
         claiming,
         shared.in_flight,
         router,
-        HttpServices(shared.client),
+        StayingServices(HttpServices(shared.client), leaving),
     )
     door = FrontDoor(
         ServingParts(
@@ -477,7 +554,7 @@
             shared.metrics.observe,
         )
     )
-    return Serving(admission, suspects, inference, actions, door)
+    return Serving(admission, suspects, inference, actions, leaving, door)
 
 
 def make_job_parts(shared: Shared, platform: Platform) -> JobParts:
@@ -537,6 +614,7 @@
         shared.in_flight.by_id(),
         shared.estimates.polled_by_id(),
         time.monotonic_ns() // NANOSECONDS_PER_MILLISECOND,
+        shared.demand.by_item(),
     )
 
 
@@ -708,6 +786,8 @@
         ResidencyDesk(residency.owner, residency.client.used_elsewhere).handle,
         serving.suspects,
         folder.hold,
+        residency.owner.start_moving,
+        shared.budget.grant,
     )
 
 
@@ -779,6 +859,7 @@
         followers,
         make_vm_list(settings.platform, shared.client),
         residency,
+        make_placer(shared, residency, serving),
         control,
         make_membership(shared, residency, serving, control, folder),
         serving.admission,
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -20,12 +20,15 @@
     GiveUp,
     Gossip,
     GossipAnswer,
+    Granted,
+    GrantWanted,
     HeardDigest,
     ItemsUsed,
     Joined,
     JoinWanted,
     LoadWanted,
     Message,
+    MoveWanted,
     RecordsFound,
     RecordsWanted,
     RefusalsCounted,
@@ -38,12 +41,14 @@
     encode_configuration,
 )
 from camphoryard.state.configuration_head import ConfigurationHead
+from camphoryard.state.demand import ItemDemand
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import (
     EndpointId,
     Generation,
     Incarnation,
+    ItemId,
     NodeId,
     ObjectKey,
     RequestId,
@@ -52,6 +57,7 @@
 from camphoryard.state.nodes import NodeDigest
 
 MILLISECONDS_PER_SECOND = 1000
+THOUSANDTHS = 1000
 
 
 class PeerMessageError(CamphoryardError):
@@ -72,6 +78,9 @@
     EVENTS_WANTED = "events_wanted"
     EVENTS_FOUND = "events_found"
     LOAD_WANTED = "load_wanted"
+    MOVE_WANTED = "move_wanted"
+    GRANT_WANTED = "grant_wanted"
+    GRANTED = "granted"
     ITEMS_USED = "items_used"
     GIVE_UP = "give_up"
     GIVEN_UP = "given_up"
@@ -103,6 +112,7 @@
     in_flight_by_endpoint: Mapping[EndpointId, int]
     report_by_endpoint: Mapping[EndpointId, LoadReport]
     beat: int
+    demand_by_item: Mapping[ItemId, tuple[int, int]]
     age_ms: int | None
 
 
@@ -124,6 +134,9 @@
     FrameKind.EVENTS_WANTED: EventsWanted,
     FrameKind.EVENTS_FOUND: EventsFound,
     FrameKind.LOAD_WANTED: LoadWanted,
+    FrameKind.MOVE_WANTED: MoveWanted,
+    FrameKind.GRANT_WANTED: GrantWanted,
+    FrameKind.GRANTED: Granted,
     FrameKind.ITEMS_USED: ItemsUsed,
     FrameKind.GIVE_UP: GiveUp,
     FrameKind.GIVEN_UP: GivenUp,
@@ -227,12 +240,35 @@
             heard.digest.in_flight_by_endpoint,
             heard.digest.report_by_endpoint,
             heard.digest.beat,
+            _demand_form(heard.digest.demand_by_item),
             _ms(heard.age_s),
         )
         for heard in digests
     )
 
 
+def _demand_form(
+    demand_by_item: Mapping[ItemId, ItemDemand],
+) -> Mapping[ItemId, tuple[int, int]]:
+    """Return fast and slow demand in thousandths of a slot, which pack small."""
+    return {
+        item: (
+            round(demand.fast * THOUSANDTHS),
+            round(demand.slow * THOUSANDTHS),
+        )
+        for item, demand in demand_by_item.items()
+    }
+
+
+def _demand(
+    form: Mapping[ItemId, tuple[int, int]],
+) -> Mapping[ItemId, ItemDemand]:
+    return {
+        item: ItemDemand(fast / THOUSANDTHS, slow / THOUSANDTHS)
+        for item, (fast, slow) in form.items()
+    }
+
+
 def _digests(form: _GossipForm) -> tuple[HeardDigest, ...]:
     """Return the digests of a message, which must have its sender's own."""
     if not form.digests:
@@ -247,6 +283,7 @@
                 item.in_flight_by_endpoint,
                 item.report_by_endpoint,
                 item.beat,
+                _demand(item.demand_by_item),
             ),
             _s(item.age_ms),
         )
