--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -25,6 +25,7 @@
     Message,
     MoveWanted,
     RecordsWanted,
+    RefusalsCounted,
     Reply,
     ResidencyMessage,
     TrialEnded,
@@ -35,6 +36,7 @@
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.refusals import RefusalSheet
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +50,7 @@
     digest: Callable[[], NodeDigest]
     residency: Callable[[ResidencyMessage], Reply]
     suspects: Suspects
+    hold_refusals: Callable[[RefusalSheet], None]
     carry_out: Callable[[Move], None]
     grant: Callable[[bool], Reply]
 
@@ -87,6 +90,9 @@
         case TrialWanted() as wanted:
             may_start = parts.suspects.wanted(wanted)
             return Done() if may_start else Declined("not its turn")
+        case RefusalsCounted(sheet):
+            parts.hold_refusals(sheet)
+            return Done()
         case TrialEnded() as ended:
             parts.suspects.ended(ended)
             return Done()
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -60,6 +60,7 @@
         run(node.control.gossiper.run, node.shared.timer),
         run(node.control.joiner.run, node.shared.timer),
         run(supervise_endpoints, node),
+        *(run(task, node.shared.timer) for task in node.background),
         run(node.residency.client.run_reports, node.shared.timer),
         run(node.admission.run, node.shared.timer),
         run(node.shared.demand.run, node.shared.timer),
@@ -107,6 +108,8 @@
     limit_s = time.monotonic() + DRAIN_LIMIT_S
     node.door.wait_idle(limit_s)
     server.wait_flushed(limit_s)
+    node.settler.settle_pending()
+    node.refusal_folder.fold()
     node.shared.timer.close()
     node.shared.budget.close()
     node.residency.client.close()
@@ -123,6 +126,7 @@
     executors = node.shared.executors
     for executor in (
         executors.node,
+        executors.jobs,
         executors.loads,
         executors.endpoints,
         executors.handlers,
--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -1,6 +1,7 @@
 """Requests of callers and the answers they get, as JSON over HTTP."""
 
 import math
+import re
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -51,6 +52,8 @@
     Reason.KEY_REQUIRED: 400,
     Reason.KEY_REUSED: 422,
     Reason.IN_PROGRESS: 409,
+    Reason.OUTCOME_UNKNOWN: 409,
+    Reason.ANSWER_NOT_KEPT: 410,
     Reason.OVERLOADED: 503,
     Reason.DEADLINE: 504,
     Reason.DRAINING: 503,
@@ -107,6 +110,8 @@
     field: str
 
 
+_KEY = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARACTERS}}}")
+_OPERATION = re.compile(r"[A-Za-z][A-Za-z0-9_.-]*")
 _JSON = msgspec.json.Encoder()
 _COMPLETION = msgspec.json.Decoder(CompletionForm)
 
@@ -171,12 +176,12 @@
     id: RequestId,
 ) -> ActionRequest:
     """Return the call of a service's operation; raises RefusalError."""
-    key = headers.get(KEY_HEADER)
-    if key is not None and not 1 <= len(key) <= MAX_KEY_CHARACTERS:
+    key = idempotency_key(headers)
+    if not _OPERATION.fullmatch(operation):
         raise RefusalError(
-            Reason.BAD_HEADER,
-            f"must be 1 to {MAX_KEY_CHARACTERS} characters",
-            field=KEY_HEADER,
+            Reason.BAD_FIELD,
+            "must be letters, digits, '_', '-' or '.', beginning with a letter",
+            field="operation",
         )
     return ActionRequest(
         id,
@@ -186,10 +191,24 @@
         body,
         _deadline_s(headers),
         _priority(headers),
-        IdempotencyKey(key) if key is not None else None,
+        key,
     )
 
 
+def idempotency_key(headers: Mapping[str, str]) -> IdempotencyKey | None:
+    """Return the key in the headers, if any; raises RefusalError if it is bad."""
+    key = headers.get(KEY_HEADER)
+    if key is None:
+        return None
+    if not _KEY.fullmatch(key):
+        raise RefusalError(
+            Reason.BAD_HEADER,
+            f"must be 1 to {MAX_KEY_CHARACTERS} visible ASCII characters, no spaces",
+            field=KEY_HEADER,
+        )
+    return IdempotencyKey(key)
+
+
 def _deadline_s(headers: Mapping[str, str]) -> float:
     text = headers.get(DEADLINE_HEADER, str(DEFAULT_DEADLINE_MS))
     if not _is_deadline_ms(text):
--- a/src/camphoryard/protocol/operator.py
+++ b/src/camphoryard/protocol/operator.py
@@ -15,6 +15,7 @@
 from camphoryard.state.endpoint_record import committed_mb, items_in_doubt
 from camphoryard.state.ids import NodeId
 from camphoryard.state.labels import Selector
+from camphoryard.state.refusals import RefusalKey
 from camphoryard.state.timeline import Event, Stamp
 
 
@@ -52,6 +53,7 @@
     label: str
     minute: int
     count: int
+    caller: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +155,7 @@
 _TIMELINE = msgspec.json.Decoder(TimelineForm)
 _EXPLANATION = msgspec.json.Decoder(ExplanationForm)
 _ACCEPTED = msgspec.json.Decoder(AcceptedForm)
+_REFUSALS = msgspec.json.Decoder(list[RefusalForm])
 
 
 def encode_accepted(accepted: Accepted) -> bytes:
@@ -226,10 +229,7 @@
         )
         for record in status.records_by_endpoint.values()
     ]
-    refusals = [
-        RefusalForm(key.reason.value, key.label, key.minute, count)
-        for key, count in status.refusals_by_key.items()
-    ]
+    refusals = _refusal_forms(status.refusals_by_key)
     return msgspec.json.encode(
         StatusForm(
             status.node,
@@ -246,6 +246,24 @@
     )
 
 
+def encode_refusals(count_by_key: Mapping[RefusalKey, int]) -> bytes:
+    """Return the JSON form of counts of refusals, in order of minutes."""
+    forms = _refusal_forms(count_by_key)
+    return msgspec.json.encode(sorted(forms, key=lambda item: item.minute))
+
+
+def decode_refusals(body: bytes) -> list[RefusalForm]:
+    """Return the counts that a daemon sent; raises ``msgspec.MsgspecError``."""
+    return _REFUSALS.decode(body)
+
+
+def _refusal_forms(count_by_key: Mapping[RefusalKey, int]) -> list[RefusalForm]:
+    return [
+        RefusalForm(key.reason.value, key.label, key.minute, count, key.caller)
+        for key, count in count_by_key.items()
+    ]
+
+
 def decode_status(body: bytes) -> StatusForm:
     """Return the status that a daemon sent; raises ``msgspec.MsgspecError``."""
     return _STATUS.decode(body)
--- a/tests/fakes/object_api.py
+++ b/tests/fakes/object_api.py
@@ -41,10 +41,21 @@
             raise StoreUnavailableError("answer lost")
         return made
 
-    def list(self):
-        """Return all records."""
+    def delete(self, key, version):
+        """Delete if the version is still ``version``."""
         self._require_up()
-        return Snapshot(Revision(0), tuple(self.stored_by_key.values()))
+        found = self.stored_by_key.get(key)
+        if (found.version if found else ABSENT) != version:
+            raise ConflictError(key)
+        self.stored_by_key.pop(key, None)
+
+    def list(self, within=""):
+        """Return all records whose key begins with ``within``."""
+        self._require_up()
+        items = [
+            item for key, item in self.stored_by_key.items() if key.startswith(within)
+        ]
+        return Snapshot(Revision(0), tuple(items))
 
     def _require_up(self) -> None:
         if self.outage:
