--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -65,7 +65,7 @@
     )
     answer = door.act(action)
     headers = {
-        VERDICT_HEADER: Verdict.RAN.value,
+        VERDICT_HEADER: answer.verdict.value,
         REPLAYED_HEADER: str(answer.replayed).lower(),
     }
     return HttpResponse(answer.status, [answer.body], headers)
