--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference.py
@@ -12,6 +12,7 @@
     ConcurrencyLimits,
     caller_limit,
 )
+from camphoryard.coordination.demand import DemandMeter
 from camphoryard.coordination.frames import in_order
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.ports import Engines
@@ -56,6 +57,7 @@
     retries: RetryBudget
     suspects: Suspects
     residency: ResidencyClient
+    demand: DemandMeter
     engines: Engines
     timeline: Timeline
 
@@ -89,6 +91,8 @@
     """
     current = parts.configuration.current
     where = _route(current, request)
+    item = items_of(request.model, request.adapter)[-1]
+    parts.demand.arrived(item, where.priority)
     parts.retries.earn(where.group)
     caller = current.callers_by_id.get(request.caller)
     group_limit = current.groups_by_id[where.group].max_concurrent
@@ -108,6 +112,7 @@
     cancellation: Cancellation,
 ) -> Generator[TokenFrame, None, None]:
     """Yield the whole answer over as many attempts as it takes."""
+    item = items_of(request.model, request.adapter)[-1]
     progress = _Progress()
     while True:
         parts.suspects.check(fingerprint(request), progress.verdict)
@@ -118,6 +123,7 @@
                 _attempt(parts, request, ticket, cancellation, progress)
             ) as frames:
                 yield from frames
+            parts.demand.held(item, time.monotonic() - ticket.granted_s)
             return
         except (NotSentError, BrokenCallError, EndpointRefusedError) as error:
             _check_cancelled(cancellation, progress)
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -122,6 +122,29 @@
     items: tuple[ItemId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class MoveWanted:
+    """Ask an endpoint's owner to unload ``evicted`` and then load ``items``."""
+
+    endpoint: EndpointId
+    items: tuple[ItemId, ...]
+    evicted: tuple[ItemId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GrantWanted:
+    """Ask the holder of the weight budget when a model load may start."""
+
+    urgent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A model load may start in so many seconds."""
+
+    start_in_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ItemsUsed:
     """Tell an owner of endpoints which items the sender used of late."""
@@ -211,6 +234,8 @@
     | RecordsWanted
     | DigestWanted
     | ResidencyMessage
+    | MoveWanted
+    | GrantWanted
     | CrashSeen
     | TrialWanted
     | TrialEnded
@@ -221,6 +246,7 @@
     | Declined
     | NodeDigest
     | GivenUp
+    | Granted
     | Joined
     | ConfigurationOffer
     | EventsFound
--- a/src/camphoryard/coordination/residency.py
+++ b/src/camphoryard/coordination/residency.py
@@ -25,6 +25,7 @@
     ResidencyParts,
 )
 from camphoryard.coordination.ownership import owner_of
+from camphoryard.coordination.placement import Move
 from camphoryard.coordination.ports import Timer
 from camphoryard.coordination.wishes import (
     LoadWish,
@@ -123,6 +124,13 @@
         for item in items:
             self._wish(endpoint_id, LoadWish(item, deadline_s))
 
+    def start_moving(self, move: Move) -> None:
+        """Have a move carried out without waiting; raises ConflictError."""
+        deadline_s = time.monotonic() + WISH_TIMEOUT_S
+        for item in move.evicted:
+            self._wish(move.endpoint, UnloadWish(item, deadline_s))
+        self.start_loading(move.endpoint, move.items)
+
     def give_up(self, message: GiveUp) -> GivenUp:
         """Send no more orders with an older number than the new owner's.
 
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -5,12 +5,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from camphoryard.state.demand import ItemDemand
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     ABSENT,
     EndpointId,
     Generation,
     Incarnation,
+    ItemId,
     NodeId,
     Version,
     WriteId,
@@ -53,6 +55,7 @@
     in_flight_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
     report_by_endpoint: Mapping[EndpointId, LoadReport] = field(default_factory=dict)
     beat: int = 0
+    demand_by_item: Mapping[ItemId, ItemDemand] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -419,10 +419,11 @@
     load_s: float = 0.5,
     weight_store_port: int = 0,
     report_lag_s: float = 0.5,
+    resident: str = "",
     journal: Path | None = None,
     crash_on: str = "",
 ) -> None:
-    """Run one engine."""
+    """Run one engine; ``resident`` lists what it holds, as ``item=MB,item=MB``."""
     engine = Engine(
         memory_mb,
         checks_fencing,
@@ -433,6 +434,9 @@
         report_lag_s,
         journal,
     )
+    for held in filter(None, resident.split(",")):
+        item, _, held_mb = held.partition("=")
+        engine.resident_mb_by_item[item] = int(held_mb)
     engine.faults.crash_on = crash_on
     threading.Thread(target=engine.step_forever, daemon=True).start()
     serve_pushed(engine.handle, host, port)
