--- /dev/null
+++ b/tests/protocol/test_strict.py
@@ -0,0 +1,47 @@
+"""Tests of conversion that names the field at fault."""
+
+from dataclasses import dataclass, field
+
+import pytest
+
+from camphoryard.protocol.strict import FieldError, convert_strict
+
+
+@dataclass(frozen=True, slots=True)
+class Inner:
+    """A nested form."""
+
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outer:
+    """A form with nested ones."""
+
+    name: str
+    inner: list[Inner] = field(default_factory=list)
+
+
+class TestConvertStrict:
+    """Good and bad data."""
+
+    def test_good(self):
+        """Nested data classes are made, defaults filled in."""
+        assert convert_strict({"name": "a"}, Outer) == Outer("a")
+        raw = {"name": "a", "inner": [{"size": 1}]}
+        assert convert_strict(raw, Outer) == Outer("a", [Inner(1)])
+
+    @pytest.mark.parametrize(
+        ("raw", "where"),
+        [
+            ({"name": 1}, "name"),
+            ({"name": "a", "nome": "b"}, "nome"),
+            ({"name": "a", "inner": [{"size": 1}, {"size": "x"}]}, "inner[1].size"),
+            ({"name": "a", "inner": [{"size": 1, "colour": 2}]}, "inner[0].colour"),
+        ],
+    )
+    def test_names_the_field(self, raw, where):
+        """The path of the field at fault is told."""
+        with pytest.raises(FieldError) as caught:
+            convert_strict(raw, Outer)
+        assert caught.value.field == where
