Hold the ports that stand-ins and daemons are started on

A port was picked by binding and releasing it, and taken a second later by the process started on it; with five test workers starting sites at once two picks can be the same. A daemon whose port is taken ends with code 3, and the wait went on for its whole limit without saying so. Seen again by hand: with the HTTP or the peer port of a node taken, it ends within 1.2 s and says which. Change: a picked port stays bound, unshared when claimed and shared afterwards, so that only the process started on it can listen; a process that ends before it answers is an error at once, with its last lines.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -28,20 +28,35 @@
 CALLERS = ("meter-app", "front-desk", "overnight")
 
 
+HOLDER_BY_PORT: dict[int, socket.socket] = {}
+
+
 def free_port() -> int:
-    """Return a TCP port that nobody listens on now.
+    """Return a TCP port that is held until released or until this process ends.
 
     It lies below the range of outgoing connections, which therefore cannot
-    take it before the process started on it binds.
+    take it before the process started on it binds. Binding without the option
+    to share claims it against every other run on the machine; sharing it
+    afterwards lets the started process, which sets that option, listen on it.
     """
     while True:
         port = random.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-            return port
+        holder = socket.socket()
+        try:
+            holder.bind((HOST, port))
+        except OSError:
+            holder.close()
+            continue
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        HOLDER_BY_PORT[port] = holder
+        return port
+
+
+def release_port(port: int) -> None:
+    """Let others take a port again."""
+    holder = HOLDER_BY_PORT.pop(port, None)
+    if holder is not None:
+        holder.close()
 
 
 @dataclass(slots=True)
@@ -64,6 +79,10 @@
         self.popen.wait()
 
 
+class StartError(Exception):
+    """A process ended before it answered."""
+
+
 class HttpError(Exception):
     """A call got an error status."""
 
@@ -126,6 +145,10 @@
                 process.popen.wait(left_s)
             except subprocess.TimeoutExpired:
                 process.kill()
+        for process in self.process_by_name.values():
+            release_port(process.port)
+        for port in self.peer_port_by_node.values():
+            release_port(port)
 
     def port(self, name: str) -> int:
         """Return the HTTP port of a process."""
@@ -205,10 +228,14 @@
         return f'vm_list_host = "{HOST}"\nvm_list_port = {self.port("vm-list")}'
 
     def wait_ready(self, names: Sequence[str], path: str = "/livez") -> None:
-        """Block until each process answers; raises TimeoutError."""
+        """Block until each process answers; raises TimeoutError or StartError."""
         for name in names:
             self.wait_until(lambda name=name: self._answers(name, path), name)
 
+    def log_end(self, name: str) -> str:
+        """Return the last lines that a process wrote."""
+        return "\n".join(self.process_by_name[name].log.read_text().splitlines()[-5:])
+
     def wait_until(self, holds: Any, what: str, limit_s: float = START_LIMIT_S) -> None:
         """Block until ``holds()``; raises TimeoutError naming ``what``."""
         deadline_s = time.monotonic() + limit_s
@@ -218,6 +245,10 @@
             time.sleep(POLL_S)
 
     def _answers(self, name: str, path: str) -> bool:
+        """Tell whether a process answers; raises StartError if it has ended."""
+        code = self.process_by_name[name].popen.poll()
+        if code is not None:
+            raise StartError(f"{name} ended with {code}: {self.log_end(name)}")
         try:
             request(self.port(name), "GET", path, timeout_s=1.0)
         except (OSError, HTTPException, HttpError):
