--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference.py
@@ -1,9 +1,10 @@
 """One inference request from routing to its last token."""
 
 import time
-from collections.abc import Generator
+from collections.abc import Callable
 from contextlib import closing
 from dataclasses import dataclass, field
+from typing import TypeAlias
 
 from camphoryard.coordination.admission import Admission, Lane, Ticket
 from camphoryard.coordination.breakers import Breakers
@@ -13,9 +14,9 @@
     caller_limit,
 )
 from camphoryard.coordination.demand import DemandMeter
-from camphoryard.coordination.frames import in_order
+from camphoryard.coordination.frames import FrameOrder
 from camphoryard.coordination.leaving import LeavingEndpoints
-from camphoryard.coordination.ports import Engines
+from camphoryard.coordination.ports import Engines, TokenStream
 from camphoryard.coordination.residency_client import ResidencyClient
 from camphoryard.coordination.retry_budget import RetryBudget
 from camphoryard.coordination.routing import route
@@ -43,6 +44,8 @@
 NOT_RESIDENT_STATUS = 404
 NOT_RUN_STATUSES = frozenset({NOT_RESIDENT_STATUS, 409, 429, 503})
 
+Deliver: TypeAlias = Callable[[TokenFrame], None]
+
 
 @dataclass(frozen=True, slots=True)
 class InferenceParts:
@@ -77,11 +80,15 @@
 
 
 def infer(
-    parts: InferenceParts, request: InferenceRequest, cancellation: Cancellation
-) -> Generator[TokenFrame, None, None]:
-    """Yield the whole answer in order, resuming elsewhere if an endpoint breaks.
+    parts: InferenceParts,
+    request: InferenceRequest,
+    cancellation: Cancellation,
+    deliver: Deliver,
+) -> None:
+    """Deliver the whole answer in order, resuming elsewhere if an endpoint breaks.
 
     The deadline rules the first token; a stream that makes progress is not cut.
+    ``deliver`` runs in the task of the endpoint and must not block.
 
     Raises
     ------
@@ -102,7 +109,7 @@
             request.caller, caller_limit(caller.labels if caller else {})
         ),
     ):
-        yield from _answer(parts, request, where, cancellation)
+        _answer(parts, request, where, cancellation, deliver)
 
 
 def _answer(
@@ -110,8 +117,9 @@
     request: InferenceRequest,
     where: Route,
     cancellation: Cancellation,
-) -> Generator[TokenFrame, None, None]:
-    """Yield the whole answer over as many attempts as it takes."""
+    deliver: Deliver,
+) -> None:
+    """Deliver the whole answer over as many attempts as it takes."""
     item = items_of(request.model, request.adapter)[-1]
     progress = _Progress()
     while True:
@@ -119,10 +127,7 @@
         ticket = _ticket(parts, request, where, progress)
         _await_slot(parts, ticket, cancellation, progress)
         try:
-            with closing(
-                _attempt(parts, request, ticket, cancellation, progress)
-            ) as frames:
-                yield from frames
+            _attempt(parts, request, ticket, cancellation, progress, deliver)
             parts.demand.held(item, time.monotonic() - ticket.granted_s)
             return
         except (NotSentError, BrokenCallError, EndpointRefusedError) as error:
@@ -294,8 +299,9 @@
     ticket: Ticket,
     cancellation: Cancellation,
     progress: _Progress,
-) -> Generator[TokenFrame, None, None]:
-    """Yield the answer from one endpoint; raises as ``Engines.generate``."""
+    deliver: Deliver,
+) -> None:
+    """Deliver the answer of one endpoint; raises as ``Engines.generate``."""
     endpoint_id = ticket.endpoint
     assert endpoint_id is not None
     progress.fruitless += 1
@@ -303,16 +309,23 @@
         trial = parts.suspects.begin(fingerprint(request), endpoint_id, ticket.due_s)
     except RefusalError as refusal:
         raise _with_verdict(refusal, progress) from refusal
+    order = FrameOrder(request.id, progress.offset)
+
+    def take(frame: TokenFrame) -> bool:
+        for due in order.due(frame):
+            if progress.fruitless:
+                _succeeded(parts, endpoint_id, trial, progress)
+            if not due.finished:
+                progress.offset += 1
+            deliver(due)
+        return order.is_whole
+
     try:
         with closing(
-            _frames(parts, request, endpoint_id, cancellation, progress)
-        ) as frames:
-            for frame in frames:
-                if progress.fruitless:
-                    _succeeded(parts, endpoint_id, trial, progress)
-                if not frame.finished:
-                    progress.offset += 1
-                yield frame
+            _open(parts, request, endpoint_id, cancellation, progress)
+        ) as stream:
+            stream.pump(take)
+        order.end()
     except CamphoryardError as error:
         if not cancellation.cancelled:
             _failed(parts, request, endpoint_id, trial, progress, error)
@@ -321,13 +334,13 @@
         trial.end()
 
 
-def _frames(
+def _open(
     parts: InferenceParts,
     request: InferenceRequest,
     endpoint_id: EndpointId,
     cancellation: Cancellation,
     progress: _Progress,
-) -> Generator[TokenFrame, None, None]:
+) -> TokenStream:
     endpoint = parts.configuration.current.endpoints_by_id.get(endpoint_id)
     if endpoint is None:
         raise NotSentError(f"{endpoint_id} was removed")
@@ -335,10 +348,7 @@
     parts.breakers.started(endpoint_id)
     stream = parts.engines.generate(endpoint, request, progress.offset, cancellation)
     progress.may_have_run = True
-    try:
-        yield from in_order(stream, request.id, progress.offset)
-    finally:
-        stream.close()
+    return stream
 
 
 def _succeeded(
--- a/src/camphoryard/coordination/ports.py
+++ b/src/camphoryard/coordination/ports.py
@@ -1,8 +1,8 @@
 """Outward calls that the tasks of this layer are given at construction."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
-from typing import Generic, Protocol, TypeVar
+from typing import Generic, Protocol, TypeAlias, TypeVar
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.messages import Message, Reply
@@ -137,11 +137,19 @@
     )
 
 
+TakeFrame: TypeAlias = Callable[[TokenFrame], bool]
+
+
 class TokenStream(Protocol):
     """An open stream of an engine; closing it early cancels the request."""
 
-    def __iter__(self) -> Iterator[TokenFrame]:
-        """Yield frames as they arrive; raises as ``generate``."""
+    def pump(self, take: TakeFrame) -> None:
+        """Block while frames are handed to ``take`` as they arrive.
+
+        Returns once ``take`` says that it wants no more, or the stream ends.
+        ``take`` runs in the task of the endpoint, which serves other streams as
+        well, and must not block. Raises as ``generate``, and what ``take`` raises.
+        """
 
     def close(self) -> None:
         """Let go of the stream."""
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -2,13 +2,13 @@
 
 import threading
 import time
-from collections.abc import Callable, Generator, Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
 from camphoryard.coordination.actions import ActionParts, act
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.inference import InferenceParts, infer
+from camphoryard.coordination.inference import Deliver, InferenceParts, infer
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.enums import NodeState, Reason
@@ -92,18 +92,20 @@
             self._end()
 
     def infer(
-        self, request: InferenceRequest, cancellation: Cancellation | None = None
-    ) -> Generator[TokenFrame, None, None]:
-        """Yield the answer's tokens; raises RefusalError, which is counted."""
-        cancellation = cancellation or Cancellation()
+        self, request: InferenceRequest, cancellation: Cancellation, deliver: Deliver
+    ) -> None:
+        """Deliver the answer's tokens; raises RefusalError, which is counted."""
         started_s = time.monotonic()
+
+        def observed(frame: TokenFrame) -> None:
+            if frame.offset == 0:
+                self._parts.observe("first_token", time.monotonic() - started_s)
+            deliver(frame)
+
         self._begin()
         try:
             self._admit()
-            for frame in infer(self._parts.inference, request, cancellation):
-                if frame.offset == 0:
-                    self._parts.observe("first_token", time.monotonic() - started_s)
-                yield frame
+            infer(self._parts.inference, request, cancellation, observed)
         except RefusalError as refusal:
             self.refused(refusal, request.caller, request.id)
             raise
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -129,6 +129,7 @@
         executors.jobs,
         executors.loads,
         executors.endpoints,
+        executors.streams,
         executors.handlers,
         executors.connections,
         executors.peers,
--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -28,8 +28,14 @@
 
     def run_inference(request: InferenceRequest) -> str:
         with serving.door.admitted():
-            frames = infer(serving.inference, request, Cancellation())
-            return "".join(frame.text for frame in frames)
+            texts: list[str] = []
+            infer(
+                serving.inference,
+                request,
+                Cancellation(),
+                lambda frame: texts.append(frame.text),
+            )
+            return "".join(texts)
 
     def run_action(request: ActionRequest) -> ActionAnswer:
         with serving.door.admitted():
--- a/src/camphoryard/node/shared.py
+++ b/src/camphoryard/node/shared.py
@@ -22,15 +22,17 @@
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable, InFlightTable
 from camphoryard.state.timeline import Event, HybridClock
 from camphoryard.state.vms import VmTable
-from camphoryard.transport.endpoints import HttpEngines, StreamLimits
+from camphoryard.transport.endpoints import HttpEngines
 from camphoryard.transport.http_client import HttpClient
 from camphoryard.transport.metrics import Metrics
 from camphoryard.transport.peers import CurveKeys, PeerNetwork
+from camphoryard.transport.stream_reading import StreamLimits, StreamReaders
 from camphoryard.transport.timer import TimerService
 
 CONNECTION_TASKS = 1024
 PEER_TASKS = 400
 ENDPOINT_TASKS = 256
+STREAM_TASKS = 4500
 HANDLER_TASKS = 32
 LOAD_TASKS = 64
 NODE_TASKS = 32
@@ -46,6 +48,7 @@
     peers: ThreadPoolExecutor
     handlers: ThreadPoolExecutor
     endpoints: ThreadPoolExecutor
+    streams: ThreadPoolExecutor
     loads: ThreadPoolExecutor
     node: ThreadPoolExecutor
     jobs: ThreadPoolExecutor
@@ -84,6 +87,7 @@
         ThreadPoolExecutor(PEER_TASKS, "peer"),
         ThreadPoolExecutor(HANDLER_TASKS, "handler"),
         ThreadPoolExecutor(ENDPOINT_TASKS, "endpoint"),
+        ThreadPoolExecutor(STREAM_TASKS, "stream"),
         ThreadPoolExecutor(LOAD_TASKS, "load"),
         ThreadPoolExecutor(NODE_TASKS, "node"),
         ThreadPoolExecutor(JOBS_AT_ONCE, "job"),
@@ -124,6 +128,7 @@
     in_flight = InFlightTable()
     estimates = LoadEstimates(identity.node, nodes, in_flight)
     serving = settings.serving
+    readers = StreamReaders(executors.streams)
     limits = StreamLimits(serving.first_token_limit_s, serving.stall_s)
     peers = PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock)
     budget = make_budget_policy(settings.decisions)
@@ -134,7 +139,7 @@
         TimerService(),
         client,
         peers,
-        HttpEngines(client, limits, estimates.polled),
+        HttpEngines(client, readers, limits, estimates.polled),
         clock,
         Timeline(identity.node, clock, log_event),
         Metrics(),
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -22,6 +22,7 @@
     Environ,
     HttpRequest,
     HttpResponse,
+    Reply,
     StartResponse,
 )
 from camphoryard.transport.job_api import (
@@ -61,18 +62,12 @@
     ) -> Iterable[bytes]:
         """Answer one request, as PEP 3333 has it."""
         id = RequestId(uuid4().hex)
-        response = self._respond(environ, id)
-        status = HTTPStatus(response.status)
-        headers = [
-            ("Content-Type", response.content_type),
-            (REQUEST_HEADER, id),
-            *response.headers.items(),
-        ]
-        if isinstance(response.body, list):
-            length = sum(len(item) for item in response.body)
-            headers.append(("Content-Length", str(length)))
-        start_response(f"{status.value} {status.phrase}", headers)
-        return response.body
+        reply = Reply(start_response, {REQUEST_HEADER: id})
+        response = self._respond(environ, id, reply)
+        if response.body is None:
+            return []
+        reply.begin(response)
+        return [response.body]
 
     def refuse(self, status: int, detail: str) -> HttpResponse:
         """Answer what could not be read as a request, or failed unexpectedly."""
@@ -83,30 +78,36 @@
         self.door.refused(refusal, None, None)
         return error_response(refusal)
 
-    def _respond(self, environ: Environ, id: RequestId) -> HttpResponse:
+    def _respond(self, environ: Environ, id: RequestId, reply: Reply) -> HttpResponse:
+        """Return the answer; one without a body has gone out already."""
         caller: CallerId | None = None
         try:
             request = _request(environ, id)
             if request.path.startswith(CALLERS_PREFIX):
                 caller = self.access.caller(request.headers)
-                return self._serve(request, caller)
+                return self._serve(request, caller, reply)
             return self._tend(request)
         except RefusalError as refusal:
             self.door.refused(refusal, caller, id)
             return error_response(refusal)
         except Exception:
+            if reply.has_begun:
+                # Only breaking the connection off still tells that it is not whole.
+                raise
             _log.exception("unexpected error")
             return self.refuse(HTTPStatus.INTERNAL_SERVER_ERROR, "unexpected error")
 
-    def _serve(self, request: HttpRequest, caller: CallerId) -> HttpResponse:
+    def _serve(
+        self, request: HttpRequest, caller: CallerId, reply: Reply
+    ) -> HttpResponse:
         is_call = request.path.startswith(SERVICES_PREFIX)
         if (is_call or request.path in COMPLETION_PATHS) and request.method != "POST":
             raise RefusalError(Reason.METHOD_NOT_ALLOWED, "use POST")
         match request.path:
             case "/v1/chat/completions":
-                return complete(self.door, request, caller, chat=True)
+                return complete(self.door, request, caller, True, reply)
             case "/v1/completions":
-                return complete(self.door, request, caller, chat=False)
+                return complete(self.door, request, caller, False, reply)
             case path if is_call:
                 return call_service(
                     self.door, request, caller, path.removeprefix(SERVICES_PREFIX)
@@ -125,16 +126,16 @@
     def _tend(self, request: HttpRequest) -> HttpResponse:
         match request.path:
             case "/livez":
-                return HttpResponse(200, [b"ok\n"], content_type=TEXT)
+                return HttpResponse(200, b"ok\n", content_type=TEXT)
             case "/readyz":
                 current = self.operator.configuration.is_current()
                 ready = self.door.is_ready
                 state = self.door.state.value + ("" if current else ", stale")
                 text = f"{state}\n".encode()
-                return HttpResponse(200 if ready else 503, [text], content_type=TEXT)
+                return HttpResponse(200 if ready else 503, text, content_type=TEXT)
             case "/metrics":
                 text = self.metrics.text().encode()
-                return HttpResponse(200, [text], content_type=TEXT)
+                return HttpResponse(200, text, content_type=TEXT)
             case path if path.startswith(ADMIN_PREFIX):
                 self.access.operator(request.headers)
                 return administer(self.operator, request)
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -1,8 +1,8 @@
 """HTTP front end for callers."""
 
-from collections.abc import Generator, Iterator
-from contextlib import closing
+from collections.abc import Callable
 
+from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.serving import FrontDoor
 from camphoryard.protocol.caller import (
     DONE_EVENT,
@@ -20,7 +20,12 @@
 from camphoryard.state.ids import CallerId
 from camphoryard.state.requests import TokenFrame
 from camphoryard.state.verdict import Verdict
-from camphoryard.transport.http_server import HttpRequest, HttpResponse
+from camphoryard.transport.http_server import (
+    HttpRequest,
+    HttpResponse,
+    Reply,
+    Write,
+)
 
 EVENT_STREAM = "text/event-stream"
 REPLAYED_HEADER = "Camphoryard-Replayed"
@@ -32,27 +37,50 @@
     headers = {VERDICT_HEADER: answer.verdict.value}
     if answer.retry_after_s:
         headers[RETRY_AFTER_HEADER] = str(answer.retry_after_s)
-    return HttpResponse(answer.status, [answer.body], headers)
+    return HttpResponse(answer.status, answer.body, headers)
 
 
 def complete(
-    door: FrontDoor, request: HttpRequest, caller: CallerId, chat: bool
+    door: FrontDoor, request: HttpRequest, caller: CallerId, chat: bool, reply: Reply
 ) -> HttpResponse:
-    """Answer a completion request; raises RefusalError before the first token."""
+    """Answer a completion request.
+
+    Raises
+    ------
+    RefusalError
+        Before the first token; later ones go into the stream.
+    """
     completion = decode_completion(
         request.body, request.headers, caller, chat, request.id
     )
-    frames = door.infer(completion.request, request.cancellation)
-    first = next(frames)
-    headers = {VERDICT_HEADER: Verdict.RAN.value}
     if completion.stream:
-        events = _Events(completion, first, frames)
-        return HttpResponse(200, events, headers, EVENT_STREAM)
-    with closing(frames):
-        texts = [first.text, *(frame.text for frame in frames)]
+        return _stream(door, completion, request.cancellation, reply)
+    texts: list[str] = []
+    door.infer(
+        completion.request,
+        request.cancellation,
+        lambda frame: texts.append(frame.text),
+    )
     # The last frame ends the answer and is no token.
     body = encode_answer(completion, "".join(texts), len(texts) - 1)
-    return HttpResponse(200, [body], headers)
+    return HttpResponse(200, body, {VERDICT_HEADER: Verdict.RAN.value})
+
+
+def _stream(
+    door: FrontDoor, completion: Completion, cancellation: Cancellation, reply: Reply
+) -> HttpResponse:
+    """Send the answer as events; raises RefusalError before the first one."""
+    head = HttpResponse(200, None, {VERDICT_HEADER: Verdict.RAN.value}, EVENT_STREAM)
+    events = _Events(EventEncoder(completion).encode, head, reply)
+    try:
+        door.infer(completion.request, cancellation, events.send)
+    except RefusalError as refusal:
+        if not reply.has_begun:
+            raise
+        events.write(encode_error_event(refusal))
+    else:
+        events.write(DONE_EVENT)
+    return head
 
 
 def call_service(
@@ -68,31 +96,26 @@
         VERDICT_HEADER: answer.verdict.value,
         REPLAYED_HEADER: str(answer.replayed).lower(),
     }
-    return HttpResponse(answer.status, [answer.body], headers)
+    return HttpResponse(answer.status, answer.body, headers)
 
 
 class _Events:
-    """The event stream of one answer; closing it early lets go of the endpoint."""
+    """The event stream of one answer; its head goes out with the first token."""
 
     def __init__(
-        self,
-        completion: Completion,
-        first: TokenFrame,
-        frames: Generator[TokenFrame, None, None],
+        self, encode: Callable[[TokenFrame], bytes], head: HttpResponse, reply: Reply
     ) -> None:
-        self._encode = EventEncoder(completion).encode
-        self._first = first
-        self._frames = frames
-
-    def __iter__(self) -> Iterator[bytes]:
-        try:
-            yield self._encode(self._first)
-            yield from map(self._encode, self._frames)
-        except RefusalError as refusal:
-            yield encode_error_event(refusal)
-            return
-        yield DONE_EVENT
-
-    def close(self) -> None:
-        """Let go of the endpoint's stream."""
-        self._frames.close()
+        self._encode = encode
+        self._head = head
+        self._reply = reply
+        self._write: Write | None = None
+
+    def send(self, frame: TokenFrame) -> None:
+        """Send the event of one token."""
+        self.write(self._encode(frame))
+
+    def write(self, event: bytes) -> None:
+        """Send an encoded event."""
+        if self._write is None:
+            self._write = self._reply.begin(self._head)
+        self._write(event)
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -1,8 +1,8 @@
 """Calls of model engines and plain services."""
 
 import time
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import replace
 from http.client import HTTPException
 from urllib.parse import quote
 
@@ -11,8 +11,6 @@
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.ports import Inventory, Order, load_report
 from camphoryard.protocol.endpoint import (
-    EVENT_PREFIX,
-    decode_frame,
     decode_inventory,
     encode_generate,
     encode_order,
@@ -26,81 +24,35 @@
     ActionAnswer,
     ActionRequest,
     InferenceRequest,
-    TokenFrame,
 )
+from camphoryard.transport.event_streams import EventStream
 from camphoryard.transport.http_client import (
     Address,
     HttpCall,
     HttpClient,
     OpenAnswer,
-    broken,
 )
+from camphoryard.transport.stream_reading import StreamLimits, StreamReaders
 
 ORDER_TIMEOUT_S = 2.0
 INVENTORY_TIMEOUT_S = 1.0
 MIN_TIMEOUT_S = 0.05
-READ_BYTES = 65_536
 ERRORS_FROM = 400
 SERVER_ERRORS_FROM = 500
 
 
-@dataclass(frozen=True, slots=True)
-class StreamLimits:
-    """How long a stream may be silent before and after its first token."""
-
-    first_token_s: float
-    stall_s: float
-
-
-class EventStream:
-    """Token frames read from an engine's event stream.
-
-    Once the first token has come, a silence of ``stall_s`` seconds breaks it.
-    """
-
-    def __init__(self, answer: OpenAnswer, stall_s: float) -> None:
-        self._answer = answer
-        self._stall_s = stall_s
-
-    def __iter__(self) -> Iterator[TokenFrame]:
-        rest = b""
-        data = self._read()
-        self._answer.limit_reads(self._stall_s)
-        while data:
-            *events, rest = (rest + data).split(b"\n\n")
-            for event in events:
-                if event.startswith(EVENT_PREFIX + b"{"):
-                    yield _frame(event)
-            data = self._read()
-
-    def _read(self) -> bytes:
-        try:
-            return self._answer.response.read1(READ_BYTES)
-        except (OSError, HTTPException, ValueError) as error:
-            raise broken(error) from error
-
-    def close(self) -> None:
-        """Let go of the stream; an unread rest breaks the connection."""
-        self._answer.close()
-
-
-def _frame(event: bytes) -> TokenFrame:
-    try:
-        return decode_frame(event)
-    except msgspec.MsgspecError as error:
-        raise BrokenCallError(f"unreadable event: {error}") from error
-
-
 class HttpEngines:
     """Model engines over HTTP; ``polled`` is given each load report."""
 
     def __init__(
         self,
         client: HttpClient,
+        readers: StreamReaders,
         limits: StreamLimits,
         polled: Callable[[EndpointId, LoadReport], None],
     ) -> None:
         self._client = client
+        self._readers = readers
         self._limits = limits
         self._polled = polled
 
@@ -112,24 +64,26 @@
         cancellation: Cancellation,
     ) -> EventStream:
         """Open a stream; see the Engines port."""
+        limits = self._limits_of(request, offset)
         call = HttpCall(
             "POST",
             "/v1/completions",
             encode_generate(request, offset),
             {"Content-Type": "application/json"},
-            self._first_token_limit_s(request, offset),
+            limits.first_token_s,
             cancellation=cancellation,
         )
         answer = self._client.open(_address(endpoint), call)
         if answer.response.status >= ERRORS_FROM:
             raise EndpointRefusedError(answer.response.status, _detail(answer))
-        return EventStream(answer, self._limits.stall_s)
+        return EventStream(answer, self._readers, limits)
 
-    def _first_token_limit_s(self, request: InferenceRequest, offset: int) -> float:
+    def _limits_of(self, request: InferenceRequest, offset: int) -> StreamLimits:
         if offset:
-            return self._limits.first_token_s
+            return self._limits
         left_s = request.deadline_s - time.monotonic()
-        return max(MIN_TIMEOUT_S, min(self._limits.first_token_s, left_s))
+        first_s = max(MIN_TIMEOUT_S, min(self._limits.first_token_s, left_s))
+        return replace(self._limits, first_token_s=first_s)
 
     def order(self, endpoint: Endpoint, order: Order) -> OrderOutcome:
         """Send an order; see the Engines port."""
@@ -189,7 +143,7 @@
     except (OSError, HTTPException) as error:
         return repr(error)
     finally:
-        answer.close()
+        answer.close(answer.response.isclosed())
 
 
 def _address(endpoint: Endpoint) -> Address:
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -60,15 +60,30 @@
         self._exchange = exchange
         self.response = exchange.response
 
-    def limit_reads(self, timeout_s: float) -> None:
-        """Have a read that waits longer than ``timeout_s`` fail from now on."""
-        self._exchange.sock.settimeout(timeout_s)
+    @property
+    def address(self) -> Address:
+        """Who answers."""
+        return self._exchange.address
+
+    @property
+    def sock(self) -> socket.socket:
+        """The socket of the connection."""
+        return self._exchange.sock
+
+    def read_buffered(self) -> bytes:
+        """Return what came along with the head; the socket blocks no more."""
+        self._exchange.sock.setblocking(False)
+        try:
+            return self.response.fp.read1(len(self.response.fp.peek()))
+        except OSError as error:
+            raise broken(error) from error
 
-    def close(self) -> None:
+    def close(self, is_read: bool) -> None:
         """Return the connection to the pool if its body was read to the end."""
         exchange = self._exchange
         exchange.drop_cancellation()
-        if self.response.isclosed() and not self.response.will_close:
+        self.response.close()
+        if is_read and not self.response.will_close:
             self._client.give_back(exchange.address, exchange.connection)
         else:
             self._client.discard(exchange.connection)
@@ -117,7 +132,7 @@
         except (OSError, HTTPException) as error:
             raise broken(error) from error
         finally:
-            answer.close()
+            answer.close(answer.response.isclosed())
         return HttpAnswer(answer.response.status, dict(answer.response.headers), body)
 
     def open(self, address: Address, call: HttpCall) -> OpenAnswer:
@@ -137,7 +152,7 @@
             self._idle_by_address.clear()
         for connection in connections:
             if connection.sock is not None:
-                _shut(connection.sock)
+                shut(connection.sock)
 
     def give_back(self, address: Address, connection: HTTPConnection) -> None:
         """Keep a connection for the next call."""
@@ -190,7 +205,7 @@
         cancellation = call.cancellation
         handle = 0
         if cancellation is not None:
-            handle = cancellation.subscribe(functools.partial(_shut, sock))
+            handle = cancellation.subscribe(functools.partial(shut, sock))
         try:
             connection.request(call.method, call.path, call.body, dict(call.headers))
             response = connection.getresponse()
@@ -219,7 +234,8 @@
     return bool(poll.poll(0))
 
 
-def _shut(sock: socket.socket) -> None:
+def shut(sock: socket.socket) -> None:
+    """Break a connection off; whoever reads it meets its end."""
     try:
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -3,14 +3,14 @@
 import logging
 import threading
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import Executor
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any, TypeAlias
 
 from waitress.adjustments import Adjustments
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, WSGITask
 
@@ -20,6 +20,8 @@
 
 MAX_BODY_BYTES = 1 << 20
 MAX_READ_BYTES = 8 << 20
+MAX_UNREAD_BYTES = 16 << 20
+NEVER_BLOCKING_BYTES = 1 << 62
 CONNECTION_LIMIT = 2000
 BACKLOG = 1024
 FLUSH_CHECK_S = 0.1
@@ -44,17 +46,49 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """An answer; ``body`` may be produced while it is sent."""
+    """An answer; ``body`` is None if it is written while it is made."""
 
     status: int
-    body: Iterable[bytes]
+    body: bytes | None
     headers: Mapping[str, str] = field(default_factory=dict)
     content_type: str = "application/json"
 
 
+Write: TypeAlias = Callable[[bytes], None]
 Refuse: TypeAlias = Callable[[int, str], HttpResponse]
 
 
+class Reply:
+    """The answer of one request on its way out; it begins once.
+
+    Parameters
+    ----------
+    headers : mapping
+        Headers that every answer gets.
+    """
+
+    def __init__(
+        self, start_response: StartResponse, headers: Mapping[str, str]
+    ) -> None:
+        self.has_begun = False
+        self._start_response = start_response
+        self._headers = headers
+
+    def begin(self, response: HttpResponse) -> Write:
+        """Send the head; return what writes the body."""
+        self.has_begun = True
+        headers = [
+            ("Content-Type", response.content_type),
+            *self._headers.items(),
+            *response.headers.items(),
+        ]
+        if response.body is not None:
+            headers.append(("Content-Length", str(len(response.body))))
+        status = HTTPStatus(response.status)
+        write: Write = self._start_response(f"{status.value} {status.phrase}", headers)
+        return write
+
+
 class ExecutorDispatcher:
     """Runs waitress's tasks in an executor instead of its own threads."""
 
@@ -80,7 +114,7 @@
         """Write the answer and have the connection closed."""
         error = self.request.error
         response = self.channel.server.refuse(error.code, error.body)
-        body = b"".join(response.body)
+        body = response.body or b""
         status = HTTPStatus(response.status)
         self.status = f"{status.value} {status.phrase}"
         self.response_headers.append(("Content-Type", response.content_type))
@@ -119,7 +153,16 @@
         """Send at once what the socket takes, and buffer only the rest.
 
         A token's event then costs one call of the socket and passes no buffer.
+        It never blocks, since the tokens of other streams come next in its task.
+
+        Raises
+        ------
+        ClientDisconnected
+            If the caller has gone, or has left too much unread.
         """
+        if self.total_outbufs_len > MAX_UNREAD_BYTES:
+            self.cancellation.cancel()
+            raise ClientDisconnected
         if self.total_outbufs_len or not isinstance(data, bytes):
             count: int = super().write_soon(data)
             return count
@@ -205,6 +248,7 @@
         backlog=BACKLOG,
         max_request_body_size=MAX_READ_BYTES,
         inbuf_overflow=MAX_READ_BYTES,
+        outbuf_high_watermark=NEVER_BLOCKING_BYTES,
         clear_untrusted_proxy_headers=True,
         channel_timeout=600,
         channel_request_lookahead=1,
--- a/src/camphoryard/transport/job_api.py
+++ b/src/camphoryard/transport/job_api.py
@@ -25,9 +25,9 @@
         VERDICT_HEADER: Verdict.MAY_HAVE_RUN.value,
         "Location": f"{JOBS_PREFIX}{job.id}",
     }
-    return HttpResponse(ACCEPTED, [encode_job(job)], headers)
+    return HttpResponse(ACCEPTED, encode_job(job), headers)
 
 
 def show_job(parts: JobParts, caller: CallerId, job: str) -> HttpResponse:
     """Answer a request for a job's state and result; raises RefusalError."""
-    return HttpResponse(200, [encode_job(find(parts, caller, JobId(job)))])
+    return HttpResponse(200, encode_job(find(parts, caller, JobId(job))))
--- a/src/camphoryard/transport/operator_api.py
+++ b/src/camphoryard/transport/operator_api.py
@@ -95,4 +95,4 @@
 
 
 def _json(body: bytes) -> HttpResponse:
-    return HttpResponse(200, [body])
+    return HttpResponse(200, body)
--- a/standins/web.py
+++ b/standins/web.py
@@ -81,7 +81,7 @@
 
 
 def _refuse(status: int, detail: str) -> HttpResponse:
-    return HttpResponse(status, [detail.encode()], content_type="text/plain")
+    return HttpResponse(status, detail.encode(), content_type="text/plain")
 
 
 def drop_connection() -> Answered:
--- a/tests/coordination/test_inference.py
+++ b/tests/coordination/test_inference.py
@@ -32,14 +32,15 @@
 
 def answer(given, asked=None):
     """Return the text of an answer."""
-    frames = infer(given, asked or request(), never())
-    return "".join(frame.text for frame in frames)
+    texts = []
+    infer(given, asked or request(), never(), lambda frame: texts.append(frame.text))
+    return "".join(texts)
 
 
 def refusal(given, asked=None, cancellation=None):
     """Return the refusal of a request."""
     with pytest.raises(RefusalError) as refused:
-        list(infer(given, asked or request(), cancellation or never()))
+        infer(given, asked or request(), cancellation or never(), lambda frame: None)
     return refused.value
 
 
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -1,6 +1,6 @@
 """In-memory fakes of the ports that serving tasks are given."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from camphoryard.coordination.admission import Admission, DeadlineFirst
@@ -88,11 +88,13 @@
     steps: list[Step]
     closed: bool = False
 
-    def __iter__(self) -> Iterator[TokenFrame]:
+    def pump(self, take):
+        """Hand on the steps until no more is wanted."""
         for step in self.steps:
             if isinstance(step, Exception):
                 raise step
-            yield step
+            if take(step):
+                return
 
     def close(self):
         """Note that it was closed."""
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -43,7 +43,7 @@
     executor = ThreadPoolExecutor()
 
     def start(app):
-        server = serve(app, HOST, 0, executor, lambda *_: HttpResponse(400, []))
+        server = serve(app, HOST, 0, executor, lambda *_: HttpResponse(400, b""))
         threading.Thread(target=server.run, daemon=True).start()
         servers.append(server)
         return server
