Tell callers the usage of their answers

Cause: callers are charged and bounded by tokens and could not read how many an answer took. Counting frames in the daemon was ruled out: a frame need not be one token of the model, and the prompt's tokens only the engine knows. The engine's last event now may have `usage`, of the whole answer also after a resume; a whole answer and, with `stream_options.include_usage`, one more event pass it on. An engine that does not count gives null.

--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -2,6 +2,7 @@
 
 from camphoryard.coordination.actions import act
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.collecting import collect
 from camphoryard.coordination.expiry import ExpiryParts
 from camphoryard.coordination.inference import infer
 from camphoryard.coordination.job_running import JobRunner, RunnerParts
@@ -28,8 +29,7 @@
 
     def run_inference(request: InferenceRequest) -> str:
         with serving.door.admitted():
-            frames = infer(serving.inference, request, Cancellation())
-            return "".join(frame.text for frame in frames)
+            return collect(infer(serving.inference, request, Cancellation())).text
 
     def run_action(request: ActionRequest) -> ActionAnswer:
         with serving.door.admitted():
--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -18,7 +18,13 @@
     RequestId,
     ServiceId,
 )
-from camphoryard.state.requests import ActionRequest, InferenceRequest, TokenFrame
+from camphoryard.state.requests import (
+    ActionRequest,
+    CompletionAnswer,
+    InferenceRequest,
+    TokenFrame,
+    Usage,
+)
 from camphoryard.state.verdict import Verdict
 
 DEADLINE_HEADER = "Camphoryard-Deadline-Ms"
@@ -76,6 +82,13 @@
     content: str
 
 
+@dataclass(frozen=True, slots=True)
+class StreamOptionsForm:
+    """What a stream tells besides the answer."""
+
+    include_usage: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class CompletionForm:
     """Body of ``/v1/completions`` and ``/v1/chat/completions``.
@@ -88,6 +101,7 @@
     messages: list[ChatMessage] = field(default_factory=list)
     max_tokens: int = 256
     stream: bool = False
+    stream_options: StreamOptionsForm | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +112,7 @@
     model: str
     stream: bool
     chat: bool
+    include_usage: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,7 +169,15 @@
         _deadline_s(headers),
         _priority(headers),
     )
-    return Completion(request, form.model, form.stream, chat)
+    options = form.stream_options
+    if options is not None and not form.stream:
+        raise RefusalError(
+            Reason.BAD_FIELD,
+            "only a stream has options; set stream, or leave them out",
+            field="stream_options",
+        )
+    include_usage = options is not None and options.include_usage
+    return Completion(request, form.model, form.stream, chat, include_usage)
 
 
 def _prompt(form: CompletionForm) -> str:
@@ -257,15 +280,28 @@
     index: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class UsageForm:
+    """Tokens of one answer, as its engine counts them."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class CompletionAnswerForm:
-    """A whole answer; ``created`` is in seconds since the epoch."""
+    """A whole answer; ``created`` is in seconds since the epoch.
+
+    ``usage`` is null if the engine did not count.
+    """
 
     id: str
     object: str
     created: int
     model: str
     choices: list[MessageChoiceForm] | list[TextChoiceForm]
+    usage: UsageForm | None
 
 
 class EventEncoder:
@@ -273,17 +309,15 @@
 
     def __init__(self, completion: Completion) -> None:
         self._max_tokens = completion.request.max_tokens
+        self._include_usage = completion.include_usage
         name = "chat.completion.chunk" if completion.chat else "text_completion"
-        self._head = (
-            b'data: {"id":%b,"object":%b,"created":%d,"model":%b,'
-            b'"choices":[{"index":0,'
-            % (
-                _JSON.encode(completion.request.id),
-                _JSON.encode(name),
-                int(time.time()),
-                _JSON.encode(completion.model),
-            )
+        self._common = b'data: {"id":%b,"object":%b,"created":%d,"model":%b,' % (
+            _JSON.encode(completion.request.id),
+            _JSON.encode(name),
+            int(time.time()),
+            _JSON.encode(completion.model),
         )
+        self._head = self._common + b'"choices":[{"index":0,'
         if completion.chat:
             self._start = self._head + b'"delta":{"role":"assistant","content":'
             self._middle = self._head + b'"delta":{"content":'
@@ -295,36 +329,53 @@
             self._last = self._head + b'"text":""'
 
     def encode(self, frame: TokenFrame) -> bytes:
-        """Return the server-sent event of one frame."""
+        """Return the server-sent event of one frame, or both of the end."""
         if frame.finished:
             reason = _JSON.encode(finish_reason(frame.offset, self._max_tokens))
-            return b'%b,"finish_reason":%b}]}\n\n' % (self._last, reason)
+            end = b'%b,"finish_reason":%b}]}\n\n' % (self._last, reason)
+            return end + self._usage(frame) if self._include_usage else end
         head = self._middle if frame.offset else self._start
         return head + _JSON.encode(frame.text) + self._end
 
+    def _usage(self, frame: TokenFrame) -> bytes:
+        usage = _JSON.encode(_usage_form(frame.usage))
+        return self._common + b'"choices":[],"usage":%b}\n\n' % usage
+
 
 def finish_reason(tokens: int, max_tokens: int) -> str:
     """Return why an answer of ``tokens`` tokens ended."""
     return "length" if tokens >= max_tokens else "stop"
 
 
-def encode_answer(completion: Completion, text: str, tokens: int) -> bytes:
-    """Return the body of an answer of ``tokens`` tokens that is not streamed."""
-    reason = finish_reason(tokens, completion.request.max_tokens)
+def encode_answer(completion: Completion, answer: CompletionAnswer) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    reason = finish_reason(answer.tokens, completion.request.max_tokens)
     choices: list[MessageChoiceForm] | list[TextChoiceForm]
     if completion.chat:
-        choices = [MessageChoiceForm(ChatMessage("assistant", text), reason)]
+        choices = [MessageChoiceForm(ChatMessage("assistant", answer.text), reason)]
         name = "chat.completion"
     else:
-        choices = [TextChoiceForm(text, reason)]
+        choices = [TextChoiceForm(answer.text, reason)]
         name = "text_completion"
     return _JSON.encode(
         CompletionAnswerForm(
-            completion.request.id, name, int(time.time()), completion.model, choices
+            completion.request.id,
+            name,
+            int(time.time()),
+            completion.model,
+            choices,
+            _usage_form(answer.usage),
         )
     )
 
 
+def _usage_form(usage: Usage | None) -> UsageForm | None:
+    if usage is None:
+        return None
+    total = usage.prompt_tokens + usage.completion_tokens
+    return UsageForm(usage.prompt_tokens, usage.completion_tokens, total)
+
+
 @dataclass(frozen=True, slots=True)
 class ErrorAnswer:
     """An error as HTTP: status, header value and body."""
--- a/src/camphoryard/state/requests.py
+++ b/src/camphoryard/state/requests.py
@@ -46,14 +46,35 @@
     key: IdempotencyKey | None
 
 
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens of one whole answer, as its engine counts them."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class TokenFrame:
-    """One token of an answer, or its end when ``finished``."""
+    """One token of an answer, or its end when ``finished``.
+
+    The end may tell the usage of the whole answer, also after a resume.
+    """
 
     request_id: RequestId
     offset: int
     text: str = ""
     finished: bool = False
+    usage: Usage | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionAnswer:
+    """A whole answer of ``tokens`` tokens; ``usage`` if its engine told it."""
+
+    text: str
+    tokens: int
+    usage: Usage | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -1,8 +1,8 @@
 """HTTP front end for callers."""
 
 from collections.abc import Generator, Iterator
-from contextlib import closing
 
+from camphoryard.coordination.collecting import collect
 from camphoryard.coordination.serving import FrontDoor
 from camphoryard.protocol.caller import (
     DONE_EVENT,
@@ -43,15 +43,11 @@
         request.body, request.headers, caller, chat, request.id
     )
     frames = door.infer(completion.request, request.cancellation)
-    first = next(frames)
     headers = {VERDICT_HEADER: Verdict.RAN.value}
     if completion.stream:
-        events = _Events(completion, first, frames)
+        events = _Events(completion, next(frames), frames)
         return HttpResponse(200, events, headers, EVENT_STREAM)
-    with closing(frames):
-        texts = [first.text, *(frame.text for frame in frames)]
-    # The last frame ends the answer and is no token.
-    body = encode_answer(completion, "".join(texts), len(texts) - 1)
+    body = encode_answer(completion, collect(frames))
     return HttpResponse(200, [body], headers)
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,7 +5,8 @@
 fail. ``hold_orders`` keeps orders without an answer until ``release_orders``
 carries them out, however late; ``copy_orders`` keeps a copy of each besides.
 Tokens are a function of prompt and offset, so
-that any whole answer can be checked and any engine can resume it.
+that any whole answer can be checked and any engine can resume it. The last
+event of an answer tells its ``usage``, whole also after a resume.
 """
 
 import os
@@ -39,6 +40,11 @@
     return "".join(token(prompt, offset) for offset in range(max_tokens))
 
 
+def prompt_tokens(prompt: str) -> int:
+    """Return how many tokens any engine counts in a prompt."""
+    return len(prompt.split())
+
+
 @dataclass(slots=True)
 class Running:
     """One request in the batch."""
@@ -364,6 +370,10 @@
             event["text"] = token(running.prompt, running.offset)
         else:
             event["finished"] = True
+            event["usage"] = {
+                "prompt_tokens": prompt_tokens(running.prompt),
+                "completion_tokens": running.max_tokens,
+            }
         chunk = b"".join(
             as_chunk(b"data: " + msgspec.json.encode(sent) + b"\n\n")
             for sent in self._disturbed(running, event)
--- a/tests/system/test_answers.py
+++ b/tests/system/test_answers.py
@@ -10,6 +10,7 @@
 from standins.site import SiteSpec
 
 PROMPT = "where can I park?"
+USAGE_WANTED = {"include_usage": True}
 
 
 def run_engines(site):
@@ -17,11 +18,12 @@
     return [item for item in site.engines if site.control(item)["running"]]
 
 
-def open_stream(site, node, prompt):
+def open_stream(site, node, prompt, headers=None, **fields):
     """Send a streamed request and return its connection, nothing read."""
     connection = HTTPConnection(HOST, site.fleet.port(node))
-    body = {"model": "meter-3b", "prompt": prompt, "stream": True}
-    headers = {"Authorization": f"Bearer {CALLER_TOKEN}-meter-app"}
+    body = {"model": "meter-3b", "prompt": prompt, "stream": True, **fields}
+    token = {"Authorization": f"Bearer {CALLER_TOKEN}-meter-app"}
+    headers = {**token, **(headers or {})}
     connection.request("POST", "/v1/completions", json.dumps(body), headers)
     return connection
 
@@ -55,6 +57,21 @@
         texts.extend(stream)
         assert "".join(texts) == whole_answer(PROMPT, 60)
 
+    def test_usage_is_of_the_whole_answer_after_a_resume(self, start):
+        """The engine that ends a stream counts the tokens of the first one too."""
+        site = start(SiteSpec(step_ms=20.0))
+        caller = open_stream(
+            site, "node-1", PROMPT, max_tokens=60, stream_options=USAGE_WANTED
+        )
+        response = caller.getresponse()
+        response.readline()
+        for name in run_engines(site):
+            site.fleet.process_by_name[name].kill()
+        last = response.read().split(b"\n\n")[-3]
+        usage = json.loads(last.removeprefix(b"data: "))["usage"]
+        assert usage["prompt_tokens"] == len(PROMPT.split())
+        assert usage["completion_tokens"] == 60
+
     def test_stalled_stream_goes_on_elsewhere(self, start):
         """A stream without tokens for the stall limit is resumed elsewhere."""
         site = start(SiteSpec(step_ms=20.0))
