Bound a whole answer by a total deadline

Cause: `Camphoryard-Deadline-Ms` rules the first token only, whatever CALLERS.md said, so a caller could not bound a stream. Cutting at the existing deadline was ruled out: callers that know only when they need to see something would lose half their answers. `Camphoryard-Total-Deadline-Ms` bounds the whole; it is looked at between tokens and bounds each read, so a silent engine does not hold the stream. The stream then ends with an error event (deadline, may have run), the engine's connection is shut, and the endpoint is not ejected for it.

Without the look between tokens two of the new tests fail; without the bound on reads the one with a stalled engine does.

--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference.py
@@ -81,7 +81,8 @@
 ) -> Generator[TokenFrame, None, None]:
     """Yield the whole answer in order, resuming elsewhere if an endpoint breaks.
 
-    The deadline rules the first token; a stream that makes progress is not cut.
+    The deadline rules the first token; a stream that makes progress is cut
+    only at the total deadline.
 
     Raises
     ------
@@ -127,6 +128,7 @@
             return
         except (NotSentError, BrokenCallError, EndpointRefusedError) as error:
             _check_cancelled(cancellation, progress)
+            _check_total_deadline(request, progress)
             _check_retry(parts, where, progress, error)
         finally:
             parts.admission.leave(ticket)
@@ -180,7 +182,7 @@
     is_resumed = progress.offset > 0
     due_s = request.deadline_s
     if is_resumed:
-        due_s = time.monotonic() + RESUME_LIMIT_S
+        due_s = min(time.monotonic() + RESUME_LIMIT_S, request.total_deadline_s)
     lane = Lane(where.group, items, where.priority, excluded, is_resumed)
     affinity = f"{request.model}:{request.adapter}:{request.prompt}"
     return Ticket(lane, left, due_s, affinity[:AFFINITY_CHARACTERS], usable)
@@ -241,6 +243,15 @@
         raise RefusalError(Reason.CANCELLED, "the caller went away", progress.verdict)
 
 
+def _check_total_deadline(request: InferenceRequest, progress: _Progress) -> None:
+    if time.monotonic() >= request.total_deadline_s:
+        raise RefusalError(
+            Reason.DEADLINE,
+            f"the total deadline passed after {progress.offset} tokens",
+            progress.verdict,
+        )
+
+
 def _with_verdict(refusal: RefusalError, progress: _Progress) -> RefusalError:
     """Return the refusal with what earlier attempts make of its verdict."""
     return RefusalError(
@@ -308,19 +319,31 @@
             _frames(parts, request, endpoint_id, cancellation, progress)
         ) as frames:
             for frame in frames:
+                _check_total_deadline(request, progress)
                 if progress.fruitless:
                     _succeeded(parts, endpoint_id, trial, progress)
                 if not frame.finished:
                     progress.offset += 1
                 yield frame
+    except RefusalError:
+        raise
     except CamphoryardError as error:
-        if not cancellation.cancelled:
+        if not cancellation.cancelled and not _is_cut(request, error):
             _failed(parts, request, endpoint_id, trial, progress, error)
         raise
     finally:
         trial.end()
 
 
+def _is_cut(request: InferenceRequest, error: CamphoryardError) -> bool:
+    """Return whether the request's own total deadline ended the attempt."""
+    match error:
+        case StalledCallError():
+            return time.monotonic() >= request.total_deadline_s
+        case _:
+            return False
+
+
 def _frames(
     parts: InferenceParts,
     request: InferenceRequest,
--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -28,6 +28,7 @@
 from camphoryard.state.verdict import Verdict
 
 DEADLINE_HEADER = "Camphoryard-Deadline-Ms"
+TOTAL_DEADLINE_HEADER = "Camphoryard-Total-Deadline-Ms"
 PRIORITY_HEADER = "Camphoryard-Priority"
 REQUEST_HEADER = "Camphoryard-Request-Id"
 VERDICT_HEADER = "Camphoryard-Verdict"
@@ -159,6 +160,7 @@
             Reason.BAD_FIELD, f"must be 1 to {MAX_TOKENS}", field="max_tokens"
         )
     model, _, adapter = form.model.partition(":")
+    total_deadline_s = _total_deadline_s(headers)
     request = InferenceRequest(
         id,
         caller,
@@ -166,8 +168,9 @@
         AdapterId(adapter) if adapter else None,
         _prompt(form),
         form.max_tokens,
-        _deadline_s(headers),
+        min(_deadline_s(headers), total_deadline_s),
         _priority(headers),
+        total_deadline_s,
     )
     options = form.stream_options
     if options is not None and not form.stream:
@@ -234,11 +237,20 @@
 
 def _deadline_s(headers: Mapping[str, str]) -> float:
     text = headers.get(DEADLINE_HEADER, str(DEFAULT_DEADLINE_MS))
+    return _from_now_s(DEADLINE_HEADER, text)
+
+
+def _total_deadline_s(headers: Mapping[str, str]) -> float:
+    text = headers.get(TOTAL_DEADLINE_HEADER)
+    return math.inf if text is None else _from_now_s(TOTAL_DEADLINE_HEADER, text)
+
+
+def _from_now_s(header: str, text: str) -> float:
     if not _is_deadline_ms(text):
         raise RefusalError(
             Reason.BAD_HEADER,
             f"must be 1 to {MAX_DEADLINE_MS} milliseconds",
-            field=DEADLINE_HEADER,
+            field=header,
         )
     return time.monotonic() + int(text) / MILLISECONDS_PER_SECOND
 
--- a/src/camphoryard/state/requests.py
+++ b/src/camphoryard/state/requests.py
@@ -1,5 +1,6 @@
 """Requests and what comes back."""
 
+import math
 from dataclasses import dataclass
 
 from camphoryard.state.enums import Priority
@@ -20,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class InferenceRequest:
-    """A request to a model; ``deadline_s`` is on the monotonic clock."""
+    """A request to a model; its deadlines are on the monotonic clock.
+
+    ``deadline_s`` is for the first token, ``total_deadline_s`` for the last.
+    """
 
     id: RequestId
     caller: CallerId
@@ -30,6 +34,7 @@
     max_tokens: int
     deadline_s: float
     priority: Priority | None
+    total_deadline_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -55,24 +55,32 @@
 class EventStream:
     """Token frames read from an engine's event stream.
 
-    Once the first token has come, a silence of ``stall_s`` seconds breaks it.
+    Once the first token has come, a silence of ``stall_s`` seconds breaks it,
+    and so does one that lasts to ``until_s`` on the monotonic clock.
     """
 
-    def __init__(self, answer: OpenAnswer, stall_s: float) -> None:
+    def __init__(self, answer: OpenAnswer, stall_s: float, until_s: float) -> None:
         self._answer = answer
         self._stall_s = stall_s
+        self._until_s = until_s
 
     def __iter__(self) -> Iterator[TokenFrame]:
         rest = b""
         data = self._read()
         self._answer.limit_reads(self._stall_s)
         while data:
+            self._limit_to_deadline()
             *events, rest = (rest + data).split(b"\n\n")
             for event in events:
                 if event.startswith(EVENT_PREFIX + b"{"):
                     yield _frame(event)
             data = self._read()
 
+    def _limit_to_deadline(self) -> None:
+        left_s = self._until_s - time.monotonic()
+        if left_s < self._stall_s:
+            self._answer.limit_reads(max(MIN_TIMEOUT_S, left_s))
+
     def _read(self) -> bytes:
         try:
             return self._answer.response.read1(READ_BYTES)
@@ -123,12 +131,11 @@
         answer = self._client.open(_address(endpoint), call)
         if answer.response.status >= ERRORS_FROM:
             raise EndpointRefusedError(answer.response.status, _detail(answer))
-        return EventStream(answer, self._limits.stall_s)
+        return EventStream(answer, self._limits.stall_s, request.total_deadline_s)
 
     def _first_token_limit_s(self, request: InferenceRequest, offset: int) -> float:
-        if offset:
-            return self._limits.first_token_s
-        left_s = request.deadline_s - time.monotonic()
+        due_s = request.total_deadline_s if offset else request.deadline_s
+        left_s = due_s - time.monotonic()
         return max(MIN_TIMEOUT_S, min(self._limits.first_token_s, left_s))
 
     def order(self, endpoint: Endpoint, order: Order) -> OrderOutcome:
--- a/tests/coordination/test_inference.py
+++ b/tests/coordination/test_inference.py
@@ -115,6 +115,30 @@
         assert len(engines.calls) == 1
 
 
+class TestTotalDeadline:
+    """The bound on a whole answer."""
+
+    def test_total_deadline_cuts_between_tokens(self):
+        """An answer under way ends with a true error; no token is added."""
+        engines = both(whole)
+        asked = request(total_deadline_s=time.monotonic())
+        refused = refusal(parts(engines), asked)
+        assert (refused.reason, refused.verdict) == (
+            Reason.DEADLINE,
+            Verdict.MAY_HAVE_RUN,
+        )
+        assert len(engines.calls) == 1
+
+    def test_total_deadline_is_no_fault_of_the_endpoint(self):
+        """A read that it broke off ejects nobody and is not tried again."""
+        engines = both(fails(StalledCallError("x")))
+        given = parts(engines)
+        asked = request(total_deadline_s=time.monotonic())
+        assert refusal(given, asked).reason is Reason.DEADLINE
+        assert len(engines.calls) == 1
+        assert given.breakers.allows(engines.calls[0])
+
+
 class TestCancelled:
     """A caller that goes away."""
 
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -1,5 +1,6 @@
 """In-memory fakes of the ports that serving tasks are given."""
 
+import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -144,7 +145,9 @@
     return script
 
 
-def request(prompt="where?", deadline_s=FAR_S, max_tokens=5) -> InferenceRequest:
+def request(
+    prompt="where?", deadline_s=FAR_S, max_tokens=5, total_deadline_s=math.inf
+) -> InferenceRequest:
     """Return a request of the test's caller."""
     return InferenceRequest(
         RequestId(f"request-{prompt}"),
@@ -155,6 +158,7 @@
         max_tokens,
         deadline_s,
         None,
+        total_deadline_s,
     )
 
 
--- a/tests/system/test_answers.py
+++ b/tests/system/test_answers.py
@@ -82,6 +82,36 @@
         texts.extend(stream)
         assert "".join(texts) == whole_answer(PROMPT, 60)
 
+    def test_total_deadline_ends_a_stream(self, start):
+        """The caller gets a true error event and the engine is cancelled."""
+        site = start(SiteSpec(nodes=1, ignoring_engines=0, step_ms=20.0))
+        site.complete("node-1", "meter-3b", "warm", 1)
+        headers = {"Camphoryard-Total-Deadline-Ms": "800"}
+        caller = open_stream(site, "node-1", PROMPT, headers, max_tokens=5000)
+        events = caller.getresponse().read().split(b"\n\n")
+        name, _, body = events[-2].partition(b"\ndata: ")
+        error = json.loads(body)["error"]
+        assert (name, error["code"]) == (b"event: error", "deadline")
+        assert error["verdict"] == "may have run"
+        site.fleet.wait_until(lambda: not run_engines(site), "the cancelled request")
+        assert site.control("engine-1")["cancelled"] == 1
+
+    def test_total_deadline_ends_a_stalled_stream(self, start):
+        """A silent engine does not hold a stream beyond its total deadline."""
+        patient = "[serving]\nstall_s = 600.0\n"
+        site = start(
+            SiteSpec(nodes=1, ignoring_engines=0, step_ms=20.0, node_settings=patient)
+        )
+        site.complete("node-1", "meter-3b", "warm", 1)
+        headers = {"Camphoryard-Total-Deadline-Ms": "1000"}
+        caller = open_stream(site, "node-1", PROMPT, headers, max_tokens=5000)
+        response = caller.getresponse()
+        response.readline()
+        site.control("engine-1", stall_streams=True)
+        assert b'"code":"deadline"' in response.read()
+        site.control("engine-1", stall_streams=False)
+        assert len(site.control("engine-1")["log"]) == 2
+
     def test_caller_gone_mid_stream_is_cancelled(self, start):
         """The engine drops the request of a caller that went away."""
         site = start(SiteSpec(nodes=1, ignoring_engines=0, step_ms=20.0))
--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -56,6 +56,12 @@
         "Camphoryard-Deadline-Ms",
         headers={"Camphoryard-Deadline-Ms": "9" * 5000},
     ),
+    "bad_total_deadline": Bad(
+        400,
+        "bad_header",
+        "Camphoryard-Total-Deadline-Ms",
+        headers={"Camphoryard-Total-Deadline-Ms": "0"},
+    ),
     "bad_priority": Bad(
         400,
         "bad_header",
