Bound answers that are not streamed

Cause: a whole answer of a model or a service was read into memory however large it was. And a job whose result was over a megabyte was written again each second without end, since the object API refuses it for its size: it held one of the node's four places for ever. Cutting the answer short was ruled out (half an answer that looks whole), and so was calling it broken: a service's answer would then be "may have run", and an idempotent call be sent to every endpoint in turn. `serving.max_answer_bytes` (4 MiB) bounds both; the error is `answer_too_large` with verdict "ran" ("may have run" for a service's 5xx); an action's claim is finished as not kept, so a resend hears `answer_not_kept`. Job results are bounded at 256 KiB and fail the job.

Run: tests/transport, test_settings, test_collecting, test_actions, test_job_running, system test_answers and test_jobs pass.

--- a/src/camphoryard/coordination/actions.py
+++ b/src/camphoryard/coordination/actions.py
@@ -12,6 +12,7 @@
     ClaimParts,
     Held,
     finish,
+    finish_unkept,
     hold,
     leave_unknown,
     recorded,
@@ -21,7 +22,12 @@
 from camphoryard.coordination.routing import Router, route
 from camphoryard.state.configuration import Service
 from camphoryard.state.enums import EndpointKind, Reason
-from camphoryard.state.errors import BrokenCallError, NotSentError, RefusalError
+from camphoryard.state.errors import (
+    AnswerTooLargeError,
+    BrokenCallError,
+    NotSentError,
+    RefusalError,
+)
 from camphoryard.state.ids import EndpointId
 from camphoryard.state.requests import ActionAnswer, ActionRequest
 from camphoryard.state.tables import ConfigurationHolder, InFlightTable
@@ -86,6 +92,8 @@
         left.remove(endpoint_id)
         try:
             return _send(parts, request, endpoint_id)
+        except AnswerTooLargeError as error:
+            raise _too_large(error) from error
         except NotSentError:
             continue
         except BrokenCallError:
@@ -134,6 +142,9 @@
             raise RefusalError(
                 Reason.ENDPOINT_FAILED, str(error), Verdict.MAY_HAVE_RUN
             ) from error
+        except AnswerTooLargeError as error:
+            finish_unkept(parts.claiming, held, error.status)
+            raise _too_large(error) from error
         finish(parts.claiming, held, answer)
         return answer
     release(parts.claiming, held)
@@ -142,6 +153,13 @@
     raise RefusalError(Reason.ENDPOINT_FAILED, "no endpoint could be reached")
 
 
+def _too_large(error: AnswerTooLargeError) -> RefusalError:
+    """Return the refusal of a call that was answered all the same."""
+    verdict = ActionAnswer(error.status, b"").verdict
+    detail = f"the service answered {error.status}, but {error}"
+    return RefusalError(Reason.ANSWER_TOO_LARGE, detail, verdict)
+
+
 def _send(
     parts: ActionParts, request: ActionRequest, endpoint_id: EndpointId
 ) -> ActionAnswer:
--- a/src/camphoryard/coordination/claiming.py
+++ b/src/camphoryard/coordination/claiming.py
@@ -113,17 +113,21 @@
 
 def finish(parts: ClaimParts, held: Held, answer: ActionAnswer) -> None:
     """Record the answer for those who send the action again."""
-    kept = len(answer.body) <= MAX_KEPT_BODY_BYTES
+    if len(answer.body) > MAX_KEPT_BODY_BYTES:
+        finish_unkept(parts, held, answer.status)
+        return
     ending = replace(
-        held.claim,
-        state=ClaimState.DONE,
-        status=answer.status,
-        body=answer.body if kept else b"",
-        kept=kept,
+        held.claim, state=ClaimState.DONE, status=answer.status, body=answer.body
     )
     _end(parts, held, ending)
 
 
+def finish_unkept(parts: ClaimParts, held: Held, status: int) -> None:
+    """Record that the action was answered with more than is kept."""
+    ending = replace(held.claim, state=ClaimState.DONE, status=status, kept=False)
+    _end(parts, held, ending)
+
+
 def leave_unknown(parts: ClaimParts, held: Held) -> None:
     """Record that the action may have run and that no answer will come."""
     _end(parts, held, replace(held.claim, state=ClaimState.UNKNOWN))
--- a/src/camphoryard/coordination/job_running.py
+++ b/src/camphoryard/coordination/job_running.py
@@ -36,6 +36,7 @@
 FIRST_RETRY_S = 1.0
 MAX_RETRY_S = 60.0
 MAX_DOUBLINGS = 6
+MAX_RESULT_BYTES = 256 << 10
 FINAL_REASONS = frozenset(
     {
         Reason.BAD_FIELD,
@@ -44,6 +45,7 @@
         Reason.UNKNOWN_SERVICE,
         Reason.NO_GROUP,
         Reason.QUARANTINED,
+        Reason.ANSWER_TOO_LARGE,
     }
 )
 
@@ -218,6 +220,12 @@
                         None,
                     )
                 )
+                if len(answer.body) > MAX_RESULT_BYTES:
+                    raise RefusalError(
+                        Reason.ANSWER_TOO_LARGE,
+                        f"a result has at most {MAX_RESULT_BYTES} bytes",
+                        answer.verdict,
+                    )
                 return JobResult(answer.body, answer.status, verdict=answer.verdict)
 
     def _put_back(self, job: Job, version: Version, refusal: RefusalError) -> None:
--- a/src/camphoryard/coordination/ports.py
+++ b/src/camphoryard/coordination/ports.py
@@ -190,6 +190,8 @@
             If no byte reached the service.
         BrokenCallError
             If the call broke on the way: it may have run.
+        AnswerTooLargeError
+            If the service answered with more than is taken.
         """
 
 
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -8,6 +8,7 @@
 
 from camphoryard.coordination.actions import ActionParts, act
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.collecting import collect
 from camphoryard.coordination.inference import InferenceParts, infer
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.timeline import Timeline
@@ -18,6 +19,7 @@
 from camphoryard.state.requests import (
     ActionAnswer,
     ActionRequest,
+    CompletionAnswer,
     InferenceRequest,
     TokenFrame,
 )
@@ -36,6 +38,7 @@
     refusals: RefusalCounter
     timeline: Timeline
     observe: Callable[[str, float], None]
+    max_answer_bytes: int
 
 
 class FrontDoor:
@@ -111,6 +114,17 @@
             self._end()
             self._parts.observe("inference", time.monotonic() - started_s)
 
+    def complete(
+        self, request: InferenceRequest, cancellation: Cancellation | None = None
+    ) -> CompletionAnswer:
+        """Return the whole answer; raises RefusalError, which is counted."""
+        frames = self.infer(request, cancellation)
+        try:
+            return collect(frames, self._parts.max_answer_bytes)
+        except RefusalError as refusal:
+            self.refused(refusal, request.caller, request.id)
+            raise
+
     def act(self, request: ActionRequest) -> ActionAnswer:
         """Return the action's answer; raises RefusalError, which is counted."""
         started_s = time.monotonic()
--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -5,7 +5,11 @@
 from camphoryard.coordination.collecting import collect
 from camphoryard.coordination.expiry import ExpiryParts
 from camphoryard.coordination.inference import infer
-from camphoryard.coordination.job_running import JobRunner, RunnerParts
+from camphoryard.coordination.job_running import (
+    MAX_RESULT_BYTES,
+    JobRunner,
+    RunnerParts,
+)
 from camphoryard.coordination.jobs import JobParts
 from camphoryard.node.platform import Platform
 from camphoryard.node.serving import Serving
@@ -29,7 +33,8 @@
 
     def run_inference(request: InferenceRequest) -> str:
         with serving.door.admitted():
-            return collect(infer(serving.inference, request, Cancellation())).text
+            frames = infer(serving.inference, request, Cancellation())
+            return collect(frames, MAX_RESULT_BYTES).text
 
     def run_action(request: ActionRequest) -> ActionAnswer:
         with serving.door.admitted():
--- a/src/camphoryard/node/serving.py
+++ b/src/camphoryard/node/serving.py
@@ -78,7 +78,10 @@
         claiming,
         shared.in_flight,
         router,
-        StayingServices(HttpServices(shared.client), leaving),
+        StayingServices(
+            HttpServices(shared.client, shared.settings.serving.max_answer_bytes),
+            leaving,
+        ),
     )
     door = FrontDoor(
         ServingParts(
@@ -88,6 +91,7 @@
             shared.refusals,
             shared.timeline,
             shared.metrics.observe,
+            shared.settings.serving.max_answer_bytes,
         )
     )
     return Serving(admission, suspects, inference, actions, leaving, door)
--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -61,6 +61,7 @@
     Reason.IN_PROGRESS: 409,
     Reason.OUTCOME_UNKNOWN: 409,
     Reason.ANSWER_NOT_KEPT: 410,
+    Reason.ANSWER_TOO_LARGE: 502,
     Reason.OVERLOADED: 503,
     Reason.DEADLINE: 504,
     Reason.DRAINING: 503,
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -111,11 +111,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServingSettings:
-    """Bounds of serving; ``grace_s`` is how long a stopping node still admits."""
+    """Bounds of serving; ``grace_s`` is how long a stopping node still admits.
+
+    ``max_answer_bytes`` is for an answer that is not streamed.
+    """
 
     first_token_limit_s: float = 10.0
     stall_s: float = 2.0
     grace_s: float = 2.0
+    max_answer_bytes: int = 4 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +203,8 @@
         raise FieldError("residency.order_lifetime_s", "expected seconds above 0")
     if settings.residency.min_residency_s < 0:
         raise FieldError("residency.min_residency_s", "expected no negative seconds")
+    if settings.serving.max_answer_bytes < 1:
+        raise FieldError("serving.max_answer_bytes", "expected bytes above 0")
     if not all(settings.access.operator_tokens):
         raise FieldError("access.operator_tokens", "a token must not be empty")
     if not all(settings.access.caller_token_by_id.values()):
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -112,6 +112,7 @@
     IN_PROGRESS = "in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_NOT_KEPT = "answer_not_kept"
+    ANSWER_TOO_LARGE = "answer_too_large"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     DRAINING = "draining"
--- a/src/camphoryard/state/errors.py
+++ b/src/camphoryard/state/errors.py
@@ -92,6 +92,23 @@
         self.detail = detail
 
 
+class AnswerTooLargeError(CamphoryardError):
+    """An endpoint answered with more than the caller of it takes.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code of the answer.
+    limit_bytes : int
+        How much is taken.
+    """
+
+    def __init__(self, status: int, limit_bytes: int) -> None:
+        super().__init__(f"the answer has more than {limit_bytes} bytes")
+        self.status = status
+        self.limit_bytes = limit_bytes
+
+
 class PeerUnreachableError(CamphoryardError):
     """A peer gave no reply in time."""
 
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Generator, Iterator
 
-from camphoryard.coordination.collecting import collect
 from camphoryard.coordination.serving import FrontDoor
 from camphoryard.protocol.caller import (
     DONE_EVENT,
@@ -42,13 +41,13 @@
     completion = decode_completion(
         request.body, request.headers, caller, chat, request.id
     )
-    frames = door.infer(completion.request, request.cancellation)
     headers = {VERDICT_HEADER: Verdict.RAN.value}
     if completion.stream:
+        frames = door.infer(completion.request, request.cancellation)
         events = _Events(completion, next(frames), frames)
         return HttpResponse(200, events, headers, EVENT_STREAM)
-    body = encode_answer(completion, collect(frames))
-    return HttpResponse(200, [body], headers)
+    answer = door.complete(completion.request, request.cancellation)
+    return HttpResponse(200, [encode_answer(completion, answer)], headers)
 
 
 def call_service(
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -170,10 +170,11 @@
 
 
 class HttpServices:
-    """Plain services over HTTP."""
+    """Plain services over HTTP; longer answers than ``max_answer_bytes`` fail."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(self, client: HttpClient, max_answer_bytes: int) -> None:
         self._client = client
+        self._max_answer_bytes = max_answer_bytes
 
     def call(self, endpoint: Endpoint, request: ActionRequest) -> ActionAnswer:
         """Call an operation once, over a fresh connection."""
@@ -185,6 +186,7 @@
             {"Content-Type": "application/json", "X-Request-Id": request.id},
             max(left_s, MIN_TIMEOUT_S),
             fresh=True,
+            max_answer_bytes=self._max_answer_bytes,
         )
         answer = self._client.call(_address(endpoint), call)
         return ActionAnswer(answer.status, answer.body)
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -10,7 +10,12 @@
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.state.errors import BrokenCallError, NotSentError, StalledCallError
+from camphoryard.state.errors import (
+    AnswerTooLargeError,
+    BrokenCallError,
+    NotSentError,
+    StalledCallError,
+)
 
 MAX_IDLE_PER_ADDRESS = 64
 CONNECT_LIMIT_S = 1.0
@@ -31,7 +36,8 @@
     A pooled connection may be closed by the other side while the call is
     written. A call that may not be repeated needs a fresh one, since its
     failure to connect then proves that nothing was sent. ``cancellation``
-    breaks the call off wherever it is.
+    breaks the call off wherever it is. ``max_answer_bytes`` bounds the body
+    that ``HttpClient.call`` reads; None does not.
     """
 
     method: str
@@ -41,6 +47,7 @@
     timeout_s: float = 5.0
     fresh: bool = False
     cancellation: Cancellation | None = None
+    max_answer_bytes: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,14 +117,19 @@
             If the other side was silent for too long.
         BrokenCallError
             If the call broke after some of it may have been sent.
+        AnswerTooLargeError
+            If the body is larger than the call takes.
         """
         answer = self.open(address, call)
+        limit = call.max_answer_bytes
         try:
-            body = answer.response.read()
+            body = answer.response.read(None if limit is None else limit + 1)
         except (OSError, HTTPException) as error:
             raise broken(error) from error
         finally:
             answer.close()
+        if limit is not None and len(body) > limit:
+            raise AnswerTooLargeError(answer.response.status, limit)
         return HttpAnswer(answer.response.status, dict(answer.response.headers), body)
 
     def open(self, address: Address, call: HttpCall) -> OpenAnswer:
--- a/tests/coordination/test_actions.py
+++ b/tests/coordination/test_actions.py
@@ -17,7 +17,12 @@
     ServingGroup,
 )
 from camphoryard.state.enums import ClaimState, EndpointKind, Priority, Reason
-from camphoryard.state.errors import BrokenCallError, NotSentError, RefusalError
+from camphoryard.state.errors import (
+    AnswerTooLargeError,
+    BrokenCallError,
+    NotSentError,
+    RefusalError,
+)
 from camphoryard.state.nodes import NodeTable
 from camphoryard.state.requests import ActionAnswer, ActionRequest
 from camphoryard.state.tables import ConfigurationHolder, InFlightTable
@@ -167,3 +172,26 @@
         parts.services.script = [error, NotSentError("refused")]
         refused = refusal_of(parts, make_request("availability"))
         assert refused == (Reason.ENDPOINT_FAILED, verdict)
+
+
+class TestAnswerTooLarge:
+    """Answers above the bound: the call ran and cannot be answered."""
+
+    @pytest.mark.parametrize(
+        ("status", "verdict"), [(200, Verdict.RAN), (500, Verdict.MAY_HAVE_RUN)]
+    )
+    @pytest.mark.parametrize("operation", ["availability", "book"])
+    def test_is_a_true_error_and_sent_once(self, parts, operation, status, verdict):
+        """No other endpoint is asked; a server error does not say how far it came."""
+        parts.services.script = [AnswerTooLargeError(status, 9)]
+        refused = refusal_of(parts, make_request(operation))
+        assert refused == (Reason.ANSWER_TOO_LARGE, verdict)
+        assert len(parts.services.called) == 1
+
+    def test_action_is_finished(self, parts):
+        """A resend is told that it ran and is not sent."""
+        parts.services.script = [AnswerTooLargeError(200, 9)]
+        refusal_of(parts, make_request())
+        again = refusal_of(parts, make_request())
+        assert again == (Reason.ANSWER_NOT_KEPT, Verdict.RAN)
+        assert len(parts.services.called) == 1
--- a/tests/coordination/test_job_running.py
+++ b/tests/coordination/test_job_running.py
@@ -6,17 +6,24 @@
 
 import pytest
 
-from camphoryard.coordination.job_running import JOBS_AT_ONCE, JobRunner, RunnerParts
+from camphoryard.coordination.job_running import (
+    JOBS_AT_ONCE,
+    MAX_RESULT_BYTES,
+    JobRunner,
+    RunnerParts,
+)
 from camphoryard.coordination.jobs import JobParts, record_key
 from camphoryard.coordination.residency import Identity
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.enums import JobState, NodeState, Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import ABSENT
-from camphoryard.state.jobs import CompletionWork, Job, JobResult
+from camphoryard.state.jobs import CallWork, CompletionWork, Job, JobResult
 from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.requests import ActionAnswer
 from camphoryard.state.tables import ConfigurationHolder
 from camphoryard.state.timeline import HybridClock
+from camphoryard.state.verdict import Verdict
 from camphoryard.transport.timer import TimerService
 from tests.fakes.object_api import MemoryRecords
 
@@ -49,6 +56,7 @@
         self.executor = DeferringExecutor()
         self.prompts = []
         self.refusals = []
+        self.answer = None
         self.nodes = NodeTable()
         self.join("n1", "i1")
         timeline = Timeline("n1", HybridClock(), lambda event: None)
@@ -64,7 +72,7 @@
                 self.executor,
                 lambda: True,
                 self.infer,
-                lambda request: None,
+                lambda request: self.answer,
             )
         )
 
@@ -187,6 +195,18 @@
         assert finished.state is JobState.FAILED
         assert finished.result.reason is Reason.UNKNOWN_MODEL
 
+    def test_answer_that_cannot_be_kept_fails_it(self, bench):
+        """A result too large for its record does not hold a place for ever."""
+        bench.answer = ActionAnswer(200, b"x" * (MAX_RESULT_BYTES + 1))
+        job = bench.add(completion=None, call=CallWork("s", "report", b""))
+        bench.work()
+        result = bench.finished_job(job).result
+        assert (result.reason, result.verdict) == (
+            Reason.ANSWER_TOO_LARGE,
+            Verdict.RAN,
+        )
+        assert bench.open_job(job) is None
+
     def test_expired_job_fails_unrun(self, bench):
         """Nobody waits for it any longer."""
         job = bench.add(expires_s=0.0)
--- a/tests/system/test_answers.py
+++ b/tests/system/test_answers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from standins.engine import whole_answer
-from standins.fleet import CALLER_TOKEN, HOST
+from standins.fleet import CALLER_TOKEN, HOST, HttpError
 from standins.site import SiteSpec
 
 PROMPT = "where can I park?"
@@ -28,6 +28,27 @@
     return connection
 
 
+class TestAnswerSize:
+    """The bound on answers that are not streamed."""
+
+    def test_large_answers_are_refused_as_ran(self, start):
+        """A model's and a service's answer above the bound; streams go on."""
+        small = "[serving]\nmax_answer_bytes = 40\n"
+        site = start(SiteSpec(nodes=1, ignoring_engines=0, node_settings=small))
+        site.complete("node-1", "meter-3b", PROMPT, 5)
+        site.control("bookings-1", answer_bytes=40)
+        for ask in (
+            lambda: site.complete("node-1", "meter-3b", PROMPT, 6),
+            lambda: site.book("node-1", "key"),
+        ):
+            with pytest.raises(HttpError) as caught:
+                ask()
+            error = caught.value.body["error"]
+            assert (error["code"], error["verdict"]) == ("answer_too_large", "ran")
+        texts = list(site.stream("node-1", "meter-3b", PROMPT, 40))
+        assert "".join(texts) == whole_answer(PROMPT, 40)
+
+
 class TestAnswers:
     """Whole answers to the right caller."""
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -58,6 +58,11 @@
             ('zone = "a"', "", "missing required field `zone`"),
             ("k" * 40, "k", "peers.public_key: expected a CURVE key"),
             ('["secret"]', '[""]', "access.operator_tokens"),
+            (
+                "[access]",
+                "[serving]\nmax_answer_bytes = 0\n[access]",
+                "serving.max_answer_bytes: expected bytes above 0",
+            ),
         ],
     )
     def test_names_the_field(self, write, old, new, told):
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -6,7 +6,12 @@
 import pytest
 
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.state.errors import BrokenCallError, NotSentError, StalledCallError
+from camphoryard.state.errors import (
+    AnswerTooLargeError,
+    BrokenCallError,
+    NotSentError,
+    StalledCallError,
+)
 from camphoryard.transport.http_client import Address, HttpCall, HttpClient
 
 HOST = "127.0.0.1"
@@ -111,3 +116,17 @@
         ).start()
         with pytest.raises(BrokenCallError):
             get(client, server, cancellation=cancellation)
+
+
+class TestAnswerSize:
+    """The bound on a body that is read whole."""
+
+    def test_bound_is_exact(self, client):
+        """A body of the bound is read and its connection kept; one more fails."""
+        server = Server([ANSWER, ANSWER])
+        asked = HttpCall("GET", "/", max_answer_bytes=2)
+        assert client.call(server.address, asked).body == b"ok"
+        with pytest.raises(AnswerTooLargeError) as caught:
+            client.call(server.address, HttpCall("GET", "/", max_answer_bytes=1))
+        assert (caught.value.status, caught.value.limit_bytes) == (200, 1)
+        assert server.requests == 2
