Bound the jobs that may be open

Cause: jobs were accepted without bound, while the nodes that look for work list them, and one listing can hold only so many. An exact counter in the object API was ruled out: a write more for each job, and a count that drifts when its writer dies. A node that accepts jobs counts the open ones by listing, at most each 5 s and shard by shard, adds its own since, and refuses above `jobs.max_open` or `jobs.max_open_per_caller` with `too_many_jobs` (429, Retry-After, not run, counted like every refusal). A resend of a known job is never refused for it. The layout of job records moved to state/jobs.py.

--- a/src/camphoryard/coordination/expiry.py
+++ b/src/camphoryard/coordination/expiry.py
@@ -11,14 +11,13 @@
 from dataclasses import dataclass
 from typing import TypeAlias, TypeVar
 
-from camphoryard.coordination.jobs import SHARDS
 from camphoryard.coordination.ownership import rendezvous_owner
 from camphoryard.coordination.ports import Records, Timer
 from camphoryard.state.claims import Claim
 from camphoryard.state.enums import ClaimState, NodeState
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import NodeId
-from camphoryard.state.jobs import Job
+from camphoryard.state.jobs import SHARDS, Job
 from camphoryard.state.nodes import NodeTable
 from camphoryard.state.refusals import RefusalSheet
 
--- a/src/camphoryard/coordination/job_running.py
+++ b/src/camphoryard/coordination/job_running.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, replace
 from uuid import uuid4
 
-from camphoryard.coordination.jobs import SHARDS, JobParts, record_key
+from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.ownership import rendezvous_owner
 from camphoryard.coordination.ports import Records, Stored, Timer
 from camphoryard.coordination.residency import Identity
@@ -23,7 +23,14 @@
     StoreUnavailableError,
 )
 from camphoryard.state.ids import ABSENT, JobId, RequestId, Version, WriteId
-from camphoryard.state.jobs import CallWork, CompletionWork, Job, JobResult
+from camphoryard.state.jobs import (
+    SHARDS,
+    CallWork,
+    CompletionWork,
+    Job,
+    JobResult,
+    record_key,
+)
 from camphoryard.state.nodes import NodeTable
 from camphoryard.state.requests import ActionAnswer, ActionRequest, InferenceRequest
 from camphoryard.state.verdict import Verdict
--- a/src/camphoryard/coordination/jobs.py
+++ b/src/camphoryard/coordination/jobs.py
@@ -10,6 +10,7 @@
 from hashlib import blake2b
 from uuid import uuid4
 
+from camphoryard.coordination.job_limits import OpenJobCounter
 from camphoryard.coordination.ports import Records
 from camphoryard.coordination.routing import route
 from camphoryard.coordination.timeline import Timeline
@@ -22,7 +23,7 @@
     StoreUnavailableError,
 )
 from camphoryard.state.ids import ABSENT, CallerId, IdempotencyKey, JobId, WriteId
-from camphoryard.state.jobs import CallWork, CompletionWork, Job, Work
+from camphoryard.state.jobs import CallWork, CompletionWork, Job, Work, record_key
 from camphoryard.state.labels import Labels
 from camphoryard.state.tables import ConfigurationHolder
 from camphoryard.state.verdict import Verdict
@@ -30,8 +31,6 @@
 JOB_LIFE_S = 7 * 24 * 3600.0
 ID_BYTES = 16
 _ID = re.compile(rf"[0-9a-f]{{{2 * ID_BYTES}}}")
-SHARDS = tuple("0123456789abcdef")
-"""First character of a job's id; each shard is looked after by one node."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,14 +40,10 @@
     configuration: ConfigurationHolder
     open_jobs: Records[Job]
     finished_jobs: Records[Job]
+    counter: OpenJobCounter
     timeline: Timeline
 
 
-def record_key(job: JobId) -> str:
-    """Return the key of a job's record, below its shard."""
-    return f"{job[0]}/{job}"
-
-
 def accept(
     parts: JobParts, caller: CallerId, work: Work, key: IdempotencyKey | None
 ) -> Job:
@@ -65,15 +60,17 @@
     try:
         # Reading first shows an outage before anything is written.
         known = _find(parts, job.id)
+        if known is not None:
+            return _same_work(known, job)
+        parts.counter.take(caller)
     except StoreUnavailableError as error:
         raise RefusalError(
             Reason.STORE_UNAVAILABLE, "the job could not be recorded"
         ) from error
-    if known is not None:
-        return _same_work(known, job)
     try:
         write_resolved(parts.open_jobs, record_key(job.id), job, ABSENT)
     except ConflictError:
+        parts.counter.give_back(caller)
         return _same_work(find(parts, caller, job.id), job)
     except StoreUnavailableError as error:
         raise RefusalError(
--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -5,6 +5,7 @@
 from camphoryard.coordination.collecting import collect
 from camphoryard.coordination.expiry import ExpiryParts
 from camphoryard.coordination.inference import infer
+from camphoryard.coordination.job_limits import JobLimits, OpenJobCounter
 from camphoryard.coordination.job_running import (
     MAX_RESULT_BYTES,
     JobRunner,
@@ -20,10 +21,15 @@
 
 def make_job_parts(shared: Shared, platform: Platform) -> JobParts:
     """Return what jobs are accepted and found with."""
+    settings = shared.settings.jobs
     return JobParts(
         shared.configuration,
         platform.open_jobs,
         platform.finished_jobs,
+        OpenJobCounter(
+            platform.open_jobs,
+            JobLimits(settings.max_open, settings.max_open_per_caller),
+        ),
         shared.timeline,
     )
 
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -122,6 +122,14 @@
     max_answer_bytes: int = 4 << 20
 
 
+@dataclass(frozen=True, slots=True)
+class JobSettings:
+    """How many jobs may be open, in all and of each caller."""
+
+    max_open: int = 2000
+    max_open_per_caller: int = 500
+
+
 @dataclass(frozen=True, slots=True)
 class ResidencySettings:
     """Times, in seconds, that bound loads and unloads.
@@ -145,6 +153,7 @@
     access: AccessSettings
     configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
     decisions: DecisionSettings = field(default_factory=DecisionSettings)
+    jobs: JobSettings = field(default_factory=JobSettings)
     residency: ResidencySettings = field(default_factory=ResidencySettings)
     serving: ServingSettings = field(default_factory=ServingSettings)
 
@@ -205,6 +214,9 @@
         raise FieldError("residency.min_residency_s", "expected no negative seconds")
     if settings.serving.max_answer_bytes < 1:
         raise FieldError("serving.max_answer_bytes", "expected bytes above 0")
+    for name in ("max_open", "max_open_per_caller"):
+        if getattr(settings.jobs, name) < 1:
+            raise FieldError(f"jobs.{name}", "expected a number above 0")
     if not all(settings.access.operator_tokens):
         raise FieldError("access.operator_tokens", "a token must not be empty")
     if not all(settings.access.caller_token_by_id.values()):
--- a/src/camphoryard/state/jobs.py
+++ b/src/camphoryard/state/jobs.py
@@ -37,6 +37,14 @@
 
 Work: TypeAlias = CompletionWork | CallWork
 
+SHARDS = tuple("0123456789abcdef")
+"""First character of a job's id; each shard is looked after by one node."""
+
+
+def record_key(job: JobId) -> str:
+    """Return the key of a job's record, below its shard."""
+    return f"{job[0]}/{job}"
+
 
 @dataclass(frozen=True, slots=True)
 class JobResult:
--- a/tests/coordination/test_job_running.py
+++ b/tests/coordination/test_job_running.py
@@ -6,19 +6,26 @@
 
 import pytest
 
+from camphoryard.coordination.job_limits import JobLimits, OpenJobCounter
 from camphoryard.coordination.job_running import (
     JOBS_AT_ONCE,
     MAX_RESULT_BYTES,
     JobRunner,
     RunnerParts,
 )
-from camphoryard.coordination.jobs import JobParts, record_key
+from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.residency import Identity
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.enums import JobState, NodeState, Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import ABSENT
-from camphoryard.state.jobs import CallWork, CompletionWork, Job, JobResult
+from camphoryard.state.jobs import (
+    CallWork,
+    CompletionWork,
+    Job,
+    JobResult,
+    record_key,
+)
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.requests import ActionAnswer
 from camphoryard.state.tables import ConfigurationHolder
@@ -60,8 +67,13 @@
         self.nodes = NodeTable()
         self.join("n1", "i1")
         timeline = Timeline("n1", HybridClock(), lambda event: None)
+        open_jobs = MemoryRecords()
         self.jobs = JobParts(
-            ConfigurationHolder(), MemoryRecords(), MemoryRecords(), timeline
+            ConfigurationHolder(),
+            open_jobs,
+            MemoryRecords(),
+            OpenJobCounter(open_jobs, JobLimits(100, 100)),
+            timeline,
         )
         self.runner = JobRunner(
             RunnerParts(
--- a/tests/coordination/test_jobs.py
+++ b/tests/coordination/test_jobs.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from camphoryard.coordination.jobs import JobParts, accept, find, record_key
+from camphoryard.coordination.job_limits import JobLimits, OpenJobCounter
+from camphoryard.coordination.jobs import JobParts, accept, find
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.configuration import (
     Caller,
@@ -14,7 +15,7 @@
 )
 from camphoryard.state.enums import EndpointKind, JobState, Priority, Reason
 from camphoryard.state.errors import RefusalError
-from camphoryard.state.jobs import CallWork, CompletionWork
+from camphoryard.state.jobs import CallWork, CompletionWork, record_key
 from camphoryard.state.labels import Equals, Selector
 from camphoryard.state.tables import ConfigurationHolder
 from camphoryard.state.timeline import HybridClock
@@ -50,7 +51,9 @@
     configuration = ConfigurationHolder()
     configuration.adopt(make_configuration())
     timeline = Timeline("n1", HybridClock(), lambda event: None)
-    return JobParts(configuration, MemoryRecords(), MemoryRecords(), timeline)
+    open_jobs = MemoryRecords()
+    counter = OpenJobCounter(open_jobs, JobLimits(total=3, per_caller=2))
+    return JobParts(configuration, open_jobs, MemoryRecords(), counter, timeline)
 
 
 def refusal_of(parts, caller="overnight", work=WORK, key=None):
@@ -115,6 +118,22 @@
         """Urgent callers, unknown targets and non-idempotent operations."""
         assert refusal_of(parts, caller, work) == (reason, Verdict.NOT_RUN)
 
+    def test_too_many_open_jobs_are_refused(self, parts):
+        """Nothing is recorded; a resend of a known job still finds it."""
+        first = accept(parts, "overnight", WORK, "k")
+        accept(parts, "overnight", WORK, None)
+        refused = refusal_of(parts)
+        assert refused == (Reason.TOO_MANY_JOBS, Verdict.NOT_RUN)
+        assert len(parts.open_jobs.stored_by_key) == 2
+        assert accept(parts, "overnight", WORK, "k") == first
+
+    def test_resend_in_a_race_takes_no_place(self, parts):
+        """Of two equal sends at once one is recorded and one counted."""
+        parts.open_jobs.before_put = lambda: accept(parts, "overnight", WORK, "k")
+        accept(parts, "overnight", WORK, "k")
+        accept(parts, "overnight", WORK, None)
+        assert refusal_of(parts)[0] is Reason.TOO_MANY_JOBS
+
     def test_idempotent_call_is_accepted(self, parts):
         """A call that may run again can be a job."""
         work = CallWork("bookings", "availability", b"{}")
