Refuse a bad max-concurrent label at apply

Cause: a label such as `max-concurrent = "many"` was accepted and meant no limit at all. It is now refused with the field (`caller/ID.labels.max-concurrent`) and the expected form, and so is a negative `max_concurrent` of a group. Checking the whole configuration was ruled out: a label accepted earlier would then bar every change of every operator.

--- a/src/camphoryard/coordination/checking.py
+++ b/src/camphoryard/coordination/checking.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from camphoryard.coordination.changing import Change, item_kind, item_tables
+from camphoryard.coordination.concurrency_limits import LIMIT_LABEL
 from camphoryard.state.configuration import Configuration, Endpoint, ServingGroup
 from camphoryard.state.enums import EndpointKind, Reason
 from camphoryard.state.errors import RefusalError
@@ -13,6 +14,7 @@
 
 MAX_ID_CHARACTERS = 100
 MAX_PORT = 65_535
+_LIMIT = re.compile(r"[0-9]{1,9}")
 _ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
 
 
@@ -21,6 +23,7 @@
     for table in item_tables():
         for key in getattr(change.items, table):
             _check_id(item_kind(table), key)
+    _check_limits(change.items)
     _check_removed(current, change)
 
 
@@ -90,6 +93,29 @@
         _check_memory(name, endpoint.memory_mb)
 
 
+def _check_limits(items: Configuration) -> None:
+    """Check limits of what is changed; those accepted earlier bar no change."""
+    for caller in items.callers_by_id.values():
+        _check_limit_label(f"caller/{caller.id}", caller.labels)
+    for group in items.groups_by_id.values():
+        if group.max_concurrent < 0:
+            raise _wrong(
+                f"group/{group.id}.max_concurrent",
+                f"expected requests, 0 for no limit, got {group.max_concurrent}",
+            )
+
+
+def _check_limit_label(name: str, labels: Labels) -> None:
+    text = labels.get(LIMIT_LABEL)
+    if text is None or _LIMIT.fullmatch(text):
+        return
+    raise _wrong(
+        f"{name}.labels.{LIMIT_LABEL}",
+        f"expected a whole number of requests in digits, such as '8', or '0' for"
+        f" no limit, got {text!r}",
+    )
+
+
 def _wrong(field: str, detail: str) -> RefusalError:
     return RefusalError(Reason.BAD_FIELD, f"{field}: {detail}", field=field)
 
--- a/tests/coordination/test_checking.py
+++ b/tests/coordination/test_checking.py
@@ -46,6 +46,15 @@
             ),
             ({"groups": [{**GROUP, "priority": "high"}]}, "groups[0].priority"),
             ({"models": [{**MODEL, "memory": 1}]}, "models[0].memory"),
+            (
+                {"callers": [{"id": "c", "labels": {"max-concurrent": "many"}}]},
+                "caller/c.labels.max-concurrent",
+            ),
+            (
+                {"callers": [{"id": "c", "labels": {"max-concurrent": "-1"}}]},
+                "caller/c.labels.max-concurrent",
+            ),
+            ({"groups": [{**GROUP, "max_concurrent": -1}]}, "group/g.max_concurrent"),
             ({"removed": ["model/gone"]}, "removed"),
             ({"removed": ["modl/m"]}, "removed"),
             ({"models": [MODEL], "removed": ["model/m"]}, "removed"),
@@ -57,6 +66,12 @@
             checked(raw)
         assert caught.value.field == field
 
+    def test_limit_label_is_taken(self):
+        """A whole number bounds a caller; 0 does not."""
+        for text in ("8", "0"):
+            caller = {"id": "c", "labels": {"max-concurrent": text}}
+            checked({"callers": [caller]})
+
     def test_base_model_cannot_be_removed_from_under_adapters(self):
         """Removing a model that adapters need is refused."""
         whole = checked({"models": [MODEL], "adapters": [{**MODEL, "base": "m"}]})
