--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference.py
@@ -87,8 +87,9 @@
 ) -> None:
     """Deliver the whole answer in order, resuming elsewhere if an endpoint breaks.
 
-    The deadline rules the first token; a stream that makes progress is not cut.
-    ``deliver`` runs in the task of the endpoint and must not block.
+    The deadline rules the first token; a stream that makes progress is cut
+    only at the total deadline. ``deliver`` runs in the task of the endpoint and
+    must not block.
 
     Raises
     ------
@@ -132,6 +133,7 @@
             return
         except (NotSentError, BrokenCallError, EndpointRefusedError) as error:
             _check_cancelled(cancellation, progress)
+            _check_total_deadline(request, progress)
             _check_retry(parts, where, progress, error)
         finally:
             parts.admission.leave(ticket)
@@ -185,7 +187,7 @@
     is_resumed = progress.offset > 0
     due_s = request.deadline_s
     if is_resumed:
-        due_s = time.monotonic() + RESUME_LIMIT_S
+        due_s = min(time.monotonic() + RESUME_LIMIT_S, request.total_deadline_s)
     lane = Lane(where.group, items, where.priority, excluded, is_resumed)
     affinity = f"{request.model}:{request.adapter}:{request.prompt}"
     return Ticket(lane, left, due_s, affinity[:AFFINITY_CHARACTERS], usable)
@@ -246,6 +248,15 @@
         raise RefusalError(Reason.CANCELLED, "the caller went away", progress.verdict)
 
 
+def _check_total_deadline(request: InferenceRequest, progress: _Progress) -> None:
+    if time.monotonic() >= request.total_deadline_s:
+        raise RefusalError(
+            Reason.DEADLINE,
+            f"the total deadline passed after {progress.offset} tokens",
+            progress.verdict,
+        )
+
+
 def _with_verdict(refusal: RefusalError, progress: _Progress) -> RefusalError:
     """Return the refusal with what earlier attempts make of its verdict."""
     return RefusalError(
@@ -313,6 +324,7 @@
 
     def take(frame: TokenFrame) -> bool:
         for due in order.due(frame):
+            _check_total_deadline(request, progress)
             if progress.fruitless:
                 _succeeded(parts, endpoint_id, trial, progress)
             if not due.finished:
@@ -326,14 +338,25 @@
         ) as stream:
             stream.pump(take)
         order.end()
+    except RefusalError:
+        raise
     except CamphoryardError as error:
-        if not cancellation.cancelled:
+        if not cancellation.cancelled and not _is_cut(request, error):
             _failed(parts, request, endpoint_id, trial, progress, error)
         raise
     finally:
         trial.end()
 
 
+def _is_cut(request: InferenceRequest, error: CamphoryardError) -> bool:
+    """Return whether the request's own total deadline ended the attempt."""
+    match error:
+        case StalledCallError():
+            return time.monotonic() >= request.total_deadline_s
+        case _:
+            return False
+
+
 def _open(
     parts: InferenceParts,
     request: InferenceRequest,
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -55,14 +55,8 @@
     )
     if completion.stream:
         return _stream(door, completion, request.cancellation, reply)
-    texts: list[str] = []
-    door.infer(
-        completion.request,
-        request.cancellation,
-        lambda frame: texts.append(frame.text),
-    )
-    # The last frame ends the answer and is no token.
-    body = encode_answer(completion, "".join(texts), len(texts) - 1)
+    answer = door.complete(completion.request, request.cancellation)
+    body = encode_answer(completion, answer)
     return HttpResponse(200, body, {VERDICT_HEADER: Verdict.RAN.value})
 
 
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -79,11 +79,12 @@
         return EventStream(answer, self._readers, limits)
 
     def _limits_of(self, request: InferenceRequest, offset: int) -> StreamLimits:
-        if offset:
-            return self._limits
-        left_s = request.deadline_s - time.monotonic()
+        due_s = request.total_deadline_s if offset else request.deadline_s
+        left_s = due_s - time.monotonic()
         first_s = max(MIN_TIMEOUT_S, min(self._limits.first_token_s, left_s))
-        return replace(self._limits, first_token_s=first_s)
+        return replace(
+            self._limits, first_token_s=first_s, until_s=request.total_deadline_s
+        )
 
     def order(self, endpoint: Endpoint, order: Order) -> OrderOutcome:
         """Send an order; see the Engines port."""
@@ -117,10 +118,11 @@
 
 
 class HttpServices:
-    """Plain services over HTTP."""
+    """Plain services over HTTP; longer answers than ``max_answer_bytes`` fail."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(self, client: HttpClient, max_answer_bytes: int) -> None:
         self._client = client
+        self._max_answer_bytes = max_answer_bytes
 
     def call(self, endpoint: Endpoint, request: ActionRequest) -> ActionAnswer:
         """Call an operation once, over a fresh connection."""
@@ -132,6 +134,7 @@
             {"Content-Type": "application/json", "X-Request-Id": request.id},
             max(left_s, MIN_TIMEOUT_S),
             fresh=True,
+            max_answer_bytes=self._max_answer_bytes,
         )
         answer = self._client.call(_address(endpoint), call)
         return ActionAnswer(answer.status, answer.body)
--- a/src/camphoryard/transport/stream_reading.py
+++ b/src/camphoryard/transport/stream_reading.py
@@ -1,5 +1,6 @@
 """Reads the open streams of endpoints, all streams of an endpoint in one task."""
 
+import math
 import select
 import socket
 import threading
@@ -16,10 +17,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamLimits:
-    """How long a stream may be silent before and after its first token."""
+    """How long a stream may be silent before and after its first token.
+
+    No silence lasts beyond ``until_s`` on the monotonic clock.
+    """
 
     first_token_s: float
     stall_s: float
+    until_s: float = math.inf
 
 
 class Reading:
@@ -72,7 +77,7 @@
         Raises
         ------
         StalledCallError
-            If it was silent for longer than ``limits`` allow.
+            If it was silent for longer than ``limits`` allow, or beyond their end.
         """
         while not self._ended.wait(max(0.0, self._left_s(limits))):
             if self._left_s(limits) <= 0:
@@ -82,10 +87,11 @@
             raise self._error
 
     def _left_s(self, limits: StreamLimits) -> float:
-        now_s = time.monotonic()
         if self._heard_s is None:
-            return self._began_s + limits.first_token_s - now_s
-        return self._heard_s + limits.stall_s - now_s
+            due_s = self._began_s + limits.first_token_s
+        else:
+            due_s = self._heard_s + limits.stall_s
+        return min(due_s, limits.until_s) - time.monotonic()
 
     def _break_off(self) -> None:
         """Have the reader's task end the stream, which then takes nothing more."""
