Tell engines that their owner has long not confirmed

Cause: `status` judged an engine by whether its owner's lease is alive, so an engine that gives its owner no answer, or an owner whose task for it hangs, was "no promise at risk". The risk `endpoint_unconfirmed` tells both: the record's own mark, and the owner's load reports, which digests carry anyway, missing for 30 s. A time stamp in the record was ruled out: a write for each engine and period. The risk of refusals now says what to do by reason (coordination/advice.py).

--- a/src/camphoryard/coordination/load_estimates.py
+++ b/src/camphoryard/coordination/load_estimates.py
@@ -37,6 +37,7 @@
         self._node = node
         self._nodes = nodes
         self._in_flight = in_flight
+        self._started_s = time.monotonic()
         self._lock = threading.Lock()
         self._dated_by_id: dict[EndpointId, _Dated] = {}
         self._polled_by_id: dict[EndpointId, _Dated] = {}
@@ -77,6 +78,12 @@
             dated = self._dated_by_id.get(endpoint)
         return dated.report if dated else None
 
+    def report_age_s(self, endpoint: EndpointId) -> float:
+        """Return how long ago a report came, or this node started if none did."""
+        with self._lock:
+            dated = self._dated_by_id.get(endpoint)
+        return time.monotonic() - (dated.at_s if dated else self._started_s)
+
     def is_silent(self, endpoint: EndpointId) -> bool:
         """Return whether an engine that reported before does so no more."""
         with self._lock:
--- a/src/camphoryard/coordination/risks.py
+++ b/src/camphoryard/coordination/risks.py
@@ -4,13 +4,15 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
-from camphoryard.coordination.refusals import RefusalKey
+from camphoryard.coordination.advice import refusal_advice
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.endpoint_record import EndpointRecord
-from camphoryard.state.enums import EndpointKind, NodeState, RiskKind
+from camphoryard.state.enums import EndpointKind, NodeState, Reason, RiskKind
 from camphoryard.state.ids import EndpointId, Generation, NodeId
+from camphoryard.state.refusals import RefusalKey
 
 STORE_SILENT_S = 5.0
+UNCONFIRMED_S = 30.0
 RECENT_MINUTES = 5
 
 
@@ -40,6 +42,7 @@
     store_age_s: float | None
     nodes: tuple[NodeView, ...]
     records_by_endpoint: Mapping[EndpointId, EndpointRecord]
+    report_age_s_by_endpoint: Mapping[EndpointId, float]
     refusals_by_key: Mapping[RefusalKey, int]
     minute: int
 
@@ -105,34 +108,51 @@
 
 
 def _endpoint_risks(view: SystemView) -> Iterator[Risk]:
-    alive = {item.node for item in view.nodes if item.is_alive}
     for endpoint in view.configuration.endpoints_by_id.values():
-        if endpoint.kind is not EndpointKind.ENGINE:
-            continue
-        record = view.records_by_endpoint.get(endpoint.id)
-        if record is None:
-            detail = "no node has taken it over yet"
-        elif record.owner not in alive:
-            detail = f"its owner {record.owner} is not alive"
-        else:
-            continue
+        if endpoint.kind is EndpointKind.ENGINE:
+            yield from _engine_risks(view, endpoint.id)
+
+
+def _engine_risks(view: SystemView, endpoint: EndpointId) -> Iterator[Risk]:
+    record = view.records_by_endpoint.get(endpoint)
+    if record is None:
+        yield _no_owner(endpoint, "no node has taken it over yet")
+        return
+    alive = {item.node for item in view.nodes if item.is_alive}
+    if record.owner not in alive:
+        yield _no_owner(endpoint, f"its owner {record.owner} is not alive")
+        return
+    age_s = view.report_age_s_by_endpoint.get(endpoint, 0.0)
+    if record.is_silent or age_s > UNCONFIRMED_S:
+        seen = "gets no answer from it"
+        if not record.is_silent:
+            seen = f"has not confirmed it for {age_s:.0f} s"
         yield Risk(
-            RiskKind.NO_OWNER,
-            endpoint.id,
-            f"{detail}: nothing can be loaded there",
-            "see whether the endpoint answers and the object API takes writes",
+            RiskKind.ENDPOINT_UNCONFIRMED,
+            endpoint,
+            f"its owner {record.owner} {seen}: what it holds is not certain",
+            f"see whether the engine runs and {record.owner} reaches it",
         )
 
 
+def _no_owner(endpoint: EndpointId, detail: str) -> Risk:
+    return Risk(
+        RiskKind.NO_OWNER,
+        endpoint,
+        f"{detail}: nothing can be loaded there",
+        "see whether the endpoint answers and the object API takes writes",
+    )
+
+
 def _refusal_risks(view: SystemView) -> Iterator[Risk]:
-    counts: Counter[str] = Counter()
+    counts: Counter[Reason] = Counter()
     for key, count in view.refusals_by_key.items():
         if view.minute - key.minute < RECENT_MINUTES:
-            counts[key.reason.value] += count
+            counts[key.reason] += count
     for reason, count in counts.most_common():
         yield Risk(
             RiskKind.REFUSALS,
-            reason,
-            f"{count} refused in the last {RECENT_MINUTES} minutes",
-            "camphoryard refusals shows whom and why",
+            reason.value,
+            f"{count} refused at {view.own} in the last {RECENT_MINUTES} minutes",
+            f"{refusal_advice(reason)}; camphoryard refusals shows whose",
         )
--- a/src/camphoryard/node/views.py
+++ b/src/camphoryard/node/views.py
@@ -60,13 +60,15 @@
     """Return the system as this node sees it now."""
     nodes = view_nodes(shared, door, currency)
     age_s = shared.configuration.confirmed_age_s()
+    records = shared.table.by_id()
     view = SystemView(
         shared.identity.node,
         shared.configuration.current,
         shared.configuration.is_current(),
         currency.store_age_s(),
         nodes,
-        shared.table.by_id(),
+        records,
+        {item: shared.estimates.report_age_s(item) for item in records},
         shared.refusals.by_key(),
         int(time.time() // SECONDS_PER_MINUTE),
     )
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -135,6 +135,7 @@
     NODE_SILENT = "node_silent"
     NODE_BEHIND = "node_behind"
     NO_OWNER = "no_owner"
+    ENDPOINT_UNCONFIRMED = "endpoint_unconfirmed"
     REFUSALS = "refusals"
 
 
--- a/tests/coordination/test_load_estimates.py
+++ b/tests/coordination/test_load_estimates.py
@@ -73,3 +73,14 @@
         assert made.polled_by_id() == {}
         made.polled(ENGINE, LoadReport(1, 0))
         assert made.polled_by_id() == {ENGINE: LoadReport(1, 0)}
+
+
+class TestReportAge:
+    """How long an endpoint has told nothing."""
+
+    def test_counts_from_the_last_report_or_the_start(self):
+        """A report is younger than the node; an unheard endpoint is not."""
+        given, _ = estimates()
+        given.polled(ENGINE, LoadReport(0, 0, 8))
+        heard_s = given.report_age_s(ENGINE)
+        assert 0 <= heard_s < given.report_age_s(EndpointId("engine-9"))
--- a/tests/coordination/test_risks.py
+++ b/tests/coordination/test_risks.py
@@ -5,13 +5,19 @@
 import pytest
 
 from camphoryard.coordination.refusals import RefusalKey
-from camphoryard.coordination.risks import NodeView, SystemView, find_risks
+from camphoryard.coordination.risks import (
+    UNCONFIRMED_S,
+    NodeView,
+    SystemView,
+    find_risks,
+)
 from camphoryard.state.configuration import Configuration, Endpoint
+from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, NodeState, Reason, RiskKind
 
 ENGINE = Endpoint("e", EndpointKind.ENGINE, "10.0.0.1", 1, 10)
 OWN = NodeView("a", NodeState.SERVING, 4, True, False, 0.0)
-FINE = SystemView("a", Configuration(4), True, 0.5, (OWN,), {}, {}, 100)
+FINE = SystemView("a", Configuration(4), True, 0.5, (OWN,), {}, {}, {}, 100)
 
 
 def kinds(view):
@@ -55,6 +61,27 @@
         )
         assert kinds(view) == [(RiskKind.NO_OWNER, "e")]
 
+    @pytest.mark.parametrize(
+        ("is_silent", "age_s", "is_found"),
+        [
+            (False, 0.0, False),
+            (False, UNCONFIRMED_S, False),
+            (False, UNCONFIRMED_S + 1, True),
+            (True, 0.0, True),
+        ],
+    )
+    def test_engine_unconfirmed_by_its_live_owner(self, is_silent, age_s, is_found):
+        """An engine that is silent, or that its owner tells nothing of, is told."""
+        record = EndpointRecord("e", 10, "a", "i", 1, "w", is_silent=is_silent)
+        view = replace(
+            FINE,
+            configuration=Configuration(4, endpoints_by_id={"e": ENGINE}),
+            records_by_endpoint={"e": record},
+            report_age_s_by_endpoint={"e": age_s},
+        )
+        found = [(RiskKind.ENDPOINT_UNCONFIRMED, "e")] if is_found else []
+        assert kinds(view) == found
+
     def test_recent_refusals(self):
         """Refusals of the last minutes are summed by reason; older ones rest."""
         counts = {
