--- a/tests/coordination/test_load_estimates.py
+++ b/tests/coordination/test_load_estimates.py
@@ -80,7 +80,7 @@
 
     def test_counts_from_the_last_report_or_the_start(self):
         """A report is younger than the node; an unheard endpoint is not."""
-        given = estimates()
+        given, _ = estimates()
         given.polled(ENGINE, LoadReport(0, 0, 8))
         heard_s = given.report_age_s(ENGINE)
         assert 0 <= heard_s < given.report_age_s(EndpointId("engine-9"))
