Show merged refusal counts in refusals and status

Cause: `status` showed the refusals of the one node it asked, `refusals` only the events still in nodes' memory, and nobody told why a given caller was refused. Both now show the counts of `GET /admin/v1/refusals`, of all nodes with killed ones, by minute, reason, caller and label; while the object API is out they fall back to the node they ask, and say so. With `--caller` or `--request` both list the single refusals with reason, verdict and what to do; `status` then leaves out the tables, so that it answers just "is a promise at risk, and why was this refused". Every command takes `--output json`; the JSON of `status` now has `status` and `refusals`, a clear break before the first release.

Structure: cli/observing.py split by command (status.py, refusals.py, events.py), paths and the step "ask and expect" stand once in connection.py (`fetch`), tables once in tables.py: a long id no longer runs into the next column. Times in the time line are UTC instead of milliseconds and a counter, which only JSON needs.

--- a/src/camphoryard/cli/__init__.py
+++ b/src/camphoryard/cli/__init__.py
@@ -4,7 +4,9 @@
 
 from camphoryard.cli.calling import call, drain, keys
 from camphoryard.cli.changing import apply, diff, get
-from camphoryard.cli.observing import explain, refusals, status, timeline
+from camphoryard.cli.observing import explain, timeline
+from camphoryard.cli.refusals import refusals
+from camphoryard.cli.status import status
 
 app = typer.Typer(
     help="Operate and call camphoryard. Exit codes: 0 done, 1 refused,"
--- a/src/camphoryard/cli/changing.py
+++ b/src/camphoryard/cli/changing.py
@@ -11,11 +11,14 @@
 import typer
 
 from camphoryard.cli.connection import (
+    CONFIGURATION_PATH,
+    STATUS_PATH,
     Answer,
     Call,
     UnreachableError,
     ask,
     expect_ok,
+    fetch,
     send,
 )
 from camphoryard.cli.options import (
@@ -29,6 +32,8 @@
     fail,
     print_json,
 )
+from camphoryard.coordination.changing import items_by_name
+from camphoryard.protocol.configuration import decode_configuration
 from camphoryard.protocol.operator import (
     AcceptedForm,
     NodeForm,
@@ -36,8 +41,6 @@
     decode_status,
 )
 
-CONFIGURATION_PATH = "/admin/v1/configuration"
-STATUS_PATH = "/admin/v1/status"
 SEND_TIMEOUT_S = 30.0
 RESOLVE_LIMIT_S = 14.0
 IN_FORCE_LIMIT_S = 14.0
@@ -115,10 +118,16 @@
         typer.echo("no difference")
 
 
-def get(server: ServerOption, token: TokenOption) -> None:
-    """Print the configuration in force at a node, as JSON."""
-    body = expect_ok(ask(server, token, Call("GET", CONFIGURATION_PATH)))
-    typer.echo(msgspec.json.format(body).decode())
+def get(
+    server: ServerOption, token: TokenOption, output: OutputOption = Output.JSON
+) -> None:
+    """Print the configuration in force at a node; as text, the names of its items."""
+    body = fetch(server, token, CONFIGURATION_PATH)
+    if output is Output.JSON:
+        typer.echo(msgspec.json.format(body).decode())
+        return
+    for name in sorted(items_by_name(decode_configuration(body))):
+        typer.echo(name)
 
 
 def _change_body(file: Path, base: int | None = None) -> bytes:
@@ -169,10 +178,8 @@
 def _wait_in_force(servers: Sequence[str], token: str, generation: int) -> None:
     deadline_s = time.monotonic() + IN_FORCE_LIMIT_S
     while True:
-        body = expect_ok(ask(servers, token, Call("GET", STATUS_PATH)))
-        behind = [
-            item for item in decode_status(body).nodes if _is_behind(item, generation)
-        ]
+        nodes = decode_status(fetch(servers, token, STATUS_PATH)).nodes
+        behind = [item for item in nodes if _is_behind(item, generation)]
         if not behind:
             return
         if time.monotonic() >= deadline_s:
--- /dev/null
+++ b/src/camphoryard/cli/refusals.py
@@ -0,0 +1,171 @@
+"""Refusals: the command, and what ``status`` shows of them too."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from typing import Annotated
+
+import typer
+
+from camphoryard.cli.connection import (
+    REFUSALS_PATH,
+    STATUS_PATH,
+    Call,
+    ask,
+    error_code,
+    expect_ok,
+    fetch,
+)
+from camphoryard.cli.events import event_time, fetch_events
+from camphoryard.cli.options import (
+    Output,
+    OutputOption,
+    ServerOption,
+    TokenOption,
+    print_json,
+)
+from camphoryard.cli.tables import print_table
+from camphoryard.coordination.advice import refusal_advice
+from camphoryard.protocol.operator import RefusalForm, decode_refusals, decode_status
+from camphoryard.state.enums import Reason
+from camphoryard.state.timeline import Event
+
+SECONDS_PER_MINUTE = 60
+
+CallerFilter = Annotated[
+    str, typer.Option("--caller", help="Only refusals of this caller, one by one.")
+]
+RequestFilter = Annotated[
+    str, typer.Option("--request", help="Only the refusal of this request.")
+]
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalReport:
+    """Counts of refusals, and the refused requests that a filter chose.
+
+    ``is_whole`` is false for counts of one node only, while the object API is
+    out.
+    """
+
+    hours: int
+    counts: list[RefusalForm]
+    is_whole: bool
+    requests: tuple[Event, ...] = ()
+
+
+def refusals(
+    server: ServerOption,
+    token: TokenOption,
+    caller: CallerFilter = "",
+    request: RequestFilter = "",
+    hours: Annotated[int, typer.Option(help="How far back to count, 1 to 48.")] = 1,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Show how many requests all nodes refused, by reason, label and minute.
+
+    With --caller or --request also each refused request, why, and what to do.
+    """
+    report = fetch_refusals(server, token, hours, caller, request)
+    if output is Output.JSON:
+        print_json(report)
+        return
+    print_refusals(report, caller, request)
+
+
+def fetch_refusals(
+    servers: Sequence[str], token: str, hours: int, caller: str, request: str
+) -> RefusalReport:
+    """Return the counts of all nodes, and refused requests if a filter is set."""
+    counts, is_whole = _fetch_counts(servers, token, hours)
+    if caller:
+        counts = [item for item in counts if item.caller == caller]
+    if not caller and not request:
+        return RefusalReport(hours, counts, is_whole)
+    wanted = {"event": "refused"}
+    if caller:
+        wanted["caller"] = caller
+    if request:
+        wanted["request"] = request
+    events = fetch_events(servers, token, wanted).events
+    return RefusalReport(hours, counts, is_whole, events)
+
+
+def _fetch_counts(
+    servers: Sequence[str], token: str, hours: int
+) -> tuple[list[RefusalForm], bool]:
+    """Return counts of all nodes, or of one node while the object API is out."""
+    call = Call("GET", REFUSALS_PATH, query={"hours": str(hours)})
+    answer = ask(servers, token, call)
+    if error_code(answer) != Reason.STORE_UNAVAILABLE.value:
+        return decode_refusals(expect_ok(answer)), True
+    status = decode_status(fetch(servers, token, STATUS_PATH))
+    typer.echo(
+        f"the object API gives no answer: refusals of {status.node} only", err=True
+    )
+    return status.refusals, False
+
+
+def print_refusals(report: RefusalReport, caller: str, request: str) -> None:
+    """Print counts, the refused requests of a caller, or the one of an id."""
+    if not request:
+        _print_counts(report)
+    if caller and not request:
+        typer.echo("")
+    if caller or request:
+        _print_requests(report.requests, request or caller)
+
+
+def _print_counts(report: RefusalReport) -> None:
+    """Print a line for each reason, label, caller and minute, and the total."""
+    total = sum(item.count for item in report.counts)
+    where = "all nodes" if report.is_whole else "one node"
+    typer.echo(f"refusals at {where}, last {report.hours} h: {total}")
+    if not report.counts:
+        return
+    print_table(
+        ("MINUTE (UTC)", "REASON", "CALLER", "LABEL", "COUNT"),
+        [
+            (
+                _minute(item.minute),
+                item.reason,
+                item.caller or "-",
+                item.label or "-",
+                str(item.count),
+            )
+            for item in sorted(
+                report.counts, key=lambda item: (item.minute, item.reason)
+            )
+        ],
+    )
+
+
+def _print_requests(events: Sequence[Event], subject: str) -> None:
+    """Print why each request was refused and what to do."""
+    if not events:
+        typer.echo(
+            f"no refusal of {subject} is among the last events of the nodes that"
+            " answered; counts go back further"
+        )
+        return
+    typer.echo(f"refusals of {subject}:")
+    for event in events:
+        field = event.fields.get
+        typer.echo(
+            f"{event_time(event)} {event.node} {field('request', '-')}"
+            f" {field('reason', '-')} ({field('verdict', '-')}): {field('detail', '')}"
+        )
+    for reason in sorted({event.fields.get("reason", "") for event in events}):
+        typer.echo(f"  -> {reason}: {_advice(reason)}")
+
+
+def _advice(reason: str) -> str:
+    try:
+        return refusal_advice(Reason(reason))
+    except ValueError:
+        return "a reason of another version; see its documentation"
+
+
+def _minute(minute: int) -> str:
+    moment = datetime.fromtimestamp(minute * SECONDS_PER_MINUTE, UTC)
+    return moment.strftime("%Y-%m-%d %H:%M")
--- a/tests/cli/test_changing.py
+++ b/tests/cli/test_changing.py
@@ -5,7 +5,7 @@
 import pytest
 
 from camphoryard.cli import changing
-from camphoryard.cli.changing import CONFIGURATION_PATH, STATUS_PATH
+from camphoryard.cli.connection import CONFIGURATION_PATH, STATUS_PATH
 
 ACCEPTED = {
     "generation": 7,
@@ -130,3 +130,19 @@
         daemon.answer(CONFIGURATION_PATH, ACCEPTED)
         result = daemon.run("diff", file)
         assert (result.exit_code, result.stdout) == snapshot
+
+
+class TestGet:
+    """Reading the configuration back."""
+
+    BODY = {"generation": 3, "models": [{"id": "m", "memory_mb": 5}]}
+
+    def test_json_is_whole(self, daemon):
+        """The default is all of it as JSON."""
+        daemon.answer(CONFIGURATION_PATH, self.BODY)
+        assert json.loads(daemon.run("get").stdout) == self.BODY
+
+    def test_text_names_items(self, daemon):
+        """As text each item is named, in the form that ``removed`` takes."""
+        daemon.answer(CONFIGURATION_PATH, self.BODY)
+        assert daemon.run("get", "--output", "text").stdout == "model/m\n"
