Take a truncated answer of bounded size for broken

Cause: the bound on answers of services reads with a size, and http.client does not complain then when the connection ends before the announced length: half an answer passed for a whole one, 200 in place of "may have run". The length left is now looked at, with a test at the client itself, bounded and not.

Run: test_http_client, tests/scenarios and test_at_most_once pass.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -7,7 +7,12 @@
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from http.client import HTTPConnection, HTTPException, HTTPResponse
+from http.client import (
+    HTTPConnection,
+    HTTPException,
+    HTTPResponse,
+    IncompleteRead,
+)
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.state.errors import (
@@ -121,15 +126,12 @@
             If the body is larger than the call takes.
         """
         answer = self.open(address, call)
-        limit = call.max_answer_bytes
         try:
-            body = answer.response.read(None if limit is None else limit + 1)
+            body = _read_body(answer.response, call.max_answer_bytes)
         except (OSError, HTTPException) as error:
             raise broken(error) from error
         finally:
             answer.close()
-        if limit is not None and len(body) > limit:
-            raise AnswerTooLargeError(answer.response.status, limit)
         return HttpAnswer(answer.response.status, dict(answer.response.headers), body)
 
     def open(self, address: Address, call: HttpCall) -> OpenAnswer:
@@ -217,6 +219,18 @@
         )
 
 
+def _read_body(response: HTTPResponse, limit_bytes: int | None) -> bytes:
+    if limit_bytes is None:
+        return response.read()
+    body = response.read(limit_bytes + 1)
+    if len(body) > limit_bytes:
+        raise AnswerTooLargeError(response.status, limit_bytes)
+    # A read of so many bytes does not complain when the connection ends early.
+    if response.length:
+        raise IncompleteRead(body, response.length)
+    return body
+
+
 def broken(error: Exception) -> BrokenCallError:
     """Return the error of a call that broke once it may have been sent."""
     if isinstance(error, TimeoutError):
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -130,3 +130,11 @@
             client.call(server.address, HttpCall("GET", "/", max_answer_bytes=1))
         assert (caught.value.status, caught.value.limit_bytes) == (200, 1)
         assert server.requests == 2
+
+    @pytest.mark.parametrize("limit", [None, 100])
+    def test_truncated_body_is_no_answer(self, client, limit):
+        """A connection that ends in the middle breaks the call, bounded or not."""
+        server = Server([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"], {0})
+        asked = HttpCall("GET", "/", max_answer_bytes=limit)
+        with pytest.raises(BrokenCallError):
+            client.call(server.address, asked)
