Hand refusal counts to two nodes and fold them at once

Change: two holders, in two other zones where there are any; own counts are folded each second; a holder folds what it has held for a second, whether or not the node is alive (merges make that harmless). A node that was paused and hears of nobody hands over to those it knew.

--- a/src/camphoryard/coordination/refusal_folding.py
+++ b/src/camphoryard/coordination/refusal_folding.py
@@ -6,7 +6,8 @@
 
 import threading
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from camphoryard.coordination.ports import Records, Timer
 from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
@@ -21,12 +22,21 @@
     total_by_key,
 )
 
-FOLD_PERIOD_S = 5.0
+FOLD_PERIOD_S = 1.0
 MAX_FOLDS_A_SECOND = 20.0
+HELD_S = 1.0
 MINUTES_PER_HOUR = 60
 HELD_MINUTES = 24 * MINUTES_PER_HOUR
 
 
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """A peer's counts, of which some have been held since ``since_s``."""
+
+    sheet: RefusalSheet
+    since_s: float
+
+
 class RefusalFolder:
     """Holds copies of peers' counts and writes counts to the object API."""
 
@@ -35,12 +45,14 @@
         records: Records[RefusalSheet],
         counter: RefusalCounter,
         nodes: NodeTable,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._records = records
         self._counter = counter
         self._nodes = nodes
+        self._clock = clock
         self._lock = threading.Lock()
-        self._held_by_incarnation: dict[Incarnation, RefusalSheet] = {}
+        self._held_by_incarnation: dict[Incarnation, _Held] = {}
 
     def run(self, timer: Timer) -> None:
         """Fold now and then until the timer service closes.
@@ -60,21 +72,29 @@
         oldest = _minute_now() - HELD_MINUTES
         with self._lock:
             known = self._held_by_incarnation.get(sheet.incarnation)
-            counts = merged(known.counts if known else (), sheet.counts)
+            counts = merged(known.sheet.counts if known else (), sheet.counts)
             kept = tuple(item for item in counts if item.key.minute >= oldest)
-            self._held_by_incarnation[sheet.incarnation] = RefusalSheet(
-                sheet.incarnation, kept
+            self._held_by_incarnation[sheet.incarnation] = _Held(
+                RefusalSheet(sheet.incarnation, kept),
+                known.since_s if known else self._clock(),
             )
 
     def fold(self) -> None:
-        """Write this node's new counts, and those held of nodes that are gone."""
+        """Write this node's new counts and those held of others.
+
+        A live node has a moment to write its own. What is held longer is
+        written without asking whether that node is alive, since waiting for
+        its lease to lapse would give this one time to be killed as well.
+        """
         own = self._counter.unfolded()
         if self._write(own):
             self._counter.folded(own.counts)
         alive = {lease.incarnation for lease in self._nodes.alive()}
-        for sheet in self._held():
-            if sheet.incarnation not in alive and self._write(sheet):
-                self._drop(sheet)
+        due_s = self._clock() - HELD_S
+        for held in self._held():
+            is_due = held.since_s <= due_s or held.sheet.incarnation not in alive
+            if is_due and self._write(held.sheet):
+                self._drop(held)
 
     def total(self, hours: int) -> Mapping[RefusalKey, int]:
         """Return the counts of all nodes in the last ``hours``.
@@ -87,7 +107,7 @@
             If the object API does not answer.
         """
         last = _minute_now() // MINUTES_PER_HOUR
-        sheets = [self._counter.sheet(), *self._held()]
+        sheets = [self._counter.sheet(), *(held.sheet for held in self._held())]
         for hour in range(last - hours + 1, last + 1):
             for item in self._records.list(f"{hour}/").items:
                 if item.record is not None:
@@ -118,15 +138,16 @@
         if set(record.counts) != set(known):
             self._records.put(key, record, stored.version if stored else ABSENT)
 
-    def _held(self) -> tuple[RefusalSheet, ...]:
+    def _held(self) -> tuple[_Held, ...]:
         with self._lock:
             return tuple(self._held_by_incarnation.values())
 
-    def _drop(self, sheet: RefusalSheet) -> None:
+    def _drop(self, held: _Held) -> None:
         """Forget a sheet unless more was handed over since."""
+        incarnation = held.sheet.incarnation
         with self._lock:
-            if self._held_by_incarnation.get(sheet.incarnation) == sheet:
-                del self._held_by_incarnation[sheet.incarnation]
+            if self._held_by_incarnation.get(incarnation) == held:
+                del self._held_by_incarnation[incarnation]
 
 
 def _minute_now() -> int:
--- a/src/camphoryard/coordination/refusals.py
+++ b/src/camphoryard/coordination/refusals.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Unhanded:
-    """Counts that no other node holds yet, up to refusal ``number``."""
+    """Counts for another node to hold, up to refusal ``number``."""
 
     number: int
     sheet: RefusalSheet
@@ -26,15 +26,15 @@
 class RefusalCounter:
     """Counts every refusal of this node.
 
-    ``count`` blocks until another node holds the count, or a limit has passed,
-    so that the refused caller hears of it only then.
+    ``count`` blocks until other nodes hold the count, or a limit has passed, so
+    that the refused caller hears of it only then.
     """
 
     def __init__(self, incarnation: Incarnation) -> None:
         self._incarnation = incarnation
         self._changed = threading.Condition()
         self._count_by_key: Counter[RefusalKey] = Counter()
-        self._unhanded: set[RefusalKey] = set()
+        self._number_by_key: dict[RefusalKey, int] = {}
         self._unfolded: set[RefusalKey] = set()
         self._number = 0
         self._handed_number = 0
@@ -50,10 +50,9 @@
         key = RefusalKey(reason, label, minute, caller)
         with self._changed:
             self._count_by_key[key] += 1
-            self._unhanded.add(key)
             self._unfolded.add(key)
             self._number += 1
-            number = self._number
+            number = self._number_by_key[key] = self._number
         if self._wake is None:
             return
         self._wake()
@@ -62,31 +61,26 @@
                 lambda: self._handed_number >= number, HANDOVER_LIMIT_S
             )
 
-    def unhanded(self) -> Unhanded | None:
-        """Return the counts that changed since the last handover, if any."""
+    @property
+    def number(self) -> int:
+        """Number of the last refusal."""
         with self._changed:
-            if not self._unhanded:
-                return None
-            return Unhanded(self._number, self._sheet(self._unhanded))
+            return self._number
 
-    def handed(self, number: int) -> None:
-        """Take note that another node holds all counts up to ``number``."""
-        with self._changed:
-            self._handed_number = max(self._handed_number, number)
-            if number == self._number:
-                self._unhanded.clear()
-            self._changed.notify_all()
+    def unhanded(self, after: int) -> Unhanded | None:
+        """Return the counts that changed after refusal ``after``, if any.
 
-    def give_up_handing(self) -> None:
-        """Let refused callers go on: there is nobody to hand counts to."""
+        What the object API has need not be handed over.
+        """
         with self._changed:
-            self._handed_number = self._number
-            self._changed.notify_all()
+            keys = [key for key in self._unfolded if self._number_by_key[key] > after]
+            return Unhanded(self._number, self._sheet(keys)) if keys else None
 
-    def hand_all_again(self) -> None:
-        """Make every count that is not folded one to hand over, to a new peer."""
+    def handed(self, number: int) -> None:
+        """Let the callers of refusals up to ``number`` go on."""
         with self._changed:
-            self._unhanded |= self._unfolded
+            self._handed_number = max(self._handed_number, number)
+            self._changed.notify_all()
 
     def unfolded(self) -> RefusalSheet:
         """Return the counts that the object API does not have yet."""
@@ -95,14 +89,11 @@
 
     def folded(self, counts: Iterable[RefusalCount]) -> None:
         """Take note that the object API has ``counts``; forget what is old."""
-        oldest = int(time.time() // SECONDS_PER_MINUTE) - KEPT_MINUTES
         with self._changed:
             for item in counts:
                 if self._count_by_key[item.key] == item.count:
                     self._unfolded.discard(item.key)
-                    self._unhanded.discard(item.key)
-                    if item.key.minute < oldest:
-                        del self._count_by_key[item.key]
+            self._forget_old()
 
     def sheet(self) -> RefusalSheet:
         """Return all counts kept here."""
@@ -117,3 +108,10 @@
     def _sheet(self, keys: Iterable[RefusalKey]) -> RefusalSheet:
         counts = tuple(RefusalCount(key, self._count_by_key[key]) for key in keys)
         return RefusalSheet(self._incarnation, counts)
+
+    def _forget_old(self) -> None:
+        oldest = int(time.time() // SECONDS_PER_MINUTE) - KEPT_MINUTES
+        old = [key for key in self._count_by_key if key.minute < oldest]
+        for key in old:
+            if key not in self._unfolded:
+                del self._count_by_key[key], self._number_by_key[key]
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -62,7 +62,11 @@
     serving = make_serving(shared, platform, residency, settler)
     folder = RefusalFolder(platform.refusals, shared.refusals, shared.nodes)
     handover = RefusalHandover(
-        shared.identity.node, shared.refusals, shared.nodes, shared.peers
+        shared.identity.node,
+        settings.node.zone,
+        shared.refusals,
+        shared.nodes,
+        shared.peers,
     )
     jobs = make_job_parts(shared, platform)
     runner = make_job_runner(shared, jobs, serving)
--- a/tests/coordination/test_refusal_folding.py
+++ b/tests/coordination/test_refusal_folding.py
@@ -2,7 +2,7 @@
 
 import time
 
-from camphoryard.coordination.refusal_folding import RefusalFolder
+from camphoryard.coordination.refusal_folding import HELD_S, RefusalFolder
 from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.nodes import NodeLease, NodeTable
@@ -50,6 +50,22 @@
         assert not records.stored_by_key
         assert sum_of(folder) == 3
 
+    def test_counts_of_a_live_node_that_does_not_fold_are_folded(self):
+        """A holder does not wait until it is sure that the node is gone."""
+        records, nodes, now_s = MemoryRecords(), NodeTable(), [0.0]
+        lease = NodeLease("n9", "i9", "a", "h", 1, "", NodeState.SERVING, 60.0, "w")
+        nodes.saw(lease, 1)
+        counter = RefusalCounter("i1")
+        folder = RefusalFolder(records, counter, nodes, lambda: now_s[0])
+        folder.hold(sheet_of("i9", 3))
+        now_s[0] = HELD_S / 2
+        folder.hold(sheet_of("i9", 5))
+        folder.fold()
+        assert not records.stored_by_key
+        now_s[0] = HELD_S
+        folder.fold()
+        assert sum_of(make_folder(records)) == 5
+
     def test_outage_loses_nothing(self):
         """What could not be written is written at a later fold."""
         records = MemoryRecords()
--- a/tests/system/test_refusals.py
+++ b/tests/system/test_refusals.py
@@ -1,5 +1,7 @@
 """Tests of the counts of refusals over real processes."""
 
+import pytest
+
 from standins.fleet import HttpError, request
 from standins.site import SiteSpec
 
@@ -43,3 +45,17 @@
                 lambda node=node: count(site, node) >= REFUSALS, f"counts at {node}"
             )
             assert count(site, node) == REFUSALS
+
+    @pytest.mark.parametrize("holder", ["node-2", "node-3"])
+    def test_counts_survive_the_kill_of_a_holder(self, start, holder):
+        """The node and one of its holders are killed, and the other one folds."""
+        site = start(SiteSpec(nodes=3, ignoring_engines=0))
+        site.control("object-api", outage=True)
+        for _ in range(REFUSALS):
+            refuse(site, "node-1")
+        for node in ("node-1", holder):
+            site.fleet.process_by_name[node].kill()
+        site.control("object-api", outage=False)
+        (left,) = {"node-2", "node-3"} - {holder}
+        site.fleet.wait_until(lambda: count(site, left) >= REFUSALS, "counts")
+        assert count(site, left) == REFUSALS
