Forward TCP in tests over links that can be cut

Cause: faults so far froze or killed processes or failed the whole object API. A cut that strikes one link, one direction or one node could not be made.

Ruled out: packet filters and network namespaces (isolation tools); a forwarder for each pair (ports grow with the square of the nodes, and peers learn one address from the lease).

Change: standins/links.py forwards TCP and knows the source of a connection by the loopback address it leaves from. A link is open, a black hole (bytes held, delivered when it heals, even if the sender has given up), holds answers only, or resets. Nodes get node.source_host, which address of the VM connections leave from, and peers.advertised_host and advertised_port, where peers connect to. The lease keeps the bound address apart, since that an earlier start has ended is proved by binding its address. A connection to a target that is down is accepted and then reset by the forwarder, so with links a call that was never sent looks broken; sites without links keep the true order.

--- a/src/camphoryard/node/control.py
+++ b/src/camphoryard/node/control.py
@@ -66,6 +66,8 @@
         NodeState.STARTING,
         settings.peers.lease_s,
         WriteId(""),
+        advertised_host=settings.peers.advertised_host,
+        advertised_port=settings.peers.advertised_port,
     )
 
 
--- a/src/camphoryard/node/shared.py
+++ b/src/camphoryard/node/shared.py
@@ -117,7 +117,8 @@
         settings.node.id, Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
     )
     executors = make_executors()
-    client = HttpClient()
+    source_host = settings.node.source_host
+    client = HttpClient(source_host)
     clock = HybridClock()
     keys = make_curve_keys(settings.peers)
     nodes = NodeTable()
@@ -125,7 +126,9 @@
     estimates = LoadEstimates(identity.node, nodes, in_flight)
     serving = settings.serving
     limits = StreamLimits(serving.first_token_limit_s, serving.stall_s)
-    peers = PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock)
+    peers = PeerNetwork(
+        identity.node, keys, executors.peers, executors.handlers, clock, source_host
+    )
     budget = make_budget_policy(settings.decisions)
     return Shared(
         settings,
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -4,6 +4,7 @@
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Literal
 
@@ -23,13 +24,18 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
-    """Where this node is and listens; ``host`` is an IP number."""
+    """Where this node is and listens; ``host`` is an IP number.
+
+    ``source_host`` is the IP number that connections to others leave from, on a
+    VM with several; empty leaves the choice to the operating system.
+    """
 
     id: NodeId
     zone: Zone
     host: str
     http_port: int
     peer_port: int
+    source_host: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +63,8 @@
 class PeerSettings:
     """CURVE keys (Z85 text), node leases, seeds and how news spreads.
 
+    ``advertised_host`` and ``advertised_port`` are where other nodes connect to,
+    if a forwarder stands before this node's own address.
     ``fan_out``, ``neighbours`` and ``digests`` matter to ``bounded_fan_out``.
     """
 
@@ -70,6 +78,8 @@
     fan_out: int = 2
     neighbours: int = 8
     digests: int = 12
+    advertised_host: str = ""
+    advertised_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +189,10 @@
         _check_port("platform.vm_list_port", settings.platform.vm_list_port)
     _check_key("peers.public_key", settings.peers.public_key)
     _check_key("peers.secret_key", settings.peers.secret_key)
+    _check_ip_number("node.source_host", settings.node.source_host)
+    _check_ip_number("peers.advertised_host", settings.peers.advertised_host)
+    if settings.peers.advertised_port:
+        _check_port("peers.advertised_port", settings.peers.advertised_port)
     if settings.peers.lease_s <= 0:
         raise FieldError("peers.lease_s", "expected a number of seconds above 0")
     for index, key in enumerate(settings.peers.accepted_public_keys):
@@ -210,6 +224,16 @@
         raise FieldError(name, f"expected a port, 1 to {MAX_PORT}, got {port}")
 
 
+def _check_ip_number(name: str, host: str) -> None:
+    """Check an address that may be left empty."""
+    if not host:
+        return
+    try:
+        ip_address(host)
+    except ValueError as error:
+        raise FieldError(name, f"expected an IP number, got {host!r}") from error
+
+
 def _check_key(name: str, key: str) -> None:
     if len(key) != CURVE_KEY_CHARACTERS or not Z85.fullmatch(key):
         raise FieldError(
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -26,7 +26,8 @@
     """A node's durable lease; it counts as alive while the lease is renewed.
 
     ``ended`` names earlier starts of the node that are proved to be over, since
-    this start has bound the address that they had bound.
+    this start has bound the address that they had bound. ``host`` and ``port``
+    are that address; peers connect to the advertised one, if there is one.
     """
 
     node: NodeId
@@ -39,6 +40,8 @@
     lease_s: float
     write_id: WriteId
     ended: tuple[Incarnation, ...] = ()
+    advertised_host: str = ""
+    advertised_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -91,9 +91,16 @@
 
 
 class HttpClient:
-    """Makes calls; safe to use from many threads."""
+    """Makes calls; safe to use from many threads.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    source_host : str
+        IP number that connections leave from; empty for the system's choice.
+    """
+
+    def __init__(self, source_host: str = "") -> None:
+        self._source = (source_host, 0) if source_host else None
         self._lock = threading.Lock()
         self._idle_by_address: dict[Address, list[HTTPConnection]] = defaultdict(list)
         self._busy: set[HTTPConnection] = set()
@@ -170,7 +177,7 @@
 
     def _connect(self, address: Address, call: HttpCall) -> HTTPConnection:
         timeout_s = min(call.timeout_s, CONNECT_LIMIT_S)
-        connection = HTTPConnection(address.host, address.port, timeout=timeout_s)
+        connection = HTTPConnection(address.host, address.port, timeout_s, self._source)
         try:
             connection.connect()
         except OSError as error:
--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -97,8 +97,10 @@
         tasks: Executor,
         handlers: Executor,
         clock: HybridClock,
+        source_host: str = "",
     ) -> None:
         self._node = node
+        self._source_host = source_host
         self._keys = keys
         self._tasks = tasks
         self._handlers = handlers
@@ -258,7 +260,7 @@
         socket.heartbeat_ivl = HEARTBEAT_MS
         socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
         try:
-            socket.connect(f"tcp://{peer.lease.host}:{peer.lease.port}")
+            socket.connect(_connect_address(peer.lease, self._source_host))
             while (data := self._next(peer)) != STOP:
                 try:
                     socket.send(data)
@@ -312,12 +314,19 @@
             return
 
 
+def _connect_address(lease: NodeLease, source_host: str) -> str:
+    """Return where a peer is reached, and from which of this VM's addresses."""
+    host = lease.advertised_host or lease.host
+    port = lease.advertised_port or lease.port
+    source = f"{source_host}:0;" if source_host else ""
+    return f"tcp://{source}{host}:{port}"
+
+
 def _same_place(old: NodeLease, new: NodeLease) -> bool:
-    return (old.incarnation, old.host, old.port, old.public_key) == (
+    return (old.incarnation, old.public_key, _connect_address(old, "")) == (
         new.incarnation,
-        new.host,
-        new.port,
         new.public_key,
+        _connect_address(new, ""),
     )
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -127,6 +127,8 @@
     )
     process_by_name: dict[str, Process] = field(default_factory=dict)
     peer_port_by_node: dict[str, int] = field(default_factory=dict)
+    link_port_by_target: dict[str, int] = field(default_factory=dict)
+    source_host_by_node: dict[str, str] = field(default_factory=dict)
     exit_codes: list[int] = field(default_factory=list)
     keys: tuple[bytes, bytes] = field(default_factory=zmq.curve_keypair)
 
@@ -149,6 +151,8 @@
             release_port(process.port)
         for port in self.peer_port_by_node.values():
             release_port(port)
+        for port in self.link_port_by_target.values():
+            release_port(port)
 
     def port(self, name: str) -> int:
         """Return the HTTP port of a process."""
@@ -165,9 +169,24 @@
         self._start(name, port, arguments)
         return port
 
+    def forward(self, target: str, to_port: int) -> None:
+        """Have others reach a target over links; the stand-in for them must run."""
+        port = free_port()
+        self.link_port_by_target[target] = port
+        change = {"target": target, "port": port, "to_port": to_port}
+        request(self.port("links"), "POST", "/control", change)
+
+    def reached_port(self, target: str) -> int:
+        """Return the port at which nodes reach a process."""
+        return self.link_port_by_target.get(target) or self.port(target)
+
     def start_node(self, name: str, zone: str = "zone-a", extra: str = "") -> int:
         """Write settings for a node, start it and return its HTTP port."""
         port, peer_port = free_port(), free_port()
+        if "links" in self.process_by_name:
+            self.forward(name, peer_port)
+            number = len(self.source_host_by_node) + 2
+            self.source_host_by_node[name] = f"127.0.0.{number}"
         settings = self.folder / f"{name}.toml"
         self.peer_port_by_node[name] = peer_port
         if "[serving]" not in extra:
@@ -194,16 +213,18 @@
 host = "{HOST}"
 http_port = {port}
 peer_port = {peer_port}
+source_host = "{self.source_host_by_node.get(name, "")}"
 
 [platform]
 object_api_host = "{HOST}"
-object_api_port = {self.port("object-api")}
+object_api_port = {self.reached_port("object-api")}
 {self._vm_list_settings()}
 
 [peers]
 public_key = "{public}"
 secret_key = "{secret}"
 lease_s = 3.0
+advertised_port = {self.link_port_by_target.get(name, 0)}
 seeds = [{self._seeds(name, public)}]
 
 [access]
@@ -216,7 +237,8 @@
     def _seeds(self, name: str, public: str) -> str:
         """Return the nodes started before this one as inline tables."""
         return ", ".join(
-            f'{{id = "{node}", host = "{HOST}", port = {port},'
+            f'{{id = "{node}", host = "{HOST}",'
+            f" port = {self.link_port_by_target.get(node, port)},"
             f' public_key = "{public}"}}'
             for node, port in self.peer_port_by_node.items()
             if node != name
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,12 +1,13 @@
 """A whole site for tests and measurements: stand-ins, nodes, a configuration."""
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from http.client import HTTPConnection
 from typing import Any
 
 from standins.fleet import CALLER_TOKEN, HOST, Fleet, request
+from standins.links import LinkState
 
 STREAM_TIMEOUT_S = 60.0
 ADAPTED_MODEL = "permit-8b"
@@ -41,6 +42,7 @@
     )
     vm_list_lag_s: float = 0.2
     node_settings: str = ""
+    links: bool = False
 
 
 @dataclass(slots=True)
@@ -59,6 +61,28 @@
             return request(self.fleet.port(name), "POST", "/control", faults)
         return request(self.fleet.port(name), "GET", "/control")
 
+    def set_links(self, state: LinkState, links: Iterable[tuple[str, str]]) -> None:
+        """Set the state of links, each from a node to a target."""
+        sources = self.fleet.source_host_by_node
+        change = [{"source": sources[node], "target": target} for node, target in links]
+        self.control("links", state=state.value, links=change)
+
+    def heal(self) -> None:
+        """Open every link again; what they held is delivered."""
+        targets = self.fleet.link_port_by_target
+        self.set_links(
+            LinkState.OPEN,
+            [(node, target) for node in self.nodes for target in targets],
+        )
+
+    def links_to_peers(self, node: str) -> list[tuple[str, str]]:
+        """Return the links between a node and every other, both ways."""
+        others = [other for other in self.nodes if other != node]
+        return [
+            *((node, other) for other in others),
+            *((other, node) for other in others),
+        ]
+
     def status(self, node: str) -> Any:
         """Return the status that a node gives operators."""
         return request(self.fleet.port(node), "GET", "/admin/v1/status")
@@ -157,6 +181,8 @@
         fleet.start_standin(name, "service")
         site.services.append(name)
     fleet.wait_ready(tuple(fleet.process_by_name))
+    if spec.links:
+        start_links(site)
     for index in range(spec.nodes):
         name = f"node-{index + 1}"
         fleet.start_node(name, f"zone-{'abcd'[index % 4]}", spec.node_settings)
@@ -167,6 +193,15 @@
     return site
 
 
+def start_links(site: Site) -> None:
+    """Start the forwarder and have nodes reach the object API and engines by it."""
+    fleet = site.fleet
+    fleet.start_standin("links", "links")
+    fleet.wait_ready(("links",))
+    for name in ("object-api", *site.engines):
+        fleet.forward(name, fleet.port(name))
+
+
 def start_engine(fleet: Fleet, spec: SiteSpec, name: str, checks: bool) -> None:
     """Start one engine of a site."""
     options = [
@@ -221,7 +256,7 @@
         "id": name,
         "kind": "engine",
         "host": HOST,
-        "port": site.fleet.port(name),
+        "port": site.fleet.reached_port(name),
         "memory_mb": site.spec.engine_memory_mb,
         "checks_fencing": site.engines.index(name) < site.spec.checking_engines,
         "labels": {"pool": "main", **labels},
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -55,6 +55,21 @@
             ("http_port = 8001", 'http_port = "x"', "node.http_port: Expected `int`"),
             ("http_port = 8001", "http_prot = 8001", "node.http_prot: unknown field"),
             ("http_port = 8001", "http_port = 0", "node.http_port: expected a port"),
+            (
+                "peer_port = 9001",
+                'peer_port = 9001\nsource_host = "vm-1"',
+                "node.source_host: expected an IP number",
+            ),
+            (
+                "[peers]",
+                '[peers]\nadvertised_host = "vm-1"',
+                "peers.advertised_host: expected an IP number",
+            ),
+            (
+                "[peers]",
+                "[peers]\nadvertised_port = 70000",
+                "peers.advertised_port: expected a port",
+            ),
             ('zone = "a"', "", "missing required field `zone`"),
             ("k" * 40, "k", "peers.public_key: expected a CURVE key"),
             ('["secret"]', '[""]', "access.operator_tokens"),
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -35,7 +35,7 @@
 
     def _serve(self):
         while True:
-            connection, _ = self._socket.accept()
+            connection, self.seen_from = self._socket.accept()
             self._talk(connection)
 
     def _talk(self, connection):
@@ -65,6 +65,18 @@
     return client.call(server.address, HttpCall("GET", "/", **options)).body
 
 
+class TestSourceHost:
+    """Where connections leave from."""
+
+    def test_is_the_one_given(self):
+        """The other side sees the address of the settings."""
+        server = Server([ANSWER])
+        client = HttpClient("127.0.0.9")
+        assert get(client, server) == b"ok"
+        assert server.seen_from[0] == "127.0.0.9"
+        client.close()
+
+
 class TestCall:
     """What an error says about whether anything was sent."""
 
