--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -153,16 +153,17 @@
                 "this node is stopping; ask another",
                 retry_after_s=STOPPING_RETRY_AFTER_S,
             )
+        if not self._parts.configuration.current.generation:
+            raise RefusalError(
+                Reason.STALE_CONFIGURATION,
+                "this node has no configuration yet; ask another",
+            )
         if not self._parts.configuration.is_current():
             raise RefusalError(
                 Reason.STALE_CONFIGURATION,
                 "this node cannot tell whether its configuration is still the"
                 " accepted one; ask another",
             )
-        if not self._parts.configuration.current.generation:
-            raise RefusalError(
-                Reason.STALE_CONFIGURATION, "this node has no configuration yet"
-            )
 
     def _begin(self) -> None:
         with self._changed:
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -127,10 +127,8 @@
             case "/livez":
                 return HttpResponse(200, [b"ok\n"], content_type=TEXT)
             case "/readyz":
-                current = self.operator.configuration.is_current()
                 ready = self.door.is_ready
-                state = self.door.state.value + ("" if current else ", stale")
-                text = f"{state}\n".encode()
+                text = f"{self._readiness()}\n".encode()
                 return HttpResponse(200 if ready else 503, [text], content_type=TEXT)
             case "/metrics":
                 text = self.metrics.text().encode()
@@ -141,6 +139,17 @@
             case path:
                 raise RefusalError(Reason.NOT_FOUND, f"nothing at {path}")
 
+    def _readiness(self) -> str:
+        """Return the node's state, and why it is not ready."""
+        state = self.door.state.value
+        configuration = self.operator.configuration
+        if not configuration.current.generation:
+            silent = self.operator.status().store_age_s is None
+            return f"{state}, no configuration yet" + (
+                ", object API silent" if silent else ""
+            )
+        return state if configuration.is_current() else f"{state}, stale"
+
 
 def _request(environ: Environ, id: RequestId) -> HttpRequest:
     length = int(environ.get("CONTENT_LENGTH") or 0)
