Race operators in the same instant, over twelve rounds

Cause: the test of racing operators sent its three changes in turn.

Change: three threads wait at a barrier and apply changes of the same caller and of a model of their own, over one generation, through three nodes, twelve rounds on. Exactly one is accepted, with the next generation; the other two hear of the conflict; each node has the winner's model and label and none of a loser's; no node's generation goes back meanwhile. It replaces the old test and asks for more than it did.

--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -1,14 +1,20 @@
 """Tests of configuration changes over real processes."""
 
 import signal
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
 
 import pytest
 
+from faults.workload import Reverts, watch_generations
 from standins.fleet import HttpError, request
 from standins.site import SiteSpec
 
 SHORT = "\n[configuration]\nstale_after_s = 2.0\n"
 PATH = "/admin/v1/configuration"
+RACES = 12
+RACE_CODES = ["", "conflict", "conflict"]
 
 
 def model(name):
@@ -25,6 +31,67 @@
     return ""
 
 
+@dataclass(frozen=True)
+class Raced:
+    """What became of one racer's change; ``code`` is empty if it was accepted."""
+
+    node: str
+    code: str
+    generation: int = 0
+
+
+@dataclass
+class Race:
+    """Changes of the same caller over one generation, all sent at once."""
+
+    site: object
+    base: int
+    number: int
+    barrier: threading.Barrier = field(default_factory=lambda: threading.Barrier(3))
+
+    def name(self, node):
+        """Return the name that only this racer writes in this round."""
+        return f"race-{self.number}-{node}"
+
+    def run(self, node):
+        """Send the change through a node once all racers are there."""
+        name = self.name(node)
+        caller = {"id": "overnight", "labels": {"desk": "batch", "winner": name}}
+        change = {**model(name), "callers": [caller], "base": self.base}
+        self.barrier.wait()
+        try:
+            return Raced(node, "", self.site.apply(node, change))
+        except HttpError as error:
+            return Raced(node, error.body["error"]["code"])
+
+
+def race(site, tasks, generation, number):
+    """Race through all nodes; return the one generation that comes of it."""
+    racers = Race(site, generation, number)
+    raced = list(tasks.map(racers.run, site.nodes))
+    assert sorted(item.code for item in raced) == RACE_CODES
+    (winner,) = [item for item in raced if not item.code]
+    assert winner.generation == generation + 1
+    site.wait_in_force(winner.generation)
+    for node in site.nodes:
+        assert added_models(site, node, number) == [racers.name(winner.node)]
+        assert shared_label(site, node) == racers.name(winner.node)
+    return winner.generation
+
+
+def added_models(site, node, number):
+    """Return the models of one round's racers that a node has in force."""
+    found = request(site.fleet.port(node), "GET", PATH)["models"]
+    return [item["id"] for item in found if item["id"].startswith(f"race-{number}-")]
+
+
+def shared_label(site, node):
+    """Return the label that all racers set, as a node has it in force."""
+    found = request(site.fleet.port(node), "GET", PATH)["callers"]
+    (caller,) = [item for item in found if item["id"] == "overnight"]
+    return caller["labels"]["winner"]
+
+
 def freeze(site, nodes):
     """Stop the processes of nodes; they keep their sockets and say nothing."""
     for node in nodes:
@@ -67,20 +134,19 @@
         )
 
     def test_racing_operators(self, start):
-        """Of changes sent at once, those accepted are whole and the rest absent."""
+        """Of changes sent in the same instant one wins, whole, in every round."""
         site = start()
-        bases = [site.status(node)["generation"] for node in site.nodes]
-        changes = {
-            node: {**model(f"by-{node}"), "base": bases[0]} for node in site.nodes
-        }
-        outcomes = {}
-        for node, change in changes.items():
-            outcomes[node] = refusal_code(lambda n=node, c=change: site.apply(n, c))
-        assert sorted(outcomes.values()) == ["", "conflict", "conflict"]
-        won = next(node for node, code in outcomes.items() if not code)
-        found = request(site.fleet.port("node-1"), "GET", PATH)
-        added = [item["id"] for item in found["models"] if "by-" in item["id"]]
-        assert added == [f"by-{won}"]
+        stop, reverts = threading.Event(), Reverts()
+        generation = site.status("node-1")["generation"]
+        with ThreadPoolExecutor() as tasks:
+            watch = tasks.submit(watch_generations, site, reverts, stop)
+            try:
+                for number in range(RACES):
+                    generation = race(site, tasks, generation, number)
+            finally:
+                stop.set()
+            watch.result()
+        assert not reverts.found
 
 
 class TestStale:
