Show that an answer broken by its node's death is seen as broken

Cause: a node killed in the middle of a stream had no test.

Change: completions and chat streams of a killed node end without the end of the HTTP body, a [DONE] or a finish reason; a whole answer that was waited for ends in an error; the same request through another node gets the whole answer.

--- a/tests/system/test_answers.py
+++ b/tests/system/test_answers.py
@@ -1,7 +1,8 @@
 """Tests of answers over real processes."""
 
 import json
-from http.client import HTTPConnection
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPConnection, HTTPException
 
 import pytest
 
@@ -17,12 +18,16 @@
     return [item for item in site.engines if site.control(item)["running"]]
 
 
-def open_stream(site, node, prompt):
+def open_stream(site, node, prompt, max_tokens=16, path="/v1/completions"):
     """Send a streamed request and return its connection, nothing read."""
     connection = HTTPConnection(HOST, site.fleet.port(node))
-    body = {"model": "meter-3b", "prompt": prompt, "stream": True}
+    body = {"model": "meter-3b", "max_tokens": max_tokens, "stream": True}
+    if "chat" in path:
+        body["messages"] = [{"role": "user", "content": prompt}]
+    else:
+        body["prompt"] = prompt
     headers = {"Authorization": f"Bearer {CALLER_TOKEN}-meter-app"}
-    connection.request("POST", "/v1/completions", json.dumps(body), headers)
+    connection.request("POST", path, json.dumps(body), headers)
     return connection
 
 
@@ -88,3 +93,39 @@
         state = site.control("engine-1")
         assert state["cancelled"] == 1
         assert [item["prompt"] for item in state["log"]] == ["warm", "gone", "after"]
+
+
+class TestNodeKilled:
+    """The node that serves an answer is killed in the middle of it."""
+
+    @pytest.mark.parametrize("path", ["/v1/completions", "/v1/chat/completions"])
+    def test_broken_stream_is_seen_as_broken(self, start, path):
+        """No end is seen, neither of the stream nor of the HTTP body."""
+        site = start(SiteSpec(nodes=2, step_ms=20.0))
+        connection = open_stream(site, "node-1", PROMPT, 400, path)
+        response = connection.getresponse()
+        received = [response.readline(), response.readline()]
+        site.fleet.process_by_name["node-1"].kill()
+        with pytest.raises((OSError, HTTPException)):
+            while data := response.read(4096):
+                received.append(data)
+        connection.close()
+        assert received[0].startswith(b"data: {")
+        assert b"[DONE]" not in b"".join(received)
+        assert b'finish_reason":"' not in b"".join(received)
+        assert site.complete("node-2", "meter-3b", PROMPT, 60) == whole_answer(
+            PROMPT, 60
+        )
+
+    def test_broken_answer_is_seen_as_broken(self, start):
+        """A caller without streaming gets an error in place of half an answer."""
+        site = start(SiteSpec(nodes=2, step_ms=20.0))
+        with ThreadPoolExecutor() as tasks:
+            answer = tasks.submit(site.complete, "node-1", "meter-3b", PROMPT, 400)
+            site.fleet.wait_until(lambda: run_engines(site), "the request")
+            site.fleet.process_by_name["node-1"].kill()
+            with pytest.raises((OSError, HTTPException)):
+                answer.result()
+        assert site.complete("node-2", "meter-3b", PROMPT, 60) == whole_answer(
+            PROMPT, 60
+        )
