Prove that a load later than its answered repetition overcommits nothing

Cause: only random histories covered a load that arrives after the one sent in its place was answered and its item unloaded.

Change: a history of just that, at both kinds of engine. At an ignoring engine the first load's memory is given to nobody; a checking one refuses it.

--- a/tests/coordination/test_owned_endpoint.py
+++ b/tests/coordination/test_owned_endpoint.py
@@ -304,3 +304,29 @@
 TestIgnoringEngine.settings = LIMITS
 TestCheckingEngine = CheckingWorld.TestCase
 TestCheckingEngine.settings = LIMITS
+
+
+class TestLateLoad:
+    """A load that arrives after the one sent in its place was answered."""
+
+    @pytest.mark.parametrize("world", [World, CheckingWorld])
+    def test_arrives_after_the_unload(self, world):
+        """Its memory is given to no other item that it could then overcommit."""
+        history = world()
+        history.set_engine_fault("late")
+        history.wish("n", "a", LoadWish, 1)
+        history.set_engine_fault("")
+        for _ in range(2):
+            history.run_round("n")
+            history.finish_loads(False)
+        history.run_round("n")
+        assert history.engine.late
+        assert history.records.record.resident_mb_by_item == {"a": 60}
+        history.wish("n", "a", UnloadWish, 2)
+        assert not history.engine.resident
+        history.wish("n", "d", LoadWish, 2)
+        assert ("d" in history.engine.loading) == history.checks
+        for late in history.engine.late:
+            outcome = history.engine.take(late)
+            assert (outcome is OrderOutcome.FENCED) == history.checks
+        history.never_overcommitted()
