Cut links among the random faults

Three in ten injections cut a node from its peers, towards them, from the object API, from an engine, or from object API and peers together, by a black hole, held answers or resets, for up to 15 s. --no-cuts leaves the links out, so that a call to a process that is down is known not to have been sent.

--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -175,11 +175,18 @@
     seed: Annotated[int, typer.Option(help="Drawn and printed when 0.")] = 0,
     minutes: Annotated[float, typer.Option(help="How long faults are injected.")] = 1,
     nodes: Annotated[int, typer.Option(help="Daemons.")] = 3,
+    cuts: Annotated[bool, typer.Option(help="Cut links too.")] = True,
 ) -> None:
     """Run the processes under random faults and check the history."""
     seed = seed or secrets.randbelow(1_000_000)
     print(f"seed {seed}, {minutes} minutes, {nodes} nodes", flush=True)
-    spec = SiteSpec(nodes=nodes, checking_engines=2, ignoring_engines=2, models=MODELS)
+    spec = SiteSpec(
+        nodes=nodes,
+        checking_engines=2,
+        ignoring_engines=2,
+        models=MODELS,
+        links=cuts,
+    )
     history, injected, reverts = History(), Injected(), Reverts()
     stop_faults, stop = threading.Event(), threading.Event()
     with Fleet() as fleet, ThreadPoolExecutor(32) as tasks:
--- a/faults/injections.py
+++ b/faults/injections.py
@@ -9,9 +9,13 @@
 from typing import TypeAlias
 
 from standins.fleet import HttpError
+from standins.links import LinkState
 from standins.site import Site
 
 MIN_HOLD_S, MAX_HOLD_S = 0.5, 5.0
+MAX_CUT_S = 15.0
+CUT_SHARE = 0.3
+CUT_STATES = (LinkState.BLACK_HOLE, LinkState.ANSWERS_HELD, LinkState.RESET)
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,8 +120,56 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class CutFromPeers:
+    """A node and its peers reach each other no more for ``hold_s``."""
+
+    node: str
+    state: LinkState
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CutTowardsPeers:
+    """A node hears its peers, but they do not hear it for ``hold_s``."""
+
+    node: str
+    state: LinkState
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CutFromStore:
+    """A node does not reach the object API for ``hold_s``."""
+
+    node: str
+    state: LinkState
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CutFromEngine:
+    """A node does not reach an engine for ``hold_s``."""
+
+    node: str
+    engine: str
+    state: LinkState
+    hold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CutOff:
+    """A node reaches neither its peers nor the object API for ``hold_s``."""
+
+    node: str
+    state: LinkState
+    hold_s: float
+
+
+Cut: TypeAlias = CutFromPeers | CutTowardsPeers | CutFromStore | CutFromEngine | CutOff
 Injection: TypeAlias = (
-    KillNode
+    Cut
+    | KillNode
     | KillAllNodes
     | StopNode
     | FreezeNode
@@ -153,9 +205,43 @@
         DoubleOrders(engine, hold_s),
         LoseServiceAnswers(chance.choice(site.services), chance.randint(1, 3)),
     )
+    if site.spec.links and chance.random() < CUT_SHARE:
+        return _draw_cut(node, engine, chance)
     return chance.choice(choices)
 
 
+def _draw_cut(node: str, engine: str, chance: random.Random) -> Cut:
+    """Return a random cut of links; some outlast a configuration."""
+    hold_s = chance.uniform(MIN_HOLD_S, MAX_CUT_S)
+    state = chance.choice(CUT_STATES)
+    return chance.choice(
+        (
+            CutFromPeers(node, state, hold_s),
+            CutTowardsPeers(node, state, hold_s),
+            CutFromStore(node, state, hold_s),
+            CutFromEngine(node, engine, state, hold_s),
+            CutOff(node, state, hold_s),
+        )
+    )
+
+
+def links_of(cut: Cut, site: Site) -> list[tuple[str, str]]:
+    """Return the links that a cut takes, each from a node to a target."""
+    others = [node for node in site.nodes if node != cut.node]
+    store = (cut.node, "object-api")
+    match cut:
+        case CutFromPeers():
+            return site.links_to_peers(cut.node)
+        case CutTowardsPeers():
+            return [(cut.node, other) for other in others]
+        case CutFromStore():
+            return [store]
+        case CutFromEngine():
+            return [(cut.node, cut.engine)]
+        case CutOff():
+            return [store, *site.links_to_peers(cut.node)]
+
+
 def inject(site: Site, injection: Injection, stop: threading.Event) -> None:
     """Bring a fault about and end it; a run's ``stop`` ends it early."""
     match injection:
@@ -187,10 +273,25 @@
             _control(site, engine, duplicate_orders=True)
             stop.wait(hold_s)
             _control(site, engine, duplicate_orders=False)
+        case CutFromPeers() | CutTowardsPeers() | CutFromStore():
+            _cut(site, injection, stop)
+        case CutFromEngine() | CutOff():
+            _cut(site, injection, stop)
         case LoseServiceAnswers(service, count):
             _control(site, service, lose_answers=count)
 
 
+def _cut(site: Site, cut: Cut, stop: threading.Event) -> None:
+    links = links_of(cut, site)
+    site.set_links(cut.state, links)
+    stop.wait(cut.hold_s)
+    site.set_links(LinkState.OPEN, links)
+
+
+def _names_of_links(cut: Cut, site: Site) -> frozenset[str]:
+    return frozenset(f"{node} to {target}" for node, target in links_of(cut, site))
+
+
 def _control(site: Site, name: str, **faults: object) -> None:
     """Set faults at a stand-in that another injection may have killed."""
     try:
@@ -230,8 +331,12 @@
 
 
 def targets(injection: Injection, site: Site) -> frozenset[str]:
-    """Return the processes that an injection stops or ends."""
+    """Return the processes and links that an injection holds."""
     match injection:
+        case CutFromPeers() | CutTowardsPeers() | CutFromStore():
+            return _names_of_links(injection, site)
+        case CutFromEngine() | CutOff():
+            return _names_of_links(injection, site)
         case KillNode(name, _) | StopNode(name, _) | FreezeNode(name, _):
             return frozenset((name,))
         case KillEngine(name, _) | FreezeEngine(name, _):
