--- a/src/camphoryard/node/shared.py
+++ b/src/camphoryard/node/shared.py
@@ -121,7 +121,8 @@
         settings.node.id, Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
     )
     executors = make_executors()
-    client = HttpClient()
+    source_host = settings.node.source_host
+    client = HttpClient(source_host)
     clock = HybridClock()
     keys = make_curve_keys(settings.peers)
     nodes = NodeTable()
@@ -130,7 +131,9 @@
     serving = settings.serving
     readers = StreamReaders(executors.streams)
     limits = StreamLimits(serving.first_token_limit_s, serving.stall_s)
-    peers = PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock)
+    peers = PeerNetwork(
+        identity.node, keys, executors.peers, executors.handlers, clock, source_host
+    )
     budget = make_budget_policy(settings.decisions)
     return Shared(
         settings,
--- a/tests/system/test_answers.py
+++ b/tests/system/test_answers.py
@@ -1,7 +1,8 @@
 """Tests of answers over real processes."""
 
 import json
-from http.client import HTTPConnection
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPConnection, HTTPException
 
 import pytest
 
@@ -18,13 +19,17 @@
     return [item for item in site.engines if site.control(item)["running"]]
 
 
-def open_stream(site, node, prompt, headers=None, **fields):
+def open_stream(site, node, prompt, path="/v1/completions", headers=None, **fields):
     """Send a streamed request and return its connection, nothing read."""
     connection = HTTPConnection(HOST, site.fleet.port(node))
-    body = {"model": "meter-3b", "prompt": prompt, "stream": True, **fields}
+    body = {"model": "meter-3b", "stream": True, **fields}
+    if "chat" in path:
+        body["messages"] = [{"role": "user", "content": prompt}]
+    else:
+        body["prompt"] = prompt
     token = {"Authorization": f"Bearer {CALLER_TOKEN}-meter-app"}
-    headers = {**token, **(headers or {})}
-    connection.request("POST", "/v1/completions", json.dumps(body), headers)
+    sent = {**token, **(headers or {})}
+    connection.request("POST", path, json.dumps(body), sent)
     return connection
 
 
@@ -108,7 +113,7 @@
         site = start(SiteSpec(nodes=1, ignoring_engines=0, step_ms=20.0))
         site.complete("node-1", "meter-3b", "warm", 1)
         headers = {"Camphoryard-Total-Deadline-Ms": "800"}
-        caller = open_stream(site, "node-1", PROMPT, headers, max_tokens=5000)
+        caller = open_stream(site, "node-1", PROMPT, headers=headers, max_tokens=5000)
         events = caller.getresponse().read().split(b"\n\n")
         name, _, body = events[-2].partition(b"\ndata: ")
         error = json.loads(body)["error"]
@@ -125,7 +130,7 @@
         )
         site.complete("node-1", "meter-3b", "warm", 1)
         headers = {"Camphoryard-Total-Deadline-Ms": "1000"}
-        caller = open_stream(site, "node-1", PROMPT, headers, max_tokens=5000)
+        caller = open_stream(site, "node-1", PROMPT, headers=headers, max_tokens=5000)
         response = caller.getresponse()
         response.readline()
         site.control("engine-1", stall_streams=True)
@@ -156,3 +161,39 @@
         state = site.control("engine-1")
         assert state["cancelled"] == 1
         assert [item["prompt"] for item in state["log"]] == ["warm", "gone", "after"]
+
+
+class TestNodeKilled:
+    """The node that serves an answer is killed in the middle of it."""
+
+    @pytest.mark.parametrize("path", ["/v1/completions", "/v1/chat/completions"])
+    def test_broken_stream_is_seen_as_broken(self, start, path):
+        """No end is seen, neither of the stream nor of the HTTP body."""
+        site = start(SiteSpec(nodes=2, step_ms=20.0))
+        connection = open_stream(site, "node-1", PROMPT, path, max_tokens=400)
+        response = connection.getresponse()
+        received = [response.readline(), response.readline()]
+        site.fleet.process_by_name["node-1"].kill()
+        with pytest.raises((OSError, HTTPException)):
+            while data := response.read(4096):
+                received.append(data)
+        connection.close()
+        assert received[0].startswith(b"data: {")
+        assert b"[DONE]" not in b"".join(received)
+        assert b'finish_reason":"' not in b"".join(received)
+        assert site.complete("node-2", "meter-3b", PROMPT, 60) == whole_answer(
+            PROMPT, 60
+        )
+
+    def test_broken_answer_is_seen_as_broken(self, start):
+        """A caller without streaming gets an error in place of half an answer."""
+        site = start(SiteSpec(nodes=2, step_ms=20.0))
+        with ThreadPoolExecutor() as tasks:
+            answer = tasks.submit(site.complete, "node-1", "meter-3b", PROMPT, 400)
+            site.fleet.wait_until(lambda: run_engines(site), "the request")
+            site.fleet.process_by_name["node-1"].kill()
+            with pytest.raises((OSError, HTTPException)):
+                answer.result()
+        assert site.complete("node-2", "meter-3b", PROMPT, 60) == whole_answer(
+            PROMPT, 60
+        )
