Let a load on demand pay for its moves

Cause: with more models in demand than fit, each request for a model out of memory had another one unloaded for it.

Change: a node asks for a load only where it gains more demand than the victims serve and the moves cost, or if the item was away for longest_absence_s; the owner holds a wish whose victims serve more than was weighed; an adapter is not loaded before its base; a search ends when nobody waits any more. Victims are those that serve the least demand. Copies are dated by the endpoint table, and times of use moved to a module of their own.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -14,14 +14,23 @@
     routing: str
     admission: str
     placement: str
+    eviction: str
     weight_budget: str
 
 
 POLICY_BY_NAME: Mapping[str, BenchPolicy] = {
-    "chosen": BenchPolicy("two_choices", "deadline_first", "demand", "paced"),
-    "round-robin-static": BenchPolicy("round_robin", "unlimited", "static", "unpaced"),
+    "chosen": BenchPolicy(
+        "two_choices", "deadline_first", "demand", "least_demand", "paced"
+    ),
+    "round-robin-static": BenchPolicy(
+        "round_robin", "unlimited", "static", "least_recently_used", "unpaced"
+    ),
     "least-on-demand": BenchPolicy(
-        "least_in_flight", "unlimited", "load_on_demand", "unpaced"
+        "least_in_flight",
+        "unlimited",
+        "load_on_demand",
+        "least_recently_used",
+        "unpaced",
     ),
 }
 CHOSEN = "chosen"
@@ -33,6 +42,7 @@
         "routing": policy.routing,
         "admission": policy.admission,
         "placement": policy.placement,
+        "eviction": policy.eviction,
         "weight_budget": policy.weight_budget,
         "engine_slots": scenario.engine_slots,
         "weight_loads_per_s": scenario.weight_store.loads_per_s,
--- a/src/camphoryard/coordination/demand.py
+++ b/src/camphoryard/coordination/demand.py
@@ -11,7 +11,8 @@
 from camphoryard.coordination.ports import Timer
 from camphoryard.state.demand import NO_DEMAND, ItemDemand
 from camphoryard.state.enums import Priority
-from camphoryard.state.ids import ItemId
+from camphoryard.state.ids import ItemId, NodeId
+from camphoryard.state.nodes import NodeTable
 
 SAMPLE_PERIOD_S = 0.5
 FAST_S = 1.0
@@ -104,6 +105,26 @@
         average.slow += _weight(elapsed_s, SLOW_S) * (slots - average.slow)
 
 
+class SystemDemand:
+    """What all nodes are asked for: this one's averages and those in digests."""
+
+    def __init__(self, node: NodeId, nodes: NodeTable, meter: DemandMeter) -> None:
+        self._node = node
+        self._nodes = nodes
+        self._meter = meter
+
+    def by_item(self) -> Mapping[ItemId, ItemDemand]:
+        """Return the sum of what this node and the others alive see."""
+        return total_demand(self._parts())
+
+    def _parts(self) -> Iterable[Mapping[ItemId, ItemDemand]]:
+        yield self._meter.by_item()
+        for lease in self._nodes.alive():
+            digest = self._nodes.digest(lease.node)
+            if digest is not None and lease.node != self._node:
+                yield digest.demand_by_item
+
+
 def _weight(elapsed_s: float, time_constant_s: float) -> float:
     return 1.0 - math.exp(-elapsed_s / time_constant_s)
 
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -116,10 +116,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadWanted:
-    """Ask an endpoint's owner to load items there, in order."""
+    """Ask an endpoint's owner to load items there, in order.
+
+    What leaves for each may serve ``limit_slots`` of demand at most.
+    """
 
     endpoint: EndpointId
     items: tuple[ItemId, ...]
+    limit_slots: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/coordination/owned_endpoint.py
+++ b/src/camphoryard/coordination/owned_endpoint.py
@@ -7,14 +7,15 @@
 """
 
 import time
-from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass, replace
 from itertools import islice
 from uuid import uuid4
 
 from camphoryard.coordination.doubts import Doubts
+from camphoryard.coordination.eviction import EvictionPolicy
 from camphoryard.coordination.messages import GivenUp, GiveUp
+from camphoryard.coordination.occupancy import Occupancy
 from camphoryard.coordination.orders import EndpointOrders, GivenUpError, OrderFate
 from camphoryard.coordination.ownership import owner_of
 from camphoryard.coordination.planning import Plan, Surroundings
@@ -89,25 +90,13 @@
     incarnation: Incarnation
 
 
-@dataclass(frozen=True, slots=True)
-class ResidencyLimits:
-    """Times that bound moves, in seconds.
-
-    Parameters
-    ----------
-    order_lifetime_s : float
-        How long an order may be on its way after its sender stopped sending.
-    min_residency_s : float
-        How long an item stays before it may make room for another.
-    """
-
-    order_lifetime_s: float
-    min_residency_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class ResidencyParts:
-    """What the tasks of owned endpoints work with."""
+    """What the tasks of owned endpoints work with.
+
+    ``order_lifetime_s`` is how long an order may be on its way after its sender
+    stopped sending.
+    """
 
     identity: Identity
     records: Records[EndpointRecord]
@@ -118,8 +107,9 @@
     engines: Engines
     peers: Peers
     timeline: Timeline
-    last_used_s: Callable[[ItemId], float]
-    limits: ResidencyLimits
+    occupancy: Occupancy
+    eviction: EvictionPolicy
+    order_lifetime_s: float
 
 
 class OwnedEndpoint:
@@ -135,11 +125,10 @@
             parts.identity.incarnation,
             orders,
             self._has_ended,
-            parts.limits.order_lifetime_s,
+            parts.order_lifetime_s,
         )
         self._wishes = Wishes()
         self._ticks: Ticks | None = None
-        self._resident_since_s: dict[ItemId, float] = {}
         self._sent_s_by_id: dict[OrderId, float] = {}
         self._asked_s = 0.0
         self._silent_rounds = 0
@@ -344,13 +333,7 @@
             ended,
             self._found_size_mb,
         )
-        settled = replace(settle(before, evidence), is_silent=False)
-        now_s = time.monotonic()
-        self._resident_since_s = {
-            item: self._resident_since_s.get(item, now_s)
-            for item in settled.resident_mb_by_item
-        }
-        return settled
+        return replace(settle(before, evidence), is_silent=False)
 
     def _found_size_mb(self, item: ItemId) -> int:
         """Return an item's size; one nobody knows counts as the whole memory."""
@@ -401,14 +384,7 @@
     def _plan(self, settled: EndpointRecord, inventory: Inventory) -> Plan:
         record = self._raise_fence(settled, inventory)
         record = self._resend_loads(record)
-        around = Surroundings(
-            lambda item: item_memory_mb(self._parts.configuration.current, item),
-            self._parts.last_used_s,
-            self._resident_since_s,
-            self._parts.limits.min_residency_s,
-            self._parts.table,
-            self._intent,
-        )
+        around = Surroundings(self._parts.occupancy, self._parts.eviction, self._intent)
         return Plan(record, self._wishes.open(), around)
 
     def _raise_fence(
--- a/src/camphoryard/coordination/placing.py
+++ b/src/camphoryard/coordination/placing.py
@@ -10,7 +10,7 @@
 from concurrent.futures import Executor
 from dataclasses import dataclass
 
-from camphoryard.coordination.demand import DemandMeter, total_demand
+from camphoryard.coordination.demand import SystemDemand
 from camphoryard.coordination.messages import Declined, MoveWanted
 from camphoryard.coordination.ownership import owner_of, rendezvous_owner
 from camphoryard.coordination.placement import (
@@ -25,7 +25,6 @@
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.weight_budget import BudgetClient
 from camphoryard.state.configuration import Endpoint, item_memory_mb
-from camphoryard.state.demand import ItemDemand
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, NodeState
 from camphoryard.state.errors import CamphoryardError
@@ -50,7 +49,7 @@
     peers: Peers
     configuration: ConfigurationHolder
     table: EndpointTable
-    demand: DemandMeter
+    demand: SystemDemand
     budget: BudgetClient
     slots: Callable[[EndpointId], int]
     takes_work: Callable[[EndpointId], bool]
@@ -94,7 +93,7 @@
     def view(self, policy: DemandPlacement) -> PlacementView:
         """Return what there is to plan from now."""
         configuration = self._parts.configuration.current
-        demand_by_item = total_demand(self._demands())
+        demand_by_item = self._parts.demand.by_item()
         views = {
             endpoint.id: self._endpoint_view(endpoint, record, policy)
             for endpoint, record in self._engines()
@@ -163,13 +162,6 @@
             copy: self._since_s_by_copy.get(copy, now_s) for copy in seen
         }
 
-    def _demands(self) -> Iterable[Mapping[ItemId, ItemDemand]]:
-        yield self._parts.demand.by_item()
-        for lease in self._parts.nodes.alive():
-            digest = self._parts.nodes.digest(lease.node)
-            if digest is not None and lease.node != self._parts.node:
-                yield digest.demand_by_item
-
     def _is_planner(self) -> bool:
         serving = [
             lease.node
--- a/src/camphoryard/coordination/planning.py
+++ b/src/camphoryard/coordination/planning.py
@@ -1,10 +1,16 @@
 """Which orders the open wishes at one endpoint call for."""
 
-import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from camphoryard.coordination.eviction import Occupant, base_of, choose_victims
+from camphoryard.coordination.eviction import (
+    EvictionPolicy,
+    Occupant,
+    base_of,
+    choose_victims,
+    lost_slots,
+)
+from camphoryard.coordination.occupancy import Occupancy
 from camphoryard.coordination.wishes import (
     ClosedWish,
     LoadWish,
@@ -21,10 +27,7 @@
     with_intent,
 )
 from camphoryard.state.enums import OrderKind
-from camphoryard.state.ids import EndpointId, ItemId
-from camphoryard.state.tables import EndpointTable
-
-USED_OF_LATE_S = 10.0
+from camphoryard.state.ids import ItemId
 
 MakeIntent = Callable[[EndpointRecord, OrderKind, int], Intent]
 
@@ -35,25 +38,16 @@
 
     Parameters
     ----------
-    size_mb : callable
-        Configured memory of an item in MB, or None.
-    last_used_s : callable
-        When an item was last used, on the monotonic clock.
-    resident_since_s : mapping
-        When the owner first saw each resident, on the monotonic clock.
-    min_residency_s : float
-        How long an item stays before it may make room for another.
-    table : EndpointTable
-        Records of all endpoints.
+    occupancy : Occupancy
+        How items are used.
+    eviction : EvictionPolicy
+        What leaves first.
     intent : callable
         Makes an intent of this owner.
     """
 
-    size_mb: Callable[[ItemId], int | None]
-    last_used_s: Callable[[ItemId], float]
-    resident_since_s: Mapping[ItemId, float]
-    min_residency_s: float
-    table: EndpointTable
+    occupancy: Occupancy
+    eviction: EvictionPolicy
     intent: MakeIntent
 
 
@@ -90,7 +84,7 @@
         """Make the residents fit again after the endpoint got less memory."""
         excess_mb = -(self._free_mb + self._coming_mb)
         if excess_mb > 0:
-            self._evict(choose_victims(self._occupants(), excess_mb))
+            self._evict(self._victims(excess_mb))
 
     def _load(self, wish: LoadWish) -> None:
         item = wish.item
@@ -99,24 +93,34 @@
         if item in self.record.resident_mb_by_item:
             self.closed.append(ClosedWish(wish))
             return
-        size_mb = self._around.size_mb(item)
+        size_mb = self._around.occupancy.size_mb(item)
         if size_mb is None or not self._can_ever_fit(item, size_mb):
             error = NoRoomError(f"{item} does not fit into {self.record.id}")
             self.closed.append(ClosedWish(wish, error))
             return
+        if not self._has_base(item):
+            return
         taken_mb = committed_mb_by_item(self.record).get(item, 0)
         growth_mb = max(0, size_mb - taken_mb)
         if growth_mb <= self._free_mb:
             self._intend(item, OrderKind.LOAD, size_mb)
             self._free_mb -= growth_mb
             return
-        self._make_room(growth_mb)
+        self._make_room(growth_mb, wish.limit_slots)
 
-    def _make_room(self, growth_mb: int) -> None:
+    def _has_base(self, item: ItemId) -> bool:
+        """Return whether an adapter's base is here, or comes; true of a model."""
+        base = base_of(item)
+        intent = self.record.intents_by_item.get(base)
+        if intent is not None:
+            return intent.kind is OrderKind.LOAD
+        return base == item or base in self.record.resident_mb_by_item
+
+    def _make_room(self, growth_mb: int, limit_slots: float) -> None:
         missing_mb = growth_mb - max(0, self._free_mb) - self._coming_mb
         if missing_mb > 0:
-            victims = choose_victims(self._occupants(), missing_mb)
-            if not victims:
+            victims = self._victims(missing_mb)
+            if not victims or lost_slots(victims) > limit_slots:
                 return
             self._evict(victims)
         self._coming_mb += max(0, self._free_mb) - growth_mb
@@ -149,38 +153,11 @@
         intent = self._around.intent(self.record, kind, memory_mb)
         self.record = with_intent(self.record, item, intent)
 
-    def _occupants(self) -> list[Occupant]:
-        """Return the residents that may make room; a wished item never does."""
-        wished = _wished_items(self._open)
-        pinned = items_in_doubt(self.record) | self.record.intents_by_item.keys()
-        elsewhere = _items_elsewhere(self._around.table, self.record.id)
-        now_s = time.monotonic()
-        return [
-            self._occupant(item, memory_mb, item in elsewhere, now_s)
-            for item, memory_mb in self.record.resident_mb_by_item.items()
-            if item not in wished
-            and item not in pinned
-            and self._stayed_long_enough(item, now_s)
-        ]
-
-    def _occupant(
-        self, item: ItemId, memory_mb: int, is_elsewhere: bool, now_s: float
-    ) -> Occupant:
-        last_used_s = self._around.last_used_s(item)
-        return Occupant(
-            item,
-            memory_mb,
-            self._around.size_mb(item) is not None,
-            now_s - last_used_s < USED_OF_LATE_S,
-            is_elsewhere,
-            last_used_s,
-        )
-
-    def _stayed_long_enough(self, item: ItemId, now_s: float) -> bool:
-        if self._around.size_mb(item) is None:
-            return True
-        since_s = self._around.resident_since_s.get(item, now_s)
-        return now_s - since_s >= self._around.min_residency_s
+    def _victims(self, needed_mb: int) -> tuple[Occupant, ...]:
+        """Return who leaves for ``needed_mb``; a wished item never does."""
+        occupancy, wished = self._around.occupancy, _wished_items(self._open)
+        occupants = occupancy.occupants(self.record, wished)
+        return choose_victims(self._around.eviction, occupants, needed_mb)
 
 
 def _coming_mb(record: EndpointRecord) -> int:
@@ -196,13 +173,3 @@
 def _wished_items(wishes: Sequence[Wish]) -> frozenset[ItemId]:
     loads = [wish.item for wish in wishes if isinstance(wish, LoadWish)]
     return frozenset(loads) | frozenset(base_of(item) for item in loads)
-
-
-def _items_elsewhere(table: EndpointTable, here: EndpointId) -> frozenset[ItemId]:
-    return frozenset(
-        item
-        for endpoint, record in table.by_id().items()
-        if endpoint != here
-        for item in record.resident_mb_by_item
-        if item not in record.intents_by_item
-    )
--- a/src/camphoryard/coordination/residency.py
+++ b/src/camphoryard/coordination/residency.py
@@ -21,7 +21,6 @@
 from camphoryard.coordination.owned_endpoint import (
     Identity,
     OwnedEndpoint,
-    ResidencyLimits,
     ResidencyParts,
 )
 from camphoryard.coordination.ownership import owner_of
@@ -41,7 +40,7 @@
 START_WISH_S = 1.5
 EVERY_NUMBER = FencingNumber(2**62)
 
-__all__ = ["EndpointOwner", "Identity", "ResidencyLimits", "ResidencyParts"]
+__all__ = ["EndpointOwner", "Identity", "ResidencyParts"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +54,8 @@
         """Act on a peer's message and return the reply, without waiting for loads."""
         try:
             match message:
-                case LoadWanted(endpoint, items):
-                    self.owner.start_loading(endpoint, items)
+                case LoadWanted(endpoint, items, limit_slots):
+                    self.owner.start_loading(endpoint, items, limit_slots)
                 case ItemsUsed(items):
                     self.used_elsewhere(items)
                 case GiveUp():
@@ -119,7 +118,9 @@
         wish = UnloadWish(item, time.monotonic() + timeout_s)
         _wait(self._wish(endpoint_id, wish), timeout_s)
 
-    def start_loading(self, endpoint_id: EndpointId, items: tuple[ItemId, ...]) -> None:
+    def start_loading(
+        self, endpoint_id: EndpointId, items: tuple[ItemId, ...], limit_slots: float
+    ) -> None:
         """Have ``items`` loaded without waiting; raises ConflictError.
 
         Who asks goes on to another endpoint when this one does not begin, so
@@ -127,7 +128,7 @@
         """
         deadline_s = time.monotonic() + START_WISH_S
         for item in items:
-            self._wish(endpoint_id, LoadWish(item, deadline_s))
+            self._wish(endpoint_id, LoadWish(item, deadline_s, limit_slots))
 
     def start_moving(self, move: Move) -> None:
         """Have a move carried out without waiting; raises ConflictError."""
--- a/src/camphoryard/coordination/residency_client.py
+++ b/src/camphoryard/coordination/residency_client.py
@@ -1,57 +1,58 @@
 """Asking the owners of endpoints, here or at peers, to load items."""
 
-import functools
 import threading
 import time
 from collections.abc import Callable, Sequence
 from concurrent.futures import Executor
+from dataclasses import dataclass
 
-from camphoryard.coordination.messages import Done, ItemsUsed, LoadWanted
+from camphoryard.coordination.eviction import EvictionPolicy
+from camphoryard.coordination.load_choice import LoadChoice, choose_endpoints
+from camphoryard.coordination.messages import Done, LoadWanted
+from camphoryard.coordination.occupancy import Occupancy
 from camphoryard.coordination.ownership import owner_of
-from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.coordination.ports import Peers
 from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.usage import Usage
 from camphoryard.coordination.weight_budget import BudgetClient
-from camphoryard.state.endpoint_record import free_mb
+from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import EndpointId, ItemId, NodeId
 from camphoryard.state.nodes import NodeTable
-from camphoryard.state.tables import EndpointTable
 
 LOAD_TIMEOUT_S = 30.0
 START_TIMEOUT_S = 2.0
 RETRY_PERIOD_S = 0.5
-USE_REPORT_PERIOD_S = 3.0
+WANTED_OF_LATE_S = 2.0
 
-StartLoading = Callable[[EndpointId, tuple[ItemId, ...]], None]
+StartLoading = Callable[[EndpointId, tuple[ItemId, ...], float], None]
+
+
+@dataclass(frozen=True, slots=True)
+class ClientParts:
+    """What the search for a place works with; ``start_here`` asks this node."""
+
+    node: NodeId
+    nodes: NodeTable
+    peers: Peers
+    executor: Executor
+    start_here: StartLoading
+    timeline: Timeline
+    budget: BudgetClient
+    usage: Usage
+    occupancy: Occupancy
+    eviction: EvictionPolicy
 
 
 class ResidencyClient:
     """Starts loads where they are wanted; a wish already under way is not doubled."""
 
-    def __init__(
-        self,
-        node: NodeId,
-        nodes: NodeTable,
-        table: EndpointTable,
-        peers: Peers,
-        executor: Executor,
-        start_here: StartLoading,
-        timeline: Timeline,
-        budget: BudgetClient,
-    ) -> None:
-        self._node = node
-        self._nodes = nodes
-        self._table = table
-        self._peers = peers
-        self._executor = executor
-        self._start_here = start_here
-        self._timeline = timeline
-        self._budget = budget
+    def __init__(self, parts: ClientParts) -> None:
+        self._parts = parts
+        self._table = parts.occupancy.table
         self._lock = threading.Lock()
-        self._wanted: set[tuple[ItemId, ...]] = set()
-        self._used_s_by_item: dict[ItemId, float] = {}
-        self._unreported: set[ItemId] = set()
+        self._wanted_s_by_items: dict[tuple[ItemId, ...], float] = {}
         self._closed = False
 
     def close(self) -> None:
@@ -61,108 +62,98 @@
 
     def used(self, items: tuple[ItemId, ...]) -> None:
         """Note that ``items`` are used now."""
-        with self._lock:
-            self._unreported.update(items)
-        self.used_elsewhere(items)
-
-    def used_elsewhere(self, items: tuple[ItemId, ...]) -> None:
-        """Note that another node uses ``items`` now."""
-        now_s = time.monotonic()
-        for item in items:
-            self._used_s_by_item[item] = now_s
-
-    def last_used_s(self, item: ItemId) -> float:
-        """Return when ``item`` was last used, on the monotonic clock."""
-        return self._used_s_by_item.get(item, 0.0)
-
-    def run_reports(self, timer: Timer) -> None:
-        """Tell the owners of endpoints, each period, what this node used there."""
-        for _ in timer.every(USE_REPORT_PERIOD_S):
-            with self._lock:
-                items = frozenset(self._unreported)
-                self._unreported.clear()
-            for owner, used in self._used_by_owner(items).items():
-                self._peers.tell(owner, ItemsUsed(tuple(sorted(used))))
+        self._parts.usage.used(items)
 
     def want(self, items: tuple[ItemId, ...], candidates: Sequence[EndpointId]) -> None:
-        """Have ``items`` loaded at one of ``candidates``, in the background."""
+        """Have ``items`` loaded at one of ``candidates``, in the background.
+
+        Those who wait for them ask again and again; the search ends soon after
+        nobody does any more.
+        """
         with self._lock:
-            if items in self._wanted:
+            is_under_way = items in self._wanted_s_by_items
+            self._wanted_s_by_items[items] = time.monotonic()
+            if is_under_way:
                 return
-            self._wanted.add(items)
-        self._executor.submit(self._bring, items, tuple(candidates))
+        self._parts.executor.submit(self._bring, items, tuple(candidates))
 
     def _bring(
         self, items: tuple[ItemId, ...], candidates: Sequence[EndpointId]
     ) -> None:
-        """Try candidates in turn until the items are at one of them."""
-        deadline_s = time.monotonic() + LOAD_TIMEOUT_S
-        order = functools.partial(self._order, items[0])
+        """Try endpoints, the best first, until the items are at one of them."""
+        wanted = _Wanted(items, candidates)
         try:
+            if not self._choices(wanted):
+                return
             if not self._is_anywhere(items[0], candidates):
-                self._budget.wait_urgent()
-            while time.monotonic() < deadline_s and not self._closed:
-                for endpoint in sorted(candidates, key=order, reverse=True):
-                    if self._bring_to(endpoint, items, candidates, deadline_s):
+                self._parts.budget.wait_urgent()
+            while self._is_wanted(items) and not self._is_there(wanted):
+                choices = self._choices(wanted)
+                if not choices:
+                    return
+                for choice in choices:
+                    if self._bring_to(choice, wanted):
                         return
         finally:
             with self._lock:
-                self._wanted.discard(items)
+                del self._wanted_s_by_items[items]
 
-    def _bring_to(
-        self,
-        endpoint: EndpointId,
-        items: tuple[ItemId, ...],
-        candidates: Sequence[EndpointId],
-        deadline_s: float,
-    ) -> bool:
-        """Try ``endpoint``; return whether nothing is left to try."""
+    def _bring_to(self, choice: LoadChoice, wanted: "_Wanted") -> bool:
+        """Try one endpoint; return whether nothing is left to try."""
 
         def is_there() -> bool:
-            return self._closed or any(
-                self._table.are_resident(item, items) for item in candidates
-            )
+            return self._is_there(wanted)
 
         def is_over() -> bool:
-            return is_there() or not self._is_under_way(endpoint, items)
+            return is_there() or not self._is_coming(wanted)
 
+        if self._is_coming(wanted):
+            self._table.wait_until(is_over, time.monotonic() + LOAD_TIMEOUT_S)
         if is_there():
             return True
-        self._start(endpoint, items)
-        soon_s = min(deadline_s, time.monotonic() + RETRY_PERIOD_S)
-        if self._table.wait_until(is_there, soon_s):
+        self._start(choice, wanted.items)
+        if self._table.wait_until(is_there, time.monotonic() + RETRY_PERIOD_S):
             return True
-        self._table.wait_until(is_over, deadline_s)
+        self._table.wait_until(is_over, time.monotonic() + LOAD_TIMEOUT_S)
         return is_there()
 
-    def _is_under_way(self, endpoint: EndpointId, items: tuple[ItemId, ...]) -> bool:
-        """Return whether the owner has written down a load of one of ``items``."""
-        record = self._table.find(endpoint)
-        if record is None:
-            return False
-        intents = [record.intents_by_item.get(item) for item in items]
-        return any(intent and intent.kind is OrderKind.LOAD for intent in intents)
+    def _choices(self, wanted: "_Wanted") -> tuple[LoadChoice, ...]:
+        return choose_endpoints(
+            self._parts.eviction, self._parts.occupancy, wanted.items, wanted.candidates
+        )
+
+    def _is_wanted(self, items: tuple[ItemId, ...]) -> bool:
+        """Return whether somebody has asked for ``items`` of late."""
+        with self._lock:
+            wanted_s = self._wanted_s_by_items[items]
+        return time.monotonic() - wanted_s < WANTED_OF_LATE_S
+
+    def _is_there(self, wanted: "_Wanted") -> bool:
+        return self._closed or any(
+            self._table.are_resident(item, wanted.items) for item in wanted.candidates
+        )
+
+    def _is_coming(self, wanted: "_Wanted") -> bool:
+        """Return whether an owner has written down a load of what is missing."""
+        return any(
+            _is_loading(self._table.find(item), wanted.items)
+            for item in wanted.candidates
+        )
 
     def _is_anywhere(self, model: ItemId, candidates: Sequence[EndpointId]) -> bool:
         return any(self._table.are_resident(item, (model,)) for item in candidates)
 
-    def _order(self, model: ItemId, endpoint: EndpointId) -> tuple[bool, int]:
-        """Return the sort key of candidates: an adapter goes where its base is."""
-        record = self._table.find(endpoint)
-        if record is None or record.is_silent:
-            return False, 0
-        return model in record.resident_mb_by_item, free_mb(record)
-
-    def _start(self, endpoint: EndpointId, items: tuple[ItemId, ...]) -> None:
-        owner = owner_of(endpoint, self._nodes)
+    def _start(self, choice: LoadChoice, items: tuple[ItemId, ...]) -> None:
+        endpoint, limit_slots = choice.endpoint, choice.limit_slots
+        owner = owner_of(endpoint, self._parts.nodes)
         try:
             if owner is None:
                 return
-            if owner == self._node:
-                self._start_here(endpoint, items)
+            if owner == self._parts.node:
+                self._parts.start_here(endpoint, items, limit_slots)
                 return
-            message = LoadWanted(endpoint, items)
-            reply = self._peers.ask(owner, message, START_TIMEOUT_S)
+            message = LoadWanted(endpoint, items, limit_slots)
+            reply = self._parts.peers.ask(owner, message, START_TIMEOUT_S)
             if not isinstance(reply, Done):
                 self._record_failure(endpoint, items, reply)
         except CamphoryardError as error:
@@ -171,14 +162,26 @@
     def _record_failure(
         self, endpoint: EndpointId, items: tuple[ItemId, ...], error: object
     ) -> None:
-        self._timeline.record(
+        self._parts.timeline.record(
             "load_not_started", endpoint=endpoint, items=items, error=error
         )
 
-    def _used_by_owner(self, items: frozenset[ItemId]) -> dict[NodeId, set[ItemId]]:
-        used_by_owner: dict[NodeId, set[ItemId]] = {}
-        for record in self._table.by_id().values():
-            used = items & record.resident_mb_by_item.keys()
-            if used and record.owner != self._node:
-                used_by_owner.setdefault(record.owner, set()).update(used)
-        return used_by_owner
+
+@dataclass(frozen=True, slots=True)
+class _Wanted:
+    """Items that requests wait for, and the endpoints where they may run."""
+
+    items: tuple[ItemId, ...]
+    candidates: Sequence[EndpointId]
+
+
+def _is_loading(record: EndpointRecord | None, items: tuple[ItemId, ...]) -> bool:
+    """Return whether what is missing of ``items`` comes, all of it, here."""
+    if record is None or record.is_silent:
+        return False
+    intents = [record.intents_by_item.get(item) for item in items]
+    is_loaded = [
+        intent.kind is OrderKind.LOAD if intent else item in record.resident_mb_by_item
+        for item, intent in zip(items, intents, strict=True)
+    ]
+    return any(intents) and all(is_loaded)
--- a/src/camphoryard/coordination/wishes.py
+++ b/src/camphoryard/coordination/wishes.py
@@ -1,9 +1,10 @@
 """Loads and unloads that are wished for at one endpoint."""
 
+import math
 import threading
 import time
 from concurrent.futures import Future
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TypeAlias
 
 from camphoryard.state.errors import CamphoryardError
@@ -28,10 +29,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadWish:
-    """Have ``item`` resident; ``deadline_s`` is on the monotonic clock."""
+    """Have ``item`` resident; ``deadline_s`` is on the monotonic clock.
+
+    What leaves for it may serve ``limit_slots`` of demand at most.
+    """
 
     item: ItemId
     deadline_s: float
+    limit_slots: float = math.inf
     met: "Future[None]" = field(default_factory=Future, compare=False)
 
 
@@ -67,10 +72,7 @@
         with self._lock:
             known = self._by_item.get(wish.item)
             if known is not None and type(known) is type(wish):
-                if known.deadline_s >= wish.deadline_s:
-                    return known.met
-                renewed = type(known)(known.item, wish.deadline_s, known.met)
-                self._by_item[wish.item] = renewed
+                self._by_item[wish.item] = _joined(known, wish)
                 return known.met
             self._by_item[wish.item] = wish
         if known is not None:
@@ -112,3 +114,14 @@
                 return False
             del self._by_item[wish.item]
             return True
+
+
+def _joined(known: Wish, other: Wish) -> Wish:
+    """Return an open wish as it is after an equal one came."""
+    deadline_s = max(known.deadline_s, other.deadline_s)
+    match known, other:
+        case LoadWish(), LoadWish():
+            limit_slots = max(known.limit_slots, other.limit_slots)
+            return replace(known, deadline_s=deadline_s, limit_slots=limit_slots)
+        case _:
+            return replace(known, deadline_s=deadline_s)
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -61,7 +61,7 @@
         run(node.control.joiner.run, node.shared.timer),
         run(supervise_endpoints, node),
         *(run(task, node.shared.timer) for task in node.background),
-        run(node.residency.client.run_reports, node.shared.timer),
+        run(node.residency.usage.run, node.shared.timer),
         run(node.admission.run, node.shared.timer),
         run(node.shared.demand.run, node.shared.timer),
         run(node.placer.run, node.shared.timer),
--- a/src/camphoryard/node/control.py
+++ b/src/camphoryard/node/control.py
@@ -178,7 +178,7 @@
         control.configurator,
         shared.timeline,
         functools.partial(make_digest, shared, serving.door),
-        ResidencyDesk(residency.owner, residency.client.used_elsewhere).handle,
+        ResidencyDesk(residency.owner, residency.usage.used_elsewhere).handle,
         serving.suspects,
         folder.hold,
         residency.owner.start_moving,
--- a/src/camphoryard/node/placement.py
+++ b/src/camphoryard/node/placement.py
@@ -28,7 +28,7 @@
             shared.peers,
             shared.configuration,
             shared.table,
-            shared.demand,
+            shared.system_demand,
             shared.budget,
             slots,
             takes_work,
--- a/src/camphoryard/node/policies.py
+++ b/src/camphoryard/node/policies.py
@@ -6,6 +6,11 @@
     FirstCome,
     Unlimited,
 )
+from camphoryard.coordination.eviction import (
+    EvictionPolicy,
+    LeastDemand,
+    LeastRecentlyUsed,
+)
 from camphoryard.coordination.gossip import AllToAll, BoundedFanOut, GossipPolicy
 from camphoryard.coordination.placement import (
     DemandPlacement,
@@ -21,7 +26,7 @@
     TwoChoices,
 )
 from camphoryard.coordination.weight_budget import BudgetPolicy, Paced, Unpaced
-from camphoryard.settings import DecisionSettings, PeerSettings
+from camphoryard.settings import DecisionSettings, PeerSettings, ResidencySettings
 
 
 def make_routing_policy(settings: DecisionSettings) -> RoutingPolicy:
@@ -70,6 +75,19 @@
             return DemandPlacement(move_cost_slots=settings.move_cost_slots)
 
 
+def make_eviction_policy(
+    settings: DecisionSettings, limits: ResidencySettings
+) -> EvictionPolicy:
+    """Return what leaves an endpoint first to make room."""
+    match settings.eviction:
+        case "least_recently_used":
+            return LeastRecentlyUsed()
+        case "least_demand":
+            return LeastDemand(
+                settings.move_cost_slots, longest_absence_s=limits.longest_absence_s
+            )
+
+
 def make_budget_policy(settings: DecisionSettings) -> BudgetPolicy:
     """Return how loads from the weight store are paced."""
     match settings.weight_budget:
--- a/src/camphoryard/node/residency.py
+++ b/src/camphoryard/node/residency.py
@@ -2,36 +2,36 @@
 
 from dataclasses import dataclass
 
-from camphoryard.coordination.residency import (
-    EndpointOwner,
-    ResidencyLimits,
-    ResidencyParts,
-)
-from camphoryard.coordination.residency_client import ResidencyClient
+from camphoryard.coordination.occupancy import Occupancy
+from camphoryard.coordination.residency import EndpointOwner, ResidencyParts
+from camphoryard.coordination.residency_client import ClientParts, ResidencyClient
+from camphoryard.coordination.usage import Usage
 from camphoryard.node.platform import Platform
+from camphoryard.node.policies import make_eviction_policy
 from camphoryard.node.shared import Shared
+from camphoryard.state.configuration import item_memory_mb
 
 
 @dataclass(frozen=True, slots=True)
 class Residency:
-    """Loading at owned endpoints, and asking for loads at any."""
+    """Loading at owned endpoints, asking for loads at any, and what is used."""
 
     owner: EndpointOwner
     client: ResidencyClient
+    usage: Usage
 
 
 def make_residency(shared: Shared, platform: Platform) -> Residency:
     """Return the parts that load items."""
     limits = shared.settings.residency
-    client = ResidencyClient(
-        shared.identity.node,
-        shared.nodes,
+    eviction = make_eviction_policy(shared.settings.decisions, limits)
+    usage = Usage(shared.identity.node, shared.table, shared.peers)
+    occupancy = Occupancy(
+        lambda item: item_memory_mb(shared.configuration.current, item),
+        usage.last_used_s,
+        shared.system_demand.by_item,
         shared.table,
-        shared.peers,
-        shared.executors.loads,
-        lambda endpoint, items: owner.start_loading(endpoint, items),
-        shared.timeline,
-        shared.budget,
+        limits.min_residency_s,
     )
     owner = EndpointOwner(
         ResidencyParts(
@@ -44,8 +44,23 @@
             shared.engines,
             shared.peers,
             shared.timeline,
-            client.last_used_s,
-            ResidencyLimits(limits.order_lifetime_s, limits.min_residency_s),
+            occupancy,
+            eviction,
+            limits.order_lifetime_s,
+        )
+    )
+    client = ResidencyClient(
+        ClientParts(
+            shared.identity.node,
+            shared.nodes,
+            shared.peers,
+            shared.executors.loads,
+            owner.start_loading,
+            shared.timeline,
+            shared.budget,
+            usage,
+            occupancy,
+            eviction,
         )
     )
-    return Residency(owner, client)
+    return Residency(owner, client, usage)
--- a/src/camphoryard/node/shared.py
+++ b/src/camphoryard/node/shared.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from camphoryard.coordination.demand import DemandMeter
+from camphoryard.coordination.demand import DemandMeter, SystemDemand
 from camphoryard.coordination.job_running import JOBS_AT_ONCE
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.ports import Engines
@@ -72,6 +72,7 @@
     estimates: LoadEstimates
     vms: VmTable
     demand: DemandMeter
+    system_demand: SystemDemand
     budget: BudgetClient
     refusals: RefusalCounter
     stop: threading.Event
@@ -127,6 +128,7 @@
     limits = StreamLimits(serving.first_token_limit_s, serving.stall_s)
     peers = PeerNetwork(identity.node, keys, executors.peers, executors.handlers, clock)
     budget = make_budget_policy(settings.decisions)
+    demand = DemandMeter()
     return Shared(
         settings,
         identity,
@@ -144,7 +146,8 @@
         in_flight,
         estimates,
         VmTable(),
-        DemandMeter(),
+        demand,
+        SystemDemand(identity.node, nodes, demand),
         BudgetClient(budget, identity.node, nodes, peers),
         RefusalCounter(identity.incarnation),
         threading.Event(),
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -104,6 +104,7 @@
     retry_share: float = 0.2
     placement: Literal["static", "load_on_demand", "demand"] = "demand"
     move_cost_slots: float = 0.15
+    eviction: Literal["least_recently_used", "least_demand"] = "least_demand"
     weight_budget: Literal["unpaced", "paced"] = "paced"
     weight_loads_per_s: float = 1.0
     weight_loads_at_once: int = 8
@@ -124,11 +125,13 @@
 
     ``order_lifetime_s`` is how long an order may be on its way after its sender
     stopped sending; ``min_residency_s`` is how long an item stays before it may
-    make room for another.
+    make room for another; ``longest_absence_s`` is after how long an item that
+    is asked for is loaded although its victims serve more demand.
     """
 
     order_lifetime_s: float = 60.0
     min_residency_s: float = 5.0
+    longest_absence_s: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +202,8 @@
         raise FieldError("residency.order_lifetime_s", "expected seconds above 0")
     if settings.residency.min_residency_s < 0:
         raise FieldError("residency.min_residency_s", "expected no negative seconds")
+    if settings.residency.longest_absence_s < 0:
+        raise FieldError("residency.longest_absence_s", "expected no negative seconds")
     if not all(settings.access.operator_tokens):
         raise FieldError("access.operator_tokens", "a token must not be empty")
     if not all(settings.access.caller_token_by_id.values()):
--- a/src/camphoryard/state/tables.py
+++ b/src/camphoryard/state/tables.py
@@ -1,5 +1,6 @@
 """Tables that tasks share: endpoint records, loads and the configuration."""
 
+import math
 import threading
 import time
 from collections import Counter
@@ -11,12 +12,19 @@
 
 
 class EndpointTable:
-    """Endpoint records by id; waiting tasks wake when one changes."""
+    """Endpoint records by id; waiting tasks wake when one changes.
 
-    def __init__(self) -> None:
+    It dates, on ``clock``, when each copy of an item was first seen and when an
+    item was last seen to leave.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
         self._changed = threading.Condition()
         self._by_id: dict[EndpointId, EndpointRecord] = {}
         self._version_by_id: dict[EndpointId, Version] = {}
+        self._since_s_by_copy: dict[tuple[EndpointId, ItemId], float] = {}
+        self._left_s_by_item: dict[ItemId, float] = {}
         self._subscribers: list[Callable[[], None]] = []
 
     def subscribe(self, callback: Callable[[], None]) -> None:
@@ -28,12 +36,39 @@
         with self._changed:
             if self._version_by_id.get(record.id, ABSENT) >= version:
                 return
+            self._date(record)
             self._by_id[record.id] = record
             self._version_by_id[record.id] = version
             self._changed.notify_all()
         for callback in self._subscribers:
             callback()
 
+    def resident_since_s(self, endpoint: EndpointId, item: ItemId) -> float | None:
+        """Return when a copy was first seen, or None if there is none."""
+        with self._changed:
+            return self._since_s_by_copy.get((endpoint, item))
+
+    def last_resident_s(self, item: ItemId, now_s: float) -> float:
+        """Return when ``item`` was last resident anywhere: now, or when it left.
+
+        An item that was never seen has been away for ever.
+        """
+        with self._changed:
+            if any(item in x.resident_mb_by_item for x in self._by_id.values()):
+                return now_s
+            return self._left_s_by_item.get(item, -math.inf)
+
+    def _date(self, record: EndpointRecord) -> None:
+        """Note what came and what left since the last record of an endpoint."""
+        now_s = self._clock()
+        known = self._by_id.get(record.id)
+        before = known.resident_mb_by_item.keys() if known else frozenset[ItemId]()
+        for item in before - record.resident_mb_by_item.keys():
+            del self._since_s_by_copy[record.id, item]
+            self._left_s_by_item[item] = now_s
+        for item in record.resident_mb_by_item.keys() - before:
+            self._since_s_by_copy[record.id, item] = now_s
+
     def wake(self) -> None:
         """Have waiting tasks look again."""
         with self._changed:
--- a/tests/coordination/test_demand.py
+++ b/tests/coordination/test_demand.py
@@ -2,10 +2,15 @@
 
 import pytest
 
-from camphoryard.coordination.demand import DemandMeter, total_demand
+from camphoryard.coordination.demand import (
+    DemandMeter,
+    SystemDemand,
+    total_demand,
+)
 from camphoryard.state.demand import ItemDemand
-from camphoryard.state.enums import Priority
+from camphoryard.state.enums import NodeState, Priority
 from camphoryard.state.ids import ItemId
+from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
 
 ITEM = ItemId("m")
 
@@ -91,3 +96,23 @@
             ITEM: ItemDemand(4.0, 6.0),
             ItemId("n"): ItemDemand(5.0, 6.0),
         }
+
+
+class TestSystemDemand:
+    """What all nodes are asked for."""
+
+    def test_adds_live_peers_digests_to_the_own_averages(self):
+        """The node's own digest is not counted twice."""
+        clock = Clock()
+        meter = DemandMeter(clock)
+        play(meter, clock, 5, 30)
+        own = meter.by_item()[ITEM]
+        nodes = NodeTable()
+        for node in ("n1", "n2"):
+            state = NodeState.SERVING
+            nodes.saw(NodeLease(node, "i", "z", "h", 1, "key", state, 9.0, "w"), 1)
+            told = {ITEM: ItemDemand(1.0, 2.0)}
+            digest = NodeDigest(node, "i", state, 1, beat=1, demand_by_item=told)
+            nodes.heard(digest)
+        total = SystemDemand("n1", nodes, meter).by_item()[ITEM]
+        assert total == ItemDemand(own.fast + 1.0, own.slow + 2.0)
--- a/tests/coordination/test_owned_endpoint.py
+++ b/tests/coordination/test_owned_endpoint.py
@@ -12,12 +12,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from camphoryard.coordination import owned_endpoint
+from camphoryard.coordination.eviction import LeastDemand
 from camphoryard.coordination.messages import GivenUp
+from camphoryard.coordination.occupancy import Occupancy
 from camphoryard.coordination.orders import EndpointOrders
 from camphoryard.coordination.owned_endpoint import (
     Identity,
     OwnedEndpoint,
-    ResidencyLimits,
     ResidencyParts,
 )
 from camphoryard.coordination.ports import Inventory, Stored
@@ -145,8 +146,9 @@
             self.world.engine,
             self,
             Timeline(self.name, HybridClock(), lambda event: None),
-            lambda item: 0.0,
-            ResidencyLimits(LONG_S, 0.0),
+            Occupancy(MODELS.get, lambda item: 0.0, dict, self.table, 0.0),
+            LeastDemand(),
+            LONG_S,
         )
         self.endpoint = OwnedEndpoint("e", parts, self.orders)
 
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/test_planning.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from camphoryard.coordination.eviction import LeastDemand, LeastRecentlyUsed
+from camphoryard.coordination.occupancy import Occupancy
 from camphoryard.coordination.planning import Plan, Surroundings
 from camphoryard.coordination.wishes import LoadWish, NoRoomError, UnloadWish
+from camphoryard.state.demand import ItemDemand
 from camphoryard.state.endpoint_record import (
     EndpointRecord,
     InDoubt,
@@ -23,19 +26,24 @@
     return Intent("o", kind, memory_mb, record.fence, "n", "i")
 
 
-def make_plan(resident, *wishes, since_s=0.0, used=(), memory_mb=100, **changes):
+def make_plan(
+    resident, *wishes, since_s=0.0, used=(), memory_mb=100, demand=None, **changes
+):
     """Return the plan for a record with residents and these wishes."""
     record = EndpointRecord("e", memory_mb, "n", "i", 1, "w", **changes)
     for item in resident:
         record = found(record, item, SIZES_MB[item])
-    around = Surroundings(
+    table = EndpointTable(lambda: since_s)
+    table.saw(record, 1)
+    occupancy = Occupancy(
         SIZES_MB.get,
         lambda item: time.monotonic() if item in used else 0.0,
-        dict.fromkeys(resident, since_s),
+        lambda: demand or {},
+        table,
         10.0,
-        EndpointTable(),
-        make_intent,
     )
+    eviction = LeastRecentlyUsed() if demand is None else LeastDemand()
+    around = Surroundings(occupancy, eviction, make_intent)
     return Plan(record, wishes, around)
 
 
@@ -63,6 +71,15 @@
         plan = make_plan(["half", "m"], load("small"), used=["half"])
         assert orders(plan) == {"m": OrderKind.UNLOAD}
 
+    def test_least_wanted_model_leaves(self):
+        """A model counts with its adapters, an adapter without its base not."""
+        demand = {"m": ItemDemand(0.0, 1.0), "m:x": ItemDemand(0.0, 2.0)}
+        demand |= {"small": ItemDemand(2.0, 0.0), "half": ItemDemand(9.0, 0.0)}
+        plan = make_plan(["m", "m:x", "small"], load("half"), demand=demand)
+        assert orders(plan) == {"small": OrderKind.UNLOAD, "m:x": OrderKind.UNLOAD}
+        plan = make_plan(["m:x", "small", "half"], load("m"), demand=demand)
+        assert orders(plan) == {"small": OrderKind.UNLOAD, "m:x": OrderKind.UNLOAD}
+
     def test_young_item_stays(self):
         """Two models that do not fit together do not thrash."""
         young = make_plan(["half"], load("most"), since_s=time.monotonic())
