Let the planner take a last copy for one that serves more

Change: a last copy may go if it serves less than the new copy will, by more than what taking a last copy counts for. Its demand counts as missed in the plan, as before, and it stays loadable on demand.

--- a/src/camphoryard/coordination/placement.py
+++ b/src/camphoryard/coordination/placement.py
@@ -253,7 +253,7 @@
         return None
     items = (model, *_adapters_in_demand(policy, view, model))
     needed_mb = sum(view.memory_mb_by_item[item] for item in items)
-    evicted = _victims(policy, view, endpoint, needed_mb - seen.free_mb)
+    evicted = _victims(policy, view, endpoint, model, needed_mb - seen.free_mb)
     if evicted is None:
         return None
     return Move(endpoint, items, evicted)
@@ -272,19 +272,29 @@
 
 
 def _victims(
-    policy: DemandPlacement, view: PlacementView, endpoint: EndpointId, needed_mb: int
+    policy: DemandPlacement,
+    view: PlacementView,
+    endpoint: EndpointId,
+    wanted: ItemId,
+    needed_mb: int,
 ) -> tuple[ItemId, ...] | None:
     """Return what to unload for ``needed_mb``, or None if that cannot be.
 
-    Second copies and last copies of idle models may go, those first that free
-    the most memory for what they cost. An adapter goes along with its base.
+    Second copies may go, and last copies of models that are idle or serve less
+    than the new copy of ``wanted`` will; those first that free the most memory for
+    what they cost. An adapter goes along with its base.
     """
     seen = view.endpoints_by_id[endpoint]
     copies = {model: len(held) for model, held in _holders(view).items()}
     demand = models_demand(view.demand_by_item)
 
+    served_slots = demand.get(wanted, 0.0) / (copies.get(wanted, 0) + 1)
+
     def is_spare(model: ItemId) -> bool:
-        return copies[model] > 1 or demand.get(model, 0.0) < policy.idle_slots
+        asked_slots = demand.get(model, 0.0)
+        if copies[model] > 1 or asked_slots < policy.idle_slots:
+            return True
+        return asked_slots + policy.cold_cost_slots < served_slots
 
     def family(model: ItemId) -> list[ItemId]:
         return [item for item in seen.committed_mb_by_item if model_of(item) == model]
