Tell of every node in each answer, one byte a node

Ruled out: more digests (60 bytes each, grow with the fleet); one summary a zone of generation, oldest word and count (counts of a split zone or a stale summary cannot be added safely).

Change: answers carry the age of each node's sure word in a byte, by zone, under a hash of the zone's starts; words under another hash count for nothing and the zone's leases are asked for. News of a configuration goes to 4 peers at once. bench.membership spreads its nodes over processes.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -1,18 +1,18 @@
-"""Cost and speed of spreading news, on real sockets, many nodes to a process.
+"""Cost and speed of spreading news, on real sockets, nodes spread over processes.
 
 ``heard`` is the share of pairs of which one surely heard of the other within
-the 14 s for which a word lasts; more than half is needed in an outage.
-Run ``python -m bench.membership --sizes 10,20,40,80``. Bytes are those of the
-frames; CURVE, TCP and IP add about 120 bytes to each message. A generation
-counts as heard once a node has asked the teller for it, which fetches parts in
-a daemon and is a mere note here.
+the 14 s for which a word lasts; more than half is needed in an outage. Run
+``python -m bench.membership --sizes 40,80,160,330 --processes 6``. Bytes are
+those of the frames; CURVE, TCP and IP add about 120 bytes to each message. A
+generation counts as heard once a node has asked the teller for it, which
+fetches parts in a daemon and is a mere note here.
 """
 
 import resource
-import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
 from dataclasses import dataclass
+from multiprocessing import get_context
 from pathlib import Path
 from typing import Annotated
 
@@ -42,16 +42,18 @@
 from camphoryard.state.timeline import HybridClock
 from camphoryard.transport.peers import CurveKeys, PeerNetwork
 from camphoryard.transport.timer import TimerService
-from standins.fleet import free_port
+from standins.fleet import free_port, release_port
 
 HOST = "127.0.0.1"
 NODES_PER_ZONE = 17
 LEASE_S = 1000.0
 STALE_AFTER_S = 14.0
 WARM_UP_S = 15.0
-WINDOW_S = 20.0
-CONVERGENCE_LIMIT_S = 30.0
-TRIALS = 5
+WINDOW_S = 15.0
+START_S_PER_NODE = 0.1
+TRIALS = 3
+TRIAL_S = 10.0
+THREADS_PER_NODE = 40
 PAGE_BYTES = resource.getpagesize()
 BYTES_PER_KB = 1024
 PERCENT = 100
@@ -68,6 +70,40 @@
     memory_kb: float
     converged_s: float
     heard_percent: float
+    oldest_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """The nodes that one process runs, and when all processes begin to measure.
+
+    ``measured_s`` is on the monotonic clock, which the processes of one machine
+    have in common.
+    """
+
+    index: int
+    count: int
+    policy: GossipPolicy
+    leases: tuple[NodeLease, ...]
+    public_key: bytes
+    secret_key: bytes
+    measured_s: float
+
+    def has(self, node: int) -> bool:
+        """Return whether this process runs the node of that number."""
+        return node % self.count == self.index
+
+
+@dataclass(frozen=True, slots=True)
+class ShareFigures:
+    """What the nodes of one process did; ``age_s`` has a word for each pair."""
+
+    sent_bytes: int
+    sent_messages: int
+    cpu_s: float
+    memory_kb: float
+    ages_s: tuple[float | None, ...]
+    news_s_by_trial: tuple[float, ...]
 
 
 class BenchNode:
@@ -83,7 +119,7 @@
         self.lease = lease
         self.holder = ConfigurationHolder(STALE_AFTER_S)
         self.nodes = NodeTable()
-        self.changed = threading.Event()
+        self.adopted_s_by_generation: dict[Generation, float] = {}
         self.network = PeerNetwork(lease.node, keys, executor, executor, HybridClock())
         self.currency = Currency(
             lease.node,
@@ -99,7 +135,7 @@
                 self.currency,
                 self.digest,
                 self.catch_up,
-                lambda node: None,
+                lambda node, zones: None,
             ),
             policy,
         )
@@ -123,7 +159,7 @@
     def adopt(self, generation: Generation) -> None:
         """Put a generation in force and tell peers now."""
         if self.holder.adopt(Configuration(generation)):
-            self.changed.set()
+            self.adopted_s_by_generation[generation] = time.monotonic()
             self.gossiper.wake()
 
     def handle(self, message: Message) -> Reply:
@@ -136,100 +172,129 @@
         return Done()
 
 
-def make_fleet(
-    size: int, policy: GossipPolicy, executor: ThreadPoolExecutor
-) -> list[BenchNode]:
-    """Return nodes that listen and know each other's leases."""
-    public, secret = zmq.curve_keypair()
-    keys = CurveKeys(public, secret, frozenset({public}))
+def make_leases(size: int, public_key: bytes) -> tuple[NodeLease, ...]:
+    """Return the leases of a fleet, on ports that are free now."""
     zones = max(3, size // NODES_PER_ZONE)
-    fleet = []
     ports: set[int] = set()
     while len(ports) < size:
         ports.add(free_port())
-    for index, port in enumerate(sorted(ports)):
-        lease = NodeLease(
+    return tuple(
+        NodeLease(
             NodeId(f"node-{index:03}"),
-            Incarnation(f"{index:032x}"),
+            Incarnation(f"{index:016x}"),
             Zone(f"zone-{index % zones:02}"),
             HOST,
             port,
-            public.decode(),
+            public_key.decode(),
             NodeState.SERVING,
             LEASE_S,
             WriteId(""),
         )
-        fleet.append(BenchNode(lease, keys, executor, policy))
-    for node in fleet:
+        for index, port in enumerate(sorted(ports))
+    )
+
+
+def make_nodes(share: Share, executor: ThreadPoolExecutor) -> list[BenchNode]:
+    """Return the nodes of a share, listening and knowing the whole fleet."""
+    keys = CurveKeys(share.public_key, share.secret_key, frozenset({share.public_key}))
+    nodes = [
+        BenchNode(lease, keys, executor, share.policy)
+        for index, lease in enumerate(share.leases)
+        if share.has(index)
+    ]
+    for node in nodes:
         node.network.listen(HOST, node.lease.port, node.handle)
-        for other in fleet:
-            node.nodes.introduce(other.lease)
-            node.network.know(other.lease)
-    return fleet
+        for lease in share.leases:
+            node.nodes.introduce(lease)
+            node.network.know(lease)
+    return nodes
 
 
-def measure(size: int, policy: GossipPolicy) -> Figures:
-    """Return the figures of one size."""
+def run_share(share: Share) -> ShareFigures:
+    """Run the nodes of one process and return what they did."""
     before_kb = _resident_kb()
     timer = TimerService()
-    with ThreadPoolExecutor(size * 40 + 100) as executor:
-        fleet = make_fleet(size, policy, executor)
-        for node in fleet:
+    with ThreadPoolExecutor(len(share.leases) * THREADS_PER_NODE) as executor:
+        nodes = make_nodes(share, executor)
+        for node in nodes:
             executor.submit(node.gossiper.run, timer)
-        time.sleep(WARM_UP_S)
-        sent, messages = _traffic(fleet)
-        cpu_s, started_s = time.process_time(), time.monotonic()
-        time.sleep(WINDOW_S)
-        took_s = time.monotonic() - started_s
+        _sleep_until(share.measured_s)
+        sent, messages = _traffic(nodes)
+        cpu_s = time.process_time()
+        _sleep_until(share.measured_s + WINDOW_S)
         cpu_s = time.process_time() - cpu_s
-        sent_after, messages_after = _traffic(fleet)
-        memory_kb = (_resident_kb() - before_kb) / size
-        heard = _heard_percent(fleet)
-        converged_s = max(_converge(fleet, trial + 1) for trial in range(TRIALS))
+        sent_after, messages_after = _traffic(nodes)
+        memory_kb = _resident_kb() - before_kb
+        ages_s = tuple(
+            node.currency.node_age_s(lease.node)
+            for node in nodes
+            for lease in share.leases
+            if lease is not node.lease
+        )
+        for trial in range(TRIALS):
+            _sleep_until(_told_s(share, trial))
+            if share.has(trial):
+                nodes[trial // share.count].adopt(Generation(trial + 1))
+        _sleep_until(_told_s(share, TRIALS))
+        news_s = tuple(_news_s(share, nodes, trial) for trial in range(TRIALS))
         timer.close()
-        for node in fleet:
+        for node in nodes:
             node.network.close()
+    return ShareFigures(
+        sent_after - sent, messages_after - messages, cpu_s, memory_kb, ages_s, news_s
+    )
+
+
+def measure(size: int, policy: GossipPolicy, processes: int) -> Figures:
+    """Return the figures of one size."""
+    public_key, secret_key = zmq.curve_keypair()
+    leases = make_leases(size, public_key)
+    measured_s = time.monotonic() + WARM_UP_S + size * START_S_PER_NODE
+    shares = [
+        Share(index, processes, policy, leases, public_key, secret_key, measured_s)
+        for index in range(processes)
+    ]
+    with ProcessPoolExecutor(processes, get_context("spawn")) as executor:
+        parts = list(executor.map(run_share, shares))
+    for lease in leases:
+        release_port(lease.port)
+    ages_s = [age_s for part in parts for age_s in part.ages_s]
+    heard = [age_s for age_s in ages_s if age_s is not None and age_s < STALE_AFTER_S]
     return Figures(
         size,
-        (sent_after - sent) / took_s / size,
-        (messages_after - messages) / took_s / size,
-        cpu_s / took_s / size * PERCENT,
-        memory_kb,
-        converged_s,
-        heard,
+        sum(part.sent_bytes for part in parts) / WINDOW_S / size,
+        sum(part.sent_messages for part in parts) / WINDOW_S / size,
+        sum(part.cpu_s for part in parts) / WINDOW_S / size * PERCENT,
+        sum(part.memory_kb for part in parts) / size,
+        max(news_s for part in parts for news_s in part.news_s_by_trial),
+        len(heard) / len(ages_s) * PERCENT,
+        max(float("inf") if age_s is None else age_s for age_s in ages_s),
     )
 
 
-def _traffic(fleet: list[BenchNode]) -> tuple[int, int]:
-    counts = [node.network.traffic for node in fleet]
-    return sum(item.sent_bytes for item in counts), sum(
-        item.sent_messages for item in counts
-    )
+def _told_s(share: Share, trial: int) -> float:
+    """Return when the first node hears of a trial's generation."""
+    return share.measured_s + WINDOW_S + trial * TRIAL_S
 
 
-def _heard_percent(fleet: list[BenchNode]) -> float:
-    """Return the share of pairs whose last sure word is within the limit."""
-    ages_s = [
-        node.currency.node_age_s(other.lease.node)
-        for node in fleet
-        for other in fleet
-        if other is not node
+def _news_s(share: Share, nodes: list[BenchNode], trial: int) -> float:
+    """Return how long a generation took to the last of these nodes."""
+    adopted_s = [
+        node.adopted_s_by_generation.get(Generation(trial + 1), float("inf"))
+        for node in nodes
     ]
-    heard = [age_s for age_s in ages_s if age_s is not None and age_s < STALE_AFTER_S]
-    return len(heard) / len(ages_s) * PERCENT
+    return max(adopted_s) - _told_s(share, trial)
+
+
+def _sleep_until(at_s: float) -> None:
+    time.sleep(max(0.0, at_s - time.monotonic()))
 
 
-def _converge(fleet: list[BenchNode], generation: int) -> float:
-    """Return how long a generation took from one node to all, in seconds."""
-    for node in fleet:
-        node.changed.clear()
-    started_s = time.monotonic()
-    fleet[generation % len(fleet)].adopt(Generation(generation))
-    for node in fleet:
-        left_s = started_s + CONVERGENCE_LIMIT_S - time.monotonic()
-        if not node.changed.wait(max(0.0, left_s)):
-            return float("inf")
-    return time.monotonic() - started_s
+def _traffic(nodes: list[BenchNode]) -> tuple[int, int]:
+    counts = [node.network.traffic for node in nodes]
+    return sum(item.sent_bytes for item in counts), sum(
+        item.sent_messages for item in counts
+    )
 
 
 def _resident_kb() -> float:
@@ -240,16 +305,23 @@
 def main(
     sizes: Annotated[str, typer.Option(help="Numbers of nodes.")] = "10,20,40,80",
     policy: Annotated[str, typer.Option(help="bounded or all.")] = "bounded",
+    processes: Annotated[int, typer.Option(help="Processes to spread over.")] = 4,
+    digests: Annotated[int, typer.Option(help="Digests a message, bounded.")] = 12,
 ) -> None:
     """Print a table of cost and speed by size."""
-    chosen: GossipPolicy = BoundedFanOut() if policy == "bounded" else AllToAll()
-    typer.echo("nodes  sent B/s  messages/s  core %  memory KB  converged s  heard %")
+    chosen: GossipPolicy = AllToAll()
+    if policy == "bounded":
+        chosen = BoundedFanOut(digests=digests)
+    typer.echo(
+        "nodes  sent B/s  messages/s  core %  memory KB  news s  heard %  oldest s"
+    )
     for size in (int(item) for item in sizes.split(",")):
-        got = measure(size, chosen)
+        got = measure(size, chosen, processes)
         typer.echo(
             f"{got.nodes:5}  {got.sent_bytes_s:8.0f}  {got.messages_s:10.2f}"
             f"  {got.core_percent:6.2f}  {got.memory_kb:9.0f}"
-            f"  {got.converged_s:11.2f}  {got.heard_percent:7.1f}"
+            f"  {got.converged_s:6.2f}  {got.heard_percent:7.1f}"
+            f"  {got.oldest_s:8.1f}"
         )
 
 
--- a/src/camphoryard/coordination/currency.py
+++ b/src/camphoryard/coordination/currency.py
@@ -69,6 +69,14 @@
             self._as_of_s_by_node[node] = max(known_s, as_of_s)
             self._changed.notify_all()
 
+    def ages_s(self) -> dict[NodeId, float]:
+        """Return how long ago each node was heard, in seconds."""
+        now_s = time.monotonic()
+        with self._changed:
+            return {
+                node: now_s - as_of_s for node, as_of_s in self._as_of_s_by_node.items()
+            }
+
     def node_age_s(self, node: NodeId) -> float | None:
         """Return how long ago ``node`` was heard, in seconds, or None."""
         with self._changed:
--- a/src/camphoryard/coordination/gossip.py
+++ b/src/camphoryard/coordination/gossip.py
@@ -3,7 +3,8 @@
 Each period a node tells some peers the digests that it has passed on least,
 and each answers in the same way. ``AllToAll`` tells every live peer about this
 node alone; ``BoundedFanOut`` tells a few neighbours about others too, so that
-bytes and connections of a node do not grow with the fleet.
+connections of a node do not grow with the fleet and bytes hardly do: its
+answers have one byte for each node beside the digests.
 """
 
 import heapq
@@ -16,15 +17,26 @@
 
 from xxhash import xxh3_64_intdigest
 
-from camphoryard.coordination.currency import Currency
-from camphoryard.coordination.messages import Gossip, GossipAnswer, HeardDigest
+from camphoryard.coordination.currency import NEVER_S, Currency
+from camphoryard.coordination.messages import (
+    Gossip,
+    GossipAnswer,
+    HeardDigest,
+    ZoneWords,
+)
 from camphoryard.coordination.ports import Peers, Ticks, Timer
-from camphoryard.state.ids import NodeId
+from camphoryard.coordination.presence import (
+    differing_zones,
+    make_words,
+    read_words,
+)
+from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
 
 GOSSIP_PERIOD_S = 1.0
 KEPT_ROUNDS = 64
 HASTY_SENDS = 3
+LEARN_PERIOD_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,12 +48,14 @@
 class BoundedFanOut:
     """Tell ``fan_out`` of ``neighbours`` peers, half of them in the own zone.
 
-    A message carries ``digests`` digests besides the sender's own.
+    A message carries ``digests`` digests besides the sender's own. News of a
+    configuration goes to ``news_fan_out`` peers at once.
     """
 
     fan_out: int = 2
     neighbours: int = 8
     digests: int = 12
+    news_fan_out: int = 4
 
 
 GossipPolicy: TypeAlias = AllToAll | BoundedFanOut
@@ -57,7 +71,7 @@
     currency: Currency
     digest: Callable[[], NodeDigest]
     catch_up: Callable[[NodeId], None]
-    learn_leases: Callable[[NodeId], None]
+    learn_leases: Callable[[NodeId, tuple[Zone, ...]], None]
 
 
 class Gossiper:
@@ -76,6 +90,8 @@
         self._round = 0
         self._asked_s_by_round: dict[int, float] = {}
         self._sends_by_node: dict[NodeId, int] = {}
+        self._learned_s = NEVER_S
+        self._has_news = False
         self._ticks: Ticks | None = None
 
     def run(self, timer: Timer) -> None:
@@ -86,6 +102,7 @@
 
     def wake(self) -> None:
         """Tell peers now, since there is news."""
+        self._has_news = True
         if self._ticks is not None:
             self._ticks.wake()
 
@@ -106,8 +123,10 @@
         """Take in a peer's digests and answer it."""
         sender = gossip.digests[0].digest
         self._merge(gossip.digests, sender)
+        # The words before the own digest: none may be of a newer generation.
+        words = self._words()
         answer = GossipAnswer(
-            gossip.round, self._parts.currency.store_age_s(), self._digests()
+            gossip.round, self._parts.currency.store_age_s(), self._digests(), words
         )
         self._parts.peers.tell(sender.node, answer)
 
@@ -119,6 +138,7 @@
             asked_s = self._asked_s_by_round.get(answer.round)
         if asked_s is not None:
             self._confirm(answer, asked_s)
+            self._take_words(answer, asked_s)
 
     def _confirm(self, answer: GossipAnswer, asked_s: float) -> None:
         """Date what the answer says from before its question was sent."""
@@ -135,6 +155,29 @@
         if answer.store_age_s is not None and sender.generation <= own:
             currency.store_confirmed(asked_s - answer.store_age_s)
 
+    def _words(self) -> tuple[ZoneWords, ...]:
+        match self._policy:
+            case AllToAll():
+                return ()
+            case BoundedFanOut():
+                ages_s = self._parts.currency.ages_s()
+                ages_s[self._parts.lease.node] = 0.0
+                return make_words(self._parts.nodes.all(), ages_s)
+
+    def _take_words(self, answer: GossipAnswer, asked_s: float) -> None:
+        """Take in whom the sender heard, dated from before its question."""
+        sender = answer.digests[0].digest
+        leases = self._parts.nodes.all()
+        for node, age_s in read_words(answer.words, leases).items():
+            if node != self._parts.lease.node:
+                as_of_s = asked_s - age_s
+                self._parts.currency.heard(node, as_of_s, sender.generation)
+                self._parts.nodes.heard_at(node, as_of_s)
+        differing = differing_zones(answer.words, leases)
+        if differing and time.monotonic() - self._learned_s >= LEARN_PERIOD_S:
+            self._learned_s = time.monotonic()
+            self._parts.learn_leases(sender.node, differing)
+
     def _merge(self, digests: Sequence[HeardDigest], sender: NodeDigest) -> None:
         nodes = self._parts.nodes
         unknown = False
@@ -150,7 +193,7 @@
             elif not nodes.knows(digest.node, digest.incarnation):
                 unknown = True
         if unknown:
-            self._parts.learn_leases(sender.node)
+            self._parts.learn_leases(sender.node, ())
         if sender.generation > self._parts.digest().generation:
             self._parts.catch_up(sender.node)
 
@@ -182,14 +225,16 @@
         return chosen
 
     def _targets(self) -> Sequence[NodeId]:
+        has_news, self._has_news = self._has_news, False
         own = self._parts.lease
         alive = [lease for lease in self._parts.nodes.alive() if lease.node != own.node]
         match self._policy:
             case AllToAll():
                 return [lease.node for lease in alive]
-            case BoundedFanOut(fan_out, neighbours):
+            case BoundedFanOut(fan_out, neighbours, news_fan_out=news_fan_out):
                 near = choose_neighbours(own, alive, neighbours)
-                return random.sample(near, min(fan_out, len(near)))
+                count = max(fan_out, news_fan_out) if has_news else fan_out
+                return random.sample(near, min(count, len(near)))
 
 
 def choose_neighbours(
--- a/src/camphoryard/coordination/joining.py
+++ b/src/camphoryard/coordination/joining.py
@@ -17,7 +17,7 @@
 )
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.state.errors import PeerUnreachableError, StoreUnavailableError
-from camphoryard.state.ids import NodeId
+from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable
 
@@ -67,14 +67,17 @@
         """Take a newer configuration from ``node`` in a task of its own."""
         self._parts.executor.submit(self._catch_up, node)
 
-    def learn_leases(self, node: NodeId) -> None:
+    def learn_leases(self, node: NodeId, zones: tuple[Zone, ...] = ()) -> None:
         """Learn of the nodes that ``node`` knows in a task of its own."""
-        self._parts.executor.submit(self._learn, node)
+        self._parts.executor.submit(self._learn, node, zones)
 
     def joined(self, wanted: JoinWanted) -> Joined:
         """Take in a node that asks, and return the nodes known here."""
         self._introduce(wanted.lease)
-        return Joined((self._parts.lease, *self._parts.nodes.all()))
+        known = self._parts.nodes.all()
+        if wanted.zones:
+            known = tuple(lease for lease in known if lease.zone in wanted.zones)
+        return Joined((self._parts.lease, *known))
 
     def records(self) -> RecordsFound:
         """Return the endpoint records seen here."""
@@ -119,12 +122,12 @@
         except StoreUnavailableError:
             return
 
-    def _learn(self, node: NodeId) -> None:
+    def _learn(self, node: NodeId, zones: tuple[Zone, ...] = ()) -> None:
         if not self._learning.acquire(blocking=False):
             return
         try:
             reply = self._parts.peers.ask(
-                node, JoinWanted(self._parts.lease), ASK_TIMEOUT_S
+                node, JoinWanted(self._parts.lease, zones), ASK_TIMEOUT_S
             )
         except PeerUnreachableError:
             return
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -17,6 +17,7 @@
     ObjectKey,
     OrderId,
     Version,
+    Zone,
 )
 from camphoryard.state.nodes import NodeDigest, NodeLease
 from camphoryard.state.refusals import RefusalSheet
@@ -39,23 +40,42 @@
     digests: tuple[HeardDigest, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneWords:
+    """How long ago each node of a zone surely was there, by the sender's words.
+
+    ``starts`` is the hash of the starts of the zone that the sender knows, and
+    ``steps`` has one byte for each of them in the order of their nodes.
+    """
+
+    zone: Zone
+    starts: int
+    steps: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class GossipAnswer:
     """News in return for those of ``round``; the first digest is the sender's own.
 
     ``store_age_s`` is how long ago the object API confirmed its configuration.
+    All ``words`` hold for the sender's generation and older ones.
     """
 
     round: int
     store_age_s: float | None
     digests: tuple[HeardDigest, ...]
+    words: tuple[ZoneWords, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class JoinWanted:
-    """A node makes itself known and asks for the nodes known to the peer."""
+    """A node makes itself known and asks for the nodes known to the peer.
+
+    An empty ``zones`` asks for those of all zones.
+    """
 
     lease: NodeLease
+    zones: tuple[Zone, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/node/policies.py
+++ b/src/camphoryard/node/policies.py
@@ -55,7 +55,10 @@
             return AllToAll()
         case "bounded_fan_out":
             return BoundedFanOut(
-                settings.fan_out, settings.neighbours, settings.digests
+                settings.fan_out,
+                settings.neighbours,
+                settings.digests,
+                settings.news_fan_out,
             )
 
 
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -35,6 +35,7 @@
     Reply,
     TrialEnded,
     TrialWanted,
+    ZoneWords,
 )
 from camphoryard.protocol.configuration import (
     decode_configuration,
@@ -52,6 +53,7 @@
     NodeId,
     ObjectKey,
     RequestId,
+    Zone,
 )
 from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.nodes import NodeDigest
@@ -116,10 +118,17 @@
     age_ms: int | None
 
 
+class _WordsForm(msgspec.Struct, array_like=True, frozen=True):
+    zone: Zone
+    starts: int
+    steps: bytes
+
+
 class _GossipForm(msgspec.Struct, array_like=True, frozen=True):
     round: int
     digests: tuple[_DigestForm, ...]
     store_age_ms: int | None = None
+    words: tuple[_WordsForm, ...] = ()
 
 
 _TYPE_BY_KIND: dict[FrameKind, type[Message] | type[Reply]] = {
@@ -204,8 +213,13 @@
             return msgspec.msgpack.encode(_OfferForm(head, bodies))
         case Gossip(number, digests):
             return msgspec.msgpack.encode(_GossipForm(number, _forms(digests)))
-        case GossipAnswer(number, store_age_s, digests):
-            form = _GossipForm(number, _forms(digests), _ms(store_age_s))
+        case GossipAnswer(number, store_age_s, digests, words):
+            form = _GossipForm(
+                number,
+                _forms(digests),
+                _ms(store_age_s),
+                tuple(_WordsForm(item.zone, item.starts, item.steps) for item in words),
+            )
             return msgspec.msgpack.encode(form)
         case _:
             return msgspec.msgpack.encode(content)
@@ -225,7 +239,15 @@
             return Gossip(gossip.round, _digests(gossip))
         case FrameKind.GOSSIP_ANSWER:
             answer = msgspec.msgpack.decode(body, type=_GossipForm)
-            return GossipAnswer(answer.round, _s(answer.store_age_ms), _digests(answer))
+            return GossipAnswer(
+                answer.round,
+                _s(answer.store_age_ms),
+                _digests(answer),
+                tuple(
+                    ZoneWords(item.zone, item.starts, item.steps)
+                    for item in answer.words
+                ),
+            )
         case _:
             return msgspec.msgpack.decode(body, type=_TYPE_BY_KIND[kind])
 
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -57,7 +57,8 @@
 class PeerSettings:
     """CURVE keys (Z85 text), node leases, seeds and how news spreads.
 
-    ``fan_out``, ``neighbours`` and ``digests`` matter to ``bounded_fan_out``.
+    ``fan_out``, ``neighbours``, ``digests`` and ``news_fan_out`` matter to
+    ``bounded_fan_out``.
     """
 
     public_key: str
@@ -70,6 +71,7 @@
     fan_out: int = 2
     neighbours: int = 8
     digests: int = 12
+    news_fan_out: int = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +188,7 @@
     for index, seed in enumerate(settings.peers.seeds):
         _check_port(f"peers.seeds[{index}].port", seed.port)
         _check_key(f"peers.seeds[{index}].public_key", seed.public_key)
-    for name in ("fan_out", "neighbours", "digests"):
+    for name in ("fan_out", "neighbours", "digests", "news_fan_out"):
         if getattr(settings.peers, name) < 1:
             raise FieldError(f"peers.{name}", "expected a number above 0")
     if settings.configuration.watchers_per_zone < 0:
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.enums import NodeState
@@ -145,6 +145,13 @@
                 seen = _Seen(known.lease, known.version, time.monotonic())
                 self._by_id[node] = seen
 
+    def heard_at(self, node: NodeId, at_s: float) -> None:
+        """Count the known start of a node as renewed at ``at_s``, monotonic time."""
+        with self._lock:
+            known = self._by_id.get(node)
+            if known is not None and known.at_s < at_s:
+                self._by_id[node] = replace(known, at_s=at_s)
+
     def digest(self, node: NodeId) -> NodeDigest | None:
         """Return the last digest heard of ``node``."""
         with self._lock:
--- a/tests/coordination/test_gossip.py
+++ b/tests/coordination/test_gossip.py
@@ -1,5 +1,8 @@
 """Tests of spreading digests."""
 
+import time
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.currency import Currency
@@ -40,6 +43,7 @@
         self.currency = Currency(self.lease.node, self.holder, lambda: set(by_id), 60.0)
         self.caught_up_from = []
         self.learned_from = []
+        self.learned_zones = []
         self.beat = 0
         self.sent = 0
         self.gossiper = Gossiper(
@@ -50,7 +54,7 @@
                 self.currency,
                 self.digest,
                 self.caught_up_from.append,
-                self.learned_from.append,
+                self.learn_leases,
             ),
             policy,
         )
@@ -63,6 +67,11 @@
             self.lease.node, "i", NodeState.SERVING, generation, beat=self.beat
         )
 
+    def learn_leases(self, node, zones):
+        """Note whom this node asks for leases, and of which zones."""
+        self.learned_from.append(node)
+        self.learned_zones.extend(zones)
+
     def tell(self, node, message):
         """Hand a message over at once."""
         self.sent += 1
@@ -152,6 +161,47 @@
                 node.gossiper.tell()
         assert len(fleet["n00"].gossiper._digests()) == 6
 
+    def test_words_of_all_nodes_come_with_few_digests(self):
+        """With one digest a message everyone still hears of everyone in time."""
+        fleet = make_fleet(BoundedFanOut(digests=1))
+        for _ in range(ROUNDS):
+            for node in fleet.values():
+                node.gossiper.tell()
+        for name, node in fleet.items():
+            assert set(node.currency.ages_s()) | {name} == set(fleet)
+
+    def test_news_of_a_configuration_goes_to_more_peers_once(self):
+        """A round after news has more exchanges than the next."""
+        fleet = make_fleet(BoundedFanOut(fan_out=1, news_fan_out=5))
+        fleet["n00"].gossiper.wake()
+        fleet["n00"].gossiper.tell()
+        assert fleet["n00"].sent == 5
+        fleet["n00"].gossiper.tell()
+        assert fleet["n00"].sent == 6
+
+    def test_words_of_a_newer_generation_confirm_nothing(self):
+        """What a node says that is ahead speaks for its generation, not ours."""
+        fleet = make_fleet(BoundedFanOut())
+        fleet["n01"].holder.adopt(Configuration(7))
+        fleet["n00"].holder.adopt(Configuration(6))
+        fleet["n01"].currency.heard("n02", time.monotonic(), 6)
+        fleet["n00"].gossiper.tell()
+        fleet["n01"].gossiper.take(Gossip(1, fleet["n00"].gossiper._digests()))
+        assert "n02" not in fleet["n00"].currency.ages_s()
+
+    def test_zone_known_otherwise_is_asked_for(self):
+        """Words of a zone whose starts differ count for nothing; it is asked for."""
+        fleet = make_fleet(BoundedFanOut())
+        node, other = fleet["n00"], fleet["n01"]
+        node.nodes.introduce(replace(lease(99), zone="zone-2"))
+        other.currency.heard("n02", time.monotonic(), 0)
+        other.currency.heard("n04", time.monotonic(), 0)
+        node.gossiper.tell()
+        other.gossiper.take(Gossip(1, node.gossiper._digests()))
+        assert node.learned_zones == ["zone-2"]
+        assert "n02" not in node.currency.ages_s()
+        assert "n04" in node.currency.ages_s()
+
 
 class TestChooseNeighbours:
     """Whom a node talks to."""
