--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -65,7 +65,8 @@
 
     ``advertised_host`` and ``advertised_port`` are where other nodes connect to,
     if a forwarder stands before this node's own address.
-    ``fan_out``, ``neighbours`` and ``digests`` matter to ``bounded_fan_out``.
+    ``fan_out``, ``neighbours``, ``digests`` and ``news_fan_out`` matter to
+    ``bounded_fan_out``.
     """
 
     public_key: str
@@ -80,6 +81,7 @@
     digests: int = 12
     advertised_host: str = ""
     advertised_port: int = 0
+    news_fan_out: int = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,7 +218,7 @@
     for index, seed in enumerate(settings.peers.seeds):
         _check_port(f"peers.seeds[{index}].port", seed.port)
         _check_key(f"peers.seeds[{index}].public_key", seed.public_key)
-    for name in ("fan_out", "neighbours", "digests"):
+    for name in ("fan_out", "neighbours", "digests", "news_fan_out"):
         if getattr(settings.peers, name) < 1:
             raise FieldError(f"peers.{name}", "expected a number above 0")
     if settings.configuration.watchers_per_zone < 0:
