Mend what a newcomer stumbles over in explain, timeline and status

Each is changed: risks of refusals are judged over the counts of all nodes, operators' refusals are events (`operator_refused`) and not counted, `--model` fits items of the model and its adapters, values of events are plain text, and explain names what to change.

--- a/src/camphoryard/cli/observing.py
+++ b/src/camphoryard/cli/observing.py
@@ -15,7 +15,12 @@
     fail,
     print_json,
 )
-from camphoryard.protocol.operator import decode_explanation
+from camphoryard.protocol.operator import (
+    EndpointTrialForm,
+    ExplanationForm,
+    decode_explanation,
+)
+from camphoryard.state.enums import EndpointKind
 
 
 def timeline(
@@ -75,17 +80,27 @@
     if not form.caller_known:
         typer.echo(f"caller {caller} is not configured: it has no labels")
     for group in form.groups:
-        if group.mismatch:
-            typer.echo(f"group {group.group} ({group.order}): {group.mismatch}")
-        else:
-            typer.echo(f"group {group.group} ({group.order}): takes it,")
-            typer.echo(f"  priority {group.priority}")
+        outcome = group.mismatch or f"takes it, priority {group.priority}"
+        typer.echo(f"group {group.group} (order {group.order}): {outcome}")
     if not form.matched:
-        typer.echo("no group takes it: the request is refused with no_group")
+        typer.echo(
+            "no group takes it: the request is refused with no_group; change a label"
+            " or a selector above"
+        )
     for endpoint in form.endpoints:
-        if endpoint.mismatch:
-            typer.echo(f"  not {endpoint.endpoint}: {endpoint.mismatch}")
-        else:
-            resident = "resident" if endpoint.resident else "to be loaded"
-            owner = endpoint.owner or "none yet"
-            typer.echo(f"  at {endpoint.endpoint}: {resident}, owner {owner}")
+        typer.echo(f"  {_endpoint_text(form, endpoint)}")
+    if form.matched and all(endpoint.mismatch for endpoint in form.endpoints):
+        typer.echo(
+            f"no endpoint takes it: the request is refused with no_endpoint; give an"
+            f" endpoint the labels that group {form.matched} selects"
+        )
+
+
+def _endpoint_text(form: ExplanationForm, endpoint: EndpointTrialForm) -> str:
+    if endpoint.mismatch:
+        return f"not {endpoint.endpoint}: {endpoint.mismatch}"
+    if form.kind == EndpointKind.SERVICE.value:
+        return f"at {endpoint.endpoint}"
+    resident = "resident" if endpoint.resident else "to be loaded"
+    owner = endpoint.owner or "none yet"
+    return f"at {endpoint.endpoint}: {resident}, owner {owner}"
--- a/src/camphoryard/cli/refusals.py
+++ b/src/camphoryard/cli/refusals.py
@@ -26,12 +26,11 @@
 )
 from camphoryard.cli.tables import print_table
 from camphoryard.coordination.advice import refusal_advice
+from camphoryard.coordination.refusals import SECONDS_PER_MINUTE
 from camphoryard.protocol.operator import RefusalForm, decode_refusals, decode_status
 from camphoryard.state.enums import Reason
 from camphoryard.state.timeline import Event
 
-SECONDS_PER_MINUTE = 60
-
 CallerFilter = Annotated[
     str, typer.Option("--caller", help="Only refusals of this caller, one by one.")
 ]
@@ -66,32 +65,32 @@
 
     With --caller or --request also each refused request, why, and what to do.
     """
-    report = fetch_refusals(server, token, hours, caller, request)
+    counts, is_whole = fetch_counts(server, token, hours)
+    requests = fetch_requests(server, token, caller, request)
+    report = RefusalReport(hours, of_caller(counts, caller), is_whole, requests)
     if output is Output.JSON:
         print_json(report)
         return
     print_refusals(report, caller, request)
 
 
-def fetch_refusals(
-    servers: Sequence[str], token: str, hours: int, caller: str, request: str
-) -> RefusalReport:
-    """Return the counts of all nodes, and refused requests if a filter is set."""
-    counts, is_whole = _fetch_counts(servers, token, hours)
-    if caller:
-        counts = [item for item in counts if item.caller == caller]
-    if not caller and not request:
-        return RefusalReport(hours, counts, is_whole)
-    wanted = {"event": "refused"}
-    if caller:
-        wanted["caller"] = caller
-    if request:
-        wanted["request"] = request
-    events = fetch_events(servers, token, wanted).events
-    return RefusalReport(hours, counts, is_whole, events)
-
-
-def _fetch_counts(
+def of_caller(counts: list[RefusalForm], caller: str) -> list[RefusalForm]:
+    """Return the counts of a caller, or all without one."""
+    return [item for item in counts if not caller or item.caller == caller]
+
+
+def fetch_requests(
+    servers: Sequence[str], token: str, caller: str, request: str
+) -> tuple[Event, ...]:
+    """Return the refused requests that fit the filters, none without a filter."""
+    filters = {"caller": caller, "request": request}
+    wanted = {key: value for key, value in filters.items() if value}
+    if not wanted:
+        return ()
+    return fetch_events(servers, token, {"event": "refused", **wanted}).events
+
+
+def fetch_counts(
     servers: Sequence[str], token: str, hours: int
 ) -> tuple[list[RefusalForm], bool]:
     """Return counts of all nodes, or of one node while the object API is out."""
--- a/src/camphoryard/cli/status.py
+++ b/src/camphoryard/cli/status.py
@@ -1,6 +1,7 @@
 """The command that tells whether the system is well."""
 
-from dataclasses import dataclass
+import time
+from dataclasses import dataclass, replace
 from typing import Annotated
 
 import typer
@@ -18,16 +19,24 @@
     CallerFilter,
     RefusalReport,
     RequestFilter,
-    fetch_refusals,
+    fetch_counts,
+    fetch_requests,
+    of_caller,
     print_refusals,
 )
 from camphoryard.cli.tables import print_table
+from camphoryard.coordination.refusals import SECONDS_PER_MINUTE
+from camphoryard.coordination.risks import refusal_risks
 from camphoryard.protocol.operator import (
     EndpointForm,
     NodeForm,
+    RefusalForm,
     StatusForm,
+    count_by_key,
     decode_status,
+    risk_form,
 )
+from camphoryard.state.enums import RiskKind
 
 REFUSALS_HOURS = 1
 
@@ -56,7 +65,13 @@
     caller or request was refused.
     """
     form = decode_status(fetch(server, token, STATUS_PATH))
-    report = fetch_refusals(server, token, REFUSALS_HOURS, caller, request)
+    counts, is_whole = fetch_counts(server, token, REFUSALS_HOURS)
+    if is_whole:
+        form = _with_refusals_of_all(form, counts)
+    requests = fetch_requests(server, token, caller, request)
+    report = RefusalReport(
+        REFUSALS_HOURS, of_caller(counts, caller), is_whole, requests
+    )
     if output is Output.JSON:
         print_json(StatusReport(form, report))
     else:
@@ -70,6 +85,14 @@
         raise typer.Exit(EXIT_AT_RISK)
 
 
+def _with_refusals_of_all(form: StatusForm, counts: list[RefusalForm]) -> StatusForm:
+    """Return the status with risks of refusals at any node, not just the one asked."""
+    others = [item for item in form.risks if item.kind != RiskKind.REFUSALS.value]
+    minute = int(time.time() // SECONDS_PER_MINUTE)
+    risks = refusal_risks(count_by_key(counts), minute, "all nodes")
+    return replace(form, risks=[*others, *map(risk_form, risks)])
+
+
 def _print_risks(form: StatusForm) -> None:
     if not form.risks:
         typer.echo(f"no promise is at risk, as {form.node} sees it")
--- a/src/camphoryard/coordination/advice.py
+++ b/src/camphoryard/coordination/advice.py
@@ -22,7 +22,7 @@
         case Reason.UNAUTHENTICATED:
             return "set the caller's token in [access] of each node's settings"
         case Reason.UNKNOWN_MODEL | Reason.UNKNOWN_SERVICE:
-            return "camphoryard get lists what is configured"
+            return "camphoryard get --output text lists what is configured"
         case Reason.ENDPOINT_FAILED | Reason.QUARANTINED:
             return "camphoryard timeline --request ID shows what was tried"
         case Reason.OUTCOME_UNKNOWN | Reason.ANSWER_NOT_KEPT:
--- a/src/camphoryard/coordination/explaining.py
+++ b/src/camphoryard/coordination/explaining.py
@@ -59,6 +59,7 @@
     caller: CallerId
     caller_known: bool
     target: str
+    kind: EndpointKind
     trials: tuple[GroupTrial, ...]
     matched: GroupId | None
     endpoints: tuple[EndpointTrial, ...]
@@ -116,6 +117,7 @@
         caller,
         known is not None,
         target,
+        found.kind,
         tuple(trials),
         matched.id if matched else None,
         endpoints,
@@ -131,7 +133,8 @@
     if model is None:
         raise RefusalError(
             Reason.NOT_FOUND,
-            f"no model or service {target!r}; camphoryard get lists them",
+            f"no model or service {target!r};"
+            " `camphoryard get --output text` lists them",
             field="target",
         )
     if not adapter_id:
--- a/src/camphoryard/coordination/merging.py
+++ b/src/camphoryard/coordination/merging.py
@@ -13,6 +13,8 @@
 
 ANSWER_LIMIT_S = 3.0
 EVENTS_LIMIT = 5000
+MODEL = "model"
+ITEM_FIELDS = ("item", "items", "load")
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +30,8 @@
 ) -> tuple[Event, ...]:
     """Return the last ``limit`` events that have all ``wanted`` fields.
 
-    The keys ``node`` and ``event`` stand for an event's node and name.
+    The keys ``node`` and ``event`` stand for an event's node and name, ``model``
+    also for what is done to a model or an adapter over it as an item.
     """
     found = [event for event in events if _has(event, wanted)]
     return tuple(found[-limit:])
@@ -36,7 +39,17 @@
 
 def _has(event: Event, wanted: Mapping[str, str]) -> bool:
     fields = {**event.fields, "node": event.node, "event": event.name}
-    return all(fields.get(key) == value for key, value in wanted.items())
+    return all(
+        fields.get(key) == value or (key == MODEL and _is_about(event, value))
+        for key, value in wanted.items()
+    )
+
+
+def _is_about(event: Event, model: str) -> bool:
+    """Return whether one of the event's items is the model or an adapter over it."""
+    items = [event.fields[key] for key in ITEM_FIELDS if key in event.fields]
+    named = ",".join(items).split(",")
+    return any(item == model or item.startswith(f"{model}:") for item in named)
 
 
 def merge_timelines(
--- a/src/camphoryard/coordination/residency_client.py
+++ b/src/camphoryard/coordination/residency_client.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import Executor
 
-from camphoryard.coordination.messages import Done, ItemsUsed, LoadWanted
+from camphoryard.coordination.messages import Declined, Done, ItemsUsed, LoadWanted
 from camphoryard.coordination.ownership import owner_of
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.timeline import Timeline
@@ -163,8 +163,13 @@
                 return
             message = LoadWanted(endpoint, items)
             reply = self._peers.ask(owner, message, START_TIMEOUT_S)
-            if not isinstance(reply, Done):
-                self._record_failure(endpoint, items, reply)
+            match reply:
+                case Done():
+                    return
+                case Declined(detail):
+                    self._record_failure(endpoint, items, detail)
+                case other:
+                    self._record_failure(endpoint, items, other)
         except CamphoryardError as error:
             self._record_failure(endpoint, items, error)
 
--- a/src/camphoryard/coordination/risks.py
+++ b/src/camphoryard/coordination/risks.py
@@ -63,7 +63,7 @@
         *_configuration_risks(view),
         *_node_risks(view),
         *_endpoint_risks(view),
-        *_refusal_risks(view),
+        *refusal_risks(view.refusals_by_key, view.minute, view.own),
     )
 
 
@@ -144,15 +144,18 @@
     )
 
 
-def _refusal_risks(view: SystemView) -> Iterator[Risk]:
+def refusal_risks(
+    count_by_key: Mapping[RefusalKey, int], minute: int, where: str
+) -> Iterator[Risk]:
+    """Yield one risk for each reason of late, as of ``minute`` since the epoch."""
     counts: Counter[Reason] = Counter()
-    for key, count in view.refusals_by_key.items():
-        if view.minute - key.minute < RECENT_MINUTES:
+    for key, count in count_by_key.items():
+        if minute - key.minute < RECENT_MINUTES:
             counts[key.reason] += count
     for reason, count in counts.most_common():
         yield Risk(
             RiskKind.REFUSALS,
             reason.value,
-            f"{count} refused at {view.own} in the last {RECENT_MINUTES} minutes",
+            f"{count} refused at {where} in the last {RECENT_MINUTES} minutes",
             f"{refusal_advice(reason)}; camphoryard refusals shows whose",
         )
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -160,6 +160,16 @@
             detail=refusal.detail,
         )
 
+    def operator_refused(self, refusal: RefusalError, request: RequestId) -> None:
+        """Put the refusal of an operator's request into the time line."""
+        self._parts.timeline.record(
+            "operator_refused",
+            request=request,
+            reason=refusal.reason.value,
+            field=refusal.field,
+            detail=refusal.detail,
+        )
+
     def _admit(self) -> None:
         if self._state is NodeState.STOPPING:
             raise RefusalError(
--- a/src/camphoryard/coordination/timeline.py
+++ b/src/camphoryard/coordination/timeline.py
@@ -24,7 +24,7 @@
 
     def record(self, name: str, **fields: object) -> None:
         """Record one event with its key=value pairs."""
-        texts = {key: str(value) for key, value in fields.items()}
+        texts = {key: _text(value) for key, value in fields.items()}
         event = Event(self._clock.now(), self._node, name, texts)
         with self._lock:
             self._events.append(event)
@@ -34,3 +34,11 @@
         """Return the kept events, oldest first."""
         with self._lock:
             return tuple(self._events)
+
+
+def _text(value: object) -> str:
+    match value:
+        case tuple():
+            return ",".join(str(item) for item in value)
+        case _:
+            return str(value)
--- a/src/camphoryard/protocol/operator.py
+++ b/src/camphoryard/protocol/operator.py
@@ -1,6 +1,6 @@
 """Answers to operators as JSON."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, fields
 from enum import Enum
 from typing import Any
@@ -10,9 +10,11 @@
 from camphoryard.coordination.configuring import Accepted
 from camphoryard.coordination.explaining import Explanation, Mismatch
 from camphoryard.coordination.merging import MergedTimeline
+from camphoryard.coordination.risks import Risk
 from camphoryard.coordination.status import Status
 from camphoryard.protocol.selectors import format_selector
 from camphoryard.state.endpoint_record import committed_mb, items_in_doubt
+from camphoryard.state.enums import Reason
 from camphoryard.state.ids import NodeId
 from camphoryard.state.labels import Selector
 from camphoryard.state.refusals import RefusalKey
@@ -141,7 +143,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ExplanationForm:
-    """Body of ``GET /admin/v1/explain``; ``matched`` is empty if no group did."""
+    """Body of ``GET /admin/v1/explain``; ``matched`` is empty if no group did.
+
+    ``kind`` is that of the endpoints; a service's have no owner and no residents.
+    """
 
     caller: str
     caller_known: bool
@@ -149,6 +154,7 @@
     matched: str
     groups: list[GroupTrialForm]
     endpoints: list[EndpointTrialForm]
+    kind: str = "engine"
 
 
 _STATUS = msgspec.json.Decoder(StatusForm)
@@ -212,10 +218,7 @@
         )
         for item in status.nodes
     ]
-    risks = [
-        RiskForm(item.kind.value, item.subject, item.detail, item.advice)
-        for item in status.risks
-    ]
+    risks = [risk_form(item) for item in status.risks]
     endpoints = [
         EndpointForm(
             record.id,
@@ -246,6 +249,11 @@
     )
 
 
+def risk_form(risk: Risk) -> RiskForm:
+    """Return the form of one risk."""
+    return RiskForm(risk.kind.value, risk.subject, risk.detail, risk.advice)
+
+
 def encode_refusals(count_by_key: Mapping[RefusalKey, int]) -> bytes:
     """Return the JSON form of counts of refusals, in order of minutes."""
     forms = _refusal_forms(count_by_key)
@@ -257,6 +265,23 @@
     return _REFUSALS.decode(body)
 
 
+def count_by_key(forms: Iterable[RefusalForm]) -> dict[RefusalKey, int]:
+    """Return counts by key; a reason of another version counts as internal."""
+    return {
+        RefusalKey(
+            _reason(item.reason), item.label, item.minute, item.caller
+        ): item.count
+        for item in forms
+    }
+
+
+def _reason(text: str) -> Reason:
+    try:
+        return Reason(text)
+    except ValueError:
+        return Reason.INTERNAL
+
+
 def _refusal_forms(count_by_key: Mapping[RefusalKey, int]) -> list[RefusalForm]:
     return [
         RefusalForm(key.reason.value, key.label, key.minute, count, key.caller)
@@ -320,6 +345,7 @@
             explanation.matched or "",
             groups,
             endpoints,
+            explanation.kind.value,
         )
     )
 
@@ -335,4 +361,5 @@
         return ""
     requirement = format_selector(Selector((mismatch.requirement,)))
     labels = ", ".join(f"{key}={value}" for key, value in mismatch.labels.items())
-    return f"{mismatch.selector.value}: {requirement!r} fails on labels [{labels}]"
+    subject = mismatch.selector.value
+    return f"{subject}: {requirement!r} does not hold for labels [{labels or 'none'}]"
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -122,6 +122,15 @@
             case path:
                 raise RefusalError(Reason.NOT_FOUND, f"nothing at {path}")
 
+    def _administer(self, request: HttpRequest) -> HttpResponse:
+        """Answer an operator; a refusal turns no caller away, so none is counted."""
+        try:
+            self.access.operator(request.headers)
+            return administer(self.operator, request)
+        except RefusalError as refusal:
+            self.door.operator_refused(refusal, request.id)
+            return error_response(refusal)
+
     def _tend(self, request: HttpRequest) -> HttpResponse:
         match request.path:
             case "/livez":
@@ -136,8 +145,7 @@
                 text = self.metrics.text().encode()
                 return HttpResponse(200, [text], content_type=TEXT)
             case path if path.startswith(ADMIN_PREFIX):
-                self.access.operator(request.headers)
-                return administer(self.operator, request)
+                return self._administer(request)
             case path:
                 raise RefusalError(Reason.NOT_FOUND, f"nothing at {path}")
 
--- a/tests/cli/test_observing.py
+++ b/tests/cli/test_observing.py
@@ -70,6 +70,29 @@
         assert (result.exit_code, result.stdout) == snapshot
 
 
+class TestExplainDeadEnds:
+    """Explanations of requests that would be refused say what to do."""
+
+    def test_service_has_no_owner(self, daemon):
+        """An endpoint of a service is just named."""
+        endpoints = [{**EXPLANATION["endpoints"][0], "owner": "", "resident": False}]
+        daemon.answer(
+            EXPLAIN_PATH, {**EXPLANATION, "kind": "service", "endpoints": endpoints}
+        )
+        result = daemon.run("explain", "--caller", "c", "--target", "s/book")
+        assert result.stdout.splitlines()[-1] == "  at e1"
+
+    def test_no_group_and_no_endpoint(self, daemon, snapshot):
+        """Neither ends without a next step."""
+        for change in (
+            {"matched": "", "groups": EXPLANATION["groups"][:1], "endpoints": []},
+            {"endpoints": EXPLANATION["endpoints"][1:]},
+        ):
+            daemon.answer(EXPLAIN_PATH, {**EXPLANATION, **change})
+            result = daemon.run("explain", "--caller", "c", "--target", "m")
+            assert result.stdout == snapshot
+
+
 class TestEveryCommand:
     """What all commands share."""
 
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -1,6 +1,7 @@
 """Tests of the command that tells whether the system is well."""
 
 import json
+import time
 
 import pytest
 
@@ -62,6 +63,15 @@
         result = answers.run("status", "--caller", "c")
         assert (result.exit_code, result.stdout) == snapshot
 
+    def test_refusals_anywhere_are_a_risk(self, answers):
+        """Refusals of late at another node than the one asked end --check with 5."""
+        minute = int(time.time() // 60)
+        answers.answer(STATUS_PATH, {**STATUS, "risks": []})
+        answers.answer(REFUSALS_PATH, [{**COUNTS[0], "minute": minute}])
+        result = answers.run("status", "--check")
+        assert result.exit_code == 5
+        assert result.stdout.startswith("AT RISK refusals deadline: 2 refused at all")
+
     def test_json(self, answers):
         """JSON has the status and the refusals."""
         report = json.loads(answers.run("status", "--output", "json").stdout)
--- a/tests/coordination/test_explaining.py
+++ b/tests/coordination/test_explaining.py
@@ -4,7 +4,7 @@
 
 from camphoryard.coordination.explaining import explain
 from camphoryard.protocol.configuration import change_from
-from camphoryard.state.enums import Reason, SelectorKind
+from camphoryard.state.enums import EndpointKind, Reason, SelectorKind
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.tables import EndpointTable
 
@@ -47,6 +47,15 @@
     return explain(CONFIGURATION, EndpointTable(), caller, target)
 
 
+class TestExplainService:
+    """Plain services."""
+
+    def test_kind_tells_services_from_engines(self):
+        """A service's endpoints have no residents to speak of."""
+        assert explained("s/book").kind is EndpointKind.SERVICE
+        assert explained("m").kind is EndpointKind.ENGINE
+
+
 class TestExplain:
     """Groups and endpoints, and why not others."""
 
--- a/tests/coordination/test_merging.py
+++ b/tests/coordination/test_merging.py
@@ -59,3 +59,19 @@
         found = select_events(events, wanted, limit=2)
         assert [event.stamp.wall_ms for event in found] == [7, 9]
         assert select_events(events, {**wanted, "model": "x"}) == ()
+
+    def test_model_finds_what_is_done_to_its_items(self):
+        """Loads of a model and of adapters over it, not of a longer name."""
+        fields = [
+            {"item": "m"},
+            {"items": "m,m:a"},
+            {"load": "m:a"},
+            {"item": "m2"},
+            {"items": "x,m2"},
+        ]
+        events = [
+            Event(Stamp(index, 0), "a", "intent", item)
+            for index, item in enumerate(fields)
+        ]
+        found = select_events(events, {"model": "m"})
+        assert [event.stamp.wall_ms for event in found] == [0, 1, 2]
--- a/tests/system/test_refusals.py
+++ b/tests/system/test_refusals.py
@@ -1,5 +1,7 @@
 """Tests of the counts of refusals over real processes."""
 
+import pytest
+
 from standins.fleet import HttpError, request
 from standins.site import SiteSpec
 
@@ -30,6 +32,16 @@
 class TestRefusalCounts:
     """Counts that outlive the node that refused."""
 
+    def test_operators_mistakes_are_not_counted(self, start):
+        """Only callers are turned away; the time line has the operator's."""
+        site = start(SiteSpec(nodes=1, ignoring_engines=0))
+        port = site.fleet.port("node-1")
+        with pytest.raises(HttpError):
+            request(port, "GET", "/admin/v1/refusals?hours=99")
+        assert request(port, "GET", "/admin/v1/refusals") == []
+        events = request(port, "GET", "/admin/v1/timeline?event=operator_refused")
+        assert [item["fields"]["field"] for item in events["events"]] == ["hours"]
+
     def test_counts_survive_a_kill_in_an_outage(self, start):
         """A peer holds what was refused before the kill and folds it later."""
         site = start(SiteSpec(nodes=3, ignoring_engines=0))
