--- a/src/camphoryard/coordination/residency_client.py
+++ b/src/camphoryard/coordination/residency_client.py
@@ -8,7 +8,7 @@
 
 from camphoryard.coordination.eviction import EvictionPolicy
 from camphoryard.coordination.load_choice import LoadChoice, choose_endpoints
-from camphoryard.coordination.messages import Done, LoadWanted
+from camphoryard.coordination.messages import Declined, Done, LoadWanted
 from camphoryard.coordination.occupancy import Occupancy
 from camphoryard.coordination.ownership import owner_of
 from camphoryard.coordination.ports import Peers
@@ -154,8 +154,13 @@
                 return
             message = LoadWanted(endpoint, items, limit_slots)
             reply = self._parts.peers.ask(owner, message, START_TIMEOUT_S)
-            if not isinstance(reply, Done):
-                self._record_failure(endpoint, items, reply)
+            match reply:
+                case Done():
+                    return
+                case Declined(detail):
+                    self._record_failure(endpoint, items, detail)
+                case other:
+                    self._record_failure(endpoint, items, other)
         except CamphoryardError as error:
             self._record_failure(endpoint, items, error)
 
