--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -60,7 +60,7 @@
         ("message", "called"),
         [
             (JoinWanted(Mock()), lambda parts: parts.joiner.joined),
-            (LoadWanted("e", ("m",)), lambda parts: parts.residency),
+            (LoadWanted("e", ("m",), 0.0), lambda parts: parts.residency),
             (ItemsUsed(("m",)), lambda parts: parts.residency),
             (GiveUp("e", "i", 2), lambda parts: parts.residency),
         ],
