Compare counts of refusals by reason, as violations

Cause: the bench compared sums, which a refusal counted without an answer can make up for, and make faults compared nothing.

Change: standins/refusal_counts.py reads the reason of each refusal answered, broken streams included. Counted below seen for any reason, or more above it than sends without an answer, is a violation in both runs. Requests made to see whether the site is whole again come from another caller.

Counts are still lost where all nodes are killed within the second before a fold.

--- a/bench/action_faults.py
+++ b/bench/action_faults.py
@@ -2,7 +2,7 @@
 
 Run as ``python -m bench.action_faults --seed 1 --seconds 60``. It prints the
 faults injected, the sends by verdict, the refusals that callers saw and those
-that are counted, and the violations; it exits 1 if there was one.
+that are counted, and the violations, of counts too; it exits 1 if there was one.
 """
 
 import random
@@ -19,9 +19,10 @@
 import typer
 
 from camphoryard.state.verdict import Verdict
-from standins.fleet import Fleet, request
+from standins.fleet import Fleet
 from standins.history import Violation, check_actions, service_runs
 from standins.recording import Action, Recorded, send_action
+from standins.refusal_counts import await_counts, check_refusals, refused_for
 from standins.site import Site, SiteSpec, start_site
 
 NODES = 4
@@ -31,7 +32,8 @@
 DEADLINE_MS = 6000
 MAX_LULL_S = 1.5
 TWICE_SHARE = 0.2
-COUNT_LIMIT_S = 30.0
+CALLER = "front-desk"
+NO_ANSWER = "no answer"
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,33 +221,15 @@
     return Counter(_told(item.send.verdict) for item in history.recorded)
 
 
-def refusals_seen(history: History) -> int:
-    """Return how many refusals callers were answered."""
-    return sum('"error"' in item.text for item in history.recorded)
-
-
-def refusals_counted(site: Site) -> int:
-    """Return the count of all nodes' refusals, as the first node has it."""
-    path = "/admin/v1/refusals?hours=2"
-    items = request(site.fleet.port(site.nodes[0]), "GET", path)
-    return sum(item["count"] for item in items)
-
-
-def wait_for_counts(site: Site, history: History) -> int:
-    """Block until every refusal seen is counted or time is up; return the count."""
-    site.fleet.wait_ready(site.nodes, "/readyz")
-    seen = refusals_seen(history)
-    try:
-        site.fleet.wait_until(
-            lambda: refusals_counted(site) >= seen, "counts", COUNT_LIMIT_S
-        )
-    except TimeoutError:
-        pass
-    return refusals_counted(site)
+def refusals_seen(history: History) -> Counter[str]:
+    """Return the refusals that callers were answered, by reason."""
+    reasons = Counter(refused_for(item.text.encode()) for item in history.recorded)
+    del reasons[""]
+    return reasons
 
 
 def _told(verdict: Verdict | None) -> str:
-    return verdict.value if verdict else "no answer"
+    return verdict.value if verdict else NO_ANSWER
 
 
 def main(
@@ -257,14 +241,19 @@
         site = start_site(fleet, SiteSpec(nodes=NODES, ignoring_engines=0))
         history = run(site, seed, seconds)
         found = violations(site, history)
-        counted = wait_for_counts(site, history)
+        site.fleet.wait_ready(site.nodes, "/readyz")
+        seen = refusals_seen(history)
+        counted = await_counts(site, CALLER, seen)
+    told = verdict_counts(history)
+    found += check_refusals(seen, counted, told[NO_ANSWER])
     faults = Counter(type(item).__name__ for item in history.faults)
     actions = len({item.send.body for item in history.recorded})
     print(f"seed {seed}, {seconds:.0f} s, {NODES} nodes")
     print(f"faults: {dict(faults)}")
-    print(f"actions: {actions}, sends: {dict(verdict_counts(history))}")
+    print(f"actions: {actions}, sends: {dict(told)}")
     print(f"replayed: {sum(item.replayed for item in history.recorded)}")
-    print(f"refusals seen: {refusals_seen(history)}, counted: {counted}")
+    print(f"refusals seen: {seen.total()}, counted: {counted.total()}")
+    print(f"seen by reason: {dict(seen)}")
     print(f"violations: {len(found)}")
     for item in found:
         print(f"  {item.kind.value}: {item.subject} {item.detail}")
--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -18,6 +18,8 @@
 
 from faults.injections import Injection, draw, inject, targets
 from faults.workload import (
+    CALLER,
+    SETTLER,
     History,
     Reverts,
     apply,
@@ -28,6 +30,7 @@
 )
 from standins.fleet import Fleet
 from standins.history import Run, check_actions, check_completions, service_runs
+from standins.refusal_counts import await_counts, check_refusals
 from standins.site import ModelSpec, Site, SiteSpec, start_site
 
 CALLERS = 12
@@ -35,6 +38,7 @@
 INJECTORS = 2
 MAX_QUIET_S = 2.0
 SETTLE_LIMIT_S = 90.0
+MAX_HOURS = 48
 SECONDS_PER_MINUTE = 60
 MODELS = (
     ModelSpec("permit-8b", 9000),
@@ -126,18 +130,29 @@
 def _unreachable(site: Site, model: str, started_s: float) -> list[str]:
     while True:
         try:
-            site.complete(site.nodes[-1], model, f"reach {model}")
+            site.complete(site.nodes[-1], model, f"reach {model}", caller=SETTLER)
             return []
         except Exception as error:
             if time.monotonic() - started_s > SETTLE_LIMIT_S:
                 return [f"{model} is not reachable: {error}"]
 
 
+def compare_refusals(site: Site, history: History) -> list[str]:
+    """Print and compare the refusals seen and counted; return the violations."""
+    seen = history.refusals_by_reason
+    counted = await_counts(site, CALLER, seen, MAX_HOURS)
+    print(f"refusals seen: {seen.total()}, counted: {counted.total()}")
+    print(f"  seen by reason: {dict(seen)}")
+    found = check_refusals(seen, counted, history.unreachable)
+    return [str(item) for item in found]
+
+
 def report(
     site: Site, history: History, injected: Injected, reverts: Reverts
 ) -> list[str]:
     """Print the summary and return the violations."""
     violations = settle(site)
+    violations += compare_refusals(site, history)
     service = [
         run for name in site.services for run in service_runs(site.control(name))
     ]
@@ -160,7 +175,7 @@
     print(
         f"sends: {len(history.completions)} completions,"
         f" {len(history.actions)} bookings ({len(service)} ran),"
-        f" {history.refusals} refused,"
+        f" {history.refusals_by_reason.total()} refused,"
         f" {history.unreachable} without an answer"
     )
     print(f"changes: {history.accepted} accepted, {history.conflicts} conflicts")
--- a/faults/workload.py
+++ b/faults/workload.py
@@ -4,6 +4,7 @@
 import random
 import threading
 import time
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
@@ -12,8 +13,13 @@
 from camphoryard.state.verdict import Verdict
 from standins.fleet import CALLER_TOKEN, HOST, OPERATOR_TOKEN, HttpError
 from standins.history import ActionSend, CompletionSend
+from standins.refusal_counts import refused_for
 from standins.site import Site
 
+CALLER = "meter-app"
+SETTLER = "front-desk"
+"""The caller of the requests made after the faults, whose counts are apart."""
+
 ASK_TIMEOUT_S = 40.0
 DEADLINE_MS = 15_000
 RESENDS = 3
@@ -30,7 +36,7 @@
     actions: list[ActionSend] = field(default_factory=list)
     completions: list[CompletionSend] = field(default_factory=list)
     unreachable: int = 0
-    refusals: int = 0
+    refusals_by_reason: Counter[str] = field(default_factory=Counter)
     accepted_by_item: dict[str, str] = field(default_factory=dict)
     accepted: int = 0
     conflicts: int = 0
@@ -49,7 +55,7 @@
     """Send one request as a caller and return what came of it."""
     connection = HTTPConnection(HOST, site.fleet.port(node), timeout=ASK_TIMEOUT_S)
     sent = {name.replace("_", "-"): value for name, value in headers.items()}
-    sent["Authorization"] = f"Bearer {CALLER_TOKEN}-meter-app"
+    sent["Authorization"] = f"Bearer {CALLER_TOKEN}-{CALLER}"
     sent["Camphoryard-Deadline-Ms"] = str(DEADLINE_MS)
     try:
         connection.request("POST", path, body, sent)
@@ -96,7 +102,7 @@
     if seen.status == 200:
         text = json.loads(seen.body)["choices"][0]["text"]
     _keep_completion(
-        history, CompletionSend(prompt, tokens, sent_s, seen.verdict, text)
+        history, CompletionSend(prompt, tokens, sent_s, seen.verdict, text), seen
     )
 
 
@@ -115,7 +121,8 @@
     verdict, text = seen.verdict, ""
     if seen.status == 200:
         verdict, text = _streamed(seen.body)
-    _keep_completion(history, CompletionSend(prompt, tokens, sent_s, verdict, text))
+    record = CompletionSend(prompt, tokens, sent_s, verdict, text)
+    _keep_completion(history, record, seen)
 
 
 def _streamed(body: bytes) -> tuple[Verdict | None, str]:
@@ -133,11 +140,18 @@
     return None, ""
 
 
-def _keep_completion(history: History, record: CompletionSend) -> None:
+def _keep_refusal(history: History, verdict: Verdict | None, seen: _Seen) -> None:
+    """Note why a request was refused, if it was and the answer is whole."""
+    reason = refused_for(seen.body)
+    if verdict is not None and reason:
+        history.refusals_by_reason[reason] += 1
+
+
+def _keep_completion(history: History, record: CompletionSend, seen: _Seen) -> None:
     with history.lock:
         history.completions.append(record)
         history.unreachable += record.verdict is None
-        history.refusals += record.verdict not in (None, Verdict.RAN)
+        _keep_refusal(history, record.verdict, seen)
 
 
 def _book(site: Site, name: str, chance: random.Random, history: History) -> None:
@@ -163,7 +177,7 @@
         with history.lock:
             history.actions.append(record)
             history.unreachable += seen.verdict is None
-            history.refusals += seen.verdict not in (None, Verdict.RAN)
+            _keep_refusal(history, seen.verdict, seen)
         again = attempt == 0 and chance.random() < 0.3
         if seen.verdict is Verdict.RAN and not again:
             return
--- a/standins/history.py
+++ b/standins/history.py
@@ -28,11 +28,13 @@
     RAN_BUT_NO_RUN = "ran, but no run is logged"
     ANSWERS_DIFFER = "answers of one action differ"
     NOT_WHOLE = "answer is not whole"
+    NOT_COUNTED = "refusal not counted"
+    OVERCOUNTED = "more refusals counted than possible"
 
 
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """One broken promise; ``subject`` is the action's body or the prompt."""
+    """One broken promise; ``subject`` is the action's body, the prompt or a reason."""
 
     kind: ViolationKind
     subject: str
--- /dev/null
+++ b/standins/refusal_counts.py
@@ -0,0 +1,80 @@
+"""Compares the refusals that callers were answered with those counted."""
+
+import json
+from collections import Counter
+from collections.abc import Mapping
+
+from standins.fleet import request
+from standins.history import Violation, ViolationKind
+from standins.site import Site
+
+COUNT_LIMIT_S = 30.0
+ERROR_EVENT = b"event: error\ndata: "
+
+
+def refused_for(body: bytes) -> str:
+    """Return the reason in the body of a refusal or of a broken stream.
+
+    It is empty if the body is something else.
+
+    Examples
+    --------
+    >>> refused_for(b'{"error": {"code": "draining"}}')
+    'draining'
+    >>> refused_for(b'{"space": 12}')
+    ''
+    """
+    text = body.rpartition(ERROR_EVENT)[2]
+    if not text.startswith(b'{"error"'):
+        return ""
+    reason: str = json.loads(text)["error"]["code"]
+    return reason
+
+
+def counted_by_reason(site: Site, caller: str, hours: int) -> Counter[str]:
+    """Return the refusals of a caller that all nodes together counted."""
+    path = f"/admin/v1/refusals?hours={hours}"
+    counted: Counter[str] = Counter()
+    for item in request(site.fleet.port(site.nodes[0]), "GET", path):
+        if item["caller"] == caller:
+            counted[item["reason"]] += item["count"]
+    return counted
+
+
+def await_counts(
+    site: Site, caller: str, seen_by_reason: Mapping[str, int], hours: int = 2
+) -> Counter[str]:
+    """Block until what was seen is counted or time is up; return the counts."""
+
+    def are_counted() -> bool:
+        counted = counted_by_reason(site, caller, hours)
+        return not check_refusals(seen_by_reason, counted, counted.total())
+
+    try:
+        site.fleet.wait_until(are_counted, "counts of refusals", COUNT_LIMIT_S)
+    except TimeoutError:
+        pass
+    return counted_by_reason(site, caller, hours)
+
+
+def check_refusals(
+    seen_by_reason: Mapping[str, int],
+    counted_by_reason: Mapping[str, int],
+    unanswered: int,
+) -> tuple[Violation, ...]:
+    """Return the violations among counts of refusals.
+
+    Each refusal that was answered is counted; more are counted only for sends
+    whose answer did not arrive.
+    """
+    found = []
+    for reason, seen in sorted(seen_by_reason.items()):
+        counted = counted_by_reason.get(reason, 0)
+        if counted < seen:
+            detail = f"{counted} of {seen}"
+            found.append(Violation(ViolationKind.NOT_COUNTED, reason, detail))
+    more = sum(counted_by_reason.values()) - sum(seen_by_reason.values())
+    if more > unanswered:
+        detail = f"{more} more than seen, {unanswered} sends without an answer"
+        found.append(Violation(ViolationKind.OVERCOUNTED, "refusals", detail))
+    return tuple(found)
