Teach suspects to nodes that start

Cause: a crash is told to the nodes that are alive, so a node started or restarted after it ran the request as a fresh one: one more endpoint crashed for each such node.

Joining also learns suspects, as it shares the answer.

Left: a coordinator that starts knows no runs under way; a node that is cut off after its start misses crashes.

--- a/src/camphoryard/coordination/joining.py
+++ b/src/camphoryard/coordination/joining.py
@@ -1,4 +1,4 @@
-"""Learning of other nodes and of the configuration from peers."""
+"""Learning of other nodes, suspects and the configuration from peers."""
 
 import threading
 from collections.abc import Callable, Sequence
@@ -16,12 +16,14 @@
     VersionedRecord,
 )
 from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.errors import PeerUnreachableError, StoreUnavailableError
 from camphoryard.state.ids import NodeId
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable
 
 ASK_TIMEOUT_S = 2.0
+GREETING_TIMEOUT_S = 0.5
 JOIN_PERIOD_S = 1.0
 
 
@@ -38,6 +40,7 @@
     configuration: ConfigurationHolder
     table: EndpointTable
     list_heads: Callable[[], object]
+    suspects: Suspects
     executor: Executor
 
 
@@ -71,10 +74,25 @@
         """Learn of the nodes that ``node`` knows in a task of its own."""
         self._parts.executor.submit(self._learn, node)
 
+    def greet(self, node: NodeId, timeout_s: float = GREETING_TIMEOUT_S) -> bool:
+        """Make this node known to ``node`` and learn from it; return whether it did."""
+        wanted = JoinWanted(self._parts.lease)
+        try:
+            reply = self._parts.peers.ask(node, wanted, timeout_s)
+        except PeerUnreachableError:
+            return False
+        if not isinstance(reply, Joined):
+            return False
+        for lease in reply.leases:
+            self._introduce(lease)
+        self._parts.suspects.learn(reply.suspects)
+        return True
+
     def joined(self, wanted: JoinWanted) -> Joined:
-        """Take in a node that asks, and return the nodes known here."""
+        """Take in a node that asks, and return what is known here."""
         self._introduce(wanted.lease)
-        return Joined((self._parts.lease, *self._parts.nodes.all()))
+        leases = (self._parts.lease, *self._parts.nodes.all())
+        return Joined(leases, self._parts.suspects.known())
 
     def records(self) -> RecordsFound:
         """Return the endpoint records seen here."""
@@ -123,16 +141,9 @@
         if not self._learning.acquire(blocking=False):
             return
         try:
-            reply = self._parts.peers.ask(
-                node, JoinWanted(self._parts.lease), ASK_TIMEOUT_S
-            )
-        except PeerUnreachableError:
-            return
+            self.greet(node, ASK_TIMEOUT_S)
         finally:
             self._learning.release()
-        if isinstance(reply, Joined):
-            for lease in reply.leases:
-                self._introduce(lease)
 
     def _introduce(self, lease: NodeLease) -> None:
         if self._parts.nodes.introduce(lease):
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -58,11 +58,25 @@
     lease: NodeLease
 
 
+@dataclass(frozen=True, slots=True)
+class KnownSuspect:
+    """A request that was running when the endpoints in ``crashed`` crashed.
+
+    It stays a suspect for ``left_s``.
+    """
+
+    fingerprint: Fingerprint
+    crashed: tuple[EndpointId, ...]
+    quarantined: bool
+    left_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Joined:
-    """The nodes known to the peer, itself first."""
+    """The nodes and suspects known to the peer, itself first."""
 
     leases: tuple[NodeLease, ...]
+    suspects: tuple[KnownSuspect, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/coordination/suspects.py
+++ b/src/camphoryard/coordination/suspects.py
@@ -9,12 +9,14 @@
 
 import threading
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from camphoryard.coordination.messages import (
     CrashSeen,
     Declined,
+    KnownSuspect,
     TrialEnded,
     TrialWanted,
 )
@@ -31,6 +33,8 @@
 FINGERPRINT_BYTES = 12
 SUSPECT_LIFE_S = 600.0
 MAX_SUSPECTS = 20_000
+MAX_TOLD = 2_000
+LEARNING_LIMIT_S = 5.0
 MAX_CRASHES = 3
 RETRY_PERIOD_S = 0.05
 ASK_TIMEOUT_S = 0.5
@@ -118,7 +122,12 @@
     """The suspects that this node knows, and its part in their trials."""
 
     def __init__(
-        self, node: NodeId, nodes: NodeTable, peers: Peers, timeline: Timeline
+        self,
+        node: NodeId,
+        nodes: NodeTable,
+        peers: Peers,
+        timeline: Timeline,
+        must_learn: bool = False,
     ) -> None:
         self._node = node
         self._nodes = nodes
@@ -127,9 +136,44 @@
         self._locks = TrialLocks()
         self._changed = threading.Condition()
         self._suspect_by_fingerprint: dict[Fingerprint, _Suspect] = {}
+        self._has_learned = threading.Event()
+        if not must_learn:
+            self._has_learned.set()
+
+    def known(self) -> tuple[KnownSuspect, ...]:
+        """Return the suspects known here, the latest ones if there are many."""
+        now_s = time.monotonic()
+        with self._changed:
+            suspects = list(self._suspect_by_fingerprint.items())[-MAX_TOLD:]
+        return tuple(
+            KnownSuspect(
+                key, tuple(item.crashed), item.quarantined, item.until_s - now_s
+            )
+            for key, item in suspects
+            if item.until_s > now_s
+        )
+
+    def learn(self, known: Iterable[KnownSuspect]) -> None:
+        """Take in what a peer knows, beside what is known here."""
+        now_s = time.monotonic()
+        with self._changed:
+            for item in known:
+                here = self._suspect_by_fingerprint.get(item.fingerprint)
+                there = _Suspect(
+                    frozenset(item.crashed), item.quarantined, now_s + item.left_s
+                )
+                self._keep(item.fingerprint, _joined(here, there), now_s)
+
+    def learned(self) -> None:
+        """Let requests begin: what peers know has been taken in."""
+        self._has_learned.set()
 
     def check(self, request: Fingerprint, verdict: Verdict) -> None:
-        """Raise RefusalError with ``verdict`` if the request is quarantined."""
+        """Raise RefusalError with ``verdict`` if the request is quarantined.
+
+        In a node that has just started it waits until suspects are learned.
+        """
+        self._has_learned.wait(LEARNING_LIMIT_S)
         suspect = self._find(request)
         if suspect is not None and suspect.quarantined:
             raise RefusalError(
@@ -178,9 +222,7 @@
             now_s + SUSPECT_LIFE_S,
         )
         with self._changed:
-            if len(self._suspect_by_fingerprint) >= MAX_SUSPECTS:
-                self._drop_lapsed(now_s)
-            self._suspect_by_fingerprint[seen.fingerprint] = suspect
+            self._keep(seen.fingerprint, suspect, now_s)
             self._changed.notify_all()
         self._timeline.record(
             "suspect",
@@ -247,6 +289,11 @@
         nodes = {lease.node for lease in self._nodes.alive()} | {self._node}
         return rendezvous_owner(COORDINATOR_KEY, tuple(nodes))
 
+    def _keep(self, request: Fingerprint, suspect: _Suspect, now_s: float) -> None:
+        if len(self._suspect_by_fingerprint) >= MAX_SUSPECTS:
+            self._drop_lapsed(now_s)
+        self._suspect_by_fingerprint[request] = suspect
+
     def _drop_lapsed(self, now_s: float) -> None:
         """Forget lapsed suspects, and the oldest one if all are fresh."""
         lapsed = [
@@ -258,6 +305,17 @@
             del self._suspect_by_fingerprint[key]
 
 
+def _joined(here: _Suspect | None, there: _Suspect) -> _Suspect:
+    """Return what two nodes together know of a request."""
+    if here is None:
+        return there
+    return _Suspect(
+        here.crashed | there.crashed,
+        here.quarantined or there.quarantined,
+        max(here.until_s, there.until_s),
+    )
+
+
 def _is_guilty(known: _Suspect | None, seen: CrashSeen) -> bool:
     """Return whether a request is the cause of the crash.
 
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -59,6 +59,7 @@
         run(node.leases.run, node.shared.timer),
         run(node.control.gossiper.run, node.shared.timer),
         run(node.control.joiner.run, node.shared.timer),
+        run(node.control.greeter.run, node.shared.timer),
         run(supervise_endpoints, node),
         *(run(task, node.shared.timer) for task in node.background),
         run(node.residency.client.run_reports, node.shared.timer),
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -71,7 +71,7 @@
     jobs = make_job_parts(shared, platform)
     runner = make_job_runner(shared, jobs, serving)
     expiry = make_expiry(shared, platform)
-    control = make_control(shared, platform, serving.door)
+    control = make_control(shared, platform, serving)
     followers = (
         control.heads,
         Follower(platform.endpoints, functools.partial(_take_record, shared.table)),
--- a/src/camphoryard/node/control.py
+++ b/src/camphoryard/node/control.py
@@ -6,11 +6,11 @@
 from camphoryard.coordination.configuring import Configurator
 from camphoryard.coordination.currency import Currency
 from camphoryard.coordination.gossip import Gossiper, GossipParts
+from camphoryard.coordination.greeting import Greeter
 from camphoryard.coordination.joining import Joiner, JoiningParts
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.refusal_folding import RefusalFolder
 from camphoryard.coordination.residency import Identity, ResidencyDesk
-from camphoryard.coordination.serving import FrontDoor
 from camphoryard.coordination.watching import WATCH_WAIT_S, Follower, elected_watchers
 from camphoryard.node.platform import Platform
 from camphoryard.node.policies import make_gossip_policy
@@ -36,6 +36,7 @@
     heads: Follower[ConfigurationHead]
     gossiper: Gossiper
     joiner: Joiner
+    greeter: Greeter
 
 
 def make_seed_lease(seed: SeedSettings, lease_s: float) -> NodeLease:
@@ -114,7 +115,7 @@
     )
 
 
-def make_control(shared: Shared, platform: Platform, door: FrontDoor) -> Control:
+def make_control(shared: Shared, platform: Platform, serving: Serving) -> Control:
     """Return the parts that agree on the configuration with other nodes."""
     settings = shared.settings.peers
     lease = make_lease(shared.settings, shared.identity)
@@ -145,6 +146,7 @@
             shared.configuration,
             shared.table,
             heads.list_once,
+            serving.suspects,
             shared.executors.loads,
         )
     )
@@ -154,14 +156,21 @@
             shared.nodes,
             shared.peers,
             currency,
-            functools.partial(make_digest, shared, door),
+            functools.partial(make_digest, shared, serving.door),
             joiner.catch_up,
             joiner.learn_leases,
         ),
         make_gossip_policy(settings),
         settings.gossip_period_s,
     )
-    return Control(configurator, currency, heads, gossiper, joiner)
+    greeter = Greeter(
+        shared.identity.node,
+        shared.nodes,
+        joiner.greet,
+        shared.executors.loads,
+        serving.suspects.learned,
+    )
+    return Control(configurator, currency, heads, gossiper, joiner, greeter)
 
 
 def make_membership(
--- a/src/camphoryard/node/serving.py
+++ b/src/camphoryard/node/serving.py
@@ -49,7 +49,11 @@
     shared.table.subscribe(admission.wake)
     leaving = LeavingEndpoints(shared.configuration, shared.estimates, shared.vms)
     suspects = Suspects(
-        shared.identity.node, shared.nodes, shared.peers, shared.timeline
+        shared.identity.node,
+        shared.nodes,
+        shared.peers,
+        shared.timeline,
+        must_learn=True,
     )
     inference = InferenceParts(
         shared.configuration,
--- a/tests/coordination/test_suspects.py
+++ b/tests/coordination/test_suspects.py
@@ -1,6 +1,7 @@
 """Tests of suspects and their trials."""
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -76,6 +77,37 @@
         trial.end()
         assert given.begin(POISON, THIRD, FAR_S).is_suspect
 
+    def test_learned_suspect_is_on_trial(self):
+        """A second crash after what a peer told names the culprit."""
+        there, here = suspects(), suspects()
+        there.saw(CrashSeen(POISON, FIRST, early=True, on_trial=False))
+        here.learn(there.known())
+        here.begin(POISON, SECOND, FAR_S).crashed()
+        assert is_quarantined(here)
+
+    def test_learning_takes_nothing_back(self):
+        """What a peer does not know yet stays known here."""
+        there, here = suspects(), suspects()
+        there.saw(CrashSeen(POISON, FIRST, early=True, on_trial=False))
+        for endpoint in (FIRST, SECOND):
+            here.saw(CrashSeen(POISON, endpoint, early=True, on_trial=False))
+        here.learn(there.known())
+        assert is_quarantined(here)
+        (known,) = here.known()
+        assert set(known.crashed) == {FIRST, SECOND}
+
+    def test_started_node_waits_until_it_has_learned(self):
+        """No request begins before what peers know has been taken in."""
+        there = suspects()
+        for endpoint in (FIRST, SECOND):
+            there.saw(CrashSeen(POISON, endpoint, early=True, on_trial=False))
+        here = Suspects(NODE, NodeTable(), NoPeers(), timeline(), must_learn=True)
+        with ThreadPoolExecutor(1) as executor:
+            refused = executor.submit(is_quarantined, here)
+            here.learn(there.known())
+            here.learned()
+            assert refused.result()
+
 
 class TestTrialLocks:
     """What the coordinator lets run."""
--- a/tests/system/test_poison.py
+++ b/tests/system/test_poison.py
@@ -10,6 +10,7 @@
 
 POISON = "poison"
 LENGTH = 150
+SHORT_DEADLINE = {"Camphoryard-Deadline-Ms": "3000"}
 
 
 def crashed(site):
@@ -18,10 +19,17 @@
     return [item for item in site.engines if processes[item].popen.poll() is not None]
 
 
-def send_poison(site, node):
+def add_node(site, name):
+    """Start one more node and wait until it is ready."""
+    site.fleet.start_node(name, "zone-d")
+    site.nodes.append(name)
+    site.fleet.wait_ready([name], "/readyz")
+
+
+def send_poison(site, node, headers=None):
     """Send the poison request and return the refusal."""
     with pytest.raises(HttpError) as refused:
-        site.complete(node, "meter-3b", f"{POISON} request", 8)
+        site.complete(node, "meter-3b", f"{POISON} request", 8, headers=headers)
     return refused.value.body["error"]
 
 
@@ -46,3 +54,22 @@
         assert {item["verdict"] for item in refusals[1:]} == {"not run"}
         for prompt, first, rest in zip(prompts, started, rests, strict=True):
             assert first + rest == whole_answer(prompt, LENGTH)
+
+    def test_restarted_endpoint_crashes_twice_at_most(self, start):
+        """A node started after the first crash, or killed since, knows of it."""
+        site = start(SiteSpec(nodes=2, ignoring_engines=0, crash_on=POISON))
+        (engine,) = site.engines
+        for node in (site.nodes[0], "node-3"):
+            if node not in site.nodes:
+                add_node(site, node)
+            send_poison(site, node, SHORT_DEADLINE)
+            assert crashed(site) == [engine]
+            site.fleet.restart(engine)
+            site.fleet.wait_ready([engine])
+        site.fleet.process_by_name["node-2"].kill()
+        site.fleet.restart("node-2")
+        add_node(site, "node-4")
+        site.fleet.wait_ready(site.nodes, "/readyz")
+        refusals = [send_poison(site, node) for node in site.nodes]
+        assert {item["code"] for item in refusals} == {"quarantined"}
+        assert crashed(site) == []
