Delete leases of nodes that the platform lists as gone

Cause: leases of killed nodes stayed in the object API for ever.

Ruled out: sweeping by silence alone. A lease's deletion proves its start over, so a paused owner's loads in doubt would be dropped, and silent nodes hold up the majority that accepts a change (DESIGN.md, "Ownership").

Change: a lease silent for an hour whose VM is listed as gone and whose start no endpoint's record names is deleted conditionally, by the node whose turn it is. A node that finds its lease deleted takes a new one; that held before and has a test now.

Left: not run over real processes, since it takes an hour.

--- a/src/camphoryard/coordination/expiry.py
+++ b/src/camphoryard/coordination/expiry.py
@@ -1,4 +1,4 @@
-"""Deletes what has been kept long enough: claims, finished jobs, refusals.
+"""Deletes what has been kept long enough: claims, jobs, refusals, leases.
 
 One node does so for all, a part each second with a bound on deletions, so that
 the cost does not grow with the fleet. Deletions are conditional; two nodes that
@@ -19,7 +19,7 @@
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import NodeId
 from camphoryard.state.jobs import Job
-from camphoryard.state.nodes import NodeTable
+from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.refusals import RefusalSheet
 
 SWEEP_PERIOD_S = 1.0
@@ -53,12 +53,18 @@
     """Refusals of the hours just before the oldest one kept."""
 
 
-Part: TypeAlias = ClaimsUnder | JobsUnder | RefusalsBefore
+@dataclass(frozen=True, slots=True)
+class StaleLeases:
+    """Leases of nodes that are gone."""
+
+
+Part: TypeAlias = ClaimsUnder | JobsUnder | RefusalsBefore | StaleLeases
 
 PARTS: tuple[Part, ...] = (
     *(ClaimsUnder(first + second) for first in SHARDS for second in SHARDS),
     *(JobsUnder(shard) for shard in SHARDS),
     RefusalsBefore(),
+    StaleLeases(),
 )
 
 
@@ -71,6 +77,8 @@
     claims: Records[Claim]
     finished_jobs: Records[Job]
     refusals: Records[RefusalSheet]
+    leases: Records[NodeLease]
+    is_stale: Callable[[NodeLease], bool]
 
 
 def run_expiry(parts: ExpiryParts, timer: Timer) -> None:
@@ -101,6 +109,8 @@
         case RefusalsBefore():
             for hour in _expired_hours(now_s):
                 _delete(parts.refusals, f"{hour}/", lambda sheet: True)
+        case StaleLeases():
+            _delete(parts.leases, "", parts.is_stale)
 
 
 def _is_my_turn(parts: ExpiryParts) -> bool:
--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -6,10 +6,12 @@
 from camphoryard.coordination.inference import infer
 from camphoryard.coordination.job_running import JobRunner, RunnerParts
 from camphoryard.coordination.jobs import JobParts
+from camphoryard.coordination.stale_leases import is_stale
 from camphoryard.node.platform import Platform
 from camphoryard.node.serving import Serving
 from camphoryard.node.shared import Shared
 from camphoryard.state.enums import NodeState
+from camphoryard.state.nodes import NodeLease
 from camphoryard.state.requests import ActionAnswer, ActionRequest, InferenceRequest
 
 
@@ -51,10 +53,16 @@
 
 def make_expiry(shared: Shared, platform: Platform) -> ExpiryParts:
     """Return what expires and who sees to it."""
+
+    def is_stale_now(lease: NodeLease) -> bool:
+        return is_stale(lease, shared.nodes, shared.vms, shared.table.by_id())
+
     return ExpiryParts(
         shared.identity.node,
         shared.nodes,
         platform.claims,
         platform.finished_jobs,
         platform.refusals,
+        platform.leases,
+        is_stale_now,
     )
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -176,6 +176,12 @@
             ]
         return tuple(sorted((item.lease for item in seen), key=lambda x: x.node))
 
+    def silence_s(self, node: NodeId) -> float | None:
+        """Return how long ago ``node`` was last seen alive, or None if never."""
+        with self._lock:
+            known = self._by_id.get(node)
+        return None if known is None else time.monotonic() - known.at_s
+
     def find(self, node: NodeId) -> NodeLease | None:
         """Return the last lease seen of ``node``, alive or not."""
         with self._lock:
--- a/tests/coordination/test_expiry.py
+++ b/tests/coordination/test_expiry.py
@@ -1,6 +1,7 @@
 """Tests of deleting what has been kept long enough."""
 
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -14,12 +15,13 @@
     ClaimsUnder,
     ExpiryParts,
     RefusalsBefore,
+    StaleLeases,
     sweep,
 )
 from camphoryard.state.claims import Claim
-from camphoryard.state.enums import ClaimState
+from camphoryard.state.enums import ClaimState, NodeState
 from camphoryard.state.ids import ABSENT
-from camphoryard.state.nodes import NodeTable
+from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.refusals import RefusalSheet
 from tests.fakes.object_api import MemoryRecords
 
@@ -30,7 +32,13 @@
 def parts():
     """Return empty records."""
     return ExpiryParts(
-        "n1", NodeTable(), MemoryRecords(), MemoryRecords(), MemoryRecords()
+        "n1",
+        NodeTable(),
+        MemoryRecords(),
+        MemoryRecords(),
+        MemoryRecords(),
+        MemoryRecords(),
+        lambda lease: lease.node == "stale",
     )
 
 
@@ -40,6 +48,22 @@
     parts.claims.put(key, claim, ABSENT)
 
 
+class Overtaken:
+    """Records whose listing is older than what is stored."""
+
+    def __init__(self, records, listed):
+        self.records = records
+        self.listed = listed
+
+    def list(self, within):
+        """Return the old listing."""
+        return self.listed
+
+    def delete(self, key, version):
+        """Delete as the records do."""
+        self.records.delete(key, version)
+
+
 class TestSweep:
     """Parts and their ages."""
 
@@ -74,3 +98,16 @@
             parts.refusals.put(f"{hour}/i1", RefusalSheet("i1", ()), ABSENT)
         sweep(parts, RefusalsBefore(), NOW_S)
         assert list(parts.refusals.stored_by_key) == [f"{oldest}/i1"]
+
+    def test_only_stale_leases_go(self, parts):
+        """A lease that was renewed since it was listed stays as well."""
+        for name in ("stale", "live"):
+            lease = NodeLease(name, name, "a", "h", 1, "", NodeState.SERVING, 3.0, "w")
+            parts.leases.put(name, lease, ABSENT)
+        listed = parts.leases.list("")
+        parts.leases.put("stale", listed.items[0].record, listed.items[0].version)
+        renewed = replace(parts, leases=Overtaken(parts.leases, listed))
+        sweep(renewed, StaleLeases(), NOW_S)
+        assert set(parts.leases.stored_by_key) == {"stale", "live"}
+        sweep(parts, StaleLeases(), NOW_S)
+        assert set(parts.leases.stored_by_key) == {"live"}
--- a/tests/coordination/test_ownership.py
+++ b/tests/coordination/test_ownership.py
@@ -69,6 +69,17 @@
         keeper.renew()
         assert [lease.node for lease in nodes.alive()] == ["n"]
 
+    def test_deleted_lease_is_taken_anew(self):
+        """A node that was paused for long finds its lease gone and goes on."""
+        leases, nodes = FakeLeases(), NodeTable()
+        keeper = LeaseKeeper(leases, nodes, make_lease())
+        keeper.renew()
+        leases.lease, leases.version = None, 0
+        nodes.forget("n")
+        keeper.renew()
+        assert leases.lease.incarnation == "new"
+        assert nodes.knows("n", "new")
+
 
 class TestOwnerOf:
     """Which node should own an endpoint."""
