--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -2,13 +2,14 @@
 
 import threading
 import time
-from collections.abc import Callable, Generator, Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
 from camphoryard.coordination.actions import ActionParts, act
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.inference import InferenceParts, infer
+from camphoryard.coordination.collecting import AnswerCollector
+from camphoryard.coordination.inference import Deliver, InferenceParts, infer
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.enums import NodeState, Reason
@@ -18,6 +19,7 @@
 from camphoryard.state.requests import (
     ActionAnswer,
     ActionRequest,
+    CompletionAnswer,
     InferenceRequest,
     TokenFrame,
 )
@@ -36,6 +38,7 @@
     refusals: RefusalCounter
     timeline: Timeline
     observe: Callable[[str, float], None]
+    max_answer_bytes: int
 
 
 class FrontDoor:
@@ -92,18 +95,20 @@
             self._end()
 
     def infer(
-        self, request: InferenceRequest, cancellation: Cancellation | None = None
-    ) -> Generator[TokenFrame, None, None]:
-        """Yield the answer's tokens; raises RefusalError, which is counted."""
-        cancellation = cancellation or Cancellation()
+        self, request: InferenceRequest, cancellation: Cancellation, deliver: Deliver
+    ) -> None:
+        """Deliver the answer's tokens; raises RefusalError, which is counted."""
         started_s = time.monotonic()
+
+        def observed(frame: TokenFrame) -> None:
+            if frame.offset == 0:
+                self._parts.observe("first_token", time.monotonic() - started_s)
+            deliver(frame)
+
         self._begin()
         try:
             self._admit()
-            for frame in infer(self._parts.inference, request, cancellation):
-                if frame.offset == 0:
-                    self._parts.observe("first_token", time.monotonic() - started_s)
-                yield frame
+            infer(self._parts.inference, request, cancellation, observed)
         except RefusalError as refusal:
             self.refused(refusal, request.caller, request.id)
             raise
@@ -111,6 +116,14 @@
             self._end()
             self._parts.observe("inference", time.monotonic() - started_s)
 
+    def complete(
+        self, request: InferenceRequest, cancellation: Cancellation
+    ) -> CompletionAnswer:
+        """Return the whole answer; raises RefusalError, which is counted."""
+        collector = AnswerCollector(self._parts.max_answer_bytes)
+        self.infer(request, cancellation, collector.add)
+        return collector.answer()
+
     def act(self, request: ActionRequest) -> ActionAnswer:
         """Return the action's answer; raises RefusalError, which is counted."""
         started_s = time.monotonic()
@@ -153,16 +166,17 @@
                 "this node is stopping; ask another",
                 retry_after_s=STOPPING_RETRY_AFTER_S,
             )
+        if not self._parts.configuration.current.generation:
+            raise RefusalError(
+                Reason.STALE_CONFIGURATION,
+                "this node has no configuration yet; ask another",
+            )
         if not self._parts.configuration.is_current():
             raise RefusalError(
                 Reason.STALE_CONFIGURATION,
                 "this node cannot tell whether its configuration is still the"
                 " accepted one; ask another",
             )
-        if not self._parts.configuration.current.generation:
-            raise RefusalError(
-                Reason.STALE_CONFIGURATION, "this node has no configuration yet"
-            )
 
     def _begin(self) -> None:
         with self._changed:
--- a/src/camphoryard/node/control.py
+++ b/src/camphoryard/node/control.py
@@ -67,6 +67,8 @@
         NodeState.STARTING,
         settings.peers.lease_s,
         WriteId(""),
+        advertised_host=settings.peers.advertised_host,
+        advertised_port=settings.peers.advertised_port,
     )
 
 
@@ -187,7 +189,7 @@
         control.configurator,
         shared.timeline,
         functools.partial(make_digest, shared, serving.door),
-        ResidencyDesk(residency.owner, residency.client.used_elsewhere).handle,
+        ResidencyDesk(residency.owner, residency.usage.used_elsewhere).handle,
         serving.suspects,
         folder.hold,
         residency.owner.start_moving,
--- a/tests/coordination/test_owned_endpoint.py
+++ b/tests/coordination/test_owned_endpoint.py
@@ -12,12 +12,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from camphoryard.coordination import owned_endpoint
+from camphoryard.coordination.eviction import LeastDemand
 from camphoryard.coordination.messages import GivenUp
+from camphoryard.coordination.occupancy import Occupancy
 from camphoryard.coordination.orders import EndpointOrders
 from camphoryard.coordination.owned_endpoint import (
     Identity,
     OwnedEndpoint,
-    ResidencyLimits,
     ResidencyParts,
 )
 from camphoryard.coordination.ports import Inventory, Stored
@@ -145,8 +146,9 @@
             self.world.engine,
             self,
             Timeline(self.name, HybridClock(), lambda event: None),
-            lambda item: 0.0,
-            ResidencyLimits(LONG_S, 0.0),
+            Occupancy(MODELS.get, lambda item: 0.0, dict, self.table, 0.0),
+            LeastDemand(),
+            LONG_S,
         )
         self.endpoint = OwnedEndpoint("e", parts, self.orders)
 
@@ -304,3 +306,29 @@
 TestIgnoringEngine.settings = LIMITS
 TestCheckingEngine = CheckingWorld.TestCase
 TestCheckingEngine.settings = LIMITS
+
+
+class TestLateLoad:
+    """A load that arrives after the one sent in its place was answered."""
+
+    @pytest.mark.parametrize("world", [World, CheckingWorld])
+    def test_arrives_after_the_unload(self, world):
+        """Its memory is given to no other item that it could then overcommit."""
+        history = world()
+        history.set_engine_fault("late")
+        history.wish("n", "a", LoadWish, 1)
+        history.set_engine_fault("")
+        for _ in range(2):
+            history.run_round("n")
+            history.finish_loads(False)
+        history.run_round("n")
+        assert history.engine.late
+        assert history.records.record.resident_mb_by_item == {"a": 60}
+        history.wish("n", "a", UnloadWish, 2)
+        assert not history.engine.resident
+        history.wish("n", "d", LoadWish, 2)
+        assert ("d" in history.engine.loading) == history.checks
+        for late in history.engine.late:
+            outcome = history.engine.take(late)
+            assert (outcome is OrderOutcome.FENCED) == history.checks
+        history.never_overcommitted()
