--- a/tests/coordination/test_joining.py
+++ b/tests/coordination/test_joining.py
@@ -1,4 +1,4 @@
-"""Tests of learning of nodes and of the configuration from peers."""
+"""Tests of learning of nodes, suspects and the configuration from peers."""
 
 from dataclasses import replace
 
@@ -8,6 +8,7 @@
 from camphoryard.coordination.messages import (
     ConfigurationOffer,
     ConfigurationWanted,
+    CrashSeen,
     Declined,
     Joined,
     JoinWanted,
@@ -15,13 +16,20 @@
     RecordsWanted,
     VersionedRecord,
 )
+from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import NodeState
-from camphoryard.state.errors import PeerUnreachableError, StoreUnavailableError
+from camphoryard.state.errors import (
+    PeerUnreachableError,
+    RefusalError,
+    StoreUnavailableError,
+)
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable
+from camphoryard.state.verdict import Verdict
+from tests.fakes.serving import timeline
 
 OFFER = ConfigurationOffer(ConfigurationHead(4, "w", {}), {})
 
@@ -101,6 +109,7 @@
                 self.holder,
                 self.table,
                 list_heads,
+                Suspects("own", self.nodes, peers, timeline()),
                 InlineExecutor(),
             )
         )
@@ -213,3 +222,75 @@
         node.nodes.saw(lease("a"), 5)
         node.joiner.learn_leases("b")
         assert node.nodes.find("a").incarnation == "i"
+
+
+class Network:
+    """Joiners by node; a node that is in none of them does not answer."""
+
+    def __init__(self):
+        self.joiner_by_id = {}
+        self.suspects_by_id = {}
+
+    def add(self, name):
+        """Add a node that knows of nobody."""
+        nodes = NodeTable()
+        nodes.saw(lease(name), 1)
+        suspects = Suspects(name, nodes, self, timeline())
+        parts = JoiningParts(
+            lease(name),
+            [],
+            nodes,
+            self,
+            lambda known: None,
+            None,
+            ConfigurationHolder(60.0),
+            EndpointTable(),
+            lambda: None,
+            suspects,
+            None,
+        )
+        self.joiner_by_id[name] = Joiner(parts)
+        self.suspects_by_id[name] = suspects
+        return nodes
+
+    def ask(self, node, message, timeout_s):
+        """Have a node answer at once."""
+        if node not in self.joiner_by_id:
+            raise PeerUnreachableError(node)
+        assert isinstance(message, JoinWanted)
+        reply = self.joiner_by_id[node].joined(message)
+        assert isinstance(reply, Joined)
+        return reply
+
+
+@pytest.fixture
+def network():
+    """Return a network of nodes n1 and n2."""
+    return Network()
+
+
+class TestGreet:
+    """What both sides know after a greeting."""
+
+    def test_both_know_each_other(self, network):
+        """The greeted node learns of the one that greets, and the other way."""
+        first, second = network.add("n1"), network.add("n2")
+        assert network.joiner_by_id["n2"].greet("n1")
+        for nodes in (first, second):
+            assert [lease.node for lease in nodes.alive()] == ["n1", "n2"]
+
+    def test_new_node_refuses_what_is_quarantined(self, network):
+        """A node that starts after the crashes knows their cause."""
+        network.add("n1")
+        for endpoint in ("engine-1", "engine-2"):
+            seen = CrashSeen("poison", endpoint, early=True, on_trial=False)
+            network.suspects_by_id["n1"].saw(seen)
+        network.add("n2")
+        network.joiner_by_id["n2"].greet("n1")
+        with pytest.raises(RefusalError, match="crashed"):
+            network.suspects_by_id["n2"].check("poison", Verdict.NOT_RUN)
+
+    def test_silent_peer_teaches_nothing(self, network):
+        """Greeting tells that nobody answered."""
+        network.add("n1")
+        assert not network.joiner_by_id["n1"].greet("n9")
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -1,5 +1,6 @@
 """Tests of what a node does with its peers' messages."""
 
+from dataclasses import replace
 from unittest.mock import Mock
 
 import pytest
@@ -28,8 +29,11 @@
     TrialWanted,
 )
 from camphoryard.coordination.placement import Move
+from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.errors import ConflictError
+from camphoryard.state.nodes import NodeTable
 from camphoryard.state.timeline import Event, Stamp
+from tests.fakes.serving import NODE, NoPeers, timeline
 
 
 @pytest.fixture
@@ -121,3 +125,14 @@
         sheet = Mock()
         assert handle(parts, RefusalsCounted(sheet)) == Done()
         parts.hold_refusals.assert_called_once_with(sheet)
+
+    def test_suspect_runs_once_at_a_time(self, parts):
+        """A trial is given to one holder until it has ended."""
+        suspects = Suspects(NODE, NodeTable(), NoPeers(), timeline())
+        parts = replace(parts, suspects=suspects)
+        handle(parts, CrashSeen("poison", "engine-1", True, False))
+        wanted = TrialWanted("poison", "engine-2", NODE)
+        assert handle(parts, wanted) == Done()
+        assert isinstance(handle(parts, wanted), Declined)
+        assert handle(parts, TrialEnded("poison", NODE, False)) == Done()
+        assert handle(parts, wanted) == Done()
