Keep an answered load in doubt where orders may be copied

Cause: at an engine that ignores fencing numbers a copy of an answered load that arrives after the unload overcommits: trial on real processes, 23,000 of 16,000 MB. The system sends no order twice, so only something between node and engine can make such a copy.

Ruled out: doing so always (what does not fit together would alternate each order_lifetime_s of 60 s in place of each min_residency_s of 5 s); reading the inventory before reuse (a copy still under way is in none).

Change: residency.orders_may_be_copied, off by default. A load stays in doubt for order_lifetime_s after its answer, also for the next owner. Tests: the ledger of a real engine, and two histories. With the setting off both histories are red, as is giving up answered loads at once.

--- a/src/camphoryard/coordination/doubts.py
+++ b/src/camphoryard/coordination/doubts.py
@@ -16,7 +16,8 @@
     A load that was never sent, or that the engine answered, is over at once. One
     without an answer may be on its way for ``order_lifetime_s`` after its sender
     stopped sending: when it says so, or is proved to have ended. Until then a
-    paused sender may still send it, however long that takes.
+    paused sender may still send it, however long that takes. Where orders may be
+    copied on their way, an answered load counts like one without an answer.
     """
 
     def __init__(
@@ -25,11 +26,13 @@
         orders: EndpointOrders,
         has_ended: HasEnded,
         order_lifetime_s: float,
+        may_be_copied: bool = False,
     ) -> None:
         self._incarnation = incarnation
         self._orders = orders
         self._has_ended = has_ended
         self._order_lifetime_s = order_lifetime_s
+        self._may_be_copied = may_be_copied
         self._over: set[OrderId] = set()
         self._quiet_since_s: dict[OrderId, float] = {}
 
@@ -65,20 +68,29 @@
         for order_id, doubt in record.in_doubt_by_id.items():
             if doubt.incarnation != incarnation:
                 continue
-            if order_id in unanswered:
+            if order_id in unanswered or self._may_be_copied:
                 self._quiet_since_s.setdefault(order_id, now_s)
             else:
                 self._over.add(order_id)
 
     def _follow(self, order_id: OrderId, doubt: InDoubt) -> None:
         if doubt.incarnation == self._incarnation:
-            if self._orders.fate(order_id) is not OrderFate.UNANSWERED:
+            if not self._may_arrive(order_id):
                 self._over.add(order_id)
                 return
         elif not self._has_ended(doubt.node, doubt.incarnation):
             return
         self._quiet_since_s.setdefault(order_id, time.monotonic())
 
+    def _may_arrive(self, order_id: OrderId) -> bool:
+        match self._orders.fate(order_id):
+            case OrderFate.UNSENT:
+                return False
+            case OrderFate.UNANSWERED:
+                return True
+            case _:
+                return self._may_be_copied
+
     def _is_over(self, order_id: OrderId) -> bool:
         if order_id in self._over:
             return True
--- a/src/camphoryard/coordination/owned_endpoint.py
+++ b/src/camphoryard/coordination/owned_endpoint.py
@@ -99,10 +99,13 @@
         How long an order may be on its way after its sender stopped sending.
     min_residency_s : float
         How long an item stays before it may make room for another.
+    orders_may_be_copied : bool
+        Whether a copy of an answered order may arrive at an engine later.
     """
 
     order_lifetime_s: float
     min_residency_s: float
+    orders_may_be_copied: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +139,7 @@
             orders,
             self._has_ended,
             parts.limits.order_lifetime_s,
+            parts.limits.orders_may_be_copied,
         )
         self._wishes = Wishes()
         self._ticks: Ticks | None = None
@@ -343,6 +347,7 @@
             self._orders.fate,
             ended,
             self._found_size_mb,
+            self._parts.limits.orders_may_be_copied and not endpoint.checks_fencing,
         )
         settled = replace(settle(before, evidence), is_silent=False)
         now_s = time.monotonic()
--- a/src/camphoryard/coordination/settling.py
+++ b/src/camphoryard/coordination/settling.py
@@ -40,6 +40,9 @@
         Loads in doubt that can no longer arrive.
     size_mb : callable
         Memory in MB of an item that the record does not know.
+    keeps_answered : bool
+        Whether a load stays in doubt once it was answered, since a copy of it may
+        arrive later.
     """
 
     inventory: Inventory
@@ -47,6 +50,7 @@
     fate: Callable[[OrderId], OrderFate]
     ended: frozenset[OrderId]
     size_mb: Callable[[ItemId], int]
+    keeps_answered: bool = False
 
 
 def settle(record: EndpointRecord, evidence: Evidence) -> EndpointRecord:
@@ -79,7 +83,8 @@
 ) -> EndpointRecord:
     fate = evidence.fate(intent.order_id)
     if item in evidence.inventory.resident:
-        if fate is OrderFate.ACCEPTED or _copies_in_doubt(record, item) == 0:
+        is_known = fate is OrderFate.ACCEPTED or not _copies_in_doubt(record, item)
+        if is_known and not evidence.keeps_answered:
             return confirmed(record, item)
         # Another load may be the one that arrived, and this one still on its way.
         return found(doubted(record, item), item, intent.memory_mb)
@@ -137,6 +142,6 @@
         record = found(record, item, size_mb)
         # The item was away, so one of its loads has arrived; if there is only
         # one, it is known which.
-        if len(doubts) == 1:
+        if len(doubts) == 1 and not evidence.keeps_answered:
             record = without_doubt(record, next(iter(doubts)))
     return record
--- a/src/camphoryard/node/residency.py
+++ b/src/camphoryard/node/residency.py
@@ -45,7 +45,11 @@
             shared.peers,
             shared.timeline,
             client.last_used_s,
-            ResidencyLimits(limits.order_lifetime_s, limits.min_residency_s),
+            ResidencyLimits(
+                limits.order_lifetime_s,
+                limits.min_residency_s,
+                limits.orders_may_be_copied,
+            ),
         )
     )
     return Residency(owner, client)
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -134,11 +134,13 @@
 
     ``order_lifetime_s`` is how long an order may be on its way after its sender
     stopped sending; ``min_residency_s`` is how long an item stays before it may
-    make room for another.
+    make room for another. ``orders_may_be_copied`` says that something between
+    node and engine may deliver an order again after its answer.
     """
 
     order_lifetime_s: float = 60.0
     min_residency_s: float = 5.0
+    orders_may_be_copied: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/test_doubts.py
+++ b/tests/coordination/test_doubts.py
@@ -67,3 +67,20 @@
     def test_own_orders(self, fate, ended):
         """Of its own orders a node knows which may be on their way."""
         assert make_doubts(LONG_S, o=fate).ended(make_record("mine")) == ended
+
+    @pytest.mark.parametrize(
+        ("fate", "ended"), [(OrderFate.UNSENT, {"o"}), (OrderFate.ACCEPTED, set())]
+    )
+    def test_own_orders_that_may_be_copied(self, fate, ended):
+        """An answered order may come again within its lifetime."""
+        orders = FakeOrders(o=fate)
+        doubts = Doubts("mine", orders, lambda node, start: False, LONG_S, True)
+        assert doubts.ended(make_record("mine")) == ended
+        brief = Doubts("mine", orders, lambda node, start: False, 0.0, True)
+        assert brief.ended(make_record("mine")) == {"o"}
+
+    def test_given_up_where_orders_may_be_copied(self):
+        """An order that its sender had an answer to may come again too."""
+        doubts = Doubts("mine", FakeOrders(), lambda node, start: False, LONG_S, True)
+        doubts.given_up(make_record(), "theirs", ())
+        assert doubts.ended(make_record()) == frozenset()
--- a/tests/coordination/test_owned_endpoint.py
+++ b/tests/coordination/test_owned_endpoint.py
@@ -72,6 +72,7 @@
     def __init__(self, checks):
         self.checks, self.fence, self.overcommits = checks, 0, 0
         self.resident, self.loading, self.late, self.fault = {}, {}, [], ""
+        self.taken = []
 
     def order(self, endpoint, order):
         """Take an order, or let it meet the fault that is set."""
@@ -92,6 +93,7 @@
 
     def take(self, order):
         """Carry an order out."""
+        self.taken.append(order)
         if self.checks and order.fence < self.fence:
             return OrderOutcome.FENCED
         self.fence = max(self.fence, order.fence)
@@ -146,7 +148,7 @@
             self,
             Timeline(self.name, HybridClock(), lambda event: None),
             lambda item: 0.0,
-            ResidencyLimits(LONG_S, 0.0),
+            ResidencyLimits(LONG_S, 0.0, self.world.copies),
         )
         self.endpoint = OwnedEndpoint("e", parts, self.orders)
 
@@ -168,6 +170,7 @@
     """Two owners, one engine, and what can happen to them."""
 
     checks = False
+    copies = False
 
     def __init__(self):
         super().__init__()
@@ -282,6 +285,12 @@
             self.never_overcommitted()
 
 
+class CopyingWorld(World):
+    """An ignoring engine to which answered orders may come again."""
+
+    copies = True
+
+
 class CheckingWorld(World):
     """The same at an engine that checks numbers."""
 
@@ -330,3 +339,29 @@
             outcome = history.engine.take(late)
             assert (outcome is OrderOutcome.FENCED) == history.checks
         history.never_overcommitted()
+
+    def test_copy_arrives_after_the_unload(self):
+        """Where orders may be copied, an answered load keeps its memory too."""
+        history = CopyingWorld()
+        history.wish("n", "a", LoadWish, 1)
+        history.finish_loads(False)
+        history.run_round("n")
+        (load,) = history.engine.taken
+        history.wish("n", "a", UnloadWish, 2)
+        assert not history.engine.resident
+        history.wish("n", "d", LoadWish, 2)
+        history.engine.take(load)
+        history.never_overcommitted()
+
+    def test_copy_after_a_takeover(self):
+        """The next owner learns of it from the record."""
+        history = CopyingWorld()
+        history.wish("n", "a", LoadWish, 1)
+        history.finish_loads(False)
+        history.run_round("n")
+        (load,) = history.engine.taken
+        history.wish("m", "a", UnloadWish, 2)
+        assert not history.engine.resident
+        history.wish("m", "d", LoadWish, 2)
+        history.engine.take(load)
+        history.never_overcommitted()
--- a/tests/system/test_memory.py
+++ b/tests/system/test_memory.py
@@ -21,6 +21,11 @@
 IGNORING = SiteSpec(
     checking_engines=0, ignoring_engines=1, node_settings=LIFETIME.format(600.0)
 )
+COPYING = SiteSpec(
+    checking_engines=0,
+    ignoring_engines=1,
+    node_settings=LIFETIME.format(10.0) + "orders_may_be_copied = true\n",
+)
 BRIEF = SiteSpec(
     checking_engines=0, ignoring_engines=1, node_settings=LIFETIME.format(1.0)
 )
@@ -202,6 +207,18 @@
         assert site.control(ENGINE)["refused"] > refused
         assert_never_overcommitted(site)
 
+    def test_late_copies_at_an_ignoring_engine(self, start):
+        """Where orders may be copied, memory waits until no copy can come."""
+        site = start(COPYING)
+        site.control(ENGINE, copy_orders=True)
+        assert ask(site, "node-1", "permit-8b")
+        assert not is_answered(site, "node-2", "lease-13b")
+        copies = site.control(ENGINE, copy_orders=False)["held"]
+        assert "load permit-8b" in copies
+        site.control(ENGINE, release_orders=True)
+        assert ask(site, "node-2", "lease-13b")
+        assert_never_overcommitted(site)
+
     @pytest.mark.parametrize("spec", [CHECKING, IGNORING])
     def test_unload_of_a_busy_model(self, start, spec):
         """Memory is not given away while the engine still finishes requests."""
