Hand over the endpoints of a node that its peers cannot ask

Cause: a node cut off from its peers but not from the object API kept its lease and its endpoints, and nobody could ask it for loads. With one engine, a model resident nowhere was refused through another node for as long as the cut lasted: seven requests in 28 s, all 504, "not run".

Ruled out: wishes through the object API (a write and a watch for each wish).

Change: a node that has heard no majority for stale_after_s says so in its lease and owns nothing, unless every node is isolated. A node is given stale_after_s after its start to hear the others.

Left: two nodes, or equal halves, that reach the object API but not each other.

--- a/src/camphoryard/coordination/concurrency_limits.py
+++ b/src/camphoryard/coordination/concurrency_limits.py
@@ -47,7 +47,8 @@
                 self._count_by_key[key] -= 1
 
     def _share(self, limit: int) -> int:
-        serving = sum(lease.state is NodeState.SERVING for lease in self._nodes.alive())
+        states = (NodeState.SERVING, NodeState.ISOLATED)
+        serving = sum(lease.state in states for lease in self._nodes.alive())
         return math.ceil(limit / max(1, serving))
 
 
--- a/src/camphoryard/coordination/currency.py
+++ b/src/camphoryard/coordination/currency.py
@@ -45,6 +45,7 @@
         self._holder = holder
         self._members = members
         self._limit_s = limit_s
+        self._started_s = time.monotonic()
         self._changed = threading.Condition()
         self._store_as_of_s = NEVER_S
         self._as_of_s_by_node: dict[NodeId, float] = {}
@@ -83,6 +84,14 @@
         if self._holder.current.generation and as_of_s != NEVER_S:
             self._holder.confirm(as_of_s)
 
+    def is_isolated(self) -> bool:
+        """Return whether this node hears no majority, though it had time to."""
+        if time.monotonic() - self._started_s < self._limit_s:
+            return False
+        members = self._members()
+        with self._changed:
+            return not self._hears_majority(members)
+
     def require_majority(self, members: Collection[NodeId]) -> None:
         """Block until more than half of ``members`` were heard within the limit.
 
--- a/src/camphoryard/coordination/ownership.py
+++ b/src/camphoryard/coordination/ownership.py
@@ -1,6 +1,6 @@
 """Node leases, and which node owns which endpoint."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from uuid import uuid4
 
@@ -28,19 +28,40 @@
 
 
 def owner_of(endpoint: EndpointId, nodes: NodeTable) -> NodeId | None:
-    """Return the live, serving node that should own ``endpoint``."""
-    serving = [
-        lease.node for lease in nodes.alive() if lease.state is NodeState.SERVING
-    ]
-    return rendezvous_owner(endpoint, serving) if serving else None
+    """Return the live, serving node that should own ``endpoint``.
+
+    An isolated one owns it only if every other is isolated too.
+    """
+    for state in (NodeState.SERVING, NodeState.ISOLATED):
+        found = [lease.node for lease in nodes.alive() if lease.state is state]
+        if found:
+            return rendezvous_owner(endpoint, found)
+    return None
 
 
 class LeaseKeeper:
-    """Keeps this node's lease in the object API renewed."""
+    """Keeps this node's lease in the object API renewed.
+
+    Parameters
+    ----------
+    records : Records of NodeLease
+        The leases in the object API.
+    nodes : NodeTable
+        Told of each renewal.
+    lease : NodeLease
+        The lease to begin with.
+    is_isolated : callable
+        Whether this node hears too few others to be asked for loads by them.
+    """
 
     def __init__(
-        self, records: Records[NodeLease], nodes: NodeTable, lease: NodeLease
+        self,
+        records: Records[NodeLease],
+        nodes: NodeTable,
+        lease: NodeLease,
+        is_isolated: Callable[[], bool],
     ) -> None:
+        self._is_isolated = is_isolated
         self._records = records
         self._nodes = nodes
         self._lease = lease
@@ -75,10 +96,17 @@
             return
 
     def _write(self) -> None:
-        lease = replace(self._lease, write_id=WriteId(uuid4().hex))
+        write_id = WriteId(uuid4().hex)
+        lease = replace(self._lease, state=self._state(), write_id=write_id)
         self._version = write_resolved(self._records, lease.node, lease, self._version)
         self._nodes.saw(lease, self._version)
 
+    def _state(self) -> NodeState:
+        state = self._lease.state
+        if state is NodeState.SERVING and self._is_isolated():
+            return NodeState.ISOLATED
+        return state
+
     def _reread(self) -> None:
         stored = self._records.get(self._lease.node)
         self._version = stored.version if stored else ABSENT
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -76,7 +76,10 @@
     return Node(
         shared,
         LeaseKeeper(
-            platform.leases, shared.nodes, make_lease(settings, shared.identity)
+            platform.leases,
+            shared.nodes,
+            make_lease(settings, shared.identity),
+            control.currency.is_isolated,
         ),
         followers,
         make_vm_list(settings.platform, shared.client),
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -75,11 +75,13 @@
     """What a node says about itself.
 
     A draining node still admits what the balancer sends it, but is not ready; a
-    stopping one admits nothing and finishes what is in flight.
+    stopping one admits nothing and finishes what is in flight. An isolated node
+    serves but hears too few others to be given endpoints; only a lease says so.
     """
 
     STARTING = "starting"
     SERVING = "serving"
+    ISOLATED = "isolated"
     DRAINING = "draining"
     STOPPING = "stopping"
 
--- a/tests/coordination/test_currency.py
+++ b/tests/coordination/test_currency.py
@@ -88,3 +88,21 @@
         for node in ("b", "c"):
             currency.heard(node, time.monotonic() + LONG_AGO_S, 3)
         currency.require_majority(NODES)
+
+
+class TestIsolated:
+    """Whether a node hears too few others."""
+
+    @pytest.mark.parametrize(("heard", "isolated"), [("b", True), ("bc", False)])
+    def test_hears_a_majority_or_not(self, holder, heard, isolated):
+        """Two others of five are enough; an old word is none."""
+        currency = Currency("a", holder, lambda: NODES, 60.0)
+        currency._started_s -= 61.0
+        currency.heard("d", time.monotonic() - LONG_AGO_S, 3)
+        for node in heard:
+            currency.heard(node, time.monotonic(), 3)
+        assert currency.is_isolated() is isolated
+
+    def test_is_given_time_to_hear(self, holder):
+        """A node that has just started is not isolated yet."""
+        assert not Currency("a", holder, lambda: NODES, 60.0).is_isolated()
--- a/tests/coordination/test_ownership.py
+++ b/tests/coordination/test_ownership.py
@@ -55,7 +55,7 @@
             FakeLeases(make_lease(incarnation="old", port=port)),
             NodeTable(),
         )
-        LeaseKeeper(leases, nodes, make_lease()).renew()
+        LeaseKeeper(leases, nodes, make_lease(), lambda: False).renew()
         assert leases.lease.incarnation == "new"
         assert leases.lease.ended == ended
         assert nodes.has_ended("n", "old") == bool(ended)
@@ -63,12 +63,29 @@
     def test_outage(self):
         """A node whose lease cannot be renewed still counts itself as alive."""
         leases, nodes = FakeLeases(), NodeTable()
-        keeper = LeaseKeeper(leases, nodes, make_lease())
+        keeper = LeaseKeeper(leases, nodes, make_lease(), lambda: False)
         keeper.renew()
         leases.is_out = True
         keeper.renew()
         assert [lease.node for lease in nodes.alive()] == ["n"]
 
+    def test_isolated_node_says_so(self):
+        """A serving node that hears too few others says so till it hears them."""
+        leases, isolated = FakeLeases(), [True]
+        keeper = LeaseKeeper(leases, NodeTable(), make_lease(), lambda: isolated[0])
+        keeper.renew()
+        assert leases.lease.state is NodeState.ISOLATED
+        isolated[0] = False
+        keeper.renew()
+        assert leases.lease.state is NodeState.SERVING
+
+    def test_draining_goes_before_isolated(self):
+        """A node that leaves says so, whomever it hears."""
+        leases = FakeLeases()
+        keeper = LeaseKeeper(leases, NodeTable(), make_lease(), lambda: True)
+        keeper.enter(NodeState.DRAINING)
+        assert leases.lease.state is NodeState.DRAINING
+
 
 class TestOwnerOf:
     """Which node should own an endpoint."""
@@ -90,6 +107,14 @@
         nodes.saw(make_lease("b"), 2)
         assert owner_of("e", nodes) == "b"
 
+    def test_isolated_node_owns_only_among_isolated(self):
+        """Others could not ask it for loads; if all are isolated, one must do."""
+        nodes = NodeTable()
+        nodes.saw(make_lease("a", state=NodeState.ISOLATED), 1)
+        assert owner_of("e", nodes) == "a"
+        nodes.saw(make_lease("b"), 2)
+        assert all(owner_of(f"e{number}", nodes) == "b" for number in range(20))
+
     def test_deleted_lease_proves_its_start_over(self):
         """A node deletes its lease itself, after its last order."""
         nodes = NodeTable()
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -24,6 +24,7 @@
     last: object = None
     refusal: HttpError | None = None
     pending: Future | None = None
+    cut_off: str = ""
     accepted: list[int] = field(default_factory=list)
     conflicts: list[HttpError] = field(default_factory=list)
 
--- a/tests/scenarios/cuts.feature
+++ b/tests/scenarios/cuts.feature
@@ -20,6 +20,17 @@
       | a black hole |
       | resets       |
 
+  Scenario: The owner of the only engine is cut off from its peers only
+    Given a site of 3 nodes joined by links and 1 engine
+    When permit-8b is asked "before" through node-1
+    And the node that owns engine-1 loses its peers
+    Then the nodes not cut off answer for every model
+    And no engine was overcommitted
+    When all links heal
+    Then every model answers through node-1
+    And every model answers through node-2
+    And no engine was overcommitted
+
   Scenario Outline: A node is cut off from the object API only, by <cut>
     Given a site of 3 nodes joined by links
     When meter-3b is asked "before" through node-1
--- a/tests/scenarios/test_cuts.py
+++ b/tests/scenarios/test_cuts.py
@@ -24,6 +24,36 @@
     world.site = start_site(world.fleet, spec)
 
 
+@given(parsers.parse("a site of {nodes:d} nodes joined by links and 1 engine"))
+def _small_site(world, nodes):
+    spec = SiteSpec(
+        nodes=nodes,
+        links=True,
+        checking_engines=0,
+        node_settings=SETTINGS + "[residency]\nmin_residency_s = 0.2\n",
+    )
+    world.site = start_site(world.fleet, spec)
+
+
+@when(parsers.parse("the node that owns {engine} loses its peers"))
+def _cut_owner(world, engine):
+    world.cut_off = owner(world, engine)
+    _cut_from_peers(world, world.cut_off, "a black hole")
+
+
+@then("the nodes not cut off answer for every model")
+def _reached_elsewhere(world):
+    for node in world.site.nodes:
+        if node != world.cut_off:
+            _every_model(world, node)
+
+
+def owner(world, engine):
+    """Return the node that owns an engine, as the first node has it."""
+    endpoints = world.site.status("node-1")["endpoints"]
+    return next(item["owner"] for item in endpoints if item["endpoint"] == engine)
+
+
 @when(parsers.parse("{node} is cut off from its peers by {cut}"))
 def _cut_from_peers(world, node, cut):
     site = world.site
