--- a/src/camphoryard/coordination/job_running.py
+++ b/src/camphoryard/coordination/job_running.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, replace
 from uuid import uuid4
 
-from camphoryard.coordination.jobs import SHARDS, JobParts, record_key
+from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.ownership import rendezvous_owner
 from camphoryard.coordination.ports import Records, Stored, Timer
 from camphoryard.coordination.residency import Identity
@@ -23,7 +23,14 @@
     StoreUnavailableError,
 )
 from camphoryard.state.ids import ABSENT, JobId, RequestId, Version, WriteId
-from camphoryard.state.jobs import CallWork, CompletionWork, Job, JobResult
+from camphoryard.state.jobs import (
+    SHARDS,
+    CallWork,
+    CompletionWork,
+    Job,
+    JobResult,
+    record_key,
+)
 from camphoryard.state.nodes import NodeTable
 from camphoryard.state.requests import ActionAnswer, ActionRequest, InferenceRequest
 from camphoryard.state.verdict import Verdict
@@ -36,6 +43,7 @@
 FIRST_RETRY_S = 1.0
 MAX_RETRY_S = 60.0
 MAX_DOUBLINGS = 6
+MAX_RESULT_BYTES = 256 << 10
 FINAL_REASONS = frozenset(
     {
         Reason.BAD_FIELD,
@@ -44,6 +52,7 @@
         Reason.UNKNOWN_SERVICE,
         Reason.NO_GROUP,
         Reason.QUARANTINED,
+        Reason.ANSWER_TOO_LARGE,
     }
 )
 
@@ -218,6 +227,12 @@
                         None,
                     )
                 )
+                if len(answer.body) > MAX_RESULT_BYTES:
+                    raise RefusalError(
+                        Reason.ANSWER_TOO_LARGE,
+                        f"a result has at most {MAX_RESULT_BYTES} bytes",
+                        answer.verdict,
+                    )
                 return JobResult(answer.body, answer.status, verdict=answer.verdict)
 
     def _put_back(self, job: Job, version: Version, refusal: RefusalError) -> None:
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -114,6 +114,7 @@
     retry_share: float = 0.2
     placement: Literal["static", "load_on_demand", "demand"] = "demand"
     move_cost_slots: float = 0.15
+    eviction: Literal["least_recently_used", "least_demand"] = "least_demand"
     weight_budget: Literal["unpaced", "paced"] = "paced"
     weight_loads_per_s: float = 1.0
     weight_loads_at_once: int = 8
@@ -121,11 +122,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ServingSettings:
-    """Bounds of serving; ``grace_s`` is how long a stopping node still admits."""
+    """Bounds of serving; ``grace_s`` is how long a stopping node still admits.
+
+    ``max_answer_bytes`` is for an answer that is not streamed.
+    """
 
     first_token_limit_s: float = 10.0
     stall_s: float = 2.0
     grace_s: float = 2.0
+    max_answer_bytes: int = 4 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class JobSettings:
+    """How many jobs may be open, in all and of each caller."""
+
+    max_open: int = 2000
+    max_open_per_caller: int = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,13 +147,16 @@
 
     ``order_lifetime_s`` is how long an order may be on its way after its sender
     stopped sending; ``min_residency_s`` is how long an item stays before it may
-    make room for another. ``orders_may_be_copied`` says that something between
-    node and engine may deliver an order again after its answer.
+    make room for another; ``longest_absence_s`` is after how long an item that
+    is asked for is loaded although its victims serve more demand.
+    ``orders_may_be_copied`` says that something between node and engine may
+    deliver an order again after its answer.
     """
 
     order_lifetime_s: float = 60.0
     min_residency_s: float = 5.0
     orders_may_be_copied: bool = False
+    longest_absence_s: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +169,7 @@
     access: AccessSettings
     configuration: ConfigurationSettings = field(default_factory=ConfigurationSettings)
     decisions: DecisionSettings = field(default_factory=DecisionSettings)
+    jobs: JobSettings = field(default_factory=JobSettings)
     residency: ResidencySettings = field(default_factory=ResidencySettings)
     serving: ServingSettings = field(default_factory=ServingSettings)
 
@@ -215,6 +232,13 @@
         raise FieldError("residency.order_lifetime_s", "expected seconds above 0")
     if settings.residency.min_residency_s < 0:
         raise FieldError("residency.min_residency_s", "expected no negative seconds")
+    if settings.serving.max_answer_bytes < 1:
+        raise FieldError("serving.max_answer_bytes", "expected bytes above 0")
+    for name in ("max_open", "max_open_per_caller"):
+        if getattr(settings.jobs, name) < 1:
+            raise FieldError(f"jobs.{name}", "expected a number above 0")
+    if settings.residency.longest_absence_s < 0:
+        raise FieldError("residency.longest_absence_s", "expected no negative seconds")
     if not all(settings.access.operator_tokens):
         raise FieldError("access.operator_tokens", "a token must not be empty")
     if not all(settings.access.caller_token_by_id.values()):
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -7,10 +7,20 @@
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from http.client import HTTPConnection, HTTPException, HTTPResponse
+from http.client import (
+    HTTPConnection,
+    HTTPException,
+    HTTPResponse,
+    IncompleteRead,
+)
 
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.state.errors import BrokenCallError, NotSentError, StalledCallError
+from camphoryard.state.errors import (
+    AnswerTooLargeError,
+    BrokenCallError,
+    NotSentError,
+    StalledCallError,
+)
 
 MAX_IDLE_PER_ADDRESS = 64
 CONNECT_LIMIT_S = 1.0
@@ -31,7 +41,8 @@
     A pooled connection may be closed by the other side while the call is
     written. A call that may not be repeated needs a fresh one, since its
     failure to connect then proves that nothing was sent. ``cancellation``
-    breaks the call off wherever it is.
+    breaks the call off wherever it is. ``max_answer_bytes`` bounds the body
+    that ``HttpClient.call`` reads; None does not.
     """
 
     method: str
@@ -41,6 +52,7 @@
     timeout_s: float = 5.0
     fresh: bool = False
     cancellation: Cancellation | None = None
+    max_answer_bytes: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,15 +72,30 @@
         self._exchange = exchange
         self.response = exchange.response
 
-    def limit_reads(self, timeout_s: float) -> None:
-        """Have a read that waits longer than ``timeout_s`` fail from now on."""
-        self._exchange.sock.settimeout(timeout_s)
+    @property
+    def address(self) -> Address:
+        """Who answers."""
+        return self._exchange.address
 
-    def close(self) -> None:
+    @property
+    def sock(self) -> socket.socket:
+        """The socket of the connection."""
+        return self._exchange.sock
+
+    def read_buffered(self) -> bytes:
+        """Return what came along with the head; the socket blocks no more."""
+        self._exchange.sock.setblocking(False)
+        try:
+            return self.response.fp.read1(len(self.response.fp.peek()))
+        except OSError as error:
+            raise broken(error) from error
+
+    def close(self, is_read: bool) -> None:
         """Return the connection to the pool if its body was read to the end."""
         exchange = self._exchange
         exchange.drop_cancellation()
-        if self.response.isclosed() and not self.response.will_close:
+        self.response.close()
+        if is_read and not self.response.will_close:
             self._client.give_back(exchange.address, exchange.connection)
         else:
             self._client.discard(exchange.connection)
@@ -117,14 +144,16 @@
             If the other side was silent for too long.
         BrokenCallError
             If the call broke after some of it may have been sent.
+        AnswerTooLargeError
+            If the body is larger than the call takes.
         """
         answer = self.open(address, call)
         try:
-            body = answer.response.read()
+            body = _read_body(answer.response, call.max_answer_bytes)
         except (OSError, HTTPException) as error:
             raise broken(error) from error
         finally:
-            answer.close()
+            answer.close(answer.response.isclosed())
         return HttpAnswer(answer.response.status, dict(answer.response.headers), body)
 
     def open(self, address: Address, call: HttpCall) -> OpenAnswer:
@@ -144,7 +173,7 @@
             self._idle_by_address.clear()
         for connection in connections:
             if connection.sock is not None:
-                _shut(connection.sock)
+                shut(connection.sock)
 
     def give_back(self, address: Address, connection: HTTPConnection) -> None:
         """Keep a connection for the next call."""
@@ -197,7 +226,7 @@
         cancellation = call.cancellation
         handle = 0
         if cancellation is not None:
-            handle = cancellation.subscribe(functools.partial(_shut, sock))
+            handle = cancellation.subscribe(functools.partial(shut, sock))
         try:
             connection.request(call.method, call.path, call.body, dict(call.headers))
             response = connection.getresponse()
@@ -212,6 +241,18 @@
         )
 
 
+def _read_body(response: HTTPResponse, limit_bytes: int | None) -> bytes:
+    if limit_bytes is None:
+        return response.read()
+    body = response.read(limit_bytes + 1)
+    if len(body) > limit_bytes:
+        raise AnswerTooLargeError(response.status, limit_bytes)
+    # A read of so many bytes does not complain when the connection ends early.
+    if response.length:
+        raise IncompleteRead(body, response.length)
+    return body
+
+
 def broken(error: Exception) -> BrokenCallError:
     """Return the error of a call that broke once it may have been sent."""
     if isinstance(error, TimeoutError):
@@ -226,7 +267,8 @@
     return bool(poll.poll(0))
 
 
-def _shut(sock: socket.socket) -> None:
+def shut(sock: socket.socket) -> None:
+    """Break a connection off; whoever reads it meets its end."""
     try:
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
