--- a/src/camphoryard/coordination/owned_endpoint.py
+++ b/src/camphoryard/coordination/owned_endpoint.py
@@ -95,7 +95,8 @@
     """What the tasks of owned endpoints work with.
 
     ``order_lifetime_s`` is how long an order may be on its way after its sender
-    stopped sending.
+    stopped sending; ``orders_may_be_copied`` says that a copy of an answered one
+    may arrive at an engine later.
     """
 
     identity: Identity
@@ -110,6 +111,7 @@
     occupancy: Occupancy
     eviction: EvictionPolicy
     order_lifetime_s: float
+    orders_may_be_copied: bool = False
 
 
 class OwnedEndpoint:
@@ -126,6 +128,7 @@
             orders,
             self._has_ended,
             parts.order_lifetime_s,
+            parts.orders_may_be_copied,
         )
         self._wishes = Wishes()
         self._ticks: Ticks | None = None
@@ -332,6 +335,7 @@
             self._orders.fate,
             ended,
             self._found_size_mb,
+            self._parts.orders_may_be_copied and not endpoint.checks_fencing,
         )
         return replace(settle(before, evidence), is_silent=False)
 
--- a/src/camphoryard/node/residency.py
+++ b/src/camphoryard/node/residency.py
@@ -47,6 +47,7 @@
             occupancy,
             eviction,
             limits.order_lifetime_s,
+            limits.orders_may_be_copied,
         )
     )
     client = ResidencyClient(
--- a/src/camphoryard/settings.py
+++ b/src/camphoryard/settings.py
@@ -151,10 +151,13 @@
     stopped sending; ``min_residency_s`` is how long an item stays before it may
     make room for another; ``longest_absence_s`` is after how long an item that
     is asked for is loaded although its victims serve more demand.
+    ``orders_may_be_copied`` says that something between node and engine may
+    deliver an order again after its answer.
     """
 
     order_lifetime_s: float = 60.0
     min_residency_s: float = 5.0
+    orders_may_be_copied: bool = False
     longest_absence_s: float = 10.0
 
 
