Split the owned endpoint's task into modules with one job each

The memory histories in test_owned_endpoint.py pass as they are; the periods that they set to 0 are patched where they moved to.

--- a/src/camphoryard/coordination/residency.py
+++ b/src/camphoryard/coordination/residency.py
@@ -18,14 +18,11 @@
     ResidencyMessage,
 )
 from camphoryard.coordination.orders import EndpointOrders
-from camphoryard.coordination.owned_endpoint import (
-    Identity,
-    OwnedEndpoint,
-    ResidencyParts,
-)
+from camphoryard.coordination.owned_endpoint import OwnedEndpoint
 from camphoryard.coordination.ownership import owner_of
 from camphoryard.coordination.placement import Move
 from camphoryard.coordination.ports import Timer
+from camphoryard.coordination.residency_parts import ResidencyParts
 from camphoryard.coordination.wishes import (
     LoadWish,
     UnloadWish,
@@ -40,8 +37,6 @@
 START_WISH_S = 1.5
 EVERY_NUMBER = FencingNumber(2**62)
 
-__all__ = ["EndpointOwner", "Identity", "ResidencyParts"]
-
 
 @dataclass(frozen=True, slots=True)
 class ResidencyDesk:
--- /dev/null
+++ b/src/camphoryard/coordination/residency_parts.py
@@ -0,0 +1,43 @@
+"""What the tasks of owned endpoints work with."""
+
+from dataclasses import dataclass
+
+from camphoryard.coordination.eviction import EvictionPolicy
+from camphoryard.coordination.occupancy import Occupancy
+from camphoryard.coordination.ports import Engines, Peers, Records
+from camphoryard.coordination.timeline import Timeline
+from camphoryard.state.endpoint_record import EndpointRecord
+from camphoryard.state.ids import Incarnation, NodeId
+from camphoryard.state.nodes import NodeTable
+from camphoryard.state.tables import ConfigurationHolder, EndpointTable
+from camphoryard.state.vms import VmTable
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """One process: the node and which start of it."""
+
+    node: NodeId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class ResidencyParts:
+    """What the tasks of owned endpoints work with.
+
+    ``order_lifetime_s`` is how long an order may be on its way after its sender
+    stopped sending.
+    """
+
+    identity: Identity
+    records: Records[EndpointRecord]
+    table: EndpointTable
+    nodes: NodeTable
+    vms: VmTable
+    configuration: ConfigurationHolder
+    engines: Engines
+    peers: Peers
+    timeline: Timeline
+    occupancy: Occupancy
+    eviction: EvictionPolicy
+    order_lifetime_s: float
--- /dev/null
+++ b/src/camphoryard/coordination/silence.py
@@ -0,0 +1,44 @@
+"""What becomes of the record of an engine that gives no answer."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from camphoryard.coordination.orders import OrderFate
+from camphoryard.state.endpoint_record import EndpointRecord, doubted, withdrawn
+from camphoryard.state.enums import OrderKind
+from camphoryard.state.ids import OrderId
+
+SILENT_ROUNDS = 3
+
+
+class Silence:
+    """Counts the rounds in which one engine gave no answer."""
+
+    def __init__(self, fate: Callable[[OrderId], OrderFate]) -> None:
+        self._fate = fate
+        self._rounds = 0
+
+    def heard(self) -> None:
+        """Note that the engine answered."""
+        self._rounds = 0
+
+    def let_go(self, record: EndpointRecord) -> EndpointRecord:
+        """Return the record without the loads that the engine has not answered.
+
+        After a few rounds it says that the engine is silent, so that its items
+        are loaded elsewhere.
+        """
+        self._rounds += 1
+        is_silent = self._rounds >= SILENT_ROUNDS
+        after = replace(record, is_silent=record.is_silent or is_silent)
+        for item, intent in record.intents_by_item.items():
+            if intent.kind is OrderKind.UNLOAD:
+                continue
+            match self._fate(intent.order_id):
+                case OrderFate.UNSENT:
+                    after = withdrawn(after, item)
+                case OrderFate.UNANSWERED:
+                    after = doubted(after, item)
+                case _:
+                    continue
+        return after
--- a/src/camphoryard/node/control.py
+++ b/src/camphoryard/node/control.py
@@ -9,7 +9,8 @@
 from camphoryard.coordination.joining import Joiner, JoiningParts
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.refusal_folding import RefusalFolder
-from camphoryard.coordination.residency import Identity, ResidencyDesk
+from camphoryard.coordination.residency import ResidencyDesk
+from camphoryard.coordination.residency_parts import Identity
 from camphoryard.coordination.serving import FrontDoor
 from camphoryard.coordination.watching import WATCH_WAIT_S, Follower, elected_watchers
 from camphoryard.node.platform import Platform
--- a/src/camphoryard/node/residency.py
+++ b/src/camphoryard/node/residency.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.occupancy import Occupancy
-from camphoryard.coordination.residency import EndpointOwner, ResidencyParts
+from camphoryard.coordination.residency import EndpointOwner
 from camphoryard.coordination.residency_client import ClientParts, ResidencyClient
+from camphoryard.coordination.residency_parts import ResidencyParts
 from camphoryard.coordination.usage import Usage
 from camphoryard.node.platform import Platform
 from camphoryard.node.policies import make_eviction_policy
--- a/src/camphoryard/node/shared.py
+++ b/src/camphoryard/node/shared.py
@@ -12,7 +12,7 @@
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.ports import Engines
 from camphoryard.coordination.refusals import RefusalCounter
-from camphoryard.coordination.residency import Identity
+from camphoryard.coordination.residency_parts import Identity
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.weight_budget import BudgetClient
 from camphoryard.node.policies import make_budget_policy
--- a/tests/coordination/test_job_running.py
+++ b/tests/coordination/test_job_running.py
@@ -8,7 +8,7 @@
 
 from camphoryard.coordination.job_running import JOBS_AT_ONCE, JobRunner, RunnerParts
 from camphoryard.coordination.jobs import JobParts, record_key
-from camphoryard.coordination.residency import Identity
+from camphoryard.coordination.residency_parts import Identity
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.enums import JobState, NodeState, Reason
 from camphoryard.state.errors import RefusalError
--- a/tests/coordination/test_owned_endpoint.py
+++ b/tests/coordination/test_owned_endpoint.py
@@ -11,17 +11,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from camphoryard.coordination import owned_endpoint
+from camphoryard.coordination import give_up_asking, order_sending, record_keeping
 from camphoryard.coordination.eviction import LeastDemand
 from camphoryard.coordination.messages import GivenUp
 from camphoryard.coordination.occupancy import Occupancy
 from camphoryard.coordination.orders import EndpointOrders
-from camphoryard.coordination.owned_endpoint import (
-    Identity,
-    OwnedEndpoint,
-    ResidencyParts,
-)
+from camphoryard.coordination.owned_endpoint import OwnedEndpoint
 from camphoryard.coordination.ports import Inventory, Stored
+from camphoryard.coordination.residency_parts import Identity, ResidencyParts
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.wishes import LoadWish, UnloadWish
 from camphoryard.state.configuration import Configuration, Endpoint, Model
@@ -294,8 +291,9 @@
 def without_waiting():
     """Take away the periods that only spare the platform and the peers."""
     with pytest.MonkeyPatch.context() as patch:
-        for name in ("RESEND_PERIOD_S", "GIVE_UP_PERIOD_S", "TAKEOVER_DELAY_S"):
-            patch.setattr(owned_endpoint, name, 0.0)
+        patch.setattr(order_sending, "RESEND_PERIOD_S", 0.0)
+        patch.setattr(give_up_asking, "GIVE_UP_PERIOD_S", 0.0)
+        patch.setattr(record_keeping, "TAKEOVER_DELAY_S", 0.0)
         yield
 
 
--- /dev/null
+++ b/tests/coordination/test_silence.py
@@ -0,0 +1,44 @@
+"""Tests of what becomes of the record of a silent engine."""
+
+import pytest
+
+from camphoryard.coordination.orders import OrderFate
+from camphoryard.coordination.silence import SILENT_ROUNDS, Silence
+from camphoryard.state.endpoint_record import EndpointRecord, Intent
+from camphoryard.state.enums import OrderKind
+
+
+def make_record(kind):
+    """Return a record with one open intent."""
+    intent = Intent("o", kind, 10, 1, "n", "i")
+    return EndpointRecord("e", 100, "n", "i", 1, "w", {}, {"m": intent})
+
+
+class TestLetGo:
+    """Letting go of what an engine does not answer."""
+
+    def test_says_so_after_some_rounds_in_a_row(self):
+        """An answer in between begins the count anew."""
+        record = EndpointRecord("e", 100, "n", "i", 1, "w")
+        silence = Silence(lambda order: OrderFate.UNSENT)
+        for _ in range(SILENT_ROUNDS - 1):
+            assert not silence.let_go(record).is_silent
+        silence.heard()
+        for _ in range(SILENT_ROUNDS - 1):
+            assert not silence.let_go(record).is_silent
+        assert silence.let_go(record).is_silent
+
+    @pytest.mark.parametrize(
+        "fate, doubts", [(OrderFate.UNSENT, 0), (OrderFate.UNANSWERED, 1)]
+    )
+    def test_an_unanswered_load_keeps_its_memory(self, fate, doubts):
+        """One that was never sent is withdrawn; one that may arrive is in doubt."""
+        after = Silence(lambda order: fate).let_go(make_record(OrderKind.LOAD))
+        assert not after.intents_by_item
+        assert len(after.in_doubt_by_id) == doubts
+
+    @pytest.mark.parametrize("fate", [OrderFate.UNSENT, OrderFate.UNANSWERED])
+    def test_an_unload_stays_open(self, fate):
+        """It is sent again once the engine is back."""
+        record = make_record(OrderKind.UNLOAD)
+        assert Silence(lambda order: fate).let_go(record) == record
