Count room on its way when looking where to load

Cause: between the wish for a load and its intent the victims drain, which takes as long as their running requests. A second node that looked for the same model meanwhile found no room where it was to come, and a search went on after 0.5 s, so that models out of turn were loaded twice (models 10 and 15 each at two engines at the end of a run).

Change: memory that open unloads free counts as room in the weighing, so that all nodes choose the same engine and their wishes join there; a search stays with its engine while orders are open and its wish lasts.

--- a/src/camphoryard/coordination/planning.py
+++ b/src/camphoryard/coordination/planning.py
@@ -21,6 +21,7 @@
 from camphoryard.state.endpoint_record import (
     EndpointRecord,
     Intent,
+    coming_mb,
     committed_mb_by_item,
     free_mb,
     items_in_doubt,
@@ -67,7 +68,7 @@
         self._around = around
         self._open = wishes
         self._free_mb = free_mb(record)
-        self._coming_mb = _coming_mb(record)
+        self._coming_mb = coming_mb(record)
 
     def make(self) -> EndpointRecord:
         """Return the record with the intents to carry out now."""
@@ -160,16 +161,6 @@
         return choose_victims(self._around.eviction, occupants, needed_mb)
 
 
-def _coming_mb(record: EndpointRecord) -> int:
-    """Return the memory, in MB, that the open unloads will free."""
-    in_doubt = items_in_doubt(record)
-    return sum(
-        intent.memory_mb
-        for item, intent in record.intents_by_item.items()
-        if intent.kind is OrderKind.UNLOAD and item not in in_doubt
-    )
-
-
 def _wished_items(wishes: Sequence[Wish]) -> frozenset[ItemId]:
     loads = [wish.item for wish in wishes if isinstance(wish, LoadWish)]
     return frozenset(loads) | frozenset(base_of(item) for item in loads)
--- a/src/camphoryard/coordination/residency.py
+++ b/src/camphoryard/coordination/residency.py
@@ -24,6 +24,7 @@
 from camphoryard.coordination.ports import Timer
 from camphoryard.coordination.residency_parts import ResidencyParts
 from camphoryard.coordination.wishes import (
+    START_WISH_S,
     LoadWish,
     UnloadWish,
     Wish,
@@ -34,7 +35,6 @@
 from camphoryard.state.ids import EndpointId, FencingNumber, ItemId
 
 WISH_TIMEOUT_S = 30.0
-START_WISH_S = 1.5
 EVERY_NUMBER = FencingNumber(2**62)
 
 
--- a/src/camphoryard/coordination/residency_client.py
+++ b/src/camphoryard/coordination/residency_client.py
@@ -15,6 +15,7 @@
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.usage import Usage
 from camphoryard.coordination.weight_budget import BudgetClient
+from camphoryard.coordination.wishes import START_WISH_S
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import CamphoryardError
@@ -111,9 +112,13 @@
             self._table.wait_until(is_over, time.monotonic() + LOAD_TIMEOUT_S)
         if is_there():
             return True
+        wish_ends_s = time.monotonic() + START_WISH_S
         self._start(choice, wanted.items)
         if self._table.wait_until(is_there, time.monotonic() + RETRY_PERIOD_S):
             return True
+        self._table.wait_until(
+            lambda: is_there() or not self._is_busy(choice.endpoint), wish_ends_s
+        )
         self._table.wait_until(is_over, time.monotonic() + LOAD_TIMEOUT_S)
         return is_there()
 
@@ -140,6 +145,11 @@
             for item in wanted.candidates
         )
 
+    def _is_busy(self, endpoint: EndpointId) -> bool:
+        """Return whether orders are open there, perhaps to make room."""
+        record = self._table.find(endpoint)
+        return record is not None and bool(record.intents_by_item)
+
     def _is_anywhere(self, model: ItemId, candidates: Sequence[EndpointId]) -> bool:
         return any(self._table.are_resident(item, (model,)) for item in candidates)
 
--- a/src/camphoryard/coordination/wishes.py
+++ b/src/camphoryard/coordination/wishes.py
@@ -10,6 +10,8 @@
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import ItemId
 
+START_WISH_S = 1.5
+
 
 class NoRoomError(CamphoryardError):
     """The item fits nowhere at this endpoint, not even after unloading."""
--- a/src/camphoryard/state/endpoint_record.py
+++ b/src/camphoryard/state/endpoint_record.py
@@ -92,6 +92,16 @@
     return record.memory_mb - committed_mb(record)
 
 
+def coming_mb(record: EndpointRecord) -> int:
+    """Return the memory, in MB, that the open unloads will free."""
+    in_doubt = items_in_doubt(record)
+    return sum(
+        intent.memory_mb
+        for item, intent in record.intents_by_item.items()
+        if intent.kind is OrderKind.UNLOAD and item not in in_doubt
+    )
+
+
 def items_in_doubt(record: EndpointRecord) -> frozenset[ItemId]:
     """Return the items of which a load may still arrive."""
     return frozenset(doubt.item for doubt in record.in_doubt_by_id.values())
--- a/tests/coordination/test_load_choice.py
+++ b/tests/coordination/test_load_choice.py
@@ -8,7 +8,8 @@
 from camphoryard.coordination.load_choice import choose_endpoints
 from camphoryard.coordination.occupancy import Occupancy
 from camphoryard.state.demand import ItemDemand
-from camphoryard.state.endpoint_record import EndpointRecord
+from camphoryard.state.endpoint_record import EndpointRecord, Intent
+from camphoryard.state.enums import OrderKind
 from camphoryard.state.tables import EndpointTable
 
 MEMORY_MB = 100
@@ -79,6 +80,24 @@
         held = {"e1": ["a"], "e2": ["c"]}
         assert choose(held, {}, ("c", "c:x"))[0] == "e2"
 
+    def test_room_that_is_on_its_way_is_taken_first(self):
+        """Another node has the same item loaded there, as soon as it is empty."""
+        table = EndpointTable(lambda: _just() - 9)
+        table.saw(make_record("e1", ["c"]), 1)
+        table.saw(make_record("e2", ["b"]), 1)
+        unload = Intent("o", OrderKind.UNLOAD, 60, 1, "n", "i")
+        going = {"intents_by_item": {"a": unload}}
+        table.saw(make_record("e1", ["a"], **going), 2)
+        occupancy = Occupancy(
+            SIZES_MB.get,
+            lambda item: 0.0,
+            lambda: {"b": ItemDemand(0.0, 0.01)},
+            table,
+            0.0,
+        )
+        choices = choose_endpoints(LeastDemand(), occupancy, ("c",), ("e1", "e2"))
+        assert [choice.endpoint for choice in choices] == ["e1", "e2"]
+
     def test_silent_endpoints_and_what_never_fits(self):
         """Neither is chosen."""
         assert choose({"e1": [], "e2": []}, {}, ("c",), silent=["e1"]) == ["e2"]
