--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -2,9 +2,15 @@
 
 from camphoryard.coordination.actions import act
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.collecting import AnswerCollector
 from camphoryard.coordination.expiry import ExpiryParts
 from camphoryard.coordination.inference import infer
-from camphoryard.coordination.job_running import JobRunner, RunnerParts
+from camphoryard.coordination.job_limits import JobLimits, OpenJobCounter
+from camphoryard.coordination.job_running import (
+    MAX_RESULT_BYTES,
+    JobRunner,
+    RunnerParts,
+)
 from camphoryard.coordination.jobs import JobParts
 from camphoryard.node.platform import Platform
 from camphoryard.node.serving import Serving
@@ -15,10 +21,15 @@
 
 def make_job_parts(shared: Shared, platform: Platform) -> JobParts:
     """Return what jobs are accepted and found with."""
+    settings = shared.settings.jobs
     return JobParts(
         shared.configuration,
         platform.open_jobs,
         platform.finished_jobs,
+        OpenJobCounter(
+            platform.open_jobs,
+            JobLimits(settings.max_open, settings.max_open_per_caller),
+        ),
         shared.timeline,
     )
 
@@ -28,8 +39,9 @@
 
     def run_inference(request: InferenceRequest) -> str:
         with serving.door.admitted():
-            frames = infer(serving.inference, request, Cancellation())
-            return "".join(frame.text for frame in frames)
+            collector = AnswerCollector(MAX_RESULT_BYTES)
+            infer(serving.inference, request, Cancellation(), collector.add)
+            return collector.answer().text
 
     def run_action(request: ActionRequest) -> ActionAnswer:
         with serving.door.admitted():
--- a/src/camphoryard/state/requests.py
+++ b/src/camphoryard/state/requests.py
@@ -1,5 +1,6 @@
 """Requests and what comes back."""
 
+import math
 from dataclasses import dataclass
 
 from camphoryard.state.enums import Priority
@@ -20,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class InferenceRequest:
-    """A request to a model; ``deadline_s`` is on the monotonic clock."""
+    """A request to a model; its deadlines are on the monotonic clock.
+
+    ``deadline_s`` is for the first token, ``total_deadline_s`` for the last.
+    """
 
     id: RequestId
     caller: CallerId
@@ -30,6 +34,7 @@
     max_tokens: int
     deadline_s: float
     priority: Priority | None
+    total_deadline_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,14 +51,35 @@
     key: IdempotencyKey | None
 
 
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens of one whole answer, as its engine counts them."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class TokenFrame:
-    """One token of an answer, or its end when ``finished``."""
+    """One token of an answer, or its end when ``finished``.
+
+    The end may tell the usage of the whole answer, also after a resume.
+    """
 
     request_id: RequestId
     offset: int
     text: str = ""
     finished: bool = False
+    usage: Usage | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionAnswer:
+    """A whole answer of ``tokens`` tokens; ``usage`` if its engine told it."""
+
+    text: str
+    tokens: int
+    usage: Usage | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/test_inference.py
+++ b/tests/coordination/test_inference.py
@@ -32,14 +32,15 @@
 
 def answer(given, asked=None):
     """Return the text of an answer."""
-    frames = infer(given, asked or request(), never())
-    return "".join(frame.text for frame in frames)
+    texts = []
+    infer(given, asked or request(), never(), lambda frame: texts.append(frame.text))
+    return "".join(texts)
 
 
 def refusal(given, asked=None, cancellation=None):
     """Return the refusal of a request."""
     with pytest.raises(RefusalError) as refused:
-        list(infer(given, asked or request(), cancellation or never()))
+        infer(given, asked or request(), cancellation or never(), lambda frame: None)
     return refused.value
 
 
@@ -71,6 +72,21 @@
         answer(given, request("again"))
         assert engines.calls == [FIRST, SECOND, SECOND]
 
+    def test_failing_delivery_lets_go_of_the_endpoint(self):
+        """What delivering raises ends the answer, its stream and its slot."""
+        engines = FakeEngines({FIRST: whole, SECOND: whole})
+        given = parts(engines, slots=1)
+        refused = RefusalError(Reason.ANSWER_TOO_LARGE, "x", Verdict.RAN)
+
+        def deliver(frame):
+            raise refused
+
+        for _ in range(3):
+            with pytest.raises(RefusalError) as raised:
+                infer(given, request(), never(), deliver)
+            assert raised.value is refused
+        assert [stream.closed for stream in engines.streams] == [True] * 3
+
     def test_slots_are_given_back(self):
         """After an answer or a failure no slot is held."""
         engines = FakeEngines({FIRST: fails(BrokenCallError("x"), 2), SECOND: whole})
@@ -115,6 +131,30 @@
         assert len(engines.calls) == 1
 
 
+class TestTotalDeadline:
+    """The bound on a whole answer."""
+
+    def test_total_deadline_cuts_between_tokens(self):
+        """An answer under way ends with a true error; no token is added."""
+        engines = both(whole)
+        asked = request(total_deadline_s=time.monotonic())
+        refused = refusal(parts(engines), asked)
+        assert (refused.reason, refused.verdict) == (
+            Reason.DEADLINE,
+            Verdict.MAY_HAVE_RUN,
+        )
+        assert len(engines.calls) == 1
+
+    def test_total_deadline_is_no_fault_of_the_endpoint(self):
+        """A read that it broke off ejects nobody and is not tried again."""
+        engines = both(fails(StalledCallError("x")))
+        given = parts(engines)
+        asked = request(total_deadline_s=time.monotonic())
+        assert refusal(given, asked).reason is Reason.DEADLINE
+        assert len(engines.calls) == 1
+        assert given.breakers.allows(engines.calls[0])
+
+
 class TestCancelled:
     """A caller that goes away."""
 
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -1,6 +1,7 @@
 """In-memory fakes of the ports that serving tasks are given."""
 
-from collections.abc import Callable, Iterator
+import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from camphoryard.coordination.admission import Admission, DeadlineFirst
@@ -88,11 +89,13 @@
     steps: list[Step]
     closed: bool = False
 
-    def __iter__(self) -> Iterator[TokenFrame]:
+    def pump(self, take):
+        """Hand on the steps until no more is wanted."""
         for step in self.steps:
             if isinstance(step, Exception):
                 raise step
-            yield step
+            if take(step):
+                return
 
     def close(self):
         """Note that it was closed."""
@@ -110,6 +113,7 @@
     calls: list[EndpointId] = field(default_factory=list)
     offsets: list[int] = field(default_factory=list)
     down: set[EndpointId] = field(default_factory=set)
+    streams: list[FakeStream] = field(default_factory=list)
 
     def generate(self, endpoint, request, offset, cancellation):
         """Play the endpoint's script."""
@@ -118,7 +122,8 @@
         steps = self.script_by_id[endpoint.id](request, offset)
         if steps and isinstance(steps[0], Exception):
             raise steps[0]
-        return FakeStream(steps)
+        self.streams.append(FakeStream(steps))
+        return self.streams[-1]
 
     def inventory(self, endpoint):
         """Hold every item, or nothing once down."""
@@ -144,7 +149,9 @@
     return script
 
 
-def request(prompt="where?", deadline_s=FAR_S, max_tokens=5) -> InferenceRequest:
+def request(
+    prompt="where?", deadline_s=FAR_S, max_tokens=5, total_deadline_s=math.inf
+) -> InferenceRequest:
     """Return a request of the test's caller."""
     return InferenceRequest(
         RequestId(f"request-{prompt}"),
@@ -155,6 +162,7 @@
         max_tokens,
         deadline_s,
         None,
+        total_deadline_s,
     )
 
 
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -6,7 +6,12 @@
 import pytest
 
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.state.errors import BrokenCallError, NotSentError, StalledCallError
+from camphoryard.state.errors import (
+    AnswerTooLargeError,
+    BrokenCallError,
+    NotSentError,
+    StalledCallError,
+)
 from camphoryard.transport.http_client import Address, HttpCall, HttpClient
 
 HOST = "127.0.0.1"
@@ -35,7 +40,7 @@
 
     def _serve(self):
         while True:
-            connection, _ = self._socket.accept()
+            connection, self.seen_from = self._socket.accept()
             self._talk(connection)
 
     def _talk(self, connection):
@@ -65,6 +70,18 @@
     return client.call(server.address, HttpCall("GET", "/", **options)).body
 
 
+class TestSourceHost:
+    """Where connections leave from."""
+
+    def test_is_the_one_given(self):
+        """The other side sees the address of the settings."""
+        server = Server([ANSWER])
+        client = HttpClient("127.0.0.9")
+        assert get(client, server) == b"ok"
+        assert server.seen_from[0] == "127.0.0.9"
+        client.close()
+
+
 class TestCall:
     """What an error says about whether anything was sent."""
 
@@ -111,3 +128,25 @@
         ).start()
         with pytest.raises(BrokenCallError):
             get(client, server, cancellation=cancellation)
+
+
+class TestAnswerSize:
+    """The bound on a body that is read whole."""
+
+    def test_bound_is_exact(self, client):
+        """A body of the bound is read and its connection kept; one more fails."""
+        server = Server([ANSWER, ANSWER])
+        asked = HttpCall("GET", "/", max_answer_bytes=2)
+        assert client.call(server.address, asked).body == b"ok"
+        with pytest.raises(AnswerTooLargeError) as caught:
+            client.call(server.address, HttpCall("GET", "/", max_answer_bytes=1))
+        assert (caught.value.status, caught.value.limit_bytes) == (200, 1)
+        assert server.requests == 2
+
+    @pytest.mark.parametrize("limit", [None, 100])
+    def test_truncated_body_is_no_answer(self, client, limit):
+        """A connection that ends in the middle breaks the call, bounded or not."""
+        server = Server([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"], {0})
+        asked = HttpCall("GET", "/", max_answer_bytes=limit)
+        with pytest.raises(BrokenCallError):
+            client.call(server.address, asked)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,11 +1,13 @@
 """Tests of the HTTP server over real sockets."""
 
+import queue
 import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from waitress.channel import ClientDisconnected
 
 from camphoryard.transport.http_server import CANCELLATION, HttpResponse, serve
 
@@ -13,6 +15,7 @@
 FAR_S = 1e9
 LIMIT_S = 30.0
 LARGE_BYTES = 32 << 20
+PIECE_BYTES = 1 << 20
 REQUEST = b"GET / HTTP/1.0\r\n\r\n"
 
 
@@ -43,7 +46,7 @@
     executor = ThreadPoolExecutor()
 
     def start(app):
-        server = serve(app, HOST, 0, executor, lambda *_: HttpResponse(400, []))
+        server = serve(app, HOST, 0, executor, lambda *_: HttpResponse(400, b""))
         threading.Thread(target=server.run, daemon=True).start()
         servers.append(server)
         return server
@@ -86,6 +89,28 @@
             assert server.wait_flushed(FAR_S)
 
 
+class TestWriteSoon:
+    """Writing while an answer is made."""
+
+    def test_caller_that_reads_nothing(self, run):
+        """Writing never blocks; a caller that leaves too much unread is cut off."""
+        outcomes = queue.Queue()
+
+        def app(environ, start_response):
+            write = start_response("200 OK", [])
+            try:
+                for _ in range(LARGE_BYTES // PIECE_BYTES):
+                    write(b"x" * PIECE_BYTES)
+            except ClientDisconnected:
+                outcomes.put(environ[CANCELLATION].cancelled)
+                raise
+            outcomes.put("all was written")
+            return []
+
+        with connect(run(app)):
+            assert outcomes.get(timeout=LIMIT_S) is True
+
+
 class TestCancellation:
     """A caller that goes away."""
 
