--- a/src/camphoryard/node/control.py
+++ b/src/camphoryard/node/control.py
@@ -10,7 +10,8 @@
 from camphoryard.coordination.joining import Joiner, JoiningParts
 from camphoryard.coordination.membership import MembershipParts
 from camphoryard.coordination.refusal_folding import RefusalFolder
-from camphoryard.coordination.residency import Identity, ResidencyDesk
+from camphoryard.coordination.residency import ResidencyDesk
+from camphoryard.coordination.residency_parts import Identity
 from camphoryard.coordination.watching import WATCH_WAIT_S, Follower, elected_watchers
 from camphoryard.node.platform import Platform
 from camphoryard.node.policies import make_gossip_policy
--- a/tests/coordination/test_job_running.py
+++ b/tests/coordination/test_job_running.py
@@ -14,7 +14,7 @@
     RunnerParts,
 )
 from camphoryard.coordination.jobs import JobParts
-from camphoryard.coordination.residency import Identity
+from camphoryard.coordination.residency_parts import Identity
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.enums import JobState, NodeState, Reason
 from camphoryard.state.errors import RefusalError
