--- a/src/camphoryard/coordination/collecting.py
+++ b/src/camphoryard/coordination/collecting.py
@@ -1,41 +1,41 @@
 """Whole answers, put together from the frames of a stream."""
 
-from collections.abc import Generator
-from contextlib import closing
-
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.requests import CompletionAnswer, TokenFrame, Usage
 from camphoryard.state.verdict import Verdict
 
 
-def collect(
-    frames: Generator[TokenFrame, None, None], max_bytes: int
-) -> CompletionAnswer:
-    """Return the whole answer.
+class AnswerCollector:
+    """Puts the frames of one answer together; its text may have ``max_bytes``."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._size_bytes = 0
+        self._texts: list[str] = []
+        self._usage: Usage | None = None
+
+    def add(self, frame: TokenFrame) -> None:
+        """Add a frame; the end is no token.
+
+        Raises
+        ------
+        RefusalError
+            If the answer has become too large.
+        """
+        if frame.finished:
+            self._usage = frame.usage
+            return
+        self._size_bytes += len(frame.text.encode())
+        if self._size_bytes > self._max_bytes:
+            raise RefusalError(
+                Reason.ANSWER_TOO_LARGE,
+                f"the answer has more than {self._max_bytes} bytes;"
+                " have it streamed, or ask for fewer tokens",
+                Verdict.RAN,
+            )
+        self._texts.append(frame.text)
 
-    Raises
-    ------
-    RefusalError
-        If its text has more than ``max_bytes``, or as the frames do.
-    """
-    texts: list[str] = []
-    tokens = 0
-    size_bytes = 0
-    usage: Usage | None = None
-    with closing(frames):
-        for frame in frames:
-            if frame.finished:
-                usage = frame.usage
-                break
-            size_bytes += len(frame.text.encode())
-            if size_bytes > max_bytes:
-                raise RefusalError(
-                    Reason.ANSWER_TOO_LARGE,
-                    f"the answer has more than {max_bytes} bytes;"
-                    " have it streamed, or ask for fewer tokens",
-                    Verdict.RAN,
-                )
-            texts.append(frame.text)
-            tokens += 1
-    return CompletionAnswer("".join(texts), tokens, usage)
+    def answer(self) -> CompletionAnswer:
+        """Return the whole answer."""
+        return CompletionAnswer("".join(self._texts), len(self._texts), self._usage)
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -2,14 +2,14 @@
 
 import threading
 import time
-from collections.abc import Callable, Generator, Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
 from camphoryard.coordination.actions import ActionParts, act
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.collecting import collect
-from camphoryard.coordination.inference import InferenceParts, infer
+from camphoryard.coordination.collecting import AnswerCollector
+from camphoryard.coordination.inference import Deliver, InferenceParts, infer
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.enums import NodeState, Reason
@@ -95,18 +95,20 @@
             self._end()
 
     def infer(
-        self, request: InferenceRequest, cancellation: Cancellation | None = None
-    ) -> Generator[TokenFrame, None, None]:
-        """Yield the answer's tokens; raises RefusalError, which is counted."""
-        cancellation = cancellation or Cancellation()
+        self, request: InferenceRequest, cancellation: Cancellation, deliver: Deliver
+    ) -> None:
+        """Deliver the answer's tokens; raises RefusalError, which is counted."""
         started_s = time.monotonic()
+
+        def observed(frame: TokenFrame) -> None:
+            if frame.offset == 0:
+                self._parts.observe("first_token", time.monotonic() - started_s)
+            deliver(frame)
+
         self._begin()
         try:
             self._admit()
-            for frame in infer(self._parts.inference, request, cancellation):
-                if frame.offset == 0:
-                    self._parts.observe("first_token", time.monotonic() - started_s)
-                yield frame
+            infer(self._parts.inference, request, cancellation, observed)
         except RefusalError as refusal:
             self.refused(refusal, request.caller, request.id)
             raise
@@ -115,15 +117,12 @@
             self._parts.observe("inference", time.monotonic() - started_s)
 
     def complete(
-        self, request: InferenceRequest, cancellation: Cancellation | None = None
+        self, request: InferenceRequest, cancellation: Cancellation
     ) -> CompletionAnswer:
         """Return the whole answer; raises RefusalError, which is counted."""
-        frames = self.infer(request, cancellation)
-        try:
-            return collect(frames, self._parts.max_answer_bytes)
-        except RefusalError as refusal:
-            self.refused(refusal, request.caller, request.id)
-            raise
+        collector = AnswerCollector(self._parts.max_answer_bytes)
+        self.infer(request, cancellation, collector.add)
+        return collector.answer()
 
     def act(self, request: ActionRequest) -> ActionAnswer:
         """Return the action's answer; raises RefusalError, which is counted."""
@@ -177,16 +176,17 @@
                 "this node is stopping; ask another",
                 retry_after_s=STOPPING_RETRY_AFTER_S,
             )
+        if not self._parts.configuration.current.generation:
+            raise RefusalError(
+                Reason.STALE_CONFIGURATION,
+                "this node has no configuration yet; ask another",
+            )
         if not self._parts.configuration.is_current():
             raise RefusalError(
                 Reason.STALE_CONFIGURATION,
                 "this node cannot tell whether its configuration is still the"
                 " accepted one; ask another",
             )
-        if not self._parts.configuration.current.generation:
-            raise RefusalError(
-                Reason.STALE_CONFIGURATION, "this node has no configuration yet"
-            )
 
     def _begin(self) -> None:
         with self._changed:
--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -2,7 +2,7 @@
 
 from camphoryard.coordination.actions import act
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.collecting import collect
+from camphoryard.coordination.collecting import AnswerCollector
 from camphoryard.coordination.expiry import ExpiryParts
 from camphoryard.coordination.inference import infer
 from camphoryard.coordination.job_limits import JobLimits, OpenJobCounter
@@ -39,8 +39,9 @@
 
     def run_inference(request: InferenceRequest) -> str:
         with serving.door.admitted():
-            frames = infer(serving.inference, request, Cancellation())
-            return collect(frames, MAX_RESULT_BYTES).text
+            collector = AnswerCollector(MAX_RESULT_BYTES)
+            infer(serving.inference, request, Cancellation(), collector.add)
+            return collector.answer().text
 
     def run_action(request: ActionRequest) -> ActionAnswer:
         with serving.door.admitted():
--- a/tests/coordination/test_inference.py
+++ b/tests/coordination/test_inference.py
@@ -32,14 +32,15 @@
 
 def answer(given, asked=None):
     """Return the text of an answer."""
-    frames = infer(given, asked or request(), never())
-    return "".join(frame.text for frame in frames)
+    texts = []
+    infer(given, asked or request(), never(), lambda frame: texts.append(frame.text))
+    return "".join(texts)
 
 
 def refusal(given, asked=None, cancellation=None):
     """Return the refusal of a request."""
     with pytest.raises(RefusalError) as refused:
-        list(infer(given, asked or request(), cancellation or never()))
+        infer(given, asked or request(), cancellation or never(), lambda frame: None)
     return refused.value
 
 
@@ -71,6 +72,21 @@
         answer(given, request("again"))
         assert engines.calls == [FIRST, SECOND, SECOND]
 
+    def test_failing_delivery_lets_go_of_the_endpoint(self):
+        """What delivering raises ends the answer, its stream and its slot."""
+        engines = FakeEngines({FIRST: whole, SECOND: whole})
+        given = parts(engines, slots=1)
+        refused = RefusalError(Reason.ANSWER_TOO_LARGE, "x", Verdict.RAN)
+
+        def deliver(frame):
+            raise refused
+
+        for _ in range(3):
+            with pytest.raises(RefusalError) as raised:
+                infer(given, request(), never(), deliver)
+            assert raised.value is refused
+        assert [stream.closed for stream in engines.streams] == [True] * 3
+
     def test_slots_are_given_back(self):
         """After an answer or a failure no slot is held."""
         engines = FakeEngines({FIRST: fails(BrokenCallError("x"), 2), SECOND: whole})
