Split answers to callers from their requests

Tests are split alike; one new test holds that every reason has a status, another that Retry-After is rounded up.

--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -9,7 +9,7 @@
 
 from camphoryard.coordination.jobs import JobParts
 from camphoryard.coordination.serving import FrontDoor
-from camphoryard.protocol.caller import REQUEST_HEADER
+from camphoryard.protocol.answers import REQUEST_HEADER
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import CallerId, RequestId
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -4,18 +4,20 @@
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.serving import FrontDoor
-from camphoryard.protocol.caller import (
+from camphoryard.protocol.answers import (
     DONE_EVENT,
     RETRY_AFTER_HEADER,
     VERDICT_HEADER,
-    Completion,
     EventEncoder,
-    action_request,
-    decode_completion,
     encode_answer,
     encode_error,
     encode_error_event,
 )
+from camphoryard.protocol.caller import (
+    Completion,
+    action_request,
+    decode_completion,
+)
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import CallerId
 from camphoryard.state.requests import TokenFrame
--- a/src/camphoryard/transport/job_api.py
+++ b/src/camphoryard/transport/job_api.py
@@ -2,7 +2,8 @@
 
 from camphoryard.coordination.jobs import JobParts, accept, find
 from camphoryard.coordination.serving import FrontDoor
-from camphoryard.protocol.caller import VERDICT_HEADER, idempotency_key
+from camphoryard.protocol.answers import VERDICT_HEADER
+from camphoryard.protocol.caller import idempotency_key
 from camphoryard.protocol.jobs import decode_work, encode_job
 from camphoryard.state.ids import CallerId, JobId
 from camphoryard.state.verdict import Verdict
--- /dev/null
+++ b/tests/protocol/test_answers.py
@@ -0,0 +1,59 @@
+"""Tests of answers to callers."""
+
+import msgspec
+import pytest
+
+from camphoryard.protocol.answers import (
+    STATUS_BY_REASON,
+    EventEncoder,
+    encode_answer,
+    encode_error,
+)
+from camphoryard.protocol.caller import decode_completion
+from camphoryard.state.enums import Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.requests import CompletionAnswer, TokenFrame, Usage
+
+
+def completion(chat=False, **fields):
+    """Return a decoded completion request."""
+    body = msgspec.json.encode({"model": "m", "prompt": "p", **fields})
+    return decode_completion(body, {}, "meter-app", chat, "r1")
+
+
+class TestEncodeError:
+    """Errors as HTTP."""
+
+    def test_every_reason_has_a_status(self):
+        """No refusal ends in an unexpected error."""
+        assert STATUS_BY_REASON.keys() == set(Reason)
+
+    def test_retry_after_is_whole_seconds(self):
+        """The header is rounded up, so that nobody comes back too soon."""
+        refusal = RefusalError(Reason.OVERLOADED, "busy", retry_after_s=1.2)
+        assert encode_error(refusal).retry_after_s == 2
+
+
+class TestUsage:
+    """Counts of tokens, as the engine told them."""
+
+    LAST = TokenFrame("r1", 2, finished=True, usage=Usage(3, 2))
+    FORM = {"prompt_tokens": 3, "completion_tokens": 2, "total_tokens": 5}
+
+    @pytest.mark.parametrize("chat", [False, True])
+    def test_whole_answer_has_it(self, chat):
+        """Both kinds of completion tell the usage, or null without counts."""
+        for usage, form in ((Usage(3, 2), self.FORM), (None, None)):
+            body = encode_answer(completion(chat), CompletionAnswer("t", 2, usage))
+            assert msgspec.json.decode(body)["usage"] == form
+
+    def test_last_event_has_it_if_asked_for(self):
+        """An event without choices follows the end of the answer."""
+        asked = completion(stream=True, stream_options={"include_usage": True})
+        events = EventEncoder(asked).encode(self.LAST).split(b"\n\n")
+        last = msgspec.json.decode(events[1].removeprefix(b"data: "))
+        assert (last["choices"], last["usage"]) == ([], self.FORM)
+
+    def test_stream_is_silent_about_it_otherwise(self):
+        """No event has the usage unless the caller asks."""
+        assert b"usage" not in EventEncoder(completion(stream=True)).encode(self.LAST)
--- a/tests/protocol/test_caller.py
+++ b/tests/protocol/test_caller.py
@@ -6,14 +6,11 @@
 from camphoryard.protocol.caller import (
     KEY_HEADER,
     MAX_KEY_CHARACTERS,
-    EventEncoder,
     action_request,
     decode_completion,
-    encode_answer,
 )
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
-from camphoryard.state.requests import CompletionAnswer, TokenFrame, Usage
 from camphoryard.state.verdict import Verdict
 
 
@@ -64,28 +61,3 @@
         with pytest.raises(RefusalError) as caught:
             completion(stream_options={"include_usage": True})
         assert caught.value.field == "stream_options"
-
-
-class TestUsage:
-    """Counts of tokens, as the engine told them."""
-
-    LAST = TokenFrame("r1", 2, finished=True, usage=Usage(3, 2))
-    FORM = {"prompt_tokens": 3, "completion_tokens": 2, "total_tokens": 5}
-
-    @pytest.mark.parametrize("chat", [False, True])
-    def test_whole_answer_has_it(self, chat):
-        """Both kinds of completion tell the usage, or null without counts."""
-        for usage, form in ((Usage(3, 2), self.FORM), (None, None)):
-            body = encode_answer(completion(chat), CompletionAnswer("t", 2, usage))
-            assert msgspec.json.decode(body)["usage"] == form
-
-    def test_last_event_has_it_if_asked_for(self):
-        """An event without choices follows the end of the answer."""
-        asked = completion(stream=True, stream_options={"include_usage": True})
-        events = EventEncoder(asked).encode(self.LAST).split(b"\n\n")
-        last = msgspec.json.decode(events[1].removeprefix(b"data: "))
-        assert (last["choices"], last["usage"]) == ([], self.FORM)
-
-    def test_stream_is_silent_about_it_otherwise(self):
-        """No event has the usage unless the caller asks."""
-        assert b"usage" not in EventEncoder(completion(stream=True)).encode(self.LAST)
