--- a/src/camphoryard/cli/changing.py
+++ b/src/camphoryard/cli/changing.py
@@ -36,8 +36,10 @@
 from camphoryard.protocol.configuration import decode_configuration
 from camphoryard.protocol.operator import (
     AcceptedForm,
-    NodeForm,
     decode_accepted,
+)
+from camphoryard.protocol.status import (
+    NodeForm,
     decode_status,
 )
 
--- a/src/camphoryard/cli/refusals.py
+++ b/src/camphoryard/cli/refusals.py
@@ -27,7 +27,11 @@
 from camphoryard.cli.tables import print_table
 from camphoryard.coordination.advice import refusal_advice
 from camphoryard.coordination.refusals import SECONDS_PER_MINUTE
-from camphoryard.protocol.operator import RefusalForm, decode_refusals, decode_status
+from camphoryard.protocol.status import (
+    RefusalForm,
+    decode_refusals,
+    decode_status,
+)
 from camphoryard.state.enums import Reason
 from camphoryard.state.timeline import Event
 
--- a/src/camphoryard/cli/status.py
+++ b/src/camphoryard/cli/status.py
@@ -27,7 +27,7 @@
 from camphoryard.cli.tables import print_table
 from camphoryard.coordination.refusals import SECONDS_PER_MINUTE
 from camphoryard.coordination.risks import refusal_risks
-from camphoryard.protocol.operator import (
+from camphoryard.protocol.status import (
     EndpointForm,
     NodeForm,
     RefusalForm,
--- a/src/camphoryard/transport/operator_api.py
+++ b/src/camphoryard/transport/operator_api.py
@@ -11,9 +11,11 @@
 from camphoryard.protocol.operator import (
     encode_accepted,
     encode_explanation,
+    encode_timeline,
+)
+from camphoryard.protocol.status import (
     encode_refusals,
     encode_status,
-    encode_timeline,
 )
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError, StoreUnavailableError
