Test the codec between nodes and the metrics text

protocol/peer.py and transport/metrics.py had no test file of their own. The tests hold that messages and replies of ten types arrive as they were sent, that garbage raises the codec's own error, and that durations and counters read as scrapers expect, also at the ends of the range.

Run: tests/protocol/test_peer.py and tests/transport/test_metrics.py pass.

--- /dev/null
+++ b/tests/protocol/test_peer.py
@@ -0,0 +1,60 @@
+"""Tests of messages between nodes as frames."""
+
+import pytest
+
+from camphoryard.coordination.messages import (
+    Declined,
+    Done,
+    EventsFound,
+    EventsWanted,
+    GivenUp,
+    GiveUp,
+    LoadWanted,
+    MoveWanted,
+    RefusalsCounted,
+    TrialEnded,
+)
+from camphoryard.protocol.peer import (
+    Envelope,
+    PeerMessageError,
+    decode_envelope,
+    encode_envelope,
+)
+from camphoryard.state.enums import Reason
+from camphoryard.state.refusals import RefusalCount, RefusalKey, RefusalSheet
+from camphoryard.state.timeline import Event, Stamp
+
+SHEET = RefusalSheet(
+    "i", (RefusalCount(RefusalKey(Reason.DEADLINE, "a=b", 3, "c"), 2),)
+)
+
+
+class TestEnvelope:
+    """Messages and replies, there and back."""
+
+    @pytest.mark.parametrize(
+        "content",
+        [
+            LoadWanted("e", ("m", "m:a"), 1.5),
+            MoveWanted("e", ("m",), ("x",)),
+            GiveUp("e", "i", 7),
+            GivenUp(("o1", "o2")),
+            TrialEnded("f", "n", True),
+            EventsWanted({"request": "r"}),
+            EventsFound((Event(Stamp(5, 1), "n", "loaded", {"item": "m"}),)),
+            RefusalsCounted(SHEET),
+            Declined("busy"),
+            Done(),
+        ],
+        ids=lambda content: type(content).__name__,
+    )
+    def test_content_survives(self, content):
+        """What arrives is what was sent, and of the same type."""
+        envelope = Envelope("q", content)
+        assert decode_envelope(encode_envelope(envelope)) == envelope
+
+    @pytest.mark.parametrize("data", [b"", b"\x00", b"garbage", b"\x93\x01\x02\x03"])
+    def test_garbage_is_refused(self, data):
+        """Bytes that are no message raise the codec's own error."""
+        with pytest.raises(PeerMessageError):
+            decode_envelope(data)
--- /dev/null
+++ b/tests/transport/test_metrics.py
@@ -0,0 +1,33 @@
+"""Tests of metrics."""
+
+from camphoryard.transport.metrics import Metrics
+
+
+class TestMetrics:
+    """The text that scrapers read."""
+
+    def test_durations_are_summaries_in_seconds(self):
+        """Quantiles, sum and count of each name."""
+        metrics = Metrics()
+        for _ in range(4):
+            metrics.observe("action", 0.5)
+        lines = metrics.text().splitlines()
+        assert "# TYPE camphoryard_action_seconds summary" in lines
+        assert "camphoryard_action_seconds_count 4" in lines
+        name = 'camphoryard_action_seconds{quantile="0.99"} '
+        (value,) = [line for line in lines if line.startswith(name)]
+        assert abs(float(value.removeprefix(name)) - 0.5) < 0.01
+
+    def test_durations_out_of_range_are_kept(self):
+        """Nothing and a day count too, at the ends of the range."""
+        metrics = Metrics()
+        metrics.observe("action", 0.0)
+        metrics.observe("action", 86_400.0)
+        assert "camphoryard_action_seconds_count 2" in metrics.text()
+
+    def test_counters(self):
+        """Each event counts once."""
+        metrics = Metrics()
+        metrics.count("retries")
+        metrics.count("retries")
+        assert "camphoryard_retries_total 2" in metrics.text().splitlines()
