Let the length of a lease grow with the fleet

Cause: at 330 nodes and lease_s 6 renewals are 220 of the several hundred writes a second of the object API, and 88 KB/s to each node that watches them (by calculation from 400 bytes a lease).

Ruled out: asking operators to raise lease_s as they grow; a leader that renews for a zone.

Change: a node writes its lease with the larger of lease_s and 4 x nodes / 60 seconds and renews at a quarter of what it wrote; a failed renewal is tried again at each tick of lease_s / 4 as before. Below lease_s x 15 nodes (90 at 6 s) nothing changes. At 330 nodes a lost node's endpoints wait up to 22 s for the next owner. Not run at that size. The watch of all leases by all nodes still does not fit 8 KB/s there (24 KB/s).

--- a/src/camphoryard/coordination/ownership.py
+++ b/src/camphoryard/coordination/ownership.py
@@ -1,5 +1,6 @@
 """Node leases, and which node owns which endpoint."""
 
+import time
 from collections.abc import Sequence
 from dataclasses import replace
 from uuid import uuid4
@@ -14,6 +15,7 @@
 from camphoryard.state.nodes import NodeLease, NodeTable
 
 RENEWALS_PER_LEASE = 4
+FLEET_RENEWALS_PER_S = 60.0
 KEPT_ENDED = 16
 
 
@@ -35,8 +37,16 @@
     return rendezvous_owner(endpoint, serving) if serving else None
 
 
+def lease_length_s(least_s: float, nodes: int) -> float:
+    """Return how long a lease lasts, so that a large fleet's renewals stay bounded."""
+    return max(least_s, RENEWALS_PER_LEASE * nodes / FLEET_RENEWALS_PER_S)
+
+
 class LeaseKeeper:
-    """Keeps this node's lease in the object API renewed."""
+    """Keeps this node's lease in the object API renewed.
+
+    The length in ``lease`` is the least one; it grows with the number of nodes.
+    """
 
     def __init__(
         self, records: Records[NodeLease], nodes: NodeTable, lease: NodeLease
@@ -44,12 +54,22 @@
         self._records = records
         self._nodes = nodes
         self._lease = lease
+        self._least_s = lease.lease_s
+        self._length_s = lease.lease_s
+        self._renewed_s = float("-inf")
         self._version: Version = ABSENT
 
     def run(self, timer: Timer) -> None:
         """Renew until the timer service closes."""
-        for _ in timer.every(self._lease.lease_s / RENEWALS_PER_LEASE):
-            self.renew()
+        for _ in timer.every(self._least_s / RENEWALS_PER_LEASE):
+            if self.is_due():
+                self.renew()
+
+    def is_due(self) -> bool:
+        """Return whether a tick from now would be too late to renew."""
+        period_s = self._length_s / RENEWALS_PER_LEASE
+        tick_s = self._least_s / RENEWALS_PER_LEASE
+        return time.monotonic() - self._renewed_s > period_s - tick_s
 
     def renew(self) -> None:
         """Renew once; an outage is met by trying again at the next tick."""
@@ -75,8 +95,12 @@
             return
 
     def _write(self) -> None:
-        lease = replace(self._lease, write_id=WriteId(uuid4().hex))
+        asked_s = time.monotonic()
+        length_s = lease_length_s(self._least_s, len(self._nodes.all()))
+        lease = replace(self._lease, write_id=WriteId(uuid4().hex), lease_s=length_s)
         self._version = write_resolved(self._records, lease.node, lease, self._version)
+        self._length_s = length_s
+        self._renewed_s = asked_s
         self._nodes.saw(lease, self._version)
 
     def _reread(self) -> None:
--- a/tests/coordination/test_ownership.py
+++ b/tests/coordination/test_ownership.py
@@ -5,7 +5,10 @@
 import pytest
 
 from camphoryard.coordination.ownership import (
+    FLEET_RENEWALS_PER_S,
+    RENEWALS_PER_LEASE,
     LeaseKeeper,
+    lease_length_s,
     owner_of,
     rendezvous_owner,
 )
@@ -69,6 +72,59 @@
         keeper.renew()
         assert [lease.node for lease in nodes.alive()] == ["n"]
 
+    def test_length_grows_with_the_fleet(self):
+        """A fleet that would renew too often takes longer leases, and says so."""
+        leases, nodes = FakeLeases(), NodeTable()
+        for index in range(329):
+            nodes.introduce(make_lease(f"n{index}"))
+        LeaseKeeper(leases, nodes, make_lease(lease_s=6.0)).renew()
+        assert leases.lease.lease_s == lease_length_s(6.0, 329)
+        assert leases.lease.lease_s / RENEWALS_PER_LEASE * FLEET_RENEWALS_PER_S >= 329
+
+    def test_renews_at_each_tick_in_a_small_fleet(self):
+        """A lease of the least length is due again at once."""
+        keeper = LeaseKeeper(FakeLeases(), NodeTable(), make_lease())
+        assert keeper.is_due()
+        keeper.renew()
+        assert keeper.is_due()
+
+    def test_renews_less_often_in_a_large_fleet(self):
+        """A longer lease is not renewed at the ticks of a short one."""
+        leases, nodes = FakeLeases(), NodeTable()
+        for index in range(9000):
+            nodes.introduce(make_lease(f"n{index}"))
+        keeper = LeaseKeeper(leases, nodes, make_lease())
+        keeper.renew()
+        assert not keeper.is_due()
+        leases.is_out = True
+        keeper.renew()
+        assert not keeper.is_due()
+
+    def test_failed_renewal_stays_due(self):
+        """While nothing was written the next tick tries again."""
+        leases, nodes = FakeLeases(), NodeTable()
+        leases.is_out = True
+        keeper = LeaseKeeper(leases, nodes, make_lease())
+        keeper.renew()
+        assert keeper.is_due()
+
+    def test_longer_length_does_not_undo_a_state(self):
+        """What the node entered is in the next lease, whatever its length."""
+        leases, nodes = FakeLeases(), NodeTable()
+        keeper = LeaseKeeper(leases, nodes, make_lease())
+        keeper.enter(NodeState.DRAINING)
+        keeper.renew()
+        assert leases.lease.state is NodeState.DRAINING
+
+
+class TestLeaseLengthS:
+    """How long a lease lasts."""
+
+    @pytest.mark.parametrize(("nodes", "length_s"), [(9, 6.0), (90, 6.0), (330, 22.0)])
+    def test_by_number_of_nodes(self, nodes, length_s):
+        """Small fleets keep the length of the settings."""
+        assert lease_length_s(6.0, nodes) == length_s
+
 
 class TestOwnerOf:
     """Which node should own an endpoint."""
