--- /dev/null
+++ b/bench/entry.py
@@ -0,0 +1,69 @@
+"""What a request and a held stream cost the node that they enter through.
+
+Run ``python -m bench.entry``. One daemon, four engines. The processor time of
+the idle daemon is taken off; memory is the daemon's largest so far, so the
+sizes go upward.
+"""
+
+import re
+from pathlib import Path
+
+import typer
+
+from bench.relay import HELD_STEP_MS, Load, arrivals_relayed, make_site, measure
+from standins.fleet import Fleet
+from standins.site import Site
+
+ENGINES = 4
+SEED = 1
+SHORT_TOKENS = 4
+SHORT_STEP_MS = 2.0
+KB_PER_MB = 1024
+MILLISECONDS_PER_SECOND = 1000
+MICROSECONDS_PER_SECOND = 1_000_000
+
+
+def peak_mb(site: Site) -> float:
+    """Return the largest resident memory of the first node so far, in MB."""
+    pid = site.fleet.process_by_name[site.nodes[0]].popen.pid
+    status = Path(f"/proc/{pid}/status").read_text()
+    found = re.search(r"VmHWM:\s+(\d+)", status)
+    return int(found.group(1)) / KB_PER_MB if found else 0.0
+
+
+def report(site: Site, name: str, load: Load) -> None:
+    """Play a load through the daemon and print what it cost."""
+    run = measure(site, arrivals_relayed(site, load, SEED))
+    requests = len(run.outcomes)
+    tokens = sum(len(outcome.token_times_s) for outcome in run.outcomes)
+    whole = sum(outcome.whole for outcome in run.outcomes)
+    cpu_us = run.daemon_cpu_s * MICROSECONDS_PER_SECOND
+    typer.echo(
+        f"{name}: whole {whole} of {requests}, tokens {tokens},"
+        f" {cpu_us / requests:.0f} us a request, {cpu_us / max(1, tokens):.0f} us a"
+        f" token, peak {peak_mb(site):.0f} MB"
+    )
+
+
+def main(
+    rates: str = "10,20,40", streams: str = "25,50,100", duration_s: float = 6.0
+) -> None:
+    """Print the cost of short requests and of held streams at several rates."""
+    short = Load(0.0, 0, SHORT_TOKENS, duration_s, SHORT_STEP_MS)
+    with Fleet() as fleet:
+        site = make_site(fleet, short, ENGINES)
+        typer.echo(f"idle: peak {peak_mb(site):.0f} MB")
+        for rate in map(float, rates.split(",")):
+            load = Load(rate, 0, SHORT_TOKENS, duration_s, SHORT_STEP_MS)
+            report(site, f"{rate:.0f} requests/s of {SHORT_TOKENS} tokens", load)
+    tokens = int(duration_s * MILLISECONDS_PER_SECOND / HELD_STEP_MS)
+    with Fleet() as fleet:
+        held = Load(0.0, 1, tokens, duration_s, HELD_STEP_MS)
+        site = make_site(fleet, held, ENGINES)
+        for count in map(int, streams.split(",")):
+            load = Load(0.0, count, tokens, duration_s, HELD_STEP_MS)
+            report(site, f"{count} streams of {tokens} tokens", load)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/bench/owner.py
@@ -0,0 +1,85 @@
+"""What owning endpoints costs a node and the object API.
+
+Run ``python -m bench.owner --sizes 4,8,16``. One daemon owns all engines. It is
+measured while nothing moves, and while each engine loads a model of its own.
+"""
+
+import time
+from dataclasses import dataclass
+
+import typer
+
+from bench.relay import cpu_s
+from standins.fleet import Fleet
+from standins.site import ModelSpec, Site, SiteSpec, start_site
+
+MODEL_MB = 9000
+IDLE_S = 8.0
+PERCENT = 100
+MILLISECONDS_PER_SECOND = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """Processor seconds of the node, and calls of the object API."""
+
+    cpu_s: float
+    reads: float
+    writes: float
+
+    def less(self, other: "Use", times: float = 1.0) -> "Use":
+        """Return this use without so many times another one."""
+        return Use(
+            self.cpu_s - other.cpu_s * times,
+            self.reads - other.reads * times,
+            self.writes - other.writes * times,
+        )
+
+    def over(self, count: float) -> "Use":
+        """Return the share of each of ``count``."""
+        return Use(self.cpu_s / count, self.reads / count, self.writes / count)
+
+
+def used(site: Site) -> Use:
+    """Return what was used since the start."""
+    pid = site.fleet.process_by_name[site.nodes[0]].popen.pid
+    counts = site.control("object-api")["counts"]
+    return Use(cpu_s(pid), counts["reads"], counts["writes"])
+
+
+def report(engines: int) -> None:
+    """Print the cost of one size."""
+    models = tuple(ModelSpec(f"model-{index}", MODEL_MB) for index in range(engines))
+    spec = SiteSpec(
+        nodes=1, checking_engines=engines, ignoring_engines=0, services=0, models=models
+    )
+    with Fleet() as fleet:
+        site = start_site(fleet, spec)
+        fleet.wait_until(
+            lambda: len(site.status(site.nodes[0])["endpoints"]) == engines,
+            "an owner for each engine",
+        )
+        before = used(site)
+        time.sleep(IDLE_S)
+        idle = used(site).less(before).over(IDLE_S)
+        before, started_s = used(site), time.monotonic()
+        for model in models:
+            site.complete(site.nodes[0], model.id, "load")
+        took_s = time.monotonic() - started_s
+        moved = used(site).less(before).less(idle, took_s).over(engines)
+    typer.echo(
+        f"{engines:3} engines: idle {idle.cpu_s * PERCENT:.2f}% of a core,"
+        f" {idle.reads:.2f} reads/s, {idle.writes:.2f} writes/s; a load"
+        f" {moved.cpu_s * MILLISECONDS_PER_SECOND:.1f} ms CPU, {moved.reads:.2f} reads,"
+        f" {moved.writes:.2f} writes"
+    )
+
+
+def main(sizes: str = "4,8,16") -> None:
+    """Print the cost of each size."""
+    for engines in map(int, sizes.split(",")):
+        report(engines)
+
+
+if __name__ == "__main__":
+    typer.run(main)
