--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -18,10 +18,17 @@
     RequestId,
     ServiceId,
 )
-from camphoryard.state.requests import ActionRequest, InferenceRequest, TokenFrame
+from camphoryard.state.requests import (
+    ActionRequest,
+    CompletionAnswer,
+    InferenceRequest,
+    TokenFrame,
+    Usage,
+)
 from camphoryard.state.verdict import Verdict
 
 DEADLINE_HEADER = "Camphoryard-Deadline-Ms"
+TOTAL_DEADLINE_HEADER = "Camphoryard-Total-Deadline-Ms"
 PRIORITY_HEADER = "Camphoryard-Priority"
 REQUEST_HEADER = "Camphoryard-Request-Id"
 VERDICT_HEADER = "Camphoryard-Verdict"
@@ -54,7 +61,9 @@
     Reason.IN_PROGRESS: 409,
     Reason.OUTCOME_UNKNOWN: 409,
     Reason.ANSWER_NOT_KEPT: 410,
+    Reason.ANSWER_TOO_LARGE: 502,
     Reason.OVERLOADED: 503,
+    Reason.TOO_MANY_JOBS: 429,
     Reason.DEADLINE: 504,
     Reason.DRAINING: 503,
     Reason.STALE_CONFIGURATION: 503,
@@ -76,6 +85,13 @@
     content: str
 
 
+@dataclass(frozen=True, slots=True)
+class StreamOptionsForm:
+    """What a stream tells besides the answer."""
+
+    include_usage: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class CompletionForm:
     """Body of ``/v1/completions`` and ``/v1/chat/completions``.
@@ -88,6 +104,7 @@
     messages: list[ChatMessage] = field(default_factory=list)
     max_tokens: int = 256
     stream: bool = False
+    stream_options: StreamOptionsForm | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +115,7 @@
     model: str
     stream: bool
     chat: bool
+    include_usage: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +162,7 @@
             Reason.BAD_FIELD, f"must be 1 to {MAX_TOKENS}", field="max_tokens"
         )
     model, _, adapter = form.model.partition(":")
+    total_deadline_s = _total_deadline_s(headers)
     request = InferenceRequest(
         id,
         caller,
@@ -151,10 +170,19 @@
         AdapterId(adapter) if adapter else None,
         _prompt(form),
         form.max_tokens,
-        _deadline_s(headers),
+        min(_deadline_s(headers), total_deadline_s),
         _priority(headers),
+        total_deadline_s,
     )
-    return Completion(request, form.model, form.stream, chat)
+    options = form.stream_options
+    if options is not None and not form.stream:
+        raise RefusalError(
+            Reason.BAD_FIELD,
+            "only a stream has options; set stream, or leave them out",
+            field="stream_options",
+        )
+    include_usage = options is not None and options.include_usage
+    return Completion(request, form.model, form.stream, chat, include_usage)
 
 
 def _prompt(form: CompletionForm) -> str:
@@ -211,11 +239,20 @@
 
 def _deadline_s(headers: Mapping[str, str]) -> float:
     text = headers.get(DEADLINE_HEADER, str(DEFAULT_DEADLINE_MS))
+    return _from_now_s(DEADLINE_HEADER, text)
+
+
+def _total_deadline_s(headers: Mapping[str, str]) -> float:
+    text = headers.get(TOTAL_DEADLINE_HEADER)
+    return math.inf if text is None else _from_now_s(TOTAL_DEADLINE_HEADER, text)
+
+
+def _from_now_s(header: str, text: str) -> float:
     if not _is_deadline_ms(text):
         raise RefusalError(
             Reason.BAD_HEADER,
             f"must be 1 to {MAX_DEADLINE_MS} milliseconds",
-            field=DEADLINE_HEADER,
+            field=header,
         )
     return time.monotonic() + int(text) / MILLISECONDS_PER_SECOND
 
@@ -257,15 +294,28 @@
     index: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class UsageForm:
+    """Tokens of one answer, as its engine counts them."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class CompletionAnswerForm:
-    """A whole answer; ``created`` is in seconds since the epoch."""
+    """A whole answer; ``created`` is in seconds since the epoch.
+
+    ``usage`` is null if the engine did not count.
+    """
 
     id: str
     object: str
     created: int
     model: str
     choices: list[MessageChoiceForm] | list[TextChoiceForm]
+    usage: UsageForm | None
 
 
 class EventEncoder:
@@ -273,17 +323,15 @@
 
     def __init__(self, completion: Completion) -> None:
         self._max_tokens = completion.request.max_tokens
+        self._include_usage = completion.include_usage
         name = "chat.completion.chunk" if completion.chat else "text_completion"
-        self._head = (
-            b'data: {"id":%b,"object":%b,"created":%d,"model":%b,'
-            b'"choices":[{"index":0,'
-            % (
-                _JSON.encode(completion.request.id),
-                _JSON.encode(name),
-                int(time.time()),
-                _JSON.encode(completion.model),
-            )
+        self._common = b'data: {"id":%b,"object":%b,"created":%d,"model":%b,' % (
+            _JSON.encode(completion.request.id),
+            _JSON.encode(name),
+            int(time.time()),
+            _JSON.encode(completion.model),
         )
+        self._head = self._common + b'"choices":[{"index":0,'
         if completion.chat:
             self._start = self._head + b'"delta":{"role":"assistant","content":'
             self._middle = self._head + b'"delta":{"content":'
@@ -295,36 +343,53 @@
             self._last = self._head + b'"text":""'
 
     def encode(self, frame: TokenFrame) -> bytes:
-        """Return the server-sent event of one frame."""
+        """Return the server-sent event of one frame, or both of the end."""
         if frame.finished:
             reason = _JSON.encode(finish_reason(frame.offset, self._max_tokens))
-            return b'%b,"finish_reason":%b}]}\n\n' % (self._last, reason)
+            end = b'%b,"finish_reason":%b}]}\n\n' % (self._last, reason)
+            return end + self._usage(frame) if self._include_usage else end
         head = self._middle if frame.offset else self._start
         return head + _JSON.encode(frame.text) + self._end
 
+    def _usage(self, frame: TokenFrame) -> bytes:
+        usage = _JSON.encode(_usage_form(frame.usage))
+        return self._common + b'"choices":[],"usage":%b}\n\n' % usage
+
 
 def finish_reason(tokens: int, max_tokens: int) -> str:
     """Return why an answer of ``tokens`` tokens ended."""
     return "length" if tokens >= max_tokens else "stop"
 
 
-def encode_answer(completion: Completion, text: str, tokens: int) -> bytes:
-    """Return the body of an answer of ``tokens`` tokens that is not streamed."""
-    reason = finish_reason(tokens, completion.request.max_tokens)
+def encode_answer(completion: Completion, answer: CompletionAnswer) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    reason = finish_reason(answer.tokens, completion.request.max_tokens)
     choices: list[MessageChoiceForm] | list[TextChoiceForm]
     if completion.chat:
-        choices = [MessageChoiceForm(ChatMessage("assistant", text), reason)]
+        choices = [MessageChoiceForm(ChatMessage("assistant", answer.text), reason)]
         name = "chat.completion"
     else:
-        choices = [TextChoiceForm(text, reason)]
+        choices = [TextChoiceForm(answer.text, reason)]
         name = "text_completion"
     return _JSON.encode(
         CompletionAnswerForm(
-            completion.request.id, name, int(time.time()), completion.model, choices
+            completion.request.id,
+            name,
+            int(time.time()),
+            completion.model,
+            choices,
+            _usage_form(answer.usage),
         )
     )
 
 
+def _usage_form(usage: Usage | None) -> UsageForm | None:
+    if usage is None:
+        return None
+    total = usage.prompt_tokens + usage.completion_tokens
+    return UsageForm(usage.prompt_tokens, usage.completion_tokens, total)
+
+
 @dataclass(frozen=True, slots=True)
 class ErrorAnswer:
     """An error as HTTP: status, header value and body."""
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -112,7 +112,9 @@
     IN_PROGRESS = "in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_NOT_KEPT = "answer_not_kept"
+    ANSWER_TOO_LARGE = "answer_too_large"
     OVERLOADED = "overloaded"
+    TOO_MANY_JOBS = "too_many_jobs"
     DEADLINE = "deadline"
     DRAINING = "draining"
     STALE_CONFIGURATION = "stale_configuration"
@@ -133,6 +135,7 @@
     NODE_SILENT = "node_silent"
     NODE_BEHIND = "node_behind"
     NO_OWNER = "no_owner"
+    ENDPOINT_UNCONFIRMED = "endpoint_unconfirmed"
     REFUSALS = "refusals"
 
 
