Send no request over a connection that says it will close

The answers of streams carry "Connection: close"; the load generator kept the connection all the same and lost a request sent before it saw the end.

Change: bench.load does not keep such a connection.

--- a/bench/load.py
+++ b/bench/load.py
@@ -17,6 +17,7 @@
 END_MARK = b"data: [DONE]"
 ERROR_MARK = b"event: error"
 HEAD_END = b"\r\n\r\n"
+CLOSE_MARK = b"connection: close"
 LAST_CHUNK = b"0\r\n\r\n"
 TEXT = re.compile(rb'"text":"([^"]*)"')
 
@@ -83,7 +84,9 @@
             if HEAD_END not in self._seen:
                 return
             outcome.status = int(self._seen.split(b" ", 2)[1])
-            data = self._seen.partition(HEAD_END)[2]
+            head, _, data = self._seen.partition(HEAD_END)
+            # A request sent over a connection that is about to close is lost.
+            self.closed = CLOSE_MARK in head.lower()
             self._seen = b""
         now_s = time.monotonic() - self._started_s
         if outcome.status != 200:
