Take in the words of an answer together

Change: currency and node table take all words of an answer at once, and the zones are hashed once an answer.

--- a/src/camphoryard/coordination/currency.py
+++ b/src/camphoryard/coordination/currency.py
@@ -9,7 +9,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
@@ -62,11 +62,18 @@
 
     def heard(self, node: NodeId, as_of_s: float, generation: Generation) -> None:
         """Note that ``node`` had ``generation`` in force at ``as_of_s``."""
+        self.heard_all({node: as_of_s}, generation)
+
+    def heard_all(
+        self, as_of_s_by_node: Mapping[NodeId, float], generation: Generation
+    ) -> None:
+        """Note that each node had ``generation`` in force at its time."""
         if generation > self._holder.current.generation:
             return
         with self._changed:
-            known_s = self._as_of_s_by_node.get(node, NEVER_S)
-            self._as_of_s_by_node[node] = max(known_s, as_of_s)
+            for node, as_of_s in as_of_s_by_node.items():
+                if as_of_s > self._as_of_s_by_node.get(node, NEVER_S):
+                    self._as_of_s_by_node[node] = as_of_s
             self._changed.notify_all()
 
     def ages_s(self) -> dict[NodeId, float]:
--- a/src/camphoryard/coordination/gossip.py
+++ b/src/camphoryard/coordination/gossip.py
@@ -26,7 +26,6 @@
 )
 from camphoryard.coordination.ports import Peers, Ticks, Timer
 from camphoryard.coordination.presence import (
-    differing_zones,
     make_words,
     read_words,
 )
@@ -167,16 +166,17 @@
     def _take_words(self, answer: GossipAnswer, asked_s: float) -> None:
         """Take in whom the sender heard, dated from before its question."""
         sender = answer.digests[0].digest
-        leases = self._parts.nodes.all()
-        for node, age_s in read_words(answer.words, leases).items():
-            if node != self._parts.lease.node:
-                as_of_s = asked_s - age_s
-                self._parts.currency.heard(node, as_of_s, sender.generation)
-                self._parts.nodes.heard_at(node, as_of_s)
-        differing = differing_zones(answer.words, leases)
-        if differing and time.monotonic() - self._learned_s >= LEARN_PERIOD_S:
+        read = read_words(answer.words, self._parts.nodes.all())
+        as_of_s_by_node = {
+            node: asked_s - age_s
+            for node, age_s in read.age_s_by_node.items()
+            if node != self._parts.lease.node
+        }
+        self._parts.currency.heard_all(as_of_s_by_node, sender.generation)
+        self._parts.nodes.heard_at(as_of_s_by_node)
+        if read.differing and time.monotonic() - self._learned_s >= LEARN_PERIOD_S:
             self._learned_s = time.monotonic()
-            self._parts.learn_leases(sender.node, differing)
+            self._parts.learn_leases(sender.node, read.differing)
 
     def _merge(self, digests: Sequence[HeardDigest], sender: NodeDigest) -> None:
         nodes = self._parts.nodes
--- a/src/camphoryard/coordination/presence.py
+++ b/src/camphoryard/coordination/presence.py
@@ -9,6 +9,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 from xxhash import xxh3_64_intdigest
 
@@ -20,6 +21,14 @@
 UNHEARD = 255
 
 
+@dataclass(frozen=True, slots=True)
+class ReadWords:
+    """Ages, in seconds, of the nodes heard, and the zones known otherwise here."""
+
+    age_s_by_node: Mapping[NodeId, float]
+    differing: tuple[Zone, ...]
+
+
 def starts_by_zone(leases: Iterable[NodeLease]) -> dict[Zone, list[NodeLease]]:
     """Return the leases of each zone, sorted by node; seeds have no zone yet."""
     by_zone: dict[Zone, list[NodeLease]] = defaultdict(list)
@@ -43,32 +52,20 @@
     )
 
 
-def read_words(
-    words: Collection[ZoneWords], leases: Iterable[NodeLease]
-) -> dict[NodeId, float]:
-    """Return the ages, in seconds, in the words of zones known alike here."""
+def read_words(words: Collection[ZoneWords], leases: Iterable[NodeLease]) -> ReadWords:
+    """Return what the words say to a node that knows ``leases``."""
     known_by_zone = starts_by_zone(leases)
-    age_s_by_node = {}
+    age_s_by_node: dict[NodeId, float] = {}
+    differing = []
     for item in words:
         starts = known_by_zone.get(item.zone, [])
         if not _is_alike(item, starts):
+            differing.append(item.zone)
             continue
         for lease, step in zip(starts, item.steps, strict=True):
             if step != UNHEARD:
                 age_s_by_node[lease.node] = step / STEPS_PER_SECOND
-    return age_s_by_node
-
-
-def differing_zones(
-    words: Collection[ZoneWords], leases: Iterable[NodeLease]
-) -> tuple[Zone, ...]:
-    """Return the zones of which the teller knows other starts than this node."""
-    known_by_zone = starts_by_zone(leases)
-    return tuple(
-        item.zone
-        for item in words
-        if not _is_alike(item, known_by_zone.get(item.zone, []))
-    )
+    return ReadWords(age_s_by_node, tuple(differing))
 
 
 def _is_alike(words: ZoneWords, starts: Sequence[NodeLease]) -> bool:
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.enums import NodeState
@@ -148,12 +148,13 @@
                 seen = _Seen(known.lease, known.version, time.monotonic())
                 self._by_id[node] = seen
 
-    def heard_at(self, node: NodeId, at_s: float) -> None:
-        """Count the known start of a node as renewed at ``at_s``, monotonic time."""
+    def heard_at(self, at_s_by_node: Mapping[NodeId, float]) -> None:
+        """Count known starts of nodes as renewed at these monotonic times."""
         with self._lock:
-            known = self._by_id.get(node)
-            if known is not None and known.at_s < at_s:
-                self._by_id[node] = replace(known, at_s=at_s)
+            for node, at_s in at_s_by_node.items():
+                known = self._by_id.get(node)
+                if known is not None and known.at_s < at_s:
+                    self._by_id[node] = _Seen(known.lease, known.version, at_s)
 
     def digest(self, node: NodeId) -> NodeDigest | None:
         """Return the last digest heard of ``node``."""
--- a/tests/coordination/test_presence.py
+++ b/tests/coordination/test_presence.py
@@ -3,7 +3,6 @@
 import pytest
 
 from camphoryard.coordination.presence import (
-    differing_zones,
     make_words,
     read_words,
 )
@@ -27,17 +26,18 @@
     def test_same_starts(self):
         """Nodes that know the same starts understand each other."""
         words = make_words(LEASES, {"a": 0.0, "c": 3.0})
-        assert read_words(words, LEASES[::-1]) == {"a": 0.0, "c": 3.0}
+        assert read_words(words, LEASES[::-1]).age_s_by_node == {"a": 0.0, "c": 3.0}
 
     @pytest.mark.parametrize("age_s", [0.01, 0.1, 0.24, 13.999, 25.4])
     def test_ages_never_shrink(self, age_s):
         """An age is rounded up, by less than a tenth of a second."""
         read = read_words(make_words(LEASES, {"a": age_s}), LEASES)
-        assert age_s <= read["a"] < age_s + 0.1
+        assert age_s <= read.age_s_by_node["a"] < age_s + 0.1
 
     def test_old_words_are_not_passed_on(self):
         """An age beyond what a byte holds counts as unheard."""
-        assert read_words(make_words(LEASES, {"a": 25.5}), LEASES) == {}
+        read = read_words(make_words(LEASES, {"a": 25.5}), LEASES)
+        assert read.age_s_by_node == {}
 
     @pytest.mark.parametrize(
         "other",
@@ -52,8 +52,9 @@
     def test_zone_known_otherwise(self, other):
         """Words of other starts count for nothing; other zones still do."""
         words = make_words(LEASES, {"a": 1.0, "b": 1.0, "c": 1.0})
-        assert read_words(words, other) == {"c": 1.0}
-        assert differing_zones(words, other) == ("z",)
+        read = read_words(words, other)
+        assert read.age_s_by_node == {"c": 1.0}
+        assert read.differing == ("z",)
 
 
 class TestMakeWords:
