Keep two gossip tests from being answered by chance

Cause: test_words_of_a_newer_generation_confirm_nothing failed in one full check: the round that it opens also went to random neighbours, one of which was the node that must not be heard. Its neighbour in the file had the same flaw. Change: the round's own messages are lost, so that only the answer under test comes.

--- a/tests/coordination/test_gossip.py
+++ b/tests/coordination/test_gossip.py
@@ -83,6 +83,10 @@
                 other.gossiper.take_answer(message)
 
 
+def lose(node, message):
+    """Lose a message, so that no other node answers."""
+
+
 def make_fleet(policy):
     """Return nodes that know each other's leases."""
     by_id = {}
@@ -185,6 +189,7 @@
         fleet["n01"].holder.adopt(Configuration(7))
         fleet["n00"].holder.adopt(Configuration(6))
         fleet["n01"].currency.heard("n02", time.monotonic(), 6)
+        fleet["n00"].tell = lose
         fleet["n00"].gossiper.tell()
         fleet["n01"].gossiper.take(Gossip(1, fleet["n00"].gossiper._digests()))
         assert "n02" not in fleet["n00"].currency.ages_s()
@@ -196,6 +201,7 @@
         node.nodes.introduce(replace(lease(99), zone="zone-2"))
         other.currency.heard("n02", time.monotonic(), 0)
         other.currency.heard("n04", time.monotonic(), 0)
+        node.tell = lose
         node.gossiper.tell()
         other.gossiper.take(Gossip(1, node.gossiper._digests()))
         assert node.learned_zones == ["zone-2"]
