--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -9,7 +9,8 @@
 from camphoryard.coordination.actions import ActionParts, act
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.collecting import AnswerCollector
-from camphoryard.coordination.inference import Deliver, InferenceParts, infer
+from camphoryard.coordination.inference import infer
+from camphoryard.coordination.inference_parts import Deliver, InferenceParts
 from camphoryard.coordination.refusals import RefusalCounter
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.enums import NodeState, Reason
--- a/src/camphoryard/node/serving.py
+++ b/src/camphoryard/node/serving.py
@@ -8,7 +8,7 @@
 from camphoryard.coordination.claim_settling import Settler
 from camphoryard.coordination.claiming import ClaimParts
 from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
-from camphoryard.coordination.inference import InferenceParts
+from camphoryard.coordination.inference_parts import InferenceParts
 from camphoryard.coordination.leaving import LeavingEndpoints, StayingServices
 from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
 from camphoryard.coordination.routing import Router
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -9,7 +9,7 @@
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.demand import DemandMeter
-from camphoryard.coordination.inference import InferenceParts
+from camphoryard.coordination.inference_parts import InferenceParts
 from camphoryard.coordination.leaving import LeavingEndpoints
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.ports import Inventory
