Have one piece of code for what stood twice

Cause, found by reading the whole change again: the front door wrapped completions and actions in the same steps twice; the client's check of an idle connection and the stream's check of waiting data were the same poll; the fleet gave ports back in three loops. Ruled out: putting the counting of refusals around `admitted()`; it would count after the request has left, and a planned stop that waits for the last request could miss it. Change: `_served`, `is_readable`, one loop. Behaviour and tests are unchanged.

--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/serving.py
@@ -106,16 +106,8 @@
                 self._parts.observe("first_token", time.monotonic() - started_s)
             deliver(frame)
 
-        self._begin()
-        try:
-            self._admit()
+        with self._served(request, "inference"):
             infer(self._parts.inference, request, cancellation, observed)
-        except RefusalError as refusal:
-            self.refused(refusal, request.caller, request.id)
-            raise
-        finally:
-            self._end()
-            self._parts.observe("inference", time.monotonic() - started_s)
 
     def complete(
         self, request: InferenceRequest, cancellation: Cancellation
@@ -127,17 +119,8 @@
 
     def act(self, request: ActionRequest) -> ActionAnswer:
         """Return the action's answer; raises RefusalError, which is counted."""
-        started_s = time.monotonic()
-        self._begin()
-        try:
-            self._admit()
+        with self._served(request, "action"):
             return act(self._parts.actions, request)
-        except RefusalError as refusal:
-            self.refused(refusal, request.caller, request.id)
-            raise
-        finally:
-            self._end()
-            self._parts.observe("action", time.monotonic() - started_s)
 
     def refused(
         self, refusal: RefusalError, caller: CallerId | None, request: RequestId | None
@@ -170,6 +153,27 @@
             detail=refusal.detail,
         )
 
+    @contextmanager
+    def _served(
+        self, request: InferenceRequest | ActionRequest, measure: str
+    ) -> Iterator[None]:
+        """Have a caller's request in flight, its refusal counted, its time taken.
+
+        The refusal is counted while the request is in flight still, so that a stop
+        which waits for the last request finds it counted.
+        """
+        started_s = time.monotonic()
+        self._begin()
+        try:
+            self._admit()
+            yield
+        except RefusalError as refusal:
+            self.refused(refusal, request.caller, request.id)
+            raise
+        finally:
+            self._end()
+            self._parts.observe(measure, time.monotonic() - started_s)
+
     def _admit(self) -> None:
         if self._state is NodeState.STOPPING:
             raise RefusalError(
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -24,6 +24,7 @@
 
 MAX_IDLE_PER_ADDRESS = 64
 CONNECT_LIMIT_S = 1.0
+MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,7 +201,8 @@
                     return None
                 connection = idle.pop()
                 self._busy.add(connection)
-            if not _is_closed(connection):
+            # Something to read on an idle connection is its end.
+            if not is_readable(connection.sock):
                 return connection
             self.discard(connection)
 
@@ -260,11 +262,11 @@
     return BrokenCallError(repr(error))
 
 
-def _is_closed(connection: HTTPConnection) -> bool:
-    """Return whether an idle connection has something to read: its end."""
+def is_readable(sock: socket.socket, wait_s: float = 0.0) -> bool:
+    """Return whether there is something to read, or an end, within ``wait_s``."""
     poll = select.poll()
-    poll.register(connection.sock, select.POLLIN)
-    return bool(poll.poll(0))
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(wait_s * MILLISECONDS_PER_SECOND))
 
 
 def shut(sock: socket.socket) -> None:
--- a/src/camphoryard/transport/stream_reading.py
+++ b/src/camphoryard/transport/stream_reading.py
@@ -10,10 +10,9 @@
 from dataclasses import dataclass
 
 from camphoryard.state.errors import StalledCallError
-from camphoryard.transport.http_client import Address, shut
+from camphoryard.transport.http_client import Address, is_readable, shut
 
 READ_BYTES = 65_536
-MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +66,7 @@
         StalledCallError
             If nothing came for longer than ``limits`` allow.
         """
-        if not self._is_readable(max(0.0, self._left_s(limits))):
+        if not is_readable(self.sock, max(0.0, self._left_s(limits))):
             raise StalledCallError("the stream did not begin")
         return self.read()
 
@@ -97,7 +96,7 @@
         while not self._ended.wait(max(0.0, self._left_s(limits))):
             if self._left_s(limits) > 0:
                 continue
-            if time.monotonic() < limits.until_s and self._is_readable(0.0):
+            if time.monotonic() < limits.until_s and is_readable(self.sock):
                 # The reader is behind, not the engine.
                 self._heard_s = time.monotonic()
                 continue
@@ -105,12 +104,6 @@
         if self._error is not None:
             raise self._error
 
-    def _is_readable(self, wait_s: float) -> bool:
-        """Return whether there is something to read within ``wait_s``."""
-        poll = select.poll()
-        poll.register(self.sock, select.POLLIN)
-        return bool(poll.poll(wait_s * MILLISECONDS_PER_SECOND))
-
     def _left_s(self, limits: StreamLimits) -> float:
         if self._heard_s is None:
             due_s = self._began_s + limits.first_token_s
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -147,11 +147,11 @@
                 process.popen.wait(left_s)
             except subprocess.TimeoutExpired:
                 process.kill()
-        for process in self.process_by_name.values():
-            release_port(process.port)
-        for port in self.peer_port_by_node.values():
-            release_port(port)
-        for port in self.link_port_by_target.values():
+        for port in (
+            *(process.port for process in self.process_by_name.values()),
+            *self.peer_port_by_node.values(),
+            *self.link_port_by_target.values(),
+        ):
             release_port(port)
 
     def port(self, name: str) -> int:
