--- /dev/null
+++ b/src/camphoryard/coordination/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests whose content the system does not interpret."""
--- /dev/null
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -0,0 +1,206 @@
+"""One attempt to have a request answered by one endpoint."""
+
+from collections.abc import Mapping
+from contextlib import closing
+from enum import Enum
+
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.forwarding.parts import ForwardingParts, Journey
+from camphoryard.coordination.forwarding.ports import (
+    Answer,
+    AnswerKind,
+    ClientReply,
+    Sending,
+)
+from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.serving_endpoints import ServingEndpoint
+from camphoryard.state.traffic import Repeatability, RouteRule
+
+PATIENCE_IN_OBJECTIVES = 2.5
+"""How long an endpoint may be silent before another one is tried, in objectives;
+clients leave a stream after four."""
+LEAST_PATIENCE_S = 0.3
+"""Shorter silences are ordinary at a full endpoint."""
+LEAST_STREAM_PATIENCE_S = 1.0
+"""Endpoints that preempt a stream read it anew, which takes up to a second."""
+GAP_PATIENCE = 4.0
+"""How long a stream may pause before it is resumed elsewhere, in longest gaps;
+clients leave after eight."""
+ONCE_IDLE_S = 1.0
+"""A connection idle for longer may be closed while a request is written to it."""
+IDLE_S = 4.0
+"""The same for requests that may be sent again."""
+
+
+class Outcome(Enum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+
+
+def attempt(
+    parts: ForwardingParts,
+    journey: Journey,
+    endpoint: ServingEndpoint,
+    cancellation: Cancellation,
+    reply: ClientReply,
+) -> Outcome:
+    """Send the request to ``endpoint`` and hand its answer on; raises as Upstream."""
+    sent_s = parts.clock()
+    journey.sends += 1
+    parts.in_flight.begin(endpoint.id)
+    parts.breakers.started(endpoint.id)
+    try:
+        with closing(_open(parts, journey, endpoint, cancellation)) as answer:
+            parts.observe("head", parts.clock() - sent_s)
+            return _take(parts, journey, endpoint, answer, reply)
+    finally:
+        parts.in_flight.end(endpoint.id)
+
+
+def _open(
+    parts: ForwardingParts,
+    journey: Journey,
+    endpoint: ServingEndpoint,
+    cancellation: Cancellation,
+) -> Answer:
+    """Send the request; note that it may have run unless no byte left."""
+    sending = _sending(parts, journey)
+    try:
+        answer = parts.upstream.open(endpoint, journey.request, sending, cancellation)
+    except BrokenCallError:
+        journey.runs += 1
+        journey.may_have_run = True
+        raise
+    if not answer.head.kind.is_promise:
+        journey.runs += 1
+        journey.may_have_run = True
+    return answer
+
+
+def _sending(parts: ForwardingParts, journey: Journey) -> Sending:
+    request, rule = journey.request, journey.rule
+    left_s = max(0.0, journey.due_s - parts.clock())
+    is_last = journey.runs + 1 >= rule.max_attempts
+    patience_s = left_s
+    if rule.repeatability.may_run_again and not is_last:
+        patience_s = min(left_s, first_patience_s(rule))
+    is_once = rule.repeatability in (Repeatability.ONCE, Repeatability.STREAM)
+    return Sending(
+        journey.due_s,
+        patience_s,
+        rule.rank,
+        journey.progress.last_event or request.resume_after,
+        ONCE_IDLE_S if is_once else IDLE_S,
+    )
+
+
+def first_patience_s(rule: RouteRule) -> float:
+    """Return how long an endpoint may be silent before its answer begins."""
+    least_s = LEAST_STREAM_PATIENCE_S if rule.repeatability.is_stream else 0.0
+    return max(least_s, LEAST_PATIENCE_S, rule.objective_s * PATIENCE_IN_OBJECTIVES)
+
+
+def _take(
+    parts: ForwardingParts,
+    journey: Journey,
+    endpoint: ServingEndpoint,
+    answer: Answer,
+    reply: ClientReply,
+) -> Outcome:
+    """Hand on an answer whose head has come."""
+    match answer.head.kind:
+        case AnswerKind.NOT_RUN | AnswerKind.NOT_HELD:
+            answer.body()
+            journey.failed.add(endpoint.id)
+            parts.log(
+                "endpoint_declined",
+                request=journey.request.id,
+                endpoint=endpoint.id,
+                status=answer.head.status,
+                sends=journey.sends,
+            )
+            return Outcome.NOT_RUN
+        case AnswerKind.UNTRUSTED:
+            raise BrokenCallError(f"answer {answer.head.status} is not the endpoint's")
+        case AnswerKind.FAILED:
+            return _take_failure(parts, journey, endpoint, answer, reply)
+        case AnswerKind.SERVED:
+            if journey.rule.repeatability.is_stream:
+                _relay(parts, journey, endpoint, answer, reply)
+            else:
+                body = answer.body()
+                _succeeded(parts, endpoint)
+                reply.whole(answer.head.status, answer.head.headers, body)
+            return Outcome.ANSWERED
+
+
+def _take_failure(
+    parts: ForwardingParts,
+    journey: Journey,
+    endpoint: ServingEndpoint,
+    answer: Answer,
+    reply: ClientReply,
+) -> Outcome:
+    """Try elsewhere what failed, or hand the failure on."""
+    body = answer.body()
+    if journey.progress.events:
+        raise BrokenCallError(f"the stream cannot go on: {answer.head.status}")
+    if journey.may_run_again and parts.retries.take(journey.service):
+        journey.failed.add(endpoint.id)
+        parts.count("failures_retried")
+        return Outcome.FAILED
+    reply.whole(answer.head.status, answer.head.headers, body)
+    return Outcome.ANSWERED
+
+
+def _relay(
+    parts: ForwardingParts,
+    journey: Journey,
+    endpoint: ServingEndpoint,
+    answer: Answer,
+    reply: ClientReply,
+) -> None:
+    """Hand on a stream event by event; raises if it ends before its end."""
+    gap_s = _gap_patience_s(parts, journey)
+    progress = journey.progress
+    progress.restart()
+    if not reply.has_begun:
+        reply.begin(answer.head.status, _without_length(answer.head.headers))
+    has_events = False
+    for piece in answer.pieces(gap_s):
+        whole = progress.take(piece)
+        if not whole:
+            continue
+        if not has_events:
+            has_events = True
+            _succeeded(parts, endpoint)
+            parts.observe("first_event", parts.clock() - journey.request.arrived_s)
+        reply.write(whole)
+    if not progress.is_between_events:
+        raise BrokenCallError("the stream ended within an event")
+
+
+def _gap_patience_s(parts: ForwardingParts, journey: Journey) -> float:
+    """Return how long the stream may pause.
+
+    It is as long as the client may wait if the stream cannot go on elsewhere.
+    """
+    left_s = max(0.0, journey.request.deadline_s - parts.clock())
+    if not journey.may_run_again:
+        return left_s
+    return min(left_s, journey.rule.longest_gap_s * GAP_PATIENCE or left_s)
+
+
+def _without_length(headers: Mapping[str, str]) -> Mapping[str, str]:
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() != "content-length"
+    }
+
+
+def _succeeded(parts: ForwardingParts, endpoint: ServingEndpoint) -> None:
+    parts.breakers.succeeded(endpoint.id)
--- /dev/null
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -0,0 +1,199 @@
+"""One request from its route to the last byte of its answer."""
+
+import random
+
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.forwarding.attempt import Outcome, attempt
+from camphoryard.coordination.forwarding.parts import ForwardingParts, Journey
+from camphoryard.coordination.forwarding.ports import ClientReply, ClientRequest
+from camphoryard.state.enums import Reason
+from camphoryard.state.errors import (
+    BrokenCallError,
+    NotSentError,
+    RefusalError,
+    StalledCallError,
+)
+from camphoryard.state.ids import ServiceId
+from camphoryard.state.serving_endpoints import ServingEndpoint
+from camphoryard.state.traffic import RouteRule, WeightedService
+from camphoryard.state.verdict import Verdict
+
+MAX_SENDS = 4
+"""Endpoints that one request is offered to at most; beyond the attempts of any
+route, as endpoints that are full say so without running it."""
+NO_ENDPOINT_RETRY_S = 0.5
+"""Retry-After where no endpoint is known; entries change each second or so."""
+
+
+def forward(
+    parts: ForwardingParts,
+    request: ClientRequest,
+    cancellation: Cancellation,
+    reply: ClientReply,
+) -> None:
+    """Have the request answered by an endpoint, or by several in turn.
+
+    Raises
+    ------
+    RefusalError
+        If it was not answered; its verdict is NOT_RUN only if it has not run and
+        never will.
+    """
+    journey = begin(parts, request)
+    parts.retries.earn(journey.service)
+    while True:
+        endpoint = _find_endpoint(parts, journey)
+        try:
+            outcome = attempt(parts, journey, endpoint, cancellation, reply)
+        except (NotSentError, BrokenCallError) as error:
+            _check_cancelled(journey, cancellation)
+            _note_failure(parts, journey, endpoint, error)
+            _check_again(parts, journey, error)
+            continue
+        match outcome:
+            case Outcome.ANSWERED:
+                return
+            case Outcome.FAILED:
+                continue
+            case Outcome.NOT_RUN:
+                _check_again(parts, journey, None)
+
+
+def begin(parts: ForwardingParts, request: ClientRequest) -> Journey:
+    """Return the journey of a request along its route.
+
+    Raises
+    ------
+    RefusalError
+        If no rules are known yet, or none takes the request.
+    """
+    rules = parts.directory.rules
+    if rules is None:
+        raise RefusalError(
+            Reason.STALE_CONFIGURATION,
+            "no configuration is known yet",
+            retry_after_s=NO_ENDPOINT_RETRY_S,
+        )
+    rule = rules.find(request.host, request.path)
+    if rule is None:
+        raise RefusalError(Reason.NOT_FOUND, "no route takes this host and path")
+    due_s = min(request.deadline_s, request.arrived_s + rule.timeout_s)
+    return Journey(request, rule, _draw_service(rule), due_s)
+
+
+def _draw_service(rule: RouteRule) -> ServiceId:
+    """Return one of the route's services, drawn by weight."""
+    match rule.services:
+        case (WeightedService(service),):
+            return service
+        case services:
+            weights = [item.weight for item in services]
+            return random.choices(services, weights)[0].service
+
+
+def _find_endpoint(parts: ForwardingParts, journey: Journey) -> ServingEndpoint:
+    """Return the endpoint to send to next.
+
+    Raises
+    ------
+    RefusalError
+        If there is none, or too little time is left.
+    """
+    if parts.clock() >= journey.due_s:
+        raise RefusalError(
+            Reason.DEADLINE, "the time for this request is over", journey.verdict
+        )
+    wanted = journey.request.wanted
+    ready = parts.directory.ready(journey.service)
+    if not ready:
+        raise _no_endpoint(journey, "no endpoint of the service is ready")
+    holders = [item for item in ready if item.holds(wanted)]
+    usable = _usable(parts, journey, holders)
+    if usable:
+        return parts.chooser.choose(usable)
+    if wanted is None or holders:
+        raise _no_endpoint(journey, "every endpoint of the service has failed")
+    found = parts.models.seek(journey.service, wanted, journey.due_s)
+    if found is None:
+        raise _no_endpoint(journey, "no endpoint holds the model or adapter")
+    return found
+
+
+def _usable(
+    parts: ForwardingParts, journey: Journey, holders: list[ServingEndpoint]
+) -> list[ServingEndpoint]:
+    """Return the holders worth a try, the ejected ones only if there are no others."""
+    fresh = [item for item in holders if item.id not in journey.failed]
+    closed = [item for item in fresh if parts.breakers.allows(item.id)]
+    return closed or fresh
+
+
+def _no_endpoint(journey: Journey, detail: str) -> RefusalError:
+    return RefusalError(
+        Reason.NO_ENDPOINT, detail, journey.verdict, retry_after_s=NO_ENDPOINT_RETRY_S
+    )
+
+
+def _check_cancelled(journey: Journey, cancellation: Cancellation) -> None:
+    if cancellation.cancelled:
+        raise RefusalError(Reason.CANCELLED, "the client went away", journey.verdict)
+
+
+def _note_failure(
+    parts: ForwardingParts,
+    journey: Journey,
+    endpoint: ServingEndpoint,
+    error: NotSentError | BrokenCallError,
+) -> None:
+    """Note what a failed call says about its endpoint."""
+    journey.failed.add(endpoint.id)
+    is_over = parts.clock() >= journey.due_s
+    if not is_over:
+        parts.breakers.failed(endpoint.id)
+    parts.log(
+        "attempt_failed",
+        request=journey.request.id,
+        endpoint=endpoint.id,
+        error=repr(error),
+        sends=journey.sends,
+        verdict=journey.verdict.value,
+        events=journey.progress.events,
+    )
+
+
+def _check_again(
+    parts: ForwardingParts,
+    journey: Journey,
+    error: NotSentError | BrokenCallError | None,
+) -> None:
+    """Raise RefusalError unless the request may be sent again."""
+    may_go = not journey.may_have_run or journey.may_run_again
+    if not may_go:
+        raise _failure(parts, journey, error)
+    if journey.sends >= MAX_SENDS:
+        raise _failure(parts, journey, error)
+    match error:
+        case NotSentError():
+            return
+        case _:
+            if not parts.retries.take(journey.service):
+                raise _failure(parts, journey, error)
+
+
+def _failure(
+    parts: ForwardingParts,
+    journey: Journey,
+    error: NotSentError | BrokenCallError | None,
+) -> RefusalError:
+    if journey.verdict is Verdict.NOT_RUN:
+        return RefusalError(
+            Reason.OVERLOADED,
+            "every endpoint that was asked is full",
+            retry_after_s=NO_ENDPOINT_RETRY_S,
+        )
+    match error:
+        case StalledCallError() if parts.clock() >= journey.due_s:
+            reason = Reason.DEADLINE
+        case _:
+            reason = Reason.ENDPOINT_FAILED
+    return RefusalError(reason, repr(error), journey.verdict)
--- /dev/null
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -0,0 +1,85 @@
+"""What the tasks that forward requests work with, and how far one has come."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from camphoryard.coordination.breakers import Breakers
+from camphoryard.coordination.forwarding.choosing import EndpointChooser
+from camphoryard.coordination.forwarding.ports import ClientRequest, Upstream
+from camphoryard.coordination.forwarding.progress import StreamProgress
+from camphoryard.coordination.retry_budget import RetryBudget
+from camphoryard.state.directory import Directory
+from camphoryard.state.ids import EndpointId, ServiceId
+from camphoryard.state.serving_endpoints import ServingEndpoint
+from camphoryard.state.tables import InFlightTable
+from camphoryard.state.traffic import RouteRule, WantedModel
+from camphoryard.state.verdict import Verdict
+
+
+class DecisionLog(Protocol):
+    """Where each decision about a request is written."""
+
+    def __call__(self, event: str, **fields: object) -> None:
+        """Write one line; never blocks."""
+
+
+class ModelSeeker(Protocol):
+    """Has models and adapters loaded that a request needs."""
+
+    def seek(
+        self, service: ServiceId, wanted: WantedModel, deadline_s: float
+    ) -> ServingEndpoint | None:
+        """Block until ``wanted`` is held somewhere; None if that will not be."""
+
+    def asked(self, service: ServiceId, wanted: WantedModel, work_s: float) -> None:
+        """Note a request for ``wanted`` that is worth ``work_s`` slot seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingParts:
+    """What a forwarding task works with."""
+
+    directory: Directory
+    chooser: EndpointChooser
+    in_flight: InFlightTable
+    breakers: Breakers
+    retries: RetryBudget[ServiceId]
+    upstream: Upstream
+    models: ModelSeeker
+    log: DecisionLog
+    observe: Callable[[str, float], None]
+    count: Callable[[str], None]
+    clock: Callable[[], float] = time.monotonic
+
+
+@dataclass(slots=True)
+class Journey:
+    """One request on its way: its route and what it has met so far.
+
+    ``runs`` counts the endpoints at which it may have run, ``sends`` all that it
+    was sent to; ``progress`` is what the client has of a stream.
+    """
+
+    request: ClientRequest
+    rule: RouteRule
+    service: ServiceId
+    due_s: float
+    runs: int = 0
+    sends: int = 0
+    may_have_run: bool = False
+    failed: set[EndpointId] = field(default_factory=set)
+    progress: StreamProgress = field(default_factory=StreamProgress)
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the request may have run."""
+        return Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether it may be sent to another endpoint although it may have run."""
+        return (
+            self.rule.repeatability.may_run_again and self.runs < self.rule.max_attempts
+        )
--- a/src/camphoryard/coordination/inference_parts.py
+++ b/src/camphoryard/coordination/inference_parts.py
@@ -17,7 +17,7 @@
 from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
-from camphoryard.state.ids import EndpointId
+from camphoryard.state.ids import EndpointId, GroupId
 from camphoryard.state.requests import InferenceRequest, TokenFrame
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable
 from camphoryard.state.verdict import Verdict
@@ -35,7 +35,7 @@
     admission: Admission
     breakers: Breakers
     leaving: LeavingEndpoints
-    retries: RetryBudget
+    retries: RetryBudget[GroupId]
     suspects: Suspects
     residency: ResidencyClient
     demand: DemandMeter
--- a/src/camphoryard/coordination/watching.py
+++ b/src/camphoryard/coordination/watching.py
@@ -27,6 +27,7 @@
     changes, ``answering`` is told when the object API begins or ceases to
     answer; while ``elected`` does not hold, another node follows for this one.
     With a ``batch_s``, changes that come within it are fetched by one call.
+    ``listed`` is given each whole listing in place of ``take``.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         wait_s: float = WATCH_WAIT_S,
         answering: Callable[[bool], None] = lambda answers: None,
         batch_s: float = 0.0,
+        listed: Callable[[Snapshot[RecordT]], None] | None = None,
     ) -> None:
         self._records = records
         self._take = take
@@ -46,6 +48,7 @@
         self._wait_s = wait_s
         self._answering = answering
         self._batch_s = batch_s
+        self._listed = listed
         self._answers: bool | None = None
 
     def run(self, timer: Timer) -> None:
@@ -65,8 +68,11 @@
         """Take in all records; raises StoreUnavailableError."""
         asked_s = time.monotonic()
         snapshot = self._records.list()
-        for item in snapshot.items:
-            self._take(item)
+        if self._listed is not None:
+            self._listed(snapshot)
+        else:
+            for item in snapshot.items:
+                self._take(item)
         self._note(True)
         self._answered(asked_s)
         return snapshot
--- /dev/null
+++ b/src/camphoryard/entry/daemon.py
@@ -0,0 +1,135 @@
+"""The entry daemon: starts, serves until told to stop, and drains."""
+
+import signal
+import sys
+import threading
+import time
+from concurrent.futures import Future
+from functools import partial
+
+from camphoryard.entry.assembly import Entry, make_entry
+from camphoryard.platform.settings import read_entry_settings, settings_path
+from camphoryard.settings import SettingsError
+from camphoryard.state.errors import ListenError
+from camphoryard.transport.http_server import ConnectionLimits, HttpServer, serve
+
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+WATCHED_SIGNALS = STOP_SIGNALS | {signal.SIGHUP}
+EXIT_SETTINGS = 2
+EXIT_NOT_BOUND = 3
+LEAVE_BEFORE_END_S = 2.5
+"""When a stopping node closes idle connections, before its grace time ends; by
+then the balancer has sent new ones elsewhere for seconds."""
+END_MARGIN_S = 0.4
+"""Between the last answer that is waited for and the end of the grace time."""
+QUIET_S = 0.3
+"""How long nothing may be under way before a stopping node ends early."""
+
+
+def run_entry(entry: Entry) -> None:
+    """Run until told to stop, then drain.
+
+    Raises
+    ------
+    ListenError
+        If a port cannot be bound.
+    """
+    settings = entry.settings
+    threading.Thread(target=entry.log.run, name="log", daemon=True).start()
+    front = serve(
+        entry.app,
+        settings.front.host,
+        settings.front.port,
+        entry.connections,
+        entry.app.refuse,
+        is_balancer_trusted=True,
+    )
+    ready = serve(
+        entry.readiness,
+        settings.ready.host,
+        settings.ready.port,
+        entry.tasks,
+        entry.readiness.refuse,
+    )
+    entry.directory.subscribe(partial(_apply_limits, entry, front))
+    for name, server in (("front", front), ("ready", ready)):
+        threading.Thread(target=server.run, name=name, daemon=True).start()
+    for task in (entry.rules.run, entry.endpoints.run, entry.feed.run_expiry):
+        entry.tasks.submit(task, entry.timer).add_done_callback(partial(_report, entry))
+    entry.log("started", front=settings.front, zone=settings.zone)
+    entry.stop.wait()
+    drain(entry, front)
+
+
+def drain(entry: Entry, front: HttpServer) -> None:
+    """Let the balancer move away, finish what is under way, and end."""
+    grace_s = entry.settings.bounds.grace_s
+    end_s = time.monotonic() + grace_s - END_MARGIN_S
+    entry.log("stopping", grace_s=grace_s)
+    entry.readiness.leave()
+    front.leave()
+    entry.stop.clear()
+    entry.stop.wait(max(0.0, grace_s - LEAVE_BEFORE_END_S))
+    front.close_idle()
+    front.wait_flushed(end_s)
+    entry.log("stopped", unfinished=len(front.active_channels))
+    close(entry)
+
+
+def close(entry: Entry) -> None:
+    """End every task of the daemon."""
+    entry.timer.close()
+    entry.client.close()
+    for executor in (entry.tasks, entry.connections):
+        executor.shutdown(wait=False, cancel_futures=True)
+    entry.log.close()
+
+
+def watch_signals(entry: Entry) -> None:
+    """Note each signal; a second stop signal changes nothing."""
+    while True:
+        received = signal.sigwait(WATCHED_SIGNALS)
+        entry.log("signal", name=signal.Signals(received).name)
+        if received in STOP_SIGNALS:
+            entry.stop.set()
+
+
+def _apply_limits(entry: Entry, front: HttpServer) -> None:
+    rules = entry.directory.rules
+    if rules is not None:
+        limits = rules.limits
+        front.limit(
+            ConnectionLimits(
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            )
+        )
+
+
+def _report(entry: Entry, task: Future[None]) -> None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        entry.log("task_failed", error=repr(error))
+
+
+def main() -> None:
+    """Run one node; exit codes: 0 stopped, 2 settings bad, 3 a port not bound."""
+    try:
+        settings = read_entry_settings(settings_path())
+    except SettingsError as error:
+        print(f"camphoryard-entry: {error}", file=sys.stderr, flush=True)
+        sys.exit(EXIT_SETTINGS)
+    # Blocked before any thread starts, so that only the watching one gets them.
+    signal.pthread_sigmask(signal.SIG_BLOCK, WATCHED_SIGNALS)
+    entry = make_entry(settings)
+    threading.Thread(target=watch_signals, args=(entry,), daemon=True).start()
+    try:
+        run_entry(entry)
+    except ListenError as error:
+        print(f"camphoryard-entry: {error}", file=sys.stderr, flush=True)
+        close(entry)
+        sys.exit(EXIT_NOT_BOUND)
--- /dev/null
+++ b/src/camphoryard/entry/settings.py
@@ -0,0 +1,44 @@
+"""What an entry daemon is told about itself and its surroundings."""
+
+from dataclasses import dataclass
+
+from camphoryard.state.ids import NodeId, Zone
+from camphoryard.state.serving_endpoints import HostPort
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Limits that the users set, the same for all nodes.
+
+    ``drain_s`` is how soon after its notice an endpoint that leaves gets no more
+    requests; ``grace_s`` the time between a stop signal and the end;
+    ``retry_share`` and ``retry_reserve`` bound the repeats of a service over all
+    nodes; ``order_lease_s`` is how long after the orders of one node another must
+    wait; in any ``load_window_s`` at most ``load_excess`` times the weight
+    store's rate may be loaded. Times in seconds.
+    """
+
+    drain_s: float
+    grace_s: float
+    retry_share: float
+    retry_reserve: float
+    order_lease_s: float
+    load_window_s: float
+    load_excess: float
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """One node: where it is and listens, and where the store is.
+
+    ``peer_ports`` is the first and the last port for traffic between nodes.
+    """
+
+    node: NodeId
+    zone: Zone
+    host: str
+    front: HostPort
+    ready: HostPort
+    peer_ports: tuple[int, int]
+    store: HostPort
+    bounds: Bounds
--- /dev/null
+++ b/src/camphoryard/platform/heads.py
@@ -0,0 +1,222 @@
+"""Heads of requests and answers, as the platform's clients and endpoints write them."""
+
+from collections.abc import Mapping
+
+from camphoryard.coordination.forwarding.ports import (
+    AnswerHead,
+    AnswerKind,
+    ClientRequest,
+    PromptPart,
+    Sending,
+)
+from camphoryard.protocol.dialect import HOP_HEADERS, RequestHead
+from camphoryard.state.enums import Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import (
+    AdapterId,
+    EventId,
+    ModelId,
+    PromptPartId,
+    RequestId,
+)
+from camphoryard.state.serving_endpoints import ServingEndpoint
+from camphoryard.state.traffic import WantedModel
+from camphoryard.state.verdict import Verdict
+
+REQUEST_ID = "Attempt-Id"
+DEADLINE = "Deadline-Ms"
+LAST_EVENT = "Last-Event-Id"
+MODEL = "Model"
+TOKEN_COUNTS = "Token-Count"
+PROMPT_PARTS = "Prompt-Prefix"
+LENGTH_HINT = "Length-Hint"
+# The endpoint's signature of its answer.
+SIGNATURE = "Server-Seal"
+NOT_RUN = "Not-Executed"
+EXPECTED_ENDPOINT = "Expect-Instance"
+ENDPOINT = "Instance-Id"
+RANK = "Urgency-Class"
+RETRY_AFTER = "Retry-After"
+
+SET_BY_SYSTEM = frozenset(
+    name.lower()
+    for name in (
+        EXPECTED_ENDPOINT,
+        RANK,
+        "Expect-Version",
+        "Hold",
+        "Pin-Ms",
+        "Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+        DEADLINE,
+        LAST_EVENT,
+    )
+)
+"""Headers that clients do not set for endpoints, in lower case."""
+
+DEFAULT_DEADLINE_S = 30.0
+"""For requests without a deadline; longer than any on the users' sheets."""
+MILLISECONDS_PER_SECOND = 1000
+MISDIRECTED = 421
+LOWEST_RANK = 9
+MIDDLE_RANK = 5
+
+
+class PlatformHeads:
+    """See the Dialect port."""
+
+    def read_request(
+        self, head: RequestHead, body: bytes, arrived_s: float
+    ) -> ClientRequest:
+        """Return the request; raises RefusalError if a header cannot be read."""
+        headers = head.headers
+        id = headers.get(REQUEST_ID.lower())
+        if not id:
+            raise RefusalError(
+                Reason.BAD_HEADER, f"{REQUEST_ID} is missing", field=REQUEST_ID
+            )
+        if not head.target.startswith("/"):
+            raise RefusalError(Reason.BAD_FIELD, "the target is not a path")
+        prompt_tokens, most_output_tokens = _token_counts(headers)
+        last_event = headers.get(LAST_EVENT.lower())
+        return ClientRequest(
+            RequestId(id),
+            head.method,
+            headers.get("host", "").partition(":")[0].lower(),
+            head.target,
+            _passed_on(headers),
+            body,
+            arrived_s,
+            arrived_s + _deadline_s(headers),
+            EventId(last_event) if last_event else None,
+            _wanted(headers),
+            prompt_tokens,
+            most_output_tokens,
+            _int(headers, LENGTH_HINT),
+            _prompt_parts(headers),
+        )
+
+    def call_headers(
+        self,
+        endpoint: ServingEndpoint,
+        request: ClientRequest,
+        sending: Sending,
+        left_s: float,
+    ) -> Mapping[str, str]:
+        """Return the headers of the call that sends a request to an endpoint."""
+        headers = dict(request.headers)
+        headers[DEADLINE] = str(max(1, int(left_s * MILLISECONDS_PER_SECOND)))
+        headers[EXPECTED_ENDPOINT] = endpoint.id
+        if request.wanted is not None:
+            headers[RANK] = str(min(sending.rank, LOWEST_RANK))
+        if sending.resume_after is not None:
+            headers[LAST_EVENT] = sending.resume_after
+        return headers
+
+    def read_answer(
+        self, request: ClientRequest, status: int, headers: Mapping[str, str]
+    ) -> AnswerHead | None:
+        """Return what an answer's head says, or None if it is another request's."""
+        by_name = {name.lower(): value for name, value in headers.items()}
+        echoed = by_name.get(REQUEST_ID.lower())
+        if echoed is not None and echoed != request.id:
+            return None
+        length = by_name.get("content-length", "")
+        kept = {
+            name: value
+            for name, value in headers.items()
+            if name.lower() not in HOP_HEADERS
+        }
+        return AnswerHead(
+            _kind(status, by_name),
+            status,
+            kept,
+            int(length) if length.isdigit() else None,
+            by_name.get("connection", "").lower() == "close",
+        )
+
+    def refusal_headers(
+        self, id: RequestId | None, refusal: RefusalError
+    ) -> Mapping[str, str]:
+        """Return the headers of the answer to a request that is refused."""
+        headers = {REQUEST_ID: str(id)} if id else {}
+        if refusal.verdict is Verdict.NOT_RUN and refusal.retry_after_s > 0:
+            headers[RETRY_AFTER] = f"{refusal.retry_after_s:.3f}"
+        return headers
+
+
+def _kind(status: int, by_name: Mapping[str, str]) -> AnswerKind:
+    if status == MISDIRECTED:
+        return AnswerKind.NOT_HELD
+    if NOT_RUN.lower() in by_name:
+        return AnswerKind.NOT_RUN
+    is_signed = SIGNATURE.lower() in by_name
+    if not is_signed or "content-encoding" in by_name:
+        return AnswerKind.UNTRUSTED
+    return AnswerKind.SERVED if 200 <= status < 300 else AnswerKind.FAILED
+
+
+def _passed_on(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the client's headers that endpoints get as they are."""
+    return {
+        name.title(): value
+        for name, value in headers.items()
+        if name not in HOP_HEADERS
+        and name not in SET_BY_SYSTEM
+        and name != "content-length"
+    }
+
+
+def _deadline_s(headers: Mapping[str, str]) -> float:
+    milliseconds = _int(headers, DEADLINE)
+    return milliseconds / MILLISECONDS_PER_SECOND or DEFAULT_DEADLINE_S
+
+
+def _int(headers: Mapping[str, str], name: str) -> int:
+    text = headers.get(name.lower(), "")
+    try:
+        return max(0, int(float(text))) if text else 0
+    except (ValueError, OverflowError) as error:
+        raise RefusalError(
+            Reason.BAD_HEADER, f"{name} is not a number", field=name
+        ) from error
+
+
+def _token_counts(headers: Mapping[str, str]) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most that may be generated."""
+    text = headers.get(TOKEN_COUNTS.lower(), "")
+    if not text:
+        return 0, 0
+    prompt, _, output = text.partition(",")
+    try:
+        return int(prompt), int(output or 0)
+    except ValueError as error:
+        raise RefusalError(
+            Reason.BAD_HEADER,
+            f"{TOKEN_COUNTS} is not two numbers",
+            field=TOKEN_COUNTS,
+        ) from error
+
+
+def _wanted(headers: Mapping[str, str]) -> WantedModel | None:
+    text = headers.get(MODEL.lower(), "")
+    if not text:
+        return None
+    model, _, adapter = text.partition("/")
+    return WantedModel(ModelId(model), AdapterId(adapter) if adapter else None)
+
+
+def _prompt_parts(headers: Mapping[str, str]) -> tuple[PromptPart, ...]:
+    text = headers.get(PROMPT_PARTS.lower(), "")
+    parts = []
+    for item in filter(None, text.split(",")):
+        id, _, tokens = item.strip().partition(":")
+        if not tokens.isdigit():
+            raise RefusalError(
+                Reason.BAD_HEADER,
+                f"{PROMPT_PARTS} is not a list of parts",
+                field=PROMPT_PARTS,
+            )
+        parts.append(PromptPart(PromptPartId(id), int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/src/camphoryard/platform/settings.py
@@ -0,0 +1,115 @@
+"""The settings file that the platform gives each process."""
+
+import os
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from camphoryard.entry.settings import Bounds, EntrySettings
+from camphoryard.settings import SettingsError
+from camphoryard.state.ids import NodeId, Zone
+from camphoryard.state.serving_endpoints import HostPort
+
+FILE_VARIABLE = "CAMPHORYARD_NODE_FILE"
+DEFAULT_FILE = "/etc/camphoryard/node.toml"
+MILLISECONDS_PER_SECOND = 1000
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    # Where clients connect to.
+    front: str
+    ready: str
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
+    memory_mb: int = 0
+    max_fds: int = 0
+
+
+class _Bounds(msgspec.Struct, frozen=True, rename="kebab"):
+    stable_window_ms: float = 3000
+    drain_ms: float = 2000
+    grace_s: float = 8
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    budget_extra: float = 50
+    lease_ms: float = 3000
+    ceiling_window_s: float = 5
+    ceiling_excess: float = 1.1
+
+
+class _Store(msgspec.Struct, frozen=True):
+    address: str
+
+
+class _File(msgspec.Struct, frozen=True, rename="kebab"):
+    node_name: str
+    ip: str
+    zone: str
+    inner_port_range: tuple[int, int]
+    listen: _Listen
+    cloud_platform: _Store
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+
+
+def settings_path(environ: Mapping[str, str] = os.environ) -> Path:
+    """Return where the settings file is."""
+    return Path(environ.get(FILE_VARIABLE, DEFAULT_FILE))
+
+
+def read_entry_settings(path: Path) -> EntrySettings:
+    """Return the settings in a file; fields that are not known are ignored.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, or a field is missing or wrong; names it.
+    """
+    try:
+        raw = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read ({error.strerror})") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from error
+    return decode_entry_settings(raw, str(path))
+
+
+def decode_entry_settings(raw: Mapping[str, Any], source: str) -> EntrySettings:
+    """Return the settings in a parsed file; raises SettingsError."""
+    try:
+        file = msgspec.convert(raw, _File)
+        return EntrySettings(
+            NodeId(file.node_name),
+            Zone(file.zone),
+            file.ip,
+            _host_port("listen.front", file.listen.front),
+            _host_port("listen.ready", file.listen.ready),
+            file.inner_port_range,
+            _host_port("cloud-platform.address", file.cloud_platform.address),
+            _bounds(file.bounds),
+        )
+    except (msgspec.ValidationError, ValueError) as error:
+        raise SettingsError(f"{source}: {error}") from error
+
+
+def _bounds(bounds: _Bounds) -> Bounds:
+    return Bounds(
+        bounds.drain_ms / MILLISECONDS_PER_SECOND,
+        bounds.grace_s,
+        bounds.retry_budget_ratio,
+        bounds.budget_extra,
+        bounds.lease_ms / MILLISECONDS_PER_SECOND,
+        bounds.ceiling_window_s,
+        bounds.ceiling_excess,
+    )
+
+
+def _host_port(name: str, text: str) -> HostPort:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{name}: expected IP:PORT, got {text!r}")
+    return HostPort(host, int(port))
--- /dev/null
+++ b/src/camphoryard/platform/store.py
@@ -0,0 +1,221 @@
+"""Records kept in the platform's store."""
+
+from collections.abc import Callable, Sequence
+from typing import Generic, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from camphoryard.coordination.forwarding.parts import DecisionLog
+from camphoryard.coordination.ports import Snapshot, Stored
+from camphoryard.state.errors import (
+    BrokenCallError,
+    ConflictError,
+    NotSentError,
+    StoreUnavailableError,
+)
+from camphoryard.state.ids import ABSENT, ObjectKey, Revision, Version
+from camphoryard.transport.http_client import (
+    Address,
+    HttpAnswer,
+    HttpCall,
+    HttpClient,
+)
+
+RecordT = TypeVar("RecordT")
+
+CALL_TIMEOUT_S = 1.5
+"""Answers take milliseconds; a slow store takes some hundred."""
+WATCH_GRACE_S = 1.5
+MAX_WAIT_S = 30.0
+"""The longest wait of a watch that the platform allows."""
+OK, CREATED, NO_CONTENT, NOT_FOUND, CONFLICT, GONE = 200, 201, 204, 404, 409, 410
+MILLISECONDS_PER_SECOND = 1000
+
+
+class _Metadata(msgspec.Struct, frozen=True):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct, frozen=True):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Listing(msgspec.Struct, frozen=True, rename="kebab"):
+    store_revision: int
+    items: list[_Object] = []
+    has_more: bool = False
+
+
+class _Event(msgspec.Struct, frozen=True):
+    object: _Object
+    removed: bool = False
+
+
+class _Changes(msgspec.Struct, frozen=True, rename="kebab"):
+    store_revision: int
+    events: list[_Event] = []
+
+
+class _Written(msgspec.Struct, frozen=True):
+    metadata: _Metadata
+
+
+_OBJECT = msgspec.json.Decoder(_Object)
+_LISTING = msgspec.json.Decoder(_Listing)
+_CHANGES = msgspec.json.Decoder(_Changes)
+_WRITTEN = msgspec.json.Decoder(_Written)
+
+DecodedT = TypeVar("DecodedT")
+
+
+class StoreRecords(Generic[RecordT]):
+    """Records of one kind; see the Records port.
+
+    Parameters
+    ----------
+    decode : callable
+        Returns the record under a name; what it cannot read counts as no record.
+    encode : callable
+        Returns a record as JSON.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        address: Address,
+        kind: str,
+        decode: Callable[[str, bytes], RecordT],
+        encode: Callable[[RecordT], bytes],
+        log: DecisionLog,
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._kind = kind
+        self._path = f"/objects/{quote(kind)}"
+        self._decode = decode
+        self._encode = encode
+        self._log = log
+
+    def get(self, key: str) -> Stored[RecordT] | None:
+        """Return the record, or None; raises StoreUnavailableError."""
+        answer = self._call("GET", self._object_path(key), (OK, NOT_FOUND))
+        if answer.status == NOT_FOUND:
+            return None
+        return self._stored(_read(_OBJECT, answer))
+
+    def put(self, key: str, record: RecordT, version: Version) -> Version:
+        """Write if the version is still ``version``; see the Records port."""
+        metadata: dict[str, object] = {"name": key}
+        if version != ABSENT:
+            metadata["revision"] = version
+        form = {"metadata": metadata, "spec": msgspec.Raw(self._encode(record))}
+        body = msgspec.json.encode(form)
+        if version == ABSENT:
+            answer = self._call("POST", self._path, (OK, CREATED), body)
+        else:
+            answer = self._call("PUT", self._object_path(key), (OK, CREATED), body)
+        return Version(_read(_WRITTEN, answer).metadata.revision)
+
+    def delete(self, key: str, version: Version) -> None:
+        """Delete if the version is still ``version``."""
+        query = urlencode({"revision": version})
+        path = f"{self._object_path(key)}?{query}"
+        self._call("DELETE", path, (OK, NO_CONTENT, NOT_FOUND))
+
+    def list(self, within: str = "") -> Snapshot[RecordT]:
+        """Return all records whose name begins with ``within``.
+
+        The revision is that of the first page, so that a watch from it sees what
+        changed while later pages were read.
+        """
+        items: list[Stored[RecordT]] = []
+        revision: Revision | None = None
+        after = ""
+        while True:
+            query = f"?{urlencode({'after': after})}" if after else ""
+            answer = self._call("GET", f"{self._path}{query}", (OK,))
+            listing = _read(_LISTING, answer)
+            if revision is None:
+                revision = Revision(listing.store_revision)
+            items.extend(
+                self._stored(item)
+                for item in listing.items
+                if item.metadata.name.startswith(within)
+            )
+            if not listing.has_more or not listing.items:
+                return Snapshot(revision, tuple(items))
+            after = listing.items[-1].metadata.name
+
+    def watch(self, since: Revision, wait_s: float) -> Snapshot[RecordT]:
+        """Block up to ``wait_s`` for changes after ``since``."""
+        wait_s = min(wait_s, MAX_WAIT_S)
+        wait_ms = int(wait_s * MILLISECONDS_PER_SECOND)
+        query = urlencode({"watch": since, "wait-ms": wait_ms})
+        answer = self._call(
+            "GET", f"{self._path}?{query}", (OK,), timeout_s=wait_s + WATCH_GRACE_S
+        )
+        changes = _read(_CHANGES, answer)
+        items = tuple(
+            self._removed(event.object) if event.removed else self._stored(event.object)
+            for event in changes.events
+        )
+        return Snapshot(Revision(changes.store_revision), items)
+
+    def _object_path(self, key: str) -> str:
+        return f"{self._path}/{quote(key, safe='')}"
+
+    def _stored(self, item: _Object) -> Stored[RecordT]:
+        name, version = item.metadata.name, Version(item.metadata.revision)
+        try:
+            record = self._decode(name, bytes(item.spec))
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._log(
+                "entry_unreadable",
+                kind=self._kind,
+                name=name,
+                version=version,
+                error=str(error),
+            )
+            return Stored(ObjectKey(name), version, None)
+        return Stored(ObjectKey(name), version, record)
+
+    def _removed(self, item: _Object) -> Stored[RecordT]:
+        version = Version(item.metadata.revision)
+        return Stored(ObjectKey(item.metadata.name), version, None)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        accepted: Sequence[int],
+        body: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> HttpAnswer:
+        # A write on a stale connection would leave open whether it took effect.
+        call = HttpCall(
+            method,
+            path,
+            body,
+            {"Content-Type": "application/json"} if body else {},
+            timeout_s,
+            fresh=method != "GET",
+        )
+        try:
+            answer = self._client.call(self._address, call)
+        except (NotSentError, BrokenCallError) as error:
+            raise StoreUnavailableError(f"{method} {path}: {error}") from error
+        if answer.status in (CONFLICT, GONE):
+            raise ConflictError(f"{method} {path}: status {answer.status}")
+        if answer.status not in accepted:
+            raise StoreUnavailableError(f"{method} {path}: status {answer.status}")
+        return answer
+
+
+def _read(decoder: "msgspec.json.Decoder[DecodedT]", answer: HttpAnswer) -> DecodedT:
+    try:
+        return decoder.decode(answer.body)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailableError(f"unreadable answer: {error}") from error
--- /dev/null
+++ b/src/camphoryard/platform/traffic.py
@@ -0,0 +1,248 @@
+"""The operator's configuration and the endpoints' entries in the store."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from camphoryard.state.ids import (
+    AdapterId,
+    EndpointId,
+    ModelId,
+    RouteId,
+    ServiceId,
+    Version,
+    Zone,
+)
+from camphoryard.state.serving_endpoints import (
+    EndpointState,
+    HeldModel,
+    HostPort,
+    ServingEndpoint,
+)
+from camphoryard.state.traffic import (
+    ClientLimits,
+    EngineSpec,
+    ModelSpec,
+    Repeatability,
+    RouteRule,
+    ServiceSpec,
+    TrafficRules,
+    WeightedService,
+)
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+ENDPOINT_KIND = "servers"
+MILLISECONDS_PER_SECOND = 1000
+
+_REPEATABILITY_BY_KIND = {
+    "idempotent": Repeatability.IDEMPOTENT,
+    "non_idempotent": Repeatability.ONCE,
+    "streaming": Repeatability.STREAM,
+}
+_STATE_BY_WORD = {
+    "ready": EndpointState.READY,
+    "draining": EndpointState.DRAINING,
+}
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True, rename="kebab"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    # The time within which an answer earns its full benefit.
+    goal_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Model(msgspec.Struct, frozen=True, rename="kebab"):
+    name: str
+    mb: float
+    load_s: float
+    # A count: adapters are named a1, a2 and so on.
+    adapters: int = 0
+    adapter_mb: float = 0.0
+    disk_s: float = 0.0
+
+
+class _Engine(msgspec.Struct, frozen=True, rename="kebab"):
+    slots: int = 1
+    kv_capacity: int = 0
+    models: list[_Model] = []
+    # Memory for weights and adapters together.
+    mb: float = 0.0
+    adapter_slots: int = 0
+    loads_per_s: float = 1.0
+
+
+class _Service(msgspec.Struct, frozen=True, rename="kebab"):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Config(msgspec.Struct, frozen=True, rename="kebab"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+
+
+class _Held(msgspec.Struct, frozen=True):
+    name: str
+    version: int = 0
+    adapters: list[str] = []
+
+
+class _AtHand(msgspec.Struct, frozen=True, rename="kebab"):
+    in_memory: list[str] = []
+    on_disk: list[str] = []
+
+
+class _Entry(msgspec.Struct, frozen=True, rename="kebab"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    # Orders accepted since the start, not a number of this entry.
+    seq: int = 0
+    models: list[_Held] = []
+    at_hand: _AtHand = _AtHand()
+    # Unix milliseconds of the endpoint's start.
+    born: int = 0
+
+
+_CONFIG = msgspec.json.Decoder(_Config)
+_ENTRY = msgspec.json.Decoder(_Entry)
+
+
+def decode_rules(spec: bytes) -> TrafficRules:
+    """Return the traffic rules in a configuration; raises MsgspecError."""
+    config = _CONFIG.decode(spec)
+    services = (_service(item) for item in config.services)
+    return TrafficRules(
+        Version(config.version),
+        tuple(_rule(route) for route in config.routes),
+        {service.id: service for service in services},
+        ClientLimits(
+            config.limits.max_header_bytes,
+            config.limits.max_body_bytes,
+            _seconds(config.limits.header_timeout_ms),
+            _seconds(config.limits.idle_timeout_ms),
+        ),
+    )
+
+
+def decode_endpoint(name: str, spec: bytes) -> ServingEndpoint:
+    """Return the endpoint that an entry describes.
+
+    Raises
+    ------
+    MsgspecError, ValueError
+        If the entry names no endpoint to use.
+    """
+    entry = _ENTRY.decode(spec)
+    state = _STATE_BY_WORD.get(entry.state)
+    if state is None:
+        raise ValueError(f"state {entry.state!r} is not known")
+    return ServingEndpoint(
+        EndpointId(name),
+        ServiceId(entry.service),
+        _address(entry.address),
+        Zone(entry.zone),
+        entry.slots,
+        state,
+        entry.born,
+        entry.seq,
+        _held(entry.models),
+        frozenset(map(ModelId, (*entry.at_hand.in_memory, *entry.at_hand.on_disk))),
+    )
+
+
+def _held(models: Iterable[_Held]) -> dict[ModelId, HeldModel]:
+    return {
+        ModelId(item.name): HeldModel(
+            item.version, frozenset(map(AdapterId, item.adapters))
+        )
+        for item in models
+    }
+
+
+def _address(text: str) -> HostPort:
+    host, _, port = text.rpartition(":")
+    if not host:
+        raise ValueError(f"address {text!r} has no port")
+    return HostPort(host, int(port))
+
+
+def _rule(route: _Route) -> RouteRule:
+    repeatability = _REPEATABILITY_BY_KIND.get(route.kind, Repeatability.ONCE)
+    if repeatability is Repeatability.STREAM and route.resumable:
+        repeatability = Repeatability.RESUMABLE_STREAM
+    split = tuple(
+        WeightedService(ServiceId(item.service), item.weight)
+        for item in route.traffic_split
+        if item.weight > 0
+    )
+    return RouteRule(
+        RouteId(route.name),
+        route.host,
+        route.path_prefix,
+        repeatability,
+        split or (WeightedService(ServiceId(route.service), 1.0),),
+        _seconds(route.timeout_ms),
+        _seconds(route.goal_ms),
+        route.priority,
+        route.max_attempts,
+        _seconds(route.gap_target_ms),
+    )
+
+
+def _service(service: _Service) -> ServiceSpec:
+    engine = service.engine
+    if engine is None:
+        return ServiceSpec(ServiceId(service.name), service.max_conns)
+    models = (
+        ModelSpec(
+            ModelId(item.name),
+            item.mb,
+            item.load_s,
+            item.disk_s,
+            item.adapters,
+            item.adapter_mb,
+        )
+        for item in engine.models
+    )
+    spec = EngineSpec(
+        engine.slots,
+        engine.kv_capacity,
+        engine.mb,
+        engine.adapter_slots,
+        engine.loads_per_s,
+        {model.id: model for model in models},
+    )
+    return ServiceSpec(ServiceId(service.name), service.max_conns, spec)
+
+
+def _seconds(milliseconds: float) -> float:
+    return milliseconds / MILLISECONDS_PER_SECOND
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -101,6 +101,8 @@
     BAD_HEADER = "bad_header"
     BAD_FIELD = "bad_field"
     BODY_TOO_LARGE = "body_too_large"
+    HEADER_TOO_LARGE = "header_too_large"
+    TOO_SLOW = "too_slow"
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     UNAUTHENTICATED = "unauthenticated"
--- a/src/camphoryard/state/ids.py
+++ b/src/camphoryard/state/ids.py
@@ -11,9 +11,13 @@
 ItemId = NewType("ItemId", str)
 """What an engine holds: a model, or ``model:adapter``."""
 ServiceId = NewType("ServiceId", str)
+RouteId = NewType("RouteId", str)
 CallerId = NewType("CallerId", str)
 GroupId = NewType("GroupId", str)
 RequestId = NewType("RequestId", str)
+EventId = NewType("EventId", str)
+"""Id of an event in a stream, as the endpoint wrote it."""
+PromptPartId = NewType("PromptPartId", str)
 Fingerprint = NewType("Fingerprint", str)
 """Digest of what a request would run, whoever its caller is."""
 JobId = NewType("JobId", str)
--- /dev/null
+++ b/src/camphoryard/transport/front.py
@@ -0,0 +1,176 @@
+"""The WSGI application that forwards what clients send."""
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from camphoryard.coordination.forwarding.exchange import forward
+from camphoryard.coordination.forwarding.parts import ForwardingParts
+from camphoryard.coordination.forwarding.ports import ClientRequest
+from camphoryard.protocol.dialect import Dialect, RequestHead
+from camphoryard.state.enums import Reason
+from camphoryard.state.errors import RefusalError
+from camphoryard.state.verdict import Verdict
+from camphoryard.transport.http_server import (
+    CANCELLATION,
+    Environ,
+    HttpResponse,
+    StartResponse,
+)
+
+TEXT = "text/plain; charset=utf-8"
+STATUS_BY_REASON = {
+    Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
+    Reason.BAD_HEADER: HTTPStatus.BAD_REQUEST,
+    Reason.BAD_FIELD: HTTPStatus.BAD_REQUEST,
+    Reason.HEADER_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    Reason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
+}
+REASON_BY_STATUS = {
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: Reason.HEADER_TOO_LARGE,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: Reason.BODY_TOO_LARGE,
+    HTTPStatus.REQUEST_TIMEOUT: Reason.TOO_SLOW,
+    HTTPStatus.INTERNAL_SERVER_ERROR: Reason.INTERNAL,
+}
+
+
+class WsgiReply:
+    """An answer on its way through waitress; see the ClientReply port."""
+
+    def __init__(self, start_response: StartResponse) -> None:
+        self.has_begun = False
+        self._start_response = start_response
+        self._write: Callable[[bytes], None] | None = None
+
+    def begin(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the head of an answer whose length is not known."""
+        self._start(status, headers)
+        self.write(b"")
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        assert self._write is not None
+        self._write(data)
+
+    def whole(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
+        """Send a whole answer."""
+        kept = {
+            name: value
+            for name, value in headers.items()
+            if name.lower() != "content-length"
+        }
+        self._start(status, {**kept, "Content-Length": str(len(body))})
+        self.write(body)
+
+    def _start(self, status: int, headers: Mapping[str, str]) -> None:
+        self.has_begun = True
+        self._write = self._start_response(_status_line(status), list(headers.items()))
+
+
+@dataclass(frozen=True, slots=True)
+class FrontApp:
+    """Answers each request of a client: forwards it, or says why not."""
+
+    parts: ForwardingParts
+    dialect: Dialect
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request, as PEP 3333 has it."""
+        arrived_s = time.monotonic()
+        reply = WsgiReply(start_response)
+        request: ClientRequest | None = None
+        try:
+            head = _head(environ)
+            body = environ["wsgi.input"].read()
+            request = self.dialect.read_request(head, body, arrived_s)
+            forward(self.parts, request, environ[CANCELLATION], reply)
+            self._done(request)
+        except RefusalError as refusal:
+            self._refused(request, refusal, reply)
+            if reply.has_begun:
+                # Only breaking the connection off still tells that it is not whole.
+                raise
+            status = refusal_status(refusal)
+            headers = self.dialect.refusal_headers(
+                request.id if request else None, refusal
+            )
+            body = f"{refusal.detail}\n".encode()
+            reply.whole(status, {"Content-Type": TEXT, **headers}, body)
+        return []
+
+    def refuse(self, status: int, detail: str) -> HttpResponse:
+        """Answer what could not be read as a request, or failed unexpectedly."""
+        reason = REASON_BY_STATUS.get(HTTPStatus(status), Reason.BAD_HEADER)
+        unknown = reason is Reason.INTERNAL
+        verdict = Verdict.MAY_HAVE_RUN if unknown else Verdict.NOT_RUN
+        refusal = RefusalError(reason, detail, verdict)
+        self._refused(None, refusal, None)
+        return HttpResponse(status, f"{detail}\n".encode(), content_type=TEXT)
+
+    def _done(self, request: ClientRequest) -> None:
+        self.parts.count("requests_answered")
+        self.parts.observe("request", time.monotonic() - request.arrived_s)
+
+    def _refused(
+        self,
+        request: ClientRequest | None,
+        refusal: RefusalError,
+        reply: WsgiReply | None,
+    ) -> None:
+        self.parts.count(f"requests_refused_{refusal.reason.value}")
+        self.parts.log(
+            "request_refused",
+            request=request.id if request else "",
+            target=request.target if request else "",
+            reason=refusal.reason.value,
+            detail=refusal.detail,
+            verdict=refusal.verdict.value,
+            retry_after_s=refusal.retry_after_s,
+            broken_off=reply.has_begun if reply else False,
+            held_ms=_held_ms(request),
+        )
+
+
+def refusal_status(refusal: RefusalError) -> int:
+    """Return the status that tells what a refusal promises.
+
+    503 promises that the request has not run and never will; 502 and 504 do not.
+    """
+    status = STATUS_BY_REASON.get(refusal.reason)
+    if status is not None:
+        return status
+    if refusal.verdict is Verdict.NOT_RUN:
+        return HTTPStatus.SERVICE_UNAVAILABLE
+    match refusal.reason:
+        case Reason.DEADLINE:
+            return HTTPStatus.GATEWAY_TIMEOUT
+        case _:
+            return HTTPStatus.BAD_GATEWAY
+
+
+def _held_ms(request: ClientRequest | None) -> int:
+    if request is None:
+        return 0
+    return round((time.monotonic() - request.arrived_s) * 1000)
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+def _head(environ: Environ) -> RequestHead:
+    headers = {
+        name[len("HTTP_") :].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return RequestHead(environ["REQUEST_METHOD"], environ["REQUEST_URI"], headers)
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -1,9 +1,12 @@
 """HTTP calls that say whether any byte left, over pooled connections."""
 
 import functools
+import math
+import re
 import select
 import socket
 import threading
+import time
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -13,6 +16,7 @@
     HTTPResponse,
     IncompleteRead,
 )
+from typing import Any, BinaryIO
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.state.errors import (
@@ -25,6 +29,14 @@
 MAX_IDLE_PER_ADDRESS = 64
 CONNECT_LIMIT_S = 1.0
 MILLISECONDS_PER_SECOND = 1000
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+"""A connection that went silent breaks after idle + interval * probes seconds."""
+UNACKNOWLEDGED_LIMIT_MS = 3000
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+KEEP_ALIVE_MARGIN_S = 0.5
+"""An idle connection is not used in the last part of the time that it is kept."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +55,8 @@
     written. A call that may not be repeated needs a fresh one, since its
     failure to connect then proves that nothing was sent. ``cancellation``
     breaks the call off wherever it is. ``max_answer_bytes`` bounds the body
-    that ``HttpClient.call`` reads; None does not.
+    that ``HttpClient.call`` reads; None does not. ``connect_s`` bounds the time
+    to connect; ``max_idle_s`` how long a pooled connection may have been idle.
     """
 
     method: str
@@ -54,6 +67,8 @@
     fresh: bool = False
     cancellation: Cancellation | None = None
     max_answer_bytes: int | None = None
+    connect_s: float = CONNECT_LIMIT_S
+    max_idle_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +86,8 @@
     def __init__(self, client: "HttpClient", exchange: "_Exchange") -> None:
         self._client = client
         self._exchange = exchange
+        self._method = exchange.method
+        self._is_second = False
         self.response = exchange.response
 
     @property
@@ -91,23 +108,85 @@
         except OSError as error:
             raise broken(error) from error
 
+    def skip(self) -> None:
+        """Read this answer to its end and go on to the next on the connection.
+
+        An endpoint may answer an earlier call twice. Raises as ``HttpClient.call``.
+        """
+        try:
+            self.response.read()
+            following = self._exchange.connection.next_response(
+                self.sock, method=self._method
+            )
+            following.begin()
+        except (OSError, HTTPException, ValueError) as error:
+            raise broken(error) from error
+        self.response = following
+        self._is_second = True
+
     def close(self, is_read: bool) -> None:
         """Return the connection to the pool if its body was read to the end."""
         exchange = self._exchange
         exchange.drop_cancellation()
         self.response.close()
-        if is_read and not self.response.will_close:
-            self._client.give_back(exchange.address, exchange.connection)
+        if is_read and not self.response.will_close and not self._is_second:
+            kept_s = _kept_for_s(self.response)
+            self._client.give_back(exchange.address, exchange.connection, kept_s)
         else:
             self._client.discard(exchange.connection)
 
 
+class _KeptReader:
+    """The buffered reader of a connection, which outlives single answers."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._reader: BinaryIO = sock.makefile("rb")
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reader, name)
+
+    def close(self) -> None:
+        """Do nothing: an answer that is over leaves the reader to the next."""
+
+    def release(self) -> None:
+        """Close the reader for good."""
+        self._reader.close()
+
+
+class _Connection(HTTPConnection):
+    """A connection whose answers share one reader, so that none loses bytes."""
+
+    reader: _KeptReader
+
+    def connect(self) -> None:
+        """Connect; a peer that falls silent breaks the connection in seconds."""
+        super().connect()
+        _watch_peer(self.sock)
+        self.reader = _KeptReader(self.sock)
+        self.response_class = self.next_response  # type: ignore[assignment]
+
+    def next_response(
+        self, sock: socket.socket, debuglevel: int = 0, method: str | None = None
+    ) -> HTTPResponse:
+        """Return the next answer, whose head is still to be read."""
+        response = HTTPResponse(sock, debuglevel, method)
+        response.fp.close()
+        response.fp = self.reader  # type: ignore[assignment]
+        return response
+
+    def release(self) -> None:
+        """Close the connection and its reader."""
+        self.reader.release()
+        self.close()
+
+
 @dataclass(frozen=True, slots=True)
 class _Exchange:
     """A call whose answer has begun; ``handle`` is that of its cancellation."""
 
     address: Address
-    connection: HTTPConnection
+    method: str
+    connection: _Connection
     sock: socket.socket
     response: HTTPResponse
     cancellation: Cancellation | None
@@ -118,6 +197,15 @@
             self.cancellation.drop(self.handle)
 
 
+@dataclass(frozen=True, slots=True)
+class _Idle:
+    """A connection that waits for its next call, until ``until_s`` at most."""
+
+    connection: _Connection
+    since_s: float
+    until_s: float
+
+
 class HttpClient:
     """Makes calls; safe to use from many threads.
 
@@ -130,8 +218,8 @@
     def __init__(self, source_host: str = "") -> None:
         self._source = (source_host, 0) if source_host else None
         self._lock = threading.Lock()
-        self._idle_by_address: dict[Address, list[HTTPConnection]] = defaultdict(list)
-        self._busy: set[HTTPConnection] = set()
+        self._idle_by_address: dict[Address, list[_Idle]] = defaultdict(list)
+        self._busy: set[_Connection] = set()
         self._closed = False
 
     def call(self, address: Address, call: HttpCall) -> HttpAnswer:
@@ -159,7 +247,7 @@
 
     def open(self, address: Address, call: HttpCall) -> OpenAnswer:
         """Make the call, leaving the body to be read; raises as ``call``."""
-        connection = None if call.fresh else self._take_idle(address)
+        connection = None if call.fresh else self._take_idle(address, call.max_idle_s)
         if connection is None:
             connection = self._connect(address, call)
         return self._exchange(address, connection, call)
@@ -170,45 +258,56 @@
             self._closed = True
             connections = list(self._busy)
             for idle in self._idle_by_address.values():
-                connections.extend(idle)
+                connections.extend(item.connection for item in idle)
             self._idle_by_address.clear()
         for connection in connections:
             if connection.sock is not None:
                 shut(connection.sock)
 
-    def give_back(self, address: Address, connection: HTTPConnection) -> None:
-        """Keep a connection for the next call."""
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to an address that is used no more."""
+        with self._lock:
+            idle = self._idle_by_address.pop(address, [])
+        for item in idle:
+            item.connection.release()
+
+    def give_back(
+        self, address: Address, connection: _Connection, kept_s: float = math.inf
+    ) -> None:
+        """Keep a connection for the next call, for ``kept_s`` seconds at most."""
+        now_s = time.monotonic()
         with self._lock:
             self._busy.discard(connection)
             idle = self._idle_by_address[address]
             if not self._closed and len(idle) < MAX_IDLE_PER_ADDRESS:
-                idle.append(connection)
+                idle.append(_Idle(connection, now_s, now_s + kept_s))
                 return
-        connection.close()
+        connection.release()
 
-    def discard(self, connection: HTTPConnection) -> None:
+    def discard(self, connection: _Connection) -> None:
         """Close a connection that cannot be used again."""
         with self._lock:
             self._busy.discard(connection)
-        connection.close()
+        connection.release()
 
-    def _take_idle(self, address: Address) -> HTTPConnection | None:
+    def _take_idle(self, address: Address, max_idle_s: float) -> _Connection | None:
         """Return a pooled connection that the other side has not closed."""
         while True:
+            now_s = time.monotonic()
             with self._lock:
                 idle = self._idle_by_address[address]
-                if not idle:
+                if not idle or now_s - idle[-1].since_s > max_idle_s:
                     return None
-                connection = idle.pop()
-                self._busy.add(connection)
+                item = idle.pop()
+                self._busy.add(item.connection)
             # Something to read on an idle connection is its end.
-            if not is_readable(connection.sock):
-                return connection
-            self.discard(connection)
+            if now_s < item.until_s and not is_readable(item.connection.sock):
+                return item.connection
+            self.discard(item.connection)
 
-    def _connect(self, address: Address, call: HttpCall) -> HTTPConnection:
-        timeout_s = min(call.timeout_s, CONNECT_LIMIT_S)
-        connection = HTTPConnection(address.host, address.port, timeout_s, self._source)
+    def _connect(self, address: Address, call: HttpCall) -> _Connection:
+        timeout_s = min(call.timeout_s, call.connect_s)
+        connection = _Connection(address.host, address.port, timeout_s, self._source)
         try:
             connection.connect()
         except OSError as error:
@@ -217,11 +316,11 @@
             if not self._closed:
                 self._busy.add(connection)
                 return connection
-        connection.close()
+        connection.release()
         raise NotSentError("the client is closed")
 
     def _exchange(
-        self, address: Address, connection: HTTPConnection, call: HttpCall
+        self, address: Address, connection: _Connection, call: HttpCall
     ) -> OpenAnswer:
         sock = connection.sock
         sock.settimeout(call.timeout_s)
@@ -230,17 +329,51 @@
         if cancellation is not None:
             handle = cancellation.subscribe(functools.partial(shut, sock))
         try:
-            connection.request(call.method, call.path, call.body, dict(call.headers))
-            response = connection.getresponse()
-        except (OSError, HTTPException) as error:
+            response = _converse(connection, call)
+        except (OSError, HTTPException, ValueError) as error:
             if cancellation is not None:
                 cancellation.drop(handle)
             self.discard(connection)
             raise broken(error) from error
-        return OpenAnswer(
-            self,
-            _Exchange(address, connection, sock, response, cancellation, handle),
+        exchange = _Exchange(
+            address, call.method, connection, sock, response, cancellation, handle
         )
+        return OpenAnswer(self, exchange)
+
+
+def _converse(connection: _Connection, call: HttpCall) -> HTTPResponse:
+    """Write the call and return its answer.
+
+    An endpoint may answer, and close, before it has read the whole call.
+    """
+    try:
+        connection.request(call.method, call.path, call.body, dict(call.headers))
+    except TimeoutError:
+        raise
+    except OSError:
+        if not is_readable(connection.sock):
+            raise
+    return connection.getresponse()
+
+
+def _watch_peer(sock: socket.socket) -> None:
+    """Have the kernel probe the other side, so that a silent one is noticed."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def _kept_for_s(response: HTTPResponse) -> float:
+    """Return how long the other side keeps the connection, by its answer."""
+    found = KEEP_ALIVE_TIMEOUT.search(response.headers.get("Keep-Alive", ""))
+    if found is None:
+        return math.inf
+    return max(0.0, int(found[1]) - KEEP_ALIVE_MARGIN_S)
 
 
 def _read_body(response: HTTPResponse, limit_bytes: int | None) -> bytes:
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -9,8 +9,10 @@
 from http import HTTPStatus
 from typing import Any, TypeAlias
 
+from waitress import utilities as waitress_errors
 from waitress.adjustments import Adjustments
 from waitress.channel import ClientDisconnected, HTTPChannel
+from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, WSGITask
 
@@ -25,6 +27,13 @@
 CONNECTION_LIMIT = 2000
 BACKLOG = 1024
 FLUSH_CHECK_S = 0.1
+SWEEP_PERIOD_S = 1
+HEADER_BYTES = 1 << 18
+HEADER_TIMEOUT_S = 60.0
+IDLE_TIMEOUT_S = 600.0
+IDLE_MARGIN_S = 1.0
+"""How much longer than clients are told an idle connection is kept, so that none
+closes as the next request is on its way."""
 CANCELLATION = "camphoryard.cancellation"
 
 StartResponse: TypeAlias = Callable[[str, list[tuple[str, str]]], Any]
@@ -54,6 +63,20 @@
     content_type: str = "application/json"
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """What a client may send, in bytes, and how long it may take, in seconds.
+
+    ``header_timeout_s`` bounds the time from a request's first byte to its last,
+    ``idle_timeout_s`` how long a connection is kept between requests.
+    """
+
+    header_bytes: int = HEADER_BYTES
+    body_bytes: int = MAX_READ_BYTES
+    header_timeout_s: float = HEADER_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
 Write: TypeAlias = Callable[[bytes], None]
 Refuse: TypeAlias = Callable[[int, str], HttpResponse]
 
@@ -133,17 +156,100 @@
         environ[CANCELLATION] = self.channel.cancellation
         return environ
 
+    def build_response_header(self) -> bytes:
+        """Return the head of the answer.
+
+        Unlike waitress's own it keeps the connection open after an answer in
+        chunks, and says so once the server closes its connections.
+        """
+        headers = list(self.response_headers)
+        asked = self.request.headers.get("CONNECTION", "").lower()
+        is_kept = asked == "keep-alive" if self.version == "1.0" else asked != "close"
+        has_length = any(name.lower() == "content-length" for name, _ in headers)
+        if not has_length and self.content_length is not None:
+            headers.append(("Content-Length", str(self.content_length)))
+        elif not has_length and self.version == "1.1":
+            headers.append(("Transfer-Encoding", "chunked"))
+            self.chunked_response = True
+        elif not has_length:
+            is_kept = False
+        if not is_kept or self.channel.server.is_leaving:
+            headers.append(("Connection", "close"))
+            self.close_on_finish = True
+        lines = [f"HTTP/{self.version} {self.status}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+class StrictParser(HTTPRequestParser):
+    """Refuses requests whose length two readers could see differently."""
+
+    def parse_header(self, header_plus: bytes) -> None:
+        """Read the head; raises ParsingError if its length is ambiguous."""
+        super().parse_header(header_plus)
+        if self.chunked and "CONTENT_LENGTH" in self.headers:
+            raise ParsingError("both Content-Length and Transfer-Encoding")
+        if self.version != "1.1" and "TRANSFER_ENCODING" in self.headers:
+            raise ParsingError("Transfer-Encoding needs HTTP/1.1")
+        if self.version == "1.1" and "HOST" not in self.headers:
+            raise ParsingError("no Host header")
+
 
 class Connection(HTTPChannel):
     """A caller's connection; cancels its request when the caller goes away."""
 
     task_class = ConnectionTask
     error_task_class = BadRequestTask
+    parser_class = StrictParser
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         self.cancellation = Cancellation()
+        self.active_s = time.monotonic()
+        self.request: HTTPRequestParser | None = None
+        self._began_s: float | None = None
         super().__init__(*args, **kwargs)
 
+    def received(self, data: bytes) -> bool:
+        """Take in what the client sent, and when a request began."""
+        self.active_s = time.monotonic()
+        taken: bool = super().received(data)
+        if self.request is None:
+            self._began_s = None
+        elif self._began_s is None:
+            self._began_s = self.active_s
+        return taken
+
+    def service(self) -> None:
+        """Answer one request."""
+        super().service()
+        self.active_s = time.monotonic()
+
+    def sweep(self, limits: ConnectionLimits, now_s: float) -> None:
+        """Close the connection if it idles, or refuse a request sent too slowly."""
+        with self.requests_lock:
+            if self.requests or self.total_outbufs_len:
+                return
+            slow = self.request
+            if slow is None:
+                idle_s = now_s - self.active_s
+                if idle_s > limits.idle_timeout_s + IDLE_MARGIN_S:
+                    self.will_close = True
+                return
+            if self._began_s is None or now_s - self._began_s < limits.header_timeout_s:
+                return
+            if not slow.headers_finished:
+                slow.parse_header(b"GET / HTTP/1.0\r\n")
+            slow.error = RequestTimeout("the request was sent too slowly")
+            slow.completed = True
+            self.request = None
+            self.requests.append(slow)
+        self.server.add_task(self)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no byte of a request has come since the last answer left."""
+        return self.is_flushed and self.request is None
+
     @property
     def is_flushed(self) -> bool:
         """Whether every request got its answer, to the last byte."""
@@ -205,11 +311,42 @@
 
     channel_class = Connection
 
-    def __init__(self, *args: Any, refuse: Refuse, **kwargs: Any) -> None:
+    def __init__(
+        self, *args: Any, refuse: Refuse, limits: ConnectionLimits, **kwargs: Any
+    ) -> None:
         self.refuse = refuse
+        self.is_leaving = False
+        self._limits = limits
         self._progress = threading.Condition()
         super().__init__(*args, **kwargs)
 
+    def limit(self, limits: ConnectionLimits) -> None:
+        """Put other limits in force for requests that begin from now on."""
+        self._limits = limits
+        self.adj.max_request_header_size = limits.header_bytes
+        self.adj.max_request_body_size = limits.body_bytes + 1
+
+    def leave(self) -> None:
+        """Have every connection closed after its next answer."""
+        self.is_leaving = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for channel in tuple(self.active_channels.values()):
+            with channel.requests_lock:
+                if channel.is_idle:
+                    channel.will_close = True
+        self.pull_trigger()
+
+    def maintenance(self, now: float) -> None:
+        """Close idle connections and refuse slow requests.
+
+        ``now`` is not used: it is the time of day, which may jump.
+        """
+        now_s = time.monotonic()
+        for channel in tuple(self.active_channels.values()):
+            channel.sweep(self._limits, now_s)
+
     def note_progress(self) -> None:
         """Wake who waits for the last byte."""
         with self._progress:
@@ -229,11 +366,26 @@
         return all(item.is_flushed for item in tuple(self.active_channels.values()))
 
 
+class RequestTimeout(waitress_errors.BadRequest):
+    """A client took too long to send its request."""
+
+    code = HTTPStatus.REQUEST_TIMEOUT.value
+    reason = HTTPStatus.REQUEST_TIMEOUT.phrase
+
+
 def serve(
-    app: Any, host: str, port: int, executor: Executor, refuse: Refuse
+    app: Any,
+    host: str,
+    port: int,
+    executor: Executor,
+    refuse: Refuse,
+    limits: ConnectionLimits = ConnectionLimits(),
+    is_balancer_trusted: bool = False,
 ) -> HttpServer:
     """Return a waitress server that is bound; its ``run`` blocks.
 
+    Headers that name forwarders are dropped unless ``is_balancer_trusted``.
+
     Raises
     ------
     ListenError
@@ -246,11 +398,12 @@
         asyncore_use_poll=True,
         connection_limit=CONNECTION_LIMIT,
         backlog=BACKLOG,
-        max_request_body_size=MAX_READ_BYTES,
+        max_request_header_size=limits.header_bytes,
+        max_request_body_size=limits.body_bytes + 1,
         inbuf_overflow=MAX_READ_BYTES,
         outbuf_high_watermark=NEVER_BLOCKING_BYTES,
-        clear_untrusted_proxy_headers=True,
-        channel_timeout=600,
+        clear_untrusted_proxy_headers=not is_balancer_trusted,
+        cleanup_interval=SWEEP_PERIOD_S,
         channel_request_lookahead=1,
         ident=None,
     )
@@ -264,6 +417,7 @@
             adj=adjustments,
             sockinfo=adjustments.listen[0],
             refuse=refuse,
+            limits=limits,
         )
     except OSError as error:
         raise ListenError(
