--- /dev/null
+++ b/src/camphoryard/coordination/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes making themselves known and telling each other their load."""
--- /dev/null
+++ b/src/camphoryard/coordination/fleet/news.py
@@ -0,0 +1,94 @@
+"""Each node tells the others its load and demand, several times a second."""
+
+from collections.abc import Callable
+
+from camphoryard.coordination.demand import DemandMeter
+from camphoryard.coordination.load_estimates import LoadEstimates
+from camphoryard.coordination.messages import Gossip, HeardDigest
+from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.state.enums import NodeState
+from camphoryard.state.ids import FencingNumber, Generation, Incarnation, NodeId
+from camphoryard.state.nodes import NodeDigest, NodeTable
+from camphoryard.state.tables import InFlightTable
+
+NEWS_PERIOD_S = 0.25
+"""How often a node tells its peers in a small fleet."""
+PEERS_PER_PERIOD = 12
+"""Peers told in one period; larger fleets are told in turn, each less often."""
+
+
+class NewsTeller:
+    """Tells peers this node's digest and takes in theirs."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        incarnation: Incarnation,
+        nodes: NodeTable,
+        peers: Peers,
+        in_flight: InFlightTable,
+        demand: DemandMeter,
+        estimates: LoadEstimates,
+        term: Callable[[], FencingNumber],
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._nodes = nodes
+        self._peers = peers
+        self._in_flight = in_flight
+        self._demand = demand
+        self._estimates = estimates
+        self._term = term
+        self._beat = 0
+        self._turn = 0
+
+    def run(self, timer: Timer) -> None:
+        """Tell until the timer service closes."""
+        for _ in timer.every(NEWS_PERIOD_S):
+            self.tell()
+
+    def tell(self) -> None:
+        """Tell the peers whose turn it is."""
+        self._demand.sample()
+        self._beat += 1
+        digest = NodeDigest(
+            self._node,
+            self._incarnation,
+            NodeState.SERVING,
+            Generation(0),
+            self._in_flight.by_id(),
+            {},
+            self._beat,
+            self._demand.by_item(),
+            self._term(),
+        )
+        message = Gossip(self._beat, (HeardDigest(digest, 0.0),))
+        for node in self._next_peers():
+            self._peers.tell(node, message)
+
+    def heard(self, gossip: Gossip) -> None:
+        """Take in the digest of a peer."""
+        if self._nodes.heard(gossip.digests[0].digest):
+            self._estimates.refresh()
+
+    def holder(self) -> NodeId | None:
+        """Return the node that has the duty, as far as peers tell."""
+        terms = {self._node: self._term()}
+        for lease in self._nodes.alive():
+            digest = self._nodes.digest(lease.node)
+            if digest is not None and lease.node != self._node:
+                terms[lease.node] = digest.duty_term
+        node = max(terms, key=lambda item: terms[item])
+        return node if terms[node] else None
+
+    def hears_holder(self) -> bool:
+        """Return whether another node that has the duty was heard of late."""
+        return self.holder() not in (None, self._node)
+
+    def _next_peers(self) -> list[NodeId]:
+        peers = [item.node for item in self._nodes.all() if item.node != self._node]
+        if len(peers) <= PEERS_PER_PERIOD:
+            return peers
+        start = self._turn % len(peers)
+        self._turn += PEERS_PER_PERIOD
+        return (peers + peers)[start : start + PEERS_PER_PERIOD]
--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -55,7 +55,7 @@
     try:
         with closing(_open(parts, journey, endpoint, cancellation)) as answer:
             parts.observe("head", parts.clock() - sent_s)
-            return _take(parts, journey, endpoint, answer, reply)
+            return _take(parts, journey, endpoint, answer, reply, sent_s)
     finally:
         parts.in_flight.end(endpoint.id)
 
@@ -109,12 +109,17 @@
     endpoint: ServingEndpoint,
     answer: Answer,
     reply: ClientReply,
+    sent_s: float,
 ) -> Outcome:
     """Hand on an answer whose head has come."""
     match answer.head.kind:
         case AnswerKind.NOT_RUN | AnswerKind.NOT_HELD:
             answer.body()
-            journey.failed.add(endpoint.id)
+            wanted = journey.request.wanted
+            if wanted is not None:
+                parts.directory.declined(endpoint.id, wanted)
+            else:
+                journey.failed.add(endpoint.id)
             parts.log(
                 "endpoint_declined",
                 request=journey.request.id,
@@ -130,6 +135,9 @@
         case AnswerKind.SERVED:
             if journey.rule.repeatability.is_stream:
                 _relay(parts, journey, endpoint, answer, reply)
+                if journey.request.wanted is not None:
+                    held_s = parts.clock() - sent_s
+                    parts.models.finished(journey.request.wanted, held_s)
             else:
                 body = answer.body()
                 _succeeded(parts, endpoint)
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -21,6 +21,9 @@
 MAX_SENDS = 4
 """Endpoints that one request is offered to at most; beyond the attempts of any
 route, as endpoints that are full say so without running it."""
+DECLINED_PAUSE_S = 0.03
+"""Before an engine that has just declined a request is asked again: an adapter on
+its way takes about as long."""
 NO_ENDPOINT_RETRY_S = 0.5
 """Retry-After where no endpoint is known; entries change each second or so."""
 
@@ -41,6 +44,8 @@
     """
     journey = begin(parts, request)
     parts.retries.earn(journey.service)
+    if request.wanted is not None:
+        parts.models.arrived(request.wanted)
     while True:
         endpoint = _find_endpoint(parts, journey)
         try:
@@ -107,12 +112,16 @@
     ready = parts.directory.ready(journey.service)
     if not ready:
         raise _no_endpoint(journey, "no endpoint of the service is ready")
-    holders = [item for item in ready if item.holds(wanted)]
+    holders = [item for item in ready if parts.directory.holds(item, wanted)]
     usable = _usable(parts, journey, holders)
     if usable:
         return parts.chooser.choose(usable)
     if wanted is None or holders:
         raise _no_endpoint(journey, "every endpoint of the service has failed")
+    if journey.sends:
+        parts.directory.wait_until(
+            lambda: False, min(journey.due_s, parts.clock() + DECLINED_PAUSE_S)
+        )
     found = parts.models.seek(journey.service, wanted, journey.due_s)
     if found is None:
         raise _no_endpoint(journey, "no endpoint holds the model or adapter")
--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -33,8 +33,11 @@
     ) -> ServingEndpoint | None:
         """Block until ``wanted`` is held somewhere; None if that will not be."""
 
-    def asked(self, service: ServiceId, wanted: WantedModel, work_s: float) -> None:
-        """Note a request for ``wanted`` that is worth ``work_s`` slot seconds."""
+    def arrived(self, wanted: WantedModel) -> None:
+        """Note a request for ``wanted``."""
+
+    def finished(self, wanted: WantedModel, held_s: float) -> None:
+        """Note that a request for ``wanted`` held a slot for ``held_s`` seconds."""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/camphoryard/coordination/loading/book.py
@@ -0,0 +1,164 @@
+"""What the node that orders engines knows of one of them."""
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from camphoryard.coordination.loading.ports import EngineReport
+from camphoryard.state.ids import AdapterId, ModelId
+from camphoryard.state.serving_endpoints import HeldModel, ServingEndpoint
+from camphoryard.state.traffic import EngineSpec, WantedModel
+
+ARRIVAL_S = 0.05
+"""How long an adapter counts as on its way; most take a few hundredths."""
+
+
+@dataclass(slots=True)
+class EngineBook:
+    """One engine: what it holds, what is on its way, how many orders it took.
+
+    The engine's own words replace what is written here as soon as they include
+    the last order. ``calls`` is held while an order is sent, as each bears the
+    number of those before it.
+    """
+
+    endpoint: ServingEndpoint
+    spec: EngineSpec
+    clock: Callable[[], float] = time.monotonic
+    orders: int = 0
+    loading: ModelId | None = None
+    unloading: ModelId | None = None
+    calls: threading.Lock = field(default_factory=threading.Lock)
+    _adapters_by_model: dict[ModelId, set[AdapterId]] = field(default_factory=dict)
+    _used_s_by_item: dict[WantedModel, float] = field(default_factory=dict)
+    _held_since_s: dict[ModelId, float] = field(default_factory=dict)
+    _arriving_until_s: dict[WantedModel, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.orders = self.endpoint.orders_accepted
+        self._replace(self.endpoint.held_by_model)
+
+    def saw(self, endpoint: ServingEndpoint) -> None:
+        """Take in the engine's entry."""
+        if endpoint.started_ms != self.endpoint.started_ms:
+            self.loading = self.unloading = None
+            self.orders = endpoint.orders_accepted
+            self._arriving_until_s.clear()
+            self._replace(endpoint.held_by_model)
+        elif endpoint.orders_accepted >= self.orders:
+            self.orders = endpoint.orders_accepted
+            self._replace(endpoint.held_by_model)
+        self.endpoint = endpoint
+
+    def reported(self, report: EngineReport) -> None:
+        """Take in the engine's answer to a question."""
+        if report.orders_accepted >= self.orders:
+            self.orders = report.orders_accepted
+            self._replace(report.held_by_model)
+
+    @property
+    def models(self) -> frozenset[ModelId]:
+        """The models that requests can run on now."""
+        return frozenset(self._adapters_by_model.keys() - {self.unloading})
+
+    def holds(self, item: WantedModel) -> bool:
+        """Return whether a request for ``item`` can run here, or soon can."""
+        if item.model not in self.models:
+            return False
+        return item.adapter is None or item.adapter in self.adapters(item.model)
+
+    def adapters(self, model: ModelId) -> frozenset[AdapterId]:
+        """Return the adapters of ``model`` that are held or on their way."""
+        return frozenset(self._adapters_by_model.get(model, ()))
+
+    def used(self, item: WantedModel) -> None:
+        """Note that a request is about to run on ``item``."""
+        self._used_s_by_item[item] = self.clock()
+
+    def unused_s(self, item: WantedModel) -> float:
+        """Return for how long nothing is known to have used ``item``."""
+        return self.clock() - self._used_s_by_item.get(item, float("-inf"))
+
+    def held_s(self, model: ModelId) -> float:
+        """Return for how long ``model`` has been held."""
+        return self.clock() - self._held_since_s.get(model, float("-inf"))
+
+    @property
+    def committed_mb_by_model(self) -> Mapping[ModelId, float]:
+        """Memory in MB of what is held or on its way, adapters with their model."""
+        models = set(self._adapters_by_model)
+        models.update(item for item in (self.loading, self.unloading) if item)
+        return {model: self.size_mb(model) for model in models}
+
+    @property
+    def free_mb(self) -> float:
+        """Memory in MB that nothing holds and nothing on its way will."""
+        return self.spec.memory_mb - sum(self.committed_mb_by_model.values())
+
+    @property
+    def adapter_count(self) -> int:
+        """How many adapter places are taken."""
+        return sum(map(len, self._adapters_by_model.values()))
+
+    @property
+    def arriving(self) -> int:
+        """How many adapters are on their way."""
+        now_s = self.clock()
+        return sum(until_s > now_s for until_s in self._arriving_until_s.values())
+
+    def size_mb(self, model: ModelId) -> float:
+        """Return the memory in MB of a model with the adapters held of it.
+
+        A model that is no longer configured counts as the whole memory.
+        """
+        spec = self.spec.models_by_id.get(model)
+        if spec is None:
+            return self.spec.memory_mb
+        return spec.memory_mb + len(self.adapters(model)) * spec.adapter_mb
+
+    def model_came(self, model: ModelId) -> None:
+        """Note that a load is complete."""
+        self.loading = None
+        self._adapters_by_model.setdefault(model, set())
+        self._held_since_s[model] = self.clock()
+
+    def model_left(self, model: ModelId) -> None:
+        """Note that an unload is complete."""
+        self.unloading = None
+        self._adapters_by_model.pop(model, None)
+
+    def adapter_ordered(self, item: WantedModel) -> None:
+        """Note that an adapter is on its way."""
+        assert item.adapter is not None
+        self._adapters_by_model.setdefault(item.model, set()).add(item.adapter)
+        self._arriving_until_s[item] = self.clock() + ARRIVAL_S
+
+    def adapter_left(self, item: WantedModel) -> None:
+        """Note that an adapter was unloaded."""
+        assert item.adapter is not None
+        self._adapters_by_model.get(item.model, set()).discard(item.adapter)
+        self._arriving_until_s.pop(item, None)
+
+    def _replace(self, held: Mapping[ModelId, HeldModel]) -> None:
+        now_s = self.clock()
+        arriving = [
+            item
+            for item, until_s in tuple(self._arriving_until_s.items())
+            if until_s > now_s
+        ]
+        self._arriving_until_s = {
+            item: self._arriving_until_s[item] for item in arriving
+        }
+        self._adapters_by_model = {
+            model: set(item.adapters) for model, item in held.items()
+        }
+        for item in arriving:
+            if item.model in self._adapters_by_model and item.adapter is not None:
+                self._adapters_by_model[item.model].add(item.adapter)
+        if self.loading in held:
+            self.loading = None
+        for model in held:
+            self._held_since_s.setdefault(model, now_s)
+        for model in self._held_since_s.keys() - held.keys():
+            del self._held_since_s[model]
--- /dev/null
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -0,0 +1,183 @@
+"""How many copies of each model are worth their memory: decisions without network.
+
+A copy carries up to ``comfort_slots`` requests at once before answers begin late.
+Demand beyond what the copies of a model carry is uncovered; a copy is worth the
+demand that would be uncovered without it.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from camphoryard.state.ids import EndpointId, ModelId
+
+
+@dataclass(frozen=True, slots=True)
+class CoveragePolicy:
+    """What copies carry and what moves cost, in slots of demand.
+
+    Parameters
+    ----------
+    comfort_slots : float
+        Requests at once that one copy carries well.
+    move_cost_slots : float
+        Demand that a move must cover; a load from disk costs a part of it.
+    disk_cost_share : float
+        That part.
+    min_residency_s : float
+        How long a copy stays before it may make room for another.
+    spread_weight : float
+        Worth of a copy beyond those that demand needs, as a share of the demand
+        that it serves: it shortens queues.
+    """
+
+    comfort_slots: float = 10.0
+    move_cost_slots: float = 0.5
+    disk_cost_share: float = 0.2
+    min_residency_s: float = 2.0
+    spread_weight: float = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """One engine as the decision sees it; memory is in MB.
+
+    ``fixed`` are models that may not be unloaded now, ``on_hand`` those that load
+    without the weight store. A ``busy`` engine takes no order now.
+    """
+
+    id: EndpointId
+    free_mb: float
+    committed_mb_by_model: Mapping[ModelId, float]
+    fixed: frozenset[ModelId] = frozenset()
+    on_hand: frozenset[ModelId] = frozenset()
+    is_busy: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """All engines of a service, and the demand for its models in slots."""
+
+    engines: Sequence[EngineView]
+    demand_by_model: Mapping[ModelId, float]
+    size_mb_by_model: Mapping[ModelId, float]
+    copies_by_model: Mapping[ModelId, int] = field(init=False)
+
+    def __post_init__(self) -> None:
+        copies: dict[ModelId, int] = {}
+        for engine in self.engines:
+            for model in engine.committed_mb_by_model:
+                copies[model] = copies.get(model, 0) + 1
+        object.__setattr__(self, "copies_by_model", copies)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadMove:
+    """Unload ``evicted``, then load ``model``, at one engine."""
+
+    engine: EndpointId
+    model: ModelId
+    evicted: tuple[ModelId, ...]
+    from_store: bool
+
+
+def worth_slots(policy: CoveragePolicy, demand_slots: float, copies: int) -> float:
+    """Return what ``copies`` of a model are worth, in slots of demand.
+
+    Examples
+    --------
+    >>> policy = CoveragePolicy(comfort_slots=10.0, spread_weight=0.0)
+    >>> worth_slots(policy, 25.0, 2)
+    20.0
+    """
+    if copies == 0:
+        return 0.0
+    covered = min(demand_slots, copies * policy.comfort_slots)
+    return covered - policy.spread_weight * demand_slots / copies
+
+
+def copy_worth(policy: CoveragePolicy, view: FleetView, model: ModelId) -> float:
+    """Return what would be lost with one copy of ``model``."""
+    demand = view.demand_by_model.get(model, 0.0)
+    copies = view.copies_by_model.get(model, 0)
+    with_it = worth_slots(policy, demand, copies)
+    without = worth_slots(policy, demand, copies - 1) if copies > 1 else 0.0
+    return max(0.0, with_it - without)
+
+
+def next_copy_worth(policy: CoveragePolicy, view: FleetView, model: ModelId) -> float:
+    """Return what one more copy of ``model`` would gain."""
+    demand = view.demand_by_model.get(model, 0.0)
+    copies = view.copies_by_model.get(model, 0)
+    return worth_slots(policy, demand, copies + 1) - worth_slots(policy, demand, copies)
+
+
+def best_load(
+    policy: CoveragePolicy, view: FleetView, model: ModelId
+) -> tuple[LoadMove, float] | None:
+    """Return the cheapest way to load ``model`` now, and what it costs in slots."""
+    offers = [
+        offer
+        for engine in view.engines
+        if not engine.is_busy and model not in engine.committed_mb_by_model
+        for offer in [_offer(policy, view, engine, model)]
+        if offer is not None
+    ]
+    return min(offers, key=lambda offer: offer[1], default=None)
+
+
+def plan_copies(policy: CoveragePolicy, view: FleetView) -> LoadMove | None:
+    """Return the load that gains most over what it costs, or None if none does."""
+    best: tuple[float, LoadMove] | None = None
+    for model, demand in view.demand_by_model.items():
+        if demand <= policy.move_cost_slots or model not in view.size_mb_by_model:
+            continue
+        gain = next_copy_worth(policy, view, model)
+        if gain <= policy.move_cost_slots * policy.disk_cost_share:
+            continue
+        found = best_load(policy, view, model)
+        if found is None:
+            continue
+        move, cost = found
+        if gain > cost and (best is None or gain - cost > best[0]):
+            best = gain - cost, move
+    return best[1] if best else None
+
+
+def _offer(
+    policy: CoveragePolicy, view: FleetView, engine: EngineView, model: ModelId
+) -> tuple[LoadMove, float] | None:
+    """Return what loading ``model`` at one engine takes, or None if it cannot be."""
+    missing_mb = view.size_mb_by_model[model] - engine.free_mb
+    evicted: list[ModelId] = []
+    candidates = sorted(
+        (copy_worth(policy, view, item), item)
+        for item in engine.committed_mb_by_model
+        if item not in engine.fixed
+    )
+    for _, item in candidates:
+        if missing_mb <= 0:
+            break
+        evicted.append(item)
+        missing_mb -= engine.committed_mb_by_model[item]
+    if missing_mb > 0:
+        return None
+    kept = _without_excess(engine, evicted, -missing_mb)
+    from_store = model not in engine.on_hand
+    cost = policy.move_cost_slots
+    if not from_store:
+        cost *= policy.disk_cost_share
+    lost = sum(copy_worth(policy, view, item) for item in kept)
+    return LoadMove(engine.id, model, tuple(kept), from_store), lost + cost
+
+
+def _without_excess(
+    engine: EngineView, evicted: Sequence[ModelId], excess_mb: float
+) -> list[ModelId]:
+    """Return the evicted models without those whose memory is not needed."""
+    kept = []
+    for item in reversed(evicted):
+        if engine.committed_mb_by_model[item] <= excess_mb:
+            excess_mb -= engine.committed_mb_by_model[item]
+        else:
+            kept.append(item)
+    return list(reversed(kept))
--- /dev/null
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -0,0 +1,514 @@
+"""The node that has the duty orders the engines.
+
+All orders to one engine go through its book, which numbers them; one task for each
+engine carries out the moves of models, as an engine does one at a time. Adapters
+move beside them, in the task that asks for one.
+"""
+
+import threading
+import time
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import Executor
+from dataclasses import dataclass
+
+from camphoryard.coordination.duty.keeper import NO_TERM, DutyKeeper
+from camphoryard.coordination.forwarding.parts import DecisionLog
+from camphoryard.coordination.loading.book import EngineBook
+from camphoryard.coordination.loading.coverage import (
+    CoveragePolicy,
+    EngineView,
+    FleetView,
+    LoadMove,
+    best_load,
+    plan_copies,
+)
+from camphoryard.coordination.loading.ports import (
+    EngineOrder,
+    EngineOrders,
+    OrderAnswer,
+)
+from camphoryard.coordination.loading.store_rate import StoreRate
+from camphoryard.coordination.ports import Timer
+from camphoryard.state.demand import ItemDemand
+from camphoryard.state.directory import Directory
+from camphoryard.state.enums import OrderKind
+from camphoryard.state.errors import BrokenCallError, NotSentError
+from camphoryard.state.ids import EndpointId, ItemId, ModelId, NodeId, ServiceId
+from camphoryard.state.serving_endpoints import EndpointState
+from camphoryard.state.traffic import WantedModel
+
+PLAN_PERIOD_S = 0.25
+POLL_PERIOD_S = 0.2
+UNLOAD_LIMIT_S = 20.0
+"""An unload waits for the runs on its model, which last some seconds."""
+LOAD_LIMIT_FACTOR = 4.0
+"""Loads take longer than stated while many run at once."""
+LOAD_LIMIT_EXTRA_S = 3.0
+ADAPTER_ARRIVAL_S = 0.025
+ADAPTER_REST_S = 1.0
+"""An adapter that was used of late is not the one to make room."""
+ADAPTERS_ON_THEIR_WAY = 4
+"""The most that an engine takes in at once."""
+ORDER_TRIES = 3
+WANT_LIFE_S = 3.0
+"""How long a model counts as wanted after the last request for it."""
+
+
+@dataclass(slots=True)
+class _Want:
+    """A model that requests wait for, until ``until_s``."""
+
+    service: ServiceId
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class OrderingParts:
+    """What the ordering tasks work with; ``demand`` is that of all nodes."""
+
+    node: NodeId
+    directory: Directory
+    duty: DutyKeeper
+    orders: EngineOrders
+    demand: Callable[[], Mapping[ItemId, ItemDemand]]
+    load: Callable[[EndpointId], float]
+    executor: Executor
+    timer: Timer
+    log: DecisionLog
+    count: Callable[[str], None]
+    policy: CoveragePolicy = CoveragePolicy()
+    clock: Callable[[], float] = time.monotonic
+
+
+class Orderer:
+    """Decides and carries out what engines hold, while this node has the duty."""
+
+    def __init__(self, parts: OrderingParts) -> None:
+        self._parts = parts
+        self._lock = threading.Lock()
+        self._book_by_id: dict[EndpointId, EngineBook] = {}
+        self._moving: set[EndpointId] = set()
+        self._want_by_model: dict[ModelId, _Want] = {}
+        self._changed = threading.Condition()
+        self._rate = StoreRate(parts.clock)
+        self._term = NO_TERM
+
+    @property
+    def has_duty(self) -> bool:
+        """Whether this node may order engines now."""
+        return self._parts.duty.term != NO_TERM
+
+    def run(self, timer: Timer) -> None:
+        """Plan moves until the timer service closes."""
+        for _ in timer.every(PLAN_PERIOD_S):
+            self._note_term()
+            if self.has_duty:
+                self.plan()
+
+    def provide(
+        self, service: ServiceId, wanted: WantedModel, deadline_s: float
+    ) -> EndpointId | None:
+        """Block until ``wanted`` can be used; return where, or None if it will not."""
+        while self.has_duty and self._parts.clock() < deadline_s:
+            books = self._holders(service, wanted.model)
+            if books:
+                found = self._provide_at(books, wanted)
+                if found is not None:
+                    return found
+                if not self._pause(deadline_s):
+                    return None
+                continue
+            if not self._is_configured(service, wanted.model):
+                return None
+            self._await_model(service, wanted.model, deadline_s)
+        return None
+
+    def plan(self) -> None:
+        """Start the moves that are worth it: what is waited for, then copies."""
+        self._refresh()
+        now_s = self._parts.clock()
+        with self._lock:
+            self._want_by_model = {
+                model: want
+                for model, want in self._want_by_model.items()
+                if want.until_s > now_s
+            }
+            wants = list(self._want_by_model.items())
+        for model, want in wants:
+            if not self._holders(want.service, model):
+                self._start_wanted(want.service, model)
+        for service in self._services():
+            move = plan_copies(self._parts.policy, self._view(service))
+            if move is not None:
+                self._start(service, move, "demand")
+
+    def _note_term(self) -> None:
+        """Begin anew in a new term: what was ordered meanwhile is not known."""
+        term = self._parts.duty.term
+        if term == self._term:
+            return
+        self._term = term
+        with self._lock:
+            self._book_by_id.clear()
+        self._rate.reset(0.0)
+
+    def _refresh(self) -> None:
+        """Bring the books up to the engines' entries."""
+        rules = self._parts.directory.rules
+        if rules is None:
+            return
+        seen = self._parts.directory.endpoints_by_id()
+        with self._lock:
+            for id in self._book_by_id.keys() - seen.keys():
+                del self._book_by_id[id]
+            for endpoint in seen.values():
+                spec = rules.services_by_id.get(endpoint.service)
+                if spec is None or spec.engine is None:
+                    continue
+                book = self._book_by_id.get(endpoint.id)
+                if book is None:
+                    self._book_by_id[endpoint.id] = EngineBook(
+                        endpoint, spec.engine, self._parts.clock
+                    )
+                else:
+                    book.spec = spec.engine
+                    book.saw(endpoint)
+
+    def _books(self, service: ServiceId) -> list[EngineBook]:
+        self._refresh()
+        with self._lock:
+            books = list(self._book_by_id.values())
+        return [
+            book
+            for book in books
+            if book.endpoint.service == service
+            and book.endpoint.state is EndpointState.READY
+        ]
+
+    def _holders(self, service: ServiceId, model: ModelId) -> list[EngineBook]:
+        return [book for book in self._books(service) if model in book.models]
+
+    def _services(self) -> Iterable[ServiceId]:
+        rules = self._parts.directory.rules
+        if rules is None:
+            return ()
+        return [
+            id for id, spec in rules.services_by_id.items() if spec.engine is not None
+        ]
+
+    def _is_configured(self, service: ServiceId, model: ModelId) -> bool:
+        rules = self._parts.directory.rules
+        spec = rules.services_by_id.get(service) if rules else None
+        return (
+            spec is not None
+            and spec.engine is not None
+            and model in spec.engine.models_by_id
+        )
+
+    def _await_model(
+        self, service: ServiceId, model: ModelId, deadline_s: float
+    ) -> None:
+        """Block until some engine holds ``model``, having it loaded if need be."""
+        now_s = self._parts.clock()
+        with self._lock:
+            is_new = model not in self._want_by_model
+            self._want_by_model[model] = _Want(service, now_s + WANT_LIFE_S)
+        if is_new:
+            self._start_wanted(service, model)
+        self._pause(deadline_s)
+
+    def _pause(self, deadline_s: float) -> bool:
+        """Block for a moment or until a load ends; return whether time is left."""
+        left_s = deadline_s - self._parts.clock()
+        with self._changed:
+            self._changed.wait(min(max(0.0, left_s), POLL_PERIOD_S))
+        return left_s > 0
+
+    def _start_wanted(self, service: ServiceId, model: ModelId) -> None:
+        view = self._view(service)
+        if model in view.copies_by_model or model not in view.size_mb_by_model:
+            return
+        found = best_load(self._parts.policy, view, model)
+        if found is not None:
+            self._start(service, found[0], "wanted")
+
+    def _view(self, service: ServiceId) -> FleetView:
+        """Return the engines of a service and the demand for its models."""
+        books = self._books(service)
+        with self._lock:
+            moving = frozenset(self._moving)
+            wanted = frozenset(self._want_by_model)
+        policy = self._parts.policy
+        engines = tuple(
+            EngineView(
+                book.endpoint.id,
+                book.free_mb,
+                book.committed_mb_by_model,
+                frozenset(
+                    model
+                    for model in book.models
+                    if book.held_s(model) < policy.min_residency_s
+                    or (model in wanted and book.held_s(model) < WANT_LIFE_S)
+                ),
+                book.endpoint.on_hand,
+                book.endpoint.id in moving,
+            )
+            for book in books
+        )
+        sizes = {
+            model.id: model.memory_mb
+            for book in books[:1]
+            for model in book.spec.models_by_id.values()
+        }
+        return FleetView(engines, self._demand_by_model(sizes), sizes)
+
+    def _demand_by_model(self, models: Iterable[ModelId]) -> dict[ModelId, float]:
+        known = frozenset(models)
+        slots: dict[ModelId, float] = {}
+        for item, demand in self._parts.demand().items():
+            model = ModelId(item.partition(":")[0])
+            if model in known:
+                slots[model] = slots.get(model, 0.0) + demand.expected
+        return slots
+
+    def _start(self, service: ServiceId, move: LoadMove, cause: str) -> None:
+        """Have the engine's task carry out a move, unless the rate forbids it."""
+        rules = self._parts.directory.rules
+        spec = rules.services_by_id[service].engine if rules else None
+        with self._lock:
+            book = self._book_by_id.get(move.engine)
+            if spec is None or book is None or move.engine in self._moving:
+                return
+            if move.from_store and not self._rate.take(spec.loads_per_s):
+                return
+            self._moving.add(move.engine)
+        self._parts.log(
+            "move_started",
+            endpoint=move.engine,
+            load=move.model,
+            unload=",".join(move.evicted),
+            from_store=move.from_store,
+            cause=cause,
+            term=self._parts.duty.term,
+        )
+        self._parts.executor.submit(self._carry_out, book, move)
+
+    def _carry_out(self, book: EngineBook, move: LoadMove) -> None:
+        """Unload what has to go, then load, waiting for the engine each time."""
+        done = False
+        began_s = self._parts.clock()
+        try:
+            done = all(self._unload(book, model) for model in move.evicted)
+            done = done and self._load(book, move.model)
+        except (NotSentError, BrokenCallError) as error:
+            self._parts.log("move_broken", endpoint=move.engine, error=repr(error))
+        finally:
+            book.loading = book.unloading = None
+            with self._lock:
+                self._moving.discard(move.engine)
+            with self._changed:
+                self._changed.notify_all()
+        self._parts.count("moves_done" if done else "moves_failed")
+        self._parts.log(
+            "move_ended",
+            endpoint=move.engine,
+            load=move.model,
+            done=done,
+            took_ms=round((self._parts.clock() - began_s) * 1000),
+        )
+
+    def _unload(self, book: EngineBook, model: ModelId) -> bool:
+        book.unloading = model
+        if not self._order(book, OrderKind.UNLOAD, WantedModel(model)):
+            return False
+        if not self._await(book, UNLOAD_LIMIT_S, lambda held: model not in held):
+            return False
+        book.model_left(model)
+        return True
+
+    def _load(self, book: EngineBook, model: ModelId) -> bool:
+        spec = book.spec.models_by_id.get(model)
+        if spec is None or book.free_mb < spec.memory_mb:
+            return False
+        book.loading = model
+        if not self._order(book, OrderKind.LOAD, WantedModel(model)):
+            return False
+        limit_s = spec.load_s * LOAD_LIMIT_FACTOR + LOAD_LIMIT_EXTRA_S
+        if not self._await(book, limit_s, lambda held: model in held):
+            return False
+        book.model_came(model)
+        self._parts.directory.learned(book.endpoint.id, WantedModel(model))
+        return True
+
+    def _await(
+        self,
+        book: EngineBook,
+        limit_s: float,
+        holds: Callable[[frozenset[ModelId]], bool],
+    ) -> bool:
+        """Block until the engine has carried out its order; ask it now and then."""
+        until_s = self._parts.clock() + limit_s
+        ordered = book.orders
+        started_ms = book.endpoint.started_ms
+        for _ in self._parts.timer.every(POLL_PERIOD_S):
+            if self._parts.clock() >= until_s:
+                return False
+            current = self._parts.directory.find(book.endpoint.id)
+            if current is None or current.started_ms != started_ms:
+                return False
+            try:
+                report = self._parts.orders.report(book.endpoint)
+            except (NotSentError, BrokenCallError):
+                continue
+            if report.orders_accepted < ordered:
+                continue
+            if holds(frozenset(report.held_by_model)):
+                return True
+            if not report.is_busy and report.orders_accepted == book.orders:
+                return False
+        return False
+
+    def _order(self, book: EngineBook, kind: OrderKind, item: WantedModel) -> bool:
+        """Send an order; return whether the engine took it."""
+        with book.calls:
+            answer = self._send(book, kind, item)
+        return answer in (OrderAnswer.ACCEPTED, OrderAnswer.DONE)
+
+    def _send(
+        self, book: EngineBook, kind: OrderKind, item: WantedModel
+    ) -> OrderAnswer | None:
+        """Send an order until it is answered; the caller holds ``book.calls``.
+
+        Sent again with the same number, it can take effect only once.
+        """
+        for _ in range(ORDER_TRIES):
+            term = self._parts.duty.term
+            if term == NO_TERM:
+                return None
+            order = EngineOrder(kind, item, self._parts.node, term, book.orders)
+            try:
+                answer = self._parts.orders.order(book.endpoint, order)
+            except (NotSentError, BrokenCallError) as error:
+                self._log_order(book, order, None, repr(error))
+                if not self._resync(book, order):
+                    return None
+                continue
+            self._log_order(book, order, answer, "")
+            match answer:
+                case OrderAnswer.ACCEPTED:
+                    book.orders += 1
+                    return answer
+                case OrderAnswer.DONE:
+                    self._resync(book, order)
+                    return answer
+                case OrderAnswer.FENCED:
+                    self._parts.duty.fenced(term)
+                    return answer
+                case OrderAnswer.BUSY:
+                    if not self._resync(book, order):
+                        return answer
+                case OrderAnswer.REFUSED:
+                    return answer
+        return None
+
+    def _resync(self, book: EngineBook, order: EngineOrder) -> bool:
+        """Learn how many orders the engine took; return whether that was news."""
+        try:
+            report = self._parts.orders.report(book.endpoint)
+        except (NotSentError, BrokenCallError):
+            return False
+        before = book.orders
+        book.reported(report)
+        return book.orders != before or not report.is_busy
+
+    def _log_order(
+        self,
+        book: EngineBook,
+        order: EngineOrder,
+        answer: OrderAnswer | None,
+        error: str,
+    ) -> None:
+        self._parts.count(f"orders_{answer.value if answer else 'unanswered'}")
+        self._parts.log(
+            "order",
+            endpoint=book.endpoint.id,
+            kind=order.kind.value,
+            model=order.item.model,
+            adapter=order.item.adapter or "",
+            expected=order.expected,
+            term=order.term,
+            answer=answer.value if answer else "",
+            error=error,
+        )
+
+    def _provide_at(
+        self, books: list[EngineBook], wanted: WantedModel
+    ) -> EndpointId | None:
+        """Return where ``wanted`` can be used, having its adapter loaded if need be."""
+        holding = [book for book in books if book.holds(wanted)]
+        if holding:
+            book = min(holding, key=self._filling)
+            book.used(wanted)
+            return book.endpoint.id
+        for book in sorted(books, key=self._adapter_order):
+            if self._load_adapter(book, wanted):
+                book.used(wanted)
+                self._parts.directory.learned(book.endpoint.id, wanted)
+                return book.endpoint.id
+        return None
+
+    def _filling(self, book: EngineBook) -> float:
+        return self._parts.load(book.endpoint.id)
+
+    def _adapter_order(self, book: EngineBook) -> tuple[bool, float]:
+        """Put engines with a free adapter place first, then the least loaded."""
+        is_full = book.adapter_count >= book.spec.adapter_places
+        return is_full, self._filling(book)
+
+    def _load_adapter(self, book: EngineBook, wanted: WantedModel) -> bool:
+        """Order an adapter, making room for it; return whether it is on its way."""
+        with book.calls:
+            if book.holds(wanted):
+                return True
+            if wanted.model not in book.models:
+                return False
+            if book.arriving >= ADAPTERS_ON_THEIR_WAY:
+                return False
+            if not self._make_adapter_room(book):
+                return False
+            spec = book.spec.models_by_id.get(wanted.model)
+            if spec is None or book.free_mb < spec.adapter_mb:
+                return False
+            answer = self._send(book, OrderKind.LOAD, wanted)
+            if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.DONE):
+                return False
+            book.adapter_ordered(wanted)
+        if answer is OrderAnswer.ACCEPTED:
+            self._await_adapter()
+        return True
+
+    def _make_adapter_room(self, book: EngineBook) -> bool:
+        """Unload the adapter unused for longest if all places are taken."""
+        if book.adapter_count < book.spec.adapter_places:
+            return True
+        held = [
+            WantedModel(model, adapter)
+            for model in book.models
+            for adapter in book.adapters(model)
+        ]
+        for victim in sorted(held, key=book.unused_s, reverse=True):
+            if book.unused_s(victim) < ADAPTER_REST_S:
+                return False
+            answer = self._send(book, OrderKind.UNLOAD, victim)
+            if answer is OrderAnswer.DONE:
+                book.adapter_left(victim)
+                return True
+            if answer is not OrderAnswer.ACCEPTED:
+                return False
+            # It is in use and leaves later: its place is not free yet.
+        return False
+
+    def _await_adapter(self) -> None:
+        """Block for as long as most adapters take to arrive."""
+        with self._changed:
+            self._changed.wait(ADAPTER_ARRIVAL_S)
--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership.py
@@ -20,6 +20,7 @@
     GossipAnswer,
     GrantWanted,
     ItemsUsed,
+    ItemWanted,
     JoinWanted,
     LoadWanted,
     Message,
@@ -96,3 +97,5 @@
         case TrialEnded() as ended:
             parts.suspects.ended(ended)
             return Done()
+        case ItemWanted():
+            return Declined("each engine is ordered by its own owner here")
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -16,12 +16,14 @@
     NodeId,
     ObjectKey,
     OrderId,
+    ServiceId,
     Version,
     Zone,
 )
 from camphoryard.state.nodes import NodeDigest, NodeLease
 from camphoryard.state.refusals import RefusalSheet
 from camphoryard.state.timeline import Event
+from camphoryard.state.traffic import WantedModel
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +252,25 @@
     sheet: RefusalSheet
 
 
+@dataclass(frozen=True, slots=True)
+class ItemWanted:
+    """Ask who orders the engines to have a model or adapter loaded somewhere.
+
+    The reply comes once it is held, or will not be within ``within_s`` seconds.
+    """
+
+    service: ServiceId
+    wanted: WantedModel
+    within_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ItemHeld:
+    """The item can be used at an endpoint."""
+
+    endpoint: EndpointId
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The request was met, or is under way."""
@@ -278,6 +299,7 @@
     | TrialWanted
     | TrialEnded
     | RefusalsCounted
+    | ItemWanted
 )
 Reply: TypeAlias = (
     Done
@@ -289,4 +311,5 @@
     | ConfigurationOffer
     | EventsFound
     | RecordsFound
+    | ItemHeld
 )
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -1,18 +1,45 @@
 """All parts of one entry daemon, joined."""
 
+import functools
 import sys
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
-from typing import NoReturn
+from typing import Any, NoReturn
+from uuid import uuid4
+
+import msgspec
+import zmq
 
 from camphoryard.coordination.breakers import Breakers
+from camphoryard.coordination.demand import DemandMeter, SystemDemand
+from camphoryard.coordination.duty.keeper import DutyKeeper
+from camphoryard.coordination.fleet.news import NewsTeller
+from camphoryard.coordination.fleet.presence import PresenceKeeper
 from camphoryard.coordination.forwarding.choosing import EndpointChooser
 from camphoryard.coordination.forwarding.feeding import DirectoryFeed
 from camphoryard.coordination.forwarding.parts import ForwardingParts
+from camphoryard.coordination.load_estimates import LoadEstimates
+from camphoryard.coordination.loading.orderer import Orderer, OrderingParts
+from camphoryard.coordination.loading.seeking import (
+    Seeker,
+    SeekingParts,
+    answer_wanted,
+)
+from camphoryard.coordination.messages import (
+    Declined,
+    Done,
+    Gossip,
+    ItemWanted,
+    Message,
+    Reply,
+)
+from camphoryard.coordination.ports import Records, Stored
 from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
 from camphoryard.coordination.watching import Follower
 from camphoryard.entry.settings import EntrySettings
+from camphoryard.platform.engines import PlatformEngines
 from camphoryard.platform.heads import PlatformHeads
 from camphoryard.platform.store import StoreRecords
 from camphoryard.platform.traffic import (
@@ -22,38 +49,50 @@
     decode_rules,
 )
 from camphoryard.state.directory import Directory
-from camphoryard.state.ids import ServiceId
-from camphoryard.state.serving_endpoints import ServingEndpoint
+from camphoryard.state.duty import DutyRecord, PeerKeys
+from camphoryard.state.enums import NodeState
+from camphoryard.state.ids import Incarnation, NodeId, ObjectKey, WriteId
+from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import InFlightTable
-from camphoryard.state.traffic import TrafficRules, WantedModel
+from camphoryard.state.timeline import HybridClock
 from camphoryard.transport.front import FrontApp
 from camphoryard.transport.http_client import Address, HttpClient
 from camphoryard.transport.log_lines import LineLog
 from camphoryard.transport.metrics import Metrics
+from camphoryard.transport.peers import PeerNetwork
 from camphoryard.transport.readiness import ReadinessApp
 from camphoryard.transport.timer import TimerService
 from camphoryard.transport.upstream import HttpUpstream
 
 CONNECTION_TASKS = 512
-NODE_TASKS = 16
+PEER_TASKS = 256
+HANDLER_TASKS = 256
+NODE_TASKS = 64
 ENDPOINT_BATCH_S = 1.0
 """Between two watches of the endpoints; half of the time in which one that leaves
 must get no more requests."""
 ENDPOINT_WAIT_S = 10.0
 RULES_WAIT_S = 30.0
+NODES_WAIT_S = 30.0
+PEER_SILENCE_S = 1.5
+"""After how long without news a peer counts as silent; six periods of news."""
+ORDERING_DUTY = ObjectKey("ordering")
+NODE_KIND = "camphoryard-nodes"
+DUTY_KIND = "camphoryard-duties"
+KEY_KIND = "camphoryard-keys"
+INCARNATION_CHARACTERS = 16
+RESERVE_SHARE = 0.1
+"""Part of the fleet's reserve of repeats that one node may use."""
 
 
-class NoLoads:
-    """Seeks no models: what is held nowhere is not served."""
-
-    def seek(
-        self, service: ServiceId, wanted: WantedModel, deadline_s: float
-    ) -> ServingEndpoint | None:
-        """Return None."""
-        return None
+@dataclass(frozen=True, slots=True)
+class Executors:
+    """Named executors, one for each kind of task."""
 
-    def asked(self, service: ServiceId, wanted: WantedModel, work_s: float) -> None:
-        """Do nothing."""
+    connections: ThreadPoolExecutor
+    peers: ThreadPoolExecutor
+    handlers: ThreadPoolExecutor
+    node: ThreadPoolExecutor
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,12 +106,18 @@
     client: HttpClient
     directory: Directory
     feed: DirectoryFeed
-    rules: Follower[TrafficRules]
-    endpoints: Follower[ServingEndpoint]
+    followers: tuple[Follower[Any], ...]
+    peers: PeerNetwork
+    keys: Records[PeerKeys]
+    own_keys: PeerKeys
+    lease: NodeLease
+    presence: PresenceKeeper
+    news: NewsTeller
+    duty: DutyKeeper
+    orderer: Orderer
     app: FrontApp
     readiness: ReadinessApp
-    connections: ThreadPoolExecutor
-    tasks: ThreadPoolExecutor
+    executors: Executors
     stop: threading.Event
 
 
@@ -80,39 +125,131 @@
     """Return an entry daemon with all parts joined; only the timer runs yet."""
     log = LineLog(settings.node, sys.stdout)
     metrics = Metrics()
+    timer = TimerService()
     client = HttpClient()
+    executors = _make_executors()
     directory = Directory()
-    in_flight = InFlightTable()
     feed = DirectoryFeed(directory, log)
+    in_flight = InFlightTable()
+    nodes = NodeTable()
+    demand = DemandMeter()
+    estimates = LoadEstimates(settings.node, nodes, in_flight)
+    incarnation = Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
+    own_keys = _make_keys()
+    peers = PeerNetwork(
+        settings.node, None, executors.peers, executors.handlers, HybridClock()
+    )
+    records = functools.partial(_records, client, settings, log)
+    leases = records(NODE_KIND, NodeLease)
+    news: NewsTeller
+    duty = DutyKeeper(
+        records(DUTY_KIND, DutyRecord),
+        ORDERING_DUTY,
+        settings.node,
+        incarnation,
+        settings.bounds.order_lease_s,
+        lambda: news.hears_holder(),
+        log,
+    )
+    news = NewsTeller(
+        settings.node,
+        incarnation,
+        nodes,
+        peers,
+        in_flight,
+        demand,
+        estimates,
+        lambda: duty.claimed_term,
+    )
+    system_demand = SystemDemand(settings.node, nodes, demand)
+    orderer = Orderer(
+        OrderingParts(
+            settings.node,
+            directory,
+            duty,
+            PlatformEngines(client),
+            system_demand.by_item,
+            estimates.load,
+            executors.node,
+            timer,
+            log,
+            metrics.count,
+        )
+    )
+    seeker = Seeker(
+        SeekingParts(settings.node, directory, orderer, peers, news.holder, demand)
+    )
     dialect = PlatformHeads()
     bounds = settings.bounds
     parts = ForwardingParts(
         directory,
-        EndpointChooser(settings.zone, in_flight.count),
+        EndpointChooser(settings.zone, estimates.load),
         in_flight,
         Breakers(),
-        RetryBudget(RetryLimits(bounds.retry_share, bounds.retry_reserve / 10)),
+        RetryBudget(
+            RetryLimits(bounds.retry_share, bounds.retry_reserve * RESERVE_SHARE)
+        ),
         HttpUpstream(client, dialect),
-        NoLoads(),
+        seeker,
         log,
         metrics.observe,
         metrics.count,
     )
-    store = Address(settings.store.host, settings.store.port)
-    rules = StoreRecords(
-        client, store, CONFIG_KIND, lambda _, spec: decode_rules(spec), _unwritten, log
-    )
-    endpoints = StoreRecords(
-        client, store, ENDPOINT_KIND, decode_endpoint, _unwritten, log
-    )
     return Entry(
         settings,
         log,
         metrics,
-        TimerService(),
+        timer,
         client,
         directory,
         feed,
+        (
+            *_make_feeders(client, settings, log, feed),
+            Follower(
+                leases,
+                functools.partial(_take_lease, nodes, peers),
+                wait_s=NODES_WAIT_S,
+            ),
+        ),
+        peers,
+        records(KEY_KIND, PeerKeys),
+        own_keys,
+        _make_lease(settings, incarnation),
+        PresenceKeeper(leases, log),
+        news,
+        duty,
+        orderer,
+        FrontApp(parts, dialect),
+        ReadinessApp(lambda: directory.is_ready, metrics),
+        executors,
+        threading.Event(),
+    )
+
+
+def handle(entry: Entry, message: Message) -> Reply:
+    """Act on a peer's message and return the reply."""
+    match message:
+        case Gossip() as gossip:
+            entry.news.heard(gossip)
+            return Done()
+        case ItemWanted() as wanted:
+            return answer_wanted(entry.orderer, wanted, time.monotonic())
+        case _:
+            return Declined("not a message between entry daemons")
+
+
+def _make_feeders(
+    client: HttpClient, settings: EntrySettings, log: LineLog, feed: DirectoryFeed
+) -> tuple[Follower[Any], ...]:
+    """Return the tasks that follow the operator's rules and the endpoints."""
+    store = Address(settings.store.host, settings.store.port)
+    rules = StoreRecords(
+        client, store, CONFIG_KIND, lambda _, spec: decode_rules(spec), _unwritten, log
+    )
+    endpoints = StoreRecords(
+        client, store, ENDPOINT_KIND, decode_endpoint, _unwritten, log
+    )
+    return (
         Follower(rules, feed.take_rules, wait_s=RULES_WAIT_S),
         Follower(
             endpoints,
@@ -122,13 +259,63 @@
             batch_s=ENDPOINT_BATCH_S,
             listed=feed.list_endpoints,
         ),
-        FrontApp(parts, dialect),
-        ReadinessApp(lambda: directory.is_ready, metrics),
+    )
+
+
+def _make_executors() -> Executors:
+    return Executors(
         ThreadPoolExecutor(CONNECTION_TASKS, "connection"),
+        ThreadPoolExecutor(PEER_TASKS, "peer"),
+        ThreadPoolExecutor(HANDLER_TASKS, "handler"),
         ThreadPoolExecutor(NODE_TASKS, "node"),
-        threading.Event(),
     )
 
 
+def _make_keys() -> PeerKeys:
+    public, secret = zmq.curve_keypair()
+    return PeerKeys(public.decode(), secret.decode())
+
+
+def _make_lease(settings: EntrySettings, incarnation: Incarnation) -> NodeLease:
+    return NodeLease(
+        settings.node,
+        incarnation,
+        settings.zone,
+        settings.host,
+        settings.peer_ports[0],
+        "",
+        NodeState.SERVING,
+        PEER_SILENCE_S,
+        WriteId(incarnation),
+    )
+
+
+def _records(
+    client: HttpClient, settings: EntrySettings, log: LineLog, kind: str, form: Any
+) -> StoreRecords[Any]:
+    """Return the records of one of our own kinds, kept as JSON."""
+    decoder = msgspec.json.Decoder(form)
+    return StoreRecords(
+        client,
+        Address(settings.store.host, settings.store.port),
+        kind,
+        lambda _, spec: decoder.decode(spec),
+        msgspec.json.encode,
+        log,
+    )
+
+
+def _take_lease(
+    nodes: NodeTable, peers: PeerNetwork, stored: Stored[NodeLease]
+) -> None:
+    if stored.record is None:
+        node = NodeId(stored.key)
+        nodes.forget(node)
+        peers.forget(node)
+        return
+    nodes.saw(stored.record, stored.version)
+    peers.know(stored.record)
+
+
 def _unwritten(record: object) -> NoReturn:
     raise TypeError(f"{type(record).__name__} is written by the platform only")
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -5,13 +5,17 @@
 import threading
 import time
 from concurrent.futures import Future
+from dataclasses import replace
 from functools import partial
 
-from camphoryard.entry.assembly import Entry, make_entry
+from camphoryard.coordination.fleet.presence import agree_on_keys
+from camphoryard.entry.assembly import Entry, handle, make_entry
 from camphoryard.platform.settings import read_entry_settings, settings_path
 from camphoryard.settings import SettingsError
 from camphoryard.state.errors import ListenError
 from camphoryard.transport.http_server import ConnectionLimits, HttpServer, serve
+from camphoryard.transport.peers import CurveKeys
+from camphoryard.transport.timer import TimerService
 
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 WATCHED_SIGNALS = STOP_SIGNALS | {signal.SIGHUP}
@@ -40,7 +44,7 @@
         entry.app,
         settings.front.host,
         settings.front.port,
-        entry.connections,
+        entry.executors.connections,
         entry.app.refuse,
         is_balancer_trusted=True,
     )
@@ -48,19 +52,40 @@
         entry.readiness,
         settings.ready.host,
         settings.ready.port,
-        entry.tasks,
+        entry.executors.node,
         entry.readiness.refuse,
     )
     entry.directory.subscribe(partial(_apply_limits, entry, front))
     for name, server in (("front", front), ("ready", ready)):
         threading.Thread(target=server.run, name=name, daemon=True).start()
-    for task in (entry.rules.run, entry.endpoints.run, entry.feed.run_expiry):
-        entry.tasks.submit(task, entry.timer).add_done_callback(partial(_report, entry))
+    for task in (
+        *(follower.run for follower in entry.followers),
+        entry.feed.run_expiry,
+        entry.duty.run,
+        entry.orderer.run,
+        partial(join_fleet, entry),
+    ):
+        run = entry.executors.node.submit(task, entry.timer)
+        run.add_done_callback(partial(_report, entry))
     entry.log("started", front=settings.front, zone=settings.zone)
     entry.stop.wait()
     drain(entry, front)
 
 
+def join_fleet(entry: Entry, timer: TimerService) -> None:
+    """Agree on keys, listen for peers, make this node known, and tell it all."""
+    keys = agree_on_keys(entry.keys, entry.own_keys, timer)
+    if keys is None:
+        return
+    public = keys.public.encode()
+    entry.peers.use_keys(CurveKeys(public, keys.secret.encode(), frozenset({public})))
+    entry.peers.listen(
+        entry.settings.host, entry.settings.peer_ports[0], partial(handle, entry)
+    )
+    entry.presence.run(timer, replace(entry.lease, public_key=keys.public))
+    entry.news.run(timer)
+
+
 def drain(entry: Entry, front: HttpServer) -> None:
     """Let the balancer move away, finish what is under way, and end."""
     grace_s = entry.settings.bounds.grace_s
@@ -72,6 +97,8 @@
     entry.stop.wait(max(0.0, grace_s - LEAVE_BEFORE_END_S))
     front.close_idle()
     front.wait_flushed(end_s)
+    entry.duty.resign()
+    entry.presence.leave()
     entry.log("stopped", unfinished=len(front.active_channels))
     close(entry)
 
@@ -80,7 +107,14 @@
     """End every task of the daemon."""
     entry.timer.close()
     entry.client.close()
-    for executor in (entry.tasks, entry.connections):
+    entry.peers.close()
+    executors = entry.executors
+    for executor in (
+        executors.node,
+        executors.handlers,
+        executors.connections,
+        executors.peers,
+    ):
         executor.shutdown(wait=False, cancel_futures=True)
     entry.log.close()
 
--- /dev/null
+++ b/src/camphoryard/platform/engines.py
@@ -0,0 +1,95 @@
+"""Orders to the platform's engines, and their reports."""
+
+import msgspec
+
+from camphoryard.coordination.loading.ports import (
+    EngineOrder,
+    EngineReport,
+    OrderAnswer,
+)
+from camphoryard.platform.heads import EXPECTED_ENDPOINT
+from camphoryard.platform.traffic import Held, held_by_model
+from camphoryard.state.enums import OrderKind
+from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.serving_endpoints import ServingEndpoint
+from camphoryard.transport.http_client import Address, HttpCall, HttpClient
+
+ORDER_PATH = "/order"
+REPORT_PATH = "/report"
+ORDER_TIMEOUT_S = 1.0
+"""Engines answer in milliseconds; one that does not may act on the order later."""
+REPORT_TIMEOUT_S = 0.5
+
+_ANSWER_BY_STATUS = {
+    200: OrderAnswer.DONE,
+    202: OrderAnswer.ACCEPTED,
+    409: OrderAnswer.BUSY,
+    412: OrderAnswer.FENCED,
+}
+_OPCODE_BY_KIND = {OrderKind.LOAD: "load", OrderKind.UNLOAD: "unload"}
+
+
+class _Report(msgspec.Struct, frozen=True, rename="kebab"):
+    models: list[Held] = []
+    # Whether a model is being loaded or unloaded, not whether requests run.
+    busy: bool = False
+    # Orders accepted since the start.
+    seq: int = 0
+    running: int = 0
+    waiting: int = 0
+
+
+_REPORT = msgspec.json.Decoder(_Report)
+
+
+class PlatformEngines:
+    """See the EngineOrders port."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    def order(self, endpoint: ServingEndpoint, order: EngineOrder) -> OrderAnswer:
+        """Send an order."""
+        form: dict[str, object] = {
+            "opcode": _OPCODE_BY_KIND[order.kind],
+            "model": order.item.model,
+            "expected": order.expected,
+            "holder": order.holder,
+            "fence-token": order.term,
+        }
+        if order.item.adapter is not None:
+            form["adapter"] = order.item.adapter
+        call = HttpCall(
+            "POST",
+            ORDER_PATH,
+            msgspec.json.encode(form),
+            {"Content-Type": "application/json", EXPECTED_ENDPOINT: endpoint.id},
+            ORDER_TIMEOUT_S,
+        )
+        answer = self._client.call(_address(endpoint), call)
+        return _ANSWER_BY_STATUS.get(answer.status, OrderAnswer.REFUSED)
+
+    def report(self, endpoint: ServingEndpoint) -> EngineReport:
+        """Ask an engine for its state."""
+        call = HttpCall(
+            "GET",
+            REPORT_PATH,
+            headers={EXPECTED_ENDPOINT: endpoint.id},
+            timeout_s=REPORT_TIMEOUT_S,
+        )
+        answer = self._client.call(_address(endpoint), call)
+        try:
+            report = _REPORT.decode(answer.body)
+        except msgspec.MsgspecError as error:
+            raise BrokenCallError(f"unreadable report: {error}") from error
+        return EngineReport(
+            held_by_model(report.models),
+            report.busy,
+            report.seq,
+            report.running,
+            report.waiting,
+        )
+
+
+def _address(endpoint: ServingEndpoint) -> Address:
+    return Address(endpoint.address.host, endpoint.address.port)
--- a/src/camphoryard/platform/traffic.py
+++ b/src/camphoryard/platform/traffic.py
@@ -107,7 +107,9 @@
     limits: _Limits
 
 
-class _Held(msgspec.Struct, frozen=True):
+class Held(msgspec.Struct, frozen=True):
+    """A model as entries and reports list it."""
+
     name: str
     version: int = 0
     adapters: list[str] = []
@@ -126,7 +128,7 @@
     slots: int = 1
     # Orders accepted since the start, not a number of this entry.
     seq: int = 0
-    models: list[_Held] = []
+    models: list[Held] = []
     at_hand: _AtHand = _AtHand()
     # Unix milliseconds of the endpoint's start.
     born: int = 0
@@ -174,12 +176,13 @@
         state,
         entry.born,
         entry.seq,
-        _held(entry.models),
+        held_by_model(entry.models),
         frozenset(map(ModelId, (*entry.at_hand.in_memory, *entry.at_hand.on_disk))),
     )
 
 
-def _held(models: Iterable[_Held]) -> dict[ModelId, HeldModel]:
+def held_by_model(models: Iterable[Held]) -> dict[ModelId, HeldModel]:
+    """Return the models that an engine lists, with their adapters."""
     return {
         ModelId(item.name): HeldModel(
             item.version, frozenset(map(AdapterId, item.adapters))
--- a/src/camphoryard/protocol/answers.py
+++ b/src/camphoryard/protocol/answers.py
@@ -23,6 +23,8 @@
     Reason.BAD_HEADER: 400,
     Reason.BAD_FIELD: 400,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.HEADER_TOO_LARGE: 431,
+    Reason.TOO_SLOW: 408,
     Reason.NOT_FOUND: 404,
     Reason.METHOD_NOT_ALLOWED: 405,
     Reason.UNAUTHENTICATED: 401,
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -23,7 +23,9 @@
     Granted,
     GrantWanted,
     HeardDigest,
+    ItemHeld,
     ItemsUsed,
+    ItemWanted,
     Joined,
     JoinWanted,
     LoadWanted,
@@ -47,6 +49,7 @@
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import (
     EndpointId,
+    FencingNumber,
     Generation,
     Incarnation,
     ItemId,
@@ -91,6 +94,8 @@
     TRIAL_WANTED = "trial_wanted"
     TRIAL_ENDED = "trial_ended"
     REFUSALS_COUNTED = "refusals_counted"
+    ITEM_WANTED = "item_wanted"
+    ITEM_HELD = "item_held"
     DONE = "done"
     DECLINED = "declined"
     NODE_DIGEST = "node_digest"
@@ -116,6 +121,7 @@
     beat: int
     demand_by_item: Mapping[ItemId, tuple[int, int]]
     age_ms: int | None
+    duty_term: FencingNumber = FencingNumber(0)
 
 
 class _WordsForm(msgspec.Struct, array_like=True, frozen=True):
@@ -154,6 +160,8 @@
     FrameKind.TRIAL_WANTED: TrialWanted,
     FrameKind.TRIAL_ENDED: TrialEnded,
     FrameKind.REFUSALS_COUNTED: RefusalsCounted,
+    FrameKind.ITEM_WANTED: ItemWanted,
+    FrameKind.ITEM_HELD: ItemHeld,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
     FrameKind.NODE_DIGEST: NodeDigest,
@@ -264,6 +272,7 @@
             heard.digest.beat,
             _demand_form(heard.digest.demand_by_item),
             _ms(heard.age_s),
+            heard.digest.duty_term,
         )
         for heard in digests
     )
@@ -306,6 +315,7 @@
                 item.report_by_endpoint,
                 item.beat,
                 _demand(item.demand_by_item),
+                item.duty_term,
             ),
             _s(item.age_ms),
         )
--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -9,6 +9,10 @@
 from camphoryard.state.serving_endpoints import EndpointState, ServingEndpoint
 from camphoryard.state.traffic import TrafficRules, WantedModel
 
+LEARNED_LIFE_S = 3.0
+"""How long news of a load counts before the endpoint's own entry says so."""
+UNHELD_LIFE_S = 0.5
+"""How long an endpoint that declined an item is not asked for it again."""
 MISSING_GRACE_S = 2.2
 """How long an endpoint that a listing after an outage lacks still counts; the
 platform lets entries that lapsed meanwhile come back within about 2 s."""
@@ -36,6 +40,8 @@
         self._rules: TrafficRules | None = None
         self._endpoints_by_id: dict[EndpointId, ServingEndpoint] = {}
         self._missing_by_id: dict[EndpointId, _Missing] = {}
+        self._learned_until_s: dict[tuple[EndpointId, WantedModel], float] = {}
+        self._unheld_until_s: dict[tuple[EndpointId, WantedModel], float] = {}
         self._has_endpoints = False
         self._subscribers: list[Callable[[], None]] = []
 
@@ -114,6 +120,35 @@
             self._tell()
         return lapsed
 
+    def learned(self, id: EndpointId, wanted: WantedModel) -> None:
+        """Note that ``wanted`` has been loaded at an endpoint just now."""
+        with self._changed:
+            now_s = self._clock()
+            _drop_lapsed(self._learned_until_s, now_s)
+            self._learned_until_s[id, wanted] = now_s + LEARNED_LIFE_S
+            self._unheld_until_s.pop((id, wanted), None)
+
+    def declined(self, id: EndpointId, wanted: WantedModel) -> None:
+        """Note that an endpoint would not run ``wanted`` just now."""
+        with self._changed:
+            now_s = self._clock()
+            _drop_lapsed(self._unheld_until_s, now_s)
+            self._unheld_until_s[id, wanted] = now_s + UNHELD_LIFE_S
+            self._learned_until_s.pop((id, wanted), None)
+
+    def holds(self, endpoint: ServingEndpoint, wanted: WantedModel | None) -> bool:
+        """Return whether ``endpoint`` can run ``wanted``, by all that is known."""
+        if wanted is None:
+            return True
+        key = endpoint.id, wanted
+        with self._changed:
+            now_s = self._clock()
+            if self._unheld_until_s.get(key, 0.0) > now_s:
+                return False
+            if self._learned_until_s.get(key, 0.0) > now_s:
+                return True
+        return endpoint.holds(wanted)
+
     def endpoints_by_id(self) -> Mapping[EndpointId, ServingEndpoint]:
         """Return a copy of the endpoints known."""
         with self._changed:
@@ -137,7 +172,7 @@
         self, service: ServiceId, wanted: WantedModel | None
     ) -> list[ServingEndpoint]:
         """Return the ready endpoints of ``service`` that hold ``wanted``."""
-        return [item for item in self.ready(service) if item.holds(wanted)]
+        return [item for item in self.ready(service) if self.holds(item, wanted)]
 
     def wait_until(self, holds: Callable[[], bool], deadline_s: float) -> bool:
         """Block until ``holds()`` after some change, or the deadline passes."""
@@ -161,3 +196,10 @@
             self._changed.notify_all()
         for callback in self._subscribers:
             callback()
+
+
+def _drop_lapsed(
+    until_s_by_key: dict[tuple[EndpointId, WantedModel], float], now_s: float
+) -> None:
+    for key in [key for key, until_s in until_s_by_key.items() if until_s <= now_s]:
+        del until_s_by_key[key]
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -10,6 +10,7 @@
 from camphoryard.state.ids import (
     ABSENT,
     EndpointId,
+    FencingNumber,
     Generation,
     Incarnation,
     ItemId,
@@ -48,7 +49,8 @@
 class NodeDigest:
     """What a node tells its peers about itself every second or so.
 
-    ``beat`` grows with each digest of one start of the node.
+    ``beat`` grows with each digest of one start of the node. ``duty_term`` is the
+    term in which it orders engines, or 0.
     """
 
     node: NodeId
@@ -59,6 +61,7 @@
     report_by_endpoint: Mapping[EndpointId, LoadReport] = field(default_factory=dict)
     beat: int = 0
     demand_by_item: Mapping[ItemId, ItemDemand] = field(default_factory=dict)
+    duty_term: FencingNumber = FencingNumber(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -93,7 +93,7 @@
     def __init__(
         self,
         node: NodeId,
-        keys: CurveKeys,
+        keys: CurveKeys | None,
         tasks: Executor,
         handlers: Executor,
         clock: HybridClock,
@@ -123,14 +123,16 @@
         ListenError
             If the port cannot be bound.
         """
+        keys = self._keys
+        assert keys is not None, "keys come before the first connection"
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
-            credentials_provider=_AcceptedKeys(self._keys.accepted)
+            credentials_provider=_AcceptedKeys(keys.accepted)
         )
         socket = self._context.socket(zmq.ROUTER)
         socket.curve_server = True
-        socket.curve_secretkey = self._keys.secret
-        socket.curve_publickey = self._keys.public
+        socket.curve_secretkey = keys.secret
+        socket.curve_publickey = keys.public
         socket.linger = 0
         try:
             socket.bind(f"tcp://{host}:{port}")
@@ -142,6 +144,10 @@
             ) from error
         self._tasks.submit(self._receive, socket, handle)
 
+    def use_keys(self, keys: CurveKeys) -> None:
+        """Set the keys, which must be known before anything is sent."""
+        self._keys = keys
+
     def know(self, lease: NodeLease) -> None:
         """Send to the peer at the place in ``lease``, in place of an older start's."""
         if lease.node == self._node:
@@ -224,11 +230,11 @@
         if peer is not None:
             return peer
         lease = self._lease_by_id.get(node)
-        if lease is None or self._closed:
+        if lease is None or self._closed or self._keys is None:
             raise PeerUnreachableError(f"{node} is not known")
         peer = _Peer(lease, queue.Queue(OUTBOX_FRAMES))
         self._peer_by_id[node] = peer
-        self._tasks.submit(self._send_all, peer)
+        self._tasks.submit(self._send_all, peer, self._keys)
         return peer
 
     def _disconnect(self, node: NodeId) -> None:
@@ -250,11 +256,11 @@
                 del self._peer_by_id[peer.lease.node]
             return STOP
 
-    def _send_all(self, peer: _Peer) -> None:
+    def _send_all(self, peer: _Peer, keys: CurveKeys) -> None:
         socket = self._context.socket(zmq.DEALER)
         socket.curve_serverkey = peer.lease.public_key.encode()
-        socket.curve_publickey = self._keys.public
-        socket.curve_secretkey = self._keys.secret
+        socket.curve_publickey = keys.public
+        socket.curve_secretkey = keys.secret
         socket.linger = LINGER_MS
         socket.sndtimeo = SEND_TIMEOUT_MS
         socket.heartbeat_ivl = HEARTBEAT_MS
