Number orders by what engines report, not by their entries

Change: the number comes from the engine's report; an engine that does not take an order rests for 0.5 s.

--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -10,6 +10,11 @@
 from camphoryard.state.serving_endpoints import HeldModel, ServingEndpoint
 from camphoryard.state.traffic import EngineSpec, WantedModel
 
+ENTRY_LAG_S = 2.5
+"""An entry may lack what was ordered so short a time ago: engines write theirs
+every second or so, and it is read once a second."""
+REST_S = 0.5
+"""After an order that an engine did not take, before the next one to it."""
 ARRIVAL_S = 0.05
 """How long an adapter counts as on its way; most take a few hundredths."""
 
@@ -19,44 +24,60 @@
     """One engine: what it holds, what is on its way, how many orders it took.
 
     The engine's own words replace what is written here as soon as they include
-    the last order. ``calls`` is held while an order is sent, as each bears the
-    number of those before it.
+    the last order. ``orders`` is how many it has accepted, or None before it was
+    asked. ``calls`` is held while an order is sent, as each bears the number of
+    those before it.
     """
 
     endpoint: ServingEndpoint
     spec: EngineSpec
     clock: Callable[[], float] = time.monotonic
-    orders: int = 0
+    orders: int | None = None
     loading: ModelId | None = None
     unloading: ModelId | None = None
     calls: threading.Lock = field(default_factory=threading.Lock)
+    _ordered_s: float = float("-inf")
+    _rests_until_s: float = 0.0
     _adapters_by_model: dict[ModelId, set[AdapterId]] = field(default_factory=dict)
     _used_s_by_item: dict[WantedModel, float] = field(default_factory=dict)
     _held_since_s: dict[ModelId, float] = field(default_factory=dict)
     _arriving_until_s: dict[WantedModel, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.orders = self.endpoint.orders_accepted
         self._replace(self.endpoint.held_by_model)
 
     def saw(self, endpoint: ServingEndpoint) -> None:
         """Take in the engine's entry."""
         if endpoint.started_ms != self.endpoint.started_ms:
             self.loading = self.unloading = None
-            self.orders = endpoint.orders_accepted
+            self.orders = None
             self._arriving_until_s.clear()
             self._replace(endpoint.held_by_model)
-        elif endpoint.orders_accepted >= self.orders:
-            self.orders = endpoint.orders_accepted
+        elif self.clock() - self._ordered_s > ENTRY_LAG_S:
             self._replace(endpoint.held_by_model)
         self.endpoint = endpoint
 
     def reported(self, report: EngineReport) -> None:
         """Take in the engine's answer to a question."""
-        if report.orders_accepted >= self.orders:
+        if self.orders is None or report.orders_accepted >= self.orders:
             self.orders = report.orders_accepted
             self._replace(report.held_by_model)
 
+    def accepted(self) -> None:
+        """Note that the engine accepted an order."""
+        if self.orders is not None:
+            self.orders += 1
+        self._ordered_s = self.clock()
+
+    def rest(self) -> None:
+        """Send the engine nothing for a while."""
+        self._rests_until_s = self.clock() + REST_S
+
+    @property
+    def is_resting(self) -> bool:
+        """Whether the engine did not take an order a moment ago."""
+        return self.clock() < self._rests_until_s
+
     @property
     def models(self) -> frozenset[ModelId]:
         """The models that requests can run on now."""
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -251,7 +251,7 @@
                     or (model in wanted and book.held_s(model) < WANT_LIFE_S)
                 ),
                 book.endpoint.on_hand,
-                book.endpoint.id in moving,
+                book.endpoint.id in moving or book.is_resting,
             )
             for book in books
         )
@@ -348,7 +348,7 @@
     ) -> bool:
         """Block until the engine has carried out its order; ask it now and then."""
         until_s = self._parts.clock() + limit_s
-        ordered = book.orders
+        ordered = book.orders or 0
         started_ms = book.endpoint.started_ms
         for _ in self._parts.timer.every(POLL_PERIOD_S):
             if self._parts.clock() >= until_s:
@@ -364,7 +364,7 @@
                 continue
             if holds(frozenset(report.held_by_model)):
                 return True
-            if not report.is_busy and report.orders_accepted == book.orders:
+            if not report.is_busy and not report.running:
                 return False
         return False
 
@@ -385,41 +385,47 @@
             term = self._parts.duty.term
             if term == NO_TERM:
                 return None
+            if book.orders is None and not self._ask(book):
+                break
+            assert book.orders is not None
             order = EngineOrder(kind, item, self._parts.node, term, book.orders)
             try:
                 answer = self._parts.orders.order(book.endpoint, order)
             except (NotSentError, BrokenCallError) as error:
                 self._log_order(book, order, None, repr(error))
-                if not self._resync(book, order):
-                    return None
+                self._ask(book)
                 continue
             self._log_order(book, order, answer, "")
             match answer:
                 case OrderAnswer.ACCEPTED:
-                    book.orders += 1
+                    book.accepted()
                     return answer
                 case OrderAnswer.DONE:
-                    self._resync(book, order)
+                    # Whether the engine counted it is not told: ask before the next.
+                    book.orders = None
                     return answer
                 case OrderAnswer.FENCED:
                     self._parts.duty.fenced(term)
                     return answer
                 case OrderAnswer.BUSY:
-                    if not self._resync(book, order):
-                        return answer
+                    book.orders = None
                 case OrderAnswer.REFUSED:
+                    book.rest()
                     return answer
+        book.rest()
         return None
 
-    def _resync(self, book: EngineBook, order: EngineOrder) -> bool:
-        """Learn how many orders the engine took; return whether that was news."""
+    def _ask(self, book: EngineBook) -> bool:
+        """Ask the engine how many orders it has accepted; return whether it told."""
         try:
             report = self._parts.orders.report(book.endpoint)
-        except (NotSentError, BrokenCallError):
+        except (NotSentError, BrokenCallError) as error:
+            self._parts.log(
+                "report_failed", endpoint=book.endpoint.id, error=repr(error)
+            )
             return False
-        before = book.orders
         book.reported(report)
-        return book.orders != before or not report.is_busy
+        return True
 
     def _log_order(
         self,
@@ -472,7 +478,7 @@
                 return True
             if wanted.model not in book.models:
                 return False
-            if book.arriving >= ADAPTERS_ON_THEIR_WAY:
+            if book.is_resting or book.arriving >= ADAPTERS_ON_THEIR_WAY:
                 return False
             if not self._make_adapter_room(book):
                 return False
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -4,6 +4,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import replace
 from functools import partial
@@ -58,13 +59,14 @@
     entry.directory.subscribe(partial(_apply_limits, entry, front))
     for name, server in (("front", front), ("ready", ready)):
         threading.Thread(target=server.run, name=name, daemon=True).start()
-    for task in (
+    tasks: tuple[Callable[[TimerService], None], ...] = (
         *(follower.run for follower in entry.followers),
         entry.feed.run_expiry,
         entry.duty.run,
         entry.orderer.run,
         partial(join_fleet, entry),
-    ):
+    )
+    for task in tasks:
         run = entry.executors.node.submit(task, entry.timer)
         run.add_done_callback(partial(_report, entry))
     entry.log("started", front=settings.front, zone=settings.zone)
--- a/src/camphoryard/platform/engines.py
+++ b/src/camphoryard/platform/engines.py
@@ -33,7 +33,7 @@
     models: list[Held] = []
     # Whether a model is being loaded or unloaded, not whether requests run.
     busy: bool = False
-    # Orders accepted since the start.
+    # Orders accepted since the start; in entries this name counts heartbeats.
     seq: int = 0
     running: int = 0
     waiting: int = 0
--- a/src/camphoryard/platform/traffic.py
+++ b/src/camphoryard/platform/traffic.py
@@ -126,8 +126,6 @@
     zone: str
     state: str
     slots: int = 1
-    # Orders accepted since the start, not a number of this entry.
-    seq: int = 0
     models: list[Held] = []
     at_hand: _AtHand = _AtHand()
     # Unix milliseconds of the endpoint's start.
@@ -175,7 +173,6 @@
         entry.slots,
         state,
         entry.born,
-        entry.seq,
         held_by_model(entry.models),
         frozenset(map(ModelId, (*entry.at_hand.in_memory, *entry.at_hand.on_disk))),
     )
--- a/src/camphoryard/state/serving_endpoints.py
+++ b/src/camphoryard/state/serving_endpoints.py
@@ -38,8 +38,7 @@
 class ServingEndpoint:
     """An endpoint; ``started_ms`` tells one start from the next under one id.
 
-    ``orders_accepted`` counts the orders since its start. ``on_hand`` are models
-    whose weights it can load without the weight store.
+    ``on_hand`` are models whose weights it can load without the weight store.
     """
 
     id: EndpointId
@@ -49,7 +48,6 @@
     slots: int
     state: EndpointState
     started_ms: int
-    orders_accepted: int = 0
     held_by_model: Mapping[ModelId, HeldModel] = field(default_factory=dict)
     on_hand: frozenset[ModelId] = frozenset()
 
