Say when a model will be held, and keep moves apart

A lagging report set the count of orders back, so an adapter was ordered where one had been unloaded before it came; the same model was loaded at three engines at once, as a move counted only from its load on; callers of absent models waited until they left. Change: the count never goes back, arriving adapters stay, a move counts from its beginning, and the node that seeks a model is told when it will be held.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -82,7 +82,7 @@
 
 def _sending(parts: ForwardingParts, journey: Journey) -> Sending:
     request, rule = journey.request, journey.rule
-    left_s = max(0.0, journey.due_s - parts.clock())
+    left_s = max(0.0, journey.event_due_s - parts.clock())
     is_last = journey.runs + 1 >= rule.max_attempts
     patience_s = left_s
     if rule.repeatability.may_run_again and not is_last:
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -9,6 +9,7 @@
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     BrokenCallError,
+    NotHeldInTimeError,
     NotSentError,
     RefusalError,
     StalledCallError,
@@ -83,7 +84,10 @@
     if rule is None:
         raise RefusalError(Reason.NOT_FOUND, "no route takes this host and path")
     due_s = min(request.deadline_s, request.arrived_s + rule.timeout_s)
-    return Journey(request, rule, _draw_service(rule), due_s)
+    event_due_s = due_s
+    if rule.repeatability.is_stream:
+        event_due_s = min(due_s, request.arrived_s + rule.client_patience_s)
+    return Journey(request, rule, _draw_service(rule), due_s, event_due_s)
 
 
 def _draw_service(rule: RouteRule) -> ServiceId:
@@ -104,7 +108,7 @@
     RefusalError
         If there is none, or too little time is left.
     """
-    if parts.clock() >= journey.due_s:
+    if parts.clock() >= journey.event_due_s:
         raise RefusalError(
             Reason.DEADLINE, "the time for this request is over", journey.verdict
         )
@@ -120,12 +124,17 @@
         raise _no_endpoint(journey, "every endpoint of the service has failed")
     if journey.sends:
         parts.directory.wait_until(
-            lambda: False, min(journey.due_s, parts.clock() + DECLINED_PAUSE_S)
+            lambda: False, min(journey.event_due_s, parts.clock() + DECLINED_PAUSE_S)
         )
-    found = parts.models.seek(journey.service, wanted, journey.due_s)
-    if found is None:
-        raise _no_endpoint(journey, "no endpoint holds the model or adapter")
-    return found
+    try:
+        return parts.models.seek(journey.service, wanted, journey.event_due_s)
+    except NotHeldInTimeError as error:
+        raise RefusalError(
+            Reason.OVERLOADED,
+            f"the model or adapter is {error}",
+            journey.verdict,
+            retry_after_s=error.in_s,
+        ) from error
 
 
 def _usable(
@@ -156,7 +165,10 @@
 ) -> None:
     """Note what a failed call says about its endpoint."""
     journey.failed.add(endpoint.id)
-    is_over = parts.clock() >= journey.due_s
+    if journey.progress.events:
+        patience_s = journey.rule.client_patience_s
+        journey.event_due_s = min(journey.due_s, parts.clock() + patience_s)
+    is_over = parts.clock() >= journey.event_due_s
     if not is_over:
         parts.breakers.failed(endpoint.id)
     parts.log(
@@ -201,7 +213,7 @@
             retry_after_s=NO_ENDPOINT_RETRY_S,
         )
     match error:
-        case StalledCallError() if parts.clock() >= journey.due_s:
+        case StalledCallError() if parts.clock() >= journey.event_due_s:
             reason = Reason.DEADLINE
         case _:
             reason = Reason.ENDPOINT_FAILED
--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -30,8 +30,14 @@
 
     def seek(
         self, service: ServiceId, wanted: WantedModel, deadline_s: float
-    ) -> ServingEndpoint | None:
-        """Block until ``wanted`` is held somewhere; None if that will not be."""
+    ) -> ServingEndpoint:
+        """Block until ``wanted`` is held somewhere, and return where.
+
+        Raises
+        ------
+        NotHeldInTimeError
+            If it will not be by the deadline.
+        """
 
     def arrived(self, wanted: WantedModel) -> None:
         """Note a request for ``wanted``."""
@@ -61,7 +67,8 @@
 class Journey:
     """One request on its way: its route and what it has met so far.
 
-    ``runs`` counts the endpoints at which it may have run, ``sends`` all that it
+    ``due_s`` is when all is over, ``event_due_s`` when the client leaves unless an
+    event, or the first byte of a whole answer, has come. ``runs`` counts the endpoints at which it may have run, ``sends`` all that it
     was sent to; ``progress`` is what the client has of a stream.
     """
 
@@ -69,6 +76,7 @@
     rule: RouteRule
     service: ServiceId
     due_s: float
+    event_due_s: float
     runs: int = 0
     sends: int = 0
     may_have_run: bool = False
--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -35,6 +35,7 @@
     orders: int | None = None
     loading: ModelId | None = None
     unloading: ModelId | None = None
+    move_began_s: float = 0.0
     calls: threading.Lock = field(default_factory=threading.Lock)
     _ordered_s: float = float("-inf")
     _rests_until_s: float = 0.0
@@ -49,7 +50,7 @@
     def saw(self, endpoint: ServingEndpoint) -> None:
         """Take in the engine's entry."""
         if endpoint.started_ms != self.endpoint.started_ms:
-            self.loading = self.unloading = None
+            self.end()
             self.orders = None
             self._arriving_until_s.clear()
             self._replace(endpoint.held_by_model)
@@ -59,7 +60,7 @@
 
     def reported(self, report: EngineReport) -> None:
         """Take in the engine's answer to a question."""
-        if self.orders is None or report.orders_accepted >= self.orders:
+        if report.orders_accepted >= (self.orders or 0):
             self.orders = report.orders_accepted
             self._replace(report.held_by_model)
 
@@ -69,6 +70,15 @@
             self.orders += 1
         self._ordered_s = self.clock()
 
+    def begin(self, model: ModelId) -> None:
+        """Note that a move is under way that will load ``model``."""
+        self.loading = model
+        self.move_began_s = self.clock()
+
+    def end(self) -> None:
+        """Note that no move is under way any more."""
+        self.loading = self.unloading = None
+
     def rest(self) -> None:
         """Send the engine nothing for a while."""
         self._rests_until_s = self.clock() + REST_S
@@ -117,6 +127,18 @@
         """Memory in MB that nothing holds and nothing on its way will."""
         return self.spec.memory_mb - sum(self.committed_mb_by_model.values())
 
+    def has_room_for(self, model: ModelId) -> bool:
+        """Return whether ``model`` fits beside all that is held now."""
+        spec = self.spec.models_by_id.get(model)
+        if spec is None:
+            return False
+        held_mb = sum(
+            size_mb
+            for item, size_mb in self.committed_mb_by_model.items()
+            if item != model
+        )
+        return held_mb + spec.memory_mb <= self.spec.memory_mb
+
     @property
     def adapter_count(self) -> int:
         """How many adapter places are taken."""
@@ -128,6 +150,10 @@
         now_s = self.clock()
         return sum(until_s > now_s for until_s in self._arriving_until_s.values())
 
+    def is_arriving(self, item: WantedModel) -> bool:
+        """Return whether an adapter may not have come yet."""
+        return self._arriving_until_s.get(item, 0.0) > self.clock()
+
     def size_mb(self, model: ModelId) -> float:
         """Return the memory in MB of a model with the adapters held of it.
 
@@ -140,7 +166,6 @@
 
     def model_came(self, model: ModelId) -> None:
         """Note that a load is complete."""
-        self.loading = None
         self._adapters_by_model.setdefault(model, set())
         self._held_since_s[model] = self.clock()
 
@@ -153,6 +178,7 @@
         """Note that an adapter is on its way."""
         assert item.adapter is not None
         self._adapters_by_model.setdefault(item.model, set()).add(item.adapter)
+        self.used(item)
         self._arriving_until_s[item] = self.clock() + ARRIVAL_S
 
     def adapter_left(self, item: WantedModel) -> None:
@@ -177,8 +203,6 @@
         for item in arriving:
             if item.model in self._adapters_by_model and item.adapter is not None:
                 self._adapters_by_model[item.model].add(item.adapter)
-        if self.loading in held:
-            self.loading = None
         for model in held:
             self._held_since_s.setdefault(model, now_s)
         for model in self._held_since_s.keys() - held.keys():
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import Executor
 from dataclasses import dataclass
+from typing import TypeAlias
 
 from camphoryard.coordination.duty.keeper import NO_TERM, DutyKeeper
 from camphoryard.coordination.forwarding.parts import DecisionLog
@@ -45,8 +46,16 @@
 """Loads take longer than stated while many run at once."""
 LOAD_LIMIT_EXTRA_S = 3.0
 ADAPTER_ARRIVAL_S = 0.025
-ADAPTER_REST_S = 1.0
-"""An adapter that was used of late is not the one to make room."""
+ADAPTER_REST_S = 1.5
+"""An adapter that was asked for so short a time ago is not the one to make room."""
+REPORT_LAG_S = 0.25
+"""Reports are as of so long ago; one asked for sooner may lack the last order."""
+UNLOAD_ESTIMATE_S = 1.5
+"""Runs on a model that leaves take about as long to end."""
+QUEUE_ESTIMATE_S = 2.0
+"""Until an engine is free for another move, where all are moving."""
+ADAPTER_ESTIMATE_S = 0.2
+"""Until an adapter place falls free, where all are in use."""
 ADAPTERS_ON_THEIR_WAY = 4
 """The most that an engine takes in at once."""
 ORDER_TRIES = 3
@@ -54,6 +63,28 @@
 """How long a model counts as wanted after the last request for it."""
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """An item can be used at ``endpoint``."""
+
+    endpoint: EndpointId
+
+
+@dataclass(frozen=True, slots=True)
+class Coming:
+    """An item will be held somewhere in about ``in_s`` seconds."""
+
+    in_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NotProvided:
+    """The node asked cannot have the item loaded."""
+
+
+Provision: TypeAlias = Held | Coming | NotProvided
+
+
 @dataclass(slots=True)
 class _Want:
     """A model that requests wait for, until ``until_s``."""
@@ -105,23 +136,19 @@
             if self.has_duty:
                 self.plan()
 
-    def provide(
-        self, service: ServiceId, wanted: WantedModel, deadline_s: float
-    ) -> EndpointId | None:
-        """Block until ``wanted`` can be used; return where, or None if it will not."""
-        while self.has_duty and self._parts.clock() < deadline_s:
-            books = self._holders(service, wanted.model)
-            if books:
-                found = self._provide_at(books, wanted)
-                if found is not None:
-                    return found
-                if not self._pause(deadline_s):
-                    return None
-                continue
-            if not self._is_configured(service, wanted.model):
-                return None
-            self._await_model(service, wanted.model, deadline_s)
-        return None
+    def provide(self, service: ServiceId, wanted: WantedModel) -> Provision:
+        """Have ``wanted`` loaded somewhere, and return where or when it will be.
+
+        An adapter is waited for, which takes some hundredths of a second.
+        """
+        if not self.has_duty or not self._is_configured(service, wanted.model):
+            return NotProvided()
+        books = self._holders(service, wanted.model)
+        if books:
+            found = self._provide_at(books, wanted)
+            return Coming(ADAPTER_ESTIMATE_S) if found is None else Held(found)
+        self._want(service, wanted.model)
+        return Coming(self._estimate_s(service, wanted.model))
 
     def plan(self) -> None:
         """Start the moves that are worth it: what is waited for, then copies."""
@@ -205,24 +232,31 @@
             and model in spec.engine.models_by_id
         )
 
-    def _await_model(
-        self, service: ServiceId, model: ModelId, deadline_s: float
-    ) -> None:
-        """Block until some engine holds ``model``, having it loaded if need be."""
+    def _want(self, service: ServiceId, model: ModelId) -> None:
+        """Note that requests wait for ``model``; start its load if it is new."""
         now_s = self._parts.clock()
         with self._lock:
             is_new = model not in self._want_by_model
             self._want_by_model[model] = _Want(service, now_s + WANT_LIFE_S)
         if is_new:
             self._start_wanted(service, model)
-        self._pause(deadline_s)
 
-    def _pause(self, deadline_s: float) -> bool:
-        """Block for a moment or until a load ends; return whether time is left."""
-        left_s = deadline_s - self._parts.clock()
-        with self._changed:
-            self._changed.wait(min(max(0.0, left_s), POLL_PERIOD_S))
-        return left_s > 0
+    def _estimate_s(self, service: ServiceId, model: ModelId) -> float:
+        """Return about how long it is until some engine holds ``model``."""
+        books = self._books(service)
+        loading = [book for book in books if book.loading == model]
+        if not loading:
+            specs = [book.spec.models_by_id[model] for book in books[:1]]
+            return QUEUE_ESTIMATE_S + sum(spec.disk_load_s for spec in specs)
+        now_s = self._parts.clock()
+        return min(self._move_estimate_s(book, model, now_s) for book in loading)
+
+    def _move_estimate_s(self, book: EngineBook, model: ModelId, now_s: float) -> float:
+        spec = book.spec.models_by_id[model]
+        is_on_hand = model in book.endpoint.on_hand
+        load_s = spec.disk_load_s if is_on_hand else spec.load_s
+        left_s = load_s + UNLOAD_ESTIMATE_S - (now_s - book.move_began_s)
+        return max(POLL_PERIOD_S, left_s)
 
     def _start_wanted(self, service: ServiceId, model: ModelId) -> None:
         view = self._view(service)
@@ -282,6 +316,7 @@
             if move.from_store and not self._rate.take(spec.loads_per_s):
                 return
             self._moving.add(move.engine)
+            book.begin(move.model)
         self._parts.log(
             "move_started",
             endpoint=move.engine,
@@ -303,7 +338,7 @@
         except (NotSentError, BrokenCallError) as error:
             self._parts.log("move_broken", endpoint=move.engine, error=repr(error))
         finally:
-            book.loading = book.unloading = None
+            book.end()
             with self._lock:
                 self._moving.discard(move.engine)
             with self._changed:
@@ -328,9 +363,8 @@
 
     def _load(self, book: EngineBook, model: ModelId) -> bool:
         spec = book.spec.models_by_id.get(model)
-        if spec is None or book.free_mb < spec.memory_mb:
+        if spec is None or not book.has_room_for(model):
             return False
-        book.loading = model
         if not self._order(book, OrderKind.LOAD, WantedModel(model)):
             return False
         limit_s = spec.load_s * LOAD_LIMIT_FACTOR + LOAD_LIMIT_EXTRA_S
@@ -401,20 +435,26 @@
                     book.accepted()
                     return answer
                 case OrderAnswer.DONE:
-                    # Whether the engine counted it is not told: ask before the next.
-                    book.orders = None
+                    # Whether the engine counted it is not told.
+                    self._ask_again(book)
                     return answer
                 case OrderAnswer.FENCED:
                     self._parts.duty.fenced(term)
                     return answer
                 case OrderAnswer.BUSY:
-                    book.orders = None
+                    self._ask_again(book)
                 case OrderAnswer.REFUSED:
                     book.rest()
                     return answer
         book.rest()
         return None
 
+    def _ask_again(self, book: EngineBook) -> None:
+        """Ask the engine once its reports include the last order."""
+        with self._changed:
+            self._changed.wait(REPORT_LAG_S)
+        self._ask(book)
+
     def _ask(self, book: EngineBook) -> bool:
         """Ask the engine how many orders it has accepted; return whether it told."""
         try:
@@ -502,16 +542,15 @@
             for model in book.models
             for adapter in book.adapters(model)
         ]
-        for victim in sorted(held, key=book.unused_s, reverse=True):
-            if book.unused_s(victim) < ADAPTER_REST_S:
-                return False
-            answer = self._send(book, OrderKind.UNLOAD, victim)
-            if answer is OrderAnswer.DONE:
-                book.adapter_left(victim)
-                return True
-            if answer is not OrderAnswer.ACCEPTED:
-                return False
-            # It is in use and leaves later: its place is not free yet.
+        victim = max(held, key=book.unused_s)
+        if book.unused_s(victim) < ADAPTER_REST_S or book.is_arriving(victim):
+            return False
+        answer = self._send(book, OrderKind.UNLOAD, victim)
+        if answer is OrderAnswer.DONE:
+            book.adapter_left(victim)
+            return True
+        # It is in use and leaves later, or not at all: its place is not free.
+        book.used(victim)
         return False
 
     def _await_adapter(self) -> None:
--- a/src/camphoryard/coordination/loading/seeking.py
+++ b/src/camphoryard/coordination/loading/seeking.py
@@ -8,9 +8,17 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.demand import DemandMeter
-from camphoryard.coordination.loading.orderer import Orderer
+from camphoryard.coordination.forwarding.parts import DecisionLog
+from camphoryard.coordination.loading.orderer import (
+    Coming,
+    Held,
+    NotProvided,
+    Orderer,
+    Provision,
+)
 from camphoryard.coordination.messages import (
     Declined,
+    ItemComing,
     ItemHeld,
     ItemWanted,
     Reply,
@@ -18,16 +26,18 @@
 from camphoryard.coordination.ports import Peers
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import Priority
-from camphoryard.state.errors import PeerUnreachableError
-from camphoryard.state.ids import EndpointId, ItemId, NodeId, ServiceId
+from camphoryard.state.errors import NotHeldInTimeError, PeerUnreachableError
+from camphoryard.state.ids import ItemId, NodeId, ServiceId
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import WantedModel
 
-ASK_LIMIT_S = 2.0
-"""How long one question to the ordering node waits before it is asked again, since
-that node may have ended."""
-NO_HOLDER_PAUSE_S = 0.25
-"""Between two looks for a node that orders engines."""
+ASK_LIMIT_S = 0.8
+"""How long a question to the ordering node waits: it answers after an adapter's
+arrival at the latest, unless it has ended."""
+NO_HOLDER_ESTIMATE_S = 3.0
+"""Until another node orders engines once the one that did is gone."""
+LOOK_PERIOD_S = 0.5
+"""How often the ordering node is asked again about a load under way."""
 
 
 def item_of(wanted: WantedModel) -> ItemId:
@@ -47,6 +57,7 @@
     peers: Peers
     holder: Callable[[], NodeId | None]
     demand: DemandMeter
+    log: DecisionLog
     clock: Callable[[], float] = time.monotonic
 
 
@@ -56,7 +67,7 @@
     def __init__(self, parts: SeekingParts) -> None:
         self._parts = parts
         self._lock = threading.Lock()
-        self._asked_by_item: dict[WantedModel, Future[EndpointId | None]] = {}
+        self._asked_by_item: dict[WantedModel, Future[Provision]] = {}
 
     def arrived(self, wanted: WantedModel) -> None:
         """Note a request for ``wanted``."""
@@ -68,21 +79,28 @@
 
     def seek(
         self, service: ServiceId, wanted: WantedModel, deadline_s: float
-    ) -> ServingEndpoint | None:
-        """Block until ``wanted`` is held somewhere; None if that will not be."""
-        while self._parts.clock() < deadline_s:
-            found = self._ask_together(service, wanted, deadline_s)
-            if found is not None:
-                endpoint = self._parts.directory.find(found)
-                if endpoint is not None:
-                    self._parts.directory.learned(found, wanted)
-                    return endpoint
-            self._pause(deadline_s)
-        return None
+    ) -> ServingEndpoint:
+        """Block until ``wanted`` is held somewhere; see the ModelSeeker port."""
+        while True:
+            provision = self._ask_together(service, wanted, deadline_s)
+            match provision:
+                case Held(found):
+                    endpoint = self._parts.directory.find(found)
+                    if endpoint is not None:
+                        self._parts.directory.learned(found, wanted)
+                        return endpoint
+                    in_s = LOOK_PERIOD_S
+                case Coming(in_s):
+                    pass
+                case NotProvided():
+                    in_s = NO_HOLDER_ESTIMATE_S
+            if self._parts.clock() + in_s >= deadline_s:
+                raise NotHeldInTimeError(in_s)
+            self._await_holder(service, wanted, in_s)
 
     def _ask_together(
         self, service: ServiceId, wanted: WantedModel, deadline_s: float
-    ) -> EndpointId | None:
+    ) -> Provision:
         """Ask for ``wanted``, or wait for the answer to an equal question."""
         with self._lock:
             answer = self._asked_by_item.get(wanted)
@@ -93,52 +111,54 @@
             try:
                 return answer.result(max(0.0, deadline_s - self._parts.clock()))
             except FutureTimeoutError:
-                return None
-        found: EndpointId | None = None
+                return NotProvided()
+        provision: Provision = NotProvided()
         try:
-            found = self._ask(service, wanted, deadline_s)
-            return found
+            provision = self._ask(service, wanted)
+            return provision
         finally:
             with self._lock:
                 del self._asked_by_item[wanted]
-            answer.set_result(found)
+            answer.set_result(provision)
 
-    def _ask(
-        self, service: ServiceId, wanted: WantedModel, deadline_s: float
-    ) -> EndpointId | None:
-        within_s = min(ASK_LIMIT_S, deadline_s - self._parts.clock())
-        if within_s <= 0:
-            return None
+    def _ask(self, service: ServiceId, wanted: WantedModel) -> Provision:
         holder = self._parts.holder()
-        if holder == self._parts.node:
-            until_s = self._parts.clock() + within_s
-            return self._parts.orderer.provide(service, wanted, until_s)
         if holder is None:
-            return None
+            return NotProvided()
+        if holder == self._parts.node:
+            return self._parts.orderer.provide(service, wanted)
         try:
             reply = self._parts.peers.ask(
-                holder, ItemWanted(service, wanted, within_s), within_s
+                holder, ItemWanted(service, wanted), ASK_LIMIT_S
             )
-        except PeerUnreachableError:
-            return None
+        except PeerUnreachableError as error:
+            self._parts.log("holder_unreachable", holder=holder, error=str(error))
+            return NotProvided()
         match reply:
             case ItemHeld(endpoint):
-                return endpoint
+                return Held(endpoint)
+            case ItemComing(in_s):
+                return Coming(in_s)
             case _:
-                return None
+                return NotProvided()
 
-    def _pause(self, deadline_s: float) -> None:
-        """Block for a moment, or until the directory changes."""
-        until_s = min(deadline_s, self._parts.clock() + NO_HOLDER_PAUSE_S)
-        self._parts.directory.wait_until(lambda: False, until_s)
+    def _await_holder(
+        self, service: ServiceId, wanted: WantedModel, in_s: float
+    ) -> None:
+        """Block until an engine holds ``wanted``, or it is time to ask again."""
+        directory = self._parts.directory
+        directory.wait_until(
+            lambda: bool(directory.holders(service, wanted)),
+            self._parts.clock() + min(in_s, LOOK_PERIOD_S),
+        )
 
 
-def answer_wanted(orderer: Orderer, message: ItemWanted, now_s: float) -> Reply:
+def answer_wanted(orderer: Orderer, message: ItemWanted) -> Reply:
     """Return the reply to a node that seeks an item."""
-    if not orderer.has_duty:
-        return Declined("this node does not order engines")
-    until_s = now_s + message.within_s
-    found = orderer.provide(message.service, message.wanted, until_s)
-    if found is None:
-        return Declined("it is not held in time")
-    return ItemHeld(found)
+    match orderer.provide(message.service, message.wanted):
+        case Held(endpoint):
+            return ItemHeld(endpoint)
+        case Coming(in_s):
+            return ItemComing(in_s)
+        case NotProvided():
+            return Declined("this node cannot have it loaded")
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -254,14 +254,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ItemWanted:
-    """Ask who orders the engines to have a model or adapter loaded somewhere.
-
-    The reply comes once it is held, or will not be within ``within_s`` seconds.
-    """
+    """Ask who orders the engines to have a model or adapter loaded somewhere."""
 
     service: ServiceId
     wanted: WantedModel
-    within_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -271,6 +267,13 @@
     endpoint: EndpointId
 
 
+@dataclass(frozen=True, slots=True)
+class ItemComing:
+    """The item will be held somewhere in about ``in_s`` seconds."""
+
+    in_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The request was met, or is under way."""
@@ -312,4 +315,5 @@
     | EventsFound
     | RecordsFound
     | ItemHeld
+    | ItemComing
 )
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -3,7 +3,6 @@
 import functools
 import sys
 import threading
-import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any, NoReturn
@@ -177,7 +176,7 @@
         )
     )
     seeker = Seeker(
-        SeekingParts(settings.node, directory, orderer, peers, news.holder, demand)
+        SeekingParts(settings.node, directory, orderer, peers, news.holder, demand, log)
     )
     dialect = PlatformHeads()
     bounds = settings.bounds
@@ -233,7 +232,7 @@
             entry.news.heard(gossip)
             return Done()
         case ItemWanted() as wanted:
-            return answer_wanted(entry.orderer, wanted, time.monotonic())
+            return answer_wanted(entry.orderer, wanted)
         case _:
             return Declined("not a message between entry daemons")
 
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -23,6 +23,7 @@
     Granted,
     GrantWanted,
     HeardDigest,
+    ItemComing,
     ItemHeld,
     ItemsUsed,
     ItemWanted,
@@ -96,6 +97,7 @@
     REFUSALS_COUNTED = "refusals_counted"
     ITEM_WANTED = "item_wanted"
     ITEM_HELD = "item_held"
+    ITEM_COMING = "item_coming"
     DONE = "done"
     DECLINED = "declined"
     NODE_DIGEST = "node_digest"
@@ -162,6 +164,7 @@
     FrameKind.REFUSALS_COUNTED: RefusalsCounted,
     FrameKind.ITEM_WANTED: ItemWanted,
     FrameKind.ITEM_HELD: ItemHeld,
+    FrameKind.ITEM_COMING: ItemComing,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
     FrameKind.NODE_DIGEST: NodeDigest,
--- a/src/camphoryard/state/traffic.py
+++ b/src/camphoryard/state/traffic.py
@@ -6,6 +6,11 @@
 
 from camphoryard.state.ids import AdapterId, ModelId, RouteId, ServiceId, Version
 
+LEAST_CLIENT_PATIENCE_S = 2.0
+CLIENT_PATIENCE_IN_OBJECTIVES = 4.0
+CLIENT_PATIENCE_IN_GAPS = 8.0
+"""Clients leave a silent stream after the longest of these three, as the users say."""
+
 
 class Repeatability(Enum):
     """What may be done with a request once it may have run."""
@@ -54,6 +59,15 @@
     max_attempts: int
     longest_gap_s: float = 0.0
 
+    @property
+    def client_patience_s(self) -> float:
+        """How long clients wait for the next event, or the first, of a stream."""
+        return max(
+            LEAST_CLIENT_PATIENCE_S,
+            CLIENT_PATIENCE_IN_OBJECTIVES * self.objective_s,
+            CLIENT_PATIENCE_IN_GAPS * self.longest_gap_s,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class ModelSpec:
