Hand the ordering duty over in three seconds

Change: a lease of 3 s, watched by two standbys; no wait between holders where engines check fences.

--- a/src/camphoryard/coordination/duty/keeper.py
+++ b/src/camphoryard/coordination/duty/keeper.py
@@ -17,11 +17,10 @@
     Version,
 )
 
-RENEWAL_PERIOD_S = 1.0
-LEASE_S = 5.0
-"""How long a duty lasts without renewal; outages of the store of some seconds
-leave it where it is."""
-LEASE_MARGIN_S = 0.6
+RENEWAL_PERIOD_S = 0.75
+LEASE_S = 3.0
+"""How long a duty lasts without renewal; four periods."""
+LEASE_MARGIN_S = 0.5
 """The holder stops this long before others may take over; covers a call under way."""
 HANDOVER_MARGIN_S = 0.3
 NO_TERM = FencingNumber(0)
@@ -55,8 +54,8 @@
         Name of the duty's record.
     handover_s : float
         How long after the last act of a holder the next one may act, in seconds.
-    hears_holder : callable
-        Whether a peer that has the duty was heard of late.
+    stands_by : callable
+        Whether this node is one of those that watch the holder.
     clock : callable
         Seconds that go on while the VM is suspended.
     """
@@ -68,7 +67,7 @@
         node: NodeId,
         incarnation: Incarnation,
         handover_s: float,
-        hears_holder: Callable[[], bool],
+        stands_by: Callable[[], bool],
         log: DecisionLog,
         clock: Callable[[], float] = boot_clock_s,
     ) -> None:
@@ -77,7 +76,7 @@
         self._node = node
         self._incarnation = incarnation
         self._handover_s = handover_s
-        self._hears_holder = hears_holder
+        self._stands_by = stands_by
         self._log = log
         self._clock = clock
         self._seen: _Seen | None = None
@@ -120,7 +119,7 @@
         """Renew the duty, or take it over if its holder is gone."""
         if self._term:
             self._renew()
-        elif not self._hears_holder():
+        elif self._stands_by():
             self._seek()
         else:
             self._seen = None
--- a/src/camphoryard/coordination/fleet/news.py
+++ b/src/camphoryard/coordination/fleet/news.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from xxhash import xxh3_64_intdigest
+
 from camphoryard.coordination.demand import DemandMeter
 from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.messages import Gossip, HeardDigest
@@ -13,6 +15,8 @@
 
 NEWS_PERIOD_S = 0.25
 """How often a node tells its peers in a small fleet."""
+STANDBYS = 2
+"""Nodes that watch whether the holder of the duty renews it."""
 PEERS_PER_PERIOD = 12
 """Peers told in one period; larger fleets are told in turn, each less often."""
 
@@ -81,9 +85,15 @@
         node = max(terms, key=lambda item: terms[item])
         return node if terms[node] else None
 
-    def hears_holder(self) -> bool:
-        """Return whether another node that has the duty was heard of late."""
-        return self.holder() not in (None, self._node)
+    def stands_by(self) -> bool:
+        """Return whether this node watches the holder of the duty.
+
+        Some nodes do, so that reads of its record do not grow with the fleet.
+        """
+        nodes = {item.node for item in self._nodes.alive()} | {self._node}
+        nodes.discard(self.holder() or NodeId(""))
+        ranked = sorted(nodes, key=lambda node: xxh3_64_intdigest(f"standby/{node}"))
+        return self._node in ranked[:STANDBYS]
 
     def _next_peers(self) -> list[NodeId]:
         peers = [item.node for item in self._nodes.all() if item.node != self._node]
--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -68,8 +68,9 @@
     """One request on its way: its route and what it has met so far.
 
     ``due_s`` is when all is over, ``event_due_s`` when the client leaves unless an
-    event, or the first byte of a whole answer, has come. ``runs`` counts the endpoints at which it may have run, ``sends`` all that it
-    was sent to; ``progress`` is what the client has of a stream.
+    event, or the first byte of a whole answer, has come. ``runs`` counts the
+    endpoints at which it may have run, ``sends`` all that it was sent to;
+    ``progress`` is what the client has of a stream.
     """
 
     request: ClientRequest
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -146,8 +146,8 @@
         ORDERING_DUTY,
         settings.node,
         incarnation,
-        settings.bounds.order_lease_s,
-        lambda: news.hears_holder(),
+        settings.bounds.handover_s,
+        lambda: news.stands_by(),
         log,
     )
     news = NewsTeller(
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -14,7 +14,7 @@
     requests; ``grace_s`` the time between a stop signal and the end;
     ``retry_share`` and ``retry_reserve`` bound the repeats of a service over all
     nodes; ``order_lease_s`` is how long after the orders of one node another must
-    wait; in any ``load_window_s`` at most ``load_excess`` times the weight
+    wait, unless engines check fences; in any ``load_window_s`` at most ``load_excess`` times the weight
     store's rate may be loaded. Times in seconds.
     """
 
@@ -23,9 +23,15 @@
     retry_share: float
     retry_reserve: float
     order_lease_s: float
+    engines_check_fences: bool
     load_window_s: float
     load_excess: float
 
+    @property
+    def handover_s(self) -> float:
+        """Time between the orders of two nodes, in seconds."""
+        return 0.0 if self.engines_check_fences else self.order_lease_s
+
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -37,6 +37,7 @@
     budget_window_s: float = 10
     budget_extra: float = 50
     lease_ms: float = 3000
+    require_fence: bool = False
     ceiling_window_s: float = 5
     ceiling_excess: float = 1.1
 
@@ -103,6 +104,7 @@
         bounds.retry_budget_ratio,
         bounds.budget_extra,
         bounds.lease_ms / MILLISECONDS_PER_SECOND,
+        bounds.require_fence,
         bounds.ceiling_window_s,
         bounds.ceiling_excess,
     )
