--- a/src/camphoryard/coordination/fleet/news.py
+++ b/src/camphoryard/coordination/fleet/news.py
@@ -92,7 +92,9 @@
         """
         nodes = {item.node for item in self._nodes.alive()} | {self._node}
         nodes.discard(self.holder() or NodeId(""))
-        ranked = sorted(nodes, key=lambda node: xxh3_64_intdigest(f"standby/{node}"))
+        ranked = sorted(
+            nodes, key=lambda node: xxh3_64_intdigest(f"standby/{node}".encode())
+        )
         return self._node in ranked[:STANDBYS]
 
     def _next_peers(self) -> list[NodeId]:
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -4,8 +4,8 @@
 import sys
 import threading
 import time
+import traceback
 from collections.abc import Callable
-from concurrent.futures import Future
 from dataclasses import replace
 from functools import partial
 
@@ -27,8 +27,8 @@
 then the balancer has sent new ones elsewhere for seconds."""
 END_MARGIN_S = 0.4
 """Between the last answer that is waited for and the end of the grace time."""
-QUIET_S = 0.3
-"""How long nothing may be under way before a stopping node ends early."""
+RESTART_PERIOD_S = 1.0
+"""At most one new start of a failed task in this time."""
 
 
 def run_entry(entry: Entry) -> None:
@@ -67,8 +67,7 @@
         partial(join_fleet, entry),
     )
     for task in tasks:
-        run = entry.executors.node.submit(task, entry.timer)
-        run.add_done_callback(partial(_report, entry))
+        entry.executors.node.submit(_keep_running, entry, task)
     entry.log("started", front=settings.front, zone=settings.zone)
     entry.stop.wait()
     drain(entry, front)
@@ -144,12 +143,16 @@
         )
 
 
-def _report(entry: Entry, task: Future[None]) -> None:
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        entry.log("task_failed", error=repr(error))
+def _keep_running(entry: Entry, task: Callable[[TimerService], None]) -> None:
+    """Run a task until it ends; one that fails is logged and begins anew."""
+    for _ in entry.timer.every(RESTART_PERIOD_S):
+        try:
+            task(entry.timer)
+            return
+        except Exception as error:
+            trace = "".join(traceback.format_exception(error)[-2:])
+            entry.log("task_failed", error=repr(error), trace=trace)
+            entry.metrics.count("tasks_failed")
 
 
 def main() -> None:
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -14,8 +14,8 @@
     requests; ``grace_s`` the time between a stop signal and the end;
     ``retry_share`` and ``retry_reserve`` bound the repeats of a service over all
     nodes; ``order_lease_s`` is how long after the orders of one node another must
-    wait, unless engines check fences; in any ``load_window_s`` at most ``load_excess`` times the weight
-    store's rate may be loaded. Times in seconds.
+    wait, unless engines check fences; in any ``load_window_s`` at most
+    ``load_excess`` times the weight store's rate may be loaded. Times in seconds.
     """
 
     drain_s: float
