Keep an engine's old entry from undoing what it was ordered

Change: entries count again 2.5 s after the last change; models held nowhere fill free memory; demand goes to the ordering node only.

--- a/src/camphoryard/coordination/fleet/news.py
+++ b/src/camphoryard/coordination/fleet/news.py
@@ -1,6 +1,7 @@
 """Each node tells the others its load and demand, several times a second."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from xxhash import xxh3_64_intdigest
 
@@ -55,20 +56,21 @@
         """Tell the peers whose turn it is."""
         self._demand.sample()
         self._beat += 1
-        digest = NodeDigest(
+        brief = NodeDigest(
             self._node,
             self._incarnation,
             NodeState.SERVING,
             Generation(0),
             self._in_flight.by_id(),
-            {},
-            self._beat,
-            self._demand.by_item(),
-            self._term(),
+            beat=self._beat,
+            duty_term=self._term(),
         )
-        message = Gossip(self._beat, (HeardDigest(digest, 0.0),))
+        full = replace(brief, demand_by_item=self._demand.by_item())
+        holder = self.holder()
         for node in self._next_peers():
-            self._peers.tell(node, message)
+            # Only who orders engines needs the demand, most of a digest's bytes.
+            digest = full if node == holder else brief
+            self._peers.tell(node, Gossip(self._beat, (HeardDigest(digest, 0.0),)))
 
     def heard(self, gossip: Gossip) -> None:
         """Take in the digest of a peer."""
@@ -92,9 +94,7 @@
         """
         nodes = {item.node for item in self._nodes.alive()} | {self._node}
         nodes.discard(self.holder() or NodeId(""))
-        ranked = sorted(
-            nodes, key=lambda node: xxh3_64_intdigest(f"standby/{node}".encode())
-        )
+        ranked = sorted(nodes, key=_standby_rank)
         return self._node in ranked[:STANDBYS]
 
     def _next_peers(self) -> list[NodeId]:
@@ -104,3 +104,7 @@
         start = self._turn % len(peers)
         self._turn += PEERS_PER_PERIOD
         return (peers + peers)[start : start + PEERS_PER_PERIOD]
+
+
+def _standby_rank(node: NodeId) -> int:
+    return xxh3_64_intdigest(f"standby/{node}".encode())
--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -11,8 +11,8 @@
 from camphoryard.state.traffic import EngineSpec, WantedModel
 
 ENTRY_LAG_S = 2.5
-"""An entry may lack what was ordered so short a time ago: engines write theirs
-every second or so, and it is read once a second."""
+"""An entry may lack what changed so short a time ago: engines write theirs every
+second or so, and it is read once a second."""
 REST_S = 0.5
 """After an order that an engine did not take, before the next one to it."""
 ARRIVAL_S = 0.05
@@ -37,7 +37,7 @@
     unloading: ModelId | None = None
     move_began_s: float = 0.0
     calls: threading.Lock = field(default_factory=threading.Lock)
-    _ordered_s: float = float("-inf")
+    _changed_s: float = float("-inf")
     _rests_until_s: float = 0.0
     _adapters_by_model: dict[ModelId, set[AdapterId]] = field(default_factory=dict)
     _used_s_by_item: dict[WantedModel, float] = field(default_factory=dict)
@@ -54,7 +54,7 @@
             self.orders = None
             self._arriving_until_s.clear()
             self._replace(endpoint.held_by_model)
-        elif self.clock() - self._ordered_s > ENTRY_LAG_S:
+        elif self.clock() - self._changed_s > ENTRY_LAG_S:
             self._replace(endpoint.held_by_model)
         self.endpoint = endpoint
 
@@ -68,7 +68,7 @@
         """Note that the engine accepted an order."""
         if self.orders is not None:
             self.orders += 1
-        self._ordered_s = self.clock()
+        self._changed_s = self.clock()
 
     def begin(self, model: ModelId) -> None:
         """Note that a move is under way that will load ``model``."""
@@ -166,11 +166,13 @@
 
     def model_came(self, model: ModelId) -> None:
         """Note that a load is complete."""
+        self._changed_s = self.clock()
         self._adapters_by_model.setdefault(model, set())
         self._held_since_s[model] = self.clock()
 
     def model_left(self, model: ModelId) -> None:
         """Note that an unload is complete."""
+        self._changed_s = self.clock()
         self.unloading = None
         self._adapters_by_model.pop(model, None)
 
@@ -184,6 +186,7 @@
     def adapter_left(self, item: WantedModel) -> None:
         """Note that an adapter was unloaded."""
         assert item.adapter is not None
+        self._changed_s = self.clock()
         self._adapters_by_model.get(item.model, set()).discard(item.adapter)
         self._arriving_until_s.pop(item, None)
 
--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -30,7 +30,7 @@
         that it serves: it shortens queues.
     """
 
-    comfort_slots: float = 10.0
+    comfort_slots: float = 8.0
     move_cost_slots: float = 0.5
     disk_cost_share: float = 0.2
     min_residency_s: float = 2.0
@@ -143,6 +143,15 @@
     return best[1] if best else None
 
 
+def plan_preload(policy: CoveragePolicy, view: FleetView) -> LoadMove | None:
+    """Return the load of a model held nowhere that displaces nothing, if any."""
+    for model in sorted(view.size_mb_by_model.keys() - view.copies_by_model.keys()):
+        for engine in view.engines:
+            if not engine.is_busy and engine.free_mb >= view.size_mb_by_model[model]:
+                return LoadMove(engine.id, model, (), model not in engine.on_hand)
+    return None
+
+
 def _offer(
     policy: CoveragePolicy, view: FleetView, engine: EngineView, model: ModelId
 ) -> tuple[LoadMove, float] | None:
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -22,6 +22,7 @@
     LoadMove,
     best_load,
     plan_copies,
+    plan_preload,
 )
 from camphoryard.coordination.loading.ports import (
     EngineOrder,
@@ -165,9 +166,14 @@
             if not self._holders(want.service, model):
                 self._start_wanted(want.service, model)
         for service in self._services():
-            move = plan_copies(self._parts.policy, self._view(service))
+            view = self._view(service)
+            move = plan_copies(self._parts.policy, view)
             if move is not None:
                 self._start(service, move, "demand")
+                continue
+            move = plan_preload(self._parts.policy, view)
+            if move is not None:
+                self._start(service, move, "room")
 
     def _note_term(self) -> None:
         """Begin anew in a new term: what was ordered meanwhile is not known."""
