Ask engines what another node had ordered of them

Cause: a node that took the duty over ordered engines in the middle of a move and was refused three times at each. Change: it asks the engines that it knows nothing of, and leaves busy ones alone.

--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -25,8 +25,9 @@
 
     The engine's own words replace what is written here as soon as they include
     the last order. ``orders`` is how many it has accepted, or None before it was
-    asked. ``calls`` is held while an order is sent, as each bears the number of
-    those before it.
+    asked. ``is_engine_busy`` is what it last said: another node may have ordered a
+    move that is still under way. ``calls`` is held while an order is sent, as each
+    bears the number of those before it.
     """
 
     endpoint: ServingEndpoint
@@ -36,6 +37,7 @@
     loading: ModelId | None = None
     unloading: ModelId | None = None
     move_began_s: float = 0.0
+    is_engine_busy: bool = False
     calls: threading.Lock = field(default_factory=threading.Lock)
     _changed_s: float = float("-inf")
     _rests_until_s: float = 0.0
@@ -60,6 +62,7 @@
 
     def reported(self, report: EngineReport) -> None:
         """Take in the engine's answer to a question."""
+        self.is_engine_busy = report.is_busy
         if report.orders_accepted >= (self.orders or 0):
             self.orders = report.orders_accepted
             self._replace(report.held_by_model)
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -154,6 +154,7 @@
     def plan(self) -> None:
         """Start the moves that are worth it: what is waited for, then copies."""
         self._refresh()
+        self._ask_unknown()
         now_s = self._parts.clock()
         with self._lock:
             self._want_by_model = {
@@ -207,6 +208,20 @@
                     book.spec = spec.engine
                     book.saw(endpoint)
 
+    def _ask_unknown(self) -> None:
+        """Ask the engines of which this term knows nothing, or a move of another."""
+        with self._lock:
+            books = [
+                book
+                for book in self._book_by_id.values()
+                if (book.orders is None or book.is_engine_busy)
+                and book.endpoint.id not in self._moving
+                and not book.is_resting
+            ]
+        for book in books:
+            if not self._ask(book):
+                book.rest()
+
     def _books(self, service: ServiceId) -> list[EngineBook]:
         self._refresh()
         with self._lock:
@@ -291,7 +306,7 @@
                     or (model in wanted and book.held_s(model) < WANT_LIFE_S)
                 ),
                 book.endpoint.on_hand,
-                book.endpoint.id in moving or book.is_resting,
+                book.endpoint.id in moving or book.is_resting or book.is_engine_busy,
             )
             for book in books
         )
