Order a load only if the newest report shows its room

Change: each try checks the room again, and busy engines get no load; adapters on their way count as the report tells them.

--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -66,6 +66,11 @@
         if report.orders_accepted >= (self.orders or 0):
             self.orders = report.orders_accepted
             self._replace(report.held_by_model)
+            for item in report.coming:
+                if item.adapter is not None:
+                    self._adapters_by_model.setdefault(item.model, set()).add(
+                        item.adapter
+                    )
 
     def accepted(self) -> None:
         """Note that the engine accepted an order."""
@@ -142,6 +147,13 @@
         )
         return held_mb + spec.memory_mb <= self.spec.memory_mb
 
+    def has_room_for_adapter(self, model: ModelId) -> bool:
+        """Return whether one more adapter of ``model`` fits."""
+        spec = self.spec.models_by_id.get(model)
+        if spec is None or self.adapter_count >= self.spec.adapter_places:
+            return False
+        return self.free_mb >= spec.adapter_mb
+
     @property
     def adapter_count(self) -> int:
         """How many adapter places are taken."""
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -306,7 +306,10 @@
                     or (model in wanted and book.held_s(model) < WANT_LIFE_S)
                 ),
                 book.endpoint.on_hand,
-                book.endpoint.id in moving or book.is_resting or book.is_engine_busy,
+                book.endpoint.id in moving
+                or book.orders is None
+                or book.is_resting
+                or book.is_engine_busy,
             )
             for book in books
         )
@@ -384,7 +387,7 @@
 
     def _load(self, book: EngineBook, model: ModelId) -> bool:
         spec = book.spec.models_by_id.get(model)
-        if spec is None or not book.has_room_for(model):
+        if spec is None:
             return False
         if not self._order(book, OrderKind.LOAD, WantedModel(model)):
             return False
@@ -442,6 +445,8 @@
                 return None
             if book.orders is None and not self._ask(book):
                 break
+            if not _is_safe(book, kind, item):
+                break
             assert book.orders is not None
             order = EngineOrder(kind, item, self._parts.node, term, book.orders)
             try:
@@ -543,9 +548,6 @@
                 return False
             if not self._make_adapter_room(book):
                 return False
-            spec = book.spec.models_by_id.get(wanted.model)
-            if spec is None or book.free_mb < spec.adapter_mb:
-                return False
             answer = self._send(book, OrderKind.LOAD, wanted)
             if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.DONE):
                 return False
@@ -578,3 +580,16 @@
         """Block for as long as most adapters take to arrive."""
         with self._changed:
             self._changed.wait(ADAPTER_ARRIVAL_S)
+
+
+def _is_safe(book: EngineBook, kind: OrderKind, item: WantedModel) -> bool:
+    """Return whether an order cannot overfill the engine, by the newest report.
+
+    An engine that is busy may be loading what another node ordered, of which
+    nothing but its being busy is told.
+    """
+    if kind is OrderKind.UNLOAD:
+        return True
+    if item.adapter is None:
+        return not book.is_engine_busy and book.has_room_for(item.model)
+    return book.has_room_for_adapter(item.model)
--- a/src/camphoryard/coordination/loading/ports.py
+++ b/src/camphoryard/coordination/loading/ports.py
@@ -38,13 +38,18 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineReport:
-    """What an engine holds and does, as of some tenths of a second ago."""
+    """What an engine holds and does, as of some tenths of a second ago.
+
+    ``coming`` are adapters on their way; a model on its way is not told, but the
+    engine is busy then.
+    """
 
     held_by_model: Mapping[ModelId, HeldModel]
     is_busy: bool
     orders_accepted: int
     running: int
     waiting: int
+    coming: frozenset[WantedModel] = frozenset()
 
 
 class EngineOrders(Protocol):
--- a/src/camphoryard/platform/engines.py
+++ b/src/camphoryard/platform/engines.py
@@ -11,7 +11,9 @@
 from camphoryard.platform.traffic import Held, held_by_model
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.ids import AdapterId, ModelId
 from camphoryard.state.serving_endpoints import ServingEndpoint
+from camphoryard.state.traffic import WantedModel
 from camphoryard.transport.http_client import Address, HttpCall, HttpClient
 
 ORDER_PATH = "/order"
@@ -37,6 +39,8 @@
     seq: int = 0
     running: int = 0
     waiting: int = 0
+    # Adapters on their way, each as MODEL/NAME@VERSION.
+    coming: list[str] = []
 
 
 _REPORT = msgspec.json.Decoder(_Report)
@@ -88,8 +92,14 @@
             report.seq,
             report.running,
             report.waiting,
+            frozenset(map(_coming, report.coming)),
         )
 
 
+def _coming(text: str) -> WantedModel:
+    model, _, adapter = text.partition("@")[0].partition("/")
+    return WantedModel(ModelId(model), AdapterId(adapter) if adapter else None)
+
+
 def _address(endpoint: ServingEndpoint) -> Address:
     return Address(endpoint.address.host, endpoint.address.port)
