Let a report stand against older entries, and close the door in time

LOST: a stopping node took a long stream 3.4 s after SIGTERM and cut it at the end of its grace time. Change: entries count 2.5 s after a report; each load follows a fresh one. A stopping node closes idle connections early and refuses, as not run, what comes after 28 in 100 of its grace time.

--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -11,8 +11,8 @@
 from camphoryard.state.traffic import EngineSpec, WantedModel
 
 ENTRY_LAG_S = 2.5
-"""An entry may lack what changed so short a time ago: engines write theirs every
-second or so, and it is read once a second."""
+"""An entry may lack what changed or was reported so short a time ago: engines write
+theirs every second or so, and it is read once a second."""
 REST_S = 0.5
 """After an order that an engine did not take, before the next one to it."""
 ARRIVAL_S = 0.05
@@ -65,6 +65,7 @@
         self.is_engine_busy = report.is_busy
         if report.orders_accepted >= (self.orders or 0):
             self.orders = report.orders_accepted
+            self._changed_s = self.clock()
             self._replace(report.held_by_model)
             for item in report.coming:
                 if item.adapter is not None:
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -387,7 +387,7 @@
 
     def _load(self, book: EngineBook, model: ModelId) -> bool:
         spec = book.spec.models_by_id.get(model)
-        if spec is None:
+        if spec is None or not self._ask(book):
             return False
         if not self._order(book, OrderKind.LOAD, WantedModel(model)):
             return False
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -22,9 +22,12 @@
 WATCHED_SIGNALS = STOP_SIGNALS | {signal.SIGHUP}
 EXIT_SETTINGS = 2
 EXIT_NOT_BOUND = 3
-LEAVE_BEFORE_END_S = 2.5
-"""When a stopping node closes idle connections, before its grace time ends; by
-then the balancer has sent new ones elsewhere for seconds."""
+ADMIT_SHARE = 0.28
+"""Part of the grace time in which a stopping node still takes requests: the balancer
+needs two misses, a second each, and streams last for seconds."""
+IDLE_SHARE = 0.15
+"""Part of the grace time after which idle connections are closed, again and again."""
+CLOSING_PERIOD_S = 0.25
 END_MARGIN_S = 0.4
 """Between the last answer that is waited for and the end of the grace time."""
 RESTART_PERIOD_S = 1.0
@@ -94,10 +97,18 @@
     entry.log("stopping", grace_s=grace_s)
     entry.readiness.leave()
     front.leave()
-    entry.stop.clear()
-    entry.stop.wait(max(0.0, grace_s - LEAVE_BEFORE_END_S))
-    front.close_idle()
-    front.wait_flushed(end_s)
+    began_s = time.monotonic()
+    for _ in entry.timer.every(CLOSING_PERIOD_S):
+        passed_s = time.monotonic() - began_s
+        if passed_s >= grace_s * IDLE_SHARE:
+            front.close_idle()
+        if passed_s >= grace_s * ADMIT_SHARE:
+            entry.app.door.close()
+            break
+    while not front.wait_flushed(min(end_s, time.monotonic() + CLOSING_PERIOD_S)):
+        front.close_idle()
+        if time.monotonic() >= end_s:
+            break
     entry.duty.resign()
     entry.presence.leave()
     entry.log("stopped", unfinished=len(front.active_channels))
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from camphoryard.coordination.forwarding.exchange import forward
@@ -20,6 +20,8 @@
 )
 
 TEXT = "text/plain; charset=utf-8"
+STOPPING_RETRY_S = 0.05
+"""A request that a stopping node refuses finds another node at once."""
 STATUS_BY_REASON = {
     Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
     Reason.BAD_HEADER: HTTPStatus.BAD_REQUEST,
@@ -69,12 +71,31 @@
         self._write = self._start_response(_status_line(status), list(headers.items()))
 
 
+@dataclass(slots=True)
+class Door:
+    """Whether requests are still taken."""
+
+    is_open: bool = True
+
+    def close(self) -> None:
+        """Refuse what comes from now on."""
+        self.is_open = False
+
+    def check(self) -> None:
+        """Raise RefusalError if the door is closed."""
+        if not self.is_open:
+            raise RefusalError(
+                Reason.DRAINING, "this node is stopping", retry_after_s=STOPPING_RETRY_S
+            )
+
+
 @dataclass(frozen=True, slots=True)
 class FrontApp:
     """Answers each request of a client: forwards it, or says why not."""
 
     parts: ForwardingParts
     dialect: Dialect
+    door: Door = field(default_factory=Door)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -87,6 +108,7 @@
             head = _head(environ)
             body = environ["wsgi.input"].read()
             request = self.dialect.read_request(head, body, arrived_s)
+            self.door.check()
             forward(self.parts, request, environ[CANCELLATION], reply)
             self._done(request)
         except RefusalError as refusal:
