--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -47,6 +47,8 @@
     _arriving_until_s: dict[WantedModel, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
+        # What is held before this node looks has been held for long.
+        self._held_since_s = dict.fromkeys(self.endpoint.held_by_model, float("-inf"))
         self._replace(self.endpoint.held_by_model)
 
     def saw(self, endpoint: ServingEndpoint) -> None:
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -153,8 +153,7 @@
 
     def plan(self) -> None:
         """Start the moves that are worth it: what is waited for, then copies."""
-        self._refresh()
-        self._ask_unknown()
+        self.look()
         now_s = self._parts.clock()
         with self._lock:
             self._want_by_model = {
@@ -176,6 +175,11 @@
             if move is not None:
                 self._start(service, move, "room")
 
+    def look(self) -> None:
+        """Bring what is known of the engines up to date."""
+        self._refresh()
+        self._ask_unknown()
+
     def _note_term(self) -> None:
         """Begin anew in a new term: what was ordered meanwhile is not known."""
         term = self._parts.duty.term
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -1,10 +1,13 @@
 """The WSGI application that forwards what clients send."""
 
 import time
+import traceback
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from waitress.channel import ClientDisconnected
+
 from camphoryard.coordination.forwarding.exchange import forward
 from camphoryard.coordination.forwarding.parts import ForwardingParts
 from camphoryard.coordination.forwarding.ports import ClientRequest
@@ -20,6 +23,7 @@
 )
 
 TEXT = "text/plain; charset=utf-8"
+TRACE_LINES = 3
 STOPPING_RETRY_S = 0.05
 """A request that a stopping node refuses finds another node at once."""
 STATUS_BY_REASON = {
@@ -122,6 +126,20 @@
             )
             body = f"{refusal.detail}\n".encode()
             reply.whole(status, {"Content-Type": TEXT, **headers}, body)
+        except ClientDisconnected:
+            raise
+        except Exception as error:
+            # A fault of our own: whether the request ran is not known.
+            self.parts.count("requests_failed")
+            self.parts.log(
+                "request_failed",
+                request=request.id if request else "",
+                error=repr(error),
+                trace="".join(traceback.format_exception(error)[-TRACE_LINES:]),
+            )
+            if reply.has_begun:
+                raise
+            reply.whole(HTTPStatus.BAD_GATEWAY, {"Content-Type": TEXT}, b"failed\n")
         return []
 
     def refuse(self, status: int, detail: str) -> HttpResponse:
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -391,7 +391,8 @@
     ListenError
         If the port cannot be bound.
     """
-    logging.getLogger("waitress").setLevel(logging.ERROR)
+    # Applications say themselves why an answer was broken off.
+    logging.getLogger("waitress").setLevel(logging.CRITICAL)
     adjustments = Adjustments(
         host=host,
         port=port,
--- /dev/null
+++ b/tests/coordination/loading/test_coverage.py
@@ -0,0 +1,131 @@
+"""Tests of which copies are worth their memory."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from camphoryard.coordination.loading.coverage import (
+    CoveragePolicy,
+    EngineView,
+    FleetView,
+    best_load,
+    plan_copies,
+    plan_preload,
+    worth_slots,
+)
+from camphoryard.state.ids import EndpointId, ModelId
+
+POLICY = CoveragePolicy(comfort_slots=8.0)
+MEMORY_MB = 100
+
+
+def make_view(held, demand, on_hand=(), fixed=(), sizes=None):
+    """Return a view of engines of 100 MB; models take 50 MB."""
+    names = {*demand, *(model for models in held.values() for model in models)}
+    sizes = sizes or dict.fromkeys(names, 50)
+    return FleetView(
+        [
+            EngineView(
+                EndpointId(name),
+                MEMORY_MB - sum(sizes[model] for model in models),
+                {ModelId(model): sizes[model] for model in models},
+                frozenset(map(ModelId, fixed)),
+                frozenset(map(ModelId, on_hand)),
+            )
+            for name, models in held.items()
+        ],
+        {ModelId(model): slots for model, slots in demand.items()},
+        {ModelId(model): size for model, size in sizes.items()},
+    )
+
+
+class TestWorthSlots:
+    """The worth of copies."""
+
+    @given(st.floats(0, 200), st.integers(1, 20))
+    def test_each_further_copy_is_worth_no_more_than_the_one_before(self, slots, n):
+        """Copies of a model are worth less the more there are."""
+        first = worth_slots(POLICY, slots, n + 1) - worth_slots(POLICY, slots, n)
+        second = worth_slots(POLICY, slots, n + 2) - worth_slots(POLICY, slots, n + 1)
+        assert second <= first + 1e-9
+
+
+class TestBestLoad:
+    """Where a model is loaded, and what leaves for it."""
+
+    def test_free_memory_goes_before_victims(self):
+        """A model is loaded where nothing has to leave."""
+        view = make_view({"e1": ["a", "b"], "e2": ["c"]}, {"a": 1, "b": 1, "d": 1})
+        move, _ = best_load(POLICY, view, ModelId("d"))
+        assert (move.engine, move.evicted) == ("e2", ())
+
+    def test_what_nobody_asks_for_leaves_first(self):
+        """The crowd's model stays when a rare one is asked for."""
+        view = make_view({"e1": ["crowd", "idle"]}, {"crowd": 20, "rare": 1})
+        move, _ = best_load(POLICY, view, ModelId("rare"))
+        assert move.evicted == ("idle",)
+
+    def test_a_copy_too_many_leaves_before_the_only_one(self):
+        """A last copy that is asked for is worth more than a third of another."""
+        held = {"e1": ["crowd", "rare"], "e2": ["crowd"], "e3": ["crowd", "x"]}
+        view = make_view(held, {"crowd": 8, "rare": 1, "x": 1, "new": 1})
+        view = make_view({"e1": ["crowd", "rare"], **held}, view.demand_by_model)
+        move, _ = best_load(
+            POLICY,
+            make_view(
+                held,
+                {"crowd": 8, "rare": 1, "x": 1, "new": 1},
+                sizes={"crowd": 50, "rare": 50, "x": 50, "new": 60},
+            ),
+            ModelId("new"),
+        )
+        assert move.engine == "e2"
+
+    def test_models_that_were_just_loaded_stay(self):
+        """Two models that do not fit together cannot push each other out at once."""
+        view = make_view({"e1": ["a", "b"]}, {"a": 1, "b": 1, "c": 1}, fixed=["a", "b"])
+        assert best_load(POLICY, view, ModelId("c")) is None
+
+    def test_weights_on_hand_go_before_the_weight_store(self):
+        """An engine that has the weights on its disk is preferred."""
+        view = make_view({"e1": ["x"], "e2": ["x"]}, {"a": 1})
+        engines = [
+            view.engines[0],
+            EngineView(
+                EndpointId("e3"),
+                50,
+                {ModelId("x"): 50},
+                on_hand=frozenset({ModelId("a")}),
+            ),
+        ]
+        view = FleetView(engines, view.demand_by_model, view.size_mb_by_model)
+        move, _ = best_load(POLICY, view, ModelId("a"))
+        assert (move.engine, move.from_store) == ("e3", False)
+
+
+class TestPlanCopies:
+    """Copies beyond the first: crowds at one model."""
+
+    def test_a_crowd_at_one_model_gets_more_copies(self):
+        """Demand that one copy cannot carry adds a second."""
+        view = make_view({"e1": ["crowd", "a"], "e2": ["idle", "b"]}, {"crowd": 20})
+        move = plan_copies(POLICY, view)
+        assert (move.engine, move.model) == ("e2", "crowd")
+
+    def test_demand_that_is_carried_moves_nothing(self):
+        """No move is made for a model whose copies carry its demand."""
+        view = make_view({"e1": ["a", "b"], "e2": ["a", "b"]}, {"a": 3, "b": 3})
+        assert plan_copies(POLICY, view) is None
+
+
+class TestPlanPreload:
+    """Free memory."""
+
+    def test_free_memory_takes_a_model_held_nowhere(self):
+        """Memory that nothing uses holds a model before it is asked for."""
+        view = make_view({"e1": ["a"]}, {"a": 1, "b": 0})
+        assert plan_preload(POLICY, view).model == "b"
+
+    def test_nothing_leaves_for_a_model_that_is_not_asked_for(self):
+        """Full engines stay as they are."""
+        view = make_view({"e1": ["a", "c"]}, {"a": 1, "b": 0})
+        assert plan_preload(POLICY, view) is None
--- /dev/null
+++ b/tests/fakes/engines.py
@@ -0,0 +1,203 @@
+"""Engines that take orders, and endpoints to put into a directory."""
+
+from dataclasses import dataclass, field
+
+from camphoryard.coordination.loading.ports import EngineReport, OrderAnswer
+from camphoryard.state.enums import OrderKind
+from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.ids import (
+    AdapterId,
+    EndpointId,
+    ModelId,
+    RouteId,
+    ServiceId,
+    Version,
+    Zone,
+)
+from camphoryard.state.serving_endpoints import (
+    EndpointState,
+    HeldModel,
+    HostPort,
+    ServingEndpoint,
+)
+from camphoryard.state.traffic import (
+    ClientLimits,
+    EngineSpec,
+    ModelSpec,
+    Repeatability,
+    RouteRule,
+    ServiceSpec,
+    TrafficRules,
+    WantedModel,
+    WeightedService,
+)
+
+SERVICE = ServiceId("chat")
+ZONE = Zone("zone-a")
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self, now_s=1000.0):
+        self.now_s = now_s
+
+    def __call__(self):
+        """Return the time in seconds."""
+        return self.now_s
+
+    def advance(self, by_s):
+        """Let time pass."""
+        self.now_s += by_s
+
+
+class KeptLines:
+    """A log that keeps its lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def __call__(self, event, **fields):
+        """Keep one line."""
+        self.lines.append((event, fields))
+
+    def events(self):
+        """Return the events of the lines."""
+        return [event for event, _ in self.lines]
+
+
+def make_endpoint(name="e1", models=(), state=EndpointState.READY, **fields):
+    """Return an endpoint; ``models`` are names, or pairs of name and adapters."""
+    held = {}
+    for item in models:
+        model, adapters = (item, ()) if isinstance(item, str) else item
+        held[ModelId(model)] = HeldModel(1, frozenset(map(AdapterId, adapters)))
+    return ServingEndpoint(
+        EndpointId(name),
+        fields.get("service", SERVICE),
+        HostPort("127.0.0.1", fields.get("port", 1)),
+        fields.get("zone", ZONE),
+        fields.get("slots", 8),
+        state,
+        fields.get("started_ms", 1),
+        held,
+        frozenset(map(ModelId, fields.get("on_hand", ()))),
+    )
+
+
+def make_spec(sizes, memory_mb=100, places=2):
+    """Return what engines hold, from sizes in MB by model name."""
+    return EngineSpec(
+        8,
+        1000,
+        memory_mb,
+        places,
+        1.0,
+        {
+            ModelId(name): ModelSpec(ModelId(name), size, 5.0, 1.0, 4, 1.0)
+            for name, size in sizes.items()
+        },
+    )
+
+
+def make_rule(repeatability=Repeatability.IDEMPOTENT, **fields):
+    """Return a route of the host ``site.example`` below ``/a/``."""
+    return RouteRule(
+        RouteId(fields.get("id", "r1")),
+        fields.get("host", "site.example"),
+        fields.get("path_prefix", "/a/"),
+        repeatability,
+        (WeightedService(fields.get("service", SERVICE), 1.0),),
+        fields.get("timeout_s", 10.0),
+        fields.get("objective_s", 0.5),
+        fields.get("rank", 1),
+        fields.get("max_attempts", 2),
+        fields.get("longest_gap_s", 0.3),
+    )
+
+
+def make_rules(spec=None, rules=None, version=1):
+    """Return traffic rules with one service."""
+    return TrafficRules(
+        Version(version),
+        tuple(rules if rules is not None else [make_rule()]),
+        {SERVICE: ServiceSpec(SERVICE, 100, spec)},
+        ClientLimits(16384, 1 << 20, 3.0, 15.0),
+    )
+
+
+@dataclass
+class FakeEngine:
+    """One engine; loads stay under way until ``finish``."""
+
+    spec: EngineSpec
+    held: dict[ModelId, set[AdapterId]] = field(default_factory=dict)
+    orders: int = 0
+    loading: ModelId | None = None
+    is_overfilled: bool = False
+    is_silent: bool = False
+    taken: list[tuple[OrderKind, WantedModel]] = field(default_factory=list)
+
+    def order(self, order):
+        """Take an order as the engines do."""
+        if self.is_silent:
+            raise BrokenCallError("silent")
+        if self.loading is not None and order.item.adapter is None:
+            return OrderAnswer.BUSY
+        if order.expected != self.orders:
+            return OrderAnswer.BUSY
+        self.orders += 1
+        self.taken.append((order.kind, order.item))
+        match order.kind, order.item:
+            case OrderKind.LOAD, WantedModel(model, None):
+                self.loading = model
+            case OrderKind.UNLOAD, WantedModel(model, None):
+                self.held.pop(model, None)
+            case OrderKind.LOAD, WantedModel(model, adapter):
+                self.held[model].add(adapter)
+            case OrderKind.UNLOAD, WantedModel(model, adapter):
+                self.held[model].discard(adapter)
+                self._check()
+                return OrderAnswer.DONE
+        self._check()
+        return OrderAnswer.ACCEPTED
+
+    def finish(self):
+        """End the load under way."""
+        if self.loading is not None:
+            self.held[self.loading] = set()
+            self.loading = None
+
+    def report(self):
+        """Return what the engine says of itself."""
+        if self.is_silent:
+            raise BrokenCallError("silent")
+        held = {
+            model: HeldModel(1, frozenset(adapters))
+            for model, adapters in self.held.items()
+        }
+        return EngineReport(held, self.loading is not None, self.orders, 0, 0)
+
+    def _check(self):
+        models = {*self.held, *([self.loading] if self.loading else [])}
+        memory_mb = sum(self.spec.models_by_id[model].memory_mb for model in models)
+        places = sum(map(len, self.held.values()))
+        if memory_mb > self.spec.memory_mb or places > self.spec.adapter_places:
+            self.is_overfilled = True
+
+
+class FakeEngines:
+    """Engines by endpoint; see the EngineOrders port."""
+
+    def __init__(self, **engine_by_name):
+        self.by_id = {
+            EndpointId(name): engine for name, engine in engine_by_name.items()
+        }
+
+    def order(self, endpoint, order):
+        """Send an order."""
+        return self.by_id[endpoint.id].order(order)
+
+    def report(self, endpoint):
+        """Ask an engine."""
+        return self.by_id[endpoint.id].report()
