Take no report for the newest that is not, and leave in time

Engines also refuse adapters while a model moves. Change: loads wait for a report that includes the last order; waiting requests are refused once a node stops; the duty goes first; repeats are bounded over a sliding window; moves cost more, as they keep adapters out.

--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -9,7 +9,7 @@
 from camphoryard.coordination.forwarding.choosing import EndpointChooser
 from camphoryard.coordination.forwarding.ports import ClientRequest, Upstream
 from camphoryard.coordination.forwarding.progress import StreamProgress
-from camphoryard.coordination.retry_budget import RetryBudget
+from camphoryard.coordination.retry_window import RetryWindow
 from camphoryard.state.directory import Directory
 from camphoryard.state.ids import EndpointId, ServiceId
 from camphoryard.state.serving_endpoints import ServingEndpoint
@@ -54,7 +54,7 @@
     chooser: EndpointChooser
     in_flight: InFlightTable
     breakers: Breakers
-    retries: RetryBudget[ServiceId]
+    retries: RetryWindow[ServiceId]
     upstream: Upstream
     models: ModelSeeker
     log: DecisionLog
--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -62,10 +62,11 @@
             self._replace(endpoint.held_by_model)
         self.endpoint = endpoint
 
-    def reported(self, report: EngineReport) -> None:
-        """Take in the engine's answer to a question."""
+    def reported(self, report: EngineReport) -> bool:
+        """Take in the engine's answer; return whether it includes the last order."""
         self.is_engine_busy = report.is_busy
-        if report.orders_accepted >= (self.orders or 0):
+        is_current = report.orders_accepted >= (self.orders or 0)
+        if is_current:
             self.orders = report.orders_accepted
             self._changed_s = self.clock()
             self._replace(report.held_by_model)
@@ -74,6 +75,7 @@
                     self._adapters_by_model.setdefault(item.model, set()).add(
                         item.adapter
                     )
+        return is_current
 
     def accepted(self) -> None:
         """Note that the engine accepted an order."""
@@ -94,6 +96,11 @@
         """Send the engine nothing for a while."""
         self._rests_until_s = self.clock() + REST_S
 
+    @property
+    def takes_adapters(self) -> bool:
+        """Whether adapters can be ordered now: not while a model moves."""
+        return not (self.loading or self.is_engine_busy or self.is_resting)
+
     @property
     def is_resting(self) -> bool:
         """Whether the engine did not take an order a moment ago."""
--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -31,8 +31,8 @@
     """
 
     comfort_slots: float = 8.0
-    move_cost_slots: float = 0.5
-    disk_cost_share: float = 0.2
+    move_cost_slots: float = 1.0
+    disk_cost_share: float = 0.5
     min_residency_s: float = 2.0
     spread_weight: float = 0.15
 
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -147,7 +147,7 @@
         books = self._holders(service, wanted.model)
         if books:
             found = self._provide_at(books, wanted)
-            return Coming(ADAPTER_ESTIMATE_S) if found is None else Held(found)
+            return Held(found) if found else Coming(self._adapter_estimate_s(books))
         self._want(service, wanted.model)
         return Coming(self._estimate_s(service, wanted.model))
 
@@ -276,8 +276,22 @@
         now_s = self._parts.clock()
         return min(self._move_estimate_s(book, model, now_s) for book in loading)
 
+    def _adapter_estimate_s(self, books: list[EngineBook]) -> float:
+        """Return about how long it is until some engine takes an adapter."""
+        if any(book.takes_adapters for book in books):
+            return ADAPTER_ESTIMATE_S
+        now_s = self._parts.clock()
+        return min(
+            self._move_estimate_s(book, book.loading, now_s)
+            if book.loading
+            else QUEUE_ESTIMATE_S
+            for book in books
+        )
+
     def _move_estimate_s(self, book: EngineBook, model: ModelId, now_s: float) -> float:
-        spec = book.spec.models_by_id[model]
+        spec = book.spec.models_by_id.get(model)
+        if spec is None:
+            return QUEUE_ESTIMATE_S
         is_on_hand = model in book.endpoint.on_hand
         load_s = spec.disk_load_s if is_on_hand else spec.load_s
         left_s = load_s + UNLOAD_ESTIMATE_S - (now_s - book.move_began_s)
@@ -391,9 +405,13 @@
 
     def _load(self, book: EngineBook, model: ModelId) -> bool:
         spec = book.spec.models_by_id.get(model)
-        if spec is None or not self._ask(book):
+        if spec is None:
             return False
-        if not self._order(book, OrderKind.LOAD, WantedModel(model)):
+        with book.calls:
+            if not self._ask_until_current(book):
+                return False
+            answer = self._send(book, OrderKind.LOAD, WantedModel(model))
+        if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.DONE):
             return False
         limit_s = spec.load_s * LOAD_LIMIT_FACTOR + LOAD_LIMIT_EXTRA_S
         if not self._await(book, limit_s, lambda held: model in held):
@@ -481,12 +499,15 @@
 
     def _ask_again(self, book: EngineBook) -> None:
         """Ask the engine once its reports include the last order."""
+        self._await_report()
+        self._ask(book)
+
+    def _await_report(self) -> None:
         with self._changed:
             self._changed.wait(REPORT_LAG_S)
-        self._ask(book)
 
     def _ask(self, book: EngineBook) -> bool:
-        """Ask the engine how many orders it has accepted; return whether it told."""
+        """Ask the engine what it holds; return whether its report is current."""
         try:
             report = self._parts.orders.report(book.endpoint)
         except (NotSentError, BrokenCallError) as error:
@@ -494,8 +515,15 @@
                 "report_failed", endpoint=book.endpoint.id, error=repr(error)
             )
             return False
-        book.reported(report)
-        return True
+        return book.reported(report)
+
+    def _ask_until_current(self, book: EngineBook) -> bool:
+        """Ask until the engine's report includes the last order; False if none does."""
+        for _ in range(ORDER_TRIES):
+            if self._ask(book):
+                return True
+            self._await_report()
+        return False
 
     def _log_order(
         self,
@@ -527,6 +555,8 @@
             book.used(wanted)
             return book.endpoint.id
         for book in sorted(books, key=self._adapter_order):
+            if not book.takes_adapters:
+                continue
             if self._load_adapter(book, wanted):
                 book.used(wanted)
                 self._parts.directory.learned(book.endpoint.id, wanted)
@@ -548,7 +578,7 @@
                 return True
             if wanted.model not in book.models:
                 return False
-            if book.is_resting or book.arriving >= ADAPTERS_ON_THEIR_WAY:
+            if book.arriving >= ADAPTERS_ON_THEIR_WAY:
                 return False
             if not self._make_adapter_room(book):
                 return False
--- a/src/camphoryard/coordination/loading/seeking.py
+++ b/src/camphoryard/coordination/loading/seeking.py
@@ -36,6 +36,8 @@
 arrival at the latest, unless it has ended."""
 NO_HOLDER_ESTIMATE_S = 3.0
 """Until another node orders engines once the one that did is gone."""
+STOPPING_RETRY_S = 0.05
+"""A request that a stopping node refuses finds another node at once."""
 LOOK_PERIOD_S = 0.5
 """How often the ordering node is asked again about a load under way."""
 
@@ -67,8 +69,13 @@
     def __init__(self, parts: SeekingParts) -> None:
         self._parts = parts
         self._lock = threading.Lock()
+        self._is_stopping = False
         self._asked_by_item: dict[WantedModel, Future[Provision]] = {}
 
+    def stop(self) -> None:
+        """Have the requests that wait for a model refused within a moment."""
+        self._is_stopping = True
+
     def arrived(self, wanted: WantedModel) -> None:
         """Note a request for ``wanted``."""
         self._parts.demand.arrived(item_of(wanted), Priority.STANDARD)
@@ -94,6 +101,9 @@
                     pass
                 case NotProvided():
                     in_s = NO_HOLDER_ESTIMATE_S
+            if self._is_stopping:
+                # Another node may go on waiting for it.
+                raise NotHeldInTimeError(STOPPING_RETRY_S)
             if self._parts.clock() + in_s >= deadline_s:
                 raise NotHeldInTimeError(in_s)
             self._await_holder(service, wanted, in_s)
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -35,7 +35,7 @@
     Reply,
 )
 from camphoryard.coordination.ports import Records, Stored
-from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
+from camphoryard.coordination.retry_window import RepeatLimits, RetryWindow
 from camphoryard.coordination.watching import Follower
 from camphoryard.entry.settings import EntrySettings
 from camphoryard.platform.engines import PlatformEngines
@@ -80,8 +80,8 @@
 DUTY_KIND = "camphoryard-duties"
 KEY_KIND = "camphoryard-keys"
 INCARNATION_CHARACTERS = 16
-RESERVE_SHARE = 0.1
-"""Part of the fleet's reserve of repeats that one node may use."""
+LEAST_NODES = 4
+"""Nodes that the reserve of repeats is shared by before all are known."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +114,7 @@
     news: NewsTeller
     duty: DutyKeeper
     orderer: Orderer
+    seeker: Seeker
     app: FrontApp
     readiness: ReadinessApp
     executors: Executors
@@ -185,8 +186,11 @@
         EndpointChooser(settings.zone, estimates.load),
         in_flight,
         Breakers(),
-        RetryBudget(
-            RetryLimits(bounds.retry_share, bounds.retry_reserve * RESERVE_SHARE)
+        RetryWindow(
+            RepeatLimits(
+                bounds.retry_share, bounds.retry_reserve, bounds.retry_window_s
+            ),
+            lambda: max(len(nodes.all()), LEAST_NODES),
         ),
         HttpUpstream(client, dialect),
         seeker,
@@ -218,6 +222,7 @@
         news,
         duty,
         orderer,
+        seeker,
         FrontApp(parts, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -1,5 +1,6 @@
 """The entry daemon: starts, serves until told to stop, and drains."""
 
+import os
 import signal
 import sys
 import threading
@@ -30,6 +31,8 @@
 CLOSING_PERIOD_S = 0.25
 END_MARGIN_S = 0.4
 """Between the last answer that is waited for and the end of the grace time."""
+LOG_LIMIT_S = 0.2
+"""How long the last log lines may take."""
 RESTART_PERIOD_S = 1.0
 """At most one new start of a failed task in this time."""
 
@@ -97,6 +100,8 @@
     entry.log("stopping", grace_s=grace_s)
     entry.readiness.leave()
     front.leave()
+    entry.duty.resign()
+    entry.presence.leave()
     began_s = time.monotonic()
     for _ in entry.timer.every(CLOSING_PERIOD_S):
         passed_s = time.monotonic() - began_s
@@ -104,13 +109,12 @@
             front.close_idle()
         if passed_s >= grace_s * ADMIT_SHARE:
             entry.app.door.close()
+            entry.seeker.stop()
             break
     while not front.wait_flushed(min(end_s, time.monotonic() + CLOSING_PERIOD_S)):
         front.close_idle()
         if time.monotonic() >= end_s:
             break
-    entry.duty.resign()
-    entry.presence.leave()
     entry.log("stopped", unfinished=len(front.active_channels))
     close(entry)
 
@@ -129,6 +133,7 @@
     ):
         executor.shutdown(wait=False, cancel_futures=True)
     entry.log.close()
+    entry.log.wait_written(LOG_LIMIT_S)
 
 
 def watch_signals(entry: Entry) -> None:
@@ -182,4 +187,6 @@
     except ListenError as error:
         print(f"camphoryard-entry: {error}", file=sys.stderr, flush=True)
         close(entry)
-        sys.exit(EXIT_NOT_BOUND)
+        os._exit(EXIT_NOT_BOUND)
+    # Tasks that still wait for endpoints or peers would hold the exit up.
+    os._exit(0)
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -13,15 +13,17 @@
     ``drain_s`` is how soon after its notice an endpoint that leaves gets no more
     requests; ``grace_s`` the time between a stop signal and the end;
     ``retry_share`` and ``retry_reserve`` bound the repeats of a service over all
-    nodes; ``order_lease_s`` is how long after the orders of one node another must
-    wait, unless engines check fences; in any ``load_window_s`` at most
-    ``load_excess`` times the weight store's rate may be loaded. Times in seconds.
+    nodes in any ``retry_window_s``; ``order_lease_s`` is how long after the orders
+    of one node another must wait, unless engines check fences; in any
+    ``load_window_s`` at most ``load_excess`` times the weight store's rate may be
+    loaded. Times in seconds.
     """
 
     drain_s: float
     grace_s: float
     retry_share: float
     retry_reserve: float
+    retry_window_s: float
     order_lease_s: float
     engines_check_fences: bool
     load_window_s: float
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -103,6 +103,7 @@
         bounds.grace_s,
         bounds.retry_budget_ratio,
         bounds.budget_extra,
+        bounds.budget_window_s,
         bounds.lease_ms / MILLISECONDS_PER_SECOND,
         bounds.require_fence,
         bounds.ceiling_window_s,
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -11,6 +11,7 @@
 from camphoryard.coordination.forwarding.exchange import forward
 from camphoryard.coordination.forwarding.parts import ForwardingParts
 from camphoryard.coordination.forwarding.ports import ClientRequest
+from camphoryard.coordination.loading.seeking import STOPPING_RETRY_S
 from camphoryard.protocol.dialect import Dialect, RequestHead
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
@@ -24,8 +25,6 @@
 
 TEXT = "text/plain; charset=utf-8"
 TRACE_LINES = 3
-STOPPING_RETRY_S = 0.05
-"""A request that a stopping node refuses finds another node at once."""
 STATUS_BY_REASON = {
     Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
     Reason.BAD_HEADER: HTTPStatus.BAD_REQUEST,
--- a/src/camphoryard/transport/log_lines.py
+++ b/src/camphoryard/transport/log_lines.py
@@ -48,6 +48,7 @@
         self._lines_per_s = lines_per_s
         self._lock = threading.Lock()
         self._rate_by_event: dict[str, _Rate] = {}
+        self._written = threading.Event()
         self._left_out: Counter[str] = Counter()
         self._waiting: queue.Queue[dict[str, object] | None] = queue.Queue(
             MAX_WAITING_LINES
@@ -69,6 +70,14 @@
 
     def run(self) -> None:
         """Write lines as they come, until closed."""
+        self._write()
+        self._written.set()
+
+    def wait_written(self, limit_s: float) -> None:
+        """Block until the last line is written, or for ``limit_s`` seconds."""
+        self._written.wait(limit_s)
+
+    def _write(self) -> None:
         while (line := self._waiting.get()) is not None:
             try:
                 self._stream.write(self._text(line) + "\n")
