Weigh moves by their time, fill adapter places, have clients return in time

Clients come back once only. Change: a move costs demand for each second that it takes; free adapter places are filled; Retry-After leaves a load a quarter more time; planning follows 2 s.

--- a/src/camphoryard/coordination/demand.py
+++ b/src/camphoryard/coordination/demand.py
@@ -40,8 +40,11 @@
     slot (Little's law), so that they count what was refused or still waits too.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, clock: Callable[[], float] = time.monotonic, fast_s: float = FAST_S
+    ) -> None:
         self._clock = clock
+        self._fast_s = fast_s
         self._lock = threading.Lock()
         self._started_s = clock()
         self._sampled_s = self._started_s
@@ -101,7 +104,7 @@
     def _fold(self, item: ItemId, rate_per_s: float, elapsed_s: float) -> None:
         slots = rate_per_s * self._hold_s_by_item.get(item, DEFAULT_HOLD_S)
         average = self._average_by_item.setdefault(item, _Average())
-        average.fast += _weight(elapsed_s, FAST_S) * (slots - average.fast)
+        average.fast += _weight(elapsed_s, self._fast_s) * (slots - average.fast)
         average.slow += _weight(elapsed_s, SLOW_S) * (slots - average.slow)
 
 
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -25,6 +25,10 @@
 DECLINED_PAUSE_S = 0.03
 """Before an engine that has just declined a request is asked again: an adapter on
 its way takes about as long."""
+RETURN_FACTOR = 1.25
+RETURN_EXTRA_S = 0.3
+"""Loads end up to a quarter later than estimated, and are seen some tenths after."""
+RETURN_SHARE = 0.33
 NO_ENDPOINT_RETRY_S = 0.5
 """Retry-After where no endpoint is known; entries change each second or so."""
 
@@ -133,7 +137,7 @@
             Reason.OVERLOADED,
             f"the model or adapter is {error}",
             journey.verdict,
-            retry_after_s=error.in_s,
+            retry_after_s=_return_s(parts, journey, error.in_s),
         ) from error
 
 
@@ -146,6 +150,17 @@
     return closed or fresh
 
 
+def _return_s(parts: ForwardingParts, journey: Journey, in_s: float) -> float:
+    """Return when a client whose model comes in about ``in_s`` should come back.
+
+    Clients come back once or twice, so rather late than too early; they wait for
+    a third of the time that they have at most.
+    """
+    left_s = journey.request.deadline_s - parts.clock()
+    late_s = in_s * RETURN_FACTOR + RETURN_EXTRA_S
+    return max(in_s, min(late_s, left_s * RETURN_SHARE))
+
+
 def _no_endpoint(journey: Journey, detail: str) -> RefusalError:
     return RefusalError(
         Reason.NO_ENDPOINT, detail, journey.verdict, retry_after_s=NO_ENDPOINT_RETRY_S
--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from camphoryard.state.ids import EndpointId, ModelId
+from camphoryard.state.traffic import ModelSpec
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,10 +20,9 @@
     ----------
     comfort_slots : float
         Requests at once that one copy carries well.
-    move_cost_slots : float
-        Demand that a move must cover; a load from disk costs a part of it.
-    disk_cost_share : float
-        That part.
+    move_cost_slots_per_s : float
+        Demand that each second of a move must cover: meanwhile the engine takes
+        no other move and no adapter.
     min_residency_s : float
         How long a copy stays before it may make room for another.
     spread_weight : float
@@ -31,8 +31,7 @@
     """
 
     comfort_slots: float = 8.0
-    move_cost_slots: float = 1.0
-    disk_cost_share: float = 0.5
+    move_cost_slots_per_s: float = 0.3
     min_residency_s: float = 2.0
     spread_weight: float = 0.15
 
@@ -55,11 +54,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetView:
-    """All engines of a service, and the demand for its models in slots."""
+    """All engines of a service, its models, and the demand for them in slots."""
 
     engines: Sequence[EngineView]
     demand_by_model: Mapping[ModelId, float]
-    size_mb_by_model: Mapping[ModelId, float]
+    spec_by_model: Mapping[ModelId, ModelSpec]
     copies_by_model: Mapping[ModelId, int] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -128,11 +127,11 @@
 def plan_copies(policy: CoveragePolicy, view: FleetView) -> LoadMove | None:
     """Return the load that gains most over what it costs, or None if none does."""
     best: tuple[float, LoadMove] | None = None
-    for model, demand in view.demand_by_model.items():
-        if demand <= policy.move_cost_slots or model not in view.size_mb_by_model:
+    for model in view.demand_by_model:
+        if model not in view.spec_by_model:
             continue
         gain = next_copy_worth(policy, view, model)
-        if gain <= policy.move_cost_slots * policy.disk_cost_share:
+        if gain <= policy.move_cost_slots_per_s:
             continue
         found = best_load(policy, view, model)
         if found is None:
@@ -145,10 +144,15 @@
 
 def plan_preload(policy: CoveragePolicy, view: FleetView) -> LoadMove | None:
     """Return the load of a model held nowhere that displaces nothing, if any."""
-    for model in sorted(view.size_mb_by_model.keys() - view.copies_by_model.keys()):
-        for engine in view.engines:
-            if not engine.is_busy and engine.free_mb >= view.size_mb_by_model[model]:
-                return LoadMove(engine.id, model, (), model not in engine.on_hand)
+    for model in sorted(view.spec_by_model.keys() - view.copies_by_model.keys()):
+        size_mb = view.spec_by_model[model].memory_mb
+        free = [
+            engine
+            for engine in view.engines
+            if not engine.is_busy and engine.free_mb >= size_mb
+        ]
+        for engine in sorted(free, key=lambda item: model not in item.on_hand):
+            return LoadMove(engine.id, model, (), model not in engine.on_hand)
     return None
 
 
@@ -156,7 +160,8 @@
     policy: CoveragePolicy, view: FleetView, engine: EngineView, model: ModelId
 ) -> tuple[LoadMove, float] | None:
     """Return what loading ``model`` at one engine takes, or None if it cannot be."""
-    missing_mb = view.size_mb_by_model[model] - engine.free_mb
+    spec = view.spec_by_model[model]
+    missing_mb = spec.memory_mb - engine.free_mb
     evicted: list[ModelId] = []
     candidates = sorted(
         (copy_worth(policy, view, item), item)
@@ -172,9 +177,8 @@
         return None
     kept = _without_excess(engine, evicted, -missing_mb)
     from_store = model not in engine.on_hand
-    cost = policy.move_cost_slots
-    if not from_store:
-        cost *= policy.disk_cost_share
+    takes_s = spec.load_s if from_store else spec.disk_load_s
+    cost = policy.move_cost_slots_per_s * takes_s
     lost = sum(copy_worth(policy, view, item) for item in kept)
     return LoadMove(engine.id, model, tuple(kept), from_store), lost + cost
 
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -7,7 +7,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from concurrent.futures import Executor
 from dataclasses import dataclass
 from typing import TypeAlias
@@ -60,6 +60,9 @@
 ADAPTERS_ON_THEIR_WAY = 4
 """The most that an engine takes in at once."""
 ORDER_TRIES = 3
+STEADY_WEIGHT = 0.3
+"""What the demand of the last half minute counts beside that of the last seconds: a
+model that was asked for and is not now may be again."""
 WANT_LIFE_S = 3.0
 """How long a model counts as wanted after the last request for it."""
 
@@ -174,6 +177,22 @@
             move = plan_preload(self._parts.policy, view)
             if move is not None:
                 self._start(service, move, "room")
+            self._fill_adapter_places(service)
+
+    def _fill_adapter_places(self, service: ServiceId) -> None:
+        """Load adapters held nowhere where places are free, one at each engine."""
+        books = self._books(service)
+        held = {
+            WantedModel(model, adapter)
+            for book in books
+            for model in book.models
+            for adapter in book.adapters(model)
+        }
+        for book in books:
+            item = next(iter(missing_adapters(book, held)), None)
+            if item is not None and book.takes_adapters and not book.arriving:
+                held.add(item)
+                self._parts.executor.submit(self._load_adapter, book, item)
 
     def look(self) -> None:
         """Bring what is known of the engines up to date."""
@@ -299,7 +318,7 @@
 
     def _start_wanted(self, service: ServiceId, model: ModelId) -> None:
         view = self._view(service)
-        if model in view.copies_by_model or model not in view.size_mb_by_model:
+        if model in view.copies_by_model or model not in view.spec_by_model:
             return
         found = best_load(self._parts.policy, view, model)
         if found is not None:
@@ -331,12 +350,8 @@
             )
             for book in books
         )
-        sizes = {
-            model.id: model.memory_mb
-            for book in books[:1]
-            for model in book.spec.models_by_id.values()
-        }
-        return FleetView(engines, self._demand_by_model(sizes), sizes)
+        specs = books[0].spec.models_by_id if books else {}
+        return FleetView(engines, self._demand_by_model(specs), specs)
 
     def _demand_by_model(self, models: Iterable[ModelId]) -> dict[ModelId, float]:
         known = frozenset(models)
@@ -344,7 +359,8 @@
         for item, demand in self._parts.demand().items():
             model = ModelId(item.partition(":")[0])
             if model in known:
-                slots[model] = slots.get(model, 0.0) + demand.expected
+                steady = STEADY_WEIGHT * demand.slow
+                slots[model] = slots.get(model, 0.0) + max(demand.fast, steady)
         return slots
 
     def _start(self, service: ServiceId, move: LoadMove, cause: str) -> None:
@@ -616,6 +632,20 @@
             self._changed.wait(ADAPTER_ARRIVAL_S)
 
 
+def missing_adapters(
+    book: EngineBook, held: Collection[WantedModel]
+) -> Iterator[WantedModel]:
+    """Yield adapters that a free place of an engine could hold, of its models."""
+    if book.adapter_count >= book.spec.adapter_places:
+        return
+    for model in sorted(book.models):
+        spec = book.spec.models_by_id.get(model)
+        for adapter in spec.adapters if spec else ():
+            item = WantedModel(model, adapter)
+            if item not in held:
+                yield item
+
+
 def _is_safe(book: EngineBook, kind: OrderKind, item: WantedModel) -> bool:
     """Return whether an order cannot overfill the engine, by the newest report.
 
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -80,6 +80,8 @@
 DUTY_KIND = "camphoryard-duties"
 KEY_KIND = "camphoryard-keys"
 INCARNATION_CHARACTERS = 16
+DEMAND_FAST_S = 2.0
+"""Time constant of the demand that moves of models follow."""
 LEAST_NODES = 4
 """Nodes that the reserve of repeats is shared by before all are known."""
 
@@ -132,7 +134,7 @@
     feed = DirectoryFeed(directory, log)
     in_flight = InFlightTable()
     nodes = NodeTable()
-    demand = DemandMeter()
+    demand = DemandMeter(fast_s=DEMAND_FAST_S)
     estimates = LoadEstimates(settings.node, nodes, in_flight)
     incarnation = Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
     own_keys = _make_keys()
--- a/src/camphoryard/platform/traffic.py
+++ b/src/camphoryard/platform/traffic.py
@@ -228,7 +228,7 @@
             item.mb,
             item.load_s,
             item.disk_s,
-            item.adapters,
+            tuple(AdapterId(f"a{n}") for n in range(1, item.adapters + 1)),
             item.adapter_mb,
         )
         for item in engine.models
--- a/src/camphoryard/state/traffic.py
+++ b/src/camphoryard/state/traffic.py
@@ -71,13 +71,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ModelSpec:
-    """Size in MB and load times in seconds of a model; ``adapters`` is a count."""
+    """Size in MB, load times in seconds and adapters of a model."""
 
     id: ModelId
     memory_mb: float
     load_s: float
     disk_load_s: float
-    adapters: int
+    adapters: tuple[AdapterId, ...]
     adapter_mb: float
 
 
--- a/tests/coordination/loading/test_coverage.py
+++ b/tests/coordination/loading/test_coverage.py
@@ -13,6 +13,7 @@
     worth_slots,
 )
 from camphoryard.state.ids import EndpointId, ModelId
+from tests.fakes.engines import make_spec
 
 POLICY = CoveragePolicy(comfort_slots=8.0)
 MEMORY_MB = 100
@@ -34,7 +35,7 @@
             for name, models in held.items()
         ],
         {ModelId(model): slots for model, slots in demand.items()},
-        {ModelId(model): size for model, size in sizes.items()},
+        make_spec(sizes).models_by_id,
     )
 
 
@@ -97,7 +98,7 @@
                 on_hand=frozenset({ModelId("a")}),
             ),
         ]
-        view = FleetView(engines, view.demand_by_model, view.size_mb_by_model)
+        view = FleetView(engines, view.demand_by_model, view.spec_by_model)
         move, _ = best_load(POLICY, view, ModelId("a"))
         assert (move.engine, move.from_store) == ("e3", False)
 
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -33,6 +33,7 @@
 )
 
 SERVICE = ServiceId("chat")
+ADAPTERS = ("a1", "a2", "a3", "a4")
 ZONE = Zone("zone-a")
 
 
@@ -94,7 +95,9 @@
         places,
         1.0,
         {
-            ModelId(name): ModelSpec(ModelId(name), size, 5.0, 1.0, 4, 1.0)
+            ModelId(name): ModelSpec(
+                ModelId(name), size, 5.0, 1.0, tuple(map(AdapterId, ADAPTERS)), 1.0
+            )
             for name, size in sizes.items()
         },
     )
