--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -50,6 +50,7 @@
     """Send the request to ``endpoint`` and hand its answer on; raises as Upstream."""
     sent_s = parts.clock()
     journey.sends += 1
+    journey.endpoint = endpoint.id
     parts.in_flight.begin(endpoint.id)
     parts.breakers.started(endpoint.id)
     try:
@@ -177,16 +178,22 @@
     progress.restart()
     if not reply.has_begun:
         reply.begin(answer.head.status, _without_length(answer.head.headers))
-    has_events = False
+    last_s = 0.0
     for piece in answer.pieces(gap_s):
         whole = progress.take(piece)
         if not whole:
             continue
-        if not has_events:
-            has_events = True
+        now_s = parts.clock()
+        if last_s:
+            journey.longest_gap_s = max(journey.longest_gap_s, now_s - last_s)
+        else:
             _succeeded(parts, endpoint)
-            parts.observe("first_event", parts.clock() - journey.request.arrived_s)
+            journey.first_event_s = (
+                journey.first_event_s or now_s - journey.request.arrived_s
+            )
+        last_s = now_s
         reply.write(whole)
+        parts.observe("event_handover", parts.clock() - now_s)
     if not progress.is_between_events:
         raise BrokenCallError("the stream ended within an event")
 
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -38,9 +38,14 @@
     request: ClientRequest,
     cancellation: Cancellation,
     reply: ClientReply,
-) -> None:
+) -> Journey:
     """Have the request answered by an endpoint, or by several in turn.
 
+    Returns
+    -------
+    Journey
+        What it met on its way.
+
     Raises
     ------
     RefusalError
@@ -62,7 +67,7 @@
             continue
         match outcome:
             case Outcome.ANSWERED:
-                return
+                return journey
             case Outcome.FAILED:
                 continue
             case Outcome.NOT_RUN:
@@ -130,8 +135,11 @@
         parts.directory.wait_until(
             lambda: False, min(journey.event_due_s, parts.clock() + DECLINED_PAUSE_S)
         )
+    began_s = parts.clock()
     try:
-        return parts.models.seek(journey.service, wanted, journey.event_due_s)
+        found = parts.models.seek(journey.service, wanted, journey.event_due_s)
+        journey.loads_awaited_s += parts.clock() - began_s
+        return found
     except NotHeldInTimeError as error:
         raise RefusalError(
             Reason.OVERLOADED,
--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -70,7 +70,8 @@
     ``due_s`` is when all is over, ``event_due_s`` when the client leaves unless an
     event, or the first byte of a whole answer, has come. ``runs`` counts the
     endpoints at which it may have run, ``sends`` all that it was sent to;
-    ``progress`` is what the client has of a stream.
+    ``progress`` is what the client has of a stream. ``endpoint`` is the last one
+    sent to; the times, in seconds, are what on-call engineers ask for first.
     """
 
     request: ClientRequest
@@ -83,6 +84,10 @@
     may_have_run: bool = False
     failed: set[EndpointId] = field(default_factory=set)
     progress: StreamProgress = field(default_factory=StreamProgress)
+    endpoint: EndpointId | None = None
+    loads_awaited_s: float = 0.0
+    first_event_s: float = 0.0
+    longest_gap_s: float = 0.0
 
     @property
     def verdict(self) -> Verdict:
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -9,9 +9,9 @@
 from waitress.channel import ClientDisconnected
 
 from camphoryard.coordination.forwarding.exchange import forward
-from camphoryard.coordination.forwarding.parts import ForwardingParts
+from camphoryard.coordination.forwarding.parts import ForwardingParts, Journey
 from camphoryard.coordination.forwarding.ports import ClientRequest
-from camphoryard.coordination.loading.seeking import STOPPING_RETRY_S
+from camphoryard.coordination.loading.seeking import STOPPING_RETRY_S, item_of
 from camphoryard.protocol.dialect import Dialect, RequestHead
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
@@ -24,6 +24,7 @@
 )
 
 TEXT = "text/plain; charset=utf-8"
+MILLISECONDS_PER_SECOND = 1000
 TRACE_LINES = 3
 STATUS_BY_REASON = {
     Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
@@ -112,8 +113,7 @@
             body = environ["wsgi.input"].read()
             request = self.dialect.read_request(head, body, arrived_s)
             self.door.check()
-            forward(self.parts, request, environ[CANCELLATION], reply)
-            self._done(request)
+            self._done(forward(self.parts, request, environ[CANCELLATION], reply))
         except RefusalError as refusal:
             self._refused(request, refusal, reply)
             if reply.has_begun:
@@ -150,9 +150,25 @@
         self._refused(None, refusal, None)
         return HttpResponse(status, f"{detail}\n".encode(), content_type=TEXT)
 
-    def _done(self, request: ClientRequest) -> None:
+    def _done(self, journey: Journey) -> None:
+        request = journey.request
         self.parts.count("requests_answered")
         self.parts.observe("request", time.monotonic() - request.arrived_s)
+        if journey.first_event_s:
+            self.parts.observe("first_event", journey.first_event_s)
+        self.parts.log(
+            "request_answered",
+            request=request.id,
+            route=journey.rule.id,
+            model=item_of(request.wanted) if request.wanted else "",
+            endpoint=journey.endpoint or "",
+            sends=journey.sends,
+            events=journey.progress.events,
+            loads_awaited_ms=_ms(journey.loads_awaited_s),
+            first_event_ms=_ms(journey.first_event_s),
+            longest_gap_ms=_ms(journey.longest_gap_s),
+            held_ms=_held_ms(request),
+        )
 
     def _refused(
         self,
@@ -194,7 +210,11 @@
 def _held_ms(request: ClientRequest | None) -> int:
     if request is None:
         return 0
-    return round((time.monotonic() - request.arrived_s) * 1000)
+    return _ms(time.monotonic() - request.arrived_s)
+
+
+def _ms(duration_s: float) -> int:
+    return round(duration_s * MILLISECONDS_PER_SECOND)
 
 
 def _status_line(status: int) -> str:
