--- a/bench/membership.py
+++ b/bench/membership.py
@@ -19,8 +19,8 @@
 import typer
 import zmq
 
-from camphoryard.coordination.currency import Currency
-from camphoryard.coordination.gossip import (
+from camphoryard.coordination.configuration.currency import Currency
+from camphoryard.coordination.membership.gossip import (
     AllToAll,
     BoundedFanOut,
     Gossiper,
--- a/src/camphoryard/cli/refusals.py
+++ b/src/camphoryard/cli/refusals.py
@@ -25,8 +25,8 @@
     print_json,
 )
 from camphoryard.cli.tables import print_table
-from camphoryard.coordination.advice import refusal_advice
-from camphoryard.coordination.refusals import SECONDS_PER_MINUTE
+from camphoryard.coordination.configuration.advice import refusal_advice
+from camphoryard.coordination.refusals.refusals import SECONDS_PER_MINUTE
 from camphoryard.protocol.status import (
     RefusalForm,
     decode_refusals,
--- a/src/camphoryard/cli/status.py
+++ b/src/camphoryard/cli/status.py
@@ -25,8 +25,8 @@
     print_refusals,
 )
 from camphoryard.cli.tables import print_table
-from camphoryard.coordination.refusals import SECONDS_PER_MINUTE
-from camphoryard.coordination.risks import refusal_risks
+from camphoryard.coordination.observing.risks import refusal_risks
+from camphoryard.coordination.refusals.refusals import SECONDS_PER_MINUTE
 from camphoryard.protocol.status import (
     EndpointForm,
     NodeForm,
--- a/src/camphoryard/coordination/actions.py
+++ b/src/camphoryard/coordination/actions/actions.py
@@ -8,7 +8,7 @@
 import time
 from dataclasses import dataclass
 
-from camphoryard.coordination.claiming import (
+from camphoryard.coordination.actions.claiming import (
     ClaimParts,
     Held,
     finish,
@@ -19,7 +19,7 @@
     release,
 )
 from camphoryard.coordination.ports import Services
-from camphoryard.coordination.routing import Router, route
+from camphoryard.coordination.routing.routing import Router, route
 from camphoryard.state.configuration import Service
 from camphoryard.state.enums import EndpointKind, Reason
 from camphoryard.state.errors import (
--- a/src/camphoryard/coordination/claim_settling.py
+++ b/src/camphoryard/coordination/actions/claim_settling.py
@@ -7,8 +7,8 @@
 import threading
 from dataclasses import dataclass
 
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Records, Timer
-from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.claims import Claim
 from camphoryard.state.enums import ClaimState
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
--- a/src/camphoryard/coordination/expiry.py
+++ b/src/camphoryard/coordination/actions/expiry.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import TypeAlias, TypeVar
 
-from camphoryard.coordination.ownership import rendezvous_owner
 from camphoryard.coordination.ports import Records, Timer
+from camphoryard.coordination.residency.ownership import rendezvous_owner
 from camphoryard.state.claims import Claim
 from camphoryard.state.enums import ClaimState, NodeState
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
--- /dev/null
+++ b/src/camphoryard/coordination/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which request waits, and which is refused."""
--- a/src/camphoryard/coordination/admission.py
+++ b/src/camphoryard/coordination/admission/admission.py
@@ -15,9 +15,9 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.ports import Timer
-from camphoryard.coordination.routing import Router
+from camphoryard.coordination.routing.load_estimates import LoadEstimates
+from camphoryard.coordination.routing.routing import Router
 from camphoryard.state.enums import Priority, Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import EndpointId, GroupId, ItemId
--- a/src/camphoryard/coordination/concurrency_limits.py
+++ b/src/camphoryard/coordination/admission/concurrency_limits.py
@@ -6,7 +6,7 @@
 from collections.abc import Generator
 from contextlib import contextmanager
 
-from camphoryard.coordination.admission import overloaded
+from camphoryard.coordination.admission.admission import overloaded
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import CallerId, GroupId
 from camphoryard.state.labels import Labels
--- /dev/null
+++ b/src/camphoryard/coordination/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Changes of the configuration, and how they come into force."""
--- a/src/camphoryard/coordination/checking.py
+++ b/src/camphoryard/coordination/configuration/checking.py
@@ -5,8 +5,12 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
-from camphoryard.coordination.changing import Change, item_kind, item_tables
-from camphoryard.coordination.concurrency_limits import LIMIT_LABEL
+from camphoryard.coordination.admission.concurrency_limits import LIMIT_LABEL
+from camphoryard.coordination.configuration.changing import (
+    Change,
+    item_kind,
+    item_tables,
+)
 from camphoryard.state.configuration import Configuration, Endpoint, ServingGroup
 from camphoryard.state.enums import EndpointKind, Reason
 from camphoryard.state.errors import RefusalError
--- a/src/camphoryard/coordination/configuring.py
+++ b/src/camphoryard/coordination/configuration/configuring.py
@@ -8,21 +8,21 @@
 
 from xxhash import xxh3_64_intdigest
 
-from camphoryard.coordination.changing import (
+from camphoryard.coordination.configuration.changing import (
     Change,
     ItemChange,
     apply_change,
     differences,
     item_tables,
 )
-from camphoryard.coordination.checking import (
+from camphoryard.coordination.configuration.checking import (
     check_change,
     check_configuration,
     warnings,
 )
 from camphoryard.coordination.messages import ConfigurationOffer
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import ContentStore, Records, Stored
-from camphoryard.coordination.timeline import Timeline
 from camphoryard.coordination.writing import write_resolved
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.configuration_head import (
--- a/src/camphoryard/coordination/merging.py
+++ b/src/camphoryard/coordination/configuration/merging.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.messages import EventsFound, EventsWanted
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Peers
-from camphoryard.coordination.timeline import Timeline
 from camphoryard.state.errors import PeerUnreachableError
 from camphoryard.state.ids import NodeId
 from camphoryard.state.timeline import Event
--- a/src/camphoryard/coordination/fleet/news.py
+++ b/src/camphoryard/coordination/fleet/news.py
@@ -5,10 +5,10 @@
 
 from xxhash import xxh3_64_intdigest
 
-from camphoryard.coordination.demand import DemandMeter
-from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.messages import Gossip, HeardDigest
+from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import FencingNumber, Generation, Incarnation, NodeId
 from camphoryard.state.nodes import NodeDigest, NodeTable
--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.forwarding.choosing import EndpointChooser
 from camphoryard.coordination.forwarding.ports import ClientRequest, Upstream
 from camphoryard.coordination.forwarding.progress import StreamProgress
-from camphoryard.coordination.retry_window import RetryWindow
+from camphoryard.coordination.routing.breakers import Breakers
+from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.state.directory import Directory
 from camphoryard.state.ids import EndpointId, ServiceId
 from camphoryard.state.serving_endpoints import ServingEndpoint
--- /dev/null
+++ b/src/camphoryard/coordination/inference/__init__.py
@@ -0,0 +1,1 @@
+"""One inference request, from its lane to its last token."""
--- a/src/camphoryard/coordination/attempts.py
+++ b/src/camphoryard/coordination/inference/attempts.py
@@ -3,18 +3,18 @@
 import time
 from contextlib import closing
 
-from camphoryard.coordination.admission import Ticket
+from camphoryard.coordination.admission.admission import Ticket
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.frames import FrameOrder
-from camphoryard.coordination.inference_parts import (
+from camphoryard.coordination.inference.frames import FrameOrder
+from camphoryard.coordination.inference.inference_parts import (
     Deliver,
     InferenceParts,
     Progress,
     check_total_deadline,
     with_verdict,
 )
+from camphoryard.coordination.inference.suspects import Trial, fingerprint
 from camphoryard.coordination.ports import TokenStream
-from camphoryard.coordination.suspects import Trial, fingerprint
 from camphoryard.state.configuration import items_of
 from camphoryard.state.errors import (
     BrokenCallError,
--- a/src/camphoryard/coordination/inference.py
+++ b/src/camphoryard/coordination/inference/inference.py
@@ -2,23 +2,23 @@
 
 import time
 
-from camphoryard.coordination.admission import Lane, Ticket
-from camphoryard.coordination.attempts import (
+from camphoryard.coordination.admission.admission import Lane, Ticket
+from camphoryard.coordination.admission.concurrency_limits import caller_limit
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.inference.attempts import (
     NOT_RESIDENT_STATUS,
     NOT_RUN_STATUSES,
     attempt,
 )
-from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.concurrency_limits import caller_limit
-from camphoryard.coordination.inference_parts import (
+from camphoryard.coordination.inference.inference_parts import (
     Deliver,
     InferenceParts,
     Progress,
     check_total_deadline,
     with_verdict,
 )
-from camphoryard.coordination.routing import route
-from camphoryard.coordination.suspects import fingerprint
+from camphoryard.coordination.inference.suspects import fingerprint
+from camphoryard.coordination.routing.routing import route
 from camphoryard.state.configuration import Configuration, items_of
 from camphoryard.state.enums import EndpointKind, Reason
 from camphoryard.state.errors import (
--- a/src/camphoryard/coordination/inference_parts.py
+++ b/src/camphoryard/coordination/inference/inference_parts.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from camphoryard.coordination.admission import Admission
-from camphoryard.coordination.breakers import Breakers
-from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
-from camphoryard.coordination.demand import DemandMeter
-from camphoryard.coordination.leaving import LeavingEndpoints
+from camphoryard.coordination.admission.admission import Admission
+from camphoryard.coordination.admission.concurrency_limits import ConcurrencyLimits
+from camphoryard.coordination.inference.suspects import Suspects
+from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.ports import Engines
-from camphoryard.coordination.residency_client import ResidencyClient
-from camphoryard.coordination.retry_budget import RetryBudget
-from camphoryard.coordination.suspects import Suspects
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.residency.residency_client import ResidencyClient
+from camphoryard.coordination.routing.breakers import Breakers
+from camphoryard.coordination.routing.leaving import LeavingEndpoints
+from camphoryard.coordination.routing.retry_budget import RetryBudget
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import EndpointId, GroupId
--- a/src/camphoryard/coordination/serving.py
+++ b/src/camphoryard/coordination/inference/serving.py
@@ -6,13 +6,13 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from camphoryard.coordination.actions import ActionParts, act
+from camphoryard.coordination.actions.actions import ActionParts, act
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.collecting import AnswerCollector
-from camphoryard.coordination.inference import infer
-from camphoryard.coordination.inference_parts import Deliver, InferenceParts
-from camphoryard.coordination.refusals import RefusalCounter
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.inference.inference import infer
+from camphoryard.coordination.inference.inference_parts import Deliver, InferenceParts
+from camphoryard.coordination.observing.collecting import AnswerCollector
+from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.refusals.refusals import RefusalCounter
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import CallerId, RequestId
--- a/src/camphoryard/coordination/suspects.py
+++ b/src/camphoryard/coordination/inference/suspects.py
@@ -20,9 +20,9 @@
     TrialEnded,
     TrialWanted,
 )
-from camphoryard.coordination.ownership import rendezvous_owner
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Peers
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.residency.ownership import rendezvous_owner
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import PeerUnreachableError, RefusalError
 from camphoryard.state.ids import EndpointId, Fingerprint, NodeId
--- /dev/null
+++ b/src/camphoryard/coordination/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Deferred work."""
--- a/src/camphoryard/coordination/loading/seeking.py
+++ b/src/camphoryard/coordination/loading/seeking.py
@@ -7,7 +7,6 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from dataclasses import dataclass
 
-from camphoryard.coordination.demand import DemandMeter
 from camphoryard.coordination.forwarding.parts import DecisionLog
 from camphoryard.coordination.loading.orderer import (
     Coming,
@@ -23,6 +22,7 @@
     ItemWanted,
     Reply,
 )
+from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.ports import Peers
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import Priority
--- /dev/null
+++ b/src/camphoryard/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes there are, and what they tell each other."""
--- a/src/camphoryard/coordination/gossip.py
+++ b/src/camphoryard/coordination/membership/gossip.py
@@ -17,7 +17,11 @@
 
 from xxhash import xxh3_64_intdigest
 
-from camphoryard.coordination.currency import NEVER_S, Currency
+from camphoryard.coordination.configuration.currency import NEVER_S, Currency
+from camphoryard.coordination.membership.presence import (
+    make_words,
+    read_words,
+)
 from camphoryard.coordination.messages import (
     Gossip,
     GossipAnswer,
@@ -25,10 +29,6 @@
     ZoneWords,
 )
 from camphoryard.coordination.ports import Peers, Ticks, Timer
-from camphoryard.coordination.presence import (
-    make_words,
-    read_words,
-)
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
 
--- a/src/camphoryard/coordination/joining.py
+++ b/src/camphoryard/coordination/membership/joining.py
@@ -5,7 +5,8 @@
 from concurrent.futures import Executor
 from dataclasses import dataclass
 
-from camphoryard.coordination.configuring import Configurator
+from camphoryard.coordination.configuration.configuring import Configurator
+from camphoryard.coordination.inference.suspects import Suspects
 from camphoryard.coordination.messages import (
     ConfigurationOffer,
     ConfigurationWanted,
@@ -16,7 +17,6 @@
     VersionedRecord,
 )
 from camphoryard.coordination.ports import Peers, Timer
-from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.errors import PeerUnreachableError, StoreUnavailableError
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.nodes import NodeLease, NodeTable
--- a/src/camphoryard/coordination/membership.py
+++ b/src/camphoryard/coordination/membership/membership.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from camphoryard.coordination.configuring import Configurator
-from camphoryard.coordination.gossip import Gossiper
-from camphoryard.coordination.joining import Joiner
-from camphoryard.coordination.merging import select_events
+from camphoryard.coordination.configuration.configuring import Configurator
+from camphoryard.coordination.configuration.merging import select_events
+from camphoryard.coordination.inference.suspects import Suspects
+from camphoryard.coordination.membership.gossip import Gossiper
+from camphoryard.coordination.membership.joining import Joiner
 from camphoryard.coordination.messages import (
     ConfigurationWanted,
     CrashSeen,
@@ -32,9 +33,8 @@
     TrialEnded,
     TrialWanted,
 )
-from camphoryard.coordination.placement import Move
-from camphoryard.coordination.suspects import Suspects
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.placement.placement import Move
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.refusals import RefusalSheet
--- a/src/camphoryard/coordination/silence.py
+++ b/src/camphoryard/coordination/membership/silence.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from camphoryard.coordination.orders import OrderFate
+from camphoryard.coordination.residency.orders import OrderFate
 from camphoryard.state.endpoint_record import EndpointRecord, doubted, withdrawn
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.ids import OrderId
--- /dev/null
+++ b/src/camphoryard/coordination/observing/__init__.py
@@ -0,0 +1,1 @@
+"""What operators are shown of the system."""
--- a/src/camphoryard/coordination/explaining.py
+++ b/src/camphoryard/coordination/observing/explaining.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from camphoryard.coordination.routing import takes_new_work
+from camphoryard.coordination.routing.routing import takes_new_work
 from camphoryard.state.configuration import Configuration, Endpoint, ServingGroup
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, Reason, SelectorKind
--- a/src/camphoryard/coordination/risks.py
+++ b/src/camphoryard/coordination/observing/risks.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
-from camphoryard.coordination.advice import refusal_advice
+from camphoryard.coordination.configuration.advice import refusal_advice
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, NodeState, Reason, RiskKind
--- a/src/camphoryard/coordination/status.py
+++ b/src/camphoryard/coordination/observing/status.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from camphoryard.coordination.risks import NodeView, Risk
+from camphoryard.coordination.observing.risks import NodeView, Risk
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId, Generation, NodeId
--- /dev/null
+++ b/src/camphoryard/coordination/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which items should be resident where, ahead of requests."""
--- a/src/camphoryard/coordination/placing.py
+++ b/src/camphoryard/coordination/placement/placing.py
@@ -10,10 +10,10 @@
 from concurrent.futures import Executor
 from dataclasses import dataclass
 
-from camphoryard.coordination.demand import SystemDemand
 from camphoryard.coordination.messages import Declined, MoveWanted
-from camphoryard.coordination.ownership import owner_of, rendezvous_owner
-from camphoryard.coordination.placement import (
+from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.placement.demand import SystemDemand
+from camphoryard.coordination.placement.placement import (
     DemandPlacement,
     EndpointView,
     Move,
@@ -21,9 +21,9 @@
     PlacementView,
     plan,
 )
+from camphoryard.coordination.placement.weight_budget import BudgetClient
 from camphoryard.coordination.ports import Peers, Timer
-from camphoryard.coordination.timeline import Timeline
-from camphoryard.coordination.weight_budget import BudgetClient
+from camphoryard.coordination.residency.ownership import owner_of, rendezvous_owner
 from camphoryard.state.configuration import Endpoint, item_memory_mb
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, NodeState
--- a/src/camphoryard/coordination/planning.py
+++ b/src/camphoryard/coordination/placement/planning.py
@@ -3,15 +3,15 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from camphoryard.coordination.eviction import (
+from camphoryard.coordination.residency.eviction import (
     EvictionPolicy,
     Occupant,
     base_of,
     choose_victims,
     lost_slots,
 )
-from camphoryard.coordination.occupancy import Occupancy
-from camphoryard.coordination.wishes import (
+from camphoryard.coordination.residency.occupancy import Occupancy
+from camphoryard.coordination.residency.wishes import (
     ClosedWish,
     LoadWish,
     NoRoomError,
--- a/src/camphoryard/coordination/weight_budget.py
+++ b/src/camphoryard/coordination/placement/weight_budget.py
@@ -11,8 +11,8 @@
 from typing import TypeAlias
 
 from camphoryard.coordination.messages import Declined, Granted, GrantWanted, Reply
-from camphoryard.coordination.ownership import rendezvous_owner
 from camphoryard.coordination.ports import Peers
+from camphoryard.coordination.residency.ownership import rendezvous_owner
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import PeerUnreachableError
 from camphoryard.state.ids import NodeId
--- /dev/null
+++ b/src/camphoryard/coordination/refusals/__init__.py
@@ -0,0 +1,1 @@
+"""Counts of refusals that outlive their node."""
--- a/src/camphoryard/coordination/refusal_folding.py
+++ b/src/camphoryard/coordination/refusals/refusal_folding.py
@@ -10,7 +10,10 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.ports import Records, Timer
-from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
+from camphoryard.coordination.refusals.refusals import (
+    SECONDS_PER_MINUTE,
+    RefusalCounter,
+)
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT, Incarnation
 from camphoryard.state.nodes import NodeTable
--- a/src/camphoryard/coordination/refusal_handover.py
+++ b/src/camphoryard/coordination/refusals/refusal_handover.py
@@ -9,9 +9,9 @@
 from collections.abc import Sequence
 
 from camphoryard.coordination.messages import Done, RefusalsCounted
-from camphoryard.coordination.ownership import rendezvous_owner
 from camphoryard.coordination.ports import Peers, Timer
-from camphoryard.coordination.refusals import RefusalCounter
+from camphoryard.coordination.refusals.refusals import RefusalCounter
+from camphoryard.coordination.residency.ownership import rendezvous_owner
 from camphoryard.state.errors import PeerUnreachableError
 from camphoryard.state.ids import Incarnation, NodeId, Zone
 from camphoryard.state.nodes import NodeLease, NodeTable
--- /dev/null
+++ b/src/camphoryard/coordination/residency/__init__.py
@@ -0,0 +1,1 @@
+"""What engines hold: orders, their records and their owners."""
--- a/src/camphoryard/coordination/doubts.py
+++ b/src/camphoryard/coordination/residency/doubts.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable, Collection
 
-from camphoryard.coordination.orders import EndpointOrders, OrderFate
+from camphoryard.coordination.residency.orders import EndpointOrders, OrderFate
 from camphoryard.state.endpoint_record import EndpointRecord, InDoubt
 from camphoryard.state.ids import Incarnation, NodeId, OrderId
 
--- a/src/camphoryard/coordination/give_up_asking.py
+++ b/src/camphoryard/coordination/residency/give_up_asking.py
@@ -2,9 +2,9 @@
 
 import time
 
-from camphoryard.coordination.doubts import Doubts
 from camphoryard.coordination.messages import GivenUp, GiveUp
-from camphoryard.coordination.residency_parts import ResidencyParts
+from camphoryard.coordination.residency.doubts import Doubts
+from camphoryard.coordination.residency.residency_parts import ResidencyParts
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.errors import PeerUnreachableError
 from camphoryard.state.ids import EndpointId
--- a/src/camphoryard/coordination/load_choice.py
+++ b/src/camphoryard/coordination/residency/load_choice.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from camphoryard.coordination.eviction import (
+from camphoryard.coordination.residency.eviction import (
     EvictionPolicy,
     LeastDemand,
     LeastRecentlyUsed,
@@ -19,7 +19,7 @@
     choose_victims,
     lost_slots,
 )
-from camphoryard.coordination.occupancy import Occupancy
+from camphoryard.coordination.residency.occupancy import Occupancy
 from camphoryard.state.demand import NO_DEMAND
 from camphoryard.state.endpoint_record import (
     EndpointRecord,
--- a/src/camphoryard/coordination/occupancy.py
+++ b/src/camphoryard/coordination/residency/occupancy.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
-from camphoryard.coordination.eviction import Occupant, base_of
+from camphoryard.coordination.residency.eviction import Occupant, base_of
 from camphoryard.state.demand import NO_DEMAND, ItemDemand
 from camphoryard.state.endpoint_record import EndpointRecord, items_in_doubt
 from camphoryard.state.ids import EndpointId, ItemId
--- a/src/camphoryard/coordination/order_sending.py
+++ b/src/camphoryard/coordination/residency/order_sending.py
@@ -5,10 +5,10 @@
 from dataclasses import replace
 from uuid import uuid4
 
-from camphoryard.coordination.orders import EndpointOrders, OrderFate
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Inventory, Order
-from camphoryard.coordination.residency_parts import Identity
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.residency.orders import EndpointOrders, OrderFate
+from camphoryard.coordination.residency.residency_parts import Identity
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.endpoint_record import (
     EndpointRecord,
--- a/src/camphoryard/coordination/owned_endpoint.py
+++ b/src/camphoryard/coordination/residency/owned_endpoint.py
@@ -11,17 +11,21 @@
 from dataclasses import replace
 from itertools import islice
 
-from camphoryard.coordination.doubts import Doubts
-from camphoryard.coordination.give_up_asking import GiveUpAsker
-from camphoryard.coordination.order_sending import OrderSender, past_number
-from camphoryard.coordination.orders import EndpointOrders, GivenUpError, OrderFate
-from camphoryard.coordination.planning import Plan, Surroundings
+from camphoryard.coordination.membership.silence import Silence
+from camphoryard.coordination.placement.planning import Plan, Surroundings
 from camphoryard.coordination.ports import Inventory, Ticks, Timer
-from camphoryard.coordination.record_keeping import RecordKeeper
-from camphoryard.coordination.residency_parts import ResidencyParts
-from camphoryard.coordination.settling import Evidence, settle
-from camphoryard.coordination.silence import Silence
-from camphoryard.coordination.wishes import (
+from camphoryard.coordination.residency.doubts import Doubts
+from camphoryard.coordination.residency.give_up_asking import GiveUpAsker
+from camphoryard.coordination.residency.order_sending import OrderSender, past_number
+from camphoryard.coordination.residency.orders import (
+    EndpointOrders,
+    GivenUpError,
+    OrderFate,
+)
+from camphoryard.coordination.residency.record_keeping import RecordKeeper
+from camphoryard.coordination.residency.residency_parts import ResidencyParts
+from camphoryard.coordination.residency.settling import Evidence, settle
+from camphoryard.coordination.residency.wishes import (
     EngineSilentError,
     LoadFailedError,
     LoadWish,
--- a/src/camphoryard/coordination/record_keeping.py
+++ b/src/camphoryard/coordination/residency/record_keeping.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 from uuid import uuid4
 
-from camphoryard.coordination.ownership import owner_of
-from camphoryard.coordination.residency_parts import ResidencyParts
+from camphoryard.coordination.residency.ownership import owner_of
+from camphoryard.coordination.residency.residency_parts import ResidencyParts
 from camphoryard.coordination.writing import write_resolved
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.endpoint_record import EndpointRecord, taken_over
--- a/src/camphoryard/coordination/residency.py
+++ b/src/camphoryard/coordination/residency/residency.py
@@ -17,13 +17,13 @@
     Reply,
     ResidencyMessage,
 )
-from camphoryard.coordination.orders import EndpointOrders
-from camphoryard.coordination.owned_endpoint import OwnedEndpoint
-from camphoryard.coordination.ownership import owner_of
-from camphoryard.coordination.placement import Move
+from camphoryard.coordination.placement.placement import Move
 from camphoryard.coordination.ports import Timer
-from camphoryard.coordination.residency_parts import ResidencyParts
-from camphoryard.coordination.wishes import (
+from camphoryard.coordination.residency.orders import EndpointOrders
+from camphoryard.coordination.residency.owned_endpoint import OwnedEndpoint
+from camphoryard.coordination.residency.ownership import owner_of
+from camphoryard.coordination.residency.residency_parts import ResidencyParts
+from camphoryard.coordination.residency.wishes import (
     START_WISH_S,
     LoadWish,
     UnloadWish,
--- a/src/camphoryard/coordination/residency_client.py
+++ b/src/camphoryard/coordination/residency/residency_client.py
@@ -6,16 +6,16 @@
 from concurrent.futures import Executor
 from dataclasses import dataclass
 
-from camphoryard.coordination.eviction import EvictionPolicy
-from camphoryard.coordination.load_choice import LoadChoice, choose_endpoints
 from camphoryard.coordination.messages import Declined, Done, LoadWanted
-from camphoryard.coordination.occupancy import Occupancy
-from camphoryard.coordination.ownership import owner_of
+from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.observing.usage import Usage
+from camphoryard.coordination.placement.weight_budget import BudgetClient
 from camphoryard.coordination.ports import Peers
-from camphoryard.coordination.timeline import Timeline
-from camphoryard.coordination.usage import Usage
-from camphoryard.coordination.weight_budget import BudgetClient
-from camphoryard.coordination.wishes import START_WISH_S
+from camphoryard.coordination.residency.eviction import EvictionPolicy
+from camphoryard.coordination.residency.load_choice import LoadChoice, choose_endpoints
+from camphoryard.coordination.residency.occupancy import Occupancy
+from camphoryard.coordination.residency.ownership import owner_of
+from camphoryard.coordination.residency.wishes import START_WISH_S
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import CamphoryardError
--- a/src/camphoryard/coordination/residency_parts.py
+++ b/src/camphoryard/coordination/residency/residency_parts.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from camphoryard.coordination.eviction import EvictionPolicy
-from camphoryard.coordination.occupancy import Occupancy
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Engines, Peers, Records
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.residency.eviction import EvictionPolicy
+from camphoryard.coordination.residency.occupancy import Occupancy
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.ids import Incarnation, NodeId
 from camphoryard.state.nodes import NodeTable
--- a/src/camphoryard/coordination/settling.py
+++ b/src/camphoryard/coordination/residency/settling.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from camphoryard.coordination.orders import OrderFate
 from camphoryard.coordination.ports import Inventory
+from camphoryard.coordination.residency.orders import OrderFate
 from camphoryard.state.endpoint_record import (
     EndpointRecord,
     Intent,
--- /dev/null
+++ b/src/camphoryard/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoint a request goes to, and which ones are avoided."""
--- a/src/camphoryard/coordination/leaving.py
+++ b/src/camphoryard/coordination/routing/leaving.py
@@ -1,8 +1,8 @@
 """Which endpoints are leaving, by any of three signs."""
 
-from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.ports import Services
-from camphoryard.coordination.routing import LEAVING_LABEL
+from camphoryard.coordination.routing.load_estimates import LoadEstimates
+from camphoryard.coordination.routing.routing import LEAVING_LABEL
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.errors import NotSentError
 from camphoryard.state.ids import EndpointId
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -13,8 +13,8 @@
 import structlog
 import typer
 
-from camphoryard.coordination.membership import handle
-from camphoryard.coordination.vm_watching import follow_vms
+from camphoryard.coordination.membership.membership import handle
+from camphoryard.coordination.membership.vm_watching import follow_vms
 from camphoryard.node import Node, make_node
 from camphoryard.settings import SettingsError, read_settings
 from camphoryard.state.enums import NodeState
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -11,15 +11,12 @@
 import msgspec
 import zmq
 
-from camphoryard.coordination.breakers import Breakers
-from camphoryard.coordination.demand import DemandMeter, SystemDemand
 from camphoryard.coordination.duty.keeper import DutyKeeper
 from camphoryard.coordination.fleet.news import NewsTeller
 from camphoryard.coordination.fleet.presence import PresenceKeeper
 from camphoryard.coordination.forwarding.choosing import EndpointChooser
 from camphoryard.coordination.forwarding.feeding import DirectoryFeed
 from camphoryard.coordination.forwarding.parts import ForwardingParts
-from camphoryard.coordination.load_estimates import LoadEstimates
 from camphoryard.coordination.loading.orderer import Orderer, OrderingParts
 from camphoryard.coordination.loading.seeking import (
     Seeker,
@@ -34,8 +31,11 @@
     Message,
     Reply,
 )
+from camphoryard.coordination.placement.demand import DemandMeter, SystemDemand
 from camphoryard.coordination.ports import Records, Stored
-from camphoryard.coordination.retry_window import RepeatLimits, RetryWindow
+from camphoryard.coordination.routing.breakers import Breakers
+from camphoryard.coordination.routing.load_estimates import LoadEstimates
+from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.coordination.watching import Follower
 from camphoryard.entry.settings import EntrySettings
 from camphoryard.platform.engines import PlatformEngines
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass
 from typing import Any
 
-from camphoryard.coordination.admission import Admission
-from camphoryard.coordination.claim_settling import Settler
-from camphoryard.coordination.expiry import run_expiry
-from camphoryard.coordination.membership import MembershipParts
-from camphoryard.coordination.ownership import LeaseKeeper
-from camphoryard.coordination.placing import Placer
+from camphoryard.coordination.actions.claim_settling import Settler
+from camphoryard.coordination.actions.expiry import run_expiry
+from camphoryard.coordination.admission.admission import Admission
+from camphoryard.coordination.inference.serving import FrontDoor
+from camphoryard.coordination.membership.membership import MembershipParts
+from camphoryard.coordination.placement.placing import Placer
 from camphoryard.coordination.ports import Stored, VmList
-from camphoryard.coordination.refusal_folding import RefusalFolder
-from camphoryard.coordination.refusal_handover import RefusalHandover
-from camphoryard.coordination.serving import FrontDoor
+from camphoryard.coordination.refusals.refusal_folding import RefusalFolder
+from camphoryard.coordination.refusals.refusal_handover import RefusalHandover
+from camphoryard.coordination.residency.ownership import LeaseKeeper
 from camphoryard.coordination.watching import Follower
 from camphoryard.node.control import Control, make_control, make_lease, make_membership
 from camphoryard.node.front_ends import make_app
--- a/src/camphoryard/node/control.py
+++ b/src/camphoryard/node/control.py
@@ -3,15 +3,15 @@
 import functools
 from dataclasses import dataclass
 
-from camphoryard.coordination.configuring import Configurator
-from camphoryard.coordination.currency import Currency
-from camphoryard.coordination.gossip import Gossiper, GossipParts
-from camphoryard.coordination.greeting import Greeter
-from camphoryard.coordination.joining import Joiner, JoiningParts
-from camphoryard.coordination.membership import MembershipParts
-from camphoryard.coordination.refusal_folding import RefusalFolder
-from camphoryard.coordination.residency import ResidencyDesk
-from camphoryard.coordination.residency_parts import Identity
+from camphoryard.coordination.configuration.configuring import Configurator
+from camphoryard.coordination.configuration.currency import Currency
+from camphoryard.coordination.membership.gossip import Gossiper, GossipParts
+from camphoryard.coordination.membership.greeting import Greeter
+from camphoryard.coordination.membership.joining import Joiner, JoiningParts
+from camphoryard.coordination.membership.membership import MembershipParts
+from camphoryard.coordination.refusals.refusal_folding import RefusalFolder
+from camphoryard.coordination.residency.residency import ResidencyDesk
+from camphoryard.coordination.residency.residency_parts import Identity
 from camphoryard.coordination.watching import WATCH_WAIT_S, Follower, elected_watchers
 from camphoryard.node.platform import Platform
 from camphoryard.node.policies import make_gossip_policy
--- a/src/camphoryard/node/front_ends.py
+++ b/src/camphoryard/node/front_ends.py
@@ -3,11 +3,14 @@
 import functools
 from collections.abc import Mapping
 
-from camphoryard.coordination.explaining import explain
-from camphoryard.coordination.jobs import JobParts
-from camphoryard.coordination.merging import MergedTimeline, merge_timelines
-from camphoryard.coordination.refusal_folding import RefusalFolder
-from camphoryard.coordination.serving import FrontDoor
+from camphoryard.coordination.configuration.merging import (
+    MergedTimeline,
+    merge_timelines,
+)
+from camphoryard.coordination.inference.serving import FrontDoor
+from camphoryard.coordination.jobs.jobs import JobParts
+from camphoryard.coordination.observing.explaining import explain
+from camphoryard.coordination.refusals.refusal_folding import RefusalFolder
 from camphoryard.node.control import Control
 from camphoryard.node.shared import Shared
 from camphoryard.node.views import make_status
--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -1,18 +1,18 @@
 """Deferrable work, and records that expire."""
 
-from camphoryard.coordination.actions import act
+from camphoryard.coordination.actions.actions import act
+from camphoryard.coordination.actions.expiry import ExpiryParts
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.collecting import AnswerCollector
-from camphoryard.coordination.expiry import ExpiryParts
-from camphoryard.coordination.inference import infer
-from camphoryard.coordination.job_limits import JobLimits, OpenJobCounter
-from camphoryard.coordination.job_running import (
+from camphoryard.coordination.inference.inference import infer
+from camphoryard.coordination.jobs.job_limits import JobLimits, OpenJobCounter
+from camphoryard.coordination.jobs.job_running import (
     MAX_RESULT_BYTES,
     JobRunner,
     RunnerParts,
 )
-from camphoryard.coordination.jobs import JobParts
-from camphoryard.coordination.stale_leases import is_stale
+from camphoryard.coordination.jobs.jobs import JobParts
+from camphoryard.coordination.membership.stale_leases import is_stale
+from camphoryard.coordination.observing.collecting import AnswerCollector
 from camphoryard.node.platform import Platform
 from camphoryard.node.serving import Serving
 from camphoryard.node.shared import Shared
--- a/src/camphoryard/node/placement.py
+++ b/src/camphoryard/node/placement.py
@@ -1,6 +1,6 @@
 """Planning what is resident where."""
 
-from camphoryard.coordination.placing import Placer, PlacingParts
+from camphoryard.coordination.placement.placing import Placer, PlacingParts
 from camphoryard.node.policies import make_placement_policy
 from camphoryard.node.residency import Residency
 from camphoryard.node.serving import Serving
--- a/src/camphoryard/node/policies.py
+++ b/src/camphoryard/node/policies.py
@@ -1,31 +1,39 @@
 """Which variant of each decision the settings name."""
 
-from camphoryard.coordination.admission import (
+from camphoryard.coordination.admission.admission import (
     AdmissionPolicy,
     DeadlineFirst,
     FirstCome,
     Unlimited,
 )
-from camphoryard.coordination.eviction import (
-    EvictionPolicy,
-    LeastDemand,
-    LeastRecentlyUsed,
+from camphoryard.coordination.membership.gossip import (
+    AllToAll,
+    BoundedFanOut,
+    GossipPolicy,
 )
-from camphoryard.coordination.gossip import AllToAll, BoundedFanOut, GossipPolicy
-from camphoryard.coordination.placement import (
+from camphoryard.coordination.placement.placement import (
     DemandPlacement,
     LoadOnDemand,
     PlacementPolicy,
     StaticPlacement,
 )
-from camphoryard.coordination.routing import (
+from camphoryard.coordination.placement.weight_budget import (
+    BudgetPolicy,
+    Paced,
+    Unpaced,
+)
+from camphoryard.coordination.residency.eviction import (
+    EvictionPolicy,
+    LeastDemand,
+    LeastRecentlyUsed,
+)
+from camphoryard.coordination.routing.routing import (
     LeastInFlight,
     PrefixAffinity,
     RoundRobin,
     RoutingPolicy,
     TwoChoices,
 )
-from camphoryard.coordination.weight_budget import BudgetPolicy, Paced, Unpaced
 from camphoryard.settings import DecisionSettings, PeerSettings, ResidencySettings
 
 
--- a/src/camphoryard/node/residency.py
+++ b/src/camphoryard/node/residency.py
@@ -2,11 +2,14 @@
 
 from dataclasses import dataclass
 
-from camphoryard.coordination.occupancy import Occupancy
-from camphoryard.coordination.residency import EndpointOwner
-from camphoryard.coordination.residency_client import ClientParts, ResidencyClient
-from camphoryard.coordination.residency_parts import ResidencyParts
-from camphoryard.coordination.usage import Usage
+from camphoryard.coordination.observing.usage import Usage
+from camphoryard.coordination.residency.occupancy import Occupancy
+from camphoryard.coordination.residency.residency import EndpointOwner
+from camphoryard.coordination.residency.residency_client import (
+    ClientParts,
+    ResidencyClient,
+)
+from camphoryard.coordination.residency.residency_parts import ResidencyParts
 from camphoryard.node.platform import Platform
 from camphoryard.node.policies import make_eviction_policy
 from camphoryard.node.shared import Shared
--- a/src/camphoryard/node/serving.py
+++ b/src/camphoryard/node/serving.py
@@ -2,18 +2,18 @@
 
 from dataclasses import dataclass
 
-from camphoryard.coordination.actions import ActionParts
-from camphoryard.coordination.admission import Admission
-from camphoryard.coordination.breakers import Breakers
-from camphoryard.coordination.claim_settling import Settler
-from camphoryard.coordination.claiming import ClaimParts
-from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
-from camphoryard.coordination.inference_parts import InferenceParts
-from camphoryard.coordination.leaving import LeavingEndpoints, StayingServices
-from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
-from camphoryard.coordination.routing import Router
-from camphoryard.coordination.serving import FrontDoor, ServingParts
-from camphoryard.coordination.suspects import Suspects
+from camphoryard.coordination.actions.actions import ActionParts
+from camphoryard.coordination.actions.claim_settling import Settler
+from camphoryard.coordination.actions.claiming import ClaimParts
+from camphoryard.coordination.admission.admission import Admission
+from camphoryard.coordination.admission.concurrency_limits import ConcurrencyLimits
+from camphoryard.coordination.inference.inference_parts import InferenceParts
+from camphoryard.coordination.inference.serving import FrontDoor, ServingParts
+from camphoryard.coordination.inference.suspects import Suspects
+from camphoryard.coordination.routing.breakers import Breakers
+from camphoryard.coordination.routing.leaving import LeavingEndpoints, StayingServices
+from camphoryard.coordination.routing.retry_budget import RetryBudget, RetryLimits
+from camphoryard.coordination.routing.routing import Router
 from camphoryard.node.platform import Platform
 from camphoryard.node.policies import make_admission_policy, make_routing_policy
 from camphoryard.node.residency import Residency
--- a/src/camphoryard/node/shared.py
+++ b/src/camphoryard/node/shared.py
@@ -7,14 +7,14 @@
 
 import structlog
 
-from camphoryard.coordination.demand import DemandMeter, SystemDemand
-from camphoryard.coordination.job_running import JOBS_AT_ONCE
-from camphoryard.coordination.load_estimates import LoadEstimates
+from camphoryard.coordination.jobs.job_running import JOBS_AT_ONCE
+from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.placement.demand import DemandMeter, SystemDemand
+from camphoryard.coordination.placement.weight_budget import BudgetClient
 from camphoryard.coordination.ports import Engines
-from camphoryard.coordination.refusals import RefusalCounter
-from camphoryard.coordination.residency_parts import Identity
-from camphoryard.coordination.timeline import Timeline
-from camphoryard.coordination.weight_budget import BudgetClient
+from camphoryard.coordination.refusals.refusals import RefusalCounter
+from camphoryard.coordination.residency.residency_parts import Identity
+from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.node.policies import make_budget_policy
 from camphoryard.settings import PeerSettings, Settings
 from camphoryard.state.ids import Incarnation
--- a/src/camphoryard/node/views.py
+++ b/src/camphoryard/node/views.py
@@ -3,11 +3,11 @@
 import math
 import time
 
-from camphoryard.coordination.currency import Currency
-from camphoryard.coordination.refusals import SECONDS_PER_MINUTE
-from camphoryard.coordination.risks import NodeView, SystemView, find_risks
-from camphoryard.coordination.serving import FrontDoor
-from camphoryard.coordination.status import Status
+from camphoryard.coordination.configuration.currency import Currency
+from camphoryard.coordination.inference.serving import FrontDoor
+from camphoryard.coordination.observing.risks import NodeView, SystemView, find_risks
+from camphoryard.coordination.observing.status import Status
+from camphoryard.coordination.refusals.refusals import SECONDS_PER_MINUTE
 from camphoryard.node.shared import Shared
 from camphoryard.state.ids import Generation
 from camphoryard.state.nodes import NodeDigest
--- a/src/camphoryard/protocol/operator.py
+++ b/src/camphoryard/protocol/operator.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from camphoryard.coordination.configuring import Accepted
-from camphoryard.coordination.explaining import Explanation, Mismatch
-from camphoryard.coordination.merging import MergedTimeline
+from camphoryard.coordination.configuration.configuring import Accepted
+from camphoryard.coordination.configuration.merging import MergedTimeline
+from camphoryard.coordination.observing.explaining import Explanation, Mismatch
 from camphoryard.protocol.selectors import format_selector
 from camphoryard.state.ids import NodeId
 from camphoryard.state.labels import Selector
--- a/src/camphoryard/protocol/status.py
+++ b/src/camphoryard/protocol/status.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from camphoryard.coordination.risks import Risk
-from camphoryard.coordination.status import Status
+from camphoryard.coordination.observing.risks import Risk
+from camphoryard.coordination.observing.status import Status
 from camphoryard.state.endpoint_record import committed_mb, items_in_doubt
 from camphoryard.state.enums import Reason
 from camphoryard.state.refusals import RefusalKey
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -7,8 +7,8 @@
 from urllib.parse import parse_qsl
 from uuid import uuid4
 
-from camphoryard.coordination.jobs import JobParts
-from camphoryard.coordination.serving import FrontDoor
+from camphoryard.coordination.inference.serving import FrontDoor
+from camphoryard.coordination.jobs.jobs import JobParts
 from camphoryard.protocol.answers import REQUEST_HEADER
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.serving import FrontDoor
+from camphoryard.coordination.inference.serving import FrontDoor
 from camphoryard.protocol.answers import (
     DONE_EVENT,
     RETRY_AFTER_HEADER,
--- a/src/camphoryard/transport/job_api.py
+++ b/src/camphoryard/transport/job_api.py
@@ -1,7 +1,7 @@
 """HTTP front end for jobs."""
 
-from camphoryard.coordination.jobs import JobParts, accept, find
-from camphoryard.coordination.serving import FrontDoor
+from camphoryard.coordination.inference.serving import FrontDoor
+from camphoryard.coordination.jobs.jobs import JobParts, accept, find
 from camphoryard.protocol.answers import VERDICT_HEADER
 from camphoryard.protocol.caller import idempotency_key
 from camphoryard.protocol.jobs import decode_work, encode_job
--- a/src/camphoryard/transport/operator_api.py
+++ b/src/camphoryard/transport/operator_api.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from camphoryard.coordination.configuring import Accepted, Configurator
-from camphoryard.coordination.explaining import Explanation
-from camphoryard.coordination.merging import MergedTimeline
-from camphoryard.coordination.status import Status
+from camphoryard.coordination.configuration.configuring import Accepted, Configurator
+from camphoryard.coordination.configuration.merging import MergedTimeline
+from camphoryard.coordination.observing.explaining import Explanation
+from camphoryard.coordination.observing.status import Status
 from camphoryard.protocol.configuration import decode_change, encode_configuration
 from camphoryard.protocol.operator import (
     encode_accepted,
--- a/tests/coordination/test_actions.py
+++ b/tests/coordination/actions/test_actions.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from camphoryard.coordination.actions import ActionParts, act
-from camphoryard.coordination.claim_settling import Settler
-from camphoryard.coordination.claiming import ClaimParts, claim_key
-from camphoryard.coordination.routing import RoundRobin, Router
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.actions.actions import ActionParts, act
+from camphoryard.coordination.actions.claim_settling import Settler
+from camphoryard.coordination.actions.claiming import ClaimParts, claim_key
+from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.routing.routing import RoundRobin, Router
 from camphoryard.state.configuration import (
     Configuration,
     Endpoint,
--- a/tests/coordination/test_claim_settling.py
+++ b/tests/coordination/actions/test_claim_settling.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 
-from camphoryard.coordination.claim_settling import Settlement, Settler
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.actions.claim_settling import Settlement, Settler
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.state.claims import Claim
 from camphoryard.state.enums import ClaimState
 from camphoryard.state.errors import ConflictError
--- a/tests/coordination/test_claiming.py
+++ b/tests/coordination/actions/test_claiming.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from camphoryard.coordination.claim_settling import Settler
-from camphoryard.coordination.claiming import (
+from camphoryard.coordination.actions.claim_settling import Settler
+from camphoryard.coordination.actions.claiming import (
     MAX_KEPT_BODY_BYTES,
     ClaimParts,
     Held,
@@ -17,7 +17,7 @@
     leave_unknown,
     release,
 )
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.state.claims import Claim
 from camphoryard.state.enums import ClaimState, Reason
 from camphoryard.state.errors import RefusalError
--- a/tests/coordination/test_expiry.py
+++ b/tests/coordination/actions/test_expiry.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from camphoryard.coordination.expiry import (
+from camphoryard.coordination.actions.expiry import (
     CLAIMS_KEPT_S,
     CLOCK_SKEW_MARGIN_S,
     MAX_DELETIONS_A_SWEEP,
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from camphoryard.coordination.admission import (
+from camphoryard.coordination.admission.admission import (
     Admission,
     DeadlineFirst,
     FirstCome,
@@ -12,8 +12,8 @@
     Ticket,
     Unlimited,
 )
-from camphoryard.coordination.load_estimates import LoadEstimates
-from camphoryard.coordination.routing import LeastInFlight, Router
+from camphoryard.coordination.routing.load_estimates import LoadEstimates
+from camphoryard.coordination.routing.routing import LeastInFlight, Router
 from camphoryard.state.enums import Priority, Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import EndpointId, ItemId
--- a/tests/coordination/test_concurrency_limits.py
+++ b/tests/coordination/admission/test_concurrency_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from camphoryard.coordination.concurrency_limits import (
+from camphoryard.coordination.admission.concurrency_limits import (
     ConcurrencyLimits,
     caller_limit,
 )
--- a/tests/coordination/test_advice.py
+++ b/tests/coordination/configuration/test_advice.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from camphoryard.coordination.advice import refusal_advice
+from camphoryard.coordination.configuration.advice import refusal_advice
 from camphoryard.state.enums import Reason
 
 
--- a/tests/coordination/test_changing.py
+++ b/tests/coordination/configuration/test_changing.py
@@ -1,6 +1,6 @@
 """Tests of changes to a configuration."""
 
-from camphoryard.coordination.changing import (
+from camphoryard.coordination.configuration.changing import (
     Change,
     apply_change,
     differences,
--- a/tests/coordination/test_checking.py
+++ b/tests/coordination/configuration/test_checking.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from camphoryard.coordination.changing import apply_change
-from camphoryard.coordination.checking import (
+from camphoryard.coordination.configuration.changing import apply_change
+from camphoryard.coordination.configuration.checking import (
     check_change,
     check_configuration,
     warnings,
--- a/tests/coordination/test_configuring.py
+++ b/tests/coordination/configuration/test_configuring.py
@@ -3,9 +3,9 @@
 import pytest
 
 from camphoryard.coordination import configuring
-from camphoryard.coordination.changing import Change
-from camphoryard.coordination.configuring import HEAD_KEY, Configurator
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.configuration.changing import Change
+from camphoryard.coordination.configuration.configuring import HEAD_KEY, Configurator
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.protocol.configuration import encode_configuration
 from camphoryard.state.configuration import Configuration, Endpoint, Model
 from camphoryard.state.enums import EndpointKind, Reason
--- a/tests/coordination/test_currency.py
+++ b/tests/coordination/configuration/test_currency.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from camphoryard.coordination.currency import Currency
+from camphoryard.coordination.configuration.currency import Currency
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
--- a/tests/coordination/test_merging.py
+++ b/tests/coordination/configuration/test_merging.py
@@ -2,9 +2,12 @@
 
 from concurrent.futures import ThreadPoolExecutor
 
-from camphoryard.coordination.merging import merge_timelines, select_events
+from camphoryard.coordination.configuration.merging import (
+    merge_timelines,
+    select_events,
+)
 from camphoryard.coordination.messages import EventsFound
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.state.errors import PeerUnreachableError
 from camphoryard.state.timeline import Event, HybridClock, Stamp
 
--- a/tests/coordination/test_attempts.py
+++ b/tests/coordination/inference/test_attempts.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from camphoryard.coordination.admission import Lane, Ticket
-from camphoryard.coordination.attempts import attempt
-from camphoryard.coordination.inference_parts import Progress
-from camphoryard.coordination.suspects import fingerprint
+from camphoryard.coordination.admission.admission import Lane, Ticket
+from camphoryard.coordination.inference.attempts import attempt
+from camphoryard.coordination.inference.inference_parts import Progress
+from camphoryard.coordination.inference.suspects import fingerprint
 from camphoryard.state.enums import Priority
 from camphoryard.state.errors import (
     BrokenCallError,
--- a/tests/coordination/test_frames.py
+++ b/tests/coordination/inference/test_frames.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from camphoryard.coordination.frames import MAX_EARLY_FRAMES, FrameOrder
+from camphoryard.coordination.inference.frames import MAX_EARLY_FRAMES, FrameOrder
 from camphoryard.state.errors import BrokenCallError
 from camphoryard.state.ids import RequestId
 from camphoryard.state.requests import TokenFrame
--- a/tests/coordination/test_inference.py
+++ b/tests/coordination/inference/test_inference.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from camphoryard.coordination.breakers import Breakers
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.inference import infer
+from camphoryard.coordination.inference.inference import infer
+from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     BrokenCallError,
--- a/tests/coordination/test_suspects.py
+++ b/tests/coordination/inference/test_suspects.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from camphoryard.coordination.inference.suspects import Suspects, TrialLocks
 from camphoryard.coordination.messages import CrashSeen, TrialEnded, TrialWanted
-from camphoryard.coordination.suspects import Suspects, TrialLocks
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import EndpointId, Fingerprint, NodeId
 from camphoryard.state.nodes import NodeTable
--- a/tests/coordination/test_job_limits.py
+++ b/tests/coordination/jobs/test_job_limits.py
@@ -3,7 +3,7 @@
 import pytest
 
 from camphoryard.coordination import job_limits
-from camphoryard.coordination.job_limits import JobLimits, OpenJobCounter
+from camphoryard.coordination.jobs.job_limits import JobLimits, OpenJobCounter
 from camphoryard.state.enums import JobState, Reason
 from camphoryard.state.errors import RefusalError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT
--- a/tests/coordination/test_job_running.py
+++ b/tests/coordination/jobs/test_job_running.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from camphoryard.coordination.job_limits import JobLimits, OpenJobCounter
-from camphoryard.coordination.job_running import (
+from camphoryard.coordination.jobs.job_limits import JobLimits, OpenJobCounter
+from camphoryard.coordination.jobs.job_running import (
     JOBS_AT_ONCE,
     MAX_RESULT_BYTES,
     JobRunner,
     RunnerParts,
 )
-from camphoryard.coordination.jobs import JobParts
-from camphoryard.coordination.residency_parts import Identity
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.jobs.jobs import JobParts
+from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.residency.residency_parts import Identity
 from camphoryard.state.enums import JobState, NodeState, Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import ABSENT
--- a/tests/coordination/test_jobs.py
+++ b/tests/coordination/jobs/test_jobs.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from camphoryard.coordination.job_limits import JobLimits, OpenJobCounter
-from camphoryard.coordination.jobs import JobParts, accept, find
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.jobs.job_limits import JobLimits, OpenJobCounter
+from camphoryard.coordination.jobs.jobs import JobParts, accept, find
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.state.configuration import (
     Caller,
     Configuration,
--- a/tests/coordination/test_gossip.py
+++ b/tests/coordination/membership/test_gossip.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from camphoryard.coordination.currency import Currency
-from camphoryard.coordination.gossip import (
+from camphoryard.coordination.configuration.currency import Currency
+from camphoryard.coordination.membership.gossip import (
     AllToAll,
     BoundedFanOut,
     Gossiper,
--- a/tests/coordination/test_greeting.py
+++ b/tests/coordination/membership/test_greeting.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from camphoryard.coordination.greeting import GREETING_LIMIT_S, MAX_GREETED, Greeter
+from camphoryard.coordination.membership.greeting import (
+    GREETING_LIMIT_S,
+    MAX_GREETED,
+    Greeter,
+)
 from camphoryard.state.enums import NodeState
 from camphoryard.state.nodes import NodeLease, NodeTable
 
--- a/tests/coordination/test_joining.py
+++ b/tests/coordination/membership/test_joining.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from camphoryard.coordination.joining import Joiner, JoiningParts
+from camphoryard.coordination.inference.suspects import Suspects
+from camphoryard.coordination.membership.joining import Joiner, JoiningParts
 from camphoryard.coordination.messages import (
     ConfigurationOffer,
     ConfigurationWanted,
@@ -16,7 +17,6 @@
     RecordsWanted,
     VersionedRecord,
 )
-from camphoryard.coordination.suspects import Suspects
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.endpoint_record import EndpointRecord
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/membership/test_membership.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from camphoryard.coordination.membership import MembershipParts, handle
+from camphoryard.coordination.inference.suspects import Suspects
+from camphoryard.coordination.membership.membership import MembershipParts, handle
 from camphoryard.coordination.messages import (
     ConfigurationWanted,
     CrashSeen,
@@ -28,8 +29,7 @@
     TrialEnded,
     TrialWanted,
 )
-from camphoryard.coordination.placement import Move
-from camphoryard.coordination.suspects import Suspects
+from camphoryard.coordination.placement.placement import Move
 from camphoryard.state.errors import ConflictError
 from camphoryard.state.nodes import NodeTable
 from camphoryard.state.timeline import Event, Stamp
--- a/tests/coordination/test_presence.py
+++ b/tests/coordination/membership/test_presence.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from camphoryard.coordination.presence import (
+from camphoryard.coordination.membership.presence import (
     make_words,
     read_words,
 )
--- a/tests/coordination/test_silence.py
+++ b/tests/coordination/membership/test_silence.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from camphoryard.coordination.orders import OrderFate
-from camphoryard.coordination.silence import SILENT_ROUNDS, Silence
+from camphoryard.coordination.membership.silence import SILENT_ROUNDS, Silence
+from camphoryard.coordination.residency.orders import OrderFate
 from camphoryard.state.endpoint_record import EndpointRecord, Intent
 from camphoryard.state.enums import OrderKind
 
--- a/tests/coordination/test_stale_leases.py
+++ b/tests/coordination/membership/test_stale_leases.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from camphoryard.coordination.stale_leases import LEASES_KEPT_S, is_stale
+from camphoryard.coordination.membership.stale_leases import LEASES_KEPT_S, is_stale
 from camphoryard.state.endpoint_record import EndpointRecord, InDoubt
 from camphoryard.state.enums import NodeState, VmState
 from camphoryard.state.nodes import NodeLease, NodeTable
--- a/tests/coordination/test_explaining.py
+++ b/tests/coordination/observing/test_explaining.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from camphoryard.coordination.explaining import explain
+from camphoryard.coordination.observing.explaining import explain
 from camphoryard.protocol.configuration import change_from
 from camphoryard.state.enums import EndpointKind, Reason, SelectorKind
 from camphoryard.state.errors import RefusalError
--- a/tests/coordination/test_risks.py
+++ b/tests/coordination/observing/test_risks.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from camphoryard.coordination.refusals import RefusalKey
-from camphoryard.coordination.risks import (
+from camphoryard.coordination.observing.risks import (
     UNCONFIRMED_S,
     NodeView,
     SystemView,
     find_risks,
 )
+from camphoryard.coordination.refusals.refusals import RefusalKey
 from camphoryard.state.configuration import Configuration, Endpoint
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, NodeState, Reason, RiskKind
--- a/tests/coordination/test_timeline.py
+++ b/tests/coordination/observing/test_timeline.py
@@ -1,6 +1,6 @@
 """Tests of a node's time line."""
 
-from camphoryard.coordination.timeline import KEPT_EVENTS, Timeline
+from camphoryard.coordination.observing.timeline import KEPT_EVENTS, Timeline
 from camphoryard.state.timeline import HybridClock
 
 
--- a/tests/coordination/test_usage.py
+++ b/tests/coordination/observing/test_usage.py
@@ -1,7 +1,7 @@
 """Tests of when items were last used."""
 
 from camphoryard.coordination.messages import ItemsUsed
-from camphoryard.coordination.usage import Usage
+from camphoryard.coordination.observing.usage import Usage
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.tables import EndpointTable
 
--- a/tests/coordination/test_demand.py
+++ b/tests/coordination/placement/test_demand.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from camphoryard.coordination.demand import (
+from camphoryard.coordination.placement.demand import (
     DemandMeter,
     SystemDemand,
     total_demand,
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/placement/test_placement.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from camphoryard.coordination.placement import (
+from camphoryard.coordination.placement.placement import (
     DemandPlacement,
     EndpointView,
     LoadOnDemand,
--- a/tests/coordination/test_placing.py
+++ b/tests/coordination/placement/test_placing.py
@@ -2,10 +2,10 @@
 
 from concurrent.futures import Future
 
-from camphoryard.coordination.demand import DemandMeter, SystemDemand
 from camphoryard.coordination.messages import Declined, Done, MoveWanted
-from camphoryard.coordination.placement import DemandPlacement
-from camphoryard.coordination.placing import Placer, PlacingParts
+from camphoryard.coordination.placement.demand import DemandMeter, SystemDemand
+from camphoryard.coordination.placement.placement import DemandPlacement
+from camphoryard.coordination.placement.placing import Placer, PlacingParts
 from camphoryard.state.configuration import Configuration, Endpoint, Model
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, NodeState, Priority
--- a/tests/coordination/test_planning.py
+++ b/tests/coordination/placement/test_planning.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from camphoryard.coordination.eviction import LeastDemand, LeastRecentlyUsed
-from camphoryard.coordination.occupancy import Occupancy
-from camphoryard.coordination.planning import Plan, Surroundings
-from camphoryard.coordination.wishes import LoadWish, NoRoomError, UnloadWish
+from camphoryard.coordination.placement.planning import Plan, Surroundings
+from camphoryard.coordination.residency.eviction import LeastDemand, LeastRecentlyUsed
+from camphoryard.coordination.residency.occupancy import Occupancy
+from camphoryard.coordination.residency.wishes import LoadWish, NoRoomError, UnloadWish
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.endpoint_record import (
     EndpointRecord,
--- a/tests/coordination/test_weight_budget.py
+++ b/tests/coordination/placement/test_weight_budget.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from camphoryard.coordination.messages import Declined, Granted
-from camphoryard.coordination.weight_budget import (
+from camphoryard.coordination.placement.weight_budget import (
     LOAD_HOLD_S,
     BudgetClient,
     Paced,
--- a/tests/coordination/test_refusal_folding.py
+++ b/tests/coordination/refusals/test_refusal_folding.py
@@ -2,8 +2,11 @@
 
 import time
 
-from camphoryard.coordination.refusal_folding import HELD_S, RefusalFolder
-from camphoryard.coordination.refusals import SECONDS_PER_MINUTE, RefusalCounter
+from camphoryard.coordination.refusals.refusal_folding import HELD_S, RefusalFolder
+from camphoryard.coordination.refusals.refusals import (
+    SECONDS_PER_MINUTE,
+    RefusalCounter,
+)
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.refusals import RefusalCount, RefusalKey, RefusalSheet
--- a/tests/coordination/test_refusal_handover.py
+++ b/tests/coordination/refusals/test_refusal_handover.py
@@ -3,8 +3,8 @@
 import pytest
 
 from camphoryard.coordination.messages import Done
-from camphoryard.coordination.refusal_handover import RefusalHandover
-from camphoryard.coordination.refusals import RefusalCounter
+from camphoryard.coordination.refusals.refusal_handover import RefusalHandover
+from camphoryard.coordination.refusals.refusals import RefusalCounter
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.errors import PeerUnreachableError
 from camphoryard.state.nodes import NodeLease, NodeTable
--- a/tests/coordination/test_refusals.py
+++ b/tests/coordination/refusals/test_refusals.py
@@ -2,7 +2,7 @@
 
 import time
 
-from camphoryard.coordination.refusals import (
+from camphoryard.coordination.refusals.refusals import (
     KEPT_MINUTES,
     SECONDS_PER_MINUTE,
     RefusalCounter,
--- a/tests/coordination/test_doubts.py
+++ b/tests/coordination/residency/test_doubts.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from camphoryard.coordination.doubts import Doubts
-from camphoryard.coordination.orders import OrderFate
+from camphoryard.coordination.residency.doubts import Doubts
+from camphoryard.coordination.residency.orders import OrderFate
 from camphoryard.state.endpoint_record import EndpointRecord, InDoubt
 
 LONG_S = 3600.0
--- a/tests/coordination/test_eviction.py
+++ b/tests/coordination/residency/test_eviction.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from camphoryard.coordination.eviction import (
+from camphoryard.coordination.residency.eviction import (
     LeastDemand,
     LeastRecentlyUsed,
     Occupant,
--- a/tests/coordination/test_give_up_asking.py
+++ b/tests/coordination/residency/test_give_up_asking.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from camphoryard.coordination.give_up_asking import GiveUpAsker
 from camphoryard.coordination.messages import GivenUp
-from camphoryard.coordination.residency_parts import Identity, ResidencyParts
+from camphoryard.coordination.residency.give_up_asking import GiveUpAsker
+from camphoryard.coordination.residency.residency_parts import Identity, ResidencyParts
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import PeerUnreachableError
--- a/tests/coordination/test_load_choice.py
+++ b/tests/coordination/residency/test_load_choice.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from camphoryard.coordination.eviction import LeastDemand, LeastRecentlyUsed
-from camphoryard.coordination.load_choice import choose_endpoints
-from camphoryard.coordination.occupancy import Occupancy
+from camphoryard.coordination.residency.eviction import LeastDemand, LeastRecentlyUsed
+from camphoryard.coordination.residency.load_choice import choose_endpoints
+from camphoryard.coordination.residency.occupancy import Occupancy
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.endpoint_record import EndpointRecord, Intent
 from camphoryard.state.enums import OrderKind
--- a/tests/coordination/test_occupancy.py
+++ b/tests/coordination/residency/test_occupancy.py
@@ -2,7 +2,7 @@
 
 import time
 
-from camphoryard.coordination.occupancy import Occupancy
+from camphoryard.coordination.residency.occupancy import Occupancy
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.endpoint_record import EndpointRecord, InDoubt
 from camphoryard.state.tables import EndpointTable
--- a/tests/coordination/test_order_sending.py
+++ b/tests/coordination/residency/test_order_sending.py
@@ -3,14 +3,14 @@
 import pytest
 
 from camphoryard.coordination import order_sending
-from camphoryard.coordination.order_sending import (
+from camphoryard.coordination.ports import Inventory
+from camphoryard.coordination.residency.order_sending import (
     MAX_LOADS_IN_DOUBT,
     OrderSender,
     past_number,
 )
-from camphoryard.coordination.orders import EndpointOrders
-from camphoryard.coordination.ports import Inventory
-from camphoryard.coordination.residency_parts import Identity
+from camphoryard.coordination.residency.orders import EndpointOrders
+from camphoryard.coordination.residency.residency_parts import Identity
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.endpoint_record import EndpointRecord, with_intent
 from camphoryard.state.enums import EndpointKind, OrderKind, OrderOutcome
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/residency/test_orders.py
@@ -5,8 +5,12 @@
 
 import pytest
 
-from camphoryard.coordination.orders import EndpointOrders, GivenUpError, OrderFate
 from camphoryard.coordination.ports import Order
+from camphoryard.coordination.residency.orders import (
+    EndpointOrders,
+    GivenUpError,
+    OrderFate,
+)
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.enums import EndpointKind, OrderKind, OrderOutcome
 from camphoryard.state.errors import BrokenCallError, NotSentError
--- a/tests/coordination/test_owned_endpoint.py
+++ b/tests/coordination/residency/test_owned_endpoint.py
@@ -12,15 +12,15 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from camphoryard.coordination import give_up_asking, order_sending, record_keeping
-from camphoryard.coordination.eviction import LeastDemand
 from camphoryard.coordination.messages import GivenUp
-from camphoryard.coordination.occupancy import Occupancy
-from camphoryard.coordination.orders import EndpointOrders
-from camphoryard.coordination.owned_endpoint import OwnedEndpoint
+from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Inventory, Stored
-from camphoryard.coordination.residency_parts import Identity, ResidencyParts
-from camphoryard.coordination.timeline import Timeline
-from camphoryard.coordination.wishes import LoadWish, UnloadWish
+from camphoryard.coordination.residency.eviction import LeastDemand
+from camphoryard.coordination.residency.occupancy import Occupancy
+from camphoryard.coordination.residency.orders import EndpointOrders
+from camphoryard.coordination.residency.owned_endpoint import OwnedEndpoint
+from camphoryard.coordination.residency.residency_parts import Identity, ResidencyParts
+from camphoryard.coordination.residency.wishes import LoadWish, UnloadWish
 from camphoryard.state.configuration import Configuration, Endpoint, Model
 from camphoryard.state.endpoint_record import committed_mb
 from camphoryard.state.enums import EndpointKind, NodeState, OrderKind, OrderOutcome
--- a/tests/coordination/test_ownership.py
+++ b/tests/coordination/residency/test_ownership.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from camphoryard.coordination.ownership import (
+from camphoryard.coordination.ports import Stored
+from camphoryard.coordination.residency.ownership import (
     FLEET_RENEWALS_PER_S,
     RENEWALS_PER_LEASE,
     LeaseKeeper,
@@ -12,7 +13,6 @@
     owner_of,
     rendezvous_owner,
 )
-from camphoryard.coordination.ports import Stored
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.nodes import NodeLease, NodeTable
--- a/tests/coordination/test_record_keeping.py
+++ b/tests/coordination/residency/test_record_keeping.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from camphoryard.coordination.record_keeping import RecordKeeper
-from camphoryard.coordination.residency_parts import Identity, ResidencyParts
+from camphoryard.coordination.residency.record_keeping import RecordKeeper
+from camphoryard.coordination.residency.residency_parts import Identity, ResidencyParts
 from camphoryard.state.configuration import Configuration, Endpoint
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, NodeState
--- a/tests/coordination/test_residency.py
+++ b/tests/coordination/residency/test_residency.py
@@ -3,9 +3,9 @@
 import pytest
 
 from camphoryard.coordination.messages import Declined, Done, ItemsUsed, LoadWanted
-from camphoryard.coordination.placement import Move
-from camphoryard.coordination.residency import EndpointOwner, ResidencyDesk
-from camphoryard.coordination.wishes import LoadWish, UnloadWish
+from camphoryard.coordination.placement.placement import Move
+from camphoryard.coordination.residency.residency import EndpointOwner, ResidencyDesk
+from camphoryard.coordination.residency.wishes import LoadWish, UnloadWish
 from camphoryard.state.errors import ConflictError
 
 
--- a/tests/coordination/test_residency_client.py
+++ b/tests/coordination/residency/test_residency_client.py
@@ -3,11 +3,14 @@
 import time
 from concurrent.futures import Future
 
-from camphoryard.coordination.eviction import LeastDemand
 from camphoryard.coordination.messages import Declined, Done, LoadWanted
-from camphoryard.coordination.occupancy import Occupancy
-from camphoryard.coordination.residency_client import ClientParts, ResidencyClient
-from camphoryard.coordination.usage import Usage
+from camphoryard.coordination.observing.usage import Usage
+from camphoryard.coordination.residency.eviction import LeastDemand
+from camphoryard.coordination.residency.occupancy import Occupancy
+from camphoryard.coordination.residency.residency_client import (
+    ClientParts,
+    ResidencyClient,
+)
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import NodeState
--- a/tests/coordination/test_settling.py
+++ b/tests/coordination/residency/test_settling.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from camphoryard.coordination.orders import OrderFate
 from camphoryard.coordination.ports import Inventory
-from camphoryard.coordination.settling import Evidence, settle
+from camphoryard.coordination.residency.orders import OrderFate
+from camphoryard.coordination.residency.settling import Evidence, settle
 from camphoryard.state.endpoint_record import (
     EndpointRecord,
     Intent,
--- a/tests/coordination/test_wishes.py
+++ b/tests/coordination/residency/test_wishes.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from camphoryard.coordination.wishes import (
+from camphoryard.coordination.residency.wishes import (
     ClosedWish,
     LoadWish,
     UnloadWish,
--- a/tests/coordination/test_breakers.py
+++ b/tests/coordination/routing/test_breakers.py
@@ -1,6 +1,6 @@
 """Tests of circuit breakers."""
 
-from camphoryard.coordination.breakers import (
+from camphoryard.coordination.routing.breakers import (
     EJECTION_S,
     MAX_EJECTION_S,
     PROBE_LIMIT_S,
--- a/tests/coordination/test_leaving.py
+++ b/tests/coordination/routing/test_leaving.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from camphoryard.coordination.leaving import LeavingEndpoints, StayingServices
-from camphoryard.coordination.load_estimates import LoadEstimates
+from camphoryard.coordination.routing.leaving import LeavingEndpoints, StayingServices
+from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.configuration import Configuration, Endpoint
 from camphoryard.state.enums import EndpointKind, VmState
 from camphoryard.state.errors import NotSentError
--- a/tests/coordination/test_load_estimates.py
+++ b/tests/coordination/routing/test_load_estimates.py
@@ -1,6 +1,6 @@
 """Tests of load estimates."""
 
-from camphoryard.coordination.load_estimates import LoadEstimates
+from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     EndpointId,
--- a/tests/coordination/test_retry_budget.py
+++ b/tests/coordination/routing/test_retry_budget.py
@@ -1,6 +1,6 @@
 """Tests of retry budgets."""
 
-from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
+from camphoryard.coordination.routing.retry_budget import RetryBudget, RetryLimits
 from camphoryard.state.ids import GroupId
 
 DESK, BATCH = GroupId("desk"), GroupId("batch")
--- a/tests/coordination/test_retry_window.py
+++ b/tests/coordination/routing/test_retry_window.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from camphoryard.coordination.retry_window import RepeatLimits, RetryWindow
+from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from tests.fakes.engines import Clock
 
 LIMITS = RepeatLimits(0.2, 12.0, 10.0)
--- a/tests/coordination/test_routing.py
+++ b/tests/coordination/routing/test_routing.py
@@ -2,7 +2,7 @@
 
 import random
 
-from camphoryard.coordination.routing import (
+from camphoryard.coordination.routing.routing import (
     LeastInFlight,
     PrefixAffinity,
     RoundRobin,
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -4,19 +4,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from camphoryard.coordination.admission import Admission, DeadlineFirst
-from camphoryard.coordination.breakers import Breakers
+from camphoryard.coordination.admission.admission import Admission, DeadlineFirst
+from camphoryard.coordination.admission.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.concurrency_limits import ConcurrencyLimits
-from camphoryard.coordination.demand import DemandMeter
-from camphoryard.coordination.inference_parts import InferenceParts
-from camphoryard.coordination.leaving import LeavingEndpoints
-from camphoryard.coordination.load_estimates import LoadEstimates
+from camphoryard.coordination.inference.inference_parts import InferenceParts
+from camphoryard.coordination.inference.suspects import Suspects
+from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.ports import Inventory
-from camphoryard.coordination.retry_budget import RetryBudget, RetryLimits
-from camphoryard.coordination.routing import LeastInFlight, Router
-from camphoryard.coordination.suspects import Suspects
-from camphoryard.coordination.timeline import Timeline
+from camphoryard.coordination.routing.breakers import Breakers
+from camphoryard.coordination.routing.leaving import LeavingEndpoints
+from camphoryard.coordination.routing.load_estimates import LoadEstimates
+from camphoryard.coordination.routing.retry_budget import RetryBudget, RetryLimits
+from camphoryard.coordination.routing.routing import LeastInFlight, Router
 from camphoryard.state.configuration import (
     Caller,
     Configuration,
--- a/tests/protocol/test_status.py
+++ b/tests/protocol/test_status.py
@@ -1,7 +1,7 @@
 """Tests of status and refusals as JSON."""
 
-from camphoryard.coordination.risks import NodeView, Risk
-from camphoryard.coordination.status import Status
+from camphoryard.coordination.observing.risks import NodeView, Risk
+from camphoryard.coordination.observing.status import Status
 from camphoryard.protocol.status import (
     count_by_key,
     decode_refusals,
