--- a/tests/coordination/configuration/test_configuring.py
+++ b/tests/coordination/configuration/test_configuring.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from camphoryard.coordination import configuring
+from camphoryard.coordination.configuration import configuring
 from camphoryard.coordination.configuration.changing import Change
 from camphoryard.coordination.configuration.configuring import HEAD_KEY, Configurator
 from camphoryard.coordination.observing.timeline import Timeline
--- a/tests/coordination/jobs/test_job_limits.py
+++ b/tests/coordination/jobs/test_job_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from camphoryard.coordination import job_limits
+from camphoryard.coordination.jobs import job_limits
 from camphoryard.coordination.jobs.job_limits import JobLimits, OpenJobCounter
 from camphoryard.state.enums import JobState, Reason
 from camphoryard.state.errors import RefusalError, StoreUnavailableError
--- a/tests/coordination/residency/test_order_sending.py
+++ b/tests/coordination/residency/test_order_sending.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from camphoryard.coordination import order_sending
 from camphoryard.coordination.ports import Inventory
+from camphoryard.coordination.residency import order_sending
 from camphoryard.coordination.residency.order_sending import (
     MAX_LOADS_IN_DOUBT,
     OrderSender,
--- a/tests/coordination/residency/test_owned_endpoint.py
+++ b/tests/coordination/residency/test_owned_endpoint.py
@@ -11,10 +11,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from camphoryard.coordination import give_up_asking, order_sending, record_keeping
 from camphoryard.coordination.messages import GivenUp
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Inventory, Stored
+from camphoryard.coordination.residency import (
+    give_up_asking,
+    order_sending,
+    record_keeping,
+)
 from camphoryard.coordination.residency.eviction import LeastDemand
 from camphoryard.coordination.residency.occupancy import Occupancy
 from camphoryard.coordination.residency.orders import EndpointOrders
