--- a/src/camphoryard/coordination/forwarding/feeding.py
+++ b/src/camphoryard/coordination/forwarding/feeding.py
@@ -17,7 +17,8 @@
     """Takes listings and changes into a directory, logging what they change.
 
     Entries that lapsed while the store was out come back soon after its return,
-    so those missing then still count for ``MISSING_GRACE_S``.
+    so those missing in a listing then still count for ``MISSING_GRACE_S``. One
+    that is removed while it is watched has left.
     """
 
     def __init__(
@@ -57,8 +58,7 @@
         endpoint = stored.record
         before = self._directory.find(id)
         if endpoint is None:
-            within_s = MISSING_GRACE_S if self._is_returning() else 0.0
-            self._directory.removed(id, within_s)
+            self._directory.removed(id)
             self._log("endpoint_removed", endpoint=id, revision=stored.version)
             return
         self._directory.saw(endpoint)
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -43,6 +43,8 @@
 POLL_PERIOD_S = 0.2
 UNLOAD_LIMIT_S = 20.0
 """An unload waits for the runs on its model, which last some seconds."""
+LEAST_LOAD_SHARE = 0.8
+"""Before this part of its stated time no load is over, and nothing is asked."""
 LOAD_LIMIT_FACTOR = 4.0
 """Loads take longer than stated while many run at once."""
 LOAD_LIMIT_EXTRA_S = 3.0
@@ -232,7 +234,10 @@
                     book.saw(endpoint)
 
     def _ask_unknown(self) -> None:
-        """Ask the engines of which this term knows nothing, or a move of another."""
+        """Ask the engines of which this term knows nothing, or a move of another.
+
+        Each question is priced, so an engine is asked once in a while only.
+        """
         with self._lock:
             books = [
                 book
@@ -242,7 +247,8 @@
                 and not book.is_resting
             ]
         for book in books:
-            if not self._ask(book):
+            self._ask(book)
+            if book.orders is None or book.is_engine_busy:
                 book.rest()
 
     def _books(self, service: ServiceId) -> list[EngineBook]:
@@ -414,7 +420,7 @@
         book.unloading = model
         if not self._order(book, OrderKind.UNLOAD, WantedModel(model)):
             return False
-        if not self._await(book, UNLOAD_LIMIT_S, lambda held: model not in held):
+        if not self._await(book, 0.0, UNLOAD_LIMIT_S, lambda held: model not in held):
             return False
         book.model_left(model)
         return True
@@ -430,7 +436,10 @@
         if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.DONE):
             return False
         limit_s = spec.load_s * LOAD_LIMIT_FACTOR + LOAD_LIMIT_EXTRA_S
-        if not self._await(book, limit_s, lambda held: model in held):
+        is_on_hand = model in book.endpoint.on_hand
+        least_s = spec.disk_load_s if is_on_hand else spec.load_s
+        ask_from_s = self._parts.clock() + least_s * LEAST_LOAD_SHARE
+        if not self._await(book, ask_from_s, limit_s, lambda held: model in held):
             return False
         book.model_came(model)
         self._parts.directory.learned(book.endpoint.id, WantedModel(model))
@@ -439,6 +448,7 @@
     def _await(
         self,
         book: EngineBook,
+        ask_from_s: float,
         limit_s: float,
         holds: Callable[[frozenset[ModelId]], bool],
     ) -> bool:
@@ -449,6 +459,8 @@
         for _ in self._parts.timer.every(POLL_PERIOD_S):
             if self._parts.clock() >= until_s:
                 return False
+            if self._parts.clock() < ask_from_s:
+                continue
             current = self._parts.directory.find(book.endpoint.id)
             if current is None or current.started_ms != started_ms:
                 return False
--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -97,14 +97,10 @@
             self._take(endpoint)
         self._tell()
 
-    def removed(self, id: EndpointId, within_s: float = 0.0) -> None:
-        """Forget an endpoint, or let it count for another ``within_s`` seconds."""
+    def removed(self, id: EndpointId) -> None:
+        """Forget an endpoint."""
         with self._changed:
-            if within_s > 0 and id in self._endpoints_by_id:
-                missing = _Missing(self._clock() + within_s)
-                self._missing_by_id.setdefault(id, missing)
-            else:
-                self._forget(id)
+            self._forget(id)
         self._tell()
 
     def expire(self) -> tuple[EndpointId, ...]:
--- /dev/null
+++ b/tests/coordination/forwarding/test_feeding.py
@@ -0,0 +1,88 @@
+"""Tests of what listings and changes make of the directory."""
+
+from camphoryard.coordination.forwarding.feeding import DirectoryFeed
+from camphoryard.coordination.ports import Snapshot, Stored
+from camphoryard.state.directory import MISSING_GRACE_S, Directory
+from camphoryard.state.ids import ObjectKey, Revision, Version
+from tests.fakes.engines import (
+    SERVICE,
+    Clock,
+    KeptLines,
+    make_endpoint,
+    make_rules,
+)
+
+
+class Feed:
+    """A feed with its directory and clock."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.directory = Directory(self.clock)
+        self.feed = DirectoryFeed(self.directory, KeptLines(), self.clock)
+
+    def list(self, *names):
+        """List endpoints by name."""
+        items = tuple(
+            Stored(ObjectKey(name), Version(1), make_endpoint(name)) for name in names
+        )
+        self.feed.list_endpoints(Snapshot(Revision(1), items))
+        self.feed.answering(True)
+
+    def ready(self):
+        """Return the names of the endpoints that take work."""
+        return sorted(item.id for item in self.directory.ready(SERVICE))
+
+
+class TestDirectoryFeed:
+    """Listings, changes and outages."""
+
+    def test_an_entry_that_lapsed_in_an_outage_counts_for_a_while(self):
+        """It may only have been unable to renew, and comes back."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        feed.feed.answering(False)
+        feed.list("e1")
+        assert feed.ready() == ["e1", "e2"]
+
+    def test_an_entry_still_missing_after_that_is_gone(self):
+        """Two seconds after the store's return the listing is the truth."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        feed.feed.answering(False)
+        feed.list("e1")
+        feed.clock.advance(MISSING_GRACE_S + 0.1)
+        assert feed.directory.expire() == ("e2",)
+        assert feed.ready() == ["e1"]
+
+    def test_an_entry_removed_right_after_an_outage_has_left(self):
+        """A removal that is watched is no lapse: requests stop at once."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        feed.feed.answering(False)
+        feed.list("e1", "e2")
+        feed.clock.advance(1.0)
+        feed.feed.take_endpoint(Stored(ObjectKey("e2"), Version(9), None))
+        assert feed.ready() == ["e1"]
+
+    def test_an_entry_missing_without_an_outage_has_left(self):
+        """A listing after a break of the watch's history is the truth."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        feed.list("e1")
+        assert feed.ready() == ["e1"]
+
+    def test_older_rules_change_nothing(self):
+        """A version that was in force never comes back."""
+        feed = Feed()
+        for version in (3, 2):
+            rules = make_rules(version=version)
+            feed.feed.take_rules(Stored(ObjectKey("main"), Version(1), rules))
+        assert feed.directory.rules.version == 3
+
+    def test_an_entry_that_cannot_be_read_names_no_endpoint(self):
+        """The other endpoints stay as they are."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        feed.feed.take_endpoint(Stored(ObjectKey("e1"), Version(2), None))
+        assert feed.ready() == ["e2"]
