--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -10,9 +10,6 @@
 from camphoryard.state.serving_endpoints import HeldModel, ServingEndpoint
 from camphoryard.state.traffic import EngineSpec, WantedModel
 
-ENTRY_LAG_S = 2.5
-"""An entry may lack what changed or was reported so short a time ago: engines write
-theirs every second or so, and it is read once a second."""
 REST_S = 0.5
 """After an order that an engine did not take, before the next one to it."""
 ARRIVAL_S = 0.05
@@ -23,8 +20,8 @@
 class EngineBook:
     """One engine: what it holds, what is on its way, how many orders it took.
 
-    The engine's own words replace what is written here as soon as they include
-    the last order. ``orders`` is how many it has accepted, or None before it was
+    Nobody else orders the engine, so what it holds is known from its reports and
+    from the orders since. ``orders`` is how many it has accepted, or None before it was
     asked. ``is_engine_busy`` is what it last said: another node may have ordered a
     move that is still under way. ``calls`` is held while an order is sent, as each
     bears the number of those before it.
@@ -39,7 +36,6 @@
     move_began_s: float = 0.0
     is_engine_busy: bool = False
     calls: threading.Lock = field(default_factory=threading.Lock)
-    _changed_s: float = float("-inf")
     _rests_until_s: float = 0.0
     _adapters_by_model: dict[ModelId, set[AdapterId]] = field(default_factory=dict)
     _used_s_by_item: dict[WantedModel, float] = field(default_factory=dict)
@@ -52,14 +48,16 @@
         self._replace(self.endpoint.held_by_model)
 
     def saw(self, endpoint: ServingEndpoint) -> None:
-        """Take in the engine's entry."""
+        """Take in the engine's entry.
+
+        It is older than what the engine itself has answered since, so only a new
+        start of the engine counts.
+        """
         if endpoint.started_ms != self.endpoint.started_ms:
             self.end()
             self.orders = None
             self._arriving_until_s.clear()
             self._replace(endpoint.held_by_model)
-        elif self.clock() - self._changed_s > ENTRY_LAG_S:
-            self._replace(endpoint.held_by_model)
         self.endpoint = endpoint
 
     def reported(self, report: EngineReport) -> bool:
@@ -68,7 +66,6 @@
         is_current = report.orders_accepted >= (self.orders or 0)
         if is_current:
             self.orders = report.orders_accepted
-            self._changed_s = self.clock()
             self._replace(report.held_by_model)
             for item in report.coming:
                 if item.adapter is not None:
@@ -81,7 +78,6 @@
         """Note that the engine accepted an order."""
         if self.orders is not None:
             self.orders += 1
-        self._changed_s = self.clock()
 
     def begin(self, model: ModelId) -> None:
         """Note that a move is under way that will load ``model``."""
@@ -191,13 +187,11 @@
 
     def model_came(self, model: ModelId) -> None:
         """Note that a load is complete."""
-        self._changed_s = self.clock()
         self._adapters_by_model.setdefault(model, set())
         self._held_since_s[model] = self.clock()
 
     def model_left(self, model: ModelId) -> None:
         """Note that an unload is complete."""
-        self._changed_s = self.clock()
         self.unloading = None
         self._adapters_by_model.pop(model, None)
 
@@ -211,7 +205,6 @@
     def adapter_left(self, item: WantedModel) -> None:
         """Note that an adapter was unloaded."""
         assert item.adapter is not None
-        self._changed_s = self.clock()
         self._adapters_by_model.get(item.model, set()).discard(item.adapter)
         self._arriving_until_s.pop(item, None)
 
