Let a move cost the adapters that its engine cannot take

Cause: engines refuse adapters while a model moves; moves for rare models went to engines whose models half of the short requests need adapters of. Change: such engines are dearer to move at.

--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -58,6 +58,7 @@
         parts.models.arrived(request.wanted)
     while True:
         endpoint = _find_endpoint(parts, journey)
+        _check_cancelled(journey, cancellation)
         try:
             outcome = attempt(parts, journey, endpoint, cancellation, reply)
         except (NotSentError, BrokenCallError) as error:
--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -22,7 +22,10 @@
         Requests at once that one copy carries well.
     move_cost_slots_per_s : float
         Demand that each second of a move must cover: meanwhile the engine takes
-        no other move and no adapter.
+        no other move.
+    adapter_cost_share : float
+        Part of the demand for adapters of an engine's models that each second of
+        a move costs too, as the engine takes no adapter meanwhile.
     min_residency_s : float
         How long a copy stays before it may make room for another.
     spread_weight : float
@@ -32,6 +35,7 @@
 
     comfort_slots: float = 8.0
     move_cost_slots_per_s: float = 0.3
+    adapter_cost_share: float = 0.3
     min_residency_s: float = 2.0
     spread_weight: float = 0.15
 
@@ -42,6 +46,7 @@
 
     ``fixed`` are models that may not be unloaded now, ``on_hand`` those that load
     without the weight store. A ``busy`` engine takes no order now.
+    ``adapter_slots`` is its part of the demand for adapters of its models.
     """
 
     id: EndpointId
@@ -50,6 +55,7 @@
     fixed: frozenset[ModelId] = frozenset()
     on_hand: frozenset[ModelId] = frozenset()
     is_busy: bool = False
+    adapter_slots: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,7 +184,9 @@
     kept = _without_excess(engine, evicted, -missing_mb)
     from_store = model not in engine.on_hand
     takes_s = spec.load_s if from_store else spec.disk_load_s
-    cost = policy.move_cost_slots_per_s * takes_s
+    cost_per_s = policy.move_cost_slots_per_s
+    cost_per_s += policy.adapter_cost_share * engine.adapter_slots
+    cost = cost_per_s * takes_s
     lost = sum(copy_worth(policy, view, item) for item in kept)
     return LoadMove(engine.id, model, tuple(kept), from_store), lost + cost
 
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -337,6 +337,7 @@
             moving = frozenset(self._moving)
             wanted = frozenset(self._want_by_model)
         policy = self._parts.policy
+        adapter_slots = self._adapter_slots(books)
         engines = tuple(
             EngineView(
                 book.endpoint.id,
@@ -353,12 +354,26 @@
                 or book.orders is None
                 or book.is_resting
                 or book.is_engine_busy,
+                sum(adapter_slots.get(model, 0.0) for model in book.models),
             )
             for book in books
         )
         specs = books[0].spec.models_by_id if books else {}
         return FleetView(engines, self._demand_by_model(specs), specs)
 
+    def _adapter_slots(self, books: list[EngineBook]) -> dict[ModelId, float]:
+        """Return the demand for a model's adapters that each of its copies has."""
+        slots: dict[ModelId, float] = {}
+        for item, demand in self._parts.demand().items():
+            model, _, adapter = item.partition(":")
+            if adapter:
+                known = slots.get(ModelId(model), 0.0)
+                slots[ModelId(model)] = known + demand.fast
+        return {
+            model: total / max(1, sum(model in book.models for book in books))
+            for model, total in slots.items()
+        }
+
     def _demand_by_model(self, models: Iterable[ModelId]) -> dict[ModelId, float]:
         known = frozenset(models)
         slots: dict[ModelId, float] = {}
