--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -85,10 +85,12 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.sent = []
+        self.on_open = lambda: None
 
     def open(self, endpoint, request, sending, cancellation):
         """Send a request."""
         self.sent.append((endpoint.id, sending))
+        self.on_open()
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
@@ -338,10 +340,17 @@
     def test_a_request_whose_client_has_left_goes_nowhere(self):
         """After the client's end no further endpoint is tried."""
         site = Site(BrokenCallError("x"), served(b"ok"))
-        site.cancellation.cancel()
+        site.upstream.on_open = site.cancellation.cancel
         assert site.refusal().reason is Reason.CANCELLED
         assert len(site.sent_to) == 1
 
+    def test_a_request_whose_client_left_while_it_waited_is_not_sent(self):
+        """The client is looked for again right before the call."""
+        site = Site(served(b"ok"))
+        site.cancellation.cancel()
+        assert site.refusal().reason is Reason.CANCELLED
+        assert site.sent_to == []
+
     def test_a_draining_endpoint_gets_nothing(self):
         """Only endpoints that take new work are chosen."""
         site = Site(served(b"ok"), endpoints=("e1",))
