Go on ordering in an outage, and load elsewhere what a silent engine held

Change: where engines check fences a holder goes on while the store gives no answer and peers tell of no newer term; nodes tell which engine took no connection, and one that does not answer the ordering node either counts as gone; patience is short only if another endpoint holds the model.

--- a/src/camphoryard/coordination/duty/keeper.py
+++ b/src/camphoryard/coordination/duty/keeper.py
@@ -23,6 +23,9 @@
 LEASE_MARGIN_S = 0.5
 """The holder stops this long before others may take over; covers a call under way."""
 HANDOVER_MARGIN_S = 0.3
+UNANSWERED_LIFE_S = 2.5
+"""How long a try to renew that got no answer lets a fenced holder go on: a period,
+and the longest time that a call of the store takes."""
 NO_TERM = FencingNumber(0)
 
 
@@ -48,12 +51,21 @@
     conditional write, once it has seen the record unchanged for ``LEASE_S``, and
     acts after ``handover_s`` more.
 
+    Where engines check fences, a holder goes on while the store does not answer it:
+    its term is the newest that any engine has seen until another node takes over,
+    and from then on engines refuse it. It stops within a moment of being suspended,
+    as each further moment needs a new try to renew.
+
     Parameters
     ----------
     key : ObjectKey
         Name of the duty's record.
     handover_s : float
         How long after the last act of a holder the next one may act, in seconds.
+    is_fenced : bool
+        Whether all that the holder acts on refuses older terms.
+    newest_term : callable
+        The newest term that peers tell of.
     stands_by : callable
         Whether this node is one of those that watch the holder.
     clock : callable
@@ -67,6 +79,8 @@
         node: NodeId,
         incarnation: Incarnation,
         handover_s: float,
+        is_fenced: bool,
+        newest_term: Callable[[], FencingNumber],
         stands_by: Callable[[], bool],
         log: DecisionLog,
         clock: Callable[[], float] = boot_clock_s,
@@ -76,6 +90,9 @@
         self._node = node
         self._incarnation = incarnation
         self._handover_s = handover_s
+        self._is_fenced = is_fenced
+        self._newest_term = newest_term
+        self._unanswered_s = float("-inf")
         self._stands_by = stands_by
         self._log = log
         self._clock = clock
@@ -88,15 +105,18 @@
     @property
     def term(self) -> FencingNumber:
         """The term in which this node may act now, or ``NO_TERM``."""
-        now_s = self._clock()
-        if self._term and self._acts_from_s <= now_s < self._acts_until_s:
-            return self._term
+        if self._acts_from_s <= self._clock():
+            return self.claimed_term
         return NO_TERM
 
     @property
     def claimed_term(self) -> FencingNumber:
         """The term that this node holds, though it may have to wait to act."""
-        if self._clock() < self._acts_until_s:
+        now_s = self._clock()
+        if now_s < self._acts_until_s:
+            return self._term
+        is_trying = now_s - self._unanswered_s < UNANSWERED_LIFE_S
+        if self._is_fenced and is_trying and self._newest_term() <= self._term:
             return self._term
         return NO_TERM
 
@@ -112,6 +132,7 @@
                 self._seen = None
             except StoreUnavailableError as error:
                 self._seen = None
+                self._unanswered_s = self._clock()
                 if self._term:
                     self._log("duty_unrenewed", duty=self._key, error=str(error))
 
@@ -149,11 +170,8 @@
             self._lose("taken")
             return
         assert seen.record is not None
+        # Also after the lease: the write succeeds only if nobody has taken over.
         began_s = self._clock()
-        if began_s >= self._acts_until_s:
-            # Others may have waited for the end of this term already.
-            self._lose("lapsed")
-            return
         record = DutyRecord(
             self._node, self._incarnation, self._term, seen.record.renewal + 1
         )
--- a/src/camphoryard/coordination/fleet/news.py
+++ b/src/camphoryard/coordination/fleet/news.py
@@ -87,6 +87,12 @@
         node = max(terms, key=lambda item: terms[item])
         return node if terms[node] else None
 
+    def newest_term(self) -> FencingNumber:
+        """Return the newest term that peers tell of, or 0."""
+        digests = (self._nodes.digest(lease.node) for lease in self._nodes.alive())
+        terms = (digest.duty_term for digest in digests if digest is not None)
+        return max(terms, default=FencingNumber(0))
+
     def stands_by(self) -> bool:
         """Return whether this node watches the holder of the duty.
 
--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -68,7 +68,7 @@
     cancellation: Cancellation,
 ) -> Answer:
     """Send the request; note that it may have run unless no byte left."""
-    sending = _sending(parts, journey)
+    sending = _sending(parts, journey, endpoint)
     try:
         answer = parts.upstream.open(endpoint, journey.request, sending, cancellation)
     except BrokenCallError:
@@ -81,12 +81,16 @@
     return answer
 
 
-def _sending(parts: ForwardingParts, journey: Journey) -> Sending:
+def _sending(
+    parts: ForwardingParts, journey: Journey, endpoint: ServingEndpoint
+) -> Sending:
     request, rule = journey.request, journey.rule
+    holders = parts.directory.holders(journey.service, request.wanted)
+    has_others = any(item.id != endpoint.id for item in holders)
     left_s = max(0.0, journey.event_due_s - parts.clock())
     is_last = journey.runs + 1 >= rule.max_attempts
     patience_s = left_s
-    if rule.repeatability.may_run_again and not is_last:
+    if rule.repeatability.may_run_again and not is_last and has_others:
         patience_s = min(left_s, first_patience_s(rule))
     is_once = rule.repeatability in (Repeatability.ONCE, Repeatability.STREAM)
     return Sending(
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -130,7 +130,7 @@
     usable = _usable(parts, journey, holders)
     if usable:
         return parts.chooser.choose(usable)
-    if wanted is None or holders:
+    if wanted is None:
         raise _no_endpoint(journey, "every endpoint of the service has failed")
     if journey.sends:
         parts.directory.wait_until(
@@ -138,7 +138,9 @@
         )
     began_s = parts.clock()
     try:
-        found = parts.models.seek(journey.service, wanted, journey.event_due_s)
+        found = parts.models.seek(
+            journey.service, wanted, journey.event_due_s, journey.unreached
+        )
         journey.loads_awaited_s += parts.clock() - began_s
         return found
     except NotHeldInTimeError as error:
@@ -189,6 +191,11 @@
 ) -> None:
     """Note what a failed call says about its endpoint."""
     journey.failed.add(endpoint.id)
+    match error:
+        case NotSentError():
+            journey.unreached.add(endpoint.id)
+        case _:
+            pass
     if journey.progress.events:
         patience_s = journey.rule.client_patience_s
         journey.event_due_s = min(journey.due_s, parts.clock() + patience_s)
--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -1,7 +1,7 @@
 """What the tasks that forward requests work with, and how far one has come."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -29,10 +29,16 @@
     """Has models and adapters loaded that a request needs."""
 
     def seek(
-        self, service: ServiceId, wanted: WantedModel, deadline_s: float
+        self,
+        service: ServiceId,
+        wanted: WantedModel,
+        deadline_s: float,
+        avoid: Collection[EndpointId] = (),
     ) -> ServingEndpoint:
         """Block until ``wanted`` is held somewhere, and return where.
 
+        Endpoints in ``avoid`` could not be reached.
+
         Raises
         ------
         NotHeldInTimeError
@@ -70,8 +76,9 @@
     ``due_s`` is when all is over, ``event_due_s`` when the client leaves unless an
     event, or the first byte of a whole answer, has come. ``runs`` counts the
     endpoints at which it may have run, ``sends`` all that it was sent to;
-    ``progress`` is what the client has of a stream. ``endpoint`` is the last one
-    sent to; the times, in seconds, are what on-call engineers ask for first.
+    ``progress`` is what the client has of a stream. ``failed`` are endpoints whose
+    call broke, ``unreached`` those of them that took no connection. ``endpoint`` is
+    the last one sent to; the times, in seconds, are what on-call engineers ask for.
     """
 
     request: ClientRequest
@@ -84,6 +91,7 @@
     may_have_run: bool = False
     failed: set[EndpointId] = field(default_factory=set)
     progress: StreamProgress = field(default_factory=StreamProgress)
+    unreached: set[EndpointId] = field(default_factory=set)
     endpoint: EndpointId | None = None
     loads_awaited_s: float = 0.0
     first_event_s: float = 0.0
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -65,6 +65,9 @@
 STEADY_WEIGHT = 0.3
 """What the demand of the last half minute counts beside that of the last seconds: a
 model that was asked for and is not now may be again."""
+SILENCE_LIFE_S = 3.0
+"""How long an engine that does not answer counts as gone; its entry lapses after
+about as long."""
 WANT_LIFE_S = 3.0
 """How long a model counts as wanted after the last request for it."""
 
@@ -125,6 +128,7 @@
         self._lock = threading.Lock()
         self._book_by_id: dict[EndpointId, EngineBook] = {}
         self._moving: set[EndpointId] = set()
+        self._silent_until_s: dict[EndpointId, float] = {}
         self._want_by_model: dict[ModelId, _Want] = {}
         self._changed = threading.Condition()
         self._rate = StoreRate(parts.clock)
@@ -142,13 +146,21 @@
             if self.has_duty:
                 self.plan()
 
-    def provide(self, service: ServiceId, wanted: WantedModel) -> Provision:
+    def provide(
+        self,
+        service: ServiceId,
+        wanted: WantedModel,
+        avoid: Collection[EndpointId] = (),
+    ) -> Provision:
         """Have ``wanted`` loaded somewhere, and return where or when it will be.
 
-        An adapter is waited for, which takes some hundredths of a second.
+        An adapter is waited for, which takes some hundredths of a second. Engines
+        in ``avoid`` could not be reached; those that do not answer here either
+        count as gone for a while.
         """
         if not self.has_duty or not self._is_configured(service, wanted.model):
             return NotProvided()
+        self._check_reached(avoid)
         books = self._holders(service, wanted.model)
         if books:
             found = self._provide_at(books, wanted)
@@ -251,10 +263,30 @@
             if book.orders is None or book.is_engine_busy:
                 book.rest()
 
+    def _check_reached(self, avoid: Collection[EndpointId]) -> None:
+        """Note which of the engines that a node could not reach are silent."""
+        now_s = self._parts.clock()
+        for id in avoid:
+            with self._lock:
+                book = self._book_by_id.get(id)
+                known = self._silent_until_s.get(id, 0.0) > now_s
+            if book is None or known:
+                continue
+            try:
+                self._parts.orders.report(book.endpoint)
+            except (NotSentError, BrokenCallError) as error:
+                with self._lock:
+                    self._silent_until_s[id] = now_s + SILENCE_LIFE_S
+                self._parts.log("engine_silent", endpoint=id, error=repr(error))
+
+    def _is_silent(self, book: EngineBook) -> bool:
+        until_s = self._silent_until_s.get(book.endpoint.id, 0.0)
+        return self._parts.clock() < until_s
+
     def _books(self, service: ServiceId) -> list[EngineBook]:
         self._refresh()
         with self._lock:
-            books = list(self._book_by_id.values())
+            books = [x for x in self._book_by_id.values() if not self._is_silent(x)]
         return [
             book
             for book in books
--- a/src/camphoryard/coordination/loading/seeking.py
+++ b/src/camphoryard/coordination/loading/seeking.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from dataclasses import dataclass
@@ -27,7 +27,7 @@
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import Priority
 from camphoryard.state.errors import NotHeldInTimeError, PeerUnreachableError
-from camphoryard.state.ids import ItemId, NodeId, ServiceId
+from camphoryard.state.ids import EndpointId, ItemId, NodeId, ServiceId
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import WantedModel
 
@@ -85,11 +85,18 @@
         self._parts.demand.held(item_of(wanted), held_s)
 
     def seek(
-        self, service: ServiceId, wanted: WantedModel, deadline_s: float
+        self,
+        service: ServiceId,
+        wanted: WantedModel,
+        deadline_s: float,
+        avoid: Collection[EndpointId] = (),
     ) -> ServingEndpoint:
         """Block until ``wanted`` is held somewhere; see the ModelSeeker port."""
         while True:
-            provision = self._ask_together(service, wanted, deadline_s)
+            if avoid:
+                provision = self._ask(service, wanted, avoid)
+            else:
+                provision = self._ask_together(service, wanted, deadline_s)
             match provision:
                 case Held(found):
                     endpoint = self._parts.directory.find(found)
@@ -131,15 +138,20 @@
                 del self._asked_by_item[wanted]
             answer.set_result(provision)
 
-    def _ask(self, service: ServiceId, wanted: WantedModel) -> Provision:
+    def _ask(
+        self,
+        service: ServiceId,
+        wanted: WantedModel,
+        avoid: Collection[EndpointId] = (),
+    ) -> Provision:
         holder = self._parts.holder()
         if holder is None:
             return NotProvided()
         if holder == self._parts.node:
-            return self._parts.orderer.provide(service, wanted)
+            return self._parts.orderer.provide(service, wanted, avoid)
         try:
             reply = self._parts.peers.ask(
-                holder, ItemWanted(service, wanted), ASK_LIMIT_S
+                holder, ItemWanted(service, wanted, tuple(avoid)), ASK_LIMIT_S
             )
         except PeerUnreachableError as error:
             self._parts.log("holder_unreachable", holder=holder, error=str(error))
@@ -165,7 +177,7 @@
 
 def answer_wanted(orderer: Orderer, message: ItemWanted) -> Reply:
     """Return the reply to a node that seeks an item."""
-    match orderer.provide(message.service, message.wanted):
+    match orderer.provide(message.service, message.wanted, message.avoid):
         case Held(endpoint):
             return ItemHeld(endpoint)
         case Coming(in_s):
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -254,10 +254,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ItemWanted:
-    """Ask who orders the engines to have a model or adapter loaded somewhere."""
+    """Ask who orders the engines to have a model or adapter loaded somewhere.
+
+    The endpoints in ``avoid`` could not be reached by the sender.
+    """
 
     service: ServiceId
     wanted: WantedModel
+    avoid: tuple[EndpointId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -150,6 +150,8 @@
         settings.node,
         incarnation,
         settings.bounds.handover_s,
+        settings.bounds.engines_check_fences,
+        lambda: news.newest_term(),
         lambda: news.stands_by(),
         log,
     )
--- a/tests/coordination/loading/test_orderer.py
+++ b/tests/coordination/loading/test_orderer.py
@@ -175,6 +175,24 @@
         assert site.engine_by_name["e1"].taken == []
 
 
+class TestSilentEngines:
+    """Engines that a node could not reach."""
+
+    def test_the_models_of_a_silent_engine_are_loaded_elsewhere(self, timer):
+        """Its copies count for nothing while it does not answer."""
+        site = Site(timer, e1=["m1"], e2=[])
+        site.engine_by_name["e1"].is_silent = True
+        wanted = WantedModel(M1)
+        assert isinstance(site.orderer.provide(SERVICE, wanted, ["e1"]), Coming)
+        site.run_moves()
+        assert site.orderer.provide(SERVICE, wanted) == Held("e2")
+
+    def test_an_engine_that_answers_is_believed(self, timer):
+        """One node that cannot reach it moves nothing."""
+        site = Site(timer, e1=["m1"], e2=[])
+        assert site.orderer.provide(SERVICE, WantedModel(M1), ["e1"]) == Held("e1")
+
+
 class TestOverfilling:
     """Engines are never ordered to load more than they hold."""
 
