--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
+from pathlib import Path
 
 from camphoryard.coordination.fleet.presence import agree_on_keys
 from camphoryard.entry.assembly import Entry, handle, make_entry
@@ -172,9 +173,13 @@
 
 
 def main() -> None:
-    """Run one node; exit codes: 0 stopped, 2 settings bad, 3 a port not bound."""
+    """Run one node with the settings file named first, or the platform's own.
+
+    Exit codes: 0 stopped, 2 settings bad, 3 a port not bound.
+    """
+    path = Path(sys.argv[1]) if len(sys.argv) > 1 else settings_path()
     try:
-        settings = read_entry_settings(settings_path())
+        settings = read_entry_settings(path)
     except SettingsError as error:
         print(f"camphoryard-entry: {error}", file=sys.stderr, flush=True)
         sys.exit(EXIT_SETTINGS)
@@ -190,3 +195,7 @@
         os._exit(EXIT_NOT_BOUND)
     # Tasks that still wait for endpoints or peers would hold the exit up.
     os._exit(0)
+
+
+if __name__ == "__main__":
+    main()
