--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -64,7 +64,16 @@
         entry.readiness.refuse,
     )
     entry.directory.subscribe(partial(_apply_limits, entry, front))
-    for name, server in (("front", front), ("ready", ready)):
+    servers = {"front": front, "ready": ready}
+    if settings.metrics_port:
+        servers["metrics"] = serve(
+            entry.readiness,
+            settings.host,
+            settings.metrics_port,
+            entry.executors.node,
+            entry.readiness.refuse,
+        )
+    for name, server in servers.items():
         threading.Thread(target=server.run, name=name, daemon=True).start()
     tasks: tuple[Callable[[TimerService], None], ...] = (
         *(follower.run for follower in entry.followers),
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -35,11 +35,15 @@
         return 0.0 if self.engines_check_fences else self.order_lease_s
 
 
+METRICS_PORT = 9464
+"""The usual port of exporters of metrics; deploy/system.toml names it too."""
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """One node: where it is and listens, and where the store is.
 
-    ``peer_ports`` is the first and the last port for traffic between nodes.
+    ``metrics_port`` 0 lets the ready address alone serve metrics. ``peer_ports`` is the first and the last port for traffic between nodes.
     """
 
     node: NodeId
@@ -50,3 +54,4 @@
     peer_ports: tuple[int, int]
     store: HostPort
     bounds: Bounds
+    metrics_port: int = METRICS_PORT
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from camphoryard.entry.settings import Bounds, EntrySettings
+from camphoryard.entry.settings import METRICS_PORT, Bounds, EntrySettings
 from camphoryard.settings import SettingsError
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.serving_endpoints import HostPort
@@ -54,6 +54,8 @@
     listen: _Listen
     cloud_platform: _Store
     limits: _Limits = _Limits()
+    # Ours, not the platform's: where metrics are served, 0 for nowhere else.
+    metrics_port: int = METRICS_PORT
     bounds: _Bounds = _Bounds()
 
 
@@ -92,6 +94,7 @@
             file.inner_port_range,
             _host_port("cloud-platform.address", file.cloud_platform.address),
             _bounds(file.bounds),
+            file.metrics_port,
         )
     except (msgspec.ValidationError, ValueError) as error:
         raise SettingsError(f"{source}: {error}") from error
--- a/tests/system/test_entry.py
+++ b/tests/system/test_entry.py
@@ -20,6 +20,7 @@
 zone = "zone-a"
 inner-port-range = [{peer_port},{peer_port}]
 new-field = "ignored"
+metrics-port = 0
 [listen]
 front = "{host}:{front}"
 ready = "{host}:{ready}"
@@ -190,6 +191,13 @@
         numbers = [line for line in body.splitlines() if line.startswith(b"id:")]
         assert numbers == [f"id: {n}".encode() for n in range(1, 11)]
 
+    def test_metrics_tell_counts_and_latencies(self, site):
+        """They are served beside readiness."""
+        site.call("/book/1", "b0")
+        text = request(site.ready, "GET", "/metrics")
+        assert "camphoryard_requests_answered_total" in text
+        assert 'camphoryard_request_seconds{quantile="0.99"}' in text
+
     def test_an_unknown_host_is_not_found(self, site):
         """No route takes it."""
         assert site.call("/none/", "n1")[0].status == 404
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -150,3 +150,33 @@
         asked = HttpCall("GET", "/", max_answer_bytes=limit)
         with pytest.raises(BrokenCallError):
             client.call(server.address, asked)
+
+
+class TestSkip:
+    """Answers to earlier calls."""
+
+    def test_the_answer_behind_a_foreign_one_is_found(self):
+        """No byte of it is lost with the first, and the connection is not kept."""
+        foreign = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nold"
+        own = b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\nnew"
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+
+            def answer_twice():
+                connection, _ = listener.accept()
+                with connection:
+                    connection.recv(4096)
+                    connection.sendall(foreign + own)
+                    connection.recv(4096)
+
+            task = threading.Thread(target=answer_twice)
+            task.start()
+            client = HttpClient()
+            answer = client.open(Address("127.0.0.1", port), HttpCall("GET", "/"))
+            assert answer.response.headers["X-Id"] == "1"
+            answer.skip()
+            assert answer.response.headers["X-Id"] == "2"
+            assert answer.response.read() == b"new"
+            answer.close(is_read=True)
+            task.join(10)
+            assert client._take_idle(Address("127.0.0.1", port), 60.0) is None
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -122,3 +122,46 @@
         assert not app.gone.is_set()
         caller.close()
         assert app.gone.wait(LIMIT_S)
+
+
+class TestConnections:
+    """How long a connection is kept."""
+
+    CHUNKED = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    @staticmethod
+    def stream(environ, start_response):
+        """Answer in chunks."""
+        write = start_response("200 OK", [])
+        write(b"piece")
+        return []
+
+    def test_an_answer_in_chunks_keeps_its_connection(self, run):
+        """The next request comes on the same one."""
+        server = run(self.stream)
+        with socket.create_connection((HOST, server.effective_port)) as connection:
+            for _ in range(2):
+                connection.sendall(self.CHUNKED)
+                received = b""
+                while not received.endswith(b"0\r\n\r\n"):
+                    received += connection.recv(4096)
+                assert b"Connection: close" not in received
+
+    def test_a_leaving_server_closes_after_the_answer(self, run):
+        """The client is told, and finds another node."""
+        server = run(self.stream)
+        server.leave()
+        with socket.create_connection((HOST, server.effective_port)) as connection:
+            connection.sendall(self.CHUNKED)
+            received = b"".join(iter(lambda: connection.recv(4096), b""))
+        assert b"Connection: close" in received
+
+    def test_idle_connections_of_a_leaving_server_are_closed(self, run):
+        """They carry no request."""
+        server = run(self.stream)
+        with socket.create_connection((HOST, server.effective_port)) as connection:
+            connection.settimeout(LIMIT_S)
+            while not server.active_channels:
+                time.sleep(0.01)
+            server.close_idle()
+            assert connection.recv(1) == b""
