--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -43,7 +43,8 @@
 class EntrySettings:
     """One node: where it is and listens, and where the store is.
 
-    ``metrics_port`` 0 lets the ready address alone serve metrics. ``peer_ports`` is the first and the last port for traffic between nodes.
+    ``metrics_port`` 0 lets the ready address alone serve metrics. ``peer_ports`` is
+    the first and the last port for traffic between nodes.
     """
 
     node: NodeId
