--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -6,6 +6,8 @@
 from camphoryard.coordination.forwarding.attempt import Outcome, attempt
 from camphoryard.coordination.forwarding.parts import ForwardingParts, Journey
 from camphoryard.coordination.forwarding.ports import ClientReply, ClientRequest
+from camphoryard.coordination.messages import CrashSeen
+from camphoryard.coordination.routing.crash_tally import fingerprint
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     BrokenCallError,
@@ -53,6 +55,7 @@
         never will.
     """
     journey = begin(parts, request)
+    _check_barred(parts, journey)
     parts.retries.earn(journey.service)
     if request.wanted is not None:
         parts.models.arrived(request.wanted)
@@ -64,6 +67,8 @@
         except (NotSentError, BrokenCallError) as error:
             _check_cancelled(journey, cancellation)
             _note_failure(parts, journey, endpoint, error)
+            _note_crash(parts, journey, endpoint, error)
+            _check_barred(parts, journey)
             _check_again(parts, journey, error)
             continue
         match outcome:
@@ -213,6 +218,42 @@
     )
 
 
+def _note_crash(
+    parts: ForwardingParts,
+    journey: Journey,
+    endpoint: ServingEndpoint,
+    error: NotSentError | BrokenCallError,
+) -> None:
+    """Tell all nodes if the endpoint crashed as the request began to run there."""
+    digest = fingerprint(journey.request)
+    match error:
+        case NotSentError() | StalledCallError():
+            return
+        case _ if digest is None or journey.progress.events:
+            return
+    if not parts.upstream.is_down(endpoint):
+        return
+    crashes = parts.crashes.saw(digest, endpoint.id)
+    parts.tell_crash(CrashSeen(digest, endpoint.id, early=True, on_trial=False))
+    parts.log(
+        "endpoint_crashed",
+        request=journey.request.id,
+        endpoint=endpoint.id,
+        fingerprint=digest,
+        crashes=crashes,
+    )
+
+
+def _check_barred(parts: ForwardingParts, journey: Journey) -> None:
+    """Raise RefusalError if the request has crashed the endpoints that ran it."""
+    if parts.crashes.is_barred(fingerprint(journey.request)):
+        raise RefusalError(
+            Reason.QUARANTINED,
+            "this request has crashed the endpoints that ran it",
+            journey.verdict,
+        )
+
+
 def _check_again(
     parts: ForwardingParts,
     journey: Journey,
--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -8,7 +8,9 @@
 from camphoryard.coordination.forwarding.choosing import EndpointChooser
 from camphoryard.coordination.forwarding.ports import ClientRequest, Upstream
 from camphoryard.coordination.forwarding.progress import StreamProgress
+from camphoryard.coordination.messages import CrashSeen
 from camphoryard.coordination.routing.breakers import Breakers
+from camphoryard.coordination.routing.crash_tally import CrashTally
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.state.directory import Directory
 from camphoryard.state.ids import EndpointId, ServiceId
@@ -63,6 +65,8 @@
     retries: RetryWindow[ServiceId]
     upstream: Upstream
     models: ModelSeeker
+    crashes: CrashTally
+    tell_crash: Callable[[CrashSeen], None]
     log: DecisionLog
     observe: Callable[[str, float], None]
     count: Callable[[str], None]
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -140,6 +140,9 @@
             If the call broke on the way.
         """
 
+    def is_down(self, endpoint: ServingEndpoint) -> bool:
+        """Return whether an endpoint takes no connection now."""
+
 
 class ClientReply(Protocol):
     """The answer on its way to the client."""
--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -34,6 +34,7 @@
     loading: ModelId | None = None
     unloading: ModelId | None = None
     move_began_s: float = 0.0
+    load_began_s: float | None = None
     is_engine_busy: bool = False
     calls: threading.Lock = field(default_factory=threading.Lock)
     _rests_until_s: float = 0.0
@@ -82,16 +83,23 @@
     def begin(self, model: ModelId) -> None:
         """Note that a move is under way that will load ``model``."""
         self.loading = model
+        self.load_began_s = None
         self.move_began_s = self.clock()
 
     def end(self) -> None:
         """Note that no move is under way any more."""
         self.loading = self.unloading = None
+        self.load_began_s = None
 
     def rest(self) -> None:
         """Send the engine nothing for a while."""
         self._rests_until_s = self.clock() + REST_S
 
+    @property
+    def takes_moves(self) -> bool:
+        """Whether the engine is known, and not busy with another node's order."""
+        return not (self.orders is None or self.is_engine_busy or self.is_resting)
+
     @property
     def takes_adapters(self) -> bool:
         """Whether adapters can be ordered now: not while a model moves."""
--- /dev/null
+++ b/src/camphoryard/coordination/loading/moving.py
@@ -0,0 +1,142 @@
+"""One engine's moves: models unloaded and loaded, one after the other."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from camphoryard.coordination.forwarding.parts import DecisionLog
+from camphoryard.coordination.loading.book import EngineBook
+from camphoryard.coordination.loading.calls import TOOK, EngineCalls
+from camphoryard.coordination.loading.coverage import LoadMove
+from camphoryard.coordination.loading.ports import OrderAnswer
+from camphoryard.coordination.ports import Timer
+from camphoryard.state.directory import Directory
+from camphoryard.state.enums import OrderKind
+from camphoryard.state.errors import BrokenCallError, NotSentError
+from camphoryard.state.ids import ModelId
+from camphoryard.state.traffic import ModelSpec, WantedModel
+
+POLL_PERIOD_S = 0.15
+UNLOAD_LIMIT_S = 20.0
+"""An unload waits for the runs on its model, which last some seconds."""
+LEAST_LOAD_SHARE = 0.8
+"""Before this part of its stated time no load is over, and nothing is asked."""
+LOAD_LIMIT_FACTOR = 4.0
+"""Loads take longer than stated while many run at once."""
+LOAD_LIMIT_EXTRA_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Mover:
+    """Carries moves out; ``timer`` paces its questions."""
+
+    calls: EngineCalls
+    directory: Directory
+    timer: Timer
+    log: DecisionLog
+    count: Callable[[str], None]
+    clock: Callable[[], float] = time.monotonic
+
+    def carry_out(self, book: EngineBook, move: LoadMove) -> bool:
+        """Unload what has to go, then load; return whether the model came."""
+        began_s = self.clock()
+        done = False
+        try:
+            done = self._unload(book, move) and self._load(book, move.model)
+        finally:
+            book.end()
+        self.count("moves_done" if done else "moves_failed")
+        self.log(
+            "move_ended",
+            endpoint=move.engine,
+            load=move.model,
+            done=done,
+            took_ms=round((self.clock() - began_s) * 1000),
+        )
+        return done
+
+    def _unload(self, book: EngineBook, move: LoadMove) -> bool:
+        """Order the unloads, having learned what the engine holds.
+
+        Orders bear consecutive numbers from here on, so no other node's order can
+        come between them and the load.
+        """
+        with book.calls:
+            if not self.calls.ask_until_current(book) or book.is_engine_busy:
+                return False
+        for model in move.evicted:
+            book.unloading = model
+            if not self._order(book, OrderKind.UNLOAD, model):
+                return False
+            # The load is refused as long as runs on the model go on.
+            book.model_left(model)
+        return True
+
+    def _load(self, book: EngineBook, model: ModelId) -> bool:
+        spec = book.spec.models_by_id.get(model)
+        if spec is None or not self._order(book, OrderKind.LOAD, model):
+            return False
+        book.load_began_s = self.clock()
+        if not self._await(book, spec):
+            return False
+        book.model_came(model)
+        self.directory.learned(book.endpoint.id, WantedModel(model))
+        return True
+
+    def _order(self, book: EngineBook, kind: OrderKind, model: ModelId) -> bool:
+        """Send an order as long as the engine is busy with the one before."""
+        until_s = self.clock() + UNLOAD_LIMIT_S
+        for _ in self.timer.every(POLL_PERIOD_S):
+            with book.calls:
+                answer = self.calls.send_once(book, kind, WantedModel(model))
+            match answer:
+                case OrderAnswer.BUSY:
+                    may_go = self._is_still_its_turn(book)
+                case None:
+                    # Not answered: the same number takes effect only once.
+                    may_go = self.calls.may_send(book, kind, WantedModel(model))
+                    may_go = may_go and self._is_still_its_turn(book)
+                case _:
+                    return answer in TOOK
+            if not may_go or self.clock() >= until_s:
+                return False
+        return False
+
+    def _is_still_its_turn(self, book: EngineBook) -> bool:
+        """Return whether the engine has accepted no order but those known here."""
+        ordered = book.orders
+        with book.calls:
+            try:
+                report = self.calls.orders.report(book.endpoint)
+            except (NotSentError, BrokenCallError):
+                return False
+        return ordered is not None and report.orders_accepted <= ordered
+
+    def _await(self, book: EngineBook, spec: ModelSpec) -> bool:
+        """Block until the engine holds a model; ask it now and then."""
+        is_on_hand = spec.id in book.endpoint.on_hand
+        least_s = spec.disk_load_s if is_on_hand else spec.load_s
+        ask_from_s = self.clock() + least_s * LEAST_LOAD_SHARE
+        until_s = self.clock() + spec.load_s * LOAD_LIMIT_FACTOR + LOAD_LIMIT_EXTRA_S
+        ordered = book.orders or 0
+        started_ms = book.endpoint.started_ms
+        for _ in self.timer.every(POLL_PERIOD_S):
+            now_s = self.clock()
+            if now_s >= until_s:
+                return False
+            if now_s < ask_from_s:
+                continue
+            current = self.directory.find(book.endpoint.id)
+            if current is None or current.started_ms != started_ms:
+                return False
+            try:
+                report = self.calls.orders.report(book.endpoint)
+            except (NotSentError, BrokenCallError):
+                continue
+            if report.orders_accepted < ordered:
+                continue
+            if spec.id in report.held_by_model:
+                return True
+            if not report.is_busy:
+                return False
+        return False
--- a/src/camphoryard/coordination/loading/seeking.py
+++ b/src/camphoryard/coordination/loading/seeking.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.forwarding.parts import DecisionLog
+from camphoryard.coordination.loading.adapters import item_of
 from camphoryard.coordination.loading.orderer import (
     Coming,
     Held,
@@ -27,7 +28,7 @@
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import Priority
 from camphoryard.state.errors import NotHeldInTimeError, PeerUnreachableError
-from camphoryard.state.ids import EndpointId, ItemId, NodeId, ServiceId
+from camphoryard.state.ids import EndpointId, NodeId, ServiceId
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import WantedModel
 
@@ -42,13 +43,6 @@
 """How often the ordering node is asked again about a load under way."""
 
 
-def item_of(wanted: WantedModel) -> ItemId:
-    """Return the item, as demand counts it, that a request runs on."""
-    if wanted.adapter is None:
-        return ItemId(wanted.model)
-    return ItemId(f"{wanted.model}:{wanted.adapter}")
-
-
 @dataclass(frozen=True, slots=True)
 class SeekingParts:
     """What seekers work with; ``holder`` names the node that orders engines."""
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -24,6 +24,7 @@
     answer_wanted,
 )
 from camphoryard.coordination.messages import (
+    CrashSeen,
     Declined,
     Done,
     Gossip,
@@ -34,6 +35,7 @@
 from camphoryard.coordination.placement.demand import DemandMeter, SystemDemand
 from camphoryard.coordination.ports import Records, Stored
 from camphoryard.coordination.routing.breakers import Breakers
+from camphoryard.coordination.routing.crash_tally import CrashTally
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.coordination.watching import Follower
@@ -117,6 +119,7 @@
     duty: DutyKeeper
     orderer: Orderer
     seeker: Seeker
+    crashes: CrashTally
     app: FrontApp
     readiness: ReadinessApp
     executors: Executors
@@ -183,6 +186,7 @@
     seeker = Seeker(
         SeekingParts(settings.node, directory, orderer, peers, news.holder, demand, log)
     )
+    crashes = CrashTally()
     dialect = PlatformHeads()
     bounds = settings.bounds
     parts = ForwardingParts(
@@ -198,6 +202,8 @@
         ),
         HttpUpstream(client, dialect),
         seeker,
+        crashes,
+        functools.partial(_tell_all, nodes, peers, settings.node),
         log,
         metrics.observe,
         metrics.count,
@@ -227,6 +233,7 @@
         duty,
         orderer,
         seeker,
+        crashes,
         FrontApp(parts, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
@@ -242,6 +249,12 @@
             return Done()
         case ItemWanted() as wanted:
             return answer_wanted(entry.orderer, wanted)
+        case CrashSeen(request, endpoint):
+            crashes = entry.crashes.saw(request, endpoint)
+            entry.log(
+                "crash_told", fingerprint=request, endpoint=endpoint, crashes=crashes
+            )
+            return Done()
         case _:
             return Declined("not a message between entry daemons")
 
@@ -325,5 +338,13 @@
     peers.know(stored.record)
 
 
+def _tell_all(
+    nodes: NodeTable, peers: PeerNetwork, own: NodeId, message: Message
+) -> None:
+    for lease in nodes.all():
+        if lease.node != own:
+            peers.tell(lease.node, message)
+
+
 def _unwritten(record: object) -> NoReturn:
     raise TypeError(f"{type(record).__name__} is written by the platform only")
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -11,7 +11,8 @@
 from camphoryard.coordination.forwarding.exchange import forward
 from camphoryard.coordination.forwarding.parts import ForwardingParts, Journey
 from camphoryard.coordination.forwarding.ports import ClientRequest
-from camphoryard.coordination.loading.seeking import STOPPING_RETRY_S, item_of
+from camphoryard.coordination.loading.adapters import item_of
+from camphoryard.coordination.loading.seeking import STOPPING_RETRY_S
 from camphoryard.protocol.dialect import Dialect, RequestHead
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -264,6 +264,15 @@
             if connection.sock is not None:
                 shut(connection.sock)
 
+    def can_connect(self, address: Address, limit_s: float) -> bool:
+        """Return whether a connection can be made; it is kept for the next call."""
+        try:
+            connection = self._connect(address, HttpCall("GET", "/", connect_s=limit_s))
+        except NotSentError:
+            return False
+        self.give_back(address, connection)
+        return True
+
     def forget(self, address: Address) -> None:
         """Close the idle connections to an address that is used no more."""
         with self._lock:
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -103,6 +103,11 @@
             answer.close(is_read=False)
             raise
 
+    def is_down(self, endpoint: ServingEndpoint) -> bool:
+        """Return whether an endpoint takes no connection now."""
+        address = Address(endpoint.address.host, endpoint.address.port)
+        return not self._client.can_connect(address, CONNECT_LIMIT_S)
+
     def _own_head(self, answer: OpenAnswer, request: ClientRequest) -> AnswerHead:
         """Return the head of the answer to this request, past those to others."""
         for _ in range(MAX_FOREIGN_ANSWERS):
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -12,6 +12,7 @@
     ClientRequest,
 )
 from camphoryard.coordination.routing.breakers import Breakers
+from camphoryard.coordination.routing.crash_tally import CrashTally, fingerprint
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import Reason
@@ -86,6 +87,7 @@
         self.answers = list(answers)
         self.sent = []
         self.on_open = lambda: None
+        self.down = set()
 
     def open(self, endpoint, request, sending, cancellation):
         """Send a request."""
@@ -96,6 +98,10 @@
             raise answer
         return answer
 
+    def is_down(self, endpoint):
+        """Tell whether an endpoint takes connections."""
+        return endpoint.id in self.down
+
 
 class Reply:
     """What the client gets."""
@@ -152,7 +158,8 @@
             [make_endpoint(name, options.get("models", ())) for name in names], False
         )
         self.upstream = Upstream(*answers)
-        self.log = KeptLines()
+        self.log, self.told = KeptLines(), []
+        self.crashes = CrashTally(self.clock)
         self.breakers = Breakers(self.clock)
         in_flight = InFlightTable()
         limits = RepeatLimits(0.2, options.get("reserve", 50.0), 10.0)
@@ -164,6 +171,8 @@
             RetryWindow(limits, lambda: 1, self.clock),
             self.upstream,
             options.get("seeker", Models()),
+            self.crashes,
+            self.told.append,
             self.log,
             lambda *_: None,
             lambda _: None,
@@ -175,7 +184,7 @@
             options.get("host", "site.example"),
             "/a/b?c=d",
             {},
-            b"",
+            options.get("body", b""),
             self.clock.now_s,
             self.clock.now_s + 20.0,
             wanted=options.get("wanted"),
@@ -312,6 +321,32 @@
         assert deadlines == {site.clock.now_s + 10.0}
 
 
+class TestCrashes:
+    """A request that crashes each endpoint that begins to run it."""
+
+    def test_it_is_refused_after_the_third_endpoint(self):
+        """Also where other nodes saw the first two."""
+        site = Site(BrokenCallError("x"), served(b"ok"), body=b"poison")
+        digest = fingerprint(site.request)
+        site.crashes.saw(digest, "e8")
+        site.crashes.saw(digest, "e9")
+        site.upstream.down = {"e1", "e2"}
+        assert site.refusal().reason is Reason.QUARANTINED
+        assert [seen.fingerprint for seen in site.told] == [digest]
+        assert site.refusal().verdict is Verdict.NOT_RUN
+        assert len(site.sent_to) == 1
+
+    def test_a_connection_that_broke_alone_is_no_crash(self):
+        """The endpoint still takes connections."""
+        site = Site(BrokenCallError("x"), served(b"ok"), body=b"innocent")
+        site.forward()
+        assert site.told == []
+
+    def test_requests_without_a_body_are_told_apart_by_nothing(self):
+        """None of them is barred for another."""
+        assert fingerprint(Site().request) is None
+
+
 class TestRefusals:
     """What is known not to be served is refused at once."""
 
--- a/tests/coordination/loading/test_orderer.py
+++ b/tests/coordination/loading/test_orderer.py
@@ -203,7 +203,7 @@
         engine.loading = M1
         engine.orders = 1
         site.duty.term = FencingNumber(2)
-        site.orderer._note_term()
+        site.orderer.note_term()
         site.orderer.plan()
         site.orderer.provide(SERVICE, WantedModel(M2))
         assert site.executor.waiting == []
