Refuse a stream that would begin after its client left

Change: a node estimates the wait for a first event from its own requests that wait and the rate at which first events come, takes an engine that keeps up, or refuses at once.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -12,7 +12,9 @@
     ClientReply,
     Sending,
 )
+from camphoryard.coordination.routing.first_events import FirstEvents
 from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.ids import EndpointId
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import Repeatability, RouteRule
 
@@ -53,14 +55,38 @@
     journey.endpoint = endpoint.id
     parts.in_flight.begin(endpoint.id)
     parts.breakers.started(endpoint.id)
+    wait = _FirstEventWait(parts.first_events, endpoint.id)
     try:
         with closing(_open(parts, journey, endpoint, cancellation)) as answer:
             parts.observe("head", parts.clock() - sent_s)
-            return _take(parts, journey, endpoint, answer, reply, sent_s)
+            return _take(parts, journey, endpoint, answer, reply, sent_s, wait)
     finally:
+        wait.end()
         parts.in_flight.end(endpoint.id)
 
 
+class _FirstEventWait:
+    """One request's wait for its first event."""
+
+    def __init__(self, first_events: FirstEvents, endpoint: EndpointId) -> None:
+        self._first_events = first_events
+        self._endpoint = endpoint
+        self._is_over = False
+        first_events.sent(endpoint)
+
+    def came(self) -> None:
+        """Note the first event."""
+        if not self._is_over:
+            self._is_over = True
+            self._first_events.came(self._endpoint)
+
+    def end(self) -> None:
+        """Note the end, with or without one."""
+        if not self._is_over:
+            self._is_over = True
+            self._first_events.ended(self._endpoint)
+
+
 def _open(
     parts: ForwardingParts,
     journey: Journey,
@@ -115,6 +141,7 @@
     answer: Answer,
     reply: ClientReply,
     sent_s: float,
+    wait: _FirstEventWait,
 ) -> Outcome:
     """Hand on an answer whose head has come."""
     match answer.head.kind:
@@ -139,7 +166,7 @@
             return _take_failure(parts, journey, endpoint, answer, reply)
         case AnswerKind.SERVED:
             if journey.rule.repeatability.is_stream:
-                _relay(parts, journey, endpoint, answer, reply)
+                _relay(parts, journey, endpoint, answer, reply, wait)
                 if journey.request.wanted is not None:
                     held_s = parts.clock() - sent_s
                     parts.models.finished(journey.request.wanted, held_s)
@@ -175,6 +202,7 @@
     endpoint: ServingEndpoint,
     answer: Answer,
     reply: ClientReply,
+    wait: _FirstEventWait,
 ) -> None:
     """Hand on a stream event by event; raises if it ends before its end."""
     gap_s = _gap_patience_s(parts, journey)
@@ -191,6 +219,7 @@
         if last_s:
             journey.longest_gap_s = max(journey.longest_gap_s, now_s - last_s)
         else:
+            wait.came()
             _succeeded(parts, endpoint)
             journey.first_event_s = (
                 journey.first_event_s or now_s - journey.request.arrived_s
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -27,6 +27,10 @@
 DECLINED_PAUSE_S = 0.03
 """Before an engine that has just declined a request is asked again: an adapter on
 its way takes about as long."""
+HOPELESS_SHARE = 0.85
+"""Part of the time until its client leaves that a stream may be expected to wait."""
+QUEUE_RETURN_S = 2.0
+"""The longest that a client is sent away for a queue, which changes by then."""
 RETURN_FACTOR = 1.25
 RETURN_EXTRA_S = 0.3
 """Loads end up to a quarter later than estimated, and are seen some tenths after."""
@@ -134,7 +138,7 @@
     holders = [item for item in ready if parts.directory.holds(item, wanted)]
     usable = _usable(parts, journey, holders)
     if usable:
-        return parts.chooser.choose(usable)
+        return parts.chooser.choose(_in_time(parts, journey, usable))
     if wanted is None:
         raise _no_endpoint(journey, "every endpoint of the service has failed")
     if journey.sends:
@@ -166,6 +170,35 @@
     return closed or fresh
 
 
+def _in_time(
+    parts: ForwardingParts, journey: Journey, usable: list[ServingEndpoint]
+) -> list[ServingEndpoint]:
+    """Return the endpoints at which a stream begins before its client leaves.
+
+    Raises
+    ------
+    RefusalError
+        If there is none: the client would leave without an event, having kept
+        those behind it waiting.
+    """
+    if not journey.rule.repeatability.is_stream or journey.progress.events:
+        return usable
+    left_s = journey.event_due_s - parts.clock()
+    wait_s_by_id = {item.id: parts.first_events.wait_s(item.id) for item in usable}
+    in_time = [
+        item for item in usable if wait_s_by_id[item.id] < left_s * HOPELESS_SHARE
+    ]
+    if in_time:
+        return in_time
+    least_s = min(wait_s_by_id.values())
+    raise RefusalError(
+        Reason.OVERLOADED,
+        f"the first event would come in about {least_s:.1f} s",
+        journey.verdict,
+        retry_after_s=_return_s(parts, journey, min(least_s, QUEUE_RETURN_S)),
+    )
+
+
 def _return_s(parts: ForwardingParts, journey: Journey, in_s: float) -> float:
     """Return when a client whose model comes in about ``in_s`` should come back.
 
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -36,6 +36,7 @@
 from camphoryard.coordination.ports import Records, Stored
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_tally import CrashTally
+from camphoryard.coordination.routing.first_events import FirstEvents
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.coordination.watching import Follower
@@ -194,6 +195,7 @@
         EndpointChooser(settings.zone, estimates.load),
         in_flight,
         Breakers(),
+        FirstEvents(),
         RetryWindow(
             RepeatLimits(
                 bounds.retry_share, bounds.retry_reserve, bounds.retry_window_s
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -13,6 +13,7 @@
 )
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_tally import CrashTally, fingerprint
+from camphoryard.coordination.routing.first_events import FirstEvents
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import Reason
@@ -161,6 +162,7 @@
         self.log, self.told = KeptLines(), []
         self.crashes = CrashTally(self.clock)
         self.breakers = Breakers(self.clock)
+        self.first_events = FirstEvents(self.clock)
         in_flight = InFlightTable()
         limits = RepeatLimits(0.2, options.get("reserve", 50.0), 10.0)
         self.parts = ForwardingParts(
@@ -168,6 +170,7 @@
             EndpointChooser(ZONE, in_flight.count),
             in_flight,
             self.breakers,
+            self.first_events,
             RetryWindow(limits, lambda: 1, self.clock),
             self.upstream,
             options.get("seeker", Models()),
@@ -321,6 +324,36 @@
         assert deadlines == {site.clock.now_s + 10.0}
 
 
+class TestCrowds:
+    """More streams at an engine than can begin before their clients leave."""
+
+    def test_a_hopeless_stream_is_refused_before_it_is_sent(self):
+        """It has not run, and its client is told when to come back."""
+        site = Site(served(ONE), repeatability=Repeatability.STREAM, endpoints=("e1",))
+        for _ in range(20):
+            site.first_events.sent("e1")
+        refusal = site.refusal()
+        assert refusal.verdict is Verdict.NOT_RUN
+        assert refusal.retry_after_s > 0
+        assert site.sent_to == []
+
+    def test_another_engine_without_a_queue_is_taken(self):
+        """Even if more of its slots are filled."""
+        site = Site(served(ONE), repeatability=Repeatability.STREAM)
+        for _ in range(20):
+            site.first_events.sent("e1")
+        site.forward()
+        assert site.sent_to == ["e2"]
+
+    def test_a_whole_answer_is_not_kept_back(self):
+        """Lookups wait in the endpoint's own queue."""
+        site = Site(served(b"ok"), endpoints=("e1",))
+        for _ in range(20):
+            site.first_events.sent("e1")
+        site.forward()
+        assert site.reply.status == 200
+
+
 class TestCrashes:
     """A request that crashes each endpoint that begins to run it."""
 
