End a move with its term, and believe nothing after one that failed

In reading, a move went on in a later term with a book of the former, and a failed move left its unloads believed.

--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/book.py
@@ -95,6 +95,11 @@
         """Send the engine nothing for a while."""
         self._rests_until_s = self.clock() + REST_S
 
+    def doubt(self) -> None:
+        """Trust nothing that is written here until the engine has been asked."""
+        self.orders = None
+        self.is_engine_busy = True
+
     @property
     def takes_moves(self) -> bool:
         """Whether the engine is known, and not busy with another node's order."""
--- a/src/camphoryard/coordination/loading/moving.py
+++ b/src/camphoryard/coordination/loading/moving.py
@@ -13,7 +13,7 @@
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import BrokenCallError, NotSentError
-from camphoryard.state.ids import ModelId
+from camphoryard.state.ids import FencingNumber, ModelId
 from camphoryard.state.traffic import ModelSpec, WantedModel
 
 POLL_PERIOD_S = 0.15
@@ -40,11 +40,15 @@
     def carry_out(self, book: EngineBook, move: LoadMove) -> bool:
         """Unload what has to go, then load; return whether the model came."""
         began_s = self.clock()
+        term = self.calls.duty.term
         done = False
         try:
-            done = self._unload(book, move) and self._load(book, move.model)
+            done = self._unload(book, move, term) and self._load(book, move, term)
         finally:
             book.end()
+            if not done:
+                # What was unloaded, and whether the load was taken, is not known.
+                book.doubt()
         self.count("moves_done" if done else "moves_failed")
         self.log(
             "move_ended",
@@ -55,7 +59,7 @@
         )
         return done
 
-    def _unload(self, book: EngineBook, move: LoadMove) -> bool:
+    def _unload(self, book: EngineBook, move: LoadMove, term: FencingNumber) -> bool:
         """Order the unloads, having learned what the engine holds.
 
         Orders bear consecutive numbers from here on, so no other node's order can
@@ -66,15 +70,16 @@
                 return False
         for model in move.evicted:
             book.unloading = model
-            if not self._order(book, OrderKind.UNLOAD, model):
+            if not self._order(book, OrderKind.UNLOAD, model, term):
                 return False
             # The load is refused as long as runs on the model go on.
             book.model_left(model)
         return True
 
-    def _load(self, book: EngineBook, model: ModelId) -> bool:
+    def _load(self, book: EngineBook, move: LoadMove, term: FencingNumber) -> bool:
+        model = move.model
         spec = book.spec.models_by_id.get(model)
-        if spec is None or not self._order(book, OrderKind.LOAD, model):
+        if spec is None or not self._order(book, OrderKind.LOAD, model, term):
             return False
         book.load_began_s = self.clock()
         if not self._await(book, spec):
@@ -83,10 +88,18 @@
         self.directory.learned(book.endpoint.id, WantedModel(model))
         return True
 
-    def _order(self, book: EngineBook, kind: OrderKind, model: ModelId) -> bool:
-        """Send an order as long as the engine is busy with the one before."""
+    def _order(
+        self, book: EngineBook, kind: OrderKind, model: ModelId, term: FencingNumber
+    ) -> bool:
+        """Send an order as long as the engine is busy with the one before.
+
+        A move ends with the term in which it began: books of later terms do not
+        know of it.
+        """
         until_s = self.clock() + UNLOAD_LIMIT_S
         for _ in self.timer.every(POLL_PERIOD_S):
+            if self.calls.duty.term != term:
+                return False
             with book.calls:
                 answer = self.calls.send_once(book, kind, WantedModel(model))
             match answer:
--- a/tests/coordination/loading/test_orderer.py
+++ b/tests/coordination/loading/test_orderer.py
@@ -224,6 +224,20 @@
         assert not engine.is_overfilled
         assert (OrderKind.LOAD, WantedModel(M1)) not in engine.taken
 
+    def test_a_move_that_fails_leaves_nothing_believed(self, timer):
+        """What it had to unload may still be there, with its adapters."""
+        site = Site(timer, e1=[("m1", ("a1", "a2")), "m3"])
+        engine = site.engine_by_name["e1"]
+        engine.runs_on = True
+        site.orderer.provide(SERVICE, WantedModel(M2))
+        engine.on_order = lambda: site.duty.fenced(1)
+        site.run_moves()
+        engine.on_order = lambda: None
+        site.duty.term = FencingNumber(1)
+        site.orderer.provide(SERVICE, WantedModel(ModelId("m3"), AdapterId("a1")))
+        assert engine.held[M1] == {"a1", "a2"}
+        assert not engine.is_overfilled
+
     def test_an_order_without_an_answer_takes_effect_once(self, timer):
         """A repeat bears the number of the first, so an engine takes only one."""
         site = Site(timer, e1=["m1"])
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -1,5 +1,6 @@
 """Engines that take orders, and endpoints to put into a directory."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from camphoryard.coordination.loading.ports import EngineReport, OrderAnswer
@@ -131,7 +132,10 @@
 
 @dataclass
 class FakeEngine:
-    """One engine; loads stay under way until ``finish``."""
+    """One engine; loads stay under way until ``finish``.
+
+    With ``runs_on`` an unload that was accepted waits for runs without an end.
+    """
 
     spec: EngineSpec
     held: dict[ModelId, set[AdapterId]] = field(default_factory=dict)
@@ -139,21 +143,27 @@
     loading: ModelId | None = None
     is_overfilled: bool = False
     is_silent: bool = False
+    runs_on: bool = False
+    is_unloading: bool = False
+    on_order: Callable[[], None] = lambda: None
     taken: list[tuple[OrderKind, WantedModel]] = field(default_factory=list)
 
     def order(self, order):
         """Take an order as the engines do."""
         if self.is_silent:
             raise BrokenCallError("silent")
-        if self.loading is not None and order.item.adapter is None:
+        if self.is_unloading or (self.loading and order.item.adapter is None):
             return OrderAnswer.BUSY
         if order.expected != self.orders:
             return OrderAnswer.BUSY
         self.orders += 1
         self.taken.append((order.kind, order.item))
+        self.on_order()
         match order.kind, order.item:
             case OrderKind.LOAD, WantedModel(model, None):
                 self.loading = model
+            case OrderKind.UNLOAD, WantedModel(_, None) if self.runs_on:
+                self.is_unloading = True
             case OrderKind.UNLOAD, WantedModel(model, None):
                 self.held.pop(model, None)
             case OrderKind.LOAD, WantedModel(model, adapter):
@@ -179,7 +189,8 @@
             model: HeldModel(1, frozenset(adapters))
             for model, adapters in self.held.items()
         }
-        return EngineReport(held, self.loading is not None, self.orders, 0, 0)
+        is_busy = self.loading is not None or self.is_unloading
+        return EngineReport(held, is_busy, self.orders, 0, 0)
 
     def _check(self):
         models = {*self.held, *([self.loading] if self.loading else [])}
