Let a rare model wait before it displaces a crowd's copy

Change: the first copy of a wanted model is worth two slots and one more for each second of waiting.

--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -26,6 +26,10 @@
     adapter_cost_share : float
         Part of the demand for adapters of an engine's models that each second of
         a move costs too, as the engine takes no adapter meanwhile.
+    wanted_slots : float
+        Worth of a model that requests wait for and that is held nowhere.
+    wanted_slots_per_s : float
+        By how much that grows with each second of waiting, so that none starves.
     min_residency_s : float
         How long a copy stays before it may make room for another.
     spread_weight : float
@@ -37,6 +41,8 @@
     move_cost_slots_per_s: float = 0.3
     adapter_cost_share: float = 0.3
     min_residency_s: float = 2.0
+    wanted_slots: float = 2.0
+    wanted_slots_per_s: float = 1.0
     spread_weight: float = 0.15
 
 
@@ -116,6 +122,18 @@
     return worth_slots(policy, demand, copies + 1) - worth_slots(policy, demand, copies)
 
 
+def wanted_worth(
+    policy: CoveragePolicy, view: FleetView, model: ModelId, waited_s: float
+) -> float:
+    """Return what the first copy of a model is worth that requests wait for.
+
+    A crowd's copies do not make room for one request to a rare model at once, but
+    they do once it has waited for some seconds.
+    """
+    demand = view.demand_by_model.get(model, 0.0)
+    return max(demand, policy.wanted_slots) + policy.wanted_slots_per_s * waited_s
+
+
 def best_load(
     policy: CoveragePolicy, view: FleetView, model: ModelId
 ) -> tuple[LoadMove, float] | None:
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -29,6 +29,7 @@
     best_load,
     plan_copies,
     plan_preload,
+    wanted_worth,
 )
 from camphoryard.coordination.loading.moving import POLL_PERIOD_S, Mover
 from camphoryard.coordination.loading.ports import EngineOrders
@@ -78,9 +79,10 @@
 
 @dataclass(slots=True)
 class _Want:
-    """A model that requests wait for, until ``until_s``."""
+    """A model that requests have waited for since ``since_s``, until ``until_s``."""
 
     service: ServiceId
+    since_s: float
     until_s: float
 
 
@@ -169,7 +171,7 @@
             wants = list(self._want_by_model.items())
         for model, want in wants:
             if not self._shelf.holders(want.service, model):
-                self._start_wanted(want.service, model)
+                self._start_wanted(want, model)
         for service in self._services():
             self._plan_service(service)
 
@@ -219,10 +221,12 @@
         """Note that requests wait for ``model``; start its load if it is new."""
         now_s = self._parts.clock()
         with self._lock:
-            is_new = model not in self._want_by_model
-            self._want_by_model[model] = _Want(service, now_s + WANT_LIFE_S)
-        if is_new:
-            self._start_wanted(service, model)
+            known = self._want_by_model.get(model)
+            since_s = known.since_s if known else now_s
+            want = _Want(service, since_s, now_s + WANT_LIFE_S)
+            self._want_by_model[model] = want
+        if known is None:
+            self._start_wanted(want, model)
 
     def _estimate_s(self, service: ServiceId, model: ModelId) -> float:
         """Return about how long it is until some engine holds ``model``."""
@@ -257,13 +261,18 @@
         left_s = UNLOAD_ESTIMATE_S - (now_s - book.move_began_s)
         return load_s + max(POLL_PERIOD_S, left_s)
 
-    def _start_wanted(self, service: ServiceId, model: ModelId) -> None:
-        view = self._view(service)
+    def _start_wanted(self, want: _Want, model: ModelId) -> None:
+        """Load a model that requests wait for, once that is worth what it displaces."""
+        view = self._view(want.service)
         if model in view.copies_by_model or model not in view.spec_by_model:
             return
         found = best_load(self._parts.policy, view, model)
-        if found is not None:
-            self._start(service, found[0], "wanted")
+        if found is None:
+            return
+        move, cost_slots = found
+        waited_s = self._parts.clock() - want.since_s
+        if cost_slots <= wanted_worth(self._parts.policy, view, model, waited_s):
+            self._start(want.service, move, "wanted")
 
     def _view(self, service: ServiceId) -> FleetView:
         """Return the engines of a service and the demand for its models."""
--- a/tests/coordination/loading/test_coverage.py
+++ b/tests/coordination/loading/test_coverage.py
@@ -10,6 +10,7 @@
     best_load,
     plan_copies,
     plan_preload,
+    wanted_worth,
     worth_slots,
 )
 from camphoryard.state.ids import EndpointId, ModelId
@@ -103,6 +104,28 @@
         assert (move.engine, move.from_store) == ("e3", False)
 
 
+class TestWantedWorth:
+    """Rare models asked for in the middle of a crowd."""
+
+    def test_a_crowds_copy_stays_while_a_rare_request_has_not_waited(self):
+        """Both copies of the crowd's model are needed."""
+        view = make_view(
+            {"e1": ["crowd", "crowd2"], "e2": ["crowd", "crowd2"]},
+            {"crowd": 16, "crowd2": 16, "rare": 1},
+        )
+        _, cost = best_load(POLICY, view, ModelId("rare"))
+        assert cost > wanted_worth(POLICY, view, ModelId("rare"), 0.0)
+
+    def test_a_rare_request_is_served_in_the_end(self):
+        """It is worth more with each second that it waits."""
+        view = make_view(
+            {"e1": ["crowd", "crowd2"], "e2": ["crowd", "crowd2"]},
+            {"crowd": 16, "crowd2": 16, "rare": 1},
+        )
+        _, cost = best_load(POLICY, view, ModelId("rare"))
+        assert cost < wanted_worth(POLICY, view, ModelId("rare"), 10.0)
+
+
 class TestPlanCopies:
     """Copies beyond the first: crowds at one model."""
 
