--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -41,8 +41,8 @@
     move_cost_slots_per_s: float = 0.3
     adapter_cost_share: float = 0.3
     min_residency_s: float = 2.0
-    wanted_slots: float = 2.0
-    wanted_slots_per_s: float = 1.0
+    wanted_slots: float = 3.0
+    wanted_slots_per_s: float = 3.0
     spread_weight: float = 0.15
 
 
