--- a/src/camphoryard/coordination/fleet/presence.py
+++ b/src/camphoryard/coordination/fleet/presence.py
@@ -1,13 +1,14 @@
 """A node makes itself known in the store, and leaves it when it stops."""
 
 import random
+from typing import Protocol
 
 from camphoryard.coordination.forwarding.parts import DecisionLog
 from camphoryard.coordination.ports import Records, Stored, Timer
 from camphoryard.state.duty import PeerKeys
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
-from camphoryard.state.ids import ABSENT, ObjectKey, Version
-from camphoryard.state.nodes import NodeLease
+from camphoryard.state.ids import ABSENT, NodeId, ObjectKey, Version
+from camphoryard.state.nodes import NodeLease, NodeTable
 
 RETRY_PERIOD_S = 0.5
 RETRY_SPREAD_S = 0.5
@@ -67,3 +68,24 @@
             # Another node was faster, or the store is out: look again.
             continue
     return None
+
+
+class PeerBook(Protocol):
+    """Where peers are reached."""
+
+    def know(self, lease: NodeLease) -> None:
+        """Send to a peer at the place in its lease."""
+
+    def forget(self, node: NodeId) -> None:
+        """Send to a peer no more."""
+
+
+def take_lease(nodes: NodeTable, peers: PeerBook, stored: Stored[NodeLease]) -> None:
+    """Take in a node's entry, or its end."""
+    if stored.record is None:
+        node = NodeId(stored.key)
+        nodes.forget(node)
+        peers.forget(node)
+        return
+    nodes.saw(stored.record, stored.version)
+    peers.know(stored.record)
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -13,7 +13,7 @@
 
 from camphoryard.coordination.duty.keeper import DutyKeeper
 from camphoryard.coordination.fleet.news import NewsTeller
-from camphoryard.coordination.fleet.presence import PresenceKeeper
+from camphoryard.coordination.fleet.presence import PresenceKeeper, take_lease
 from camphoryard.coordination.forwarding.choosing import EndpointChooser
 from camphoryard.coordination.forwarding.feeding import DirectoryFeed
 from camphoryard.coordination.forwarding.parts import ForwardingParts
@@ -33,7 +33,7 @@
     Reply,
 )
 from camphoryard.coordination.placement.demand import DemandMeter, SystemDemand
-from camphoryard.coordination.ports import Records, Stored
+from camphoryard.coordination.ports import Records
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_tally import CrashTally
 from camphoryard.coordination.routing.first_events import FirstEvents
@@ -222,7 +222,7 @@
             *_make_feeders(client, settings, log, feed),
             Follower(
                 leases,
-                functools.partial(_take_lease, nodes, peers),
+                functools.partial(take_lease, nodes, peers),
                 wait_s=NODES_WAIT_S,
             ),
         ),
@@ -328,18 +328,6 @@
     )
 
 
-def _take_lease(
-    nodes: NodeTable, peers: PeerNetwork, stored: Stored[NodeLease]
-) -> None:
-    if stored.record is None:
-        node = NodeId(stored.key)
-        nodes.forget(node)
-        peers.forget(node)
-        return
-    nodes.saw(stored.record, stored.version)
-    peers.know(stored.record)
-
-
 def _tell_all(
     nodes: NodeTable, peers: PeerNetwork, own: NodeId, message: Message
 ) -> None:
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -8,6 +8,7 @@
 from camphoryard.coordination.actions.claim_settling import Settler
 from camphoryard.coordination.actions.expiry import run_expiry
 from camphoryard.coordination.admission.admission import Admission
+from camphoryard.coordination.fleet.presence import take_lease
 from camphoryard.coordination.inference.serving import FrontDoor
 from camphoryard.coordination.membership.membership import MembershipParts
 from camphoryard.coordination.placement.placing import Placer
@@ -26,7 +27,6 @@
 from camphoryard.node.shared import Shared, make_shared
 from camphoryard.settings import Settings
 from camphoryard.state.endpoint_record import EndpointRecord
-from camphoryard.state.ids import NodeId
 from camphoryard.state.nodes import NodeLease
 from camphoryard.state.tables import EndpointTable
 from camphoryard.transport.app import App
@@ -114,7 +114,7 @@
     batch_s = shared.settings.peers.lease_s / BATCHES_PER_LEASE
     return Follower(
         platform.leases,
-        functools.partial(_take_lease, shared),
+        functools.partial(take_lease, shared.nodes, shared.peers),
         batch_s=min(batch_s, MAX_LEASE_BATCH_S),
     )
 
@@ -122,13 +122,3 @@
 def _take_record(table: EndpointTable, stored: Stored[EndpointRecord]) -> None:
     if stored.record is not None:
         table.saw(stored.record, stored.version)
-
-
-def _take_lease(shared: Shared, stored: Stored[NodeLease]) -> None:
-    if stored.record is None:
-        node = NodeId(stored.key)
-        shared.nodes.forget(node)
-        shared.peers.forget(node)
-        return
-    shared.nodes.saw(stored.record, stored.version)
-    shared.peers.know(stored.record)
