--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.forwarding.parts import ForwardingParts, Journey
+from camphoryard.coordination.forwarding.parts import ForwardedRequest, ForwardingParts
 from camphoryard.coordination.forwarding.ports import (
     Answer,
     AnswerKind,
@@ -44,22 +44,22 @@
 
 def attempt(
     parts: ForwardingParts,
-    journey: Journey,
+    forwarded: ForwardedRequest,
     endpoint: ServingEndpoint,
     cancellation: Cancellation,
     reply: ClientReply,
 ) -> Outcome:
     """Send the request to ``endpoint`` and hand its answer on; raises as Upstream."""
     sent_s = parts.clock()
-    journey.sends += 1
-    journey.endpoint = endpoint.id
+    forwarded.sends += 1
+    forwarded.endpoint = endpoint.id
     parts.in_flight.begin(endpoint.id)
     parts.breakers.started(endpoint.id)
     wait = _FirstEventWait(parts.first_events, endpoint.id)
     try:
-        with closing(_open(parts, journey, endpoint, cancellation)) as answer:
+        with closing(_open(parts, forwarded, endpoint, cancellation)) as answer:
             parts.observe("head", parts.clock() - sent_s)
-            return _take(parts, journey, endpoint, answer, reply, sent_s, wait)
+            return _take(parts, forwarded, endpoint, answer, reply, sent_s, wait)
     finally:
         wait.end()
         parts.in_flight.end(endpoint.id)
@@ -89,41 +89,41 @@
 
 def _open(
     parts: ForwardingParts,
-    journey: Journey,
+    forwarded: ForwardedRequest,
     endpoint: ServingEndpoint,
     cancellation: Cancellation,
 ) -> Answer:
     """Send the request; note that it may have run unless no byte left."""
-    sending = _sending(parts, journey, endpoint)
+    sending = _sending(parts, forwarded, endpoint)
     try:
-        answer = parts.upstream.open(endpoint, journey.request, sending, cancellation)
+        answer = parts.upstream.open(endpoint, forwarded.request, sending, cancellation)
     except BrokenCallError:
-        journey.runs += 1
-        journey.may_have_run = True
+        forwarded.runs += 1
+        forwarded.may_have_run = True
         raise
     if not answer.head.kind.is_promise:
-        journey.runs += 1
-        journey.may_have_run = True
+        forwarded.runs += 1
+        forwarded.may_have_run = True
     return answer
 
 
 def _sending(
-    parts: ForwardingParts, journey: Journey, endpoint: ServingEndpoint
+    parts: ForwardingParts, forwarded: ForwardedRequest, endpoint: ServingEndpoint
 ) -> Sending:
-    request, rule = journey.request, journey.rule
-    holders = parts.directory.holders(journey.service, request.wanted)
+    request, rule = forwarded.request, forwarded.rule
+    holders = parts.directory.holders(forwarded.service, request.wanted)
     has_others = any(item.id != endpoint.id for item in holders)
-    left_s = max(0.0, journey.event_due_s - parts.clock())
-    is_last = journey.runs + 1 >= rule.max_attempts
+    left_s = max(0.0, forwarded.event_due_s - parts.clock())
+    is_last = forwarded.runs + 1 >= rule.max_attempts
     patience_s = left_s
     if rule.repeatability.may_run_again and not is_last and has_others:
         patience_s = min(left_s, first_patience_s(rule))
     is_once = rule.repeatability in (Repeatability.ONCE, Repeatability.STREAM)
     return Sending(
-        journey.due_s,
+        forwarded.due_s,
         patience_s,
         rule.rank,
-        journey.progress.last_event or request.resume_after,
+        forwarded.progress.last_event or request.resume_after,
         ONCE_IDLE_S if is_once else IDLE_S,
     )
 
@@ -136,7 +136,7 @@
 
 def _take(
     parts: ForwardingParts,
-    journey: Journey,
+    forwarded: ForwardedRequest,
     endpoint: ServingEndpoint,
     answer: Answer,
     reply: ClientReply,
@@ -147,29 +147,29 @@
     match answer.head.kind:
         case AnswerKind.NOT_RUN | AnswerKind.NOT_HELD:
             answer.body()
-            wanted = journey.request.wanted
+            wanted = forwarded.request.wanted
             if wanted is not None:
                 parts.directory.declined(endpoint.id, wanted)
             else:
-                journey.failed.add(endpoint.id)
+                forwarded.failed.add(endpoint.id)
             parts.log(
                 "endpoint_declined",
-                request=journey.request.id,
+                request=forwarded.request.id,
                 endpoint=endpoint.id,
                 status=answer.head.status,
-                sends=journey.sends,
+                sends=forwarded.sends,
             )
             return Outcome.NOT_RUN
         case AnswerKind.UNTRUSTED:
             raise BrokenCallError(f"answer {answer.head.status} is not the endpoint's")
         case AnswerKind.FAILED:
-            return _take_failure(parts, journey, endpoint, answer, reply)
+            return _take_failure(parts, forwarded, endpoint, answer, reply)
         case AnswerKind.SERVED:
-            if journey.rule.repeatability.is_stream:
-                _relay(parts, journey, endpoint, answer, reply, wait)
-                if journey.request.wanted is not None:
+            if forwarded.rule.repeatability.is_stream:
+                _relay(parts, forwarded, endpoint, answer, reply, wait)
+                if forwarded.request.wanted is not None:
                     held_s = parts.clock() - sent_s
-                    parts.models.finished(journey.request.wanted, held_s)
+                    parts.models.finished(forwarded.request.wanted, held_s)
             else:
                 body = answer.body()
                 _succeeded(parts, endpoint)
@@ -179,17 +179,17 @@
 
 def _take_failure(
     parts: ForwardingParts,
-    journey: Journey,
+    forwarded: ForwardedRequest,
     endpoint: ServingEndpoint,
     answer: Answer,
     reply: ClientReply,
 ) -> Outcome:
     """Try elsewhere what failed, or hand the failure on."""
     body = answer.body()
-    if journey.progress.events:
+    if forwarded.progress.events:
         raise BrokenCallError(f"the stream cannot go on: {answer.head.status}")
-    if journey.may_run_again and parts.retries.take(journey.service):
-        journey.failed.add(endpoint.id)
+    if forwarded.may_run_again and parts.retries.take(forwarded.service):
+        forwarded.failed.add(endpoint.id)
         parts.count("failures_retried")
         return Outcome.FAILED
     reply.whole(answer.head.status, answer.head.headers, body)
@@ -198,15 +198,15 @@
 
 def _relay(
     parts: ForwardingParts,
-    journey: Journey,
+    forwarded: ForwardedRequest,
     endpoint: ServingEndpoint,
     answer: Answer,
     reply: ClientReply,
     wait: _FirstEventWait,
 ) -> None:
     """Hand on a stream event by event; raises if it ends before its end."""
-    gap_s = _gap_patience_s(parts, journey)
-    progress = journey.progress
+    gap_s = _gap_patience_s(parts, forwarded)
+    progress = forwarded.progress
     progress.restart()
     if not reply.has_begun:
         reply.begin(answer.head.status, _without_length(answer.head.headers))
@@ -217,12 +217,12 @@
             continue
         now_s = parts.clock()
         if last_s:
-            journey.longest_gap_s = max(journey.longest_gap_s, now_s - last_s)
+            forwarded.longest_gap_s = max(forwarded.longest_gap_s, now_s - last_s)
         else:
             wait.came()
             _succeeded(parts, endpoint)
-            journey.first_event_s = (
-                journey.first_event_s or now_s - journey.request.arrived_s
+            forwarded.first_event_s = (
+                forwarded.first_event_s or now_s - forwarded.request.arrived_s
             )
         last_s = now_s
         reply.write(whole)
@@ -231,15 +231,15 @@
         raise BrokenCallError("the stream ended within an event")
 
 
-def _gap_patience_s(parts: ForwardingParts, journey: Journey) -> float:
+def _gap_patience_s(parts: ForwardingParts, forwarded: ForwardedRequest) -> float:
     """Return how long the stream may pause.
 
     It is as long as the client may wait if the stream cannot go on elsewhere.
     """
-    left_s = max(0.0, journey.request.deadline_s - parts.clock())
-    if not journey.may_run_again:
+    left_s = max(0.0, forwarded.request.deadline_s - parts.clock())
+    if not forwarded.may_run_again:
         return left_s
-    return min(left_s, journey.rule.longest_gap_s * GAP_PATIENCE or left_s)
+    return min(left_s, forwarded.rule.longest_gap_s * GAP_PATIENCE or left_s)
 
 
 def _without_length(headers: Mapping[str, str]) -> Mapping[str, str]:
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -4,7 +4,7 @@
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.forwarding.attempt import Outcome, attempt
-from camphoryard.coordination.forwarding.parts import ForwardingParts, Journey
+from camphoryard.coordination.forwarding.parts import ForwardedRequest, ForwardingParts
 from camphoryard.coordination.forwarding.ports import ClientReply, ClientRequest
 from camphoryard.coordination.messages import CrashSeen
 from camphoryard.coordination.routing.crash_tally import fingerprint
@@ -44,12 +44,12 @@
     request: ClientRequest,
     cancellation: Cancellation,
     reply: ClientReply,
-) -> Journey:
+) -> ForwardedRequest:
     """Have the request answered by an endpoint, or by several in turn.
 
     Returns
     -------
-    Journey
+    ForwardedRequest
         What it met on its way.
 
     Raises
@@ -58,34 +58,34 @@
         If it was not answered; its verdict is NOT_RUN only if it has not run and
         never will.
     """
-    journey = begin(parts, request)
-    _check_barred(parts, journey)
-    parts.retries.earn(journey.service)
+    forwarded = begin(parts, request)
+    _check_barred(parts, forwarded)
+    parts.retries.earn(forwarded.service)
     if request.wanted is not None:
         parts.models.arrived(request.wanted)
     while True:
-        endpoint = _find_endpoint(parts, journey)
-        _check_cancelled(journey, cancellation)
+        endpoint = _find_endpoint(parts, forwarded)
+        _check_cancelled(forwarded, cancellation)
         try:
-            outcome = attempt(parts, journey, endpoint, cancellation, reply)
+            outcome = attempt(parts, forwarded, endpoint, cancellation, reply)
         except (NotSentError, BrokenCallError) as error:
-            _check_cancelled(journey, cancellation)
-            _note_failure(parts, journey, endpoint, error)
-            _note_crash(parts, journey, endpoint, error)
-            _check_barred(parts, journey)
-            _check_again(parts, journey, error)
+            _check_cancelled(forwarded, cancellation)
+            _note_failure(parts, forwarded, endpoint, error)
+            _note_crash(parts, forwarded, endpoint, error)
+            _check_barred(parts, forwarded)
+            _check_again(parts, forwarded, error)
             continue
         match outcome:
             case Outcome.ANSWERED:
-                return journey
+                return forwarded
             case Outcome.FAILED:
                 continue
             case Outcome.NOT_RUN:
-                _check_again(parts, journey, None)
+                _check_again(parts, forwarded, None)
 
 
-def begin(parts: ForwardingParts, request: ClientRequest) -> Journey:
-    """Return the journey of a request along its route.
+def begin(parts: ForwardingParts, request: ClientRequest) -> ForwardedRequest:
+    """Return the forwarded of a request along its route.
 
     Raises
     ------
@@ -106,7 +106,7 @@
     event_due_s = due_s
     if rule.repeatability.is_stream:
         event_due_s = min(due_s, request.arrived_s + rule.client_patience_s)
-    return Journey(request, rule, _draw_service(rule), due_s, event_due_s)
+    return ForwardedRequest(request, rule, _draw_service(rule), due_s, event_due_s)
 
 
 def _draw_service(rule: RouteRule) -> ServiceId:
@@ -119,7 +119,9 @@
             return random.choices(services, weights)[0].service
 
 
-def _find_endpoint(parts: ForwardingParts, journey: Journey) -> ServingEndpoint:
+def _find_endpoint(
+    parts: ForwardingParts, forwarded: ForwardedRequest
+) -> ServingEndpoint:
     """Return the endpoint to send to next.
 
     Raises
@@ -127,51 +129,51 @@
     RefusalError
         If there is none, or too little time is left.
     """
-    if parts.clock() >= journey.event_due_s:
+    if parts.clock() >= forwarded.event_due_s:
         raise RefusalError(
-            Reason.DEADLINE, "the time for this request is over", journey.verdict
+            Reason.DEADLINE, "the time for this request is over", forwarded.verdict
         )
-    wanted = journey.request.wanted
-    ready = parts.directory.ready(journey.service)
+    wanted = forwarded.request.wanted
+    ready = parts.directory.ready(forwarded.service)
     if not ready:
-        raise _no_endpoint(journey, "no endpoint of the service is ready")
+        raise _no_endpoint(forwarded, "no endpoint of the service is ready")
     holders = [item for item in ready if parts.directory.holds(item, wanted)]
-    usable = _usable(parts, journey, holders)
+    usable = _usable(parts, forwarded, holders)
     if usable:
-        return parts.chooser.choose(_in_time(parts, journey, usable))
+        return parts.chooser.choose(_in_time(parts, forwarded, usable))
     if wanted is None:
-        raise _no_endpoint(journey, "every endpoint of the service has failed")
-    if journey.sends:
+        raise _no_endpoint(forwarded, "every endpoint of the service has failed")
+    if forwarded.sends:
         parts.directory.wait_until(
-            lambda: False, min(journey.event_due_s, parts.clock() + DECLINED_PAUSE_S)
+            lambda: False, min(forwarded.event_due_s, parts.clock() + DECLINED_PAUSE_S)
         )
     began_s = parts.clock()
     try:
         found = parts.models.seek(
-            journey.service, wanted, journey.event_due_s, journey.unreached
+            forwarded.service, wanted, forwarded.event_due_s, forwarded.unreached
         )
-        journey.loads_awaited_s += parts.clock() - began_s
+        forwarded.loads_awaited_s += parts.clock() - began_s
         return found
     except NotHeldInTimeError as error:
         raise RefusalError(
             Reason.OVERLOADED,
             f"the model or adapter is {error}",
-            journey.verdict,
-            retry_after_s=_return_s(parts, journey, error.in_s),
+            forwarded.verdict,
+            retry_after_s=_return_s(parts, forwarded, error.in_s),
         ) from error
 
 
 def _usable(
-    parts: ForwardingParts, journey: Journey, holders: list[ServingEndpoint]
+    parts: ForwardingParts, forwarded: ForwardedRequest, holders: list[ServingEndpoint]
 ) -> list[ServingEndpoint]:
     """Return the holders worth a try, the ejected ones only if there are no others."""
-    fresh = [item for item in holders if item.id not in journey.failed]
+    fresh = [item for item in holders if item.id not in forwarded.failed]
     closed = [item for item in fresh if parts.breakers.allows(item.id)]
     return closed or fresh
 
 
 def _in_time(
-    parts: ForwardingParts, journey: Journey, usable: list[ServingEndpoint]
+    parts: ForwardingParts, forwarded: ForwardedRequest, usable: list[ServingEndpoint]
 ) -> list[ServingEndpoint]:
     """Return the endpoints at which a stream begins before its client leaves.
 
@@ -181,9 +183,9 @@
         If there is none: the client would leave without an event, having kept
         those behind it waiting.
     """
-    if not journey.rule.repeatability.is_stream or journey.progress.events:
+    if not forwarded.rule.repeatability.is_stream or forwarded.progress.events:
         return usable
-    left_s = journey.event_due_s - parts.clock()
+    left_s = forwarded.event_due_s - parts.clock()
     wait_s_by_id = {item.id: parts.first_events.wait_s(item.id) for item in usable}
     in_time = [
         item for item in usable if wait_s_by_id[item.id] < left_s * HOPELESS_SHARE
@@ -194,75 +196,77 @@
     raise RefusalError(
         Reason.OVERLOADED,
         f"the first event would come in about {least_s:.1f} s",
-        journey.verdict,
-        retry_after_s=_return_s(parts, journey, min(least_s, QUEUE_RETURN_S)),
+        forwarded.verdict,
+        retry_after_s=_return_s(parts, forwarded, min(least_s, QUEUE_RETURN_S)),
     )
 
 
-def _return_s(parts: ForwardingParts, journey: Journey, in_s: float) -> float:
+def _return_s(
+    parts: ForwardingParts, forwarded: ForwardedRequest, in_s: float
+) -> float:
     """Return when a client whose model comes in about ``in_s`` should come back.
 
     Clients come back once or twice, so rather late than too early; they wait for
     a third of the time that they have at most.
     """
-    left_s = journey.request.deadline_s - parts.clock()
+    left_s = forwarded.request.deadline_s - parts.clock()
     late_s = in_s * RETURN_FACTOR + RETURN_EXTRA_S
     return max(in_s, min(late_s, left_s * RETURN_SHARE))
 
 
-def _no_endpoint(journey: Journey, detail: str) -> RefusalError:
+def _no_endpoint(forwarded: ForwardedRequest, detail: str) -> RefusalError:
     return RefusalError(
-        Reason.NO_ENDPOINT, detail, journey.verdict, retry_after_s=NO_ENDPOINT_RETRY_S
+        Reason.NO_ENDPOINT, detail, forwarded.verdict, retry_after_s=NO_ENDPOINT_RETRY_S
     )
 
 
-def _check_cancelled(journey: Journey, cancellation: Cancellation) -> None:
+def _check_cancelled(forwarded: ForwardedRequest, cancellation: Cancellation) -> None:
     if cancellation.cancelled:
-        raise RefusalError(Reason.CANCELLED, "the client went away", journey.verdict)
+        raise RefusalError(Reason.CANCELLED, "the client went away", forwarded.verdict)
 
 
 def _note_failure(
     parts: ForwardingParts,
-    journey: Journey,
+    forwarded: ForwardedRequest,
     endpoint: ServingEndpoint,
     error: NotSentError | BrokenCallError,
 ) -> None:
     """Note what a failed call says about its endpoint."""
-    journey.failed.add(endpoint.id)
+    forwarded.failed.add(endpoint.id)
     match error:
         case NotSentError():
-            journey.unreached.add(endpoint.id)
+            forwarded.unreached.add(endpoint.id)
         case _:
             pass
-    if journey.progress.events:
-        patience_s = journey.rule.client_patience_s
-        journey.event_due_s = min(journey.due_s, parts.clock() + patience_s)
-    is_over = parts.clock() >= journey.event_due_s
+    if forwarded.progress.events:
+        patience_s = forwarded.rule.client_patience_s
+        forwarded.event_due_s = min(forwarded.due_s, parts.clock() + patience_s)
+    is_over = parts.clock() >= forwarded.event_due_s
     if not is_over:
         parts.breakers.failed(endpoint.id)
     parts.log(
         "attempt_failed",
-        request=journey.request.id,
+        request=forwarded.request.id,
         endpoint=endpoint.id,
         error=repr(error),
-        sends=journey.sends,
-        verdict=journey.verdict.value,
-        events=journey.progress.events,
+        sends=forwarded.sends,
+        verdict=forwarded.verdict.value,
+        events=forwarded.progress.events,
     )
 
 
 def _note_crash(
     parts: ForwardingParts,
-    journey: Journey,
+    forwarded: ForwardedRequest,
     endpoint: ServingEndpoint,
     error: NotSentError | BrokenCallError,
 ) -> None:
     """Tell all nodes if the endpoint crashed as the request began to run there."""
-    digest = fingerprint(journey.request)
+    digest = fingerprint(forwarded.request)
     match error:
         case NotSentError() | StalledCallError():
             return
-        case _ if digest is None or journey.progress.events:
+        case _ if digest is None or forwarded.progress.events:
             return
     if not parts.upstream.is_down(endpoint):
         return
@@ -270,56 +274,56 @@
     parts.tell_crash(CrashSeen(digest, endpoint.id, early=True, on_trial=False))
     parts.log(
         "endpoint_crashed",
-        request=journey.request.id,
+        request=forwarded.request.id,
         endpoint=endpoint.id,
         fingerprint=digest,
         crashes=crashes,
     )
 
 
-def _check_barred(parts: ForwardingParts, journey: Journey) -> None:
+def _check_barred(parts: ForwardingParts, forwarded: ForwardedRequest) -> None:
     """Raise RefusalError if the request has crashed the endpoints that ran it."""
-    if parts.crashes.is_barred(fingerprint(journey.request)):
+    if parts.crashes.is_barred(fingerprint(forwarded.request)):
         raise RefusalError(
             Reason.QUARANTINED,
             "this request has crashed the endpoints that ran it",
-            journey.verdict,
+            forwarded.verdict,
         )
 
 
 def _check_again(
     parts: ForwardingParts,
-    journey: Journey,
+    forwarded: ForwardedRequest,
     error: NotSentError | BrokenCallError | None,
 ) -> None:
     """Raise RefusalError unless the request may be sent again."""
-    may_go = not journey.may_have_run or journey.may_run_again
+    may_go = not forwarded.may_have_run or forwarded.may_run_again
     if not may_go:
-        raise _failure(parts, journey, error)
-    if journey.sends >= MAX_SENDS:
-        raise _failure(parts, journey, error)
+        raise _failure(parts, forwarded, error)
+    if forwarded.sends >= MAX_SENDS:
+        raise _failure(parts, forwarded, error)
     match error:
         case NotSentError():
             return
         case _:
-            if not parts.retries.take(journey.service):
-                raise _failure(parts, journey, error)
+            if not parts.retries.take(forwarded.service):
+                raise _failure(parts, forwarded, error)
 
 
 def _failure(
     parts: ForwardingParts,
-    journey: Journey,
+    forwarded: ForwardedRequest,
     error: NotSentError | BrokenCallError | None,
 ) -> RefusalError:
-    if journey.verdict is Verdict.NOT_RUN:
+    if forwarded.verdict is Verdict.NOT_RUN:
         return RefusalError(
             Reason.OVERLOADED,
             "every endpoint that was asked is full",
             retry_after_s=NO_ENDPOINT_RETRY_S,
         )
     match error:
-        case StalledCallError() if parts.clock() >= journey.event_due_s:
+        case StalledCallError() if parts.clock() >= forwarded.event_due_s:
             reason = Reason.DEADLINE
         case _:
             reason = Reason.ENDPOINT_FAILED
-    return RefusalError(reason, repr(error), journey.verdict)
+    return RefusalError(reason, repr(error), forwarded.verdict)
--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -76,7 +76,7 @@
 
 
 @dataclass(slots=True)
-class Journey:
+class ForwardedRequest:
     """One request on its way: its route and what it has met so far.
 
     ``due_s`` is when all is over, ``event_due_s`` when the client leaves unless an
--- a/src/camphoryard/coordination/loading/adapters.py
+++ b/src/camphoryard/coordination/loading/adapters.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from camphoryard.coordination.loading.book import EngineBook
 from camphoryard.coordination.loading.calls import TOOK, EngineCalls
+from camphoryard.coordination.loading.engine_state import EngineState
 from camphoryard.coordination.loading.ports import OrderAnswer
 from camphoryard.state.demand import NO_DEMAND, ItemDemand
 from camphoryard.state.directory import Directory
@@ -39,84 +39,84 @@
     _pause: threading.Event = field(default_factory=threading.Event)
 
     def provide(
-        self, books: list[EngineBook], wanted: WantedModel
+        self, engines: list[EngineState], wanted: WantedModel
     ) -> EndpointId | None:
         """Return where ``wanted`` can be used, having its adapter loaded if need be."""
-        holding = [book for book in books if book.holds(wanted)]
+        holding = [engine for engine in engines if engine.holds(wanted)]
         if holding:
-            book = min(holding, key=self._filling)
-            book.used(wanted)
-            return book.endpoint.id
-        for book in sorted(books, key=self._order):
-            if book.takes_adapters and self.load_at(book, wanted):
-                self.directory.learned(book.endpoint.id, wanted)
-                return book.endpoint.id
+            engine = min(holding, key=self._filling)
+            engine.used(wanted)
+            return engine.endpoint.id
+        for engine in sorted(engines, key=self._order):
+            if engine.takes_adapters and self.load_at(engine, wanted):
+                self.directory.learned(engine.endpoint.id, wanted)
+                return engine.endpoint.id
         return None
 
-    def load_at(self, book: EngineBook, wanted: WantedModel) -> bool:
+    def load_at(self, engine: EngineState, wanted: WantedModel) -> bool:
         """Order an adapter, making room for it; return whether it is on its way."""
-        with book.calls:
-            if book.holds(wanted):
+        with engine.calls:
+            if engine.holds(wanted):
                 return True
-            if wanted.model not in book.models or book.arriving >= ON_THEIR_WAY:
+            if wanted.model not in engine.models or engine.arriving >= ON_THEIR_WAY:
                 return False
-            if not self._make_room(book):
+            if not self._make_room(engine):
                 return False
-            answer = self.calls.send(book, OrderKind.LOAD, wanted)
+            answer = self.calls.send(engine, OrderKind.LOAD, wanted)
             if answer not in TOOK:
                 return False
-            book.adapter_ordered(wanted)
+            engine.adapter_ordered(wanted)
         if answer is OrderAnswer.ACCEPTED:
             self._pause.wait(ARRIVAL_S)
         return True
 
-    def _make_room(self, book: EngineBook) -> bool:
+    def _make_room(self, engine: EngineState) -> bool:
         """Unload the adapter least asked for if all places are taken."""
-        if book.adapter_count < book.spec.adapter_places:
+        if engine.adapter_count < engine.spec.adapter_places:
             return True
         demand = self.demand()
 
         def value(item: WantedModel) -> tuple[float, float]:
-            return demand.get(item_of(item), NO_DEMAND).fast, -book.unused_s(item)
+            return demand.get(item_of(item), NO_DEMAND).fast, -engine.unused_s(item)
 
-        victim = min(held_adapters([book]), key=value)
-        if book.unused_s(victim) < REST_S or book.is_arriving(victim):
+        victim = min(held_adapters([engine]), key=value)
+        if engine.unused_s(victim) < REST_S or engine.is_arriving(victim):
             return False
-        answer = self.calls.send(book, OrderKind.UNLOAD, victim)
+        answer = self.calls.send(engine, OrderKind.UNLOAD, victim)
         if answer is OrderAnswer.DONE:
-            book.adapter_left(victim)
+            engine.adapter_left(victim)
             return True
         # It is in use and leaves later, or not at all: its place is not free.
-        book.used(victim)
+        engine.used(victim)
         return False
 
-    def _filling(self, book: EngineBook) -> float:
-        return self.load(book.endpoint.id)
+    def _filling(self, engine: EngineState) -> float:
+        return self.load(engine.endpoint.id)
 
-    def _order(self, book: EngineBook) -> tuple[bool, float]:
+    def _order(self, engine: EngineState) -> tuple[bool, float]:
         """Put engines with a free place first, then the least loaded."""
-        is_full = book.adapter_count >= book.spec.adapter_places
-        return is_full, self._filling(book)
+        is_full = engine.adapter_count >= engine.spec.adapter_places
+        return is_full, self._filling(engine)
 
 
-def held_adapters(books: Collection[EngineBook]) -> set[WantedModel]:
+def held_adapters(engines: Collection[EngineState]) -> set[WantedModel]:
     """Return the adapters that engines hold or that are on their way."""
     return {
         WantedModel(model, adapter)
-        for book in books
-        for model in book.models
-        for adapter in book.adapters(model)
+        for engine in engines
+        for model in engine.models
+        for adapter in engine.adapters(model)
     }
 
 
 def missing_adapters(
-    book: EngineBook, held: Collection[WantedModel]
+    engine: EngineState, held: Collection[WantedModel]
 ) -> Iterator[WantedModel]:
     """Yield adapters that a free place of an engine could hold, of its models."""
-    if book.adapter_count >= book.spec.adapter_places:
+    if engine.adapter_count >= engine.spec.adapter_places:
         return
-    for model in sorted(book.models):
-        spec = book.spec.models_by_id.get(model)
+    for model in sorted(engine.models):
+        spec = engine.spec.models_by_id.get(model)
         for adapter in spec.adapters if spec else ():
             item = WantedModel(model, adapter)
             if item not in held:
--- a/src/camphoryard/coordination/loading/calls.py
+++ b/src/camphoryard/coordination/loading/calls.py
@@ -1,4 +1,4 @@
-"""Orders to one engine at a time, numbered by its book, and questions to it."""
+"""Numbered orders to engines, and questions to them."""
 
 import threading
 from collections.abc import Callable
@@ -6,7 +6,7 @@
 
 from camphoryard.coordination.duty.keeper import NO_TERM, DutyKeeper
 from camphoryard.coordination.forwarding.parts import DecisionLog
-from camphoryard.coordination.loading.book import EngineBook
+from camphoryard.coordination.loading.engine_state import EngineState
 from camphoryard.coordination.loading.ports import (
     EngineOrder,
     EngineOrders,
@@ -27,7 +27,7 @@
 
 @dataclass(slots=True)
 class EngineCalls:
-    """Sends orders in the present term; callers hold the book's ``calls``."""
+    """Sends orders in the present term; callers hold the engine's ``calls``."""
 
     node: NodeId
     duty: DutyKeeper
@@ -37,92 +37,92 @@
     _pause: threading.Event = field(default_factory=threading.Event)
 
     def send(
-        self, book: EngineBook, kind: OrderKind, item: WantedModel
+        self, engine: EngineState, kind: OrderKind, item: WantedModel
     ) -> OrderAnswer | None:
         """Send an order until it is answered; None if the engine did not take it.
 
         Sent again with the same number, it can take effect only once.
         """
         for _ in range(ORDER_TRIES):
-            answer = self.send_once(book, kind, item)
+            answer = self.send_once(engine, kind, item)
             match answer:
                 case OrderAnswer.BUSY:
-                    self.ask_again(book)
-                case None if self.may_send(book, kind, item):
-                    self.ask(book)
+                    self.ask_again(engine)
+                case None if self.may_send(engine, kind, item):
+                    self.ask(engine)
                 case _:
                     return answer
-        book.rest()
+        engine.rest()
         return None
 
     def send_once(
-        self, book: EngineBook, kind: OrderKind, item: WantedModel
+        self, engine: EngineState, kind: OrderKind, item: WantedModel
     ) -> OrderAnswer | None:
         """Send an order once; None if it was not sent, or not answered."""
-        if book.orders is None and not self.ask(book):
+        if engine.orders is None and not self.ask(engine):
             return None
         term = self.duty.term
-        if term == NO_TERM or not is_safe(book, kind, item):
+        if term == NO_TERM or not is_safe(engine, kind, item):
             return None
-        assert book.orders is not None
-        order = EngineOrder(kind, item, self.node, term, book.orders)
+        assert engine.orders is not None
+        order = EngineOrder(kind, item, self.node, term, engine.orders)
         try:
-            answer = self.orders.order(book.endpoint, order)
+            answer = self.orders.order(engine.endpoint, order)
         except (NotSentError, BrokenCallError) as error:
-            self._log_order(book, order, None, repr(error))
+            self._log_order(engine, order, None, repr(error))
             return None
-        self._log_order(book, order, answer, "")
+        self._log_order(engine, order, answer, "")
         match answer:
             case OrderAnswer.ACCEPTED:
-                book.accepted()
+                engine.accepted()
             case OrderAnswer.DONE:
                 # Whether the engine counted it is not told.
-                self.ask_again(book)
+                self.ask_again(engine)
             case OrderAnswer.FENCED:
                 self.duty.fenced(term)
             case OrderAnswer.REFUSED:
-                book.rest()
+                engine.rest()
             case OrderAnswer.BUSY:
                 pass
         return answer
 
-    def ask(self, book: EngineBook) -> bool:
+    def ask(self, engine: EngineState) -> bool:
         """Ask the engine what it holds; return whether its report is current."""
-        report = self._report(book)
-        return report is not None and book.reported(report)
+        report = self._report(engine)
+        return report is not None and engine.reported(report)
 
-    def answers(self, book: EngineBook) -> bool:
+    def answers(self, engine: EngineState) -> bool:
         """Ask the engine what it holds; return whether it answered."""
-        report = self._report(book)
+        report = self._report(engine)
         if report is not None:
-            book.reported(report)
+            engine.reported(report)
         return report is not None
 
-    def _report(self, book: EngineBook) -> EngineReport | None:
+    def _report(self, engine: EngineState) -> EngineReport | None:
         try:
-            return self.orders.report(book.endpoint)
+            return self.orders.report(engine.endpoint)
         except (NotSentError, BrokenCallError) as error:
-            self.log("report_failed", endpoint=book.endpoint.id, error=repr(error))
+            self.log("report_failed", endpoint=engine.endpoint.id, error=repr(error))
             return None
 
-    def ask_again(self, book: EngineBook) -> bool:
+    def ask_again(self, engine: EngineState) -> bool:
         """Ask the engine once its reports include the last order."""
         self._pause.wait(REPORT_LAG_S)
-        return self.ask(book)
+        return self.ask(engine)
 
-    def ask_until_current(self, book: EngineBook) -> bool:
+    def ask_until_current(self, engine: EngineState) -> bool:
         """Ask until the engine's report includes the last order; False if none does."""
-        if self.ask(book):
+        if self.ask(engine):
             return True
-        return any(self.ask_again(book) for _ in range(ORDER_TRIES))
+        return any(self.ask_again(engine) for _ in range(ORDER_TRIES))
 
-    def may_send(self, book: EngineBook, kind: OrderKind, item: WantedModel) -> bool:
+    def may_send(self, engine: EngineState, kind: OrderKind, item: WantedModel) -> bool:
         """Return whether this node may send an order, and it is safe."""
-        return self.duty.term != NO_TERM and is_safe(book, kind, item)
+        return self.duty.term != NO_TERM and is_safe(engine, kind, item)
 
     def _log_order(
         self,
-        book: EngineBook,
+        engine: EngineState,
         order: EngineOrder,
         answer: OrderAnswer | None,
         error: str,
@@ -130,7 +130,7 @@
         self.count(f"orders_{answer.value if answer else 'unanswered'}")
         self.log(
             "order",
-            endpoint=book.endpoint.id,
+            endpoint=engine.endpoint.id,
             kind=order.kind.value,
             model=order.item.model,
             adapter=order.item.adapter or "",
@@ -141,7 +141,7 @@
         )
 
 
-def is_safe(book: EngineBook, kind: OrderKind, item: WantedModel) -> bool:
+def is_safe(engine: EngineState, kind: OrderKind, item: WantedModel) -> bool:
     """Return whether an order cannot overfill the engine, by all that is known.
 
     An engine that is busy may be loading what another node ordered, of which
@@ -150,5 +150,5 @@
     if kind is OrderKind.UNLOAD:
         return True
     if item.adapter is None:
-        return not book.is_engine_busy and book.has_room_for(item.model)
-    return book.has_room_for_adapter(item.model)
+        return not engine.is_engine_busy and engine.has_room_for(item.model)
+    return engine.has_room_for_adapter(item.model)
--- a/src/camphoryard/coordination/loading/book.py
+++ b/src/camphoryard/coordination/loading/engine_state.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(slots=True)
-class EngineBook:
+class EngineState:
     """One engine: what it holds, what is on its way, how many orders it took.
 
     Nobody else orders the engine, so what it holds is known from its reports and
--- a/src/camphoryard/coordination/loading/shelf.py
+++ b/src/camphoryard/coordination/loading/engine_table.py
@@ -1,12 +1,12 @@
-"""The books of all engines, as the ordering node sees them."""
+"""All engines, as the ordering node knows them."""
 
 import threading
 import time
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-from camphoryard.coordination.loading.book import EngineBook
 from camphoryard.coordination.loading.calls import EngineCalls
+from camphoryard.coordination.loading.engine_state import EngineState
 from camphoryard.state.directory import Directory
 from camphoryard.state.ids import EndpointId, ModelId, ServiceId
 from camphoryard.state.serving_endpoints import EndpointState
@@ -18,60 +18,60 @@
 
 
 @dataclass(slots=True)
-class Shelf:
-    """Books by engine; a new term begins with none."""
+class EngineTable:
+    """What is known of each engine; a new term begins with nothing."""
 
     directory: Directory
     calls: EngineCalls
     clock: Callable[[], float] = time.monotonic
     _lock: threading.Lock = field(default_factory=threading.Lock)
-    _book_by_id: dict[EndpointId, EngineBook] = field(default_factory=dict)
+    _engine_by_id: dict[EndpointId, EngineState] = field(default_factory=dict)
     _silent_until_s: dict[EndpointId, float] = field(default_factory=dict)
 
     def clear(self) -> None:
         """Forget all: what was ordered meanwhile is not known."""
         with self._lock:
-            self._book_by_id.clear()
+            self._engine_by_id.clear()
 
-    def find(self, id: EndpointId) -> EngineBook | None:
-        """Return the book of one engine."""
+    def find(self, id: EndpointId) -> EngineState | None:
+        """Return what is known of one engine."""
         with self._lock:
-            return self._book_by_id.get(id)
+            return self._engine_by_id.get(id)
 
-    def of(self, service: ServiceId) -> list[EngineBook]:
-        """Return the books of a service's engines that take work and answer."""
+    def of(self, service: ServiceId) -> list[EngineState]:
+        """Return the engines of a service that take work and answer."""
         self.refresh()
         now_s = self.clock()
         with self._lock:
             return [
-                book
-                for id, book in self._book_by_id.items()
-                if book.endpoint.service == service
-                and book.endpoint.state is EndpointState.READY
+                engine
+                for id, engine in self._engine_by_id.items()
+                if engine.endpoint.service == service
+                and engine.endpoint.state is EndpointState.READY
                 and self._silent_until_s.get(id, 0.0) <= now_s
             ]
 
-    def holders(self, service: ServiceId, model: ModelId) -> list[EngineBook]:
-        """Return the books of the engines that hold ``model``."""
-        return [book for book in self.of(service) if model in book.models]
+    def holders(self, service: ServiceId, model: ModelId) -> list[EngineState]:
+        """Return the engines of a service that hold ``model``."""
+        return [engine for engine in self.of(service) if model in engine.models]
 
     def refresh(self) -> None:
-        """Bring the books up to the engines' entries."""
+        """Take in the engines' entries."""
         seen = self.directory.endpoints_by_id()
         with self._lock:
-            for id in self._book_by_id.keys() - seen.keys():
-                del self._book_by_id[id]
+            for id in self._engine_by_id.keys() - seen.keys():
+                del self._engine_by_id[id]
             for endpoint in seen.values():
                 spec = self.engine_spec(endpoint.service)
                 if spec is None:
                     continue
-                book = self._book_by_id.get(endpoint.id)
-                if book is None:
-                    book = EngineBook(endpoint, spec, self.clock)
-                    self._book_by_id[endpoint.id] = book
+                engine = self._engine_by_id.get(endpoint.id)
+                if engine is None:
+                    engine = EngineState(endpoint, spec, self.clock)
+                    self._engine_by_id[endpoint.id] = engine
                 else:
-                    book.spec = spec
-                    book.saw(endpoint)
+                    engine.spec = spec
+                    engine.saw(endpoint)
 
     def ask_unknown(self) -> None:
         """Ask the engines of which this term knows nothing, or a move of another.
@@ -79,28 +79,28 @@
         Each question is priced, so an engine is asked once in a while only.
         """
         with self._lock:
-            books = [
-                book
-                for book in self._book_by_id.values()
-                if (book.orders is None or book.is_engine_busy)
-                and book.loading is None
-                and not book.is_resting
+            engines = [
+                engine
+                for engine in self._engine_by_id.values()
+                if (engine.orders is None or engine.is_engine_busy)
+                and engine.loading is None
+                and not engine.is_resting
             ]
-        for book in books:
-            with book.calls:
-                self.calls.ask(book)
-            if book.orders is None or book.is_engine_busy:
-                book.rest()
+        for engine in engines:
+            with engine.calls:
+                self.calls.ask(engine)
+            if engine.orders is None or engine.is_engine_busy:
+                engine.rest()
 
     def check_reached(self, avoid: Collection[EndpointId]) -> None:
         """Note which of the engines that a node could not reach are silent."""
         now_s = self.clock()
         for id in avoid:
-            book = self.find(id)
-            if book is None or self._silent_until_s.get(id, 0.0) > now_s:
+            engine = self.find(id)
+            if engine is None or self._silent_until_s.get(id, 0.0) > now_s:
                 continue
-            with book.calls:
-                answers = self.calls.answers(book)
+            with engine.calls:
+                answers = self.calls.answers(engine)
             if not answers:
                 with self._lock:
                     self._silent_until_s[id] = now_s + SILENCE_LIFE_S
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -1,7 +1,7 @@
 """The node that has the duty decides what engines hold.
 
-All orders to one engine go through its book, which numbers them. One task for each
-move carries it out, as an engine does one at a time; adapters move beside them, in
+All orders to one engine go through its ``EngineState``, which numbers them. One task
+for each move carries it out, as an engine does one at a time; adapters move beside them, in
 the task that asks for one.
 """
 
@@ -19,7 +19,6 @@
     held_adapters,
     missing_adapters,
 )
-from camphoryard.coordination.loading.book import EngineBook
 from camphoryard.coordination.loading.calls import EngineCalls
 from camphoryard.coordination.loading.coverage import (
     CoveragePolicy,
@@ -31,9 +30,10 @@
     plan_preload,
     wanted_worth,
 )
+from camphoryard.coordination.loading.engine_state import EngineState
+from camphoryard.coordination.loading.engine_table import EngineTable
 from camphoryard.coordination.loading.moving import POLL_PERIOD_S, Mover
 from camphoryard.coordination.loading.ports import EngineOrders
-from camphoryard.coordination.loading.shelf import Shelf
 from camphoryard.coordination.loading.store_rate import StoreRate
 from camphoryard.coordination.ports import Timer
 from camphoryard.state.demand import ItemDemand
@@ -112,7 +112,7 @@
         calls = EngineCalls(
             parts.node, parts.duty, parts.orders, parts.log, parts.count
         )
-        self._shelf = Shelf(parts.directory, calls, parts.clock)
+        self._engines = EngineTable(parts.directory, calls, parts.clock)
         self._mover = Mover(
             calls, parts.directory, parts.timer, parts.log, parts.count, parts.clock
         )
@@ -147,14 +147,14 @@
         in ``avoid`` could not be reached; those that do not answer here either
         count as gone for a while.
         """
-        spec = self._shelf.engine_spec(service)
+        spec = self._engines.engine_spec(service)
         if not self.has_duty or spec is None or wanted.model not in spec.models_by_id:
             return NotProvided()
-        self._shelf.check_reached(avoid)
-        books = self._shelf.holders(service, wanted.model)
-        if books:
-            found = self._adapters.provide(books, wanted)
-            return Held(found) if found else Coming(self._adapter_estimate_s(books))
+        self._engines.check_reached(avoid)
+        engines = self._engines.holders(service, wanted.model)
+        if engines:
+            found = self._adapters.provide(engines, wanted)
+            return Held(found) if found else Coming(self._adapter_estimate_s(engines))
         self._want(service, wanted.model)
         return Coming(self._estimate_s(service, wanted.model))
 
@@ -170,22 +170,22 @@
             }
             wants = list(self._want_by_model.items())
         for model, want in wants:
-            if not self._shelf.holders(want.service, model):
+            if not self._engines.holders(want.service, model):
                 self._start_wanted(want, model)
         for service in self._services():
             self._plan_service(service)
 
     def look(self) -> None:
         """Bring what is known of the engines up to date."""
-        self._shelf.refresh()
-        self._shelf.ask_unknown()
+        self._engines.refresh()
+        self._engines.ask_unknown()
 
     def note_term(self) -> None:
         """Begin anew in a new term."""
         term = self._parts.duty.term
         if term != self._term:
             self._term = term
-            self._shelf.clear()
+            self._engines.clear()
             self._rate.reset(0.0)
 
     def _plan_service(self, service: ServiceId) -> None:
@@ -201,13 +201,13 @@
 
     def _fill_adapter_places(self, service: ServiceId) -> None:
         """Load adapters held nowhere where places are free, one at each engine."""
-        books = self._shelf.of(service)
-        held = held_adapters(books)
-        for book in books:
-            item = next(missing_adapters(book, held), None)
-            if item is not None and book.takes_adapters and not book.arriving:
+        engines = self._engines.of(service)
+        held = held_adapters(engines)
+        for engine in engines:
+            item = next(missing_adapters(engine, held), None)
+            if item is not None and engine.takes_adapters and not engine.arriving:
                 held.add(item)
-                self._parts.executor.submit(self._adapters.load_at, book, item)
+                self._parts.executor.submit(self._adapters.load_at, engine, item)
 
     def _services(self) -> Iterable[ServiceId]:
         rules = self._parts.directory.rules
@@ -230,35 +230,35 @@
 
     def _estimate_s(self, service: ServiceId, model: ModelId) -> float:
         """Return about how long it is until some engine holds ``model``."""
-        books = self._shelf.of(service)
-        loading = [book for book in books if book.loading == model]
+        engines = self._engines.of(service)
+        loading = [engine for engine in engines if engine.loading == model]
         if not loading:
-            specs = [book.spec.models_by_id[model] for book in books[:1]]
+            specs = [engine.spec.models_by_id[model] for engine in engines[:1]]
             return QUEUE_ESTIMATE_S + sum(spec.disk_load_s for spec in specs)
-        return min(self._move_estimate_s(book, model) for book in loading)
+        return min(self._move_estimate_s(engine, model) for engine in loading)
 
-    def _adapter_estimate_s(self, books: list[EngineBook]) -> float:
+    def _adapter_estimate_s(self, engines: list[EngineState]) -> float:
         """Return about how long it is until some engine takes an adapter."""
-        if any(book.takes_adapters for book in books):
+        if any(engine.takes_adapters for engine in engines):
             return ADAPTER_ESTIMATE_S
         return min(
-            self._move_estimate_s(book, book.loading)
-            if book.loading
+            self._move_estimate_s(engine, engine.loading)
+            if engine.loading
             else QUEUE_ESTIMATE_S
-            for book in books
+            for engine in engines
         )
 
-    def _move_estimate_s(self, book: EngineBook, model: ModelId) -> float:
+    def _move_estimate_s(self, engine: EngineState, model: ModelId) -> float:
         """Return about how long it is until the move that loads ``model`` ends."""
-        spec = book.spec.models_by_id.get(model)
+        spec = engine.spec.models_by_id.get(model)
         if spec is None:
             return QUEUE_ESTIMATE_S
-        is_on_hand = model in book.endpoint.on_hand
+        is_on_hand = model in engine.endpoint.on_hand
         load_s = spec.disk_load_s if is_on_hand else spec.load_s
         now_s = self._parts.clock()
-        if book.load_began_s is not None:
-            return max(POLL_PERIOD_S, load_s - (now_s - book.load_began_s))
-        left_s = UNLOAD_ESTIMATE_S - (now_s - book.move_began_s)
+        if engine.load_began_s is not None:
+            return max(POLL_PERIOD_S, load_s - (now_s - engine.load_began_s))
+        left_s = UNLOAD_ESTIMATE_S - (now_s - engine.move_began_s)
         return load_s + max(POLL_PERIOD_S, left_s)
 
     def _start_wanted(self, want: _Want, model: ModelId) -> None:
@@ -276,38 +276,38 @@
 
     def _view(self, service: ServiceId) -> FleetView:
         """Return the engines of a service and the demand for its models."""
-        books = self._shelf.of(service)
+        engines = self._engines.of(service)
         with self._lock:
             moving = frozenset(self._moving)
             wanted = frozenset(self._want_by_model)
-        adapter_slots = self._adapter_slots(books)
-        engines = tuple(
+        adapter_slots = self._adapter_slots(engines)
+        views = tuple(
             EngineView(
-                book.endpoint.id,
-                book.free_mb,
-                book.committed_mb_by_model,
-                self._staying(book, wanted),
-                book.endpoint.on_hand,
-                book.endpoint.id in moving or not book.takes_moves,
-                sum(adapter_slots.get(model, 0.0) for model in book.models),
+                engine.endpoint.id,
+                engine.free_mb,
+                engine.committed_mb_by_model,
+                self._staying(engine, wanted),
+                engine.endpoint.on_hand,
+                engine.endpoint.id in moving or not engine.takes_moves,
+                sum(adapter_slots.get(model, 0.0) for model in engine.models),
             )
-            for book in books
+            for engine in engines
         )
-        specs = books[0].spec.models_by_id if books else {}
-        return FleetView(engines, self._demand_by_model(specs), specs)
+        specs = engines[0].spec.models_by_id if engines else {}
+        return FleetView(views, self._demand_by_model(specs), specs)
 
     def _staying(
-        self, book: EngineBook, wanted: frozenset[ModelId]
+        self, engine: EngineState, wanted: frozenset[ModelId]
     ) -> frozenset[ModelId]:
         """Return the models that came too short a time ago to leave."""
         least_s = self._parts.policy.min_residency_s
         return frozenset(
             model
-            for model in book.models
-            if book.held_s(model) < (WANT_LIFE_S if model in wanted else least_s)
+            for model in engine.models
+            if engine.held_s(model) < (WANT_LIFE_S if model in wanted else least_s)
         )
 
-    def _adapter_slots(self, books: list[EngineBook]) -> dict[ModelId, float]:
+    def _adapter_slots(self, engines: list[EngineState]) -> dict[ModelId, float]:
         """Return the demand for a model's adapters that each of its copies has."""
         slots: dict[ModelId, float] = {}
         for item, demand in self._parts.demand().items():
@@ -316,7 +316,7 @@
                 known = slots.get(ModelId(model), 0.0)
                 slots[ModelId(model)] = known + demand.fast
         return {
-            model: total / max(1, sum(model in book.models for book in books))
+            model: total / max(1, sum(model in engine.models for engine in engines))
             for model, total in slots.items()
         }
 
@@ -332,9 +332,9 @@
 
     def _start(self, service: ServiceId, move: LoadMove, cause: str) -> None:
         """Have a move carried out, unless the weight store's rate forbids it."""
-        spec = self._shelf.engine_spec(service)
-        book = self._shelf.find(move.engine)
-        if spec is None or book is None:
+        spec = self._engines.engine_spec(service)
+        engine = self._engines.find(move.engine)
+        if spec is None or engine is None:
             return
         with self._lock:
             if move.engine in self._moving:
@@ -342,7 +342,7 @@
             if move.from_store and not self._rate.take(spec.loads_per_s):
                 return
             self._moving.add(move.engine)
-            book.begin(move.model)
+            engine.begin(move.model)
         self._parts.log(
             "move_started",
             endpoint=move.engine,
@@ -352,11 +352,11 @@
             cause=cause,
             term=self._parts.duty.term,
         )
-        self._parts.executor.submit(self._carry_out, book, move)
+        self._parts.executor.submit(self._carry_out, engine, move)
 
-    def _carry_out(self, book: EngineBook, move: LoadMove) -> None:
+    def _carry_out(self, engine: EngineState, move: LoadMove) -> None:
         try:
-            self._mover.carry_out(book, move)
+            self._mover.carry_out(engine, move)
         finally:
             with self._lock:
                 self._moving.discard(move.engine)
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -118,7 +118,7 @@
         if passed_s >= grace_s * IDLE_SHARE:
             front.close_idle()
         if passed_s >= grace_s * ADMIT_SHARE:
-            entry.app.door.close()
+            entry.app.intake.close()
             entry.seeker.stop()
             break
     while not front.wait_flushed(min(end_s, time.monotonic() + CLOSING_PERIOD_S)):
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -9,7 +9,7 @@
 from waitress.channel import ClientDisconnected
 
 from camphoryard.coordination.forwarding.exchange import forward
-from camphoryard.coordination.forwarding.parts import ForwardingParts, Journey
+from camphoryard.coordination.forwarding.parts import ForwardedRequest, ForwardingParts
 from camphoryard.coordination.forwarding.ports import ClientRequest
 from camphoryard.coordination.loading.adapters import item_of
 from camphoryard.coordination.loading.seeking import STOPPING_RETRY_S
@@ -77,7 +77,7 @@
 
 
 @dataclass(slots=True)
-class Door:
+class Intake:
     """Whether requests are still taken."""
 
     is_open: bool = True
@@ -87,7 +87,7 @@
         self.is_open = False
 
     def check(self) -> None:
-        """Raise RefusalError if the door is closed."""
+        """Raise RefusalError if the intake is closed."""
         if not self.is_open:
             raise RefusalError(
                 Reason.DRAINING, "this node is stopping", retry_after_s=STOPPING_RETRY_S
@@ -100,7 +100,7 @@
 
     parts: ForwardingParts
     dialect: Dialect
-    door: Door = field(default_factory=Door)
+    intake: Intake = field(default_factory=Intake)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -113,7 +113,7 @@
             head = _head(environ)
             body = environ["wsgi.input"].read()
             request = self.dialect.read_request(head, body, arrived_s)
-            self.door.check()
+            self.intake.check()
             self._done(forward(self.parts, request, environ[CANCELLATION], reply))
         except RefusalError as refusal:
             self._refused(request, refusal, reply)
@@ -151,23 +151,23 @@
         self._refused(None, refusal, None)
         return HttpResponse(status, f"{detail}\n".encode(), content_type=TEXT)
 
-    def _done(self, journey: Journey) -> None:
-        request = journey.request
+    def _done(self, forwarded: ForwardedRequest) -> None:
+        request = forwarded.request
         self.parts.count("requests_answered")
         self.parts.observe("request", time.monotonic() - request.arrived_s)
-        if journey.first_event_s:
-            self.parts.observe("first_event", journey.first_event_s)
+        if forwarded.first_event_s:
+            self.parts.observe("first_event", forwarded.first_event_s)
         self.parts.log(
             "request_answered",
             request=request.id,
-            route=journey.rule.id,
+            route=forwarded.rule.id,
             model=item_of(request.wanted) if request.wanted else "",
-            endpoint=journey.endpoint or "",
-            sends=journey.sends,
-            events=journey.progress.events,
-            loads_awaited_ms=_ms(journey.loads_awaited_s),
-            first_event_ms=_ms(journey.first_event_s),
-            longest_gap_ms=_ms(journey.longest_gap_s),
+            endpoint=forwarded.endpoint or "",
+            sends=forwarded.sends,
+            events=forwarded.progress.events,
+            loads_awaited_ms=_ms(forwarded.loads_awaited_s),
+            first_event_ms=_ms(forwarded.first_event_s),
+            longest_gap_ms=_ms(forwarded.longest_gap_s),
             held_ms=_held_ms(request),
         )
 
--- a/tests/coordination/loading/test_book.py
+++ b/tests/coordination/loading/test_engine_state.py
@@ -1,6 +1,6 @@
 """Tests of what the ordering node knows of one engine."""
 
-from camphoryard.coordination.loading.book import ARRIVAL_S, EngineBook
+from camphoryard.coordination.loading.engine_state import ARRIVAL_S, EngineState
 from camphoryard.coordination.loading.ports import EngineReport
 from camphoryard.state.ids import AdapterId, ModelId
 from camphoryard.state.serving_endpoints import HeldModel
@@ -11,10 +11,10 @@
 A1 = WantedModel(M1, AdapterId("a1"))
 
 
-def make_book(models=("m1",), clock=None):
-    """Return the book of an engine for two models of 60 MB."""
+def make_engine(models=("m1",), clock=None):
+    """Return the engine of an engine for two models of 60 MB."""
     spec = make_spec({"m1": 60, "m2": 60, "m3": 30})
-    return EngineBook(make_endpoint(models=models), spec, clock or Clock())
+    return EngineState(make_endpoint(models=models), spec, clock or Clock())
 
 
 def make_report(models, orders, busy=False, coming=()):
@@ -23,80 +23,80 @@
     return EngineReport(held, busy, orders, 0, 0, frozenset(coming))
 
 
-class TestEngineBook:
+class TestEngineState:
     """What is believed of an engine, and when."""
 
     def test_an_entry_from_before_the_end_of_a_load_does_not_undo_it(self):
         """The model counts although the engine's entry lacks it for a while."""
-        book = make_book(())
-        book.begin(M1)
-        book.model_came(M1)
-        book.end()
-        book.saw(make_endpoint(models=()))
-        assert book.models == {M1}
+        engine = make_engine(())
+        engine.begin(M1)
+        engine.model_came(M1)
+        engine.end()
+        engine.saw(make_endpoint(models=()))
+        assert engine.models == {M1}
 
     def test_an_entry_from_before_a_report_does_not_undo_it(self):
         """What another node had loaded counts although the entry lacks it."""
-        book = make_book(())
-        book.reported(make_report(["m1"], 5))
-        book.saw(make_endpoint(models=()))
-        assert not book.has_room_for(M2)
+        engine = make_engine(())
+        engine.reported(make_report(["m1"], 5))
+        engine.saw(make_endpoint(models=()))
+        assert not engine.has_room_for(M2)
 
     def test_an_old_entry_never_replaces_what_was_reported(self):
         """A node cut off from the store sees the same entry for long."""
         clock = Clock()
-        book = make_book(("m1",), clock)
-        book.reported(make_report(["m1", "m3"], 5))
+        engine = make_engine(("m1",), clock)
+        engine.reported(make_report(["m1", "m3"], 5))
         clock.advance(60.0)
-        book.saw(make_endpoint(models=("m1",)))
-        assert book.models == {M1, ModelId("m3")}
+        engine.saw(make_endpoint(models=("m1",)))
+        assert engine.models == {M1, ModelId("m3")}
 
     def test_a_report_that_lags_does_not_set_the_count_of_orders_back(self):
         """An order with a number from before the last one would come out of turn."""
-        book = make_book()
-        book.reported(make_report(["m1"], 5))
-        book.accepted()
-        book.reported(make_report(["m1"], 5))
-        assert book.orders == 6
+        engine = make_engine()
+        engine.reported(make_report(["m1"], 5))
+        engine.accepted()
+        engine.reported(make_report(["m1"], 5))
+        assert engine.orders == 6
 
     def test_a_new_start_of_the_engine_is_known_by_its_time(self):
         """An engine that started again has accepted a number nobody knows."""
-        book = make_book()
-        book.reported(make_report(["m1"], 5))
-        book.saw(make_endpoint(models=(), started_ms=2))
-        assert book.orders is None
-        assert book.models == frozenset()
+        engine = make_engine()
+        engine.reported(make_report(["m1"], 5))
+        engine.saw(make_endpoint(models=(), started_ms=2))
+        assert engine.orders is None
+        assert engine.models == frozenset()
 
     def test_a_move_takes_its_memory_from_its_beginning(self):
         """No second move finds the room of a load that is still to be ordered."""
-        book = make_book(())
-        book.begin(M1)
-        assert M1 in book.committed_mb_by_model
-        assert book.free_mb == 40
+        engine = make_engine(())
+        engine.begin(M1)
+        assert M1 in engine.committed_mb_by_model
+        assert engine.free_mb == 40
 
     def test_an_adapter_is_arriving_for_a_while(self):
         """An adapter that may not have come yet cannot be unloaded."""
         clock = Clock()
-        book = make_book(("m1",), clock)
-        book.adapter_ordered(A1)
-        assert book.is_arriving(A1)
-        assert book.holds(A1)
+        engine = make_engine(("m1",), clock)
+        engine.adapter_ordered(A1)
+        assert engine.is_arriving(A1)
+        assert engine.holds(A1)
         clock.advance(ARRIVAL_S + 0.01)
-        assert not book.is_arriving(A1)
+        assert not engine.is_arriving(A1)
 
     def test_adapters_on_their_way_take_places(self):
         """An adapter that another node ordered counts as soon as it is reported."""
-        book = make_book()
-        book.reported(make_report(["m1"], 1, coming=[A1]))
-        assert book.adapter_count == 1
+        engine = make_engine()
+        engine.reported(make_report(["m1"], 1, coming=[A1]))
+        assert engine.adapter_count == 1
 
     def test_a_model_that_leaves_takes_no_more_requests(self):
         """A model is not held from the order to unload it on."""
-        book = make_book()
-        book.unloading = M1
-        assert not book.holds(WantedModel(M1))
-        assert M1 in book.committed_mb_by_model
+        engine = make_engine()
+        engine.unloading = M1
+        assert not engine.holds(WantedModel(M1))
+        assert M1 in engine.committed_mb_by_model
 
     def test_a_model_no_longer_configured_takes_the_whole_memory(self):
         """Nothing is loaded beside what has no known size."""
-        assert make_book(("old",)).free_mb == 0
+        assert make_engine(("old",)).free_mb == 0
--- a/tests/transport/test_front.py
+++ b/tests/transport/test_front.py
@@ -5,7 +5,7 @@
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.verdict import Verdict
-from camphoryard.transport.front import Door, refusal_status
+from camphoryard.transport.front import Intake, refusal_status
 
 NOT_RUN, MAY_HAVE_RUN = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN
 
@@ -43,15 +43,15 @@
         assert status not in (429, 503)
 
 
-class TestDoor:
+class TestIntake:
     """A stopping node."""
 
-    def test_a_closed_door_refuses_as_not_run(self):
+    def test_a_closed_intake_refuses_as_not_run(self):
         """The client finds another node at once."""
-        door = Door()
-        door.check()
-        door.close()
+        intake = Intake()
+        intake.check()
+        intake.close()
         with pytest.raises(RefusalError) as caught:
-            door.check()
+            intake.check()
         assert caught.value.verdict is NOT_RUN
         assert 0 < caught.value.retry_after_s < 1
