--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -85,7 +85,7 @@
 
 
 def begin(parts: ForwardingParts, request: ClientRequest) -> ForwardedRequest:
-    """Return the forwarded of a request along its route.
+    """Return a request with the route that takes it.
 
     Raises
     ------
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -1,8 +1,8 @@
 """The node that has the duty decides what engines hold.
 
 All orders to one engine go through its ``EngineState``, which numbers them. One task
-for each move carries it out, as an engine does one at a time; adapters move beside them, in
-the task that asks for one.
+for each move carries it out, as an engine does one at a time; adapters move beside
+them, in the task that asks for one.
 """
 
 import threading
