Begin a term before the first question in it

Cause: found in reading. A node that regains the duty answered questions for up to 250 ms with what it knew in its former term, and could overfill an engine. Change: each question looks at the term first; the test overfills the engine without it.

--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -147,6 +147,7 @@
         in ``avoid`` could not be reached; those that do not answer here either
         count as gone for a while.
         """
+        self.note_term()
         spec = self._engines.engine_spec(service)
         if not self.has_duty or spec is None or wanted.model not in spec.models_by_id:
             return NotProvided()
@@ -181,12 +182,14 @@
         self._engines.ask_unknown()
 
     def note_term(self) -> None:
-        """Begin anew in a new term."""
+        """Begin anew in a new term, before anything is ordered in it."""
         term = self._parts.duty.term
-        if term != self._term:
+        with self._lock:
+            if term == self._term:
+                return
             self._term = term
-            self._engines.clear()
-            self._rate.reset(0.0)
+        self._engines.clear()
+        self._rate.reset(0.0)
 
     def _plan_service(self, service: ServiceId) -> None:
         view = self._view(service)
--- a/tests/coordination/loading/test_orderer.py
+++ b/tests/coordination/loading/test_orderer.py
@@ -238,6 +238,17 @@
         assert engine.held[M1] == {"a1", "a2"}
         assert not engine.is_overfilled
 
+    def test_a_term_begins_with_what_engines_say(self, timer):
+        """Another node may have ordered them since this node's last term."""
+        site = Site(timer, e1=["m1"])
+        engine = site.engine_by_name["e1"]
+        site.orderer.note_term()
+        site.orderer.look()
+        engine.held[M1] = {"a3", "a4"}
+        site.duty.term = FencingNumber(5)
+        site.orderer.provide(SERVICE, A1)
+        assert not engine.is_overfilled
+
     def test_an_order_without_an_answer_takes_effect_once(self, timer):
         """A repeat bears the number of the first, so an engine takes only one."""
         site = Site(timer, e1=["m1"])
