Look at the engines before asking whether they are silent

After a change of term nothing is known of them yet, so a silent one was not found; a test of silent engines showed it once the term began with the question.

--- a/src/camphoryard/coordination/loading/engine_table.py
+++ b/src/camphoryard/coordination/loading/engine_table.py
@@ -94,6 +94,7 @@
 
     def check_reached(self, avoid: Collection[EndpointId]) -> None:
         """Note which of the engines that a node could not reach are silent."""
+        self.refresh()
         now_s = self.clock()
         for id in avoid:
             engine = self.find(id)
--- a/tests/coordination/loading/test_orderer.py
+++ b/tests/coordination/loading/test_orderer.py
@@ -109,6 +109,7 @@
                 lambda _: None,
             )
         )
+        self.orderer.note_term()
         self.orderer.look()
 
     def run_moves(self):
