Use no connection on which more came than its answer

Ruled out: a connection used by two requests at once; the body of a skipped answer. Change: idle connections are looked at in the reader too; a signed answer that names no request is another one's.

--- a/src/camphoryard/platform/heads.py
+++ b/src/camphoryard/platform/heads.py
@@ -120,7 +120,9 @@
         """Return what an answer's head says, or None if it is another request's."""
         by_name = {name.lower(): value for name, value in headers.items()}
         echoed = by_name.get(REQUEST_ID.lower())
-        if echoed is not None and echoed != request.id:
+        is_signed = SIGNATURE.lower() in by_name
+        if echoed != request.id and (is_signed or echoed is not None):
+            # A second answer to an earlier call, which may name no request.
             return None
         length = by_name.get("content-length", "")
         kept = {
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -174,6 +174,16 @@
         response.fp = self.reader  # type: ignore[assignment]
         return response
 
+    def is_clean(self) -> bool:
+        """Return whether an idle connection is open and nothing more has come on it.
+
+        What came with the last answer is in the reader, and no longer in the socket.
+        """
+        if is_readable(self.sock):
+            return False
+        self.sock.setblocking(False)
+        return not self.reader.peek(1)
+
     def release(self) -> None:
         """Close the connection and its reader."""
         self.reader.release()
@@ -309,8 +319,7 @@
                     return None
                 item = idle.pop()
                 self._busy.add(item.connection)
-            # Something to read on an idle connection is its end.
-            if now_s < item.until_s and not is_readable(item.connection.sock):
+            if now_s < item.until_s and item.connection.is_clean():
                 return item.connection
             self.discard(item.connection)
 
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -180,3 +180,31 @@
             answer.close(is_read=True)
             task.join(10)
             assert client._take_idle(Address("127.0.0.1", port), 60.0) is None
+
+
+class TestLeftovers:
+    """Bytes behind a complete answer."""
+
+    def test_a_connection_with_more_than_its_answer_is_not_used_again(self):
+        """A second answer that came with the first belongs to no later call."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = Address("127.0.0.1", listener.getsockname()[1])
+            accepted = []
+
+            def answer_calls():
+                for body in (b"one", b"two"):
+                    connection, _ = listener.accept()
+                    accepted.append(connection)
+                    connection.recv(4096)
+                    extra = answer + b"bad" if body == b"one" else b""
+                    connection.sendall(answer + body + extra)
+
+            task = threading.Thread(target=answer_calls, daemon=True)
+            task.start()
+            client = HttpClient()
+            bodies = [client.call(address, HttpCall("GET", "/")).body for _ in range(2)]
+            task.join(10)
+            for connection in accepted:
+                connection.close()
+        assert bodies == [b"one", b"two"]
