Reset the connections of calls that are broken off

A call that was cancelled was closed gracefully, so what was held up on the way, in the sender's buffer or by lost packets, was still delivered and run. Ruled out: reading of the client's end (the server reads while a request runs). Change: a connection given up with a call or an unread answer on it is reset. Also removed: HttpClient.forget, which nothing called.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -5,6 +5,7 @@
 import re
 import select
 import socket
+import struct
 import threading
 import time
 from collections import defaultdict
@@ -34,6 +35,8 @@
 KEEP_ALIVE_PROBES = 2
 """A connection that went silent breaks after idle + interval * probes seconds."""
 UNACKNOWLEDGED_LIMIT_MS = 3000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER on, for 0 seconds."""
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 KEEP_ALIVE_MARGIN_S = 0.5
 """An idle connection is not used in the last part of the time that it is kept."""
@@ -132,14 +135,18 @@
         if is_read and not self.response.will_close and not self._is_second:
             kept_s = _kept_for_s(self.response)
             self._client.give_back(exchange.address, exchange.connection, kept_s)
-        else:
+        elif is_read:
             self._client.discard(exchange.connection)
+        else:
+            self._client.abort(exchange.connection)
 
 
 class _KeptReader:
     """The buffered reader of a connection, which outlives single answers."""
 
     def __init__(self, sock: socket.socket) -> None:
+        # The connection itself drops its socket at an answer that announces its end.
+        self._sock = sock
         self._reader: BinaryIO = sock.makefile("rb")
 
     def __getattr__(self, name: str) -> Any:
@@ -148,6 +155,10 @@
     def close(self) -> None:
         """Do nothing: an answer that is over leaves the reader to the next."""
 
+    def reset_on_close(self) -> None:
+        """Have the socket reset, and what it has not sent dropped, as it closes."""
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def release(self) -> None:
         """Close the reader for good."""
         self._reader.close()
@@ -189,6 +200,15 @@
         self.reader.release()
         self.close()
 
+    def reset(self) -> None:
+        """Close the connection; what has not left yet never does.
+
+        A graceful close still delivers what is held up on the way, so an endpoint
+        could begin to run a call long after it was broken off.
+        """
+        self.reader.reset_on_close()
+        self.release()
+
 
 @dataclass(frozen=True, slots=True)
 class _Exchange:
@@ -283,13 +303,6 @@
         self.give_back(address, connection)
         return True
 
-    def forget(self, address: Address) -> None:
-        """Close the idle connections to an address that is used no more."""
-        with self._lock:
-            idle = self._idle_by_address.pop(address, [])
-        for item in idle:
-            item.connection.release()
-
     def give_back(
         self, address: Address, connection: _Connection, kept_s: float = math.inf
     ) -> None:
@@ -309,6 +322,12 @@
             self._busy.discard(connection)
         connection.release()
 
+    def abort(self, connection: _Connection) -> None:
+        """Break off the call on a connection; its endpoint sees a reset at once."""
+        with self._lock:
+            self._busy.discard(connection)
+        connection.reset()
+
     def _take_idle(self, address: Address, max_idle_s: float) -> _Connection | None:
         """Return a pooled connection that the other side has not closed."""
         while True:
@@ -351,7 +370,7 @@
         except (OSError, HTTPException, ValueError) as error:
             if cancellation is not None:
                 cancellation.drop(handle)
-            self.discard(connection)
+            self.abort(connection)
             raise broken(error) from error
         exchange = _Exchange(
             address, call.method, connection, sock, response, cancellation, handle
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP client against a socket that misbehaves."""
 
+import contextlib
 import socket
 import threading
 
@@ -17,7 +18,10 @@
 HOST = "127.0.0.1"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 HEAD_END = b"\r\n\r\n"
+LEAVING = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\n"
 SILENT = b""
+LARGE_BODY = bytes(8 << 20)
+"""More than the buffers of two sockets hold."""
 
 
 class Server:
@@ -44,15 +48,16 @@
             self._talk(connection)
 
     def _talk(self, connection):
-        while data := connection.recv(65_536):
-            if HEAD_END not in data:
-                continue
-            self.got_request.set()
-            index = self.requests
-            self.requests += 1
-            connection.sendall(self._answers[index])
-            if index in self._closes:
-                break
+        with contextlib.suppress(ConnectionResetError):
+            while data := connection.recv(65_536):
+                if HEAD_END not in data:
+                    continue
+                self.got_request.set()
+                index = self.requests
+                self.requests += 1
+                connection.sendall(self._answers[index])
+                if index in self._closes:
+                    break
         connection.close()
         self.closed.set()
 
@@ -130,6 +135,50 @@
             get(client, server, cancellation=cancellation)
 
 
+class TestAbort:
+    """A call that is broken off."""
+
+    def test_what_had_not_left_is_never_delivered(self, client):
+        """The endpoint meets a reset in place of the rest of the call."""
+        cancellation = Cancellation()
+        with socket.create_server((HOST, 0)) as listening:
+            address = Address(HOST, listening.getsockname()[1])
+            call = HttpCall("POST", "/", LARGE_BODY, cancellation=cancellation)
+            caller = threading.Thread(target=_fails, args=(client, address, call))
+            caller.start()
+            endpoint, _ = listening.accept()
+            with endpoint:
+                assert endpoint.recv(1)
+                cancellation.cancel()
+                caller.join(10.0)
+                with pytest.raises(ConnectionResetError):
+                    while endpoint.recv(65_536):
+                        pass
+
+    def test_an_answer_that_is_not_read_is_reset(self, client):
+        """The endpoint learns at once that nobody wants the rest of its answer."""
+        with socket.create_server((HOST, 0)) as listening:
+            address = Address(HOST, listening.getsockname()[1])
+            opened = []
+            caller = threading.Thread(
+                target=lambda: opened.append(client.open(address, HttpCall("GET", "/")))
+            )
+            caller.start()
+            endpoint, _ = listening.accept()
+            with endpoint:
+                endpoint.recv(65_536)
+                endpoint.sendall(LEAVING + b"ha")
+                caller.join(10.0)
+                opened[0].close(is_read=False)
+                with pytest.raises(ConnectionResetError):
+                    endpoint.recv(16)
+
+
+def _fails(client, address, call):
+    with pytest.raises(BrokenCallError):
+        client.call(address, call)
+
+
 class TestAnswerSize:
     """The bound on a body that is read whole."""
 
