Take the ceiling of loads and the pace of watches from the deployment's bounds

Cause: found in reading. The bounds on loads and on leaving endpoints were read from the settings and used by nothing, so the ceiling rested on a constant that fits an excess of 1 or more, and the watch of the endpoints on a constant that fits a drain of 2 s or more. Ruled out: a rate that is known too late (the operator's configuration carries it). Only the entry named 'main' is taken as the configuration in force. Removed, as nothing used them: MIDDLE_RANK and AnswerHead.length; whether an answer is signed is worked out once.

--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -84,14 +84,12 @@
 class AnswerHead:
     """Status and headers of an answer, with those that go on to the client.
 
-    ``length`` is that of the body in bytes, or None if it is not said. ``leaving``
-    tells that the endpoint closes the connection after this answer.
+    ``leaving`` tells that the endpoint closes the connection after this answer.
     """
 
     kind: AnswerKind
     status: int
     headers: Mapping[str, str]
-    length: int | None = None
     leaving: bool = False
 
 
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -34,7 +34,7 @@
 from camphoryard.coordination.loading.engine_table import EngineTable
 from camphoryard.coordination.loading.moving import POLL_PERIOD_S, Mover
 from camphoryard.coordination.loading.ports import EngineOrders
-from camphoryard.coordination.loading.store_rate import StoreRate
+from camphoryard.coordination.loading.store_rate import LoadLimits, StoreRate
 from camphoryard.coordination.ports import Timer
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.directory import Directory
@@ -100,6 +100,7 @@
     timer: Timer
     log: DecisionLog
     count: Callable[[str], None]
+    load_limits: LoadLimits = LoadLimits()
     policy: CoveragePolicy = CoveragePolicy()
     clock: Callable[[], float] = time.monotonic
 
@@ -120,7 +121,7 @@
         self._lock = threading.Lock()
         self._moving: set[EndpointId] = set()
         self._want_by_model: dict[ModelId, _Want] = {}
-        self._rate = StoreRate(parts.clock)
+        self._rate = StoreRate(parts.load_limits, parts.clock)
         self._term = NO_TERM
 
     @property
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -71,8 +71,10 @@
 HANDLER_TASKS = 256
 NODE_TASKS = 64
 ENDPOINT_BATCH_S = 1.0
-"""Between two watches of the endpoints; half of the time in which one that leaves
-must get no more requests."""
+"""Between two watches of the endpoints: as often as balancers ask for readiness."""
+ENDPOINT_BATCH_SHARE = 0.5
+"""The same at most as part of the time after which an endpoint that leaves must get
+no more requests."""
 ENDPOINT_WAIT_S = 10.0
 RULES_WAIT_S = 30.0
 NODES_WAIT_S = 30.0
@@ -182,6 +184,7 @@
             timer,
             log,
             metrics.count,
+            settings.bounds.load_limits,
         )
     )
     seeker = Seeker(
@@ -266,9 +269,7 @@
 ) -> tuple[Follower[Any], ...]:
     """Return the tasks that follow the operator's rules and the endpoints."""
     store = Address(settings.store.host, settings.store.port)
-    rules = StoreRecords(
-        client, store, CONFIG_KIND, lambda _, spec: decode_rules(spec), _unwritten, log
-    )
+    rules = StoreRecords(client, store, CONFIG_KIND, decode_rules, _unwritten, log)
     endpoints = StoreRecords(
         client, store, ENDPOINT_KIND, decode_endpoint, _unwritten, log
     )
@@ -279,7 +280,9 @@
             feed.take_endpoint,
             wait_s=ENDPOINT_WAIT_S,
             answering=feed.answering,
-            batch_s=ENDPOINT_BATCH_S,
+            batch_s=min(
+                ENDPOINT_BATCH_S, settings.bounds.drain_s * ENDPOINT_BATCH_SHARE
+            ),
             listed=feed.list_endpoints,
         ),
     )
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from camphoryard.coordination.loading.store_rate import LoadLimits
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.serving_endpoints import HostPort
 
@@ -14,9 +15,8 @@
     requests; ``grace_s`` the time between a stop signal and the end;
     ``retry_share`` and ``retry_reserve`` bound the repeats of a service over all
     nodes in any ``retry_window_s``; ``order_lease_s`` is how long after the orders
-    of one node another must wait, unless engines check fences; in any
-    ``load_window_s`` at most ``load_excess`` times the weight store's rate may be
-    loaded. Times in seconds.
+    of one node another must wait, unless engines check fences; ``load_limits``
+    bound the loads from the weight store. Times in seconds.
     """
 
     drain_s: float
@@ -26,8 +26,7 @@
     retry_window_s: float
     order_lease_s: float
     engines_check_fences: bool
-    load_window_s: float
-    load_excess: float
+    load_limits: LoadLimits
 
     @property
     def handover_s(self) -> float:
--- a/src/camphoryard/platform/heads.py
+++ b/src/camphoryard/platform/heads.py
@@ -60,7 +60,6 @@
 MILLISECONDS_PER_SECOND = 1000
 MISDIRECTED = 421
 LOWEST_RANK = 9
-MIDDLE_RANK = 5
 
 
 class PlatformHeads:
@@ -124,17 +123,15 @@
         if echoed != request.id and (is_signed or echoed is not None):
             # A second answer to an earlier call, which may name no request.
             return None
-        length = by_name.get("content-length", "")
         kept = {
             name: value
             for name, value in headers.items()
             if name.lower() not in HOP_HEADERS
         }
         return AnswerHead(
-            _kind(status, by_name),
+            _kind(status, by_name, is_signed),
             status,
             kept,
-            int(length) if length.isdigit() else None,
             by_name.get("connection", "").lower() == "close",
         )
 
@@ -148,12 +145,11 @@
         return headers
 
 
-def _kind(status: int, by_name: Mapping[str, str]) -> AnswerKind:
+def _kind(status: int, by_name: Mapping[str, str], is_signed: bool) -> AnswerKind:
     if status == MISDIRECTED:
         return AnswerKind.NOT_HELD
     if NOT_RUN.lower() in by_name:
         return AnswerKind.NOT_RUN
-    is_signed = SIGNATURE.lower() in by_name
     if not is_signed or "content-encoding" in by_name:
         return AnswerKind.UNTRUSTED
     return AnswerKind.SERVED if 200 <= status < 300 else AnswerKind.FAILED
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from camphoryard.coordination.loading.store_rate import LoadLimits
 from camphoryard.entry.settings import METRICS_PORT, Bounds, EntrySettings
 from camphoryard.settings import SettingsError
 from camphoryard.state.ids import NodeId, Zone
@@ -109,8 +110,7 @@
         bounds.budget_window_s,
         bounds.lease_ms / MILLISECONDS_PER_SECOND,
         bounds.require_fence,
-        bounds.ceiling_window_s,
-        bounds.ceiling_excess,
+        LoadLimits(bounds.ceiling_window_s, bounds.ceiling_excess),
     )
 
 
--- a/src/camphoryard/platform/traffic.py
+++ b/src/camphoryard/platform/traffic.py
@@ -136,8 +136,16 @@
 _ENTRY = msgspec.json.Decoder(_Entry)
 
 
-def decode_rules(spec: bytes) -> TrafficRules:
-    """Return the traffic rules in a configuration; raises MsgspecError."""
+def decode_rules(name: str, spec: bytes) -> TrafficRules:
+    """Return the traffic rules in a configuration.
+
+    Raises
+    ------
+    MsgspecError, ValueError
+        If it cannot be read, or is not the one in force.
+    """
+    if name != CONFIG_NAME:
+        raise ValueError(f"only {CONFIG_NAME!r} is in force")
     config = _CONFIG.decode(spec)
     services = (_service(item) for item in config.services)
     return TrafficRules(
--- a/tests/platform/test_traffic.py
+++ b/tests/platform/test_traffic.py
@@ -109,14 +109,14 @@
 
     def test_the_longest_prefix_wins(self):
         """Routes of a host are searched from the longest prefix on."""
-        rules = decode_rules(json.dumps(CONFIG).encode())
+        rules = decode_rules("main", json.dumps(CONFIG).encode())
         assert rules.find("h.example", "/a/b/c").id == "r2"
         assert rules.find("h.example", "/a/c").id == "r1"
         assert rules.find("h.example", "/d/") is None
 
     def test_kinds_say_what_may_be_repeated(self):
         """A stream that may be resumed is another kind than one that may not."""
-        rules = decode_rules(json.dumps(CONFIG).encode())
+        rules = decode_rules("main", json.dumps(CONFIG).encode())
         assert [rule.repeatability for rule in rules.routes] == [
             Repeatability.STREAM,
             Repeatability.RESUMABLE_STREAM,
@@ -126,17 +126,17 @@
     def test_an_unknown_kind_is_never_repeated(self):
         """What is not understood is treated as the most delicate."""
         routes = [{**CONFIG["routes"][2], "kind": "new"}]
-        rules = decode_rules(json.dumps({**CONFIG, "routes": routes}).encode())
+        rules = decode_rules("main", json.dumps({**CONFIG, "routes": routes}).encode())
         assert rules.routes[0].repeatability is Repeatability.ONCE
 
     def test_times_are_seconds(self):
         """Milliseconds end at the adapter."""
-        rule = decode_rules(json.dumps(CONFIG).encode()).routes[0]
+        rule = decode_rules("main", json.dumps(CONFIG).encode()).routes[0]
         assert (rule.timeout_s, rule.objective_s, rule.longest_gap_s) == (25, 6, 0.3)
 
     def test_adapters_are_named_by_their_number(self):
         """The configuration gives their count only."""
-        rules = decode_rules(json.dumps(CONFIG).encode())
+        rules = decode_rules("main", json.dumps(CONFIG).encode())
         assert rules.services_by_id["s1"].engine.models_by_id["m1"].adapters == (
             "a1",
             "a2",
@@ -145,7 +145,12 @@
     def test_a_configuration_without_routes_is_refused(self):
         """It is left out and the older one stays."""
         with pytest.raises(msgspec.ValidationError):
-            decode_rules(b'{"version": 8}')
+            decode_rules("main", b'{"version": 8}')
+
+    def test_only_the_main_configuration_is_in_force(self):
+        """What lies beside it under another name routes nothing."""
+        with pytest.raises(ValueError, match="main"):
+            decode_rules("draft", json.dumps(CONFIG).encode())
 
 
 class TestDecodeEndpoint:
