Put streams that miss their objective behind those that need not

Ruled out: refusing what would be late, which is asked again and refused again. Change: engines admit by urgency, so the urgency is now twice the route's rank, and one more for a stream that would miss its objective at the endpoint, by the requests of this node that wait there and are not less urgent (Little's law); a client that comes back is late already, which its shorter deadline tells. A crowd of less urgent streams no longer has an urgent one refused.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -12,9 +12,10 @@
     ClientReply,
     Sending,
 )
+from camphoryard.coordination.forwarding.urgency import urgency_at
 from camphoryard.coordination.routing.first_events import FirstEvents
 from camphoryard.state.errors import BrokenCallError
-from camphoryard.state.ids import EndpointId
+from camphoryard.state.ids import EndpointId, Urgency
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import Repeatability, RouteRule
 
@@ -53,11 +54,16 @@
     sent_s = parts.clock()
     forwarded.sends += 1
     forwarded.endpoint = endpoint.id
+    urgency = urgency_at(parts, forwarded, endpoint.id)
+    forwarded.urgency = urgency
+    sending = _sending(parts, forwarded, endpoint, urgency)
     parts.in_flight.begin(endpoint.id)
     parts.breakers.started(endpoint.id)
-    wait = _FirstEventWait(parts.first_events, endpoint.id)
+    wait = _FirstEventWait(parts.first_events, endpoint.id, urgency)
     try:
-        with closing(_open(parts, forwarded, endpoint, cancellation)) as answer:
+        with closing(
+            _open(parts, forwarded, endpoint, sending, cancellation)
+        ) as answer:
             parts.observe("head", parts.clock() - sent_s)
             return _take(parts, forwarded, endpoint, answer, reply, sent_s, wait)
     finally:
@@ -68,33 +74,34 @@
 class _FirstEventWait:
     """One request's wait for its first event."""
 
-    def __init__(self, first_events: FirstEvents, endpoint: EndpointId) -> None:
+    def __init__(
+        self, first_events: FirstEvents, endpoint: EndpointId, urgency: Urgency
+    ) -> None:
         self._first_events = first_events
-        self._endpoint = endpoint
+        self._pending = first_events.sent(endpoint, urgency)
         self._is_over = False
-        first_events.sent(endpoint)
 
     def came(self) -> None:
         """Note the first event."""
         if not self._is_over:
             self._is_over = True
-            self._first_events.came(self._endpoint)
+            self._first_events.came(self._pending)
 
     def end(self) -> None:
         """Note the end, with or without one."""
         if not self._is_over:
             self._is_over = True
-            self._first_events.ended(self._endpoint)
+            self._first_events.ended(self._pending)
 
 
 def _open(
     parts: ForwardingParts,
     forwarded: ForwardedRequest,
     endpoint: ServingEndpoint,
+    sending: Sending,
     cancellation: Cancellation,
 ) -> Answer:
     """Send the request; note that it may have run unless no byte left."""
-    sending = _sending(parts, forwarded, endpoint)
     try:
         answer = parts.upstream.open(endpoint, forwarded.request, sending, cancellation)
     except BrokenCallError:
@@ -108,7 +115,10 @@
 
 
 def _sending(
-    parts: ForwardingParts, forwarded: ForwardedRequest, endpoint: ServingEndpoint
+    parts: ForwardingParts,
+    forwarded: ForwardedRequest,
+    endpoint: ServingEndpoint,
+    urgency: Urgency,
 ) -> Sending:
     request, rule = forwarded.request, forwarded.rule
     holders = parts.directory.holders(forwarded.service, request.wanted)
@@ -122,7 +132,7 @@
     return Sending(
         forwarded.due_s,
         patience_s,
-        rule.rank,
+        urgency,
         forwarded.progress.last_event or request.resume_after,
         ONCE_IDLE_S if is_once else IDLE_S,
     )
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -6,6 +6,7 @@
 from camphoryard.coordination.forwarding.attempt import Outcome, attempt
 from camphoryard.coordination.forwarding.parts import ForwardedRequest, ForwardingParts
 from camphoryard.coordination.forwarding.ports import ClientReply, ClientRequest
+from camphoryard.coordination.forwarding.urgency import urgency_at
 from camphoryard.coordination.messages import CrashSeen
 from camphoryard.coordination.routing.crash_tally import fingerprint
 from camphoryard.state.enums import Reason
@@ -16,7 +17,7 @@
     RefusalError,
     StalledCallError,
 )
-from camphoryard.state.ids import ServiceId
+from camphoryard.state.ids import EndpointId, ServiceId
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import RouteRule, WeightedService
 from camphoryard.state.verdict import Verdict
@@ -106,7 +107,9 @@
     event_due_s = due_s
     if rule.repeatability.is_stream:
         event_due_s = min(due_s, request.arrived_s + rule.client_patience_s)
-    return ForwardedRequest(request, rule, _draw_service(rule), due_s, event_due_s)
+    return ForwardedRequest(
+        request, rule, rules.version, _draw_service(rule), due_s, event_due_s
+    )
 
 
 def _draw_service(rule: RouteRule) -> ServiceId:
@@ -186,7 +189,7 @@
     if not forwarded.rule.repeatability.is_stream or forwarded.progress.events:
         return usable
     left_s = forwarded.event_due_s - parts.clock()
-    wait_s_by_id = {item.id: parts.first_events.wait_s(item.id) for item in usable}
+    wait_s_by_id = {item.id: _queue_s(parts, forwarded, item.id) for item in usable}
     in_time = [
         item for item in usable if wait_s_by_id[item.id] < left_s * HOPELESS_SHARE
     ]
@@ -201,6 +204,16 @@
     )
 
 
+def _queue_s(
+    parts: ForwardingParts, forwarded: ForwardedRequest, endpoint: EndpointId
+) -> float:
+    """Return how long a stream would wait in an endpoint's queue, if it has one."""
+    urgency = urgency_at(parts, forwarded, endpoint)
+    if not parts.first_events.is_crowded(endpoint, urgency):
+        return 0.0
+    return parts.first_events.wait_s(endpoint, urgency)
+
+
 def _return_s(
     parts: ForwardingParts, forwarded: ForwardedRequest, in_s: float
 ) -> float:
--- a/src/camphoryard/coordination/forwarding/parts.py
+++ b/src/camphoryard/coordination/forwarding/parts.py
@@ -14,7 +14,7 @@
 from camphoryard.coordination.routing.first_events import FirstEvents
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.state.directory import Directory
-from camphoryard.state.ids import EndpointId, ServiceId
+from camphoryard.state.ids import EndpointId, ServiceId, Urgency, Version
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import RouteRule, WantedModel
@@ -83,12 +83,14 @@
     event, or the first byte of a whole answer, has come. ``runs`` counts the
     endpoints at which it may have run, ``sends`` all that it was sent to;
     ``progress`` is what the client has of a stream. ``failed`` are endpoints whose
-    call broke, ``unreached`` those of them that took no connection. ``endpoint`` is
-    the last one sent to; the times, in seconds, are what on-call engineers ask for.
+    call broke, ``unreached`` those of them that took no connection. ``endpoint`` and
+    ``urgency`` are those of the last sending; the times, in seconds, are what on-call
+    engineers ask for.
     """
 
     request: ClientRequest
     rule: RouteRule
+    rules_version: Version
     service: ServiceId
     due_s: float
     event_due_s: float
@@ -102,6 +104,17 @@
     loads_awaited_s: float = 0.0
     first_event_s: float = 0.0
     longest_gap_s: float = 0.0
+    urgency: Urgency | None = None
+
+    @property
+    def began_s(self) -> float:
+        """When the client first sent the request, as far as its deadline tells.
+
+        A client that comes back has less time left than the route allows.
+        """
+        request = self.request
+        left_s = request.deadline_s - request.arrived_s
+        return request.arrived_s - max(0.0, self.rule.timeout_s - left_s)
 
     @property
     def verdict(self) -> Verdict:
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.state.ids import EventId, PromptPartId, RequestId
+from camphoryard.state.ids import EventId, PromptPartId, RequestId, Urgency
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import WantedModel
 
@@ -54,13 +54,14 @@
     """How a request goes to an endpoint.
 
     ``deadline_s`` is when the endpoint stops work, ``patience_s`` how long it may
-    be silent before its answer begins, ``rank`` the urgency, 0 first.
+    be silent before its answer begins, ``urgency`` its place in
+    the queue there.
     ``resume_after`` is the last event that the client has got by now.
     """
 
     deadline_s: float
     patience_s: float
-    rank: int
+    urgency: Urgency
     resume_after: EventId | None
     max_idle_s: float
 
--- a/src/camphoryard/platform/heads.py
+++ b/src/camphoryard/platform/heads.py
@@ -35,14 +35,14 @@
 NOT_RUN = "Not-Executed"
 EXPECTED_ENDPOINT = "Expect-Instance"
 ENDPOINT = "Instance-Id"
-RANK = "Urgency-Class"
+URGENCY = "Urgency-Class"
 RETRY_AFTER = "Retry-After"
 
 SET_BY_SYSTEM = frozenset(
     name.lower()
     for name in (
         EXPECTED_ENDPOINT,
-        RANK,
+        URGENCY,
         "Expect-Version",
         "Hold",
         "Pin-Ms",
@@ -59,7 +59,7 @@
 """For requests without a deadline; longer than any on the users' sheets."""
 MILLISECONDS_PER_SECOND = 1000
 MISDIRECTED = 421
-LOWEST_RANK = 9
+LOWEST_URGENCY = 9
 
 
 class PlatformHeads:
@@ -108,7 +108,7 @@
         headers[DEADLINE] = str(max(1, int(left_s * MILLISECONDS_PER_SECOND)))
         headers[EXPECTED_ENDPOINT] = endpoint.id
         if request.wanted is not None:
-            headers[RANK] = str(min(sending.rank, LOWEST_RANK))
+            headers[URGENCY] = str(min(sending.urgency, LOWEST_URGENCY))
         if sending.resume_after is not None:
             headers[LAST_EVENT] = sending.resume_after
         return headers
--- a/src/camphoryard/state/ids.py
+++ b/src/camphoryard/state/ids.py
@@ -17,6 +17,8 @@
 RequestId = NewType("RequestId", str)
 EventId = NewType("EventId", str)
 """Id of an event in a stream, as the endpoint wrote it."""
+Urgency = NewType("Urgency", int)
+"""Order in which an engine admits requests, 0 first."""
 PromptPartId = NewType("PromptPartId", str)
 Fingerprint = NewType("Fingerprint", str)
 """Digest of what a request would run, whoever its caller is."""
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -161,8 +161,10 @@
             "request_answered",
             request=request.id,
             route=forwarded.rule.id,
+            rules=forwarded.rules_version,
             model=item_of(request.wanted) if request.wanted else "",
             endpoint=forwarded.endpoint or "",
+            urgency=forwarded.urgency,
             sends=forwarded.sends,
             events=forwarded.progress.events,
             loads_awaited_ms=_ms(forwarded.loads_awaited_s),
@@ -177,11 +179,13 @@
         refusal: RefusalError,
         reply: WsgiReply | None,
     ) -> None:
+        rules = self.parts.directory.rules
         self.parts.count(f"requests_refused_{refusal.reason.value}")
         self.parts.log(
             "request_refused",
             request=request.id if request else "",
             target=request.target if request else "",
+            rules=rules.version if rules else "",
             reason=refusal.reason.value,
             detail=refusal.detail,
             verdict=refusal.verdict.value,
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -24,7 +24,7 @@
     RefusalError,
     StalledCallError,
 )
-from camphoryard.state.ids import ModelId, RequestId
+from camphoryard.state.ids import ModelId, RequestId, Urgency
 from camphoryard.state.serving_endpoints import EndpointState
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import Repeatability, WantedModel
@@ -39,6 +39,7 @@
 )
 
 ONE, TWO, THREE = (f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3))
+MOST_URGENT = Urgency(0)
 
 
 class Answer:
@@ -331,7 +332,7 @@
         """It has not run, and its client is told when to come back."""
         site = Site(served(ONE), repeatability=Repeatability.STREAM, endpoints=("e1",))
         for _ in range(20):
-            site.first_events.sent("e1")
+            site.first_events.sent("e1", MOST_URGENT)
         refusal = site.refusal()
         assert refusal.verdict is Verdict.NOT_RUN
         assert refusal.retry_after_s > 0
@@ -341,7 +342,7 @@
         """Even if more of its slots are filled."""
         site = Site(served(ONE), repeatability=Repeatability.STREAM)
         for _ in range(20):
-            site.first_events.sent("e1")
+            site.first_events.sent("e1", MOST_URGENT)
         site.forward()
         assert site.sent_to == ["e2"]
 
@@ -349,7 +350,7 @@
         """Lookups wait in the endpoint's own queue."""
         site = Site(served(b"ok"), endpoints=("e1",))
         for _ in range(20):
-            site.first_events.sent("e1")
+            site.first_events.sent("e1", MOST_URGENT)
         site.forward()
         assert site.reply.status == 200
 
