Count in a move's cost how long it takes to come, and plan several at once

Models were loaded from the weight store for 8.6 s where another engine had them on its disk, unloads waited up to 14 s for the runs on them, engines that moved took no adapters, and moves at the last engine that did were as cheap as any other. Change: the cost of a move counts the seconds until the model comes by what the copy gains, and how long the unload waits for runs; demand for adapters is shared by the copies at engines that take adapters; up to eight moves are planned in a period.

--- a/src/camphoryard/coordination/loading/adapters.py
+++ b/src/camphoryard/coordination/loading/adapters.py
@@ -10,7 +10,7 @@
 from camphoryard.state.demand import NO_DEMAND, ItemDemand
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import OrderKind
-from camphoryard.state.ids import EndpointId, ItemId
+from camphoryard.state.ids import EndpointId, ItemId, ModelId
 from camphoryard.state.traffic import WantedModel
 
 ARRIVAL_S = 0.025
@@ -121,3 +121,23 @@
             item = WantedModel(model, adapter)
             if item not in held:
                 yield item
+
+
+def adapter_slots_by_model(
+    engines: Collection[EngineState], demand_by_item: Mapping[ItemId, ItemDemand]
+) -> Mapping[ModelId, float]:
+    """Return the demand for adapters, in slots, that each copy of a model has to take.
+
+    While models move at an engine it takes no adapter, so the others have to.
+    """
+    slots: dict[ModelId, float] = {}
+    for item, demand in demand_by_item.items():
+        name, _, adapter = item.partition(":")
+        if adapter:
+            model = ModelId(name)
+            slots[model] = slots.get(model, 0.0) + demand.fast
+    taking = [engine for engine in engines if engine.takes_adapters]
+    return {
+        model: total / max(1, sum(model in engine.models for engine in taking))
+        for model, total in slots.items()
+    }
--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -5,6 +5,7 @@
 demand that would be uncovered without it.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -30,6 +31,11 @@
         Worth of a model that requests wait for and that is held nowhere.
     wanted_slots_per_s : float
         By how much that grows with each second of waiting, so that none starves.
+    delay_cost_share : float
+        Part of what the copy gains that each second until it comes costs: demand
+        moves on after some ten seconds.
+    unload_s : float
+        How long the runs on a model that is used go on once it is to leave.
     min_residency_s : float
         How long a copy stays before it may make room for another.
     spread_weight : float
@@ -40,6 +46,8 @@
     comfort_slots: float = 8.0
     move_cost_slots_per_s: float = 0.3
     adapter_cost_share: float = 0.3
+    delay_cost_share: float = 0.1
+    unload_s: float = 3.0
     min_residency_s: float = 2.0
     wanted_slots: float = 3.0
     wanted_slots_per_s: float = 3.0
@@ -202,11 +210,25 @@
     kept = _without_excess(engine, evicted, -missing_mb)
     from_store = model not in engine.on_hand
     takes_s = spec.load_s if from_store else spec.disk_load_s
+    takes_s += max((_unload_s(policy, view, item) for item in kept), default=0.0)
     cost_per_s = policy.move_cost_slots_per_s
     cost_per_s += policy.adapter_cost_share * engine.adapter_slots
-    cost = cost_per_s * takes_s
+    cost_per_s += policy.delay_cost_share * next_copy_worth(policy, view, model)
     lost = sum(copy_worth(policy, view, item) for item in kept)
-    return LoadMove(engine.id, model, tuple(kept), from_store), lost + cost
+    return LoadMove(
+        engine.id, model, tuple(kept), from_store
+    ), lost + cost_per_s * takes_s
+
+
+def _unload_s(policy: CoveragePolicy, view: FleetView, model: ModelId) -> float:
+    """Return about how long an unload waits for the runs on one copy of ``model``.
+
+    Arrivals are Poisson, so a copy with ``n`` slots of demand is idle with
+    probability exp(-n).
+    """
+    demand = view.demand_by_model.get(model, 0.0)
+    running = demand / max(1, view.copies_by_model.get(model, 1))
+    return policy.unload_s * (1.0 - math.exp(-running))
 
 
 def _without_excess(
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -16,6 +16,7 @@
 from camphoryard.coordination.forwarding.parts import DecisionLog
 from camphoryard.coordination.loading.adapters import (
     AdapterLoader,
+    adapter_slots_by_model,
     held_adapters,
     missing_adapters,
 )
@@ -42,6 +43,9 @@
 from camphoryard.state.traffic import WantedModel
 
 PLAN_PERIOD_S = 0.25
+MOVES_PER_TURN = 8
+"""Moves planned in one period at most; a fleet of a hundred engines starts some tens
+in a second when demand shifts, as fast as its weight store allows."""
 UNLOAD_ESTIMATE_S = 0.5
 """Until a load is accepted: the runs on what makes room for it have to end."""
 QUEUE_ESTIMATE_S = 2.0
@@ -136,6 +140,10 @@
             if self.has_duty:
                 self.plan()
 
+    def limit(self, limits: LoadLimits) -> None:
+        """Put other limits of the loads from the weight store in force."""
+        self._rate.limit(limits)
+
     def provide(
         self,
         service: ServiceId,
@@ -193,15 +201,19 @@
         self._rate.reset(0.0)
 
     def _plan_service(self, service: ServiceId) -> None:
+        for _ in range(MOVES_PER_TURN):
+            if not self._plan_move(service):
+                break
+        self._fill_adapter_places(service)
+
+    def _plan_move(self, service: ServiceId) -> bool:
+        """Start the move that is worth most; return whether there was one."""
         view = self._view(service)
         move = plan_copies(self._parts.policy, view)
         if move is not None:
-            self._start(service, move, "demand")
-            return
+            return self._start(service, move, "demand")
         move = plan_preload(self._parts.policy, view)
-        if move is not None:
-            self._start(service, move, "room")
-        self._fill_adapter_places(service)
+        return move is not None and self._start(service, move, "room")
 
     def _fill_adapter_places(self, service: ServiceId) -> None:
         """Load adapters held nowhere where places are free, one at each engine."""
@@ -284,7 +296,7 @@
         with self._lock:
             moving = frozenset(self._moving)
             wanted = frozenset(self._want_by_model)
-        adapter_slots = self._adapter_slots(engines)
+        adapter_slots = adapter_slots_by_model(engines, self._parts.demand())
         views = tuple(
             EngineView(
                 engine.endpoint.id,
@@ -311,19 +323,6 @@
             if engine.held_s(model) < (WANT_LIFE_S if model in wanted else least_s)
         )
 
-    def _adapter_slots(self, engines: list[EngineState]) -> dict[ModelId, float]:
-        """Return the demand for a model's adapters that each of its copies has."""
-        slots: dict[ModelId, float] = {}
-        for item, demand in self._parts.demand().items():
-            model, _, adapter = item.partition(":")
-            if adapter:
-                known = slots.get(ModelId(model), 0.0)
-                slots[ModelId(model)] = known + demand.fast
-        return {
-            model: total / max(1, sum(model in engine.models for engine in engines))
-            for model, total in slots.items()
-        }
-
     def _demand_by_model(self, models: Iterable[ModelId]) -> dict[ModelId, float]:
         known = frozenset(models)
         slots: dict[ModelId, float] = {}
@@ -334,17 +333,17 @@
                 slots[model] = slots.get(model, 0.0) + max(demand.fast, steady)
         return slots
 
-    def _start(self, service: ServiceId, move: LoadMove, cause: str) -> None:
+    def _start(self, service: ServiceId, move: LoadMove, cause: str) -> bool:
         """Have a move carried out, unless the weight store's rate forbids it."""
         spec = self._engines.engine_spec(service)
         engine = self._engines.find(move.engine)
         if spec is None or engine is None:
-            return
+            return False
         with self._lock:
             if move.engine in self._moving:
-                return
+                return False
             if move.from_store and not self._rate.take(spec.loads_per_s):
-                return
+                return False
             self._moving.add(move.engine)
             engine.begin(move.model)
         self._parts.log(
@@ -357,6 +356,7 @@
             term=self._parts.duty.term,
         )
         self._parts.executor.submit(self._carry_out, engine, move)
+        return True
 
     def _carry_out(self, engine: EngineState, move: LoadMove) -> None:
         try:
--- a/src/camphoryard/coordination/loading/store_rate.py
+++ b/src/camphoryard/coordination/loading/store_rate.py
@@ -33,6 +33,11 @@
         self._left = 0.0
         self._filled_s = clock()
 
+    def limit(self, limits: LoadLimits) -> None:
+        """Put other limits in force."""
+        with self._lock:
+            self._limits = limits
+
     def reset(self, left: float) -> None:
         """Begin anew with ``left`` loads at once."""
         with self._lock:
@@ -41,9 +46,9 @@
 
     def take(self, loads_per_s: float) -> bool:
         """Return whether a load may start now, and count it."""
-        excess = self._limits.excess
-        spare = loads_per_s * self._limits.window_s * max(0.0, excess - 1.0)
         with self._lock:
+            excess = self._limits.excess
+            spare = loads_per_s * self._limits.window_s * max(0.0, excess - 1.0)
             now_s = self._clock()
             gained = (now_s - self._filled_s) * loads_per_s * min(1.0, excess)
             self._left = min(SPARE_LOADS + spare, self._left + gained)
--- a/tests/coordination/loading/test_coverage.py
+++ b/tests/coordination/loading/test_coverage.py
@@ -1,5 +1,7 @@
 """Tests of which copies are worth their memory."""
 
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -82,6 +84,23 @@
         )
         assert move.engine == "e2"
 
+    def test_a_model_that_many_streams_run_on_leaves_later(self):
+        """Its unload would wait for them, and the load behind it too."""
+        held = {"e1": ["busy", "a"], "e2": ["rare", "a"]}
+        held |= {"e3": ["busy", "b"], "e4": ["busy", "b"]}
+        view = make_view(held, {"busy": 6, "rare": 0.2, "a": 9, "b": 9, "new": 1})
+        move, _ = best_load(POLICY, view, ModelId("new"))
+        assert (move.engine, move.evicted) == ("e2", ("rare",))
+
+    def test_a_crowds_model_goes_where_it_comes_soonest(self):
+        """Demand moves on while a load from the weight store lasts."""
+        held = {"e1": ["x"], "e2": ["c", "d"]}
+        view = make_view(held, {"crowd": 8, "c": 1.5, "d": 1.5, "x": 1})
+        on_hand = replace(view.engines[1], on_hand=frozenset({ModelId("crowd")}))
+        view = replace(view, engines=[view.engines[0], on_hand])
+        move, _ = best_load(POLICY, view, ModelId("crowd"))
+        assert (move.engine, move.from_store) == ("e2", False)
+
     def test_models_that_were_just_loaded_stay(self):
         """Two models that do not fit together cannot push each other out at once."""
         view = make_view({"e1": ["a", "b"]}, {"a": 1, "b": 1, "c": 1}, fixed=["a", "b"])
--- a/tests/coordination/loading/test_orderer.py
+++ b/tests/coordination/loading/test_orderer.py
@@ -270,6 +270,15 @@
         site.run_moves()
         assert M1 in site.engine_by_name["e2"].held
 
+    def test_a_large_crowd_gets_its_copies_at_once(self, timer):
+        """Moves at several engines begin in one turn."""
+        engines = {name: ["m2"] for name in ("e2", "e3", "e4")}
+        site = Site(timer, {"m1": 40.0}, e1=["m1"], **engines)
+        site.orderer.plan()
+        site.run_moves()
+        held = [engine.held for engine in site.engine_by_name.values()]
+        assert all(M1 in models for models in held)
+
     def test_an_engine_that_refuses_orders_is_left_alone(self, timer):
         """No stream of orders goes to an engine that takes none."""
         site = Site(timer, e1=["m1"])
