Take new bounds from the settings file while the daemon runs

SIGHUP was logged only, and a file that changes without a signal was never seen; a node kept the bounds of its start. Ruled out: a new start on each change, which would cut what is under way. Change: the file is looked at each second and on SIGHUP. New bounds of repeats and loads are told to the parts that keep them, the grace time is read when it is needed; what cannot change in a running process is named in the log, a bad file is rejected there.

--- a/src/camphoryard/coordination/routing/retry_window.py
+++ b/src/camphoryard/coordination/routing/retry_window.py
@@ -55,6 +55,11 @@
         self._lock = threading.Lock()
         self._counts_by_key: dict[KeyT, _Counts] = {}
 
+    def limit(self, limits: RepeatLimits) -> None:
+        """Put other limits in force."""
+        with self._lock:
+            self._limits = limits
+
     def earn(self, key: KeyT) -> None:
         """Count one request."""
         with self._lock:
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -5,6 +5,7 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any, NoReturn
 from uuid import uuid4
 
@@ -38,11 +39,13 @@
 from camphoryard.coordination.routing.crash_tally import CrashTally
 from camphoryard.coordination.routing.first_events import FirstEvents
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
-from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
+from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.coordination.watching import Follower
+from camphoryard.entry.reloading import LiveSettings
 from camphoryard.entry.settings import EntrySettings
 from camphoryard.platform.engines import PlatformEngines
 from camphoryard.platform.heads import PlatformHeads
+from camphoryard.platform.settings import read_entry_settings
 from camphoryard.platform.store import StoreRecords
 from camphoryard.platform.traffic import (
     CONFIG_KIND,
@@ -53,7 +56,7 @@
 from camphoryard.state.directory import Directory
 from camphoryard.state.duty import DutyRecord, PeerKeys
 from camphoryard.state.enums import NodeState
-from camphoryard.state.ids import Incarnation, NodeId, ObjectKey, WriteId
+from camphoryard.state.ids import Incarnation, NodeId, ObjectKey, ServiceId, WriteId
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.timeline import HybridClock
@@ -105,7 +108,7 @@
 class Entry:
     """All parts of one running entry daemon."""
 
-    settings: EntrySettings
+    live: LiveSettings
     log: LineLog
     metrics: Metrics
     timer: TimerService
@@ -128,10 +131,23 @@
     executors: Executors
     stop: threading.Event
 
+    @property
+    def settings(self) -> EntrySettings:
+        """The settings in force."""
+        return self.live.current
 
-def make_entry(settings: EntrySettings) -> Entry:
-    """Return an entry daemon with all parts joined; only the timer runs yet."""
+
+def make_entry(path: Path) -> Entry:
+    """Return an entry daemon with all parts joined; only the timer runs yet.
+
+    Raises
+    ------
+    SettingsError
+        If the settings file cannot be read; names the field.
+    """
+    settings = read_entry_settings(path)
     log = LineLog(settings.node, sys.stdout)
+    live = LiveSettings(path, settings, read_entry_settings, log)
     metrics = Metrics()
     timer = TimerService()
     client = HttpClient()
@@ -192,19 +208,18 @@
     )
     crashes = CrashTally()
     dialect = PlatformHeads()
-    bounds = settings.bounds
+    retries: RetryWindow[ServiceId] = RetryWindow(
+        settings.bounds.repeat_limits, lambda: max(len(nodes.all()), LEAST_NODES)
+    )
+    live.subscribe(lambda bounds: retries.limit(bounds.repeat_limits))
+    live.subscribe(lambda bounds: orderer.limit(bounds.load_limits))
     parts = ForwardingParts(
         directory,
         EndpointChooser(settings.zone, estimates.load),
         in_flight,
         Breakers(),
         FirstEvents(),
-        RetryWindow(
-            RepeatLimits(
-                bounds.retry_share, bounds.retry_reserve, bounds.retry_window_s
-            ),
-            lambda: max(len(nodes.all()), LEAST_NODES),
-        ),
+        retries,
         HttpUpstream(client, dialect),
         seeker,
         crashes,
@@ -214,7 +229,7 @@
         metrics.count,
     )
     return Entry(
-        settings,
+        live,
         log,
         metrics,
         timer,
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -13,7 +13,7 @@
 
 from camphoryard.coordination.fleet.presence import agree_on_keys
 from camphoryard.entry.assembly import Entry, handle, make_entry
-from camphoryard.platform.settings import read_entry_settings, settings_path
+from camphoryard.platform.settings import settings_path
 from camphoryard.settings import SettingsError
 from camphoryard.state.errors import ListenError
 from camphoryard.transport.http_server import ConnectionLimits, HttpServer, serve
@@ -78,6 +78,7 @@
     tasks: tuple[Callable[[TimerService], None], ...] = (
         *(follower.run for follower in entry.followers),
         entry.feed.run_expiry,
+        entry.live.run,
         entry.duty.run,
         entry.orderer.run,
         partial(join_fleet, entry),
@@ -153,6 +154,8 @@
         entry.log("signal", name=signal.Signals(received).name)
         if received in STOP_SIGNALS:
             entry.stop.set()
+        else:
+            entry.live.look()
 
 
 def _apply_limits(entry: Entry, front: HttpServer) -> None:
@@ -187,14 +190,13 @@
     Exit codes: 0 stopped, 2 settings bad, 3 a port not bound.
     """
     path = Path(sys.argv[1]) if len(sys.argv) > 1 else settings_path()
+    # Blocked before any thread starts, so that only the watching one gets them.
+    signal.pthread_sigmask(signal.SIG_BLOCK, WATCHED_SIGNALS)
     try:
-        settings = read_entry_settings(path)
+        entry = make_entry(path)
     except SettingsError as error:
         print(f"camphoryard-entry: {error}", file=sys.stderr, flush=True)
         sys.exit(EXIT_SETTINGS)
-    # Blocked before any thread starts, so that only the watching one gets them.
-    signal.pthread_sigmask(signal.SIG_BLOCK, WATCHED_SIGNALS)
-    entry = make_entry(settings)
     threading.Thread(target=watch_signals, args=(entry,), daemon=True).start()
     try:
         run_entry(entry)
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.loading.store_rate import LoadLimits
+from camphoryard.coordination.routing.retry_window import RepeatLimits
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.serving_endpoints import HostPort
 
@@ -13,17 +14,15 @@
 
     ``drain_s`` is how soon after its notice an endpoint that leaves gets no more
     requests; ``grace_s`` the time between a stop signal and the end;
-    ``retry_share`` and ``retry_reserve`` bound the repeats of a service over all
-    nodes in any ``retry_window_s``; ``order_lease_s`` is how long after the orders
-    of one node another must wait, unless engines check fences; ``load_limits``
-    bound the loads from the weight store. Times in seconds.
+    ``repeat_limits`` bound the repeats of a service over all nodes;
+    ``order_lease_s`` is how long after the orders of one node another must wait,
+    unless engines check fences; ``load_limits`` bound the loads from the weight
+    store. Times in seconds.
     """
 
     drain_s: float
     grace_s: float
-    retry_share: float
-    retry_reserve: float
-    retry_window_s: float
+    repeat_limits: RepeatLimits
     order_lease_s: float
     engines_check_fences: bool
     load_limits: LoadLimits
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from camphoryard.coordination.loading.store_rate import LoadLimits
+from camphoryard.coordination.routing.retry_window import RepeatLimits
 from camphoryard.entry.settings import METRICS_PORT, Bounds, EntrySettings
 from camphoryard.settings import SettingsError
 from camphoryard.state.ids import NodeId, Zone
@@ -105,9 +106,9 @@
     return Bounds(
         bounds.drain_ms / MILLISECONDS_PER_SECOND,
         bounds.grace_s,
-        bounds.retry_budget_ratio,
-        bounds.budget_extra,
-        bounds.budget_window_s,
+        RepeatLimits(
+            bounds.retry_budget_ratio, bounds.budget_extra, bounds.budget_window_s
+        ),
         bounds.lease_ms / MILLISECONDS_PER_SECOND,
         bounds.require_fence,
         LoadLimits(bounds.ceiling_window_s, bounds.ceiling_excess),
