Load further copies by the demand that is left when they come

After all nodes had lost power the two models of the crowd had one copy each for 13 s, while three engines had next to nothing to do: the cost of the delay ate all that a copy from the weight store could gain, so none was ever loaded. Change: what a copy gains is counted by the demand that is left when it comes, between that of the last seconds and the steady one; a further copy comes from the weight store only while few engines are busy, as they have to load what is held nowhere.

--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -17,6 +17,9 @@
 class CoveragePolicy:
     """What copies carry and what moves cost, in slots of demand.
 
+    The defaults come from trials with fixed seeds on the users' sites, which
+    docs/MEASUREMENTS.md lists.
+
     Parameters
     ----------
     comfort_slots : float
@@ -33,7 +36,12 @@
         By how much that grows with each second of waiting, so that none starves.
     delay_cost_share : float
         Part of what the copy gains that each second until it comes costs: demand
-        moves on after some ten seconds.
+        moves on to other models after some twenty seconds.
+    store_share : float
+        Part of the engines that may be busy, one at least, when a further copy is
+        loaded from the weight store: they have to load what is held nowhere.
+    burst_s : float
+        Time constant with which the demand of a burst returns to the steady one.
     unload_s : float
         How long the runs on a model that is used go on once it is to leave.
     min_residency_s : float
@@ -46,7 +54,9 @@
     comfort_slots: float = 8.0
     move_cost_slots_per_s: float = 0.3
     adapter_cost_share: float = 0.3
-    delay_cost_share: float = 0.1
+    delay_cost_share: float = 0.05
+    store_share: float = 0.15
+    burst_s: float = 6.0
     unload_s: float = 3.0
     min_residency_s: float = 2.0
     wanted_slots: float = 3.0
@@ -74,11 +84,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetView:
-    """All engines of a service, its models, and the demand for them in slots."""
+    """All engines of a service, its models, and the demand for them in slots.
+
+    ``steady_by_model`` is the demand over a longer time, to which that of a burst
+    returns; a model that is not in it has no bursts.
+    """
 
     engines: Sequence[EngineView]
     demand_by_model: Mapping[ModelId, float]
     spec_by_model: Mapping[ModelId, ModelSpec]
+    steady_by_model: Mapping[ModelId, float] = field(default_factory=dict)
     copies_by_model: Mapping[ModelId, int] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -125,7 +140,25 @@
 
 def next_copy_worth(policy: CoveragePolicy, view: FleetView, model: ModelId) -> float:
     """Return what one more copy of ``model`` would gain."""
-    demand = view.demand_by_model.get(model, 0.0)
+    return _gain(policy, view, model, view.demand_by_model.get(model, 0.0))
+
+
+def later_copy_worth(
+    policy: CoveragePolicy, view: FleetView, model: ModelId, in_s: float
+) -> float:
+    """Return what one more copy of ``model`` will gain that comes in ``in_s``.
+
+    By then part of a burst is over.
+    """
+    now = view.demand_by_model.get(model, 0.0)
+    steady = min(now, view.steady_by_model.get(model, now))
+    left = math.exp(-in_s / policy.burst_s)
+    return _gain(policy, view, model, steady + left * (now - steady))
+
+
+def _gain(
+    policy: CoveragePolicy, view: FleetView, model: ModelId, demand: float
+) -> float:
     copies = view.copies_by_model.get(model, 0)
     return worth_slots(policy, demand, copies + 1) - worth_slots(policy, demand, copies)
 
@@ -143,13 +176,17 @@
 
 
 def best_load(
-    policy: CoveragePolicy, view: FleetView, model: ModelId
+    policy: CoveragePolicy, view: FleetView, model: ModelId, may_use_store: bool = True
 ) -> tuple[LoadMove, float] | None:
-    """Return the cheapest way to load ``model`` now, and what it costs in slots."""
+    """Return the cheapest way to load ``model`` now, and what it costs in slots.
+
+    Without ``may_use_store`` only engines that have the weights on hand are offered.
+    """
     offers = [
         offer
         for engine in view.engines
         if not engine.is_busy and model not in engine.committed_mb_by_model
+        if may_use_store or model in engine.on_hand
         for offer in [_offer(policy, view, engine, model)]
         if offer is not None
     ]
@@ -159,13 +196,15 @@
 def plan_copies(policy: CoveragePolicy, view: FleetView) -> LoadMove | None:
     """Return the load that gains most over what it costs, or None if none does."""
     best: tuple[float, LoadMove] | None = None
+    busy = sum(engine.is_busy for engine in view.engines)
+    may_use_store = busy < max(1.0, policy.store_share * len(view.engines))
     for model in view.demand_by_model:
         if model not in view.spec_by_model:
             continue
         gain = next_copy_worth(policy, view, model)
         if gain <= policy.move_cost_slots_per_s:
             continue
-        found = best_load(policy, view, model)
+        found = best_load(policy, view, model, may_use_store)
         if found is None:
             continue
         move, cost = found
@@ -208,16 +247,26 @@
     if missing_mb > 0:
         return None
     kept = _without_excess(engine, evicted, -missing_mb)
-    from_store = model not in engine.on_hand
-    takes_s = spec.load_s if from_store else spec.disk_load_s
-    takes_s += max((_unload_s(policy, view, item) for item in kept), default=0.0)
+    move = LoadMove(engine.id, model, tuple(kept), model not in engine.on_hand)
+    return move, _cost(policy, view, engine, move)
+
+
+def _cost(
+    policy: CoveragePolicy, view: FleetView, engine: EngineView, move: LoadMove
+) -> float:
+    """Return what a move displaces, keeps waiting and brings too late, in slots."""
+    spec = view.spec_by_model[move.model]
+    takes_s = spec.load_s if move.from_store else spec.disk_load_s
+    takes_s += max(
+        (_unload_s(policy, view, item) for item in move.evicted), default=0.0
+    )
+    gain = later_copy_worth(policy, view, move.model, takes_s)
     cost_per_s = policy.move_cost_slots_per_s
     cost_per_s += policy.adapter_cost_share * engine.adapter_slots
-    cost_per_s += policy.delay_cost_share * next_copy_worth(policy, view, model)
-    lost = sum(copy_worth(policy, view, item) for item in kept)
-    return LoadMove(
-        engine.id, model, tuple(kept), from_store
-    ), lost + cost_per_s * takes_s
+    cost_per_s += policy.delay_cost_share * gain
+    displaced = sum(copy_worth(policy, view, item) for item in move.evicted)
+    faded = next_copy_worth(policy, view, move.model) - gain
+    return displaced + faded + cost_per_s * takes_s
 
 
 def _unload_s(policy: CoveragePolicy, view: FleetView, model: ModelId) -> float:
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -310,7 +310,14 @@
             for engine in engines
         )
         specs = engines[0].spec.models_by_id if engines else {}
-        return FleetView(views, self._demand_by_model(specs), specs)
+        return FleetView(
+            views,
+            self._demand_by_model(
+                specs, lambda item: max(item.fast, STEADY_WEIGHT * item.slow)
+            ),
+            specs,
+            self._demand_by_model(specs, lambda item: item.slow),
+        )
 
     def _staying(
         self, engine: EngineState, wanted: frozenset[ModelId]
@@ -323,14 +330,16 @@
             if engine.held_s(model) < (WANT_LIFE_S if model in wanted else least_s)
         )
 
-    def _demand_by_model(self, models: Iterable[ModelId]) -> dict[ModelId, float]:
+    def _demand_by_model(
+        self, models: Iterable[ModelId], slots_of: Callable[[ItemDemand], float]
+    ) -> dict[ModelId, float]:
+        """Return the demand for models, that for their adapters included."""
         known = frozenset(models)
         slots: dict[ModelId, float] = {}
         for item, demand in self._parts.demand().items():
             model = ModelId(item.partition(":")[0])
             if model in known:
-                steady = STEADY_WEIGHT * demand.slow
-                slots[model] = slots.get(model, 0.0) + max(demand.fast, steady)
+                slots[model] = slots.get(model, 0.0) + slots_of(demand)
         return slots
 
     def _start(self, service: ServiceId, move: LoadMove, cause: str) -> bool:
