Measure what the entry daemon adds to a stream

Change: bench/forwarding.py plays streams at the stand-in engine and through the daemon and compares them by stamps in the events. The site of one daemon moves from its tests to standins/entry_site.py, which both use; it waits for the duty.

--- /dev/null
+++ b/bench/forwarding.py
@@ -0,0 +1,111 @@
+"""What the entry daemon adds to a stream: time to the first event, and to each.
+
+Run ``python -m bench.forwarding``. The stand-in engine stamps each event with the
+monotonic clock, which all processes of a machine share. Each load is played twice, at
+the engine directly and through the daemon, so that both are measured by one ruler.
+"""
+
+import time
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from http.client import HTTPConnection
+from typing import Annotated
+from uuid import uuid4
+
+import typer
+
+from bench.relay import MICROSECONDS_PER_SECOND, QUANTILES, cpu_s, percentiles_ms
+from standins.entry_site import LIMIT_S, EntrySite
+from standins.fleet import HOST, Fleet
+
+EVENTS = 86
+"""Events of a long stream on the users' sheets."""
+STREAMS = (1, 8, 32)
+ROUNDS = 3
+
+
+@dataclass(slots=True)
+class Seen:
+    """What clients saw: times to first events and lags of all events, in seconds."""
+
+    first_s: list[float] = field(default_factory=list)
+    lag_s: list[float] = field(default_factory=list)
+
+    def add(self, other: "Seen") -> None:
+        """Take in what another client saw."""
+        self.first_s.extend(other.first_s)
+        self.lag_s.extend(other.lag_s)
+
+
+def read_stream(port: int) -> Seen:
+    """Ask for one stream; return when its events came."""
+    connection = HTTPConnection(HOST, port, timeout=LIMIT_S)
+    headers = {
+        "Host": "site.example",
+        "Attempt-Id": uuid4().hex,
+        "Model": "m1",
+        "Deadline-Ms": "15000",
+    }
+    sent_s = time.monotonic()
+    connection.request("POST", "/chat/1", b"question", headers)
+    seen = _read_events(connection.getresponse(), sent_s)
+    connection.close()
+    return seen
+
+
+def _read_events(lines: Iterable[bytes], sent_s: float) -> Seen:
+    seen = Seen()
+    for line in lines:
+        if not line.startswith(b"data:"):
+            continue
+        now_s = time.monotonic()
+        if not seen.first_s:
+            seen.first_s.append(now_s - sent_s)
+        seen.lag_s.append(now_s - float(line.split()[2]))
+    return seen
+
+
+def play(port: int, streams: int) -> Seen:
+    """Play some streams at once, a few times over."""
+    seen = Seen()
+    with ThreadPoolExecutor(streams) as clients:
+        for _ in range(ROUNDS):
+            for one in clients.map(read_stream, [port] * streams):
+                seen.add(one)
+    return seen
+
+
+def report(site: EntrySite, streams: int) -> None:
+    """Play one load directly and through the daemon, and print both."""
+    direct = play(site.store, streams)
+    before_s = cpu_s(site.process.pid)
+    relayed = play(site.front, streams)
+    used_us = (cpu_s(site.process.pid) - before_s) * MICROSECONDS_PER_SECOND
+    for name, seen in (("direct", direct), ("relayed", relayed)):
+        print(
+            f"{streams:3} streams, {name:7}: first event {_in_ms(seen.first_s)},"
+            f" each event {_in_ms(seen.lag_s)}"
+        )
+    print(f"    daemon: {used_us / len(relayed.lag_s):.0f} us of processor an event")
+
+
+def _in_ms(values_s: Sequence[float]) -> str:
+    figures = zip(QUANTILES, percentiles_ms(values_s), strict=True)
+    return " ".join(f"p{quantile:.0f} {value:.1f} ms" for quantile, value in figures)
+
+
+def main(
+    events: Annotated[int, typer.Option(help="Events of each stream.")] = EVENTS,
+) -> None:
+    """Print what the daemon adds for several numbers of streams at once."""
+    with Fleet() as fleet:
+        site = EntrySite(fleet)
+        site.control(events=events)
+        read_stream(site.front)
+        for streams in STREAMS:
+            report(site, streams)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/standins/entry_platform.py
+++ b/standins/entry_platform.py
@@ -196,7 +196,7 @@
                 self.faults["cut_after"] = 0
                 yield f"id: {number}\nda".encode()
                 raise DropConnectionError
-            yield f"id: {number}\ndata: {number}\n\n".encode()
+            yield f"id: {number}\ndata: {number} {time.monotonic():.6f}\n\n".encode()
             time.sleep(EVENT_PAUSE_S)
 
 
--- /dev/null
+++ b/standins/entry_site.py
@@ -0,0 +1,164 @@
+"""One entry daemon behind its clients, on the platform's stand-in."""
+
+import socket
+import subprocess
+from http.client import HTTPConnection, HTTPResponse
+from typing import Any
+
+from standins.fleet import HOST, Fleet, free_port, request
+
+IDLE_MS = 15_000
+GRACE_S = 4
+LIMIT_S = 30.0
+SETTINGS = """\
+node-name = "{name}"
+ip = "{host}"
+zone = "zone-a"
+inner-port-range = [{peer_port},{peer_port}]
+new-field = "ignored"
+metrics-port = 0
+[listen]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+[bounds]
+grace-s = {grace_s}
+drain-ms = 2000
+require-fence = true
+[cloud-platform]
+address = "{host}:{store}"
+"""
+
+
+def make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of the host ``site.example`` below its own name."""
+    return {
+        "name": name,
+        "host": "site.example",
+        "path-prefix": f"/{name}/",
+        "kind": kind,
+        "timeout-ms": 20000,
+        "goal-ms": 600,
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+        "gap-target-ms": 300,
+        **fields,
+    }
+
+
+MODEL = {
+    "name": "m1",
+    "mb": 60,
+    "load-s": 0.2,
+    "disk-s": 0.1,
+    "adapters": 2,
+    "adapter-mb": 1,
+}
+CONFIG: dict[str, Any] = {
+    "version": 1,
+    "routes": [
+        make_route("chat", "streaming", "models", resumable=True),
+        make_route("book", "non_idempotent", "desk", **{"max-attempts": 1}),
+    ],
+    "services": [
+        {
+            "name": "models",
+            "engine": {
+                "slots": 8,
+                "mb": 100,
+                "adapter-slots": 2,
+                "loads-per-s": 10.0,
+                "models": [MODEL],
+            },
+        },
+        {"name": "desk"},
+    ],
+    "limits": {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 4096,
+        "header-timeout-ms": 1000,
+        "idle-timeout-ms": IDLE_MS,
+    },
+}
+
+
+class EntrySite:
+    """The platform's stand-in and one entry daemon."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.store = fleet.start_standin("platform", "entry_platform", "--host", HOST)
+        fleet.wait_ready(["platform"])
+        self.put("config", "main", CONFIG)
+        for name, service in (("i-1", "models"), ("i-2", "desk")):
+            entry = {
+                "service": service,
+                "address": f"{HOST}:{self.store}",
+                "zone": "zone-a",
+                "slots": 8,
+                "state": "ready",
+                "born": 1,
+                "models": [],
+                "at-hand": {"on-disk": ["m1"]},
+            }
+            self.put("servers", name, entry)
+        self.front, self.ready = free_port(), free_port()
+        path = fleet.folder / "entry.toml"
+        path.write_text(
+            SETTINGS.format(
+                name="entry-1",
+                host=HOST,
+                peer_port=free_port(),
+                front=self.front,
+                ready=self.ready,
+                grace_s=GRACE_S,
+                store=self.store,
+            )
+        )
+        fleet.start("entry", self.ready, ["-m", "camphoryard.entry.daemon", str(path)])
+        fleet.wait_ready(["entry"], "/ready")
+        # The only node orders engines, which it may not do yet when it is ready.
+        log = fleet.process_by_name["entry"].log
+        fleet.wait_until(lambda: "event=duty_taken" in log.read_text(), "the duty")
+
+    def put(self, kind: str, name: str, spec: Any) -> Any:
+        """Write an object of the store, whatever was there."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        return request(self.store, "PUT", f"/objects/{kind}/{name}", body)
+
+    def control(self, **faults: int) -> None:
+        """Set faults of the stand-in."""
+        request(self.store, "POST", "/control", faults)
+
+    def runs(self) -> Any:
+        """Return what endpoints ran."""
+        return request(self.store, "GET", "/runs")
+
+    def call(
+        self,
+        path: str,
+        id: str,
+        method: str = "POST",
+        body: bytes = b"x",
+        **headers: str,
+    ) -> tuple[HTTPResponse, bytes]:
+        """Send a client's request; return its answer and body."""
+        connection = HTTPConnection(HOST, self.front, timeout=LIMIT_S)
+        sent = {"Host": "site.example", "Attempt-Id": id, "Deadline-Ms": "15000"}
+        sent.update({name.replace("_", "-"): text for name, text in headers.items()})
+        connection.request(method, path, body, sent)
+        response = connection.getresponse()
+        content = response.read()
+        connection.close()
+        return response, content
+
+    def raw(self, data: bytes) -> bytes:
+        """Send bytes on a connection of their own; return all that comes back."""
+        with socket.create_connection((HOST, self.front), LIMIT_S) as connection:
+            connection.sendall(data)
+            return b"".join(iter(lambda: connection.recv(65536), b""))
+
+    @property
+    def process(self) -> "subprocess.Popen[bytes]":
+        """The daemon."""
+        return self.fleet.process_by_name["entry"].popen
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -166,7 +166,7 @@
         """Start a stand-in and return its port."""
         port = free_port()
         arguments = ["-m", f"standins.{module}", "--port", str(port), *options]
-        self._start(name, port, arguments)
+        self.start(name, port, arguments)
         return port
 
     def forward(self, target: str, to_port: int) -> None:
@@ -192,7 +192,7 @@
         if "[serving]" not in extra:
             extra += SERVING
         settings.write_text(self.settings(name, zone, port, peer_port) + extra)
-        self._start(
+        self.start(
             name, port, ["-m", "camphoryard.daemon", "--settings", str(settings)]
         )
         return port
@@ -200,7 +200,7 @@
     def restart(self, name: str) -> None:
         """Start a process again with the arguments it had."""
         old = self.process_by_name[name]
-        self._start(name, old.port, old.arguments)
+        self.start(name, old.port, old.arguments)
 
     def settings(self, name: str, zone: str, port: int, peer_port: int) -> str:
         """Return the settings of one node as TOML."""
@@ -277,7 +277,8 @@
             return False
         return True
 
-    def _start(self, name: str, port: int, arguments: Sequence[str]) -> None:
+    def start(self, name: str, port: int, arguments: Sequence[str]) -> None:
+        """Start a Python process that listens on ``port``, its output in a log."""
         log = self.folder / f"{name}.log"
         with log.open("ab") as stream:
             popen = subprocess.Popen(
--- /dev/null
+++ b/tests/bench/test_forwarding.py
@@ -0,0 +1,33 @@
+"""Tests of measuring what the entry daemon adds."""
+
+import time
+
+import pytest
+
+from bench.forwarding import _read_events, play
+from standins.entry_site import EntrySite
+from standins.fleet import Fleet
+
+
+class TestReadEvents:
+    """Reading one stream."""
+
+    def test_first_event_and_lags_are_told_apart(self):
+        """Lags are against the stamps, the first event against the sending."""
+        now_s = time.monotonic()
+        lines = [b"id: 1\n", b"data: 1 %f\n" % now_s, b"\n", b"data: 2 %f\n" % now_s]
+        seen = _read_events(lines, now_s - 1.0)
+        assert seen.first_s == [pytest.approx(1.0, abs=0.5)]
+        assert seen.lag_s == [pytest.approx(0.0, abs=0.5)] * 2
+
+
+class TestPlay:
+    """A load through a daemon."""
+
+    def test_all_events_of_all_streams_are_seen(self):
+        """Several streams at once, a few times over."""
+        with Fleet() as fleet:
+            site = EntrySite(fleet)
+            seen = play(site.front, 2)
+        assert len(seen.first_s) == 6
+        assert len(seen.lag_s) == 60
