Let a log line of the time line fail no request

Ruled out: the hand-over of counts. Change: that field is the coordinator's, and a line's own names come first whatever an event has.

--- a/src/camphoryard/coordination/inference/suspects.py
+++ b/src/camphoryard/coordination/inference/suspects.py
@@ -209,7 +209,7 @@
         try:
             self._peers.ask(coordinator, seen, ASK_TIMEOUT_S)
         except PeerUnreachableError:
-            self._timeline.record("suspect_not_told", node=coordinator)
+            self._timeline.record("suspect_not_told", coordinator=coordinator)
 
     def saw(self, seen: CrashSeen) -> None:
         """Take in a crash that this node or a peer saw."""
--- a/src/camphoryard/node/shared.py
+++ b/src/camphoryard/node/shared.py
@@ -106,14 +106,17 @@
 
 
 def log_event(event: Event) -> None:
-    """Write one event as a log line of key=value pairs."""
-    log.info(
-        event.name,
-        node=event.node,
-        wall_ms=event.stamp.wall_ms,
-        count=event.stamp.count,
-        **{f"{key}": value for key, value in event.fields.items()},
-    )
+    """Write one event as a log line of key=value pairs.
+
+    A field that is named like one of the line's own gives way to it: a line must not
+    fail the request that it is about.
+    """
+    own = {
+        "node": event.node,
+        "wall_ms": event.stamp.wall_ms,
+        "count": event.stamp.count,
+    }
+    log.info(event.name, **{**own, **event.fields, **own})
 
 
 def make_shared(settings: Settings) -> Shared:
