Wait for a stream that pauses where it cannot go on elsewhere

A pause of four longest gaps ended the attempt whether or not the stream could go on elsewhere; if no other engine held its model or no repeat was left, its client got a broken stream although the engine was at work. Change: at each silence the node looks whether another endpoint that holds the model, not failed lately, and a repeat are left; if not, it goes on waiting until the client's deadline. Reads are over a raw reader of our own, since a time-out ends the library's buffered one for good. Four tests of forwarding and one of the client fail without it.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from contextlib import closing
 from enum import Enum
+from functools import partial
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.forwarding.parts import ForwardedRequest, ForwardingParts
@@ -22,6 +23,9 @@
 PATIENCE_IN_OBJECTIVES = 2.5
 """How long an endpoint may be silent before another one is tried, in objectives;
 clients leave a stream after four."""
+MAX_SENDS = 4
+"""Endpoints that one request is offered to at most; beyond the attempts of any
+route, as endpoints that are full say so without running it."""
 LEAST_PATIENCE_S = 0.3
 """Shorter silences are ordinary at a full endpoint."""
 LEAST_STREAM_PATIENCE_S = 1.0
@@ -215,13 +219,14 @@
     wait: _FirstEventWait,
 ) -> None:
     """Hand on a stream event by event; raises if it ends before its end."""
-    gap_s = _gap_patience_s(parts, forwarded)
+    left_s = max(0.0, forwarded.request.deadline_s - parts.clock())
+    gap_s = min(left_s, forwarded.rule.longest_gap_s * GAP_PATIENCE or left_s)
     progress = forwarded.progress
     progress.restart()
     if not reply.has_begun:
         reply.begin(answer.head.status, _without_length(answer.head.headers))
     last_s = 0.0
-    for piece in answer.pieces(gap_s):
+    for piece in answer.pieces(gap_s, partial(_waits_on, parts, forwarded, endpoint)):
         whole = progress.take(piece)
         if not whole:
             continue
@@ -241,15 +246,28 @@
         raise BrokenCallError("the stream ended within an event")
 
 
-def _gap_patience_s(parts: ForwardingParts, forwarded: ForwardedRequest) -> float:
-    """Return how long the stream may pause.
+def _waits_on(
+    parts: ForwardingParts, forwarded: ForwardedRequest, endpoint: ServingEndpoint
+) -> bool:
+    """Return whether a stream that pauses is waited for, as nothing better is left.
 
-    It is as long as the client may wait if the stream cannot go on elsewhere.
+    It is broken off only if it can go on elsewhere: a pause may end by itself.
     """
-    left_s = max(0.0, forwarded.request.deadline_s - parts.clock())
-    if not forwarded.may_run_again:
-        return left_s
-    return min(left_s, forwarded.rule.longest_gap_s * GAP_PATIENCE or left_s)
+    if parts.clock() >= forwarded.request.deadline_s:
+        return False
+    others = parts.directory.holders(forwarded.service, forwarded.request.wanted)
+    has_others = any(
+        item.id != endpoint.id
+        and item.id not in forwarded.failed
+        and parts.breakers.allows(item.id)
+        for item in others
+    )
+    return not (
+        has_others
+        and forwarded.may_run_again
+        and forwarded.sends < MAX_SENDS
+        and parts.retries.has_left(forwarded.service)
+    )
 
 
 def _without_length(headers: Mapping[str, str]) -> Mapping[str, str]:
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -3,7 +3,7 @@
 import random
 
 from camphoryard.coordination.cancellation import Cancellation
-from camphoryard.coordination.forwarding.attempt import Outcome, attempt
+from camphoryard.coordination.forwarding.attempt import MAX_SENDS, Outcome, attempt
 from camphoryard.coordination.forwarding.parts import ForwardedRequest, ForwardingParts
 from camphoryard.coordination.forwarding.ports import ClientReply, ClientRequest
 from camphoryard.coordination.forwarding.urgency import urgency_at
@@ -22,9 +22,6 @@
 from camphoryard.state.traffic import RouteRule, WeightedService
 from camphoryard.state.verdict import Verdict
 
-MAX_SENDS = 4
-"""Endpoints that one request is offered to at most; beyond the attempts of any
-route, as endpoints that are full say so without running it."""
 DECLINED_PAUSE_S = 0.03
 """Before an engine that has just declined a request is asked again: an adapter on
 its way takes about as long."""
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -1,6 +1,6 @@
 """A request to be forwarded, and the outward calls that forward it."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -102,13 +102,15 @@
     def body(self) -> bytes:
         """Return the whole body; raises BrokenCallError if it ends early."""
 
-    def pieces(self, patience_s: float) -> Iterator[bytes]:
+    def pieces(
+        self, patience_s: float, waits_on: Callable[[], bool]
+    ) -> Iterator[bytes]:
         """Yield the body as it comes.
 
         Raises
         ------
         StalledCallError
-            If nothing came for ``patience_s`` seconds.
+            If nothing came for ``patience_s`` seconds, and ``waits_on()`` is false.
         BrokenCallError
             If the body ended early.
         """
--- a/src/camphoryard/coordination/routing/retry_window.py
+++ b/src/camphoryard/coordination/routing/retry_window.py
@@ -69,14 +69,22 @@
     def take(self, key: KeyT) -> bool:
         """Return whether one repeat may be made now, and count it."""
         with self._lock:
-            counts = self._counts(key)
-            allowed = self._limits.share * len(counts.requests)
-            allowed += self._limits.reserve / max(1, self._nodes())
-            if len(counts.repeats) + 1 > allowed * SAFETY:
+            if not self._has_left(key):
                 return False
-            counts.repeats.append(self._clock())
+            self._counts(key).repeats.append(self._clock())
             return True
 
+    def has_left(self, key: KeyT) -> bool:
+        """Return whether a repeat could be made now, and count none."""
+        with self._lock:
+            return self._has_left(key)
+
+    def _has_left(self, key: KeyT) -> bool:
+        counts = self._counts(key)
+        allowed = self._limits.share * len(counts.requests)
+        allowed += self._limits.reserve / max(1, self._nodes())
+        return len(counts.repeats) + 1 <= allowed * SAFETY
+
     def _counts(self, key: KeyT) -> _Counts:
         counts = self._counts_by_key.setdefault(key, _Counts())
         since_s = self._clock() - self._limits.window_s
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -1,6 +1,7 @@
 """HTTP calls that say whether any byte left, over pooled connections."""
 
 import functools
+import io
 import math
 import re
 import select
@@ -9,7 +10,7 @@
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from http.client import (
     HTTPConnection,
@@ -17,7 +18,7 @@
     HTTPResponse,
     IncompleteRead,
 )
-from typing import Any, BinaryIO
+from typing import Any
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.state.errors import (
@@ -103,6 +104,11 @@
         """The socket of the connection."""
         return self._exchange.sock
 
+    def wait_while(self, silence_s: float, waits_on: Callable[[], bool]) -> None:
+        """Have silence of ``silence_s`` end a read unless ``waits_on()``."""
+        self.sock.settimeout(silence_s)
+        self._exchange.connection.reader.wait_while(waits_on)
+
     def read_buffered(self) -> bytes:
         """Return what came along with the head; the socket blocks no more."""
         self._exchange.sock.setblocking(False)
@@ -131,6 +137,7 @@
         """Return the connection to the pool if its body was read to the end."""
         exchange = self._exchange
         exchange.drop_cancellation()
+        exchange.connection.reader.wait_while(_gives_up)
         self.response.close()
         if is_read and not self.response.will_close and not self._is_second:
             kept_s = _kept_for_s(self.response)
@@ -141,13 +148,56 @@
             self._client.abort(exchange.connection)
 
 
+class _PatientSocket(io.RawIOBase):
+    """Reads a socket; when it stays silent, ``waits_on`` tells whether to go on.
+
+    A time-out of the socket itself would end the buffered reader for good.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.waits_on: Callable[[], bool] = _gives_up
+        self._sock = sock
+        # Keeps the descriptor open although the connection drops its socket at an
+        # answer that announces its end.
+        self._handle = sock.makefile("rb", buffering=0)
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read what is there, or None if that would block; see io.RawIOBase."""
+        while True:
+            try:
+                return self._sock.recv_into(buffer)
+            except TimeoutError:
+                if not self.waits_on():
+                    raise
+            except BlockingIOError:
+                return None
+
+    def close(self) -> None:
+        """Let go of the descriptor."""
+        if not self.closed:
+            super().close()
+            self._handle.close()
+
+
+def _gives_up() -> bool:
+    return False
+
+
 class _KeptReader:
     """The buffered reader of a connection, which outlives single answers."""
 
     def __init__(self, sock: socket.socket) -> None:
-        # The connection itself drops its socket at an answer that announces its end.
         self._sock = sock
-        self._reader: BinaryIO = sock.makefile("rb")
+        self._raw = _PatientSocket(sock)
+        self._reader = io.BufferedReader(self._raw)
+
+    def wait_while(self, waits_on: Callable[[], bool]) -> None:
+        """Have silence of the socket's time-out end a read unless ``waits_on()``."""
+        self._raw.waits_on = waits_on
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._reader, name)
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -1,7 +1,7 @@
 """Calls that forward requests to endpoints."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from http.client import HTTPException
 
 from camphoryard.coordination.cancellation import Cancellation
@@ -46,10 +46,12 @@
         self._is_read = True
         return body
 
-    def pieces(self, patience_s: float) -> Iterator[bytes]:
+    def pieces(
+        self, patience_s: float, waits_on: Callable[[], bool]
+    ) -> Iterator[bytes]:
         """Yield the body as it comes; see the Answer port."""
         response = self._answer.response
-        self._answer.sock.settimeout(max(MIN_TIMEOUT_S, patience_s))
+        self._answer.wait_while(max(MIN_TIMEOUT_S, patience_s), waits_on)
         while True:
             try:
                 piece = response.read1(READ_BYTES)
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -40,6 +40,8 @@
 
 ONE, TWO, THREE = (f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3))
 MOST_URGENT = Urgency(0)
+PAUSE = b"PAUSE"
+"""Among the pieces of an answer: nothing comes for longer than a stream may pause."""
 
 
 class Answer:
@@ -56,9 +58,13 @@
             raise self._error
         return b"".join(self._pieces)
 
-    def pieces(self, patience_s):
-        """Yield the body as it comes."""
-        yield from self._pieces
+    def pieces(self, patience_s, waits_on):
+        """Yield the body as it comes; at a pause, ask whether to wait on."""
+        for piece in self._pieces:
+            if piece is not PAUSE:
+                yield piece
+            elif not waits_on():
+                raise StalledCallError("silent")
         if self._error:
             raise self._error
 
@@ -310,6 +316,25 @@
         site = Site(served(ONE, TWO[:5]), repeatability=Repeatability.STREAM)
         assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
 
+    def test_a_stream_that_pauses_goes_on_elsewhere(self):
+        """Where another endpoint holds its model."""
+        site = Site(served(ONE, PAUSE, TWO), served(TWO), repeatability=self.STREAM)
+        site.forward()
+        assert site.reply.body == ONE + TWO
+        assert site.sent_to in (["e1", "e2"], ["e2", "e1"])
+
+    @pytest.mark.parametrize(
+        "options", [{"endpoints": ("e1",)}, {"reserve": 0.0}, {"ejected": "e2"}]
+    )
+    def test_a_pause_is_waited_for_where_nothing_better_is_left(self, options):
+        """No other endpoint, no repeat left, or the other one has failed lately."""
+        site = Site(served(ONE, PAUSE, TWO), repeatability=self.STREAM, **options)
+        if "ejected" in options:
+            site.breakers.failed(options["ejected"])
+        site.forward()
+        assert site.reply.body == ONE + TWO
+        assert len(site.sent_to) == 1
+
     def test_a_silent_endpoint_is_given_less_time_if_another_may_be_tried(self):
         """The last attempt has all the time that the client has."""
         site = Site(StalledCallError("x"), served(ONE), repeatability=self.STREAM)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -179,6 +179,55 @@
         client.call(address, call)
 
 
+class TestSilence:
+    """An answer that pauses."""
+
+    @pytest.fixture
+    def pausing(self, client):
+        """Return an answer whose end comes once ``resume`` is set."""
+        resume = threading.Event()
+
+        def talk(listening):
+            endpoint, _ = listening.accept()
+            with endpoint:
+                endpoint.recv(65_536)
+                endpoint.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nha")
+                resume.wait(10.0)
+                endpoint.sendall(b"lf")
+
+        with socket.create_server((HOST, 0)) as listening:
+            talking = threading.Thread(target=talk, args=(listening,))
+            talking.start()
+            address = Address(HOST, listening.getsockname()[1])
+            answer = client.open(address, HttpCall("GET", "/"))
+            yield answer, resume
+            resume.set()
+            talking.join(10.0)
+            answer.close(is_read=False)
+
+    def test_it_is_whole_if_the_pause_is_waited_for(self, pausing):
+        """Nothing is lost by the silences before."""
+        answer, resume = pausing
+        silences = []
+
+        def waits_on():
+            silences.append(True)
+            if len(silences) == 3:
+                resume.set()
+            return True
+
+        answer.wait_while(0.05, waits_on)
+        assert answer.response.read() == b"half"
+        assert len(silences) >= 3
+
+    def test_it_ends_if_the_pause_is_not_waited_for(self, pausing):
+        """The reader says that nothing came in time."""
+        answer, _ = pausing
+        answer.wait_while(0.05, lambda: False)
+        with pytest.raises(TimeoutError):
+            answer.response.read()
+
+
 class TestAnswerSize:
     """The bound on a body that is read whole."""
 
