Close the intake of a stopping node though the store does not answer

The time in which it takes requests was counted from after two calls of the store, which wait for up to 1.5 s each. Ruled out: the client's own connection (a request that crosses the close is not passed on). Change: the time counts from the signal, and the calls go on in a task of their own.

--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -107,13 +107,13 @@
 def drain(entry: Entry, front: HttpServer) -> None:
     """Let the balancer move away, finish what is under way, and end."""
     grace_s = entry.settings.bounds.grace_s
-    end_s = time.monotonic() + grace_s - END_MARGIN_S
+    began_s = time.monotonic()
+    end_s = began_s + grace_s - END_MARGIN_S
     entry.log("stopping", grace_s=grace_s)
     entry.readiness.leave()
     front.leave()
-    entry.duty.resign()
-    entry.presence.leave()
-    began_s = time.monotonic()
+    # Calls of the store, which may not answer for seconds: the door closes meanwhile.
+    entry.executors.node.submit(leave_fleet, entry)
     for _ in entry.timer.every(CLOSING_PERIOD_S):
         passed_s = time.monotonic() - began_s
         if passed_s >= grace_s * IDLE_SHARE:
@@ -130,6 +130,12 @@
     close(entry)
 
 
+def leave_fleet(entry: Entry) -> None:
+    """Give the duty up and have this node's entry removed."""
+    entry.duty.resign()
+    entry.presence.leave()
+
+
 def close(entry: Entry) -> None:
     """End every task of the daemon."""
     entry.timer.close()
