Count each cancelled request of the stand-in engine once

A write of the engine that met the end of its connection marked the request as cancelled without counting it, so that the reader of the connection, which met the end later, did not count it either. Ruled out: the daemon, which cancelled the request; the engine ran nothing any more. Change: a failed write only notes that the caller has left, and one place cancels and counts.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -58,16 +58,17 @@
     arrived: int
     write: Callable[[bytes], None] | None = None
     cancelled: bool = False
+    left: bool = False
     held: dict[str, Any] | None = None
 
     def push(self, data: bytes) -> None:
-        """Send bytes; a caller that left cancels the request."""
+        """Send bytes; note if the caller has left."""
         if self.write is None:
             return
         try:
             self.write(data)
         except OSError:
-            self.cancelled = True
+            self.left = True
 
 
 @dataclass(slots=True)
@@ -341,6 +342,9 @@
     def _step_all(self) -> None:
         for running in self.batch:
             self._step(running)
+            if running.left:
+                # A write may meet the end of a connection before its reader does.
+                self.cancel(running)
         self.batch = [
             item
             for item in self.batch
