Close a stopping node's intake before it writes its last counts

Cause: the node went on accepting connections until it ended; with the object API silent it spent seconds in giving up its leases after the last counts had been written and the handover task had ended, and whatever it refused meanwhile was counted nowhere. A node that held a peer's counts for less than a second did not write them as it stopped either, so two nodes stopped within two seconds lost them.

Change: after its last answer a stopping node closes its intake, writes its counts and all those it holds, and passes on what it could not write.

--- a/src/camphoryard/coordination/refusals/refusal_folding.py
+++ b/src/camphoryard/coordination/refusals/refusal_folding.py
@@ -6,7 +6,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from camphoryard.coordination.ports import Records, Timer
@@ -89,9 +89,7 @@
         written without asking whether that node is alive, since waiting for
         its lease to lapse would give this one time to be killed as well.
         """
-        own = self._counter.unfolded()
-        if self._write(own):
-            self._counter.folded(own.counts)
+        self._fold_own()
         alive = {lease.incarnation for lease in self._nodes.alive()}
         due_s = self._clock() - HELD_S
         for held in self._held():
@@ -99,6 +97,23 @@
             if is_due and self._write(held.sheet):
                 self._drop(held)
 
+    def fold_all(self) -> Sequence[RefusalSheet]:
+        """Write all counts of this node and all that it holds, since it stops.
+
+        Returns
+        -------
+        sheets : sequence of RefusalSheet
+            What it holds of others and could not write.
+        """
+        self._fold_own()
+        unwritten = []
+        for held in self._held():
+            if self._write(held.sheet):
+                self._drop(held)
+            else:
+                unwritten.append(held.sheet)
+        return unwritten
+
     def total(self, hours: int) -> Mapping[RefusalKey, int]:
         """Return the counts of all nodes in the last ``hours``.
 
@@ -119,6 +134,11 @@
         totals = total_by_key(sheets)
         return {key: n for key, n in totals.items() if key.minute >= first_minute}
 
+    def _fold_own(self) -> None:
+        own = self._counter.unfolded()
+        if self._write(own):
+            self._counter.folded(own.counts)
+
     def _write(self, sheet: RefusalSheet) -> bool:
         """Merge a sheet into its records; return whether all of it is there."""
         counts_by_hour: dict[int, list[RefusalCount]] = {}
--- a/src/camphoryard/coordination/refusals/refusal_handover.py
+++ b/src/camphoryard/coordination/refusals/refusal_handover.py
@@ -6,7 +6,9 @@
 
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+
+import structlog
 
 from camphoryard.coordination.messages import Done, RefusalsCounted
 from camphoryard.coordination.ports import Peers, Timer
@@ -23,6 +25,8 @@
 REPLY_TIMEOUT_S = 0.5
 PASSED_OVER_S = 5.0
 
+_log = structlog.get_logger()
+
 
 class RefusalHandover:
     """Hands counts to peers in other zones, and to others when they are silent."""
@@ -78,6 +82,22 @@
         self._counter.handed(number)
         return was_sent
 
+    def pass_on(self, sheets: Iterable[RefusalSheet]) -> None:
+        """Hand over what this node still counted, and what it holds of others.
+
+        A stopping node does so with what it could not write itself.
+        """
+        self.hand_over()
+        for sheet in sheets:
+            holders: list[NodeLease] = []
+            while len(holders) < HOLDERS:
+                holder = self._choose(holders)
+                if holder is None:
+                    break
+                holders.append(holder)
+                if not self._ask(holder.node, sheet):
+                    _log.warning("counts_not_passed_on", holder=holder.node)
+
     def _choose(self, holders: Sequence[NodeLease]) -> NodeLease | None:
         """Return another peer to hold this node's counts, or None.
 
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -109,8 +109,11 @@
     limit_s = time.monotonic() + DRAIN_LIMIT_S
     node.door.wait_idle(limit_s)
     server.wait_flushed(limit_s)
+    # What is refused after the last counts are written would be counted nowhere.
+    server.close_intake()
+    server.wait_flushed(limit_s)
     node.settler.settle_pending()
-    node.refusal_folder.fold()
+    node.refusal_handover.pass_on(node.refusal_folder.fold_all())
     node.shared.timer.close()
     node.shared.budget.close()
     node.residency.client.close()
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -52,6 +52,7 @@
     door: FrontDoor
     settler: Settler
     refusal_folder: RefusalFolder
+    refusal_handover: RefusalHandover
     background: tuple[Callable[[TimerService], None], ...]
     app: App
 
@@ -98,6 +99,7 @@
         serving.door,
         settler,
         folder,
+        handover,
         (
             settler.run,
             handover.run,
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -338,6 +338,12 @@
                     channel.will_close = True
         self.pull_trigger()
 
+    def close_intake(self) -> None:
+        """Accept no more connections, and close each after the answer under way."""
+        self.leave()
+        self.accepting = False
+        self.close_idle()
+
     def maintenance(self, now: float) -> None:
         """Close idle connections and refuse slow requests.
 
--- a/tests/coordination/refusals/test_refusal_folding.py
+++ b/tests/coordination/refusals/test_refusal_folding.py
@@ -89,3 +89,21 @@
             folder.fold()
         (stored,) = records.stored_by_key.values()
         assert stored.version == 1
+
+    def test_a_stopping_node_writes_what_it_just_got(self):
+        """Its peer may be stopping too, before it writes its own."""
+        records, nodes = MemoryRecords(), NodeTable()
+        lease = NodeLease("n9", "i9", "a", "h", 1, "", NodeState.DRAINING, 60.0, "w")
+        nodes.saw(lease, 1)
+        folder = make_folder(records, nodes)
+        folder.hold(sheet_of("i9", 3))
+        assert folder.fold_all() == []
+        assert sum_of(make_folder(records)) == 3
+
+    def test_a_stopping_node_tells_what_it_could_not_write(self):
+        """Those counts are for another node to hold."""
+        records = MemoryRecords()
+        folder = make_folder(records)
+        folder.hold(sheet_of("i9", 3))
+        records.outage = True
+        assert folder.fold_all() == [sheet_of("i9", 3)]
--- a/tests/coordination/refusals/test_refusal_handover.py
+++ b/tests/coordination/refusals/test_refusal_handover.py
@@ -8,6 +8,7 @@
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.errors import PeerUnreachableError
 from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.refusals import RefusalCount, RefusalKey, RefusalSheet
 
 
 class ScriptedPeers:
@@ -134,3 +135,17 @@
         counter.count(Reason.OVERLOADED, "")
         assert peers.asked == []
         assert counter.unhanded(0) is not None
+
+    def test_a_stopping_node_passes_on_what_it_holds(self, counter, peers):
+        """Two peers get its own counts and those that it could not write."""
+        leases = [make_lease(name) for name in ("n1", "n2", "n3", "n4")]
+        handover = make_handover(counter, peers, *leases)
+        counter.count(Reason.DRAINING, "")
+        held = RefusalSheet(
+            "i9", (RefusalCount(RefusalKey(Reason.DEADLINE, "", 1), 3),)
+        )
+        handover.pass_on([held])
+        own, others = peers.asked[:2], peers.asked[2:]
+        assert {counts[0].key.reason for _, counts in own} == {Reason.DRAINING}
+        assert [counts for _, counts in others] == [held.counts, held.counts]
+        assert len({node for node, _ in others}) == 2
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,12 +1,14 @@
-"""Tests of the daemon's starts that fail."""
+"""Tests of the daemon's starts that fail, and of its stop."""
 
 import socket
 import subprocess
 import sys
+from unittest.mock import Mock, call
 
 import pytest
 
-from camphoryard.daemon import EXIT_NOT_BOUND, EXIT_SETTINGS
+from camphoryard import daemon
+from camphoryard.daemon import EXIT_NOT_BOUND, EXIT_SETTINGS, drain
 from standins.fleet import HOST, Fleet, Process, free_port
 
 
@@ -55,3 +57,22 @@
         assert run_daemon("--settings", path, "--check").returncode == 0
         missing = run_daemon("--settings", f"{path}.none", "--check")
         assert missing.returncode == EXIT_SETTINGS
+
+
+class TestStop:
+    """A stop by plan."""
+
+    def test_counts_are_written_after_the_last_refusal(self, monkeypatch):
+        """The intake closes first, so that no refusal comes after them."""
+        monkeypatch.setattr(daemon, "wait_grace", Mock())
+        monkeypatch.setattr(daemon, "close", Mock())
+        parts = Mock()
+        drain(parts.node, parts.server)
+        steps = [name for name, _, _ in parts.mock_calls]
+        closed = steps.index("server.close_intake")
+        assert steps.index("server.wait_flushed", closed) < steps.index(
+            "node.refusal_folder.fold_all"
+        )
+        assert parts.node.refusal_handover.pass_on.call_args == call(
+            parts.node.refusal_folder.fold_all.return_value
+        )
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -165,3 +165,19 @@
                 time.sleep(0.01)
             server.close_idle()
             assert connection.recv(1) == b""
+
+    def test_a_closed_intake_takes_no_more_connections(self, run):
+        """Who connects gets no answer, and who was connected finds it closed."""
+        server = run(self.stream)
+        address = (HOST, server.effective_port)
+        with socket.create_connection(address) as connection:
+            connection.settimeout(LIMIT_S)
+            while not server.active_channels:
+                time.sleep(0.01)
+            server.close_intake()
+            assert connection.recv(1) == b""
+        with socket.create_connection(address) as connection:
+            connection.sendall(self.CHUNKED)
+            connection.settimeout(0.2)
+            with pytest.raises(TimeoutError):
+                connection.recv(1)
