Wait for one more engine, not for one that has crashed

Change: the wait ends when one more engine holds the model than before the question. Tasks that queue to ask whether an engine is silent ask once, not in turn.

--- a/src/camphoryard/coordination/loading/engine_table.py
+++ b/src/camphoryard/coordination/loading/engine_table.py
@@ -95,17 +95,21 @@
     def check_reached(self, avoid: Collection[EndpointId]) -> None:
         """Note which of the engines that a node could not reach are silent."""
         self.refresh()
-        now_s = self.clock()
         for id in avoid:
             engine = self.find(id)
-            if engine is None or self._silent_until_s.get(id, 0.0) > now_s:
+            if engine is None or self._is_silent(id):
                 continue
             with engine.calls:
-                answers = self.calls.answers(engine)
-            if not answers:
+                # Another task may have asked while this one waited for its turn.
+                if self._is_silent(id) or self.calls.answers(engine):
+                    continue
                 with self._lock:
-                    self._silent_until_s[id] = now_s + SILENCE_LIFE_S
-                self.calls.log("engine_silent", endpoint=id)
+                    self._silent_until_s[id] = self.clock() + SILENCE_LIFE_S
+            self.calls.log("engine_silent", endpoint=id)
+
+    def _is_silent(self, id: EndpointId) -> bool:
+        with self._lock:
+            return self._silent_until_s.get(id, 0.0) > self.clock()
 
     def engine_spec(self, service: ServiceId) -> EngineSpec | None:
         """Return what the engines of a service hold, or None if it has none."""
--- a/src/camphoryard/coordination/loading/seeking.py
+++ b/src/camphoryard/coordination/loading/seeking.py
@@ -87,6 +87,7 @@
     ) -> ServingEndpoint:
         """Block until ``wanted`` is held somewhere; see the ModelSeeker port."""
         while True:
+            known = self._holder_ids(service, wanted)
             if avoid:
                 provision = self._ask(service, wanted, avoid)
             else:
@@ -107,7 +108,7 @@
                 raise NotHeldInTimeError(STOPPING_RETRY_S)
             if self._parts.clock() + in_s >= deadline_s:
                 raise NotHeldInTimeError(in_s)
-            self._await_holder(service, wanted, in_s)
+            self._await_holder(service, wanted, known, in_s)
 
     def _ask_together(
         self, service: ServiceId, wanted: WantedModel, deadline_s: float
@@ -159,15 +160,28 @@
                 return NotProvided()
 
     def _await_holder(
-        self, service: ServiceId, wanted: WantedModel, in_s: float
+        self,
+        service: ServiceId,
+        wanted: WantedModel,
+        known: frozenset[EndpointId],
+        in_s: float,
     ) -> None:
-        """Block until an engine holds ``wanted``, or it is time to ask again."""
-        directory = self._parts.directory
-        directory.wait_until(
-            lambda: bool(directory.holders(service, wanted)),
+        """Block until one more engine holds ``wanted``, or it is time to ask again.
+
+        The ordering node did not offer those ``known`` before it was asked: they
+        may have crashed.
+        """
+        self._parts.directory.wait_until(
+            lambda: not self._holder_ids(service, wanted) <= known,
             self._parts.clock() + min(in_s, LOOK_PERIOD_S),
         )
 
+    def _holder_ids(
+        self, service: ServiceId, wanted: WantedModel
+    ) -> frozenset[EndpointId]:
+        holders = self._parts.directory.holders(service, wanted)
+        return frozenset(item.id for item in holders)
+
 
 def answer_wanted(orderer: Orderer, message: ItemWanted) -> Reply:
     """Return the reply to a node that seeks an item."""
--- a/tests/coordination/loading/test_orderer.py
+++ b/tests/coordination/loading/test_orderer.py
@@ -188,6 +188,16 @@
         site.run_moves()
         assert site.orderer.provide(SERVICE, wanted) == Held("e2")
 
+    def test_a_silent_engine_is_asked_once_for_many_requests(self, timer):
+        """Each question takes as long as the engine is waited for."""
+        site = Site(timer, e1=["m1"], e2=[])
+        engine = site.engine_by_name["e1"]
+        engine.is_silent, engine.silence_s = True, 0.05
+        with ThreadPoolExecutor() as pool:
+            for _ in range(8):
+                pool.submit(site.orderer.provide, SERVICE, WantedModel(M1), ["e1"])
+        assert site.log.events().count("report_failed") == 1
+
     def test_an_engine_that_answers_is_believed(self, timer):
         """One node that cannot reach it moves nothing."""
         site = Site(timer, e1=["m1"], e2=[])
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -1,5 +1,6 @@
 """Engines that take orders, and endpoints to put into a directory."""
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -134,7 +135,8 @@
 class FakeEngine:
     """One engine; loads stay under way until ``finish``.
 
-    With ``runs_on`` an unload that was accepted waits for runs without an end.
+    While it is silent each question is waited for ``silence_s``. With ``runs_on`` an
+    unload that was accepted waits for runs without an end.
     """
 
     spec: EngineSpec
@@ -143,6 +145,7 @@
     loading: ModelId | None = None
     is_overfilled: bool = False
     is_silent: bool = False
+    silence_s: float = 0.0
     runs_on: bool = False
     is_unloading: bool = False
     on_order: Callable[[], None] = lambda: None
@@ -184,6 +187,7 @@
     def report(self):
         """Return what the engine says of itself."""
         if self.is_silent:
+            time.sleep(self.silence_s)
             raise BrokenCallError("silent")
         held = {
             model: HeldModel(1, frozenset(adapters))
