Read what has come before closing an idle connection

Cause: a stopping node closes connections without a request, and took for one a connection whose request lay unread in the socket.

Ruled out: the end of the grace time (the node stopped at 16.6 s), the limit of the header and idle times, and a request given up by its client.

Change: the server's own task, which alone reads, closes idle connections, and not one with bytes that are still to be read. The same holds for the idle timeout. The new test fails on the code before with a reset connection.

--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -1,6 +1,7 @@
 """The HTTP server: waitress, one task for each connection's request."""
 
 import logging
+import socket
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -206,6 +207,7 @@
         self.cancellation = Cancellation()
         self.active_s = time.monotonic()
         self.request: HTTPRequestParser | None = None
+        self._is_unwanted = False
         self._began_s: float | None = None
         super().__init__(*args, **kwargs)
 
@@ -224,6 +226,30 @@
         super().service()
         self.active_s = time.monotonic()
 
+    def close_if_idle(self) -> None:
+        """Have the connection closed if it is idle when the server next looks."""
+        self._is_unwanted = True
+
+    def readable(self) -> bool:
+        """Return whether to read on, having closed the connection if it is to go.
+
+        The server's own task decides, as it is the one that reads: a request that
+        came before is taken.
+        """
+        if self._is_unwanted:
+            self._is_unwanted = False
+            if self.is_idle and not self._has_unread():
+                self.will_close = True
+        is_readable: bool = super().readable()
+        return is_readable
+
+    def _has_unread(self) -> bool:
+        """Return whether bytes have come that a busy node has not read yet."""
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def sweep(self, limits: ConnectionLimits, now_s: float) -> None:
         """Close the connection if it idles, or refuse a request sent too slowly."""
         with self.requests_lock:
@@ -233,7 +259,7 @@
             if slow is None:
                 idle_s = now_s - self.active_s
                 if idle_s > limits.idle_timeout_s + IDLE_MARGIN_S:
-                    self.will_close = True
+                    self.close_if_idle()
                 return
             if self._began_s is None or now_s - self._began_s < limits.header_timeout_s:
                 return
@@ -333,9 +359,7 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
         for channel in tuple(self.active_channels.values()):
-            with channel.requests_lock:
-                if channel.is_idle:
-                    channel.will_close = True
+            channel.close_if_idle()
         self.pull_trigger()
 
     def close_intake(self) -> None:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -166,6 +166,32 @@
             server.close_idle()
             assert connection.recv(1) == b""
 
+    def test_a_request_that_came_unread_is_answered(self, run):
+        """A busy node reads late; its client hears an answer all the same."""
+        server = run(self.stream)
+        with socket.create_connection((HOST, server.effective_port)) as connection:
+            connection.settimeout(LIMIT_S)
+            while not server.active_channels:
+                time.sleep(0.01)
+            is_busy, may_go = threading.Event(), threading.Event()
+            readable = server.readable
+
+            def hold_up():
+                is_busy.set()
+                may_go.wait(LIMIT_S)
+                return readable()
+
+            server.readable = hold_up
+            server.pull_trigger()
+            is_busy.wait(LIMIT_S)
+            connection.sendall(self.CHUNKED)
+            server.close_idle()
+            may_go.set()
+            received = b""
+            while not received.endswith(b"0\r\n\r\n"):
+                received += connection.recv(4096) or b"0\r\n\r\n"
+        assert received.startswith(b"HTTP/1.1 200")
+
     def test_a_closed_intake_takes_no_more_connections(self, run):
         """Who connects gets no answer, and who was connected finds it closed."""
         server = run(self.stream)
