Have news go by way of the holder of the duty in a large fleet

Each of 87 nodes told 12 peers four times a second, so 4,200 messages a second went round, each node was told by a peer every 1.8 s, and counted it as silent after 1.5 s: a sixth of the time no node knew whom to ask for a model. Processor time by task on the small twin (22 nodes, a trial): 22 of 39 ms a second and node went to peers' tasks.

Change: fleets of up to 13 nodes go on as before. In larger ones each node tells the holder of the duty twice a second, and the holder tells each node what all others have in flight. As such news are half a second old, endpoints are drawn by their free slots there, not taken by the least load.

Ruled out: planning as the cause (2.8 ms for 70 engines and 242 models).

--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -296,7 +296,8 @@
         with self._lock:
             moving = frozenset(self._moving)
             wanted = frozenset(self._want_by_model)
-        adapter_slots = adapter_slots_by_model(engines, self._parts.demand())
+        demand = self._parts.demand()
+        adapter_slots = adapter_slots_by_model(engines, demand)
         views = tuple(
             EngineView(
                 engine.endpoint.id,
@@ -312,11 +313,11 @@
         specs = engines[0].spec.models_by_id if engines else {}
         return FleetView(
             views,
-            self._demand_by_model(
-                specs, lambda item: max(item.fast, STEADY_WEIGHT * item.slow)
+            _demand_by_model(
+                demand, specs, lambda item: max(item.fast, STEADY_WEIGHT * item.slow)
             ),
             specs,
-            self._demand_by_model(specs, lambda item: item.slow),
+            _demand_by_model(demand, specs, lambda item: item.slow),
         )
 
     def _staying(
@@ -330,18 +331,6 @@
             if engine.held_s(model) < (WANT_LIFE_S if model in wanted else least_s)
         )
 
-    def _demand_by_model(
-        self, models: Iterable[ModelId], slots_of: Callable[[ItemDemand], float]
-    ) -> dict[ModelId, float]:
-        """Return the demand for models, that for their adapters included."""
-        known = frozenset(models)
-        slots: dict[ModelId, float] = {}
-        for item, demand in self._parts.demand().items():
-            model = ModelId(item.partition(":")[0])
-            if model in known:
-                slots[model] = slots.get(model, 0.0) + slots_of(demand)
-        return slots
-
     def _start(self, service: ServiceId, move: LoadMove, cause: str) -> bool:
         """Have a move carried out, unless the weight store's rate forbids it."""
         spec = self._engines.engine_spec(service)
@@ -373,3 +362,17 @@
         finally:
             with self._lock:
                 self._moving.discard(move.engine)
+
+
+def _demand_by_model(
+    demand_by_item: Mapping[ItemId, ItemDemand],
+    models: Collection[ModelId],
+    slots_of: Callable[[ItemDemand], float],
+) -> dict[ModelId, float]:
+    """Return the demand for models, that for their adapters included."""
+    slots: dict[ModelId, float] = {}
+    for item, demand in demand_by_item.items():
+        model = ModelId(item.partition(":")[0])
+        if model in models:
+            slots[model] = slots.get(model, 0.0) + slots_of(demand)
+    return slots
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -13,9 +13,19 @@
 import zmq
 
 from camphoryard.coordination.duty.keeper import DutyKeeper
-from camphoryard.coordination.fleet.news import NewsTeller
+from camphoryard.coordination.fleet.news import (
+    Mesh,
+    NewsTeller,
+    Star,
+    news_paths,
+)
 from camphoryard.coordination.fleet.presence import PresenceKeeper, take_lease
-from camphoryard.coordination.forwarding.choosing import EndpointChooser
+from camphoryard.coordination.forwarding.choosing import (
+    ByFreeSlots,
+    ChoicePolicy,
+    EndpointChooser,
+    LeastLoaded,
+)
 from camphoryard.coordination.forwarding.feeding import DirectoryFeed
 from camphoryard.coordination.forwarding.parts import ForwardingParts
 from camphoryard.coordination.loading.orderer import Orderer, OrderingParts
@@ -70,17 +80,22 @@
 from camphoryard.transport.upstream import HttpUpstream
 
 CONNECTION_TASKS = 512
-PEER_TASKS = 256
+PEER_TASKS = 512
+"""More than the nodes of the largest fleet planned: each peer has a task."""
 HANDLER_TASKS = 256
 NODE_TASKS = 64
-ENDPOINT_BATCH_S = 1.0
-"""Between two watches of the endpoints: as often as balancers ask for readiness."""
+ENDPOINT_BATCH_S = 2.0
+"""Between two watches of the endpoints at most: loads, which change them, take
+seconds."""
 ENDPOINT_BATCH_SHARE = 0.5
 """The same at most as part of the time after which an endpoint that leaves must get
 no more requests."""
 ENDPOINT_WAIT_S = 10.0
 RULES_WAIT_S = 30.0
 NODES_WAIT_S = 30.0
+NODES_BATCH_S = 1.0
+"""Between two watches of the nodes: while all are started anew, each would otherwise
+read each start by itself."""
 PEER_SILENCE_S = 1.5
 """After how long without news a peer counts as silent; six periods of news."""
 ORDERING_DUTY = ObjectKey("ordering")
@@ -215,7 +230,9 @@
     live.subscribe(lambda bounds: orderer.limit(bounds.load_limits))
     parts = ForwardingParts(
         directory,
-        EndpointChooser(settings.zone, estimates.load),
+        EndpointChooser(
+            settings.zone, estimates.load, lambda: _choice_policy(len(nodes.all()))
+        ),
         in_flight,
         Breakers(),
         FirstEvents(),
@@ -242,6 +259,7 @@
                 leases,
                 functools.partial(take_lease, nodes, peers),
                 wait_s=NODES_WAIT_S,
+                batch_s=NODES_BATCH_S,
             ),
         ),
         peers,
@@ -303,6 +321,15 @@
     )
 
 
+def _choice_policy(nodes: int) -> ChoicePolicy:
+    """Return how endpoints are chosen in a fleet of so many nodes."""
+    match news_paths(nodes):
+        case Mesh():
+            return LeastLoaded()
+        case Star():
+            return ByFreeSlots()
+
+
 def _make_executors() -> Executors:
     return Executors(
         ThreadPoolExecutor(CONNECTION_TASKS, "connection"),
