--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from camphoryard.coordination.fleet.presence import agree_on_keys
+from camphoryard.coordination.observing.standstill import watch_standstill
 from camphoryard.entry.assembly import Entry, handle, make_entry
 from camphoryard.platform.settings import settings_path
 from camphoryard.settings import SettingsError
@@ -81,6 +82,7 @@
         entry.live.run,
         entry.duty.run,
         entry.orderer.run,
+        partial(watch_standstill, entry.log),
         partial(join_fleet, entry),
     )
     for task in tasks:
@@ -126,7 +128,11 @@
         front.close_idle()
         if time.monotonic() >= end_s:
             break
-    entry.log("stopped", unfinished=len(front.active_channels))
+    entry.log(
+        "stopped",
+        unfinished=len(front.active_channels),
+        closed_idle=front.closed_idle,
+    )
     close(entry)
 
 
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -240,6 +240,7 @@
             self._is_unwanted = False
             if self.is_idle and not self._has_unread():
                 self.will_close = True
+                self.server.closed_idle += 1
         is_readable: bool = super().readable()
         return is_readable
 
@@ -332,7 +333,8 @@
     """The waitress server; knows when all answers have left.
 
     ``refuse`` makes the answer to what could not be read, from a status code
-    and a text.
+    and a text. ``closed_idle`` counts the connections that it closed without a
+    request.
     """
 
     channel_class = Connection
@@ -342,6 +344,7 @@
     ) -> None:
         self.refuse = refuse
         self.is_leaving = False
+        self.closed_idle = 0
         self._limits = limits
         self._progress = threading.Condition()
         super().__init__(*args, **kwargs)
