--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -32,8 +32,10 @@
         a move costs too, as the engine takes no adapter meanwhile.
     wanted_slots : float
         Worth of a model that requests wait for and that is held nowhere.
-    wanted_slots_per_s : float
-        By how much that grows with each second of waiting, so that none starves.
+    wanted_slots_per_s2 : float
+        By how much that grows with the square of the seconds that they have waited:
+        none starves, and copies in use stay for the few seconds after which another
+        engine has a model to spare.
     delay_cost_share : float
         Part of what the copy gains that each second until it comes costs: demand
         moves on to other models after some twenty seconds.
@@ -59,8 +61,8 @@
     burst_s: float = 6.0
     unload_s: float = 3.0
     min_residency_s: float = 2.0
-    wanted_slots: float = 3.0
-    wanted_slots_per_s: float = 3.0
+    wanted_slots: float = 1.0
+    wanted_slots_per_s2: float = 0.12
     spread_weight: float = 0.15
 
 
@@ -172,7 +174,7 @@
     they do once it has waited for some seconds.
     """
     demand = view.demand_by_model.get(model, 0.0)
-    return max(demand, policy.wanted_slots) + policy.wanted_slots_per_s * waited_s
+    return max(demand, policy.wanted_slots) + policy.wanted_slots_per_s2 * waited_s**2
 
 
 def best_load(
--- a/tests/coordination/loading/test_coverage.py
+++ b/tests/coordination/loading/test_coverage.py
@@ -139,6 +139,15 @@
         _, cost = best_load(POLICY, view, ModelId("rare"))
         assert cost > wanted_worth(POLICY, view, ModelId("rare"), 0.0)
 
+    def test_copies_in_use_outlast_many_rare_models_for_some_seconds(self):
+        """In a burst of rare models, engines with a model to spare fall free."""
+        view = make_view(
+            {"e1": ["crowd", "crowd2"], "e2": ["crowd", "crowd2"]},
+            {"crowd": 12, "crowd2": 12, "rare": 0.1},
+        )
+        _, cost = best_load(POLICY, view, ModelId("rare"))
+        assert cost > wanted_worth(POLICY, view, ModelId("rare"), 4.0)
+
     def test_a_rare_request_is_served_in_the_end(self):
         """It is worth more with each second that it waits."""
         view = make_view(
