--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -32,8 +32,8 @@
         a move costs too, as the engine takes no adapter meanwhile.
     wanted_slots : float
         Worth of a model that requests wait for and that is held nowhere.
-    wanted_slots_per_s2 : float
-        By how much that grows with the square of the seconds that they have waited:
+    wanted_slots_per_s3 : float
+        By how much that grows with the cube of the seconds that they have waited:
         none starves, and copies in use stay for the few seconds after which another
         engine has a model to spare.
     delay_cost_share : float
@@ -41,7 +41,10 @@
         moves on to other models after some twenty seconds.
     store_share : float
         Part of the engines that may be busy, one at least, when a further copy is
-        loaded from the weight store: they have to load what is held nowhere.
+        loaded from the weight store.
+    reserved_engines : int
+        Engines that stay free of such loads, if there are more: they have to load
+        what is held nowhere.
     burst_s : float
         Time constant with which the demand of a burst returns to the steady one.
     unload_s : float
@@ -57,12 +60,13 @@
     move_cost_slots_per_s: float = 0.3
     adapter_cost_share: float = 0.3
     delay_cost_share: float = 0.05
-    store_share: float = 0.15
+    store_share: float = 0.5
+    reserved_engines: int = 5
     burst_s: float = 6.0
     unload_s: float = 3.0
     min_residency_s: float = 2.0
     wanted_slots: float = 1.0
-    wanted_slots_per_s2: float = 0.12
+    wanted_slots_per_s3: float = 0.012
     spread_weight: float = 0.15
 
 
@@ -174,7 +178,7 @@
     they do once it has waited for some seconds.
     """
     demand = view.demand_by_model.get(model, 0.0)
-    return max(demand, policy.wanted_slots) + policy.wanted_slots_per_s2 * waited_s**2
+    return max(demand, policy.wanted_slots) + policy.wanted_slots_per_s3 * waited_s**3
 
 
 def best_load(
@@ -198,8 +202,10 @@
 def plan_copies(policy: CoveragePolicy, view: FleetView) -> LoadMove | None:
     """Return the load that gains most over what it costs, or None if none does."""
     best: tuple[float, LoadMove] | None = None
+    engines = len(view.engines)
+    may_be_busy = min(policy.store_share * engines, engines - policy.reserved_engines)
     busy = sum(engine.is_busy for engine in view.engines)
-    may_use_store = busy < max(1.0, policy.store_share * len(view.engines))
+    may_use_store = busy < max(1.0, may_be_busy)
     for model in view.demand_by_model:
         if model not in view.spec_by_model:
             continue
--- a/tests/coordination/loading/test_coverage.py
+++ b/tests/coordination/loading/test_coverage.py
@@ -186,6 +186,16 @@
         view = replace(view, engines=[*view.engines[:2], on_hand, view.engines[3]])
         assert plan_copies(POLICY, view).engine == "e3"
 
+    def test_many_engines_load_copies_side_by_side(self):
+        """When demand shifts in a large fleet, one after the other comes too late."""
+        held = {f"e{number}": ["idle"] for number in range(56)}
+        view = make_view({**held, "e0": ["crowd"]}, {"crowd": 100})
+        engines = [
+            replace(engine, is_busy=number in range(10, 30))
+            for number, engine in enumerate(view.engines)
+        ]
+        assert plan_copies(POLICY, replace(view, engines=engines)) is not None
+
     def test_demand_that_is_carried_moves_nothing(self):
         """No move is made for a model whose copies carry its demand."""
         view = make_view({"e1": ["a", "b"], "e2": ["a", "b"]}, {"a": 3, "b": 3})
