Share what waiting adds to a model's worth by all that wait

Change: what waiting adds is divided by the number of models that wait. One alone is served after ten seconds as before (its test stands); the new test of ten fails on the code before.

--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -33,9 +33,9 @@
     wanted_slots : float
         Worth of a model that requests wait for and that is held nowhere.
     wanted_slots_per_s3 : float
-        By how much that grows with the cube of the seconds that they have waited:
-        none starves, and copies in use stay for the few seconds after which another
-        engine has a model to spare.
+        By how much that grows with the cube of the seconds that they have waited,
+        shared by all models that wait: none starves, and copies in use stay for the
+        few seconds after which another engine has a model to spare.
     delay_cost_share : float
         Part of what the copy gains that each second until it comes costs: demand
         moves on to other models after some twenty seconds.
@@ -170,15 +170,21 @@
 
 
 def wanted_worth(
-    policy: CoveragePolicy, view: FleetView, model: ModelId, waited_s: float
+    policy: CoveragePolicy,
+    view: FleetView,
+    model: ModelId,
+    waited_s: float,
+    waiting: int = 1,
 ) -> float:
     """Return what the first copy of a model is worth that requests wait for.
 
     A crowd's copies do not make room for one request to a rare model at once, but
-    they do once it has waited for some seconds.
+    they do once it has waited for some seconds. What waiting adds is shared by the
+    ``waiting`` models: many rare ones do not drive a crowd's copies out together.
     """
     demand = view.demand_by_model.get(model, 0.0)
-    return max(demand, policy.wanted_slots) + policy.wanted_slots_per_s3 * waited_s**3
+    grown = policy.wanted_slots_per_s3 * waited_s**3 / max(1, waiting)
+    return max(demand, policy.wanted_slots) + grown
 
 
 def best_load(
--- a/src/camphoryard/coordination/loading/orderer.py
+++ b/src/camphoryard/coordination/loading/orderer.py
@@ -179,9 +179,13 @@
                 if want.until_s > now_s
             }
             wants = list(self._want_by_model.items())
-        for model, want in wants:
-            if not self._engines.holders(want.service, model):
-                self._start_wanted(want, model)
+        waiting = [
+            (model, want)
+            for model, want in wants
+            if not self._engines.holders(want.service, model)
+        ]
+        for model, want in waiting:
+            self._start_wanted(want, model, len(waiting))
         for service in self._services():
             self._plan_service(service)
 
@@ -241,8 +245,9 @@
             since_s = known.since_s if known else now_s
             want = _Want(service, since_s, now_s + WANT_LIFE_S)
             self._want_by_model[model] = want
+            waiting = len(self._want_by_model)
         if known is None:
-            self._start_wanted(want, model)
+            self._start_wanted(want, model, waiting)
 
     def _estimate_s(self, service: ServiceId, model: ModelId) -> float:
         """Return about how long it is until some engine holds ``model``."""
@@ -277,7 +282,7 @@
         left_s = UNLOAD_ESTIMATE_S - (now_s - engine.move_began_s)
         return load_s + max(POLL_PERIOD_S, left_s)
 
-    def _start_wanted(self, want: _Want, model: ModelId) -> None:
+    def _start_wanted(self, want: _Want, model: ModelId, waiting: int) -> None:
         """Load a model that requests wait for, once that is worth what it displaces."""
         view = self._view(want.service)
         if model in view.copies_by_model or model not in view.spec_by_model:
@@ -287,7 +292,8 @@
             return
         move, cost_slots = found
         waited_s = self._parts.clock() - want.since_s
-        if cost_slots <= wanted_worth(self._parts.policy, view, model, waited_s):
+        worth = wanted_worth(self._parts.policy, view, model, waited_s, waiting)
+        if cost_slots <= worth:
             self._start(want.service, move, "wanted")
 
     def _view(self, service: ServiceId) -> FleetView:
--- a/tests/coordination/loading/test_coverage.py
+++ b/tests/coordination/loading/test_coverage.py
@@ -148,6 +148,15 @@
         _, cost = best_load(POLICY, view, ModelId("rare"))
         assert cost > wanted_worth(POLICY, view, ModelId("rare"), 4.0)
 
+    def test_many_rare_models_do_not_drive_a_crowd_out_together(self):
+        """Ten that wait for eight seconds leave it its copies."""
+        view = make_view(
+            {"e1": ["crowd", "crowd2"], "e2": ["crowd", "crowd2"]},
+            {"crowd": 12, "crowd2": 12, "rare": 0.1},
+        )
+        _, cost = best_load(POLICY, view, ModelId("rare"))
+        assert cost > wanted_worth(POLICY, view, ModelId("rare"), 8.0, waiting=10)
+
     def test_a_rare_request_is_served_in_the_end(self):
         """It is worth more with each second that it waits."""
         view = make_view(
