Follow one request through the logs of entry nodes

An engineer on call had to grep each node's log for a request's id, and then again for its model, its endpoint and the ordering duty. `camphoryard trace ID LOG...` prints the lines that name the request among those within five seconds that may explain it, and says so if no node has read it.

--- a/src/camphoryard/cli/__init__.py
+++ b/src/camphoryard/cli/__init__.py
@@ -7,6 +7,7 @@
 from camphoryard.cli.observing import explain, timeline
 from camphoryard.cli.refusals import refusals
 from camphoryard.cli.status import status
+from camphoryard.cli.tracing import trace
 
 app = typer.Typer(
     help="Operate and call camphoryard. Exit codes: 0 done, 1 refused,"
@@ -22,6 +23,7 @@
     refusals,
     timeline,
     explain,
+    trace,
     call,
     drain,
     keys,
