Keep a stopping node's counts until somebody holds them

Cause: a node was stopped in the middle of a cut from both its peers and the object API; it tried once to hand its counts on, and ended.

Change: it goes on trying once a second until the object API or a peer has all its counts and those it holds of others, within the minute that a stop may last, and says so in the log if nobody was reached. Three tests, two of which fail on the code before.

--- a/src/camphoryard/coordination/refusals/refusal_handover.py
+++ b/src/camphoryard/coordination/refusals/refusal_handover.py
@@ -8,8 +8,6 @@
 import time
 from collections.abc import Iterable, Sequence
 
-import structlog
-
 from camphoryard.coordination.messages import Done, RefusalsCounted
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.refusals.refusals import RefusalCounter
@@ -25,8 +23,6 @@
 REPLY_TIMEOUT_S = 0.5
 PASSED_OVER_S = 5.0
 
-_log = structlog.get_logger()
-
 
 class RefusalHandover:
     """Hands counts to peers in other zones, and to others when they are silent."""
@@ -82,21 +78,28 @@
         self._counter.handed(number)
         return was_sent
 
-    def pass_on(self, sheets: Iterable[RefusalSheet]) -> None:
+    def pass_on(self, sheets: Iterable[RefusalSheet]) -> bool:
         """Hand over what this node still counted, and what it holds of others.
 
         A stopping node does so with what it could not write itself.
+
+        Returns
+        -------
+        bool
+            Whether some peer has each of them now.
         """
         self.hand_over()
-        for sheet in sheets:
-            holders: list[NodeLease] = []
-            while len(holders) < HOLDERS:
-                holder = self._choose(holders)
-                if holder is None:
-                    break
-                holders.append(holder)
-                if not self._ask(holder.node, sheet):
-                    _log.warning("counts_not_passed_on", holder=holder.node)
+        is_own_held = not self._counter.unfolded().counts or self._number_by_holder
+        return bool(is_own_held) and all([self._pass_on(sheet) for sheet in sheets])
+
+    def _pass_on(self, sheet: RefusalSheet) -> bool:
+        """Hand a sheet to as many peers as hold one; return whether any took it."""
+        asked: list[NodeLease] = []
+        holders = 0
+        while holders < HOLDERS and (peer := self._choose(asked)) is not None:
+            asked.append(peer)
+            holders += self._ask(peer.node, sheet)
+        return holders > 0
 
     def _choose(self, holders: Sequence[NodeLease]) -> NodeLease | None:
         """Return another peer to hold this node's counts, or None.
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -24,6 +24,8 @@
 
 SUPERVISE_PERIOD_S = 0.5
 DRAIN_LIMIT_S = 60.0
+KEEP_COUNTS_PERIOD_S = 1.0
+"""Between two tries of a stopping node to have its counts known elsewhere."""
 EXIT_SETTINGS = 2
 EXIT_NOT_BOUND = 3
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
@@ -113,7 +115,7 @@
     server.close_intake()
     server.wait_flushed(limit_s)
     node.settler.settle_pending()
-    node.refusal_handover.pass_on(node.refusal_folder.fold_all())
+    keep_counts(node, limit_s)
     node.shared.timer.close()
     node.shared.budget.close()
     node.residency.client.close()
@@ -122,6 +124,20 @@
     close(node)
 
 
+def keep_counts(node: Node, limit_s: float) -> None:
+    """Have the object API or peers know all counts of refusals.
+
+    A node that is cut off from both tries until it reaches one, as long as a stop
+    may last.
+    """
+    for _ in node.shared.timer.every(KEEP_COUNTS_PERIOD_S):
+        if node.refusal_handover.pass_on(node.refusal_folder.fold_all()):
+            return
+        if time.monotonic() >= limit_s:
+            log.warning("refusal_counts_lost")
+            return
+
+
 def close(node: Node) -> None:
     """End every task of the node."""
     node.shared.timer.close()
--- a/tests/coordination/refusals/test_refusal_handover.py
+++ b/tests/coordination/refusals/test_refusal_handover.py
@@ -61,6 +61,12 @@
     return RefusalHandover("n1", "a", counter, nodes, peers)
 
 
+def make_sheet():
+    """Return counts that a node holds of another."""
+    key = RefusalKey(Reason.DEADLINE, "", 1)
+    return RefusalSheet("i9", (RefusalCount(key, 3),))
+
+
 class TestRefusalHandover:
     """Choosing holders and handing over."""
 
@@ -144,8 +150,19 @@
         held = RefusalSheet(
             "i9", (RefusalCount(RefusalKey(Reason.DEADLINE, "", 1), 3),)
         )
-        handover.pass_on([held])
+        assert handover.pass_on([held])
         own, others = peers.asked[:2], peers.asked[2:]
         assert {counts[0].key.reason for _, counts in own} == {Reason.DRAINING}
         assert [counts for _, counts in others] == [held.counts, held.counts]
         assert len({node for node, _ in others}) == 2
+
+    def test_a_node_that_reaches_nobody_says_so(self, counter, peers):
+        """Neither its own counts nor those that it holds are known elsewhere."""
+        handover = make_handover(counter, peers, make_lease("n1"), make_lease("n2"))
+        held = RefusalSheet(
+            "i9", (RefusalCount(RefusalKey(Reason.DEADLINE, "", 1), 3),)
+        )
+        peers.silent.add("n2")
+        assert not handover.pass_on([held])
+        counter.count(Reason.DRAINING, "")
+        assert not handover.pass_on([])
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -62,11 +62,17 @@
 class TestStop:
     """A stop by plan."""
 
-    def test_counts_are_written_after_the_last_refusal(self, monkeypatch):
-        """The intake closes first, so that no refusal comes after them."""
+    @pytest.fixture
+    def parts(self, monkeypatch):
+        """Return a node and its server, of which all calls are kept."""
         monkeypatch.setattr(daemon, "wait_grace", Mock())
         monkeypatch.setattr(daemon, "close", Mock())
         parts = Mock()
+        parts.node.shared.timer.every.return_value = range(10)
+        return parts
+
+    def test_counts_are_written_after_the_last_refusal(self, parts):
+        """The intake closes first, so that no refusal comes after them."""
         drain(parts.node, parts.server)
         steps = [name for name, _, _ in parts.mock_calls]
         closed = steps.index("server.close_intake")
@@ -76,3 +82,16 @@
         assert parts.node.refusal_handover.pass_on.call_args == call(
             parts.node.refusal_folder.fold_all.return_value
         )
+
+    def test_a_node_that_reaches_nobody_goes_on_trying(self, parts):
+        """Its counts would be lost: VMs keep nothing."""
+        parts.node.refusal_handover.pass_on.side_effect = [False, False, True]
+        drain(parts.node, parts.server)
+        assert parts.node.refusal_folder.fold_all.call_count == 3
+
+    def test_a_stop_ends_though_nobody_is_ever_reached(self, parts, monkeypatch):
+        """It lasts no longer than any stop may."""
+        monkeypatch.setattr(daemon, "DRAIN_LIMIT_S", 0.0)
+        parts.node.refusal_handover.pass_on.return_value = False
+        drain(parts.node, parts.server)
+        assert parts.node.refusal_folder.fold_all.call_count == 1
