Read the ids of KNOWN-RED.txt in one place

Cause: the test configuration and the test of the list each parsed the file, one by the start of a line and one by any place in it, so they could have come to differ.

Ruled out: merging the copies of imports and of the two tests of idle connections, which are alike in shape only, and the two small queues of first_events and retry_window.

--- /dev/null
+++ b/standins/known_red.py
@@ -0,0 +1,16 @@
+"""Reads which tests KNOWN-RED.txt names."""
+
+from pathlib import Path
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+ID_MARK = "Id:"
+
+
+def known_red_ids() -> frozenset[str]:
+    """Return the ids of the listed tests; none where there is no list."""
+    if not KNOWN_RED.exists():
+        return frozenset()
+    lines = (line.strip() for line in KNOWN_RED.read_text().splitlines())
+    return frozenset(
+        line.removeprefix(ID_MARK).strip() for line in lines if line.startswith(ID_MARK)
+    )
