Bound answers of endpoints, and tell copies of refusals apart

A timeout of a socket starts again with each byte, so a head, a body, chunk extensions or trailers that come a byte at a time or without end held a task, and in part memory, for good. A stream that sends parts of an event or comments never stalled, in either daemon. A request that an engine declined was sent to it again over the same connection, where a copy of the refusal has the right id: a client would be told that a request had not run which runs. A refusal without an id counted as well on a connection that had been used before. Change: the reader of a connection limits bytes and time of each head, chunk and body. Streams stall without whole events or tokens. An endpoint that declined a request gets it again over a new connection only; orders use new connections, as their answers carry no id. A refusal without an id on a used connection proves nothing.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -18,7 +18,7 @@
 )
 from camphoryard.coordination.forwarding.urgency import urgency_at
 from camphoryard.coordination.routing.first_events import FirstEventTracker
-from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.errors import BrokenCallError, StalledCallError
 from camphoryard.state.ids import EndpointId, Urgency
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import Repeatability, RouteRule
@@ -146,6 +146,8 @@
         forwarded.service, request.requested_model
     )
     has_others = any(item.id != endpoint.id for item in endpoints)
+    # A copy of the refusal could still arrive on the connection that carried it.
+    needs_new_connection = endpoint.id in forwarded.declined
     left_s = max(0.0, forwarded.event_deadline_s - context.clock())
     is_last_attempt = forwarded.runs + 1 >= rule.max_attempts
     silence_timeout_s = left_s
@@ -158,6 +160,7 @@
         urgency,
         forwarded.progress.last_event or request.resume_after,
         MAX_IDLE_NOT_REPEATABLE_S if is_not_repeatable else MAX_IDLE_REPEATABLE_S,
+        needs_new_connection,
     )
 
 
@@ -181,6 +184,7 @@
     """Relay an answer whose head has been received, or report that it was declined."""
     match answer.head.kind:
         case AnswerKind.NOT_RUN | AnswerKind.NOT_LOADED:
+            forwarded.declined.add(endpoint.id)
             answer.body()
             requested_model = forwarded.request.requested_model
             if requested_model is not None:
@@ -250,7 +254,7 @@
     Raises
     ------
     StalledCallError
-        If the stream pauses for too long and can be resumed elsewhere.
+        If no whole event comes for too long and the stream can be resumed elsewhere.
     BrokenCallError
         If it ends within an event or before the end of the body.
     """
@@ -258,18 +262,25 @@
     gap_timeout_s = min(
         left_s, forwarded.rule.longest_gap_s * GAP_TIMEOUT_FACTOR or left_s
     )
+    keeps_waiting = partial(_keeps_waiting, context, forwarded, endpoint)
     progress = forwarded.progress
     progress.discard_partial_event()
     if not reply.has_begun:
         reply.begin(answer.head.status, _without_length(answer.head.headers))
     last_event_s = 0.0
-    for chunk in answer.iter_body(
-        gap_timeout_s, partial(_keeps_waiting, context, forwarded, endpoint)
-    ):
+    waits_since_s = context.clock()
+    for chunk in answer.iter_body(gap_timeout_s, keeps_waiting):
+        messages = progress.messages
         events = progress.add(chunk)
+        now_s = context.clock()
+        if progress.messages > messages:
+            waits_since_s = now_s
+        elif now_s - waits_since_s >= gap_timeout_s:
+            if not keeps_waiting():
+                raise StalledCallError("the stream sends bytes but no whole event")
+            waits_since_s = now_s
         if not events:
             continue
-        now_s = context.clock()
         if last_event_s:
             forwarded.longest_gap_s = max(forwarded.longest_gap_s, now_s - last_event_s)
         else:
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -84,7 +84,8 @@
     answer. ``runs`` counts the endpoints at which the request may have run, ``sends``
     all endpoints that it was sent to. ``progress`` is the part of a stream that the
     client has received. ``failed`` contains the endpoints whose call failed,
-    ``unreached`` those of them that accepted no connection. ``endpoint`` and
+    ``unreached`` those of them that accepted no connection, ``declined`` those that
+    declined the request. ``endpoint`` and
     ``urgency`` are those of the last send. ``load_wait_s``,
     ``first_event_s`` and ``longest_gap_s`` are written to the request log for on-call
     engineers. Deadlines are monotonic times; all times are in seconds.
@@ -100,6 +101,7 @@
     sends: int = 0
     may_have_run: bool = False
     failed: set[EndpointId] = field(default_factory=set)
+    declined: set[EndpointId] = field(default_factory=set)
     progress: StreamProgress = field(default_factory=StreamProgress)
     unreached: set[EndpointId] = field(default_factory=set)
     endpoint: EndpointId | None = None
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -57,7 +57,7 @@
     ``silence_timeout_s`` the longest wait for the head of its answer, and ``urgency``
     the priority in the endpoint's queue. ``resume_after`` is the last event that the
     client has received. A pooled connection that has been idle for longer than
-    ``max_idle_s`` is not used.
+    ``max_idle_s`` is not used, and none at all if ``needs_new_connection``.
     """
 
     deadline_s: float
@@ -65,6 +65,7 @@
     urgency: Urgency
     resume_after: EventId | None
     max_idle_s: float
+    needs_new_connection: bool = False
 
 
 class AnswerKind(Enum):
@@ -102,7 +103,15 @@
     head: AnswerHead
 
     def body(self) -> bytes:
-        """Return the whole body; raises BrokenCallError if it ends early."""
+        """Return the whole body.
+
+        Raises
+        ------
+        StalledCallError
+            If the body is not complete at the deadline of the request.
+        BrokenCallError
+            If the body ends early or has more bytes than are accepted.
+        """
 
     def iter_body(
         self, silence_timeout_s: float, keep_waiting: Callable[[], bool]
@@ -115,7 +124,7 @@
             If no data arrives for ``silence_timeout_s`` s and ``keep_waiting()`` is
             false.
         BrokenCallError
-            If the body ends early.
+            If the body ends early, or bytes arrive that are no part of it.
         """
 
     def close(self) -> None:
--- a/src/camphoryard/coordination/forwarding/progress.py
+++ b/src/camphoryard/coordination/forwarding/progress.py
@@ -2,16 +2,24 @@
 
 from dataclasses import dataclass, field
 
+from camphoryard.state.errors import BrokenCallError
 from camphoryard.state.ids import EventId
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT = b":"
+MAX_EVENT_BYTES = 256 << 10
+"""Maximum size of an event, which is buffered until it is complete."""
 
 
 @dataclass(slots=True)
 class StreamProgress:
     r"""Events of a stream that the client has received; only whole events are sent.
 
+    ``events`` counts those with an id, after which the stream can be resumed;
+    ``messages`` counts all except those that are only comments, which an endpoint may
+    send to keep a connection open.
+
     Examples
     --------
     >>> progress = StreamProgress()
@@ -23,18 +31,26 @@
 
     last_event: EventId | None = None
     events: int = 0
+    messages: int = 0
     _partial_event: bytes = field(default=b"", repr=False)
 
     def add(self, data: bytes) -> bytes:
-        """Append ``data`` and return the events that it completes."""
+        """Append ``data`` and return the events that it completes.
+
+        Raises
+        ------
+        BrokenCallError
+            If an event grows beyond `MAX_EVENT_BYTES`.
+        """
         joined = self._partial_event + data
         end = joined.rfind(EVENT_END) + len(EVENT_END)
         if end < len(EVENT_END):
-            self._partial_event = joined
-            return b""
+            end = 0
         self._partial_event = joined[end:]
+        if len(self._partial_event) > MAX_EVENT_BYTES:
+            raise BrokenCallError(f"an event has more than {MAX_EVENT_BYTES} bytes")
         complete = joined[:end]
-        self._record_ids(complete)
+        self._record_events(complete)
         return complete
 
     def discard_partial_event(self) -> None:
@@ -46,9 +62,12 @@
         """Whether no partial event is buffered."""
         return not self._partial_event
 
-    def _record_ids(self, complete: bytes) -> None:
+    def _record_events(self, complete: bytes) -> None:
         for event in complete.split(EVENT_END):
-            for line in event.split(b"\n"):
+            lines = [line for line in event.split(b"\n") if line]
+            if not all(line.startswith(COMMENT) for line in lines):
+                self.messages += 1
+            for line in lines:
                 if line.startswith(ID_FIELD):
                     text = line[len(ID_FIELD) :].strip().decode("latin-1")
                     self.last_event = EventId(text)
--- a/src/camphoryard/coordination/inference/attempts.py
+++ b/src/camphoryard/coordination/inference/attempts.py
@@ -133,7 +133,7 @@
     progress.failed.add(endpoint_id)
     match error:
         case EndpointRefusedError(status=status):
-            if status not in NOT_RUN_STATUSES:
+            if status not in NOT_RUN_STATUSES or not error.is_first_on_connection:
                 progress.may_have_run = True
             if status != NOT_LOADED_STATUS:
                 context.breakers.failed(endpoint_id)
--- a/src/camphoryard/platform/dialect.py
+++ b/src/camphoryard/platform/dialect.py
@@ -114,7 +114,11 @@
         return headers
 
     def read_answer(
-        self, request: ClientRequest, status: int, headers: Mapping[str, str]
+        self,
+        request: ClientRequest,
+        status: int,
+        headers: Mapping[str, str],
+        is_first_on_connection: bool,
     ) -> AnswerHead | None:
         """Return the head of an answer, or None if it answers another request."""
         value_by_name = {name.lower(): value for name, value in headers.items()}
@@ -129,7 +133,9 @@
             if name.lower() not in HOP_BY_HOP_HEADERS
         }
         return AnswerHead(
-            _answer_kind(status, value_by_name, is_signed),
+            _answer_kind(
+                status, value_by_name, is_signed, bool(echoed) or is_first_on_connection
+            ),
             status,
             answer_headers,
             value_by_name.get("connection", "").lower() == "close",
@@ -146,8 +152,11 @@
 
 
 def _answer_kind(
-    status: int, value_by_name: Mapping[str, str], is_signed: bool
+    status: int, value_by_name: Mapping[str, str], is_signed: bool, is_identified: bool
 ) -> AnswerKind:
+    if not is_identified:
+        # It may be a copy of an earlier refusal, which says nothing about this request.
+        return AnswerKind.UNTRUSTED
     if status == MISDIRECTED_STATUS:
         return AnswerKind.NOT_LOADED
     if NOT_RUN.lower() in value_by_name:
--- a/src/camphoryard/platform/engines.py
+++ b/src/camphoryard/platform/engines.py
@@ -70,6 +70,9 @@
             msgspec.json.encode(body),
             {"Content-Type": "application/json", EXPECTED_ENDPOINT: endpoint.id},
             ORDER_TIMEOUT_S,
+            # Answers to orders carry no id: on a used connection, a copy of an earlier
+            # answer could be taken for this one.
+            new_connection=True,
         )
         answer = self._client.call(_address(endpoint), call)
         return _ANSWER_BY_STATUS.get(answer.status, OrderAnswer.REFUSED)
--- a/src/camphoryard/protocol/dialect.py
+++ b/src/camphoryard/protocol/dialect.py
@@ -63,9 +63,17 @@
         """Return the headers with which a request is sent to an endpoint."""
 
     def read_answer(
-        self, request: ClientRequest, status: int, headers: Mapping[str, str]
+        self,
+        request: ClientRequest,
+        status: int,
+        headers: Mapping[str, str],
+        is_first_on_connection: bool,
     ) -> AnswerHead | None:
-        """Return an answer's head, or None if it answers another request."""
+        """Return an answer's head, or None if it answers another request.
+
+        Only the first answer on a connection surely belongs to the request if it does
+        not carry its id.
+        """
 
     def refusal_headers(
         self, id: RequestId | None, refusal: RefusalError
--- a/src/camphoryard/state/errors.py
+++ b/src/camphoryard/state/errors.py
@@ -84,12 +84,18 @@
         HTTP status code of the answer.
     detail : str
         Explanation in the endpoint's answer.
+    is_first_on_connection : bool
+        Whether no other answer came before on the connection, of which this one could
+        be a copy.
     """
 
-    def __init__(self, status: int, detail: str) -> None:
+    def __init__(
+        self, status: int, detail: str, is_first_on_connection: bool = True
+    ) -> None:
         super().__init__(f"endpoint answered {status}: {detail}")
         self.status = status
         self.detail = detail
+        self.is_first_on_connection = is_first_on_connection
 
 
 class AnswerTooLargeError(CamphoryardError):
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -37,6 +37,8 @@
 ORDER_TIMEOUT_S = 2.0
 INVENTORY_TIMEOUT_S = 1.0
 MIN_TIMEOUT_S = 0.05
+MAX_ERROR_BYTES = 64 << 10
+"""Maximum size of the explanation in an error answer."""
 MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -75,7 +77,11 @@
         )
         answer = self._client.open(_address(endpoint), call)
         if answer.response.status >= MIN_ERROR_STATUS:
-            raise EndpointRefusedError(answer.response.status, _error_detail(answer))
+            raise EndpointRefusedError(
+                answer.response.status,
+                _error_detail(answer, limits.first_token_s),
+                answer.is_first_on_connection,
+            )
         return EventStream(answer, self._readers, limits)
 
     def _stream_limits(self, request: InferenceRequest, offset: int) -> StreamLimits:
@@ -137,12 +143,14 @@
             max(left_s, MIN_TIMEOUT_S),
             new_connection=True,
             max_answer_bytes=self._max_answer_bytes,
+            max_answer_time_s=max(left_s, MIN_TIMEOUT_S),
         )
         answer = self._client.call(_address(endpoint), call)
         return ActionAnswer(answer.status, answer.body)
 
 
-def _error_detail(answer: OpenAnswer) -> str:
+def _error_detail(answer: OpenAnswer, timeout_s: float) -> str:
+    answer.limit_body(MAX_ERROR_BYTES, timeout_s, time.monotonic() + timeout_s)
     try:
         return answer.response.read().decode(errors="replace")
     except (OSError, HTTPException) as error:
--- a/src/camphoryard/transport/event_streams.py
+++ b/src/camphoryard/transport/event_streams.py
@@ -16,6 +16,8 @@
 )
 
 EVENT_END = b"\n\n"
+MAX_BYTES_WITHOUT_FRAME = 1 << 20
+"""Maximum number of bytes received without a frame; parts of it are buffered."""
 
 
 class EventStream:
@@ -33,6 +35,8 @@
         self._limits = limits
         self._body = _make_body(answer)
         self._partial_event = b""
+        self._frames = 0
+        self._bytes_without_frame = 0
 
     def read_frames(self, take: FrameCallback) -> None:
         """Pass frames to ``take`` until it returns True; see the TokenStream port."""
@@ -40,7 +44,7 @@
         def consume_data(data: bytes) -> bool:
             return not data or self._consume(data, take)
 
-        stream = OpenStream(self._answer.sock, consume_data)
+        stream = OpenStream(self._answer.sock, consume_data, lambda: self._frames)
         buffered = self._answer.read_buffered()
         is_over = (
             stream.consume(buffered) if buffered else stream.read_first(self._limits)
@@ -56,12 +60,18 @@
         self._answer.close(self._is_read_to_end())
 
     def _consume(self, data: bytes, take: FrameCallback) -> bool:
+        self._bytes_without_frame += len(data)
+        if self._bytes_without_frame > MAX_BYTES_WITHOUT_FRAME:
+            raise BrokenCallError("the stream sends bytes but no frames")
         *events, self._partial_event = (
             self._partial_event + self._body.decode(data)
         ).split(EVENT_END)
         for event in events:
-            if event.startswith(EVENT_PREFIX + b"{") and take(_decode_event(event)):
-                return True
+            if event.startswith(EVENT_PREFIX + b"{"):
+                self._frames += 1
+                self._bytes_without_frame = 0
+                if take(_decode_event(event)):
+                    return True
         return self._body.is_over
 
     def _is_read_to_end(self) -> bool:
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -43,6 +43,17 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 """Safety margin before the server's keep-alive timeout, in which an idle connection
 is no longer used."""
+MAX_READ_BYTES = 1 << 20
+"""Maximum number of bytes received for the head of an answer, or for one chunk."""
+MAX_ANSWER_BYTES = 8 << 20
+"""Maximum size of a body, unless the call sets another."""
+CHUNKED_SIZE_FACTOR = 2
+"""Maximum size of a body in chunks, in multiples of its content."""
+MIN_TIMEOUT_S = 0.001
+"""A socket timeout of 0 s would make the socket non-blocking."""
+MAX_ANSWER_TIME_S = 60.0
+"""Maximum time from sending a call to the end of its answer, unless the call sets
+another. It exceeds the longest watch of the platform's store."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,8 +71,11 @@
     ``new_connection`` forbids a pooled connection. The server may close a pooled
     connection while the call is being written; a call that must not be repeated
     needs a new connection, because a failure to connect then proves that nothing was
-    sent. ``cancellation`` aborts the call at any stage. ``max_answer_bytes`` limits
-    the body that ``HttpClient.call`` reads; None means no limit.
+    sent. ``timeout_s`` limits the time until the head of the answer is complete, and
+    each pause in its body; ``max_answer_time_s`` limits the time of the whole answer,
+    which a server could otherwise extend without end by sending a byte now and then.
+    ``cancellation`` aborts the call at any stage. ``max_answer_bytes`` limits
+    the body that ``HttpClient.call`` reads; None means `MAX_ANSWER_BYTES`.
     ``connect_timeout_s`` limits the time to connect, ``max_idle_s`` how long a pooled
     connection may have been idle.
     """
@@ -74,6 +88,7 @@
     new_connection: bool = False
     cancellation: Cancellation | None = None
     max_answer_bytes: int | None = None
+    max_answer_time_s: float = MAX_ANSWER_TIME_S
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     max_idle_s: float = math.inf
 
@@ -102,6 +117,11 @@
         """Address of the server that answers."""
         return self._exchange.address
 
+    @property
+    def is_first_on_connection(self) -> bool:
+        """Whether the server has sent no other answer on the connection."""
+        return self._exchange.connection.answers == 1
+
     @property
     def sock(self) -> socket.socket:
         """The socket of the connection."""
@@ -111,8 +131,23 @@
         self, silence_timeout_s: float, keep_waiting: Callable[[], bool]
     ) -> None:
         """Time out reads after ``silence_timeout_s`` unless ``keep_waiting()``."""
-        self.sock.settimeout(silence_timeout_s)
-        self._exchange.connection.reader.set_keep_waiting(keep_waiting)
+        reader = self._exchange.connection.reader
+        reader.set_keep_waiting(keep_waiting)
+        reader.limit(ReadLimits.of_one_read(MAX_READ_BYTES, silence_timeout_s))
+
+    def restart_read_limits(self) -> None:
+        """Apply the limits of a read to what is received from now on."""
+        self._exchange.connection.reader.restart_limits()
+
+    def limit_body(self, max_bytes: int, silence_s: float, end_s: float) -> None:
+        """Limit the rest of the answer.
+
+        It may have ``max_bytes``, pause for ``silence_s`` and last until the monotonic
+        time ``end_s``.
+        """
+        self._exchange.connection.reader.limit(
+            ReadLimits(max_bytes, silence_s, end_s - time.monotonic())
+        )
 
     def read_buffered(self) -> bytes:
         """Return the data received with the head; makes the socket non-blocking."""
@@ -156,14 +191,41 @@
             self._client.abort(exchange.connection)
 
 
+@dataclass(frozen=True, slots=True)
+class ReadLimits:
+    """Limits of the bytes received by a read, and of its time in seconds.
+
+    ``total_s`` limits all receives of the read together, ``silence_s`` each of them.
+    """
+
+    max_bytes: int
+    silence_s: float
+    total_s: float
+
+    @classmethod
+    def of_one_read(cls, max_bytes: int, timeout_s: float) -> "ReadLimits":
+        """Return limits under which the whole read takes at most ``timeout_s``."""
+        return cls(max_bytes, timeout_s, timeout_s)
+
+
+class ReadLimitError(OSError):
+    """A server sends more than the client of it reads."""
+
+
 class _RawSocketReader(io.RawIOBase):
     """Reads a socket; after a timeout, ``keep_waiting`` decides whether to read on.
 
-    A timeout error of the socket would make the buffered reader unusable.
+    A timeout error of the socket would make the buffered reader unusable. The limits
+    apply to everything received since they were set: the timeout of the socket alone
+    starts again with each byte.
     """
 
     def __init__(self, sock: socket.socket) -> None:
         self.keep_waiting: Callable[[], bool] = _never
+        self._limits = ReadLimits.of_one_read(MAX_READ_BYTES, math.inf)
+        self._bytes_left = self._limits.max_bytes
+        self._deadline_s = math.inf
+        self._has_received = False
         self._sock = sock
         # Keeps the file descriptor open: http.client closes its socket after an
         # answer with "Connection: close".
@@ -177,12 +239,55 @@
         """Read available bytes, or return None if it would block; see io.RawIOBase."""
         while True:
             try:
-                return self._sock.recv_into(buffer)
+                self._shorten_timeout()
+                count = self._sock.recv_into(buffer)
             except TimeoutError:
                 if not self.keep_waiting():
                     raise
+                self._restart_time()
             except BlockingIOError:
                 return None
+            else:
+                self._has_received = True
+                self._bytes_left -= count
+                if self._bytes_left < 0:
+                    raise ReadLimitError(
+                        f"received more than {self._limits.max_bytes} bytes"
+                    )
+                return count
+
+    def limit(self, limits: ReadLimits) -> None:
+        """Apply ``limits`` to what is received from now on."""
+        self._limits = limits
+        self.restart_limits()
+
+    def restart_limits(self) -> None:
+        """Apply the same limits again to what is received from now on."""
+        self._bytes_left = self._limits.max_bytes
+        self._restart_time()
+
+    def _restart_time(self) -> None:
+        self._deadline_s = time.monotonic() + self._limits.total_s
+        self._has_received = False
+        self._set_timeout(min(self._limits.silence_s, self._limits.total_s))
+
+    def _shorten_timeout(self) -> None:
+        """Wait no longer than to the deadline; raises TimeoutError if it has passed.
+
+        Until something is received, the timeout set with the limits is still exact.
+        """
+        if not self._has_received or self._sock.gettimeout() == 0.0:
+            return
+        left_s = self._deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("the read is not complete in time")
+        self._set_timeout(min(self._limits.silence_s, left_s))
+
+    def _set_timeout(self, timeout_s: float) -> None:
+        # Comparing first saves a system call for each read.
+        timeout_s = max(MIN_TIMEOUT_S, timeout_s)
+        if self._sock.gettimeout() != timeout_s:
+            self._sock.settimeout(timeout_s)
 
     def close(self) -> None:
         """Close the file descriptor."""
@@ -207,6 +312,14 @@
         """Set the function that decides whether to read on after a timeout."""
         self._raw.keep_waiting = keep_waiting
 
+    def limit(self, limits: ReadLimits) -> None:
+        """Apply ``limits`` to what is received from now on."""
+        self._raw.limit(limits)
+
+    def restart_limits(self) -> None:
+        """Apply the same limits again to what is received from now on."""
+        self._raw.restart_limits()
+
     def __getattr__(self, name: str) -> Any:
         return getattr(self._reader, name)
 
@@ -226,6 +339,8 @@
     """A connection whose answers share one reader, so that no buffered byte is lost."""
 
     reader: _PersistentReader
+    answers = 0
+    """Answers that have begun on the connection."""
 
     def connect(self) -> None:
         """Connect, with TCP keep-alive so that an unresponsive peer is detected."""
@@ -238,6 +353,7 @@
         self, sock: socket.socket, debuglevel: int = 0, method: str | None = None
     ) -> HTTPResponse:
         """Return the next answer, before its head is read."""
+        self.answers += 1
         response = HTTPResponse(sock, debuglevel, method)
         response.fp.close()
         response.fp = self.reader  # type: ignore[assignment]
@@ -319,14 +435,21 @@
         NotSentError
             If no byte was sent.
         StalledCallError
-            If the server sent nothing within the timeout.
+            If the server sent nothing within the timeout, or not the whole answer in
+            the time for it.
         BrokenCallError
             If the call failed after some of it may have been sent.
         AnswerTooLargeError
             If the body exceeds ``max_answer_bytes`` of the call.
         """
+        end_s = time.monotonic() + call.max_answer_time_s
         answer = self.open(address, call)
         try:
+            answer.limit_body(
+                (call.max_answer_bytes or MAX_ANSWER_BYTES) * CHUNKED_SIZE_FACTOR,
+                call.timeout_s,
+                end_s,
+            )
             body = _read_body(answer.response, call.max_answer_bytes)
         except (OSError, HTTPException) as error:
             raise broken_call_error(error) from error
@@ -423,7 +546,7 @@
         self, address: Address, connection: _Connection, call: HttpCall
     ) -> OpenAnswer:
         sock = connection.sock
-        sock.settimeout(call.timeout_s)
+        connection.reader.limit(ReadLimits.of_one_read(MAX_READ_BYTES, call.timeout_s))
         cancellation = call.cancellation
         handle = 0
         if cancellation is not None:
--- a/src/camphoryard/transport/stream_reading.py
+++ b/src/camphoryard/transport/stream_reading.py
@@ -37,16 +37,27 @@
     consume : callable
         Called with the received data in the endpoint's task; ``b""`` is the end of
         the connection. Returns whether the stream is complete; must not block.
+    tokens : callable, default=None
+        Returns the number of tokens consumed so far. The stream stalls without further
+        tokens, even if it sends other data; by default all data counts.
     """
 
-    def __init__(self, sock: socket.socket, consume: Callable[[bytes], bool]) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        consume: Callable[[bytes], bool],
+        tokens: Callable[[], int] | None = None,
+    ) -> None:
         self.sock = sock
         self._consume = consume
+        self._tokens = tokens
+        self._tokens_seen = 0
         self._ended = threading.Event()
         self._error: Exception | None = None
         self._is_connection_closed = False
         self._start_s = time.monotonic()
         self._last_data_s: float | None = None
+        self._last_token_s: float | None = None
 
     def read(self) -> bool:
         """Consume available data; return whether the stream is over."""
@@ -75,11 +86,16 @@
         self._last_data_s = time.monotonic()
         self._is_connection_closed = not data
         try:
-            return self._consume(data)
+            is_over = self._consume(data)
         except Exception as error:
             # Raised in the task that waits for the end, not in the reader task.
             self._error = error
             return True
+        if self._tokens is None or self._tokens() > self._tokens_seen:
+            self._last_token_s = self._last_data_s
+        if self._tokens is not None:
+            self._tokens_seen = self._tokens()
+        return is_over
 
     def end(self) -> None:
         """Wake the task in ``wait``."""
@@ -96,19 +112,24 @@
         while not self._ended.wait(max(0.0, self._time_left_s(limits))):
             if self._time_left_s(limits) > 0:
                 continue
-            if time.monotonic() < limits.deadline_s and is_readable(self.sock):
-                # Data is waiting: the reader task is late, not the engine.
-                self._last_data_s = time.monotonic()
+            if time.monotonic() < limits.deadline_s and self._is_reader_late(limits):
+                self._last_token_s = time.monotonic()
                 continue
             self._abort()
         if self._error is not None:
             raise self._error
 
+    def _is_reader_late(self, limits: StreamLimits) -> bool:
+        """Return whether data waits that the reader task has had no time to read."""
+        read_s = self._start_s if self._last_data_s is None else self._last_data_s
+        limit_s = limits.first_token_s if self._last_token_s is None else limits.stall_s
+        return time.monotonic() - read_s >= limit_s and is_readable(self.sock)
+
     def _time_left_s(self, limits: StreamLimits) -> float:
-        if self._last_data_s is None:
+        if self._last_token_s is None:
             timeout_at_s = self._start_s + limits.first_token_s
         else:
-            timeout_at_s = self._last_data_s + limits.stall_s
+            timeout_at_s = self._last_token_s + limits.stall_s
         return min(timeout_at_s, limits.deadline_s) - time.monotonic()
 
     def _abort(self) -> None:
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_S = 0.4
 """Endpoints are some milliseconds away; one that takes longer is unreachable."""
 READ_BYTES = 1 << 16
+MAX_BODY_BYTES = 4 << 20
+"""Maximum size of an answer that is not a stream; each one is held in memory."""
 MAX_SKIPPED_ANSWERS = 4
 """Answers to earlier calls that are skipped before the connection is closed."""
 MIN_TIMEOUT_S = 0.01
@@ -32,13 +34,20 @@
 class ForwardedAnswer:
     """An open answer; see the Answer port."""
 
-    def __init__(self, answer: OpenAnswer, head: AnswerHead) -> None:
+    def __init__(
+        self, answer: OpenAnswer, head: AnswerHead, options: SendOptions
+    ) -> None:
         self.head = head
         self._answer = answer
+        self._options = options
         self._is_read = False
 
     def body(self) -> bytes:
-        """Return the complete body; raises BrokenCallError if it ends early."""
+        """Return the complete body; see the Answer port."""
+        options = self._options
+        self._answer.limit_body(
+            MAX_BODY_BYTES, options.silence_timeout_s, options.deadline_s
+        )
         try:
             body = self._answer.response.read()
         except (OSError, HTTPException, ValueError) as error:
@@ -55,6 +64,7 @@
             max(MIN_TIMEOUT_S, silence_timeout_s), keep_waiting
         )
         while True:
+            self._answer.restart_read_limits()
             try:
                 chunk = response.read1(READ_BYTES)
             except (OSError, HTTPException, ValueError) as error:
@@ -95,6 +105,7 @@
             request.body,
             self._dialect.call_headers(endpoint, request, options, left_s),
             max(MIN_TIMEOUT_S, min(options.silence_timeout_s, left_s)),
+            options.needs_new_connection,
             cancellation=cancellation,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_idle_s=options.max_idle_s,
@@ -102,7 +113,9 @@
         address = Address(endpoint.address.host, endpoint.address.port)
         answer = self._client.open(address, call)
         try:
-            return ForwardedAnswer(answer, self._matching_head(answer, request))
+            return ForwardedAnswer(
+                answer, self._matching_head(answer, request), options
+            )
         except BrokenCallError:
             answer.close(is_read=False)
             raise
@@ -117,7 +130,9 @@
         for _ in range(MAX_SKIPPED_ANSWERS):
             response = answer.response
             headers = dict(response.headers.items())
-            head = self._dialect.read_answer(request, response.status, headers)
+            head = self._dialect.read_answer(
+                request, response.status, headers, answer.is_first_on_connection
+            )
             if head is not None:
                 return head
             answer.skip()
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -40,6 +40,8 @@
 
 ONE, TWO, THREE = (f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3))
 MOST_URGENT = Urgency(0)
+TRICKLE_S = 0.1
+"""Time between the bytes of an answer that trickles."""
 PAUSE = b"PAUSE"
 """Marks a pause in an answer that exceeds the timeout between events."""
 
@@ -78,6 +80,23 @@
     return Answer(chunks, error=error)
 
 
+class TricklingAnswer(Answer):
+    """An answer that ends with ``byte`` now and then; no pause exceeds the timeout."""
+
+    def __init__(self, clock, *chunks, byte, count):
+        super().__init__(chunks)
+        self._clock, self._byte, self._left = clock, byte, count
+
+    def iter_body(self, silence_timeout_s, keep_waiting):
+        """Yield the chunks and then single bytes, advancing the clock."""
+        yield from self._chunks
+        while self._left:
+            self._left -= 1
+            self._clock.advance(TRICKLE_S)
+            yield self._byte
+        yield b"\n\n"
+
+
 def declined(kind=AnswerKind.NOT_RUN):
     """Return an answer stating that the request has not run."""
     return Answer([b""], kind, 503)
@@ -350,6 +369,72 @@
         assert deadlines == {site.clock.now_s + 10.0}
 
 
+class TestTricklingStreams:
+    """Streams that send bytes now and then."""
+
+    STREAM = Repeatability.RESUMABLE_STREAM
+
+    @pytest.mark.parametrize("byte", [b"x", b":\n\n"])
+    def test_a_stream_without_whole_events_is_resumed_elsewhere(self, byte):
+        """Parts of an event and comments are no progress."""
+        site = Site(repeatability=self.STREAM)
+        trickling = TricklingAnswer(site.clock, ONE, byte=byte, count=10_000)
+        site.upstream.answers = [trickling, served(TWO)]
+        site.forward()
+        assert site.reply.body.replace(b":\n\n", b"") == ONE + TWO
+
+    @pytest.mark.parametrize("byte", [b"x", b":\n\n"])
+    def test_a_stream_that_cannot_be_resumed_ends_at_the_deadline(self, byte):
+        """Nobody waits any longer for it."""
+        site = Site(repeatability=self.STREAM, endpoints=("e1",))
+        trickling = TricklingAnswer(site.clock, ONE, byte=byte, count=10_000)
+        site.upstream.answers = [trickling]
+        assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
+        assert site.clock.now_s < site.request.deadline_s + 10.0
+
+    def test_a_slow_stream_of_whole_events_goes_on(self):
+        """It may take longer than the limit of a pause, in all."""
+        site = Site(repeatability=self.STREAM)
+        event = b"id: 2\ndata: 2\n\n"
+        slow = TricklingAnswer(site.clock, ONE, byte=event, count=300)
+        site.upstream.answers = [slow]
+        site.forward()
+        assert site.reply.body.count(b"id: 2") == 300
+
+    def test_an_event_without_end_breaks_the_call(self):
+        """It is not buffered without end."""
+        endless = served(ONE, *[b"x" * 65_536] * 100)
+        site = Site(endless, repeatability=Repeatability.STREAM)
+        assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
+
+
+class TestRepeatedRefusals:
+    """An endpoint that may write an earlier refusal once more on its connection."""
+
+    def test_a_request_is_sent_again_over_a_new_connection(self):
+        """A copy of the refusal would claim that the second send has not run."""
+        locator = Models(make_endpoint("e1", ("m1",)))
+        site = Site(
+            declined(),
+            served(b"ok"),
+            repeatability=Repeatability.ONCE,
+            requested_model=RequestedModel(ModelId("m1")),
+            locator=locator,
+            endpoints=("e1",),
+            models=("m1",),
+        )
+        site.forward()
+        assert site.sent_to == ["e1", "e1"]
+        needed = [options.needs_new_connection for _, options in site.upstream.sent]
+        assert needed == [False, True]
+
+    def test_another_endpoint_is_sent_to_over_any_connection(self):
+        """New connections are dear."""
+        site = Site(declined(), served(b"ok"), repeatability=Repeatability.ONCE)
+        site.forward()
+        assert not site.upstream.sent[1][1].needs_new_connection
+
+
 class TestOverload:
     """More streams at an engine than can begin before their clients leave."""
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -123,16 +123,24 @@
     )
     def test_kinds(self, status, headers, kind):
         """Not run needs an explicit header or status 421, success a signature."""
-        assert PlatformDialect().read_answer(read(), status, headers).kind is kind
+        assert PlatformDialect().read_answer(read(), status, headers, True).kind is kind
 
     def test_answer_to_another_request_is_recognized(self):
         """An answer with the id of another request is None."""
         headers = {"Attempt-Id": "other", "Server-Seal": "s"}
-        assert PlatformDialect().read_answer(read(), 200, headers) is None
+        assert PlatformDialect().read_answer(read(), 200, headers, True) is None
 
     def test_signed_answer_without_id_belongs_to_another_request(self):
         """Endpoints put the request id into every answer that they sign."""
-        assert PlatformDialect().read_answer(read(), 200, {"Server-Seal": "s"}) is None
+        headers = {"Server-Seal": "s"}
+        assert PlatformDialect().read_answer(read(), 200, headers, True) is None
+
+    @pytest.mark.parametrize("status", [503, 429, 421, 400])
+    def test_refusal_without_id_on_a_used_connection_says_nothing(self, status):
+        """It may be a copy of an earlier refusal, while this request runs."""
+        headers = {"Not-Executed": "1"}
+        head = PlatformDialect().read_answer(read(), status, headers, False)
+        assert head.kind is AnswerKind.UNTRUSTED
 
 
 class TestRefusalHeaders:
--- a/tests/transport/test_event_streams.py
+++ b/tests/transport/test_event_streams.py
@@ -1,5 +1,6 @@
 """Tests of event streams over sockets."""
 
+import contextlib
 import socket
 from concurrent.futures import ThreadPoolExecutor
 
@@ -107,6 +108,36 @@
             stream.read_frames(engine.consume)
 
 
+class TestEndlessStreams:
+    """Bytes without end that are no frames."""
+
+    @pytest.mark.parametrize(
+        ("first", "repeated"),
+        [
+            (chunk(event(0)) + b"1;", b"e" * 4096),
+            (chunk(event(0)) + b"0\r\n", b"x: y\r\n" * 512),
+            (chunk(event(0)), chunk(b"data" * 1024)),
+            (chunk(event(0)), chunk(b": ping\n\n" * 512)),
+        ],
+        ids=["chunk extension", "trailers", "one event", "comments"],
+    )
+    def test_stream_breaks(self, engine, first, repeated):
+        """They are not buffered without end."""
+        stream, engine_sock = engine.open(HEAD + first)
+
+        def send_without_end():
+            with contextlib.suppress(OSError):
+                while True:
+                    engine_sock.sendall(repeated)
+
+        with ThreadPoolExecutor(1) as sending:
+            sending.submit(send_without_end)
+            with pytest.raises(BrokenCallError):
+                stream.read_frames(engine.consume)
+            stream.close()
+        assert engine.offsets == [0]
+
+
 class TestClose:
     """Closing a stream."""
 
--- a/tests/transport/test_stream_reading.py
+++ b/tests/transport/test_stream_reading.py
@@ -1,7 +1,9 @@
 """Tests of reading all streams of an endpoint in one task."""
 
+import contextlib
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -114,6 +116,49 @@
             stream.engine_sock.sendall(b"b")
         assert stream.consumed == [b"a", b""]
 
+    def test_stream_without_further_tokens_stalls_although_it_sends_data(self, readers):
+        """A byte now and then is no progress."""
+        stream = RecordingStream()
+        tokens = []
+        open_stream = OpenStream(
+            stream.open_stream.sock, stream._consume, tokens.__len__
+        )
+        readers.start(ADDRESS, open_stream)
+        tokens.append("a")
+        stream.engine_sock.sendall(b"a")
+        stream.data_consumed.acquire()
+        is_over = threading.Event()
+
+        def send_bytes():
+            while not is_over.wait(0.02):
+                with contextlib.suppress(OSError):
+                    stream.engine_sock.sendall(b"b")
+
+        with ThreadPoolExecutor(1) as sending:
+            sending.submit(send_bytes)
+            with pytest.raises(StalledCallError):
+                open_stream.wait(StreamLimits(1e6, 0.1, time.monotonic() + 5.0))
+            is_over.set()
+        assert stream.consumed[-1] == b""
+
+    def test_slow_stream_with_tokens_goes_on(self, readers):
+        """The limit applies to each pause, not to the whole stream."""
+        stream = RecordingStream()
+        open_stream = OpenStream(
+            stream.open_stream.sock, stream._consume, lambda: len(stream.consumed)
+        )
+        readers.start(ADDRESS, open_stream)
+
+        def send_tokens():
+            for token in (b"a", b"b", b"c", b"d."):
+                stream.engine_sock.sendall(token)
+                time.sleep(0.2)
+
+        with ThreadPoolExecutor(1) as sending:
+            sending.submit(send_tokens)
+            open_stream.wait(StreamLimits(1e6, 0.5))
+        assert stream.consumed == [b"a", b"b", b"c", b"d."]
+
     def test_waiting_task_reads_first_data(self):
         """The waiting task reads the first data itself and times out without it."""
         stream = RecordingStream()
