Check permissions when connected, and answer what is accepted last in a stop

An order was sent in a term that could end while the node connected to the engine or was suspended. A stopping node still accepted requests between its last look at the connections and its exit, and its connection tasks were shut down first, so that those requests were cut off. A call that this program aborts itself looked like the end of an answer without a length, which then counted as complete. Change: a call may have a permission, checked once it is connected; orders have that of their term. A stop ends the listening, answers what was accepted and keeps the connection tasks to the exit. Reads that end by an abort of our own fail.

--- a/src/camphoryard/coordination/loading/engine_client.py
+++ b/src/camphoryard/coordination/loading/engine_client.py
@@ -67,7 +67,9 @@
         assert engine.accepted_orders is not None
         order = EngineOrder(kind, item, self.node, term, engine.accepted_orders)
         try:
-            answer = self.api.order(engine.endpoint, order)
+            answer = self.api.order(
+                engine.endpoint, order, lambda: self.leader_lease.term == term
+            )
         except (NotSentError, BrokenCallError) as error:
             self._log_order(engine, order, None, repr(error))
             return None
--- a/src/camphoryard/coordination/loading/ports.py
+++ b/src/camphoryard/coordination/loading/ports.py
@@ -1,6 +1,6 @@
 """Orders to engines and the reports of engines."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -55,8 +55,16 @@
 class EngineApi(Protocol):
     """Orders to engines and their reports; raises NotSentError or BrokenCallError."""
 
-    def order(self, endpoint: ServingEndpoint, order: EngineOrder) -> OrderAnswer:
-        """Send an order."""
+    def order(
+        self,
+        endpoint: ServingEndpoint,
+        order: EngineOrder,
+        is_permitted: Callable[[], bool],
+    ) -> OrderAnswer:
+        """Send an order, unless ``is_permitted()`` is false once connected.
+
+        A process may be suspended while it connects, and its term end meanwhile.
+        """
 
     def report(self, endpoint: ServingEndpoint) -> EngineReport:
         """Request a report of an engine's state."""
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -130,6 +130,9 @@
         front.close_idle()
         if time.monotonic() >= end_s:
             break
+    # Requests accepted since the last check still need an answer.
+    front.stop_accepting()
+    front.wait_flushed(min(end_s, time.monotonic() + DRAIN_POLL_PERIOD_S))
     entry.log(
         "stopped",
         unfinished=len(front.active_channels),
@@ -145,7 +148,7 @@
 
 
 def close(entry: Entry) -> None:
-    """Stop all tasks of the daemon."""
+    """Stop all tasks of the daemon except those that answer clients."""
     entry.timer.close()
     entry.client.close()
     entry.peers.close()
@@ -153,7 +156,6 @@
     for executor in (
         executors.node,
         executors.handlers,
-        executors.connections,
         executors.peers,
     ):
         executor.shutdown(wait=False, cancel_futures=True)
--- a/src/camphoryard/platform/engines.py
+++ b/src/camphoryard/platform/engines.py
@@ -1,5 +1,7 @@
 """HTTP client for orders to the platform's engines and for their reports."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from camphoryard.coordination.loading.ports import (
@@ -53,8 +55,13 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
 
-    def order(self, endpoint: ServingEndpoint, order: EngineOrder) -> OrderAnswer:
-        """Send an order."""
+    def order(
+        self,
+        endpoint: ServingEndpoint,
+        order: EngineOrder,
+        is_permitted: Callable[[], bool],
+    ) -> OrderAnswer:
+        """Send an order; see the EngineApi port."""
         body: dict[str, object] = {
             "opcode": _OPCODE_BY_KIND[order.kind],
             "model": order.item.model,
@@ -73,6 +80,7 @@
             # Answers to orders carry no id: on a used connection, a copy of an earlier
             # answer could be taken for this one.
             new_connection=True,
+            is_permitted=is_permitted,
         )
         answer = self._client.call(_address(endpoint), call)
         return _ANSWER_BY_STATUS.get(answer.status, OrderAnswer.REFUSED)
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -77,7 +77,8 @@
     ``cancellation`` aborts the call at any stage. ``max_answer_bytes`` limits
     the body that ``HttpClient.call`` reads; None means `MAX_ANSWER_BYTES`.
     ``connect_timeout_s`` limits the time to connect, ``max_idle_s`` how long a pooled
-    connection may have been idle.
+    connection may have been idle. ``is_permitted`` is checked right before the call
+    is written, as connecting takes time and the process may be suspended meanwhile.
     """
 
     method: str
@@ -91,6 +92,7 @@
     max_answer_time_s: float = MAX_ANSWER_TIME_S
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     max_idle_s: float = math.inf
+    is_permitted: Callable[[], bool] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,6 +228,7 @@
         self._bytes_left = self._limits.max_bytes
         self._deadline_s = math.inf
         self._has_received = False
+        self.is_aborted = False
         self._sock = sock
         # Keeps the file descriptor open: http.client closes its socket after an
         # answer with "Connection: close".
@@ -248,6 +251,9 @@
             except BlockingIOError:
                 return None
             else:
+                if not count and self.is_aborted:
+                    # The end is this client's own, not that of the answer.
+                    raise ConnectionAbortedError("the call was aborted")
                 self._has_received = True
                 self._bytes_left -= count
                 if self._bytes_left < 0:
@@ -312,6 +318,10 @@
         """Set the function that decides whether to read on after a timeout."""
         self._raw.keep_waiting = keep_waiting
 
+    def abort(self) -> None:
+        """Make reads fail at the end of the connection."""
+        self._raw.is_aborted = True
+
     def limit(self, limits: ReadLimits) -> None:
         """Apply ``limits`` to what is received from now on."""
         self._raw.limit(limits)
@@ -464,6 +474,9 @@
         )
         if connection is None:
             connection = self._connect(address, call)
+        if call.is_permitted is not None and not call.is_permitted():
+            self.discard(connection)
+            raise NotSentError("the permission for the call has expired")
         return self._exchange(address, connection, call)
 
     def close(self) -> None:
@@ -476,7 +489,7 @@
             self._idle_by_address.clear()
         for connection in connections:
             if connection.sock is not None:
-                shut_down(connection.sock)
+                _abort_reads(connection.reader, connection.sock)
 
     def can_connect(self, address: Address, timeout_s: float) -> bool:
         """Return whether connecting succeeds; the connection is added to the pool."""
@@ -550,7 +563,9 @@
         cancellation = call.cancellation
         handle = 0
         if cancellation is not None:
-            handle = cancellation.subscribe(functools.partial(shut_down, sock))
+            handle = cancellation.subscribe(
+                functools.partial(_abort_reads, connection.reader, sock)
+            )
         try:
             response = _send_request(connection, call)
         except (OSError, HTTPException, ValueError) as error:
@@ -626,6 +641,12 @@
     return bool(poll.poll(wait_s * MILLISECONDS_PER_SECOND))
 
 
+def _abort_reads(reader: _PersistentReader, sock: socket.socket) -> None:
+    """Shut a connection down; an answer that is being read is incomplete."""
+    reader.abort()
+    shut_down(sock)
+
+
 def shut_down(sock: socket.socket) -> None:
     """Shut a connection down; its readers see the end of the stream."""
     try:
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -66,3 +66,12 @@
         store_answers.set()
         entry.executors.node.shutdown(wait=True)
         assert entry.registration.leave.called
+
+    def test_requests_accepted_last_are_answered(self, entry):
+        """The server accepts no more and sends what is left before the daemon ends."""
+        front = Mock(active_channels={})
+        front.wait_flushed.return_value = True
+        daemon.close.side_effect = lambda _: front.closed()
+        drain(entry, front)
+        calls = [call[0] for call in front.method_calls]
+        assert calls[-3:] == ["stop_accepting", "wait_flushed", "closed"]
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -6,7 +6,7 @@
 
 from camphoryard.coordination.loading.ports import EngineReport, OrderAnswer
 from camphoryard.state.enums import OrderKind
-from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.errors import BrokenCallError, NotSentError
 from camphoryard.state.ids import (
     AdapterId,
     EndpointId,
@@ -213,9 +213,13 @@
         self.by_id = {
             EndpointId(name): engine for name, engine in engine_by_name.items()
         }
+        self.on_connect = lambda: None
 
-    def order(self, endpoint, order):
-        """Send an order to the engine of an endpoint."""
+    def order(self, endpoint, order, is_permitted):
+        """Send an order to the engine of an endpoint, if it is still permitted."""
+        self.on_connect()
+        if not is_permitted():
+            raise NotSentError("not permitted")
         return self.by_id[endpoint.id].order(order)
 
     def report(self, endpoint):
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -124,6 +125,14 @@
             get(client, server)
         assert server.requests == 2
 
+    def test_call_is_not_sent_if_its_permission_expired(self, client):
+        """The permission is checked once the connection exists."""
+        server = Server([ANSWER])
+        with pytest.raises(NotSentError):
+            get(client, server, is_permitted=lambda: False)
+        assert get(client, server, is_permitted=lambda: True) == b"ok"
+        assert server.requests == 1
+
     def test_cancellation_aborts_a_waiting_call(self, client):
         """A call that waits for its answer ends when it is cancelled."""
         server = Server([NO_ANSWER])
@@ -175,6 +184,25 @@
                 with pytest.raises(ConnectionResetError):
                     endpoint.recv(16)
 
+    def test_aborted_answer_without_length_is_incomplete(self, client):
+        """The end of the connection is the client's own, not that of the answer."""
+        cancellation = Cancellation()
+        with socket.create_server((HOST, 0)) as listener:
+            address = Address(HOST, listener.getsockname()[1])
+            call = HttpCall("GET", "/", cancellation=cancellation)
+            with ThreadPoolExecutor(1) as calling:
+                opening = calling.submit(client.open, address, call)
+                endpoint, _ = listener.accept()
+                endpoint.recv(65_536)
+                endpoint.sendall(b"HTTP/1.1 200 OK\r\n\r\nha")
+                answer = opening.result()
+            with endpoint:
+                assert answer.response.read(2) == b"ha"
+                cancellation.cancel()
+                with pytest.raises(ConnectionAbortedError):
+                    answer.response.read()
+                answer.close(is_read=False)
+
 
 def _assert_call_breaks(client, address, call):
     with pytest.raises(BrokenCallError):
