Mend two tests that failed by chance

Cause: the test of an unread pipe closed its stream while the task of LineLog still wrote to it; the test of large fleets drew 87 times without a seed, so that its bounds failed now and then. Change: the first ends the reader, then waits for the task to end, which is one check more; the second draws ten times as often from a fixed seed, with the same bounds in shares.

--- a/tests/coordination/forwarding/test_endpoint_chooser.py
+++ b/tests/coordination/forwarding/test_endpoint_chooser.py
@@ -1,5 +1,6 @@
 """Tests of the choice of an endpoint."""
 
+import random
 from collections import Counter
 
 from camphoryard.coordination.forwarding.endpoint_chooser import (
@@ -45,11 +46,12 @@
         """It would be full before its new load is reported."""
         endpoints = [make_endpoint(name, slots=12) for name in ("e1", "e2", "e3")]
         load = {"e1": 2, "e2": 4, "e3": 12}
-        chosen = Counter(
-            choose(load, *endpoints, policy=ByFreeSlots) for _ in range(87)
+        chooser = EndpointChooser(
+            ZONE, lambda id: load[id], ByFreeSlots, random.Random(1)
         )
-        assert chosen["e1"] > chosen["e2"] > 0.1 * 87
-        assert chosen["e3"] < 0.1 * 87
+        chosen = Counter(chooser.choose(endpoints).id for _ in range(870))
+        assert chosen["e1"] > chosen["e2"] > 0.1 * 870
+        assert chosen["e3"] < 0.1 * 870
 
     def test_full_endpoint_is_chosen_if_all_are_full(self):
         """Loads are estimates, and a full endpoint declines the request."""
--- a/tests/transport/test_log_lines.py
+++ b/tests/transport/test_log_lines.py
@@ -1,5 +1,6 @@
 """Tests of log lines: limited in rate, and written without blocking callers."""
 
+import contextlib
 import io
 import os
 import threading
@@ -57,13 +58,20 @@
         """Lines beyond the queue limit are dropped; the caller is never blocked."""
         read_end, write_end = os.pipe()
         clock = Clock()
-        with os.fdopen(write_end, "w") as stream:
-            log = LineLog("n1", stream, clock, lines_per_s=100)
-            threading.Thread(target=log.run, daemon=True).start()
-            began_s = time.monotonic()
-            for _ in range(2 * MAX_QUEUED_LINES):
-                clock.advance(0.02)
-                log("filled", text="x" * 200)
-            assert time.monotonic() - began_s < TIMEOUT_S
+        stream = os.fdopen(write_end, "w")
+        log = LineLog("n1", stream, clock, lines_per_s=100)
+        writing = threading.Thread(target=log.run, daemon=True)
+        writing.start()
+        began_s = time.monotonic()
+        for _ in range(2 * MAX_QUEUED_LINES):
+            clock.advance(0.02)
+            log("filled", text="x" * 200)
+        assert time.monotonic() - began_s < TIMEOUT_S
+        os.close(read_end)
+        while writing.is_alive() and time.monotonic() - began_s < 2 * TIMEOUT_S:
             log.close()
-            os.close(read_end)
+            writing.join(0.01)
+        assert not writing.is_alive()
+        # Closing flushes the lines that nobody has read.
+        with contextlib.suppress(BrokenPipeError):
+            stream.close()
