Share crash reports by way of the leader in a large fleet

A node that saw an endpoint crash told all others itself, with a task and a connection for each: when many nodes see crashes, these grow with the square of the nodes. Change: in a fleet with a leader for its gossip, reports go to the leader, which passes on those that it does not know yet. Without a leader the observer alone counts the crash.

--- a/src/camphoryard/coordination/routing/crash_counter.py
+++ b/src/camphoryard/coordination/routing/crash_counter.py
@@ -60,6 +60,12 @@
                 self._crashes_by_request.popitem(last=False)
             return len(crashes.endpoints)
 
+    def has_observed(self, request: Fingerprint, endpoint: EndpointId) -> bool:
+        """Return whether a crash of ``endpoint`` with ``request`` is recorded."""
+        with self._lock:
+            crashes = self._crashes_by_request.get(request)
+            return crashes is not None and endpoint in crashes.endpoints
+
     def is_quarantined(self, request: Fingerprint | None) -> bool:
         """Return whether too many endpoints have crashed recently with ``request``."""
         if request is None:
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -12,6 +12,7 @@
 import msgspec
 import zmq
 
+from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
     Mesh,
@@ -71,7 +72,7 @@
 )
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import NodeState
-from camphoryard.state.ids import Incarnation, NodeId, ObjectKey, ServiceId, WriteId
+from camphoryard.state.ids import Incarnation, ObjectKey, ServiceId, WriteId
 from camphoryard.state.leadership import LeadershipRecord, PeerKeys
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import InFlightTable
@@ -147,7 +148,7 @@
     leader_lease: LeaderLease
     load_controller: LoadController
     item_locator: ItemLocator
-    crash_counter: CrashCounter
+    crash_sharing: CrashSharing
     app: FrontApp
     readiness: ReadinessApp
     executors: Executors
@@ -231,6 +232,9 @@
         )
     )
     crash_counter = CrashCounter()
+    crash_sharing = CrashSharing(
+        settings.node, nodes, peers, crash_counter, gossip.leader, log
+    )
     dialect = PlatformDialect()
     retries: RetryWindow[ServiceId] = RetryWindow(
         settings.bounds.repeat_limits, lambda: max(len(nodes.all()), MIN_NODES)
@@ -249,7 +253,7 @@
         HttpUpstream(client, dialect),
         item_locator,
         crash_counter,
-        functools.partial(_broadcast, nodes, peers, settings.node),
+        crash_sharing.send,
         log,
         metrics.observe,
         metrics.count,
@@ -280,7 +284,7 @@
         leader_lease,
         load_controller,
         item_locator,
-        crash_counter,
+        crash_sharing,
         FrontApp(context, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
@@ -296,14 +300,8 @@
             return Done()
         case ItemRequest() as item_request:
             return answer_item_request(entry.load_controller, item_request)
-        case CrashReport(request, endpoint):
-            crashes = entry.crash_counter.observe(request, endpoint)
-            entry.log(
-                "crash_told",
-                fingerprint=request,
-                endpoint=endpoint,
-                crashes=crashes,
-            )
+        case CrashReport() as report:
+            entry.crash_sharing.receive(report)
             return Done()
         case _:
             return Declined("unexpected message type for an entry daemon")
@@ -390,13 +388,5 @@
     )
 
 
-def _broadcast(
-    nodes: NodeTable, peers: PeerNetwork, own_node: NodeId, message: Message
-) -> None:
-    for lease in nodes.all():
-        if lease.node != own_node:
-            peers.send(lease.node, message)
-
-
 def _reject_write(record: object) -> NoReturn:
     raise TypeError(f"{type(record).__name__} is read-only: the platform writes it")
