Wait for a silent endpoint while no retry is left

Change: after each silence the budget and the other endpoints are looked at again, and the call goes on until its client leaves if the request cannot be sent elsewhere. A stream that broke off its chunks for want of frames is decoded to its last byte first: with a part of it dropped, the rest could look like the end of the body.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -142,21 +142,19 @@
     urgency: Urgency,
 ) -> SendOptions:
     request, rule = forwarded.request, forwarded.rule
-    endpoints = context.directory.loaded_endpoints(
-        forwarded.service, request.requested_model
-    )
-    has_others = any(item.id != endpoint.id for item in endpoints)
     # A copy of the refusal could still arrive on the connection that carried it.
     needs_new_connection = endpoint.id in forwarded.declined
-    left_s = max(0.0, forwarded.event_deadline_s - context.clock())
-    is_last_attempt = forwarded.runs + 1 >= rule.max_attempts
-    silence_timeout_s = left_s
-    if rule.repeatability.may_run_again and not is_last_attempt and has_others:
-        silence_timeout_s = min(left_s, first_byte_timeout_s(rule))
+    head_timeout_s = max(0.0, forwarded.event_deadline_s - context.clock())
+    silence_timeout_s = head_timeout_s
+    runs = forwarded.runs + 1
+    if rule.repeatability.may_run_again and runs < rule.max_attempts:
+        silence_timeout_s = min(head_timeout_s, first_byte_timeout_s(rule))
     is_not_repeatable = rule.repeatability in (Repeatability.ONCE, Repeatability.STREAM)
     return SendOptions(
         forwarded.deadline_s,
+        head_timeout_s,
         silence_timeout_s,
+        lambda: not _can_resend(context, forwarded, endpoint, runs),
         urgency,
         forwarded.progress.last_event or request.resume_after,
         MAX_IDLE_NOT_REPEATABLE_S if is_not_repeatable else MAX_IDLE_REPEATABLE_S,
@@ -305,20 +303,30 @@
     """
     if context.clock() >= forwarded.request.deadline_s:
         return False
-    endpoints = context.directory.loaded_endpoints(
-        forwarded.service, forwarded.request.requested_model
-    )
-    has_others = any(
-        item.id != endpoint.id
-        and item.id not in forwarded.failed
-        and context.breakers.allows(item.id)
-        for item in endpoints
-    )
-    return not (
-        has_others
-        and forwarded.may_run_again
+    return not _can_resend(context, forwarded, endpoint, forwarded.runs)
+
+
+def _can_resend(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    endpoint: ServingEndpoint,
+    runs: int,
+) -> bool:
+    """Return whether another endpoint may run the request now, after ``runs`` runs."""
+    rule = forwarded.rule
+    return (
+        rule.repeatability.may_run_again
+        and runs < rule.max_attempts
         and forwarded.sends < MAX_SENDS
         and context.retries.has_left(forwarded.service)
+        and any(
+            item.id != endpoint.id
+            and item.id not in forwarded.failed
+            and context.breakers.allows(item.id)
+            for item in context.directory.loaded_endpoints(
+                forwarded.service, forwarded.request.requested_model
+            )
+        )
     )
 
 
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -54,14 +54,18 @@
     """Options for sending a request to an endpoint.
 
     ``deadline_s`` is the monotonic time at which the endpoint stops processing,
-    ``silence_timeout_s`` the longest wait for the head of its answer, and ``urgency``
-    the priority in the endpoint's queue. ``resume_after`` is the last event that the
-    client has received. A pooled connection that has been idle for longer than
-    ``max_idle_s`` is not used, and none at all if ``needs_new_connection``.
+    ``head_timeout_s`` the longest wait for the head of its answer, and ``urgency``
+    the priority in the endpoint's queue. After each ``silence_timeout_s`` without an
+    answer, ``keep_waiting`` decides whether to wait on. ``resume_after`` is the last
+    event that the client has received. A pooled connection that has been idle for
+    longer than ``max_idle_s`` is not used, and none at all if
+    ``needs_new_connection``.
     """
 
     deadline_s: float
+    head_timeout_s: float
     silence_timeout_s: float
+    keep_waiting: Callable[[], bool]
     urgency: Urgency
     resume_after: EventId | None
     max_idle_s: float
@@ -148,7 +152,7 @@
         NotSentError
             If no byte was sent to the endpoint.
         StalledCallError
-            If the head does not arrive within the silence timeout.
+            If the head does not arrive in time.
         BrokenCallError
             If the connection fails after bytes were sent.
         """
--- a/src/camphoryard/transport/event_streams.py
+++ b/src/camphoryard/transport/event_streams.py
@@ -60,12 +60,12 @@
         self._answer.close(self._is_read_to_end())
 
     def _consume(self, data: bytes, take: FrameCallback) -> bool:
-        self._bytes_without_frame += len(data)
-        if self._bytes_without_frame > MAX_BYTES_WITHOUT_FRAME:
-            raise BrokenCallError("the stream sends bytes but no frames")
         *events, self._partial_event = (
             self._partial_event + self._body.decode(data)
         ).split(EVENT_END)
+        self._bytes_without_frame += len(data)
+        if self._bytes_without_frame > MAX_BYTES_WITHOUT_FRAME:
+            raise BrokenCallError("the stream sends bytes but no frames")
         for event in events:
             if event.startswith(EVENT_PREFIX + b"{"):
                 self._frames += 1
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -56,6 +56,10 @@
 another. It exceeds the longest watch of the platform's store."""
 
 
+def _never() -> bool:
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class Address:
     """An IP address and a port."""
@@ -74,6 +78,8 @@
     sent. ``timeout_s`` limits the time until the head of the answer is complete, and
     each pause in its body; ``max_answer_time_s`` limits the time of the whole answer,
     which a server could otherwise extend without end by sending a byte now and then.
+    After each ``silence_timeout_s`` without the head, ``keep_waiting`` decides whether
+    to wait on.
     ``cancellation`` aborts the call at any stage. ``max_answer_bytes`` limits
     the body that ``HttpClient.call`` reads; None means `MAX_ANSWER_BYTES`.
     ``connect_timeout_s`` limits the time to connect, ``max_idle_s`` how long a pooled
@@ -86,6 +92,8 @@
     body: bytes = b""
     headers: Mapping[str, str] = field(default_factory=dict)
     timeout_s: float = 5.0
+    silence_timeout_s: float = math.inf
+    keep_waiting: Callable[[], bool] = _never
     new_connection: bool = False
     cancellation: Cancellation | None = None
     max_answer_bytes: int | None = None
@@ -148,7 +156,7 @@
         time ``end_s``.
         """
         self._exchange.connection.reader.limit(
-            ReadLimits(max_bytes, silence_s, end_s - time.monotonic())
+            ReadLimits(max_bytes, silence_s, end_s - time.monotonic(), end_s)
         )
 
     def read_buffered(self) -> bytes:
@@ -198,16 +206,21 @@
     """Limits of the bytes received by a read, and of its time in seconds.
 
     ``total_s`` limits all receives of the read together, ``silence_s`` each of them.
+    Both start again whenever the reader decides to keep waiting, which it cannot after
+    the monotonic time ``end_s``.
     """
 
     max_bytes: int
     silence_s: float
     total_s: float
+    end_s: float = math.inf
 
     @classmethod
-    def of_one_read(cls, max_bytes: int, timeout_s: float) -> "ReadLimits":
+    def of_one_read(
+        cls, max_bytes: int, timeout_s: float, end_s: float = math.inf
+    ) -> "ReadLimits":
         """Return limits under which the whole read takes at most ``timeout_s``."""
-        return cls(max_bytes, timeout_s, timeout_s)
+        return cls(max_bytes, timeout_s, timeout_s, end_s)
 
 
 class ReadLimitError(OSError):
@@ -245,7 +258,7 @@
                 self._shorten_timeout()
                 count = self._sock.recv_into(buffer)
             except TimeoutError:
-                if not self.keep_waiting():
+                if time.monotonic() >= self._limits.end_s or not self.keep_waiting():
                     raise
                 self._restart_time()
             except BlockingIOError:
@@ -273,9 +286,10 @@
         self._restart_time()
 
     def _restart_time(self) -> None:
-        self._deadline_s = time.monotonic() + self._limits.total_s
+        now_s = time.monotonic()
+        self._deadline_s = min(now_s + self._limits.total_s, self._limits.end_s)
         self._has_received = False
-        self._set_timeout(min(self._limits.silence_s, self._limits.total_s))
+        self._set_timeout(min(self._limits.silence_s, self._deadline_s - now_s))
 
     def _shorten_timeout(self) -> None:
         """Wait no longer than to the deadline; raises TimeoutError if it has passed.
@@ -302,10 +316,6 @@
             self._file.close()
 
 
-def _never() -> bool:
-    return False
-
-
 class _PersistentReader:
     """The buffered reader of a connection, shared by all its answers."""
 
@@ -559,7 +569,14 @@
         self, address: Address, connection: _Connection, call: HttpCall
     ) -> OpenAnswer:
         sock = connection.sock
-        connection.reader.limit(ReadLimits.of_one_read(MAX_READ_BYTES, call.timeout_s))
+        connection.reader.set_keep_waiting(call.keep_waiting)
+        connection.reader.limit(
+            ReadLimits.of_one_read(
+                MAX_READ_BYTES,
+                min(call.timeout_s, call.silence_timeout_s),
+                time.monotonic() + call.timeout_s,
+            )
+        )
         cancellation = call.cancellation
         handle = 0
         if cancellation is not None:
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -361,6 +361,17 @@
         first, second = (options.silence_timeout_s for _, options in site.upstream.sent)
         assert first < second
 
+    @pytest.mark.parametrize(
+        ("options", "keeps_waiting"),
+        [({}, False), ({"reserve": 0.0}, True), ({"endpoints": ("e1",)}, True)],
+    )
+    def test_silence_is_waited_out_if_no_retry_is_left(self, options, keeps_waiting):
+        """In a crowd that uses up the retry budget, giving up serves nobody."""
+        site = Site(served(ONE), repeatability=self.STREAM, **options)
+        site.forward()
+        _, send_options = site.upstream.sent[0]
+        assert send_options.keep_waiting() is keeps_waiting
+
     def test_a_retry_keeps_the_deadline_of_the_first_attempt(self):
         """No endpoint gets more time than the client has left."""
         site = Site(BrokenCallError("x"), served(ONE), repeatability=self.STREAM)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -23,7 +23,7 @@
     "content-length": "3",
     "last-event-id": "12",
 }
-SEND_OPTIONS = SendOptions(0.0, 1.0, 2, None, 1.0)
+SEND_OPTIONS = SendOptions(0.0, 1.0, 1.0, lambda: False, 2, None, 1.0)
 
 
 def read(**changes):
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -84,7 +84,13 @@
         RequestId("r1"), "GET", "h", "/", {}, b"", now_s, now_s + 2 * TIMEOUT_S
     )
     options = SendOptions(
-        now_s + 2 * TIMEOUT_S, TIMEOUT_S, Urgency(5), None, max_idle_s=1.0
+        now_s + 2 * TIMEOUT_S,
+        TIMEOUT_S,
+        TIMEOUT_S,
+        lambda: False,
+        Urgency(5),
+        None,
+        max_idle_s=1.0,
     )
     upstream = HttpUpstream(client, PlatformDialect())
     endpoint = make_endpoint("i-1", port=address.port)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -109,6 +110,34 @@
         with pytest.raises(StalledCallError):
             get(client, Server([NO_ANSWER]), timeout_s=0.05)
 
+    def test_silence_is_waited_out_while_nobody_else_can_answer(self, client):
+        """The call ends with the first silence that need not be waited out."""
+        decisions = [True, True, False]
+        began_s = time.monotonic()
+        with pytest.raises(StalledCallError):
+            get(
+                client,
+                Server([NO_ANSWER]),
+                timeout_s=5.0,
+                silence_timeout_s=0.05,
+                keep_waiting=lambda: decisions.pop(0),
+            )
+        assert decisions == []
+        assert time.monotonic() - began_s < 5.0
+
+    def test_waiting_ends_with_the_timeout(self, client):
+        """A wish to keep waiting does not extend it."""
+        began_s = time.monotonic()
+        with pytest.raises(StalledCallError):
+            get(
+                client,
+                Server([NO_ANSWER]),
+                timeout_s=0.2,
+                silence_timeout_s=0.05,
+                keep_waiting=lambda: True,
+            )
+        assert 0.2 <= time.monotonic() - began_s < 5.0
+
     def test_pooled_connection_that_was_closed(self, client):
         """The call uses a new connection instead."""
         server = Server([ANSWER, ANSWER], closes={0})
--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -73,7 +73,14 @@
             RequestId(id), "POST", "h", "/", {}, b"", now_s, now_s + TIMEOUT_S
         )
         options = SendOptions(
-            now_s + TIMEOUT_S, TIMEOUT_S, Urgency(5), None, 1.0, needs_new_connection
+            now_s + TIMEOUT_S,
+            TIMEOUT_S,
+            TIMEOUT_S,
+            lambda: False,
+            Urgency(5),
+            None,
+            1.0,
+            needs_new_connection,
         )
         answer = upstream.open(endpoint.endpoint, request, options, Cancellation())
         with contextlib.closing(answer):
