Leave the watch of nodes to the leader of a large fleet

Each node fetched the changes of nodes once a second, and nodes change in nearly each second while 232 of them are added and restarted. Change: in a large fleet the leader, and a node that knows no leader, fetch them each second, the others each eighth.

--- a/src/camphoryard/coordination/fleet/node_registration.py
+++ b/src/camphoryard/coordination/fleet/node_registration.py
@@ -3,6 +3,7 @@
 import random
 from typing import Protocol
 
+from camphoryard.coordination.fleet.fleet_gossip import GossipTopology, Mesh, Star
 from camphoryard.coordination.forwarding.context import DecisionLog
 from camphoryard.coordination.ports import Records, Stored, Timer
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
@@ -12,6 +13,8 @@
 
 RETRY_PERIOD_S = 0.5
 RETRY_JITTER_S = 0.5
+STAR_WATCH_PERIODS = 8
+"""Periods between two watches of the nodes by a node of a large fleet."""
 PEER_KEYS_KEY = ObjectKey("peers")
 
 
@@ -71,6 +74,22 @@
     return None
 
 
+def is_node_watch_due(
+    topology: GossipTopology, node: NodeId, leader: NodeId | None, period: int
+) -> bool:
+    """Return whether ``node`` fetches the changes of nodes in a period.
+
+    In a large fleet only the leader needs them soon, to gossip with new nodes, and a
+    node that knows no leader: if all fetched each start, the calls of a restart would
+    grow with the square of the fleet.
+    """
+    match topology:
+        case Mesh():
+            return True
+        case Star():
+            return leader in (None, node) or period % STAR_WATCH_PERIODS == 0
+
+
 class PeerAddresses(Protocol):
     """Addresses of peers."""
 
--- a/src/camphoryard/coordination/record_watcher.py
+++ b/src/camphoryard/coordination/record_watcher.py
@@ -43,6 +43,9 @@
     batch_s : float
         Period of the watches in seconds, so that one call fetches the changes of
         a whole period; with 0 the next watch starts at once.
+    is_due : callable
+        Returns whether the watch of a period is made, by the number of periods since
+        the last listing; if not, a later one fetches the changes.
     on_listing : callable or None
         Called with each complete listing; its records are then not passed to
         ``on_record``.
@@ -57,6 +60,7 @@
         wait_s: float = WATCH_WAIT_S,
         on_availability_change: Callable[[bool], None] = lambda is_answering: None,
         batch_s: float = 0.0,
+        is_due: Callable[[int], bool] = lambda period: True,
         on_listing: Callable[[Snapshot[RecordT]], None] | None = None,
     ) -> None:
         self._records = records
@@ -66,6 +70,7 @@
         self._wait_s = wait_s
         self._on_availability_change = on_availability_change
         self._batch_s = batch_s
+        self._is_due = is_due
         self._on_listing = on_listing
         self._is_answering: bool | None = None
 
@@ -102,9 +107,11 @@
 
     def _watch(self, timer: Timer) -> None:
         revision = self.list_once().revision
-        for _ in self._watch_ticks(timer):
+        for period, _ in enumerate(self._watch_ticks(timer)):
             if not self._is_elected():
                 return
+            if not self._is_due(period):
+                continue
             sent_s = time.monotonic()
             changes = self._records.watch(revision, self._wait_s)
             for item in changes.items:
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -22,6 +22,7 @@
 from camphoryard.coordination.fleet.node_registration import (
     NodeRegistration,
     apply_lease,
+    is_node_watch_due,
 )
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import (
@@ -273,6 +274,12 @@
                 functools.partial(apply_lease, nodes, peers),
                 wait_s=NODES_WAIT_S,
                 batch_s=NODES_BATCH_S,
+                is_due=lambda period: is_node_watch_due(
+                    gossip_topology(len(nodes.all())),
+                    settings.node,
+                    gossip.leader(),
+                    period,
+                ),
             ),
         ),
         peers,
--- a/tests/coordination/test_record_watcher.py
+++ b/tests/coordination/test_record_watcher.py
@@ -129,6 +129,19 @@
             ("watch", 1, pytest.approx(20.0))
         ]
 
+    def test_a_later_watch_fetches_the_changes_of_periods_that_are_not_due(self):
+        """The revision stays that of the last call."""
+        records = ScriptedRecords(*(snapshot(index) for index in range(1, 20)))
+        RecordWatcher(
+            records,
+            lambda item: None,
+            batch_s=0.5,
+            is_due=lambda period: period % 3 == 0,
+        ).run(ScriptedTimer(4))
+        watches = [call[1] for call in records.calls if call != "list"]
+        assert watches[:2] == [1, 2]
+        assert len(watches) == 4 * 2
+
 
 class TestElectedWatchers:
     """Choice of the nodes that watch for a zone."""
