Tell all nodes which models are being unloaded

The other nodes went on sending requests for it until the engine's entry in the store changed, and each refusal took a retry from the budget. Change: the leader's gossip names the models of moves in progress; nodes take them as not loaded there. An endpoint that declined a request for a model is left alone for 1.5 s in place of 0.5 s, as moves take that long.

--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -26,6 +26,7 @@
     Generation,
     Incarnation,
     ItemId,
+    ModelId,
     NodeId,
 )
 from camphoryard.state.nodes import NodeDigest, NodeTable
@@ -75,7 +76,17 @@
 
 
 class FleetGossip:
-    """Sends this node's digest to peers and records theirs."""
+    """Sends this node's digest to peers and records theirs.
+
+    Parameters
+    ----------
+    term : callable
+        Returns this node's term as the leader, or 0.
+    unloads_by_endpoint : callable
+        Returns the models that this node, as the leader, is having unloaded.
+    on_unloads : callable
+        Called with those that the leader reports.
+    """
 
     def __init__(
         self,
@@ -87,6 +98,8 @@
         demand: DemandMeter,
         estimates: LoadEstimates,
         term: Callable[[], FencingNumber],
+        unloads_by_endpoint: Callable[[], Mapping[EndpointId, tuple[ModelId, ...]]],
+        on_unloads: Callable[[Mapping[EndpointId, tuple[ModelId, ...]]], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._node = node
@@ -97,6 +110,8 @@
         self._demand = demand
         self._estimates = estimates
         self._term = term
+        self._unloads_by_endpoint = unloads_by_endpoint
+        self._on_unloads = on_unloads
         self._clock = clock
         self._beat = 0
         self._rotation = 0
@@ -129,6 +144,7 @@
             return
         if digest.duty_term:
             self._leader_observed_s = self._clock()
+            self._on_unloads(digest.unloads_by_endpoint)
         if not self._term() or self._topology() == Mesh():
             self._estimates.refresh()
 
@@ -166,6 +182,7 @@
         in_flight: Mapping[EndpointId, int],
         demand: Mapping[ItemId, ItemDemand],
     ) -> None:
+        term = self._term()
         digest = NodeDigest(
             self._node,
             self._incarnation,
@@ -174,7 +191,8 @@
             in_flight,
             beat=self._beat,
             demand_by_item=demand,
-            duty_term=self._term(),
+            duty_term=term,
+            unloads_by_endpoint=self._unloads_by_endpoint() if term else {},
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
--- a/src/camphoryard/coordination/loading/load_controller.py
+++ b/src/camphoryard/coordination/loading/load_controller.py
@@ -135,7 +135,7 @@
             client, context.directory, context.endpoint_load, context.demand
         )
         self._lock = threading.Lock()
-        self._busy_engines: set[EndpointId] = set()
+        self._move_by_engine: dict[EndpointId, LoadMove] = {}
         self._load_request_by_model: dict[ModelId, _LoadRequest] = {}
         self._rate_limiter = StoreRateLimiter(context.load_limits, context.clock)
         self._term = NO_TERM
@@ -145,6 +145,18 @@
         """Whether this node may order engines now."""
         return self._context.leader_lease.term != NO_TERM
 
+    def unloads_by_endpoint(self) -> Mapping[EndpointId, tuple[ModelId, ...]]:
+        """Return the models that moves in progress unload, by endpoint.
+
+        An endpoint declines requests for them as soon as it has the order.
+        """
+        with self._lock:
+            return {
+                engine: move.evicted
+                for engine, move in self._move_by_engine.items()
+                if move.evicted
+            }
+
     def run(self, timer: Timer) -> None:
         """Plan moves until the timer service closes."""
         for _ in timer.every(PLAN_PERIOD_S):
@@ -322,7 +334,7 @@
         """Return the engines of a service and the demand for its models."""
         engines = self._engines.ready(service)
         with self._lock:
-            busy_engines = frozenset(self._busy_engines)
+            busy_engines = frozenset(self._move_by_engine)
             requested = frozenset(self._load_request_by_model)
         demand = self._context.demand()
         adapter_demand = adapter_demand_by_model(engines, demand)
@@ -369,12 +381,13 @@
         if spec is None or engine is None:
             return False
         with self._lock:
-            if move.engine in self._busy_engines:
+            if move.engine in self._move_by_engine:
                 return False
             if move.from_store and not self._rate_limiter.try_acquire(spec.loads_per_s):
                 return False
-            self._busy_engines.add(move.engine)
+            self._move_by_engine[move.engine] = move
             engine.begin_move(move.model)
+        self._context.directory.record_unloads({move.engine: move.evicted})
         self._context.log(
             "move_started",
             endpoint=move.engine,
@@ -392,7 +405,7 @@
             self._move_executor.execute(engine, move)
         finally:
             with self._lock:
-                self._busy_engines.discard(move.engine)
+                del self._move_by_engine[move.engine]
 
 
 def _demand_by_model(
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -190,6 +190,7 @@
     records = functools.partial(_make_records, client, settings, log)
     leases = records(NODE_KIND, NodeLease)
     gossip: FleetGossip
+    load_controller: LoadController
     leader_lease = LeaderLease(
         records(LEADERSHIP_KIND, LeadershipRecord),
         LEADERSHIP_KEY,
@@ -210,6 +211,8 @@
         demand,
         estimates,
         lambda: leader_lease.claimed_term,
+        lambda: load_controller.unloads_by_endpoint(),
+        directory.record_unloads,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -54,6 +54,7 @@
     Generation,
     Incarnation,
     ItemId,
+    ModelId,
     NodeId,
     ObjectKey,
     RequestId,
@@ -124,6 +125,7 @@
     demand_by_item: Mapping[ItemId, tuple[int, int]]
     age_ms: int | None
     duty_term: FencingNumber = FencingNumber(0)
+    unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = {}
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -279,6 +281,7 @@
             _demand_form(heard.digest.demand_by_item),
             _to_ms(heard.age_s),
             heard.digest.duty_term,
+            heard.digest.unloads_by_endpoint,
         )
         for heard in digests
     )
@@ -326,6 +329,7 @@
                 item.beat,
                 _demand(item.demand_by_item),
                 item.duty_term,
+                item.unloads_by_endpoint,
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -2,17 +2,23 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Hashable, Iterable, Mapping
 from dataclasses import dataclass
+from typing import TypeVar
 
-from camphoryard.state.ids import EndpointId, ServiceId
+from camphoryard.state.ids import EndpointId, ModelId, ServiceId
 from camphoryard.state.serving_endpoints import EndpointState, ServingEndpoint
 from camphoryard.state.traffic import RequestedModel, TrafficRules
 
+KeyT = TypeVar("KeyT", bound=Hashable)
+
 LOADED_REPORT_LIFETIME_S = 3.0
 """How long a finished load counts before the endpoint's own entry shows it."""
-DECLINED_LIFETIME_S = 0.5
+DECLINED_LIFETIME_S = 1.5
 """How long no request for an item goes to an endpoint that declined it."""
+UNLOADING_LIFETIME_S = 2.0
+"""How long a model counts as being unloaded after the leader's last word of it; the
+endpoint's own entry shows the unload by then."""
 MISSING_GRACE_S = 2.2
 """How long an endpoint missing from a listing after an outage still counts;
 entries that expired during the outage reappear within about 2 s."""
@@ -42,6 +48,7 @@
         self._missing_by_id: dict[EndpointId, _MissingEndpoint] = {}
         self._loaded_until_s: dict[tuple[EndpointId, RequestedModel], float] = {}
         self._declined_until_s: dict[tuple[EndpointId, RequestedModel], float] = {}
+        self._unloading_until_s: dict[tuple[EndpointId, ModelId], float] = {}
         self._has_endpoints = False
         self._subscribers: list[Callable[[], None]] = []
 
@@ -123,6 +130,7 @@
             _drop_expired(self._loaded_until_s, now_s)
             self._loaded_until_s[id, requested] = now_s + LOADED_REPORT_LIFETIME_S
             self._declined_until_s.pop((id, requested), None)
+            self._unloading_until_s.pop((id, requested.model), None)
 
     def record_declined(self, id: EndpointId, requested: RequestedModel) -> None:
         """Record that an endpoint has just declined to run ``requested``."""
@@ -132,13 +140,25 @@
             self._declined_until_s[id, requested] = now_s + DECLINED_LIFETIME_S
             self._loaded_until_s.pop((id, requested), None)
 
+    def record_unloads(
+        self, unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]]
+    ) -> None:
+        """Record the models that the leader is having unloaded."""
+        with self._changed:
+            now_s = self._clock()
+            until_s = now_s + UNLOADING_LIFETIME_S
+            _drop_expired(self._unloading_until_s, now_s)
+            for id, models in unloads_by_endpoint.items():
+                for model in models:
+                    self._unloading_until_s[id, model] = until_s
+
     def has_loaded(
         self, endpoint: ServingEndpoint, requested: RequestedModel | None
     ) -> bool:
         """Return whether ``endpoint`` has ``requested`` loaded.
 
-        Recent loads and declined requests take precedence over the endpoint's
-        own entry, which is updated later.
+        Recent loads, unloads and declined requests take precedence over the
+        endpoint's own entry, which is updated later.
         """
         if requested is None:
             return True
@@ -149,6 +169,9 @@
                 return False
             if self._loaded_until_s.get(key, 0.0) > now_s:
                 return True
+            model_key = endpoint.id, requested.model
+            if self._unloading_until_s.get(model_key, 0.0) > now_s:
+                return False
         return endpoint.has_loaded(requested)
 
     def endpoints_by_id(self) -> Mapping[EndpointId, ServingEndpoint]:
@@ -202,8 +225,6 @@
             callback()
 
 
-def _drop_expired(
-    until_s_by_key: dict[tuple[EndpointId, RequestedModel], float], now_s: float
-) -> None:
+def _drop_expired(until_s_by_key: dict[KeyT, float], now_s: float) -> None:
     for key in [key for key, until_s in until_s_by_key.items() if until_s <= now_s]:
         del until_s_by_key[key]
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -14,6 +14,7 @@
     Generation,
     Incarnation,
     ItemId,
+    ModelId,
     NodeId,
     Version,
     WriteId,
@@ -50,7 +51,8 @@
     """State that a node gossips about itself, about every second.
 
     ``beat`` grows with each digest of one incarnation of the node. ``duty_term``
-    is the term of its leadership, or 0 if it is not the leader.
+    is the term of its leadership, or 0 if it is not the leader. ``unloads_by_endpoint``
+    are the models that a leader is having unloaded, which take no more requests.
     """
 
     node: NodeId
@@ -62,6 +64,9 @@
     beat: int = 0
     demand_by_item: Mapping[ItemId, ItemDemand] = field(default_factory=dict)
     duty_term: FencingNumber = FencingNumber(0)
+    unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = field(
+        default_factory=dict
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -53,6 +53,7 @@
 
     def __init__(self, fleet, name):
         self.term = FencingNumber(0)
+        self.unloads, self.told_unloads = {}, []
         self.nodes, self.in_flight = NodeTable(), InFlightTable()
         self.estimates = LoadEstimates(name, self.nodes, self.in_flight)
         self.demand = DemandMeter()
@@ -65,6 +66,8 @@
             self.demand,
             self.estimates,
             lambda: self.term,
+            lambda: self.unloads,
+            self.told_unloads.append,
             fleet.clock,
         )
 
@@ -118,6 +121,20 @@
         large.run_periods(2 * STAR_REPORT_PERIODS)
         assert {node.gossip.leader() for node in large.node_by_id.values()} == {"n5"}
 
+    @pytest.mark.parametrize("size", [SMALL, LARGE])
+    def test_all_nodes_are_told_of_unloads(self, size):
+        """They send requests for these models elsewhere before being declined."""
+        fleet = Fleet(size)
+        leader = fleet.node_by_id["n0"]
+        leader.term = FencingNumber(3)
+        leader.unloads = {E1: ("m1",)}
+        fleet.node_by_id["n5"].unloads = {E1: ("m2",)}
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        for node in fleet.node_by_id.values():
+            if node is not leader:
+                assert leader.unloads in node.told_unloads
+                assert {E1: ("m2",)} not in node.told_unloads
+
     def test_few_nodes_watch_a_responsive_leader(self, large):
         """Reads of the leader's lease do not grow with the fleet."""
         watching = [x for x in large.node_by_id.values() if x.gossip.is_standby()]
--- a/tests/coordination/loading/test_load_controller.py
+++ b/tests/coordination/loading/test_load_controller.py
@@ -140,9 +140,12 @@
                 fleet.controller.ensure_loaded(SERVICE, RequestedModel(M2)), Loading
             )
             fleet.controller.plan()
+        unloads = fleet.controller.unloads_by_endpoint()
+        assert [models for models in unloads.values()] == [("m1",)]
         started = [x["load"] for event, x in fleet.log.lines if event == "move_started"]
         assert started.count(M2) == 1
         fleet.run_moves()
+        assert fleet.controller.unloads_by_endpoint() == {}
         assert isinstance(
             fleet.controller.ensure_loaded(SERVICE, RequestedModel(M2)), Loaded
         )
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -4,9 +4,11 @@
 
 from camphoryard.coordination.messages import (
     Declined,
+    DigestWithAge,
     Done,
     EventsReply,
     EventsRequest,
+    Gossip,
     LoadItemsRequest,
     MoveItemsRequest,
     RefusalCountsCopy,
@@ -20,7 +22,8 @@
     decode_envelope,
     encode_envelope,
 )
-from camphoryard.state.enums import Reason
+from camphoryard.state.enums import NodeState, Reason
+from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.refusals import RefusalCount, RefusalCounts, RefusalKey
 from camphoryard.state.timeline import Event, Stamp
 
@@ -28,6 +31,17 @@
     "i", (RefusalCount(RefusalKey(Reason.DEADLINE, "a=b", 3, "c"), 2),)
 )
 
+LEADER_DIGEST = NodeDigest(
+    "n",
+    "i",
+    NodeState.SERVING,
+    0,
+    {"e": 2},
+    beat=7,
+    duty_term=4,
+    unloads_by_endpoint={"e": ("m1", "m2")},
+)
+
 
 class TestEnvelope:
     """Round trips of messages and replies."""
@@ -45,6 +59,7 @@
             RefusalCountsCopy(REFUSAL_COUNTS),
             Declined("busy"),
             Done(),
+            Gossip(3, (DigestWithAge(LEADER_DIGEST, 0.25),)),
         ],
         ids=lambda content: type(content).__name__,
     )
--- a/tests/state/test_directory.py
+++ b/tests/state/test_directory.py
@@ -5,6 +5,7 @@
 from camphoryard.state.directory import (
     DECLINED_LIFETIME_S,
     LOADED_REPORT_LIFETIME_S,
+    UNLOADING_LIFETIME_S,
     Directory,
 )
 from camphoryard.state.ids import AdapterId, EndpointId, ModelId
@@ -49,6 +50,21 @@
         clock.advance(DECLINED_LIFETIME_S)
         assert len(directory.loaded_endpoints(SERVICE, M1)) == 1
 
+    def test_model_being_unloaded_is_skipped_with_its_adapters(self):
+        """The endpoint declines requests for them before its entry changes."""
+        directory, clock = make_directory()
+        directory.record_unloads({E1: (M1.model,)})
+        assert directory.loaded_endpoints(SERVICE, M1) == []
+        clock.advance(UNLOADING_LIFETIME_S)
+        assert len(directory.loaded_endpoints(SERVICE, M1)) == 1
+
+    def test_model_that_is_loaded_again_counts(self):
+        """A load that the leader reports is newer than its unload."""
+        directory, _ = make_directory()
+        directory.record_unloads({E1: (M1.model,)})
+        directory.record_loaded(E1, M1)
+        assert len(directory.loaded_endpoints(SERVICE, M1)) == 1
+
 
 class TestReadiness:
     """Whether a node can serve."""
