--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -85,10 +85,9 @@
     all endpoints that it was sent to. ``progress`` is the part of a stream that the
     client has received. ``failed`` contains the endpoints whose call failed,
     ``unreached`` those of them that accepted no connection, ``declined`` those that
-    declined the request. ``endpoint`` and
-    ``urgency`` are those of the last send. ``load_wait_s``,
-    ``first_event_s`` and ``longest_gap_s`` are written to the request log for on-call
-    engineers. Deadlines are monotonic times; all times are in seconds.
+    declined the request. ``endpoint`` and ``urgency`` are those of the last send.
+    ``load_wait_s``, ``first_event_s`` and ``longest_gap_s`` are written to the request
+    log for on-call engineers. Deadlines are monotonic times; all times are in seconds.
     """
 
     request: ClientRequest
--- a/src/camphoryard/transport/stream_reading.py
+++ b/src/camphoryard/transport/stream_reading.py
@@ -91,10 +91,10 @@
             # Raised in the task that waits for the end, not in the reader task.
             self._error = error
             return True
-        if self._tokens is None or self._tokens() > self._tokens_seen:
+        tokens = self._tokens_seen + 1 if self._tokens is None else self._tokens()
+        if tokens > self._tokens_seen:
             self._last_token_s = self._last_data_s
-        if self._tokens is not None:
-            self._tokens_seen = self._tokens()
+        self._tokens_seen = tokens
         return is_over
 
     def end(self) -> None:
