Read only a complete report of status 200 as that of an engine

Cause: looking for copies of earlier answers on kept connections. A refusal with a JSON body in the place of a report was read as one of an engine with no models and no orders, since every field had a default. A leader that has just taken over would believe it and could order more than the engine has room for. Change: a report needs status 200, models and the number of orders.

--- a/src/camphoryard/platform/engines.py
+++ b/src/camphoryard/platform/engines.py
@@ -23,6 +23,7 @@
 ORDER_TIMEOUT_S = 1.0
 """Engines answer in milliseconds; after a timeout the order may still be executed."""
 REPORT_TIMEOUT_S = 0.5
+OK = 200
 
 _ANSWER_BY_STATUS = {
     200: OrderAnswer.DONE,
@@ -34,12 +35,12 @@
 
 
 class _Report(msgspec.Struct, frozen=True, rename="kebab"):
-    models: list[ListedModel] = []
-    # Whether a model is being loaded or unloaded, not whether requests run.
-    busy: bool = False
+    models: list[ListedModel]
     # Number of orders accepted since the start; in store entries of endpoints, the
     # field of this name counts heartbeats.
-    seq: int = 0
+    seq: int
+    # Whether a model is being loaded or unloaded, not whether requests run.
+    busy: bool = False
     running: int = 0
     waiting: int = 0
     # Adapters being loaded, each as MODEL/NAME@VERSION.
@@ -94,6 +95,10 @@
             timeout_s=REPORT_TIMEOUT_S,
         )
         answer = self._client.call(_address(endpoint), call)
+        if answer.status != OK:
+            # Possibly the copy of a refusal; read as a report, it would show an engine
+            # that has nothing loaded.
+            raise BrokenCallError(f"report answered with status {answer.status}")
         try:
             report = _REPORT.decode(answer.body)
         except msgspec.MsgspecError as error:
