Tell how long a watch was waited for, and how old a node's view is

The logs could not distinguish a watch that is waited for in vain from a grace period, a request that kept its endpoint or watches that are spread too far: no line had the length of a watch or the age of the view.

Change: `watch_failed` for endpoints, configuration and nodes, with the time waited and the age of the view; `view_age_s` on the lines of answered requests and failed attempts; one gauge for each view.

Result: no decision changes.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -68,6 +68,7 @@
     sent_s = context.clock()
     forwarded.sends += 1
     forwarded.endpoint = endpoint.id
+    forwarded.view_age_s = context.directory.endpoints_age_s()
     urgency = urgency_at(context, forwarded, endpoint.id)
     forwarded.urgency = urgency
     options = _send_options(context, forwarded, endpoint, urgency)
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -85,7 +85,8 @@
     all endpoints that it was sent to. ``progress`` is the part of a stream that the
     client has received. ``failed`` contains the endpoints whose call failed,
     ``unreached`` those of them that accepted no connection, ``declined`` those that
-    declined the request. ``endpoint`` and ``urgency`` are those of the last send.
+    declined the request. ``endpoint`` and ``urgency`` are those of the last send, and
+    ``view_age_s`` is how old the view of the endpoints may have been then.
     ``load_wait_s``, ``first_event_s`` and ``longest_gap_s`` are written to the request
     log for on-call engineers. Deadlines are monotonic times; all times are in seconds.
     """
@@ -108,6 +109,7 @@
     first_event_s: float = 0.0
     longest_gap_s: float = 0.0
     urgency: Urgency | None = None
+    view_age_s: float = 0.0
 
     @property
     def first_sent_s(self) -> float:
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -293,6 +293,7 @@
         request=forwarded.request.id,
         endpoint=endpoint.id,
         error=repr(error),
+        view_age_s=round(forwarded.view_age_s, 2),
         sends=forwarded.sends,
         verdict=forwarded.verdict.value,
         events=forwarded.progress.events,
--- a/src/camphoryard/coordination/record_watcher.py
+++ b/src/camphoryard/coordination/record_watcher.py
@@ -1,5 +1,6 @@
 """A task that watches the records under one key prefix of the object API."""
 
+import math
 import random
 import time
 from collections.abc import Callable, Iterable, Sequence
@@ -8,6 +9,7 @@
 
 from xxhash import xxh3_64_intdigest
 
+from camphoryard.coordination.forwarding.context import DecisionLog
 from camphoryard.coordination.ports import Records, Snapshot, Stored, Timer
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import NodeId, Zone
@@ -20,6 +22,10 @@
 RETRY_JITTER_S = 0.25
 
 
+def _ignore(event: str, **fields: object) -> None:
+    """Write nothing."""
+
+
 class RecordWatcher(Generic[RecordT]):
     """Lists the records under a prefix, then watches them for changes.
 
@@ -49,6 +55,10 @@
     on_listing : callable or None
         Called with each complete listing; its records are then not passed to
         ``on_record``.
+    name : str
+        What is watched, for the log and the metrics.
+    log : callable
+        Called with each call that fails after one that was answered.
     """
 
     def __init__(
@@ -62,6 +72,8 @@
         batch_s: float = 0.0,
         is_due: Callable[[int], bool] = lambda period: True,
         on_listing: Callable[[Snapshot[RecordT]], None] | None = None,
+        name: str = "",
+        log: DecisionLog = _ignore,
     ) -> None:
         self._records = records
         self._on_record = on_record
@@ -72,7 +84,15 @@
         self._batch_s = batch_s
         self._is_due = is_due
         self._on_listing = on_listing
+        self.name = name
+        self._log = log
         self._is_answering: bool | None = None
+        self._sent_s = -math.inf
+        self._confirmed_s = -math.inf
+
+    def age_s(self) -> float:
+        """Return how old the view may be in seconds; infinite before a listing."""
+        return time.monotonic() - self._confirmed_s
 
     def run(self, timer: Timer) -> None:
         """Watch until the timer service closes; each tick is a new attempt."""
@@ -84,12 +104,13 @@
                 self._watch(timer)
             except ConflictError:
                 continue
-            except StoreUnavailableError:
+            except StoreUnavailableError as error:
+                self._log_failure(error)
                 self._record_availability(False)
 
     def list_once(self) -> Snapshot[RecordT]:
         """List all records and pass them on; raises StoreUnavailableError."""
-        sent_s = time.monotonic()
+        self._sent_s = time.monotonic()
         snapshot = self._records.list()
         if self._on_listing is not None:
             self._on_listing(snapshot)
@@ -97,9 +118,24 @@
             for item in snapshot.items:
                 self._on_record(item)
         self._record_availability(True)
-        self._on_confirmed(sent_s)
+        self._confirm()
         return snapshot
 
+    def _confirm(self) -> None:
+        """Record that the changes up to the sending of the last call are passed on."""
+        self._confirmed_s = self._sent_s
+        self._on_confirmed(self._sent_s)
+
+    def _log_failure(self, error: StoreUnavailableError) -> None:
+        if self._is_answering:
+            self._log(
+                "watch_failed",
+                of=self.name,
+                waited_s=round(time.monotonic() - self._sent_s, 2),
+                age_s=round(self.age_s(), 2),
+                error=str(error),
+            )
+
     def _record_availability(self, is_answering: bool) -> None:
         if is_answering is not self._is_answering:
             self._is_answering = is_answering
@@ -112,11 +148,11 @@
                 return
             if not self._is_due(period):
                 continue
-            sent_s = time.monotonic()
+            self._sent_s = time.monotonic()
             changes = self._records.watch(revision, self._wait_s)
             for item in changes.items:
                 self._on_record(item)
-            self._on_confirmed(sent_s)
+            self._confirm()
             revision = changes.revision
 
     def _watch_ticks(self, timer: Timer) -> Iterable[None]:
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -245,6 +245,25 @@
     )
     live_settings.subscribe(lambda bounds: retries.limit(bounds.repeat_limits))
     live_settings.subscribe(lambda bounds: load_controller.limit(bounds.load_limits))
+    watchers = (
+        *_make_directory_watchers(client, settings, log, feed, directory),
+        RecordWatcher(
+            leases,
+            functools.partial(apply_lease, nodes, peers),
+            wait_s=NODES_WAIT_S,
+            batch_s=NODES_BATCH_S,
+            is_due=lambda period: is_node_watch_due(
+                gossip_topology(len(nodes.all())),
+                settings.node,
+                gossip.leader(),
+                period,
+            ),
+            name="nodes",
+            log=log,
+        ),
+    )
+    for watcher in watchers:
+        metrics.add_gauge(f"{watcher.name}_age_seconds", watcher.age_s)
     context = ForwardingContext(
         directory,
         EndpointChooser(
@@ -270,21 +289,7 @@
         client,
         directory,
         feed,
-        (
-            *_make_directory_watchers(client, settings, log, feed),
-            RecordWatcher(
-                leases,
-                functools.partial(apply_lease, nodes, peers),
-                wait_s=NODES_WAIT_S,
-                batch_s=NODES_BATCH_S,
-                is_due=lambda period: is_node_watch_due(
-                    gossip_topology(len(nodes.all())),
-                    settings.node,
-                    gossip.leader(),
-                    period,
-                ),
-            ),
-        ),
+        watchers,
         peers,
         records(KEY_KIND, PeerKeys),
         own_keys,
@@ -318,7 +323,11 @@
 
 
 def _make_directory_watchers(
-    client: HttpClient, settings: EntrySettings, log: LineLog, feed: DirectoryFeed
+    client: HttpClient,
+    settings: EntrySettings,
+    log: LineLog,
+    feed: DirectoryFeed,
+    directory: Directory,
 ) -> tuple[RecordWatcher[Any], ...]:
     """Return the watchers that keep traffic rules and endpoints up to date."""
     store = Address(settings.store.host, settings.store.port)
@@ -327,10 +336,17 @@
         client, store, ENDPOINT_KIND, decode_endpoint, _reject_write, log
     )
     return (
-        RecordWatcher(rules, feed.apply_rules, wait_s=RULES_WAIT_S),
+        RecordWatcher(
+            rules,
+            feed.apply_rules,
+            wait_s=RULES_WAIT_S,
+            name="configuration",
+            log=log,
+        ),
         RecordWatcher(
             endpoints,
             feed.apply_endpoint,
+            directory.confirm_endpoints,
             wait_s=ENDPOINT_WAIT_S,
             on_availability_change=feed.record_availability,
             batch_s=min(
@@ -338,6 +354,8 @@
                 settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION,
             ),
             on_listing=feed.apply_listing,
+            name="endpoints",
+            log=log,
         ),
     )
 
--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -1,5 +1,6 @@
 """A node's view of the traffic rules and of the serving endpoints."""
 
+import math
 import threading
 import time
 from collections.abc import Callable, Hashable, Iterable, Mapping
@@ -50,6 +51,7 @@
         self._declined_until_s: dict[tuple[EndpointId, RequestedModel], float] = {}
         self._unloading_until_s: dict[tuple[EndpointId, ModelId], float] = {}
         self._has_endpoints = False
+        self._confirmed_s = -math.inf
         self._subscribers: list[Callable[[], None]] = []
 
     @property
@@ -62,6 +64,14 @@
         """Whether the rules and a listing of the endpoints have arrived."""
         return self._rules is not None and self._has_endpoints
 
+    def confirm_endpoints(self, at_s: float) -> None:
+        """Record that all changes of endpoints up to ``at_s`` have been applied."""
+        self._confirmed_s = at_s
+
+    def endpoints_age_s(self) -> float:
+        """Return how old the view of the endpoints may be; infinite without one."""
+        return self._clock() - self._confirmed_s
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Run ``callback`` after each change, outside the lock."""
         self._subscribers.append(callback)
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -175,6 +175,7 @@
             if request.requested_model
             else "",
             endpoint=forwarded.endpoint or "",
+            view_age_s=round(forwarded.view_age_s, 2),
             urgency=forwarded.urgency,
             sends=forwarded.sends,
             events=forwarded.progress.events,
--- a/src/camphoryard/transport/metrics.py
+++ b/src/camphoryard/transport/metrics.py
@@ -1,7 +1,8 @@
-"""Latency histograms and counters in the Prometheus text format."""
+"""Latency histograms, counters and gauges in the Prometheus text format."""
 
 import threading
 from collections import Counter
+from collections.abc import Callable
 
 from hdrh.histogram import HdrHistogram
 
@@ -14,12 +15,13 @@
 
 
 class Metrics:
-    """Duration histograms and counters, by name."""
+    """Duration histograms, counters and gauges, by name."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._histogram_by_name: dict[str, HdrHistogram] = {}
         self._count_by_name: Counter[str] = Counter()
+        self._gauge_by_name: dict[str, Callable[[], float]] = {}
 
     def observe(self, name: str, duration_s: float) -> None:
         """Record one duration."""
@@ -36,6 +38,11 @@
         with self._lock:
             self._count_by_name[name] += 1
 
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Add a value that ``read`` returns whenever the metrics are read."""
+        with self._lock:
+            self._gauge_by_name[name] = read
+
     def text(self) -> str:
         """Return all metrics as text, durations in seconds."""
         lines = []
@@ -45,6 +52,10 @@
             for name, count in sorted(self._count_by_name.items()):
                 lines.append(f"# TYPE camphoryard_{name}_total counter")
                 lines.append(f"camphoryard_{name}_total {count}")
+            gauges = sorted(self._gauge_by_name.items())
+        for name, read in gauges:
+            lines.append(f"# TYPE camphoryard_{name} gauge")
+            lines.append(f"camphoryard_{name} {read():g}")
         return "\n".join(lines) + "\n"
 
 
--- a/tests/coordination/test_record_watcher.py
+++ b/tests/coordination/test_record_watcher.py
@@ -1,5 +1,7 @@
 """Tests of watching the object API, and of which nodes do it."""
 
+import math
+
 import pytest
 
 from camphoryard.coordination.ports import Snapshot, Stored
@@ -7,6 +9,7 @@
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.nodes import NodeLease
+from tests.fakes.engines import RecordedLog
 
 
 class ScriptedTimer:
@@ -93,6 +96,27 @@
         ).run(ScriptedTimer(3))
         assert reported == [False, True, False]
 
+    def test_first_failure_after_an_answer_is_logged(self):
+        """The line tells what is watched, and how old the view of it is."""
+        outage = StoreUnavailableError("out")
+        log = RecordedLog()
+        watcher = RecordWatcher(
+            ScriptedRecords(outage, snapshot(1), outage, outage),
+            lambda item: None,
+            name="endpoints",
+            log=log,
+        )
+        assert watcher.age_s() == math.inf
+        watcher.run(ScriptedTimer(3))
+        ((event, fields),) = log.lines
+        assert (event, fields["of"], fields["error"]) == (
+            "watch_failed",
+            "endpoints",
+            "out",
+        )
+        assert fields["age_s"] >= fields["waited_s"] >= 0.0
+        assert watcher.age_s() < math.inf
+
     def test_failed_call_confirms_nothing(self):
         """During an outage no confirmation is reported."""
         confirmed = []
--- a/tests/transport/test_metrics.py
+++ b/tests/transport/test_metrics.py
@@ -31,3 +31,15 @@
         metrics.count("retries")
         metrics.count("retries")
         assert "camphoryard_retries_total 2" in metrics.text().splitlines()
+
+
+class TestGauge:
+    """Values read when the metrics are read."""
+
+    def test_gauge_shows_its_current_value(self):
+        """The function is called for each reading."""
+        metrics = Metrics()
+        ages_s = iter([1.5, 2.5])
+        metrics.add_gauge("view_age_seconds", lambda: next(ages_s))
+        assert "camphoryard_view_age_seconds 1.5\n" in metrics.text()
+        assert "camphoryard_view_age_seconds 2.5\n" in metrics.text()
