--- a/standins/entry_platform.py
+++ b/standins/entry_platform.py
@@ -3,6 +3,8 @@
 One process serves the store, one engine and one plain service at the same address,
 distinguished by path, so that a test of the entry daemon needs only one stand-in.
 Faults at ``POST /control``: ``silent_store`` (each store call answers 503),
+``mute_store`` (store calls and waiting watches are never answered, also later; their
+kinds at ``GET /muted``),
 ``cut_after`` (number of events after which a stream breaks) and ``decline`` (number of
 requests that are declined without running).
 """
@@ -31,6 +33,13 @@
     objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
     changes: list[tuple[int, str, dict[str, Any], bool]] = field(default_factory=list)
     changed: threading.Condition = field(default_factory=threading.Condition)
+    is_mute: bool = False
+
+    def mute(self, is_mute: bool) -> None:
+        """Answer no call and no waiting watch from now on, or answer later ones."""
+        with self.changed:
+            self.is_mute = is_mute
+            self.changed.notify_all()
 
     def write(self, kind: str, name: str, spec: Any, expected: int | None) -> Response:
         """Create or replace an object if its revision is ``expected``."""
@@ -79,7 +88,7 @@
         with self.changed:
             while not (events := self._changes_since(kind, since)):
                 remaining_s = deadline_s - time.monotonic()
-                if remaining_s <= 0:
+                if remaining_s <= 0 or self.is_mute:
                     break
                 self.changed.wait(remaining_s)
             return json_response({"events": events, "store-revision": self.revision})
@@ -106,6 +115,7 @@
     runs: list[dict[str, str]] = field(default_factory=list)
     adapters_by_model: dict[str, list[str]] = field(default_factory=dict)
     order_count: int = 0
+    muted_kinds: list[str] = field(default_factory=list)
 
     def handle(self, request: Request) -> Response:
         """Handle one request."""
@@ -116,7 +126,10 @@
                 return self._object(request, kind, name)
             case ["control"]:
                 self.faults.update(request.json())
+                self.store.mute(bool(self.faults.get("mute_store")))
                 return json_response({})
+            case ["muted"]:
+                return json_response(self.muted_kinds)
             case ["runs"]:
                 return json_response(self.runs)
             case ["order"]:
@@ -126,7 +139,14 @@
             case _:
                 return self._run(request)
 
+    def _hold_if_mute(self, kind: str) -> None:
+        """Block this call for ever if the store is mute."""
+        if self.store.is_mute:
+            self.muted_kinds.append(kind)
+            threading.Event().wait()
+
     def _kind(self, request: Request, kind: str) -> Response:
+        self._hold_if_mute(kind)
         if self.faults.get("silent_store"):
             return json_response({}, 503)
         if request.method == "POST":
@@ -135,10 +155,13 @@
             return self.store.write(kind, name, body["spec"], 0)
         if "watch" in request.query:
             since, wait_ms = request.query["watch"], request.query.get("wait-ms", "0")
-            return self.store.watch(kind, int(since), int(wait_ms) / 1000)
+            response = self.store.watch(kind, int(since), int(wait_ms) / 1000)
+            self._hold_if_mute(kind)
+            return response
         return self.store.all(kind)
 
     def _object(self, request: Request, kind: str, name: str) -> Response:
+        self._hold_if_mute(kind)
         if self.faults.get("silent_store"):
             return json_response({}, 503)
         match request.method:
--- a/standins/entry_site.py
+++ b/standins/entry_site.py
@@ -93,17 +93,7 @@
         fleet.wait_ready(["platform"])
         self.put("config", "main", CONFIG)
         for name, service in (("i-1", "models"), ("i-2", "desk")):
-            entry = {
-                "service": service,
-                "address": f"{HOST}:{self.store_port}",
-                "zone": "zone-a",
-                "slots": 8,
-                "state": "ready",
-                "born": 1,
-                "models": [],
-                "at-hand": {"on-disk": ["m1"]},
-            }
-            self.put("servers", name, entry)
+            self.put("servers", name, self.endpoint(service))
         self.client_port, self.ready_port = reserve_port(), reserve_port()
         path = fleet.folder / "entry.toml"
         path.write_text(
@@ -125,6 +115,19 @@
         log = fleet.process_by_name["entry"].log
         fleet.wait_until(lambda: "event=duty_taken" in log.read_text(), "leadership")
 
+    def endpoint(self, service: str, state: str = "ready") -> dict[str, Any]:
+        """Return the entry of an endpoint at the stand-in's address."""
+        return {
+            "service": service,
+            "address": f"{HOST}:{self.store_port}",
+            "zone": "zone-a",
+            "slots": 8,
+            "state": state,
+            "born": 1,
+            "models": [],
+            "at-hand": {"on-disk": ["m1"]},
+        }
+
     def put(self, kind: str, name: str, spec: Any) -> Any:
         """Write an object to the store unconditionally."""
         body = {"metadata": {"name": name}, "spec": spec}
@@ -134,6 +137,15 @@
         """Set faults at the stand-in."""
         request(self.store_port, "POST", "/control", faults)
 
+    def silence_store(self, *kinds: str) -> None:
+        """Leave calls about each of ``kinds`` unanswered for ever; answer later ones."""
+        self.control(mute_store=1)
+        self.fleet.wait_until(
+            lambda: set(kinds) <= set(request(self.store_port, "GET", "/muted")),
+            "silent calls",
+        )
+        self.control(mute_store=0)
+
     def runs(self) -> Any:
         """Return the requests that the endpoints ran."""
         return request(self.store_port, "GET", "/runs")
--- a/tests/system/test_entry.py
+++ b/tests/system/test_entry.py
@@ -72,6 +72,42 @@
         assert response.status == 200
 
 
+STABLE_WINDOW_S = 3.0
+"""Time after an outage of the store in which nodes catch up."""
+DRAIN_S = 2.0
+"""Time in which a node stops sending requests to an endpoint that leaves."""
+APPLY_S = 2.0
+"""Time in which a node applies a configuration."""
+
+
+class TestSilentStore:
+    """Views of a store that left calls unanswered and answers again."""
+
+    # Guards against DRAIN: a watch that would never be answered was waited for in full
+    # while the store answered again, so nodes used endpoints that had left.
+    def test_endpoint_leaving_after_a_silence_of_the_store_gets_no_requests(self):
+        """The node follows the endpoints again once the store is stable."""
+        with Fleet() as fleet:
+            site = EntrySite(fleet)
+            site.silence_store("servers")
+            site.put("servers", "i-2", site.endpoint("desk", "draining"))
+            until_s = time.monotonic() + STABLE_WINDOW_S + DRAIN_S
+            while site.call("/book/1", "b3")[0].status != 503:
+                assert time.monotonic() < until_s
+
+    # Guards against the same silence in the view of the configuration.
+    def test_configuration_after_a_silence_of_the_store_is_applied(self):
+        """The node follows the configuration again once the store is stable."""
+        with Fleet() as fleet:
+            site = EntrySite(fleet)
+            site.silence_store("config")
+            routes = [*CONFIG["routes"], make_route("new", "idempotent", "desk")]
+            site.put("config", "main", {**CONFIG, "version": 2, "routes": routes})
+            until_s = time.monotonic() + STABLE_WINDOW_S + APPLY_S
+            while site.call("/new/1", "r2")[0].status != 200:
+                assert time.monotonic() < until_s
+
+
 class TestBadInput:
     """Invalid requests of clients."""
 
