End each watch of the store within the stable window

Cause: a watch that is sent while the store is silent is never answered, also not once the store is back, because its connection returns nothing further. The node waited for the whole length of the watch and its grace: 11.5 s for endpoints, 31.5 s for the configuration and the nodes. Class of fault: a channel that is silent is taken for one without news.

So neither the grace period (the listing came later), nor requests that kept an endpoint, nor spread watches were the cause.

Change: a watch and its grace end half a second before the stable window does, for all three views, so that the listing that follows is in time.

--- a/src/camphoryard/coordination/record_watcher.py
+++ b/src/camphoryard/coordination/record_watcher.py
@@ -42,7 +42,8 @@
         Returns whether this node watches; if not, another node does it for the
         zone.
     wait_s : float
-        How long one watch may block, in seconds.
+        How long one watch may block, in seconds. A watch that is never answered leaves
+        the view stale for that long.
     on_availability_change : callable
         Called with True when the object API starts to answer, with False when
         it stops.
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -60,11 +60,11 @@
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.entry.reloading import LiveSettings
-from camphoryard.entry.settings import EntrySettings
+from camphoryard.entry.settings import Bounds, EntrySettings
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.platform.engines import PlatformEngines
 from camphoryard.platform.settings import read_entry_settings
-from camphoryard.platform.store import StoreRecords
+from camphoryard.platform.store import WATCH_GRACE_S, StoreRecords
 from camphoryard.platform.traffic import (
     CONFIG_KIND,
     ENDPOINT_KIND,
@@ -98,9 +98,9 @@
 ENDPOINT_BATCH_DRAIN_FRACTION = 0.5
 """Maximum of the same time as a fraction of ``drain_s``, the time within which requests
 to a draining endpoint must stop."""
-ENDPOINT_WAIT_S = 10.0
-RULES_WAIT_S = 30.0
-NODES_WAIT_S = 30.0
+MIN_WATCH_WAIT_S = 0.5
+RELIST_TIME_S = 0.5
+"""Time from a failed watch to the listing that follows it."""
 NODES_BATCH_S = 1.0
 """Time in which changes of nodes are batched into one watch call. Without it, each node
 would fetch every start separately while the whole fleet restarts."""
@@ -250,7 +250,7 @@
         RecordWatcher(
             leases,
             functools.partial(apply_lease, nodes, peers),
-            wait_s=NODES_WAIT_S,
+            wait_s=watch_wait_s(settings.bounds),
             batch_s=NODES_BATCH_S,
             is_due=lambda period: is_node_watch_due(
                 gossip_topology(len(nodes.all())),
@@ -339,7 +339,7 @@
         RecordWatcher(
             rules,
             feed.apply_rules,
-            wait_s=RULES_WAIT_S,
+            wait_s=watch_wait_s(settings.bounds),
             name="configuration",
             log=log,
         ),
@@ -347,7 +347,7 @@
             endpoints,
             feed.apply_endpoint,
             directory.confirm_endpoints,
-            wait_s=ENDPOINT_WAIT_S,
+            wait_s=watch_wait_s(settings.bounds),
             on_availability_change=feed.record_availability,
             batch_s=min(
                 ENDPOINT_BATCH_S,
@@ -360,6 +360,16 @@
     )
 
 
+def watch_wait_s(bounds: Bounds) -> float:
+    """Return how long one watch may wait, in seconds.
+
+    A watch that the store will never answer delays the next listing until its wait and
+    grace are over. Views must be current again within the stable window.
+    """
+    left_s = bounds.stable_window_s - WATCH_GRACE_S - RELIST_TIME_S
+    return max(MIN_WATCH_WAIT_S, left_s)
+
+
 def _choice_policy(nodes: int) -> ChoicePolicy:
     """Return how endpoints are chosen in a fleet of ``nodes`` nodes."""
     match gossip_topology(nodes):
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -12,6 +12,7 @@
 class Bounds:
     """Limits that the platform sets for all nodes alike; times are in seconds.
 
+    ``stable_window_s`` is the time after an outage in which nodes may catch up.
     ``drain_s`` is the maximum time between an endpoint's drain notice and the last
     request sent to it. ``grace_s`` is the maximum time between a stop signal and the
     exit. ``repeat_limits`` bound the retries of a service over all nodes.
@@ -20,6 +21,7 @@
     from the weight store.
     """
 
+    stable_window_s: float
     drain_s: float
     grace_s: float
     repeat_limits: RepeatLimits
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -41,6 +41,9 @@
 
 BATCHES_PER_LEASE = 8
 MAX_LEASE_BATCH_S = 1.0
+WATCHES_PER_LEASE = 2
+"""Minimum number of watches per lease duration. A watch that the object API never
+answers must not leave a view stale for longer than a lease."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,9 +88,7 @@
     control_plane = make_control_plane(shared, platform, serving)
     watchers = (
         control_plane.head_watcher,
-        RecordWatcher(
-            platform.endpoints, functools.partial(_apply_record, shared.endpoint_table)
-        ),
+        make_endpoint_watcher(shared, platform),
         make_lease_watcher(shared, platform),
     )
     return Node(
@@ -120,6 +121,17 @@
     )
 
 
+def make_endpoint_watcher(
+    shared: SharedContext, platform: Platform
+) -> RecordWatcher[EndpointRecord]:
+    """Return the watcher that keeps the records of all endpoints up to date."""
+    return RecordWatcher(
+        platform.endpoints,
+        functools.partial(_apply_record, shared.endpoint_table),
+        wait_s=shared.settings.peers.lease_s / WATCHES_PER_LEASE,
+    )
+
+
 def make_lease_watcher(
     shared: SharedContext, platform: Platform
 ) -> RecordWatcher[NodeLease]:
@@ -128,6 +140,7 @@
     return RecordWatcher(
         platform.leases,
         functools.partial(apply_lease, shared.nodes, shared.peers),
+        wait_s=shared.settings.peers.lease_s / WATCHES_PER_LEASE,
         batch_s=min(batch_s, MAX_LEASE_BATCH_S),
     )
 
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -104,6 +104,7 @@
 
 def _bounds(bounds: _Bounds) -> Bounds:
     return Bounds(
+        bounds.stable_window_ms / MILLISECONDS_PER_SECOND,
         bounds.drain_ms / MILLISECONDS_PER_SECOND,
         bounds.grace_s,
         RepeatLimits(
--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -26,7 +26,8 @@
 
 CALL_TIMEOUT_S = 1.5
 """The store answers in milliseconds; when slow, in some hundred."""
-WATCH_GRACE_S = 1.5
+WATCH_GRACE_S = 1.0
+"""Time after the wait of a watch in which its answer must arrive."""
 MAX_WAIT_S = 30.0
 """Longest wait of a watch that the platform allows."""
 OK, CREATED, NO_CONTENT, NOT_FOUND, CONFLICT, GONE = 200, 201, 204, 404, 409, 410
--- a/standins/entry_site.py
+++ b/standins/entry_site.py
@@ -138,7 +138,7 @@
         request(self.store_port, "POST", "/control", faults)
 
     def silence_store(self, *kinds: str) -> None:
-        """Leave calls about each of ``kinds`` unanswered for ever; answer later ones."""
+        """Leave calls about each of ``kinds`` unanswered; answer later ones."""
         self.control(mute_store=1)
         self.fleet.wait_until(
             lambda: set(kinds) <= set(request(self.store_port, "GET", "/muted")),
