Watch the nodes in waits of five seconds

Change: the view of the nodes, which no bound of draining or configuration rests on, is watched in waits of 5 s. Endpoints and configuration stay as they are.

--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -101,6 +101,9 @@
 MIN_WATCH_WAIT_S = 0.5
 RELIST_TIME_S = 0.5
 """Time from a failed watch to the listing that follows it."""
+NODES_WAIT_S = 5.0
+"""How long one watch of the nodes may wait. Peers that end are noticed by their gossip;
+only nodes that join are learned from the store."""
 NODES_BATCH_S = 1.0
 """Time in which changes of nodes are batched into one watch call. Without it, each node
 would fetch every start separately while the whole fleet restarts."""
@@ -250,7 +253,7 @@
         RecordWatcher(
             leases,
             functools.partial(apply_lease, nodes, peers),
-            wait_s=watch_wait_s(settings.bounds),
+            wait_s=NODES_WAIT_S,
             batch_s=NODES_BATCH_S,
             is_due=lambda period: is_node_watch_due(
                 gossip_topology(len(nodes.all())),
