Log the parts of a request beside a crash, and whether its answer had begun

The log could not tell whether crashes are missed, not told, or counted for requests that never come again.

Change: `endpoint_crashed` has the parts of the prompt and whether the engine had begun its answer.

Result: no decision changes.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -68,6 +68,7 @@
     sent_s = context.clock()
     forwarded.sends += 1
     forwarded.endpoint = endpoint.id
+    forwarded.has_head = False
     forwarded.view_age_s = context.directory.endpoints_age_s()
     urgency = urgency_at(context, forwarded, endpoint.id)
     forwarded.urgency = urgency
@@ -79,6 +80,7 @@
         with closing(
             _open_answer(context, forwarded, endpoint, options, cancellation)
         ) as answer:
+            forwarded.has_head = True
             context.observe("head", context.clock() - sent_s)
             return _handle_answer(
                 context, forwarded, endpoint, answer, reply, sent_s, wait
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -87,6 +87,7 @@
     ``unreached`` those of them that accepted no connection, ``declined`` those that
     declined the request. ``endpoint`` and ``urgency`` are those of the last send, and
     ``view_age_s`` is how old the view of the endpoints may have been then.
+    ``has_head`` is True if the last endpoint has begun its answer.
     ``load_wait_s``, ``first_event_s`` and ``longest_gap_s`` are written to the request
     log for on-call engineers. Deadlines are monotonic times; all times are in seconds.
     """
@@ -110,6 +111,7 @@
     longest_gap_s: float = 0.0
     urgency: Urgency | None = None
     view_age_s: float = 0.0
+    has_head: bool = False
 
     @property
     def first_sent_s(self) -> float:
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -325,6 +325,8 @@
         endpoint=endpoint.id,
         fingerprint=digest,
         crashes=crashes,
+        has_head=forwarded.has_head,
+        parts=",".join(part.id for part in forwarded.request.prompt_parts),
     )
 
 
