--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -1,5 +1,7 @@
 """Tests of forwarding one request, against fake endpoints."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.cancellation import Cancellation
@@ -10,6 +12,7 @@
     AnswerHead,
     AnswerKind,
     ClientRequest,
+    PromptPart,
 )
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter, fingerprint
@@ -24,7 +27,7 @@
     RefusalError,
     StalledCallError,
 )
-from camphoryard.state.ids import ModelId, RequestId, Urgency
+from camphoryard.state.ids import ModelId, PromptPartId, RequestId, Urgency
 from camphoryard.state.serving_endpoints import EndpointState
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import Repeatability, RequestedModel
@@ -220,6 +223,18 @@
         )
         self.reply = Reply()
         self.cancellation = Cancellation()
+        self.set_prompt(options.get("prompt", ""))
+
+    def set_prompt(self, parts):
+        """Replace the request by another one with these parts, as ID:TOKENS."""
+        items = (part.split(":") for part in parts.split(",") if part)
+        self.request = replace(
+            self.request,
+            prompt_parts=tuple(
+                PromptPart(PromptPartId(id), int(tokens)) for id, tokens in items
+            ),
+        )
+        self.reply = Reply()
 
     def forward(self):
         """Forward the request."""
@@ -497,6 +512,31 @@
         site.forward()
         assert site.broadcasts == []
 
+    # Guards against BUDGET: requests with one part crashed endpoint after endpoint.
+    def test_requests_are_refused_for_a_part_that_crashes_endpoints(self):
+        """Sound requests that share the other parts are served."""
+        crash = BrokenCallError("the connection was reset")
+        site = Site(
+            *(served(error=crash) for _ in range(2)),
+            served(ONE),
+            repeatability=Repeatability.STREAM,
+            prompt="system:800,topic:400,own-0:20",
+        )
+        site.upstream.down = {"e1", "e2"}
+        for number in (1, 2):
+            site.set_prompt(f"system:800,topic:400,deadly:50,own-{number}:20")
+            site.refusal()
+        site.set_prompt("system:800,topic:400,deadly:50,own-3:20")
+        refusal = site.refusal()
+        assert (refusal.reason, refusal.verdict) == (
+            Reason.QUARANTINED,
+            Verdict.NOT_RUN,
+        )
+        assert len(site.sent_to) == 2
+        site.set_prompt("system:800,topic:400,own-4:20")
+        site.forward()
+        assert len(site.sent_to) == 3
+
     def test_a_request_without_a_body_has_no_fingerprint(self):
         """Such requests are the same in many clients and are never quarantined."""
         assert fingerprint(Site().request) is None
