Move the port of the decision log to the other ports of the layer

Cause: routing needs the port, and forwarding.context, which held it, imports routing.

Change: DecisionLog stands in coordination/ports.py; imports follow.

Result: types and layers checked; no behaviour changes.

--- a/src/camphoryard/coordination/fleet/crash_sharing.py
+++ b/src/camphoryard/coordination/fleet/crash_sharing.py
@@ -8,9 +8,8 @@
 from collections.abc import Callable
 
 from camphoryard.coordination.fleet.fleet_gossip import Mesh, Star, gossip_topology
-from camphoryard.coordination.forwarding.context import DecisionLog
 from camphoryard.coordination.messages import CrashReport
-from camphoryard.coordination.ports import Peers
+from camphoryard.coordination.ports import DecisionLog, Peers
 from camphoryard.coordination.routing.crash_counter import CrashCounter
 from camphoryard.state.ids import NodeId
 from camphoryard.state.nodes import NodeTable
--- a/src/camphoryard/coordination/fleet/node_registration.py
+++ b/src/camphoryard/coordination/fleet/node_registration.py
@@ -4,8 +4,7 @@
 from typing import Protocol
 
 from camphoryard.coordination.fleet.fleet_gossip import GossipTopology, Mesh, Star
-from camphoryard.coordination.forwarding.context import DecisionLog
-from camphoryard.coordination.ports import Records, Stored, Timer
+from camphoryard.coordination.ports import DecisionLog, Records, Stored, Timer
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT, NodeId, ObjectKey, Version
 from camphoryard.state.leadership import PeerKeys
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -9,6 +9,7 @@
 from camphoryard.coordination.forwarding.ports import ClientRequest, Upstream
 from camphoryard.coordination.forwarding.progress import StreamProgress
 from camphoryard.coordination.messages import CrashReport
+from camphoryard.coordination.ports import DecisionLog
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter
 from camphoryard.coordination.routing.first_events import FirstEventTracker
@@ -21,13 +22,6 @@
 from camphoryard.state.verdict import Verdict
 
 
-class DecisionLog(Protocol):
-    """Log of the decisions about requests."""
-
-    def __call__(self, event: str, **fields: object) -> None:
-        """Write one line; never blocks."""
-
-
 class ModelLocator(Protocol):
     """Finds or loads the model and adapter that a request needs."""
 
--- a/src/camphoryard/coordination/forwarding/feeding.py
+++ b/src/camphoryard/coordination/forwarding/feeding.py
@@ -3,8 +3,7 @@
 import time
 from collections.abc import Callable
 
-from camphoryard.coordination.forwarding.context import DecisionLog
-from camphoryard.coordination.ports import Snapshot, Stored, Timer
+from camphoryard.coordination.ports import DecisionLog, Snapshot, Stored, Timer
 from camphoryard.state.directory import MISSING_GRACE_S, Directory
 from camphoryard.state.ids import EndpointId
 from camphoryard.state.serving_endpoints import ServingEndpoint
--- a/src/camphoryard/coordination/leadership/leader_lease.py
+++ b/src/camphoryard/coordination/leadership/leader_lease.py
@@ -4,8 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from camphoryard.coordination.forwarding.context import DecisionLog
-from camphoryard.coordination.ports import Records, Timer
+from camphoryard.coordination.ports import DecisionLog, Records, Timer
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import (
     ABSENT,
--- a/src/camphoryard/coordination/loading/engine_client.py
+++ b/src/camphoryard/coordination/loading/engine_client.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from camphoryard.coordination.forwarding.context import DecisionLog
 from camphoryard.coordination.leadership.leader_lease import NO_TERM, LeaderLease
 from camphoryard.coordination.loading.engine_state import EngineState
 from camphoryard.coordination.loading.ports import (
@@ -13,6 +12,7 @@
     EngineReport,
     OrderAnswer,
 )
+from camphoryard.coordination.ports import DecisionLog
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import BrokenCallError, NotSentError
 from camphoryard.state.ids import NodeId
--- a/src/camphoryard/coordination/loading/item_locator.py
+++ b/src/camphoryard/coordination/loading/item_locator.py
@@ -10,7 +10,6 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from dataclasses import dataclass
 
-from camphoryard.coordination.forwarding.context import DecisionLog
 from camphoryard.coordination.loading.adapters import demand_item_id
 from camphoryard.coordination.loading.load_controller import (
     CannotLoad,
@@ -27,7 +26,7 @@
     Reply,
 )
 from camphoryard.coordination.placement.demand import DemandMeter
-from camphoryard.coordination.ports import Peers
+from camphoryard.coordination.ports import DecisionLog, Peers
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import Priority
 from camphoryard.state.errors import NotLoadedBeforeDeadlineError, PeerUnreachableError
--- a/src/camphoryard/coordination/loading/load_controller.py
+++ b/src/camphoryard/coordination/loading/load_controller.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from camphoryard.coordination.forwarding.context import DecisionLog
 from camphoryard.coordination.leadership.leader_lease import NO_TERM, LeaderLease
 from camphoryard.coordination.loading.adapters import (
     AdapterLoader,
@@ -37,7 +36,7 @@
 from camphoryard.coordination.loading.move_executor import POLL_PERIOD_S, MoveExecutor
 from camphoryard.coordination.loading.ports import EngineApi
 from camphoryard.coordination.loading.store_rate import LoadLimits, StoreRateLimiter
-from camphoryard.coordination.ports import Timer
+from camphoryard.coordination.ports import DecisionLog, Timer
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.directory import Directory
 from camphoryard.state.ids import EndpointId, ItemId, ModelId, NodeId, ServiceId
--- a/src/camphoryard/coordination/loading/move_executor.py
+++ b/src/camphoryard/coordination/loading/move_executor.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from camphoryard.coordination.forwarding.context import DecisionLog
 from camphoryard.coordination.loading.coverage import LoadMove
 from camphoryard.coordination.loading.engine_client import (
     SUCCESSFUL_ANSWERS,
@@ -12,7 +11,7 @@
 )
 from camphoryard.coordination.loading.engine_state import EngineState
 from camphoryard.coordination.loading.ports import OrderAnswer
-from camphoryard.coordination.ports import Timer
+from camphoryard.coordination.ports import DecisionLog, Timer
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import BrokenCallError, NotSentError
--- a/src/camphoryard/coordination/observing/process_pauses.py
+++ b/src/camphoryard/coordination/observing/process_pauses.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Callable
 
-from camphoryard.coordination.forwarding.context import DecisionLog
 from camphoryard.coordination.leadership.leader_lease import boot_clock_s
-from camphoryard.coordination.ports import Timer
+from camphoryard.coordination.ports import DecisionLog, Timer
 
 TICK_PERIOD_S = 0.5
 MIN_LOGGED_PAUSE_S = 1.5
--- a/src/camphoryard/coordination/ports.py
+++ b/src/camphoryard/coordination/ports.py
@@ -29,6 +29,13 @@
 RecordT = TypeVar("RecordT")
 
 
+class DecisionLog(Protocol):
+    """Log of the decisions of a node."""
+
+    def __call__(self, event: str, **fields: object) -> None:
+        """Write one line; never blocks."""
+
+
 @dataclass(frozen=True, slots=True)
 class Stored(Generic[RecordT]):
     """A record at one version; ``record`` is None if it was deleted."""
--- a/src/camphoryard/coordination/record_watcher.py
+++ b/src/camphoryard/coordination/record_watcher.py
@@ -9,8 +9,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from camphoryard.coordination.forwarding.context import DecisionLog
-from camphoryard.coordination.ports import Records, Snapshot, Stored, Timer
+from camphoryard.coordination.ports import DecisionLog, Records, Snapshot, Stored, Timer
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.nodes import NodeLease
--- a/src/camphoryard/entry/reloading.py
+++ b/src/camphoryard/entry/reloading.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
 
-from camphoryard.coordination.forwarding.context import DecisionLog
-from camphoryard.coordination.ports import Timer
+from camphoryard.coordination.ports import DecisionLog, Timer
 from camphoryard.entry.settings import Bounds, EntrySettings
 from camphoryard.settings import SettingsError
 
--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -6,8 +6,7 @@
 
 import msgspec
 
-from camphoryard.coordination.forwarding.context import DecisionLog
-from camphoryard.coordination.ports import Snapshot, Stored
+from camphoryard.coordination.ports import DecisionLog, Snapshot, Stored
 from camphoryard.state.errors import (
     BrokenCallError,
     ConflictError,
