Quarantine parts of prompts that crash the endpoints that answer them

Cause: the quarantine counted whole requests (path, all parts, body), and no two of these are alike. Class of fault: a failure is attributed to a key that is finer than its cause.

Change: crash reports carry the parts that requests may share and whether the answer had begun. Requests with the part that wait at other endpoints are aborted.

--- a/src/camphoryard/coordination/fleet/crash_sharing.py
+++ b/src/camphoryard/coordination/fleet/crash_sharing.py
@@ -11,6 +11,7 @@
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.ports import DecisionLog, Peers
 from camphoryard.coordination.routing.crash_counter import CrashCounter
+from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.state.ids import NodeId
 from camphoryard.state.nodes import NodeTable
 
@@ -30,6 +31,7 @@
         nodes: NodeTable,
         peers: Peers,
         crashes: CrashCounter,
+        crashed_parts: CrashedParts,
         leader: Callable[[], NodeId | None],
         log: DecisionLog,
     ) -> None:
@@ -37,6 +39,7 @@
         self._nodes = nodes
         self._peers = peers
         self._crashes = crashes
+        self._crashed_parts = crashed_parts
         self._leader = leader
         self._log = log
 
@@ -57,6 +60,7 @@
         """Record a peer's report; the leader of a large fleet passes a new one on."""
         is_new = not self._crashes.has_observed(report.fingerprint, report.endpoint)
         crashes = self._crashes.observe(report.fingerprint, report.endpoint)
+        self._crashed_parts.observe(report)
         self._log(
             "crash_told",
             fingerprint=report.fingerprint,
--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -17,6 +17,7 @@
     SendOptions,
 )
 from camphoryard.coordination.forwarding.urgency import urgency_at
+from camphoryard.coordination.routing.crashed_parts import SOUND_EVENTS
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.state.errors import BrokenCallError, StalledCallError
 from camphoryard.state.ids import EndpointId, Urgency
@@ -69,6 +70,7 @@
     forwarded.sends += 1
     forwarded.endpoint = endpoint.id
     forwarded.has_head = False
+    forwarded.is_answered = False
     forwarded.view_age_s = context.directory.endpoints_age_s()
     urgency = urgency_at(context, forwarded, endpoint.id)
     forwarded.urgency = urgency
@@ -76,16 +78,27 @@
     context.in_flight.begin(endpoint.id)
     context.breakers.started(endpoint.id)
     wait = _FirstEventWait(context.first_events, endpoint.id, urgency)
+    call_cancellation = Cancellation()
+    handle = cancellation.subscribe(call_cancellation.cancel)
+
+    def abort() -> None:
+        if not forwarded.is_answered:
+            call_cancellation.cancel()
+
     try:
-        with closing(
-            _open_answer(context, forwarded, endpoint, options, cancellation)
-        ) as answer:
+        with (
+            context.crashed_parts.abort_if_quarantined(forwarded.crashing_parts, abort),
+            closing(
+                _open_answer(context, forwarded, endpoint, options, call_cancellation)
+            ) as answer,
+        ):
             forwarded.has_head = True
             context.observe("head", context.clock() - sent_s)
             return _handle_answer(
                 context, forwarded, endpoint, answer, reply, sent_s, wait
             )
     finally:
+        cancellation.unsubscribe(handle)
         wait.end()
         context.in_flight.end(endpoint.id)
 
@@ -269,6 +282,7 @@
     if not reply.has_begun:
         reply.begin(answer.head.status, _without_length(answer.head.headers))
     last_event_s = 0.0
+    messages_before = progress.messages
     waits_since_s = context.clock()
     for chunk in answer.iter_body(gap_timeout_s, keeps_waiting):
         messages = progress.messages
@@ -291,10 +305,13 @@
                 forwarded.first_event_s or now_s - forwarded.request.arrived_s
             )
         last_event_s = now_s
+        if progress.messages - messages_before >= SOUND_EVENTS:
+            _record_answered(context, forwarded)
         reply.write(events)
         context.observe("event_handover", context.clock() - now_s)
     if not progress.is_between_events:
         raise BrokenCallError("the stream ended in the middle of an event")
+    _record_answered(context, forwarded)
 
 
 def _keeps_waiting(
@@ -341,5 +358,12 @@
     }
 
 
+def _record_answered(context: ForwardingContext, forwarded: ForwardedRequest) -> None:
+    """Record once that the endpoint answers the request without crashing."""
+    if not forwarded.is_answered:
+        forwarded.is_answered = True
+        context.crashed_parts.record_answered(forwarded.crashing_parts)
+
+
 def _record_success(context: ForwardingContext, endpoint: ServingEndpoint) -> None:
     context.breakers.succeeded(endpoint.id)
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -12,10 +12,11 @@
 from camphoryard.coordination.ports import DecisionLog
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter
+from camphoryard.coordination.routing.crashed_parts import CrashedParts, crashing_parts
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.state.directory import Directory
-from camphoryard.state.ids import EndpointId, ServiceId, Urgency, Version
+from camphoryard.state.ids import EndpointId, PromptPartId, ServiceId, Urgency, Version
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import RequestedModel, RouteRule
@@ -62,6 +63,7 @@
     upstream: Upstream
     models: ModelLocator
     crashes: CrashCounter
+    crashed_parts: CrashedParts
     broadcast_crash: Callable[[CrashReport], None]
     log: DecisionLog
     observe: Callable[[str, float], None]
@@ -81,7 +83,9 @@
     ``unreached`` those of them that accepted no connection, ``declined`` those that
     declined the request. ``endpoint`` and ``urgency`` are those of the last send, and
     ``view_age_s`` is how old the view of the endpoints may have been then.
-    ``has_head`` is True if the last endpoint has begun its answer.
+    ``has_head`` is True if the last endpoint has begun its answer, ``is_answered`` if
+    it has sent enough of it to show that the request does not crash it.
+    ``crashing_parts`` are the parts of the prompt that other requests may share.
     ``load_wait_s``, ``first_event_s`` and ``longest_gap_s`` are written to the request
     log for on-call engineers. Deadlines are monotonic times; all times are in seconds.
     """
@@ -106,6 +110,11 @@
     urgency: Urgency | None = None
     view_age_s: float = 0.0
     has_head: bool = False
+    is_answered: bool = False
+    crashing_parts: tuple[PromptPartId, ...] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.crashing_parts = crashing_parts(self.request.prompt_parts)
 
     @property
     def first_sent_s(self) -> float:
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -12,6 +12,7 @@
 from camphoryard.coordination.forwarding.urgency import urgency_at
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.routing.crash_counter import fingerprint
+from camphoryard.coordination.routing.crashed_parts import SOUND_EVENTS
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     BrokenCallError,
@@ -72,6 +73,7 @@
             outcome = attempt(context, forwarded, endpoint, cancellation, reply)
         except (NotSentError, BrokenCallError) as error:
             _check_cancelled(forwarded, cancellation)
+            _check_quarantined(context, forwarded)
             _record_failure(context, forwarded, endpoint, error)
             _record_crash(context, forwarded, endpoint, error)
             _check_quarantined(context, forwarded)
@@ -306,19 +308,28 @@
     endpoint: ServingEndpoint,
     error: NotSentError | BrokenCallError,
 ) -> None:
-    """Broadcast a crash if the endpoint crashed before the request's first event."""
+    """Broadcast a crash if the endpoint crashed before it had answered the request."""
     digest = fingerprint(forwarded.request)
     match error:
         case NotSentError() | StalledCallError():
             return
-        case _ if digest is None or forwarded.progress.events:
+        case _ if digest is None or forwarded.progress.events >= SOUND_EVENTS:
             return
     if not context.upstream.is_down(endpoint):
         return
     crashes = context.crashes.observe(digest, endpoint.id)
-    context.broadcast_crash(
-        CrashReport(digest, endpoint.id, early=True, on_trial=False)
+    report = CrashReport(
+        digest,
+        endpoint.id,
+        early=True,
+        on_trial=False,
+        started_ms=endpoint.started_ms,
+        has_begun=forwarded.has_head,
+        parts=forwarded.crashing_parts,
+        answered_parts=context.crashed_parts.answered(forwarded.crashing_parts),
     )
+    context.crashed_parts.observe(report)
+    context.broadcast_crash(report)
     context.log(
         "endpoint_crashed",
         request=forwarded.request.id,
@@ -331,13 +342,20 @@
 
 
 def _check_quarantined(context: ForwardingContext, forwarded: ForwardedRequest) -> None:
-    """Raise RefusalError if the request has crashed too many endpoints."""
+    """Raise RefusalError if the request or one of its parts has crashed endpoints."""
     if context.crashes.is_quarantined(fingerprint(forwarded.request)):
         raise RefusalError(
             Reason.QUARANTINED,
             "this request has crashed the endpoints that ran it",
             forwarded.verdict,
         )
+    part = context.crashed_parts.find(forwarded.crashing_parts)
+    if part is not None:
+        raise RefusalError(
+            Reason.QUARANTINED,
+            f"part {part} of the prompt has crashed the endpoints that answered it",
+            forwarded.verdict,
+        )
 
 
 def _check_may_resend(
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -19,6 +19,7 @@
     NodeId,
     ObjectKey,
     OrderId,
+    PromptPartId,
     ServiceId,
     Version,
     Zone,
@@ -226,13 +227,20 @@
     """A request was running when its endpoint crashed.
 
     ``early`` means that the request had received no token, ``on_trial`` that it
-    was the only suspect without a token at that endpoint.
+    was the only suspect without a token at that endpoint. ``started_ms`` tells starts
+    of the endpoint apart, ``has_begun`` means that it had begun its answer. ``parts``
+    are the parts of the prompt that other requests may share, in order;
+    ``answered_parts`` those that the reporting node has seen answered.
     """
 
     fingerprint: Fingerprint
     endpoint: EndpointId
     early: bool
     on_trial: bool
+    started_ms: int = 0
+    has_begun: bool = False
+    parts: tuple[PromptPartId, ...] = ()
+    answered_parts: tuple[PromptPartId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -56,6 +56,7 @@
 from camphoryard.coordination.record_watcher import RecordWatcher
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter
+from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.coordination.routing.retry_window import RetryWindow
@@ -239,8 +240,9 @@
         )
     )
     crash_counter = CrashCounter()
+    crashed_parts = CrashedParts(log)
     crash_sharing = CrashSharing(
-        settings.node, nodes, peers, crash_counter, gossip.leader, log
+        settings.node, nodes, peers, crash_counter, crashed_parts, gossip.leader, log
     )
     dialect = PlatformDialect()
     retries: RetryWindow[ServiceId] = RetryWindow(
@@ -279,6 +281,7 @@
         HttpUpstream(client, dialect),
         item_locator,
         crash_counter,
+        crashed_parts,
         crash_sharing.send,
         log,
         metrics.observe,
--- a/tests/coordination/fleet/test_crash_sharing.py
+++ b/tests/coordination/fleet/test_crash_sharing.py
@@ -6,6 +6,7 @@
 from camphoryard.coordination.fleet.fleet_gossip import MAX_MESH_NODES
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.routing.crash_counter import CrashCounter
+from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId, Fingerprint, NodeId
 from camphoryard.state.nodes import NodeLease, NodeTable
@@ -39,6 +40,7 @@
                 nodes,
                 FleetPeers(self, name),
                 self.crashes_by_id[name],
+                CrashedParts(self.log),
                 lambda: self.leader,
                 self.log,
             )
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -16,6 +16,7 @@
 )
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter, fingerprint
+from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.directory import Directory
@@ -204,6 +205,7 @@
             self.upstream,
             options.get("locator", Models()),
             self.crashes,
+            CrashedParts(self.log, self.clock),
             self.broadcasts.append,
             self.log,
             lambda *_: None,
