Tell nodes that start which parts of prompts are quarantined

Cause: the quarantine of a part was known only to nodes that ran when its endpoints crashed.

Change: digests carry the quarantined parts with the time left; a node adopts those it has not seen answered. The time left only falls as it is passed on.

Result: test_nodes_that_start_learn_of_quarantined_parts, in a small and a large fleet, cannot even be set up on the code before.

--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -17,6 +17,7 @@
 from camphoryard.coordination.messages import DigestWithAge, Gossip
 from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.enums import NodeState
@@ -86,6 +87,8 @@
         Returns the models that this node, as the leader, is having unloaded.
     on_unloads : callable
         Called with those that the leader reports.
+    crashed_parts : CrashedParts
+        Parts of prompts that are quarantined, which nodes that start learn from peers.
     """
 
     def __init__(
@@ -100,6 +103,7 @@
         term: Callable[[], FencingNumber],
         unloads_by_endpoint: Callable[[], Mapping[EndpointId, tuple[ModelId, ...]]],
         on_unloads: Callable[[Mapping[EndpointId, tuple[ModelId, ...]]], None],
+        crashed_parts: CrashedParts,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._node = node
@@ -112,6 +116,7 @@
         self._term = term
         self._unloads_by_endpoint = unloads_by_endpoint
         self._on_unloads = on_unloads
+        self._crashed_parts = crashed_parts
         self._clock = clock
         self._beat = 0
         self._rotation = 0
@@ -142,6 +147,8 @@
         digest = gossip.digests[0].digest
         if not self._nodes.observe_digest(digest):
             return
+        if digest.quarantine_s_by_part:
+            self._crashed_parts.adopt(digest.quarantine_s_by_part)
         if digest.duty_term:
             self._leader_observed_s = self._clock()
             self._on_unloads(digest.unloads_by_endpoint)
@@ -193,6 +200,7 @@
             demand_by_item=demand,
             duty_term=term,
             unloads_by_endpoint=self._unloads_by_endpoint() if term else {},
+            quarantine_s_by_part=self._crashed_parts.quarantine_s_by_part(),
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
--- a/src/camphoryard/coordination/routing/crashed_parts.py
+++ b/src/camphoryard/coordination/routing/crashed_parts.py
@@ -11,7 +11,7 @@
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -148,6 +148,32 @@
         for waiting in aborted:
             waiting.abort()
 
+    def quarantine_s_by_part(self) -> Mapping[PromptPartId, float]:
+        """Return the quarantined parts with the time left in seconds."""
+        with self._lock:
+            now_s = self._clock()
+            return {
+                part: until_s - now_s
+                for part, until_s in self._until_s_by_part.items()
+                if until_s > now_s
+            }
+
+    def adopt(self, quarantine_s_by_part: Mapping[PromptPartId, float]) -> None:
+        """Quarantine the parts of a peer that this node has not seen answered."""
+        with self._lock:
+            now_s = self._clock()
+            adopted = [
+                part
+                for part in quarantine_s_by_part
+                if part not in self._until_s_by_part
+                and part not in self._answered_s_by_part
+            ]
+            for part in adopted:
+                left_s = min(QUARANTINE_S, quarantine_s_by_part[part])
+                self._until_s_by_part[part] = now_s + left_s
+        for part in adopted:
+            self._log("part_quarantined", part=part, crashes=0, aborted=0)
+
     def record_answered(self, parts: Sequence[PromptPartId]) -> None:
         """Record that a request with ``parts`` is being answered: they are sound."""
         with self._lock:
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -185,6 +185,7 @@
     in_flight = InFlightTable()
     nodes = NodeTable()
     demand = DemandMeter(fast_time_constant_s=DEMAND_TIME_CONSTANT_S)
+    crashed_parts = CrashedParts(log)
     estimates = LoadEstimates(settings.node, nodes, in_flight)
     incarnation = Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
     own_keys = _make_keys()
@@ -217,6 +218,7 @@
         lambda: leader_lease.claimed_term,
         lambda: load_controller.unloads_by_endpoint(),
         directory.record_unloads,
+        crashed_parts,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -240,7 +242,6 @@
         )
     )
     crash_counter = CrashCounter()
-    crashed_parts = CrashedParts(log)
     crash_sharing = CrashSharing(
         settings.node, nodes, peers, crash_counter, crashed_parts, gossip.leader, log
     )
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -57,6 +57,7 @@
     ModelId,
     NodeId,
     ObjectKey,
+    PromptPartId,
     RequestId,
     Zone,
 )
@@ -126,6 +127,7 @@
     age_ms: int | None
     duty_term: FencingNumber = FencingNumber(0)
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = {}
+    quarantine_ms_by_part: Mapping[PromptPartId, int] = {}
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -282,6 +284,10 @@
             _to_ms(heard.age_s),
             heard.digest.duty_term,
             heard.digest.unloads_by_endpoint,
+            {
+                part: int(left_s * MILLISECONDS_PER_SECOND)
+                for part, left_s in heard.digest.quarantine_s_by_part.items()
+            },
         )
         for heard in digests
     )
@@ -330,6 +336,10 @@
                 _demand(item.demand_by_item),
                 item.duty_term,
                 item.unloads_by_endpoint,
+                {
+                    part: left_ms / MILLISECONDS_PER_SECOND
+                    for part, left_ms in item.quarantine_ms_by_part.items()
+                },
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -16,6 +16,7 @@
     ItemId,
     ModelId,
     NodeId,
+    PromptPartId,
     Version,
     WriteId,
     Zone,
@@ -53,6 +54,8 @@
     ``beat`` grows with each digest of one incarnation of the node. ``duty_term``
     is the term of its leadership, or 0 if it is not the leader. ``unloads_by_endpoint``
     are the models that a leader is having unloaded, which take no more requests.
+    ``quarantine_s_by_part`` are the parts of prompts that are refused, with the time
+    left in seconds.
     """
 
     node: NodeId
@@ -67,6 +70,7 @@
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = field(
         default_factory=dict
     )
+    quarantine_s_by_part: Mapping[PromptPartId, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -10,12 +10,13 @@
     FleetGossip,
 )
 from camphoryard.coordination.placement.demand import DemandMeter
+from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId, FencingNumber, NodeId
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import InFlightTable
-from tests.fakes.engines import Clock
+from tests.fakes.engines import Clock, RecordedLog
 
 E1 = EndpointId("e1")
 SMALL, LARGE = MAX_MESH_NODES, 87
@@ -57,6 +58,7 @@
         self.nodes, self.in_flight = NodeTable(), InFlightTable()
         self.estimates = LoadEstimates(name, self.nodes, self.in_flight)
         self.demand = DemandMeter()
+        self.crashed_parts = CrashedParts(RecordedLog())
         self.gossip = FleetGossip(
             name,
             f"i-{name}",
@@ -68,6 +70,7 @@
             lambda: self.term,
             lambda: self.unloads,
             self.told_unloads.append,
+            self.crashed_parts,
             fleet.clock,
         )
 
@@ -121,6 +124,16 @@
         large.run_periods(2 * STAR_REPORT_PERIODS)
         assert {node.gossip.leader() for node in large.node_by_id.values()} == {"n5"}
 
+    @pytest.mark.parametrize("size", [SMALL, LARGE])
+    def test_nodes_that_start_learn_of_quarantined_parts(self, size):
+        """They would otherwise let a part crash endpoints once more."""
+        fleet = Fleet(size)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        fleet.node_by_id["n0"].crashed_parts.adopt({"deadly": 60.0})
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        parts = [node.crashed_parts for node in fleet.node_by_id.values()]
+        assert {item.find(["deadly"]) for item in parts} == {"deadly"}
+
     @pytest.mark.parametrize("size", [SMALL, LARGE])
     def test_all_nodes_are_told_of_unloads(self, size):
         """They send requests for these models elsewhere before being declined."""
--- a/tests/coordination/routing/test_crashed_parts.py
+++ b/tests/coordination/routing/test_crashed_parts.py
@@ -154,6 +154,26 @@
         ]
 
 
+class TestPeers:
+    """Quarantines that peers tell of."""
+
+    def test_part_of_a_peer_is_quarantined_for_its_remaining_time(self, node):
+        """Passing it on between nodes does not prolong it."""
+        node.parts.adopt({"deadly": 5.0})
+        node.clock.advance(2.0)
+        assert node.parts.quarantine_s_by_part() == {"deadly": 3.0}
+        node.parts.adopt({"deadly": 4.0})
+        assert node.parts.quarantine_s_by_part() == {"deadly": 3.0}
+        node.clock.advance(3.0)
+        assert node.quarantined("deadly") == []
+
+    def test_part_answered_here_is_not_quarantined(self, node):
+        """The peer has not seen the answer."""
+        node.parts.record_answered(["sound"])
+        node.parts.adopt({"sound": 5.0})
+        assert node.quarantined("sound") == []
+
+
 class TestWaitingRequests:
     """Requests at other endpoints when a part is quarantined."""
 
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -40,6 +40,7 @@
     beat=7,
     duty_term=4,
     unloads_by_endpoint={"e": ("m1", "m2")},
+    quarantine_s_by_part={"p": 12.5},
 )
 
 
