Read the sound entries beside an odd one

What operators of similar systems saw: one odd entry of another writer among those of the replicas, and the machines that read the list ended again and again, or stopped following it.

Cause: listings and watches were decoded as a whole, so a value nested 1,500 deep raised RecursionError for all of them, which nothing caught. Ports, slots and start times were taken as they came: port 99999, -5 or 10^30 slots and a NUL in the host named a usable endpoint. Unreadable keys of the fleet kept every node from joining for ever.

Change: objects are decoded one by one, too deep values are cut out first, and addresses, numbers and names are checked. The same for leases of nodes, keys, reports of engines and messages of peers. Unreadable keys are replaced.

--- a/src/camphoryard/coordination/fleet/node_registration.py
+++ b/src/camphoryard/coordination/fleet/node_registration.py
@@ -65,7 +65,9 @@
             stored = records.get(PEER_KEYS_KEY)
             if stored is not None and stored.record is not None:
                 return stored.record
-            records.put(PEER_KEYS_KEY, own, ABSENT)
+            # A record that nobody can read is replaced.
+            version = stored.version if stored is not None else ABSENT
+            records.put(PEER_KEYS_KEY, own, version)
             return own
         except (ConflictError, StoreUnavailableError):
             # Another node wrote its keys first, or the store is unavailable: retry.
--- a/src/camphoryard/platform/engines.py
+++ b/src/camphoryard/platform/engines.py
@@ -10,7 +10,7 @@
     OrderAnswer,
 )
 from camphoryard.platform.dialect import EXPECTED_ENDPOINT
-from camphoryard.platform.traffic import ListedModel, loaded_by_model
+from camphoryard.platform.traffic import Count, ListedModel, loaded_by_model
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import BrokenCallError
 from camphoryard.state.ids import AdapterId, ModelId
@@ -38,11 +38,11 @@
     models: list[ListedModel]
     # Number of orders accepted since the start; in store entries of endpoints, the
     # field of this name counts heartbeats.
-    seq: int
+    seq: Count
     # Whether a model is being loaded or unloaded, not whether requests run.
     busy: bool = False
-    running: int = 0
-    waiting: int = 0
+    running: Count = 0
+    waiting: Count = 0
     # Adapters being loaded, each as MODEL/NAME@VERSION.
     coming: list[str] = []
 
@@ -101,7 +101,7 @@
             raise BrokenCallError(f"report answered with status {answer.status}")
         try:
             report = _REPORT.decode(answer.body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise BrokenCallError(f"unreadable report: {error}") from error
         return EngineReport(
             loaded_by_model(report.models),
--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -1,12 +1,13 @@
 """Records in the platform's store."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Generic, TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
 
 from camphoryard.coordination.ports import DecisionLog, Snapshot, Stored
+from camphoryard.protocol.json_nesting import without_deep_values
 from camphoryard.state.errors import (
     BrokenCallError,
     ConflictError,
@@ -45,7 +46,8 @@
 
 class _Listing(msgspec.Struct, frozen=True, rename="kebab"):
     store_revision: int
-    items: list[_Object] = []
+    # Decoded one by one, so that one odd object does not make the others unreadable.
+    items: list[msgspec.Raw] = []
     has_more: bool = False
 
 
@@ -56,7 +58,7 @@
 
 class _Changes(msgspec.Struct, frozen=True, rename="kebab"):
     store_revision: int
-    events: list[_Event] = []
+    events: list[msgspec.Raw] = []
 
 
 class _Written(msgspec.Struct, frozen=True):
@@ -66,6 +68,7 @@
 _OBJECT = msgspec.json.Decoder(_Object)
 _LISTING = msgspec.json.Decoder(_Listing)
 _CHANGES = msgspec.json.Decoder(_Changes)
+_EVENT = msgspec.json.Decoder(_Event)
 _WRITTEN = msgspec.json.Decoder(_Written)
 
 DecodedT = TypeVar("DecodedT")
@@ -140,14 +143,15 @@
             listing = _read(_LISTING, answer)
             if revision is None:
                 revision = Revision(listing.store_revision)
+            page = self._readable(_OBJECT, listing.items)
             items.extend(
                 self._stored(item)
-                for item in listing.items
+                for item in page
                 if item.metadata.name.startswith(within)
             )
-            if not listing.has_more or not listing.items:
+            if not listing.has_more or not page:
                 return Snapshot(revision, tuple(items))
-            after = listing.items[-1].metadata.name
+            after = page[-1].metadata.name
 
     def watch(self, since: Revision, wait_s: float) -> Snapshot[RecordT]:
         """Block up to ``wait_s`` for changes after ``since``."""
@@ -160,10 +164,22 @@
         changes = _read(_CHANGES, answer)
         items = tuple(
             self._removed(event.object) if event.removed else self._stored(event.object)
-            for event in changes.events
+            for event in self._readable(_EVENT, changes.events)
         )
         return Snapshot(Revision(changes.store_revision), items)
 
+    def _readable(
+        self, decoder: "msgspec.json.Decoder[DecodedT]", items: Iterable[msgspec.Raw]
+    ) -> Sequence[DecodedT]:
+        """Return the items of a listing or watch that can be decoded."""
+        decoded = []
+        for item in items:
+            try:
+                decoded.append(decoder.decode(item))
+            except (msgspec.MsgspecError, RecursionError) as error:
+                self._log("entry_unreadable", kind=self._kind, error=str(error))
+        return decoded
+
     def _object_path(self, key: str) -> str:
         return f"{self._path}/{quote(key, safe='')}"
 
@@ -171,7 +187,7 @@
         name, version = item.metadata.name, Version(item.metadata.revision)
         try:
             record = self._decode(name, bytes(item.spec))
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             self._log(
                 "entry_unreadable",
                 kind=self._kind,
@@ -216,6 +232,9 @@
 
 def _read(decoder: "msgspec.json.Decoder[DecodedT]", answer: HttpAnswer) -> DecodedT:
     try:
-        return decoder.decode(answer.body)
+        try:
+            return decoder.decode(answer.body)
+        except RecursionError:
+            return decoder.decode(without_deep_values(answer.body))
     except msgspec.MsgspecError as error:
         raise StoreUnavailableError(f"unreadable answer: {error}") from error
--- a/src/camphoryard/platform/traffic.py
+++ b/src/camphoryard/platform/traffic.py
@@ -1,6 +1,8 @@
 """Decoders of the operator's configuration and of endpoint entries in the store."""
 
+import ipaddress
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
@@ -34,6 +36,10 @@
 CONFIG_NAME = "main"
 ENDPOINT_KIND = "servers"
 MILLISECONDS_PER_SECOND = 1000
+MAX_SLOTS = 100_000
+MIN_PORT, MAX_PORT = 1, 65535
+Count = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+"""A number that peers can be told of: their messages have 64-bit integers."""
 
 _REPEATABILITY_BY_KIND = {
     "idempotent": Repeatability.IDEMPOTENT,
@@ -111,7 +117,7 @@
     """A loaded model as listed in endpoint entries and engine reports."""
 
     name: str
-    version: int = 0
+    version: Count = 0
     adapters: list[str] = []
 
 
@@ -125,11 +131,11 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 1
     models: list[ListedModel] = []
     at_hand: _AvailableModels = _AvailableModels()
     # Start time of the endpoint, in Unix milliseconds.
-    born: int = 0
+    born: Count = 0
 
 
 _CONFIG = msgspec.json.Decoder(_Config)
@@ -170,6 +176,8 @@
         If the entry cannot be decoded or has an unknown state.
     """
     entry = _ENTRY.decode(spec)
+    if not (name.isascii() and name.isprintable()):
+        raise ValueError("the name has characters that no header can carry")
     state = _STATE_BY_NAME.get(entry.state)
     if state is None:
         raise ValueError(f"unknown state {entry.state!r}")
@@ -197,10 +205,11 @@
 
 
 def _address(text: str) -> HostPort:
+    """Return an address; raises ValueError unless it is IP:PORT."""
     host, _, port = text.rpartition(":")
-    if not host:
-        raise ValueError(f"address {text!r} has no port")
-    return HostPort(host, int(port))
+    if not (port.isascii() and port.isdigit() and MIN_PORT <= int(port) <= MAX_PORT):
+        raise ValueError(f"address {text!r} has no port from {MIN_PORT} to {MAX_PORT}")
+    return HostPort(str(ipaddress.ip_address(host)), int(port))
 
 
 def _to_rule(route: _Route) -> RouteRule:
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -214,7 +214,7 @@
     try:
         frame = _FRAME.decode(data)
         content = _decode_content(frame.kind, frame.body)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise PeerMessageError(str(error)) from error
     return Envelope(frame.id, content)
 
--- a/src/camphoryard/state/leadership.py
+++ b/src/camphoryard/state/leadership.py
@@ -4,6 +4,8 @@
 
 from camphoryard.state.ids import FencingNumber, Incarnation, NodeId
 
+Z85_KEY_LENGTH = 40
+
 
 @dataclass(frozen=True, slots=True)
 class LeadershipRecord:
@@ -25,3 +27,8 @@
 
     public: str
     secret: str
+
+    def __post_init__(self) -> None:
+        for key in (self.public, self.secret):
+            if len(key) != Z85_KEY_LENGTH or not key.isascii():
+                raise ValueError("not a CURVE key in Z85")
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -1,5 +1,6 @@
 """Leases and digests of nodes, and the table of the live nodes."""
 
+import math
 import threading
 import time
 from collections.abc import Mapping
@@ -23,6 +24,8 @@
 )
 from camphoryard.state.load_reports import LoadReport
 
+MAX_PORT = 65535
+
 
 @dataclass(frozen=True, slots=True)
 class NodeLease:
@@ -46,6 +49,16 @@
     advertised_host: str = ""
     advertised_port: int = 0
 
+    def __post_init__(self) -> None:
+        for port in (self.port, self.advertised_port):
+            if not 0 <= port <= MAX_PORT:
+                raise ValueError(f"port {port} is not from 0 to {MAX_PORT}")
+        for host in (self.host, self.advertised_host):
+            if not (host.isascii() and host.isprintable()):
+                raise ValueError(f"host {host!r} has control characters")
+        if not 0 <= self.lease_s < math.inf:
+            raise ValueError(f"a lease of {self.lease_s} s")
+
 
 @dataclass(frozen=True, slots=True)
 class NodeDigest:
--- a/src/camphoryard/transport/object_api.py
+++ b/src/camphoryard/transport/object_api.py
@@ -130,7 +130,7 @@
     def _decode(self, value: bytes) -> RecordT:
         try:
             return self._codec.decode(value)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise StoreUnavailableError(f"{self._prefix}: {error}") from error
 
     def _snapshot(self, answer: HttpAnswer) -> Snapshot[RecordT]:
@@ -170,7 +170,7 @@
         body = self._api.call("GET", self._path(key), (OK,)).body
         try:
             return self._codec.decode(body)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise StoreUnavailableError(f"{key}: {error}") from error
 
     def delete(self, key: ObjectKey) -> None:
--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -292,7 +292,7 @@
         try:
             frame = _ADDRESSED.decode(data)
             envelope = decode_envelope(frame.envelope)
-        except (msgspec.MsgspecError, PeerMessageError):
+        except (msgspec.MsgspecError, PeerMessageError, RecursionError):
             return
         self._clock.observe(frame.stamp)
         content = envelope.content
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,109 @@
+"""Tests of the records in the platform's store."""
+
+import json
+
+import pytest
+
+from camphoryard.coordination.ports import Stored
+from camphoryard.platform.store import StoreRecords
+from camphoryard.platform.traffic import decode_endpoint
+from camphoryard.transport.http_client import Address, HttpAnswer
+from tests.fakes.engines import RecordedLog
+
+DEEP = b"[" * 1500 + b"]" * 1500
+SPEC = {"service": "s", "address": "10.0.0.9:80", "zone": "z", "state": "ready"}
+
+
+class Client:
+    """An HTTP client that gets the given bodies one after the other."""
+
+    def __init__(self, *bodies):
+        self.bodies, self.paths = list(bodies), []
+
+    def call(self, address, call):
+        """Return the next answer."""
+        self.paths.append(call.path)
+        return HttpAnswer(200, {}, self.bodies.pop(0))
+
+
+def item(name, spec, revision=1):
+    """Return an object of the store as JSON."""
+    metadata = json.dumps({"name": name, "revision": revision}).encode()
+    if not isinstance(spec, bytes):
+        spec = json.dumps(spec).encode()
+    return b'{"metadata":' + metadata + b',"spec":' + spec + b"}"
+
+
+def listing(*items, has_more=False):
+    """Return the body of a listing."""
+    more = json.dumps(has_more).encode()
+    head = b'{"store-revision":9,"has-more":' + more + b',"items":['
+    return head + b",".join(items) + b"]}"
+
+
+def changes(*items):
+    """Return the body of an answered watch."""
+    events = (b'{"object":' + item + b"}" for item in items)
+    return b'{"store-revision":9,"events":[' + b",".join(events) + b"]}"
+
+
+def make_records(*bodies):
+    """Return the records of endpoints, with their log."""
+    log = RecordedLog()
+    records = StoreRecords(
+        Client(*bodies), Address("h", 1), "servers", decode_endpoint, None, log
+    )
+    return records, log
+
+
+# Guards against LOST: one odd entry of another writer made the whole list unreadable.
+@pytest.mark.parametrize("read", ["list", "watch"])
+class TestOddEntries:
+    """Entries of another writer beside sound ones."""
+
+    @pytest.mark.parametrize(
+        "odd",
+        [
+            item("odd", DEEP),
+            item("odd", b'{"service":' + DEEP + b"}"),
+            item("odd", {**SPEC, "address": "10.0.0.9:99999"}),
+            item("odd", {**SPEC, "slots": 10**30}),
+            item("odd", {**SPEC, "state": None}),
+            item("odd", [1, 2]),
+            b'{"metadata":{"name":"odd","revision":"x"},"spec":{}}',
+            b'{"metadata":null,"spec":{}}',
+            b"7",
+        ],
+    )
+    def test_sound_entries_are_read_beside_an_odd_one(self, read, odd):
+        """The odd entry names no endpoint, and the log says so."""
+        sound = [item("a", SPEC), item("b", SPEC)]
+        entries = (sound[0], odd, sound[1])
+        records, log = make_records(
+            listing(*entries) if read == "list" else changes(*entries)
+        )
+        snapshot = records.list() if read == "list" else records.watch(1, 1.0)
+        found = [stored.key for stored in snapshot.items if stored.record is not None]
+        assert (found, snapshot.revision) == (["a", "b"], 9)
+        assert log.events() == ["entry_unreadable"]
+
+
+class TestListing:
+    """Listings of several pages."""
+
+    def test_pages_are_joined(self):
+        """The next page begins after the last readable name."""
+        records, _ = make_records(
+            listing(item("a", SPEC), b"7", has_more=True), listing(item("b", SPEC))
+        )
+        keys = [stored.key for stored in records.list().items]
+        assert keys == ["a", "b"]
+        assert records._client.paths[1].endswith("after=a")
+
+    def test_removal_is_a_record_of_none(self):
+        """A watch reports removed objects."""
+        event = b'{"object":' + item("a", SPEC, 4) + b',"removed":true}'
+        records, _ = make_records(
+            b'{"store-revision":9,"events":[' + event + b"]}",
+        )
+        assert records.watch(1, 1.0).items == (Stored("a", 4, None),)
--- a/tests/platform/test_traffic.py
+++ b/tests/platform/test_traffic.py
@@ -175,7 +175,18 @@
             {"service": None},
             {"address": "nowhere"},
             {"address": "10.0.0.9:port"},
+            {"address": "10.0.0.9:99999"},
+            {"address": "10.0.0.9:0"},
+            {"address": "10.0.0.9:-1"},
+            {"address": "10.0.0.9:٣"},
+            {"address": "10.0.0\x00.9:80"},
+            {"address": "elsewhere:80"},
             {"slots": "many"},
+            {"slots": -5},
+            {"slots": 0},
+            {"slots": 10**30},
+            {"born": 10**30},
+            {"models": [{"name": "m1", "version": 10**30}]},
             {"models": [1]},
             {"born": 1.5},
         ],
@@ -185,6 +196,11 @@
         with pytest.raises((msgspec.MsgspecError, ValueError)):
             decode_entry(**changes)
 
+    def test_name_that_no_header_can_carry_is_rejected(self):
+        """Requests name the endpoint that they are for in a header."""
+        with pytest.raises(ValueError, match="name"):
+            decode_endpoint("i-1\r\nX: y", json.dumps(ENTRY).encode())
+
     def test_entry_that_is_not_json_is_rejected(self):
         """The store may contain arbitrary bytes."""
         with pytest.raises(msgspec.MsgspecError):
--- a/tests/state/test_nodes.py
+++ b/tests/state/test_nodes.py
@@ -54,6 +54,25 @@
     return [lease.node for lease in nodes.alive()] == ["n1"]
 
 
+class TestNodeLease:
+    """Leases that another writer left in the store."""
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"port": 99999},
+            {"advertised_port": -1},
+            {"host": "10.0.0.1\x00"},
+            {"lease_s": float("nan")},
+            {"lease_s": -1.0},
+        ],
+    )
+    def test_odd_lease_is_rejected(self, changes):
+        """A peer at such an address would fail the tasks that use it."""
+        with pytest.raises(ValueError):
+            replace(make_lease(), **changes)
+
+
 class TestAlive:
     """Expiry and renewal of leases on this node's clock."""
 
