Keep the error of another endpoint out of a stream that has begun

What callers of similar systems saw: a stream had begun and broke off, the next replica answered with an error, and its text stood in the middle of the stream, or the stream ended as if complete (ORDER, MIXED).

Cause: the head of a stream was sent before its first event, while whether it had begun was judged by its events with an id. After a break without such an event, the next endpoint's failure was sent as a second head on the same answer, or its stream from the beginning after events without an id.

Change: the head goes out with the first event, so until then the client can get another endpoint's answer whole. A failure after that aborts the stream, and a stream is continued only after an event with an id.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -243,7 +243,7 @@
 ) -> Outcome:
     """Have a failed request sent again if it may be, else relay the failure."""
     body = answer.body()
-    if forwarded.progress.events:
+    if reply.has_begun:
         raise BrokenCallError(
             f"the stream cannot be resumed: status {answer.head.status}"
         )
@@ -265,6 +265,9 @@
 ) -> None:
     """Relay a stream event by event.
 
+    The head is passed on with the first event, so that until then the client can still
+    get the answer of another endpoint.
+
     Raises
     ------
     StalledCallError
@@ -279,8 +282,7 @@
     keeps_waiting = partial(_keeps_waiting, context, forwarded, endpoint)
     progress = forwarded.progress
     progress.discard_partial_event()
-    if not reply.has_begun:
-        reply.begin(answer.head.status, _without_length(answer.head.headers))
+    head = answer.head.status, _without_length(answer.head.headers)
     last_event_s = 0.0
     messages_before = progress.messages
     waits_since_s = context.clock()
@@ -307,10 +309,14 @@
         last_event_s = now_s
         if progress.messages - messages_before >= SOUND_EVENTS:
             _record_answered(context, forwarded)
+        if not reply.has_begun:
+            reply.begin(*head)
         reply.write(events)
         context.observe("event_handover", context.clock() - now_s)
     if not progress.is_between_events:
         raise BrokenCallError("the stream ended in the middle of an event")
+    if not reply.has_begun:
+        reply.begin(*head)
     _record_answered(context, forwarded)
 
 
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -365,7 +365,7 @@
 ) -> None:
     """Raise RefusalError unless the request may be sent again."""
     may_resend = not forwarded.may_have_run or forwarded.may_run_again
-    if not may_resend:
+    if not may_resend or not forwarded.progress.is_resumable:
         raise _failure_refusal(context, forwarded, error)
     if forwarded.sends >= MAX_SENDS:
         raise _failure_refusal(context, forwarded, error)
--- a/src/camphoryard/coordination/forwarding/progress.py
+++ b/src/camphoryard/coordination/forwarding/progress.py
@@ -18,7 +18,8 @@
 
     ``events`` counts those with an id, after which the stream can be resumed;
     ``messages`` counts all except those that are only comments, which an endpoint may
-    send to keep a connection open.
+    send to keep a connection open. ``is_resumable`` tells whether another endpoint can
+    go on after what the client has received, which must end with an event that has an id.
 
     Examples
     --------
@@ -32,6 +33,7 @@
     last_event: EventId | None = None
     events: int = 0
     messages: int = 0
+    is_resumable: bool = True
     _partial_event: bytes = field(default=b"", repr=False)
 
     def add(self, data: bytes) -> bytes:
@@ -67,6 +69,7 @@
             lines = [line for line in event.split(b"\n") if line]
             if not all(line.startswith(COMMENT) for line in lines):
                 self.messages += 1
+                self.is_resumable = any(line.startswith(ID_FIELD) for line in lines)
             for line in lines:
                 if line.startswith(ID_FIELD):
                     text = line[len(ID_FIELD) :].strip().decode("latin-1")
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -142,7 +142,8 @@
         self.status, self.body = None, b""
 
     def begin(self, status, headers):
-        """Record the head."""
+        """Record the head, of which a client can get only one."""
+        assert not self.has_begun
         self.has_begun, self.status = True, status
 
     def write(self, data):
@@ -347,6 +348,38 @@
         site.refusal()
         assert site.reply.has_begun
 
+    # Guards against MIXED: another endpoint's error followed the head of a stream.
+    def test_a_stream_without_events_is_followed_by_a_whole_failure(self):
+        """The client gets the failure with its own status."""
+        first = served(ONE[:3], error=BrokenCallError("x"))
+        site = Site(first, failed(), repeatability=self.STREAM)
+        site.forward()
+        assert (site.reply.status, site.reply.body) == (500, b"oops")
+
+    # Guards against MIXED: another endpoint's error followed events without an id.
+    @pytest.mark.parametrize("second", [failed(), declined(), served(ONE)])
+    def test_a_stream_with_events_that_have_no_id_is_not_continued(self, second):
+        """Nobody can tell where another endpoint would have to go on."""
+        first = served(b"data: a\n\n", error=BrokenCallError("x"))
+        site = Site(first, second, repeatability=self.STREAM)
+        refusal = site.refusal()
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN
+        assert site.reply.body == b"data: a\n\n"
+
+    # Guards against ORDER: a failure in place of the rest of a stream.
+    def test_a_stream_with_events_is_aborted_at_the_failure_of_another_endpoint(self):
+        """Its text is no part of the stream, and the stream is not complete."""
+        first = served(ONE, error=BrokenCallError("x"))
+        site = Site(first, failed(), repeatability=self.STREAM)
+        site.refusal()
+        assert site.reply.body == ONE
+
+    def test_an_empty_stream_is_answered(self):
+        """The client gets the head of a stream without events."""
+        site = Site(served(), repeatability=self.STREAM)
+        site.forward()
+        assert (site.reply.status, site.reply.body) == (200, b"")
+
     def test_a_stream_that_ends_within_an_event_is_incomplete(self):
         """A truncated stream is not relayed as a complete answer."""
         site = Site(served(ONE, TWO[:5]), repeatability=Repeatability.STREAM)
