--- a/src/camphoryard/coordination/forwarding/progress.py
+++ b/src/camphoryard/coordination/forwarding/progress.py
@@ -19,7 +19,7 @@
     ``events`` counts those with an id, after which the stream can be resumed;
     ``messages`` counts all except those that are only comments, which an endpoint may
     send to keep a connection open. ``is_resumable`` tells whether another endpoint can
-    go on after what the client has received, which must end with an event that has an id.
+    go on after what the client has received; it must end with an event that has an id.
 
     Examples
     --------
