Take an answer whose head or chunks are cut short as incomplete

What callers of similar systems saw: a replica stopped in the middle of its answer's head and closed, and they got a 200 with an empty or short body, framed as whole.

Cause: http.client takes the end of the connection for the empty line that ends a head or the trailers of a chunked body. A call that reads a whole answer had 60 s for it, so answers without end held an order or a report far beyond its timeout.

Change: the reader keeps the last line, and a head or a chunked body is complete only if that line is empty. A call has twice its timeout for the whole answer.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -51,9 +51,10 @@
 """Maximum size of a body in chunks, in multiples of its content."""
 MIN_TIMEOUT_S = 0.001
 """A socket timeout of 0 s would make the socket non-blocking."""
-MAX_ANSWER_TIME_S = 60.0
-"""Maximum time from sending a call to the end of its answer, unless the call sets
-another. It exceeds the longest watch of the platform's store."""
+ANSWER_TIMEOUTS = 2
+"""Maximum time from sending a call to the end of its answer, in timeouts of the call,
+unless the call sets another."""
+LINE_ENDS = (b"\r\n", b"\n")
 
 
 def _never() -> bool:
@@ -77,7 +78,8 @@
     needs a new connection, because a failure to connect then proves that nothing was
     sent. ``timeout_s`` limits the time until the head of the answer is complete, and
     each pause in its body; ``max_answer_time_s`` limits the time of the whole answer,
-    which a server could otherwise extend without end by sending a byte now and then.
+    which a server could otherwise extend without end by sending a byte now and then;
+    None means twice the timeout.
     After each ``silence_timeout_s`` without the head, ``keep_waiting`` decides whether
     to wait on.
     ``cancellation`` aborts the call at any stage. ``max_answer_bytes`` limits
@@ -97,7 +99,7 @@
     new_connection: bool = False
     cancellation: Cancellation | None = None
     max_answer_bytes: int | None = None
-    max_answer_time_s: float = MAX_ANSWER_TIME_S
+    max_answer_time_s: float | None = None
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     max_idle_s: float = math.inf
     is_permitted: Callable[[], bool] | None = None
@@ -167,6 +169,17 @@
         except OSError as error:
             raise broken_call_error(error) from error
 
+    def check_complete(self) -> None:
+        """Check an answer whose body was read to its end.
+
+        Raises
+        ------
+        IncompleteRead
+            If the connection ended before the line after the last chunk.
+        """
+        if self.response.chunked:
+            self._exchange.connection.reader.check_line_end()
+
     def skip(self) -> None:
         """Read this answer to its end, then the head of the next on the connection.
 
@@ -175,10 +188,12 @@
         """
         try:
             self.response.read()
+            self.check_complete()
             following = self._exchange.connection.next_response(
                 self.sock, method=self._method
             )
             following.begin()
+            self._exchange.connection.reader.check_line_end()
         except (OSError, HTTPException, ValueError) as error:
             raise broken_call_error(error) from error
         self.response = following
@@ -323,6 +338,21 @@
         self._sock = sock
         self._raw = _RawSocketReader(sock)
         self._reader = io.BufferedReader(self._raw)
+        self._last_line = b""
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return one line, which is cut short at the end of the connection."""
+        self._last_line = self._reader.readline(limit)
+        return self._last_line
+
+    def check_line_end(self) -> None:
+        """Raise IncompleteRead unless the last line was empty, but for its end.
+
+        Such a line ends a head and the trailers of a chunked body; http.client takes
+        the end of the connection for it as well.
+        """
+        if self._last_line not in LINE_ENDS:
+            raise IncompleteRead(self._last_line)
 
     def set_keep_waiting(self, keep_waiting: Callable[[], bool]) -> None:
         """Set the function that decides whether to read on after a timeout."""
@@ -462,7 +492,10 @@
         AnswerTooLargeError
             If the body exceeds ``max_answer_bytes`` of the call.
         """
-        end_s = time.monotonic() + call.max_answer_time_s
+        max_answer_time_s = call.max_answer_time_s
+        if max_answer_time_s is None:
+            max_answer_time_s = call.timeout_s * ANSWER_TIMEOUTS
+        end_s = time.monotonic() + max_answer_time_s
         answer = self.open(address, call)
         try:
             answer.limit_body(
@@ -471,6 +504,7 @@
                 end_s,
             )
             body = _read_body(answer.response, call.max_answer_bytes)
+            answer.check_complete()
         except (OSError, HTTPException) as error:
             raise broken_call_error(error) from error
         finally:
@@ -609,7 +643,13 @@
     except OSError:
         if not is_readable(connection.sock):
             raise
-    return connection.getresponse()
+    response = connection.getresponse()
+    try:
+        connection.reader.check_line_end()
+    except IncompleteRead:
+        response.close()
+        raise
+    return response
 
 
 def _enable_keep_alive(sock: socket.socket) -> None:
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -117,6 +117,16 @@
                 client.call(address, HttpCall("GET", "/"))
         assert time.monotonic() - began_s < END_S
 
+    @pytest.mark.parametrize("name", ENDLESS)
+    def test_call_ends_within_twice_its_timeout(self, client, name):
+        """The head and the rest of an answer each have the time of the call."""
+        first, repeated = ENDLESS[name]
+        began_s = time.monotonic()
+        with serving(first, itertools.repeat(repeated)) as address:
+            with pytest.raises(BrokenCallError):
+                client.call(address, HttpCall("GET", "/", timeout_s=TIMEOUT_S))
+        assert time.monotonic() - began_s < END_S
+
     @pytest.mark.parametrize("name", ENDLESS)
     def test_forwarded_answer_breaks(self, client, name):
         """The same for answers that are forwarded whole."""
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -289,6 +289,61 @@
             answer.response.read()
 
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CUT_HEAD = b"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n"
+
+
+# Guards against MIXED and ORDER: an answer that was cut short was taken as complete.
+class TestCutAnswers:
+    """Answers that end where their connection ends, and should not have."""
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            CUT_HEAD,
+            CUT_HEAD[:-1],
+            CUT_HEAD[:-3],
+            b"HTTP/1.1 200 OK\r\n",
+            b"HTTP/1.1 200 OK",
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\n",
+        ],
+    )
+    def test_cut_head_breaks_the_call(self, client, answer):
+        """What is left of the head says nothing about the body."""
+        with pytest.raises(BrokenCallError):
+            get(client, Server([answer], {0}))
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"2\r\nok\r\n0\r\n",
+            b"2\r\nok\r\n0\r",
+            b"2\r\nok\r\n0",
+            b"2\r\nok\r\n0\r\nX-Trailer: y\r\n",
+            b"2\r\nok\r\n0\r\nX-Trailer: y",
+            b"2\r\nok\r\n",
+            b"2\r\nok",
+            b"2\r\no",
+        ],
+    )
+    @pytest.mark.parametrize("limit", [None, 100])
+    def test_cut_end_of_chunks_breaks_the_call(self, client, body, limit):
+        """A chunked body is complete only with the line after its last chunk."""
+        with pytest.raises(BrokenCallError):
+            get(client, Server([CHUNKED + body], {0}), max_answer_bytes=limit)
+
+    @pytest.mark.parametrize("trailer", [b"", b"X-Trailer: y\r\n"])
+    def test_whole_chunks_are_complete(self, client, trailer):
+        """Trailers are read and their connection is reused."""
+        answer = CHUNKED + b"2\r\nok\r\n0\r\n" + trailer + b"\r\n"
+        server = Server([answer, answer])
+        assert [get(client, server), get(client, server)] == [b"ok", b"ok"]
+
+    def test_answer_without_length_ends_with_its_connection(self, client):
+        """It has neither a length nor chunks."""
+        assert get(client, Server([b"HTTP/1.1 200 OK\r\n\r\nok"], {0})) == b"ok"
+
+
 class TestAnswerSize:
     """Size limit of a body."""
 
