Heed endpoints that say they leave, or want nothing for some time

A replica that leaves says so in all its answers (`Server-Leaving`), and one that turns a request away with 503 may add `Retry-After`. Neither was read, so requests, retries and resumed streams went on reaching such endpoints.

Change: both are read from the head of any answer (served, failed, declined, cut short, reports, orders) that surely belongs to the call. An endpoint that leaves counts as draining until a later start, whatever its entry says, and all nodes are told through the digests. One that wants a rest gets no request, report or order from this node until it is over, plus a spread so that nodes return one after the other; if no other endpoint is open, callers are refused at once with the time left. Times that are no number, negative or endless ask for nothing, longer ones than a minute for a minute. Whether a request may be sent to an endpoint is decided in one place, endpoint_use.

--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -20,6 +20,7 @@
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.demand import ItemDemand
+from camphoryard.state.directory import Directory
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     EndpointId,
@@ -89,6 +90,8 @@
         Called with those that the leader reports.
     crashed_parts : CrashedParts
         Parts of prompts that are quarantined, which nodes that start learn from peers.
+    directory : Directory
+        Endpoints, some of which have said to one node that they leave.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         unloads_by_endpoint: Callable[[], Mapping[EndpointId, tuple[ModelId, ...]]],
         on_unloads: Callable[[Mapping[EndpointId, tuple[ModelId, ...]]], None],
         crashed_parts: CrashedParts,
+        directory: Directory,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._node = node
@@ -117,6 +121,7 @@
         self._unloads_by_endpoint = unloads_by_endpoint
         self._on_unloads = on_unloads
         self._crashed_parts = crashed_parts
+        self._directory = directory
         self._clock = clock
         self._beat = 0
         self._rotation = 0
@@ -149,6 +154,8 @@
             return
         if digest.quarantine_s_by_part:
             self._crashed_parts.adopt(digest.quarantine_s_by_part)
+        for endpoint, started_ms in digest.leaving_by_endpoint.items():
+            self._directory.record_leaving(endpoint, started_ms)
         if digest.duty_term:
             self._leader_observed_s = self._clock()
             self._on_unloads(digest.unloads_by_endpoint)
@@ -201,6 +208,7 @@
             duty_term=term,
             unloads_by_endpoint=self._unloads_by_endpoint() if term else {},
             quarantine_s_by_part=self._crashed_parts.quarantine_s_by_part(),
+            leaving_by_endpoint=self._directory.leaving_by_endpoint(),
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -10,6 +10,7 @@
     ForwardedRequest,
     ForwardingContext,
 )
+from camphoryard.coordination.forwarding.endpoint_use import Open, endpoint_use
 from camphoryard.coordination.forwarding.ports import (
     Answer,
     AnswerKind,
@@ -93,6 +94,7 @@
             ) as answer,
         ):
             forwarded.has_head = True
+            context.notices.heed(endpoint, answer.head.notices)
             context.observe("head", context.clock() - sent_s)
             return _handle_answer(
                 context, forwarded, endpoint, answer, reply, sent_s, wait
@@ -347,8 +349,7 @@
         and context.retries.has_left(forwarded.service)
         and any(
             item.id != endpoint.id
-            and item.id not in forwarded.failed
-            and context.breakers.allows(item.id)
+            and isinstance(endpoint_use(context, forwarded, item), Open)
             for item in context.directory.loaded_endpoints(
                 forwarded.service, forwarded.request.requested_model
             )
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -13,6 +13,7 @@
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter
 from camphoryard.coordination.routing.crashed_parts import CrashedParts, crashing_parts
+from camphoryard.coordination.routing.endpoint_notices import EndpointNotices
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.state.directory import Directory
@@ -64,6 +65,7 @@
     models: ModelLocator
     crashes: CrashCounter
     crashed_parts: CrashedParts
+    notices: EndpointNotices
     broadcast_crash: Callable[[CrashReport], None]
     log: DecisionLog
     observe: Callable[[str, float], None]
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -1,6 +1,7 @@
 """Forwarding of one request, from its route to the last byte of its answer."""
 
 import random
+from collections.abc import Sequence
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.forwarding.attempt import MAX_SENDS, Outcome, attempt
@@ -8,6 +9,14 @@
     ForwardedRequest,
     ForwardingContext,
 )
+from camphoryard.coordination.forwarding.endpoint_use import (
+    Closed,
+    ClosedReason,
+    EndpointUse,
+    LastResort,
+    Open,
+    endpoint_use,
+)
 from camphoryard.coordination.forwarding.ports import ClientReply, ClientRequest
 from camphoryard.coordination.forwarding.urgency import urgency_at
 from camphoryard.coordination.messages import CrashReport
@@ -153,9 +162,11 @@
     endpoints = [
         item for item in ready if context.directory.has_loaded(item, requested_model)
     ]
-    usable = _usable_endpoints(context, forwarded, endpoints)
+    uses = [(item, endpoint_use(context, forwarded, item)) for item in endpoints]
+    usable = _usable_endpoints(uses)
     if usable:
         return context.chooser.choose(_before_deadline(context, forwarded, usable))
+    _check_resting(forwarded, [use for _, use in uses])
     if requested_model is None:
         raise _no_endpoint_refusal(
             forwarded, "every endpoint of the service has failed this request"
@@ -174,7 +185,6 @@
             forwarded.unreached,
         )
         forwarded.load_wait_s += context.clock() - locate_start_s
-        return found
     except NotLoadedBeforeDeadlineError as error:
         raise RefusalError(
             Reason.OVERLOADED,
@@ -182,17 +192,34 @@
             forwarded.verdict,
             retry_after_s=_retry_after_s(context, forwarded, error.ready_in_s),
         ) from error
+    _check_resting(forwarded, [endpoint_use(context, forwarded, found)])
+    return found
 
 
 def _usable_endpoints(
-    context: ForwardingContext,
-    forwarded: ForwardedRequest,
-    endpoints: list[ServingEndpoint],
+    uses: Sequence[tuple[ServingEndpoint, EndpointUse]],
 ) -> list[ServingEndpoint]:
-    """Return endpoints that have not failed, ejected ones only as a last resort."""
-    not_failed = [item for item in endpoints if item.id not in forwarded.failed]
-    not_ejected = [item for item in not_failed if context.breakers.allows(item.id)]
-    return not_ejected or not_failed
+    """Return the open endpoints, or those that are a last resort if none is open."""
+    is_open = [endpoint for endpoint, use in uses if isinstance(use, Open)]
+    return is_open or [item for item, use in uses if isinstance(use, LastResort)]
+
+
+def _check_resting(forwarded: ForwardedRequest, uses: Sequence[EndpointUse]) -> None:
+    """Raise RefusalError if one of the endpoints, none of them open, wants a rest."""
+    rests_s = []
+    for use in uses:
+        match use:
+            case Closed(ClosedReason.RESTING, left_s):
+                rests_s.append(left_s)
+            case _:
+                pass
+    if rests_s:
+        raise RefusalError(
+            Reason.OVERLOADED,
+            f"every endpoint is busy, one for {min(rests_s):.1f} s",
+            forwarded.verdict,
+            retry_after_s=min(rests_s),
+        )
 
 
 def _before_deadline(
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.routing.endpoint_notices import Notice
 from camphoryard.state.ids import EventId, PromptPartId, RequestId, Urgency
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import RequestedModel
@@ -92,13 +93,14 @@
     """Status of an answer, and the headers that are passed to the client.
 
     ``closes_connection`` is True if the endpoint closes the connection after this
-    answer.
+    answer. ``notices`` are what it says of itself.
     """
 
     kind: AnswerKind
     status: int
     headers: Mapping[str, str]
     closes_connection: bool = False
+    notices: tuple[Notice, ...] = ()
 
 
 class Answer(Protocol):
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -57,6 +57,7 @@
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
+from camphoryard.coordination.routing.endpoint_notices import EndpointNotices
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.coordination.routing.retry_window import RetryWindow
@@ -186,6 +187,7 @@
     nodes = NodeTable()
     demand = DemandMeter(fast_time_constant_s=DEMAND_TIME_CONSTANT_S)
     crashed_parts = CrashedParts(log)
+    notices = EndpointNotices(directory, log)
     estimates = LoadEstimates(settings.node, nodes, in_flight)
     incarnation = Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
     own_keys = _make_keys()
@@ -219,6 +221,7 @@
         lambda: load_controller.unloads_by_endpoint(),
         directory.record_unloads,
         crashed_parts,
+        directory,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -226,7 +229,7 @@
             settings.node,
             directory,
             leader_lease,
-            PlatformEngines(client),
+            PlatformEngines(client, notices),
             system_demand.by_item,
             estimates.load,
             executors.node,
@@ -283,6 +286,7 @@
         item_locator,
         crash_counter,
         crashed_parts,
+        notices,
         crash_sharing.send,
         log,
         metrics.observe,
--- a/src/camphoryard/platform/dialect.py
+++ b/src/camphoryard/platform/dialect.py
@@ -1,5 +1,6 @@
 """Headers of requests and answers, as defined by the platform."""
 
+import math
 from collections.abc import Mapping
 
 from camphoryard.coordination.forwarding.ports import (
@@ -9,11 +10,17 @@
     PromptPart,
     SendOptions,
 )
+from camphoryard.coordination.routing.endpoint_notices import (
+    Leaving,
+    Notice,
+    Resting,
+)
 from camphoryard.protocol.dialect import HOP_BY_HOP_HEADERS, RequestHead
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import (
     AdapterId,
+    EndpointId,
     EventId,
     ModelId,
     PromptPartId,
@@ -37,6 +44,7 @@
 ENDPOINT = "Instance-Id"
 URGENCY = "Urgency-Class"
 RETRY_AFTER = "Retry-After"
+LEAVING = "Server-Leaving"
 
 SYSTEM_HEADERS = frozenset(
     name.lower()
@@ -59,6 +67,7 @@
 """For requests without a deadline; longer than any deadline the users specify."""
 MILLISECONDS_PER_SECOND = 1000
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 LOWEST_URGENCY = 9
 
 
@@ -115,6 +124,7 @@
 
     def read_answer(
         self,
+        endpoint: ServingEndpoint,
         request: ClientRequest,
         status: int,
         headers: Mapping[str, str],
@@ -127,18 +137,18 @@
         if echoed != request.id and (is_signed or echoed is not None):
             # A second answer to an earlier call; it may lack the request id.
             return None
+        is_identified = bool(echoed) or is_first_on_connection
         answer_headers = {
             name: value
             for name, value in headers.items()
             if name.lower() not in HOP_BY_HOP_HEADERS
         }
         return AnswerHead(
-            _answer_kind(
-                status, value_by_name, is_signed, bool(echoed) or is_first_on_connection
-            ),
+            _answer_kind(status, value_by_name, is_signed, is_identified),
             status,
             answer_headers,
             value_by_name.get("connection", "").lower() == "close",
+            read_notices(endpoint.id, status, value_by_name) if is_identified else (),
         )
 
     def refusal_headers(
@@ -151,6 +161,35 @@
         return headers
 
 
+def read_notices(
+    endpoint: EndpointId, status: int, value_by_name: Mapping[str, str]
+) -> tuple[Notice, ...]:
+    """Return what an endpoint says of itself in the head of an answer.
+
+    Header names are in lower case. An answer of another endpoint at the same address
+    says nothing about this one.
+    """
+    if value_by_name.get(ENDPOINT.lower(), endpoint) != endpoint:
+        return ()
+    notices: list[Notice] = []
+    if value_by_name.get(LEAVING.lower(), "").strip() == "1":
+        notices.append(Leaving())
+    if status == UNAVAILABLE_STATUS:
+        wait_s = _seconds(value_by_name.get(RETRY_AFTER.lower(), ""))
+        if wait_s > 0:
+            notices.append(Resting(wait_s))
+    return tuple(notices)
+
+
+def _seconds(text: str) -> float:
+    """Return a number of seconds; 0 if it is none, as for a date."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return seconds if math.isfinite(seconds) else 0.0
+
+
 def _answer_kind(
     status: int, value_by_name: Mapping[str, str], is_signed: bool, is_identified: bool
 ) -> AnswerKind:
--- a/src/camphoryard/platform/engines.py
+++ b/src/camphoryard/platform/engines.py
@@ -9,14 +9,15 @@
     EngineReport,
     OrderAnswer,
 )
-from camphoryard.platform.dialect import EXPECTED_ENDPOINT
+from camphoryard.coordination.routing.endpoint_notices import EndpointNotices
+from camphoryard.platform.dialect import EXPECTED_ENDPOINT, read_notices
 from camphoryard.platform.traffic import Count, ListedModel, loaded_by_model
 from camphoryard.state.enums import OrderKind
-from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.errors import BrokenCallError, NotSentError
 from camphoryard.state.ids import AdapterId, ModelId
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import RequestedModel
-from camphoryard.transport.http_client import Address, HttpCall, HttpClient
+from camphoryard.transport.http_client import Address, HttpAnswer, HttpCall, HttpClient
 
 ORDER_PATH = "/order"
 REPORT_PATH = "/report"
@@ -53,8 +54,9 @@
 class PlatformEngines:
     """Calls the platform's engines; see the EngineApi port."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(self, client: HttpClient, notices: EndpointNotices) -> None:
         self._client = client
+        self._notices = notices
 
     def order(
         self,
@@ -83,7 +85,7 @@
             new_connection=True,
             is_permitted=is_permitted,
         )
-        answer = self._client.call(_address(endpoint), call)
+        answer = self._call(endpoint, call)
         return _ANSWER_BY_STATUS.get(answer.status, OrderAnswer.REFUSED)
 
     def report(self, endpoint: ServingEndpoint) -> EngineReport:
@@ -94,7 +96,7 @@
             headers={EXPECTED_ENDPOINT: endpoint.id},
             timeout_s=REPORT_TIMEOUT_S,
         )
-        answer = self._client.call(_address(endpoint), call)
+        answer = self._call(endpoint, call)
         if answer.status != OK:
             # Possibly the copy of a refusal; read as a report, it would show an engine
             # that has nothing loaded.
@@ -112,6 +114,18 @@
             frozenset(map(_loading_adapter, report.coming)),
         )
 
+    def _call(self, endpoint: ServingEndpoint, call: HttpCall) -> HttpAnswer:
+        """Make a call unless the endpoint wants none, and heed its answer's head."""
+        rest_s = self._notices.rest_left_s(endpoint.id)
+        if rest_s > 0:
+            raise NotSentError(f"{endpoint.id} wants no calls for {rest_s:.1f} s")
+        answer = self._client.call(_address(endpoint), call)
+        value_by_name = {name.lower(): text for name, text in answer.headers.items()}
+        self._notices.heed(
+            endpoint, read_notices(endpoint.id, answer.status, value_by_name)
+        )
+        return answer
+
 
 def _loading_adapter(text: str) -> RequestedModel:
     model, _, adapter = text.partition("@")[0].partition("/")
--- a/src/camphoryard/protocol/dialect.py
+++ b/src/camphoryard/protocol/dialect.py
@@ -64,6 +64,7 @@
 
     def read_answer(
         self,
+        endpoint: ServingEndpoint,
         request: ClientRequest,
         status: int,
         headers: Mapping[str, str],
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -128,6 +128,7 @@
     duty_term: FencingNumber = FencingNumber(0)
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = {}
     quarantine_ms_by_part: Mapping[PromptPartId, int] = {}
+    leaving_by_endpoint: Mapping[EndpointId, int] = {}
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -288,6 +289,7 @@
                 part: int(left_s * MILLISECONDS_PER_SECOND)
                 for part, left_s in heard.digest.quarantine_s_by_part.items()
             },
+            heard.digest.leaving_by_endpoint,
         )
         for heard in digests
     )
@@ -340,6 +342,7 @@
                     part: left_ms / MILLISECONDS_PER_SECOND
                     for part, left_ms in item.quarantine_ms_by_part.items()
                 },
+                item.leaving_by_endpoint,
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Hashable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TypeVar
 
 from camphoryard.state.ids import EndpointId, ModelId, ServiceId
@@ -20,11 +20,22 @@
 UNLOADING_LIFETIME_S = 2.0
 """How long a model counts as being unloaded after the leader's last word of it; the
 endpoint's own entry shows the unload by then."""
+LEAVING_LIFETIME_S = 600.0
+"""How long an endpoint counts as leaving after it has said so, unless it starts again;
+endpoints that leave are gone within some tens of seconds."""
 MISSING_GRACE_S = 2.2
 """How long an endpoint missing from a listing after an outage still counts;
 entries that expired during the outage reappear within about 2 s."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Leaving:
+    """The start at which an endpoint said that it leaves, and how long that counts."""
+
+    started_ms: int
+    until_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class _MissingEndpoint:
     """When, on the monotonic clock, a missing endpoint stops counting."""
@@ -50,6 +61,7 @@
         self._loaded_until_s: dict[tuple[EndpointId, RequestedModel], float] = {}
         self._declined_until_s: dict[tuple[EndpointId, RequestedModel], float] = {}
         self._unloading_until_s: dict[tuple[EndpointId, ModelId], float] = {}
+        self._leaving_by_id: dict[EndpointId, _Leaving] = {}
         self._has_endpoints = False
         self._confirmed_s = -math.inf
         self._subscribers: list[Callable[[], None]] = []
@@ -150,6 +162,38 @@
             self._declined_until_s[id, requested] = now_s + DECLINED_LIFETIME_S
             self._loaded_until_s.pop((id, requested), None)
 
+    def record_leaving(self, id: EndpointId, started_ms: int) -> bool:
+        """Record that an endpoint says it leaves; return whether that is new.
+
+        It counts as draining, whatever its entry says, until a later start of it.
+        """
+        with self._changed:
+            now_s = self._clock()
+            known = self._leaving_by_id.get(id)
+            if known is not None and known.started_ms >= started_ms:
+                return False
+            self._leaving_by_id = {
+                id: item
+                for id, item in self._leaving_by_id.items()
+                if item.until_s > now_s
+            }
+            until_s = now_s + LEAVING_LIFETIME_S
+            self._leaving_by_id[id] = _Leaving(started_ms, until_s)
+            endpoint = self._endpoints_by_id.get(id)
+            if endpoint is not None:
+                self._endpoints_by_id[id] = self._as_it_says(endpoint)
+        self._notify()
+        return True
+
+    def leaving_by_endpoint(self) -> Mapping[EndpointId, int]:
+        """Return the listed endpoints that say they leave, with their start times."""
+        with self._changed:
+            return {
+                id: item.started_ms
+                for id, item in self._leaving_by_id.items()
+                if id in self._endpoints_by_id
+            }
+
     def record_unloads(
         self, unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]]
     ) -> None:
@@ -222,7 +266,18 @@
 
     def _store(self, endpoint: ServingEndpoint) -> None:
         self._missing_by_id.pop(endpoint.id, None)
-        self._endpoints_by_id[endpoint.id] = endpoint
+        self._endpoints_by_id[endpoint.id] = self._as_it_says(endpoint)
+
+    def _as_it_says(self, endpoint: ServingEndpoint) -> ServingEndpoint:
+        """Return an endpoint as draining if it has said itself that it leaves."""
+        leaving = self._leaving_by_id.get(endpoint.id)
+        if (
+            leaving is None
+            or leaving.started_ms < endpoint.started_ms
+            or leaving.until_s <= self._clock()
+        ):
+            return endpoint
+        return replace(endpoint, state=EndpointState.DRAINING)
 
     def _remove(self, id: EndpointId) -> None:
         self._endpoints_by_id.pop(id, None)
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -68,7 +68,8 @@
     is the term of its leadership, or 0 if it is not the leader. ``unloads_by_endpoint``
     are the models that a leader is having unloaded, which take no more requests.
     ``quarantine_s_by_part`` are the parts of prompts that are refused, with the time
-    left in seconds.
+    left in seconds. ``leaving_by_endpoint`` are the listed endpoints that say they
+    leave, with the time of their start.
     """
 
     node: NodeId
@@ -84,6 +85,7 @@
         default_factory=dict
     )
     quarantine_s_by_part: Mapping[PromptPartId, float] = field(default_factory=dict)
+    leaving_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -121,7 +121,7 @@
         answer = self._client.open(address, call)
         try:
             return ForwardedAnswer(
-                answer, self._matching_head(answer, request), options
+                answer, self._matching_head(answer, endpoint, request), options
             )
         except BrokenCallError:
             answer.close(is_read=False)
@@ -132,13 +132,19 @@
         address = Address(endpoint.address.host, endpoint.address.port)
         return not self._client.can_connect(address, CONNECT_TIMEOUT_S)
 
-    def _matching_head(self, answer: OpenAnswer, request: ClientRequest) -> AnswerHead:
+    def _matching_head(
+        self, answer: OpenAnswer, endpoint: ServingEndpoint, request: ClientRequest
+    ) -> AnswerHead:
         """Return the head of this request's answer; skips answers to other requests."""
         for _ in range(MAX_SKIPPED_ANSWERS):
             response = answer.response
             headers = dict(response.headers.items())
             head = self._dialect.read_answer(
-                request, response.status, headers, answer.is_first_on_connection
+                endpoint,
+                request,
+                response.status,
+                headers,
+                answer.is_first_on_connection,
             )
             if head is not None:
                 return head
--- a/standins/entry_platform.py
+++ b/standins/entry_platform.py
@@ -5,8 +5,10 @@
 Faults at ``POST /control``: ``silent_store`` (each store call answers 503),
 ``mute_store`` (store calls and waiting watches are never answered, also later; their
 kinds at ``GET /muted``),
-``cut_after`` (number of events after which a stream breaks) and ``decline`` (number of
-requests that are declined without running).
+``cut_after`` (number of events after which a stream breaks), ``decline`` (number of
+requests that are declined without running), ``leaving`` (all answers of endpoints say
+that they leave) and ``rest_ms`` (requests are turned away and asked to stay away for so
+long; their number at ``GET /turned-away``).
 """
 
 import itertools
@@ -116,6 +118,7 @@
     adapters_by_model: dict[str, list[str]] = field(default_factory=dict)
     order_count: int = 0
     muted_kinds: list[str] = field(default_factory=list)
+    turned_away: int = 0
 
     def handle(self, request: Request) -> Response:
         """Handle one request."""
@@ -128,6 +131,8 @@
                 self.faults.update(request.json())
                 self.store.mute(bool(self.faults.get("mute_store")))
                 return json_response({})
+            case ["turned-away"]:
+                return json_response(self.turned_away)
             case ["muted"]:
                 return json_response(self.muted_kinds)
             case ["runs"]:
@@ -199,6 +204,13 @@
         id = request.headers.get("Attempt-Id", "")
         model, _, adapter = request.headers.get("Model", "").partition("/")
         echoed = {"Attempt-Id": id}
+        if self.faults.get("leaving"):
+            echoed["Server-Leaving"] = "1"
+        if self.faults.get("rest_ms"):
+            self.turned_away += 1
+            wait = str(self.faults["rest_ms"] / 1000)
+            refused = {**echoed, "Not-Executed": "1", "Retry-After": wait}
+            return Response(503, [b""], refused)
         if self.faults.get("decline"):
             self.faults["decline"] -= 1
             return Response(503, [b""], {**echoed, "Not-Executed": "1"})
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -12,11 +12,12 @@
 from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
+from camphoryard.state.directory import Directory
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId, FencingNumber, NodeId
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import InFlightTable
-from tests.fakes.engines import Clock, RecordedLog
+from tests.fakes.engines import SERVICE, Clock, RecordedLog, make_endpoint
 
 E1 = EndpointId("e1")
 SMALL, LARGE = MAX_MESH_NODES, 87
@@ -59,6 +60,7 @@
         self.estimates = LoadEstimates(name, self.nodes, self.in_flight)
         self.demand = DemandMeter()
         self.crashed_parts = CrashedParts(RecordedLog())
+        self.directory = Directory()
         self.gossip = FleetGossip(
             name,
             f"i-{name}",
@@ -71,6 +73,7 @@
             lambda: self.unloads,
             self.told_unloads.append,
             self.crashed_parts,
+            self.directory,
             fleet.clock,
         )
 
@@ -134,6 +137,18 @@
         parts = [node.crashed_parts for node in fleet.node_by_id.values()]
         assert {item.find(["deadly"]) for item in parts} == {"deadly"}
 
+    @pytest.mark.parametrize("size", [SMALL, LARGE])
+    def test_all_nodes_are_told_of_endpoints_that_say_they_leave(self, size):
+        """Only one of them has got the answer that says so."""
+        fleet = Fleet(size)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        directories = [node.directory for node in fleet.node_by_id.values()]
+        for directory in directories:
+            directory.observe(make_endpoint("e1"))
+        directories[-1].record_leaving("e1", 1)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        assert [item.ready(SERVICE) for item in directories] == [[]] * size
+
     @pytest.mark.parametrize("size", [SMALL, LARGE])
     def test_all_nodes_are_told_of_unloads(self, size):
         """They send requests for these models elsewhere before being declined."""
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -1,5 +1,6 @@
 """Tests of forwarding one request, against fake endpoints."""
 
+import contextlib
 from dataclasses import replace
 
 import pytest
@@ -17,6 +18,11 @@
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter, fingerprint
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
+from camphoryard.coordination.routing.endpoint_notices import (
+    EndpointNotices,
+    Leaving,
+    Resting,
+)
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.directory import Directory
@@ -34,6 +40,7 @@
 from camphoryard.state.traffic import Repeatability, RequestedModel
 from camphoryard.state.verdict import Verdict
 from tests.fakes.engines import (
+    SERVICE,
     ZONE,
     Clock,
     RecordedLog,
@@ -53,8 +60,10 @@
 class Answer:
     """An answer of an endpoint; ``error`` is raised at the end of its chunks."""
 
-    def __init__(self, chunks, kind=AnswerKind.SERVED, status=200, error=None):
-        self.head = AnswerHead(kind, status, {"X-From": "endpoint"})
+    def __init__(
+        self, chunks, kind=AnswerKind.SERVED, status=200, error=None, notices=()
+    ):
+        self.head = AnswerHead(kind, status, {"X-From": "endpoint"}, notices=notices)
         self._chunks, self._error = chunks, error
         self.is_closed = False
 
@@ -79,9 +88,9 @@
         self.is_closed = True
 
 
-def served(*chunks, error=None):
+def served(*chunks, error=None, notices=()):
     """Return an answer with a body."""
-    return Answer(chunks, error=error)
+    return Answer(chunks, error=error, notices=notices)
 
 
 class TricklingAnswer(Answer):
@@ -101,14 +110,14 @@
         yield b"\n\n"
 
 
-def declined(kind=AnswerKind.NOT_RUN):
+def declined(kind=AnswerKind.NOT_RUN, notices=()):
     """Return an answer stating that the request has not run."""
-    return Answer([b""], kind, 503)
+    return Answer([b""], kind, 503, notices=notices)
 
 
-def failed():
+def failed(notices=()):
     """Return a failure of the endpoint itself."""
-    return Answer([b"oops"], AnswerKind.FAILED, 500)
+    return Answer([b"oops"], AnswerKind.FAILED, 500, notices=notices)
 
 
 class Upstream:
@@ -207,6 +216,7 @@
             options.get("locator", Models()),
             self.crashes,
             CrashedParts(self.log, self.clock),
+            EndpointNotices(self.directory, self.log, self.clock),
             self.broadcasts.append,
             self.log,
             lambda *_: None,
@@ -496,6 +506,91 @@
         assert not site.upstream.sent[1][1].needs_new_connection
 
 
+LEAVING = (Leaving(),)
+REST_S = 4.0
+RESTING = (Resting(REST_S),)
+
+
+# Guards against DRAIN: requests to endpoints whose answers had said that they leave.
+class TestLeavingEndpoints:
+    """Endpoints that say in their answers that they leave."""
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            served(b"ok", notices=LEAVING),
+            declined(notices=LEAVING),
+            failed(notices=LEAVING),
+        ],
+    )
+    def test_no_request_follows_an_answer_that_says_so(self, answer):
+        """Whether the request was served, declined or failed."""
+        site = Site(answer, served(b"ok"), endpoints=("e1",), rule={"max_attempts": 1})
+        with contextlib.suppress(RefusalError):
+            site.forward()
+        refusal = site.refusal()
+        assert (refusal.reason, refusal.verdict) == (
+            Reason.NO_ENDPOINT,
+            Verdict.NOT_RUN,
+        )
+        assert site.sent_to == ["e1"]
+
+    def test_stream_cut_by_an_endpoint_that_leaves_goes_on_elsewhere(self):
+        """The word counts as soon as the head has come."""
+        site = Site(
+            served(ONE, error=BrokenCallError("x"), notices=LEAVING),
+            served(TWO),
+            repeatability=Repeatability.RESUMABLE_STREAM,
+        )
+        site.forward()
+        first, second = site.sent_to
+        assert first != second
+        assert [item.id for item in site.directory.ready(SERVICE)] == [second]
+
+
+# Guards against BUDGET: requests to endpoints that had asked for time.
+class TestRestingEndpoints:
+    """Endpoints that answer 503 with Retry-After."""
+
+    def test_request_goes_elsewhere_at_once(self):
+        """The endpoint gets nothing while its time lasts."""
+        site = Site(declined(notices=RESTING), *(served(b"ok") for _ in range(8)))
+        for _ in range(8):
+            site.reply = Reply()
+            site.forward()
+        resting, *others = site.sent_to
+        assert resting not in others
+
+    def test_all_resting_is_refused_with_the_time_that_is_left(self):
+        """Callers learn when an endpoint is back, and are not held until then."""
+        site = Site(declined(notices=RESTING), declined(notices=(Resting(2 * REST_S),)))
+        site.refusal()
+        site.clock.advance(1.0)
+        refusal = site.refusal()
+        assert refusal.verdict is Verdict.NOT_RUN
+        assert REST_S - 1 <= refusal.retry_after_s <= REST_S * 1.25
+        assert len(site.sent_to) == 2
+
+    def test_located_endpoint_that_rests_gets_nothing(self):
+        """The leader has not been told to rest."""
+        site = Site(
+            declined(notices=RESTING),
+            locator=Models(make_endpoint("e1", ["m1"])),
+            endpoints=("e1",),
+            requested_model=RequestedModel(ModelId("m1")),
+        )
+        assert REST_S <= site.refusal().retry_after_s <= REST_S * 1.25
+        assert site.sent_to == ["e1"]
+
+    def test_endpoint_is_used_again_after_its_time(self):
+        """A request then finds out whether it accepts any."""
+        site = Site(declined(notices=RESTING), served(b"ok"), endpoints=("e1",))
+        site.refusal()
+        site.clock.advance(REST_S * 1.25)
+        site.forward()
+        assert site.sent_to == ["e1", "e1"]
+
+
 class TestOverload:
     """More streams at an engine than can begin before their clients leave."""
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -3,6 +3,7 @@
 import pytest
 
 from camphoryard.coordination.forwarding.ports import AnswerKind, SendOptions
+from camphoryard.coordination.routing.endpoint_notices import Leaving, Resting
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.protocol.dialect import RequestHead
 from camphoryard.state.enums import Reason
@@ -24,6 +25,7 @@
     "last-event-id": "12",
 }
 SEND_OPTIONS = SendOptions(0.0, 1.0, 1.0, lambda: False, 2, None, 1.0)
+ENDPOINT = make_endpoint("e1")
 
 
 def read(**changes):
@@ -123,23 +125,30 @@
     )
     def test_kinds(self, status, headers, kind):
         """Not run needs an explicit header or status 421, success a signature."""
-        assert PlatformDialect().read_answer(read(), status, headers, True).kind is kind
+        assert (
+            PlatformDialect().read_answer(ENDPOINT, read(), status, headers, True).kind
+            is kind
+        )
 
     def test_answer_to_another_request_is_recognized(self):
         """An answer with the id of another request is None."""
         headers = {"Attempt-Id": "other", "Server-Seal": "s"}
-        assert PlatformDialect().read_answer(read(), 200, headers, True) is None
+        assert (
+            PlatformDialect().read_answer(ENDPOINT, read(), 200, headers, True) is None
+        )
 
     def test_signed_answer_without_id_belongs_to_another_request(self):
         """Endpoints put the request id into every answer that they sign."""
         headers = {"Server-Seal": "s"}
-        assert PlatformDialect().read_answer(read(), 200, headers, True) is None
+        assert (
+            PlatformDialect().read_answer(ENDPOINT, read(), 200, headers, True) is None
+        )
 
     @pytest.mark.parametrize("status", [503, 429, 421, 400])
     def test_refusal_without_id_on_a_used_connection_says_nothing(self, status):
         """It may be a copy of an earlier refusal, while this request runs."""
         headers = {"Not-Executed": "1"}
-        head = PlatformDialect().read_answer(read(), status, headers, False)
+        head = PlatformDialect().read_answer(ENDPOINT, read(), status, headers, False)
         assert head.kind is AnswerKind.UNTRUSTED
 
 
@@ -155,3 +164,53 @@
         )
         assert dialect.refusal_headers(None, not_run) == {"Retry-After": "1.250"}
         assert dialect.refusal_headers(None, may_have_run) == {}
+
+
+class TestNotices:
+    """What an endpoint says of itself in the head of an answer."""
+
+    @pytest.mark.parametrize("status", [200, 404, 421, 500, 503])
+    def test_leaving_is_read_from_any_answer(self, status):
+        """The header is passed on to the client as well."""
+        headers = {"Attempt-Id": "q1", "Server-Seal": "s", "Server-Leaving": "1"}
+        head = PlatformDialect().read_answer(ENDPOINT, read(), status, headers, False)
+        assert head.notices == (Leaving(),)
+        assert head.headers["Server-Leaving"] == "1"
+
+    @pytest.mark.parametrize(
+        ("text", "notices"),
+        [
+            ("2", (Resting(2.0),)),
+            ("0.25", (Resting(0.25),)),
+            ("86400", (Resting(86400.0),)),
+            ("0", ()),
+            ("-3", ()),
+            ("soon", ()),
+            ("inf", ()),
+            ("nan", ()),
+            ("Sat, 05 Dec 2026 04:00:00 GMT", ()),
+        ],
+    )
+    def test_retry_after_is_a_number_of_seconds(self, text, notices):
+        """Anything else asks for no time."""
+        headers = {"Attempt-Id": "q1", "Not-Executed": "1", "Retry-After": text}
+        head = PlatformDialect().read_answer(ENDPOINT, read(), 503, headers, False)
+        assert head.notices == notices
+
+    def test_retry_after_counts_only_with_status_503(self):
+        """With others it is meant for the client."""
+        headers = {"Attempt-Id": "q1", "Server-Seal": "s", "Retry-After": "2"}
+        head = PlatformDialect().read_answer(ENDPOINT, read(), 500, headers, False)
+        assert head.notices == ()
+
+    def test_answer_of_another_endpoint_says_nothing_of_this_one(self):
+        """Its address may have been reused."""
+        headers = {"Instance-Id": "e2", "Server-Leaving": "1"}
+        head = PlatformDialect().read_answer(ENDPOINT, read(), 421, headers, True)
+        assert head.notices == ()
+
+    def test_possible_copy_of_an_earlier_answer_is_not_heeded(self):
+        """Without an id, only the first answer on a connection is surely current."""
+        headers = {"Not-Executed": "1", "Retry-After": "2"}
+        head = PlatformDialect().read_answer(ENDPOINT, read(), 503, headers, False)
+        assert head.notices == ()
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -2,26 +2,43 @@
 
 import pytest
 
+from camphoryard.coordination.loading.ports import EngineOrder
+from camphoryard.coordination.routing.endpoint_notices import EndpointNotices
 from camphoryard.platform.engines import PlatformEngines
-from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.directory import Directory
+from camphoryard.state.enums import OrderKind
+from camphoryard.state.errors import BrokenCallError, NotSentError
+from camphoryard.state.ids import ModelId
+from camphoryard.state.traffic import RequestedModel
 from camphoryard.transport.http_client import HttpAnswer
-from tests.fakes.engines import make_endpoint
+from tests.fakes.engines import SERVICE, Clock, RecordedLog, make_endpoint
 
 
 class Client:
     """A client whose calls all get the same answer."""
 
-    def __init__(self, status, body):
-        self._answer = HttpAnswer(status, {}, body)
+    def __init__(self, status, body, headers=None):
+        self.calls = 0
+        self._answer = HttpAnswer(status, headers or {}, body)
 
     def call(self, address, call):
         """Return the answer."""
+        self.calls += 1
         return self._answer
 
 
+def make_notices():
+    """Return the notices of endpoints in a directory that has ``e1``."""
+    directory = Directory(Clock())
+    directory.observe(make_endpoint("e1"))
+    return EndpointNotices(directory, RecordedLog(), Clock())
+
+
 def report(status, body):
     """Return the report in an answer."""
-    return PlatformEngines(Client(status, body)).report(make_endpoint("e1"))
+    return PlatformEngines(Client(status, body), make_notices()).report(
+        make_endpoint("e1")
+    )
 
 
 class TestReport:
@@ -49,3 +66,28 @@
         """An engine that seems to be empty would be ordered to load too much."""
         with pytest.raises(BrokenCallError):
             report(status, body)
+
+
+class TestNotices:
+    """What engines say of themselves in answers to reports and orders."""
+
+    ORDER = EngineOrder(OrderKind.LOAD, RequestedModel(ModelId("m1")), "n1", 1, 0)
+
+    def test_engine_that_wants_a_rest_gets_neither_report_calls_nor_orders(self):
+        """Both calls would count as made against its word."""
+        client = Client(503, b"", {"Retry-After": "2.5"})
+        engines = PlatformEngines(client, make_notices())
+        with pytest.raises(BrokenCallError):
+            engines.report(make_endpoint("e1"))
+        with pytest.raises(NotSentError):
+            engines.report(make_endpoint("e1"))
+        with pytest.raises(NotSentError):
+            engines.order(make_endpoint("e1"), self.ORDER, lambda: True)
+        assert client.calls == 1
+
+    def test_report_that_says_the_engine_leaves_is_heeded(self):
+        """The leader loads nothing there."""
+        client = Client(200, b'{"models":[],"seq":0}', {"server-leaving": "1"})
+        notices = make_notices()
+        PlatformEngines(client, notices).report(make_endpoint("e1"))
+        assert notices.directory.ready(SERVICE) == []
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -41,6 +41,7 @@
     duty_term=4,
     unloads_by_endpoint={"e": ("m1", "m2")},
     quarantine_s_by_part={"p": 12.5},
+    leaving_by_endpoint={"e": 1_700_000_000_000},
 )
 
 
--- a/tests/state/test_directory.py
+++ b/tests/state/test_directory.py
@@ -4,6 +4,7 @@
 
 from camphoryard.state.directory import (
     DECLINED_LIFETIME_S,
+    LEAVING_LIFETIME_S,
     LOADED_REPORT_LIFETIME_S,
     UNLOADING_LIFETIME_S,
     Directory,
@@ -95,3 +96,52 @@
         task.start()
         directory.adopt(make_rules())
         assert woken.wait(10)
+
+
+class TestLeaving:
+    """Endpoints whose answers say that they leave."""
+
+    def ready(self, directory):
+        """Return the names of the endpoints that accept new requests."""
+        return [item.id for item in directory.ready(SERVICE)]
+
+    def test_entry_that_is_still_ready_does_not_count(self):
+        """The store learns of a leave later than the clients of the endpoint."""
+        directory, _ = make_directory()
+        assert directory.record_leaving(E1, 1)
+        assert not directory.record_leaving(E1, 1)
+        assert self.ready(directory) == []
+        directory.observe(make_endpoint("e1", ["m1"]))
+        directory.replace_all([make_endpoint("e1", ["m1"])], True)
+        assert self.ready(directory) == []
+
+    def test_entry_that_returns_after_an_outage_does_not_count(self):
+        """Entries may expire and be written again by the same start."""
+        directory, _ = make_directory()
+        directory.record_leaving(E1, 1)
+        directory.remove(E1)
+        directory.observe(make_endpoint("e1", ["m1"]))
+        assert self.ready(directory) == []
+
+    def test_later_start_counts_again(self):
+        """The endpoint has left and come back under its id."""
+        directory, _ = make_directory()
+        directory.record_leaving(E1, 1)
+        directory.observe(make_endpoint("e1", ["m1"], started_ms=2))
+        assert self.ready(directory) == [E1]
+
+    def test_word_is_kept_for_a_limited_time(self):
+        """An endpoint that never leaves is not lost for good."""
+        directory, clock = make_directory()
+        directory.record_leaving(E1, 1)
+        clock.advance(LEAVING_LIFETIME_S)
+        directory.observe(make_endpoint("e1", ["m1"]))
+        assert self.ready(directory) == [E1]
+
+    def test_peers_are_told_of_listed_endpoints_only(self):
+        """What has left needs no mention."""
+        directory, _ = make_directory()
+        directory.record_leaving(E1, 7)
+        assert directory.leaving_by_endpoint() == {E1: 7}
+        directory.remove(E1)
+        assert directory.leaving_by_endpoint() == {}
--- a/tests/system/test_entry.py
+++ b/tests/system/test_entry.py
@@ -108,6 +108,43 @@
                 assert time.monotonic() < until_s
 
 
+class TestNotices:
+    """What endpoints say of themselves in their answers."""
+
+    # Guards against DRAIN: requests after an answer that says the endpoint leaves.
+    def test_endpoint_that_says_it_leaves_gets_requests_only_after_a_new_start(self):
+        """The store still lists it as ready."""
+        with Fleet() as fleet:
+            site = EntrySite(fleet)
+            site.control(leaving=1)
+            response, _ = site.call("/book/1", "b1")
+            assert (response.status, response.headers["Server-Leaving"]) == (200, "1")
+            statuses = [site.call("/book/1", f"b2-{n}")[0].status for n in range(20)]
+            assert set(statuses) == {503}
+            site.control(leaving=0)
+            site.put("servers", "i-2", {**site.endpoint("desk"), "born": 2})
+            until_s = time.monotonic() + DRAIN_S
+            while site.call("/book/1", "b3")[0].status != 200:
+                assert time.monotonic() < until_s
+            assert {run["id"] for run in site.runs()} == {"b1", "b3"}
+
+    # Guards against BUDGET: requests in the time that an endpoint has asked for.
+    def test_endpoint_that_asks_for_time_gets_nothing_meanwhile(self):
+        """Callers are refused at once, and told when it is back."""
+        with Fleet() as fleet:
+            site = EntrySite(fleet)
+            site.control(rest_ms=1500)
+            assert site.call("/book/1", "b1")[0].status == 503
+            site.control(rest_ms=0)
+            response, _ = site.call("/book/1", "b2")
+            assert response.status == 503
+            assert 0 < float(response.headers["Retry-After"]) <= 1.5 * 1.25
+            until_s = time.monotonic() + 1.5 * 1.25 + 1.0
+            while site.call("/book/1", "b3")[0].status != 200:
+                assert time.monotonic() < until_s
+            assert int(request(site.store_port, "GET", "/turned-away")) == 1
+
+
 class TestBadInput:
     """Invalid requests of clients."""
 
