Quarantine no answered part for crashes in an outage

What callers would have seen: after all engines of a service had crashed within seconds, a part that all requests share was quarantined, and everything was refused for ten minutes.

Cause: a part seen answered before was quarantined after three crashes over two seconds without an answer between them. While every engine is down, or the node itself stands still, nothing is answered at all, so the lack of answers showed nothing. Class of fault: the absence of a sign is read as a sign, without asking whether it could have come.

Change: such a part is quarantined only if this node has meanwhile seen 20 requests without it answered. The same for parts of requests whose answers never showed a head.

--- a/src/camphoryard/coordination/routing/crashed_parts.py
+++ b/src/camphoryard/coordination/routing/crashed_parts.py
@@ -10,7 +10,7 @@
 
 import threading
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -28,13 +28,14 @@
 with it had begun."""
 MIN_CRASHES_OF_ANSWERED = 3
 """Crashes without an answer between them after which any part is quarantined."""
-MIN_SPREAD_S = 2.0
-"""Minimum time between the first and the last of these. Endpoints of one rack crash at
-the same moment, with many sound requests in their queues."""
+MIN_OTHER_ANSWERS = 20
+"""Minimum number of requests without the part that are answered meanwhile. While all
+endpoints are down, or this node stands still, a lack of answers shows nothing."""
 MAX_PARTS = 16
 """Maximum number of parts of one request that are considered, the last ones."""
 MAX_CRASHES = 200
 MAX_ANSWERED_PARTS = 20_000
+MAX_RECENT_ANSWERS = 1_000
 
 
 def crashing_parts(parts: Sequence[PromptPart]) -> tuple[PromptPartId, ...]:
@@ -65,19 +66,12 @@
 class _Evidence:
     """Crashes that may be due to one part and that no quarantined part explains."""
 
-    times_s: list[float] = field(default_factory=list)
+    first_s: float
+    crashes: int = 0
     begun: int = 0
     is_answered: bool = False
     position: int = 0
 
-    @property
-    def is_conclusive(self) -> bool:
-        """Whether the part is to be quarantined."""
-        if not self.is_answered and self.begun >= MIN_CRASHES:
-            return True
-        spread_s = max(self.times_s) - min(self.times_s)
-        return len(self.times_s) >= MIN_CRASHES_OF_ANSWERED and spread_s >= MIN_SPREAD_S
-
 
 @dataclass(frozen=True, slots=True)
 class _Waiting:
@@ -108,6 +102,9 @@
             OrderedDict()
         )
         self._answered_s_by_part: OrderedDict[PromptPartId, float] = OrderedDict()
+        self._recent_answers: deque[tuple[float, frozenset[PromptPartId]]] = deque(
+            maxlen=MAX_RECENT_ANSWERS
+        )
         self._until_s_by_part: dict[PromptPartId, float] = {}
         self._waiting_by_id: dict[int, _Waiting] = {}
         self._last_id = 0
@@ -178,6 +175,7 @@
         """Record that a request with ``parts`` is being answered: they are sound."""
         with self._lock:
             now_s = self._clock()
+            self._recent_answers.append((now_s, frozenset(parts)))
             for part in parts:
                 self._answered_s_by_part[part] = now_s
                 self._answered_s_by_part.move_to_end(part)
@@ -223,17 +221,28 @@
         conclusive = {
             part: item
             for part, item in self._evidence(now_s - QUARANTINE_S).items()
-            if item.is_conclusive
+            if self._is_conclusive(part, item)
         }
         if not conclusive:
             return None
         part = max(
             conclusive,
-            key=lambda id: (len(conclusive[id].times_s), conclusive[id].position),
+            key=lambda id: (conclusive[id].crashes, conclusive[id].position),
         )
         self._until_s_by_part[part] = now_s + QUARANTINE_S
         return part
 
+    def _is_conclusive(self, part: PromptPartId, item: _Evidence) -> bool:
+        if not item.is_answered and item.begun >= MIN_CRASHES:
+            return True
+        if item.crashes < MIN_CRASHES_OF_ANSWERED:
+            return False
+        other_answers = sum(
+            at_s >= item.first_s and part not in parts
+            for at_s, parts in self._recent_answers
+        )
+        return other_answers >= MIN_OTHER_ANSWERS
+
     def _evidence(self, since_s: float) -> dict[PromptPartId, _Evidence]:
         """Return the evidence against each part."""
         evidence_by_part: dict[PromptPartId, _Evidence] = {}
@@ -245,8 +254,9 @@
                 answered_s = self._answered_s_by_part.get(part)
                 if answered_s is not None and answered_s >= crash.at_s:
                     continue
-                item = evidence_by_part.setdefault(part, _Evidence())
-                item.times_s.append(crash.at_s)
+                item = evidence_by_part.setdefault(part, _Evidence(crash.at_s))
+                item.first_s = min(item.first_s, crash.at_s)
+                item.crashes += 1
                 item.begun += part in crash.begun
                 item.is_answered |= answered_s is not None or part in crash.answered
                 item.position = max(item.position, position)
--- a/tests/coordination/routing/test_crashed_parts.py
+++ b/tests/coordination/routing/test_crashed_parts.py
@@ -6,7 +6,7 @@
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.routing.crash_counter import QUARANTINE_S
 from camphoryard.coordination.routing.crashed_parts import (
-    MIN_SPREAD_S,
+    MIN_OTHER_ANSWERS,
     CrashedParts,
     crashing_parts,
 )
@@ -118,11 +118,36 @@
     ):
         """A part may begin to crash endpoints."""
         node.parts.record_answered(["turned"])
+        node.clock.advance(1.0)
         for number in range(3):
-            node.clock.advance(MIN_SPREAD_S / 2 + 0.01)
+            for _ in range(MIN_OTHER_ANSWERS):
+                node.parts.record_answered(["other"])
+            node.clock.advance(1.0)
             node.crash(f"e{number}", "turned")
         assert node.quarantined("turned") == ["turned"]
 
+    # Guards against LOST: after the crash of every endpoint, all requests were refused.
+    @pytest.mark.parametrize("has_begun", [True, False])
+    def test_outage_of_all_endpoints_quarantines_no_answered_part(
+        self, node, has_begun
+    ):
+        """Nothing at all is answered meanwhile."""
+        node.parts.record_answered(["system"])
+        for number in range(8):
+            node.clock.advance(1.0)
+            node.crash(f"e{number}", "system", has_begun=has_begun)
+        assert node.quarantined("system") == []
+
+    def test_part_whose_answers_never_show_a_head_is_quarantined(self, node):
+        """The end of the endpoint may take the head of the answer with it."""
+        for number in range(3):
+            node.clock.advance(1.0)
+            node.crash(f"e{number}", "deadly", has_begun=False)
+            for _ in range(MIN_OTHER_ANSWERS):
+                node.parts.record_answered(["other"])
+        node.crash("e3", "deadly", has_begun=False)
+        assert node.quarantined("deadly", "other") == ["deadly"]
+
     def test_answer_between_crashes_clears_a_part(self, node):
         """What is answered crashes no endpoint."""
         node.crash("e1", "system")
