Take an unframed answer of an endpoint that is gone as incomplete

What callers would have seen: a stream that ended early, or a body that was cut, framed as complete.

Cause: an answer with neither a length nor chunks ends with its connection, and the end of the endpoint's process ends it just so, perhaps between two events or before the first. Class of fault: two causes of one sign, of which the harmless one was assumed.

Change: after such an answer the node looks whether the endpoint still accepts connections, some milliseconds later, as a process that ends closes its sockets one after the other. If it does not, or a stream brought no event, the answer is broken off, and a stream goes on elsewhere.

Result: three cases of TestUnframedAnswers failed before and pass.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -45,6 +45,10 @@
 """The same limit for requests that may be sent again."""
 
 
+ENDING_TIME_S = 0.02
+"""Time in which a process that ends closes its sockets."""
+
+
 class Outcome(Enum):
     """How an attempt ended."""
 
@@ -231,6 +235,7 @@
                     )
             else:
                 body = answer.body()
+                _check_not_gone(context, endpoint, answer)
                 _record_success(context, endpoint)
                 reply.send_complete(answer.head.status, answer.head.headers, body)
             return Outcome.ANSWERED
@@ -317,6 +322,9 @@
         context.observe("event_handover", context.clock() - now_s)
     if not progress.is_between_events:
         raise BrokenCallError("the stream ended in the middle of an event")
+    if answer.ends_with_connection and progress.messages == messages_before:
+        raise BrokenCallError("the stream ended before its first event")
+    _check_not_gone(context, endpoint, answer)
     if not reply.has_begun:
         reply.begin(*head)
     _record_answered(context, forwarded)
@@ -365,6 +373,20 @@
     }
 
 
+def _check_not_gone(
+    context: ForwardingContext, endpoint: ServingEndpoint, answer: Answer
+) -> None:
+    """Raise BrokenCallError if an unframed answer ended as its endpoint is gone.
+
+    The end of a process ends its connections like the end of an answer, and may end
+    them some milliseconds before it refuses new ones.
+    """
+    if not answer.ends_with_connection:
+        return
+    if context.upstream.is_down(endpoint, ENDING_TIME_S):
+        raise BrokenCallError("the endpoint ended while it answered")
+
+
 def _record_answered(context: ForwardingContext, forwarded: ForwardedRequest) -> None:
     """Record once that the endpoint answers the request without crashing."""
     if not forwarded.is_answered:
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -104,9 +104,13 @@
 
 
 class Answer(Protocol):
-    """An open answer of an endpoint; closing it early aborts the request."""
+    """An open answer of an endpoint; closing it early aborts the request.
+
+    ``ends_with_connection`` is True if it has neither a length nor chunks.
+    """
 
     head: AnswerHead
+    ends_with_connection: bool
 
     def body(self) -> bytes:
         """Return the whole body.
@@ -159,8 +163,8 @@
             If the connection fails after bytes were sent.
         """
 
-    def is_down(self, endpoint: ServingEndpoint) -> bool:
-        """Return whether an endpoint accepts no connection now."""
+    def is_down(self, endpoint: ServingEndpoint, after_s: float = 0.0) -> bool:
+        """Return whether an endpoint accepts no connection, ``after_s`` s from now."""
 
 
 class ClientReply(Protocol):
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -41,6 +41,8 @@
         self._answer = answer
         self._options = options
         self._is_read = False
+        response = answer.response
+        self.ends_with_connection = response.length is None and not response.chunked
 
     def body(self) -> bytes:
         """Return the complete body; see the Answer port."""
@@ -127,8 +129,9 @@
             answer.close(is_read=False)
             raise
 
-    def is_down(self, endpoint: ServingEndpoint) -> bool:
-        """Return whether an endpoint accepts no connection now."""
+    def is_down(self, endpoint: ServingEndpoint, after_s: float = 0.0) -> bool:
+        """Return whether an endpoint accepts no connection, ``after_s`` s from now."""
+        time.sleep(after_s)
         address = Address(endpoint.address.host, endpoint.address.port)
         return not self._client.can_connect(address, CONNECT_TIMEOUT_S)
 
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -60,6 +60,8 @@
 class Answer:
     """An answer of an endpoint; ``error`` is raised at the end of its chunks."""
 
+    ends_with_connection = False
+
     def __init__(
         self, chunks, kind=AnswerKind.SERVED, status=200, error=None, notices=()
     ):
@@ -110,6 +112,13 @@
         yield b"\n\n"
 
 
+def unframed(*chunks):
+    """Return an answer with neither a length nor chunks."""
+    answer = Answer(chunks)
+    answer.ends_with_connection = True
+    return answer
+
+
 def declined(kind=AnswerKind.NOT_RUN, notices=()):
     """Return an answer stating that the request has not run."""
     return Answer([b""], kind, 503, notices=notices)
@@ -138,7 +147,7 @@
             raise answer
         return answer
 
-    def is_down(self, endpoint):
+    def is_down(self, endpoint, after_s=0.0):
         """Return whether an endpoint accepts no connection."""
         return endpoint.id in self.down
 
@@ -440,6 +449,43 @@
         assert deadlines == {site.clock.now_s + 10.0}
 
 
+# Guards against ORDER and MIXED: the end of an endpoint taken for that of its answer.
+class TestUnframedAnswers:
+    """Answers that end with their connection."""
+
+    STREAM = Repeatability.RESUMABLE_STREAM
+
+    def test_stream_of_an_endpoint_that_is_gone_is_resumed(self):
+        """Its connection ended with its process, perhaps between two events."""
+        site = Site(unframed(ONE), served(TWO), repeatability=self.STREAM)
+        site.upstream.down = {"e1", "e2"}
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    def test_stream_without_events_is_resumed(self):
+        """An answer that has not begun shows nothing to be complete."""
+        site = Site(unframed(), served(ONE), repeatability=self.STREAM)
+        site.forward()
+        assert site.reply.body == ONE
+
+    def test_stream_of_an_endpoint_that_is_up_is_complete(self):
+        """It closes the connection as the end of its answer."""
+        site = Site(unframed(ONE, TWO), repeatability=self.STREAM)
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    @pytest.mark.parametrize("is_down", [False, True])
+    def test_whole_answer_is_incomplete_if_its_endpoint_is_gone(self, is_down):
+        """A request that may run once has then perhaps run."""
+        site = Site(unframed(b"ok"), repeatability=Repeatability.ONCE)
+        if is_down:
+            site.upstream.down = {"e1", "e2"}
+            assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
+        else:
+            site.forward()
+            assert site.reply.body == b"ok"
+
+
 class TestTricklingStreams:
     """Streams that send bytes now and then."""
 
