Watch the configuration in waits that use the time it may take

Change: a configuration that comes as soon as the store is stable has its own time to be applied, so a watch of it may last into that time. Endpoints stay within the stable window, as those missing after an outage have a grace period.

--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -62,7 +62,7 @@
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.entry.reloading import LiveSettings
-from camphoryard.entry.settings import Bounds, EntrySettings
+from camphoryard.entry.settings import EntrySettings
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.platform.engines import PlatformEngines
 from camphoryard.platform.settings import read_entry_settings
@@ -101,6 +101,10 @@
 """Maximum of the same time as a fraction of ``drain_s``, the time within which requests
 to a draining endpoint must stop."""
 MIN_WATCH_WAIT_S = 0.5
+APPLY_FRACTION = 0.75
+"""Part of the time for a new configuration that a watch may take up after an outage.
+Endpoints that are missing after an outage have a grace period, so the endpoints must
+be listed before that time begins."""
 RELIST_TIME_S = 0.5
 """Time from a failed watch to the listing that follows it."""
 NODES_WAIT_S = 5.0
@@ -350,7 +354,8 @@
         RecordWatcher(
             rules,
             feed.apply_rules,
-            wait_s=watch_wait_s(settings.bounds),
+            wait_s=watch_wait_s(settings.bounds.stable_window_s)
+            + settings.bounds.apply_s * APPLY_FRACTION,
             name="configuration",
             log=log,
         ),
@@ -358,7 +363,7 @@
             endpoints,
             feed.apply_endpoint,
             directory.confirm_endpoints,
-            wait_s=watch_wait_s(settings.bounds),
+            wait_s=watch_wait_s(settings.bounds.stable_window_s),
             on_availability_change=feed.record_availability,
             batch_s=min(
                 ENDPOINT_BATCH_S,
@@ -371,14 +376,13 @@
     )
 
 
-def watch_wait_s(bounds: Bounds) -> float:
-    """Return how long one watch may wait, in seconds.
+def watch_wait_s(within_s: float) -> float:
+    """Return how long a watch may wait, in seconds.
 
     A watch that the store will never answer delays the next listing until its wait and
-    grace are over. Views must be current again within the stable window.
+    grace are over, so that the view is current again ``within_s`` seconds later.
     """
-    left_s = bounds.stable_window_s - WATCH_GRACE_S - RELIST_TIME_S
-    return max(MIN_WATCH_WAIT_S, left_s)
+    return max(MIN_WATCH_WAIT_S, within_s - WATCH_GRACE_S - RELIST_TIME_S)
 
 
 def _choice_policy(nodes: int) -> ChoicePolicy:
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -12,7 +12,8 @@
 class Bounds:
     """Limits that the platform sets for all nodes alike; times are in seconds.
 
-    ``stable_window_s`` is the time after an outage in which nodes may catch up.
+    ``stable_window_s`` is the time after an outage in which nodes may catch up,
+    ``apply_s`` the maximum time in which a new configuration is applied.
     ``drain_s`` is the maximum time between an endpoint's drain notice and the last
     request sent to it. ``grace_s`` is the maximum time between a stop signal and the
     exit. ``repeat_limits`` bound the retries of a service over all nodes.
@@ -22,6 +23,7 @@
     """
 
     stable_window_s: float
+    apply_s: float
     drain_s: float
     grace_s: float
     repeat_limits: RepeatLimits
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -33,6 +33,7 @@
 
 class _Bounds(msgspec.Struct, frozen=True, rename="kebab"):
     stable_window_ms: float = 3000
+    config_apply_ms: float = 2000
     drain_ms: float = 2000
     grace_s: float = 8
     retry_budget_ratio: float = 0.2
@@ -105,6 +106,7 @@
 def _bounds(bounds: _Bounds) -> Bounds:
     return Bounds(
         bounds.stable_window_ms / MILLISECONDS_PER_SECOND,
+        bounds.config_apply_ms / MILLISECONDS_PER_SECOND,
         bounds.drain_ms / MILLISECONDS_PER_SECOND,
         bounds.grace_s,
         RepeatLimits(
--- a/tests/entry/test_assembly.py
+++ b/tests/entry/test_assembly.py
@@ -1,7 +1,5 @@
 """Tests of the parts that an entry daemon is made of."""
 
-from types import SimpleNamespace
-
 import pytest
 
 from camphoryard.entry.assembly import RELIST_TIME_S, watch_wait_s
@@ -16,5 +14,5 @@
         self, stable_window_s
     ):
         """A view made stale by a silence of the store is current again in time."""
-        wait_s = watch_wait_s(SimpleNamespace(stable_window_s=stable_window_s))
+        wait_s = watch_wait_s(stable_window_s)
         assert 0 < wait_s + WATCH_GRACE_S + RELIST_TIME_S <= stable_window_s
