Soak the entry daemons before replicas and a store with faults

Neither of the two incidents, nor the new words of replicas, could come up in a run of our own.

Orders and loads of models are not in it.

--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,12 @@
 SEED ?= 0
 MINUTES ?= 1
 
+# make faults FRONT=entry: the entry daemon in place of the product's own
+FRONT ?= node
+FAULTS_MODULE := $(if $(filter entry,$(FRONT)),faults.entry_soak,faults)
+
 faults: setup
-	$(BIN)/python -m faults --seed $(SEED) --minutes $(MINUTES)
+	$(BIN)/python -m $(FAULTS_MODULE) --seed $(SEED) --minutes $(MINUTES)
 
 format: setup
 	$(BIN)/ruff format .
--- /dev/null
+++ b/faults/entry_soak.py
@@ -0,0 +1,555 @@
+"""Soak of entry daemons: random faults, in series and overlapping, then the checks.
+
+The daemons are processes of their own, before stand-ins of the platform's store and
+replicas. Clients keep their connections until these are closed. The run ends after the
+given time; it exits with 0 only if there are no violations.
+"""
+
+import json
+import random
+import secrets
+import signal
+import sys
+import threading
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from enum import Enum
+from http.client import HTTPConnection, HTTPException
+from typing import Annotated, Any, TypeAlias
+
+import typer
+
+from faults.entry_checks import (
+    STABLE_WINDOW_S,
+    Attempt,
+    Disturbance,
+    SoakHistory,
+    deadly_part,
+    find_violations,
+)
+from standins.entry_platform import OPERATOR
+from standins.entry_site import CONFIG, GRACE_S, SETTINGS, make_route
+from standins.fleet import HOST, Fleet, HttpError, request, reserve_port
+
+CLIENTS = 16
+INJECTORS = 3
+MAX_PAUSE_S = 1.5
+REQUEST_PAUSE_S = 0.02
+TIMEOUT_S = 20.0
+RESTART_S = 1.5
+"""Time after which a replica that has ended is replaced."""
+LEAVE_S = 4.0
+"""Time after which a replica that leaves ends."""
+LAST_RUNS = 3
+"""Runs at the end of a journal, one of which may have ended the replica."""
+DEADLY_SHARE = 0.1
+DEADLY_S = 15.0
+SECONDS_PER_MINUTE = 60
+STORE = "store"
+SERVICES = ("models", "models", "models", "models", "desk", "desk", "desk")
+"""Service of each replica."""
+
+
+class LeavingWord(Enum):
+    """Where a replica says that it leaves."""
+
+    ANSWERS = "answers"
+    STORE = "store"
+    BOTH = "both"
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaLeaves:
+    """A replica leaves, perhaps some seconds after a silence of the store."""
+
+    slot: int
+    word: LeavingWord
+    silence_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaRests:
+    """A replica turns requests away and asks for some time."""
+
+    slot: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaCrashes:
+    """A replica is killed."""
+
+    slot: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaGarbles:
+    """A replica cuts, fails or doubles some of its answers."""
+
+    slot: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFails:
+    """The store answers with 503, or leaves calls unanswered for ever."""
+
+    is_mute: bool
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class OddEntry:
+    """Another writer leaves an entry that names no replica."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class NodeStops:
+    """A node is told to stop, and is started again."""
+
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class NodeIsKilled:
+    """A node is killed, and is started again."""
+
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class NodeFreezes:
+    """A node stands still for some time."""
+
+    node: str
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PartTurnsDeadly:
+    """Some requests have a part that crashes replicas, for some time."""
+
+    part: str
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationChanges:
+    """The operator adds a route."""
+
+    version: int
+
+
+Fault: TypeAlias = (
+    ReplicaLeaves
+    | ReplicaRests
+    | ReplicaCrashes
+    | ReplicaGarbles
+    | StoreFails
+    | OddEntry
+    | NodeStops
+    | NodeIsKilled
+    | NodeFreezes
+    | PartTurnsDeadly
+    | ConfigurationChanges
+)
+ODD_SPECS: tuple[Any, ...] = (
+    {"service": "desk", "address": "127.0.0.1:99999", "zone": "z", "state": "ready"},
+    {"service": "desk", "address": "nowhere", "zone": "z", "state": "ready"},
+    {"service": ["desk"], "state": 7},
+    [1, 2, 3],
+)
+
+
+@dataclass(slots=True)
+class SoakSite:
+    """The processes of one soak, and its history."""
+
+    fleet: Fleet
+    seed: int
+    nodes: tuple[str, ...]
+    history: SoakHistory = field(default_factory=SoakHistory)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    stop: threading.Event = field(default_factory=threading.Event)
+    client_port_by_node: dict[str, int] = field(default_factory=dict)
+    replica_by_slot: dict[int, str] = field(default_factory=dict)
+    starts: int = 0
+    busy_targets: set[str] = field(default_factory=set)
+    deadly_part: str = ""
+    count_by_kind: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def store_port(self) -> int:
+        """Port of the store."""
+        return self.fleet.port(STORE)
+
+    def start(self) -> None:
+        """Start store, replicas and nodes, and wait until the nodes are ready."""
+        self.fleet.start_standin(STORE, "entry_platform", "--host", HOST)
+        self.fleet.wait_ready([STORE])
+        self.put("config", "main", _configuration(1))
+        for slot in range(len(SERVICES)):
+            self.start_replica(slot)
+        for node in self.nodes:
+            self._start_node(node)
+        self.fleet.wait_ready(self.nodes, "/ready")
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object to the store."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        path = f"/objects/{kind}/{name}"
+        request(self.store_port, "PUT", path, body, headers=OPERATOR)
+
+    def start_replica(self, slot: int) -> None:
+        """Start a replica under a new id."""
+        with self.lock:
+            self.starts += 1
+            name = f"r-{slot}-{self.starts}"
+        self.fleet.start_standin(
+            name,
+            "replica",
+            *("--id", name, "--service", SERVICES[slot], "--seed", str(self.seed)),
+            *("--store-port", str(self.store_port)),
+            *("--journal", str(self.fleet.journal(name))),
+        )
+        self.replica_by_slot[slot] = name
+
+    def control(self, slot: int, **faults: int) -> None:
+        """Set faults at a replica; one that has ended has none."""
+        port = self.fleet.port(self.replica_by_slot[slot])
+        try:
+            request(port, "POST", "/control", faults, timeout_s=2.0)
+        except (OSError, HTTPException, HttpError):
+            return
+
+    def entry(self, slot: int, state: str) -> dict[str, Any]:
+        """Return a replica's entry with another state."""
+        name = self.replica_by_slot[slot]
+        path = f"/objects/servers/{name}"
+        listed = request(self.store_port, "GET", path, headers=OPERATOR)
+        return {**listed["spec"], "state": state}
+
+    def remove_entry(self, name: str) -> None:
+        """Remove an entry of the store, if it is there."""
+        try:
+            path = f"/objects/servers/{name}"
+            request(self.store_port, "DELETE", path, headers=OPERATOR)
+        except HttpError:
+            return
+
+    def _start_node(self, node: str) -> None:
+        client_port, ready_port = reserve_port(), reserve_port()
+        path = self.fleet.folder / f"{node}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=node,
+                host=HOST,
+                peer_port=reserve_port(),
+                client_port=client_port,
+                ready_port=ready_port,
+                grace_s=GRACE_S,
+                store_port=self.store_port,
+            )
+        )
+        self.client_port_by_node[node] = client_port
+        arguments = ["-m", "camphoryard.entry.daemon", str(path)]
+        self.fleet.start(node, ready_port, arguments)
+
+
+def _configuration(version: int) -> dict[str, Any]:
+    routes = [
+        make_route("chat", "streaming", "models", resumable=True),
+        make_route("book", "non_idempotent", "desk", **{"max-attempts": 1}),
+        make_route("look", "idempotent", "desk"),
+        *(make_route(f"more{n}", "idempotent", "desk") for n in range(version)),
+    ]
+    services = [{"name": "models"}, {"name": "desk"}]
+    return {**CONFIG, "version": version, "routes": routes, "services": services}
+
+
+def run_client(site: SoakSite, number: int) -> None:
+    """Send requests over kept connections until the site stops."""
+    rng = random.Random(f"{site.seed}/client/{number}")
+    connection_by_node: dict[str, HTTPConnection] = {}
+    count = 0
+    while not site.stop.wait(rng.uniform(0, 2 * REQUEST_PAUSE_S)):
+        count += 1
+        node = rng.choice(site.nodes)
+        connection = connection_by_node.get(node)
+        if connection is None:
+            port = site.client_port_by_node[node]
+            connection = HTTPConnection(HOST, port, timeout=TIMEOUT_S)
+        kind = rng.choice(("chat", "chat", "book", "look"))
+        id = f"{number}-{count}"
+        parts = f"system:100,topic{rng.randrange(4)}:50,"
+        if site.deadly_part and kind == "chat" and rng.random() < DEADLY_SHARE:
+            parts += f"{site.deadly_part}:20,"
+        headers = {
+            "Host": "site.example",
+            "Attempt-Id": id,
+            "Deadline-Ms": "10000",
+            "Prompt-Prefix": f"{parts}own-{id}:10",
+        }
+        attempt = _send(connection, node, f"/{kind}/{id}", id, headers)
+        with site.lock:
+            site.history.attempts.append(attempt)
+        if attempt.is_whole and attempt.headers.get("connection") != "close":
+            connection_by_node[node] = connection
+        else:
+            connection.close()
+            connection_by_node.pop(node, None)
+
+
+def _send(
+    connection: HTTPConnection,
+    node: str,
+    path: str,
+    id: str,
+    headers: dict[str, str],
+) -> Attempt:
+    sent_s = time.monotonic()
+    status, answered, body = 0, {}, b""
+    try:
+        connection.request("POST", path, b"x", headers)
+        response = connection.getresponse()
+        status = response.status
+        answered = {name.lower(): text for name, text in response.headers.items()}
+        while chunk := response.read1(65_536):
+            body += chunk
+        is_whole = not response.length
+        response.close()
+    except (OSError, HTTPException, ValueError):
+        is_whole = False
+    done_s = time.monotonic()
+    return Attempt(id, node, path, sent_s, done_s, status, answered, body, is_whole)
+
+
+def replace_ended_replicas(site: SoakSite) -> None:
+    """Replace each replica that has ended, and record which part crashed it."""
+    while not site.stop.wait(0.1):
+        for slot, name in list(site.replica_by_slot.items()):
+            if site.fleet.process_by_name[name].popen.poll() is None:
+                continue
+            ended_s = time.monotonic()
+            _record_crash(site, name, ended_s)
+            if site.stop.wait(RESTART_S):
+                return
+            site.remove_entry(name)
+            site.start_replica(slot)
+
+
+def _record_crash(site: SoakSite, name: str, ended_s: float) -> None:
+    part = site.deadly_part
+    lines = _journal(site, name)
+    last = [line for line in lines if line["event"] == "ran"][-LAST_RUNS:]
+    if part and any(part in line["parts"] for line in last):
+        site.history.crashes_s.setdefault(part, []).append(ended_s)
+
+
+def _journal(site: SoakSite, name: str) -> list[dict[str, Any]]:
+    path = site.fleet.journal(name)
+    lines = path.read_text().splitlines() if path.exists() else []
+    # The last line may be cut where the process ended.
+    return [json.loads(line) for line in lines if line.endswith("}")]
+
+
+def draw_fault(site: SoakSite, rng: random.Random) -> Fault:
+    """Return a random fault."""
+    slot = rng.randrange(len(SERVICES))
+    node = rng.choice(site.nodes)
+    for_s = rng.uniform(0.5, 3.0)
+    faults: tuple[Fault, ...] = (
+        ReplicaLeaves(slot, rng.choice(tuple(LeavingWord))),
+        ReplicaLeaves(slot, LeavingWord.STORE, for_s),
+        ReplicaRests(slot, for_s),
+        ReplicaCrashes(slot),
+        ReplicaGarbles(slot, for_s),
+        StoreFails(rng.random() < 0.5, for_s),
+        OddEntry(rng.randrange(len(ODD_SPECS))),
+        NodeStops(node),
+        NodeIsKilled(node),
+        NodeFreezes(node, for_s),
+        PartTurnsDeadly(deadly_part(rng.randrange(1000)), DEADLY_S),
+        ConfigurationChanges(rng.randrange(2, 1_000_000)),
+    )
+    return rng.choice(faults)
+
+
+def target_of(fault: Fault) -> str:
+    """Return what a fault strikes; no two faults strike the same thing at once."""
+    match fault:
+        case (
+            ReplicaLeaves(slot)
+            | ReplicaRests(slot)
+            | ReplicaCrashes(slot)
+            | ReplicaGarbles(slot)
+        ):
+            return f"slot-{slot}"
+        case NodeStops(node) | NodeIsKilled(node) | NodeFreezes(node):
+            return node
+        case StoreFails():
+            return STORE
+        case OddEntry():
+            return "entries"
+        case PartTurnsDeadly():
+            return "parts"
+        case ConfigurationChanges():
+            return "configuration"
+
+
+def inject(site: SoakSite, fault: Fault) -> None:
+    """Carry out one fault, to its end."""
+    match fault:
+        case ReplicaLeaves(slot, word, silence_s):
+            if silence_s:
+                _fail_store(site, is_mute=True, for_s=silence_s)
+                site.stop.wait(STABLE_WINDOW_S)
+            _leave(site, slot, word)
+        case ReplicaRests(slot, for_s):
+            site.control(slot, rest_ms=int(for_s * 1000))
+            site.stop.wait(for_s)
+        case ReplicaCrashes(slot):
+            site.fleet.process_by_name[site.replica_by_slot[slot]].kill()
+            site.stop.wait(2 * RESTART_S)
+        case ReplicaGarbles(slot, for_s):
+            site.control(slot, garble=30)
+            site.stop.wait(for_s)
+            site.control(slot, garble=0)
+        case StoreFails(is_mute, for_s):
+            _fail_store(site, is_mute, for_s)
+        case OddEntry(number):
+            site.put("servers", f"odd-{number}", ODD_SPECS[number])
+        case NodeStops(node):
+            process = site.fleet.process_by_name[node]
+            process.signal(signal.SIGTERM)
+            process.popen.wait(2 * GRACE_S)
+            _restart(site, node)
+        case NodeIsKilled(node):
+            site.fleet.process_by_name[node].kill()
+            _restart(site, node)
+        case NodeFreezes(node, for_s):
+            process = site.fleet.process_by_name[node]
+            process.signal(signal.SIGSTOP)
+            site.stop.wait(for_s)
+            process.signal(signal.SIGCONT)
+        case PartTurnsDeadly(part, for_s):
+            site.deadly_part = part
+            site.stop.wait(for_s)
+            site.deadly_part = ""
+        case ConfigurationChanges(version):
+            site.put("config", "main", _configuration(version % 50 + 2))
+
+
+def _fail_store(site: SoakSite, is_mute: bool, for_s: float) -> None:
+    name = "mute_store" if is_mute else "silent_store"
+    began_s = time.monotonic()
+    request(site.store_port, "POST", "/control", {name: 1})
+    site.stop.wait(for_s)
+    request(site.store_port, "POST", "/control", {name: 0})
+    with site.lock:
+        disturbance = Disturbance(STORE, began_s, time.monotonic())
+        site.history.disturbances.append(disturbance)
+
+
+def _leave(site: SoakSite, slot: int, word: LeavingWord) -> None:
+    name = site.replica_by_slot[slot]
+    if word is not LeavingWord.STORE:
+        site.control(slot, leaving=1)
+    if word is not LeavingWord.ANSWERS:
+        site.put("servers", name, site.entry(slot, "draining"))
+        site.history.leaves_s[name] = time.monotonic()
+    site.stop.wait(LEAVE_S)
+    site.fleet.process_by_name[name].kill()
+
+
+def _restart(site: SoakSite, node: str) -> None:
+    site.fleet.restart(node)
+    site.fleet.wait_ready([node], "/ready")
+
+
+def run_injector(site: SoakSite, number: int, stop: threading.Event) -> None:
+    """Inject one fault after another until ``stop`` is set."""
+    rng = random.Random(f"{site.seed}/entry-injector/{number}")
+    while not stop.wait(rng.uniform(0, MAX_PAUSE_S)):
+        fault = draw_fault(site, rng)
+        target = target_of(fault)
+        with site.lock:
+            if target in site.busy_targets:
+                continue
+            site.busy_targets.add(target)
+            site.count_by_kind[type(fault).__name__] += 1
+        print(f"{time.strftime('%H:%M:%S')} {fault}", flush=True)
+        began_s = time.monotonic()
+        try:
+            inject(site, fault)
+        finally:
+            ended_s = time.monotonic()
+            with site.lock:
+                disturbance = Disturbance(target, began_s, ended_s)
+                site.history.disturbances.append(disturbance)
+                site.busy_targets.discard(target)
+
+
+def report(site: SoakSite) -> list[str]:
+    """Print the summary and return the violations."""
+    history = site.history
+    for node in site.nodes:
+        code = site.fleet.process_by_name[node].popen.poll()
+        if code is not None:
+            history.own_ends.append(f"{node} exited with {code}")
+    for name in site.fleet.process_by_name:
+        if name.startswith("r-"):
+            history.lines_by_replica[name] = _journal(site, name)
+    violations = find_violations(history)
+    statuses = Counter(item.status for item in history.attempts)
+    print(f"faults: {site.count_by_kind.total()} {dict(site.count_by_kind)}")
+    print(f"requests: {len(history.attempts)}, by status {dict(statuses)}")
+    crashes = {part: len(times_s) for part, times_s in history.crashes_s.items()}
+    print(f"crashes by deadly part: {crashes}")
+    print(f"violations: {len(violations)}")
+    for violation in violations:
+        print(f"  {violation}")
+    return violations
+
+
+def run_soak(seed: int, minutes: float, nodes: int) -> list[str]:
+    """Run one soak; return its violations."""
+    with Fleet() as fleet, ThreadPoolExecutor(CLIENTS + INJECTORS + 1) as tasks:
+        site = SoakSite(fleet, seed, tuple(f"entry-{n}" for n in range(1, nodes + 1)))
+        site.start()
+        work = [tasks.submit(run_client, site, number) for number in range(CLIENTS)]
+        work.append(tasks.submit(replace_ended_replicas, site))
+        stop = threading.Event()
+        injectors = [
+            tasks.submit(run_injector, site, number, stop)
+            for number in range(INJECTORS)
+        ]
+        stop.wait(minutes * SECONDS_PER_MINUTE)
+        stop.set()
+        for task in injectors:
+            task.result()
+        site.stop.set()
+        for task in work:
+            task.result()
+        violations = report(site)
+        print(f"logs: {fleet.folder}" if violations else "no violations", flush=True)
+    return violations
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Chosen at random and printed if 0.")] = 0,
+    minutes: Annotated[float, typer.Option(help="Duration of fault injection.")] = 1,
+    nodes: Annotated[int, typer.Option(help="Number of entry daemons.")] = 3,
+) -> None:
+    """Run entry daemons under random faults and check what clients and replicas saw."""
+    seed = seed or secrets.randbelow(1_000_000)
+    print(f"seed {seed}, {minutes} minutes, {nodes} entry daemons", flush=True)
+    sys.exit(1 if run_soak(seed, minutes, nodes) else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/standins/entry_platform.py
+++ b/standins/entry_platform.py
@@ -25,6 +25,8 @@
 WATCH_LIMIT_S = 30.0
 EVENT_INTERVAL_S = 0.01
 MAX_CHANGES = 1000
+OPERATOR = {"Operator": "1"}
+"""Headers of calls that the store answers whatever its faults."""
 
 
 @dataclass(slots=True)
@@ -151,9 +153,10 @@
             threading.Event().wait()
 
     def _kind(self, request: Request, kind: str) -> Response:
-        self._hold_if_mute(kind)
-        if self.faults.get("silent_store"):
-            return json_response({}, 503)
+        if not _is_operator(request):
+            self._hold_if_mute(kind)
+            if self.faults.get("silent_store"):
+                return json_response({}, 503)
         if request.method == "POST":
             body = request.json()
             name = body["metadata"]["name"]
@@ -166,9 +169,10 @@
         return self.store.all(kind)
 
     def _object(self, request: Request, kind: str, name: str) -> Response:
-        self._hold_if_mute(kind)
-        if self.faults.get("silent_store"):
-            return json_response({}, 503)
+        if not _is_operator(request):
+            self._hold_if_mute(kind)
+            if self.faults.get("silent_store"):
+                return json_response({}, 503)
         match request.method:
             case "PUT":
                 body = request.json()
@@ -238,6 +242,11 @@
             time.sleep(EVENT_INTERVAL_S)
 
 
+def _is_operator(request: Request) -> bool:
+    """Return whether a call is one that no fault of the store concerns."""
+    return all(request.headers.get(name) == text for name, text in OPERATOR.items())
+
+
 def main(
     host: Annotated[str, typer.Option()], port: Annotated[int, typer.Option()]
 ) -> None:
--- /dev/null
+++ b/tests/faults/test_entry_checks.py
@@ -0,0 +1,172 @@
+"""Tests of the checks of a soak: broken rules are found, sound histories pass."""
+
+import pytest
+
+from faults.entry_checks import (
+    DRAIN_S,
+    STABLE_WINDOW_S,
+    Attempt,
+    Disturbance,
+    SoakHistory,
+    find_violations,
+)
+from standins.replica import EVENTS, event, plain_body
+
+SEAL = {"server-seal": "s.r1"}
+STREAM = b"".join(event("c1", number) for number in range(1, EVENTS + 1))
+
+
+def attempt(id="b1", path="/book/1", sent_s=10.0, **fields):
+    """Return a request that was answered, unless ``fields`` say otherwise."""
+    defaults = {
+        "node": "n1",
+        "done_s": sent_s + 0.1,
+        "status": 200,
+        "headers": SEAL,
+        "body": plain_body(id),
+        "is_whole": True,
+    }
+    return Attempt(id, path=path, sent_s=sent_s, **{**defaults, **fields})
+
+
+def line(event, id="b1", at_s=10.05, **fields):
+    """Return a line of a replica's journal."""
+    return {
+        "event": event,
+        "id": id,
+        "at_s": at_s,
+        "parts": (),
+        "rest_s": 0.0,
+        "leaving": False,
+        **fields,
+    }
+
+
+def rules(history):
+    """Return the rules that a history breaks."""
+    return [violation.partition(":")[0] for violation in find_violations(history)]
+
+
+def history(attempts, r1=(), r2=(), **fields):
+    """Return a history with the journals of two replicas."""
+    return SoakHistory(attempts, {"r1": list(r1), "r2": list(r2)}, **fields)
+
+
+class TestSoundHistory:
+    """Nothing is found."""
+
+    def test_answered_requests_break_no_rule(self):
+        """A booking ran once, and a stream is whole."""
+        runs = [line("arrived"), line("ran")]
+        stream = attempt("c1", "/chat/1", body=STREAM)
+        assert rules(history([attempt(), stream], r1=runs)) == []
+
+    def test_lookup_may_run_twice(self):
+        """It is idempotent."""
+        runs = [line("ran")]
+        assert rules(history([attempt(path="/look/1")], r1=runs, r2=runs)) == []
+
+
+class TestAnswers:
+    """What clients got."""
+
+    def test_booking_that_ran_twice_is_found(self):
+        """TWICE."""
+        runs = [line("ran")]
+        assert rules(history([attempt()], r1=runs, r2=runs)) == ["TWICE"]
+
+    def test_refused_booking_that_ran_is_found(self):
+        """REFUSED."""
+        refused = attempt(status=503, headers={}, body=b"")
+        assert rules(history([refused], r1=[line("ran")])) == ["REFUSED"]
+
+    @pytest.mark.parametrize(
+        "fields", [{"headers": {}}, {"body": plain_body("b2")}, {"body": b"do"}]
+    )
+    def test_success_that_is_not_the_replicas_is_found(self, fields):
+        """MIXED."""
+        assert rules(history([attempt(**fields)])) == ["MIXED"]
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            event("c1", 1) + event("c1", 3),
+            event("c1", 1) + event("c1", 1),
+            event("c1", 1) + b"HTTP/1.1 500 X\r\n\r\nfailed\n",
+            event("c1", 1) + event("c1", 2),
+        ],
+    )
+    def test_stream_with_gaps_or_foreign_bytes_or_an_early_end_is_found(self, body):
+        """ORDER."""
+        assert rules(history([attempt("c1", "/chat/1", body=body)])) == ["ORDER"]
+
+    def test_stream_that_is_broken_off_is_no_violation(self):
+        """The client sees that it is incomplete."""
+        stream = attempt("c1", "/chat/1", body=event("c1", 1), is_whole=False)
+        assert rules(history([stream])) == []
+
+    @pytest.mark.parametrize(("target", "found"), [("n1", []), ("n2", ["LOST"])])
+    def test_request_without_an_answer_is_found(self, target, found):
+        """LOST, unless its node was under a fault."""
+        lost = attempt(status=0, headers={}, body=b"", is_whole=False)
+        disturbances = [Disturbance(target, 9.0, 10.0)]
+        assert (
+            rules(history([lost], r1=[line("arrived")], disturbances=disturbances))
+            == found
+        )
+
+
+class TestEndpoints:
+    """What replicas asked for."""
+
+    LATE_S = 10.1 + DRAIN_S + 0.1
+
+    @pytest.mark.parametrize(("node", "found"), [("n1", ["DRAIN"]), ("n2", [])])
+    def test_request_after_an_answer_that_says_so_is_found(self, node, found):
+        """DRAIN, by the node that has passed the answer on."""
+        told = attempt(headers={**SEAL, "server-leaving": "1"})
+        later = attempt("b2", sent_s=self.LATE_S, node=node)
+        arrived = [line("arrived", "b2", self.LATE_S + 0.01)]
+        assert rules(history([told, later], r1=arrived)) == found
+
+    @pytest.mark.parametrize(
+        ("disturbances", "found"),
+        [
+            ([], ["DRAIN"]),
+            ([Disturbance("store", 10.0, 11.0)], []),
+            ([Disturbance("n1", 10.0 - STABLE_WINDOW_S, 10.0)], []),
+            ([Disturbance("n2", 10.0, 11.0)], ["DRAIN"]),
+        ],
+    )
+    def test_request_after_the_stores_word_is_found(self, disturbances, found):
+        """DRAIN, at nodes in touch."""
+        later = attempt("b2", sent_s=self.LATE_S)
+        arrived = [line("arrived", "b2", self.LATE_S + 0.01)]
+        sample = history(
+            [later], r1=arrived, leaves_s={"r1": 10.0}, disturbances=disturbances
+        )
+        assert rules(sample) == found
+
+    @pytest.mark.parametrize(("count", "found"), [(2, []), (3, ["BUDGET"])])
+    def test_requests_while_a_replica_rests_are_found(self, count, found):
+        """BUDGET, after half a second."""
+        first = line("arrived", "b0", 10.0, rest_s=2.0)
+        later = [
+            line("arrived", f"b{n}", 11.0, rest_s=1.0) for n in range(1, count + 1)
+        ]
+        attempts = [
+            attempt(f"b{n}", status=503, headers={}, body=b"") for n in range(count + 1)
+        ]
+        assert rules(history(attempts, r1=[first, *later])) == found
+
+    @pytest.mark.parametrize(("crashes", "found"), [(4, []), (5, ["BUDGET"])])
+    def test_requests_with_a_part_after_its_fifth_crash_are_found(self, crashes, found):
+        """BUDGET, after the window."""
+        at_s = 20.0 + STABLE_WINDOW_S
+        arrived = [line("arrived", f"c{n}", at_s, parts=("deadly1",)) for n in range(4)]
+        sample = history([], r1=arrived, crashes_s={"deadly1": [10.0] * crashes})
+        assert rules(sample) == found
+
+    def test_process_that_ended_by_itself_is_found(self):
+        """Nobody stopped it."""
+        assert rules(history([], own_ends=["n1 exited with 1"])) == ["OWN END"]
