--- a/faults/entry_soak.py
+++ b/faults/entry_soak.py
@@ -460,8 +460,12 @@
     if word is not LeavingWord.STORE:
         site.control(slot, leaving=1)
     if word is not LeavingWord.ANSWERS:
-        site.put("servers", name, site.entry(slot, "draining"))
-        site.history.leaves_s[name] = time.monotonic()
+        try:
+            site.put("servers", name, site.entry(slot, "draining"))
+            site.history.leaves_s[name] = time.monotonic()
+        except HttpError:
+            # The replica has just ended, and its entry is gone.
+            return
     site.stop.wait(LEAVE_S)
     site.fleet.process_by_name[name].kill()
 
@@ -528,11 +532,14 @@
             tasks.submit(run_injector, site, number, stop)
             for number in range(INJECTORS)
         ]
-        stop.wait(minutes * SECONDS_PER_MINUTE)
-        stop.set()
-        for task in injectors:
-            task.result()
-        site.stop.set()
+        try:
+            stop.wait(minutes * SECONDS_PER_MINUTE)
+            stop.set()
+            for task in injectors:
+                task.result()
+        finally:
+            stop.set()
+            site.stop.set()
         for task in work:
             task.result()
         violations = report(site)
