Let a stream that has begun wait on at a stopping node

What callers saw: a stream was closed in its middle, with nothing but planned work under way (LOST).

Cause: a stopping node refuses all requests that wait for a model, so that their clients go to another node. A stream that had begun and lost its engine waited in the same place, and its refusal broke the connection off. Class of fault: a rule for requests that have not begun reaches those that have.

Change: a request whose answer has begun is not refused because the node stops.

Result: test_stopping_node_waits_on_for_a_stream_that_has_begun and test_locator_is_told_whether_a_stream_has_begun failed before and pass.

--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -33,10 +33,12 @@
         requested_model: RequestedModel,
         deadline_s: float,
         avoid: Collection[EndpointId] = (),
+        has_begun: bool = False,
     ) -> ServingEndpoint:
         """Block until an endpoint has ``requested_model`` loaded, and return it.
 
-        Endpoints in ``avoid`` could not be reached.
+        Endpoints in ``avoid`` could not be reached. A request whose answer
+        ``has_begun`` is not refused because this node stops.
 
         Raises
         ------
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -183,6 +183,7 @@
             requested_model,
             forwarded.event_deadline_s,
             forwarded.unreached,
+            has_begun=forwarded.progress.messages > 0,
         )
         forwarded.load_wait_s += context.clock() - locate_start_s
     except NotLoadedBeforeDeadlineError as error:
--- a/src/camphoryard/coordination/loading/item_locator.py
+++ b/src/camphoryard/coordination/loading/item_locator.py
@@ -69,7 +69,10 @@
         self._answer_by_item: dict[RequestedModel, Future[LoadStatus]] = {}
 
     def stop(self) -> None:
-        """Refuse the requests that wait for an item, within about a second."""
+        """Refuse the requests that wait for an item, within about a second.
+
+        Those whose answers have begun wait on.
+        """
         self._is_stopping = True
 
     def arrived(self, item: RequestedModel) -> None:
@@ -86,6 +89,7 @@
         item: RequestedModel,
         deadline_s: float,
         avoid: Collection[EndpointId] = (),
+        has_begun: bool = False,
     ) -> ServingEndpoint:
         """Block until ``item`` is loaded somewhere; see the ModelLocator port."""
         while True:
@@ -106,7 +110,7 @@
                     pass
                 case CannotLoad():
                     ready_in_s = NEW_LEADER_ESTIMATE_S
-            if self._is_stopping:
+            if self._is_stopping and not has_begun:
                 # The client can retry at another node, which waits for the load.
                 raise NotLoadedBeforeDeadlineError(STOPPING_RETRY_S)
             if self._context.clock() + ready_in_s >= deadline_s:
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -180,9 +180,10 @@
     def __init__(self, found=None):
         self.found = found
 
-    def locate(self, service, requested_model, deadline_s, avoid=()):
+    def locate(self, service, requested_model, deadline_s, avoid=(), has_begun=False):
         """Return the endpoint, or raise if there is none."""
         self.avoided = set(avoid)
+        self.told_begun = has_begun
         if self.found is None:
             raise NotLoadedBeforeDeadlineError(3.0)
         return self.found
@@ -404,6 +405,22 @@
         site = Site(served(ONE, TWO[:5]), repeatability=Repeatability.STREAM)
         assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
 
+    @pytest.mark.parametrize(("first", "has_begun"), [((ONE,), True), ((), False)])
+    def test_locator_is_told_whether_a_stream_has_begun(self, first, has_begun):
+        """A stopping node refuses only those that have not."""
+        locator = Models(make_endpoint("e3", ["m1"]))
+        site = Site(
+            served(*first, error=BrokenCallError("x")),
+            declined(),
+            served(TWO),
+            repeatability=self.STREAM,
+            models=["m1"],
+            locator=locator,
+            requested_model=RequestedModel(ModelId("m1")),
+        )
+        site.forward()
+        assert locator.told_begun is has_begun
+
     def test_a_stream_that_pauses_is_resumed_at_another_endpoint(self):
         """Another endpoint has the model loaded."""
         site = Site(served(ONE, PAUSE, TWO), served(TWO), repeatability=self.STREAM)
--- a/tests/coordination/loading/test_item_locator.py
+++ b/tests/coordination/loading/test_item_locator.py
@@ -70,9 +70,10 @@
         state = EndpointState.DRAINING
         self.directory.observe(make_endpoint(name, ["m1"], state=state))
 
-    def locate(self, within_s, avoid=()):
+    def locate(self, within_s, avoid=(), **options):
         """Block until the model is loaded."""
-        return self.locator.locate(SERVICE, ITEM, time.monotonic() + within_s, avoid)
+        deadline_s = time.monotonic() + within_s
+        return self.locator.locate(SERVICE, ITEM, deadline_s, avoid, **options)
 
 
 @pytest.fixture
@@ -99,6 +100,15 @@
         with pytest.raises(NotLoadedBeforeDeadlineError):
             fleet.locate(within_s=0.2)
 
+    # Guards against LOST: a stopping node broke off streams that waited for an engine.
+    def test_stopping_node_waits_on_for_a_stream_that_has_begun(self, fleet):
+        """Its client cannot go to another node in the middle of the answer."""
+        fleet.locator.stop()
+        with pytest.raises(NotLoadedBeforeDeadlineError):
+            fleet.locate(within_s=5.0)
+        fleet.controller.is_loaded = True
+        assert fleet.locate(within_s=5.0, has_begun=True).id == "e2"
+
     def test_newly_loaded_engine_ends_the_wait(self, fleet):
         """The model was loaded there before the next call of the controller."""
         fleet.controller.is_loaded = False
