Let a stream that has begun wait for the end of a rest

Change: a request whose answer has begun waits until the shortest rest is over, if its client is still there then.

Result: test_stream_that_has_begun_waits_for_the_end_of_a_rest failed before and passes.

--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -166,7 +166,10 @@
     usable = _usable_endpoints(uses)
     if usable:
         return context.chooser.choose(_before_deadline(context, forwarded, usable))
-    _check_resting(forwarded, [use for _, use in uses])
+    rest_s = _shortest_rest_s([use for _, use in uses])
+    if rest_s is not None:
+        _wait_for_rest(context, forwarded, rest_s)
+        return _find_endpoint(context, forwarded)
     if requested_model is None:
         raise _no_endpoint_refusal(
             forwarded, "every endpoint of the service has failed this request"
@@ -193,8 +196,11 @@
             forwarded.verdict,
             retry_after_s=_retry_after_s(context, forwarded, error.ready_in_s),
         ) from error
-    _check_resting(forwarded, [endpoint_use(context, forwarded, found)])
-    return found
+    rest_s = _shortest_rest_s([endpoint_use(context, forwarded, found)])
+    if rest_s is None:
+        return found
+    _wait_for_rest(context, forwarded, rest_s)
+    return _find_endpoint(context, forwarded)
 
 
 def _usable_endpoints(
@@ -205,8 +211,8 @@
     return is_open or [item for item, use in uses if isinstance(use, LastResort)]
 
 
-def _check_resting(forwarded: ForwardedRequest, uses: Sequence[EndpointUse]) -> None:
-    """Raise RefusalError if one of the endpoints, none of them open, wants a rest."""
+def _shortest_rest_s(uses: Sequence[EndpointUse]) -> float | None:
+    """Return the shortest rest that an endpoint wants, or None if none wants any."""
     rests_s = []
     for use in uses:
         match use:
@@ -214,13 +220,28 @@
                 rests_s.append(left_s)
             case _:
                 pass
-    if rests_s:
+    return min(rests_s, default=None)
+
+
+def _wait_for_rest(
+    context: ForwardingContext, forwarded: ForwardedRequest, rest_s: float
+) -> None:
+    """Wait until an endpoint has rested if the answer has begun.
+
+    Raises
+    ------
+    RefusalError
+        If it has not begun, as the client can come back, or would be gone by then.
+    """
+    until_s = context.clock() + rest_s
+    if not forwarded.progress.messages or until_s >= forwarded.event_deadline_s:
         raise RefusalError(
             Reason.OVERLOADED,
-            f"every endpoint is busy, one for {min(rests_s):.1f} s",
+            f"every endpoint is busy, one for {rest_s:.1f} s",
             forwarded.verdict,
-            retry_after_s=min(rests_s),
+            retry_after_s=rest_s,
         )
+    context.directory.wait_until(lambda: False, until_s)
 
 
 def _before_deadline(
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -634,6 +634,26 @@
         assert REST_S - 1 <= refusal.retry_after_s <= REST_S * 1.25
         assert len(site.sent_to) == 2
 
+    # Guards against LOST: a stream that had begun was closed while endpoints rested.
+    def test_stream_that_has_begun_waits_for_the_end_of_a_rest(self):
+        """Its client cannot come back later in the middle of the answer."""
+        rest_s = 1.6
+        site = Site(
+            served(ONE, error=BrokenCallError("x"), notices=(Resting(rest_s),)),
+            declined(notices=(Resting(rest_s),)),
+            served(TWO),
+            repeatability=Repeatability.RESUMABLE_STREAM,
+            rule={"max_attempts": 3},
+            endpoints=("e1", "e2"),
+            requested_model=RequestedModel(ModelId("m1")),
+            models=["m1"],
+        )
+        site.directory.wait_until = lambda _, until_s: site.clock.advance(
+            until_s - site.clock.now_s
+        )
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
     def test_located_endpoint_that_rests_gets_nothing(self):
         """The leader has not been told to rest."""
         site = Site(
