Suspect only requests whose endpoint has begun to answer with success

Cause: read in the diff: a refusal whose body broke off counted as a begun answer, though the endpoint had not begun to answer the request.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -43,8 +43,6 @@
 written to it."""
 MAX_IDLE_REPEATABLE_S = 4.0
 """The same limit for requests that may be sent again."""
-
-
 ENDING_TIME_S = 0.02
 """Time in which a process that ends closes its sockets."""
 
@@ -74,7 +72,7 @@
     sent_s = context.clock()
     forwarded.sends += 1
     forwarded.endpoint = endpoint.id
-    forwarded.has_head = False
+    forwarded.has_begun_answer = False
     forwarded.is_answered = False
     forwarded.view_age_s = context.directory.endpoints_age_s()
     urgency = urgency_at(context, forwarded, endpoint.id)
@@ -97,7 +95,7 @@
                 _open_answer(context, forwarded, endpoint, options, call_cancellation)
             ) as answer,
         ):
-            forwarded.has_head = True
+            forwarded.has_begun_answer = answer.head.kind is AnswerKind.SERVED
             context.notices.heed(endpoint, answer.head.notices)
             context.observe("head", context.clock() - sent_s)
             return _handle_answer(
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -87,8 +87,8 @@
     ``unreached`` those of them that accepted no connection, ``declined`` those that
     declined the request. ``endpoint`` and ``urgency`` are those of the last send, and
     ``view_age_s`` is how old the view of the endpoints may have been then.
-    ``has_head`` is True if the last endpoint has begun its answer, ``is_answered`` if
-    it has sent enough of it to show that the request does not crash it.
+    ``has_begun_answer`` is True if the last endpoint has begun to answer with success,
+    ``is_answered`` if it has sent enough to show that the request does not crash it.
     ``crashing_parts`` are the parts of the prompt that other requests may share.
     ``load_wait_s``, ``first_event_s`` and ``longest_gap_s`` are written to the request
     log for on-call engineers. Deadlines are monotonic times; all times are in seconds.
@@ -113,7 +113,7 @@
     longest_gap_s: float = 0.0
     urgency: Urgency | None = None
     view_age_s: float = 0.0
-    has_head: bool = False
+    has_begun_answer: bool = False
     is_answered: bool = False
     crashing_parts: tuple[PromptPartId, ...] = field(init=False)
 
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -373,7 +373,7 @@
         early=True,
         on_trial=False,
         started_ms=endpoint.started_ms,
-        has_begun=forwarded.has_head,
+        has_begun=forwarded.has_begun_answer,
         parts=forwarded.crashing_parts,
         answered_parts=context.crashed_parts.answered(forwarded.crashing_parts),
     )
@@ -385,7 +385,7 @@
         endpoint=endpoint.id,
         fingerprint=digest,
         crashes=crashes,
-        has_head=forwarded.has_head,
+        has_head=forwarded.has_begun_answer,
         parts=",".join(part.id for part in forwarded.request.prompt_parts),
     )
 
