Look for an endpoint for a stream that has begun until its client leaves

Cause: a stopping node has left the fleet, so the leader does not answer it, and an estimate beyond the client's patience was taken as final. An endpoint that has just declined may accept a little later, and for a stream in its middle there is nothing to lose by looking again.

Change: such a stream chooses anew every 0.2 s until its client would leave.

--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -38,6 +38,8 @@
 DECLINED_RETRY_DELAY_S = 0.03
 """Delay before an engine that declined a request is tried again; loading an adapter
 takes about as long."""
+BEGUN_RETRY_DELAY_S = 0.2
+"""Delay before a stream that no endpoint can continue looks for one again."""
 MAX_QUEUE_WAIT_SHARE = 0.85
 """Share of the time until its client leaves that a stream may be expected to queue."""
 MAX_QUEUE_RETRY_AFTER_S = 2.0
@@ -190,6 +192,13 @@
         )
         forwarded.load_wait_s += context.clock() - locate_start_s
     except NotLoadedBeforeDeadlineError as error:
+        if forwarded.progress.messages:
+            # Its client cannot come back later in the middle of the answer.
+            context.directory.wait_until(
+                lambda: False,
+                min(forwarded.event_deadline_s, context.clock() + BEGUN_RETRY_DELAY_S),
+            )
+            return _find_endpoint(context, forwarded)
         raise RefusalError(
             Reason.OVERLOADED,
             f"the model or adapter is {error}",
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -421,6 +421,41 @@
         site.forward()
         assert locator.told_begun is has_begun
 
+    # Guards against LOST: a stream in its middle was closed as no leader answered.
+    def test_a_stream_that_has_begun_chooses_anew_until_its_client_leaves(self):
+        """An endpoint that declined it accepts it a little later."""
+        site = Site(
+            served(ONE, error=BrokenCallError("x")),
+            declined(),
+            served(TWO),
+            repeatability=self.STREAM,
+            rule={"max_attempts": 3},
+            models=["m1"],
+            requested_model=RequestedModel(ModelId("m1")),
+        )
+        site.directory.wait_until = lambda _, until_s: site.clock.advance(
+            until_s - site.clock.now_s
+        )
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    def test_a_stream_that_nobody_can_continue_ends_with_its_clients_patience(self):
+        """Until then an endpoint may still become able to."""
+        site = Site(
+            served(ONE, error=BrokenCallError("x")),
+            repeatability=self.STREAM,
+            models=["m1"],
+            endpoints=("e1",),
+            requested_model=RequestedModel(ModelId("m1")),
+        )
+        site.directory.wait_until = lambda _, until_s: site.clock.advance(
+            until_s - site.clock.now_s
+        )
+        began_s = site.clock.now_s
+        assert site.refusal().reason is Reason.DEADLINE
+        patience_s = make_rule(self.STREAM).client_timeout_s
+        assert site.clock.now_s - began_s == pytest.approx(patience_s)
+
     def test_a_stream_that_pauses_is_resumed_at_another_endpoint(self):
         """Another endpoint has the model loaded."""
         site = Site(served(ONE, PAUSE, TWO), served(TWO), repeatability=self.STREAM)
