--- a/src/camphoryard/state/ids.py
+++ b/src/camphoryard/state/ids.py
@@ -33,5 +33,7 @@
 Revision = NewType("Revision", int)
 Generation = NewType("Generation", int)
 FencingNumber = NewType("FencingNumber", int)
+StoreEra = NewType("StoreEra", int)
+"""Number of restores of the store from an older copy."""
 
 ABSENT = Version(0)
