Log when the store tells a new era

Cause: no log line told that the store had been restored from an older copy, so the hypotheses of the incident could not be told apart. Change: the era in the store's answers is read, and a later one is logged once a node. Result: two tests; behaviour is unchanged.

--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -78,6 +78,7 @@
 from camphoryard.state.ids import Incarnation, ObjectKey, ServiceId, WriteId
 from camphoryard.state.leadership import LeadershipRecord, PeerKeys
 from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.store_eras import NewestEra
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.timeline import HybridClock
 from camphoryard.transport.front import FrontApp
@@ -198,7 +199,8 @@
     peers = PeerNetwork(
         settings.node, None, executors.peers, executors.handlers, HybridClock()
     )
-    records = functools.partial(_make_records, client, settings, log)
+    newest_era = NewestEra()
+    records = functools.partial(_make_records, client, settings, log, newest_era)
     leases = records(NODE_KIND, NodeLease)
     gossip: FleetGossip
     load_controller: LoadController
@@ -259,7 +261,7 @@
     live_settings.subscribe(lambda bounds: retries.limit(bounds.repeat_limits))
     live_settings.subscribe(lambda bounds: load_controller.limit(bounds.load_limits))
     watchers = (
-        *_make_directory_watchers(client, settings, log, feed, directory),
+        *_make_directory_watchers(client, settings, log, newest_era, feed, directory),
         RecordWatcher(
             leases,
             functools.partial(apply_lease, nodes, peers),
@@ -341,14 +343,17 @@
     client: HttpClient,
     settings: EntrySettings,
     log: LineLog,
+    newest_era: NewestEra,
     feed: DirectoryFeed,
     directory: Directory,
 ) -> tuple[RecordWatcher[Any], ...]:
     """Return the watchers that keep traffic rules and endpoints up to date."""
     store = Address(settings.store.host, settings.store.port)
-    rules = StoreRecords(client, store, CONFIG_KIND, decode_rules, _reject_write, log)
+    rules = StoreRecords(
+        client, store, CONFIG_KIND, decode_rules, _reject_write, log, newest_era
+    )
     endpoints = StoreRecords(
-        client, store, ENDPOINT_KIND, decode_endpoint, _reject_write, log
+        client, store, ENDPOINT_KIND, decode_endpoint, _reject_write, log, newest_era
     )
     return (
         RecordWatcher(
@@ -426,6 +431,7 @@
     client: HttpClient,
     settings: EntrySettings,
     log: LineLog,
+    newest_era: NewestEra,
     kind: str,
     record_type: Any,
 ) -> StoreRecords[Any]:
@@ -438,6 +444,7 @@
         lambda _, spec: decoder.decode(spec),
         msgspec.json.encode,
         log,
+        newest_era,
     )
 
 
--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -1,5 +1,6 @@
 """Records in the platform's store."""
 
+import re
 from collections.abc import Callable, Iterable, Sequence
 from typing import Generic, TypeVar
 from urllib.parse import quote, urlencode
@@ -14,7 +15,8 @@
     NotSentError,
     StoreUnavailableError,
 )
-from camphoryard.state.ids import ABSENT, ObjectKey, Revision, Version
+from camphoryard.state.ids import ABSENT, ObjectKey, Revision, StoreEra, Version
+from camphoryard.state.store_eras import FIRST_ERA, MAX_ERA, NewestEra
 from camphoryard.transport.http_client import (
     Address,
     HttpAnswer,
@@ -31,7 +33,10 @@
 MAX_WAIT_S = 30.0
 """Longest wait of a watch that the platform allows."""
 OK, CREATED, NO_CONTENT, NOT_FOUND, CONFLICT, GONE = 200, 201, 204, 404, 409, 410
+ERA_HEADER = "store-era"
+"""Header, in lower case, of a number that rises when the store is restored."""
 MILLISECONDS_PER_SECOND = 1000
+_ERA_PATTERN = re.compile("[0-9]{1,9}")
 
 
 class _Metadata(msgspec.Struct, frozen=True):
@@ -83,6 +88,8 @@
         Returns the record of a name and its JSON; an unreadable one counts as absent.
     encode : callable
         Returns a record as JSON.
+    newest_era : NewestEra
+        The newest era of the store, shared by all records of it.
     """
 
     def __init__(
@@ -93,6 +100,7 @@
         decode: Callable[[str, bytes], RecordT],
         encode: Callable[[RecordT], bytes],
         log: DecisionLog,
+        newest_era: NewestEra,
     ) -> None:
         self._client = client
         self._address = address
@@ -101,6 +109,7 @@
         self._decode = decode
         self._encode = encode
         self._log = log
+        self._newest_era = newest_era
 
     def get(self, key: str) -> Stored[RecordT] | None:
         """Return the record, or None; raises StoreUnavailableError."""
@@ -223,12 +232,27 @@
             answer = self._client.call(self._address, call)
         except (NotSentError, BrokenCallError) as error:
             raise StoreUnavailableError(f"{method} {path}: {error}") from error
+        self._observe_era(answer)
         if answer.status in (CONFLICT, GONE):
             raise ConflictError(f"{method} {path}: status {answer.status}")
         if answer.status not in accepted:
             raise StoreUnavailableError(f"{method} {path}: status {answer.status}")
         return answer
 
+    def _observe_era(self, answer: HttpAnswer) -> None:
+        known = self._newest_era.current
+        era = _era(answer)
+        if self._newest_era.observe(era):
+            self._log("store_era", known=known, era=era, kind=self._kind)
+
+
+def _era(answer: HttpAnswer) -> StoreEra:
+    """Return the era that an answer tells, or `FIRST_ERA` if it tells none."""
+    for name, text in answer.headers.items():
+        if name.lower() == ERA_HEADER and _ERA_PATTERN.fullmatch(text):
+            return StoreEra(min(int(text), MAX_ERA))
+    return FIRST_ERA
+
 
 def _read(decoder: "msgspec.json.Decoder[DecodedT]", answer: HttpAnswer) -> DecodedT:
     try:
--- a/src/camphoryard/state/store_eras.py
+++ b/src/camphoryard/state/store_eras.py
@@ -13,6 +13,8 @@
 ERA_SHIFT = 40
 """Bits of the revision within an era."""
 MAX_REVISION = (1 << ERA_SHIFT) - 1
+MAX_ERA = (1 << 22) - 1
+"""Highest era with which versions still fit into 63 bits."""
 FIRST_ERA = StoreEra(0)
 """Era of a store that does not tell any."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 from camphoryard.coordination.ports import Stored
 from camphoryard.platform.store import StoreRecords
 from camphoryard.platform.traffic import decode_endpoint
+from camphoryard.state.store_eras import NewestEra
 from camphoryard.transport.http_client import Address, HttpAnswer
 from tests.fakes.engines import RecordedLog
 
@@ -19,11 +20,12 @@
 
     def __init__(self, *bodies):
         self.bodies, self.paths = list(bodies), []
+        self.headers = {}
 
     def call(self, address, call):
         """Return the next answer."""
         self.paths.append(call.path)
-        return HttpAnswer(200, {}, self.bodies.pop(0))
+        return HttpAnswer(200, self.headers, self.bodies.pop(0))
 
 
 def item(name, spec, revision=1):
@@ -51,7 +53,13 @@
     """Return the records of endpoints, with their log."""
     log = RecordedLog()
     records = StoreRecords(
-        Client(*bodies), Address("h", 1), "servers", decode_endpoint, None, log
+        Client(*bodies),
+        Address("h", 1),
+        "servers",
+        decode_endpoint,
+        None,
+        log,
+        NewestEra(),
     )
     return records, log
 
@@ -107,3 +115,23 @@
             b'{"store-revision":9,"events":[' + event + b"]}",
         )
         assert records.watch(1, 1.0).items == (Stored("a", 4, None),)
+
+
+class TestEra:
+    """The era that the store tells in each answer."""
+
+    def test_a_new_era_is_logged_once(self):
+        """Those on call see when the store was restored."""
+        records, log = make_records(*[listing()] * 5)
+        for era in ("1", "1", "2", "1", "2"):
+            records._client.headers = {"Store-Era": era}
+            records.list()
+        assert log.events() == ["store_era", "store_era"]
+
+    @pytest.mark.parametrize("era", ["", "x", "-1", "1" * 5000, "²"])
+    def test_an_odd_era_counts_as_none(self, era):
+        """The answer is read all the same."""
+        records, log = make_records(listing(item("a", SPEC)))
+        records._client.headers = {"Store-Era": era}
+        assert len(records.list().items) == 1
+        assert log.events() == []
