--- a/tests/coordination/leadership/test_leader_lease.py
+++ b/tests/coordination/leadership/test_leader_lease.py
@@ -24,7 +24,15 @@
         self.stored = None
         self.is_unavailable = False
         self.loses_answers = False
-        self._version = 10
+        self._version = 0
+
+    def copy(self):
+        """Return the state that the store can be restored to."""
+        return self.stored, self._version
+
+    def restore(self, copy):
+        """Go back to a copy."""
+        self.stored, self._version = copy
 
     def get(self, key):
         """Return the record."""
@@ -70,6 +78,15 @@
             self.clock,
         )
 
+    def terms_of(self, lease):
+        """Return the terms in which a node acts until it has led for a while."""
+        terms = []
+        for _ in range(20):
+            self.advance(lease)
+            if lease.term not in (NO_TERM, *terms):
+                terms.append(lease.term)
+        return terms
+
     def advance(self, *leases, by_s=0.75):
         """Advance the clock, then have each node renew or acquire the lease."""
         self.clock.advance(by_s)
@@ -223,3 +240,22 @@
         lease.renew_or_acquire()
         lease.reject_term(lease.term)
         assert lease.term == NO_TERM
+
+
+# Guards against ONE: after a restore of the store two leaders had one fencing number.
+class TestRestoredStore:
+    """The store comes back from a copy that lacks the newest leadership."""
+
+    @pytest.mark.parametrize("is_fenced", [True, False])
+    def test_no_term_is_given_out_twice(self, is_fenced):
+        """The record is older than the last term that engines have seen."""
+        fleet = Fleet(is_fenced=is_fenced)
+        first, second, third = (fleet.lease(name) for name in "abc")
+        fleet.advance(first, second)
+        copy = fleet.store.copy()
+        first.resign()
+        terms = fleet.terms_of(second)
+        fleet.store.restore(copy)
+        terms += fleet.terms_of(third)
+        assert len(set(terms)) == 2
+        assert terms == sorted(terms)
