Take no revision of the store for one of before a restore

Callers saw nothing of this yet; it lets a node miss changes and replace other objects. Cause: after a restore the store gives revisions out again. A watch from one of them gets no 410, so what lies between is missed until the next listing, and a conditional write names another object than the one that was read. Change: versions and revisions contain the era. A watch or write from an earlier one conflicts, and is not sent if the restore is known; a write that another era answers has no known outcome. An entry with a revision out of range is odd. A watch that starts anew is logged.

--- a/src/camphoryard/coordination/record_watcher.py
+++ b/src/camphoryard/coordination/record_watcher.py
@@ -58,7 +58,8 @@
     name : str
         What is watched, for the log and the metrics.
     log : callable
-        Called with each call that fails after one that was answered.
+        Called with each call that fails after one that was answered, and with each
+        watch that cannot go on from its revision.
     """
 
     def __init__(
@@ -102,8 +103,8 @@
                 continue
             try:
                 self._watch(timer)
-            except ConflictError:
-                continue
+            except ConflictError as error:
+                self._log("watch_restarted", of=self.name, error=str(error))
             except StoreUnavailableError as error:
                 self._log_failure(error)
                 self._record_availability(False)
--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Callable, Iterable, Sequence
-from typing import Generic, TypeVar
+from typing import Annotated, Generic, TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -16,7 +16,16 @@
     StoreUnavailableError,
 )
 from camphoryard.state.ids import ABSENT, ObjectKey, Revision, StoreEra, Version
-from camphoryard.state.store_eras import FIRST_ERA, MAX_ERA, NewestEra
+from camphoryard.state.store_eras import (
+    FIRST_ERA,
+    MAX_ERA,
+    MAX_REVISION,
+    NewestEra,
+    era_of,
+    revision_in,
+    stored_revision,
+    version_in,
+)
 from camphoryard.transport.http_client import (
     Address,
     HttpAnswer,
@@ -39,9 +48,12 @@
 _ERA_PATTERN = re.compile("[0-9]{1,9}")
 
 
+_StoredRevision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+
 class _Metadata(msgspec.Struct, frozen=True):
     name: str
-    revision: int = 0
+    revision: _StoredRevision = 0
 
 
 class _Object(msgspec.Struct, frozen=True):
@@ -50,7 +62,7 @@
 
 
 class _Listing(msgspec.Struct, frozen=True, rename="kebab"):
-    store_revision: int
+    store_revision: _StoredRevision
     # Decoded one by one, so that one odd object does not make the others unreadable.
     items: list[msgspec.Raw] = []
     has_more: bool = False
@@ -62,7 +74,7 @@
 
 
 class _Changes(msgspec.Struct, frozen=True, rename="kebab"):
-    store_revision: int
+    store_revision: _StoredRevision
     events: list[msgspec.Raw] = []
 
 
@@ -82,6 +94,10 @@
 class StoreRecords(Generic[RecordT]):
     """Records of one kind; see the Records port.
 
+    Versions and revisions contain the era of the store. After a restore the store gives
+    revisions out again, so those of an earlier era name nothing any more: a write or
+    watch with one of them conflicts.
+
     Parameters
     ----------
     decode : callable
@@ -116,26 +132,30 @@
         answer = self._call("GET", self._object_path(key), (OK, NOT_FOUND))
         if answer.status == NOT_FOUND:
             return None
-        return self._stored(_read(_OBJECT, answer))
+        return self._stored(_read(_OBJECT, answer), _era(answer))
 
     def put(self, key: str, record: RecordT, version: Version) -> Version:
         """Write if the version is still ``version``; see the Records port."""
+        era = self._check_era(version)
         metadata: dict[str, object] = {"name": key}
         if version != ABSENT:
-            metadata["revision"] = version
+            metadata["revision"] = stored_revision(version)
         document = {"metadata": metadata, "spec": msgspec.Raw(self._encode(record))}
         body = msgspec.json.encode(document)
         if version == ABSENT:
             answer = self._call("POST", self._path, (OK, CREATED), body)
         else:
             answer = self._call("PUT", self._object_path(key), (OK, CREATED), body)
-        return Version(_read(_WRITTEN, answer).metadata.revision)
+        _check_same_era(answer, era)
+        return version_in(era, _read(_WRITTEN, answer).metadata.revision)
 
     def delete(self, key: str, version: Version) -> None:
         """Delete if the version is still ``version``."""
-        query = urlencode({"revision": version})
+        era = self._check_era(version)
+        query = urlencode({"revision": stored_revision(version)})
         path = f"{self._object_path(key)}?{query}"
-        self._call("DELETE", path, (OK, NO_CONTENT, NOT_FOUND))
+        answer = self._call("DELETE", path, (OK, NO_CONTENT, NOT_FOUND))
+        _check_same_era(answer, era)
 
     def list(self, within: str = "") -> Snapshot[RecordT]:
         """Return all records whose name begins with ``within``.
@@ -145,16 +165,20 @@
         """
         items: list[Stored[RecordT]] = []
         revision: Revision | None = None
+        era = FIRST_ERA
         after = ""
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
             answer = self._call("GET", f"{self._path}{query}", (OK,))
             listing = _read(_LISTING, answer)
             if revision is None:
-                revision = Revision(listing.store_revision)
+                era = _era(answer)
+                revision = revision_in(era, listing.store_revision)
+            elif _era(answer) != era:
+                raise ConflictError(f"{self._path}: restored between two pages")
             page = self._readable(_OBJECT, listing.items)
             items.extend(
-                self._stored(item)
+                self._stored(item, era)
                 for item in page
                 if item.metadata.name.startswith(within)
             )
@@ -166,16 +190,24 @@
         """Block up to ``wait_s`` for changes after ``since``."""
         wait_s = min(wait_s, MAX_WAIT_S)
         wait_ms = int(wait_s * MILLISECONDS_PER_SECOND)
-        query = urlencode({"watch": since, "wait-ms": wait_ms})
+        era = era_of(since)
+        if era < self._newest_era.current:
+            raise ConflictError(f"{self._path}: restored since revision {since}")
+        query = urlencode({"watch": stored_revision(since), "wait-ms": wait_ms})
         answer = self._call(
             "GET", f"{self._path}?{query}", (OK,), timeout_s=wait_s + WATCH_GRACE_S
         )
+        if _era(answer) != era:
+            # What the store gives out again up to ``since`` is not among the changes.
+            raise ConflictError(f"{self._path}: restored during a watch")
         changes = _read(_CHANGES, answer)
         items = tuple(
-            self._removed(event.object) if event.removed else self._stored(event.object)
+            _removed(event.object, era)
+            if event.removed
+            else self._stored(event.object, era)
             for event in self._readable(_EVENT, changes.events)
         )
-        return Snapshot(Revision(changes.store_revision), items)
+        return Snapshot(revision_in(era, changes.store_revision), items)
 
     def _readable(
         self, decoder: "msgspec.json.Decoder[DecodedT]", items: Iterable[msgspec.Raw]
@@ -192,8 +224,15 @@
     def _object_path(self, key: str) -> str:
         return f"{self._path}/{quote(key, safe='')}"
 
-    def _stored(self, item: _Object) -> Stored[RecordT]:
-        name, version = item.metadata.name, Version(item.metadata.revision)
+    def _check_era(self, version: Version) -> StoreEra:
+        """Return the era that a write expects; raises ConflictError if it is over."""
+        era = self._newest_era.of_write(version)
+        if era < self._newest_era.current:
+            raise ConflictError(f"{self._path}: restored since version {version}")
+        return era
+
+    def _stored(self, item: _Object, era: StoreEra) -> Stored[RecordT]:
+        name, version = item.metadata.name, version_in(era, item.metadata.revision)
         try:
             record = self._decode(name, bytes(item.spec))
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
@@ -207,10 +246,6 @@
             return Stored(ObjectKey(name), version, None)
         return Stored(ObjectKey(name), version, record)
 
-    def _removed(self, item: _Object) -> Stored[RecordT]:
-        version = Version(item.metadata.revision)
-        return Stored(ObjectKey(item.metadata.name), version, None)
-
     def _call(
         self,
         method: str,
@@ -246,6 +281,20 @@
             self._log("store_era", known=known, era=era, kind=self._kind)
 
 
+def _removed(item: _Object, era: StoreEra) -> Stored[RecordT]:
+    version = version_in(era, item.metadata.revision)
+    return Stored(ObjectKey(item.metadata.name), version, None)
+
+
+def _check_same_era(answer: HttpAnswer, era: StoreEra) -> None:
+    """Raise StoreUnavailableError if a write took effect in another era.
+
+    The revision that it named may then be that of another object than the one read.
+    """
+    if _era(answer) != era:
+        raise StoreUnavailableError("the store was restored during a write")
+
+
 def _era(answer: HttpAnswer) -> StoreEra:
     """Return the era that an answer tells, or `FIRST_ERA` if it tells none."""
     for name, text in answer.headers.items():
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,8 @@
 from camphoryard.coordination.ports import Stored
 from camphoryard.platform.store import StoreRecords
 from camphoryard.platform.traffic import decode_endpoint
+from camphoryard.state.errors import ConflictError, StoreUnavailableError
+from camphoryard.state.ids import ABSENT
 from camphoryard.state.store_eras import NewestEra
 from camphoryard.transport.http_client import Address, HttpAnswer
 from tests.fakes.engines import RecordedLog
@@ -20,13 +22,19 @@
 
     def __init__(self, *bodies):
         self.bodies, self.paths = list(bodies), []
+        self.calls = []
         self.headers = {}
 
     def call(self, address, call):
         """Return the next answer."""
         self.paths.append(call.path)
+        self.calls.append(call)
         return HttpAnswer(200, self.headers, self.bodies.pop(0))
 
+    def tell_era(self, era):
+        """Tell an era in the answers from now on."""
+        self.headers = {"Store-Era": str(era)}
+
 
 def item(name, spec, revision=1):
     """Return an object of the store as JSON."""
@@ -124,7 +132,7 @@
         """Those on call see when the store was restored."""
         records, log = make_records(*[listing()] * 5)
         for era in ("1", "1", "2", "1", "2"):
-            records._client.headers = {"Store-Era": era}
+            records._client.tell_era(era)
             records.list()
         assert log.events() == ["store_era", "store_era"]
 
@@ -132,6 +140,102 @@
     def test_an_odd_era_counts_as_none(self, era):
         """The answer is read all the same."""
         records, log = make_records(listing(item("a", SPEC)))
-        records._client.headers = {"Store-Era": era}
+        records._client.tell_era(era)
         assert len(records.list().items) == 1
         assert log.events() == []
+
+
+# Guards against CONFIG and ONE: the store gives revisions out again after a restore.
+class TestRestoredStore:
+    """Versions and revisions from before a restore of the store."""
+
+    def make_restored(self, *bodies):
+        """Return records that have listed one object before a restore."""
+        records, _ = make_records(listing(item("a", SPEC, 4)), *bodies)
+        records._client.tell_era(1)
+        snapshot = records.list()
+        records._client.tell_era(2)
+        return records, snapshot
+
+    def test_a_watch_from_before_a_restore_conflicts(self):
+        """Its events are not all that happened since the listing."""
+        records, before = self.make_restored(changes(item("b", SPEC, 10)))
+        with pytest.raises(ConflictError):
+            records.watch(before.revision, 1.0)
+
+    def test_a_known_restore_is_not_watched_across(self):
+        """No call is made for a revision that names nothing any more."""
+        records, before = self.make_restored(listing())
+        records.list()
+        calls = len(records._client.calls)
+        with pytest.raises(ConflictError):
+            records.watch(before.revision, 1.0)
+        assert len(records._client.calls) == calls
+
+    @pytest.mark.parametrize("write", ["put", "delete"])
+    def test_a_known_restore_is_not_written_across(self, write):
+        """The version could be that of another object by now."""
+        records, before = self.make_restored(listing(), item("a", SPEC))
+        records.list()
+        version = before.items[0].version
+        with pytest.raises(ConflictError):
+            if write == "put":
+                records.put("a", None, version)
+            else:
+                records.delete("a", version)
+
+    @pytest.mark.parametrize("write", ["put", "create", "delete"])
+    def test_a_write_beside_a_restore_has_no_known_outcome(self, write):
+        """It may have replaced another object than the one that was read."""
+        records, before = self.make_restored(item("a", SPEC, 5))
+        records._encode = lambda record: b"null"
+        with pytest.raises(StoreUnavailableError):
+            match write:
+                case "put":
+                    records.put("a", None, before.items[0].version)
+                case "create":
+                    records.put("a", None, ABSENT)
+                case "delete":
+                    records.delete("a", before.items[0].version)
+
+    def test_versions_from_after_a_restore_are_newer(self):
+        """Also if the store counts them lower."""
+        records, before = self.make_restored(listing(item("a", SPEC, 2)))
+        assert records.list().items[0].version > before.items[0].version
+
+    def test_a_listing_across_a_restore_conflicts(self):
+        """Its pages are not of one state."""
+        records, _ = make_records(listing(item("a", SPEC), has_more=True), listing())
+        client = records._client
+        client.tell_era(1)
+        call = client.call
+
+        def restore_after(address, http_call):
+            answer = call(address, http_call)
+            client.tell_era(2)
+            return answer
+
+        client.call = restore_after
+        with pytest.raises(ConflictError):
+            records.list()
+
+    def test_the_store_is_asked_with_its_own_revisions(self):
+        """Eras are not part of the revisions on the wire."""
+        records, _ = make_records(
+            listing(item("a", SPEC, 4)), changes(), item("a", SPEC)
+        )
+        records._encode = lambda record: b"null"
+        records._client.tell_era(3)
+        snapshot = records.list()
+        records.watch(snapshot.revision, 1.0)
+        records.put("a", None, snapshot.items[0].version)
+        assert "watch=9&" in records._client.paths[1]
+        body = json.loads(records._client.calls[2].body)
+        assert body["metadata"]["revision"] == 4
+
+    def test_an_odd_revision_makes_an_entry_odd(self):
+        """It could not be told from one of a later era."""
+        odd, sound = item("odd", SPEC, 1 << 50), item("a", SPEC)
+        records, log = make_records(listing(odd, sound))
+        assert [stored.key for stored in records.list().items] == ["a"]
+        assert log.events() == ["entry_unreadable"]
