Give each term of the leader a number that a restore cannot repeat

Engines got orders of two leaders with one fencing number (ONE), as soon as the leader had changed in the span that a restore of the store lost. Cause: the term was counted from the record, which a restored store shows as of some seconds ago. Class: a number that must never repeat was derived from a record that may go back. Change: a term is the version of the write that began it, so the store gives it out once in an era, and eras rise. A leader goes on in a new term after a restore, at once where its record is lost or its own and engines check fences. Where they do not, whoever leads first in an era waits until a lost leader has stopped.

--- a/src/camphoryard/coordination/leadership/leader_lease.py
+++ b/src/camphoryard/coordination/leadership/leader_lease.py
@@ -15,6 +15,7 @@
     Version,
 )
 from camphoryard.state.leadership import LeadershipRecord
+from camphoryard.state.store_eras import FIRST_ERA, NewestEra, era_of, version_in
 
 RENEWAL_PERIOD_S = 0.75
 LEASE_S = 3.0
@@ -51,6 +52,11 @@
     conditional write once it has observed an unchanged record for ``LEASE_S``, and
     acts after a further ``handover_s``.
 
+    A term is the version of the write that began it, which the store gives out once,
+    also if it is restored from an older copy. After a restore the leader may be one
+    that the record no longer names, so a leader goes on in a new term only, and waits
+    until others have stopped unless engines check fencing tokens.
+
     Where engines check fencing tokens, the leader goes on while the store is
     unavailable: until another node takes over, its term is the newest that any engine
     has recorded, and after that the engines reject its orders. It stops soon after
@@ -64,6 +70,8 @@
         Time in seconds between the last act of one leader and the first of the next.
     is_fenced : bool
         Whether everything that the leader acts on rejects older terms.
+    newest_era : NewestEra
+        The newest era of the store.
     newest_term : callable
         Returns the newest term that peers have reported.
     is_standby : callable
@@ -80,6 +88,7 @@
         incarnation: Incarnation,
         handover_s: float,
         is_fenced: bool,
+        newest_era: NewestEra,
         newest_term: Callable[[], FencingNumber],
         is_standby: Callable[[], bool],
         log: DecisionLog,
@@ -91,6 +100,7 @@
         self._incarnation = incarnation
         self._handover_s = handover_s
         self._is_fenced = is_fenced
+        self._newest_era = newest_era
         self._newest_term = newest_term
         self._last_unanswered_s = float("-inf")
         self._is_standby = is_standby
@@ -166,7 +176,14 @@
             self._log("duty_not_resigned", duty=self._key, error=str(error))
 
     def _renew(self) -> None:
-        observed = self._observed or self._read()
+        observed = self._observed
+        if observed is None or era_of(observed.version) < self._newest_era.current:
+            observed = self._read()
+        is_restored = self._is_restored_since(self._term)
+        if is_restored and not self._has_successor(observed.record):
+            self._end_term("restored")
+            self._acquire(observed, self._lost_leader_s())
+            return
         if not self._is_own(observed.record):
             self._end_term("taken")
             return
@@ -191,36 +208,58 @@
         self._observed = observed
         record = observed.record
         if record is None:
-            self._acquire(NO_TERM, observed.version, 0.0)
-        elif record.holder is None:
-            self._acquire(record.term, observed.version, self._handover_s)
+            self._acquire(observed, self._lost_leader_s())
         elif record.holder == self._node:
             # An earlier process of this node has ended, or this process lost the
             # lease.
-            self._acquire(record.term, observed.version, 0.0)
+            is_restored = self._is_restored_since(record.term)
+            self._acquire(observed, self._lost_leader_s() if is_restored else 0.0)
+        elif record.holder is None:
+            is_restored = self._is_restored_since(record.term)
+            lost_leader_s = self._lost_leader_s() if is_restored else 0.0
+            self._acquire(observed, max(self._handover_s, lost_leader_s))
         elif now_s - observed.unchanged_since_s >= LEASE_S:
-            self._acquire(record.term, observed.version, self._handover_s)
+            self._acquire(observed, self._handover_s)
 
-    def _acquire(self, term: FencingNumber, version: Version, wait_s: float) -> None:
-        """Write a lease of this node for the term after ``term``."""
+    def _acquire(self, observed: _ObservedRecord, wait_s: float) -> None:
+        """Write a lease of this node; its version is the new term."""
         began_s = self._clock()
+        before = observed.record.term if observed.record is not None else NO_TERM
+        # The term is known once the record is written; the first renewal adds it.
+        era_start = FencingNumber(version_in(self._newest_era.current, 0))
         record = LeadershipRecord(
-            self._node, self._incarnation, FencingNumber(term + 1), 0
+            self._node, self._incarnation, max(before, era_start), 0
         )
-        written = self._records.put(self._key, record, version)
+        written = self._records.put(self._key, record, observed.version)
         self._observed = _ObservedRecord(record, written, began_s)
-        self._term = record.term
+        self._term = FencingNumber(written)
         margin_s = HANDOVER_MARGIN_S if wait_s else 0.0
         self._acts_from_s = self._clock() + wait_s + margin_s
         self._acts_until_s = began_s + LEASE_S - LEASE_MARGIN_S
         self._log(
             "duty_taken",
             duty=self._key,
-            term=record.term,
-            version=written,
+            term=self._term,
+            era=era_of(written),
+            after_term=before,
             acts_in_s=round(self._acts_from_s - self._clock(), 3),
         )
 
+    def _lost_leader_s(self) -> float:
+        """Return the time in which a leader whose record is lost has stopped."""
+        if self._is_fenced or self._newest_era.current == FIRST_ERA:
+            return 0.0
+        return LEASE_S + self._handover_s
+
+    def _has_successor(self, record: LeadershipRecord | None) -> bool:
+        """Return whether a record of another node is not older than this term."""
+        if record is None or self._is_own(record):
+            return False
+        return record.term > self._term
+
+    def _is_restored_since(self, term: FencingNumber) -> bool:
+        return era_of(Version(term)) < self._newest_era.current
+
     def _end_term(self, cause: str) -> None:
         if self._term:
             self._log("duty_lost", duty=self._key, term=self._term, cause=cause)
@@ -241,5 +280,4 @@
             record is not None
             and record.holder == self._node
             and record.incarnation == self._incarnation
-            and record.term == self._term
         )
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -211,6 +211,7 @@
         incarnation,
         settings.bounds.handover_s,
         settings.bounds.engines_check_fences,
+        newest_era,
         lambda: gossip.newest_term(),
         lambda: gossip.is_standby(),
         log,
--- a/src/camphoryard/state/leadership.py
+++ b/src/camphoryard/state/leadership.py
@@ -11,8 +11,9 @@
 class LeadershipRecord:
     """The leader's lease; ``holder`` is None once the leader has released it.
 
-    ``term`` grows with each change of the holder and fences the holder's orders.
-    ``renewal`` changes with each write, so that each renewal has a new version.
+    ``term`` grows with each change of the holder and fences the holder's orders; until
+    the first renewal it is only a lower bound, of the same era. ``renewal`` changes
+    with each write, so that each renewal has a new version.
     """
 
     holder: NodeId | None
