Enter a node again when a restore of the store has lost its entry

Cause: a node wrote its entry once. After a restore to before that, nodes that started later did not know it, and its leadership, load and crash reports did not reach them. Change: each node looks at its entry after each restore, and writes it unless the store still has it. A node that has left does not.

--- a/src/camphoryard/coordination/fleet/node_registration.py
+++ b/src/camphoryard/coordination/fleet/node_registration.py
@@ -1,56 +1,77 @@
 """Registration of a node in the store, and its removal when the node stops."""
 
 import random
+import threading
+from collections.abc import Callable
 from typing import Protocol
 
 from camphoryard.coordination.fleet.fleet_gossip import GossipTopology, Mesh, Star
 from camphoryard.coordination.ports import DecisionLog, Records, Stored, Timer
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
-from camphoryard.state.ids import ABSENT, NodeId, ObjectKey, Version
+from camphoryard.state.ids import ABSENT, NodeId, ObjectKey
 from camphoryard.state.leadership import PeerKeys
 from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.store_eras import FIRST_ERA, NewestEra
 
 RETRY_PERIOD_S = 0.5
 RETRY_JITTER_S = 0.5
 STAR_WATCH_PERIODS = 8
 """Periods between two watches of the nodes by a node of a large fleet."""
 PEER_KEYS_KEY = ObjectKey("peers")
+RESTORE_CHECK_PERIOD_S = 0.5
+"""Period in which a node looks whether it has been told of a restore of the store."""
 
 
 class NodeRegistration:
-    """Writes a node's entry once and deletes it when the node stops."""
+    """Writes a node's entry, and deletes it when the node stops."""
 
     def __init__(self, records: Records[NodeLease], log: DecisionLog) -> None:
         self._records = records
         self._log = log
+        self._lock = threading.Lock()
         self._written: Stored[NodeLease] | None = None
+        self._has_left = False
 
     def run(self, timer: Timer, lease: NodeLease) -> None:
         """Retry until the entry is written or the timer service closes."""
         for _ in timer.every(RETRY_PERIOD_S + random.random() * RETRY_JITTER_S):
             try:
-                version = self._write(lease)
-                self._written = Stored(ObjectKey(lease.node), version, lease)
-                self._log("node_entered", version=version)
+                self.enter(lease)
                 return
             except (ConflictError, StoreUnavailableError) as error:
                 self._log("node_not_entered", error=str(error))
 
+    def enter(self, lease: NodeLease) -> None:
+        """Write the entry unless the store has it, or the node has left.
+
+        Raises
+        ------
+        ConflictError, StoreUnavailableError
+            As the records raise them.
+        """
+        with self._lock:
+            if self._has_left:
+                return
+            stored = self._records.get(lease.node)
+            if stored is None or stored.record != lease:
+                version = stored.version if stored is not None else ABSENT
+                version = self._records.put(lease.node, lease, version)
+                stored = Stored(ObjectKey(lease.node), version, lease)
+                self._log("node_entered", version=version)
+            self._written = stored
+
     def leave(self) -> None:
         """Delete the entry, if it was written."""
-        if self._written is None:
-            return
-        try:
-            self._records.delete(self._written.key, self._written.version)
-        except (ConflictError, StoreUnavailableError) as error:
-            # Peers detect the stop by missing heartbeats; the next start overwrites
-            # the entry.
-            self._log("node_not_removed", error=str(error))
-
-    def _write(self, lease: NodeLease) -> Version:
-        stored = self._records.get(lease.node)
-        version = stored.version if stored is not None else ABSENT
-        return self._records.put(lease.node, lease, version)
+        with self._lock:
+            self._has_left = True
+            if self._written is None:
+                return
+            try:
+                self._records.delete(self._written.key, self._written.version)
+            except (ConflictError, StoreUnavailableError) as error:
+                # Peers detect the stop by missing heartbeats; the next start
+                # overwrites the entry.
+                self._log("node_not_removed", error=str(error))
 
 
 def agree_on_keys(
@@ -75,6 +96,26 @@
     return None
 
 
+def run_after_restores(
+    timer: Timer, newest_era: NewestEra, rewrite: Callable[[], None], log: DecisionLog
+) -> None:
+    """Call ``rewrite`` after each restore of the store until the timer closes.
+
+    The first era that the store tells counts as well: the store may have been restored
+    since the records were first written.
+    """
+    rewritten = FIRST_ERA
+    for _ in timer.every(RESTORE_CHECK_PERIOD_S):
+        era = newest_era.current
+        if era == rewritten:
+            continue
+        try:
+            rewrite()
+            rewritten = era
+        except (ConflictError, StoreUnavailableError) as error:
+            log("records_not_restored", error=str(error))
+
+
 def is_node_watch_due(
     topology: GossipTopology, node: NodeId, leader: NodeId | None, period: int
 ) -> bool:
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -146,6 +146,7 @@
     log: LineLog
     metrics: Metrics
     timer: TimerService
+    newest_era: NewestEra
     client: HttpClient
     directory: Directory
     feed: DirectoryFeed
@@ -304,6 +305,7 @@
         log,
         metrics,
         timer,
+        newest_era,
         client,
         directory,
         feed,
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -11,7 +11,10 @@
 from functools import partial
 from pathlib import Path
 
-from camphoryard.coordination.fleet.node_registration import agree_on_keys
+from camphoryard.coordination.fleet.node_registration import (
+    agree_on_keys,
+    run_after_restores,
+)
 from camphoryard.coordination.observing.process_pauses import log_process_pauses
 from camphoryard.entry.assembly import Entry, handle, make_entry
 from camphoryard.platform.settings import settings_path
@@ -103,7 +106,16 @@
     entry.peers.listen(
         entry.settings.host, entry.settings.peer_ports[0], partial(handle, entry)
     )
-    entry.registration.run(timer, replace(entry.lease, public_key=keys.public))
+    lease = replace(entry.lease, public_key=keys.public)
+    entry.registration.run(timer, lease)
+
+    keep_records = partial(
+        run_after_restores,
+        newest_era=entry.newest_era,
+        rewrite=partial(entry.registration.enter, lease),
+        log=entry.log,
+    )
+    entry.executors.node.submit(_run_with_restarts, entry, keep_records)
     entry.gossip.run(timer)
 
 
--- a/tests/coordination/fleet/test_node_registration.py
+++ b/tests/coordination/fleet/test_node_registration.py
@@ -6,12 +6,19 @@
 from camphoryard.coordination.fleet.node_registration import (
     PEER_KEYS_KEY,
     STAR_WATCH_PERIODS,
+    NodeRegistration,
     agree_on_keys,
     is_node_watch_due,
+    run_after_restores,
 )
 from camphoryard.coordination.ports import Stored
-from camphoryard.state.ids import NodeId
+from camphoryard.state.enums import NodeState
+from camphoryard.state.errors import ConflictError, StoreUnavailableError
+from camphoryard.state.ids import ABSENT, Incarnation, NodeId, StoreEra, WriteId, Zone
 from camphoryard.state.leadership import Z85_KEY_LENGTH, PeerKeys
+from camphoryard.state.nodes import NodeLease
+from camphoryard.state.store_eras import NewestEra
+from tests.fakes.engines import RecordedLog
 
 NODE, LEADER = NodeId("n5"), NodeId("n0")
 
@@ -43,6 +50,126 @@
         assert due_periods(Star(), None) == 3 * STAR_WATCH_PERIODS
 
 
+class Store:
+    """Records that can be lost, as by a restore of the store."""
+
+    def __init__(self):
+        self.stored_by_key, self._version = {}, 0
+        self.is_unavailable = False
+
+    def get(self, key):
+        """Return a record."""
+        if self.is_unavailable:
+            raise StoreUnavailableError("unavailable")
+        return self.stored_by_key.get(key)
+
+    def put(self, key, record, version):
+        """Write a record if ``version`` is the stored one."""
+        stored = self.get(key)
+        if version != (stored.version if stored else ABSENT):
+            raise ConflictError("version mismatch")
+        self._version += 1
+        self.stored_by_key[key] = Stored(key, self._version, record)
+        return self._version
+
+    def delete(self, key, version):
+        """Delete a record."""
+        del self.stored_by_key[key]
+
+
+class Ticks:
+    """A timer that calls a function before each further tick."""
+
+    def __init__(self, *between):
+        self._between = between
+
+    def every(self, period_s):
+        """Yield the ticks."""
+        yield
+        for call in self._between:
+            call()
+            yield
+
+
+def lease_of(incarnation):
+    """Return the entry of one process of the node."""
+    return NodeLease(
+        NODE,
+        Incarnation(incarnation),
+        Zone("z"),
+        "10.0.0.1",
+        7000,
+        "",
+        NodeState.SERVING,
+        1.5,
+        WriteId(incarnation),
+    )
+
+
+# Guards against nodes that no other node knows after a restore of the store.
+class TestRestoredStore:
+    """The store has lost what it had acknowledged last."""
+
+    def keep_entry(self, store, before, *between):
+        """Enter a node, lose its entry for that of a process before, keep it up."""
+        newest_era, log = NewestEra(), RecordedLog()
+        registration = NodeRegistration(store, log)
+        registration.run(Ticks(), lease_of("new"))
+
+        def restore():
+            store.stored_by_key = {NODE: Stored(NODE, 1, before)} if before else {}
+            newest_era.observe(StoreEra(newest_era.current + 1))
+
+        run_after_restores(
+            Ticks(restore, *between),
+            newest_era,
+            lambda: registration.enter(lease_of("new")),
+            log,
+        )
+        return registration, log
+
+    @pytest.mark.parametrize("before", [None, lease_of("old")])
+    def test_lost_entry_is_written_again(self, before):
+        """Nodes that start later learn of this one from the store only."""
+        store = Store()
+        self.keep_entry(store, before)
+        assert store.stored_by_key[NODE].record == lease_of("new")
+
+    def test_entry_that_was_kept_is_not_written(self):
+        """All nodes would write at once for nothing."""
+        store = Store()
+        _, log = self.keep_entry(store, lease_of("new"))
+        assert log.events() == ["node_entered"]
+        assert store.stored_by_key[NODE].version == 1
+
+    def test_entry_is_written_once_the_store_answers(self):
+        """A call that fails is repeated."""
+        store = Store()
+
+        def set_unavailable(is_unavailable):
+            store.is_unavailable = is_unavailable
+
+        newest_era, log = NewestEra(), RecordedLog()
+        newest_era.observe(StoreEra(1))
+        set_unavailable(True)
+        registration = NodeRegistration(store, log)
+        run_after_restores(
+            Ticks(lambda: set_unavailable(False)),
+            newest_era,
+            lambda: registration.enter(lease_of("new")),
+            log,
+        )
+        assert log.events() == ["records_not_restored", "node_entered"]
+
+    def test_node_that_has_left_does_not_enter_again(self):
+        """Its process is about to end."""
+        store = Store()
+        registration, _ = self.keep_entry(store, None)
+        registration.leave()
+        registration.enter(lease_of("new"))
+        assert store.stored_by_key == {}
+
+
 class Keys:
     """The stored key pair, which may be unreadable."""
 
