Keep the fleet's keys when a restore of the store has lost them

Cause: the keys were agreed on once. If their record is lost, a node that starts later writes others, and the two sides cannot talk; no log line told it. Change: running nodes write the keys again after a restore. A node that finds none, though the system has run before, leaves them six seconds for it. Keys that differ are logged. Result: four tests; test_lost_keys_are_left_to_the_running_nodes cannot be set up on the code before, which wrote its own keys at once.

--- a/src/camphoryard/coordination/fleet/node_registration.py
+++ b/src/camphoryard/coordination/fleet/node_registration.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -20,6 +21,9 @@
 PEER_KEYS_KEY = ObjectKey("peers")
 RESTORE_CHECK_PERIOD_S = 0.5
 """Period in which a node looks whether it has been told of a restore of the store."""
+KEYS_GRACE_S = 6.0
+"""Time in which running nodes learn of a restore of the store and write the keys
+again."""
 
 
 class NodeRegistration:
@@ -75,17 +79,30 @@
 
 
 def agree_on_keys(
-    records: Records[PeerKeys], own: PeerKeys, timer: Timer
+    records: Records[PeerKeys],
+    own: PeerKeys,
+    timer: Timer,
+    has_fleet: bool = False,
+    clock: Callable[[], float] = time.monotonic,
 ) -> PeerKeys | None:
     """Return the key pair that the fleet shares, which is the first one written.
 
     Blocks until the store answers. Returns None if the timer service closes first.
+
+    Parameters
+    ----------
+    has_fleet : bool
+        Whether other nodes may be running. If the store has no keys then, it may have
+        lost them, and those nodes have `KEYS_GRACE_S` to write them again.
     """
+    waits_until_s = clock() + (KEYS_GRACE_S if has_fleet else 0.0)
     for _ in timer.every(RETRY_PERIOD_S + random.random() * RETRY_JITTER_S):
         try:
             stored = records.get(PEER_KEYS_KEY)
             if stored is not None and stored.record is not None:
                 return stored.record
+            if stored is None and clock() < waits_until_s:
+                continue
             # A record that nobody can read is replaced.
             version = stored.version if stored is not None else ABSENT
             records.put(PEER_KEYS_KEY, own, version)
@@ -96,6 +113,26 @@
     return None
 
 
+def restore_keys(
+    records: Records[PeerKeys], in_use: PeerKeys, log: DecisionLog
+) -> None:
+    """Write the fleet's key pair again if the store has lost it.
+
+    Raises
+    ------
+    ConflictError, StoreUnavailableError
+        As the records raise them.
+    """
+    stored = records.get(PEER_KEYS_KEY)
+    if stored is None or stored.record is None:
+        version = stored.version if stored is not None else ABSENT
+        records.put(PEER_KEYS_KEY, in_use, version)
+        log("keys_restored")
+    elif stored.record != in_use:
+        # Nodes with these keys cannot talk to this one until one side is restarted.
+        log("keys_differ")
+
+
 def run_after_restores(
     timer: Timer, newest_era: NewestEra, rewrite: Callable[[], None], log: DecisionLog
 ) -> None:
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -13,6 +13,7 @@
 
 from camphoryard.coordination.fleet.node_registration import (
     agree_on_keys,
+    restore_keys,
     run_after_restores,
 )
 from camphoryard.coordination.observing.process_pauses import log_process_pauses
@@ -98,7 +99,9 @@
 
 def join_fleet(entry: Entry, timer: TimerService) -> None:
     """Agree on keys, listen for peers, register this node and run gossip."""
-    keys = agree_on_keys(entry.keys, entry.own_keys, timer)
+    keys = agree_on_keys(
+        entry.keys, entry.own_keys, timer, not entry.settings.is_first_start
+    )
     if keys is None:
         return
     public = keys.public.encode()
@@ -109,10 +112,14 @@
     lease = replace(entry.lease, public_key=keys.public)
     entry.registration.run(timer, lease)
 
+    def rewrite() -> None:
+        restore_keys(entry.keys, keys, entry.log)
+        entry.registration.enter(lease)
+
     keep_records = partial(
         run_after_restores,
         newest_era=entry.newest_era,
-        rewrite=partial(entry.registration.enter, lease),
+        rewrite=rewrite,
         log=entry.log,
     )
     entry.executors.node.submit(_run_with_restarts, entry, keep_records)
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -60,6 +60,8 @@
     # Not set by the platform: additional port for metrics, 0 for none.
     metrics_port: int = DEFAULT_METRICS_PORT
     bounds: _Bounds = _Bounds()
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = True
 
 
 def settings_path(environ: Mapping[str, str] = os.environ) -> Path:
@@ -98,6 +100,7 @@
             _host_port("cloud-platform.address", file.cloud_platform.address),
             _bounds(file.bounds),
             file.metrics_port,
+            file.bootstrap,
         )
     except (msgspec.ValidationError, ValueError) as error:
         raise SettingsError(f"{source}: {error}") from error
--- a/tests/coordination/fleet/test_node_registration.py
+++ b/tests/coordination/fleet/test_node_registration.py
@@ -4,11 +4,13 @@
 
 from camphoryard.coordination.fleet.fleet_gossip import Mesh, Star
 from camphoryard.coordination.fleet.node_registration import (
+    KEYS_GRACE_S,
     PEER_KEYS_KEY,
     STAR_WATCH_PERIODS,
     NodeRegistration,
     agree_on_keys,
     is_node_watch_due,
+    restore_keys,
     run_after_restores,
 )
 from camphoryard.coordination.ports import Stored
@@ -18,7 +20,7 @@
 from camphoryard.state.leadership import Z85_KEY_LENGTH, PeerKeys
 from camphoryard.state.nodes import NodeLease
 from camphoryard.state.store_eras import NewestEra
-from tests.fakes.engines import RecordedLog
+from tests.fakes.engines import Clock, RecordedLog
 
 NODE, LEADER = NodeId("n5"), NodeId("n0")
 
@@ -193,10 +195,46 @@
         return iter([None])
 
 
+def never(*args, **kwargs):
+    """Stand in for a write that must not be made."""
+    raise AssertionError("written")
+
+
 class TestAgreeOnKeys:
     """The key pair that all nodes share."""
 
     OWN = PeerKeys("p" * Z85_KEY_LENGTH, "s" * Z85_KEY_LENGTH)
+    FLEET = PeerKeys("q" * Z85_KEY_LENGTH, "t" * Z85_KEY_LENGTH)
+
+    # Guards against two fleets that cannot talk after a restore of the store.
+    def test_lost_keys_are_left_to_the_running_nodes(self):
+        """A node that starts does not write others while they may write theirs."""
+        store, log = Store(), RecordedLog()
+        ticks = Ticks(lambda: restore_keys(store, self.FLEET, log))
+        assert agree_on_keys(store, self.OWN, ticks, has_fleet=True) == self.FLEET
+        assert log.events() == ["keys_restored"]
+
+    def test_keys_are_written_if_nobody_runs(self):
+        """The whole fleet may have ended after the restore."""
+        store, clock = Store(), Clock()
+        ticks = Ticks(lambda: clock.advance(KEYS_GRACE_S))
+        keys = agree_on_keys(store, self.OWN, ticks, True, clock)
+        assert keys == self.OWN == store.get(PEER_KEYS_KEY).record
+
+    def test_kept_keys_are_not_written_again(self):
+        """Most restores do not reach back to the first start."""
+        store, log = Store(), RecordedLog()
+        store.put(PEER_KEYS_KEY, self.FLEET, ABSENT)
+        store.put = never
+        restore_keys(store, self.FLEET, log)
+        assert log.events() == []
+
+    def test_other_keys_are_reported(self):
+        """Those on call see that nodes cannot talk to each other."""
+        store, log = Store(), RecordedLog()
+        store.put(PEER_KEYS_KEY, self.OWN, ABSENT)
+        restore_keys(store, self.FLEET, log)
+        assert log.events() == ["keys_differ"]
 
     def test_stored_keys_are_used(self):
         """The first pair written is that of the fleet."""
