Restore the stand-in for the platform's store from an older copy

Cause: in a drill the store may come back from a copy some seconds old, and nothing that runs here can show what nodes do then. Change: the stand-in sends Store-Era in all answers of its store, and goes away and comes back as it was some seconds before, at POST /control or in process. Revisions are given out again, waiting watches are cut off, and a watch from a revision that the store does not have gets 410. What the operator and the replicas wrote is written again half a second later.

--- a/standins/entry_platform.py
+++ b/standins/entry_platform.py
@@ -8,36 +8,75 @@
 ``cut_after`` (number of events after which a stream breaks), ``decline`` (number of
 requests that are declined without running), ``leaving`` (all answers of endpoints say
 that they leave) and ``rest_ms`` (requests are turned away and asked to stay away for so
-long; their number at ``GET /turned-away``).
+long; their number at ``GET /turned-away``). With ``restore_s`` the store goes away for
+``away_s`` and comes back as it was ``restore_s`` before; the call is answered after the
+operator and the replicas have written again what they had written since.
 """
 
 import itertools
 import threading
 import time
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Annotated, Any
 
 import typer
 
-from standins.web import DropConnectionError, Request, Response, json_response, run
+from standins.web import (
+    DropConnectionError,
+    Request,
+    Response,
+    drop_connection,
+    json_response,
+    run,
+)
 
 WATCH_LIMIT_S = 30.0
 EVENT_INTERVAL_S = 0.01
-MAX_CHANGES = 1000
+MAX_CHANGES = 10_000
+REWRITE_DELAY_S = 0.5
+"""Time after a restore until what others than nodes wrote is written again."""
+ERA_HEADER = "Store-Era"
 OPERATOR = {"Operator": "1"}
 """Headers of calls that the store answers whatever its faults."""
+REWRITTEN_KINDS = ("config", "servers")
+"""Kinds that only the operator and the replicas write."""
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change of an object; ``previous`` is None if there was none before."""
+
+    revision: int
+    at_s: float
+    kind: str
+    item: dict[str, Any]
+    previous: dict[str, Any] | None
+    is_removal: bool
+    is_rewritten: bool
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Kind and name of the object."""
+        return self.kind, self.item["metadata"]["name"]
 
 
 @dataclass(slots=True)
 class Store:
-    """Objects by kind and name; one revision counter covers all of them."""
+    """Objects by kind and name; one revision counter covers all of them.
+
+    ``lost`` are the last changes that a restore has undone and that somebody makes
+    again.
+    """
 
     revision: int = 1
+    era: int = 1
     objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
-    changes: list[tuple[int, str, dict[str, Any], bool]] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    lost: dict[tuple[str, str], Change] = field(default_factory=dict)
     changed: threading.Condition = field(default_factory=threading.Condition)
     is_mute: bool = False
+    is_away: bool = False
 
     def mute(self, is_mute: bool) -> None:
         """Answer no call and no waiting watch from now on, or answer later ones."""
@@ -45,13 +84,55 @@
             self.is_mute = is_mute
             self.changed.notify_all()
 
-    def write(self, kind: str, name: str, spec: Any, expected: int | None) -> Response:
+    def go_away(self) -> None:
+        """Cut off the waiting watches; calls are answered again after `restore`."""
+        with self.changed:
+            self.is_away = True
+            self.changed.notify_all()
+
+    def restore(self, to_s: float) -> None:
+        """Return to the state at a monotonic time, in a new era.
+
+        A watch that waits is cut off, as its revision may be given out again.
+        """
+        with self.changed:
+            while self.changes and self.changes[-1].at_s > to_s:
+                change = self.changes.pop()
+                if change.previous is None:
+                    del self.objects[change.key]
+                else:
+                    self.objects[change.key] = change.previous
+                self.revision = change.revision - 1
+                if change.is_rewritten:
+                    self.lost.setdefault(change.key, change)
+            self.era += 1
+            self.is_away = False
+            self.changed.notify_all()
+
+    def write_again(self) -> None:
+        """Make the lost changes again that have not been superseded since."""
+        with self.changed:
+            for change in sorted(self.lost.values(), key=lambda item: item.revision):
+                if change.is_removal:
+                    self.remove(*change.key, is_operator=True)
+                else:
+                    self.write(*change.key, change.item["spec"], None, is_operator=True)
+            self.lost.clear()
+
+    def write(
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        expected: int | None,
+        is_operator: bool = False,
+    ) -> Response:
         """Create or replace an object if its revision is ``expected``."""
         with self.changed:
             existing = self.objects.get((kind, name))
             revision = existing["metadata"]["revision"] if existing else 0
             if expected is not None and expected != revision:
-                return json_response(existing, 409)
+                return self.answer(existing, 409)
             self.revision += 1
             item = {
                 "metadata": {"name": name, "revision": self.revision},
@@ -59,30 +140,30 @@
                 "status": None,
             }
             self.objects[kind, name] = item
-            self._record(kind, item, False)
-            return json_response(item, 200 if existing else 201)
+            self._record(kind, item, existing, False, is_operator)
+            return self.answer(item, 200 if existing else 201)
 
-    def remove(self, kind: str, name: str) -> Response:
+    def remove(self, kind: str, name: str, is_operator: bool = False) -> Response:
         """Delete an object."""
         with self.changed:
             item = self.objects.pop((kind, name), None)
             if item is None:
-                return json_response({}, 404)
+                return self.answer({}, 404)
             self.revision += 1
-            self._record(kind, item, True)
-            return json_response(item)
+            self._record(kind, item, item, True, is_operator)
+            return self.answer(item)
 
     def read(self, kind: str, name: str) -> Response:
         """Return an object."""
         with self.changed:
             item = self.objects.get((kind, name))
-        return json_response(item) if item else json_response({}, 404)
+            return self.answer(item) if item else self.answer({}, 404)
 
     def all(self, kind: str) -> Response:
         """Return the objects of a kind."""
         with self.changed:
             items = [item for (k, _), item in self.objects.items() if k == kind]
-            return json_response(
+            return self.answer(
                 {"items": items, "has-more": False, "store-revision": self.revision}
             )
 
@@ -90,22 +171,53 @@
         """Wait for changes of a kind after a revision and return them."""
         deadline_s = time.monotonic() + min(wait_s, WATCH_LIMIT_S)
         with self.changed:
+            era = self.era
+            if since > self.revision:
+                return self.answer({}, 410)
             while not (events := self._changes_since(kind, since)):
                 remaining_s = deadline_s - time.monotonic()
                 if remaining_s <= 0 or self.is_mute:
                     break
                 self.changed.wait(remaining_s)
-            return json_response({"events": events, "store-revision": self.revision})
+                if self.is_away or self.era != era:
+                    return self._told(drop_connection())
+            return self.answer({"events": events, "store-revision": self.revision})
+
+    def answer(self, value: Any, status: int = 200) -> Response:
+        """Return an answer of the store in its present era."""
+        return self._told(json_response(value, status))
+
+    def _told(self, response: Response) -> Response:
+        headers = {**response.headers, ERA_HEADER: str(self.era)}
+        return replace(response, headers=headers)
 
     def _changes_since(self, kind: str, since: int) -> list[dict[str, Any]]:
         return [
-            {"object": item, "removed": removed}
-            for revision, k, item, removed in self.changes
-            if k == kind and revision > since
+            {"object": change.item, "removed": change.is_removal}
+            for change in self.changes
+            if change.kind == kind and change.revision > since
         ]
 
-    def _record(self, kind: str, item: dict[str, Any], removed: bool) -> None:
-        self.changes.append((self.revision, kind, item, removed))
+    def _record(
+        self,
+        kind: str,
+        item: dict[str, Any],
+        previous: dict[str, Any] | None,
+        is_removal: bool,
+        is_operator: bool,
+    ) -> None:
+        change = Change(
+            self.revision,
+            time.monotonic(),
+            kind,
+            item,
+            previous,
+            is_removal,
+            is_rewritten=is_operator or kind in REWRITTEN_KINDS,
+        )
+        if change.is_rewritten:
+            self.lost.pop(change.key, None)
+        self.changes.append(change)
         del self.changes[:-MAX_CHANGES]
         self.changed.notify_all()
 
@@ -121,6 +233,7 @@
     order_count: int = 0
     muted_kinds: list[str] = field(default_factory=list)
     turned_away: int = 0
+    restoring: threading.Lock = field(default_factory=threading.Lock)
 
     def handle(self, request: Request) -> Response:
         """Handle one request."""
@@ -130,9 +243,7 @@
             case ["objects", kind, name]:
                 return self._object(request, kind, name)
             case ["control"]:
-                self.faults.update(request.json())
-                self.store.mute(bool(self.faults.get("mute_store")))
-                return json_response({})
+                return self._control(request.json())
             case ["turned-away"]:
                 return json_response(self.turned_away)
             case ["muted"]:
@@ -146,6 +257,25 @@
             case _:
                 return self._run(request)
 
+    def _control(self, faults: dict[str, Any]) -> Response:
+        if "restore_s" in faults:
+            self._restore(faults.pop("restore_s"), faults.pop("away_s", 0.0))
+        self.faults.update(faults)
+        self.store.mute(bool(self.faults.get("mute_store")))
+        return json_response({})
+
+    def _restore(self, back_s: float, away_s: float) -> None:
+        with self.restoring:
+            self.store.go_away()
+            to_s = time.monotonic() - back_s
+            time.sleep(away_s)
+            self.store.restore(to_s)
+            time.sleep(REWRITE_DELAY_S)
+            self.store.write_again()
+
+    def _is_down(self) -> bool:
+        return bool(self.store.is_away or self.faults.get("silent_store"))
+
     def _hold_if_mute(self, kind: str) -> None:
         """Block this call for ever if the store is mute."""
         if self.store.is_mute:
@@ -153,14 +283,15 @@
             threading.Event().wait()
 
     def _kind(self, request: Request, kind: str) -> Response:
-        if not _is_operator(request):
+        is_operator = _is_operator(request)
+        if not is_operator:
             self._hold_if_mute(kind)
-            if self.faults.get("silent_store"):
-                return json_response({}, 503)
+            if self._is_down():
+                return self.store.answer({}, 503)
         if request.method == "POST":
             body = request.json()
             name = body["metadata"]["name"]
-            return self.store.write(kind, name, body["spec"], 0)
+            return self.store.write(kind, name, body["spec"], 0, is_operator)
         if "watch" in request.query:
             since, wait_ms = request.query["watch"], request.query.get("wait-ms", "0")
             response = self.store.watch(kind, int(since), int(wait_ms) / 1000)
@@ -169,17 +300,18 @@
         return self.store.all(kind)
 
     def _object(self, request: Request, kind: str, name: str) -> Response:
-        if not _is_operator(request):
+        is_operator = _is_operator(request)
+        if not is_operator:
             self._hold_if_mute(kind)
-            if self.faults.get("silent_store"):
-                return json_response({}, 503)
+            if self._is_down():
+                return self.store.answer({}, 503)
         match request.method:
             case "PUT":
                 body = request.json()
                 expected = body["metadata"].get("revision")
-                return self.store.write(kind, name, body["spec"], expected)
+                return self.store.write(kind, name, body["spec"], expected, is_operator)
             case "DELETE":
-                return self.store.remove(kind, name)
+                return self.store.remove(kind, name, is_operator)
             case _:
                 return self.store.read(kind, name)
 
