--- a/src/camphoryard/protocol/platform.py
+++ b/src/camphoryard/protocol/platform.py
@@ -22,6 +22,7 @@
 
 VERSION_HEADER = "X-Object-Version"
 EXPECTED_HEADER = "X-Expected-Version"
+ERA_HEADER = "Object-Era"
 
 
 @dataclass(frozen=True, slots=True)
