Reset connections that are still being set up over a link of the stand-in

Cause: a connection was registered only after the target had been connected to. Change: the client's end is registered before the link is waited for, the target's end only if the link has not been reset since.

--- a/standins/links.py
+++ b/standins/links.py
@@ -77,10 +77,26 @@
         """Return the current state of a link."""
         return self.state_by_link.get(link, LinkState.OPEN)
 
-    def add_sockets(self, link: Link, *sockets: socket.socket) -> None:
-        """Register the sockets of a connection over a link."""
+    def add_client(self, link: Link, client: socket.socket) -> None:
+        """Register the client's end of a connection, so that a reset breaks it."""
         with self.changed:
-            self.sockets_by_link.setdefault(link, set()).update(sockets)
+            self.sockets_by_link.setdefault(link, set()).add(client)
+
+    def add_server_side(
+        self, link: Link, client: socket.socket, server_side: socket.socket
+    ) -> None:
+        """Register the target's end of a connection.
+
+        Raises
+        ------
+        ConnectionResetError
+            If the link was reset after the client's end was registered.
+        """
+        with self.changed:
+            sockets = self.sockets_by_link.get(link, set())
+            if client not in sockets:
+                raise ConnectionResetError
+            sockets.add(server_side)
 
     def remove_sockets(self, link: Link, *sockets: socket.socket) -> None:
         """Unregister the sockets of a connection."""
@@ -111,23 +127,32 @@
     while True:
         client, (source, _) = server.accept()
         threading.Thread(
-            target=_forward,
+            target=forward,
             args=(links, Link(source, target), client, to_port),
             daemon=True,
         ).start()
 
 
-def _forward(links: Links, link: Link, client: socket.socket, to_port: int) -> None:
+def forward(links: Links, link: Link, client: socket.socket, to_port: int) -> None:
+    """Forward one connection over a link until it ends or is reset."""
+    links.add_client(link, client)
     try:
         links.wait_open(link, is_answer=False)
         server_side = socket.create_connection((HOST, to_port), CONNECT_TIMEOUT_S)
     except OSError:
+        links.remove_sockets(link, client)
+        _reset(client)
+        return
+    try:
+        server_side.settimeout(None)
+        for connection in (client, server_side):
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        links.add_server_side(link, client, server_side)
+    except OSError:
+        links.remove_sockets(link, client)
         _reset(client)
+        _reset(server_side)
         return
-    server_side.settimeout(None)
-    for connection in (client, server_side):
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    links.add_sockets(link, client, server_side)
     answers = threading.Thread(
         target=_pump, args=(links, link, server_side, client, True), daemon=True
     )
--- a/tests/standins/test_links.py
+++ b/tests/standins/test_links.py
@@ -1,10 +1,12 @@
 """Tests of the TCP forwarder whose links can be cut."""
 
 import socket
+import threading
 
 import pytest
 
 from standins.fleet import HOST, Fleet, request
+from standins.links import Link, Links, LinkState, forward
 
 NEAR, FAR = "127.0.0.2", "127.0.0.3"
 
@@ -87,6 +89,64 @@
         assert closes_on_connect((HOST, forwarded.fleet.port_for_nodes("target")))
 
 
+class LinksResetOnWait(Links):
+    """Links that are reset, and opened again, when a connection begins to wait."""
+
+    def wait_open(self, link, is_answer):
+        """Reset and open the link, then wait."""
+        self.set_state([link], LinkState.RESET)
+        self.set_state([link], LinkState.OPEN)
+        super().wait_open(link, is_answer)
+
+
+@pytest.fixture
+def server():
+    """Return a listening socket that closes after the test."""
+    with socket.create_server((HOST, 0)) as listener:
+        listener.settimeout(10.0)
+        yield listener
+
+
+def start_forward(links, link, server):
+    """Forward a new connection over a link to a server; return the caller's end."""
+    with socket.create_server((HOST, 0)) as listener:
+        caller = socket.create_connection(listener.getsockname(), 10.0)
+        client, _ = listener.accept()
+    arguments = (links, link, client, server.getsockname()[1])
+    threading.Thread(target=forward, args=arguments, daemon=True).start()
+    return caller
+
+
+class TestForward:
+    """Resets of a link while a connection over it is being set up."""
+
+    @pytest.mark.parametrize("is_opened_again", [False, True])
+    def test_reset_while_connecting(self, monkeypatch, server, is_opened_again):
+        """Both ends break if the link is reset before the target has answered."""
+        links, link = Links(), Link(NEAR, "target")
+        connect = socket.create_connection
+
+        def connect_then_reset(address, timeout_s):
+            connection = connect(address, timeout_s)
+            if address == server.getsockname():
+                links.set_state([link], LinkState.RESET)
+                if is_opened_again:
+                    links.set_state([link], LinkState.OPEN)
+            return connection
+
+        monkeypatch.setattr(socket, "create_connection", connect_then_reset)
+        caller = start_forward(links, link, server)
+        called, _ = server.accept()
+        called.settimeout(10.0)
+        assert is_closed(called)
+        assert is_closed(caller)
+
+    def test_reset_while_held(self, server):
+        """A connection that waits for its link breaks if the link is reset."""
+        links, link = LinksResetOnWait(), Link(NEAR, "target")
+        assert is_closed(start_forward(links, link, server))
+
+
 def is_closed(connection):
     """Return whether a connection is closed or reset by the peer."""
     try:
