--- a/standins/replica.py
+++ b/standins/replica.py
@@ -3,7 +3,8 @@
 It registers in the store, answers requests with bodies that tell what they answer,
 and writes a journal of what has reached it. The framing of answers varies: with a
 length, in chunks, or ended by the connection. A prompt part that begins with
-``deadly`` ends the process as soon as the answer to it has begun. Faults at
+``deadly`` ends the process as soon as the answer to it has begun. A request for a model
+that is not loaded gets 421; orders of models go into the journal. Faults at
 ``POST /control``: ``leaving`` (all answers say so), ``rest_ms`` (requests are turned
 away for so long) and ``garble`` (share of answers in percent that are cut, failed or
 sent twice).
@@ -24,6 +25,7 @@
 
 from standins.entry_platform import OPERATOR
 from standins.fleet import HOST, request
+from standins.replica_engine import ReplicaEngine
 
 EVENTS = 8
 EVENT_PERIOD_S = 0.02
@@ -80,6 +82,7 @@
     is_leaving: bool = False
     rest_until_s: float = 0.0
     garble_percent: int = 0
+    engine: ReplicaEngine = field(default_factory=ReplicaEngine)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def record(self, event: str, call: Call, **fields: Any) -> None:
@@ -114,6 +117,9 @@
         if call.headers.get("expect-instance", self.id) != self.id:
             connection.sendall(_whole(421, {"Instance-Id": self.id}, b""))
             return
+        if call.path in ("/order", "/report"):
+            self._answer_leader(connection, call)
+            return
         rest_s = self.rest_until_s - time.monotonic()
         self.record("arrived", call, rest_s=max(0.0, rest_s), leaving=self.is_leaving)
         headers = {"Attempt-Id": call.id}
@@ -123,6 +129,10 @@
             refused = {"Not-Executed": "1", "Retry-After": f"{rest_s:.3f}"}
             connection.sendall(_whole(503, {**headers, **refused}, b""))
             return
+        model = call.headers.get("model")
+        if model is not None and model not in self.engine.models:
+            connection.sendall(_whole(421, headers, b""))
+            return
         self.record("ran", call)
         headers["Server-Seal"] = f"s.{self.id}"
         with self.lock:
@@ -153,6 +163,25 @@
             case _:
                 _send(connection, framing, headers, body)
 
+    def _answer_leader(self, connection: socket.socket, call: Call) -> None:
+        """Answer an order or the request of a report."""
+        if call.path == "/report":
+            report = json.dumps(self.engine.report()).encode()
+            connection.sendall(_whole(200, {}, report))
+            return
+        order = json.loads(call.body)
+        status = self.engine.order(order)
+        self.record(
+            "order",
+            call,
+            holder=order["holder"],
+            fence=order["fence-token"],
+            opcode=order["opcode"],
+            model=order["model"],
+            status=status,
+        )
+        connection.sendall(_whole(status, {}, b"{}"))
+
     def _stream(
         self,
         connection: socket.socket,
