Draw restores of the store in the soak of entry daemons

Cause: in a drill the store comes back from an older copy. The soak drew no such trouble, and its leaders had no engines to order. Change: two engines have room for two of four models. The store is restored alone, or from before a leader ended and another took over. ONE: two holders order under one fence, or an engine accepts a lower one after a higher one. CONFIG: a node leaves a confirmed configuration for an older one; versions rise now with each change.

--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from camphoryard.state.log_lines import LogLine
 from standins.replica import DEADLY, EVENTS, event, plain_body
+from standins.replica_engine import ACCEPTED
 
 STABLE_WINDOW_S = 3.0
 DRAIN_S = 2.0
@@ -64,7 +66,8 @@
 
     ``lines_by_replica`` are the journals of the replicas, ``leaves_s`` the times at
     which the store acknowledged that a replica leaves, ``crashes_s`` those of crashes
-    by part, ``own_ends`` the processes that ended by themselves.
+    by part, ``own_ends`` the processes that ended by themselves, ``confirmed`` the
+    versions of configurations whose write the store has acknowledged.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -73,6 +76,8 @@
     leaves_s: dict[str, float] = field(default_factory=dict)
     crashes_s: dict[str, list[float]] = field(default_factory=dict)
     own_ends: list[str] = field(default_factory=list)
+    log_lines_by_node: dict[str, list[LogLine]] = field(default_factory=dict)
+    confirmed: set[int] = field(default_factory=set)
 
     def is_disturbed(self, target: str, from_s: float, until_s: float) -> bool:
         """Return whether a target was under a fault in a span of time."""
@@ -108,6 +113,8 @@
         _budget_in_rest,
         _budget_of_parts,
         _lost,
+        _one,
+        _older_configuration,
         lambda item: (f"OWN END: {end}" for end in item.own_ends),
     )
     return [violation for check in checks for violation in check(history)]
@@ -235,6 +242,40 @@
             yield f"LOST: {item.id} at {item.node} got no answer"
 
 
+def _one(history: SoakHistory) -> Iterable[str]:
+    """Find fences of two holders, and lower fences that an engine accepted."""
+    holders_by_fence: dict[int, set[str]] = defaultdict(set)
+    for replica, lines in history.lines_by_replica.items():
+        highest = 0
+        for line in lines:
+            if line["event"] != "order":
+                continue
+            fence = line["fence"]
+            holders_by_fence[fence].add(line["holder"])
+            if fence < highest and line["status"] == ACCEPTED:
+                yield f"ONE: {replica} accepted fence {fence} after {highest}"
+            highest = max(highest, fence)
+    for fence, holders in sorted(holders_by_fence.items()):
+        if len(holders) > 1:
+            yield f"ONE: {sorted(holders)} ordered under fence {fence}"
+
+
+def _older_configuration(history: SoakHistory) -> Iterable[str]:
+    """Find nodes that left a confirmed configuration for an older one."""
+    for node, lines in history.log_lines_by_node.items():
+        newest = 0
+        for line in lines:
+            match line.event:
+                case "started":
+                    newest = 0
+                case "configuration_adopted":
+                    version = int(line.fields["version"])
+                    if version < newest:
+                        yield f"CONFIG: {node} went from {newest} back to {version}"
+                    if version in history.confirmed:
+                        newest = max(newest, version)
+
+
 def deadly_part(number: int) -> str:
     """Return a part that crashes replicas."""
     return f"{DEADLY}{number}"
--- a/faults/entry_soak.py
+++ b/faults/entry_soak.py
@@ -21,6 +21,7 @@
 
 import typer
 
+from camphoryard.protocol.log_lines import parse_log_line
 from faults.entry_checks import (
     STABLE_WINDOW_S,
     Attempt,
@@ -48,8 +49,31 @@
 DEADLY_S = 15.0
 SECONDS_PER_MINUTE = 60
 STORE = "store"
-SERVICES = ("models", "models", "models", "models", "desk", "desk", "desk")
+LEADER_PATH = "/objects/camphoryard-duties/ordering"
+LEADER_POLL_S = 0.05
+TAKEOVER_S = 8.0
+"""Longest time until another node has taken over from a leader that has ended."""
+SERVICES = (
+    *("models", "models", "models", "models"),
+    *("desk", "desk", "desk"),
+    *("engines", "engines"),
+)
 """Service of each replica."""
+MODELS = ("m1", "m2", "m3", "m4")
+"""Models of the engines, each of which has room for one."""
+MODEL_MB, ENGINE_MB = 60, 100
+ENGINES: dict[str, Any] = {
+    "name": "engines",
+    "engine": {
+        "slots": 8,
+        "mb": ENGINE_MB,
+        "loads-per-s": 10.0,
+        "models": [
+            {"name": name, "mb": MODEL_MB, "load-s": 0.1, "disk-s": 0.1}
+            for name in MODELS
+        ],
+    },
+}
 
 
 class LeavingWord(Enum):
@@ -100,6 +124,33 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreIsRestored:
+    """The store goes away and comes back as it was some time before."""
+
+    back_s: float
+    away_s: float
+
+
+class NodeEnd(Enum):
+    """How a node ends."""
+
+    STOP = "stop"
+    KILL = "kill"
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderChangeIsLost:
+    """The leader ends, and the store is restored from before another took over."""
+
+    node: str
+    end: NodeEnd
+    starts_before: bool
+    for_s: float
+    back_s: float
+    away_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class OddEntry:
     """Another writer leaves an entry that names no replica."""
@@ -139,9 +190,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationChanges:
-    """The operator adds a route."""
+    """The operator changes the number of routes."""
 
-    version: int
+    routes: int
 
 
 Fault: TypeAlias = (
@@ -150,6 +201,8 @@
     | ReplicaCrashes
     | ReplicaGarbles
     | StoreFails
+    | StoreIsRestored
+    | LeaderChangeIsLost
     | OddEntry
     | NodeStops
     | NodeIsKilled
@@ -180,6 +233,7 @@
     starts: int = 0
     busy_targets: set[str] = field(default_factory=set)
     deadly_part: str = ""
+    configurations: int = 0
     count_by_kind: Counter[str] = field(default_factory=Counter)
 
     @property
@@ -191,7 +245,7 @@
         """Start store, replicas and nodes, and wait until the nodes are ready."""
         self.fleet.start_standin(STORE, "entry_platform", "--host", HOST)
         self.fleet.wait_ready([STORE])
-        self.put("config", "main", _configuration(1))
+        self.change_configuration(1)
         for slot in range(len(SERVICES)):
             self.start_replica(slot)
         for node in self.nodes:
@@ -204,6 +258,23 @@
         path = f"/objects/{kind}/{name}"
         request(self.store_port, "PUT", path, body, headers=OPERATOR)
 
+    def change_configuration(self, routes: int) -> None:
+        """Write the next version of the configuration."""
+        with self.lock:
+            self.configurations += 1
+            version = self.configurations
+        self.put("config", "main", _configuration(version, routes))
+        self.history.confirmed.add(version)
+
+    def leader(self) -> str | None:
+        """Return the node that holds the leadership in the store."""
+        try:
+            listed = request(self.store_port, "GET", LEADER_PATH, headers=OPERATOR)
+        except HttpError:
+            return None
+        holder: str | None = listed["spec"]["holder"]
+        return holder
+
     def start_replica(self, slot: int) -> None:
         """Start a replica under a new id."""
         with self.lock:
@@ -260,14 +331,15 @@
         self.fleet.start(node, ready_port, arguments)
 
 
-def _configuration(version: int) -> dict[str, Any]:
+def _configuration(version: int, count: int) -> dict[str, Any]:
     routes = [
         make_route("chat", "streaming", "models", resumable=True),
         make_route("book", "non_idempotent", "desk", **{"max-attempts": 1}),
         make_route("look", "idempotent", "desk"),
-        *(make_route(f"more{n}", "idempotent", "desk") for n in range(version)),
+        make_route("ask", "idempotent", "engines"),
+        *(make_route(f"more{n}", "idempotent", "desk") for n in range(count)),
     ]
-    services = [{"name": "models"}, {"name": "desk"}]
+    services = [{"name": "models"}, {"name": "desk"}, ENGINES]
     return {**CONFIG, "version": version, "routes": routes, "services": services}
 
 
@@ -283,7 +355,7 @@
         if connection is None:
             port = site.client_port_by_node[node]
             connection = HTTPConnection(HOST, port, timeout=TIMEOUT_S)
-        kind = rng.choice(("chat", "chat", "book", "look"))
+        kind = rng.choice(("chat", "chat", "book", "look", "ask"))
         id = f"{number}-{count}"
         parts = f"system:100,topic{rng.randrange(4)}:50,"
         if site.deadly_part and kind == "chat" and rng.random() < DEADLY_SHARE:
@@ -294,6 +366,8 @@
             "Deadline-Ms": "10000",
             "Prompt-Prefix": f"{parts}own-{id}:10",
         }
+        if kind == "ask":
+            headers["Model"] = rng.choice(MODELS)
         attempt = _send(connection, node, f"/{kind}/{id}", id, headers)
         with site.lock:
             site.history.attempts.append(attempt)
@@ -369,17 +443,26 @@
         ReplicaCrashes(slot),
         ReplicaGarbles(slot, for_s),
         StoreFails(rng.random() < 0.5, for_s),
+        StoreIsRestored(rng.uniform(0.5, 8.0), rng.uniform(0.1, 1.5)),
+        LeaderChangeIsLost(
+            site.leader() or node,
+            rng.choice(tuple(NodeEnd)),
+            rng.random() < 0.5,
+            for_s,
+            rng.uniform(0.1, 2.0),
+            rng.uniform(0.1, 1.5),
+        ),
         OddEntry(rng.randrange(len(ODD_SPECS))),
         NodeStops(node),
         NodeIsKilled(node),
         NodeFreezes(node, for_s),
         PartTurnsDeadly(deadly_part(rng.randrange(1000)), DEADLY_S),
-        ConfigurationChanges(rng.randrange(2, 1_000_000)),
+        ConfigurationChanges(rng.randrange(2, 52)),
     )
     return rng.choice(faults)
 
 
-def target_of(fault: Fault) -> str:
+def targets_of(fault: Fault) -> tuple[str, ...]:
     """Return what a fault strikes; no two faults strike the same thing at once."""
     match fault:
         case (
@@ -388,17 +471,19 @@
             | ReplicaCrashes(slot)
             | ReplicaGarbles(slot)
         ):
-            return f"slot-{slot}"
+            return (f"slot-{slot}",)
         case NodeStops(node) | NodeIsKilled(node) | NodeFreezes(node):
-            return node
-        case StoreFails():
-            return STORE
+            return (node,)
+        case LeaderChangeIsLost(node):
+            return (node, STORE)
+        case StoreFails() | StoreIsRestored():
+            return (STORE,)
         case OddEntry():
-            return "entries"
+            return ("entries",)
         case PartTurnsDeadly():
-            return "parts"
+            return ("parts",)
         case ConfigurationChanges():
-            return "configuration"
+            return ("configuration",)
 
 
 def inject(site: SoakSite, fault: Fault) -> None:
@@ -421,15 +506,17 @@
             site.control(slot, garble=0)
         case StoreFails(is_mute, for_s):
             _fail_store(site, is_mute, for_s)
+        case StoreIsRestored(back_s, away_s):
+            _restore_store(site, back_s, away_s)
+        case LeaderChangeIsLost():
+            _lose_leader_change(site, fault)
         case OddEntry(number):
             site.put("servers", f"odd-{number}", ODD_SPECS[number])
         case NodeStops(node):
-            process = site.fleet.process_by_name[node]
-            process.signal(signal.SIGTERM)
-            process.popen.wait(2 * GRACE_S)
+            _end(site, node, NodeEnd.STOP)
             _restart(site, node)
         case NodeIsKilled(node):
-            site.fleet.process_by_name[node].kill()
+            _end(site, node, NodeEnd.KILL)
             _restart(site, node)
         case NodeFreezes(node, for_s):
             process = site.fleet.process_by_name[node]
@@ -440,8 +527,8 @@
             site.deadly_part = part
             site.stop.wait(for_s)
             site.deadly_part = ""
-        case ConfigurationChanges(version):
-            site.put("config", "main", _configuration(version % 50 + 2))
+        case ConfigurationChanges(routes):
+            site.change_configuration(routes)
 
 
 def _fail_store(site: SoakSite, is_mute: bool, for_s: float) -> None:
@@ -455,6 +542,38 @@
         site.history.disturbances.append(disturbance)
 
 
+def _restore_store(site: SoakSite, back_s: float, away_s: float) -> None:
+    restore = {"restore_s": back_s, "away_s": away_s}
+    request(site.store_port, "POST", "/control", restore)
+
+
+def _lose_leader_change(site: SoakSite, fault: LeaderChangeIsLost) -> None:
+    began_s = time.monotonic()
+    _end(site, fault.node, fault.end)
+    if fault.starts_before:
+        _restart(site, fault.node)
+    while site.leader() in (fault.node, None):
+        if time.monotonic() > began_s + TAKEOVER_S:
+            # The node that has started again may be the leader once more.
+            break
+        site.stop.wait(LEADER_POLL_S)
+    site.stop.wait(fault.for_s)
+    back_s = time.monotonic() - began_s + fault.back_s
+    _restore_store(site, back_s, fault.away_s)
+    if not fault.starts_before:
+        _restart(site, fault.node)
+
+
+def _end(site: SoakSite, node: str, end: NodeEnd) -> None:
+    process = site.fleet.process_by_name[node]
+    match end:
+        case NodeEnd.STOP:
+            process.signal(signal.SIGTERM)
+            process.popen.wait(2 * GRACE_S)
+        case NodeEnd.KILL:
+            process.kill()
+
+
 def _leave(site: SoakSite, slot: int, word: LeavingWord) -> None:
     name = site.replica_by_slot[slot]
     if word is not LeavingWord.STORE:
@@ -480,11 +599,11 @@
     rng = random.Random(f"{site.seed}/entry-injector/{number}")
     while not stop.wait(rng.uniform(0, MAX_PAUSE_S)):
         fault = draw_fault(site, rng)
-        target = target_of(fault)
+        targets = targets_of(fault)
         with site.lock:
-            if target in site.busy_targets:
+            if not site.busy_targets.isdisjoint(targets):
                 continue
-            site.busy_targets.add(target)
+            site.busy_targets.update(targets)
             site.count_by_kind[type(fault).__name__] += 1
         print(f"{time.strftime('%H:%M:%S')} {fault}", flush=True)
         began_s = time.monotonic()
@@ -493,9 +612,10 @@
         finally:
             ended_s = time.monotonic()
             with site.lock:
-                disturbance = Disturbance(target, began_s, ended_s)
-                site.history.disturbances.append(disturbance)
-                site.busy_targets.discard(target)
+                site.history.disturbances.extend(
+                    Disturbance(target, began_s, ended_s) for target in targets
+                )
+                site.busy_targets.difference_update(targets)
 
 
 def report(site: SoakSite) -> list[str]:
@@ -508,12 +628,23 @@
     for name in site.fleet.process_by_name:
         if name.startswith("r-"):
             history.lines_by_replica[name] = _journal(site, name)
+    for node in site.nodes:
+        text = site.fleet.process_by_name[node].log.read_text(errors="replace")
+        lines = map(parse_log_line, text.splitlines())
+        history.log_lines_by_node[node] = [line for line in lines if line is not None]
     violations = find_violations(history)
     statuses = Counter(item.status for item in history.attempts)
     print(f"faults: {site.count_by_kind.total()} {dict(site.count_by_kind)}")
     print(f"requests: {len(history.attempts)}, by status {dict(statuses)}")
     crashes = {part: len(times_s) for part, times_s in history.crashes_s.items()}
     print(f"crashes by deadly part: {crashes}")
+    orders = Counter(
+        line["status"]
+        for lines in history.lines_by_replica.values()
+        for line in lines
+        if line["event"] == "order"
+    )
+    print(f"orders: {orders.total()}, by status {dict(orders)}")
     print(f"violations: {len(violations)}")
     for violation in violations:
         print(f"  {violation}")
--- a/tests/faults/test_entry_checks.py
+++ b/tests/faults/test_entry_checks.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from camphoryard.protocol.log_lines import parse_log_line
 from faults.entry_checks import (
     DRAIN_S,
     STABLE_WINDOW_S,
@@ -170,3 +171,61 @@
     def test_process_that_ended_by_itself_is_found(self):
         """Nobody stopped it."""
         assert rules(history([], own_ends=["n1 exited with 1"])) == ["OWN END"]
+
+
+def order(holder, fence, status=202):
+    """Return the journal line of an order."""
+    return line("order", id="", holder=holder, fence=fence, status=status)
+
+
+class TestOne:
+    """At most one node orders under each fence."""
+
+    def test_rising_fences_break_no_rule(self):
+        """Each holder has fences of its own, and a later one may be lower elsewhere."""
+        r1 = [order("n1", 1), order("n1", 1), order("n2", 2), order("n1", 1, 412)]
+        assert rules(history([], r1, [order("n2", 2), order("n3", 3)])) == []
+
+    @pytest.mark.parametrize("status", [202, 409, 412])
+    def test_two_holders_of_one_fence(self, status):
+        """Two nodes that order under one fence, also at different engines."""
+        at_r2 = [order("n2", 1, status)]
+        assert rules(history([], [order("n1", 1)], at_r2)) == ["ONE"]
+
+    def test_lower_fence_is_accepted(self):
+        """An engine carries out the order of an earlier term."""
+        r1 = [order("n2", 2), order("n1", 1)]
+        assert rules(history([], r1)) == ["ONE"]
+
+
+def node_log(*events):
+    """Return the log lines of a node."""
+    return [parse_log_line(f"at={n}.0 node=n1 {item}") for n, item in enumerate(events)]
+
+
+class TestOlderConfiguration:
+    """A node keeps a confirmed configuration until it gets a newer one."""
+
+    def test_newer_configurations_break_no_rule(self):
+        """Versions rise, and a new process may begin with an older one."""
+        log = node_log(
+            "event=started",
+            "event=configuration_adopted version=1",
+            "event=configuration_adopted version=3",
+            "event=started",
+            "event=configuration_adopted version=2",
+        )
+        logs = {"n1": log}
+        assert rules(history([], log_lines_by_node=logs, confirmed={1, 2, 3})) == []
+
+    def test_older_configuration_comes_back(self):
+        """A node replaces a confirmed version by an older one."""
+        log = node_log(
+            "event=started",
+            "event=configuration_adopted version=3",
+            "event=configuration_adopted version=2",
+        )
+        logs = {"n1": log}
+        assert rules(history([], log_lines_by_node=logs, confirmed={2, 3})) == [
+            "CONFIG"
+        ]
