Let the store stand-in refuse removals at another revision

Cause: the stand-in ignored the revision that a removal expects, so a removal that the store would refuse, as after a restore, succeeded. Change: it answers 409, as for writes. Result: the new test got 200 on the code before; it passes now.

--- a/standins/entry_platform.py
+++ b/standins/entry_platform.py
@@ -143,12 +143,21 @@
             self._record(kind, item, existing, False, is_operator)
             return self.answer(item, 200 if existing else 201)
 
-    def remove(self, kind: str, name: str, is_operator: bool = False) -> Response:
-        """Delete an object."""
+    def remove(
+        self,
+        kind: str,
+        name: str,
+        expected: int | None = None,
+        is_operator: bool = False,
+    ) -> Response:
+        """Delete an object if its revision is ``expected``."""
         with self.changed:
-            item = self.objects.pop((kind, name), None)
+            item = self.objects.get((kind, name))
             if item is None:
                 return self.answer({}, 404)
+            if expected not in (None, item["metadata"]["revision"]):
+                return self.answer(item, 409)
+            del self.objects[kind, name]
             self.revision += 1
             self._record(kind, item, item, True, is_operator)
             return self.answer(item)
@@ -311,7 +320,9 @@
                 expected = body["metadata"].get("revision")
                 return self.store.write(kind, name, body["spec"], expected, is_operator)
             case "DELETE":
-                return self.store.remove(kind, name, is_operator)
+                revision = request.query.get("revision")
+                expected = None if revision is None else int(revision)
+                return self.store.remove(kind, name, expected, is_operator)
             case _:
                 return self.store.read(kind, name)
 
--- a/tests/standins/test_entry_platform.py
+++ b/tests/standins/test_entry_platform.py
@@ -218,3 +218,15 @@
         assert put(platform, "operator", headers=OPERATOR).status == 201
         platform.store.restore(time.monotonic())
         assert put(platform, "node").status == 200
+
+    def test_removal_may_expect_a_revision(self):
+        """Only the expected revision of an object is deleted."""
+        platform = Platform()
+        revision = decoded(put(platform, "a"))["metadata"]["revision"]
+        path = "/objects/leases/leader"
+        other = call(platform, "DELETE", path, query={"revision": str(revision - 1)})
+        assert other.status == 409
+        assert spec_of(platform.store, "leases", "leader") == "a"
+        same = call(platform, "DELETE", path, query={"revision": str(revision)})
+        assert same.status == 200
+        assert spec_of(platform.store, "leases", "leader") is None
