Hold watches of the store stand-in that were waiting when a silence began

Cause: a waiting watch looked only when it woke whether the store was mute. If the silence had ended by then, it went on and was answered. Change: a watch is held if a silence has begun since it started. Result: the new test timed out on the code before; it passes now.

--- a/standins/entry_platform.py
+++ b/standins/entry_platform.py
@@ -76,11 +76,14 @@
     lost: dict[tuple[str, str], Change] = field(default_factory=dict)
     changed: threading.Condition = field(default_factory=threading.Condition)
     is_mute: bool = False
+    silences: int = 0
     is_away: bool = False
 
     def mute(self, is_mute: bool) -> None:
         """Answer no call and no waiting watch from now on, or answer later ones."""
         with self.changed:
+            if is_mute and not self.is_mute:
+                self.silences += 1
             self.is_mute = is_mute
             self.changed.notify_all()
 
@@ -180,12 +183,12 @@
         """Wait for changes of a kind after a revision and return them."""
         deadline_s = time.monotonic() + min(wait_s, WATCH_LIMIT_S)
         with self.changed:
-            era = self.era
+            era, silences = self.era, self.silences
             if since > self.revision:
                 return self.answer({}, 410)
             while not (events := self._changes_since(kind, since)):
                 remaining_s = deadline_s - time.monotonic()
-                if remaining_s <= 0 or self.is_mute:
+                if remaining_s <= 0 or self.is_mute or self.silences != silences:
                     break
                 self.changed.wait(remaining_s)
                 if self.is_away or self.era != era:
@@ -285,16 +288,17 @@
     def _is_down(self) -> bool:
         return bool(self.store.is_away or self.faults.get("silent_store"))
 
-    def _hold_if_mute(self, kind: str) -> None:
-        """Block this call for ever if the store is mute."""
-        if self.store.is_mute:
+    def _hold_if_mute(self, kind: str, silences: int) -> None:
+        """Block this call for ever if the store is mute or was after ``silences``."""
+        if self.store.is_mute or self.store.silences != silences:
             self.muted_kinds.append(kind)
             threading.Event().wait()
 
     def _kind(self, request: Request, kind: str) -> Response:
         is_operator = _is_operator(request)
+        silences = self.store.silences
         if not is_operator:
-            self._hold_if_mute(kind)
+            self._hold_if_mute(kind, silences)
             if self._is_down():
                 return self.store.answer({}, 503)
         if request.method == "POST":
@@ -304,14 +308,15 @@
         if "watch" in request.query:
             since, wait_ms = request.query["watch"], request.query.get("wait-ms", "0")
             response = self.store.watch(kind, int(since), int(wait_ms) / 1000)
-            self._hold_if_mute(kind)
+            self._hold_if_mute(kind, silences)
             return response
         return self.store.all(kind)
 
     def _object(self, request: Request, kind: str, name: str) -> Response:
         is_operator = _is_operator(request)
+        silences = self.store.silences
         if not is_operator:
-            self._hold_if_mute(kind)
+            self._hold_if_mute(kind, silences)
             if self._is_down():
                 return self.store.answer({}, 503)
         match request.method:
--- a/tests/standins/test_entry_platform.py
+++ b/tests/standins/test_entry_platform.py
@@ -230,3 +230,26 @@
         same = call(platform, "DELETE", path, query={"revision": str(revision)})
         assert same.status == 200
         assert spec_of(platform.store, "leases", "leader") is None
+
+    def test_watch_that_waits_is_never_answered_after_a_silence(self):
+        """It is held also if the silence ends before the watch has noticed it."""
+        platform = Platform()
+        wait, held = platform.store.changed.wait, threading.Event()
+
+        class HeldKinds(list):
+            def append(self, kind):
+                super().append(kind)
+                held.set()
+
+        def be_silent_then_wait(timeout_s=None):
+            platform.store.changed.wait = wait
+            for mute_store in (1, 0):
+                call(platform, "POST", "/control", {"mute_store": mute_store})
+            put(platform, "a")
+
+        platform.muted_kinds = HeldKinds()
+        platform.store.changed.wait = be_silent_then_wait
+        query = {"watch": str(platform.store.revision), "wait-ms": "10000"}
+        arguments = (platform, "GET", "/objects/leases", None, query)
+        threading.Thread(target=call, args=arguments, daemon=True).start()
+        assert held.wait(5.0)
