Find requests under a configuration that is long replaced

Cause: a node that misses a change, as when its watch goes on from a revision that has been given out again, breaks no check of the soak. Change: CONFIG is broken too by a request that begins at a sound node under an older configuration more than 2.5 s after a newer one was confirmed.

--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -14,6 +14,7 @@
 from standins.replica_engine import ACCEPTED
 
 STABLE_WINDOW_S = 3.0
+APPLY_S = 2.0
 DRAIN_S = 2.0
 BUSY_SLACK_S = 0.5
 MAX_ARRIVALS_IN_REST = 2
@@ -66,8 +67,8 @@
 
     ``lines_by_replica`` are the journals of the replicas, ``leaves_s`` the times at
     which the store acknowledged that a replica leaves, ``crashes_s`` those of crashes
-    by part, ``own_ends`` the processes that ended by themselves, ``confirmed`` the
-    versions of configurations whose write the store has acknowledged.
+    by part, ``own_ends`` the processes that ended by themselves, ``confirmed_s``
+    the times at which the store acknowledged versions of the configuration.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -77,7 +78,7 @@
     crashes_s: dict[str, list[float]] = field(default_factory=dict)
     own_ends: list[str] = field(default_factory=list)
     log_lines_by_node: dict[str, list[LogLine]] = field(default_factory=dict)
-    confirmed: set[int] = field(default_factory=set)
+    confirmed_s: dict[int, float] = field(default_factory=dict)
 
     def is_disturbed(self, target: str, from_s: float, until_s: float) -> bool:
         """Return whether a target was under a fault in a span of time."""
@@ -115,6 +116,7 @@
         _lost,
         _one,
         _older_configuration,
+        _late_configuration,
         lambda item: (f"OWN END: {end}" for end in item.own_ends),
     )
     return [violation for check in checks for violation in check(history)]
@@ -272,10 +274,33 @@
                     version = int(line.fields["version"])
                     if version < newest:
                         yield f"CONFIG: {node} went from {newest} back to {version}"
-                    if version in history.confirmed:
+                    if version in history.confirmed_s:
                         newest = max(newest, version)
 
 
+def _late_configuration(history: SoakHistory) -> Iterable[str]:
+    """Find requests under a configuration that should have been replaced by then."""
+    limit_s = APPLY_S + BUSY_SLACK_S
+    for node, lines in history.log_lines_by_node.items():
+        for line in lines:
+            if line.event != "request_answered":
+                continue
+            began_s = line.at_s - int(line.fields["held_ms"]) / 1000
+            due = max(
+                (
+                    version
+                    for version, at_s in history.confirmed_s.items()
+                    if at_s < began_s - limit_s
+                ),
+                default=0,
+            )
+            if int(line.fields["rules"]) < due and history.is_in_touch(
+                node, began_s - limit_s, began_s
+            ):
+                id, rules = line.fields["request"], line.fields["rules"]
+                yield f"CONFIG: {id} began at {node} under {rules}, not {due}"
+
+
 def deadly_part(number: int) -> str:
     """Return a part that crashes replicas."""
     return f"{DEADLY}{number}"
--- a/faults/entry_soak.py
+++ b/faults/entry_soak.py
@@ -264,7 +264,7 @@
             self.configurations += 1
             version = self.configurations
         self.put("config", "main", _configuration(version, routes))
-        self.history.confirmed.add(version)
+        self.history.confirmed_s[version] = time.monotonic()
 
     def leader(self) -> str | None:
         """Return the node that holds the leadership in the store."""
--- a/tests/faults/test_entry_checks.py
+++ b/tests/faults/test_entry_checks.py
@@ -4,6 +4,8 @@
 
 from camphoryard.protocol.log_lines import parse_log_line
 from faults.entry_checks import (
+    APPLY_S,
+    BUSY_SLACK_S,
     DRAIN_S,
     STABLE_WINDOW_S,
     Attempt,
@@ -216,7 +218,16 @@
             "event=configuration_adopted version=2",
         )
         logs = {"n1": log}
-        assert rules(history([], log_lines_by_node=logs, confirmed={1, 2, 3})) == []
+        assert (
+            rules(
+                history(
+                    [],
+                    log_lines_by_node=logs,
+                    confirmed_s=dict.fromkeys((1, 2, 3), 0.0),
+                )
+            )
+            == []
+        )
 
     def test_older_configuration_comes_back(self):
         """A node replaces a confirmed version by an older one."""
@@ -226,6 +237,37 @@
             "event=configuration_adopted version=2",
         )
         logs = {"n1": log}
-        assert rules(history([], log_lines_by_node=logs, confirmed={2, 3})) == [
-            "CONFIG"
-        ]
+        assert rules(
+            history([], log_lines_by_node=logs, confirmed_s=dict.fromkeys((2, 3), 0.0))
+        ) == ["CONFIG"]
+
+
+class TestLateConfiguration:
+    """A sound node serves under a confirmed configuration after a short time."""
+
+    LIMIT_S = APPLY_S + BUSY_SLACK_S
+
+    def history(self, rules, after_s, **fields):
+        """Return a request some time after version 2 was confirmed at 100 s."""
+        at_s = 100.0 + after_s + 0.5
+        text = "event=request_answered request=b1 held_ms=500"
+        line = parse_log_line(f"at={at_s} node=n1 {text} rules={rules}")
+        confirmed_s = {1: 0.0, 2: 100.0}
+        logs = {"n1": [line]}
+        return history([], log_lines_by_node=logs, confirmed_s=confirmed_s, **fields)
+
+    def test_request_begins_under_an_old_version(self):
+        """The node has not applied the version in time."""
+        assert rules(self.history(1, self.LIMIT_S + 0.1)) == ["CONFIG"]
+
+    def test_sound_nodes_break_no_rule(self):
+        """The node has applied the version, or has some time left."""
+        assert rules(self.history(2, self.LIMIT_S + 0.1)) == []
+        assert rules(self.history(1, self.LIMIT_S - 0.1)) == []
+
+    @pytest.mark.parametrize("target", ["n1", "store"])
+    def test_node_out_of_touch_breaks_no_rule(self, target):
+        """The store or the node was under a fault a short time before."""
+        disturbances = [Disturbance(target, 90.0, 97.5)]
+        late = self.history(1, self.LIMIT_S + 0.1, disturbances=disturbances)
+        assert rules(late) == []
