--- a/tests/faults/test_entry_checks.py
+++ b/tests/faults/test_entry_checks.py
@@ -2,7 +2,10 @@
 
 import pytest
 
+from camphoryard.protocol.log_lines import parse_log_line
 from faults.entry_checks import (
+    APPLY_S,
+    BUSY_SLACK_S,
     DRAIN_S,
     STABLE_WINDOW_S,
     Attempt,
@@ -170,3 +173,101 @@
     def test_process_that_ended_by_itself_is_found(self):
         """Nobody stopped it."""
         assert rules(history([], own_ends=["n1 exited with 1"])) == ["OWN END"]
+
+
+def order(holder, fence, status=202):
+    """Return the journal line of an order."""
+    return line("order", id="", holder=holder, fence=fence, status=status)
+
+
+class TestOne:
+    """At most one node orders under each fence."""
+
+    def test_rising_fences_break_no_rule(self):
+        """Each holder has fences of its own, and a later one may be lower elsewhere."""
+        r1 = [order("n1", 1), order("n1", 1), order("n2", 2), order("n1", 1, 412)]
+        assert rules(history([], r1, [order("n2", 2), order("n3", 3)])) == []
+
+    @pytest.mark.parametrize("status", [202, 409, 412])
+    def test_two_holders_of_one_fence(self, status):
+        """Two nodes that order under one fence, also at different engines."""
+        at_r2 = [order("n2", 1, status)]
+        assert rules(history([], [order("n1", 1)], at_r2)) == ["ONE"]
+
+    def test_lower_fence_is_accepted(self):
+        """An engine carries out the order of an earlier term."""
+        r1 = [order("n2", 2), order("n1", 1)]
+        assert rules(history([], r1)) == ["ONE"]
+
+
+def node_log(*events):
+    """Return the log lines of a node."""
+    return [parse_log_line(f"at={n}.0 node=n1 {item}") for n, item in enumerate(events)]
+
+
+class TestOlderConfiguration:
+    """A node keeps a confirmed configuration until it gets a newer one."""
+
+    def test_newer_configurations_break_no_rule(self):
+        """Versions rise, and a new process may begin with an older one."""
+        log = node_log(
+            "event=started",
+            "event=configuration_adopted version=1",
+            "event=configuration_adopted version=3",
+            "event=started",
+            "event=configuration_adopted version=2",
+        )
+        logs = {"n1": log}
+        assert (
+            rules(
+                history(
+                    [],
+                    log_lines_by_node=logs,
+                    confirmed_s=dict.fromkeys((1, 2, 3), 0.0),
+                )
+            )
+            == []
+        )
+
+    def test_older_configuration_comes_back(self):
+        """A node replaces a confirmed version by an older one."""
+        log = node_log(
+            "event=started",
+            "event=configuration_adopted version=3",
+            "event=configuration_adopted version=2",
+        )
+        logs = {"n1": log}
+        assert rules(
+            history([], log_lines_by_node=logs, confirmed_s=dict.fromkeys((2, 3), 0.0))
+        ) == ["CONFIG"]
+
+
+class TestLateConfiguration:
+    """A sound node serves under a confirmed configuration after a short time."""
+
+    LIMIT_S = APPLY_S + BUSY_SLACK_S
+
+    def history(self, rules, after_s, **fields):
+        """Return a request some time after version 2 was confirmed at 100 s."""
+        at_s = 100.0 + after_s + 0.5
+        text = "event=request_answered request=b1 held_ms=500"
+        line = parse_log_line(f"at={at_s} node=n1 {text} rules={rules}")
+        confirmed_s = {1: 0.0, 2: 100.0}
+        logs = {"n1": [line]}
+        return history([], log_lines_by_node=logs, confirmed_s=confirmed_s, **fields)
+
+    def test_request_begins_under_an_old_version(self):
+        """The node has not applied the version in time."""
+        assert rules(self.history(1, self.LIMIT_S + 0.1)) == ["CONFIG"]
+
+    def test_sound_nodes_break_no_rule(self):
+        """The node has applied the version, or has some time left."""
+        assert rules(self.history(2, self.LIMIT_S + 0.1)) == []
+        assert rules(self.history(1, self.LIMIT_S - 0.1)) == []
+
+    @pytest.mark.parametrize("target", ["n1", "store"])
+    def test_node_out_of_touch_breaks_no_rule(self, target):
+        """The store or the node was under a fault a short time before."""
+        disturbances = [Disturbance(target, 90.0, 97.5)]
+        late = self.history(1, self.LIMIT_S + 0.1, disturbances=disturbances)
+        assert rules(late) == []
