Heed the word that an endpoint leaves while the start is listed

Cause: the word was dropped 600 s after it was first said, also of an endpoint that was still listed. It then got requests again, and its next word was not heeded, as the expired one still counted as known. A word about an earlier start than the listed one was recorded as well.

Change: the word holds, and is told to peers, until a later start is listed or the endpoint has not been listed for UNLISTED_MEMORY_S.

--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -20,22 +20,13 @@
 UNLOADING_LIFETIME_S = 2.0
 """How long a model counts as being unloaded after the leader's last word of it; the
 endpoint's own entry shows the unload by then."""
-LEAVING_LIFETIME_S = 600.0
-"""How long an endpoint counts as leaving after it has said so, unless it starts again;
-endpoints that leave are gone within some tens of seconds."""
+UNLISTED_MEMORY_S = 600.0
+"""How long it is kept that an endpoint leaves once it is no longer listed."""
 MISSING_GRACE_S = 2.2
 """How long an endpoint missing from a listing after an outage still counts;
 entries that expired during the outage reappear within about 2 s."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Leaving:
-    """The start at which an endpoint said that it leaves, and how long that counts."""
-
-    started_ms: int
-    until_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class _MissingEndpoint:
     """When, on the monotonic clock, a missing endpoint stops counting."""
@@ -61,7 +52,8 @@
         self._loaded_until_s: dict[tuple[EndpointId, RequestedModel], float] = {}
         self._declined_until_s: dict[tuple[EndpointId, RequestedModel], float] = {}
         self._unloading_until_s: dict[tuple[EndpointId, ModelId], float] = {}
-        self._leaving_by_id: dict[EndpointId, _Leaving] = {}
+        self._leaving_start_ms: dict[EndpointId, int] = {}
+        self._unlisted_until_s: dict[EndpointId, float] = {}
         self._has_endpoints = False
         self._confirmed_s = -math.inf
         self._subscribers: list[Callable[[], None]] = []
@@ -133,7 +125,11 @@
         self._notify()
 
     def expire(self) -> tuple[EndpointId, ...]:
-        """Remove the endpoints missing for too long; return their ids."""
+        """Remove the endpoints missing for too long; return their ids.
+
+        What is known of endpoints that have not been listed for UNLISTED_MEMORY_S is
+        forgotten.
+        """
         now_s = self._clock()
         with self._changed:
             expired = tuple(
@@ -141,6 +137,8 @@
             )
             for id in expired:
                 self._remove(id)
+            for id in _drop_expired(self._unlisted_until_s, now_s):
+                self._leaving_start_ms.pop(id, None)
         if expired:
             self._notify()
         return expired
@@ -165,23 +163,21 @@
     def record_leaving(self, id: EndpointId, started_ms: int) -> bool:
         """Record that an endpoint says it leaves; return whether that is new.
 
-        It counts as draining, whatever its entry says, until a later start of it.
+        It counts as draining, whatever its entry says, until a later start of it is
+        listed.
         """
         with self._changed:
-            now_s = self._clock()
-            known = self._leaving_by_id.get(id)
-            if known is not None and known.started_ms >= started_ms:
-                return False
-            self._leaving_by_id = {
-                id: item
-                for id, item in self._leaving_by_id.items()
-                if item.until_s > now_s
-            }
-            until_s = now_s + LEAVING_LIFETIME_S
-            self._leaving_by_id[id] = _Leaving(started_ms, until_s)
             endpoint = self._endpoints_by_id.get(id)
+            if endpoint is not None and endpoint.started_ms > started_ms:
+                return False
+            if self._leaves(id, started_ms):
+                return False
+            self._leaving_start_ms[id] = started_ms
             if endpoint is not None:
                 self._endpoints_by_id[id] = self._as_it_says(endpoint)
+            else:
+                until_s = self._clock() + UNLISTED_MEMORY_S
+                self._unlisted_until_s.setdefault(id, until_s)
         self._notify()
         return True
 
@@ -189,8 +185,8 @@
         """Return the listed endpoints that say they leave, with their start times."""
         with self._changed:
             return {
-                id: item.started_ms
-                for id, item in self._leaving_by_id.items()
+                id: started_ms
+                for id, started_ms in self._leaving_start_ms.items()
                 if id in self._endpoints_by_id
             }
 
@@ -265,23 +261,28 @@
         return True
 
     def _store(self, endpoint: ServingEndpoint) -> None:
-        self._missing_by_id.pop(endpoint.id, None)
-        self._endpoints_by_id[endpoint.id] = self._as_it_says(endpoint)
+        id = endpoint.id
+        self._missing_by_id.pop(id, None)
+        self._unlisted_until_s.pop(id, None)
+        if not self._leaves(id, endpoint.started_ms):
+            self._leaving_start_ms.pop(id, None)
+        self._endpoints_by_id[id] = self._as_it_says(endpoint)
+
+    def _leaves(self, id: EndpointId, started_ms: int) -> bool:
+        """Return whether this start of an endpoint, or a later one, leaves."""
+        leaving_ms = self._leaving_start_ms.get(id)
+        return leaving_ms is not None and leaving_ms >= started_ms
 
     def _as_it_says(self, endpoint: ServingEndpoint) -> ServingEndpoint:
         """Return an endpoint as draining if it has said itself that it leaves."""
-        leaving = self._leaving_by_id.get(endpoint.id)
-        if (
-            leaving is None
-            or leaving.started_ms < endpoint.started_ms
-            or leaving.until_s <= self._clock()
-        ):
+        if not self._leaves(endpoint.id, endpoint.started_ms):
             return endpoint
         return replace(endpoint, state=EndpointState.DRAINING)
 
     def _remove(self, id: EndpointId) -> None:
-        self._endpoints_by_id.pop(id, None)
         self._missing_by_id.pop(id, None)
+        if self._endpoints_by_id.pop(id, None) is not None:
+            self._unlisted_until_s[id] = self._clock() + UNLISTED_MEMORY_S
 
     def _notify(self) -> None:
         with self._changed:
@@ -290,6 +291,9 @@
             callback()
 
 
-def _drop_expired(until_s_by_key: dict[KeyT, float], now_s: float) -> None:
-    for key in [key for key, until_s in until_s_by_key.items() if until_s <= now_s]:
+def _drop_expired(until_s_by_key: dict[KeyT, float], now_s: float) -> list[KeyT]:
+    """Remove the keys whose time is over; return them."""
+    expired = [key for key, until_s in until_s_by_key.items() if until_s <= now_s]
+    for key in expired:
         del until_s_by_key[key]
+    return expired
