Keep an endpoint draining when its entry goes back to ready

Cause: a store that is restored from an older copy shows the entry of a draining endpoint as it was before. The directory took the entry as it came, in a listing as in a watch, so a node sent requests to an endpoint whose leaving it had acknowledged.

Change: an entry that is draining is kept like the endpoint's own word, until a later start of it is listed, and told to peers like it.

Result: test_entry_that_was_draining_is_not_ready_again, for a listing and for a watch, and test_entry_that_was_listed_as_draining_is_not_ready_again found the endpoint ready on the code before; they pass now.

--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -21,7 +21,7 @@
 """How long a model counts as being unloaded after the leader's last word of it; the
 endpoint's own entry shows the unload by then."""
 UNLISTED_MEMORY_S = 600.0
-"""How long it is kept that an endpoint leaves once it is no longer listed."""
+"""How long it is remembered that an endpoint leaves once it is not listed."""
 MISSING_GRACE_S = 2.2
 """How long an endpoint missing from a listing after an outage still counts;
 entries that expired during the outage reappear within about 2 s."""
@@ -182,7 +182,7 @@
         return True
 
     def leaving_by_endpoint(self) -> Mapping[EndpointId, int]:
-        """Return the listed endpoints that say they leave, with their start times."""
+        """Return the listed endpoints that leave, with their start times."""
         with self._changed:
             return {
                 id: started_ms
@@ -266,6 +266,8 @@
         self._unlisted_until_s.pop(id, None)
         if not self._leaves(id, endpoint.started_ms):
             self._leaving_start_ms.pop(id, None)
+            if endpoint.state is EndpointState.DRAINING:
+                self._leaving_start_ms[id] = endpoint.started_ms
         self._endpoints_by_id[id] = self._as_it_says(endpoint)
 
     def _leaves(self, id: EndpointId, started_ms: int) -> bool:
@@ -274,7 +276,7 @@
         return leaving_ms is not None and leaving_ms >= started_ms
 
     def _as_it_says(self, endpoint: ServingEndpoint) -> ServingEndpoint:
-        """Return an endpoint as draining if it has said itself that it leaves."""
+        """Return an endpoint as draining if it is known to leave."""
         if not self._leaves(endpoint.id, endpoint.started_ms):
             return endpoint
         return replace(endpoint, state=EndpointState.DRAINING)
--- a/tests/state/test_directory.py
+++ b/tests/state/test_directory.py
@@ -2,6 +2,8 @@
 
 import threading
 
+import pytest
+
 from camphoryard.state.directory import (
     DECLINED_LIFETIME_S,
     LOADED_REPORT_LIFETIME_S,
@@ -10,6 +12,7 @@
     Directory,
 )
 from camphoryard.state.ids import AdapterId, EndpointId, ModelId
+from camphoryard.state.serving_endpoints import EndpointState
 from camphoryard.state.traffic import RequestedModel
 from tests.fakes.engines import SERVICE, Clock, make_endpoint, make_rules
 
@@ -99,7 +102,7 @@
 
 
 class TestLeaving:
-    """Endpoints whose answers say that they leave."""
+    """Endpoints whose answers or entries say that they leave."""
 
     def ready(self, directory):
         """Return the names of the endpoints that accept new requests."""
@@ -169,6 +172,35 @@
         assert directory.leaving_by_endpoint() == {}
         assert self.ready(directory) == [E1]
 
+    @pytest.mark.parametrize("is_listed", [True, False])
+    def test_entry_that_was_draining_is_not_ready_again(self, is_listed):
+        """A restored store shows an entry from before, in a listing or a watch."""
+        directory, _ = make_directory()
+        directory.observe(make_endpoint("e1", ["m1"], EndpointState.DRAINING))
+        if is_listed:
+            directory.replace_all([make_endpoint("e1", ["m1"])], False)
+        else:
+            directory.observe(make_endpoint("e1", ["m1"]))
+        assert self.ready(directory) == []
+        assert directory.leaving_by_endpoint() == {E1: 1}
+
+    def test_entry_that_was_listed_as_draining_is_not_ready_again(self):
+        """The node need not have seen the change."""
+        directory = Directory(Clock())
+        directory.replace_all(
+            [make_endpoint("e1", state=EndpointState.DRAINING)], False
+        )
+        directory.observe(make_endpoint("e1"))
+        assert self.ready(directory) == []
+
+    def test_later_start_of_an_entry_that_was_draining_counts(self):
+        """The endpoint has left and come back under its id."""
+        directory, _ = make_directory()
+        directory.observe(make_endpoint("e1", ["m1"], EndpointState.DRAINING))
+        directory.observe(make_endpoint("e1", ["m1"], started_ms=2))
+        assert self.ready(directory) == [E1]
+        assert directory.leaving_by_endpoint() == {}
+
     def test_peers_are_told_of_listed_endpoints_only(self):
         """What has left needs no mention."""
         directory, _ = make_directory()
