Hold removed endpoints that a restored store lists again

Cause: a store that is restored from an older copy lists endpoints that had left or expired in the span that is lost. A node that had seen them removed sent requests to them until their entries expired.

Change: the directory remembers which start of an endpoint was removed. If the first listing of a later era shows it again, it counts as draining until a watch shows that it writes its entry, or until a view as of HOLD_S later still lists it. Entries that come back in the same era count at once, as before.

Result: on the code before, test_removed_endpoint_is_held_when_a_restored_store_lists_it found the endpoint ready, and the tests of TestRestoredEndpoints had no way to tell a restored listing; all pass now.

--- a/src/camphoryard/coordination/forwarding/feeding.py
+++ b/src/camphoryard/coordination/forwarding/feeding.py
@@ -5,8 +5,9 @@
 
 from camphoryard.coordination.ports import DecisionLog, Snapshot, Stored, Timer
 from camphoryard.state.directory import MISSING_GRACE_S, Directory
-from camphoryard.state.ids import EndpointId
+from camphoryard.state.ids import EndpointId, StoreEra
 from camphoryard.state.serving_endpoints import ServingEndpoint
+from camphoryard.state.store_eras import era_of
 from camphoryard.state.traffic import TrafficRules
 
 EXPIRY_PERIOD_S = 0.25
@@ -17,7 +18,8 @@
 
     Entries that expired during a store outage are written again soon after the store
     returns. Entries missing in a listing then stay in use for ``MISSING_GRACE_S``.
-    An entry whose removal the watch reports is removed at once.
+    An entry whose removal the watch reports is removed at once; if a restored store
+    lists it again, it does not count before it is known to be there.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         self._clock = clock
         self._store_returned_s: float | None = None
         self._had_outage = False
+        self._era: StoreEra | None = None
 
     def record_availability(self, is_answering: bool) -> None:
         """Record that the store has started or stopped answering."""
@@ -41,14 +44,21 @@
         """Apply a listing of all endpoints."""
         if self._had_outage:
             self._store_returned_s = self._clock()
+        era = era_of(snapshot.revision)
+        is_restored = self._era is not None and era > self._era
+        self._era = era
         endpoints = [item.record for item in snapshot.items if item.record is not None]
-        missing = self._directory.replace_all(endpoints, self._is_in_grace_period())
+        missing = self._directory.replace_all(
+            endpoints, self._is_in_grace_period(), is_restored
+        )
         self._log(
             "endpoints_listed",
             count=len(endpoints),
             missing=",".join(missing),
+            held=",".join(self._directory.held()),
             revision=snapshot.revision,
             after_outage=self._is_in_grace_period(),
+            restored=is_restored,
         )
 
     def apply_endpoint(self, stored: Stored[ServingEndpoint]) -> None:
--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -22,6 +22,12 @@
 endpoint's own entry shows the unload by then."""
 UNLISTED_MEMORY_S = 600.0
 """How long it is remembered that an endpoint leaves once it is not listed."""
+BEAT_INTERVAL_S = 1.2
+"""How often an endpoint writes its entry; after three such times of silence the entry
+is removed."""
+HOLD_S = 4 * BEAT_INTERVAL_S
+"""How long an endpoint that had been removed counts as draining when a restored store
+lists it again."""
 MISSING_GRACE_S = 2.2
 """How long an endpoint missing from a listing after an outage still counts;
 entries that expired during the outage reappear within about 2 s."""
@@ -34,6 +40,14 @@
     until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _HeldEndpoint:
+    """A restored entry, and the time up to which it does not count as it says."""
+
+    endpoint: ServingEndpoint
+    until_s: float
+
+
 class Directory:
     """Traffic rules and endpoints; changes wake the waiting tasks.
 
@@ -53,7 +67,9 @@
         self._declined_until_s: dict[tuple[EndpointId, RequestedModel], float] = {}
         self._unloading_until_s: dict[tuple[EndpointId, ModelId], float] = {}
         self._leaving_start_ms: dict[EndpointId, int] = {}
+        self._removed_start_ms: dict[EndpointId, int] = {}
         self._unlisted_until_s: dict[EndpointId, float] = {}
+        self._held_by_id: dict[EndpointId, _HeldEndpoint] = {}
         self._has_endpoints = False
         self._confirmed_s = -math.inf
         self._subscribers: list[Callable[[], None]] = []
@@ -69,8 +85,20 @@
         return self._rules is not None and self._has_endpoints
 
     def confirm_endpoints(self, at_s: float) -> None:
-        """Record that all changes of endpoints up to ``at_s`` have been applied."""
-        self._confirmed_s = at_s
+        """Record that all changes of endpoints up to ``at_s`` have been applied.
+
+        Restored endpoints that are still listed then count as their entries say, once
+        their time is over.
+        """
+        with self._changed:
+            self._confirmed_s = at_s
+            released = [
+                item for item in self._held_by_id.values() if item.until_s <= at_s
+            ]
+            for item in released:
+                self._store_confirmed(item.endpoint)
+        if released:
+            self._notify()
 
     def endpoints_age_s(self) -> float:
         """Return how old the view of the endpoints may be; infinite without one."""
@@ -90,24 +118,38 @@
         return True
 
     def replace_all(
-        self, endpoints: Iterable[ServingEndpoint], after_outage: bool
+        self,
+        endpoints: Iterable[ServingEndpoint],
+        after_outage: bool,
+        is_restored: bool = False,
     ) -> tuple[EndpointId, ...]:
         """Replace all endpoints by a listing; return the ids that it lacks.
 
         After an outage of the listing, a missing endpoint counts for
         MISSING_GRACE_S, since it may only have been unable to renew its entry.
+
+        The first listing of a store that was restored from an older copy may bring back
+        endpoints that had been removed. They count as draining until a watch shows that
+        they write their entries, or they are still listed after HOLD_S.
         """
         by_id = {endpoint.id: endpoint for endpoint in endpoints}
-        until_s = self._clock() + MISSING_GRACE_S
+        now_s = self._clock()
+        until_s = now_s + MISSING_GRACE_S
         with self._changed:
             missing = tuple(self._endpoints_by_id.keys() - by_id.keys())
             for id in missing:
-                if after_outage:
+                if after_outage and id not in self._held_by_id:
                     self._missing_by_id.setdefault(id, _MissingEndpoint(until_s))
                 else:
                     self._remove(id)
             for endpoint in by_id.values():
-                self._store(endpoint)
+                held = self._held_by_id.get(endpoint.id)
+                if is_restored and self._was_removed(endpoint):
+                    self._hold(endpoint, now_s + HOLD_S)
+                elif held is not None and self._was_removed(endpoint):
+                    self._hold(endpoint, held.until_s)
+                else:
+                    self._store_confirmed(endpoint)
             self._has_endpoints = True
         self._notify()
         return missing
@@ -115,7 +157,7 @@
     def observe(self, endpoint: ServingEndpoint) -> None:
         """Record one new or changed endpoint."""
         with self._changed:
-            self._store(endpoint)
+            self._store_confirmed(endpoint)
         self._notify()
 
     def remove(self, id: EndpointId) -> None:
@@ -139,6 +181,7 @@
                 self._remove(id)
             for id in _drop_expired(self._unlisted_until_s, now_s):
                 self._leaving_start_ms.pop(id, None)
+                self._removed_start_ms.pop(id, None)
         if expired:
             self._notify()
         return expired
@@ -174,7 +217,7 @@
                 return False
             self._leaving_start_ms[id] = started_ms
             if endpoint is not None:
-                self._endpoints_by_id[id] = self._as_it_says(endpoint)
+                self._endpoints_by_id[id] = self._as_it_counts(endpoint)
             else:
                 until_s = self._clock() + UNLISTED_MEMORY_S
                 self._unlisted_until_s.setdefault(id, until_s)
@@ -190,6 +233,11 @@
                 if id in self._endpoints_by_id
             }
 
+    def held(self) -> tuple[EndpointId, ...]:
+        """Return the restored endpoints that do not count as their entries say."""
+        with self._changed:
+            return tuple(self._held_by_id)
+
     def record_unloads(
         self, unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]]
     ) -> None:
@@ -260,6 +308,22 @@
                     return condition()
         return True
 
+    def _store_confirmed(self, endpoint: ServingEndpoint) -> None:
+        """Store an endpoint that is known to be there."""
+        self._held_by_id.pop(endpoint.id, None)
+        self._removed_start_ms.pop(endpoint.id, None)
+        self._store(endpoint)
+
+    def _hold(self, endpoint: ServingEndpoint, until_s: float) -> None:
+        """Store a restored endpoint that had been removed."""
+        self._held_by_id[endpoint.id] = _HeldEndpoint(endpoint, until_s)
+        self._store(endpoint)
+
+    def _was_removed(self, endpoint: ServingEndpoint) -> bool:
+        """Return whether this start of an endpoint, or a later one, was removed."""
+        removed_ms = self._removed_start_ms.get(endpoint.id)
+        return removed_ms is not None and removed_ms >= endpoint.started_ms
+
     def _store(self, endpoint: ServingEndpoint) -> None:
         id = endpoint.id
         self._missing_by_id.pop(id, None)
@@ -268,22 +332,27 @@
             self._leaving_start_ms.pop(id, None)
             if endpoint.state is EndpointState.DRAINING:
                 self._leaving_start_ms[id] = endpoint.started_ms
-        self._endpoints_by_id[id] = self._as_it_says(endpoint)
+        self._endpoints_by_id[id] = self._as_it_counts(endpoint)
 
     def _leaves(self, id: EndpointId, started_ms: int) -> bool:
         """Return whether this start of an endpoint, or a later one, leaves."""
         leaving_ms = self._leaving_start_ms.get(id)
         return leaving_ms is not None and leaving_ms >= started_ms
 
-    def _as_it_says(self, endpoint: ServingEndpoint) -> ServingEndpoint:
-        """Return an endpoint as draining if it is known to leave."""
-        if not self._leaves(endpoint.id, endpoint.started_ms):
-            return endpoint
-        return replace(endpoint, state=EndpointState.DRAINING)
+    def _as_it_counts(self, endpoint: ServingEndpoint) -> ServingEndpoint:
+        """Return an endpoint as draining if it is held or known to leave."""
+        if endpoint.id in self._held_by_id or self._leaves(
+            endpoint.id, endpoint.started_ms
+        ):
+            return replace(endpoint, state=EndpointState.DRAINING)
+        return endpoint
 
     def _remove(self, id: EndpointId) -> None:
         self._missing_by_id.pop(id, None)
-        if self._endpoints_by_id.pop(id, None) is not None:
+        self._held_by_id.pop(id, None)
+        endpoint = self._endpoints_by_id.pop(id, None)
+        if endpoint is not None:
+            self._removed_start_ms[id] = endpoint.started_ms
             self._unlisted_until_s[id] = self._clock() + UNLISTED_MEMORY_S
 
     def _notify(self) -> None:
--- a/tests/coordination/forwarding/test_feeding.py
+++ b/tests/coordination/forwarding/test_feeding.py
@@ -3,7 +3,8 @@
 from camphoryard.coordination.forwarding.feeding import DirectoryFeed
 from camphoryard.coordination.ports import Snapshot, Stored
 from camphoryard.state.directory import MISSING_GRACE_S, Directory
-from camphoryard.state.ids import ObjectKey, Revision, Version
+from camphoryard.state.ids import ObjectKey, StoreEra, Version
+from camphoryard.state.store_eras import revision_in, version_in
 from tests.fakes.engines import (
     SERVICE,
     Clock,
@@ -19,16 +20,24 @@
     def __init__(self):
         self.clock = Clock()
         self.directory = Directory(self.clock)
-        self.feed = DirectoryFeed(self.directory, RecordedLog(), self.clock)
+        self.log = RecordedLog()
+        self.feed = DirectoryFeed(self.directory, self.log, self.clock)
 
-    def list(self, *names):
-        """List endpoints by name."""
+    def list(self, *names, era=0):
+        """List endpoints by name, from the store in ``era``."""
         items = tuple(
-            Stored(ObjectKey(name), Version(1), make_endpoint(name)) for name in names
+            Stored(ObjectKey(name), version_in(StoreEra(era), 1), make_endpoint(name))
+            for name in names
         )
-        self.feed.apply_listing(Snapshot(Revision(1), items))
+        self.feed.apply_listing(Snapshot(revision_in(StoreEra(era), 1), items))
         self.feed.record_availability(True)
 
+    def listings(self):
+        """Return the fields of the log lines of listings."""
+        return [
+            fields for event, fields in self.log.lines if event == "endpoints_listed"
+        ]
+
     def ready(self):
         """Return the names of the endpoints that accept new work."""
         return sorted(item.id for item in self.directory.ready(SERVICE))
@@ -72,6 +81,25 @@
         feed.list("e1")
         assert feed.ready() == ["e1"]
 
+    def test_removed_endpoint_is_held_when_a_restored_store_lists_it(self):
+        """A later era of the store tells that it was restored from an older copy."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        feed.feed.apply_endpoint(Stored(ObjectKey("e2"), Version(9), None))
+        feed.list("e1", "e2", era=1)
+        assert feed.ready() == ["e1"]
+        feed.list("e1", "e2", era=1)
+        assert feed.ready() == ["e1"]
+        assert [item["held"] for item in feed.listings()] == ["", "e2", "e2"]
+
+    def test_removed_endpoint_that_is_listed_again_in_the_same_era_counts(self):
+        """It expired in an outage and has written its entry again."""
+        feed = Feed()
+        feed.list("e1", "e2", era=1)
+        feed.feed.apply_endpoint(Stored(ObjectKey("e2"), Version(9), None))
+        feed.list("e1", "e2", era=1)
+        assert feed.ready() == ["e1", "e2"]
+
     def test_older_rules_are_ignored(self):
         """The version in use never decreases."""
         feed = Feed()
--- a/tests/state/test_directory.py
+++ b/tests/state/test_directory.py
@@ -6,6 +6,7 @@
 
 from camphoryard.state.directory import (
     DECLINED_LIFETIME_S,
+    HOLD_S,
     LOADED_REPORT_LIFETIME_S,
     UNLISTED_MEMORY_S,
     UNLOADING_LIFETIME_S,
@@ -208,3 +209,106 @@
         assert directory.leaving_by_endpoint() == {E1: 7}
         directory.remove(E1)
         assert directory.leaving_by_endpoint() == {}
+
+
+class TestRestoredEndpoints:
+    """Endpoints that had been removed and are listed by a restored store."""
+
+    def make_restored(self, **fields):
+        """Return a directory that lists a removed endpoint again, and its clock."""
+        directory, clock = make_directory()
+        directory.remove(E1)
+        restored = make_endpoint("e1", **fields)
+        directory.replace_all([restored], True, is_restored=True)
+        return directory, clock
+
+    def ready(self, directory):
+        """Return the names of the endpoints that accept new requests."""
+        return [item.id for item in directory.ready(SERVICE)]
+
+    def test_removed_endpoint_counts_as_draining(self):
+        """It may have left; its entry then expires."""
+        directory, clock = self.make_restored()
+        assert directory.held() == (E1,)
+        assert self.ready(directory) == []
+        assert directory.find(E1).state is EndpointState.DRAINING
+        assert directory.leaving_by_endpoint() == {}
+        clock.advance(HOLD_S - 0.1)
+        directory.confirm_endpoints(clock())
+        directory.remove(E1)
+        clock.advance(HOLD_S)
+        directory.confirm_endpoints(clock())
+        assert directory.find(E1) is None
+
+    def test_removed_endpoint_that_stays_listed_counts(self):
+        """Its entry would have expired if the endpoint were silent."""
+        directory, clock = self.make_restored()
+        clock.advance(HOLD_S)
+        directory.expire()
+        assert self.ready(directory) == []
+        directory.confirm_endpoints(clock() - 0.1)
+        assert self.ready(directory) == []
+        directory.confirm_endpoints(clock())
+        assert self.ready(directory) == [E1]
+        assert directory.held() == ()
+
+    def test_removed_endpoint_that_drains_stays_draining(self):
+        """The time of being held ends, the leaving does not."""
+        directory, clock = self.make_restored(state=EndpointState.DRAINING)
+        clock.advance(HOLD_S)
+        directory.confirm_endpoints(clock())
+        assert directory.held() == ()
+        assert self.ready(directory) == []
+
+    def test_removed_endpoint_that_writes_its_entry_counts_at_once(self):
+        """Only an endpoint that is alive writes."""
+        directory, _ = self.make_restored()
+        directory.observe(make_endpoint("e1", ["m1"]))
+        assert self.ready(directory) == [E1]
+        directory.confirm_endpoints(1e9)
+        assert self.ready(directory) == [E1]
+
+    def test_further_listing_does_not_make_it_count(self):
+        """A listing shows an entry, not that the endpoint is alive."""
+        directory, clock = self.make_restored()
+        clock.advance(HOLD_S / 2)
+        directory.replace_all([make_endpoint("e1", ["m1"])], True)
+        assert self.ready(directory) == []
+        clock.advance(HOLD_S / 2)
+        directory.confirm_endpoints(clock())
+        assert self.ready(directory) == [E1]
+
+    def test_further_restore_holds_it_anew(self):
+        """The time for which an entry outlives its endpoint starts again."""
+        directory, clock = self.make_restored()
+        clock.advance(HOLD_S / 2)
+        directory.replace_all([make_endpoint("e1", ["m1"])], True, is_restored=True)
+        clock.advance(HOLD_S / 2)
+        directory.confirm_endpoints(clock())
+        assert self.ready(directory) == []
+
+    def test_held_endpoint_that_is_missing_gets_no_grace(self):
+        """Only endpoints in use are kept for their return."""
+        directory, _ = self.make_restored()
+        directory.replace_all([], True, is_restored=True)
+        assert directory.find(E1) is None
+
+    def test_endpoint_that_was_listed_before_counts(self):
+        """Its entry was there before and after the restore."""
+        directory, _ = make_directory()
+        directory.replace_all([make_endpoint("e1")], True, is_restored=True)
+        assert self.ready(directory) == [E1]
+
+    def test_later_start_counts(self):
+        """Only the start before was removed."""
+        directory, _ = self.make_restored(started_ms=2)
+        assert self.ready(directory) == [E1]
+
+    def test_removed_endpoint_that_returns_without_a_restore_counts(self):
+        """Its entry expired in an outage and was written again."""
+        directory, _ = make_directory()
+        directory.remove(E1)
+        directory.replace_all([make_endpoint("e1")], True)
+        assert self.ready(directory) == [E1]
+        directory.replace_all([make_endpoint("e1")], True, is_restored=True)
+        assert self.ready(directory) == [E1]
