Keep endpoints that a restored store has lost for the grace period

Cause: a store that is restored from an older copy lacks the entries that were written after the copy was made. Without an outage noticed by the watch, the listing was taken as authoritative, so sound endpoints were dropped until they wrote their entries again.

Change: the first listing of a later era begins the grace period for missing endpoints, anew at each further one. Endpoints known to leave stay draining meanwhile.

Result: test_entry_missing_from_a_restored_store_stays_for_the_grace_period and test_further_restore_begins_the_grace_period_anew lacked the endpoint on the code before; they pass now. The two tests beside them guard what held before.

--- a/src/camphoryard/coordination/forwarding/feeding.py
+++ b/src/camphoryard/coordination/forwarding/feeding.py
@@ -16,8 +16,9 @@
 class DirectoryFeed:
     """Applies listings and changes to a directory and logs the differences.
 
-    Entries that expired during a store outage are written again soon after the store
-    returns. Entries missing in a listing then stay in use for ``MISSING_GRACE_S``.
+    Entries that expired during a store outage, or that a restored store has lost, are
+    written again soon after the store returns. Entries missing in a listing then stay
+    in use for ``MISSING_GRACE_S``.
     An entry whose removal the watch reports is removed at once; if a restored store
     lists it again, it does not count before it is known to be there.
     """
@@ -42,11 +43,11 @@
 
     def apply_listing(self, snapshot: Snapshot[ServingEndpoint]) -> None:
         """Apply a listing of all endpoints."""
-        if self._had_outage:
-            self._store_returned_s = self._clock()
         era = era_of(snapshot.revision)
         is_restored = self._era is not None and era > self._era
         self._era = era
+        if self._had_outage or is_restored:
+            self._store_returned_s = self._clock()
         endpoints = [item.record for item in snapshot.items if item.record is not None]
         missing = self._directory.replace_all(
             endpoints, self._is_in_grace_period(), is_restored
--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -30,7 +30,7 @@
 lists it again."""
 MISSING_GRACE_S = 2.2
 """How long an endpoint missing from a listing after an outage still counts;
-entries that expired during the outage reappear within about 2 s."""
+entries that expired or were lost reappear within about 2 s."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +126,8 @@
         """Replace all endpoints by a listing; return the ids that it lacks.
 
         After an outage of the listing, a missing endpoint counts for
-        MISSING_GRACE_S, since it may only have been unable to renew its entry.
+        MISSING_GRACE_S, since it may only have been unable to renew its entry, or its
+        entry may have been lost.
 
         The first listing of a store that was restored from an older copy may bring back
         endpoints that had been removed. They count as draining until a watch shows that
@@ -136,6 +137,8 @@
         now_s = self._clock()
         until_s = now_s + MISSING_GRACE_S
         with self._changed:
+            if is_restored:
+                self._missing_by_id.clear()
             missing = tuple(self._endpoints_by_id.keys() - by_id.keys())
             for id in missing:
                 if after_outage and id not in self._held_by_id:
--- a/tests/coordination/forwarding/test_feeding.py
+++ b/tests/coordination/forwarding/test_feeding.py
@@ -4,6 +4,7 @@
 from camphoryard.coordination.ports import Snapshot, Stored
 from camphoryard.state.directory import MISSING_GRACE_S, Directory
 from camphoryard.state.ids import ObjectKey, StoreEra, Version
+from camphoryard.state.serving_endpoints import EndpointState
 from camphoryard.state.store_eras import revision_in, version_in
 from tests.fakes.engines import (
     SERVICE,
@@ -100,6 +101,51 @@
         feed.list("e1", "e2", era=1)
         assert feed.ready() == ["e1", "e2"]
 
+    def test_entry_missing_from_a_restored_store_stays_for_the_grace_period(self):
+        """It was written after the copy was made, and is written again."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        feed.list("e1", era=1)
+        assert feed.ready() == ["e1", "e2"]
+        feed.clock.advance(1.0)
+        feed.list("e1", era=1)
+        assert feed.ready() == ["e1", "e2"]
+        feed.clock.advance(MISSING_GRACE_S - 1.0)
+        assert feed.directory.expire() == ("e2",)
+        assert feed.ready() == ["e1"]
+
+    def test_draining_entry_missing_from_a_restored_store_is_not_used(self):
+        """The grace is for endpoints in use."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        draining = make_endpoint("e2", state=EndpointState.DRAINING)
+        feed.feed.apply_endpoint(Stored(ObjectKey("e2"), Version(9), draining))
+        feed.list("e1", era=1)
+        assert feed.ready() == ["e1"]
+        feed.feed.apply_endpoint(
+            Stored(ObjectKey("e2"), Version(9), make_endpoint("e2"))
+        )
+        assert feed.ready() == ["e1"]
+
+    def test_first_listing_is_authoritative_in_any_era(self):
+        """A node that starts cannot tell whether the store was restored."""
+        feed = Feed()
+        feed.list("e1", era=3)
+        assert [item["restored"] for item in feed.listings()] == [False]
+        feed.list(era=3)
+        assert feed.ready() == []
+
+    def test_further_restore_begins_the_grace_period_anew(self):
+        """Entries are written again within some time of the last return."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        feed.list("e1", era=1)
+        feed.clock.advance(MISSING_GRACE_S - 0.1)
+        feed.list("e1", era=2)
+        feed.clock.advance(MISSING_GRACE_S - 0.1)
+        assert feed.directory.expire() == ()
+        assert feed.ready() == ["e1", "e2"]
+
     def test_older_rules_are_ignored(self):
         """The version in use never decreases."""
         feed = Feed()
