Hold an earlier start of an endpoint that a restored store lists

Cause: an endpoint that started again under its id in the span that a restored store has lost is listed with the start before, whose address and models need not be its own any more. The directory took it in place of the start that it knew.

Change: a start is over if it was removed or a later one is known; both are held.

Result: test_earlier_start_than_the_known_one_is_held found the earlier start ready on the code before, and passes now.

--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -130,8 +130,9 @@
         entry may have been lost.
 
         The first listing of a store that was restored from an older copy may bring back
-        endpoints that had been removed. They count as draining until a watch shows that
-        they write their entries, or they are still listed after HOLD_S.
+        endpoints that had been removed, or earlier starts of them. They count as
+        draining until a watch shows that they write their entries, or they are still
+        listed after HOLD_S.
         """
         by_id = {endpoint.id: endpoint for endpoint in endpoints}
         now_s = self._clock()
@@ -147,9 +148,9 @@
                     self._remove(id)
             for endpoint in by_id.values():
                 held = self._held_by_id.get(endpoint.id)
-                if is_restored and self._was_removed(endpoint):
+                if is_restored and self._is_over(endpoint):
                     self._hold(endpoint, now_s + HOLD_S)
-                elif held is not None and self._was_removed(endpoint):
+                elif held is not None and self._is_over(endpoint):
                     self._hold(endpoint, held.until_s)
                 else:
                     self._store_confirmed(endpoint)
@@ -318,12 +319,16 @@
         self._store(endpoint)
 
     def _hold(self, endpoint: ServingEndpoint, until_s: float) -> None:
-        """Store a restored endpoint that had been removed."""
+        """Store a restored endpoint whose start is known to be over."""
+        self._removed_start_ms.setdefault(endpoint.id, endpoint.started_ms)
         self._held_by_id[endpoint.id] = _HeldEndpoint(endpoint, until_s)
         self._store(endpoint)
 
-    def _was_removed(self, endpoint: ServingEndpoint) -> bool:
-        """Return whether this start of an endpoint, or a later one, was removed."""
+    def _is_over(self, endpoint: ServingEndpoint) -> bool:
+        """Return whether this start of an endpoint was removed, or a later one seen."""
+        known = self._endpoints_by_id.get(endpoint.id)
+        if known is not None and known.started_ms > endpoint.started_ms:
+            return True
         removed_ms = self._removed_start_ms.get(endpoint.id)
         return removed_ms is not None and removed_ms >= endpoint.started_ms
 
--- a/tests/state/test_directory.py
+++ b/tests/state/test_directory.py
@@ -312,3 +312,18 @@
         assert self.ready(directory) == [E1]
         directory.replace_all([make_endpoint("e1")], True, is_restored=True)
         assert self.ready(directory) == [E1]
+
+    def test_earlier_start_than_the_known_one_is_held(self):
+        """The endpoint has started again in the span that the store has lost."""
+        directory, clock = make_directory()
+        directory.observe(make_endpoint("e1", started_ms=2))
+        for _ in range(2):
+            directory.replace_all([make_endpoint("e1")], True, is_restored=True)
+            directory.replace_all([make_endpoint("e1")], True)
+            assert self.ready(directory) == []
+        directory.observe(make_endpoint("e1", started_ms=2))
+        assert self.ready(directory) == [E1]
+        directory.replace_all([make_endpoint("e1")], True, is_restored=True)
+        clock.advance(HOLD_S)
+        directory.confirm_endpoints(clock())
+        assert self.ready(directory) == [E1]
