Log that the store shows an older configuration

Cause: a store that is restored from an older copy shows an older configuration until the operator has written the newest again. A node kept the newest, as its versions are the operator's own, but no line told that the store had gone back.

Change: configuration_older tells the version seen and the one in force, once for each write of it.

Result: three tests of the new class TestRules lacked the line on the code before and pass now.

--- a/src/camphoryard/coordination/forwarding/feeding.py
+++ b/src/camphoryard/coordination/forwarding/feeding.py
@@ -5,7 +5,7 @@
 
 from camphoryard.coordination.ports import DecisionLog, Snapshot, Stored, Timer
 from camphoryard.state.directory import MISSING_GRACE_S, Directory
-from camphoryard.state.ids import EndpointId, StoreEra
+from camphoryard.state.ids import EndpointId, StoreEra, Version
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.store_eras import era_of
 from camphoryard.state.traffic import TrafficRules
@@ -35,6 +35,7 @@
         self._store_returned_s: float | None = None
         self._had_outage = False
         self._era: StoreEra | None = None
+        self._older_rules_version: Version | None = None
 
     def record_availability(self, is_answering: bool) -> None:
         """Record that the store has started or stopped answering."""
@@ -83,7 +84,11 @@
             )
 
     def apply_rules(self, stored: Stored[TrafficRules]) -> None:
-        """Apply rules that are newer than the current ones."""
+        """Apply rules that are newer than the current ones.
+
+        A restored store may show older ones until the operator has written the newest
+        again. Each write of such is logged once.
+        """
         rules = stored.record
         if rules is None:
             return
@@ -94,6 +99,18 @@
                 routes=len(rules.routes),
                 revision=stored.version,
             )
+            return
+        current = self._directory.rules
+        if current is None or rules.version == current.version:
+            return
+        if stored.version != self._older_rules_version:
+            self._older_rules_version = stored.version
+            self._log(
+                "configuration_older",
+                version=rules.version,
+                in_force=current.version,
+                revision=stored.version,
+            )
 
     def run_expiry(self, timer: Timer) -> None:
         """Remove endpoints that stay missing, until the timer service closes."""
--- a/tests/coordination/forwarding/test_feeding.py
+++ b/tests/coordination/forwarding/test_feeding.py
@@ -146,17 +146,81 @@
         assert feed.directory.expire() == ()
         assert feed.ready() == ["e1", "e2"]
 
+    def test_unreadable_entry_removes_its_endpoint(self):
+        """The other endpoints are unchanged."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        feed.feed.apply_endpoint(Stored(ObjectKey("e1"), Version(2), None))
+        assert feed.ready() == ["e2"]
+
+
+class TestRules:
+    """Configurations that go back with the store, and are written again."""
+
+    def write(self, feed, rules, revision, era=0):
+        """Show the feed the record of the rules."""
+        version = version_in(StoreEra(era), revision)
+        feed.feed.apply_rules(Stored(ObjectKey("main"), version, rules))
+
+    def told(self, feed):
+        """Return the log lines of rules: the event and the rules' version."""
+        return [(event, fields["version"]) for event, fields in feed.log.lines]
+
     def test_older_rules_are_ignored(self):
         """The version in use never decreases."""
         feed = Feed()
         for version in (3, 2):
-            rules = make_rules(version=version)
-            feed.feed.apply_rules(Stored(ObjectKey("main"), Version(1), rules))
+            self.write(feed, make_rules(version=version), version)
         assert feed.directory.rules.version == 3
 
-    def test_unreadable_entry_removes_its_endpoint(self):
-        """The other endpoints are unchanged."""
+    def test_older_rules_of_a_restored_store_are_not_adopted(self):
+        """The newest are in force all the while, and what is written after them."""
         feed = Feed()
-        feed.list("e1", "e2")
-        feed.feed.apply_endpoint(Stored(ObjectKey("e1"), Version(2), None))
-        assert feed.ready() == ["e2"]
+        self.write(feed, make_rules(version=4), 4)
+        newest = make_rules(version=5)
+        self.write(feed, newest, 5)
+        self.write(feed, make_rules(version=4), 4, era=1)
+        assert feed.directory.rules is newest
+        self.write(feed, make_rules(version=5), 5, era=1)
+        assert feed.directory.rules == newest
+        self.write(feed, make_rules(version=6), 6, era=1)
+        assert feed.directory.rules.version == 6
+        assert self.told(feed) == [
+            ("configuration_adopted", 4),
+            ("configuration_adopted", 5),
+            ("configuration_older", 4),
+            ("configuration_adopted", 6),
+        ]
+
+    def test_older_rules_are_logged_once_per_write(self):
+        """Each further listing shows them again."""
+        feed = Feed()
+        self.write(feed, make_rules(version=5), 5)
+        for _ in range(3):
+            self.write(feed, make_rules(version=4), 4, era=1)
+        for _ in range(3):
+            self.write(feed, make_rules(version=4), 4, era=2)
+        assert self.told(feed) == [
+            ("configuration_adopted", 5),
+            ("configuration_older", 4),
+            ("configuration_older", 4),
+        ]
+
+    def test_older_rules_are_logged_with_those_in_force(self):
+        """On-call sees what the operator has to write again."""
+        feed = Feed()
+        self.write(feed, make_rules(version=5), 5)
+        self.write(feed, make_rules(version=4), 4, era=1)
+        assert feed.log.lines[-1] == (
+            "configuration_older",
+            {"version": 4, "in_force": 5, "revision": version_in(StoreEra(1), 4)},
+        )
+
+    def test_missing_or_unreadable_rules_leave_those_in_force(self):
+        """A restored store may show an invalid configuration from before, or none."""
+        feed = Feed()
+        self.write(feed, make_rules(version=5), 5)
+        self.write(feed, None, 4, era=1)
+        assert feed.directory.rules.version == 5
+        self.write(feed, make_rules(version=6), 5, era=1)
+        assert feed.directory.rules.version == 6
