--- a/src/camphoryard/coordination/forwarding/feeding.py
+++ b/src/camphoryard/coordination/forwarding/feeding.py
@@ -5,8 +5,9 @@
 
 from camphoryard.coordination.ports import DecisionLog, Snapshot, Stored, Timer
 from camphoryard.state.directory import MISSING_GRACE_S, Directory
-from camphoryard.state.ids import EndpointId
+from camphoryard.state.ids import EndpointId, StoreEra, Version
 from camphoryard.state.serving_endpoints import ServingEndpoint
+from camphoryard.state.store_eras import era_of
 from camphoryard.state.traffic import TrafficRules
 
 EXPIRY_PERIOD_S = 0.25
@@ -15,9 +16,11 @@
 class DirectoryFeed:
     """Applies listings and changes to a directory and logs the differences.
 
-    Entries that expired during a store outage are written again soon after the store
-    returns. Entries missing in a listing then stay in use for ``MISSING_GRACE_S``.
-    An entry whose removal the watch reports is removed at once.
+    Entries that expired during a store outage, or that a restored store has lost, are
+    written again soon after the store returns. Entries missing in a listing then stay
+    in use for ``MISSING_GRACE_S``.
+    An entry whose removal the watch reports is removed at once; if a restored store
+    lists it again, it does not count before it is known to be there.
     """
 
     def __init__(
@@ -31,6 +34,8 @@
         self._clock = clock
         self._store_returned_s: float | None = None
         self._had_outage = False
+        self._era: StoreEra | None = None
+        self._older_rules_version: Version | None = None
 
     def record_availability(self, is_answering: bool) -> None:
         """Record that the store has started or stopped answering."""
@@ -39,16 +44,23 @@
 
     def apply_listing(self, snapshot: Snapshot[ServingEndpoint]) -> None:
         """Apply a listing of all endpoints."""
-        if self._had_outage:
+        era = era_of(snapshot.revision)
+        is_restored = self._era is not None and era > self._era
+        self._era = era
+        if self._had_outage or is_restored:
             self._store_returned_s = self._clock()
         endpoints = [item.record for item in snapshot.items if item.record is not None]
-        missing = self._directory.replace_all(endpoints, self._is_in_grace_period())
+        missing = self._directory.replace_all(
+            endpoints, self._is_in_grace_period(), is_restored
+        )
         self._log(
             "endpoints_listed",
             count=len(endpoints),
             missing=",".join(missing),
+            held=",".join(self._directory.held()),
             revision=snapshot.revision,
             after_outage=self._is_in_grace_period(),
+            restored=is_restored,
         )
 
     def apply_endpoint(self, stored: Stored[ServingEndpoint]) -> None:
@@ -72,7 +84,11 @@
             )
 
     def apply_rules(self, stored: Stored[TrafficRules]) -> None:
-        """Apply rules that are newer than the current ones."""
+        """Apply rules that are newer than the current ones.
+
+        A restored store may show older ones until the operator has written the newest
+        again. Each write of such is logged once.
+        """
         rules = stored.record
         if rules is None:
             return
@@ -83,6 +99,18 @@
                 routes=len(rules.routes),
                 revision=stored.version,
             )
+            return
+        current = self._directory.rules
+        if current is None or rules.version == current.version:
+            return
+        if stored.version != self._older_rules_version:
+            self._older_rules_version = stored.version
+            self._log(
+                "configuration_older",
+                version=rules.version,
+                in_force=current.version,
+                revision=stored.version,
+            )
 
     def run_expiry(self, timer: Timer) -> None:
         """Remove endpoints that stay missing, until the timer service closes."""
