Let an endpoint that tells no start be ready again after it drained

Cause: an endpoint whose entry was draining stays so for the same start. One that tells no start has the same one after a restart, and would get no request again. Change: the state of such an entry is taken as it is. Result: test_entry_that_tells_no_start_may_be_ready_again failed before.

--- a/src/camphoryard/platform/traffic.py
+++ b/src/camphoryard/platform/traffic.py
@@ -16,6 +16,7 @@
     Zone,
 )
 from camphoryard.state.serving_endpoints import (
+    UNKNOWN_START_MS,
     EndpointState,
     HostPort,
     LoadedModel,
@@ -135,7 +136,7 @@
     models: list[ListedModel] = []
     at_hand: _AvailableModels = _AvailableModels()
     # Start time of the endpoint, in Unix milliseconds.
-    born: Count = 0
+    born: Count = UNKNOWN_START_MS
 
 
 _CONFIG = msgspec.json.Decoder(_Config)
--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -8,7 +8,11 @@
 from typing import TypeVar
 
 from camphoryard.state.ids import EndpointId, ModelId, ServiceId
-from camphoryard.state.serving_endpoints import EndpointState, ServingEndpoint
+from camphoryard.state.serving_endpoints import (
+    UNKNOWN_START_MS,
+    EndpointState,
+    ServingEndpoint,
+)
 from camphoryard.state.traffic import RequestedModel, TrafficRules
 
 KeyT = TypeVar("KeyT", bound=Hashable)
@@ -338,7 +342,8 @@
         self._unlisted_until_s.pop(id, None)
         if not self._leaves(id, endpoint.started_ms):
             self._leaving_start_ms.pop(id, None)
-            if endpoint.state is EndpointState.DRAINING:
+            is_draining = endpoint.state is EndpointState.DRAINING
+            if is_draining and endpoint.started_ms != UNKNOWN_START_MS:
                 self._leaving_start_ms[id] = endpoint.started_ms
         self._endpoints_by_id[id] = self._as_it_counts(endpoint)
 
--- a/src/camphoryard/state/serving_endpoints.py
+++ b/src/camphoryard/state/serving_endpoints.py
@@ -26,6 +26,9 @@
         return f"{self.host}:{self.port}"
 
 
+UNKNOWN_START_MS = 0
+
+
 @dataclass(frozen=True, slots=True)
 class LoadedModel:
     """A model that an engine has loaded, and the adapters loaded on it."""
@@ -38,6 +41,8 @@
 class ServingEndpoint:
     """An endpoint; ``started_ms`` distinguishes restarts under the same id.
 
+    It is `UNKNOWN_START_MS` if the endpoint does not tell it.
+
     ``on_hand`` lists the models that it can load without the weight store,
     because their weights are on its disk or in its memory.
     """
--- a/tests/state/test_directory.py
+++ b/tests/state/test_directory.py
@@ -202,6 +202,15 @@
         assert self.ready(directory) == [E1]
         assert directory.leaving_by_endpoint() == {}
 
+    # Guards against an endpoint that no request ever reaches again.
+    def test_entry_that_tells_no_start_may_be_ready_again(self):
+        """A restart under the same id shows only in its state."""
+        directory, _ = make_directory()
+        draining = make_endpoint("e1", state=EndpointState.DRAINING, started_ms=0)
+        directory.observe(draining)
+        directory.observe(make_endpoint("e1", started_ms=0))
+        assert self.ready(directory) == [E1]
+
     def test_peers_are_told_of_listed_endpoints_only(self):
         """What has left needs no mention."""
         directory, _ = make_directory()
