Log the requests that a planned stop leaves unfinished

"stopped unfinished=1" did not say which request it was, when it was taken and whether it may have run. Each request in progress at the end of a stop now gets a line `request_unfinished`: its id, the seconds from the signal to its arrival, route, repeatability, sends, last endpoint, events and the status its client got. `stopped` tells apart requests that were not read whole (`unread`) and answers not sent to the last byte (`unflushed`).

--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -6,7 +6,12 @@
 from typing import Protocol
 
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
-from camphoryard.coordination.forwarding.ports import ClientRequest, Upstream
+from camphoryard.coordination.forwarding.in_progress import InProgress
+from camphoryard.coordination.forwarding.ports import (
+    ClientReply,
+    ClientRequest,
+    Upstream,
+)
 from camphoryard.coordination.forwarding.progress import StreamProgress
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.ports import DecisionLog
@@ -73,6 +78,7 @@
     observe: Callable[[str, float], None]
     count: Callable[[str], None]
     clock: Callable[[], float] = time.monotonic
+    in_progress: InProgress["RequestInProgress"] = field(default_factory=InProgress)
 
 
 @dataclass(slots=True)
@@ -142,3 +148,11 @@
         return (
             self.rule.repeatability.may_run_again and self.runs < self.rule.max_attempts
         )
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class RequestInProgress:
+    """A forwarded request and the answer that its client gets."""
+
+    forwarded: ForwardedRequest
+    reply: ClientReply
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -8,6 +8,7 @@
 from camphoryard.coordination.forwarding.context import (
     ForwardedRequest,
     ForwardingContext,
+    RequestInProgress,
 )
 from camphoryard.coordination.forwarding.endpoint_use import (
     Closed,
@@ -73,6 +74,19 @@
         not run and will not run.
     """
     forwarded = create_forwarded(context, request)
+    with context.in_progress.tracked(RequestInProgress(forwarded, reply)):
+        _forward(context, forwarded, cancellation, reply)
+    return forwarded
+
+
+def _forward(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    cancellation: Cancellation,
+    reply: ClientReply,
+) -> None:
+    """Send a request to endpoints until it is answered; see `forward`."""
+    request = forwarded.request
     _check_quarantined(context, forwarded)
     context.retries.earn(forwarded.service)
     if request.requested_model is not None:
@@ -92,7 +106,7 @@
             continue
         match outcome:
             case Outcome.ANSWERED:
-                return forwarded
+                return
             case Outcome.FAILED:
                 continue
             case Outcome.NOT_RUN:
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -168,9 +168,13 @@
 
 
 class ClientReply(Protocol):
-    """The answer to the client."""
+    """The answer to the client; ``status`` is None until it begins."""
 
-    has_begun: bool
+    status: int | None
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of the answer is sent."""
 
     def begin(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the head of an answer of unknown length."""
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -6,12 +6,13 @@
 import threading
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
 from camphoryard.coordination.fleet.node_registration import agree_on_keys
+from camphoryard.coordination.forwarding.context import RequestInProgress
 from camphoryard.coordination.observing.process_pauses import log_process_pauses
 from camphoryard.entry.assembly import Entry, handle, make_entry
 from camphoryard.platform.settings import settings_path
@@ -133,14 +134,40 @@
     # Requests accepted since the last check still need an answer.
     front.stop_accepting()
     front.wait_flushed(min(end_s, time.monotonic() + DRAIN_POLL_PERIOD_S))
+    channels = tuple(front.active_channels.values())
+    log_unfinished(entry, entry.app.context.in_progress.all(), began_s)
     entry.log(
         "stopped",
-        unfinished=len(front.active_channels),
+        unfinished=len(channels),
+        unread=sum(item.request is not None for item in channels),
+        unflushed=sum(not item.is_flushed for item in channels),
         closed_idle=front.closed_idle,
     )
     close(entry)
 
 
+def log_unfinished(
+    entry: Entry, requests: Iterable[RequestInProgress], began_s: float
+) -> None:
+    """Log each request that a stop which ``began_s`` did not let finish.
+
+    ``taken_s`` is relative to the stop signal; ``status`` is 0 if the client got none.
+    """
+    for item in requests:
+        forwarded = item.forwarded
+        entry.log(
+            "request_unfinished",
+            request=forwarded.request.id,
+            taken_s=round(forwarded.request.arrived_s - began_s, 2),
+            route=forwarded.rule.id,
+            repeatability=forwarded.rule.repeatability.value,
+            sends=forwarded.sends,
+            endpoint=forwarded.endpoint or "",
+            events=forwarded.progress.events,
+            status=item.reply.status or 0,
+        )
+
+
 def leave_fleet(entry: Entry) -> None:
     """Resign leadership and remove this node's registration."""
     entry.leader_lease.resign()
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -50,10 +50,15 @@
     """Sends an answer through waitress; see the ClientReply port."""
 
     def __init__(self, start_response: StartResponse) -> None:
-        self.has_begun = False
+        self.status: int | None = None
         self._start_response = start_response
         self._write: Callable[[bytes], None] | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of the answer is sent."""
+        return self.status is not None
+
     def begin(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the head of an answer of unknown length."""
         self._start(status, headers)
@@ -77,7 +82,7 @@
         self.write(body)
 
     def _start(self, status: int, headers: Mapping[str, str]) -> None:
-        self.has_begun = True
+        self.status = status
         self._write = self._start_response(_status_line(status), list(headers.items()))
 
 
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -1,5 +1,6 @@
 """Tests of draining while the store does not answer."""
 
+import math
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -8,10 +9,19 @@
 
 import pytest
 
+from camphoryard.coordination.forwarding.context import (
+    ForwardedRequest,
+    RequestInProgress,
+)
+from camphoryard.coordination.forwarding.in_progress import InProgress
+from camphoryard.coordination.forwarding.ports import ClientRequest
 from camphoryard.entry import daemon
 from camphoryard.entry.daemon import ADMISSION_GRACE_FRACTION, drain
+from camphoryard.state.ids import EndpointId, RequestId, Version
+from camphoryard.state.traffic import Repeatability
 from camphoryard.transport.front import AdmissionSwitch
 from camphoryard.transport.timer import TimerService
+from tests.fakes.engines import SERVICE, make_rule
 
 GRACE_S = 2.0
 
@@ -38,13 +48,25 @@
             registration=Mock(),
             executors=SimpleNamespace(node=executor),
             timer=timer,
-            app=SimpleNamespace(admission=AdmissionSwitch()),
+            app=SimpleNamespace(
+                admission=AdmissionSwitch(),
+                context=SimpleNamespace(in_progress=InProgress()),
+            ),
             item_locator=Mock(),
         )
         store_answers.set()
         timer.close()
 
 
+def make_forwarded(id, arrived_s):
+    """Return a request that may not be repeated."""
+    request = ClientRequest(
+        RequestId(id), "POST", "site.example", "/a/b", {}, b"", arrived_s, math.inf
+    )
+    rule = make_rule(Repeatability.ONCE)
+    return ForwardedRequest(request, rule, Version(1), SERVICE, math.inf, math.inf)
+
+
 class TestDrain:
     """Graceful shutdown."""
 
@@ -75,3 +97,28 @@
         drain(entry, front)
         calls = [call[0] for call in front.method_calls]
         assert calls[-3:] == ["stop_accepting", "wait_flushed", "closed"]
+
+    def test_each_unfinished_request_is_logged(self, entry):
+        """The line tells when it was taken, whether it was sent, and what it got."""
+        front = Mock(active_channels={})
+        front.wait_flushed.return_value = True
+        forwarded = make_forwarded("q1", time.monotonic() + 0.3)
+        forwarded.sends, forwarded.endpoint = 1, EndpointId("e1")
+        tracked = entry.app.context.in_progress.tracked
+        with tracked(RequestInProgress(forwarded, SimpleNamespace(status=None))):
+            drain(entry, front)
+        (line,) = [
+            call.kwargs
+            for call in entry.log.call_args_list
+            if call.args == ("request_unfinished",)
+        ]
+        assert 0.2 <= line.pop("taken_s") <= 0.3
+        assert line == {
+            "request": "q1",
+            "route": "r1",
+            "repeatability": "once",
+            "sends": 1,
+            "endpoint": "e1",
+            "events": 0,
+            "status": 0,
+        }
