Keep a stopping node up until its connections are closed

Callers saw connections closed without an answer in a planned stop, in calm and with most of the grace left. A node left as soon as all answers were sent. A connection whose answer had begun before the stop carried no "Connection: close" and was closed only by the next round of closing idle connections, so its client's next request met the exit; a request that was being read was not waited for at all.

After stop_accepting each connection now closes as soon as it is idle, and wait_flushed waits until all are closed. The end of the grace still bounds the wait. The daemon of the product uses the same server and is mended with it.

Both tests failed before: the connection stayed open, and the wait ended while a request was being read.

--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -133,7 +133,7 @@
             break
     # Requests accepted since the last check still need an answer.
     front.stop_accepting()
-    front.wait_flushed(min(end_s, time.monotonic() + DRAIN_POLL_PERIOD_S))
+    front.wait_flushed(end_s)
     channels = tuple(front.active_channels.values())
     log_unfinished(entry, entry.app.context.in_progress.all(), began_s)
     entry.log(
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -238,10 +238,11 @@
     def readable(self) -> bool:
         """Return whether to poll for data; closes the connection if that is requested.
 
+        Once the server accepts no connections, each one closes as soon as it is idle.
         The server's own task decides, as it is the one that reads: a request that
         arrived before is still accepted.
         """
-        if self._close_requested:
+        if self._close_requested or not self.server.accepting:
             self._close_requested = False
             if self.is_idle and not self._has_unread():
                 self.will_close = True
@@ -393,7 +394,11 @@
             self._progress.notify_all()
 
     def wait_flushed(self, deadline_s: float) -> bool:
-        """Block until all answers are sent or the deadline; return whether all are."""
+        """Block until all answers are sent or the deadline; return whether all are.
+
+        After ``stop_accepting`` all connections have to be closed as well, as requests
+        may still arrive on open ones.
+        """
         with self._progress:
             while not self._is_flushed():
                 left_s = deadline_s - time.monotonic()
@@ -403,6 +408,8 @@
         return True
 
     def _is_flushed(self) -> bool:
+        if not self.accepting:
+            return not self.active_channels
         return all(item.is_flushed for item in tuple(self.active_channels.values()))
 
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -207,3 +207,44 @@
             connection.settimeout(0.2)
             with pytest.raises(TimeoutError):
                 connection.recv(1)
+
+    # Guards against LOST: a node that stopped went on to its exit with connections open
+    # whose answers had begun before, and lost the requests that came on them.
+    def test_stopped_server_closes_a_connection_after_its_last_answer(self, run):
+        """Also if the head of the answer promised to keep it open."""
+        has_stopped = threading.Event()
+
+        def app(environ, start_response):
+            write = start_response("200 OK", [])
+            write(b"first")
+            has_stopped.wait(TIMEOUT_S)
+            return []
+
+        server = run(app)
+        with socket.create_connection((HOST, server.effective_port)) as connection:
+            connection.settimeout(TIMEOUT_S)
+            connection.sendall(self.HTTP_11_REQUEST)
+            received = connection.recv(4096)
+            server.stop_accepting()
+            assert not server.wait_flushed(time.monotonic())
+            has_stopped.set()
+            received += b"".join(iter(lambda: connection.recv(4096), b""))
+            assert received.endswith(b"0\r\n\r\n")
+            assert b"Connection: close" not in received
+            assert server.wait_flushed(time.monotonic() + TIMEOUT_S)
+
+    # Guards against the same loss of a request that is being read.
+    def test_stopped_server_waits_for_a_request_that_is_being_read(self, run):
+        """The request is answered, and only then is nothing left to wait for."""
+        server = run(self.stream)
+        with socket.create_connection((HOST, server.effective_port)) as connection:
+            connection.settimeout(TIMEOUT_S)
+            connection.sendall(self.HTTP_11_REQUEST[:-1])
+            while not any(item.request for item in server.active_channels.values()):
+                time.sleep(0.01)
+            server.stop_accepting()
+            assert not server.wait_flushed(time.monotonic() + 0.1)
+            connection.sendall(self.HTTP_11_REQUEST[-1:])
+            received = b"".join(iter(lambda: connection.recv(4096), b""))
+            assert b"Connection: close" in received
+            assert server.wait_flushed(time.monotonic() + TIMEOUT_S)
