End the requests left at the end of a stop with a true status

Callers saw requests that were taken late in the grace and passed on end with a closed connection, also requests that may not be repeated. At the end of the grace the node closed its client, which broke the calls in flight off, and left. Whether the tasks of these requests sent their refusals before the process was gone was a race. The calls looked to them like failures of the endpoints as well, and as the closed client reached no endpoint, each counted and was told as a crash.

0.25 s before the drain ends, the requests whose answers have not begun are now cancelled with the cause STOPPING, in their own tasks: 503 with Retry-After if they were never passed on, else 502, which promises nothing; their calls are reset. A stream that has begun can get no status. It has until the end of the drain and is then broken off.

The new test stops a daemon with 21 requests in flight that their endpoint does not answer.

--- a/src/camphoryard/coordination/cancellation.py
+++ b/src/camphoryard/coordination/cancellation.py
@@ -1,7 +1,15 @@
-"""Cancellation of one request when its caller disconnects."""
+"""Cancellation of one request when its caller disconnects or its node stops."""
 
 import threading
 from collections.abc import Callable
+from enum import Enum
+
+
+class CancellationCause(Enum):
+    """Why a request was cancelled."""
+
+    DISCONNECTED = "disconnected"
+    STOPPING = "stopping"
 
 
 class Cancellation:
@@ -13,20 +21,27 @@
     >>> cancellation.cancel()
     >>> cancellation.cancelled
     True
+    >>> cancellation.cause
+    <CancellationCause.DISCONNECTED: 'disconnected'>
     """
 
     def __init__(self) -> None:
-        self.cancelled = False
+        self.cause: CancellationCause | None = None
         self._lock = threading.Lock()
         self._callback_by_handle: dict[int, Callable[[], None]] = {}
         self._last_handle = 0
 
-    def cancel(self) -> None:
+    @property
+    def cancelled(self) -> bool:
+        """Whether the request is cancelled."""
+        return self.cause is not None
+
+    def cancel(self, cause: CancellationCause = CancellationCause.DISCONNECTED) -> None:
         """Cancel the request; later calls have no effect."""
         with self._lock:
             if self.cancelled:
                 return
-            self.cancelled = True
+            self.cause = cause
             callbacks = tuple(self._callback_by_handle.values())
         for callback in callbacks:
             callback()
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
 from camphoryard.coordination.forwarding.in_progress import InProgress
 from camphoryard.coordination.forwarding.ports import (
@@ -152,7 +153,8 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class RequestInProgress:
-    """A forwarded request and the answer that its client gets."""
+    """A forwarded request, its cancellation and the answer that its client gets."""
 
     forwarded: ForwardedRequest
+    cancellation: Cancellation
     reply: ClientReply
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Sequence
 
-from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.cancellation import Cancellation, CancellationCause
 from camphoryard.coordination.forwarding.attempt import MAX_SENDS, Outcome, attempt
 from camphoryard.coordination.forwarding.context import (
     ForwardedRequest,
@@ -20,6 +20,7 @@
 )
 from camphoryard.coordination.forwarding.ports import ClientReply, ClientRequest
 from camphoryard.coordination.forwarding.urgency import urgency_at
+from camphoryard.coordination.loading.item_locator import STOPPING_RETRY_S
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.routing.crash_counter import fingerprint
 from camphoryard.coordination.routing.crashed_parts import SOUND_EVENTS
@@ -74,7 +75,8 @@
         not run and will not run.
     """
     forwarded = create_forwarded(context, request)
-    with context.in_progress.tracked(RequestInProgress(forwarded, reply)):
+    item = RequestInProgress(forwarded, cancellation, reply)
+    with context.in_progress.tracked(item):
         _forward(context, forwarded, cancellation, reply)
     return forwarded
 
@@ -335,10 +337,20 @@
 
 
 def _check_cancelled(forwarded: ForwardedRequest, cancellation: Cancellation) -> None:
-    if cancellation.cancelled:
-        raise RefusalError(
-            Reason.CANCELLED, "the client closed the connection", forwarded.verdict
-        )
+    match cancellation.cause:
+        case None:
+            return
+        case CancellationCause.DISCONNECTED:
+            raise RefusalError(
+                Reason.CANCELLED, "the client closed the connection", forwarded.verdict
+            )
+        case CancellationCause.STOPPING:
+            raise RefusalError(
+                Reason.DRAINING,
+                "this node stops before the answer is complete",
+                forwarded.verdict,
+                retry_after_s=STOPPING_RETRY_S,
+            )
 
 
 def _record_failure(
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -11,6 +11,7 @@
 from functools import partial
 from pathlib import Path
 
+from camphoryard.coordination.cancellation import CancellationCause
 from camphoryard.coordination.fleet.node_registration import agree_on_keys
 from camphoryard.coordination.forwarding.context import RequestInProgress
 from camphoryard.coordination.observing.process_pauses import log_process_pauses
@@ -33,6 +34,8 @@
 IDLE_CLOSE_GRACE_FRACTION = 0.15
 """Fraction of the grace period after which idle connections are closed repeatedly."""
 DRAIN_POLL_PERIOD_S = 0.25
+ANSWER_MARGIN_S = 0.25
+"""Time reserved before the end of the drain to answer the requests left by then."""
 SHUTDOWN_MARGIN_S = 0.4
 """Time reserved for the exit between the end of the drain and of the grace period."""
 LOG_FLUSH_TIMEOUT_S = 0.2
@@ -113,6 +116,7 @@
     grace_s = entry.settings.bounds.grace_s
     began_s = time.monotonic()
     end_s = began_s + grace_s - SHUTDOWN_MARGIN_S
+    refuse_s = end_s - ANSWER_MARGIN_S
     entry.log("stopping", grace_s=grace_s)
     entry.readiness.leave()
     front.leave()
@@ -127,15 +131,19 @@
             entry.app.admission.close()
             entry.item_locator.stop()
             break
-    while not front.wait_flushed(min(end_s, time.monotonic() + DRAIN_POLL_PERIOD_S)):
+    while not front.wait_flushed(min(refuse_s, time.monotonic() + DRAIN_POLL_PERIOD_S)):
         front.close_idle()
-        if time.monotonic() >= end_s:
+        if time.monotonic() >= refuse_s:
             break
+    unfinished = entry.app.context.in_progress.all()
+    # A stream that has begun can get no status; its endpoint may still finish it.
+    end_requests(item for item in unfinished if not item.reply.has_begun)
     # Requests accepted since the last check still need an answer.
     front.stop_accepting()
     front.wait_flushed(end_s)
+    end_requests(entry.app.context.in_progress.all())
     channels = tuple(front.active_channels.values())
-    log_unfinished(entry, entry.app.context.in_progress.all(), began_s)
+    log_unfinished(entry, unfinished, began_s)
     entry.log(
         "stopped",
         unfinished=len(channels),
@@ -146,10 +154,16 @@
     close(entry)
 
 
+def end_requests(requests: Iterable[RequestInProgress]) -> None:
+    """Abort the calls of requests; their own tasks refuse them."""
+    for item in requests:
+        item.cancellation.cancel(CancellationCause.STOPPING)
+
+
 def log_unfinished(
     entry: Entry, requests: Iterable[RequestInProgress], began_s: float
 ) -> None:
-    """Log each request that a stop which ``began_s`` did not let finish.
+    """Log each request that a stop which ``began_s`` did not let finish in time.
 
     ``taken_s`` is relative to the stop signal; ``status`` is 0 if the client got none.
     """
--- a/standins/entry_platform.py
+++ b/standins/entry_platform.py
@@ -6,7 +6,8 @@
 ``mute_store`` (store calls and waiting watches are never answered, also later; their
 kinds at ``GET /muted``),
 ``cut_after`` (number of events after which a stream breaks), ``decline`` (number of
-requests that are declined without running), ``leaving`` (all answers of endpoints say
+requests that are declined without running), ``hold`` (number of requests that run
+and are never answered), ``leaving`` (all answers of endpoints say
 that they leave) and ``rest_ms`` (requests are turned away and asked to stay away for so
 long; their number at ``GET /turned-away``).
 """
@@ -224,6 +225,9 @@
         self.runs.append(
             {"id": id, "path": request.path, "body": request.body.decode()}
         )
+        if self.faults.get("hold"):
+            self.faults["hold"] -= 1
+            threading.Event().wait()
         headers = {**echoed, "Server-Seal": "s.1"}
         if not model:
             return Response(200, [b"done"], headers)
--- a/standins/entry_site.py
+++ b/standins/entry_site.py
@@ -159,15 +159,31 @@
         **headers: str,
     ) -> tuple[HTTPResponse, bytes]:
         """Send a request as a client; return the response and its body."""
-        connection = HTTPConnection(HOST, self.client_port, timeout=TIMEOUT_S)
-        sent = {"Host": "site.example", "Attempt-Id": id, "Deadline-Ms": "15000"}
-        sent.update({name.replace("_", "-"): text for name, text in headers.items()})
-        connection.request(method, path, body, sent)
+        connection = self.connect()
+        self.send(connection, path, id, method, body, **headers)
         response = connection.getresponse()
         content = response.read()
         connection.close()
         return response, content
 
+    def connect(self) -> HTTPConnection:
+        """Return a connection of a client."""
+        return HTTPConnection(HOST, self.client_port, timeout=TIMEOUT_S)
+
+    def send(
+        self,
+        connection: HTTPConnection,
+        path: str,
+        id: str,
+        method: str = "POST",
+        body: bytes = b"x",
+        **headers: str,
+    ) -> None:
+        """Send a request as a client and return at once."""
+        sent = {"Host": "site.example", "Attempt-Id": id, "Deadline-Ms": "15000"}
+        sent.update({name.replace("_", "-"): text for name, text in headers.items()})
+        connection.request(method, path, body, sent)
+
     def send_raw(self, data: bytes) -> bytes:
         """Send bytes on a new connection; return all bytes until it closes."""
         with socket.create_connection(
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -2,10 +2,11 @@
 
 import contextlib
 from dataclasses import replace
+from functools import partial
 
 import pytest
 
-from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.cancellation import Cancellation, CancellationCause
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
 from camphoryard.coordination.forwarding.exchange import forward
@@ -830,6 +831,29 @@
         assert site.refusal().reason is Reason.CANCELLED
         assert site.sent_to == []
 
+    def test_a_request_that_a_stopping_node_has_not_sent_has_not_run(self):
+        """The client may try another node at once."""
+        site = Site(served(b"ok"), repeatability=Repeatability.ONCE)
+        site.cancellation.cancel(CancellationCause.STOPPING)
+        refusal = site.refusal()
+        assert (refusal.reason, refusal.verdict) == (Reason.DRAINING, Verdict.NOT_RUN)
+        assert refusal.retry_after_s > 0
+        assert site.sent_to == []
+
+    # Guards against the quarantine of requests that were aborted by their own node.
+    def test_a_call_that_a_stopping_node_aborts_may_have_run(self):
+        """It is not sent again, and not taken for a crash of its endpoint."""
+        site = Site(BrokenCallError("x"), served(b"ok"), body=b"seat 4")
+        site.upstream.on_open = partial(
+            site.cancellation.cancel, CancellationCause.STOPPING
+        )
+        site.upstream.down = {"e1", "e2"}
+        refusal = site.refusal()
+        assert refusal.reason is Reason.DRAINING
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN
+        assert len(site.sent_to) == 1
+        assert site.broadcasts == []
+
     def test_an_unreachable_engine_is_passed_to_the_model_locator(self):
         """Its models are then loaded on another engine."""
         locator = Models(make_endpoint("e2", ("m1",)))
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from camphoryard.coordination.cancellation import Cancellation, CancellationCause
 from camphoryard.coordination.forwarding.context import (
     ForwardedRequest,
     RequestInProgress,
@@ -16,7 +17,11 @@
 from camphoryard.coordination.forwarding.in_progress import InProgress
 from camphoryard.coordination.forwarding.ports import ClientRequest
 from camphoryard.entry import daemon
-from camphoryard.entry.daemon import ADMISSION_GRACE_FRACTION, drain
+from camphoryard.entry.daemon import (
+    ADMISSION_GRACE_FRACTION,
+    SHUTDOWN_MARGIN_S,
+    drain,
+)
 from camphoryard.state.ids import EndpointId, RequestId, Version
 from camphoryard.state.traffic import Repeatability
 from camphoryard.transport.front import AdmissionSwitch
@@ -67,6 +72,12 @@
     return ForwardedRequest(request, rule, Version(1), SERVICE, math.inf, math.inf)
 
 
+def wait_until(until_s):
+    """Block until a monotonic time and report that an answer is not sent."""
+    time.sleep(max(0.0, until_s - time.monotonic()))
+    return False
+
+
 class TestDrain:
     """Graceful shutdown."""
 
@@ -105,7 +116,8 @@
         forwarded = make_forwarded("q1", time.monotonic() + 0.3)
         forwarded.sends, forwarded.endpoint = 1, EndpointId("e1")
         tracked = entry.app.context.in_progress.tracked
-        with tracked(RequestInProgress(forwarded, SimpleNamespace(status=None))):
+        reply = SimpleNamespace(status=None, has_begun=False)
+        with tracked(RequestInProgress(forwarded, Cancellation(), reply)):
             drain(entry, front)
         (line,) = [
             call.kwargs
@@ -122,3 +134,28 @@
             "events": 0,
             "status": 0,
         }
+
+    # Guards against LOST: requests left at the end of the grace got no answer.
+    def test_requests_left_are_ended_while_they_can_still_be_answered(self, entry):
+        """Streams that have begun get all the time there is."""
+        front = Mock(active_channels={})
+        front.wait_flushed.side_effect = lambda until_s: wait_until(until_s)
+        began_s = time.monotonic()
+        waiting, begun = Cancellation(), Cancellation()
+        ended_s = {}
+        waiting.subscribe(lambda: ended_s.update(waiting=time.monotonic()))
+        begun.subscribe(lambda: ended_s.update(begun=time.monotonic()))
+        tracked = entry.app.context.in_progress.tracked
+        items = [
+            RequestInProgress(
+                make_forwarded("q1", began_s),
+                cancellation,
+                SimpleNamespace(status=status, has_begun=status is not None),
+            )
+            for cancellation, status in ((waiting, None), (begun, 200))
+        ]
+        with tracked(items[0]), tracked(items[1]):
+            drain(entry, front)
+        assert waiting.cause is begun.cause is CancellationCause.STOPPING
+        end_s = began_s + GRACE_S - SHUTDOWN_MARGIN_S
+        assert ended_s["waiting"] < end_s <= ended_s["begun"]
--- a/tests/system/test_entry.py
+++ b/tests/system/test_entry.py
@@ -4,7 +4,7 @@
 import subprocess
 import sys
 import time
-from http.client import HTTPConnection
+from http.client import HTTPConnection, HTTPException
 
 import pytest
 
@@ -186,6 +186,14 @@
         assert statuses == {200}
 
 
+UNFINISHED = (
+    *(("/book/1", f"u{number}") for number in range(20)),
+    ("/draft/1", "u20"),
+)
+"""Paths and ids of requests that a stop does not let finish: some that may run once,
+and a stream whose answer has not begun."""
+
+
 class TestStop:
     """The daemon stops on SIGTERM."""
 
@@ -205,6 +213,55 @@
             assert site.process.wait(GRACE_S + 1) == 0
             assert time.monotonic() - stopped_s < GRACE_S
 
+    # Guards against LOST: requests left at the end of the grace were only answered if
+    # their tasks were faster than the exit, and counted as crashes of their endpoints.
+    def test_requests_that_cannot_finish_are_answered_before_the_exit(self):
+        """They may have run, so they get 502; other signals change nothing."""
+        with Fleet() as fleet:
+            site = EntrySite(fleet)
+            draft = make_route("draft", "streaming", "models", **{"goal-ms": 5000})
+            routes = [*CONFIG["routes"], draft]
+            site.put("config", "main", {**CONFIG, "version": 2, "routes": routes})
+            log = fleet.process_by_name["entry"].log
+            fleet.wait_until(
+                lambda: "event=configuration_adopted version=2" in log.read_text(),
+                "configuration",
+            )
+            site.call("/draft/1", "w1", Model="m1")
+            # One begins before the stop; the others arrive on connections kept open.
+            site.control(events=100_000)
+            begun = site.connect()
+            site.send(begun, "/draft/1", "begun", Model="m1")
+            stream = begun.getresponse()
+            site.control(hold=len(UNFINISHED))
+            kept = [site.connect() for _ in UNFINISHED]
+            for connection in kept:
+                site.send(connection, "/none/", "n1")
+                assert connection.getresponse().read()
+            site.process.send_signal(signal.SIGTERM)
+            stopped_s = time.monotonic()
+            fleet.wait_until(lambda: "event=stopping" in log.read_text(), "stop")
+            for connection, (path, id) in zip(kept, UNFINISHED, strict=True):
+                site.send(connection, path, id, Model="m1" if "draft" in path else "")
+            ids = {id for _, id in UNFINISHED}
+            fleet.wait_until(
+                lambda: ids <= {run["id"] for run in site.runs()}, "held requests"
+            )
+            site.process.send_signal(signal.SIGTERM)
+            site.process.send_signal(signal.SIGHUP)
+            answers = [connection.getresponse() for connection in kept]
+            assert [answer.status for answer in answers] == [502] * len(kept)
+            assert {answer.headers["Connection"] for answer in answers} == {"close"}
+            with pytest.raises(HTTPException):
+                stream.read()
+            assert site.process.wait(GRACE_S + 1) == 0
+            assert time.monotonic() - stopped_s < GRACE_S
+            lines = log.read_text().splitlines()
+            unfinished = [line for line in lines if "=request_unfinished" in line]
+            assert len(unfinished) == 1 + len(kept)
+            assert sum("status=502" in line for line in unfinished) == len(kept)
+            assert not any("event=endpoint_crashed" in line for line in lines)
+
 
 class TestSettings:
     """The platform's settings file."""
