Test that a stopping node refuses late requests as not run

503 with Retry-After and "Connection: close", and no endpoint runs them. The test passes on the code before as well: it states what was only covered in parts.

--- a/tests/system/test_entry.py
+++ b/tests/system/test_entry.py
@@ -1,5 +1,6 @@
 """Tests of the entry daemon process against a stand-in of the platform."""
 
+import itertools
 import signal
 import subprocess
 import sys
@@ -213,6 +214,26 @@
             assert site.process.wait(GRACE_S + 1) == 0
             assert time.monotonic() - stopped_s < GRACE_S
 
+    def test_requests_after_the_end_of_admission_are_refused_as_not_run(self):
+        """The connection closes, so that the next request goes to another node."""
+        with Fleet() as fleet:
+            site = EntrySite(fleet)
+            site.call("/chat/1", "w1", Model="m1")
+            site.control(events=100_000)
+            connection = site.connect()
+            site.send(connection, "/chat/1", "begun", Model="m1")
+            connection.getresponse()
+            site.process.send_signal(signal.SIGTERM)
+            for number in itertools.count():
+                response, _ = site.call("/book/1", f"b{number}")
+                if response.status != 200:
+                    break
+            assert response.status == 503
+            assert float(response.headers["Retry-After"]) > 0
+            assert response.headers["Connection"] == "close"
+            assert f"b{number}" not in {run["id"] for run in site.runs()}
+            assert site.process.wait(GRACE_S + 1) == 0
+
     # Guards against LOST: requests left at the end of the grace were only answered if
     # their tasks were faster than the exit, and counted as crashes of their endpoints.
     def test_requests_that_cannot_finish_are_answered_before_the_exit(self):
