--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -5,8 +5,14 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
-from camphoryard.coordination.forwarding.ports import ClientRequest, Upstream
+from camphoryard.coordination.forwarding.in_progress import InProgress
+from camphoryard.coordination.forwarding.ports import (
+    ClientReply,
+    ClientRequest,
+    Upstream,
+)
 from camphoryard.coordination.forwarding.progress import StreamProgress
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.ports import DecisionLog
@@ -73,6 +79,7 @@
     observe: Callable[[str, float], None]
     count: Callable[[str], None]
     clock: Callable[[], float] = time.monotonic
+    in_progress: InProgress["RequestInProgress"] = field(default_factory=InProgress)
 
 
 @dataclass(slots=True)
@@ -142,3 +149,12 @@
         return (
             self.rule.repeatability.may_run_again and self.runs < self.rule.max_attempts
         )
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class RequestInProgress:
+    """A forwarded request, its cancellation and the answer that its client gets."""
+
+    forwarded: ForwardedRequest
+    cancellation: Cancellation
+    reply: ClientReply
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -3,11 +3,12 @@
 import random
 from collections.abc import Sequence
 
-from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.cancellation import Cancellation, CancellationCause
 from camphoryard.coordination.forwarding.attempt import MAX_SENDS, Outcome, attempt
 from camphoryard.coordination.forwarding.context import (
     ForwardedRequest,
     ForwardingContext,
+    RequestInProgress,
 )
 from camphoryard.coordination.forwarding.endpoint_use import (
     Closed,
@@ -19,6 +20,7 @@
 )
 from camphoryard.coordination.forwarding.ports import ClientReply, ClientRequest
 from camphoryard.coordination.forwarding.urgency import urgency_at
+from camphoryard.coordination.loading.item_locator import STOPPING_RETRY_S
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.routing.crash_counter import fingerprint
 from camphoryard.coordination.routing.crashed_parts import SOUND_EVENTS
@@ -73,6 +75,20 @@
         not run and will not run.
     """
     forwarded = create_forwarded(context, request)
+    item = RequestInProgress(forwarded, cancellation, reply)
+    with context.in_progress.tracked(item):
+        _forward(context, forwarded, cancellation, reply)
+    return forwarded
+
+
+def _forward(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    cancellation: Cancellation,
+    reply: ClientReply,
+) -> None:
+    """Send a request to endpoints until it is answered; see `forward`."""
+    request = forwarded.request
     _check_quarantined(context, forwarded)
     context.retries.earn(forwarded.service)
     if request.requested_model is not None:
@@ -92,7 +108,7 @@
             continue
         match outcome:
             case Outcome.ANSWERED:
-                return forwarded
+                return
             case Outcome.FAILED:
                 continue
             case Outcome.NOT_RUN:
@@ -321,10 +337,20 @@
 
 
 def _check_cancelled(forwarded: ForwardedRequest, cancellation: Cancellation) -> None:
-    if cancellation.cancelled:
-        raise RefusalError(
-            Reason.CANCELLED, "the client closed the connection", forwarded.verdict
-        )
+    match cancellation.cause:
+        case None:
+            return
+        case CancellationCause.DISCONNECTED:
+            raise RefusalError(
+                Reason.CANCELLED, "the client closed the connection", forwarded.verdict
+            )
+        case CancellationCause.STOPPING:
+            raise RefusalError(
+                Reason.DRAINING,
+                "this node stops before the answer is complete",
+                forwarded.verdict,
+                retry_after_s=STOPPING_RETRY_S,
+            )
 
 
 def _record_failure(
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -6,16 +6,18 @@
 import threading
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
+from camphoryard.coordination.cancellation import CancellationCause
 from camphoryard.coordination.fleet.node_registration import (
     agree_on_keys,
     restore_keys,
     run_after_restores,
 )
+from camphoryard.coordination.forwarding.context import RequestInProgress
 from camphoryard.coordination.observing.process_pauses import log_process_pauses
 from camphoryard.entry.assembly import Entry, handle, make_entry
 from camphoryard.platform.settings import settings_path
@@ -36,6 +38,8 @@
 IDLE_CLOSE_GRACE_FRACTION = 0.15
 """Fraction of the grace period after which idle connections are closed repeatedly."""
 DRAIN_POLL_PERIOD_S = 0.25
+ANSWER_MARGIN_S = 0.25
+"""Time reserved before the end of the drain to answer the requests left by then."""
 SHUTDOWN_MARGIN_S = 0.4
 """Time reserved for the exit between the end of the drain and of the grace period."""
 LOG_FLUSH_TIMEOUT_S = 0.2
@@ -131,6 +135,7 @@
     grace_s = entry.settings.bounds.grace_s
     began_s = time.monotonic()
     end_s = began_s + grace_s - SHUTDOWN_MARGIN_S
+    refuse_s = end_s - ANSWER_MARGIN_S
     entry.log("stopping", grace_s=grace_s)
     entry.readiness.leave()
     front.leave()
@@ -145,21 +150,57 @@
             entry.app.admission.close()
             entry.item_locator.stop()
             break
-    while not front.wait_flushed(min(end_s, time.monotonic() + DRAIN_POLL_PERIOD_S)):
+    while not front.wait_flushed(min(refuse_s, time.monotonic() + DRAIN_POLL_PERIOD_S)):
         front.close_idle()
-        if time.monotonic() >= end_s:
+        if time.monotonic() >= refuse_s:
             break
+    unfinished = entry.app.context.in_progress.all()
+    # A stream that has begun can get no status; its endpoint may still finish it.
+    end_requests(item for item in unfinished if not item.reply.has_begun)
     # Requests accepted since the last check still need an answer.
     front.stop_accepting()
-    front.wait_flushed(min(end_s, time.monotonic() + DRAIN_POLL_PERIOD_S))
+    front.wait_flushed(end_s)
+    end_requests(entry.app.context.in_progress.all())
+    channels = tuple(front.active_channels.values())
+    log_unfinished(entry, unfinished, began_s)
     entry.log(
         "stopped",
-        unfinished=len(front.active_channels),
+        unfinished=len(channels),
+        unread=sum(item.request is not None for item in channels),
+        unflushed=sum(not item.is_flushed for item in channels),
         closed_idle=front.closed_idle,
     )
     close(entry)
 
 
+def end_requests(requests: Iterable[RequestInProgress]) -> None:
+    """Abort the calls of requests; their own tasks refuse them."""
+    for item in requests:
+        item.cancellation.cancel(CancellationCause.STOPPING)
+
+
+def log_unfinished(
+    entry: Entry, requests: Iterable[RequestInProgress], began_s: float
+) -> None:
+    """Log each request that a stop which ``began_s`` did not let finish in time.
+
+    ``taken_s`` is relative to the stop signal; ``status`` is 0 if the client got none.
+    """
+    for item in requests:
+        forwarded = item.forwarded
+        entry.log(
+            "request_unfinished",
+            request=forwarded.request.id,
+            taken_s=round(forwarded.request.arrived_s - began_s, 2),
+            route=forwarded.rule.id,
+            repeatability=forwarded.rule.repeatability.value,
+            sends=forwarded.sends,
+            endpoint=forwarded.endpoint or "",
+            events=forwarded.progress.events,
+            status=item.reply.status or 0,
+        )
+
+
 def leave_fleet(entry: Entry) -> None:
     """Resign leadership and remove this node's registration."""
     entry.leader_lease.resign()
