Log what is left to requests that end without their answer

The log named neither the retry budget nor the attempts used, so a cut stream could not be traced to the limit that ended it. answer_cut and request_unanswered now do, as do the lines of single attempts; cut answers have an event of their own, as refusals of a crowd would use up the lines of a shared one. Answers that a client no longer reads leave client_disconnected.

--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -40,6 +40,7 @@
 takes about as long."""
 BEGUN_RETRY_DELAY_S = 0.2
 """Delay before a stream that no endpoint can continue looks for one again."""
+MILLISECONDS_PER_SECOND = 1000
 MAX_QUEUE_WAIT_SHARE = 0.85
 """Share of the time until its client leaves that a stream may be expected to queue."""
 MAX_QUEUE_RETRY_AFTER_S = 2.0
@@ -73,6 +74,22 @@
         not run and will not run.
     """
     forwarded = create_forwarded(context, request)
+    try:
+        _forward_until_answered(context, forwarded, cancellation, reply)
+    except RefusalError as refusal:
+        _log_unanswered(context, forwarded, refusal, reply)
+        raise
+    return forwarded
+
+
+def _forward_until_answered(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    cancellation: Cancellation,
+    reply: ClientReply,
+) -> None:
+    """Send the request until an endpoint has answered it; raises as `forward`."""
+    request = forwarded.request
     _check_quarantined(context, forwarded)
     context.retries.earn(forwarded.service)
     if request.requested_model is not None:
@@ -92,13 +109,46 @@
             continue
         match outcome:
             case Outcome.ANSWERED:
-                return forwarded
+                return
             case Outcome.FAILED:
                 continue
             case Outcome.NOT_RUN:
                 _check_may_resend(context, forwarded, None)
 
 
+def _log_unanswered(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    refusal: RefusalError,
+    reply: ClientReply,
+) -> None:
+    """Log what was left to a request that ends without its endpoint's whole answer.
+
+    Answers that are cut have an event of their own, as the log limits the lines of each
+    event and a crowd is refused at a higher rate.
+    """
+    rules = context.directory.rules
+    context.log(
+        "answer_cut" if reply.has_begun else "request_unanswered",
+        request=forwarded.request.id,
+        route=forwarded.rule.id,
+        rules=forwarded.rules_version,
+        newest_rules=rules.version if rules else "",
+        reason=refusal.reason.value,
+        endpoint=forwarded.endpoint or "",
+        sends=forwarded.sends,
+        runs=forwarded.runs,
+        max_attempts=forwarded.rule.max_attempts,
+        may_run_again=forwarded.may_run_again,
+        resumable=forwarded.progress.is_resumable,
+        retry_left=context.retries.has_left(forwarded.service),
+        events=forwarded.progress.events,
+        left_ms=round(
+            (forwarded.event_deadline_s - context.clock()) * MILLISECONDS_PER_SECOND
+        ),
+    )
+
+
 def create_forwarded(
     context: ForwardingContext, request: ClientRequest
 ) -> ForwardedRequest:
@@ -355,6 +405,9 @@
         error=repr(error),
         view_age_s=round(forwarded.view_age_s, 2),
         sends=forwarded.sends,
+        runs=forwarded.runs,
+        may_run_again=forwarded.may_run_again,
+        retry_left=context.retries.has_left(forwarded.service),
         verdict=forwarded.verdict.value,
         events=forwarded.progress.events,
     )
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -134,6 +134,12 @@
             body = f"{refusal.detail}\n".encode()
             reply.send_complete(status, {"Content-Type": TEXT, **headers}, body)
         except ClientDisconnected:
+            self.context.log(
+                "client_disconnected",
+                request=request.id if request else "",
+                has_begun=reply.has_begun,
+                held_ms=_elapsed_ms(request),
+            )
             raise
         except Exception as error:
             # A fault of this program: it is unknown whether the request ran.
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -790,6 +790,32 @@
         assert fingerprint(Site().request) is None
 
 
+class TestLogOfUnansweredRequests:
+    """What the log tells of a request that ends without its whole answer."""
+
+    def test_cut_answer_names_what_was_left(self):
+        """On call one can tell which limit ended it."""
+        site = Site(
+            served(ONE, error=BrokenCallError("x")),
+            repeatability=Repeatability.STREAM,
+        )
+        site.refusal()
+        cut = dict(site.log.lines)["answer_cut"]
+        assert cut["request"] == site.request.id
+        assert (cut["sends"], cut["runs"], cut["max_attempts"]) == (1, 1, 2)
+        assert (cut["may_run_again"], cut["retry_left"]) == (False, True)
+        assert (cut["resumable"], cut["events"]) == (True, 1)
+        assert (cut["rules"], cut["newest_rules"]) == (1, 1)
+
+    def test_refused_request_is_told_apart(self):
+        """Many refusals of a crowd leave no cut answer out of the log."""
+        site = Site(endpoints=())
+        site.refusal()
+        assert "answer_cut" not in site.log.events()
+        unanswered = dict(site.log.lines)["request_unanswered"]
+        assert (unanswered["sends"], unanswered["endpoint"]) == (0, "")
+
+
 class TestRefusals:
     """Requests that cannot be served are refused at once."""
 
