--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -475,6 +475,14 @@
         assert site.reply.body == ONE + TWO
         assert len(site.sent_to) == 1
 
+    # Guards against LOST: a sound stream was closed in its middle for a pause.
+    def test_a_pause_of_a_stream_without_ids_is_waited_out(self):
+        """No endpoint can go on after an event without an id."""
+        events = b"data: a\n\n", b"data: b\n\n"
+        site = Site(served(events[0], PAUSE, events[1]), repeatability=self.STREAM)
+        site.forward()
+        assert site.reply.body == b"".join(events)
+
     def test_the_silence_timeout_is_shorter_if_another_endpoint_may_be_tried(self):
         """The last attempt may use all of the client's remaining time."""
         site = Site(StalledCallError("x"), served(ONE), repeatability=self.STREAM)
