Wait out the pause of a stream that nobody can continue

Callers saw a stream closed in its middle after a pause of four of its longest gaps, though its endpoint was sound and about to go on. Cause: the question whether another endpoint can resume the stream left out whether its last event has an id, which is asked only once the connection has been given up. It is now asked before.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -350,6 +350,7 @@
     rule = forwarded.rule
     return (
         rule.repeatability.may_run_again
+        and forwarded.progress.is_resumable
         and runs < rule.max_attempts
         and forwarded.sends < MAX_SENDS
         and context.retries.has_left(forwarded.service)
