Show that streams which have begun are given up at once

The tests fail for each limit that ends such a stream: sends, budget, no ready endpoint, all failed. A route that is removed under a stream ends nothing, which a test holds that passes.

--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -51,6 +51,7 @@
 
 ONE, TWO, THREE = (f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3))
 MOST_URGENT = Urgency(0)
+RETRY_WINDOW_S = 10.0
 TRICKLE_S = 0.1
 """Time between the bytes of an answer that trickles."""
 PAUSE = b"PAUSE"
@@ -214,7 +215,7 @@
         self.breakers = Breakers(self.clock)
         self.first_events = FirstEventTracker(self.clock)
         in_flight = InFlightTable()
-        limits = RepeatLimits(0.2, options.get("reserve", 50.0), 10.0)
+        limits = RepeatLimits(0.2, options.get("reserve", 50.0), RETRY_WINDOW_S)
         self.context = ForwardingContext(
             self.directory,
             EndpointChooser(ZONE, in_flight.count),
@@ -509,6 +510,121 @@
         assert deadlines == {site.clock.now_s + 10.0}
 
 
+# Guards against LOST: streams were closed in their middle, their clients still waiting.
+class TestStreamsThatHaveBegun:
+    """Streams that cannot be continued at once; their clients cannot come back."""
+
+    STREAM = Repeatability.RESUMABLE_STREAM
+    BROKEN = BrokenCallError("x")
+
+    @staticmethod
+    def on_wait(site, change):
+        """Advance the clock in place of each wait, and then run ``change``."""
+
+        def wait_until(condition, until_s):
+            site.clock.advance(max(0.0, until_s - site.clock.now_s))
+            change()
+            return condition()
+
+        site.directory.wait_until = wait_until
+
+    def test_stream_waits_for_a_retry_of_the_budget(self):
+        """Earlier retries leave the window while its client waits."""
+        site = Site(
+            served(ONE, error=self.BROKEN),
+            served(TWO),
+            repeatability=self.STREAM,
+            reserve=1.2,
+        )
+        assert site.context.retries.take(SERVICE)
+        site.clock.advance(RETRY_WINDOW_S - 1.0)
+        site.request = replace(
+            site.request,
+            arrived_s=site.clock.now_s,
+            deadline_s=site.clock.now_s + 20.0,
+        )
+        self.on_wait(site, lambda: None)
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    def test_stream_without_a_retry_ends_with_its_clients_patience(self):
+        """No retry is taken beyond the budget."""
+        site = Site(
+            served(ONE, error=self.BROKEN), repeatability=self.STREAM, reserve=0.0
+        )
+        self.on_wait(site, lambda: None)
+        began_s = site.clock.now_s
+        assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
+        patience_s = make_rule(self.STREAM).client_timeout_s
+        assert site.clock.now_s - began_s == pytest.approx(patience_s)
+        assert len(site.sent_to) == 1
+
+    def test_stream_declined_by_many_goes_on_where_it_is_accepted(self):
+        """A request that has not begun is refused after so many sends."""
+        site = Site(
+            served(ONE, error=self.BROKEN),
+            *(declined() for _ in range(4)),
+            served(TWO),
+            repeatability=self.STREAM,
+            endpoints=tuple(f"e{number}" for number in range(6)),
+        )
+        self.on_wait(site, lambda: None)
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    def test_stream_given_up_for_a_pause_goes_on_though_others_decline_first(self):
+        """A crowd fills the queues of the endpoints that could continue it."""
+        model = RequestedModel(ModelId("m1"))
+        site = Site(
+            served(ONE, PAUSE),
+            *(declined() for _ in range(3)),
+            served(TWO),
+            repeatability=self.STREAM,
+            endpoints=tuple(f"e{number}" for number in range(5)),
+            models=["m1"],
+            requested_model=model,
+        )
+        self.on_wait(site, lambda: None)
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    @pytest.mark.parametrize("notices", [(), (Leaving(),)], ids=["failed", "leaving"])
+    def test_stream_waits_for_another_endpoint_of_its_service(self, notices):
+        """The only one has failed it, or leaves; another one starts."""
+        site = Site(
+            served(ONE, error=self.BROKEN, notices=notices),
+            served(TWO),
+            repeatability=self.STREAM,
+            endpoints=("e1",),
+        )
+        self.on_wait(site, lambda: site.directory.observe(make_endpoint("e2")))
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    def test_stream_that_waits_ends_once_its_client_leaves(self):
+        """Nothing is sent for a client that is gone."""
+        site = Site(
+            served(ONE, error=self.BROKEN),
+            served(TWO),
+            repeatability=self.STREAM,
+            endpoints=("e1",),
+        )
+        self.on_wait(site, site.cancellation.cancel)
+        assert site.refusal().reason is Reason.CANCELLED
+        assert site.sent_to == ["e1"]
+
+    def test_stream_goes_on_though_its_route_is_gone(self):
+        """A request keeps the rules under which it was accepted."""
+        site = Site(
+            served(ONE, error=self.BROKEN), served(TWO), repeatability=self.STREAM
+        )
+        site.upstream.on_open = lambda: site.directory.adopt(
+            make_rules(rules=[], version=2)
+        )
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+
 # Guards against ORDER and MIXED: the end of an endpoint taken for that of its answer.
 class TestUnframedAnswers:
     """Answers that end with their connection."""
