Keep a stream that has begun until its client would leave

Callers saw streams closed in their middle.

Cause: a refusal and the end of a stream were decided alike. A client that has nothing yet is best refused at once, as it can come back; one with part of its answer cannot. Of the limits that end a request only one, a model that is loaded nowhere, made the difference; sends, the retry budget, a service without ready endpoints and endpoints that all have failed the request did not, and a rest only up to its end.

Now the difference is made in two places for all limits: the search for an endpoint and the permission to send again both go on, in waits of 0.2 s, until the client leaves.

--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -131,6 +131,11 @@
         left_s = request.deadline_s - request.arrived_s
         return request.arrived_s - max(0.0, self.rule.timeout_s - left_s)
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the client has received a part of its answer."""
+        return self.progress.messages > 0
+
     @property
     def verdict(self) -> Verdict:
         """Whether the request may have run."""
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -39,7 +39,7 @@
 """Delay before an engine that declined a request is tried again; loading an adapter
 takes about as long."""
 BEGUN_RETRY_DELAY_S = 0.2
-"""Delay before a stream that no endpoint can continue looks for one again."""
+"""Delay before a stream that cannot be continued now tries again."""
 MILLISECONDS_PER_SECOND = 1000
 MAX_QUEUE_WAIT_SHARE = 0.85
 """Share of the time until its client leaves that a stream may be expected to queue."""
@@ -95,7 +95,7 @@
     if request.requested_model is not None:
         context.models.arrived(request.requested_model)
     while True:
-        endpoint = _find_endpoint(context, forwarded)
+        endpoint = _find_endpoint(context, forwarded, cancellation)
         _check_cancelled(forwarded, cancellation)
         try:
             outcome = attempt(context, forwarded, endpoint, cancellation, reply)
@@ -105,7 +105,7 @@
             _record_failure(context, forwarded, endpoint, error)
             _record_crash(context, forwarded, endpoint, error)
             _check_quarantined(context, forwarded)
-            _check_may_resend(context, forwarded, error)
+            _check_may_resend(context, forwarded, error, cancellation)
             continue
         match outcome:
             case Outcome.ANSWERED:
@@ -113,7 +113,7 @@
             case Outcome.FAILED:
                 continue
             case Outcome.NOT_RUN:
-                _check_may_resend(context, forwarded, None)
+                _check_may_resend(context, forwarded, None, cancellation)
 
 
 def _log_unanswered(
@@ -194,10 +194,54 @@
 
 
 def _find_endpoint(
-    context: ForwardingContext, forwarded: ForwardedRequest
+    context: ForwardingContext, forwarded: ForwardedRequest, cancellation: Cancellation
 ) -> ServingEndpoint:
     """Return the endpoint to send to next.
 
+    A stream that has begun looks for one until its client would leave, as the client
+    cannot come back later in the middle of the answer.
+
+    Raises
+    ------
+    RefusalError
+        If no endpoint can serve the request in the time left.
+    """
+    while True:
+        try:
+            return _choose_endpoint(context, forwarded)
+        except RefusalError:
+            if not _may_wait_on(context, forwarded):
+                raise
+        _wait_before_retry(context, forwarded, cancellation)
+
+
+def _may_wait_on(context: ForwardingContext, forwarded: ForwardedRequest) -> bool:
+    """Return whether a client has part of its answer and still waits for the rest."""
+    return forwarded.has_begun and context.clock() < forwarded.event_deadline_s
+
+
+def _wait_before_retry(
+    context: ForwardingContext, forwarded: ForwardedRequest, cancellation: Cancellation
+) -> None:
+    """Wait until a stream that has begun may try again.
+
+    Raises
+    ------
+    RefusalError
+        If its client has left.
+    """
+    context.directory.wait_until(
+        lambda: cancellation.cancelled,
+        min(forwarded.event_deadline_s, context.clock() + BEGUN_RETRY_DELAY_S),
+    )
+    _check_cancelled(forwarded, cancellation)
+
+
+def _choose_endpoint(
+    context: ForwardingContext, forwarded: ForwardedRequest
+) -> ServingEndpoint:
+    """Return an endpoint that can serve the request now, loading its model if needed.
+
     Raises
     ------
     RefusalError
@@ -220,8 +264,7 @@
         return context.chooser.choose(_before_deadline(context, forwarded, usable))
     rest_s = _shortest_rest_s([use for _, use in uses])
     if rest_s is not None:
-        _wait_for_rest(context, forwarded, rest_s)
-        return _find_endpoint(context, forwarded)
+        raise _resting_refusal(forwarded, rest_s)
     if requested_model is None:
         raise _no_endpoint_refusal(
             forwarded, "every endpoint of the service has failed this request"
@@ -238,17 +281,10 @@
             requested_model,
             forwarded.event_deadline_s,
             forwarded.unreached,
-            has_begun=forwarded.progress.messages > 0,
+            has_begun=forwarded.has_begun,
         )
         forwarded.load_wait_s += context.clock() - locate_start_s
     except NotLoadedBeforeDeadlineError as error:
-        if forwarded.progress.messages:
-            # Its client cannot come back later in the middle of the answer.
-            context.directory.wait_until(
-                lambda: False,
-                min(forwarded.event_deadline_s, context.clock() + BEGUN_RETRY_DELAY_S),
-            )
-            return _find_endpoint(context, forwarded)
         raise RefusalError(
             Reason.OVERLOADED,
             f"the model or adapter is {error}",
@@ -256,10 +292,9 @@
             retry_after_s=_retry_after_s(context, forwarded, error.ready_in_s),
         ) from error
     rest_s = _shortest_rest_s([endpoint_use(context, forwarded, found)])
-    if rest_s is None:
-        return found
-    _wait_for_rest(context, forwarded, rest_s)
-    return _find_endpoint(context, forwarded)
+    if rest_s is not None:
+        raise _resting_refusal(forwarded, rest_s)
+    return found
 
 
 def _usable_endpoints(
@@ -282,25 +317,13 @@
     return min(rests_s, default=None)
 
 
-def _wait_for_rest(
-    context: ForwardingContext, forwarded: ForwardedRequest, rest_s: float
-) -> None:
-    """Wait until an endpoint has rested if the answer has begun.
-
-    Raises
-    ------
-    RefusalError
-        If it has not begun, as the client can come back, or would be gone by then.
-    """
-    until_s = context.clock() + rest_s
-    if not forwarded.progress.messages or until_s >= forwarded.event_deadline_s:
-        raise RefusalError(
-            Reason.OVERLOADED,
-            f"every endpoint is busy, one for {rest_s:.1f} s",
-            forwarded.verdict,
-            retry_after_s=rest_s,
-        )
-    context.directory.wait_until(lambda: False, until_s)
+def _resting_refusal(forwarded: ForwardedRequest, rest_s: float) -> RefusalError:
+    return RefusalError(
+        Reason.OVERLOADED,
+        f"every endpoint is busy, one for {rest_s:.1f} s",
+        forwarded.verdict,
+        retry_after_s=rest_s,
+    )
 
 
 def _before_deadline(
@@ -473,19 +496,34 @@
     context: ForwardingContext,
     forwarded: ForwardedRequest,
     error: NotSentError | BrokenCallError | None,
+    cancellation: Cancellation,
 ) -> None:
-    """Raise RefusalError unless the request may be sent again."""
+    """Return once the request may be sent again.
+
+    A stream that has begun waits until the budget has a retry or its client would
+    leave. Beyond `MAX_SENDS` it waits before each send, as endpoints decline within
+    milliseconds and would use up the budget.
+
+    Raises
+    ------
+    RefusalError
+        If it may not be sent again.
+    """
     may_resend = not forwarded.may_have_run or forwarded.may_run_again
     if not may_resend or not forwarded.progress.is_resumable:
         raise _failure_refusal(context, forwarded, error)
     if forwarded.sends >= MAX_SENDS:
-        raise _failure_refusal(context, forwarded, error)
+        if not _may_wait_on(context, forwarded):
+            raise _failure_refusal(context, forwarded, error)
+        _wait_before_retry(context, forwarded, cancellation)
     match error:
         case NotSentError():
             return
         case _:
-            if not context.retries.take(forwarded.service):
-                raise _failure_refusal(context, forwarded, error)
+            while not context.retries.take(forwarded.service):
+                if not _may_wait_on(context, forwarded):
+                    raise _failure_refusal(context, forwarded, error)
+                _wait_before_retry(context, forwarded, cancellation)
 
 
 def _failure_refusal(
