Wait for a silent endpoint at the end of an unframed answer

Clients saw a complete stream cut, or a 502 in place of a whole answer, if the answer had neither length nor chunks and its endpoint fell silent for a second at its end. Cause: whether the end of the connection is that of the answer is decided by whether the endpoint still accepts connections, and one that neither accepted nor refused within 0.4 s counted as gone. That is what a sound endpoint does while it is silent, or while its queue of connections is full.

An endpoint that refuses is gone at once, as before; a silent one is now waited for, for up to 2 s within the time of the request, before its answer counts as incomplete. Found in reading; the test failed before for streams that may be resumed and for those that may not.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -12,6 +12,7 @@
 )
 from camphoryard.coordination.forwarding.endpoint_use import Open, endpoint_use
 from camphoryard.coordination.forwarding.ports import (
+    CONNECT_TIMEOUT_S,
     Answer,
     AnswerKind,
     ClientReply,
@@ -46,6 +47,10 @@
 ENDING_TIME_S = 0.02
 """Time in which a process that ends closes its sockets."""
 
+SILENCE_AT_END_S = 2.0
+"""How long an endpoint may be silent at the end of an unframed answer. A sound one may
+be for a second or so, and a lost opening packet is sent again after a second."""
+
 
 class Outcome(Enum):
     """How an attempt ended."""
@@ -233,7 +238,7 @@
                     )
             else:
                 body = answer.body()
-                _check_not_gone(context, endpoint, answer)
+                _check_not_gone(context, forwarded, endpoint, answer)
                 _record_success(context, endpoint)
                 reply.send_complete(answer.head.status, answer.head.headers, body)
             return Outcome.ANSWERED
@@ -322,7 +327,7 @@
         raise BrokenCallError("the stream ended in the middle of an event")
     if answer.ends_with_connection and progress.messages == messages_before:
         raise BrokenCallError("the stream ended before its first event")
-    _check_not_gone(context, endpoint, answer)
+    _check_not_gone(context, forwarded, endpoint, answer)
     if not reply.has_begun:
         reply.begin(*head)
     _record_answered(context, forwarded)
@@ -373,7 +378,10 @@
 
 
 def _check_not_gone(
-    context: ForwardingContext, endpoint: ServingEndpoint, answer: Answer
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    endpoint: ServingEndpoint,
+    answer: Answer,
 ) -> None:
     """Raise BrokenCallError if an unframed answer ended as its endpoint is gone.
 
@@ -382,7 +390,9 @@
     """
     if not answer.ends_with_connection:
         return
-    if context.upstream.is_down(endpoint, ENDING_TIME_S):
+    left_s = forwarded.deadline_s - context.clock()
+    wait_s = max(CONNECT_TIMEOUT_S, min(SILENCE_AT_END_S, left_s))
+    if context.upstream.is_down(endpoint, ENDING_TIME_S, wait_s):
         raise BrokenCallError("the endpoint ended while it answered")
 
 
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -11,6 +11,9 @@
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import RequestedModel
 
+CONNECT_TIMEOUT_S = 0.4
+"""Endpoints are some milliseconds away; one that takes longer is unreachable."""
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -163,8 +166,16 @@
             If the connection fails after bytes were sent.
         """
 
-    def is_down(self, endpoint: ServingEndpoint, after_s: float = 0.0) -> bool:
-        """Return whether an endpoint accepts no connection, ``after_s`` s from now."""
+    def is_down(
+        self,
+        endpoint: ServingEndpoint,
+        after_s: float = 0.0,
+        wait_s: float = CONNECT_TIMEOUT_S,
+    ) -> bool:
+        """Return whether an endpoint accepts no connection, ``after_s`` s from now.
+
+        One that neither accepts nor refuses is waited for, for ``wait_s`` s.
+        """
 
 
 class ClientReply(Protocol):
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -6,6 +6,7 @@
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.forwarding.ports import (
+    CONNECT_TIMEOUT_S,
     AnswerHead,
     ClientRequest,
     SendOptions,
@@ -21,8 +22,6 @@
     broken_call_error,
 )
 
-CONNECT_TIMEOUT_S = 0.4
-"""Endpoints are some milliseconds away; one that takes longer is unreachable."""
 READ_BYTES = 1 << 16
 MAX_BODY_BYTES = 4 << 20
 """Maximum size of an answer that is not a stream; each one is held in memory."""
@@ -129,11 +128,16 @@
             answer.close(is_read=False)
             raise
 
-    def is_down(self, endpoint: ServingEndpoint, after_s: float = 0.0) -> bool:
-        """Return whether an endpoint accepts no connection, ``after_s`` s from now."""
+    def is_down(
+        self,
+        endpoint: ServingEndpoint,
+        after_s: float = 0.0,
+        wait_s: float = CONNECT_TIMEOUT_S,
+    ) -> bool:
+        """Return whether an endpoint accepts no connection; see the Upstream port."""
         time.sleep(after_s)
         address = Address(endpoint.address.host, endpoint.address.port)
-        return not self._client.can_connect(address, CONNECT_TIMEOUT_S)
+        return not self._client.can_connect(address, wait_s)
 
     def _matching_head(
         self, answer: OpenAnswer, endpoint: ServingEndpoint, request: ClientRequest
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -138,6 +138,7 @@
         self.sent = []
         self.on_open = lambda: None
         self.down = set()
+        self.silence_s = 0.0
 
     def open(self, endpoint, request, options, cancellation):
         """Record a request and return the next answer."""
@@ -148,9 +149,9 @@
             raise answer
         return answer
 
-    def is_down(self, endpoint, after_s=0.0):
-        """Return whether an endpoint accepts no connection."""
-        return endpoint.id in self.down
+    def is_down(self, endpoint, after_s=0.0, wait_s=0.4):
+        """Return whether an endpoint is gone, or silent for longer than ``wait_s``."""
+        return endpoint.id in self.down or wait_s < self.silence_s
 
 
 class Reply:
@@ -650,6 +651,17 @@
         site.forward()
         assert site.reply.body == ONE + TWO
 
+    # Guards against LOST: a complete stream was cut as its endpoint was silent.
+    @pytest.mark.parametrize("repeatability", [Repeatability.STREAM, STREAM])
+    def test_stream_of_an_endpoint_that_is_silent_for_a_second_is_complete(
+        self, repeatability
+    ):
+        """Neither accepting nor refusing a connection is no sign of its end."""
+        site = Site(unframed(ONE, TWO), repeatability=repeatability)
+        site.upstream.silence_s = 1.2
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
     @pytest.mark.parametrize("is_down", [False, True])
     def test_whole_answer_is_incomplete_if_its_endpoint_is_gone(self, is_down):
         """A request that may run once has then perhaps run."""
