Let a stream of which only a comment was sent wait on

A stream whose client had received the head and a comment, as endpoints send to keep a connection open, was ended like a request to which nothing was sent: its connection was closed while its client waited. Cause: whether an answer has begun was told by its messages, which leave comments out. It is now told by what was sent.

--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -134,7 +134,7 @@
     @property
     def has_begun(self) -> bool:
         """Whether the client has received a part of its answer."""
-        return self.progress.messages > 0
+        return self.progress.has_begun
 
     @property
     def verdict(self) -> Verdict:
--- a/src/camphoryard/coordination/forwarding/progress.py
+++ b/src/camphoryard/coordination/forwarding/progress.py
@@ -18,7 +18,8 @@
 
     ``events`` counts those with an id, after which the stream can be resumed;
     ``messages`` counts all except those that are only comments, which an endpoint may
-    send to keep a connection open. ``is_resumable`` tells whether another endpoint can
+    send to keep a connection open. ``has_begun`` is True once the client has received
+    anything, be it a comment. ``is_resumable`` tells whether another endpoint can
     go on after what the client has received; it must end with an event that has an id.
 
     Examples
@@ -33,6 +34,7 @@
     last_event: EventId | None = None
     events: int = 0
     messages: int = 0
+    has_begun: bool = False
     is_resumable: bool = True
     _partial_event: bytes = field(default=b"", repr=False)
 
@@ -52,6 +54,7 @@
         if len(self._partial_event) > MAX_EVENT_BYTES:
             raise BrokenCallError(f"an event has more than {MAX_EVENT_BYTES} bytes")
         complete = joined[:end]
+        self.has_begun = self.has_begun or bool(complete)
         self._record_events(complete)
         return complete
 
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -602,6 +602,18 @@
         site.forward()
         assert site.reply.body == ONE + TWO
 
+    def test_stream_of_which_only_a_comment_was_sent_waits_too(self):
+        """Its client has the head of the answer and cannot get a refusal."""
+        site = Site(
+            served(b":\n\n", error=self.BROKEN),
+            served(ONE),
+            repeatability=self.STREAM,
+            endpoints=("e1",),
+        )
+        self.on_wait(site, lambda: site.directory.observe(make_endpoint("e2")))
+        site.forward()
+        assert site.reply.body == b":\n\n" + ONE
+
     def test_stream_that_waits_ends_once_its_client_leaves(self):
         """Nothing is sent for a client that is gone."""
         site = Site(
