Count idle time from the last byte of an answer

A connection could be closed right after a long answer, at the moment at which its client sends the next request: the limits were checked after the request had left the connection and before its end was recorded, so an answer's own time counted as idle. The time is now recorded with each write.

test_idle_time_begins_with_the_end_of_the_answer failed before. Two more tests, which held before, show that limits changed meanwhile spare a request in flight and answer one that is read too slowly with a status.

--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -226,11 +226,6 @@
             self._request_began_s = self.last_active_s
         return accepted
 
-    def service(self) -> None:
-        """Answer one request."""
-        super().service()
-        self.last_active_s = time.monotonic()
-
     def close_if_idle(self) -> None:
         """Close the connection if it is idle at the server's next poll."""
         self._close_requested = True
@@ -301,6 +296,7 @@
         ClientDisconnected
             If the client has disconnected, or has too much of its answer unread.
         """
+        self.last_active_s = time.monotonic()
         if self.total_outbufs_len > MAX_UNREAD_BYTES:
             self.cancellation.cancel()
             raise ClientDisconnected
@@ -332,6 +328,7 @@
 
     def handle_write(self) -> None:
         """Send buffered data."""
+        self.last_active_s = time.monotonic()
         super().handle_write()
         if self.is_flushed:
             self.server.notify_progress()
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -9,7 +9,12 @@
 import pytest
 from waitress.channel import ClientDisconnected
 
-from camphoryard.transport.http_server import CANCELLATION, HttpResponse, make_server
+from camphoryard.transport.http_server import (
+    CANCELLATION,
+    ConnectionLimits,
+    HttpResponse,
+    make_server,
+)
 
 HOST = "127.0.0.1"
 DISTANT_DEADLINE_S = 1e9
@@ -17,6 +22,9 @@
 LARGE_BYTES = 32 << 20
 CHUNK_BYTES = 1 << 20
 REQUEST = b"GET / HTTP/1.0\r\n\r\n"
+NO_PATIENCE = ConnectionLimits(header_timeout_s=0.0, idle_timeout_s=-10.0)
+LONG_ANSWER_S = 100.0
+CLOSE_WAIT_S = 0.2
 
 
 class Application:
@@ -64,6 +72,11 @@
     return connection
 
 
+def active_channels(server):
+    """Return the connections of a server."""
+    return tuple(server.active_channels.values())
+
+
 class TestWaitFlushed:
     """Waiting until all answers are sent."""
 
@@ -192,6 +205,67 @@
                 received += connection.recv(4096) or b"0\r\n\r\n"
         assert received.startswith(b"HTTP/1.1 200")
 
+    # Guards against LOST: a shorter idle timeout closed connections with a request.
+    def test_shorter_limits_spare_a_request_that_is_answered(self, run):
+        """The limits between requests do not apply to a request in flight."""
+        app = Application(waits_for_event=True)
+        server = run(app)
+        with connect(server) as connection:
+            connection.settimeout(TIMEOUT_S)
+            app.started.wait(TIMEOUT_S)
+            server.set_limits(NO_PATIENCE)
+            server.maintenance(0.0)
+            app.may_answer.set()
+            received = b"".join(iter(lambda: connection.recv(4096), b""))
+        assert received.startswith(b"HTTP/1.0 200")
+
+    def test_request_sent_too_slowly_for_shorter_limits_is_refused(self, run):
+        """Its client gets a status, not a closed connection."""
+        server = run(self.stream)
+        address = (HOST, server.effective_port)
+        with socket.create_connection(address) as connection:
+            connection.settimeout(TIMEOUT_S)
+            connection.sendall(self.HTTP_11_REQUEST[:-2])
+            while not any(item.request for item in active_channels(server)):
+                time.sleep(0.01)
+            server.set_limits(NO_PATIENCE)
+            server.maintenance(0.0)
+            received = b"".join(iter(lambda: connection.recv(4096), b""))
+        assert b"400 Bad Request" in received
+
+    # Guards against LOST: a connection was closed right after a long answer.
+    def test_idle_time_begins_with_the_end_of_the_answer(self, run):
+        """An answer may take longer than a connection may be idle."""
+
+        def answer_for_long(environ, start_response):
+            (channel,) = active_channels(server)
+            channel.last_active_s -= LONG_ANSWER_S
+            return self.stream(environ, start_response)
+
+        server = run(answer_for_long)
+        server.set_limits(ConnectionLimits(idle_timeout_s=LONG_ANSWER_S / 2))
+        pull_trigger = server.pull_trigger
+
+        has_checked = threading.Event()
+
+        def check_limits_and_pull_trigger():
+            server.maintenance(0.0)
+            pull_trigger()
+            has_checked.set()
+
+        server.pull_trigger = check_limits_and_pull_trigger
+        address = (HOST, server.effective_port)
+        with socket.create_connection(address) as connection:
+            connection.sendall(self.HTTP_11_REQUEST)
+            has_checked.wait(TIMEOUT_S)
+            connection.settimeout(TIMEOUT_S)
+            received = b""
+            while not received.endswith(b"0\r\n\r\n"):
+                received += connection.recv(4096)
+            connection.settimeout(CLOSE_WAIT_S)
+            with pytest.raises(TimeoutError):
+                connection.recv(1)
+
     def test_stopped_server_accepts_no_connections(self, run):
         """New connections get no answer, and open idle ones are closed."""
         server = run(self.stream)
