Keep an answer of camphoryardd whose rest engines decline at first

Declined attempts do not count for it any more; it asks again every 0.2 s, until that time is over or its caller disconnects.

The test failed before ("no token in 4 attempts").

--- a/src/camphoryard/coordination/inference/attempts.py
+++ b/src/camphoryard/coordination/inference/attempts.py
@@ -67,6 +67,7 @@
                 _record_success(context, endpoint_id, trial, progress)
             if not ready.finished:
                 progress.offset += 1
+                progress.last_token_s = time.monotonic()
             deliver(ready)
         return sequencer.is_complete
 
--- a/src/camphoryard/coordination/inference/inference.py
+++ b/src/camphoryard/coordination/inference/inference.py
@@ -1,5 +1,6 @@
 """Runs one inference request, from routing to its last token."""
 
+import threading
 import time
 
 from camphoryard.coordination.admission.admission import Lane, Ticket
@@ -34,6 +35,8 @@
 MAX_ATTEMPTS_WITHOUT_TOKEN = 4
 LOAD_REQUEST_PERIOD_S = 1.0
 RESUME_TIMEOUT_S = 30.0
+RESUME_RETRY_DELAY_S = 0.2
+"""Delay before the rest of an answer that an engine declined is asked for again."""
 AFFINITY_KEY_CHARACTERS = 256
 
 
@@ -92,7 +95,7 @@
         except (NotSentError, BrokenCallError, EndpointRefusedError) as error:
             _check_cancelled(cancellation, progress)
             check_total_deadline(request, progress)
-            _check_retry(context, chosen_route, progress, error)
+            _check_retry(context, chosen_route, progress, error, cancellation)
         finally:
             context.admission.release(ticket)
 
@@ -219,13 +222,25 @@
     chosen_route: Route,
     progress: Progress,
     error: CamphoryardError,
+    cancellation: Cancellation,
 ) -> None:
-    """Raise RefusalError unless the request may be sent again."""
+    """Return once the request may be sent again.
+
+    Raises
+    ------
+    RefusalError
+        If it may not, or its caller disconnects.
+    """
     match error:
         case EndpointRefusedError(status=status) if status not in NOT_RUN_STATUSES:
             raise RefusalError(
                 Reason.ENDPOINT_FAILED, str(error), progress.verdict
             ) from error
+        case EndpointRefusedError() if _may_wait_to_resume(progress):
+            # An engine that declined the rest of an answer has not run it.
+            progress.attempts_without_token -= 1
+            _wait_to_resume(cancellation, progress)
+            return
         case _:
             pass
     if progress.attempts_without_token >= MAX_ATTEMPTS_WITHOUT_TOKEN:
@@ -242,6 +257,23 @@
         ) from error
 
 
+def _may_wait_to_resume(progress: Progress) -> bool:
+    """Return whether an answer has begun and its next token is still waited for."""
+    return (
+        progress.offset > 0
+        and time.monotonic() < progress.last_token_s + RESUME_TIMEOUT_S
+    )
+
+
+def _wait_to_resume(cancellation: Cancellation, progress: Progress) -> None:
+    """Wait before the rest of an answer is asked for again."""
+    has_left = threading.Event()
+    handle = cancellation.subscribe(has_left.set)
+    has_left.wait(RESUME_RETRY_DELAY_S)
+    cancellation.unsubscribe(handle)
+    _check_cancelled(cancellation, progress)
+
+
 def _uses_retry_budget(progress: Progress, error: CamphoryardError) -> bool:
     """Return whether a retry takes from the retry budget.
 
--- a/src/camphoryard/coordination/inference/inference_context.py
+++ b/src/camphoryard/coordination/inference/inference_context.py
@@ -49,11 +49,12 @@
 
     ``offset`` is that of the next token. ``failed`` holds the endpoints to avoid,
     which have failed since the last token; ``attempts_without_token`` counts the
-    attempts since then.
+    attempts since then; ``last_token_s`` is its monotonic time in seconds.
     """
 
     offset: int = 0
     attempts_without_token: int = 0
+    last_token_s: float = 0.0
     may_have_run: bool = False
     failed: set[EndpointId] = field(default_factory=set)
 
--- a/tests/coordination/inference/test_inference.py
+++ b/tests/coordination/inference/test_inference.py
@@ -122,6 +122,61 @@
         assert context.admission.waiting() == 0
 
 
+# Guards against LOST: answers were ended in their middle, their callers still waiting.
+class TestBegunAnswers:
+    """Answers whose rest another engine does not accept at once."""
+
+    DECLINED = EndpointRefusedError(404, "x")
+
+    @classmethod
+    def declining_script(cls, times):
+        """Return a script that declines ``times`` times before it answers."""
+        left = [times]
+
+        def script(inference_request, offset):
+            left[0] -= 1
+            if left[0] >= 0:
+                return [cls.DECLINED]
+            return remaining_frames(inference_request, offset)
+
+        return script
+
+    @staticmethod
+    def breaking_then(script):
+        """Return a script that breaks off after two tokens and then is ``script``."""
+        first = failing_script(BrokenCallError("x"), after=2)
+
+        def both(inference_request, offset):
+            return (script if offset else first)(inference_request, offset)
+
+        return both
+
+    def test_answer_goes_on_though_engines_decline_its_rest_at_first(self):
+        """A request that has not begun is refused after as many attempts."""
+        declining = self.declining_script(6)
+        engines = FakeEngines(
+            {
+                FIRST: self.breaking_then(declining),
+                SECOND: self.breaking_then(declining),
+            }
+        )
+        assert answer(without_ejections(make_context(engines))) == TEXT
+
+    def test_answer_that_waits_ends_once_its_caller_disconnects(self):
+        """No engine is asked for a caller that is gone."""
+        cancellation = Cancellation()
+
+        def declining(inference_request, offset):
+            cancellation.cancel()
+            return [self.DECLINED]
+
+        engines = both_engines(self.breaking_then(declining))
+        context = without_ejections(make_context(engines))
+        refused = refusal(context, cancellation=cancellation)
+        assert refused.reason is Reason.CANCELLED
+        assert len(engines.calls) == 2
+
+
 class TestVerdict:
     """The verdict of each kind of refusal."""
 
