Send retries to the endpoints of the newest configuration

An answer of camphoryardd whose engine failed was offered only to the engines that the configuration selected when it arrived. If a change replaces them meanwhile, it waited for 30 s for engines that are gone, and was then closed in its middle. Each retry now goes by the newest configuration; a request whose route is gone keeps the endpoints that it was accepted with.

The test failed before ("no slot was free before the deadline").

--- a/src/camphoryard/coordination/inference/inference.py
+++ b/src/camphoryard/coordination/inference/inference.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from dataclasses import replace
 
 from camphoryard.coordination.admission.admission import Lane, Ticket
 from camphoryard.coordination.admission.concurrency_limits import caller_limit
@@ -96,6 +97,7 @@
             _check_cancelled(cancellation, progress)
             check_total_deadline(request, progress)
             _check_retry(context, chosen_route, progress, error, cancellation)
+            chosen_route = _with_current_candidates(context, request, chosen_route)
         finally:
             context.admission.release(ticket)
 
@@ -217,6 +219,20 @@
         )
 
 
+def _with_current_candidates(
+    context: InferenceContext, request: InferenceRequest, chosen_route: Route
+) -> Route:
+    """Return the route with the endpoints that the newest configuration selects.
+
+    A request keeps those that it was accepted with if no route is left for it.
+    """
+    try:
+        current = _choose_route(context.configuration.current, request)
+    except RefusalError:
+        return chosen_route
+    return replace(chosen_route, candidates=current.candidates)
+
+
 def _check_retry(
     context: InferenceContext,
     chosen_route: Route,
--- a/tests/coordination/inference/test_inference.py
+++ b/tests/coordination/inference/test_inference.py
@@ -10,7 +10,8 @@
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.inference.inference import infer
 from camphoryard.coordination.routing.breakers import Breakers
-from camphoryard.state.enums import Reason
+from camphoryard.state.configuration import Endpoint
+from camphoryard.state.enums import EndpointKind, Reason
 from camphoryard.state.errors import (
     BrokenCallError,
     EndpointRefusedError,
@@ -18,6 +19,7 @@
     RefusalError,
     StalledCallError,
 )
+from camphoryard.state.ids import EndpointId, Generation, Version
 from camphoryard.state.verdict import Verdict
 from tests.fakes.serving import (
     ENGINES,
@@ -25,11 +27,13 @@
     failing_script,
     make_context,
     never_cancelled,
+    record,
     remaining_frames,
     request,
 )
 
 FIRST, SECOND = ENGINES
+THIRD = EndpointId("engine-3")
 TEXT = "t0 t1 t2 t3 t4 "
 
 
@@ -176,6 +180,30 @@
         assert refused.reason is Reason.CANCELLED
         assert len(engines.calls) == 2
 
+    def test_answer_goes_on_at_an_engine_that_a_new_configuration_adds(self):
+        """Those of the configuration that it began with are gone."""
+        engines = FakeEngines({THIRD: remaining_frames})
+        context = make_context(engines)
+        context.table.observe(record(THIRD), Version(1))
+
+        def replace_engines(inference_request, offset):
+            context.configuration.adopt(
+                replace(
+                    context.configuration.current,
+                    generation=Generation(2),
+                    endpoints_by_id={
+                        THIRD: Endpoint(
+                            THIRD, EndpointKind.ENGINE, "127.0.0.1", 3, 9000
+                        )
+                    },
+                )
+            )
+            return failing_script(BrokenCallError("x"), 2)(inference_request, offset)
+
+        engines.script_by_id |= {FIRST: replace_engines, SECOND: replace_engines}
+        assert answer(context) == TEXT
+        assert engines.calls[1:] == [THIRD]
+
 
 class TestVerdict:
     """The verdict of each kind of refusal."""
