--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -638,6 +638,78 @@
         assert site.reply.body == ONE + TWO
 
 
+# Guards against LOST: a request without an end beside a change of the configuration.
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param({"rules": []}, id="route-removed"),
+        pytest.param({"rules": [make_rule(service="other")]}, id="service-moved"),
+        pytest.param({"rules": [make_rule(timeout_s=0.01)]}, id="timeout-shortened"),
+    ],
+)
+class TestChangesOfTheConfiguration:
+    """A change that comes while an endpoint has a request."""
+
+    @staticmethod
+    def changed_site(change, *answers, **options):
+        """Return a site whose rules change with the first send."""
+        site = Site(*answers, **options)
+        rules = make_rules(version=2, **change)
+        site.upstream.on_open = lambda: site.directory.adopt(rules)
+        return site
+
+    @pytest.mark.parametrize(
+        "trouble",
+        [
+            pytest.param(lambda: BrokenCallError("x"), id="broken-off"),
+            pytest.param(lambda: StalledCallError("x"), id="silent"),
+            pytest.param(declined, id="declined"),
+            pytest.param(failed, id="failed"),
+            pytest.param(lambda: served(ONE, PAUSE), id="pausing"),
+            pytest.param(lambda: served(ONE, TWO[:4]), id="cut-in-an-event"),
+            pytest.param(unframed, id="ended-before-it-began"),
+        ],
+    )
+    def test_stream_is_answered_under_the_rules_that_accepted_it(self, change, trouble):
+        """Another endpoint of the same service goes on."""
+        site = self.changed_site(
+            change,
+            trouble(),
+            served(TWO),
+            repeatability=Repeatability.RESUMABLE_STREAM,
+        )
+        site.forward()
+        assert site.reply.status == 200
+        assert site.reply.body.endswith(TWO)
+        assert site.reply.body.count(TWO) == 1
+
+    @pytest.mark.parametrize("repeatability", list(Repeatability))
+    @pytest.mark.parametrize(
+        "trouble",
+        [
+            pytest.param(lambda: BrokenCallError("x"), id="broken-off"),
+            pytest.param(lambda: StalledCallError("x"), id="silent"),
+            pytest.param(declined, id="declined"),
+            pytest.param(unframed, id="ended-before-it-began"),
+            pytest.param(lambda: served(error=BrokenCallError("x")), id="cut"),
+        ],
+    )
+    def test_request_that_cannot_be_answered_can_still_get_a_status(
+        self, change, trouble, repeatability
+    ):
+        """Nothing of an answer was sent, so that its connection need not close."""
+        site = self.changed_site(
+            change,
+            trouble(),
+            repeatability=repeatability,
+            endpoints=("e1",),
+            rule={"max_attempts": 1},
+        )
+        site.upstream.down = {"e1"}
+        site.refusal()
+        assert not site.reply.has_begun
+
+
 # Guards against ORDER and MIXED: the end of an endpoint taken for that of its answer.
 class TestUnframedAnswers:
     """Answers that end with their connection."""
