Test that a request without an answer gets a status

For each reason and verdict, for a fault of the program and for a head that cannot be written, the client gets a status over a real server; only an answer that has begun ends without its end.

--- a/tests/transport/test_front.py
+++ b/tests/transport/test_front.py
@@ -1,11 +1,19 @@
-"""Tests of the status codes of refusals and of the admission switch."""
+"""Tests of the answers to refused requests and of the admission switch."""
+
+import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 import pytest
 
+from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.verdict import Verdict
-from camphoryard.transport.front import AdmissionSwitch, refusal_status
+from camphoryard.transport.front import AdmissionSwitch, FrontApp, refusal_status
+from camphoryard.transport.http_server import make_server
+from tests.fakes.engines import RecordedLog
 
 NOT_RUN, MAY_HAVE_RUN = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN
 
@@ -43,6 +51,82 @@
         assert status not in (429, 503)
 
 
+HOST = "127.0.0.1"
+TIMEOUT_S = 10.0
+
+
+@pytest.fixture
+def answer(monkeypatch):
+    """Return a function that sends a request and returns all that the client gets."""
+    executor = ThreadPoolExecutor()
+    context = SimpleNamespace(
+        log=RecordedLog(),
+        count=lambda _: None,
+        directory=SimpleNamespace(rules=None),
+    )
+    app = FrontApp(context, PlatformDialect())
+    server = make_server(app, HOST, 0, executor, app.refuse)
+    threading.Thread(target=server.run, daemon=True).start()
+
+    def send(forward):
+        monkeypatch.setattr("camphoryard.transport.front.forward", forward)
+        address = (HOST, server.effective_port)
+        with socket.create_connection(address, TIMEOUT_S) as connection:
+            connection.sendall(
+                b"POST /a/b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                b"Attempt-Id: q1\r\nContent-Length: 2\r\n\r\nhi"
+            )
+            return b"".join(iter(lambda: connection.recv(4096), b""))
+
+    yield send
+    server.close()
+    executor.shutdown()
+
+
+# Guards against LOST: a connection closed where a status could still be sent.
+class TestUnansweredRequests:
+    """What a client gets if forwarding its request fails."""
+
+    @pytest.mark.parametrize("verdict", [NOT_RUN, MAY_HAVE_RUN])
+    @pytest.mark.parametrize("reason", list(Reason))
+    def test_refused_request_gets_a_status(self, answer, reason, verdict):
+        """Nothing of an answer was sent, whatever ends the request."""
+
+        def forward(context, request, cancellation, reply):
+            raise RefusalError(reason, "x", verdict)
+
+        status = refusal_status(RefusalError(reason, "x", verdict))
+        assert answer(forward).startswith(f"HTTP/1.1 {status} ".encode())
+
+    def test_fault_of_the_program_gets_a_status(self, answer):
+        """It does not promise that the request has not run."""
+
+        def forward(context, request, cancellation, reply):
+            raise RuntimeError("a fault")
+
+        assert answer(forward).startswith(b"HTTP/1.1 502 ")
+
+    def test_answer_whose_head_cannot_be_written_gets_a_status(self, answer):
+        """A header of the endpoint may have a line break in it."""
+
+        def forward(context, request, cancellation, reply):
+            reply.send_complete(200, {"X-Folded": "a\r\n b"}, b"ok")
+
+        assert answer(forward).startswith(b"HTTP/1.1 500 ")
+
+    def test_answer_that_has_begun_ends_without_its_end(self, answer):
+        """The client sees that it is not complete."""
+
+        def forward(context, request, cancellation, reply):
+            reply.begin(200, {})
+            reply.write(b"data: 1\n\n")
+            raise RefusalError(Reason.ENDPOINT_FAILED, "x", MAY_HAVE_RUN)
+
+        received = answer(forward)
+        assert received.startswith(b"HTTP/1.1 200 ")
+        assert not received.endswith(b"0\r\n\r\n")
+
+
 class TestAdmissionSwitch:
     """Admission on a node that stops."""
 
