--- a/src/camphoryard/coordination/inference/inference.py
+++ b/src/camphoryard/coordination/inference/inference.py
@@ -1,6 +1,8 @@
 """Runs one inference request, from routing to its last token."""
 
+import threading
 import time
+from dataclasses import replace
 
 from camphoryard.coordination.admission.admission import Lane, Ticket
 from camphoryard.coordination.admission.concurrency_limits import caller_limit
@@ -34,6 +36,8 @@
 MAX_ATTEMPTS_WITHOUT_TOKEN = 4
 LOAD_REQUEST_PERIOD_S = 1.0
 RESUME_TIMEOUT_S = 30.0
+RESUME_RETRY_DELAY_S = 0.2
+"""Delay before the rest of an answer that an engine declined is asked for again."""
 AFFINITY_KEY_CHARACTERS = 256
 
 
@@ -92,7 +96,8 @@
         except (NotSentError, BrokenCallError, EndpointRefusedError) as error:
             _check_cancelled(cancellation, progress)
             check_total_deadline(request, progress)
-            _check_retry(context, chosen_route, progress, error)
+            _check_retry(context, chosen_route, progress, error, cancellation)
+            chosen_route = _with_current_candidates(context, request, chosen_route)
         finally:
             context.admission.release(ticket)
 
@@ -214,18 +219,44 @@
         )
 
 
+def _with_current_candidates(
+    context: InferenceContext, request: InferenceRequest, chosen_route: Route
+) -> Route:
+    """Return the route with the endpoints that the newest configuration selects.
+
+    A request keeps those that it was accepted with if no route is left for it.
+    """
+    try:
+        current = _choose_route(context.configuration.current, request)
+    except RefusalError:
+        return chosen_route
+    return replace(chosen_route, candidates=current.candidates)
+
+
 def _check_retry(
     context: InferenceContext,
     chosen_route: Route,
     progress: Progress,
     error: CamphoryardError,
+    cancellation: Cancellation,
 ) -> None:
-    """Raise RefusalError unless the request may be sent again."""
+    """Return once the request may be sent again.
+
+    Raises
+    ------
+    RefusalError
+        If it may not, or its caller disconnects.
+    """
     match error:
         case EndpointRefusedError(status=status) if status not in NOT_RUN_STATUSES:
             raise RefusalError(
                 Reason.ENDPOINT_FAILED, str(error), progress.verdict
             ) from error
+        case EndpointRefusedError() if _may_wait_to_resume(progress):
+            # An engine that declined the rest of an answer has not run it.
+            progress.attempts_without_token -= 1
+            _wait_to_resume(cancellation, progress)
+            return
         case _:
             pass
     if progress.attempts_without_token >= MAX_ATTEMPTS_WITHOUT_TOKEN:
@@ -242,6 +273,23 @@
         ) from error
 
 
+def _may_wait_to_resume(progress: Progress) -> bool:
+    """Return whether an answer has begun and its next token is still waited for."""
+    return (
+        progress.offset > 0
+        and time.monotonic() < progress.last_token_s + RESUME_TIMEOUT_S
+    )
+
+
+def _wait_to_resume(cancellation: Cancellation, progress: Progress) -> None:
+    """Wait before the rest of an answer is asked for again."""
+    has_left = threading.Event()
+    handle = cancellation.subscribe(has_left.set)
+    has_left.wait(RESUME_RETRY_DELAY_S)
+    cancellation.unsubscribe(handle)
+    _check_cancelled(cancellation, progress)
+
+
 def _uses_retry_budget(progress: Progress, error: CamphoryardError) -> bool:
     """Return whether a retry takes from the retry budget.
 
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -52,6 +52,7 @@
 
 ONE, TWO, THREE = (f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3))
 MOST_URGENT = Urgency(0)
+RETRY_WINDOW_S = 10.0
 TRICKLE_S = 0.1
 """Time between the bytes of an answer that trickles."""
 PAUSE = b"PAUSE"
@@ -138,6 +139,7 @@
         self.sent = []
         self.on_open = lambda: None
         self.down = set()
+        self.silence_s = 0.0
 
     def open(self, endpoint, request, options, cancellation):
         """Record a request and return the next answer."""
@@ -148,9 +150,9 @@
             raise answer
         return answer
 
-    def is_down(self, endpoint, after_s=0.0):
-        """Return whether an endpoint accepts no connection."""
-        return endpoint.id in self.down
+    def is_down(self, endpoint, after_s=0.0, wait_s=0.4):
+        """Return whether an endpoint is gone, or silent for longer than ``wait_s``."""
+        return endpoint.id in self.down or wait_s < self.silence_s
 
 
 class Reply:
@@ -215,7 +217,7 @@
         self.breakers = Breakers(self.clock)
         self.first_events = FirstEventTracker(self.clock)
         in_flight = InFlightTable()
-        limits = RepeatLimits(0.2, options.get("reserve", 50.0), 10.0)
+        limits = RepeatLimits(0.2, options.get("reserve", 50.0), RETRY_WINDOW_S)
         self.context = ForwardingContext(
             self.directory,
             EndpointChooser(ZONE, in_flight.count),
@@ -476,6 +478,14 @@
         assert site.reply.body == ONE + TWO
         assert len(site.sent_to) == 1
 
+    # Guards against LOST: a sound stream was closed in its middle for a pause.
+    def test_a_pause_of_a_stream_without_ids_is_waited_out(self):
+        """No endpoint can go on after an event without an id."""
+        events = b"data: a\n\n", b"data: b\n\n"
+        site = Site(served(events[0], PAUSE, events[1]), repeatability=self.STREAM)
+        site.forward()
+        assert site.reply.body == b"".join(events)
+
     def test_the_silence_timeout_is_shorter_if_another_endpoint_may_be_tried(self):
         """The last attempt may use all of the client's remaining time."""
         site = Site(StalledCallError("x"), served(ONE), repeatability=self.STREAM)
@@ -502,6 +512,205 @@
         assert deadlines == {site.clock.now_s + 10.0}
 
 
+# Guards against LOST: streams were closed in their middle, their clients still waiting.
+class TestStreamsThatHaveBegun:
+    """Streams that cannot be continued at once; their clients cannot come back."""
+
+    STREAM = Repeatability.RESUMABLE_STREAM
+    BROKEN = BrokenCallError("x")
+
+    @staticmethod
+    def on_wait(site, change):
+        """Advance the clock in place of each wait, and then run ``change``."""
+
+        def wait_until(condition, until_s):
+            site.clock.advance(max(0.0, until_s - site.clock.now_s))
+            change()
+            return condition()
+
+        site.directory.wait_until = wait_until
+
+    def test_stream_waits_for_a_retry_of_the_budget(self):
+        """Earlier retries leave the window while its client waits."""
+        site = Site(
+            served(ONE, error=self.BROKEN),
+            served(TWO),
+            repeatability=self.STREAM,
+            reserve=1.2,
+        )
+        assert site.context.retries.take(SERVICE)
+        site.clock.advance(RETRY_WINDOW_S - 1.0)
+        site.request = replace(
+            site.request,
+            arrived_s=site.clock.now_s,
+            deadline_s=site.clock.now_s + 20.0,
+        )
+        self.on_wait(site, lambda: None)
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    def test_stream_without_a_retry_ends_with_its_clients_patience(self):
+        """No retry is taken beyond the budget."""
+        site = Site(
+            served(ONE, error=self.BROKEN), repeatability=self.STREAM, reserve=0.0
+        )
+        self.on_wait(site, lambda: None)
+        began_s = site.clock.now_s
+        assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
+        patience_s = make_rule(self.STREAM).client_timeout_s
+        assert site.clock.now_s - began_s == pytest.approx(patience_s)
+        assert len(site.sent_to) == 1
+
+    def test_stream_declined_by_many_goes_on_where_it_is_accepted(self):
+        """A request that has not begun is refused after so many sends."""
+        site = Site(
+            served(ONE, error=self.BROKEN),
+            *(declined() for _ in range(4)),
+            served(TWO),
+            repeatability=self.STREAM,
+            endpoints=tuple(f"e{number}" for number in range(6)),
+        )
+        self.on_wait(site, lambda: None)
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    def test_stream_given_up_for_a_pause_goes_on_though_others_decline_first(self):
+        """A crowd fills the queues of the endpoints that could continue it."""
+        model = RequestedModel(ModelId("m1"))
+        site = Site(
+            served(ONE, PAUSE),
+            *(declined() for _ in range(3)),
+            served(TWO),
+            repeatability=self.STREAM,
+            endpoints=tuple(f"e{number}" for number in range(5)),
+            models=["m1"],
+            requested_model=model,
+        )
+        self.on_wait(site, lambda: None)
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    @pytest.mark.parametrize("notices", [(), (Leaving(),)], ids=["failed", "leaving"])
+    def test_stream_waits_for_another_endpoint_of_its_service(self, notices):
+        """The only one has failed it, or leaves; another one starts."""
+        site = Site(
+            served(ONE, error=self.BROKEN, notices=notices),
+            served(TWO),
+            repeatability=self.STREAM,
+            endpoints=("e1",),
+        )
+        self.on_wait(site, lambda: site.directory.observe(make_endpoint("e2")))
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+    def test_stream_of_which_only_a_comment_was_sent_waits_too(self):
+        """Its client has the head of the answer and cannot get a refusal."""
+        site = Site(
+            served(b":\n\n", error=self.BROKEN),
+            served(ONE),
+            repeatability=self.STREAM,
+            endpoints=("e1",),
+        )
+        self.on_wait(site, lambda: site.directory.observe(make_endpoint("e2")))
+        site.forward()
+        assert site.reply.body == b":\n\n" + ONE
+
+    def test_stream_that_waits_ends_once_its_client_leaves(self):
+        """Nothing is sent for a client that is gone."""
+        site = Site(
+            served(ONE, error=self.BROKEN),
+            served(TWO),
+            repeatability=self.STREAM,
+            endpoints=("e1",),
+        )
+        self.on_wait(site, site.cancellation.cancel)
+        assert site.refusal().reason is Reason.CANCELLED
+        assert site.sent_to == ["e1"]
+
+    def test_stream_goes_on_though_its_route_is_gone(self):
+        """A request keeps the rules under which it was accepted."""
+        site = Site(
+            served(ONE, error=self.BROKEN), served(TWO), repeatability=self.STREAM
+        )
+        site.upstream.on_open = lambda: site.directory.adopt(
+            make_rules(rules=[], version=2)
+        )
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+
+# Guards against LOST: a request without an end beside a change of the configuration.
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param({"rules": []}, id="route-removed"),
+        pytest.param({"rules": [make_rule(service="other")]}, id="service-moved"),
+        pytest.param({"rules": [make_rule(timeout_s=0.01)]}, id="timeout-shortened"),
+    ],
+)
+class TestChangesOfTheConfiguration:
+    """A change that comes while an endpoint has a request."""
+
+    @staticmethod
+    def changed_site(change, *answers, **options):
+        """Return a site whose rules change with the first send."""
+        site = Site(*answers, **options)
+        rules = make_rules(version=2, **change)
+        site.upstream.on_open = lambda: site.directory.adopt(rules)
+        return site
+
+    @pytest.mark.parametrize(
+        "trouble",
+        [
+            pytest.param(lambda: BrokenCallError("x"), id="broken-off"),
+            pytest.param(lambda: StalledCallError("x"), id="silent"),
+            pytest.param(declined, id="declined"),
+            pytest.param(failed, id="failed"),
+            pytest.param(lambda: served(ONE, PAUSE), id="pausing"),
+            pytest.param(lambda: served(ONE, TWO[:4]), id="cut-in-an-event"),
+            pytest.param(unframed, id="ended-before-it-began"),
+        ],
+    )
+    def test_stream_is_answered_under_the_rules_that_accepted_it(self, change, trouble):
+        """Another endpoint of the same service goes on."""
+        site = self.changed_site(
+            change,
+            trouble(),
+            served(TWO),
+            repeatability=Repeatability.RESUMABLE_STREAM,
+        )
+        site.forward()
+        assert site.reply.status == 200
+        assert site.reply.body.endswith(TWO)
+        assert site.reply.body.count(TWO) == 1
+
+    @pytest.mark.parametrize("repeatability", list(Repeatability))
+    @pytest.mark.parametrize(
+        "trouble",
+        [
+            pytest.param(lambda: BrokenCallError("x"), id="broken-off"),
+            pytest.param(lambda: StalledCallError("x"), id="silent"),
+            pytest.param(declined, id="declined"),
+            pytest.param(unframed, id="ended-before-it-began"),
+            pytest.param(lambda: served(error=BrokenCallError("x")), id="cut"),
+        ],
+    )
+    def test_request_that_cannot_be_answered_can_still_get_a_status(
+        self, change, trouble, repeatability
+    ):
+        """Nothing of an answer was sent, so that its connection need not close."""
+        site = self.changed_site(
+            change,
+            trouble(),
+            repeatability=repeatability,
+            endpoints=("e1",),
+            rule={"max_attempts": 1},
+        )
+        site.upstream.down = {"e1"}
+        site.refusal()
+        assert not site.reply.has_begun
+
+
 # Guards against ORDER and MIXED: the end of an endpoint taken for that of its answer.
 class TestUnframedAnswers:
     """Answers that end with their connection."""
@@ -527,6 +736,17 @@
         site.forward()
         assert site.reply.body == ONE + TWO
 
+    # Guards against LOST: a complete stream was cut as its endpoint was silent.
+    @pytest.mark.parametrize("repeatability", [Repeatability.STREAM, STREAM])
+    def test_stream_of_an_endpoint_that_is_silent_for_a_second_is_complete(
+        self, repeatability
+    ):
+        """Neither accepting nor refusing a connection is no sign of its end."""
+        site = Site(unframed(ONE, TWO), repeatability=repeatability)
+        site.upstream.silence_s = 1.2
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
     @pytest.mark.parametrize("is_down", [False, True])
     def test_whole_answer_is_incomplete_if_its_endpoint_is_gone(self, is_down):
         """A request that may run once has then perhaps run."""
@@ -791,6 +1011,32 @@
         assert fingerprint(Site().request) is None
 
 
+class TestLogOfUnansweredRequests:
+    """What the log tells of a request that ends without its whole answer."""
+
+    def test_cut_answer_names_what_was_left(self):
+        """On call one can tell which limit ended it."""
+        site = Site(
+            served(ONE, error=BrokenCallError("x")),
+            repeatability=Repeatability.STREAM,
+        )
+        site.refusal()
+        cut = dict(site.log.lines)["answer_cut"]
+        assert cut["request"] == site.request.id
+        assert (cut["sends"], cut["runs"], cut["max_attempts"]) == (1, 1, 2)
+        assert (cut["may_run_again"], cut["retry_left"]) == (False, True)
+        assert (cut["resumable"], cut["events"]) == (True, 1)
+        assert (cut["rules"], cut["newest_rules"]) == (1, 1)
+
+    def test_refused_request_is_told_apart(self):
+        """Many refusals of a crowd leave no cut answer out of the log."""
+        site = Site(endpoints=())
+        site.refusal()
+        assert "answer_cut" not in site.log.events()
+        unanswered = dict(site.log.lines)["request_unanswered"]
+        assert (unanswered["sends"], unanswered["endpoint"]) == (0, "")
+
+
 class TestRefusals:
     """Requests that cannot be served are refused at once."""
 
