Qualify versions in the object API by the era of the store

Seen: read in the code; a restored object API gives revisions out again, so a conditional write may replace another object than the one that was read, a watch goes on over a gap without 410, and tables drop what is new as old. Cause: versions were the revisions as the object API counts them, and its era was read nowhere. Change: versions and revisions of ObjectRecords carry the era. A write at a version of an earlier era conflicts without being sent; a write that another era answers has an unknown outcome; a watch that another era answers conflicts, so that the watcher lists again. Only the revision goes on the wire. An object API that tells no era stays in era 0, as before.

--- a/src/camphoryard/transport/object_api.py
+++ b/src/camphoryard/transport/object_api.py
@@ -1,6 +1,6 @@
 """Typed records stored in the platform's object API."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Generic, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -8,6 +8,7 @@
 
 from camphoryard.coordination.ports import Snapshot, Stored
 from camphoryard.protocol.platform import (
+    ERA_HEADER,
     EXPECTED_HEADER,
     VERSION_HEADER,
     Codec,
@@ -21,7 +22,15 @@
     ObjectTooLargeError,
     StoreUnavailableError,
 )
-from camphoryard.state.ids import ObjectKey, Revision, Version
+from camphoryard.state.ids import ObjectKey, Revision, StoreEra, Version
+from camphoryard.state.store_eras import (
+    FIRST_ERA,
+    NewestEra,
+    era_of,
+    revision_in,
+    stored_revision,
+    version_in,
+)
 from camphoryard.transport.http_client import (
     Address,
     HttpAnswer,
@@ -34,16 +43,43 @@
 CALL_TIMEOUT_S = 1.0
 WATCH_GRACE_S = 2.0
 MAX_VALUE_BYTES = 1 << 20
+MAX_ERA_DIGITS = 6
+"""Versions and fencing numbers of an era with more would not fit into 63 bits."""
 OK, CREATED, NOT_FOUND, GONE, CONFLICT = 200, 201, 404, 410, 412
 
 
+def _ignore(era: StoreEra) -> None:
+    """Do nothing."""
+
+
 class ObjectApi:
-    """Client of the object API at one address."""
+    """Client of the object API at one address.
 
-    def __init__(self, client: HttpClient, address: Address, token: str) -> None:
+    Parameters
+    ----------
+    client : HttpClient
+        Makes the calls.
+    address : Address
+        Address of the object API.
+    token : str
+        Bearer token of each call.
+    on_restored : callable
+        Called with each later era of the store, before the answer that told it is
+        returned; it must not call the object API.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        address: Address,
+        token: str,
+        on_restored: Callable[[StoreEra], None] = _ignore,
+    ) -> None:
         self._client = client
         self._address = address
         self._headers = {"Authorization": f"Bearer {token}"}
+        self._on_restored = on_restored
+        self._newest = NewestEra()
 
     def call(
         self,
@@ -59,13 +95,17 @@
         Raises
         ------
         ConflictError
-            If ``expected`` is not the current version.
+            If ``expected`` is not the current version, or from before a restore.
         StoreUnavailableError
-            If no answer is received or its status is not in ``accepted``.
+            If no answer is received, its status is not in ``accepted``, or another
+            era than that of ``expected`` answered.
         """
         headers = dict(self._headers)
+        era = self._newest.current
         if expected is not None:
-            headers[EXPECTED_HEADER] = str(expected)
+            era = self._newest.of_write(expected)
+            self.check_newest(era)
+            headers[EXPECTED_HEADER] = str(stored_revision(expected))
         # A write needs a new connection: a stale one would leave its outcome unknown,
         # and a repeated conditional update could conflict with its own first attempt.
         request = HttpCall(
@@ -75,12 +115,48 @@
             answer = self._client.call(self._address, request)
         except (NotSentError, BrokenCallError) as error:
             raise StoreUnavailableError(str(error)) from error
+        answered_era = era_in(answer)
+        if self._newest.observe(answered_era):
+            self._on_restored(answered_era)
         if answer.status in (CONFLICT, GONE):
             raise ConflictError(f"{path}: version conflict")
         if answer.status not in accepted:
             raise StoreUnavailableError(f"{path}: status {answer.status}")
+        if expected is not None and answered_era != era:
+            raise StoreUnavailableError(
+                f"{path}: era {answered_era} answered a write to era {era}"
+            )
         return answer
 
+    def check_newest(self, era: StoreEra) -> None:
+        """Raise ConflictError if the store has been restored since ``era``."""
+        if era < self._newest.current:
+            raise ConflictError(
+                f"era {era} of the store ended; it is in era {self._newest.current}"
+            )
+
+
+def era_in(answer: HttpAnswer) -> StoreEra:
+    """Return the era that an answer tells.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If it is not a number of up to ``MAX_ERA_DIGITS`` digits.
+    """
+    told = answer.headers.get(ERA_HEADER, str(FIRST_ERA))
+    if not (told.isascii() and told.isdecimal()) or len(told) > MAX_ERA_DIGITS:
+        raise StoreUnavailableError(f"invalid era {told!r}")
+    return StoreEra(int(told))
+
+
+def version_of(answer: HttpAnswer) -> Version:
+    """Return the version of the object in an answer; raises as ``era_in``."""
+    try:
+        return version_in(era_in(answer), int(answer.headers[VERSION_HEADER]))
+    except ValueError as error:
+        raise StoreUnavailableError(str(error)) from error
+
 
 class ObjectRecords(Generic[RecordT]):
     """Records of one kind under one key prefix."""
@@ -95,8 +171,7 @@
         answer = self._api.call("GET", self._path(key), (OK, NOT_FOUND))
         if answer.status == NOT_FOUND:
             return None
-        version = Version(int(answer.headers[VERSION_HEADER]))
-        return Stored(ObjectKey(key), version, self._decode(answer.body))
+        return Stored(ObjectKey(key), version_of(answer), self._decode(answer.body))
 
     def put(self, key: str, record: RecordT, version: Version) -> Version:
         """Write if the version is still ``version``; see the Records port."""
@@ -104,7 +179,7 @@
         answer = self._api.call(
             "PUT", self._path(key), (OK, CREATED), body, expected=version
         )
-        return Version(int(answer.headers[VERSION_HEADER]))
+        return version_of(answer)
 
     def delete(self, key: str, version: Version) -> None:
         """Delete if the version is still ``version``."""
@@ -117,12 +192,21 @@
 
     def watch(self, since: Revision, wait_s: float) -> Snapshot[RecordT]:
         """Block up to ``wait_s`` for changes after ``since``."""
-        query = urlencode({"prefix": self._prefix, "since": since, "wait_s": wait_s})
-        return self._snapshot(
-            self._api.call(
-                "GET", f"/watch?{query}", (OK,), timeout_s=wait_s + WATCH_GRACE_S
-            )
+        era = era_of(since)
+        self._api.check_newest(era)
+        query = urlencode(
+            {
+                "prefix": self._prefix,
+                "since": stored_revision(since),
+                "wait_s": wait_s,
+            }
+        )
+        answer = self._api.call(
+            "GET", f"/watch?{query}", (OK,), timeout_s=wait_s + WATCH_GRACE_S
         )
+        if era_in(answer) != era:
+            raise ConflictError(f"{self._prefix}: restored during the watch")
+        return self._snapshot(answer)
 
     def _path(self, key: str) -> str:
         return f"/objects/{quote(self._prefix + key)}"
@@ -134,16 +218,22 @@
             raise StoreUnavailableError(f"{self._prefix}: {error}") from error
 
     def _snapshot(self, answer: HttpAnswer) -> Snapshot[RecordT]:
+        era = era_in(answer)
         listing = decode_listing(answer.body)
+        try:
+            revision = revision_in(era, listing.revision)
+            versions = [version_in(era, item.version) for item in listing.items]
+        except ValueError as error:
+            raise StoreUnavailableError(str(error)) from error
         items = tuple(
             Stored(
                 ObjectKey(item.key.removeprefix(self._prefix)),
-                Version(item.version),
+                version,
                 None if item.value is None else self._decode(item.value),
             )
-            for item in listing.items
+            for item, version in zip(listing.items, versions, strict=True)
         )
-        return Snapshot(Revision(listing.revision), items)
+        return Snapshot(revision, items)
 
 
 class ObjectContents:
--- a/tests/fakes/object_api.py
+++ b/tests/fakes/object_api.py
@@ -2,10 +2,13 @@
 
 import itertools
 from collections.abc import Callable
+from urllib.parse import parse_qsl, unquote, urlsplit
 
 from camphoryard.coordination.ports import Snapshot, Stored
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT, ObjectKey, Revision, Version
+from camphoryard.transport.http_client import HttpAnswer
+from standins.web import Request
 
 
 class InMemoryRecords:
@@ -90,3 +93,27 @@
     def keys(self):
         """Return the keys of all parts."""
         return tuple(self.part_by_key)
+
+
+class StoreClient:
+    """An HTTP client of a stand-in for the object API in this process.
+
+    Answers lack the header ``dropped_header``.
+    """
+
+    def __init__(self, store):
+        self._store = store
+        self.calls = []
+        self.dropped_header = ""
+
+    def call(self, address, call):
+        """Return the stand-in's answer."""
+        self.calls.append(call)
+        parts = urlsplit(call.path)
+        query = dict(parse_qsl(parts.query))
+        response = self._store.handle(
+            Request(call.method, unquote(parts.path), query, call.headers, call.body)
+        )
+        headers = dict(response.headers)
+        headers.pop(self.dropped_header, None)
+        return HttpAnswer(response.status, headers, b"".join(response.body))
