Write claims again that a restored store has lost

Seen: read in the code; an action that ran in the span that a restore takes away runs a second time when it is sent again, since its claim is gone, and an action that still runs is started again beside itself. Cause: the claim in the object API was the only record of a started action. Change: a node keeps its running and just answered claims and writes them again when an answer tells a later era. For half of a lease after that, no node claims a key: the request waits, or is refused as not run with Retry-After. A claim whose own write tells the era is released. A claim that is written again waits for one in its place to be released, and does not remove a later outcome from the pending ones.

--- a/src/camphoryard/coordination/actions/claiming.py
+++ b/src/camphoryard/coordination/actions/claiming.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from uuid import uuid4
 
@@ -10,9 +10,11 @@
     ClaimFinalizer,
     Finalization,
 )
+from camphoryard.coordination.actions.recent_claims import RecentClaims
 from camphoryard.coordination.conditional_writes import write_resolved
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Records, Stored, Timer
+from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.state.claims import Claim
 from camphoryard.state.enums import ClaimState, Reason
 from camphoryard.state.errors import (
@@ -42,6 +44,8 @@
     nodes: NodeTable
     timer: Timer
     timeline: Timeline
+    restores: StoreRestores = field(default_factory=StoreRestores)
+    recent: RecentClaims = field(default_factory=RecentClaims)
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,9 +74,9 @@
     Each field is preceded by its length, so that boundaries between fields count.
     """
     digest = blake2b(digest_size=DIGEST_BYTES)
-    for field in fields:
-        digest.update(b"%d:" % len(field))
-        digest.update(field)
+    for part in fields:
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
     return digest.hexdigest()
 
 
@@ -101,6 +105,7 @@
     )
     version = ABSENT
     while True:
+        _wait_until_settled(context, request.deadline_s)
         try:
             version = write_resolved(context.claims, key, new_claim, version)
         except ConflictError:
@@ -113,14 +118,46 @@
                 Reason.STORE_UNAVAILABLE, "the claim could not be recorded"
             ) from error
         else:
-            context.timeline.record("claimed", request=request.id, key=key)
-            return HeldClaim(key, new_claim, version)
+            held_claim = HeldClaim(key, new_claim, version)
+            # Before the check: a later restore is then heard by `write_claims_again`.
+            context.recent.remember(
+                Finalization(key, new_claim.write_id, new_claim, is_confirmed=True)
+            )
+            if context.restores.is_confirmed(version):
+                context.timeline.record("claimed", request=request.id, key=key)
+                return held_claim
+            release_claim(context, held_claim)
+            new_claim = replace(new_claim, write_id=WriteId(uuid4().hex))
+            version = ABSENT
+            continue
         answer = answer_from_claim(stored.record, new_claim.fingerprint)
         if answer is not None:
             return answer
         version = stored.version
 
 
+def _wait_until_settled(context: ClaimContext, deadline_s: float) -> None:
+    """Block until claims that a restored store has lost are written again.
+
+    Raises
+    ------
+    RefusalError
+        If that is not before the deadline.
+    """
+    if not context.restores.wait_settled(deadline_s - RESPONSE_MARGIN_S):
+        raise RefusalError(
+            Reason.STORE_UNAVAILABLE,
+            "the object API was restored from an older copy; an earlier request with"
+            " this key may not be recorded again yet",
+            retry_after_s=context.restores.settling_left_s(),
+        )
+
+
+def write_claims_again(context: ClaimContext) -> None:
+    """Write the claims of this node again, since the store may have lost them."""
+    context.finalizer.write_again(context.recent.all())
+
+
 def record_answer(
     context: ClaimContext, held_claim: HeldClaim, answer: ActionAnswer
 ) -> None:
@@ -222,7 +259,10 @@
 
 def _finalize(context: ClaimContext, held_claim: HeldClaim, final_claim: Claim) -> None:
     final_claim = replace(final_claim, write_id=WriteId(uuid4().hex))
-    finalization = Finalization(held_claim.key, held_claim.claim.write_id, final_claim)
+    finalization = Finalization(
+        held_claim.key, held_claim.claim.write_id, final_claim, is_confirmed=True
+    )
+    context.recent.remember(finalization)
     context.finalizer.finalize(finalization, held_claim.version)
 
 
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -70,7 +70,10 @@
 def make_node(settings: Settings) -> Node:
     """Return a node of which only the timer is running."""
     shared = make_shared_context(settings)
-    platform = make_platform(settings.platform, shared.client)
+    platform = make_platform(settings.platform, shared.client, shared.restores.observe)
+    shared.restores.subscribe(
+        lambda: shared.timeline.record("store_era", era=shared.restores.era)
+    )
     residency = make_residency(shared, platform)
     claim_finalizer = ClaimFinalizer(platform.claims, shared.timeline)
     serving = make_serving(shared, platform, residency, claim_finalizer)
--- a/src/camphoryard/node/platform.py
+++ b/src/camphoryard/node/platform.py
@@ -1,5 +1,6 @@
 """Access of a node to the platform's object API and VM list."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from camphoryard.coordination.ports import Records, VmList
@@ -16,6 +17,7 @@
 from camphoryard.state.claims import Claim
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.endpoint_record import EndpointRecord
+from camphoryard.state.ids import StoreEra
 from camphoryard.state.jobs import Job
 from camphoryard.state.nodes import NodeLease
 from camphoryard.state.refusals import RefusalCounts
@@ -38,10 +40,14 @@
     finished_jobs: Records[Job]
 
 
-def make_platform(settings: PlatformSettings, client: HttpClient) -> Platform:
+def make_platform(
+    settings: PlatformSettings,
+    client: HttpClient,
+    on_restored: Callable[[StoreEra], None],
+) -> Platform:
     """Return access to the records in the object API that the settings name."""
     address = Address(settings.object_api_host, settings.object_api_port)
-    api = ObjectApi(client, address, settings.object_api_token)
+    api = ObjectApi(client, address, settings.object_api_token, on_restored)
     return Platform(
         ObjectRecords(api, "endpoints/", ENDPOINT_RECORD_CODEC),
         ObjectRecords(api, "configuration/heads/", HEAD_CODEC),
--- a/src/camphoryard/node/serving.py
+++ b/src/camphoryard/node/serving.py
@@ -1,10 +1,14 @@
 """Construction of the request gateway and of the decisions about each request."""
 
+import functools
 from dataclasses import dataclass
 
 from camphoryard.coordination.actions.actions import ActionContext
 from camphoryard.coordination.actions.claim_finalizer import ClaimFinalizer
-from camphoryard.coordination.actions.claiming import ClaimContext
+from camphoryard.coordination.actions.claiming import (
+    ClaimContext,
+    write_claims_again,
+)
 from camphoryard.coordination.admission.admission import Admission
 from camphoryard.coordination.admission.concurrency_limits import ConcurrencyLimits
 from camphoryard.coordination.inference.inference_context import InferenceContext
@@ -85,7 +89,9 @@
         shared.nodes,
         shared.timer,
         shared.timeline,
+        shared.restores,
     )
+    shared.restores.subscribe(functools.partial(write_claims_again, claiming))
     actions = ActionContext(
         shared.configuration,
         claiming,
--- a/src/camphoryard/node/shared.py
+++ b/src/camphoryard/node/shared.py
@@ -15,6 +15,7 @@
 from camphoryard.coordination.refusals.refusals import RefusalCounter
 from camphoryard.coordination.residency.residency_context import Identity
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
+from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.node.policies import make_budget_policy
 from camphoryard.settings import PeerSettings, Settings
 from camphoryard.state.ids import Incarnation
@@ -37,6 +38,8 @@
 LOAD_TASKS = 64
 NODE_TASKS = 32
 INCARNATION_CHARACTERS = 16
+SETTLINGS_PER_LEASE = 2
+"""A node calls the object API several times in each lease duration."""
 log = structlog.get_logger()
 
 
@@ -78,6 +81,7 @@
     system_demand: SystemDemand
     budget: WeightBudgetClient
     refusals: RefusalCounter
+    restores: StoreRestores
     stop: threading.Event
 
 
@@ -161,5 +165,6 @@
         SystemDemand(identity.node, nodes, demand),
         WeightBudgetClient(budget, identity.node, nodes, peers),
         RefusalCounter(identity.incarnation),
+        StoreRestores(settings.peers.lease_s / SETTLINGS_PER_LEASE),
         threading.Event(),
     )
--- a/tests/coordination/actions/test_claiming.py
+++ b/tests/coordination/actions/test_claiming.py
@@ -16,8 +16,12 @@
     record_answer,
     record_unknown_outcome,
     release_claim,
+    write_claims_again,
 )
+from camphoryard.coordination.actions.recent_claims import RecentClaims
 from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.store_restores import StoreRestores
+from camphoryard.protocol.platform import CLAIM_CODEC
 from camphoryard.state.claims import Claim
 from camphoryard.state.enums import ClaimState, Reason
 from camphoryard.state.errors import RefusalError
@@ -27,9 +31,11 @@
 from camphoryard.state.timeline import HybridClock
 from camphoryard.state.verdict import Verdict
 from camphoryard.transport.timer import TimerService
-from tests.fakes.object_api import InMemoryRecords
+from standins.object_api import Store
+from tests.fakes.object_api import InMemoryRecords, make_object_records
 
 DEADLINE_S = 60.0
+SETTLING_S = 3.0
 ANSWER = ActionAnswer(201, b"booked")
 
 
@@ -137,3 +143,154 @@
         context.finalizer.finalize_pending()
         key = claim_key(make_request())
         assert context.claims.get(key).record.state is ClaimState.RELEASED
+
+
+class RestoredSite:
+    """Two nodes that claim keys in a store, which loses what is claimed."""
+
+    def __init__(self):
+        self.store = Store()
+        self.timer = TimerService()
+        self.now_s = 0.0
+        self.one, self.two = self.node("i1"), self.node("i2")
+        self.copied_s = time.monotonic()
+
+    def node(self, incarnation):
+        """Return the context of a node that has been told the first era."""
+        restores = StoreRestores(SETTLING_S, lambda: self.now_s)
+        claims = make_object_records(
+            self.store, "claims/", CLAIM_CODEC, restores.observe
+        )
+        timeline = Timeline(incarnation, HybridClock(), lambda event: None)
+        context = ClaimContext(
+            incarnation,
+            claims,
+            ClaimFinalizer(claims, timeline),
+            NodeTable(),
+            self.timer,
+            timeline,
+            restores,
+            RecentClaims(lambda: self.now_s),
+        )
+        restores.subscribe(lambda: write_claims_again(context))
+        claims.list()
+        self.settle()
+        return context
+
+    def settle(self):
+        """Let the time pass in which the nodes write again."""
+        self.now_s += SETTLING_S
+
+    def restore(self):
+        """Restore the store to the state before the first claim."""
+        self.store.restore(self.copied_s)
+
+    def hear(self, context):
+        """Let a node hear of the restore and write its claims again."""
+        context.claims.list()
+        context.finalizer.finalize_pending()
+
+
+@pytest.fixture
+def site():
+    """Return two nodes that share a store that can be restored."""
+    site = RestoredSite()
+    yield site
+    site.timer.close()
+
+
+# Guards against an action that runs twice: the store lost the claim of a running node.
+class TestRestoredStore:
+    """Claims of running nodes that the store has lost."""
+
+    def test_lost_answer_is_replayed(self, site):
+        """The claimant writes the answer again, and another node replays it."""
+        held = acquire_claim(site.one, make_request())
+        record_answer(site.one, held, ANSWER)
+        site.restore()
+        site.hear(site.one)
+        site.hear(site.two)
+        site.settle()
+        replayed = acquire_claim(site.two, make_request(id="r2"))
+        assert (replayed.body, replayed.replayed) == (ANSWER.body, True)
+
+    def test_lost_claim_of_a_running_action_is_written_again(self, site):
+        """Another node finds the claim, and the action's answer once it is known."""
+        held = acquire_claim(site.one, make_request())
+        site.restore()
+        site.hear(site.one)
+        site.hear(site.two)
+        site.settle()
+        with pytest.raises(RefusalError) as caught:
+            acquire_claim(site.two, make_request(id="r2"))
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+        record_answer(site.one, held, ANSWER)
+        site.one.finalizer.finalize_pending()
+        assert acquire_claim(site.two, make_request(id="r2")).body == ANSWER.body
+
+    def test_action_answered_after_a_restore_is_not_run_again(self, site):
+        """Its outcome is recorded although its claim is gone."""
+        held = acquire_claim(site.one, make_request())
+        site.restore()
+        site.hear(site.two)
+        record_answer(site.one, held, ANSWER)
+        site.one.finalizer.finalize_pending()
+        site.settle()
+        assert acquire_claim(site.two, make_request(id="r2")).body == ANSWER.body
+
+    def test_nothing_is_claimed_before_the_claimants_had_time(self, site):
+        """The refusal says when to come back, and leaves no claim."""
+        acquire_claim(site.one, make_request())
+        site.restore()
+        site.hear(site.two)
+        with pytest.raises(RefusalError) as caught:
+            acquire_claim(site.two, make_request(id="r2", deadline_s=site.now_s + 1.0))
+        assert caught.value.verdict is Verdict.NOT_RUN
+        assert caught.value.retry_after_s == SETTLING_S
+        assert site.two.claims.list().items == ()
+
+    def test_claim_whose_own_write_tells_the_restore_is_released(self, site):
+        """A node that has not heard of it dispatches nothing, and the answer stays."""
+        held = acquire_claim(site.one, make_request())
+        record_answer(site.one, held, ANSWER)
+        site.restore()
+        with pytest.raises(RefusalError) as caught:
+            acquire_claim(site.two, make_request(id="r2", deadline_s=site.now_s + 1.0))
+        assert caught.value.verdict is Verdict.NOT_RUN
+        site.hear(site.one)
+        site.settle()
+        assert acquire_claim(site.two, make_request(id="r2")).body == ANSWER.body
+
+    def test_claim_in_place_of_a_lost_one_is_waited_for(self, site):
+        """The claimant writes again once that claim is released."""
+        held = acquire_claim(site.one, make_request())
+        record_answer(site.one, held, ANSWER)
+        site.restore()
+        site.two.claims.list()
+        other = Claim(ClaimState.CLAIMED, "i3", "r3", "print", "write-3")
+        version = site.two.claims.put(held.key, other, ABSENT)
+        site.hear(site.one)
+        assert site.one.finalizer.pending == 1
+        released = replace(other, state=ClaimState.RELEASED, write_id="write-4")
+        site.two.claims.put(held.key, released, version)
+        site.one.finalizer.finalize_pending()
+        assert site.one.claims.get(held.key).record.state is ClaimState.DONE
+
+    def test_running_claim_does_not_replace_its_own_answer(self, site):
+        """An answer that is recorded during the rewrite is the last word."""
+        held = acquire_claim(site.one, make_request())
+        site.restore()
+        site.one.claims.list()
+        claims = site.one.claims
+        put = claims.put
+
+        def answer_first(key, record, version):
+            claims.put = put
+            made = put(key, record, version)
+            record_answer(site.one, held, ANSWER)
+            return made
+
+        claims.put = answer_first
+        site.one.finalizer.finalize_pending()
+        site.one.finalizer.finalize_pending()
+        assert claims.get(held.key).record.state is ClaimState.DONE
--- a/tests/fakes/object_api.py
+++ b/tests/fakes/object_api.py
@@ -7,7 +7,8 @@
 from camphoryard.coordination.ports import Snapshot, Stored
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT, ObjectKey, Revision, Version
-from camphoryard.transport.http_client import HttpAnswer
+from camphoryard.transport.http_client import Address, HttpAnswer
+from camphoryard.transport.object_api import ObjectApi, ObjectRecords
 from standins.web import Request
 
 
@@ -117,3 +118,9 @@
         headers = dict(response.headers)
         headers.pop(self.dropped_header, None)
         return HttpAnswer(response.status, headers, b"".join(response.body))
+
+
+def make_object_records(store, prefix, codec, on_restored=lambda era: None):
+    """Return records in a stand-in for the object API, as one node sees them."""
+    api = ObjectApi(StoreClient(store), Address("h", 1), "token", on_restored)
+    return ObjectRecords(api, prefix, codec)
