Write an endpoint's record over the version that was acquired

Seen: read in the code while looking at fences after a restore of the store. The owner of an endpoint asks the engine between reading the record and writing it. If the watch brought a new owner's record meanwhile, the write expected that version and replaced it: two owners, one of them unrecorded. Cause: the version was looked up in the shared table at the time of the write, not kept with the record that the write is based on. Change: OwnedRecord keeps the version of the record that it acquired or last wrote. Evidence: test_record_of_another_owner_is_not_replaced failed before (the write took effect); the tests of residency pass.

--- a/src/camphoryard/coordination/residency/owned_record.py
+++ b/src/camphoryard/coordination/residency/owned_record.py
@@ -12,6 +12,7 @@
 from camphoryard.state.enums import EndpointKind, NodeState
 from camphoryard.state.errors import StoreUnavailableError
 from camphoryard.state.ids import (
+    ABSENT,
     EndpointId,
     FencingNumber,
     Incarnation,
@@ -29,6 +30,7 @@
         self._id = endpoint_id
         self._context = context
         self._assigned_since_s = time.monotonic()
+        self._version = ABSENT
 
     def restart_takeover_delay(self) -> None:
         """Restart the takeover delay; after a pause, known leases may be stale."""
@@ -61,7 +63,7 @@
             self._context.table.observe(stored.record, stored.version)
 
     def write(self, record: EndpointRecord) -> EndpointRecord:
-        """Write the record and return it as written.
+        """Write the record over the one last acquired or written; return it as written.
 
         Raises
         ------
@@ -71,9 +73,10 @@
             If the write failed, or its outcome is unknown.
         """
         record = replace(record, write_id=WriteId(uuid4().hex))
-        before = self._context.table.version(record.id)
-        version = write_resolved(self._context.records, record.id, record, before)
-        self._context.table.observe(record, version)
+        self._version = write_resolved(
+            self._context.records, record.id, record, self._version
+        )
+        self._context.table.observe(record, self._version)
         return record
 
     def acquire(self, endpoint: Endpoint) -> EndpointRecord | None:
@@ -88,10 +91,10 @@
         StoreUnavailableError
             If the write failed, or its outcome is unknown.
         """
-        record = self._context.table.find(self._id)
+        record = self._read()
         if record is None:
             self.refresh()
-            record = self._context.table.find(self._id)
+            record = self._read()
         if record is None:
             updated = self._new_record(endpoint)
         elif record.owner_incarnation == self._context.identity.incarnation:
@@ -114,6 +117,12 @@
         )
         return updated
 
+    def _read(self) -> EndpointRecord | None:
+        """Return the record in the table; the next write expects its version."""
+        # The version is read first: an older one than the record's makes a write fail.
+        self._version = self._context.table.version(self._id)
+        return self._context.table.find(self._id)
+
     def _new_record(self, endpoint: Endpoint) -> EndpointRecord:
         identity = self._context.identity
         return EndpointRecord(
--- a/tests/coordination/residency/test_owned_record.py
+++ b/tests/coordination/residency/test_owned_record.py
@@ -1,5 +1,7 @@
 """Tests of acquiring, reading and writing the record of an owned endpoint."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.residency.owned_record import OwnedRecord
@@ -10,6 +12,7 @@
 from camphoryard.state.configuration import Configuration, Endpoint
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, NodeState
+from camphoryard.state.errors import ConflictError
 from camphoryard.state.ids import ABSENT
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable
@@ -23,6 +26,13 @@
 
 def make_owned(record=None, state=NodeState.SERVING, kind=EndpointKind.ENGINE):
     """Return an owned record at n1, and its store; n2's lease is in ``state``."""
+    return make_owned_with_table(record, state, kind)[:2]
+
+
+def make_owned_with_table(
+    record=None, state=NodeState.SERVING, kind=EndpointKind.ENGINE
+):
+    """Return an owned record as ``make_owned``, its store and n1's table."""
     records, nodes, holder = InMemoryRecords(), NodeTable(), ConfigurationHolder()
     if record is not None:
         records.put("e", record, ABSENT)
@@ -43,7 +53,7 @@
         None,
         60.0,
     )
-    return OwnedRecord("e", context), records
+    return OwnedRecord("e", context), records, context.table
 
 
 class TestAcquire:
@@ -78,6 +88,31 @@
         assert records.get("e").version == version
 
 
+# Guards against two owners: the table heard of the new owner while the old one was
+# asking the engine, and the old one then wrote over the new one's record.
+class TestWrite:
+    """Writing the record."""
+
+    def test_record_of_another_owner_is_not_replaced(self):
+        """It was written after this owner acquired the record."""
+        owned, records, table = make_owned_with_table()
+        mine = owned.acquire(ENDPOINT)
+        other = replace(mine, owner="n2", owner_incarnation="i2", fence=mine.fence + 1)
+        version = records.put("e", other, records.get("e").version)
+        table.observe(other, version)
+        with pytest.raises(ConflictError):
+            owned.write(replace(mine, is_silent=True))
+        assert records.get("e").record == other
+
+    def test_each_write_expects_the_one_before(self):
+        """Several writes of one step need no read between them."""
+        owned, records, _ = make_owned_with_table()
+        mine = owned.acquire(ENDPOINT)
+        mine = owned.write(replace(mine, is_silent=True))
+        mine = owned.write(replace(mine, is_silent=False))
+        assert records.get("e").record == mine
+
+
 class TestEndpoint:
     """The configured endpoint and its assignment."""
 
