Raise fencing numbers of endpoints with the era of the store

Seen: read in the code; after a restore from an older copy, the next owner of an endpoint counts on from the record in the copy, or from 1 if there is none, and so gets a number that an earlier owner has used at the engine. An engine cannot tell the orders of the two apart, and an owner that the store has forgotten may have the higher number. Cause: the number grew only from the record. Change: the numbers of an era start above those of all eras before. An owner raises its number before it sends in a later era; a write that tells a later era conflicts, so that the step sends nothing. Evidence: four new tests of records in a restored store failed with numbers that do not depend on the era; the tests of residency pass.

--- a/src/camphoryard/coordination/residency/owned_record.py
+++ b/src/camphoryard/coordination/residency/owned_record.py
@@ -5,12 +5,13 @@
 from uuid import uuid4
 
 from camphoryard.coordination.conditional_writes import write_resolved
+from camphoryard.coordination.residency.fences import first_fence
 from camphoryard.coordination.residency.ownership import owner_of
 from camphoryard.coordination.residency.residency_context import ResidencyContext
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.endpoint_record import EndpointRecord, with_new_owner
 from camphoryard.state.enums import EndpointKind, NodeState
-from camphoryard.state.errors import StoreUnavailableError
+from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import (
     ABSENT,
     EndpointId,
@@ -19,6 +20,7 @@
     NodeId,
     WriteId,
 )
+from camphoryard.state.store_eras import era_of
 
 TAKEOVER_DELAY_S = 1.5
 
@@ -68,7 +70,8 @@
         Raises
         ------
         ConflictError
-            If another node wrote the record in the meantime.
+            If another node wrote the record in the meantime, or the store was restored
+            from an older copy: its new era needs a higher fencing number.
         StoreUnavailableError
             If the write failed, or its outcome is unknown.
         """
@@ -77,12 +80,15 @@
             self._context.records, record.id, record, self._version
         )
         self._context.table.observe(record, self._version)
+        if record.fence < first_fence(era_of(self._version)):
+            raise ConflictError(f"{record.id}: the fence is from before a restore")
         return record
 
     def acquire(self, endpoint: Endpoint) -> EndpointRecord | None:
         """Return the record, with this incarnation as owner and the configured memory.
 
-        Returns None while the takeover delay keeps it with another owner.
+        Its fencing number is one of the store's newest era. Returns None while the
+        takeover delay keeps it with another owner.
 
         Raises
         ------
@@ -98,10 +104,13 @@
         if record is None:
             updated = self._new_record(endpoint)
         elif record.owner_incarnation == self._context.identity.incarnation:
-            updated = replace(record, memory_mb=endpoint.memory_mb)
+            fence = max(record.fence, first_fence(self._context.restores.era))
+            updated = replace(record, memory_mb=endpoint.memory_mb, fence=fence)
         elif self._may_take_over(record):
             identity = self._context.identity
-            fence = FencingNumber(record.fence + 1)
+            fence = FencingNumber(
+                max(record.fence + 1, first_fence(self._context.restores.era))
+            )
             updated = with_new_owner(record, identity.node, identity.incarnation, fence)
             updated = replace(updated, memory_mb=endpoint.memory_mb)
         else:
@@ -130,7 +139,7 @@
             endpoint.memory_mb,
             identity.node,
             identity.incarnation,
-            FencingNumber(1),
+            first_fence(self._context.restores.era),
             WriteId(""),
         )
 
--- a/src/camphoryard/coordination/residency/residency_context.py
+++ b/src/camphoryard/coordination/residency/residency_context.py
@@ -1,11 +1,12 @@
 """Collaborators and settings of the tasks that run owned endpoints."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Engines, Peers, Records
 from camphoryard.coordination.residency.eviction import EvictionPolicy
 from camphoryard.coordination.residency.occupancy import Occupancy
+from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.ids import Incarnation, NodeId
 from camphoryard.state.nodes import NodeTable
@@ -43,3 +44,4 @@
     eviction: EvictionPolicy
     order_lifetime_s: float
     orders_may_be_copied: bool = False
+    restores: StoreRestores = field(default_factory=StoreRestores)
--- a/src/camphoryard/node/residency.py
+++ b/src/camphoryard/node/residency.py
@@ -55,6 +55,7 @@
             eviction,
             limits.order_lifetime_s,
             limits.orders_may_be_copied,
+            shared.restores,
         )
     )
     client = ResidencyClient(
--- a/tests/coordination/residency/test_owned_record.py
+++ b/tests/coordination/residency/test_owned_record.py
@@ -1,23 +1,28 @@
 """Tests of acquiring, reading and writing the record of an owned endpoint."""
 
+import time
 from dataclasses import replace
 
 import pytest
 
+from camphoryard.coordination.residency.fences import first_fence
 from camphoryard.coordination.residency.owned_record import OwnedRecord
 from camphoryard.coordination.residency.residency_context import (
     Identity,
     ResidencyContext,
 )
+from camphoryard.coordination.store_restores import StoreRestores
+from camphoryard.protocol.platform import ENDPOINT_RECORD_CODEC
 from camphoryard.state.configuration import Configuration, Endpoint
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.enums import EndpointKind, NodeState
 from camphoryard.state.errors import ConflictError
-from camphoryard.state.ids import ABSENT
+from camphoryard.state.ids import ABSENT, StoreEra
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.tables import ConfigurationHolder, EndpointTable
 from camphoryard.state.vms import VmTable
-from tests.fakes.object_api import InMemoryRecords
+from standins.object_api import Store
+from tests.fakes.object_api import InMemoryRecords, make_object_records
 from tests.fakes.serving import timeline
 
 ENDPOINT = Endpoint("e", EndpointKind.ENGINE, "h", 1, 100)
@@ -33,13 +38,20 @@
     record=None, state=NodeState.SERVING, kind=EndpointKind.ENGINE
 ):
     """Return an owned record as ``make_owned``, its store and n1's table."""
-    records, nodes, holder = InMemoryRecords(), NodeTable(), ConfigurationHolder()
+    records = InMemoryRecords()
     if record is not None:
         records.put("e", record, ABSENT)
+    context = make_context(records, state, kind)
+    return OwnedRecord("e", context), records, context.table
+
+
+def make_context(records, state, kind):
+    """Return the context of n1; n2's lease is in ``state``."""
+    nodes, holder = NodeTable(), ConfigurationHolder()
     nodes.observe(NodeLease("n2", "i2", "z", "h", 1, "key", state, 9.0, "w"), 1)
     endpoint = Endpoint("e", kind, "h", 1, 100)
     holder.adopt(Configuration(1, {}, {}, {"e": endpoint}))
-    context = ResidencyContext(
+    return ResidencyContext(
         Identity("n1", "i1"),
         records,
         EndpointTable(),
@@ -53,7 +65,6 @@
         None,
         60.0,
     )
-    return OwnedRecord("e", context), records, context.table
 
 
 class TestAcquire:
@@ -113,6 +124,87 @@
         assert records.get("e").record == mine
 
 
+class RestoredSite:
+    """Nodes that own an endpoint in turn, and a store that is restored."""
+
+    def __init__(self):
+        self.store = Store()
+        self.copied_s = time.monotonic()
+
+    def owner(self, node):
+        """Return the record as owned by a new node, which takes it over at once."""
+        restores = StoreRestores()
+        records = make_object_records(
+            self.store, "endpoints/", ENDPOINT_RECORD_CODEC, restores.observe
+        )
+        records.list()
+        context = make_context(records, NodeState.DRAINING, EndpointKind.ENGINE)
+        identity = Identity(node, f"i-{node}")
+        context = replace(context, identity=identity, restores=restores)
+        return OwnedRecord("e", context)
+
+    def take_copy(self):
+        """Restore to the present state at the next restore."""
+        self.copied_s = time.monotonic()
+
+    def restore(self):
+        """Restore the store to the copy."""
+        self.store.restore(self.copied_s)
+
+
+def acquire(owned):
+    """Acquire the record; after a conflict the next step tries again."""
+    try:
+        return owned.acquire(ENDPOINT)
+    except ConflictError:
+        owned.refresh()
+        return owned.acquire(ENDPOINT)
+
+
+# Guards against two owners with one fencing number: a restored store gave the record of
+# an earlier owner to the next one, whose number an engine had already seen.
+class TestFenceAfterRestore:
+    """Fencing numbers of a store that is restored from an older copy."""
+
+    def test_owner_of_a_lost_record_and_the_next_differ(self):
+        """The next owner finds no record and starts above the lost number."""
+        site = RestoredSite()
+        lost = acquire(site.owner("n1")).fence
+        site.restore()
+        assert acquire(site.owner("n3")).fence > lost
+
+    def test_owner_whose_takeover_is_lost_and_the_next_differ(self):
+        """Both take over from the owner in the copy."""
+        site = RestoredSite()
+        first = acquire(site.owner("n2"))
+        site.take_copy()
+        lost = acquire(site.owner("n1")).fence
+        site.restore()
+        assert acquire(site.owner("n3")).fence > lost > first.fence
+
+    def test_owner_in_the_copy_raises_its_fence(self):
+        """An owner that the store has forgotten had a higher number."""
+        site = RestoredSite()
+        owned = site.owner("n2")
+        acquire(owned)
+        site.take_copy()
+        lost = acquire(site.owner("n1")).fence
+        site.restore()
+        owned.refresh()
+        assert acquire(owned).fence > lost
+
+    def test_write_that_tells_a_restore_sends_no_order(self):
+        """Its number is from the era before; the next step raises it."""
+        site = RestoredSite()
+        owned = site.owner("n1")
+        record = acquire(owned)
+        site.take_copy()
+        site.restore()
+        with pytest.raises(ConflictError):
+            owned.write(replace(record, is_silent=True))
+        assert acquire(owned).fence == first_fence(StoreEra(2))
+
+
 class TestEndpoint:
     """The configured endpoint and its assignment."""
 
