Write an endpoint's record again that a restored store has lost

A record that was first written in the lost span was never written again: each write expected the lost version and conflicted, and reading back a missing record changed nothing, so no model was loaded at that endpoint. Cause: the owner took what the object API says for newer than what it wrote. Change: the owner keeps the record that it last wrote or acquired and writes it again in a later era, with a raised fencing number, unless the stored one is a later owner's. Others wait until running owners had half a lease for this before they take over. A missing record is written as a new object, with what is known of it.

--- a/tests/coordination/residency/test_owned_record.py
+++ b/tests/coordination/residency/test_owned_record.py
@@ -14,8 +14,12 @@
 from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.protocol.platform import ENDPOINT_RECORD_CODEC
 from camphoryard.state.configuration import Configuration, Endpoint
-from camphoryard.state.endpoint_record import EndpointRecord
-from camphoryard.state.enums import EndpointKind, NodeState
+from camphoryard.state.endpoint_record import (
+    EndpointRecord,
+    Intent,
+    with_intent,
+)
+from camphoryard.state.enums import EndpointKind, NodeState, OrderKind
 from camphoryard.state.errors import ConflictError
 from camphoryard.state.ids import ABSENT, StoreEra
 from camphoryard.state.nodes import NodeLease, NodeTable
@@ -26,6 +30,7 @@
 from tests.fakes.serving import timeline
 
 ENDPOINT = Endpoint("e", EndpointKind.ENGINE, "h", 1, 100)
+INTENT = Intent("o", OrderKind.LOAD, 10, 1, "n1", "i-n1")
 PREVIOUS = EndpointRecord("e", 90, "n2", "i2", 4, "w", {"m": 10})
 
 
@@ -130,10 +135,12 @@
     def __init__(self):
         self.store = Store()
         self.copied_s = time.monotonic()
+        self.now_s = 0.0
+        self.context_by_owner = {}
 
-    def owner(self, node):
+    def owner(self, node, settling_s=0.0):
         """Return the record as owned by a new node, which takes it over at once."""
-        restores = StoreRestores()
+        restores = StoreRestores(settling_s, lambda: self.now_s)
         records = make_object_records(
             self.store, "endpoints/", ENDPOINT_RECORD_CODEC, restores.observe
         )
@@ -141,7 +148,9 @@
         context = make_context(records, NodeState.DRAINING, EndpointKind.ENGINE)
         identity = Identity(node, f"i-{node}")
         context = replace(context, identity=identity, restores=restores)
-        return OwnedRecord("e", context)
+        owned = OwnedRecord("e", context)
+        self.context_by_owner[owned] = context
+        return owned
 
     def take_copy(self):
         """Restore to the present state at the next restore."""
@@ -151,6 +160,22 @@
         """Restore the store to the copy."""
         self.store.restore(self.copied_s)
 
+    def hear(self, owned):
+        """Let an owner's node hear of a restore."""
+        self.context_by_owner[owned].records.list()
+
+    def watch(self, owned):
+        """Bring the records in the store into the table of an owner's node."""
+        context = self.context_by_owner[owned]
+        for item in context.records.list().items:
+            context.table.observe(item.record, item.version)
+
+    @property
+    def stored(self):
+        """The record in the store."""
+        records = make_object_records(self.store, "endpoints/", ENDPOINT_RECORD_CODEC)
+        return records.get("e").record
+
 
 def acquire(owned):
     """Acquire the record; after a conflict the next step tries again."""
@@ -205,6 +230,89 @@
         assert acquire(owned).fence == first_fence(StoreEra(2))
 
 
+# Guards against LIMIT: a restored store had lost the record of a load whose order was
+# sent, so that its memory counted as free; and a lost record was never written again.
+class TestLostRecord:
+    """Records of running owners that the store has lost."""
+
+    @pytest.mark.parametrize("is_watched", [True, False])
+    def test_lost_load_is_written_again(self, is_watched):
+        """Whether or not the node has heard of the record in the copy."""
+        site = RestoredSite()
+        owned = site.owner("n1")
+        record = acquire(owned)
+        site.take_copy()
+        record = owned.write(with_intent(record, "m", INTENT))
+        site.restore()
+        (site.watch if is_watched else site.hear)(owned)
+        assert acquire(owned).intents_by_item == {"m": INTENT}
+        assert site.stored.intents_by_item == {"m": INTENT}
+        assert site.stored.fence == first_fence(StoreEra(2))
+
+    def test_record_that_is_gone_is_written_again(self):
+        """Its first write was lost."""
+        site = RestoredSite()
+        owned = site.owner("n1")
+        record = owned.write(with_intent(acquire(owned), "m", INTENT))
+        site.restore()
+        owned.refresh()
+        assert acquire(owned).intents_by_item == record.intents_by_item
+        assert owned.write(replace(site.stored, is_silent=True)).is_silent
+
+    def test_record_in_the_copy_stays(self):
+        """Only its fence rises."""
+        site = RestoredSite()
+        owned = site.owner("n1")
+        record = acquire(owned)
+        site.take_copy()
+        site.restore()
+        site.watch(owned)
+        fence = first_fence(StoreEra(2))
+        again = acquire(owned)
+        assert again == replace(record, fence=fence, write_id=again.write_id)
+
+    def test_record_of_a_later_owner_stays(self):
+        """The owner before does not write over it."""
+        site = RestoredSite()
+        owned = site.owner("n2")
+        acquire(owned)
+        later = acquire(site.owner("n1"))
+        site.take_copy()
+        site.restore()
+        site.hear(owned)
+        assert acquire(owned) is None
+        assert site.stored == later
+
+    def test_others_wait_until_owners_had_time(self):
+        """A record that is missing may be written again by its owner."""
+        site = RestoredSite()
+        other = site.owner("n3", settling_s=1.0)
+        site.now_s = 1.0
+        owned = site.owner("n2")
+        record = owned.write(with_intent(acquire(owned), "m", INTENT))
+        site.restore()
+        assert acquire(other) is None
+        site.hear(owned)
+        acquire(owned)
+        site.now_s = 2.0
+        site.watch(other)
+        taken = acquire(other)
+        assert taken.in_doubt_by_id.keys() == {INTENT.order_id}
+        assert taken.fence > record.fence
+
+    def test_known_record_that_is_gone_is_taken_over(self):
+        """What the next owner has heard of it is not lost."""
+        site = RestoredSite()
+        owned = site.owner("n2")
+        owned.write(with_intent(acquire(owned), "m", INTENT))
+        other = site.owner("n3")
+        site.watch(other)
+        site.restore()
+        other.refresh()
+        assert acquire(other).in_doubt_by_id.keys() == {INTENT.order_id}
+        assert site.stored.owner == "n3"
+
+
 class TestEndpoint:
     """The configured endpoint and its assignment."""
 
