Write an accepted configuration again that a restored store has lost

Seen: read in the code; nodes keep the generation that they have adopted, but nobody writes it again. Cause: a head below the one in force was ignored, and a change was based on whatever the store had. Change: until a later era has settled, each node compares the head in the store with the one in force and writes a lost one again with its parts, by a conditional write. A change waits until then, and is based on the head in force at least.

--- a/src/camphoryard/coordination/configuration/configurator.py
+++ b/src/camphoryard/coordination/configuration/configurator.py
@@ -5,6 +5,7 @@
 by a conditional write.
 """
 
+import math
 import threading
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
@@ -29,6 +30,7 @@
 from camphoryard.coordination.messages import ConfigurationOffer
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import ContentStore, Records, Stored
+from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.configuration_head import (
     MAX_ITEM_NAMES,
@@ -91,6 +93,8 @@
         and StoreUnavailableError if it cannot tell.
     on_adopted : callable
         Called after each change of the configuration in force.
+    restores : StoreRestores or None
+        Restores of the store; None if it is never restored.
     """
 
     def __init__(
@@ -101,6 +105,7 @@
         timeline: Timeline,
         check_may_accept: Callable[[], None] = lambda: None,
         on_adopted: Callable[[], None] = lambda: None,
+        restores: StoreRestores | None = None,
     ) -> None:
         self._heads = heads
         self._contents = contents
@@ -108,6 +113,7 @@
         self._timeline = timeline
         self._check_may_accept = check_may_accept
         self._on_adopted = on_adopted
+        self._restores = restores or StoreRestores()
         self._lock = threading.Lock()
         self._head: ConfigurationHead | None = None
         self._part_by_key: Mapping[ObjectKey, Configuration] = {}
@@ -148,6 +154,38 @@
         if head.generation > self._holder.current.generation:
             self._adopt(head, self._assemble(head))
 
+    def write_again(self) -> None:
+        """Write the head in force and its parts again if the store has lost them.
+
+        Only a restore of the store from an older copy takes an accepted head away: a
+        conditional write shows that the older head is the one in the store.
+
+        Raises
+        ------
+        ConflictError
+            If another head was written first.
+        StoreUnavailableError
+            If the object API does not answer.
+        """
+        with self._lock:
+            head = self._head
+            part_by_key = self._part_by_key
+        if head is None:
+            return
+        stored = self._heads.get(HEAD_KEY)
+        found = stored.record if stored is not None else None
+        if found is not None and found.generation >= head.generation:
+            return
+        for key in set(head.key_by_part.values()) - set(self._contents.keys()):
+            self._contents.put(key, part_by_key[key])
+        version = stored.version if stored is not None else ABSENT
+        write_resolved(self._heads, HEAD_KEY, head, version)
+        self._timeline.record(
+            "configuration_restored",
+            generation=head.generation,
+            lost_from=found.generation if found is not None else 0,
+        )
+
     def _adopt(self, head: ConfigurationHead, configuration: Configuration) -> None:
         with self._lock:
             if self._head is not None and self._head.generation >= head.generation:
@@ -192,7 +230,7 @@
             If the change is invalid, conflicts with another operator's change,
             or the object API does not answer.
         """
-        base = self._read_base()
+        base = self._read_newest_base()
         accepted_generation = find_write(base.head, change.write_id)
         if accepted_generation is not None:
             return ChangeResult(accepted_generation, (), ())
@@ -230,6 +268,28 @@
                 " again when the object API answers",
             ) from error
 
+    def _read_newest_base(self) -> _Base:
+        """Return the accepted head, at least the one in force at this node.
+
+        After a restore of the store the nodes have time to write theirs again: a
+        change of an older one would take a generation that others know already.
+        """
+        base = self._read_base()
+        while not self._restores.is_settled():
+            self._restores.wait_settled(math.inf)
+            base = self._read_base()
+        if base.configuration.generation >= self._holder.current.generation:
+            return base
+        try:
+            self.write_again()
+        except (ConflictError, StoreUnavailableError) as error:
+            raise RefusalError(
+                Reason.STORE_UNAVAILABLE,
+                "the object API has lost an accepted change, which could not be written"
+                " again; nothing was changed: try again",
+            ) from error
+        return self._read_base()
+
     def _read_base(self) -> _Base:
         try:
             stored = self._heads.get(HEAD_KEY)
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -118,6 +118,7 @@
             replicator.run,
             persister.run,
             runner.run,
+            control_plane.lost_changes.run,
             functools.partial(run_expiry, expiry),
         ),
         make_app(shared, serving.gateway, control_plane, persister, jobs),
--- a/src/camphoryard/node/control_plane.py
+++ b/src/camphoryard/node/control_plane.py
@@ -5,6 +5,7 @@
 
 from camphoryard.coordination.configuration.configurator import Configurator
 from camphoryard.coordination.configuration.freshness import ConfigurationFreshness
+from camphoryard.coordination.configuration.lost_changes import LostChanges
 from camphoryard.coordination.membership.gossip import GossipContext, Gossiper
 from camphoryard.coordination.membership.joining import Joiner, JoiningContext
 from camphoryard.coordination.membership.peer_messages import PeerMessageContext
@@ -39,6 +40,7 @@
     configurator: Configurator
     freshness: ConfigurationFreshness
     head_watcher: RecordWatcher[ConfigurationHead]
+    lost_changes: LostChanges
     gossiper: Gossiper
     joiner: Joiner
     announcer: StartupAnnouncer
@@ -145,6 +147,7 @@
         shared.timeline,
         require_majority,
         lambda: gossiper.wake(),
+        shared.restores,
     )
     head_watcher = make_head_watcher(shared, platform, configurator, freshness)
     joiner = Joiner(
@@ -183,7 +186,13 @@
         serving.suspects.mark_synced,
     )
     return ControlPlane(
-        configurator, freshness, head_watcher, gossiper, joiner, announcer
+        configurator,
+        freshness,
+        head_watcher,
+        LostChanges(configurator, shared.restores),
+        gossiper,
+        joiner,
+        announcer,
     )
 
 
