Share the task that writes lost records again

Cause: refusal counts and jobs need the same task after a restore of the store as the configuration. Change: LostChanges becomes LostRecordWriter, which is given what it writes. Result: no change of behaviour; its tests and those of the configuration pass.

--- a/src/camphoryard/coordination/configuration/lost_changes.py
+++ b/src/camphoryard/coordination/lost_records.py
@@ -1,6 +1,7 @@
-"""Writes accepted changes again that a restored store has lost."""
+"""A task that writes records again that a restored store may have lost."""
+
+from collections.abc import Callable
 
-from camphoryard.coordination.configuration.configurator import Configurator
 from camphoryard.coordination.ports import Ticks, Timer
 from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
@@ -9,15 +10,25 @@
 RETRY_PERIOD_S = 0.5
 
 
-class LostChanges:
-    """Writes the configuration in force again after each restore of the store.
+class LostRecordWriter:
+    """Writes the records of one kind again after each restore of the store.
+
+    Until the era has settled this is repeated: a write from before the restore may
+    still be under way, and this node may yet hear of a record whose own node has died.
 
-    Until the era has settled this is repeated, as this node may yet hear of a newer
-    generation whose own node has died.
+    Parameters
+    ----------
+    write_again : callable
+        Writes what the store has lost of the records that this node knows; may raise
+        ConflictError or StoreUnavailableError and is then called again.
+    restores : StoreRestores
+        Restores of the store.
     """
 
-    def __init__(self, configurator: Configurator, restores: StoreRestores) -> None:
-        self._configurator = configurator
+    def __init__(
+        self, write_again: Callable[[], None], restores: StoreRestores
+    ) -> None:
+        self._write_again = write_again
         self._restores = restores
         self._checked_era = FIRST_ERA
         self._ticks: Ticks | None = None
@@ -30,13 +41,13 @@
             self.check()
 
     def check(self) -> None:
-        """Check once, if the newest era has not been checked since it settled."""
+        """Write once, unless that was done after the newest era had settled."""
         era = self._restores.era
         if era == self._checked_era:
             return
         is_settled = self._restores.is_settled()
         try:
-            self._configurator.write_again()
+            self._write_again()
         except (ConflictError, StoreUnavailableError):
             return
         if is_settled:
--- a/src/camphoryard/node/control_plane.py
+++ b/src/camphoryard/node/control_plane.py
@@ -5,7 +5,7 @@
 
 from camphoryard.coordination.configuration.configurator import Configurator
 from camphoryard.coordination.configuration.freshness import ConfigurationFreshness
-from camphoryard.coordination.configuration.lost_changes import LostChanges
+from camphoryard.coordination.lost_records import LostRecordWriter
 from camphoryard.coordination.membership.gossip import GossipContext, Gossiper
 from camphoryard.coordination.membership.joining import Joiner, JoiningContext
 from camphoryard.coordination.membership.peer_messages import PeerMessageContext
@@ -40,7 +40,7 @@
     configurator: Configurator
     freshness: ConfigurationFreshness
     head_watcher: RecordWatcher[ConfigurationHead]
-    lost_changes: LostChanges
+    lost_changes: LostRecordWriter
     gossiper: Gossiper
     joiner: Joiner
     announcer: StartupAnnouncer
@@ -189,7 +189,7 @@
         configurator,
         freshness,
         head_watcher,
-        LostChanges(configurator, shared.restores),
+        LostRecordWriter(configurator.write_again, shared.restores),
         gossiper,
         joiner,
         announcer,
--- a/tests/coordination/configuration/test_lost_changes.py
+++ b/tests/coordination/configuration/test_configurator_after_restore.py
@@ -6,7 +6,7 @@
 
 from camphoryard.coordination.configuration.changes import Change
 from camphoryard.coordination.configuration.configurator import Configurator
-from camphoryard.coordination.configuration.lost_changes import LostChanges
+from camphoryard.coordination.lost_records import LostRecordWriter
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.protocol.platform import HEAD_CODEC, PART_CODEC
@@ -42,7 +42,9 @@
             Timeline("node", HybridClock(), lambda event: None),
             restores=self.restores,
         )
-        self.lost_changes = LostChanges(self.configurator, self.restores)
+        self.lost_changes = LostRecordWriter(
+            self.configurator.write_again, self.restores
+        )
 
     def accept(self, name):
         """Accept a change that adds a model."""
