Persist refusal counts again that a restored store has lost

Seen: read in the code; counts that were persisted in the lost span are missing in the totals that other nodes give. Cause: a node persists each count once. Change: after a restore, until the era has settled, a node counts all counts in its memory as not persisted. They are merged into what the store has, so none counts twice. Evidence: the new test failed without the mark (1 of 2 refusals in the total).

--- a/src/camphoryard/coordination/refusals/refusals.py
+++ b/src/camphoryard/coordination/refusals/refusals.py
@@ -101,6 +101,11 @@
                     self._unpersisted.discard(item.key)
             self._remove_expired()
 
+    def mark_unpersisted(self) -> None:
+        """Persist all counts in memory again; the store may have lost them."""
+        with self._changed:
+            self._unpersisted.update(self._count_by_key)
+
     def all_counts(self) -> RefusalCounts:
         """Return all counts in memory."""
         with self._changed:
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -10,6 +10,7 @@
 from camphoryard.coordination.admission.admission import Admission
 from camphoryard.coordination.fleet.node_registration import apply_lease
 from camphoryard.coordination.inference.request_gateway import RequestGateway
+from camphoryard.coordination.lost_records import LostRecordWriter
 from camphoryard.coordination.membership.peer_messages import (
     PeerMessageContext,
 )
@@ -117,6 +118,7 @@
             claim_finalizer.run,
             replicator.run,
             persister.run,
+            LostRecordWriter(shared.refusals.mark_unpersisted, shared.restores).run,
             runner.run,
             control_plane.lost_changes.run,
             functools.partial(run_expiry, expiry),
--- a/tests/coordination/refusals/test_refusal_persistence.py
+++ b/tests/coordination/refusals/test_refusal_persistence.py
@@ -110,3 +110,20 @@
         persister.store_copy(counts_of("i9", 3))
         records.outage = True
         assert persister.persist_all() == [counts_of("i9", 3)]
+
+    # Guards against a wrong total: a restored store had lost persisted counts.
+    def test_lost_counts_are_persisted_again(self):
+        """Once, as they are merged into what the store still has."""
+        records, counter = InMemoryRecords(), RefusalCounter("i1")
+        persister = RefusalPersister(records, counter, NodeTable())
+        counter.count(Reason.OVERLOADED, "")
+        persister.persist()
+        copy = dict(records.stored_by_key)
+        counter.count(Reason.OVERLOADED, "")
+        persister.persist()
+        records.stored_by_key = copy
+        counter.mark_unpersisted()
+        persister.persist()
+        counter.mark_unpersisted()
+        persister.persist()
+        assert sum_of(make_persister(records)) == 2
