--- a/tests/coordination/residency/test_ownership.py
+++ b/tests/coordination/residency/test_ownership.py
@@ -1,5 +1,6 @@
 """Tests of node leases and endpoint ownership."""
 
+import time
 from dataclasses import replace
 
 import pytest
@@ -13,9 +14,12 @@
     owner_of,
     rendezvous_owner,
 )
+from camphoryard.protocol.platform import LEASE_CODEC
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.nodes import NodeLease, NodeTable
+from standins.object_api import Store
+from tests.fakes.object_api import make_object_records
 
 
 def make_lease(node="n", incarnation="new", port=9, **changes):
@@ -192,3 +196,37 @@
         nodes.observe(make_lease(), 1)
         nodes.forget("n")
         assert nodes.has_ended("n", "new")
+
+
+class TestRestoredStore:
+    """Leases that a restored store has lost."""
+
+    @pytest.mark.parametrize("has_heard", [True, False])
+    def test_lost_lease_is_written_again(self, has_heard):
+        """The next renewal conflicts and creates the lease."""
+        store, nodes = Store(), NodeTable()
+        copied_s = time.monotonic()
+        leases = make_object_records(store, "nodes/", LEASE_CODEC)
+        renewer = NodeLeaseRenewer(leases, nodes, make_lease(), lambda: False)
+        renewer.renew()
+        store.restore(copied_s)
+        if has_heard:
+            leases.list()
+        renewer.renew()
+        assert leases.get("n").record == nodes.find("n")
+
+    def test_renewed_lease_is_newer_than_all_before(self):
+        """Other nodes take it, although its revision is lower than the lost one."""
+        store, nodes = Store(), NodeTable()
+        leases = make_object_records(store, "nodes/", LEASE_CODEC)
+        renewer = NodeLeaseRenewer(leases, NodeTable(), make_lease(), lambda: False)
+        copied_s = time.monotonic()
+        for _ in range(3):
+            renewer.renew()
+        lost = leases.get("n")
+        nodes.observe(lost.record, lost.version)
+        store.restore(copied_s)
+        renewer.renew()
+        stored = leases.get("n")
+        nodes.observe(stored.record, stored.version)
+        assert nodes.find("n") == stored.record != lost.record
