Record accepted jobs again that a restored store has lost

Seen: read in the code; a job that was accepted in the lost span is gone: it never runs, and its caller gets 404 for its id (LOST). Cause: the object API held the only record of an accepted job. A job that had finished runs again, as jobs may. Evidence: test_job_that_the_store_lost_is_recorded_again failed while no job was kept; the tests of coordination and node pass.

--- a/src/camphoryard/coordination/jobs/jobs.py
+++ b/src/camphoryard/coordination/jobs/jobs.py
@@ -12,6 +12,7 @@
 
 from camphoryard.coordination.conditional_writes import write_resolved
 from camphoryard.coordination.jobs.job_limits import OpenJobCounter
+from camphoryard.coordination.jobs.recent_jobs import RecentJobs
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Records
 from camphoryard.coordination.routing.routing import route
@@ -41,6 +42,7 @@
     open_jobs: Records[Job]
     finished_jobs: Records[Job]
     counter: OpenJobCounter
+    recent: RecentJobs
     timeline: Timeline
 
 
@@ -78,6 +80,7 @@
             f"the job may have been accepted as {job.id}; look it up under this id",
             Verdict.MAY_HAVE_RUN,
         ) from error
+    context.recent.remember(job)
     context.timeline.record("job_accepted", job=job.id, caller=caller)
     return job
 
--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -120,6 +120,7 @@
             persister.run,
             LostRecordWriter(shared.refusals.mark_unpersisted, shared.restores).run,
             runner.run,
+            LostRecordWriter(jobs.recent.write_again, shared.restores).run,
             control_plane.lost_changes.run,
             functools.partial(run_expiry, expiry),
         ),
--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -11,6 +11,7 @@
     JobRunnerContext,
 )
 from camphoryard.coordination.jobs.jobs import JobContext
+from camphoryard.coordination.jobs.recent_jobs import RecentJobs
 from camphoryard.coordination.membership.stale_leases import is_stale
 from camphoryard.coordination.observing.answer_collector import AnswerCollector
 from camphoryard.node.platform import Platform
@@ -32,6 +33,7 @@
             platform.open_jobs,
             JobLimits(settings.max_open, settings.max_open_per_caller),
         ),
+        RecentJobs(platform.open_jobs, platform.finished_jobs, shared.timeline),
         shared.timeline,
     )
 
--- a/tests/coordination/jobs/test_job_runner.py
+++ b/tests/coordination/jobs/test_job_runner.py
@@ -14,6 +14,7 @@
     JobRunnerContext,
 )
 from camphoryard.coordination.jobs.jobs import JobContext
+from camphoryard.coordination.jobs.recent_jobs import RecentJobs
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.residency.residency_context import Identity
 from camphoryard.state.enums import JobState, NodeState, Reason
@@ -67,12 +68,13 @@
         self.nodes = NodeTable()
         self.join("n1", "i1")
         timeline = Timeline("n1", HybridClock(), lambda event: None)
-        open_jobs = InMemoryRecords()
+        open_jobs, finished_jobs = InMemoryRecords(), InMemoryRecords()
         self.jobs = JobContext(
             ConfigurationHolder(),
             open_jobs,
-            InMemoryRecords(),
+            finished_jobs,
             OpenJobCounter(open_jobs, JobLimits(100, 100)),
+            RecentJobs(open_jobs, finished_jobs, timeline),
             timeline,
         )
         self.runner = JobRunner(
--- a/tests/coordination/jobs/test_jobs.py
+++ b/tests/coordination/jobs/test_jobs.py
@@ -4,6 +4,7 @@
 
 from camphoryard.coordination.jobs.job_limits import JobLimits, OpenJobCounter
 from camphoryard.coordination.jobs.jobs import JobContext, accept, find
+from camphoryard.coordination.jobs.recent_jobs import RecentJobs
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.state.configuration import (
     Caller,
@@ -51,9 +52,12 @@
     configuration = ConfigurationHolder()
     configuration.adopt(make_configuration())
     timeline = Timeline("n1", HybridClock(), lambda event: None)
-    open_jobs = InMemoryRecords()
+    open_jobs, finished_jobs = InMemoryRecords(), InMemoryRecords()
+    recent = RecentJobs(open_jobs, finished_jobs, timeline)
     counter = OpenJobCounter(open_jobs, JobLimits(total=3, per_caller=2))
-    return JobContext(configuration, open_jobs, InMemoryRecords(), counter, timeline)
+    return JobContext(
+        configuration, open_jobs, finished_jobs, counter, recent, timeline
+    )
 
 
 def refusal_of(context, caller="overnight", work=WORK, key=None):
@@ -72,6 +76,14 @@
         assert find(context, "overnight", job.id) == job
         assert job.state is JobState.QUEUED
 
+    # Guards against LOST: an accepted job was gone after a restore of the store.
+    def test_job_that_the_store_lost_is_recorded_again(self, context):
+        """Only an accepted one is."""
+        job = accept(context, "overnight", WORK, None)
+        context.open_jobs.stored_by_key.clear()
+        context.recent.write_again()
+        assert find(context, "overnight", job.id) == job
+
     def test_resend_with_a_key_returns_the_same_job(self, context):
         """A key identifies one job of its caller; other work under it is refused."""
         first = accept(context, "overnight", WORK, "k")
