Do not call a job unknown that a restored store may have lost

Seen: in a trial of the restore over real processes, the caller of an accepted job got 404 for its id until the node that accepted it had recorded it again. Cause: a missing record counted as proof that there is no such job. Change: until the era has settled, a job that is not found is refused as store_unavailable with Retry-After. Evidence: the new test failed before; the scenario over real processes saw the 404 before and does not now.

--- a/src/camphoryard/coordination/jobs/jobs.py
+++ b/src/camphoryard/coordination/jobs/jobs.py
@@ -6,7 +6,7 @@
 
 import re
 import time
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from uuid import uuid4
 
@@ -16,6 +16,7 @@
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Records
 from camphoryard.coordination.routing.routing import route
+from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.enums import EndpointKind, JobState, Priority, Reason
 from camphoryard.state.errors import (
@@ -44,6 +45,7 @@
     counter: OpenJobCounter
     recent: RecentJobs
     timeline: Timeline
+    restores: StoreRestores = field(default_factory=StoreRestores)
 
 
 def accept(
@@ -91,7 +93,8 @@
     Raises
     ------
     RefusalError
-        If the caller has no job of this id, or the object API does not answer.
+        If the caller has no job of this id, the object API does not answer, or it was
+        just restored and may have lost the job.
     """
     if not _ID_PATTERN.fullmatch(job):
         raise RefusalError(Reason.NOT_FOUND, f"no job {job!r}")
@@ -101,6 +104,13 @@
         raise RefusalError(
             Reason.STORE_UNAVAILABLE, "the job could not be read; try again"
         ) from error
+    if known is None and not context.restores.is_settled():
+        raise RefusalError(
+            Reason.STORE_UNAVAILABLE,
+            "the object API was restored from an older copy; the job may not be"
+            " recorded again yet",
+            retry_after_s=context.restores.settling_left_s(),
+        )
     if known is None or known.caller != caller:
         raise RefusalError(Reason.NOT_FOUND, f"no job {job!r}; it may have expired")
     return known
--- a/src/camphoryard/node/jobs.py
+++ b/src/camphoryard/node/jobs.py
@@ -35,6 +35,7 @@
         ),
         RecentJobs(platform.open_jobs, platform.finished_jobs, shared.timeline),
         shared.timeline,
+        shared.restores,
     )
 
 
--- a/tests/coordination/jobs/test_jobs.py
+++ b/tests/coordination/jobs/test_jobs.py
@@ -1,11 +1,14 @@
 """Tests of accepting and finding jobs."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.jobs.job_limits import JobLimits, OpenJobCounter
 from camphoryard.coordination.jobs.jobs import JobContext, accept, find
 from camphoryard.coordination.jobs.recent_jobs import RecentJobs
 from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.state.configuration import (
     Caller,
     Configuration,
@@ -16,6 +19,7 @@
 )
 from camphoryard.state.enums import EndpointKind, JobState, Priority, Reason
 from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import StoreEra
 from camphoryard.state.jobs import CallWork, CompletionWork, record_key
 from camphoryard.state.labels import Equals, Selector
 from camphoryard.state.tables import ConfigurationHolder
@@ -84,6 +88,17 @@
         context.recent.write_again()
         assert find(context, "overnight", job.id) == job
 
+    def test_missing_job_may_be_lost_after_a_restore(self, context):
+        """It is not said to be unknown before it could be recorded again."""
+        job = accept(context, "overnight", WORK, None)
+        context.open_jobs.stored_by_key.clear()
+        restores = StoreRestores(60.0)
+        restores.observe(StoreEra(2))
+        with pytest.raises(RefusalError) as caught:
+            find(replace(context, restores=restores), "overnight", job.id)
+        assert caught.value.reason is Reason.STORE_UNAVAILABLE
+        assert caught.value.retry_after_s > 0
+
     def test_resend_with_a_key_returns_the_same_job(self, context):
         """A key identifies one job of its caller; other work under it is refused."""
         first = accept(context, "overnight", WORK, "k")
