--- a/tests/coordination/jobs/test_jobs.py
+++ b/tests/coordination/jobs/test_jobs.py
@@ -1,10 +1,14 @@
 """Tests of accepting and finding jobs."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.jobs.job_limits import JobLimits, OpenJobCounter
 from camphoryard.coordination.jobs.jobs import JobContext, accept, find
+from camphoryard.coordination.jobs.recent_jobs import RecentJobs
 from camphoryard.coordination.observing.timeline import Timeline
+from camphoryard.coordination.store_restores import StoreRestores
 from camphoryard.state.configuration import (
     Caller,
     Configuration,
@@ -15,6 +19,7 @@
 )
 from camphoryard.state.enums import EndpointKind, JobState, Priority, Reason
 from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import StoreEra
 from camphoryard.state.jobs import CallWork, CompletionWork, record_key
 from camphoryard.state.labels import Equals, Selector
 from camphoryard.state.tables import ConfigurationHolder
@@ -51,9 +56,12 @@
     configuration = ConfigurationHolder()
     configuration.adopt(make_configuration())
     timeline = Timeline("n1", HybridClock(), lambda event: None)
-    open_jobs = InMemoryRecords()
+    open_jobs, finished_jobs = InMemoryRecords(), InMemoryRecords()
+    recent = RecentJobs(open_jobs, finished_jobs, timeline)
     counter = OpenJobCounter(open_jobs, JobLimits(total=3, per_caller=2))
-    return JobContext(configuration, open_jobs, InMemoryRecords(), counter, timeline)
+    return JobContext(
+        configuration, open_jobs, finished_jobs, counter, recent, timeline
+    )
 
 
 def refusal_of(context, caller="overnight", work=WORK, key=None):
@@ -72,6 +80,25 @@
         assert find(context, "overnight", job.id) == job
         assert job.state is JobState.QUEUED
 
+    # Guards against LOST: an accepted job was gone after a restore of the store.
+    def test_job_that_the_store_lost_is_recorded_again(self, context):
+        """Only an accepted one is."""
+        job = accept(context, "overnight", WORK, None)
+        context.open_jobs.stored_by_key.clear()
+        context.recent.write_again()
+        assert find(context, "overnight", job.id) == job
+
+    def test_missing_job_may_be_lost_after_a_restore(self, context):
+        """It is not said to be unknown before it could be recorded again."""
+        job = accept(context, "overnight", WORK, None)
+        context.open_jobs.stored_by_key.clear()
+        restores = StoreRestores(60.0)
+        restores.observe(StoreEra(2))
+        with pytest.raises(RefusalError) as caught:
+            find(replace(context, restores=restores), "overnight", job.id)
+        assert caught.value.reason is Reason.STORE_UNAVAILABLE
+        assert caught.value.retry_after_s > 0
+
     def test_resend_with_a_key_returns_the_same_job(self, context):
         """A key identifies one job of its caller; other work under it is refused."""
         first = accept(context, "overnight", WORK, "k")
