Read eras in one place, and no answer of an earlier one

Cause: both stores' clients read the era of an answer, one took an odd one for none, and an answer that was on its way during a restore could replace a newer view of endpoints. Change: one function reads eras; an odd one is no answer in both. An answer to a read is none either if a later era is known. Result: two new tests, one of each kind; the test of the limit follows the shared one.

--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -1,6 +1,5 @@
 """Records in the platform's store."""
 
-import re
 from collections.abc import Callable, Iterable, Sequence
 from typing import Annotated, Generic, TypeVar
 from urllib.parse import quote, urlencode
@@ -18,10 +17,10 @@
 from camphoryard.state.ids import ABSENT, ObjectKey, Revision, StoreEra, Version
 from camphoryard.state.store_eras import (
     FIRST_ERA,
-    MAX_ERA,
     MAX_REVISION,
     NewestEra,
     era_of,
+    read_era,
     revision_in,
     stored_revision,
     version_in,
@@ -45,7 +44,6 @@
 ERA_HEADER = "store-era"
 """Header, in lower case, of a number that rises when the store is restored."""
 MILLISECONDS_PER_SECOND = 1000
-_ERA_PATTERN = re.compile("[0-9]{1,9}")
 
 
 _StoredRevision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
@@ -272,6 +270,10 @@
             raise ConflictError(f"{method} {path}: status {answer.status}")
         if answer.status not in accepted:
             raise StoreUnavailableError(f"{method} {path}: status {answer.status}")
+        if method == "GET" and _era(answer) < self._newest_era.current:
+            raise StoreUnavailableError(
+                f"{method} {path}: answer from before a restore"
+            )
         return answer
 
     def _observe_era(self, answer: HttpAnswer) -> None:
@@ -296,11 +298,12 @@
 
 
 def _era(answer: HttpAnswer) -> StoreEra:
-    """Return the era that an answer tells, or `FIRST_ERA` if it tells none."""
-    for name, text in answer.headers.items():
-        if name.lower() == ERA_HEADER and _ERA_PATTERN.fullmatch(text):
-            return StoreEra(min(int(text), MAX_ERA))
-    return FIRST_ERA
+    """Return the era that an answer tells; raises StoreUnavailableError."""
+    told = (text for name, text in answer.headers.items() if name.lower() == ERA_HEADER)
+    try:
+        return read_era(next(told, None))
+    except ValueError as error:
+        raise StoreUnavailableError(str(error)) from error
 
 
 def _read(decoder: "msgspec.json.Decoder[DecodedT]", answer: HttpAnswer) -> DecodedT:
--- a/src/camphoryard/state/store_eras.py
+++ b/src/camphoryard/state/store_eras.py
@@ -6,6 +6,7 @@
 version of an object from before a restore never equals one from after it.
 """
 
+import re
 import threading
 
 from camphoryard.state.ids import ABSENT, Revision, StoreEra, Version
@@ -15,10 +16,27 @@
 MAX_REVISION = (1 << ERA_SHIFT) - 1
 MAX_ERA = (1 << 22) - 1
 """Highest era with which versions still fit into 63 bits."""
+MAX_ERA_DIGITS = 7
+_ERA_PATTERN = re.compile(f"[0-9]{{1,{MAX_ERA_DIGITS}}}")
 FIRST_ERA = StoreEra(0)
 """Era of a store that does not tell any."""
 
 
+def read_era(text: str | None) -> StoreEra:
+    """Return the era that an answer tells as text, `FIRST_ERA` if it tells none.
+
+    Raises
+    ------
+    ValueError
+        If it is not a number from 0 to `MAX_ERA`.
+    """
+    if text is None:
+        return FIRST_ERA
+    if not _ERA_PATTERN.fullmatch(text) or int(text) > MAX_ERA:
+        raise ValueError(f"invalid era {text[:MAX_ERA_DIGITS]!r}")
+    return StoreEra(int(text))
+
+
 def version_in(era: StoreEra, revision: int) -> Version:
     """Return the version of an object that has ``revision`` in ``era``.
 
--- a/src/camphoryard/transport/object_api.py
+++ b/src/camphoryard/transport/object_api.py
@@ -24,9 +24,9 @@
 )
 from camphoryard.state.ids import ObjectKey, Revision, StoreEra, Version
 from camphoryard.state.store_eras import (
-    FIRST_ERA,
     NewestEra,
     era_of,
+    read_era,
     revision_in,
     stored_revision,
     version_in,
@@ -43,8 +43,6 @@
 CALL_TIMEOUT_S = 1.0
 WATCH_GRACE_S = 2.0
 MAX_VALUE_BYTES = 1 << 20
-MAX_ERA_DIGITS = 6
-"""Versions and fencing numbers of an era with more would not fit into 63 bits."""
 OK, CREATED, NOT_FOUND, GONE, CONFLICT = 200, 201, 404, 410, 412
 
 
@@ -126,6 +124,8 @@
             raise StoreUnavailableError(
                 f"{path}: era {answered_era} answered a write to era {era}"
             )
+        if method == "GET" and answered_era < self._newest.current:
+            raise StoreUnavailableError(f"{path}: answer from before a restore")
         return answer
 
     def check_newest(self, era: StoreEra) -> None:
@@ -137,17 +137,11 @@
 
 
 def era_in(answer: HttpAnswer) -> StoreEra:
-    """Return the era that an answer tells.
-
-    Raises
-    ------
-    StoreUnavailableError
-        If it is not a number of up to ``MAX_ERA_DIGITS`` digits.
-    """
-    told = answer.headers.get(ERA_HEADER, str(FIRST_ERA))
-    if not (told.isascii() and told.isdecimal()) or len(told) > MAX_ERA_DIGITS:
-        raise StoreUnavailableError(f"invalid era {told!r}")
-    return StoreEra(int(told))
+    """Return the era that an answer tells; raises StoreUnavailableError."""
+    try:
+        return read_era(answer.headers.get(ERA_HEADER))
+    except ValueError as error:
+        raise StoreUnavailableError(str(error)) from error
 
 
 def version_of(answer: HttpAnswer) -> Version:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -130,20 +130,31 @@
 
     def test_a_new_era_is_logged_once(self):
         """Those on call see when the store was restored."""
-        records, log = make_records(*[listing()] * 5)
-        for era in ("1", "1", "2", "1", "2"):
+        records, log = make_records(*[listing()] * 4)
+        for era in ("1", "1", "2", "2"):
             records._client.tell_era(era)
             records.list()
         assert log.events() == ["store_era", "store_era"]
 
-    @pytest.mark.parametrize("era", ["", "x", "-1", "1" * 5000, "²"])
-    def test_an_odd_era_counts_as_none(self, era):
-        """The answer is read all the same."""
+    @pytest.mark.parametrize("era", ["", "x", "-1", "9" * 7, "1" * 5000, "²"])
+    def test_answer_with_an_odd_era_is_none(self, era):
+        """Its versions could not be told from those of another era."""
         records, log = make_records(listing(item("a", SPEC)))
         records._client.tell_era(era)
-        assert len(records.list().items) == 1
+        with pytest.raises(StoreUnavailableError):
+            records.list()
         assert log.events() == []
 
+    @pytest.mark.parametrize("headers", [{}, {"Store-Era": "1"}])
+    def test_answer_of_an_earlier_era_is_none(self, headers):
+        """It was on its way while the store was restored."""
+        records, _ = make_records(listing(), listing(item("a", SPEC)))
+        records._client.tell_era(2)
+        records.list()
+        records._client.headers = headers
+        with pytest.raises(StoreUnavailableError):
+            records.list()
+
 
 # Guards against CONFIG and ONE: the store gives revisions out again after a restore.
 class TestRestoredStore:
--- a/tests/transport/test_object_api.py
+++ b/tests/transport/test_object_api.py
@@ -9,7 +9,7 @@
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT, StoreEra
 from camphoryard.state.nodes import NodeLease
-from camphoryard.state.store_eras import FIRST_ERA, era_of, stored_revision
+from camphoryard.state.store_eras import FIRST_ERA, MAX_ERA, era_of, stored_revision
 from camphoryard.transport.http_client import Address
 from camphoryard.transport.object_api import ObjectApi, ObjectRecords
 from standins.object_api import Store
@@ -134,7 +134,7 @@
         assert site.put("b", version) > version
         assert site.restores == []
 
-    @pytest.mark.parametrize("era", ["x", "-1", "", 10**6])
+    @pytest.mark.parametrize("era", ["x", "-1", "", MAX_ERA + 1])
     def test_invalid_era_is_no_answer(self, site, era):
         """An answer whose era cannot be read has no version."""
         site.store.era = era
