Wait for an earlier leader also after a wait that was cut short

Cause: a node that waits for an earlier leader had its record look like that of a leader which acts, so whoever took over from the record did not wait. A lease that was written before its first renewal could also equal the one before, and a write that changes nothing has no new version, so a rejected term was taken again. Change: the record tells whether its holder has acted, and each write of it differs. A leader whose new term cannot be written after a restore goes on as after a failed renewal.

--- a/src/camphoryard/coordination/leadership/leader_lease.py
+++ b/src/camphoryard/coordination/leadership/leader_lease.py
@@ -165,10 +165,11 @@
         """Release the lease for good."""
         self._is_resigned = True
         term, observed = self._term, self._observed
+        has_acted = self._acts_from_s <= self._clock()
         self._end_term("resigned")
         if not term or observed is None:
             return
-        record = LeadershipRecord(None, self._incarnation, term, 0)
+        record = LeadershipRecord(None, self._incarnation, term, 0, has_acted)
         try:
             self._records.put(self._key, record, observed.version)
         except (ConflictError, StoreUnavailableError) as error:
@@ -181,8 +182,8 @@
             observed = self._read()
         is_restored = self._is_restored_since(self._term)
         if is_restored and not self._has_successor(observed.record):
-            self._end_term("restored")
-            self._acquire(observed, self._lost_leader_s())
+            # Should the write fail, this term goes on as if a renewal had failed.
+            self._acquire(observed)
             return
         if not self._is_own(observed.record):
             self._end_term("taken")
@@ -192,7 +193,11 @@
         # node has taken over.
         began_s = self._clock()
         record = LeadershipRecord(
-            self._node, self._incarnation, self._term, observed.record.renewal + 1
+            self._node,
+            self._incarnation,
+            self._term,
+            observed.record.renewal + 1,
+            has_acted=self._acts_from_s <= began_s,
         )
         version = self._records.put(self._key, record, observed.version)
         self._observed = _ObservedRecord(record, version, began_s)
@@ -207,28 +212,25 @@
             observed = before
         self._observed = observed
         record = observed.record
-        if record is None:
-            self._acquire(observed, self._lost_leader_s())
-        elif record.holder == self._node:
-            # An earlier process of this node has ended, or this process lost the
-            # lease.
-            is_restored = self._is_restored_since(record.term)
-            self._acquire(observed, self._lost_leader_s() if is_restored else 0.0)
-        elif record.holder is None:
-            is_restored = self._is_restored_since(record.term)
-            lost_leader_s = self._lost_leader_s() if is_restored else 0.0
-            self._acquire(observed, max(self._handover_s, lost_leader_s))
-        elif now_s - observed.unchanged_since_s >= LEASE_S:
-            self._acquire(observed, self._handover_s)
+        is_free = record is None or record.holder in (None, self._node)
+        if is_free or now_s - observed.unchanged_since_s >= LEASE_S:
+            self._acquire(observed)
 
-    def _acquire(self, observed: _ObservedRecord, wait_s: float) -> None:
+    def _acquire(self, observed: _ObservedRecord) -> None:
         """Write a lease of this node; its version is the new term."""
         began_s = self._clock()
-        before = observed.record.term if observed.record is not None else NO_TERM
+        wait_s = self._wait_s(observed.record)
+        before, renewal = NO_TERM, 0
+        if observed.record is not None:
+            before, renewal = observed.record.term, observed.record.renewal + 1
         # The term is known once the record is written; the first renewal adds it.
         era_start = FencingNumber(version_in(self._newest_era.current, 0))
         record = LeadershipRecord(
-            self._node, self._incarnation, max(before, era_start), 0
+            self._node,
+            self._incarnation,
+            max(before, era_start),
+            renewal,
+            has_acted=not wait_s,
         )
         written = self._records.put(self._key, record, observed.version)
         self._observed = _ObservedRecord(record, written, began_s)
@@ -245,11 +247,19 @@
             acts_in_s=round(self._acts_from_s - self._clock(), 3),
         )
 
-    def _lost_leader_s(self) -> float:
-        """Return the time in which a leader whose record is lost has stopped."""
-        if self._is_fenced or self._newest_era.current == FIRST_ERA:
+    def _wait_s(self, record: LeadershipRecord | None) -> float:
+        """Return how long a node that takes over from a record waits before it acts."""
+        if self._is_fenced:
             return 0.0
-        return LEASE_S + self._handover_s
+        lost_leader_wait_s = LEASE_S + self._handover_s
+        if record is None:
+            is_first = self._newest_era.current == FIRST_ERA
+            return 0.0 if is_first else lost_leader_wait_s
+        if self._is_restored_since(record.term) or not record.has_acted:
+            # An earlier leader may still act, one that the record does not name.
+            return lost_leader_wait_s
+        # An earlier process of this node has ended, or this process lost the lease.
+        return 0.0 if record.holder == self._node else self._handover_s
 
     def _has_successor(self, record: LeadershipRecord | None) -> bool:
         """Return whether a record of another node is not older than this term."""
--- a/src/camphoryard/state/leadership.py
+++ b/src/camphoryard/state/leadership.py
@@ -12,14 +12,16 @@
     """The leader's lease; ``holder`` is None once the leader has released it.
 
     ``term`` grows with each change of the holder and fences the holder's orders; until
-    the first renewal it is only a lower bound, of the same era. ``renewal`` changes
-    with each write, so that each renewal has a new version.
+    the first renewal it is only a lower bound, of the same era. ``renewal`` grows with
+    each write, so that each has a new version. ``has_acted`` is False while the holder
+    waits for an earlier leader that may still act.
     """
 
     holder: NodeId | None
     incarnation: Incarnation
     term: FencingNumber
     renewal: int
+    has_acted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/leadership/test_leader_lease.py
+++ b/tests/coordination/leadership/test_leader_lease.py
@@ -67,7 +67,8 @@
         current = self.stored.version if self.stored else ABSENT
         if version != current:
             raise ConflictError("version mismatch")
-        self.overwrite(record)
+        if self.stored is None or self.stored.record != record:
+            self.overwrite(record)
         if self.loses_answers:
             raise StoreUnavailableError("answer lost")
         return self.stored.version
@@ -253,6 +254,33 @@
         fleet.advance(second, by_s=0.1)
         assert second.term == fleet.store.stored.version == 3
 
+    # Guards against ONE: a write that changes nothing has no new version.
+    def test_rejected_term_is_not_taken_again(self):
+        """Each lease has a term of its own, also before its first renewal."""
+        fleet = Fleet(0.0, is_fenced=True)
+        lease = fleet.lease("a")
+        terms = []
+        for _ in range(4):
+            fleet.advance(lease)
+            terms.append(lease.term)
+            lease.reject_term(lease.term)
+        assert terms == sorted(set(terms))
+
+    # Guards against ONE: two leaders acted where engines check no fences.
+    def test_handover_is_waited_for_though_an_answer_was_lost(self):
+        """The record names this node, but it has not acted yet."""
+        fleet = Fleet()
+        first, second = fleet.lease("a"), fleet.lease("b")
+        fleet.advance(first, second)
+        fleet.store.loses_answers = True
+        while fleet.store.stored.record.holder != "b":
+            fleet.advance(second, by_s=0.1)
+        fleet.store.loses_answers = False
+        taken_s = fleet.clock()
+        while second.term == NO_TERM:
+            fleet.advance(second, by_s=0.1)
+        assert fleet.clock() - taken_s > HANDOVER_S
+
     def test_rejected_term_ends(self):
         """An engine that has recorded a newer term ends this one."""
         fleet = Fleet()
@@ -348,3 +376,45 @@
         fleet.advance(second)
         assert first.term > term
         assert second.term == NO_TERM
+
+    def test_restart_in_the_wait_does_not_end_it(self):
+        """The record is of the new era, but its holder has not acted yet."""
+        fleet = Fleet()
+        empty = fleet.store.copy()
+        lost = fleet.lease("a")
+        fleet.advance(lost)
+        fleet.store.restore(empty)
+        fleet.advance(fleet.lease("b"))
+        again = fleet.lease("b", "y")
+        again.renew_or_acquire()
+        assert NO_TERM in (lost.term, again.term)
+        while again.term == NO_TERM:
+            fleet.advance(again, by_s=0.1)
+            assert NO_TERM in (lost.term, again.term)
+
+    def test_resignation_in_the_wait_does_not_end_it(self):
+        """The next leader waits for the lost one as well."""
+        fleet = Fleet(handover_s=0.5)
+        empty = fleet.store.copy()
+        lost, second, third = (fleet.lease(name) for name in "abc")
+        fleet.advance(lost)
+        fleet.store.restore(empty)
+        fleet.advance(second)
+        second.resign()
+        third.renew_or_acquire()
+        while third.term == NO_TERM:
+            fleet.advance(third, by_s=0.1)
+            assert NO_TERM in (lost.term, third.term)
+
+    def test_leader_stays_one_if_its_new_term_cannot_be_written(self):
+        """The store is often overloaded right after a restore."""
+        fleet = Fleet(0.0, is_fenced=True)
+        lease = fleet.lease("a")
+        fleet.advance(lease)
+        fleet.store.restore(fleet.store.copy())
+        fleet.store.loses_answers = True
+        fleet.advance(lease)
+        assert lease.term != NO_TERM
+        fleet.store.loses_answers = False
+        fleet.advance(lease)
+        assert era_of(lease.term) == fleet.store.newest_era.current
