Confirm no claim of an era that is not told yet

A claim could be confirmed in camphoryardd before those that the restore had lost were written again, so an action could run twice. Cause: a task that gets an answer of a new era passes one that has heard of it first and has not told it yet, and a later era than the one told counted as settled. Found in review. Change: only a record of the era told last is confirmed. Result: test_record_of_an_era_not_yet_told_is_not_confirmed failed before.

--- a/src/camphoryard/coordination/store_restores.py
+++ b/src/camphoryard/coordination/store_restores.py
@@ -78,8 +78,8 @@
         return True
 
     def is_confirmed(self, version: Version) -> bool:
-        """Return whether a record of ``version`` is in the newest era, and it settled.
+        """Return whether a record of ``version`` is in the era told last, and it settled.
 
         Another node may hold a record that was lost in place of one that is not.
         """
-        return era_of(version) >= self._era and self.is_settled()
+        return era_of(version) == self._era and self.is_settled()
