Ignore entries of processes that are over when a restore shows them again

Peers lost the load, the leadership and the crash reports of a node that had been restarted in the lost span, until it had entered again; nodes that had left came back. Cause: versions of the new era are higher, so the entry of the earlier process replaced that of the running one. Found in review. Change: an incarnation that was released or superseded is not taken again.

--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -107,13 +107,22 @@
         self._by_id: dict[NodeId, _ObservedLease] = {}
         self._digest_by_id: dict[NodeId, NodeDigest] = {}
         self._released: set[Incarnation] = set()
+        self._superseded: set[Incarnation] = set()
 
     def observe(self, lease: NodeLease, version: Version) -> None:
-        """Record a lease; an older or equal version changes nothing."""
+        """Record a lease; an older or equal version changes nothing.
+
+        Neither does that of an incarnation known to be over, which a store that is
+        restored from an older copy shows again.
+        """
         with self._lock:
+            if lease.incarnation in self._released | self._superseded:
+                return
             known = self._by_id.get(lease.node)
             if known is not None and known.version >= version:
                 return
+            if known is not None and known.lease.incarnation != lease.incarnation:
+                self._superseded.add(known.lease.incarnation)
             self._store(lease, version)
 
     def observe_forwarded(self, lease: NodeLease) -> bool:
--- a/tests/state/test_nodes.py
+++ b/tests/state/test_nodes.py
@@ -6,7 +6,9 @@
 import pytest
 
 from camphoryard.state.enums import NodeState
+from camphoryard.state.ids import StoreEra
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
+from camphoryard.state.store_eras import version_in
 
 LEASE_S = 3.0
 OLD, NEW = "start-1", "start-2"
@@ -158,3 +160,30 @@
         nodes.observe(make_lease(NEW), 6)
         assert nodes.digest("n1") is None
         assert nodes.observe_digest(make_digest(1, NEW))
+
+
+# Guards against a running node whose load and leadership no peer hears of.
+class TestRestoredStore:
+    """A store that is restored from an older copy shows earlier entries again."""
+
+    RESTORED = version_in(StoreEra(1), 5)
+
+    def test_earlier_process_does_not_replace_the_running_one(self, nodes):
+        """The running process is known, and its digests go on counting."""
+        nodes.observe(make_lease(NEW), 6)
+        assert nodes.observe_digest(make_digest(1, NEW))
+        nodes.observe(make_lease(OLD), self.RESTORED)
+        assert nodes.observe_digest(make_digest(2, NEW))
+        assert nodes.find("n1").incarnation == NEW
+
+    def test_node_that_has_left_stays_forgotten(self, nodes):
+        """Its removal was lost with the last seconds of the store."""
+        nodes.forget("n1")
+        nodes.observe(make_lease(), self.RESTORED)
+        assert nodes.all() == ()
+
+    def test_further_process_is_known(self, nodes):
+        """Only processes that are known to be over are ignored."""
+        nodes.forget("n1")
+        nodes.observe(make_lease(NEW), self.RESTORED)
+        assert nodes.find("n1").incarnation == NEW
