Count the grace for the fleet's keys from the store's first answer

Cause: a node that starts while the store is away had used up the grace when it came back, and wrote other keys than the running nodes. Found in review. Change: the grace begins when the store has first answered that it has no keys. Result: test_grace_begins_with_the_first_answer_of_the_store failed before.

--- a/src/camphoryard/coordination/fleet/node_registration.py
+++ b/src/camphoryard/coordination/fleet/node_registration.py
@@ -93,14 +93,18 @@
     ----------
     has_fleet : bool
         Whether other nodes may be running. If the store has no keys then, it may have
-        lost them, and those nodes have `KEYS_GRACE_S` to write them again.
+        lost them, and those nodes have `KEYS_GRACE_S` from its first answer to write
+        them again.
     """
-    waits_until_s = clock() + (KEYS_GRACE_S if has_fleet else 0.0)
+    grace_s = KEYS_GRACE_S if has_fleet else 0.0
+    waits_until_s: float | None = None
     for _ in timer.every(RETRY_PERIOD_S + random.random() * RETRY_JITTER_S):
         try:
             stored = records.get(PEER_KEYS_KEY)
             if stored is not None and stored.record is not None:
                 return stored.record
+            if waits_until_s is None:
+                waits_until_s = clock() + grace_s
             if stored is None and clock() < waits_until_s:
                 continue
             # A record that nobody can read is replaced.
--- a/tests/coordination/fleet/test_node_registration.py
+++ b/tests/coordination/fleet/test_node_registration.py
@@ -221,6 +221,18 @@
         keys = agree_on_keys(store, self.OWN, ticks, True, clock)
         assert keys == self.OWN == store.get(PEER_KEYS_KEY).record
 
+    def test_grace_begins_with_the_first_answer_of_the_store(self):
+        """Running nodes learn of the restore at the same time."""
+        store, clock, log = Store(), Clock(), RecordedLog()
+        store.is_unavailable = True
+
+        def answer():
+            clock.advance(KEYS_GRACE_S)
+            store.is_unavailable = False
+
+        ticks = Ticks(answer, lambda: restore_keys(store, self.FLEET, log))
+        assert agree_on_keys(store, self.OWN, ticks, True, clock) == self.FLEET
+
     def test_kept_keys_are_not_written_again(self):
         """Most restores do not reach back to the first start."""
         store, log = Store(), RecordedLog()
