Let a node write its lease again after it was deleted

Cause: leases are also deleted by nodes that take their holder for dead, so a deleted one does not prove that its process is over. A node that left in the lost span counts for a lease again.

--- a/src/camphoryard/coordination/store_restores.py
+++ b/src/camphoryard/coordination/store_restores.py
@@ -78,7 +78,7 @@
         return True
 
     def is_confirmed(self, version: Version) -> bool:
-        """Return whether a record of ``version`` is in the era told last, and it settled.
+        """Return whether a record of ``version`` is in the era told last, and settled.
 
         Another node may hold a record that was lost in place of one that is not.
         """
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -112,11 +112,11 @@
     def observe(self, lease: NodeLease, version: Version) -> None:
         """Record a lease; an older or equal version changes nothing.
 
-        Neither does that of an incarnation known to be over, which a store that is
+        Neither does that of an incarnation that was superseded, which a store that is
         restored from an older copy shows again.
         """
         with self._lock:
-            if lease.incarnation in self._released | self._superseded:
+            if lease.incarnation in self._superseded:
                 return
             known = self._by_id.get(lease.node)
             if known is not None and known.version >= version:
--- a/tests/coordination/test_store_restores.py
+++ b/tests/coordination/test_store_restores.py
@@ -43,7 +43,7 @@
         assert restores.is_confirmed(version_in(StoreEra(2), 7))
         assert not restores.is_confirmed(version_in(StoreEra(1), 9))
 
-    # Guards against an action that runs twice: its claim was lost and not yet rewritten.
+    # Guards against an action that runs twice: its lost claim was not yet rewritten.
     def test_record_of_an_era_not_yet_told_is_not_confirmed(self):
         """The task that has heard of the restore may not have told it yet."""
         restores = StoreRestores(3.0)
