Tell the lives of a node by the start of its process

Cause: the check of older configurations took the log line of the daemon's start for the beginning of a life. Change: the soak records when it starts a node again, and the check goes by that time. Within one life it is as strict as before. The changed test has an adoption before the line, which the check before took for the old life's.

--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -4,6 +4,7 @@
 All times are monotonic and of one machine.
 """
 
+from bisect import bisect
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -68,7 +69,8 @@
     ``lines_by_replica`` are the journals of the replicas, ``leaves_s`` the times at
     which the store acknowledged that a replica leaves, ``crashes_s`` those of crashes
     by part, ``own_ends`` the processes that ended by themselves, ``confirmed_s``
-    the times at which the store acknowledged versions of the configuration.
+    the times at which the store acknowledged versions of the configuration,
+    ``starts_s`` those at which the processes of nodes were started again.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -79,6 +81,7 @@
     own_ends: list[str] = field(default_factory=list)
     log_lines_by_node: dict[str, list[LogLine]] = field(default_factory=dict)
     confirmed_s: dict[int, float] = field(default_factory=dict)
+    starts_s: dict[str, list[float]] = field(default_factory=dict)
 
     def is_disturbed(self, target: str, from_s: float, until_s: float) -> bool:
         """Return whether a target was under a fault in a span of time."""
@@ -265,17 +268,17 @@
 def _older_configuration(history: SoakHistory) -> Iterable[str]:
     """Find nodes that left a confirmed configuration for an older one."""
     for node, lines in history.log_lines_by_node.items():
-        newest = 0
+        starts_s = history.starts_s.get(node, [])
+        newest_by_life: dict[int, int] = defaultdict(int)
         for line in lines:
-            match line.event:
-                case "started":
-                    newest = 0
-                case "configuration_adopted":
-                    version = int(line.fields["version"])
-                    if version < newest:
-                        yield f"CONFIG: {node} went from {newest} back to {version}"
-                    if version in history.confirmed_s:
-                        newest = max(newest, version)
+            if line.event != "configuration_adopted":
+                continue
+            life = bisect(starts_s, line.at_s)
+            version, newest = int(line.fields["version"]), newest_by_life[life]
+            if version < newest:
+                yield f"CONFIG: {node} went from {newest} back to {version}"
+            if version in history.confirmed_s:
+                newest_by_life[life] = max(newest, version)
 
 
 def _late_configuration(history: SoakHistory) -> Iterable[str]:
--- a/faults/entry_soak.py
+++ b/faults/entry_soak.py
@@ -590,6 +590,8 @@
 
 
 def _restart(site: SoakSite, node: str) -> None:
+    with site.lock:
+        site.history.starts_s.setdefault(node, []).append(time.monotonic())
     site.fleet.restart(node)
     site.fleet.wait_ready([node], "/ready")
 
--- a/tests/faults/test_entry_checks.py
+++ b/tests/faults/test_entry_checks.py
@@ -211,23 +211,18 @@
     def test_newer_configurations_break_no_rule(self):
         """Versions rise, and a new process may begin with an older one."""
         log = node_log(
-            "event=started",
             "event=configuration_adopted version=1",
-            "event=configuration_adopted version=3",
             "event=started",
+            "event=configuration_adopted version=3",
             "event=configuration_adopted version=2",
+            "event=started",
         )
-        logs = {"n1": log}
-        assert (
-            rules(
-                history(
-                    [],
-                    log_lines_by_node=logs,
-                    confirmed_s=dict.fromkeys((1, 2, 3), 0.0),
-                )
-            )
-            == []
+        logs, starts_s = {"n1": log}, {"n1": [2.5]}
+        confirmed_s = dict.fromkeys((1, 2, 3), 0.0)
+        sound = history(
+            [], log_lines_by_node=logs, confirmed_s=confirmed_s, starts_s=starts_s
         )
+        assert rules(sound) == []
 
     def test_older_configuration_comes_back(self):
         """A node replaces a confirmed version by an older one."""
