--- a/src/camphoryard/node/assembly.py
+++ b/src/camphoryard/node/assembly.py
@@ -10,6 +10,7 @@
 from camphoryard.coordination.admission.admission import Admission
 from camphoryard.coordination.fleet.node_registration import apply_lease
 from camphoryard.coordination.inference.request_gateway import RequestGateway
+from camphoryard.coordination.lost_records import LostRecordWriter
 from camphoryard.coordination.membership.peer_messages import (
     PeerMessageContext,
 )
@@ -70,7 +71,10 @@
 def make_node(settings: Settings) -> Node:
     """Return a node of which only the timer is running."""
     shared = make_shared_context(settings)
-    platform = make_platform(settings.platform, shared.client)
+    platform = make_platform(settings.platform, shared.client, shared.restores.observe)
+    shared.restores.subscribe(
+        lambda: shared.timeline.record("store_era", era=shared.restores.era)
+    )
     residency = make_residency(shared, platform)
     claim_finalizer = ClaimFinalizer(platform.claims, shared.timeline)
     serving = make_serving(shared, platform, residency, claim_finalizer)
@@ -114,7 +118,10 @@
             claim_finalizer.run,
             replicator.run,
             persister.run,
+            LostRecordWriter(shared.refusals.mark_unpersisted, shared.restores).run,
             runner.run,
+            LostRecordWriter(jobs.recent.write_again, shared.restores).run,
+            control_plane.lost_changes.run,
             functools.partial(run_expiry, expiry),
         ),
         make_app(shared, serving.gateway, control_plane, persister, jobs),
