--- a/src/camphoryard/coordination/record_watcher.py
+++ b/src/camphoryard/coordination/record_watcher.py
@@ -110,7 +110,15 @@
                 self._record_availability(False)
 
     def list_once(self) -> Snapshot[RecordT]:
-        """List all records and pass them on; raises StoreUnavailableError."""
+        """List all records and pass them on.
+
+        Raises
+        ------
+        ConflictError
+            If the store was restored between two pages of the listing.
+        StoreUnavailableError
+            If the object API did not answer.
+        """
         self._sent_s = time.monotonic()
         snapshot = self._records.list()
         if self._on_listing is not None:
