--- a/src/camphoryard/coordination/fleet/node_registration.py
+++ b/src/camphoryard/coordination/fleet/node_registration.py
@@ -20,7 +20,7 @@
 """Periods between two watches of the nodes by a node of a large fleet."""
 PEER_KEYS_KEY = ObjectKey("peers")
 RESTORE_CHECK_PERIOD_S = 0.5
-"""Period in which a node looks whether it has been told of a restore of the store."""
+"""Period in which a node checks whether the store has reported a restore."""
 KEYS_GRACE_S = 6.0
 """Time in which running nodes learn of a restore of the store and write the keys
 again."""
@@ -142,8 +142,8 @@
 ) -> None:
     """Call ``rewrite`` after each restore of the store until the timer closes.
 
-    The first era that the store tells counts as well: the store may have been restored
-    since the records were first written.
+    The first era that the store reports counts as well, since the store may have been
+    restored after the records were first written.
     """
     rewritten = FIRST_ERA
     for _ in timer.every(RESTORE_CHECK_PERIOD_S):
--- a/src/camphoryard/coordination/store_restores.py
+++ b/src/camphoryard/coordination/store_restores.py
@@ -15,8 +15,8 @@
 class StoreRestores:
     """The newest era of the store, and whether the nodes had time to write again.
 
-    A node that starts cannot tell how long ago the era that it is told began, so for
-    it too that era settles first.
+    A node that starts cannot know how long ago the current era began, so for it too
+    that era settles first.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
         self._subscribers.append(callback)
 
     def observe(self, era: StoreEra) -> None:
-        """Record a later era and tell the subscribers."""
+        """Record a later era and notify the subscribers."""
         with self._changed:
             if era <= self._era:
                 return
@@ -78,7 +78,7 @@
         return True
 
     def is_confirmed(self, version: Version) -> bool:
-        """Return whether a record of ``version`` is in the era told last, and settled.
+        """Return whether a record of ``version`` is in the latest era, and settled.
 
         Another node may hold a record that was lost in place of one that is not.
         """
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -47,7 +47,7 @@
 
     ``metrics_port`` 0 opens no separate metrics port: the readiness address still
     serves metrics. ``peer_ports`` are the first and the last port for traffic between
-    nodes. ``is_first_start`` tells that no node of the fleet has run before.
+    nodes. ``is_first_start`` is True if no node of the fleet has run before.
     """
 
     node: NodeId
--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -298,10 +298,10 @@
 
 
 def _era(answer: HttpAnswer) -> StoreEra:
-    """Return the era that an answer tells; raises StoreUnavailableError."""
-    told = (text for name, text in answer.headers.items() if name.lower() == ERA_HEADER)
+    """Return the era that an answer reports; raises StoreUnavailableError."""
+    eras = (text for name, text in answer.headers.items() if name.lower() == ERA_HEADER)
     try:
-        return read_era(next(told, None))
+        return read_era(next(eras, None))
     except ValueError as error:
         raise StoreUnavailableError(str(error)) from error
 
--- a/src/camphoryard/state/serving_endpoints.py
+++ b/src/camphoryard/state/serving_endpoints.py
@@ -41,7 +41,7 @@
 class ServingEndpoint:
     """An endpoint; ``started_ms`` distinguishes restarts under the same id.
 
-    It is `UNKNOWN_START_MS` if the endpoint does not tell it.
+    It is `UNKNOWN_START_MS` if the endpoint does not report it.
 
     ``on_hand`` lists the models that it can load without the weight store,
     because their weights are on its disk or in its memory.
--- a/src/camphoryard/state/store_eras.py
+++ b/src/camphoryard/state/store_eras.py
@@ -1,7 +1,7 @@
 """Versions that stay ordered when the store is restored from an older copy.
 
 A restored store counts its revisions from that of the copy, and so gives some of them
-out again. It tells each restore by a higher era in its answers. A version here is the
+out again. Its answers report each restore by a higher era. A version here is the
 era and the revision in it, so that versions of a later era are always higher, and the
 version of an object from before a restore never equals one from after it.
 """
@@ -19,11 +19,11 @@
 MAX_ERA_DIGITS = 7
 _ERA_PATTERN = re.compile(f"[0-9]{{1,{MAX_ERA_DIGITS}}}")
 FIRST_ERA = StoreEra(0)
-"""Era of a store that does not tell any."""
+"""Era of a store that reports none."""
 
 
 def read_era(text: str | None) -> StoreEra:
-    """Return the era that an answer tells as text, `FIRST_ERA` if it tells none.
+    """Return the era that an answer reports, `FIRST_ERA` if it reports none.
 
     Raises
     ------
@@ -73,7 +73,7 @@
 
 
 class NewestEra:
-    """The newest era that the store has told this node in an answer."""
+    """The newest era that the store has reported to this node."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
--- a/src/camphoryard/transport/object_api.py
+++ b/src/camphoryard/transport/object_api.py
@@ -62,7 +62,7 @@
     token : str
         Bearer token of each call.
     on_restored : callable
-        Called with each later era of the store, before the answer that told it is
+        Called with each later era of the store, before the answer that reported it is
         returned; it must not call the object API.
     """
 
@@ -137,7 +137,7 @@
 
 
 def era_in(answer: HttpAnswer) -> StoreEra:
-    """Return the era that an answer tells; raises StoreUnavailableError."""
+    """Return the era that an answer reports; raises StoreUnavailableError."""
     try:
         return read_era(answer.headers.get(ERA_HEADER))
     except ValueError as error:
