Take only stored leases for proof that a process is over

In camphoryardd engines had no owner, and a model no request reached, after all nodes had been restarted in an outage of the object API. Cause: a peer forwards the lease of a new process before the object API shows it. The old lease that the object API still had then marked the new process as superseded, and its own lease was ignored for good. Change: an incarnation is superseded only by a stored lease after a stored one.

--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -107,13 +107,14 @@
         self._by_id: dict[NodeId, _ObservedLease] = {}
         self._digest_by_id: dict[NodeId, NodeDigest] = {}
         self._released: set[Incarnation] = set()
+        self._stored_incarnation_by_id: dict[NodeId, Incarnation] = {}
         self._superseded: set[Incarnation] = set()
 
     def observe(self, lease: NodeLease, version: Version) -> None:
         """Record a lease; an older or equal version changes nothing.
 
-        Neither does that of an incarnation that was superseded, which a store that is
-        restored from an older copy shows again.
+        Neither does that of an incarnation that the store has shown to be superseded,
+        which it shows again if it is restored from an older copy.
         """
         with self._lock:
             if lease.incarnation in self._superseded:
@@ -121,8 +122,11 @@
             known = self._by_id.get(lease.node)
             if known is not None and known.version >= version:
                 return
-            if known is not None and known.lease.incarnation != lease.incarnation:
-                self._superseded.add(known.lease.incarnation)
+            # A forwarded lease may be newer than the first one that the store shows.
+            stored = self._stored_incarnation_by_id.get(lease.node)
+            if stored is not None and stored != lease.incarnation:
+                self._superseded.add(stored)
+            self._stored_incarnation_by_id[lease.node] = lease.incarnation
             self._store(lease, version)
 
     def observe_forwarded(self, lease: NodeLease) -> bool:
--- a/tests/state/test_nodes.py
+++ b/tests/state/test_nodes.py
@@ -187,3 +187,12 @@
         nodes.forget("n1")
         nodes.observe(make_lease(NEW), self.RESTORED)
         assert nodes.find("n1").incarnation == NEW
+
+    # Guards against engines without an owner after a restart in an outage of the store.
+    def test_process_that_a_peer_forwarded_is_not_superseded(self, now_s):
+        """The store still shows the lease of the process before."""
+        nodes = NodeTable()
+        assert nodes.observe_forwarded(make_lease(NEW))
+        nodes.observe(make_lease(OLD), 5)
+        nodes.observe(make_lease(NEW), 6)
+        assert nodes.has_lease("n1", NEW)
