--- a/review/harness.py
+++ b/review/harness.py
@@ -529,7 +529,10 @@
     """Close a channel so that its peer gets a reset."""
     with contextlib.suppress(OSError):
         channel.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        channel.close()
+        # Wakes a task that reads, which would keep the channel open.
+        channel.shutdown(socket.SHUT_RD)
+    with contextlib.suppress(OSError):
+        os.close(channel.detach())
 
 
 def entry(service: str, ip: str, port: int, born: int, **fields: Any) -> dict[str, Any]:
