--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,97 +1,141 @@
-"""Case 3: a part of a prompt crashes replicas some events into the answer, for ever."""
+"""Case 3: an answer without a length that is reset during an upload looks complete."""
 
+import socket
 import sys
 import threading
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import harness as h  # noqa: E402
-import prompts as p  # noqa: E402
-
-REPLICAS = 5
-DAEMONS = 3
-EVENTS_BEFORE_CRASH = 2
-PATHS = ("/spot/a", "/lease/a")
-"""Sound streams of the first may be resumed, those of the second may not."""
-FIRST, DEADLY = "5c1e07a2", "91bd3f06"
-BEFORE_S = 6.0
-DEADLY_S = 30.0
-SOUND_PER_S, DEADLY_PER_S = 8.0, 1.0
-STABLE_WINDOW_S = 3.0
-FIFTH = 5
-MAX_ARRIVALS = 3
+
+UPLOADS = 8
+UPLOAD_BYTES = 4_000_000
+"""Below the limit of the configuration, and more than the kernel buffers."""
+RECEIVE_BYTES = 65_536
+RESET_AFTER_S = 0.1
+RESET_EVERY = 2
+"""One in so many channels is reset: half of them."""
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "book-charge",
+            "host": h.HOST_NAME,
+            "path-prefix": "/book/",
+            "kind": "non_idempotent",
+            "timeout-ms": 3000,
+            "goal-ms": 400,
+            "priority": 2,
+            "max-attempts": 1,
+            "service": "permit-desk",
+        }
+    ],
+    "services": [{"name": "permit-desk", "max-conns": 96, "health-path": "/health"}],
+    "limits": h.LIMITS,
+}
+
+
+def whole_body(id: str) -> bytes:
+    """Return the whole body that answers a request."""
+    return b"".join(b"line %d of %s\n" % (n, id.encode()) for n in range(40))
+
+
+class Replica:
+    """A sound replica that answers long requests early, without a length.
+
+    With the disruption, its channels are reset in the middle of such answers.
+    """
+
+    def __init__(self, ip: str, record: h.Record) -> None:
+        self.record = record
+        self._calls = 0
+        self.port = h.listen(ip, self.serve, RECEIVE_BYTES)
+
+    def serve(self, channel: socket.socket) -> None:
+        """Answer the call of one channel."""
+        reader = channel.makefile("rb", buffering=4096)
+        call = h.read_call_head(reader)
+        if call is None:
+            return
+        body = whole_body(call.id)
+        headers = {
+            "Attempt-Id": call.id,
+            "Server-Seal": f"seal-{call.id}",
+            "Connection": "close",
+        }
+        self.record("ran", id=call.id)
+        self._calls += 1
+        half = len(body) // 2
+        channel.sendall(h.head(200, headers) + body[:half])
+        time.sleep(RESET_AFTER_S)
+        if h.has_trouble() and self._calls % RESET_EVERY == 0:
+            self.record("reset", id=call.id, sent=half, of=len(body))
+            reader.close()
+            h.reset(channel)
+            return
+        channel.sendall(body[half:])
+        left = int(call.headers.get("content-length", 0))
+        while left > 0 and (data := reader.read1(65536)):
+            left -= len(data)
+        self.record("ran_whole", id=call.id, unread=left)
 
 
 def case(folder: Path, record: h.Record) -> bool:
-    """Return whether few requests with the part arrive after the fifth crash."""
+    """Return whether each answer that looks complete is the replica's whole body."""
     ip = h.random_ip()
     store = h.Store(ip, record)
-    deadly = DEADLY if h.has_trouble() else "none"
-    replicas = [
-        p.Replica(f"i-{n}", ip, store, record, deadly, EVENTS_BEFORE_CRASH)
-        for n in range(REPLICAS)
-    ]
-    for replica in replicas:
-        replica.start()
-    store.put("config", "main", p.CONFIG)
-    daemons = [h.Daemon(f"edge-{n}", folder, store.address) for n in range(DAEMONS)]
-    with h.ended(daemons):
-        for daemon in daemons:
-            daemon.start()
-        for daemon in daemons:
-            daemon.wait_ready()
-        daemons[0].wait_logged("event=node_entered")
-        clients = p.Clients(daemons, record)
-
-        def sound(number: int) -> tuple[str, ...]:
-            return (FIRST, f"a{number % 7}", f"b{number:x}")
-
-        def with_part(number: int) -> tuple[str, ...]:
-            return (FIRST, DEADLY, f"c{number:x}")
-
-        clients.send_for(BEFORE_S, SOUND_PER_S, sound, PATHS)
-        task = threading.Thread(
-            target=clients.send_for, args=(DEADLY_S, DEADLY_PER_S, with_part)
-        )
-        task.start()
-        clients.send_for(DEADLY_S, SOUND_PER_S, sound, PATHS)
-        task.join()
-        clients.wait()
-    crashes_s = sorted(at_s for item in replicas for at_s in item.crashes_s)
-    record("crashes", count=len(crashes_s))
-    if not h.has_trouble():
-        if not all(item.answer.is_complete for item in clients.sent):
-            raise h.NotReadyError("not served without the disruption")
-        return True
-    if len(crashes_s) < FIFTH:
-        return True
-    since_s = crashes_s[FIFTH - 1] + STABLE_WINDOW_S
-    late = [
-        arrival
-        for replica in replicas
-        for arrival in replica.arrivals
-        if DEADLY in arrival.parts and arrival.at_s > since_s
-    ]
-    record("arrivals_after_fifth_crash", count=len(late), allowed=MAX_ARRIVALS)
-    sound_sent = [item for item in clients.sent if DEADLY not in item.parts]
-    before = [item for item in sound_sent if item.sent_s < crashes_s[0]]
-    after = [item for item in sound_sent if item.sent_s > since_s + STABLE_WINDOW_S]
-    for name, items in (("before", before), ("after", after)):
-        for path in PATHS:
-            chosen = [item for item in items if item.path == path]
-            record(
-                "sound_requests",
-                when=name,
-                path=path,
-                sent=len(chosen),
-                begun=sum(item.has_begun for item in chosen),
-                whole=sum(
-                    item.has_begun and item.answer.is_complete for item in chosen
-                ),
+    replica = Replica(ip, record)
+    born = int(time.time() * 1000)
+    store.put("servers", "i-1", h.entry("permit-desk", ip, replica.port, born, slots=6))
+    store.put("config", "main", CONFIG)
+    daemon = h.Daemon("edge-1", folder, store.address)
+    answers: dict[str, h.Answer] = {}
+    with h.ended([daemon]):
+        daemon.start()
+        daemon.wait_ready()
+
+        def ask(id: str) -> None:
+            headers = {"Deadline-Ms": "3000"}
+            record("sent", id=id, bytes=UPLOAD_BYTES)
+            answers[id] = h.call(
+                daemon.ip,
+                daemon.front_port,
+                "POST",
+                "/book/a",
+                id,
+                headers,
+                b"x" * UPLOAD_BYTES,
             )
-    return len(late) <= MAX_ARRIVALS
+
+        for number in range(1, UPLOADS + 1):
+            task = threading.Thread(target=ask, args=(f"{number:016x}",))
+            task.start()
+            task.join()
+    held = True
+    for id, answer in sorted(answers.items()):
+        is_whole = answer.body == whole_body(id)
+        record(
+            "answered",
+            id=id,
+            status=answer.status,
+            seal=answer.headers.get("server-seal"),
+            looks_complete=answer.is_complete,
+            is_whole=is_whole,
+            bytes=len(answer.body),
+            of=len(whole_body(id)),
+            took_s=round(answer.took_s, 2),
+            ended=f"'{answer.ended}'",
+        )
+        if answer.is_complete and answer.status == 200 and not is_whole:
+            held = False
+    if not h.has_trouble() and not all(
+        item.is_complete and item.status == 200 for item in answers.values()
+    ):
+        raise h.NotReadyError("not served without the disruption")
+    return held
 
 
 if __name__ == "__main__":
--- a/review/harness.py
+++ b/review/harness.py
@@ -504,9 +504,19 @@
     return head(status, {**headers, "Content-Length": str(len(body))}) + body
 
 
-def listen(ip: str, serve: Callable[[socket.socket], None]) -> int:
-    """Serve each new channel in a thread of its own; return the port."""
-    server = socket.create_server((ip, 0), backlog=512)
+def listen(
+    ip: str, serve: Callable[[socket.socket], None], receive_bytes: int = 0
+) -> int:
+    """Serve each new channel in a thread of its own; return the port.
+
+    ``receive_bytes`` bounds what the kernel takes for a channel before it is read.
+    """
+    server = socket.socket()
+    server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if receive_bytes:
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    server.bind((ip, 0))
+    server.listen(512)
 
     def accept() -> None:
         while True:
@@ -557,6 +567,7 @@
     ``case`` returns whether the rule held.
     """
     record = Record(folder)
+    signal.signal(signal.SIGTERM, _stop)
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     code = NOT_RUN
     try:
@@ -575,6 +586,10 @@
     os._exit(code)
 
 
+def _stop(*_: Any) -> None:
+    raise NotReadyError("the case was stopped")
+
+
 @contextlib.contextmanager
 def ended(daemons: Iterable[Daemon]) -> Any:
     """End the processes of the daemons after the context."""
--- a/review/prompts.py
+++ b/review/prompts.py
@@ -63,9 +63,10 @@
 class Replica:
     """A replica that one part of a prompt may crash.
 
-    It writes ``events_before_crash`` events of an answer on the part ``deadly`` and
-    then ends: it resets its channels and listens no more. It is back some seconds later
-    at the same address under the same id, with a later start.
+    Each answer begins with ``events_before_crash`` events that are written at once. If
+    the answer is on the part ``deadly``, the replica then ends: it resets its channels
+    and listens no more. It is back some seconds later at the same address under the
+    same id, with a later start.
     """
 
     id: str
@@ -154,13 +155,18 @@
         }
         channel.sendall(h.head(200, headers))
         first = int(call.headers.get("last-event-id") or 0) + 1
-        for written, number in enumerate(range(first, EVENTS + 1)):
-            time.sleep(EVENT_PERIOD_S)
-            if self.deadly in parts and written == self.events_before_crash:
-                self.crash()
-                return
+        first_numbers = range(first, first + self.events_before_crash)
+        data = b"".join(event(call.id, number) for number in first_numbers)
+        if data:
+            channel.sendall(b"%x\r\n%b\r\n" % (len(data), data))
+        time.sleep(EVENT_PERIOD_S)
+        if self.deadly in parts:
+            self.crash()
+            return
+        for number in range(first_numbers.stop, EVENTS + 1):
             data = event(call.id, number)
             channel.sendall(b"%x\r\n%b\r\n" % (len(data), data))
+            time.sleep(EVENT_PERIOD_S)
         channel.sendall(b"0\r\n\r\n")
 
 
