--- a/review/4/case.py
+++ b/review/4/case.py
@@ -19,7 +19,7 @@
 """A shared part that replaces another one when the requests with the part begin."""
 BEFORE_S, AFTER_S = 8.0, 24.0
 SOUND_PER_S, DEADLY_PER_S = 8.0, 0.5
-LEAD_S = 1.0
+LEAD_S = 0.2
 """Time from the first request with the new shared part to the first sound one."""
 STABLE_WINDOW_S = 3.0
 MIN_REQUESTS = 20
