--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,13 +11,16 @@
 
 import harness as h  # noqa: E402
 
+MACHINES = 10
+"""The channels of one of them are reset: a tenth."""
 UPLOADS = 8
+"""Through that machine; through each of the others goes one."""
 UPLOAD_BYTES = 4_000_000
 """Below the limit of the configuration, and more than the kernel buffers."""
 RECEIVE_BYTES = 65_536
 RESET_AFTER_S = 0.1
 RESET_EVERY = 2
-"""One in so many channels is reset: half of them."""
+"""One in so many channels of that machine is reset: half of them."""
 CONFIG = {
     "version": 3,
     "routes": [
@@ -51,7 +54,7 @@
 
     def __init__(self, ip: str, record: h.Record) -> None:
         self.record = record
-        self._calls = 0
+        self.reset_ids: set[str] = set()
         self.port = h.listen(ip, self.serve, RECEIVE_BYTES)
 
     def serve(self, channel: socket.socket) -> None:
@@ -67,11 +70,10 @@
             "Connection": "close",
         }
         self.record("ran", id=call.id)
-        self._calls += 1
         half = len(body) // 2
         channel.sendall(h.head(200, headers) + body[:half])
         time.sleep(RESET_AFTER_S)
-        if h.has_trouble() and self._calls % RESET_EVERY == 0:
+        if call.id in self.reset_ids:
             self.record("reset", id=call.id, sent=half, of=len(body))
             reader.close()
             h.reset(channel)
@@ -91,15 +93,17 @@
     born = int(time.time() * 1000)
     store.put("servers", "i-1", h.entry("permit-desk", ip, replica.port, born, slots=6))
     store.put("config", "main", CONFIG)
-    daemon = h.Daemon("edge-1", folder, store.address)
+    daemons = [h.Daemon(f"edge-{n}", folder, store.address) for n in range(MACHINES)]
     answers: dict[str, h.Answer] = {}
-    with h.ended([daemon]):
-        daemon.start()
-        daemon.wait_ready()
+    with h.ended(daemons):
+        for daemon in daemons:
+            daemon.start()
+        for daemon in daemons:
+            daemon.wait_ready()
 
-        def ask(id: str) -> None:
+        def ask(id: str, daemon: h.Daemon) -> None:
             headers = {"Deadline-Ms": "3000"}
-            record("sent", id=id, bytes=UPLOAD_BYTES)
+            record("sent", id=id, to=daemon.name, bytes=UPLOAD_BYTES)
             answers[id] = h.call(
                 daemon.ip,
                 daemon.front_port,
@@ -110,8 +114,12 @@
                 b"x" * UPLOAD_BYTES,
             )
 
-        for number in range(1, UPLOADS + 1):
-            task = threading.Thread(target=ask, args=(f"{number:016x}",))
+        uploads = [daemons[0]] * UPLOADS + daemons[1:]
+        for number, daemon in enumerate(uploads):
+            id = f"{number:016x}"
+            if h.has_trouble() and number < UPLOADS and number % RESET_EVERY:
+                replica.reset_ids.add(id)
+            task = threading.Thread(target=ask, args=(id, daemon))
             task.start()
             task.join()
     held = True
