Take an unframed answer after a failed write for incomplete

Cause: an endpoint may answer before it has read a long request, so a failed write is ignored if something can be read. The kernel reports the reset of a connection once, here to that write; the read after the received bytes sees an end like that of a whole answer. Ruled out: the reader drops an error (the write had it), and an ordinary end (it was a ConnectionResetError).

Change: after a failed write, the end of the connection raises its error. An answer with a length or chunks tells where it ends and is passed on as before; an endpoint that reads on after its answer is as well. The connection is not kept.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -103,6 +103,8 @@
             forwarded.has_begun_answer = answer.head.kind is AnswerKind.SERVED
             context.notices.heed(endpoint, answer.head.notices)
             context.observe("head", context.clock() - sent_s)
+            if answer.write_error is not None:
+                _log_unread_request(context, forwarded, endpoint, answer)
             return _handle_answer(
                 context, forwarded, endpoint, answer, reply, sent_s, wait
             )
@@ -112,6 +114,22 @@
         context.in_flight.end(endpoint.id)
 
 
+def _log_unread_request(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    endpoint: ServingEndpoint,
+    answer: Answer,
+) -> None:
+    context.log(
+        "request_not_read_whole",
+        request=forwarded.request.id,
+        endpoint=endpoint.id,
+        status=answer.head.status,
+        error=repr(answer.write_error),
+        unframed=answer.ends_with_connection,
+    )
+
+
 class _FirstEventWait:
     """Records how one request's wait for its first event ends."""
 
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -110,10 +110,13 @@
     """An open answer of an endpoint; closing it early aborts the request.
 
     ``ends_with_connection`` is True if it has neither a length nor chunks.
+    ``write_error`` is the error after which the rest of the request was not written,
+    or None.
     """
 
     head: AnswerHead
     ends_with_connection: bool
+    write_error: OSError | None
 
     def body(self) -> bytes:
         """Return the whole body.
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -139,6 +139,11 @@
         """The socket of the connection."""
         return self._exchange.sock
 
+    @property
+    def write_error(self) -> OSError | None:
+        """The error after which the rest of the call was not written, or None."""
+        return self._exchange.connection.write_error
+
     def set_read_timeout(
         self, silence_timeout_s: float, keep_waiting: Callable[[], bool]
     ) -> None:
@@ -205,7 +210,8 @@
         exchange.unsubscribe_cancellation()
         exchange.connection.reader.set_keep_waiting(_never)
         self.response.close()
-        if is_read and not self.response.will_close and not self._has_skipped:
+        is_reusable = not self.response.will_close and not self._has_skipped
+        if is_read and is_reusable and self.write_error is None:
             keep_alive_s = _keep_alive_s(self.response)
             self._client.return_to_pool(
                 exchange.address, exchange.connection, keep_alive_s
@@ -257,6 +263,7 @@
         self._deadline_s = math.inf
         self._has_received = False
         self.is_aborted = False
+        self.error_at_end: OSError | None = None
         self._sock = sock
         # Keeps the file descriptor open: http.client closes its socket after an
         # answer with "Connection: close".
@@ -282,6 +289,8 @@
                 if not count and self.is_aborted:
                     # The end is this client's own, not that of the answer.
                     raise ConnectionAbortedError("the call was aborted")
+                if not count and self.error_at_end is not None:
+                    raise self.error_at_end
                 self._has_received = True
                 self._bytes_left -= count
                 if self._bytes_left < 0:
@@ -362,6 +371,14 @@
         """Make reads fail at the end of the connection."""
         self._raw.is_aborted = True
 
+    def fail_at_end(self, error: OSError) -> None:
+        """Make reads raise ``error`` at the end of the connection.
+
+        The kernel reports the reset of a connection once. A read after that sees an
+        end like that of a whole answer.
+        """
+        self._raw.error_at_end = error
+
     def limit(self, limits: ReadLimits) -> None:
         """Apply ``limits`` to what is received from now on."""
         self._raw.limit(limits)
@@ -391,6 +408,8 @@
     reader: _PersistentReader
     answers = 0
     """Answers that have begun on the connection."""
+    write_error: OSError | None = None
+    """The error after which the rest of a call was not written."""
 
     def connect(self) -> None:
         """Connect, with TCP keep-alive so that an unresponsive peer is detected."""
@@ -633,16 +652,20 @@
 def _send_request(connection: _Connection, call: HttpCall) -> HTTPResponse:
     """Write the call and return its answer.
 
-    A failed write is ignored if an answer can be read: an endpoint may answer and
-    close the connection before it has read the complete call.
+    After a failed write the answer is read all the same: an endpoint may answer and
+    close the connection before it has read the complete call. Such an answer is
+    complete only if it has a length or chunks, as nothing tells a connection that was
+    ended after the answer from one that was reset within it.
     """
     try:
         connection.request(call.method, call.path, call.body, dict(call.headers))
     except TimeoutError:
         raise
-    except OSError:
+    except OSError as error:
         if not is_readable(connection.sock):
             raise
+        connection.write_error = error
+        connection.reader.fail_at_end(error)
     response = connection.getresponse()
     try:
         connection.reader.check_line_end()
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -42,6 +42,7 @@
         self._is_read = False
         response = answer.response
         self.ends_with_connection = response.length is None and not response.chunked
+        self.write_error = answer.write_error
 
     def body(self) -> bytes:
         """Return the complete body; see the Answer port."""
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -63,6 +63,7 @@
     """An answer of an endpoint; ``error`` is raised at the end of its chunks."""
 
     ends_with_connection = False
+    write_error = None
 
     def __init__(
         self, chunks, kind=AnswerKind.SERVED, status=200, error=None, notices=()
@@ -758,6 +759,25 @@
             site.forward()
             assert site.reply.body == b"ok"
 
+    def test_answer_before_the_end_of_its_request_is_logged(self):
+        """The line tells a reset of the connection from other ends of an answer."""
+        answer = unframed(b"ok")
+        answer.write_error = ConnectionResetError("reset")
+        site = Site(answer, endpoints=["e1"])
+        site.forward()
+        assert site.log.lines == [
+            (
+                "request_not_read_whole",
+                {
+                    "request": "q1",
+                    "endpoint": "e1",
+                    "status": 200,
+                    "error": "ConnectionResetError('reset')",
+                    "unframed": True,
+                },
+            )
+        ]
+
 
 class TestTricklingStreams:
     """Streams that send bytes now and then."""
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -344,6 +344,78 @@
         assert get(client, Server([b"HTTP/1.1 200 OK\r\n\r\nok"], {0})) == b"ok"
 
 
+# Guards against MIXED: half of an answer without a length passed for a whole one, as
+# its connection was reset while the call was still being written.
+class TestEarlyAnswers:
+    """Answers that begin before the endpoint has read the whole call."""
+
+    UNFRAMED = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+    BODY = bytes(10_000)
+
+    @staticmethod
+    @contextlib.contextmanager
+    def answered(answer, is_reset):
+        """Send ``answer`` early, then reset the connection or read on; yield a call."""
+        with socket.create_server((HOST, 0)) as listener:
+
+            def serve():
+                endpoint, _ = listener.accept()
+                with endpoint:
+                    endpoint.recv(1)
+                    endpoint.sendall(answer)
+                    # The call has filled the buffers once the rest can be read.
+                    endpoint.recv(1 << 20, socket.MSG_PEEK)
+                    if not is_reset:
+                        endpoint.shutdown(socket.SHUT_WR)
+                        left = len(LARGE_BODY)
+                        while left > 0:
+                            left -= len(endpoint.recv(1 << 20))
+
+            task = threading.Thread(target=serve, daemon=True)
+            task.start()
+            address = Address(HOST, listener.getsockname()[1])
+            yield address, HttpCall("POST", "/", LARGE_BODY)
+            task.join(10.0)
+            assert not task.is_alive()
+
+    def test_reset_answer_without_length_is_incomplete(self, client):
+        """The kernel reports a reset once, here to the write."""
+        answer = self.UNFRAMED + self.BODY
+        with self.answered(answer, is_reset=True) as (address, call):
+            with pytest.raises(BrokenCallError):
+                client.call(address, call)
+
+    def test_reset_stream_without_length_is_incomplete(self, client):
+        """The same for an answer that is read in pieces."""
+        answer = self.UNFRAMED + self.BODY
+        with self.answered(answer, is_reset=True) as (address, call):
+            opened = client.open(address, call)
+            with pytest.raises(ConnectionError):
+                while opened.response.read1(65_536):
+                    pass
+            assert opened.write_error is not None
+            opened.close(is_read=False)
+
+    def test_answer_without_length_is_complete_if_the_endpoint_reads_on(self, client):
+        """Its end is that of the connection's half."""
+        answer = self.UNFRAMED + self.BODY
+        with self.answered(answer, is_reset=False) as (address, call):
+            assert client.call(address, call).body == self.BODY
+
+    @pytest.mark.parametrize("is_reset", [True, False])
+    @pytest.mark.parametrize(
+        "head", ["Content-Length: 10000", "Transfer-Encoding: chunked"]
+    )
+    def test_framed_answer_is_complete(self, client, head, is_reset):
+        """The answer itself tells where it ends."""
+        body = self.BODY
+        if "chunked" in head:
+            body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        answer = f"HTTP/1.1 200 OK\r\n{head}\r\n\r\n".encode() + body
+        with self.answered(answer, is_reset) as (address, call):
+            assert client.call(address, call).body == self.BODY
+
+
 class TestAnswerSize:
     """Size limit of a body."""
 
