Discard an idle connection that is reset while it is checked

A caller would have got 502 for a request that was never sent: the check of an idle connection looks twice, and a reset between the two looks raised an error that is none of those of a call.

Change: an error in the check means that the connection is not clean, and another one is used. test_pooled_connection_that_is_reset_while_it_is_checked failed before with ConnectionResetError.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -437,7 +437,11 @@
         if is_readable(self.sock):
             return False
         self.sock.setblocking(False)
-        return not self.reader.peek(1)
+        try:
+            return not self.reader.peek(1)
+        except OSError:
+            # Reset since the first look; the caller discards the connection.
+            return False
 
     def release(self) -> None:
         """Close the connection and its reader."""
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -15,6 +16,7 @@
     NotSentError,
     StalledCallError,
 )
+from camphoryard.transport import http_client
 from camphoryard.transport.http_client import Address, HttpCall, HttpClient
 
 HOST = "127.0.0.1"
@@ -47,6 +49,7 @@
     def _serve(self):
         while True:
             connection, self.client_address = self._socket.accept()
+            self._connection = connection
             self._answer_requests(connection)
 
     def _answer_requests(self, connection):
@@ -63,13 +66,20 @@
         connection.close()
         self.closed.set()
 
+    def reset(self):
+        """Reset the connection, and wait until that is done."""
+        linger = socket.SO_LINGER, struct.pack("ii", 1, 0)
+        self._connection.setsockopt(socket.SOL_SOCKET, *linger)
+        self._connection.shutdown(socket.SHUT_RD)
+        self.closed.wait()
+
 
 @pytest.fixture
 def client():
     """Return a client, closed after the test."""
-    http_client = HttpClient()
-    yield http_client
-    http_client.close()
+    pooling_client = HttpClient()
+    yield pooling_client
+    pooling_client.close()
 
 
 def get(client, server, **options):
@@ -154,6 +164,19 @@
             get(client, server)
         assert server.requests == 2
 
+    # Guards against LOST: the request failed for the reset of an idle connection.
+    def test_pooled_connection_that_is_reset_while_it_is_checked(
+        self, client, monkeypatch
+    ):
+        """The call uses a new connection instead."""
+        server = Server([ANSWER, ANSWER])
+        get(client, server)
+        server.reset()
+        # The reset arrives between the two looks at the connection.
+        monkeypatch.setattr(http_client, "is_readable", lambda *_: False)
+        assert get(client, server) == b"ok"
+        assert server.requests == 2
+
     def test_call_is_not_sent_if_its_permission_expired(self, client):
         """The permission is checked once the connection exists."""
         server = Server([ANSWER])
