Take the kernel's ETIMEDOUT for the loss of a connection

Cause: Python raises ETIMEDOUT as TimeoutError, like the timeout of the socket. The reader asks whether to keep waiting, which a stream that cannot go on elsewhere does, and reads again.

Change: a TimeoutError with an errno ends the read. A sound endpoint that pauses answers the kernel's probes and is waited for as before.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -279,8 +279,12 @@
             try:
                 self._shorten_timeout()
                 count = self._sock.recv_into(buffer)
-            except TimeoutError:
-                if time.monotonic() >= self._limits.end_s or not self.keep_waiting():
+            except TimeoutError as error:
+                # The kernel's ETIMEDOUT is a TimeoutError too. It ends the connection
+                # and is reported once: the next read would see an ordinary end.
+                is_connection_lost = error.errno is not None
+                is_over = time.monotonic() >= self._limits.end_s
+                if is_connection_lost or is_over or not self.keep_waiting():
                     raise
                 self._restart_time()
             except BlockingIOError:
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP client against faulty servers."""
 
 import contextlib
+import ctypes
+import errno
 import socket
 import struct
 import threading
@@ -24,6 +26,9 @@
 HEAD_END = b"\r\n\r\n"
 CLOSING_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\n"
 NO_ANSWER = b""
+SO_ATTACH_FILTER = 26
+RETURN_INSTRUCTION = 0x06
+"""BPF_RET | BPF_K; with the operand 0 it drops the packet."""
 LARGE_BODY = bytes(8 << 20)
 """Exceeds the buffers of both sockets."""
 
@@ -316,6 +321,42 @@
 CUT_HEAD = b"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n"
 
 
+# Guards against MIXED and ORDER: the answer of a silent connection looked complete.
+class TestSilentConnections:
+    """Connections that the kernel gives up, as nothing comes from the other side."""
+
+    @pytest.mark.parametrize("is_stream", [False, True])
+    def test_answer_is_incomplete_though_its_reader_keeps_waiting(
+        self, client, is_stream
+    ):
+        """ETIMEDOUT is no timeout of the reader, and is reported once."""
+        with socket.create_server((HOST, 0)) as listener:
+            address = Address(HOST, listener.getsockname()[1])
+            with ThreadPoolExecutor(1) as calling:
+                opening = calling.submit(client.open, address, HttpCall("GET", "/"))
+                endpoint, _ = listener.accept()
+                endpoint.recv(65_536)
+                endpoint.sendall(b"HTTP/1.1 200 OK\r\n\r\nha")
+                answer = opening.result()
+            with endpoint:
+                drop_all(endpoint)
+                answer.set_read_timeout(0.1, lambda: True)
+                with pytest.raises(OSError, match="timed out") as caught:
+                    while is_stream and answer.response.read1(65_536):
+                        pass
+                    answer.response.read()
+                assert caught.value.errno == errno.ETIMEDOUT
+                answer.close(is_read=False)
+
+
+def drop_all(endpoint):
+    """Have the kernel drop what arrives at a socket, also probes of the connection."""
+    instruction = struct.pack("HBBI", RETURN_INSTRUCTION, 0, 0, 0)
+    program = ctypes.create_string_buffer(instruction)
+    attached = struct.pack("@HP", 1, ctypes.addressof(program))
+    endpoint.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, attached)
+
+
 # Guards against MIXED and ORDER: an answer that was cut short was taken as complete.
 class TestCutAnswers:
     """Answers that end where their connection ends, and should not have."""
