Refuse only requests with all parts that the crashes cannot tell apart

Cause: of parts that were at the same crashes the last in the prompt was quarantined, a guess that could not be refuted, as what is refused is neither answered nor crashes anything; and two runs of one request counted like those of two. Evidence: on the unchanged code all nodes log the two crashes of one fingerprint and part_quarantined of the sound part, 0.2 s before it was first sent alone. Ruled out: lost answers to the part, as there were none.

Change: a quarantine is the set of suspects that explain the same crashes, parts and, if it was at each of them, the request itself. Requests with all of them are refused. Answers and crashes decide again: an answer takes its parts out of the set, a crash those that it did not have. Digests tell sets. The price is one crash more where one request was sent twice.

--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -152,8 +152,8 @@
         digest = gossip.digests[0].digest
         if not self._nodes.observe_digest(digest):
             return
-        if digest.quarantine_s_by_part:
-            self._crashed_parts.adopt(digest.quarantine_s_by_part)
+        if digest.quarantine_s_by_parts:
+            self._crashed_parts.adopt(digest.quarantine_s_by_parts)
         for endpoint, started_ms in digest.leaving_by_endpoint.items():
             self._directory.record_leaving(endpoint, started_ms)
         if digest.duty_term:
@@ -207,7 +207,7 @@
             demand_by_item=demand,
             duty_term=term,
             unloads_by_endpoint=self._unloads_by_endpoint() if term else {},
-            quarantine_s_by_part=self._crashed_parts.quarantine_s_by_part(),
+            quarantine_s_by_parts=self._crashed_parts.quarantine_s_by_parts(),
             leaving_by_endpoint=self._directory.leaving_by_endpoint(),
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -95,7 +95,7 @@
 
     try:
         with (
-            context.crashed_parts.abort_if_quarantined(forwarded.crashing_parts, abort),
+            context.crashed_parts.abort_if_quarantined(forwarded.suspects, abort),
             closing(
                 _open_answer(context, forwarded, endpoint, options, call_cancellation)
             ) as answer,
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -17,13 +17,24 @@
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.ports import DecisionLog
 from camphoryard.coordination.routing.breakers import Breakers
-from camphoryard.coordination.routing.crash_counter import CrashCounter
-from camphoryard.coordination.routing.crashed_parts import CrashedParts, crashing_parts
+from camphoryard.coordination.routing.crash_counter import CrashCounter, fingerprint
+from camphoryard.coordination.routing.crashed_parts import (
+    CrashedParts,
+    Suspect,
+    crashing_parts,
+)
 from camphoryard.coordination.routing.endpoint_notices import EndpointNotices
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.state.directory import Directory
-from camphoryard.state.ids import EndpointId, PromptPartId, ServiceId, Urgency, Version
+from camphoryard.state.ids import (
+    EndpointId,
+    Fingerprint,
+    PromptPartId,
+    ServiceId,
+    Urgency,
+    Version,
+)
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import RequestedModel, RouteRule
@@ -96,7 +107,8 @@
     ``view_age_s`` is how old the view of the endpoints may have been then.
     ``has_begun_answer`` is True if the last endpoint has begun to answer with success,
     ``is_answered`` if it has sent enough to show that the request does not crash it.
-    ``crashing_parts`` are the parts of the prompt that other requests may share.
+    ``crashing_parts`` are the parts of the prompt that other requests may share,
+    ``suspects`` are those and the request itself.
     ``load_wait_s``, ``first_event_s`` and ``longest_gap_s`` are written to the request
     log for on-call engineers. Deadlines are monotonic times; all times are in seconds.
     """
@@ -122,11 +134,20 @@
     view_age_s: float = 0.0
     has_begun_answer: bool = False
     is_answered: bool = False
+    fingerprint: Fingerprint | None = field(init=False)
     crashing_parts: tuple[PromptPartId, ...] = field(init=False)
 
     def __post_init__(self) -> None:
+        self.fingerprint = fingerprint(self.request)
         self.crashing_parts = crashing_parts(self.request.prompt_parts)
 
+    @property
+    def suspects(self) -> tuple[Suspect, ...]:
+        """Shared parts and the request itself; none without shared parts."""
+        if self.fingerprint is None or not self.crashing_parts:
+            return ()
+        return *self.crashing_parts, self.fingerprint
+
     @property
     def first_sent_s(self) -> float:
         """Monotonic time at which the client first sent the request.
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -22,7 +22,6 @@
 from camphoryard.coordination.forwarding.urgency import urgency_at
 from camphoryard.coordination.loading.item_locator import STOPPING_RETRY_S
 from camphoryard.coordination.messages import CrashReport
-from camphoryard.coordination.routing.crash_counter import fingerprint
 from camphoryard.coordination.routing.crashed_parts import SOUND_EVENTS
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
@@ -457,7 +456,7 @@
     error: NotSentError | BrokenCallError,
 ) -> None:
     """Broadcast a crash if the endpoint crashed before it had answered the request."""
-    digest = fingerprint(forwarded.request)
+    digest = forwarded.fingerprint
     match error:
         case NotSentError() | StalledCallError():
             return
@@ -491,17 +490,17 @@
 
 def _check_quarantined(context: ForwardingContext, forwarded: ForwardedRequest) -> None:
     """Raise RefusalError if the request or one of its parts has crashed endpoints."""
-    if context.crashes.is_quarantined(fingerprint(forwarded.request)):
+    if context.crashes.is_quarantined(forwarded.fingerprint):
         raise RefusalError(
             Reason.QUARANTINED,
             "this request has crashed the endpoints that ran it",
             forwarded.verdict,
         )
-    part = context.crashed_parts.find(forwarded.crashing_parts)
-    if part is not None:
+    found = context.crashed_parts.find(forwarded.suspects)
+    if found is not None:
         raise RefusalError(
             Reason.QUARANTINED,
-            f"part {part} of the prompt has crashed the endpoints that answered it",
+            f"requests with {found} have crashed the endpoints that answered them",
             forwarded.verdict,
         )
 
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -65,6 +65,8 @@
 from camphoryard.state.nodes import NodeDigest
 
 MILLISECONDS_PER_SECOND = 1000
+PART_SEPARATOR = ","
+"""Separates the parts of a set. Their ids come from a list with the same separator."""
 THOUSANDTHS_PER_SLOT = 1000
 
 
@@ -127,7 +129,7 @@
     age_ms: int | None
     duty_term: FencingNumber = FencingNumber(0)
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = {}
-    quarantine_ms_by_part: Mapping[PromptPartId, int] = {}
+    quarantine_ms_by_parts: Mapping[str, int] = {}
     leaving_by_endpoint: Mapping[EndpointId, int] = {}
 
 
@@ -286,8 +288,10 @@
             heard.digest.duty_term,
             heard.digest.unloads_by_endpoint,
             {
-                part: int(left_s * MILLISECONDS_PER_SECOND)
-                for part, left_s in heard.digest.quarantine_s_by_part.items()
+                PART_SEPARATOR.join(sorted(parts)): int(
+                    left_s * MILLISECONDS_PER_SECOND
+                )
+                for parts, left_s in heard.digest.quarantine_s_by_parts.items()
             },
             heard.digest.leaving_by_endpoint,
         )
@@ -339,8 +343,8 @@
                 item.duty_term,
                 item.unloads_by_endpoint,
                 {
-                    part: left_ms / MILLISECONDS_PER_SECOND
-                    for part, left_ms in item.quarantine_ms_by_part.items()
+                    _parts(text): left_ms / MILLISECONDS_PER_SECOND
+                    for text, left_ms in item.quarantine_ms_by_parts.items()
                 },
                 item.leaving_by_endpoint,
             ),
@@ -350,6 +354,10 @@
     )
 
 
+def _parts(text: str) -> frozenset[PromptPartId]:
+    return frozenset(PromptPartId(part) for part in text.split(PART_SEPARATOR))
+
+
 def _to_ms(duration_s: float | None) -> int | None:
     """Return milliseconds, rounded up so that encoding never reduces an age."""
     if duration_s is None:
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -67,9 +67,9 @@
     ``beat`` grows with each digest of one incarnation of the node. ``duty_term``
     is the term of its leadership, or 0 if it is not the leader. ``unloads_by_endpoint``
     are the models that a leader is having unloaded, which take no more requests.
-    ``quarantine_s_by_part`` are the parts of prompts that are refused, with the time
-    left in seconds. ``leaving_by_endpoint`` are the listed endpoints that say they
-    leave, with the time of their start.
+    ``quarantine_s_by_parts`` are the sets of parts of prompts that are refused if they
+    come together, with the time left in seconds. ``leaving_by_endpoint`` are the listed
+    endpoints that say they leave, with the time of their start.
     """
 
     node: NodeId
@@ -84,7 +84,9 @@
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = field(
         default_factory=dict
     )
-    quarantine_s_by_part: Mapping[PromptPartId, float] = field(default_factory=dict)
+    quarantine_s_by_parts: Mapping[frozenset[PromptPartId], float] = field(
+        default_factory=dict
+    )
     leaving_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
 
 
