Count the crashes of requests without a body, and let answers clear them

Cause: a request with neither body nor prompt had no fingerprint, so its crashes were not counted. The exception was meant: many clients send identical requests, and nothing could clear a sound one that was at endpoints which crashed.

Change: each request has a fingerprint. An answer clears it, and a request that was answered before is refused only once its answers are missed by its share of its service's. Crash reports tell the time since the last answer at the reporting node. Crashes are counted by the start of an endpoint: restarts under one id counted once, and the leader did not pass the second one on.

--- a/src/camphoryard/coordination/fleet/crash_sharing.py
+++ b/src/camphoryard/coordination/fleet/crash_sharing.py
@@ -15,6 +15,8 @@
 from camphoryard.state.ids import NodeId
 from camphoryard.state.nodes import NodeTable
 
+MILLISECONDS_PER_SECOND = 1000
+
 
 class CrashSharing:
     """Sends this node's crash reports to peers and records theirs.
@@ -58,8 +60,16 @@
 
     def receive(self, report: CrashReport) -> None:
         """Record a peer's report; the leader of a large fleet passes a new one on."""
-        is_new = not self._crashes.has_observed(report.fingerprint, report.endpoint)
-        crashes = self._crashes.observe(report.fingerprint, report.endpoint)
+        is_new = not self._crashes.has_observed(
+            report.fingerprint, report.endpoint, report.started_ms
+        )
+        crashes = self._crashes.observe(
+            report.fingerprint,
+            report.endpoint,
+            report.started_ms,
+            report.service,
+            _answered_ago_s(report),
+        )
         self._crashed_parts.observe(report)
         self._log(
             "crash_told",
@@ -77,3 +87,9 @@
         for lease in self._nodes.all():
             if lease.node != self._node:
                 self._peers.send(lease.node, report)
+
+
+def _answered_ago_s(report: CrashReport) -> float | None:
+    if report.answered_ms is None:
+        return None
+    return report.answered_ms / MILLISECONDS_PER_SECOND
--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -258,6 +258,7 @@
                 body = answer.body()
                 _check_not_gone(context, forwarded, endpoint, answer)
                 _record_success(context, endpoint)
+                _record_answered(context, forwarded)
                 reply.send_complete(answer.head.status, answer.head.headers, body)
             return Outcome.ANSWERED
 
@@ -418,7 +419,9 @@
     """Record once that the endpoint answers the request without crashing."""
     if not forwarded.is_answered:
         forwarded.is_answered = True
-        context.crashed_parts.record_answered(forwarded.crashing_parts)
+        context.crashes.record_answered(forwarded.fingerprint, forwarded.service)
+        if forwarded.request.prompt_parts:
+            context.crashed_parts.record_answered(forwarded.crashing_parts)
 
 
 def _record_success(context: ForwardingContext, endpoint: ServingEndpoint) -> None:
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -134,7 +134,7 @@
     view_age_s: float = 0.0
     has_begun_answer: bool = False
     is_answered: bool = False
-    fingerprint: Fingerprint | None = field(init=False)
+    fingerprint: Fingerprint = field(init=False)
     crashing_parts: tuple[PromptPartId, ...] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -144,7 +144,7 @@
     @property
     def suspects(self) -> tuple[Suspect, ...]:
         """Shared parts and the request itself; none without shared parts."""
-        if self.fingerprint is None or not self.crashing_parts:
+        if not self.crashing_parts:
             return ()
         return *self.crashing_parts, self.fingerprint
 
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -460,11 +460,14 @@
     match error:
         case NotSentError() | StalledCallError():
             return
-        case _ if digest is None or forwarded.progress.events >= SOUND_EVENTS:
+        case _ if forwarded.progress.events >= SOUND_EVENTS:
             return
     if not context.upstream.is_down(endpoint):
         return
-    crashes = context.crashes.observe(digest, endpoint.id)
+    crashes = context.crashes.observe(
+        digest, endpoint.id, endpoint.started_ms, forwarded.service
+    )
+    answered_ago_s = context.crashes.answered_ago_s(digest)
     report = CrashReport(
         digest,
         endpoint.id,
@@ -474,6 +477,12 @@
         has_begun=forwarded.has_begun_answer,
         parts=forwarded.crashing_parts,
         answered_parts=context.crashed_parts.answered(forwarded.crashing_parts),
+        service=forwarded.service,
+        answered_ms=(
+            None
+            if answered_ago_s is None
+            else round(answered_ago_s * MILLISECONDS_PER_SECOND)
+        ),
     )
     context.crashed_parts.observe(report)
     context.broadcast_crash(report)
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -230,7 +230,8 @@
     was the only suspect without a token at that endpoint. ``started_ms`` tells starts
     of the endpoint apart, ``has_begun`` means that it had begun its answer. ``parts``
     are the parts of the prompt that other requests may share, in order;
-    ``answered_parts`` those that the reporting node has seen answered.
+    ``answered_parts`` those that the reporting node has seen answered. ``answered_ms``
+    is the time since it has seen the request itself answered, None if it never has.
     """
 
     fingerprint: Fingerprint
@@ -241,6 +242,8 @@
     has_begun: bool = False
     parts: tuple[PromptPartId, ...] = ()
     answered_parts: tuple[PromptPartId, ...] = ()
+    service: ServiceId | None = None
+    answered_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/fleet/test_crash_sharing.py
+++ b/tests/coordination/fleet/test_crash_sharing.py
@@ -1,5 +1,7 @@
 """Tests of sharing crash reports in small and large fleets."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
@@ -84,6 +86,27 @@
         fleet.observe_crash(NodeId(observer))
         assert len(fleet.informed()) == size
 
+    def test_every_node_learns_of_each_start_that_crashes(self, size, observer):
+        """An endpoint may come back under its id and crash again."""
+        fleet = Fleet(size)
+        for started_ms in (1, 2, 3):
+            report = replace(REPORT, started_ms=started_ms)
+            fleet.crashes_by_id[NodeId(observer)].observe(REQUEST, "e1", started_ms)
+            fleet.sharing_by_id[NodeId(observer)].send(report)
+        assert all(
+            crashes.is_quarantined(REQUEST) for crashes in fleet.crashes_by_id.values()
+        )
+
+    def test_every_node_learns_that_the_request_was_answered(self, size, observer):
+        """Few nodes have answered it themselves."""
+        fleet = Fleet(size)
+        for number in range(5):
+            report = replace(REPORT, endpoint=f"e{number}", answered_ms=0)
+            fleet.sharing_by_id[NodeId(observer)].send(report)
+        assert not any(
+            crashes.is_quarantined(REQUEST) for crashes in fleet.crashes_by_id.values()
+        )
+
 
 class TestManyCrashes:
     """Endpoints that crash under the requests of all nodes at once."""
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -1026,9 +1026,36 @@
         site.forward()
         assert len(site.sent_to) == 3
 
-    def test_a_request_without_a_body_has_no_fingerprint(self):
-        """Such requests are the same in many clients and are never quarantined."""
-        assert fingerprint(Site().request) is None
+    # Guards against BUDGET: a GET that crashed each endpoint was never refused.
+    def test_a_request_without_a_body_is_quarantined_too(self):
+        """Its path tells it apart."""
+        site = Site(BrokenCallError("x"), served(b"ok"))
+        digest = fingerprint(site.request)
+        for endpoint in ("e8", "e9"):
+            site.crashes.observe(digest, endpoint)
+        site.upstream.down = {"e1", "e2"}
+        assert site.refusal().reason is Reason.QUARANTINED
+        assert site.refusal().verdict is Verdict.NOT_RUN
+        assert len(site.sent_to) == 1
+
+    # Guards against LOST: identical requests of other clients were refused as well.
+    def test_a_request_that_others_are_answered_with_is_served(self):
+        """It is at endpoints that crash for another reason."""
+        names = [f"e{number}" for number in range(9)]
+        site = Site(endpoints=names)
+        for _ in range(4):
+            site.upstream.answers = [BrokenCallError("x"), served(b"ok")]
+            site.upstream.down = set(names)
+            site.reply = Reply()
+            site.forward()
+            site.clock.advance(1.0)
+        assert len(site.broadcasts) == 4
+        assert [crash.answered_ms for crash in site.broadcasts] == [
+            None,
+            1000,
+            1000,
+            1000,
+        ]
 
 
 class TestLogOfUnansweredRequests:
