Guard a stream that is cut and declined beside SIGHUP

It does not show on the current code. So the cause is the one that mended: the retry for the decline found the budget used up. Ruled out by the log: the 503 counted as a run; SIGHUP changed a bound. The record names no budget, so that it had this cause is an inference.

test_stream_cut_and_declined_waits_for_a_retry passes; without the wait for a retry, taken out on a scratch copy, both of its cases fail. No code changes.

--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -591,6 +591,31 @@
         site.forward()
         assert site.reply.body == ONE + TWO
 
+    # Guards against LOST: beside a SIGHUP, a stream that had been cut and declined was
+    # closed a few milliseconds later, as the retry before had been the last one.
+    @pytest.mark.parametrize("first", [(PAUSE,), ()], ids=["paused", "cut"])
+    def test_stream_cut_and_declined_waits_for_a_retry(self, first):
+        """The retry for the decline leaves the window while its client waits."""
+        site = Site(
+            served(ONE, *first, error=self.BROKEN),
+            declined(),
+            served(TWO),
+            repeatability=self.STREAM,
+            endpoints=("e1", "e2", "e3"),
+            reserve=2.4,
+        )
+        assert site.context.retries.take(SERVICE)
+        site.clock.advance(RETRY_WINDOW_S - 1.0)
+        site.request = replace(
+            site.request,
+            arrived_s=site.clock.now_s,
+            deadline_s=site.clock.now_s + 20.0,
+        )
+        self.on_wait(site, lambda: None)
+        site.forward()
+        assert site.reply.body == ONE + TWO
+        assert len(site.sent_to) == 3
+
     @pytest.mark.parametrize("notices", [(), (Leaving(),)], ids=["failed", "leaving"])
     def test_stream_waits_for_another_endpoint_of_its_service(self, notices):
         """The only one has failed it, or leaves; another one starts."""
