Give large answers one budget of memory

Reported by other operators: a faulty replica sent bytes without end, the machine that had called it ran out of memory, and the requests of its other clients ended with it.

Cause: each answer was bounded to 4 MiB, and nothing bounded them together.

Change: an answer of more than 64 KiB reserves what it may grow to, 12 MiB of 32 MiB for one endpoint at most, and waits if there is no room, so that sound answers beside faulty ones are late at worst. Large bodies are read into memory that is returned when they are closed, 64 KiB at a time. Heads have 128 KiB, interim heads and trailers 256 lines; skipped answers are not kept; errors quote 200 characters; ZeroMQ messages have 16 MiB, as a peer without a key could have any number of bytes buffered. The store has a client of its own.

--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -148,6 +148,7 @@
     timer: TimerService
     newest_era: NewestEra
     client: HttpClient
+    store_client: HttpClient
     directory: Directory
     feed: DirectoryFeed
     watchers: tuple[RecordWatcher[Any], ...]
@@ -185,7 +186,9 @@
     live_settings = LiveSettings(path, settings, read_entry_settings, log)
     metrics = Metrics()
     timer = TimerService()
-    client = HttpClient()
+    # Answers of endpoints never wait for memory that those of the store take, or the
+    # other way round.
+    client, store_client = HttpClient(), HttpClient()
     executors = _make_executors()
     directory = Directory()
     feed = DirectoryFeed(directory, log)
@@ -201,7 +204,7 @@
         settings.node, None, executors.peers, executors.handlers, HybridClock()
     )
     newest_era = NewestEra()
-    records = functools.partial(_make_records, client, settings, log, newest_era)
+    records = functools.partial(_make_records, store_client, settings, log, newest_era)
     leases = records(NODE_KIND, NodeLease)
     gossip: FleetGossip
     load_controller: LoadController
@@ -263,7 +266,9 @@
     live_settings.subscribe(lambda bounds: retries.limit(bounds.repeat_limits))
     live_settings.subscribe(lambda bounds: load_controller.limit(bounds.load_limits))
     watchers = (
-        *_make_directory_watchers(client, settings, log, newest_era, feed, directory),
+        *_make_directory_watchers(
+            store_client, settings, log, newest_era, feed, directory
+        ),
         RecordWatcher(
             leases,
             functools.partial(apply_lease, nodes, peers),
@@ -307,6 +312,7 @@
         timer,
         newest_era,
         client,
+        store_client,
         directory,
         feed,
         watchers,
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -211,6 +211,7 @@
     """Stop all tasks of the daemon except those that answer clients."""
     entry.timer.close()
     entry.client.close()
+    entry.store_client.close()
     entry.peers.close()
     executors = entry.executors
     for executor in (
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -3,6 +3,7 @@
 import functools
 import io
 import math
+import mmap
 import re
 import select
 import socket
@@ -27,6 +28,7 @@
     NotSentError,
     StalledCallError,
 )
+from camphoryard.transport.answer_budget import MAX_SMALL_ANSWER_BYTES, AnswerBudget
 
 MAX_IDLE_PER_ADDRESS = 64
 CONNECT_TIMEOUT_S = 1.0
@@ -43,8 +45,19 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 """Safety margin before the server's keep-alive timeout, in which an idle connection
 is no longer used."""
+MAX_HEAD_BYTES = 128 << 10
+"""Maximum number of bytes received for the head of an answer, and those before it."""
 MAX_READ_BYTES = 1 << 20
-"""Maximum number of bytes received for the head of an answer, or for one chunk."""
+"""Maximum number of bytes received for one chunk."""
+MAX_LINES_IN_A_ROW = 256
+"""Maximum number of lines without data between them: of a head with the interim heads
+before it, or of the trailers of a body. http.client reads a hundred headers at most,
+but any number of interim heads and trailers."""
+PIECE_BYTES = 1 << 16
+"""Number of bytes of a body that are read at a time. http.client allocates the length
+that an answer claims if it is asked for the whole body."""
+MAX_ERROR_CHARACTERS = 200
+"""Maximum length of an error's text, which may contain what the server sent."""
 MAX_ANSWER_BYTES = 8 << 20
 """Maximum size of a body, unless the call sets another."""
 CHUNKED_SIZE_FACTOR = 2
@@ -122,6 +135,7 @@
         self._exchange = exchange
         self._method = exchange.method
         self._has_skipped = False
+        self._reserved_bytes = 0
         self.response = exchange.response
 
     @property
@@ -185,6 +199,59 @@
         if self.response.chunked:
             self._exchange.connection.reader.check_line_end()
 
+    def read_body(self, max_bytes: int, end_s: float) -> bytes:
+        """Return the whole body of at most ``max_bytes``.
+
+        Memory for more than a small body is reserved until the answer is closed.
+
+        Raises
+        ------
+        ReadLimitError
+            If the body is larger.
+        TimeoutError
+            If there is no memory for it until the monotonic time ``end_s``.
+        OSError, HTTPException
+            If the connection fails or ends before the end of the body.
+        """
+        response = self.response
+        declared = response.length
+        if declared is not None and declared > max_bytes:
+            raise ReadLimitError(f"the body has {declared} bytes")
+        max_size = max_bytes if declared is None else declared
+        body: io.BytesIO | mmap.mmap = io.BytesIO()
+        try:
+            while piece := response.read(PIECE_BYTES):
+                size = body.tell() + len(piece)
+                if size > max_size:
+                    raise ReadLimitError(f"the body has more than {max_size} bytes")
+                if size > MAX_SMALL_ANSWER_BYTES and not self._reserved_bytes:
+                    body = self._reserve(body, max_size, end_s)
+                body.write(piece)
+            # A read with a size raises no error if the connection ends early.
+            if response.length:
+                raise IncompleteRead(b"", response.length)
+            self.check_complete()
+            size = body.tell()
+            body.seek(0)
+            return body.read(size)
+        finally:
+            body.close()
+
+    def _reserve(
+        self, body: io.BytesIO | mmap.mmap, max_size: int, end_s: float
+    ) -> mmap.mmap:
+        """Reserve memory for a body, of which ``body`` is the beginning."""
+        exchange = self._exchange
+        budget = self._client.answer_budget
+        budget.reserve(exchange.address, max_size, end_s, exchange.cancellation)
+        self._reserved_bytes = max_size
+        # Returned to the system as soon as it is closed. Freed memory of the heap would
+        # stay with the arena of this task's thread.
+        memory = mmap.mmap(-1, max_size)
+        body.seek(0)
+        memory.write(body.read())
+        return memory
+
     def skip(self) -> None:
         """Read this answer to its end, then the head of the next on the connection.
 
@@ -192,7 +259,10 @@
         errors as ``HttpClient.call``.
         """
         try:
-            self.response.read()
+            while self.response.read(PIECE_BYTES):
+                pass
+            if self.response.length:
+                raise IncompleteRead(b"", self.response.length)
             self.check_complete()
             following = self._exchange.connection.next_response(
                 self.sock, method=self._method
@@ -207,6 +277,9 @@
     def close(self, is_read: bool) -> None:
         """Return the connection to the pool if its body was read to the end."""
         exchange = self._exchange
+        if self._reserved_bytes:
+            self._client.answer_budget.release(exchange.address, self._reserved_bytes)
+            self._reserved_bytes = 0
         exchange.unsubscribe_cancellation()
         exchange.connection.reader.set_keep_waiting(_never)
         self.response.close()
@@ -352,12 +425,26 @@
         self._raw = _RawSocketReader(sock)
         self._reader = io.BufferedReader(self._raw)
         self._last_line = b""
+        self._lines_in_a_row = 0
 
     def readline(self, limit: int = -1) -> bytes:
         """Return one line, which is cut short at the end of the connection."""
+        self._lines_in_a_row += 1
+        if self._lines_in_a_row > MAX_LINES_IN_A_ROW:
+            raise ReadLimitError(f"received more than {MAX_LINES_IN_A_ROW} lines")
         self._last_line = self._reader.readline(limit)
         return self._last_line
 
+    def read(self, size: int = -1) -> bytes:
+        """Return ``size`` bytes, or less at the end of the connection."""
+        self._lines_in_a_row = 0
+        return self._reader.read(size)
+
+    def read1(self, size: int = -1) -> bytes:
+        """Return at most ``size`` bytes, as soon as there are any."""
+        self._lines_in_a_row = 0
+        return self._reader.read1(size)
+
     def check_line_end(self) -> None:
         """Raise IncompleteRead unless the last line was empty, but for its end.
 
@@ -385,6 +472,7 @@
 
     def limit(self, limits: ReadLimits) -> None:
         """Apply ``limits`` to what is received from now on."""
+        self._lines_in_a_row = 0
         self._raw.limit(limits)
 
     def restart_limits(self) -> None:
@@ -498,6 +586,7 @@
     """
 
     def __init__(self, source_host: str = "") -> None:
+        self.answer_budget: AnswerBudget[Address] = AnswerBudget()
         self._source = (source_host, 0) if source_host else None
         self._lock = threading.Lock()
         self._idle_by_address: dict[Address, list[_IdleConnection]] = defaultdict(list)
@@ -525,14 +614,16 @@
         end_s = time.monotonic() + max_answer_time_s
         answer = self.open(address, call)
         try:
-            answer.limit_body(
-                (call.max_answer_bytes or MAX_ANSWER_BYTES) * CHUNKED_SIZE_FACTOR,
-                call.timeout_s,
-                end_s,
-            )
-            body = _read_body(answer.response, call.max_answer_bytes)
-            answer.check_complete()
-        except (OSError, HTTPException) as error:
+            max_bytes = call.max_answer_bytes or MAX_ANSWER_BYTES
+            answer.limit_body(max_bytes * CHUNKED_SIZE_FACTOR, call.timeout_s, end_s)
+            body = answer.read_body(max_bytes, end_s)
+        except ReadLimitError as error:
+            if call.max_answer_bytes is None:
+                raise broken_call_error(error) from error
+            raise AnswerTooLargeError(
+                answer.response.status, call.max_answer_bytes
+            ) from error
+        except (OSError, HTTPException, ValueError) as error:
             raise broken_call_error(error) from error
         finally:
             answer.close(answer.response.isclosed())
@@ -633,7 +724,7 @@
         connection.reader.set_keep_waiting(call.keep_waiting)
         connection.reader.limit(
             ReadLimits.of_one_read(
-                MAX_READ_BYTES,
+                MAX_HEAD_BYTES,
                 min(call.timeout_s, call.silence_timeout_s),
                 time.monotonic() + call.timeout_s,
             )
@@ -703,23 +794,12 @@
     return max(0.0, int(found[1]) - KEEP_ALIVE_MARGIN_S)
 
 
-def _read_body(response: HTTPResponse, limit_bytes: int | None) -> bytes:
-    if limit_bytes is None:
-        return response.read()
-    body = response.read(limit_bytes + 1)
-    if len(body) > limit_bytes:
-        raise AnswerTooLargeError(response.status, limit_bytes)
-    # A read with a size raises no error if the connection ends early.
-    if response.length:
-        raise IncompleteRead(body, response.length)
-    return body
-
-
 def broken_call_error(error: Exception) -> BrokenCallError:
     """Return the error for a call that failed after it may have been sent."""
+    text = repr(error)[:MAX_ERROR_CHARACTERS]
     if isinstance(error, TimeoutError):
-        return StalledCallError(repr(error))
-    return BrokenCallError(repr(error))
+        return StalledCallError(text)
+    return BrokenCallError(text)
 
 
 def is_readable(sock: socket.socket, wait_s: float = 0.0) -> bool:
--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -37,6 +37,9 @@
 IDLE_TIMEOUT_S = 60.0
 HEARTBEAT_TIMEOUT_MS = 3000
 STOP = b""
+MAX_MESSAGE_BYTES = 16 << 20
+"""Maximum size of a message that is received. A peer without an accepted key could
+otherwise have any number of bytes buffered before its handshake fails."""
 
 Handler = Callable[[Message], Reply]
 
@@ -134,6 +137,7 @@
         socket.curve_secretkey = keys.secret
         socket.curve_publickey = keys.public
         socket.linger = 0
+        socket.maxmsgsize = MAX_MESSAGE_BYTES
         try:
             socket.bind(f"tcp://{host}:{port}")
         except zmq.ZMQError as error:
@@ -263,6 +267,7 @@
         socket.curve_publickey = keys.public
         socket.curve_secretkey = keys.secret
         socket.linger = LINGER_MS
+        socket.maxmsgsize = MAX_MESSAGE_BYTES
         socket.sndtimeo = SEND_TIMEOUT_MS
         socket.heartbeat_ivl = HEARTBEAT_PERIOD_MS
         socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -15,6 +15,7 @@
 from camphoryard.state.errors import BrokenCallError, NotSentError
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.transport.http_client import (
+    CHUNKED_SIZE_FACTOR,
     Address,
     HttpCall,
     HttpClient,
@@ -48,11 +49,12 @@
         """Return the complete body; see the Answer port."""
         options = self._options
         self._answer.limit_body(
-            MAX_BODY_BYTES, options.silence_timeout_s, options.deadline_s
+            MAX_BODY_BYTES * CHUNKED_SIZE_FACTOR,
+            options.silence_timeout_s,
+            options.deadline_s,
         )
         try:
-            body = self._answer.response.read()
-            self._answer.check_complete()
+            body = self._answer.read_body(MAX_BODY_BYTES, options.deadline_s)
         except (OSError, HTTPException, ValueError) as error:
             raise broken_call_error(error) from error
         self._is_read = True
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -13,6 +14,7 @@
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.state.errors import BrokenCallError, StalledCallError
 from camphoryard.state.ids import RequestId, Urgency
+from camphoryard.transport.answer_budget import MAX_RESERVED_BYTES
 from camphoryard.transport.http_client import Address, HttpCall, HttpClient
 from camphoryard.transport.upstream import HttpUpstream
 from tests.fakes.engines import make_endpoint
@@ -36,6 +38,8 @@
     "chunks": (CHUNKED_HEAD, b"1000\r\n" + b"z" * 0x1000 + b"\r\n"),
     "chunk extension": (CHUNKED_HEAD + b"1;", b"e" * 4096),
     "trailers": (CHUNKED_HEAD + b"0\r\n", NOISE),
+    "claimed length": (HEAD + b"Content-Length: 10000000000000\r\n\r\n", b"z" * 65_536),
+    "claimed chunk": (CHUNKED_HEAD + b"FFFFFFFFFFFF\r\n", b"z" * 65_536),
 }
 """First bytes of an answer and those that are repeated without end."""
 
@@ -143,6 +147,67 @@
             with pytest.raises(BrokenCallError):
                 read_forwarded(client, address, is_stream=True)
 
+    # Guards against the time of other clients that goes to reading them.
+    @pytest.mark.parametrize("name", ["status lines", "trailers"])
+    def test_lines_are_bounded(self, client, name):
+        """Heads before an answer and trailers are not read to the size limit."""
+        first, repeated = ENDLESS[name]
+        with serving(first, itertools.repeat(repeated)) as address:
+            with pytest.raises(BrokenCallError, match="lines"):
+                client.call(address, HttpCall("GET", "/"))
+
+    # Guards against log lines as long as what a server sends.
+    def test_error_quotes_little_of_what_was_sent(self, client):
+        """A status line may have 64 KiB."""
+        with serving(b"z" * 60_000 + b"\r\n\r\n", []) as address:
+            with pytest.raises(BrokenCallError) as caught:
+                client.call(address, HttpCall("GET", "/"))
+        assert len(str(caught.value)) <= 200
+
+    # Guards against LOST: the memory of a daemon grew by each answer without end.
+    @pytest.mark.parametrize("name", ["body", "chunks"])
+    def test_many_at_once_share_a_budget(self, client, name):
+        """It is returned when they are broken off."""
+        first, repeated = ENDLESS[name]
+        most = []
+        with contextlib.ExitStack() as stack, ThreadPoolExecutor(32) as calling:
+            addresses = [
+                stack.enter_context(serving(first, itertools.repeat(repeated)))
+                for _ in range(32)
+            ]
+            calls = [
+                calling.submit(client.call, address, HttpCall("GET", "/"))
+                for address in addresses
+            ]
+            while not all(call.done() for call in calls):
+                most.append(client.answer_budget.reserved_bytes)
+                time.sleep(0.001)
+            for call in calls:
+                assert isinstance(call.exception(), BrokenCallError)
+        assert 0 < max(most) <= MAX_RESERVED_BYTES
+        assert client.answer_budget.reserved_bytes == 0
+
+    @pytest.mark.parametrize("is_framed", [True, False])
+    def test_large_answers_are_read_beside_them(self, client, is_framed):
+        """A server that is sound gets its share of the memory."""
+        body = bytes(range(256)) * (2 << 12)
+        length = b"Content-Length: %d\r\n" % len(body) if is_framed else b""
+        head = b"HTTP/1.1 200 OK\r\n" + length + b"\r\n"
+        first, repeated = ENDLESS["body"]
+        with contextlib.ExitStack() as stack, ThreadPoolExecutor(24) as calling:
+            faulty = [
+                stack.enter_context(serving(first, itertools.repeat(repeated)))
+                for _ in range(16)
+            ]
+            sound = [stack.enter_context(serving(head, [body])) for _ in range(8)]
+            calls = [
+                calling.submit(client.call, address, HttpCall("GET", "/"))
+                for address in faulty + sound
+            ]
+            for call in calls[: len(faulty)]:
+                assert isinstance(call.exception(), BrokenCallError)
+            assert all(call.result().body == body for call in calls[len(faulty) :])
+
 
 class TestTricklingAnswers:
     """A byte now and then, each before the socket's timeout."""
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -38,6 +38,13 @@
 )
 
 
+ZMTP_GREETING = (
+    b"\xff" + bytes(8) + b"\x7f" + b"\x03\x01" + b"CURVE".ljust(20, b"\0") + bytes(32)
+)
+LONG_COMMAND = b"\x06"
+"""Flags of a command whose length has eight bytes."""
+
+
 class PeerNode:
     """A node's network that records the messages it receives."""
 
@@ -258,6 +265,18 @@
                     pass
         assert one.network.request("two", DigestRequest(), TIMEOUT_S) == Done()
 
+    # Guards against memory that grows without end with what a peer sends.
+    def test_endless_command_without_a_key(self, nodes):
+        """A frame that claims more than any message has closes its connection."""
+        one, two = nodes
+        with socket.create_connection((HOST, two.port), TIMEOUT_S) as untrusted:
+            untrusted.settimeout(TIMEOUT_S)
+            untrusted.sendall(ZMTP_GREETING + LONG_COMMAND + (1 << 30).to_bytes(8))
+            with pytest.raises(ConnectionError):
+                for _ in range(64):
+                    untrusted.sendall(bytes(1 << 20))
+        assert one.network.request("two", DigestRequest(), TIMEOUT_S) == Done()
+
     def test_malformed_frames_from_an_accepted_key(self, nodes, untrusted_socket):
         """A malformed frame is dropped; the next frame is handled."""
         one, two = nodes
