Take only a large body for a large answer

A caller of a plain service whose answer had too many trailers would have got answer_too_large, although its body was within the size it accepts.

Cause: the budget of large answers took any exceeded read limit for the size of the body, also those of lines and of received bytes, which broke the call before. Found in reading. Change: the size has an error of its own. test_too_many_lines_are_no_large_answer failed before with AnswerTooLargeError.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -206,7 +206,7 @@
 
         Raises
         ------
-        ReadLimitError
+        BodySizeError
             If the body is larger.
         TimeoutError
             If there is no memory for it until the monotonic time ``end_s``.
@@ -216,14 +216,14 @@
         response = self.response
         declared = response.length
         if declared is not None and declared > max_bytes:
-            raise ReadLimitError(f"the body has {declared} bytes")
+            raise BodySizeError(f"the body has {declared} bytes")
         max_size = max_bytes if declared is None else declared
         body: io.BytesIO | mmap.mmap = io.BytesIO()
         try:
             while piece := response.read(PIECE_BYTES):
                 size = body.tell() + len(piece)
                 if size > max_size:
-                    raise ReadLimitError(f"the body has more than {max_size} bytes")
+                    raise BodySizeError(f"the body has more than {max_size} bytes")
                 if size > MAX_SMALL_ANSWER_BYTES and not self._reserved_bytes:
                     body = self._reserve(body, max_size, end_s)
                 body.write(piece)
@@ -321,6 +321,10 @@
     """A server sends more than the client of it reads."""
 
 
+class BodySizeError(ReadLimitError):
+    """A body is larger than the client of it accepts."""
+
+
 class _RawSocketReader(io.RawIOBase):
     """Reads a socket; after a timeout, ``keep_waiting`` decides whether to read on.
 
@@ -617,7 +621,7 @@
             max_bytes = call.max_answer_bytes or MAX_ANSWER_BYTES
             answer.limit_body(max_bytes * CHUNKED_SIZE_FACTOR, call.timeout_s, end_s)
             body = answer.read_body(max_bytes, end_s)
-        except ReadLimitError as error:
+        except BodySizeError as error:
             if call.max_answer_bytes is None:
                 raise broken_call_error(error) from error
             raise AnswerTooLargeError(
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -156,6 +156,14 @@
             with pytest.raises(BrokenCallError, match="lines"):
                 client.call(address, HttpCall("GET", "/"))
 
+    # Guards against an answer that has run being told to be too large.
+    def test_too_many_lines_are_no_large_answer(self, client):
+        """The body itself is within the size that the caller accepts."""
+        first, repeated = ENDLESS["trailers"]
+        with serving(first, itertools.repeat(repeated)) as address:
+            with pytest.raises(BrokenCallError, match="lines"):
+                client.call(address, HttpCall("GET", "/", max_answer_bytes=100))
+
     # Guards against log lines as long as what a server sends.
     def test_error_quotes_little_of_what_was_sent(self, client):
         """A status line may have 64 KiB."""
