Share the early retry of two tests of streams that wait

Cause: the same lines took a retry that leaves the window soon in two tests. Result: behaviour and assertions as before; the tests pass.

--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -531,6 +531,17 @@
 
         site.directory.wait_until = wait_until
 
+    @staticmethod
+    def take_early_retry(site):
+        """Take a retry that leaves the window 1 s after the request arrives."""
+        assert site.context.retries.take(SERVICE)
+        site.clock.advance(RETRY_WINDOW_S - 1.0)
+        site.request = replace(
+            site.request,
+            arrived_s=site.clock.now_s,
+            deadline_s=site.clock.now_s + 20.0,
+        )
+
     def test_stream_waits_for_a_retry_of_the_budget(self):
         """Earlier retries leave the window while its client waits."""
         site = Site(
@@ -539,13 +550,7 @@
             repeatability=self.STREAM,
             reserve=1.2,
         )
-        assert site.context.retries.take(SERVICE)
-        site.clock.advance(RETRY_WINDOW_S - 1.0)
-        site.request = replace(
-            site.request,
-            arrived_s=site.clock.now_s,
-            deadline_s=site.clock.now_s + 20.0,
-        )
+        self.take_early_retry(site)
         self.on_wait(site, lambda: None)
         site.forward()
         assert site.reply.body == ONE + TWO
@@ -604,13 +609,7 @@
             endpoints=("e1", "e2", "e3"),
             reserve=2.4,
         )
-        assert site.context.retries.take(SERVICE)
-        site.clock.advance(RETRY_WINDOW_S - 1.0)
-        site.request = replace(
-            site.request,
-            arrived_s=site.clock.now_s,
-            deadline_s=site.clock.now_s + 20.0,
-        )
+        self.take_early_retry(site)
         self.on_wait(site, lambda: None)
         site.forward()
         assert site.reply.body == ONE + TWO
