Read bodies in one loop, and end aborted reads like failed ones

Change: _pieces serves read_body and skip, read_body sets the limits, abort uses fail_at_end, and the size of a piece stands once. Behaviour as before.

Result: tests of transport, forwarding, platform and endless answers pass.

--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -232,6 +232,7 @@
     are the parts of the prompt that other requests may share, in order;
     ``answered_parts`` those that the reporting node has seen answered. ``answered_ms``
     is the time since it has seen the request itself answered, None if it never has.
+    ``service`` is that of the endpoint.
     """
 
     fingerprint: Fingerprint
--- a/src/camphoryard/transport/answer_budget.py
+++ b/src/camphoryard/transport/answer_budget.py
@@ -19,7 +19,6 @@
 MAX_RESERVED_BYTES = 32 << 20
 MAX_RESERVED_BYTES_PER_SERVER = 12 << 20
 
-
 Server = TypeVar("Server", bound=Hashable)
 
 
@@ -66,9 +65,7 @@
         ConnectionAbortedError
             If the call is cancelled while it waits.
         """
-        if cancellation is None:
-            self._wait_and_reserve(server, count, deadline_s, Cancellation())
-            return
+        cancellation = cancellation or Cancellation()
         handle = cancellation.subscribe(self._wake)
         try:
             self._wait_and_reserve(server, count, deadline_s, cancellation)
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -11,7 +11,7 @@
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from http.client import (
     HTTPConnection,
@@ -199,9 +199,10 @@
         if self.response.chunked:
             self._exchange.connection.reader.check_line_end()
 
-    def read_body(self, max_bytes: int, end_s: float) -> bytes:
+    def read_body(self, max_bytes: int, silence_s: float, end_s: float) -> bytes:
         """Return the whole body of at most ``max_bytes``.
 
+        It may pause for ``silence_s`` and last until the monotonic time ``end_s``.
         Memory for more than a small body is reserved until the answer is closed.
 
         Raises
@@ -209,34 +210,39 @@
         BodySizeError
             If the body is larger.
         TimeoutError
-            If there is no memory for it until the monotonic time ``end_s``.
+            If it, or memory for it, does not come in time.
         OSError, HTTPException
             If the connection fails or ends before the end of the body.
         """
-        response = self.response
-        declared = response.length
+        self.limit_body(max_bytes * CHUNKED_SIZE_FACTOR, silence_s, end_s)
+        declared = self.response.length
         if declared is not None and declared > max_bytes:
             raise BodySizeError(f"the body has {declared} bytes")
         max_size = max_bytes if declared is None else declared
         body: io.BytesIO | mmap.mmap = io.BytesIO()
         try:
-            while piece := response.read(PIECE_BYTES):
+            for piece in self._pieces():
                 size = body.tell() + len(piece)
                 if size > max_size:
                     raise BodySizeError(f"the body has more than {max_size} bytes")
                 if size > MAX_SMALL_ANSWER_BYTES and not self._reserved_bytes:
                     body = self._reserve(body, max_size, end_s)
                 body.write(piece)
-            # A read with a size raises no error if the connection ends early.
-            if response.length:
-                raise IncompleteRead(b"", response.length)
-            self.check_complete()
             size = body.tell()
             body.seek(0)
             return body.read(size)
         finally:
             body.close()
 
+    def _pieces(self) -> Iterator[bytes]:
+        """Yield the rest of the body; raises IncompleteRead if it ends early."""
+        while piece := self.response.read(PIECE_BYTES):
+            yield piece
+        # A read with a size raises no error if the connection ends early.
+        if self.response.length:
+            raise IncompleteRead(b"", self.response.length)
+        self.check_complete()
+
     def _reserve(
         self, body: io.BytesIO | mmap.mmap, max_size: int, end_s: float
     ) -> mmap.mmap:
@@ -259,11 +265,8 @@
         errors as ``HttpClient.call``.
         """
         try:
-            while self.response.read(PIECE_BYTES):
+            for _ in self._pieces():
                 pass
-            if self.response.length:
-                raise IncompleteRead(b"", self.response.length)
-            self.check_complete()
             following = self._exchange.connection.next_response(
                 self.sock, method=self._method
             )
@@ -339,7 +342,6 @@
         self._bytes_left = self._limits.max_bytes
         self._deadline_s = math.inf
         self._has_received = False
-        self.is_aborted = False
         self.error_at_end: OSError | None = None
         self._sock = sock
         # Keeps the file descriptor open: http.client closes its socket after an
@@ -367,9 +369,6 @@
             except BlockingIOError:
                 return None
             else:
-                if not count and self.is_aborted:
-                    # The end is this client's own, not that of the answer.
-                    raise ConnectionAbortedError("the call was aborted")
                 if not count and self.error_at_end is not None:
                     raise self.error_at_end
                 self._has_received = True
@@ -463,8 +462,8 @@
         self._raw.keep_waiting = keep_waiting
 
     def abort(self) -> None:
-        """Make reads fail at the end of the connection."""
-        self._raw.is_aborted = True
+        """Make reads fail at the end of the connection, which is this client's own."""
+        self.fail_at_end(ConnectionAbortedError("the call was aborted"))
 
     def fail_at_end(self, error: OSError) -> None:
         """Make reads raise ``error`` at the end of the connection.
@@ -619,8 +618,7 @@
         answer = self.open(address, call)
         try:
             max_bytes = call.max_answer_bytes or MAX_ANSWER_BYTES
-            answer.limit_body(max_bytes * CHUNKED_SIZE_FACTOR, call.timeout_s, end_s)
-            body = answer.read_body(max_bytes, end_s)
+            body = answer.read_body(max_bytes, call.timeout_s, end_s)
         except BodySizeError as error:
             if call.max_answer_bytes is None:
                 raise broken_call_error(error) from error
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -15,7 +15,7 @@
 from camphoryard.state.errors import BrokenCallError, NotSentError
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.transport.http_client import (
-    CHUNKED_SIZE_FACTOR,
+    PIECE_BYTES,
     Address,
     HttpCall,
     HttpClient,
@@ -23,7 +23,6 @@
     broken_call_error,
 )
 
-READ_BYTES = 1 << 16
 MAX_BODY_BYTES = 4 << 20
 """Maximum size of an answer that is not a stream; each one is held in memory."""
 MAX_SKIPPED_ANSWERS = 4
@@ -48,13 +47,10 @@
     def body(self) -> bytes:
         """Return the complete body; see the Answer port."""
         options = self._options
-        self._answer.limit_body(
-            MAX_BODY_BYTES * CHUNKED_SIZE_FACTOR,
-            options.silence_timeout_s,
-            options.deadline_s,
-        )
         try:
-            body = self._answer.read_body(MAX_BODY_BYTES, options.deadline_s)
+            body = self._answer.read_body(
+                MAX_BODY_BYTES, options.silence_timeout_s, options.deadline_s
+            )
         except (OSError, HTTPException, ValueError) as error:
             raise broken_call_error(error) from error
         self._is_read = True
@@ -71,7 +67,7 @@
         while True:
             self._answer.restart_read_limits()
             try:
-                chunk = response.read1(READ_BYTES)
+                chunk = response.read1(PIECE_BYTES)
             except (OSError, HTTPException, ValueError) as error:
                 raise broken_call_error(error) from error
             if not chunk:
