Teach the soak to spend the retry budget and to see runs side by side

Cause: the soak could show neither BUDGET nor TWICE as the users saw them. It counted no retries over all nodes within the window and no streams that two endpoints run at once, its endpoints failed too seldom to spend the budget, and its bookings had one attempt. Change: checks of retries in a window, of runs on more endpoints than a route allows, of deadlines after the client's, and of streams that go on beside an earlier run, by the node or by a client that resumes them elsewhere. Restarted nodes are no longer told that the whole system starts for the first time.

--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -8,6 +8,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import pairwise
 from typing import Any
 
 from camphoryard.state.log_lines import LogLine
@@ -22,21 +23,49 @@
 DEADLY_CRASHES = 5
 MAX_ARRIVALS_AFTER_CRASHES = 3
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+BUDGET_WINDOW_S = 10.0
+BUDGET_SHARE = 0.2
+BUDGET_EXTRA = 50
+"""Repeats in a window that a service may get beyond its share of the requests."""
+DEADLINE_S = 10.0
+"""How long each client waits."""
+DEADLINE_SLACK_S = 0.5
+MAX_LONG_DEADLINES = 20
+MAX_LONG_DEADLINE_SHARE = 0.2
+MAX_ATTEMPTS = 3
+"""Most replicas that may run a request, on any route."""
+MAX_REQUESTS_OVER_ATTEMPTS = 3
+HANDOVER_S = 0.4
+"""Time for which an endpoint may go on with a stream that runs at another one."""
 
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One request of a client and what it got; ``status`` is 0 without an answer."""
+    """One request of a client and what it got; ``status`` is 0 without an answer.
+
+    ``is_sent`` is False if its node accepted no connection, ``has_left``
+    True if its client did not wait for the answer. One that resumes the stream
+    of another request, whose id is ``resumes``, wants the events ``after`` a number.
+    """
 
     id: str
     node: str
     path: str
     sent_s: float
-    done_s: float
+    done_s: float = 0.0
     status: int = 0
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
     is_whole: bool = False
+    is_sent: bool = True
+    has_left: bool = False
+    resumes: str = ""
+    after: int = 0
+
+    @property
+    def route(self) -> str:
+        """The first segment of the path."""
+        return self.path.split("/")[1]
 
     @property
     def is_stream(self) -> bool:
@@ -70,7 +99,8 @@
     which the store acknowledged that a replica leaves, ``crashes_s`` those of crashes
     by part, ``own_ends`` the processes that ended by themselves, ``confirmed_s``
     the times at which the store acknowledged versions of the configuration,
-    ``starts_s`` those at which the processes of nodes were started again.
+    ``starts_s`` those at which the processes of nodes were started again. Routes are
+    named by the first segment of their paths.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -82,6 +112,7 @@
     log_lines_by_node: dict[str, list[LogLine]] = field(default_factory=dict)
     confirmed_s: dict[int, float] = field(default_factory=dict)
     starts_s: dict[str, list[float]] = field(default_factory=dict)
+    service_by_route: dict[str, str] = field(default_factory=dict)
 
     def is_disturbed(self, target: str, from_s: float, until_s: float) -> bool:
         """Return whether a target was under a fault in a span of time."""
@@ -98,6 +129,17 @@
             or self.is_disturbed("store", since_s, until_s)
         )
 
+    def pause_end_s(self, replica: str, at_s: float) -> float:
+        """Return when a pause of a replica at ``at_s`` ends, or ``at_s``."""
+        return max(
+            (
+                item.ended_s
+                for item in self.disturbances
+                if item.target == replica and item.touches(at_s, at_s + HANDOVER_S)
+            ),
+            default=at_s,
+        )
+
     def arrivals(self) -> Iterable[tuple[str, dict[str, Any]]]:
         """Return the replica and the journal line of each request that arrived."""
         for replica, lines in self.lines_by_replica.items():
@@ -110,10 +152,14 @@
     """Return the violations of the users' rules, each as one line."""
     checks: Sequence[Callable[[SoakHistory], Iterable[str]]] = (
         _twice,
+        _two_at_once,
         _refused,
         _mixed,
         _drain_after_answer,
         _drain_after_store,
+        _budget_in_window,
+        _budget_of_attempts,
+        _budget_of_time,
         _budget_in_rest,
         _budget_of_parts,
         _lost,
@@ -141,6 +187,57 @@
             yield f"TWICE: {item.id} ran {runs[item.id]} times"
 
 
+def _two_at_once(history: SoakHistory) -> Iterable[str]:
+    """Find streams that go on at a replica while an earlier one still runs them.
+
+    Either the node or the client goes on. A replica that was killed within a run has no
+    end of it in its journal; a paused one can end its run only after the pause.
+    """
+    attempt_by_id = {item.id: item for item in history.attempts}
+    spans = _run_spans(history)
+    for id, attempt in attempt_by_id.items():
+        if not attempt.is_stream:
+            continue
+        runs = [*spans.get(attempt.resumes, ()), *spans.get(id, ())]
+        for earlier, later in pairwise(sorted(runs, key=lambda run: run.began_s)):
+            node = attempt_by_id[earlier.id].node
+            due_s = history.pause_end_s(earlier.replica, later.began_s) + HANDOVER_S
+            if earlier.ended_s > due_s and history.is_in_touch(
+                node, later.began_s, due_s
+            ):
+                beside_s = earlier.ended_s - later.began_s
+                yield (
+                    f"TWICE: {earlier.id} ran at {earlier.replica} for {beside_s:.2f} s"
+                    f" beside {later.id} at {later.replica}"
+                )
+
+
+@dataclass(frozen=True, slots=True)
+class _RunSpan:
+    """The time for which a replica ran a request."""
+
+    id: str
+    replica: str
+    began_s: float
+    ended_s: float
+
+
+def _run_spans(history: SoakHistory) -> Mapping[str, list[_RunSpan]]:
+    """Return the runs that have ended, by the id of their request."""
+    spans: dict[str, list[_RunSpan]] = defaultdict(list)
+    for replica, lines in history.lines_by_replica.items():
+        began_s: dict[str, float] = {}
+        for line in lines:
+            match line["event"]:
+                case "ran":
+                    began_s[line["id"]] = line["at_s"]
+                case "ended" if line["id"] in began_s:
+                    id = line["id"]
+                    span = _RunSpan(id, replica, began_s.pop(id), line["at_s"])
+                    spans[id].append(span)
+    return spans
+
+
 def _refused(history: SoakHistory) -> Iterable[str]:
     runs = _runs(history)
     for item in history.attempts:
@@ -158,7 +255,8 @@
             if item.is_whole and item.body != plain_body(item.id):
                 yield f"MIXED: {item.id} got {item.body!r}"
         else:
-            whole = b"".join(event(item.id, n) for n in range(1, EVENTS + 1))
+            first = item.after + 1
+            whole = b"".join(event(item.id, n) for n in range(first, EVENTS + 1))
             if not whole.startswith(item.body):
                 yield f"ORDER: {item.id} got {item.body!r}"
             elif item.is_whole and item.body != whole:
@@ -202,6 +300,78 @@
             yield f"DRAIN: {attempt.id} reached {replica} {late_s:.2f} s after it left"
 
 
+def _budget_in_window(history: SoakHistory) -> Iterable[str]:
+    """Find services that get more repeats in a window than the fleet may send.
+
+    A request counts when it was sent, a repeat when it arrived. The requests are those
+    of the window, of the one before it or of the one half a window before it.
+    """
+    service_by_id = {
+        item.id: history.service_by_route.get(item.route, item.route)
+        for item in history.attempts
+    }
+    requests_s: dict[str, list[float]] = defaultdict(list)
+    for item in history.attempts:
+        if item.is_sent:
+            requests_s[service_by_id[item.id]].append(item.sent_s)
+    for service, repeats_s in _repeats_s(history, service_by_id).items():
+        sent_s = sorted(requests_s[service])
+        worst = 0.0, 0, 0.0
+        for number, at_s in enumerate(repeats_s, 1):
+            count = number - bisect(repeats_s, at_s - BUDGET_WINDOW_S)
+            requests = max(
+                bisect(sent_s, at_s - back_s)
+                - bisect(sent_s, at_s - back_s - BUDGET_WINDOW_S)
+                for back_s in (0.0, BUDGET_WINDOW_S / 2, BUDGET_WINDOW_S)
+            )
+            allowed = BUDGET_SHARE * requests + BUDGET_EXTRA
+            worst = max(worst, (count - allowed, count, allowed))
+        beyond, count, allowed = worst
+        if beyond > 0:
+            yield f"BUDGET: {count} repeats to {service}, {allowed:.0f} allowed"
+
+
+def _repeats_s(
+    history: SoakHistory, service_by_id: Mapping[str, str]
+) -> Mapping[str, list[float]]:
+    """Return the times of arrivals beyond the first of each request, by service."""
+    arrivals_s: dict[str, list[float]] = defaultdict(list)
+    for _, line in history.arrivals():
+        arrivals_s[line["id"]].append(line["at_s"])
+    repeats_s: dict[str, list[float]] = defaultdict(list)
+    for id, times_s in arrivals_s.items():
+        if id in service_by_id:
+            repeats_s[service_by_id[id]].extend(sorted(times_s)[1:])
+    return {service: sorted(times_s) for service, times_s in repeats_s.items()}
+
+
+def _budget_of_attempts(history: SoakHistory) -> Iterable[str]:
+    """Find requests that ran on more replicas than any route allows."""
+    replicas: dict[str, set[str]] = defaultdict(set)
+    for id, runs in _run_spans(history).items():
+        replicas[id].update(run.replica for run in runs)
+    over = [id for id, names in replicas.items() if len(names) > MAX_ATTEMPTS]
+    if len(over) > MAX_REQUESTS_OVER_ATTEMPTS:
+        yield f"BUDGET: {over} ran on more than {MAX_ATTEMPTS} replicas"
+
+
+def _budget_of_time(history: SoakHistory) -> Iterable[str]:
+    """Find requests that replicas may work on for longer than their client waits."""
+    sent_s_by_id = {item.id: item.sent_s for item in history.attempts}
+    arrivals = [
+        line
+        for _, line in history.arrivals()
+        if "left_s" in line and line["id"] in sent_s_by_id
+    ]
+    late = sum(
+        line["at_s"] + line["left_s"]
+        > sent_s_by_id[line["id"]] + DEADLINE_S + DEADLINE_SLACK_S
+        for line in arrivals
+    )
+    if late > MAX_LONG_DEADLINES and late > MAX_LONG_DEADLINE_SHARE * len(arrivals):
+        yield f"BUDGET: {late} of {len(arrivals)} requests with too much time"
+
+
 def _budget_in_rest(history: SoakHistory) -> Iterable[str]:
     """Find nodes that send to replicas in the time that these have asked for."""
     node_by_id = {item.id: item.node for item in history.attempts}
@@ -241,6 +411,7 @@
     for item in history.attempts:
         if (
             item.status == 0
+            and not item.has_left
             and item.id in arrived
             and not history.is_disturbed(item.node, item.sent_s, item.done_s)
         ):
@@ -286,7 +457,7 @@
     limit_s = APPLY_S + BUSY_SLACK_S
     for node, lines in history.log_lines_by_node.items():
         for line in lines:
-            if line.event != "request_answered":
+            if line.event != "request_answered" or "rules" not in line.fields:
                 continue
             began_s = line.at_s - int(line.fields["held_ms"]) / 1000
             due = max(
--- a/faults/entry_soak.py
+++ b/faults/entry_soak.py
@@ -13,16 +13,20 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from http.client import HTTPConnection, HTTPException
+from pathlib import Path
 from typing import Annotated, Any, TypeAlias
 
 import typer
 
 from camphoryard.protocol.log_lines import parse_log_line
 from faults.entry_checks import (
+    DEADLINE_S,
     STABLE_WINDOW_S,
     Attempt,
     Disturbance,
@@ -38,6 +42,8 @@
 INJECTORS = 3
 MAX_PAUSE_S = 1.5
 REQUEST_PAUSE_S = 0.02
+REFUSED_PAUSE_S = 0.1
+"""Pause of a client whose node accepts no connection."""
 TIMEOUT_S = 20.0
 RESTART_S = 1.5
 """Time after which a replica that has ended is replaced."""
@@ -45,6 +51,12 @@
 """Time after which a replica that leaves ends."""
 LAST_RUNS = 3
 """Runs at the end of a journal, one of which may have ended the replica."""
+IMPATIENT_SHARE = 0.3
+"""Share of the streams that their client resumes at another node after a pause."""
+PATIENCE_S = (0.1, 0.8)
+"""Range of the pauses after which such a client leaves."""
+EVENT_END = b"\n\n"
+DECLINED_PERCENT, STALE_PERCENT = 30, 50
 DEADLY_SHARE = 0.1
 DEADLY_S = 15.0
 SECONDS_PER_MINUTE = 60
@@ -59,6 +71,14 @@
     *("engines", "engines"),
 )
 """Service of each replica."""
+SERVICE_BY_ROUTE = {
+    "chat": "models",
+    "book": "desk",
+    "look": "desk",
+    "ask": "engines",
+}
+FIRST_START, LATER_START = "bootstrap = true\n", "bootstrap = false\n"
+MILLISECONDS_PER_SECOND = 1000
 MODELS = ("m1", "m2", "m3", "m4")
 """Models of the engines, each of which has room for one."""
 MODEL_MB, ENGINE_MB = 60, 100
@@ -116,6 +136,50 @@
     for_s: float
 
 
+class ReplicaFault(Enum):
+    """How a replica treats a share of its requests."""
+
+    FAIL = "fail"
+    SHED = "shed"
+    MUTE = "mute"
+    RESET = "reset"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceFails:
+    """Some replicas of a service treat a share of their requests badly."""
+
+    slots: tuple[int, ...]
+    how: ReplicaFault
+    percent: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaRepeatsRefusals:
+    """A replica declines requests, and sends refusals again beside later requests."""
+
+    slot: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaPauses:
+    """A replica stands still and goes on."""
+
+    slot: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaSlows:
+    """The events of a replica's streams come at long intervals."""
+
+    slot: int
+    period_ms: int
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoreFails:
     """The store answers with 503, or leaves calls unanswered for ever."""
@@ -180,6 +244,22 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class FleetRestarts:
+    """All nodes end and start again, one after the other or at the same time."""
+
+    end: NodeEnd
+    gap_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FleetRestartsInTrouble:
+    """All nodes restart while replicas of a service fail."""
+
+    trouble: ServiceFails
+    restart: FleetRestarts
+
+
 @dataclass(frozen=True, slots=True)
 class PartTurnsDeadly:
     """Some requests have a part that crashes replicas, for some time."""
@@ -200,6 +280,10 @@
     | ReplicaRests
     | ReplicaCrashes
     | ReplicaGarbles
+    | ServiceFails
+    | ReplicaRepeatsRefusals
+    | ReplicaPauses
+    | ReplicaSlows
     | StoreFails
     | StoreIsRestored
     | LeaderChangeIsLost
@@ -207,6 +291,8 @@
     | NodeStops
     | NodeIsKilled
     | NodeFreezes
+    | FleetRestarts
+    | FleetRestartsInTrouble
     | PartTurnsDeadly
     | ConfigurationChanges
 )
@@ -225,7 +311,9 @@
     fleet: Fleet
     seed: int
     nodes: tuple[str, ...]
-    history: SoakHistory = field(default_factory=SoakHistory)
+    history: SoakHistory = field(
+        default_factory=lambda: SoakHistory(service_by_route=dict(SERVICE_BY_ROUTE))
+    )
     lock: threading.Lock = field(default_factory=threading.Lock)
     stop: threading.Event = field(default_factory=threading.Event)
     client_port_by_node: dict[str, int] = field(default_factory=dict)
@@ -235,6 +323,12 @@
     deadly_part: str = ""
     configurations: int = 0
     count_by_kind: Counter[str] = field(default_factory=Counter)
+    kinds: tuple[str, ...] = ()
+    source: Path | None = None
+
+    def draws(self, fault: "Fault") -> bool:
+        """Return whether the soak draws faults of this kind; none are named for all."""
+        return not self.kinds or type(fault).__name__ in self.kinds
 
     @property
     def store_port(self) -> int:
@@ -316,7 +410,8 @@
         client_port, ready_port = reserve_port(), reserve_port()
         path = self.fleet.folder / f"{node}.toml"
         path.write_text(
-            SETTINGS.format(
+            FIRST_START
+            + SETTINGS.format(
                 name=node,
                 host=HOST,
                 peer_port=reserve_port(),
@@ -328,14 +423,14 @@
         )
         self.client_port_by_node[node] = client_port
         arguments = ["-m", "camphoryard.entry.daemon", str(path)]
-        self.fleet.start(node, ready_port, arguments)
+        self.fleet.start(node, ready_port, arguments, self.source)
 
 
 def _configuration(version: int, count: int) -> dict[str, Any]:
     routes = [
         make_route("chat", "streaming", "models", resumable=True),
-        make_route("book", "non_idempotent", "desk", **{"max-attempts": 1}),
-        make_route("look", "idempotent", "desk"),
+        make_route("book", "non_idempotent", "desk", **{"max-attempts": 3}),
+        make_route("look", "idempotent", "desk", **{"max-attempts": 3}),
         make_route("ask", "idempotent", "engines"),
         *(make_route(f"more{n}", "idempotent", "desk") for n in range(count)),
     ]
@@ -344,18 +439,23 @@
 
 
 def run_client(site: SoakSite, number: int) -> None:
-    """Send requests over kept connections until the site stops."""
+    """Send requests over kept connections until the site stops.
+
+    Some streams are left at a pause and resumed at another node.
+    """
     rng = random.Random(f"{site.seed}/client/{number}")
     connection_by_node: dict[str, HTTPConnection] = {}
     count = 0
+    left: Attempt | None = None
     while not site.stop.wait(rng.uniform(0, 2 * REQUEST_PAUSE_S)):
         count += 1
-        node = rng.choice(site.nodes)
+        others = [item for item in site.nodes if left and item != left.node]
+        node = rng.choice(others or site.nodes)
         connection = connection_by_node.get(node)
         if connection is None:
             port = site.client_port_by_node[node]
             connection = HTTPConnection(HOST, port, timeout=TIMEOUT_S)
-        kind = rng.choice(("chat", "chat", "book", "look", "ask"))
+        kind = "chat" if left else rng.choice(("chat", "chat", "book", "look", "ask"))
         id = f"{number}-{count}"
         parts = f"system:100,topic{rng.randrange(4)}:50,"
         if site.deadly_part and kind == "chat" and rng.random() < DEADLY_SHARE:
@@ -363,32 +463,51 @@
         headers = {
             "Host": "site.example",
             "Attempt-Id": id,
-            "Deadline-Ms": "10000",
+            "Deadline-Ms": str(int(DEADLINE_S * MILLISECONDS_PER_SECOND)),
             "Prompt-Prefix": f"{parts}own-{id}:10",
         }
         if kind == "ask":
             headers["Model"] = rng.choice(MODELS)
-        attempt = _send(connection, node, f"/{kind}/{id}", id, headers)
+        if left:
+            headers["Last-Event-Id"] = str(left.after + left.body.count(EVENT_END))
+        leaves = kind == "chat" and not left and rng.random() < IMPATIENT_SHARE
+        attempt = _send(
+            connection,
+            Attempt(
+                id,
+                node,
+                f"/{kind}/{id}",
+                time.monotonic(),
+                resumes=left.id if left else "",
+                after=int(headers.get("Last-Event-Id", 0)),
+            ),
+            headers,
+            rng.uniform(*PATIENCE_S) if leaves else TIMEOUT_S,
+        )
         with site.lock:
             site.history.attempts.append(attempt)
+        left = attempt if attempt.has_left and EVENT_END in attempt.body else None
         if attempt.is_whole and attempt.headers.get("connection") != "close":
             connection_by_node[node] = connection
         else:
             connection.close()
             connection_by_node.pop(node, None)
+        if not attempt.is_sent:
+            site.stop.wait(REFUSED_PAUSE_S)
 
 
 def _send(
     connection: HTTPConnection,
-    node: str,
-    path: str,
-    id: str,
+    attempt: Attempt,
     headers: dict[str, str],
+    patience_s: float,
 ) -> Attempt:
-    sent_s = time.monotonic()
+    """Return the attempt with its answer, which may pause for ``patience_s``."""
     status, answered, body = 0, {}, b""
+    is_sent, is_whole, has_left = True, False, False
     try:
-        connection.request("POST", path, b"x", headers)
+        connection.request("POST", attempt.path, b"x", headers)
+        connection.sock.settimeout(patience_s)
         response = connection.getresponse()
         status = response.status
         answered = {name.lower(): text for name, text in response.headers.items()}
@@ -396,10 +515,22 @@
             body += chunk
         is_whole = not response.length
         response.close()
+    except ConnectionRefusedError:
+        is_sent = False
+    except TimeoutError:
+        has_left = patience_s < TIMEOUT_S
     except (OSError, HTTPException, ValueError):
         is_whole = False
-    done_s = time.monotonic()
-    return Attempt(id, node, path, sent_s, done_s, status, answered, body, is_whole)
+    return replace(
+        attempt,
+        done_s=time.monotonic(),
+        status=status,
+        headers=answered,
+        body=body,
+        is_whole=is_whole,
+        is_sent=is_sent,
+        has_left=has_left,
+    )
 
 
 def replace_ended_replicas(site: SoakSite) -> None:
@@ -436,12 +567,31 @@
     slot = rng.randrange(len(SERVICES))
     node = rng.choice(site.nodes)
     for_s = rng.uniform(0.5, 3.0)
+    service_fails = ServiceFails(
+        _some_slots(rng, SERVICES[slot]),
+        rng.choice(tuple(ReplicaFault)),
+        rng.choice((10, 40, 100)),
+        rng.uniform(1.0, 12.0),
+    )
+    fleet_restarts = FleetRestarts(
+        rng.choice(tuple(NodeEnd)), rng.choice((0.0, rng.uniform(0.1, 2.0)))
+    )
+    trouble = replace(
+        service_fails,
+        how=rng.choice((ReplicaFault.FAIL, ReplicaFault.SHED)),
+        percent=100,
+        for_s=rng.uniform(6.0, 12.0),
+    )
     faults: tuple[Fault, ...] = (
         ReplicaLeaves(slot, rng.choice(tuple(LeavingWord))),
         ReplicaLeaves(slot, LeavingWord.STORE, for_s),
         ReplicaRests(slot, for_s),
         ReplicaCrashes(slot),
         ReplicaGarbles(slot, for_s),
+        service_fails,
+        ReplicaRepeatsRefusals(slot, 3 * for_s),
+        ReplicaPauses(slot, for_s),
+        ReplicaSlows(slot, rng.choice((400, 900, 2000)), 3 * for_s),
         StoreFails(rng.random() < 0.5, for_s),
         StoreIsRestored(rng.uniform(0.5, 8.0), rng.uniform(0.1, 1.5)),
         LeaderChangeIsLost(
@@ -456,13 +606,21 @@
         NodeStops(node),
         NodeIsKilled(node),
         NodeFreezes(node, for_s),
+        fleet_restarts,
+        FleetRestartsInTrouble(trouble, fleet_restarts),
         PartTurnsDeadly(deadly_part(rng.randrange(1000)), DEADLY_S),
         ConfigurationChanges(rng.randrange(2, 52)),
     )
-    return rng.choice(faults)
+    return rng.choice([item for item in faults if site.draws(item)])
+
 
+def _some_slots(rng: random.Random, service: str) -> tuple[int, ...]:
+    """Return at least one of the slots of a service."""
+    slots = [slot for slot, name in enumerate(SERVICES) if name == service]
+    return tuple(rng.sample(slots, rng.randint(1, len(slots))))
 
-def targets_of(fault: Fault) -> tuple[str, ...]:
+
+def targets_of(site: SoakSite, fault: Fault) -> tuple[str, ...]:
     """Return what a fault strikes; no two faults strike the same thing at once."""
     match fault:
         case (
@@ -470,8 +628,17 @@
             | ReplicaRests(slot)
             | ReplicaCrashes(slot)
             | ReplicaGarbles(slot)
+            | ReplicaRepeatsRefusals(slot)
+            | ReplicaPauses(slot)
+            | ReplicaSlows(slot)
         ):
             return (f"slot-{slot}",)
+        case ServiceFails(slots):
+            return tuple(f"slot-{slot}" for slot in slots)
+        case FleetRestarts():
+            return site.nodes
+        case FleetRestartsInTrouble(trouble, restart):
+            return targets_of(site, trouble) + targets_of(site, restart)
         case NodeStops(node) | NodeIsKilled(node) | NodeFreezes(node):
             return (node,)
         case LeaderChangeIsLost(node):
@@ -504,6 +671,19 @@
             site.control(slot, garble=30)
             site.stop.wait(for_s)
             site.control(slot, garble=0)
+        case ServiceFails():
+            with _failing(site, fault):
+                site.stop.wait(fault.for_s)
+        case ReplicaRepeatsRefusals(slot, for_s):
+            site.control(slot, shed=DECLINED_PERCENT, stale=STALE_PERCENT)
+            site.stop.wait(for_s)
+            site.control(slot, shed=0, stale=0)
+        case ReplicaPauses(slot, for_s):
+            _pause(site, site.replica_by_slot[slot], for_s)
+        case ReplicaSlows(slot, period_ms, for_s):
+            site.control(slot, slow_ms=period_ms)
+            site.stop.wait(for_s)
+            site.control(slot, slow_ms=0)
         case StoreFails(is_mute, for_s):
             _fail_store(site, is_mute, for_s)
         case StoreIsRestored(back_s, away_s):
@@ -523,6 +703,13 @@
             process.signal(signal.SIGSTOP)
             site.stop.wait(for_s)
             process.signal(signal.SIGCONT)
+        case FleetRestarts(end, gap_s):
+            _restart_fleet(site, end, gap_s)
+        case FleetRestartsInTrouble(trouble, FleetRestarts(end, gap_s)):
+            with _failing(site, trouble):
+                site.stop.wait(trouble.for_s / 2)
+                _restart_fleet(site, end, gap_s)
+                site.stop.wait(trouble.for_s / 2)
         case PartTurnsDeadly(part, for_s):
             site.deadly_part = part
             site.stop.wait(for_s)
@@ -531,6 +718,39 @@
             site.change_configuration(routes)
 
 
+@contextmanager
+def _failing(site: SoakSite, trouble: ServiceFails) -> Iterator[None]:
+    """Have replicas fail; those that replace them meanwhile do not."""
+    for slot in trouble.slots:
+        site.control(slot, **{trouble.how.value: trouble.percent})
+    yield
+    for slot in trouble.slots:
+        site.control(slot, **{trouble.how.value: 0})
+
+
+def _pause(site: SoakSite, name: str, for_s: float) -> None:
+    process = site.fleet.process_by_name[name]
+    began_s = time.monotonic()
+    process.signal(signal.SIGSTOP)
+    site.stop.wait(for_s)
+    process.signal(signal.SIGCONT)
+    with site.lock:
+        site.history.disturbances.append(Disturbance(name, began_s, time.monotonic()))
+
+
+def _restart_fleet(site: SoakSite, end: NodeEnd, gap_s: float) -> None:
+    """End and start all nodes; without a gap they are all down at the same time."""
+    with ThreadPoolExecutor(len(site.nodes)) as tasks:
+        for node in site.nodes:
+            tasks.submit(_end_and_restart, site, node, end)
+            site.stop.wait(gap_s)
+
+
+def _end_and_restart(site: SoakSite, node: str, end: NodeEnd) -> None:
+    _end(site, node, end)
+    _restart(site, node)
+
+
 def _fail_store(site: SoakSite, is_mute: bool, for_s: float) -> None:
     name = "mute_store" if is_mute else "silent_store"
     began_s = time.monotonic()
@@ -592,6 +812,8 @@
 def _restart(site: SoakSite, node: str) -> None:
     with site.lock:
         site.history.starts_s.setdefault(node, []).append(time.monotonic())
+    path = site.fleet.folder / f"{node}.toml"
+    path.write_text(path.read_text().replace(FIRST_START, LATER_START))
     site.fleet.restart(node)
     site.fleet.wait_ready([node], "/ready")
 
@@ -601,7 +823,7 @@
     rng = random.Random(f"{site.seed}/entry-injector/{number}")
     while not stop.wait(rng.uniform(0, MAX_PAUSE_S)):
         fault = draw_fault(site, rng)
-        targets = targets_of(fault)
+        targets = targets_of(site, fault)
         with site.lock:
             if not site.busy_targets.isdisjoint(targets):
                 continue
@@ -653,10 +875,26 @@
     return violations
 
 
-def run_soak(seed: int, minutes: float, nodes: int) -> list[str]:
-    """Run one soak; return its violations."""
+def run_soak(
+    seed: int,
+    minutes: float,
+    nodes: int,
+    kinds: tuple[str, ...] = (),
+    source: Path | None = None,
+) -> list[str]:
+    """Run one soak; return its violations.
+
+    Parameters
+    ----------
+    kinds : tuple of str
+        Classes of the faults to draw; all if empty.
+    source : Path or None
+        Folder with the package that the nodes run, such as that of an earlier commit;
+        None for this one.
+    """
     with Fleet() as fleet, ThreadPoolExecutor(CLIENTS + INJECTORS + 1) as tasks:
-        site = SoakSite(fleet, seed, tuple(f"entry-{n}" for n in range(1, nodes + 1)))
+        names = tuple(f"entry-{n}" for n in range(1, nodes + 1))
+        site = SoakSite(fleet, seed, names, kinds=kinds, source=source)
         site.start()
         work = [tasks.submit(run_client, site, number) for number in range(CLIENTS)]
         work.append(tasks.submit(replace_ended_replicas, site))
@@ -684,11 +922,17 @@
     seed: Annotated[int, typer.Option(help="Chosen at random and printed if 0.")] = 0,
     minutes: Annotated[float, typer.Option(help="Duration of fault injection.")] = 1,
     nodes: Annotated[int, typer.Option(help="Number of entry daemons.")] = 3,
+    kind: Annotated[
+        list[str], typer.Option(help="Class of faults to draw; all if not given.")
+    ] = [],  # noqa: B006
+    source: Annotated[
+        Path | None, typer.Option(help="Folder with the package that the nodes run.")
+    ] = None,
 ) -> None:
     """Run entry daemons under random faults and check what clients and replicas saw."""
     seed = seed or secrets.randbelow(1_000_000)
     print(f"seed {seed}, {minutes} minutes, {nodes} entry daemons", flush=True)
-    sys.exit(1 if run_soak(seed, minutes, nodes) else 0)
+    sys.exit(1 if run_soak(seed, minutes, nodes, tuple(kind), source) else 0)
 
 
 if __name__ == "__main__":
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -68,6 +68,7 @@
     popen: subprocess.Popen[bytes]
     log: Path
     arguments: Sequence[str]
+    source: Path | None = None
 
     def signal(self, number: int) -> None:
         """Send a signal."""
@@ -200,7 +201,7 @@
     def restart(self, name: str) -> None:
         """Start a process again with its previous arguments."""
         old = self.process_by_name[name]
-        self.start(name, old.port, old.arguments)
+        self.start(name, old.port, old.arguments, old.source)
 
     def settings(self, name: str, zone: str, port: int, peer_port: int) -> str:
         """Return the settings of one node as TOML."""
@@ -281,14 +282,24 @@
             return False
         return True
 
-    def start(self, name: str, port: int, arguments: Sequence[str]) -> None:
-        """Start a Python process that listens on ``port`` and writes to a log file."""
+    def start(
+        self,
+        name: str,
+        port: int,
+        arguments: Sequence[str],
+        source: Path | None = None,
+    ) -> None:
+        """Start a Python process that listens on ``port`` and writes to a log file.
+
+        ``source`` is the folder of its packages, if they are not the installed ones.
+        """
         log = self.folder / f"{name}.log"
+        path = {"PYTHONPATH": str(source)} if source is not None else {}
         with log.open("ab") as stream:
             popen = subprocess.Popen(
                 [sys.executable, *arguments],
                 stdout=stream,
                 stderr=stream,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+                env={**os.environ, "PYTHONUNBUFFERED": "1", **path},
             )
-        self.process_by_name[name] = Process(name, port, popen, log, arguments)
+        self.process_by_name[name] = Process(name, port, popen, log, arguments, source)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -4,16 +4,23 @@
 and writes a journal of what has reached it. The framing of answers varies: with a
 length, in chunks, or ended by the connection. A prompt part that begins with
 ``deadly`` ends the process as soon as the answer to it has begun. A request for a model
-that is not loaded gets 421; orders of models go into the journal. Faults at
-``POST /control``: ``leaving`` (all answers say so), ``rest_ms`` (requests are turned
-away for so long) and ``garble`` (share of answers in percent that are cut, failed or
-sent twice).
+that is not loaded gets 421; orders of models go into the journal. A run ends as soon
+as its connection does.
+
+Faults at ``POST /control``: ``leaving`` (all answers say so), ``rest_ms`` (requests are
+turned away for so long), ``slow_ms`` (period of the events of a stream) and shares of
+requests in percent: ``garble`` (the answer is cut, failed or sent twice), ``fail`` (500
+after the run), ``shed`` (declined with 503), ``mute`` (run without an answer),
+``reset`` (the connection is reset within the run) and ``stale`` (an earlier refusal of
+the connection is sent once more while the request runs).
 """
 
 import json
 import os
 import random
+import select
 import socket
+import struct
 import threading
 import time
 from collections.abc import Mapping
@@ -34,6 +41,15 @@
 HEAD_END = b"\r\n\r\n"
 PERCENT = 100
 MILLISECONDS_PER_SECOND = 1000
+MUTE_S = 10.0
+"""Time for which a run without an answer lasts, unless its connection ends."""
+BARE_SHARE = 0.5
+"""Share of the repeated refusals without a request id."""
+STALE_LEAD_S = 0.1
+"""Time between a refusal that is sent again and the answer after it."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+SHARES = ("garble", "fail", "shed", "mute", "reset", "stale")
+"""Faults that strike a share of the requests, in percent."""
 
 
 def plain_body(id: str) -> bytes:
@@ -61,6 +77,11 @@
         """The id that the client gave it."""
         return self.headers.get("attempt-id", "")
 
+    @property
+    def left_s(self) -> float:
+        """The time in which its client wants an answer."""
+        return int(self.headers.get("deadline-ms", 0)) / MILLISECONDS_PER_SECOND
+
     @property
     def parts(self) -> tuple[str, ...]:
         """The parts of its prompt."""
@@ -81,7 +102,8 @@
     rng: random.Random
     is_leaving: bool = False
     rest_until_s: float = 0.0
-    garble_percent: int = 0
+    event_period_s: float = EVENT_PERIOD_S
+    percent_by_fault: dict[str, int] = field(default_factory=dict)
     engine: ReplicaEngine = field(default_factory=ReplicaEngine)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -101,53 +123,85 @@
         """Answer the calls of one connection, one after the other."""
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = connection.makefile("rb")
-        with connection:
+        refusal = b""
+        with connection, reader:
             try:
                 while (call := _read_call(reader)) is not None:
-                    self.answer(connection, call)
+                    refusal = self.answer(connection, call, refusal) or refusal
             except (ConnectionEndedError, OSError):
                 return
 
-    def answer(self, connection: socket.socket, call: Call) -> None:
-        """Answer one call; raises ConnectionEndedError if it ends the connection."""
+    def answer(
+        self, connection: socket.socket, call: Call, last_refusal: bytes = b""
+    ) -> bytes:
+        """Answer one call; raises ConnectionEndedError if it ends the connection.
+
+        Returns a refusal that may be sent again, if it was one. ``last_refusal`` is
+        the last one of the connection.
+        """
         if call.path == "/control":
             self._control(json.loads(call.body))
             connection.sendall(_whole(200, {}, b"{}"))
-            return
+            return b""
         if call.headers.get("expect-instance", self.id) != self.id:
             connection.sendall(_whole(421, {"Instance-Id": self.id}, b""))
-            return
+            return b""
         if call.path in ("/order", "/report"):
             self._answer_leader(connection, call)
-            return
+            return b""
         rest_s = self.rest_until_s - time.monotonic()
-        self.record("arrived", call, rest_s=max(0.0, rest_s), leaving=self.is_leaving)
+        self.record(
+            "arrived",
+            call,
+            rest_s=max(0.0, rest_s),
+            leaving=self.is_leaving,
+            left_s=call.left_s,
+        )
         headers = {"Attempt-Id": call.id}
         if self.is_leaving:
             headers["Server-Leaving"] = "1"
         if rest_s > 0:
             refused = {"Not-Executed": "1", "Retry-After": f"{rest_s:.3f}"}
-            connection.sendall(_whole(503, {**headers, **refused}, b""))
-            return
+            return self._refuse(connection, 503, {**headers, **refused})
         model = call.headers.get("model")
         if model is not None and model not in self.engine.models:
-            connection.sendall(_whole(421, headers, b""))
-            return
+            return self._refuse(connection, 421, headers)
+        if self._strikes("shed"):
+            return self._refuse(connection, 503, {**headers, "Not-Executed": "1"})
         self.record("ran", call)
+        try:
+            if last_refusal and self._strikes("stale"):
+                connection.sendall(last_refusal)
+                _wait(connection, STALE_LEAD_S)
+            self._run(connection, call, headers)
+        finally:
+            self.record("ended", call)
+        return b""
+
+    def _run(
+        self, connection: socket.socket, call: Call, headers: dict[str, str]
+    ) -> None:
+        """Run a call and answer it."""
         headers["Server-Seal"] = f"s.{self.id}"
+        if self._strikes("mute"):
+            _wait(connection, MUTE_S)
+            raise ConnectionEndedError
+        if self._strikes("reset"):
+            _wait(connection, WORK_S)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            raise ConnectionEndedError
+        garbles, fails = self._strikes("garble"), self._strikes("fail")
         with self.lock:
-            garbles = self.rng.randrange(PERCENT) < self.garble_percent
             garbling = self.rng.choice(("fail", "head", "body", "twice"))
             framing = self.rng.choice(("length", "chunks", "end"))
-        if call.path.startswith("/chat/"):
+        garbling = garbling if garbles else ""
+        if call.path.startswith("/chat/") and not fails:
             is_chunked = framing != "end"
-            self._stream(
-                connection, call, headers, garbling if garbles else "", is_chunked
-            )
+            self._stream(connection, call, headers, garbling, is_chunked)
             return
-        time.sleep(WORK_S)
+        _wait(connection, WORK_S)
         body = plain_body(call.id)
-        match garbling if garbles else "":
+        match "fail" if fails else garbling:
             case "fail":
                 connection.sendall(_whole(500, headers, b"failed\n"))
             case "head":
@@ -163,6 +217,24 @@
             case _:
                 _send(connection, framing, headers, body)
 
+    def _strikes(self, fault: str) -> bool:
+        """Return whether a fault strikes the next request."""
+        with self.lock:
+            return self.rng.randrange(PERCENT) < self.percent_by_fault.get(fault, 0)
+
+    def _refuse(
+        self, connection: socket.socket, status: int, headers: Mapping[str, str]
+    ) -> bytes:
+        """Decline a call; return the refusal as it may be sent once more.
+
+        A repeated refusal may lack the id of the request that it answered.
+        """
+        connection.sendall(_whole(status, headers, b""))
+        with self.lock:
+            is_bare = self.rng.random() < BARE_SHARE
+        kept = {k: v for k, v in headers.items() if not is_bare or k != "Attempt-Id"}
+        return _whole(status, kept, b"")
+
     def _answer_leader(self, connection: socket.socket, call: Call) -> None:
         """Answer an order or the request of a report."""
         if call.path == "/report":
@@ -207,7 +279,7 @@
                 connection.sendall(_chunk(data[:9]) if is_chunked else data[:9])
                 raise ConnectionEndedError
             connection.sendall(_chunk(data) if is_chunked else data)
-            time.sleep(EVENT_PERIOD_S)
+            _wait(connection, self.event_period_s)
         if not is_chunked:
             raise ConnectionEndedError
         connection.sendall(b"0\r\n\r\n")
@@ -218,8 +290,13 @@
         if "rest_ms" in faults:
             rest_s = faults["rest_ms"] / MILLISECONDS_PER_SECOND
             self.rest_until_s = time.monotonic() + rest_s
-        if "garble" in faults:
-            self.garble_percent = faults["garble"]
+        if "slow_ms" in faults:
+            period_s = faults["slow_ms"] / MILLISECONDS_PER_SECOND
+            self.event_period_s = period_s or EVENT_PERIOD_S
+        with self.lock:
+            self.percent_by_fault.update(
+                {name: faults[name] for name in SHARES if name in faults}
+            )
 
 
 def _read_call(reader: Any) -> Call | None:
@@ -236,6 +313,14 @@
     return Call(method, path, headers, body)
 
 
+def _wait(connection: socket.socket, for_s: float) -> None:
+    """Work for some time; raises ConnectionEndedError if the caller closes."""
+    poll = select.poll()
+    poll.register(connection, select.POLLRDHUP)
+    if poll.poll(for_s * MILLISECONDS_PER_SECOND):
+        raise ConnectionEndedError
+
+
 def _head(status: int, headers: Mapping[str, str], is_chunked: bool) -> bytes:
     framing = "Transfer-Encoding: chunked" if is_chunked else "Connection: close"
     lines = [f"HTTP/1.1 {status} X", *(f"{k}: {v}" for k, v in headers.items())]
--- a/tests/faults/test_entry_checks.py
+++ b/tests/faults/test_entry_checks.py
@@ -5,8 +5,17 @@
 from camphoryard.protocol.log_lines import parse_log_line
 from faults.entry_checks import (
     APPLY_S,
+    BUDGET_EXTRA,
+    BUDGET_SHARE,
+    BUDGET_WINDOW_S,
     BUSY_SLACK_S,
+    DEADLINE_S,
+    DEADLINE_SLACK_S,
     DRAIN_S,
+    HANDOVER_S,
+    MAX_ATTEMPTS,
+    MAX_LONG_DEADLINES,
+    MAX_REQUESTS_OVER_ATTEMPTS,
     STABLE_WINDOW_S,
     Attempt,
     Disturbance,
@@ -175,6 +184,112 @@
         assert rules(history([], own_ends=["n1 exited with 1"])) == ["OWN END"]
 
 
+class TestBudget:
+    """What endpoints get beside the first arrival of each request."""
+
+    def window(self, repeats, requests, requests_s, **fields):
+        """Return repeats at 40 s of requests that were sent at ``requests_s``."""
+        attempts = [
+            attempt(f"b{n}", sent_s=requests_s, body=plain_body(f"b{n}"))
+            for n in range(requests)
+        ]
+        first = [line("arrived", f"b{n}", 15.0) for n in range(requests)]
+        again = [line("arrived", f"b{n % requests}", 40.0) for n in range(repeats)]
+        return history(attempts, r1=first, r2=again, **fields)
+
+    @pytest.mark.parametrize("before_s", [0.0, BUDGET_WINDOW_S / 2, BUDGET_WINDOW_S])
+    @pytest.mark.parametrize(("beyond", "found"), [(0, []), (1, ["BUDGET"])])
+    def test_repeats_beyond_the_bound_of_a_window_are_found(
+        self, beyond, found, before_s
+    ):
+        """The requests of the window, or of one before it, earn repeats."""
+        requests = 100
+        repeats = round(BUDGET_SHARE * requests) + BUDGET_EXTRA + beyond
+        sample = self.window(repeats, requests, 39.0 - before_s)
+        assert rules(sample) == found
+
+    def test_requests_of_two_windows_before_earn_nothing(self):
+        """Only the share of the window's own requests may be repeated."""
+        sample = self.window(BUDGET_EXTRA + 1, 100, 39.0 - 2 * BUDGET_WINDOW_S)
+        assert rules(sample) == ["BUDGET"]
+
+    def test_repeats_of_all_routes_of_a_service_count_together(self):
+        """Two routes that each keep the bound break it together."""
+        ids = [(f"b{n}", f"/{('book', 'look')[n % 2]}/1") for n in range(2)]
+        attempts = [attempt(id, path, body=plain_body(id)) for id, path in ids]
+        lines = [line("arrived", f"b{n % 2}") for n in range(BUDGET_EXTRA + 4)]
+        services = {"book": "desk", "look": "desk"}
+        assert rules(history(attempts, r1=lines, service_by_route=services)) == [
+            "BUDGET"
+        ]
+
+    @pytest.mark.parametrize(
+        ("replicas", "found"), [(MAX_ATTEMPTS, []), (MAX_ATTEMPTS + 1, ["BUDGET"])]
+    )
+    def test_runs_on_more_replicas_than_the_route_allows_are_found(
+        self, replicas, found
+    ):
+        """Some requests may; more are a violation."""
+        ids = [f"c{n}" for n in range(MAX_REQUESTS_OVER_ATTEMPTS + 1)]
+        lines = [
+            line(event, id, at_s)
+            for id in ids
+            for event, at_s in (("ran", 10.0), ("ended", 10.1))
+        ]
+        journals = {f"r{n}": lines for n in range(replicas)}
+        assert rules(SoakHistory([], journals)) == found
+
+    @pytest.mark.parametrize(
+        ("left_s", "found"),
+        [(DEADLINE_S, []), (DEADLINE_S + DEADLINE_SLACK_S + 0.1, ["BUDGET"])],
+    )
+    def test_deadlines_after_those_of_clients_are_found(self, left_s, found):
+        """Replicas would work on requests that nobody waits for."""
+        ids = [f"b{n}" for n in range(MAX_LONG_DEADLINES + 1)]
+        attempts = [attempt(id, body=plain_body(id)) for id in ids]
+        lines = [line("arrived", id, 10.0, left_s=left_s) for id in ids]
+        assert rules(history(attempts, r1=lines)) == found
+
+
+class TestTwoAtOnce:
+    """A stream goes on at one replica while another one still runs it."""
+
+    LATE_S = HANDOVER_S + 0.1
+
+    def run(self, id, began_s, ended_s):
+        """Return the journal lines of a run."""
+        return [line("ran", id, began_s), line("ended", id, ended_s)]
+
+    def history(self, beside_s, **fields):
+        """Return a stream that its node goes on with at a second replica at 11 s."""
+        stream = attempt("c1", "/chat/1", body=STREAM, done_s=13.0)
+        r1, r2 = self.run("c1", 10.0, 11.0 + beside_s), self.run("c1", 11.0, 12.0)
+        return history([stream], r1=r1, r2=r2, **fields)
+
+    @pytest.mark.parametrize(
+        ("beside_s", "found"), [(HANDOVER_S - 0.1, []), (LATE_S, ["TWICE"])]
+    )
+    def test_first_replica_goes_on_beside_the_second(self, beside_s, found):
+        """The node has not ended its first call."""
+        assert rules(self.history(beside_s)) == found
+
+    def test_client_that_resumes_at_another_node(self):
+        """The first node has not noticed that its client has left."""
+        first = attempt("c1", "/chat/1", body=event("c1", 1), is_whole=False)
+        whole = b"".join(event("c2", n) for n in range(2, EVENTS + 1))
+        fields = {"resumes": "c1", "after": 1, "node": "n2"}
+        second = attempt("c2", "/chat/2", 11.0, body=whole, **fields)
+        r1 = self.run("c1", 10.0, 11.0 + self.LATE_S)
+        sample = history([first, second], r1=r1, r2=self.run("c2", 11.0, 12.0))
+        assert rules(sample) == ["TWICE"]
+
+    @pytest.mark.parametrize("target", ["n1", "r1", "store"])
+    def test_trouble_excuses_the_first_run(self, target):
+        """A node out of touch, or a replica that stood still until just before."""
+        pause = Disturbance(target, 10.9, 11.2)
+        assert rules(self.history(self.LATE_S, disturbances=[pause])) == []
+
+
 def order(holder, fence, status=202):
     """Return the journal line of an order."""
     return line("order", id="", holder=holder, fence=fence, status=status)
