--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -276,7 +276,7 @@
         raise BrokenCallError(
             f"the stream cannot be resumed: status {answer.head.status}"
         )
-    if forwarded.may_run_again and context.retries.take(forwarded.service):
+    if forwarded.may_run_again and take_retry(context, forwarded):
         forwarded.failed.add(endpoint.id)
         context.count("failures_retried")
         return Outcome.FAILED
@@ -284,6 +284,24 @@
     return Outcome.ANSWERED
 
 
+def take_retry(context: ForwardingContext, forwarded: ForwardedRequest) -> bool:
+    """Take a retry from the budget of the request's service; return False without one.
+
+    Logs of all nodes together tell whether the fleet has kept its budget.
+    """
+    is_taken = context.retries.take(forwarded.service)
+    usage = context.retries.usage(forwarded.service)
+    context.log(
+        "retry_taken" if is_taken else "retry_refused",
+        request=forwarded.request.id,
+        service=forwarded.service,
+        requests=usage.requests,
+        retries=usage.retries,
+        nodes=usage.nodes,
+    )
+    return is_taken
+
+
 def _relay_stream(
     context: ForwardingContext,
     forwarded: ForwardedRequest,
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -4,7 +4,12 @@
 from collections.abc import Sequence
 
 from camphoryard.coordination.cancellation import Cancellation, CancellationCause
-from camphoryard.coordination.forwarding.attempt import MAX_SENDS, Outcome, attempt
+from camphoryard.coordination.forwarding.attempt import (
+    MAX_SENDS,
+    Outcome,
+    attempt,
+    take_retry,
+)
 from camphoryard.coordination.forwarding.context import (
     ForwardedRequest,
     ForwardingContext,
@@ -542,7 +547,7 @@
         case NotSentError():
             return
         case _:
-            while not context.retries.take(forwarded.service):
+            while not take_retry(context, forwarded):
                 if not _may_wait_on(context, forwarded):
                     raise _failure_refusal(context, forwarded, error)
                 _wait_before_retry(context, forwarded, cancellation)
--- a/src/camphoryard/coordination/routing/retry_window.py
+++ b/src/camphoryard/coordination/routing/retry_window.py
@@ -23,6 +23,18 @@
     window_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RetryUsage:
+    """What one node's part of a budget is made of now.
+
+    ``requests`` and ``retries`` are those of the window, ``nodes`` divide the reserve.
+    """
+
+    requests: int
+    retries: int
+    nodes: int
+
+
 @dataclass(slots=True)
 class _Counts:
     """Monotonic times of the requests and retries within the window."""
@@ -83,6 +95,14 @@
         with self._lock:
             return self._has_left(key)
 
+    def usage(self, key: KeyT) -> RetryUsage:
+        """Return what the budget of ``key`` is made of now."""
+        with self._lock:
+            counts = self._counts(key)
+            return RetryUsage(
+                len(counts.requests), len(counts.retries), self._node_count()
+            )
+
     def _has_left(self, key: KeyT) -> bool:
         counts = self._counts(key)
         allowed = self._limits.share * len(counts.requests)
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -332,6 +332,14 @@
         site.refusal()
         assert len(site.sent_to) == 1
 
+    def test_each_retry_is_logged_with_the_counts_of_its_budget(self):
+        """The logs of all nodes tell whether the fleet has kept its budget."""
+        site = Site(failed(), failed(), reserve=2.0)
+        site.forward()
+        lines = [item for item in site.log.lines if item[0].startswith("retry_")]
+        counts = {"service": SERVICE, "requests": 1, "retries": 1, "nodes": 1}
+        assert lines[0] == ("retry_taken", {"request": "q1", **counts})
+
     def test_the_last_failure_is_relayed_unchanged(self):
         """The client receives the endpoint's own failure if no attempt is left."""
         site = Site(failed(), failed())
