Hold the retry reserve that a node's earlier process has used

What callers and operators saw: after restarts beside failing endpoints, these got more retries within a window than the operator allows for the whole fleet (BUDGET). Cause: each process counted its retries in memory, so that one that started again had a whole part of the reserve, while the retries of the process before it were still in the window. The class of fault: a limit over time is kept by a process that may be replaced within that time. Change: a node records in the store for which services it uses the reserve. Its next process holds the reserve of these for one window; without an answer of the store, that of all. The retries earned by requests, and the reserve of other services, are there from the start. Why it works: what the processes of one node send from the reserve in a window is its part once. A fleet that restarts in calm has its whole reserve at once.

--- a/src/camphoryard/coordination/routing/retry_window.py
+++ b/src/camphoryard/coordination/routing/retry_window.py
@@ -1,9 +1,10 @@
 """Retry budgets that bound the retries within any window of time."""
 
+import math
 import threading
 import time
 from collections import deque
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Collection, Hashable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -37,17 +38,22 @@
 
 @dataclass(slots=True)
 class _Counts:
-    """Monotonic times of the requests and retries within the window."""
+    """Monotonic times of the requests and retries within the window.
+
+    ``reserve_used_s`` is the time of the last retry that needed the reserve.
+    """
 
     requests: deque[float] = field(default_factory=deque)
     retries: deque[float] = field(default_factory=deque)
+    reserve_used_s: float = -math.inf
 
 
 class RetryWindow(Generic[KeyT]):
     """One node's part of the fleet's retry budget, by service.
 
     The live nodes divide the reserve evenly; the share applies to the requests
-    that this node received.
+    that this node received. A process that replaces another one has to
+    `hold_reserve` until it knows for which services that one has used the reserve.
 
     Parameters
     ----------
@@ -70,12 +76,40 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._counts_by_key: dict[KeyT, _Counts] = {}
+        self._held_since_s = -math.inf
+        self._held_keys: frozenset[KeyT] | None = frozenset()
 
     def limit(self, limits: RepeatLimits) -> None:
         """Replace the limits."""
         with self._lock:
             self._limits = limits
 
+    def hold_reserve(self) -> None:
+        """Use none of the reserve for the time of a window."""
+        with self._lock:
+            self._held_since_s = self._clock()
+            self._held_keys = None
+
+    def release_reserve(self, used_before: Collection[KeyT]) -> None:
+        """Hold the reserve only for the keys of which it was used before."""
+        with self._lock:
+            self._held_keys = frozenset(used_before)
+
+    def reserve_users(self) -> frozenset[KeyT]:
+        """Return the keys of which the reserve was used within the window.
+
+        Those of an earlier process are among them while the reserve is held for them.
+        """
+        with self._lock:
+            since_s = self._clock() - self._limits.window_s
+            used = {
+                key
+                for key, counts in self._counts_by_key.items()
+                if counts.reserve_used_s > since_s
+            }
+            held = self._held_keys if self._held_since_s > since_s else None
+            return frozenset(used.union(held or ()))
+
     def earn(self, key: KeyT) -> None:
         """Count one request of ``key``."""
         with self._lock:
@@ -87,7 +121,10 @@
         with self._lock:
             if not self._has_left(key):
                 return False
-            self._counts(key).retries.append(self._clock())
+            counts = self._counts(key)
+            counts.retries.append(self._clock())
+            if len(counts.retries) > self._earned(counts) * SAFETY_FACTOR:
+                counts.reserve_used_s = self._clock()
             return True
 
     def has_left(self, key: KeyT) -> bool:
@@ -105,10 +142,19 @@
 
     def _has_left(self, key: KeyT) -> bool:
         counts = self._counts(key)
-        allowed = self._limits.share * len(counts.requests)
-        allowed += self._limits.reserve / max(1, self._node_count())
+        allowed = self._earned(counts) + self._reserve(key)
         return len(counts.retries) + 1 <= allowed * SAFETY_FACTOR
 
+    def _earned(self, counts: _Counts) -> float:
+        return self._limits.share * len(counts.requests)
+
+    def _reserve(self, key: KeyT) -> float:
+        """Return this node's part of the reserve, or 0 while it is held."""
+        is_held = self._held_keys is None or key in self._held_keys
+        if is_held and self._clock() - self._held_since_s < self._limits.window_s:
+            return 0.0
+        return self._limits.reserve / max(1, self._node_count())
+
     def _counts(self, key: KeyT) -> _Counts:
         counts = self._counts_by_key.setdefault(key, _Counts())
         since_s = self._clock() - self._limits.window_s
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -24,6 +24,7 @@
     apply_lease,
     is_node_watch_due,
 )
+from camphoryard.coordination.fleet.retry_recorder import RetryRecorder
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import (
     ByFreeSlots,
@@ -78,6 +79,7 @@
 from camphoryard.state.ids import Incarnation, ObjectKey, ServiceId, WriteId
 from camphoryard.state.leadership import LeadershipRecord, PeerKeys
 from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.retry_reserve import RetryReserveUse
 from camphoryard.state.store_eras import NewestEra
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.timeline import HybridClock
@@ -120,6 +122,7 @@
 NODE_KIND = "camphoryard-nodes"
 LEADERSHIP_KIND = "camphoryard-duties"
 KEY_KIND = "camphoryard-keys"
+RETRY_KIND = "camphoryard-retries"
 INCARNATION_CHARACTERS = 16
 DEMAND_TIME_CONSTANT_S = 2.0
 """Time constant of the demand estimate that model placement follows."""
@@ -162,6 +165,7 @@
     load_controller: LoadController
     item_locator: ItemLocator
     crash_sharing: CrashSharing
+    retry_recorder: RetryRecorder
     app: FrontApp
     readiness: ReadinessApp
     executors: Executors
@@ -263,6 +267,7 @@
     retries: RetryWindow[ServiceId] = RetryWindow(
         settings.bounds.repeat_limits, lambda: max(len(nodes.all()), MIN_NODES)
     )
+    retries.hold_reserve()
     live_settings.subscribe(lambda bounds: retries.limit(bounds.repeat_limits))
     live_settings.subscribe(lambda bounds: load_controller.limit(bounds.load_limits))
     watchers = (
@@ -326,6 +331,13 @@
         load_controller,
         item_locator,
         crash_sharing,
+        RetryRecorder(
+            settings.node,
+            records(RETRY_KIND, RetryReserveUse),
+            retries,
+            newest_era,
+            log,
+        ),
         FrontApp(context, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -91,6 +91,7 @@
         entry.live_settings.run,
         entry.leader_lease.run,
         entry.load_controller.run,
+        entry.retry_recorder.run,
         partial(log_process_pauses, entry.log),
         partial(join_fleet, entry),
     )
--- a/tests/faults/test_entry_soak.py
+++ b/tests/faults/test_entry_soak.py
@@ -4,6 +4,8 @@
 
 SEED = 1
 MINUTES = 0.4
+RESTARTS_SEED = 12
+RESTARTS_MINUTES = 0.3
 
 
 class TestEntrySoak:
@@ -12,3 +14,8 @@
     def test_short_soak_breaks_no_rule(self):
         """The command that repeats it: make faults FRONT=entry SEED=1 MINUTES=0.4."""
         assert run_soak(SEED, MINUTES, nodes=3) == []
+
+    def test_restarts_of_all_nodes_do_not_renew_the_retry_budget(self):
+        """Guards against retries beyond the fleet's budget after restarts."""
+        kinds = ("FleetRestartsInTrouble",)
+        assert run_soak(RESTARTS_SEED, RESTARTS_MINUTES, 6, kinds) == []
