Divide the retry reserve by the nodes that left as well

Cause: a node's part was the reserve divided by the nodes that the store lists now. Nodes delete their entries when they stop, so the parts of the others grew at once, while what the stopped nodes had used was still in the window; and nodes that started together found few others, or, before their first listing, none. Change: nodes that left count for a minute; the record of a node tells its next process how many nodes divided the reserve, and is written at each stop; the reserve is held until nodes are listed.

--- a/src/camphoryard/coordination/fleet/retry_recorder.py
+++ b/src/camphoryard/coordination/fleet/retry_recorder.py
@@ -1,22 +1,32 @@
 """Records in the store the use of the retry reserve, for a node's next process."""
 
+import time
+from collections.abc import Callable
+
 from camphoryard.coordination.ports import DecisionLog, Records, Timer
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT, NodeId, ServiceId, StoreEra
+from camphoryard.state.nodes import NodeTable
 from camphoryard.state.retry_reserve import RetryReserveUse
 from camphoryard.state.store_eras import NewestEra
 
 CHECK_PERIOD_S = 0.1
 """Period in which the use of the reserve is compared with the record."""
+MIN_NODES = 4
+"""Minimum number of nodes that the reserve is divided by, as those of a fleet that
+starts do not know all others yet."""
+LEFT_NODES_S = 60.0
+"""Time for which a node that left still divides the reserve. Its retries are in the
+window for some of it, and it may be restarting."""
 
 
 class RetryRecorder:
     """Keeps the record of one node, and reads what its previous process has left.
 
-    The record is written when the reserve of a service comes into use, and once more
-    when that of no service is. A node whose store does not answer goes on using its
-    reserve, and writes the record once it does.
+    The record is written when the reserve of a service comes into use, once more when
+    that of no service is, and when the node stops. A node whose store does not answer
+    goes on using its reserve, and writes the record once it does.
 
     Parameters
     ----------
@@ -27,6 +37,10 @@
         record.
     newest_era : NewestEra
         The store's era; a store that was restored may have lost the record.
+    nodes : NodeTable
+        Counts the nodes that divide the reserve.
+    is_fleet_listed : callable
+        Return whether the nodes in the store have been listed.
     """
 
     def __init__(
@@ -35,13 +49,22 @@
         records: Records[RetryReserveUse],
         retries: RetryWindow[ServiceId],
         newest_era: NewestEra,
+        nodes: NodeTable,
+        is_fleet_listed: Callable[[], bool],
         log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._node = node
         self._records = records
         self._retries = retries
         self._newest_era = newest_era
+        self._nodes = nodes
+        self._is_fleet_listed = is_fleet_listed
         self._log = log
+        self._clock = clock
+        self._started_s = clock()
+        self._nodes_before = 0
+        self._is_leaving = False
         self._version = ABSENT
         self._services: frozenset[ServiceId] = frozenset()
         self._read_in: StoreEra | None = None
@@ -55,12 +78,16 @@
 
     def check(self) -> None:
         """Read the record if that is due, and write it if the use has changed."""
+        if not self._is_fleet_listed():
+            return
         try:
             if self._read_in != self._newest_era.current:
                 self._read()
             users = self._retries.reserve_users()
-            if not users <= self._services or (self._services and not users):
+            is_over = bool(self._services and not users)
+            if not users <= self._services or is_over or self._is_leaving:
                 self._write(users)
+                self._is_leaving = False
         except ConflictError:
             # The version that was read is no longer the stored one.
             self._read_in = None
@@ -71,6 +98,20 @@
         else:
             self._is_answering = True
 
+    def leave(self) -> None:
+        """Have the record written once more, for a process that starts after a stop."""
+        self._is_leaving = True
+
+    def count_nodes(self) -> int:
+        """Return how many nodes divide the reserve.
+
+        Nodes that left, and those that the earlier process knew, count for some time.
+        """
+        count = self._nodes.count_with_left(LEFT_NODES_S)
+        if self._clock() - self._started_s < LEFT_NODES_S:
+            count = max(count, self._nodes_before)
+        return max(count, MIN_NODES)
+
     def _read(self) -> None:
         era = self._newest_era.current
         stored = self._records.get(self._node)
@@ -80,10 +121,11 @@
         self._read_in = era
         if not self._is_released:
             self._is_released = True
+            self._nodes_before = record.nodes if record is not None else 0
             self._retries.release_reserve(self._services)
             self._log("retry_reserve_released", held=",".join(sorted(self._services)))
 
     def _write(self, users: frozenset[ServiceId]) -> None:
-        record = RetryReserveUse(self._node, tuple(sorted(users)))
+        record = RetryReserveUse(self._node, tuple(sorted(users)), self.count_nodes())
         self._version = self._records.put(self._node, record, self._version)
         self._services = users
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -1,6 +1,7 @@
 """Construction of an entry daemon from its components."""
 
 import functools
+import math
 import sys
 import threading
 from concurrent.futures import ThreadPoolExecutor
@@ -126,9 +127,6 @@
 INCARNATION_CHARACTERS = 16
 DEMAND_TIME_CONSTANT_S = 2.0
 """Time constant of the demand estimate that model placement follows."""
-MIN_NODES = 4
-"""Minimum number of nodes that the retry reserve is divided by, as a starting node does
-not know all others yet."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,29 +263,40 @@
     )
     dialect = PlatformDialect()
     retries: RetryWindow[ServiceId] = RetryWindow(
-        settings.bounds.repeat_limits, lambda: max(len(nodes.all()), MIN_NODES)
+        settings.bounds.repeat_limits,
+        lambda: retry_recorder.count_nodes(),
     )
     retries.hold_reserve()
     live_settings.subscribe(lambda bounds: retries.limit(bounds.repeat_limits))
     live_settings.subscribe(lambda bounds: load_controller.limit(bounds.load_limits))
+    nodes_watcher = RecordWatcher(
+        leases,
+        functools.partial(apply_lease, nodes, peers),
+        wait_s=NODES_WAIT_S,
+        batch_s=NODES_BATCH_S,
+        is_due=lambda period: is_node_watch_due(
+            gossip_topology(len(nodes.all())),
+            settings.node,
+            gossip.leader(),
+            period,
+        ),
+        name="nodes",
+        log=log,
+    )
+    retry_recorder = RetryRecorder(
+        settings.node,
+        records(RETRY_KIND, RetryReserveUse),
+        retries,
+        newest_era,
+        nodes,
+        lambda: math.isfinite(nodes_watcher.age_s()),
+        log,
+    )
     watchers = (
         *_make_directory_watchers(
             store_client, settings, log, newest_era, feed, directory
         ),
-        RecordWatcher(
-            leases,
-            functools.partial(apply_lease, nodes, peers),
-            wait_s=NODES_WAIT_S,
-            batch_s=NODES_BATCH_S,
-            is_due=lambda period: is_node_watch_due(
-                gossip_topology(len(nodes.all())),
-                settings.node,
-                gossip.leader(),
-                period,
-            ),
-            name="nodes",
-            log=log,
-        ),
+        nodes_watcher,
     )
     for watcher in watchers:
         metrics.add_gauge(f"{watcher.name}_age_seconds", watcher.age_s)
@@ -331,13 +340,7 @@
         load_controller,
         item_locator,
         crash_sharing,
-        RetryRecorder(
-            settings.node,
-            records(RETRY_KIND, RetryReserveUse),
-            retries,
-            newest_era,
-            log,
-        ),
+        retry_recorder,
         FrontApp(context, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -205,6 +205,7 @@
 def leave_fleet(entry: Entry) -> None:
     """Resign leadership and remove this node's registration."""
     entry.leader_lease.resign()
+    entry.retry_recorder.leave()
     entry.registration.leave()
 
 
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -109,6 +109,7 @@
         self._by_id: dict[NodeId, _ObservedLease] = {}
         self._digest_by_id: dict[NodeId, NodeDigest] = {}
         self._released: set[Incarnation] = set()
+        self._left_s_by_id: dict[NodeId, float] = {}
         self._stored_incarnation_by_id: dict[NodeId, Incarnation] = {}
         self._superseded: set[Incarnation] = set()
 
@@ -183,6 +184,15 @@
             observed = list(self._by_id.values())
         return tuple(sorted((item.lease for item in observed), key=lambda x: x.node))
 
+    def count_with_left(self, within_s: float) -> int:
+        """Return the number of all nodes, and of those that left within some time."""
+        since_s = time.monotonic() - within_s
+        with self._lock:
+            for node, left_s in tuple(self._left_s_by_id.items()):
+                if left_s <= since_s:
+                    del self._left_s_by_id[node]
+            return len(self._by_id.keys() | self._left_s_by_id.keys())
+
     def mark_self_alive(self, node: NodeId) -> None:
         """Count this node itself as alive while it cannot renew its lease."""
         with self._lock:
@@ -210,6 +220,7 @@
             known = self._by_id.pop(node, None)
             if known is not None:
                 self._released.add(known.lease.incarnation)
+                self._left_s_by_id[node] = time.monotonic()
             self._digest_by_id.pop(node, None)
 
     def has_ended(self, node: NodeId, incarnation: Incarnation) -> bool:
--- a/tests/coordination/fleet/test_retry_recorder.py
+++ b/tests/coordination/fleet/test_retry_recorder.py
@@ -1,38 +1,58 @@
 """Tests of the record that a node's next process reads."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from camphoryard.coordination.fleet.retry_recorder import RetryRecorder
+from camphoryard.coordination.fleet.retry_recorder import LEFT_NODES_S, RetryRecorder
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
+from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import ServiceId, StoreEra
+from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.store_eras import NewestEra
 from tests.fakes.engines import Clock, RecordedLog
 from tests.fakes.object_api import InMemoryRecords
 
 LIMITS = RepeatLimits(0.2, 60.0, 10.0)
-NODES = 3
-PART = 17
-"""Retries of one node without requests: a third of the reserve, less the margin."""
+NODES = 5
+PART = 10
+"""Retries of one node without requests: a fifth of the reserve, less the margin."""
 CHAT, DESK = ServiceId("chat"), ServiceId("desk")
 
 
+def make_lease(name):
+    """Return a node's lease."""
+    return NodeLease(name, "i", "a", "h", 1, "", NodeState.SERVING, 60.0, "w")
+
+
 class Fleet:
     """Nodes whose processes end and start again, and what they sent."""
 
     def __init__(self):
         self.clock, self.records, self.era = Clock(), InMemoryRecords(), NewestEra()
         self.log = RecordedLog()
+        self.is_known, self.listed = True, NODES
         self.retries_s, self.requests_s = [], []
         self.processes = [self.start(node) for node in range(NODES)]
         self.check()
 
     def start(self, node):
         """Return the budget and the recorder of a new process."""
-        window = RetryWindow(LIMITS, lambda: NODES, self.clock)
+        window = RetryWindow(LIMITS, lambda: recorder.count_nodes(), self.clock)
         window.hold_reserve()
-        name = f"n{node}"
-        recorder = RetryRecorder(name, self.records, window, self.era, self.log)
+        nodes = NodeTable()
+        for number in range(self.listed):
+            nodes.observe(make_lease(f"n{number}"), 1)
+        recorder = RetryRecorder(
+            f"n{node}",
+            self.records,
+            window,
+            self.era,
+            nodes,
+            lambda: self.is_known,
+            self.log,
+            self.clock,
+        )
         return window, recorder
 
     def restart(self, node, is_read=True):
@@ -109,7 +129,7 @@
         fleet.restart(0)
         for _ in range(100):
             fleet.request(0)
-        assert fleet.take_all(0) == PART
+        assert fleet.take_all(0) == 17
 
     def test_a_reserve_that_is_no_longer_used_is_not_held(self):
         """The record is cleared once its window is over."""
@@ -129,6 +149,30 @@
         fleet.clock.advance(LIMITS.window_s)
         assert fleet.take_all(0) == PART
 
+    def test_a_node_that_has_not_listed_the_others_holds_its_reserve(self):
+        """Guards against a part for too few nodes right after a start."""
+        fleet = Fleet()
+        fleet.is_known = False
+        fleet.restart(0)
+        assert fleet.take_all(0) == 0
+        fleet.is_known = True
+        fleet.check()
+        assert fleet.take_all(0) == PART
+
+    # Guards against retries beyond the budget after all nodes have stopped together.
+    @pytest.mark.parametrize(("after_s", "part"), [(1.0, PART), (LEFT_NODES_S, 12)])
+    def test_nodes_that_the_earlier_process_knew_divide_the_reserve(
+        self, after_s, part
+    ):
+        """The store lists fewer, as those that have stopped are not there."""
+        fleet = Fleet()
+        fleet.processes[0][1].leave()
+        fleet.check()
+        fleet.listed = 2
+        fleet.restart(0)
+        fleet.clock.advance(after_s)
+        assert fleet.take_all(0) == part
+
     def test_a_record_that_a_restore_has_lost_is_written_again(self):
         """The store answers in a new era, without the record."""
         fleet = Fleet()
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -51,6 +51,7 @@
             readiness=Mock(),
             leader_lease=Mock(resign=store_answers.wait),
             registration=Mock(),
+            retry_recorder=Mock(),
             executors=SimpleNamespace(node=executor),
             timer=timer,
             app=SimpleNamespace(
--- a/tests/state/test_nodes.py
+++ b/tests/state/test_nodes.py
@@ -162,6 +162,25 @@
         assert nodes.observe_digest(make_digest(1, NEW))
 
 
+class TestNodesThatLeft:
+    """The count by which the fleet divides what all nodes share."""
+
+    # Guards against retries beyond the budget while nodes stop one after the other.
+    def test_node_that_left_counts_for_some_time(self, nodes, now_s):
+        """What it has used of its part still counts."""
+        nodes.observe(replace(make_lease(), node="n2"), 6)
+        nodes.forget("n1")
+        assert nodes.count_with_left(60.0) == 2
+        now_s[0] += 60.0
+        assert nodes.count_with_left(60.0) == 1
+
+    def test_node_that_comes_back_counts_once(self, nodes):
+        """It was only restarting."""
+        nodes.forget("n1")
+        nodes.observe(make_lease(NEW), 6)
+        assert nodes.count_with_left(60.0) == 1
+
+
 # Guards against a running node whose load and leadership no peer hears of.
 class TestRestoredStore:
     """A store that is restored from an older copy shows earlier entries again."""
