Prefer endpoints that answer while no retry is left

What callers saw: with the retry budget spent, a request that met an endpoint which fails or declines at once ended there. Such an endpoint looks the least loaded, so it got most requests. Cause: the choice of an endpoint knew failures of connections only, not answers that fail or decline. Change: an endpoint whose last answer within a second was a failure comes after the others, but only while the service has no retry left; otherwise nothing changes. The eight new tests of sound endpoints fail without the change.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -226,6 +226,7 @@
     match answer.head.kind:
         case AnswerKind.NOT_RUN | AnswerKind.NOT_LOADED:
             forwarded.declined.add(endpoint.id)
+            context.recent_failures.failed(endpoint.id)
             answer.body()
             requested_model = forwarded.request.requested_model
             if requested_model is not None:
@@ -271,6 +272,7 @@
     reply: ClientReply,
 ) -> Outcome:
     """Have a failed request sent again if it may be, else relay the failure."""
+    context.recent_failures.failed(endpoint.id)
     body = answer.body()
     if reply.has_begun:
         raise BrokenCallError(
@@ -444,3 +446,4 @@
 
 def _record_success(context: ForwardingContext, endpoint: ServingEndpoint) -> None:
     context.breakers.succeeded(endpoint.id)
+    context.recent_failures.succeeded(endpoint.id)
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -25,6 +25,7 @@
 )
 from camphoryard.coordination.routing.endpoint_notices import EndpointNotices
 from camphoryard.coordination.routing.first_events import FirstEventTracker
+from camphoryard.coordination.routing.recent_failures import RecentFailures
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.state.directory import Directory
 from camphoryard.state.ids import (
@@ -91,6 +92,7 @@
     count: Callable[[str], None]
     clock: Callable[[], float] = time.monotonic
     in_progress: InProgress["RequestInProgress"] = field(default_factory=InProgress)
+    recent_failures: RecentFailures = field(default_factory=RecentFailures)
 
 
 @dataclass(slots=True)
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -267,7 +267,7 @@
         item for item in ready if context.directory.has_loaded(item, requested_model)
     ]
     uses = [(item, endpoint_use(context, forwarded, item)) for item in endpoints]
-    usable = _usable_endpoints(uses)
+    usable = _answering_endpoints(context, forwarded, _usable_endpoints(uses))
     if usable:
         return context.chooser.choose(_before_deadline(context, forwarded, usable))
     rest_s = _shortest_rest_s([use for _, use in uses])
@@ -313,6 +313,22 @@
     return is_open or [item for item, use in uses if isinstance(use, LastResort)]
 
 
+def _answering_endpoints(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    usable: list[ServingEndpoint],
+) -> list[ServingEndpoint]:
+    """Return the endpoints that have not just failed, if no retry is left.
+
+    A failure then ends its request, and an endpoint that fails at once looks the least
+    loaded, so that it would get most of the requests.
+    """
+    if context.retries.has_left(forwarded.service):
+        return usable
+    failed = context.recent_failures.has_failed
+    return [item for item in usable if not failed(item.id)] or usable
+
+
 def _shortest_rest_s(uses: Sequence[EndpointUse]) -> float | None:
     """Return the shortest rest that an endpoint wants, or None if none wants any."""
     rests_s = []
@@ -439,6 +455,7 @@
     has_expired = context.clock() >= forwarded.event_deadline_s
     if not has_expired:
         context.breakers.failed(endpoint.id)
+        context.recent_failures.failed(endpoint.id)
     context.log(
         "attempt_failed",
         request=forwarded.request.id,
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -25,6 +25,10 @@
     Resting,
 )
 from camphoryard.coordination.routing.first_events import FirstEventTracker
+from camphoryard.coordination.routing.recent_failures import (
+    RECENT_S,
+    RecentFailures,
+)
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import Reason
@@ -53,6 +57,8 @@
 ONE, TWO, THREE = (f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3))
 MOST_URGENT = Urgency(0)
 RETRY_WINDOW_S = 10.0
+TOO_FEW_REQUESTS = 5
+"""Requests that together earn no retry."""
 TRICKLE_S = 0.1
 """Time between the bytes of an answer that trickles."""
 PAUSE = b"PAUSE"
@@ -236,6 +242,7 @@
             lambda *_: None,
             lambda _: None,
             self.clock,
+            recent_failures=RecentFailures(self.clock),
         )
         self.request = ClientRequest(
             RequestId("q1"),
@@ -360,6 +367,58 @@
         assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
 
 
+class TestSpentBudget:
+    """Requests beside an endpoint that fails, while no retry is left."""
+
+    def site(self, first, repeatability, **options):
+        """Return a site one of whose endpoints has just failed a request."""
+        options = {"reserve": 0.0, **options}
+        site = Site(first, repeatability=repeatability, **options)
+        with contextlib.suppress(RefusalError):
+            site.forward()
+        return site
+
+    @pytest.mark.parametrize("first", [declined, failed])
+    @pytest.mark.parametrize("repeatability", Repeatability)
+    def test_sound_endpoint_gets_the_requests(self, first, repeatability):
+        """Guards against requests that end at an endpoint which fails them at once."""
+        site = self.site(first(), repeatability)
+        for _ in range(TOO_FEW_REQUESTS - 1):
+            site.upstream.answers.append(served(ONE))
+            site.set_prompt("")
+            site.forward()
+            assert site.reply.status == 200
+        assert len(set(site.sent_to[1:])) == 1
+        assert site.sent_to[0] not in site.sent_to[1:]
+
+    def test_endpoint_that_failed_is_tried_again_after_some_time(self):
+        """It may have recovered, and the others may be fuller."""
+        site = self.site(failed(), Repeatability.IDEMPOTENT)
+        site.clock.advance(RECENT_S)
+        site.upstream.answers.extend(served(ONE) for _ in range(20))
+        for _ in range(20):
+            site.set_prompt("")
+            site.forward()
+        assert site.sent_to[0] in site.sent_to[1:]
+
+    def test_only_endpoint_is_used_though_it_failed(self):
+        """There is no other one."""
+        site = self.site(failed(), Repeatability.IDEMPOTENT, endpoints=("e1",))
+        site.upstream.answers.append(served(b"ok"))
+        site.set_prompt("")
+        site.forward()
+        assert site.reply.body == b"ok"
+
+    def test_endpoint_that_failed_is_used_while_a_retry_is_left(self):
+        """One request in some fails for most reasons of an endpoint."""
+        site = self.site(failed(), Repeatability.ONCE, reserve=50.0)
+        site.upstream.answers.extend(served(ONE) for _ in range(20))
+        for _ in range(20):
+            site.set_prompt("")
+            site.forward()
+        assert len(set(site.sent_to[1:])) == 2
+
+
 class TestStreams:
     """Requests whose answer is a stream of events."""
 
