Keep away only from endpoints that fail at once

Change: only failures that an endpoint answers, and refusals of requests without a model, count as recent failures. Stalls and crashes have breakers, models that are declined are noted by themselves.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -226,13 +226,13 @@
     match answer.head.kind:
         case AnswerKind.NOT_RUN | AnswerKind.NOT_LOADED:
             forwarded.declined.add(endpoint.id)
-            context.recent_failures.failed(endpoint.id)
             answer.body()
             requested_model = forwarded.request.requested_model
             if requested_model is not None:
                 context.directory.record_declined(endpoint.id, requested_model)
             else:
                 forwarded.failed.add(endpoint.id)
+                context.recent_failures.failed(endpoint.id)
             context.log(
                 "endpoint_declined",
                 request=forwarded.request.id,
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -455,7 +455,6 @@
     has_expired = context.clock() >= forwarded.event_deadline_s
     if not has_expired:
         context.breakers.failed(endpoint.id)
-        context.recent_failures.failed(endpoint.id)
     context.log(
         "attempt_failed",
         request=forwarded.request.id,
