Count requests with a deadly part only of nodes in touch

All nodes restart together three times while the part crashes engines, and what they knew of it is lost. Trace: the seven arrivals after the window (3145.89 to 3152.61) come at most 1.3 s after the start of the processes that sent them (3144.91 to 3144.93, 3151.37 to 3151.60). The rule counts what machines in touch send, which excludes three seconds after a start. Change: the check asks whether the sender was in touch, like the other checks; a sender that is not known still counts. As strict for all others, with a test of both sides.

--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -392,13 +392,18 @@
 
 
 def _budget_of_parts(history: SoakHistory) -> Iterable[str]:
-    """Find requests with a deadly part long after its fifth crash."""
+    """Find requests with a deadly part, of nodes in touch, long after its fifth crash."""
+    node_by_id = {item.id: item.node for item in history.attempts}
     for part, crashes_s in history.crashes_s.items():
         if len(crashes_s) < DEADLY_CRASHES:
             continue
         from_s = sorted(crashes_s)[DEADLY_CRASHES - 1] + STABLE_WINDOW_S
         late = sum(
-            part in line["parts"] and line["at_s"] > from_s
+            part in line["parts"]
+            and line["at_s"] > from_s
+            and history.is_in_touch(
+                node_by_id.get(line["id"], ""), line["at_s"], line["at_s"]
+            )
             for _, line in history.arrivals()
         )
         if late > MAX_ARRIVALS_AFTER_CRASHES:
--- a/tests/faults/test_entry_checks.py
+++ b/tests/faults/test_entry_checks.py
@@ -179,6 +179,22 @@
         sample = history([], r1=arrived, crashes_s={"deadly1": [10.0] * crashes})
         assert rules(sample) == found
 
+    @pytest.mark.parametrize(("target", "found"), [("n1", []), ("n2", ["BUDGET"])])
+    def test_parts_sent_by_a_node_that_has_just_restarted_are_none(self, target, found):
+        """The rule counts what nodes in touch send."""
+        ids = [f"c{n}" for n in range(4)]
+        at_s = 20.0 + STABLE_WINDOW_S
+        arrived = [line("arrived", id, at_s, parts=("deadly1",)) for id in ids]
+        attempts = [attempt(id, "/chat/1", at_s, status=502) for id in ids]
+        restart = Disturbance(target, at_s - STABLE_WINDOW_S, at_s - 1.0)
+        sample = history(
+            attempts,
+            r1=arrived,
+            crashes_s={"deadly1": [10.0] * 5},
+            disturbances=[restart],
+        )
+        assert rules(sample) == found
+
     def test_process_that_ended_by_itself_is_found(self):
         """Nobody stopped it."""
         assert rules(history([], own_ends=["n1 exited with 1"])) == ["OWN END"]
