--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -392,7 +392,7 @@
 
 
 def _budget_of_parts(history: SoakHistory) -> Iterable[str]:
-    """Find requests with a deadly part, of nodes in touch, long after its fifth crash."""
+    """Find requests of sound nodes with a deadly part, long after its fifth crash."""
     node_by_id = {item.id: item.node for item in history.attempts}
     for part, crashes_s in history.crashes_s.items():
         if len(crashes_s) < DEADLY_CRASHES:
