Tell the accounts of clients from their keys

An unknown key is refused with 401 before anything else of the request is acted upon, public routes need none. Endpoints are told the account and get no credentials. Without accounts in the configuration nothing changes.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -202,6 +202,8 @@
         forwarded.progress.last_event or request.resume_after,
         MAX_IDLE_NOT_REPEATABLE_S if is_not_repeatable else MAX_IDLE_REPEATABLE_S,
         needs_new_connection,
+        forwarded.account.id if forwarded.account is not None else None,
+        forwards_credentials=not forwarded.has_accounts,
     )
 
 
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -27,6 +27,7 @@
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.recent_failures import RecentFailures
 from camphoryard.coordination.routing.retry_window import RetryWindow
+from camphoryard.state.accounts import Account
 from camphoryard.state.directory import Directory
 from camphoryard.state.ids import (
     EndpointId,
@@ -101,9 +102,10 @@
 
     ``deadline_s`` is when the request as a whole ends; ``event_deadline_s`` is when
     the client leaves unless it has received an event or the first byte of a whole
-    answer. ``runs`` counts the endpoints at which the request may have run, ``sends``
-    all endpoints that it was sent to. ``progress`` is the part of a stream that the
-    client has received. ``failed`` contains the endpoints whose call failed,
+    answer. ``account`` holds the client's key; there are none unless
+    ``has_accounts``. ``runs`` counts the endpoints at which the request may have run,
+    ``sends`` all endpoints that it was sent to. ``progress`` is the part of a stream
+    that the client has received. ``failed`` contains the endpoints whose call failed,
     ``unreached`` those of them that accepted no connection, ``declined`` those that
     declined the request. ``endpoint`` and ``urgency`` are those of the last send, and
     ``view_age_s`` is how old the view of the endpoints may have been then.
@@ -121,6 +123,8 @@
     service: ServiceId
     deadline_s: float
     event_deadline_s: float
+    account: Account | None = None
+    has_accounts: bool = False
     runs: int = 0
     sends: int = 0
     may_have_run: bool = False
@@ -150,6 +154,13 @@
             return ()
         return *self.crashing_parts, self.fingerprint
 
+    @property
+    def rank(self) -> int:
+        """Urgency of the account, else of the route; 0 goes first."""
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
+        return self.rule.rank
+
     @property
     def first_sent_s(self) -> float:
         """Monotonic time at which the client first sent the request.
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -28,6 +28,7 @@
 from camphoryard.coordination.loading.item_locator import STOPPING_RETRY_S
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.routing.crashed_parts import SOUND_EVENTS
+from camphoryard.state.accounts import Account
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     BrokenCallError,
@@ -38,7 +39,7 @@
 )
 from camphoryard.state.ids import EndpointId, ServiceId
 from camphoryard.state.serving_endpoints import ServingEndpoint
-from camphoryard.state.traffic import RouteRule, WeightedService
+from camphoryard.state.traffic import RouteRule, TrafficRules, WeightedService
 from camphoryard.state.verdict import Verdict
 
 DECLINED_RETRY_DELAY_S = 0.03
@@ -165,7 +166,8 @@
     Raises
     ------
     RefusalError
-        If the node has no rules yet, or no route matches the request.
+        If the node has no rules yet, no route matches the request, or its key belongs
+        to no account.
     """
     rules = context.directory.rules
     if rules is None:
@@ -177,6 +179,7 @@
     rule = rules.find(request.host, request.path)
     if rule is None:
         raise RefusalError(Reason.NOT_FOUND, "no route matches this host and path")
+    account = _find_account(rules, rule, request)
     deadline_s = min(request.deadline_s, request.arrived_s + rule.timeout_s)
     event_deadline_s = deadline_s
     if rule.repeatability.is_stream:
@@ -188,9 +191,30 @@
         _choose_service(rule),
         deadline_s,
         event_deadline_s,
+        account,
+        rules.accounts is not None,
     )
 
 
+def _find_account(
+    rules: TrafficRules, rule: RouteRule, request: ClientRequest
+) -> Account | None:
+    """Return the account that holds the client's key; None on public routes.
+
+    Raises
+    ------
+    RefusalError
+        If no account holds it.
+    """
+    if rules.accounts is None or rule.is_public:
+        return None
+    account = rules.accounts.find(request.key)
+    if account is None:
+        detail = "no key" if request.key is None else "the key belongs to no account"
+        raise RefusalError(Reason.UNAUTHENTICATED, detail)
+    return account
+
+
 def _choose_service(rule: RouteRule) -> ServiceId:
     """Return one of the route's services, chosen at random by weight."""
     match rule.services:
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -1,13 +1,20 @@
 """Ports of the forwarding code: client requests, endpoints and replies."""
 
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.routing.endpoint_notices import Notice
-from camphoryard.state.ids import EventId, PromptPartId, RequestId, Urgency
+from camphoryard.state.ids import (
+    AccountId,
+    EventId,
+    KeyDigest,
+    PromptPartId,
+    RequestId,
+    Urgency,
+)
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import RequestedModel
 
@@ -30,6 +37,9 @@
     ``arrived_s`` and ``deadline_s`` are monotonic times in seconds. ``headers`` are
     passed to the endpoint unchanged. ``resume_after`` is the last event of the stream
     that the client has received. Token counts are 0 if the client gives none.
+    ``key`` is the digest of the client's key, or None. ``credentials`` are the headers
+    that carry the key or could name an account; they are kept apart, so that no
+    endpoint of an installation with accounts receives them.
     """
 
     id: RequestId
@@ -46,6 +56,8 @@
     max_output_tokens: int = 0
     expected_output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
+    key: KeyDigest | None = field(default=None, repr=False)
+    credentials: Mapping[str, str] = field(default_factory=dict, repr=False)
 
     @property
     def path(self) -> str:
@@ -63,7 +75,9 @@
     answer, ``keep_waiting`` decides whether to wait on. ``resume_after`` is the last
     event that the client has received. A pooled connection that has been idle for
     longer than ``max_idle_s`` is not used, and none at all if
-    ``needs_new_connection``.
+    ``needs_new_connection``. ``account`` is named to the endpoint.
+    ``forwards_credentials`` if there are no accounts, so that they are meant for the
+    endpoint.
     """
 
     deadline_s: float
@@ -74,6 +88,8 @@
     resume_after: EventId | None
     max_idle_s: float
     needs_new_connection: bool = False
+    account: AccountId | None = None
+    forwards_credentials: bool = True
 
 
 class AnswerKind(Enum):
--- a/src/camphoryard/coordination/forwarding/urgency.py
+++ b/src/camphoryard/coordination/forwarding/urgency.py
@@ -19,11 +19,11 @@
 ) -> Urgency:
     """Return the urgency of a request at an endpoint; 0 is served first.
 
-    The rank of the route takes precedence. Within a rank, requests expected to miss
-    their objective at this endpoint are queued behind those expected to meet it.
-    Serving in order of arrival would make nearly every request of an overload late.
+    The rank of the account or route takes precedence. Within a rank, requests expected
+    to miss their objective at this endpoint are queued behind those expected to meet
+    it. Serving in order of arrival would make nearly every request of an overload late.
     """
-    on_time = Urgency(forwarded.rule.rank * URGENCIES_PER_RANK)
+    on_time = Urgency(forwarded.rank * URGENCIES_PER_RANK)
     if not forwarded.rule.repeatability.is_stream or forwarded.progress.events:
         return on_time
     wait_s = context.first_events.wait_s(endpoint, on_time)
--- a/src/camphoryard/platform/dialect.py
+++ b/src/camphoryard/platform/dialect.py
@@ -16,12 +16,14 @@
     Resting,
 )
 from camphoryard.protocol.dialect import HOP_BY_HOP_HEADERS, RequestHead
+from camphoryard.state.accounts import key_digest
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import (
     AdapterId,
     EndpointId,
     EventId,
+    KeyDigest,
     ModelId,
     PromptPartId,
     RequestId,
@@ -45,6 +47,11 @@
 URGENCY = "Urgency-Class"
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
+AUTHORIZATION = "Authorization"
+KEY_SCHEME = "bearer"
+ACCOUNT = "Tenant"
+CREDENTIALS = frozenset(name.lower() for name in (AUTHORIZATION, ACCOUNT))
+"""Headers, in lower case, that are not forwarded where accounts are configured."""
 
 SYSTEM_HEADERS = frozenset(
     name.lower()
@@ -103,6 +110,12 @@
             max_output_tokens,
             _int(headers, LENGTH_HINT),
             _prompt_parts(headers),
+            _key(headers),
+            {
+                name.title(): value
+                for name, value in headers.items()
+                if name in CREDENTIALS
+            },
         )
 
     def call_headers(
@@ -114,6 +127,10 @@
     ) -> Mapping[str, str]:
         """Return the headers of the call that sends a request to an endpoint."""
         headers = dict(request.headers)
+        if options.forwards_credentials:
+            headers.update(request.credentials)
+        if options.account is not None:
+            headers[ACCOUNT] = options.account
         headers[DEADLINE] = str(max(1, int(left_s * MILLISECONDS_PER_SECOND)))
         headers[EXPECTED_ENDPOINT] = endpoint.id
         if request.requested_model is not None:
@@ -158,6 +175,8 @@
         headers = {REQUEST_ID: str(id)} if id else {}
         if refusal.verdict is Verdict.NOT_RUN and refusal.retry_after_s > 0:
             headers[RETRY_AFTER] = f"{refusal.retry_after_s:.3f}"
+        if refusal.reason is Reason.UNAUTHENTICATED:
+            headers["WWW-Authenticate"] = KEY_SCHEME.title()
         return headers
 
 
@@ -212,10 +231,19 @@
         for name, value in headers.items()
         if name not in HOP_BY_HOP_HEADERS
         and name not in SYSTEM_HEADERS
+        and name not in CREDENTIALS
         and name != "content-length"
     }
 
 
+def _key(headers: Mapping[str, str]) -> KeyDigest | None:
+    """Return the digest of the client's key, or None without one."""
+    scheme, _, key = headers.get(AUTHORIZATION.lower(), "").strip().partition(" ")
+    if scheme.lower() != KEY_SCHEME or not key.strip():
+        return None
+    return key_digest(key.strip())
+
+
 def _deadline_s(headers: Mapping[str, str]) -> float:
     milliseconds = _int(headers, DEADLINE)
     return milliseconds / MILLISECONDS_PER_SECOND or DEFAULT_DEADLINE_S
--- a/src/camphoryard/platform/traffic.py
+++ b/src/camphoryard/platform/traffic.py
@@ -6,7 +6,15 @@
 
 import msgspec
 
+from camphoryard.state.accounts import (
+    Account,
+    Accounts,
+    Quota,
+    QuotaUnit,
+    make_accounts,
+)
 from camphoryard.state.ids import (
+    AccountId,
     AdapterId,
     EndpointId,
     ModelId,
@@ -47,6 +55,7 @@
     "non_idempotent": Repeatability.ONCE,
     "streaming": Repeatability.STREAM,
 }
+_UNIT_BY_NAME = {"token_stream": QuotaUnit.TOKENS}
 _STATE_BY_NAME = {
     "ready": EndpointState.READY,
     "draining": EndpointState.DRAINING,
@@ -72,6 +81,7 @@
     max_attempts: int = 1
     resumable: bool = False
     gap_target_ms: float = 0.0
+    public: bool = False
 
 
 class _Model(msgspec.Struct, frozen=True, rename="kebab"):
@@ -100,6 +110,17 @@
     engine: _Engine | None = None
 
 
+class _Tenant(msgspec.Struct, frozen=True, rename="kebab"):
+    name: str = ""
+    api_keys: list[str] = []
+    priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    unit: str = ""
+    plain_tokens: float = 0.0
+    # 0: no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
     max_header_bytes: int
     max_body_bytes: int
@@ -112,6 +133,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    tenants: list[_Tenant] = []
 
 
 class ListedModel(msgspec.Struct, frozen=True):
@@ -165,6 +187,7 @@
             _ms_to_s(config.limits.header_timeout_ms),
             _ms_to_s(config.limits.idle_timeout_ms),
         ),
+        _to_accounts(config.tenants),
     )
 
 
@@ -233,9 +256,26 @@
         route.priority,
         route.max_attempts,
         _ms_to_s(route.gap_target_ms),
+        route.public,
+    )
+
+
+def _to_accounts(tenants: list[_Tenant]) -> Accounts | None:
+    if not tenants:
+        return None
+    return make_accounts(
+        (Account(AccountId(item.name), item.priority, _to_quota(item)), item.api_keys)
+        for item in tenants
     )
 
 
+def _to_quota(tenant: _Tenant) -> Quota | None:
+    if tenant.rate_per_s <= 0:
+        return None
+    unit = _UNIT_BY_NAME.get(tenant.unit, QuotaUnit.REQUESTS)
+    return Quota(unit, tenant.rate_per_s, tenant.burst, tenant.plain_tokens)
+
+
 def _to_service(service: _Service) -> ServiceSpec:
     engine = service.engine
     if engine is None:
--- a/src/camphoryard/state/ids.py
+++ b/src/camphoryard/state/ids.py
@@ -12,6 +12,10 @@
 """A model or adapter that engines load: ``model``, or ``model:adapter``."""
 ServiceId = NewType("ServiceId", str)
 RouteId = NewType("RouteId", str)
+AccountId = NewType("AccountId", str)
+"""A client account, to which requests belong by their key."""
+KeyDigest = NewType("KeyDigest", bytes)
+"""Digest of a client's key; the key itself is never kept."""
 CallerId = NewType("CallerId", str)
 GroupId = NewType("GroupId", str)
 RequestId = NewType("RequestId", str)
--- a/src/camphoryard/state/traffic.py
+++ b/src/camphoryard/state/traffic.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from camphoryard.state.accounts import Accounts
 from camphoryard.state.ids import AdapterId, ModelId, RouteId, ServiceId, Version
 
 MIN_CLIENT_TIMEOUT_S = 2.0
@@ -46,7 +47,7 @@
     ``rank`` orders routes by urgency, 0 first. ``objective_s`` is the longest
     time to the answer, or to the first event of a stream, that earns the full
     benefit; ``longest_gap_s`` is the same for the gap between events. Times are
-    in seconds.
+    in seconds. Requests of a route that ``is_public`` need no key of an account.
     """
 
     id: RouteId
@@ -59,6 +60,7 @@
     rank: int
     max_attempts: int
     longest_gap_s: float = 0.0
+    is_public: bool = False
 
     @property
     def client_timeout_s(self) -> float:
@@ -115,12 +117,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TrafficRules:
-    """One version of the operators' routes, services and limits."""
+    """One version of the operators' routes, services, limits and accounts.
+
+    Without ``accounts`` requests need no key.
+    """
 
     version: Version
     routes: tuple[RouteRule, ...]
     services_by_id: Mapping[ServiceId, ServiceSpec]
     limits: ClientLimits
+    accounts: Accounts | None = None
     _routes_by_host: Mapping[str, tuple[RouteRule, ...]] = field(
         init=False, repr=False, compare=False
     )
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -32,6 +32,7 @@
 TRACE_LINES = 3
 STATUS_BY_REASON = {
     Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
+    Reason.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
     Reason.BAD_HEADER: HTTPStatus.BAD_REQUEST,
     Reason.BAD_FIELD: HTTPStatus.BAD_REQUEST,
     Reason.HEADER_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -181,6 +182,7 @@
             "request_answered",
             request=request.id,
             route=forwarded.rule.id,
+            account=forwarded.account.id if forwarded.account else "",
             rules=forwarded.rules_version,
             model=demand_item_id(request.requested_model)
             if request.requested_model
