Give the dispatch of requests to engines its types and its design

Change: types of questions and answers between a request's node and the dispatcher, and the design note. Prompt parts move to the state layer, as these types name them.

Measured: mypy, linters and the tests of platform, forwarding and routing pass.

--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -7,11 +7,11 @@
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.routing.endpoint_notices import Notice
+from camphoryard.state.dispatch import PromptPart
 from camphoryard.state.ids import (
     AccountId,
     EventId,
     KeyDigest,
-    PromptPartId,
     RequestId,
     Urgency,
 )
@@ -22,14 +22,6 @@
 """Endpoints are some milliseconds away; one that takes longer is unreachable."""
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """One part of a prompt; equal parts of several prompts share an id."""
-
-    id: PromptPartId
-    tokens: int
-
-
 @dataclass(frozen=True, slots=True)
 class ClientRequest:
     """A request as the client sent it.
--- a/src/camphoryard/coordination/routing/crashed_parts.py
+++ b/src/camphoryard/coordination/routing/crashed_parts.py
@@ -18,10 +18,10 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from camphoryard.coordination.forwarding.ports import PromptPart
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.ports import DecisionLog
 from camphoryard.coordination.routing.crash_counter import QUARANTINE_S
+from camphoryard.state.dispatch import PromptPart
 from camphoryard.state.ids import EndpointId, Fingerprint, PromptPartId
 
 SOUND_EVENTS = 2
--- a/src/camphoryard/platform/dialect.py
+++ b/src/camphoryard/platform/dialect.py
@@ -7,7 +7,6 @@
     AnswerHead,
     AnswerKind,
     ClientRequest,
-    PromptPart,
     SendOptions,
 )
 from camphoryard.coordination.routing.endpoint_notices import (
@@ -17,6 +16,7 @@
 )
 from camphoryard.protocol.dialect import HOP_BY_HOP_HEADERS, RequestHead
 from camphoryard.state.accounts import key_digest
+from camphoryard.state.dispatch import PromptPart
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.ids import (
--- a/src/camphoryard/state/ids.py
+++ b/src/camphoryard/state/ids.py
@@ -26,6 +26,8 @@
 PromptPartId = NewType("PromptPartId", str)
 Fingerprint = NewType("Fingerprint", str)
 """Digest of the work in a request, the same for all callers."""
+TicketId = NewType("TicketId", str)
+"""A request that waits for an engine; unique over all nodes and attempts."""
 JobId = NewType("JobId", str)
 OrderId = NewType("OrderId", str)
 VmId = NewType("VmId", str)
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -14,7 +14,6 @@
     AnswerHead,
     AnswerKind,
     ClientRequest,
-    PromptPart,
 )
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter, fingerprint
@@ -31,6 +30,7 @@
 )
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.directory import Directory
+from camphoryard.state.dispatch import PromptPart
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     BrokenCallError,
--- a/tests/coordination/routing/test_crashed_parts.py
+++ b/tests/coordination/routing/test_crashed_parts.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from camphoryard.coordination.forwarding.ports import PromptPart
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.routing.crash_counter import QUARANTINE_S
 from camphoryard.coordination.routing.crashed_parts import (
@@ -10,6 +9,7 @@
     CrashedParts,
     crashing_parts,
 )
+from camphoryard.state.dispatch import PromptPart
 from tests.fakes.engines import Clock, RecordedLog
 
 
