Read the store's answers beside entries with unreadable strings

Change: an answer that cannot be decoded is read again with a mark in place of each unreadable string; an object with the mark counts as unreadable by itself and is logged.

The product's own object API client is as before.

--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -8,6 +8,7 @@
 
 from camphoryard.coordination.ports import DecisionLog, Snapshot, Stored
 from camphoryard.protocol.json_nesting import without_deep_values
+from camphoryard.protocol.json_strings import UNREADABLE, without_unreadable_strings
 from camphoryard.state.errors import (
     BrokenCallError,
     ConflictError,
@@ -214,8 +215,8 @@
         decoded = []
         for item in items:
             try:
-                decoded.append(decoder.decode(item))
-            except (msgspec.MsgspecError, RecursionError) as error:
+                decoded.append(decoder.decode(_checked(item)))
+            except (msgspec.MsgspecError, ValueError, RecursionError) as error:
                 self._log("entry_unreadable", kind=self._kind, error=str(error))
         return decoded
 
@@ -232,7 +233,7 @@
     def _stored(self, item: _Object, era: StoreEra) -> Stored[RecordT]:
         name, version = item.metadata.name, version_in(era, item.metadata.revision)
         try:
-            record = self._decode(name, bytes(item.spec))
+            record = self._decode(name, bytes(_checked(item.spec)))
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             self._log(
                 "entry_unreadable",
@@ -283,6 +284,13 @@
             self._log("store_era", known=known, era=era, kind=self._kind)
 
 
+def _checked(document: msgspec.Raw) -> msgspec.Raw:
+    """Return a document; raises ValueError if a string of it could not be read."""
+    if UNREADABLE in bytes(document):
+        raise ValueError("a string with an invalid escape or invalid bytes")
+    return document
+
+
 def _removed(item: _Object, era: StoreEra) -> Stored[RecordT]:
     version = version_in(era, item.metadata.revision)
     return Stored(ObjectKey(item.metadata.name), version, None)
@@ -307,10 +315,13 @@
 
 
 def _read(decoder: "msgspec.json.Decoder[DecodedT]", answer: HttpAnswer) -> DecodedT:
+    """Return the decoded body, at first as it is, then without what nobody can read."""
     try:
-        try:
-            return decoder.decode(answer.body)
-        except RecursionError:
-            return decoder.decode(without_deep_values(answer.body))
+        return decoder.decode(answer.body)
+    except (msgspec.MsgspecError, RecursionError):
+        pass
+    try:
+        readable = without_unreadable_strings(answer.body)
+        return decoder.decode(without_deep_values(readable))
     except msgspec.MsgspecError as error:
         raise StoreUnavailableError(f"unreadable answer: {error}") from error
