Check the names of accounts, and name them on public routes

A name with a line break would have ended the header of a call to an endpoint; a key that is not ASCII never matched, as heads are decoded as latin-1 and the configuration as UTF-8; `tenants` or `api-keys` of null had the whole configuration refused; the repr of a head showed the key; a public route dropped the account of a known key; negative rates counted as no limit.

Change: each is mended or refused with an error that names the account and no key. The line of an unanswered request names its account.

--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
 from camphoryard.coordination.forwarding.in_progress import InProgress
 from camphoryard.coordination.forwarding.ports import (
@@ -94,6 +95,7 @@
     clock: Callable[[], float] = time.monotonic
     in_progress: InProgress["RequestInProgress"] = field(default_factory=InProgress)
     recent_failures: RecentFailures = field(default_factory=RecentFailures)
+    account_counts: AccountCounts = field(default_factory=AccountCounts)
 
 
 @dataclass(slots=True)
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -86,8 +86,10 @@
         with context.in_progress.tracked(item):
             _forward_until_answered(context, forwarded, cancellation, reply)
     except RefusalError as refusal:
+        context.account_counts.refused(forwarded.account, refusal.reason)
         _log_unanswered(context, forwarded, refusal, reply)
         raise
+    context.account_counts.answered(forwarded.account)
     return forwarded
 
 
@@ -141,6 +143,7 @@
         "answer_cut" if reply.has_begun else "request_unanswered",
         request=forwarded.request.id,
         route=forwarded.rule.id,
+        account=forwarded.account.id if forwarded.account else "",
         rules=forwarded.rules_version,
         newest_rules=rules.version if rules else "",
         reason=refusal.reason.value,
@@ -199,17 +202,19 @@
 def _find_account(
     rules: TrafficRules, rule: RouteRule, request: ClientRequest
 ) -> Account | None:
-    """Return the account that holds the client's key; None on public routes.
+    """Return the account that holds the client's key, or None without accounts.
+
+    On public routes an unknown or missing key belongs to no account.
 
     Raises
     ------
     RefusalError
-        If no account holds it.
+        If no account holds it and the route is not public.
     """
-    if rules.accounts is None or rule.is_public:
+    if rules.accounts is None:
         return None
     account = rules.accounts.find(request.key)
-    if account is None:
+    if account is None and not rule.is_public:
         detail = "no key" if request.key is None else "the key belongs to no account"
         raise RefusalError(Reason.UNAUTHENTICATED, detail)
     return account
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -26,6 +26,7 @@
     is_node_watch_due,
 )
 from camphoryard.coordination.fleet.retry_recorder import RetryRecorder
+from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import (
     ByFreeSlots,
@@ -318,6 +319,7 @@
         log,
         metrics.observe,
         metrics.count,
+        account_counts=AccountCounts(metrics.count_labelled),
     )
     return Entry(
         live_settings,
--- a/src/camphoryard/platform/dialect.py
+++ b/src/camphoryard/platform/dialect.py
@@ -49,6 +49,8 @@
 LEAVING = "Server-Leaving"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "bearer"
+HEADER_ENCODING = "latin-1"
+"""Encoding that the bytes of headers are decoded with; see PEP 3333."""
 ACCOUNT = "Tenant"
 CREDENTIALS = frozenset(name.lower() for name in (AUTHORIZATION, ACCOUNT))
 """Headers, in lower case, that are not forwarded where accounts are configured."""
@@ -241,7 +243,7 @@
     scheme, _, key = headers.get(AUTHORIZATION.lower(), "").strip().partition(" ")
     if scheme.lower() != KEY_SCHEME or not key.strip():
         return None
-    return key_digest(key.strip())
+    return key_digest(key.strip().encode(HEADER_ENCODING))
 
 
 def _deadline_s(headers: Mapping[str, str]) -> float:
--- a/src/camphoryard/platform/traffic.py
+++ b/src/camphoryard/platform/traffic.py
@@ -50,6 +50,8 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 """A number that peers can be told of: their messages have 64-bit integers."""
 
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+
 _REPEATABILITY_BY_KIND = {
     "idempotent": Repeatability.IDEMPOTENT,
     "non_idempotent": Repeatability.ONCE,
@@ -112,13 +114,13 @@
 
 class _Tenant(msgspec.Struct, frozen=True, rename="kebab"):
     name: str = ""
-    api_keys: list[str] = []
+    api_keys: list[str] | None = None
     priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
     unit: str = ""
-    plain_tokens: float = 0.0
+    plain_tokens: _Amount = 0.0
     # 0: no limit.
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rate_per_s: _Amount = 0.0
+    burst: _Amount = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
@@ -133,7 +135,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
-    tenants: list[_Tenant] = []
+    tenants: list[_Tenant] | None = None
 
 
 class ListedModel(msgspec.Struct, frozen=True):
@@ -260,13 +262,14 @@
     )
 
 
-def _to_accounts(tenants: list[_Tenant]) -> Accounts | None:
+def _to_accounts(tenants: list[_Tenant] | None) -> Accounts | None:
     if not tenants:
         return None
-    return make_accounts(
-        (Account(AccountId(item.name), item.priority, _to_quota(item)), item.api_keys)
-        for item in tenants
-    )
+    return make_accounts((_to_account(item), item.api_keys or ()) for item in tenants)
+
+
+def _to_account(tenant: _Tenant) -> Account:
+    return Account(AccountId(tenant.name), tenant.priority, _to_quota(tenant))
 
 
 def _to_quota(tenant: _Tenant) -> Quota | None:
--- a/src/camphoryard/protocol/dialect.py
+++ b/src/camphoryard/protocol/dialect.py
@@ -1,7 +1,7 @@
 """HTTP header dialects of forwarded requests and their answers."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from camphoryard.coordination.forwarding.ports import (
@@ -32,11 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """A parsed request head; header names are in lower case."""
+    """A parsed request head; header names are in lower case.
+
+    The headers may hold a client's key and are not part of its ``repr``.
+    """
 
     method: str
     target: str
-    headers: Mapping[str, str]
+    headers: Mapping[str, str] = field(repr=False)
 
 
 class Dialect(Protocol):
--- a/src/camphoryard/state/accounts.py
+++ b/src/camphoryard/state/accounts.py
@@ -1,7 +1,7 @@
 """Client accounts, their keys and their quotas."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from hashlib import blake2b
 
@@ -9,6 +9,7 @@
 
 KEY_DIGEST_BYTES = 16
 MAX_KEY_CHARACTERS = 1024
+MAX_NAME_CHARACTERS = 256
 
 
 class QuotaUnit(Enum):
@@ -52,8 +53,8 @@
     quota: Quota | None = None
 
 
-class AccountKeyError(ValueError):
-    """The keys of an account are invalid; the message does not show them."""
+class InvalidAccountError(ValueError):
+    """An account is invalid; the message names it and shows none of its keys."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +62,7 @@
     """All accounts of a configuration, found by the digests of their keys."""
 
     by_id: Mapping[AccountId, Account]
-    _by_key: Mapping[KeyDigest, Account]
+    _by_key: Mapping[KeyDigest, Account] = field(repr=False)
 
     def find(self, key: KeyDigest | None) -> Account | None:
         """Return the account that holds a key, or None."""
@@ -73,36 +74,50 @@
 
     Raises
     ------
-    AccountKeyError
-        If a name is missing or used twice, a key is empty or too long, or two accounts
-        have the same key.
+    InvalidAccountError
+        If a name is missing, used twice or unfit for a header, a key is empty or too
+        long, or two accounts have the same key.
     """
     by_id: dict[AccountId, Account] = {}
     by_key: dict[KeyDigest, Account] = {}
     for account, keys in keys_by_account:
-        if not account.id:
-            raise AccountKeyError("an account has no name")
+        _check_name(account)
         if account.id in by_id:
-            raise AccountKeyError(f"two accounts are named {account.id!r}")
+            raise InvalidAccountError(f"two accounts are named {account.id!r}")
         by_id[account.id] = account
         for key in keys:
             _check_length(account, key)
-            holder = by_key.setdefault(key_digest(key), account)
+            holder = by_key.setdefault(key_digest(key.encode()), account)
             if holder is not account:
-                raise AccountKeyError(
+                raise InvalidAccountError(
                     f"accounts {holder.id!r} and {account.id!r} have the same key"
                 )
     return Accounts(by_id, by_key)
 
 
-def key_digest(key: str) -> KeyDigest:
-    """Return the digest by which the account of a key is found."""
-    return KeyDigest(blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).digest())
+def key_digest(key: bytes) -> KeyDigest:
+    """Return the digest by which the account of a key in UTF-8 is found."""
+    return KeyDigest(blake2b(key, digest_size=KEY_DIGEST_BYTES).digest())
+
+
+def _check_name(account: Account) -> None:
+    if not account.id:
+        raise InvalidAccountError("an account has no name")
+    if len(account.id) > MAX_NAME_CHARACTERS:
+        raise InvalidAccountError(
+            f"the name of account {account.id[:MAX_NAME_CHARACTERS]!r}... has more than"
+            f" {MAX_NAME_CHARACTERS} characters"
+        )
+    if not (account.id.isascii() and account.id.isprintable()):
+        raise InvalidAccountError(
+            f"the name of account {account.id!r} has characters that no header can"
+            " carry"
+        )
 
 
 def _check_length(account: Account, key: str) -> None:
     if not 0 < len(key) <= MAX_KEY_CHARACTERS:
-        raise AccountKeyError(
+        raise InvalidAccountError(
             f"a key of account {account.id!r} has {len(key)} characters,"
             f" not 1 to {MAX_KEY_CHARACTERS}"
         )
--- a/src/camphoryard/transport/metrics.py
+++ b/src/camphoryard/transport/metrics.py
@@ -13,6 +13,8 @@
 MICROSECONDS_PER_SECOND = 1_000_000
 PERCENT = 100
 
+_Labels = tuple[tuple[str, str], ...]
+
 
 class Metrics:
     """Duration histograms, counters and gauges, by name."""
@@ -21,6 +23,7 @@
         self._lock = threading.Lock()
         self._histogram_by_name: dict[str, HdrHistogram] = {}
         self._count_by_name: Counter[str] = Counter()
+        self._count_by_labels_by_name: dict[str, Counter[_Labels]] = {}
         self._gauge_by_name: dict[str, Callable[[], float]] = {}
 
     def observe(self, name: str, duration_s: float) -> None:
@@ -38,6 +41,12 @@
         with self._lock:
             self._count_by_name[name] += 1
 
+    def count_labelled(self, name: str, /, **labels: str) -> None:
+        """Count one event under labels, whose values the caller bounds in number."""
+        with self._lock:
+            counts = self._count_by_labels_by_name.setdefault(name, Counter())
+            counts[tuple(labels.items())] += 1
+
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
         """Add a value that ``read`` returns whenever the metrics are read."""
         with self._lock:
@@ -52,6 +61,12 @@
             for name, count in sorted(self._count_by_name.items()):
                 lines.append(f"# TYPE camphoryard_{name}_total counter")
                 lines.append(f"camphoryard_{name}_total {count}")
+            for name, counts in sorted(self._count_by_labels_by_name.items()):
+                lines.append(f"# TYPE camphoryard_{name}_total counter")
+                lines.extend(
+                    f"camphoryard_{name}_total{{{_labels_text(labels)}}} {count}"
+                    for labels, count in sorted(counts.items())
+                )
             gauges = sorted(self._gauge_by_name.items())
         for name, read in gauges:
             lines.append(f"# TYPE camphoryard_{name} gauge")
@@ -70,3 +85,11 @@
     lines.append(f"{name}_sum {total_s}")
     lines.append(f"{name}_count {count}")
     return lines
+
+
+def _labels_text(labels: _Labels) -> str:
+    return ",".join(f'{name}="{_escaped(value)}"' for name, value in labels)
+
+
+def _escaped(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -7,6 +7,7 @@
 import pytest
 
 from camphoryard.coordination.cancellation import Cancellation, CancellationCause
+from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
 from camphoryard.coordination.forwarding.exchange import forward
@@ -30,6 +31,7 @@
     RecentFailures,
 )
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
+from camphoryard.state.accounts import Account, key_digest, make_accounts
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
@@ -39,7 +41,14 @@
     RefusalError,
     StalledCallError,
 )
-from camphoryard.state.ids import ModelId, PromptPartId, RequestId, Urgency
+from camphoryard.state.ids import (
+    AccountId,
+    ModelId,
+    PromptPartId,
+    RequestId,
+    Urgency,
+    Version,
+)
 from camphoryard.state.serving_endpoints import EndpointState
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import Repeatability, RequestedModel
@@ -61,6 +70,7 @@
 """Requests that together earn no retry."""
 TRICKLE_S = 0.1
 """Time between the bytes of an answer that trickles."""
+ACCOUNT_RANK = 4
 PAUSE = b"PAUSE"
 """Marks a pause in an answer that exceeds the timeout between events."""
 
@@ -259,6 +269,23 @@
         self.cancellation = Cancellation()
         self.set_prompt(options.get("prompt", ""))
 
+    def use_keys(self, keys_by_account, is_public=False):
+        """Adopt the next version of the rules, with accounts."""
+        rules = self.directory.rules
+        accounts = make_accounts(
+            (Account(AccountId(name), ACCOUNT_RANK), keys)
+            for name, keys in keys_by_account.items()
+        )
+        routes = tuple(replace(item, is_public=is_public) for item in rules.routes)
+        self.directory.adopt(
+            replace(
+                rules,
+                version=Version(rules.version + 1),
+                routes=routes,
+                accounts=accounts,
+            )
+        )
+
     def set_prompt(self, parts):
         """Replace the request by another one with these parts, as ID:TOKENS."""
         items = (part.split(":") for part in parts.split(",") if part)
@@ -1175,6 +1202,86 @@
         assert (unanswered["sends"], unanswered["endpoint"]) == (0, "")
 
 
+class TestAccounts:
+    """Requests under a configuration with accounts and keys."""
+
+    @staticmethod
+    def site(key, keys_by_account, *answers, is_public=False):
+        """Return a site and a request with a key."""
+        site = Site(*answers or [served(b"ok")])
+        site.use_keys(keys_by_account, is_public)
+        site.request = replace(site.request, key=key and key_digest(key))
+        return site
+
+    def options(self, site):
+        """Forward the request; return the options of its only send."""
+        site.forward()
+        ((_, options),) = site.upstream.sent
+        return options
+
+    @pytest.mark.parametrize("key", [b"wrong", None])
+    def test_unknown_key_is_refused_before_anything_is_acted_upon(self, key):
+        """The request is sent nowhere and has not run."""
+        site = self.site(key, {"a": ["k1"]})
+        refusal = site.refusal()
+        assert (refusal.reason, refusal.verdict) == (
+            Reason.UNAUTHENTICATED,
+            Verdict.NOT_RUN,
+        )
+        assert site.sent_to == []
+
+    @pytest.mark.parametrize(
+        ("key", "account"), [(b"k1", "a"), (b"wrong", None), (None, None)]
+    )
+    def test_public_route_needs_no_key(self, key, account):
+        """The account of a known key is named all the same."""
+        options = self.options(self.site(key, {"a": ["k1"]}, is_public=True))
+        assert (options.account, options.forwards_credentials) == (account, False)
+
+    def test_known_key_names_its_account(self):
+        """Endpoints get no credentials."""
+        options = self.options(self.site(b"k1", {"a": ["k1"]}))
+        assert (options.account, options.forwards_credentials) == ("a", False)
+
+    def test_credentials_are_forwarded_without_accounts(self):
+        """A configuration without accounts changes nothing."""
+        options = self.options(Site(served(b"ok")))
+        assert (options.account, options.forwards_credentials) == (None, True)
+
+    def test_key_moves_to_another_account(self):
+        """The newest configuration decides for the next request."""
+        site = self.site(b"k1", {"a": ["k1"], "b": []}, served(b"1"), served(b"2"))
+        site.forward()
+        site.use_keys({"a": [], "b": ["k1"]})
+        site.reply = Reply()
+        site.forward()
+        assert [options.account for _, options in site.upstream.sent] == ["a", "b"]
+
+    def test_account_that_lost_its_last_key_is_refused(self):
+        """Its name alone lets nobody in."""
+        site = self.site(b"k1", {"a": ["k1"]})
+        site.use_keys({"a": []})
+        assert site.refusal().reason is Reason.UNAUTHENTICATED
+
+    def test_rank_of_the_account_takes_precedence(self):
+        """Batch work of an urgent account goes first."""
+        site = self.site(b"k1", {"a": ["k1"]})
+        assert site.forward().rank == ACCOUNT_RANK
+
+    def test_requests_are_counted_by_account(self):
+        """Both the answered ones and the refused ones."""
+        site = self.site(b"k1", {"a": ["k1"]}, served(b"ok"), BrokenCallError("x"))
+        counted = []
+        site.context = replace(
+            site.context,
+            account_counts=AccountCounts(lambda name, **_: counted.append(name)),
+        )
+        site.forward()
+        site.cancellation.cancel(CancellationCause.DISCONNECTED)
+        site.refusal()
+        assert counted == ["account_requests_answered", "account_requests_refused"]
+
+
 class TestRefusals:
     """Requests that cannot be served are refused at once."""
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -1,13 +1,17 @@
 """Tests of the platform's request and answer headers."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.forwarding.ports import AnswerKind, SendOptions
 from camphoryard.coordination.routing.endpoint_notices import Leaving, Resting
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.protocol.dialect import RequestHead
+from camphoryard.state.accounts import key_digest
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import RefusalError
+from camphoryard.state.ids import AccountId
 from camphoryard.state.verdict import Verdict
 from tests.fakes.engines import make_endpoint
 
@@ -104,6 +108,62 @@
         assert headers["Attempt-Id"] == "q1"
 
 
+class TestCredentials:
+    """Keys of clients, and the account named to endpoints."""
+
+    SENT = {"authorization": "Bearer k-secret", "tenant": "mine"}
+
+    @pytest.mark.parametrize(
+        ("text", "key"),
+        [
+            ("Bearer k1", b"k1"),
+            ("bearer  k1 ", b"k1"),
+            ("Bearer \u00c3\u00a9", "\u00e9".encode()),
+            ("Bearer k1, Bearer k2", b"k1, Bearer k2"),
+            ("Bearer", None),
+            ("Basic k1", None),
+            ("", None),
+            (None, None),
+        ],
+    )
+    def test_key_is_read_as_its_digest(self, text, key):
+        """Two headers of a request do not name a key; bytes are those of UTF-8."""
+        digest = None if key is None else key_digest(key)
+        assert read(authorization=text).key == digest
+
+    def test_endpoint_is_told_the_account_and_no_key(self):
+        """What the client sent under the header of the account is replaced."""
+        options = replace(
+            SEND_OPTIONS, account=AccountId("a"), forwards_credentials=False
+        )
+        headers = PlatformDialect().call_headers(
+            ENDPOINT, read(**self.SENT), options, 1.0
+        )
+        assert headers["Tenant"] == "a"
+        assert "Authorization" not in headers
+
+    def test_no_account_is_named_without_one(self):
+        """The client's own name does not reach the endpoint of a public route."""
+        options = replace(SEND_OPTIONS, forwards_credentials=False)
+        headers = PlatformDialect().call_headers(
+            ENDPOINT, read(**self.SENT), options, 1.0
+        )
+        assert {"Tenant", "Authorization"}.isdisjoint(headers)
+
+    def test_credentials_are_ordinary_headers_without_accounts(self):
+        """They may be meant for the endpoint."""
+        headers = PlatformDialect().call_headers(
+            ENDPOINT, read(**self.SENT), SEND_OPTIONS, 1.0
+        )
+        assert headers["Authorization"] == "Bearer k-secret"
+        assert headers["Tenant"] == "mine"
+
+    def test_no_repr_shows_the_key(self):
+        """Neither that of a head nor that of a request."""
+        head = RequestHead("POST", "/a/b", {**HEADERS, **self.SENT})
+        assert "k-secret" not in f"{head!r} {read(**self.SENT)!r}"
+
+
 class TestReadAnswer:
     """Reading the head of an endpoint's answer."""
 
--- a/tests/platform/test_traffic.py
+++ b/tests/platform/test_traffic.py
@@ -6,6 +6,8 @@
 import pytest
 
 from camphoryard.platform.traffic import decode_endpoint, decode_rules
+from camphoryard.state.accounts import Account, Quota, QuotaUnit, key_digest
+from camphoryard.state.ids import AccountId
 from camphoryard.state.serving_endpoints import EndpointState, HostPort
 from camphoryard.state.traffic import Repeatability
 
@@ -153,6 +155,74 @@
             decode_rules("draft", json.dumps(CONFIG).encode())
 
 
+class TestAccounts:
+    """Client accounts, their keys and quotas."""
+
+    TENANT = {
+        "name": "a",
+        "api-keys": ["k1"],
+        "priority": 3,
+        "unit": "token_stream",
+        "rate-per-s": 100,
+        "burst": 500,
+        "plain-tokens": 40,
+    }
+
+    @staticmethod
+    def decode(*tenants, **changes):
+        """Return the rules of a configuration with these tenants."""
+        spec = {**CONFIG, "tenants": list(tenants), **changes}
+        return decode_rules("main", json.dumps(spec).encode())
+
+    def test_fields_are_read(self):
+        """The account of a key has its rank and quota."""
+        accounts = self.decode(self.TENANT).accounts
+        assert accounts.find(key_digest(b"k1")) == Account(
+            AccountId("a"), 3, Quota(QuotaUnit.TOKENS, 100.0, 500.0, 40.0)
+        )
+
+    def test_account_without_rate_is_not_limited(self):
+        """A rate of 0, or none, is no limit."""
+        accounts = self.decode({"name": "a", "rate-per-s": 0, "burst": 5}).accounts
+        assert accounts.by_id[AccountId("a")] == Account(AccountId("a"))
+
+    @pytest.mark.parametrize("tenants", [[], None])
+    def test_without_accounts_no_key_is_needed(self, tenants):
+        """Installations without accounts are served as before."""
+        assert self.decode(tenants=tenants).accounts is None
+
+    def test_account_may_have_lost_its_last_key(self):
+        """Requests need a key although no account has one."""
+        accounts = self.decode({"name": "a", "api-keys": None}).accounts
+        assert accounts.find(key_digest(b"k1")) is None
+
+    def test_routes_may_be_public(self):
+        """Other routes are not."""
+        routes = [{**CONFIG["routes"][0], "public": True}, CONFIG["routes"][2]]
+        rules = self.decode(self.TENANT, routes=routes)
+        assert [route.is_public for route in rules.routes] == [True, False]
+
+    @pytest.mark.parametrize(
+        "tenant",
+        [
+            {"name": "b", "api-keys": ["k1"]},
+            {"name": "", "api-keys": ["secret"]},
+            {"name": "b", "api-keys": ["secret" * 1000]},
+            {"name": "b", "api-keys": ["secret", 7]},
+            {"name": "b", "api-keys": "secret"},
+            {"name": "b", "api-keys": ["secret"], "priority": -1},
+            {"name": "b", "api-keys": ["secret"], "rate-per-s": -1},
+            {"name": "b", "api-keys": ["secret"], "burst": "much"},
+        ],
+    )
+    def test_invalid_configuration_is_refused_without_a_key(self, tenant):
+        """The error that is logged shows no key."""
+        with pytest.raises((msgspec.MsgspecError, ValueError)) as caught:
+            self.decode(self.TENANT, tenant)
+        assert "secret" not in str(caught.value)
+        assert "k1" not in str(caught.value)
+
+
 class TestDecodeEndpoint:
     """Decoding an endpoint's entry in the store."""
 
--- a/tests/transport/test_metrics.py
+++ b/tests/transport/test_metrics.py
@@ -32,6 +32,13 @@
         metrics.count("retries")
         assert "camphoryard_retries_total 2" in metrics.text().splitlines()
 
+    def test_labels_are_escaped(self):
+        """Names with quotes do not break the lines of others."""
+        metrics = Metrics()
+        metrics.count_labelled("of", account='a"\\', reason="x")
+        line = 'camphoryard_of_total{account="a\\"\\\\",reason="x"} 1'
+        assert line in metrics.text().splitlines()
+
 
 class TestGauge:
     """Values read when the metrics are read."""
