--- a/standins/entry_platform.py
+++ b/standins/entry_platform.py
@@ -40,6 +40,8 @@
 ERA_HEADER = "Store-Era"
 OPERATOR = {"Operator": "1"}
 """Headers of calls that the store answers whatever its faults."""
+CREDENTIALS = ("Tenant", "Authorization")
+"""Headers of requests that are kept by request id; see them at ``GET /named``."""
 REWRITTEN_KINDS = ("config", "servers")
 """Kinds that only the operator and the replicas write."""
 
@@ -247,6 +249,7 @@
     store: Store = field(default_factory=Store)
     faults: dict[str, int] = field(default_factory=dict)
     runs: list[dict[str, str]] = field(default_factory=list)
+    named: dict[str, list[str | None]] = field(default_factory=dict)
     adapters_by_model: dict[str, list[str]] = field(default_factory=dict)
     order_count: int = 0
     muted_kinds: list[str] = field(default_factory=list)
@@ -268,6 +271,8 @@
                 return json_response(self.muted_kinds)
             case ["runs"]:
                 return json_response(self.runs)
+            case ["named"]:
+                return json_response(self.named)
             case ["order"]:
                 return self._order(request.json())
             case ["report"]:
@@ -378,6 +383,7 @@
         self.runs.append(
             {"id": id, "path": request.path, "body": request.body.decode()}
         )
+        self.named[id] = [request.headers.get(name) for name in CREDENTIALS]
         if self.faults.get("hold"):
             self.faults["hold"] -= 1
             threading.Event().wait()
