Draw accounts and keys in the soak of entry daemons

Cause: no run with faults showed that the account named to endpoints is that of the key while keys move, and that unknown keys run nowhere.

Change: the soak's configurations have three accounts with eight keys; a new fault moves, takes away and adds keys. Clients send known keys, one that nobody ever holds, and none on the public route. The checks judge each arrival and each 401 by the versions that its node may have had, with the time to apply for nodes in touch.

--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -22,7 +22,7 @@
 MAX_ARRIVALS_IN_REST = 2
 DEADLY_CRASHES = 5
 MAX_ARRIVALS_AFTER_CRASHES = 3
-NOT_RUN_STATUSES = (408, 421, 429, 503)
+NOT_RUN_STATUSES = (401, 408, 421, 429, 503)
 BUDGET_WINDOW_S = 10.0
 BUDGET_SHARE = 0.2
 BUDGET_EXTRA = 50
@@ -61,6 +61,7 @@
     has_left: bool = False
     resumes: str = ""
     after: int = 0
+    key: str = ""
 
     @property
     def route(self) -> str:
@@ -91,6 +92,14 @@
         return self.began_s <= until_s and from_s <= self.ended_s
 
 
+@dataclass(frozen=True, slots=True)
+class WrittenKeys:
+    """The keys of a version of the configuration, and when its write began."""
+
+    at_s: float
+    account_by_key: Mapping[str, str]
+
+
 @dataclass(slots=True)
 class SoakHistory:
     """What happened in one soak.
@@ -99,8 +108,8 @@
     which the store acknowledged that a replica leaves, ``crashes_s`` those of crashes
     by part, ``own_ends`` the processes that ended by themselves, ``confirmed_s``
     the times at which the store acknowledged versions of the configuration,
-    ``starts_s`` those at which the processes of nodes were started again. Routes are
-    named by the first segment of their paths.
+    ``keys_by_version`` their keys, ``starts_s`` the times at which the processes of
+    nodes were started again. Routes are named by the first segment of their paths.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -113,6 +122,7 @@
     confirmed_s: dict[int, float] = field(default_factory=dict)
     starts_s: dict[str, list[float]] = field(default_factory=dict)
     service_by_route: dict[str, str] = field(default_factory=dict)
+    keys_by_version: dict[int, WrittenKeys] = field(default_factory=dict)
 
     def is_disturbed(self, target: str, from_s: float, until_s: float) -> bool:
         """Return whether a target was under a fault in a span of time."""
--- a/faults/entry_clients.py
+++ b/faults/entry_clients.py
@@ -6,6 +6,7 @@
 from http.client import HTTPConnection, HTTPException
 
 from faults.entry_checks import DEADLINE_S, Attempt
+from faults.soak_keys import draw_key
 from faults.soak_site import MODELS, SoakSite
 from standins.fleet import HOST
 
@@ -28,6 +29,7 @@
     Some streams are left at a pause and resumed at another node.
     """
     rng = random.Random(f"{site.seed}/client/{number}")
+    key_rng = random.Random(f"{site.seed}/client-keys/{number}")
     connection_by_node: dict[str, HTTPConnection] = {}
     count = 0
     left: Attempt | None = None
@@ -50,6 +52,9 @@
             "Deadline-Ms": str(int(DEADLINE_S * MILLISECONDS_PER_SECOND)),
             "Prompt-Prefix": f"{parts}own-{id}:10",
         }
+        key = left.key if left else draw_key(key_rng, kind)
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
         if kind == "ask":
             headers["Model"] = rng.choice(MODELS)
         if left:
@@ -64,6 +69,7 @@
                 time.monotonic(),
                 resumes=left.id if left else "",
                 after=int(headers.get("Last-Event-Id", 0)),
+                key=key,
             ),
             headers,
             rng.uniform(*PATIENCE_S) if leaves else TIMEOUT_S,
--- a/faults/entry_drawing.py
+++ b/faults/entry_drawing.py
@@ -10,6 +10,7 @@
     Fault,
     FleetRestarts,
     FleetRestartsInTrouble,
+    KeysChange,
     LeaderChangeIsLost,
     LeavingWord,
     NodeEnd,
@@ -83,6 +84,7 @@
         FleetRestartsInTrouble(trouble, fleet_restarts),
         PartTurnsDeadly(deadly_part(rng.randrange(1000)), DEADLY_S),
         ConfigurationChanges(rng.randrange(2, 52)),
+        KeysChange(),
     )
     return rng.choice([item for item in faults if site.draws(item)])
 
@@ -122,5 +124,5 @@
             return ("entries",)
         case PartTurnsDeadly():
             return ("parts",)
-        case ConfigurationChanges():
+        case ConfigurationChanges() | KeysChange():
             return ("configuration",)
--- a/faults/entry_faults.py
+++ b/faults/entry_faults.py
@@ -184,6 +184,11 @@
     routes: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeysChange:
+    """The operator takes keys away, adds some and moves some to other accounts."""
+
+
 Fault: TypeAlias = (
     ReplicaLeaves
     | ReplicaRests
@@ -204,6 +209,7 @@
     | FleetRestartsInTrouble
     | PartTurnsDeadly
     | ConfigurationChanges
+    | KeysChange
 )
 KINDS = tuple(kind.__name__ for kind in get_args(Fault))
 """Names of all kinds of faults."""
--- a/faults/entry_injections.py
+++ b/faults/entry_injections.py
@@ -13,6 +13,7 @@
     Fault,
     FleetRestarts,
     FleetRestartsInTrouble,
+    KeysChange,
     LeaderChangeIsLost,
     LeavingWord,
     NodeEnd,
@@ -109,6 +110,8 @@
             site.deadly_part = ""
         case ConfigurationChanges(routes):
             site.change_configuration(routes)
+        case KeysChange():
+            site.change_configuration(draws_keys=True)
 
 
 @contextmanager
--- a/faults/soak_site.py
+++ b/faults/soak_site.py
@@ -9,8 +9,9 @@
 from pathlib import Path
 from typing import Any
 
-from faults.entry_checks import SoakHistory
+from faults.entry_checks import SoakHistory, WrittenKeys
 from faults.entry_faults import Fault
+from faults.soak_keys import PUBLIC_ROUTE, draw_accounts, listed_accounts
 from standins.entry_platform import OPERATOR
 from standins.entry_site import CONFIG, GRACE_S, SETTINGS, make_route
 from standins.fleet import HOST, Fleet, HttpError, request, reserve_port
@@ -26,7 +27,7 @@
 SERVICE_BY_ROUTE = {
     "chat": "models",
     "book": "desk",
-    "look": "desk",
+    PUBLIC_ROUTE: "desk",
     "ask": "engines",
 }
 FIRST_START, LATER_START = "bootstrap = true\n", "bootstrap = false\n"
@@ -65,6 +66,8 @@
     busy_targets: set[str] = field(default_factory=set)
     deadly_part: str = ""
     configurations: int = 0
+    routes: int = 1
+    key_draws: int = 0
     count_by_kind: Counter[str] = field(default_factory=Counter)
     kinds: tuple[str, ...] = ()
     source: Path | None = None
@@ -82,7 +85,7 @@
         """Start store, replicas and nodes, and wait until the nodes are ready."""
         self.fleet.start_standin(STORE, "entry_platform", "--host", HOST)
         self.fleet.wait_ready([STORE])
-        self.change_configuration(1)
+        self.change_configuration()
         for slot in range(len(SERVICES)):
             self.start_replica(slot)
         for node in self.nodes:
@@ -111,12 +114,21 @@
         path = f"/objects/{kind}/{name}"
         request(self.store_port, "PUT", path, body, headers=OPERATOR)
 
-    def change_configuration(self, routes: int) -> None:
-        """Write the next version of the configuration."""
+    def change_configuration(
+        self, routes: int | None = None, draws_keys: bool = False
+    ) -> None:
+        """Write the next version, with another number of routes or other keys."""
         with self.lock:
             self.configurations += 1
             version = self.configurations
-        self.put("config", "main", _configuration(version, routes))
+            self.routes = self.routes if routes is None else routes
+            self.key_draws += draws_keys
+        account_by_key = draw_accounts(self.seed, self.key_draws)
+        written = WrittenKeys(time.monotonic(), account_by_key)
+        self.history.keys_by_version[version] = written
+        spec = _configuration(version, self.routes)
+        spec["tenants"] = listed_accounts(account_by_key)
+        self.put("config", "main", spec)
         self.history.confirmed_s[version] = time.monotonic()
 
     def leader(self) -> str | None:
@@ -189,7 +201,9 @@
     routes = [
         make_route("chat", "streaming", "models", resumable=True),
         make_route("book", "non_idempotent", "desk", **{"max-attempts": 3}),
-        make_route("look", "idempotent", "desk", **{"max-attempts": 3}),
+        make_route(
+            PUBLIC_ROUTE, "idempotent", "desk", public=True, **{"max-attempts": 3}
+        ),
         make_route("ask", "idempotent", "engines"),
         *(make_route(f"more{n}", "idempotent", "desk") for n in range(count)),
     ]
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -156,6 +156,8 @@
             rest_s=max(0.0, rest_s),
             leaving=self.is_leaving,
             left_s=call.left_s,
+            account=call.headers.get("tenant"),
+            credentials="authorization" in call.headers,
         )
         headers = {"Attempt-Id": call.id}
         if self.is_leaving:
