Relay changes of endpoints from the leader in large fleets

Change: in a star the leader reads them several times per batch and sends each node the changes that it lacks, in its digests. A node follows while changes are gapless and its view provably young: as old as its own report that the leader had heard before it last asked the store, by its own clock alone. On a gap, silence, a restored store or a late message it lists the store at once. Leader and standby nodes watch as before, as do fleets without a star, and those that the leader reaches too seldom.

--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -5,6 +5,7 @@
 messages then grows linearly with the number of nodes instead of quadratically.
 """
 
+import math
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
@@ -13,6 +14,7 @@
 
 from xxhash import xxh3_64_intdigest
 
+from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
 from camphoryard.coordination.leadership.leader_lease import LEASE_S
 from camphoryard.coordination.messages import DigestWithAge, Gossip
 from camphoryard.coordination.placement.demand import DemandMeter
@@ -21,6 +23,7 @@
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.directory import Directory
+from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     EndpointId,
@@ -30,6 +33,7 @@
     ItemId,
     ModelId,
     NodeId,
+    Revision,
 )
 from camphoryard.state.nodes import NodeDigest, NodeTable
 from camphoryard.state.tables import InFlightTable
@@ -66,6 +70,11 @@
 GossipTopology: TypeAlias = Mesh | Star
 
 
+def relay_period_s(nodes: int) -> float:
+    """Return the period in which the leader of a star of ``nodes`` sends to each."""
+    return GOSSIP_PERIOD_S * math.ceil(nodes / PEERS_PER_PERIOD)
+
+
 def gossip_topology(nodes: int) -> GossipTopology:
     """Return the gossip topology of a fleet of ``nodes`` nodes.
 
@@ -92,6 +101,8 @@
         Parts of prompts that are quarantined, which nodes that start learn from peers.
     directory : Directory
         Endpoints, some of which have said to one node that they leave.
+    relaying : EndpointRelaying or None
+        Changes of endpoints that the leader of a star passes on; None without.
     """
 
     def __init__(
@@ -109,7 +120,9 @@
         crashed_parts: CrashedParts,
         directory: Directory,
         clock: Callable[[], float] = time.monotonic,
+        relaying: EndpointRelaying | None = None,
     ) -> None:
+        self._relaying = relaying
         self._node = node
         self._incarnation = incarnation
         self._nodes = nodes
@@ -137,12 +150,14 @@
         self._demand.sample()
         self._beat += 1
         leader = self.leader()
-        match self._topology():
+        match self.topology():
             case Mesh():
                 self._send_to_all(leader)
             case Star() if leader == self._node:
                 self._send_sums()
             case Star() if leader is not None and self._beat % STAR_REPORT_PERIODS == 0:
+                if self._relaying is not None:
+                    self._relaying.record_sent(self._beat)
                 self._send_digest(
                     leader, self._in_flight.by_id(), self._demand.by_item()
                 )
@@ -159,11 +174,22 @@
         if digest.duty_term:
             self._leader_observed_s = self._clock()
             self._on_unloads(digest.unloads_by_endpoint)
-        if not self._term() or self._topology() == Mesh():
+        if self._relaying is not None and self.topology() == Star():
+            self._relaying.receive(digest)
+        if not self._term() or self.topology() == Mesh():
             self._estimates.refresh()
 
-    def _topology(self) -> GossipTopology:
-        return gossip_topology(len(self._nodes.all()))
+    def size(self) -> int:
+        """Return the number of nodes."""
+        return len(self._nodes.all())
+
+    def is_leader(self) -> bool:
+        """Return whether this node is the leader."""
+        return self.leader() == self._node
+
+    def topology(self) -> GossipTopology:
+        """Return how the fleet gossips at its present size."""
+        return gossip_topology(self.size())
 
     def _send_to_all(self, leader: NodeId | None) -> None:
         """Send to all peers; demand, most of the bytes, is sent only to the leader."""
@@ -188,13 +214,18 @@
         for node in self._next_peers():
             others = Counter(total)
             others.subtract(in_flight_by_node.get(node, {}))
-            self._send_digest(node, {id: n for id, n in others.items() if n > 0}, {})
+            relay = None
+            if self._relaying is not None:
+                relay = self._relaying.relay_for(node, self._nodes.digest(node))
+            in_flight = {id: n for id, n in others.items() if n > 0}
+            self._send_digest(node, in_flight, {}, relay)
 
     def _send_digest(
         self,
         node: NodeId,
         in_flight: Mapping[EndpointId, int],
         demand: Mapping[ItemId, ItemDemand],
+        relay: EndpointRelay | None = None,
     ) -> None:
         term = self._term()
         digest = NodeDigest(
@@ -209,6 +240,10 @@
             unloads_by_endpoint=self._unloads_by_endpoint() if term else {},
             quarantine_s_by_parts=self._crashed_parts.quarantine_s_by_parts(),
             leaving_by_endpoint=self._directory.leaving_by_endpoint(),
+            endpoints_revision=(
+                self._relaying.position if self._relaying else Revision(0)
+            ),
+            relay=relay,
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
@@ -235,7 +270,7 @@
         longer no leader is observed, the more nodes watch, because the standby nodes
         may have failed too.
         """
-        match self._topology():
+        match self.topology():
             case Mesh():
                 nodes = {item.node for item in self._nodes.alive()}
                 watching = STANDBY_NODES
--- a/src/camphoryard/coordination/forwarding/feeding.py
+++ b/src/camphoryard/coordination/forwarding/feeding.py
@@ -1,11 +1,14 @@
 """Updates of the directory from traffic rules and endpoints in the store."""
 
+import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from camphoryard.coordination.ports import DecisionLog, Snapshot, Stored, Timer
 from camphoryard.state.directory import MISSING_GRACE_S, Directory
-from camphoryard.state.ids import EndpointId, StoreEra, Version
+from camphoryard.state.endpoint_relay import EndpointRelay, RelayedEndpoint
+from camphoryard.state.ids import EndpointId, ObjectKey, Revision, StoreEra, Version
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.store_eras import era_of
 from camphoryard.state.traffic import TrafficRules
@@ -21,6 +24,9 @@
     in use for ``MISSING_GRACE_S``.
     An entry whose removal the watch reports is removed at once; if a restored store
     lists it again, it does not count before it is known to be there.
+
+    Changes come from the store and, in a large fleet, from the leader. Neither takes
+    the view back to an older revision.
     """
 
     def __init__(
@@ -36,6 +42,14 @@
         self._had_outage = False
         self._era: StoreEra | None = None
         self._older_rules_version: Version | None = None
+        self._lock = threading.Lock()
+        self._position = Revision(0)
+        self._watched = Revision(0)
+
+    @property
+    def position(self) -> Revision:
+        """Revision of the view; 0 before the first listing."""
+        return self._position
 
     def record_availability(self, is_answering: bool) -> None:
         """Record that the store has started or stopped answering."""
@@ -43,7 +57,53 @@
         self._log("store_regained" if is_answering else "store_lost", of="endpoints")
 
     def apply_listing(self, snapshot: Snapshot[ServingEndpoint]) -> None:
-        """Apply a listing of all endpoints."""
+        """Apply a listing of all endpoints, unless the view is newer."""
+        with self._lock:
+            self._watched = snapshot.revision
+            if snapshot.revision < self._position:
+                return
+            self._replace_all(snapshot)
+            self._position = snapshot.revision
+
+    def apply_changes(self, snapshot: Snapshot[ServingEndpoint]) -> None:
+        """Apply the changes since the last listing or changes from the store."""
+        with self._lock:
+            items = snapshot.items
+            if self._position > self._watched:
+                items = _last_of_each(items)
+            self._watched = snapshot.revision
+            if snapshot.revision < self._position:
+                return
+            for item in items:
+                self.apply_endpoint(item)
+            self._position = snapshot.revision
+
+    def apply_relay(self, relay: EndpointRelay) -> bool:
+        """Apply changes from the leader; return whether the view now contains them.
+
+        It does not if there is no view, or changes between it and the relay are
+        missing.
+        """
+        with self._lock:
+            if not self._position or relay.since > self._position:
+                return False
+            if relay.until > self._position:
+                for change in relay.changes:
+                    self._apply_relayed(change, relay.until)
+                self._position = relay.until
+            return True
+
+    def _apply_relayed(self, change: RelayedEndpoint, revision: Revision) -> None:
+        endpoint = change.endpoint
+        if endpoint is not None:
+            known = self._directory.find(change.id)
+            if known is not None:
+                endpoint = replace(endpoint, on_hand=known.on_hand)
+        elif self._directory.find(change.id) is None:
+            return
+        self.apply_endpoint(Stored(ObjectKey(change.id), Version(revision), endpoint))
+
+    def _replace_all(self, snapshot: Snapshot[ServingEndpoint]) -> None:
         era = era_of(snapshot.revision)
         is_restored = self._era is not None and era > self._era
         self._era = era
@@ -122,3 +182,10 @@
         if self._store_returned_s is None:
             return False
         return self._clock() - self._store_returned_s < MISSING_GRACE_S
+
+
+def _last_of_each(
+    items: Iterable[Stored[ServingEndpoint]],
+) -> tuple[Stored[ServingEndpoint], ...]:
+    """Return the last change of each endpoint, as the view may contain the others."""
+    return tuple({item.key: item for item in items}.values())
--- a/src/camphoryard/coordination/record_watcher.py
+++ b/src/camphoryard/coordination/record_watcher.py
@@ -55,6 +55,11 @@
     on_listing : callable or None
         Called with each complete listing; its records are then not passed to
         ``on_record``.
+    on_changes : callable or None
+        Called with the changes of each watch; they are then not passed to
+        ``on_record``.
+    max_wait_s : callable
+        Returns a further limit of ``wait_s``, asked before each watch.
     name : str
         What is watched, for the log and the metrics.
     log : callable
@@ -73,6 +78,8 @@
         batch_s: float = 0.0,
         is_due: Callable[[int], bool] = lambda period: True,
         on_listing: Callable[[Snapshot[RecordT]], None] | None = None,
+        on_changes: Callable[[Snapshot[RecordT]], None] | None = None,
+        max_wait_s: Callable[[], float] = lambda: math.inf,
         name: str = "",
         log: DecisionLog = _ignore,
     ) -> None:
@@ -85,6 +92,8 @@
         self._batch_s = batch_s
         self._is_due = is_due
         self._on_listing = on_listing
+        self._on_changes = on_changes
+        self._max_wait_s = max_wait_s
         self.name = name
         self._log = log
         self._is_answering: bool | None = None
@@ -121,15 +130,22 @@
         """
         self._sent_s = time.monotonic()
         snapshot = self._records.list()
-        if self._on_listing is not None:
-            self._on_listing(snapshot)
-        else:
-            for item in snapshot.items:
-                self._on_record(item)
+        self._pass_on(snapshot, self._on_listing)
         self._record_availability(True)
         self._confirm()
         return snapshot
 
+    def _pass_on(
+        self,
+        snapshot: Snapshot[RecordT],
+        on_all: Callable[[Snapshot[RecordT]], None] | None,
+    ) -> None:
+        if on_all is not None:
+            on_all(snapshot)
+            return
+        for item in snapshot.items:
+            self._on_record(item)
+
     def _confirm(self) -> None:
         """Record that the changes up to the sending of the last call are passed on."""
         self._confirmed_s = self._sent_s
@@ -158,9 +174,9 @@
             if not self._is_due(period):
                 continue
             self._sent_s = time.monotonic()
-            changes = self._records.watch(revision, self._wait_s)
-            for item in changes.items:
-                self._on_record(item)
+            wait_s = min(self._wait_s, self._max_wait_s())
+            changes = self._records.watch(revision, wait_s)
+            self._pass_on(changes, self._on_changes)
             self._confirm()
             revision = changes.revision
 
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -4,6 +4,7 @@
 import math
 import sys
 import threading
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -14,6 +15,8 @@
 import zmq
 
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
+from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
+from camphoryard.coordination.fleet.endpoint_roles import EndpointRole, endpoint_role
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
     Mesh,
@@ -82,9 +85,11 @@
 from camphoryard.state.leadership import LeadershipRecord, PeerKeys
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.retry_reserve import RetryReserveUse
+from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.store_eras import NewestEra
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.timeline import HybridClock
+from camphoryard.state.traffic import TrafficRules
 from camphoryard.transport.front import FrontApp
 from camphoryard.transport.http_client import Address, HttpClient
 from camphoryard.transport.log_lines import LineLog
@@ -105,6 +110,11 @@
 ENDPOINT_BATCH_DRAIN_FRACTION = 0.5
 """Maximum of the same time as a fraction of ``drain_s``, the time within which requests
 to a draining endpoint must stop."""
+RELAY_WATCHES_PER_BATCH = 6
+"""Watches of a node that passes the changes on, in the time of one batch."""
+RELAY_AGE_DRAIN_FRACTION = 0.6
+"""How old a relayed view of the endpoints may become before a node lists the store, as
+a fraction of ``drain_s``. The rest is for noticing it and for the listing."""
 MIN_WATCH_WAIT_S = 0.5
 APPLY_FRACTION = 0.75
 """Part of the time for a new configuration that a watch may take up after an outage.
@@ -203,6 +213,12 @@
     estimates = LoadEstimates(settings.node, nodes, in_flight)
     incarnation = Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
     own_keys = _make_keys()
+    relaying = EndpointRelaying(
+        incarnation,
+        feed,
+        directory,
+        settings.bounds.drain_s * RELAY_AGE_DRAIN_FRACTION,
+    )
     peers = PeerNetwork(
         settings.node, None, executors.peers, executors.handlers, HybridClock()
     )
@@ -236,6 +252,7 @@
         directory.record_unloads,
         crashed_parts,
         directory,
+        relaying=relaying,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -294,13 +311,22 @@
         log,
     )
     watchers = (
-        *_make_directory_watchers(
-            store_client, settings, log, newest_era, feed, directory
+        _make_rules_watcher(store_client, settings, log, newest_era, feed),
+        _make_endpoints_watcher(
+            store_client,
+            settings,
+            log,
+            newest_era,
+            feed,
+            relaying,
+            lambda: endpoint_role(gossip, relaying, directory),
         ),
         nodes_watcher,
     )
     for watcher in watchers:
         metrics.add_gauge(f"{watcher.name}_age_seconds", watcher.age_s)
+    # A view may also be kept up to date by the leader.
+    metrics.add_gauge("endpoints_age_seconds", directory.endpoints_age_s)
     context = ForwardingContext(
         directory,
         EndpointChooser(
@@ -365,45 +391,71 @@
             return Declined("unexpected message type for an entry daemon")
 
 
-def _make_directory_watchers(
+def _make_rules_watcher(
     client: HttpClient,
     settings: EntrySettings,
     log: LineLog,
     newest_era: NewestEra,
     feed: DirectoryFeed,
-    directory: Directory,
-) -> tuple[RecordWatcher[Any], ...]:
-    """Return the watchers that keep traffic rules and endpoints up to date."""
+) -> RecordWatcher[TrafficRules]:
+    """Return the watcher that keeps the traffic rules up to date."""
     store = Address(settings.store.host, settings.store.port)
-    rules = StoreRecords(
-        client, store, CONFIG_KIND, decode_rules, _reject_write, log, newest_era
+    return RecordWatcher(
+        StoreRecords(
+            client, store, CONFIG_KIND, decode_rules, _reject_write, log, newest_era
+        ),
+        feed.apply_rules,
+        wait_s=watch_wait_s(settings.bounds.stable_window_s)
+        + settings.bounds.apply_s * APPLY_FRACTION,
+        name="configuration",
+        log=log,
     )
-    endpoints = StoreRecords(
-        client, store, ENDPOINT_KIND, decode_endpoint, _reject_write, log, newest_era
+
+
+def _make_endpoints_watcher(
+    client: HttpClient,
+    settings: EntrySettings,
+    log: LineLog,
+    newest_era: NewestEra,
+    feed: DirectoryFeed,
+    relaying: EndpointRelaying,
+    role: Callable[[], EndpointRole],
+) -> RecordWatcher[ServingEndpoint]:
+    """Return the watcher that keeps the endpoints up to date.
+
+    A node that passes changes on fetches them several times per batch.
+    """
+    store = Address(settings.store.host, settings.store.port)
+    batch_s = min(
+        ENDPOINT_BATCH_S, settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION
     )
-    return (
-        RecordWatcher(
-            rules,
-            feed.apply_rules,
-            wait_s=watch_wait_s(settings.bounds.stable_window_s)
-            + settings.bounds.apply_s * APPLY_FRACTION,
-            name="configuration",
-            log=log,
-        ),
-        RecordWatcher(
-            endpoints,
-            feed.apply_endpoint,
-            directory.confirm_endpoints,
-            wait_s=watch_wait_s(settings.bounds.stable_window_s),
-            on_availability_change=feed.record_availability,
-            batch_s=min(
-                ENDPOINT_BATCH_S,
-                settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION,
-            ),
-            on_listing=feed.apply_listing,
-            name="endpoints",
-            log=log,
+    relay_batch_s = batch_s / RELAY_WATCHES_PER_BATCH
+
+    def relays() -> bool:
+        return role() is EndpointRole.RELAYS
+
+    return RecordWatcher(
+        StoreRecords(
+            client,
+            store,
+            ENDPOINT_KIND,
+            decode_endpoint,
+            _reject_write,
+            log,
+            newest_era,
         ),
+        feed.apply_endpoint,
+        relaying.confirm,
+        is_elected=lambda: role() is not EndpointRole.FOLLOWS,
+        wait_s=watch_wait_s(settings.bounds.stable_window_s),
+        on_availability_change=feed.record_availability,
+        batch_s=relay_batch_s,
+        is_due=lambda period: period % RELAY_WATCHES_PER_BATCH == 0 or relays(),
+        on_listing=relaying.apply_listing,
+        on_changes=relaying.apply_changes,
+        max_wait_s=lambda: relay_batch_s if relays() else math.inf,
+        name="endpoints",
+        log=log,
     )
 
 
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -44,6 +44,7 @@
     decode_configuration,
     encode_configuration,
 )
+from camphoryard.protocol.relay_form import RelayForm, read_relay, relay_form
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.enums import NodeState
@@ -59,6 +60,7 @@
     ObjectKey,
     PromptPartId,
     RequestId,
+    Revision,
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
@@ -131,6 +133,8 @@
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = {}
     quarantine_ms_by_parts: Mapping[str, int] = {}
     leaving_by_endpoint: Mapping[EndpointId, int] = {}
+    endpoints_revision: Revision = Revision(0)
+    relay: RelayForm | None = None
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -294,6 +298,8 @@
                 for parts, left_s in heard.digest.quarantine_s_by_parts.items()
             },
             heard.digest.leaving_by_endpoint,
+            heard.digest.endpoints_revision,
+            relay_form(heard.digest.relay),
         )
         for heard in digests
     )
@@ -347,6 +353,8 @@
                     for text, left_ms in item.quarantine_ms_by_parts.items()
                 },
                 item.leaving_by_endpoint,
+                item.endpoints_revision,
+                read_relay(item.relay),
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/directory.py
+++ b/src/camphoryard/state/directory.py
@@ -95,7 +95,7 @@
         their time is over.
         """
         with self._changed:
-            self._confirmed_s = at_s
+            self._confirmed_s = max(self._confirmed_s, at_s)
             released = [
                 item for item in self._held_by_id.values() if item.until_s <= at_s
             ]
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from camphoryard.state.demand import ItemDemand
+from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     ABSENT,
@@ -18,6 +19,7 @@
     ModelId,
     NodeId,
     PromptPartId,
+    Revision,
     Version,
     WriteId,
     Zone,
@@ -69,7 +71,9 @@
     are the models that a leader is having unloaded, which take no more requests.
     ``quarantine_s_by_parts`` are the sets of parts of prompts that are refused if they
     come together, with the time left in seconds. ``leaving_by_endpoint`` are the listed
-    endpoints that say they leave, with the time of their start.
+    endpoints that say they leave, with the time of their start. ``endpoints_revision``
+    is that of the node's view of the endpoints, ``relay`` what the receiver's view
+    lacks.
     """
 
     node: NodeId
@@ -88,6 +92,8 @@
         default_factory=dict
     )
     leaving_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
+    endpoints_revision: Revision = Revision(0)
+    relay: EndpointRelay | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -13,6 +13,7 @@
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.directory import Directory
+from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId, FencingNumber, NodeId
 from camphoryard.state.nodes import NodeLease, NodeTable
@@ -27,8 +28,9 @@
 class Fleet:
     """Nodes whose messages are delivered at once."""
 
-    def __init__(self, size):
+    def __init__(self, size, make_relaying=lambda: None):
         self.clock = Clock()
+        self.make_relaying = make_relaying
         self.sent = []
         self.node_by_id = {}
         for number in range(size):
@@ -61,6 +63,7 @@
         self.demand = DemandMeter()
         self.crashed_parts = CrashedParts(RecordedLog())
         self.directory = Directory()
+        self.relaying = fleet.make_relaying()
         self.gossip = FleetGossip(
             name,
             f"i-{name}",
@@ -75,6 +78,7 @@
             self.crashed_parts,
             self.directory,
             fleet.clock,
+            self.relaying,
         )
 
 
@@ -94,6 +98,44 @@
     return fleet
 
 
+class Relaying:
+    """Records what a node's gossip asks of the relays of endpoints."""
+
+    def __init__(self):
+        self.position, self.sent, self.received = 7, [], []
+
+    def record_sent(self, beat):
+        """Record a report to the leader."""
+        self.sent.append(beat)
+
+    def relay_for(self, node, digest):
+        """Return what a node lacks by its last digest."""
+        position = digest.endpoints_revision if digest else 0
+        return EndpointRelay(position, 9, (), f"i-{node}", 1)
+
+    def receive(self, digest):
+        """Record a digest."""
+        self.received.append(digest.relay)
+
+
+class TestRelays:
+    """Changes of endpoints travel with the digests of the leader of a star."""
+
+    @pytest.mark.parametrize(("size", "position"), [(SMALL, None), (LARGE, 7)])
+    def test_only_a_star_relays(self, size, position):
+        """Each node is told what it lacks by its last report."""
+        fleet = Fleet(size, Relaying)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        follower = fleet.node_by_id["n5"].relaying
+        relays = [relay for relay in follower.received if relay]
+        assert [relay.since for relay in relays[-1:]] == (
+            [position] if position else []
+        )
+        assert bool(follower.sent) == bool(position)
+        assert fleet.node_by_id["n0"].relaying.sent == []
+
+
 class TestFleetGossip:
     """Spread of load and leadership."""
 
--- a/tests/coordination/forwarding/test_feeding.py
+++ b/tests/coordination/forwarding/test_feeding.py
@@ -3,6 +3,7 @@
 from camphoryard.coordination.forwarding.feeding import DirectoryFeed
 from camphoryard.coordination.ports import Snapshot, Stored
 from camphoryard.state.directory import MISSING_GRACE_S, Directory
+from camphoryard.state.endpoint_relay import EndpointRelay, RelayedEndpoint
 from camphoryard.state.ids import ObjectKey, StoreEra, Version
 from camphoryard.state.serving_endpoints import EndpointState
 from camphoryard.state.store_eras import revision_in, version_in
@@ -44,6 +45,59 @@
         return sorted(item.id for item in self.directory.ready(SERVICE))
 
 
+class TestRelays:
+    """Changes that the leader passes on, beside calls to the store."""
+
+    @staticmethod
+    def relay(since, until, **endpoints):
+        """Return a relay of changes."""
+        changes = tuple(RelayedEndpoint(id, item) for id, item in endpoints.items())
+        return EndpointRelay(since, until, changes, "i", 1)
+
+    @staticmethod
+    def answer(revision, **endpoints):
+        """Return an answer of the store."""
+        items = (Stored(id, revision, item) for id, item in endpoints.items())
+        return Snapshot(revision, tuple(items))
+
+    def test_listing_that_was_overtaken_brings_nothing_back(self):
+        """It was on its way while a relay removed an endpoint."""
+        feed = Feed()
+        feed.list("e1", "e2")
+        assert feed.feed.apply_relay(self.relay(1, 9, e2=None))
+        feed.list("e1", "e2")
+        assert (feed.ready(), feed.feed.position) == (["e1"], 9)
+
+    def test_changes_that_were_overtaken_bring_nothing_back(self):
+        """Nor do those that only end after the relay."""
+        feed = Feed()
+        feed.list("e1")
+        feed.feed.apply_relay(self.relay(1, 9, e1=None))
+        feed.feed.apply_changes(self.answer(8, e1=make_endpoint("e1")))
+        assert feed.ready() == []
+        both = self.answer(10, e1=make_endpoint("e1"))
+        gone = self.answer(10, e1=None)
+        feed.feed.apply_changes(Snapshot(10, both.items + gone.items))
+        assert (feed.ready(), feed.feed.position) == ([], 10)
+        seen = [event for event, _ in feed.log.lines if event == "endpoint_seen"]
+        assert seen == []
+
+    def test_relay_after_a_gap_is_not_applied(self):
+        """What is between is not known."""
+        feed = Feed()
+        feed.list("e1")
+        assert not feed.feed.apply_relay(self.relay(2, 9, e1=None))
+        assert feed.ready() == ["e1"]
+
+    def test_relay_of_an_older_view_changes_nothing(self):
+        """But the view contains all that it tells."""
+        feed = Feed()
+        feed.list("e1")
+        feed.feed.apply_changes(self.answer(9))
+        assert feed.feed.apply_relay(self.relay(1, 5, e1=None))
+        assert feed.ready() == ["e1"]
+
+
 class TestDirectoryFeed:
     """Listings, changes and outages."""
 
--- a/tests/coordination/test_record_watcher.py
+++ b/tests/coordination/test_record_watcher.py
@@ -75,6 +75,22 @@
         assert records.calls[1:3] == [("watch", 3, 7.0), ("watch", 5, 7.0)]
         assert len(confirmed) == 3
 
+    def test_changes_are_passed_on_whole_if_wanted(self):
+        """With their revision, and after a wait that is bounded for the time being."""
+        records = ScriptedRecords(snapshot(3, "a"), snapshot(5, "b", "c"))
+        received, single = [], []
+        RecordWatcher(
+            records,
+            single.append,
+            wait_s=7.0,
+            on_listing=received.append,
+            on_changes=received.append,
+            max_wait_s=lambda: 0.5,
+        ).run(ScriptedTimer(1))
+        assert received == [snapshot(3, "a"), snapshot(5, "b", "c")]
+        assert single == []
+        assert records.calls[1] == ("watch", 3, 0.5)
+
     def test_lists_again_after_a_compacted_revision(self):
         """If the revision is too old to watch from, a new listing misses nothing."""
         records = ScriptedRecords(
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -1,5 +1,7 @@
 """Tests of messages between nodes as frames."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.messages import (
@@ -22,6 +24,7 @@
     decode_envelope,
     encode_envelope,
 )
+from camphoryard.state.endpoint_relay import EndpointRelay, RelayedEndpoint
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.refusals import RefusalCount, RefusalCounts, RefusalKey
@@ -44,6 +47,12 @@
     leaving_by_endpoint={"e": 1_700_000_000_000},
 )
 
+RELAYING_DIGEST = replace(
+    LEADER_DIGEST,
+    endpoints_revision=12,
+    relay=EndpointRelay(11, 12, (RelayedEndpoint("e", None),), "i", 6),
+)
+
 
 class TestEnvelope:
     """Round trips of messages and replies."""
@@ -62,6 +71,7 @@
             Declined("busy"),
             Done(),
             Gossip(3, (DigestWithAge(LEADER_DIGEST, 0.25),)),
+            Gossip(3, (DigestWithAge(RELAYING_DIGEST, 0.25),)),
         ],
         ids=lambda content: type(content).__name__,
     )
