--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -47,6 +47,7 @@
     decode_configuration,
     encode_configuration,
 )
+from camphoryard.protocol.relay_form import RelayForm, read_relay, relay_form
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.enums import NodeState
@@ -63,6 +64,7 @@
     ObjectKey,
     PromptPartId,
     RequestId,
+    Revision,
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
@@ -153,6 +155,8 @@
     leaving_by_endpoint: Mapping[EndpointId, int] = {}
     quota_report: _QuotaReportForm | None = None
     quota_renewal: _QuotaRenewalForm | None = None
+    endpoints_revision: Revision = Revision(0)
+    relay: RelayForm | None = None
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -321,6 +325,8 @@
             heard.digest.leaving_by_endpoint,
             _quota_report_form(heard.digest.quota_report),
             _quota_renewal_form(heard.digest.quota_renewal),
+            heard.digest.endpoints_revision,
+            relay_form(heard.digest.relay),
         )
         for heard in digests
     )
@@ -400,6 +406,8 @@
                 item.leaving_by_endpoint,
                 _quota_report(item.quota_report),
                 _quota_renewal(item.quota_renewal),
+                item.endpoints_revision,
+                read_relay(item.relay),
             ),
             _to_s(item.age_ms),
         )
