--- /dev/null
+++ b/src/camphoryard/coordination/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch of requests to model engines by one node for the whole fleet."""
--- /dev/null
+++ b/src/camphoryard/coordination/dispatch/reading_speed.py
@@ -0,0 +1,196 @@
+"""How fast engines read prompts, learned from the times to first events.
+
+The time to the first event of a request with nothing ahead of it is taken as
+``slowness * (fixed_s + tokens * token_s)``. All engines of a service share ``fixed_s``
+and ``token_s``; the slowness is the product of a factor of the engine and one of the
+model, held as logarithms.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+from camphoryard.state.ids import EndpointId, ModelId
+
+INITIAL_TOKEN_S = 1e-4
+INITIAL_FIXED_S = 0.06
+MIN_FIXED_S = 0.005
+MIN_TOKEN_S = 1e-6
+INITIAL_WEIGHT = 4.0
+"""Samples that each of the initial values counts for."""
+INITIAL_TOKENS = 2000.0
+"""Where the initial line has its second point, besides 0 tokens."""
+SHARED_DECAY = 0.995
+"""Weight that the samples so far keep with each new one in the shared line."""
+MAX_LOG_RATIO = 2.5
+"""Bound of one sample's ratio to what was expected, as a logarithm."""
+CLEARLY_SLOWER_LOG = 0.25
+SLOWING_GAIN = 0.7
+RECOVERING_GAIN = 0.08
+MODEL_GAIN = 0.03
+RECENT_SAMPLES = 3
+"""Their median counts, so one odd sample does not."""
+FORGETTING_S = 60.0
+"""Time constant with which an engine without samples is taken for an average one."""
+
+
+@dataclass(frozen=True, slots=True)
+class Slowness:
+    """Slowness of an engine and of a model as logarithms; 0 is the average."""
+
+    engine_log: float
+    model_log: float
+
+    @property
+    def factor(self) -> float:
+        """Time that the engine takes for the model, relative to the average."""
+        return math.exp(self.engine_log + self.model_log)
+
+
+@dataclass(slots=True)
+class _Engine:
+    """Estimate of one engine, and the latest samples of it."""
+
+    slowness_log: float = 0.0
+    sampled_s: float = 0.0
+    recent_logs: deque[float] = field(
+        default_factory=lambda: deque(maxlen=RECENT_SAMPLES)
+    )
+
+    def slowness_log_at(self, now_s: float) -> float:
+        """Return the estimate, which fades without samples."""
+        return self.slowness_log * math.exp((self.sampled_s - now_s) / FORGETTING_S)
+
+    def record(self, sample_log: float, now_s: float) -> None:
+        """Follow the median of the latest samples; a clear slowdown at once."""
+        before = self.slowness_log_at(now_s)
+        self.recent_logs.append(sample_log)
+        change = _lower_median(self.recent_logs) - before
+        gain = SLOWING_GAIN if change > CLEARLY_SLOWER_LOG else RECOVERING_GAIN
+        self.slowness_log = before + gain * change
+        self.sampled_s = now_s
+
+
+@dataclass(slots=True)
+class _Model:
+    """Estimate of one model over all engines."""
+
+    slowness_log: float = 0.0
+    samples: int = 0
+
+    def record(self, sample_log: float) -> None:
+        """Follow the mean of the samples, the first of them at once."""
+        self.samples += 1
+        gain = max(MODEL_GAIN, 1.0 / (self.samples + 1))
+        self.slowness_log += gain * (sample_log - self.slowness_log)
+
+
+@dataclass(slots=True)
+class _SharedLine:
+    """Time to the first event over tokens: a line fitted to the latest samples."""
+
+    weight: float = 0.0
+    tokens: float = 0.0
+    time_s: float = 0.0
+    tokens_squared: float = 0.0
+    tokens_time: float = 0.0
+    token_s: float = INITIAL_TOKEN_S
+    fixed_s: float = INITIAL_FIXED_S
+
+    def record(self, tokens: float, time_s: float) -> None:
+        """Fit the line to one more sample, of average slowness."""
+        for name in ("weight", "tokens", "time_s", "tokens_squared", "tokens_time"):
+            setattr(self, name, getattr(self, name) * SHARED_DECAY)
+        self.weight += 1.0
+        self.tokens += tokens
+        self.time_s += time_s
+        self.tokens_squared += tokens * tokens
+        self.tokens_time += tokens * time_s
+        self._fit()
+
+    def _fit(self) -> None:
+        """Solve the normal equations, which the initial line keeps regular."""
+        end_s = INITIAL_FIXED_S + INITIAL_TOKENS * INITIAL_TOKEN_S
+        weight = self.weight + 2 * INITIAL_WEIGHT
+        mean_tokens = (self.tokens + INITIAL_WEIGHT * INITIAL_TOKENS) / weight
+        mean_s = (self.time_s + INITIAL_WEIGHT * (INITIAL_FIXED_S + end_s)) / weight
+        squared = self.tokens_squared + INITIAL_WEIGHT * INITIAL_TOKENS**2
+        product = self.tokens_time + INITIAL_WEIGHT * INITIAL_TOKENS * end_s
+        spread = squared - weight * mean_tokens**2
+        slope = (product - weight * mean_tokens * mean_s) / spread
+        self.token_s = max(MIN_TOKEN_S, slope)
+        self.fixed_s = max(MIN_FIXED_S, mean_s - self.token_s * mean_tokens)
+
+
+class ReadingSpeeds:
+    """Reading speeds of a service's engines, by engine and model."""
+
+    def __init__(self) -> None:
+        self._line = _SharedLine()
+        self._engine_by_id: dict[EndpointId, _Engine] = {}
+        self._model_by_id: dict[ModelId, _Model] = {}
+
+    @property
+    def token_s(self) -> float:
+        """Seconds to read a token at average slowness."""
+        return self._line.token_s
+
+    @property
+    def fixed_s(self) -> float:
+        """Seconds from the last token read to the first event, at average slowness."""
+        return self._line.fixed_s
+
+    def slowness(self, endpoint: EndpointId, model: ModelId, now_s: float) -> Slowness:
+        """Return how slow an engine is with a model; unknown ones are average."""
+        engine = self._engine_by_id.get(endpoint)
+        known = self._model_by_id.get(model)
+        return Slowness(
+            engine.slowness_log_at(now_s) if engine else 0.0,
+            known.slowness_log if known else 0.0,
+        )
+
+    def record(
+        self,
+        endpoint: EndpointId,
+        model: ModelId,
+        before: Slowness,
+        ratio: float,
+        now_s: float,
+    ) -> None:
+        """Learn from a first event that took ``ratio`` times what was expected.
+
+        Parameters
+        ----------
+        endpoint, model
+            Where the request ran.
+        before : Slowness
+            What the expectation was based on.
+        ratio : float
+            Time to the first event, relative to the expected time; above 0.
+        now_s : float
+            Time of the clock, in seconds.
+        """
+        log = max(-MAX_LOG_RATIO, min(MAX_LOG_RATIO, math.log(ratio)))
+        known = self._model_by_id.setdefault(model, _Model())
+        previous = known.slowness_log
+        known.record(before.model_log + log)
+        engine = self._engine_by_id.setdefault(endpoint, _Engine(sampled_s=now_s))
+        learned = known.slowness_log - previous
+        engine.record(before.engine_log + log - learned, now_s)
+
+    def record_alone(self, before: Slowness, tokens: int, time_s: float) -> None:
+        """Learn from a first event that came after ``time_s`` with nothing ahead."""
+        expected_s = self.fixed_s + tokens * self.token_s
+        normal_s = time_s / before.factor
+        bound = math.exp(CLEARLY_SLOWER_LOG)
+        normal_s = min(bound * expected_s, max(expected_s / bound, normal_s))
+        self._line.record(tokens, normal_s)
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Forget an engine that is gone or has restarted."""
+        self._engine_by_id.pop(endpoint, None)
+
+
+def _lower_median(values: deque[float]) -> float:
+    """Return the middle value, the lower one of two."""
+    return sorted(values)[(len(values) - 1) // 2]
