--- a/src/camphoryard/coordination/dispatch/engine_ledger.py
+++ b/src/camphoryard/coordination/dispatch/engine_ledger.py
@@ -40,7 +40,9 @@
 STALL_S = 0.3
 STALL_FACTOR = 2.0
 """An engine stalls if a first event is later than ``STALL_FACTOR`` times its expected
-time and ``STALL_S``."""
+time, ``STALL_S``, and the time that notes of first events take."""
+NOTE_LAG_GAIN = 0.02
+"""How much of a shorter time a note changes the estimate; a longer one replaces it."""
 READING_LOAD_S = 0.3
 """Reading ahead of a request that counts as a full load."""
 MIN_TIME_S = 1e-3
@@ -150,12 +152,15 @@
             return True
         return any(run.read_s <= now_s for run in self.waiting_by_ticket.values())
 
-    def stalled_s(self, now_s: float) -> float:
-        """Return for how long the oldest first event is awaited, if it is overdue."""
+    def stalled_s(self, now_s: float, note_lag_s: float) -> float:
+        """Return for how long the oldest first event is awaited, if it is overdue.
+
+        Notes of first events take up to ``note_lag_s``.
+        """
         oldest = next(iter(self.waiting_by_ticket.values()), None)
         if oldest is None or oldest.sent_s <= self.seen_sent_s:
             return 0.0
-        waited_s = now_s - oldest.sent_s
+        waited_s = now_s - oldest.sent_s - note_lag_s
         is_overdue = waited_s > STALL_FACTOR * oldest.expected_s + STALL_S
         return waited_s if is_overdue else 0.0
 
@@ -236,6 +241,7 @@
         self._speeds_by_service: dict[ServiceId, ReadingSpeeds] = {}
         self._run_by_ticket: dict[TicketId, _Run] = {}
         self._lapses: list[tuple[float, TicketId]] = []
+        self._note_lag_s = 0.0
         self._tokens_by_owner: Counter[Owner] = Counter()
 
     def outlook(
@@ -250,7 +256,7 @@
         reading_s = factor * unread * speeds.token_s
         event_s = factor * speeds.fixed_s
         line_s = state.line_s(now_s)
-        stalled_s = state.stalled_s(now_s)
+        stalled_s = state.stalled_s(now_s, self._note_lag_s)
         pause_s = 0.0
         if state.has_streams(now_s):
             pause_s = event_s + _reading_in_event_s(
@@ -309,8 +315,8 @@
     def record(self, progress: Progress) -> None:
         """Record a first event or an end; those of runs not in hand are ignored.
 
-        First events are to be recorded within some tenths of a second: an engine
-        whose first events are overdue is taken to stall.
+        The sooner first events are recorded, the sooner an engine that stalls is
+        noticed.
         """
         now_s = self._advance()
         run = self._run_by_ticket.get(progress.ticket)
@@ -358,6 +364,10 @@
         speeds = self._speeds(state.service)
         after_s = max(MIN_TIME_S, after_s)
         seen_s = min(now_s, run.sent_s + after_s)
+        lag_s = now_s - seen_s
+        self._note_lag_s += (lag_s - self._note_lag_s) * (
+            1.0 if lag_s > self._note_lag_s else NOTE_LAG_GAIN
+        )
         later_s = _later_reading_s(state, run, seen_s)
         ratio = _ratio(after_s, run.expected_s, run.expected_s + later_s)
         if run.had_place:
