Weigh copies of models by the speed of their engines

A copy counted as the same capacity at every engine, so a model's only copy could stay at an engine of 0.6 times the usual speed while fast ones had room.

--- a/src/camphoryard/coordination/dispatch/engine_ledger.py
+++ b/src/camphoryard/coordination/dispatch/engine_ledger.py
@@ -343,6 +343,17 @@
             else:
                 state.kept.retain_models(endpoint.loaded_by_model.keys())
 
+    def speed_by_engine(self) -> Mapping[EndpointId, float]:
+        """Return the speeds of engines, relative to the median of their service.
+
+        Slow to change, for the placement of models; unknown engines are left out.
+        """
+        return {
+            endpoint: speed
+            for speeds in self._speeds_by_service.values()
+            for endpoint, speed in speeds.steady_speed_by_engine().items()
+        }
+
     def earliest_change_s(self, endpoint: EndpointId) -> float:
         """Return in how many seconds the next of the prompts in line is read.
 
--- a/src/camphoryard/coordination/dispatch/reading_speed.py
+++ b/src/camphoryard/coordination/dispatch/reading_speed.py
@@ -7,7 +7,9 @@
 """
 
 import math
+import statistics
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from camphoryard.state.ids import EndpointId, ModelId
@@ -30,6 +32,10 @@
 MODEL_GAIN = 0.03
 RECENT_SAMPLES = 3
 """Their median counts, so one odd sample does not."""
+STEADY_GAIN = 0.02
+STEADY_SAMPLES = 30
+"""Samples after which an engine's steady speed is known."""
+MAX_STEADY_SPEED = 2.5
 FORGETTING_S = 60.0
 """Time constant with which an engine without samples is taken for an average one."""
 
@@ -49,9 +55,14 @@
 
 @dataclass(slots=True)
 class _Engine:
-    """Estimate of one engine, and the latest samples of it."""
+    """Estimate of one engine, and the latest samples of it.
+
+    ``steady_log`` is the mean of the samples of the last tens of seconds.
+    """
 
     slowness_log: float = 0.0
+    steady_log: float = 0.0
+    samples: int = 0
     sampled_s: float = 0.0
     recent_logs: deque[float] = field(
         default_factory=lambda: deque(maxlen=RECENT_SAMPLES)
@@ -69,6 +80,9 @@
         gain = SLOWING_GAIN if change > CLEARLY_SLOWER_LOG else RECOVERING_GAIN
         self.slowness_log = before + gain * change
         self.sampled_s = now_s
+        self.samples += 1
+        steady_gain = max(STEADY_GAIN, 1.0 / self.samples)
+        self.steady_log += steady_gain * (sample_log - self.steady_log)
 
 
 @dataclass(slots=True)
@@ -186,6 +200,25 @@
         normal_s = min(bound * expected_s, max(expected_s / bound, normal_s))
         self._line.record(tokens, normal_s)
 
+    def steady_speed_by_engine(self) -> Mapping[EndpointId, float]:
+        """Return the speeds of engines over some time, relative to their median.
+
+        Engines with few samples are left out.
+        """
+        log_by_id = {
+            id: engine.steady_log
+            for id, engine in self._engine_by_id.items()
+            if engine.samples >= STEADY_SAMPLES
+        }
+        if not log_by_id:
+            return {}
+        median = statistics.median(log_by_id.values())
+        speed_by_id = {id: math.exp(median - log) for id, log in log_by_id.items()}
+        return {
+            id: min(MAX_STEADY_SPEED, max(1.0 / MAX_STEADY_SPEED, speed))
+            for id, speed in speed_by_id.items()
+        }
+
     def forget(self, endpoint: EndpointId) -> None:
         """Forget an engine that is gone or has restarted."""
         self._engine_by_id.pop(endpoint, None)
--- a/src/camphoryard/coordination/loading/coverage.py
+++ b/src/camphoryard/coordination/loading/coverage.py
@@ -1,9 +1,9 @@
 """Which copies of models to load and evict: decisions without I/O.
 
 A copy of a model serves up to ``copy_capacity_slots`` concurrent requests before
-first tokens are late. The value of a copy is the demand, in slots (concurrent
-requests), that would exceed the capacity of the remaining copies without it. A move
-unloads models at one engine and then loads another one there.
+first tokens are late, times the speed of its engine. The value of a copy is the demand,
+in slots (concurrent requests), that would exceed the capacity of the remaining copies
+without it. A move unloads models at one engine and then loads another one there.
 """
 
 import math
@@ -21,7 +21,7 @@
     Parameters
     ----------
     copy_capacity_slots : float
-        Concurrent requests that one copy serves without delay.
+        Concurrent requests that one copy at an engine of speed 1 serves without delay.
     move_cost_slots_per_s : float
         Demand that must justify each second of a move, because the engine accepts no
         other move meanwhile.
@@ -75,6 +75,7 @@
     ``pinned`` are models that may not be unloaded now, ``local_models`` those that load
     without the weight store. An engine that ``is_busy`` accepts no order now.
     ``adapter_demand_slots`` is its share of the demand for adapters of its models.
+    ``speed`` is relative to the service's other engines, 1 if it is not known.
     """
 
     id: EndpointId
@@ -84,6 +85,7 @@
     local_models: frozenset[ModelId] = frozenset()
     is_busy: bool = False
     adapter_demand_slots: float = 0.0
+    speed: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +93,8 @@
     """All engines of a service, its models, and the demand for them in slots.
 
     ``steady_by_model`` is the longer-term demand, to which the demand of a burst
-    returns; a model that is not in it has no bursts.
+    returns; a model that is not in it has no bursts. ``speed_by_model`` is the sum of
+    the speeds of the engines that have a copy.
     """
 
     engines: Sequence[EngineView]
@@ -99,13 +102,17 @@
     spec_by_model: Mapping[ModelId, ModelSpec]
     steady_by_model: Mapping[ModelId, float] = field(default_factory=dict)
     copies_by_model: Mapping[ModelId, int] = field(init=False)
+    speed_by_model: Mapping[ModelId, float] = field(init=False)
 
     def __post_init__(self) -> None:
         copies: dict[ModelId, int] = {}
+        speeds: dict[ModelId, float] = {}
         for engine in self.engines:
             for model in engine.committed_mb_by_model:
                 copies[model] = copies.get(model, 0) + 1
+                speeds[model] = speeds.get(model, 0.0) + engine.speed
         object.__setattr__(self, "copies_by_model", copies)
+        object.__setattr__(self, "speed_by_model", speeds)
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,9 +125,11 @@
     from_store: bool
 
 
-def value_slots(policy: CoveragePolicy, demand_slots: float, copies: int) -> float:
+def value_slots(policy: CoveragePolicy, demand_slots: float, copies: float) -> float:
     """Return the value of ``copies`` of a model, in slots of demand.
 
+    Each copy counts as the speed of its engine.
+
     Examples
     --------
     >>> policy = CoveragePolicy(copy_capacity_slots=10.0, spare_copy_weight=0.0)
@@ -133,38 +142,56 @@
     return covered - policy.spare_copy_weight * demand_slots / copies
 
 
-def copy_value(policy: CoveragePolicy, view: FleetView, model: ModelId) -> float:
-    """Return the value that the loss of one copy of ``model`` would cost, in slots."""
+def copy_value(
+    policy: CoveragePolicy, view: FleetView, model: ModelId, speed: float = 1.0
+) -> float:
+    """Return the value that the loss of one copy of ``model`` would cost, in slots.
+
+    ``speed`` is that of the engine that would lose it.
+    """
     demand = view.demand_by_model.get(model, 0.0)
-    copies = view.copies_by_model.get(model, 0)
-    with_copy = value_slots(policy, demand, copies)
-    without_copy = value_slots(policy, demand, copies - 1) if copies > 1 else 0.0
+    speeds = view.speed_by_model.get(model, 0.0)
+    is_last = view.copies_by_model.get(model, 0) <= 1
+    with_copy = value_slots(policy, demand, speeds)
+    without_copy = 0.0 if is_last else value_slots(policy, demand, speeds - speed)
     return max(0.0, with_copy - without_copy)
 
 
 def next_copy_value(policy: CoveragePolicy, view: FleetView, model: ModelId) -> float:
-    """Return the value that one more copy of ``model`` would add, in slots."""
+    """Return the value that one more copy of ``model`` would add, in slots.
+
+    The copy is at an engine of speed 1.
+    """
     return _gain(policy, view, model, view.demand_by_model.get(model, 0.0))
 
 
 def delayed_copy_value(
-    policy: CoveragePolicy, view: FleetView, model: ModelId, delay_s: float
+    policy: CoveragePolicy,
+    view: FleetView,
+    model: ModelId,
+    delay_s: float,
+    speed: float = 1.0,
 ) -> float:
     """Return the value that a copy of ``model`` loaded after ``delay_s`` would add.
 
-    Part of a burst is over by then.
+    Part of a burst is over by then. ``speed`` is that of the copy's engine.
     """
     now = view.demand_by_model.get(model, 0.0)
     steady = min(now, view.steady_by_model.get(model, now))
     remaining = math.exp(-delay_s / policy.burst_decay_s)
-    return _gain(policy, view, model, steady + remaining * (now - steady))
+    return _gain(policy, view, model, steady + remaining * (now - steady), speed)
 
 
 def _gain(
-    policy: CoveragePolicy, view: FleetView, model: ModelId, demand: float
+    policy: CoveragePolicy,
+    view: FleetView,
+    model: ModelId,
+    demand: float,
+    speed: float = 1.0,
 ) -> float:
-    copies = view.copies_by_model.get(model, 0)
-    return value_slots(policy, demand, copies + 1) - value_slots(policy, demand, copies)
+    speeds = view.speed_by_model.get(model, 0.0)
+    with_copy = value_slots(policy, demand, speeds + speed)
+    return with_copy - value_slots(policy, demand, speeds)
 
 
 def first_copy_value(
@@ -250,7 +277,7 @@
     missing_mb = spec.memory_mb - engine.free_mb
     evicted: list[ModelId] = []
     candidates = sorted(
-        (copy_value(policy, view, item), item)
+        (copy_value(policy, view, item, engine.speed), item)
         for item in engine.committed_mb_by_model
         if item not in engine.pinned
     )
@@ -269,17 +296,22 @@
 def _cost(
     policy: CoveragePolicy, view: FleetView, engine: EngineView, move: LoadMove
 ) -> float:
-    """Return the cost of a move in slots: evicted copies, occupied engine and delay."""
+    """Return the cost of a move in slots: evicted copies, occupied engine and delay.
+
+    The delay costs less at a fast engine, whose copy gains more.
+    """
     spec = view.spec_by_model[move.model]
     duration_s = spec.load_s if move.from_store else spec.disk_load_s
     duration_s += max(
         (_unload_s(policy, view, item) for item in move.evicted), default=0.0
     )
-    gain = delayed_copy_value(policy, view, move.model, duration_s)
+    gain = delayed_copy_value(policy, view, move.model, duration_s, engine.speed)
     cost_per_s = policy.move_cost_slots_per_s
     cost_per_s += policy.adapter_cost_share * engine.adapter_demand_slots
     cost_per_s += policy.delay_cost_share * gain
-    displaced = sum(copy_value(policy, view, item) for item in move.evicted)
+    displaced = sum(
+        copy_value(policy, view, item, engine.speed) for item in move.evicted
+    )
     lost_gain = next_copy_value(policy, view, move.model) - gain
     return displaced + lost_gain + cost_per_s * duration_s
 
--- a/src/camphoryard/coordination/loading/load_controller.py
+++ b/src/camphoryard/coordination/loading/load_controller.py
@@ -92,7 +92,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadControlContext:
-    """Collaborators of a LoadController; ``demand`` is that of all nodes."""
+    """Collaborators of a LoadController; ``demand`` is that of all nodes.
+
+    ``speed_by_engine`` gives the speeds of engines that are known, relative to the
+    other engines of their service.
+    """
 
     node: NodeId
     directory: Directory
@@ -107,6 +111,7 @@
     load_limits: LoadLimits = LoadLimits()
     policy: CoveragePolicy = CoveragePolicy()
     clock: Callable[[], float] = time.monotonic
+    speed_by_engine: Callable[[], Mapping[EndpointId, float]] = dict
 
 
 class LoadController:
@@ -337,6 +342,7 @@
             requested = frozenset(self._load_request_by_model)
         demand = self._context.demand()
         adapter_demand = adapter_demand_by_model(engines, demand)
+        speed_by_engine = self._context.speed_by_engine()
         views = tuple(
             EngineView(
                 engine.endpoint.id,
@@ -346,6 +352,7 @@
                 engine.endpoint.on_hand,
                 engine.endpoint.id in busy_engines or not engine.accepts_moves,
                 sum(adapter_demand.get(model, 0.0) for model in engine.models),
+                speed_by_engine.get(engine.endpoint.id, 1.0),
             )
             for engine in engines
         )
--- a/tests/coordination/dispatch/test_reading_speed.py
+++ b/tests/coordination/dispatch/test_reading_speed.py
@@ -56,6 +56,8 @@
                 true_s = slowness * (FIXED_S + tokens * TOKEN_S)
                 expected_s = readings.expected_s(engine, tokens)
                 assert expected_s == pytest.approx(true_s, rel=0.25)
+        speeds = readings.speeds.steady_speed_by_engine()
+        assert speeds == pytest.approx({"e0.6": 0.6, "e1.0": 1.0, "e1.6": 1.6}, rel=0.2)
 
     def test_learns_a_larger_model_for_all_engines(self):
         """A model that one engine reads slowly is expected to be slow at another."""
--- a/tests/coordination/loading/test_coverage.py
+++ b/tests/coordination/loading/test_coverage.py
@@ -56,6 +56,36 @@
         assert second <= first + 1e-9
 
 
+def with_speeds(view, *speeds):
+    """Return a view of the same engines at other speeds."""
+    pairs = zip(view.engines, speeds, strict=True)
+    engines = [replace(engine, speed=speed) for engine, speed in pairs]
+    return FleetView(engines, view.demand_by_model, view.spec_by_model)
+
+
+class TestUnevenEngines:
+    """Copies of models at engines of several speeds."""
+
+    def test_only_copy_at_a_slow_engine_gets_one_at_the_fastest(self):
+        """Three slots of demand need a further copy only where the first is slow."""
+        view = make_view(
+            {"slow": ["hot"], "mid": [], "fast": []}, {"hot": 3}, local_models=["hot"]
+        )
+        assert plan_copies(POLICY, view) is None
+        move = plan_copies(POLICY, with_speeds(view, 0.5, 1.0, 1.6))
+        assert move is not None
+        assert (move.engine, move.model) == ("fast", "hot")
+
+    def test_slow_copy_is_evicted_before_a_fast_one(self):
+        """Two engines are full of copies of one model; the slow one makes room."""
+        view = make_view(
+            {"fast": ["hot", "x"], "slow": ["hot", "x"]}, {"hot": 12, "x": 12, "new": 9}
+        )
+        found = best_load(POLICY, with_speeds(view, 1.6, 0.6), ModelId("new"))
+        assert found is not None
+        assert found[0].engine == "slow"
+
+
 class TestBestLoad:
     """Where a model is loaded, and which models are evicted for it."""
 
