Tell the queue when an event has ended after the last prompt was read

Reading of the event before counts in a pause, so room returns a little after the line is empty, and the queue had no time to look again at.

--- a/src/camphoryard/coordination/dispatch/engine_ledger.py
+++ b/src/camphoryard/coordination/dispatch/engine_ledger.py
@@ -170,6 +170,15 @@
             reversed(self.waiting_by_ticket.values()), reversed(self.recent)
         )
 
+    def change_s(self, now_s: float) -> float:
+        """Return in how many seconds it has read a prompt, or made an event since."""
+        waiting = self.waiting_by_ticket.values()
+        left_s = [run.read_s - now_s for run in waiting if run.read_s > now_s]
+        if left_s:
+            return min(left_s)
+        last = next(iter(self.reads_backwards()), None)
+        return max(0.0, self.read_s + last.event_s - now_s) if last else 0.0
+
     def has_room(self, engine: EngineSpec, slots: int, tokens: int) -> bool:
         """Return whether a place and memory for ``tokens`` are free."""
         has_slot = len(self.run_by_ticket) < slots
@@ -355,17 +364,14 @@
         }
 
     def earliest_change_s(self, endpoint: EndpointId) -> float:
-        """Return in how many seconds the next of the prompts in line is read.
+        """Return in how many seconds there is expected to be more room for reading.
 
-        It is 0.0 if none is in line: then only an end makes room.
+        That is when the next of the prompts in line is read, or the event ends in which
+        the last one was. It is 0.0 if that is over: then only an end makes room.
         """
         now_s = self._advance()
         state = self._engine_by_id.get(endpoint)
-        if state is None:
-            return 0.0
-        waiting = state.waiting_by_ticket.values()
-        left_s = (run.read_s - now_s for run in waiting if run.read_s > now_s)
-        return min(left_s, default=0.0)
+        return state.change_s(now_s) if state else 0.0
 
     def _has_begun(self, run: _Run, after_s: float, now_s: float) -> None:
         """Learn from a first event ``after_s`` seconds after the run was sent."""
--- a/tests/coordination/dispatch/test_engine_ledger.py
+++ b/tests/coordination/dispatch/test_engine_ledger.py
@@ -203,12 +203,14 @@
         assert service.outlook(endpoint).pause_s < 0.5 * GAP_S
 
     def test_room_is_expected_when_the_next_prompt_is_read(self, service, endpoint):
-        """The queue looks again when a prompt of the line is read."""
+        """The queue looks again when a prompt is read, and an event after the last."""
         assert service.ledger.earliest_change_s(endpoint.id) == 0.0
         for _ in range(3):
             service.send(endpoint)
         change_s = service.ledger.earliest_change_s(endpoint.id)
         assert change_s == pytest.approx(1110 * TOKEN_S, rel=0.2)
+        service.clock.advance(3.5 * change_s)
+        assert 0.0 < service.ledger.earliest_change_s(endpoint.id) < FIXED_S
 
 
 class TestPlace:
