--- a/bench/dispatch_draws.py
+++ b/bench/dispatch_draws.py
@@ -185,8 +185,10 @@
             while views and views[0][0] <= self.now_s - self.view_age_s:
                 view[:] = views.popleft()[1]
 
-        for act in (arrive, sample, look):
-            at(0.0, act)
+        at(0.0, arrive)
+        at(0.0, sample)
+        if self.choice is Choice.LEAST_IN_FLIGHT:
+            at(0.0, look)
         while agenda and agenda[0][0] < self.duration_s:
             self.now_s, _, act = heapq.heappop(agenda)
             act()
--- a/src/camphoryard/coordination/dispatch/kept_prompts.py
+++ b/src/camphoryard/coordination/dispatch/kept_prompts.py
@@ -8,7 +8,7 @@
 from camphoryard.state.ids import AdapterId, ModelId, PromptPartId
 from camphoryard.state.traffic import RequestedModel
 
-MAX_PARTS = 2048
+MAX_PARTS = 512
 """Parts remembered of each engine."""
 
 _Key: TypeAlias = tuple[ModelId, AdapterId | None, PromptPartId]
--- a/tests/coordination/dispatch/test_engine_ledger.py
+++ b/tests/coordination/dispatch/test_engine_ledger.py
@@ -149,6 +149,9 @@
         service.clock.advance(0.1)
         service.see(endpoint, later, 0.1)
         assert service.outlook(endpoint).first_event_s < 0.2
+        service.send(endpoint)
+        service.clock.advance(1.0)
+        assert service.outlook(endpoint).first_event_s >= 1.0
 
     def test_waits_that_the_ledger_explains_teach_nothing(self, service, endpoint):
         """Prompts that arrive while another is read make no engine slow."""
