--- a/src/camphoryard/state/dispatch.py
+++ b/src/camphoryard/state/dispatch.py
@@ -43,7 +43,9 @@
     event is late, which may be negative, ``leave_left_s`` that until its client leaves
     without an event. ``longest_gap_s`` is the longest pause between its events that is
     not late. A request that ``has_begun`` goes on with an answer that its client has
-    part of. ``excluded`` are endpoints that it must not go to.
+    part of. ``excluded`` are endpoints that it must not go to, ``candidates`` those
+    that its node would send it to; all that have its item loaded if there are none.
+    A request that ``has_returned`` has been refused or failed before.
     """
 
     ticket: TicketId
@@ -58,6 +60,8 @@
     account: AccountId | None = None
     has_begun: bool = False
     excluded: tuple[EndpointId, ...] = ()
+    candidates: tuple[EndpointId, ...] = ()
+    has_returned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,3 +119,10 @@
 
 
 Progress: TypeAlias = FirstEventSeen | RunEnded
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """A request no longer waits for its turn, as its client has left."""
+
+    ticket: TicketId
