Give questions for turns and their answers frames between nodes

A question is encoded without field names, with times in ms, as there is one for each request to an engine. Reports of first events and ends are handled in the receiving task, like gossip. Round trips of all of them are tested.

--- a/src/camphoryard/coordination/membership/peer_messages.py
+++ b/src/camphoryard/coordination/membership/peer_messages.py
@@ -35,6 +35,12 @@
 )
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.placement.placement import Move
+from camphoryard.state.dispatch import (
+    DispatchRequest,
+    FirstEventSeen,
+    RunEnded,
+    Withdrawn,
+)
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.refusals import RefusalCounts
@@ -107,3 +113,5 @@
             return Declined(
                 "no leader here: each engine is controlled by its own owner"
             )
+        case DispatchRequest() | FirstEventSeen() | RunEnded() | Withdrawn():
+            return Declined("no dispatcher here: each node admits its own requests")
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -9,6 +9,12 @@
 
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.configuration_head import ConfigurationHead
+from camphoryard.state.dispatch import (
+    DispatchAnswer,
+    DispatchRequest,
+    Progress,
+    Withdrawn,
+)
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.ids import (
     EndpointId,
@@ -327,6 +333,9 @@
     | TrialEnded
     | RefusalCountsCopy
     | ItemRequest
+    | DispatchRequest
+    | Progress
+    | Withdrawn
 )
 Reply: TypeAlias = (
     Done
@@ -340,4 +349,5 @@
     | RecordsReply
     | ItemLoaded
     | ItemLoading
+    | DispatchAnswer
 )
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -46,9 +46,23 @@
 )
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.demand import ItemDemand
+from camphoryard.state.dispatch import (
+    Dispatched,
+    DispatchRequest,
+    FirstEventSeen,
+    NotDispatched,
+    PromptPart,
+    Queued,
+    Rejected,
+    RunEnded,
+    Withdrawn,
+    Work,
+)
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import (
+    AccountId,
+    AdapterId,
     EndpointId,
     FencingNumber,
     Generation,
@@ -59,10 +73,13 @@
     ObjectKey,
     PromptPartId,
     RequestId,
+    ServiceId,
+    TicketId,
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.traffic import RequestedModel
 
 MILLISECONDS_PER_SECOND = 1000
 PART_SEPARATOR = ","
@@ -102,6 +119,14 @@
     ITEM_WANTED = "item_wanted"
     ITEM_HELD = "item_held"
     ITEM_COMING = "item_coming"
+    TURN_WANTED = "turn_wanted"
+    TURN = "turn"
+    TURN_QUEUED = "turn_queued"
+    TURN_REJECTED = "turn_rejected"
+    TURN_NOT_GIVEN = "turn_not_given"
+    TURN_WITHDRAWN = "turn_withdrawn"
+    FIRST_EVENT_SEEN = "first_event_seen"
+    RUN_ENDED = "run_ended"
     DONE = "done"
     DECLINED = "declined"
     NODE_DIGEST = "node_digest"
@@ -133,6 +158,28 @@
     leaving_by_endpoint: Mapping[EndpointId, int] = {}
 
 
+class _DispatchForm(msgspec.Struct, array_like=True, frozen=True):
+    """A request that asks for its turn, without field names; one for each request."""
+
+    ticket: TicketId
+    service: ServiceId
+    model: ModelId
+    adapter: AdapterId | None
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[tuple[PromptPartId, int], ...]
+    rank: int
+    objective_left_ms: int
+    leave_left_ms: int
+    longest_gap_ms: int
+    zone: Zone
+    account: AccountId | None
+    has_begun: bool
+    excluded: tuple[EndpointId, ...]
+    candidates: tuple[EndpointId, ...]
+    has_returned: bool
+
+
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
     zone: Zone
     starts: int
@@ -172,6 +219,14 @@
     FrameKind.ITEM_WANTED: ItemRequest,
     FrameKind.ITEM_HELD: ItemLoaded,
     FrameKind.ITEM_COMING: ItemLoading,
+    FrameKind.TURN_WANTED: DispatchRequest,
+    FrameKind.TURN: Dispatched,
+    FrameKind.TURN_QUEUED: Queued,
+    FrameKind.TURN_REJECTED: Rejected,
+    FrameKind.TURN_NOT_GIVEN: NotDispatched,
+    FrameKind.TURN_WITHDRAWN: Withdrawn,
+    FrameKind.FIRST_EVENT_SEEN: FirstEventSeen,
+    FrameKind.RUN_ENDED: RunEnded,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
     FrameKind.NODE_DIGEST: NodeDigest,
@@ -242,6 +297,8 @@
                 ),
             )
             return msgspec.msgpack.encode(form)
+        case DispatchRequest() as request:
+            return msgspec.msgpack.encode(_dispatch_form(request))
         case _:
             return msgspec.msgpack.encode(content)
 
@@ -269,10 +326,57 @@
                     for item in answer.words
                 ),
             )
+        case FrameKind.TURN_WANTED:
+            return _dispatch_request(msgspec.msgpack.decode(body, type=_DispatchForm))
         case _:
             return msgspec.msgpack.decode(body, type=_TYPE_BY_KIND[kind])
 
 
+def _dispatch_form(request: DispatchRequest) -> _DispatchForm:
+    return _DispatchForm(
+        request.ticket,
+        request.service,
+        request.item.model,
+        request.item.adapter,
+        request.work.prompt_tokens,
+        request.work.output_tokens,
+        tuple((part.id, part.tokens) for part in request.work.parts),
+        request.rank,
+        math.floor(request.objective_left_s * MILLISECONDS_PER_SECOND),
+        math.floor(request.leave_left_s * MILLISECONDS_PER_SECOND),
+        math.floor(request.longest_gap_s * MILLISECONDS_PER_SECOND),
+        request.zone,
+        request.account,
+        request.has_begun,
+        request.excluded,
+        request.candidates,
+        request.has_returned,
+    )
+
+
+def _dispatch_request(form: _DispatchForm) -> DispatchRequest:
+    return DispatchRequest(
+        form.ticket,
+        form.service,
+        RequestedModel(form.model, form.adapter),
+        Work(
+            form.prompt_tokens,
+            form.output_tokens,
+            tuple(PromptPart(id, tokens) for id, tokens in form.parts),
+        ),
+        form.rank,
+        form.objective_left_ms / MILLISECONDS_PER_SECOND,
+        form.leave_left_ms / MILLISECONDS_PER_SECOND,
+        form.longest_gap_ms / MILLISECONDS_PER_SECOND,
+        form.zone,
+        form.account,
+        form.has_begun,
+        form.excluded,
+        form.candidates,
+        form.has_returned,
+    )
+
+
 def _digest_forms(digests: tuple[DigestWithAge, ...]) -> tuple[_DigestForm, ...]:
     return tuple(
         _DigestForm(
--- a/src/camphoryard/transport/peers.py
+++ b/src/camphoryard/transport/peers.py
@@ -25,6 +25,7 @@
     decode_envelope,
     encode_envelope,
 )
+from camphoryard.state.dispatch import Progress, Withdrawn
 from camphoryard.state.errors import ListenError, PeerUnreachableError
 from camphoryard.state.ids import NodeId, RequestId
 from camphoryard.state.nodes import NodeLease
@@ -303,8 +304,8 @@
         content = envelope.content
         if isinstance(content, Reply):
             self._resolve_reply(envelope.id, content)
-        elif isinstance(content, Gossip | GossipAnswer):
-            # Handled in this task, as it never blocks: waking another task for each
+        elif isinstance(content, Gossip | GossipAnswer | Progress | Withdrawn):
+            # Handled in this task, as they never block: waking another task for each
             # would cost more than the message itself.
             handle(content)
         else:
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -22,10 +22,23 @@
     decode_envelope,
     encode_envelope,
 )
+from camphoryard.state.dispatch import (
+    Dispatched,
+    DispatchRequest,
+    FirstEventSeen,
+    NotDispatched,
+    PromptPart,
+    Queued,
+    Rejected,
+    RunEnded,
+    Withdrawn,
+    Work,
+)
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.refusals import RefusalCount, RefusalCounts, RefusalKey
 from camphoryard.state.timeline import Event, Stamp
+from camphoryard.state.traffic import RequestedModel
 
 REFUSAL_COUNTS = RefusalCounts(
     "i", (RefusalCount(RefusalKey(Reason.DEADLINE, "a=b", 3, "c"), 2),)
@@ -44,6 +57,23 @@
     leaving_by_endpoint={"e": 1_700_000_000_000},
 )
 
+TURN_WANTED = DispatchRequest(
+    "t",
+    "s",
+    RequestedModel("m", "a1"),
+    Work(460, 80, (PromptPart("p", 350), PromptPart("q", 110))),
+    2,
+    -0.25,
+    1.5,
+    0.3,
+    "zone-a",
+    "account",
+    has_begun=True,
+    excluded=("x",),
+    candidates=("e", "f"),
+    has_returned=True,
+)
+
 
 class TestEnvelope:
     """Round trips of messages and replies."""
@@ -62,6 +92,14 @@
             Declined("busy"),
             Done(),
             Gossip(3, (DigestWithAge(LEADER_DIGEST, 0.25),)),
+            TURN_WANTED,
+            FirstEventSeen("t", "e", 0.25),
+            RunEnded("t", "e", True),
+            Withdrawn("t"),
+            Dispatched("e"),
+            Queued(0.5),
+            Rejected(1.5, "full"),
+            NotDispatched(),
         ],
         ids=lambda content: type(content).__name__,
     )
