Ask the leader for the turn of each request to an engine

In fleets with at least two nodes per engine of a service, requests for its models go to the engine that the dispatcher names, when it says so; others choose at each node as before. The endpoint is checked again by this node's view once the answer is there, so nothing goes to one that left meanwhile. Without an answer in time a node chooses for itself for a second. First events, ends and declined runs are reported; a turn whose client has left is given back.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -1,6 +1,6 @@
 """One attempt to forward a request to one endpoint."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import closing
 from enum import Enum
 from functools import partial
@@ -21,6 +21,7 @@
 from camphoryard.coordination.forwarding.urgency import urgency_at
 from camphoryard.coordination.routing.crashed_parts import SOUND_EVENTS
 from camphoryard.coordination.routing.first_events import FirstEventTracker
+from camphoryard.state.dispatch import FirstEventSeen, RunEnded
 from camphoryard.state.errors import BrokenCallError, StalledCallError
 from camphoryard.state.ids import EndpointId, Urgency
 from camphoryard.state.serving_endpoints import ServingEndpoint
@@ -85,7 +86,13 @@
     options = _send_options(context, forwarded, endpoint, urgency)
     context.in_flight.begin(endpoint.id)
     context.breakers.started(endpoint.id)
-    wait = _FirstEventWait(context.first_events, endpoint.id, urgency)
+    runs_before = forwarded.runs
+    wait = _FirstEventWait(
+        context.first_events,
+        endpoint.id,
+        urgency,
+        partial(_report_first_event, context, forwarded, sent_s),
+    )
     call_cancellation = Cancellation()
     handle = cancellation.subscribe(call_cancellation.cancel)
 
@@ -112,6 +119,25 @@
         cancellation.unsubscribe(handle)
         wait.end()
         context.in_flight.end(endpoint.id)
+        end_turn(context, forwarded, was_declined=forwarded.runs == runs_before)
+
+
+def end_turn(
+    context: ForwardingContext, forwarded: ForwardedRequest, was_declined: bool
+) -> None:
+    """Report that the request no longer occupies the endpoint of its turn, if any."""
+    turn, forwarded.turn = forwarded.turn, None
+    if turn is not None:
+        context.turns.tell(RunEnded(turn.ticket, turn.endpoint, was_declined))
+
+
+def _report_first_event(
+    context: ForwardingContext, forwarded: ForwardedRequest, sent_s: float
+) -> None:
+    turn = forwarded.turn
+    if turn is not None:
+        after_s = context.clock() - sent_s
+        context.turns.tell(FirstEventSeen(turn.ticket, turn.endpoint, after_s))
 
 
 def _log_unread_request(
@@ -134,9 +160,14 @@
     """Records how one request's wait for its first event ends."""
 
     def __init__(
-        self, first_events: FirstEventTracker, endpoint: EndpointId, urgency: Urgency
+        self,
+        first_events: FirstEventTracker,
+        endpoint: EndpointId,
+        urgency: Urgency,
+        on_first_event: Callable[[], None],
     ) -> None:
         self._first_events = first_events
+        self._on_first_event = on_first_event
         self._pending = first_events.sent(endpoint, urgency)
         self._has_ended = False
 
@@ -145,6 +176,7 @@
         if not self._has_ended:
             self._has_ended = True
             self._first_events.received(self._pending)
+            self._on_first_event()
 
     def end(self) -> None:
         """Record the end of a request that got no first event."""
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.dispatch.turns import EngineTurns, OwnChoice, TakenTurn
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
 from camphoryard.coordination.forwarding.in_progress import InProgress
 from camphoryard.coordination.forwarding.ports import (
@@ -42,6 +43,9 @@
 from camphoryard.state.traffic import RequestedModel, RouteRule
 from camphoryard.state.verdict import Verdict
 
+MIN_RETURN_S = 0.2
+"""Clients that come back do so later than this after they first sent a request."""
+
 
 class ModelLocator(Protocol):
     """Finds or loads the model and adapter that a request needs."""
@@ -94,6 +98,7 @@
     clock: Callable[[], float] = time.monotonic
     in_progress: InProgress["RequestInProgress"] = field(default_factory=InProgress)
     recent_failures: RecentFailures = field(default_factory=RecentFailures)
+    turns: EngineTurns = field(default_factory=OwnChoice)
 
 
 @dataclass(slots=True)
@@ -113,6 +118,7 @@
     ``is_answered`` if it has sent enough to show that the request does not crash it.
     ``crashing_parts`` are the parts of the prompt that other requests may share,
     ``suspects`` are those and the request itself.
+    ``turn`` is a turn at an endpoint whose end has not been reported.
     ``load_wait_s``, ``first_event_s`` and ``longest_gap_s`` are written to the request
     log for on-call engineers. Deadlines are monotonic times; all times are in seconds.
     """
@@ -140,6 +146,7 @@
     view_age_s: float = 0.0
     has_begun_answer: bool = False
     is_answered: bool = False
+    turn: TakenTurn | None = None
     fingerprint: Fingerprint = field(init=False)
     crashing_parts: tuple[PromptPartId, ...] = field(init=False)
 
@@ -172,6 +179,11 @@
         left_s = request.deadline_s - request.arrived_s
         return request.arrived_s - max(0.0, self.rule.timeout_s - left_s)
 
+    @property
+    def has_returned(self) -> bool:
+        """Whether the client has sent the request before, by its shorter deadline."""
+        return self.request.arrived_s - self.first_sent_s > MIN_RETURN_S
+
     @property
     def has_begun(self) -> bool:
         """Whether the client has received a part of its answer."""
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -4,10 +4,12 @@
 from collections.abc import Sequence
 
 from camphoryard.coordination.cancellation import Cancellation, CancellationCause
+from camphoryard.coordination.dispatch.turns import TakenTurn
 from camphoryard.coordination.forwarding.attempt import (
     MAX_SENDS,
     Outcome,
     attempt,
+    end_turn,
     take_retry,
 )
 from camphoryard.coordination.forwarding.context import (
@@ -29,6 +31,13 @@
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.routing.crashed_parts import SOUND_EVENTS
 from camphoryard.state.accounts import Account
+from camphoryard.state.dispatch import (
+    Dispatched,
+    DispatchRequest,
+    NotDispatched,
+    Rejected,
+    Work,
+)
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     BrokenCallError,
@@ -88,6 +97,8 @@
     except RefusalError as refusal:
         _log_unanswered(context, forwarded, refusal, reply)
         raise
+    finally:
+        end_turn(context, forwarded, was_declined=True)
     return forwarded
 
 
@@ -240,7 +251,7 @@
     """
     while True:
         try:
-            return _choose_endpoint(context, forwarded)
+            return _choose_endpoint(context, forwarded, cancellation)
         except RefusalError:
             if not _may_wait_on(context, forwarded):
                 raise
@@ -270,7 +281,7 @@
 
 
 def _choose_endpoint(
-    context: ForwardingContext, forwarded: ForwardedRequest
+    context: ForwardingContext, forwarded: ForwardedRequest, cancellation: Cancellation
 ) -> ServingEndpoint:
     """Return an endpoint that can serve the request now, loading its model if needed.
 
@@ -292,6 +303,11 @@
     ]
     uses = [(item, endpoint_use(context, forwarded, item)) for item in endpoints]
     usable = _answering_endpoints(context, forwarded, _usable_endpoints(uses))
+    is_dispatched = requested_model is not None and context.turns.is_in_force(
+        forwarded.service
+    )
+    if usable and is_dispatched:
+        return _take_turn(context, forwarded, usable, cancellation)
     if usable:
         return context.chooser.choose(_before_deadline(context, forwarded, usable))
     rest_s = _shortest_rest_s([use for _, use in uses])
@@ -326,9 +342,103 @@
     rest_s = _shortest_rest_s([endpoint_use(context, forwarded, found)])
     if rest_s is not None:
         raise _resting_refusal(forwarded, rest_s)
+    if is_dispatched:
+        return _take_turn(context, forwarded, [found], cancellation)
     return found
 
 
+def _take_turn(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    usable: list[ServingEndpoint],
+    cancellation: Cancellation,
+) -> ServingEndpoint:
+    """Return the endpoint that the dispatcher names, or this node's own choice.
+
+    The view of either may have become older than this node's during the wait.
+
+    Raises
+    ------
+    RefusalError
+        If the request cannot begin before its client leaves.
+    """
+    asked_s = context.clock()
+    question = _dispatch_request(context, forwarded, usable)
+    answer = context.turns.take(question, cancellation)
+    match answer:
+        case Dispatched(endpoint):
+            context.observe("turn", context.clock() - asked_s)
+            forwarded.turn = TakenTurn(question.ticket, endpoint)
+            for item in _still_usable(context, forwarded, usable):
+                if item.id == endpoint:
+                    return item
+            end_turn(context, forwarded, was_declined=True)
+            return _choose_endpoint(context, forwarded, cancellation)
+        case Rejected(retry_after_s, detail):
+            raise RefusalError(
+                Reason.OVERLOADED,
+                detail,
+                forwarded.verdict,
+                retry_after_s=_limited_retry_after_s(context, forwarded, retry_after_s),
+            )
+        case NotDispatched():
+            still_usable = _still_usable(context, forwarded, usable)
+            if not still_usable:
+                return _choose_endpoint(context, forwarded, cancellation)
+            return context.chooser.choose(
+                _before_deadline(context, forwarded, still_usable)
+            )
+
+
+def _dispatch_request(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    usable: list[ServingEndpoint],
+) -> DispatchRequest:
+    """Return the question for the turn of a request at one of ``usable``."""
+    request, rule = forwarded.request, forwarded.rule
+    assert request.requested_model is not None
+    now_s = context.clock()
+    return DispatchRequest(
+        context.turns.make_ticket(request.id),
+        forwarded.service,
+        request.requested_model,
+        Work(
+            request.prompt_tokens,
+            request.expected_output_tokens or request.max_output_tokens,
+            request.prompt_parts,
+        ),
+        forwarded.rank,
+        forwarded.first_sent_s + rule.objective_s - now_s,
+        forwarded.event_deadline_s - now_s,
+        rule.longest_gap_s,
+        context.chooser.zone,
+        forwarded.account.id if forwarded.account is not None else None,
+        forwarded.has_begun,
+        candidates=tuple(item.id for item in usable),
+        has_returned=forwarded.has_returned,
+    )
+
+
+def _still_usable(
+    context: ForwardingContext,
+    forwarded: ForwardedRequest,
+    endpoints: list[ServingEndpoint],
+) -> list[ServingEndpoint]:
+    """Return those of ``endpoints`` that neither leave nor rest by now."""
+    still_usable = []
+    for item in endpoints:
+        endpoint = context.directory.find(item.id)
+        if endpoint is None:
+            continue
+        match endpoint_use(context, forwarded, endpoint):
+            case Closed(ClosedReason.LEAVING | ClosedReason.RESTING):
+                pass
+            case _:
+                still_usable.append(endpoint)
+    return still_usable
+
+
 def _usable_endpoints(
     uses: Sequence[tuple[ServingEndpoint, EndpointUse]],
 ) -> list[ServingEndpoint]:
@@ -432,6 +542,14 @@
     return max(available_in_s, min(padded_s, left_s * MAX_RETRY_AFTER_SHARE))
 
 
+def _limited_retry_after_s(
+    context: ForwardingContext, forwarded: ForwardedRequest, retry_after_s: float
+) -> float:
+    """Return Retry-After, of no more than clients wait for."""
+    left_s = forwarded.request.deadline_s - context.clock()
+    return min(retry_after_s, max(0.0, left_s) * MAX_RETRY_AFTER_SHARE)
+
+
 def _no_endpoint_refusal(forwarded: ForwardedRequest, detail: str) -> RefusalError:
     return RefusalError(
         Reason.NO_ENDPOINT,
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -13,6 +13,12 @@
 import msgspec
 import zmq
 
+from camphoryard.coordination.dispatch.dispatcher import Dispatcher, DispatcherContext
+from camphoryard.coordination.dispatch.turns import (
+    FleetTurns,
+    TurnsContext,
+    record_message,
+)
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
@@ -76,6 +82,12 @@
     decode_rules,
 )
 from camphoryard.state.directory import Directory
+from camphoryard.state.dispatch import (
+    DispatchRequest,
+    FirstEventSeen,
+    RunEnded,
+    Withdrawn,
+)
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import Incarnation, ObjectKey, ServiceId, WriteId
 from camphoryard.state.leadership import LeadershipRecord, PeerKeys
@@ -98,6 +110,8 @@
 """More than the nodes of the largest planned fleet: each peer has its own task."""
 HANDLER_TASKS = 256
 NODE_TASKS = 64
+RANKS_SHOWN = range(5)
+"""Ranks whose waiting requests are shown; engines know no more of them."""
 ENDPOINT_BATCH_S = 2.0
 """Maximum time in which changes of endpoints are batched into one watch call. The loads
 that change them take seconds."""
@@ -162,6 +176,7 @@
     leader_lease: LeaderLease
     load_controller: LoadController
     item_locator: ItemLocator
+    dispatcher: Dispatcher
     crash_sharing: CrashSharing
     retry_recorder: RetryRecorder
     app: FrontApp
@@ -300,6 +315,33 @@
     )
     for watcher in watchers:
         metrics.add_gauge(f"{watcher.name}_age_seconds", watcher.age_s)
+    dispatcher = Dispatcher(
+        DispatcherContext(
+            directory,
+            lambda: bool(leader_lease.claimed_term),
+            estimates.load,
+            log,
+            metrics.observe,
+            metrics.count,
+        )
+    )
+    for rank in RANKS_SHOWN:
+        metrics.add_gauge(
+            f"turns_waiting_rank_{rank}",
+            functools.partial(dispatcher.count_waiting, rank),
+        )
+    turns = FleetTurns(
+        TurnsContext(
+            settings.node,
+            directory,
+            dispatcher,
+            peers,
+            gossip.leader,
+            lambda: len(nodes.all()),
+            log,
+            metrics.count,
+        )
+    )
     context = ForwardingContext(
         directory,
         EndpointChooser(
@@ -318,6 +360,7 @@
         log,
         metrics.observe,
         metrics.count,
+        turns=turns,
     )
     return Entry(
         live_settings,
@@ -339,6 +382,7 @@
         leader_lease,
         load_controller,
         item_locator,
+        dispatcher,
         crash_sharing,
         retry_recorder,
         FrontApp(context, dialect),
@@ -356,6 +400,11 @@
             return Done()
         case ItemRequest() as item_request:
             return answer_item_request(entry.load_controller, item_request)
+        case DispatchRequest() as dispatch_request:
+            return entry.dispatcher.ask(dispatch_request)
+        case FirstEventSeen() | RunEnded() | Withdrawn():
+            record_message(entry.dispatcher, message)
+            return Done()
         case CrashReport() as report:
             entry.crash_sharing.receive(report)
             return Done()
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -7,6 +7,7 @@
 import pytest
 
 from camphoryard.coordination.cancellation import Cancellation, CancellationCause
+from camphoryard.coordination.dispatch.turns import OwnChoice
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
 from camphoryard.coordination.forwarding.exchange import forward
@@ -30,7 +31,14 @@
 )
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.directory import Directory
-from camphoryard.state.dispatch import PromptPart
+from camphoryard.state.dispatch import (
+    Dispatched,
+    FirstEventSeen,
+    NotDispatched,
+    PromptPart,
+    Rejected,
+    RunEnded,
+)
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     BrokenCallError,
@@ -243,6 +251,7 @@
             lambda _: None,
             self.clock,
             recent_failures=RecentFailures(self.clock),
+            turns=options.get("turns", OwnChoice()),
         )
         self.request = ClientRequest(
             RequestId("q1"),
@@ -1260,3 +1269,127 @@
         site.directory.observe(make_endpoint("e2", state=EndpointState.DRAINING))
         site.forward()
         assert site.sent_to == ["e1"]
+
+
+class Turns:
+    """Gives the answers that it is told to, and records what it is asked and told."""
+
+    def __init__(self, *answers):
+        self.answers, self.asked, self.told = list(answers), [], []
+        self.on_take = lambda: None
+
+    def is_in_force(self, service):
+        """Return whether requests take turns."""
+        return True
+
+    def make_ticket(self, request):
+        """Return a ticket of its own for each question."""
+        return f"{request}.{len(self.asked) + 1}"
+
+    def take(self, request, cancellation):
+        """Record a question and return the next answer."""
+        self.asked.append(request)
+        self.on_take()
+        return self.answers.pop(0)
+
+    def tell(self, progress):
+        """Record a report."""
+        self.told.append(progress)
+
+
+class TestTurns:
+    """Requests for models that wait for their turn at an engine."""
+
+    def make_site(self, *answers, turns, **options):
+        """Return a site whose endpoints have the model loaded."""
+        return Site(
+            *answers,
+            repeatability=Repeatability.RESUMABLE_STREAM,
+            requested_model=RequestedModel(ModelId("m")),
+            models=("m",),
+            turns=Turns(*turns),
+            **options,
+        )
+
+    def test_a_request_goes_where_the_dispatcher_says(self):
+        """Its first event and its end are reported once."""
+        site = self.make_site(served(ONE, TWO), turns=[Dispatched("e2")])
+        site.forward()
+        assert site.sent_to == ["e2"]
+        turns = site.context.turns
+        assert set(turns.asked[0].candidates) == {"e1", "e2"}
+        assert turns.asked[0].leave_left_s == pytest.approx(2.4)
+        assert turns.told == [
+            FirstEventSeen("q1.1", "e2", 0.0),
+            RunEnded("q1.1", "e2"),
+        ]
+
+    def test_a_declined_request_asks_again(self):
+        """The declined run is reported as such."""
+        site = self.make_site(
+            declined(), served(ONE), turns=[Dispatched("e1"), Dispatched("e2")]
+        )
+        site.forward()
+        assert site.sent_to == ["e1", "e2"]
+        turns = site.context.turns
+        assert turns.told[0] == RunEnded("q1.1", "e1", was_declined=True)
+        assert turns.asked[1].candidates == ("e2",)
+
+    def test_a_stream_that_broke_off_asks_with_what_has_begun(self):
+        """It goes before others, and not to the endpoint that failed."""
+        site = self.make_site(
+            served(ONE, error=BrokenCallError("x")),
+            served(TWO),
+            turns=[Dispatched("e1"), Dispatched("e2")],
+        )
+        site.forward()
+        turns = site.context.turns
+        assert turns.asked[1].has_begun
+        assert turns.asked[1].candidates == ("e2",)
+        assert turns.told[1] == RunEnded("q1.1", "e1")
+
+    def test_a_refusal_says_that_the_request_has_not_run(self):
+        """Retry-After is no longer than clients wait."""
+        site = self.make_site(turns=[Rejected(30.0, "no room")])
+        refusal = site.refusal()
+        assert refusal.verdict is Verdict.NOT_RUN
+        assert refusal.reason is Reason.OVERLOADED
+        assert 0 < refusal.retry_after_s <= 20.0 / 3
+        assert not site.sent_to
+
+    @pytest.mark.parametrize("answer", [Dispatched("e1"), NotDispatched()])
+    def test_an_endpoint_that_has_left_during_the_wait_gets_nothing(self, answer):
+        """The turn is given back, and the others are asked for or chosen from."""
+        site = self.make_site(served(ONE), turns=[answer, Dispatched("e2")])
+        turns = site.context.turns
+        turns.on_take = lambda: site.directory.record_leaving("e1", 1)
+        site.forward()
+        assert site.sent_to == ["e2"]
+        if answer == Dispatched("e1"):
+            assert turns.told[0] == RunEnded("q1.1", "e1", was_declined=True)
+
+    def test_a_client_that_left_during_the_wait(self):
+        """Nothing is sent, and the turn is given back."""
+        site = self.make_site(turns=[Dispatched("e1")])
+        site.context.turns.on_take = site.cancellation.cancel
+        assert site.refusal().reason is Reason.CANCELLED
+        assert not site.sent_to
+        assert site.context.turns.told == [RunEnded("q1.1", "e1", was_declined=True)]
+
+    def test_a_model_that_was_just_loaded_is_asked_for_too(self):
+        """Its endpoint is the only candidate."""
+        locator = Models(make_endpoint("e1", ("m",)))
+        site = Site(
+            served(b"ok"),
+            requested_model=RequestedModel(ModelId("m")),
+            locator=locator,
+            turns=Turns(Dispatched("e1")),
+        )
+        site.forward()
+        assert site.context.turns.asked[0].candidates == ("e1",)
+
+    def test_plain_services_take_no_turns(self):
+        """A request without a model asks nobody."""
+        site = Site(served(b"ok"), turns=Turns())
+        site.forward()
+        assert not site.context.turns.asked
