--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -27,12 +27,25 @@
     decode_envelope,
     encode_envelope,
 )
+from camphoryard.state.dispatch import (
+    Dispatched,
+    DispatchRequest,
+    FirstEventSeen,
+    NotDispatched,
+    PromptPart,
+    Queued,
+    Rejected,
+    RunEnded,
+    Withdrawn,
+    Work,
+)
 from camphoryard.state.endpoint_relay import EndpointRelay, RelayedEndpoint
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 from camphoryard.state.refusals import RefusalCount, RefusalCounts, RefusalKey
 from camphoryard.state.timeline import Event, Stamp
+from camphoryard.state.traffic import RequestedModel
 
 REFUSAL_COUNTS = RefusalCounts(
     "i", (RefusalCount(RefusalKey(Reason.DEADLINE, "a=b", 3, "c"), 2),)
@@ -59,6 +72,23 @@
     relay=EndpointRelay(11, 12, (RelayedEndpoint("e", None),), "i", 6),
 )
 
+TURN_WANTED = DispatchRequest(
+    "t",
+    "s",
+    RequestedModel("m", "a1"),
+    Work(460, 80, (PromptPart("p", 350), PromptPart("q", 110))),
+    2,
+    -0.25,
+    1.5,
+    0.3,
+    "zone-a",
+    "account",
+    has_begun=True,
+    excluded=("x",),
+    candidates=("e", "f"),
+    has_returned=True,
+)
+
 
 class TestEnvelope:
     """Round trips of messages and replies."""
@@ -81,6 +111,14 @@
             Done(),
             Gossip(3, (DigestWithAge(LEADER_DIGEST, 0.25),)),
             Gossip(3, (DigestWithAge(RELAYING_DIGEST, 0.25),)),
+            TURN_WANTED,
+            FirstEventSeen("t", "e", 0.25),
+            RunEnded("t", "e", True),
+            Withdrawn("t"),
+            Dispatched("e"),
+            Queued(0.5),
+            Rejected(1.5, "full"),
+            NotDispatched(),
         ],
         ids=lambda content: type(content).__name__,
     )
