Test the entry daemon under crowds of unfinished bodies

Clients that ignore the limits can end a daemon: nothing bounds what it holds for all of them together, and its one server loop parses each of their chunks.

They run alone, after the other tests.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/lint-imports
-	$(BIN)/python -m pytest -n 5 --dist worksteal
+	$(BIN)/python -m pytest -n 5 --dist worksteal -m 'not crowd'
+	$(BIN)/python -m pytest -m crowd
 
 demo: setup
 	$(BIN)/python -m standins.demo
--- a/standins/entry_site.py
+++ b/standins/entry_site.py
@@ -83,9 +83,15 @@
 
 
 class EntrySite:
-    """One entry daemon and the stand-in for the users' platform."""
+    """One entry daemon and the stand-in for the users' platform.
 
-    def __init__(self, fleet: Fleet) -> None:
+    Parameters
+    ----------
+    settings : str
+        Tables added to the daemon's settings file.
+    """
+
+    def __init__(self, fleet: Fleet, settings: str = "") -> None:
         self.fleet = fleet
         self.store_port = fleet.start_standin(
             "platform", "entry_platform", "--host", HOST
@@ -106,6 +112,7 @@
                 grace_s=GRACE_S,
                 store_port=self.store_port,
             )
+            + settings
         )
         fleet.start(
             "entry", self.ready_port, ["-m", "camphoryard.entry.daemon", str(path)]
