Hold a bounded amount of memory for clients

Nothing bounded what a daemon held for all its clients together, its loop parsed each small chunk in quadratic time, and nothing bounded its descriptors.

- One budget, a quarter of memory-mb: large requests reserve their size before they are read on, or wait; those without progress give way; 503 or 408 is sent only for requests that are not complete.
- Chunked bodies are parsed in one pass; size lines, extensions and trailers are limited, and the limit of a body applies to its content.
Connections with small chunks are read in small parts.
- A body may pause for header-timeout-ms; it need no longer be whole by then.
- The clients' part of max-fds is bounded; a full server closes silent connections.
- Unread answers of all clients count to the budget.

--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -13,6 +13,10 @@
 import msgspec
 import zmq
 
+from camphoryard.coordination.admission.client_memory import (
+    ClientMemory,
+    make_client_memory,
+)
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
@@ -150,6 +154,7 @@
     newest_era: NewestEra
     client: HttpClient
     store_client: HttpClient
+    client_memory: ClientMemory
     directory: Directory
     feed: DirectoryFeed
     watchers: tuple[RecordWatcher[Any], ...]
@@ -191,6 +196,8 @@
     # Answers of endpoints never wait for memory that those of the store take, or the
     # other way round.
     client, store_client = HttpClient(), HttpClient()
+    client_memory = make_client_memory(settings.vm_limits.memory_mb)
+    metrics.add_gauge("client_memory_bytes", lambda: client_memory.held_bytes)
     executors = _make_executors()
     directory = Directory()
     feed = DirectoryFeed(directory, log)
@@ -327,6 +334,7 @@
         newest_era,
         client,
         store_client,
+        client_memory,
         directory,
         feed,
         watchers,
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -11,6 +11,8 @@
 from functools import partial
 from pathlib import Path
 
+from camphoryard.coordination.admission.client_memory import Cause
+from camphoryard.coordination.admission.connection_room import max_connections
 from camphoryard.coordination.cancellation import CancellationCause
 from camphoryard.coordination.fleet.node_registration import (
     agree_on_keys,
@@ -44,6 +46,12 @@
 """Time reserved for the exit between the end of the drain and of the grace period."""
 LOG_FLUSH_TIMEOUT_S = 0.2
 """Maximum wait for the last log lines to be written."""
+PROBE_LIMITS = ConnectionLimits(
+    header_bytes=16 << 10, body_bytes=16 << 10, header_timeout_s=10.0
+)
+"""Limits of readiness and metrics requests, which have no bodies."""
+MAX_PROBE_CONNECTIONS = 16
+"""Maximum number of connections of the readiness port, and of the metrics port."""
 RESTART_PERIOD_S = 1.0
 """Minimum time between two starts of a task that fails."""
 
@@ -65,23 +73,24 @@
         entry.executors.connections,
         entry.app.refuse,
         is_balancer_trusted=True,
+        memory=entry.client_memory,
+        max_connections=max_connections(settings.vm_limits.max_fds),
+        turned_away=partial(report_turned_away, entry, "front"),
     )
-    ready = make_server(
-        entry.readiness,
-        settings.ready.host,
-        settings.ready.port,
-        entry.executors.node,
-        entry.readiness.refuse,
+    make_probe_server = partial(
+        make_server,
+        executor=entry.executors.node,
+        refuse=entry.readiness.refuse,
+        limits=PROBE_LIMITS,
+        max_connections=MAX_PROBE_CONNECTIONS,
+        turned_away=partial(report_turned_away, entry, "probes"),
     )
+    ready = make_probe_server(entry.readiness, settings.ready.host, settings.ready.port)
     entry.directory.subscribe(partial(_apply_limits, entry, front))
     servers = {"front": front, "ready": ready}
     if settings.metrics_port:
-        servers["metrics"] = make_server(
-            entry.readiness,
-            settings.host,
-            settings.metrics_port,
-            entry.executors.node,
-            entry.readiness.refuse,
+        servers["metrics"] = make_probe_server(
+            entry.readiness, settings.host, settings.metrics_port
         )
     for name, server in servers.items():
         threading.Thread(target=server.run, name=name, daemon=True).start()
@@ -102,6 +111,20 @@
     drain(entry, front)
 
 
+def report_turned_away(
+    entry: Entry, server: str, cause: Cause, host: str, held_bytes: int
+) -> None:
+    """Log and count a client that was turned away to keep to the VM's limits."""
+    entry.metrics.count(f"clients_turned_away_{cause.value}")
+    entry.log(
+        "client_turned_away",
+        server=server,
+        cause=cause.value,
+        client=host,
+        held_bytes=held_bytes,
+    )
+
+
 def join_fleet(entry: Entry, timer: TimerService) -> None:
     """Agree on keys, listen for peers, register this node and run gossip."""
     keys = agree_on_keys(
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -37,6 +37,17 @@
         return 0.0 if self.engines_check_fences else self.order_lease_s
 
 
+@dataclass(frozen=True, slots=True)
+class VmLimits:
+    """What a process may use of its VM; 0 if the platform names no limit.
+
+    ``memory_mb`` is in units of 1e6 bytes, ``max_fds`` counts descriptors.
+    """
+
+    memory_mb: int = 0
+    max_fds: int = 0
+
+
 DEFAULT_METRICS_PORT = 9464
 """Usual port of metrics exporters; must match deploy/system.toml."""
 
@@ -60,3 +71,4 @@
     bounds: Bounds
     metrics_port: int = DEFAULT_METRICS_PORT
     is_first_start: bool = True
+    vm_limits: VmLimits = VmLimits()
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -10,7 +10,12 @@
 
 from camphoryard.coordination.loading.store_rate import LoadLimits
 from camphoryard.coordination.routing.retry_window import RepeatLimits
-from camphoryard.entry.settings import DEFAULT_METRICS_PORT, Bounds, EntrySettings
+from camphoryard.entry.settings import (
+    DEFAULT_METRICS_PORT,
+    Bounds,
+    EntrySettings,
+    VmLimits,
+)
 from camphoryard.settings import SettingsError
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.serving_endpoints import HostPort
@@ -101,6 +106,7 @@
             _bounds(file.bounds),
             file.metrics_port,
             file.bootstrap,
+            VmLimits(file.limits.memory_mb, file.limits.max_fds),
         )
     except (msgspec.ValidationError, ValueError) as error:
         raise SettingsError(f"{source}: {error}") from error
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -40,7 +40,12 @@
 
 CALLERS_PREFIX = "/v1/"
 COMPLETION_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
-REASON_BY_STATUS = {413: Reason.BODY_TOO_LARGE, 500: Reason.INTERNAL}
+REASON_BY_STATUS = {
+    408: Reason.TOO_SLOW,
+    413: Reason.BODY_TOO_LARGE,
+    500: Reason.INTERNAL,
+    503: Reason.OVERLOADED,
+}
 SERVICES_PREFIX = "/v1/services/"
 TEXT = "text/plain; version=0.0.4"
 
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server on waitress; each request runs in a task of an executor."""
 
+import io
 import logging
 import socket
 import threading
@@ -17,22 +18,44 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, WSGITask
 
+from camphoryard.coordination.admission.client_memory import (
+    MAX_SMALL_REQUEST_BYTES,
+    Cause,
+    ClientMemory,
+    CloseConnection,
+    RefuseRequest,
+    Relief,
+    make_client_memory,
+)
+from camphoryard.coordination.admission.connection_room import (
+    MAX_CONNECTIONS,
+    Silence,
+    SilentConnection,
+    connections_to_close,
+    read_bytes,
+)
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.state.errors import ListenError
 from camphoryard.state.ids import RequestId
+from camphoryard.transport.request_body import ChunkedBody, FixedBody
 
 MAX_BODY_BYTES = 1 << 20
 MAX_READ_BYTES = 8 << 20
 MAX_UNREAD_BYTES = 16 << 20
 UNREACHABLE_WATERMARK_BYTES = 1 << 62
 """High watermark of output buffers; never reached, so that writes never block."""
-MAX_CONNECTIONS = 2000
 BACKLOG = 1024
 FLUSH_CHECK_PERIOD_S = 0.1
 LIMIT_CHECK_PERIOD_S = 1
 MAX_HEADER_BYTES = 1 << 18
 HEADER_TIMEOUT_S = 60.0
 IDLE_TIMEOUT_S = 600.0
+MAX_BODY_TIME_S = 600.0
+"""Maximum time of a request whose body is sent steadily."""
+COSTLY_CHUNK_BYTES = 64
+"""Average size of chunks, with what frames them, below which parsing is costly."""
+INTERNAL_MAP_ENTRIES = 2
+"""Entries of waitress's socket map that are no connections of clients."""
 IDLE_TIMEOUT_MARGIN_S = 1.0
 """Idle connections stay open this much longer than announced to clients, so that
 none is closed while the next request is in flight."""
@@ -69,8 +92,9 @@
 class ConnectionLimits:
     """Limits of a request's size in bytes and of a client's delays in seconds.
 
-    ``header_timeout_s`` limits the time from the first byte of a request to its last,
-    ``idle_timeout_s`` how long a connection stays open between requests.
+    ``header_timeout_s`` limits the time from the first byte of a request to the last
+    of its head, and each pause in its body. ``idle_timeout_s`` limits how long a
+    connection stays open between requests, or with an answer that is not read.
     """
 
     header_bytes: int = MAX_HEADER_BYTES
@@ -81,6 +105,12 @@
 
 Write: TypeAlias = Callable[[bytes], None]
 Refuse: TypeAlias = Callable[[int, str], HttpResponse]
+TurnedAway: TypeAlias = Callable[[Cause, str, int], None]
+"""Called with the cause, the client's host and the bytes held for it."""
+
+
+def _ignore(cause: Cause, host: str, held_bytes: int) -> None:
+    pass
 
 
 class Reply:
@@ -190,6 +220,11 @@
 class StrictParser(HTTPRequestParser):
     """Refuses requests whose length two HTTP parsers could interpret differently."""
 
+    body_rcv: FixedBody | ChunkedBody | None
+    completed: bool
+    content = b""
+    """The whole body, once it is received."""
+
     def parse_header(self, header_plus: bytes) -> None:
         """Read the head; raises ParsingError if its length is ambiguous."""
         super().parse_header(header_plus)
@@ -199,6 +234,59 @@
             raise ParsingError("Transfer-Encoding needs HTTP/1.1")
         if self.version == "1.1" and "HOST" not in self.headers:
             raise ParsingError("no Host header")
+        if self.chunked:
+            self.body_rcv = ChunkedBody(
+                self.adj.max_request_body_size - 1, self.adj.max_request_header_size
+            )
+        elif self.content_length:
+            self.body_rcv = FixedBody(self.content_length)
+
+    def received(self, data: bytes) -> int:
+        """Parse received bytes; return how many belong to this request."""
+        body = self.body_rcv
+        if body is None or self.completed:
+            count: int = super().received(data)
+            return count
+        consumed = body.received(data)
+        self.body_bytes_received += consumed
+        if body.error is not None:
+            self.fail(body.error)
+        elif body.completed:
+            self.content = body.getbuf().take()
+            self.headers["CONTENT_LENGTH"] = str(len(self.content))
+            self.completed = True
+        return consumed
+
+    def fail(self, error: waitress_errors.Error) -> None:
+        """End the request with an error and release what it holds."""
+        if self.body_rcv is not None:
+            self.body_rcv.getbuf().close()
+        self.error = error
+        self.completed = True
+
+    def get_body_stream(self) -> io.BytesIO:
+        """Return a stream of the body, which shares its memory."""
+        return io.BytesIO(self.content)
+
+    @property
+    def wanted_bytes(self) -> int:
+        """Number of bytes to hold before more of the request is read."""
+        body = self.body_rcv
+        head_bytes: int = self.header_bytes_received
+        match body:
+            case FixedBody():
+                return head_bytes + self.content_length
+            case ChunkedBody() if len(body) > MAX_SMALL_REQUEST_BYTES // 2:
+                return head_bytes + body.max_bytes
+            case ChunkedBody():
+                return head_bytes + len(body)
+            case _:
+                return head_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes held for a request received whole."""
+        return self.header_bytes_received + len(self.content)
 
 
 class Connection(HTTPChannel):
@@ -208,24 +296,77 @@
     error_task_class = BadRequestTask
     parser_class = StrictParser
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(self, server: "HttpServer", *args: Any, **kwargs: Any) -> None:
         self.cancellation = Cancellation()
         self.last_active_s = time.monotonic()
-        self.request: HTTPRequestParser | None = None
+        self.request: StrictParser | None = None
+        self.id = server.memory.add_connection(self.last_active_s)
+        self.is_waiting = False
+        self._is_costly = False
+        self._has_unread_answer = False
         self._close_requested = False
         self._request_began_s: float | None = None
-        super().__init__(*args, **kwargs)
+        super().__init__(server, *args, **kwargs)
+
+    def recv(self, buffer_size: int) -> bytes:
+        """Receive data, less at a time if it is costly to parse."""
+        if self._is_costly:
+            buffer_size = read_bytes(len(self.server.costly))
+        data: bytes = super().recv(buffer_size)
+        return data
 
     def received(self, data: bytes) -> bool:
         """Parse received data and record when a request began."""
         self.last_active_s = time.monotonic()
+        chunks = self._chunks
         accepted: bool = super().received(data)
+        self._set_costly((self._chunks - chunks) * COSTLY_CHUNK_BYTES > len(data))
         if self.request is None:
             self._request_began_s = None
         elif self._request_began_s is None:
             self._request_began_s = self.last_active_s
+        self._update_memory()
         return accepted
 
+    @property
+    def _chunks(self) -> int:
+        """Number of chunks of the request that is being received."""
+        body = self.request.body_rcv if self.request is not None else None
+        return body.chunks if body is not None else 0
+
+    def _set_costly(self, is_costly: bool) -> None:
+        if is_costly is not self._is_costly:
+            self._is_costly = is_costly
+            if is_costly:
+                self.server.costly.add(self)
+            else:
+                self.server.costly.discard(self)
+
+    def _update_memory(self) -> None:
+        """Tell the budget what this connection holds, or wait for room."""
+        memory = self.server.memory
+        with self.requests_lock:
+            held_bytes = sum(item.held_bytes for item in self.requests)
+            if self.request is None:
+                memory.settle(self.id, held_bytes)
+                self.is_waiting = False
+                return
+            size = held_bytes + self.request.wanted_bytes
+            now_s = time.monotonic()
+            was_waiting = self.is_waiting
+            self.is_waiting = not memory.receive(self.id, size, now_s)
+            if was_waiting and not self.is_waiting:
+                self.last_active_s = now_s
+
+    def service(self) -> None:
+        """Answer the next request and release what it held."""
+        super().service()
+        self._update_memory()
+        if not self.connected:
+            self.server.memory.remove_connection(self.id)
+        if self.server.memory.has_waiting:
+            self.server.pull_trigger()
+
     def close_if_idle(self) -> None:
         """Close the connection if it is idle at the server's next poll."""
         self._close_requested = True
@@ -242,8 +383,11 @@
             if self.is_idle and not self._has_unread():
                 self.will_close = True
                 self.server.closed_idle += 1
+        if self.is_waiting:
+            self._update_memory()
+        is_refused = bool(self.requests) and self.requests[-1].error is not None
         is_readable: bool = super().readable()
-        return is_readable
+        return is_readable and not self.is_waiting and not is_refused
 
     def _has_unread(self) -> bool:
         """Return whether the socket has data that the server has not read yet."""
@@ -254,27 +398,75 @@
 
     def enforce_limits(self, limits: ConnectionLimits, now_s: float) -> None:
         """Close the connection if it is idle, or refuse a request sent too slowly."""
+        if self.requests or self.is_waiting:
+            return
+        silent_s = now_s - self.last_active_s
+        is_idle = silent_s > limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
+        if self.total_outbufs_len:
+            if is_idle:
+                self.server.report(self, Cause.UNREAD_ANSWER, self.total_outbufs_len)
+                self.abort_answer()
+            return
+        request = self.request
+        if request is None:
+            if is_idle:
+                self.close_if_idle()
+            return
+        if self._is_too_slow(request, limits, now_s):
+            self.refuse(Cause.TOO_SLOW, request.header_bytes_received)
+
+    def _is_too_slow(
+        self, request: StrictParser, limits: ConnectionLimits, now_s: float
+    ) -> bool:
+        if self._request_began_s is None:
+            return False
+        taken_s = now_s - self._request_began_s
+        if not request.headers_finished:
+            return taken_s >= limits.header_timeout_s
+        silent_s = now_s - self.last_active_s
+        return silent_s >= limits.header_timeout_s or taken_s >= MAX_BODY_TIME_S
+
+    def refuse(self, cause: Cause, held_bytes: int) -> None:
+        """Refuse the request that is being received; it was never passed on."""
         with self.requests_lock:
-            if self.requests or self.total_outbufs_len:
-                return
             request = self.request
             if request is None:
-                idle_s = now_s - self.last_active_s
-                if idle_s > limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S:
-                    self.close_if_idle()
-                return
-            if (
-                self._request_began_s is None
-                or now_s - self._request_began_s < limits.header_timeout_s
-            ):
                 return
             if not request.headers_finished:
                 request.parse_header(b"GET / HTTP/1.0\r\n")
-            request.error = RequestTimeout("the request was sent too slowly")
-            request.completed = True
+            request.fail(refusal_error(cause))
             self.request = None
             self.requests.append(request)
-        self.server.add_task(self)
+            is_next = len(self.requests) == 1
+        self.server.report(self, cause, held_bytes)
+        self._set_costly(False)
+        self._update_memory()
+        if is_next:
+            self.server.add_task(self)
+
+    def close_silent(self, silence: Silence) -> None:
+        """Make room for another connection."""
+        match silence:
+            case Silence.BETWEEN_REQUESTS:
+                self.server.report(self, Cause.NO_CONNECTIONS, 0)
+                self.close_if_idle()
+            case Silence.WITHIN_REQUEST:
+                self.refuse(Cause.NO_CONNECTIONS, 0)
+
+    def silent(self, now_s: float) -> SilentConnection | None:
+        """Return for how long nothing came, or None unless a request is awaited."""
+        if self.requests or self.total_outbufs_len or self.is_waiting:
+            return None
+        silence = (
+            Silence.BETWEEN_REQUESTS if self.request is None else Silence.WITHIN_REQUEST
+        )
+        return SilentConnection(self.id, silence, now_s - self.last_active_s)
+
+    def abort_answer(self) -> None:
+        """Close the connection although its answer is not read."""
+        self.cancellation.cancel()
+        self.will_close = True
+        self.server.pull_trigger()
 
     @property
     def is_idle(self) -> bool:
@@ -303,12 +495,24 @@
             raise ClientDisconnected
         if self.total_outbufs_len or not isinstance(data, bytes):
             count: int = super().write_soon(data)
+            self._update_unread()
             return count
         sent = self._send_now(data)
         if sent < len(data):
             super().write_soon(data[sent:])
+            self._update_unread()
         return len(data)
 
+    def _update_unread(self) -> None:
+        """Tell the budget how much of the answers is not read."""
+        unread_bytes = self.total_outbufs_len
+        if not unread_bytes and not self._has_unread_answer:
+            return
+        self._has_unread_answer = bool(unread_bytes)
+        relief = self.server.memory.hold_unread(self.id, unread_bytes, time.monotonic())
+        if relief is not None:
+            self.server.apply(relief)
+
     def _send_now(self, data: bytes) -> int:
         with self.outbuf_lock:
             if not self.connected or self.total_outbufs_len:
@@ -325,12 +529,17 @@
         """Close the connection and cancel its request."""
         super().handle_close()
         self.cancellation.cancel()
+        self._set_costly(False)
+        with self.requests_lock:
+            if not self.requests:
+                self.server.memory.remove_connection(self.id)
         self.server.notify_progress()
 
     def handle_write(self) -> None:
         """Send buffered data."""
         self.last_active_s = time.monotonic()
         super().handle_write()
+        self._update_unread()
         if self.is_flushed:
             self.server.notify_progress()
 
@@ -345,9 +554,18 @@
     channel_class = Connection
 
     def __init__(
-        self, *args: Any, refuse: Refuse, limits: ConnectionLimits, **kwargs: Any
+        self,
+        *args: Any,
+        refuse: Refuse,
+        limits: ConnectionLimits,
+        memory: ClientMemory,
+        turned_away: TurnedAway,
+        **kwargs: Any,
     ) -> None:
         self.refuse = refuse
+        self.memory = memory
+        self.costly: set[Connection] = set()
+        self._turned_away = turned_away
         self.is_leaving = False
         self.closed_idle = 0
         self._limits = limits
@@ -377,13 +595,40 @@
         self.close_idle()
 
     def maintenance(self, now: float) -> None:
-        """Close idle connections and refuse requests sent too slowly.
+        """Close idle connections, refuse slow requests, and make room.
 
         ``now`` is not used, because it is the wall-clock time, which may jump.
         """
         now_s = time.monotonic()
-        for channel in tuple(self.active_channels.values()):
+        channels = tuple(self.active_channels.values())
+        for channel in channels:
             channel.enforce_limits(self._limits, now_s)
+        for relief in self.memory.relieve(now_s):
+            self.apply(relief)
+        if self.in_connection_overflow:
+            self._close_silent(channels, now_s)
+
+    def apply(self, relief: Relief) -> None:
+        """Turn a client away, to have room in memory for others."""
+        for channel in tuple(self.active_channels.values()):
+            if channel.id != relief.connection:
+                continue
+            match relief:
+                case RefuseRequest(cause=cause, held_bytes=held_bytes):
+                    channel.refuse(cause, held_bytes)
+                case CloseConnection(cause=cause, held_bytes=held_bytes):
+                    self.report(channel, cause, held_bytes)
+                    channel.abort_answer()
+
+    def report(self, channel: Connection, cause: Cause, held_bytes: int) -> None:
+        """Tell who is turned away, and why."""
+        self._turned_away(cause, channel.addr[0], held_bytes)
+
+    def _close_silent(self, channels: tuple[Connection, ...], now_s: float) -> None:
+        silent = (channel.silent(now_s) for channel in channels)
+        channel_by_id = {channel.id: channel for channel in channels}
+        for item in connections_to_close(filter(None, silent), len(channels)):
+            channel_by_id[item.connection].close_silent(item.silence)
 
     def notify_progress(self) -> None:
         """Wake the tasks in ``wait_flushed``."""
@@ -417,6 +662,22 @@
     reason = HTTPStatus.REQUEST_TIMEOUT.phrase
 
 
+class NoRoom(waitress_errors.BadRequest):
+    """There is no memory or no connection for the request."""
+
+    code = HTTPStatus.SERVICE_UNAVAILABLE.value
+    reason = HTTPStatus.SERVICE_UNAVAILABLE.phrase
+
+
+def refusal_error(cause: Cause) -> waitress_errors.Error:
+    """Return the error that a client gets whose request is not read on."""
+    match cause:
+        case Cause.TOO_SLOW | Cause.STALLED:
+            return RequestTimeout("the request was sent too slowly")
+        case _:
+            return NoRoom("no room for the request")
+
+
 def make_server(
     app: Any,
     host: str,
@@ -425,11 +686,14 @@
     refuse: Refuse,
     limits: ConnectionLimits = ConnectionLimits(),
     is_balancer_trusted: bool = False,
+    memory: ClientMemory | None = None,
+    max_connections: int = MAX_CONNECTIONS,
+    turned_away: TurnedAway = _ignore,
 ) -> HttpServer:
     """Return a waitress server bound to the port; its ``run`` blocks.
 
     Headers set by proxies, such as X-Forwarded-For, are removed unless
-    ``is_balancer_trusted``.
+    ``is_balancer_trusted``. ``memory`` is for this server alone.
 
     Raises
     ------
@@ -442,11 +706,10 @@
         host=host,
         port=port,
         asyncore_use_poll=True,
-        connection_limit=MAX_CONNECTIONS,
+        connection_limit=max_connections + INTERNAL_MAP_ENTRIES,
         backlog=BACKLOG,
         max_request_header_size=limits.header_bytes,
         max_request_body_size=limits.body_bytes + 1,
-        inbuf_overflow=MAX_READ_BYTES,
         outbuf_high_watermark=UNREACHABLE_WATERMARK_BYTES,
         clear_untrusted_proxy_headers=not is_balancer_trusted,
         cleanup_interval=LIMIT_CHECK_PERIOD_S,
@@ -464,6 +727,8 @@
             sockinfo=adjustments.listen[0],
             refuse=refuse,
             limits=limits,
+            memory=memory or make_client_memory(),
+            turned_away=turned_away,
         )
     except OSError as error:
         raise ListenError(
