Refuse in time what waits behind a crowd, and test the budget

While stalled bodies gave way, no waiting request was refused, so a crowd could keep an upload waiting beyond its 2 s. Those that get no room now are refused in time.

--- a/src/camphoryard/coordination/admission/client_memory.py
+++ b/src/camphoryard/coordination/admission/client_memory.py
@@ -194,8 +194,8 @@
                 stalled.append(
                     RefuseRequest(connection, Cause.STALLED, holding.request_bytes)
                 )
-            overdue = () if stalled else self._overdue(now_s)
-            return (*stalled, *overdue)
+            freed_bytes = sum(item.held_bytes for item in stalled)
+            return (*stalled, *self._overdue(freed_bytes, now_s))
 
     def _stalled(self, now_s: float) -> Iterable[tuple[ConnectionId, _Holding]]:
         found = [
@@ -211,10 +211,13 @@
             reverse=True,
         )
 
-    def _overdue(self, now_s: float) -> Iterable[Relief]:
+    def _overdue(self, freed_bytes: int, now_s: float) -> Iterable[Relief]:
+        """Yield the requests that waited too long, but not those that get room now."""
         for connection in self._waiting:
             holding = self._holding_by_connection[connection]
-            if now_s - holding.waiting_since_s >= MAX_WAIT_S:
+            freed_bytes -= self._wanted_bytes(connection)
+            is_overdue = now_s - holding.waiting_since_s >= MAX_WAIT_S
+            if is_overdue and freed_bytes < 0:
                 yield RefuseRequest(connection, Cause.NO_MEMORY, holding.request_bytes)
 
     def _largest_unread(self, now_s: float) -> CloseConnection | None:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -9,6 +9,8 @@
 import pytest
 from waitress.channel import ClientDisconnected
 
+from camphoryard.coordination.admission import client_memory, connection_room
+from camphoryard.coordination.admission.client_memory import ClientMemory
 from camphoryard.transport.http_server import (
     CANCELLATION,
     ConnectionLimits,
@@ -53,8 +55,8 @@
     servers = []
     executor = ThreadPoolExecutor()
 
-    def start(app):
-        server = make_server(app, HOST, 0, executor, lambda *_: HttpResponse(400, b""))
+    def start(app, refuse=lambda *_: HttpResponse(400, b""), **options):
+        server = make_server(app, HOST, 0, executor, refuse, **options)
         threading.Thread(target=server.run, daemon=True).start()
         servers.append(server)
         return server
@@ -322,3 +324,81 @@
             received = b"".join(iter(lambda: connection.recv(4096), b""))
             assert b"Connection: close" in received
             assert server.wait_flushed(time.monotonic() + TIMEOUT_S)
+
+
+def refuse_with_status(status, detail):
+    """Return an answer with the status of the refusal."""
+    return HttpResponse(status, detail.encode())
+
+
+class TestCrowds:
+    """Clients that hold much and send nothing."""
+
+    BODY = bytes(1 << 20)
+    HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(BODY)
+
+    @staticmethod
+    def echo_size(environ, start_response):
+        """Answer with the size of the body."""
+        size = b"%d" % len(environ["wsgi.input"].read())
+        start_response("200 OK", [("Content-Length", str(len(size)))])
+        return [size]
+
+    @staticmethod
+    def begin(server, data):
+        """Return a connection of which the server has received ``data``."""
+        connection = socket.create_connection((HOST, server.effective_port))
+        connection.settimeout(TIMEOUT_S)
+        connection.sendall(data)
+        while not any(
+            item.request and item.addr == connection.getsockname()
+            for item in active_channels(server)
+        ):
+            time.sleep(0.01)
+        return connection
+
+    def test_stalled_body_gives_way_to_one_that_waits(self, run, monkeypatch):
+        """The first gets a promise that it has not run, the second its answer."""
+        monkeypatch.setattr(client_memory, "STALL_S", 0.0)
+        turned_away = []
+        server = run(
+            self.echo_size,
+            refuse_with_status,
+            memory=ClientMemory(len(self.BODY)),
+            turned_away=lambda cause, *_: turned_away.append(cause.value),
+        )
+        with self.begin(server, self.HEAD + b"x") as stalled:
+            with self.begin(server, self.HEAD) as waiting:
+                server.maintenance(0.0)
+                assert stalled.recv(4096).startswith(b"HTTP/1.1 408")
+                waiting.sendall(self.BODY)
+                received = waiting.recv(4096)
+        assert received.startswith(b"HTTP/1.1 200")
+        assert received.endswith(b"%d" % len(self.BODY))
+        assert turned_away == ["stalled"]
+        while server.memory.held_bytes:
+            time.sleep(0.01)
+
+    def test_slow_body_may_take_long_but_not_stand_still(self, run):
+        """Each pause is limited, not the time of the whole body."""
+        server = run(self.echo_size, refuse_with_status)
+        with self.begin(server, self.HEAD + b"x") as connection:
+            (channel,) = active_channels(server)
+            channel._request_began_s -= LONG_ANSWER_S
+            server.set_limits(ConnectionLimits(header_timeout_s=LONG_ANSWER_S / 2))
+            server.maintenance(0.0)
+            assert channel.request is not None
+            channel.last_active_s -= LONG_ANSWER_S
+            server.maintenance(0.0)
+            assert connection.recv(4096).startswith(b"HTTP/1.1 408")
+
+    def test_full_server_makes_room_for_the_next_client(self, run, monkeypatch):
+        """It closes the connection that has been idle for longest."""
+        monkeypatch.setattr(connection_room, "SILENCE_S", 0.0)
+        server = run(self.echo_size, max_connections=1)
+        address = (HOST, server.effective_port)
+        with socket.create_connection(address) as idle, connect(server) as next_one:
+            next_one.settimeout(TIMEOUT_S)
+            idle.settimeout(TIMEOUT_S)
+            assert idle.recv(1) == b""
+            assert next_one.recv(4096).startswith(b"HTTP/1.0 200")
