Parse runs of small chunks together, and document the limits for clients

One request of 4 MiB in chunks of one byte took 18.6 s beside other load, as each chunk cost 2.3 us of Python.

tests/transport/test_request_body.py: 44 passed.

--- a/src/camphoryard/transport/request_body.py
+++ b/src/camphoryard/transport/request_body.py
@@ -11,6 +11,9 @@
 from waitress.rfc7230 import CHUNK_EXT_RE
 
 MAX_SMALL_BODY_BYTES = 64 << 10
+"""Size up to which a body is held in the heap."""
+MAX_SMALL_CHUNK_BYTES = 64
+"""Size up to which chunks of one size are parsed together."""
 MAX_SIZE_LINE_BYTES = 1024
 """Maximum length of the line that begins a chunk, with its extension."""
 SIZE_PATTERN = re.compile(rb"[0-9a-fA-F]+")
@@ -189,21 +192,36 @@
         size = int(digits, 16)
         if len(line) > 1:
             self._use_spare(len(line) - len(b"%x" % size))
-        self.chunks += 1
-        self._size += size
+        self._count_chunks(1, size)
+        begin = end + len(LINE_END)
+        if 0 < size <= MAX_SMALL_CHUNK_BYTES and line == b"%x" % size:
+            run_end = self._take_run(data, at, size)
+            if run_end > at:
+                return run_end
+        self._chunk_left = size
+        self._part = _Part.CONTENT if size else _Part.TRAILER
+        return begin
+
+    def _take_run(self, data: bytes, at: int, size: int) -> int:
+        """Take the whole chunks of ``size`` from ``at`` on; return where they end."""
+        chunk = rb"%x\r\n(.{%d})\r\n" % (size, size)
+        run = re.compile(rb"(?:%b)+" % chunk, re.DOTALL).match(data, at)
+        if run is None:
+            return at
+        contents = re.compile(chunk, re.DOTALL).findall(data, at, run.end())
+        self._count_chunks(len(contents) - 1, size)
+        self._pieces.extend(contents)
+        return run.end()
+
+    def _count_chunks(self, count: int, size: int) -> None:
+        self.chunks += count
+        self._size += count * size
         if self._size > self.max_bytes:
             raise _InvalidChunkError(
                 waitress_errors.RequestEntityTooLarge(
                     f"exceeds max_body of {self.max_bytes}"
                 )
             )
-        begin = end + len(LINE_END)
-        if size and data.startswith(LINE_END, begin + size):
-            self._pieces.append(data[begin : begin + size])
-            return begin + size + len(LINE_END)
-        self._chunk_left = size
-        self._part = _Part.CONTENT if size else _Part.TRAILER
-        return begin
 
     def _parse_content(self, data: bytes, at: int) -> int:
         piece = data[at : at + self._chunk_left]
