--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -15,6 +15,7 @@
     DEFAULT_QUOTA_WINDOW_S,
     Bounds,
     EntrySettings,
+    VmLimits,
 )
 from camphoryard.settings import SettingsError
 from camphoryard.state.ids import NodeId, Zone
@@ -107,6 +108,7 @@
             _bounds(file.bounds),
             file.metrics_port,
             file.bootstrap,
+            VmLimits(file.limits.memory_mb, file.limits.max_fds),
         )
     except (msgspec.ValidationError, ValueError) as error:
         raise SettingsError(f"{source}: {error}") from error
