Hold the quotas of accounts over all nodes

Change: the limit of an account in a window is divided into parts that nodes hold. A node admits from its parts, asks the leader for more in the request's own task, and reports what it holds with its digest; used units rest at their node for a window. Requests over the quota get 429 before anything else of them is done; what is refused as not run gives its units back. While no leader answers, three backups admit in place of nodes that fall short. The count of nodes that divides a limit is a module of its own, which the retry reserve uses as well; its tests' assertions are unchanged, only the fixture builds the new object. Digests grow by two empty fields; without quotas nothing else is sent.

--- /dev/null
+++ b/src/camphoryard/coordination/admission/quota_ledger.py
@@ -0,0 +1,226 @@
+"""The leader's ledger of the parts of accounts' quotas that nodes hold."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from heapq import nsmallest
+
+from xxhash import xxh3_64_intdigest
+
+from camphoryard.coordination.admission.quota_shares import (
+    EVEN_PARTS,
+    HOLDING_S,
+    REST_MARGIN_S,
+    TAKE_WITHIN_S,
+)
+from camphoryard.coordination.leadership.leader_lease import LEASE_S, boot_clock_s
+from camphoryard.state.ids import AccountId, FencingNumber, Incarnation, NodeId
+from camphoryard.state.quotas import WHOLE, QuotaRenewal, QuotaReport
+
+LENDABLE_PARTS = WHOLE - EVEN_PARTS
+SCARCE_PARTS = WHOLE // 10
+"""Free parts below which nodes keep no unused ones."""
+RESERVED_PARTS = WHOLE // 5
+"""Free parts that are kept for nodes which need them, not lent as spare ones."""
+AHEAD_FRACTION = 16
+"""A grant has up to this fraction of the free parts more than were asked for."""
+BACKUPS = 3
+BACKUP_SILENCE_S = 2.0
+"""Time without a report after which another node is made a backup; four reports."""
+DROP_PERIOD_S = 0.5
+"""Minimum time between two searches for processes that are silent."""
+
+
+@dataclass(slots=True)
+class _Holder:
+    """The parts of one process, by its last report, and those granted since.
+
+    ``disputed`` are the accounts of which it has reported more than it can hold.
+    """
+
+    heard_s: float
+    renewed_beat: int = 0
+    settled: int = 0
+    parts_by_account: dict[AccountId, int] = field(default_factory=dict)
+    grant_by_number: dict[int, Mapping[AccountId, int]] = field(default_factory=dict)
+    disputed: set[AccountId] = field(default_factory=set)
+
+    def held(self) -> Counter[AccountId]:
+        """Return the most that the process can hold of each account."""
+        held = Counter(self.parts_by_account)
+        for granted in self.grant_by_number.values():
+            held.update(granted)
+        return held
+
+    def apply(self, report: QuotaReport, now_s: float) -> None:
+        """Record a report and forget the grants that it includes."""
+        self.heard_s = now_s
+        self.settled = max(self.settled, report.settled)
+        self.parts_by_account = dict(report.parts_by_account)
+        for number in tuple(self.grant_by_number):
+            if number <= self.settled:
+                del self.grant_by_number[number]
+
+
+class QuotaLedger:
+    """Counts which process holds how much of each account's limit, for one term.
+
+    A part is granted again only if its holder has reported that it gave it back, or if
+    the holder was not heard of until its parts have lapsed and all units that it had
+    admitted have rested for a window. The leader of a later term does not know the
+    grants of its predecessor: what no node has reported counts as held by an unknown
+    process until every grant of an earlier term has lapsed like that.
+
+    Parameters
+    ----------
+    node : NodeId
+        The leader.
+    is_first : bool
+        Whether no other leader can have granted anything before.
+    clock : callable
+        Return seconds, including time during which the VM is suspended.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        term: FencingNumber,
+        is_first: bool,
+        window_s: float,
+        clock: Callable[[], float] = boot_clock_s,
+    ) -> None:
+        self.term = term
+        self._node = node
+        self._clock = clock
+        self._lapse_s = HOLDING_S + TAKE_WITHIN_S + window_s + REST_MARGIN_S
+        # A predecessor that the store has forgotten may act for as long as a lease.
+        known_in_s = 0.0 if is_first else LEASE_S + self._lapse_s
+        self._all_known_s = clock() + known_in_s
+        self._holder_by_process: dict[tuple[NodeId, Incarnation], _Holder] = {}
+        self._held: Counter[AccountId] = Counter()
+        self._claimed: Counter[AccountId] = Counter()
+        self._next_drop_s = clock()
+
+    def observe(
+        self,
+        node: NodeId,
+        incarnation: Incarnation,
+        beat: int,
+        report: QuotaReport,
+        renews: bool,
+    ) -> None:
+        """Record a report; its parts are renewed if ``renews``.
+
+        Reports of one process have to come in the order of their beats. One that holds
+        more than the ledger accounts for is not renewed until it has given that back.
+        """
+        if report.term != self.term:
+            return
+        self._drop_silent()
+        process = node, incarnation
+        holder = self._holder_by_process.get(process)
+        is_new = holder is None
+        if holder is None:
+            holder = self._holder_by_process[process] = _Holder(self._clock())
+        before = holder.held()
+        for account, parts in report.parts_by_account.items():
+            excess = parts - before[account]
+            if excess > 0 and not (is_new and self._claim(account, excess)):
+                holder.disputed.add(account)
+        holder.disputed.intersection_update(report.parts_by_account)
+        holder.apply(report, self._clock())
+        self._held.subtract(before)
+        self._held.update(holder.held())
+        if renews and not holder.disputed:
+            holder.renewed_beat = beat
+
+    def grant(
+        self,
+        node: NodeId,
+        incarnation: Incarnation,
+        number: int,
+        parts_by_account: Mapping[AccountId, int],
+        is_spare: bool = False,
+    ) -> Mapping[AccountId, int]:
+        """Return the parts that a process gets which asks for ``parts_by_account``.
+
+        Parts that it needs are granted with a few more, or not at all. Spare ones are
+        granted as far as they leave a reserve.
+        """
+        self._drop_silent()
+        holder = self._holder_by_process.get((node, incarnation))
+        if holder is None or number <= holder.settled:
+            return {}
+        if number in holder.grant_by_number:
+            return {}
+        granted = {}
+        for account, parts in parts_by_account.items():
+            amount = self._amount(account, parts, is_spare)
+            if amount > 0:
+                granted[account] = amount
+        holder.grant_by_number[number] = granted
+        self._held.update(granted)
+        return granted
+
+    def free_parts(self, account: AccountId) -> int:
+        """Return how many parts of an account nobody can hold."""
+        free = LENDABLE_PARTS - self._unknown(account) - self._held[account]
+        return max(0, free)
+
+    def renewal(self, node: NodeId, incarnation: Incarnation) -> QuotaRenewal | None:
+        """Return the answer to the reports of a process, or None if it has none."""
+        holder = self._holder_by_process.get((node, incarnation))
+        if holder is None or not holder.renewed_beat:
+            return None
+        scarce = [
+            account
+            for account, held in self._held.items()
+            if held > 0 and self.free_parts(account) < SCARCE_PARTS
+        ]
+        return QuotaRenewal(holder.renewed_beat, tuple(sorted(scarce)), self._backups())
+
+    def _backups(self) -> tuple[NodeId, ...]:
+        """Return the nodes that keep spare parts: others than the leader, all heard."""
+        since_s = self._clock() - BACKUP_SILENCE_S
+        heard = {
+            node
+            for (node, _), holder in self._holder_by_process.items()
+            if holder.heard_s > since_s and node != self._node
+        }
+        return tuple(nsmallest(BACKUPS, heard, key=_backup_order))
+
+    def _amount(self, account: AccountId, parts: int, is_spare: bool) -> int:
+        free = self.free_parts(account)
+        if is_spare:
+            return min(parts, free - RESERVED_PARTS)
+        if parts > free:
+            return 0
+        return min(free, parts + min(parts, free // AHEAD_FRACTION))
+
+    def _claim(self, account: AccountId, parts: int) -> bool:
+        """Take parts that a process holds from an earlier term; False if too many."""
+        claimed = min(parts, self._unknown(account))
+        is_free = parts - claimed <= self.free_parts(account)
+        self._claimed[account] += claimed
+        return is_free
+
+    def _unknown(self, account: AccountId) -> int:
+        if self._clock() >= self._all_known_s:
+            return 0
+        return LENDABLE_PARTS - self._claimed[account]
+
+    def _drop_silent(self) -> None:
+        """Free the parts of processes that were not heard of until all have lapsed."""
+        now_s = self._clock()
+        if now_s < self._next_drop_s:
+            return
+        self._next_drop_s = now_s + DROP_PERIOD_S
+        since_s = now_s - self._lapse_s
+        for process, holder in tuple(self._holder_by_process.items()):
+            if holder.heard_s < since_s:
+                self._held.subtract(holder.held())
+                del self._holder_by_process[process]
+
+
+def _backup_order(node: NodeId) -> int:
+    return xxh3_64_intdigest(f"backup/{node}".encode())
--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -13,6 +13,7 @@
 
 from xxhash import xxh3_64_intdigest
 
+from camphoryard.coordination.fleet.quota_sharing import QuotaSharing
 from camphoryard.coordination.leadership.leader_lease import LEASE_S
 from camphoryard.coordination.messages import DigestWithAge, Gossip
 from camphoryard.coordination.placement.demand import DemandMeter
@@ -32,6 +33,7 @@
     NodeId,
 )
 from camphoryard.state.nodes import NodeDigest, NodeTable
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 from camphoryard.state.tables import InFlightTable
 
 GOSSIP_PERIOD_S = 0.25
@@ -92,6 +94,8 @@
         Parts of prompts that are quarantined, which nodes that start learn from peers.
     directory : Directory
         Endpoints, some of which have said to one node that they leave.
+    quotas : QuotaSharing or None
+        Quotas of accounts, of which nodes and the leader tell each other.
     """
 
     def __init__(
@@ -109,6 +113,7 @@
         crashed_parts: CrashedParts,
         directory: Directory,
         clock: Callable[[], float] = time.monotonic,
+        quotas: QuotaSharing | None = None,
     ) -> None:
         self._node = node
         self._incarnation = incarnation
@@ -123,6 +128,7 @@
         self._crashed_parts = crashed_parts
         self._directory = directory
         self._clock = clock
+        self._quotas = quotas
         self._beat = 0
         self._rotation = 0
         self._leader_observed_s = clock()
@@ -137,6 +143,8 @@
         self._demand.sample()
         self._beat += 1
         leader = self.leader()
+        if self._quotas is not None and leader == self._node:
+            self._quotas.report_to_self(self._beat)
         match self._topology():
             case Mesh():
                 self._send_to_all(leader)
@@ -144,7 +152,10 @@
                 self._send_sums()
             case Star() if leader is not None and self._beat % STAR_REPORT_PERIODS == 0:
                 self._send_digest(
-                    leader, self._in_flight.by_id(), self._demand.by_item()
+                    leader,
+                    self._in_flight.by_id(),
+                    self._demand.by_item(),
+                    self._quota_report(leader),
                 )
 
     def receive(self, gossip: Gossip) -> None:
@@ -156,6 +167,8 @@
             self._crashed_parts.adopt(digest.quarantine_s_by_parts)
         for endpoint, started_ms in digest.leaving_by_endpoint.items():
             self._directory.record_leaving(endpoint, started_ms)
+        if self._quotas is not None:
+            self._quotas.receive(digest)
         if digest.duty_term:
             self._leader_observed_s = self._clock()
             self._on_unloads(digest.unloads_by_endpoint)
@@ -169,8 +182,11 @@
         """Send to all peers; demand, most of the bytes, is sent only to the leader."""
         in_flight = self._in_flight.by_id()
         for node in self._known_peers():
-            demand = self._demand.by_item() if node == leader else {}
-            self._send_digest(node, in_flight, demand)
+            if node == leader:
+                demand, report = self._demand.by_item(), self._quota_report(node)
+                self._send_digest(node, in_flight, demand, report)
+            else:
+                self._send_digest(node, in_flight, {})
 
     def _send_sums(self) -> None:
         """Send to each peer the summed in-flight requests of all other nodes."""
@@ -195,6 +211,7 @@
         node: NodeId,
         in_flight: Mapping[EndpointId, int],
         demand: Mapping[ItemId, ItemDemand],
+        quota_report: QuotaReport | None = None,
     ) -> None:
         term = self._term()
         digest = NodeDigest(
@@ -209,9 +226,23 @@
             unloads_by_endpoint=self._unloads_by_endpoint() if term else {},
             quarantine_s_by_parts=self._crashed_parts.quarantine_s_by_parts(),
             leaving_by_endpoint=self._directory.leaving_by_endpoint(),
+            quota_report=quota_report,
+            quota_renewal=self._quota_renewal(node) if term else None,
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
+    def _quota_report(self, leader: NodeId) -> QuotaReport | None:
+        digest = self._nodes.digest(leader)
+        if self._quotas is None or digest is None:
+            return None
+        return self._quotas.report(leader, digest.duty_term, self._beat)
+
+    def _quota_renewal(self, node: NodeId) -> QuotaRenewal | None:
+        lease = self._nodes.find(node)
+        if self._quotas is None or lease is None:
+            return None
+        return self._quotas.renewal(node, lease.incarnation)
+
     def leader(self) -> NodeId | None:
         """Return the leader according to the digests of peers, or None."""
         terms = {self._node: self._term()}
--- a/src/camphoryard/coordination/fleet/retry_recorder.py
+++ b/src/camphoryard/coordination/fleet/retry_recorder.py
@@ -1,24 +1,17 @@
 """Records in the store the use of the retry reserve, for a node's next process."""
 
-import time
 from collections.abc import Callable
 
+from camphoryard.coordination.fleet.fleet_size import FleetSize
 from camphoryard.coordination.ports import DecisionLog, Records, Timer
 from camphoryard.coordination.routing.retry_window import RetryWindow
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT, NodeId, ServiceId, StoreEra
-from camphoryard.state.nodes import NodeTable
 from camphoryard.state.retry_reserve import RetryReserveUse
 from camphoryard.state.store_eras import NewestEra
 
 CHECK_PERIOD_S = 0.1
 """Period in which the use of the reserve is compared with the record."""
-MIN_NODES = 4
-"""Minimum number of nodes that the reserve is divided by, as those of a fleet that
-starts do not know all others yet."""
-LEFT_NODES_S = 60.0
-"""Time for which a node that left still divides the reserve. Its retries are in the
-window for some of it, and it may be restarting."""
 
 
 class RetryRecorder:
@@ -37,7 +30,7 @@
         record.
     newest_era : NewestEra
         The store's era; a store that was restored may have lost the record.
-    nodes : NodeTable
+    fleet_size : FleetSize
         Counts the nodes that divide the reserve.
     is_fleet_listed : callable
         Return whether the nodes in the store have been listed.
@@ -49,21 +42,17 @@
         records: Records[RetryReserveUse],
         retries: RetryWindow[ServiceId],
         newest_era: NewestEra,
-        nodes: NodeTable,
+        fleet_size: FleetSize,
         is_fleet_listed: Callable[[], bool],
         log: DecisionLog,
-        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._node = node
         self._records = records
         self._retries = retries
         self._newest_era = newest_era
-        self._nodes = nodes
+        self._fleet_size = fleet_size
         self._is_fleet_listed = is_fleet_listed
         self._log = log
-        self._clock = clock
-        self._started_s = clock()
-        self._nodes_before = 0
         self._is_leaving = False
         self._version = ABSENT
         self._services: frozenset[ServiceId] = frozenset()
@@ -102,16 +91,6 @@
         """Have the record written once more, for a process that starts after a stop."""
         self._is_leaving = True
 
-    def count_nodes(self) -> int:
-        """Return how many nodes divide the reserve.
-
-        Nodes that left, and those that the earlier process knew, count for some time.
-        """
-        count = self._nodes.count_with_left(LEFT_NODES_S)
-        if self._clock() - self._started_s < LEFT_NODES_S:
-            count = max(count, self._nodes_before)
-        return max(count, MIN_NODES)
-
     def _read(self) -> None:
         era = self._newest_era.current
         stored = self._records.get(self._node)
@@ -121,11 +100,12 @@
         self._read_in = era
         if not self._is_released:
             self._is_released = True
-            self._nodes_before = record.nodes if record is not None else 0
+            self._fleet_size.remember(record.nodes if record is not None else 0)
             self._retries.release_reserve(self._services)
             self._log("retry_reserve_released", held=",".join(sorted(self._services)))
 
     def _write(self, users: frozenset[ServiceId]) -> None:
-        record = RetryReserveUse(self._node, tuple(sorted(users)), self.count_nodes())
+        nodes = self._fleet_size.count()
+        record = RetryReserveUse(self._node, tuple(sorted(users)), nodes)
         self._version = self._records.put(self._node, record, self._version)
         self._services = users
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -37,6 +37,7 @@
     Urgency,
     Version,
 )
+from camphoryard.state.quotas import Admitted, QuotaDecision
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import RequestedModel, RouteRule
@@ -72,6 +73,30 @@
         """Record that a request for the model occupied a slot for ``slot_time_s`` s."""
 
 
+class AccountQuotas(Protocol):
+    """Admits the requests of accounts up to their quotas."""
+
+    def admit(self, account: Account | None, tokens: int) -> QuotaDecision:
+        """Decide on a request with that sum of token counts, and count it if admitted.
+
+        Waits for a short time for the leader if this node alone cannot admit it.
+        """
+
+    def refund(self, admitted: Admitted) -> None:
+        """Give back what an admitted request has used, as it has not run."""
+
+
+class NoQuotas:
+    """Admits all requests; see the AccountQuotas port."""
+
+    def admit(self, account: Account | None, tokens: int) -> QuotaDecision:
+        """Admit a request."""
+        return Admitted()
+
+    def refund(self, admitted: Admitted) -> None:
+        """Do nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardingContext:
     """Collaborators of a forwarding task."""
@@ -94,6 +119,7 @@
     clock: Callable[[], float] = time.monotonic
     in_progress: InProgress["RequestInProgress"] = field(default_factory=InProgress)
     recent_failures: RecentFailures = field(default_factory=RecentFailures)
+    quotas: AccountQuotas = field(default_factory=NoQuotas)
 
 
 @dataclass(slots=True)
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -38,6 +38,7 @@
     StalledCallError,
 )
 from camphoryard.state.ids import EndpointId, ServiceId
+from camphoryard.state.quotas import Admitted, OverQuota
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import RouteRule, TrafficRules, WeightedService
 from camphoryard.state.verdict import Verdict
@@ -81,16 +82,40 @@
         not run and will not run.
     """
     forwarded = create_forwarded(context, request)
+    admitted = _use_quota(context, forwarded)
     item = RequestInProgress(forwarded, cancellation, reply)
     try:
         with context.in_progress.tracked(item):
             _forward_until_answered(context, forwarded, cancellation, reply)
     except RefusalError as refusal:
         _log_unanswered(context, forwarded, refusal, reply)
+        if refusal.verdict is Verdict.NOT_RUN:
+            context.quotas.refund(admitted)
         raise
     return forwarded
 
 
+def _use_quota(context: ForwardingContext, forwarded: ForwardedRequest) -> Admitted:
+    """Count the request against the quota of its account.
+
+    Raises
+    ------
+    RefusalError
+        If it is over the quota.
+    """
+    request = forwarded.request
+    tokens = request.prompt_tokens + request.max_output_tokens
+    match context.quotas.admit(forwarded.account, tokens):
+        case OverQuota(retry_after_s):
+            raise RefusalError(
+                Reason.OVER_QUOTA,
+                "the account is over its quota",
+                retry_after_s=retry_after_s,
+            )
+        case admitted:
+            return admitted
+
+
 def _forward_until_answered(
     context: ForwardingContext,
     forwarded: ForwardedRequest,
--- a/src/camphoryard/coordination/leadership/leader_lease.py
+++ b/src/camphoryard/coordination/leadership/leader_lease.py
@@ -111,6 +111,7 @@
         self._acts_from_s = 0.0
         self._acts_until_s = 0.0
         self._is_resigned = False
+        self._is_first_term = False
 
     @property
     def term(self) -> FencingNumber:
@@ -130,6 +131,16 @@
             return self._term
         return NO_TERM
 
+    @property
+    def is_renewed(self) -> bool:
+        """Whether the lease is certain not to be another node's yet."""
+        return bool(self._term) and self._clock() < self._acts_until_s
+
+    @property
+    def is_first_term(self) -> bool:
+        """Whether the store has never had a leader before the term of this node."""
+        return self._is_first_term
+
     def run(self, timer: Timer) -> None:
         """Renew or try to acquire the lease until the timer service closes."""
         for _ in timer.every(RENEWAL_PERIOD_S):
@@ -234,6 +245,7 @@
         )
         written = self._records.put(self._key, record, observed.version)
         self._observed = _ObservedRecord(record, written, began_s)
+        self._is_first_term = not record.term and observed.record is None
         self._term = FencingNumber(written)
         margin_s = HANDOVER_MARGIN_S if wait_s else 0.0
         self._acts_from_s = self._clock() + wait_s + margin_s
--- a/src/camphoryard/coordination/membership/peer_messages.py
+++ b/src/camphoryard/coordination/membership/peer_messages.py
@@ -25,6 +25,8 @@
     LoadItemsRequest,
     Message,
     MoveItemsRequest,
+    QuotaRequest,
+    QuotaTake,
     RecordsRequest,
     RefusalCountsCopy,
     RelinquishRequest,
@@ -107,3 +109,5 @@
             return Declined(
                 "no leader here: each engine is controlled by its own owner"
             )
+        case QuotaRequest() | QuotaTake():
+            return Declined("no accounts here")
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -11,6 +11,7 @@
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.ids import (
+    AccountId,
     EndpointId,
     FencingNumber,
     Fingerprint,
@@ -298,6 +299,37 @@
     in_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaRequest:
+    """Ask the leader of ``term`` for parts of the limits of accounts.
+
+    ``number`` grows with each request of one process. Spare parts are not needed yet.
+    """
+
+    node: NodeId
+    incarnation: Incarnation
+    term: FencingNumber
+    number: int
+    parts_by_account: Mapping[AccountId, int]
+    is_spare: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaGrant:
+    """Parts that the leader of ``term`` grants."""
+
+    term: FencingNumber
+    parts_by_account: Mapping[AccountId, int]
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaTake:
+    """Ask a backup to admit a request of an account in place of the sender."""
+
+    account: AccountId
+    units: float
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The request is done or in progress."""
@@ -327,6 +359,8 @@
     | TrialEnded
     | RefusalCountsCopy
     | ItemRequest
+    | QuotaRequest
+    | QuotaTake
 )
 Reply: TypeAlias = (
     Done
@@ -340,4 +374,5 @@
     | RecordsReply
     | ItemLoaded
     | ItemLoading
+    | QuotaGrant
 )
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -13,6 +13,7 @@
 import msgspec
 import zmq
 
+from camphoryard.coordination.admission.quota_shares import QuotaShares
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
@@ -20,11 +21,13 @@
     Star,
     gossip_topology,
 )
+from camphoryard.coordination.fleet.fleet_size import FleetSize
 from camphoryard.coordination.fleet.node_registration import (
     NodeRegistration,
     apply_lease,
     is_node_watch_due,
 )
+from camphoryard.coordination.fleet.quota_sharing import QuotaSharing
 from camphoryard.coordination.fleet.retry_recorder import RetryRecorder
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import (
@@ -51,6 +54,8 @@
     Gossip,
     ItemRequest,
     Message,
+    QuotaRequest,
+    QuotaTake,
     Reply,
 )
 from camphoryard.coordination.placement.demand import DemandMeter, SystemDemand
@@ -164,6 +169,7 @@
     item_locator: ItemLocator
     crash_sharing: CrashSharing
     retry_recorder: RetryRecorder
+    quotas: QuotaSharing
     app: FrontApp
     readiness: ReadinessApp
     executors: Executors
@@ -196,6 +202,7 @@
     feed = DirectoryFeed(directory, log)
     in_flight = InFlightTable()
     nodes = NodeTable()
+    fleet_size = FleetSize(nodes)
     demand = DemandMeter(fast_time_constant_s=DEMAND_TIME_CONSTANT_S)
     crashed_parts = CrashedParts(log)
     notices = EndpointNotices(directory, log)
@@ -222,6 +229,22 @@
         lambda: gossip.is_standby(),
         log,
     )
+    shares = QuotaShares(
+        settings.bounds.quota_window_s,
+        lambda: fleet_size.count() if math.isfinite(nodes_watcher.age_s()) else 0,
+    )
+    quotas = QuotaSharing(
+        settings.node,
+        incarnation,
+        settings.bounds.quota_window_s,
+        lambda: directory.rules.accounts if directory.rules else None,
+        shares,
+        peers,
+        leader_lease,
+        log,
+        metrics.count,
+    )
+    metrics.add_gauge("quota_renewal_age_seconds", shares.renewed_age_s)
     gossip = FleetGossip(
         settings.node,
         incarnation,
@@ -235,6 +258,7 @@
         directory.record_unloads,
         crashed_parts,
         directory,
+        quotas=quotas,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -264,7 +288,7 @@
     dialect = PlatformDialect()
     retries: RetryWindow[ServiceId] = RetryWindow(
         settings.bounds.repeat_limits,
-        lambda: retry_recorder.count_nodes(),
+        fleet_size.count,
     )
     retries.hold_reserve()
     live_settings.subscribe(lambda bounds: retries.limit(bounds.repeat_limits))
@@ -288,7 +312,7 @@
         records(RETRY_KIND, RetryReserveUse),
         retries,
         newest_era,
-        nodes,
+        fleet_size,
         lambda: math.isfinite(nodes_watcher.age_s()),
         log,
     )
@@ -318,6 +342,7 @@
         log,
         metrics.observe,
         metrics.count,
+        quotas=quotas,
     )
     return Entry(
         live_settings,
@@ -341,6 +366,7 @@
         item_locator,
         crash_sharing,
         retry_recorder,
+        quotas,
         FrontApp(context, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
@@ -359,6 +385,10 @@
         case CrashReport() as report:
             entry.crash_sharing.receive(report)
             return Done()
+        case QuotaRequest() as quota_request:
+            return entry.quotas.answer(quota_request)
+        case QuotaTake() as quota_take:
+            return entry.quotas.take_for_peer(quota_take)
         case _:
             return Declined("unexpected message type for an entry daemon")
 
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -92,6 +92,7 @@
         entry.leader_lease.run,
         entry.load_controller.run,
         entry.retry_recorder.run,
+        entry.quotas.run,
         partial(log_process_pauses, entry.log),
         partial(join_fleet, entry),
     )
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -7,6 +7,8 @@
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.serving_endpoints import HostPort
 
+DEFAULT_QUOTA_WINDOW_S = 8.0
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -19,7 +21,8 @@
     exit. ``repeat_limits`` bound the retries of a service over all nodes.
     ``order_lease_s`` is how long a new leader waits after the last order of its
     predecessor, unless engines check fencing tokens. ``load_limits`` bound the loads
-    from the weight store.
+    from the weight store. ``quota_window_s`` is the window within which the quotas of
+    accounts hold.
     """
 
     stable_window_s: float
@@ -30,6 +33,7 @@
     order_lease_s: float
     engines_check_fences: bool
     load_limits: LoadLimits
+    quota_window_s: float = DEFAULT_QUOTA_WINDOW_S
 
     @property
     def handover_s(self) -> float:
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -10,7 +10,12 @@
 
 from camphoryard.coordination.loading.store_rate import LoadLimits
 from camphoryard.coordination.routing.retry_window import RepeatLimits
-from camphoryard.entry.settings import DEFAULT_METRICS_PORT, Bounds, EntrySettings
+from camphoryard.entry.settings import (
+    DEFAULT_METRICS_PORT,
+    DEFAULT_QUOTA_WINDOW_S,
+    Bounds,
+    EntrySettings,
+)
 from camphoryard.settings import SettingsError
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.serving_endpoints import HostPort
@@ -43,6 +48,7 @@
     require_fence: bool = False
     ceiling_window_s: float = 5
     ceiling_excess: float = 1.1
+    quota_window_s: float = DEFAULT_QUOTA_WINDOW_S
 
 
 class _Store(msgspec.Struct, frozen=True):
@@ -118,6 +124,7 @@
         bounds.lease_ms / MILLISECONDS_PER_SECOND,
         bounds.require_fence,
         LoadLimits(bounds.ceiling_window_s, bounds.ceiling_excess),
+        bounds.quota_window_s,
     )
 
 
--- a/src/camphoryard/protocol/answers.py
+++ b/src/camphoryard/protocol/answers.py
@@ -41,6 +41,7 @@
     Reason.ANSWER_TOO_LARGE: 502,
     Reason.OVERLOADED: 503,
     Reason.TOO_MANY_JOBS: 429,
+    Reason.OVER_QUOTA: 429,
     Reason.DEADLINE: 504,
     Reason.DRAINING: 503,
     Reason.STALE_CONFIGURATION: 503,
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -30,6 +30,9 @@
     LoadItemsRequest,
     Message,
     MoveItemsRequest,
+    QuotaGrant,
+    QuotaRequest,
+    QuotaTake,
     RecordsReply,
     RecordsRequest,
     RefusalCountsCopy,
@@ -49,6 +52,7 @@
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import (
+    AccountId,
     EndpointId,
     FencingNumber,
     Generation,
@@ -63,6 +67,7 @@
 )
 from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 
 MILLISECONDS_PER_SECOND = 1000
 PART_SEPARATOR = ","
@@ -102,6 +107,9 @@
     ITEM_WANTED = "item_wanted"
     ITEM_HELD = "item_held"
     ITEM_COMING = "item_coming"
+    QUOTA_WANTED = "quota_wanted"
+    QUOTA_GRANTED = "quota_granted"
+    QUOTA_TAKE = "quota_take"
     DONE = "done"
     DECLINED = "declined"
     NODE_DIGEST = "node_digest"
@@ -115,6 +123,18 @@
     part_by_key: Mapping[ObjectKey, bytes]
 
 
+class _QuotaReportForm(msgspec.Struct, array_like=True, frozen=True):
+    term: FencingNumber
+    settled: int
+    parts_by_account: Mapping[AccountId, int]
+
+
+class _QuotaRenewalForm(msgspec.Struct, array_like=True, frozen=True):
+    beat: int
+    scarce: tuple[AccountId, ...]
+    backups: tuple[NodeId, ...]
+
+
 class _DigestForm(msgspec.Struct, array_like=True, frozen=True):
     """A digest without field names, which would be most of its bytes."""
 
@@ -131,6 +151,8 @@
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = {}
     quarantine_ms_by_parts: Mapping[str, int] = {}
     leaving_by_endpoint: Mapping[EndpointId, int] = {}
+    quota_report: _QuotaReportForm | None = None
+    quota_renewal: _QuotaRenewalForm | None = None
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -172,6 +194,9 @@
     FrameKind.ITEM_WANTED: ItemRequest,
     FrameKind.ITEM_HELD: ItemLoaded,
     FrameKind.ITEM_COMING: ItemLoading,
+    FrameKind.QUOTA_WANTED: QuotaRequest,
+    FrameKind.QUOTA_GRANTED: QuotaGrant,
+    FrameKind.QUOTA_TAKE: QuotaTake,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
     FrameKind.NODE_DIGEST: NodeDigest,
@@ -294,11 +319,37 @@
                 for parts, left_s in heard.digest.quarantine_s_by_parts.items()
             },
             heard.digest.leaving_by_endpoint,
+            _quota_report_form(heard.digest.quota_report),
+            _quota_renewal_form(heard.digest.quota_renewal),
         )
         for heard in digests
     )
 
 
+def _quota_report_form(report: QuotaReport | None) -> _QuotaReportForm | None:
+    if report is None:
+        return None
+    return _QuotaReportForm(report.term, report.settled, report.parts_by_account)
+
+
+def _quota_report(form: _QuotaReportForm | None) -> QuotaReport | None:
+    if form is None:
+        return None
+    return QuotaReport(form.term, form.settled, form.parts_by_account)
+
+
+def _quota_renewal_form(renewal: QuotaRenewal | None) -> _QuotaRenewalForm | None:
+    if renewal is None:
+        return None
+    return _QuotaRenewalForm(renewal.beat, renewal.scarce, renewal.backups)
+
+
+def _quota_renewal(form: _QuotaRenewalForm | None) -> QuotaRenewal | None:
+    if form is None:
+        return None
+    return QuotaRenewal(form.beat, form.scarce, form.backups)
+
+
 def _demand_form(
     demand_by_item: Mapping[ItemId, ItemDemand],
 ) -> Mapping[ItemId, tuple[int, int]]:
@@ -347,6 +398,8 @@
                     for text, left_ms in item.quarantine_ms_by_parts.items()
                 },
                 item.leaving_by_endpoint,
+                _quota_report(item.quota_report),
+                _quota_renewal(item.quota_renewal),
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/enums.py
+++ b/src/camphoryard/state/enums.py
@@ -119,6 +119,7 @@
     ANSWER_NOT_KEPT = "answer_not_kept"
     ANSWER_TOO_LARGE = "answer_too_large"
     OVERLOADED = "overloaded"
+    OVER_QUOTA = "over_quota"
     TOO_MANY_JOBS = "too_many_jobs"
     DEADLINE = "deadline"
     DRAINING = "draining"
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -23,6 +23,7 @@
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 
 MAX_PORT = 65535
 
@@ -69,7 +70,9 @@
     are the models that a leader is having unloaded, which take no more requests.
     ``quarantine_s_by_parts`` are the sets of parts of prompts that are refused if they
     come together, with the time left in seconds. ``leaving_by_endpoint`` are the listed
-    endpoints that say they leave, with the time of their start.
+    endpoints that say they leave, with the time of their start. ``quota_report`` tells
+    the leader what the node holds of the quotas of accounts; ``quota_renewal`` is the
+    leader's answer.
     """
 
     node: NodeId
@@ -88,6 +91,8 @@
         default_factory=dict
     )
     leaving_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
+    quota_report: QuotaReport | None = None
+    quota_renewal: QuotaRenewal | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -223,12 +223,15 @@
 def refusal_status(refusal: RefusalError) -> int:
     """Return the HTTP status of a refusal.
 
-    503 guarantees that the request has not run and never will; 502 and 504 do not.
+    429 and 503 guarantee that the request has not run and never will; 502 and 504 do
+    not.
     """
     status = STATUS_BY_REASON.get(refusal.reason)
     if status is not None:
         return status
     if refusal.verdict is Verdict.NOT_RUN:
+        if refusal.reason is Reason.OVER_QUOTA:
+            return HTTPStatus.TOO_MANY_REQUESTS
         return HTTPStatus.SERVICE_UNAVAILABLE
     match refusal.reason:
         case Reason.DEADLINE:
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -16,6 +16,7 @@
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId, FencingNumber, NodeId
 from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 from camphoryard.state.tables import InFlightTable
 from tests.fakes.engines import SERVICE, Clock, RecordedLog, make_endpoint
 
@@ -61,6 +62,7 @@
         self.demand = DemandMeter()
         self.crashed_parts = CrashedParts(RecordedLog())
         self.directory = Directory()
+        self.quotas = Quotas(name)
         self.gossip = FleetGossip(
             name,
             f"i-{name}",
@@ -75,9 +77,36 @@
             self.crashed_parts,
             self.directory,
             fleet.clock,
+            self.quotas,
         )
 
 
+class Quotas:
+    """Quotas of a node that records what it is told."""
+
+    def __init__(self, name):
+        self.name, self.reports, self.renewed = name, {}, False
+
+    def report_to_self(self, beat):
+        """Record the report of the leader."""
+        self.reports[self.name] = beat
+
+    def report(self, leader, term, beat):
+        """Return a report to a leader."""
+        return QuotaReport(term, beat)
+
+    def renewal(self, node, incarnation):
+        """Return the answer to a node that has reported, or None."""
+        return QuotaRenewal(self.reports[node]) if node in self.reports else None
+
+    def receive(self, digest):
+        """Record what a digest tells."""
+        if digest.quota_report is not None:
+            self.reports[digest.node] = digest.quota_report.settled
+        if digest.quota_renewal is not None:
+            self.renewed = True
+
+
 def make_lease(name):
     """Return a node's lease that does not expire within a test."""
     return NodeLease(
@@ -163,6 +192,16 @@
                 assert leader.unloads in node.told_unloads
                 assert {E1: ("m2",)} not in node.told_unloads
 
+    @pytest.mark.parametrize("size", [SMALL, LARGE])
+    def test_the_leader_is_told_what_nodes_hold_of_quotas_and_answers(self, size):
+        """Other nodes are told nothing."""
+        fleet = Fleet(size)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        leader, *others = (node.quotas for node in fleet.node_by_id.values())
+        assert leader.reports.keys() == fleet.node_by_id.keys()
+        assert all(node.renewed and not node.reports for node in others)
+
     def test_few_nodes_watch_a_responsive_leader(self, large):
         """Reads of the leader's lease do not grow with the fleet."""
         watching = [x for x in large.node_by_id.values() if x.gossip.is_standby()]
--- a/tests/coordination/fleet/test_retry_recorder.py
+++ b/tests/coordination/fleet/test_retry_recorder.py
@@ -4,7 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from camphoryard.coordination.fleet.retry_recorder import LEFT_NODES_S, RetryRecorder
+from camphoryard.coordination.fleet.fleet_size import LEFT_NODES_S, FleetSize
+from camphoryard.coordination.fleet.retry_recorder import RetryRecorder
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import ServiceId, StoreEra
@@ -38,9 +39,10 @@
 
     def start(self, node):
         """Return the budget and the recorder of a new process."""
-        window = RetryWindow(LIMITS, lambda: recorder.count_nodes(), self.clock)
-        window.hold_reserve()
         nodes = NodeTable()
+        fleet_size = FleetSize(nodes, self.clock)
+        window = RetryWindow(LIMITS, fleet_size.count, self.clock)
+        window.hold_reserve()
         for number in range(self.listed):
             nodes.observe(make_lease(f"n{number}"), 1)
         recorder = RetryRecorder(
@@ -48,10 +50,9 @@
             self.records,
             window,
             self.era,
-            nodes,
+            fleet_size,
             lambda: self.is_known,
             self.log,
-            self.clock,
         )
         return window, recorder
 
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -40,6 +40,7 @@
     StalledCallError,
 )
 from camphoryard.state.ids import ModelId, PromptPartId, RequestId, Urgency
+from camphoryard.state.quotas import Admitted, OverQuota
 from camphoryard.state.serving_endpoints import EndpointState
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import Repeatability, RequestedModel
@@ -1260,3 +1261,62 @@
         site.directory.observe(make_endpoint("e2", state=EndpointState.DRAINING))
         site.forward()
         assert site.sent_to == ["e1"]
+
+
+class Quotas:
+    """Quotas that admit, or not, and record what is asked and given back."""
+
+    def __init__(self, decision):
+        self.decision, self.tokens, self.refunds = decision, [], []
+
+    def admit(self, account, tokens):
+        """Return the decision."""
+        self.tokens.append(tokens)
+        return self.decision
+
+    def refund(self, admitted):
+        """Record what is given back."""
+        self.refunds.append(admitted)
+
+
+class TestQuota:
+    """Requests of accounts with quotas."""
+
+    def site(self, *answers, decision, **options):
+        """Return a site with quotas."""
+        site = Site(*answers, **options)
+        quotas = Quotas(decision)
+        site.context = replace(site.context, quotas=quotas)
+        site.request = replace(site.request, prompt_tokens=300, max_output_tokens=50)
+        return site, quotas
+
+    def test_nothing_of_a_request_over_its_quota_is_done(self):
+        """It is refused before anything is counted or sent, with a Retry-After."""
+        site, quotas = self.site(decision=OverQuota(1.5))
+        refusal = site.refusal()
+        assert (refusal.reason, refusal.retry_after_s) == (Reason.OVER_QUOTA, 1.5)
+        assert refusal.verdict is Verdict.NOT_RUN
+        assert quotas.tokens == [350]
+        assert not site.upstream.sent
+        assert site.context.retries.usage(SERVICE).requests == 0
+
+    def test_a_request_that_has_not_run_costs_nothing(self):
+        """Its client comes back with it."""
+        answers = declined(), declined()
+        site, quotas = self.site(
+            *answers, decision=Admitted(), repeatability=Repeatability.ONCE
+        )
+        assert site.refusal().verdict is Verdict.NOT_RUN
+        assert quotas.refunds == [quotas.decision]
+
+    def test_a_request_that_may_have_run_is_paid_for(self):
+        """As is one that was answered."""
+        site, quotas = self.site(
+            BrokenCallError("x"),
+            served(b"ok"),
+            decision=Admitted(),
+            repeatability=Repeatability.ONCE,
+        )
+        assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
+        site.forward()
+        assert not quotas.refunds
--- a/tests/coordination/leadership/test_leader_lease.py
+++ b/tests/coordination/leadership/test_leader_lease.py
@@ -131,6 +131,29 @@
         lease.renew_or_acquire()
         assert lease.term == 1
 
+    def test_only_the_first_leader_of_a_store_is_in_a_first_term(self):
+        """Any other one may have a predecessor whose acts still have effects."""
+        fleet = Fleet(0.0, is_fenced=True)
+        first, second = fleet.lease("a"), fleet.lease("b")
+        fleet.advance(first)
+        assert first.is_first_term
+        fleet.store.restore((None, 0))
+        fleet.advance(second)
+        assert second.claimed_term
+        assert not second.is_first_term
+
+    def test_a_fenced_leader_without_the_store_is_not_renewed(self):
+        """Another node may have taken over, although this one goes on."""
+        fleet = Fleet(0.0, is_fenced=True)
+        lease = fleet.lease("a")
+        fleet.advance(lease)
+        assert lease.is_renewed
+        fleet.store.is_unavailable = True
+        for _ in range(4):
+            fleet.advance(lease)
+        assert lease.claimed_term
+        assert not lease.is_renewed
+
     def test_standby_does_not_take_over_a_renewed_lease(self):
         """A leader that renews its lease stays in its term."""
         fleet = Fleet()
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -11,6 +11,9 @@
     Gossip,
     LoadItemsRequest,
     MoveItemsRequest,
+    QuotaGrant,
+    QuotaRequest,
+    QuotaTake,
     RefusalCountsCopy,
     RelinquishReply,
     RelinquishRequest,
@@ -24,6 +27,7 @@
 )
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 from camphoryard.state.refusals import RefusalCount, RefusalCounts, RefusalKey
 from camphoryard.state.timeline import Event, Stamp
 
@@ -42,6 +46,8 @@
     unloads_by_endpoint={"e": ("m1", "m2")},
     quarantine_s_by_parts={frozenset({"p", "q"}): 12.5, frozenset({"r"}): 1.0},
     leaving_by_endpoint={"e": 1_700_000_000_000},
+    quota_report=QuotaReport(4, 2, {"a": 5}),
+    quota_renewal=QuotaRenewal(6, ("a",), ("n1", "n2")),
 )
 
 
@@ -59,6 +65,9 @@
             EventsRequest({"request": "r"}),
             EventsReply((Event(Stamp(5, 1), "n", "loaded", {"item": "m"}),)),
             RefusalCountsCopy(REFUSAL_COUNTS),
+            QuotaRequest("n", "i", 4, 3, {"a": 5}, True),
+            QuotaGrant(4, {"a": 5}),
+            QuotaTake("a", 1.5),
             Declined("busy"),
             Done(),
             Gossip(3, (DigestWithAge(LEADER_DIGEST, 0.25),)),
--- a/tests/transport/test_front.py
+++ b/tests/transport/test_front.py
@@ -25,6 +25,7 @@
         ("reason", "verdict", "status"),
         [
             (Reason.OVERLOADED, NOT_RUN, 503),
+            (Reason.OVER_QUOTA, NOT_RUN, 429),
             (Reason.NO_ENDPOINT, NOT_RUN, 503),
             (Reason.NO_ENDPOINT, MAY_HAVE_RUN, 502),
             (Reason.DEADLINE, NOT_RUN, 503),
