--- a/src/camphoryard/coordination/dispatch/dispatcher.py
+++ b/src/camphoryard/coordination/dispatch/dispatcher.py
@@ -8,7 +8,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from camphoryard.coordination.dispatch.dispatch_queue import (
@@ -29,7 +29,7 @@
     Rejected,
     RunEnded,
 )
-from camphoryard.state.ids import EndpointId, TicketId
+from camphoryard.state.ids import EndpointId, NodeId, TicketId
 
 MAX_ASK_S = 0.3
 """Longest time that a question waits for its answer."""
@@ -44,16 +44,21 @@
 STEP_TIME_FACTOR = 8
 """Steps are at least this many times as far apart as the last one took."""
 RETAIN_PERIOD_S = 1.0
-"""How often engines that are no longer listed are forgotten."""
-ANSWER_LIFETIME_S = 2.0
-"""How long an answer is kept in case its node has not received it."""
+"""How often what engines and nodes had that are gone is forgotten."""
+MAX_RUN_S = 60.0
+"""How long a run is remembered whose end nobody reports."""
 
 
 @dataclass(frozen=True, slots=True)
 class DispatcherContext:
-    """Collaborators of a Dispatcher; ``leads`` returns whether this node dispatches."""
+    """Collaborators of a Dispatcher.
+
+    ``leads`` returns whether this node dispatches, ``alive`` the nodes that are up, and
+    ``in_flight`` the requests at an endpoint as nodes report them.
+    """
 
     directory: Directory
+    alive: Callable[[], Collection[NodeId]]
     leads: Callable[[], bool]
     in_flight: Callable[[EndpointId], float]
     log: DecisionLog
@@ -64,11 +69,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Given:
-    """An endpoint that a ticket was sent to, until ``until_s``."""
+class _Run:
+    """A request of ``node`` that was sent to an endpoint at ``since_s``."""
 
     endpoint: EndpointId
-    until_s: float
+    node: NodeId | None
+    since_s: float
 
 
 class Dispatcher:
@@ -98,16 +104,17 @@
         self._next_step_s = 0.0
         self._earliest_step_s = 0.0
         self._retain_s = 0.0
-        self._given_by_ticket: dict[TicketId, _Given] = {}
+        self._run_by_ticket: dict[TicketId, _Run] = {}
 
     def ask(self, request: DispatchRequest) -> DispatchAnswer:
         """Return where the request goes, waiting `MAX_ASK_S` for its turn at most."""
         if not self._context.leads():
             return NotDispatched()
         with self._lock:
-            given = self._given_by_ticket.get(request.ticket)
-            if given is not None:
-                return Dispatched(given.endpoint)
+            run = self._run_by_ticket.get(request.ticket)
+            if run is not None:
+                # The node has not received the answer.
+                return Dispatched(run.endpoint)
             queued = self._queue.enter(request)
             changed = threading.Event()
             self._changed_by_ticket[request.ticket] = changed
@@ -123,6 +130,11 @@
         """Record a first event or an end; requests that wait may go then."""
         with self._lock:
             self._ledger.record(progress)
+            match progress:
+                case RunEnded(ticket):
+                    self._run_by_ticket.pop(ticket, None)
+                case _:
+                    pass
             if len(self._queue):
                 self._plan(self._context.clock())
 
@@ -133,10 +145,7 @@
             if queued is not None:
                 queued.answer = NotDispatched()
                 self._wake(ticket)
-            given = self._given_by_ticket.pop(ticket, None)
-            if given is not None:
-                ended = RunEnded(ticket, given.endpoint, was_declined=True)
-                self._ledger.record(ended)
+            self._end_run(ticket)
 
     def count_waiting(self, rank: int) -> int:
         """Return the number of requests of a rank that wait."""
@@ -223,19 +232,34 @@
         self._next_step_s = max(self._earliest_step_s, next_s)
 
     def _retain_if_due(self, now_s: float) -> None:
-        """Forget the engines that are no longer listed."""
-        if now_s >= self._retain_s:
-            self._retain_s = now_s + RETAIN_PERIOD_S
-            self._ledger.retain(self._context.directory.endpoints_by_id().values())
+        """Forget engines that are no longer listed, and runs of nodes that are gone."""
+        if now_s < self._retain_s:
+            return
+        self._retain_s = now_s + RETAIN_PERIOD_S
+        self._ledger.retain(self._context.directory.endpoints_by_id().values())
+        alive = self._context.alive()
+        gone = [
+            ticket
+            for ticket, run in self._run_by_ticket.items()
+            if run.node not in alive or now_s - run.since_s >= MAX_RUN_S
+        ]
+        for ticket in gone:
+            self._end_run(ticket)
+
+    def _end_run(self, ticket: TicketId) -> None:
+        """Forget a run whose node does not report its end."""
+        run = self._run_by_ticket.pop(ticket, None)
+        if run is not None:
+            ended = RunEnded(ticket, run.endpoint, was_declined=True)
+            self._ledger.record(ended)
 
     def _tell(self, decision: Decision, now_s: float) -> None:
         """Wake the question that a decision answers, and log the decision."""
         ticket = decision.request.ticket
         match decision.answer:
             case Dispatched(endpoint):
-                self._drop_given(now_s)
-                given = _Given(endpoint, now_s + ANSWER_LIFETIME_S)
-                self._given_by_ticket[ticket] = given
+                run = _Run(endpoint, decision.request.node, now_s)
+                self._run_by_ticket[ticket] = run
                 self._context.observe("turn_wait", decision.waited_s)
             case Rejected():
                 self._context.count("turns_refused")
@@ -244,14 +268,6 @@
         self._wake(ticket)
         _log(self._context.log, decision)
 
-    def _drop_given(self, now_s: float) -> None:
-        """Forget old answers, which are in the order of their times."""
-        while self._given_by_ticket:
-            ticket = next(iter(self._given_by_ticket))
-            if self._given_by_ticket[ticket].until_s > now_s:
-                return
-            del self._given_by_ticket[ticket]
-
     def _wake(self, ticket: TicketId) -> None:
         changed = self._changed_by_ticket.get(ticket)
         if changed is not None:
--- a/src/camphoryard/coordination/dispatch/turns.py
+++ b/src/camphoryard/coordination/dispatch/turns.py
@@ -167,6 +167,7 @@
     def _ask_until_answered(
         self, request: DispatchRequest, cancelled: threading.Event
     ) -> Dispatched | Rejected | NotDispatched:
+        request = replace(request, node=self._context.node)
         began_s = self._context.clock()
         while not cancelled.is_set():
             waited_s = self._context.clock() - began_s
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -318,6 +318,7 @@
     dispatcher = Dispatcher(
         DispatcherContext(
             directory,
+            lambda: {settings.node, *(lease.node for lease in nodes.alive())},
             lambda: bool(leader_lease.claimed_term),
             estimates.load,
             log,
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -178,6 +178,7 @@
     excluded: tuple[EndpointId, ...]
     candidates: tuple[EndpointId, ...]
     has_returned: bool
+    node: NodeId | None
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -351,6 +352,7 @@
         request.excluded,
         request.candidates,
         request.has_returned,
+        request.node,
     )
 
 
@@ -374,6 +376,7 @@
         form.excluded,
         form.candidates,
         form.has_returned,
+        form.node,
     )
 
 
--- a/src/camphoryard/state/dispatch.py
+++ b/src/camphoryard/state/dispatch.py
@@ -6,6 +6,7 @@
 from camphoryard.state.ids import (
     AccountId,
     EndpointId,
+    NodeId,
     PromptPartId,
     ServiceId,
     TicketId,
@@ -45,7 +46,8 @@
     not late. A request that ``has_begun`` goes on with an answer that its client has
     part of. ``excluded`` are endpoints that it must not go to, ``candidates`` those
     that its node would send it to; all that have its item loaded if there are none.
-    A request that ``has_returned`` has been refused or failed before.
+    A request that ``has_returned`` has been refused or failed before. ``node`` is the
+    node that has it.
     """
 
     ticket: TicketId
@@ -62,6 +64,7 @@
     excluded: tuple[EndpointId, ...] = ()
     candidates: tuple[EndpointId, ...] = ()
     has_returned: bool = False
+    node: NodeId | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/dispatch/test_dispatcher.py
+++ b/tests/coordination/dispatch/test_dispatcher.py
@@ -31,10 +31,11 @@
     def __init__(self):
         self.engines = Engines("e1", slots=1)
         self.clock, self.log = self.engines.clock, RecordedLog()
-        self.leads = True
+        self.leads, self.alive = True, {None, "n"}
         self.dispatcher = Dispatcher(
             DispatcherContext(
                 self.engines.directory,
+                lambda: self.alive,
                 lambda: self.leads,
                 lambda endpoint: 0.0,
                 self.log,
@@ -130,6 +131,13 @@
         site.clock.advance(MAX_STEP_S)
         assert answer.result(WAIT_S) == Dispatched("e1")
 
+    def test_a_node_dies_with_its_runs(self, site):
+        """Nobody reports their ends; the engine drops them with their connections."""
+        site.dispatcher.ask(make_request(node="n"))
+        site.alive = {None}
+        site.clock.advance(module.RETAIN_PERIOD_S)
+        assert site.dispatcher.ask(make_request()) == Dispatched("e1")
+
     def test_another_node_becomes_leader(self, site):
         """Questions that wait are answered, so that their nodes ask that one."""
         site.dispatcher.ask(make_request())
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -72,6 +72,7 @@
     excluded=("x",),
     candidates=("e", "f"),
     has_returned=True,
+    node="n",
 )
 
 
