Estimate waits from the ends of runs, and places without a known memory

The rate at which requests were dispatched while there was room is that of the demand, so the first of a burst were refused although places were about to become free. The rate is now at least the number of runs divided by their average length. A service that tells no memory of its engines had no places.

--- a/src/camphoryard/coordination/dispatch/dispatch_queue.py
+++ b/src/camphoryard/coordination/dispatch/dispatch_queue.py
@@ -5,10 +5,11 @@
 
 import random
 import time
-from collections import Counter, defaultdict, deque
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
+from camphoryard.coordination.dispatch.dispatch_rates import DispatchRates
 from camphoryard.coordination.dispatch.engine_ledger import EngineLedger
 from camphoryard.coordination.dispatch.order import (
     UrgentFirst,
@@ -39,13 +40,15 @@
 """How long a request keeps its place after its node has asked last."""
 MIN_QUEUED_REQUESTS = 4
 """Fewer waiting requests do not show how long the wait will be."""
-RATE_WINDOW_S = 4.0
-"""Period over which the rate of dispatched requests is measured."""
+MIN_RATE_PER_S = 0.25
+"""Rate at which places are assumed to become free if none has been seen to."""
 MIN_RETRY_AFTER_S = 0.3
 MAX_RETRY_AFTER_S = 5.0
 """Upper bound of Retry-After; the backlog of a longer time changes meanwhile."""
 RETRY_AFTER_SPREAD = 0.5
 """Refused clients come back over this share of the wait, not all at once."""
+UNKNOWN_KV_TOKENS = 1 << 40
+"""Memory of engines whose service tells none: only their places are counted."""
 TAKEOVER_S = 10.0
 """How long a dispatcher that begins also counts what nodes have in flight."""
 RETURNED_PATIENCE = 1.3
@@ -84,26 +87,6 @@
     candidate: Candidate | None = None
 
 
-@dataclass(slots=True)
-class DispatchRates:
-    """Rates at which requests are dispatched, by endpoint and rank."""
-
-    _times_by_endpoint: defaultdict[EndpointId, deque[tuple[float, int]]] = field(
-        default_factory=lambda: defaultdict(deque)
-    )
-
-    def record(self, endpoint: EndpointId, rank: int, now_s: float) -> None:
-        """Record that a request of a rank was dispatched."""
-        self._times_by_endpoint[endpoint].append((now_s, rank))
-
-    def per_s(self, endpoint: EndpointId, rank: int, now_s: float) -> float:
-        """Return how many requests are dispatched that a rank goes before, or is."""
-        times = self._times_by_endpoint[endpoint]
-        while times and times[0][0] < now_s - RATE_WINDOW_S:
-            times.popleft()
-        return sum(other >= rank for _, other in times) / RATE_WINDOW_S
-
-
 @dataclass(slots=True)
 class _Step:
     """What one step of decisions knows at ``now_s``.
@@ -210,6 +193,10 @@
         queued.is_asking = False
         queued.expires_s = self._clock() + TICKET_LIFETIME_S
 
+    def end(self, ticket: TicketId) -> None:
+        """Record that a dispatched request no longer occupies its endpoint."""
+        self._rates.end(ticket, self._clock())
+
     def withdraw(self, ticket: TicketId) -> QueuedRequest | None:
         """Remove a request; return it if it waited."""
         return self._queued_by_ticket.pop(ticket, None)
@@ -275,7 +262,7 @@
         if chosen is not None:
             endpoint = step.endpoint_by_id[chosen.outlook.endpoint]
             self._ledger.dispatched(endpoint, engine, request)
-            self._rates.record(endpoint.id, request.rank, step.now_s)
+            self._rates.begin(request.ticket, endpoint.id, request.rank, step.now_s)
             return self._decision(queued, Dispatched(endpoint.id), step, chosen)
         step.waited_for.update((item.outlook.endpoint, item) for item in free)
         candidates = [step.waited_for[item] for item in queued.endpoints]
@@ -306,7 +293,7 @@
         rate_per_s = sum(
             self._rates.per_s(item, rank, step.now_s) for item in queued.endpoints
         )
-        return ahead / max(1 / RATE_WINDOW_S, rate_per_s)
+        return ahead / max(MIN_RATE_PER_S, rate_per_s)
 
     def _is_too_late(
         self,
@@ -358,7 +345,10 @@
     def _engine(self, request: DispatchRequest) -> EngineSpec | None:
         rules = self._directory.rules
         service = rules.services_by_id.get(request.service) if rules else None
-        return service.engine if service is not None else None
+        engine = service.engine if service is not None else None
+        if engine is not None and not engine.kv_tokens:
+            return replace(engine, kv_tokens=UNKNOWN_KV_TOKENS)
+        return engine
 
     def _endpoints(
         self, request: DispatchRequest, step: _Step
--- a/src/camphoryard/coordination/dispatch/dispatcher.py
+++ b/src/camphoryard/coordination/dispatch/dispatcher.py
@@ -133,6 +133,7 @@
             match progress:
                 case RunEnded(ticket):
                     self._run_by_ticket.pop(ticket, None)
+                    self._queue.end(ticket)
                 case _:
                     pass
             if len(self._queue):
@@ -252,6 +253,7 @@
         if run is not None:
             ended = RunEnded(ticket, run.endpoint, was_declined=True)
             self._ledger.record(ended)
+            self._queue.end(ticket)
 
     def _tell(self, decision: Decision, now_s: float) -> None:
         """Wake the question that a decision answers, and log the decision."""
--- a/src/camphoryard/coordination/dispatch/placing.py
+++ b/src/camphoryard/coordination/dispatch/placing.py
@@ -47,7 +47,9 @@
 
     A prompt that is too long to fit into a gap goes where nothing else is read.
     """
-    places = [item for item in candidates if item.outlook.has_place]
+    places = [
+        item for item in candidates if item.outlook.has_place or item.outlook.load <= 0
+    ]
     if not places:
         return None
     max_pause_s = _max_pause_s(waiting, places, now_s, policy)
--- a/tests/coordination/dispatch/test_dispatch_queue.py
+++ b/tests/coordination/dispatch/test_dispatch_queue.py
@@ -19,6 +19,10 @@
         engines.ask(make_request(URGENT), make_request(BATCH))
         assert {endpoint for _, endpoint in engines.runs} == {"e1", "e2"}
 
+    def test_a_service_that_tells_no_memory(self):
+        """Only the places of its engines are counted."""
+        assert Engines("e1", slots=3, kv_tokens=0).fill() == 3
+
     def test_urgent_goes_before_batch(self):
         """Of a batch request and a later urgent one, the urgent one gets the place."""
         engines = Engines("e1")
--- a/tests/coordination/dispatch/test_placing.py
+++ b/tests/coordination/dispatch/test_placing.py
@@ -52,6 +52,7 @@
     def test_an_idle_engine_has_room(self):
         """No stream runs there that could pause."""
         assert choose(seen("e", pause_s=0.5, load=0.0)) == "e"
+        assert choose(seen("e", load=0.0, has_place=False)) == "e"
 
     @pytest.mark.parametrize(
         ("pause_s", "fields"),
