--- a/bench/dispatch_draws.py
+++ b/bench/dispatch_draws.py
@@ -278,6 +278,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--engines", default="8,30,60")
     parser.add_argument("--ages", default="0,0.25,1", help="of views, in seconds")
+    choices = ",".join(choice.value for choice in Choice)
+    parser.add_argument("--choices", default=choices)
     parser.add_argument("--minutes", type=float, default=10.0)
     parser.add_argument("--rate", type=float, default=5.0, help="per engine and second")
     parser.add_argument("--seed", type=int, default=1)
@@ -285,7 +287,7 @@
     sizes = [int(size) for size in options.engines.split(",")]
     print("| choice | view s |", *(f"{size} engines |" for size in sizes))
     print("|---|---|" + "---|" * len(sizes))
-    for choice in Choice:
+    for choice in map(Choice, options.choices.split(",")):
         for age in options.ages.split(","):
             if choice is Choice.RANDOM and age != options.ages.split(",")[0]:
                 continue
--- a/src/camphoryard/coordination/dispatch/engine_ledger.py
+++ b/src/camphoryard/coordination/dispatch/engine_ledger.py
@@ -103,13 +103,14 @@
         expected = self._expected(state, endpoint, engine, request, now_s)
         stalled_s = state.stalled_s(now_s, self._note_lag_s)
         line_s = max(stalled_s, expected.line_s)
-        pause_s = expected.event_s + reading_in_event_s(
-            state, expected.unread_tokens, expected.reading_s, expected.event_s, now_s
-        )
+        pause_s = 0.0
+        if state.has_streams(now_s):
+            reading_s = reading_in_event_s(state, expected, now_s)
+            pause_s = max(stalled_s, expected.event_s + reading_s)
         return Outlook(
             endpoint.id,
             max(stalled_s, expected.first_event_s),
-            max(stalled_s, pause_s) if state.has_streams(now_s) else 0.0,
+            pause_s,
             expected.has_place,
             expected.unread_tokens,
             max(line_s / READING_LOAD_S, state.used_share(_slots(endpoint, engine))),
--- a/src/camphoryard/coordination/dispatch/engine_work.py
+++ b/src/camphoryard/coordination/dispatch/engine_work.py
@@ -15,7 +15,7 @@
 """Tokens that an engine reads between two steps, about."""
 STEPS_PER_EVENT = 4
 """Steps of a batch in which an event of a stream is made, about."""
-STALL_S = 0.3
+STALL_S = 0.15
 STALL_FACTOR = 2.0
 """An engine stalls if a first event is later than ``STALL_FACTOR`` times its expected
 time, ``STALL_S``, and the time that notes of first events take."""
@@ -188,24 +188,23 @@
             run.read_s = self.read_s
 
 
-def reading_in_event_s(
-    state: EngineWork, unread: int, reading_s: float, event_s: float, now_s: float
-) -> float:
+def reading_in_event_s(state: EngineWork, added: Expected, now_s: float) -> float:
     """Return how long an engine reads within one event, if one more prompt is added.
 
     The event ends with the reading of that prompt. Prompts that wait together are read
     in the same steps, others in steps of their own.
     """
-    steps = unread / PIECE_TOKENS
+    steps = added.unread_tokens / PIECE_TOKENS
     if steps >= STEPS_PER_EVENT:
-        return reading_s * STEPS_PER_EVENT / steps
-    total_s = reading_s
+        return added.reading_s * STEPS_PER_EVENT / steps
+    step_s = added.event_s / STEPS_PER_EVENT
+    total_s = added.reading_s
     steps_left = STEPS_PER_EVENT - steps
     next_sent_s, next_begin_s = now_s, max(now_s, state.read_s)
     for run in state.reads_backwards():
         if next_sent_s > run.begin_s:
             idle_s = max(0.0, next_begin_s - run.read_s)
-            steps_left = math.floor(steps_left) - idle_s * STEPS_PER_EVENT / event_s
+            steps_left = math.floor(steps_left) - idle_s / step_s
         if steps_left <= 0:
             break
         steps = run.expected.unread_tokens / PIECE_TOKENS
