--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -203,6 +203,7 @@
     excluded: tuple[EndpointId, ...]
     candidates: tuple[EndpointId, ...]
     has_returned: bool
+    node: NodeId | None
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -379,6 +380,7 @@
         request.excluded,
         request.candidates,
         request.has_returned,
+        request.node,
     )
 
 
@@ -402,6 +404,7 @@
         form.excluded,
         form.candidates,
         form.has_returned,
+        form.node,
     )
 
 
