Tell returning clients by deadlines far below the route's timeout

Cause: a request was taken for one that its client had sent before if its deadline was shorter than the route's timeout at all.

Change: only a deadline below 0.85 of the timeout tells.

--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -45,6 +45,8 @@
 from camphoryard.state.traffic import RequestedModel, RouteRule
 from camphoryard.state.verdict import Verdict
 
+MIN_FIRST_DEADLINE_SHARE = 0.85
+"""Least share of a route's timeout that a client's first deadline has."""
 MIN_RETURN_S = 0.2
 """Clients that come back do so later than this after they first sent a request."""
 
@@ -200,12 +202,13 @@
     def first_sent_s(self) -> float:
         """Monotonic time at which the client first sent the request.
 
-        Derived from the deadline: a client that retries has less time left than the
-        timeout of the route.
+        Derived from the deadline: a client that retries has less time left. Clients'
+        deadlines also differ, so only one far below the route's timeout tells.
         """
         request = self.request
         left_s = request.deadline_s - request.arrived_s
-        return request.arrived_s - max(0.0, self.rule.timeout_s - left_s)
+        least_s = self.rule.timeout_s * MIN_FIRST_DEADLINE_SHARE
+        return request.arrived_s - max(0.0, least_s - left_s)
 
     @property
     def has_returned(self) -> bool:
