Have nodes with fast links stand by for the leader, and leave pauses more margin

Change: leases tell the bandwidth of a VM's link, and in a star the nodes with the fastest links watch the leader's lease. A prompt may delay running streams by 0.65 of the longest gap, 0.8 before.

--- a/src/camphoryard/coordination/dispatch/placing.py
+++ b/src/camphoryard/coordination/dispatch/placing.py
@@ -19,7 +19,7 @@
     in another zone costs ``remote_cost_s``, a full one ``load_cost_s``.
     """
 
-    pause_share: float = 0.8
+    pause_share: float = 0.65
     hurry_s: float = 0.1
     leave_share: float = 0.85
     room_load: float = 0.5
--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -107,6 +107,8 @@
         Quotas of accounts, of which nodes and the leader tell each other.
     relaying : EndpointRelaying or None
         Changes of endpoints that the leader of a star passes on; None without.
+    link_mbps : float
+        Bandwidth of this node's link, in 1e6 bits a second.
     """
 
     def __init__(
@@ -126,8 +128,10 @@
         clock: Callable[[], float] = time.monotonic,
         quotas: QuotaSharing | None = None,
         relaying: EndpointRelaying | None = None,
+        link_mbps: float = 0.0,
     ) -> None:
         self._relaying = relaying
+        self._link_mbps = link_mbps
         self._node = node
         self._incarnation = incarnation
         self._nodes = nodes
@@ -299,21 +303,28 @@
 
         Only some nodes do, so that reads of the lease do not grow with the fleet. The
         longer no leader is observed, the more nodes watch, because the standby nodes
-        may have failed too.
+        may have failed too. In a star they are the nodes with the fastest links, as
+        the leader sends to all others.
         """
         match self.topology():
             case Mesh():
-                nodes = {item.node for item in self._nodes.alive()}
+                link_mbps_by_node = {item.node: 0.0 for item in self._nodes.alive()}
                 watching = STANDBY_NODES
             case Star():
-                nodes = {item.node for item in self._nodes.all()}
+                link_mbps_by_node = {
+                    item.node: item.link_mbps for item in self._nodes.all()
+                }
                 elapsed_leases = (self._clock() - self._leader_observed_s) / LEASE_S
                 watching = STANDBY_NODES << min(
                     int(elapsed_leases), MAX_STANDBY_DOUBLINGS
                 )
-        nodes.add(self._node)
-        nodes.discard(self.leader() or NodeId(""))
-        return self._node in sorted(nodes, key=_standby_order)[:watching]
+        link_mbps_by_node.setdefault(self._node, self._link_mbps)
+        link_mbps_by_node.pop(self.leader() or NodeId(""), None)
+        in_order = sorted(
+            link_mbps_by_node,
+            key=lambda node: (-link_mbps_by_node[node], _standby_order(node)),
+        )
+        return self._node in in_order[:watching]
 
     def _known_peers(self) -> list[NodeId]:
         return [item.node for item in self._nodes.all() if item.node != self._node]
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -299,6 +299,7 @@
         directory,
         quotas=quotas,
         relaying=relaying,
+        link_mbps=settings.vm_limits.link_mbps,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -590,6 +591,7 @@
         NodeState.SERVING,
         PEER_TIMEOUT_S,
         WriteId(incarnation),
+        link_mbps=settings.vm_limits.link_mbps,
     )
 
 
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -45,11 +45,13 @@
 class VmLimits:
     """What a process may use of its VM; 0 if the platform names no limit.
 
-    ``memory_mb`` is in units of 1e6 bytes, ``max_fds`` counts descriptors.
+    ``memory_mb`` is in units of 1e6 bytes, ``max_fds`` counts descriptors,
+    ``link_mbps`` is the bandwidth of its link in units of 1e6 bits a second.
     """
 
     memory_mb: int = 0
     max_fds: int = 0
+    link_mbps: float = 0.0
 
 
 DEFAULT_METRICS_PORT = 9464
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -35,6 +35,7 @@
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
     memory_mb: int = 0
     max_fds: int = 0
+    link_mbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct, frozen=True, rename="kebab"):
@@ -108,7 +109,7 @@
             _bounds(file.bounds),
             file.metrics_port,
             file.bootstrap,
-            VmLimits(file.limits.memory_mb, file.limits.max_fds),
+            VmLimits(file.limits.memory_mb, file.limits.max_fds, file.limits.link_mbps),
         )
     except (msgspec.ValidationError, ValueError) as error:
         raise SettingsError(f"{source}: {error}") from error
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -36,7 +36,8 @@
 
     ``ended`` lists the node's earlier incarnations that have provably ended,
     because this one has bound their address. ``host`` and ``port`` are that
-    address; peers connect to the advertised address, if there is one.
+    address; peers connect to the advertised address, if there is one. ``link_mbps``
+    is the bandwidth of the VM's link in 1e6 bits a second, 0 if it is not known.
     """
 
     node: NodeId
@@ -51,6 +52,7 @@
     ended: tuple[Incarnation, ...] = ()
     advertised_host: str = ""
     advertised_port: int = 0
+    link_mbps: float = 0.0
 
     def __post_init__(self) -> None:
         for port in (self.port, self.advertised_port):
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -1,5 +1,7 @@
 """Tests of the gossip of load in small and large fleets."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.fleet.fleet_gossip import (
@@ -15,7 +17,7 @@
 from camphoryard.state.directory import Directory
 from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
-from camphoryard.state.ids import EndpointId, FencingNumber, NodeId
+from camphoryard.state.ids import EndpointId, FencingNumber, NodeId, Version
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 from camphoryard.state.tables import InFlightTable
@@ -249,6 +251,16 @@
         watching = [x for x in large.node_by_id.values() if x.gossip.is_standby()]
         assert len(watching) == STANDBY_NODES
 
+    def test_the_nodes_with_the_fastest_links_watch(self, large):
+        """Load: the leader sends to all others, which fills the link of a small VM."""
+        fast = sorted(large.node_by_id)[-STANDBY_NODES:]
+        for node in large.node_by_id.values():
+            for name in fast:
+                lease = replace(make_lease(name), link_mbps=100.0)
+                node.nodes.observe(lease, Version(9))
+        watching = [n for n, x in large.node_by_id.items() if x.gossip.is_standby()]
+        assert sorted(watching) == fast
+
     def test_more_nodes_watch_the_longer_no_leader_is_observed(self, large):
         """The standby nodes may have failed with it."""
         large.clock.advance(60.0)
