Deliver refusals of clients that still send

The server stopped reading a connection after a refusal, so closing it reset it, and the client could lose its status: test_error_status_and_no_execution[data4-431] failed with a reset in one run. After a refusal the server now ends its side of the connection, and reads and drops what still comes for 1 s.

A connection closed for its unread answer counts no longer, so it is reported once. The product's daemon counts the clients that it turns away.

--- a/src/camphoryard/coordination/admission/client_memory.py
+++ b/src/camphoryard/coordination/admission/client_memory.py
@@ -169,7 +169,13 @@
     def hold_unread(
         self, connection: ConnectionId, size: int, now_s: float
     ) -> CloseConnection | None:
-        """Hold ``size`` bytes of unread answers; return which connection to close."""
+        """Hold ``size`` bytes of unread answers.
+
+        Returns
+        -------
+        CloseConnection or None
+            The connection to close, which then holds nothing any more.
+        """
         with self._lock:
             holding = self._holding_by_connection.get(connection)
             if holding is None:
@@ -230,6 +236,7 @@
         )
         if not holding.unread_bytes:
             return None
+        self.remove_connection(connection)
         return CloseConnection(connection, Cause.UNREAD_ANSWER, holding.unread_bytes)
 
     def _wanted_bytes(self, connection: ConnectionId) -> int:
--- a/src/camphoryard/daemon.py
+++ b/src/camphoryard/daemon.py
@@ -13,6 +13,7 @@
 import structlog
 import typer
 
+from camphoryard.coordination.admission.client_memory import Cause
 from camphoryard.coordination.membership.peer_messages import handle
 from camphoryard.coordination.membership.vm_watching import follow_vms
 from camphoryard.node import Node, make_node
@@ -53,7 +54,12 @@
     )
     connections = node.shared.executors.connections
     server = make_server(
-        node.app, own.host, own.http_port, connections, node.app.refuse
+        node.app,
+        own.host,
+        own.http_port,
+        connections,
+        node.app.refuse,
+        turned_away=functools.partial(_count_turned_away, node),
     )
     threading.Thread(target=server.run, name="http", daemon=True).start()
     node.gateway.enter(NodeState.SERVING)
@@ -80,6 +86,10 @@
     server.close()
 
 
+def _count_turned_away(node: Node, cause: Cause, host: str, held_bytes: int) -> None:
+    node.shared.metrics.count(f"clients_turned_away_{cause.value}")
+
+
 def _log_failure(task: Future[None]) -> None:
     error = task.exception()
     if error is not None:
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -52,6 +52,9 @@
 IDLE_TIMEOUT_S = 600.0
 MAX_BODY_TIME_S = 600.0
 """Maximum time of a request whose body is sent steadily."""
+LINGER_S = 1.0
+"""Time in which the rest of a refused request is read and dropped. A connection closed
+with unread data is reset, and its client may lose the answer."""
 COSTLY_CHUNK_BYTES = 64
 """Average size of chunks, with what frames them, below which parsing is costly."""
 INTERNAL_MAP_ENTRIES = 2
@@ -305,6 +308,8 @@
         self._is_costly = False
         self._has_unread_answer = False
         self._close_requested = False
+        self._is_refused = False
+        self._linger_end_s: float | None = None
         self._request_began_s: float | None = None
         super().__init__(server, *args, **kwargs)
 
@@ -318,6 +323,8 @@
     def received(self, data: bytes) -> bool:
         """Parse received data and record when a request began."""
         self.last_active_s = time.monotonic()
+        if self._drops_data():
+            return False
         chunks = self._chunks
         accepted: bool = super().received(data)
         self._set_costly((self._chunks - chunks) * COSTLY_CHUNK_BYTES > len(data))
@@ -328,6 +335,10 @@
         self._update_memory()
         return accepted
 
+    def _drops_data(self) -> bool:
+        """Return whether a request was refused, after which nothing is parsed."""
+        return self._is_refused or any(item.error for item in self.requests[-1:])
+
     @property
     def _chunks(self) -> int:
         """Number of chunks of the request that is being received."""
@@ -360,6 +371,7 @@
 
     def service(self) -> None:
         """Answer the next request and release what it held."""
+        self._is_refused = self.requests[0].error is not None
         super().service()
         self._update_memory()
         if not self.connected:
@@ -385,9 +397,8 @@
                 self.server.closed_idle += 1
         if self.is_waiting:
             self._update_memory()
-        is_refused = bool(self.requests) and self.requests[-1].error is not None
         is_readable: bool = super().readable()
-        return is_readable and not self.is_waiting and not is_refused
+        return is_readable and not self.is_waiting
 
     def _has_unread(self) -> bool:
         """Return whether the socket has data that the server has not read yet."""
@@ -398,6 +409,9 @@
 
     def enforce_limits(self, limits: ConnectionLimits, now_s: float) -> None:
         """Close the connection if it is idle, or refuse a request sent too slowly."""
+        if self._linger_end_s is not None:
+            self.will_close = self.will_close or now_s >= self._linger_end_s
+            return
         if self.requests or self.is_waiting:
             return
         silent_s = now_s - self.last_active_s
@@ -525,6 +539,16 @@
         self.last_activity = time.time()
         return sent
 
+    def _linger(self) -> None:
+        """Tell the client that the answer is complete, and read on for a while."""
+        self.close_when_flushed = False
+        self._linger_end_s = self.last_active_s + LINGER_S
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The client has closed the connection.
+            self.will_close = True
+
     def handle_close(self) -> None:
         """Close the connection and cancel its request."""
         super().handle_close()
@@ -536,8 +560,11 @@
         self.server.notify_progress()
 
     def handle_write(self) -> None:
-        """Send buffered data."""
+        """Send buffered data; after a refusal, linger before closing."""
         self.last_active_s = time.monotonic()
+        if self._is_refused and self.close_when_flushed and not self.total_outbufs_len:
+            self._linger()
+            return
         super().handle_write()
         self._update_unread()
         if self.is_flushed:
--- a/tests/coordination/admission/test_client_memory.py
+++ b/tests/coordination/admission/test_client_memory.py
@@ -111,6 +111,7 @@
         assert memory.hold_unread(slow, BUDGET // 2, 0.0) is None
         closed = memory.hold_unread(quick, BUDGET // 2 + 1, 1.0)
         assert closed == CloseConnection(slow, Cause.UNREAD_ANSWER, BUDGET // 2)
+        assert memory.hold_unread(quick, BUDGET // 2 + 2, 1.0) is None
 
 
 class TestMakeClientMemory:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -369,12 +369,15 @@
         )
         with self.begin(server, self.HEAD + b"x") as stalled:
             with self.begin(server, self.HEAD) as waiting:
+                while not server.memory.has_waiting:
+                    time.sleep(0.01)
                 server.maintenance(0.0)
                 assert stalled.recv(4096).startswith(b"HTTP/1.1 408")
                 waiting.sendall(self.BODY)
-                received = waiting.recv(4096)
+                received = b""
+                while not received.endswith(b"\r\n\r\n%d" % len(self.BODY)):
+                    received += waiting.recv(4096)
         assert received.startswith(b"HTTP/1.1 200")
-        assert received.endswith(b"%d" % len(self.BODY))
         assert turned_away == ["stalled"]
         while server.memory.held_bytes:
             time.sleep(0.01)
@@ -392,6 +395,18 @@
             server.maintenance(0.0)
             assert connection.recv(4096).startswith(b"HTTP/1.1 408")
 
+    # Guards against a lost promise: a client saw a reset in place of its refusal.
+    def test_refused_client_gets_its_answer_however_much_it_sends(self, run):
+        """The rest of its request is read and dropped."""
+        server = run(
+            self.echo_size, refuse_with_status, limits=ConnectionLimits(body_bytes=10)
+        )
+        with self.begin(server, self.HEAD[:-1]) as connection:
+            connection.sendall(self.HEAD[-1:] + self.BODY)
+            received = b"".join(iter(lambda: connection.recv(4096), b""))
+        assert received.startswith(b"HTTP/1.1 413")
+        assert received.count(b"HTTP/1.1") == 1
+
     def test_full_server_makes_room_for_the_next_client(self, run, monkeypatch):
         """It closes the connection that has been idle for longest."""
         monkeypatch.setattr(connection_room, "SILENCE_S", 0.0)
