--- a/src/camphoryard/coordination/fleet/endpoint_relaying.py
+++ b/src/camphoryard/coordination/fleet/endpoint_relaying.py
@@ -1,6 +1,7 @@
 """A node's view of the endpoints, read from the store or relayed by the leader."""
 
 import math
+import threading
 import time
 from collections import deque
 from collections.abc import Callable
@@ -55,6 +56,7 @@
         self.max_age_s = max_age_s
         self._clock = clock
         self._source = EndpointRelaySource()
+        self._lock = threading.Lock()
         self._sent: deque[_SentBeat] = deque(maxlen=MAX_SENT_BEATS)
         self._proven_s = -math.inf
 
@@ -84,7 +86,8 @@
 
     def record_sent(self, beat: int) -> None:
         """Record that this node sends the digest ``beat`` to the leader now."""
-        self._sent.append(_SentBeat(beat, self._clock()))
+        with self._lock:
+            self._sent.append(_SentBeat(beat, self._clock()))
 
     def relay_for(
         self, node: NodeId, digest: NodeDigest | None
@@ -102,12 +105,10 @@
             return
         if not self._feed.apply_relay(relay):
             return
-        sent_s = self._sent_s(relay.heard_beat)
-        if sent_s > self._proven_s:
+        with self._lock:
+            times_s = (i.at_s for i in self._sent if i.beat == relay.heard_beat)
+            sent_s = next(times_s, -math.inf)
+            if sent_s <= self._proven_s:
+                return
             self._proven_s = sent_s
-            self._directory.confirm_endpoints(sent_s)
-
-    def _sent_s(self, beat: int) -> float:
-        """Return when this node sent a digest; minus infinity if it is not known."""
-        times_s = (item.at_s for item in tuple(self._sent) if item.beat == beat)
-        return next(times_s, -math.inf)
+        self._directory.confirm_endpoints(sent_s)
--- a/src/camphoryard/coordination/fleet/endpoint_roles.py
+++ b/src/camphoryard/coordination/fleet/endpoint_roles.py
@@ -8,6 +8,7 @@
     Star,
     relay_period_s,
 )
+from camphoryard.coordination.ports import DecisionLog
 from camphoryard.state.directory import Directory
 
 MAX_RELAY_SHARE = 1 / 3
@@ -26,6 +27,36 @@
     """Reads them from the store for itself."""
 
 
+class EndpointRoles:
+    """The present role of a node; changes of it are logged."""
+
+    def __init__(
+        self,
+        gossip: FleetGossip,
+        relaying: EndpointRelaying,
+        directory: Directory,
+        log: DecisionLog,
+    ) -> None:
+        self._gossip = gossip
+        self._relaying = relaying
+        self._directory = directory
+        self._log = log
+        self._role = EndpointRole.WATCHES
+
+    def current(self) -> EndpointRole:
+        """Return the role of this node at this moment."""
+        role = endpoint_role(self._gossip, self._relaying, self._directory)
+        if role is not self._role:
+            self._role = role
+            self._log(
+                "endpoints_from",
+                role=role.value,
+                age_s=round(self._directory.endpoints_age_s(), 2),
+                revision=self._relaying.position,
+            )
+        return role
+
+
 def endpoint_role(
     gossip: FleetGossip, relaying: EndpointRelaying, directory: Directory
 ) -> EndpointRole:
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -4,7 +4,6 @@
 import math
 import sys
 import threading
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -16,7 +15,7 @@
 
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
-from camphoryard.coordination.fleet.endpoint_roles import EndpointRole, endpoint_role
+from camphoryard.coordination.fleet.endpoint_roles import EndpointRole, EndpointRoles
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
     Mesh,
@@ -319,7 +318,7 @@
             newest_era,
             feed,
             relaying,
-            lambda: endpoint_role(gossip, relaying, directory),
+            EndpointRoles(gossip, relaying, directory, log),
         ),
         nodes_watcher,
     )
@@ -419,7 +418,7 @@
     newest_era: NewestEra,
     feed: DirectoryFeed,
     relaying: EndpointRelaying,
-    role: Callable[[], EndpointRole],
+    roles: EndpointRoles,
 ) -> RecordWatcher[ServingEndpoint]:
     """Return the watcher that keeps the endpoints up to date.
 
@@ -432,7 +431,7 @@
     relay_batch_s = batch_s / RELAY_WATCHES_PER_BATCH
 
     def relays() -> bool:
-        return role() is EndpointRole.RELAYS
+        return roles.current() is EndpointRole.RELAYS
 
     return RecordWatcher(
         StoreRecords(
@@ -446,7 +445,7 @@
         ),
         feed.apply_endpoint,
         relaying.confirm,
-        is_elected=lambda: role() is not EndpointRole.FOLLOWS,
+        is_elected=lambda: roles.current() is not EndpointRole.FOLLOWS,
         wait_s=watch_wait_s(settings.bounds.stable_window_s),
         on_availability_change=feed.record_availability,
         batch_s=relay_batch_s,
--- a/tests/coordination/fleet/test_endpoint_roles.py
+++ b/tests/coordination/fleet/test_endpoint_roles.py
@@ -4,12 +4,17 @@
 
 import pytest
 
-from camphoryard.coordination.fleet.endpoint_roles import EndpointRole, endpoint_role
+from camphoryard.coordination.fleet.endpoint_roles import (
+    EndpointRole,
+    EndpointRoles,
+    endpoint_role,
+)
 from camphoryard.coordination.fleet.fleet_gossip import (
     MAX_MESH_NODES,
     PEERS_PER_PERIOD,
     gossip_topology,
 )
+from tests.fakes.engines import RecordedLog
 
 LARGE = MAX_MESH_NODES + 1
 
@@ -23,6 +28,7 @@
     stands_by: bool = False
     fresh: bool = True
     held_ids: tuple[str, ...] = ()
+    position: int = 7
     max_age_s: float = 1.8
 
     def size(self):
@@ -45,11 +51,28 @@
         """Return whether relays arrive in time."""
         return self.fresh
 
+    def endpoints_age_s(self):
+        """Return how old the view may be."""
+        return 0.5
+
     def held(self):
         """Return the restored endpoints that do not count yet."""
         return self.held_ids
 
 
+class TestEndpointRoles:
+    """The role as the log tells it."""
+
+    def test_changes_are_logged_once(self):
+        """On-call sees since when a node reads the store itself."""
+        state, log = State(), RecordedLog()
+        roles = EndpointRoles(state, state, state, log)
+        for fresh in (True, True, False):
+            state.fresh = fresh
+            roles.current()
+        assert [fields["role"] for _, fields in log.lines] == ["follows", "watches"]
+
+
 class TestEndpointRole:
     """The role of a node."""
 
