Keep the pace of nodes that watch the endpoints for themselves

Cause: after a watch that had waited longer than a batch, such a node counted ticks anew and began the next watch up to a batch later than before relays.

Change: the pace goes by time, and is one unit with the role: `EndpointReading`.

--- a/src/camphoryard/coordination/fleet/endpoint_roles.py
+++ b/src/camphoryard/coordination/fleet/endpoint_roles.py
@@ -1,5 +1,8 @@
 """Which nodes read the endpoints from the store, and which hear of them."""
 
+import math
+import time
+from collections.abc import Callable
 from enum import Enum
 
 from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
@@ -15,6 +18,9 @@
 """Largest period of the leader's relays to one node, as a share of the age that its
 view may reach. With a longer one, late messages would often end the following."""
 
+RELAY_CALLS_PER_BATCH = 6
+"""Calls of a node that passes changes on, in the time of one batch."""
+
 
 class EndpointRole(Enum):
     """Where a node gets the endpoints from."""
@@ -27,24 +33,61 @@
     """Reads them from the store for itself."""
 
 
-class EndpointRoles:
-    """The present role of a node; changes of it are logged."""
+class EndpointReading:
+    """When a node reads the endpoints from the store; changes of its role are logged.
+
+    Parameters
+    ----------
+    batch_s : float
+        Time in which changes are batched into one call, in seconds. A node that passes
+        them on calls ``RELAY_CALLS_PER_BATCH`` times as often.
+    """
 
     def __init__(
         self,
         gossip: FleetGossip,
         relaying: EndpointRelaying,
         directory: Directory,
+        batch_s: float,
         log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._gossip = gossip
         self._relaying = relaying
         self._directory = directory
+        self._batch_s = batch_s
         self._log = log
+        self._clock = clock
         self._role = EndpointRole.WATCHES
+        self._read_s = -math.inf
+
+    @property
+    def tick_s(self) -> float:
+        """Period in which `is_due` is to be asked, in seconds."""
+        return self._batch_s / RELAY_CALLS_PER_BATCH
+
+    def reads_store(self) -> bool:
+        """Return whether this node calls the store at all."""
+        return self._current_role() is not EndpointRole.FOLLOWS
+
+    def is_due(self, period: int) -> bool:
+        """Return whether to call now; the first ``period`` after a listing is 0."""
+        now_s = self._clock()
+        is_early = now_s - self._read_s < self._batch_s - self.tick_s / 2
+        if period and is_early and self._current_role() is not EndpointRole.RELAYS:
+            return False
+        self._read_s = now_s
+        return True
+
+    def max_wait_s(self) -> float:
+        """Return how long a call may wait for a change, in seconds."""
+        match self._current_role():
+            case EndpointRole.RELAYS:
+                return self.tick_s
+            case _:
+                return math.inf
 
-    def current(self) -> EndpointRole:
-        """Return the role of this node at this moment."""
+    def _current_role(self) -> EndpointRole:
         role = endpoint_role(self._gossip, self._relaying, self._directory)
         if role is not self._role:
             self._role = role
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -15,7 +15,7 @@
 
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
-from camphoryard.coordination.fleet.endpoint_roles import EndpointRole, EndpointRoles
+from camphoryard.coordination.fleet.endpoint_roles import EndpointReading
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
     Mesh,
@@ -109,8 +109,6 @@
 ENDPOINT_BATCH_DRAIN_FRACTION = 0.5
 """Maximum of the same time as a fraction of ``drain_s``, the time within which requests
 to a draining endpoint must stop."""
-RELAY_WATCHES_PER_BATCH = 6
-"""Watches of a node that passes the changes on, in the time of one batch."""
 RELAY_AGE_DRAIN_FRACTION = 0.6
 """How old a relayed view of the endpoints may become before a node lists the store, as
 a fraction of ``drain_s``. The rest is for noticing it and for the listing."""
@@ -309,6 +307,13 @@
         lambda: math.isfinite(nodes_watcher.age_s()),
         log,
     )
+    reading = EndpointReading(
+        gossip,
+        relaying,
+        directory,
+        min(ENDPOINT_BATCH_S, settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION),
+        log,
+    )
     watchers = (
         _make_rules_watcher(store_client, settings, log, newest_era, feed),
         _make_endpoints_watcher(
@@ -318,7 +323,7 @@
             newest_era,
             feed,
             relaying,
-            EndpointRoles(gossip, relaying, directory, log),
+            reading,
         ),
         nodes_watcher,
     )
@@ -418,21 +423,10 @@
     newest_era: NewestEra,
     feed: DirectoryFeed,
     relaying: EndpointRelaying,
-    roles: EndpointRoles,
+    reading: EndpointReading,
 ) -> RecordWatcher[ServingEndpoint]:
-    """Return the watcher that keeps the endpoints up to date.
-
-    A node that passes changes on fetches them several times per batch.
-    """
+    """Return the watcher that keeps the endpoints up to date."""
     store = Address(settings.store.host, settings.store.port)
-    batch_s = min(
-        ENDPOINT_BATCH_S, settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION
-    )
-    relay_batch_s = batch_s / RELAY_WATCHES_PER_BATCH
-
-    def relays() -> bool:
-        return roles.current() is EndpointRole.RELAYS
-
     return RecordWatcher(
         StoreRecords(
             client,
@@ -445,14 +439,14 @@
         ),
         feed.apply_endpoint,
         relaying.confirm,
-        is_elected=lambda: roles.current() is not EndpointRole.FOLLOWS,
+        is_elected=reading.reads_store,
         wait_s=watch_wait_s(settings.bounds.stable_window_s),
         on_availability_change=feed.record_availability,
-        batch_s=relay_batch_s,
-        is_due=lambda period: period % RELAY_WATCHES_PER_BATCH == 0 or relays(),
+        batch_s=reading.tick_s,
+        is_due=reading.is_due,
         on_listing=relaying.apply_listing,
         on_changes=relaying.apply_changes,
-        max_wait_s=lambda: relay_batch_s if relays() else math.inf,
+        max_wait_s=reading.max_wait_s,
         name="endpoints",
         log=log,
     )
--- a/tests/coordination/fleet/test_endpoint_roles.py
+++ b/tests/coordination/fleet/test_endpoint_roles.py
@@ -1,12 +1,14 @@
 """Tests of which nodes read the endpoints from the store."""
 
+import math
 from dataclasses import dataclass
 
 import pytest
 
 from camphoryard.coordination.fleet.endpoint_roles import (
+    RELAY_CALLS_PER_BATCH,
+    EndpointReading,
     EndpointRole,
-    EndpointRoles,
     endpoint_role,
 )
 from camphoryard.coordination.fleet.fleet_gossip import (
@@ -14,7 +16,7 @@
     PEERS_PER_PERIOD,
     gossip_topology,
 )
-from tests.fakes.engines import RecordedLog
+from tests.fakes.engines import Clock, RecordedLog
 
 LARGE = MAX_MESH_NODES + 1
 
@@ -60,16 +62,61 @@
         return self.held_ids
 
 
-class TestEndpointRoles:
-    """The role as the log tells it."""
+class TestEndpointReading:
+    """When a node calls the store."""
 
-    def test_changes_are_logged_once(self):
+    BATCH_S = 1.5
+
+    def calls(self, ticks=4 * RELAY_CALLS_PER_BATCH, **changes):
+        """Return in how many of the ticks of four batches a call is made."""
+        state, clock = State(**changes), Clock()
+        reading = EndpointReading(
+            state, state, state, self.BATCH_S, RecordedLog(), clock
+        )
+        due = 0
+        for period in range(ticks):
+            due += reading.reads_store() and reading.is_due(period)
+            clock.advance(reading.tick_s)
+        return due
+
+    @pytest.mark.parametrize(
+        ("changes", "calls"),
+        [
+            ({}, 0),
+            ({"fresh": False}, 4),
+            ({"nodes": MAX_MESH_NODES}, 4),
+            ({"leads": True}, 4 * RELAY_CALLS_PER_BATCH),
+        ],
+    )
+    def test_calls(self, changes, calls):
+        """Of 78 nodes one calls often, and two standby nodes as before."""
+        assert self.calls(**changes) == calls
+
+    def test_call_after_one_that_waited_is_made_at_once(self):
+        """The next batch has begun meanwhile."""
+        state, clock = State(fresh=False), Clock()
+        reading = EndpointReading(
+            state, state, state, self.BATCH_S, RecordedLog(), clock
+        )
+        assert reading.is_due(0)
+        assert not reading.is_due(1)
+        clock.advance(self.BATCH_S)
+        assert reading.is_due(2)
+
+    @pytest.mark.parametrize(("leads", "wait_s"), [(True, 0.25), (False, math.inf)])
+    def test_only_the_leader_waits_for_a_short_time(self, leads, wait_s):
+        """Its view would age at its nodes while nothing changes."""
+        state = State(leads=leads)
+        reading = EndpointReading(state, state, state, self.BATCH_S, RecordedLog())
+        assert reading.max_wait_s() == wait_s
+
+    def test_changes_of_role_are_logged_once(self):
         """On-call sees since when a node reads the store itself."""
         state, log = State(), RecordedLog()
-        roles = EndpointRoles(state, state, state, log)
+        reading = EndpointReading(state, state, state, self.BATCH_S, log)
         for fresh in (True, True, False):
             state.fresh = fresh
-            roles.current()
+            reading.reads_store()
         assert [fields["role"] for _, fields in log.lines] == ["follows", "watches"]
 
 
