Let nodes that hear the leader wait longer for a new configuration

Cause: each node's watch of the configuration ends after 4.75 s (stable window 4 s, 3 s to apply), so that a silent one is noticed; 16 calls a second of 78 nodes.

Change: the leader's digests tell the newest configuration object that it has read. Nodes that follow it wait 12 s, fetch the configuration beside a watch that has not shown an announced object within 0.5 s, and at half the time to apply while they have lost the leader within a long wait. Small fleets and nodes that do not follow wait as before.

Measured: tests of fleet, feeding, peer messages and assembly pass.

--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 from xxhash import xxh3_64_intdigest
 
@@ -34,6 +34,7 @@
     ModelId,
     NodeId,
     Revision,
+    Version,
 )
 from camphoryard.state.nodes import NodeDigest, NodeTable
 from camphoryard.state.tables import InFlightTable
@@ -70,6 +71,17 @@
 GossipTopology: TypeAlias = Mesh | Star
 
 
+class RulesAnnouncements(Protocol):
+    """The versions of the configuration that this node reads and hears of."""
+
+    @property
+    def position(self) -> Version:
+        """Version of the newest configuration object that this node has read."""
+
+    def hear(self, announced: Version) -> None:
+        """Record the one that a leader has read."""
+
+
 def relay_period_s(nodes: int) -> float:
     """Return the period in which the leader of a star of ``nodes`` sends to each."""
     return GOSSIP_PERIOD_S * math.ceil(nodes / PEERS_PER_PERIOD)
@@ -103,6 +115,8 @@
         Endpoints, some of which have said to one node that they leave.
     relaying : EndpointRelaying or None
         Changes of endpoints that the leader of a star passes on; None without.
+    rules : RulesAnnouncements or None
+        The configuration that the leader of a star announces; None without.
     """
 
     def __init__(
@@ -121,7 +135,9 @@
         directory: Directory,
         clock: Callable[[], float] = time.monotonic,
         relaying: EndpointRelaying | None = None,
+        rules: RulesAnnouncements | None = None,
     ) -> None:
+        self._rules = rules
         self._relaying = relaying
         self._node = node
         self._incarnation = incarnation
@@ -176,6 +192,8 @@
             self._on_unloads(digest.unloads_by_endpoint)
         if self._relaying is not None and self.topology() == Star():
             self._relaying.receive(digest)
+        if self._rules is not None and self.topology() == Star():
+            self._rules.hear(digest.rules_version)
         if not self._term() or self.topology() == Mesh():
             self._estimates.refresh()
 
@@ -244,6 +262,7 @@
                 self._relaying.position if self._relaying else Revision(0)
             ),
             relay=relay,
+            rules_version=self._rules.position if self._rules and term else Version(0),
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
--- a/src/camphoryard/coordination/forwarding/feeding.py
+++ b/src/camphoryard/coordination/forwarding/feeding.py
@@ -45,12 +45,18 @@
         self._lock = threading.Lock()
         self._position = Revision(0)
         self._watched = Revision(0)
+        self._rules_version = Version(0)
 
     @property
     def position(self) -> Revision:
         """Revision of the view; 0 before the first listing."""
         return self._position
 
+    @property
+    def rules_version(self) -> Version:
+        """Version of the newest configuration object that was read, also unreadable."""
+        return self._rules_version
+
     def record_availability(self, is_answering: bool) -> None:
         """Record that the store has started or stopped answering."""
         self._had_outage = not is_answering
@@ -149,6 +155,7 @@
         A restored store may show older ones until the operator has written the newest
         again. Each write of such is logged once.
         """
+        self._rules_version = max(self._rules_version, stored.version)
         rules = stored.record
         if rules is None:
             return
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -15,7 +15,7 @@
 
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
-from camphoryard.coordination.fleet.endpoint_roles import EndpointReading
+from camphoryard.coordination.fleet.endpoint_roles import EndpointReading, endpoint_role
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
     Mesh,
@@ -28,6 +28,10 @@
     is_node_watch_due,
 )
 from camphoryard.coordination.fleet.retry_recorder import RetryRecorder
+from camphoryard.coordination.fleet.rules_following import (
+    RulesFetcher,
+    RulesFollowing,
+)
 from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import (
@@ -71,7 +75,7 @@
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.platform.engines import PlatformEngines
 from camphoryard.platform.settings import read_entry_settings
-from camphoryard.platform.store import WATCH_GRACE_S, StoreRecords
+from camphoryard.platform.store import MAX_WAIT_S, WATCH_GRACE_S, StoreRecords
 from camphoryard.platform.traffic import (
     CONFIG_KIND,
     ENDPOINT_KIND,
@@ -117,6 +121,9 @@
 """Part of the time for a new configuration that a watch may take up after an outage.
 Endpoints that are missing after an outage have a grace period, so the endpoints must
 be listed before that time begins."""
+RULES_FETCH_APPLY_FRACTION = 0.5
+"""Period of the fetches of the configuration beside a silent watch without a leader, as
+a fraction of the time for a new configuration."""
 RELIST_TIME_S = 0.5
 """Time from a failed watch to the listing that follows it."""
 NODES_WAIT_S = 5.0
@@ -161,6 +168,7 @@
     directory: Directory
     feed: DirectoryFeed
     watchers: tuple[RecordWatcher[Any], ...]
+    rules_fetcher: RulesFetcher
     peers: PeerNetwork
     keys: Records[PeerKeys]
     own_keys: PeerKeys
@@ -236,6 +244,16 @@
         lambda: gossip.is_standby(),
         log,
     )
+    rules_wait_s = (
+        watch_wait_s(settings.bounds.stable_window_s)
+        + settings.bounds.apply_s * APPLY_FRACTION
+    )
+    rules_following = RulesFollowing(
+        lambda: endpoint_role(gossip, relaying, directory),
+        rules_wait_s,
+        settings.bounds.apply_s * RULES_FETCH_APPLY_FRACTION,
+        lambda: feed.rules_version,
+    )
     gossip = FleetGossip(
         settings.node,
         incarnation,
@@ -250,6 +268,7 @@
         crashed_parts,
         directory,
         relaying=relaying,
+        rules=rules_following,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -314,8 +333,16 @@
         min(ENDPOINT_BATCH_S, settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION),
         log,
     )
+    rules = _make_rules_records(store_client, settings, log, newest_era)
     watchers = (
-        _make_rules_watcher(store_client, settings, log, newest_era, feed),
+        RecordWatcher(
+            rules,
+            feed.apply_rules,
+            wait_s=MAX_WAIT_S,
+            max_wait_s=rules_following.max_wait_s,
+            name="configuration",
+            log=log,
+        ),
         _make_endpoints_watcher(
             store_client,
             settings,
@@ -362,6 +389,7 @@
         directory,
         feed,
         watchers,
+        RulesFetcher(rules, feed.apply_rules, rules_following, log),
         peers,
         records(KEY_KIND, PeerKeys),
         own_keys,
@@ -395,24 +423,13 @@
             return Declined("unexpected message type for an entry daemon")
 
 
-def _make_rules_watcher(
-    client: HttpClient,
-    settings: EntrySettings,
-    log: LineLog,
-    newest_era: NewestEra,
-    feed: DirectoryFeed,
-) -> RecordWatcher[TrafficRules]:
-    """Return the watcher that keeps the traffic rules up to date."""
+def _make_rules_records(
+    client: HttpClient, settings: EntrySettings, log: LineLog, newest_era: NewestEra
+) -> StoreRecords[TrafficRules]:
+    """Return the operators' configuration."""
     store = Address(settings.store.host, settings.store.port)
-    return RecordWatcher(
-        StoreRecords(
-            client, store, CONFIG_KIND, decode_rules, _reject_write, log, newest_era
-        ),
-        feed.apply_rules,
-        wait_s=watch_wait_s(settings.bounds.stable_window_s)
-        + settings.bounds.apply_s * APPLY_FRACTION,
-        name="configuration",
-        log=log,
+    return StoreRecords(
+        client, store, CONFIG_KIND, decode_rules, _reject_write, log, newest_era
     )
 
 
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -87,6 +87,7 @@
         threading.Thread(target=server.run, name=name, daemon=True).start()
     tasks: tuple[Callable[[TimerService], None], ...] = (
         *(watcher.run for watcher in entry.watchers),
+        entry.rules_fetcher.run,
         entry.feed.run_expiry,
         entry.live_settings.run,
         entry.leader_lease.run,
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -61,6 +61,7 @@
     PromptPartId,
     RequestId,
     Revision,
+    Version,
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
@@ -135,6 +136,7 @@
     leaving_by_endpoint: Mapping[EndpointId, int] = {}
     endpoints_revision: Revision = Revision(0)
     relay: RelayForm | None = None
+    rules_version: Version = Version(0)
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -300,6 +302,7 @@
             heard.digest.leaving_by_endpoint,
             heard.digest.endpoints_revision,
             relay_form(heard.digest.relay),
+            heard.digest.rules_version,
         )
         for heard in digests
     )
@@ -355,6 +358,7 @@
                 item.leaving_by_endpoint,
                 item.endpoints_revision,
                 read_relay(item.relay),
+                item.rules_version,
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -73,7 +73,8 @@
     come together, with the time left in seconds. ``leaving_by_endpoint`` are the listed
     endpoints that say they leave, with the time of their start. ``endpoints_revision``
     is that of the node's view of the endpoints, ``relay`` what the receiver's view
-    lacks.
+    lacks. ``rules_version`` is that of the newest configuration object that a leader
+    has read.
     """
 
     node: NodeId
@@ -94,6 +95,7 @@
     leaving_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
     endpoints_revision: Revision = Revision(0)
     relay: EndpointRelay | None = None
+    rules_version: Version = Version(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -28,8 +28,9 @@
 class Fleet:
     """Nodes whose messages are delivered at once."""
 
-    def __init__(self, size, make_relaying=lambda: None):
+    def __init__(self, size, make_relaying=lambda: None, make_rules=lambda: None):
         self.clock = Clock()
+        self.make_rules = make_rules
         self.make_relaying = make_relaying
         self.sent = []
         self.node_by_id = {}
@@ -64,6 +65,7 @@
         self.crashed_parts = CrashedParts(RecordedLog())
         self.directory = Directory()
         self.relaying = fleet.make_relaying()
+        self.rules = fleet.make_rules()
         self.gossip = FleetGossip(
             name,
             f"i-{name}",
@@ -79,6 +81,7 @@
             self.directory,
             fleet.clock,
             self.relaying,
+            self.rules,
         )
 
 
@@ -118,6 +121,31 @@
         self.received.append(digest.relay)
 
 
+class Rules:
+    """Records which versions of the configuration a node hears of."""
+
+    def __init__(self):
+        self.position, self.heard = 5, []
+
+    def hear(self, announced):
+        """Record the version that a peer has read, if it tells one."""
+        if announced:
+            self.heard.append(announced)
+
+
+class TestRules:
+    """The leader of a star announces the newest configuration that it has read."""
+
+    @pytest.mark.parametrize(("size", "heard"), [(SMALL, set()), (LARGE, {5})])
+    def test_only_the_leader_of_a_star_announces(self, size, heard):
+        """Other nodes might have read a newer one, but reach only the leader."""
+        fleet = Fleet(size, make_rules=Rules)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        assert set(fleet.node_by_id["n5"].rules.heard) == heard
+        assert fleet.node_by_id["n0"].rules.heard == []
+
+
 class TestRelays:
     """Changes of endpoints travel with the digests of the leader of a star."""
 
--- a/tests/coordination/forwarding/test_feeding.py
+++ b/tests/coordination/forwarding/test_feeding.py
@@ -270,6 +270,13 @@
             {"version": 4, "in_force": 5, "revision": version_in(StoreEra(1), 4)},
         )
 
+    def test_version_of_what_was_read_counts_unreadable_rules(self):
+        """A leader would otherwise have its nodes fetch them again and again."""
+        feed = Feed()
+        self.write(feed, make_rules(version=5), 5)
+        self.write(feed, None, 6)
+        assert feed.feed.rules_version == 6
+
     def test_missing_or_unreadable_rules_leave_those_in_force(self):
         """A restored store may show an invalid configuration from before, or none."""
         feed = Feed()
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -50,6 +50,7 @@
 RELAYING_DIGEST = replace(
     LEADER_DIGEST,
     endpoints_revision=12,
+    rules_version=9,
     relay=EndpointRelay(11, 12, (RelayedEndpoint("e", None),), "i", 6),
 )
 
