--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 from xxhash import xxh3_64_intdigest
 
@@ -35,6 +35,7 @@
     ModelId,
     NodeId,
     Revision,
+    Version,
 )
 from camphoryard.state.nodes import NodeDigest, NodeTable
 from camphoryard.state.quotas import QuotaRenewal, QuotaReport
@@ -72,6 +73,17 @@
 GossipTopology: TypeAlias = Mesh | Star
 
 
+class RulesAnnouncements(Protocol):
+    """The versions of the configuration that this node reads and hears of."""
+
+    @property
+    def position(self) -> Version:
+        """Version of the newest configuration object that this node has read."""
+
+    def hear(self, announced: Version) -> None:
+        """Record the one that a leader has read."""
+
+
 def relay_period_s(nodes: int) -> float:
     """Return the period in which the leader of a star of ``nodes`` sends to each."""
     return GOSSIP_PERIOD_S * math.ceil(nodes / PEERS_PER_PERIOD)
@@ -107,6 +119,8 @@
         Quotas of accounts, of which nodes and the leader tell each other.
     relaying : EndpointRelaying or None
         Changes of endpoints that the leader of a star passes on; None without.
+    rules : RulesAnnouncements or None
+        The configuration that the leader of a star announces; None without.
     link_mbps : float
         Bandwidth of this node's link, in 1e6 bits a second.
     """
@@ -128,8 +142,10 @@
         clock: Callable[[], float] = time.monotonic,
         quotas: QuotaSharing | None = None,
         relaying: EndpointRelaying | None = None,
+        rules: RulesAnnouncements | None = None,
         link_mbps: float = 0.0,
     ) -> None:
+        self._rules = rules
         self._relaying = relaying
         self._link_mbps = link_mbps
         self._node = node
@@ -193,6 +209,8 @@
             self._on_unloads(digest.unloads_by_endpoint)
         if self._relaying is not None and self.topology() == Star():
             self._relaying.receive(digest)
+        if self._rules is not None and self.topology() == Star():
+            self._rules.hear(digest.rules_version)
         if not self._term() or self.topology() == Mesh():
             self._estimates.refresh()
 
@@ -267,6 +285,7 @@
                 self._relaying.position if self._relaying else Revision(0)
             ),
             relay=relay,
+            rules_version=self._rules.position if self._rules and term else Version(0),
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -4,7 +4,6 @@
 import math
 import sys
 import threading
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -27,7 +26,7 @@
 )
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
-from camphoryard.coordination.fleet.endpoint_roles import EndpointRole, endpoint_role
+from camphoryard.coordination.fleet.endpoint_roles import EndpointReading, endpoint_role
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
     Mesh,
@@ -42,6 +41,10 @@
 )
 from camphoryard.coordination.fleet.quota_sharing import QuotaSharing
 from camphoryard.coordination.fleet.retry_recorder import RetryRecorder
+from camphoryard.coordination.fleet.rules_following import (
+    RulesFetcher,
+    RulesFollowing,
+)
 from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import (
@@ -87,7 +90,7 @@
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.platform.engines import PlatformEngines
 from camphoryard.platform.settings import read_entry_settings
-from camphoryard.platform.store import WATCH_GRACE_S, StoreRecords
+from camphoryard.platform.store import MAX_WAIT_S, WATCH_GRACE_S, StoreRecords
 from camphoryard.platform.traffic import (
     CONFIG_KIND,
     ENDPOINT_KIND,
@@ -133,8 +136,6 @@
 ENDPOINT_BATCH_DRAIN_FRACTION = 0.5
 """Maximum of the same time as a fraction of ``drain_s``, the time within which requests
 to a draining endpoint must stop."""
-RELAY_WATCHES_PER_BATCH = 6
-"""Watches of a node that passes the changes on, in the time of one batch."""
 RELAY_AGE_DRAIN_FRACTION = 0.6
 """How old a relayed view of the endpoints may become before a node lists the store, as
 a fraction of ``drain_s``. The rest is for noticing it and for the listing."""
@@ -143,6 +144,9 @@
 """Part of the time for a new configuration that a watch may take up after an outage.
 Endpoints that are missing after an outage have a grace period, so the endpoints must
 be listed before that time begins."""
+RULES_FETCH_APPLY_FRACTION = 0.5
+"""Period of the fetches of the configuration beside a silent watch without a leader, as
+a fraction of the time for a new configuration."""
 RELIST_TIME_S = 0.5
 """Time from a failed watch to the listing that follows it."""
 NODES_WAIT_S = 5.0
@@ -188,6 +192,7 @@
     directory: Directory
     feed: DirectoryFeed
     watchers: tuple[RecordWatcher[Any], ...]
+    rules_fetcher: RulesFetcher
     peers: PeerNetwork
     keys: Records[PeerKeys]
     own_keys: PeerKeys
@@ -284,6 +289,16 @@
         metrics.count,
     )
     metrics.add_gauge("quota_renewal_age_seconds", shares.renewed_age_s)
+    rules_wait_s = (
+        watch_wait_s(settings.bounds.stable_window_s)
+        + settings.bounds.apply_s * APPLY_FRACTION
+    )
+    rules_following = RulesFollowing(
+        lambda: endpoint_role(gossip, relaying, directory),
+        rules_wait_s,
+        settings.bounds.apply_s * RULES_FETCH_APPLY_FRACTION,
+        lambda: feed.rules_version,
+    )
     gossip = FleetGossip(
         settings.node,
         incarnation,
@@ -300,6 +315,7 @@
         quotas=quotas,
         relaying=relaying,
         link_mbps=settings.vm_limits.link_mbps,
+        rules=rules_following,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -357,8 +373,23 @@
         lambda: math.isfinite(nodes_watcher.age_s()),
         log,
     )
+    reading = EndpointReading(
+        gossip,
+        relaying,
+        directory,
+        min(ENDPOINT_BATCH_S, settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION),
+        log,
+    )
+    rules = _make_rules_records(store_client, settings, log, newest_era)
     watchers = (
-        _make_rules_watcher(store_client, settings, log, newest_era, feed),
+        RecordWatcher(
+            rules,
+            feed.apply_rules,
+            wait_s=MAX_WAIT_S,
+            max_wait_s=rules_following.max_wait_s,
+            name="configuration",
+            log=log,
+        ),
         _make_endpoints_watcher(
             store_client,
             settings,
@@ -366,7 +397,7 @@
             newest_era,
             feed,
             relaying,
-            lambda: endpoint_role(gossip, relaying, directory),
+            reading,
         ),
         nodes_watcher,
     )
@@ -436,6 +467,7 @@
         directory,
         feed,
         watchers,
+        RulesFetcher(rules, feed.apply_rules, rules_following, log),
         peers,
         records(KEY_KIND, PeerKeys),
         own_keys,
@@ -480,24 +512,13 @@
             return Declined("unexpected message type for an entry daemon")
 
 
-def _make_rules_watcher(
-    client: HttpClient,
-    settings: EntrySettings,
-    log: LineLog,
-    newest_era: NewestEra,
-    feed: DirectoryFeed,
-) -> RecordWatcher[TrafficRules]:
-    """Return the watcher that keeps the traffic rules up to date."""
+def _make_rules_records(
+    client: HttpClient, settings: EntrySettings, log: LineLog, newest_era: NewestEra
+) -> StoreRecords[TrafficRules]:
+    """Return the operators' configuration."""
     store = Address(settings.store.host, settings.store.port)
-    return RecordWatcher(
-        StoreRecords(
-            client, store, CONFIG_KIND, decode_rules, _reject_write, log, newest_era
-        ),
-        feed.apply_rules,
-        wait_s=watch_wait_s(settings.bounds.stable_window_s)
-        + settings.bounds.apply_s * APPLY_FRACTION,
-        name="configuration",
-        log=log,
+    return StoreRecords(
+        client, store, CONFIG_KIND, decode_rules, _reject_write, log, newest_era
     )
 
 
@@ -508,21 +529,10 @@
     newest_era: NewestEra,
     feed: DirectoryFeed,
     relaying: EndpointRelaying,
-    role: Callable[[], EndpointRole],
+    reading: EndpointReading,
 ) -> RecordWatcher[ServingEndpoint]:
-    """Return the watcher that keeps the endpoints up to date.
-
-    A node that passes changes on fetches them several times per batch.
-    """
+    """Return the watcher that keeps the endpoints up to date."""
     store = Address(settings.store.host, settings.store.port)
-    batch_s = min(
-        ENDPOINT_BATCH_S, settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION
-    )
-    relay_batch_s = batch_s / RELAY_WATCHES_PER_BATCH
-
-    def relays() -> bool:
-        return role() is EndpointRole.RELAYS
-
     return RecordWatcher(
         StoreRecords(
             client,
@@ -535,14 +545,14 @@
         ),
         feed.apply_endpoint,
         relaying.confirm,
-        is_elected=lambda: role() is not EndpointRole.FOLLOWS,
+        is_elected=reading.reads_store,
         wait_s=watch_wait_s(settings.bounds.stable_window_s),
         on_availability_change=feed.record_availability,
-        batch_s=relay_batch_s,
-        is_due=lambda period: period % RELAY_WATCHES_PER_BATCH == 0 or relays(),
+        batch_s=reading.tick_s,
+        is_due=reading.is_due,
         on_listing=relaying.apply_listing,
         on_changes=relaying.apply_changes,
-        max_wait_s=lambda: relay_batch_s if relays() else math.inf,
+        max_wait_s=reading.max_wait_s,
         name="endpoints",
         log=log,
     )
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -77,7 +77,8 @@
     endpoints that say they leave, with the time of their start. ``quota_report`` tells
     the leader what the node holds of the quotas of accounts; ``quota_renewal`` is the
     leader's answer. ``endpoints_revision`` is that of the node's view of the endpoints,
-    ``relay`` what the receiver's view lacks.
+    ``relay`` what the receiver's view lacks. ``rules_version`` is that of the newest
+    configuration object that a leader has read.
     """
 
     node: NodeId
@@ -100,6 +101,7 @@
     quota_renewal: QuotaRenewal | None = None
     endpoints_revision: Revision = Revision(0)
     relay: EndpointRelay | None = None
+    rules_version: Version = Version(0)
 
 
 @dataclass(frozen=True, slots=True)
