Give nothing back to a leader that does not answer

Change: parts that have not lapsed are kept while no answer of the leader has come for 1.25 s. Grants are larger while much is free. A leader in doubt has a test.

--- a/src/camphoryard/coordination/admission/quota_ledger.py
+++ b/src/camphoryard/coordination/admission/quota_ledger.py
@@ -22,8 +22,10 @@
 """Free parts below which nodes keep no unused ones."""
 RESERVED_PARTS = WHOLE // 5
 """Free parts that are kept for nodes which need them, not lent as spare ones."""
+AHEAD = 4
 AHEAD_FRACTION = 16
-"""A grant has up to this fraction of the free parts more than were asked for."""
+"""A grant is larger than asked for by as many times the parts, but by no more than this
+fraction of those that are free."""
 BACKUPS = 3
 BACKUP_SILENCE_S = 2.0
 """Time without a report after which another node is made a backup; four reports."""
@@ -195,7 +197,7 @@
             return min(parts, free - RESERVED_PARTS)
         if parts > free:
             return 0
-        return min(free, parts + min(parts, free // AHEAD_FRACTION))
+        return min(free, parts + min(AHEAD * parts, free // AHEAD_FRACTION))
 
     def _claim(self, account: AccountId, parts: int) -> bool:
         """Take parts that a process holds from an earlier term; False if too many."""
--- a/src/camphoryard/coordination/admission/quota_shares.py
+++ b/src/camphoryard/coordination/admission/quota_shares.py
@@ -20,6 +20,8 @@
 HOLDING_S = 8.0
 """Time after which parts lapse at their node, from when it sent the last report that
 the leader has renewed. Longer than the fleet is without a leader when one is lost."""
+SILENT_LEADER_S = 1.25
+"""Time without an answer after which a leader may be lost."""
 IDLE_S = 5.0
 """A node keeps as many unused units of an account as it has used in this time."""
 ASK_PAUSE_S = 0.25
@@ -102,7 +104,7 @@
         self._share_by_account: dict[AccountId, _Share] = {}
         self._scarce: frozenset[AccountId] = frozenset()
         self._spare_parts = 0
-        self._renewed_s = -math.inf
+        self._renewed_s = self._heard_s = -math.inf
         self._sent_s_by_beat: dict[int, float] = {}
         self._term = FencingNumber(0)
         self._asks = 0
@@ -221,6 +223,7 @@
         with self._lock:
             if term != self._term:
                 return False
+            self._heard_s = self._clock()
             self._scarce = frozenset(renewal.scarce)
             self._spare_parts = 0
             if is_backup:
@@ -265,8 +268,13 @@
         return int(EVEN_PARTS / (nodes * UNHEARD_NODES_FACTOR))
 
     def _trim(self, account: AccountId) -> None:
-        """Give back the parts of an account that are neither resting nor kept."""
+        """Give back the parts of an account that are neither resting nor kept.
+
+        Parts that have not lapsed are not given back to a leader that may be lost.
+        """
         share = self._share(account)
+        if self._is_renewed() and self._clock() - self._heard_s > SILENT_LEADER_S:
+            return
         kept = 0
         if self._is_renewed() and account not in self._scarce:
             kept = max(self._spare_parts, share.parts_of(self._recently_used(share)))
--- a/tests/coordination/admission/test_quota_shares.py
+++ b/tests/coordination/admission/test_quota_shares.py
@@ -7,6 +7,7 @@
     EVEN_PARTS,
     HOLDING_S,
     REST_MARGIN_S,
+    SILENT_LEADER_S,
     UNHEARD_NODES_FACTOR,
     QuotaShares,
     Short,
@@ -134,6 +135,20 @@
         renew(shares, 2, scarce=(A,))
         assert shares.report(TERM, 3).parts_by_account == {A: WHOLE // 10}
 
+    def test_nothing_is_given_back_to_a_leader_that_does_not_answer(
+        self, shares, clock
+    ):
+        """It would be lost until its successor knows all that was held."""
+        clock.advance(SILENT_LEADER_S + 0.1)
+        assert shares.report(TERM, 2).parts_by_account == {A: WHOLE // 2}
+
+    def test_lapsed_parts_are_given_back_but_for_those_that_rest(self, shares, clock):
+        """Also if the leader is lost."""
+        clock.advance(2.0)
+        shares.take(A, LIMIT, 10)
+        clock.advance(HOLDING_S - 2.0)
+        assert shares.report(TERM, 2).parts_by_account == {A: WHOLE // 10}
+
     def test_a_leader_of_an_older_term_gets_no_report(self, shares):
         """It would grant parts that the newer one knows as held."""
         shares.report(TERM + 1, 2)
--- a/tests/coordination/fleet/test_quota_sharing.py
+++ b/tests/coordination/fleet/test_quota_sharing.py
@@ -9,8 +9,10 @@
 
 from camphoryard.coordination.admission.quota_shares import HOLDING_S
 from camphoryard.coordination.fleet.quota_sharing import NO_ROOM_RETRY_S
+from camphoryard.coordination.leadership.leader_lease import NO_TERM
+from camphoryard.coordination.messages import QuotaGrant, QuotaRequest
 from camphoryard.state.accounts import Account
-from camphoryard.state.ids import AccountId
+from camphoryard.state.ids import AccountId, FencingNumber
 from camphoryard.state.quotas import Admitted, OverQuota
 from tests.fakes.quota_fleet import (
     PERIOD_S,
@@ -201,6 +203,19 @@
         assert refused(fleet, LARGE) < 0.02
         assert refused(fleet, SMALL) < 0.02
 
+    def test_a_leader_in_doubt_goes_on_for_no_longer_than_its_grants(self):
+        """Its successor counts what it does not know as free after that."""
+        fleet = make_fleet(4)
+        fleet.send("n1", SMALL, TOKENS)
+        fleet.node_by_id["n0"].lease.is_renewed = False
+        fleet.run(HOLDING_S - 1.0)
+        assert isinstance(fleet.send("n1", SMALL, 5 * TOKENS), Admitted)
+        fleet.run(1.5)
+        assert isinstance(fleet.send("n1", SMALL, 5 * TOKENS), OverQuota)
+        leader = fleet.node_by_id["n0"]
+        request = QuotaRequest(leader.name, 0, FencingNumber(1), 10**6, {SMALL: 1})
+        assert leader.answer(request) == QuotaGrant(NO_TERM, {})
+
     def test_usual_demand_is_served_while_nodes_are_killed_in_series(self):
         """Load: the usual demand, while a third of the others are killed by turns."""
         fleet = make_fleet()
