Know the first leader of a store that numbers its eras from one

Cause: a test of three real processes saw every request of an account with a quota refused for 20 s after the start. The store's first era was taken for a restore, so the first leader waited for grants of a predecessor that never was.

Change: a term is the first if the store shows no record of a leader and was not restored since the process started; the ledger relies on that only in a fleet that starts for the first time.

--- a/src/camphoryard/coordination/fleet/quota_sharing.py
+++ b/src/camphoryard/coordination/fleet/quota_sharing.py
@@ -64,7 +64,7 @@
 
     @property
     def is_first_term(self) -> bool:
-        """Whether there was no leader before the term of this node."""
+        """Whether the store has shown no leader before the term of this node."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +78,8 @@
 
     Parameters
     ----------
+    is_first_start : bool
+        Whether no node of the fleet has run before.
     accounts : callable
         Return the accounts of the configuration in force, or None.
     shares : QuotaShares
@@ -97,6 +99,7 @@
         node: NodeId,
         incarnation: Incarnation,
         window_s: float,
+        is_first_start: bool,
         accounts: Callable[[], Accounts | None],
         shares: QuotaShares,
         peers: Peers,
@@ -109,6 +112,7 @@
         self._node = node
         self._incarnation = incarnation
         self._window_s = window_s
+        self._is_first_start = is_first_start
         self._accounts = accounts
         self._shares = shares
         self._peers = peers
@@ -322,7 +326,7 @@
             self._ledger = QuotaLedger(
                 self._node,
                 term,
-                self._lease.is_first_term,
+                self._is_first_start and self._lease.is_first_term,
                 self._window_s,
                 self._clock,
             )
--- a/src/camphoryard/coordination/leadership/leader_lease.py
+++ b/src/camphoryard/coordination/leadership/leader_lease.py
@@ -138,7 +138,10 @@
 
     @property
     def is_first_term(self) -> bool:
-        """Whether the store has never had a leader before the term of this node."""
+        """Whether the store has shown no leader before the term of this node.
+
+        The store may have had one that was lost before this process started.
+        """
         return self._is_first_term
 
     def run(self, timer: Timer) -> None:
@@ -245,7 +248,8 @@
         )
         written = self._records.put(self._key, record, observed.version)
         self._observed = _ObservedRecord(record, written, began_s)
-        self._is_first_term = not record.term and observed.record is None
+        is_restored = self._newest_era.has_changed
+        self._is_first_term = observed.record is None and not is_restored
         self._term = FencingNumber(written)
         margin_s = HANDOVER_MARGIN_S if wait_s else 0.0
         self._acts_from_s = self._clock() + wait_s + margin_s
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -237,6 +237,7 @@
         settings.node,
         incarnation,
         settings.bounds.quota_window_s,
+        settings.is_first_start,
         lambda: directory.rules.accounts if directory.rules else None,
         shares,
         peers,
--- a/src/camphoryard/state/store_eras.py
+++ b/src/camphoryard/state/store_eras.py
@@ -78,15 +78,23 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._era = FIRST_ERA
+        self._earliest: StoreEra | None = None
 
     @property
     def current(self) -> StoreEra:
         """The newest era so far."""
         return self._era
 
+    @property
+    def has_changed(self) -> bool:
+        """Whether the store was restored since this node has got its first answer."""
+        return self._earliest is not None and self._era > self._earliest
+
     def observe(self, era: StoreEra) -> bool:
         """Record the era of an answer; return whether it is a later one."""
         with self._lock:
+            if self._earliest is None:
+                self._earliest = era
             if era <= self._era:
                 return False
             self._era = era
--- a/tests/coordination/fleet/test_quota_sharing.py
+++ b/tests/coordination/fleet/test_quota_sharing.py
@@ -203,6 +203,14 @@
         assert refused(fleet, LARGE) < 0.02
         assert refused(fleet, SMALL) < 0.02
 
+    def test_a_first_leader_of_a_fleet_that_ran_before_waits(self):
+        """The store may have lost the record of its predecessors."""
+        fleet = QuotaFleet(2, [make_account(SMALL)], is_first_start=False)
+        fleet.run(WINDOW_S)
+        assert isinstance(fleet.send("n1", SMALL, 500), OverQuota)
+        fleet.run(WINDOW_S + HOLDING_S)
+        assert isinstance(fleet.send("n1", SMALL, 500), Admitted)
+
     def test_a_leader_in_doubt_goes_on_for_no_longer_than_its_grants(self):
         """Its successor counts what it does not know as free after that."""
         fleet = make_fleet(4)
--- a/tests/coordination/leadership/test_leader_lease.py
+++ b/tests/coordination/leadership/test_leader_lease.py
@@ -135,6 +135,7 @@
         """Any other one may have a predecessor whose acts still have effects."""
         fleet = Fleet(0.0, is_fenced=True)
         first, second = fleet.lease("a"), fleet.lease("b")
+        fleet.store.newest_era.observe(fleet.store.newest_era.current)
         fleet.advance(first)
         assert first.is_first_term
         fleet.store.restore((None, 0))
--- a/tests/fakes/quota_fleet.py
+++ b/tests/fakes/quota_fleet.py
@@ -61,6 +61,7 @@
             name,
             incarnation,
             WINDOW_S,
+            fleet.is_first_start,
             lambda: Accounts(fleet.account_by_id, {}),
             shares,
             self,
@@ -140,7 +141,8 @@
     requests between nodes, ``decide`` tells that of each digest.
     """
 
-    def __init__(self, size, accounts):
+    def __init__(self, size, accounts, is_first_start=True):
+        self.is_first_start = is_first_start
         self.clock, self.size, self.asks, self.term = Clock(), size, 0, 0
         self.lost, self.mail, self.late_asks = set(), [], []
         self.ask_fate, self.decide = AskFate.ANSWERED, lambda: Delivery.NOW
--- a/tests/state/test_store_eras.py
+++ b/tests/state/test_store_eras.py
@@ -53,3 +53,11 @@
         newest.observe(StoreEra(2))
         assert newest.of_write(ABSENT) == 2
         assert newest.of_write(Version(5)) == 0
+
+    def test_a_restore_is_an_era_after_the_first_answer(self) -> None:
+        """The first era that a process hears of may be any."""
+        newest = NewestEra()
+        newest.observe(StoreEra(2))
+        assert not newest.has_changed
+        newest.observe(StoreEra(3))
+        assert newest.has_changed
