--- a/src/camphoryard/coordination/admission/quota_ledger.py
+++ b/src/camphoryard/coordination/admission/quota_ledger.py
@@ -1,6 +1,7 @@
 """The leader's ledger of the parts of accounts' quotas that nodes hold."""
 
-from collections import Counter
+import math
+from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from heapq import nsmallest
@@ -26,6 +27,10 @@
 AHEAD_FRACTION = 16
 """A grant is larger than asked for by as many times the parts, but by no more than this
 fraction of those that are free."""
+PACE_CAPACITY_PARTS = WHOLE // 4
+"""Parts of an account that may be granted at once, or its burst if that is more. Others
+follow at the pace of its limit, so that an account which suddenly asks for much more
+uses it over seconds."""
 BACKUPS = 3
 BACKUP_SILENCE_S = 2.0
 """Time without a report after which another node is made a backup; four reports."""
@@ -64,6 +69,25 @@
                 del self.grant_by_number[number]
 
 
+@dataclass(slots=True)
+class _Pace:
+    """Parts of an account that may be granted now; less than 0 after a large grant."""
+
+    parts: float = math.inf
+    capacity: float = 0.0
+    updated_s: float = 0.0
+
+    def refill(self, capacity: float, parts_per_s: float, now_s: float) -> None:
+        """Add what has become grantable since the last call."""
+        added = parts_per_s * (now_s - self.updated_s)
+        self.parts = min(self.parts + added, capacity)
+        self.capacity, self.updated_s = capacity, now_s
+
+    def allows(self, parts: int) -> bool:
+        """Return whether ``parts`` may be granted; large ones when none were lately."""
+        return parts <= self.parts or self.parts >= self.capacity
+
+
 class QuotaLedger:
     """Counts which process holds how much of each account's limit, for one term.
 
@@ -81,6 +105,8 @@
         Whether no other leader can have granted anything before.
     clock : callable
         Return seconds, including time during which the VM is suspended.
+    burst_parts : callable
+        Return the parts of an account that are its burst.
     """
 
     def __init__(
@@ -90,10 +116,14 @@
         is_first: bool,
         window_s: float,
         clock: Callable[[], float] = boot_clock_s,
+        burst_parts: Callable[[AccountId], int] = lambda account: 0,
     ) -> None:
         self.term = term
+        self._burst_parts = burst_parts
         self._node = node
         self._clock = clock
+        self._pace_parts_per_s = WHOLE / window_s
+        self._pace_by_account: defaultdict[AccountId, _Pace] = defaultdict(_Pace)
         self._lapse_s = HOLDING_S + TAKE_WITHIN_S + window_s + REST_MARGIN_S
         # A predecessor that the store has forgotten may act for as long as a lease.
         known_in_s = 0.0 if is_first else LEASE_S + self._lapse_s
@@ -146,8 +176,8 @@
     ) -> Mapping[AccountId, int]:
         """Return the parts that a process gets which asks for ``parts_by_account``.
 
-        Parts that it needs are granted with a few more, or not at all. Spare ones are
-        granted as far as they leave a reserve.
+        Parts that it needs are granted with a few more, or not at all, and no faster
+        than the account's pace. Spare ones are granted as far as they leave a reserve.
         """
         self._drop_silent()
         holder = self._holder_by_process.get((node, incarnation))
@@ -195,9 +225,14 @@
         free = self.free_parts(account)
         if is_spare:
             return min(parts, free - RESERVED_PARTS)
-        if parts > free:
+        pace = self._pace_by_account[account]
+        capacity = max(PACE_CAPACITY_PARTS, self._burst_parts(account))
+        pace.refill(capacity, self._pace_parts_per_s, self._clock())
+        if parts > free or not pace.allows(parts):
             return 0
-        return min(free, parts + min(AHEAD * parts, free // AHEAD_FRACTION))
+        amount = min(free, parts + min(AHEAD * parts, free // AHEAD_FRACTION))
+        pace.parts -= amount
+        return amount
 
     def _claim(self, account: AccountId, parts: int) -> bool:
         """Take parts that a process holds from an earlier term; False if too many."""
--- a/src/camphoryard/coordination/fleet/quota_sharing.py
+++ b/src/camphoryard/coordination/fleet/quota_sharing.py
@@ -29,6 +29,7 @@
 from camphoryard.state.ids import AccountId, FencingNumber, Incarnation, NodeId
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.quotas import (
+    WHOLE,
     Admitted,
     OverQuota,
     QuotaDecision,
@@ -329,9 +330,18 @@
                 self._is_first_start and self._lease.is_first_term,
                 self._window_s,
                 self._clock,
+                self._burst_parts,
             )
         return self._ledger
 
+    def _burst_parts(self, account: AccountId) -> int:
+        accounts = self._accounts()
+        found = accounts.by_id.get(account) if accounts else None
+        quota = found.quota if found else None
+        if quota is None:
+            return 0
+        return int(quota.burst / window_limit(quota, self._window_s) * WHOLE)
+
     def _observe(
         self,
         ledger: QuotaLedger,
--- a/src/camphoryard/coordination/membership/peer_messages.py
+++ b/src/camphoryard/coordination/membership/peer_messages.py
@@ -37,6 +37,12 @@
 )
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.placement.placement import Move
+from camphoryard.state.dispatch import (
+    DispatchRequest,
+    FirstEventSeen,
+    RunEnded,
+    Withdrawn,
+)
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.refusals import RefusalCounts
@@ -111,3 +117,5 @@
             )
         case QuotaRequest() | QuotaTake():
             return Declined("no accounts here")
+        case DispatchRequest() | FirstEventSeen() | RunEnded() | Withdrawn():
+            return Declined("no dispatcher here: each node admits its own requests")
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -9,6 +9,12 @@
 
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.configuration_head import ConfigurationHead
+from camphoryard.state.dispatch import (
+    DispatchAnswer,
+    DispatchRequest,
+    Progress,
+    Withdrawn,
+)
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.ids import (
     AccountId,
@@ -361,6 +367,9 @@
     | ItemRequest
     | QuotaRequest
     | QuotaTake
+    | DispatchRequest
+    | Progress
+    | Withdrawn
 )
 Reply: TypeAlias = (
     Done
@@ -375,4 +384,5 @@
     | ItemLoaded
     | ItemLoading
     | QuotaGrant
+    | DispatchAnswer
 )
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from camphoryard.state.demand import ItemDemand
+from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     ABSENT,
@@ -18,6 +19,7 @@
     ModelId,
     NodeId,
     PromptPartId,
+    Revision,
     Version,
     WriteId,
     Zone,
@@ -72,7 +74,8 @@
     come together, with the time left in seconds. ``leaving_by_endpoint`` are the listed
     endpoints that say they leave, with the time of their start. ``quota_report`` tells
     the leader what the node holds of the quotas of accounts; ``quota_renewal`` is the
-    leader's answer.
+    leader's answer. ``endpoints_revision`` is that of the node's view of the endpoints,
+    ``relay`` what the receiver's view lacks.
     """
 
     node: NodeId
@@ -93,6 +96,8 @@
     leaving_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
     quota_report: QuotaReport | None = None
     quota_renewal: QuotaRenewal | None = None
+    endpoints_revision: Revision = Revision(0)
+    relay: EndpointRelay | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -7,6 +7,8 @@
 import pytest
 
 from camphoryard.coordination.cancellation import Cancellation, CancellationCause
+from camphoryard.coordination.dispatch.turns import OwnChoice
+from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
 from camphoryard.coordination.forwarding.exchange import forward
@@ -14,7 +16,6 @@
     AnswerHead,
     AnswerKind,
     ClientRequest,
-    PromptPart,
 )
 from camphoryard.coordination.routing.breakers import Breakers
 from camphoryard.coordination.routing.crash_counter import CrashCounter, fingerprint
@@ -30,7 +31,16 @@
     RecentFailures,
 )
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
+from camphoryard.state.accounts import Account, key_digest, make_accounts
 from camphoryard.state.directory import Directory
+from camphoryard.state.dispatch import (
+    Dispatched,
+    FirstEventSeen,
+    NotDispatched,
+    PromptPart,
+    Rejected,
+    RunEnded,
+)
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import (
     BrokenCallError,
@@ -39,7 +49,14 @@
     RefusalError,
     StalledCallError,
 )
-from camphoryard.state.ids import ModelId, PromptPartId, RequestId, Urgency
+from camphoryard.state.ids import (
+    AccountId,
+    ModelId,
+    PromptPartId,
+    RequestId,
+    Urgency,
+    Version,
+)
 from camphoryard.state.quotas import Admitted, OverQuota
 from camphoryard.state.serving_endpoints import EndpointState
 from camphoryard.state.tables import InFlightTable
@@ -62,6 +79,7 @@
 """Requests that together earn no retry."""
 TRICKLE_S = 0.1
 """Time between the bytes of an answer that trickles."""
+ACCOUNT_RANK = 4
 PAUSE = b"PAUSE"
 """Marks a pause in an answer that exceeds the timeout between events."""
 
@@ -244,6 +262,7 @@
             lambda _: None,
             self.clock,
             recent_failures=RecentFailures(self.clock),
+            turns=options.get("turns", OwnChoice()),
         )
         self.request = ClientRequest(
             RequestId("q1"),
@@ -260,6 +279,23 @@
         self.cancellation = Cancellation()
         self.set_prompt(options.get("prompt", ""))
 
+    def use_keys(self, keys_by_account, is_public=False):
+        """Adopt the next version of the rules, with accounts."""
+        rules = self.directory.rules
+        accounts = make_accounts(
+            (Account(AccountId(name), ACCOUNT_RANK), keys)
+            for name, keys in keys_by_account.items()
+        )
+        routes = tuple(replace(item, is_public=is_public) for item in rules.routes)
+        self.directory.adopt(
+            replace(
+                rules,
+                version=Version(rules.version + 1),
+                routes=routes,
+                accounts=accounts,
+            )
+        )
+
     def set_prompt(self, parts):
         """Replace the request by another one with these parts, as ID:TOKENS."""
         items = (part.split(":") for part in parts.split(",") if part)
@@ -1176,6 +1212,86 @@
         assert (unanswered["sends"], unanswered["endpoint"]) == (0, "")
 
 
+class TestAccounts:
+    """Requests under a configuration with accounts and keys."""
+
+    @staticmethod
+    def site(key, keys_by_account, *answers, is_public=False):
+        """Return a site and a request with a key."""
+        site = Site(*answers or [served(b"ok")])
+        site.use_keys(keys_by_account, is_public)
+        site.request = replace(site.request, key=key and key_digest(key))
+        return site
+
+    def options(self, site):
+        """Forward the request; return the options of its only send."""
+        site.forward()
+        ((_, options),) = site.upstream.sent
+        return options
+
+    @pytest.mark.parametrize("key", [b"wrong", None])
+    def test_unknown_key_is_refused_before_anything_is_acted_upon(self, key):
+        """The request is sent nowhere and has not run."""
+        site = self.site(key, {"a": ["k1"]})
+        refusal = site.refusal()
+        assert (refusal.reason, refusal.verdict) == (
+            Reason.UNAUTHENTICATED,
+            Verdict.NOT_RUN,
+        )
+        assert site.sent_to == []
+
+    @pytest.mark.parametrize(
+        ("key", "account"), [(b"k1", "a"), (b"wrong", None), (None, None)]
+    )
+    def test_public_route_needs_no_key(self, key, account):
+        """The account of a known key is named all the same."""
+        options = self.options(self.site(key, {"a": ["k1"]}, is_public=True))
+        assert (options.account, options.forwards_credentials) == (account, False)
+
+    def test_known_key_names_its_account(self):
+        """Endpoints get no credentials."""
+        options = self.options(self.site(b"k1", {"a": ["k1"]}))
+        assert (options.account, options.forwards_credentials) == ("a", False)
+
+    def test_credentials_are_forwarded_without_accounts(self):
+        """A configuration without accounts changes nothing."""
+        options = self.options(Site(served(b"ok")))
+        assert (options.account, options.forwards_credentials) == (None, True)
+
+    def test_key_moves_to_another_account(self):
+        """The newest configuration decides for the next request."""
+        site = self.site(b"k1", {"a": ["k1"], "b": []}, served(b"1"), served(b"2"))
+        site.forward()
+        site.use_keys({"a": [], "b": ["k1"]})
+        site.reply = Reply()
+        site.forward()
+        assert [options.account for _, options in site.upstream.sent] == ["a", "b"]
+
+    def test_account_that_lost_its_last_key_is_refused(self):
+        """Its name alone lets nobody in."""
+        site = self.site(b"k1", {"a": ["k1"]})
+        site.use_keys({"a": []})
+        assert site.refusal().reason is Reason.UNAUTHENTICATED
+
+    def test_rank_of_the_account_takes_precedence(self):
+        """Batch work of an urgent account goes first."""
+        site = self.site(b"k1", {"a": ["k1"]})
+        assert site.forward().rank == ACCOUNT_RANK
+
+    def test_requests_are_counted_by_account(self):
+        """Both the answered ones and the refused ones."""
+        site = self.site(b"k1", {"a": ["k1"]}, served(b"ok"), BrokenCallError("x"))
+        counted = []
+        site.context = replace(
+            site.context,
+            account_counts=AccountCounts(lambda name, **_: counted.append(name)),
+        )
+        site.forward()
+        site.cancellation.cancel(CancellationCause.DISCONNECTED)
+        site.refusal()
+        assert counted == ["account_requests_answered", "account_requests_refused"]
+
+
 class TestRefusals:
     """Requests that cannot be served are refused at once."""
 
@@ -1320,3 +1436,127 @@
         assert site.refusal().verdict is Verdict.MAY_HAVE_RUN
         site.forward()
         assert not quotas.refunds
+
+
+class Turns:
+    """Gives the answers that it is told to, and records what it is asked and told."""
+
+    def __init__(self, *answers):
+        self.answers, self.asked, self.told = list(answers), [], []
+        self.on_take = lambda: None
+
+    def is_in_force(self, service):
+        """Return whether requests take turns."""
+        return True
+
+    def make_ticket(self, request):
+        """Return a ticket of its own for each question."""
+        return f"{request}.{len(self.asked) + 1}"
+
+    def take(self, request, cancellation):
+        """Record a question and return the next answer."""
+        self.asked.append(request)
+        self.on_take()
+        return self.answers.pop(0)
+
+    def tell(self, progress):
+        """Record a report."""
+        self.told.append(progress)
+
+
+class TestTurns:
+    """Requests for models that wait for their turn at an engine."""
+
+    def make_site(self, *answers, turns, **options):
+        """Return a site whose endpoints have the model loaded."""
+        return Site(
+            *answers,
+            repeatability=Repeatability.RESUMABLE_STREAM,
+            requested_model=RequestedModel(ModelId("m")),
+            models=("m",),
+            turns=Turns(*turns),
+            **options,
+        )
+
+    def test_a_request_goes_where_the_dispatcher_says(self):
+        """Its first event and its end are reported once."""
+        site = self.make_site(served(ONE, TWO), turns=[Dispatched("e2")])
+        site.forward()
+        assert site.sent_to == ["e2"]
+        turns = site.context.turns
+        assert set(turns.asked[0].candidates) == {"e1", "e2"}
+        assert turns.asked[0].leave_left_s == pytest.approx(2.4)
+        assert turns.told == [
+            FirstEventSeen("q1.1", "e2", 0.0),
+            RunEnded("q1.1", "e2"),
+        ]
+
+    def test_a_declined_request_asks_again(self):
+        """The declined run is reported as such."""
+        site = self.make_site(
+            declined(), served(ONE), turns=[Dispatched("e1"), Dispatched("e2")]
+        )
+        site.forward()
+        assert site.sent_to == ["e1", "e2"]
+        turns = site.context.turns
+        assert turns.told[0] == RunEnded("q1.1", "e1", was_declined=True)
+        assert turns.asked[1].candidates == ("e2",)
+
+    def test_a_stream_that_broke_off_asks_with_what_has_begun(self):
+        """It goes before others, and not to the endpoint that failed."""
+        site = self.make_site(
+            served(ONE, error=BrokenCallError("x")),
+            served(TWO),
+            turns=[Dispatched("e1"), Dispatched("e2")],
+        )
+        site.forward()
+        turns = site.context.turns
+        assert turns.asked[1].has_begun
+        assert turns.asked[1].candidates == ("e2",)
+        assert turns.told[1] == RunEnded("q1.1", "e1")
+
+    def test_a_refusal_says_that_the_request_has_not_run(self):
+        """Retry-After is no longer than clients wait."""
+        site = self.make_site(turns=[Rejected(30.0, "no room")])
+        refusal = site.refusal()
+        assert refusal.verdict is Verdict.NOT_RUN
+        assert refusal.reason is Reason.OVERLOADED
+        assert 0 < refusal.retry_after_s <= 20.0 / 3
+        assert not site.sent_to
+
+    @pytest.mark.parametrize("answer", [Dispatched("e1"), NotDispatched()])
+    def test_an_endpoint_that_has_left_during_the_wait_gets_nothing(self, answer):
+        """The turn is given back, and the others are asked for or chosen from."""
+        site = self.make_site(served(ONE), turns=[answer, Dispatched("e2")])
+        turns = site.context.turns
+        turns.on_take = lambda: site.directory.record_leaving("e1", 1)
+        site.forward()
+        assert site.sent_to == ["e2"]
+        if answer == Dispatched("e1"):
+            assert turns.told[0] == RunEnded("q1.1", "e1", was_declined=True)
+
+    def test_a_client_that_left_during_the_wait(self):
+        """Nothing is sent, and the turn is given back."""
+        site = self.make_site(turns=[Dispatched("e1")])
+        site.context.turns.on_take = site.cancellation.cancel
+        assert site.refusal().reason is Reason.CANCELLED
+        assert not site.sent_to
+        assert site.context.turns.told == [RunEnded("q1.1", "e1", was_declined=True)]
+
+    def test_a_model_that_was_just_loaded_is_asked_for_too(self):
+        """Its endpoint is the only candidate."""
+        locator = Models(make_endpoint("e1", ("m",)))
+        site = Site(
+            served(b"ok"),
+            requested_model=RequestedModel(ModelId("m")),
+            locator=locator,
+            turns=Turns(Dispatched("e1")),
+        )
+        site.forward()
+        assert site.context.turns.asked[0].candidates == ("e1",)
+
+    def test_plain_services_take_no_turns(self):
+        """A request without a model asks nobody."""
+        site = Site(served(b"ok"), turns=Turns())
+        site.forward()
+        assert not site.context.turns.asked
