Draw quotas in the soak of entry daemons

Cause: the check of quotas was not part of the soak, which drew no quotas.

Change: one account of the soak has a rate that is drawn anew with the keys; the check of quotas runs over all nodes' requests.

--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -94,10 +94,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WrittenKeys:
-    """The keys of a version of the configuration, and when its write began."""
+    """The keys of a version of the configuration, and when its write began.
+
+    ``limit_by_account`` are the requests that all nodes may admit in a window.
+    """
 
     at_s: float
     account_by_key: Mapping[str, str]
+    limit_by_account: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/faults/entry_soak.py
+++ b/faults/entry_soak.py
@@ -24,6 +24,7 @@
 from faults.entry_faults import KINDS
 from faults.entry_injections import RESTART_S, inject
 from faults.key_checks import find_key_violations
+from faults.quota_checks import find_quota_violations
 from faults.soak_site import SoakSite
 from standins.fleet import Fleet
 
@@ -95,7 +96,11 @@
         text = site.fleet.process_by_name[node].log.read_text(errors="replace")
         lines = map(parse_log_line, text.splitlines())
         history.log_lines_by_node[node] = [line for line in lines if line is not None]
-    violations = [*find_violations(history), *find_key_violations(history)]
+    violations = [
+        *find_violations(history),
+        *find_key_violations(history),
+        *find_quota_violations(history),
+    ]
     print(f"draws of keys: {site.key_draws}")
     statuses = Counter(item.status for item in history.attempts)
     print(f"faults: {site.count_by_kind.total()} {dict(site.count_by_kind)}")
--- a/faults/quota_checks.py
+++ b/faults/quota_checks.py
@@ -2,27 +2,15 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from itertools import pairwise
+from itertools import zip_longest
 
 from faults.entry_checks import APPLY_S, BUSY_SLACK_S, SoakHistory
 
 QUOTA_WINDOW_S = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class WrittenQuotas:
-    """The limits of accounts in one version: requests in a window, over all nodes.
-
-    ``at_s`` is when its write began, ``confirmed_s`` when the store acknowledged it.
-    """
-
-    at_s: float
-    confirmed_s: float
-    limit_by_account: Mapping[str, float]
-
-
 @dataclass(frozen=True, slots=True)
 class _Run:
     """A request that ran: when its client sent it, and when it reached a replica."""
@@ -31,27 +19,32 @@
     arrived_s: float
 
 
-def find_quota_violations(
-    history: SoakHistory, versions: Sequence[WrittenQuotas]
-) -> list[str]:
+@dataclass(frozen=True, slots=True)
+class _Version:
+    """Limits that some node may have had within a span of time."""
+
+    from_s: float
+    until_s: float
+    limit_by_account: Mapping[str, float]
+
+
+def find_quota_violations(history: SoakHistory) -> list[str]:
     """Return the accounts that got more than their limit in a window, one line each.
 
     Requests count that are sent and reach a replica which runs them within the window,
     whichever node they went through.
     """
+    versions = _versions(history)
     violations = []
     for account, runs in _runs_by_account(history).items():
-        beyond, count, allowed = _worst_window(history, versions, account, runs)
+        beyond, count, allowed = _worst_window(versions, account, runs)
         if beyond > 0:
             violations.append(f"QUOTA: {count} of {account}, {allowed:g} allowed")
     return violations
 
 
 def _worst_window(
-    history: SoakHistory,
-    versions: Sequence[WrittenQuotas],
-    account: str,
-    runs: Sequence[_Run],
+    versions: Sequence[_Version], account: str, runs: Sequence[_Run]
 ) -> tuple[float, int, float]:
     worst = -math.inf, 0, 0.0
     for last in runs:
@@ -61,32 +54,31 @@
         )
         allowed = max(
             version.limit_by_account.get(account, math.inf)
-            for version in _in_force(history, versions, since_s, last.arrived_s)
+            for version in versions
+            if version.from_s <= last.arrived_s and since_s < version.until_s
         )
         worst = max(worst, (count - allowed, count, allowed))
     return worst
 
 
-def _in_force(
-    history: SoakHistory,
-    versions: Sequence[WrittenQuotas],
-    from_s: float,
-    until_s: float,
-) -> Iterable[WrittenQuotas]:
-    """Return the versions that some node may have had within a span of time.
+def _versions(history: SoakHistory) -> list[_Version]:
+    """Return the limits of each version, with the time for which they may be in force.
 
-    A version binds in windows that begin after all nodes had the time to apply it in
-    touch.
+    The next version binds in windows that begin after all nodes had the time to apply
+    it in touch.
     """
-    for version, following in pairwise([*versions, None]):
-        assert version is not None
-        ended_s = math.inf
-        if following is not None:
-            applied_s = following.confirmed_s + APPLY_S + BUSY_SLACK_S
-            if _are_in_touch(history, following.confirmed_s, applied_s):
-                ended_s = applied_s
-        if version.at_s <= until_s and from_s < ended_s:
-            yield version
+    versions = []
+    numbers = sorted(history.keys_by_version)
+    for number, following in zip_longest(numbers, numbers[1:]):
+        confirmed_s = history.confirmed_s.get(following)
+        until_s = math.inf
+        if confirmed_s is not None:
+            applied_s = confirmed_s + APPLY_S + BUSY_SLACK_S
+            if _are_in_touch(history, confirmed_s, applied_s):
+                until_s = applied_s
+        written = history.keys_by_version[number]
+        versions.append(_Version(written.at_s, until_s, written.limit_by_account))
+    return versions
 
 
 def _are_in_touch(history: SoakHistory, from_s: float, until_s: float) -> bool:
--- a/faults/soak_keys.py
+++ b/faults/soak_keys.py
@@ -13,6 +13,9 @@
 TAKEN_SHARE = 0.1
 """Share of the keys that no account holds."""
 PUBLIC_ROUTE = "look"
+LIMITED_ACCOUNT = "crowd"
+RATES = (3.0, 6.0, 12.0)
+"""Requests a second, and at once, that the limited account may send."""
 
 
 def draw_accounts(seed: int, number: int) -> dict[str, str]:
@@ -28,12 +31,22 @@
     return UNKNOWN_KEY if rng.random() < UNKNOWN_SHARE else rng.choice(KEYS)
 
 
-def listed_accounts(account_by_key: dict[str, str]) -> list[dict[str, Any]]:
+def draw_rate(seed: int, number: int) -> float:
+    """Return the rate of the limited account in the ``number``-th configuration."""
+    return random.Random(f"{seed}/quotas/{number}").choice(RATES)
+
+
+def listed_accounts(
+    account_by_key: dict[str, str], rate_per_s: float
+) -> list[dict[str, Any]]:
     """Return the accounts as the configuration lists them, also those without keys."""
+    rate_by_account = {LIMITED_ACCOUNT: rate_per_s}
     return [
         {
             "name": name,
             "api-keys": [key for key, of in account_by_key.items() if of == name],
+            "rate-per-s": rate_by_account.get(name, 0.0),
+            "burst": rate_by_account.get(name, 0.0),
         }
         for name in ACCOUNTS
     ]
--- a/faults/soak_site.py
+++ b/faults/soak_site.py
@@ -11,7 +11,14 @@
 
 from faults.entry_checks import SoakHistory, WrittenKeys
 from faults.entry_faults import Fault
-from faults.soak_keys import PUBLIC_ROUTE, draw_accounts, listed_accounts
+from faults.quota_checks import QUOTA_WINDOW_S
+from faults.soak_keys import (
+    LIMITED_ACCOUNT,
+    PUBLIC_ROUTE,
+    draw_accounts,
+    draw_rate,
+    listed_accounts,
+)
 from standins.entry_platform import OPERATOR
 from standins.entry_site import CONFIG, GRACE_S, SETTINGS, make_route
 from standins.fleet import HOST, Fleet, HttpError, request, reserve_port
@@ -124,10 +131,14 @@
             self.routes = self.routes if routes is None else routes
             self.key_draws += draws_keys
         account_by_key = draw_accounts(self.seed, self.key_draws)
-        written = WrittenKeys(time.monotonic(), account_by_key)
+        rate_per_s = draw_rate(self.seed, self.key_draws)
+        limit = rate_per_s * QUOTA_WINDOW_S + rate_per_s
+        written = WrittenKeys(
+            time.monotonic(), account_by_key, {LIMITED_ACCOUNT: limit}
+        )
         self.history.keys_by_version[version] = written
         spec = _configuration(version, self.routes)
-        spec["tenants"] = listed_accounts(account_by_key)
+        spec["tenants"] = listed_accounts(account_by_key, rate_per_s)
         self.put("config", "main", spec)
         self.history.confirmed_s[version] = time.monotonic()
 
--- a/tests/faults/test_quota_checks.py
+++ b/tests/faults/test_quota_checks.py
@@ -1,16 +1,12 @@
 """Tests of the checks of quotas: broken limits are found, sound histories pass."""
 
-from faults.entry_checks import APPLY_S, Attempt, Disturbance, SoakHistory
-from faults.quota_checks import (
-    QUOTA_WINDOW_S,
-    WrittenQuotas,
-    find_quota_violations,
-)
+from faults.entry_checks import APPLY_S, Attempt, Disturbance, SoakHistory, WrittenKeys
+from faults.quota_checks import QUOTA_WINDOW_S, find_quota_violations
 
 LIMIT, LOWER = 4, 2
-FIRST = WrittenQuotas(0.0, 0.1, {"a": LIMIT})
-SECOND = WrittenQuotas(20.0, 20.1, {"a": LOWER})
-LATE_S = SECOND.confirmed_s + APPLY_S + QUOTA_WINDOW_S + 1.0
+FIRST = WrittenKeys(0.0, {}, {"a": LIMIT})
+SECOND = WrittenKeys(20.0, {}, {"a": LOWER})
+LATE_S = SECOND.at_s + APPLY_S + QUOTA_WINDOW_S + 1.0
 
 
 def violations(sent_s, versions=(FIRST, SECOND), took_s=0.1, ran=True, **fields):
@@ -23,8 +19,14 @@
         lines.append({"event": "arrived", **line})
         if ran:
             lines.append({"event": "ran", **line})
-    history = SoakHistory(attempts, {"r1": lines}, **fields)
-    return find_quota_violations(history, versions)
+    history = SoakHistory(
+        attempts,
+        {"r1": lines},
+        keys_by_version=dict(enumerate(versions)),
+        confirmed_s={n: version.at_s + 0.1 for n, version in enumerate(versions)},
+        **fields,
+    )
+    return find_quota_violations(history)
 
 
 class TestQuota:
@@ -43,7 +45,7 @@
     def test_requests_that_did_not_run_do_not_count(self):
         """Nor do those of accounts without a quota."""
         assert not violations([10.0] * (LIMIT + 1), ran=False)
-        assert not violations([10.0] * 99, [WrittenQuotas(0.0, 0.1, {"b": 1})])
+        assert not violations([10.0] * 99, [WrittenKeys(0.0, {}, {"b": 1})])
 
     def test_requests_sent_before_the_window_do_not_count(self):
         """They were admitted in an earlier one, and waited."""
