--- a/src/camphoryard/coordination/admission/quota_ledger.py
+++ b/src/camphoryard/coordination/admission/quota_ledger.py
@@ -23,11 +23,14 @@
 """Free parts below which nodes keep no unused ones."""
 RESERVED_PARTS = WHOLE // 5
 """Free parts that are kept for nodes which need them, not lent as spare ones."""
+AHEAD = 4
 AHEAD_FRACTION = 16
-"""A grant has up to this fraction of the free parts more than were asked for."""
+"""A grant is larger than asked for by as many times the parts, but by no more than this
+fraction of those that are free."""
 PACE_CAPACITY_PARTS = WHOLE // 4
-"""Parts of an account that may be granted at once. Others follow at the pace of its
-limit, so that an account which suddenly asks for much more uses it over seconds."""
+"""Parts of an account that may be granted at once, or its burst if that is more. Others
+follow at the pace of its limit, so that an account which suddenly asks for much more
+uses it over seconds."""
 BACKUPS = 3
 BACKUP_SILENCE_S = 2.0
 """Time without a report after which another node is made a backup; four reports."""
@@ -70,19 +73,19 @@
 class _Pace:
     """Parts of an account that may be granted now; less than 0 after a large grant."""
 
-    parts: float = PACE_CAPACITY_PARTS
-    updated_s: float = -math.inf
+    parts: float = math.inf
+    capacity: float = 0.0
+    updated_s: float = 0.0
 
-    def refill(self, parts_per_s: float, now_s: float) -> None:
+    def refill(self, capacity: float, parts_per_s: float, now_s: float) -> None:
         """Add what has become grantable since the last call."""
-        if math.isfinite(self.updated_s):
-            self.parts += parts_per_s * (now_s - self.updated_s)
-        self.parts = min(self.parts, PACE_CAPACITY_PARTS)
-        self.updated_s = now_s
+        added = parts_per_s * (now_s - self.updated_s)
+        self.parts = min(self.parts + added, capacity)
+        self.capacity, self.updated_s = capacity, now_s
 
     def allows(self, parts: int) -> bool:
         """Return whether ``parts`` may be granted; large ones when none were lately."""
-        return parts <= self.parts or self.parts >= PACE_CAPACITY_PARTS
+        return parts <= self.parts or self.parts >= self.capacity
 
 
 class QuotaLedger:
@@ -102,6 +105,8 @@
         Whether no other leader can have granted anything before.
     clock : callable
         Return seconds, including time during which the VM is suspended.
+    burst_parts : callable
+        Return the parts of an account that are its burst.
     """
 
     def __init__(
@@ -111,8 +116,10 @@
         is_first: bool,
         window_s: float,
         clock: Callable[[], float] = boot_clock_s,
+        burst_parts: Callable[[AccountId], int] = lambda account: 0,
     ) -> None:
         self.term = term
+        self._burst_parts = burst_parts
         self._node = node
         self._clock = clock
         self._pace_parts_per_s = WHOLE / window_s
@@ -219,10 +226,11 @@
         if is_spare:
             return min(parts, free - RESERVED_PARTS)
         pace = self._pace_by_account[account]
-        pace.refill(self._pace_parts_per_s, self._clock())
+        capacity = max(PACE_CAPACITY_PARTS, self._burst_parts(account))
+        pace.refill(capacity, self._pace_parts_per_s, self._clock())
         if parts > free or not pace.allows(parts):
             return 0
-        amount = min(free, parts + min(parts, free // AHEAD_FRACTION))
+        amount = min(free, parts + min(AHEAD * parts, free // AHEAD_FRACTION))
         pace.parts -= amount
         return amount
 
--- a/src/camphoryard/coordination/fleet/quota_sharing.py
+++ b/src/camphoryard/coordination/fleet/quota_sharing.py
@@ -29,6 +29,7 @@
 from camphoryard.state.ids import AccountId, FencingNumber, Incarnation, NodeId
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.quotas import (
+    WHOLE,
     Admitted,
     OverQuota,
     QuotaDecision,
@@ -64,7 +65,7 @@
 
     @property
     def is_first_term(self) -> bool:
-        """Whether there was no leader before the term of this node."""
+        """Whether the store has shown no leader before the term of this node."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +79,8 @@
 
     Parameters
     ----------
+    is_first_start : bool
+        Whether no node of the fleet has run before.
     accounts : callable
         Return the accounts of the configuration in force, or None.
     shares : QuotaShares
@@ -97,6 +100,7 @@
         node: NodeId,
         incarnation: Incarnation,
         window_s: float,
+        is_first_start: bool,
         accounts: Callable[[], Accounts | None],
         shares: QuotaShares,
         peers: Peers,
@@ -109,6 +113,7 @@
         self._node = node
         self._incarnation = incarnation
         self._window_s = window_s
+        self._is_first_start = is_first_start
         self._accounts = accounts
         self._shares = shares
         self._peers = peers
@@ -322,12 +327,21 @@
             self._ledger = QuotaLedger(
                 self._node,
                 term,
-                self._lease.is_first_term,
+                self._is_first_start and self._lease.is_first_term,
                 self._window_s,
                 self._clock,
+                self._burst_parts,
             )
         return self._ledger
 
+    def _burst_parts(self, account: AccountId) -> int:
+        accounts = self._accounts()
+        found = accounts.by_id.get(account) if accounts else None
+        quota = found.quota if found else None
+        if quota is None:
+            return 0
+        return int(quota.burst / window_limit(quota, self._window_s) * WHOLE)
+
     def _observe(
         self,
         ledger: QuotaLedger,
