Close connections without the lock of their requests

A connection that closes while "100 Continue" is sent took the lock of its requests twice, and the server's loop stood still: the new test fails with a timeout on the code before and passes now.

Clients that are refused for lack of room are told to come again in 1 s.

--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -30,6 +30,8 @@
 TEXT = "text/plain; charset=utf-8"
 MILLISECONDS_PER_SECOND = 1000
 TRACE_LINES = 3
+NO_ROOM_RETRY_S = 1.0
+"""Time after which requests without progress have given way to others."""
 STATUS_BY_REASON = {
     Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
     Reason.BAD_HEADER: HTTPStatus.BAD_REQUEST,
@@ -168,9 +170,11 @@
         reason = REASON_BY_STATUS.get(HTTPStatus(status), Reason.BAD_HEADER)
         unknown = reason is Reason.INTERNAL
         verdict = Verdict.MAY_HAVE_RUN if unknown else Verdict.NOT_RUN
-        refusal = RefusalError(reason, detail, verdict)
+        retry_after_s = NO_ROOM_RETRY_S if reason is Reason.OVERLOADED else 0.0
+        refusal = RefusalError(reason, detail, verdict, retry_after_s=retry_after_s)
         self._record_refused(None, refusal, None)
-        return HttpResponse(status, f"{detail}\n".encode(), content_type=TEXT)
+        headers = self.dialect.refusal_headers(None, refusal)
+        return HttpResponse(status, f"{detail}\n".encode(), headers, TEXT)
 
     def _record_answered(self, forwarded: ForwardedRequest) -> None:
         request = forwarded.request
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -575,9 +575,10 @@
         super().handle_close()
         self.cancellation.cancel()
         self._set_costly(False)
-        with self.requests_lock:
-            if not self.requests:
-                self.server.memory.remove_connection(self.id)
+        # Without the lock, which is held if sending "100 Continue" fails. A running
+        # task sees that the connection is closed, and releases what it holds.
+        if not self.requests:
+            self.server.memory.remove_connection(self.id)
         self.server.notify_progress()
 
     def handle_write(self) -> None:
--- a/tests/transport/test_front.py
+++ b/tests/transport/test_front.py
@@ -18,6 +18,19 @@
 NOT_RUN, MAY_HAVE_RUN = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN
 
 
+class TestRefuse:
+    """Requests that the server itself refuses."""
+
+    def test_client_without_room_is_told_when_to_come_again(self):
+        """The load: a crowd that fills the memory of a node."""
+        log = RecordedLog()
+        context = SimpleNamespace(
+            directory=SimpleNamespace(rules=None), count=lambda name: None, log=log
+        )
+        response = FrontApp(context, PlatformDialect()).refuse(503, "no room")
+        assert (response.status, response.headers) == (503, {"Retry-After": "1.000"})
+
+
 class TestRefusalStatus:
     """503 guarantees that the request has not run; 502 and 504 do not."""
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -13,6 +13,7 @@
 from camphoryard.coordination.admission.client_memory import ClientMemory
 from camphoryard.transport.http_server import (
     CANCELLATION,
+    Connection,
     ConnectionLimits,
     HttpResponse,
     make_server,
@@ -67,10 +68,10 @@
     executor.shutdown()
 
 
-def connect(server):
+def connect(server, request=REQUEST):
     """Return a connection that has sent a request."""
     connection = socket.create_connection((HOST, server.effective_port))
-    connection.sendall(REQUEST)
+    connection.sendall(request)
     return connection
 
 
@@ -407,6 +408,27 @@
         assert received.startswith(b"HTTP/1.1 413")
         assert received.count(b"HTTP/1.1") == 1
 
+    # Guards against a server that stands still: the lock was taken twice.
+    def test_client_that_leaves_before_the_continue_blocks_nobody(
+        self, run, monkeypatch
+    ):
+        """Sending "100 Continue" fails and closes the connection."""
+
+        def fail(channel, data, do_close=True):
+            monkeypatch.undo()
+            channel.handle_close()
+            return 0
+
+        monkeypatch.setattr(Connection, "send", fail)
+        server = run(self.echo_size)
+        expecting = self.HEAD.replace(b"Host", b"Expect: 100-continue\r\nHost")
+        with connect(server, expecting) as gone:
+            gone.settimeout(TIMEOUT_S)
+            assert gone.recv(1) == b""
+        with connect(server) as next_one:
+            next_one.settimeout(TIMEOUT_S)
+            assert next_one.recv(4096).startswith(b"HTTP/1.0 200")
+
     def test_full_server_makes_room_for_the_next_client(self, run, monkeypatch):
         """It closes the connection that has been idle for longest."""
         monkeypatch.setattr(connection_room, "SILENCE_S", 0.0)
