Delay no running stream beyond its gap for a request that is late

Cause: a request near its objective might use the whole longest gap, and one whose client was about to leave any pause.

Change: such requests may use 0.8 of the gap; only answers that have begun go regardless. Two cases of the test of a wait that would lose more have shorter pauses; a new test has the longer ones wait.

--- a/src/camphoryard/coordination/dispatch/placing.py
+++ b/src/camphoryard/coordination/dispatch/placing.py
@@ -13,13 +13,16 @@
     """What an engine must have room for, and what a place there costs.
 
     A prompt may delay running streams by ``pause_share`` of the longest gap that is not
-    late, and by the whole gap if its request would be late within ``hurry_s``. A
-    request must begin within ``leave_share`` of the time until its client leaves. None
-    is refused while an endpoint has less than ``room_load`` of it in use. An endpoint
-    in another zone costs ``remote_cost_s``, a full one ``load_cost_s``.
+    late, and by ``hurry_share`` of it if the request would be late, or its client
+    leave, within ``hurry_s``. Beyond that it costs more answers than it saves: each
+    stream that runs there is late. A request must begin within ``leave_share`` of the
+    time until its client leaves. None is refused while an endpoint has less than
+    ``room_load`` of it in use. An endpoint in another zone costs ``remote_cost_s``, a
+    full one ``load_cost_s``.
     """
 
     pause_share: float = 0.65
+    hurry_share: float = 0.8
     hurry_s: float = 0.1
     leave_share: float = 0.85
     room_load: float = 0.5
@@ -54,7 +57,7 @@
         return None
     max_pause_s = _max_pause_s(waiting, places, now_s, policy)
     fitting = [item for item in places if _fits(item, max_pause_s)]
-    if not fitting and _must_go(waiting, places, now_s, policy):
+    if not fitting and waiting.request.has_begun:
         fitting = [_least_disturbed(places)]
     if not fitting and now_s - waiting.since_s >= waiting.request.longest_gap_s:
         fitting = [item for item in places if not item.line_s]
@@ -82,19 +85,17 @@
     gap_s = waiting.request.longest_gap_s
     if not gap_s:
         return math.inf
-    spare_s = waiting.due_s - now_s - min_first_event_s(places)
-    is_in_hurry = 0 <= spare_s <= policy.hurry_s
-    return gap_s if is_in_hurry else gap_s * policy.pause_share
+    is_in_hurry = _is_in_hurry(waiting, min_first_event_s(places), now_s, policy)
+    return gap_s * (policy.hurry_share if is_in_hurry else policy.pause_share)
 
 
-def _must_go(
-    waiting: Waiting, places: Sequence[Candidate], now_s: float, policy: RoomPolicy
+def _is_in_hurry(
+    waiting: Waiting, first_event_s: float, now_s: float, policy: RoomPolicy
 ) -> bool:
-    """Return whether a stream would stand still, or a client leave, during a wait."""
-    if waiting.request.has_begun:
-        return True
+    """Return whether the request is about to be late, or its client to leave."""
+    spare_s = waiting.due_s - now_s - first_event_s
     left_s = (waiting.leaves_s - now_s) * policy.leave_share
-    return left_s <= min_first_event_s(places) + policy.hurry_s
+    return 0 <= spare_s <= policy.hurry_s or left_s <= first_event_s + policy.hurry_s
 
 
 def _cost_s(candidate: Candidate, policy: RoomPolicy) -> float:
