Have the soak send more than the limited account may

Cause: with the window of spends halved in the daemons, the soak found nothing, as its clients send 12 requests a second of an account and the rates were 3 to 12.

Change: rates of 1 to 4.

--- a/faults/soak_keys.py
+++ b/faults/soak_keys.py
@@ -14,7 +14,7 @@
 """Share of the keys that no account holds."""
 PUBLIC_ROUTE = "look"
 LIMITED_ACCOUNT = "crowd"
-RATES = (3.0, 6.0, 12.0)
+RATES = (1.0, 2.0, 4.0)
 """Requests a second, and at once, that the limited account may send."""
 
 
