--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 from xxhash import xxh3_64_intdigest
 
@@ -35,6 +35,7 @@
     ModelId,
     NodeId,
     Revision,
+    Version,
 )
 from camphoryard.state.nodes import NodeDigest, NodeTable
 from camphoryard.state.quotas import QuotaRenewal, QuotaReport
@@ -72,6 +73,17 @@
 GossipTopology: TypeAlias = Mesh | Star
 
 
+class RulesAnnouncements(Protocol):
+    """The versions of the configuration that this node reads and hears of."""
+
+    @property
+    def position(self) -> Version:
+        """Version of the newest configuration object that this node has read."""
+
+    def hear(self, announced: Version) -> None:
+        """Record the one that a leader has read."""
+
+
 def relay_period_s(nodes: int) -> float:
     """Return the period in which the leader of a star of ``nodes`` sends to each."""
     return GOSSIP_PERIOD_S * math.ceil(nodes / PEERS_PER_PERIOD)
@@ -107,6 +119,10 @@
         Quotas of accounts, of which nodes and the leader tell each other.
     relaying : EndpointRelaying or None
         Changes of endpoints that the leader of a star passes on; None without.
+    rules : RulesAnnouncements or None
+        The configuration that the leader of a star announces; None without.
+    link_mbps : float
+        Bandwidth of this node's link, in 1e6 bits a second.
     """
 
     def __init__(
@@ -126,8 +142,12 @@
         clock: Callable[[], float] = time.monotonic,
         quotas: QuotaSharing | None = None,
         relaying: EndpointRelaying | None = None,
+        rules: RulesAnnouncements | None = None,
+        link_mbps: float = 0.0,
     ) -> None:
+        self._rules = rules
         self._relaying = relaying
+        self._link_mbps = link_mbps
         self._node = node
         self._incarnation = incarnation
         self._nodes = nodes
@@ -189,6 +209,8 @@
             self._on_unloads(digest.unloads_by_endpoint)
         if self._relaying is not None and self.topology() == Star():
             self._relaying.receive(digest)
+        if self._rules is not None and self.topology() == Star():
+            self._rules.hear(digest.rules_version)
         if not self._term() or self.topology() == Mesh():
             self._estimates.refresh()
 
@@ -263,6 +285,7 @@
                 self._relaying.position if self._relaying else Revision(0)
             ),
             relay=relay,
+            rules_version=self._rules.position if self._rules and term else Version(0),
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
@@ -299,21 +322,28 @@
 
         Only some nodes do, so that reads of the lease do not grow with the fleet. The
         longer no leader is observed, the more nodes watch, because the standby nodes
-        may have failed too.
+        may have failed too. In a star they are the nodes with the fastest links, as
+        the leader sends to all others.
         """
         match self.topology():
             case Mesh():
-                nodes = {item.node for item in self._nodes.alive()}
+                link_mbps_by_node = {item.node: 0.0 for item in self._nodes.alive()}
                 watching = STANDBY_NODES
             case Star():
-                nodes = {item.node for item in self._nodes.all()}
+                link_mbps_by_node = {
+                    item.node: item.link_mbps for item in self._nodes.all()
+                }
                 elapsed_leases = (self._clock() - self._leader_observed_s) / LEASE_S
                 watching = STANDBY_NODES << min(
                     int(elapsed_leases), MAX_STANDBY_DOUBLINGS
                 )
-        nodes.add(self._node)
-        nodes.discard(self.leader() or NodeId(""))
-        return self._node in sorted(nodes, key=_standby_order)[:watching]
+        link_mbps_by_node.setdefault(self._node, self._link_mbps)
+        link_mbps_by_node.pop(self.leader() or NodeId(""), None)
+        in_order = sorted(
+            link_mbps_by_node,
+            key=lambda node: (-link_mbps_by_node[node], _standby_order(node)),
+        )
+        return self._node in in_order[:watching]
 
     def _known_peers(self) -> list[NodeId]:
         return [item.node for item in self._nodes.all() if item.node != self._node]
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -80,6 +80,7 @@
     Revision,
     ServiceId,
     TicketId,
+    Version,
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
@@ -181,6 +182,7 @@
     quota_renewal: _QuotaRenewalForm | None = None
     endpoints_revision: Revision = Revision(0)
     relay: RelayForm | None = None
+    rules_version: Version = Version(0)
 
 
 class _DispatchForm(msgspec.Struct, array_like=True, frozen=True):
@@ -433,6 +435,7 @@
             _quota_renewal_form(heard.digest.quota_renewal),
             heard.digest.endpoints_revision,
             relay_form(heard.digest.relay),
+            heard.digest.rules_version,
         )
         for heard in digests
     )
@@ -514,6 +517,7 @@
                 _quota_renewal(item.quota_renewal),
                 item.endpoints_revision,
                 read_relay(item.relay),
+                item.rules_version,
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -36,7 +36,8 @@
 
     ``ended`` lists the node's earlier incarnations that have provably ended,
     because this one has bound their address. ``host`` and ``port`` are that
-    address; peers connect to the advertised address, if there is one.
+    address; peers connect to the advertised address, if there is one. ``link_mbps``
+    is the bandwidth of the VM's link in 1e6 bits a second, 0 if it is not known.
     """
 
     node: NodeId
@@ -51,6 +52,7 @@
     ended: tuple[Incarnation, ...] = ()
     advertised_host: str = ""
     advertised_port: int = 0
+    link_mbps: float = 0.0
 
     def __post_init__(self) -> None:
         for port in (self.port, self.advertised_port):
@@ -75,7 +77,8 @@
     endpoints that say they leave, with the time of their start. ``quota_report`` tells
     the leader what the node holds of the quotas of accounts; ``quota_renewal`` is the
     leader's answer. ``endpoints_revision`` is that of the node's view of the endpoints,
-    ``relay`` what the receiver's view lacks.
+    ``relay`` what the receiver's view lacks. ``rules_version`` is that of the newest
+    configuration object that a leader has read.
     """
 
     node: NodeId
@@ -98,6 +101,7 @@
     quota_renewal: QuotaRenewal | None = None
     endpoints_revision: Revision = Revision(0)
     relay: EndpointRelay | None = None
+    rules_version: Version = Version(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -52,6 +52,13 @@
 IDLE_TIMEOUT_S = 600.0
 MAX_BODY_TIME_S = 600.0
 """Maximum time of a request whose body is sent steadily."""
+LINGER_S = 1.0
+"""Time in which the rest of a refused request is read and dropped. A connection closed
+with unread data is reset, and its client may lose the answer."""
+BODY_READ_BYTES = 64 << 10
+"""Bytes read at a time of a body with a length, which needs no parsing."""
+PROGRESS_PERIOD_S = 0.25
+"""Period in which the budget is told that a request makes progress."""
 COSTLY_CHUNK_BYTES = 64
 """Average size of chunks, with what frames them, below which parsing is costly."""
 INTERNAL_MAP_ENTRIES = 2
@@ -302,9 +309,13 @@
         self.request: StrictParser | None = None
         self.id = server.memory.add_connection(self.last_active_s)
         self.is_waiting = False
+        self._wanted_bytes = 0
+        self._updated_s = 0.0
         self._is_costly = False
         self._has_unread_answer = False
         self._close_requested = False
+        self._is_refused = False
+        self._linger_end_s: float | None = None
         self._request_began_s: float | None = None
         super().__init__(server, *args, **kwargs)
 
@@ -312,12 +323,16 @@
         """Receive data, less at a time if it is costly to parse."""
         if self._is_costly:
             buffer_size = read_bytes(len(self.server.costly))
+        elif self.request is not None and isinstance(self.request.body_rcv, FixedBody):
+            buffer_size = BODY_READ_BYTES
         data: bytes = super().recv(buffer_size)
         return data
 
     def received(self, data: bytes) -> bool:
         """Parse received data and record when a request began."""
         self.last_active_s = time.monotonic()
+        if self._drops_data():
+            return False
         chunks = self._chunks
         accepted: bool = super().received(data)
         self._set_costly((self._chunks - chunks) * COSTLY_CHUNK_BYTES > len(data))
@@ -325,9 +340,23 @@
             self._request_began_s = None
         elif self._request_began_s is None:
             self._request_began_s = self.last_active_s
-        self._update_memory()
+        if self._is_update_due():
+            self._update_memory()
         return accepted
 
+    def _is_update_due(self) -> bool:
+        """Return whether what the budget knows of this connection is out of date."""
+        request = self.request
+        return (
+            request is None
+            or request.wanted_bytes != self._wanted_bytes
+            or self.last_active_s - self._updated_s >= PROGRESS_PERIOD_S
+        )
+
+    def _drops_data(self) -> bool:
+        """Return whether a request was refused, after which nothing is parsed."""
+        return self._is_refused or any(item.error for item in self.requests[-1:])
+
     @property
     def _chunks(self) -> int:
         """Number of chunks of the request that is being received."""
@@ -348,11 +377,14 @@
         with self.requests_lock:
             held_bytes = sum(item.held_bytes for item in self.requests)
             if self.request is None:
+                self._wanted_bytes = 0
                 memory.settle(self.id, held_bytes)
                 self.is_waiting = False
                 return
-            size = held_bytes + self.request.wanted_bytes
             now_s = time.monotonic()
+            self._updated_s = now_s
+            self._wanted_bytes = self.request.wanted_bytes
+            size = held_bytes + self._wanted_bytes
             was_waiting = self.is_waiting
             self.is_waiting = not memory.receive(self.id, size, now_s)
             if was_waiting and not self.is_waiting:
@@ -360,6 +392,7 @@
 
     def service(self) -> None:
         """Answer the next request and release what it held."""
+        self._is_refused = self.requests[0].error is not None
         super().service()
         self._update_memory()
         if not self.connected:
@@ -385,9 +418,8 @@
                 self.server.closed_idle += 1
         if self.is_waiting:
             self._update_memory()
-        is_refused = bool(self.requests) and self.requests[-1].error is not None
         is_readable: bool = super().readable()
-        return is_readable and not self.is_waiting and not is_refused
+        return is_readable and not self.is_waiting
 
     def _has_unread(self) -> bool:
         """Return whether the socket has data that the server has not read yet."""
@@ -398,6 +430,9 @@
 
     def enforce_limits(self, limits: ConnectionLimits, now_s: float) -> None:
         """Close the connection if it is idle, or refuse a request sent too slowly."""
+        if self._linger_end_s is not None:
+            self.will_close = self.will_close or now_s >= self._linger_end_s
+            return
         if self.requests or self.is_waiting:
             return
         silent_s = now_s - self.last_active_s
@@ -525,19 +560,33 @@
         self.last_activity = time.time()
         return sent
 
+    def _linger(self) -> None:
+        """Tell the client that the answer is complete, and read on for a while."""
+        self.close_when_flushed = False
+        self._linger_end_s = self.last_active_s + LINGER_S
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The client has closed the connection.
+            self.will_close = True
+
     def handle_close(self) -> None:
         """Close the connection and cancel its request."""
         super().handle_close()
         self.cancellation.cancel()
         self._set_costly(False)
-        with self.requests_lock:
-            if not self.requests:
-                self.server.memory.remove_connection(self.id)
+        # Without the lock, which is held if sending "100 Continue" fails. A running
+        # task sees that the connection is closed, and releases what it holds.
+        if not self.requests:
+            self.server.memory.remove_connection(self.id)
         self.server.notify_progress()
 
     def handle_write(self) -> None:
-        """Send buffered data."""
+        """Send buffered data; after a refusal, linger before closing."""
         self.last_active_s = time.monotonic()
+        if self._is_refused and self.close_when_flushed and not self.total_outbufs_len:
+            self._linger()
+            return
         super().handle_write()
         self._update_unread()
         if self.is_flushed:
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -1,5 +1,7 @@
 """Tests of the gossip of load in small and large fleets."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.fleet.fleet_gossip import (
@@ -15,7 +17,7 @@
 from camphoryard.state.directory import Directory
 from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
-from camphoryard.state.ids import EndpointId, FencingNumber, NodeId
+from camphoryard.state.ids import EndpointId, FencingNumber, NodeId, Version
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 from camphoryard.state.tables import InFlightTable
@@ -29,8 +31,9 @@
 class Fleet:
     """Nodes whose messages are delivered at once."""
 
-    def __init__(self, size, make_relaying=lambda: None):
+    def __init__(self, size, make_relaying=lambda: None, make_rules=lambda: None):
         self.clock = Clock()
+        self.make_rules = make_rules
         self.make_relaying = make_relaying
         self.sent = []
         self.node_by_id = {}
@@ -66,6 +69,7 @@
         self.directory = Directory()
         self.quotas = Quotas(name)
         self.relaying = fleet.make_relaying()
+        self.rules = fleet.make_rules()
         self.gossip = FleetGossip(
             name,
             f"i-{name}",
@@ -82,6 +86,7 @@
             fleet.clock,
             self.quotas,
             self.relaying,
+            self.rules,
         )
 
 
@@ -147,6 +152,31 @@
         self.received.append(digest.relay)
 
 
+class Rules:
+    """Records which versions of the configuration a node hears of."""
+
+    def __init__(self):
+        self.position, self.heard = 5, []
+
+    def hear(self, announced):
+        """Record the version that a peer has read, if it tells one."""
+        if announced:
+            self.heard.append(announced)
+
+
+class TestRules:
+    """The leader of a star announces the newest configuration that it has read."""
+
+    @pytest.mark.parametrize(("size", "heard"), [(SMALL, set()), (LARGE, {5})])
+    def test_only_the_leader_of_a_star_announces(self, size, heard):
+        """Other nodes might have read a newer one, but reach only the leader."""
+        fleet = Fleet(size, make_rules=Rules)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        assert set(fleet.node_by_id["n5"].rules.heard) == heard
+        assert fleet.node_by_id["n0"].rules.heard == []
+
+
 class TestRelays:
     """Changes of endpoints travel with the digests of the leader of a star."""
 
@@ -249,6 +279,16 @@
         watching = [x for x in large.node_by_id.values() if x.gossip.is_standby()]
         assert len(watching) == STANDBY_NODES
 
+    def test_the_nodes_with_the_fastest_links_watch(self, large):
+        """Load: the leader sends to all others, which fills the link of a small VM."""
+        fast = sorted(large.node_by_id)[-STANDBY_NODES:]
+        for node in large.node_by_id.values():
+            for name in fast:
+                lease = replace(make_lease(name), link_mbps=100.0)
+                node.nodes.observe(lease, Version(9))
+        watching = [n for n, x in large.node_by_id.items() if x.gossip.is_standby()]
+        assert sorted(watching) == fast
+
     def test_more_nodes_watch_the_longer_no_leader_is_observed(self, large):
         """The standby nodes may have failed with it."""
         large.clock.advance(60.0)
