Learn the slowness of models from their reading only

Cause: the slowness of a model was learned from whole times to first events, most of which for short prompts is a step that all models share.

Change: the slowness of a model scales the reading of its tokens, and is learned where reading is 0.4 of a first event's time or more.

--- a/src/camphoryard/coordination/dispatch/engine_ledger.py
+++ b/src/camphoryard/coordination/dispatch/engine_ledger.py
@@ -205,7 +205,14 @@
                 tokens = expected.unread_tokens
                 speeds.record_alone(expected.slowness, tokens, after_s)
             model = run.request.item.model
-            speeds.record(run.endpoint, model, expected.slowness, ratio, now_s)
+            speeds.record(
+                run.endpoint,
+                model,
+                expected.slowness,
+                ratio,
+                expected.reading_share,
+                now_s,
+            )
         is_as_expected = ratio == 1.0
         read_s = run.read_s if is_as_expected else seen_s - expected.event_s
         state.has_read(run, max(run.sent_s, min(seen_s, read_s)))
@@ -223,15 +230,14 @@
         state.kv_tokens = engine.kv_tokens
         speeds = self._speeds(endpoint.service)
         slowness = speeds.slowness(endpoint.id, request.item.model, now_s)
-        factor = slowness.factor
         kept = state.kept.kept_tokens(request.item, request.work.parts)
         unread = max(1, request.work.prompt_tokens - kept)
         return Expected(
             slowness,
             unread,
             state.line_s(now_s),
-            factor * unread * speeds.token_s,
-            factor * speeds.fixed_s,
+            slowness.reading_factor * unread * speeds.token_s,
+            slowness.engine_factor * speeds.fixed_s,
             state.has_room(_slots(endpoint, engine), memory_tokens(request)),
         )
 
--- a/src/camphoryard/coordination/dispatch/engine_work.py
+++ b/src/camphoryard/coordination/dispatch/engine_work.py
@@ -41,6 +41,11 @@
         """Time to the first event."""
         return self.line_s + self.reading_s + self.event_s
 
+    @property
+    def reading_share(self) -> float:
+        """Part of the time to the first event in which prompts are read."""
+        return (self.line_s + self.reading_s) / self.first_event_s
+
 
 @dataclass(slots=True, eq=False)
 class Run:
--- a/src/camphoryard/coordination/dispatch/reading_speed.py
+++ b/src/camphoryard/coordination/dispatch/reading_speed.py
@@ -1,9 +1,10 @@
 """How fast engines read prompts, learned from the times to first events.
 
 The time to the first event of a request with nothing ahead of it is taken as
-``slowness * (fixed_s + tokens * token_s)``. All engines of a service share ``fixed_s``
-and ``token_s``; the slowness is the product of a factor of the engine and one of the
-model, held as logarithms.
+``engine * (fixed_s + model * tokens * token_s)``. All engines of a service share
+``fixed_s`` and ``token_s``. The slowness of an engine holds for its steps and its
+reading, that of a model for its reading only: all models at an engine share its steps.
+Both are held as logarithms.
 """
 
 import math
@@ -26,6 +27,8 @@
 """Weight that the samples so far keep with each new one in the shared line."""
 MAX_LOG_RATIO = 2.5
 """Bound of one sample's ratio to what was expected, as a logarithm."""
+MIN_READING_SHARE = 0.4
+"""Least part of a first event's time that tells how fast a model is read."""
 CLEARLY_SLOWER_LOG = 0.25
 SLOWING_GAIN = 0.7
 RECOVERING_GAIN = 0.08
@@ -48,8 +51,13 @@
     model_log: float
 
     @property
-    def factor(self) -> float:
-        """Time that the engine takes for the model, relative to the average."""
+    def engine_factor(self) -> float:
+        """Time that the engine takes for a step, relative to the average."""
+        return math.exp(self.engine_log)
+
+    @property
+    def reading_factor(self) -> float:
+        """Time that the engine reads a token of the model, relative to the average."""
         return math.exp(self.engine_log + self.model_log)
 
 
@@ -169,6 +177,7 @@
         model: ModelId,
         before: Slowness,
         ratio: float,
+        reading_share: float,
         now_s: float,
     ) -> None:
         """Learn from a first event that took ``ratio`` times what was expected.
@@ -181,24 +190,28 @@
             What the expectation was based on.
         ratio : float
             Time to the first event, relative to the expected time; above 0.
+        reading_share : float
+            Part of the expected time in which the prompt is read.
         now_s : float
             Time of the clock, in seconds.
         """
-        log = max(-MAX_LOG_RATIO, min(MAX_LOG_RATIO, math.log(ratio)))
         known = self._model_by_id.setdefault(model, _Model())
         previous = known.slowness_log
-        known.record(before.model_log + log)
+        if reading_share >= MIN_READING_SHARE:
+            reading_ratio = 1.0 + (ratio - 1.0) / reading_share
+            known.record(before.model_log + _bounded_log(reading_ratio))
         engine = self._engine_by_id.setdefault(endpoint, _Engine(sampled_s=now_s))
-        learned = known.slowness_log - previous
-        engine.record(before.engine_log + log - learned, now_s)
+        learned = (known.slowness_log - previous) * reading_share
+        engine.record(before.engine_log + _bounded_log(ratio) - learned, now_s)
 
     def record_alone(self, before: Slowness, tokens: int, time_s: float) -> None:
         """Learn from a first event that came after ``time_s`` with nothing ahead."""
-        expected_s = self.fixed_s + tokens * self.token_s
-        normal_s = time_s / before.factor
+        average_tokens = tokens * math.exp(before.model_log)
+        expected_s = self.fixed_s + average_tokens * self.token_s
+        normal_s = time_s / before.engine_factor
         bound = math.exp(CLEARLY_SLOWER_LOG)
         normal_s = min(bound * expected_s, max(expected_s / bound, normal_s))
-        self._line.record(tokens, normal_s)
+        self._line.record(average_tokens, normal_s)
 
     def steady_speed_by_engine(self) -> Mapping[EndpointId, float]:
         """Return the speeds of engines over some time, relative to their median.
@@ -224,6 +237,13 @@
         self._engine_by_id.pop(endpoint, None)
 
 
+def _bounded_log(ratio: float) -> float:
+    """Return the logarithm of a sample's ratio, within its bounds."""
+    if ratio <= 0.0:
+        return -MAX_LOG_RATIO
+    return max(-MAX_LOG_RATIO, min(MAX_LOG_RATIO, math.log(ratio)))
+
+
 def _lower_median(values: deque[float]) -> float:
     """Return the middle value, the lower one of two."""
     return sorted(values)[(len(values) - 1) // 2]
