Grant ahead of the need only while a half of the pace is left

Cause: grants are up to five times what is needed, and the rest is soon given back unused. Retry-After for thousands of refused requests summed up all of them for each, and was 1 s once they were more than a window's.

Change: what goes ahead of the need leaves half of what may be granted at once. Requests that were refused are kept as a heap with their sum, no more than a window's; beyond that Retry-After is the end of the window.

Tests of admission and fleet pass; the new one of the ledger fails on the code before.

--- a/src/camphoryard/coordination/admission/quota_ledger.py
+++ b/src/camphoryard/coordination/admission/quota_ledger.py
@@ -87,6 +87,10 @@
         """Return whether ``parts`` may be granted; large ones when none were lately."""
         return parts <= self.parts or self.parts >= self.capacity
 
+    def plenty(self, parts: int) -> int:
+        """Return how much beyond ``parts`` leaves half of the capacity for others."""
+        return max(0, int(self.parts - parts - self.capacity / 2))
+
 
 class QuotaLedger:
     """Counts which process holds how much of each account's limit, for one term.
@@ -230,7 +234,8 @@
         pace.refill(capacity, self._pace_parts_per_s, self._clock())
         if parts > free or not pace.allows(parts):
             return 0
-        amount = min(free, parts + min(AHEAD * parts, free // AHEAD_FRACTION))
+        ahead = min(AHEAD * parts, free // AHEAD_FRACTION, pace.plenty(parts))
+        amount = min(free, parts + ahead)
         pace.parts -= amount
         return amount
 
--- a/src/camphoryard/coordination/admission/quota_shares.py
+++ b/src/camphoryard/coordination/admission/quota_shares.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 
 from camphoryard.coordination.leadership.leader_lease import boot_clock_s
 from camphoryard.state.ids import AccountId, FencingNumber
@@ -67,8 +68,9 @@
     spent: float = 0.0
     spends: deque[Spend] = field(default_factory=deque)
     asks_from_s: float = -math.inf
-    returning: deque[tuple[float, float]] = field(default_factory=deque)
-    """When refused requests come back, and their units."""
+    returning: list[tuple[float, float]] = field(default_factory=list)
+    """Heap of when refused requests come back, and their units."""
+    returning_units: float = 0.0
 
     def parts_of(self, units: float) -> int:
         """Return the parts that cover ``units``."""
@@ -147,11 +149,14 @@
     def expect_return(self, account: AccountId, units: float, in_s: float) -> None:
         """Record that a refused request was told to come back in ``in_s`` seconds.
 
-        Those that are refused later are told to come back after it.
+        Those that are refused later are told to come back after it. No more are
+        recorded than the account may use in a window.
         """
         with self._lock:
             share = self._share(account)
-            share.returning.append((self._clock() + in_s, units))
+            if share.returning_units < share.limit:
+                heappush(share.returning, (self._clock() + in_s, units))
+                share.returning_units += units
 
     def begin_ask(self, accounts: Collection[AccountId]) -> int | None:
         """Return the number of a new request to the leader, or None if none is due."""
@@ -302,14 +307,18 @@
     def _room_in_s(self, share: _Share, missing: float) -> float:
         """Return when units that rest now cover what is missing.
 
-        Requests that were refused before come back first.
+        Requests that were refused before come back first, if that is within a window.
         """
         now_s = self._clock()
         while share.returning and share.returning[0][0] <= now_s:
-            share.returning.popleft()
-        missing += sum(units for _, units in share.returning)
+            share.returning_units -= heappop(share.returning)[1]
+        queued = missing + share.returning_units
+        room_in_s = math.inf
         for spend in share.spends:
             missing -= spend.units
+            queued -= spend.units
             if missing <= 0:
-                return spend.at_s + self._rest_s - now_s
-        return math.inf
+                room_in_s = spend.at_s + self._rest_s - now_s
+            if queued <= 0:
+                break
+        return room_in_s
--- a/tests/coordination/admission/test_quota_ledger.py
+++ b/tests/coordination/admission/test_quota_ledger.py
@@ -75,6 +75,14 @@
             0,
         ]
 
+    def test_grants_ahead_of_the_need_leave_room_for_other_nodes(self, site):
+        """Load: usual demand, half of the limit, at nodes that use nothing ahead."""
+        need = WHOLE // 2 // 80
+        for number in range(1, 161):
+            assert site.grant("n1", number, need) >= need
+            site.report("n1", settled=number)
+            site.clock.advance(WINDOW_S / 80)
+
     def test_more_than_is_free_is_not_granted_in_part(self, site):
         """A request runs whole or not at all."""
         assert site.grant("n1", 1, LENDABLE_PARTS + 1) == 0
--- a/tests/coordination/admission/test_quota_shares.py
+++ b/tests/coordination/admission/test_quota_shares.py
@@ -72,6 +72,18 @@
         shares.expect_return(A, 20, first_s)
         assert shares.take(A, LIMIT, 20).room_in_s == pytest.approx(first_s + 2.0)
 
+    def test_those_beyond_a_window_of_returns_are_told_its_end(self, shares, clock):
+        """Load: the refused are many times what the account may use in a window."""
+        shares.take(A, LIMIT, 25)
+        clock.advance(2.0)
+        shares.take(A, LIMIT, 25)
+        for _ in range(1000):
+            shares.expect_return(A, 20, 1.0)
+        room_in_s = shares.take(A, LIMIT, 20).room_in_s
+        assert room_in_s == pytest.approx(WINDOW_S + REST_MARGIN_S)
+        clock.advance(1.0)
+        assert shares.take(A, LIMIT, 20).room_in_s == pytest.approx(room_in_s - 3.0)
+
     def test_used_units_can_be_used_again_after_a_window(self, shares, clock):
         """Not before."""
         shares.take(A, LIMIT, 50)
