Call a store that does not answer once a second for the retry record

Change: after a failed call the next one is made a second later; a node that leaves still tries at once. The test of an outage waits for that second.

Measured: the tests of the record pass; a new one sees 20 calls in 2 s on the code before and at most 3 now.

--- a/src/camphoryard/coordination/fleet/retry_recorder.py
+++ b/src/camphoryard/coordination/fleet/retry_recorder.py
@@ -1,5 +1,7 @@
 """Records in the store the use of the retry reserve, for a node's next process."""
 
+import math
+import time
 from collections.abc import Callable
 
 from camphoryard.coordination.fleet.fleet_size import FleetSize
@@ -10,6 +12,9 @@
 from camphoryard.state.retry_reserve import RetryReserveUse
 from camphoryard.state.store_eras import NewestEra
 
+FAILED_PERIOD_S = 1.0
+"""Period in which a store that does not answer is called again: all nodes may do so,
+and each call counts against the rate of the store."""
 CHECK_PERIOD_S = 0.1
 """Period in which the use of the reserve is compared with the record."""
 
@@ -45,6 +50,7 @@
         fleet_size: FleetSize,
         is_fleet_listed: Callable[[], bool],
         log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._node = node
         self._records = records
@@ -53,12 +59,14 @@
         self._fleet_size = fleet_size
         self._is_fleet_listed = is_fleet_listed
         self._log = log
+        self._clock = clock
         self._is_leaving = False
         self._version = ABSENT
         self._services: frozenset[ServiceId] = frozenset()
         self._read_in: StoreEra | None = None
         self._is_released = False
         self._is_answering = True
+        self._calls_from_s = -math.inf
 
     def run(self, timer: Timer) -> None:
         """Keep the record up to date until the timer service closes."""
@@ -69,6 +77,8 @@
         """Read the record if that is due, and write it if the use has changed."""
         if not self._is_fleet_listed():
             return
+        if self._clock() < self._calls_from_s and not self._is_leaving:
+            return
         try:
             if self._read_in != self._newest_era.current:
                 self._read()
@@ -84,6 +94,7 @@
             if self._is_answering:
                 self._log("retry_record_failed", error=str(error))
             self._is_answering = False
+            self._calls_from_s = self._clock() + FAILED_PERIOD_S
         else:
             self._is_answering = True
 
--- a/tests/coordination/fleet/test_retry_recorder.py
+++ b/tests/coordination/fleet/test_retry_recorder.py
@@ -5,7 +5,10 @@
 from hypothesis import strategies as st
 
 from camphoryard.coordination.fleet.fleet_size import LEFT_NODES_S, FleetSize
-from camphoryard.coordination.fleet.retry_recorder import RetryRecorder
+from camphoryard.coordination.fleet.retry_recorder import (
+    FAILED_PERIOD_S,
+    RetryRecorder,
+)
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import ServiceId, StoreEra
@@ -53,6 +56,7 @@
             fleet_size,
             lambda: self.is_known,
             self.log,
+            self.clock,
         )
         return window, recorder
 
@@ -192,11 +196,25 @@
         fleet.records.outage = True
         assert fleet.take_all(0) == PART
         fleet.records.outage = False
+        fleet.clock.advance(FAILED_PERIOD_S)
         fleet.check()
         fleet.restart(0)
         assert fleet.take_all(0) == 0
         assert fleet.log.events().count("retry_record_failed") == 1
 
+    def test_a_store_that_does_not_answer_is_called_once_a_second(self):
+        """Load: retries at all nodes while the store turns them away."""
+        fleet = Fleet()
+        fleet.records.outage = True
+        calls = []
+        put = fleet.records.put
+        fleet.records.put = lambda *args: (calls.append(args), put(*args))[1]
+        fleet.take_all(0)
+        for _ in range(20):
+            fleet.clock.advance(0.1)
+            fleet.check()
+        assert 0 < len(calls) <= 3
+
     steps = st.tuples(
         st.floats(0.0, 1.0),
         st.integers(0, NODES - 1),
