--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -5,14 +5,17 @@
 messages then grows linearly with the number of nodes instead of quadratically.
 """
 
+import math
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 from xxhash import xxh3_64_intdigest
 
+from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
+from camphoryard.coordination.fleet.quota_sharing import QuotaSharing
 from camphoryard.coordination.leadership.leader_lease import LEASE_S
 from camphoryard.coordination.messages import DigestWithAge, Gossip
 from camphoryard.coordination.placement.demand import DemandMeter
@@ -21,6 +24,7 @@
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.directory import Directory
+from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     EndpointId,
@@ -30,8 +34,11 @@
     ItemId,
     ModelId,
     NodeId,
+    Revision,
+    Version,
 )
 from camphoryard.state.nodes import NodeDigest, NodeTable
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 from camphoryard.state.tables import InFlightTable
 
 GOSSIP_PERIOD_S = 0.25
@@ -66,6 +73,22 @@
 GossipTopology: TypeAlias = Mesh | Star
 
 
+class RulesAnnouncements(Protocol):
+    """The versions of the configuration that this node reads and hears of."""
+
+    @property
+    def position(self) -> Version:
+        """Version of the newest configuration object that this node has read."""
+
+    def hear(self, announced: Version) -> None:
+        """Record the one that a leader has read."""
+
+
+def relay_period_s(nodes: int) -> float:
+    """Return the period in which the leader of a star of ``nodes`` sends to each."""
+    return GOSSIP_PERIOD_S * math.ceil(nodes / PEERS_PER_PERIOD)
+
+
 def gossip_topology(nodes: int) -> GossipTopology:
     """Return the gossip topology of a fleet of ``nodes`` nodes.
 
@@ -92,6 +115,14 @@
         Parts of prompts that are quarantined, which nodes that start learn from peers.
     directory : Directory
         Endpoints, some of which have said to one node that they leave.
+    quotas : QuotaSharing or None
+        Quotas of accounts, of which nodes and the leader tell each other.
+    relaying : EndpointRelaying or None
+        Changes of endpoints that the leader of a star passes on; None without.
+    rules : RulesAnnouncements or None
+        The configuration that the leader of a star announces; None without.
+    link_mbps : float
+        Bandwidth of this node's link, in 1e6 bits a second.
     """
 
     def __init__(
@@ -109,7 +140,14 @@
         crashed_parts: CrashedParts,
         directory: Directory,
         clock: Callable[[], float] = time.monotonic,
+        quotas: QuotaSharing | None = None,
+        relaying: EndpointRelaying | None = None,
+        rules: RulesAnnouncements | None = None,
+        link_mbps: float = 0.0,
     ) -> None:
+        self._rules = rules
+        self._relaying = relaying
+        self._link_mbps = link_mbps
         self._node = node
         self._incarnation = incarnation
         self._nodes = nodes
@@ -123,6 +161,7 @@
         self._crashed_parts = crashed_parts
         self._directory = directory
         self._clock = clock
+        self._quotas = quotas
         self._beat = 0
         self._rotation = 0
         self._leader_observed_s = clock()
@@ -137,14 +176,21 @@
         self._demand.sample()
         self._beat += 1
         leader = self.leader()
-        match self._topology():
+        if self._quotas is not None and leader == self._node:
+            self._quotas.report_to_self(self._beat)
+        match self.topology():
             case Mesh():
                 self._send_to_all(leader)
             case Star() if leader == self._node:
                 self._send_sums()
             case Star() if leader is not None and self._beat % STAR_REPORT_PERIODS == 0:
+                if self._relaying is not None:
+                    self._relaying.record_sent(self._beat)
                 self._send_digest(
-                    leader, self._in_flight.by_id(), self._demand.by_item()
+                    leader,
+                    self._in_flight.by_id(),
+                    self._demand.by_item(),
+                    self._quota_report(leader),
                 )
 
     def receive(self, gossip: Gossip) -> None:
@@ -156,21 +202,39 @@
             self._crashed_parts.adopt(digest.quarantine_s_by_parts)
         for endpoint, started_ms in digest.leaving_by_endpoint.items():
             self._directory.record_leaving(endpoint, started_ms)
+        if self._quotas is not None:
+            self._quotas.receive(digest)
         if digest.duty_term:
             self._leader_observed_s = self._clock()
             self._on_unloads(digest.unloads_by_endpoint)
-        if not self._term() or self._topology() == Mesh():
+        if self._relaying is not None and self.topology() == Star():
+            self._relaying.receive(digest)
+        if self._rules is not None and self.topology() == Star():
+            self._rules.hear(digest.rules_version)
+        if not self._term() or self.topology() == Mesh():
             self._estimates.refresh()
 
-    def _topology(self) -> GossipTopology:
-        return gossip_topology(len(self._nodes.all()))
+    def size(self) -> int:
+        """Return the number of nodes."""
+        return len(self._nodes.all())
+
+    def is_leader(self) -> bool:
+        """Return whether this node is the leader."""
+        return self.leader() == self._node
+
+    def topology(self) -> GossipTopology:
+        """Return how the fleet gossips at its present size."""
+        return gossip_topology(self.size())
 
     def _send_to_all(self, leader: NodeId | None) -> None:
         """Send to all peers; demand, most of the bytes, is sent only to the leader."""
         in_flight = self._in_flight.by_id()
         for node in self._known_peers():
-            demand = self._demand.by_item() if node == leader else {}
-            self._send_digest(node, in_flight, demand)
+            if node == leader:
+                demand, report = self._demand.by_item(), self._quota_report(node)
+                self._send_digest(node, in_flight, demand, report)
+            else:
+                self._send_digest(node, in_flight, {})
 
     def _send_sums(self) -> None:
         """Send to each peer the summed in-flight requests of all other nodes."""
@@ -188,13 +252,19 @@
         for node in self._next_peers():
             others = Counter(total)
             others.subtract(in_flight_by_node.get(node, {}))
-            self._send_digest(node, {id: n for id, n in others.items() if n > 0}, {})
+            relay = None
+            if self._relaying is not None:
+                relay = self._relaying.relay_for(node, self._nodes.digest(node))
+            in_flight = {id: n for id, n in others.items() if n > 0}
+            self._send_digest(node, in_flight, {}, relay=relay)
 
     def _send_digest(
         self,
         node: NodeId,
         in_flight: Mapping[EndpointId, int],
         demand: Mapping[ItemId, ItemDemand],
+        quota_report: QuotaReport | None = None,
+        relay: EndpointRelay | None = None,
     ) -> None:
         term = self._term()
         digest = NodeDigest(
@@ -209,9 +279,28 @@
             unloads_by_endpoint=self._unloads_by_endpoint() if term else {},
             quarantine_s_by_parts=self._crashed_parts.quarantine_s_by_parts(),
             leaving_by_endpoint=self._directory.leaving_by_endpoint(),
+            quota_report=quota_report,
+            quota_renewal=self._quota_renewal(node) if term else None,
+            endpoints_revision=(
+                self._relaying.position if self._relaying else Revision(0)
+            ),
+            relay=relay,
+            rules_version=self._rules.position if self._rules and term else Version(0),
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
+    def _quota_report(self, leader: NodeId) -> QuotaReport | None:
+        digest = self._nodes.digest(leader)
+        if self._quotas is None or digest is None:
+            return None
+        return self._quotas.report(leader, digest.duty_term, self._beat)
+
+    def _quota_renewal(self, node: NodeId) -> QuotaRenewal | None:
+        lease = self._nodes.find(node)
+        if self._quotas is None or lease is None:
+            return None
+        return self._quotas.renewal(node, lease.incarnation)
+
     def leader(self) -> NodeId | None:
         """Return the leader according to the digests of peers, or None."""
         terms = {self._node: self._term()}
@@ -233,21 +322,28 @@
 
         Only some nodes do, so that reads of the lease do not grow with the fleet. The
         longer no leader is observed, the more nodes watch, because the standby nodes
-        may have failed too.
+        may have failed too. In a star they are the nodes with the fastest links, as
+        the leader sends to all others.
         """
-        match self._topology():
+        match self.topology():
             case Mesh():
-                nodes = {item.node for item in self._nodes.alive()}
+                link_mbps_by_node = {item.node: 0.0 for item in self._nodes.alive()}
                 watching = STANDBY_NODES
             case Star():
-                nodes = {item.node for item in self._nodes.all()}
+                link_mbps_by_node = {
+                    item.node: item.link_mbps for item in self._nodes.all()
+                }
                 elapsed_leases = (self._clock() - self._leader_observed_s) / LEASE_S
                 watching = STANDBY_NODES << min(
                     int(elapsed_leases), MAX_STANDBY_DOUBLINGS
                 )
-        nodes.add(self._node)
-        nodes.discard(self.leader() or NodeId(""))
-        return self._node in sorted(nodes, key=_standby_order)[:watching]
+        link_mbps_by_node.setdefault(self._node, self._link_mbps)
+        link_mbps_by_node.pop(self.leader() or NodeId(""), None)
+        in_order = sorted(
+            link_mbps_by_node,
+            key=lambda node: (-link_mbps_by_node[node], _standby_order(node)),
+        )
+        return self._node in in_order[:watching]
 
     def _known_peers(self) -> list[NodeId]:
         return [item.node for item in self._nodes.all() if item.node != self._node]
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -6,6 +6,8 @@
 from typing import Protocol
 
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.dispatch.turns import EngineTurns, OwnChoice, TakenTurn
+from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
 from camphoryard.coordination.forwarding.in_progress import InProgress
 from camphoryard.coordination.forwarding.ports import (
@@ -27,6 +29,7 @@
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.recent_failures import RecentFailures
 from camphoryard.coordination.routing.retry_window import RetryWindow
+from camphoryard.state.accounts import Account
 from camphoryard.state.directory import Directory
 from camphoryard.state.ids import (
     EndpointId,
@@ -36,11 +39,17 @@
     Urgency,
     Version,
 )
+from camphoryard.state.quotas import Admitted, QuotaDecision
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import RequestedModel, RouteRule
 from camphoryard.state.verdict import Verdict
 
+MIN_FIRST_DEADLINE_SHARE = 0.85
+"""Least share of a route's timeout that a client's first deadline has."""
+MIN_RETURN_S = 0.2
+"""Clients that come back do so later than this after they first sent a request."""
+
 
 class ModelLocator(Protocol):
     """Finds or loads the model and adapter that a request needs."""
@@ -71,6 +80,30 @@
         """Record that a request for the model occupied a slot for ``slot_time_s`` s."""
 
 
+class AccountQuotas(Protocol):
+    """Admits the requests of accounts up to their quotas."""
+
+    def admit(self, account: Account | None, tokens: int) -> QuotaDecision:
+        """Decide on a request with that sum of token counts, and count it if admitted.
+
+        Waits for a short time for the leader if this node alone cannot admit it.
+        """
+
+    def refund(self, admitted: Admitted) -> None:
+        """Give back what an admitted request has used, as it has not run."""
+
+
+class NoQuotas:
+    """Admits all requests; see the AccountQuotas port."""
+
+    def admit(self, account: Account | None, tokens: int) -> QuotaDecision:
+        """Admit a request."""
+        return Admitted()
+
+    def refund(self, admitted: Admitted) -> None:
+        """Do nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardingContext:
     """Collaborators of a forwarding task."""
@@ -93,6 +126,9 @@
     clock: Callable[[], float] = time.monotonic
     in_progress: InProgress["RequestInProgress"] = field(default_factory=InProgress)
     recent_failures: RecentFailures = field(default_factory=RecentFailures)
+    account_counts: AccountCounts = field(default_factory=AccountCounts)
+    quotas: AccountQuotas = field(default_factory=NoQuotas)
+    turns: EngineTurns = field(default_factory=OwnChoice)
 
 
 @dataclass(slots=True)
@@ -101,9 +137,10 @@
 
     ``deadline_s`` is when the request as a whole ends; ``event_deadline_s`` is when
     the client leaves unless it has received an event or the first byte of a whole
-    answer. ``runs`` counts the endpoints at which the request may have run, ``sends``
-    all endpoints that it was sent to. ``progress`` is the part of a stream that the
-    client has received. ``failed`` contains the endpoints whose call failed,
+    answer. ``account`` holds the client's key; there are none unless
+    ``has_accounts``. ``runs`` counts the endpoints at which the request may have run,
+    ``sends`` all endpoints that it was sent to. ``progress`` is the part of a stream
+    that the client has received. ``failed`` contains the endpoints whose call failed,
     ``unreached`` those of them that accepted no connection, ``declined`` those that
     declined the request. ``endpoint`` and ``urgency`` are those of the last send, and
     ``view_age_s`` is how old the view of the endpoints may have been then.
@@ -111,6 +148,7 @@
     ``is_answered`` if it has sent enough to show that the request does not crash it.
     ``crashing_parts`` are the parts of the prompt that other requests may share,
     ``suspects`` are those and the request itself.
+    ``turn`` is a turn at an endpoint whose end has not been reported.
     ``load_wait_s``, ``first_event_s`` and ``longest_gap_s`` are written to the request
     log for on-call engineers. Deadlines are monotonic times; all times are in seconds.
     """
@@ -121,6 +159,8 @@
     service: ServiceId
     deadline_s: float
     event_deadline_s: float
+    account: Account | None = None
+    has_accounts: bool = False
     runs: int = 0
     sends: int = 0
     may_have_run: bool = False
@@ -136,6 +176,7 @@
     view_age_s: float = 0.0
     has_begun_answer: bool = False
     is_answered: bool = False
+    turn: TakenTurn | None = None
     fingerprint: Fingerprint = field(init=False)
     crashing_parts: tuple[PromptPartId, ...] = field(init=False)
 
@@ -150,16 +191,29 @@
             return ()
         return *self.crashing_parts, self.fingerprint
 
+    @property
+    def rank(self) -> int:
+        """Urgency of the account, else of the route; 0 goes first."""
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
+        return self.rule.rank
+
     @property
     def first_sent_s(self) -> float:
         """Monotonic time at which the client first sent the request.
 
-        Derived from the deadline: a client that retries has less time left than the
-        timeout of the route.
+        Derived from the deadline: a client that retries has less time left. Clients'
+        deadlines also differ, so only one far below the route's timeout tells.
         """
         request = self.request
         left_s = request.deadline_s - request.arrived_s
-        return request.arrived_s - max(0.0, self.rule.timeout_s - left_s)
+        least_s = self.rule.timeout_s * MIN_FIRST_DEADLINE_SHARE
+        return request.arrived_s - max(0.0, least_s - left_s)
+
+    @property
+    def has_returned(self) -> bool:
+        """Whether the client has sent the request before, by its shorter deadline."""
+        return self.request.arrived_s - self.first_sent_s > MIN_RETURN_S
 
     @property
     def has_begun(self) -> bool:
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -13,19 +13,39 @@
 import msgspec
 import zmq
 
+from camphoryard.coordination.admission.client_memory import (
+    ClientMemory,
+    make_client_memory,
+)
+from camphoryard.coordination.admission.quota_shares import QuotaShares
+from camphoryard.coordination.dispatch.dispatcher import Dispatcher, DispatcherContext
+from camphoryard.coordination.dispatch.turns import (
+    FleetTurns,
+    TurnsContext,
+    record_message,
+)
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
+from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
+from camphoryard.coordination.fleet.endpoint_roles import EndpointReading, endpoint_role
 from camphoryard.coordination.fleet.fleet_gossip import (
     FleetGossip,
     Mesh,
     Star,
     gossip_topology,
 )
+from camphoryard.coordination.fleet.fleet_size import FleetSize
 from camphoryard.coordination.fleet.node_registration import (
     NodeRegistration,
     apply_lease,
     is_node_watch_due,
 )
+from camphoryard.coordination.fleet.quota_sharing import QuotaSharing
 from camphoryard.coordination.fleet.retry_recorder import RetryRecorder
+from camphoryard.coordination.fleet.rules_following import (
+    RulesFetcher,
+    RulesFollowing,
+)
+from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import (
     ByFreeSlots,
@@ -51,6 +71,8 @@
     Gossip,
     ItemRequest,
     Message,
+    QuotaRequest,
+    QuotaTake,
     Reply,
 )
 from camphoryard.coordination.placement.demand import DemandMeter, SystemDemand
@@ -68,7 +90,7 @@
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.platform.engines import PlatformEngines
 from camphoryard.platform.settings import read_entry_settings
-from camphoryard.platform.store import WATCH_GRACE_S, StoreRecords
+from camphoryard.platform.store import MAX_WAIT_S, WATCH_GRACE_S, StoreRecords
 from camphoryard.platform.traffic import (
     CONFIG_KIND,
     ENDPOINT_KIND,
@@ -76,14 +98,22 @@
     decode_rules,
 )
 from camphoryard.state.directory import Directory
+from camphoryard.state.dispatch import (
+    DispatchRequest,
+    FirstEventSeen,
+    RunEnded,
+    Withdrawn,
+)
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import Incarnation, ObjectKey, ServiceId, WriteId
 from camphoryard.state.leadership import LeadershipRecord, PeerKeys
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.retry_reserve import RetryReserveUse
+from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.store_eras import NewestEra
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.timeline import HybridClock
+from camphoryard.state.traffic import TrafficRules
 from camphoryard.transport.front import FrontApp
 from camphoryard.transport.http_client import Address, HttpClient
 from camphoryard.transport.log_lines import LineLog
@@ -98,17 +128,25 @@
 """More than the nodes of the largest planned fleet: each peer has its own task."""
 HANDLER_TASKS = 256
 NODE_TASKS = 64
+RANKS_SHOWN = range(5)
+"""Ranks whose waiting requests are shown; engines know no more of them."""
 ENDPOINT_BATCH_S = 2.0
 """Maximum time in which changes of endpoints are batched into one watch call. The loads
 that change them take seconds."""
 ENDPOINT_BATCH_DRAIN_FRACTION = 0.5
 """Maximum of the same time as a fraction of ``drain_s``, the time within which requests
 to a draining endpoint must stop."""
+RELAY_AGE_DRAIN_FRACTION = 0.6
+"""How old a relayed view of the endpoints may become before a node lists the store, as
+a fraction of ``drain_s``. The rest is for noticing it and for the listing."""
 MIN_WATCH_WAIT_S = 0.5
 APPLY_FRACTION = 0.75
 """Part of the time for a new configuration that a watch may take up after an outage.
 Endpoints that are missing after an outage have a grace period, so the endpoints must
 be listed before that time begins."""
+RULES_FETCH_APPLY_FRACTION = 0.5
+"""Period of the fetches of the configuration beside a silent watch without a leader, as
+a fraction of the time for a new configuration."""
 RELIST_TIME_S = 0.5
 """Time from a failed watch to the listing that follows it."""
 NODES_WAIT_S = 5.0
@@ -150,9 +188,11 @@
     newest_era: NewestEra
     client: HttpClient
     store_client: HttpClient
+    client_memory: ClientMemory
     directory: Directory
     feed: DirectoryFeed
     watchers: tuple[RecordWatcher[Any], ...]
+    rules_fetcher: RulesFetcher
     peers: PeerNetwork
     keys: Records[PeerKeys]
     own_keys: PeerKeys
@@ -162,8 +202,10 @@
     leader_lease: LeaderLease
     load_controller: LoadController
     item_locator: ItemLocator
+    dispatcher: Dispatcher
     crash_sharing: CrashSharing
     retry_recorder: RetryRecorder
+    quotas: QuotaSharing
     app: FrontApp
     readiness: ReadinessApp
     executors: Executors
@@ -191,17 +233,26 @@
     # Answers of endpoints never wait for memory that those of the store take, or the
     # other way round.
     client, store_client = HttpClient(), HttpClient()
+    client_memory = make_client_memory(settings.vm_limits.memory_mb)
+    metrics.add_gauge("client_memory_bytes", lambda: client_memory.held_bytes)
     executors = _make_executors()
     directory = Directory()
     feed = DirectoryFeed(directory, log)
     in_flight = InFlightTable()
     nodes = NodeTable()
+    fleet_size = FleetSize(nodes)
     demand = DemandMeter(fast_time_constant_s=DEMAND_TIME_CONSTANT_S)
     crashed_parts = CrashedParts(log)
     notices = EndpointNotices(directory, log)
     estimates = LoadEstimates(settings.node, nodes, in_flight)
     incarnation = Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
     own_keys = _make_keys()
+    relaying = EndpointRelaying(
+        incarnation,
+        feed,
+        directory,
+        settings.bounds.drain_s * RELAY_AGE_DRAIN_FRACTION,
+    )
     peers = PeerNetwork(
         settings.node, None, executors.peers, executors.handlers, HybridClock()
     )
@@ -222,6 +273,33 @@
         lambda: gossip.is_standby(),
         log,
     )
+    shares = QuotaShares(
+        settings.bounds.quota_window_s,
+        lambda: fleet_size.count() if math.isfinite(nodes_watcher.age_s()) else 0,
+    )
+    quotas = QuotaSharing(
+        settings.node,
+        incarnation,
+        settings.bounds.quota_window_s,
+        settings.is_first_start,
+        lambda: directory.rules.accounts if directory.rules else None,
+        shares,
+        peers,
+        leader_lease,
+        log,
+        metrics.count,
+    )
+    metrics.add_gauge("quota_renewal_age_seconds", shares.renewed_age_s)
+    rules_wait_s = (
+        watch_wait_s(settings.bounds.stable_window_s)
+        + settings.bounds.apply_s * APPLY_FRACTION
+    )
+    rules_following = RulesFollowing(
+        lambda: endpoint_role(gossip, relaying, directory),
+        rules_wait_s,
+        settings.bounds.apply_s * RULES_FETCH_APPLY_FRACTION,
+        lambda: feed.rules_version,
+    )
     gossip = FleetGossip(
         settings.node,
         incarnation,
@@ -235,6 +313,10 @@
         directory.record_unloads,
         crashed_parts,
         directory,
+        quotas=quotas,
+        relaying=relaying,
+        link_mbps=settings.vm_limits.link_mbps,
+        rules=rules_following,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -264,7 +346,7 @@
     dialect = PlatformDialect()
     retries: RetryWindow[ServiceId] = RetryWindow(
         settings.bounds.repeat_limits,
-        lambda: retry_recorder.count_nodes(),
+        fleet_size.count,
     )
     retries.hold_reserve()
     live_settings.subscribe(lambda bounds: retries.limit(bounds.repeat_limits))
@@ -288,18 +370,70 @@
         records(RETRY_KIND, RetryReserveUse),
         retries,
         newest_era,
-        nodes,
+        fleet_size,
         lambda: math.isfinite(nodes_watcher.age_s()),
         log,
     )
+    reading = EndpointReading(
+        gossip,
+        relaying,
+        directory,
+        min(ENDPOINT_BATCH_S, settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION),
+        log,
+    )
+    rules = _make_rules_records(store_client, settings, log, newest_era)
     watchers = (
-        *_make_directory_watchers(
-            store_client, settings, log, newest_era, feed, directory
+        RecordWatcher(
+            rules,
+            feed.apply_rules,
+            wait_s=MAX_WAIT_S,
+            max_wait_s=rules_following.max_wait_s,
+            name="configuration",
+            log=log,
+        ),
+        _make_endpoints_watcher(
+            store_client,
+            settings,
+            log,
+            newest_era,
+            feed,
+            relaying,
+            reading,
         ),
         nodes_watcher,
     )
     for watcher in watchers:
         metrics.add_gauge(f"{watcher.name}_age_seconds", watcher.age_s)
+    # A view may also be kept up to date by the leader.
+    metrics.add_gauge("endpoints_age_seconds", directory.endpoints_age_s)
+    dispatcher = Dispatcher(
+        DispatcherContext(
+            directory,
+            lambda: {settings.node, *(lease.node for lease in nodes.alive())},
+            lambda: bool(leader_lease.claimed_term),
+            estimates.load,
+            log,
+            metrics.observe,
+            metrics.count,
+        )
+    )
+    for rank in RANKS_SHOWN:
+        metrics.add_gauge(
+            f"turns_waiting_rank_{rank}",
+            functools.partial(dispatcher.count_waiting, rank),
+        )
+    turns = FleetTurns(
+        TurnsContext(
+            settings.node,
+            directory,
+            dispatcher,
+            peers,
+            gossip.leader,
+            lambda: len(nodes.all()),
+            log,
+            metrics.count,
+        )
+    )
     context = ForwardingContext(
         directory,
         EndpointChooser(
@@ -318,6 +452,9 @@
         log,
         metrics.observe,
         metrics.count,
+        account_counts=AccountCounts(metrics.count_labelled),
+        quotas=quotas,
+        turns=turns,
     )
     return Entry(
         live_settings,
@@ -327,9 +464,11 @@
         newest_era,
         client,
         store_client,
+        client_memory,
         directory,
         feed,
         watchers,
+        RulesFetcher(rules, feed.apply_rules, rules_following, log),
         peers,
         records(KEY_KIND, PeerKeys),
         own_keys,
@@ -339,8 +478,10 @@
         leader_lease,
         load_controller,
         item_locator,
+        dispatcher,
         crash_sharing,
         retry_recorder,
+        quotas,
         FrontApp(context, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
@@ -356,52 +497,65 @@
             return Done()
         case ItemRequest() as item_request:
             return answer_item_request(entry.load_controller, item_request)
+        case DispatchRequest() as dispatch_request:
+            return entry.dispatcher.ask(dispatch_request)
+        case FirstEventSeen() | RunEnded() | Withdrawn():
+            record_message(entry.dispatcher, message)
+            return Done()
         case CrashReport() as report:
             entry.crash_sharing.receive(report)
             return Done()
+        case QuotaRequest() as quota_request:
+            return entry.quotas.answer(quota_request)
+        case QuotaTake() as quota_take:
+            return entry.quotas.take_for_peer(quota_take)
         case _:
             return Declined("unexpected message type for an entry daemon")
 
 
-def _make_directory_watchers(
+def _make_rules_records(
+    client: HttpClient, settings: EntrySettings, log: LineLog, newest_era: NewestEra
+) -> StoreRecords[TrafficRules]:
+    """Return the operators' configuration."""
+    store = Address(settings.store.host, settings.store.port)
+    return StoreRecords(
+        client, store, CONFIG_KIND, decode_rules, _reject_write, log, newest_era
+    )
+
+
+def _make_endpoints_watcher(
     client: HttpClient,
     settings: EntrySettings,
     log: LineLog,
     newest_era: NewestEra,
     feed: DirectoryFeed,
-    directory: Directory,
-) -> tuple[RecordWatcher[Any], ...]:
-    """Return the watchers that keep traffic rules and endpoints up to date."""
+    relaying: EndpointRelaying,
+    reading: EndpointReading,
+) -> RecordWatcher[ServingEndpoint]:
+    """Return the watcher that keeps the endpoints up to date."""
     store = Address(settings.store.host, settings.store.port)
-    rules = StoreRecords(
-        client, store, CONFIG_KIND, decode_rules, _reject_write, log, newest_era
-    )
-    endpoints = StoreRecords(
-        client, store, ENDPOINT_KIND, decode_endpoint, _reject_write, log, newest_era
-    )
-    return (
-        RecordWatcher(
-            rules,
-            feed.apply_rules,
-            wait_s=watch_wait_s(settings.bounds.stable_window_s)
-            + settings.bounds.apply_s * APPLY_FRACTION,
-            name="configuration",
-            log=log,
-        ),
-        RecordWatcher(
-            endpoints,
-            feed.apply_endpoint,
-            directory.confirm_endpoints,
-            wait_s=watch_wait_s(settings.bounds.stable_window_s),
-            on_availability_change=feed.record_availability,
-            batch_s=min(
-                ENDPOINT_BATCH_S,
-                settings.bounds.drain_s * ENDPOINT_BATCH_DRAIN_FRACTION,
-            ),
-            on_listing=feed.apply_listing,
-            name="endpoints",
-            log=log,
+    return RecordWatcher(
+        StoreRecords(
+            client,
+            store,
+            ENDPOINT_KIND,
+            decode_endpoint,
+            _reject_write,
+            log,
+            newest_era,
         ),
+        feed.apply_endpoint,
+        relaying.confirm,
+        is_elected=reading.reads_store,
+        wait_s=watch_wait_s(settings.bounds.stable_window_s),
+        on_availability_change=feed.record_availability,
+        batch_s=reading.tick_s,
+        is_due=reading.is_due,
+        on_listing=relaying.apply_listing,
+        on_changes=relaying.apply_changes,
+        max_wait_s=reading.max_wait_s,
+        name="endpoints",
+        log=log,
     )
 
 
@@ -448,6 +602,7 @@
         NodeState.SERVING,
         PEER_TIMEOUT_S,
         WriteId(incarnation),
+        link_mbps=settings.vm_limits.link_mbps,
     )
 
 
--- a/src/camphoryard/entry/settings.py
+++ b/src/camphoryard/entry/settings.py
@@ -7,6 +7,8 @@
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.serving_endpoints import HostPort
 
+DEFAULT_QUOTA_WINDOW_S = 8.0
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -19,7 +21,8 @@
     exit. ``repeat_limits`` bound the retries of a service over all nodes.
     ``order_lease_s`` is how long a new leader waits after the last order of its
     predecessor, unless engines check fencing tokens. ``load_limits`` bound the loads
-    from the weight store.
+    from the weight store. ``quota_window_s`` is the window within which the quotas of
+    accounts hold.
     """
 
     stable_window_s: float
@@ -30,6 +33,7 @@
     order_lease_s: float
     engines_check_fences: bool
     load_limits: LoadLimits
+    quota_window_s: float = DEFAULT_QUOTA_WINDOW_S
 
     @property
     def handover_s(self) -> float:
@@ -37,6 +41,19 @@
         return 0.0 if self.engines_check_fences else self.order_lease_s
 
 
+@dataclass(frozen=True, slots=True)
+class VmLimits:
+    """What a process may use of its VM; 0 if the platform names no limit.
+
+    ``memory_mb`` is in units of 1e6 bytes, ``max_fds`` counts descriptors,
+    ``link_mbps`` is the bandwidth of its link in units of 1e6 bits a second.
+    """
+
+    memory_mb: int = 0
+    max_fds: int = 0
+    link_mbps: float = 0.0
+
+
 DEFAULT_METRICS_PORT = 9464
 """Usual port of metrics exporters; must match deploy/system.toml."""
 
@@ -60,3 +77,4 @@
     bounds: Bounds
     metrics_port: int = DEFAULT_METRICS_PORT
     is_first_start: bool = True
+    vm_limits: VmLimits = VmLimits()
--- a/src/camphoryard/platform/settings.py
+++ b/src/camphoryard/platform/settings.py
@@ -10,7 +10,13 @@
 
 from camphoryard.coordination.loading.store_rate import LoadLimits
 from camphoryard.coordination.routing.retry_window import RepeatLimits
-from camphoryard.entry.settings import DEFAULT_METRICS_PORT, Bounds, EntrySettings
+from camphoryard.entry.settings import (
+    DEFAULT_METRICS_PORT,
+    DEFAULT_QUOTA_WINDOW_S,
+    Bounds,
+    EntrySettings,
+    VmLimits,
+)
 from camphoryard.settings import SettingsError
 from camphoryard.state.ids import NodeId, Zone
 from camphoryard.state.serving_endpoints import HostPort
@@ -29,6 +35,7 @@
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
     memory_mb: int = 0
     max_fds: int = 0
+    link_mbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct, frozen=True, rename="kebab"):
@@ -43,6 +50,7 @@
     require_fence: bool = False
     ceiling_window_s: float = 5
     ceiling_excess: float = 1.1
+    quota_window_s: float = DEFAULT_QUOTA_WINDOW_S
 
 
 class _Store(msgspec.Struct, frozen=True):
@@ -101,6 +109,7 @@
             _bounds(file.bounds),
             file.metrics_port,
             file.bootstrap,
+            VmLimits(file.limits.memory_mb, file.limits.max_fds, file.limits.link_mbps),
         )
     except (msgspec.ValidationError, ValueError) as error:
         raise SettingsError(f"{source}: {error}") from error
@@ -118,6 +127,7 @@
         bounds.lease_ms / MILLISECONDS_PER_SECOND,
         bounds.require_fence,
         LoadLimits(bounds.ceiling_window_s, bounds.ceiling_excess),
+        bounds.quota_window_s,
     )
 
 
--- a/src/camphoryard/platform/traffic.py
+++ b/src/camphoryard/platform/traffic.py
@@ -6,7 +6,15 @@
 
 import msgspec
 
+from camphoryard.state.accounts import (
+    Account,
+    Accounts,
+    Quota,
+    QuotaUnit,
+    make_accounts,
+)
 from camphoryard.state.ids import (
+    AccountId,
     AdapterId,
     EndpointId,
     ModelId,
@@ -42,11 +50,14 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 """A number that peers can be told of: their messages have 64-bit integers."""
 
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+
 _REPEATABILITY_BY_KIND = {
     "idempotent": Repeatability.IDEMPOTENT,
     "non_idempotent": Repeatability.ONCE,
     "streaming": Repeatability.STREAM,
 }
+_UNIT_BY_NAME = {"token_stream": QuotaUnit.TOKENS}
 _STATE_BY_NAME = {
     "ready": EndpointState.READY,
     "draining": EndpointState.DRAINING,
@@ -72,6 +83,7 @@
     max_attempts: int = 1
     resumable: bool = False
     gap_target_ms: float = 0.0
+    public: bool = False
 
 
 class _Model(msgspec.Struct, frozen=True, rename="kebab"):
@@ -100,6 +112,17 @@
     engine: _Engine | None = None
 
 
+class _Tenant(msgspec.Struct, frozen=True, rename="kebab"):
+    name: str = ""
+    api_keys: list[str] | None = None
+    priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    unit: str = ""
+    plain_tokens: _Amount = 0.0
+    # 0: no limit.
+    rate_per_s: _Amount = 0.0
+    burst: _Amount = 0.0
+
+
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
     max_header_bytes: int
     max_body_bytes: int
@@ -112,6 +135,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    tenants: list[_Tenant] | None = None
 
 
 class ListedModel(msgspec.Struct, frozen=True):
@@ -165,6 +189,7 @@
             _ms_to_s(config.limits.header_timeout_ms),
             _ms_to_s(config.limits.idle_timeout_ms),
         ),
+        _to_accounts(config.tenants),
     )
 
 
@@ -233,9 +258,27 @@
         route.priority,
         route.max_attempts,
         _ms_to_s(route.gap_target_ms),
+        route.public,
     )
 
 
+def _to_accounts(tenants: list[_Tenant] | None) -> Accounts | None:
+    if not tenants:
+        return None
+    return make_accounts((_to_account(item), item.api_keys or ()) for item in tenants)
+
+
+def _to_account(tenant: _Tenant) -> Account:
+    return Account(AccountId(tenant.name), tenant.priority, _to_quota(tenant))
+
+
+def _to_quota(tenant: _Tenant) -> Quota | None:
+    if tenant.rate_per_s <= 0:
+        return None
+    unit = _UNIT_BY_NAME.get(tenant.unit, QuotaUnit.REQUESTS)
+    return Quota(unit, tenant.rate_per_s, tenant.burst, tenant.plain_tokens)
+
+
 def _to_service(service: _Service) -> ServiceSpec:
     engine = service.engine
     if engine is None:
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -30,6 +30,9 @@
     LoadItemsRequest,
     Message,
     MoveItemsRequest,
+    QuotaGrant,
+    QuotaRequest,
+    QuotaTake,
     RecordsReply,
     RecordsRequest,
     RefusalCountsCopy,
@@ -44,11 +47,26 @@
     decode_configuration,
     encode_configuration,
 )
+from camphoryard.protocol.relay_form import RelayForm, read_relay, relay_form
 from camphoryard.state.configuration_head import ConfigurationHead
 from camphoryard.state.demand import ItemDemand
+from camphoryard.state.dispatch import (
+    Dispatched,
+    DispatchRequest,
+    FirstEventSeen,
+    NotDispatched,
+    PromptPart,
+    Queued,
+    Rejected,
+    RunEnded,
+    Withdrawn,
+    Work,
+)
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import (
+    AccountId,
+    AdapterId,
     EndpointId,
     FencingNumber,
     Generation,
@@ -59,10 +77,16 @@
     ObjectKey,
     PromptPartId,
     RequestId,
+    Revision,
+    ServiceId,
+    TicketId,
+    Version,
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
+from camphoryard.state.traffic import RequestedModel
 
 MILLISECONDS_PER_SECOND = 1000
 PART_SEPARATOR = ","
@@ -102,6 +126,17 @@
     ITEM_WANTED = "item_wanted"
     ITEM_HELD = "item_held"
     ITEM_COMING = "item_coming"
+    QUOTA_WANTED = "quota_wanted"
+    QUOTA_GRANTED = "quota_granted"
+    QUOTA_TAKE = "quota_take"
+    TURN_WANTED = "turn_wanted"
+    TURN = "turn"
+    TURN_QUEUED = "turn_queued"
+    TURN_REJECTED = "turn_rejected"
+    TURN_NOT_GIVEN = "turn_not_given"
+    TURN_WITHDRAWN = "turn_withdrawn"
+    FIRST_EVENT_SEEN = "first_event_seen"
+    RUN_ENDED = "run_ended"
     DONE = "done"
     DECLINED = "declined"
     NODE_DIGEST = "node_digest"
@@ -115,6 +150,18 @@
     part_by_key: Mapping[ObjectKey, bytes]
 
 
+class _QuotaReportForm(msgspec.Struct, array_like=True, frozen=True):
+    term: FencingNumber
+    settled: int
+    parts_by_account: Mapping[AccountId, int]
+
+
+class _QuotaRenewalForm(msgspec.Struct, array_like=True, frozen=True):
+    beat: int
+    scarce: tuple[AccountId, ...]
+    backups: tuple[NodeId, ...]
+
+
 class _DigestForm(msgspec.Struct, array_like=True, frozen=True):
     """A digest without field names, which would be most of its bytes."""
 
@@ -131,6 +178,34 @@
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = {}
     quarantine_ms_by_parts: Mapping[str, int] = {}
     leaving_by_endpoint: Mapping[EndpointId, int] = {}
+    quota_report: _QuotaReportForm | None = None
+    quota_renewal: _QuotaRenewalForm | None = None
+    endpoints_revision: Revision = Revision(0)
+    relay: RelayForm | None = None
+    rules_version: Version = Version(0)
+
+
+class _DispatchForm(msgspec.Struct, array_like=True, frozen=True):
+    """A request that asks for its turn, without field names; one for each request."""
+
+    ticket: TicketId
+    service: ServiceId
+    model: ModelId
+    adapter: AdapterId | None
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[tuple[PromptPartId, int], ...]
+    rank: int
+    objective_left_ms: int
+    leave_left_ms: int
+    longest_gap_ms: int
+    zone: Zone
+    account: AccountId | None
+    has_begun: bool
+    excluded: tuple[EndpointId, ...]
+    candidates: tuple[EndpointId, ...]
+    has_returned: bool
+    node: NodeId | None
 
 
 class _ZoneLivenessForm(msgspec.Struct, array_like=True, frozen=True):
@@ -172,6 +247,17 @@
     FrameKind.ITEM_WANTED: ItemRequest,
     FrameKind.ITEM_HELD: ItemLoaded,
     FrameKind.ITEM_COMING: ItemLoading,
+    FrameKind.QUOTA_WANTED: QuotaRequest,
+    FrameKind.QUOTA_GRANTED: QuotaGrant,
+    FrameKind.QUOTA_TAKE: QuotaTake,
+    FrameKind.TURN_WANTED: DispatchRequest,
+    FrameKind.TURN: Dispatched,
+    FrameKind.TURN_QUEUED: Queued,
+    FrameKind.TURN_REJECTED: Rejected,
+    FrameKind.TURN_NOT_GIVEN: NotDispatched,
+    FrameKind.TURN_WITHDRAWN: Withdrawn,
+    FrameKind.FIRST_EVENT_SEEN: FirstEventSeen,
+    FrameKind.RUN_ENDED: RunEnded,
     FrameKind.DONE: Done,
     FrameKind.DECLINED: Declined,
     FrameKind.NODE_DIGEST: NodeDigest,
@@ -242,6 +328,8 @@
                 ),
             )
             return msgspec.msgpack.encode(form)
+        case DispatchRequest() as request:
+            return msgspec.msgpack.encode(_dispatch_form(request))
         case _:
             return msgspec.msgpack.encode(content)
 
@@ -269,10 +357,59 @@
                     for item in answer.words
                 ),
             )
+        case FrameKind.TURN_WANTED:
+            return _dispatch_request(msgspec.msgpack.decode(body, type=_DispatchForm))
         case _:
             return msgspec.msgpack.decode(body, type=_TYPE_BY_KIND[kind])
 
 
+def _dispatch_form(request: DispatchRequest) -> _DispatchForm:
+    return _DispatchForm(
+        request.ticket,
+        request.service,
+        request.item.model,
+        request.item.adapter,
+        request.work.prompt_tokens,
+        request.work.output_tokens,
+        tuple((part.id, part.tokens) for part in request.work.parts),
+        request.rank,
+        math.floor(request.objective_left_s * MILLISECONDS_PER_SECOND),
+        math.floor(request.leave_left_s * MILLISECONDS_PER_SECOND),
+        math.floor(request.longest_gap_s * MILLISECONDS_PER_SECOND),
+        request.zone,
+        request.account,
+        request.has_begun,
+        request.excluded,
+        request.candidates,
+        request.has_returned,
+        request.node,
+    )
+
+
+def _dispatch_request(form: _DispatchForm) -> DispatchRequest:
+    return DispatchRequest(
+        form.ticket,
+        form.service,
+        RequestedModel(form.model, form.adapter),
+        Work(
+            form.prompt_tokens,
+            form.output_tokens,
+            tuple(PromptPart(id, tokens) for id, tokens in form.parts),
+        ),
+        form.rank,
+        form.objective_left_ms / MILLISECONDS_PER_SECOND,
+        form.leave_left_ms / MILLISECONDS_PER_SECOND,
+        form.longest_gap_ms / MILLISECONDS_PER_SECOND,
+        form.zone,
+        form.account,
+        form.has_begun,
+        form.excluded,
+        form.candidates,
+        form.has_returned,
+        form.node,
+    )
+
+
 def _digest_forms(digests: tuple[DigestWithAge, ...]) -> tuple[_DigestForm, ...]:
     return tuple(
         _DigestForm(
@@ -294,11 +431,40 @@
                 for parts, left_s in heard.digest.quarantine_s_by_parts.items()
             },
             heard.digest.leaving_by_endpoint,
+            _quota_report_form(heard.digest.quota_report),
+            _quota_renewal_form(heard.digest.quota_renewal),
+            heard.digest.endpoints_revision,
+            relay_form(heard.digest.relay),
+            heard.digest.rules_version,
         )
         for heard in digests
     )
 
 
+def _quota_report_form(report: QuotaReport | None) -> _QuotaReportForm | None:
+    if report is None:
+        return None
+    return _QuotaReportForm(report.term, report.settled, report.parts_by_account)
+
+
+def _quota_report(form: _QuotaReportForm | None) -> QuotaReport | None:
+    if form is None:
+        return None
+    return QuotaReport(form.term, form.settled, form.parts_by_account)
+
+
+def _quota_renewal_form(renewal: QuotaRenewal | None) -> _QuotaRenewalForm | None:
+    if renewal is None:
+        return None
+    return _QuotaRenewalForm(renewal.beat, renewal.scarce, renewal.backups)
+
+
+def _quota_renewal(form: _QuotaRenewalForm | None) -> QuotaRenewal | None:
+    if form is None:
+        return None
+    return QuotaRenewal(form.beat, form.scarce, form.backups)
+
+
 def _demand_form(
     demand_by_item: Mapping[ItemId, ItemDemand],
 ) -> Mapping[ItemId, tuple[int, int]]:
@@ -347,6 +513,11 @@
                     for text, left_ms in item.quarantine_ms_by_parts.items()
                 },
                 item.leaving_by_endpoint,
+                _quota_report(item.quota_report),
+                _quota_renewal(item.quota_renewal),
+                item.endpoints_revision,
+                read_relay(item.relay),
+                item.rules_version,
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from camphoryard.state.demand import ItemDemand
+from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
     ABSENT,
@@ -18,11 +19,13 @@
     ModelId,
     NodeId,
     PromptPartId,
+    Revision,
     Version,
     WriteId,
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 
 MAX_PORT = 65535
 
@@ -33,7 +36,8 @@
 
     ``ended`` lists the node's earlier incarnations that have provably ended,
     because this one has bound their address. ``host`` and ``port`` are that
-    address; peers connect to the advertised address, if there is one.
+    address; peers connect to the advertised address, if there is one. ``link_mbps``
+    is the bandwidth of the VM's link in 1e6 bits a second, 0 if it is not known.
     """
 
     node: NodeId
@@ -48,6 +52,7 @@
     ended: tuple[Incarnation, ...] = ()
     advertised_host: str = ""
     advertised_port: int = 0
+    link_mbps: float = 0.0
 
     def __post_init__(self) -> None:
         for port in (self.port, self.advertised_port):
@@ -69,7 +74,11 @@
     are the models that a leader is having unloaded, which take no more requests.
     ``quarantine_s_by_parts`` are the sets of parts of prompts that are refused if they
     come together, with the time left in seconds. ``leaving_by_endpoint`` are the listed
-    endpoints that say they leave, with the time of their start.
+    endpoints that say they leave, with the time of their start. ``quota_report`` tells
+    the leader what the node holds of the quotas of accounts; ``quota_renewal`` is the
+    leader's answer. ``endpoints_revision`` is that of the node's view of the endpoints,
+    ``relay`` what the receiver's view lacks. ``rules_version`` is that of the newest
+    configuration object that a leader has read.
     """
 
     node: NodeId
@@ -88,6 +97,11 @@
         default_factory=dict
     )
     leaving_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
+    quota_report: QuotaReport | None = None
+    quota_renewal: QuotaRenewal | None = None
+    endpoints_revision: Revision = Revision(0)
+    relay: EndpointRelay | None = None
+    rules_version: Version = Version(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -30,8 +30,11 @@
 TEXT = "text/plain; charset=utf-8"
 MILLISECONDS_PER_SECOND = 1000
 TRACE_LINES = 3
+NO_ROOM_RETRY_S = 1.0
+"""Time after which requests without progress have given way to others."""
 STATUS_BY_REASON = {
     Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
+    Reason.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
     Reason.BAD_HEADER: HTTPStatus.BAD_REQUEST,
     Reason.BAD_FIELD: HTTPStatus.BAD_REQUEST,
     Reason.HEADER_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -43,6 +46,7 @@
     HTTPStatus.REQUEST_ENTITY_TOO_LARGE: Reason.BODY_TOO_LARGE,
     HTTPStatus.REQUEST_TIMEOUT: Reason.TOO_SLOW,
     HTTPStatus.INTERNAL_SERVER_ERROR: Reason.INTERNAL,
+    HTTPStatus.SERVICE_UNAVAILABLE: Reason.OVERLOADED,
 }
 
 
@@ -167,9 +171,11 @@
         reason = REASON_BY_STATUS.get(HTTPStatus(status), Reason.BAD_HEADER)
         unknown = reason is Reason.INTERNAL
         verdict = Verdict.MAY_HAVE_RUN if unknown else Verdict.NOT_RUN
-        refusal = RefusalError(reason, detail, verdict)
+        retry_after_s = NO_ROOM_RETRY_S if reason is Reason.OVERLOADED else 0.0
+        refusal = RefusalError(reason, detail, verdict, retry_after_s=retry_after_s)
         self._record_refused(None, refusal, None)
-        return HttpResponse(status, f"{detail}\n".encode(), content_type=TEXT)
+        headers = self.dialect.refusal_headers(None, refusal)
+        return HttpResponse(status, f"{detail}\n".encode(), headers, TEXT)
 
     def _record_answered(self, forwarded: ForwardedRequest) -> None:
         request = forwarded.request
@@ -181,6 +187,7 @@
             "request_answered",
             request=request.id,
             route=forwarded.rule.id,
+            account=forwarded.account.id if forwarded.account else "",
             rules=forwarded.rules_version,
             model=demand_item_id(request.requested_model)
             if request.requested_model
@@ -221,12 +228,15 @@
 def refusal_status(refusal: RefusalError) -> int:
     """Return the HTTP status of a refusal.
 
-    503 guarantees that the request has not run and never will; 502 and 504 do not.
+    429 and 503 guarantee that the request has not run and never will; 502 and 504 do
+    not.
     """
     status = STATUS_BY_REASON.get(refusal.reason)
     if status is not None:
         return status
     if refusal.verdict is Verdict.NOT_RUN:
+        if refusal.reason is Reason.OVER_QUOTA:
+            return HTTPStatus.TOO_MANY_REQUESTS
         return HTTPStatus.SERVICE_UNAVAILABLE
     match refusal.reason:
         case Reason.DEADLINE:
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -1,5 +1,7 @@
 """Tests of the gossip of load in small and large fleets."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.fleet.fleet_gossip import (
@@ -13,9 +15,11 @@
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.directory import Directory
+from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
-from camphoryard.state.ids import EndpointId, FencingNumber, NodeId
+from camphoryard.state.ids import EndpointId, FencingNumber, NodeId, Version
 from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 from camphoryard.state.tables import InFlightTable
 from tests.fakes.engines import SERVICE, Clock, RecordedLog, make_endpoint
 
@@ -27,8 +31,10 @@
 class Fleet:
     """Nodes whose messages are delivered at once."""
 
-    def __init__(self, size):
+    def __init__(self, size, make_relaying=lambda: None, make_rules=lambda: None):
         self.clock = Clock()
+        self.make_rules = make_rules
+        self.make_relaying = make_relaying
         self.sent = []
         self.node_by_id = {}
         for number in range(size):
@@ -61,6 +67,9 @@
         self.demand = DemandMeter()
         self.crashed_parts = CrashedParts(RecordedLog())
         self.directory = Directory()
+        self.quotas = Quotas(name)
+        self.relaying = fleet.make_relaying()
+        self.rules = fleet.make_rules()
         self.gossip = FleetGossip(
             name,
             f"i-{name}",
@@ -75,9 +84,38 @@
             self.crashed_parts,
             self.directory,
             fleet.clock,
+            self.quotas,
+            self.relaying,
+            self.rules,
         )
 
 
+class Quotas:
+    """Quotas of a node that records what it is told."""
+
+    def __init__(self, name):
+        self.name, self.reports, self.renewed = name, {}, False
+
+    def report_to_self(self, beat):
+        """Record the report of the leader."""
+        self.reports[self.name] = beat
+
+    def report(self, leader, term, beat):
+        """Return a report to a leader."""
+        return QuotaReport(term, beat)
+
+    def renewal(self, node, incarnation):
+        """Return the answer to a node that has reported, or None."""
+        return QuotaRenewal(self.reports[node]) if node in self.reports else None
+
+    def receive(self, digest):
+        """Record what a digest tells."""
+        if digest.quota_report is not None:
+            self.reports[digest.node] = digest.quota_report.settled
+        if digest.quota_renewal is not None:
+            self.renewed = True
+
+
 def make_lease(name):
     """Return a node's lease that does not expire within a test."""
     return NodeLease(
@@ -94,6 +132,69 @@
     return fleet
 
 
+class Relaying:
+    """Records what a node's gossip asks of the relays of endpoints."""
+
+    def __init__(self):
+        self.position, self.sent, self.received = 7, [], []
+
+    def record_sent(self, beat):
+        """Record a report to the leader."""
+        self.sent.append(beat)
+
+    def relay_for(self, node, digest):
+        """Return what a node lacks by its last digest."""
+        position = digest.endpoints_revision if digest else 0
+        return EndpointRelay(position, 9, (), f"i-{node}", 1)
+
+    def receive(self, digest):
+        """Record a digest."""
+        self.received.append(digest.relay)
+
+
+class Rules:
+    """Records which versions of the configuration a node hears of."""
+
+    def __init__(self):
+        self.position, self.heard = 5, []
+
+    def hear(self, announced):
+        """Record the version that a peer has read, if it tells one."""
+        if announced:
+            self.heard.append(announced)
+
+
+class TestRules:
+    """The leader of a star announces the newest configuration that it has read."""
+
+    @pytest.mark.parametrize(("size", "heard"), [(SMALL, set()), (LARGE, {5})])
+    def test_only_the_leader_of_a_star_announces(self, size, heard):
+        """Other nodes might have read a newer one, but reach only the leader."""
+        fleet = Fleet(size, make_rules=Rules)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        assert set(fleet.node_by_id["n5"].rules.heard) == heard
+        assert fleet.node_by_id["n0"].rules.heard == []
+
+
+class TestRelays:
+    """Changes of endpoints travel with the digests of the leader of a star."""
+
+    @pytest.mark.parametrize(("size", "position"), [(SMALL, None), (LARGE, 7)])
+    def test_only_a_star_relays(self, size, position):
+        """Each node is told what it lacks by its last report."""
+        fleet = Fleet(size, Relaying)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        follower = fleet.node_by_id["n5"].relaying
+        relays = [relay for relay in follower.received if relay]
+        assert [relay.since for relay in relays[-1:]] == (
+            [position] if position else []
+        )
+        assert bool(follower.sent) == bool(position)
+        assert fleet.node_by_id["n0"].relaying.sent == []
+
+
 class TestFleetGossip:
     """Spread of load and leadership."""
 
@@ -163,11 +264,31 @@
                 assert leader.unloads in node.told_unloads
                 assert {E1: ("m2",)} not in node.told_unloads
 
+    @pytest.mark.parametrize("size", [SMALL, LARGE])
+    def test_the_leader_is_told_what_nodes_hold_of_quotas_and_answers(self, size):
+        """Other nodes are told nothing."""
+        fleet = Fleet(size)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        leader, *others = (node.quotas for node in fleet.node_by_id.values())
+        assert leader.reports.keys() == fleet.node_by_id.keys()
+        assert all(node.renewed and not node.reports for node in others)
+
     def test_few_nodes_watch_a_responsive_leader(self, large):
         """Reads of the leader's lease do not grow with the fleet."""
         watching = [x for x in large.node_by_id.values() if x.gossip.is_standby()]
         assert len(watching) == STANDBY_NODES
 
+    def test_the_nodes_with_the_fastest_links_watch(self, large):
+        """Load: the leader sends to all others, which fills the link of a small VM."""
+        fast = sorted(large.node_by_id)[-STANDBY_NODES:]
+        for node in large.node_by_id.values():
+            for name in fast:
+                lease = replace(make_lease(name), link_mbps=100.0)
+                node.nodes.observe(lease, Version(9))
+        watching = [n for n, x in large.node_by_id.items() if x.gossip.is_standby()]
+        assert sorted(watching) == fast
+
     def test_more_nodes_watch_the_longer_no_leader_is_observed(self, large):
         """The standby nodes may have failed with it."""
         large.clock.advance(60.0)
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -1,5 +1,7 @@
 """Tests of messages between nodes as frames."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.messages import (
@@ -11,6 +13,9 @@
     Gossip,
     LoadItemsRequest,
     MoveItemsRequest,
+    QuotaGrant,
+    QuotaRequest,
+    QuotaTake,
     RefusalCountsCopy,
     RelinquishReply,
     RelinquishRequest,
@@ -22,10 +27,25 @@
     decode_envelope,
     encode_envelope,
 )
+from camphoryard.state.dispatch import (
+    Dispatched,
+    DispatchRequest,
+    FirstEventSeen,
+    NotDispatched,
+    PromptPart,
+    Queued,
+    Rejected,
+    RunEnded,
+    Withdrawn,
+    Work,
+)
+from camphoryard.state.endpoint_relay import EndpointRelay, RelayedEndpoint
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.quotas import QuotaRenewal, QuotaReport
 from camphoryard.state.refusals import RefusalCount, RefusalCounts, RefusalKey
 from camphoryard.state.timeline import Event, Stamp
+from camphoryard.state.traffic import RequestedModel
 
 REFUSAL_COUNTS = RefusalCounts(
     "i", (RefusalCount(RefusalKey(Reason.DEADLINE, "a=b", 3, "c"), 2),)
@@ -42,6 +62,33 @@
     unloads_by_endpoint={"e": ("m1", "m2")},
     quarantine_s_by_parts={frozenset({"p", "q"}): 12.5, frozenset({"r"}): 1.0},
     leaving_by_endpoint={"e": 1_700_000_000_000},
+    quota_report=QuotaReport(4, 2, {"a": 5}),
+    quota_renewal=QuotaRenewal(6, ("a",), ("n1", "n2")),
+)
+
+RELAYING_DIGEST = replace(
+    LEADER_DIGEST,
+    endpoints_revision=12,
+    rules_version=9,
+    relay=EndpointRelay(11, 12, (RelayedEndpoint("e", None),), "i", 6),
+)
+
+TURN_WANTED = DispatchRequest(
+    "t",
+    "s",
+    RequestedModel("m", "a1"),
+    Work(460, 80, (PromptPart("p", 350), PromptPart("q", 110))),
+    2,
+    -0.25,
+    1.5,
+    0.3,
+    "zone-a",
+    "account",
+    has_begun=True,
+    excluded=("x",),
+    candidates=("e", "f"),
+    has_returned=True,
+    node="n",
 )
 
 
@@ -59,9 +106,21 @@
             EventsRequest({"request": "r"}),
             EventsReply((Event(Stamp(5, 1), "n", "loaded", {"item": "m"}),)),
             RefusalCountsCopy(REFUSAL_COUNTS),
+            QuotaRequest("n", "i", 4, 3, {"a": 5}, True),
+            QuotaGrant(4, {"a": 5}),
+            QuotaTake("a", 1.5),
             Declined("busy"),
             Done(),
             Gossip(3, (DigestWithAge(LEADER_DIGEST, 0.25),)),
+            Gossip(3, (DigestWithAge(RELAYING_DIGEST, 0.25),)),
+            TURN_WANTED,
+            FirstEventSeen("t", "e", 0.25),
+            RunEnded("t", "e", True),
+            Withdrawn("t"),
+            Dispatched("e"),
+            Queued(0.5),
+            Rejected(1.5, "full"),
+            NotDispatched(),
         ],
         ids=lambda content: type(content).__name__,
     )
