Lend quotas again a window after a whole fleet has restarted

Cause: a leader without knowledge of its predecessor lends nothing for 19 s.

Change: once all nodes that the store lists have reported in the leader's term, any other process has ended or is stopping, and the rest is free after 2.5 s and a window. A restored store may lack nodes that live, so it does not count there.

Measured: the tests of admission, fleet and entry pass, the property test with drawn failures among them; the new one fails on the code before.

--- a/src/camphoryard/coordination/admission/quota_ledger.py
+++ b/src/camphoryard/coordination/admission/quota_ledger.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from heapq import nsmallest
 
@@ -34,6 +34,8 @@
 BACKUPS = 3
 BACKUP_SILENCE_S = 2.0
 """Time without a report after which another node is made a backup; four reports."""
+STOPPING_S = 2.5
+"""Time in which a node that has left the store may still admit requests."""
 DROP_PERIOD_S = 0.5
 """Minimum time between two searches for processes that are silent."""
 
@@ -99,7 +101,9 @@
     the holder was not heard of until its parts have lapsed and all units that it had
     admitted have rested for a window. The leader of a later term does not know the
     grants of its predecessor: what no node has reported counts as held by an unknown
-    process until every grant of an earlier term has lapsed like that.
+    process until every grant of an earlier term has lapsed like that. Once all nodes
+    have reported, others can only have been granted to processes that have ended, and
+    only their units have to rest.
 
     Parameters
     ----------
@@ -132,6 +136,8 @@
         # A predecessor that the store has forgotten may act for as long as a lease.
         known_in_s = 0.0 if is_first else LEASE_S + self._lapse_s
         self._all_known_s = clock() + known_in_s
+        self._rest_s = window_s + REST_MARGIN_S
+        self._is_complete = False
         self._holder_by_process: dict[tuple[NodeId, Incarnation], _Holder] = {}
         self._held: Counter[AccountId] = Counter()
         self._claimed: Counter[AccountId] = Counter()
@@ -170,6 +176,16 @@
         if renews and not holder.disputed:
             holder.renewed_beat = beat
 
+    def note_nodes(self, listed: Collection[NodeId]) -> None:
+        """Record the nodes that the store lists; any other has ended or is stopping."""
+        if self._is_complete:
+            return
+        heard = {node for node, _ in self._holder_by_process}
+        if heard.issuperset(listed):
+            self._is_complete = True
+            rested_s = self._clock() + STOPPING_S + self._rest_s
+            self._all_known_s = min(self._all_known_s, rested_s)
+
     def grant(
         self,
         node: NodeId,
--- a/src/camphoryard/coordination/fleet/quota_sharing.py
+++ b/src/camphoryard/coordination/fleet/quota_sharing.py
@@ -3,7 +3,7 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -93,6 +93,8 @@
         Return seconds, including time during which the VM is suspended.
     spread : callable
         Return a random number from 0 to 1.
+    listed : callable
+        Return the nodes that the store lists, or None while that is not known.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         count: Callable[[str], None],
         clock: Callable[[], float] = boot_clock_s,
         spread: Callable[[], float] = random.random,
+        listed: Callable[[], Collection[NodeId] | None] = lambda: None,
     ) -> None:
         self._node = node
         self._incarnation = incarnation
@@ -122,6 +125,7 @@
         self._count = count
         self._clock = clock
         self._spread = spread
+        self._listed = listed
         self._lock = threading.Lock()
         self._ledger: QuotaLedger | None = None
         self._certain_s = clock()
@@ -351,6 +355,9 @@
         report: QuotaReport,
     ) -> None:
         ledger.observe(node, incarnation, beat, report, self._lease.is_renewed)
+        listed = self._listed()
+        if listed is not None:
+            ledger.note_nodes(listed)
 
     def _limited_accounts(self) -> tuple[AccountId, ...]:
         accounts = self._accounts()
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -105,7 +105,7 @@
     Withdrawn,
 )
 from camphoryard.state.enums import NodeState
-from camphoryard.state.ids import Incarnation, ObjectKey, ServiceId, WriteId
+from camphoryard.state.ids import Incarnation, NodeId, ObjectKey, ServiceId, WriteId
 from camphoryard.state.leadership import LeadershipRecord, PeerKeys
 from camphoryard.state.nodes import NodeLease, NodeTable
 from camphoryard.state.retry_reserve import RetryReserveUse
@@ -288,6 +288,7 @@
         leader_lease,
         log,
         metrics.count,
+        listed=lambda: _listed_nodes(nodes, nodes_watcher, newest_era),
     )
     metrics.add_gauge("quota_renewal_age_seconds", shares.renewed_age_s)
     rules_wait_s = (
@@ -577,6 +578,18 @@
             return ByFreeSlots()
 
 
+def _listed_nodes(
+    nodes: NodeTable, watcher: RecordWatcher[NodeLease], newest_era: NewestEra
+) -> frozenset[NodeId] | None:
+    """Return the nodes in the store, or None before a listing or after a restore.
+
+    A restored store may have lost nodes that live.
+    """
+    if newest_era.has_changed or not math.isfinite(watcher.age_s()):
+        return None
+    return frozenset(lease.node for lease in nodes.all())
+
+
 def _make_executors() -> Executors:
     return Executors(
         ThreadPoolExecutor(CONNECTION_TASKS, "connection"),
--- a/tests/coordination/fleet/test_quota_sharing.py
+++ b/tests/coordination/fleet/test_quota_sharing.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from camphoryard.coordination.admission.quota_ledger import STOPPING_S
 from camphoryard.coordination.admission.quota_shares import HOLDING_S
 from camphoryard.coordination.fleet.quota_sharing import NO_ROOM_RETRY_S
 from camphoryard.coordination.leadership.leader_lease import NO_TERM
@@ -230,6 +231,22 @@
         fleet.run(WINDOW_S + HOLDING_S)
         assert isinstance(fleet.send("n1", SMALL, 500), Admitted)
 
+    def test_a_fleet_that_lost_power_is_served_after_a_window(self):
+        """Load: all processes end at once while an account is at its limit.
+
+        The leader counts what its predecessors granted as free once all nodes that the
+        store lists have reported, and what ended processes used has rested.
+        """
+        fleet = make_fleet(8)
+        use_up(fleet, SMALL)
+        for node in range(8):
+            fleet.start(f"n{node}")
+        fleet.lead("n1")
+        fleet.run(WINDOW_S + STOPPING_S - 1.0)
+        assert isinstance(fleet.send("n2", SMALL, TOKENS), OverQuota)
+        fleet.run(2.5)
+        assert isinstance(fleet.send("n2", SMALL, TOKENS), Admitted)
+
     def test_a_leader_in_doubt_goes_on_for_no_longer_than_its_grants(self):
         """Its successor counts what it does not know as free after that."""
         fleet = make_fleet(4)
--- a/tests/fakes/quota_fleet.py
+++ b/tests/fakes/quota_fleet.py
@@ -70,6 +70,7 @@
             lambda name: None,
             fleet.clock,
             lambda: 0.0,
+            lambda: fleet.node_by_id.keys(),
         )
 
     def request(self, node, message, timeout_s):
