Tell the refused of a fleet that has restarted when it has room

Change: a process whose even part is still held says when that is over, if it has admitted nothing whose rest it could name.

Measured: the tests of admission and fleet pass, one with the time that is told.

--- a/src/camphoryard/coordination/admission/quota_shares.py
+++ b/src/camphoryard/coordination/admission/quota_shares.py
@@ -308,12 +308,15 @@
         """Return when units that rest now cover what is missing.
 
         Requests that were refused before come back first, if that is within a window.
+        Without such units there is room once those of an earlier process have rested:
+        if all nodes have just restarted, none has any before.
         """
         now_s = self._clock()
         while share.returning and share.returning[0][0] <= now_s:
             share.returning_units -= heappop(share.returning)[1]
         queued = missing + share.returning_units
-        room_in_s = math.inf
+        even_in_s = self._even_from_s - now_s
+        room_in_s = even_in_s if even_in_s > 0 else math.inf
         for spend in share.spends:
             missing -= spend.units
             queued -= spend.units
--- a/tests/coordination/admission/test_quota_shares.py
+++ b/tests/coordination/admission/test_quota_shares.py
@@ -111,7 +111,9 @@
         """An earlier process of the node may have used it."""
         shares = QuotaShares(WINDOW_S, lambda: 4, clock)
         even = EVEN_PARTS / (4 * UNHEARD_NODES_FACTOR) * LIMIT / WHOLE
-        assert isinstance(shares.take(A, LIMIT, even), Short)
+        short = shares.take(A, LIMIT, even)
+        assert isinstance(short, Short)
+        assert short.room_in_s == pytest.approx(WINDOW_S + REST_MARGIN_S)
         clock.advance(WINDOW_S + REST_MARGIN_S)
         assert isinstance(shares.take(A, LIMIT, even), Spend)
 
