Tell each refused request of an account its own time to come back

Measured: a new test has 40 requests refused at one node; they were all told 1.05 s before, and now the last is told over a second later than the first. The tests of admission, fleet and the quotas of real processes pass.

--- a/src/camphoryard/coordination/fleet/quota_sharing.py
+++ b/src/camphoryard/coordination/fleet/quota_sharing.py
@@ -152,6 +152,7 @@
                         return Admitted()
                     break
         retry_after_s = self._retry_after_s(short)
+        self._shares.expect_return(account.id, units, retry_after_s)
         self._log_refused(account.id, units, limit, retry_after_s)
         return OverQuota(retry_after_s)
 
--- a/tests/coordination/fleet/test_quota_sharing.py
+++ b/tests/coordination/fleet/test_quota_sharing.py
@@ -166,6 +166,14 @@
         use_up(fleet, SMALL)
         assert fleet.send("n2", SMALL, 2 * TOKENS) == OverQuota(NO_ROOM_RETRY_S)
 
+    def test_refused_requests_are_not_all_told_the_same_time(self):
+        """Load: ten times what leaves the window first is refused at one node."""
+        fleet = make_fleet(4)
+        use_up(fleet, SMALL)
+        times_s = [fleet.send("n1", SMALL, TOKENS).retry_after_s for _ in range(40)]
+        assert times_s == sorted(times_s)
+        assert times_s[-1] > times_s[0] + 1.0
+
     def test_refunded_units_can_be_used_again(self):
         """A request that was refused as not run costs nothing."""
         fleet = make_fleet(4)
