Count the memory of a request in one function

Cause: the order of waiting requests and the ledger of engines each had a function for the tokens that a request takes, and a name for rank and account together.

Change: the order uses those of the ledger. Behaviour is as it was.

Measured: the tests of dispatch, forwarding and entry pass; mypy and the layers too.

--- a/src/camphoryard/coordination/dispatch/order.py
+++ b/src/camphoryard/coordination/dispatch/order.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Generic, TypeAlias, TypeVar
 
+from camphoryard.coordination.dispatch.engine_ledger import Owner
+from camphoryard.coordination.dispatch.engine_work import memory_tokens
 from camphoryard.state.dispatch import DispatchRequest
 from camphoryard.state.ids import AccountId
 
@@ -20,8 +22,6 @@
 """Rank of requests whose own rank has too little of the work in hand."""
 
 KeyT = TypeVar("KeyT", bound=Hashable)
-Owner: TypeAlias = tuple[int, AccountId | None]
-"""Rank and account of a request."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,11 +73,6 @@
     return work.prompt_tokens + OUTPUT_TOKEN_WORK * work.output_tokens
 
 
-def held_tokens(request: DispatchRequest) -> int:
-    """Return the memory that a request takes at an engine, in tokens."""
-    return request.work.prompt_tokens + request.work.output_tokens
-
-
 def current_rank(
     waiting: Waiting, now_s: float, policy: UrgentFirst, shares: "WorkShares"
 ) -> int:
@@ -130,7 +125,7 @@
         """
         key = waiting.request.rank, waiting.request.account
         allowed = self.allowed.get(key, math.inf)
-        beyond = self.in_hand.get(key, 0) - held_tokens(waiting.request)
+        beyond = self.in_hand.get(key, 0) - memory_tokens(waiting.request)
         if beyond <= allowed:
             return 0
         return 1 + int(math.log2(beyond / max(1.0, allowed)))
@@ -174,7 +169,7 @@
     total = sum(total_by_rank.values())
     next_by_rank: dict[int, int] = {}
     for item in waiting:
-        next_by_rank.setdefault(item.request.rank, held_tokens(item.request))
+        next_by_rank.setdefault(item.request.rank, memory_tokens(item.request))
     return frozenset(
         rank
         for rank, tokens in next_by_rank.items()
@@ -224,6 +219,6 @@
 
     def record(self, request: DispatchRequest) -> None:
         """Record a request that asks for its turn."""
-        tokens = held_tokens(request)
+        tokens = memory_tokens(request)
         self.by_account.record(request.account, tokens)
         self.by_rank.record(request.rank, tokens)
