Tell in logs and metrics on which connection a refusal came

Cause: a log could not tell a refusal from its copy, so the hypotheses on copied refusals could not be told apart. Change: endpoint_declined has the number of the answer on its connection and the time after the request. Gauges count connections to endpoints, answers that were read past, and idle connections that had received more than was due. No logic changes.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -40,6 +40,7 @@
 GAP_TIMEOUT_FACTOR = 4.0
 """Pause after which a stream is resumed at another endpoint, in multiples of the
 route's longest gap; clients abandon the stream after eight."""
+MILLISECONDS_PER_SECOND = 1000
 MAX_IDLE_NOT_REPEATABLE_S = 1.0
 """The endpoint may close a connection that has been idle for longer while a request is
 written to it."""
@@ -273,6 +274,8 @@
                 endpoint=endpoint.id,
                 status=answer.head.status,
                 sends=forwarded.sends,
+                answer_number=answer.number,
+                after_ms=round((context.clock() - sent_s) * MILLISECONDS_PER_SECOND),
             )
             return Outcome.NOT_RUN
         case AnswerKind.UNTRUSTED:
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -119,10 +119,11 @@
 
     ``ends_with_connection`` is True if it has neither a length nor chunks.
     ``write_error`` is the error after which the rest of the request was not written,
-    or None.
+    or None. ``number`` is 1 for the first answer on its connection.
     """
 
     head: AnswerHead
+    number: int
     ends_with_connection: bool
     write_error: OSError | None
 
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -233,6 +233,9 @@
     # Answers of endpoints never wait for memory that those of the store take, or the
     # other way round.
     client, store_client = HttpClient(), HttpClient()
+    metrics.add_gauge("endpoint_connections_opened", lambda: client.opened_connections)
+    metrics.add_gauge("endpoint_answers_skipped", lambda: client.skipped_answers)
+    metrics.add_gauge("endpoint_connections_unread", lambda: client.unread_connections)
     client_memory = make_client_memory(settings.vm_limits.memory_mb)
     metrics.add_gauge("client_memory_bytes", lambda: client_memory.held_bytes)
     executors = _make_executors()
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -80,7 +80,7 @@
             raise EndpointRefusedError(
                 answer.response.status,
                 _error_detail(answer, limits.first_token_s),
-                answer.is_first_on_connection,
+                answer.number == 1,
             )
         return EventStream(answer, self._readers, limits)
 
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -13,6 +13,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 from http.client import (
     HTTPConnection,
     HTTPException,
@@ -144,9 +145,9 @@
         return self._exchange.address
 
     @property
-    def is_first_on_connection(self) -> bool:
-        """Whether the server has sent no other answer on the connection."""
-        return self._exchange.connection.answers == 1
+    def number(self) -> int:
+        """Which answer of its connection this is; the first one has number 1."""
+        return self._exchange.connection.answers
 
     @property
     def sock(self) -> socket.socket:
@@ -276,6 +277,7 @@
             raise broken_call_error(error) from error
         self.response = following
         self._has_skipped = True
+        self._client.count_skipped()
 
     def close(self, is_read: bool) -> None:
         """Return the connection to the pool if its body was read to the end."""
@@ -497,6 +499,15 @@
         self._reader.close()
 
 
+class _IdleState(Enum):
+    """What has become of a connection while it was idle."""
+
+    CLEAN = "clean"
+    ENDED = "ended"
+    UNREAD = "unread"
+    """The server has sent more than the answers that were due."""
+
+
 class _Connection(HTTPConnection):
     """A connection whose answers share one reader, so that no buffered byte is lost."""
 
@@ -523,20 +534,20 @@
         response.fp = self.reader  # type: ignore[assignment]
         return response
 
-    def is_clean(self) -> bool:
+    def idle_state(self) -> _IdleState:
         """Return whether an idle connection is open and has no unread data.
 
         Data received with the last answer is in the reader and no longer in the
         socket, so both are checked.
         """
-        if is_readable(self.sock):
-            return False
+        is_quiet = not is_readable(self.sock)
         self.sock.setblocking(False)
         try:
-            return not self.reader.peek(1)
+            if self.reader.peek(1):
+                return _IdleState.UNREAD
         except OSError:
-            # Reset since the first look; the caller discards the connection.
-            return False
+            return _IdleState.ENDED
+        return _IdleState.CLEAN if is_quiet else _IdleState.ENDED
 
     def release(self) -> None:
         """Close the connection and its reader."""
@@ -586,6 +597,15 @@
     ----------
     source_host : str
         Source IP address of connections; empty to let the system choose.
+
+    Attributes
+    ----------
+    opened_connections : int
+        Connections that were established.
+    skipped_answers : int
+        Answers that were read past, as they answered an earlier call.
+    unread_connections : int
+        Idle connections that were closed, as the server had sent more than was due.
     """
 
     def __init__(self, source_host: str = "") -> None:
@@ -595,6 +615,9 @@
         self._idle_by_address: dict[Address, list[_IdleConnection]] = defaultdict(list)
         self._in_use: set[_Connection] = set()
         self._closed = False
+        self.opened_connections = 0
+        self.skipped_answers = 0
+        self.unread_connections = 0
 
     def call(self, address: Address, call: HttpCall) -> HttpAnswer:
         """Make the call and read the complete answer.
@@ -691,6 +714,11 @@
             self._in_use.discard(connection)
         connection.reset()
 
+    def count_skipped(self) -> None:
+        """Count an answer that was read past, as it answered another call."""
+        with self._lock:
+            self.skipped_answers += 1
+
     def _take_idle(self, address: Address, max_idle_s: float) -> _Connection | None:
         """Return a pooled connection that the server has not closed, or None."""
         while True:
@@ -701,8 +729,14 @@
                     return None
                 item = idle.pop()
                 self._in_use.add(item.connection)
-            if now_s < item.usable_until_s and item.connection.is_clean():
-                return item.connection
+            match item.connection.idle_state():
+                case _IdleState.CLEAN if now_s < item.usable_until_s:
+                    return item.connection
+                case _IdleState.UNREAD:
+                    with self._lock:
+                        self.unread_connections += 1
+                case _:
+                    pass
             self.discard(item.connection)
 
     def _connect(self, address: Address, call: HttpCall) -> _Connection:
@@ -713,6 +747,7 @@
         except OSError as error:
             raise NotSentError(f"{address}: {error!r}") from error
         with self._lock:
+            self.opened_connections += 1
             if not self._closed:
                 self._in_use.add(connection)
                 return connection
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -43,6 +43,7 @@
         response = answer.response
         self.ends_with_connection = response.length is None and not response.chunked
         self.write_error = answer.write_error
+        self.number = answer.number
 
     def body(self) -> bytes:
         """Return the complete body; see the Answer port."""
@@ -150,7 +151,7 @@
                 request,
                 response.status,
                 headers,
-                answer.is_first_on_connection,
+                answer.number == 1,
             )
             if head is not None:
                 return head
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -89,6 +89,7 @@
 
     ends_with_connection = False
     write_error = None
+    number = 1
 
     def __init__(
         self, chunks, kind=AnswerKind.SERVED, status=200, error=None, notices=()
@@ -963,6 +964,8 @@
         )
         site.forward()
         assert site.sent_to == ["e1", "e1"]
+        fields = dict(site.log.lines)["endpoint_declined"]
+        assert (fields["answer_number"], fields["after_ms"]) == (1, 0)
         needed = [options.needs_new_connection for _, options in site.upstream.sent]
         assert needed == [False, True]
 
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -530,6 +530,7 @@
             answer.close(is_read=True)
             task.join(10)
             assert client._take_idle(Address("127.0.0.1", port), 60.0) is None
+            assert client.skipped_answers == 1
 
 
 class TestSurplusData:
@@ -558,3 +559,5 @@
             for connection in accepted:
                 connection.close()
         assert bodies == [b"one", b"two"]
+        assert client.unread_connections == 1
+        assert client.opened_connections == 2
