Show the copy of a refusal taken for an answer at a shared address

Cause: a request that was declined is kept from the connections of the endpoint that declined it, by the id of that endpoint. Connections belong to addresses. An endpoint that has taken over the address of another declines in its own name (421), gets the request next, and the copy of its refusal, which has the request's id, counts as the second refusal while the request runs.

--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -15,7 +16,7 @@
 )
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.state.errors import BrokenCallError
-from camphoryard.state.ids import RequestId, Urgency
+from camphoryard.state.ids import EndpointId, RequestId, Urgency
 from camphoryard.transport.http_client import HttpClient
 from camphoryard.transport.upstream import HttpUpstream
 from tests.fakes.engines import make_endpoint
@@ -61,6 +62,31 @@
                 connection.sendall(self._answers.pop(0))
 
 
+class RepeatingEndpoint(Endpoint):
+    """Declines its first request; copies of it precede later answers there."""
+
+    def __init__(self, status=b"503 Full"):
+        super().__init__()
+        self._status = status
+        self.has_declined = False
+
+    def _answer(self, connection):
+        refusal = b""
+        with connection, contextlib.suppress(OSError):
+            while data := connection.recv(65_536):
+                id = data.partition(b"Attempt-Id: ")[2].partition(b"\r\n")[0]
+                if self.has_declined:
+                    connection.sendall(refusal + success(id))
+                    continue
+                self.has_declined = True
+                refusal = b"HTTP/1.1 %s\r\nNot-Executed: 1\r\nAttempt-Id: %s\r\n%s" % (
+                    self._status,
+                    id,
+                    NO_BODY,
+                )
+                connection.sendall(refusal)
+
+
 @pytest.fixture
 def send():
     """Return a function that sends a request and returns the kind of its answer."""
@@ -69,8 +95,9 @@
 
     def send_request(endpoint, id, needs_new_connection=False):
         now_s = time.monotonic()
+        headers = {"Attempt-Id": id}
         request = ClientRequest(
-            RequestId(id), "POST", "h", "/", {}, b"", now_s, now_s + TIMEOUT_S
+            RequestId(id), "POST", "h", "/", headers, b"", now_s, now_s + TIMEOUT_S
         )
         options = SendOptions(
             now_s + TIMEOUT_S,
@@ -82,7 +109,7 @@
             1.0,
             needs_new_connection,
         )
-        answer = upstream.open(endpoint.endpoint, request, options, Cancellation())
+        answer = upstream.open(endpoint, request, options, Cancellation())
         with contextlib.closing(answer):
             answer.body()
         return answer.head.kind
@@ -98,28 +125,41 @@
         """The request gets its own answer, which follows."""
         copy = refusal(b"Attempt-Id: a\r\n")
         endpoint = Endpoint(copy, copy + success(b"b"))
-        assert send(endpoint, "a") is AnswerKind.NOT_RUN
-        assert send(endpoint, "b") is AnswerKind.SERVED
+        assert send(endpoint.endpoint, "a") is AnswerKind.NOT_RUN
+        assert send(endpoint.endpoint, "b") is AnswerKind.SERVED
         assert endpoint.connections == 1
 
     def test_refusal_without_id_on_a_used_connection_proves_nothing(self, send):
         """The request may be running while the copy is read."""
         endpoint = Endpoint(refusal(), refusal() + success(b"b"))
-        assert send(endpoint, "a") is AnswerKind.NOT_RUN
-        assert send(endpoint, "b") is AnswerKind.UNTRUSTED
+        assert send(endpoint.endpoint, "a") is AnswerKind.NOT_RUN
+        assert send(endpoint.endpoint, "b") is AnswerKind.UNTRUSTED
 
     def test_request_that_is_sent_again_does_not_read_its_own_refusal(self, send):
         """The copy has the right id, so the connection that carries it is avoided."""
         copy = refusal(b"Attempt-Id: a\r\n")
         endpoint = Endpoint(copy, success(b"a"))
-        assert send(endpoint, "a") is AnswerKind.NOT_RUN
-        assert send(endpoint, "a", needs_new_connection=True) is AnswerKind.SERVED
+        assert send(endpoint.endpoint, "a") is AnswerKind.NOT_RUN
+        assert (
+            send(endpoint.endpoint, "a", needs_new_connection=True) is AnswerKind.SERVED
+        )
         assert endpoint.connections == 2
 
+    # Guards against REFUSED and TWICE: a request ran while the copy of its refusal,
+    # from the endpoint that had taken over the address, was taken for its answer.
+    def test_request_to_the_next_endpoint_at_its_address_is_told_from_the_copy(
+        self, send
+    ):
+        """The refusal came in the name of an endpoint that has left the address."""
+        address = RepeatingEndpoint(status=b"421 Other")
+        former = replace(address.endpoint, id=EndpointId("i-0"))
+        assert send(former, "a") is AnswerKind.NOT_LOADED
+        assert send(address.endpoint, "a") is AnswerKind.SERVED
+
     def test_only_copies_break_the_call(self, send):
         """An endpoint that answers earlier requests alone is not waited for."""
         copy = refusal(b"Attempt-Id: a\r\n")
         endpoint = Endpoint(copy, copy * 9)
-        send(endpoint, "a")
+        send(endpoint.endpoint, "a")
         with pytest.raises(BrokenCallError):
-            send(endpoint, "b")
+            send(endpoint.endpoint, "b")
