Keep a refused request off the connections that carried its refusal

Callers were told that a request had not run which ran (REFUSED), or it ran at a further endpoint (TWICE). Cause: which connections to avoid was known by the id of the endpoint that had declined, while connections are pooled by address; and calls without an id (reports, inventories, completions of the product's own front end) were attributed by their place on any connection. The class of fault is an answer attributed by its place on a connection, not by what it says. Change: a connection remembers the ids of the calls that were refused on it, 64 at most, and carries none of them again; a call without an id uses no connection that carried a refusal, and ends the use of one on which it is refused itself.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -218,8 +218,6 @@
     urgency: Urgency,
 ) -> SendOptions:
     request, rule = forwarded.request, forwarded.rule
-    # A copy of the refusal could still arrive on the connection that carried it.
-    needs_new_connection = endpoint.id in forwarded.declined
     head_timeout_s = max(0.0, forwarded.event_deadline_s - context.clock())
     silence_timeout_s = head_timeout_s
     runs = forwarded.runs + 1
@@ -234,7 +232,6 @@
         urgency,
         forwarded.progress.last_event or request.resume_after,
         MAX_IDLE_NOT_REPEATABLE_S if is_not_repeatable else MAX_IDLE_REPEATABLE_S,
-        needs_new_connection,
         forwarded.account.id if forwarded.account is not None else None,
         forwards_credentials=not forwarded.has_accounts,
     )
@@ -260,7 +257,6 @@
     """Relay an answer whose head has been received, or report that it was declined."""
     match answer.head.kind:
         case AnswerKind.NOT_RUN | AnswerKind.NOT_LOADED:
-            forwarded.declined.add(endpoint.id)
             answer.body()
             requested_model = forwarded.request.requested_model
             if requested_model is not None:
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -141,9 +141,9 @@
     ``has_accounts``. ``runs`` counts the endpoints at which the request may have run,
     ``sends`` all endpoints that it was sent to. ``progress`` is the part of a stream
     that the client has received. ``failed`` contains the endpoints whose call failed,
-    ``unreached`` those of them that accepted no connection, ``declined`` those that
-    declined the request. ``endpoint`` and ``urgency`` are those of the last send, and
-    ``view_age_s`` is how old the view of the endpoints may have been then.
+    ``unreached`` those of them that accepted no connection. ``endpoint`` and
+    ``urgency`` are those of the last send, and ``view_age_s`` is how old the view of
+    the endpoints may have been then.
     ``has_begun_answer`` is True if the last endpoint has begun to answer with success,
     ``is_answered`` if it has sent enough to show that the request does not crash it.
     ``crashing_parts`` are the parts of the prompt that other requests may share,
@@ -165,7 +165,6 @@
     sends: int = 0
     may_have_run: bool = False
     failed: set[EndpointId] = field(default_factory=set)
-    declined: set[EndpointId] = field(default_factory=set)
     progress: StreamProgress = field(default_factory=StreamProgress)
     unreached: set[EndpointId] = field(default_factory=set)
     endpoint: EndpointId | None = None
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -66,8 +66,7 @@
     the priority in the endpoint's queue. After each ``silence_timeout_s`` without an
     answer, ``keep_waiting`` decides whether to wait on. ``resume_after`` is the last
     event that the client has received. A pooled connection that has been idle for
-    longer than ``max_idle_s`` is not used, and none at all if
-    ``needs_new_connection``. ``account`` is named to the endpoint.
+    longer than ``max_idle_s`` is not used. ``account`` is named to the endpoint.
     ``forwards_credentials`` if there are no accounts, so that they are meant for the
     endpoint.
     """
@@ -79,7 +78,6 @@
     urgency: Urgency
     resume_after: EventId | None
     max_idle_s: float
-    needs_new_connection: bool = False
     account: AccountId | None = None
     forwards_credentials: bool = True
 
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -69,6 +69,9 @@
 """Maximum time from sending a call to the end of its answer, in timeouts of the call,
 unless the call sets another."""
 LINE_ENDS = (b"\r\n", b"\n")
+MIN_REFUSAL_STATUS = 400
+MAX_REFUSED_IDS = 64
+"""Maximum number of ids that a connection remembers; it is closed after that."""
 
 
 def _never() -> bool:
@@ -101,6 +104,7 @@
     ``connect_timeout_s`` limits the time to connect, ``max_idle_s`` how long a pooled
     connection may have been idle. ``is_permitted`` is checked right before the call
     is written, as connecting takes time and the process may be suspended meanwhile.
+    ``id`` is what the server repeats in its answers to the call, None if nothing.
     """
 
     method: str
@@ -117,6 +121,7 @@
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     max_idle_s: float = math.inf
     is_permitted: Callable[[], bool] | None = None
+    id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +139,6 @@
     def __init__(self, client: "HttpClient", exchange: "_Exchange") -> None:
         self._client = client
         self._exchange = exchange
-        self._method = exchange.method
         self._has_skipped = False
         self._reserved_bytes = 0
         self.response = exchange.response
@@ -250,7 +254,8 @@
         """Reserve memory for a body, of which ``body`` is the beginning."""
         exchange = self._exchange
         budget = self._client.answer_budget
-        budget.reserve(exchange.address, max_size, end_s, exchange.cancellation)
+        cancellation = exchange.call.cancellation
+        budget.reserve(exchange.address, max_size, end_s, cancellation)
         self._reserved_bytes = max_size
         # Returned to the system as soon as it is closed. Freed memory of the heap would
         # stay with the arena of this task's thread.
@@ -265,14 +270,15 @@
         Needed because an endpoint may answer an earlier call twice. Raises the same
         errors as ``HttpClient.call``.
         """
+        exchange = self._exchange
         try:
             for _ in self._pieces():
                 pass
-            following = self._exchange.connection.next_response(
-                self.sock, method=self._method
+            following = exchange.connection.next_response(
+                self.sock, method=exchange.call.method
             )
             following.begin()
-            self._exchange.connection.reader.check_line_end()
+            exchange.connection.reader.check_line_end()
         except (OSError, HTTPException, ValueError) as error:
             raise broken_call_error(error) from error
         self.response = following
@@ -288,6 +294,8 @@
         exchange.unsubscribe_cancellation()
         exchange.connection.reader.set_keep_waiting(_never)
         self.response.close()
+        if self.response.status >= MIN_REFUSAL_STATUS:
+            exchange.connection.record_refused(exchange.call.id)
         is_reusable = not self.response.will_close and not self._has_skipped
         if is_read and is_reusable and self.write_error is None:
             keep_alive_s = _keep_alive_s(self.response)
@@ -517,6 +525,30 @@
     write_error: OSError | None = None
     """The error after which the rest of a call was not written."""
 
+    def __init__(
+        self, address: Address, timeout_s: float, source: tuple[str, int] | None
+    ) -> None:
+        super().__init__(address.host, address.port, timeout_s, source)
+        self._refused_ids: set[str | None] = set()
+
+    def record_refused(self, id: str | None) -> None:
+        """Record that a call was refused, whose refusal may come once more."""
+        self._refused_ids.add(id)
+
+    def may_carry(self, id: str | None) -> bool:
+        """Return whether the answer to a call is told from copies of refusals.
+
+        The id of the call tells, unless the refused call had the same or none.
+        """
+        if id is None:
+            return not self._refused_ids
+        return self._refused_ids.isdisjoint((id, None))
+
+    @property
+    def is_spent(self) -> bool:
+        """Whether no call can be told from copies of refusals any more."""
+        return None in self._refused_ids or len(self._refused_ids) >= MAX_REFUSED_IDS
+
     def connect(self) -> None:
         """Connect, with TCP keep-alive so that an unresponsive peer is detected."""
         super().connect()
@@ -569,16 +601,15 @@
     """A call whose answer has begun; ``handle`` is its cancellation subscription."""
 
     address: Address
-    method: str
+    call: HttpCall
     connection: _Connection
     sock: socket.socket
     response: HTTPResponse
-    cancellation: Cancellation | None
     handle: int
 
     def unsubscribe_cancellation(self) -> None:
-        if self.cancellation is not None:
-            self.cancellation.unsubscribe(self.handle)
+        if self.call.cancellation is not None:
+            self.call.cancellation.unsubscribe(self.handle)
 
 
 @dataclass(frozen=True, slots=True)
@@ -657,7 +688,9 @@
     def open(self, address: Address, call: HttpCall) -> OpenAnswer:
         """Make the call and read the head of its answer; raises as ``call``."""
         connection = (
-            None if call.new_connection else self._take_idle(address, call.max_idle_s)
+            None
+            if call.new_connection
+            else self._take_idle(address, call.max_idle_s, call.id)
         )
         if connection is None:
             connection = self._connect(address, call)
@@ -697,7 +730,8 @@
         with self._lock:
             self._in_use.discard(connection)
             idle = self._idle_by_address[address]
-            if not self._closed and len(idle) < MAX_IDLE_PER_ADDRESS:
+            has_room = len(idle) < MAX_IDLE_PER_ADDRESS and not connection.is_spent
+            if not self._closed and has_room:
                 idle.append(_IdleConnection(connection, now_s, now_s + keep_alive_s))
                 return
         connection.release()
@@ -719,15 +753,28 @@
         with self._lock:
             self.skipped_answers += 1
 
-    def _take_idle(self, address: Address, max_idle_s: float) -> _Connection | None:
-        """Return a pooled connection that the server has not closed, or None."""
+    def _take_idle(
+        self, address: Address, max_idle_s: float, id: str | None = None
+    ) -> _Connection | None:
+        """Return a pooled connection for a call with ``id``, or None.
+
+        The server has not closed it, and no refusal on it could be taken for the
+        answer to the call.
+        """
         while True:
             now_s = time.monotonic()
             with self._lock:
                 idle = self._idle_by_address[address]
-                if not idle or now_s - idle[-1].idle_since_s > max_idle_s:
+                usable = (
+                    item
+                    for item in reversed(idle)
+                    if now_s - item.idle_since_s <= max_idle_s
+                    and item.connection.may_carry(id)
+                )
+                item = next(usable, None)
+                if item is None:
                     return None
-                item = idle.pop()
+                idle.remove(item)
                 self._in_use.add(item.connection)
             match item.connection.idle_state():
                 case _IdleState.CLEAN if now_s < item.usable_until_s:
@@ -741,7 +788,7 @@
 
     def _connect(self, address: Address, call: HttpCall) -> _Connection:
         timeout_s = min(call.timeout_s, call.connect_timeout_s)
-        connection = _Connection(address.host, address.port, timeout_s, self._source)
+        connection = _Connection(address, timeout_s, self._source)
         try:
             connection.connect()
         except OSError as error:
@@ -779,9 +826,7 @@
                 cancellation.unsubscribe(handle)
             self.abort(connection)
             raise broken_call_error(error) from error
-        exchange = _Exchange(
-            address, call.method, connection, sock, response, cancellation, handle
-        )
+        exchange = _Exchange(address, call, connection, sock, response, handle)
         return OpenAnswer(self, exchange)
 
 
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -113,10 +113,10 @@
             max(MIN_TIMEOUT_S, min(options.head_timeout_s, left_s)),
             max(MIN_TIMEOUT_S, options.silence_timeout_s),
             options.keep_waiting,
-            options.needs_new_connection,
             cancellation=cancellation,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_idle_s=options.max_idle_s,
+            id=request.id,
         )
         address = Address(endpoint.address.host, endpoint.address.port)
         answer = self._client.open(address, call)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -533,6 +533,29 @@
             assert client.skipped_answers == 1
 
 
+# Guards against TWICE and false crashes: the copy of a refusal was taken for the answer
+# to a call whose answer bears no id.
+class TestCallsWithoutId:
+    """Calls whose answers are attributed by their place on a connection."""
+
+    REFUSAL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+    ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+    def test_connection_is_not_used_after_a_refusal(self, client):
+        """The refusal could come once more."""
+        server = Server([self.REFUSAL, self.ANSWER])
+        get(client, server)
+        assert get(client, server) == b"ok"
+        assert client.opened_connections == 2
+
+    def test_connection_with_the_refusal_of_another_call_is_avoided(self, client):
+        """That had an id, but this call has none to compare it with."""
+        server = Server([self.REFUSAL])
+        get(client, server, id="a")
+        assert client._take_idle(server.address, 60.0) is None
+        assert client._take_idle(server.address, 60.0, "b") is not None
+
+
 class TestSurplusData:
     """Data after a complete answer."""
 
