Give calls without an id connections of their own

Seen: the copy of a whole answer, or of an order's, on a kept connection could be read as a report or an inventory; the report then stood where the next request's answer is due, which was cut off (502 for a request that may not be repeated). Cause: calls whose answers bear an id and calls without one shared connections, and an order's new connection went to the pool after it. Change: the pool keeps connections of calls with and without ids apart; a call without an id that needs a new connection does not share it afterwards.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -31,7 +31,7 @@
 )
 from camphoryard.transport.answer_budget import MAX_SMALL_ANSWER_BYTES, AnswerBudget
 
-MAX_IDLE_PER_ADDRESS = 64
+MAX_IDLE_PER_POOL = 64
 CONNECT_TIMEOUT_S = 1.0
 MILLISECONDS_PER_SECOND = 1000
 TCP_KEEP_ALIVE_IDLE_S = 1
@@ -294,13 +294,18 @@
         exchange.unsubscribe_cancellation()
         exchange.connection.reader.set_keep_waiting(_never)
         self.response.close()
-        if self.response.status >= MIN_REFUSAL_STATUS:
-            exchange.connection.record_refused(exchange.call.id)
-        is_reusable = not self.response.will_close and not self._has_skipped
+        exchange.record_refusal()
+        is_reusable = (
+            exchange.leaves_connection_usable
+            and not self.response.will_close
+            and not self._has_skipped
+        )
         if is_read and is_reusable and self.write_error is None:
-            keep_alive_s = _keep_alive_s(self.response)
             self._client.return_to_pool(
-                exchange.address, exchange.connection, keep_alive_s
+                exchange.address,
+                exchange.connection,
+                exchange.call.id is not None,
+                _keep_alive_s(self.response),
             )
         elif is_read:
             self._client.discard(exchange.connection)
@@ -529,25 +534,8 @@
         self, address: Address, timeout_s: float, source: tuple[str, int] | None
     ) -> None:
         super().__init__(address.host, address.port, timeout_s, source)
-        self._refused_ids: set[str | None] = set()
-
-    def record_refused(self, id: str | None) -> None:
-        """Record that a call was refused, whose refusal may come once more."""
-        self._refused_ids.add(id)
-
-    def may_carry(self, id: str | None) -> bool:
-        """Return whether the answer to a call is told from copies of refusals.
-
-        The id of the call tells, unless the refused call had the same or none.
-        """
-        if id is None:
-            return not self._refused_ids
-        return self._refused_ids.isdisjoint((id, None))
-
-    @property
-    def is_spent(self) -> bool:
-        """Whether no call can be told from copies of refusals any more."""
-        return None in self._refused_ids or len(self._refused_ids) >= MAX_REFUSED_IDS
+        self.refused_ids: set[str] = set()
+        """Ids of calls whose refusals may come once more."""
 
     def connect(self) -> None:
         """Connect, with TCP keep-alive so that an unresponsive peer is detected."""
@@ -607,11 +595,39 @@
     response: HTTPResponse
     handle: int
 
+    @property
+    def is_refused(self) -> bool:
+        return self.response.status >= MIN_REFUSAL_STATUS
+
+    def record_refusal(self) -> None:
+        """Record that the refusal of the call may come once more."""
+        if self.is_refused and self.call.id is not None:
+            self.connection.refused_ids.add(self.call.id)
+
+    @property
+    def leaves_connection_usable(self) -> bool:
+        """Whether the answers to later calls are told from copies of this one.
+
+        Calls without an id share connections with each other only, and with none if
+        they need a new one: an order's answer must not be read as a report.
+        """
+        if self.call.id is None:
+            return not (self.is_refused or self.call.new_connection)
+        return len(self.connection.refused_ids) < MAX_REFUSED_IDS
+
     def unsubscribe_cancellation(self) -> None:
         if self.call.cancellation is not None:
             self.call.cancellation.unsubscribe(self.handle)
 
 
+@dataclass(frozen=True, slots=True)
+class _Pool:
+    """Which idle connections a call may use: those of its address and kind."""
+
+    address: Address
+    has_ids: bool
+
+
 @dataclass(frozen=True, slots=True)
 class _IdleConnection:
     """A pooled connection, usable until the monotonic time ``usable_until_s``."""
@@ -643,7 +659,7 @@
         self.answer_budget: AnswerBudget[Address] = AnswerBudget()
         self._source = (source_host, 0) if source_host else None
         self._lock = threading.Lock()
-        self._idle_by_address: dict[Address, list[_IdleConnection]] = defaultdict(list)
+        self._idle_by_pool: dict[_Pool, list[_IdleConnection]] = defaultdict(list)
         self._in_use: set[_Connection] = set()
         self._closed = False
         self.opened_connections = 0
@@ -704,9 +720,9 @@
         with self._lock:
             self._closed = True
             connections = list(self._in_use)
-            for idle in self._idle_by_address.values():
+            for idle in self._idle_by_pool.values():
                 connections.extend(item.connection for item in idle)
-            self._idle_by_address.clear()
+            self._idle_by_pool.clear()
         for connection in connections:
             if connection.sock is not None:
                 _abort_reads(connection.reader, connection.sock)
@@ -719,19 +735,25 @@
             )
         except NotSentError:
             return False
-        self.return_to_pool(address, connection)
+        self.return_to_pool(address, connection, has_ids=True)
         return True
 
     def return_to_pool(
-        self, address: Address, connection: _Connection, keep_alive_s: float = math.inf
+        self,
+        address: Address,
+        connection: _Connection,
+        has_ids: bool,
+        keep_alive_s: float = math.inf,
     ) -> None:
-        """Add a connection to the pool, to be used within ``keep_alive_s`` seconds."""
+        """Add a connection to the pool, to be used within ``keep_alive_s`` seconds.
+
+        It is for calls with ids if ``has_ids``, else for those without.
+        """
         now_s = time.monotonic()
         with self._lock:
             self._in_use.discard(connection)
-            idle = self._idle_by_address[address]
-            has_room = len(idle) < MAX_IDLE_PER_ADDRESS and not connection.is_spent
-            if not self._closed and has_room:
+            idle = self._idle_by_pool[_Pool(address, has_ids)]
+            if not self._closed and len(idle) < MAX_IDLE_PER_POOL:
                 idle.append(_IdleConnection(connection, now_s, now_s + keep_alive_s))
                 return
         connection.release()
@@ -764,12 +786,12 @@
         while True:
             now_s = time.monotonic()
             with self._lock:
-                idle = self._idle_by_address[address]
+                idle = self._idle_by_pool[_Pool(address, id is not None)]
                 usable = (
                     item
                     for item in reversed(idle)
                     if now_s - item.idle_since_s <= max_idle_s
-                    and item.connection.may_carry(id)
+                    and id not in item.connection.refused_ids
                 )
                 item = next(usable, None)
                 if item is None:
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -548,13 +548,20 @@
         assert get(client, server) == b"ok"
         assert client.opened_connections == 2
 
-    def test_connection_with_the_refusal_of_another_call_is_avoided(self, client):
-        """That had an id, but this call has none to compare it with."""
-        server = Server([self.REFUSAL])
+    @pytest.mark.parametrize("answer", [REFUSAL, ANSWER])
+    def test_connection_of_calls_with_ids_is_not_shared(self, client, answer):
+        """Their answers may come once more, and this call has no id to compare."""
+        server = Server([answer])
         get(client, server, id="a")
         assert client._take_idle(server.address, 60.0) is None
         assert client._take_idle(server.address, 60.0, "b") is not None
 
+    def test_connection_of_a_call_that_needs_a_new_one_is_not_shared(self, client):
+        """Its answer is of another kind than those that come next."""
+        server = Server([self.ANSWER])
+        get(client, server, new_connection=True)
+        assert client._take_idle(server.address, 60.0) is None
+
 
 class TestSurplusData:
     """Data after a complete answer."""
