--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -200,3 +200,19 @@
         send(endpoint.endpoint, "a")
         with pytest.raises(BrokenCallError):
             send(endpoint.endpoint, "b")
+
+
+class TestPooledConnections:
+    """Which of several pooled connections a declined request gets."""
+
+    # Guards against REFUSED and TWICE: the connection used last, which has the copy of
+    # the refusal, came first.
+    def test_declined_request_gets_one_that_was_idle_for_longer(self, client, send):
+        """Neither the connection of its refusal nor a new one is used."""
+        endpoint = RepeatingEndpoint()
+        address = endpoint.endpoint.address
+        for _ in range(2):
+            assert client.can_connect(Address(address.host, address.port), TIMEOUT_S)
+        assert send(endpoint.endpoint, "a") is AnswerKind.NOT_RUN
+        assert send(endpoint.endpoint, "a") is AnswerKind.SERVED
+        assert client.opened_connections == 2
