Show the second answer to a request taken for a report

Cause: a call without an id takes a connection that carried calls with ids, unless one of them was refused, and the id in an answer to it is not looked at. Result: fails on and on. BrokenCallError: unreadable report: Input data was truncated

--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -1,5 +1,9 @@
 """Tests of the reports of engines."""
 
+import contextlib
+import socket
+import threading
+
 import pytest
 
 from camphoryard.coordination.loading.ports import EngineOrder
@@ -10,7 +14,12 @@
 from camphoryard.state.errors import BrokenCallError, NotSentError
 from camphoryard.state.ids import ModelId
 from camphoryard.state.traffic import RequestedModel
-from camphoryard.transport.http_client import HttpAnswer
+from camphoryard.transport.http_client import (
+    Address,
+    HttpAnswer,
+    HttpCall,
+    HttpClient,
+)
 from tests.fakes.engines import SERVICE, Clock, RecordedLog, make_endpoint
 
 
@@ -91,3 +100,41 @@
         notices = make_notices()
         PlatformEngines(client, notices).report(make_endpoint("e1"))
         assert notices.directory.ready(SERVICE) == []
+
+
+# Guards against a false failure: the second answer to a forwarded request was taken for
+# the answer to the call for a report.
+class TestSecondAnswers:
+    """Answers that an endpoint sends a second time, on a connection that is kept."""
+
+    FORWARDED = b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: a\r\n"
+    NO_BODY = b"Content-Length: 0\r\n\r\n"
+    REPORT = b'{"models":[],"seq":7}'
+
+    def test_report_is_told_from_the_answer_to_a_request(self):
+        """Only the latter bears an id."""
+        forwarded = self.FORWARDED + self.NO_BODY
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.REPORT)
+        report = head + self.REPORT
+
+        def answer_calls(listener):
+            with contextlib.suppress(OSError):
+                while True:
+                    connection, _ = listener.accept()
+                    earlier = b""
+                    with connection:
+                        while data := connection.recv(4096):
+                            is_report = data.startswith(b"GET /report")
+                            answer = report if is_report else forwarded
+                            connection.sendall(earlier + answer)
+                            earlier = answer
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            threading.Thread(target=answer_calls, args=(listener,), daemon=True).start()
+            port = listener.getsockname()[1]
+            client = HttpClient()
+            client.call(Address("127.0.0.1", port), HttpCall("POST", "/", id="a"))
+            engines = PlatformEngines(client, make_notices())
+            found = engines.report(make_endpoint("e1", port=port))
+            client.close()
+        assert found.orders_accepted == 7
