Show the copy of a report taken for the answer to a request

Cause: a connection that carried a call without an id carries requests as well. The copy of such an answer has no id, so it counts as the answer to the request that is under way: the request fails though it runs, or is sent again and takes a retry.

--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -17,7 +17,12 @@
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.state.errors import BrokenCallError
 from camphoryard.state.ids import EndpointId, RequestId, Urgency
-from camphoryard.transport.http_client import MAX_REFUSED_IDS, Address, HttpClient
+from camphoryard.transport.http_client import (
+    MAX_REFUSED_IDS,
+    Address,
+    HttpCall,
+    HttpClient,
+)
 from camphoryard.transport.upstream import HttpUpstream
 from tests.fakes.engines import make_endpoint
 
@@ -87,6 +92,21 @@
                 connection.sendall(refusal)
 
 
+class ReportingEndpoint(Endpoint):
+    """Reports without an id; the report precedes the next answer there once more."""
+
+    REPORT = b"HTTP/1.1 200 OK\r\n" + NO_BODY
+
+    def _answer(self, connection):
+        earlier = b""
+        with connection, contextlib.suppress(OSError):
+            while data := connection.recv(65_536):
+                id = data.partition(b"Attempt-Id: ")[2].partition(b"\r\n")[0]
+                answer = success(id) if id else self.REPORT
+                connection.sendall(earlier + answer)
+                earlier = answer
+
+
 @pytest.fixture
 def client():
     """Return a client, closed after the test."""
@@ -216,3 +236,12 @@
         assert send(endpoint.endpoint, "a") is AnswerKind.NOT_RUN
         assert send(endpoint.endpoint, "a") is AnswerKind.SERVED
         assert client.opened_connections == 2
+
+    # Guards against requests that fail though they run: the copy of a report was taken
+    # for their answer.
+    def test_request_is_not_answered_by_the_copy_of_a_report(self, client, send):
+        """The copy has no id that would tell it from the answer."""
+        endpoint = ReportingEndpoint()
+        address = endpoint.endpoint.address
+        client.call(Address(address.host, address.port), HttpCall("GET", "/report"))
+        assert send(endpoint.endpoint, "a") is AnswerKind.SERVED
