Serve the connections of a test side by side

Cause: the endpoint of test_report_is_told_from_the_answer_to_a_request served one connection at a time, so a report on a connection of its own, which is the mend, was never answered. Change: a task for each connection; what is asserted stays. Result: passes now; with the client of it still fails (unreadable report).

--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -117,20 +117,25 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.REPORT)
         report = head + self.REPORT
 
-        def answer_calls(listener):
+        def answer_calls(connection):
+            earlier = b""
+            with connection, contextlib.suppress(OSError):
+                while data := connection.recv(4096):
+                    is_report = data.startswith(b"GET /report")
+                    answer = report if is_report else forwarded
+                    connection.sendall(earlier + answer)
+                    earlier = answer
+
+        def accept(listener):
             with contextlib.suppress(OSError):
                 while True:
                     connection, _ = listener.accept()
-                    earlier = b""
-                    with connection:
-                        while data := connection.recv(4096):
-                            is_report = data.startswith(b"GET /report")
-                            answer = report if is_report else forwarded
-                            connection.sendall(earlier + answer)
-                            earlier = answer
+                    threading.Thread(
+                        target=answer_calls, args=(connection,), daemon=True
+                    ).start()
 
         with socket.create_server(("127.0.0.1", 0)) as listener:
-            threading.Thread(target=answer_calls, args=(listener,), daemon=True).start()
+            threading.Thread(target=accept, args=(listener,), daemon=True).start()
             port = listener.getsockname()[1]
             client = HttpClient()
             client.call(Address("127.0.0.1", port), HttpCall("POST", "/", id="a"))
