Reset the connection of an answer that was not relayed whole

Seen: in a test over sockets a client gets the events 1 and 2 of its stream twice (ORDER). Cause: a stream that was cut within an event, in an answer with complete framing, was read to its end, so its connection went back to the pool. The rest is asked for with the same id; if the endpoint is the only one with the model, over that connection, and a second copy of the first part counts as the rest. Change: forwarding discards an answer that it could not use, and its connection is reset.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -113,9 +113,14 @@
             context.observe("head", context.clock() - sent_s)
             if answer.write_error is not None:
                 _log_unread_request(context, forwarded, endpoint, answer)
-            return _handle_answer(
-                context, forwarded, endpoint, answer, reply, sent_s, wait
-            )
+            try:
+                return _handle_answer(
+                    context, forwarded, endpoint, answer, reply, sent_s, wait
+                )
+            except BrokenCallError:
+                # The request may be sent again, and a copy of this answer has its id.
+                answer.discard()
+                raise
     finally:
         cancellation.unsubscribe(handle)
         wait.end()
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -150,6 +150,9 @@
             If the body ends early, or bytes arrive that are no part of it.
         """
 
+    def discard(self) -> None:
+        """Have `close` reset the connection, whatever of the answer was read."""
+
     def close(self) -> None:
         """Close the answer and release its connection."""
 
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -82,6 +82,10 @@
             raise broken_call_error(error) from error
         self._is_read = True
 
+    def discard(self) -> None:
+        """Have `close` reset the connection; see the Answer port."""
+        self._is_read = False
+
     def close(self) -> None:
         """Close the answer; aborts the connection if the body is not fully read."""
         self._answer.close(self._is_read and not self.head.closes_connection)
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -1,6 +1,9 @@
 """Tests of forwarding one request, against fake endpoints."""
 
 import contextlib
+import socket
+import threading
+import time
 from dataclasses import replace
 from functools import partial
 
@@ -31,6 +34,7 @@
     RecentFailures,
 )
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
+from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.state.accounts import Account, key_digest, make_accounts
 from camphoryard.state.directory import Directory
 from camphoryard.state.dispatch import (
@@ -62,6 +66,8 @@
 from camphoryard.state.tables import InFlightTable
 from camphoryard.state.traffic import Repeatability, RequestedModel
 from camphoryard.state.verdict import Verdict
+from camphoryard.transport.http_client import HttpClient
+from camphoryard.transport.upstream import HttpUpstream
 from tests.fakes.engines import (
     SERVICE,
     ZONE,
@@ -114,6 +120,9 @@
         if self._error:
             raise self._error
 
+    def discard(self):
+        """Do nothing: there is no connection."""
+
     def close(self):
         """Close the answer."""
         self.is_closed = True
@@ -1545,3 +1554,94 @@
         site = Site(served(b"ok"), turns=Turns())
         site.forward()
         assert not site.context.turns.asked
+
+
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: q1\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+DECLINED = (
+    b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt-Id: q1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+def chunked(body):
+    """Return a stream that is complete in its framing."""
+    return b"%s%x\r\n%s\r\n0\r\n\r\n" % (STREAM_HEAD, len(body), body)
+
+
+class RepeatingEndpoint:
+    """Sends ``answers`` in order, each once more before the next on its connection."""
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            connection, _ = self._listener.accept()
+            threading.Thread(
+                target=self._answer, args=(connection,), daemon=True
+            ).start()
+
+    def _answer(self, connection):
+        earlier = b""
+        with connection, contextlib.suppress(OSError, IndexError):
+            while connection.recv(65_536):
+                answer = self._answers.pop(0)
+                connection.sendall(earlier + answer)
+                earlier = answer
+
+
+class TestRepeatedAnswers:
+    """Requests sent again to the only endpoint, which repeats its answers."""
+
+    @pytest.fixture
+    def forward_to(self):
+        """Return a function that forwards over sockets and returns the reply."""
+        client = HttpClient()
+
+        def forward_request(*answers):
+            server = RepeatingEndpoint(*answers)
+            site = Site(
+                repeatability=Repeatability.RESUMABLE_STREAM,
+                requested_model=RequestedModel(ModelId("m1")),
+                endpoints=(),
+                rule={"max_attempts": 3},
+            )
+            endpoint = make_endpoint("e1", ("m1",), port=server.port)
+            site.directory.observe(endpoint)
+            site.clock.now_s = now_s = time.monotonic()
+            site.request = replace(
+                site.request,
+                headers={"Attempt-Id": "q1"},
+                arrived_s=now_s,
+                deadline_s=now_s + 20.0,
+            )
+            site.context = replace(
+                site.context,
+                upstream=HttpUpstream(client, PlatformDialect()),
+                models=Models(endpoint),
+            )
+            with contextlib.suppress(RefusalError):
+                site.forward()
+            return site.reply
+
+        yield forward_request
+        client.close()
+
+    # Guards against REFUSED: the copy was taken for the answer to the second send.
+    def test_declined_request_is_told_from_the_copy_of_its_refusal(self, forward_to):
+        """The first answer is closed before the request is sent again."""
+        reply = forward_to(DECLINED, chunked(ONE + TWO))
+        assert (reply.status, reply.body) == (200, ONE + TWO)
+
+    # Guards against ORDER: the rest of a stream was asked for over the connection that
+    # had carried its first part, whose second copy was taken for the rest.
+    def test_rest_of_a_stream_is_told_from_the_copy_of_its_first_part(self, forward_to):
+        """Both have the id of the request, so the connection is not used again."""
+        reply = forward_to(chunked(ONE + TWO + b"id: 3\nda"), chunked(THREE))
+        assert reply.body == ONE + TWO + THREE
