Replace the oldest connection of a full pool

Cause: connections that no call could use any more, as they were idle for too long or had carried the refusal of the same request, stayed in the pool; once there were 64 of an address, each call opened a connection that was closed after it. Change: a connection that comes back to a full pool replaces the one that was idle for longest.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -747,16 +747,20 @@
     ) -> None:
         """Add a connection to the pool, to be used within ``keep_alive_s`` seconds.
 
-        It is for calls with ids if ``has_ids``, else for those without.
+        It is for calls with ids if ``has_ids``, else for those without. In a full pool
+        it replaces the connection that was idle for longest.
         """
         now_s = time.monotonic()
+        surplus = connection
         with self._lock:
             self._in_use.discard(connection)
-            idle = self._idle_by_pool[_Pool(address, has_ids)]
-            if not self._closed and len(idle) < MAX_IDLE_PER_POOL:
+            if not self._closed:
+                idle = self._idle_by_pool[_Pool(address, has_ids)]
                 idle.append(_IdleConnection(connection, now_s, now_s + keep_alive_s))
-                return
-        connection.release()
+                if len(idle) <= MAX_IDLE_PER_POOL:
+                    return
+                surplus = idle.pop(0).connection
+        surplus.release()
 
     def discard(self, connection: _Connection) -> None:
         """Close a connection that cannot be reused."""
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -19,7 +19,12 @@
     StalledCallError,
 )
 from camphoryard.transport import http_client
-from camphoryard.transport.http_client import Address, HttpCall, HttpClient
+from camphoryard.transport.http_client import (
+    MAX_IDLE_PER_POOL,
+    Address,
+    HttpCall,
+    HttpClient,
+)
 
 HOST = "127.0.0.1"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -591,3 +596,43 @@
         assert bodies == [b"one", b"two"]
         assert client.unread_connections == 1
         assert client.opened_connections == 2
+
+
+# Guards against connections without end: idle ones that no call could use filled the
+# pool, so that none was kept any more.
+class TestFullPool:
+    """A pool that is full of connections which carried refusals."""
+
+    REFUSAL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+
+    def test_call_still_gets_a_pooled_connection(self, client):
+        """An unusable connection gives way to one that can be used again."""
+        with socket.create_server((HOST, 0)) as listener:
+            address = Address(HOST, listener.getsockname()[1])
+            accepted = []
+
+            def answer_calls(connection):
+                with contextlib.suppress(OSError):
+                    while data := connection.recv(4096):
+                        is_refused = data.startswith(b"PUT")
+                        connection.sendall(self.REFUSAL if is_refused else ANSWER)
+
+            def accept_connections():
+                with contextlib.suppress(OSError):
+                    while True:
+                        connection, _ = listener.accept()
+                        accepted.append(connection)
+                        threading.Thread(
+                            target=answer_calls, args=(connection,), daemon=True
+                        ).start()
+
+            threading.Thread(target=accept_connections, daemon=True).start()
+            refused = HttpCall("PUT", "/", id="a", new_connection=True)
+            for _ in range(MAX_IDLE_PER_POOL):
+                client.call(address, refused)
+            for _ in range(3):
+                client.call(address, HttpCall("GET", "/", id="a"))
+            assert len(accepted) <= MAX_IDLE_PER_POOL + 1
+            client.close()
+            for connection in accepted:
+                connection.close()
