Keep connections to the store after its refusals

Cause: since refused calls without an id end their connections, each 404, 409 or 429 of the store cost a new connection, the last during overload. Only endpoints send answers a second time. Change: calls to the store, the object API and the VM list say that they are answered once.

--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -261,6 +261,7 @@
             {"Content-Type": "application/json"} if body else {},
             timeout_s,
             new_connection=method != "GET",
+            is_answered_once=True,
         )
         try:
             answer = self._client.call(self._address, call)
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -105,6 +105,8 @@
     connection may have been idle. ``is_permitted`` is checked right before the call
     is written, as connecting takes time and the process may be suspended meanwhile.
     ``id`` is what the server repeats in its answers to the call, None if nothing.
+    ``is_answered_once`` if the server sends no answer a second time, so that its
+    connection may be used again after any answer.
     """
 
     method: str
@@ -122,6 +124,7 @@
     max_idle_s: float = math.inf
     is_permitted: Callable[[], bool] | None = None
     id: str | None = None
+    is_answered_once: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -611,6 +614,8 @@
         Calls without an id share connections with each other only, and with none if
         they need a new one: an order's answer must not be read as a report.
         """
+        if self.call.is_answered_once:
+            return True
         if self.call.id is None:
             return not (self.is_refused or self.call.new_connection)
         return len(self.connection.refused_ids) < MAX_REFUSED_IDS
--- a/src/camphoryard/transport/object_api.py
+++ b/src/camphoryard/transport/object_api.py
@@ -107,7 +107,13 @@
         # A write needs a new connection: a stale one would leave its outcome unknown,
         # and a repeated conditional update could conflict with its own first attempt.
         request = HttpCall(
-            method, path, body, headers, timeout_s, new_connection=method != "GET"
+            method,
+            path,
+            body,
+            headers,
+            timeout_s,
+            new_connection=method != "GET",
+            is_answered_once=True,
         )
         try:
             answer = self._client.call(self._address, request)
--- a/src/camphoryard/transport/vm_list.py
+++ b/src/camphoryard/transport/vm_list.py
@@ -27,7 +27,7 @@
 
     def states(self) -> Mapping[VmId, VmState]:
         """Return the listed VMs; raises VmListUnavailableError."""
-        call = HttpCall("GET", "/vms", timeout_s=LIST_TIMEOUT_S)
+        call = HttpCall("GET", "/vms", timeout_s=LIST_TIMEOUT_S, is_answered_once=True)
         try:
             answer = self._client.call(self._address, call)
             if answer.status != OK:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,9 @@
 """Tests of the records in the platform's store."""
 
+import contextlib
 import json
+import socket
+import threading
 
 import pytest
 
@@ -10,7 +13,7 @@
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT
 from camphoryard.state.store_eras import NewestEra
-from camphoryard.transport.http_client import Address, HttpAnswer
+from camphoryard.transport.http_client import Address, HttpAnswer, HttpClient
 from tests.fakes.engines import RecordedLog
 
 DEEP = b"[" * 1500 + b"]" * 1500
@@ -254,3 +257,41 @@
         records, log = make_records(listing(odd, sound))
         assert [stored.key for stored in records.list().items] == ["a"]
         assert log.events() == ["entry_unreadable"]
+
+
+# Guards against needless connections: the store answered that there was no such object,
+# and the next call had to connect again.
+class TestConnections:
+    """Connections to the store, which sends no answer twice."""
+
+    def test_connection_is_kept_after_an_object_was_not_found(self):
+        """The answer is as good as any other."""
+        accepted = []
+
+        def answer_calls(listener):
+            with contextlib.suppress(OSError):
+                while True:
+                    connection, _ = listener.accept()
+                    accepted.append(connection)
+                    while connection.recv(4096):
+                        connection.sendall(
+                            b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+                        )
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            threading.Thread(target=answer_calls, args=(listener,), daemon=True).start()
+            client = HttpClient()
+            records = StoreRecords(
+                client,
+                Address("127.0.0.1", listener.getsockname()[1]),
+                "servers",
+                decode_endpoint,
+                None,
+                RecordedLog(),
+                NewestEra(),
+            )
+            assert [records.get("a") for _ in range(3)] == [None] * 3
+            assert len(accepted) == 1
+            client.close()
+            for connection in accepted:
+                connection.close()
