Refuse no completion as not run that was written to an engine

Seen: in a unit test of camphoryardd, a completion whose call the total deadline or its caller's leaving ended before the head of an answer was refused with the verdict "not run" (REFUSED). Cause: an attempt that ends like that says nothing against its endpoint, so its failure was not recorded; the verdict was recorded there as well. Change: the verdict is recorded for each error, the failure of the endpoint as before.

--- a/src/camphoryard/coordination/inference/attempts.py
+++ b/src/camphoryard/coordination/inference/attempts.py
@@ -80,6 +80,7 @@
     except RefusalError:
         raise
     except CamphoryardError as error:
+        _record_verdict(progress, error)
         if not cancellation.cancelled and not _hit_total_deadline(request, error):
             _record_failure(context, request, endpoint_id, trial, progress, error)
         raise
@@ -122,6 +123,16 @@
     trial.mark_passed()
 
 
+def _record_verdict(progress: Progress, error: CamphoryardError) -> None:
+    """Record whether the request may have run in an attempt that ended in ``error``."""
+    match error:
+        case EndpointRefusedError(status=status):
+            if status not in NOT_RUN_STATUSES or not error.is_first_on_connection:
+                progress.may_have_run = True
+        case BrokenCallError():
+            progress.may_have_run = True
+
+
 def _record_failure(
     context: InferenceContext,
     request: InferenceRequest,
@@ -130,21 +141,17 @@
     progress: Progress,
     error: CamphoryardError,
 ) -> None:
-    """Update the verdict, the breaker and the suspects after a failed attempt."""
+    """Update the breaker and the suspects after a failed attempt."""
     progress.failed.add(endpoint_id)
     match error:
         case EndpointRefusedError(status=status):
-            if status not in NOT_RUN_STATUSES or not error.is_first_on_connection:
-                progress.may_have_run = True
             if status != NOT_LOADED_STATUS:
                 context.breakers.failed(endpoint_id)
         case NotSentError():
             context.breakers.failed(endpoint_id)
         case StalledCallError():
-            progress.may_have_run = True
             context.breakers.failed(endpoint_id)
         case BrokenCallError():
-            progress.may_have_run = True
             context.breakers.failed(endpoint_id)
             if _has_crashed(context, request, endpoint_id):
                 trial.record_crash()
--- a/tests/coordination/inference/test_inference.py
+++ b/tests/coordination/inference/test_inference.py
@@ -289,3 +289,34 @@
         assert refusals[0].verdict is Verdict.NOT_RUN
         assert context.admission.waiting() == 0
         assert engines.calls == []
+
+
+# Guards against REFUSED: a request that was written to an engine was refused with the
+# promise that it had not run.
+class TestAbortedCalls:
+    """Calls that are aborted before the head of their answer."""
+
+    def test_call_that_the_total_deadline_ended_may_have_run(self):
+        """The engine has the request and may run it."""
+        engines = both_engines(failing_script(StalledCallError("x")))
+        inference_request = request(total_deadline_s=time.monotonic())
+        refused = refusal(make_context(engines), inference_request)
+        assert (refused.reason, refused.verdict) == (
+            Reason.DEADLINE,
+            Verdict.MAY_HAVE_RUN,
+        )
+
+    def test_call_that_was_cancelled_may_have_run(self):
+        """The cancellation breaks the call, which the engine may have begun to run."""
+        cancellation = Cancellation()
+
+        def cancel_call(inference_request, offset):
+            cancellation.cancel()
+            return [BrokenCallError("the call was aborted")]
+
+        context = make_context(both_engines(cancel_call))
+        refused = refusal(context, None, cancellation)
+        assert (refused.reason, refused.verdict) == (
+            Reason.CANCELLED,
+            Verdict.MAY_HAVE_RUN,
+        )
