Send no completion to an endpoint that left during its wait

Seen: in a unit test of camphoryardd, a completion that had waited for the trial of another one went to an endpoint that had started to leave meanwhile (DRAIN). Cause: the endpoint was chosen before the wait, and only its removal was checked after it. Change: its leaving is checked as well, right before the call.

--- a/src/camphoryard/coordination/inference/attempts.py
+++ b/src/camphoryard/coordination/inference/attempts.py
@@ -107,6 +107,9 @@
     endpoint = context.configuration.current.endpoints_by_id.get(endpoint_id)
     if endpoint is None:
         raise NotSentError(f"{endpoint_id} was removed from the configuration")
+    # The request may have waited for the trial of another one since it was routed.
+    if context.leaving.is_leaving(endpoint_id):
+        raise NotSentError(f"{endpoint_id} leaves")
     context.residency.record_use(items_of(request.model, request.adapter))
     context.breakers.started(endpoint_id)
     stream = context.engines.generate(endpoint, request, progress.offset, cancellation)
--- a/tests/coordination/inference/test_inference.py
+++ b/tests/coordination/inference/test_inference.py
@@ -320,3 +320,39 @@
             Reason.CANCELLED,
             Verdict.MAY_HAVE_RUN,
         )
+
+
+# Guards against DRAIN: a request that had waited for the trial of another one went to
+# the endpoint chosen before the wait, which had left meanwhile.
+class TestLeavingDuringTrial:
+    """An endpoint that starts to leave while its request waits for a trial."""
+
+    def test_request_goes_to_another_endpoint(self, monkeypatch):
+        """The endpoint is checked after the wait as well."""
+        engines = both_engines(remaining_frames)
+        context = make_context(engines)
+        begin = context.suspects.begin
+        left = []
+
+        def begin_after_leave(fingerprint, endpoint, deadline_s):
+            if not left:
+                left.append(endpoint)
+                mark_leaving(context.configuration, endpoint)
+            return begin(fingerprint, endpoint, deadline_s)
+
+        monkeypatch.setattr(context.suspects, "begin", begin_after_leave)
+        assert answer(context) == TEXT
+        assert left[0] not in engines.calls
+
+
+def mark_leaving(holder, endpoint):
+    """Set the label that marks an endpoint as leaving."""
+    current = holder.current
+    leaving = replace(current.endpoints_by_id[endpoint], labels={"leaving": "true"})
+    holder.adopt(
+        replace(
+            current,
+            generation=Generation(current.generation + 1),
+            endpoints_by_id={**current.endpoints_by_id, endpoint: leaving},
+        )
+    )
