Count every answer without success as one that may come again

Cause: an endpoint that declines a request with a status below 400 gets it again as well; only refusals with 400 and above kept the request off their connection. Change: all answers but those with success do. Result: test_request_that_is_sent_again_does_not_read_its_own_refusal[302] failed before.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -69,7 +69,7 @@
 """Maximum time from sending a call to the end of its answer, in timeouts of the call,
 unless the call sets another."""
 LINE_ENDS = (b"\r\n", b"\n")
-MIN_REFUSAL_STATUS = 400
+SUCCESS_STATUSES = range(200, 300)
 MAX_REFUSED_IDS = 64
 """Maximum number of ids that a connection remembers; it is closed after that."""
 
@@ -600,7 +600,7 @@
 
     @property
     def is_refused(self) -> bool:
-        return self.response.status >= MIN_REFUSAL_STATUS
+        return self.response.status not in SUCCESS_STATUSES
 
     def record_refusal(self) -> None:
         """Record that the refusal of the call may come once more."""
--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -162,7 +162,11 @@
 
     @pytest.mark.parametrize(
         ("status", "kind"),
-        [(b"503 Full", AnswerKind.NOT_RUN), (b"421 Other", AnswerKind.NOT_LOADED)],
+        [
+            (b"503 Full", AnswerKind.NOT_RUN),
+            (b"421 Other", AnswerKind.NOT_LOADED),
+            (b"302 Found", AnswerKind.NOT_RUN),
+        ],
     )
     def test_request_that_is_sent_again_does_not_read_its_own_refusal(
         self, send, status, kind
