Show a run that goes on behind a copied refusal

Cause: camphoryardd calls engines over kept connections, and their refusals have no id. The copy of a refusal that comes where the next answer is due is read as the answer to the request that is under way there; the connection is kept, so that the engine goes on with the run while the request is sent to another engine.

--- /dev/null
+++ b/tests/transport/test_endpoints.py
@@ -0,0 +1,120 @@
+"""Tests of calls to an engine that repeats the last answer of a connection."""
+
+import contextlib
+import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from http.client import parse_headers
+
+import pytest
+
+from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.inference.frames import FrameSequencer
+from camphoryard.state.configuration import Endpoint
+from camphoryard.state.enums import EndpointKind
+from camphoryard.state.errors import EndpointRefusedError
+from camphoryard.state.ids import EndpointId
+from camphoryard.transport.endpoints import HttpEngines
+from camphoryard.transport.http_client import HttpClient
+from camphoryard.transport.stream_reading import StreamLimits, StreamReaders
+from tests.fakes.serving import request
+
+TIMEOUT_S = 2.0
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def answer(status, body):
+    """Return a whole answer."""
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+def stream(id):
+    """Return the whole stream of a request for one token."""
+    data = b'data: {"request_id":"%b","offset":0,"finished":true}\n\n' % id.encode()
+    return STREAM_HEAD + b"%x\r\n%b\r\n" % (len(data), data) + LAST_CHUNK
+
+
+REFUSAL = answer(404, b'{"error":"not resident"}')
+
+
+def read_call(reader):
+    """Read a whole call; return False at the end of the connection."""
+    if not reader.readline():
+        return False
+    reader.read(int(parse_headers(reader).get("Content-Length", 0)))
+    return True
+
+
+class Engine:
+    """Answers the calls of all its connections with ``answers``, in order.
+
+    Later calls of a connection first get the connection's previous answer again.
+    ``is_idle`` is set once the client has closed the connection of the last call.
+    """
+
+    def __init__(self, *answers):
+        self.is_idle = threading.Event()
+        self._answers = list(answers)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        port = self._listener.getsockname()[1]
+        self.endpoint = Endpoint(
+            EndpointId("engine-1"), EndpointKind.ENGINE, "127.0.0.1", port, 9000
+        )
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            connection, _ = self._listener.accept()
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        previous, has_last_call = b"", False
+        with connection, connection.makefile("rb") as reader:
+            with contextlib.suppress(OSError):
+                while read_call(reader):
+                    own = self._answers.pop(0)
+                    has_last_call = not self._answers
+                    connection.sendall(previous + own)
+                    previous = own
+            if has_last_call:
+                self.is_idle.set()
+
+
+def read(opened, id):
+    """Read a stream to its end or to that of the request's answer, and close it."""
+    sequencer = FrameSequencer(id, 0)
+
+    def take(frame):
+        sequencer.add(frame)
+        return sequencer.is_complete
+
+    with contextlib.closing(opened):
+        opened.read_frames(take)
+
+
+@pytest.fixture
+def engines():
+    """Return the client of the engines."""
+    client = HttpClient()
+    with ThreadPoolExecutor() as executor:
+        limits = StreamLimits(TIMEOUT_S, TIMEOUT_S)
+        readers = StreamReaders(executor)
+        yield HttpEngines(client, readers, limits, lambda endpoint, report: None)
+        client.close()
+
+
+class TestRunBehindACopy:
+    """A request that runs at an engine, but an earlier answer was read for its own."""
+
+    # Guards against: the run goes on while the request is sent to another engine.
+    def test_run_behind_a_copied_refusal_ends(self, engines):
+        """The engine is told that nobody waits for the run."""
+        engine = Engine(REFUSAL, STREAM_HEAD)
+        with pytest.raises(EndpointRefusedError):
+            engines.generate(engine.endpoint, request("a"), 0, Cancellation())
+        with contextlib.suppress(EndpointRefusedError):
+            engines.generate(engine.endpoint, request("b"), 0, Cancellation()).close()
+        assert engine.is_idle.wait(TIMEOUT_S)
