Show a run that goes on behind the copy of an earlier stream

Cause: a connection is kept if the body of a stream was read to its end, also if that is the stream of an earlier request. The frames name their request, so none is delivered; the request that is under way on the connection counts as broken and is sent to another engine, and its first run goes on.

--- a/tests/transport/test_endpoints.py
+++ b/tests/transport/test_endpoints.py
@@ -118,3 +118,13 @@
         with contextlib.suppress(EndpointRefusedError):
             engines.generate(engine.endpoint, request("b"), 0, Cancellation()).close()
         assert engine.is_idle.wait(TIMEOUT_S)
+
+    # Guards against: the run goes on while the request is sent to another engine.
+    def test_run_behind_a_copied_stream_ends(self, engines):
+        """A stream that ends without the request's answer keeps no connection."""
+        first, second = request("a"), request("b")
+        engine = Engine(stream(first.id), STREAM_HEAD)
+        for item in (first, second):
+            opened = engines.generate(engine.endpoint, item, 0, Cancellation())
+            read(opened, item.id)
+        assert engine.is_idle.wait(TIMEOUT_S)
