Reset the connection of a stream that ends without its answer

Cause: the end of the body was taken for the end of the request's own answer. It may be that of an earlier stream, sent once more; the connection was then kept with a run under way, which went on beside the one at the next engine.

Change: the connection is kept if the consumer of the frames said that the answer is complete, and reset otherwise. A reset ends the run at the engine.

--- a/src/camphoryard/transport/event_streams.py
+++ b/src/camphoryard/transport/event_streams.py
@@ -35,6 +35,7 @@
         self._limits = limits
         self._body = _make_body(answer)
         self._partial_event = b""
+        self._is_complete = False
         self._frames = 0
         self._bytes_without_frame = 0
 
@@ -56,8 +57,11 @@
         stream.wait(self._limits)
 
     def close(self) -> None:
-        """Close the stream; aborts the connection if data is left unread."""
-        self._answer.close(self._is_read_to_end())
+        """Close the stream; aborts the connection unless the answer was complete.
+
+        The end of the body does not tell, as it may be that of an earlier answer.
+        """
+        self._answer.close(self._is_complete and self._is_read_to_end())
 
     def _consume(self, data: bytes, take: FrameCallback) -> bool:
         *events, self._partial_event = (
@@ -71,6 +75,7 @@
                 self._frames += 1
                 self._bytes_without_frame = 0
                 if take(_decode_event(event)):
+                    self._is_complete = True
                     return True
         return self._body.is_over
 
