Show a refusal that counts as an empty inventory

Cause: the status of the answer to GET /admin/inventory is not checked, and every field of an inventory has a default. The refusal {"error": ...} of an engine, its copy on a kept connection or the copy of the answer to an order is then an engine with nothing loaded: the memory of its models counts as free, and a request whose call broke counts as the cause of a crash.

--- a/tests/transport/test_endpoints.py
+++ b/tests/transport/test_endpoints.py
@@ -12,7 +12,7 @@
 from camphoryard.coordination.inference.frames import FrameSequencer
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.enums import EndpointKind
-from camphoryard.state.errors import EndpointRefusedError
+from camphoryard.state.errors import BrokenCallError, EndpointRefusedError
 from camphoryard.state.ids import EndpointId
 from camphoryard.transport.endpoints import HttpEngines
 from camphoryard.transport.http_client import HttpClient
@@ -128,3 +128,16 @@
             opened = engines.generate(engine.endpoint, item, 0, Cancellation())
             read(opened, item.id)
         assert engine.is_idle.wait(TIMEOUT_S)
+
+
+class TestInventory:
+    """What an engine has loaded."""
+
+    # Guards against: a refusal counts as the inventory of an empty engine, to which
+    # more is loaded than it has room for.
+    @pytest.mark.parametrize("status", [202, 404, 503])
+    def test_other_answers_are_no_inventory(self, engines, status):
+        """They may be JSON objects as well, and every field has a default."""
+        engine = Engine(answer(status, b'{"error":"busy"}'))
+        with pytest.raises(BrokenCallError):
+            engines.inventory(engine.endpoint)
