Take only an answer with status 200 as an inventory

Cause: the body of a refusal was read as the inventory of an engine with nothing loaded.

Change: any other status breaks the call, as it does for the reports of the users' engines. The owner of the engine then keeps its record as it was and asks again.

--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -39,6 +39,7 @@
 MIN_TIMEOUT_S = 0.05
 MAX_ERROR_BYTES = 64 << 10
 """Maximum size of the explanation in an error answer."""
+OK = 200
 MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -117,6 +118,9 @@
         """Return the models that the engine has loaded; see the Engines port."""
         call = HttpCall("GET", "/admin/inventory", timeout_s=INVENTORY_TIMEOUT_S)
         answer = self._client.call(_address(endpoint), call)
+        if answer.status != OK:
+            # Its body could be read as the inventory of an empty engine.
+            raise BrokenCallError(f"inventory answered with status {answer.status}")
         try:
             inventory = decode_inventory(answer.body)
         except msgspec.MsgspecError as error:
