Show copies of earlier answers that count as an inventory

Cause: inventories are read over kept connections, and nothing in an answer tells which call it belongs to. The copy of the answer before it is an inventory that lacks what was loaded since, or cannot be read. By the first an accepted load counts as failed and its memory as free; by the second a request whose call broke counts as the cause of a crash, although its engine is up.

--- a/tests/transport/test_endpoints.py
+++ b/tests/transport/test_endpoints.py
@@ -10,10 +10,11 @@
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.inference.frames import FrameSequencer
+from camphoryard.coordination.ports import Order
 from camphoryard.state.configuration import Endpoint
-from camphoryard.state.enums import EndpointKind
+from camphoryard.state.enums import EndpointKind, OrderKind
 from camphoryard.state.errors import BrokenCallError, EndpointRefusedError
-from camphoryard.state.ids import EndpointId
+from camphoryard.state.ids import EndpointId, FencingNumber, ItemId, OrderId
 from camphoryard.transport.endpoints import HttpEngines
 from camphoryard.transport.http_client import HttpClient
 from camphoryard.transport.stream_reading import StreamLimits, StreamReaders
@@ -130,6 +131,29 @@
         assert engine.is_idle.wait(TIMEOUT_S)
 
 
+def refuse(engines, engine):
+    """Have a request refused."""
+    with pytest.raises(EndpointRefusedError):
+        engines.generate(engine.endpoint, request(), 0, Cancellation())
+
+
+def run(engines, engine):
+    """Run a request."""
+    opened = engines.generate(engine.endpoint, request(), 0, Cancellation())
+    read(opened, request().id)
+
+
+def order(engines, engine):
+    """Order a load."""
+    load = Order(OrderId("o"), OrderKind.LOAD, ItemId("m"), 1, FencingNumber(1))
+    engines.order(engine.endpoint, load)
+
+
+def take_stock(engines, engine):
+    """Read the inventory."""
+    engines.inventory(engine.endpoint)
+
+
 class TestInventory:
     """What an engine has loaded."""
 
@@ -141,3 +165,21 @@
         engine = Engine(answer(status, b'{"error":"busy"}'))
         with pytest.raises(BrokenCallError):
             engines.inventory(engine.endpoint)
+
+    # Guards against: a loaded model counts as gone, so that more is loaded than the
+    # engine has room for, and a sound request as the cause of a crash.
+    @pytest.mark.parametrize(
+        ("call", "earlier"),
+        [
+            (refuse, REFUSAL),
+            (run, stream(request().id)),
+            (order, answer(202, b'{"accepted":"o"}')),
+            (take_stock, answer(200, b'{"resident":[]}')),
+        ],
+        ids=["refusal", "stream", "order", "inventory"],
+    )
+    def test_copy_of_an_earlier_answer_is_no_inventory(self, engines, call, earlier):
+        """An inventory has nothing that tells which call it answers."""
+        engine = Engine(earlier, answer(200, b'{"resident":["m"]}'))
+        call(engines, engine)
+        assert engines.inventory(engine.endpoint).resident == {"m"}
