Read an inventory over a connection of its own

Cause: on a kept connection the copy of an earlier answer was taken for the inventory.

Change: inventories are read over new connections, as orders are sent, so that nothing was answered there before.

Not measured: the cost of a connection for each inventory (two a second for an engine, more while its orders are open).

--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -116,7 +116,13 @@
 
     def inventory(self, endpoint: Endpoint) -> Inventory:
         """Return the models that the engine has loaded; see the Engines port."""
-        call = HttpCall("GET", "/admin/inventory", timeout_s=INVENTORY_TIMEOUT_S)
+        call = HttpCall(
+            "GET",
+            "/admin/inventory",
+            timeout_s=INVENTORY_TIMEOUT_S,
+            # Nothing in an inventory tells it from the copy of an earlier answer.
+            new_connection=True,
+        )
         answer = self._client.call(_address(endpoint), call)
         if answer.status != OK:
             # Its body could be read as the inventory of an empty engine.
