--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -115,7 +115,7 @@
             entry = json.loads(line)
             if "overcommit_mb" in entry:
                 overcommits += 1
-            else:
+            elif "prompt" in entry:
                 runs.append(Run(entry["prompt"], entry["at_s"]))
     return tuple(runs), overcommits
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -8,6 +8,10 @@
 executes them. With ``copy_orders`` set, orders are executed and a copy of each is
 stored as well.
 
+With ``refuse_every`` set, each request of this number is refused with status 503. With
+``repeat_from`` set, the last answer of a connection is sent once more before the next
+if its status is at least this: 400 for refusals only.
+
 Tokens are a function of prompt and offset, so a test can check any complete answer,
 and any engine can resume it. The last event of an answer has its ``usage``, which
 counts all tokens of the answer, including those before a resume.
@@ -16,7 +20,7 @@
 import os
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from http.client import HTTPConnection
@@ -60,11 +64,16 @@
     max_tokens: int
     priority: int
     arrived: int
-    write: Callable[[bytes], None] | None = None
+    write: Callable[[bytes], object] | None = None
     cancelled: bool = False
     disconnected: bool = False
     delayed_event: dict[str, Any] | None = None
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the run has been cancelled or its last event has been sent."""
+        return self.cancelled or self.offset > self.max_tokens
+
     def push(self, data: bytes) -> None:
         """Send bytes; set ``disconnected`` if the connection is closed."""
         if self.write is None:
@@ -94,6 +103,8 @@
     swap_frames: bool = False
     foreign_frames: bool = False
     refuse_with: int = 0
+    refuse_every: int = 0
+    repeat_from: int = 0
 
 
 @dataclass(slots=True)
@@ -120,6 +131,7 @@
     log: list[dict[str, Any]] = field(default_factory=list)
     waiting: list[ActiveRequest] = field(default_factory=list)
     batch: list[ActiveRequest] = field(default_factory=list)
+    requests: int = 0
     arrivals: int = 0
     report_s: float = 0.0
     report: tuple[int, int] = (0, 0)
@@ -270,6 +282,8 @@
         body = request.json()
         if self.faults.refuse_with:
             return json_response({"error": "refused"}, self.faults.refuse_with)
+        if self._is_refused():
+            return json_response({"error": "busy"}, 503)
         needed = [body["model"]]
         if body.get("adapter"):
             needed.append(f"{body['model']}:{body['adapter']}")
@@ -303,9 +317,27 @@
             pushed=_Stream(self, active),
         )
 
+    def _is_refused(self) -> bool:
+        with self.lock:
+            self.requests += 1
+            every = self.faults.refuse_every
+            return bool(every) and self.requests % every == 0
+
+    def repeats(self, status: int) -> bool:
+        """Return whether an answer with this status is sent once more."""
+        return 0 < self.faults.repeat_from <= status
+
     def _record(self, entry: dict[str, Any]) -> None:
         """Append an entry to the log, and to the journal, which survives a kill."""
         self.log.append(entry)
+        self._append_to_journal(entry)
+
+    def _record_ends(self, ended: Iterable[ActiveRequest]) -> None:
+        """Append the ends of runs to the journal."""
+        for active in ended:
+            self._append_to_journal({"ended": active.request_id, "at_s": time.time()})
+
+    def _append_to_journal(self, entry: dict[str, Any]) -> None:
         if self.journal is not None:
             with self.journal.open("ab") as stream:
                 stream.write(msgspec.json.encode(entry) + b"\n")
@@ -350,14 +382,12 @@
             if active.disconnected:
                 # A write can detect a closed connection before the reader does.
                 self.cancel(active)
-        self.batch = [
-            item
-            for item in self.batch
-            if not item.cancelled and item.offset <= item.max_tokens
-        ]
+        self._record_ends(item for item in self.batch if item.is_over)
+        self.batch = [item for item in self.batch if not item.is_over]
         self._unload_unused()
 
     def _admit(self) -> None:
+        self._record_ends(item for item in self.waiting if item.cancelled)
         self.waiting = [item for item in self.waiting if not item.cancelled]
         self.waiting.sort(key=lambda item: (item.priority, item.arrived))
         free_slots = self.slots - len(self.batch)
@@ -418,7 +448,7 @@
         self._engine = engine
         self._request = active
 
-    def attach(self, write: Callable[[bytes], None]) -> None:
+    def attach(self, write: Callable[[bytes], object]) -> None:
         """Queue the request; its tokens are sent with ``write``."""
         self._request.write = write
         self._engine.enter(self._request)
@@ -458,7 +488,7 @@
         engine.resident_mb_by_item[item] = int(item_mb)
     engine.faults.crash_on = crash_on
     threading.Thread(target=engine.step_forever, daemon=True).start()
-    serve_pushed(engine.handle, host, port)
+    serve_pushed(engine.handle, host, port, engine.repeats)
 
 
 if __name__ == "__main__":
--- a/standins/push_server.py
+++ b/standins/push_server.py
@@ -5,6 +5,8 @@
 each token.
 """
 
+import io
+import socket
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
@@ -26,13 +28,56 @@
     daemon_threads = True
 
 
-def serve_pushed(handler: Callable[[Request], Response], host: str, port: int) -> None:
-    """Serve ``handler`` until the process ends."""
+class _RecordingSocket(io.RawIOBase):
+    """Sends what is written to a socket and keeps it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._written = bytearray()
+
+    def writable(self) -> bool:
+        """Return True; see io.RawIOBase."""
+        return True
+
+    def write(self, data: Any) -> int:
+        """Send and keep ``data``."""
+        self._sock.sendall(data)
+        self._written += data
+        return len(data)
+
+    def take_written(self) -> bytes:
+        """Return what was written since the last call."""
+        written = bytes(self._written)
+        self._written.clear()
+        return written
+
+
+def _never(status: int) -> bool:
+    return False
+
+
+def serve_pushed(
+    handler: Callable[[Request], Response],
+    host: str,
+    port: int,
+    repeats: Callable[[int], bool] = _never,
+) -> None:
+    """Serve ``handler`` until the process ends.
+
+    The last answer of a connection is sent once more before the next one if ``repeats``
+    returns True for its status.
+    """
 
     class Connection(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
         disable_nagle_algorithm = True
-        wbufsize = -1
+        last_status = 0
+
+        def setup(self) -> None:
+            """Prepare the connection."""
+            super().setup()
+            self.sender = _RecordingSocket(self.connection)
+            self.wfile = io.BufferedWriter(self.sender)
 
         def do_GET(self) -> None:
             """Answer a GET."""
@@ -48,6 +93,10 @@
         def _respond(self) -> None:
             request = self._to_request()
             response = Response() if request.path == "/livez" else handler(request)
+            last_answer = self.sender.take_written()
+            if self.last_status and repeats(self.last_status):
+                self.connection.sendall(last_answer)
+            self.last_status = response.status
             self.send_response_only(response.status)
             for name, value in response.headers.items():
                 self.send_header(name, value)
@@ -76,7 +125,7 @@
             self.send_header("Transfer-Encoding", "chunked")
             self.end_headers()
             self.wfile.flush()
-            pushed.attach(self.connection.sendall)
+            pushed.attach(self.sender.write)
             # The caller sends nothing until the stream has ended, so an empty
             # read here means that it has disconnected.
             if not self.rfile.peek(1):  # type: ignore[attr-defined]
--- a/standins/web.py
+++ b/standins/web.py
@@ -43,7 +43,7 @@
 class PushedBody(Protocol):
     """A response body whose producer writes each chunk to the socket."""
 
-    def attach(self, write: Callable[[bytes], None]) -> None:
+    def attach(self, write: Callable[[bytes], object]) -> None:
         """Start; ``write`` raises OSError if the caller has disconnected."""
 
     def close(self) -> None:
