Repeat refusals of the stand-in at all times, and of the request under way

An endpoint may send the copy of a refusal with the id of the refused request, also while that request is under way again on the same connection. The stand-in kept only the last refusal of a connection and sent it while another request ran; a 421 of an endpoint at a reused address was never sent again and had no request id.

It now keeps the refusals of each connection by id and sends a share of them again at once, some time later on the idle connection, or while a request runs: that of the very request if there is one.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -10,9 +10,11 @@
 Faults at ``POST /control``: ``leaving`` (all answers say so), ``rest_ms`` (requests are
 turned away for so long), ``slow_ms`` (period of the events of a stream) and shares of
 requests in percent: ``garble`` (the answer is cut, failed or sent twice), ``fail`` (500
-after the run), ``shed`` (declined with 503), ``mute`` (run without an answer),
-``reset`` (the connection is reset within the run) and ``stale`` (an earlier refusal of
-the connection is sent once more while the request runs).
+after the run), ``shed`` (declined with 503), ``mute`` (run without an answer) and
+``reset`` (the connection is reset within the run). A share of the refusals is sent once
+more: at once (``echo``), some time after it on an idle connection (``late``) or while a
+later request of the connection runs (``stale``), which is the refusal of that very
+request if there is one.
 """
 
 import json
@@ -38,18 +40,21 @@
 EVENT_PERIOD_S = 0.02
 WORK_S = 0.01
 DEADLY = "deadly"
+REQUEST_ID = "Attempt-Id"
 HEAD_END = b"\r\n\r\n"
 PERCENT = 100
 MILLISECONDS_PER_SECOND = 1000
 MUTE_S = 10.0
 """Time for which a run without an answer lasts, unless its connection ends."""
 BARE_SHARE = 0.5
-"""Share of the repeated refusals without a request id."""
+"""Share of the repeated refusals of other requests that have no request id."""
 STALE_LEAD_S = 0.1
 """Time between a refusal that is sent again and the answer after it."""
+LATE_S = 0.2
+"""Time after which a refusal is sent again on an idle connection."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-SHARES = ("garble", "fail", "shed", "mute", "reset", "stale")
-"""Faults that strike a share of the requests, in percent."""
+SHARES = ("garble", "fail", "shed", "mute", "reset", "echo", "late", "stale")
+"""Faults that strike a share of the requests or refusals, in percent."""
 
 
 def plain_body(id: str) -> bytes:
@@ -93,6 +98,20 @@
     """The connection is to be closed now."""
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A refusal as it may be sent once more."""
+
+    call: Call
+    status: int
+    headers: Mapping[str, str]
+
+    def data(self, is_bare: bool = False) -> bytes:
+        """Return its bytes, without the id of its request if it is bare."""
+        kept = {k: v for k, v in self.headers.items() if not is_bare or k != REQUEST_ID}
+        return _whole(self.status, kept, b"")
+
+
 @dataclass(slots=True)
 class Replica:
     """One start of a replica."""
@@ -123,32 +142,41 @@
         """Answer the calls of one connection, one after the other."""
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = connection.makefile("rb")
-        refusal = b""
+        refusal_by_id: dict[str, Refusal] = {}
         with connection, reader:
             try:
                 while (call := _read_call(reader)) is not None:
-                    refusal = self.answer(connection, call, refusal) or refusal
+                    refusal = self.answer(connection, call, refusal_by_id)
+                    if refusal is not None:
+                        # The last one comes last, also if its request came before.
+                        refusal_by_id.pop(call.id, None)
+                        refusal_by_id[call.id] = refusal
+                        self._repeat_unasked(connection, refusal)
             except (ConnectionEndedError, OSError):
                 return
 
     def answer(
-        self, connection: socket.socket, call: Call, last_refusal: bytes = b""
-    ) -> bytes:
+        self,
+        connection: socket.socket,
+        call: Call,
+        refusal_by_id: dict[str, Refusal],
+    ) -> Refusal | None:
         """Answer one call; raises ConnectionEndedError if it ends the connection.
 
-        Returns a refusal that may be sent again, if it was one. ``last_refusal`` is
-        the last one of the connection.
+        Returns the refusal, if it was one. ``refusal_by_id`` are the earlier ones of
+        the connection by the id of their request, the last one last.
         """
+        headers = {REQUEST_ID: call.id} if call.id else {}
         if call.path == "/control":
             self._control(json.loads(call.body))
             connection.sendall(_whole(200, {}, b"{}"))
-            return b""
+            return None
         if call.headers.get("expect-instance", self.id) != self.id:
-            connection.sendall(_whole(421, {"Instance-Id": self.id}, b""))
-            return b""
+            other = {"Not-Executed": "1", "Instance-Id": self.id}
+            return self._refuse(connection, Refusal(call, 421, {**headers, **other}))
         if call.path in ("/order", "/report"):
             self._answer_leader(connection, call)
-            return b""
+            return None
         rest_s = self.rest_until_s - time.monotonic()
         self.record(
             "arrived",
@@ -159,26 +187,27 @@
             account=call.headers.get("tenant"),
             credentials="authorization" in call.headers,
         )
-        headers = {"Attempt-Id": call.id}
         if self.is_leaving:
             headers["Server-Leaving"] = "1"
         if rest_s > 0:
             refused = {"Not-Executed": "1", "Retry-After": f"{rest_s:.3f}"}
-            return self._refuse(connection, 503, {**headers, **refused})
+            return self._refuse(connection, Refusal(call, 503, {**headers, **refused}))
         model = call.headers.get("model")
         if model is not None and model not in self.engine.models:
-            return self._refuse(connection, 421, headers)
+            return self._refuse(connection, Refusal(call, 421, headers))
         if self._strikes("shed"):
-            return self._refuse(connection, 503, {**headers, "Not-Executed": "1"})
+            declined = {**headers, "Not-Executed": "1"}
+            return self._refuse(connection, Refusal(call, 503, declined))
         self.record("ran", call)
         try:
-            if last_refusal and self._strikes("stale"):
-                connection.sendall(last_refusal)
+            if refusal_by_id and self._strikes("stale"):
+                last = next(reversed(refusal_by_id.values()))
+                self._repeat(connection, refusal_by_id.get(call.id, last), call.id)
                 _wait(connection, STALE_LEAD_S)
             self._run(connection, call, headers)
         finally:
             self.record("ended", call)
-        return b""
+        return None
 
     def _run(
         self, connection: socket.socket, call: Call, headers: dict[str, str]
@@ -224,18 +253,29 @@
         with self.lock:
             return self.rng.randrange(PERCENT) < self.percent_by_fault.get(fault, 0)
 
-    def _refuse(
-        self, connection: socket.socket, status: int, headers: Mapping[str, str]
-    ) -> bytes:
-        """Decline a call; return the refusal as it may be sent once more.
+    def _refuse(self, connection: socket.socket, refusal: Refusal) -> Refusal:
+        """Decline a call."""
+        connection.sendall(refusal.data())
+        return refusal
 
-        A repeated refusal may lack the id of the request that it answered.
-        """
-        connection.sendall(_whole(status, headers, b""))
+    def _repeat_unasked(self, connection: socket.socket, refusal: Refusal) -> None:
+        """Send a refusal again before the next request of the connection."""
+        if self._strikes("echo"):
+            self._repeat(connection, refusal)
+        if self._strikes("late") and not _is_readable(connection, LATE_S):
+            self._repeat(connection, refusal)
+
+    def _repeat(
+        self, connection: socket.socket, refusal: Refusal, beside: str = ""
+    ) -> None:
+        """Send a refusal again, while the request ``beside`` runs if there is one."""
         with self.lock:
-            is_bare = self.rng.random() < BARE_SHARE
-        kept = {k: v for k, v in headers.items() if not is_bare or k != "Attempt-Id"}
-        return _whole(status, kept, b"")
+            is_bare = self.rng.random() < BARE_SHARE and refusal.call.id != beside
+        connection.sendall(refusal.data(is_bare))
+        status = refusal.status
+        self.record(
+            "repeated", refusal.call, status=status, beside=beside, bare=is_bare
+        )
 
     def _answer_leader(self, connection: socket.socket, call: Call) -> None:
         """Answer an order or the request of a report."""
@@ -323,6 +363,13 @@
         raise ConnectionEndedError
 
 
+def _is_readable(connection: socket.socket, for_s: float) -> bool:
+    """Return whether a call or the end of the connection comes within some time."""
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    return bool(poll.poll(for_s * MILLISECONDS_PER_SECOND))
+
+
 def _head(status: int, headers: Mapping[str, str], is_chunked: bool) -> bytes:
     framing = "Transfer-Encoding: chunked" if is_chunked else "Connection: close"
     lines = [f"HTTP/1.1 {status} X", *(f"{k}: {v}" for k, v in headers.items())]
