Rename replicas at their address in the soak

The soak gave each replica a new address, so no connection was shared by the requests to two endpoint ids. ReplicaIsRenamed restarts a replica at its address under another id, keeps the entry before for some seconds, and has it repeat refusals. ReplicaRepeatsRefusals now sends them again in all ways, and asks for a rest in between, so that copies of a 503 with Retry-After come as well.

--- a/faults/entry_faults.py
+++ b/faults/entry_faults.py
@@ -66,7 +66,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaRepeatsRefusals:
-    """A replica declines requests, and sends refusals again beside later requests."""
+    """A replica declines requests, and sends refusals again at all times."""
+
+    slot: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaIsRenamed:
+    """A replica restarts at its address under another id, and repeats refusals.
+
+    Its entry before stays, so that nodes send to both ids at one address.
+    """
 
     slot: int
     for_s: float
@@ -196,6 +207,7 @@
     | ReplicaGarbles
     | ServiceFails
     | ReplicaRepeatsRefusals
+    | ReplicaIsRenamed
     | ReplicaPauses
     | ReplicaSlows
     | StoreFails
--- a/faults/entry_injections.py
+++ b/faults/entry_injections.py
@@ -24,6 +24,7 @@
     PartTurnsDeadly,
     ReplicaCrashes,
     ReplicaGarbles,
+    ReplicaIsRenamed,
     ReplicaLeaves,
     ReplicaPauses,
     ReplicaRepeatsRefusals,
@@ -41,7 +42,10 @@
 """Time after which a replica that has ended is replaced."""
 LEAVE_S = 4.0
 """Time after which a replica that leaves ends."""
-DECLINED_PERCENT, STALE_PERCENT = 30, 50
+REST_MS = 300
+"""Rest that a replica asks for which repeats its refusals."""
+DECLINED_PERCENT, REPEATED_PERCENT = 30, 50
+RENAMED_POLL_S = 0.05
 LEADER_POLL_S = 0.05
 TAKEOVER_S = 8.0
 """Longest time until another node has taken over from a leader that has ended."""
@@ -69,9 +73,9 @@
             with _failing(site, fault):
                 site.stop.wait(fault.for_s)
         case ReplicaRepeatsRefusals(slot, for_s):
-            site.control(slot, shed=DECLINED_PERCENT, stale=STALE_PERCENT)
-            site.stop.wait(for_s)
-            site.control(slot, shed=0, stale=0)
+            _repeat_refusals(site, slot, for_s)
+        case ReplicaIsRenamed(slot, for_s):
+            _rename_replica(site, slot, for_s)
         case ReplicaPauses(slot, for_s):
             _pause(site, site.replica_by_slot[slot], for_s)
         case ReplicaSlows(slot, period_ms, for_s):
@@ -124,6 +128,34 @@
         site.control(slot, **{trouble.how.value: 0})
 
 
+def _repeat_refusals(site: SoakSite, slot: int, for_s: float) -> None:
+    """Have a replica decline requests and repeat refusals; it rests in between."""
+    site.control(slot, shed=DECLINED_PERCENT, **_repeated(REPEATED_PERCENT))
+    site.stop.wait(for_s / 2)
+    site.control(slot, rest_ms=REST_MS)
+    site.stop.wait(for_s / 2)
+    site.control(slot, shed=0, **_repeated(0))
+
+
+def _repeated(percent: int) -> dict[str, int]:
+    """Return the share of the refusals that a replica sends again, for each way."""
+    return {"echo": percent, "late": percent, "stale": percent}
+
+
+def _rename_replica(site: SoakSite, slot: int, for_s: float) -> None:
+    """Restart a replica at its address under another id, beside its entry before."""
+    name = site.replica_by_slot[slot]
+    site.renamed_slots.add(slot)
+    site.fleet.process_by_name[name].kill()
+    while site.replica_by_slot[slot] == name:
+        if site.stop.wait(RENAMED_POLL_S):
+            return
+    site.control(slot, **_repeated(REPEATED_PERCENT))
+    site.stop.wait(for_s)
+    site.control(slot, **_repeated(0))
+    site.remove_entry(name)
+
+
 def _pause(site: SoakSite, name: str, for_s: float) -> None:
     process = site.fleet.process_by_name[name]
     began_s = time.monotonic()
--- a/faults/soak_site.py
+++ b/faults/soak_site.py
@@ -69,6 +69,8 @@
     stop: threading.Event = field(default_factory=threading.Event)
     client_port_by_node: dict[str, int] = field(default_factory=dict)
     replica_by_slot: dict[int, str] = field(default_factory=dict)
+    renamed_slots: set[int] = field(default_factory=set)
+    """Slots whose next replica takes over the address of the one before."""
     starts: int = 0
     busy_targets: set[str] = field(default_factory=set)
     deadly_part: str = ""
@@ -151,8 +153,8 @@
         holder: str | None = listed["spec"]["holder"]
         return holder
 
-    def start_replica(self, slot: int) -> None:
-        """Start a replica under a new id."""
+    def start_replica(self, slot: int, port: int | None = None) -> None:
+        """Start a replica under a new id, perhaps at the port of an earlier one."""
         with self.lock:
             self.starts += 1
             name = f"r-{slot}-{self.starts}"
@@ -162,6 +164,7 @@
             *("--id", name, "--service", SERVICES[slot], "--seed", str(self.seed)),
             *("--store-port", str(self.store_port)),
             *("--journal", str(self.fleet.journal(name))),
+            port=port,
         )
         self.replica_by_slot[slot] = name
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -163,9 +163,14 @@
         """Return the file that stores an engine's log across restarts."""
         return self.folder / f"{name}.jsonl"
 
-    def start_standin(self, name: str, module: str, *options: str) -> int:
-        """Start a stand-in and return its port."""
-        port = reserve_port()
+    def start_standin(
+        self, name: str, module: str, *options: str, port: int | None = None
+    ) -> int:
+        """Start a stand-in, at a port that another one has left or a new one.
+
+        Returns the port.
+        """
+        port = port or reserve_port()
         arguments = ["-m", f"standins.{module}", "--port", str(port), *options]
         self.start(name, port, arguments)
         return port
