Judge every rest of a replica, and calls without a deadline

The check of BUDGET looked only at the first rest that a replica asked of a node, so requests in a later one were not found. A call without Deadline-Ms counted as one with no time left, though its endpoint may work on it without end.

The new test of a second rest and the case without a deadline fail on the checks before.

--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -394,15 +394,27 @@
         if line["id"] in node_by_id:
             lines_by_pair[node_by_id[line["id"]], replica].append(line)
     for (node, replica), lines in lines_by_pair.items():
-        asked = [line for line in lines if line["rest_s"] > 0]
-        for first in asked[:1]:
-            from_s = first["at_s"] + BUSY_SLACK_S
-            until_s = first["at_s"] + first["rest_s"]
-            count = sum(from_s < line["at_s"] < until_s for line in lines)
-            if count > MAX_ARRIVALS_IN_REST and not history.is_disturbed(
-                node, first["at_s"], until_s
-            ):
-                yield f"BUDGET: {count} requests of {node} to {replica} while it rests"
+        counts = [
+            _arrivals_in_rest(history, node, lines, first)
+            for first in lines
+            if first["rest_s"] > 0
+        ]
+        if (worst := max(counts, default=0)) > MAX_ARRIVALS_IN_REST:
+            yield f"BUDGET: {worst} requests of {node} to {replica} while it rests"
+
+
+def _arrivals_in_rest(
+    history: SoakHistory,
+    node: str,
+    lines: Sequence[Mapping[str, Any]],
+    first: Mapping[str, Any],
+) -> int:
+    """Return the arrivals in the rest that a replica named when it got ``first``."""
+    from_s = first["at_s"] + BUSY_SLACK_S
+    until_s = first["at_s"] + first["rest_s"]
+    if history.is_disturbed(node, first["at_s"], until_s):
+        return 0
+    return sum(from_s < line["at_s"] < until_s for line in lines)
 
 
 def _budget_of_parts(history: SoakHistory) -> Iterable[str]:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -18,6 +18,7 @@
 """
 
 import json
+import math
 import os
 import random
 import select
@@ -84,8 +85,10 @@
 
     @property
     def left_s(self) -> float:
-        """The time in which its client wants an answer."""
-        return int(self.headers.get("deadline-ms", 0)) / MILLISECONDS_PER_SECOND
+        """The time in which its client wants an answer; infinite if it has none."""
+        return float(self.headers.get("deadline-ms", math.inf)) / (
+            MILLISECONDS_PER_SECOND
+        )
 
     @property
     def parts(self) -> tuple[str, ...]:
--- a/tests/faults/test_entry_checks.py
+++ b/tests/faults/test_entry_checks.py
@@ -1,5 +1,7 @@
 """Tests of the checks of a soak: broken rules are found, sound histories pass."""
 
+import math
+
 import pytest
 
 from camphoryard.protocol.log_lines import parse_log_line
@@ -171,6 +173,15 @@
         ]
         assert rules(history(attempts, r1=[first, *later])) == found
 
+    def test_requests_in_a_second_rest_are_found(self):
+        """A replica may ask each node for rests more than once."""
+        rests = [line("arrived", f"b{n}", 10.0 * n, rest_s=2.0) for n in (1, 2)]
+        later = [line("arrived", f"b{n}", 21.0, rest_s=1.0) for n in (3, 4, 5)]
+        attempts = [
+            attempt(f"b{n}", status=503, headers={}, body=b"") for n in range(6)
+        ]
+        assert rules(history(attempts, r1=[*rests, *later])) == ["BUDGET"]
+
     @pytest.mark.parametrize(("crashes", "found"), [(4, []), (5, ["BUDGET"])])
     def test_requests_with_a_part_after_its_fifth_crash_are_found(self, crashes, found):
         """BUDGET, after the window."""
@@ -257,7 +268,11 @@
 
     @pytest.mark.parametrize(
         ("left_s", "found"),
-        [(DEADLINE_S, []), (DEADLINE_S + DEADLINE_SLACK_S + 0.1, ["BUDGET"])],
+        [
+            (DEADLINE_S, []),
+            (DEADLINE_S + DEADLINE_SLACK_S + 0.1, ["BUDGET"]),
+            (math.inf, ["BUDGET"]),
+        ],
     )
     def test_deadlines_after_those_of_clients_are_found(self, left_s, found):
         """Replicas would work on requests that nobody waits for."""
