Check in the soak that planned stops of nodes lose no request

The check of LOST excused a node under any fault, and a planned stop is one, so a request that a stop cut off was never found; nor was an answer that ended within its body. Stops and changes of the configuration are now planned work: a request that a replica got, and whose answer a stop of its node cut off, is found unless an unplanned fault is near or its replica ran it in the last sixth of the grace.

Tests: TestLostInStop, 4 passed. Not yet soaked.

--- a/faults/entry_checks.py
+++ b/faults/entry_checks.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from camphoryard.state.log_lines import LogLine
+from standins.entry_site import GRACE_S
 from standins.replica import DEADLY, EVENTS, event, plain_body
 from standins.replica_engine import ACCEPTED
 
@@ -35,6 +36,12 @@
 MAX_ATTEMPTS = 3
 """Most replicas that may run a request, on any route."""
 MAX_REQUESTS_OVER_ATTEMPTS = 3
+LAST_OF_GRACE = 5 / 6
+"""Share of the grace after which a node that stops may break off what still runs."""
+LATE_AFTER_STOP_S = 3.0
+"""Time after a stop until which the requests that it may break off were sent."""
+SETTLE_AFTER_GRACE_S = 1.0
+"""Time after the grace of a stop in which connections still end because of it."""
 HANDOVER_S = 0.4
 """Time for which an endpoint may go on with a stream that runs at another one."""
 
@@ -81,11 +88,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Disturbance:
-    """A fault of a target: a node, a replica or the store."""
+    """A fault of a target: a node, a replica or the store; or planned work on it."""
 
     target: str
     began_s: float
     ended_s: float
+    is_planned: bool = False
 
     def touches(self, from_s: float, until_s: float) -> bool:
         """Return whether it overlaps a span of time."""
@@ -113,7 +121,8 @@
     by part, ``own_ends`` the processes that ended by themselves, ``confirmed_s``
     the times at which the store acknowledged versions of the configuration,
     ``keys_by_version`` their keys, ``starts_s`` the times at which the processes of
-    nodes were started again. Routes are named by the first segment of their paths.
+    nodes were started again, ``stops_s`` those at which they were told to stop.
+    Routes are named by the first segment of their paths.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -125,6 +134,7 @@
     log_lines_by_node: dict[str, list[LogLine]] = field(default_factory=dict)
     confirmed_s: dict[int, float] = field(default_factory=dict)
     starts_s: dict[str, list[float]] = field(default_factory=dict)
+    stops_s: dict[str, list[float]] = field(default_factory=dict)
     service_by_route: dict[str, str] = field(default_factory=dict)
     keys_by_version: dict[int, WrittenKeys] = field(default_factory=dict)
 
@@ -135,6 +145,13 @@
             for item in self.disturbances
         )
 
+    def is_out_of_order(self, from_s: float, until_s: float) -> bool:
+        """Return whether there was any unplanned fault in a span of time."""
+        return any(
+            not item.is_planned and item.touches(from_s, until_s)
+            for item in self.disturbances
+        )
+
     def is_in_touch(self, node: str, from_s: float, until_s: float) -> bool:
         """Return whether node and store were sound, also in the window before."""
         since_s = from_s - STABLE_WINDOW_S
@@ -177,6 +194,7 @@
         _budget_in_rest,
         _budget_of_parts,
         _lost,
+        _lost_in_stop,
         _one,
         _older_configuration,
         _late_configuration,
@@ -449,6 +467,34 @@
             yield f"LOST: {item.id} at {item.node} got no answer"
 
 
+def _lost_in_stop(history: SoakHistory) -> Iterable[str]:
+    """Find requests that a replica got and a planned stop of their node cut off.
+
+    Nothing is found beside unplanned faults, wherever they are.
+    """
+    arrived = {line["id"] for _, line in history.arrivals()}
+    ends_s = {
+        id: max(run.ended_s for run in runs) for id, runs in _run_spans(history).items()
+    }
+    for item in history.attempts:
+        if item.is_whole or item.has_left or item.id not in arrived:
+            continue
+        if item.done_s - item.sent_s >= DEADLINE_S or history.is_out_of_order(
+            item.sent_s - STABLE_WINDOW_S, item.done_s
+        ):
+            continue
+        for stop_s in history.stops_s.get(item.node, ()):
+            grace_end_s = stop_s + GRACE_S
+            is_late = item.sent_s > stop_s + LATE_AFTER_STOP_S
+            ran_on = ends_s.get(item.id, 0.0) > stop_s + GRACE_S * LAST_OF_GRACE
+            if (
+                item.sent_s < grace_end_s + SETTLE_AFTER_GRACE_S
+                and item.done_s > stop_s
+                and (is_late or not ran_on)
+            ):
+                yield f"LOST: {item.id} was cut off by the stop of {item.node}"
+
+
 def _one(history: SoakHistory) -> Iterable[str]:
     """Find fences of two holders, and lower fences that an engine accepted."""
     holders_by_fence: dict[int, set[str]] = defaultdict(set)
--- a/faults/entry_faults.py
+++ b/faults/entry_faults.py
@@ -223,6 +223,19 @@
     | ConfigurationChanges
     | KeysChange
 )
+
+
+def is_planned(fault: Fault) -> bool:
+    """Return whether a fault is planned work, beside which no request may be lost."""
+    match fault:
+        case NodeStops() | FleetRestarts(end=NodeEnd.STOP):
+            return True
+        case ConfigurationChanges() | KeysChange():
+            return True
+        case _:
+            return False
+
+
 KINDS = tuple(kind.__name__ for kind in get_args(Fault))
 """Names of all kinds of faults."""
 ODD_SPECS: tuple[Any, ...] = (
--- a/faults/entry_injections.py
+++ b/faults/entry_injections.py
@@ -216,6 +216,9 @@
     process = site.fleet.process_by_name[node]
     match end:
         case NodeEnd.STOP:
+            with site.lock:
+                stops_s = site.history.stops_s.setdefault(node, [])
+                stops_s.append(time.monotonic())
             process.signal(signal.SIGTERM)
             process.popen.wait(2 * GRACE_S)
         case NodeEnd.KILL:
--- a/faults/entry_soak.py
+++ b/faults/entry_soak.py
@@ -21,7 +21,7 @@
 from faults.entry_checks import Disturbance, find_violations
 from faults.entry_clients import run_client
 from faults.entry_drawing import draw_fault, targets_of
-from faults.entry_faults import KINDS
+from faults.entry_faults import KINDS, is_planned
 from faults.entry_injections import RESTART_S, inject
 from faults.key_checks import find_key_violations
 from faults.quota_checks import find_quota_violations
@@ -82,7 +82,8 @@
             ended_s = time.monotonic()
             with site.lock:
                 site.history.disturbances.extend(
-                    Disturbance(target, began_s, ended_s) for target in targets
+                    Disturbance(target, began_s, ended_s, is_planned(fault))
+                    for target in targets
                 )
                 site.busy_targets.difference_update(targets)
 
--- a/tests/faults/test_entry_checks.py
+++ b/tests/faults/test_entry_checks.py
@@ -24,6 +24,7 @@
     SoakHistory,
     find_violations,
 )
+from standins.entry_site import GRACE_S
 from standins.replica import EVENTS, event, plain_body
 
 SEAL = {"server-seal": "s.r1"}
@@ -130,6 +131,48 @@
         )
 
 
+class TestLostInStop:
+    """Requests that a replica got when their node was told to stop."""
+
+    STOP_S = 20.0
+
+    def history(self, sent_s, ran_until_s, *others, **fields):
+        """Return a stream that was cut off, and the planned stop of its node."""
+        cut = {"body": event("c1", 1), "is_whole": False, **fields}
+        done_s = max(sent_s, self.STOP_S) + 2.0
+        stream = attempt("c1", "/chat/1", sent_s, done_s=done_s, **cut)
+        at_s = sent_s + 0.1
+        runs = [
+            line("arrived", "c1", at_s),
+            line("ran", "c1", at_s),
+            line("ended", "c1", ran_until_s),
+        ]
+        stop = Disturbance("n1", self.STOP_S, self.STOP_S + 5.0, is_planned=True)
+        return history(
+            [stream],
+            r1=runs,
+            stops_s={"n1": [self.STOP_S]},
+            disturbances=[stop, *others],
+        )
+
+    @pytest.mark.parametrize("status", [200, 0])
+    def test_request_that_the_stop_cut_off_is_found(self, status):
+        """LOST, with or without the beginning of an answer."""
+        sample = self.history(19.0, 21.0, status=status)
+        assert rules(sample) == ["LOST"]
+
+    def test_request_that_ran_to_the_end_of_the_grace_is_none(self):
+        """The node could not wait for its answer, but no longer takes late ones."""
+        end_s = self.STOP_S + GRACE_S
+        assert rules(self.history(19.0, end_s)) == []
+        assert rules(self.history(self.STOP_S + 3.1, end_s)) == ["LOST"]
+
+    def test_request_beside_another_fault_is_none(self):
+        """Unplanned trouble may end answers."""
+        trouble = Disturbance("slot-1", 10.0, 19.0 - STABLE_WINDOW_S)
+        assert rules(self.history(19.0, 21.0, trouble)) == []
+
+
 class TestEndpoints:
     """What replicas asked for."""
 
