Take addresses over in the soak without a moment of silence

ReplicaIsRenamed killed the replica before another one started at its address.

AddressIsTakenOver, in its place, starts the other replica first; the one before then ends its runs and exits, and its entry stays for some seconds.

--- a/faults/entry_drawing.py
+++ b/faults/entry_drawing.py
@@ -6,6 +6,7 @@
 from faults.entry_checks import deadly_part
 from faults.entry_faults import (
     ODD_SPECS,
+    AddressIsTakenOver,
     ConfigurationChanges,
     Fault,
     FleetRestarts,
@@ -22,7 +23,6 @@
     ReplicaCrashes,
     ReplicaFault,
     ReplicaGarbles,
-    ReplicaIsRenamed,
     ReplicaLeaves,
     ReplicaPauses,
     ReplicaRepeatsRefusals,
@@ -65,7 +65,7 @@
         ReplicaGarbles(slot, for_s),
         service_fails,
         ReplicaRepeatsRefusals(slot, 3 * for_s),
-        ReplicaIsRenamed(slot, 2 * for_s),
+        AddressIsTakenOver(slot, 2 * for_s),
         ReplicaPauses(slot, for_s),
         ReplicaSlows(slot, rng.choice((400, 900, 2000)), 3 * for_s),
         StoreFails(rng.random() < 0.5, for_s),
@@ -106,7 +106,7 @@
             | ReplicaCrashes(slot)
             | ReplicaGarbles(slot)
             | ReplicaRepeatsRefusals(slot)
-            | ReplicaIsRenamed(slot)
+            | AddressIsTakenOver(slot)
             | ReplicaPauses(slot)
             | ReplicaSlows(slot)
         ):
--- a/faults/entry_faults.py
+++ b/faults/entry_faults.py
@@ -73,10 +73,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReplicaIsRenamed:
-    """A replica restarts at its address under another id, and repeats refusals.
+class AddressIsTakenOver:
+    """Another replica takes over an address and repeats refusals.
 
-    Its entry before stays, so that nodes send to both ids at one address.
+    The entry of the one before stays, so that nodes send to both ids there.
     """
 
     slot: int
@@ -207,7 +207,7 @@
     | ReplicaGarbles
     | ServiceFails
     | ReplicaRepeatsRefusals
-    | ReplicaIsRenamed
+    | AddressIsTakenOver
     | ReplicaPauses
     | ReplicaSlows
     | StoreFails
--- a/faults/entry_injections.py
+++ b/faults/entry_injections.py
@@ -9,6 +9,7 @@
 from faults.entry_checks import STABLE_WINDOW_S, Disturbance
 from faults.entry_faults import (
     ODD_SPECS,
+    AddressIsTakenOver,
     ConfigurationChanges,
     Fault,
     FleetRestarts,
@@ -24,7 +25,6 @@
     PartTurnsDeadly,
     ReplicaCrashes,
     ReplicaGarbles,
-    ReplicaIsRenamed,
     ReplicaLeaves,
     ReplicaPauses,
     ReplicaRepeatsRefusals,
@@ -45,7 +45,7 @@
 REST_MS = 300
 """Rest that a replica asks for which repeats its refusals."""
 DECLINED_PERCENT, REPEATED_PERCENT = 30, 50
-RENAMED_POLL_S = 0.05
+ADDRESS_POLL_S = 0.05
 LEADER_POLL_S = 0.05
 TAKEOVER_S = 8.0
 """Longest time until another node has taken over from a leader that has ended."""
@@ -74,8 +74,8 @@
                 site.stop.wait(fault.for_s)
         case ReplicaRepeatsRefusals(slot, for_s):
             _repeat_refusals(site, slot, for_s)
-        case ReplicaIsRenamed(slot, for_s):
-            _rename_replica(site, slot, for_s)
+        case AddressIsTakenOver(slot, for_s):
+            _take_over_address(site, slot, for_s)
         case ReplicaPauses(slot, for_s):
             _pause(site, site.replica_by_slot[slot], for_s)
         case ReplicaSlows(slot, period_ms, for_s):
@@ -142,14 +142,18 @@
     return {"echo": percent, "late": percent, "stale": percent}
 
 
-def _rename_replica(site: SoakSite, slot: int, for_s: float) -> None:
-    """Restart a replica at its address under another id, beside its entry before."""
+def _take_over_address(site: SoakSite, slot: int, for_s: float) -> None:
+    """Have another replica take over the address of one whose entry stays."""
     name = site.replica_by_slot[slot]
-    site.renamed_slots.add(slot)
-    site.fleet.process_by_name[name].kill()
-    while site.replica_by_slot[slot] == name:
-        if site.stop.wait(RENAMED_POLL_S):
+    process = site.fleet.process_by_name[name]
+    site.start_replica(slot, process.port)
+    while not site.has_entry(site.replica_by_slot[slot]):
+        if site.stop.wait(ADDRESS_POLL_S):
             return
+    # At no moment does the address accept no connection: nodes would not use the
+    # entry before any more.
+    process.signal(signal.SIGTERM)
+    process.popen.wait()
     site.control(slot, **_repeated(REPEATED_PERCENT))
     site.stop.wait(for_s)
     site.control(slot, **_repeated(0))
--- a/faults/entry_soak.py
+++ b/faults/entry_soak.py
@@ -46,13 +46,8 @@
             _record_crash(site, name, ended_s)
             if site.stop.wait(RESTART_S):
                 return
-            if slot in site.renamed_slots:
-                # The entry before stays until the fault is over.
-                site.renamed_slots.discard(slot)
-                site.start_replica(slot, site.fleet.port(name))
-            else:
-                site.remove_entry(name)
-                site.start_replica(slot)
+            site.remove_entry(name)
+            site.start_replica(slot)
 
 
 def _record_crash(site: SoakSite, name: str, ended_s: float) -> None:
--- a/faults/soak_site.py
+++ b/faults/soak_site.py
@@ -70,8 +70,6 @@
     stop: threading.Event = field(default_factory=threading.Event)
     client_port_by_node: dict[str, int] = field(default_factory=dict)
     replica_by_slot: dict[int, str] = field(default_factory=dict)
-    renamed_slots: set[int] = field(default_factory=set)
-    """Slots whose next replica takes over the address of the one before."""
     starts: int = 0
     busy_targets: set[str] = field(default_factory=set)
     deadly_part: str = ""
@@ -169,7 +167,7 @@
         )
         self.replica_by_slot[slot] = name
 
-    def control(self, slot: int, **faults: int) -> None:
+    def control(self, slot: int, **faults: float) -> None:
         """Set faults at a replica; one that has ended has none."""
         port = self.fleet.port(self.replica_by_slot[slot])
         try:
@@ -184,6 +182,15 @@
         listed = request(self.store_port, "GET", path, headers=OPERATOR)
         return {**listed["spec"], "state": state}
 
+    def has_entry(self, name: str) -> bool:
+        """Return whether the store has an entry."""
+        try:
+            path = f"/objects/servers/{name}"
+            request(self.store_port, "GET", path, headers=OPERATOR)
+        except HttpError:
+            return False
+        return True
+
     def remove_entry(self, name: str) -> None:
         """Remove an entry of the store, if it is there."""
         try:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -22,8 +22,10 @@
 import os
 import random
 import select
+import signal
 import socket
 import struct
+import sys
 import threading
 import time
 from collections.abc import Mapping
@@ -51,6 +53,8 @@
 """Share of the repeated refusals of other requests that have no request id."""
 STALE_LEAD_S = 0.1
 """Time between a refusal that is sent again and the answer after it."""
+END_S = 1.0
+"""Longest time for which a replica that is told to end goes on with its runs."""
 LATE_S = 0.2
 """Time after which a refusal is sent again on an idle connection."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -125,7 +129,9 @@
     is_leaving: bool = False
     rest_until_s: float = 0.0
     event_period_s: float = EVENT_PERIOD_S
-    percent_by_fault: dict[str, int] = field(default_factory=dict)
+    percent_by_fault: dict[str, float] = field(default_factory=dict)
+    is_ending: bool = False
+    running: int = 0
     engine: ReplicaEngine = field(default_factory=ReplicaEngine)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -148,7 +154,9 @@
         refusal_by_id: dict[str, Refusal] = {}
         with connection, reader:
             try:
-                while (call := _read_call(reader)) is not None:
+                while not self.is_ending:
+                    if (call := _read_call(reader)) is None:
+                        return
                     refusal = self.answer(connection, call, refusal_by_id)
                     if refusal is not None:
                         # The last one comes last, also if its request came before.
@@ -202,6 +210,8 @@
             declined = {**headers, "Not-Executed": "1"}
             return self._refuse(connection, Refusal(call, 503, declined))
         self.record("ran", call)
+        with self.lock:
+            self.running += 1
         try:
             if refusal_by_id and self._strikes("stale"):
                 last = next(reversed(refusal_by_id.values()))
@@ -210,6 +220,8 @@
             self._run(connection, call, headers)
         finally:
             self.record("ended", call)
+            with self.lock:
+                self.running -= 1
         return None
 
     def _run(
@@ -329,7 +341,14 @@
             raise ConnectionEndedError
         connection.sendall(b"0\r\n\r\n")
 
-    def _control(self, faults: Mapping[str, int]) -> None:
+    def end(self) -> None:
+        """Return once all runs have ended, or after some time."""
+        self.is_ending = True
+        until_s = time.monotonic() + END_S
+        while self.running and time.monotonic() < until_s:
+            time.sleep(WORK_S)
+
+    def _control(self, faults: Mapping[str, float]) -> None:
         if "leaving" in faults:
             self.is_leaving = bool(faults["leaving"])
         if "rest_ms" in faults:
@@ -414,7 +433,16 @@
 ) -> None:
     """Register in the store and serve until the process ends."""
     replica = Replica(id, journal, random.Random(f"{seed}/{id}"))
-    with socket.create_server((HOST, port), backlog=512) as listener:
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit())
+    try:
+        _listen(replica, port, service, store_port)
+    finally:
+        replica.end()
+
+
+def _listen(replica: Replica, port: int, service: str, store_port: int) -> None:
+    # Another replica may take the address over while this one still has it.
+    with socket.create_server((HOST, port), backlog=512, reuse_port=True) as listener:
         entry = {
             "service": service,
             "address": f"{HOST}:{port}",
@@ -423,8 +451,8 @@
             "state": "ready",
             "born": int(time.time() * MILLISECONDS_PER_SECOND),
         }
-        body = {"metadata": {"name": id}, "spec": entry}
-        path = f"/objects/servers/{id}"
+        body = {"metadata": {"name": replica.id}, "spec": entry}
+        path = f"/objects/servers/{replica.id}"
         request(store_port, "PUT", path, body, headers=OPERATOR)
         while True:
             connection, _ = listener.accept()
