--- a/faults/entry_faults.py
+++ b/faults/entry_faults.py
@@ -66,7 +66,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaRepeatsRefusals:
-    """A replica declines requests, and sends refusals again beside later requests."""
+    """A replica declines requests, and sends refusals again at all times."""
+
+    slot: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class AddressIsTakenOver:
+    """Another replica takes over an address and repeats refusals.
+
+    The entry of the one before stays, so that nodes send to both ids there.
+    """
 
     slot: int
     for_s: float
@@ -196,6 +207,7 @@
     | ReplicaGarbles
     | ServiceFails
     | ReplicaRepeatsRefusals
+    | AddressIsTakenOver
     | ReplicaPauses
     | ReplicaSlows
     | StoreFails
@@ -211,6 +223,19 @@
     | ConfigurationChanges
     | KeysChange
 )
+
+
+def is_planned(fault: Fault) -> bool:
+    """Return whether a fault is planned work, beside which no request may be lost."""
+    match fault:
+        case NodeStops() | FleetRestarts(end=NodeEnd.STOP):
+            return True
+        case ConfigurationChanges() | KeysChange():
+            return True
+        case _:
+            return False
+
+
 KINDS = tuple(kind.__name__ for kind in get_args(Fault))
 """Names of all kinds of faults."""
 ODD_SPECS: tuple[Any, ...] = (
--- a/faults/soak_site.py
+++ b/faults/soak_site.py
@@ -36,6 +36,7 @@
     "book": "desk",
     PUBLIC_ROUTE: "desk",
     "ask": "engines",
+    "sign": "engines",
 }
 FIRST_START, LATER_START = "bootstrap = true\n", "bootstrap = false\n"
 MODELS = ("m1", "m2", "m3", "m4")
@@ -151,8 +152,8 @@
         holder: str | None = listed["spec"]["holder"]
         return holder
 
-    def start_replica(self, slot: int) -> None:
-        """Start a replica under a new id."""
+    def start_replica(self, slot: int, port: int | None = None) -> None:
+        """Start a replica under a new id, perhaps at the port of an earlier one."""
         with self.lock:
             self.starts += 1
             name = f"r-{slot}-{self.starts}"
@@ -162,10 +163,11 @@
             *("--id", name, "--service", SERVICES[slot], "--seed", str(self.seed)),
             *("--store-port", str(self.store_port)),
             *("--journal", str(self.fleet.journal(name))),
+            port=port,
         )
         self.replica_by_slot[slot] = name
 
-    def control(self, slot: int, **faults: int) -> None:
+    def control(self, slot: int, **faults: float) -> None:
         """Set faults at a replica; one that has ended has none."""
         port = self.fleet.port(self.replica_by_slot[slot])
         try:
@@ -180,6 +182,15 @@
         listed = request(self.store_port, "GET", path, headers=OPERATOR)
         return {**listed["spec"], "state": state}
 
+    def has_entry(self, name: str) -> bool:
+        """Return whether the store has an entry."""
+        try:
+            path = f"/objects/servers/{name}"
+            request(self.store_port, "GET", path, headers=OPERATOR)
+        except HttpError:
+            return False
+        return True
+
     def remove_entry(self, name: str) -> None:
         """Remove an entry of the store, if it is there."""
         try:
@@ -216,6 +227,7 @@
             PUBLIC_ROUTE, "idempotent", "desk", public=True, **{"max-attempts": 3}
         ),
         make_route("ask", "idempotent", "engines"),
+        make_route("sign", "non_idempotent", "engines", **{"max-attempts": 3}),
         *(make_route(f"more{n}", "idempotent", "desk") for n in range(count)),
     ]
     services = [{"name": "models"}, {"name": "desk"}, ENGINES]
--- a/tests/faults/test_entry_checks.py
+++ b/tests/faults/test_entry_checks.py
@@ -1,5 +1,7 @@
 """Tests of the checks of a soak: broken rules are found, sound histories pass."""
 
+import math
+
 import pytest
 
 from camphoryard.protocol.log_lines import parse_log_line
@@ -16,12 +18,14 @@
     MAX_ATTEMPTS,
     MAX_LONG_DEADLINES,
     MAX_REQUESTS_OVER_ATTEMPTS,
+    NOT_REPEATABLE_ROUTES,
     STABLE_WINDOW_S,
     Attempt,
     Disturbance,
     SoakHistory,
     find_violations,
 )
+from standins.entry_site import GRACE_S
 from standins.replica import EVENTS, event, plain_body
 
 SEAL = {"server-seal": "s.r1"}
@@ -82,10 +86,12 @@
 class TestAnswers:
     """What clients got."""
 
-    def test_booking_that_ran_twice_is_found(self):
-        """TWICE."""
+    @pytest.mark.parametrize("route", NOT_REPEATABLE_ROUTES)
+    def test_request_that_ran_twice_is_found(self, route):
+        """TWICE, with or without a model."""
         runs = [line("ran")]
-        assert rules(history([attempt()], r1=runs, r2=runs)) == ["TWICE"]
+        sample = history([attempt(path=f"/{route}/1")], r1=runs, r2=runs)
+        assert rules(sample) == ["TWICE"]
 
     def test_refused_booking_that_ran_is_found(self):
         """REFUSED."""
@@ -128,6 +134,48 @@
         )
 
 
+class TestLostInStop:
+    """Requests that a replica got when their node was told to stop."""
+
+    STOP_S = 20.0
+
+    def history(self, sent_s, ran_until_s, *others, **fields):
+        """Return a stream that was cut off, and the planned stop of its node."""
+        cut = {"body": event("c1", 1), "is_whole": False, **fields}
+        done_s = max(sent_s, self.STOP_S) + 2.0
+        stream = attempt("c1", "/chat/1", sent_s, done_s=done_s, **cut)
+        at_s = sent_s + 0.1
+        runs = [
+            line("arrived", "c1", at_s),
+            line("ran", "c1", at_s),
+            line("ended", "c1", ran_until_s),
+        ]
+        stop = Disturbance("n1", self.STOP_S, self.STOP_S + 5.0, is_planned=True)
+        return history(
+            [stream],
+            r1=runs,
+            stops_s={"n1": [self.STOP_S]},
+            disturbances=[stop, *others],
+        )
+
+    @pytest.mark.parametrize("status", [200, 0])
+    def test_request_that_the_stop_cut_off_is_found(self, status):
+        """LOST, with or without the beginning of an answer."""
+        sample = self.history(19.0, 21.0, status=status)
+        assert rules(sample) == ["LOST"]
+
+    def test_request_that_ran_to_the_end_of_the_grace_is_none(self):
+        """The node could not wait for its answer, but no longer takes late ones."""
+        end_s = self.STOP_S + GRACE_S
+        assert rules(self.history(19.0, end_s)) == []
+        assert rules(self.history(self.STOP_S + 3.1, end_s)) == ["LOST"]
+
+    def test_request_beside_another_fault_is_none(self):
+        """Unplanned trouble may end answers."""
+        trouble = Disturbance("slot-1", 10.0, 19.0 - STABLE_WINDOW_S)
+        assert rules(self.history(19.0, 21.0, trouble)) == []
+
+
 class TestEndpoints:
     """What replicas asked for."""
 
@@ -171,6 +219,15 @@
         ]
         assert rules(history(attempts, r1=[first, *later])) == found
 
+    def test_requests_in_a_second_rest_are_found(self):
+        """A replica may ask each node for rests more than once."""
+        rests = [line("arrived", f"b{n}", 10.0 * n, rest_s=2.0) for n in (1, 2)]
+        later = [line("arrived", f"b{n}", 21.0, rest_s=1.0) for n in (3, 4, 5)]
+        attempts = [
+            attempt(f"b{n}", status=503, headers={}, body=b"") for n in range(6)
+        ]
+        assert rules(history(attempts, r1=[*rests, *later])) == ["BUDGET"]
+
     @pytest.mark.parametrize(("crashes", "found"), [(4, []), (5, ["BUDGET"])])
     def test_requests_with_a_part_after_its_fifth_crash_are_found(self, crashes, found):
         """BUDGET, after the window."""
@@ -257,7 +314,11 @@
 
     @pytest.mark.parametrize(
         ("left_s", "found"),
-        [(DEADLINE_S, []), (DEADLINE_S + DEADLINE_SLACK_S + 0.1, ["BUDGET"])],
+        [
+            (DEADLINE_S, []),
+            (DEADLINE_S + DEADLINE_SLACK_S + 0.1, ["BUDGET"]),
+            (math.inf, ["BUDGET"]),
+        ],
     )
     def test_deadlines_after_those_of_clients_are_found(self, left_s, found):
         """Replicas would work on requests that nobody waits for."""
