--- a/tests/faults/test_entry_soak.py
+++ b/tests/faults/test_entry_soak.py
@@ -6,6 +6,8 @@
 MINUTES = 0.4
 RESTARTS_SEED = 12
 RESTARTS_MINUTES = 0.3
+COPIES_SEED = 401
+COPIES_MINUTES = 0.35
 
 
 class TestEntrySoak:
@@ -19,3 +21,10 @@
         """Guards against retries beyond the fleet's budget after restarts."""
         kinds = ("FleetRestartsInTrouble",)
         assert run_soak(RESTARTS_SEED, RESTARTS_MINUTES, 6, kinds) == []
+
+    # Guards against REFUSED and TWICE: the copy of a refusal was taken for the answer
+    # to the request that was under way again on the same connection.
+    def test_copied_refusals_are_told_from_answers(self):
+        """An endpoint that took over an address declines, and then runs the request."""
+        kinds = ("AddressIsTakenOver",)
+        assert run_soak(COPIES_SEED, COPIES_MINUTES, 4, kinds) == []
