Log the limits that endpoints name, and count the reports asked for

Cause: the logs of the incident show neither when a node read a limit nor how many reports the leader asked an engine for, so that its hypotheses cannot be told apart.

Change: `Server-Limit` is decoded in the dialect and remembered with a version for each start of an endpoint; a change is logged as `endpoint_limited` or `endpoint_limit_ended`. Nothing is decided by it yet. Reports are counted as `engine_reports`.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -108,7 +108,7 @@
             ) as answer,
         ):
             forwarded.has_begun_answer = answer.head.kind is AnswerKind.SERVED
-            context.notices.heed(endpoint, answer.head.notices)
+            context.notices.heed(endpoint, answer.head.notices, sent_s)
             context.observe("head", context.clock() - sent_s)
             if answer.write_error is not None:
                 _log_unread_request(context, forwarded, endpoint, answer)
--- a/src/camphoryard/coordination/loading/engine_client.py
+++ b/src/camphoryard/coordination/loading/engine_client.py
@@ -100,9 +100,14 @@
             engine.apply_report(report)
         return report is not None
 
+    def report(self, engine: EngineState) -> EngineReport:
+        """Request and count a report; raises as `EngineApi.report`."""
+        self.count("engine_reports")
+        return self.api.report(engine.endpoint)
+
     def _query_report(self, engine: EngineState) -> EngineReport | None:
         try:
-            return self.api.report(engine.endpoint)
+            return self.report(engine)
         except (NotSentError, BrokenCallError) as error:
             self.log("report_failed", endpoint=engine.endpoint.id, error=repr(error))
             return None
--- a/src/camphoryard/coordination/loading/move_executor.py
+++ b/src/camphoryard/coordination/loading/move_executor.py
@@ -126,7 +126,7 @@
         accepted_orders = engine.accepted_orders
         with engine.call_lock:
             try:
-                report = self.client.api.report(engine.endpoint)
+                report = self.client.report(engine)
             except (NotSentError, BrokenCallError):
                 return False
         return accepted_orders is not None and report.orders_accepted <= accepted_orders
@@ -151,7 +151,7 @@
             if current is None or current.started_ms != started_ms:
                 return False
             try:
-                report = self.client.api.report(engine.endpoint)
+                report = self.client.report(engine)
             except (NotSentError, BrokenCallError):
                 continue
             if report.orders_accepted < accepted_orders:
--- /dev/null
+++ b/src/camphoryard/coordination/routing/endpoint_limits.py
@@ -0,0 +1,137 @@
+"""Limits that endpoints have named: which are in force, and since when."""
+
+import math
+import threading
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from camphoryard.coordination.ports import DecisionLog
+from camphoryard.state.directory import Directory
+from camphoryard.state.endpoint_limits import EndpointLimit
+from camphoryard.state.ids import EndpointId
+from camphoryard.state.serving_endpoints import ServingEndpoint
+
+UNLISTED_MEMORY_S = 600.0
+"""How long the limit of an endpoint that is not listed is remembered."""
+
+
+@dataclass(slots=True)
+class _Known:
+    """A limit, and when this node learned of it and last read it in an answer."""
+
+    limit: EndpointLimit
+    since_s: float
+    listed_s: float
+    named_s: float = -math.inf
+
+
+@dataclass(slots=True)
+class EndpointLimits:
+    """Remembers the limits that endpoints name, to this node or to its peers.
+
+    Parameters
+    ----------
+    directory : Directory
+        Limits of endpoints that it does not list are not told to peers.
+    log : callable
+        Called with each limit that is new, changes or ends.
+    clock : callable
+        Return monotonic time, in seconds.
+    """
+
+    directory: Directory
+    log: DecisionLog
+    clock: Callable[[], float] = time.monotonic
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+    _known_by_id: dict[EndpointId, _Known] = field(default_factory=dict)
+
+    def name(self, endpoint: ServingEndpoint, per_s: float) -> None:
+        """Record the limit that an answer of ``endpoint`` names."""
+        with self._lock:
+            if self._knows_newer_start(endpoint):
+                return
+            known = self._known_of(endpoint)
+            if known is None or known.limit.per_s != per_s:
+                known = self._change(endpoint, known, per_s)
+            known.named_s = self.clock()
+
+    def end(self, endpoint: ServingEndpoint, sent_s: float) -> None:
+        """Record that the answer to a request of ``sent_s`` names no limit."""
+        if endpoint.id not in self._known_by_id:
+            return
+        with self._lock:
+            known = self._known_of(endpoint)
+            if (
+                known is not None
+                and known.limit.per_s is not None
+                and sent_s > known.named_s
+            ):
+                self._change(endpoint, known, None)
+
+    def adopt(self, limit_by_endpoint: Mapping[EndpointId, EndpointLimit]) -> None:
+        """Record the limits that a peer knows, as far as they are newer."""
+        with self._lock:
+            for endpoint, limit in limit_by_endpoint.items():
+                known = self._known_by_id.get(endpoint)
+                if known is None or limit.supersedes(known.limit):
+                    self._store(endpoint, known, limit)
+
+    def by_endpoint(self) -> Mapping[EndpointId, EndpointLimit]:
+        """Return the limits of the listed endpoints, ended ones too, for peers."""
+        if not self._known_by_id:
+            return {}
+        listed = self.directory.endpoints_by_id()
+        now_s = self.clock()
+        with self._lock:
+            for id, known in tuple(self._known_by_id.items()):
+                if id in listed:
+                    known.listed_s = now_s
+                elif now_s - known.listed_s > UNLISTED_MEMORY_S:
+                    del self._known_by_id[id]
+            return {
+                id: known.limit
+                for id, known in self._known_by_id.items()
+                if id in listed
+            }
+
+    def _knows_newer_start(self, endpoint: ServingEndpoint) -> bool:
+        """Return whether ``endpoint`` is a view from before its last restart."""
+        known = self._known_by_id.get(endpoint.id)
+        return known is not None and known.limit.started_ms > endpoint.started_ms
+
+    def _known_of(self, endpoint: ServingEndpoint) -> _Known | None:
+        """Return what is known of this start of an endpoint."""
+        known = self._known_by_id.get(endpoint.id)
+        if known is None or known.limit.started_ms != endpoint.started_ms:
+            return None
+        return known
+
+    def _change(
+        self, endpoint: ServingEndpoint, known: _Known | None, per_s: float | None
+    ) -> _Known:
+        version = known.limit.version + 1 if known is not None else 1
+        limit = EndpointLimit(endpoint.started_ms, version, per_s)
+        return self._store(endpoint.id, known, limit)
+
+    def _store(
+        self, endpoint: EndpointId, before: _Known | None, limit: EndpointLimit
+    ) -> _Known:
+        """Replace a limit; one that was in force and changes does not begin anew."""
+        now_s = self.clock()
+        known = _Known(limit, now_s, now_s)
+        if before is not None and before.limit.started_ms == limit.started_ms:
+            known.named_s = before.named_s
+            if before.limit.per_s is not None:
+                known.since_s = before.since_s
+        self._known_by_id[endpoint] = known
+        if limit.per_s is None:
+            self.log("endpoint_limit_ended", endpoint=endpoint, version=limit.version)
+        else:
+            self.log(
+                "endpoint_limited",
+                endpoint=endpoint,
+                per_s=limit.per_s,
+                version=limit.version,
+            )
+        return known
--- a/src/camphoryard/coordination/routing/endpoint_notices.py
+++ b/src/camphoryard/coordination/routing/endpoint_notices.py
@@ -1,5 +1,6 @@
-"""What endpoints say of themselves in answers: that they leave, or want a rest."""
+"""What endpoints say of themselves in answers: that they leave, rest or have limits."""
 
+import math
 import random
 import threading
 import time
@@ -8,6 +9,7 @@
 from typing import TypeAlias
 
 from camphoryard.coordination.ports import DecisionLog
+from camphoryard.coordination.routing.endpoint_limits import EndpointLimits
 from camphoryard.state.directory import Directory
 from camphoryard.state.ids import EndpointId
 from camphoryard.state.serving_endpoints import ServingEndpoint
@@ -31,7 +33,19 @@
     wait_s: float
 
 
-Notice: TypeAlias = Leaving | Resting
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """The endpoint takes ``per_s`` requests a second from all nodes together."""
+
+    per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Unlimited:
+    """The endpoint names no limit."""
+
+
+Notice: TypeAlias = Leaving | Resting | Limited | Unlimited
 
 
 @dataclass(slots=True)
@@ -52,11 +66,23 @@
     log: DecisionLog
     clock: Callable[[], float] = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
+    limits: EndpointLimits = field(init=False)
     _lock: threading.Lock = field(default_factory=threading.Lock)
     _rest_until_s: dict[EndpointId, float] = field(default_factory=dict)
 
-    def heed(self, endpoint: ServingEndpoint, notices: Iterable[Notice]) -> None:
-        """Heed the notices in an answer of ``endpoint`` that has just arrived."""
+    def __post_init__(self) -> None:
+        self.limits = EndpointLimits(self.directory, self.log, self.clock)
+
+    def heed(
+        self,
+        endpoint: ServingEndpoint,
+        notices: Iterable[Notice],
+        sent_s: float = -math.inf,
+    ) -> None:
+        """Heed the notices in an answer of ``endpoint`` that has just arrived.
+
+        ``sent_s`` is the monotonic time at which its request was sent.
+        """
         for notice in notices:
             match notice:
                 case Leaving():
@@ -64,6 +90,10 @@
                         self.log("endpoint_leaving", endpoint=endpoint.id)
                 case Resting(wait_s):
                     self._rest(endpoint.id, wait_s)
+                case Limited(per_s):
+                    self.limits.name(endpoint, per_s)
+                case Unlimited():
+                    self.limits.end(endpoint, sent_s)
 
     def rest_left_s(self, endpoint: EndpointId) -> float:
         """Return how long an endpoint still wants nothing, in seconds."""
--- a/src/camphoryard/platform/dialect.py
+++ b/src/camphoryard/platform/dialect.py
@@ -11,8 +11,10 @@
 )
 from camphoryard.coordination.routing.endpoint_notices import (
     Leaving,
+    Limited,
     Notice,
     Resting,
+    Unlimited,
 )
 from camphoryard.protocol.dialect import HOP_BY_HOP_HEADERS, RequestHead
 from camphoryard.state.accounts import key_digest
@@ -47,6 +49,7 @@
 URGENCY = "Urgency-Class"
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
+LIMIT = "Server-Limit"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "bearer"
 HEADER_ENCODING = "latin-1"
@@ -199,9 +202,30 @@
         wait_s = _seconds(value_by_name.get(RETRY_AFTER.lower(), ""))
         if wait_s > 0:
             notices.append(Resting(wait_s))
+    notices.extend(_limit_notices(status, value_by_name))
     return tuple(notices)
 
 
+def _limit_notices(
+    status: int, value_by_name: Mapping[str, str]
+) -> tuple[Limited | Unlimited, ...]:
+    """Return the limit that an answer names, or that it names none.
+
+    A refusal without the header says nothing, as it may be the copy of an earlier one.
+    """
+    text = value_by_name.get(LIMIT.lower())
+    if text is not None:
+        try:
+            per_s = float(text)
+        except ValueError:
+            return ()
+        return (Limited(per_s),) if 0 <= per_s < math.inf else ()
+    is_refusal = NOT_RUN.lower() in value_by_name or status == MISDIRECTED_STATUS
+    if is_refusal or SIGNATURE.lower() not in value_by_name:
+        return ()
+    return (Unlimited(),)
+
+
 def _seconds(text: str) -> float:
     """Return a number of seconds; 0 if it is none, as for a date."""
     try:
--- a/src/camphoryard/state/ids.py
+++ b/src/camphoryard/state/ids.py
@@ -14,6 +14,8 @@
 RouteId = NewType("RouteId", str)
 AccountId = NewType("AccountId", str)
 """A client account, to which requests belong by their key."""
+LimitedId = NewType("LimitedId", str)
+"""What a shared limit applies to: an account, or a start of an endpoint."""
 KeyDigest = NewType("KeyDigest", bytes)
 """Digest of a client's key; the key itself is never kept."""
 CallerId = NewType("CallerId", str)
--- a/tests/coordination/routing/test_endpoint_notices.py
+++ b/tests/coordination/routing/test_endpoint_notices.py
@@ -1,5 +1,7 @@
 """Tests of what endpoints say of themselves in their answers."""
 
+from dataclasses import replace
+
 import pytest
 
 from camphoryard.coordination.routing.endpoint_notices import (
@@ -7,9 +9,12 @@
     MAX_RETURN_SPREAD_S,
     EndpointNotices,
     Leaving,
+    Limited,
     Resting,
+    Unlimited,
 )
 from camphoryard.state.directory import Directory
+from camphoryard.state.endpoint_limits import EndpointLimit
 from tests.fakes.engines import SERVICE, Clock, RecordedLog, make_endpoint
 
 E1 = make_endpoint("e1")
@@ -62,3 +67,57 @@
         """The word is that of one endpoint."""
         notices.heed(E1, [Resting(2.0)])
         assert notices.rest_left_s("e2") == 0.0
+
+
+class TestLimited:
+    """Endpoints that name a limit."""
+
+    def test_a_limit_is_logged_when_it_changes(self, notices):
+        """Not with each answer that names it again."""
+        for per_s in (2.0, 2.0, 1.0):
+            notices.heed(E1, [Limited(per_s)])
+        named = [fields["per_s"] for _, fields in notices.log.lines]
+        assert named == [2.0, 1.0]
+
+    def test_an_answer_without_a_limit_ends_it(self, notices):
+        """Not that to a request which was sent before the limit was last named."""
+        notices.heed(E1, [Limited(2.0)])
+        notices.heed(E1, [Unlimited()], notices.clock.now_s - 0.1)
+        assert notices.log.events() == ["endpoint_limited"]
+        notices.heed(E1, [Unlimited()], notices.clock.now_s + 0.1)
+        assert notices.log.events() == ["endpoint_limited", "endpoint_limit_ended"]
+
+    def test_an_answer_without_a_limit_says_nothing_of_an_endpoint_that_had_none(
+        self, notices
+    ):
+        """Nothing is remembered of such endpoints."""
+        notices.heed(E1, [Unlimited()], notices.clock.now_s)
+        assert not notices.log.events()
+        assert not notices.limits.by_endpoint()
+
+    def test_a_peer_s_word_counts_if_it_is_newer(self, notices):
+        """Of two that are as new, the stricter one counts."""
+        notices.heed(E1, [Limited(2.0)])
+        start = E1.started_ms
+        for limit in (
+            EndpointLimit(start, 1, 3.0),
+            EndpointLimit(start, 1, 1.0),
+            EndpointLimit(start, 2, None),
+            EndpointLimit(start, 1, 0.5),
+        ):
+            notices.limits.adopt({E1.id: limit})
+        assert notices.log.events() == [
+            "endpoint_limited",
+            "endpoint_limited",
+            "endpoint_limit_ended",
+        ]
+        assert notices.limits.by_endpoint() == {E1.id: EndpointLimit(start, 2, None)}
+
+    def test_a_restart_ends_a_limit(self, notices):
+        """A late answer of the process before does not bring it back."""
+        notices.heed(E1, [Limited(2.0)])
+        restarted = replace(E1, started_ms=E1.started_ms + 1)
+        notices.heed(restarted, [Limited(1.0)])
+        notices.heed(E1, [Limited(2.0)])
+        known = notices.limits.by_endpoint()[E1.id]
+        assert known == EndpointLimit(E1.started_ms + 1, 1, 1.0)
