--- a/src/camphoryard/coordination/admission/quota_ledger.py
+++ b/src/camphoryard/coordination/admission/quota_ledger.py
@@ -1,4 +1,4 @@
-"""The leader's ledger of the parts of accounts' quotas that nodes hold."""
+"""The leader's ledger of the parts of shared limits that nodes hold."""
 
 import math
 from collections import Counter, defaultdict
@@ -9,16 +9,14 @@
 from xxhash import xxh3_64_intdigest
 
 from camphoryard.coordination.admission.quota_shares import (
-    EVEN_PARTS,
     HOLDING_S,
-    REST_MARGIN_S,
     TAKE_WITHIN_S,
 )
+from camphoryard.coordination.admission.sharing_policy import SharingPolicy
 from camphoryard.coordination.leadership.leader_lease import LEASE_S, boot_clock_s
-from camphoryard.state.ids import AccountId, FencingNumber, Incarnation, NodeId
+from camphoryard.state.ids import FencingNumber, Incarnation, LimitedId, NodeId
 from camphoryard.state.quotas import WHOLE, QuotaRenewal, QuotaReport
 
-LENDABLE_PARTS = WHOLE - EVEN_PARTS
 SCARCE_PARTS = WHOLE // 10
 """Free parts below which nodes keep no unused ones."""
 RESERVED_PARTS = WHOLE // 5
@@ -28,9 +26,9 @@
 """A grant is larger than asked for by as many times the parts, but by no more than this
 fraction of those that are free."""
 PACE_CAPACITY_PARTS = WHOLE // 4
-"""Parts of an account that may be granted at once, or its burst if that is more. Others
-follow at the pace of its limit, so that an account which suddenly asks for much more
-uses it over seconds."""
+"""Parts of a limit that may be granted at once, or its burst if that is more. Others
+follow at the pace of the limit, so that who suddenly asks for much more uses it over
+seconds."""
 BACKUPS = 3
 BACKUP_SILENCE_S = 2.0
 """Time without a report after which another node is made a backup; four reports."""
@@ -44,19 +42,19 @@
 class _Holder:
     """The parts of one process, by its last report, and those granted since.
 
-    ``disputed`` are the accounts of which it has reported more than it can hold.
+    ``disputed`` are the limits of which it has reported more than it can hold.
     """
 
     heard_s: float
     renewed_beat: int = 0
     settled: int = 0
-    parts_by_account: dict[AccountId, int] = field(default_factory=dict)
-    grant_by_number: dict[int, Mapping[AccountId, int]] = field(default_factory=dict)
-    disputed: set[AccountId] = field(default_factory=set)
+    parts_by_id: dict[LimitedId, int] = field(default_factory=dict)
+    grant_by_number: dict[int, Mapping[LimitedId, int]] = field(default_factory=dict)
+    disputed: set[LimitedId] = field(default_factory=set)
 
-    def held(self) -> Counter[AccountId]:
-        """Return the most that the process can hold of each account."""
-        held = Counter(self.parts_by_account)
+    def held(self) -> Counter[LimitedId]:
+        """Return the most that the process can hold of each limit."""
+        held = Counter(self.parts_by_id)
         for granted in self.grant_by_number.values():
             held.update(granted)
         return held
@@ -65,7 +63,7 @@
         """Record a report and forget the grants that it includes."""
         self.heard_s = now_s
         self.settled = max(self.settled, report.settled)
-        self.parts_by_account = dict(report.parts_by_account)
+        self.parts_by_id = dict(report.parts_by_id)
         for number in tuple(self.grant_by_number):
             if number <= self.settled:
                 del self.grant_by_number[number]
@@ -73,7 +71,7 @@
 
 @dataclass(slots=True)
 class _Pace:
-    """Parts of an account that may be granted now; less than 0 after a large grant."""
+    """Parts of a limit that may be granted now; less than 0 after a large grant."""
 
     parts: float = math.inf
     capacity: float = 0.0
@@ -95,7 +93,7 @@
 
 
 class QuotaLedger:
-    """Counts which process holds how much of each account's limit, for one term.
+    """Counts which process holds how much of each limit, for one term.
 
     A part is granted again only if its holder has reported that it gave it back, or if
     the holder was not heard of until its parts have lapsed and all units that it had
@@ -109,12 +107,14 @@
     ----------
     node : NodeId
         The leader.
+    policy : SharingPolicy
+        How the limits are shared.
     is_first : bool
         Whether no other leader can have granted anything before.
     clock : callable
         Return seconds, including time during which the VM is suspended.
     burst_parts : callable
-        Return the parts of an account that are its burst.
+        Return the parts of a limit that are its burst.
     """
 
     def __init__(
@@ -122,25 +122,26 @@
         node: NodeId,
         term: FencingNumber,
         is_first: bool,
-        window_s: float,
+        policy: SharingPolicy,
         clock: Callable[[], float] = boot_clock_s,
-        burst_parts: Callable[[AccountId], int] = lambda account: 0,
+        burst_parts: Callable[[LimitedId], int] = lambda id: 0,
     ) -> None:
         self.term = term
         self._burst_parts = burst_parts
         self._node = node
         self._clock = clock
-        self._pace_parts_per_s = WHOLE / window_s
-        self._pace_by_account: defaultdict[AccountId, _Pace] = defaultdict(_Pace)
-        self._lapse_s = HOLDING_S + TAKE_WITHIN_S + window_s + REST_MARGIN_S
+        self._pace_parts_per_s = WHOLE / policy.window_s
+        self._pace_by_id: defaultdict[LimitedId, _Pace] = defaultdict(_Pace)
+        self._lapse_s = HOLDING_S + TAKE_WITHIN_S + policy.rest_s
         # A predecessor that the store has forgotten may act for as long as a lease.
         known_in_s = 0.0 if is_first else LEASE_S + self._lapse_s
         self._all_known_s = clock() + known_in_s
-        self._rest_s = window_s + REST_MARGIN_S
+        self._rest_s = policy.rest_s
+        self._lendable_parts = policy.lendable_parts
         self._is_complete = False
         self._holder_by_process: dict[tuple[NodeId, Incarnation], _Holder] = {}
-        self._held: Counter[AccountId] = Counter()
-        self._claimed: Counter[AccountId] = Counter()
+        self._held: Counter[LimitedId] = Counter()
+        self._claimed: Counter[LimitedId] = Counter()
         self._next_drop_s = clock()
 
     def observe(
@@ -165,11 +166,11 @@
         if holder is None:
             holder = self._holder_by_process[process] = _Holder(self._clock())
         before = holder.held()
-        for account, parts in report.parts_by_account.items():
-            excess = parts - before[account]
-            if excess > 0 and not (is_new and self._claim(account, excess)):
-                holder.disputed.add(account)
-        holder.disputed.intersection_update(report.parts_by_account)
+        for id, parts in report.parts_by_id.items():
+            excess = parts - before[id]
+            if excess > 0 and not (is_new and self._claim(id, excess)):
+                holder.disputed.add(id)
+        holder.disputed.intersection_update(report.parts_by_id)
         holder.apply(report, self._clock())
         self._held.subtract(before)
         self._held.update(holder.held())
@@ -191,13 +192,14 @@
         node: NodeId,
         incarnation: Incarnation,
         number: int,
-        parts_by_account: Mapping[AccountId, int],
+        parts_by_id: Mapping[LimitedId, int],
         is_spare: bool = False,
-    ) -> Mapping[AccountId, int]:
-        """Return the parts that a process gets which asks for ``parts_by_account``.
+    ) -> Mapping[LimitedId, int]:
+        """Return the parts that a process gets which asks for ``parts_by_id``.
 
         Parts that it needs are granted with a few more, or not at all, and no faster
-        than the account's pace. Spare ones are granted as far as they leave a reserve.
+        than the pace of the limit. Spare ones are granted as far as they leave a
+        reserve.
         """
         self._drop_silent()
         holder = self._holder_by_process.get((node, incarnation))
@@ -206,17 +208,17 @@
         if number in holder.grant_by_number:
             return {}
         granted = {}
-        for account, parts in parts_by_account.items():
-            amount = self._amount(account, parts, is_spare)
+        for id, parts in parts_by_id.items():
+            amount = self._amount(id, parts, is_spare)
             if amount > 0:
-                granted[account] = amount
+                granted[id] = amount
         holder.grant_by_number[number] = granted
         self._held.update(granted)
         return granted
 
-    def free_parts(self, account: AccountId) -> int:
-        """Return how many parts of an account nobody can hold."""
-        free = LENDABLE_PARTS - self._unknown(account) - self._held[account]
+    def free_parts(self, id: LimitedId) -> int:
+        """Return how many parts of a limit nobody can hold."""
+        free = self._lendable_parts - self._unknown(id) - self._held[id]
         return max(0, free)
 
     def renewal(self, node: NodeId, incarnation: Incarnation) -> QuotaRenewal | None:
@@ -225,9 +227,9 @@
         if holder is None or not holder.renewed_beat:
             return None
         scarce = [
-            account
-            for account, held in self._held.items()
-            if held > 0 and self.free_parts(account) < SCARCE_PARTS
+            id
+            for id, held in self._held.items()
+            if held > 0 and self.free_parts(id) < SCARCE_PARTS
         ]
         return QuotaRenewal(holder.renewed_beat, tuple(sorted(scarce)), self._backups())
 
@@ -241,12 +243,12 @@
         }
         return tuple(nsmallest(BACKUPS, heard, key=_backup_order))
 
-    def _amount(self, account: AccountId, parts: int, is_spare: bool) -> int:
-        free = self.free_parts(account)
+    def _amount(self, id: LimitedId, parts: int, is_spare: bool) -> int:
+        free = self.free_parts(id)
         if is_spare:
             return min(parts, free - RESERVED_PARTS)
-        pace = self._pace_by_account[account]
-        capacity = max(PACE_CAPACITY_PARTS, self._burst_parts(account))
+        pace = self._pace_by_id[id]
+        capacity = max(PACE_CAPACITY_PARTS, self._burst_parts(id))
         pace.refill(capacity, self._pace_parts_per_s, self._clock())
         if parts > free or not pace.allows(parts):
             return 0
@@ -255,17 +257,17 @@
         pace.parts -= amount
         return amount
 
-    def _claim(self, account: AccountId, parts: int) -> bool:
+    def _claim(self, id: LimitedId, parts: int) -> bool:
         """Take parts that a process holds from an earlier term; False if too many."""
-        claimed = min(parts, self._unknown(account))
-        is_free = parts - claimed <= self.free_parts(account)
-        self._claimed[account] += claimed
+        claimed = min(parts, self._unknown(id))
+        is_free = parts - claimed <= self.free_parts(id)
+        self._claimed[id] += claimed
         return is_free
 
-    def _unknown(self, account: AccountId) -> int:
+    def _unknown(self, id: LimitedId) -> int:
         if self._clock() >= self._all_known_s:
             return 0
-        return LENDABLE_PARTS - self._claimed[account]
+        return self._lendable_parts - self._claimed[id]
 
     def _drop_silent(self) -> None:
         """Free the parts of processes that were not heard of until all have lapsed."""
--- a/src/camphoryard/coordination/admission/quota_shares.py
+++ b/src/camphoryard/coordination/admission/quota_shares.py
@@ -1,4 +1,4 @@
-"""One node's parts of the quotas of accounts."""
+"""One node's parts of the limits that all nodes share."""
 
 import math
 import threading
@@ -7,30 +7,22 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
+from camphoryard.coordination.admission.sharing_policy import SharingPolicy
 from camphoryard.coordination.leadership.leader_lease import boot_clock_s
-from camphoryard.state.ids import AccountId, FencingNumber
+from camphoryard.state.ids import FencingNumber, LimitedId
 from camphoryard.state.quotas import WHOLE, QuotaRenewal, QuotaReport, Spend
 
-EVEN_PARTS = WHOLE // 10
-"""Parts of each limit that are divided evenly over all nodes without grants."""
 UNHEARD_NODES_FACTOR = 1.25
 """Nodes that joined unheard, as a factor on the number of nodes known."""
-SPARE_PARTS = WHOLE // 2
-"""Parts of each limit that the backups together keep if nobody else needs them. A new
-leader learns of these at once, but not of what its predecessor had not granted."""
 HOLDING_S = 8.0
 """Time after which parts lapse at their node, from when it sent the last report that
 the leader has renewed. Longer than the fleet is without a leader when one is lost."""
 SILENT_LEADER_S = 1.25
 """Time without an answer after which a leader may be lost."""
-IDLE_S = 5.0
-"""A node keeps as many unused units of an account as it has used in this time."""
 ASK_PAUSE_S = 0.25
 """Time after a declined request for parts in which no other is made."""
 TAKE_WITHIN_S = 0.5
 """Time within which a node admits a request after it has asked a backup to count it."""
-REST_MARGIN_S = 0.05
-"""Added to the window, as clocks of machines differ slightly in speed."""
 RELATIVE_TOLERANCE = 1e-9
 
 
@@ -47,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShareUsage:
-    """What the admission to one account is made of now, for the log.
+    """What the use of one limit is made of now, for the log.
 
     ``spent`` are the units used within the window, ``renewed_age_s`` is the age of the
     last report that the leader has renewed.
@@ -61,7 +53,7 @@
 
 @dataclass(slots=True)
 class _Share:
-    """Granted parts of one account, and what was used of it within the window."""
+    """Granted parts of one limit, and what was used of it within the window."""
 
     parts: int = 0
     limit: float = 0.0
@@ -78,15 +70,17 @@
 
 
 class QuotaShares:
-    """Admits requests to accounts from the parts of their limits that this node holds.
+    """Admits requests from the parts of limits that this node holds.
 
-    The limit of an account is what it may use in any window of ``window_s``. Used units
-    count against the node's parts until a window has passed, and parts whose units rest
-    like that are never given back. So the units that all nodes admit within any window
-    stay within the limit as long as no part is held twice.
+    A limit is what may be used in any window of ``policy.window_s``. Used units count
+    against the node's parts until a window has passed, and parts whose units rest like
+    that are never given back. So the units that all nodes admit within any window stay
+    within the limit as long as no part is held twice.
 
     Parameters
     ----------
+    policy : SharingPolicy
+        How the limits are shared.
     node_count : callable
         Return how many nodes divide the limits, or 0 while that is not known.
     clock : callable
@@ -95,29 +89,30 @@
 
     def __init__(
         self,
-        window_s: float,
+        policy: SharingPolicy,
         node_count: Callable[[], int],
         clock: Callable[[], float] = boot_clock_s,
     ) -> None:
-        self._rest_s = window_s + REST_MARGIN_S
+        self._policy = policy
+        self._rest_s = policy.rest_s
         self._node_count = node_count
         self._clock = clock
         self._lock = threading.Lock()
         # An earlier process of this node may have used its even part until now.
         self._even_from_s = clock() + self._rest_s
-        self._share_by_account: dict[AccountId, _Share] = {}
-        self._scarce: frozenset[AccountId] = frozenset()
+        self._share_by_id: dict[LimitedId, _Share] = {}
+        self._scarce: frozenset[LimitedId] = frozenset()
         self._spare_parts = 0
         self._renewed_s = self._heard_s = -math.inf
         self._sent_s_by_beat: dict[int, float] = {}
         self._term = FencingNumber(0)
         self._asks = 0
-        self._open_asks: dict[int, frozenset[AccountId]] = {}
+        self._open_asks: dict[int, frozenset[LimitedId]] = {}
 
     def take(
-        self, account: AccountId, limit: float, units: float, within_s: float = 0.0
+        self, id: LimitedId, limit: float, units: float, within_s: float = 0.0
     ) -> Spend | Short:
-        """Use ``units`` of an account of which the fleet may use ``limit`` in a window.
+        """Use ``units`` of what the fleet may use ``limit`` of in a window.
 
         They may be used up to ``within_s`` seconds later.
 
@@ -127,13 +122,13 @@
             The units used, or what is missing for that; nothing is used then.
         """
         with self._lock:
-            share = self._share(account)
+            share = self._share(id)
             share.limit = limit
             missing = share.spent + units - self._usable_parts(share) * limit / WHOLE
             if missing > units * RELATIVE_TOLERANCE:
                 parts = share.parts_of(missing) if limit > 0 else WHOLE
                 return Short(parts, self._room_in_s(share, missing))
-            spend = Spend(account, units, self._clock() + within_s)
+            spend = Spend(id, units, self._clock() + within_s)
             share.spends.append(spend)
             share.spent += units
             return spend
@@ -141,64 +136,62 @@
     def refund(self, spend: Spend) -> None:
         """Give back the units of a request that has not run."""
         with self._lock:
-            share = self._share(spend.account)
+            share = self._share(spend.id)
             if spend in share.spends:
                 share.spent -= spend.units
             spend.units = 0.0
 
-    def expect_return(self, account: AccountId, units: float, in_s: float) -> None:
+    def expect_return(self, id: LimitedId, units: float, in_s: float) -> None:
         """Record that a refused request was told to come back in ``in_s`` seconds.
 
         Those that are refused later are told to come back after it. No more are
-        recorded than the account may use in a window.
+        recorded than may be used in a window.
         """
         with self._lock:
-            share = self._share(account)
+            share = self._share(id)
             if share.returning_units < share.limit:
                 heappush(share.returning, (self._clock() + in_s, units))
                 share.returning_units += units
 
-    def begin_ask(self, accounts: Collection[AccountId]) -> int | None:
+    def begin_ask(self, ids: Collection[LimitedId]) -> int | None:
         """Return the number of a new request to the leader, or None if none is due."""
         with self._lock:
             if not self._is_renewed():
                 return None
             now_s = self._clock()
-            if any(self._share(item).asks_from_s > now_s for item in accounts):
+            if any(self._share(item).asks_from_s > now_s for item in ids):
                 return None
             self._asks += 1
-            self._open_asks[self._asks] = frozenset(accounts)
+            self._open_asks[self._asks] = frozenset(ids)
             return self._asks
 
     def settle_ask(
         self,
         number: int,
         term: FencingNumber,
-        parts_by_account: Mapping[AccountId, int],
+        parts_by_id: Mapping[LimitedId, int],
         is_spare: bool = False,
     ) -> None:
         """End a request to the leader, with what the leader of ``term`` has granted."""
         with self._lock:
-            for account in self._open_asks.pop(number):
-                share = self._share(account)
-                parts = parts_by_account.get(account, 0)
+            for id in self._open_asks.pop(number):
+                share = self._share(id)
+                parts = parts_by_id.get(id, 0)
                 if not parts and not is_spare:
                     share.asks_from_s = self._clock() + ASK_PAUSE_S
                 elif term == self._term and self._is_renewed():
                     share.parts += parts
 
-    def wanted_spare_parts(
-        self, accounts: Collection[AccountId]
-    ) -> Mapping[AccountId, int]:
-        """Return the parts of accounts that this node lacks to keep its spare parts."""
+    def wanted_spare_parts(self, ids: Collection[LimitedId]) -> Mapping[LimitedId, int]:
+        """Return the parts that this node lacks to keep its spare parts."""
         with self._lock:
             target = self._spare_parts
             wanted = {}
-            for account in accounts:
-                share = self._share(account)
+            for id in ids:
+                share = self._share(id)
                 missing = target - share.parts + share.parts_of(share.spent)
-                if account not in self._scarce and missing > target // 4:
-                    wanted[account] = missing
+                if id not in self._scarce and missing > target // 4:
+                    wanted[id] = missing
             return wanted
 
     def report(self, term: FencingNumber, beat: int) -> QuotaReport | None:
@@ -219,15 +212,15 @@
                 if sent_s > now_s - HOLDING_S
             }
             self._sent_s_by_beat[beat] = now_s
-            for account in tuple(self._share_by_account):
-                self._trim(account)
+            for id in tuple(self._share_by_id):
+                self._trim(id)
             settled = min(self._open_asks, default=self._asks + 1) - 1
-            parts_by_account = {
-                account: share.parts
-                for account, share in self._share_by_account.items()
+            parts_by_id = {
+                id: share.parts
+                for id, share in self._share_by_id.items()
                 if share.parts
             }
-            return QuotaReport(term, settled, parts_by_account)
+            return QuotaReport(term, settled, parts_by_id)
 
     def renew(
         self, term: FencingNumber, renewal: QuotaRenewal, is_backup: bool
@@ -243,15 +236,15 @@
             self._scarce = frozenset(renewal.scarce)
             self._spare_parts = 0
             if is_backup:
-                self._spare_parts = SPARE_PARTS // len(renewal.backups)
+                self._spare_parts = self._policy.spare_parts // len(renewal.backups)
             sent_s = self._sent_s_by_beat.get(renewal.beat, -math.inf)
             self._renewed_s = max(self._renewed_s, sent_s)
             return True
 
-    def usage(self, account: AccountId) -> ShareUsage:
-        """Return what the admission to an account is made of now."""
+    def usage(self, id: LimitedId) -> ShareUsage:
+        """Return what the use of a limit is made of now."""
         with self._lock:
-            share = self._share(account)
+            share = self._share(id)
             age_s = self._clock() - self._renewed_s
             return ShareUsage(share.parts, self._even_parts(), share.spent, age_s)
 
@@ -260,9 +253,9 @@
         with self._lock:
             return self._clock() - self._renewed_s
 
-    def _share(self, account: AccountId) -> _Share:
-        """Return the share of an account, without the units of earlier windows."""
-        share = self._share_by_account.setdefault(account, _Share())
+    def _share(self, id: LimitedId) -> _Share:
+        """Return the share of a limit, without the units of earlier windows."""
+        share = self._share_by_id.setdefault(id, _Share())
         since_s = self._clock() - self._rest_s
         while share.spends and share.spends[0].at_s <= since_s:
             share.spent -= share.spends.popleft().units
@@ -281,27 +274,27 @@
         nodes = self._node_count()
         if not nodes or self._clock() < self._even_from_s:
             return 0
-        return int(EVEN_PARTS / (nodes * UNHEARD_NODES_FACTOR))
+        return int(self._policy.even_parts / (nodes * UNHEARD_NODES_FACTOR))
 
-    def _trim(self, account: AccountId) -> None:
-        """Give back the parts of an account that are neither resting nor kept.
+    def _trim(self, id: LimitedId) -> None:
+        """Give back the parts of a limit that are neither resting nor kept.
 
         Parts that have not lapsed are not given back to a leader that may be lost.
         """
-        share = self._share(account)
+        share = self._share(id)
         if self._is_renewed() and self._clock() - self._heard_s > SILENT_LEADER_S:
             return
         kept = 0
-        if self._is_renewed() and account not in self._scarce:
+        if self._is_renewed() and id not in self._scarce:
             kept = max(self._spare_parts, share.parts_of(self._recently_used(share)))
         needed = share.parts_of(share.spent) + kept - self._even_parts()
         share.parts = min(share.parts, max(0, needed))
-        is_open = any(account in item for item in self._open_asks.values())
+        is_open = any(id in item for item in self._open_asks.values())
         if not (share.parts or share.spends or share.returning or is_open):
-            del self._share_by_account[account]
+            del self._share_by_id[id]
 
     def _recently_used(self, share: _Share) -> float:
-        since_s = self._clock() - IDLE_S
+        since_s = self._clock() - self._policy.idle_s
         return sum(item.units for item in share.spends if item.at_s > since_s)
 
     def _room_in_s(self, share: _Share, missing: float) -> float:
--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -8,7 +8,7 @@
 import math
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
@@ -38,7 +38,7 @@
     Version,
 )
 from camphoryard.state.nodes import NodeDigest, NodeTable
-from camphoryard.state.quotas import QuotaRenewal, QuotaReport
+from camphoryard.state.quotas import QuotaKind, QuotaRenewal, QuotaReport
 from camphoryard.state.tables import InFlightTable
 
 GOSSIP_PERIOD_S = 0.25
@@ -115,8 +115,8 @@
         Parts of prompts that are quarantined, which nodes that start learn from peers.
     directory : Directory
         Endpoints, some of which have said to one node that they leave.
-    quotas : QuotaSharing or None
-        Quotas of accounts, of which nodes and the leader tell each other.
+    quotas : collection of QuotaSharing
+        Limits of each kind, of whose parts nodes and the leader tell each other.
     relaying : EndpointRelaying or None
         Changes of endpoints that the leader of a star passes on; None without.
     rules : RulesAnnouncements or None
@@ -140,7 +140,7 @@
         crashed_parts: CrashedParts,
         directory: Directory,
         clock: Callable[[], float] = time.monotonic,
-        quotas: QuotaSharing | None = None,
+        quotas: Collection[QuotaSharing] = (),
         relaying: EndpointRelaying | None = None,
         rules: RulesAnnouncements | None = None,
         link_mbps: float = 0.0,
@@ -176,8 +176,9 @@
         self._demand.sample()
         self._beat += 1
         leader = self.leader()
-        if self._quotas is not None and leader == self._node:
-            self._quotas.report_to_self(self._beat)
+        if leader == self._node:
+            for quotas in self._quotas:
+                quotas.report_to_self(self._beat)
         match self.topology():
             case Mesh():
                 self._send_to_all(leader)
@@ -190,7 +191,7 @@
                     leader,
                     self._in_flight.by_id(),
                     self._demand.by_item(),
-                    self._quota_report(leader),
+                    self._quota_reports(leader),
                 )
 
     def receive(self, gossip: Gossip) -> None:
@@ -202,8 +203,8 @@
             self._crashed_parts.adopt(digest.quarantine_s_by_parts)
         for endpoint, started_ms in digest.leaving_by_endpoint.items():
             self._directory.record_leaving(endpoint, started_ms)
-        if self._quotas is not None:
-            self._quotas.receive(digest)
+        for quotas in self._quotas:
+            quotas.receive(digest)
         if digest.duty_term:
             self._leader_observed_s = self._clock()
             self._on_unloads(digest.unloads_by_endpoint)
@@ -231,8 +232,8 @@
         in_flight = self._in_flight.by_id()
         for node in self._known_peers():
             if node == leader:
-                demand, report = self._demand.by_item(), self._quota_report(node)
-                self._send_digest(node, in_flight, demand, report)
+                demand, reports = self._demand.by_item(), self._quota_reports(node)
+                self._send_digest(node, in_flight, demand, reports)
             else:
                 self._send_digest(node, in_flight, {})
 
@@ -263,7 +264,7 @@
         node: NodeId,
         in_flight: Mapping[EndpointId, int],
         demand: Mapping[ItemId, ItemDemand],
-        quota_report: QuotaReport | None = None,
+        reports: Mapping[QuotaKind, QuotaReport] | None = None,
         relay: EndpointRelay | None = None,
     ) -> None:
         term = self._term()
@@ -279,8 +280,8 @@
             unloads_by_endpoint=self._unloads_by_endpoint() if term else {},
             quarantine_s_by_parts=self._crashed_parts.quarantine_s_by_parts(),
             leaving_by_endpoint=self._directory.leaving_by_endpoint(),
-            quota_report=quota_report,
-            quota_renewal=self._quota_renewal(node) if term else None,
+            quota_report_by_kind=reports or {},
+            quota_renewal_by_kind=self._quota_renewals(node) if term else {},
             endpoints_revision=(
                 self._relaying.position if self._relaying else Revision(0)
             ),
@@ -289,17 +290,24 @@
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
-    def _quota_report(self, leader: NodeId) -> QuotaReport | None:
+    def _quota_reports(self, leader: NodeId) -> Mapping[QuotaKind, QuotaReport]:
         digest = self._nodes.digest(leader)
-        if self._quotas is None or digest is None:
-            return None
-        return self._quotas.report(leader, digest.duty_term, self._beat)
+        if digest is None:
+            return {}
+        reports = (
+            (item.kind, item.report(leader, digest.duty_term, self._beat))
+            for item in self._quotas
+        )
+        return {kind: report for kind, report in reports if report is not None}
 
-    def _quota_renewal(self, node: NodeId) -> QuotaRenewal | None:
+    def _quota_renewals(self, node: NodeId) -> Mapping[QuotaKind, QuotaRenewal]:
         lease = self._nodes.find(node)
-        if self._quotas is None or lease is None:
-            return None
-        return self._quotas.renewal(node, lease.incarnation)
+        if lease is None:
+            return {}
+        renewals = (
+            (item.kind, item.renewal(node, lease.incarnation)) for item in self._quotas
+        )
+        return {kind: renewal for kind, renewal in renewals if renewal is not None}
 
     def leader(self) -> NodeId | None:
         """Return the leader according to the digests of peers, or None."""
--- a/src/camphoryard/coordination/fleet/quota_sharing.py
+++ b/src/camphoryard/coordination/fleet/quota_sharing.py
@@ -1,4 +1,4 @@
-"""Quotas of accounts over the fleet: admission at a node, and the leader's grants."""
+"""Limits that all nodes share: use at a node, and the leader's grants."""
 
 import math
 import random
@@ -12,8 +12,10 @@
     HOLDING_S,
     TAKE_WITHIN_S,
     QuotaShares,
+    ShareUsage,
     Short,
 )
+from camphoryard.coordination.admission.sharing_policy import SharingPolicy
 from camphoryard.coordination.leadership.leader_lease import NO_TERM, boot_clock_s
 from camphoryard.coordination.messages import (
     Declined,
@@ -24,19 +26,17 @@
     Reply,
 )
 from camphoryard.coordination.ports import DecisionLog, Peers, Timer
-from camphoryard.state.accounts import Account, Accounts
 from camphoryard.state.errors import PeerUnreachableError
-from camphoryard.state.ids import AccountId, FencingNumber, Incarnation, NodeId
+from camphoryard.state.ids import FencingNumber, Incarnation, LimitedId, NodeId
 from camphoryard.state.nodes import NodeDigest
 from camphoryard.state.quotas import (
     WHOLE,
     Admitted,
-    OverQuota,
-    QuotaDecision,
+    QuotaKind,
     QuotaRenewal,
     QuotaReport,
     Spend,
-    window_limit,
+    WindowLimit,
 )
 
 ASK_TIMEOUT_S = 0.3
@@ -74,15 +74,29 @@
     term: FencingNumber
 
 
+class Limits(Protocol):
+    """The limits of one kind that are in force."""
+
+    def ids(self) -> Collection[LimitedId]:
+        """Return what is limited."""
+
+    def find(self, id: LimitedId) -> WindowLimit | None:
+        """Return a limit, or None if there is none."""
+
+
 class QuotaSharing:
-    """Admits requests to accounts up to their quotas, over all nodes together.
+    """Admits requests up to the limits of one kind, over all nodes together.
 
     Parameters
     ----------
+    kind : QuotaKind
+        What the limits apply to.
+    policy : SharingPolicy
+        How they are shared.
     is_first_start : bool
         Whether no node of the fleet has run before.
-    accounts : callable
-        Return the accounts of the configuration in force, or None.
+    limits : Limits
+        The limits that this node knows.
     shares : QuotaShares
         What this node holds.
     lease : Lease
@@ -101,9 +115,10 @@
         self,
         node: NodeId,
         incarnation: Incarnation,
-        window_s: float,
+        kind: QuotaKind,
+        policy: SharingPolicy,
         is_first_start: bool,
-        accounts: Callable[[], Accounts | None],
+        limits: Limits,
         shares: QuotaShares,
         peers: Peers,
         lease: Lease,
@@ -115,9 +130,10 @@
     ) -> None:
         self._node = node
         self._incarnation = incarnation
-        self._window_s = window_s
+        self._kind = kind
+        self._policy = policy
         self._is_first_start = is_first_start
-        self._accounts = accounts
+        self._limits = limits
         self._shares = shares
         self._peers = peers
         self._lease = lease
@@ -133,34 +149,51 @@
         self._backups: tuple[NodeId, ...] = ()
         self._asks_from_s = clock()
 
-    def admit(self, account: Account | None, tokens: int) -> QuotaDecision:
-        """Decide on a request; see the AccountQuotas port."""
-        if account is None or account.quota is None:
-            return Admitted()
-        limit = window_limit(account.quota, self._window_s)
-        units = account.quota.cost(tokens)
+    @property
+    def kind(self) -> QuotaKind:
+        """What the limits apply to."""
+        return self._kind
+
+    def use(self, id: LimitedId, limit: float, units: float) -> Admitted | Short:
+        """Use ``units`` of a limit, if need be after asking the leader for parts.
+
+        Returns
+        -------
+        Admitted or Short
+            What is used, or what this node is short of.
+        """
         for _ in range(MAX_ASKS):
-            match self._shares.take(account.id, limit, units):
+            match self._shares.take(id, limit, units):
                 case Spend() as spend:
                     return Admitted(spend)
                 case Short(parts) as short:
-                    if self._ask({account.id: parts}):
+                    if self._ask({id: parts}):
                         continue
-                    if self._is_leaderless() and self._take_at_backup(
-                        account.id, units
-                    ):
+                    if self._is_leaderless() and self._take_at_backup(id, units):
                         return Admitted()
                     break
-        retry_after_s = self._retry_after_s(short)
-        self._shares.expect_return(account.id, units, retry_after_s)
-        self._log_refused(account.id, units, limit, retry_after_s)
-        return OverQuota(retry_after_s)
+        return short
 
     def refund(self, admitted: Admitted) -> None:
-        """Give back what a request has used; see the AccountQuotas port."""
+        """Give back what a request has used that has not run."""
         if admitted.spend is not None:
             self._shares.refund(admitted.spend)
 
+    def expect_return(self, id: LimitedId, units: float, short: Short) -> float:
+        """Return when a refused request may come back, in seconds.
+
+        Those that are refused later are told to come back after it.
+        """
+        has_room = math.isfinite(short.room_in_s)
+        room_s = short.room_in_s if has_room else NO_ROOM_RETRY_S
+        retry_after_s = room_s * (1.0 + RETRY_SPREAD * self._spread())
+        self._shares.expect_return(id, units, retry_after_s)
+        return retry_after_s
+
+    def usage(self, id: LimitedId) -> ShareUsage:
+        """Return what the use of a limit at this node is made of now."""
+        return self._shares.usage(id)
+
     def run(self, timer: Timer) -> None:
         """Keep spare parts at this node until the timer service closes."""
         for _ in timer.every(SPARE_PERIOD_S):
@@ -168,15 +201,15 @@
 
     def ask_for_spare(self) -> None:
         """Ask the leader for the spare parts that this node lacks."""
-        wanted = self._shares.wanted_spare_parts(self._limited_accounts())
+        wanted = self._shares.wanted_spare_parts(self._limits.ids())
         if wanted:
             self._ask(wanted, is_spare=True)
 
     def report(
         self, leader: NodeId, term: FencingNumber, beat: int
     ) -> QuotaReport | None:
-        """Return the report to a leader; None without quotas or if it is outdated."""
-        if not self._limited_accounts():
+        """Return the report to a leader; None without limits or if it is outdated."""
+        if not self._limits.ids():
             return None
         report = self._shares.report(term, beat)
         if report is not None and self._leader != _Leader(leader, term):
@@ -206,7 +239,8 @@
 
     def receive(self, digest: NodeDigest) -> None:
         """Record the report of a node, or the renewal of a leader."""
-        if digest.quota_report is not None:
+        report = digest.quota_report_by_kind.get(self._kind)
+        if report is not None:
             with self._lock:
                 ledger = self._current_ledger()
                 if ledger is not None:
@@ -215,10 +249,11 @@
                         digest.node,
                         digest.incarnation,
                         digest.beat,
-                        digest.quota_report,
+                        report,
                     )
-        if digest.quota_renewal is not None:
-            self._renew(digest.duty_term, digest.quota_renewal)
+        renewal = digest.quota_renewal_by_kind.get(self._kind)
+        if renewal is not None:
+            self._renew(digest.duty_term, renewal)
 
     def answer(self, request: QuotaRequest) -> QuotaGrant:
         """Grant parts to a node that asks for them, as the leader."""
@@ -232,41 +267,39 @@
                 request.node,
                 request.incarnation,
                 request.number,
-                request.parts_by_account,
+                request.parts_by_id,
                 request.is_spare,
             )
         return QuotaGrant(request.term, granted)
 
     def take_for_peer(self, request: QuotaTake) -> Reply:
         """Admit a request of another node, as a backup."""
-        accounts = self._accounts()
-        account = accounts.by_id.get(request.account) if accounts else None
-        if account is None or account.quota is None:
-            return Declined("no such account with a quota")
-        limit = window_limit(account.quota, self._window_s)
+        limit = self._limits.find(request.id)
+        if limit is None:
+            return Declined("no such limit")
         match self._shares.take(
-            account.id, limit, request.units, within_s=TAKE_WITHIN_S
+            request.id, limit.units, request.units, within_s=TAKE_WITHIN_S
         ):
             case Spend():
                 return Done()
             case Short():
-                return Declined("over quota")
+                return Declined("over the limit")
 
-    def _take_at_backup(self, account: AccountId, units: float) -> bool:
+    def _take_at_backup(self, id: LimitedId, units: float) -> bool:
         """Return whether a backup admits a request in place of this node."""
         others = [node for node in self._backups if node != self._node]
         for node in random.sample(others, len(others)):
             asked_s = self._clock()
             try:
                 reply = self._peers.request(
-                    node, QuotaTake(account, units), ASK_TIMEOUT_S
+                    node, QuotaTake(id, units, self._kind), ASK_TIMEOUT_S
                 )
             except PeerUnreachableError as error:
-                self._log("quota_backup_unreached", backup=node, error=str(error))
+                self._log(self._name("backup_unreached"), backup=node, error=str(error))
                 continue
             is_late = self._clock() - asked_s > TAKE_WITHIN_S
             if reply == Done() and not is_late:
-                self._count("quota_backup_takes")
+                self._count(self._name("backup_takes"))
                 return True
         return False
 
@@ -279,13 +312,13 @@
             self._backups = renewal.backups
 
     def _ask(
-        self, parts_by_account: Mapping[AccountId, int], is_spare: bool = False
+        self, parts_by_id: Mapping[LimitedId, int], is_spare: bool = False
     ) -> bool:
         """Ask the leader for parts; return whether it has granted any."""
         leader = self._leader
         if leader is None or self._clock() < self._asks_from_s:
             return False
-        number = self._shares.begin_ask(parts_by_account.keys())
+        number = self._shares.begin_ask(parts_by_id.keys())
         if number is None:
             return False
         request = QuotaRequest(
@@ -293,18 +326,18 @@
             self._incarnation,
             leader.term,
             number,
-            parts_by_account,
+            parts_by_id,
             is_spare,
+            self._kind,
         )
         grant = QuotaGrant(NO_TERM, {})
         try:
             grant = self._request(leader, request)
         finally:
-            self._shares.settle_ask(
-                number, grant.term, grant.parts_by_account, is_spare
-            )
-        self._count("quota_grants" if grant.parts_by_account else "quota_grants_denied")
-        return bool(grant.parts_by_account)
+            self._shares.settle_ask(number, grant.term, grant.parts_by_id, is_spare)
+        outcome = "grants" if grant.parts_by_id else "grants_denied"
+        self._count(self._name(outcome))
+        return bool(grant.parts_by_id)
 
     def _request(self, leader: _Leader, request: QuotaRequest) -> QuotaGrant:
         if leader.node == self._node:
@@ -313,7 +346,9 @@
             reply = self._peers.request(leader.node, request, ASK_TIMEOUT_S)
         except PeerUnreachableError as error:
             self._asks_from_s = self._clock() + UNREACHED_PAUSE_S
-            self._log("quota_leader_unreached", leader=leader.node, error=str(error))
+            self._log(
+                self._name("leader_unreached"), leader=leader.node, error=str(error)
+            )
             return QuotaGrant(NO_TERM, {})
         match reply:
             case QuotaGrant() as grant:
@@ -333,19 +368,15 @@
                 self._node,
                 term,
                 self._is_first_start and self._lease.is_first_term,
-                self._window_s,
+                self._policy,
                 self._clock,
                 self._burst_parts,
             )
         return self._ledger
 
-    def _burst_parts(self, account: AccountId) -> int:
-        accounts = self._accounts()
-        found = accounts.by_id.get(account) if accounts else None
-        quota = found.quota if found else None
-        if quota is None:
-            return 0
-        return int(quota.burst / window_limit(quota, self._window_s) * WHOLE)
+    def _burst_parts(self, id: LimitedId) -> int:
+        limit = self._limits.find(id)
+        return 0 if limit is None else int(limit.burst / limit.units * WHOLE)
 
     def _observe(
         self,
@@ -360,30 +391,5 @@
         if listed is not None:
             ledger.note_nodes(listed)
 
-    def _limited_accounts(self) -> tuple[AccountId, ...]:
-        accounts = self._accounts()
-        if accounts is None:
-            return ()
-        return tuple(account.id for account in accounts.by_id.values() if account.quota)
-
-    def _retry_after_s(self, short: Short) -> float:
-        has_room = math.isfinite(short.room_in_s)
-        room_s = short.room_in_s if has_room else NO_ROOM_RETRY_S
-        return room_s * (1.0 + RETRY_SPREAD * self._spread())
-
-    def _log_refused(
-        self, account: AccountId, units: float, limit: float, retry_after_s: float
-    ) -> None:
-        usage = self._shares.usage(account)
-        self._count("requests_over_quota")
-        self._log(
-            "over_quota",
-            account=account,
-            units=units,
-            limit=limit,
-            spent=usage.spent,
-            parts=usage.parts,
-            even_parts=usage.even_parts,
-            renewed_age_s=round(usage.renewed_age_s, 2),
-            retry_after_s=round(retry_after_s, 3),
-        )
+    def _name(self, event: str) -> str:
+        return f"{self._kind.value}_{event}"
--- a/src/camphoryard/coordination/membership/peer_messages.py
+++ b/src/camphoryard/coordination/membership/peer_messages.py
@@ -116,6 +116,6 @@
                 "no leader here: each engine is controlled by its own owner"
             )
         case QuotaRequest() | QuotaTake():
-            return Declined("no accounts here")
+            return Declined("no limits are shared here")
         case DispatchRequest() | FirstEventSeen() | RunEnded() | Withdrawn():
             return Declined("no dispatcher here: each node admits its own requests")
--- a/src/camphoryard/coordination/messages.py
+++ b/src/camphoryard/coordination/messages.py
@@ -17,12 +17,12 @@
 )
 from camphoryard.state.endpoint_record import EndpointRecord
 from camphoryard.state.ids import (
-    AccountId,
     EndpointId,
     FencingNumber,
     Fingerprint,
     Incarnation,
     ItemId,
+    LimitedId,
     NodeId,
     ObjectKey,
     OrderId,
@@ -32,6 +32,7 @@
     Zone,
 )
 from camphoryard.state.nodes import NodeDigest, NodeLease
+from camphoryard.state.quotas import QuotaKind
 from camphoryard.state.refusals import RefusalCounts
 from camphoryard.state.timeline import Event
 from camphoryard.state.traffic import RequestedModel
@@ -307,7 +308,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaRequest:
-    """Ask the leader of ``term`` for parts of the limits of accounts.
+    """Ask the leader of ``term`` for parts of limits of one kind.
 
     ``number`` grows with each request of one process. Spare parts are not needed yet.
     """
@@ -316,8 +317,9 @@
     incarnation: Incarnation
     term: FencingNumber
     number: int
-    parts_by_account: Mapping[AccountId, int]
+    parts_by_id: Mapping[LimitedId, int]
     is_spare: bool = False
+    kind: QuotaKind = QuotaKind.ACCOUNT
 
 
 @dataclass(frozen=True, slots=True)
@@ -325,15 +327,16 @@
     """Parts that the leader of ``term`` grants."""
 
     term: FencingNumber
-    parts_by_account: Mapping[AccountId, int]
+    parts_by_id: Mapping[LimitedId, int]
 
 
 @dataclass(frozen=True, slots=True)
 class QuotaTake:
-    """Ask a backup to admit a request of an account in place of the sender."""
+    """Ask a backup to admit a request in place of the sender."""
 
-    account: AccountId
+    id: LimitedId
     units: float
+    kind: QuotaKind = QuotaKind.ACCOUNT
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -4,6 +4,7 @@
 import math
 import sys
 import threading
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,12 +19,17 @@
     make_client_memory,
 )
 from camphoryard.coordination.admission.quota_shares import QuotaShares
+from camphoryard.coordination.admission.sharing_policy import account_policy
 from camphoryard.coordination.dispatch.dispatcher import Dispatcher, DispatcherContext
 from camphoryard.coordination.dispatch.turns import (
     FleetTurns,
     TurnsContext,
     record_message,
 )
+from camphoryard.coordination.fleet.account_quotas import (
+    AccountLimits,
+    SharedAccountQuotas,
+)
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
 from camphoryard.coordination.fleet.endpoint_roles import EndpointReading, endpoint_role
@@ -108,6 +114,7 @@
 from camphoryard.state.ids import Incarnation, NodeId, ObjectKey, ServiceId, WriteId
 from camphoryard.state.leadership import LeadershipRecord, PeerKeys
 from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.quotas import QuotaKind
 from camphoryard.state.retry_reserve import RetryReserveUse
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.store_eras import NewestEra
@@ -205,7 +212,7 @@
     dispatcher: Dispatcher
     crash_sharing: CrashSharing
     retry_recorder: RetryRecorder
-    quotas: QuotaSharing
+    quotas_by_kind: Mapping[QuotaKind, QuotaSharing]
     app: FrontApp
     readiness: ReadinessApp
     executors: Executors
@@ -273,16 +280,22 @@
         lambda: gossip.is_standby(),
         log,
     )
-    shares = QuotaShares(
+    account_limits = AccountLimits(
+        lambda: directory.rules.accounts if directory.rules else None,
         settings.bounds.quota_window_s,
+    )
+    quota_policy = account_policy(settings.bounds.quota_window_s)
+    shares = QuotaShares(
+        quota_policy,
         lambda: fleet_size.count() if math.isfinite(nodes_watcher.age_s()) else 0,
     )
     quotas = QuotaSharing(
         settings.node,
         incarnation,
-        settings.bounds.quota_window_s,
+        QuotaKind.ACCOUNT,
+        quota_policy,
         settings.is_first_start,
-        lambda: directory.rules.accounts if directory.rules else None,
+        account_limits,
         shares,
         peers,
         leader_lease,
@@ -314,7 +327,7 @@
         directory.record_unloads,
         crashed_parts,
         directory,
-        quotas=quotas,
+        quotas=(quotas,),
         relaying=relaying,
         link_mbps=settings.vm_limits.link_mbps,
         rules=rules_following,
@@ -454,7 +467,7 @@
         metrics.observe,
         metrics.count,
         account_counts=AccountCounts(metrics.count_labelled),
-        quotas=quotas,
+        quotas=SharedAccountQuotas(quotas, account_limits, log, metrics.count),
         turns=turns,
     )
     return Entry(
@@ -482,7 +495,7 @@
         dispatcher,
         crash_sharing,
         retry_recorder,
-        quotas,
+        {item.kind: item for item in (quotas,)},
         FrontApp(context, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
@@ -507,9 +520,9 @@
             entry.crash_sharing.receive(report)
             return Done()
         case QuotaRequest() as quota_request:
-            return entry.quotas.answer(quota_request)
+            return entry.quotas_by_kind[quota_request.kind].answer(quota_request)
         case QuotaTake() as quota_take:
-            return entry.quotas.take_for_peer(quota_take)
+            return entry.quotas_by_kind[quota_take.kind].take_for_peer(quota_take)
         case _:
             return Declined("unexpected message type for an entry daemon")
 
--- a/src/camphoryard/entry/daemon.py
+++ b/src/camphoryard/entry/daemon.py
@@ -102,7 +102,7 @@
         entry.leader_lease.run,
         entry.load_controller.run,
         entry.retry_recorder.run,
-        entry.quotas.run,
+        *(quotas.run for quotas in entry.quotas_by_kind.values()),
         partial(log_process_pauses, entry.log),
         partial(join_fleet, entry),
     )
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -72,6 +72,7 @@
     Generation,
     Incarnation,
     ItemId,
+    LimitedId,
     ModelId,
     NodeId,
     ObjectKey,
@@ -85,7 +86,7 @@
 )
 from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.nodes import NodeDigest
-from camphoryard.state.quotas import QuotaRenewal, QuotaReport
+from camphoryard.state.quotas import QuotaKind, QuotaRenewal, QuotaReport
 from camphoryard.state.traffic import RequestedModel
 
 MILLISECONDS_PER_SECOND = 1000
@@ -153,12 +154,12 @@
 class _QuotaReportForm(msgspec.Struct, array_like=True, frozen=True):
     term: FencingNumber
     settled: int
-    parts_by_account: Mapping[AccountId, int]
+    parts_by_id: Mapping[LimitedId, int]
 
 
 class _QuotaRenewalForm(msgspec.Struct, array_like=True, frozen=True):
     beat: int
-    scarce: tuple[AccountId, ...]
+    scarce: tuple[LimitedId, ...]
     backups: tuple[NodeId, ...]
 
 
@@ -178,8 +179,8 @@
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = {}
     quarantine_ms_by_parts: Mapping[str, int] = {}
     leaving_by_endpoint: Mapping[EndpointId, int] = {}
-    quota_report: _QuotaReportForm | None = None
-    quota_renewal: _QuotaRenewalForm | None = None
+    quota_report_by_kind: Mapping[QuotaKind, _QuotaReportForm] = {}
+    quota_renewal_by_kind: Mapping[QuotaKind, _QuotaRenewalForm] = {}
     endpoints_revision: Revision = Revision(0)
     relay: RelayForm | None = None
     rules_version: Version = Version(0)
@@ -431,8 +432,14 @@
                 for parts, left_s in heard.digest.quarantine_s_by_parts.items()
             },
             heard.digest.leaving_by_endpoint,
-            _quota_report_form(heard.digest.quota_report),
-            _quota_renewal_form(heard.digest.quota_renewal),
+            {
+                kind: _QuotaReportForm(item.term, item.settled, item.parts_by_id)
+                for kind, item in heard.digest.quota_report_by_kind.items()
+            },
+            {
+                kind: _QuotaRenewalForm(item.beat, item.scarce, item.backups)
+                for kind, item in heard.digest.quota_renewal_by_kind.items()
+            },
             heard.digest.endpoints_revision,
             relay_form(heard.digest.relay),
             heard.digest.rules_version,
@@ -441,30 +448,6 @@
     )
 
 
-def _quota_report_form(report: QuotaReport | None) -> _QuotaReportForm | None:
-    if report is None:
-        return None
-    return _QuotaReportForm(report.term, report.settled, report.parts_by_account)
-
-
-def _quota_report(form: _QuotaReportForm | None) -> QuotaReport | None:
-    if form is None:
-        return None
-    return QuotaReport(form.term, form.settled, form.parts_by_account)
-
-
-def _quota_renewal_form(renewal: QuotaRenewal | None) -> _QuotaRenewalForm | None:
-    if renewal is None:
-        return None
-    return _QuotaRenewalForm(renewal.beat, renewal.scarce, renewal.backups)
-
-
-def _quota_renewal(form: _QuotaRenewalForm | None) -> QuotaRenewal | None:
-    if form is None:
-        return None
-    return QuotaRenewal(form.beat, form.scarce, form.backups)
-
-
 def _demand_form(
     demand_by_item: Mapping[ItemId, ItemDemand],
 ) -> Mapping[ItemId, tuple[int, int]]:
@@ -513,8 +496,14 @@
                     for text, left_ms in item.quarantine_ms_by_parts.items()
                 },
                 item.leaving_by_endpoint,
-                _quota_report(item.quota_report),
-                _quota_renewal(item.quota_renewal),
+                {
+                    kind: QuotaReport(form.term, form.settled, form.parts_by_id)
+                    for kind, form in item.quota_report_by_kind.items()
+                },
+                {
+                    kind: QuotaRenewal(form.beat, form.scarce, form.backups)
+                    for kind, form in item.quota_renewal_by_kind.items()
+                },
                 item.endpoints_revision,
                 read_relay(item.relay),
                 item.rules_version,
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -25,7 +25,7 @@
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
-from camphoryard.state.quotas import QuotaRenewal, QuotaReport
+from camphoryard.state.quotas import QuotaKind, QuotaRenewal, QuotaReport
 
 MAX_PORT = 65535
 
@@ -74,11 +74,11 @@
     are the models that a leader is having unloaded, which take no more requests.
     ``quarantine_s_by_parts`` are the sets of parts of prompts that are refused if they
     come together, with the time left in seconds. ``leaving_by_endpoint`` are the listed
-    endpoints that say they leave, with the time of their start. ``quota_report`` tells
-    the leader what the node holds of the quotas of accounts; ``quota_renewal`` is the
-    leader's answer. ``endpoints_revision`` is that of the node's view of the endpoints,
-    ``relay`` what the receiver's view lacks. ``rules_version`` is that of the newest
-    configuration object that a leader has read.
+    endpoints that say they leave, with the time of their start. The quota reports tell
+    the leader what the node holds of the limits of each kind; the renewals are the
+    leader's answers. ``endpoints_revision`` is that of the node's view of the
+    endpoints, ``relay`` what the receiver's view lacks. ``rules_version`` is that of
+    the newest configuration object that a leader has read.
     """
 
     node: NodeId
@@ -97,8 +97,10 @@
         default_factory=dict
     )
     leaving_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
-    quota_report: QuotaReport | None = None
-    quota_renewal: QuotaRenewal | None = None
+    quota_report_by_kind: Mapping[QuotaKind, QuotaReport] = field(default_factory=dict)
+    quota_renewal_by_kind: Mapping[QuotaKind, QuotaRenewal] = field(
+        default_factory=dict
+    )
     endpoints_revision: Revision = Revision(0)
     relay: EndpointRelay | None = None
     rules_version: Version = Version(0)
--- a/tests/coordination/admission/test_quota_ledger.py
+++ b/tests/coordination/admission/test_quota_ledger.py
@@ -6,11 +6,11 @@
     AHEAD,
     BACKUP_SILENCE_S,
     BACKUPS,
-    LENDABLE_PARTS,
     RESERVED_PARTS,
     QuotaLedger,
 )
 from camphoryard.coordination.admission.quota_shares import HOLDING_S
+from camphoryard.coordination.admission.sharing_policy import account_policy
 from camphoryard.coordination.leadership.leader_lease import LEASE_S
 from camphoryard.state.ids import AccountId
 from camphoryard.state.quotas import WHOLE, QuotaReport
@@ -18,6 +18,8 @@
 
 A = AccountId("a")
 WINDOW_S = 8.0
+POLICY = account_policy(WINDOW_S)
+LENDABLE_PARTS = POLICY.lendable_parts
 TERM = 3
 MARGIN_S = 1.0
 
@@ -27,7 +29,7 @@
 
     def __init__(self, is_first=True):
         self.clock = Clock()
-        self.ledger = QuotaLedger("n0", TERM, is_first, WINDOW_S, self.clock)
+        self.ledger = QuotaLedger("n0", TERM, is_first, POLICY, self.clock)
         self.beat = 0
 
     def report(self, node, parts=0, settled=0, renews=True, term=TERM):
--- a/tests/coordination/admission/test_quota_shares.py
+++ b/tests/coordination/admission/test_quota_shares.py
@@ -4,14 +4,17 @@
 
 from camphoryard.coordination.admission.quota_shares import (
     ASK_PAUSE_S,
-    EVEN_PARTS,
     HOLDING_S,
-    REST_MARGIN_S,
     SILENT_LEADER_S,
     UNHEARD_NODES_FACTOR,
     QuotaShares,
     Short,
 )
+from camphoryard.coordination.admission.sharing_policy import (
+    EVEN_PARTS,
+    REST_MARGIN_S,
+    account_policy,
+)
 from camphoryard.state.ids import AccountId
 from camphoryard.state.quotas import WHOLE, QuotaRenewal, Spend
 from tests.fakes.engines import Clock
@@ -31,7 +34,7 @@
 @pytest.fixture
 def shares(clock):
     """Return the shares of a node that holds half of the limit, just renewed."""
-    shares = QuotaShares(WINDOW_S, lambda: 0, clock)
+    shares = QuotaShares(account_policy(WINDOW_S), lambda: 0, clock)
     renew(shares, 1)
     receive(shares, WHOLE // 2)
     return shares
@@ -109,7 +112,7 @@
 
     def test_the_even_part_is_held_for_a_window_after_the_start(self, clock):
         """An earlier process of the node may have used it."""
-        shares = QuotaShares(WINDOW_S, lambda: 4, clock)
+        shares = QuotaShares(account_policy(WINDOW_S), lambda: 4, clock)
         even = EVEN_PARTS / (4 * UNHEARD_NODES_FACTOR) * LIMIT / WHOLE
         short = shares.take(A, LIMIT, even)
         assert isinstance(short, Short)
@@ -148,32 +151,32 @@
 
     def test_unused_parts_are_given_back(self, shares):
         """Others may need them."""
-        assert shares.report(TERM, 2).parts_by_account == {}
+        assert shares.report(TERM, 2).parts_by_id == {}
 
     def test_as_many_unused_parts_are_kept_as_were_used_just_now(self, shares):
         """Steady demand needs no further request to the leader."""
         shares.take(A, LIMIT, 10)
-        assert shares.report(TERM, 2).parts_by_account == {A: WHOLE // 5}
+        assert shares.report(TERM, 2).parts_by_id == {A: WHOLE // 5}
 
     def test_no_unused_parts_of_a_scarce_account_are_kept(self, shares):
         """Only those whose units rest."""
         shares.take(A, LIMIT, 10)
         renew(shares, 2, scarce=(A,))
-        assert shares.report(TERM, 3).parts_by_account == {A: WHOLE // 10}
+        assert shares.report(TERM, 3).parts_by_id == {A: WHOLE // 10}
 
     def test_nothing_is_given_back_to_a_leader_that_does_not_answer(
         self, shares, clock
     ):
         """It would be lost until its successor knows all that was held."""
         clock.advance(SILENT_LEADER_S + 0.1)
-        assert shares.report(TERM, 2).parts_by_account == {A: WHOLE // 2}
+        assert shares.report(TERM, 2).parts_by_id == {A: WHOLE // 2}
 
     def test_lapsed_parts_are_given_back_but_for_those_that_rest(self, shares, clock):
         """Also if the leader is lost."""
         clock.advance(2.0)
         shares.take(A, LIMIT, 10)
         clock.advance(HOLDING_S - 2.0)
-        assert shares.report(TERM, 2).parts_by_account == {A: WHOLE // 10}
+        assert shares.report(TERM, 2).parts_by_id == {A: WHOLE // 10}
 
     def test_a_leader_of_an_older_term_gets_no_report(self, shares):
         """It would grant parts that the newer one knows as held."""
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -19,7 +19,7 @@
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import EndpointId, FencingNumber, NodeId, Version
 from camphoryard.state.nodes import NodeLease, NodeTable
-from camphoryard.state.quotas import QuotaRenewal, QuotaReport
+from camphoryard.state.quotas import QuotaKind, QuotaRenewal, QuotaReport
 from camphoryard.state.tables import InFlightTable
 from tests.fakes.engines import SERVICE, Clock, RecordedLog, make_endpoint
 
@@ -84,7 +84,7 @@
             self.crashed_parts,
             self.directory,
             fleet.clock,
-            self.quotas,
+            (self.quotas,),
             self.relaying,
             self.rules,
         )
@@ -93,6 +93,8 @@
 class Quotas:
     """Quotas of a node that records what it is told."""
 
+    kind = QuotaKind.ACCOUNT
+
     def __init__(self, name):
         self.name, self.reports, self.renewed = name, {}, False
 
@@ -110,9 +112,9 @@
 
     def receive(self, digest):
         """Record what a digest tells."""
-        if digest.quota_report is not None:
-            self.reports[digest.node] = digest.quota_report.settled
-        if digest.quota_renewal is not None:
+        for report in digest.quota_report_by_kind.values():
+            self.reports[digest.node] = report.settled
+        if digest.quota_renewal_by_kind:
             self.renewed = True
 
 
--- a/tests/coordination/fleet/test_quota_sharing.py
+++ b/tests/coordination/fleet/test_quota_sharing.py
@@ -135,8 +135,8 @@
     def test_an_account_without_a_quota_is_not_limited(self):
         """Nor are requests without an account."""
         fleet = make_fleet(4)
-        sharing = fleet.node_by_id["n1"].sharing
-        decisions = [sharing.admit(item, 10**9) for item in (None, Account("free"))]
+        quotas = fleet.node_by_id["n1"].quotas
+        decisions = [quotas.admit(item, 10**9) for item in (None, Account("free"))]
         assert decisions == [Admitted(), Admitted()]
 
     def test_nothing_is_told_without_quotas(self):
--- a/tests/fakes/quota_fleet.py
+++ b/tests/fakes/quota_fleet.py
@@ -4,6 +4,11 @@
 from enum import Enum
 
 from camphoryard.coordination.admission.quota_shares import QuotaShares
+from camphoryard.coordination.admission.sharing_policy import account_policy
+from camphoryard.coordination.fleet.account_quotas import (
+    AccountLimits,
+    SharedAccountQuotas,
+)
 from camphoryard.coordination.fleet.quota_sharing import QuotaSharing
 from camphoryard.coordination.messages import QuotaRequest, QuotaTake
 from camphoryard.state.accounts import Account, Accounts, Quota, QuotaUnit
@@ -11,7 +16,7 @@
 from camphoryard.state.errors import PeerUnreachableError
 from camphoryard.state.ids import AccountId, FencingNumber, NodeId
 from camphoryard.state.nodes import NodeDigest
-from camphoryard.state.quotas import Admitted, window_limit
+from camphoryard.state.quotas import Admitted, QuotaKind, window_limit
 from tests.fakes.engines import Clock, RecordedLog
 
 WINDOW_S = 8.0
@@ -56,13 +61,16 @@
         self.leader, self.leader_term, self.beat_by_sender = None, 0, {}
         self.lease, self.log = FakeLease(), RecordedLog()
         self.fleet = fleet
-        shares = QuotaShares(WINDOW_S, lambda: fleet.size, fleet.clock)
+        policy = account_policy(WINDOW_S)
+        shares = QuotaShares(policy, lambda: fleet.size, fleet.clock)
+        limits = AccountLimits(lambda: Accounts(fleet.account_by_id, {}), WINDOW_S)
         self.sharing = QuotaSharing(
             name,
             incarnation,
-            WINDOW_S,
+            QuotaKind.ACCOUNT,
+            policy,
             fleet.is_first_start,
-            lambda: Accounts(fleet.account_by_id, {}),
+            limits,
             shares,
             self,
             self.lease,
@@ -72,6 +80,9 @@
             lambda: 0.0,
             lambda: fleet.node_by_id.keys(),
         )
+        self.quotas = SharedAccountQuotas(
+            self.sharing, limits, self.log, lambda name: None
+        )
 
     def request(self, node, message, timeout_s):
         """Ask a peer; see the Peers port."""
@@ -116,11 +127,17 @@
             for node in self.fleet.node_by_id.values():
                 if node is not self:
                     renewal = self.sharing.renewal(node.name, node.incarnation)
-                    digest = self.digest(quota_renewal=renewal)
+                    digest = self.digest(
+                        quota_renewal_by_kind={QuotaKind.ACCOUNT: renewal}
+                        if renewal
+                        else {}
+                    )
                     self.fleet.mail.append((node.name, digest))
         elif self.leader is not None:
             report = self.sharing.report(self.leader, self.leader_term, self.beat)
-            self.fleet.mail.append((self.leader, self.digest(quota_report=report)))
+            reports = {QuotaKind.ACCOUNT: report} if report else {}
+            digest = self.digest(quota_report_by_kind=reports)
+            self.fleet.mail.append((self.leader, digest))
 
     def digest(self, **fields):
         """Return the next digest of this node."""
@@ -203,7 +220,7 @@
     def send(self, node, account, tokens):
         """Send a request to a node; return the decision."""
         item = self.account_by_id[AccountId(account)]
-        decision = self.node_by_id[node].sharing.admit(item, tokens)
+        decision = self.node_by_id[node].quotas.admit(item, tokens)
         entry = self.clock.now_s, item.id, tokens
         match decision:
             case Admitted():
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -42,7 +42,7 @@
 from camphoryard.state.endpoint_relay import EndpointRelay, RelayedEndpoint
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.nodes import NodeDigest
-from camphoryard.state.quotas import QuotaRenewal, QuotaReport
+from camphoryard.state.quotas import QuotaKind, QuotaRenewal, QuotaReport
 from camphoryard.state.refusals import RefusalCount, RefusalCounts, RefusalKey
 from camphoryard.state.timeline import Event, Stamp
 from camphoryard.state.traffic import RequestedModel
@@ -62,8 +62,11 @@
     unloads_by_endpoint={"e": ("m1", "m2")},
     quarantine_s_by_parts={frozenset({"p", "q"}): 12.5, frozenset({"r"}): 1.0},
     leaving_by_endpoint={"e": 1_700_000_000_000},
-    quota_report=QuotaReport(4, 2, {"a": 5}),
-    quota_renewal=QuotaRenewal(6, ("a",), ("n1", "n2")),
+    quota_report_by_kind={
+        QuotaKind.ACCOUNT: QuotaReport(4, 2, {"a": 5}),
+        QuotaKind.ENDPOINT: QuotaReport(4, 3, {"e/17": 6}),
+    },
+    quota_renewal_by_kind={QuotaKind.ACCOUNT: QuotaRenewal(6, ("a",), ("n1", "n2"))},
 )
 
 RELAYING_DIGEST = replace(
@@ -109,6 +112,7 @@
             QuotaRequest("n", "i", 4, 3, {"a": 5}, True),
             QuotaGrant(4, {"a": 5}),
             QuotaTake("a", 1.5),
+            QuotaRequest("n", "i", 4, 3, {"e/17": 5}, kind=QuotaKind.ENDPOINT),
             Declined("busy"),
             Done(),
             Gossip(3, (DigestWithAge(LEADER_DIGEST, 0.25),)),
