Keep to the limits that endpoints name, over all nodes together

Cause: no node heeded `Server-Limit`. Heeding it at each node alone would not have been enough, as the limit is for all nodes together.

Change: a limit is shared by the parts of the quotas, under a policy without even, spare or kept parts. A send takes a unit from what the node holds or the leader grants, and gives it back only if no byte was sent. Limits are gossiped with versions, so that nodes which have not heard the endpoint hold them too. A node sends nothing for a window after it has learned of a limit, as what was sent before is not counted. An endpoint without room is closed to the node: others are chosen, turns are given back, and where all are closed the caller gets 503 at once, with Retry-After. Reports and orders take units too, reports one a window.

--- a/src/camphoryard/coordination/admission/quota_shares.py
+++ b/src/camphoryard/coordination/admission/quota_shares.py
@@ -123,8 +123,7 @@
         """
         with self._lock:
             share = self._share(id)
-            share.limit = limit
-            missing = share.spent + units - self._usable_parts(share) * limit / WHOLE
+            missing = self._missing(share, limit, units)
             if missing > units * RELATIVE_TOLERANCE:
                 parts = share.parts_of(missing) if limit > 0 else WHOLE
                 return Short(parts, self._room_in_s(share, missing))
@@ -141,6 +140,14 @@
                 share.spent -= spend.units
             spend.units = 0.0
 
+    def room_in_s(self, id: LimitedId, limit: float, units: float) -> float:
+        """Return when ``units`` may be used; inf if this node cannot know."""
+        with self._lock:
+            share = self._share(id)
+            missing = self._missing(share, limit, units)
+            is_covered = missing <= units * RELATIVE_TOLERANCE
+            return 0.0 if is_covered else self._room_in_s(share, missing)
+
     def expect_return(self, id: LimitedId, units: float, in_s: float) -> None:
         """Record that a refused request was told to come back in ``in_s`` seconds.
 
@@ -184,6 +191,8 @@
 
     def wanted_spare_parts(self, ids: Collection[LimitedId]) -> Mapping[LimitedId, int]:
         """Return the parts that this node lacks to keep its spare parts."""
+        if not self._policy.spare_parts:
+            return {}
         with self._lock:
             target = self._spare_parts
             wanted = {}
@@ -263,6 +272,11 @@
             share.spent = 0.0
         return share
 
+    def _missing(self, share: _Share, limit: float, units: float) -> float:
+        """Return how many units more than are covered ``units`` more would use."""
+        share.limit = limit
+        return share.spent + units - self._usable_parts(share) * limit / WHOLE
+
     def _is_renewed(self) -> bool:
         return self._clock() < self._renewed_s + HOLDING_S
 
--- a/src/camphoryard/coordination/fleet/account_quotas.py
+++ b/src/camphoryard/coordination/fleet/account_quotas.py
@@ -76,8 +76,8 @@
         match self.sharing.use(id, limit.units, units):
             case Admitted() as admitted:
                 return admitted
-            case Short() as short:
-                retry_after_s = self.sharing.expect_return(id, units, short)
+            case Short(_, room_in_s):
+                retry_after_s = self.sharing.expect_return(id, units, room_in_s)
                 self._log_refused(id, units, limit.units, retry_after_s)
                 return OverQuota(retry_after_s)
 
--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -21,6 +21,7 @@
 from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
+from camphoryard.coordination.routing.endpoint_limits import EndpointLimits
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.directory import Directory
@@ -115,6 +116,8 @@
         Parts of prompts that are quarantined, which nodes that start learn from peers.
     directory : Directory
         Endpoints, some of which have said to one node that they leave.
+    limits : EndpointLimits or None
+        Limits that some of them have named to one node.
     quotas : collection of QuotaSharing
         Limits of each kind, of whose parts nodes and the leader tell each other.
     relaying : EndpointRelaying or None
@@ -144,7 +147,9 @@
         relaying: EndpointRelaying | None = None,
         rules: RulesAnnouncements | None = None,
         link_mbps: float = 0.0,
+        limits: EndpointLimits | None = None,
     ) -> None:
+        self._limits = limits
         self._rules = rules
         self._relaying = relaying
         self._link_mbps = link_mbps
@@ -203,6 +208,8 @@
             self._crashed_parts.adopt(digest.quarantine_s_by_parts)
         for endpoint, started_ms in digest.leaving_by_endpoint.items():
             self._directory.record_leaving(endpoint, started_ms)
+        if self._limits is not None and digest.limit_by_endpoint:
+            self._limits.adopt(digest.limit_by_endpoint)
         for quotas in self._quotas:
             quotas.receive(digest)
         if digest.duty_term:
@@ -287,6 +294,7 @@
             ),
             relay=relay,
             rules_version=self._rules.position if self._rules and term else Version(0),
+            limit_by_endpoint=self._limits.by_endpoint() if self._limits else {},
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
--- a/src/camphoryard/coordination/fleet/quota_sharing.py
+++ b/src/camphoryard/coordination/fleet/quota_sharing.py
@@ -154,6 +154,11 @@
         """What the limits apply to."""
         return self._kind
 
+    @property
+    def policy(self) -> SharingPolicy:
+        """How the limits are shared."""
+        return self._policy
+
     def use(self, id: LimitedId, limit: float, units: float) -> Admitted | Short:
         """Use ``units`` of a limit, if need be after asking the leader for parts.
 
@@ -179,13 +184,16 @@
         if admitted.spend is not None:
             self._shares.refund(admitted.spend)
 
-    def expect_return(self, id: LimitedId, units: float, short: Short) -> float:
+    def room_in_s(self, id: LimitedId, limit: float, units: float) -> float:
+        """Return when ``units`` may be used; inf if this node cannot know."""
+        return self._shares.room_in_s(id, limit, units)
+
+    def expect_return(self, id: LimitedId, units: float, room_in_s: float) -> float:
         """Return when a refused request may come back, in seconds.
 
         Those that are refused later are told to come back after it.
         """
-        has_room = math.isfinite(short.room_in_s)
-        room_s = short.room_in_s if has_room else NO_ROOM_RETRY_S
+        room_s = room_in_s if math.isfinite(room_in_s) else NO_ROOM_RETRY_S
         retry_after_s = room_s * (1.0 + RETRY_SPREAD * self._spread())
         self._shares.expect_return(id, units, retry_after_s)
         return retry_after_s
@@ -309,7 +317,7 @@
 
     def _renew(self, term: FencingNumber, renewal: QuotaRenewal) -> None:
         if self._shares.renew(term, renewal, self._node in renewal.backups):
-            self._backups = renewal.backups
+            self._backups = renewal.backups if self._policy.spare_parts else ()
 
     def _ask(
         self, parts_by_id: Mapping[LimitedId, int], is_spare: bool = False
--- a/src/camphoryard/coordination/forwarding/context.py
+++ b/src/camphoryard/coordination/forwarding/context.py
@@ -26,6 +26,10 @@
     crashing_parts,
 )
 from camphoryard.coordination.routing.endpoint_notices import EndpointNotices
+from camphoryard.coordination.routing.endpoint_room import (
+    EndpointRoom,
+    UnlimitedRoom,
+)
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.recent_failures import RecentFailures
 from camphoryard.coordination.routing.retry_window import RetryWindow
@@ -129,6 +133,7 @@
     account_counts: AccountCounts = field(default_factory=AccountCounts)
     quotas: AccountQuotas = field(default_factory=NoQuotas)
     turns: EngineTurns = field(default_factory=OwnChoice)
+    room: EndpointRoom = field(default_factory=UnlimitedRoom)
 
 
 @dataclass(slots=True)
--- a/src/camphoryard/coordination/forwarding/endpoint_use.py
+++ b/src/camphoryard/coordination/forwarding/endpoint_use.py
@@ -18,6 +18,7 @@
     LEAVING = "leaving"
     RESTING = "resting"
     FAILED = "failed"
+    LIMITED = "limited"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,4 +53,7 @@
         return Closed(ClosedReason.RESTING, rest_s)
     if endpoint.id in forwarded.failed:
         return Closed(ClosedReason.FAILED)
+    limited_s = context.room.closed_s(endpoint)
+    if limited_s > 0:
+        return Closed(ClosedReason.LIMITED, limited_s)
     return Open() if context.breakers.allows(endpoint.id) else LastResort()
--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Sequence
+from operator import itemgetter
 
 from camphoryard.coordination.cancellation import Cancellation, CancellationCause
 from camphoryard.coordination.dispatch.turns import TakenTurn
@@ -30,6 +31,7 @@
 from camphoryard.coordination.loading.item_locator import STOPPING_RETRY_S
 from camphoryard.coordination.messages import CrashReport
 from camphoryard.coordination.routing.crashed_parts import SOUND_EVENTS
+from camphoryard.coordination.routing.endpoint_room import NoRoom
 from camphoryard.state.accounts import Account
 from camphoryard.state.dispatch import (
     Dispatched,
@@ -144,9 +146,16 @@
     while True:
         endpoint = _find_endpoint(context, forwarded, cancellation)
         _check_cancelled(forwarded, cancellation)
+        match context.room.take(endpoint):
+            case NoRoom():
+                end_turn(context, forwarded, was_declined=True)
+                continue
+            case admitted:
+                pass
         try:
             outcome = attempt(context, forwarded, endpoint, cancellation, reply)
         except (NotSentError, BrokenCallError) as error:
+            _refund_unsent(context, admitted, error)
             _check_cancelled(forwarded, cancellation)
             _check_quarantined(context, forwarded)
             _record_failure(context, forwarded, endpoint, error)
@@ -163,6 +172,19 @@
                 _check_may_resend(context, forwarded, None, cancellation)
 
 
+def _refund_unsent(
+    context: ForwardingContext,
+    admitted: Admitted,
+    error: NotSentError | BrokenCallError,
+) -> None:
+    """Give back the room of a request of which the endpoint got nothing."""
+    match error:
+        case NotSentError():
+            context.room.refund(admitted)
+        case BrokenCallError():
+            pass
+
+
 def _log_unanswered(
     context: ForwardingContext,
     forwarded: ForwardedRequest,
@@ -340,7 +362,7 @@
         return _take_turn(context, forwarded, usable, cancellation)
     if usable:
         return context.chooser.choose(_before_deadline(context, forwarded, usable))
-    rest_s = _shortest_rest_s([use for _, use in uses])
+    rest_s = _shortest_wait_s(context, uses)
     if rest_s is not None:
         raise _resting_refusal(forwarded, rest_s)
     if requested_model is None:
@@ -369,7 +391,9 @@
             forwarded.verdict,
             retry_after_s=_retry_after_s(context, forwarded, error.ready_in_s),
         ) from error
-    rest_s = _shortest_rest_s([endpoint_use(context, forwarded, found)])
+    rest_s = _shortest_wait_s(
+        context, [(found, endpoint_use(context, forwarded, found))]
+    )
     if rest_s is not None:
         raise _resting_refusal(forwarded, rest_s)
     if is_dispatched:
@@ -455,14 +479,16 @@
     forwarded: ForwardedRequest,
     endpoints: list[ServingEndpoint],
 ) -> list[ServingEndpoint]:
-    """Return those of ``endpoints`` that neither leave nor rest by now."""
+    """Return those of ``endpoints`` that are not closed to all requests by now."""
     still_usable = []
     for item in endpoints:
         endpoint = context.directory.find(item.id)
         if endpoint is None:
             continue
         match endpoint_use(context, forwarded, endpoint):
-            case Closed(ClosedReason.LEAVING | ClosedReason.RESTING):
+            case Closed(
+                ClosedReason.LEAVING | ClosedReason.RESTING | ClosedReason.LIMITED
+            ):
                 pass
             case _:
                 still_usable.append(endpoint)
@@ -493,16 +519,27 @@
     return [item for item in usable if not failed(item.id)] or usable
 
 
-def _shortest_rest_s(uses: Sequence[EndpointUse]) -> float | None:
-    """Return the shortest rest that an endpoint wants, or None if none wants any."""
-    rests_s = []
-    for use in uses:
+def _shortest_wait_s(
+    context: ForwardingContext, uses: Sequence[tuple[ServingEndpoint, EndpointUse]]
+) -> float | None:
+    """Return when the first endpoint that rests or is limited takes a request again.
+
+    Returns None if there is none.
+    """
+    waits_s = []
+    limited = []
+    for endpoint, use in uses:
         match use:
             case Closed(ClosedReason.RESTING, left_s):
-                rests_s.append(left_s)
+                waits_s.append(left_s)
+            case Closed(ClosedReason.LIMITED, left_s):
+                limited.append((left_s, endpoint))
             case _:
                 pass
-    return min(rests_s, default=None)
+    if limited:
+        _, first = min(limited, key=itemgetter(0))
+        waits_s.append(context.room.retry_after_s(first))
+    return min(waits_s, default=None)
 
 
 def _resting_refusal(forwarded: ForwardedRequest, rest_s: float) -> RefusalError:
--- a/src/camphoryard/coordination/routing/endpoint_limits.py
+++ b/src/camphoryard/coordination/routing/endpoint_limits.py
@@ -3,19 +3,34 @@
 import math
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 from camphoryard.coordination.ports import DecisionLog
 from camphoryard.state.directory import Directory
-from camphoryard.state.endpoint_limits import EndpointLimit
-from camphoryard.state.ids import EndpointId
+from camphoryard.state.endpoint_limits import (
+    EndpointLimit,
+    limit_units,
+    limited_start,
+)
+from camphoryard.state.ids import EndpointId, LimitedId
+from camphoryard.state.quotas import WindowLimit
 from camphoryard.state.serving_endpoints import ServingEndpoint
 
 UNLISTED_MEMORY_S = 600.0
 """How long the limit of an endpoint that is not listed is remembered."""
 
 
+@dataclass(frozen=True, slots=True)
+class LimitInForce:
+    """A limit of ``units`` in a window, known since the monotonic time ``since_s``."""
+
+    id: LimitedId
+    per_s: float
+    units: float
+    since_s: float
+
+
 @dataclass(slots=True)
 class _Known:
     """A limit, and when this node learned of it and last read it in an answer."""
@@ -30,6 +45,8 @@
 class EndpointLimits:
     """Remembers the limits that endpoints name, to this node or to its peers.
 
+    It is also the source of the limits that nodes share; see the Limits port.
+
     Parameters
     ----------
     directory : Directory
@@ -77,6 +94,34 @@
                 if known is None or limit.supersedes(known.limit):
                     self._store(endpoint, known, limit)
 
+    def in_force(self, endpoint: ServingEndpoint) -> LimitInForce | None:
+        """Return the limit of this start of an endpoint, or None without one."""
+        # Read without the lock: most endpoints never name a limit.
+        known = self._known_by_id.get(endpoint.id)
+        if known is None or known.limit.started_ms != endpoint.started_ms:
+            return None
+        return _in_force(endpoint.id, known)
+
+    def ids(self) -> Collection[LimitedId]:
+        """Return the starts of endpoints that are limited; see the Limits port."""
+        if not self._known_by_id:
+            return ()
+        with self._lock:
+            return tuple(
+                limited_start(id, known.limit.started_ms)
+                for id, known in self._known_by_id.items()
+                if known.limit.per_s is not None
+            )
+
+    def find(self, id: LimitedId) -> WindowLimit | None:
+        """Return the limit of a start of an endpoint; see the Limits port."""
+        endpoint = EndpointId(id.rpartition("/")[0])
+        known = self._known_by_id.get(endpoint)
+        limit = None if known is None else _in_force(endpoint, known)
+        if limit is None or limit.id != id:
+            return None
+        return WindowLimit(limit.units)
+
     def by_endpoint(self) -> Mapping[EndpointId, EndpointLimit]:
         """Return the limits of the listed endpoints, ended ones too, for peers."""
         if not self._known_by_id:
@@ -135,3 +180,11 @@
                 version=limit.version,
             )
         return known
+
+
+def _in_force(endpoint: EndpointId, known: _Known) -> LimitInForce | None:
+    limit = known.limit
+    if limit.per_s is None:
+        return None
+    id = limited_start(endpoint, limit.started_ms)
+    return LimitInForce(id, limit.per_s, limit_units(limit.per_s), known.since_s)
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -51,6 +51,10 @@
     RulesFetcher,
     RulesFollowing,
 )
+from camphoryard.coordination.fleet.shared_endpoint_room import (
+    SharedEndpointRoom,
+    endpoint_policy,
+)
 from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import (
@@ -268,6 +272,7 @@
     leases = records(NODE_KIND, NodeLease)
     gossip: FleetGossip
     load_controller: LoadController
+    nodes_watcher: RecordWatcher[NodeLease]
     leader_lease = LeaderLease(
         records(LEADERSHIP_KIND, LeadershipRecord),
         LEADERSHIP_KEY,
@@ -289,20 +294,27 @@
         quota_policy,
         lambda: fleet_size.count() if math.isfinite(nodes_watcher.age_s()) else 0,
     )
-    quotas = QuotaSharing(
+    make_sharing = functools.partial(
+        QuotaSharing,
         settings.node,
         incarnation,
-        QuotaKind.ACCOUNT,
-        quota_policy,
-        settings.is_first_start,
-        account_limits,
-        shares,
-        peers,
-        leader_lease,
-        log,
-        metrics.count,
+        is_first_start=settings.is_first_start,
+        peers=peers,
+        lease=leader_lease,
+        log=log,
+        count=metrics.count,
         listed=lambda: _listed_nodes(nodes, nodes_watcher, newest_era),
     )
+    quotas = make_sharing(
+        QuotaKind.ACCOUNT, quota_policy, limits=account_limits, shares=shares
+    )
+    limit_sharing = make_sharing(
+        QuotaKind.ENDPOINT,
+        endpoint_policy(),
+        limits=notices.limits,
+        shares=QuotaShares(endpoint_policy(), fleet_size.count),
+    )
+    room = SharedEndpointRoom(limit_sharing, notices.limits, log, metrics.count)
     metrics.add_gauge("quota_renewal_age_seconds", shares.renewed_age_s)
     rules_wait_s = (
         watch_wait_s(settings.bounds.stable_window_s)
@@ -327,10 +339,11 @@
         directory.record_unloads,
         crashed_parts,
         directory,
-        quotas=(quotas,),
+        quotas=(quotas, limit_sharing),
         relaying=relaying,
         link_mbps=settings.vm_limits.link_mbps,
         rules=rules_following,
+        limits=notices.limits,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -338,7 +351,7 @@
             settings.node,
             directory,
             leader_lease,
-            PlatformEngines(client, notices),
+            PlatformEngines(client, notices, room),
             system_demand.by_item,
             estimates.load,
             executors.node,
@@ -469,6 +482,7 @@
         account_counts=AccountCounts(metrics.count_labelled),
         quotas=SharedAccountQuotas(quotas, account_limits, log, metrics.count),
         turns=turns,
+        room=room,
     )
     return Entry(
         live_settings,
@@ -495,7 +509,7 @@
         dispatcher,
         crash_sharing,
         retry_recorder,
-        {item.kind: item for item in (quotas,)},
+        {item.kind: item for item in (quotas, limit_sharing)},
         FrontApp(context, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
--- a/src/camphoryard/platform/engines.py
+++ b/src/camphoryard/platform/engines.py
@@ -10,11 +10,17 @@
     OrderAnswer,
 )
 from camphoryard.coordination.routing.endpoint_notices import EndpointNotices
+from camphoryard.coordination.routing.endpoint_room import (
+    EndpointRoom,
+    NoRoom,
+    UnlimitedRoom,
+)
 from camphoryard.platform.dialect import EXPECTED_ENDPOINT, read_notices
 from camphoryard.platform.traffic import Count, ListedModel, loaded_by_model
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import BrokenCallError, NotSentError
 from camphoryard.state.ids import AdapterId, ModelId
+from camphoryard.state.quotas import Admitted
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.traffic import RequestedModel
 from camphoryard.transport.http_client import Address, HttpAnswer, HttpCall, HttpClient
@@ -54,9 +60,15 @@
 class PlatformEngines:
     """Calls the platform's engines; see the EngineApi port."""
 
-    def __init__(self, client: HttpClient, notices: EndpointNotices) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        notices: EndpointNotices,
+        room: EndpointRoom | None = None,
+    ) -> None:
         self._client = client
         self._notices = notices
+        self._room = room or UnlimitedRoom()
 
     def order(
         self,
@@ -85,7 +97,7 @@
             new_connection=True,
             is_permitted=is_permitted,
         )
-        answer = self._call(endpoint, call)
+        answer = self._call(endpoint, call, self._room.take)
         return _ANSWER_BY_STATUS.get(answer.status, OrderAnswer.REFUSED)
 
     def report(self, endpoint: ServingEndpoint) -> EngineReport:
@@ -96,7 +108,7 @@
             headers={EXPECTED_ENDPOINT: endpoint.id},
             timeout_s=REPORT_TIMEOUT_S,
         )
-        answer = self._call(endpoint, call)
+        answer = self._call(endpoint, call, self._room.take_report)
         if answer.status != OK:
             # Possibly the copy of a refusal; read as a report, it would show an engine
             # that has nothing loaded.
@@ -114,12 +126,26 @@
             frozenset(map(_loading_adapter, report.coming)),
         )
 
-    def _call(self, endpoint: ServingEndpoint, call: HttpCall) -> HttpAnswer:
+    def _call(
+        self,
+        endpoint: ServingEndpoint,
+        call: HttpCall,
+        take: Callable[[ServingEndpoint], Admitted | NoRoom],
+    ) -> HttpAnswer:
         """Make a call unless the endpoint wants none, and heed its answer's head."""
         rest_s = self._notices.rest_left_s(endpoint.id)
         if rest_s > 0:
             raise NotSentError(f"{endpoint.id} wants no calls for {rest_s:.1f} s")
-        answer = self._client.call(_address(endpoint), call)
+        match take(endpoint):
+            case NoRoom(left_s):
+                raise NotSentError(f"{endpoint.id} is limited for {left_s:.1f} s")
+            case admitted:
+                pass
+        try:
+            answer = self._client.call(_address(endpoint), call)
+        except NotSentError:
+            self._room.refund(admitted)
+            raise
         value_by_name = {name.lower(): text for name, text in answer.headers.items()}
         self._notices.heed(
             endpoint, read_notices(endpoint.id, answer.status, value_by_name)
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -62,6 +62,7 @@
     Withdrawn,
     Work,
 )
+from camphoryard.state.endpoint_limits import EndpointLimit
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import CamphoryardError
 from camphoryard.state.ids import (
@@ -184,6 +185,7 @@
     endpoints_revision: Revision = Revision(0)
     relay: RelayForm | None = None
     rules_version: Version = Version(0)
+    limit_by_endpoint: Mapping[EndpointId, EndpointLimit] = {}
 
 
 class _DispatchForm(msgspec.Struct, array_like=True, frozen=True):
@@ -443,6 +445,7 @@
             heard.digest.endpoints_revision,
             relay_form(heard.digest.relay),
             heard.digest.rules_version,
+            heard.digest.limit_by_endpoint,
         )
         for heard in digests
     )
@@ -507,6 +510,7 @@
                 item.endpoints_revision,
                 read_relay(item.relay),
                 item.rules_version,
+                item.limit_by_endpoint,
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/endpoint_limits.py
+++ b/src/camphoryard/state/endpoint_limits.py
@@ -4,6 +4,11 @@
 
 from camphoryard.state.ids import EndpointId, LimitedId
 
+LIMIT_WINDOW_S = 4.0
+"""The window in which an endpoint takes four times what it names for a second."""
+MIN_UNITS = 1.0
+"""Requests in a window that an endpoint always gets: its answers may end the limit."""
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointLimit:
@@ -28,6 +33,17 @@
         return self.per_s < other.per_s
 
 
+def limit_units(per_s: float) -> float:
+    """Return how many requests may be sent in any window of `LIMIT_WINDOW_S`.
+
+    Examples
+    --------
+    >>> limit_units(1.5), limit_units(0.1)
+    (6.0, 1.0)
+    """
+    return max(MIN_UNITS, per_s * LIMIT_WINDOW_S)
+
+
 def limited_start(endpoint: EndpointId, started_ms: int) -> LimitedId:
     """Return the id under which the limit of one start of an endpoint is shared.
 
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from camphoryard.state.demand import ItemDemand
+from camphoryard.state.endpoint_limits import EndpointLimit
 from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
@@ -78,7 +79,8 @@
     the leader what the node holds of the limits of each kind; the renewals are the
     leader's answers. ``endpoints_revision`` is that of the node's view of the
     endpoints, ``relay`` what the receiver's view lacks. ``rules_version`` is that of
-    the newest configuration object that a leader has read.
+    the newest configuration object that a leader has read. ``limit_by_endpoint`` are
+    the limits that listed endpoints have named, and those that have ended.
     """
 
     node: NodeId
@@ -104,6 +106,7 @@
     endpoints_revision: Revision = Revision(0)
     relay: EndpointRelay | None = None
     rules_version: Version = Version(0)
+    limit_by_endpoint: Mapping[EndpointId, EndpointLimit] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/fleet/test_quota_sharing.py
+++ b/tests/coordination/fleet/test_quota_sharing.py
@@ -15,14 +15,8 @@
 from camphoryard.state.accounts import Account
 from camphoryard.state.ids import AccountId, FencingNumber
 from camphoryard.state.quotas import Admitted, OverQuota
-from tests.fakes.quota_fleet import (
-    PERIOD_S,
-    WINDOW_S,
-    AskFate,
-    Delivery,
-    QuotaFleet,
-    make_account,
-)
+from tests.fakes.quota_fleet import WINDOW_S, QuotaFleet, make_account
+from tests.fakes.sharing_fleet import PERIOD_S, AskFate, Delivery
 
 LARGE, SMALL = AccountId("large"), AccountId("small")
 NODES = 78
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -25,6 +25,7 @@
     Leaving,
     Resting,
 )
+from camphoryard.coordination.routing.endpoint_room import NoRoom
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.recent_failures import (
     RECENT_S,
@@ -51,6 +52,7 @@
 )
 from camphoryard.state.ids import (
     AccountId,
+    EndpointId,
     ModelId,
     PromptPartId,
     RequestId,
@@ -80,6 +82,8 @@
 TRICKLE_S = 0.1
 """Time between the bytes of an answer that trickles."""
 ACCOUNT_RANK = 4
+ROOM_S = 0.25
+"""Time for which an endpoint without room is closed."""
 PAUSE = b"PAUSE"
 """Marks a pause in an answer that exceeds the timeout between events."""
 
@@ -1438,6 +1442,99 @@
         assert not quotas.refunds
 
 
+class Room:
+    """Room at endpoints, none at those in ``full`` until they are found to be."""
+
+    def __init__(self, *full):
+        self.full, self.closed = {EndpointId(name) for name in full}, set()
+        self.taken = []
+
+    def take(self, endpoint):
+        """Return whether there is room."""
+        if endpoint.id in self.full:
+            self.closed.add(endpoint.id)
+            return NoRoom(ROOM_S)
+        self.taken.append(endpoint.id)
+        return Admitted()
+
+    def refund(self, admitted):
+        """Ignore what is given back."""
+
+    def closed_s(self, endpoint):
+        """Return the time left for endpoints that were found to be full."""
+        return ROOM_S if endpoint.id in self.closed else 0.0
+
+    def retry_after_s(self, endpoint):
+        """Return when requests may come back."""
+        return 2 * ROOM_S
+
+
+class TestLimitedEndpoints:
+    """Endpoints at which this node has no room."""
+
+    def site(self, *answers, full, **options):
+        """Return a site whose endpoints in ``full`` have no room."""
+        site = Site(*answers, **options)
+        site.room = Room(*full)
+        site.context = replace(site.context, room=site.room)
+        return site
+
+    def test_a_request_goes_elsewhere_at_once(self):
+        """Load: the endpoint without room is the least loaded one."""
+        site = self.site(served(b"ok"), full=["e1"])
+        site.context.in_flight.begin(EndpointId("e2"))
+        site.forward()
+        assert (site.sent_to, site.room.taken) == (["e2"], ["e2"])
+
+    def test_without_room_anywhere_the_caller_is_told_when_to_return(self):
+        """Nothing is sent, and nothing waits."""
+        site = self.site(full=["e1", "e2"])
+        refusal = site.refusal()
+        assert (refusal.reason, refusal.verdict) == (
+            Reason.OVERLOADED,
+            Verdict.NOT_RUN,
+        )
+        assert refusal.retry_after_s == 2 * ROOM_S
+        assert not site.sent_to
+
+    def test_a_turn_at_an_endpoint_without_room_is_given_back(self):
+        """The dispatcher is asked for another one, elsewhere."""
+        turns = Turns(Dispatched("e1"), Dispatched("e2"))
+        site = self.site(
+            served(b"ok"),
+            full=["e1"],
+            turns=turns,
+            requested_model=RequestedModel(ModelId("m1")),
+            models=["m1"],
+        )
+        site.forward()
+        assert site.sent_to == ["e2"]
+        assert turns.asked[1].candidates == ("e2",)
+        ended = [(item.endpoint, item.was_declined) for item in turns.told]
+        assert ended == [("e1", True), ("e2", False)]
+
+    def test_a_stream_that_has_begun_waits_for_room(self):
+        """Its client cannot come back later in the middle of the answer."""
+        site = self.site(
+            served(ONE, error=BrokenCallError("x")),
+            served(TWO),
+            full=[],
+            repeatability=Repeatability.RESUMABLE_STREAM,
+        )
+
+        def fill():
+            site.room.full = {EndpointId("e1"), EndpointId("e2")}
+
+        def wait(_, until_s):
+            site.clock.advance(until_s - site.clock.now_s)
+            site.room.full, site.room.closed = set(), set()
+
+        site.upstream.on_open = fill
+        site.directory.wait_until = wait
+        site.forward()
+        assert site.reply.body == ONE + TWO
+
+
 class Turns:
     """Gives the answers that it is told to, and records what it is asked and told."""
 
--- a/tests/fakes/limit_fleet.py
+++ b/tests/fakes/limit_fleet.py
@@ -4,6 +4,10 @@
 from dataclasses import dataclass
 
 from camphoryard.coordination.cancellation import Cancellation
+from camphoryard.coordination.fleet.shared_endpoint_room import (
+    SharedEndpointRoom,
+    endpoint_policy,
+)
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import EndpointChooser
 from camphoryard.coordination.forwarding.exchange import forward
@@ -23,20 +27,18 @@
 from camphoryard.coordination.routing.first_events import FirstEventTracker
 from camphoryard.coordination.routing.retry_window import RepeatLimits, RetryWindow
 from camphoryard.state.directory import Directory
-from camphoryard.state.errors import RefusalError
+from camphoryard.state.endpoint_limits import LIMIT_WINDOW_S
+from camphoryard.state.errors import NotSentError, RefusalError
 from camphoryard.state.ids import EndpointId, NodeId, RequestId
+from camphoryard.state.quotas import Admitted, QuotaKind
 from camphoryard.state.tables import InFlightTable
 from tests.fakes.engines import (
     ZONE,
-    Clock,
-    RecordedLog,
     make_endpoint,
     make_rule,
     make_rules,
 )
-
-LIMIT_WINDOW_S = 4.0
-STEP_S = 0.25
+from tests.fakes.sharing_fleet import PERIOD_S, SharingFleet, SharingNode
 
 
 @dataclass(frozen=True)
@@ -76,16 +78,18 @@
         """Ignore the answer."""
 
 
-class LimitNode:
-    """One node that forwards requests."""
+class LimitNode(SharingNode):
+    """One process of a node that forwards requests."""
 
-    def __init__(self, fleet, name):
-        self.fleet, self.name = fleet, NodeId(name)
-        self.log, self.clock = RecordedLog(), fleet.clock
+    def __init__(self, fleet, name, incarnation):
+        super().__init__(fleet, name, incarnation)
+        self.clock = fleet.clock
         self.directory = Directory(self.clock)
         self.directory.adopt(make_rules(rules=[make_rule()]))
         self.directory.replace_all(list(fleet.endpoint_by_id.values()), False)
         self.notices = EndpointNotices(self.directory, self.log, self.clock)
+        limits = self.notices.limits
+        self.sharing = self.make_sharing(QuotaKind.ENDPOINT, endpoint_policy(), limits)
         in_flight = InFlightTable()
         self.context = ForwardingContext(
             self.directory,
@@ -104,18 +108,49 @@
             lambda *_: None,
             lambda _: None,
             self.clock,
+            room=SharedEndpointRoom(
+                self.sharing,
+                limits,
+                self.log,
+                lambda _: None,
+                self.clock,
+                lambda: 0.0,
+            ),
         )
 
+    def digest(self, **fields):
+        """Return the next digest of this node, with the limits that it knows."""
+        limits = self.notices.limits.by_endpoint()
+        return super().digest(limit_by_endpoint=limits, **fields)
+
+    def receive(self, digest):
+        """Receive a digest, with the limits that its sender knows."""
+        self.notices.limits.adopt(digest.limit_by_endpoint)
+        super().receive(digest)
+
+    def knows_limit(self, endpoint):
+        """Return whether this node knows of a limit in force."""
+        item = self.directory.find(endpoint)
+        return self.notices.limits.in_force(item) is not None
+
     def open(self, endpoint, request, options, cancellation):
         """Have a request reach an endpoint; see the Upstream port."""
+        if self.fleet.unreachable:
+            raise NotSentError("no connection")
         per_s = self.fleet.per_s_by_endpoint.get(endpoint.id)
-        known = self.notices.limits.by_endpoint().get(endpoint.id)
-        is_told = known is not None and known.per_s is not None
+        is_told = self.knows_limit(endpoint.id)
         self.fleet.arrivals.append(
             Arrival(self.clock.now_s, endpoint.id, self.name, is_told)
         )
         return NamingAnswer(per_s)
 
+    def use(self, endpoint):
+        """Send one request to an endpoint, without the choice of it, if it has room."""
+        item, sent_s = self.directory.find(endpoint), self.clock.now_s
+        if isinstance(self.context.room.take(item), Admitted):
+            answer = self.open(item, None, None, None)
+            self.notices.heed(item, answer.head.notices, sent_s)
+
     def send(self):
         """Forward one request; return its refusal, or None if it was answered."""
         now_s = self.clock.now_s
@@ -129,30 +164,31 @@
         return None
 
 
-class LimitFleet:
+class LimitFleet(SharingFleet):
     """Nodes and endpoints, some of which name a limit in requests a second."""
 
-    def __init__(self, size, endpoints):
-        self.clock = Clock()
+    def __init__(self, size, endpoints, is_first_start=True):
+        super().__init__(size, LimitNode, is_first_start)
         self.endpoint_by_id = {
             EndpointId(name): make_endpoint(name) for name in endpoints
         }
         self.per_s_by_endpoint, self.arrivals, self.refusals = {}, [], []
-        self.node_by_id = {f"n{n}": LimitNode(self, f"n{n}") for n in range(size)}
+        self.unreachable = False
+        self.start_all()
 
     def press(self, duration_s, per_step, nodes=None):
         """Have each node get as many requests in each step of time."""
-        for _ in range(round(duration_s / STEP_S)):
-            for name in nodes or tuple(self.node_by_id):
+        for _ in range(round(duration_s / PERIOD_S)):
+            for name in tuple(self.node_by_id) if nodes is None else nodes:
                 for _ in range(per_step):
                     refusal = self.node_by_id[name].send()
                     if refusal is not None:
                         self.refusals.append(refusal)
-            self.run(STEP_S)
+            self.run(PERIOD_S)
 
-    def run(self, duration_s):
-        """Let time pass."""
-        self.clock.advance(duration_s)
+    def count(self, endpoint):
+        """Return how many requests an endpoint got."""
+        return sum(item.endpoint == endpoint for item in self.arrivals)
 
     def most_in_window(self, endpoint):
         """Return the most requests of told nodes that an endpoint got in a window."""
--- a/tests/fakes/quota_fleet.py
+++ b/tests/fakes/quota_fleet.py
@@ -1,26 +1,18 @@
-"""Nodes that share the quotas of accounts, with messages that tests deliver."""
+"""Nodes that share the quotas of accounts."""
 
 from collections import deque
-from enum import Enum
 
-from camphoryard.coordination.admission.quota_shares import QuotaShares
 from camphoryard.coordination.admission.sharing_policy import account_policy
 from camphoryard.coordination.fleet.account_quotas import (
     AccountLimits,
     SharedAccountQuotas,
 )
-from camphoryard.coordination.fleet.quota_sharing import QuotaSharing
-from camphoryard.coordination.messages import QuotaRequest, QuotaTake
 from camphoryard.state.accounts import Account, Accounts, Quota, QuotaUnit
-from camphoryard.state.enums import NodeState
-from camphoryard.state.errors import PeerUnreachableError
-from camphoryard.state.ids import AccountId, FencingNumber, NodeId
-from camphoryard.state.nodes import NodeDigest
+from camphoryard.state.ids import AccountId
 from camphoryard.state.quotas import Admitted, QuotaKind, window_limit
-from tests.fakes.engines import Clock, RecordedLog
+from tests.fakes.sharing_fleet import SharingFleet, SharingNode
 
 WINDOW_S = 8.0
-PERIOD_S = 0.5
 
 
 def make_account(name="a", per_s=100.0, burst=100.0):
@@ -28,194 +20,28 @@
     return Account(AccountId(name), quota=Quota(QuotaUnit.TOKENS, per_s, burst))
 
 
-class AskFate(Enum):
-    """What happens to a request between nodes; only one that is answered is in time."""
-
-    ANSWERED = "answered"
-    LOST = "lost"
-    LATE = "late"
-    UNHEARD = "unheard"
-
-
-class Delivery(Enum):
-    """What happens to a digest."""
-
-    NOW = "now"
-    LATER = "later"
-    NEVER = "never"
-
-
-class FakeLease:
-    """A lease of leadership as the test wants it."""
-
-    def __init__(self):
-        self.claimed_term = FencingNumber(0)
-        self.is_renewed = self.is_first_term = False
-
-
-class QuotaNode:
-    """One process of a node."""
+class QuotaNode(SharingNode):
+    """One process of a node, with the quotas of accounts."""
 
     def __init__(self, fleet, name, incarnation):
-        self.name, self.incarnation, self.beat = name, incarnation, 0
-        self.leader, self.leader_term, self.beat_by_sender = None, 0, {}
-        self.lease, self.log = FakeLease(), RecordedLog()
-        self.fleet = fleet
-        policy = account_policy(WINDOW_S)
-        shares = QuotaShares(policy, lambda: fleet.size, fleet.clock)
+        super().__init__(fleet, name, incarnation)
         limits = AccountLimits(lambda: Accounts(fleet.account_by_id, {}), WINDOW_S)
-        self.sharing = QuotaSharing(
-            name,
-            incarnation,
-            QuotaKind.ACCOUNT,
-            policy,
-            fleet.is_first_start,
-            limits,
-            shares,
-            self,
-            self.lease,
-            self.log,
-            lambda name: None,
-            fleet.clock,
-            lambda: 0.0,
-            lambda: fleet.node_by_id.keys(),
+        self.sharing = self.make_sharing(
+            QuotaKind.ACCOUNT, account_policy(WINDOW_S), limits
         )
         self.quotas = SharedAccountQuotas(
             self.sharing, limits, self.log, lambda name: None
         )
 
-    def request(self, node, message, timeout_s):
-        """Ask a peer; see the Peers port."""
-        fleet = self.fleet
-        fleet.asks += 1
-        if {node, self.name} & fleet.lost or fleet.ask_fate is AskFate.LOST:
-            raise PeerUnreachableError(f"no reply from {node}")
-        if fleet.ask_fate is AskFate.LATE:
-            fleet.late_asks.append((node, message))
-            raise PeerUnreachableError(f"no reply from {node}")
-        reply = fleet.node_by_id[node].answer(message)
-        if fleet.ask_fate is AskFate.UNHEARD:
-            raise PeerUnreachableError(f"no reply from {node}")
-        return reply
-
-    def answer(self, message):
-        """Answer a message of a peer."""
-        match message:
-            case QuotaRequest():
-                return self.sharing.answer(message)
-            case QuotaTake():
-                return self.sharing.take_for_peer(message)
-
-    def receive(self, digest):
-        """Receive a digest, unless it is older than one received before."""
-        sender = digest.node, digest.incarnation
-        if self.beat_by_sender.get(sender, 0) >= digest.beat:
-            return
-        self.beat_by_sender[sender] = digest.beat
-        self.sharing.receive(digest)
-        if digest.duty_term > self.leader_term:
-            self.leader, self.leader_term = digest.node, digest.duty_term
 
-    def send_digests(self):
-        """Send this node's digest to the leader, or as a leader to all others."""
-        self.beat += 1
-        term = self.lease.claimed_term
-        if term and term >= self.leader_term:
-            self.leader, self.leader_term = self.name, term
-            self.sharing.report_to_self(self.beat)
-        if term:
-            for node in self.fleet.node_by_id.values():
-                if node is not self:
-                    renewal = self.sharing.renewal(node.name, node.incarnation)
-                    digest = self.digest(
-                        quota_renewal_by_kind={QuotaKind.ACCOUNT: renewal}
-                        if renewal
-                        else {}
-                    )
-                    self.fleet.mail.append((node.name, digest))
-        elif self.leader is not None:
-            report = self.sharing.report(self.leader, self.leader_term, self.beat)
-            reports = {QuotaKind.ACCOUNT: report} if report else {}
-            digest = self.digest(quota_report_by_kind=reports)
-            self.fleet.mail.append((self.leader, digest))
-
-    def digest(self, **fields):
-        """Return the next digest of this node."""
-        return NodeDigest(
-            self.name,
-            self.incarnation,
-            NodeState.SERVING,
-            0,
-            beat=self.beat,
-            duty_term=self.lease.claimed_term,
-            **fields,
-        )
-
-
-class QuotaFleet:
-    """A fleet with one leader, and what its nodes have admitted.
-
-    Nodes in ``lost`` neither send nor receive anything. ``ask_fate`` is what happens to
-    requests between nodes, ``decide`` tells that of each digest.
-    """
+class QuotaFleet(SharingFleet):
+    """A fleet with one leader, and what its nodes have admitted."""
 
     def __init__(self, size, accounts, is_first_start=True):
-        self.is_first_start = is_first_start
-        self.clock, self.size, self.asks, self.term = Clock(), size, 0, 0
-        self.lost, self.mail, self.late_asks = set(), [], []
-        self.ask_fate, self.decide = AskFate.ANSWERED, lambda: Delivery.NOW
+        super().__init__(size, QuotaNode, is_first_start)
         self.account_by_id = {account.id: account for account in accounts}
-        self.node_by_id = {}
         self.used, self.refused = [], []
-        for number in range(size):
-            self.start(f"n{number}")
-        self.lead("n0", is_first=True)
-
-    def start(self, name):
-        """Start a process of a node, in place of an earlier one."""
-        before = self.node_by_id.get(name)
-        incarnation = before.incarnation + 1 if before else 0
-        self.node_by_id[NodeId(name)] = QuotaNode(self, NodeId(name), incarnation)
-
-    def lead(self, name, is_first=False, is_doubted=False):
-        """Have a node take over; an earlier leader goes on if it ``is_doubted``."""
-        for node in self.node_by_id.values():
-            node.lease.is_renewed = False
-            if not is_doubted:
-                node.lease.claimed_term = FencingNumber(0)
-        self.term += 1
-        lease = self.node_by_id[name].lease
-        lease.claimed_term = FencingNumber(self.term)
-        lease.is_renewed, lease.is_first_term = True, is_first
-
-    def send_digests(self):
-        """Have all nodes send their digests."""
-        for node in self.node_by_id.values():
-            node.send_digests()
-
-    def deliver(self):
-        """Deliver the digests, each as ``decide`` says, and late requests."""
-        mail, self.mail = self.mail, []
-        for name, digest in mail:
-            is_lost = {name, digest.node} & self.lost
-            match self.decide():
-                case Delivery.LATER:
-                    self.mail.append((name, digest))
-                case Delivery.NOW if not is_lost:
-                    self.node_by_id[name].receive(digest)
-        asks, self.late_asks = self.late_asks, []
-        for name, message in asks:
-            self.node_by_id[name].answer(message)
-
-    def run(self, duration_s):
-        """Let time pass, with gossip and requests for spare parts."""
-        end_s = self.clock.now_s + duration_s
-        while self.clock.now_s < end_s:
-            self.send_digests()
-            self.deliver()
-            for node in self.node_by_id.values():
-                node.sharing.ask_for_spare()
-            self.clock.advance(PERIOD_S)
+        self.start_all()
 
     def send(self, node, account, tokens):
         """Send a request to a node; return the decision."""
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -4,11 +4,13 @@
 
 from camphoryard.coordination.loading.ports import EngineOrder
 from camphoryard.coordination.routing.endpoint_notices import EndpointNotices
+from camphoryard.coordination.routing.endpoint_room import NoRoom
 from camphoryard.platform.engines import PlatformEngines
 from camphoryard.state.directory import Directory
 from camphoryard.state.enums import OrderKind
 from camphoryard.state.errors import BrokenCallError, NotSentError
 from camphoryard.state.ids import ModelId
+from camphoryard.state.quotas import Admitted
 from camphoryard.state.traffic import RequestedModel
 from camphoryard.transport.http_client import HttpAnswer
 from tests.fakes.engines import SERVICE, Clock, RecordedLog, make_endpoint
@@ -91,3 +93,50 @@
         notices = make_notices()
         PlatformEngines(client, notices).report(make_endpoint("e1"))
         assert notices.directory.ready(SERVICE) == []
+
+
+class Room:
+    """Room at endpoints for ``left`` calls; records what is given back."""
+
+    def __init__(self, left):
+        self.left, self.refunds = left, 0
+
+    def take(self, endpoint):
+        """Use the room for a call."""
+        self.left -= 1
+        return Admitted() if self.left >= 0 else NoRoom(1.5)
+
+    take_report = take
+
+    def refund(self, admitted):
+        """Record what is given back."""
+        self.refunds += 1
+
+
+class TestLimited:
+    """Calls to an engine that names a limit."""
+
+    def test_a_call_without_room_is_not_sent(self):
+        """It counts as the requests of clients do."""
+        client = Client(200, b'{"models":[],"seq":0}')
+        engines = PlatformEngines(client, make_notices(), Room(1))
+        engines.report(make_endpoint("e1"))
+        with pytest.raises(NotSentError):
+            engines.report(make_endpoint("e1"))
+        assert client.calls == 1
+
+    def test_a_call_that_was_not_sent_costs_nothing(self):
+        """The engine got nothing of it."""
+        room = Room(1)
+        engines = PlatformEngines(UnreachableClient(), make_notices(), room)
+        with pytest.raises(NotSentError):
+            engines.report(make_endpoint("e1"))
+        assert room.refunds == 1
+
+
+class UnreachableClient:
+    """A client that reaches no engine."""
+
+    def call(self, address, call):
+        """Raise NotSentError."""
+        raise NotSentError("no connection")
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -39,6 +39,7 @@
     Withdrawn,
     Work,
 )
+from camphoryard.state.endpoint_limits import EndpointLimit
 from camphoryard.state.endpoint_relay import EndpointRelay, RelayedEndpoint
 from camphoryard.state.enums import NodeState, Reason
 from camphoryard.state.nodes import NodeDigest
@@ -73,6 +74,10 @@
     LEADER_DIGEST,
     endpoints_revision=12,
     rules_version=9,
+    limit_by_endpoint={
+        "e": EndpointLimit(17, 2, 1.8),
+        "f": EndpointLimit(18, 3, None),
+    },
     relay=EndpointRelay(11, 12, (RelayedEndpoint("e", None),), "i", 6),
 )
 
