--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -8,7 +8,7 @@
 import math
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
@@ -21,6 +21,7 @@
 from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.ports import Peers, Timer
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
+from camphoryard.coordination.routing.endpoint_limits import EndpointLimits
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.demand import ItemDemand
 from camphoryard.state.directory import Directory
@@ -38,7 +39,7 @@
     Version,
 )
 from camphoryard.state.nodes import NodeDigest, NodeTable
-from camphoryard.state.quotas import QuotaRenewal, QuotaReport
+from camphoryard.state.quotas import QuotaKind, QuotaRenewal, QuotaReport
 from camphoryard.state.tables import InFlightTable
 
 GOSSIP_PERIOD_S = 0.25
@@ -115,8 +116,10 @@
         Parts of prompts that are quarantined, which nodes that start learn from peers.
     directory : Directory
         Endpoints, some of which have said to one node that they leave.
-    quotas : QuotaSharing or None
-        Quotas of accounts, of which nodes and the leader tell each other.
+    limits : EndpointLimits or None
+        Limits that some of them have named to one node.
+    quotas : collection of QuotaSharing
+        Limits of each kind, of whose parts nodes and the leader tell each other.
     relaying : EndpointRelaying or None
         Changes of endpoints that the leader of a star passes on; None without.
     rules : RulesAnnouncements or None
@@ -140,11 +143,13 @@
         crashed_parts: CrashedParts,
         directory: Directory,
         clock: Callable[[], float] = time.monotonic,
-        quotas: QuotaSharing | None = None,
+        quotas: Collection[QuotaSharing] = (),
         relaying: EndpointRelaying | None = None,
         rules: RulesAnnouncements | None = None,
         link_mbps: float = 0.0,
+        limits: EndpointLimits | None = None,
     ) -> None:
+        self._limits = limits
         self._rules = rules
         self._relaying = relaying
         self._link_mbps = link_mbps
@@ -176,8 +181,9 @@
         self._demand.sample()
         self._beat += 1
         leader = self.leader()
-        if self._quotas is not None and leader == self._node:
-            self._quotas.report_to_self(self._beat)
+        if leader == self._node:
+            for quotas in self._quotas:
+                quotas.report_to_self(self._beat)
         match self.topology():
             case Mesh():
                 self._send_to_all(leader)
@@ -190,7 +196,7 @@
                     leader,
                     self._in_flight.by_id(),
                     self._demand.by_item(),
-                    self._quota_report(leader),
+                    self._quota_reports(leader),
                 )
 
     def receive(self, gossip: Gossip) -> None:
@@ -202,8 +208,10 @@
             self._crashed_parts.adopt(digest.quarantine_s_by_parts)
         for endpoint, started_ms in digest.leaving_by_endpoint.items():
             self._directory.record_leaving(endpoint, started_ms)
-        if self._quotas is not None:
-            self._quotas.receive(digest)
+        if self._limits is not None and digest.limit_by_endpoint:
+            self._limits.adopt(digest.limit_by_endpoint)
+        for quotas in self._quotas:
+            quotas.receive(digest)
         if digest.duty_term:
             self._leader_observed_s = self._clock()
             self._on_unloads(digest.unloads_by_endpoint)
@@ -231,8 +239,8 @@
         in_flight = self._in_flight.by_id()
         for node in self._known_peers():
             if node == leader:
-                demand, report = self._demand.by_item(), self._quota_report(node)
-                self._send_digest(node, in_flight, demand, report)
+                demand, reports = self._demand.by_item(), self._quota_reports(node)
+                self._send_digest(node, in_flight, demand, reports)
             else:
                 self._send_digest(node, in_flight, {})
 
@@ -263,7 +271,7 @@
         node: NodeId,
         in_flight: Mapping[EndpointId, int],
         demand: Mapping[ItemId, ItemDemand],
-        quota_report: QuotaReport | None = None,
+        reports: Mapping[QuotaKind, QuotaReport] | None = None,
         relay: EndpointRelay | None = None,
     ) -> None:
         term = self._term()
@@ -279,27 +287,35 @@
             unloads_by_endpoint=self._unloads_by_endpoint() if term else {},
             quarantine_s_by_parts=self._crashed_parts.quarantine_s_by_parts(),
             leaving_by_endpoint=self._directory.leaving_by_endpoint(),
-            quota_report=quota_report,
-            quota_renewal=self._quota_renewal(node) if term else None,
+            quota_report_by_kind=reports or {},
+            quota_renewal_by_kind=self._quota_renewals(node) if term else {},
             endpoints_revision=(
                 self._relaying.position if self._relaying else Revision(0)
             ),
             relay=relay,
             rules_version=self._rules.position if self._rules and term else Version(0),
+            limit_by_endpoint=self._limits.by_endpoint() if self._limits else {},
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
-    def _quota_report(self, leader: NodeId) -> QuotaReport | None:
+    def _quota_reports(self, leader: NodeId) -> Mapping[QuotaKind, QuotaReport]:
         digest = self._nodes.digest(leader)
-        if self._quotas is None or digest is None:
-            return None
-        return self._quotas.report(leader, digest.duty_term, self._beat)
+        if digest is None:
+            return {}
+        reports = (
+            (item.kind, item.report(leader, digest.duty_term, self._beat))
+            for item in self._quotas
+        )
+        return {kind: report for kind, report in reports if report is not None}
 
-    def _quota_renewal(self, node: NodeId) -> QuotaRenewal | None:
+    def _quota_renewals(self, node: NodeId) -> Mapping[QuotaKind, QuotaRenewal]:
         lease = self._nodes.find(node)
-        if self._quotas is None or lease is None:
-            return None
-        return self._quotas.renewal(node, lease.incarnation)
+        if lease is None:
+            return {}
+        renewals = (
+            (item.kind, item.renewal(node, lease.incarnation)) for item in self._quotas
+        )
+        return {kind: renewal for kind, renewal in renewals if renewal is not None}
 
     def leader(self) -> NodeId | None:
         """Return the leader according to the digests of peers, or None."""
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -4,6 +4,7 @@
 import math
 import sys
 import threading
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,12 +19,17 @@
     make_client_memory,
 )
 from camphoryard.coordination.admission.quota_shares import QuotaShares
+from camphoryard.coordination.admission.sharing_policy import account_policy
 from camphoryard.coordination.dispatch.dispatcher import Dispatcher, DispatcherContext
 from camphoryard.coordination.dispatch.turns import (
     FleetTurns,
     TurnsContext,
     record_message,
 )
+from camphoryard.coordination.fleet.account_quotas import (
+    AccountLimits,
+    SharedAccountQuotas,
+)
 from camphoryard.coordination.fleet.crash_sharing import CrashSharing
 from camphoryard.coordination.fleet.endpoint_relaying import EndpointRelaying
 from camphoryard.coordination.fleet.endpoint_roles import EndpointReading, endpoint_role
@@ -45,6 +51,10 @@
     RulesFetcher,
     RulesFollowing,
 )
+from camphoryard.coordination.fleet.shared_endpoint_room import (
+    SharedEndpointRoom,
+    endpoint_policy,
+)
 from camphoryard.coordination.forwarding.account_counts import AccountCounts
 from camphoryard.coordination.forwarding.context import ForwardingContext
 from camphoryard.coordination.forwarding.endpoint_chooser import (
@@ -108,6 +118,7 @@
 from camphoryard.state.ids import Incarnation, NodeId, ObjectKey, ServiceId, WriteId
 from camphoryard.state.leadership import LeadershipRecord, PeerKeys
 from camphoryard.state.nodes import NodeLease, NodeTable
+from camphoryard.state.quotas import QuotaKind
 from camphoryard.state.retry_reserve import RetryReserveUse
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.state.store_eras import NewestEra
@@ -205,7 +216,7 @@
     dispatcher: Dispatcher
     crash_sharing: CrashSharing
     retry_recorder: RetryRecorder
-    quotas: QuotaSharing
+    quotas_by_kind: Mapping[QuotaKind, QuotaSharing]
     app: FrontApp
     readiness: ReadinessApp
     executors: Executors
@@ -264,6 +275,7 @@
     leases = records(NODE_KIND, NodeLease)
     gossip: FleetGossip
     load_controller: LoadController
+    nodes_watcher: RecordWatcher[NodeLease]
     leader_lease = LeaderLease(
         records(LEADERSHIP_KIND, LeadershipRecord),
         LEADERSHIP_KEY,
@@ -276,23 +288,36 @@
         lambda: gossip.is_standby(),
         log,
     )
-    shares = QuotaShares(
+    account_limits = AccountLimits(
+        lambda: directory.rules.accounts if directory.rules else None,
         settings.bounds.quota_window_s,
+    )
+    quota_policy = account_policy(settings.bounds.quota_window_s)
+    shares = QuotaShares(
+        quota_policy,
         lambda: fleet_size.count() if math.isfinite(nodes_watcher.age_s()) else 0,
     )
-    quotas = QuotaSharing(
+    make_sharing = functools.partial(
+        QuotaSharing,
         settings.node,
         incarnation,
-        settings.bounds.quota_window_s,
-        settings.is_first_start,
-        lambda: directory.rules.accounts if directory.rules else None,
-        shares,
-        peers,
-        leader_lease,
-        log,
-        metrics.count,
+        is_first_start=settings.is_first_start,
+        peers=peers,
+        lease=leader_lease,
+        log=log,
+        count=metrics.count,
         listed=lambda: _listed_nodes(nodes, nodes_watcher, newest_era),
     )
+    quotas = make_sharing(
+        QuotaKind.ACCOUNT, quota_policy, limits=account_limits, shares=shares
+    )
+    limit_sharing = make_sharing(
+        QuotaKind.ENDPOINT,
+        endpoint_policy(),
+        limits=notices.limits,
+        shares=QuotaShares(endpoint_policy(), fleet_size.count),
+    )
+    room = SharedEndpointRoom(limit_sharing, notices.limits, log, metrics.count)
     metrics.add_gauge("quota_renewal_age_seconds", shares.renewed_age_s)
     rules_wait_s = (
         watch_wait_s(settings.bounds.stable_window_s)
@@ -317,10 +342,11 @@
         directory.record_unloads,
         crashed_parts,
         directory,
-        quotas=quotas,
+        quotas=(quotas, limit_sharing),
         relaying=relaying,
         link_mbps=settings.vm_limits.link_mbps,
         rules=rules_following,
+        limits=notices.limits,
     )
     system_demand = SystemDemand(settings.node, nodes, demand)
     load_controller = LoadController(
@@ -328,7 +354,7 @@
             settings.node,
             directory,
             leader_lease,
-            PlatformEngines(client, notices),
+            PlatformEngines(client, notices, room),
             system_demand.by_item,
             estimates.load,
             executors.node,
@@ -457,8 +483,9 @@
         metrics.observe,
         metrics.count,
         account_counts=AccountCounts(metrics.count_labelled),
-        quotas=quotas,
+        quotas=SharedAccountQuotas(quotas, account_limits, log, metrics.count),
         turns=turns,
+        room=room,
     )
     return Entry(
         live_settings,
@@ -485,7 +512,7 @@
         dispatcher,
         crash_sharing,
         retry_recorder,
-        quotas,
+        {item.kind: item for item in (quotas, limit_sharing)},
         FrontApp(context, dialect),
         ReadinessApp(lambda: directory.is_ready, metrics),
         executors,
@@ -510,9 +537,9 @@
             entry.crash_sharing.receive(report)
             return Done()
         case QuotaRequest() as quota_request:
-            return entry.quotas.answer(quota_request)
+            return entry.quotas_by_kind[quota_request.kind].answer(quota_request)
         case QuotaTake() as quota_take:
-            return entry.quotas.take_for_peer(quota_take)
+            return entry.quotas_by_kind[quota_take.kind].take_for_peer(quota_take)
         case _:
             return Declined("unexpected message type for an entry daemon")
 
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from camphoryard.state.demand import ItemDemand
+from camphoryard.state.endpoint_limits import EndpointLimit
 from camphoryard.state.endpoint_relay import EndpointRelay
 from camphoryard.state.enums import NodeState
 from camphoryard.state.ids import (
@@ -25,7 +26,7 @@
     Zone,
 )
 from camphoryard.state.load_reports import LoadReport
-from camphoryard.state.quotas import QuotaRenewal, QuotaReport
+from camphoryard.state.quotas import QuotaKind, QuotaRenewal, QuotaReport
 
 MAX_PORT = 65535
 
@@ -74,11 +75,12 @@
     are the models that a leader is having unloaded, which take no more requests.
     ``quarantine_s_by_parts`` are the sets of parts of prompts that are refused if they
     come together, with the time left in seconds. ``leaving_by_endpoint`` are the listed
-    endpoints that say they leave, with the time of their start. ``quota_report`` tells
-    the leader what the node holds of the quotas of accounts; ``quota_renewal`` is the
-    leader's answer. ``endpoints_revision`` is that of the node's view of the endpoints,
-    ``relay`` what the receiver's view lacks. ``rules_version`` is that of the newest
-    configuration object that a leader has read.
+    endpoints that say they leave, with the time of their start. The quota reports tell
+    the leader what the node holds of the limits of each kind; the renewals are the
+    leader's answers. ``endpoints_revision`` is that of the node's view of the
+    endpoints, ``relay`` what the receiver's view lacks. ``rules_version`` is that of
+    the newest configuration object that a leader has read. ``limit_by_endpoint`` are
+    the limits that listed endpoints have named, and those that have ended.
     """
 
     node: NodeId
@@ -97,11 +99,14 @@
         default_factory=dict
     )
     leaving_by_endpoint: Mapping[EndpointId, int] = field(default_factory=dict)
-    quota_report: QuotaReport | None = None
-    quota_renewal: QuotaRenewal | None = None
+    quota_report_by_kind: Mapping[QuotaKind, QuotaReport] = field(default_factory=dict)
+    quota_renewal_by_kind: Mapping[QuotaKind, QuotaRenewal] = field(
+        default_factory=dict
+    )
     endpoints_revision: Revision = Revision(0)
     relay: EndpointRelay | None = None
     rules_version: Version = Version(0)
+    limit_by_endpoint: Mapping[EndpointId, EndpointLimit] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/fleet/test_quota_sharing.py
+++ b/tests/coordination/fleet/test_quota_sharing.py
@@ -15,14 +15,8 @@
 from camphoryard.state.accounts import Account
 from camphoryard.state.ids import AccountId, FencingNumber
 from camphoryard.state.quotas import Admitted, OverQuota
-from tests.fakes.quota_fleet import (
-    PERIOD_S,
-    WINDOW_S,
-    AskFate,
-    Delivery,
-    QuotaFleet,
-    make_account,
-)
+from tests.fakes.quota_fleet import WINDOW_S, QuotaFleet, make_account
+from tests.fakes.sharing_fleet import PERIOD_S, AskFate, Delivery
 
 LARGE, SMALL = AccountId("large"), AccountId("small")
 NODES = 78
@@ -135,8 +129,8 @@
     def test_an_account_without_a_quota_is_not_limited(self):
         """Nor are requests without an account."""
         fleet = make_fleet(4)
-        sharing = fleet.node_by_id["n1"].sharing
-        decisions = [sharing.admit(item, 10**9) for item in (None, Account("free"))]
+        quotas = fleet.node_by_id["n1"].quotas
+        decisions = [quotas.admit(item, 10**9) for item in (None, Account("free"))]
         assert decisions == [Admitted(), Admitted()]
 
     def test_nothing_is_told_without_quotas(self):
