Name limits of replicas in the soak, and check that they are kept

A replica in need names in its answers the requests a second that it takes from all nodes together (Server-Limit). No stand-in named one, and nothing counted what it got.

--- a/faults/entry_drawing.py
+++ b/faults/entry_drawing.py
@@ -24,6 +24,7 @@
     ReplicaFault,
     ReplicaGarbles,
     ReplicaLeaves,
+    ReplicaNamesLimit,
     ReplicaPauses,
     ReplicaRepeatsRefusals,
     ReplicaRests,
@@ -35,6 +36,8 @@
 from faults.soak_site import SERVICES, STORE, SoakSite
 
 DEADLY_S = 15.0
+LIMITS_PER_S = ((0.4,), (0.5, 2.0), (2.0, 0.5), (0.4, 0.0, 0.4))
+"""Limits that replicas name in turn: one, a rise, a fall, and one that comes back."""
 
 
 def draw_fault(site: SoakSite, rng: random.Random) -> Fault:
@@ -66,6 +69,11 @@
         service_fails,
         ReplicaRepeatsRefusals(slot, 3 * for_s),
         AddressIsTakenOver(slot, 2 * for_s),
+        ReplicaNamesLimit(
+            _some_slots(rng, SERVICES[slot]),
+            rng.choice(LIMITS_PER_S),
+            rng.uniform(4.0, 7.0),
+        ),
         ReplicaPauses(slot, for_s),
         ReplicaSlows(slot, rng.choice((400, 900, 2000)), 3 * for_s),
         StoreFails(rng.random() < 0.5, for_s),
@@ -111,7 +119,7 @@
             | ReplicaSlows(slot)
         ):
             return (f"slot-{slot}",)
-        case ServiceFails(slots):
+        case ServiceFails(slots) | ReplicaNamesLimit(slots):
             return tuple(f"slot-{slot}" for slot in slots)
         case FleetRestarts():
             return site.nodes
--- a/faults/entry_faults.py
+++ b/faults/entry_faults.py
@@ -83,6 +83,15 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaNamesLimit:
+    """Replicas name limits in turn, each for some time; 0 is none."""
+
+    slots: tuple[int, ...]
+    limits_per_s: tuple[float, ...]
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaPauses:
     """A replica stands still and goes on."""
@@ -208,6 +217,7 @@
     | ServiceFails
     | ReplicaRepeatsRefusals
     | AddressIsTakenOver
+    | ReplicaNamesLimit
     | ReplicaPauses
     | ReplicaSlows
     | StoreFails
--- a/faults/entry_injections.py
+++ b/faults/entry_injections.py
@@ -26,6 +26,7 @@
     ReplicaCrashes,
     ReplicaGarbles,
     ReplicaLeaves,
+    ReplicaNamesLimit,
     ReplicaPauses,
     ReplicaRepeatsRefusals,
     ReplicaRests,
@@ -76,6 +77,11 @@
             _repeat_refusals(site, slot, for_s)
         case AddressIsTakenOver(slot, for_s):
             _take_over_address(site, slot, for_s)
+        case ReplicaNamesLimit(slots, limits_per_s, for_s):
+            for limit_per_s in (*limits_per_s, 0.0):
+                for slot in slots:
+                    site.control(slot, limit_per_s=limit_per_s)
+                site.stop.wait(for_s if limit_per_s else 0.0)
         case ReplicaPauses(slot, for_s):
             _pause(site, site.replica_by_slot[slot], for_s)
         case ReplicaSlows(slot, period_ms, for_s):
--- a/faults/entry_soak.py
+++ b/faults/entry_soak.py
@@ -24,6 +24,7 @@
 from faults.entry_faults import KINDS, is_planned
 from faults.entry_injections import RESTART_S, inject
 from faults.key_checks import find_key_violations
+from faults.limit_checks import find_limit_violations
 from faults.quota_checks import find_quota_violations
 from faults.soak_site import SoakSite
 from standins.fleet import Fleet
@@ -101,6 +102,7 @@
         *find_violations(history),
         *find_key_violations(history),
         *find_quota_violations(history),
+        *find_limit_violations(history),
     ]
     print(f"draws of keys: {site.key_draws}")
     statuses = Counter(item.status for item in history.attempts)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -7,14 +7,15 @@
 that is not loaded gets 421; orders of models go into the journal. A run ends as soon
 as its connection does.
 
-Faults at ``POST /control``: ``leaving`` (all answers say so), ``rest_ms`` (requests are
-turned away for so long), ``slow_ms`` (period of the events of a stream) and shares of
-requests in percent: ``garble`` (the answer is cut, failed or sent twice), ``fail`` (500
-after the run), ``shed`` (declined with 503), ``mute`` (run without an answer) and
-``reset`` (the connection is reset within the run). A share of the refusals is sent once
-more: at once (``echo``), some time after it on an idle connection (``late``) or while a
-later request of the connection runs (``stale``), which is the refusal of that very
-request if there is one.
+Faults at ``POST /control``: ``leaving`` (all answers say so), ``limit_per_s`` (all
+answers name it, 0 for none), ``rest_ms`` (requests are turned away for so long),
+``slow_ms`` (period of the events of a stream) and shares of requests in percent:
+``garble`` (the answer is cut, failed or sent twice), ``fail`` (500 after the run),
+``shed`` (declined with 503), ``mute`` (run without an answer) and ``reset`` (the
+connection is reset within the run). A share of the refusals is sent once more: at once
+(``echo``), some time after it on an idle connection (``late``) or while a later request
+of the connection runs (``stale``), which is the refusal of that very request if there
+is one.
 """
 
 import json
@@ -127,6 +128,7 @@
     journal: Path
     rng: random.Random
     is_leaving: bool = False
+    limit_per_s: float = 0.0
     rest_until_s: float = 0.0
     event_period_s: float = EVENT_PERIOD_S
     percent_by_fault: dict[str, float] = field(default_factory=dict)
@@ -194,12 +196,15 @@
             call,
             rest_s=max(0.0, rest_s),
             leaving=self.is_leaving,
+            limit_per_s=self.limit_per_s,
             left_s=call.left_s,
             account=call.headers.get("tenant"),
             credentials="authorization" in call.headers,
         )
         if self.is_leaving:
             headers["Server-Leaving"] = "1"
+        if self.limit_per_s:
+            headers["Server-Limit"] = f"{self.limit_per_s:g}"
         if rest_s > 0:
             refused = {"Not-Executed": "1", "Retry-After": f"{rest_s:.3f}"}
             return self._refuse(connection, Refusal(call, 503, {**headers, **refused}))
@@ -351,6 +356,8 @@
     def _control(self, faults: Mapping[str, float]) -> None:
         if "leaving" in faults:
             self.is_leaving = bool(faults["leaving"])
+        if "limit_per_s" in faults:
+            self.limit_per_s = faults["limit_per_s"]
         if "rest_ms" in faults:
             rest_s = faults["rest_ms"] / MILLISECONDS_PER_SECOND
             self.rest_until_s = time.monotonic() + rest_s
