--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -40,6 +40,7 @@
 GAP_TIMEOUT_FACTOR = 4.0
 """Pause after which a stream is resumed at another endpoint, in multiples of the
 route's longest gap; clients abandon the stream after eight."""
+MILLISECONDS_PER_SECOND = 1000
 MAX_IDLE_NOT_REPEATABLE_S = 1.0
 """The endpoint may close a connection that has been idle for longer while a request is
 written to it."""
@@ -112,9 +113,14 @@
             context.observe("head", context.clock() - sent_s)
             if answer.write_error is not None:
                 _log_unread_request(context, forwarded, endpoint, answer)
-            return _handle_answer(
-                context, forwarded, endpoint, answer, reply, sent_s, wait
-            )
+            try:
+                return _handle_answer(
+                    context, forwarded, endpoint, answer, reply, sent_s, wait
+                )
+            except BrokenCallError:
+                # The request may be sent again, and a copy of this answer has its id.
+                answer.discard()
+                raise
     finally:
         cancellation.unsubscribe(handle)
         wait.end()
@@ -217,8 +223,6 @@
     urgency: Urgency,
 ) -> SendOptions:
     request, rule = forwarded.request, forwarded.rule
-    # A copy of the refusal could still arrive on the connection that carried it.
-    needs_new_connection = endpoint.id in forwarded.declined
     head_timeout_s = max(0.0, forwarded.event_deadline_s - context.clock())
     silence_timeout_s = head_timeout_s
     runs = forwarded.runs + 1
@@ -233,7 +237,6 @@
         urgency,
         forwarded.progress.last_event or request.resume_after,
         MAX_IDLE_NOT_REPEATABLE_S if is_not_repeatable else MAX_IDLE_REPEATABLE_S,
-        needs_new_connection,
         forwarded.account.id if forwarded.account is not None else None,
         forwards_credentials=not forwarded.has_accounts,
     )
@@ -259,7 +262,6 @@
     """Relay an answer whose head has been received, or report that it was declined."""
     match answer.head.kind:
         case AnswerKind.NOT_RUN | AnswerKind.NOT_LOADED:
-            forwarded.declined.add(endpoint.id)
             answer.body()
             requested_model = forwarded.request.requested_model
             if requested_model is not None:
@@ -273,6 +275,8 @@
                 endpoint=endpoint.id,
                 status=answer.head.status,
                 sends=forwarded.sends,
+                answer_number=answer.number,
+                after_ms=round((context.clock() - sent_s) * MILLISECONDS_PER_SECOND),
             )
             return Outcome.NOT_RUN
         case AnswerKind.UNTRUSTED:
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -66,8 +66,7 @@
     the priority in the endpoint's queue. After each ``silence_timeout_s`` without an
     answer, ``keep_waiting`` decides whether to wait on. ``resume_after`` is the last
     event that the client has received. A pooled connection that has been idle for
-    longer than ``max_idle_s`` is not used, and none at all if
-    ``needs_new_connection``. ``account`` is named to the endpoint.
+    longer than ``max_idle_s`` is not used. ``account`` is named to the endpoint.
     ``forwards_credentials`` if there are no accounts, so that they are meant for the
     endpoint.
     """
@@ -79,7 +78,6 @@
     urgency: Urgency
     resume_after: EventId | None
     max_idle_s: float
-    needs_new_connection: bool = False
     account: AccountId | None = None
     forwards_credentials: bool = True
 
@@ -119,10 +117,11 @@
 
     ``ends_with_connection`` is True if it has neither a length nor chunks.
     ``write_error`` is the error after which the rest of the request was not written,
-    or None.
+    or None. ``number`` is 1 for the first answer on its connection.
     """
 
     head: AnswerHead
+    number: int
     ends_with_connection: bool
     write_error: OSError | None
 
@@ -151,6 +150,9 @@
             If the body ends early, or bytes arrive that are no part of it.
         """
 
+    def discard(self) -> None:
+        """Have `close` reset the connection, whatever of the answer was read."""
+
     def close(self) -> None:
         """Close the answer and release its connection."""
 
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -39,6 +39,7 @@
 MIN_TIMEOUT_S = 0.05
 MAX_ERROR_BYTES = 64 << 10
 """Maximum size of the explanation in an error answer."""
+OK = 200
 MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -80,7 +81,7 @@
             raise EndpointRefusedError(
                 answer.response.status,
                 _error_detail(answer, limits.first_token_s),
-                answer.is_first_on_connection,
+                answer.number == 1,
             )
         return EventStream(answer, self._readers, limits)
 
@@ -115,8 +116,17 @@
 
     def inventory(self, endpoint: Endpoint) -> Inventory:
         """Return the models that the engine has loaded; see the Engines port."""
-        call = HttpCall("GET", "/admin/inventory", timeout_s=INVENTORY_TIMEOUT_S)
+        call = HttpCall(
+            "GET",
+            "/admin/inventory",
+            timeout_s=INVENTORY_TIMEOUT_S,
+            # Nothing in an inventory tells it from the copy of an earlier answer.
+            new_connection=True,
+        )
         answer = self._client.call(_address(endpoint), call)
+        if answer.status != OK:
+            # Its body could be read as the inventory of an empty engine.
+            raise BrokenCallError(f"inventory answered with status {answer.status}")
         try:
             inventory = decode_inventory(answer.body)
         except msgspec.MsgspecError as error:
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -13,6 +13,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 from http.client import (
     HTTPConnection,
     HTTPException,
@@ -30,7 +31,7 @@
 )
 from camphoryard.transport.answer_budget import MAX_SMALL_ANSWER_BYTES, AnswerBudget
 
-MAX_IDLE_PER_ADDRESS = 64
+MAX_IDLE_PER_POOL = 64
 CONNECT_TIMEOUT_S = 1.0
 MILLISECONDS_PER_SECOND = 1000
 TCP_KEEP_ALIVE_IDLE_S = 1
@@ -68,6 +69,9 @@
 """Maximum time from sending a call to the end of its answer, in timeouts of the call,
 unless the call sets another."""
 LINE_ENDS = (b"\r\n", b"\n")
+SUCCESS_STATUSES = range(200, 300)
+MAX_REFUSED_IDS = 64
+"""Maximum number of ids that a connection remembers; it is closed after that."""
 
 
 def _never() -> bool:
@@ -100,6 +104,9 @@
     ``connect_timeout_s`` limits the time to connect, ``max_idle_s`` how long a pooled
     connection may have been idle. ``is_permitted`` is checked right before the call
     is written, as connecting takes time and the process may be suspended meanwhile.
+    ``id`` is what the server repeats in its answers to the call, None if nothing.
+    ``is_answered_once`` if the server sends no answer a second time, so that its
+    connection may be used again after any answer.
     """
 
     method: str
@@ -116,6 +123,8 @@
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     max_idle_s: float = math.inf
     is_permitted: Callable[[], bool] | None = None
+    id: str | None = None
+    is_answered_once: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +142,6 @@
     def __init__(self, client: "HttpClient", exchange: "_Exchange") -> None:
         self._client = client
         self._exchange = exchange
-        self._method = exchange.method
         self._has_skipped = False
         self._reserved_bytes = 0
         self.response = exchange.response
@@ -144,9 +152,9 @@
         return self._exchange.address
 
     @property
-    def is_first_on_connection(self) -> bool:
-        """Whether the server has sent no other answer on the connection."""
-        return self._exchange.connection.answers == 1
+    def number(self) -> int:
+        """Which answer of its connection this is; the first one has number 1."""
+        return self._exchange.connection.answers
 
     @property
     def sock(self) -> socket.socket:
@@ -249,7 +257,8 @@
         """Reserve memory for a body, of which ``body`` is the beginning."""
         exchange = self._exchange
         budget = self._client.answer_budget
-        budget.reserve(exchange.address, max_size, end_s, exchange.cancellation)
+        cancellation = exchange.call.cancellation
+        budget.reserve(exchange.address, max_size, end_s, cancellation)
         self._reserved_bytes = max_size
         # Returned to the system as soon as it is closed. Freed memory of the heap would
         # stay with the arena of this task's thread.
@@ -264,18 +273,20 @@
         Needed because an endpoint may answer an earlier call twice. Raises the same
         errors as ``HttpClient.call``.
         """
+        exchange = self._exchange
         try:
             for _ in self._pieces():
                 pass
-            following = self._exchange.connection.next_response(
-                self.sock, method=self._method
+            following = exchange.connection.next_response(
+                self.sock, method=exchange.call.method
             )
             following.begin()
-            self._exchange.connection.reader.check_line_end()
+            exchange.connection.reader.check_line_end()
         except (OSError, HTTPException, ValueError) as error:
             raise broken_call_error(error) from error
         self.response = following
         self._has_skipped = True
+        self._client.count_skipped()
 
     def close(self, is_read: bool) -> None:
         """Return the connection to the pool if its body was read to the end."""
@@ -286,11 +297,18 @@
         exchange.unsubscribe_cancellation()
         exchange.connection.reader.set_keep_waiting(_never)
         self.response.close()
-        is_reusable = not self.response.will_close and not self._has_skipped
+        exchange.record_refusal()
+        is_reusable = (
+            exchange.leaves_connection_usable
+            and not self.response.will_close
+            and not self._has_skipped
+        )
         if is_read and is_reusable and self.write_error is None:
-            keep_alive_s = _keep_alive_s(self.response)
             self._client.return_to_pool(
-                exchange.address, exchange.connection, keep_alive_s
+                exchange.address,
+                exchange.connection,
+                exchange.call.id is not None,
+                _keep_alive_s(self.response),
             )
         elif is_read:
             self._client.discard(exchange.connection)
@@ -497,6 +515,15 @@
         self._reader.close()
 
 
+class _IdleState(Enum):
+    """What has become of a connection while it was idle."""
+
+    CLEAN = "clean"
+    ENDED = "ended"
+    UNREAD = "unread"
+    """The server has sent more than the answers that were due."""
+
+
 class _Connection(HTTPConnection):
     """A connection whose answers share one reader, so that no buffered byte is lost."""
 
@@ -506,6 +533,13 @@
     write_error: OSError | None = None
     """The error after which the rest of a call was not written."""
 
+    def __init__(
+        self, address: Address, timeout_s: float, source: tuple[str, int] | None
+    ) -> None:
+        super().__init__(address.host, address.port, timeout_s, source)
+        self.refused_ids: set[str] = set()
+        """Ids of calls whose refusals may come once more."""
+
     def connect(self) -> None:
         """Connect, with TCP keep-alive so that an unresponsive peer is detected."""
         super().connect()
@@ -523,20 +557,20 @@
         response.fp = self.reader  # type: ignore[assignment]
         return response
 
-    def is_clean(self) -> bool:
+    def idle_state(self) -> _IdleState:
         """Return whether an idle connection is open and has no unread data.
 
         Data received with the last answer is in the reader and no longer in the
         socket, so both are checked.
         """
-        if is_readable(self.sock):
-            return False
+        is_quiet = not is_readable(self.sock)
         self.sock.setblocking(False)
         try:
-            return not self.reader.peek(1)
+            if self.reader.peek(1):
+                return _IdleState.UNREAD
         except OSError:
-            # Reset since the first look; the caller discards the connection.
-            return False
+            return _IdleState.ENDED
+        return _IdleState.CLEAN if is_quiet else _IdleState.ENDED
 
     def release(self) -> None:
         """Close the connection and its reader."""
@@ -558,16 +592,45 @@
     """A call whose answer has begun; ``handle`` is its cancellation subscription."""
 
     address: Address
-    method: str
+    call: HttpCall
     connection: _Connection
     sock: socket.socket
     response: HTTPResponse
-    cancellation: Cancellation | None
     handle: int
 
+    @property
+    def is_refused(self) -> bool:
+        return self.response.status not in SUCCESS_STATUSES
+
+    def record_refusal(self) -> None:
+        """Record that the refusal of the call may come once more."""
+        if self.is_refused and self.call.id is not None:
+            self.connection.refused_ids.add(self.call.id)
+
+    @property
+    def leaves_connection_usable(self) -> bool:
+        """Whether the answers to later calls are told from copies of this one.
+
+        Calls without an id share connections with each other only, and with none if
+        they need a new one: an order's answer must not be read as a report.
+        """
+        if self.call.is_answered_once:
+            return True
+        if self.call.id is None:
+            return not (self.is_refused or self.call.new_connection)
+        return len(self.connection.refused_ids) < MAX_REFUSED_IDS
+
     def unsubscribe_cancellation(self) -> None:
-        if self.cancellation is not None:
-            self.cancellation.unsubscribe(self.handle)
+        if self.call.cancellation is not None:
+            self.call.cancellation.unsubscribe(self.handle)
+
+
+@dataclass(frozen=True, slots=True)
+class _Pool:
+    """Which idle connections a call may use: those of its address and kind."""
+
+    address: Address
+    has_ids: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -586,15 +649,27 @@
     ----------
     source_host : str
         Source IP address of connections; empty to let the system choose.
+
+    Attributes
+    ----------
+    opened_connections : int
+        Connections that were established.
+    skipped_answers : int
+        Answers that were read past, as they answered an earlier call.
+    unread_connections : int
+        Idle connections that were closed, as the server had sent more than was due.
     """
 
     def __init__(self, source_host: str = "") -> None:
         self.answer_budget: AnswerBudget[Address] = AnswerBudget()
         self._source = (source_host, 0) if source_host else None
         self._lock = threading.Lock()
-        self._idle_by_address: dict[Address, list[_IdleConnection]] = defaultdict(list)
+        self._idle_by_pool: dict[_Pool, list[_IdleConnection]] = defaultdict(list)
         self._in_use: set[_Connection] = set()
         self._closed = False
+        self.opened_connections = 0
+        self.skipped_answers = 0
+        self.unread_connections = 0
 
     def call(self, address: Address, call: HttpCall) -> HttpAnswer:
         """Make the call and read the complete answer.
@@ -634,7 +709,9 @@
     def open(self, address: Address, call: HttpCall) -> OpenAnswer:
         """Make the call and read the head of its answer; raises as ``call``."""
         connection = (
-            None if call.new_connection else self._take_idle(address, call.max_idle_s)
+            None
+            if call.new_connection
+            else self._take_idle(address, call.max_idle_s, call.id)
         )
         if connection is None:
             connection = self._connect(address, call)
@@ -648,9 +725,9 @@
         with self._lock:
             self._closed = True
             connections = list(self._in_use)
-            for idle in self._idle_by_address.values():
+            for idle in self._idle_by_pool.values():
                 connections.extend(item.connection for item in idle)
-            self._idle_by_address.clear()
+            self._idle_by_pool.clear()
         for connection in connections:
             if connection.sock is not None:
                 _abort_reads(connection.reader, connection.sock)
@@ -663,21 +740,32 @@
             )
         except NotSentError:
             return False
-        self.return_to_pool(address, connection)
+        self.return_to_pool(address, connection, has_ids=True)
         return True
 
     def return_to_pool(
-        self, address: Address, connection: _Connection, keep_alive_s: float = math.inf
+        self,
+        address: Address,
+        connection: _Connection,
+        has_ids: bool,
+        keep_alive_s: float = math.inf,
     ) -> None:
-        """Add a connection to the pool, to be used within ``keep_alive_s`` seconds."""
+        """Add a connection to the pool, to be used within ``keep_alive_s`` seconds.
+
+        It is for calls with ids if ``has_ids``, else for those without. In a full pool
+        it replaces the connection that was idle for longest.
+        """
         now_s = time.monotonic()
+        surplus = connection
         with self._lock:
             self._in_use.discard(connection)
-            idle = self._idle_by_address[address]
-            if not self._closed and len(idle) < MAX_IDLE_PER_ADDRESS:
+            if not self._closed:
+                idle = self._idle_by_pool[_Pool(address, has_ids)]
                 idle.append(_IdleConnection(connection, now_s, now_s + keep_alive_s))
-                return
-        connection.release()
+                if len(idle) <= MAX_IDLE_PER_POOL:
+                    return
+                surplus = idle.pop(0).connection
+        surplus.release()
 
     def discard(self, connection: _Connection) -> None:
         """Close a connection that cannot be reused."""
@@ -691,28 +779,53 @@
             self._in_use.discard(connection)
         connection.reset()
 
-    def _take_idle(self, address: Address, max_idle_s: float) -> _Connection | None:
-        """Return a pooled connection that the server has not closed, or None."""
+    def count_skipped(self) -> None:
+        """Count an answer that was read past, as it answered another call."""
+        with self._lock:
+            self.skipped_answers += 1
+
+    def _take_idle(
+        self, address: Address, max_idle_s: float, id: str | None = None
+    ) -> _Connection | None:
+        """Return a pooled connection for a call with ``id``, or None.
+
+        The server has not closed it, and no refusal on it could be taken for the
+        answer to the call.
+        """
         while True:
             now_s = time.monotonic()
             with self._lock:
-                idle = self._idle_by_address[address]
-                if not idle or now_s - idle[-1].idle_since_s > max_idle_s:
+                idle = self._idle_by_pool[_Pool(address, id is not None)]
+                usable = (
+                    item
+                    for item in reversed(idle)
+                    if now_s - item.idle_since_s <= max_idle_s
+                    and id not in item.connection.refused_ids
+                )
+                item = next(usable, None)
+                if item is None:
                     return None
-                item = idle.pop()
+                idle.remove(item)
                 self._in_use.add(item.connection)
-            if now_s < item.usable_until_s and item.connection.is_clean():
-                return item.connection
+            match item.connection.idle_state():
+                case _IdleState.CLEAN if now_s < item.usable_until_s:
+                    return item.connection
+                case _IdleState.UNREAD:
+                    with self._lock:
+                        self.unread_connections += 1
+                case _:
+                    pass
             self.discard(item.connection)
 
     def _connect(self, address: Address, call: HttpCall) -> _Connection:
         timeout_s = min(call.timeout_s, call.connect_timeout_s)
-        connection = _Connection(address.host, address.port, timeout_s, self._source)
+        connection = _Connection(address, timeout_s, self._source)
         try:
             connection.connect()
         except OSError as error:
             raise NotSentError(f"{address}: {error!r}") from error
         with self._lock:
+            self.opened_connections += 1
             if not self._closed:
                 self._in_use.add(connection)
                 return connection
@@ -744,9 +857,7 @@
                 cancellation.unsubscribe(handle)
             self.abort(connection)
             raise broken_call_error(error) from error
-        exchange = _Exchange(
-            address, call.method, connection, sock, response, cancellation, handle
-        )
+        exchange = _Exchange(address, call, connection, sock, response, handle)
         return OpenAnswer(self, exchange)
 
 
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -43,6 +43,7 @@
         response = answer.response
         self.ends_with_connection = response.length is None and not response.chunked
         self.write_error = answer.write_error
+        self.number = answer.number
 
     def body(self) -> bytes:
         """Return the complete body; see the Answer port."""
@@ -81,6 +82,10 @@
             raise broken_call_error(error) from error
         self._is_read = True
 
+    def discard(self) -> None:
+        """Have `close` reset the connection; see the Answer port."""
+        self._is_read = False
+
     def close(self) -> None:
         """Close the answer; aborts the connection if the body is not fully read."""
         self._answer.close(self._is_read and not self.head.closes_connection)
@@ -112,10 +117,10 @@
             max(MIN_TIMEOUT_S, min(options.head_timeout_s, left_s)),
             max(MIN_TIMEOUT_S, options.silence_timeout_s),
             options.keep_waiting,
-            options.needs_new_connection,
             cancellation=cancellation,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_idle_s=options.max_idle_s,
+            id=request.id,
         )
         address = Address(endpoint.address.host, endpoint.address.port)
         answer = self._client.open(address, call)
@@ -150,7 +155,7 @@
                 request,
                 response.status,
                 headers,
-                answer.is_first_on_connection,
+                answer.number == 1,
             )
             if head is not None:
                 return head
--- a/tests/coordination/inference/test_inference.py
+++ b/tests/coordination/inference/test_inference.py
@@ -289,3 +289,70 @@
         assert refusals[0].verdict is Verdict.NOT_RUN
         assert context.admission.waiting() == 0
         assert engines.calls == []
+
+
+# Guards against REFUSED: a request that was written to an engine was refused with the
+# promise that it had not run.
+class TestAbortedCalls:
+    """Calls that are aborted before the head of their answer."""
+
+    def test_call_that_the_total_deadline_ended_may_have_run(self):
+        """The engine has the request and may run it."""
+        engines = both_engines(failing_script(StalledCallError("x")))
+        inference_request = request(total_deadline_s=time.monotonic())
+        refused = refusal(make_context(engines), inference_request)
+        assert (refused.reason, refused.verdict) == (
+            Reason.DEADLINE,
+            Verdict.MAY_HAVE_RUN,
+        )
+
+    def test_call_that_was_cancelled_may_have_run(self):
+        """The cancellation breaks the call, which the engine may have begun to run."""
+        cancellation = Cancellation()
+
+        def cancel_call(inference_request, offset):
+            cancellation.cancel()
+            return [BrokenCallError("the call was aborted")]
+
+        context = make_context(both_engines(cancel_call))
+        refused = refusal(context, None, cancellation)
+        assert (refused.reason, refused.verdict) == (
+            Reason.CANCELLED,
+            Verdict.MAY_HAVE_RUN,
+        )
+
+
+# Guards against DRAIN: a request that had waited for the trial of another one went to
+# the endpoint chosen before the wait, which had left meanwhile.
+class TestLeavingDuringTrial:
+    """An endpoint that starts to leave while its request waits for a trial."""
+
+    def test_request_goes_to_another_endpoint(self, monkeypatch):
+        """The endpoint is checked after the wait as well."""
+        engines = both_engines(remaining_frames)
+        context = make_context(engines)
+        begin = context.suspects.begin
+        left = []
+
+        def begin_after_leave(fingerprint, endpoint, deadline_s):
+            if not left:
+                left.append(endpoint)
+                mark_leaving(context.configuration, endpoint)
+            return begin(fingerprint, endpoint, deadline_s)
+
+        monkeypatch.setattr(context.suspects, "begin", begin_after_leave)
+        assert answer(context) == TEXT
+        assert left[0] not in engines.calls
+
+
+def mark_leaving(holder, endpoint):
+    """Set the label that marks an endpoint as leaving."""
+    current = holder.current
+    leaving = replace(current.endpoints_by_id[endpoint], labels={"leaving": "true"})
+    holder.adopt(
+        replace(
+            current,
+            generation=Generation(current.generation + 1),
+            endpoints_by_id={**current.endpoints_by_id, endpoint: leaving},
+        )
+    )
--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -15,8 +16,13 @@
 )
 from camphoryard.platform.dialect import PlatformDialect
 from camphoryard.state.errors import BrokenCallError
-from camphoryard.state.ids import RequestId, Urgency
-from camphoryard.transport.http_client import HttpClient
+from camphoryard.state.ids import EndpointId, RequestId, Urgency
+from camphoryard.transport.http_client import (
+    MAX_REFUSED_IDS,
+    Address,
+    HttpCall,
+    HttpClient,
+)
 from camphoryard.transport.upstream import HttpUpstream
 from tests.fakes.engines import make_endpoint
 
@@ -61,16 +67,64 @@
                 connection.sendall(self._answers.pop(0))
 
 
+class RepeatingEndpoint(Endpoint):
+    """Declines its first request; copies of it precede later answers there."""
+
+    def __init__(self, status=b"503 Full"):
+        super().__init__()
+        self._status = status
+        self.has_declined = False
+
+    def _answer(self, connection):
+        refusal = b""
+        with connection, contextlib.suppress(OSError):
+            while data := connection.recv(65_536):
+                id = data.partition(b"Attempt-Id: ")[2].partition(b"\r\n")[0]
+                if self.has_declined:
+                    connection.sendall(refusal + success(id))
+                    continue
+                self.has_declined = True
+                refusal = b"HTTP/1.1 %s\r\nNot-Executed: 1\r\nAttempt-Id: %s\r\n%s" % (
+                    self._status,
+                    id,
+                    NO_BODY,
+                )
+                connection.sendall(refusal)
+
+
+class ReportingEndpoint(Endpoint):
+    """Reports without an id; the report precedes the next answer there once more."""
+
+    REPORT = b"HTTP/1.1 200 OK\r\n" + NO_BODY
+
+    def _answer(self, connection):
+        earlier = b""
+        with connection, contextlib.suppress(OSError):
+            while data := connection.recv(65_536):
+                id = data.partition(b"Attempt-Id: ")[2].partition(b"\r\n")[0]
+                answer = success(id) if id else self.REPORT
+                connection.sendall(earlier + answer)
+                earlier = answer
+
+
 @pytest.fixture
-def send():
-    """Return a function that sends a request and returns the kind of its answer."""
+def client():
+    """Return a client, closed after the test."""
     client = HttpClient()
+    yield client
+    client.close()
+
+
+@pytest.fixture
+def send(client):
+    """Return a function that sends a request and returns the kind of its answer."""
     upstream = HttpUpstream(client, PlatformDialect())
 
-    def send_request(endpoint, id, needs_new_connection=False):
+    def send_request(endpoint, id):
         now_s = time.monotonic()
+        headers = {"Attempt-Id": id}
         request = ClientRequest(
-            RequestId(id), "POST", "h", "/", {}, b"", now_s, now_s + TIMEOUT_S
+            RequestId(id), "POST", "h", "/", headers, b"", now_s, now_s + TIMEOUT_S
         )
         options = SendOptions(
             now_s + TIMEOUT_S,
@@ -80,15 +134,13 @@
             Urgency(5),
             None,
             1.0,
-            needs_new_connection,
         )
-        answer = upstream.open(endpoint.endpoint, request, options, Cancellation())
+        answer = upstream.open(endpoint, request, options, Cancellation())
         with contextlib.closing(answer):
             answer.body()
         return answer.head.kind
 
-    yield send_request
-    client.close()
+    return send_request
 
 
 class TestRepeatedRefusals:
@@ -98,28 +150,102 @@
         """The request gets its own answer, which follows."""
         copy = refusal(b"Attempt-Id: a\r\n")
         endpoint = Endpoint(copy, copy + success(b"b"))
-        assert send(endpoint, "a") is AnswerKind.NOT_RUN
-        assert send(endpoint, "b") is AnswerKind.SERVED
+        assert send(endpoint.endpoint, "a") is AnswerKind.NOT_RUN
+        assert send(endpoint.endpoint, "b") is AnswerKind.SERVED
         assert endpoint.connections == 1
 
     def test_refusal_without_id_on_a_used_connection_proves_nothing(self, send):
         """The request may be running while the copy is read."""
         endpoint = Endpoint(refusal(), refusal() + success(b"b"))
-        assert send(endpoint, "a") is AnswerKind.NOT_RUN
-        assert send(endpoint, "b") is AnswerKind.UNTRUSTED
-
-    def test_request_that_is_sent_again_does_not_read_its_own_refusal(self, send):
+        assert send(endpoint.endpoint, "a") is AnswerKind.NOT_RUN
+        assert send(endpoint.endpoint, "b") is AnswerKind.UNTRUSTED
+
+    @pytest.mark.parametrize(
+        ("status", "kind"),
+        [
+            (b"503 Full", AnswerKind.NOT_RUN),
+            (b"421 Other", AnswerKind.NOT_LOADED),
+            (b"302 Found", AnswerKind.NOT_RUN),
+        ],
+    )
+    def test_request_that_is_sent_again_does_not_read_its_own_refusal(
+        self, send, status, kind
+    ):
         """The copy has the right id, so the connection that carries it is avoided."""
-        copy = refusal(b"Attempt-Id: a\r\n")
-        endpoint = Endpoint(copy, success(b"a"))
-        assert send(endpoint, "a") is AnswerKind.NOT_RUN
-        assert send(endpoint, "a", needs_new_connection=True) is AnswerKind.SERVED
+        endpoint = RepeatingEndpoint(status)
+        assert send(endpoint.endpoint, "a") is kind
+        assert send(endpoint.endpoint, "a") is AnswerKind.SERVED
         assert endpoint.connections == 2
 
+    def test_connection_with_a_refusal_serves_other_requests(self, send):
+        """New connections are dear, and the id tells the copy from their answers."""
+        endpoint = RepeatingEndpoint()
+        send(endpoint.endpoint, "a")
+        assert send(endpoint.endpoint, "b") is AnswerKind.SERVED
+        assert endpoint.connections == 1
+
+    def test_request_uses_another_pooled_connection_than_that_of_its_refusal(
+        self, client, send
+    ):
+        """It needs a new connection only if there is no other."""
+        endpoint = RepeatingEndpoint()
+        send(endpoint.endpoint, "a")
+        address = endpoint.endpoint.address
+        assert client.can_connect(Address(address.host, address.port), TIMEOUT_S)
+        assert send(endpoint.endpoint, "a") is AnswerKind.SERVED
+        assert client.opened_connections == 2
+
+    def test_connection_that_carried_many_refusals_is_closed(self, client, send):
+        """It remembers a bounded number of ids, and forgets none of them."""
+        ids = [str(number) for number in range(MAX_REFUSED_IDS)]
+        refusals = [refusal(b"Attempt-Id: %s\r\n" % id.encode()) for id in ids]
+        endpoint = Endpoint(*refusals, success(b"a"))
+        for id in ids:
+            send(endpoint.endpoint, id)
+        assert client.opened_connections == 1
+        send(endpoint.endpoint, "a")
+        assert client.opened_connections == 2
+
+    # Guards against REFUSED and TWICE: a request ran while the copy of its refusal,
+    # from the endpoint that had taken over the address, was taken for its answer.
+    def test_request_to_the_next_endpoint_at_its_address_is_told_from_the_copy(
+        self, send
+    ):
+        """The refusal came in the name of an endpoint that has left the address."""
+        address = RepeatingEndpoint(status=b"421 Other")
+        former = replace(address.endpoint, id=EndpointId("i-0"))
+        assert send(former, "a") is AnswerKind.NOT_LOADED
+        assert send(address.endpoint, "a") is AnswerKind.SERVED
+
     def test_only_copies_break_the_call(self, send):
         """An endpoint that answers earlier requests alone is not waited for."""
         copy = refusal(b"Attempt-Id: a\r\n")
         endpoint = Endpoint(copy, copy * 9)
-        send(endpoint, "a")
+        send(endpoint.endpoint, "a")
         with pytest.raises(BrokenCallError):
-            send(endpoint, "b")
+            send(endpoint.endpoint, "b")
+
+
+class TestPooledConnections:
+    """Which of several pooled connections a declined request gets."""
+
+    # Guards against REFUSED and TWICE: the connection used last, which has the copy of
+    # the refusal, came first.
+    def test_declined_request_gets_one_that_was_idle_for_longer(self, client, send):
+        """Neither the connection of its refusal nor a new one is used."""
+        endpoint = RepeatingEndpoint()
+        address = endpoint.endpoint.address
+        for _ in range(2):
+            assert client.can_connect(Address(address.host, address.port), TIMEOUT_S)
+        assert send(endpoint.endpoint, "a") is AnswerKind.NOT_RUN
+        assert send(endpoint.endpoint, "a") is AnswerKind.SERVED
+        assert client.opened_connections == 2
+
+    # Guards against requests that fail though they run: the copy of a report was taken
+    # for their answer.
+    def test_request_is_not_answered_by_the_copy_of_a_report(self, client, send):
+        """The copy has no id that would tell it from the answer."""
+        endpoint = ReportingEndpoint()
+        address = endpoint.endpoint.address
+        client.call(Address(address.host, address.port), HttpCall("GET", "/report"))
+        assert send(endpoint.endpoint, "a") is AnswerKind.SERVED
