--- a/tests/faults/test_entry_soak.py
+++ b/tests/faults/test_entry_soak.py
@@ -8,6 +8,8 @@
 RESTARTS_MINUTES = 0.3
 COPIES_SEED = 401
 COPIES_MINUTES = 0.35
+LIMITS_SEED = 501
+LIMITS_MINUTES = 0.4
 
 
 class TestEntrySoak:
@@ -28,3 +30,9 @@
         """An endpoint that took over an address declines, and then runs the request."""
         kinds = ("AddressIsTakenOver",)
         assert run_soak(COPIES_SEED, COPIES_MINUTES, 4, kinds) == []
+
+    # Guards against LIMIT: endpoints got more requests than the limit they had named.
+    def test_limits_of_endpoints_hold_over_all_nodes(self):
+        """They stay, rise, fall, end and come back, at some or all of a service."""
+        kinds = ("ReplicaNamesLimit",)
+        assert run_soak(LIMITS_SEED, LIMITS_MINUTES, 4, kinds) == []
