Keep digests and requests for parts readable by nodes of the version before

Cause: fields of digests had changed their type in place, and fields of three messages their names, so that during a rolling update nodes of two versions read nothing of each other. Change: reports and renewals of accounts keep their place and form, those of limits of endpoints come last; requests, grants and takes have the names of before on the wire. Builds side by side were not played.

--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from enum import Enum
 
 import msgspec
@@ -164,8 +164,39 @@
     backups: tuple[NodeId, ...]
 
 
+class _QuotaRequestForm(
+    msgspec.Struct, frozen=True, rename={"parts_by_id": "parts_by_account"}
+):
+    """A request for parts, with the names that earlier versions read."""
+
+    node: NodeId
+    incarnation: Incarnation
+    term: FencingNumber
+    number: int
+    parts_by_id: Mapping[LimitedId, int]
+    is_spare: bool = False
+    kind: QuotaKind = QuotaKind.ACCOUNT
+
+
+class _QuotaGrantForm(
+    msgspec.Struct, frozen=True, rename={"parts_by_id": "parts_by_account"}
+):
+    term: FencingNumber
+    parts_by_id: Mapping[LimitedId, int]
+
+
+class _QuotaTakeForm(msgspec.Struct, frozen=True, rename={"id": "account"}):
+    id: LimitedId
+    units: float
+    kind: QuotaKind = QuotaKind.ACCOUNT
+
+
 class _DigestForm(msgspec.Struct, array_like=True, frozen=True):
-    """A digest without field names, which would be most of its bytes."""
+    """A digest without field names, which would be most of its bytes.
+
+    New fields are added at the end, so that nodes of two versions understand each
+    other; those of ``quota_report`` and ``quota_renewal`` are of accounts.
+    """
 
     node: NodeId
     incarnation: Incarnation
@@ -180,12 +211,14 @@
     unloads_by_endpoint: Mapping[EndpointId, tuple[ModelId, ...]] = {}
     quarantine_ms_by_parts: Mapping[str, int] = {}
     leaving_by_endpoint: Mapping[EndpointId, int] = {}
-    quota_report_by_kind: Mapping[QuotaKind, _QuotaReportForm] = {}
-    quota_renewal_by_kind: Mapping[QuotaKind, _QuotaRenewalForm] = {}
+    quota_report: _QuotaReportForm | None = None
+    quota_renewal: _QuotaRenewalForm | None = None
     endpoints_revision: Revision = Revision(0)
     relay: RelayForm | None = None
     rules_version: Version = Version(0)
     limit_by_endpoint: Mapping[EndpointId, EndpointLimit] = {}
+    limit_report: _QuotaReportForm | None = None
+    limit_renewal: _QuotaRenewalForm | None = None
 
 
 class _DispatchForm(msgspec.Struct, array_like=True, frozen=True):
@@ -266,6 +299,11 @@
     FrameKind.NODE_DIGEST: NodeDigest,
 }
 _KIND_BY_TYPE = {item: kind for kind, item in _TYPE_BY_KIND.items()}
+_QUOTA_FORM_BY_TYPE: dict[type, type[msgspec.Struct]] = {
+    QuotaRequest: _QuotaRequestForm,
+    QuotaGrant: _QuotaGrantForm,
+    QuotaTake: _QuotaTakeForm,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -333,6 +371,10 @@
             return msgspec.msgpack.encode(form)
         case DispatchRequest() as request:
             return msgspec.msgpack.encode(_dispatch_form(request))
+        case QuotaRequest() | QuotaGrant() | QuotaTake():
+            form_type = _QUOTA_FORM_BY_TYPE[type(content)]
+            named = {item.name: getattr(content, item.name) for item in fields(content)}
+            return msgspec.msgpack.encode(form_type(**named))
         case _:
             return msgspec.msgpack.encode(content)
 
@@ -362,6 +404,10 @@
             )
         case FrameKind.TURN_WANTED:
             return _dispatch_request(msgspec.msgpack.decode(body, type=_DispatchForm))
+        case FrameKind.QUOTA_WANTED | FrameKind.QUOTA_GRANTED | FrameKind.QUOTA_TAKE:
+            message_type = _TYPE_BY_KIND[kind]
+            quota = msgspec.msgpack.decode(body, type=_QUOTA_FORM_BY_TYPE[message_type])
+            return message_type(**msgspec.structs.asdict(quota))
         case _:
             return msgspec.msgpack.decode(body, type=_TYPE_BY_KIND[kind])
 
@@ -434,23 +480,57 @@
                 for parts, left_s in heard.digest.quarantine_s_by_parts.items()
             },
             heard.digest.leaving_by_endpoint,
-            {
-                kind: _QuotaReportForm(item.term, item.settled, item.parts_by_id)
-                for kind, item in heard.digest.quota_report_by_kind.items()
-            },
-            {
-                kind: _QuotaRenewalForm(item.beat, item.scarce, item.backups)
-                for kind, item in heard.digest.quota_renewal_by_kind.items()
-            },
+            _report_form(heard.digest, QuotaKind.ACCOUNT),
+            _renewal_form(heard.digest, QuotaKind.ACCOUNT),
             heard.digest.endpoints_revision,
             relay_form(heard.digest.relay),
             heard.digest.rules_version,
             heard.digest.limit_by_endpoint,
+            _report_form(heard.digest, QuotaKind.ENDPOINT),
+            _renewal_form(heard.digest, QuotaKind.ENDPOINT),
         )
         for heard in digests
     )
 
 
+def _report_form(digest: NodeDigest, kind: QuotaKind) -> _QuotaReportForm | None:
+    report = digest.quota_report_by_kind.get(kind)
+    if report is None:
+        return None
+    return _QuotaReportForm(report.term, report.settled, report.parts_by_id)
+
+
+def _renewal_form(digest: NodeDigest, kind: QuotaKind) -> _QuotaRenewalForm | None:
+    renewal = digest.quota_renewal_by_kind.get(kind)
+    if renewal is None:
+        return None
+    return _QuotaRenewalForm(renewal.beat, renewal.scarce, renewal.backups)
+
+
+def _reports_by_kind(form: _DigestForm) -> Mapping[QuotaKind, QuotaReport]:
+    report_by_kind = {
+        QuotaKind.ACCOUNT: form.quota_report,
+        QuotaKind.ENDPOINT: form.limit_report,
+    }
+    return {
+        kind: QuotaReport(report.term, report.settled, report.parts_by_id)
+        for kind, report in report_by_kind.items()
+        if report is not None
+    }
+
+
+def _renewals_by_kind(form: _DigestForm) -> Mapping[QuotaKind, QuotaRenewal]:
+    renewal_by_kind = {
+        QuotaKind.ACCOUNT: form.quota_renewal,
+        QuotaKind.ENDPOINT: form.limit_renewal,
+    }
+    return {
+        kind: QuotaRenewal(renewal.beat, renewal.scarce, renewal.backups)
+        for kind, renewal in renewal_by_kind.items()
+        if renewal is not None
+    }
+
+
 def _demand_form(
     demand_by_item: Mapping[ItemId, ItemDemand],
 ) -> Mapping[ItemId, tuple[int, int]]:
@@ -499,14 +579,8 @@
                     for text, left_ms in item.quarantine_ms_by_parts.items()
                 },
                 item.leaving_by_endpoint,
-                {
-                    kind: QuotaReport(form.term, form.settled, form.parts_by_id)
-                    for kind, form in item.quota_report_by_kind.items()
-                },
-                {
-                    kind: QuotaRenewal(form.beat, form.scarce, form.backups)
-                    for kind, form in item.quota_renewal_by_kind.items()
-                },
+                _reports_by_kind(item),
+                _renewals_by_kind(item),
                 item.endpoints_revision,
                 read_relay(item.relay),
                 item.rules_version,
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from camphoryard.coordination.messages import (
@@ -143,3 +144,38 @@
         """Bytes that are not a message raise PeerMessageError."""
         with pytest.raises(PeerMessageError):
             decode_envelope(data)
+
+
+class TestMixedVersions:
+    """Digests between nodes of this version and of the one without named limits."""
+
+    REPORT_FIELD, LIMITS_FIELD = 13, 18
+
+    # Guards against nodes that are cut off from each other during an update.
+    def test_a_digest_without_limits_is_read(self):
+        """Its report and renewal are those of accounts alone, or null."""
+        digest = NodeDigest("n", "i", NodeState.SERVING, 0, beat=1)
+        data = encode_envelope(Envelope("q", Gossip(3, (DigestWithAge(digest, 0.0),))))
+        frame = msgspec.msgpack.decode(data)
+        body = frame["body"] if isinstance(frame, dict) else frame[-1]
+        (fields,) = body[1]
+        fields[self.REPORT_FIELD : self.REPORT_FIELD + 2] = [None, None]
+        del fields[self.LIMITS_FIELD :]
+        decoded = decode_envelope(msgspec.msgpack.encode(frame))
+        assert decoded.content.digests[0].digest == digest
+
+    def test_a_digest_of_a_node_without_limits_stays_as_it_was(self):
+        """Nodes of the other version expect null where there is no report."""
+        digest = NodeDigest("n", "i", NodeState.SERVING, 0, beat=1)
+        data = encode_envelope(Envelope("q", Gossip(3, (DigestWithAge(digest, 0.0),))))
+        frame = msgspec.msgpack.decode(data)
+        body = frame["body"] if isinstance(frame, dict) else frame[-1]
+        (fields,) = body[1]
+        assert fields[self.REPORT_FIELD : self.REPORT_FIELD + 2] == [None, None]
+
+    # Guards against a node that gets no parts from a leader of the other version.
+    def test_a_request_for_parts_has_the_names_of_before(self):
+        """Message fields have names on the wire, which the other version reads."""
+        request = QuotaRequest("n", "i", 1, 2, {"a": 3})
+        frame = msgspec.msgpack.decode(encode_envelope(Envelope("q", request)))
+        assert frame["body"]["parts_by_account"] == {"a": 3}
