End no limit by an answer from before a peer's word of it

Cause: a limit that a node had heard of from a peer counted as never named, so that any late answer without one ended it, at all nodes. Change: a peer's word counts like an answer that has just come.

--- a/src/camphoryard/coordination/routing/endpoint_limits.py
+++ b/src/camphoryard/coordination/routing/endpoint_limits.py
@@ -33,7 +33,7 @@
 
 @dataclass(slots=True)
 class _Known:
-    """A limit, and when this node learned of it and last read it in an answer."""
+    """A limit, and when this node learned of it and was last told of it."""
 
     limit: EndpointLimit
     since_s: float
@@ -92,7 +92,7 @@
             for endpoint, limit in limit_by_endpoint.items():
                 known = self._known_by_id.get(endpoint)
                 if known is None or limit.supersedes(known.limit):
-                    self._store(endpoint, known, limit)
+                    self._store(endpoint, known, limit).named_s = self.clock()
 
     def in_force(self, endpoint: ServingEndpoint) -> LimitInForce | None:
         """Return the limit of this start of an endpoint, or None without one."""
--- a/tests/coordination/routing/test_endpoint_notices.py
+++ b/tests/coordination/routing/test_endpoint_notices.py
@@ -121,3 +121,13 @@
         notices.heed(E1, [Limited(2.0)])
         known = notices.limits.by_endpoint()[E1.id]
         assert known == EndpointLimit(E1.started_ms + 1, 1, 1.0)
+
+    # Guards against LIMIT: a head that was on its way when a peer told of the limit
+    # ended it at all nodes.
+    def test_an_answer_from_before_a_peer_s_word_does_not_end_a_limit(self, notices):
+        """Its request was sent before this node knew of the limit."""
+        sent_s = notices.clock.now_s
+        notices.clock.advance(0.2)
+        notices.limits.adopt({E1.id: EndpointLimit(E1.started_ms, 1, 2.0)})
+        notices.heed(E1, [Unlimited()], sent_s)
+        assert notices.limits.in_force(E1) is not None
