Raise no limit by an answer that may be older than the last

Cause: an answer that was long on its way and named the larger limit of before replaced the smaller one, at all nodes. Change: a larger limit counts only if the request was sent after the last word of the limit.

--- a/src/camphoryard/coordination/routing/endpoint_limits.py
+++ b/src/camphoryard/coordination/routing/endpoint_limits.py
@@ -63,12 +63,16 @@
     _lock: threading.Lock = field(default_factory=threading.Lock)
     _known_by_id: dict[EndpointId, _Known] = field(default_factory=dict)
 
-    def name(self, endpoint: ServingEndpoint, per_s: float) -> None:
-        """Record the limit that an answer of ``endpoint`` names."""
+    def name(
+        self, endpoint: ServingEndpoint, per_s: float, sent_s: float = math.inf
+    ) -> None:
+        """Record the limit that the answer to a request of ``sent_s`` names."""
         with self._lock:
             if self._knows_newer_start(endpoint):
                 return
             known = self._known_of(endpoint)
+            if known is not None and _is_outdated(known, per_s, sent_s):
+                return
             if known is None or known.limit.per_s != per_s:
                 known = self._change(endpoint, known, per_s)
             known.named_s = self.clock()
@@ -182,6 +186,13 @@
         return known
 
 
+def _is_outdated(known: _Known, per_s: float, sent_s: float) -> bool:
+    """Return whether a larger limit may be older than the one that is known."""
+    if known.limit.per_s is None or per_s <= known.limit.per_s:
+        return False
+    return sent_s <= known.named_s
+
+
 def _in_force(endpoint: EndpointId, known: _Known) -> LimitInForce | None:
     limit = known.limit
     if limit.per_s is None:
--- a/src/camphoryard/coordination/routing/endpoint_notices.py
+++ b/src/camphoryard/coordination/routing/endpoint_notices.py
@@ -91,7 +91,7 @@
                 case Resting(wait_s):
                     self._rest(endpoint.id, wait_s)
                 case Limited(per_s):
-                    self.limits.name(endpoint, per_s)
+                    self.limits.name(endpoint, per_s, sent_s)
                 case Unlimited():
                     self.limits.end(endpoint, sent_s)
 
--- a/tests/coordination/routing/test_endpoint_notices.py
+++ b/tests/coordination/routing/test_endpoint_notices.py
@@ -131,3 +131,13 @@
         notices.limits.adopt({E1.id: EndpointLimit(E1.started_ms, 1, 2.0)})
         notices.heed(E1, [Unlimited()], sent_s)
         assert notices.limits.in_force(E1) is not None
+
+    # Guards against LIMIT: a late answer brought back the larger limit from before.
+    def test_a_late_answer_does_not_raise_a_limit(self, notices):
+        """Its request was sent before the answer that named the smaller one."""
+        first_sent_s = notices.clock.now_s
+        notices.clock.advance(0.1)
+        notices.heed(E1, [Limited(1.0)], notices.clock.now_s)
+        notices.clock.advance(0.1)
+        notices.heed(E1, [Limited(8.0)], first_sent_s)
+        assert notices.limits.in_force(E1).per_s == 1.0
