Hold the limit of a restarted endpoint at nodes that have not seen its start

Cause: a node whose view was older than a restart took no units for the endpoint: peers' word of the limit was of a later start, and the word of answers was dropped as that of an earlier one. Change: the limit of a later start binds sends to an earlier one, which reach the same address.

--- a/src/camphoryard/coordination/routing/endpoint_limits.py
+++ b/src/camphoryard/coordination/routing/endpoint_limits.py
@@ -99,10 +99,13 @@
                     self._store(endpoint, known, limit).named_s = self.clock()
 
     def in_force(self, endpoint: ServingEndpoint) -> LimitInForce | None:
-        """Return the limit of this start of an endpoint, or None without one."""
+        """Return the limit of an endpoint, or None without one.
+
+        It may be that of a later start than ``endpoint`` shows, if peers have told.
+        """
         # Read without the lock: most endpoints never name a limit.
         known = self._known_by_id.get(endpoint.id)
-        if known is None or known.limit.started_ms != endpoint.started_ms:
+        if known is None or known.limit.started_ms < endpoint.started_ms:
             return None
         return _in_force(endpoint.id, known)
 
--- a/tests/coordination/routing/test_endpoint_notices.py
+++ b/tests/coordination/routing/test_endpoint_notices.py
@@ -141,3 +141,13 @@
         notices.clock.advance(0.1)
         notices.heed(E1, [Limited(8.0)], first_sent_s)
         assert notices.limits.in_force(E1).per_s == 1.0
+
+    # Guards against LIMIT: a node whose view was older than a restart sent at will.
+    def test_a_peer_s_word_of_a_newer_start_binds_a_node_that_has_not_seen_it(
+        self, notices
+    ):
+        """What it sends to the endpoint reaches the process that named the limit."""
+        limit = EndpointLimit(E1.started_ms + 1, 1, 2.0)
+        notices.limits.adopt({E1.id: limit})
+        notices.heed(E1, [Limited(2.0)], notices.clock.now_s)
+        assert notices.limits.in_force(E1) is not None
