Let nodes send as many requests as a limit of whole requests takes

Cause: parts of a limit are rounded up to whole parts, so that six requests of a sixth each did not fit into a limit of six. Change: a limit of an endpoint is taken larger by a millionth; quotas of accounts stay as they are. A change of the rounding itself was tried and broke tests of the quotas.

--- a/src/camphoryard/coordination/routing/endpoint_limits.py
+++ b/src/camphoryard/coordination/routing/endpoint_limits.py
@@ -17,6 +17,8 @@
 from camphoryard.state.quotas import WindowLimit
 from camphoryard.state.serving_endpoints import ServingEndpoint
 
+ROUNDING_FACTOR = 1.0 + 1e-6
+"""Applied to units, as whole parts of a limit are granted and a sixth is none."""
 UNLISTED_MEMORY_S = 600.0
 """How long the limit of an endpoint that is not listed is remembered."""
 
@@ -201,4 +203,5 @@
     if limit.per_s is None:
         return None
     id = limited_start(endpoint, limit.started_ms)
-    return LimitInForce(id, limit.per_s, limit_units(limit.per_s), known.since_s)
+    units = limit_units(limit.per_s) * ROUNDING_FACTOR
+    return LimitInForce(id, limit.per_s, units, known.since_s)
