Forget what is remembered of endpoints that named a limit and are gone

Cause: each start of an endpoint that had named a limit left entries for good in the leader's ledger and in the times of reports.

--- a/src/camphoryard/coordination/admission/quota_ledger.py
+++ b/src/camphoryard/coordination/admission/quota_ledger.py
@@ -280,6 +280,10 @@
             if holder.heard_s < since_s:
                 self._held.subtract(holder.held())
                 del self._holder_by_process[process]
+        # What nobody holds has rested for a window, so its pace is whole again.
+        for id in [id for id, parts in self._held.items() if not parts]:
+            del self._held[id]
+            self._pace_by_id.pop(id, None)
 
 
 def _backup_order(node: NodeId) -> int:
--- a/src/camphoryard/coordination/fleet/shared_endpoint_room.py
+++ b/src/camphoryard/coordination/fleet/shared_endpoint_room.py
@@ -87,6 +87,11 @@
         taken = self.take(endpoint)
         match taken:
             case Admitted():
+                self._reported_s = {
+                    id: at_s
+                    for id, at_s in self._reported_s.items()
+                    if at_s + LIMIT_WINDOW_S > now_s
+                }
                 self._reported_s[limit.id] = now_s
             case NoRoom():
                 pass
