Deny requests at several endpoints at the same time

Cause: times at which endpoints open again were changed by all requests without a lock, so that a request that was denied could end with "dictionary changed size during iteration" in place of its refusal. Change: the times are replaced as a whole under a lock and read without it.

--- a/src/camphoryard/coordination/fleet/shared_endpoint_room.py
+++ b/src/camphoryard/coordination/fleet/shared_endpoint_room.py
@@ -1,8 +1,9 @@
 """Room at endpoints that name a limit, shared by all nodes."""
 
 import random
+import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from camphoryard.coordination.admission.quota_shares import ASK_PAUSE_S, Short
@@ -43,6 +44,8 @@
         The limits, shared under `endpoint_policy`.
     limits : EndpointLimits
         Those that this node knows.
+    log : callable
+        Called with each endpoint that is closed for lack of room.
     count : callable
         Count an event by its name.
     clock : callable
@@ -57,8 +60,10 @@
     count: Callable[[str], None]
     clock: Callable[[], float] = time.monotonic
     spread: Callable[[], float] = random.random
-    _closed_until_s: dict[LimitedId, float] = field(default_factory=dict)
-    _reported_s: dict[LimitedId, float] = field(default_factory=dict)
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+    # Replaced as a whole, so that they are read without the lock.
+    _closed_until_s: Mapping[LimitedId, float] = field(default_factory=dict)
+    _reported_s: Mapping[LimitedId, float] = field(default_factory=dict)
 
     def take(self, endpoint: ServingEndpoint) -> Admitted | NoRoom:
         """Count a request that is to be sent now; see the EndpointRoom port."""
@@ -87,12 +92,12 @@
         taken = self.take(endpoint)
         match taken:
             case Admitted():
-                self._reported_s = {
-                    id: at_s
-                    for id, at_s in self._reported_s.items()
-                    if at_s + LIMIT_WINDOW_S > now_s
-                }
-                self._reported_s[limit.id] = now_s
+                with self._lock:
+                    since_s = now_s - LIMIT_WINDOW_S
+                    self._reported_s = {
+                        **_later_than(since_s, self._reported_s),
+                        limit.id: now_s,
+                    }
             case NoRoom():
                 pass
         return taken
@@ -131,12 +136,12 @@
 
     def _close(self, endpoint: ServingEndpoint, limit: LimitInForce) -> None:
         now_s = self.clock()
-        self._closed_until_s = {
-            id: until_s
-            for id, until_s in self._closed_until_s.items()
-            if until_s > now_s
-        }
-        self._closed_until_s[limit.id] = now_s + ASK_PAUSE_S
+        until_s = now_s + ASK_PAUSE_S
+        with self._lock:
+            self._closed_until_s = {
+                **_later_than(now_s, self._closed_until_s),
+                limit.id: until_s,
+            }
         usage = self.sharing.usage(limit.id)
         self.count("endpoint_limit_reached")
         self.log(
@@ -148,3 +153,10 @@
             parts=usage.parts,
             renewed_age_s=round(usage.renewed_age_s, 2),
         )
+
+
+def _later_than(
+    since_s: float, time_s_by_id: Mapping[LimitedId, float]
+) -> Mapping[LimitedId, float]:
+    """Return the times that are later than ``since_s``."""
+    return {id: at_s for id, at_s in time_s_by_id.items() if at_s > since_s}
--- a/tests/coordination/fleet/test_shared_endpoint_room.py
+++ b/tests/coordination/fleet/test_shared_endpoint_room.py
@@ -1,7 +1,11 @@
 """Tests of the room at endpoints that nodes share."""
 
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 
+from camphoryard.coordination.routing.endpoint_room import NoRoom
 from camphoryard.state.endpoint_limits import LIMIT_WINDOW_S, limit_units
 from tests.fakes.engines import make_endpoint
 from tests.fakes.limit_fleet import LimitFleet
@@ -46,3 +50,63 @@
         ledger = node.sharing._ledger
         sizes = [len(room._reported_s), len(ledger._held), len(ledger._pace_by_id)]
         assert max(sizes) < 50
+
+
+DEADLINE_S = 5.0
+
+
+class HookedTime(float):
+    """A time that calls the hooks of its clock when it is added to or compared."""
+
+    before_add = before_compare = staticmethod(lambda: None)
+
+    def __add__(self, other):
+        """Return the sum."""
+        self.before_add()
+        return float(self) + other
+
+    def __lt__(self, other):
+        """Return whether this time is the earlier one."""
+        self.before_compare()
+        return float(self) < float(other)
+
+
+class TestThreads:
+    """Requests that are denied at the same time."""
+
+    # Guards against requests that end with an error of the node instead of a refusal.
+    def test_requests_denied_at_once_are_told_so(self):
+        """Load: one is denied between the two steps by which another one is."""
+        names = ("e1", "e2", "e3")
+        fleet = LimitFleet(1, names)
+        node = fleet.node_by_id["n0"]
+        room, endpoints = node.context.room, fleet.endpoint_by_id
+        for name in names:
+            fleet.per_s_by_endpoint[name] = 0.25
+            node.use(name)
+        fleet.run(2 * LIMIT_WINDOW_S)
+        for name in names:
+            node.use(name)
+        assert isinstance(room.take(endpoints["e1"]), NoRoom)
+
+        compares, added = threading.Event(), threading.Event()
+        first, second = (HookedTime(fleet.clock.now_s) for _ in range(2))
+        main = threading.current_thread()
+        room.clock = lambda: first if threading.current_thread() is main else second
+
+        def wait_until_added():
+            compares.set()
+            added.wait(DEADLINE_S)
+
+        second.before_compare = wait_until_added
+        with ThreadPoolExecutor(1) as executor:
+            denied = []
+
+            def deny_another():
+                denied.append(executor.submit(room.take, endpoints["e3"]))
+                compares.wait(DEADLINE_S)
+
+            first.before_add = deny_another
+            assert isinstance(room.take(endpoints["e2"]), NoRoom)
+            added.set()
+            assert isinstance(denied[0].result(DEADLINE_S), NoRoom)
