Count no engine as silent that was not asked for lack of room

Cause: a report that an engine's limit or rest forbids ended like one that could not be sent, so that a node's word of a failed connection made the engine count as unresponsive for 3 s, and its models were loaded elsewhere. Change: NotWantedError tells that the endpoint has said it wants no call; it counts as an answer.

--- a/src/camphoryard/coordination/loading/engine_client.py
+++ b/src/camphoryard/coordination/loading/engine_client.py
@@ -14,7 +14,7 @@
 )
 from camphoryard.coordination.ports import DecisionLog
 from camphoryard.state.enums import OrderKind
-from camphoryard.state.errors import BrokenCallError, NotSentError
+from camphoryard.state.errors import BrokenCallError, NotSentError, NotWantedError
 from camphoryard.state.ids import NodeId
 from camphoryard.state.traffic import RequestedModel
 
@@ -94,11 +94,19 @@
         return report is not None and engine.apply_report(report)
 
     def responds(self, engine: EngineState) -> bool:
-        """Request a report; return whether the engine answered."""
-        report = self._query_report(engine)
-        if report is not None:
-            engine.apply_report(report)
-        return report is not None
+        """Request a report; return whether the engine answered.
+
+        So does one that wants no call now, as it has said so.
+        """
+        try:
+            report = self.report(engine)
+        except NotWantedError:
+            return True
+        except (NotSentError, BrokenCallError) as error:
+            self._log_report_failed(engine, error)
+            return False
+        engine.apply_report(report)
+        return True
 
     def report(self, engine: EngineState) -> EngineReport:
         """Request and count a report; raises as `EngineApi.report`."""
@@ -109,9 +117,12 @@
         try:
             return self.report(engine)
         except (NotSentError, BrokenCallError) as error:
-            self.log("report_failed", endpoint=engine.endpoint.id, error=repr(error))
+            self._log_report_failed(engine, error)
             return None
 
+    def _log_report_failed(self, engine: EngineState, error: Exception) -> None:
+        self.log("report_failed", endpoint=engine.endpoint.id, error=repr(error))
+
     def query_after_lag(self, engine: EngineState) -> bool:
         """Request a report after the time that reports lag behind the last order."""
         self._pause.wait(REPORT_LAG_S)
--- a/src/camphoryard/platform/engines.py
+++ b/src/camphoryard/platform/engines.py
@@ -18,7 +18,7 @@
 from camphoryard.platform.dialect import EXPECTED_ENDPOINT, read_notices
 from camphoryard.platform.traffic import Count, ListedModel, loaded_by_model
 from camphoryard.state.enums import OrderKind
-from camphoryard.state.errors import BrokenCallError, NotSentError
+from camphoryard.state.errors import BrokenCallError, NotSentError, NotWantedError
 from camphoryard.state.ids import AdapterId, ModelId
 from camphoryard.state.quotas import Admitted
 from camphoryard.state.serving_endpoints import ServingEndpoint
@@ -135,10 +135,10 @@
         """Make a call unless the endpoint wants none, and heed its answer's head."""
         rest_s = self._notices.rest_left_s(endpoint.id)
         if rest_s > 0:
-            raise NotSentError(f"{endpoint.id} wants no calls for {rest_s:.1f} s")
+            raise NotWantedError(f"{endpoint.id} wants no calls for {rest_s:.1f} s")
         match take(endpoint):
             case NoRoom(left_s):
-                raise NotSentError(f"{endpoint.id} is limited for {left_s:.1f} s")
+                raise NotWantedError(f"{endpoint.id} is limited for {left_s:.1f} s")
             case admitted:
                 pass
         try:
--- a/src/camphoryard/state/errors.py
+++ b/src/camphoryard/state/errors.py
@@ -67,6 +67,10 @@
     """No byte of the call reached the server."""
 
 
+class NotWantedError(NotSentError):
+    """The endpoint has said that it wants no call now."""
+
+
 class BrokenCallError(CamphoryardError):
     """The call failed after the server may have acted on part of it."""
 
