Tell requests refused at a node without parts when there is room

Cause: a node that holds no part of a limit told refused requests to come back in 1 s, where the one request of a window may have been sent by another node. Change: it tells them when the next request of the limit is due.

--- a/src/camphoryard/coordination/fleet/shared_endpoint_room.py
+++ b/src/camphoryard/coordination/fleet/shared_endpoint_room.py
@@ -1,5 +1,6 @@
 """Room at endpoints that name a limit, shared by all nodes."""
 
+import math
 import random
 import threading
 import time
@@ -119,10 +120,11 @@
         opens_in_s = self._opens_in_s(limit)
         if opens_in_s > 0:
             return opens_in_s + LIMIT_WINDOW_S * RETRY_SPREAD * self.spread()
-        room_in_s = max(
-            self._closed_s(limit),
-            self.sharing.room_in_s(limit.id, limit.units, REQUEST_UNITS),
-        )
+        room_in_s = self.sharing.room_in_s(limit.id, limit.units, REQUEST_UNITS)
+        if math.isinf(room_in_s):
+            # Other nodes hold all parts; one more request rests each share of a window.
+            room_in_s = self.sharing.policy.rest_s / math.floor(limit.units)
+        room_in_s = max(self._closed_s(limit), room_in_s)
         return self.sharing.expect_return(limit.id, REQUEST_UNITS, room_in_s)
 
     def _opens_in_s(self, limit: LimitInForce) -> float:
--- a/tests/coordination/fleet/test_shared_endpoint_room.py
+++ b/tests/coordination/fleet/test_shared_endpoint_room.py
@@ -110,3 +110,19 @@
             assert isinstance(room.take(endpoints["e2"]), NoRoom)
             added.set()
             assert isinstance(denied[0].result(DEADLINE_S), NoRoom)
+
+
+class TestRetryAfter:
+    """When a refused request may come back."""
+
+    # Guards against callers that are told to come back before there is room.
+    def test_a_request_refused_by_a_node_without_parts_may_come_back_in_time(self):
+        """Load: another node has sent the one request of the window."""
+        fleet = LimitFleet(2, ["e1"])
+        fleet.per_s_by_endpoint["e1"] = 0.25
+        fleet.node_by_id["n0"].use("e1")
+        fleet.run(4 * LIMIT_WINDOW_S)
+        assert fleet.node_by_id["n0"].send() is None
+        refusal = fleet.node_by_id["n1"].send()
+        fleet.run(refusal.retry_after_s + PERIOD_S)
+        assert fleet.node_by_id["n1"].send() is None
