List limited endpoints that get nothing while the store is away

Cause: parts of limits lapse 8 s after the leader's lease was last certain, and limits of endpoints have neither even nor spare parts.

--- a/tests/coordination/fleet/test_shared_endpoint_room.py
+++ b/tests/coordination/fleet/test_shared_endpoint_room.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from camphoryard.coordination.admission.quota_shares import HOLDING_S
 from camphoryard.coordination.routing.endpoint_room import NoRoom
 from camphoryard.state.endpoint_limits import LIMIT_WINDOW_S, limit_units
 from tests.fakes.engines import make_endpoint
@@ -112,6 +113,23 @@
             assert isinstance(denied[0].result(DEADLINE_S), NoRoom)
 
 
+class TestUncertainLease:
+    """A leader that cannot renew its lease, as the store is away."""
+
+    # Guards against services that are refused for as long as the store is away.
+    def test_an_endpoint_that_takes_requests_again_gets_some(self):
+        """It always gets one in a window, as only an answer ends its limit."""
+        fleet = LimitFleet(3, ["e1"])
+        fleet.per_s_by_endpoint["e1"] = 1.0
+        fleet.press(4 * LIMIT_WINDOW_S, 1)
+        fleet.node_by_id["n0"].lease.is_renewed = False
+        fleet.press(2 * HOLDING_S, 1)
+        fleet.per_s_by_endpoint["e1"] = None
+        fleet.arrivals.clear()
+        fleet.press(10 * LIMIT_WINDOW_S, 1)
+        assert fleet.count("e1") > 0
+
+
 class TestRetryAfter:
     """When a refused request may come back."""
 
