--- a/standins/engine.py
+++ b/standins/engine.py
@@ -353,6 +353,8 @@
         with self.lock:
             if active.offset <= active.max_tokens and not active.cancelled:
                 self.cancelled += 1
+            if active.write is None and not active.cancelled:
+                self._record_ends((active,))
             active.cancelled = True
 
     def step_forever(self) -> None:
--- a/standins/push_server.py
+++ b/standins/push_server.py
@@ -93,6 +93,13 @@
         def _respond(self) -> None:
             request = self._to_request()
             response = Response() if request.path == "/livez" else handler(request)
+            try:
+                self._send(response)
+            finally:
+                if response.pushed is not None:
+                    response.pushed.close()
+
+        def _send(self, response: Response) -> None:
             last_answer = self.sender.take_written()
             if self.last_status and repeats(self.last_status):
                 self.connection.sendall(last_answer)
@@ -130,6 +137,5 @@
             # read here means that it has disconnected.
             if not self.rfile.peek(1):  # type: ignore[attr-defined]
                 self.close_connection = True
-            pushed.close()
 
     _Server((host, port), Connection).serve_forever()
