Draw repeated answers of engines in the soak

Cause: the soak of the product's own daemon had no engine that repeats its answers.

Change: `RepeatAnswers`, and `--kind` for a soak of one kind.

--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -10,14 +10,20 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from typing import Annotated, Any
 
 import typer
 
-from faults.injections import Injection, affected_targets, draw_injection, inject
+from faults.injections import (
+    KINDS,
+    Injection,
+    affected_targets,
+    draw_injection,
+    inject,
+)
 from faults.lost_counts import InjectionInterval, lost_by_reason
 from faults.workload import (
     CALLER,
@@ -68,11 +74,12 @@
     number: int,
     injection_log: InjectionLog,
     stop: threading.Event,
+    kinds: Collection[str],
 ) -> None:
     """Inject one fault after another until ``stop`` is set."""
     rng = random.Random(f"{seed}/injector/{number}")
     while not stop.wait(rng.uniform(0, MAX_PAUSE_S)):
-        injection = draw_injection(site, rng)
+        injection = draw_injection(site, rng, kinds)
         busy_targets = affected_targets(injection, site)
         if not _claim_targets(injection_log, injection, busy_targets):
             continue
@@ -213,8 +220,13 @@
     minutes: Annotated[float, typer.Option(help="Duration of fault injection.")] = 1,
     nodes: Annotated[int, typer.Option(help="Number of daemons.")] = 3,
     cuts: Annotated[bool, typer.Option(help="Also cut links.")] = True,
+    kind: Annotated[
+        list[str], typer.Option(help="Inject only this kind; may be repeated.")
+    ] = [],  # noqa: B006
 ) -> None:
     """Run the processes under random faults and check the history."""
+    for name in set(kind) - KINDS:
+        raise typer.BadParameter(f"no kind {name!r}; there are {sorted(KINDS)}")
     seed = seed or secrets.randbelow(1_000_000)
     print(f"seed {seed}, {minutes} minutes, {nodes} nodes", flush=True)
     spec = SiteSpec(
@@ -240,7 +252,9 @@
             tasks.submit(watch_generations, site, rollbacks, stop),
         ]
         injectors = [
-            tasks.submit(run_injector, site, seed, number, injection_log, stop_faults)
+            tasks.submit(
+                run_injector, site, seed, number, injection_log, stop_faults, kind
+            )
             for number in range(INJECTORS)
         ]
         stop_faults.wait(minutes * SECONDS_PER_MINUTE)
--- a/faults/injections.py
+++ b/faults/injections.py
@@ -3,10 +3,10 @@
 import random
 import signal
 import threading
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from http.client import HTTPException
-from typing import TypeAlias
+from typing import TypeAlias, get_args
 
 from standins.fleet import HttpError
 from standins.links import LinkState
@@ -15,6 +15,7 @@
 MIN_DURATION_S, MAX_DURATION_S = 0.5, 5.0
 MAX_CUT_DURATION_S = 15.0
 CUT_SHARE = 0.3
+REFUSE_EVERY = 5
 CUT_STATES = (LinkState.BLACK_HOLE, LinkState.ANSWERS_HELD, LinkState.RESET)
 
 
@@ -112,6 +113,18 @@
     duration_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatAnswers:
+    """An engine repeats answers with at least ``status``, for ``duration_s``.
+
+    It refuses some requests meanwhile, so that there are refusals to repeat.
+    """
+
+    engine: str
+    status: int
+    duration_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class LoseServiceAnswers:
     """A service runs the next ``count`` calls and breaks the connection."""
@@ -181,12 +194,20 @@
     | LoseOrders
     | DelayOrders
     | DoubleOrders
+    | RepeatAnswers
     | LoseServiceAnswers
 )
 
+KINDS = frozenset(
+    kind.__name__ for kind in set(get_args(Injection)) - set(get_args(Cut))
+)
+"""Names of the kinds that can be drawn alone."""
+
 
-def draw_injection(site: Site, rng: random.Random) -> Injection:
-    """Return a random injection for a site."""
+def draw_injection(
+    site: Site, rng: random.Random, kinds: Collection[str] = ()
+) -> Injection:
+    """Return a random injection for a site, of one of ``kinds`` if any is named."""
     duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
     node = rng.choice(site.nodes)
     engine = rng.choice(site.engines)
@@ -203,8 +224,11 @@
         LoseOrders(engine, rng.randint(1, 3)),
         DelayOrders(engine, rng.uniform(0.1, 4.0), duration_s),
         DoubleOrders(engine, duration_s),
+        RepeatAnswers(engine, rng.choice((200, 400)), duration_s),
         LoseServiceAnswers(rng.choice(site.services), rng.randint(1, 3)),
     )
+    if kinds:
+        return rng.choice([item for item in choices if type(item).__name__ in kinds])
     if site.spec.links and rng.random() < CUT_SHARE:
         return _draw_cut(node, engine, rng)
     return rng.choice(choices)
@@ -273,6 +297,10 @@
             _control(site, engine, duplicate_orders=True)
             stop.wait(duration_s)
             _control(site, engine, duplicate_orders=False)
+        case RepeatAnswers(engine, status, duration_s):
+            _control(site, engine, repeat_from=status, refuse_every=REFUSE_EVERY)
+            stop.wait(duration_s)
+            _control(site, engine, repeat_from=0, refuse_every=0)
         case CutFromPeers() | CutTowardsPeers() | CutFromStore():
             _cut(site, injection, stop)
         case CutFromEngine() | CutOff():
@@ -345,6 +373,8 @@
             return frozenset(site.nodes)
         case LoseOrders(name, _) | DelayOrders(name, _, _) | DoubleOrders(name, _):
             return frozenset((name,))
+        case RepeatAnswers(name, _, _):
+            return frozenset((name,))
         case StoreOutage() | SlowStore() | LoseStoreAnswers():
             return frozenset(("object-api",))
         case LoseServiceAnswers(name, _):
