Forget the limit of a start of an endpoint that is over

Cause: a limit whose endpoint had started again was no longer applied, but stayed among those that nodes report and renew parts of, for as long as the endpoint was listed.

Change: it is forgotten when the directory lists a later start. A test of gossip shows that what one node was told reaches all, in a mesh and in a star.

Measured: the new test of notices failed before; the tests of routing, fleet, forwarding and entry pass.

--- a/src/camphoryard/coordination/routing/endpoint_limits.py
+++ b/src/camphoryard/coordination/routing/endpoint_limits.py
@@ -123,16 +123,23 @@
         return WindowLimit(limit.units)
 
     def by_endpoint(self) -> Mapping[EndpointId, EndpointLimit]:
-        """Return the limits of the listed endpoints, ended ones too, for peers."""
+        """Return the limits of the listed endpoints, ended ones too, for peers.
+
+        Those of earlier starts are forgotten.
+        """
         if not self._known_by_id:
             return {}
         listed = self.directory.endpoints_by_id()
         now_s = self.clock()
         with self._lock:
             for id, known in tuple(self._known_by_id.items()):
-                if id in listed:
+                endpoint = listed.get(id)
+                if endpoint is None:
+                    is_over = now_s - known.listed_s > UNLISTED_MEMORY_S
+                else:
                     known.listed_s = now_s
-                elif now_s - known.listed_s > UNLISTED_MEMORY_S:
+                    is_over = endpoint.started_ms > known.limit.started_ms
+                if is_over:
                     del self._known_by_id[id]
             return {
                 id: known.limit
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -13,6 +13,7 @@
 )
 from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
+from camphoryard.coordination.routing.endpoint_limits import EndpointLimits
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
 from camphoryard.state.directory import Directory
 from camphoryard.state.endpoint_relay import EndpointRelay
@@ -68,6 +69,7 @@
         self.crashed_parts = CrashedParts(RecordedLog())
         self.directory = Directory()
         self.quotas = Quotas(name)
+        self.limits = EndpointLimits(self.directory, RecordedLog())
         self.relaying = fleet.make_relaying()
         self.rules = fleet.make_rules()
         self.gossip = FleetGossip(
@@ -87,6 +89,7 @@
             (self.quotas,),
             self.relaying,
             self.rules,
+            limits=self.limits,
         )
 
 
@@ -276,6 +279,19 @@
         assert leader.reports.keys() == fleet.node_by_id.keys()
         assert all(node.renewed and not node.reports for node in others)
 
+    @pytest.mark.parametrize("size", [SMALL, LARGE])
+    def test_a_limit_that_one_node_was_told_reaches_all(self, size):
+        """In a large fleet by way of the leader."""
+        fleet = Fleet(size)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        endpoint = make_endpoint(E1)
+        for node in fleet.node_by_id.values():
+            node.directory.observe(endpoint)
+        fleet.node_by_id["n5"].limits.name(endpoint, 1.8)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        known = [node.limits.in_force(endpoint) for node in fleet.node_by_id.values()]
+        assert [limit.per_s for limit in known] == [1.8] * size
+
     def test_few_nodes_watch_a_responsive_leader(self, large):
         """Reads of the leader's lease do not grow with the fleet."""
         watching = [x for x in large.node_by_id.values() if x.gossip.is_standby()]
--- a/tests/coordination/routing/test_endpoint_notices.py
+++ b/tests/coordination/routing/test_endpoint_notices.py
@@ -121,3 +121,10 @@
         notices.heed(E1, [Limited(2.0)])
         known = notices.limits.by_endpoint()[E1.id]
         assert known == EndpointLimit(E1.started_ms + 1, 1, 1.0)
+
+    def test_the_limit_of_an_earlier_start_is_forgotten(self, notices):
+        """Nodes go on sharing nothing for it."""
+        notices.heed(E1, [Limited(2.0)])
+        notices.directory.observe(replace(E1, started_ms=E1.started_ms + 1))
+        assert not notices.limits.by_endpoint()
+        assert not notices.limits.ids()
