--- a/tests/coordination/routing/test_endpoint_notices.py
+++ b/tests/coordination/routing/test_endpoint_notices.py
@@ -151,3 +151,10 @@
         notices.limits.adopt({E1.id: limit})
         notices.heed(E1, [Limited(2.0)], notices.clock.now_s)
         assert notices.limits.in_force(E1) is not None
+
+    def test_the_limit_of_an_earlier_start_is_forgotten(self, notices):
+        """Nodes go on sharing nothing for it."""
+        notices.heed(E1, [Limited(2.0)])
+        notices.directory.observe(replace(E1, started_ms=E1.started_ms + 1))
+        assert not notices.limits.by_endpoint()
+        assert not notices.limits.ids()
