Check in the soak that no request runs at two engines at once

Cause: a run that goes on at its engine while the request is sent to another one breaks no answer, so that the soak did not see it.

Change: the runs in the engines' journals may overlap for 0.4 s, unless a process or a link was at fault meanwhile. Engines take 15 ms for a token, as answers of 0.6 s could hardly overlap for as long.

--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -13,10 +13,12 @@
 from collections.abc import Collection, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from itertools import chain
 from typing import Annotated, Any
 
 import typer
 
+from faults.engine_runs import engine_runs, runs_at_once
 from faults.injections import (
     KINDS,
     Injection,
@@ -45,6 +47,8 @@
 OPERATORS = 2
 INJECTORS = 2
 MAX_PAUSE_S = 2.0
+STEP_MS = 15.0
+"""A run of the longest answers then takes seconds, which two engines can share."""
 RECOVERY_TIMEOUT_S = 90.0
 MAX_HOURS = 48
 SECONDS_PER_MINUTE = 60
@@ -111,15 +115,19 @@
         return True
 
 
+def read_journal(site: Site, engine: str) -> list[dict[str, Any]]:
+    """Return the entries in an engine's journal."""
+    path = site.fleet.journal(engine)
+    lines = path.read_text().splitlines() if path.exists() else []
+    return [json.loads(line) for line in lines]
+
+
 def journal_runs(site: Site) -> tuple[tuple[Run, ...], int]:
     """Return the runs and the number of overcommits in the engines' journals."""
     runs = []
     overcommits = 0
     for name in site.engines:
-        path = site.fleet.journal(name)
-        lines = path.read_text().splitlines() if path.exists() else []
-        for line in lines:
-            entry = json.loads(line)
+        for entry in read_journal(site, name):
             if "overcommit_mb" in entry:
                 overcommits += 1
             elif "prompt" in entry:
@@ -188,6 +196,12 @@
     runs, overcommits = journal_runs(site)
     violations += [str(item) for item in check_actions(history.actions, service)]
     violations += [str(item) for item in check_completions(history.completions, runs)]
+    violations += runs_at_once(
+        chain.from_iterable(
+            engine_runs(name, read_journal(site, name)) for name in site.engines
+        ),
+        injection_log.intervals,
+    )
     violations += [f"generation decreased: {item}" for item in rollbacks.found]
     violations += [f"engines overcommitted {overcommits} times"] * bool(overcommits)
     codes = Counter(site.fleet.exit_codes)
@@ -233,6 +247,7 @@
         nodes=nodes,
         fence_checking_engines=2,
         fence_ignoring_engines=2,
+        step_ms=STEP_MS,
         models=MODELS,
         links=cuts,
     )
