Count no engine as crashed that answers something else than its inventory

Seen: in camphoryardd, an engine whose call broke and that then answered 503, or something unreadable, to the question for its inventory counted as crashed, so that a sound request became a suspect, and the second time was quarantined. Cause: what an answer says (here: the engine is up) was read from where it failed to be decoded. Change: NoInventoryError tells an answer that is no inventory from none. Result: test_no_suspect_if_the_endpoint_answers_something_else failed before.

--- a/src/camphoryard/coordination/inference/attempts.py
+++ b/src/camphoryard/coordination/inference/attempts.py
@@ -20,6 +20,7 @@
     BrokenCallError,
     CamphoryardError,
     EndpointRefusedError,
+    NoInventoryError,
     NotSentError,
     RefusalError,
     StalledCallError,
@@ -176,6 +177,8 @@
         return False
     try:
         inventory = context.engines.inventory(endpoint)
+    except NoInventoryError:
+        return False
     except (NotSentError, BrokenCallError):
         return True
     items = items_of(request.model, request.adapter)
--- a/src/camphoryard/coordination/ports.py
+++ b/src/camphoryard/coordination/ports.py
@@ -190,7 +190,15 @@
         """Send an order; raises NotSentError or BrokenCallError."""
 
     def inventory(self, endpoint: Endpoint) -> Inventory:
-        """Return the engine's inventory; raises NotSentError or BrokenCallError."""
+        """Return the engine's inventory.
+
+        Raises
+        ------
+        NotSentError, BrokenCallError
+            If the engine cannot be asked, or does not answer.
+        NoInventoryError
+            If it answers something else.
+        """
 
 
 class Services(Protocol):
--- a/src/camphoryard/state/errors.py
+++ b/src/camphoryard/state/errors.py
@@ -75,6 +75,10 @@
     """The call failed after the server may have acted on part of it."""
 
 
+class NoInventoryError(BrokenCallError):
+    """An engine answered, but not with what it has loaded."""
+
+
 class StalledCallError(BrokenCallError):
     """The server sent nothing before the timeout."""
 
--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -17,7 +17,11 @@
 )
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.enums import OrderOutcome
-from camphoryard.state.errors import BrokenCallError, EndpointRefusedError
+from camphoryard.state.errors import (
+    BrokenCallError,
+    EndpointRefusedError,
+    NoInventoryError,
+)
 from camphoryard.state.ids import EndpointId
 from camphoryard.state.load_reports import LoadReport
 from camphoryard.state.requests import (
@@ -126,11 +130,11 @@
         answer = self._client.call(_address(endpoint), call)
         if answer.status != OK:
             # Its body could be read as the inventory of an empty engine.
-            raise BrokenCallError(f"inventory answered with status {answer.status}")
+            raise NoInventoryError(f"answered with status {answer.status}")
         try:
             inventory = decode_inventory(answer.body)
         except msgspec.MsgspecError as error:
-            raise BrokenCallError(f"unreadable inventory: {error}") from error
+            raise NoInventoryError(f"unreadable: {error}") from error
         self._on_load_report(endpoint.id, load_report(inventory))
         return inventory
 
--- a/tests/coordination/inference/test_attempts.py
+++ b/tests/coordination/inference/test_attempts.py
@@ -10,6 +10,7 @@
 from camphoryard.state.errors import (
     BrokenCallError,
     EndpointRefusedError,
+    NoInventoryError,
     NotSentError,
     StalledCallError,
 )
@@ -81,3 +82,18 @@
             try_once(context, Progress())
         suspects = [suspect.fingerprint for suspect in context.suspects.known()]
         assert suspects == ([fingerprint(request())] if is_down else [])
+
+    # Guards against the quarantine of sound requests: an engine that refused to tell
+    # what it has loaded counted as crashed.
+    def test_no_suspect_if_the_endpoint_answers_something_else(self, monkeypatch):
+        """An answer that is no inventory shows that the endpoint is up."""
+        engines = FakeEngines({FIRST: failing_script(BrokenCallError("x"))})
+
+        def refuse(endpoint):
+            raise NoInventoryError("inventory answered with status 503")
+
+        monkeypatch.setattr(engines, "inventory", refuse)
+        context = make_context(engines)
+        with pytest.raises(BrokenCallError):
+            try_once(context, Progress())
+        assert not list(context.suspects.known())
