Draw the failures of both fleets that share limits in one place

Cause: the property tests of quotas and of endpoint limits had their own copies of the drawn failures and of what they bring about. Change: both use those of the fake fleet; what is asserted stays.

--- a/tests/coordination/fleet/test_quota_sharing.py
+++ b/tests/coordination/fleet/test_quota_sharing.py
@@ -1,6 +1,5 @@
 """Tests of quotas over a fleet, under load and under failures."""
 
-import random
 from itertools import chain
 
 import pytest
@@ -16,7 +15,7 @@
 from camphoryard.state.ids import AccountId, FencingNumber
 from camphoryard.state.quotas import Admitted, OverQuota
 from tests.fakes.quota_fleet import WINDOW_S, QuotaFleet, make_account
-from tests.fakes.sharing_fleet import PERIOD_S, AskFate, Delivery
+from tests.fakes.sharing_fleet import FAILURE, PERIOD_S, PRESS
 
 LARGE, SMALL = AccountId("large"), AccountId("small")
 NODES = 78
@@ -301,18 +300,6 @@
         assert refused(fleet, SMALL) < 0.02
 
 
-NODE = st.integers(0, 2).map("n{}".format)
-PRESS = st.tuples(
-    st.just("press"), st.sampled_from([0.5, 2.0, 4.0, 9.0]), st.sets(NODE)
-)
-FAILURE = st.one_of(
-    st.tuples(st.just("suspend"), st.sampled_from([1.0, 9.0]), st.none()),
-    st.tuples(st.just("mail"), st.integers(0, 2**16), st.booleans()),
-    st.tuples(st.just("asks"), st.sampled_from(AskFate), st.none()),
-    st.tuples(st.just("restart"), NODE, st.none()),
-    st.tuples(st.just("lose"), NODE, st.booleans()),
-    st.tuples(st.just("lead"), NODE, st.booleans()),
-)
 STEP = st.tuples(FAILURE, PRESS, PRESS)
 
 
@@ -341,20 +328,5 @@
                         while isinstance(fleet.send(node, "a", 5), Admitted):
                             pass
                     fleet.run(PERIOD_S)
-            case "suspend", duration_s, _:
-                fleet.clock.advance(duration_s)
-            case "mail", seed, True:
-                drawn = random.Random(seed)
-                fleet.decide = lambda: drawn.choice(list(Delivery))
-            case "mail", _, False:
-                fleet.decide = lambda: Delivery.NOW
-            case "asks", fate, _:
-                fleet.ask_fate = fate
-            case "restart", node, _:
-                fleet.start(node)
-            case "lose", node, True:
-                fleet.lost.add(node)
-            case "lose", node, False:
-                fleet.lost.discard(node)
-            case "lead", node, is_doubted:
-                fleet.lead(node, is_doubted=is_doubted)
+            case failure:
+                fleet.strike(failure)
--- a/tests/coordination/forwarding/test_endpoint_limits.py
+++ b/tests/coordination/forwarding/test_endpoint_limits.py
@@ -1,6 +1,5 @@
 """Tests of limits that endpoints name, over several nodes that forward to them."""
 
-import random
 from itertools import chain
 
 import pytest
@@ -14,7 +13,7 @@
 from camphoryard.state.verdict import Verdict
 from tests.fakes.engines import make_endpoint
 from tests.fakes.limit_fleet import LimitFleet
-from tests.fakes.sharing_fleet import PERIOD_S, AskFate, Delivery
+from tests.fakes.sharing_fleet import FAILURE, PERIOD_S, PRESS
 
 PER_S = 1.8
 TOLD_S = 3 * PERIOD_S
@@ -207,20 +206,8 @@
 
 USES = 4
 """Requests that a pressed node may send in a period; 96 a window at three nodes."""
-NODE = st.integers(0, 2).map("n{}".format)
-PRESS = st.tuples(
-    st.just("press"), st.sampled_from([0.5, 2.0, 4.0, 9.0]), st.sets(NODE)
-)
-FAILURE = st.one_of(
-    st.tuples(st.just("suspend"), st.sampled_from([1.0, 9.0]), st.none()),
-    st.tuples(st.just("mail"), st.integers(0, 2**16), st.booleans()),
-    st.tuples(st.just("asks"), st.sampled_from(AskFate), st.none()),
-    st.tuples(st.just("restart"), NODE, st.none()),
-    st.tuples(st.just("lose"), NODE, st.booleans()),
-    st.tuples(st.just("lead"), NODE, st.booleans()),
-    st.tuples(st.just("name"), st.sampled_from([None, 1.8, 0.3]), st.none()),
-)
-STEP = st.tuples(FAILURE, PRESS, PRESS)
+CHANGE = st.tuples(st.just("name"), st.sampled_from([None, 1.8, 0.3]), st.none())
+STEP = st.tuples(FAILURE | CHANGE, PRESS, PRESS)
 
 
 class TestConstruction:
@@ -249,22 +236,7 @@
                     for node in sorted(nodes) * USES:
                         fleet.node_by_id[node].use("e1")
                     fleet.run(PERIOD_S)
-            case "suspend", duration_s, _:
-                fleet.clock.advance(duration_s)
-            case "mail", seed, True:
-                drawn = random.Random(seed)
-                fleet.decide = lambda: drawn.choice(list(Delivery))
-            case "mail", _, False:
-                fleet.decide = lambda: Delivery.NOW
-            case "asks", fate, _:
-                fleet.ask_fate = fate
-            case "restart", node, _:
-                fleet.start(node)
-            case "lose", node, True:
-                fleet.lost.add(node)
-            case "lose", node, False:
-                fleet.lost.discard(node)
-            case "lead", node, is_doubted:
-                fleet.lead(node, is_doubted=is_doubted)
             case "name", per_s, _:
                 fleet.per_s_by_endpoint["e1"] = per_s
+            case failure:
+                fleet.strike(failure)
--- a/tests/fakes/sharing_fleet.py
+++ b/tests/fakes/sharing_fleet.py
@@ -1,7 +1,10 @@
 """Nodes that share limits of one kind, with messages that tests deliver."""
 
+import random
 from enum import Enum
 
+from hypothesis import strategies as st
+
 from camphoryard.coordination.admission.quota_shares import QuotaShares
 from camphoryard.coordination.fleet.quota_sharing import QuotaSharing
 from camphoryard.coordination.messages import QuotaRequest, QuotaTake
@@ -31,6 +34,22 @@
     NEVER = "never"
 
 
+NODE = st.integers(0, 2).map("n{}".format)
+PRESS = st.tuples(
+    st.just("press"), st.sampled_from([0.5, 2.0, 4.0, 9.0]), st.sets(NODE)
+)
+"""Load for some seconds at some of three nodes."""
+FAILURE = st.one_of(
+    st.tuples(st.just("suspend"), st.sampled_from([1.0, 9.0]), st.none()),
+    st.tuples(st.just("mail"), st.integers(0, 2**16), st.booleans()),
+    st.tuples(st.just("asks"), st.sampled_from(AskFate), st.none()),
+    st.tuples(st.just("restart"), NODE, st.none()),
+    st.tuples(st.just("lose"), NODE, st.booleans()),
+    st.tuples(st.just("lead"), NODE, st.booleans()),
+)
+"""Failures of three nodes, which `SharingFleet.strike` brings about."""
+
+
 class FakeLease:
     """A lease of leadership as the test wants it."""
 
@@ -199,3 +218,24 @@
             for node in self.node_by_id.values():
                 node.sharing.ask_for_spare()
             self.clock.advance(PERIOD_S)
+
+    def strike(self, failure):
+        """Bring about a drawn failure."""
+        match failure:
+            case "suspend", duration_s, _:
+                self.clock.advance(duration_s)
+            case "mail", seed, True:
+                drawn = random.Random(seed)
+                self.decide = lambda: drawn.choice(list(Delivery))
+            case "mail", _, False:
+                self.decide = lambda: Delivery.NOW
+            case "asks", fate, _:
+                self.ask_fate = fate
+            case "restart", node, _:
+                self.start(node)
+            case "lose", node, True:
+                self.lost.add(node)
+            case "lose", node, False:
+                self.lost.discard(node)
+            case "lead", node, is_doubted:
+                self.lead(node, is_doubted=is_doubted)
