--- a/review/tools2/small_site.py
+++ b/review/tools2/small_site.py
@@ -198,7 +198,8 @@
     def start(self) -> None:
         """Start the daemon as the deploy file does, with its limit of descriptors."""
         max_fds = self._fields["max_fds"]
-        text = SETTINGS.format(bootstrap="true", **self._fields)
+        bootstrap = "false" if self.starts else "true"
+        text = SETTINGS.format(bootstrap=bootstrap, **self._fields)
         self.settings.write_text(text)
         self.starts += 1
         log = open(self.site.folder / f"{self.name}.log", "ab")  # noqa: SIM115
