--- a/review/tools2/replica.py
+++ b/review/tools2/replica.py
@@ -18,7 +18,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 BEAT_S = 1.2
-EVENT_S = 0.04
+EVENT_S = float(os.environ.get("EVENT_S", "0.04"))
 EVENTS = 86
 MODEL = os.environ.get("MODEL", "")
 MODELS = [{"name": MODEL, "version": 1, "adapters": []}] if MODEL else []
@@ -30,6 +30,7 @@
 HOST, PORT, STORE, SERVICE, ID, RECORD = sys.argv[1:7]
 STATE = {"state": "ready", "seq": 0}
 STREAMS = {"count": 0}
+SLOTS = threading.BoundedSemaphore(int(os.environ.get("SLOTS", "6")))
 LOCK = threading.Lock()
 RECORD_FILE = open(RECORD, "a", buffering=1)  # noqa: SIM115
 
@@ -160,7 +161,8 @@
             RECORD_FILE.flush()
             os._exit(9)
         if MODEL:
-            self._stream(request)
+            with SLOTS:
+                self._stream(request)
             return
         time.sleep(WORK_S)
         headers = {"Attempt-Id": request, "Server-Seal": "1.2.3"}
