--- a/review/8/case.py
+++ b/review/8/case.py
@@ -123,7 +123,7 @@
         node.start()
         site.wait(node.is_ready, 15, "the restart")
         time.sleep(STABLE_WINDOW_S + 0.2)
-        for _ in range(5):
+        for _ in range(7):
             send(node)
             time.sleep(BACK_S / 2)
     is_over.set()
