End a stream at the deadline of its call

An endpoint that kept sending events was relayed without any end.

Cause: the read of a stream had an end of its own, computed from the client's deadline, and it was compared with the clock only while nothing arrived. The call itself, and the read of a whole answer, end at the earlier of that deadline and the route's time-out. iter_body now ends at the deadline of the call, whatever arrives, and the relay's decisions use the same deadline.

--- a/src/camphoryard/coordination/forwarding/attempt.py
+++ b/src/camphoryard/coordination/forwarding/attempt.py
@@ -358,11 +358,12 @@
     Raises
     ------
     StalledCallError
-        If no whole event comes for too long and the stream can be resumed elsewhere.
+        If no whole event comes for too long and the stream can be resumed elsewhere,
+        or the stream is not complete at the deadline.
     BrokenCallError
         If it ends within an event or before the end of the body.
     """
-    left_s = max(0.0, forwarded.request.deadline_s - context.clock())
+    left_s = max(0.0, forwarded.deadline_s - context.clock())
     gap_timeout_s = min(
         left_s, forwarded.rule.longest_gap_s * GAP_TIMEOUT_FACTOR or left_s
     )
@@ -417,7 +418,7 @@
 
     It is aborted only if another endpoint can resume it, as a pause may end by itself.
     """
-    if context.clock() >= forwarded.request.deadline_s:
+    if context.clock() >= forwarded.deadline_s:
         return False
     return not _can_resend(context, forwarded, endpoint, forwarded.runs)
 
--- a/src/camphoryard/coordination/forwarding/ports.py
+++ b/src/camphoryard/coordination/forwarding/ports.py
@@ -61,14 +61,14 @@
 class SendOptions:
     """Options for sending a request to an endpoint.
 
-    ``deadline_s`` is the monotonic time at which the endpoint stops processing,
-    ``head_timeout_s`` the longest wait for the head of its answer, and ``urgency``
-    the priority in the endpoint's queue. After each ``silence_timeout_s`` without an
-    answer, ``keep_waiting`` decides whether to wait on. ``resume_after`` is the last
-    event that the client has received. A pooled connection that has been idle for
-    longer than ``max_idle_s`` is not used. ``account`` is named to the endpoint.
-    ``forwards_credentials`` if there are no accounts, so that they are meant for the
-    endpoint.
+    ``deadline_s`` is the monotonic time at which the endpoint stops processing and no
+    more of its answer is read, ``head_timeout_s`` the longest wait for the head of its
+    answer, and ``urgency`` the priority in the endpoint's queue. After each
+    ``silence_timeout_s`` without an answer, ``keep_waiting`` decides whether to wait
+    on. ``resume_after`` is the last event that the client has received. A pooled
+    connection that has been idle for longer than ``max_idle_s`` is not used.
+    ``account`` is named to the endpoint. ``forwards_credentials`` if there are no
+    accounts, so that they are meant for the endpoint.
     """
 
     deadline_s: float
@@ -145,7 +145,7 @@
         ------
         StalledCallError
             If no data arrives for ``silence_timeout_s`` s and ``keep_waiting()`` is
-            false.
+            false, or the body is not complete at the deadline of the request.
         BrokenCallError
             If the body ends early, or bytes arrive that are no part of it.
         """
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -167,12 +167,18 @@
         return self._exchange.connection.write_error
 
     def set_read_timeout(
-        self, silence_timeout_s: float, keep_waiting: Callable[[], bool]
+        self,
+        silence_timeout_s: float,
+        keep_waiting: Callable[[], bool],
+        end_s: float = math.inf,
     ) -> None:
-        """Time out reads after ``silence_timeout_s`` unless ``keep_waiting()``."""
+        """Time out reads after ``silence_timeout_s`` unless ``keep_waiting()``.
+
+        No read waits beyond the monotonic time ``end_s``.
+        """
         reader = self._exchange.connection.reader
         reader.set_keep_waiting(keep_waiting)
-        reader.limit(ReadLimits.of_one_read(MAX_READ_BYTES, silence_timeout_s))
+        reader.limit(ReadLimits.of_one_read(MAX_READ_BYTES, silence_timeout_s, end_s))
 
     def restart_read_limits(self) -> None:
         """Apply the limits of a read to what is received from now on."""
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -12,7 +12,11 @@
     SendOptions,
 )
 from camphoryard.protocol.dialect import Dialect
-from camphoryard.state.errors import BrokenCallError, NotSentError
+from camphoryard.state.errors import (
+    BrokenCallError,
+    NotSentError,
+    StalledCallError,
+)
 from camphoryard.state.serving_endpoints import ServingEndpoint
 from camphoryard.transport.http_client import (
     PIECE_BYTES,
@@ -62,10 +66,13 @@
     ) -> Iterator[bytes]:
         """Yield the body in chunks as it arrives; see the Answer port."""
         response = self._answer.response
+        deadline_s = self._options.deadline_s
         self._answer.set_read_timeout(
-            max(MIN_TIMEOUT_S, silence_timeout_s), keep_waiting
+            max(MIN_TIMEOUT_S, silence_timeout_s), keep_waiting, deadline_s
         )
         while True:
+            if time.monotonic() >= deadline_s:
+                raise StalledCallError("the stream is not complete at the deadline")
             self._answer.restart_read_limits()
             try:
                 chunk = response.read1(PIECE_BYTES)
--- a/tests/system/test_entry.py
+++ b/tests/system/test_entry.py
@@ -195,6 +195,46 @@
 and a stream whose answer has not begun."""
 
 
+# Guards against CONFIG: a stream that hung after its first events was held until the
+# deadline of its client, long past the time-out of its route.
+class TestRouteTimeout:
+    """Streams that are not complete at the time-out of their route."""
+
+    ROUTE_TIMEOUT_S = 1.0
+    ANSWER_TIME_S = 0.5
+    """Time in which a request past the time-out has its final answer, by the rule."""
+
+    @pytest.mark.parametrize(
+        "fault", [{"hang_after": 2}, {"events": 100_000}], ids=["silent", "endless"]
+    )
+    def test_stream_is_cut_long_before_the_deadline_of_its_client(self, fault):
+        """The client receives the events so far and an incomplete answer."""
+        with Fleet() as fleet:
+            site = EntrySite(fleet)
+            timeout_ms = round(self.ROUTE_TIMEOUT_S * 1000)
+            brief = make_route(
+                "brief", "streaming", "models", **{"timeout-ms": timeout_ms}
+            )
+            routes = [*CONFIG["routes"], brief]
+            site.put("config", "main", {**CONFIG, "version": 2, "routes": routes})
+            log = fleet.process_by_name["entry"].log
+            fleet.wait_until(
+                lambda: "event=configuration_adopted version=2" in log.read_text(),
+                "configuration",
+            )
+            site.call("/chat/1", "w1", Model="m1")
+            site.control(**fault)
+            connection = site.connect()
+            sent_s = time.monotonic()
+            site.send(connection, "/brief/1", "t1", Model="m1")
+            response = connection.getresponse()
+            with pytest.raises(HTTPException) as cut:
+                response.read()
+            taken_s = time.monotonic() - sent_s
+            assert b"id: 2\n" in cut.value.partial
+            assert taken_s < self.ROUTE_TIMEOUT_S + self.ANSWER_TIME_S
+
+
 class TestStop:
     """The daemon stops on SIGTERM."""
 
--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -15,7 +15,7 @@
     SendOptions,
 )
 from camphoryard.platform.dialect import PlatformDialect
-from camphoryard.state.errors import BrokenCallError
+from camphoryard.state.errors import BrokenCallError, StalledCallError
 from camphoryard.state.ids import EndpointId, RequestId, Urgency
 from camphoryard.transport.http_client import (
     MAX_REFUSED_IDS,
@@ -249,3 +249,62 @@
         address = endpoint.endpoint.address
         client.call(Address(address.host, address.port), HttpCall("GET", "/report"))
         assert send(endpoint.endpoint, "a") is AnswerKind.SERVED
+
+
+class StreamingEndpoint(Endpoint):
+    """Sends ``count`` events of a stream, one each ``EVENT_S``, and no end of it."""
+
+    EVENT_S = 0.02
+    EVENT = b"id: 1\ndata: a\n\n"
+
+    def __init__(self, count):
+        super().__init__()
+        self._count = count
+
+    def _answer(self, connection):
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65_536)
+            connection.sendall(
+                b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: a\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            for _ in range(self._count):
+                connection.sendall(b"%x\r\n%b\r\n" % (len(self.EVENT), self.EVENT))
+                time.sleep(self.EVENT_S)
+            connection.recv(65_536)
+
+
+# Guards against CONFIG: the reader of a stream had another end than its call, so that a
+# stream which hung was read past the time-out of its route.
+class TestStreamDeadline:
+    """Streams that are not complete at the deadline of their call."""
+
+    DEADLINE_S = 0.5
+    LATE_S = 0.5
+
+    @pytest.mark.parametrize("count", [1, 200], ids=["silent", "endless"])
+    def test_stream_stalls_at_the_deadline_whoever_keeps_waiting(self, client, count):
+        """Neither a pause that is waited out nor more events extend it."""
+        endpoint = StreamingEndpoint(count).endpoint
+        began_s = time.monotonic()
+        late_s = began_s + self.DEADLINE_S + self.LATE_S
+        request = ClientRequest(
+            RequestId("a"), "POST", "h", "/", {}, b"", began_s, began_s + TIMEOUT_S
+        )
+        options = SendOptions(
+            began_s + self.DEADLINE_S,
+            self.DEADLINE_S,
+            self.DEADLINE_S,
+            lambda: False,
+            Urgency(5),
+            None,
+            1.0,
+        )
+        upstream = HttpUpstream(client, PlatformDialect())
+        with contextlib.closing(
+            upstream.open(endpoint, request, options, Cancellation())
+        ) as answer:
+            with pytest.raises(StalledCallError):
+                for _ in answer.iter_body(0.2, lambda: time.monotonic() < late_s):
+                    pass
+        assert self.DEADLINE_S <= time.monotonic() - began_s < self.DEADLINE_S + 0.2
