Take no retry for a request whose time is over

A request whose call failed at its deadline took a retry from the fleet's budget, and was refused right after, as no time was left to send it. Other callers went without that retry. With streams ending at the time-out of their route this happens once for each resumable stream that hangs.

Cause: whether a retry is left was asked before whether time is. The order is turned. test_a_request_past_its_deadline_takes_no_retry failed before for a stalled and for a declined call (one retry taken each).

--- a/src/camphoryard/coordination/forwarding/exchange.py
+++ b/src/camphoryard/coordination/forwarding/exchange.py
@@ -771,6 +771,8 @@
     match error:
         case NotSentError():
             return
+        case _ if context.clock() >= forwarded.event_deadline_s:
+            raise _failure_refusal(context, forwarded, error)
         case _:
             while not take_retry(context, forwarded):
                 if not _may_wait_on(context, forwarded):
--- a/tests/coordination/forwarding/test_exchange.py
+++ b/tests/coordination/forwarding/test_exchange.py
@@ -390,6 +390,16 @@
         site.refusal()
         assert len(site.sent_to) == 1
 
+    # Guards against BUDGET: requests whose time was over took retries from the fleet's
+    # budget and were refused all the same.
+    @pytest.mark.parametrize("answer", [StalledCallError("x"), declined()])
+    def test_a_request_past_its_deadline_takes_no_retry(self, answer):
+        """It is refused at once."""
+        site = Site(answer)
+        site.upstream.on_open = lambda: site.clock.advance(11.0)
+        site.refusal()
+        assert site.context.retries.usage(SERVICE).retries == 0
+
     def test_each_retry_is_logged_with_the_counts_of_its_budget(self):
         """The logs of all nodes tell whether the fleet has kept its budget."""
         site = Site(failed(), failed(), reserve=2.0)
