Count connecting, writing and reading a head against one time

Callers could be held past the time-out of their route: a call had its whole timeout to connect, again to write the request and again to read the head of the answer. In camphoryardd the head of a stream and its first token, or the text of a failure, had the limit of the first token each.

The end of a call is now computed once, before it connects.

--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -72,6 +72,7 @@
     ) -> EventStream:
         """Open a stream; see the Engines port."""
         limits = self._stream_limits(request, offset)
+        first_token_end_s = time.monotonic() + limits.first_token_s
         call = HttpCall(
             "POST",
             "/v1/completions",
@@ -81,13 +82,14 @@
             cancellation=cancellation,
         )
         answer = self._client.open(_address(endpoint), call)
+        left_s = max(MIN_TIMEOUT_S, first_token_end_s - time.monotonic())
         if answer.response.status >= MIN_ERROR_STATUS:
             raise EndpointRefusedError(
                 answer.response.status,
-                _error_detail(answer, limits.first_token_s),
+                _error_detail(answer, left_s),
                 answer.number == 1,
             )
-        return EventStream(answer, self._readers, limits)
+        return EventStream(answer, self._readers, replace(limits, first_token_s=left_s))
 
     def _stream_limits(self, request: InferenceRequest, offset: int) -> StreamLimits:
         deadline_s = request.total_deadline_s if offset else request.deadline_s
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -93,8 +93,8 @@
     ``new_connection`` forbids a pooled connection. The server may close a pooled
     connection while the call is being written; a call that must not be repeated
     needs a new connection, because a failure to connect then proves that nothing was
-    sent. ``timeout_s`` limits the time until the head of the answer is complete, and
-    each pause in its body; ``max_answer_time_s`` limits the time of the whole answer,
+    sent. ``timeout_s`` limits the time from the beginning of the call until the head
+    of the answer is complete, and each pause in its body; ``max_answer_time_s`` limits the time of the whole answer,
     which a server could otherwise extend without end by sending a byte now and then;
     None means twice the timeout.
     After each ``silence_timeout_s`` without the head, ``keep_waiting`` decides whether
@@ -714,6 +714,7 @@
 
     def open(self, address: Address, call: HttpCall) -> OpenAnswer:
         """Make the call and read the head of its answer; raises as ``call``."""
+        end_s = time.monotonic() + call.timeout_s
         connection = (
             None
             if call.new_connection
@@ -724,7 +725,7 @@
         if call.is_permitted is not None and not call.is_permitted():
             self.discard(connection)
             raise NotSentError("the permission for the call has expired")
-        return self._exchange(address, connection, call)
+        return self._exchange(address, connection, call, end_s)
 
     def close(self) -> None:
         """Abort every call in flight and reject later ones."""
@@ -839,15 +840,13 @@
         raise NotSentError("the client is closed")
 
     def _exchange(
-        self, address: Address, connection: _Connection, call: HttpCall
+        self, address: Address, connection: _Connection, call: HttpCall, end_s: float
     ) -> OpenAnswer:
         sock = connection.sock
         connection.reader.set_keep_waiting(call.keep_waiting)
         connection.reader.limit(
             ReadLimits.of_one_read(
-                MAX_HEAD_BYTES,
-                min(call.timeout_s, call.silence_timeout_s),
-                time.monotonic() + call.timeout_s,
+                MAX_HEAD_BYTES, min(call.timeout_s, call.silence_timeout_s), end_s
             )
         )
         cancellation = call.cancellation
@@ -884,6 +883,8 @@
             raise
         connection.write_error = error
         connection.reader.fail_at_end(error)
+    # The socket still has the timeout of the write.
+    connection.reader.restart_limits()
     response = connection.getresponse()
     try:
         connection.reader.check_line_end()
--- a/tests/transport/test_endpoints.py
+++ b/tests/transport/test_endpoints.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from http.client import parse_headers
 
@@ -13,8 +14,12 @@
 from camphoryard.coordination.ports import Order
 from camphoryard.state.configuration import Endpoint
 from camphoryard.state.enums import EndpointKind, OrderKind
-from camphoryard.state.errors import BrokenCallError, EndpointRefusedError
-from camphoryard.state.ids import EndpointId, FencingNumber, ItemId, OrderId
+from camphoryard.state.errors import (
+    BrokenCallError,
+    EndpointRefusedError,
+    StalledCallError,
+)
+from camphoryard.state.ids import EndpointId, FencingNumber, ItemId, OrderId, RequestId
 from camphoryard.transport.endpoints import HttpEngines
 from camphoryard.transport.http_client import HttpClient
 from camphoryard.transport.stream_reading import StreamLimits, StreamReaders
@@ -131,6 +136,48 @@
         assert engine.is_idle.wait(TIMEOUT_S)
 
 
+# Guards against: a caller's first token was waited for past its deadline, as the head
+# of the answer and what follows each had the whole time.
+class TestTimeToFirstToken:
+    """An engine that begins its answer late and then falls silent."""
+
+    HEAD_AFTER_S = 0.7 * TIMEOUT_S
+
+    @pytest.mark.parametrize(
+        "head",
+        [STREAM_HEAD, b"HTTP/1.1 500 X\r\nContent-Length: 9\r\n\r\n"],
+        ids=["stream", "failure"],
+    )
+    def test_time_to_the_head_counts(self, engines, head):
+        """The attempt ends within the limit of the first token."""
+
+        def answer_late(listener):
+            connection, _ = listener.accept()
+            with connection, connection.makefile("rb") as reader:
+                read_call(reader)
+                time.sleep(self.HEAD_AFTER_S)
+                connection.sendall(head)
+                with contextlib.suppress(OSError):
+                    reader.read(1)
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            task = threading.Thread(target=answer_late, args=(listener,), daemon=True)
+            task.start()
+            engine = Endpoint(
+                EndpointId("e"),
+                EndpointKind.ENGINE,
+                "127.0.0.1",
+                listener.getsockname()[1],
+                9000,
+            )
+            began_s = time.monotonic()
+            with pytest.raises((StalledCallError, EndpointRefusedError)):
+                opened = engines.generate(engine, request("a"), 0, Cancellation())
+                read(opened, RequestId("a"))
+            assert time.monotonic() - began_s < TIMEOUT_S + self.HEAD_AFTER_S / 2
+            task.join(10.0)
+
+
 def refuse(engines, engine):
     """Have a request refused."""
     with pytest.raises(EndpointRefusedError):
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -322,6 +322,38 @@
             answer.response.read()
 
 
+# Guards against CONFIG: the time to write a call and that to wait for its answer each
+# had the whole timeout, so that requests were held past the time-out of their route.
+class TestTimeout:
+    """One timeout counts from the beginning of a call to the head of its answer."""
+
+    TIMEOUT_S = 1.0
+    READS_AFTER_S = 0.7
+
+    def test_time_of_writing_counts(self, client):
+        """The server reads a large body late, and then does not answer."""
+        with socket.create_server((HOST, 0)) as listener:
+
+            def read_late():
+                connection, _ = listener.accept()
+                with connection:
+                    time.sleep(self.READS_AFTER_S)
+                    while connection.recv(1 << 20):
+                        pass
+
+            with ThreadPoolExecutor(1) as serving:
+                reading = serving.submit(read_late)
+                address = Address(HOST, listener.getsockname()[1])
+                call = HttpCall("POST", "/", LARGE_BODY, timeout_s=self.TIMEOUT_S)
+                began_s = time.monotonic()
+                with pytest.raises(StalledCallError):
+                    client.call(address, call)
+                taken_s = time.monotonic() - began_s
+                with contextlib.suppress(ConnectionResetError):
+                    reading.result()
+        assert taken_s < self.TIMEOUT_S + self.READS_AFTER_S / 2
+
+
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CUT_HEAD = b"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n"
 
