--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -94,9 +94,9 @@
     connection while the call is being written; a call that must not be repeated
     needs a new connection, because a failure to connect then proves that nothing was
     sent. ``timeout_s`` limits the time from the beginning of the call until the head
-    of the answer is complete, and each pause in its body; ``max_answer_time_s`` limits the time of the whole answer,
-    which a server could otherwise extend without end by sending a byte now and then;
-    None means twice the timeout.
+    of the answer is complete, and each pause in its body; ``max_answer_time_s`` limits
+    the time of the whole answer, which a server could otherwise extend without end by
+    sending a byte now and then; None means twice the timeout.
     After each ``silence_timeout_s`` without the head, ``keep_waiting`` decides whether
     to wait on.
     ``cancellation`` aborts the call at any stage. ``max_answer_bytes`` limits
