Repeat quarantines of whole requests in digests

Cause: crashes are kept in memory and told once, to the nodes of that moment. A node that starts later, or misses the report, had nothing. Digests now repeat which whole requests are quarantined, as they do for parts of prompts. A node adopts what it has not seen answered, and tells it on, so that a rolling restart of all nodes keeps it. At most 16 are told in one digest.

--- a/src/camphoryard/coordination/fleet/fleet_gossip.py
+++ b/src/camphoryard/coordination/fleet/fleet_gossip.py
@@ -20,6 +20,7 @@
 from camphoryard.coordination.messages import DigestWithAge, Gossip
 from camphoryard.coordination.placement.demand import DemandMeter
 from camphoryard.coordination.ports import Peers, Timer
+from camphoryard.coordination.routing.crash_counter import CrashCounter
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.endpoint_limits import EndpointLimits
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
@@ -114,6 +115,8 @@
         Called with those that the leader reports.
     crashed_parts : CrashedParts
         Parts of prompts that are quarantined, which nodes that start learn from peers.
+    crashes : CrashCounter
+        Whole requests that are quarantined, which they learn the same way.
     directory : Directory
         Endpoints, some of which have said to one node that they leave.
     limits : EndpointLimits or None
@@ -141,6 +144,7 @@
         unloads_by_endpoint: Callable[[], Mapping[EndpointId, tuple[ModelId, ...]]],
         on_unloads: Callable[[Mapping[EndpointId, tuple[ModelId, ...]]], None],
         crashed_parts: CrashedParts,
+        crashes: CrashCounter,
         directory: Directory,
         clock: Callable[[], float] = time.monotonic,
         quotas: Collection[QuotaSharing] = (),
@@ -164,6 +168,7 @@
         self._unloads_by_endpoint = unloads_by_endpoint
         self._on_unloads = on_unloads
         self._crashed_parts = crashed_parts
+        self._crashes = crashes
         self._directory = directory
         self._clock = clock
         self._quotas = quotas
@@ -206,6 +211,8 @@
             return
         if digest.quarantine_s_by_parts:
             self._crashed_parts.adopt(digest.quarantine_s_by_parts)
+        if digest.quarantine_s_by_request:
+            self._crashes.adopt(digest.quarantine_s_by_request)
         for endpoint, started_ms in digest.leaving_by_endpoint.items():
             self._directory.record_leaving(endpoint, started_ms)
         if self._limits is not None and digest.limit_by_endpoint:
@@ -295,6 +302,7 @@
             relay=relay,
             rules_version=self._rules.position if self._rules and term else Version(0),
             limit_by_endpoint=self._limits.by_endpoint() if self._limits else {},
+            quarantine_s_by_request=self._crashes.quarantine_s_by_request(),
         )
         self._peers.send(node, Gossip(self._beat, (DigestWithAge(digest, 0.0),)))
 
--- a/src/camphoryard/coordination/routing/crash_counter.py
+++ b/src/camphoryard/coordination/routing/crash_counter.py
@@ -5,17 +5,23 @@
 the crashes since then count against it. One that has been answered before counts as
 sound until its answers are missed: its service has answered so many other requests that
 one to it would have been among them.
+
+Crashes are reported once, to the nodes that run at the time. Nodes tell each other the
+quarantines that they lead to again and again, so that one that starts later, or has
+missed a report, has them too.
 """
 
 import math
+import random
 import threading
 import time
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from camphoryard.coordination.forwarding.ports import ClientRequest
+from camphoryard.coordination.ports import DecisionLog
 from camphoryard.state.ids import EndpointId, Fingerprint, ServiceId
 
 FINGERPRINT_BYTES = 12
@@ -32,6 +38,15 @@
 MAX_RECORDED_REQUESTS = 5_000
 MAX_ANSWERED_REQUESTS = 10_000
 MAX_RECENT_ANSWERS = 1_000
+MAX_TOLD_REQUESTS = 16
+"""Maximum number of quarantined requests in one digest, drawn at random from all."""
+MIN_ADOPTED_S = 5.0
+"""Least time left of a quarantine that is adopted from a peer. Digests arrive late, so
+that nodes would prolong a quarantine for each other as it ends."""
+
+
+def _log_nothing(event: str, **fields: object) -> None:
+    pass
 
 
 def fingerprint(request: ClientRequest) -> Fingerprint:
@@ -66,12 +81,30 @@
 
 
 class CrashCounter:
-    """Counts the crashed endpoints of each request, including crashes peers report."""
+    """Counts the crashed endpoints of each request, including crashes peers report.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns monotonic time, in seconds.
+    log : callable
+        Called with each quarantine that is adopted from a peer.
+    """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        log: DecisionLog = _log_nothing,
+    ) -> None:
         self._clock = clock
+        self._log = log
         self._lock = threading.Lock()
         self._crashes_by_request: OrderedDict[Fingerprint, _Crashes] = OrderedDict()
+        self._conclusive: set[Fingerprint] = set()
+        """Requests with so many crashes that they may be quarantined."""
+        self._adopted_until_s_by_request: OrderedDict[Fingerprint, float] = (
+            OrderedDict()
+        )
         self._answered_s_by_request: OrderedDict[Fingerprint, float] = OrderedDict()
         self._recent_answers: deque[tuple[float, ServiceId, Fingerprint]] = deque(
             maxlen=MAX_RECENT_ANSWERS
@@ -101,7 +134,10 @@
                 self._record_answered(request, now_s - answered_ago_s)
             self._crashes_by_request.move_to_end(request)
             while len(self._crashes_by_request) > MAX_RECORDED_REQUESTS:
-                self._crashes_by_request.popitem(last=False)
+                oldest, _ = self._crashes_by_request.popitem(last=False)
+                self._conclusive.discard(oldest)
+            if len(crashes.at_s_by_start) >= QUARANTINE_CRASHES:
+                self._conclusive.add(request)
             return len(crashes.at_s_by_start)
 
     def record_answered(self, request: Fingerprint, service: ServiceId) -> None:
@@ -130,16 +166,59 @@
     def is_quarantined(self, request: Fingerprint) -> bool:
         """Return whether too many endpoints have crashed recently with ``request``."""
         with self._lock:
-            crashes = self._crashes_by_request.get(request)
-            if crashes is None or len(crashes.at_s_by_start) < QUARANTINE_CRASHES:
-                return False
-            last_s = max(crashes.at_s_by_start.values())
-            if self._clock() - last_s >= QUARANTINE_S:
-                return False
-            if request not in self._answered_s_by_request:
-                return True
-            crashes.is_missed = crashes.is_missed or self._is_missed(crashes)
-            return crashes.is_missed
+            return self._left_s(request, self._clock()) > 0
+
+    def quarantine_s_by_request(self) -> Mapping[Fingerprint, float]:
+        """Return quarantined requests, with the time left in seconds.
+
+        If there are more than `MAX_TOLD_REQUESTS`, they are some of them.
+        """
+        with self._lock:
+            now_s = self._clock()
+            requests = [*self._conclusive, *self._adopted_until_s_by_request]
+            left_s_by_request = {item: self._left_s(item, now_s) for item in requests}
+            for request, left_s in left_s_by_request.items():
+                if left_s <= 0:
+                    self._adopted_until_s_by_request.pop(request, None)
+        told = [item for item, left_s in left_s_by_request.items() if left_s > 0]
+        if len(told) > MAX_TOLD_REQUESTS:
+            told = random.sample(told, MAX_TOLD_REQUESTS)
+        return {item: left_s_by_request[item] for item in told}
+
+    def adopt(self, quarantine_s_by_request: Mapping[Fingerprint, float]) -> None:
+        """Quarantine the requests of a peer, unless this node has seen one answered."""
+        adopted = []
+        with self._lock:
+            now_s = self._clock()
+            for request, told_s in quarantine_s_by_request.items():
+                if told_s < MIN_ADOPTED_S or request in self._answered_s_by_request:
+                    continue
+                if self._left_s(request, now_s) > 0:
+                    continue
+                left_s = min(QUARANTINE_S, told_s)
+                self._adopted_until_s_by_request[request] = now_s + left_s
+                self._adopted_until_s_by_request.move_to_end(request)
+                adopted.append((request, left_s))
+            while len(self._adopted_until_s_by_request) > MAX_RECORDED_REQUESTS:
+                self._adopted_until_s_by_request.popitem(last=False)
+        for request, left_s in adopted:
+            self._log("request_quarantined", fingerprint=request, left_s=round(left_s))
+
+    def _left_s(self, request: Fingerprint, now_s: float) -> float:
+        """Return the time left of a quarantine, in seconds; 0 or less without one."""
+        adopted_until_s = self._adopted_until_s_by_request.get(request, -math.inf)
+        return max(adopted_until_s - now_s, self._own_left_s(request, now_s))
+
+    def _own_left_s(self, request: Fingerprint, now_s: float) -> float:
+        """Return the same for the crashes that this node knows of."""
+        if request not in self._conclusive:
+            return 0.0
+        crashes = self._crashes_by_request[request]
+        left_s = max(crashes.at_s_by_start.values()) + QUARANTINE_S - now_s
+        if left_s <= 0 or request not in self._answered_s_by_request:
+            return left_s
+        crashes.is_missed = crashes.is_missed or self._is_missed(crashes)
+        return left_s if crashes.is_missed else 0.0
 
     def _record_answered(self, request: Fingerprint, answered_s: float) -> None:
         known_s = self._answered_s_by_request.get(request, -math.inf)
@@ -147,9 +226,12 @@
         self._answered_s_by_request.move_to_end(request)
         while len(self._answered_s_by_request) > MAX_ANSWERED_REQUESTS:
             self._answered_s_by_request.popitem(last=False)
+        self._adopted_until_s_by_request.pop(request, None)
         crashes = self._crashes_by_request.get(request)
         if crashes is not None:
             crashes.discard_before(answered_s)
+            if len(crashes.at_s_by_start) < QUARANTINE_CRASHES:
+                self._conclusive.discard(request)
 
     def _share(self, request: Fingerprint, service: ServiceId | None) -> float:
         """Return the share of a request among the recent answers of its service."""
--- a/src/camphoryard/coordination/routing/crashed_parts.py
+++ b/src/camphoryard/coordination/routing/crashed_parts.py
@@ -186,7 +186,7 @@
     def quarantine_s_by_parts(self) -> Mapping[frozenset[PromptPartId], float]:
         """Return the sets of parts that are refused, with the time left in seconds.
 
-        A quarantine of single requests is not told: each node counts those by itself.
+        Those of single requests are told by the `CrashCounter`.
         """
         with self._lock:
             now_s = self._clock()
--- a/src/camphoryard/entry/assembly.py
+++ b/src/camphoryard/entry/assembly.py
@@ -257,6 +257,7 @@
     fleet_size = FleetSize(nodes)
     demand = DemandMeter(fast_time_constant_s=DEMAND_TIME_CONSTANT_S)
     crashed_parts = CrashedParts(log)
+    crash_counter = CrashCounter(log=log)
     notices = EndpointNotices(directory, log)
     estimates = LoadEstimates(settings.node, nodes, in_flight)
     incarnation = Incarnation(uuid4().hex[:INCARNATION_CHARACTERS])
@@ -341,6 +342,7 @@
         lambda: load_controller.unloads_by_endpoint(),
         directory.record_unloads,
         crashed_parts,
+        crash_counter,
         directory,
         quotas=(quotas, limit_sharing),
         relaying=relaying,
@@ -369,7 +371,6 @@
             settings.node, directory, load_controller, peers, gossip.leader, demand, log
         )
     )
-    crash_counter = CrashCounter()
     crash_sharing = CrashSharing(
         settings.node, nodes, peers, crash_counter, crashed_parts, gossip.leader, log
     )
--- a/src/camphoryard/protocol/peer.py
+++ b/src/camphoryard/protocol/peer.py
@@ -70,6 +70,7 @@
     AdapterId,
     EndpointId,
     FencingNumber,
+    Fingerprint,
     Generation,
     Incarnation,
     ItemId,
@@ -219,6 +220,7 @@
     limit_by_endpoint: Mapping[EndpointId, EndpointLimit] = {}
     limit_report: _QuotaReportForm | None = None
     limit_renewal: _QuotaRenewalForm | None = None
+    quarantine_ms_by_request: Mapping[Fingerprint, int] = {}
 
 
 class _DispatchForm(msgspec.Struct, array_like=True, frozen=True):
@@ -488,6 +490,10 @@
             heard.digest.limit_by_endpoint,
             _report_form(heard.digest, QuotaKind.ENDPOINT),
             _renewal_form(heard.digest, QuotaKind.ENDPOINT),
+            {
+                request: int(left_s * MILLISECONDS_PER_SECOND)
+                for request, left_s in heard.digest.quarantine_s_by_request.items()
+            },
         )
         for heard in digests
     )
@@ -585,6 +591,10 @@
                 read_relay(item.relay),
                 item.rules_version,
                 item.limit_by_endpoint,
+                {
+                    request: left_ms / MILLISECONDS_PER_SECOND
+                    for request, left_ms in item.quarantine_ms_by_request.items()
+                },
             ),
             _to_s(item.age_ms),
         )
--- a/src/camphoryard/state/nodes.py
+++ b/src/camphoryard/state/nodes.py
@@ -14,6 +14,7 @@
     ABSENT,
     EndpointId,
     FencingNumber,
+    Fingerprint,
     Generation,
     Incarnation,
     ItemId,
@@ -74,13 +75,14 @@
     is the term of its leadership, or 0 if it is not the leader. ``unloads_by_endpoint``
     are the models that a leader is having unloaded, which take no more requests.
     ``quarantine_s_by_parts`` are the sets of parts of prompts that are refused if they
-    come together, with the time left in seconds. ``leaving_by_endpoint`` are the listed
-    endpoints that say they leave, with the time of their start. The quota reports tell
-    the leader what the node holds of the limits of each kind; the renewals are the
-    leader's answers. ``endpoints_revision`` is that of the node's view of the
-    endpoints, ``relay`` what the receiver's view lacks. ``rules_version`` is that of
-    the newest configuration object that a leader has read. ``limit_by_endpoint`` are
-    the limits that listed endpoints have named, and those that have ended.
+    come together, ``quarantine_s_by_request`` the whole requests that are, both with
+    the time left in seconds. ``leaving_by_endpoint`` are the listed endpoints that say
+    they leave, with the time of their start. The quota reports tell the leader what the
+    node holds of the limits of each kind; the renewals are the leader's answers.
+    ``endpoints_revision`` is that of the node's view of the endpoints, ``relay`` what
+    the receiver's view lacks. ``rules_version`` is that of the newest configuration
+    object that a leader has read. ``limit_by_endpoint`` are the limits that listed
+    endpoints have named, and those that have ended.
     """
 
     node: NodeId
@@ -107,6 +109,7 @@
     relay: EndpointRelay | None = None
     rules_version: Version = Version(0)
     limit_by_endpoint: Mapping[EndpointId, EndpointLimit] = field(default_factory=dict)
+    quarantine_s_by_request: Mapping[Fingerprint, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/fleet/test_fleet_gossip.py
+++ b/tests/coordination/fleet/test_fleet_gossip.py
@@ -12,6 +12,7 @@
     FleetGossip,
 )
 from camphoryard.coordination.placement.demand import DemandMeter
+from camphoryard.coordination.routing.crash_counter import CrashCounter
 from camphoryard.coordination.routing.crashed_parts import CrashedParts
 from camphoryard.coordination.routing.endpoint_limits import EndpointLimits
 from camphoryard.coordination.routing.load_estimates import LoadEstimates
@@ -45,6 +46,17 @@
             for name in self.node_by_id:
                 node.nodes.observe(make_lease(name), 1)
 
+    def start_again(self, name):
+        """Replace a node by a new start of it, which all nodes list at once."""
+        before = self.node_by_id[name]
+        started = FleetNode(self, name, f"j-{name}")
+        started.term = before.term
+        self.node_by_id[name] = started
+        for lease in before.nodes.all():
+            started.nodes.observe(lease, 1)
+        for node in self.node_by_id.values():
+            node.nodes.observe(make_lease(name, f"j-{name}"), 2)
+
     def send(self, node, message):
         """Deliver a message."""
         self.sent.append((message.digests[0].digest.node, node))
@@ -60,13 +72,14 @@
 class FleetNode:
     """One node: its load, its peers, and its term if it is the leader."""
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, incarnation=""):
         self.term = FencingNumber(0)
         self.unloads, self.told_unloads = {}, []
         self.nodes, self.in_flight = NodeTable(), InFlightTable()
         self.estimates = LoadEstimates(name, self.nodes, self.in_flight)
         self.demand = DemandMeter()
         self.crashed_parts = CrashedParts(RecordedLog())
+        self.crashes = CrashCounter(fleet.clock)
         self.directory = Directory()
         self.quotas = Quotas(name)
         self.limits = EndpointLimits(self.directory, RecordedLog())
@@ -74,7 +87,7 @@
         self.rules = fleet.make_rules()
         self.gossip = FleetGossip(
             name,
-            f"i-{name}",
+            incarnation or f"i-{name}",
             self.nodes,
             fleet,
             self.in_flight,
@@ -84,6 +97,7 @@
             lambda: self.unloads,
             self.told_unloads.append,
             self.crashed_parts,
+            self.crashes,
             self.directory,
             fleet.clock,
             (self.quotas,),
@@ -122,10 +136,18 @@
             self.renewed = True
 
 
-def make_lease(name):
+def make_lease(name, incarnation=""):
     """Return a node's lease that does not expire within a test."""
     return NodeLease(
-        name, f"i-{name}", "a", "127.0.0.1", 1, "", NodeState.SERVING, 60.0, name
+        name,
+        incarnation or f"i-{name}",
+        "a",
+        "127.0.0.1",
+        1,
+        "",
+        NodeState.SERVING,
+        60.0,
+        name,
     )
 
 
@@ -244,6 +266,22 @@
         parts = [node.crashed_parts for node in fleet.node_by_id.values()]
         assert {item.find(["deadly"]) for item in parts} == {"deadly"}
 
+    # Guards against BUDGET: each node that was started again sent a quarantined request
+    # on, until it had crashed as many endpoints at that node alone.
+    @pytest.mark.parametrize("size", [SMALL, LARGE])
+    def test_nodes_that_start_learn_of_quarantined_requests(self, size):
+        """Each was told of the crashes once, to the nodes of that moment."""
+        fleet = Fleet(size)
+        fleet.node_by_id["n0"].term = FencingNumber(3)
+        for endpoint in ("e1", "e2", "e3"):
+            fleet.node_by_id["n1"].crashes.observe("deadly", endpoint)
+        fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        for name in ("n1", "n0", "n2"):
+            fleet.start_again(name)
+            fleet.run_periods(3 * STAR_REPORT_PERIODS)
+        counters = [node.crashes for node in fleet.node_by_id.values()]
+        assert all(item.is_quarantined("deadly") for item in counters)
+
     @pytest.mark.parametrize("size", [SMALL, LARGE])
     def test_all_nodes_are_told_of_endpoints_that_say_they_leave(self, size):
         """Only one of them has got the answer that says so."""
--- a/tests/coordination/routing/test_crash_counter.py
+++ b/tests/coordination/routing/test_crash_counter.py
@@ -6,13 +6,15 @@
 
 from camphoryard.coordination.forwarding.ports import ClientRequest
 from camphoryard.coordination.routing.crash_counter import (
+    MAX_RECORDED_REQUESTS,
+    MAX_TOLD_REQUESTS,
     MIN_OTHER_ANSWERS,
     QUARANTINE_S,
     CrashCounter,
     fingerprint,
 )
 from camphoryard.state.ids import RequestId
-from tests.fakes.engines import SERVICE, Clock
+from tests.fakes.engines import SERVICE, Clock, RecordedLog
 
 OTHER_SERVICE = "other"
 GET = ClientRequest(RequestId("q1"), "GET", "h", "/a?b=c", {}, b"", 0.0, 1.0)
@@ -141,3 +143,92 @@
         self.clock.advance(2.0)
         assert self.counter.answered_ago_s("shared") == 2.0
         assert self.counter.answered_ago_s("unknown") is None
+
+
+# Guards against BUDGET: nodes that were started again sent quarantined requests on.
+class TestQuarantinesOfPeers:
+    """Quarantines that nodes tell each other."""
+
+    LEFT_S = 60.0
+
+    def setup_method(self):
+        """Make a node that has quarantined a request."""
+        self.clock = Clock()
+        self.counter = CrashCounter(self.clock)
+        self.started = CrashCounter(self.clock)
+        for endpoint in ("e1", "e2", "e3"):
+            self.counter.observe("deadly", endpoint, 1, SERVICE)
+
+    def test_quarantine_ends_at_all_nodes_at_the_same_time(self):
+        """The time left is told."""
+        self.clock.advance(QUARANTINE_S - self.LEFT_S)
+        told = self.counter.quarantine_s_by_request()
+        assert told == {"deadly": pytest.approx(self.LEFT_S)}
+        self.started.adopt(told)
+        assert self.started.is_quarantined("deadly")
+        assert self.started.quarantine_s_by_request() == told
+        self.clock.advance(self.LEFT_S)
+        assert not self.started.is_quarantined("deadly")
+        assert self.started.quarantine_s_by_request() == {}
+
+    def test_only_quarantines_in_force_are_told(self):
+        """Not the requests beside them, nor those that are answered."""
+        for endpoint in ("e1", "e2"):
+            self.counter.observe("beside", endpoint, 1, SERVICE)
+        self.counter.record_answered("shared", SERVICE)
+        self.clock.advance(0.1)
+        for endpoint in ("e1", "e2", "e3"):
+            self.counter.observe("shared", endpoint, 2, SERVICE)
+        assert self.counter.quarantine_s_by_request().keys() == {"deadly"}
+
+    def test_request_that_this_node_has_answered_is_not_refused_on_a_peers_word(self):
+        """Its own crashes tell when the answers are missed."""
+        self.started.record_answered("deadly", SERVICE)
+        self.started.adopt(self.counter.quarantine_s_by_request())
+        assert not self.started.is_quarantined("deadly")
+
+    def test_answer_ends_the_quarantine_of_a_peer(self):
+        """It may have been on its way when the quarantine was told."""
+        self.started.adopt(self.counter.quarantine_s_by_request())
+        self.started.record_answered("deadly", SERVICE)
+        assert not self.started.is_quarantined("deadly")
+        assert self.started.quarantine_s_by_request() == {}
+
+    def test_nodes_do_not_prolong_quarantines_for_each_other(self):
+        """What they tell each other is late, by up to a second here."""
+        delay_s = 1.0
+        nodes = [self.counter, self.started]
+        for _ in range(int(QUARANTINE_S) + 10):
+            told = [node.quarantine_s_by_request() for node in nodes]
+            self.clock.advance(delay_s)
+            for node, heard in zip(nodes, reversed(told), strict=True):
+                node.adopt(heard)
+        assert not any(node.is_quarantined("deadly") for node in nodes)
+
+    def test_number_told_at_once_is_bounded(self):
+        """All are told in the end."""
+        requests = {f"f{number}" for number in range(3 * MAX_TOLD_REQUESTS)}
+        for request in requests:
+            for endpoint in ("e1", "e2", "e3"):
+                self.counter.observe(request, endpoint, 3, SERVICE)
+        for _ in range(200):
+            told = self.counter.quarantine_s_by_request()
+            assert len(told) == MAX_TOLD_REQUESTS
+            self.started.adopt(told)
+        assert all(self.started.is_quarantined(request) for request in requests)
+
+    def test_number_adopted_is_bounded(self):
+        """The oldest make room."""
+        for number in range(MAX_RECORDED_REQUESTS + 1):
+            self.started.adopt({f"f{number}": self.LEFT_S})
+        assert not self.started.is_quarantined("f0")
+        assert self.started.is_quarantined(f"f{MAX_RECORDED_REQUESTS}")
+
+    def test_adopted_quarantine_is_logged_once(self):
+        """Peers tell it many times a second."""
+        log = RecordedLog()
+        started = CrashCounter(self.clock, log)
+        for _ in range(3):
+            started.adopt(self.counter.quarantine_s_by_request())
+        fields = {"fingerprint": "deadly", "left_s": round(QUARANTINE_S)}
+        assert log.lines == [("request_quarantined", fields)]
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -63,6 +63,7 @@
     duty_term=4,
     unloads_by_endpoint={"e": ("m1", "m2")},
     quarantine_s_by_parts={frozenset({"p", "q"}): 12.5, frozenset({"r"}): 1.0},
+    quarantine_s_by_request={"f": 20.5},
     leaving_by_endpoint={"e": 1_700_000_000_000},
     quota_report_by_kind={
         QuotaKind.ACCOUNT: QuotaReport(4, 2, {"a": 5}),
