Repeat quarantines in the digests of camphoryardd too

A node that was cut off or stood still when an endpoint crashed never heard of it: the report is sent once, to the nodes that are alive then, and suspects are merged only when a node starts. Its callers could have a quarantined request crash one more endpoint.

Digests carry the quarantined requests as those of the entry daemon do; which of them are told and adopted is decided in one module for both. Digests that are forwarded leave them out, as their times left are those of the sending.

test_every_node_learns_which_requests_are_quarantined failed before under both gossip policies.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -136,6 +136,7 @@
                 self.digest,
                 self.catch_up,
                 lambda node, zones: None,
+                lambda quarantines: None,
             ),
             policy,
         )
--- a/src/camphoryard/coordination/inference/suspects.py
+++ b/src/camphoryard/coordination/inference/suspects.py
@@ -9,7 +9,7 @@
 
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
@@ -23,6 +23,10 @@
 from camphoryard.coordination.observing.timeline import Timeline
 from camphoryard.coordination.ports import Peers
 from camphoryard.coordination.residency.ownership import rendezvous_owner
+from camphoryard.coordination.routing.told_quarantines import (
+    choose_adopted,
+    choose_told,
+)
 from camphoryard.state.enums import Reason
 from camphoryard.state.errors import PeerUnreachableError, RefusalError
 from camphoryard.state.ids import EndpointId, Fingerprint, NodeId
@@ -136,6 +140,7 @@
         self._locks = TrialLocks()
         self._changed = threading.Condition()
         self._suspect_by_fingerprint: dict[Fingerprint, _Suspect] = {}
+        self._quarantined: set[Fingerprint] = set()
         self._is_synced = threading.Event()
         if not must_sync:
             self._is_synced.set()
@@ -167,6 +172,36 @@
                 )
                 self._store(item.fingerprint, _merged(own, received), now_s)
 
+    def quarantine_s_by_request(self) -> Mapping[Fingerprint, float]:
+        """Return the quarantined requests to tell, with the time left in seconds."""
+        now_s = time.monotonic()
+        with self._changed:
+            left_s_by_request = {
+                request: self._suspect_by_fingerprint[request].expires_s - now_s
+                for request in self._quarantined
+            }
+        return choose_told(left_s_by_request)
+
+    def adopt(self, quarantine_s_by_request: Mapping[Fingerprint, float]) -> None:
+        """Quarantine the requests that a peer repeats in its digests."""
+        adopted = []
+        now_s = time.monotonic()
+        lasting = choose_adopted(quarantine_s_by_request, SUSPECT_LIFETIME_S)
+        with self._changed:
+            for request, left_s in lasting.items():
+                known = self._find(request)
+                if known is not None and known.quarantined:
+                    continue
+                received = _Suspect(frozenset(), True, now_s + left_s)
+                self._store(request, _merged(known, received), now_s)
+                adopted.append((request, left_s))
+            if adopted:
+                self._changed.notify_all()
+        for request, left_s in adopted:
+            self._timeline.record(
+                "request_quarantined", fingerprint=request, left_s=round(left_s)
+            )
+
     def mark_synced(self) -> None:
         """Let requests start: the suspects known to peers have been merged."""
         self._is_synced.set()
@@ -299,6 +334,10 @@
         if len(self._suspect_by_fingerprint) >= MAX_SUSPECTS:
             self._remove_expired(now_s)
         self._suspect_by_fingerprint[request] = suspect
+        if suspect.quarantined:
+            self._quarantined.add(request)
+        else:
+            self._quarantined.discard(request)
 
     def _remove_expired(self, now_s: float) -> None:
         """Remove expired suspects, or the oldest one if none has expired."""
@@ -309,6 +348,7 @@
         ]
         for key in expired or [next(iter(self._suspect_by_fingerprint))]:
             del self._suspect_by_fingerprint[key]
+            self._quarantined.discard(key)
 
 
 def _merged(own: _Suspect | None, received: _Suspect) -> _Suspect:
--- a/src/camphoryard/coordination/membership/gossip.py
+++ b/src/camphoryard/coordination/membership/gossip.py
@@ -12,7 +12,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import TypeAlias
 
@@ -33,7 +33,7 @@
     ZoneLiveness,
 )
 from camphoryard.coordination.ports import Peers, Ticks, Timer
-from camphoryard.state.ids import NodeId, Zone
+from camphoryard.state.ids import Fingerprint, NodeId, Zone
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
 
 GOSSIP_PERIOD_S = 1.0
@@ -78,6 +78,7 @@
     digest: Callable[[], NodeDigest]
     catch_up: Callable[[NodeId], None]
     fetch_leases: Callable[[NodeId, tuple[Zone, ...]], None]
+    adopt_quarantines: Callable[[Mapping[Fingerprint, float]], None]
 
 
 class Gossiper:
@@ -218,6 +219,8 @@
             self._context.fetch_leases(sender.node, ())
         if sender.generation > self._context.digest().generation:
             self._context.catch_up(sender.node)
+        if sender.quarantine_s_by_request:
+            self._context.adopt_quarantines(sender.quarantine_s_by_request)
 
     def _digests(self) -> tuple[DigestWithAge, ...]:
         own = DigestWithAge(self._context.digest(), 0.0)
@@ -242,10 +245,14 @@
             digest = self._context.nodes.digest(node)
             if digest is not None:
                 age_s = self._context.freshness.node_age_s(node)
-                without_load = replace(
-                    digest, in_flight_by_endpoint={}, report_by_endpoint={}
+                # The times left of quarantines are those of the sending.
+                forwarded = replace(
+                    digest,
+                    in_flight_by_endpoint={},
+                    report_by_endpoint={},
+                    quarantine_s_by_request={},
                 )
-                chosen.append(DigestWithAge(without_load, age_s))
+                chosen.append(DigestWithAge(forwarded, age_s))
         return chosen
 
     def _targets(self) -> Sequence[NodeId]:
--- a/src/camphoryard/coordination/routing/crash_counter.py
+++ b/src/camphoryard/coordination/routing/crash_counter.py
@@ -5,14 +5,9 @@
 the crashes since then count against it. One that has been answered before counts as
 sound until its answers are missed: its service has answered so many other requests that
 one to it would have been among them.
-
-Crashes are reported once, to the nodes that run at the time. Nodes tell each other the
-quarantines that they lead to again and again, so that one that starts later, or has
-missed a report, has them too.
 """
 
 import math
-import random
 import threading
 import time
 from collections import OrderedDict, deque
@@ -22,6 +17,10 @@
 
 from camphoryard.coordination.forwarding.ports import ClientRequest
 from camphoryard.coordination.ports import DecisionLog
+from camphoryard.coordination.routing.told_quarantines import (
+    choose_adopted,
+    choose_told,
+)
 from camphoryard.state.ids import EndpointId, Fingerprint, ServiceId
 
 FINGERPRINT_BYTES = 12
@@ -38,11 +37,6 @@
 MAX_RECORDED_REQUESTS = 5_000
 MAX_ANSWERED_REQUESTS = 10_000
 MAX_RECENT_ANSWERS = 1_000
-MAX_TOLD_REQUESTS = 16
-"""Maximum number of quarantined requests in one digest, drawn at random from all."""
-MIN_ADOPTED_S = 5.0
-"""Least time left of a quarantine that is adopted from a peer. Digests arrive late, so
-that nodes would prolong a quarantine for each other as it ends."""
 
 
 def _log_nothing(event: str, **fields: object) -> None:
@@ -169,10 +163,7 @@
             return self._left_s(request, self._clock()) > 0
 
     def quarantine_s_by_request(self) -> Mapping[Fingerprint, float]:
-        """Return quarantined requests, with the time left in seconds.
-
-        If there are more than `MAX_TOLD_REQUESTS`, they are some of them.
-        """
+        """Return the quarantined requests to tell, with the time left in seconds."""
         with self._lock:
             now_s = self._clock()
             requests = [*self._conclusive, *self._adopted_until_s_by_request]
@@ -180,22 +171,19 @@
             for request, left_s in left_s_by_request.items():
                 if left_s <= 0:
                     self._adopted_until_s_by_request.pop(request, None)
-        told = [item for item, left_s in left_s_by_request.items() if left_s > 0]
-        if len(told) > MAX_TOLD_REQUESTS:
-            told = random.sample(told, MAX_TOLD_REQUESTS)
-        return {item: left_s_by_request[item] for item in told}
+        return choose_told(left_s_by_request)
 
     def adopt(self, quarantine_s_by_request: Mapping[Fingerprint, float]) -> None:
         """Quarantine the requests of a peer, unless this node has seen one answered."""
         adopted = []
         with self._lock:
             now_s = self._clock()
-            for request, told_s in quarantine_s_by_request.items():
-                if told_s < MIN_ADOPTED_S or request in self._answered_s_by_request:
+            lasting = choose_adopted(quarantine_s_by_request, QUARANTINE_S)
+            for request, left_s in lasting.items():
+                if request in self._answered_s_by_request:
                     continue
                 if self._left_s(request, now_s) > 0:
                     continue
-                left_s = min(QUARANTINE_S, told_s)
                 self._adopted_until_s_by_request[request] = now_s + left_s
                 self._adopted_until_s_by_request.move_to_end(request)
                 adopted.append((request, left_s))
--- a/src/camphoryard/node/views.py
+++ b/src/camphoryard/node/views.py
@@ -5,6 +5,7 @@
 
 from camphoryard.coordination.configuration.freshness import ConfigurationFreshness
 from camphoryard.coordination.inference.request_gateway import RequestGateway
+from camphoryard.coordination.inference.suspects import Suspects
 from camphoryard.coordination.observing.risks import NodeView, SystemView, find_risks
 from camphoryard.coordination.observing.status import Status
 from camphoryard.coordination.refusals.refusals import SECONDS_PER_MINUTE
@@ -14,7 +15,9 @@
 from camphoryard.state.timeline import NANOSECONDS_PER_MILLISECOND
 
 
-def make_digest(shared: SharedContext, gateway: RequestGateway) -> NodeDigest:
+def make_digest(
+    shared: SharedContext, gateway: RequestGateway, suspects: Suspects
+) -> NodeDigest:
     """Return the current digest of this node, for its peers."""
     return NodeDigest(
         shared.identity.node,
@@ -25,6 +28,7 @@
         shared.estimates.polled_by_id(),
         time.monotonic_ns() // NANOSECONDS_PER_MILLISECOND,
         shared.demand.by_item(),
+        quarantine_s_by_request=suspects.quarantine_s_by_request(),
     )
 
 
--- a/tests/coordination/membership/test_gossip.py
+++ b/tests/coordination/membership/test_gossip.py
@@ -6,6 +6,7 @@
 import pytest
 
 from camphoryard.coordination.configuration.freshness import ConfigurationFreshness
+from camphoryard.coordination.inference.suspects import Suspects
 from camphoryard.coordination.membership.gossip import (
     AllToAll,
     BoundedFanOut,
@@ -13,11 +14,14 @@
     Gossiper,
     choose_neighbours,
 )
-from camphoryard.coordination.messages import Gossip, GossipAnswer
+from camphoryard.coordination.messages import CrashReport, Gossip, GossipAnswer
 from camphoryard.state.configuration import Configuration
 from camphoryard.state.enums import NodeState
+from camphoryard.state.errors import RefusalError
 from camphoryard.state.nodes import NodeDigest, NodeLease, NodeTable
 from camphoryard.state.tables import ConfigurationHolder
+from camphoryard.state.verdict import Verdict
+from tests.fakes.serving import NoPeers, timeline
 
 NODES = 30
 ROUNDS = 12
@@ -43,6 +47,7 @@
         self.freshness = ConfigurationFreshness(
             self.lease.node, self.holder, lambda: set(by_id), 60.0
         )
+        self.suspects = Suspects(self.lease.node, self.nodes, NoPeers(), timeline())
         self.catch_up_peers = []
         self.lease_peers = []
         self.lease_zones = []
@@ -58,6 +63,7 @@
                 self.digest,
                 self.catch_up_peers.append,
                 self.fetch_leases,
+                self.suspects.adopt,
             ),
             policy,
         )
@@ -67,7 +73,12 @@
         self.beat += 1
         generation = self.holder.current.generation
         return NodeDigest(
-            self.lease.node, "i", NodeState.SERVING, generation, beat=self.beat
+            self.lease.node,
+            "i",
+            NodeState.SERVING,
+            generation,
+            beat=self.beat,
+            quarantine_s_by_request=self.suspects.quarantine_s_by_request(),
         )
 
     def fetch_leases(self, node, zones):
@@ -118,6 +129,21 @@
             received = {item for item in fleet if node.nodes.digest(item) is not None}
             assert len(received | {node.lease.node}) == NODES
 
+    # Guards against: a node that missed the report of a crash, as it was cut off or
+    # stood still, let a quarantined request crash one more endpoint.
+    def test_every_node_learns_which_requests_are_quarantined(self, fleet):
+        """The report itself is sent once, to the nodes that are alive then."""
+        for endpoint in ("engine-1", "engine-2"):
+            fleet["n00"].suspects.record_crash(
+                CrashReport("poison", endpoint, early=True, on_trial=False)
+            )
+        for _ in range(ROUNDS):
+            for node in fleet.values():
+                node.gossiper.send_round()
+        for node in fleet.values():
+            with pytest.raises(RefusalError):
+                node.suspects.check("poison", Verdict.NOT_RUN)
+
     def test_every_node_confirms_without_the_object_api(self, fleet):
         """Confirmations of a majority reach every node, with their ages."""
         for node in fleet.values():
--- a/tests/coordination/routing/test_crash_counter.py
+++ b/tests/coordination/routing/test_crash_counter.py
@@ -7,12 +7,12 @@
 from camphoryard.coordination.forwarding.ports import ClientRequest
 from camphoryard.coordination.routing.crash_counter import (
     MAX_RECORDED_REQUESTS,
-    MAX_TOLD_REQUESTS,
     MIN_OTHER_ANSWERS,
     QUARANTINE_S,
     CrashCounter,
     fingerprint,
 )
+from camphoryard.coordination.routing.told_quarantines import MAX_TOLD_REQUESTS
 from camphoryard.state.ids import RequestId
 from tests.fakes.engines import SERVICE, Clock, RecordedLog
 
