Count the time of a request from its receipt

A request that waits for a task, as others occupy all of them, got its whole time once more when a task took it up: callers were held past the time-out of their route, and endpoints were told more time than the caller had left.

The parser now notes when a request is complete, and both front ends count deadlines from there. TestArrival failed before (the second request had arrived after the first one released the only task); TestDeadlines covers camphoryardd and is new, as its decoder had no such argument. Tests of transport, protocol, the HTTP API and the entry daemon pass.

--- a/src/camphoryard/protocol/caller.py
+++ b/src/camphoryard/protocol/caller.py
@@ -2,7 +2,6 @@
 
 import math
 import re
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -87,9 +86,13 @@
     caller: CallerId,
     chat: bool,
     id: RequestId,
+    received_s: float,
 ) -> Completion:
     """Return the request that a caller sent, with ``id`` as its id.
 
+    It was received at the monotonic time ``received_s``, in seconds, from which its
+    deadlines count.
+
     Raises
     ------
     RefusalError
@@ -109,7 +112,7 @@
             Reason.BAD_FIELD, f"must be 1 to {MAX_TOKENS}", field="max_tokens"
         )
     model, _, adapter = form.model.partition(":")
-    total_deadline_s = _total_deadline_s(headers)
+    total_deadline_s = _total_deadline_s(headers, received_s)
     request = InferenceRequest(
         id,
         caller,
@@ -117,7 +120,7 @@
         AdapterId(adapter) if adapter else None,
         _prompt(form),
         form.max_tokens,
-        min(_deadline_s(headers), total_deadline_s),
+        min(_deadline_s(headers, received_s), total_deadline_s),
         _priority(headers),
         total_deadline_s,
     )
@@ -149,8 +152,12 @@
     headers: Mapping[str, str],
     caller: CallerId,
     id: RequestId,
+    received_s: float,
 ) -> ActionRequest:
-    """Return the call to a service's operation; raises RefusalError."""
+    """Return the call to a service's operation; raises RefusalError.
+
+    Its deadline counts from the monotonic time ``received_s``, in seconds.
+    """
     key = idempotency_key(headers)
     if not _OPERATION.fullmatch(operation):
         raise RefusalError(
@@ -164,7 +171,7 @@
         ServiceId(service),
         operation,
         body,
-        _deadline_s(headers),
+        _deadline_s(headers, received_s),
         _priority(headers),
         key,
     )
@@ -184,26 +191,26 @@
     return IdempotencyKey(key)
 
 
-def _deadline_s(headers: Mapping[str, str]) -> float:
+def _deadline_s(headers: Mapping[str, str], received_s: float) -> float:
     text = headers.get(DEADLINE_HEADER, str(DEFAULT_DEADLINE_MS))
-    return _deadline_from_now_s(DEADLINE_HEADER, text)
+    return received_s + _duration_s(DEADLINE_HEADER, text)
 
 
-def _total_deadline_s(headers: Mapping[str, str]) -> float:
+def _total_deadline_s(headers: Mapping[str, str], received_s: float) -> float:
     text = headers.get(TOTAL_DEADLINE_HEADER)
-    return (
-        math.inf if text is None else _deadline_from_now_s(TOTAL_DEADLINE_HEADER, text)
-    )
+    if text is None:
+        return math.inf
+    return received_s + _duration_s(TOTAL_DEADLINE_HEADER, text)
 
 
-def _deadline_from_now_s(header: str, text: str) -> float:
+def _duration_s(header: str, text: str) -> float:
     if not _is_deadline_ms(text):
         raise RefusalError(
             Reason.BAD_HEADER,
             f"must be 1 to {MAX_DEADLINE_MS} milliseconds",
             field=header,
         )
-    return time.monotonic() + int(text) / MILLISECONDS_PER_SECOND
+    return int(text) / MILLISECONDS_PER_SECOND
 
 
 def _is_deadline_ms(text: str) -> bool:
--- a/src/camphoryard/transport/app.py
+++ b/src/camphoryard/transport/app.py
@@ -19,6 +19,7 @@
 from camphoryard.transport.http_server import (
     CANCELLATION,
     MAX_BODY_BYTES,
+    RECEIVED_S,
     Environ,
     HttpRequest,
     HttpResponse,
@@ -184,6 +185,7 @@
         environ["wsgi.input"].read(length) if length else b"",
         id,
         environ[CANCELLATION],
+        environ[RECEIVED_S],
     )
 
 
--- a/src/camphoryard/transport/caller_api.py
+++ b/src/camphoryard/transport/caller_api.py
@@ -57,7 +57,7 @@
         Before the first token; later errors are sent in the stream.
     """
     completion = decode_completion(
-        request.body, request.headers, caller, chat, request.id
+        request.body, request.headers, caller, chat, request.id, request.received_s
     )
     if completion.stream:
         return _stream_answer(gateway, completion, request.cancellation, reply)
@@ -92,7 +92,13 @@
     """Answer a call to ``SERVICE/OPERATION``; raises RefusalError."""
     service, _, operation = path.partition("/")
     action = action_request(
-        service, operation, request.body, request.headers, caller, request.id
+        service,
+        operation,
+        request.body,
+        request.headers,
+        caller,
+        request.id,
+        request.received_s,
     )
     answer = gateway.act(action)
     headers = {
--- a/src/camphoryard/transport/front.py
+++ b/src/camphoryard/transport/front.py
@@ -22,6 +22,7 @@
 from camphoryard.state.verdict import Verdict
 from camphoryard.transport.http_server import (
     CANCELLATION,
+    RECEIVED_S,
     Environ,
     HttpResponse,
     StartResponse,
@@ -120,7 +121,7 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one request; see PEP 3333."""
-        arrived_s = time.monotonic()
+        arrived_s = environ[RECEIVED_S]
         reply = WsgiReply(start_response)
         request: ClientRequest | None = None
         try:
--- a/src/camphoryard/transport/http_server.py
+++ b/src/camphoryard/transport/http_server.py
@@ -67,6 +67,9 @@
 """Idle connections stay open this much longer than announced to clients, so that
 none is closed while the next request is in flight."""
 CANCELLATION = "camphoryard.cancellation"
+RECEIVED_S = "camphoryard.received_s"
+"""Monotonic time at which a request was received whole, in seconds. It may have waited
+for a task since then."""
 
 StartResponse: TypeAlias = Callable[[str, list[tuple[str, str]]], Any]
 Environ: TypeAlias = dict[str, Any]
@@ -74,7 +77,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A request as passed to the handlers; header names are in title case."""
+    """A request as passed to the handlers; header names are in title case.
+
+    ``received_s`` is the monotonic time at which it was received whole, in seconds.
+    """
 
     method: str
     path: str
@@ -83,6 +89,7 @@
     body: bytes
     id: RequestId
     cancellation: Cancellation
+    received_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,12 +194,13 @@
 
 
 class ConnectionTask(WSGITask):
-    """Adds the cancellation of the connection to the WSGI environment."""
+    """Adds to the WSGI environment what only the connection knows."""
 
     def get_environment(self) -> Environ:
         """Return the WSGI environment."""
         environ: Environ = super().get_environment()
         environ[CANCELLATION] = self.channel.cancellation
+        environ[RECEIVED_S] = self.request.received_s
         return environ
 
     def build_response_header(self) -> bytes:
@@ -231,6 +239,8 @@
     completed: bool
     content = b""
     """The whole body, once it is received."""
+    received_s = 0.0
+    """Monotonic time at which the request was complete, in seconds."""
 
     def parse_header(self, header_plus: bytes) -> None:
         """Read the head; raises ParsingError if its length is ambiguous."""
@@ -250,6 +260,12 @@
 
     def received(self, data: bytes) -> int:
         """Parse received bytes; return how many belong to this request."""
+        consumed = self._parse(data)
+        if self.completed:
+            self.received_s = time.monotonic()
+        return consumed
+
+    def _parse(self, data: bytes) -> int:
         body = self.body_rcv
         if body is None or self.completed:
             count: int = super().received(data)
--- a/tests/protocol/test_answers.py
+++ b/tests/protocol/test_answers.py
@@ -18,7 +18,7 @@
 def completion(chat=False, **fields):
     """Return a decoded completion request."""
     body = msgspec.json.encode({"model": "m", "prompt": "p", **fields})
-    return decode_completion(body, {}, "meter-app", chat, "r1")
+    return decode_completion(body, {}, "meter-app", chat, "r1", 0.0)
 
 
 class TestEncodeError:
--- a/tests/protocol/test_caller.py
+++ b/tests/protocol/test_caller.py
@@ -4,8 +4,10 @@
 import pytest
 
 from camphoryard.protocol.caller import (
+    DEADLINE_HEADER,
     KEY_HEADER,
     MAX_KEY_CHARACTERS,
+    TOTAL_DEADLINE_HEADER,
     action_request,
     decode_completion,
 )
@@ -13,11 +15,31 @@
 from camphoryard.state.errors import RefusalError
 from camphoryard.state.verdict import Verdict
 
+RECEIVED_S = 100.0
+"""Monotonic time at which the requests have been received."""
+
 
 def decode(operation="book", key="k1"):
     """Return the decoded action request."""
     headers = {KEY_HEADER: key}
-    return action_request("bookings", operation, b"{}", headers, "front-desk", "r1")
+    return action_request(
+        "bookings", operation, b"{}", headers, "front-desk", "r1", RECEIVED_S
+    )
+
+
+class TestDeadlines:
+    """Deadlines of requests that have waited in a queue."""
+
+    HEADERS = {DEADLINE_HEADER: "3000", TOTAL_DEADLINE_HEADER: "4000"}
+
+    def test_deadlines_count_from_the_receipt(self):
+        """The time that a caller waits for a task is a part of its time."""
+        arguments = ("bookings", "book", b"{}", self.HEADERS, "c", "r1", RECEIVED_S)
+        assert action_request(*arguments).deadline_s == RECEIVED_S + 3
+        body = msgspec.json.encode({"model": "m", "prompt": "p"})
+        decoded = decode_completion(body, self.HEADERS, "c", False, "r1", RECEIVED_S)
+        assert decoded.request.deadline_s == RECEIVED_S + 3
+        assert decoded.request.total_deadline_s == RECEIVED_S + 4
 
 
 class TestActionRequest:
@@ -50,7 +72,7 @@
 def completion(chat=False, **fields):
     """Return a decoded completion request."""
     body = msgspec.json.encode({"model": "m", "prompt": "p", **fields})
-    return decode_completion(body, {}, "meter-app", chat, "r1")
+    return decode_completion(body, {}, "meter-app", chat, "r1", RECEIVED_S)
 
 
 class TestStreamOptions:
--- a/tests/transport/test_front.py
+++ b/tests/transport/test_front.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 
@@ -67,6 +68,10 @@
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 10.0
+REQUEST = (
+    b"POST /a/b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+    b"Attempt-Id: q1\r\nContent-Length: 2\r\n\r\nhi"
+)
 
 
 @pytest.fixture
@@ -86,10 +91,7 @@
         monkeypatch.setattr("camphoryard.transport.front.forward", forward)
         address = (HOST, server.effective_port)
         with socket.create_connection(address, TIMEOUT_S) as connection:
-            connection.sendall(
-                b"POST /a/b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-                b"Attempt-Id: q1\r\nContent-Length: 2\r\n\r\nhi"
-            )
+            connection.sendall(REQUEST)
             return b"".join(iter(lambda: connection.recv(4096), b""))
 
     yield send
@@ -97,6 +99,63 @@
     executor.shutdown()
 
 
+class SingleTask(ThreadPoolExecutor):
+    """Runs one task at a time; counts the submitted ones."""
+
+    def __init__(self):
+        super().__init__(1)
+        self.submitted = threading.Semaphore(0)
+
+    def submit(self, *args, **kwargs):
+        """Submit a task."""
+        future = super().submit(*args, **kwargs)
+        self.submitted.release()
+        return future
+
+
+# Guards against CONFIG and BUDGET: requests that had waited for a task were held past
+# the time-out of their route, and endpoints were told more time than was left.
+class TestArrival:
+    """Requests that wait for a task, as others occupy all of them."""
+
+    def test_time_in_the_queue_counts(self, monkeypatch):
+        """A request arrives when it has been received."""
+        arrived_s, begun, go_on = [], threading.Event(), threading.Event()
+
+        def forward(context, request, cancellation, reply):
+            arrived_s.append(request.arrived_s)
+            begun.set()
+            go_on.wait(TIMEOUT_S)
+            raise RefusalError(Reason.OVERLOADED, "x", NOT_RUN)
+
+        monkeypatch.setattr("camphoryard.transport.front.forward", forward)
+        context = SimpleNamespace(
+            log=RecordedLog(),
+            count=lambda _: None,
+            directory=SimpleNamespace(rules=None),
+        )
+        app = FrontApp(context, PlatformDialect())
+        with SingleTask() as executor:
+            server = make_server(app, HOST, 0, executor, app.refuse)
+            threading.Thread(target=server.run, daemon=True).start()
+            address = (HOST, server.effective_port)
+            with (
+                socket.create_connection(address, TIMEOUT_S) as first,
+                socket.create_connection(address, TIMEOUT_S) as second,
+            ):
+                first.sendall(REQUEST)
+                assert executor.submitted.acquire(timeout=TIMEOUT_S)
+                assert begun.wait(TIMEOUT_S)
+                second.sendall(REQUEST)
+                assert executor.submitted.acquire(timeout=TIMEOUT_S)
+                released_s = time.monotonic()
+                go_on.set()
+                assert second.recv(4096)
+            server.close()
+        assert len(arrived_s) == 2
+        assert arrived_s[1] < released_s
+
+
 # Guards against LOST: a connection closed where a status could still be sent.
 class TestUnansweredRequests:
     """What a client gets if forwarding its request fails."""
