Wait until a paused process has stopped

The test then gave the withheld answer to a claimant that still ran: it ran the action, once, and the resend got its answer.

Process.pause waits for the stop; all uses of SIGSTOP in tests, soaks and bench go through it. Nothing is asserted less.

--- a/bench/action_faults.py
+++ b/bench/action_faults.py
@@ -6,7 +6,6 @@
 """
 
 import random
-import signal
 import sys
 import threading
 from collections import Counter
@@ -133,9 +132,9 @@
             pause.wait(MAX_PAUSE_S)
         case FreezeNode(node, duration_s):
             process = site.fleet.process_by_name[node]
-            process.signal(signal.SIGSTOP)
+            process.pause()
             pause.wait(duration_s)
-            process.signal(signal.SIGCONT)
+            process.resume()
         case Outage(duration_s):
             site.control("object-api", outage=True)
             pause.wait(duration_s)
--- a/faults/entry_injections.py
+++ b/faults/entry_injections.py
@@ -104,9 +104,9 @@
             site.restart_node(node)
         case NodeFreezes(node, for_s):
             process = site.fleet.process_by_name[node]
-            process.signal(signal.SIGSTOP)
+            process.pause()
             site.stop.wait(for_s)
-            process.signal(signal.SIGCONT)
+            process.resume()
         case FleetRestarts(end, gap_s):
             _restart_fleet(site, end, gap_s)
         case FleetRestartsInTrouble(trouble, FleetRestarts(end, gap_s)):
@@ -169,9 +169,9 @@
 def _pause(site: SoakSite, name: str, for_s: float) -> None:
     process = site.fleet.process_by_name[name]
     began_s = time.monotonic()
-    process.signal(signal.SIGSTOP)
+    process.pause()
     site.stop.wait(for_s)
-    process.signal(signal.SIGCONT)
+    process.resume()
     with site.lock:
         site.history.disturbances.append(Disturbance(name, began_s, time.monotonic()))
 
--- a/faults/injections.py
+++ b/faults/injections.py
@@ -353,9 +353,9 @@
 
 def _freeze(site: Site, name: str, duration_s: float, stop: threading.Event) -> None:
     process = site.fleet.process_by_name[name]
-    process.signal(signal.SIGSTOP)
+    process.pause()
     stop.wait(duration_s)
-    process.signal(signal.SIGCONT)
+    process.resume()
 
 
 def affected_targets(injection: Injection, site: Site) -> frozenset[str]:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -74,6 +74,22 @@
         """Send a signal."""
         self.popen.send_signal(number)
 
+    def pause(self) -> None:
+        """Stop the process, and wait until none of its threads runs.
+
+        On a busy machine threads run on for some milliseconds after SIGSTOP was sent.
+        """
+        self.popen.send_signal(signal.SIGSTOP)
+        try:
+            os.waitid(os.P_PID, self.popen.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+        except ChildProcessError:
+            # The process has ended, and its exit code was taken.
+            return
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
     def kill(self) -> None:
         """Kill the process and wait until it has exited."""
         self.popen.kill()
@@ -139,7 +155,7 @@
     def __exit__(self, *exc: object) -> None:
         for process in self.process_by_name.values():
             if process.popen.poll() is None:
-                process.signal(signal.SIGCONT)
+                process.resume()
                 process.signal(signal.SIGTERM)
         deadline_s = time.monotonic() + STOP_TIMEOUT_S
         for process in self.process_by_name.values():
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -4,10 +4,10 @@
 Faults: ``outage`` (every call answers 503), ``lose_answers`` (that many writes take
 effect and answer 503, only below ``lose_prefix`` if it is set), ``delay_ms`` (delay of
 every call), ``stall_prefix`` (writes below it take effect, but are answered only after
-it is cleared) and ``hold_prefix`` (the same for reads, writes and conflicts, which
-``held`` counts, but not for listings and watches). With ``restore_s`` every call
-answers 503 for ``away_s``; then the store is as it was ``restore_s`` before, and the
-control call is answered.
+it is cleared) and ``hold_prefix`` (the same for reads, writes and conflicts, whose
+methods and keys are in ``held``, but not for listings and watches). With ``restore_s``
+every call answers 503 for ``away_s``; then the store is as it was ``restore_s`` before,
+and the control call is answered.
 """
 
 import threading
@@ -62,7 +62,6 @@
     writes: int = 0
     watches: int = 0
     conflicts: int = 0
-    held: int = 0
 
 
 @dataclass(slots=True)
@@ -77,6 +76,8 @@
     is_away: bool = False
     faults: Faults = field(default_factory=Faults)
     counts: Counts = field(default_factory=Counts)
+    held: list[str] = field(default_factory=list)
+    """Method and key of each call whose answer was withheld, in order."""
     changed: threading.Condition = field(default_factory=threading.Condition)
 
     def handle(self, request: Request) -> Response:
@@ -94,10 +95,10 @@
                 return self._list(request.query.get("prefix", ""))
             case ("GET", path):
                 key = path.removeprefix("/objects/")
-                return self._respond_after_hold(key, self._get(key))
-            case ("PUT" | "DELETE", path):
+                return self._respond_after_hold("GET", key, self._get(key))
+            case ("PUT" | "DELETE" as method, path):
                 key = path.removeprefix("/objects/")
-                return self._respond_after_hold(key, self._write(key, request))
+                return self._respond_after_hold(method, key, self._write(key, request))
         return self._answer({"error": "not found"}, 404)
 
     def go_away(self) -> None:
@@ -133,12 +134,16 @@
                 for name, value in settings.items():
                     setattr(self.faults, name, value)
                 self.changed.notify_all()
-            return json_response({"faults": self.faults, "counts": self.counts})
+            return json_response(
+                {"faults": self.faults, "counts": self.counts, "held": self.held}
+            )
 
-    def _respond_after_hold(self, key: str, response: Response) -> Response:
+    def _respond_after_hold(
+        self, method: str, key: str, response: Response
+    ) -> Response:
         with self.changed:
             if self._is_held(key):
-                self.counts.held += 1
+                self.held.append(f"{method} {key}")
                 self.changed.wait_for(lambda: not self._is_held(key))
         return response
 
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -78,12 +78,12 @@
 
 @when(parsers.parse("{name} is paused"))
 def _pause(world, name):
-    world.fleet.process_by_name[name].signal(signal.SIGSTOP)
+    world.fleet.process_by_name[name].pause()
 
 
 @when(parsers.parse("{name} resumes"))
 def _resume(world, name):
-    world.fleet.process_by_name[name].signal(signal.SIGCONT)
+    world.fleet.process_by_name[name].resume()
 
 
 @when(parsers.re(r"(?P<name>(node|engine|bookings)-\d+) restarts"))
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -1,6 +1,7 @@
 """Tests of starting stand-ins and daemons."""
 
 import socket
+from pathlib import Path
 
 import pytest
 
@@ -43,3 +44,35 @@
             fleet.start_standin("object-api", "object_api", "--no-such-option")
             with pytest.raises(StartError, match="no-such-option"):
                 fleet.wait_ready(["object-api"])
+
+
+# Guards against: a paused node went on for some milliseconds on a busy machine, and did
+# what the test took for impossible.
+class TestPause:
+    """Pausing a process with several threads."""
+
+    def test_no_thread_runs_after_pause(self):
+        """All of them are stopped when the call returns, and go on after resume."""
+        with Fleet() as fleet:
+            fleet.start_standin("object-api", "object_api", "--host", HOST)
+            fleet.wait_ready(["object-api"])
+            process = fleet.process_by_name["object-api"]
+            process.pause()
+            tasks = Path(f"/proc/{process.popen.pid}/task")
+            states = [
+                (task / "stat").read_text().rpartition(")")[2].split()[0]
+                for task in tasks.iterdir()
+            ]
+            assert set(states) == {"T"}
+            process.resume()
+            fleet.wait_ready(["object-api"])
+
+    def test_process_that_has_ended_is_not_waited_for(self):
+        """Faults that overlap may have killed it."""
+        with Fleet() as fleet:
+            fleet.start_standin("object-api", "object_api", "--host", HOST)
+            fleet.wait_ready(["object-api"])
+            process = fleet.process_by_name["object-api"]
+            process.kill()
+            process.pause()
+            process.resume()
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -4,13 +4,14 @@
 service logged.
 """
 
-import signal
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from itertools import count
+from types import SimpleNamespace
 
 import pytest
 
+from camphoryard.coordination.actions.claiming import claim_key
 from camphoryard.state.verdict import Verdict
 from standins.fleet import Fleet
 from standins.history import check_actions, service_runs
@@ -18,6 +19,7 @@
 from standins.site import SiteSpec, start_site
 
 NUMBERS = count(1)
+SERVICE = "bookings"
 MAX_CONCURRENT_SENDS = 8
 
 
@@ -56,16 +58,18 @@
         """Block until the service has executed an action of this caller."""
         self.site.fleet.wait_until(self.executions, "an execution")
 
-    def wait_for_withheld(self, before):
-        """Block until the object API has withheld more than ``before`` answers."""
+    def wait_for_withheld_claim(self, action):
+        """Block until the answer to the write of this action's claim is withheld.
+
+        Answers about claims of earlier tests may be withheld as well.
+        """
+        claimed = SimpleNamespace(caller=action.caller, service=SERVICE, key=action.key)
+        write = f"PUT claims/{claim_key(claimed)}"
         self.site.fleet.wait_until(
-            lambda: self.withheld_count() > before, "a withheld answer"
+            lambda: write in self.site.control("object-api")["held"],
+            "a withheld answer",
         )
 
-    def withheld_count(self):
-        """Return how many answers the object API has withheld so far."""
-        return self.site.control("object-api")["counts"]["held"]
-
     def kill(self, node):
         """Kill a node."""
         self.site.fleet.process_by_name[node].kill()
@@ -227,10 +231,9 @@
     def test_kill_between_claim_and_dispatch(self, caller):
         """The claim stays, nothing ran, and no other node runs the action."""
         action = caller.action()
-        before = caller.withheld_count()
         caller.site.control("object-api", hold_prefix="claims/")
         first = caller.start("node-1", action)
-        caller.wait_for_withheld(before)
+        caller.wait_for_withheld_claim(action)
         caller.kill("node-1")
         caller.site.control("object-api", hold_prefix="")
         again = caller.send("node-2", action).send
@@ -270,15 +273,14 @@
     def test_paused_claimant_alone_runs_the_action(self, caller):
         """A resend does not run the action, which the paused node runs on resuming."""
         action = caller.action()
-        before = caller.withheld_count()
         caller.site.control("object-api", hold_prefix="claims/")
         first = caller.start("node-1", action)
-        caller.wait_for_withheld(before)
+        caller.wait_for_withheld_claim(action)
         node = caller.site.fleet.process_by_name["node-1"]
-        node.signal(signal.SIGSTOP)
+        node.pause()
         caller.site.control("object-api", hold_prefix="")
         again = caller.send("node-2", action).send
-        node.signal(signal.SIGCONT)
+        node.resume()
         assert (again.status, again.verdict) == (409, Verdict.MAY_HAVE_RUN)
         assert first.result().send.verdict is Verdict.RAN
         assert caller.send("node-2", action).replayed
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -1,6 +1,5 @@
 """Tests of configuration changes over real processes."""
 
-import signal
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
@@ -95,13 +94,13 @@
 def pause_nodes(site, nodes):
     """Pause the processes of nodes; their sockets stay open."""
     for node in nodes:
-        site.fleet.process_by_name[node].signal(signal.SIGSTOP)
+        site.fleet.process_by_name[node].pause()
 
 
 def resume_nodes(site, nodes):
     """Resume the paused processes of nodes."""
     for node in nodes:
-        site.fleet.process_by_name[node].signal(signal.SIGCONT)
+        site.fleet.process_by_name[node].resume()
 
 
 class TestAcceptedChanges:
--- a/tests/system/test_memory.py
+++ b/tests/system/test_memory.py
@@ -101,7 +101,7 @@
         executor.submit(request_until, stop, site, requester, model)
         wait(site, lambda: is_load_recorded(site, model), "an intent")
         process = site.fleet.process_by_name[owner]
-        process.signal(signal.SIGSTOP)
+        process.pause()
         stop.set()
         site.control("object-api", stall_prefix="")
         site.control(ENGINE, hold_orders=False)
@@ -109,7 +109,7 @@
         try:
             yield owner, process
         finally:
-            process.signal(signal.SIGCONT)
+            process.resume()
 
 
 def request_until(stop, site, node, model):
