Share the set-up of two tests of the entry daemon and of pauses

Two tests wrote the same configuration with one more route and waited for it, and two the same stand-in. EntrySite.add_route and a fixture do that now; no assertion was changed, and the tests of both files pass.

--- a/standins/entry_site.py
+++ b/standins/entry_site.py
@@ -140,6 +140,16 @@
         body = {"metadata": {"name": name}, "spec": spec}
         return request(self.store_port, "PUT", f"/objects/{kind}/{name}", body)
 
+    def add_route(self, name: str, kind: str, service: str, **fields: Any) -> None:
+        """Write version 2 of the configuration, with one more route; await it."""
+        routes = [*CONFIG["routes"], make_route(name, kind, service, **fields)]
+        self.put("config", "main", {**CONFIG, "version": 2, "routes": routes})
+        log = self.fleet.process_by_name["entry"].log
+        self.fleet.wait_until(
+            lambda: "event=configuration_adopted version=2" in log.read_text(),
+            "configuration",
+        )
+
     def control(self, **faults: int) -> None:
         """Set faults at the stand-in."""
         request(self.store_port, "POST", "/control", faults)
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -51,28 +51,30 @@
 class TestPause:
     """Pausing a process with several threads."""
 
-    def test_no_thread_runs_after_pause(self):
-        """All of them are stopped when the call returns, and go on after resume."""
+    @pytest.fixture
+    def fleet(self):
+        """Return a fleet with one process that is ready."""
         with Fleet() as fleet:
             fleet.start_standin("object-api", "object_api", "--host", HOST)
             fleet.wait_ready(["object-api"])
-            process = fleet.process_by_name["object-api"]
-            process.pause()
-            tasks = Path(f"/proc/{process.popen.pid}/task")
-            states = [
-                (task / "stat").read_text().rpartition(")")[2].split()[0]
-                for task in tasks.iterdir()
-            ]
-            assert set(states) == {"T"}
-            process.resume()
-            fleet.wait_ready(["object-api"])
+            yield fleet
+
+    def test_no_thread_runs_after_pause(self, fleet):
+        """All of them are stopped when the call returns, and go on after resume."""
+        process = fleet.process_by_name["object-api"]
+        process.pause()
+        tasks = Path(f"/proc/{process.popen.pid}/task")
+        states = [
+            (task / "stat").read_text().rpartition(")")[2].split()[0]
+            for task in tasks.iterdir()
+        ]
+        assert set(states) == {"T"}
+        process.resume()
+        fleet.wait_ready(["object-api"])
 
-    def test_process_that_has_ended_is_not_waited_for(self):
+    def test_process_that_has_ended_is_not_waited_for(self, fleet):
         """Faults that overlap may have killed it."""
-        with Fleet() as fleet:
-            fleet.start_standin("object-api", "object_api", "--host", HOST)
-            fleet.wait_ready(["object-api"])
-            process = fleet.process_by_name["object-api"]
-            process.kill()
-            process.pause()
-            process.resume()
+        process = fleet.process_by_name["object-api"]
+        process.kill()
+        process.pause()
+        process.resume()
--- a/tests/system/test_entry.py
+++ b/tests/system/test_entry.py
@@ -212,16 +212,7 @@
         with Fleet() as fleet:
             site = EntrySite(fleet)
             timeout_ms = round(self.ROUTE_TIMEOUT_S * 1000)
-            brief = make_route(
-                "brief", "streaming", "models", **{"timeout-ms": timeout_ms}
-            )
-            routes = [*CONFIG["routes"], brief]
-            site.put("config", "main", {**CONFIG, "version": 2, "routes": routes})
-            log = fleet.process_by_name["entry"].log
-            fleet.wait_until(
-                lambda: "event=configuration_adopted version=2" in log.read_text(),
-                "configuration",
-            )
+            site.add_route("brief", "streaming", "models", **{"timeout-ms": timeout_ms})
             site.call("/chat/1", "w1", Model="m1")
             site.control(**fault)
             connection = site.connect()
@@ -280,14 +271,8 @@
         """They may have run, so they get 502; other signals change nothing."""
         with Fleet() as fleet:
             site = EntrySite(fleet)
-            draft = make_route("draft", "streaming", "models", **{"goal-ms": 5000})
-            routes = [*CONFIG["routes"], draft]
-            site.put("config", "main", {**CONFIG, "version": 2, "routes": routes})
+            site.add_route("draft", "streaming", "models", **{"goal-ms": 5000})
             log = fleet.process_by_name["entry"].log
-            fleet.wait_until(
-                lambda: "event=configuration_adopted version=2" in log.read_text(),
-                "configuration",
-            )
             site.call("/draft/1", "w1", Model="m1")
             # One begins before the stop; the others arrive on connections kept open.
             site.control(events=100_000)
