Refuse answers whose head is malformed

Callers saw: an answer of an endpoint in trouble, with a malformed length, a line that is no field, or a blank or control byte in a name, as a whole answer with a body that was not the endpoint's. Malformed refusals reached them as promises that nothing ran.

Cause: http.client reads heads with a parser for mail. It ends the head at a line that is no field, so that the length after it is lost; ignores a length that int() does not read, and reads one that HTTP does not allow (signs, underscores, no-break spaces); and splits the status line at any blank. An answer without a length ends with its connection, and so counted as whole.

Change: StrictResponse, the response class of the one HTTP client, reads the head itself by RFC 9110 and 9112 and raises an error at the first line that is none. The error is that of a broken connection: the request may have run, the connection is reset, the breaker counts a failure, and attempt_failed names the endpoint and quotes the line. It holds for every caller of the client, as no other code sees a head before. The separate checks for a head that was cut short are part of it now. waitress, whose parser reads the requests of clients, defines the characters of a name.

Status 000 was refused before: its test is kept.

--- /dev/null
+++ b/src/camphoryard/transport/http_answers.py
@@ -0,0 +1,228 @@
+"""Strict reading of the heads of HTTP answers, by RFC 9110 and 9112.
+
+http.client reads heads with a parser for mail. It ends a head at a line that is no
+field, ignores a length that it cannot read, and takes whatever Python's ``int`` does
+for a number. A proxy that forwards such an answer makes up its body.
+"""
+
+import re
+from dataclasses import dataclass
+from http.client import (
+    HTTPException,
+    HTTPMessage,
+    HTTPResponse,
+    IncompleteRead,
+    LineTooLong,
+    RemoteDisconnected,
+)
+from typing import TypeAlias
+
+from waitress.rfc7230 import TOKEN
+
+LINE_END = b"\r\n"
+MAX_LINE_BYTES = 1 << 16
+"""Maximum size of one line, as in http.client."""
+MAX_FIELDS = 100
+"""Maximum number of fields of a head, as in http.client."""
+MAX_LENGTH_DIGITS = 18
+"""Maximum number of significant digits of a length, which then fits into 64 bits."""
+MAX_QUOTED_CHARACTERS = 80
+"""Maximum number of characters of a malformed answer that an error quotes."""
+CONTINUE = 100
+INTERIM_STATUSES = range(100, 200)
+STATUSES_WITHOUT_BODY = (204, 304)
+CHUNKED = "chunked"
+BLANKS = " \t"
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: (%b))?" % _TEXT)
+_FIELD_NAME = re.compile(TOKEN.encode("ascii"))
+_FIELD_VALUE = re.compile(_TEXT)
+_LENGTH = re.compile(rf"0*([0-9]{{1,{MAX_LENGTH_DIGITS}}})")
+
+
+class InvalidAnswerError(HTTPException):
+    """What a server sent is no answer in HTTP."""
+
+
+@dataclass(frozen=True, slots=True)
+class NoBody:
+    """The answer ends with its head."""
+
+
+@dataclass(frozen=True, slots=True)
+class SizedBody:
+    """The body has ``length`` bytes."""
+
+    length: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkedBody:
+    """The body ends with a chunk of size 0."""
+
+
+@dataclass(frozen=True, slots=True)
+class UndelimitedBody:
+    """The body ends with the connection."""
+
+
+Framing: TypeAlias = NoBody | SizedBody | ChunkedBody | UndelimitedBody
+
+
+@dataclass(frozen=True, slots=True)
+class StatusLine:
+    """First line of an answer, in version 1.``minor`` of HTTP."""
+
+    minor: int
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """A field of a head; ``name`` is as it was sent."""
+
+    name: str
+    value: str
+
+
+def parse_status_line(line: bytes) -> StatusLine:
+    """Return the first line of an answer, from its bytes without the line end.
+
+    Raises
+    ------
+    InvalidAnswerError
+        If it is no status line of HTTP/1, or its status is not from 100 to 599.
+    """
+    found = _STATUS_LINE.fullmatch(line)
+    if found is None:
+        raise _invalid("status line", line)
+    minor, status, reason = found.groups(default=b"")
+    return StatusLine(int(minor), int(status), reason.decode("latin-1"))
+
+
+def parse_field(line: bytes) -> Field:
+    """Return a field from the bytes of its line without the line end.
+
+    Raises
+    ------
+    InvalidAnswerError
+        If the line is no field, or a folded one, which RFC 9112, section 5.2, has
+        proxies refuse or rewrite.
+    """
+    name, colon, value = line.partition(b":")
+    is_name = colon and _FIELD_NAME.fullmatch(name)
+    if not is_name or not _FIELD_VALUE.fullmatch(value):
+        raise _invalid("field", line)
+    return Field(name.decode("ascii"), value.decode("latin-1").strip(BLANKS))
+
+
+def body_framing(start: StatusLine, fields: list[Field], method: str | None) -> Framing:
+    """Return how the body of the answer to a call with ``method`` is delimited.
+
+    Raises
+    ------
+    InvalidAnswerError
+        If the head does not tell: it has several lengths, a length beside a coding, or
+        a length or coding that is not known (RFC 9112, sections 6.1 to 6.3).
+    """
+    codings = _list_items(fields, "transfer-encoding")
+    lengths = _list_items(fields, "content-length")
+    is_chunked = bool(codings)
+    if is_chunked and (lengths or not start.minor or codings != [CHUNKED]):
+        raise _invalid("transfer coding", (codings, lengths))
+    length = _parse_length(lengths) if lengths else None
+    is_interim = start.status in INTERIM_STATUSES
+    if method == "HEAD" or is_interim or start.status in STATUSES_WITHOUT_BODY:
+        return NoBody()
+    if is_chunked:
+        return ChunkedBody()
+    return UndelimitedBody() if length is None else SizedBody(length)
+
+
+def _list_items(fields: list[Field], name: str) -> list[str]:
+    """Return the items, in lower case, of all lists in the fields with a name."""
+    return [
+        item.strip(BLANKS).lower()
+        for field in fields
+        if field.name.lower() == name
+        for item in field.value.split(",")
+    ]
+
+
+def _parse_length(items: list[str]) -> int:
+    """Return the length that all items state; raises InvalidAnswerError."""
+    found = [_LENGTH.fullmatch(item) for item in items]
+    lengths = {int(match[1]) for match in found if match}
+    if None in found or len(lengths) != 1:
+        raise _invalid("length", items)
+    return lengths.pop()
+
+
+def _invalid(what: str, text: object) -> InvalidAnswerError:
+    return InvalidAnswerError(f"invalid {what}: {text!r:.{MAX_QUOTED_CHARACTERS}}")
+
+
+class StrictResponse(HTTPResponse):
+    """An answer whose head is accepted as a whole, or refused with an error."""
+
+    _method: str | None
+
+    def begin(self) -> None:
+        """Read the head of the answer.
+
+        Raises
+        ------
+        HTTPException
+            If it is malformed, or the connection ends within it.
+        """
+        start, fields = self._read_head()
+        while start.status == CONTINUE:
+            start, fields = self._read_head()
+        self.status = start.status
+        self.reason = start.reason
+        self.version = 11 if start.minor else 10
+        self.headers = self.msg = HTTPMessage()
+        for field in fields:
+            self.headers[field.name] = field.value
+        self.will_close = self._check_close()  # type: ignore[attr-defined]
+        self.chunked, self.chunk_left, self.length = False, None, None
+        match body_framing(start, fields, self._method):
+            case NoBody():
+                self.length = 0
+            case SizedBody(length):
+                self.length = length
+            case ChunkedBody():
+                self.chunked = True
+            case UndelimitedBody():
+                self.will_close = True
+
+    def _read_head(self) -> tuple[StatusLine, list[Field]]:
+        start = parse_status_line(self._read_first_line())
+        fields: list[Field] = []
+        while line := self._read_line():
+            if len(fields) == MAX_FIELDS:
+                raise HTTPException(f"received more than {MAX_FIELDS} fields")
+            fields.append(parse_field(line))
+        return start, fields
+
+    def _read_first_line(self) -> bytes:
+        try:
+            return self._read_line()
+        except IncompleteRead as error:
+            if error.partial:
+                raise
+            raise RemoteDisconnected(
+                "the connection ended without an answer"
+            ) from error
+
+    def _read_line(self) -> bytes:
+        """Return the next line without its end."""
+        line = self.fp.readline(MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES:
+            raise LineTooLong("answer")
+        if not line.endswith(b"\n"):
+            raise IncompleteRead(line)
+        if not line.endswith(LINE_END):
+            raise _invalid("line end", line)
+        return line.removesuffix(LINE_END)
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -30,6 +30,7 @@
     StalledCallError,
 )
 from camphoryard.transport.answer_budget import MAX_SMALL_ANSWER_BYTES, AnswerBudget
+from camphoryard.transport.http_answers import StrictResponse
 
 MAX_IDLE_PER_POOL = 64
 CONNECT_TIMEOUT_S = 1.0
@@ -52,8 +53,7 @@
 """Maximum number of bytes received for one chunk."""
 MAX_LINES_IN_A_ROW = 256
 """Maximum number of lines without data between them: of a head with the interim heads
-before it, or of the trailers of a body. http.client reads a hundred headers at most,
-but any number of interim heads and trailers."""
+before it, or of the trailers of a body."""
 PIECE_BYTES = 1 << 16
 """Number of bytes of a body that are read at a time. http.client allocates the length
 that an answer claims if it is asked for the whole body."""
@@ -287,7 +287,6 @@
                 self.sock, method=exchange.call.method
             )
             following.begin()
-            exchange.connection.reader.check_line_end()
         except (OSError, HTTPException, ValueError) as error:
             raise broken_call_error(error) from error
         self.response = following
@@ -475,8 +474,8 @@
     def check_line_end(self) -> None:
         """Raise IncompleteRead unless the last line was empty, but for its end.
 
-        Such a line ends a head and the trailers of a chunked body; http.client takes
-        the end of the connection for it as well.
+        Such a line ends the trailers of a chunked body; http.client takes the end of
+        the connection for it as well.
         """
         if self._last_line not in LINE_ENDS:
             raise IncompleteRead(self._last_line)
@@ -558,7 +557,7 @@
     ) -> HTTPResponse:
         """Return the next answer, before its head is read."""
         self.answers += 1
-        response = HTTPResponse(sock, debuglevel, method)
+        response = StrictResponse(sock, debuglevel, method)
         response.fp.close()
         response.fp = self.reader  # type: ignore[assignment]
         return response
@@ -885,13 +884,7 @@
         connection.reader.fail_at_end(error)
     # The socket still has the timeout of the write.
     connection.reader.restart_limits()
-    response = connection.getresponse()
-    try:
-        connection.reader.check_line_end()
-    except IncompleteRead:
-        response.close()
-        raise
-    return response
+    return connection.getresponse()
 
 
 def _enable_keep_alive(sock: socket.socket) -> None:
--- /dev/null
+++ b/tests/fakes/raw_answers.py
@@ -0,0 +1,207 @@
+"""Answers of faulty and of sound servers, as bytes, by what is particular to them."""
+
+from collections.abc import Mapping
+
+IDS = "Attempt-Id: {id}\r\nServer-Seal: s.1\r\n"
+
+
+def _head(
+    start="HTTP/1.1 {status} X", length="Content-Length: {length}", before="", after=""
+):
+    """Return a template of a head, with lines before and after those of the ids."""
+    lines = (start, before, IDS.removesuffix("\r\n"), length, after)
+    return "\r\n".join(filter(None, lines)) + "\r\n\r\n"
+
+
+def _name(kind, text):
+    """Return a short name of what is particular to an answer."""
+    return f"{kind} {text[:40]!r}" + (f" of {len(text)}" if len(text) > 40 else "")
+
+
+def _lengths(*values):
+    return {_name("length", value): _head(length=value) for value in values}
+
+
+def _lines(*lines):
+    """Return heads that have each line as their first, in their middle and last."""
+    heads = {}
+    for line in lines:
+        name = _name("line", line)
+        heads[f"{name} first"] = _head(before=line)
+        heads[f"{name} within"] = _head(length=f"{line}\r\nContent-Length: {{length}}")
+        heads[f"{name} last"] = _head(after=line)
+    return heads
+
+
+def _starts(*starts):
+    return {_name("start", start): _head(start) for start in starts}
+
+
+SPOILT_LENGTHS = _lengths(
+    "Content-Length: +{length}",
+    "Content-Length: -{length}",
+    "Content-Length: 1_6",
+    "Content-Length: {length}x",
+    "Content-Length: 0x{length}",
+    "Content-Length: {length}.0",
+    "Content-Length: 1 6",
+    "Content-Length: \xa0{length}",
+    "Content-Length: \x0b{length}",
+    "Content-Length: {length}\x0c",
+    "Content-Length: \x85{length}",
+    "Content-Length: \xb2",
+    "Content-Length: x",
+    'Content-Length: "{length}"',
+    "Content-Length:",
+    "Content-Length: ,",
+    "Content-Length: {length},",
+    "Content-Length: {length}, 3",
+    "Content-Length: 3, {length}",
+    "Content-Length: {length}\r\nContent-Length: 3",
+    "Content-Length: 3\r\nContent-Length: {length}",
+    "Content-Length: {length}\r\nContent-Length:",
+    "Content-Length: " + "9" * 25,
+    "Content-Length: " + "9" * 5000,
+    "Content-Length\x00: {length}",
+    "Content-Length : {length}",
+    "Content-Length\t: {length}",
+    "Content Length: {length}",
+    "Content-Length={length}",
+    "Content-Length: {length}\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked\r\nContent-Length: {length}",
+    "Transfer-Encoding: gzip",
+    "Transfer-Encoding: gzip, chunked",
+    "Transfer-Encoding: chunked, chunked",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked, identity",
+    "Transfer-Encoding: identity",
+    "Transfer-Encoding: chunked;q=1",
+    "Transfer-Encoding: xchunked",
+    "Transfer-Encoding: \x0bchunked",
+    "Transfer-Encoding:",
+    "Content-Length: {length}\r\nTransfer-Encoding: identity",
+) | {
+    "chunks of HTTP/1.0": _head(
+        "HTTP/1.0 {status} X", "Transfer-Encoding: chunked\r\nConnection: keep-alive"
+    )
+}
+"""Heads that do not tell the length of their body."""
+
+SPOILT_LINES = _lines(
+    "spoilt",
+    "\x00\x01\x02",
+    "\x7f\xff",
+    "=: 1",
+    ": 1",
+    " spoilt",
+    "\tspoilt: 1",
+    "HTTP/1.1 200 OK",
+    "X: a\rb",
+    "X: a\nb",
+    "X: a\n\nb",
+    "X: a\r",
+    "X: a\x00b",
+    "X: a\x01b",
+    "X: a\x7fb",
+    "X: a\x0bb",
+    "X Y: 1",
+    "X : 1",
+    "X\t: 1",
+    "X\x00Y: 1",
+    "X\x01: 1",
+    "X\x0b: 1",
+    "X\x7f: 1",
+    "X\xe9: 1",
+    "(X): 1",
+    '"X": 1',
+    "Server-Leaving : 1",
+) | {
+    "line feeds alone": _head().replace("\r\n", "\n"),
+    "a line feed alone at the end": _head().removesuffix("\r\n") + "\n",
+    "an empty line before": "\r\n" + _head(),
+}
+"""Heads with a line that is no field, or one whose name is none."""
+
+SPOILT_STARTS = _starts(
+    "HTTP/1.1 000 X",
+    "HTTP/1.1 099 X",
+    "HTTP/1.1 600 X",
+    "HTTP/1.1 999 X",
+    "HTTP/1.1 1000 X",
+    "HTTP/1.1 0{status} X",
+    "HTTP/1.1 +{status} X",
+    "HTTP/1.1 -{status} X",
+    "HTTP/1.1 2_0 X",
+    "HTTP/1.1 20 X",
+    "HTTP/1.1 {status}.0 X",
+    "HTTP/1.1 {status}X",
+    "HTTP/1.1 X",
+    "HTTP/1.1 ",
+    "HTTP/1.1",
+    "HTTP/1.1  {status} X",
+    "HTTP/1.1\t{status} X",
+    "HTTP/1.1\x0b{status} X",
+    "HTTP/1.1 {status}\tX",
+    "HTTP/1.1 {status}\xa0X",
+    "HTTP/1.1 {status} a\x00b",
+    "HTTP/1.1 {status} a\rb",
+    "HTTP/1.1 {status} a\x7fb",
+    " HTTP/1.1 {status} X",
+    "XHTTP/1.1 {status} X",
+    "http/1.1 {status} X",
+    "HTTP/1. {status} X",
+    "HTTP/1.1x {status} X",
+    "HTTP/1.\x0c {status} X",
+    "HTTP/1.11 {status} X",
+    "HTTP/01.1 {status} X",
+    "HTTP/0.9 {status} X",
+    "HTTP/2.0 {status} X",
+    "HTTP/2 {status}",
+    "HTTP 1.1 {status} X",
+    "{status} X",
+)
+"""Heads whose first line is no status line."""
+
+SPOILT_HEADS: Mapping[str, str] = {**SPOILT_LENGTHS, **SPOILT_LINES, **SPOILT_STARTS}
+"""Templates of heads that are malformed by RFC 9110 or 9112, by name.
+
+``{status}``, ``{id}`` and ``{length}`` are those of a sound answer.
+"""
+
+SOUND_HEADS: Mapping[str, str] = {
+    **_starts(
+        "HTTP/1.1 {status} X",
+        "HTTP/1.1 {status} ",
+        "HTTP/1.1 {status}",
+        "HTTP/1.1 {status} a  b\tc\xe9",
+        "HTTP/1.0 {status} X",
+        "HTTP/1.2 {status} X",
+    ),
+    **_lengths(
+        "Content-Length:{length}",
+        "Content-Length: \t {length} \t ",
+        "CONTENT-LENGTH: {length}",
+        "Content-Length: 0000{length}",
+        "Content-Length: " + "0" * 5000 + "{length}",
+        "Content-Length: {length}\r\nContent-Length: {length}",
+        "Content-Length: {length}, {length}",
+        "Content-Length: {length} ,\t0{length}",
+    ),
+    **_lines(
+        "X:",
+        "X: \t ",
+        "X: caf\xe9\xff",
+        "X: a\tb: c",
+        "!#$%&'*+-.^_`|~09azAZ: 1",
+    ),
+    "many fields": _head(after="\r\n".join(f"X-{n}: {n}" for n in range(90))),
+    "no length": _head(length="Connection: close"),
+    "no length of HTTP/1.0": _head("HTTP/1.0 {status} X", length=""),
+}
+"""Templates of heads that are sound, by name; their body follows as it is."""
+
+
+def fill(template, id, status, body):
+    """Return the bytes of an answer from the template of its head."""
+    text = template.replace("{id}", id).replace("{status}", str(status))
+    return text.replace("{length}", str(len(body))).encode("latin-1") + body
--- /dev/null
+++ b/tests/system/test_broken_answers.py
@@ -0,0 +1,173 @@
+"""Tests of the entry daemon beside endpoints whose answers are malformed."""
+
+import contextlib
+import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from http.client import IncompleteRead
+
+import pytest
+
+from standins.entry_site import CONFIG, EntrySite, make_route
+from standins.fleet import HOST, Fleet
+from tests.fakes.raw_answers import SOUND_HEADS, SPOILT_HEADS, fill
+
+HEAD_END = b"\r\n\r\n"
+PLAIN_BODY = b"seat 4 is yours\n"
+EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, 6)]
+STREAM_BODY = b"".join(EVENTS)
+BEGUN_STREAM = (
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s.1\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n"
+)
+CLIENTS = 8
+LAST = "last"
+"""Service whose endpoint is registered after all others."""
+
+
+class ScriptedEndpoint:
+    """Answers calls of one kind by a template; a connection ends with its answer.
+
+    A resumed stream begins as a sound one, which breaks off after two events; the
+    answer by the template continues it.
+    """
+
+    def __init__(self, kind, template):
+        self._kind = kind
+        self._template = template
+        self._listener = socket.create_server((HOST, 0))
+        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            connection, _ = self._listener.accept()
+            threading.Thread(
+                target=self._answer, args=(connection,), daemon=True
+            ).start()
+
+    def _answer(self, connection):
+        with connection, contextlib.suppress(OSError):
+            request = b""
+            while HEAD_END not in request:
+                if not (data := connection.recv(65_536)):
+                    return
+                request += data
+            connection.sendall(self._answer_to(request.decode()))
+            # A reset could overtake the answer if the request is not read whole.
+            connection.shutdown(socket.SHUT_WR)
+            connection.recv(65_536)
+
+    def _answer_to(self, request):
+        id = request.partition("Attempt-Id: ")[2].partition("\r\n")[0]
+        template = self._template
+        match self._kind:
+            case "plain":
+                return fill(template, id, 200, PLAIN_BODY)
+            case "refused":
+                declined = template.replace("{id}", "{id}\r\nNot-Executed: 1")
+                return fill(declined, id, 503, b"")
+            case "stream":
+                return fill(template, id, 200, STREAM_BODY)
+            case "resumed" if "Last-Event-Id: 2" in request:
+                return fill(template, id, 200, b"".join(EVENTS[2:]))
+            case _:
+                begun = b"".join(b"%x\r\n%b\r\n" % (len(e), e) for e in EVENTS[:2])
+                return fill(BEGUN_STREAM, id, 200, begun)
+
+
+ROUTE_KINDS = {
+    "plain": ("non_idempotent", {"max-attempts": 1}),
+    "refused": ("non_idempotent", {"max-attempts": 1}),
+    "stream": ("streaming", {"max-attempts": 1}),
+    "resumed": ("streaming", {"max-attempts": 2, "resumable": True}),
+}
+
+
+def answers_by_name(kind, template_by_name):
+    """Return what clients get: status, body and whether it is complete, by name.
+
+    Each template has a route, a service and endpoints of its own.
+    """
+    route_kind, fields = ROUTE_KINDS[kind]
+    names = [f"{kind}-{number}" for number in range(len(template_by_name))]
+    routes = [make_route(name, route_kind, name, **fields) for name in names]
+    config = {
+        **CONFIG,
+        "version": 2,
+        "routes": [*CONFIG["routes"], *routes, make_route(LAST, "idempotent", LAST)],
+        "services": [*CONFIG["services"], *({"name": name} for name in (*names, LAST))],
+    }
+    with Fleet() as fleet, ThreadPoolExecutor(CLIENTS) as clients:
+        site = EntrySite(fleet)
+        site.put("config", "main", config)
+        for name, template in zip(names, template_by_name.values(), strict=True):
+            address = ScriptedEndpoint(kind, template).address
+            for number in range(2 if kind == "resumed" else 1):
+                entry = {**site.endpoint(name), "address": address}
+                site.put("servers", f"{name}-{number}", entry)
+        address = ScriptedEndpoint("plain", SOUND_HEADS["no length"]).address
+        site.put("servers", LAST, {**site.endpoint(LAST), "address": address})
+        # The store reports changes in order.
+        fleet.wait_until(
+            lambda: site.call(f"/{LAST}/1", "r")[0].status == 200, "endpoints"
+        )
+        answers = clients.map(lambda name: _fetch(site, name), names)
+        return dict(zip(template_by_name, answers, strict=True))
+
+
+def _fetch(site, name):
+    connection = site.connect()
+    site.send(connection, f"/{name}/1", name)
+    with contextlib.closing(connection):
+        response = connection.getresponse()
+        try:
+            return response.status, response.read(), True
+        except IncompleteRead as error:
+            return response.status, error.partial, False
+
+
+def differing(answer_by_name, status, body, is_complete):
+    """Return the answers that are not as given; a body of None may be any."""
+    expected = status, body, is_complete
+    return {
+        name: answer
+        for name, answer in answer_by_name.items()
+        if (answer[0], answer[1] if body is not None else None, answer[2]) != expected
+    }
+
+
+# Guards against MIXED: answers with spoilt heads reached clients as whole answers, with
+# bodies that were not the endpoint's, and spoilt refusals as promises.
+class TestSpoiltHeads:
+    """An endpoint's answer with a malformed head is none."""
+
+    @pytest.mark.parametrize("kind", ["plain", "refused", "stream"])
+    def test_client_is_told_that_the_endpoint_failed(self, kind):
+        """The request may have run, so that nothing is promised."""
+        answers = answers_by_name(kind, SPOILT_HEADS)
+        assert differing(answers, 502, None, True) == {}
+
+    def test_stream_is_not_resumed_with_it(self):
+        """The client keeps the events so far, of an incomplete answer."""
+        answers = answers_by_name("resumed", SPOILT_HEADS)
+        begun = b"".join(EVENTS[:2])
+        assert differing(answers, 200, begun, False) == {}
+
+
+class TestSoundHeads:
+    """Unusual heads that the standard allows."""
+
+    @pytest.mark.parametrize(
+        ("kind", "body"),
+        [("plain", PLAIN_BODY), ("stream", STREAM_BODY), ("resumed", STREAM_BODY)],
+    )
+    def test_answer_is_served(self, kind, body):
+        """The client gets the endpoint's body, whole."""
+        answers = answers_by_name(kind, SOUND_HEADS)
+        assert differing(answers, 200, body, True) == {}
+
+    def test_refusal_is_a_promise(self):
+        """The client may send the request again."""
+        answers = answers_by_name("refused", SOUND_HEADS)
+        assert differing(answers, 503, None, True) == {}
--- /dev/null
+++ b/tests/transport/test_http_answers.py
@@ -0,0 +1,127 @@
+"""Tests of the strict reading of answers."""
+
+import io
+from http.client import HTTPException, IncompleteRead, RemoteDisconnected
+
+import pytest
+
+from camphoryard.transport.http_answers import (
+    MAX_FIELDS,
+    MAX_QUOTED_CHARACTERS,
+    Field,
+    InvalidAnswerError,
+    StrictResponse,
+    parse_field,
+    parse_status_line,
+)
+from tests.fakes.raw_answers import SOUND_HEADS, SPOILT_HEADS, fill
+
+BODY = b"seat 4 is yours\n"
+HEAD = "HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n"
+
+
+class FakeSocket:
+    """A socket from which ``data`` is read, and then the end of the connection."""
+
+    def __init__(self, data):
+        self._data = data
+
+    def makefile(self, mode):
+        """Return a file of the data."""
+        return io.BytesIO(self._data)
+
+
+def begin(data, method="GET"):
+    """Return the answer in ``data``, with its head read."""
+    response = StrictResponse(FakeSocket(data), method=method)
+    response.begin()
+    return response
+
+
+class TestSpoiltHeads:
+    """Heads that are malformed."""
+
+    @pytest.mark.parametrize("name", SPOILT_HEADS)
+    @pytest.mark.parametrize("status", [200, 204, 503])
+    def test_error_is_raised(self, name, status):
+        """Nothing of the answer is used, even if it has no body."""
+        data = fill(SPOILT_HEADS[name], "r1", status, BODY)
+        with pytest.raises(HTTPException):
+            begin(data)
+
+    def test_error_quotes_a_part_of_what_was_sent(self):
+        """Lines of logs are of bounded length."""
+        with pytest.raises(InvalidAnswerError) as caught:
+            parse_field(b"spoilt\x00" * 1000)
+        assert r"spoilt\x00" in str(caught.value)
+        assert len(str(caught.value)) < 2 * MAX_QUOTED_CHARACTERS
+
+    def test_many_fields(self):
+        """The number of fields is limited."""
+        head = HEAD.replace("\r\n\r\n", "\r\nX: 1" * MAX_FIELDS + "\r\n\r\n")
+        with pytest.raises(HTTPException):
+            begin(fill(head, "r1", 200, BODY))
+
+    @pytest.mark.parametrize("size", [1, 12, 20, 36, 37])
+    def test_end_within_the_head(self, size):
+        """A head that is cut short is no whole one."""
+        with pytest.raises(IncompleteRead):
+            begin(fill(HEAD, "r1", 200, BODY)[:size])
+
+    def test_end_before_the_head(self):
+        """The connection ended before an answer."""
+        with pytest.raises(RemoteDisconnected):
+            begin(b"")
+
+
+class TestSoundHeads:
+    """Heads that are unusual, and allowed."""
+
+    @pytest.mark.parametrize("name", SOUND_HEADS)
+    def test_body_is_read(self, name):
+        """The status and the whole body are those that were sent."""
+        response = begin(fill(SOUND_HEADS[name], "r1", 200, BODY))
+        assert response.status == 200
+        assert response.headers["attempt-id"] == "r1"
+        assert response.read() == BODY
+
+    def test_status_line(self):
+        """The reason phrase may be missing, and may have any text."""
+        assert parse_status_line(b"HTTP/1.0 404").reason == ""
+        assert parse_status_line(b"HTTP/1.1 200 caf\xe9 1").reason == "caf\xe9 1"
+
+    def test_field(self):
+        """Blanks around a value are no part of it, and other bytes are."""
+        assert parse_field(b"X-Y:\t a: \xe9 \t") == Field("X-Y", "a: \xe9")
+
+    @pytest.mark.parametrize(
+        ("method", "status", "framing"),
+        [
+            ("HEAD", 200, "Content-Length: 5"),
+            ("HEAD", 200, "Transfer-Encoding: chunked"),
+            ("GET", 204, "Content-Length: 5"),
+            ("GET", 304, "Content-Length: 5"),
+            ("GET", 304, "Transfer-Encoding: chunked"),
+        ],
+    )
+    def test_answers_without_a_body(self, method, status, framing):
+        """They end with their head, whatever it tells of a body."""
+        response = begin(f"HTTP/1.1 {status} X\r\n{framing}\r\n\r\n".encode(), method)
+        assert (response.length, response.chunked) == (0, False)
+        assert response.read(100) == b""
+
+    @pytest.mark.parametrize(
+        ("head", "will_close"),
+        [
+            ("HTTP/1.1 200 X\r\nContent-Length: 0", False),
+            ("HTTP/1.1 200 X\r\nContent-Length: 0\r\nConnection: close", True),
+            ("HTTP/1.1 200 X\r\nTransfer-Encoding: Chunked", False),
+            ("HTTP/1.1 200 X", True),
+            ("HTTP/1.0 200 X\r\nContent-Length: 0", True),
+            ("HTTP/1.0 200 X\r\nContent-Length: 0\r\nConnection: keep-alive", False),
+            ("HTTP/1.0 200 X\r\nConnection: keep-alive", True),
+        ],
+    )
+    def test_whether_the_connection_can_be_used_again(self, head, will_close):
+        """It can unless the server closes it, or the body ends with it."""
+        assert begin(f"{head}\r\n\r\n".encode()).will_close is will_close
