Take no interim head for an answer

Callers saw: the status 101 or 103 of an endpoint as their answer, if it had the ids of one, and 502 in place of the sound answer after an interim head other than 100.

Cause: http.client reads past heads with status 100 alone. Any other interim head was the head of the answer; heads with status 100 were not looked at, so that a malformed one passed.

Status 101 is an error, as no call asks for another protocol.

--- a/src/camphoryard/transport/http_answers.py
+++ b/src/camphoryard/transport/http_answers.py
@@ -28,7 +28,7 @@
 """Maximum number of significant digits of a length, which then fits into 64 bits."""
 MAX_QUOTED_CHARACTERS = 80
 """Maximum number of characters of a malformed answer that an error quotes."""
-CONTINUE = 100
+SWITCHING_PROTOCOLS = 101
 INTERIM_STATUSES = range(100, 200)
 STATUSES_WITHOUT_BODY = (204, 304)
 CHUNKED = "chunked"
@@ -86,6 +86,13 @@
     value: str
 
 
+@dataclass(frozen=True, slots=True)
+class _Head:
+    start: StatusLine
+    fields: list[Field]
+    framing: Framing
+
+
 def parse_status_line(line: bytes) -> StatusLine:
     """Return the first line of an answer, from its bytes without the line end.
 
@@ -169,25 +176,27 @@
     _method: str | None
 
     def begin(self) -> None:
-        """Read the head of the answer.
+        """Read the head of the answer, and any interim ones before it.
 
         Raises
         ------
         HTTPException
             If it is malformed, or the connection ends within it.
         """
-        start, fields = self._read_head()
-        while start.status == CONTINUE:
-            start, fields = self._read_head()
-        self.status = start.status
-        self.reason = start.reason
-        self.version = 11 if start.minor else 10
+        head = self._read_head()
+        while head.start.status in INTERIM_STATUSES:
+            if head.start.status == SWITCHING_PROTOCOLS:
+                raise InvalidAnswerError("status 101 without a request to upgrade")
+            head = self._read_head()
+        self.status = head.start.status
+        self.reason = head.start.reason
+        self.version = 11 if head.start.minor else 10
         self.headers = self.msg = HTTPMessage()
-        for field in fields:
+        for field in head.fields:
             self.headers[field.name] = field.value
         self.will_close = self._check_close()  # type: ignore[attr-defined]
         self.chunked, self.chunk_left, self.length = False, None, None
-        match body_framing(start, fields, self._method):
+        match head.framing:
             case NoBody():
                 self.length = 0
             case SizedBody(length):
@@ -197,14 +206,14 @@
             case UndelimitedBody():
                 self.will_close = True
 
-    def _read_head(self) -> tuple[StatusLine, list[Field]]:
+    def _read_head(self) -> _Head:
         start = parse_status_line(self._read_first_line())
         fields: list[Field] = []
         while line := self._read_line():
             if len(fields) == MAX_FIELDS:
                 raise HTTPException(f"received more than {MAX_FIELDS} fields")
             fields.append(parse_field(line))
-        return start, fields
+        return _Head(start, fields, body_framing(start, fields, self._method))
 
     def _read_first_line(self) -> bytes:
         try:
--- a/tests/fakes/raw_answers.py
+++ b/tests/fakes/raw_answers.py
@@ -162,7 +162,32 @@
 )
 """Heads whose first line is no status line."""
 
-SPOILT_HEADS: Mapping[str, str] = {**SPOILT_LENGTHS, **SPOILT_LINES, **SPOILT_STARTS}
+_INTERIM_HEADS = {
+    "100": "HTTP/1.1 100 Continue\r\n\r\n",
+    "102": "HTTP/1.1 102 Processing\r\n\r\n",
+    "103": "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n",
+    "103 with the ids": _head("HTTP/1.1 103 X", length=""),
+    "199 without a reason": "HTTP/1.1 199\r\n\r\n",
+    "several": "HTTP/1.1 100\r\n\r\nHTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 103\r\n\r\n",
+}
+"""Heads that may precede the head of a sound answer."""
+
+_SPOILT_INTERIM_HEADS = {
+    "101": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+    "101 with the ids": _head("HTTP/1.1 101 X"),
+    "100 with a line that is no field": "HTTP/1.1 100 Continue\r\nspoilt\r\n\r\n",
+    "103 with a blank in a name": "HTTP/1.1 103 X\r\nA b: 1\r\n\r\n",
+    "100 with a signed length": "HTTP/1.1 100 X\r\nContent-Length: -5\r\n\r\n",
+    "103 with two lengths": "HTTP/1.1 103 X\r\nContent-Length: 1, 2\r\n\r\n",
+}
+"""Heads that end their call, whatever follows."""
+
+SPOILT_HEADS: Mapping[str, str] = {
+    **SPOILT_LENGTHS,
+    **SPOILT_LINES,
+    **SPOILT_STARTS,
+    **{f"after {name}": head + _head() for name, head in _SPOILT_INTERIM_HEADS.items()},
+}
 """Templates of heads that are malformed by RFC 9110 or 9112, by name.
 
 ``{status}``, ``{id}`` and ``{length}`` are those of a sound answer.
@@ -194,6 +219,7 @@
         "X: a\tb: c",
         "!#$%&'*+-.^_`|~09azAZ: 1",
     ),
+    **{f"after {name}": head + _head() for name, head in _INTERIM_HEADS.items()},
     "many fields": _head(after="\r\n".join(f"X-{n}: {n}" for n in range(90))),
     "no length": _head(length="Connection: close"),
     "no length of HTTP/1.0": _head("HTTP/1.0 {status} X", length=""),
