Refuse chunks whose framing is malformed

Callers saw: an answer in chunks as a whole one, although the size of a chunk was no number in HTTP, other bytes stood where the chunk ended, or the lines after the last chunk were no trailers. With a size of a bare line feed a stream had other bytes than its endpoint had sent.

Cause: http.client reads sizes with int(), which takes signs, underscores, a prefix 0x and blanks, drops the two bytes after a chunk unread, and reads trailers up to an empty line, or the end of the connection, whatever they are.

Change: StrictResponse reads the lines between chunks itself, by RFC 9112, section 7.1: a size of hexadecimal digits, extensions that are ignored, the line end after a chunk, and trailers that are fields. An end of the connection between them is an error there, so that the checks of a last line in the client are gone.

--- a/src/camphoryard/transport/http_answers.py
+++ b/src/camphoryard/transport/http_answers.py
@@ -1,11 +1,13 @@
-"""Strict reading of the heads of HTTP answers, by RFC 9110 and 9112.
+"""Strict reading of HTTP answers, by RFC 9110 and 9112.
 
 http.client reads heads with a parser for mail. It ends a head at a line that is no
 field, ignores a length that it cannot read, and takes whatever Python's ``int`` does
-for a number. A proxy that forwards such an answer makes up its body.
+for a number. It looks neither at what follows a chunk nor at trailers. A proxy that
+forwards such an answer makes up its body.
 """
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 from http.client import (
     HTTPException,
@@ -26,6 +28,8 @@
 """Maximum number of fields of a head, as in http.client."""
 MAX_LENGTH_DIGITS = 18
 """Maximum number of significant digits of a length, which then fits into 64 bits."""
+MAX_SIZE_DIGITS = 15
+"""Maximum number of significant hexadecimal digits of the size of a chunk."""
 MAX_QUOTED_CHARACTERS = 80
 """Maximum number of characters of a malformed answer that an error quotes."""
 SWITCHING_PROTOCOLS = 101
@@ -37,6 +41,9 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: (%b))?" % _TEXT)
 _FIELD_NAME = re.compile(TOKEN.encode("ascii"))
 _FIELD_VALUE = re.compile(_TEXT)
+_CHUNK_SIZE = re.compile(
+    rb"0*([0-9a-fA-F]{1,%d})(?:[ \t]*;%b)?" % (MAX_SIZE_DIGITS, _TEXT)
+)
 _LENGTH = re.compile(rf"0*([0-9]{{1,{MAX_LENGTH_DIGITS}}})")
 
 
@@ -124,6 +131,20 @@
     return Field(name.decode("ascii"), value.decode("latin-1").strip(BLANKS))
 
 
+def parse_chunk_size(line: bytes) -> int:
+    """Return the size in the first line of a chunk, which may have extensions.
+
+    Raises
+    ------
+    InvalidAnswerError
+        If the line has no size, or one of more than 60 bits.
+    """
+    found = _CHUNK_SIZE.fullmatch(line)
+    if found is None:
+        raise _invalid("chunk size", line)
+    return int(found[1], 16)
+
+
 def body_framing(start: StatusLine, fields: list[Field], method: str | None) -> Framing:
     """Return how the body of the answer to a call with ``method`` is delimited.
 
@@ -171,9 +192,16 @@
 
 
 class StrictResponse(HTTPResponse):
-    """An answer whose head is accepted as a whole, or refused with an error."""
+    """An answer of which only what is well-formed is read.
+
+    Reading the body raises an HTTPException where it is malformed or ends early.
+    """
 
+    # What http.client has and typeshed does not declare.
+    _check_close: Callable[[], bool]
+    _close_conn: Callable[[], None]
     _method: str | None
+    _safe_read: Callable[[int], bytes]
 
     def begin(self) -> None:
         """Read the head of the answer, and any interim ones before it.
@@ -194,7 +222,7 @@
         self.headers = self.msg = HTTPMessage()
         for field in head.fields:
             self.headers[field.name] = field.value
-        self.will_close = self._check_close()  # type: ignore[attr-defined]
+        self.will_close = self._check_close()
         self.chunked, self.chunk_left, self.length = False, None, None
         match head.framing:
             case NoBody():
@@ -206,15 +234,31 @@
             case UndelimitedBody():
                 self.will_close = True
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left of a chunk, None after the last; see http.client."""
+        if self.chunk_left:
+            return self.chunk_left
+        if self.chunk_left is not None:
+            chunk_end = self._safe_read(len(LINE_END))
+            if chunk_end != LINE_END:
+                raise _invalid("end of a chunk", chunk_end)
+        self.chunk_left = parse_chunk_size(self._read_line()) or None
+        if self.chunk_left is None:
+            self._read_fields()
+            self._close_conn()
+        return self.chunk_left
+
     def _read_head(self) -> _Head:
         start = parse_status_line(self._read_first_line())
-        fields: list[Field] = []
-        while line := self._read_line():
-            if len(fields) == MAX_FIELDS:
-                raise HTTPException(f"received more than {MAX_FIELDS} fields")
-            fields.append(parse_field(line))
+        fields = self._read_fields()
+        if len(fields) > MAX_FIELDS:
+            raise HTTPException(f"received more than {MAX_FIELDS} fields")
         return _Head(start, fields, body_framing(start, fields, self._method))
 
+    def _read_fields(self) -> list[Field]:
+        """Return the fields up to an empty line, those of a head or trailers."""
+        return [parse_field(line) for line in iter(self._read_line, b"")]
+
     def _read_first_line(self) -> bytes:
         try:
             return self._read_line()
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -68,7 +68,6 @@
 ANSWER_TIMEOUTS = 2
 """Maximum time from sending a call to the end of its answer, in timeouts of the call,
 unless the call sets another."""
-LINE_ENDS = (b"\r\n", b"\n")
 SUCCESS_STATUSES = range(200, 300)
 MAX_REFUSED_IDS = 64
 """Maximum number of ids that a connection remembers; it is closed after that."""
@@ -202,17 +201,6 @@
         except OSError as error:
             raise broken_call_error(error) from error
 
-    def check_complete(self) -> None:
-        """Check an answer whose body was read to its end.
-
-        Raises
-        ------
-        IncompleteRead
-            If the connection ended before the line after the last chunk.
-        """
-        if self.response.chunked:
-            self._exchange.connection.reader.check_line_end()
-
     def read_body(self, max_bytes: int, silence_s: float, end_s: float) -> bytes:
         """Return the whole body of at most ``max_bytes``.
 
@@ -255,7 +243,6 @@
         # A read with a size raises no error if the connection ends early.
         if self.response.length:
             raise IncompleteRead(b"", self.response.length)
-        self.check_complete()
 
     def _reserve(
         self, body: io.BytesIO | mmap.mmap, max_size: int, end_s: float
@@ -450,7 +437,6 @@
         self._sock = sock
         self._raw = _RawSocketReader(sock)
         self._reader = io.BufferedReader(self._raw)
-        self._last_line = b""
         self._lines_in_a_row = 0
 
     def readline(self, limit: int = -1) -> bytes:
@@ -458,8 +444,7 @@
         self._lines_in_a_row += 1
         if self._lines_in_a_row > MAX_LINES_IN_A_ROW:
             raise ReadLimitError(f"received more than {MAX_LINES_IN_A_ROW} lines")
-        self._last_line = self._reader.readline(limit)
-        return self._last_line
+        return self._reader.readline(limit)
 
     def read(self, size: int = -1) -> bytes:
         """Return ``size`` bytes, or less at the end of the connection."""
@@ -471,15 +456,6 @@
         self._lines_in_a_row = 0
         return self._reader.read1(size)
 
-    def check_line_end(self) -> None:
-        """Raise IncompleteRead unless the last line was empty, but for its end.
-
-        Such a line ends the trailers of a chunked body; http.client takes the end of
-        the connection for it as well.
-        """
-        if self._last_line not in LINE_ENDS:
-            raise IncompleteRead(self._last_line)
-
     def set_keep_waiting(self, keep_waiting: Callable[[], bool]) -> None:
         """Set the function that decides whether to read on after a timeout."""
         self._raw.keep_waiting = keep_waiting
--- a/src/camphoryard/transport/upstream.py
+++ b/src/camphoryard/transport/upstream.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterator
-from http.client import HTTPException, IncompleteRead
+from http.client import HTTPException
 
 from camphoryard.coordination.cancellation import Cancellation
 from camphoryard.coordination.forwarding.ports import (
@@ -83,10 +83,6 @@
             yield chunk
         if response.length:
             raise BrokenCallError(f"{response.length} bytes of the body are missing")
-        try:
-            self._answer.check_complete()
-        except IncompleteRead as error:
-            raise broken_call_error(error) from error
         self._is_read = True
 
     def discard(self) -> None:
--- a/tests/fakes/raw_answers.py
+++ b/tests/fakes/raw_answers.py
@@ -226,6 +226,89 @@
 }
 """Templates of heads that are sound, by name; their body follows as it is."""
 
+CHUNKED_HEAD = _head(length="Transfer-Encoding: chunked")
+"""Template of the head of an answer in chunks."""
+
+
+def chunks(body, size="{size:x}", end="\r\n", last="0\r\n\r\n"):
+    """Return a body as two chunks, of which the second one is written as told."""
+    first, second = body[:4], body[4:]
+    line = size.format(size=len(second))
+    framing = f"{line}\r\n", end + last
+    before, after = (text.encode("latin-1") for text in framing)
+    return b"4\r\n" + first + b"\r\n" + before + second + after
+
+
+SPOILT_CHUNKS: Mapping[str, Mapping[str, str]] = {
+    **{
+        _name("size", size): {"size": size}
+        for size in (
+            "+{size:x}",
+            "-{size:x}",
+            "0x{size:x}",
+            "0_{size:x}",
+            " {size:x}",
+            "{size:x} ",
+            "\x0b{size:x}",
+            "{size:x}\xa0",
+            "{size:x}\n",
+            "{size:x}g",
+            "{size:x};a\x00b",
+            "{size:x};a\rb",
+            ";a={size:x}",
+            "",
+            "-1",
+            "f" * 17,
+            "f" * 5000,
+        )
+    },
+    **{
+        _name("end", end): {"end": end}
+        for end in ("xx", "\n\r", "\n", "\r", "", "\r\n\r\n", "more\r\n")
+    },
+    **{
+        _name("last", last): {"last": last}
+        for last in (
+            "+0\r\n\r\n",
+            "-0\r\n\r\n",
+            "0x0\r\n\r\n",
+            "0\n\n",
+            "0\r\nspoilt\r\n\r\n",
+            "0\r\nX Y: 1\r\n\r\n",
+            "0\r\nX: a\x00\r\n\r\n",
+            "0\r\n X: 1\r\n\r\n",
+            "0\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        )
+    },
+}
+"""Arguments of `chunks` for bodies that are malformed, by name."""
+
+SOUND_CHUNKS: Mapping[str, Mapping[str, str]] = {
+    **{
+        _name("size", size): {"size": size}
+        for size in (
+            "{size:x}",
+            "{size:X}",
+            "000{size:x}",
+            "0" * 5000 + "{size:x}",
+            "{size:x};a",
+            '{size:x};a=b;c="d e"',
+            "{size:x} ; a = b",
+            "{size:x};caf\xe9",
+        )
+    },
+    **{
+        _name("last", last): {"last": last}
+        for last in (
+            "0\r\n\r\n",
+            "000\r\n\r\n",
+            "0;a=b\r\n\r\n",
+            "0\r\nX: 1\r\nY: caf\xe9\r\n\r\n",
+        )
+    },
+}
+"""Arguments of `chunks` for bodies that are sound, by name."""
+
 
 def fill(template, id, status, body):
     """Return the bytes of an answer from the template of its head."""
--- a/tests/system/test_broken_answers.py
+++ b/tests/system/test_broken_answers.py
@@ -3,38 +3,66 @@
 import contextlib
 import socket
 import threading
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from http.client import IncompleteRead
+from typing import TypeAlias
 
 import pytest
 
 from standins.entry_site import CONFIG, EntrySite, make_route
 from standins.fleet import HOST, Fleet
-from tests.fakes.raw_answers import SOUND_HEADS, SPOILT_HEADS, fill
+from tests.fakes.raw_answers import (
+    CHUNKED_HEAD,
+    SOUND_CHUNKS,
+    SOUND_HEADS,
+    SPOILT_CHUNKS,
+    SPOILT_HEADS,
+    chunks,
+    fill,
+)
 
 HEAD_END = b"\r\n\r\n"
 PLAIN_BODY = b"seat 4 is yours\n"
 EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, 6)]
 STREAM_BODY = b"".join(EVENTS)
-BEGUN_STREAM = (
-    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s.1\r\n"
-    "Transfer-Encoding: chunked\r\n\r\n"
-)
+SOUND_HEAD = SOUND_HEADS["no length"]
 CLIENTS = 8
 LAST = "last"
 """Service whose endpoint is registered after all others."""
 
 
+Script: TypeAlias = Callable[[str, int, bytes], bytes]
+"""Returns the bytes of an answer with an id, a status and a body."""
+
+
+def heads(template_by_name):
+    """Return scripts of answers with these heads, by name."""
+    return {name: partial(fill, text) for name, text in template_by_name.items()}
+
+
+def bodies_in_chunks(arguments_by_name):
+    """Return scripts of answers in chunks that are written as told, by name."""
+
+    def make_script(arguments):
+        return lambda id, status, body: fill(
+            CHUNKED_HEAD, id, status, chunks(body, **arguments)
+        )
+
+    return {name: make_script(item) for name, item in arguments_by_name.items()}
+
+
 class ScriptedEndpoint:
-    """Answers calls of one kind by a template; a connection ends with its answer.
+    """Answers calls of one kind by a script; a connection ends with its answer.
 
     A resumed stream begins as a sound one, which breaks off after two events; the
-    answer by the template continues it.
+    answer by the script continues it.
     """
 
-    def __init__(self, kind, template):
+    def __init__(self, kind: str, script: Script) -> None:
         self._kind = kind
-        self._template = template
+        self._script = script
         self._listener = socket.create_server((HOST, 0))
         self.address = f"{HOST}:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -60,20 +88,18 @@
 
     def _answer_to(self, request):
         id = request.partition("Attempt-Id: ")[2].partition("\r\n")[0]
-        template = self._template
         match self._kind:
             case "plain":
-                return fill(template, id, 200, PLAIN_BODY)
+                return self._script(id, 200, PLAIN_BODY)
             case "refused":
-                declined = template.replace("{id}", "{id}\r\nNot-Executed: 1")
-                return fill(declined, id, 503, b"")
+                return self._script(f"{id}\r\nNot-Executed: 1", 503, b"")
             case "stream":
-                return fill(template, id, 200, STREAM_BODY)
+                return self._script(id, 200, STREAM_BODY)
             case "resumed" if "Last-Event-Id: 2" in request:
-                return fill(template, id, 200, b"".join(EVENTS[2:]))
+                return self._script(id, 200, b"".join(EVENTS[2:]))
             case _:
                 begun = b"".join(b"%x\r\n%b\r\n" % (len(e), e) for e in EVENTS[:2])
-                return fill(BEGUN_STREAM, id, 200, begun)
+                return fill(CHUNKED_HEAD, id, 200, begun)
 
 
 ROUTE_KINDS = {
@@ -84,13 +110,13 @@
 }
 
 
-def answers_by_name(kind, template_by_name):
+def answers_by_name(kind, script_by_name):
     """Return what clients get: status, body and whether it is complete, by name.
 
-    Each template has a route, a service and endpoints of its own.
+    Each script has a route, a service and endpoints of its own.
     """
     route_kind, fields = ROUTE_KINDS[kind]
-    names = [f"{kind}-{number}" for number in range(len(template_by_name))]
+    names = [f"{kind}-{number}" for number in range(len(script_by_name))]
     routes = [make_route(name, route_kind, name, **fields) for name in names]
     config = {
         **CONFIG,
@@ -101,19 +127,19 @@
     with Fleet() as fleet, ThreadPoolExecutor(CLIENTS) as clients:
         site = EntrySite(fleet)
         site.put("config", "main", config)
-        for name, template in zip(names, template_by_name.values(), strict=True):
-            address = ScriptedEndpoint(kind, template).address
+        for name, script in zip(names, script_by_name.values(), strict=True):
+            address = ScriptedEndpoint(kind, script).address
             for number in range(2 if kind == "resumed" else 1):
                 entry = {**site.endpoint(name), "address": address}
                 site.put("servers", f"{name}-{number}", entry)
-        address = ScriptedEndpoint("plain", SOUND_HEADS["no length"]).address
+        address = ScriptedEndpoint("plain", partial(fill, SOUND_HEAD)).address
         site.put("servers", LAST, {**site.endpoint(LAST), "address": address})
         # The store reports changes in order.
         fleet.wait_until(
             lambda: site.call(f"/{LAST}/1", "r")[0].status == 200, "endpoints"
         )
         answers = clients.map(lambda name: _fetch(site, name), names)
-        return dict(zip(template_by_name, answers, strict=True))
+        return dict(zip(script_by_name, answers, strict=True))
 
 
 def _fetch(site, name):
@@ -145,12 +171,12 @@
     @pytest.mark.parametrize("kind", ["plain", "refused", "stream"])
     def test_client_is_told_that_the_endpoint_failed(self, kind):
         """The request may have run, so that nothing is promised."""
-        answers = answers_by_name(kind, SPOILT_HEADS)
+        answers = answers_by_name(kind, heads(SPOILT_HEADS))
         assert differing(answers, 502, None, True) == {}
 
     def test_stream_is_not_resumed_with_it(self):
         """The client keeps the events so far, of an incomplete answer."""
-        answers = answers_by_name("resumed", SPOILT_HEADS)
+        answers = answers_by_name("resumed", heads(SPOILT_HEADS))
         begun = b"".join(EVENTS[:2])
         assert differing(answers, 200, begun, False) == {}
 
@@ -164,10 +190,46 @@
     )
     def test_answer_is_served(self, kind, body):
         """The client gets the endpoint's body, whole."""
-        answers = answers_by_name(kind, SOUND_HEADS)
+        answers = answers_by_name(kind, heads(SOUND_HEADS))
         assert differing(answers, 200, body, True) == {}
 
     def test_refusal_is_a_promise(self):
         """The client may send the request again."""
-        answers = answers_by_name("refused", SOUND_HEADS)
+        answers = answers_by_name("refused", heads(SOUND_HEADS))
         assert differing(answers, 503, None, True) == {}
+
+
+# Guards against MIXED: sizes of chunks that are no numbers in HTTP, and whatever stood
+# in place of the end of a chunk.
+class TestChunks:
+    """Bodies in chunks, malformed and sound."""
+
+    def test_malformed_body_is_not_passed_on(self):
+        """The client is told that the endpoint failed."""
+        answers = answers_by_name("plain", bodies_in_chunks(SPOILT_CHUNKS))
+        assert differing(answers, 502, None, True) == {}
+
+    @pytest.mark.parametrize("kind", ["stream", "resumed"])
+    def test_malformed_stream_is_incomplete(self, kind):
+        """The client may get the events before what is malformed."""
+        answers = answers_by_name(kind, bodies_in_chunks(SPOILT_CHUNKS))
+        wrong = {
+            name: answer
+            for name, answer in answers.items()
+            if not _is_cut(*answer) and answer[0] != 502
+        }
+        assert wrong == {}
+
+    @pytest.mark.parametrize(
+        ("kind", "body"),
+        [("plain", PLAIN_BODY), ("stream", STREAM_BODY), ("resumed", STREAM_BODY)],
+    )
+    def test_sound_body_is_served(self, kind, body):
+        """The client gets the content of all chunks."""
+        answers = answers_by_name(kind, bodies_in_chunks(SOUND_CHUNKS))
+        assert differing(answers, 200, body, True) == {}
+
+
+def _is_cut(status, body, is_complete):
+    """Return whether a stream was cut after some of its events, or after all."""
+    return status == 200 and STREAM_BODY.startswith(body) and not is_complete
--- a/tests/transport/test_http_answers.py
+++ b/tests/transport/test_http_answers.py
@@ -14,7 +14,15 @@
     parse_field,
     parse_status_line,
 )
-from tests.fakes.raw_answers import SOUND_HEADS, SPOILT_HEADS, fill
+from tests.fakes.raw_answers import (
+    CHUNKED_HEAD,
+    SOUND_CHUNKS,
+    SOUND_HEADS,
+    SPOILT_CHUNKS,
+    SPOILT_HEADS,
+    chunks,
+    fill,
+)
 
 BODY = b"seat 4 is yours\n"
 HEAD = "HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n"
@@ -125,3 +133,45 @@
     def test_whether_the_connection_can_be_used_again(self, head, will_close):
         """It can unless the server closes it, or the body ends with it."""
         assert begin(f"{head}\r\n\r\n".encode()).will_close is will_close
+
+
+def read_all(response):
+    """Return the whole body."""
+    return response.read()
+
+
+def read_pieces(response):
+    """Return the body, read in pieces of some bytes."""
+    return b"".join(iter(lambda: response.read(3), b""))
+
+
+def read_available(response):
+    """Return the body, read as it arrives."""
+    return b"".join(iter(lambda: response.read1(100), b""))
+
+
+@pytest.mark.parametrize("read", [read_all, read_pieces, read_available])
+class TestChunks:
+    """Bodies in chunks."""
+
+    @pytest.mark.parametrize("name", SPOILT_CHUNKS)
+    def test_malformed_chunk(self, read, name):
+        """The body is not read to its end."""
+        body = chunks(BODY, **SPOILT_CHUNKS[name])
+        with pytest.raises(HTTPException):
+            read(begin(fill(CHUNKED_HEAD, "r1", 200, body)))
+
+    @pytest.mark.parametrize("name", SOUND_CHUNKS)
+    def test_sound_chunks(self, read, name):
+        """The content of all chunks is read, and the connection can be used again."""
+        body = chunks(BODY, **SOUND_CHUNKS[name])
+        response = begin(fill(CHUNKED_HEAD, "r1", 200, body))
+        assert read(response) == BODY
+        assert (response.isclosed(), response.will_close) == (True, False)
+
+    def test_body_that_ends_early(self, read):
+        """It is incomplete wherever its connection ends."""
+        body = chunks(BODY, last="0\r\nX: 1\r\n\r\n")
+        for size in range(len(body)):
+            with pytest.raises(HTTPException):
+                read(begin(fill(CHUNKED_HEAD, "r1", 200, body[:size])))
