Read answers strictly in the command line too

Operators would have seen: an answer with a malformed head or malformed chunks as a whole one, such as a listing that ends early.

Cause: the command line has a connection of its own, with http.client's reader of answers.

Change: its connection uses StrictResponse. A malformed answer counts as none, and the call may have taken effect, as after a broken connection.

--- a/src/camphoryard/cli/connection.py
+++ b/src/camphoryard/cli/connection.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from camphoryard.cli.options import EXIT_REFUSED, EXIT_UNREACHABLE, EXIT_USAGE, fail
+from camphoryard.transport.http_answers import StrictResponse
 
 CONFIGURATION_PATH = "/admin/v1/configuration"
 EXPLAIN_PATH = "/admin/v1/explain"
@@ -68,6 +69,7 @@
     bearer = f"Bearer {token}".encode().decode("latin-1")
     headers = {**call.headers, "Authorization": bearer}
     connection = HTTPConnection(host, port, timeout=call.timeout_s)
+    connection.response_class = StrictResponse
     try:
         connection.request(call.method, call.path + query, call.body, headers)
         response = connection.getresponse()
--- /dev/null
+++ b/tests/cli/test_connection.py
@@ -0,0 +1,75 @@
+"""Tests of calls to a daemon whose answers may be malformed."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from camphoryard.cli.connection import Call, UnreachableError, send
+from tests.fakes.raw_answers import (
+    CHUNKED_HEAD,
+    SOUND_CHUNKS,
+    SOUND_HEADS,
+    SPOILT_CHUNKS,
+    SPOILT_HEADS,
+    chunks,
+    fill,
+)
+
+HOST = "127.0.0.1"
+BODY = b"seat 4 is yours\n"
+
+
+@contextlib.contextmanager
+def daemon(answer):
+    """Answer one call with ``answer`` and close the connection; yield the address."""
+    with socket.create_server((HOST, 0)) as listener:
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection, contextlib.suppress(OSError):
+                connection.recv(65_536)
+                connection.sendall(answer)
+                connection.shutdown(socket.SHUT_WR)
+                connection.recv(65_536)
+
+        task = threading.Thread(target=serve)
+        task.start()
+        yield f"http://{HOST}:{listener.getsockname()[1]}"
+        task.join()
+
+
+def body_from(answer):
+    """Return the body of a daemon's answer."""
+    with daemon(answer) as server:
+        return send(server, "token", Call("GET", "/")).body
+
+
+# Guards against a listing or a status that is cut short and shown as a whole one.
+class TestSend:
+    """Answers are read by the rules that hold for those of endpoints."""
+
+    @pytest.mark.parametrize("name", SPOILT_HEADS)
+    def test_malformed_head(self, name):
+        """The call may have taken effect."""
+        with pytest.raises(UnreachableError):
+            body_from(fill(SPOILT_HEADS[name], "r1", 200, BODY))
+
+    @pytest.mark.parametrize("name", SPOILT_CHUNKS)
+    def test_malformed_chunks(self, name):
+        """No part of the body is shown."""
+        body = chunks(BODY, **SPOILT_CHUNKS[name])
+        with pytest.raises(UnreachableError):
+            body_from(fill(CHUNKED_HEAD, "r1", 200, body))
+
+    @pytest.mark.parametrize("name", SOUND_HEADS)
+    def test_sound_head(self, name):
+        """Heads that are unusual and allowed are read."""
+        assert body_from(fill(SOUND_HEADS[name], "r1", 200, BODY)) == BODY
+
+    @pytest.mark.parametrize("name", SOUND_CHUNKS)
+    def test_sound_chunks(self, name):
+        """So are such chunks."""
+        body = chunks(BODY, **SOUND_CHUNKS[name])
+        assert body_from(fill(CHUNKED_HEAD, "r1", 200, body)) == BODY
