--- a/tests/transport/test_event_streams.py
+++ b/tests/transport/test_event_streams.py
@@ -12,6 +12,7 @@
 from camphoryard.transport.event_streams import EventStream
 from camphoryard.transport.http_client import Address, HttpCall, HttpClient
 from camphoryard.transport.stream_reading import StreamLimits, StreamReaders
+from tests.fakes.raw_answers import SOUND_CHUNKS, SPOILT_CHUNKS, chunks
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 PLAIN_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
@@ -57,6 +58,11 @@
         address = Address(*self._server.getsockname())
         return self._client.open(address, HttpCall("POST", "/"))
 
+    @property
+    def idle_connections(self):
+        """Number of connections that may be used again."""
+        return sum(map(len, self._client._idle_by_pool.values()))
+
     def consume(self, frame: TokenFrame) -> bool:
         """Record a frame; return whether it is the last."""
         assert frame.request_id == RequestId("a")
@@ -108,6 +114,64 @@
             stream.read_frames(engine.consume)
 
 
+class TestFraming:
+    """Bodies that end before their connection does."""
+
+    EVENTS = event(0) + event(1) + event(2, True)
+
+    @pytest.mark.parametrize("name", SPOILT_CHUNKS)
+    def test_malformed_chunk(self, engine, name):
+        """Nothing is read beyond it, and the connection is not used again."""
+        body = chunks(self.EVENTS, **SPOILT_CHUNKS[name])
+        stream, engine_sock = engine.open(HEAD + body)
+        engine_sock.close()
+        if name.startswith("size"):
+            with pytest.raises(BrokenCallError):
+                stream.read_frames(engine.consume)
+            assert engine.offsets == []
+        else:
+            stream.read_frames(engine.consume)
+            assert engine.offsets == [0, 1, 2]
+        stream.close()
+        assert engine.idle_connections == 0
+
+    @pytest.mark.parametrize("name", SOUND_CHUNKS)
+    @pytest.mark.parametrize("is_split", [False, True])
+    def test_sound_chunks(self, engine, name, is_split):
+        """The whole stream is read, and the connection may be used again."""
+        body = chunks(self.EVENTS, **SOUND_CHUNKS[name])
+        stream, engine_sock = engine.open(HEAD + body[: 9 if is_split else None])
+        with ThreadPoolExecutor(1) as executor:
+            if is_split:
+                executor.submit(
+                    lambda: [engine_sock.sendall(bytes([byte])) for byte in body[9:]]
+                )
+            stream.read_frames(engine.consume)
+        assert engine.offsets == [0, 1, 2]
+        # The end of the body may still be on its way, which costs the connection.
+        stream.close()
+        assert engine.idle_connections == 1 or is_split
+
+    @pytest.mark.parametrize("offsets", [[], [0], [0, 1]])
+    def test_body_of_known_length(self, engine, offsets):
+        """What follows it is no part of the stream, but bytes that are not due."""
+        length = sum(len(event(offset)) for offset in offsets)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+        stream, _ = engine.open(head + self.EVENTS)
+        stream.read_frames(engine.consume)
+        assert engine.offsets == offsets
+        stream.close()
+        assert engine.idle_connections == 0
+
+    def test_connection_after_a_body_of_known_length(self, engine):
+        """It may be used again."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.EVENTS)
+        stream, _ = engine.open(head + self.EVENTS)
+        stream.read_frames(engine.consume)
+        stream.close()
+        assert engine.idle_connections == 1
+
+
 class TestEndlessStreams:
     """Bytes without end that are no frames."""
 
