Read the explanation of an engine's refusal in pieces

Callers saw: an internal error in place of a refusal, or of another engine's answer, if the refusing engine claimed a body of 10**17 bytes or a chunk of that size.

Cause: the explanation was asked for as a whole, and http.client allocates the length that an answer claims. MemoryError is no error of a call.

Change: it is read like other bodies, which are read in pieces and end with an error at once if their length is over the limit.

Evidence: both cases of TestRefusal failed before, with MemoryError, and pass now.

--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -166,11 +166,14 @@
 
 
 def _error_detail(answer: OpenAnswer, timeout_s: float) -> str:
-    answer.limit_body(MAX_ERROR_BYTES, timeout_s, time.monotonic() + timeout_s)
     try:
-        return answer.response.read().decode(errors="replace")
+        body = answer.read_body(
+            MAX_ERROR_BYTES, timeout_s, time.monotonic() + timeout_s
+        )
     except (OSError, HTTPException) as error:
         return repr(error)
+    else:
+        return body.decode(errors="replace")
     finally:
         answer.close(answer.response.isclosed())
 
--- a/tests/transport/test_endpoints.py
+++ b/tests/transport/test_endpoints.py
@@ -178,6 +178,27 @@
             task.join(10.0)
 
 
+class TestRefusal:
+    """Refusals whose explanation cannot be read."""
+
+    # Guards against: a request ended with an error of the process's own, as memory for
+    # whatever length a refusal claimed was asked for at once.
+    @pytest.mark.parametrize(
+        "framing",
+        [
+            b"Content-Length: 99999999999999999",
+            b"Transfer-Encoding: chunked\r\n\r\nfffffffffffffff",
+        ],
+        ids=["length", "chunk"],
+    )
+    def test_claimed_length(self, engines, framing):
+        """The engine refuses, whatever it claims of the rest."""
+        engine = Engine(b"HTTP/1.1 503 X\r\n%b\r\n\r\nbusy" % framing)
+        with pytest.raises(EndpointRefusedError) as caught:
+            engines.generate(engine.endpoint, request("a"), 0, Cancellation())
+        assert caught.value.status == 503
+
+
 def refuse(engines, engine):
     """Have a request refused."""
     with pytest.raises(EndpointRefusedError):
