Accept a Keep-Alive time of any number of digits

Callers saw: a whole stream as a broken one, and 502 for a request that its endpoint had declined, after a Keep-Alive header with thousands of digits.

Cause: int() raises ValueError above 4,300 digits. It was called as the answer was closed, where no error of a call is expected, so the request failed, and the connection stayed among those in use.

Change: at most nine digits after leading zeros are read, which is three years or more.

Evidence: both cases of TestKeepAlive failed before; test_broken_answers.py with such a head gave incomplete streams and 502, and passes now.

--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -43,7 +43,8 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER enabled with a time of 0 s: closing the socket sends a reset."""
-KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
+KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=0*([0-9]{1,9})")
+"""A longer number is cut, which leaves three years at least."""
 KEEP_ALIVE_MARGIN_S = 0.5
 """Safety margin before the server's keep-alive timeout, in which an idle connection
 is no longer used."""
--- a/tests/fakes/raw_answers.py
+++ b/tests/fakes/raw_answers.py
@@ -217,6 +217,7 @@
         "X: \t ",
         "X: caf\xe9\xff",
         "X: a\tb: c",
+        "Keep-Alive: timeout=" + "9" * 5000,
         "!#$%&'*+-.^_`|~09azAZ: 1",
     ),
     **{f"after {name}": head + _head() for name, head in _INTERIM_HEADS.items()},
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -206,6 +206,20 @@
             get(client, server, cancellation=cancellation)
 
 
+class TestKeepAlive:
+    """How long a connection may be idle, as its server tells."""
+
+    # Guards against: a call failed with an error of the process's own after its answer
+    # had been read, and its connection stayed open.
+    @pytest.mark.parametrize("timeout", ["9" * 5000, "0" * 5000 + "9"])
+    def test_time_of_many_digits(self, client, timeout):
+        """The answer is read, and the connection is used again."""
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout={timeout}"
+        server = Server([head.encode() + b"\r\n\r\nok", ANSWER])
+        assert [get(client, server) for _ in range(2)] == [b"ok", b"ok"]
+        assert client.opened_connections == 1
+
+
 class TestAbort:
     """Aborted calls."""
 
