--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -206,6 +206,27 @@
             get(client, server, cancellation=cancellation)
 
 
+class TestMalformedAnswer:
+    """An answer that is none in HTTP."""
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nspoilt\r\nContent-Length: 2\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n",
+        ],
+    )
+    def test_its_connection_is_reset(self, client, answer):
+        """The next call has a connection of its own, without this one's answers."""
+        server = Server([answer + ANSWER, ANSWER])
+        with pytest.raises(BrokenCallError):
+            get(client, server)
+        assert server.closed.wait(5.0)
+        assert get(client, server) == b"ok"
+        assert client.opened_connections == 2
+
+
 class TestKeepAlive:
     """How long a connection may be idle, as its server tells."""
 
