Take an answer whose body cannot be decoded for none

Operators would have seen: after one malformed body of the object API or the list of VMs, a camphoryardd that followed no change any more, with task_failed in its log. A malformed inventory or event of an engine ended the request or the task that read it.

Cause: the readers of listings caught no error of the decoder, nor a missing version, and none of the four caught the RecursionError that deeply nested JSON makes. The tasks that watch the store retry only after StoreUnavailableError. The entry daemon's readers do catch both; their tests are kept.

Change: each reader raises its own error for such an answer, as after no answer.

Evidence: before, five of the nine cases of TestBodies and test_answer_without_a_version_is_none failed, with DecodeError, RecursionError and KeyError.

Result: all pass.

--- a/src/camphoryard/transport/endpoints.py
+++ b/src/camphoryard/transport/endpoints.py
@@ -135,7 +135,7 @@
             raise NoInventoryError(f"answered with status {answer.status}")
         try:
             inventory = decode_inventory(answer.body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise NoInventoryError(f"unreadable: {error}") from error
         self._on_load_report(endpoint.id, load_report(inventory))
         return inventory
--- a/src/camphoryard/transport/event_streams.py
+++ b/src/camphoryard/transport/event_streams.py
@@ -223,5 +223,5 @@
 def _decode_event(event: bytes) -> TokenFrame:
     try:
         return decode_frame(event)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BrokenCallError(f"unreadable event: {error}") from error
--- a/src/camphoryard/transport/object_api.py
+++ b/src/camphoryard/transport/object_api.py
@@ -12,6 +12,7 @@
     EXPECTED_HEADER,
     VERSION_HEADER,
     Codec,
+    ObjectListing,
     decode_listing,
 )
 from camphoryard.state.configuration import Configuration
@@ -152,12 +153,21 @@
 
 def version_of(answer: HttpAnswer) -> Version:
     """Return the version of the object in an answer; raises as ``era_in``."""
+    text = answer.headers.get(VERSION_HEADER, "")
     try:
-        return version_in(era_in(answer), int(answer.headers[VERSION_HEADER]))
+        return version_in(era_in(answer), int(text))
     except ValueError as error:
         raise StoreUnavailableError(str(error)) from error
 
 
+def listing_in(answer: HttpAnswer) -> ObjectListing:
+    """Return the listing in an answer; raises StoreUnavailableError."""
+    try:
+        return decode_listing(answer.body)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise StoreUnavailableError(f"unreadable listing: {error}") from error
+
+
 class ObjectRecords(Generic[RecordT]):
     """Records of one kind under one key prefix."""
 
@@ -219,7 +229,7 @@
 
     def _snapshot(self, answer: HttpAnswer) -> Snapshot[RecordT]:
         era = era_in(answer)
-        listing = decode_listing(answer.body)
+        listing = listing_in(answer)
         try:
             revision = revision_in(era, listing.revision)
             versions = [version_in(era, item.version) for item in listing.items]
@@ -270,7 +280,7 @@
     def keys(self) -> tuple[ObjectKey, ...]:
         """Return the keys of all parts."""
         query = urlencode({"prefix": self._prefix})
-        listing = decode_listing(self._api.call("GET", f"/objects?{query}", (OK,)).body)
+        listing = listing_in(self._api.call("GET", f"/objects?{query}", (OK,)))
         return tuple(
             ObjectKey(item.key.removeprefix(self._prefix)) for item in listing.items
         )
--- a/src/camphoryard/transport/vm_list.py
+++ b/src/camphoryard/transport/vm_list.py
@@ -33,7 +33,12 @@
             if answer.status != OK:
                 raise VmListUnavailableError(f"status {answer.status}")
             return decode_vm_list(answer.body)
-        except (NotSentError, BrokenCallError, msgspec.MsgspecError) as error:
+        except (
+            NotSentError,
+            BrokenCallError,
+            msgspec.MsgspecError,
+            RecursionError,
+        ) as error:
             raise VmListUnavailableError(str(error)) from error
 
 
--- a/tests/transport/test_broken_answers.py
+++ b/tests/transport/test_broken_answers.py
@@ -44,7 +44,7 @@
 from camphoryard.state.traffic import RequestedModel
 from camphoryard.transport.endpoints import HttpEngines, HttpServices
 from camphoryard.transport.http_client import Address, HttpCall, HttpClient
-from camphoryard.transport.object_api import ObjectApi, ObjectRecords
+from camphoryard.transport.object_api import ObjectApi, ObjectContents, ObjectRecords
 from camphoryard.transport.stream_reading import StreamLimits, StreamReaders
 from camphoryard.transport.upstream import HttpUpstream
 from camphoryard.transport.vm_list import HttpVmList
@@ -61,6 +61,8 @@
 
 HOST = "127.0.0.1"
 ID = "r1"
+IDS = f"{ID}\r\nX-Object-Version: 3"
+"""What answers repeat of their call, with the field that versions of objects have."""
 TIMEOUT_S = 5.0
 MAX_BYTES = 1 << 20
 EVENT = b'data: {"request_id":"r1","offset":0,"finished":true}\n\n'
@@ -144,6 +146,12 @@
     return ObjectRecords(ObjectApi(client, address, "token"), "p/", codec)
 
 
+def object_contents(client, address):
+    """Return the parts of configurations in the object API."""
+    codec = Codec(lambda part: b"{}", lambda value: value)
+    return ObjectContents(ObjectApi(client, address, "token"), "p/", codec)
+
+
 def engine(address):
     """Return an engine of the product's own daemon."""
     return Endpoint(EndpointId("e1"), EndpointKind.ENGINE, HOST, address.port, 9000)
@@ -215,6 +223,14 @@
         ),
         b'{"metadata":{"name":"e1","revision":3}}',
     ),
+    "object of the object API": (
+        lambda client, address: object_records(client, address).get("e1"),
+        b"{}",
+    ),
+    "parts in the object API": (
+        lambda client, address: object_contents(client, address).keys(),
+        b'{"revision":3,"items":[]}',
+    ),
     "listing of the object API": (
         lambda client, address: object_records(client, address).list(),
         b'{"revision":3,"items":[]}',
@@ -262,7 +278,7 @@
         _, body = PLACES[place]
         status = OTHER_STATUSES.get(place, 200)
         answers = {
-            name: fill(head, ID, status, body) for name, head in SPOILT_HEADS.items()
+            name: fill(head, IDS, status, body) for name, head in SPOILT_HEADS.items()
         }
         assert accepted_answers(place, answers) == set()
 
@@ -271,7 +287,7 @@
         _, body = PLACES[place]
         status = OTHER_STATUSES.get(place, 200)
         answers = {
-            name: fill(head, ID, status, body) for name, head in SOUND_HEADS.items()
+            name: fill(head, IDS, status, body) for name, head in SOUND_HEADS.items()
         }
         assert accepted_answers(place, answers) == set(answers)
 
@@ -286,7 +302,38 @@
         """No body is read from them."""
         _, body = PLACES[place]
         answers = {
-            name: fill(CHUNKED_HEAD, ID, 200, chunks(body, **arguments))
+            name: fill(CHUNKED_HEAD, IDS, 200, chunks(body, **arguments))
             for name, arguments in SPOILT_CHUNKS.items()
         }
         assert accepted_answers(place, answers) == set()
+
+
+READERS_OF_JSON = (
+    "report of a platform's engine",
+    "object of the platform's store",
+    "listing of the platform's store",
+    "write to the platform's store",
+    "listing of the object API",
+    "parts in the object API",
+    "list of VMs",
+    "inventory of an engine",
+    "stream of an engine",
+)
+
+DEEP = b"[" * 1500 + b"]" * 1500
+
+
+# Guards against CONFIG: one body that could not be decoded ended the task that watches
+# the store, so that the node followed no change from then on.
+@pytest.mark.parametrize("place", READERS_OF_JSON)
+class TestBodies:
+    """Whole answers whose body is not what was asked for."""
+
+    def test_unreadable_bodies(self, place):
+        """None counts as an answer, and no other error is raised."""
+        head = SOUND_HEADS["no length"]
+        bodies = (b"", b"{", b"\xff", b"[]", b'{"revision":1,"items":[],"x":' + DEEP)
+        if place == "stream of an engine":
+            bodies = tuple(b"data: {%b\n\n" % body for body in (b"", b'"x":' + DEEP))
+        answers = {body[:30]: fill(head, IDS, 200, body) for body in bodies}
+        assert accepted_answers(place, answers) == set()
--- a/tests/transport/test_object_api.py
+++ b/tests/transport/test_object_api.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from camphoryard.protocol.platform import ERA_HEADER, LEASE_CODEC
+from camphoryard.protocol.platform import ERA_HEADER, LEASE_CODEC, VERSION_HEADER
 from camphoryard.state.enums import NodeState
 from camphoryard.state.errors import ConflictError, StoreUnavailableError
 from camphoryard.state.ids import ABSENT, StoreEra
@@ -134,6 +134,13 @@
         assert site.put("b", version) > version
         assert site.restores == []
 
+    def test_answer_without_a_version_is_none(self, site):
+        """An object is of no use without the version that a write has to name."""
+        site.put("a")
+        site.client.dropped_header = VERSION_HEADER
+        with pytest.raises(StoreUnavailableError):
+            site.leases.get("n")
+
     @pytest.mark.parametrize("era", ["x", "-1", "", MAX_ERA + 1])
     def test_invalid_era_is_no_answer(self, site, era):
         """An answer whose era cannot be read has no version."""
