Compare header names of the object API without their case

Operators would have seen: a camphoryardd that takes no answer of an object API, or of a proxy before it, that writes header names in lower case, as RFC 9110, section 5.1, allows.

Cause: the headers of an answer keep their names as sent, and two of the three readers looked them up by case.

Change: HttpAnswer.header compares names as the platform's store did for itself; both stores use it.

Evidence: test_case_of_header_names_does_not_matter failed before, the answer's era being read as that of a store without eras.

Result: it passes.

--- a/src/camphoryard/platform/store.py
+++ b/src/camphoryard/platform/store.py
@@ -308,9 +308,8 @@
 
 def _era(answer: HttpAnswer) -> StoreEra:
     """Return the era that an answer reports; raises StoreUnavailableError."""
-    eras = (text for name, text in answer.headers.items() if name.lower() == ERA_HEADER)
     try:
-        return read_era(next(eras, None))
+        return read_era(answer.header(ERA_HEADER))
     except ValueError as error:
         raise StoreUnavailableError(str(error)) from error
 
--- a/src/camphoryard/transport/http_client.py
+++ b/src/camphoryard/transport/http_client.py
@@ -135,6 +135,15 @@
     headers: Mapping[str, str]
     body: bytes
 
+    def header(self, name: str) -> str | None:
+        """Return the value of a header, or None; the case of names does not matter."""
+        values = (
+            value
+            for other, value in self.headers.items()
+            if other.lower() == name.lower()
+        )
+        return next(values, None)
+
 
 class OpenAnswer:
     """An answer whose head is received and whose body is not yet read."""
--- a/src/camphoryard/transport/object_api.py
+++ b/src/camphoryard/transport/object_api.py
@@ -146,14 +146,14 @@
 def era_in(answer: HttpAnswer) -> StoreEra:
     """Return the era that an answer reports; raises StoreUnavailableError."""
     try:
-        return read_era(answer.headers.get(ERA_HEADER))
+        return read_era(answer.header(ERA_HEADER))
     except ValueError as error:
         raise StoreUnavailableError(str(error)) from error
 
 
 def version_of(answer: HttpAnswer) -> Version:
     """Return the version of the object in an answer; raises as ``era_in``."""
-    text = answer.headers.get(VERSION_HEADER, "")
+    text = answer.header(VERSION_HEADER) or ""
     try:
         return version_in(era_in(answer), int(text))
     except ValueError as error:
--- a/tests/fakes/object_api.py
+++ b/tests/fakes/object_api.py
@@ -99,13 +99,14 @@
 class StoreClient:
     """An HTTP client of a stand-in for the object API in this process.
 
-    Answers lack the header ``dropped_header``.
+    Answers lack the header ``dropped_header``; names are passed to ``edit_name``.
     """
 
     def __init__(self, store):
         self._store = store
         self.calls = []
         self.dropped_header = ""
+        self.edit_name: Callable[[str], str] = str
 
     def call(self, address, call):
         """Return the stand-in's answer."""
@@ -117,6 +118,7 @@
         )
         headers = dict(response.headers)
         headers.pop(self.dropped_header, None)
+        headers = {self.edit_name(name): text for name, text in headers.items()}
         return HttpAnswer(response.status, headers, b"".join(response.body))
 
 
--- a/tests/transport/test_object_api.py
+++ b/tests/transport/test_object_api.py
@@ -134,6 +134,15 @@
         assert site.put("b", version) > version
         assert site.restores == []
 
+    def test_case_of_header_names_does_not_matter(self, site):
+        """Proxies and other servers write them in lower case."""
+        site.client.edit_name = str.lower
+        site.store.restore(time.monotonic())
+        site.leases.list()
+        version = site.put("a")
+        assert site.restores == [StoreEra(1), StoreEra(2)]
+        assert site.leases.get("n").version == version
+
     def test_answer_without_a_version_is_none(self, site):
         """An object is of no use without the version that a write has to name."""
         site.put("a")
