--- a/src/camphoryard/transport/http_answers.py
+++ b/src/camphoryard/transport/http_answers.py
@@ -36,7 +36,7 @@
 INTERIM_STATUSES = range(100, 200)
 STATUSES_WITHOUT_BODY = (204, 304)
 CHUNKED = "chunked"
-BLANKS = " \t"
+WHITESPACE = " \t"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: (%b))?" % _TEXT)
 _FIELD_NAME = re.compile(TOKEN.encode("ascii"))
@@ -128,7 +128,7 @@
     is_name = colon and _FIELD_NAME.fullmatch(name)
     if not is_name or not _FIELD_VALUE.fullmatch(value):
         raise _invalid("field", line)
-    return Field(name.decode("ascii"), value.decode("latin-1").strip(BLANKS))
+    return Field(name.decode("ascii"), value.decode("latin-1").strip(WHITESPACE))
 
 
 def parse_chunk_size(line: bytes) -> int:
@@ -171,7 +171,7 @@
 def _list_items(fields: list[Field], name: str) -> list[str]:
     """Return the items, in lower case, of all lists in the fields with a name."""
     return [
-        item.strip(BLANKS).lower()
+        item.strip(WHITESPACE).lower()
         for field in fields
         if field.name.lower() == name
         for item in field.value.split(",")
--- a/tests/cli/test_connection.py
+++ b/tests/cli/test_connection.py
@@ -9,10 +9,10 @@
 from camphoryard.cli.connection import Call, UnreachableError, send
 from tests.fakes.raw_answers import (
     CHUNKED_HEAD,
-    SOUND_CHUNKS,
-    SOUND_HEADS,
-    SPOILT_CHUNKS,
-    SPOILT_HEADS,
+    MALFORMED_CHUNKS,
+    MALFORMED_HEADS,
+    VALID_CHUNKS,
+    VALID_HEADS,
     chunks,
     fill,
 )
@@ -50,26 +50,26 @@
 class TestSend:
     """Answers are read by the rules that hold for those of endpoints."""
 
-    @pytest.mark.parametrize("name", SPOILT_HEADS)
+    @pytest.mark.parametrize("name", MALFORMED_HEADS)
     def test_malformed_head(self, name):
         """The call may have taken effect."""
         with pytest.raises(UnreachableError):
-            body_from(fill(SPOILT_HEADS[name], "r1", 200, BODY))
+            body_from(fill(MALFORMED_HEADS[name], "r1", 200, BODY))
 
-    @pytest.mark.parametrize("name", SPOILT_CHUNKS)
+    @pytest.mark.parametrize("name", MALFORMED_CHUNKS)
     def test_malformed_chunks(self, name):
         """No part of the body is shown."""
-        body = chunks(BODY, **SPOILT_CHUNKS[name])
+        body = chunks(BODY, **MALFORMED_CHUNKS[name])
         with pytest.raises(UnreachableError):
             body_from(fill(CHUNKED_HEAD, "r1", 200, body))
 
-    @pytest.mark.parametrize("name", SOUND_HEADS)
-    def test_sound_head(self, name):
+    @pytest.mark.parametrize("name", VALID_HEADS)
+    def test_valid_head(self, name):
         """Heads that are unusual and allowed are read."""
-        assert body_from(fill(SOUND_HEADS[name], "r1", 200, BODY)) == BODY
+        assert body_from(fill(VALID_HEADS[name], "r1", 200, BODY)) == BODY
 
-    @pytest.mark.parametrize("name", SOUND_CHUNKS)
-    def test_sound_chunks(self, name):
+    @pytest.mark.parametrize("name", VALID_CHUNKS)
+    def test_valid_chunks(self, name):
         """So are such chunks."""
-        body = chunks(BODY, **SOUND_CHUNKS[name])
+        body = chunks(BODY, **VALID_CHUNKS[name])
         assert body_from(fill(CHUNKED_HEAD, "r1", 200, body)) == BODY
--- a/tests/fakes/raw_answers.py
+++ b/tests/fakes/raw_answers.py
@@ -1,4 +1,4 @@
-"""Answers of faulty and of sound servers, as bytes, by what is particular to them."""
+"""Answers of faulty and of correct servers, as bytes, by what is particular to them."""
 
 from collections.abc import Mapping
 
@@ -37,7 +37,7 @@
     return {_name("start", start): _head(start) for start in starts}
 
 
-SPOILT_LENGTHS = _lengths(
+MALFORMED_LENGTHS = _lengths(
     "Content-Length: +{length}",
     "Content-Length: -{length}",
     "Content-Length: 1_6",
@@ -87,14 +87,14 @@
 }
 """Heads that do not tell the length of their body."""
 
-SPOILT_LINES = _lines(
-    "spoilt",
+MALFORMED_LINES = _lines(
+    "garbage",
     "\x00\x01\x02",
     "\x7f\xff",
     "=: 1",
     ": 1",
-    " spoilt",
-    "\tspoilt: 1",
+    " garbage",
+    "\tgarbage: 1",
     "HTTP/1.1 200 OK",
     "X: a\rb",
     "X: a\nb",
@@ -122,7 +122,7 @@
 }
 """Heads with a line that is no field, or one whose name is none."""
 
-SPOILT_STARTS = _starts(
+MALFORMED_STARTS = _starts(
     "HTTP/1.1 000 X",
     "HTTP/1.1 099 X",
     "HTTP/1.1 600 X",
@@ -170,30 +170,33 @@
     "199 without a reason": "HTTP/1.1 199\r\n\r\n",
     "several": "HTTP/1.1 100\r\n\r\nHTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 103\r\n\r\n",
 }
-"""Heads that may precede the head of a sound answer."""
+"""Heads that may precede the head of a valid answer."""
 
-_SPOILT_INTERIM_HEADS = {
+_MALFORMED_INTERIM_HEADS = {
     "101": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
     "101 with the ids": _head("HTTP/1.1 101 X"),
-    "100 with a line that is no field": "HTTP/1.1 100 Continue\r\nspoilt\r\n\r\n",
+    "100 with a line that is no field": "HTTP/1.1 100 Continue\r\ngarbage\r\n\r\n",
     "103 with a blank in a name": "HTTP/1.1 103 X\r\nA b: 1\r\n\r\n",
     "100 with a signed length": "HTTP/1.1 100 X\r\nContent-Length: -5\r\n\r\n",
     "103 with two lengths": "HTTP/1.1 103 X\r\nContent-Length: 1, 2\r\n\r\n",
 }
 """Heads that end their call, whatever follows."""
 
-SPOILT_HEADS: Mapping[str, str] = {
-    **SPOILT_LENGTHS,
-    **SPOILT_LINES,
-    **SPOILT_STARTS,
-    **{f"after {name}": head + _head() for name, head in _SPOILT_INTERIM_HEADS.items()},
+MALFORMED_HEADS: Mapping[str, str] = {
+    **MALFORMED_LENGTHS,
+    **MALFORMED_LINES,
+    **MALFORMED_STARTS,
+    **{
+        f"after {name}": head + _head()
+        for name, head in _MALFORMED_INTERIM_HEADS.items()
+    },
 }
 """Templates of heads that are malformed by RFC 9110 or 9112, by name.
 
-``{status}``, ``{id}`` and ``{length}`` are those of a sound answer.
+``{status}``, ``{id}`` and ``{length}`` are those of a valid answer.
 """
 
-SOUND_HEADS: Mapping[str, str] = {
+VALID_HEADS: Mapping[str, str] = {
     **_starts(
         "HTTP/1.1 {status} X",
         "HTTP/1.1 {status} ",
@@ -225,7 +228,7 @@
     "no length": _head(length="Connection: close"),
     "no length of HTTP/1.0": _head("HTTP/1.0 {status} X", length=""),
 }
-"""Templates of heads that are sound, by name; their body follows as it is."""
+"""Templates of heads that are valid, by name; their body follows as it is."""
 
 CHUNKED_HEAD = _head(length="Transfer-Encoding: chunked")
 """Template of the head of an answer in chunks."""
@@ -240,7 +243,7 @@
     return b"4\r\n" + first + b"\r\n" + before + second + after
 
 
-SPOILT_CHUNKS: Mapping[str, Mapping[str, str]] = {
+MALFORMED_CHUNKS: Mapping[str, Mapping[str, str]] = {
     **{
         _name("size", size): {"size": size}
         for size in (
@@ -274,7 +277,7 @@
             "-0\r\n\r\n",
             "0x0\r\n\r\n",
             "0\n\n",
-            "0\r\nspoilt\r\n\r\n",
+            "0\r\ngarbage\r\n\r\n",
             "0\r\nX Y: 1\r\n\r\n",
             "0\r\nX: a\x00\r\n\r\n",
             "0\r\n X: 1\r\n\r\n",
@@ -284,7 +287,7 @@
 }
 """Arguments of `chunks` for bodies that are malformed, by name."""
 
-SOUND_CHUNKS: Mapping[str, Mapping[str, str]] = {
+VALID_CHUNKS: Mapping[str, Mapping[str, str]] = {
     **{
         _name("size", size): {"size": size}
         for size in (
@@ -308,7 +311,7 @@
         )
     },
 }
-"""Arguments of `chunks` for bodies that are sound, by name."""
+"""Arguments of `chunks` for bodies that are valid, by name."""
 
 
 def fill(template, id, status, body):
--- a/tests/system/test_broken_answers.py
+++ b/tests/system/test_broken_answers.py
@@ -15,10 +15,10 @@
 from standins.fleet import HOST, Fleet
 from tests.fakes.raw_answers import (
     CHUNKED_HEAD,
-    SOUND_CHUNKS,
-    SOUND_HEADS,
-    SPOILT_CHUNKS,
-    SPOILT_HEADS,
+    MALFORMED_CHUNKS,
+    MALFORMED_HEADS,
+    VALID_CHUNKS,
+    VALID_HEADS,
     chunks,
     fill,
 )
@@ -27,7 +27,7 @@
 PLAIN_BODY = b"seat 4 is yours\n"
 EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, 6)]
 STREAM_BODY = b"".join(EVENTS)
-SOUND_HEAD = SOUND_HEADS["no length"]
+VALID_HEAD = VALID_HEADS["no length"]
 CLIENTS = 8
 LAST = "last"
 """Service whose endpoint is registered after all others."""
@@ -56,13 +56,15 @@
 class ScriptedEndpoint:
     """Answers calls of one kind by a script; a connection ends with its answer.
 
-    A resumed stream begins as a sound one, which breaks off after two events; the
-    answer by the script continues it.
+    A resumed stream begins as a valid one, which breaks off after two events; the
+    answer by the script continues it. A repeated request gets a valid answer the second
+    time.
     """
 
     def __init__(self, kind: str, script: Script) -> None:
         self._kind = kind
         self._script = script
+        self._calls = 0
         self._listener = socket.create_server((HOST, 0))
         self.address = f"{HOST}:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -88,8 +90,11 @@
 
     def _answer_to(self, request):
         id = request.partition("Attempt-Id: ")[2].partition("\r\n")[0]
+        self._calls += 1
         match self._kind:
-            case "plain":
+            case "repeated" if self._calls > 1:
+                return fill(VALID_HEAD, id, 200, PLAIN_BODY)
+            case "plain" | "repeated":
                 return self._script(id, 200, PLAIN_BODY)
             case "refused":
                 return self._script(f"{id}\r\nNot-Executed: 1", 503, b"")
@@ -105,6 +110,7 @@
 ROUTE_KINDS = {
     "plain": ("non_idempotent", {"max-attempts": 1}),
     "refused": ("non_idempotent", {"max-attempts": 1}),
+    "repeated": ("idempotent", {"max-attempts": 2}),
     "stream": ("streaming", {"max-attempts": 1}),
     "resumed": ("streaming", {"max-attempts": 2, "resumable": True}),
 }
@@ -129,10 +135,10 @@
         site.put("config", "main", config)
         for name, script in zip(names, script_by_name.values(), strict=True):
             address = ScriptedEndpoint(kind, script).address
-            for number in range(2 if kind == "resumed" else 1):
+            for number in range(fields["max-attempts"]):
                 entry = {**site.endpoint(name), "address": address}
                 site.put("servers", f"{name}-{number}", entry)
-        address = ScriptedEndpoint("plain", partial(fill, SOUND_HEAD)).address
+        address = ScriptedEndpoint("plain", partial(fill, VALID_HEAD)).address
         site.put("servers", LAST, {**site.endpoint(LAST), "address": address})
         # The store reports changes in order.
         fleet.wait_until(
@@ -163,25 +169,30 @@
     }
 
 
-# Guards against MIXED: answers with spoilt heads reached clients as whole answers, with
-# bodies that were not the endpoint's, and spoilt refusals as promises.
-class TestSpoiltHeads:
+# Guards against MIXED: answers with malformed heads reached clients as whole answers,
+# with bodies that were not the endpoint's, and malformed refusals as promises.
+class TestMalformedHeads:
     """An endpoint's answer with a malformed head is none."""
 
     @pytest.mark.parametrize("kind", ["plain", "refused", "stream"])
     def test_client_is_told_that_the_endpoint_failed(self, kind):
         """The request may have run, so that nothing is promised."""
-        answers = answers_by_name(kind, heads(SPOILT_HEADS))
+        answers = answers_by_name(kind, heads(MALFORMED_HEADS))
         assert differing(answers, 502, None, True) == {}
 
+    def test_request_that_may_run_again_is_sent_again(self):
+        """The client gets the answer of another endpoint."""
+        answers = answers_by_name("repeated", heads(MALFORMED_HEADS))
+        assert differing(answers, 200, PLAIN_BODY, True) == {}
+
     def test_stream_is_not_resumed_with_it(self):
         """The client keeps the events so far, of an incomplete answer."""
-        answers = answers_by_name("resumed", heads(SPOILT_HEADS))
+        answers = answers_by_name("resumed", heads(MALFORMED_HEADS))
         begun = b"".join(EVENTS[:2])
         assert differing(answers, 200, begun, False) == {}
 
 
-class TestSoundHeads:
+class TestValidHeads:
     """Unusual heads that the standard allows."""
 
     @pytest.mark.parametrize(
@@ -190,29 +201,29 @@
     )
     def test_answer_is_served(self, kind, body):
         """The client gets the endpoint's body, whole."""
-        answers = answers_by_name(kind, heads(SOUND_HEADS))
+        answers = answers_by_name(kind, heads(VALID_HEADS))
         assert differing(answers, 200, body, True) == {}
 
     def test_refusal_is_a_promise(self):
         """The client may send the request again."""
-        answers = answers_by_name("refused", heads(SOUND_HEADS))
+        answers = answers_by_name("refused", heads(VALID_HEADS))
         assert differing(answers, 503, None, True) == {}
 
 
 # Guards against MIXED: sizes of chunks that are no numbers in HTTP, and whatever stood
 # in place of the end of a chunk.
 class TestChunks:
-    """Bodies in chunks, malformed and sound."""
+    """Bodies in chunks, malformed and valid."""
 
     def test_malformed_body_is_not_passed_on(self):
         """The client is told that the endpoint failed."""
-        answers = answers_by_name("plain", bodies_in_chunks(SPOILT_CHUNKS))
+        answers = answers_by_name("plain", bodies_in_chunks(MALFORMED_CHUNKS))
         assert differing(answers, 502, None, True) == {}
 
     @pytest.mark.parametrize("kind", ["stream", "resumed"])
     def test_malformed_stream_is_incomplete(self, kind):
         """The client may get the events before what is malformed."""
-        answers = answers_by_name(kind, bodies_in_chunks(SPOILT_CHUNKS))
+        answers = answers_by_name(kind, bodies_in_chunks(MALFORMED_CHUNKS))
         wrong = {
             name: answer
             for name, answer in answers.items()
@@ -224,9 +235,9 @@
         ("kind", "body"),
         [("plain", PLAIN_BODY), ("stream", STREAM_BODY), ("resumed", STREAM_BODY)],
     )
-    def test_sound_body_is_served(self, kind, body):
+    def test_valid_body_is_served(self, kind, body):
         """The client gets the content of all chunks."""
-        answers = answers_by_name(kind, bodies_in_chunks(SOUND_CHUNKS))
+        answers = answers_by_name(kind, bodies_in_chunks(VALID_CHUNKS))
         assert differing(answers, 200, body, True) == {}
 
 
--- a/tests/transport/test_broken_answers.py
+++ b/tests/transport/test_broken_answers.py
@@ -51,9 +51,9 @@
 from tests.fakes.engines import Clock, RecordedLog, make_endpoint
 from tests.fakes.raw_answers import (
     CHUNKED_HEAD,
-    SOUND_HEADS,
-    SPOILT_CHUNKS,
-    SPOILT_HEADS,
+    MALFORMED_CHUNKS,
+    MALFORMED_HEADS,
+    VALID_HEADS,
     chunks,
     fill,
 )
@@ -278,16 +278,17 @@
         _, body = PLACES[place]
         status = OTHER_STATUSES.get(place, 200)
         answers = {
-            name: fill(head, IDS, status, body) for name, head in SPOILT_HEADS.items()
+            name: fill(head, IDS, status, body)
+            for name, head in MALFORMED_HEADS.items()
         }
         assert accepted_answers(place, answers) == set()
 
-    def test_sound_heads(self, place):
+    def test_valid_heads(self, place):
         """Each counts as an answer."""
         _, body = PLACES[place]
         status = OTHER_STATUSES.get(place, 200)
         answers = {
-            name: fill(head, IDS, status, body) for name, head in SOUND_HEADS.items()
+            name: fill(head, IDS, status, body) for name, head in VALID_HEADS.items()
         }
         assert accepted_answers(place, answers) == set(answers)
 
@@ -303,7 +304,7 @@
         _, body = PLACES[place]
         answers = {
             name: fill(CHUNKED_HEAD, IDS, 200, chunks(body, **arguments))
-            for name, arguments in SPOILT_CHUNKS.items()
+            for name, arguments in MALFORMED_CHUNKS.items()
         }
         assert accepted_answers(place, answers) == set()
 
@@ -331,7 +332,7 @@
 
     def test_unreadable_bodies(self, place):
         """None counts as an answer, and no other error is raised."""
-        head = SOUND_HEADS["no length"]
+        head = VALID_HEADS["no length"]
         bodies = (b"", b"{", b"\xff", b"[]", b'{"revision":1,"items":[],"x":' + DEEP)
         if place == "stream of an engine":
             bodies = tuple(b"data: {%b\n\n" % body for body in (b"", b'"x":' + DEEP))
--- a/tests/transport/test_event_streams.py
+++ b/tests/transport/test_event_streams.py
@@ -12,7 +12,7 @@
 from camphoryard.transport.event_streams import EventStream
 from camphoryard.transport.http_client import Address, HttpCall, HttpClient
 from camphoryard.transport.stream_reading import StreamLimits, StreamReaders
-from tests.fakes.raw_answers import SOUND_CHUNKS, SPOILT_CHUNKS, chunks
+from tests.fakes.raw_answers import MALFORMED_CHUNKS, VALID_CHUNKS, chunks
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 PLAIN_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
@@ -119,10 +119,10 @@
 
     EVENTS = event(0) + event(1) + event(2, True)
 
-    @pytest.mark.parametrize("name", SPOILT_CHUNKS)
+    @pytest.mark.parametrize("name", MALFORMED_CHUNKS)
     def test_malformed_chunk(self, engine, name):
         """Nothing is read beyond it, and the connection is not used again."""
-        body = chunks(self.EVENTS, **SPOILT_CHUNKS[name])
+        body = chunks(self.EVENTS, **MALFORMED_CHUNKS[name])
         stream, engine_sock = engine.open(HEAD + body)
         engine_sock.close()
         if name.startswith("size"):
@@ -135,11 +135,11 @@
         stream.close()
         assert engine.idle_connections == 0
 
-    @pytest.mark.parametrize("name", SOUND_CHUNKS)
+    @pytest.mark.parametrize("name", VALID_CHUNKS)
     @pytest.mark.parametrize("is_split", [False, True])
-    def test_sound_chunks(self, engine, name, is_split):
+    def test_valid_chunks(self, engine, name, is_split):
         """The whole stream is read, and the connection may be used again."""
-        body = chunks(self.EVENTS, **SOUND_CHUNKS[name])
+        body = chunks(self.EVENTS, **VALID_CHUNKS[name])
         stream, engine_sock = engine.open(HEAD + body[: 9 if is_split else None])
         with ThreadPoolExecutor(1) as executor:
             if is_split:
--- a/tests/transport/test_http_answers.py
+++ b/tests/transport/test_http_answers.py
@@ -16,10 +16,10 @@
 )
 from tests.fakes.raw_answers import (
     CHUNKED_HEAD,
-    SOUND_CHUNKS,
-    SOUND_HEADS,
-    SPOILT_CHUNKS,
-    SPOILT_HEADS,
+    MALFORMED_CHUNKS,
+    MALFORMED_HEADS,
+    VALID_CHUNKS,
+    VALID_HEADS,
     chunks,
     fill,
 )
@@ -46,22 +46,22 @@
     return response
 
 
-class TestSpoiltHeads:
+class TestMalformedHeads:
     """Heads that are malformed."""
 
-    @pytest.mark.parametrize("name", SPOILT_HEADS)
+    @pytest.mark.parametrize("name", MALFORMED_HEADS)
     @pytest.mark.parametrize("status", [200, 204, 503])
     def test_error_is_raised(self, name, status):
         """Nothing of the answer is used, even if it has no body."""
-        data = fill(SPOILT_HEADS[name], "r1", status, BODY)
+        data = fill(MALFORMED_HEADS[name], "r1", status, BODY)
         with pytest.raises(HTTPException):
             begin(data)
 
     def test_error_quotes_a_part_of_what_was_sent(self):
         """Lines of logs are of bounded length."""
         with pytest.raises(InvalidAnswerError) as caught:
-            parse_field(b"spoilt\x00" * 1000)
-        assert r"spoilt\x00" in str(caught.value)
+            parse_field(b"garbage\x00" * 1000)
+        assert r"garbage\x00" in str(caught.value)
         assert len(str(caught.value)) < 2 * MAX_QUOTED_CHARACTERS
 
     def test_many_fields(self):
@@ -82,13 +82,13 @@
             begin(b"")
 
 
-class TestSoundHeads:
+class TestValidHeads:
     """Heads that are unusual, and allowed."""
 
-    @pytest.mark.parametrize("name", SOUND_HEADS)
+    @pytest.mark.parametrize("name", VALID_HEADS)
     def test_body_is_read(self, name):
         """The status and the whole body are those that were sent."""
-        response = begin(fill(SOUND_HEADS[name], "r1", 200, BODY))
+        response = begin(fill(VALID_HEADS[name], "r1", 200, BODY))
         assert response.status == 200
         assert response.headers["attempt-id"] == "r1"
         assert response.read() == BODY
@@ -154,17 +154,17 @@
 class TestChunks:
     """Bodies in chunks."""
 
-    @pytest.mark.parametrize("name", SPOILT_CHUNKS)
+    @pytest.mark.parametrize("name", MALFORMED_CHUNKS)
     def test_malformed_chunk(self, read, name):
         """The body is not read to its end."""
-        body = chunks(BODY, **SPOILT_CHUNKS[name])
+        body = chunks(BODY, **MALFORMED_CHUNKS[name])
         with pytest.raises(HTTPException):
             read(begin(fill(CHUNKED_HEAD, "r1", 200, body)))
 
-    @pytest.mark.parametrize("name", SOUND_CHUNKS)
-    def test_sound_chunks(self, read, name):
+    @pytest.mark.parametrize("name", VALID_CHUNKS)
+    def test_valid_chunks(self, read, name):
         """The content of all chunks is read, and the connection can be used again."""
-        body = chunks(BODY, **SOUND_CHUNKS[name])
+        body = chunks(BODY, **VALID_CHUNKS[name])
         response = begin(fill(CHUNKED_HEAD, "r1", 200, body))
         assert read(response) == BODY
         assert (response.isclosed(), response.will_close) == (True, False)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -213,7 +213,7 @@
         "answer",
         [
             b"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
-            b"HTTP/1.1 200 OK\r\nspoilt\r\nContent-Length: 2\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\ngarbage\r\nContent-Length: 2\r\n\r\nok",
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n",
         ],
     )
